--- /dev/null
+++ b/coordination/memory_store.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <mutex>
+
+#include "coordination/store.h"
+
+namespace Lovageloft
+{
+
+/// The store of a deployment of one host, and of tests: all in memory, gone with the process.
+/// Thread-safe. Time comes from the function handed in, so that tests let leases lapse at will.
+class MemoryStore : public Store
+{
+public:
+    using Now = std::function<TimePoint()>;
+
+    explicit MemoryStore(Now now = &BootClock::now);
+
+    StoreReply get(std::string_view key) override;
+    StoreListReply list(std::string_view prefix) override;
+    StoreReply compareAndSwap(std::string_view key, std::int64_t expectedRevision, std::string_view value, std::int64_t leaseId) override;
+    StoreReply compareAndDelete(std::string_view key, std::int64_t expectedRevision) override;
+    StoreListReply watch(std::string_view prefix, std::int64_t afterRevision, Duration timeout) override;
+    StoreLeaseReply grantLease(Duration timeToLive) override;
+    StoreLeaseReply keepAlive(std::int64_t leaseId) override;
+    StoreLeaseReply revokeLease(std::int64_t leaseId) override;
+
+private:
+    struct Value
+    {
+        std::string text;
+        std::int64_t revision = 0;
+        std::int64_t leaseId = 0;
+    };
+
+    struct Lease
+    {
+        Duration timeToLive{};
+        TimePoint expiry;
+    };
+
+    StoreEntry entryOf(std::string_view key) const;
+    StoreListReply historyAfter(std::string_view prefix, std::int64_t afterRevision) const;
+    void record(StoreEntry entry);
+    void erase(const std::string &key);
+    void dropLease(std::int64_t leaseId);
+    void expireLeases();
+
+    Now now_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::map<std::string, Value, std::less<>> values_;
+    std::map<std::int64_t, Lease> leases_;
+    std::vector<StoreEntry> history_;
+    std::int64_t revision_ = 0;
+    std::int64_t lastLeaseId_ = 0;
+};
+
+} // namespace Lovageloft
--- /dev/null
+++ b/core/digest.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+/// Digests and random identifiers, by OpenSSL.
+namespace Lovageloft
+{
+
+/// SHA-256 as 64 lower-case hexadecimal digits.
+std::string sha256Hex(std::string_view data);
+
+/// HMAC-SHA-256 of `data` under `secret` as 64 lower-case hexadecimal digits.
+std::string hmacSha256Hex(std::string_view secret, std::string_view data);
+
+/// Compares in a time that depends on the lengths only, so that a stranger can't guess a digest byte by byte.
+bool equalInConstantTime(std::string_view left, std::string_view right);
+
+/// `bytes` bytes from the system's cryptographic generator, in hexadecimal. For nonces and incarnations.
+std::string randomHex(std::size_t bytes);
+
+} // namespace Lovageloft
--- /dev/null
+++ b/core/log.cpp
@@ -0,0 +1,145 @@
+#include "core/log.h"
+
+#include <array>
+#include <chrono>
+#include <iostream>
+
+#include <boost/log/attributes/attribute_value_set.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/make_shared.hpp>
+#include <boost/smart_ptr/shared_ptr.hpp>
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+constexpr std::size_t queueRecords = 8192;
+constexpr std::array<std::string_view, 4> levelNames{"debug", "info", "warning", "error"};
+
+using Backend = boost::log::sinks::text_ostream_backend;
+using Sink = boost::log::sinks::asynchronous_sink<Backend, boost::log::sinks::bounded_fifo_queue<queueRecords, boost::log::sinks::drop_on_overflow>>;
+
+struct LogState
+{
+    LogLevel level = LogLevel::Info;
+    std::string host;
+    boost::shared_ptr<Sink> sink;
+};
+
+LogState &state()
+{
+    static LogState instance;
+    return instance;
+}
+
+void appendNumber(std::string &out, double number)
+{
+    std::array<char, 32> text{};
+    const int length = std::snprintf(text.data(), text.size(), "%.6g", number);
+    out.append(text.data(), static_cast<std::size_t>(length));
+}
+
+std::string timeText()
+{
+    const auto now = std::chrono::system_clock::now();
+    const std::time_t seconds = std::chrono::system_clock::to_time_t(now);
+    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::array<char, 40> text{};
+    const std::size_t length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::snprintf(text.data() + length, text.size() - length, ".%03dZ", static_cast<int>(millis));
+    return text.data();
+}
+
+} // namespace
+
+void appendJsonString(std::string &out, std::string_view text)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    out.push_back('"');
+    for (const char character : text) {
+        const auto byte = static_cast<unsigned char>(character);
+        if (character == '"' || character == '\\') {
+            out.push_back('\\');
+            out.push_back(character);
+        } else if (byte < 0x20) {
+            out.append("\\u00");
+            out.push_back(digits[byte >> 4U]);
+            out.push_back(digits[byte & 0xfU]);
+        } else {
+            out.push_back(character);
+        }
+    }
+    out.push_back('"');
+}
+
+std::string formatLogFields(std::initializer_list<LogField> fields)
+{
+    std::string out;
+    for (const LogField &field : fields) {
+        out.push_back(',');
+        appendJsonString(out, field.name);
+        out.push_back(':');
+        if (const auto *text = std::get_if<std::string_view>(&field.value)) {
+            appendJsonString(out, *text);
+        } else if (const auto *integer = std::get_if<std::int64_t>(&field.value)) {
+            out.append(std::to_string(*integer));
+        } else if (const auto *number = std::get_if<double>(&field.value)) {
+            appendNumber(out, *number);
+        } else {
+            out.append(std::get<bool>(field.value) ? "true" : "false");
+        }
+    }
+    return out;
+}
+
+void startLog(LogLevel level, std::string_view host)
+{
+    auto backend = boost::make_shared<Backend>();
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, [](std::ostream *) {}));
+    backend->auto_flush(true);
+    auto sink = boost::make_shared<Sink>(backend);
+    sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+    boost::log::core::get()->add_sink(sink);
+    state() = {level, std::string(host), sink};
+}
+
+void stopLog()
+{
+    if (state().sink == nullptr) {
+        return;
+    }
+    boost::log::core::get()->remove_sink(state().sink);
+    state().sink->stop();
+    state().sink->flush();
+    state().sink.reset();
+}
+
+void writeLog(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    if (state().sink == nullptr || level < state().level) {
+        return;
+    }
+    std::string line = "{\"time\":\"" + timeText() + "\",\"level\":\"";
+    line.append(levelNames[static_cast<std::size_t>(level)]);
+    line.append("\",\"host\":");
+    appendJsonString(line, state().host);
+    line.append(",\"event\":");
+    appendJsonString(line, event);
+    line.append(formatLogFields(fields));
+    line.push_back('}');
+    static thread_local boost::log::sources::logger logger;
+    BOOST_LOG(logger) << line;
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/core/log.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <variant>
+
+/// Structured logs in JSON lines, by Boost.Log. Keys and prompt text never go into a record.
+namespace Lovageloft
+{
+
+enum class LogLevel : std::uint8_t
+{
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+/// One named value of a record.
+struct LogField
+{
+    std::string_view name;
+    std::variant<std::string_view, std::int64_t, double, bool> value;
+};
+
+/// Starts the log on standard error from `level` on. `host` stands in each record. Call once, before any thread starts.
+void startLog(LogLevel level, std::string_view host);
+
+/// Writes what is buffered and stops the log's thread.
+void stopLog();
+
+/// Writes one record: `{"time":...,"level":...,"host":...,"event":...,FIELDS}`. Records that the log's
+/// bounded queue has no room for are dropped, so that a stuck terminal never stops a request.
+void writeLog(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
+
+/// The JSON text of a record's fields, without braces; for the log and its tests.
+std::string formatLogFields(std::initializer_list<LogField> fields);
+
+/// Appends `text` as a JSON string with its quotes.
+void appendJsonString(std::string &out, std::string_view text);
+
+} // namespace Lovageloft
