--- a/core/settings.cpp
+++ b/core/settings.cpp
@@ -23,7 +23,7 @@
     {"callers", "address", &Settings::callerAddress, 1, 64, "IP number", "Address that callers connect to."},
     {"callers", "port", &Settings::callerPort, 0, 65'535, "port", "Port that callers connect to; 0 takes any free one."},
     {"callers", "threads", &Settings::callerThreads, 4, 20'000, "connections", "Connections served at once."},
-    {"callers", "body_limit", &Settings::bodyLimit, 1'024, 64 * 1024 * 1024, "bytes", "Largest body of a request."},
+    {"callers", "body_limit", &Settings::bodyLimit, 1'024, 67'108'864, "bytes", "Largest body of a request."},
     {"callers", "header_field_limit", &Settings::headerFieldLimit, 8, 1'000, "fields", "Most header fields of a request."},
     {"callers", "header_timeout", &Settings::headerTimeout, 100, hour, "ms", "Longest time for a request's header and body to arrive."},
     {"callers", "keep_alive_timeout", &Settings::keepAliveTimeout, 100, hour, "ms", "Longest idle time of a caller's connection."},
@@ -181,8 +181,9 @@
 {
     for (const auto &[key, node] : table) {
         const Place place{file, node.source().begin.line, std::string(section) + '.' + std::string(key.str())};
+        const std::string_view name = key.str();
         const auto spec =
-            std::find_if(specs.begin(), specs.end(), [&](const SettingSpec &candidate) { return candidate.section == section && candidate.key == key.str(); });
+            std::find_if(specs.begin(), specs.end(), [&](const SettingSpec &candidate) { return candidate.section == section && candidate.key == name; });
         if (spec == specs.end()) {
             fail(reason, ResultCode::SettingsUnknownKey, place, "unknown key", sectionKeys(section));
             return false;
