Stand-in engine with faults on demand

Tests and benchmarks need a target that behaves like a language-model engine without being one: an engine's cache, its lagging load report, its events with gaps and its ways of failing decide where the router sends work.

--- /dev/null
+++ b/tests/stand_ins/fault_plan.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+#include <mutex>
+#include <utility>
+
+namespace Lovageloft
+{
+
+/// The fault that a stand-in was told to show, and for how many requests still. Thread-safe.
+template <typename Fault>
+class FaultPlan
+{
+public:
+    /// Replaces the plan: the next `times` requests show `fault`.
+    void set(Fault fault, std::int64_t times)
+    {
+        const std::lock_guard lock(mutex_);
+        fault_ = std::move(fault);
+        timesLeft_ = times;
+    }
+
+    /// The fault of the next request, a default one when none is planned any more.
+    Fault take()
+    {
+        const std::lock_guard lock(mutex_);
+        if (timesLeft_ <= 0) {
+            return {};
+        }
+        --timesLeft_;
+        return fault_;
+    }
+
+private:
+    std::mutex mutex_;
+    Fault fault_;
+    std::int64_t timesLeft_ = 0;
+};
+
+} // namespace Lovageloft
--- /dev/null
+++ b/tests/stand_ins/stand_in_server.cpp
@@ -0,0 +1,125 @@
+#include "tests/stand_ins/stand_in_server.h"
+
+#include <csignal>
+#include <iostream>
+#include <pthread.h>
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/ServerSocket.h>
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+/// 400 streams at once for the largest benchmark, and as many idle keep-alive connections beside them.
+constexpr int maximumThreads = 1024;
+
+class FunctionHandler : public Poco::Net::HTTPRequestHandler
+{
+public:
+    FunctionHandler(const StandInServer::Handler &handler, const std::atomic<bool> &isStopping)
+        : handler_(handler)
+        , isStopping_(isStopping)
+    {
+    }
+
+    void handleRequest(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) override
+    {
+        Exchange exchange(request, response, isStopping_);
+        handler_(exchange);
+    }
+
+private:
+    const StandInServer::Handler &handler_;
+    const std::atomic<bool> &isStopping_;
+};
+
+class FunctionHandlerFactory : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    FunctionHandlerFactory(const StandInServer::Handler &handler, const std::atomic<bool> &isStopping)
+        : handler_(handler)
+        , isStopping_(isStopping)
+    {
+    }
+
+    Poco::Net::HTTPRequestHandler *createRequestHandler(const Poco::Net::HTTPServerRequest & /*request*/) override
+    {
+        return new FunctionHandler(handler_, isStopping_);
+    }
+
+private:
+    const StandInServer::Handler &handler_;
+    const std::atomic<bool> &isStopping_;
+};
+
+Poco::Net::ServerSocket listenOnLoopback(std::uint16_t port)
+{
+    constexpr int backlog = 1024;
+    Poco::Net::ServerSocket socket;
+    socket.bind(Poco::Net::SocketAddress("127.0.0.1", port), true);
+    socket.listen(backlog);
+    return socket;
+}
+
+Poco::Net::HTTPServerParams::Ptr serverParameters()
+{
+    constexpr Poco::Timespan::TimeDiff keepAliveMicroseconds = 60'000'000;
+    Poco::Net::HTTPServerParams::Ptr parameters = new Poco::Net::HTTPServerParams;
+    parameters->setMaxThreads(maximumThreads);
+    parameters->setMaxQueued(maximumThreads);
+    parameters->setKeepAlive(true);
+    parameters->setKeepAliveTimeout(Poco::Timespan(keepAliveMicroseconds));
+    return parameters;
+}
+
+sigset_t stopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGTERM);
+    return signals;
+}
+
+} // namespace
+
+StandInServer::StandInServer(Handler handler, std::uint16_t port)
+    : handler_(std::move(handler))
+    , threads_(2, maximumThreads + 1)
+    , server_(std::make_unique<Poco::Net::HTTPServer>(new FunctionHandlerFactory(handler_, isStopping_), threads_, listenOnLoopback(port), serverParameters()))
+{
+    server_->start();
+}
+
+StandInServer::~StandInServer()
+{
+    isStopping_ = true;
+    server_->stopAll(true);
+    threads_.joinAll();
+}
+
+std::string StandInServer::address() const
+{
+    return server_->socket().address().toString();
+}
+
+void StandInServer::runUntilStopped() const
+{
+    std::cout << "listening " << address() << std::endl;
+    const sigset_t signals = stopSignals();
+    int signal = 0;
+    sigwait(&signals, &signal);
+}
+
+void StandInServer::blockStopSignals()
+{
+    const sigset_t signals = stopSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+} // namespace Lovageloft
