One streamed request end to end: caller, router, stand-in engine

Cause: nothing ran yet; everything else builds on the whole path. Change: callers' HTTP on Poco::Net with a deadline for each request's arrival, completion filters (authenticate, parse, place, dispatch, relay), answers checked chunk by chunk and resumed elsewhere, a decide thread behind a bounded ring, operators' calls, lovageloftd, lovageloftctl and tools/demo. Placing is round robin and shares are not charged yet.

--- /dev/null
+++ b/servers/caller_connection.cpp
@@ -0,0 +1,144 @@
+#include "servers/caller_connection.h"
+
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponseImpl.h>
+#include <Poco/Net/NetException.h>
+
+#include "core/digest.h"
+#include "core/log.h"
+#include "servers/caller_routes.h"
+#include "servers/refusal.h"
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+constexpr std::size_t idBytes = 12;
+constexpr std::size_t readSize = 65'536;
+
+/// Poco names what is wrong with a header only in words.
+ResultCode codeOf(const Poco::Net::MessageException &error)
+{
+    const std::string &text = error.message();
+    const bool isTooLarge = text.find("Too many") != std::string::npos || text.find("too long") != std::string::npos;
+    return isTooLarge ? ResultCode::HeaderTooLarge : ResultCode::MalformedHttp;
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(const Poco::Net::StreamSocket &socket, RouterParts &parts, Poco::Net::HTTPServerParams::Ptr params)
+    : TCPServerConnection(socket)
+    , parts_(parts)
+    , params_(std::move(params))
+    , descriptor_(socket.impl()->sockfd())
+{
+}
+
+void CallerConnection::run()
+{
+    try {
+        socket().setNoDelay(true);
+        Poco::Net::HTTPServerSession session(socket(), params_);
+        parts_.deadlines.setIdle(descriptor_);
+        while (session.hasMoreRequests() && serve(session)) {
+            parts_.deadlines.setIdle(descriptor_);
+        }
+    } catch (const std::exception &error) {
+        writeLog(LogLevel::Debug, "caller_connection_ended", {{"cause", std::string_view(error.what())}});
+    }
+    parts_.deadlines.remove(descriptor_);
+}
+
+bool CallerConnection::serve(Poco::Net::HTTPServerSession &session)
+{
+    parts_.deadlines.setArriving(descriptor_, std::chrono::milliseconds(parts_.settings.headerTimeout));
+    try {
+        Poco::Net::HTTPServerResponseImpl response(session);
+        Poco::Net::HTTPServerRequestImpl request(response, session, params_.get());
+        const bool keepsAlive = request.getKeepAlive() && parts_.drain.phase() == DrainPhase::Serving;
+        response.setVersion(request.getVersion());
+        response.setKeepAlive(keepsAlive);
+        session.setKeepAlive(keepsAlive);
+        return answer(request, response) && response.getKeepAlive();
+    } catch (const Poco::Net::NoMessageException &) {
+        if (!parts_.deadlines.setServing(descriptor_)) {
+            refuseUnread(session, ResultCode::CallerTooSlow);
+        }
+    } catch (const Poco::Net::MessageException &error) {
+        const bool isInTime = parts_.deadlines.setServing(descriptor_);
+        refuseUnread(session, isInTime ? codeOf(error) : ResultCode::CallerTooSlow);
+    } catch (const Poco::TimeoutException &) {
+        refuseUnread(session, ResultCode::CallerTooSlow);
+    }
+    return false;
+}
+
+bool CallerConnection::answer(Poco::Net::HTTPServerRequestImpl &request, Poco::Net::HTTPServerResponseImpl &response)
+{
+    CallerExchange exchange{"req-" + randomHex(idBytes), request, response, {}, descriptor_, {}};
+    const auto refuseAndClose = [&](const Reason &reason) {
+        parts_.metrics.add("lovageloft_requests_total{code=\"" + std::string(resultCodeInfo(reason.code).name) + "\"}");
+        sendRefusal(response, {reason}, exchange.id, false);
+        return false;
+    };
+    if (request.size() > static_cast<std::size_t>(parts_.settings.headerFieldLimit)) {
+        return refuseAndClose({ResultCode::HeaderTooLarge, {}});
+    }
+    if (request.hasContentLength() && request.getContentLength64() > parts_.settings.bodyLimit) {
+        return refuseAndClose({ResultCode::BodyTooLarge, {}});
+    }
+    if (request.getExpectContinue()) {
+        response.sendContinue();
+    }
+    Reason reason;
+    auto body = readBody(request, reason);
+    const bool isInTime = parts_.deadlines.setServing(descriptor_);
+    if (!isInTime) {
+        return refuseAndClose({ResultCode::CallerTooSlow, {}});
+    }
+    if (!body) {
+        return refuseAndClose(reason);
+    }
+    exchange.body = std::move(*body);
+    exchange.arrival = BootClock::now();
+    const DrainState::Running running(parts_.drain);
+    routeCallerExchange(parts_, exchange);
+    return true;
+}
+
+std::optional<std::string> CallerConnection::readBody(Poco::Net::HTTPServerRequest &request, Reason &reason)
+{
+    const auto limit = static_cast<std::size_t>(parts_.settings.bodyLimit);
+    std::string body;
+    if (request.hasContentLength()) {
+        body.reserve(static_cast<std::size_t>(request.getContentLength64()) + readSize);
+    }
+    std::istream &in = request.stream();
+    while (in.good()) {
+        const std::size_t end = body.size();
+        body.resize(end + readSize);
+        in.read(body.data() + end, readSize);
+        body.resize(end + static_cast<std::size_t>(in.gcount()));
+        if (body.size() > limit) {
+            reason = {ResultCode::BodyTooLarge, {}};
+            return std::nullopt;
+        }
+    }
+    if (request.hasContentLength() && body.size() < static_cast<std::size_t>(request.getContentLength64())) {
+        reason = {ResultCode::MalformedHttp, "the body is shorter than announced"};
+        return std::nullopt;
+    }
+    return body;
+}
+
+void CallerConnection::refuseUnread(Poco::Net::HTTPServerSession &session, ResultCode code)
+{
+    parts_.metrics.add("lovageloft_requests_total{code=\"" + std::string(resultCodeInfo(code).name) + "\"}");
+    Poco::Net::HTTPServerResponseImpl response(session);
+    response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
+    sendRefusal(response, {{code, {}}}, "", false);
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/servers/caller_server.cpp
@@ -0,0 +1,82 @@
+#include "servers/caller_server.h"
+
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/TCPServerConnectionFactory.h>
+
+#include "servers/caller_connection.h"
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+constexpr int minimumThreads = 4;
+constexpr int threadIdleSeconds = 30;
+constexpr int listenBacklog = 1'024;
+/// A thread's stack; the handlers keep large things on the heap.
+constexpr int stackSize = 262'144;
+
+class CallerConnectionFactory : public Poco::Net::TCPServerConnectionFactory
+{
+public:
+    CallerConnectionFactory(RouterParts &parts, Poco::Net::HTTPServerParams::Ptr params)
+        : parts_(parts)
+        , params_(std::move(params))
+    {
+    }
+
+    Poco::Net::TCPServerConnection *createConnection(const Poco::Net::StreamSocket &socket) override
+    {
+        return new CallerConnection(socket, parts_, params_);
+    }
+
+private:
+    RouterParts &parts_;
+    Poco::Net::HTTPServerParams::Ptr params_;
+};
+
+Poco::Net::HTTPServerParams::Ptr makeParams(const Settings &settings)
+{
+    constexpr int microseconds = 1'000;
+    Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
+    params->setMaxThreads(static_cast<int>(settings.callerThreads));
+    params->setMaxQueued(static_cast<int>(settings.callerThreads));
+    params->setTimeout(Poco::Timespan(settings.headerTimeout * microseconds));
+    params->setKeepAlive(true);
+    params->setKeepAliveTimeout(Poco::Timespan(settings.keepAliveTimeout * microseconds));
+    params->setMaxKeepAliveRequests(0);
+    return params;
+}
+
+} // namespace
+
+CallerServer::CallerServer(RouterParts &parts)
+    : threads_(minimumThreads, static_cast<int>(parts.settings.callerThreads), threadIdleSeconds, stackSize)
+{
+    const Poco::Net::HTTPServerParams::Ptr params = makeParams(parts.settings);
+    const Poco::Net::SocketAddress address(parts.settings.callerAddress, static_cast<std::uint16_t>(parts.settings.callerPort));
+    const Poco::Net::ServerSocket socket(address, listenBacklog);
+    server_ = std::make_unique<Poco::Net::TCPServer>(new CallerConnectionFactory(parts, params), threads_, socket, params);
+    server_->start();
+}
+
+CallerServer::~CallerServer()
+{
+    stopAccepting();
+    threads_.joinAll();
+}
+
+std::uint16_t CallerServer::port() const
+{
+    return server_->port();
+}
+
+void CallerServer::stopAccepting()
+{
+    server_->stop();
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/servers/completion_handler.cpp
@@ -0,0 +1,250 @@
+#include "servers/completion_handler.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "core/log.h"
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+constexpr std::size_t answerLimit = 67'108'864;
+/// How often a waiting request looks whether its caller is still there.
+constexpr std::chrono::milliseconds hangUpCheck{50};
+/// Engines tried for one request; each further one costs the fleet a prefill.
+constexpr std::size_t attemptLimit = 3;
+
+} // namespace
+
+CompletionHandler::CompletionHandler(RouterParts &parts, CallerExchange &exchange, CompletionKind kind)
+    : parts_(parts)
+    , exchange_(exchange)
+    , kind_(kind)
+{
+}
+
+void CompletionHandler::handle()
+{
+    constexpr std::array<Filter, 4> filters{
+        &CompletionHandler::authenticate,
+        &CompletionHandler::parse,
+        &CompletionHandler::checkModel,
+        &CompletionHandler::dispatch,
+    };
+    for (const Filter filter : filters) {
+        if (!(this->*filter)()) {
+            return;
+        }
+    }
+}
+
+bool CompletionHandler::authenticate()
+{
+    const std::string_view key = bearerKey(exchange_.request);
+    if (key.empty()) {
+        return refuse({{ResultCode::MissingKey, {}}});
+    }
+    auto found = parts_.configuration.findKey(key);
+    if (!found) {
+        return refuse({{ResultCode::UnknownKey, {}}});
+    }
+    key_ = std::move(*found);
+    return true;
+}
+
+bool CompletionHandler::parse()
+{
+    Reason reason;
+    auto request = parseCompletionRequest(kind_, std::move(exchange_.body), reason);
+    if (!request) {
+        return refuse({reason});
+    }
+    request_ = std::move(*request);
+    return true;
+}
+
+bool CompletionHandler::checkModel()
+{
+    const auto state = parts_.configuration.state();
+    const auto &targets = state->targets();
+    const bool isServed = std::any_of(
+        targets.begin(), targets.end(), [this](const auto &item) { return item.second.kind == TargetKind::Engine && item.second.model == request_.model; });
+    return isServed || refuse({{ResultCode::UnknownModel, {}}});
+}
+
+bool CompletionHandler::dispatch()
+{
+    verifier_.emplace(ExpectedAnswer{exchange_.id, request_.choices, request_.wantsUsage});
+    relay_.emplace(exchange_, *verifier_);
+    Reason reason;
+    while (const auto assignment = place(reason)) {
+        lastEngine_ = assignment->engine;
+        const RelayResult result = attempt(*assignment, reason);
+        if (result == RelayResult::Done) {
+            finish(ResultCode::Ok);
+            return true;
+        }
+        if (result == RelayResult::CallerGone) {
+            finish(ResultCode::CallerGone);
+            exchange_.response.setKeepAlive(false);
+            return false;
+        }
+        failedEngines_.push_back(assignment->engine);
+        if (!mayTryAgain(reason)) {
+            return refuse({reason, RunState::MayHaveRun, std::chrono::seconds(1)});
+        }
+    }
+    return false;
+}
+
+std::optional<Assignment> CompletionHandler::place(Reason &reason)
+{
+    DispatchRequest request;
+    request.id = exchange_.id;
+    request.team = key_.team;
+    request.model = request_.model;
+    request.promptTokens = request_.promptTokens();
+    request.outputTokens = request_.maxTokens * request_.choices;
+    request.deadline = exchange_.arrival + std::chrono::milliseconds(parts_.settings.queueDeadline);
+    request.excluded = failedEngines_;
+    const auto pending = std::make_shared<PendingDispatch>(std::move(request));
+    if (!parts_.dispatcher.submit(pending)) {
+        refuse({{ResultCode::Overloaded, {}}, RunState::NotRun, std::chrono::seconds(1)});
+        return std::nullopt;
+    }
+    while (true) {
+        const auto outcome = pending->wait(hangUpCheck);
+        if (!outcome) {
+            if (isHungUp(exchange_.socket)) {
+                finish(ResultCode::CallerGone);
+                return std::nullopt;
+            }
+            continue;
+        }
+        if (const auto *refusal = std::get_if<Refusal>(&*outcome)) {
+            const bool hasTried = !failedEngines_.empty();
+            refuse({hasTried ? reason : refusal->reason, hasTried ? RunState::MayHaveRun : RunState::NotRun, refusal->retryAfter});
+            return std::nullopt;
+        }
+        if (!parts_.configuration.hasKey(key_)) {
+            refuse({{ResultCode::KeyWithdrawn, {}}});
+            return std::nullopt;
+        }
+        return std::get<Assignment>(*outcome);
+    }
+}
+
+HttpRequestHead CompletionHandler::engineRequest() const
+{
+    HttpRequestHead head;
+    head.method = "POST";
+    head.path = kind_ == CompletionKind::Chat ? "/v1/chat/completions" : "/v1/completions";
+    head.fields.push_back({"X-Request-Id", exchange_.id});
+    head.fields.push_back({"X-Cache-Salt", key_.team});
+    if (verifier_->contentChunks() > 0) {
+        head.fields.push_back({"X-Resume-From", std::to_string(verifier_->contentChunks())});
+    }
+    head.body = request_.body;
+    return head;
+}
+
+RelayResult CompletionHandler::attempt(const Assignment &assignment, Reason &reason)
+{
+    const ExchangeTimeouts timeouts{std::chrono::milliseconds(parts_.settings.connectTimeout), std::chrono::milliseconds(parts_.settings.engineTimeout)};
+    HttpExchange engine(assignment.address, timeouts);
+    if (!engine.connect(reason) || !engine.send(engineRequest(), reason)) {
+        return RelayResult::Failed;
+    }
+    const auto head = engine.readHead(exchange_.socket, reason);
+    if (!head) {
+        return reason.code == ResultCode::CallerGone ? RelayResult::CallerGone : RelayResult::Failed;
+    }
+    return relayAnswer(engine, *head, reason);
+}
+
+RelayResult CompletionHandler::relayAnswer(HttpExchange &engine, const HttpAnswerHead &head, Reason &reason)
+{
+    constexpr int okStatus = 200;
+    constexpr int clientErrors = 400;
+    constexpr int tooManyRequests = 429;
+    constexpr int serverErrors = 500;
+    if (head.status == okStatus) {
+        return request_.isStream ? relay_->relay(engine, reason) : relayWhole(engine, reason);
+    }
+    if (head.status >= clientErrors && head.status < serverErrors && head.status != tooManyRequests && !relay_->hasBegun()) {
+        return passRefusalOn(engine, head, reason);
+    }
+    reason = {ResultCode::TargetRefused, "the engine answered with status " + std::to_string(head.status)};
+    return RelayResult::Failed;
+}
+
+RelayResult CompletionHandler::relayWhole(HttpExchange &engine, Reason &reason)
+{
+    const auto body = engine.readAll(answerLimit, exchange_.socket, reason);
+    if (!body) {
+        return reason.code == ResultCode::CallerGone ? RelayResult::CallerGone : RelayResult::Failed;
+    }
+    if (!verifier_->onAnswer(*body, reason)) {
+        return RelayResult::Failed;
+    }
+    exchange_.response.set("X-Request-Id", exchange_.id);
+    sendJson(exchange_.response, Poco::Net::HTTPResponse::HTTP_OK, *body);
+    return RelayResult::Done;
+}
+
+RelayResult CompletionHandler::passRefusalOn(HttpExchange &engine, const HttpAnswerHead &head, Reason &reason)
+{
+    const auto body = engine.readAll(answerLimit, exchange_.socket, reason);
+    if (!body) {
+        return reason.code == ResultCode::CallerGone ? RelayResult::CallerGone : RelayResult::Failed;
+    }
+    sendJson(exchange_.response, head.status, *body);
+    return RelayResult::Done;
+}
+
+bool CompletionHandler::mayTryAgain(const Reason &reason) const
+{
+    if (reason.code == ResultCode::Ok || failedEngines_.size() >= attemptLimit) {
+        return false;
+    }
+    return !relay_->hasBegun() || verifier_->isResumable();
+}
+
+bool CompletionHandler::refuse(const Refusal &refusal)
+{
+    if (relay_ && relay_->hasBegun()) {
+        relay_->endWithError(refusalBody(refusal, exchange_.id));
+    } else {
+        sendRefusal(exchange_.response, refusal, exchange_.id, true);
+    }
+    finish(refusal.reason.code);
+    return false;
+}
+
+void CompletionHandler::finish(ResultCode code)
+{
+    const std::string_view name = resultCodeInfo(code).name;
+    parts_.metrics.add("lovageloft_requests_total{code=\"" + std::string(name) + "\"}");
+    const TokenUsage usage = verifier_ ? verifier_->usage() : TokenUsage{};
+    if (relay_ && relay_->hasBegun()) {
+        parts_.metrics.observe("lovageloft_first_token_seconds", toSeconds(relay_->firstContent() - exchange_.arrival));
+    }
+    const LogLevel level = code == ResultCode::Ok ? LogLevel::Info : LogLevel::Warning;
+    writeLog(level,
+             "request",
+             {{"request_id", exchange_.id},
+              {"team", key_.team},
+              {"target", lastEngine_},
+              {"code", static_cast<std::int64_t>(code)},
+              {"result", name},
+              {"prompt_tokens", usage.promptTokens},
+              {"completion_tokens", usage.completionTokens},
+              {"cached_tokens", usage.cachedTokens},
+              {"seconds", toSeconds(BootClock::now() - exchange_.arrival)}});
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/servers/completion_handler.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <optional>
+
+#include "drivers/http_exchange.h"
+#include "servers/caller_exchange.h"
+#include "servers/completion_request.h"
+#include "servers/refusal.h"
+#include "servers/router_parts.h"
+#include "servers/stream_relay.h"
+
+namespace Lovageloft
+{
+
+/// Serves one completion as a chain of filters, each of which passes the request on or answers it finally.
+class CompletionHandler
+{
+public:
+    CompletionHandler(RouterParts &parts, CallerExchange &exchange, CompletionKind kind);
+
+    /// Runs the request to its final answer.
+    void handle();
+
+private:
+    using Filter = bool (CompletionHandler::*)();
+
+    bool parse();
+    bool authenticate();
+    bool checkModel();
+    bool dispatch();
+
+    std::optional<Assignment> place(Reason &reason);
+    RelayResult attempt(const Assignment &assignment, Reason &reason);
+    RelayResult relayAnswer(HttpExchange &engine, const HttpAnswerHead &head, Reason &reason);
+    RelayResult relayWhole(HttpExchange &engine, Reason &reason);
+    RelayResult passRefusalOn(HttpExchange &engine, const HttpAnswerHead &head, Reason &reason);
+    HttpRequestHead engineRequest() const;
+    bool mayTryAgain(const Reason &reason) const;
+    bool refuse(const Refusal &refusal);
+    void finish(ResultCode code);
+
+    RouterParts &parts_;
+    CallerExchange &exchange_;
+    CompletionKind kind_;
+    CompletionRequest request_;
+    TeamKey key_;
+    std::optional<AnswerVerifier> verifier_;
+    std::optional<StreamRelay> relay_;
+    std::vector<std::string> failedEngines_;
+    std::string lastEngine_;
+};
+
+} // namespace Lovageloft
--- /dev/null
+++ b/servers/connection_deadlines.cpp
@@ -0,0 +1,88 @@
+#include "servers/connection_deadlines.h"
+
+#include <chrono>
+
+#include <sys/socket.h>
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+/// How late a connection is ended at most; a fraction of any sensible limit.
+constexpr std::chrono::milliseconds period{50};
+
+} // namespace
+
+ConnectionDeadlines::ConnectionDeadlines()
+    : thread_([this] { run(); })
+{
+}
+
+ConnectionDeadlines::~ConnectionDeadlines()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        isStopping_ = true;
+    }
+    wake_.notify_all();
+    thread_.join();
+}
+
+void ConnectionDeadlines::setIdle(int socket)
+{
+    const std::lock_guard lock(mutex_);
+    connections_[socket] = {};
+    if (closesIdle_) {
+        shutdown(socket, SHUT_RD);
+    }
+}
+
+void ConnectionDeadlines::setArriving(int socket, Duration limit)
+{
+    const std::lock_guard lock(mutex_);
+    connections_[socket] = {State::Arriving, BootClock::now() + limit, false};
+}
+
+bool ConnectionDeadlines::setServing(int socket)
+{
+    const std::lock_guard lock(mutex_);
+    Connection &connection = connections_[socket];
+    connection.state = State::Serving;
+    return !connection.isLate;
+}
+
+void ConnectionDeadlines::remove(int socket)
+{
+    const std::lock_guard lock(mutex_);
+    connections_.erase(socket);
+}
+
+void ConnectionDeadlines::closeIdle()
+{
+    const std::lock_guard lock(mutex_);
+    closesIdle_ = true;
+    for (const auto &[socket, connection] : connections_) {
+        if (connection.state == State::Idle) {
+            shutdown(socket, SHUT_RD);
+        }
+    }
+}
+
+void ConnectionDeadlines::run()
+{
+    std::unique_lock lock(mutex_);
+    while (!wake_.wait_for(lock, period, [this] { return isStopping_; })) {
+        const TimePoint now = BootClock::now();
+        for (auto &[socket, connection] : connections_) {
+            if (connection.state != State::Arriving || connection.isLate || now < connection.deadline) {
+                continue;
+            }
+            connection.isLate = true;
+            shutdown(socket, SHUT_RD);
+        }
+    }
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/servers/router_parts.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "core/metrics.h"
+#include "core/settings.h"
+#include "servers/configuration_service.h"
+#include "servers/connection_deadlines.h"
+#include "servers/dispatcher.h"
+#include "servers/drain_state.h"
+
+namespace Lovageloft
+{
+
+/// What the handlers of a host's requests share. Owned by the program's wiring, which outlives all of them.
+struct RouterParts
+{
+    const Settings &settings;
+    Metrics &metrics;
+    ConfigurationService &configuration;
+    Dispatcher &dispatcher;
+    DrainState &drain;
+    ConnectionDeadlines &deadlines;
+};
+
+} // namespace Lovageloft
