Placement by prefix chains, a cache view and rendezvous hashing

First usable form of the placing decision: chains of XXH3 hashes, a bounded view of who caches what, weighted rendezvous candidates that adapt to heat, expected time to the first token as the score, and a plain threshold for slow engines.

--- /dev/null
+++ b/benchmarks/decision/bench_placing.cpp
@@ -0,0 +1,165 @@
+#include <string>
+#include <vector>
+
+#include <benchmark/benchmark.h>
+#include <xxhash.h>
+
+#include "core/random.h"
+#include "decision/placement.h"
+
+// Times of the placing decision. Goals stand in docs/MEASUREMENTS-decision.md; rates are compared within one run only.
+
+using namespace Lovageloft;
+
+namespace
+{
+
+constexpr std::size_t promptBytes = 1'048'576;
+constexpr std::size_t chainBlocksCount = 60;
+
+std::vector<BlockHash> randomBlocks(std::size_t count)
+{
+    Random random(count);
+    std::vector<BlockHash> blocks(count);
+    for (BlockHash &block : blocks) {
+        block = random();
+    }
+    return blocks;
+}
+
+void hashWithXxh3Alone(benchmark::State &state)
+{
+    const std::string prompt(promptBytes, 'x');
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(XXH3_64bits(prompt.data(), prompt.size()));
+    }
+    state.SetBytesProcessed(static_cast<std::int64_t>(state.iterations() * promptBytes));
+}
+
+void hashPrefixChain(benchmark::State &state)
+{
+    const std::string prompt(promptBytes, 'x');
+    std::vector<BlockHash> digests;
+    std::vector<BlockHash> chain;
+    for (auto _ : state) {
+        digestBlocks(prompt, digests);
+        chainBlocks(prefixSeed({"salt", "model", "1"}), digests, chain);
+        benchmark::DoNotOptimize(chain.data());
+    }
+    state.SetBytesProcessed(static_cast<std::int64_t>(state.iterations() * promptBytes));
+}
+
+/// Stored and evicted blocks of 18 or 1,000 engines over a view of a million.
+void applyCacheEvents(benchmark::State &state)
+{
+    constexpr std::size_t batch = 256;
+    constexpr std::size_t viewBlocks = 1'000'000;
+    const auto engines = static_cast<std::size_t>(state.range(0));
+    CacheView view(viewBlocks);
+    const std::vector<BlockHash> blocks = randomBlocks(viewBlocks);
+    std::vector<std::uint64_t> sequences(engines, 0);
+    std::vector<CacheEvent> events(batch);
+    std::size_t next = 0;
+    std::size_t engine = 0;
+    for (auto _ : state) {
+        for (std::size_t i = 0; i < batch; ++i) {
+            const bool isEviction = i % 4 == 3;
+            events[i] = {blocks[(next + (isEviction ? viewBlocks / 2 : 0)) % viewBlocks], isEviction ? CacheEvent::Kind::Evicted : CacheEvent::Kind::Stored};
+            next = (next + 1) % viewBlocks;
+        }
+        view.applyEvents(static_cast<EngineIndex>(engine), 1, sequences[engine], events);
+        sequences[engine] += batch;
+        engine = (engine + 1) % engines;
+    }
+    state.SetItemsProcessed(static_cast<std::int64_t>(state.iterations() * batch));
+    state.counters["bytes_per_block"] = static_cast<double>(view.tableBytes()) / static_cast<double>(std::max<std::size_t>(1, view.heldBlocks()));
+}
+
+/// Bytes a cached block, with the view as full as it is meant to be and one holder a block, the worst case.
+void fillCacheView(benchmark::State &state)
+{
+    constexpr std::size_t viewBlocks = 1'000'000;
+    const std::vector<BlockHash> blocks = randomBlocks(viewBlocks);
+    double bytes = 0;
+    for (auto _ : state) {
+        CacheView view(viewBlocks);
+        view.learn(0, blocks);
+        bytes = static_cast<double>(view.tableBytes()) / static_cast<double>(view.heldBlocks());
+    }
+    state.counters["bytes_per_block"] = bytes;
+    state.SetItemsProcessed(static_cast<std::int64_t>(state.iterations() * viewBlocks));
+}
+
+/// A placement over `engineCount` engines whose view is full of other prefixes and knows each of `chains` on a few engines.
+struct PlacingBench
+{
+    explicit PlacingBench(std::size_t engineCount)
+    {
+        std::vector<std::string> names;
+        names.reserve(engineCount);
+        for (std::size_t i = 0; i < engineCount; ++i) {
+            names.push_back("engine-" + std::to_string(i));
+        }
+        std::vector<EngineStatus> engines;
+        engines.reserve(engineCount);
+        for (const std::string &name : names) {
+            engines.push_back({.name = name, .modelVersion = 1, .incarnation = 1});
+        }
+        placement.setEngines(engines);
+        for (std::size_t i = 0; i < chainCount; ++i) {
+            const std::vector<BlockHash> chain = randomBlocks(chainBlocksCount + i);
+            chains.emplace_back(chain.begin(), chain.begin() + chainBlocksCount);
+        }
+        for (std::size_t i = 0; i < 3 * chainCount; ++i) {
+            run(i, true);
+        }
+    }
+
+    void run(std::size_t i, bool isDispatched)
+    {
+        const VersionedChain chain{.modelVersion = 1, .blocks = chains[i % chainCount]};
+        const PlacementRequest request{.chains = std::span(&chain, 1), .promptTokens = chainBlocksCount * prefixBlockTokens, .expectedOutputTokens = 200};
+        const auto decision = placement.place(request, now, random, reason);
+        benchmark::DoNotOptimize(decision);
+        if (isDispatched) {
+            const DispatchId id = placement.onDispatched(request, *decision, now);
+            placement.onFirstToken(id, std::nullopt, now + std::chrono::milliseconds(100));
+            placement.onFinished(id, now + std::chrono::milliseconds(900));
+        }
+        now += std::chrono::milliseconds(1);
+    }
+
+    static constexpr std::size_t chainCount = 2'000;
+    Placement placement;
+    std::vector<std::vector<BlockHash>> chains;
+    TimePoint now{std::chrono::seconds(1000)};
+    Random random{1};
+    Reason reason;
+};
+
+void placeRequest(benchmark::State &state)
+{
+    PlacingBench bench(static_cast<std::size_t>(state.range(0)));
+    std::size_t i = 0;
+    for (auto _ : state) {
+        bench.run(i++, false);
+    }
+}
+
+void placeDispatchAndAnswer(benchmark::State &state)
+{
+    PlacingBench bench(static_cast<std::size_t>(state.range(0)));
+    std::size_t i = 0;
+    for (auto _ : state) {
+        bench.run(i++, true);
+    }
+}
+
+BENCHMARK(hashWithXxh3Alone);
+BENCHMARK(hashPrefixChain);
+BENCHMARK(applyCacheEvents)->Arg(18)->Arg(1000);
+BENCHMARK(fillCacheView)->Unit(benchmark::kMillisecond);
+BENCHMARK(placeRequest)->Arg(18)->Arg(1000);
+BENCHMARK(placeDispatchAndAnswer)->Arg(18)->Arg(1000);
+
+} // namespace
--- /dev/null
+++ b/decision/placement.cpp
@@ -0,0 +1,442 @@
+#include "decision/placement.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <set>
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+/// Engines from the cache view that are weighed. More hold a hot prefix only where its rendezvous winners are more, too.
+constexpr std::size_t holderLimit = 24;
+constexpr std::size_t winnerLimit = 16;
+/// Time to the first token that is neither wait nor prefill; keeps ratios of short requests from being mostly noise.
+constexpr double fixedSeconds = 0.05;
+/// An unanswered request says that its engine is stuck only once it is this late, in seconds and as a multiple.
+constexpr double latenessSeconds = 1.0;
+constexpr double latenessRatio = 3;
+constexpr double trustWeight = 0.05;
+constexpr double leastTrust = 0.2;
+constexpr double durationWeight = 0.05;
+
+} // namespace
+
+Placement::Placement(const PlacementPolicy &policy)
+    : policy_(policy)
+    , view_(policy.viewBlocks)
+    , heat_(policy.splitLoad)
+    , heldScratch_(engineLimit)
+{
+}
+
+bool Placement::setEngines(std::span<const EngineStatus> engines)
+{
+    std::set<std::string_view> listed;
+    for (const EngineStatus &status : engines) {
+        listed.insert(status.name);
+    }
+    for (auto entry = indexOf_.begin(); entry != indexOf_.end();) {
+        if (listed.contains(entry->first)) {
+            ++entry;
+            continue;
+        }
+        removeEngine(entry->second);
+        entry = indexOf_.erase(entry);
+    }
+    bool hasRoom = true;
+    for (const EngineStatus &status : engines) {
+        auto entry = indexOf_.find(status.name);
+        if (entry == indexOf_.end()) {
+            const std::optional<EngineIndex> index = takeIndex();
+            if (!index) {
+                hasRoom = false;
+                continue;
+            }
+            entry = indexOf_.emplace(std::string(status.name), *index).first;
+        }
+        updateEngine(entry->second, status);
+    }
+    health_.setEngineCount(indexOf_.size());
+    rebuildVersions(engines);
+    return hasRoom;
+}
+
+std::optional<EngineIndex> Placement::findEngine(std::string_view name) const
+{
+    const auto entry = indexOf_.find(name);
+    return entry == indexOf_.end() ? std::nullopt : std::optional(entry->second);
+}
+
+std::string_view Placement::engineName(EngineIndex engine) const
+{
+    return engines_[engine].name;
+}
+
+void Placement::setOpen(EngineIndex engine, bool isOpen)
+{
+    engines_[engine].isOpen = isOpen;
+}
+
+void Placement::setHostCount(std::size_t count)
+{
+    policy_.hostCount = static_cast<double>(std::max<std::size_t>(1, count));
+}
+
+std::optional<PlacementDecision> Placement::place(const PlacementRequest &request, TimePoint now, Random &random, Reason &reason)
+{
+    Choice choice{.request = &request, .now = now};
+    for (const VersionedChain &chain : request.chains) {
+        for (const Version &version : versions_) {
+            if (version.id != chain.modelVersion) {
+                continue;
+            }
+            choice.chain = &chain;
+            considerChain(choice, version, random);
+            if (!choice.best) {
+                considerAll(choice, version);
+            }
+        }
+    }
+    if (!choice.best) {
+        reason = choice.sawServing ? Reason{ResultCode::Overloaded, "all engines that serve the model are at their window"}
+                                   : Reason{ResultCode::NoTarget, "no engine serves the model"};
+        return std::nullopt;
+    }
+    if (choice.best->isProbe) {
+        health_.noteProbe(choice.best->engine, now);
+    }
+    return choice.best;
+}
+
+DispatchId Placement::onDispatched(const PlacementRequest &request, const PlacementDecision &decision, TimePoint now)
+{
+    if (freeDispatches_.empty()) {
+        freeDispatches_.push_back(static_cast<std::uint32_t>(dispatches_.size()));
+        dispatches_.emplace_back();
+    }
+    const std::uint32_t slot = freeDispatches_.back();
+    freeDispatches_.pop_back();
+    Engine &engine = engines_[decision.engine];
+    Dispatch &dispatch = dispatches_[slot];
+    dispatch = Dispatch{.id = (++dispatchSerial_ << 32U) | slot,
+                        .engine = decision.engine,
+                        .epoch = engine.epoch,
+                        .sentAt = now,
+                        .usualFirstToken = decision.usualFirstToken,
+                        .expectedCachedTokens = decision.expectedCachedTokens,
+                        .isOpen = true};
+    ++engine.inFlight;
+    engine.unanswered.push_back(dispatch.id);
+    engine.load.dispatched(now, decision.expectedWork);
+    for (const VersionedChain &chain : request.chains) {
+        if (chain.modelVersion != decision.modelVersion) {
+            continue;
+        }
+        // Noted at once and not with the answer: the next request of the prefix may come before the first has its token.
+        view_.learn(decision.engine, chain.blocks);
+        const double outputWork = request.expectedOutputTokens * engine.requestSeconds / std::max(1.0, engine.batchLimit) / 256;
+        heat_.add(chain.blocks, (decision.expectedWork + outputWork) * policy_.hostCount, now);
+    }
+    return dispatch.id;
+}
+
+void Placement::onFirstToken(DispatchId id, std::optional<std::uint32_t> cachedTokens, TimePoint now)
+{
+    Dispatch *dispatch = findDispatch(id);
+    if (dispatch == nullptr || dispatch->isAnswered) {
+        return;
+    }
+    dispatch->isAnswered = true;
+    dispatch->firstTokenAt = now;
+    Engine &engine = engines_[dispatch->engine];
+    if (engine.epoch != dispatch->epoch) {
+        return;
+    }
+    dropAnswered(engine);
+    health_.observe(dispatch->engine, (toSeconds(now - dispatch->sentAt) + fixedSeconds) / (dispatch->usualFirstToken + fixedSeconds), now);
+    if (cachedTokens && dispatch->expectedCachedTokens > 0) {
+        const double confirmed = std::min(1.0, static_cast<double>(*cachedTokens) / dispatch->expectedCachedTokens);
+        engine.cacheTrust = std::max(leastTrust, engine.cacheTrust + trustWeight * (confirmed - engine.cacheTrust));
+    }
+}
+
+void Placement::onFinished(DispatchId id, TimePoint now)
+{
+    Dispatch *dispatch = findDispatch(id);
+    if (dispatch == nullptr) {
+        return;
+    }
+    if (dispatch->isAnswered) {
+        Engine &engine = engines_[dispatch->engine];
+        engine.requestSeconds += durationWeight * (toSeconds(now - dispatch->firstTokenAt) - engine.requestSeconds);
+    }
+    close(*dispatch);
+}
+
+void Placement::onFailed(DispatchId id, TimePoint now)
+{
+    Dispatch *dispatch = findDispatch(id);
+    if (dispatch == nullptr) {
+        return;
+    }
+    if (engines_[dispatch->engine].epoch == dispatch->epoch) {
+        health_.observeFailure(dispatch->engine, now);
+    }
+    close(*dispatch);
+}
+
+void Placement::onCancelled(DispatchId id)
+{
+    Dispatch *dispatch = findDispatch(id);
+    if (dispatch != nullptr) {
+        close(*dispatch);
+    }
+}
+
+void Placement::onLoadReport(EngineIndex index, const LoadReport &report, TimePoint now)
+{
+    Engine &engine = engines_[index];
+    if (!engine.isListed || report.incarnation < engine.incarnation) {
+        return;
+    }
+    if (report.incarnation > engine.incarnation) {
+        forgetCacheAndLoad(index, report.incarnation);
+    }
+    engine.load.report(std::min(report.measuredAt, now), report.queuedPrefillTokens * engine.prefillSecondsPerToken);
+    const double places = engine.batchLimit - report.runningRequests;
+    engine.slotWait = std::max(0.0, report.waitingRequests - places) * engine.requestSeconds / std::max(1.0, engine.batchLimit);
+}
+
+void Placement::onCacheEvents(EngineIndex engine, std::uint64_t incarnation, std::uint64_t firstSequence, std::span<const CacheEvent> events)
+{
+    if (!engines_[engine].isListed) {
+        return;
+    }
+    if (incarnation > engines_[engine].incarnation) {
+        forgetCacheAndLoad(engine, incarnation);
+    }
+    view_.applyEvents(engine, incarnation, firstSequence, events);
+}
+
+void Placement::onCacheResync(EngineIndex engine, std::uint64_t incarnation, std::uint64_t nextSequence, std::span<const BlockHash> blocks)
+{
+    if (engines_[engine].isListed) {
+        view_.resync(engine, incarnation, nextSequence, blocks);
+        engines_[engine].cacheTrust = 1;
+    }
+}
+
+std::size_t Placement::inFlight(EngineIndex engine) const
+{
+    return engines_[engine].inFlight;
+}
+
+const EngineHealth &Placement::health() const
+{
+    return health_;
+}
+
+const CacheView &Placement::cacheView() const
+{
+    return view_;
+}
+
+std::optional<EngineIndex> Placement::takeIndex()
+{
+    if (engines_.size() < engineLimit) {
+        engines_.emplace_back();
+        return static_cast<EngineIndex>(engines_.size() - 1);
+    }
+    // Indexes are used again only when all were given out, and the one free for longest first: late events and answers that
+    // still name the engine before it have then died out.
+    if (freeIndexes_.empty()) {
+        return std::nullopt;
+    }
+    const EngineIndex index = freeIndexes_.front();
+    freeIndexes_.pop_front();
+    return index;
+}
+
+void Placement::updateEngine(EngineIndex index, const EngineStatus &status)
+{
+    Engine &engine = engines_[index];
+    const bool hasNewWeights = engine.isListed && engine.modelVersion != status.modelVersion;
+    engine.name = status.name;
+    engine.isListed = true;
+    engine.isServing = status.isServing;
+    engine.modelVersion = status.modelVersion;
+    engine.prefillSecondsPerToken = 1 / std::max(1.0, status.prefillTokensPerSecond);
+    engine.batchLimit = status.batchLimit;
+    if (status.incarnation > engine.incarnation) {
+        forgetCacheAndLoad(index, status.incarnation);
+    } else if (hasNewWeights) {
+        view_.removeEngine(index);
+        view_.setIncarnation(index, engine.incarnation);
+    }
+}
+
+void Placement::removeEngine(EngineIndex index)
+{
+    view_.removeEngine(index);
+    health_.reset(index);
+    const std::uint32_t epoch = engines_[index].epoch;
+    engines_[index] = Engine{.epoch = epoch + 1};
+    freeIndexes_.push_back(index);
+}
+
+void Placement::forgetCacheAndLoad(EngineIndex index, std::uint64_t incarnation)
+{
+    Engine &engine = engines_[index];
+    engine.incarnation = incarnation;
+    engine.load.clear();
+    engine.slotWait = 0;
+    engine.cacheTrust = 1;
+    engine.unanswered.clear();
+    view_.setIncarnation(index, incarnation);
+    health_.reset(index);
+}
+
+void Placement::rebuildVersions(std::span<const EngineStatus> engines)
+{
+    versions_.clear();
+    for (const EngineStatus &status : engines) {
+        const std::optional<EngineIndex> index = findEngine(status.name);
+        if (!index || !status.isServing || status.weight <= 0) {
+            continue;
+        }
+        auto version = std::find_if(versions_.begin(), versions_.end(), [&status](const Version &known) { return known.id == status.modelVersion; });
+        if (version == versions_.end()) {
+            versions_.push_back({.id = status.modelVersion, .nodes = {}});
+            version = std::prev(versions_.end());
+        }
+        version->nodes.push_back({.engine = *index, .id = rendezvousId(status.name), .inverseWeight = static_cast<float>(1 / status.weight)});
+    }
+}
+
+void Placement::considerChain(Choice &choice, const Version &version, Random &random)
+{
+    const std::span<const BlockHash> blocks = choice.chain->blocks;
+    std::array<HeldPrefix, holderLimit> holders;
+    const std::size_t holderCount = view_.findHolders(blocks, holders);
+    for (const HeldPrefix &holder : std::span(holders).first(holderCount)) {
+        heldScratch_[holder.engine] = holder.blocks;
+    }
+    const PrefixRoute route = heat_.route(blocks, choice.now);
+    if (route.level > 0) {
+        std::array<EngineIndex, winnerLimit> winners;
+        const std::size_t count = rendezvousWinners(blocks[route.level - 1], version.nodes, std::span(winners).first(route.candidates));
+        for (const EngineIndex engine : std::span(winners).first(count)) {
+            consider(choice, engine, heldScratch_[engine], false);
+        }
+    }
+    for (const HeldPrefix &holder : std::span(holders).first(holderCount)) {
+        if (engines_[holder.engine].modelVersion == version.id) {
+            consider(choice, holder.engine, holder.blocks, false);
+        }
+    }
+    for (std::size_t i = 0; i < policy_.randomCandidates; ++i) {
+        const EngineIndex engine = version.nodes[randomBelow(random, version.nodes.size())].engine;
+        consider(choice, engine, heldScratch_[engine], heldScratch_[engine] == 0);
+    }
+    for (const HeldPrefix &holder : std::span(holders).first(holderCount)) {
+        heldScratch_[holder.engine] = 0;
+    }
+}
+
+void Placement::considerAll(Choice &choice, const Version &version)
+{
+    for (const RendezvousNode &node : version.nodes) {
+        consider(choice, node.engine, 0, false);
+    }
+}
+
+void Placement::consider(Choice &choice, EngineIndex index, std::size_t heldBlocks, bool isStray)
+{
+    const Engine &engine = engines_[index];
+    if (!engine.isServing) {
+        return;
+    }
+    choice.sawServing = true;
+    if (!mayTake(choice, index)) {
+        return;
+    }
+    const bool isProbe = health_.isEjected(index);
+    const PlacementRequest &request = *choice.request;
+    const double held = std::min<double>(request.promptTokens, static_cast<double>(heldBlocks) * prefixBlockTokens) * engine.cacheTrust;
+    const double work = (request.promptTokens - held) * engine.prefillSecondsPerToken;
+    const double wait = engine.load.wait(choice.now) + engine.slotWait;
+    const double slowness = health_.slowness(index);
+    const double lateness = latenessOf(engine, choice.now);
+    const double stray = isStray ? policy_.strayMargin * work : 0;
+    const double score = isProbe ? -1 : slowness * (wait + policy_.recomputeWeight * work) + lateness + stray;
+    if (choice.best && score >= choice.bestScore) {
+        return;
+    }
+    choice.bestScore = score;
+    choice.best = PlacementDecision{.engine = index,
+                                    .modelVersion = engine.modelVersion,
+                                    .expectedCachedTokens = static_cast<std::uint32_t>(held),
+                                    .expectedFirstToken = slowness * (wait + work) + lateness,
+                                    .expectedWork = work,
+                                    .usualFirstToken = wait + work,
+                                    .isProbe = isProbe};
+}
+
+bool Placement::mayTake(const Choice &choice, EngineIndex index) const
+{
+    const std::span<const EngineIndex> excluded = choice.request->excluded;
+    if (!engines_[index].isOpen || std::find(excluded.begin(), excluded.end(), index) != excluded.end()) {
+        return false;
+    }
+    return !health_.isEjected(index) || health_.isProbeDue(index, choice.now);
+}
+
+/// By how many seconds the oldest unanswered request is late. An engine that has stopped answering gives no ratios at all and
+/// would else look idle; what is late by some time may well take as long again, so that is added to the wait.
+double Placement::latenessOf(const Engine &engine, TimePoint now) const
+{
+    if (engine.unanswered.empty()) {
+        return 0;
+    }
+    const Dispatch &oldest = dispatches_[engine.unanswered.front() & 0xffffffffU];
+    const double late = toSeconds(now - oldest.sentAt) - oldest.usualFirstToken;
+    return late > latenessSeconds && late > latenessRatio * oldest.usualFirstToken ? late : 0;
+}
+
+Placement::Dispatch *Placement::findDispatch(DispatchId id)
+{
+    const std::uint64_t slot = id & 0xffffffffU;
+    if (slot >= dispatches_.size() || dispatches_[slot].id != id || !dispatches_[slot].isOpen) {
+        return nullptr;
+    }
+    return &dispatches_[slot];
+}
+
+void Placement::close(Dispatch &dispatch)
+{
+    dispatch.isOpen = false;
+    dispatch.isAnswered = true;
+    Engine &engine = engines_[dispatch.engine];
+    if (engine.epoch == dispatch.epoch) {
+        --engine.inFlight;
+        dropAnswered(engine);
+    }
+    freeDispatches_.push_back(static_cast<std::uint32_t>(dispatch.id & 0xffffffffU));
+}
+
+void Placement::dropAnswered(Engine &engine)
+{
+    while (!engine.unanswered.empty()) {
+        const Dispatch &oldest = dispatches_[engine.unanswered.front() & 0xffffffffU];
+        if (oldest.id == engine.unanswered.front() && !oldest.isAnswered) {
+            return;
+        }
+        engine.unanswered.pop_front();
+    }
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/decision/placement.h
@@ -0,0 +1,216 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/random.h"
+#include "core/result_code.h"
+#include "decision/cache_view.h"
+#include "decision/engine_health.h"
+#include "decision/engine_load.h"
+#include "decision/prefix_chain.h"
+#include "decision/prefix_heat.h"
+#include "decision/rendezvous.h"
+
+namespace Lovageloft
+{
+
+/// A small number that the router gives to a model at one version of its weights. Only engines of that number can hold
+/// blocks of a chain that was seeded with it.
+using ModelVersionId = std::uint32_t;
+
+/// One engine as the configuration and its own announcements describe it.
+struct EngineStatus
+{
+    std::string_view name; ///< Unique; also what rendezvous hashing goes by.
+    ModelVersionId modelVersion = 0;
+    std::uint64_t incarnation = 0; ///< 0 while not known; it then comes with reports and events.
+    double weight = 1; ///< Configured share of cold work, relative to others, the same on every host.
+    double prefillTokensPerSecond = 10'000; ///< Speed at which it computes missed prompt tokens.
+    std::uint32_t batchLimit = 64; ///< Requests it generates for at once.
+    bool isServing = true; ///< False: it is leaving or loading and gets no new work.
+};
+
+/// The prompt's chain under one version of the weights that may answer it.
+struct VersionedChain
+{
+    ModelVersionId modelVersion = 0;
+    std::span<const BlockHash> blocks;
+};
+
+/// A request to be placed. All views must live until the call returns.
+struct PlacementRequest
+{
+    std::span<const VersionedChain> chains; ///< One a version that may serve it; two while new weights are brought in.
+    std::uint32_t promptTokens = 0;
+    std::uint32_t expectedOutputTokens = 0;
+    std::span<const EngineIndex> excluded = {}; ///< Engines that have failed this request already.
+};
+
+/// Where a request should go.
+struct PlacementDecision
+{
+    EngineIndex engine = 0;
+    ModelVersionId modelVersion = 0;
+    std::uint32_t expectedCachedTokens = 0; ///< Prompt tokens that the engine is believed to hold.
+    double expectedFirstToken = 0; ///< Seconds from now, with the engine's slowness.
+    double expectedWork = 0; ///< Seconds of prefill at the engine's usual speed.
+    double usualFirstToken = 0; ///< Seconds from now were the engine not slow; what its health is measured by.
+    bool isProbe = false; ///< Sent to find out whether an ejected engine has recovered.
+};
+
+/// Names a dispatched request until it has finished or failed.
+using DispatchId = std::uint64_t;
+
+/// What the choice weighs; the defaults are those that docs/design/placing.md gives figures for.
+struct PlacementPolicy
+{
+    std::size_t viewBlocks = 1'500'000; ///< Cached blocks in view; 36 MB.
+    double hostCount = 1; ///< Hosts that decide likewise; the work seen here times this is the fleet's.
+    double splitLoad = 0.3; ///< See PrefixHeat.
+    double recomputeWeight = 1.0; ///< Price of a second of prefill against a second of wait.
+    std::size_t randomCandidates = 2;
+    double strayMargin = 0.1; ///< Extra price of an engine that neither holds the prefix nor wins its hash, as part of the prefill.
+};
+
+/// Decides which engine gets a request. Made for prompts that share long nested prefixes over 18 engines today and 1,000 in two
+/// years: an engine that holds the prefix answers at once, while recomputing it makes all behind it wait. Candidates are the
+/// rendezvous winners of the prefix, engines in the cache view that hold it, and two random ones; the least expected time to the
+/// first token wins. All state is this host's own, and losing it costs some recomputation only. Not thread-safe.
+class Placement
+{
+public:
+    explicit Placement(const PlacementPolicy &policy = {});
+
+    /// Replaces the list of engines. An engine that is still listed keeps its index and what is known of it; one that changed
+    /// its version or incarnation has lost its cache. What an engine that is no longer listed held is dropped at once.
+    /// False if more than engineLimit names were in use at once; the rest is then left out.
+    bool setEngines(std::span<const EngineStatus> engines);
+
+    /// The index of a listed engine.
+    std::optional<EngineIndex> findEngine(std::string_view name) const;
+
+    std::string_view engineName(EngineIndex engine) const;
+
+    /// Lets an engine take work or not, for windows of running requests; all take work at first.
+    void setOpen(EngineIndex engine, bool isOpen);
+
+    /// How many hosts decide likewise.
+    void setHostCount(std::size_t count);
+
+    /// Chooses an engine. NoTarget if none of the versions has an engine that serves, Overloaded if all that serve are closed.
+    std::optional<PlacementDecision> place(const PlacementRequest &request, TimePoint now, Random &random, Reason &reason);
+
+    /// Notes that the request was sent as decided.
+    DispatchId onDispatched(const PlacementRequest &request, const PlacementDecision &decision, TimePoint now);
+
+    /// Notes the first token; `cachedTokens` is the engine's own count where the answer gives one.
+    void onFirstToken(DispatchId dispatch, std::optional<std::uint32_t> cachedTokens, TimePoint now);
+
+    /// Notes the end of a complete answer. Unknown and repeated ids are ignored here and below.
+    void onFinished(DispatchId dispatch, TimePoint now);
+
+    /// Notes that the engine failed the request. Not to be called when the caller went away: use onCancelled.
+    void onFailed(DispatchId dispatch, TimePoint now);
+
+    /// Notes that the caller gave up, which says nothing about the engine.
+    void onCancelled(DispatchId dispatch);
+
+    void onLoadReport(EngineIndex engine, const LoadReport &report, TimePoint now);
+
+    void onCacheEvents(EngineIndex engine, std::uint64_t incarnation, std::uint64_t firstSequence, std::span<const CacheEvent> events);
+
+    void onCacheResync(EngineIndex engine, std::uint64_t incarnation, std::uint64_t nextSequence, std::span<const BlockHash> blocks);
+
+    /// Requests sent by this host that have not ended.
+    std::size_t inFlight(EngineIndex engine) const;
+
+    const EngineHealth &health() const;
+    const CacheView &cacheView() const;
+
+private:
+    struct Engine
+    {
+        std::string name = {};
+        ModelVersionId modelVersion = 0;
+        std::uint64_t incarnation = 0;
+        double prefillSecondsPerToken = 0;
+        double batchLimit = 0;
+        double slotWait = 0; // Seconds until a place in the batch is free, as of the last report.
+        double cacheTrust = 1; // Part of the tokens believed cached that answers confirm.
+        double requestSeconds = 1; // Mean time of a request from its first token to its end.
+        std::size_t inFlight = 0;
+        std::uint32_t epoch = 0; // Told apart from earlier engines that had the same index.
+        bool isListed = false;
+        bool isServing = false;
+        bool isOpen = true;
+        EngineLoad load = {};
+        std::deque<DispatchId> unanswered = {}; // In the order sent; those already answered are taken off when they come to the front.
+    };
+
+    struct Dispatch
+    {
+        DispatchId id = 0;
+        EngineIndex engine = 0;
+        std::uint32_t epoch = 0;
+        TimePoint sentAt = {};
+        TimePoint firstTokenAt = {};
+        double usualFirstToken = 0;
+        std::uint32_t expectedCachedTokens = 0;
+        bool isAnswered = false;
+        bool isOpen = false;
+    };
+
+    struct Version
+    {
+        ModelVersionId id = 0;
+        std::vector<RendezvousNode> nodes;
+    };
+
+    /// What one call of place is about, and the best candidate so far.
+    struct Choice
+    {
+        const PlacementRequest *request = nullptr;
+        const VersionedChain *chain = nullptr;
+        TimePoint now;
+        double bestScore = 0;
+        std::optional<PlacementDecision> best = std::nullopt;
+        bool sawServing = false;
+    };
+
+    std::optional<EngineIndex> takeIndex();
+    void updateEngine(EngineIndex index, const EngineStatus &status);
+    void removeEngine(EngineIndex index);
+    void forgetCacheAndLoad(EngineIndex index, std::uint64_t incarnation);
+    void rebuildVersions(std::span<const EngineStatus> engines);
+    void consider(Choice &choice, EngineIndex engine, std::size_t heldBlocks, bool isStray);
+    void considerChain(Choice &choice, const Version &version, Random &random);
+    void considerAll(Choice &choice, const Version &version);
+    bool mayTake(const Choice &choice, EngineIndex engine) const;
+    double latenessOf(const Engine &engine, TimePoint now) const;
+    Dispatch *findDispatch(DispatchId id);
+    void close(Dispatch &dispatch);
+    void dropAnswered(Engine &engine);
+
+    PlacementPolicy policy_;
+    CacheView view_;
+    PrefixHeat heat_;
+    EngineHealth health_;
+    std::map<std::string, EngineIndex, std::less<>> indexOf_;
+    std::vector<Engine> engines_;
+    std::deque<EngineIndex> freeIndexes_;
+    std::vector<Version> versions_;
+    std::vector<Dispatch> dispatches_;
+    std::vector<std::uint32_t> freeDispatches_;
+    std::uint64_t dispatchSerial_ = 0;
+    std::vector<std::uint16_t> heldScratch_; // Blocks held by engine; all 0 between calls.
+};
+
+} // namespace Lovageloft
--- /dev/null
+++ b/tests/decision/test_placement.cpp
@@ -0,0 +1,177 @@
+#include <map>
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "decision/placement.h"
+
+using namespace Lovageloft;
+
+namespace
+{
+
+constexpr std::size_t engineCount = 18;
+
+TimePoint at(double seconds)
+{
+    return TimePoint(fromSeconds(1000 + seconds));
+}
+
+std::vector<BlockHash> makeChain(std::uint64_t seed, std::size_t blocks)
+{
+    Random random(seed);
+    std::vector<BlockHash> chain(blocks);
+    for (BlockHash &block : chain) {
+        block = random();
+    }
+    return chain;
+}
+
+/// A placement over 18 engines named e0 to e17 and a shorthand for requests.
+struct Fixture
+{
+    Fixture()
+    {
+        for (std::size_t i = 0; i < engineCount; ++i) {
+            names.push_back("e" + std::to_string(i));
+        }
+        for (const std::string &name : names) {
+            engines.push_back({.name = name, .modelVersion = 1, .incarnation = 1});
+        }
+        placement.setEngines(engines);
+    }
+
+    std::optional<PlacementDecision> place(std::span<const BlockHash> chain, double now, std::span<const EngineIndex> excluded = {})
+    {
+        chains = {VersionedChain{.modelVersion = 1, .blocks = chain}, VersionedChain{.modelVersion = 2, .blocks = chain}};
+        request = {.chains = chains,
+                   .promptTokens = static_cast<std::uint32_t>(chain.size() * prefixBlockTokens + 100),
+                   .expectedOutputTokens = 100,
+                   .excluded = excluded};
+        return placement.place(request, at(now), random, reason);
+    }
+
+    /// Places, sends and answers `firstToken` seconds later; the engine that was chosen.
+    EngineIndex serve(std::span<const BlockHash> chain, double now, double firstToken)
+    {
+        const PlacementDecision decision = place(chain, now).value();
+        const DispatchId id = placement.onDispatched(request, decision, at(now));
+        placement.onFirstToken(id, std::nullopt, at(now + firstToken));
+        placement.onFinished(id, at(now + firstToken + 1));
+        return decision.engine;
+    }
+
+    std::vector<std::string> names;
+    std::vector<EngineStatus> engines;
+    std::vector<VersionedChain> chains;
+    PlacementRequest request;
+    Placement placement;
+    Random random{7};
+    Reason reason;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(PlacementTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(restartedHostsPickTheSameEnginesForAPrefix)
+{
+    // Routers restart in herds with empty views. If each then picked its own engine for a prefix, every engine would compute
+    // every prefix and callers would see a long tail for minutes.
+    std::map<std::uint64_t, EngineIndex> first;
+    for (std::uint64_t seed = 0; seed < 50; ++seed) {
+        first[seed] = place(makeChain(seed, 20), 0)->engine;
+    }
+    Fixture other;
+    std::reverse(other.engines.begin(), other.engines.end());
+    other.placement.setEngines(other.engines);
+    for (std::uint64_t seed = 0; seed < 50; ++seed) {
+        BOOST_TEST(placement.engineName(first[seed]) == other.placement.engineName(other.place(makeChain(seed, 20), 0)->engine));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aRequestFollowsItsPrefixUntilTheEngineComesBackEmpty)
+{
+    // An engine that held a chapter crashes. Until hosts know, its callers wait for a prefix that is no longer there.
+    const std::vector<BlockHash> chain = makeChain(1, 40);
+    const EngineIndex holder = serve(chain, 0, 4);
+    BOOST_TEST(place(chain, 10)->engine == holder);
+    BOOST_TEST(place(chain, 10)->expectedCachedTokens == 40U * prefixBlockTokens);
+    placement.onLoadReport(holder, {.measuredAt = at(11), .incarnation = 2}, at(11));
+    BOOST_TEST(place(chain, 12)->expectedCachedTokens == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(newWeightsAndLeavingDropWhatWasCached)
+{
+    const std::vector<BlockHash> chain = makeChain(1, 40);
+    const EngineIndex holder = serve(chain, 0, 4);
+    engines[holder].modelVersion = 2;
+    placement.setEngines(engines);
+    BOOST_TEST(place(chain, 10)->expectedCachedTokens == 0U);
+    engines[holder].isServing = false;
+    placement.setEngines(engines);
+    for (std::uint64_t seed = 0; seed < 200; ++seed) {
+        BOOST_TEST(place(makeChain(seed, 3), 10)->engine != holder);
+    }
+    engines.erase(engines.begin() + holder);
+    placement.setEngines(engines);
+    BOOST_TEST(!placement.findEngine(names[holder]).has_value());
+    BOOST_TEST(place(chain, 10).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(refusalsSayWhetherEnginesAreMissingOrFull)
+{
+    const std::vector<BlockHash> chain = makeChain(1, 2);
+    for (EngineIndex engine = 0; engine < engineCount; ++engine) {
+        placement.setOpen(engine, engine == 5);
+    }
+    BOOST_TEST(place(chain, 0)->engine == 5U);
+    const std::vector<EngineIndex> excluded{5};
+    BOOST_TEST(!place(chain, 0, excluded).has_value());
+    BOOST_TEST((reason.code == ResultCode::Overloaded));
+    placement.setEngines({});
+    BOOST_TEST(!place(chain, 0).has_value());
+    BOOST_TEST((reason.code == ResultCode::NoTarget));
+}
+
+BOOST_AUTO_TEST_CASE(aSilentEngineGetsNoMoreOfItsOwnPrefix)
+{
+    // An engine stops answering while its connections stay up. It gives no more slow answers to learn from; callers of the
+    // chapters it holds would all wait.
+    const std::vector<BlockHash> chain = makeChain(1, 40);
+    const EngineIndex holder = serve(chain, 0, 4);
+    placement.onDispatched(request, place(chain, 10).value(), at(10));
+    BOOST_TEST(place(chain, 30)->engine != holder);
+}
+
+BOOST_AUTO_TEST_CASE(aHotPrefixIsSpreadAndComesTogetherAgain)
+{
+    // All the morning's requests name one chapter. Two engines would queue while sixteen idle.
+    const std::vector<BlockHash> chain = makeChain(1, 8);
+    std::map<EngineIndex, int> hot;
+    for (int i = 0; i < 2'000; ++i) {
+        const double now = i * 0.01;
+        const PlacementDecision decision = place(chain, now).value();
+        placement.onDispatched(request, decision, at(now));
+        ++hot[decision.engine];
+        const double slow = 2'000;
+        placement.onLoadReport(decision.engine, {.measuredAt = at(now), .incarnation = 1, .queuedPrefillTokens = slow * hot[decision.engine]}, at(now));
+    }
+    BOOST_TEST(hot.size() >= 8U);
+}
+
+BOOST_AUTO_TEST_CASE(endsAreCountedOnceAndUnknownIdsIgnored)
+{
+    const std::vector<BlockHash> chain = makeChain(1, 2);
+    const PlacementDecision decision = place(chain, 0).value();
+    const DispatchId id = placement.onDispatched(request, decision, at(0));
+    BOOST_TEST(placement.inFlight(decision.engine) == 1U);
+    placement.onFailed(id, at(1));
+    placement.onFinished(id, at(1));
+    placement.onCancelled(id);
+    placement.onFirstToken(12345, 0, at(1));
+    BOOST_TEST(placement.inFlight(decision.engine) == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
