--- /dev/null
+++ b/decision/admission_queue.cpp
@@ -0,0 +1,334 @@
+#include "decision/admission_queue.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+// A cost above the longest context in use is an error of the estimate; unbounded it would put its team in debt for hours.
+constexpr std::int64_t mostCost = 4'194'304;
+
+// What part of its longest wait a request may expect when it first comes. The rest is kept for callers that come back when
+// they were told, and for estimates that prove too low: what is let in too eagerly ends as a late refusal.
+constexpr double newcomerPart = 0.8;
+
+// Below this part of the longest wait newcomers are let in whatever is reserved: reservations of callers that never
+// return must not leave engines idle.
+constexpr double lowWaterPart = 0.3;
+
+// Another host behind the balancer can take the request at once, but the balancer needs a moment to see this one leave.
+constexpr Duration drainingRetryAfter = std::chrono::seconds(1);
+
+Duration part(Duration duration, double factor)
+{
+    return fromSeconds(toSeconds(duration) * factor);
+}
+
+Reason makeReason(ResultCode code)
+{
+    return {.code = code, .text = std::string(resultCodeInfo(code).meaning)};
+}
+
+} // namespace
+
+AdmissionQueue::ModelQueue::ModelQueue(const QueueLimits &limits)
+    : queue(limits.shortCost, limits.quantum)
+    , estimate(limits.initialRate)
+{
+}
+
+AdmissionQueue::AdmissionQueue(const QueueLimits &limits)
+    : limits_(limits)
+{
+}
+
+void AdmissionQueue::setWeight(TeamId team, double weight)
+{
+    weights_[team] = weight;
+    for (auto &[id, model] : models_) {
+        model.queue.setWeight(team, weight);
+    }
+}
+
+AdmissionDecision AdmissionQueue::offer(const QueuedRequest &request, TimePoint now)
+{
+    collectExpired(now);
+    QueuedRequest clamped = request;
+    clamped.cost = std::clamp<std::int64_t>(request.cost, 1, mostCost);
+    clamped.deadline = std::min(request.deadline, now + limits_.maxWait);
+    Offer offer = assess(clamped, now);
+    applyReservations(offer);
+    for (const Check check : checks()) {
+        const ResultCode code = (this->*check)(offer);
+        if (code != ResultCode::Ok) {
+            return refuse(offer, code);
+        }
+    }
+    const auto book = offer.model.books.find(bookKey(offer.model, clamped));
+    if (book != offer.model.books.end()) {
+        book->second.drop(clamped.fingerprint);
+    }
+    offer.model.queue.push(insert(clamped));
+    return {.isAdmitted = true, .expectedWait = offer.wait, .reason = {}, .retryAfter = {}};
+}
+
+std::optional<QueuedRequest> AdmissionQueue::next(TimePoint now, const CanDispatch &canDispatch)
+{
+    collectExpired(now);
+    for (std::size_t tried = 0; tried < order_.size(); ++tried) {
+        nextModel_ = (nextModel_ + 1) % order_.size();
+        ModelQueue &model = *order_[nextModel_];
+        if (model.queue.size() == 0) {
+            continue;
+        }
+        if (!canDispatch(model.model)) {
+            model.estimate.onBlocked(now);
+            continue;
+        }
+        QueueEntry &entry = *model.queue.pop();
+        model.estimate.onDispatched(entry.request.cost, now);
+        if (model.queue.size() == 0) {
+            model.estimate.onEmptied(now);
+        }
+        return forget(entry);
+    }
+    return std::nullopt;
+}
+
+void AdmissionQueue::putBack(const QueuedRequest &request, TimePoint now)
+{
+    if (entries_.contains(request.id)) {
+        return;
+    }
+    modelQueue(request.model).queue.putBack(insert(request));
+    collectExpired(now);
+}
+
+std::vector<ExpiredRequest> AdmissionQueue::expire(TimePoint now)
+{
+    collectExpired(now);
+    return std::exchange(expired_, {});
+}
+
+std::optional<TimePoint> AdmissionQueue::nextDeadline() const
+{
+    if (deadlines_.empty()) {
+        return std::nullopt;
+    }
+    return deadlines_.begin()->request.deadline;
+}
+
+bool AdmissionQueue::cancel(RequestId id, TimePoint now)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end()) {
+        return false;
+    }
+    takeOut(found->second, now);
+    return true;
+}
+
+std::vector<QueuedRequest> AdmissionQueue::removeIf(const std::function<bool(const QueuedRequest &)> &matches, TimePoint now)
+{
+    std::vector<QueuedRequest> removed;
+    for (auto next = deadlines_.begin(); next != deadlines_.end();) {
+        QueueEntry &entry = *next++;
+        if (!matches(entry.request)) {
+            continue;
+        }
+        removed.push_back(takeOut(entry, now));
+    }
+    return removed;
+}
+
+std::vector<QueuedRequest> AdmissionQueue::removeKey(TeamId team, KeyId key, TimePoint now)
+{
+    return removeIf([team, key](const QueuedRequest &request) { return request.team == team && request.key == key; }, now);
+}
+
+void AdmissionQueue::drain()
+{
+    isDraining_ = true;
+}
+
+std::size_t AdmissionQueue::size() const
+{
+    return entries_.size();
+}
+
+std::size_t AdmissionQueue::size(TeamId team) const
+{
+    const auto found = teamSizes_.find(team);
+    return found == teamSizes_.end() ? 0 : found->second;
+}
+
+std::int64_t AdmissionQueue::backlog(ModelId model) const
+{
+    const auto found = models_.find(model);
+    return found == models_.end() ? 0 : found->second.queue.backlog();
+}
+
+double AdmissionQueue::serviceRate(ModelId model) const
+{
+    const auto found = models_.find(model);
+    return found == models_.end() ? limits_.initialRate : found->second.estimate.rate();
+}
+
+std::span<const AdmissionQueue::Check> AdmissionQueue::checks()
+{
+    static constexpr std::array<Check, 4> table = {
+        &AdmissionQueue::checkDraining,
+        &AdmissionQueue::checkId,
+        &AdmissionQueue::checkMemory,
+        &AdmissionQueue::checkWait,
+    };
+    return table;
+}
+
+ResultCode AdmissionQueue::checkDraining(const Offer & /*offer*/) const
+{
+    return isDraining_ ? ResultCode::Draining : ResultCode::Ok;
+}
+
+ResultCode AdmissionQueue::checkId(const Offer &offer) const
+{
+    return entries_.contains(offer.request.id) ? ResultCode::InvalidField : ResultCode::Ok;
+}
+
+// Made for a flood of short requests with distant deadlines, where the expected wait alone would let memory grow. The harm
+// prevented is that one team fills the queue and the others are refused for it. A team may hold as many requests as are
+// still free (a dynamic threshold): one flooding team gets half of the places, two get a third each, and some always stay
+// free for a team that has none.
+ResultCode AdmissionQueue::checkMemory(const Offer &offer) const
+{
+    const std::size_t free = limits_.maxRequests - std::min(limits_.maxRequests, entries_.size());
+    return size(offer.request.team) < free ? ResultCode::Ok : ResultCode::Overloaded;
+}
+
+// Made for demand above what the engines do. The harm prevented is work that waits, is given up and then sent again: the
+// caller loses its deadline and can't go elsewhere in time. Newcomers leave room for callers that were told to come now.
+ResultCode AdmissionQueue::checkWait(const Offer &offer) const
+{
+    if (offer.request.deadline <= offer.now) {
+        return ResultCode::DeadlineWouldPass;
+    }
+    const bool isInTime = offer.wait <= offer.bound;
+    const bool leavesRoom = offer.waitBehindReserved <= part(offer.bound, newcomerPart) || offer.wait <= part(offer.bound, lowWaterPart);
+    if (isInTime && (offer.isReserved || leavesRoom)) {
+        return ResultCode::Ok;
+    }
+    return offer.bound < limits_.maxWait ? ResultCode::DeadlineWouldPass : ResultCode::QueueFull;
+}
+
+AdmissionQueue::ModelQueue &AdmissionQueue::modelQueue(ModelId model)
+{
+    const auto [found, isNew] = models_.try_emplace(model, limits_);
+    if (isNew) {
+        found->second.model = model;
+        order_.push_back(&found->second);
+        for (const auto &[team, weight] : weights_) {
+            found->second.queue.setWeight(team, weight);
+        }
+    }
+    return found->second;
+}
+
+std::uint64_t AdmissionQueue::bookKey(const ModelQueue &model, const QueuedRequest &request)
+{
+    return static_cast<std::uint64_t>(request.team) * laneCount + static_cast<std::uint64_t>(model.queue.laneOf(request.cost));
+}
+
+AdmissionQueue::Offer AdmissionQueue::assess(const QueuedRequest &request, TimePoint now)
+{
+    Offer offer{.request = request, .model = modelQueue(request.model), .now = now};
+    offer.model.estimate.advance(now);
+    offer.bound = std::max(request.deadline - now, Duration::zero());
+    offer.wait = offer.model.estimate.waitFor(offer.model.queue.tokensAhead(request));
+    offer.waitBehindReserved = offer.wait;
+    return offer;
+}
+
+void AdmissionQueue::applyReservations(Offer &offer)
+{
+    const auto book = offer.model.books.find(bookKey(offer.model, offer.request));
+    if (book == offer.model.books.end()) {
+        return;
+    }
+    offer.isReserved = book->second.redeem(offer.request.fingerprint, offer.request.isRetry, offer.now);
+    const std::int64_t reserved = book->second.tokensDue(offer.now);
+    if (reserved > 0) {
+        offer.waitBehindReserved = offer.model.estimate.waitFor(offer.model.queue.tokensAhead(offer.request, reserved));
+    }
+}
+
+Duration AdmissionQueue::reserveReturn(const Offer &offer)
+{
+    const QueuedRequest &request = offer.request;
+    const WaitEstimate &estimate = offer.model.estimate;
+    const Duration waitBehindIt = estimate.waitFor(offer.model.queue.tokensAhead(request, request.cost));
+    const Duration excess = std::max(offer.wait - part(offer.bound, newcomerPart), Duration::zero());
+    ReservationBook &book = offer.model.books[bookKey(offer.model, request)];
+    return book.reserve(request.fingerprint, request.cost, offer.now + excess, waitBehindIt - offer.wait, offer.now);
+}
+
+AdmissionDecision AdmissionQueue::refuse(const Offer &offer, ResultCode code)
+{
+    AdmissionDecision decision{.isAdmitted = false, .expectedWait = offer.wait, .reason = {}, .retryAfter = drainingRetryAfter};
+    decision.reason = makeReason(code);
+    if (code != ResultCode::Draining && code != ResultCode::InvalidField) {
+        decision.retryAfter = reserveReturn(offer);
+    }
+    return decision;
+}
+
+QueueEntry &AdmissionQueue::insert(const QueuedRequest &request)
+{
+    QueueEntry &entry = entries_.try_emplace(request.id).first->second;
+    entry.request = request;
+    deadlines_.insert(entry);
+    ++teamSizes_[request.team];
+    return entry;
+}
+
+QueuedRequest AdmissionQueue::forget(QueueEntry &entry)
+{
+    const QueuedRequest request = entry.request;
+    deadlines_.erase(Deadlines::s_iterator_to(entry));
+    --teamSizes_[request.team];
+    entries_.erase(request.id);
+    return request;
+}
+
+QueuedRequest AdmissionQueue::takeOut(QueueEntry &entry, TimePoint now)
+{
+    ModelQueue &model = modelQueue(entry.request.model);
+    model.queue.erase(entry);
+    if (model.queue.size() == 0) {
+        model.estimate.onEmptied(now);
+    }
+    return forget(entry);
+}
+
+void AdmissionQueue::collectExpired(TimePoint now)
+{
+    while (!deadlines_.empty() && deadlines_.begin()->request.deadline <= now) {
+        expired_.push_back(giveUp(*deadlines_.begin(), now));
+    }
+}
+
+ExpiredRequest AdmissionQueue::giveUp(QueueEntry &entry, TimePoint now)
+{
+    ExpiredRequest expired{.request = takeOut(entry, now), .reason = {}, .retryAfter = {}};
+    Offer offer = assess(expired.request, now);
+    offer.bound = limits_.maxWait;
+    expired.retryAfter = reserveReturn(offer);
+    expired.reason = makeReason(ResultCode::DeadlineWouldPass);
+    return expired;
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/decision/fair_queue.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <unordered_map>
+
+#include <boost/intrusive/list.hpp>
+#include <boost/intrusive/set.hpp>
+
+#include "decision/queued_request.h"
+
+namespace Lovageloft
+{
+
+/// Work of one team is split by length, so that a short question never stands behind a chapter.
+enum class LaneKind : std::uint8_t
+{
+    Short,
+    Long,
+};
+
+constexpr std::size_t laneCount = 2;
+
+/// A waiting request with its places in the order of service and in the order of deadlines. The owner keeps it alive and
+/// in place while it is queued.
+struct QueueEntry : boost::intrusive::list_base_hook<>, boost::intrusive::set_base_hook<>
+{
+    QueuedRequest request;
+};
+
+/// The order of service among the requests for one model: deficit round robin over teams, counted in tokens.
+///
+/// Made for engines that are saturated by teams of unequal demand. The harm prevented is that a team that sends several
+/// times its rate, or work of 60,000 tokens, takes the engines from the others. A team may be served while its account is
+/// not negative, each request is charged when it leaves, and an account below zero is paid back by the rounds before the
+/// team is served again, also if it has nothing waiting meanwhile. So a team is at most one request ahead of its part, and
+/// a long request is served at its team's next turn and paid for afterwards instead of waiting until enough is saved.
+///
+/// Each team has two lanes with an account each. Short work that its account allows goes ahead of all long work. Its bound:
+/// it pays from the same quantum, and while the team's other lane needs tokens each lane gets half.
+class FairQueue
+{
+public:
+    /// Requests of at most `shortCost` tokens are short. A round gives a team of weight 1 `quantum` tokens.
+    FairQueue(std::int64_t shortCost, std::int64_t quantum);
+    ~FairQueue();
+    FairQueue(const FairQueue &) = delete;
+    FairQueue &operator=(const FairQueue &) = delete;
+
+    /// A team's part relative to others, by default 1; clamped to [0.01, 100].
+    void setWeight(TeamId team, double weight);
+
+    LaneKind laneOf(std::int64_t cost) const;
+
+    /// Queues a request behind those of its team, lane and priority.
+    void push(QueueEntry &entry);
+
+    /// Puts back the request that `pop` gave out, ahead of its like, and returns its tokens to the account.
+    void putBack(QueueEntry &entry);
+
+    /// Takes out a request that will not be served.
+    void erase(QueueEntry &entry);
+
+    /// Takes out the request to be served next and charges its team; null if none waits.
+    QueueEntry *pop();
+
+    /// The tokens that are dispatched before a request that is offered now and needs `extra` tokens of its team's part
+    /// to go first. Walks over the teams with work: linear in their number.
+    std::int64_t tokensAhead(const QueuedRequest &request, std::int64_t extra = 0) const;
+
+    std::size_t size() const;
+
+    /// Tokens of all that waits.
+    std::int64_t backlog() const;
+
+private:
+    using Queue = boost::intrusive::list<QueueEntry>;
+    struct Flow;
+
+    /// One team's work of one kind.
+    struct Lane : boost::intrusive::list_base_hook<>
+    {
+        Flow *flow = nullptr;
+        LaneKind kind = LaneKind::Short;
+        std::int64_t account = 0;
+        std::int64_t backlog = 0;
+        std::int64_t headCost = 0; ///< Cost of the request that is served next, 0 if none waits.
+        std::array<Queue, priorityCount> queues;
+        std::array<std::int64_t, priorityCount> tokens{};
+    };
+
+    /// One team. In the round while it has work or a lane's account is negative.
+    struct Flow : boost::intrusive::list_base_hook<>
+    {
+        std::int64_t quantum = 0;
+        std::array<Lane, laneCount> lanes;
+    };
+
+    Flow &flowOf(TeamId team);
+    Lane &laneFor(const QueuedRequest &request);
+    static bool needsTokens(const Lane &lane);
+    static std::int64_t quantumOf(const Lane &lane);
+    static std::int64_t roundsUntil(std::int64_t account, std::int64_t quantum);
+    static std::int64_t servedWithin(const Lane &lane, std::int64_t rounds);
+    std::int64_t readyTokens(LaneKind kind) const;
+    void add(Lane &lane, QueueEntry &entry);
+    void remove(Lane &lane, QueueEntry &entry);
+    void refresh(Lane &lane);
+    void refreshRound(Flow &flow);
+    QueueEntry *serveReady();
+    void topUp(Flow &flow, std::int64_t rounds);
+    void visitNextFlow();
+    void skipRounds();
+
+    std::int64_t shortCost_;
+    std::int64_t quantum_;
+    std::unordered_map<TeamId, Flow> flows_;
+    boost::intrusive::list<Flow> round_; ///< The next flow to be topped up is in front.
+    std::array<boost::intrusive::list<Lane>, laneCount> ready_; ///< Lanes with work and an account that allows it.
+    std::size_t size_ = 0;
+    std::int64_t backlog_ = 0;
+};
+
+} // namespace Lovageloft
--- /dev/null
+++ b/decision/retry_budget.cpp
@@ -0,0 +1,63 @@
+#include "decision/retry_budget.h"
+
+#include <algorithm>
+#include <string>
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+// At most one retry for ten requests: the load on the targets left grows by a tenth at worst, which the space between
+// the usual load and saturation absorbs.
+constexpr std::uint64_t requestsPerRetry = 10;
+
+// A host with a request every few seconds would otherwise never retry. Three in ten seconds from each of a few hosts are
+// no storm for any target.
+constexpr std::uint64_t leastRetries = 3;
+
+} // namespace
+
+void RetryBudget::onRequest(TimePoint now)
+{
+    advance(now);
+    ++buckets_[static_cast<std::size_t>(second_) % windowSeconds].requests;
+}
+
+bool RetryBudget::tryRetry(TimePoint now, Reason &reason)
+{
+    advance(now);
+    const Bucket sum = total();
+    if (sum.retries >= std::max(leastRetries, sum.requests / requestsPerRetry)) {
+        reason = {.code = ResultCode::RetryBudgetSpent, .text = std::string(resultCodeInfo(ResultCode::RetryBudgetSpent).meaning)};
+        return false;
+    }
+    ++buckets_[static_cast<std::size_t>(second_) % windowSeconds].retries;
+    return true;
+}
+
+void RetryBudget::advance(TimePoint now)
+{
+    const std::int64_t second = std::chrono::floor<std::chrono::seconds>(now.time_since_epoch()).count();
+    if (second <= second_) {
+        return;
+    }
+    const std::int64_t firstStale = std::max(second_ + 1, second - static_cast<std::int64_t>(windowSeconds) + 1);
+    for (std::int64_t stale = firstStale; stale <= second; ++stale) {
+        buckets_[static_cast<std::size_t>(stale) % windowSeconds] = {};
+    }
+    second_ = second;
+}
+
+RetryBudget::Bucket RetryBudget::total() const
+{
+    Bucket sum;
+    for (const Bucket &bucket : buckets_) {
+        sum.requests += bucket.requests;
+        sum.retries += bucket.retries;
+    }
+    return sum;
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/decision/retry_budget.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+
+#include "core/clock.h"
+#include "core/result_code.h"
+
+namespace Lovageloft
+{
+
+/// Limits the router's own retries to a tenth of its traffic.
+///
+/// Made for the loss of an engine or a slow fleet, when many requests fail at once. The harm prevented is a retry storm:
+/// each failure sends the work again, the engines left get more than they can do, and their failures are sent again too.
+class RetryBudget
+{
+public:
+    /// Counts a request that was sent to a target for the first time.
+    void onRequest(TimePoint now);
+
+    /// Takes one retry from the budget; false with RetryBudgetSpent if retries would pass their part.
+    bool tryRetry(TimePoint now, Reason &reason);
+
+private:
+    /// The traffic of one second.
+    struct Bucket
+    {
+        std::uint64_t requests = 0;
+        std::uint64_t retries = 0;
+    };
+
+    // Ten seconds: long enough that a burst of failures doesn't meet an empty budget, short enough that the calm of the
+    // last minute pays for no storm now.
+    static constexpr std::size_t windowSeconds = 10;
+
+    void advance(TimePoint now);
+    Bucket total() const;
+
+    std::array<Bucket, windowSeconds> buckets_{};
+    std::int64_t second_ = 0; ///< The second that the newest bucket holds.
+};
+
+} // namespace Lovageloft
