--- a/coordination/memory_store.cpp
+++ b/coordination/memory_store.cpp
@@ -6,8 +6,17 @@
 namespace Lovageloft
 {
 
-MemoryStore::MemoryStore(Now now)
+namespace
+{
+
+/// How late a waiting watch may notice that a lease has lapsed: no write wakes it then.
+constexpr Duration leaseCheckInterval = std::chrono::milliseconds(50);
+
+} // namespace
+
+MemoryStore::MemoryStore(Now now, std::size_t historyLimit)
     : now_(std::move(now))
+    , historyLimit_(historyLimit)
 {
 }
 
@@ -65,12 +74,15 @@
 {
     std::unique_lock lock(mutex_);
     const auto deadline = std::chrono::steady_clock::now() + timeout;
-    StoreListReply reply;
-    do {
+    while (true) {
         expireLeases();
-        reply = historyAfter(prefix, afterRevision);
-    } while (reply.entries.empty() && changed_.wait_until(lock, deadline) == std::cv_status::no_timeout);
-    return reply;
+        StoreListReply reply = historyAfter(prefix, afterRevision);
+        const auto now = std::chrono::steady_clock::now();
+        if (reply.status != StoreStatus::Ok || !reply.entries.empty() || now >= deadline) {
+            return reply;
+        }
+        changed_.wait_until(lock, std::min(deadline, now + leaseCheckInterval));
+    }
 }
 
 StoreLeaseReply MemoryStore::grantLease(Duration timeToLive)
@@ -115,6 +127,9 @@
 
 StoreListReply MemoryStore::historyAfter(std::string_view prefix, std::int64_t afterRevision) const
 {
+    if (afterRevision < compactedRevision_) {
+        return {StoreStatus::NotFound, {}, compactedRevision_};
+    }
     StoreListReply reply{StoreStatus::Ok, {}, revision_};
     const auto first = std::upper_bound(
         history_.begin(), history_.end(), afterRevision, [](std::int64_t revision, const StoreEntry &entry) { return revision < entry.revision; });
@@ -126,6 +141,10 @@
 {
     ++revision_;
     history_.push_back(std::move(entry));
+    if (history_.size() > historyLimit_) {
+        compactedRevision_ = history_.front().revision;
+        history_.pop_front();
+    }
     changed_.notify_all();
 }
 
--- a/coordination/memory_store.h
+++ b/coordination/memory_store.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <condition_variable>
+#include <cstddef>
+#include <deque>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -17,7 +19,9 @@
 public:
     using Now = std::function<TimePoint()>;
 
-    explicit MemoryStore(Now now = &BootClock::now);
+    /// Keeps the last `historyLimit` writes for watches. A watch after a revision that is no longer covered gets
+    /// NotFound with the oldest revision that it may go on from; its caller has to list again.
+    explicit MemoryStore(Now now = &BootClock::now, std::size_t historyLimit = 4096);
 
     StoreReply get(std::string_view key) override;
     StoreListReply list(std::string_view prefix) override;
@@ -54,7 +58,9 @@
     std::condition_variable changed_;
     std::map<std::string, Value, std::less<>> values_;
     std::map<std::int64_t, Lease> leases_;
-    std::vector<StoreEntry> history_;
+    std::deque<StoreEntry> history_;
+    std::size_t historyLimit_;
+    std::int64_t compactedRevision_ = 0; // The last write that has left the history.
     std::int64_t revision_ = 0;
     std::int64_t lastLeaseId_ = 0;
 };
--- a/tests/stand_ins/exchange.cpp
+++ b/tests/stand_ins/exchange.cpp
@@ -69,6 +69,11 @@
     return value;
 }
 
+std::string Exchange::callerAddress() const
+{
+    return request_.clientAddress().toString();
+}
+
 bool Exchange::isCallerGone() const
 {
     char byte = 0;
--- a/tests/stand_ins/exchange.h
+++ b/tests/stand_ins/exchange.h
@@ -34,6 +34,9 @@
     /// The value of a number in the query, `otherwise` if it isn't there or isn't a number.
     std::int64_t queryNumber(std::string_view name, std::int64_t otherwise) const;
 
+    /// "ADDRESS:PORT" of the caller's end, which tells connections apart.
+    std::string callerAddress() const;
+
     /// Whether the caller has hung up.
     bool isCallerGone() const;
 
