--- a/servers/completion_request.cpp
+++ b/servers/completion_call.cpp
@@ -1,4 +1,4 @@
-#include "servers/completion_request.h"
+#include "servers/completion_call.h"
 
 #include <algorithm>
 #include <array>
@@ -37,7 +37,7 @@
     return true;
 }
 
-bool readModel(const Json::element &value, CompletionRequest &request, Reason &reason)
+bool readModel(const Json::element &value, CompletionCall &request, Reason &reason)
 {
     std::string_view model;
     if (value.get(model) != simdjson::SUCCESS || model.empty() || model.size() > greatestModelName) {
@@ -47,7 +47,7 @@
     return true;
 }
 
-bool readStream(const Json::element &value, CompletionRequest &request, Reason &reason)
+bool readStream(const Json::element &value, CompletionCall &request, Reason &reason)
 {
     if (!value.is_null() && value.get(request.isStream) != simdjson::SUCCESS) {
         return failField(reason, "stream", "must be true or false");
@@ -55,7 +55,7 @@
     return true;
 }
 
-bool readStreamOptions(const Json::element &value, CompletionRequest &request, Reason &reason)
+bool readStreamOptions(const Json::element &value, CompletionCall &request, Reason &reason)
 {
     if (value.is_null()) {
         return true;
@@ -70,23 +70,23 @@
     return true;
 }
 
-bool readMaxTokens(const Json::element &value, CompletionRequest &request, Reason &reason)
+bool readMaxTokens(const Json::element &value, CompletionCall &request, Reason &reason)
 {
     return readNumber(value, "max_tokens", 1, greatestMaxTokens, request.maxTokens, reason);
 }
 
-bool readChoices(const Json::element &value, CompletionRequest &request, Reason &reason)
+bool readChoices(const Json::element &value, CompletionCall &request, Reason &reason)
 {
     return readNumber(value, "n", 1, greatestChoices, request.choices, reason);
 }
 
-bool readPriority(const Json::element &value, CompletionRequest &request, Reason &reason)
+bool readPriority(const Json::element &value, CompletionCall &request, Reason &reason)
 {
     return readNumber(value, "priority", -greatestPriority, greatestPriority, request.priority, reason);
 }
 
 /// A message's content is a text or a list of parts; other parts than texts count with their JSON text.
-bool appendContent(const Json::element &content, CompletionRequest &request, Reason &reason)
+bool appendContent(const Json::element &content, CompletionCall &request, Reason &reason)
 {
     std::string_view text;
     if (content.get(text) == simdjson::SUCCESS) {
@@ -110,7 +110,7 @@
     return true;
 }
 
-bool readMessages(const Json::element &value, CompletionRequest &request, Reason &reason)
+bool readMessages(const Json::element &value, CompletionCall &request, Reason &reason)
 {
     Json::array messages;
     if (value.get(messages) != simdjson::SUCCESS || messages.size() == 0) {
@@ -131,7 +131,7 @@
     return true;
 }
 
-bool readPrompt(const Json::element &value, CompletionRequest &request, Reason &reason)
+bool readPrompt(const Json::element &value, CompletionCall &request, Reason &reason)
 {
     std::string_view text;
     if (value.get(text) == simdjson::SUCCESS) {
@@ -145,7 +145,7 @@
 struct FieldReader
 {
     std::string_view name;
-    bool (*read)(const Json::element &, CompletionRequest &, Reason &);
+    bool (*read)(const Json::element &, CompletionCall &, Reason &);
 };
 
 constexpr std::array fieldReaders = std::to_array<FieldReader>({
@@ -158,7 +158,7 @@
     {"priority", &readPriority},
 });
 
-bool readFields(CompletionKind kind, const Json::object &object, CompletionRequest &request, Reason &reason)
+bool readFields(CompletionKind kind, const Json::object &object, CompletionCall &request, Reason &reason)
 {
     for (const FieldReader &reader : fieldReaders) {
         Json::element value;
@@ -199,12 +199,12 @@
 
 } // namespace
 
-std::int64_t CompletionRequest::promptTokens() const
+std::int64_t CompletionCall::promptTokens() const
 {
     return std::max<std::int64_t>(1, static_cast<std::int64_t>(prompt.size()) / bytesPerToken);
 }
 
-std::optional<CompletionRequest> parseCompletionRequest(CompletionKind kind, std::string body, Reason &reason)
+std::optional<CompletionCall> parseCompletionCall(CompletionKind kind, std::string body, Reason &reason)
 {
     Json::parser parser;
     Json::object object;
@@ -213,7 +213,7 @@
         reason = {ResultCode::MalformedJson, "the body is not a JSON object"};
         return std::nullopt;
     }
-    CompletionRequest request;
+    CompletionCall request;
     request.maxTokens = defaultMaxTokens;
     if (!readFields(kind, object, request, reason)) {
         return std::nullopt;
--- a/servers/completion_request.h
+++ b/servers/completion_call.h
@@ -18,7 +18,7 @@
 };
 
 /// What the router has to know of a completion's body.
-struct CompletionRequest
+struct CompletionCall
 {
     std::string model;
     std::string prompt; ///< Roles and contents, or the prompt, in order; for the prefix chain and the size only.
@@ -37,6 +37,6 @@
 constexpr std::int64_t defaultMaxTokens = 1'024;
 
 /// Reads a body. MalformedJson if it is not a JSON object; InvalidField if a field is missing or has a wrong type or range.
-std::optional<CompletionRequest> parseCompletionRequest(CompletionKind kind, std::string body, Reason &reason);
+std::optional<CompletionCall> parseCompletionCall(CompletionKind kind, std::string body, Reason &reason);
 
 } // namespace Lovageloft
--- a/servers/completion_handler.cpp
+++ b/servers/completion_handler.cpp
@@ -59,7 +59,7 @@
 bool CompletionHandler::parse()
 {
     Reason reason;
-    auto request = parseCompletionRequest(kind_, std::move(exchange_.body), reason);
+    auto request = parseCompletionCall(kind_, std::move(exchange_.body), reason);
     if (!request) {
         return refuse({reason});
     }
--- a/servers/completion_handler.h
+++ b/servers/completion_handler.h
@@ -4,7 +4,7 @@
 
 #include "drivers/http_exchange.h"
 #include "servers/caller_exchange.h"
-#include "servers/completion_request.h"
+#include "servers/completion_call.h"
 #include "servers/refusal.h"
 #include "servers/router_parts.h"
 #include "servers/stream_relay.h"
@@ -42,7 +42,7 @@
     RouterParts &parts_;
     CallerExchange &exchange_;
     CompletionKind kind_;
-    CompletionRequest request_;
+    CompletionCall request_;
     TeamKey key_;
     std::optional<AnswerVerifier> verifier_;
     std::optional<StreamRelay> relay_;
