--- /dev/null
+++ b/decision/request_scheduler.cpp
@@ -0,0 +1,314 @@
+#include "decision/request_scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+/// When to come back after a refusal that no queue can time: an engine's restart or reload takes about that long.
+constexpr std::chrono::seconds noTargetRetry{1};
+/// When a burst of failures no longer fills the budget's window.
+constexpr std::chrono::seconds retryBudgetRetry{2};
+
+} // namespace
+
+RequestScheduler::RequestScheduler(const QueueLimits &limits, const PlacementPolicy &policy)
+    : queue_(limits)
+    , placement_(policy)
+{
+}
+
+void RequestScheduler::setEngines(std::span<const SchedulerEngine> engines)
+{
+    std::vector<EngineStatus> statuses;
+    versions_.clear();
+    for (const SchedulerEngine &engine : engines) {
+        EngineStatus status;
+        status.name = engine.name;
+        status.modelVersion = modelVersions_.idOf(engine.model + '\n' + engine.weightsVersion);
+        status.incarnation = engine.incarnation;
+        status.isServing = engine.isServing;
+        statuses.push_back(status);
+        std::vector<Version> &versions = versions_[models_.idOf(engine.model)];
+        if (std::none_of(versions.begin(), versions.end(), [&status](const Version &version) { return version.id == status.modelVersion; })) {
+            versions.push_back({status.modelVersion, engine.weightsVersion});
+        }
+    }
+    placement_.setEngines(statuses);
+    std::map<EngineIndex, Engine> kept;
+    for (const SchedulerEngine &engine : engines) {
+        const auto index = placement_.findEngine(engine.name);
+        if (!index) {
+            continue;
+        }
+        Engine &entry = kept[*index];
+        const auto known = engines_.find(*index);
+        if (known != engines_.end()) {
+            entry = known->second;
+        } else {
+            entry.serial = ++lastSerial_;
+        }
+        if (entry.incarnation != 0 && engine.incarnation != 0 && engine.incarnation != entry.incarnation) {
+            entry.window.reset();
+        }
+        entry.model = models_.idOf(engine.model);
+        entry.incarnation = engine.incarnation != 0 ? engine.incarnation : entry.incarnation;
+        entry.isServing = engine.isServing;
+    }
+    engines_ = std::move(kept);
+    for (const auto &[index, engine] : engines_) {
+        updateOpen(index);
+    }
+}
+
+void RequestScheduler::setTeamWeight(std::string_view team, double weight)
+{
+    queue_.setWeight(teams_.idOf(team), weight);
+}
+
+void RequestScheduler::setHostCount(std::size_t count)
+{
+    placement_.setHostCount(count);
+}
+
+std::optional<SchedulerRefusal> RequestScheduler::submit(SchedulerRequest request, TimePoint now)
+{
+    const RequestId id = request.id;
+    if (request.failedEngines.empty()) {
+        retries_.onRequest(now);
+    } else {
+        Reason reason;
+        if (!retries_.tryRetry(now, reason)) {
+            return refuse(id, reason, retryBudgetRetry);
+        }
+    }
+    QueuedRequest queued;
+    queued.id = id;
+    queued.team = teams_.idOf(request.team);
+    queued.key = keys_.idOf(request.team + '\n' + request.keyId);
+    queued.model = models_.idOf(request.model);
+    queued.priority = request.priority;
+    queued.cost = static_cast<std::int64_t>(request.promptTokens) + request.outputTokens;
+    queued.deadline = request.deadline;
+    const AdmissionDecision decision = queue_.offer(queued, now);
+    if (!decision.isAdmitted) {
+        return refuse(id, decision.reason, decision.retryAfter);
+    }
+    requests_.emplace(id, std::move(request));
+    return std::nullopt;
+}
+
+void RequestScheduler::cancel(RequestId id, TimePoint now)
+{
+    queue_.cancel(id, now);
+    requests_.erase(id);
+}
+
+std::vector<SchedulerOutcome> RequestScheduler::withdrawKey(std::string_view team, std::string_view keyId, TimePoint now)
+{
+    std::vector<SchedulerOutcome> outcomes;
+    const KeyId key = keys_.idOf(std::string(team) + '\n' + std::string(keyId));
+    for (const QueuedRequest &request : queue_.removeKey(teams_.idOf(team), key, now)) {
+        outcomes.emplace_back(refuse(request.id, {ResultCode::KeyWithdrawn, {}}, {}));
+    }
+    return outcomes;
+}
+
+std::vector<SchedulerOutcome> RequestScheduler::decide(TimePoint now, Random &random)
+{
+    std::vector<SchedulerOutcome> outcomes;
+    for (ExpiredRequest &expired : queue_.expire(now)) {
+        outcomes.emplace_back(refuse(expired.request.id, std::move(expired.reason), expired.retryAfter));
+    }
+    while (const auto queued = queue_.next(now, [this](ModelId model) { return canDispatch(model); })) {
+        auto outcome = assign(*queued, now, random);
+        if (!outcome) {
+            queue_.putBack(*queued, now);
+            break;
+        }
+        outcomes.push_back(std::move(*outcome));
+    }
+    return outcomes;
+}
+
+std::optional<TimePoint> RequestScheduler::nextDeadline() const
+{
+    return queue_.nextDeadline();
+}
+
+void RequestScheduler::drain()
+{
+    queue_.drain();
+}
+
+bool RequestScheduler::canDispatch(ModelId model) const
+{
+    // A model without any engine lets its requests out too: they are refused at once in place of waiting for their deadline.
+    bool isServed = false;
+    for (const auto &[index, engine] : engines_) {
+        if (engine.model != model || !engine.isServing) {
+            continue;
+        }
+        if (engine.window.canStart()) {
+            return true;
+        }
+        isServed = true;
+    }
+    return !isServed;
+}
+
+std::optional<SchedulerOutcome> RequestScheduler::assign(const QueuedRequest &queued, TimePoint now, Random &random)
+{
+    const auto found = requests_.find(queued.id);
+    if (found == requests_.end()) {
+        return refuse(queued.id, {ResultCode::NoTarget, {}}, noTargetRetry);
+    }
+    const SchedulerRequest &request = found->second;
+    const std::vector<Version> &versions = versions_[queued.model];
+    std::vector<VersionedChain> chains;
+    chainScratch_.resize(std::max(chainScratch_.size(), versions.size()));
+    for (std::size_t i = 0; i < versions.size(); ++i) {
+        chainBlocks(prefixSeed({request.cacheSalt, request.model, versions[i].weights}), request.blockDigests, chainScratch_[i]);
+        chains.push_back({versions[i].id, chainScratch_[i]});
+    }
+    const std::vector<EngineIndex> excluded = indexesOf(request.failedEngines);
+    const PlacementRequest placed{chains, request.promptTokens, request.outputTokens, excluded};
+    Reason reason;
+    const auto decision = placement_.place(placed, now, random, reason);
+    if (!decision) {
+        // Closed engines of this very request (it failed on the open ones) are worth no wait behind others' work.
+        const bool mayWait = reason.code == ResultCode::Overloaded && request.failedEngines.empty();
+        return mayWait ? std::nullopt : std::optional<SchedulerOutcome>(refuse(queued.id, {ResultCode::NoTarget, {}}, noTargetRetry));
+    }
+    const std::int64_t missed = std::max<std::int64_t>(0, std::int64_t{request.promptTokens} - decision->expectedCachedTokens);
+    const DispatchId dispatch = placement_.onDispatched(placed, *decision, now);
+    Engine &engine = engines_[decision->engine];
+    inFlight_[queued.id] = {dispatch, decision->engine, engine.serial, engine.window.start(missed, now)};
+    updateOpen(decision->engine);
+    requests_.erase(found);
+    return SchedulerAssignment{queued.id, std::string(placement_.engineName(decision->engine)), decision->expectedCachedTokens};
+}
+
+std::vector<EngineIndex> RequestScheduler::indexesOf(const std::vector<std::string> &names) const
+{
+    std::vector<EngineIndex> indexes;
+    for (const std::string &name : names) {
+        if (const auto index = placement_.findEngine(name)) {
+            indexes.push_back(*index);
+        }
+    }
+    return indexes;
+}
+
+SchedulerRefusal RequestScheduler::refuse(RequestId id, Reason reason, Duration retryAfter)
+{
+    requests_.erase(id);
+    return {id, std::move(reason), retryAfter};
+}
+
+void RequestScheduler::updateOpen(EngineIndex engine)
+{
+    const auto entry = engines_.find(engine);
+    if (entry != engines_.end()) {
+        placement_.setOpen(engine, entry->second.window.canStart());
+    }
+}
+
+void RequestScheduler::onFirstToken(RequestId id, std::optional<std::uint32_t> cachedTokens, TimePoint now)
+{
+    const auto entry = inFlight_.find(id);
+    if (entry == inFlight_.end()) {
+        return;
+    }
+    placement_.onFirstToken(entry->second.dispatch, cachedTokens, now);
+    if (Engine *engine = engineOf(entry->second)) {
+        engine->window.onFirstToken(entry->second.window, now);
+        updateOpen(entry->second.engine);
+    }
+}
+
+void RequestScheduler::onEnded(RequestId id, SchedulerEnd end, TimePoint now)
+{
+    const auto entry = inFlight_.find(id);
+    if (entry == inFlight_.end()) {
+        return;
+    }
+    const InFlight ended = entry->second;
+    inFlight_.erase(entry);
+    switch (end) {
+    case SchedulerEnd::Finished:
+        placement_.onFinished(ended.dispatch, now);
+        break;
+    case SchedulerEnd::Failed:
+        placement_.onFailed(ended.dispatch, now);
+        break;
+    case SchedulerEnd::Cancelled:
+        placement_.onCancelled(ended.dispatch);
+        break;
+    }
+    Engine *engine = engineOf(ended);
+    if (engine == nullptr) {
+        return;
+    }
+    if (end == SchedulerEnd::Failed) {
+        engine->window.onFailed(ended.window, now);
+    }
+    engine->window.onFinished(ended.window, now);
+    updateOpen(ended.engine);
+}
+
+RequestScheduler::Engine *RequestScheduler::engineOf(const InFlight &request)
+{
+    const auto engine = engines_.find(request.engine);
+    return engine != engines_.end() && engine->second.serial == request.serial ? &engine->second : nullptr;
+}
+
+void RequestScheduler::onLoadReport(std::string_view engine, const LoadReport &report, TimePoint now)
+{
+    if (const auto index = placement_.findEngine(engine)) {
+        placement_.onLoadReport(*index, report, now);
+    }
+}
+
+void RequestScheduler::onCacheEvents(std::string_view engine, std::uint64_t incarnation, std::uint64_t firstSequence, std::span<const CacheEvent> events)
+{
+    if (const auto index = placement_.findEngine(engine)) {
+        placement_.onCacheEvents(*index, incarnation, firstSequence, events);
+    }
+}
+
+void RequestScheduler::onCacheResync(std::string_view engine, std::uint64_t incarnation, std::uint64_t nextSequence, std::span<const BlockHash> blocks)
+{
+    if (const auto index = placement_.findEngine(engine)) {
+        placement_.onCacheResync(*index, incarnation, nextSequence, blocks);
+    }
+}
+
+std::size_t RequestScheduler::waiting() const
+{
+    return requests_.size();
+}
+
+std::size_t RequestScheduler::inFlight() const
+{
+    return inFlight_.size();
+}
+
+std::size_t RequestScheduler::windowOf(std::string_view engine) const
+{
+    const auto index = placement_.findEngine(engine);
+    const auto entry = index ? engines_.find(*index) : engines_.end();
+    return entry == engines_.end() ? 0 : entry->second.window.size();
+}
+
+bool RequestScheduler::isEjected(std::string_view engine) const
+{
+    const auto index = placement_.findEngine(engine);
+    return index && placement_.health().isEjected(*index);
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/decision/request_scheduler.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "core/random.h"
+#include "decision/admission_queue.h"
+#include "decision/engine_window.h"
+#include "decision/id_table.h"
+#include "decision/placement.h"
+#include "decision/retry_budget.h"
+
+namespace Lovageloft
+{
+
+/// An engine as the configuration and its reports describe it.
+struct SchedulerEngine
+{
+    std::string name;
+    std::string model;
+    std::string weightsVersion; ///< What it runs now.
+    std::uint64_t incarnation = 0; ///< 0 while not known.
+    bool isServing = true;
+};
+
+/// A request that needs an engine.
+struct SchedulerRequest
+{
+    RequestId id{};
+    std::string team;
+    std::string keyId;
+    std::string cacheSalt; ///< The team's; keeps its cache entries from all others.
+    std::string model;
+    Priority priority = Priority::Normal;
+    std::vector<BlockHash> blockDigests; ///< From digestBlocks.
+    std::uint32_t promptTokens = 0;
+    std::uint32_t outputTokens = 0;
+    TimePoint deadline;
+    std::vector<std::string> failedEngines; ///< Not empty for a retry.
+};
+
+/// An engine was found; `onEnded` must follow in any case.
+struct SchedulerAssignment
+{
+    RequestId id{};
+    std::string engine;
+    std::uint32_t expectedCachedTokens = 0;
+};
+
+/// The request is given up; it reached no engine in this attempt.
+struct SchedulerRefusal
+{
+    RequestId id{};
+    Reason reason;
+    Duration retryAfter{};
+};
+
+using SchedulerOutcome = std::variant<SchedulerAssignment, SchedulerRefusal>;
+
+/// How an assigned request ended.
+enum class SchedulerEnd : std::uint8_t
+{
+    Finished,
+    Failed, ///< The engine broke, stalled or refused.
+    Cancelled, ///< The caller went away; says nothing about the engine.
+};
+
+/// All decisions about model requests on one host: admits or refuses, keeps the order of service, opens and closes windows, and
+/// places. Made for a fleet that is saturated or losing engines, where each of these parts alone would undo another: a queue
+/// that is fair is worth nothing if engines queue behind it, and a retry that skips the budget doubles a storm.
+/// Not thread-safe; opens nothing and reads no clock.
+class RequestScheduler
+{
+public:
+    explicit RequestScheduler(const QueueLimits &limits = {}, const PlacementPolicy &policy = {});
+
+    /// Replaces the list of engines. One with another incarnation has crashed: its window begins anew.
+    void setEngines(std::span<const SchedulerEngine> engines);
+
+    /// A team's part of the engines relative to others'.
+    void setTeamWeight(std::string_view team, double weight);
+
+    void setHostCount(std::size_t count);
+
+    /// Queues or refuses a request.
+    std::optional<SchedulerRefusal> submit(SchedulerRequest request, TimePoint now);
+
+    /// The caller of a waiting request went away.
+    void cancel(RequestId id, TimePoint now);
+
+    /// Takes waiting requests of a withdrawn key out; each is refused with KeyWithdrawn.
+    std::vector<SchedulerOutcome> withdrawKey(std::string_view team, std::string_view keyId, TimePoint now);
+
+    /// Gives up what waited too long and assigns what can go now. To be called after every change, and at `nextDeadline`.
+    std::vector<SchedulerOutcome> decide(TimePoint now, Random &random);
+
+    /// When `decide` has something to do though nothing happened.
+    std::optional<TimePoint> nextDeadline() const;
+
+    /// Refuses new requests; what waits is still served.
+    void drain();
+
+    void onFirstToken(RequestId id, std::optional<std::uint32_t> cachedTokens, TimePoint now);
+    void onEnded(RequestId id, SchedulerEnd end, TimePoint now);
+
+    void onLoadReport(std::string_view engine, const LoadReport &report, TimePoint now);
+    void onCacheEvents(std::string_view engine, std::uint64_t incarnation, std::uint64_t firstSequence, std::span<const CacheEvent> events);
+    void onCacheResync(std::string_view engine, std::uint64_t incarnation, std::uint64_t nextSequence, std::span<const BlockHash> blocks);
+
+    std::size_t waiting() const;
+    std::size_t inFlight() const;
+
+    /// Requests that this host may have in an engine; 0 for one that is not listed.
+    std::size_t windowOf(std::string_view engine) const;
+
+    /// Whether the engine is set aside as slow or failing.
+    bool isEjected(std::string_view engine) const;
+
+private:
+    /// What is known of an engine besides what the placement keeps.
+    struct Engine
+    {
+        EngineWindow window;
+        ModelId model{};
+        std::uint64_t incarnation = 0;
+        std::uint64_t serial = 0; ///< Tells it from an earlier engine that had the same index.
+        bool isServing = false;
+    };
+
+    struct Version
+    {
+        ModelVersionId id = 0;
+        std::string weights;
+    };
+
+    struct InFlight
+    {
+        DispatchId dispatch = 0;
+        EngineIndex engine = 0;
+        std::uint64_t serial = 0;
+        EngineWindow::Dispatch window;
+    };
+
+    bool canDispatch(ModelId model) const;
+    std::optional<SchedulerOutcome> assign(const QueuedRequest &queued, TimePoint now, Random &random);
+    std::vector<EngineIndex> indexesOf(const std::vector<std::string> &names) const;
+    SchedulerRefusal refuse(RequestId id, Reason reason, Duration retryAfter);
+    void updateOpen(EngineIndex engine);
+    Engine *engineOf(const InFlight &request);
+
+    AdmissionQueue queue_;
+    Placement placement_;
+    RetryBudget retries_;
+    IdTable<TeamId> teams_;
+    IdTable<KeyId> keys_;
+    IdTable<ModelId> models_;
+    IdTable<ModelVersionId> modelVersions_;
+    std::map<EngineIndex, Engine> engines_;
+    std::map<ModelId, std::vector<Version>> versions_;
+    std::unordered_map<RequestId, SchedulerRequest> requests_; ///< Those that wait.
+    std::unordered_map<RequestId, InFlight> inFlight_;
+    std::vector<std::vector<BlockHash>> chainScratch_;
+    std::uint64_t lastSerial_ = 0;
+};
+
+} // namespace Lovageloft
--- a/servers/completion_handler.cpp
+++ b/servers/completion_handler.cpp
@@ -29,10 +29,11 @@
 
 void CompletionHandler::handle()
 {
-    constexpr std::array<Filter, 4> filters{
+    constexpr std::array<Filter, 5> filters{
         &CompletionHandler::authenticate,
         &CompletionHandler::parse,
         &CompletionHandler::checkModel,
+        &CompletionHandler::identifyPrefix,
         &CompletionHandler::dispatch,
     };
     for (const Filter filter : filters) {
@@ -76,10 +77,19 @@
     return isServed || refuse({{ResultCode::UnknownModel, {}}});
 }
 
+bool CompletionHandler::identifyPrefix()
+{
+    digestBlocks(request_.prompt, blockDigests_);
+    // Nothing else looks at the text; a long queue would hold it twice.
+    promptTokens_ = request_.promptTokens();
+    request_.prompt = {};
+    return true;
+}
+
 bool CompletionHandler::dispatch()
 {
     verifier_.emplace(ExpectedAnswer{exchange_.id, request_.choices, request_.wantsUsage});
-    relay_.emplace(exchange_, *verifier_);
+    relay_.emplace(exchange_, *verifier_, [this] { parts_.dispatcher.onFirstToken(current_, std::nullopt); });
     Reason reason;
     while (const auto assignment = place(reason)) {
         lastEngine_ = assignment->engine;
@@ -103,16 +113,9 @@
 
 std::optional<Assignment> CompletionHandler::place(Reason &reason)
 {
-    DispatchRequest request;
-    request.id = exchange_.id;
-    request.team = key_.team;
-    request.model = request_.model;
-    request.promptTokens = request_.promptTokens();
-    request.outputTokens = request_.maxTokens * request_.choices;
-    request.deadline = exchange_.arrival + std::chrono::milliseconds(parts_.settings.queueDeadline);
-    request.excluded = failedEngines_;
-    const auto pending = std::make_shared<PendingDispatch>(std::move(request));
-    if (!parts_.dispatcher.submit(pending)) {
+    RequestId id{};
+    const auto pending = parts_.dispatcher.submit(schedulerRequest(), id);
+    if (pending == nullptr) {
         refuse({{ResultCode::Overloaded, {}}, RunState::NotRun, std::chrono::seconds(1)});
         return std::nullopt;
     }
@@ -120,6 +123,7 @@
         const auto outcome = pending->wait(hangUpCheck);
         if (!outcome) {
             if (isHungUp(exchange_.socket)) {
+                parts_.dispatcher.cancel(id);
                 finish(ResultCode::CallerGone);
                 return std::nullopt;
             }
@@ -131,6 +135,7 @@
             return std::nullopt;
         }
         if (!parts_.configuration.hasKey(key_)) {
+            parts_.dispatcher.onEnded(id, SchedulerEnd::Cancelled);
             refuse({{ResultCode::KeyWithdrawn, {}}});
             return std::nullopt;
         }
@@ -138,6 +143,22 @@
     }
 }
 
+SchedulerRequest CompletionHandler::schedulerRequest() const
+{
+    SchedulerRequest request;
+    request.team = key_.team;
+    request.keyId = key_.keyId;
+    request.cacheSalt = key_.team;
+    request.model = request_.model;
+    request.priority = request_.priority > 0 ? Priority::High : request_.priority < 0 ? Priority::Low : Priority::Normal;
+    request.blockDigests = blockDigests_;
+    request.promptTokens = static_cast<std::uint32_t>(promptTokens_);
+    request.outputTokens = static_cast<std::uint32_t>(request_.maxTokens * request_.choices);
+    request.deadline = exchange_.arrival + std::chrono::milliseconds(parts_.settings.queueDeadline);
+    request.failedEngines = failedEngines_;
+    return request;
+}
+
 HttpRequestHead CompletionHandler::engineRequest() const
 {
     HttpRequestHead head;
@@ -153,6 +174,23 @@
 }
 
 RelayResult CompletionHandler::attempt(const Assignment &assignment, Reason &reason)
+{
+    current_ = assignment.id;
+    const RelayResult result = exchangeWith(assignment, reason);
+    const TokenUsage &usage = verifier_->usage();
+    if (result == RelayResult::Done && usage.promptTokens > 0) {
+        // Too late for the time, but the cached count comes only with the usage at the end.
+        parts_.metrics.add("lovageloft_prompt_tokens_total", static_cast<std::uint64_t>(usage.promptTokens));
+        parts_.metrics.add("lovageloft_cached_tokens_total", static_cast<std::uint64_t>(usage.cachedTokens));
+    }
+    const SchedulerEnd end = result == RelayResult::Done ? SchedulerEnd::Finished
+        : result == RelayResult::Failed                  ? SchedulerEnd::Failed
+                                                         : SchedulerEnd::Cancelled;
+    parts_.dispatcher.onEnded(assignment.id, end);
+    return result;
+}
+
+RelayResult CompletionHandler::exchangeWith(const Assignment &assignment, Reason &reason)
 {
     const ExchangeTimeouts timeouts{std::chrono::milliseconds(parts_.settings.connectTimeout), std::chrono::milliseconds(parts_.settings.engineTimeout)};
     HttpExchange engine(assignment.address, timeouts);
@@ -191,6 +229,7 @@
     if (!verifier_->onAnswer(*body, reason)) {
         return RelayResult::Failed;
     }
+    parts_.dispatcher.onFirstToken(current_, static_cast<std::uint32_t>(verifier_->usage().cachedTokens));
     exchange_.response.set("X-Request-Id", exchange_.id);
     sendJson(exchange_.response, Poco::Net::HTTPResponse::HTTP_OK, *body);
     return RelayResult::Done;
--- a/servers/completion_handler.h
+++ b/servers/completion_handler.h
@@ -27,10 +27,13 @@
     bool parse();
     bool authenticate();
     bool checkModel();
+    bool identifyPrefix();
     bool dispatch();
 
     std::optional<Assignment> place(Reason &reason);
+    SchedulerRequest schedulerRequest() const;
     RelayResult attempt(const Assignment &assignment, Reason &reason);
+    RelayResult exchangeWith(const Assignment &assignment, Reason &reason);
     RelayResult relayAnswer(HttpExchange &engine, const HttpAnswerHead &head, Reason &reason);
     RelayResult relayWhole(HttpExchange &engine, Reason &reason);
     RelayResult passRefusalOn(HttpExchange &engine, const HttpAnswerHead &head, Reason &reason);
@@ -46,8 +49,11 @@
     TeamKey key_;
     std::optional<AnswerVerifier> verifier_;
     std::optional<StreamRelay> relay_;
+    std::vector<BlockHash> blockDigests_;
+    std::int64_t promptTokens_ = 0;
     std::vector<std::string> failedEngines_;
     std::string lastEngine_;
+    RequestId current_{}; ///< The attempt that runs.
 };
 
 } // namespace Lovageloft
--- a/servers/stream_relay.cpp
+++ b/servers/stream_relay.cpp
@@ -1,13 +1,15 @@
 #include "servers/stream_relay.h"
 
 #include <ostream>
+#include <utility>
 
 namespace Lovageloft
 {
 
-StreamRelay::StreamRelay(CallerExchange &exchange, AnswerVerifier &verifier)
+StreamRelay::StreamRelay(CallerExchange &exchange, AnswerVerifier &verifier, std::function<void()> onFirstContent)
     : exchange_(exchange)
     , verifier_(verifier)
+    , onFirstContent_(std::move(onFirstContent))
     , firstContent_(exchange.arrival)
 {
 }
@@ -15,6 +17,7 @@
 RelayResult StreamRelay::relay(HttpExchange &engine, Reason &reason)
 {
     SseReader reader;
+    bool isFirst = true;
     while (true) {
         if (!reader.compact(reason)) {
             return RelayResult::Failed;
@@ -27,6 +30,9 @@
             reason = {ResultCode::TargetTruncated, "the stream ended without [DONE]"};
             return RelayResult::Failed;
         }
+        if (std::exchange(isFirst, false)) {
+            onFirstContent_();
+        }
         const std::optional<RelayResult> result = forwardEvents(reader, reason);
         if (!flush()) {
             return RelayResult::CallerGone;
--- a/servers/stream_relay.h
+++ b/servers/stream_relay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <iosfwd>
 #include <optional>
 #include <string>
@@ -25,7 +26,8 @@
 class StreamRelay
 {
 public:
-    StreamRelay(CallerExchange &exchange, AnswerVerifier &verifier);
+    /// `onFirstContent` is called each time an engine's first event arrives.
+    StreamRelay(CallerExchange &exchange, AnswerVerifier &verifier, std::function<void()> onFirstContent);
 
     /// Relays from an engine whose answer's head has been read.
     RelayResult relay(HttpExchange &engine, Reason &reason);
@@ -47,6 +49,7 @@
 
     CallerExchange &exchange_;
     AnswerVerifier &verifier_;
+    std::function<void()> onFirstContent_;
     std::ostream *out_ = nullptr;
     std::string pending_;
     TimePoint firstContent_;
