--- a/tests/coordination/test_share_ledger.cpp
+++ b/tests/coordination/test_share_ledger.cpp
@@ -101,6 +101,7 @@
         : random_(seed)
     {
         refunds_ = chance(50);
+        isQuiet_ = chance(70);
         const std::size_t hosts = 1 + below(5);
         for (std::size_t i = 0; i < hosts; ++i) {
             configuration_.hosts.push_back(name(i));
@@ -278,7 +279,7 @@
         if (chance(60)) {
             TeamShare &team = configuration_.teams[below(2)];
             team.rate = static_cast<double>(10 + below(2000));
-            team.burst = static_cast<double>(100 + below(4000));
+            team.burst = static_cast<double>(100 + below(2000));
         } else if (const std::string host = name(below(poolSize)); std::erase(configuration_.hosts, host) == 0 || configuration_.hosts.empty()) {
             configuration_.hosts.push_back(host);
         }
@@ -302,9 +303,11 @@
 
     void arrive(std::size_t i)
     {
-        onHost(i, std::chrono::milliseconds(1 + below(60)), [this, i](ShareLedger &ledger) {
+        // Quiet seeds let the buckets fill, so that a burst taken twice shows; busy ones race for the last tokens.
+        onHost(i, std::chrono::milliseconds(1 + below(isQuiet_ ? 1500 : 60)), [this, i](ShareLedger &ledger) {
             const std::string team = chance(70) ? "desk" : "press";
-            const double cost = static_cast<double>(1 + below(chance(20) ? 2000 : 200));
+            const double burst = configuration_.teams[team == "press" ? 1 : 0].burst;
+            const double cost = 1 + burst * static_cast<double>(below(100)) / (chance(isQuiet_ ? 80 : 10) ? 100 : 1000);
             const std::uint64_t id = ++lastRequest_;
             requests_[id] = {team, cost};
             act(i, ledger.admit(team, cost, id, now_));
@@ -374,6 +377,7 @@
 
     Random random_;
     bool refunds_ = false;
+    bool isQuiet_ = false;
     std::size_t loss_ = 0;
     TimePoint now_ = at(1s);
     std::uint64_t order_ = 0;
@@ -436,7 +440,7 @@
 {
     // Messages are lost, doubled and late, hosts pause, restart, are cut off, join and leave, and tickets raise and
     // lower rates, all at once. If any of it made tokens, one team would take what the others are entitled to.
-    constexpr std::uint64_t seeds = 1500;
+    constexpr std::uint64_t seeds = 4000;
     double spent = 0;
     std::size_t refused = 0;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
@@ -545,6 +549,28 @@
     BOOST_TEST(asker.balance("desk", at(301s)) == -45, boost::test_tools::tolerance(1e-6));
 }
 
+BOOST_AUTO_TEST_CASE(aDoubledRequestIsDebitedOnce)
+{
+    // The network delivers a request twice. A second debit would be lost, and the team refused inside its rate.
+    SmallFleet fleet(2, 10, 1000);
+    const DebitRequest request{"h0", "1", "h1", 7, "desk", 200};
+    BOOST_TEST(fleet.ledgers.at("h1").onDebitRequest(request, at(300s)).granted == 200);
+    BOOST_TEST(fleet.ledgers.at("h1").onDebitRequest(request, at(300s)).granted == 200);
+    BOOST_TEST(fleet.ledgers.at("h1").balance("desk", at(300s)) == 300);
+}
+
+BOOST_AUTO_TEST_CASE(anAnswerToTheProcessBeforeIsNotTaken)
+{
+    // A host restarts and counts its questions from 1 again. An answer to its predecessor's question, used there
+    // already, would admit a second request on the same tokens.
+    SmallFleet fleet(2, 10, 1000);
+    ShareLedger &asker = fleet.ledgers.at("h0");
+    const ShareDecision ask = asker.admit("desk", 900, 1, at(300s));
+    DebitReply reply = fleet.ledgers.at("h1").onDebitRequest(ask.asks.at(0), at(300s));
+    reply.toIncarnation = "0";
+    BOOST_TEST((asker.onDebitReply(reply, at(300s)).verdict == ShareVerdict::None));
+}
+
 BOOST_AUTO_TEST_CASE(aPausedAskerDropsWhatItWasGranted)
 {
     // A host is paused between asking and reading the answer. By then the home has refilled, so that using the old
