Store driver for etcd's published HTTP/JSON mapping

What must last lives in the platform's key-value service, and its answers get lost after a write took effect, its connections go silent, and it has outages. The driver tells these apart: AnswerLost only for a write that left without a whole answer, Unavailable when it surely did not take effect. It never sends a call twice, closes a connection that timed out, and drops all idle ones to an endpoint together.

--- /dev/null
+++ b/drivers/etcd_connection.cpp
@@ -0,0 +1,215 @@
+#include "drivers/etcd_connection.h"
+
+#include <algorithm>
+#include <istream>
+#include <ostream>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocketImpl.h>
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+/// Longest answer taken: a list of some hundred values of a megabyte. What goes wrong without it: an endpoint
+/// that never stops sending fills the memory of the host.
+constexpr std::size_t answerLimit = std::size_t{256} * 1024 * 1024;
+
+Poco::Timespan toTimespan(Duration duration)
+{
+    constexpr Duration shortest = std::chrono::milliseconds(1); // Poco takes 0 for no limit.
+    return {std::chrono::duration_cast<std::chrono::microseconds>(std::max(duration, shortest)).count()};
+}
+
+/// Reads what the stream's buffer holds after waiting for at least one byte; false at the end of the stream.
+/// Works on the buffer, since the stream itself would swallow the exception that tells a timeout from an end.
+bool appendAvailable(std::istream &stream, std::string &out)
+{
+    std::streambuf &buffer = *stream.rdbuf();
+    if (buffer.sgetc() == std::char_traits<char>::eof()) {
+        return false;
+    }
+    const std::size_t before = out.size();
+    out.resize(before + static_cast<std::size_t>(buffer.in_avail()));
+    buffer.sgetn(out.data() + before, static_cast<std::streamsize>(out.size() - before));
+    return true;
+}
+
+} // namespace
+
+/// A socket that gives up at a point in time. The usual timeout counts from the last byte, so that an endpoint
+/// that trickles would hold its caller for longer than the call may take.
+class EtcdConnection::DeadlineSocket : public Poco::Net::StreamSocketImpl
+{
+public:
+    int receiveBytes(void *buffer, int length, int flags) override
+    {
+        const Duration left = deadline_ - BootClock::now();
+        if (left <= Duration::zero() || !poll(toTimespan(left), SELECT_READ)) {
+            throw Poco::TimeoutException();
+        }
+        const int received = StreamSocketImpl::receiveBytes(buffer, length, flags);
+        lastReceived_ = BootClock::now();
+        receivedBytes_ += received;
+        return received;
+    }
+
+    void setDeadline(TimePoint deadline)
+    {
+        deadline_ = deadline;
+        setSendTimeout(toTimespan(deadline - BootClock::now()));
+    }
+
+    TimePoint lastReceived() const
+    {
+        return lastReceived_;
+    }
+
+    std::int64_t receivedBytes() const
+    {
+        return receivedBytes_;
+    }
+
+private:
+    TimePoint deadline_;
+    TimePoint lastReceived_ = BootClock::now();
+    std::int64_t receivedBytes_ = 0;
+};
+
+class EtcdConnection::Session : public Poco::Net::HTTPClientSession
+{
+public:
+    // Built from a connected socket and without a host's name it has nothing to reconnect to, so it can't send a call
+    // a second time by itself.
+    explicit Session(const Poco::Net::StreamSocket &socket)
+        : HTTPClientSession(socket)
+    {
+        setKeepAlive(true);
+    }
+
+    using HTTPSession::buffered;
+};
+
+std::unique_ptr<EtcdConnection> EtcdConnection::open(const HostAddress &endpoint, Duration timeout)
+{
+    try {
+        auto *implementation = new DeadlineSocket;
+        Poco::Net::StreamSocket socket(implementation);
+        const Poco::Net::SocketAddress address(endpoint.host, endpoint.port);
+        socket.connect(address, toTimespan(timeout));
+        socket.setNoDelay(true);
+        return std::unique_ptr<EtcdConnection>(new EtcdConnection(std::make_unique<Session>(socket), implementation, address.toString()));
+    } catch (const Poco::Exception &) {
+        return nullptr;
+    }
+}
+
+EtcdConnection::EtcdConnection(std::unique_ptr<Session> session, DeadlineSocket *socket, std::string host)
+    : session_(std::move(session))
+    , socket_(socket)
+    , host_(std::move(host))
+{
+}
+
+EtcdConnection::~EtcdConnection() = default;
+
+std::optional<EtcdAnswer> EtcdConnection::call(const std::string &path, std::string_view body, TimePoint deadline)
+{
+    isKeptAlive_ = false;
+    try {
+        socket_->setDeadline(deadline);
+        EtcdAnswer answer;
+        Poco::Net::HTTPResponse response;
+        std::istream &in = exchange(path, body, response);
+        while (appendAvailable(in, answer.body)) {
+            if (answer.body.size() > answerLimit) {
+                return std::nullopt;
+            }
+        }
+        if (response.hasContentLength() && static_cast<std::size_t>(response.getContentLength64()) != answer.body.size()) {
+            return std::nullopt;
+        }
+        answer.status = response.getStatus();
+        isKeptAlive_ = response.getKeepAlive();
+        return answer;
+    } catch (const Poco::Exception &) {
+        return std::nullopt;
+    }
+}
+
+bool EtcdConnection::startStream(const std::string &path, std::string_view body, TimePoint deadline)
+{
+    isKeptAlive_ = false;
+    try {
+        socket_->setDeadline(deadline);
+        Poco::Net::HTTPResponse response;
+        stream_ = &exchange(path, body, response);
+        return response.getStatus() == Poco::Net::HTTPResponse::HTTP_OK;
+    } catch (const Poco::Exception &) {
+        return false;
+    }
+}
+
+EtcdLineStatus EtcdConnection::readLine(std::string &line, TimePoint deadline)
+{
+    constexpr int chunkEndBytes = 2;
+    const std::int64_t receivedBefore = socket_->receivedBytes();
+    const bool isBetweenChunks = session_->buffered() <= chunkEndBytes;
+    try {
+        constexpr Duration shortestWait = std::chrono::milliseconds(1); // So that a call without patience still sees what has come.
+        socket_->setDeadline(std::max(deadline, BootClock::now() + shortestWait));
+        while (!takeBufferedLine(line)) {
+            if (!appendAvailable(*stream_, buffer_) || buffer_.size() > answerLimit) {
+                return EtcdLineStatus::Broken;
+            }
+        }
+        return EtcdLineStatus::Line;
+    } catch (const Poco::TimeoutException &) {
+        // A timeout within the size of a chunk would make the rest of the size look like another one.
+        const bool keepsItsPlace = isBetweenChunks && socket_->receivedBytes() == receivedBefore;
+        return keepsItsPlace ? EtcdLineStatus::Timeout : EtcdLineStatus::Broken;
+    } catch (const Poco::Exception &) {
+        return EtcdLineStatus::Broken;
+    }
+}
+
+bool EtcdConnection::isReusable() const
+{
+    // Bytes or an end that nobody asked for: the endpoint has closed the connection.
+    return isKeptAlive_ && !socket_->poll(Poco::Timespan(0), Poco::Net::SocketImpl::SELECT_READ);
+}
+
+TimePoint EtcdConnection::lastReceived() const
+{
+    return socket_->lastReceived();
+}
+
+std::istream &EtcdConnection::exchange(const std::string &path, std::string_view body, Poco::Net::HTTPResponse &response)
+{
+    Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_POST, path, Poco::Net::HTTPMessage::HTTP_1_1);
+    request.setHost(host_);
+    request.setContentType("application/json");
+    request.setContentLength64(static_cast<Poco::Int64>(body.size()));
+    session_->sendRequest(request) << body << std::flush;
+    return session_->receiveResponse(response);
+}
+
+bool EtcdConnection::takeBufferedLine(std::string &line)
+{
+    const std::size_t end = buffer_.find('\n');
+    if (end == std::string::npos) {
+        return false;
+    }
+    line = buffer_.substr(0, end);
+    buffer_.erase(0, end + 1);
+    return true;
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/drivers/etcd_connection.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <iosfwd>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/clock.h"
+#include "core/settings.h"
+
+namespace Poco::Net
+{
+class HTTPResponse;
+}
+
+namespace Lovageloft
+{
+
+/// A whole HTTP answer.
+struct EtcdAnswer
+{
+    int status = 0;
+    std::string body;
+};
+
+/// How reading a line of a stream ended.
+enum class EtcdLineStatus : std::uint8_t
+{
+    Line,
+    Timeout, ///< None yet; the stream goes on.
+    Broken, ///< The stream has ended or lost its place; of no more use.
+};
+
+/// One HTTP connection to one endpoint of the store's JSON gateway. Used by one thread at a time.
+/// It never connects again and never sends anything twice: whoever holds it decides that.
+class EtcdConnection
+{
+public:
+    /// Connects; nothing if that fails or takes longer than `timeout`.
+    static std::unique_ptr<EtcdConnection> open(const HostAddress &endpoint, Duration timeout);
+
+    ~EtcdConnection();
+    EtcdConnection(const EtcdConnection &) = delete;
+    EtcdConnection &operator=(const EtcdConnection &) = delete;
+
+    /// Sends one call and reads the whole answer until `deadline`. Nothing if any part of that fails; the call may
+    /// have been performed then, and the connection must be thrown away: a late answer to this call would be taken
+    /// for the answer to the next.
+    std::optional<EtcdAnswer> call(const std::string &path, std::string_view body, TimePoint deadline);
+
+    /// Sends a call whose answer is an endless stream of lines, and reads the head of the answer; false if that fails.
+    bool startStream(const std::string &path, std::string_view body, TimePoint deadline);
+
+    /// Reads the next line of the stream.
+    EtcdLineStatus readLine(std::string &line, TimePoint deadline);
+
+    /// Whether another call may be sent: the last answer came whole and the endpoint hasn't closed the connection.
+    bool isReusable() const;
+
+    /// When the endpoint last showed a sign of life.
+    TimePoint lastReceived() const;
+
+private:
+    class Session;
+    class DeadlineSocket;
+
+    EtcdConnection(std::unique_ptr<Session> session, DeadlineSocket *socket, std::string host);
+    std::istream &exchange(const std::string &path, std::string_view body, Poco::Net::HTTPResponse &response);
+    bool takeBufferedLine(std::string &line);
+
+    std::unique_ptr<Session> session_;
+    DeadlineSocket *socket_; // Owned by the session.
+    std::string host_;
+    std::istream *stream_ = nullptr; // Owned by the session.
+    std::string buffer_; // Bytes of the stream after the last line.
+    bool isKeptAlive_ = true;
+};
+
+} // namespace Lovageloft
--- /dev/null
+++ b/drivers/etcd_store.cpp
@@ -0,0 +1,248 @@
+#include "drivers/etcd_store.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "drivers/etcd_messages.h"
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+constexpr int httpOk = 200;
+constexpr int httpNotFound = 404;
+constexpr int httpTooManyRequests = 429;
+constexpr int httpServerError = 500;
+constexpr int httpUnavailable = 503;
+constexpr std::int64_t grpcNotFound = 5;
+
+/// Whether the endpoint says that it didn't perform the call. Only errors that etcd raises before it proposes a write
+/// count: "request timed out" carries the same status, and the write may take effect after it all the same.
+bool isRefused(const EtcdAnswer &answer)
+{
+    if (answer.status != httpUnavailable && answer.status != httpTooManyRequests) {
+        return false;
+    }
+    const std::string text = parseEtcdError(answer.body).text;
+    return text == "etcdserver: no leader" || text == "etcdserver: too many requests";
+}
+
+/// A caller's mistake is refused before it takes effect; other failures of a write may come after.
+StoreStatus failureOf(const EtcdAnswer &answer, StoreStatus unknown)
+{
+    if (answer.status == httpNotFound && parseEtcdError(answer.body).code == grpcNotFound) {
+        return StoreStatus::NotFound;
+    }
+    return answer.status > httpOk && answer.status < httpServerError ? StoreStatus::Unavailable : unknown;
+}
+
+} // namespace
+
+EtcdStore::EtcdStore(const EtcdStoreOptions &options)
+    : options_(options)
+    , pool_(options.endpoints, options.idleLimit)
+{
+}
+
+StoreReply EtcdStore::get(std::string_view key)
+{
+    const CallResult result = call("/v3/kv/range", etcdGetCall(key), Effect::Read);
+    std::optional<EtcdRangeAnswer> answer = parseEtcdRange(result.body);
+    if (!answer) {
+        return {StoreStatus::Unavailable, {}};
+    }
+    if (answer->entries.empty()) {
+        return {StoreStatus::NotFound, {std::string(key), {}, 0, false}};
+    }
+    return {StoreStatus::Ok, std::move(answer->entries.front())};
+}
+
+StoreListReply EtcdStore::list(std::string_view prefix)
+{
+    const CallResult result = call("/v3/kv/range", etcdListCall(prefix), Effect::Read);
+    std::optional<EtcdRangeAnswer> answer = parseEtcdRange(result.body);
+    if (!answer) {
+        return {StoreStatus::Unavailable, {}, 0};
+    }
+    return {StoreStatus::Ok, std::move(answer->entries), answer->revision};
+}
+
+StoreReply EtcdStore::compareAndSwap(std::string_view key, std::int64_t expectedRevision, std::string_view value, std::int64_t leaseId)
+{
+    StoreReply reply = guardedWrite(key, etcdSwapCall(key, expectedRevision, value, leaseId));
+    if (reply.status == StoreStatus::Ok) {
+        reply.entry.value = value;
+    }
+    return reply;
+}
+
+StoreReply EtcdStore::compareAndDelete(std::string_view key, std::int64_t expectedRevision)
+{
+    StoreReply reply = guardedWrite(key, etcdDeleteCall(key, expectedRevision));
+    const bool wasAbsent = reply.status == StoreStatus::Ok ? expectedRevision == 0 : reply.entry.revision == 0;
+    if (wasAbsent && (reply.status == StoreStatus::Ok || reply.status == StoreStatus::Conflict)) {
+        reply.status = StoreStatus::NotFound;
+    }
+    return reply;
+}
+
+StoreListReply EtcdStore::watch(std::string_view prefix, std::int64_t afterRevision, Duration timeout)
+{
+    const TimePoint deadline = BootClock::now() + timeout;
+    std::unique_ptr<EtcdWatch> watch = takeWatch(prefix, afterRevision);
+    int reopensLeft = 1; // A store that ends each watch at once would otherwise be called in a tight loop.
+    while (true) {
+        // A connection that something in between has lost track of looks just like a quiet one, and a watch on it would
+        // miss every write from then on. A fresh one from the same revision shows what was missed.
+        if (!watch || BootClock::now() - watch->lastReceived() >= options_.watchSilenceLimit) {
+            watch = openWatch(prefix, afterRevision);
+        }
+        if (!watch) {
+            return {StoreStatus::Unavailable, {}, afterRevision};
+        }
+        StoreListReply reply{StoreStatus::Ok, {}, afterRevision};
+        const EtcdWatchStatus status = watch->wait(afterRevision, std::min(deadline, watch->lastReceived() + options_.watchSilenceLimit), reply);
+        if (status == EtcdWatchStatus::Compacted) {
+            return {StoreStatus::NotFound, {}, reply.revision};
+        }
+        if (status == EtcdWatchStatus::Events || (status == EtcdWatchStatus::Timeout && BootClock::now() >= deadline)) {
+            keepWatch(prefix, std::move(watch));
+            return reply;
+        }
+        if (status == EtcdWatchStatus::Timeout) {
+            continue;
+        }
+        watch.reset();
+        if (reopensLeft-- == 0) {
+            return {StoreStatus::Unavailable, {}, afterRevision};
+        }
+    }
+}
+
+StoreLeaseReply EtcdStore::grantLease(Duration timeToLive)
+{
+    return leaseCall("/v3/lease/grant", etcdGrantCall(timeToLive));
+}
+
+StoreLeaseReply EtcdStore::keepAlive(std::int64_t leaseId)
+{
+    StoreLeaseReply reply = leaseCall("/v3/lease/keepalive", etcdLeaseCall(leaseId));
+    reply.leaseId = leaseId;
+    if (reply.status == StoreStatus::Ok && reply.timeToLive <= Duration::zero()) {
+        reply.status = StoreStatus::NotFound;
+    }
+    return reply;
+}
+
+StoreLeaseReply EtcdStore::revokeLease(std::int64_t leaseId)
+{
+    StoreLeaseReply reply = leaseCall("/v3/lease/revoke", etcdLeaseCall(leaseId));
+    reply.leaseId = leaseId;
+    return reply;
+}
+
+EtcdStore::CallResult EtcdStore::call(const std::string &path, std::string_view body, Effect effect)
+{
+    const StoreStatus unknown = effect == Effect::Write ? StoreStatus::AnswerLost : StoreStatus::Unavailable;
+    const TimePoint deadline = BootClock::now() + options_.callTimeout;
+    const std::size_t first = pool_.preferred();
+    for (std::size_t attempt = 0; attempt < pool_.size(); ++attempt) {
+        const std::size_t endpoint = (first + attempt) % pool_.size();
+        const Duration share = (deadline - BootClock::now()) / static_cast<std::int64_t>(pool_.size() - attempt);
+        std::unique_ptr<EtcdConnection> connection = pool_.take(endpoint, share);
+        if (!connection) {
+            pool_.reportFailure(endpoint);
+            continue;
+        }
+        std::optional<EtcdAnswer> answer = connection->call(path, body, deadline);
+        if (!answer) {
+            pool_.reportFailure(endpoint);
+            return {unknown, {}};
+        }
+        if (isRefused(*answer)) {
+            pool_.reportFailure(endpoint);
+            continue;
+        }
+        pool_.giveBack(endpoint, std::move(connection));
+        if (answer->status != httpOk) {
+            return {failureOf(*answer, unknown), {}};
+        }
+        return {StoreStatus::Ok, std::move(answer->body)};
+    }
+    return {StoreStatus::Unavailable, {}};
+}
+
+StoreReply EtcdStore::guardedWrite(std::string_view key, std::string_view body)
+{
+    const CallResult result = call("/v3/kv/txn", body, Effect::Write);
+    StoreReply reply{result.status, {std::string(key), {}, 0, false}};
+    if (result.status != StoreStatus::Ok) {
+        return reply;
+    }
+    std::optional<EtcdTxnAnswer> answer = parseEtcdTxn(result.body);
+    if (!answer) {
+        reply.status = StoreStatus::AnswerLost;
+        return reply;
+    }
+    if (answer->isSuccess) {
+        reply.entry.revision = answer->revision;
+        return reply;
+    }
+    reply.status = StoreStatus::Conflict;
+    if (!answer->entries.empty()) {
+        reply.entry = std::move(answer->entries.front());
+    }
+    return reply;
+}
+
+StoreLeaseReply EtcdStore::leaseCall(const std::string &path, std::string_view body)
+{
+    const CallResult result = call(path, body, Effect::Write);
+    if (result.status != StoreStatus::Ok) {
+        return {result.status, 0, {}};
+    }
+    const std::optional<EtcdLeaseAnswer> answer = parseEtcdLease(result.body);
+    if (!answer) {
+        return {StoreStatus::AnswerLost, 0, {}};
+    }
+    return {StoreStatus::Ok, answer->leaseId, answer->timeToLive};
+}
+
+std::unique_ptr<EtcdWatch> EtcdStore::openWatch(std::string_view prefix, std::int64_t afterRevision)
+{
+    const TimePoint deadline = BootClock::now() + options_.callTimeout;
+    const std::string body = etcdWatchCall(prefix, afterRevision + 1);
+    const std::size_t first = pool_.preferred();
+    for (std::size_t attempt = 0; attempt < pool_.size(); ++attempt) {
+        const std::size_t endpoint = (first + attempt) % pool_.size();
+        const Duration share = (deadline - BootClock::now()) / static_cast<std::int64_t>(pool_.size() - attempt);
+        std::unique_ptr<EtcdConnection> connection = pool_.connect(endpoint, share);
+        if (connection && connection->startStream("/v3/watch", body, BootClock::now() + share)) {
+            return std::make_unique<EtcdWatch>(std::move(connection), afterRevision);
+        }
+        pool_.reportFailure(endpoint);
+    }
+    return nullptr;
+}
+
+std::unique_ptr<EtcdWatch> EtcdStore::takeWatch(std::string_view prefix, std::int64_t afterRevision)
+{
+    const std::lock_guard lock(watchesMutex_);
+    const auto found = watches_.find(prefix);
+    if (found == watches_.end()) {
+        return nullptr;
+    }
+    std::unique_ptr<EtcdWatch> watch = std::move(found->second);
+    watches_.erase(found);
+    return watch->position() <= afterRevision ? std::move(watch) : nullptr;
+}
+
+void EtcdStore::keepWatch(std::string_view prefix, std::unique_ptr<EtcdWatch> watch)
+{
+    const std::lock_guard lock(watchesMutex_);
+    watches_.insert_or_assign(std::string(prefix), std::move(watch));
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/drivers/etcd_watch.cpp
@@ -0,0 +1,54 @@
+#include "drivers/etcd_watch.h"
+
+#include <utility>
+
+#include "drivers/etcd_messages.h"
+
+namespace Lovageloft
+{
+
+EtcdWatch::EtcdWatch(std::unique_ptr<EtcdConnection> connection, std::int64_t afterRevision)
+    : connection_(std::move(connection))
+    , position_(afterRevision)
+{
+}
+
+std::int64_t EtcdWatch::position() const
+{
+    return position_;
+}
+
+TimePoint EtcdWatch::lastReceived() const
+{
+    return connection_->lastReceived();
+}
+
+EtcdWatchStatus EtcdWatch::wait(std::int64_t afterRevision, TimePoint deadline, StoreListReply &reply)
+{
+    while (true) {
+        std::string text;
+        const EtcdLineStatus status = connection_->readLine(text, deadline);
+        if (status != EtcdLineStatus::Line) {
+            return status == EtcdLineStatus::Timeout ? EtcdWatchStatus::Timeout : EtcdWatchStatus::Broken;
+        }
+        std::optional<EtcdWatchLine> line = parseEtcdWatchLine(text);
+        if (!line || (line->isCanceled && line->compactRevision == 0)) {
+            return EtcdWatchStatus::Broken;
+        }
+        if (line->isCanceled) {
+            reply.revision = line->compactRevision - 1;
+            return EtcdWatchStatus::Compacted;
+        }
+        std::erase_if(line->entries, [afterRevision](const StoreEntry &entry) { return entry.revision <= afterRevision; });
+        if (line->entries.empty()) {
+            continue; // The answer to the start, or writes that the caller has listed meanwhile.
+        }
+        // Not the header's revision: that is the store's, and writes below it may still be on their way.
+        position_ = line->entries.back().revision;
+        reply.entries = std::move(line->entries);
+        reply.revision = position_;
+        return EtcdWatchStatus::Events;
+    }
+}
+
+} // namespace Lovageloft
