--- /dev/null
+++ b/benchmarks/decision/replay_table.cpp
@@ -0,0 +1,130 @@
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "replay/replay.h"
+
+// Prints what came of every policy on every trace: replay_table [--scale S] [--seed N] [--trace NAME] [--policy NAME] [--set NAME=VALUE].
+// `--write FILE` writes the requests of the named trace as JSON lines instead.
+
+using namespace Lovageloft;
+
+namespace
+{
+
+struct Options
+{
+    double scale = 1;
+    std::uint64_t seed = 1;
+    std::string trace;
+    std::string policy;
+    std::string deployment;
+    std::string file;
+    PlacementPolicy placement;
+};
+
+/// Settings of ours that can be varied for an experiment.
+const std::map<std::string, double PlacementPolicy::*, std::less<>> settings{
+    {"splitLoad", &PlacementPolicy::splitLoad}, {"recomputeWeight", &PlacementPolicy::recomputeWeight}, {"strayMargin", &PlacementPolicy::strayMargin}};
+
+void applySetting(PlacementPolicy &placement, std::string_view assignment)
+{
+    const std::size_t equals = assignment.find('=');
+    const auto setting = settings.find(assignment.substr(0, equals));
+    if (setting == settings.end() || equals == std::string_view::npos) {
+        std::cerr << "no such setting: " << assignment << '\n';
+        std::exit(2); // NOLINT(concurrency-mt-unsafe)
+    }
+    placement.*setting->second = std::strtod(assignment.data() + equals + 1, nullptr); // NOLINT(bugprone-suspicious-stringview-data-usage)
+}
+
+Options parseOptions(int argc, char **argv)
+{
+    Options options;
+    for (int i = 1; i + 1 < argc; i += 2) {
+        const std::string_view name = argv[i];
+        const char *value = argv[i + 1];
+        if (name == "--scale") {
+            options.scale = std::strtod(value, nullptr);
+        } else if (name == "--seed") {
+            options.seed = std::strtoull(value, nullptr, 10);
+        } else if (name == "--trace") {
+            options.trace = value;
+        } else if (name == "--policy") {
+            options.policy = value;
+        } else if (name == "--deployment") {
+            options.deployment = value;
+        } else if (name == "--write") {
+            options.file = value;
+        } else if (name == "--set") {
+            applySetting(options.placement, value);
+        }
+    }
+    return options;
+}
+
+void printRow(std::string_view deployment, std::string_view trace, std::string_view policy, const ReplayResult &result)
+{
+    std::printf("| %s | %s | %s | %.3f | %.2f | %.2f | %.2f | %.1f | %.3f | %.2f | %.0f | %zu | %.2f | %.1f |\n",
+                std::string(deployment).c_str(),
+                std::string(trace).c_str(),
+                std::string(policy).c_str(),
+                result.hitRate,
+                result.medianFirstToken,
+                result.tailFirstToken,
+                result.servedTail,
+                result.recomputedTokens / 1e6,
+                result.worstTeamShare,
+                result.inRate == 0 ? 0.0 : 1000.0 * static_cast<double>(result.wronglyRefused) / static_cast<double>(result.inRate),
+                result.goodput / 1e3,
+                result.refused,
+                result.busyPart,
+                result.detectSeconds);
+    std::fflush(stdout);
+}
+
+void runAll(const Options &options)
+{
+    std::puts("| deployment | trace | policy | hit rate | p50 s | p99 s | p99 of served s | recomputed Mtokens | worst team's share | wrong refusals in 1,000 "
+              "| goodput ktok/s | refused | busy | to detect s |");
+    std::puts("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+    for (const Deployment deployment : {Deployment::YearbookDesk, Deployment::Pamoja}) {
+        const std::string_view deployed = deploymentName(deployment);
+        if (!options.deployment.empty() && options.deployment != deployed) {
+            continue;
+        }
+        for (const TraceShape &shape : traceShapes()) {
+            if (!options.trace.empty() && options.trace != shape.name) {
+                continue;
+            }
+            const Trace trace = makeTrace(shape, deployment, options.seed, options.scale);
+            if (!options.file.empty()) {
+                std::ofstream file(options.file);
+                for (const TraceRequest &request : trace.requests) {
+                    file << formatTraceRequest(request) << '\n';
+                }
+                return;
+            }
+            for (const PolicySpec &policy : policySpecs()) {
+                if (!options.policy.empty() && options.policy != policy.name) {
+                    continue;
+                }
+                printRow(deployed, shape.name, policy.name, Replay(trace, policy, options.seed, options.placement).run());
+            }
+        }
+    }
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    runAll(parseOptions(argc, argv));
+    return 0;
+}
--- a/decision/placement.cpp
+++ b/decision/placement.cpp
@@ -86,6 +86,18 @@
     policy_.hostCount = static_cast<double>(std::max<std::size_t>(1, count));
 }
 
+std::uint32_t Placement::expectedMissedTokens(const PlacementRequest &request) const
+{
+    std::size_t held = 0;
+    for (const VersionedChain &chain : request.chains) {
+        std::array<HeldPrefix, 1> longest;
+        if (view_.findHolders(chain.blocks, longest) > 0) {
+            held = std::max<std::size_t>(held, longest.front().blocks);
+        }
+    }
+    return request.promptTokens - std::min(request.promptTokens, static_cast<std::uint32_t>(held) * prefixBlockTokens);
+}
+
 std::optional<PlacementDecision> Placement::place(const PlacementRequest &request, TimePoint now, Random &random, Reason &reason)
 {
     Choice choice{.request = &request, .now = now};
--- a/decision/placement.h
+++ b/decision/placement.h
@@ -105,6 +105,9 @@
     /// How many hosts decide likewise.
     void setHostCount(std::size_t count);
 
+    /// Prompt tokens that the engine best suited to the request still has to compute, for the cost by which it is queued.
+    std::uint32_t expectedMissedTokens(const PlacementRequest &request) const;
+
     /// Chooses an engine. NoTarget if none of the versions has an engine that serves, Overloaded if all that serve are closed.
     std::optional<PlacementDecision> place(const PlacementRequest &request, TimePoint now, Random &random, Reason &reason);
 
--- /dev/null
+++ b/tests/decision/replay/placing_policy.cpp
@@ -0,0 +1,294 @@
+#include "replay/placing_policy.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+#include "decision/rendezvous.h"
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+/// What all baselines share: an engine that failed is left alone for a while.
+class Baseline : public PlacingPolicy
+{
+public:
+    void failed(DispatchId /*id*/, EngineIndex engine, TimePoint now) override
+    {
+        sized(engine);
+        avoidUntil_[engine] = now + std::chrono::seconds(2);
+    }
+
+protected:
+    void sized(std::size_t engine)
+    {
+        avoidUntil_.resize(std::max(avoidUntil_.size(), engine + 1));
+    }
+
+    std::vector<EngineIndex> usable(std::span<const char> isOpen, TimePoint now)
+    {
+        sized(isOpen.size());
+        std::vector<EngineIndex> engines;
+        for (EngineIndex engine = 0; engine < isOpen.size(); ++engine) {
+            if (isOpen[engine] != 0 && now >= avoidUntil_[engine]) {
+                engines.push_back(engine);
+            }
+        }
+        return engines;
+    }
+
+private:
+    std::vector<TimePoint> avoidUntil_;
+};
+
+class RandomChoice : public Baseline
+{
+public:
+    std::optional<Placed> place(const PlacementRequest & /*request*/, std::span<const char> isOpen, TimePoint now, Random &random) override
+    {
+        const std::vector<EngineIndex> engines = usable(isOpen, now);
+        if (engines.empty()) {
+            return std::nullopt;
+        }
+        return Placed{engines[randomBelow(random, engines.size())], {}};
+    }
+};
+
+class RoundRobin : public Baseline
+{
+public:
+    std::optional<Placed> place(const PlacementRequest & /*request*/, std::span<const char> isOpen, TimePoint now, Random & /*random*/) override
+    {
+        const std::vector<EngineIndex> engines = usable(isOpen, now);
+        if (engines.empty()) {
+            return std::nullopt;
+        }
+        const auto next = std::upper_bound(engines.begin(), engines.end(), last_);
+        last_ = next == engines.end() ? engines.front() : *next;
+        return Placed{last_, {}};
+    }
+
+private:
+    EngineIndex last_ = 0;
+};
+
+/// Requests at each engine: the last report and what was sent since.
+class LoadCounting : public Baseline
+{
+public:
+    DispatchId dispatched(const PlacementRequest & /*request*/, const Placed &placed, TimePoint /*now*/) override
+    {
+        count(placed.engine) += 1;
+        return 0;
+    }
+
+    void loadReport(EngineIndex engine, const LoadReport &report, TimePoint /*now*/) override
+    {
+        count(engine) = report.runningRequests + 4.0 * report.waitingRequests;
+    }
+
+protected:
+    double &count(EngineIndex engine)
+    {
+        counts_.resize(std::max<std::size_t>(counts_.size(), engine + 1));
+        return counts_[engine];
+    }
+
+private:
+    std::vector<double> counts_;
+};
+
+class LeastLoaded : public LoadCounting
+{
+public:
+    std::optional<Placed> place(const PlacementRequest & /*request*/, std::span<const char> isOpen, TimePoint now, Random &random) override
+    {
+        std::vector<EngineIndex> engines = usable(isOpen, now);
+        if (engines.empty()) {
+            return std::nullopt;
+        }
+        std::rotate(engines.begin(), engines.begin() + static_cast<std::ptrdiff_t>(randomBelow(random, engines.size())), engines.end());
+        const auto lessLoaded = [this](EngineIndex left, EngineIndex right) { return count(left) < count(right); };
+        return Placed{*std::min_element(engines.begin(), engines.end(), lessLoaded), {}};
+    }
+};
+
+/// Consistent hashing with bounded load: the first engine in the prefix's order that has not 1.25 times the mean load.
+class BoundedHash : public LoadCounting
+{
+public:
+    std::optional<Placed> place(const PlacementRequest &request, std::span<const char> isOpen, TimePoint now, Random &random) override
+    {
+        constexpr double bound = 1.25;
+        constexpr std::size_t keyLevel = 16;
+        const std::vector<EngineIndex> engines = usable(isOpen, now);
+        if (engines.empty()) {
+            return std::nullopt;
+        }
+        const std::span<const BlockHash> blocks = request.chains.front().blocks;
+        const std::uint64_t key = blocks.empty() ? random() : blocks[std::min(blocks.size(), keyLevel) - 1];
+        std::vector<RendezvousNode> nodes;
+        double total = 1;
+        for (const EngineIndex engine : engines) {
+            nodes.push_back({.engine = engine, .id = engine * 0x9e3779b97f4a7c15ULL});
+            total += count(engine);
+        }
+        std::array<EngineIndex, 16> order;
+        const std::size_t found = rendezvousWinners(key, nodes, order);
+        for (const EngineIndex engine : std::span(order).first(found)) {
+            if (count(engine) + 1 <= bound * total / static_cast<double>(engines.size()) + 1) {
+                return Placed{engine, {}};
+            }
+        }
+        return Placed{order.front(), {}};
+    }
+};
+
+class Oracle : public PlacingPolicy
+{
+public:
+    explicit Oracle(const PolicyContext &context)
+        : engines_(context.engines)
+    {
+    }
+
+    std::optional<Placed> place(const PlacementRequest &request, std::span<const char> isOpen, TimePoint now, Random & /*random*/) override
+    {
+        std::optional<Placed> best;
+        double least = std::numeric_limits<double>::max();
+        for (EngineIndex engine = 0; engine < engines_.size(); ++engine) {
+            if (isOpen[engine] == 0 || !engines_[engine].isUp) {
+                continue;
+            }
+            const double expected = engines_[engine].exactFirstToken(chainOf(request, engine), request.promptTokens, toSeconds(now.time_since_epoch()));
+            if (expected < least) {
+                least = expected;
+                best = Placed{engine, {}};
+            }
+        }
+        return best;
+    }
+
+    std::uint32_t missedTokens(const PlacementRequest &request) const override
+    {
+        std::uint32_t most = 0;
+        for (EngineIndex engine = 0; engine < engines_.size(); ++engine) {
+            most = std::max(most, engines_[engine].exactCachedTokens(chainOf(request, engine), request.promptTokens));
+        }
+        return request.promptTokens - most;
+    }
+
+private:
+    std::span<const BlockHash> chainOf(const PlacementRequest &request, EngineIndex engine) const
+    {
+        for (const VersionedChain &chain : request.chains) {
+            if (chain.modelVersion == engines_[engine].version) {
+                return chain.blocks;
+            }
+        }
+        return {};
+    }
+
+    std::span<const EngineModel> engines_;
+};
+
+class Ours : public PlacingPolicy
+{
+public:
+    explicit Ours(const PolicyContext &context)
+        : placement_(context.placement)
+    {
+        placement_.setHostCount(context.hostCount);
+    }
+
+    std::optional<Placed> place(const PlacementRequest &request, std::span<const char> isOpen, TimePoint now, Random &random) override
+    {
+        for (EngineIndex engine = 0; engine < isOpen.size(); ++engine) {
+            placement_.setOpen(engine, isOpen[engine] != 0);
+        }
+        Reason reason;
+        const auto decision = placement_.place(request, now, random, reason);
+        return decision ? std::optional(Placed{decision->engine, *decision}) : std::nullopt;
+    }
+
+    std::uint32_t missedTokens(const PlacementRequest &request) const override
+    {
+        return placement_.expectedMissedTokens(request);
+    }
+
+    DispatchId dispatched(const PlacementRequest &request, const Placed &placed, TimePoint now) override
+    {
+        return placement_.onDispatched(request, placed.decision, now);
+    }
+
+    void firstToken(DispatchId id, std::uint32_t cachedTokens, TimePoint now) override
+    {
+        placement_.onFirstToken(id, cachedTokens, now);
+    }
+
+    void finished(DispatchId id, TimePoint now) override
+    {
+        placement_.onFinished(id, now);
+    }
+
+    void failed(DispatchId id, EngineIndex /*engine*/, TimePoint now) override
+    {
+        placement_.onFailed(id, now);
+    }
+
+    void loadReport(EngineIndex engine, const LoadReport &report, TimePoint now) override
+    {
+        placement_.onLoadReport(engine, report, now);
+    }
+
+    void cacheEvents(EngineIndex engine, std::uint64_t incarnation, std::uint64_t firstSequence, std::span<const CacheEvent> events) override
+    {
+        placement_.onCacheEvents(engine, incarnation, firstSequence, events);
+    }
+
+    void setEngines(std::span<const EngineStatus> engines) override
+    {
+        placement_.setEngines(engines);
+    }
+
+private:
+    Placement placement_;
+};
+
+template <typename Policy>
+std::unique_ptr<PlacingPolicy> makePolicy(const PolicyContext & /*context*/)
+{
+    return std::make_unique<Policy>();
+}
+
+template <typename Policy>
+std::unique_ptr<PlacingPolicy> makeFromContext(const PolicyContext &context)
+{
+    return std::make_unique<Policy>(context);
+}
+
+constexpr std::array specs = std::to_array<PolicySpec>({
+    {"random", makePolicy<RandomChoice>},
+    {"round-robin", makePolicy<RoundRobin>},
+    {"least-loaded", makePolicy<LeastLoaded>},
+    {"bounded-hash", makePolicy<BoundedHash>},
+    {"ours", makeFromContext<Ours>},
+    {"oracle", makeFromContext<Oracle>},
+});
+
+} // namespace
+
+std::span<const PolicySpec> policySpecs()
+{
+    return specs;
+}
+
+const PolicySpec &policySpec(std::string_view name)
+{
+    return *std::find_if(specs.begin(), specs.end(), [name](const PolicySpec &spec) { return spec.name == name; });
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/tests/decision/replay/placing_policy.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "decision/placement.h"
+#include "replay/engine_model.h"
+
+namespace Lovageloft
+{
+
+/// How one router chooses engines: ours and those that it is measured against. One object a router; all but the oracle know
+/// only what is reported to them.
+class PlacingPolicy
+{
+public:
+    struct Placed
+    {
+        EngineIndex engine = 0;
+        PlacementDecision decision; ///< Of ours only.
+    };
+
+    virtual ~PlacingPolicy() = default;
+
+    /// Chooses among the engines whose bit in `isOpen` is set; these serve a version of the request.
+    virtual std::optional<Placed> place(const PlacementRequest &request, std::span<const char> isOpen, TimePoint now, Random &random) = 0;
+
+    /// Prompt tokens that will be computed, for the queue.
+    virtual std::uint32_t missedTokens(const PlacementRequest &request) const
+    {
+        return request.promptTokens / 4;
+    }
+
+    virtual DispatchId dispatched(const PlacementRequest & /*request*/, const Placed & /*placed*/, TimePoint /*now*/)
+    {
+        return 0;
+    }
+
+    virtual void firstToken(DispatchId /*id*/, std::uint32_t /*cachedTokens*/, TimePoint /*now*/)
+    {
+    }
+
+    virtual void finished(DispatchId /*id*/, TimePoint /*now*/)
+    {
+    }
+
+    virtual void failed(DispatchId /*id*/, EngineIndex /*engine*/, TimePoint /*now*/)
+    {
+    }
+
+    virtual void loadReport(EngineIndex /*engine*/, const LoadReport & /*report*/, TimePoint /*now*/)
+    {
+    }
+
+    virtual void cacheEvents(EngineIndex /*engine*/, std::uint64_t /*incarnation*/, std::uint64_t /*firstSequence*/, std::span<const CacheEvent> /*events*/)
+    {
+    }
+
+    virtual void setEngines(std::span<const EngineStatus> /*engines*/)
+    {
+    }
+};
+
+/// What a policy is made from.
+struct PolicyContext
+{
+    std::span<const EngineModel> engines; ///< For the oracle only.
+    std::size_t hostCount = 1;
+    PlacementPolicy placement; ///< Settings of ours.
+};
+
+/// A row of the table of policies.
+struct PolicySpec
+{
+    std::string_view name;
+    std::unique_ptr<PlacingPolicy> (*make)(const PolicyContext &context) = nullptr;
+};
+
+/// random, round-robin, least-loaded, bounded-hash, ours, oracle.
+std::span<const PolicySpec> policySpecs();
+const PolicySpec &policySpec(std::string_view name);
+
+} // namespace Lovageloft
--- /dev/null
+++ b/tests/decision/replay/replay.cpp
@@ -0,0 +1,449 @@
+#include "replay/replay.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+constexpr double publishSeconds = 0.25;
+/// At the start every cache is empty whatever the policy; that part of a trace isn't measured.
+constexpr double warmUpPart = 0.2;
+constexpr double tickSeconds = 0.05;
+/// After the last arrival, for what still waits and runs.
+constexpr double drainSeconds = 30;
+
+TimePoint at(double seconds)
+{
+    return TimePoint(fromSeconds(seconds));
+}
+
+std::string engineName(std::size_t engine)
+{
+    return "engine-" + std::to_string(engine);
+}
+
+double quantile(std::vector<double> values, double part)
+{
+    if (values.empty()) {
+        return 0;
+    }
+    const auto place = values.begin() + static_cast<std::ptrdiff_t>(part * static_cast<double>(values.size() - 1));
+    std::nth_element(values.begin(), place, values.end());
+    return *place;
+}
+
+} // namespace
+
+Replay::Replay(const Trace &trace, const PolicySpec &policy, std::uint64_t seed, const PlacementPolicy &placement)
+    : trace_(trace)
+    , policy_(policy)
+    , placement_(placement)
+    , random_(seed)
+    , engines_(engineCount)
+    , routers_(routerCount)
+    , progress_(trace.requests.size())
+{
+    for (Router &router : routers_) {
+        startRouter(router);
+    }
+}
+
+ReplayResult Replay::run()
+{
+    static constexpr std::array<Handler, 8> handlers{&Replay::onArrival,
+                                                     &Replay::onPrefillDone,
+                                                     &Replay::onAnswerDone,
+                                                     &Replay::onPublish,
+                                                     &Replay::onDeliver,
+                                                     &Replay::onFault,
+                                                     &Replay::onEngineReturns,
+                                                     &Replay::onTick};
+    schedule(trace_.requests.front().arrival, EventKind::Arrival, 0);
+    for (std::uint32_t i = 0; i < trace_.faults.size(); ++i) {
+        schedule(trace_.faults[i].time, EventKind::FaultStarts, i);
+    }
+    for (std::uint32_t engine = 0; engine < engineCount; ++engine) {
+        schedule(publishSeconds * (engine + 1) / engineCount, EventKind::Publish, engine);
+    }
+    for (std::uint32_t router = 0; router < routerCount; ++router) {
+        schedule(tickSeconds * (router + 1) / routerCount, EventKind::Tick, router);
+    }
+    while (!events_.empty()) {
+        const Event event = events_.top();
+        events_.pop();
+        now_ = event.time;
+        (this->*handlers[static_cast<std::size_t>(event.kind)])(event);
+    }
+    return summarize();
+}
+
+void Replay::schedule(double time, EventKind kind, std::uint32_t subject, std::uint64_t detail)
+{
+    events_.push({time, order_++, kind, subject, detail});
+}
+
+void Replay::onArrival(const Event &event)
+{
+    const std::uint32_t index = event.subject;
+    if (index + 1 < trace_.requests.size()) {
+        schedule(trace_.requests[index + 1].arrival, EventKind::Arrival, index + 1);
+    }
+    const TraceRequest &request = trace_.requests[index];
+    askedTokens_[request.team] += !isMeasured(request) ? 0 : request.promptTokens + request.answerTokens;
+    makeChains(index);
+    progress_[index].router = static_cast<std::uint32_t>(randomBelow(random_, routerCount));
+    Router &router = routers_[progress_[index].router];
+    offer(router, index);
+    dispatch(router);
+}
+
+void Replay::offer(Router &router, std::uint32_t index)
+{
+    const TraceRequest &request = trace_.requests[index];
+    progress_[index].state = State::Waiting;
+    const std::uint32_t cost = router.policy->missedTokens(placementRequest(index)) + request.answerTokens;
+    const AdmissionDecision decision = router.queue->offer({.id = RequestId{index},
+                                                            .team = TeamId{request.team},
+                                                            .model = ModelId{request.model},
+                                                            .cost = cost,
+                                                            .deadline = at(request.arrival + request.deadline)},
+                                                           at(now_));
+    if (!decision.isAdmitted) {
+        refuse(index);
+    }
+}
+
+void Replay::dispatch(Router &router)
+{
+    const auto canDispatch = [this, &router](ModelId /*model*/) {
+        return std::any_of(router.windows.begin(), router.windows.end(), [](const EngineWindow &window) { return window.canStart(); });
+    };
+    while (const auto queued = router.queue->next(at(now_), canDispatch)) {
+        const auto index = static_cast<std::uint32_t>(queued->id);
+        std::array<char, engineCount> isOpen{};
+        for (std::size_t engine = 0; engine < engineCount; ++engine) {
+            const auto &excluded = progress_[index].excluded;
+            const bool isExcluded = std::find(excluded.begin(), excluded.end(), engine) != excluded.end();
+            isOpen[engine] = static_cast<char>(router.windows[engine].canStart() && !isExcluded);
+        }
+        const PlacementRequest request = placementRequest(index);
+        const auto placed = router.policy->place(request, isOpen, at(now_), random_);
+        if (!placed) {
+            router.queue->putBack(*queued, at(now_));
+            break;
+        }
+        send(router, index, *placed, request);
+    }
+    for (const ExpiredRequest &expired : router.queue->expire(at(now_))) {
+        refuse(static_cast<std::uint32_t>(expired.request.id));
+    }
+}
+
+void Replay::send(Router &router, std::uint32_t index, const PlacingPolicy::Placed &placed, const PlacementRequest &request)
+{
+    Progress &progress = progress_[index];
+    EngineModel &engine = engines_[placed.engine];
+    progress.state = State::Inside;
+    progress.engine = placed.engine;
+    progress.routerEpoch = router.epoch;
+    progress.window = router.windows[placed.engine].start(std::max(1U, router.policy->missedTokens(request)), at(now_));
+    progress.dispatch = router.policy->dispatched(request, placed, at(now_));
+    ++progress.attempt;
+    if (engine.speed < 1) {
+        lastSentToSlow_ = now_;
+    }
+    if (!engine.isUp) {
+        failAttempt(index);
+        return;
+    }
+    const std::size_t version = engine.version - 1;
+    engine.submit({.request = index,
+                   .attempt = progress.attempt,
+                   .chain = progress.chains[version],
+                   .promptTokens = trace_.requests[index].promptTokens,
+                   .answerTokens = trace_.requests[index].answerTokens});
+    startPrefill(placed.engine);
+}
+
+void Replay::startPrefill(EngineIndex engine)
+{
+    const std::optional<double> done = engines_[engine].startNext(now_);
+    if (done) {
+        schedule(*done, EventKind::PrefillDone, engine, engines_[engine].incarnation);
+    }
+}
+
+void Replay::onPrefillDone(const Event &event)
+{
+    EngineModel &engine = engines_[event.subject];
+    if (engine.incarnation != event.detail) {
+        return;
+    }
+    const EngineJob job = engine.finishPrefill();
+    Progress &progress = progress_[job.request];
+    progress.state = State::Generating;
+    recordFirstToken(job.request, job);
+    Router &router = routers_[progress.router];
+    if (router.epoch == progress.routerEpoch) {
+        router.policy->firstToken(progress.dispatch, job.cachedTokens, at(now_));
+        router.windows[progress.engine].onFirstToken(progress.window, at(now_));
+    }
+    schedule(now_ + engine.answerSeconds(job), EventKind::AnswerDone, job.request, job.attempt);
+    startPrefill(static_cast<EngineIndex>(event.subject));
+    dispatch(router);
+}
+
+void Replay::onAnswerDone(const Event &event)
+{
+    Progress &progress = progress_[event.subject];
+    if (progress.attempt != event.detail || progress.state != State::Generating) {
+        return;
+    }
+    progress.state = State::Done;
+    ++result_.served;
+    const TraceRequest &request = trace_.requests[event.subject];
+    servedTokens_[request.team] += !isMeasured(request) ? 0 : request.promptTokens + request.answerTokens;
+    engines_[progress.engine].finishAnswer();
+    startPrefill(progress.engine);
+    Router &router = routers_[progress.router];
+    if (router.epoch == progress.routerEpoch) {
+        router.policy->finished(progress.dispatch, at(now_));
+        router.windows[progress.engine].onFinished(progress.window, at(now_));
+    }
+    dispatch(router);
+}
+
+void Replay::recordFirstToken(std::uint32_t index, const EngineJob &job)
+{
+    const TraceRequest &request = trace_.requests[index];
+    if (!isMeasured(request)) {
+        return;
+    }
+    const double taken = now_ - request.arrival;
+    firstTokens_.push_back(taken);
+    allFirstTokens_.push_back(taken);
+    promptTokens_ += request.promptTokens;
+    cachedTokens_ += job.cachedTokens;
+    if (taken <= request.deadline) {
+        goodTokens_ += request.promptTokens + request.answerTokens;
+    }
+    for (std::size_t block = job.cachedTokens / prefixBlockTokens; block < job.chain.size(); ++block) {
+        if (!computed_.emplace(job.chain[block], 0).second) {
+            result_.recomputedTokens += prefixBlockTokens;
+        }
+    }
+}
+
+void Replay::failAttempt(std::uint32_t index)
+{
+    Progress &progress = progress_[index];
+    Router &router = routers_[progress.router];
+    const bool hadStarted = engines_[progress.engine].isUp;
+    if (router.epoch == progress.routerEpoch) {
+        router.policy->failed(progress.dispatch, progress.engine, at(now_));
+        router.windows[progress.engine].onFailed(progress.window, at(now_));
+        router.windows[progress.engine].onFinished(progress.window, at(now_));
+    }
+    if (progress.state == State::Generating || (hadStarted && !trace_.requests[index].isRepeatable)) {
+        // After the first byte nothing is sent again, nor is what may have run.
+        progress.state = State::Done;
+        ++result_.mayHaveRun;
+        return;
+    }
+    progress.excluded.push_back(progress.engine);
+    offer(router, index);
+}
+
+void Replay::stopEngine(EngineIndex index, double downSeconds)
+{
+    EngineModel &engine = engines_[index];
+    engine.restart();
+    for (std::uint32_t i = 0; i < progress_.size(); ++i) {
+        Progress &progress = progress_[i];
+        if (progress.engine == index && (progress.state == State::Inside || progress.state == State::Generating)) {
+            failAttempt(i);
+        }
+    }
+    engine.isUp = false;
+    schedule(now_ + downSeconds, EventKind::EngineReturns, index);
+}
+
+void Replay::onFault(const Event &event)
+{
+    const Fault &fault = trace_.faults[event.subject];
+    EngineModel &engine = engines_[fault.engine];
+    switch (fault.kind) {
+    case FaultKind::Speed:
+        engine.speed = fault.factor;
+        if (fault.factor < 1) {
+            slowSince_ = now_;
+        } else {
+            result_.detectSeconds = lastSentToSlow_ - slowSince_;
+        }
+        break;
+    case FaultKind::Crash:
+        stopEngine(static_cast<EngineIndex>(fault.engine), fault.factor);
+        break;
+    case FaultKind::NewWeights:
+        // The platform takes it out of service first, so that what runs is completed; it is modelled as a drained engine.
+        stopEngine(static_cast<EngineIndex>(fault.engine), fault.factor);
+        ++engine.version;
+        tellEngines();
+        break;
+    case FaultKind::RestartRouters:
+        for (Router &router : routers_) {
+            startRouter(router);
+        }
+        break;
+    }
+}
+
+void Replay::onEngineReturns(const Event &event)
+{
+    engines_[event.subject].isUp = true;
+    tellEngines();
+}
+
+void Replay::startRouter(Router &router)
+{
+    ++router.epoch;
+    router.policy = policy_.make({.engines = engines_, .hostCount = routerCount, .placement = placement_});
+    if (!router.queue) {
+        router.queue = std::make_unique<AdmissionQueue>();
+    }
+    router.windows = {};
+    tellEngines();
+}
+
+void Replay::tellEngines()
+{
+    std::array<std::string, engineCount> names;
+    std::array<EngineStatus, engineCount> statuses;
+    for (std::size_t i = 0; i < engineCount; ++i) {
+        names[i] = engineName(i);
+        statuses[i] = {.name = names[i], .modelVersion = engines_[i].version, .prefillTokensPerSecond = 1 / EngineModel::prefillSecondsPerToken};
+    }
+    for (Router &router : routers_) {
+        if (router.policy) {
+            router.policy->setEngines(statuses);
+        }
+    }
+}
+
+void Replay::onPublish(const Event &event)
+{
+    const auto index = static_cast<EngineIndex>(event.subject);
+    EngineModel &engine = engines_[index];
+    if (now_ < trace_.seconds + drainSeconds) {
+        schedule(now_ + publishSeconds, EventKind::Publish, index);
+    }
+    if (!engine.isUp) {
+        return;
+    }
+    messages_.push_back({index, engine.loadReport(at(now_)), engine.nextSequence, std::move(engine.events)});
+    engine.events.clear();
+    engine.nextSequence += messages_.back().events.size();
+    schedule(now_ + trace_.reportLag, EventKind::Deliver, 0, messages_.size() - 1);
+}
+
+void Replay::onDeliver(const Event &event)
+{
+    Message &message = messages_[event.detail];
+    for (Router &router : routers_) {
+        router.policy->loadReport(message.engine, message.report, at(now_));
+        const bool isLost = static_cast<double>(randomBelow(random_, 10'000)) < trace_.eventLoss * 10'000;
+        if (!isLost) {
+            router.policy->cacheEvents(message.engine, message.report.incarnation, message.firstSequence, message.events);
+        }
+    }
+    message.events = {};
+}
+
+void Replay::onTick(const Event &event)
+{
+    dispatch(routers_[event.subject]);
+    if (now_ < trace_.seconds + drainSeconds) {
+        schedule(now_ + tickSeconds, EventKind::Tick, event.subject);
+    }
+}
+
+void Replay::refuse(std::uint32_t index)
+{
+    const TraceRequest &request = trace_.requests[index];
+    progress_[index].state = State::Done;
+    if (!isMeasured(request)) {
+        return;
+    }
+    ++result_.refused;
+    allFirstTokens_.push_back(request.deadline);
+    if (trace_.isWithinCapacity && request.team != trace_.floodingTeam) {
+        ++result_.wronglyRefused;
+    }
+}
+
+void Replay::makeChains(std::uint32_t index)
+{
+    const TraceRequest &request = trace_.requests[index];
+    std::vector<BlockHash> digests;
+    for (const TraceSegment &segment : request.prefix) {
+        for (std::uint32_t block = 0; block < segment.blocks; ++block) {
+            digests.push_back((static_cast<BlockHash>(segment.id) << 16U) | block);
+        }
+    }
+    const std::string salt = std::to_string(request.team);
+    const std::string model = std::to_string(request.model);
+    chainBlocks(prefixSeed({salt, model, "1"}), digests, progress_[index].chains[0]);
+    chainBlocks(prefixSeed({salt, model, "2"}), digests, progress_[index].chains[1]);
+}
+
+PlacementRequest Replay::placementRequest(std::uint32_t index)
+{
+    const auto isInService = [this](std::uint32_t version) {
+        return std::any_of(engines_.begin(), engines_.end(), [version](const EngineModel &engine) { return engine.version == version; });
+    };
+    chainScratch_.clear();
+    for (std::uint32_t version = 1; version <= 2; ++version) {
+        if (isInService(version)) {
+            chainScratch_.push_back({version, progress_[index].chains[version - 1]});
+        }
+    }
+    return {.chains = chainScratch_,
+            .promptTokens = trace_.requests[index].promptTokens,
+            .expectedOutputTokens = trace_.requests[index].answerTokens,
+            .excluded = progress_[index].excluded};
+}
+
+bool Replay::isMeasured(const TraceRequest &request) const
+{
+    return request.arrival >= warmUpPart * trace_.seconds;
+}
+
+ReplayResult Replay::summarize() const
+{
+    ReplayResult result = result_;
+    result.requests = trace_.requests.size();
+    for (std::uint32_t team = 0; team < askedTokens_.size(); ++team) {
+        if (askedTokens_[team] > 0 && team != trace_.floodingTeam) {
+            result.worstTeamShare = std::min(result.worstTeamShare, servedTokens_[team] / askedTokens_[team]);
+        }
+    }
+    for (const TraceRequest &request : trace_.requests) {
+        result.inRate += !isMeasured(request) ? 0 : static_cast<std::size_t>(trace_.isWithinCapacity && request.team != trace_.floodingTeam);
+    }
+    result.hitRate = promptTokens_ > 0 ? cachedTokens_ / promptTokens_ : 0;
+    result.medianFirstToken = quantile(allFirstTokens_, 0.5);
+    result.tailFirstToken = quantile(allFirstTokens_, 0.99);
+    result.servedTail = quantile(firstTokens_, 0.99);
+    result.goodput = goodTokens_ / (trace_.seconds * (1 - warmUpPart));
+    for (const EngineModel &engine : engines_) {
+        result.busyPart += engine.busySeconds / trace_.seconds / engineCount;
+    }
+    return result;
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/tests/decision/replay/trace.cpp
@@ -0,0 +1,247 @@
+#include "replay/trace.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <sstream>
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+
+#include "core/random.h"
+#include "decision/prefix_chain.h"
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+/// How a deployment's prompts are nested and how often they come.
+struct Corpus
+{
+    std::string_view name;
+    double requestsPerSecond;
+    std::array<double, 5> teamParts; // Each team's part of the requests.
+    std::uint32_t rootBlocks;
+    std::uint32_t chapters;
+    std::uint32_t chapterBlocks; // Mean; they vary by half.
+    std::uint32_t tables;
+    std::uint32_t tableBlocks;
+    double shortPart; // Requests without a prefix.
+    std::uint32_t longestAnswer;
+};
+
+constexpr std::array corpora = std::to_array<Corpus>({
+    {"yearbook", 30, {0.35, 0.25, 0.2, 0.12, 0.08}, 4, 16, 20, 6, 6, 0.2, 300},
+    {"pamoja", 50, {0.35, 0.25, 0.2, 0.12, 0.08}, 2, 6, 24, 3, 6, 0.4, 200},
+});
+
+double uniform(Random &random)
+{
+    return static_cast<double>(random() >> 11U) * 0x1.0p-53;
+}
+
+/// Zipf-like: the first of `count` comes most often.
+std::uint32_t pickPopular(Random &random, std::uint32_t count)
+{
+    const double top = std::log(static_cast<double>(count) + 1);
+    return std::min(count - 1, static_cast<std::uint32_t>(std::exp(uniform(random) * top) - 1));
+}
+
+std::uint32_t pickTeam(Random &random, const std::array<double, 5> &parts)
+{
+    double draw = uniform(random);
+    for (std::uint32_t team = 0; team < parts.size(); ++team) {
+        draw -= parts[team];
+        if (draw < 0) {
+            return team;
+        }
+    }
+    return 0;
+}
+
+constexpr std::uint32_t hotPhases = 4;
+
+void fillPrompt(TraceRequest &request, const Corpus &corpus, const TraceShape &shape, double part, std::uint32_t serial, Random &random)
+{
+    request.answerTokens = 20 + static_cast<std::uint32_t>(randomBelow(random, corpus.longestAnswer));
+    request.promptTokens = 100 + static_cast<std::uint32_t>(randomBelow(random, 800));
+    const double kind = uniform(random);
+    if (kind < shape.longPart) {
+        request.prefix = {{(1U << 30U) | serial, 58}};
+    } else if (kind < 2 * shape.longPart || uniform(random) < corpus.shortPart) {
+        request.promptTokens = 200;
+        return;
+    } else {
+        std::uint32_t chapter = pickPopular(random, corpus.chapters);
+        if (uniform(random) < shape.hotPart) {
+            chapter = corpus.chapters - 1 - static_cast<std::uint32_t>(part * hotPhases);
+            request.team = 0;
+        }
+        const std::uint32_t base = (request.team << 20U) | ((chapter + 1) << 8U);
+        const std::uint32_t blocks = corpus.chapterBlocks / 2 + chapter * 7 % corpus.chapterBlocks;
+        const std::uint32_t table = pickPopular(random, corpus.tables);
+        request.prefix = {{(request.team << 20U) | 1U, corpus.rootBlocks}, {base, blocks}, {base | (table + 1), corpus.tableBlocks}};
+    }
+    for (const TraceSegment &segment : request.prefix) {
+        request.promptTokens += segment.blocks * prefixBlockTokens;
+    }
+}
+
+double steady(double /*part*/, std::uint32_t /*team*/)
+{
+    return 1;
+}
+
+double mondayRate(double part, std::uint32_t /*team*/)
+{
+    if (part < 0.4) {
+        return 0.1;
+    }
+    return part < 0.6 ? 1.6 : 0.9;
+}
+
+double floodRate(double part, std::uint32_t team)
+{
+    return team == 0 && part > 0.2 ? 5 : 1;
+}
+
+void noFault(Trace & /*trace*/, double /*scale*/)
+{
+}
+
+void flood(Trace &trace, double /*scale*/)
+{
+    trace.floodingTeam = 0;
+}
+
+void oneSlowEngine(Trace &trace, double /*scale*/)
+{
+    trace.faults = {{0.25 * trace.seconds, FaultKind::Speed, 3, 0.1}, {0.75 * trace.seconds, FaultKind::Speed, 3, 1}};
+}
+
+void threeCrashes(Trace &trace, double /*scale*/)
+{
+    for (const std::uint32_t engine : {2U, 7U, 11U}) {
+        trace.faults.push_back({0.4 * trace.seconds + engine * 0.1, FaultKind::Crash, engine, 2});
+    }
+}
+
+void saturate(Trace &trace, double /*scale*/)
+{
+    trace.isWithinCapacity = false;
+}
+
+void newWeightsOnHalf(Trace &trace, double /*scale*/)
+{
+    for (std::uint32_t engine = 0; engine < 9; ++engine) {
+        trace.faults.push_back({0.3 * trace.seconds + 0.5 * engine, FaultKind::NewWeights, engine, 0.5});
+    }
+}
+
+void lateAndLossy(Trace &trace, double /*scale*/)
+{
+    trace.reportLag = 2;
+    trace.eventLoss = 0.1;
+}
+
+void restartHerd(Trace &trace, double /*scale*/)
+{
+    trace.faults = {{0.5 * trace.seconds, FaultKind::RestartRouters, 0, 0}};
+}
+
+constexpr Expectation usual{.hitRateOfOracle = 0.95, .tailOfOracle = 1.15, .tailOfLeastLoaded = 0.5, .worstTeamShare = 0.95, .wrongRefusals = 0.001};
+
+constexpr std::array shapes = std::to_array<TraceShape>({
+    {.name = "monday", .seconds = 150, .load = 1, .shape = noFault, .rateAt = mondayRate, .expected = usual},
+    {.name = "flood", .seconds = 120, .load = 0.8, .shape = flood, .rateAt = floodRate, .expected = usual},
+    {.name = "hot-shift", .seconds = 120, .load = 0.9, .shape = noFault, .rateAt = steady, .hotPart = 0.6, .expected = usual},
+    {.name = "long-short", .seconds = 120, .load = 0.5, .shape = noFault, .rateAt = steady, .longPart = 0.03, .expected = usual},
+    {.name = "slow-engine", .seconds = 120, .load = 0.8, .shape = oneSlowEngine, .rateAt = steady, .expected = usual},
+    {.name = "three-crashes", .seconds = 120, .load = 0.8, .shape = threeCrashes, .rateAt = steady, .expected = usual},
+    {.name = "saturation", .seconds = 600, .load = 2, .shape = saturate, .rateAt = steady, .expected = usual},
+    {.name = "new-weights", .seconds = 120, .load = 0.7, .shape = newWeightsOnHalf, .rateAt = steady, .expected = usual},
+    {.name = "late-reports", .seconds = 120, .load = 0.8, .shape = lateAndLossy, .rateAt = steady, .expected = usual},
+    {.name = "restart-herd", .seconds = 120, .load = 0.8, .shape = restartHerd, .rateAt = steady, .expected = usual},
+});
+
+} // namespace
+
+std::string_view deploymentName(Deployment deployment)
+{
+    return corpora[static_cast<std::size_t>(deployment)].name;
+}
+
+std::span<const TraceShape> traceShapes()
+{
+    return shapes;
+}
+
+Trace makeTrace(const TraceShape &shape, Deployment deployment, std::uint64_t seed, double scale, double load)
+{
+    const Corpus &corpus = corpora[static_cast<std::size_t>(deployment)];
+    Random random(seed);
+    Trace trace{.name = std::string(shape.name), .seconds = shape.seconds * scale, .requests = {}, .faults = {}, .expected = shape.expected};
+    shape.shape(trace, scale);
+    // Arrivals are thinned from a Poisson stream at the greatest rate that any team has at any time.
+    constexpr double greatest = 5;
+    double time = 0;
+    for (std::uint32_t serial = 0;; ++serial) {
+        time += -std::log(1 - uniform(random)) / (corpus.requestsPerSecond * shape.load * load * greatest);
+        if (time >= trace.seconds) {
+            return trace;
+        }
+        TraceRequest request{.arrival = time, .team = pickTeam(random, corpus.teamParts), .prefix = {}};
+        if (uniform(random) * greatest >= shape.rateAt(time / trace.seconds, request.team)) {
+            continue;
+        }
+        fillPrompt(request, corpus, shape, time / trace.seconds, serial, random);
+        request.isRepeatable = uniform(random) >= 0.05;
+        trace.requests.push_back(std::move(request));
+    }
+}
+
+std::string formatTraceRequest(const TraceRequest &request)
+{
+    Poco::JSON::Array prefix;
+    for (const TraceSegment &segment : request.prefix) {
+        Poco::JSON::Array pair;
+        pair.add(segment.id).add(segment.blocks);
+        prefix.add(pair);
+    }
+    Poco::JSON::Object object(Poco::JSON_PRESERVE_KEY_ORDER);
+    object.set("arrival", request.arrival).set("team", request.team).set("model", request.model).set("prefix", prefix);
+    object.set("prompt", request.promptTokens).set("answer", request.answerTokens).set("deadline", request.deadline);
+    object.set("repeatable", request.isRepeatable);
+    std::ostringstream line;
+    object.stringify(line);
+    return line.str();
+}
+
+std::optional<TraceRequest> parseTraceRequest(std::string_view line, Reason &reason)
+{
+    try {
+        const auto object = Poco::JSON::Parser().parse(std::string(line)).extract<Poco::JSON::Object::Ptr>();
+        TraceRequest request{.arrival = object->getValue<double>("arrival"),
+                             .team = object->getValue<std::uint32_t>("team"),
+                             .model = object->getValue<std::uint32_t>("model"),
+                             .prefix = {},
+                             .promptTokens = object->getValue<std::uint32_t>("prompt"),
+                             .answerTokens = object->getValue<std::uint32_t>("answer"),
+                             .deadline = object->getValue<double>("deadline"),
+                             .isRepeatable = object->getValue<bool>("repeatable")};
+        for (const Poco::Dynamic::Var &pair : *object->getArray("prefix")) {
+            const auto &values = *pair.extract<Poco::JSON::Array::Ptr>();
+            request.prefix.push_back({values.getElement<std::uint32_t>(0), values.getElement<std::uint32_t>(1)});
+        }
+        return request;
+    } catch (const Poco::Exception &exception) {
+        reason = {ResultCode::MalformedJson, exception.displayText()};
+        return std::nullopt;
+    }
+}
+
+} // namespace Lovageloft
