--- a/decision/placement.cpp
+++ b/decision/placement.cpp
@@ -81,6 +81,20 @@
     engines_[engine].isOpen = isOpen;
 }
 
+bool Placement::hasRoom(ModelVersionId modelVersion, TimePoint now) const
+{
+    for (const Version &version : versions_) {
+        if (version.id != modelVersion) {
+            continue;
+        }
+        return std::any_of(version.nodes.begin(), version.nodes.end(), [this, now](const RendezvousNode &node) {
+            const Engine &engine = engines_[node.engine];
+            return (engine.isOpen || waitOf(engine, node.engine, now) < policy_.overdraft) && !health_.isEjected(node.engine);
+        });
+    }
+    return false;
+}
+
 void Placement::setHostCount(std::size_t count)
 {
     policy_.hostCount = static_cast<double>(std::max<std::size_t>(1, count));
@@ -373,18 +387,18 @@
         return;
     }
     choice.sawServing = true;
-    if (!mayTake(choice, index)) {
-        return;
-    }
     const bool isProbe = health_.isEjected(index);
     const PlacementRequest &request = *choice.request;
     const double held = std::min<double>(request.promptTokens, static_cast<double>(heldBlocks) * prefixBlockTokens) * engine.cacheTrust;
     const double work = (request.promptTokens - held) * engine.prefillSecondsPerToken;
-    const double wait = engine.load.wait(choice.now) + engine.slotWait;
-    const double slowness = health_.slowness(index);
-    const double lateness = latenessOf(engine, choice.now);
+    const double usualWait = engine.load.wait(choice.now) + engine.slotWait;
+    const double wait = waitOf(engine, index, choice.now);
+    const double slowWork = health_.slowness(index) * work;
+    if (!mayTake(choice, index, wait + slowWork)) {
+        return;
+    }
     const double stray = isStray ? policy_.strayMargin * work : 0;
-    const double score = isProbe ? -1 : slowness * (wait + policy_.recomputeWeight * work) + lateness + stray;
+    const double score = isProbe ? -1 : wait + policy_.recomputeWeight * slowWork + stray;
     if (choice.best && score >= choice.bestScore) {
         return;
     }
@@ -392,21 +406,28 @@
     choice.best = PlacementDecision{.engine = index,
                                     .modelVersion = engine.modelVersion,
                                     .expectedCachedTokens = static_cast<std::uint32_t>(held),
-                                    .expectedFirstToken = slowness * (wait + work) + lateness,
+                                    .expectedFirstToken = wait + slowWork,
                                     .expectedWork = work,
-                                    .usualFirstToken = wait + work,
+                                    .usualFirstToken = usualWait + work,
                                     .isProbe = isProbe};
 }
 
-bool Placement::mayTake(const Choice &choice, EngineIndex index) const
+bool Placement::mayTake(const Choice &choice, EngineIndex index, double firstToken) const
 {
     const std::span<const EngineIndex> excluded = choice.request->excluded;
-    if (!engines_[index].isOpen || std::find(excluded.begin(), excluded.end(), index) != excluded.end()) {
+    const bool hasRoom = engines_[index].isOpen || firstToken <= policy_.overdraft;
+    if (!hasRoom || std::find(excluded.begin(), excluded.end(), index) != excluded.end()) {
         return false;
     }
     return !health_.isEjected(index) || health_.isProbeDue(index, choice.now);
 }
 
+/// Expected seconds until the engine would begin with a prompt sent now.
+double Placement::waitOf(const Engine &engine, EngineIndex index, TimePoint now) const
+{
+    return health_.slowness(index) * (engine.load.wait(now) + engine.slotWait) + latenessOf(engine, now);
+}
+
 /// By how many seconds the oldest unanswered request is late. An engine that has stopped answering gives no ratios at all and
 /// would else look idle; what is late by some time may well take as long again, so that is added to the wait.
 double Placement::latenessOf(const Engine &engine, TimePoint now) const
--- a/decision/placement.h
+++ b/decision/placement.h
@@ -75,8 +75,9 @@
     std::size_t viewBlocks = 1'500'000; ///< Cached blocks in view; 36 MB.
     double hostCount = 1; ///< Hosts that decide likewise; the work seen here times this is the fleet's.
     double splitLoad = 0.3; ///< See PrefixHeat.
-    double recomputeWeight = 1.0; ///< Price of a second of prefill against a second of wait.
+    double recomputeWeight = 2.0; ///< Price of a second of prefill against a second of wait.
     std::size_t randomCandidates = 2;
+    double overdraft = 1.0; ///< Seconds to the first token up to which an engine without room in its window is still used.
     double strayMargin = 0.1; ///< Extra price of an engine that neither holds the prefix nor wins its hash, as part of the prefill.
 };
 
@@ -99,16 +100,21 @@
 
     std::string_view engineName(EngineIndex engine) const;
 
-    /// Lets an engine take work or not, for windows of running requests; all take work at first.
+    /// Says whether an engine's window of running requests has room; at first all have. One without room still gets a request
+    /// that it would answer within PlacementPolicy::overdraft: what its cache holds costs it hardly anything, while sending
+    /// it elsewhere costs another engine the whole prefix and the blocks that it evicts for it.
     void setOpen(EngineIndex engine, bool isOpen);
 
+    /// Whether some engine of a version could take a request now: what decides if a queue may give out its next one.
+    bool hasRoom(ModelVersionId modelVersion, TimePoint now) const;
+
     /// How many hosts decide likewise.
     void setHostCount(std::size_t count);
 
     /// Prompt tokens that the engine best suited to the request still has to compute, for the cost by which it is queued.
     std::uint32_t expectedMissedTokens(const PlacementRequest &request) const;
 
-    /// Chooses an engine. NoTarget if none of the versions has an engine that serves, Overloaded if all that serve are closed.
+    /// Chooses an engine. NoTarget if none of the versions has an engine that serves, Overloaded if all that serve have no room.
     std::optional<PlacementDecision> place(const PlacementRequest &request, TimePoint now, Random &random, Reason &reason);
 
     /// Notes that the request was sent as decided.
@@ -195,8 +201,9 @@
     void rebuildVersions(std::span<const EngineStatus> engines);
     void consider(Choice &choice, EngineIndex engine, std::size_t heldBlocks, bool isStray);
     void considerChain(Choice &choice, const Version &version, Random &random);
+    double waitOf(const Engine &engine, EngineIndex index, TimePoint now) const;
     void considerAll(Choice &choice, const Version &version);
-    bool mayTake(const Choice &choice, EngineIndex engine) const;
+    bool mayTake(const Choice &choice, EngineIndex engine, double firstToken) const;
     double latenessOf(const Engine &engine, TimePoint now) const;
     Dispatch *findDispatch(DispatchId id);
     void close(Dispatch &dispatch);
--- a/decision/prefix_heat.cpp
+++ b/decision/prefix_heat.cpp
@@ -18,6 +18,10 @@
 /// Prefix lengths in blocks at which a prompt can be spread. Doubling keeps the work of one prompt at eight entries.
 constexpr std::array<std::size_t, 9> levels{1, 2, 4, 8, 16, 32, 64, 128, 256};
 
+/// Level of a prefix of unknown heat. Nearer to the root a restarted host would send all of a team to two engines until it had
+/// learned better; beyond it prompts of one chapter would be scattered over the fleet.
+constexpr std::size_t startLevel = 16;
+
 /// Time in which heat falls to a third. Long against the lag of reports, short against the time a chapter is hot.
 constexpr double coolingSeconds = 10;
 
@@ -48,12 +52,12 @@
         }
         const Entry *entry = find(chain[level - 1]);
         const double levelLoad = entry == nullptr ? 0 : loadOf(*entry, now);
-        if (route.level > 0 && levelLoad < sharedPart * load) {
+        if (level > startLevel && levelLoad < sharedPart * load) {
             break;
         }
         route.level = level;
         load = levelLoad;
-        if (entry == nullptr || !entry->isSplit) {
+        if (level >= startLevel && (entry == nullptr || !entry->isSplit)) {
             break;
         }
     }
--- a/tests/decision/replay/placing_policy.h
+++ b/tests/decision/replay/placing_policy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -26,9 +27,15 @@
 
     virtual ~PlacingPolicy() = default;
 
-    /// Chooses among the engines whose bit in `isOpen` is set; these serve a version of the request.
+    /// Chooses an engine; `isOpen` tells which have room in their windows.
     virtual std::optional<Placed> place(const PlacementRequest &request, std::span<const char> isOpen, TimePoint now, Random &random) = 0;
 
+    /// Whether some engine could take a request now.
+    virtual bool hasRoom(std::span<const char> isOpen, TimePoint /*now*/) const
+    {
+        return std::any_of(isOpen.begin(), isOpen.end(), [](char open) { return open != 0; });
+    }
+
     /// Prompt tokens that will be computed, for the queue.
     virtual std::uint32_t missedTokens(const PlacementRequest &request) const
     {
@@ -78,6 +85,7 @@
 {
     std::string_view name;
     std::unique_ptr<PlacingPolicy> (*make)(const PolicyContext &context) = nullptr;
+    bool obeysWindows = true; ///< False for bounded-hash, whose own bound serves it better.
 };
 
 /// random, round-robin, least-loaded, bounded-hash, ours, oracle.
--- a/tests/decision/test_placement.cpp
+++ b/tests/decision/test_placement.cpp
@@ -125,6 +125,7 @@
     const std::vector<BlockHash> chain = makeChain(1, 2);
     for (EngineIndex engine = 0; engine < engineCount; ++engine) {
         placement.setOpen(engine, engine == 5);
+        placement.onLoadReport(engine, {.measuredAt = at(0), .incarnation = 1, .queuedPrefillTokens = 20'000}, at(0));
     }
     BOOST_TEST(place(chain, 0)->engine == 5U);
     const std::vector<EngineIndex> excluded{5};
@@ -135,6 +136,18 @@
     BOOST_TEST((reason.code == ResultCode::NoTarget));
 }
 
+BOOST_AUTO_TEST_CASE(anEngineWithoutRoomStillGetsWhatItHolds)
+{
+    // Many short answers fill an engine's window. Were requests for its chapters sent elsewhere, other engines would compute
+    // them again and drop their own for them, and all callers would wait longer from then on.
+    const std::vector<BlockHash> chain = makeChain(1, 40);
+    const EngineIndex holder = serve(chain, 0, 4);
+    placement.setOpen(holder, false);
+    BOOST_TEST(place(chain, 10)->engine == holder);
+    placement.onLoadReport(holder, {.measuredAt = at(10), .incarnation = 1, .queuedPrefillTokens = 15'000}, at(10));
+    BOOST_TEST(place(chain, 10)->engine != holder);
+}
+
 BOOST_AUTO_TEST_CASE(aSilentEngineGetsNoMoreOfItsOwnPrefix)
 {
     // An engine stops answering while its connections stay up. It gives no more slow answers to learn from; callers of the
