--- a/benchmarks/decision/replay_table.cpp
+++ b/benchmarks/decision/replay_table.cpp
@@ -30,8 +30,11 @@
 };
 
 /// Settings of ours that can be varied for an experiment.
-const std::map<std::string, double PlacementPolicy::*, std::less<>> settings{
-    {"splitLoad", &PlacementPolicy::splitLoad}, {"recomputeWeight", &PlacementPolicy::recomputeWeight}, {"strayMargin", &PlacementPolicy::strayMargin}};
+const std::map<std::string, double PlacementPolicy::*, std::less<>> settings{{"splitLoad", &PlacementPolicy::splitLoad},
+                                                                             {"recomputeWeight", &PlacementPolicy::recomputeWeight},
+                                                                             {"secondMargin", &PlacementPolicy::secondMargin},
+                                                                             {"overdraft", &PlacementPolicy::overdraft},
+                                                                             {"strayMargin", &PlacementPolicy::strayMargin}};
 
 void applySetting(PlacementPolicy &placement, std::string_view assignment)
 {
--- a/decision/placement.cpp
+++ b/decision/placement.cpp
@@ -165,7 +165,9 @@
         // Noted at once and not with the answer: the next request of the prefix may come before the first has its token.
         view_.learn(decision.engine, chain.blocks);
         const double outputWork = request.expectedOutputTokens * engine.requestSeconds / std::max(1.0, engine.batchLimit) / 256;
-        heat_.add(chain.blocks, (decision.expectedWork + outputWork) * policy_.hostCount, now);
+        const std::size_t tailTokens = request.promptTokens - std::min<std::size_t>(request.promptTokens, chain.blocks.size() * prefixBlockTokens);
+        const double tailWork = static_cast<double>(tailTokens) * engine.prefillSecondsPerToken;
+        heat_.add(chain.blocks, (tailWork + outputWork) * policy_.hostCount, now);
     }
     return dispatch.id;
 }
@@ -355,18 +357,18 @@
     if (route.level > 0) {
         std::array<EngineIndex, winnerLimit> winners;
         const std::size_t count = rendezvousWinners(blocks[route.level - 1], version.nodes, std::span(winners).first(route.candidates));
-        for (const EngineIndex engine : std::span(winners).first(count)) {
-            consider(choice, engine, heldScratch_[engine], false);
+        for (std::size_t rank = 0; rank < count; ++rank) {
+            consider(choice, winners[rank], heldScratch_[winners[rank]], rank == 0 ? 0 : policy_.secondMargin);
         }
     }
     for (const HeldPrefix &holder : std::span(holders).first(holderCount)) {
         if (engines_[holder.engine].modelVersion == version.id) {
-            consider(choice, holder.engine, holder.blocks, false);
+            consider(choice, holder.engine, holder.blocks, policy_.strayMargin);
         }
     }
     for (std::size_t i = 0; i < policy_.randomCandidates; ++i) {
         const EngineIndex engine = version.nodes[randomBelow(random, version.nodes.size())].engine;
-        consider(choice, engine, heldScratch_[engine], heldScratch_[engine] == 0);
+        consider(choice, engine, heldScratch_[engine], policy_.strayMargin);
     }
     for (const HeldPrefix &holder : std::span(holders).first(holderCount)) {
         heldScratch_[holder.engine] = 0;
@@ -376,11 +378,11 @@
 void Placement::considerAll(Choice &choice, const Version &version)
 {
     for (const RendezvousNode &node : version.nodes) {
-        consider(choice, node.engine, 0, false);
+        consider(choice, node.engine, 0, 0);
     }
 }
 
-void Placement::consider(Choice &choice, EngineIndex index, std::size_t heldBlocks, bool isStray)
+void Placement::consider(Choice &choice, EngineIndex index, std::size_t heldBlocks, double margin)
 {
     const Engine &engine = engines_[index];
     if (!engine.isServing) {
@@ -397,8 +399,7 @@
     if (!mayTake(choice, index, wait + slowWork)) {
         return;
     }
-    const double stray = isStray ? policy_.strayMargin * work : 0;
-    const double score = isProbe ? -1 : wait + policy_.recomputeWeight * slowWork + stray;
+    const double score = isProbe ? -1 : wait + (policy_.recomputeWeight + margin) * slowWork;
     if (choice.best && score >= choice.bestScore) {
         return;
     }
--- a/decision/placement.h
+++ b/decision/placement.h
@@ -78,7 +78,8 @@
     double recomputeWeight = 2.0; ///< Price of a second of prefill against a second of wait.
     std::size_t randomCandidates = 2;
     double overdraft = 1.0; ///< Seconds to the first token up to which an engine without room in its window is still used.
-    double strayMargin = 0.1; ///< Extra price of an engine that neither holds the prefix nor wins its hash, as part of the prefill.
+    double secondMargin = 0.5; ///< As strayMargin, of rendezvous winners after the first.
+    double strayMargin = 1.0; ///< Extra price of an engine that neither holds the prefix nor wins its hash, as part of the prefill.
 };
 
 /// Decides which engine gets a request. Made for prompts that share long nested prefixes over 18 engines today and 1,000 in two
@@ -199,7 +200,7 @@
     void removeEngine(EngineIndex index);
     void forgetCacheAndLoad(EngineIndex index, std::uint64_t incarnation);
     void rebuildVersions(std::span<const EngineStatus> engines);
-    void consider(Choice &choice, EngineIndex engine, std::size_t heldBlocks, bool isStray);
+    void consider(Choice &choice, EngineIndex engine, std::size_t heldBlocks, double margin);
     void considerChain(Choice &choice, const Version &version, Random &random);
     double waitOf(const Engine &engine, EngineIndex index, TimePoint now) const;
     void considerAll(Choice &choice, const Version &version);
