--- a/decision/placement.cpp
+++ b/decision/placement.cpp
@@ -81,11 +81,37 @@
     engines_[engine].isOpen = isOpen;
 }
 
+bool Placement::hasRoom(ModelVersionId modelVersion, TimePoint now) const
+{
+    for (const Version &version : versions_) {
+        if (version.id != modelVersion) {
+            continue;
+        }
+        return std::any_of(version.nodes.begin(), version.nodes.end(), [this, now](const RendezvousNode &node) {
+            const Engine &engine = engines_[node.engine];
+            return (engine.isOpen || waitOf(engine, node.engine, now) < policy_.overdraft) && !health_.isEjected(node.engine);
+        });
+    }
+    return false;
+}
+
 void Placement::setHostCount(std::size_t count)
 {
     policy_.hostCount = static_cast<double>(std::max<std::size_t>(1, count));
 }
 
+std::uint32_t Placement::expectedMissedTokens(const PlacementRequest &request) const
+{
+    std::size_t held = 0;
+    for (const VersionedChain &chain : request.chains) {
+        std::array<HeldPrefix, 1> longest;
+        if (view_.findHolders(chain.blocks, longest) > 0) {
+            held = std::max<std::size_t>(held, longest.front().blocks);
+        }
+    }
+    return request.promptTokens - std::min(request.promptTokens, static_cast<std::uint32_t>(held) * prefixBlockTokens);
+}
+
 std::optional<PlacementDecision> Placement::place(const PlacementRequest &request, TimePoint now, Random &random, Reason &reason)
 {
     Choice choice{.request = &request, .now = now};
@@ -139,7 +165,9 @@
         // Noted at once and not with the answer: the next request of the prefix may come before the first has its token.
         view_.learn(decision.engine, chain.blocks);
         const double outputWork = request.expectedOutputTokens * engine.requestSeconds / std::max(1.0, engine.batchLimit) / 256;
-        heat_.add(chain.blocks, (decision.expectedWork + outputWork) * policy_.hostCount, now);
+        const std::size_t tailTokens = request.promptTokens - std::min<std::size_t>(request.promptTokens, chain.blocks.size() * prefixBlockTokens);
+        const double tailWork = static_cast<double>(tailTokens) * engine.prefillSecondsPerToken;
+        heat_.add(chain.blocks, (tailWork + outputWork) * policy_.hostCount, now);
     }
     return dispatch.id;
 }
@@ -329,18 +357,18 @@
     if (route.level > 0) {
         std::array<EngineIndex, winnerLimit> winners;
         const std::size_t count = rendezvousWinners(blocks[route.level - 1], version.nodes, std::span(winners).first(route.candidates));
-        for (const EngineIndex engine : std::span(winners).first(count)) {
-            consider(choice, engine, heldScratch_[engine], false);
+        for (std::size_t rank = 0; rank < count; ++rank) {
+            consider(choice, winners[rank], heldScratch_[winners[rank]], rank == 0 ? 0 : policy_.secondMargin);
         }
     }
     for (const HeldPrefix &holder : std::span(holders).first(holderCount)) {
         if (engines_[holder.engine].modelVersion == version.id) {
-            consider(choice, holder.engine, holder.blocks, false);
+            consider(choice, holder.engine, holder.blocks, policy_.strayMargin);
         }
     }
     for (std::size_t i = 0; i < policy_.randomCandidates; ++i) {
         const EngineIndex engine = version.nodes[randomBelow(random, version.nodes.size())].engine;
-        consider(choice, engine, heldScratch_[engine], heldScratch_[engine] == 0);
+        consider(choice, engine, heldScratch_[engine], policy_.strayMargin);
     }
     for (const HeldPrefix &holder : std::span(holders).first(holderCount)) {
         heldScratch_[holder.engine] = 0;
@@ -350,29 +378,28 @@
 void Placement::considerAll(Choice &choice, const Version &version)
 {
     for (const RendezvousNode &node : version.nodes) {
-        consider(choice, node.engine, 0, false);
+        consider(choice, node.engine, 0, 0);
     }
 }
 
-void Placement::consider(Choice &choice, EngineIndex index, std::size_t heldBlocks, bool isStray)
+void Placement::consider(Choice &choice, EngineIndex index, std::size_t heldBlocks, double margin)
 {
     const Engine &engine = engines_[index];
     if (!engine.isServing) {
         return;
     }
     choice.sawServing = true;
-    if (!mayTake(choice, index)) {
-        return;
-    }
     const bool isProbe = health_.isEjected(index);
     const PlacementRequest &request = *choice.request;
     const double held = std::min<double>(request.promptTokens, static_cast<double>(heldBlocks) * prefixBlockTokens) * engine.cacheTrust;
     const double work = (request.promptTokens - held) * engine.prefillSecondsPerToken;
-    const double wait = engine.load.wait(choice.now) + engine.slotWait;
-    const double slowness = health_.slowness(index);
-    const double lateness = latenessOf(engine, choice.now);
-    const double stray = isStray ? policy_.strayMargin * work : 0;
-    const double score = isProbe ? -1 : slowness * (wait + policy_.recomputeWeight * work) + lateness + stray;
+    const double usualWait = engine.load.wait(choice.now) + engine.slotWait;
+    const double wait = waitOf(engine, index, choice.now);
+    const double slowWork = health_.slowness(index) * work;
+    if (!mayTake(choice, index, wait + slowWork)) {
+        return;
+    }
+    const double score = isProbe ? -1 : wait + (policy_.recomputeWeight + margin) * slowWork;
     if (choice.best && score >= choice.bestScore) {
         return;
     }
@@ -380,21 +407,28 @@
     choice.best = PlacementDecision{.engine = index,
                                     .modelVersion = engine.modelVersion,
                                     .expectedCachedTokens = static_cast<std::uint32_t>(held),
-                                    .expectedFirstToken = slowness * (wait + work) + lateness,
+                                    .expectedFirstToken = wait + slowWork,
                                     .expectedWork = work,
-                                    .usualFirstToken = wait + work,
+                                    .usualFirstToken = usualWait + work,
                                     .isProbe = isProbe};
 }
 
-bool Placement::mayTake(const Choice &choice, EngineIndex index) const
+bool Placement::mayTake(const Choice &choice, EngineIndex index, double firstToken) const
 {
     const std::span<const EngineIndex> excluded = choice.request->excluded;
-    if (!engines_[index].isOpen || std::find(excluded.begin(), excluded.end(), index) != excluded.end()) {
+    const bool hasRoom = engines_[index].isOpen || firstToken <= policy_.overdraft;
+    if (!hasRoom || std::find(excluded.begin(), excluded.end(), index) != excluded.end()) {
         return false;
     }
     return !health_.isEjected(index) || health_.isProbeDue(index, choice.now);
 }
 
+/// Expected seconds until the engine would begin with a prompt sent now.
+double Placement::waitOf(const Engine &engine, EngineIndex index, TimePoint now) const
+{
+    return health_.slowness(index) * (engine.load.wait(now) + engine.slotWait) + latenessOf(engine, now);
+}
+
 /// By how many seconds the oldest unanswered request is late. An engine that has stopped answering gives no ratios at all and
 /// would else look idle; what is late by some time may well take as long again, so that is added to the wait.
 double Placement::latenessOf(const Engine &engine, TimePoint now) const
