Streams leave as they come, and a hang-up is noticed in silence

A stack dump showed the relay inside Poco's read of the next chunk: the line end behind a chunk stays in the session's buffer, counted as data that had arrived, and so the relay blocked for the next chunk with 64 KB of the caller's stream held back and nobody watching the caller. Excluded: the poll of both sockets (never reached), the stand-in engine (its stack showed it sending). Change: a line end alone is no data. The end of a stream is held until [DONE], so that a stream without it can still be carried on elsewhere. Refusals of requests that can't be read keep their body, and their connection is drained before it is closed, so that the answer is not lost to a reset. An answer's id must be the request's, with the known prefixes only.

--- a/drivers/answer_verifier.cpp
+++ b/drivers/answer_verifier.cpp
@@ -86,7 +86,14 @@
 
 bool AnswerVerifier::matchesId(std::string_view id) const
 {
-    return id.ends_with(expected_.requestId);
+    // Engines put their kind of answer before the id that they were given.
+    for (const std::string_view prefix : {"chatcmpl-", "cmpl-"}) {
+        if (id.starts_with(prefix)) {
+            id.remove_prefix(prefix.size());
+            break;
+        }
+    }
+    return id == expected_.requestId;
 }
 
 EventAction AnswerVerifier::onDone(Reason &reason)
@@ -117,12 +124,13 @@
     if (chunk["choices"].get(choices) != simdjson::SUCCESS) {
         return fail(reason, ResultCode::TargetMalformed, "a chunk of the stream has no choices");
     }
+    std::int64_t newChunks = 0;
     for (const Json::element choice : choices) {
         ChoiceContent content;
         if (!readChoice(choice, content)) {
             return fail(reason, ResultCode::TargetMalformed, "a choice of the stream is malformed");
         }
-        contentChunks_ += content.hasText ? 1 : 0;
+        newChunks += content.hasText ? 1 : 0;
         finishedChoices_ += content.hasFinished ? 1 : 0;
         isPlainText_ = isPlainText_ && !content.hasOther;
     }
@@ -132,7 +140,15 @@
         usage_ = readUsage(usage);
     }
     const bool isOnlyUsage = choices.size() == 0 && hasUsage;
-    return isOnlyUsage && !expected_.wantsUsage ? EventAction::Swallow : EventAction::Forward;
+    if (isOnlyUsage && !expected_.wantsUsage) {
+        return EventAction::Swallow;
+    }
+    if (finishedChoices_ >= expected_.choices) {
+        heldChunks_ += newChunks;
+        return EventAction::Hold;
+    }
+    contentChunks_ += newChunks;
+    return EventAction::Forward;
 }
 
 bool AnswerVerifier::onAnswer(std::string_view body, Reason &reason)
@@ -173,12 +189,13 @@
 
 bool AnswerVerifier::isResumable() const
 {
-    return expected_.choices == 1 && isPlainText_ && finishedChoices_ == 0;
+    return expected_.choices == 1 && isPlainText_;
 }
 
-bool AnswerVerifier::hasFinished() const
+void AnswerVerifier::restart()
 {
-    return finishedChoices_ > 0;
+    finishedChoices_ = 0;
+    heldChunks_ = 0;
 }
 
 const TokenUsage &AnswerVerifier::usage() const
--- a/drivers/answer_verifier.h
+++ b/drivers/answer_verifier.h
@@ -22,6 +22,7 @@
 enum class EventAction : std::uint8_t
 {
     Forward,
+    Hold, ///< Part of the answer's end: to be forwarded only once [DONE] has come.
     Swallow, ///< Not meant for the caller: the usage that only the router asked for.
     Finish, ///< The stream is whole; forward it and end.
     Fail, ///< The reason says why.
@@ -52,15 +53,15 @@
     /// Checks a whole JSON answer.
     bool onAnswer(std::string_view body, Reason &reason);
 
-    /// Chunks with content seen so far; where a resumed stream has to go on.
+    /// Begins again with another engine: the end that was held, and what came with it, counts no more.
+    void restart();
+
+    /// Chunks with content forwarded so far; where a resumed stream has to go on.
     std::int64_t contentChunks() const;
 
-    /// Whether the stream can be resumed elsewhere: one choice, plain text only, not finished.
+    /// Whether the stream can be resumed elsewhere: one choice and plain text only.
     bool isResumable() const;
 
-    /// Whether a choice has finished; nothing but usage and [DONE] may follow then.
-    bool hasFinished() const;
-
     /// What the engine counted; zeros until it said so.
     const TokenUsage &usage() const;
 
@@ -74,6 +75,7 @@
     std::unique_ptr<Parser> parser_;
     TokenUsage usage_;
     std::int64_t contentChunks_ = 0;
+    std::int64_t heldChunks_ = 0; ///< With content, within the end that is held.
     std::int64_t finishedChoices_ = 0;
     bool isPlainText_ = true;
 };
--- a/drivers/http_exchange.cpp
+++ b/drivers/http_exchange.cpp
@@ -42,9 +42,13 @@
         connect(address);
     }
 
+    /// Whether a part of the answer has arrived that was not read yet. The line end behind a chunk stays in the buffer until
+    /// the next chunk; taking it for a part would block until that comes, with the caller's stream held back and its hang-up
+    /// not noticed.
     bool hasBuffered() const
     {
-        return buffered() > 0;
+        constexpr int lineEnd = 2;
+        return buffered() > lineEnd;
     }
 };
 
--- a/main/router_host.cpp
+++ b/main/router_host.cpp
@@ -51,6 +51,16 @@
     return true;
 }
 
+std::uint16_t RouterHost::callerPort() const
+{
+    return callers_->port();
+}
+
+std::uint16_t RouterHost::operatorPort() const
+{
+    return operators_->port();
+}
+
 bool RouterHost::drain()
 {
     writeLog(LogLevel::Info, "drain_announced", {{"running", drain_.running()}});
--- a/main/router_host.h
+++ b/main/router_host.h
@@ -24,6 +24,10 @@
     /// False if something still ran at the limit.
     bool drain();
 
+    /// Ports as bound, for settings that take any free one.
+    std::uint16_t callerPort() const;
+    std::uint16_t operatorPort() const;
+
 private:
     bool applySeedTickets(Reason &reason);
     bool waitForRunning();
--- a/servers/caller_connection.cpp
+++ b/servers/caller_connection.cpp
@@ -1,5 +1,7 @@
 #include "servers/caller_connection.h"
 
+#include <array>
+
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponseImpl.h>
 #include <Poco/Net/NetException.h>
@@ -45,6 +47,7 @@
         while (session.hasMoreRequests() && serve(session)) {
             parts_.deadlines.setIdle(descriptor_);
         }
+        closeGently();
     } catch (const std::exception &error) {
         writeLog(LogLevel::Debug, "caller_connection_ended", {{"cause", std::string_view(error.what())}});
     }
@@ -141,4 +144,22 @@
     sendRefusal(response, {{code, {}}}, "", false);
 }
 
+void CallerConnection::closeGently()
+{
+    // Closing a socket with bytes unread resets the connection, and the caller loses the answer that tells it why.
+    constexpr std::size_t mostDrained = 4'194'304;
+    const Poco::Timespan limit(0, 500'000);
+    std::array<char, 16'384> buffer{};
+    try {
+        socket().shutdownSend();
+        socket().setReceiveTimeout(limit);
+        std::size_t drained = 0;
+        for (int count = 1; count > 0 && drained < mostDrained; drained += static_cast<std::size_t>(count)) {
+            count = socket().receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+        }
+    } catch (const Poco::Exception &error) {
+        writeLog(LogLevel::Debug, "caller_connection_cut", {{"cause", std::string_view(error.what())}});
+    }
+}
+
 } // namespace Lovageloft
--- a/servers/caller_connection.h
+++ b/servers/caller_connection.h
@@ -29,6 +29,7 @@
     bool serve(Poco::Net::HTTPServerSession &session);
     bool answer(Poco::Net::HTTPServerRequestImpl &request, Poco::Net::HTTPServerResponseImpl &response);
     std::optional<std::string> readBody(Poco::Net::HTTPServerRequest &request, Reason &reason);
+    void closeGently();
     void refuseUnread(Poco::Net::HTTPServerSession &session, ResultCode code);
 
     RouterParts &parts_;
--- a/servers/caller_server.cpp
+++ b/servers/caller_server.cpp
@@ -44,7 +44,8 @@
     Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
     params->setMaxThreads(static_cast<int>(settings.callerThreads));
     params->setMaxQueued(static_cast<int>(settings.callerThreads));
-    params->setTimeout(Poco::Timespan(settings.headerTimeout * microseconds));
+    // Twice the deadline, which ConnectionDeadlines holds: that one knows why it ended the wait.
+    params->setTimeout(Poco::Timespan(2 * settings.headerTimeout * microseconds));
     params->setKeepAlive(true);
     params->setKeepAliveTimeout(Poco::Timespan(settings.keepAliveTimeout * microseconds));
     params->setMaxKeepAliveRequests(0);
--- a/servers/refusal.cpp
+++ b/servers/refusal.cpp
@@ -43,7 +43,9 @@
     response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
     response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(response.getStatus()));
     response.setContentType("application/json");
-    response.sendBuffer(body.data(), body.size());
+    response.setContentLength64(static_cast<Poco::Int64>(body.size()));
+    // Not sendBuffer: that leaves the body out where the request could not even be read.
+    response.send().write(body.data(), static_cast<std::streamsize>(body.size())).flush();
 }
 
 } // namespace Lovageloft
--- /dev/null
+++ b/servers/share_service.cpp
@@ -0,0 +1,132 @@
+#include "servers/share_service.h"
+
+#include <utility>
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+std::chrono::steady_clock::time_point steadyTime(TimePoint time)
+{
+    return std::chrono::steady_clock::now() + (time - BootClock::now());
+}
+
+} // namespace
+
+ShareService::ShareService(std::string host, std::string incarnation, Metrics &metrics)
+    : metrics_(metrics)
+    , ledger_(std::move(host), std::move(incarnation), BootClock::now())
+{
+}
+
+void ShareService::setTransport(ShareTransport &transport)
+{
+    transport_ = &transport;
+}
+
+std::optional<ShareService::Charge> ShareService::charge(std::string_view team, double tokens, Refusal &refusal)
+{
+    std::unique_lock lock(mutex_);
+    const std::uint64_t id = ++lastId_;
+    ShareDecision decision = ledger_.admit(team, tokens, id, BootClock::now());
+    send(decision);
+    if (decision.verdict == ShareVerdict::Ask) {
+        metrics_.add("lovageloft_remote_debits_total");
+        decision = waitForAnswers(lock, std::move(decision));
+    }
+    if (decision.verdict != ShareVerdict::Admit) {
+        refusal = {decision.reason, RunState::NotRun, decision.retryAfter};
+        return std::nullopt;
+    }
+    return Charge{id, tokens};
+}
+
+ShareDecision ShareService::waitForAnswers(std::unique_lock<std::mutex> &lock, ShareDecision asked)
+{
+    const auto waiter = std::make_shared<Waiter>();
+    const std::uint64_t id = asked.requestId;
+    waiters_.emplace(id, waiter);
+    while (asked.verdict == ShareVerdict::Ask) {
+        waiter->decided.wait_until(lock, steadyTime(asked.deadline), [&waiter] { return waiter->decision.has_value(); });
+        if (waiter->decision) {
+            asked = std::move(*waiter->decision);
+            waiter->decision.reset();
+        } else {
+            asked = ledger_.onTimeout(id, BootClock::now());
+            send(asked);
+        }
+    }
+    waiters_.erase(id);
+    return asked;
+}
+
+void ShareService::send(const ShareDecision &decision)
+{
+    for (const DebitRequest &ask : decision.asks) {
+        transport_->ask(ask);
+    }
+    for (const DebitSettlement &settlement : decision.returns) {
+        transport_->settle(settlement);
+    }
+}
+
+void ShareService::settle(const Charge &charge, double used)
+{
+    const std::lock_guard lock(mutex_);
+    for (const DebitSettlement &settlement : ledger_.settle(charge.id, used, BootClock::now())) {
+        transport_->settle(settlement);
+    }
+}
+
+DebitReply ShareService::onDebit(const DebitRequest &request)
+{
+    const std::lock_guard lock(mutex_);
+    return ledger_.onDebitRequest(request, BootClock::now());
+}
+
+void ShareService::onReply(const DebitReply &reply)
+{
+    const std::lock_guard lock(mutex_);
+    ShareDecision decision = ledger_.onDebitReply(reply, BootClock::now());
+    send(decision);
+    const auto waiter = waiters_.find(decision.requestId);
+    if (decision.verdict == ShareVerdict::None || waiter == waiters_.end()) {
+        return;
+    }
+    waiter->second->decision = std::move(decision);
+    waiter->second->decided.notify_one();
+}
+
+void ShareService::onSettlement(const DebitSettlement &settlement)
+{
+    const std::lock_guard lock(mutex_);
+    ledger_.onSettlement(settlement, BootClock::now());
+}
+
+void ShareService::setConfiguration(std::int64_t version, const ConfigurationState &state)
+{
+    const std::lock_guard lock(mutex_);
+    ledger_.setConfiguration(shareConfiguration(version, state), BootClock::now());
+}
+
+void ShareService::onInForce(std::int64_t version)
+{
+    const std::lock_guard lock(mutex_);
+    ledger_.onInForce(version, BootClock::now());
+}
+
+void ShareService::setFreshUntil(TimePoint until)
+{
+    const std::lock_guard lock(mutex_);
+    ledger_.setFreshUntil(until, BootClock::now());
+}
+
+double ShareService::balance(std::string_view team)
+{
+    const std::lock_guard lock(mutex_);
+    return ledger_.balance(team, BootClock::now());
+}
+
+} // namespace Lovageloft
--- a/servers/stream_relay.cpp
+++ b/servers/stream_relay.cpp
@@ -17,6 +17,8 @@
 RelayResult StreamRelay::relay(HttpExchange &engine, Reason &reason)
 {
     SseReader reader;
+    verifier_.restart();
+    held_.clear();
     bool isFirst = true;
     while (true) {
         if (!reader.compact(reason)) {
@@ -50,12 +52,16 @@
     while (const auto data = reader.next()) {
         switch (verifier_.onEvent(*data, reason)) {
         case EventAction::Forward:
-            append(*data);
+            append(*data, pending_);
+            break;
+        case EventAction::Hold:
+            append(*data, held_);
             break;
         case EventAction::Swallow:
             break;
         case EventAction::Finish:
-            append(*data);
+            pending_.append(held_);
+            append(*data, pending_);
             return RelayResult::Done;
         case EventAction::Fail:
             return RelayResult::Failed;
@@ -64,9 +70,9 @@
     return std::nullopt;
 }
 
-void StreamRelay::append(std::string_view data)
+void StreamRelay::append(std::string_view data, std::string &out)
 {
-    pending_.append("data: ").append(data).append("\n\n");
+    out.append("data: ").append(data).append("\n\n");
 }
 
 bool StreamRelay::flush()
@@ -105,7 +111,7 @@
 void StreamRelay::endWithError(std::string_view refusalJson)
 {
     exchange_.response.setKeepAlive(false);
-    append(refusalJson);
+    append(refusalJson, pending_);
     flush();
 }
 
--- a/servers/stream_relay.h
+++ b/servers/stream_relay.h
@@ -44,14 +44,15 @@
 private:
     /// Passes whole events on; nothing as long as the stream goes on.
     std::optional<RelayResult> forwardEvents(SseReader &reader, Reason &reason);
-    void append(std::string_view data);
+    static void append(std::string_view data, std::string &out);
     bool flush();
 
     CallerExchange &exchange_;
     AnswerVerifier &verifier_;
     std::function<void()> onFirstContent_;
     std::ostream *out_ = nullptr;
-    std::string pending_;
+    std::string pending_; ///< To be sent next.
+    std::string held_; ///< The end of the answer, until [DONE] has come: a stream that breaks before can still be carried on.
     TimePoint firstContent_;
 };
 
--- a/tests/drivers/test_etcd_store.cpp
+++ b/tests/drivers/test_etcd_store.cpp
@@ -6,6 +6,7 @@
 #include "tests/stand_ins/stand_in_store.h"
 
 using namespace Lovageloft;
+using namespace Lovageloft::StandIns;
 using namespace std::chrono_literals;
 
 namespace
--- a/tests/stand_ins/completion.cpp
+++ b/tests/stand_ins/completion.cpp
@@ -4,7 +4,7 @@
 
 #include "core/log.h"
 
-namespace Lovageloft
+namespace Lovageloft::StandIns
 {
 
 namespace
@@ -141,4 +141,4 @@
     return text;
 }
 
-} // namespace Lovageloft
+} // namespace Lovageloft::StandIns
--- a/tests/stand_ins/completion.h
+++ b/tests/stand_ins/completion.h
@@ -6,7 +6,7 @@
 #include <string_view>
 
 /// The request and answer bodies of OpenAI's public completions API, as far as the stand-ins use them.
-namespace Lovageloft
+namespace Lovageloft::StandIns
 {
 
 /// What a stand-in engine reads from the body of a completion request.
@@ -68,4 +68,4 @@
     std::string chunkStart_; // The same for all chunks of the answer.
 };
 
-} // namespace Lovageloft
+} // namespace Lovageloft::StandIns
--- a/tests/stand_ins/exchange.cpp
+++ b/tests/stand_ins/exchange.cpp
@@ -8,7 +8,7 @@
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/StreamCopier.h>
 
-namespace Lovageloft
+namespace Lovageloft::StandIns
 {
 
 namespace
@@ -132,4 +132,4 @@
     return socketOf(request_).impl()->sockfd();
 }
 
-} // namespace Lovageloft
+} // namespace Lovageloft::StandIns
--- a/tests/stand_ins/exchange.h
+++ b/tests/stand_ins/exchange.h
@@ -11,7 +11,7 @@
 
 #include "core/clock.h"
 
-namespace Lovageloft
+namespace Lovageloft::StandIns
 {
 
 /// One HTTP request at a stand-in and the ways to answer it, the faulty ones included.
@@ -69,4 +69,4 @@
     std::string body_;
 };
 
-} // namespace Lovageloft
+} // namespace Lovageloft::StandIns
--- a/tests/stand_ins/fault_plan.h
+++ b/tests/stand_ins/fault_plan.h
@@ -4,7 +4,7 @@
 #include <mutex>
 #include <utility>
 
-namespace Lovageloft
+namespace Lovageloft::StandIns
 {
 
 /// The fault that a stand-in was told to show, and for how many requests still. Thread-safe.
@@ -37,4 +37,4 @@
     std::int64_t timesLeft_ = 0;
 };
 
-} // namespace Lovageloft
+} // namespace Lovageloft::StandIns
--- a/tests/stand_ins/json_body.cpp
+++ b/tests/stand_ins/json_body.cpp
@@ -4,7 +4,7 @@
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Parser.h>
 
-namespace Lovageloft
+namespace Lovageloft::StandIns
 {
 
 namespace
@@ -88,4 +88,4 @@
     }
 }
 
-} // namespace Lovageloft
+} // namespace Lovageloft::StandIns
--- a/tests/stand_ins/json_body.h
+++ b/tests/stand_ins/json_body.h
@@ -7,7 +7,7 @@
 
 #include <Poco/JSON/Object.h>
 
-namespace Lovageloft
+namespace Lovageloft::StandIns
 {
 
 /// A JSON object sent to a stand-in by a test. Fields that aren't there, or of another type, read as a default;
@@ -41,4 +41,4 @@
     Poco::JSON::Object::Ptr object_;
 };
 
-} // namespace Lovageloft
+} // namespace Lovageloft::StandIns
--- a/tests/stand_ins/prefix_cache.cpp
+++ b/tests/stand_ins/prefix_cache.cpp
@@ -5,7 +5,7 @@
 #include <boost/random/uniform_01.hpp>
 #include <xxhash.h>
 
-namespace Lovageloft
+namespace Lovageloft::StandIns
 {
 
 namespace
@@ -114,4 +114,4 @@
     }
 }
 
-} // namespace Lovageloft
+} // namespace Lovageloft::StandIns
--- a/tests/stand_ins/prefix_cache.h
+++ b/tests/stand_ins/prefix_cache.h
@@ -11,7 +11,7 @@
 
 #include "core/random.h"
 
-namespace Lovageloft
+namespace Lovageloft::StandIns
 {
 
 /// One change of an engine's cache.
@@ -74,4 +74,4 @@
     Random random_{1};
 };
 
-} // namespace Lovageloft
+} // namespace Lovageloft::StandIns
--- a/tests/stand_ins/stand_in_engine.cpp
+++ b/tests/stand_ins/stand_in_engine.cpp
@@ -8,7 +8,7 @@
 #include "core/log.h"
 #include "tests/stand_ins/json_body.h"
 
-namespace Lovageloft
+namespace Lovageloft::StandIns
 {
 
 namespace
@@ -370,4 +370,4 @@
     exchange.sendJson(200, json + "]}");
 }
 
-} // namespace Lovageloft
+} // namespace Lovageloft::StandIns
--- a/tests/stand_ins/stand_in_engine.h
+++ b/tests/stand_ins/stand_in_engine.h
@@ -15,7 +15,7 @@
 #include "tests/stand_ins/prefix_cache.h"
 #include "tests/stand_ins/stand_in_server.h"
 
-namespace Lovageloft
+namespace Lovageloft::StandIns
 {
 
 /// How a stand-in engine behaves.
@@ -128,4 +128,4 @@
     StandInServer server_; // Last, so that it stops before the rest goes.
 };
 
-} // namespace Lovageloft
+} // namespace Lovageloft::StandIns
--- a/tests/stand_ins/stand_in_server.cpp
+++ b/tests/stand_ins/stand_in_server.cpp
@@ -9,7 +9,7 @@
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/ServerSocket.h>
 
-namespace Lovageloft
+namespace Lovageloft::StandIns
 {
 
 namespace
@@ -122,4 +122,4 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
-} // namespace Lovageloft
+} // namespace Lovageloft::StandIns
--- a/tests/stand_ins/stand_in_server.h
+++ b/tests/stand_ins/stand_in_server.h
@@ -10,7 +10,7 @@
 
 #include "tests/stand_ins/exchange.h"
 
-namespace Lovageloft
+namespace Lovageloft::StandIns
 {
 
 /// The HTTP server that all stand-ins share: a thread for each connection, on the loopback address.
@@ -44,4 +44,4 @@
     std::unique_ptr<Poco::Net::HTTPServer> server_;
 };
 
-} // namespace Lovageloft
+} // namespace Lovageloft::StandIns
--- a/tests/stand_ins/stand_in_service.cpp
+++ b/tests/stand_ins/stand_in_service.cpp
@@ -3,7 +3,7 @@
 #include "core/log.h"
 #include "tests/stand_ins/json_body.h"
 
-namespace Lovageloft
+namespace Lovageloft::StandIns
 {
 
 StandInService::StandInService(std::uint16_t port)
@@ -95,4 +95,4 @@
     exchange.sendJson(200, json + "}}");
 }
 
-} // namespace Lovageloft
+} // namespace Lovageloft::StandIns
--- a/tests/stand_ins/stand_in_service.h
+++ b/tests/stand_ins/stand_in_service.h
@@ -9,7 +9,7 @@
 #include "tests/stand_ins/fault_plan.h"
 #include "tests/stand_ins/stand_in_server.h"
 
-namespace Lovageloft
+namespace Lovageloft::StandIns
 {
 
 /// A fault that a request to a stand-in service is to show.
@@ -47,4 +47,4 @@
     StandInServer server_; // Last, so that it stops before the rest goes.
 };
 
-} // namespace Lovageloft
+} // namespace Lovageloft::StandIns
--- a/tests/stand_ins/stand_in_store.cpp
+++ b/tests/stand_ins/stand_in_store.cpp
@@ -9,7 +9,7 @@
 #include "core/log.h"
 #include "drivers/etcd_codec.h"
 
-namespace Lovageloft
+namespace Lovageloft::StandIns
 {
 
 namespace
@@ -487,4 +487,4 @@
     return {200, toText(result)};
 }
 
-} // namespace Lovageloft
+} // namespace Lovageloft::StandIns
--- a/tests/stand_ins/stand_in_store.h
+++ b/tests/stand_ins/stand_in_store.h
@@ -14,7 +14,7 @@
 #include "tests/stand_ins/json_body.h"
 #include "tests/stand_ins/stand_in_server.h"
 
-namespace Lovageloft
+namespace Lovageloft::StandIns
 {
 
 /// How a stand-in store misbehaves until told otherwise.
@@ -89,4 +89,4 @@
     StandInServer server_; // Last, so that it stops before the rest goes.
 };
 
-} // namespace Lovageloft
+} // namespace Lovageloft::StandIns
--- a/tests/stand_ins/stand_in_store_main.cpp
+++ b/tests/stand_ins/stand_in_store_main.cpp
@@ -5,6 +5,7 @@
 #include "tests/stand_ins/stand_in_store.h"
 
 using namespace Lovageloft;
+using namespace Lovageloft::StandIns;
 
 int main(int argc, char **argv)
 {
