Add the configuration log and the committer of tickets

Cause: tickets had rules but no place to last; an accepted one must be in force everywhere and never revert, while the store goes down and loses answers after writes took effect. A hosts ticket may add or remove one host, and waits until the last one is in force.

--- a/coordination/configuration.cpp
+++ b/coordination/configuration.cpp
@@ -1,400 +1,15 @@
 #include "coordination/configuration.h"
 
 #include <algorithm>
-#include <cmath>
-#include <initializer_list>
-#include <sstream>
-
-#include <Poco/Dynamic/Var.h>
-#include <Poco/Exception.h>
-#include <Poco/JSON/Array.h>
-#include <Poco/JSON/Object.h>
-#include <Poco/JSON/Parser.h>
+#include <iterator>
+#include <set>
 
+#include "coordination/configuration_json.h"
 #include "core/digest.h"
 
 namespace Lovageloft
 {
 
-namespace
-{
-
-using JsonObject = Poco::JSON::Object::Ptr;
-using JsonArray = Poco::JSON::Array::Ptr;
-
-constexpr double greatestRate = 1e12;
-constexpr std::size_t greatestName = 128;
-
-/// Raised inside this file by the readers below and turned into a Reason at its edge.
-struct FieldError
-{
-    std::string text;
-};
-
-[[noreturn]] void failField(std::string_view field, std::string_view what)
-{
-    throw FieldError{std::string(field) + ": " + std::string(what)};
-}
-
-void allowOnly(const JsonObject &object, std::initializer_list<std::string_view> fields)
-{
-    for (const auto &[name, value] : *object) {
-        if (std::find(fields.begin(), fields.end(), name) == fields.end()) {
-            failField(name, "unknown field");
-        }
-    }
-}
-
-std::string readText(const JsonObject &object, const std::string &field, bool isRequired = true)
-{
-    const Poco::Dynamic::Var value = object->get(field);
-    if (value.isEmpty() && !isRequired) {
-        return {};
-    }
-    if (!value.isString()) {
-        failField(field, "must be a text");
-    }
-    std::string text = value.extract<std::string>();
-    if (isRequired && text.empty()) {
-        failField(field, "must not be empty");
-    }
-    return text;
-}
-
-std::string readName(const JsonObject &object, const std::string &field)
-{
-    std::string name = readText(object, field);
-    const bool isPlain = std::all_of(name.begin(), name.end(), [](unsigned char character) {
-        return std::isalnum(character) != 0 || character == '-' || character == '_' || character == '.' || character == ':';
-    });
-    if (!isPlain || name.size() > greatestName) {
-        failField(field, "must be at most 128 letters, digits, '-', '_', '.' or ':'");
-    }
-    return name;
-}
-
-double readNumber(const JsonObject &object, const std::string &field, double minimum, double maximum)
-{
-    const Poco::Dynamic::Var value = object->get(field);
-    if (!value.isNumeric() || value.isBoolean()) {
-        failField(field, "must be a number");
-    }
-    const auto number = value.convert<double>();
-    if (!std::isfinite(number) || number < minimum || number > maximum) {
-        failField(field, "is out of range");
-    }
-    return number;
-}
-
-bool readFlag(const JsonObject &object, const std::string &field)
-{
-    const Poco::Dynamic::Var value = object->get(field);
-    if (value.isEmpty()) {
-        return false;
-    }
-    if (!value.isBoolean()) {
-        failField(field, "must be true or false");
-    }
-    return value.extract<bool>();
-}
-
-JsonObject objectAt(const JsonArray &array, unsigned index, std::string_view field)
-{
-    JsonObject object = array->getObject(index);
-    if (object.isNull()) {
-        failField(field, "must be a list of objects");
-    }
-    return object;
-}
-
-JsonArray readArray(const JsonObject &object, const std::string &field, bool isRequired)
-{
-    if (!object->has(field) && !isRequired) {
-        return new Poco::JSON::Array;
-    }
-    JsonArray array = object->getArray(field);
-    if (array.isNull()) {
-        failField(field, "must be a list");
-    }
-    return array;
-}
-
-template <typename T>
-std::vector<T> readList(const JsonObject &object, const std::string &field, T (*read)(const JsonObject &), bool isRequired = false)
-{
-    const JsonArray array = readArray(object, field, isRequired);
-    std::vector<T> items;
-    for (unsigned i = 0; i < array->size(); ++i) {
-        items.push_back(read(objectAt(array, i, field)));
-    }
-    return items;
-}
-
-KeyDigest readKey(const JsonObject &object)
-{
-    allowOnly(object, {"id", "salt", "digest"});
-    KeyDigest key{readName(object, "id"), readText(object, "salt"), readText(object, "digest")};
-    if (key.salt.size() < 16) {
-        failField("salt", "must have at least 16 digits");
-    }
-    if (key.digest.size() != 64) {
-        failField("digest", "must have 64 digits");
-    }
-    return key;
-}
-
-TeamConfiguration readTeam(const JsonObject &object)
-{
-    allowOnly(object, {"kind", "name", "rate", "burst", "keys"});
-    TeamConfiguration team;
-    team.name = readName(object, "name");
-    team.rate = readNumber(object, "rate", 0, greatestRate);
-    team.burst = readNumber(object, "burst", 0, greatestRate);
-    team.keys = readList<KeyDigest>(object, "keys", &readKey, true);
-    return team;
-}
-
-NonIdempotentRoute readRoute(const JsonObject &object)
-{
-    allowOnly(object, {"method", "path_prefix"});
-    NonIdempotentRoute route{readText(object, "method"), readText(object, "path_prefix")};
-    if (route.pathPrefix.front() != '/') {
-        failField("path_prefix", "must begin with /");
-    }
-    return route;
-}
-
-TargetConfiguration readTarget(const JsonObject &object)
-{
-    allowOnly(object, {"kind", "name", "type", "service", "address", "data_centre", "model", "checks_fencing", "state", "non_idempotent"});
-    TargetConfiguration target;
-    target.name = readName(object, "name");
-    const std::string type = readText(object, "type");
-    if (type != "engine" && type != "service") {
-        failField("type", "must be engine or service");
-    }
-    target.kind = type == "engine" ? TargetKind::Engine : TargetKind::Service;
-    target.address = readText(object, "address");
-    target.dataCentre = readText(object, "data_centre", false);
-    target.checksFencing = readFlag(object, "checks_fencing");
-    const std::string state = readText(object, "state", false);
-    if (!state.empty() && state != "serving" && state != "leaving") {
-        failField("state", "must be serving or leaving");
-    }
-    target.state = state == "leaving" ? TargetState::Leaving : TargetState::Serving;
-    if (target.kind == TargetKind::Engine) {
-        target.model = readName(object, "model");
-    } else {
-        target.service = readName(object, "service");
-    }
-    target.nonIdempotent = readList<NonIdempotentRoute>(object, "non_idempotent", &readRoute);
-    return target;
-}
-
-ModelConfiguration readModel(const JsonObject &object)
-{
-    allowOnly(object, {"kind", "name", "weights_version"});
-    return {readName(object, "name"), readName(object, "weights_version")};
-}
-
-HostEntry readHost(const JsonObject &object)
-{
-    allowOnly(object, {"name", "peer_address", "data_centre"});
-    return {readName(object, "name"), readText(object, "peer_address"), readText(object, "data_centre", false)};
-}
-
-HostsConfiguration readHosts(const JsonObject &object)
-{
-    allowOnly(object, {"kind", "hosts"});
-    return {readList<HostEntry>(object, "hosts", &readHost, true)};
-}
-
-RemovedObject readRemoved(const JsonObject &object)
-{
-    allowOnly(object, {"kind", "removes", "name"});
-    RemovedObject removed{readText(object, "removes"), readName(object, "name")};
-    if (removed.kind != "team" && removed.kind != "target" && removed.kind != "model") {
-        failField("removes", "must be team, target or model");
-    }
-    return removed;
-}
-
-ConfigurationObject readObject(const JsonObject &object)
-{
-    const std::string kind = readText(object, "kind");
-    if (kind == "team") {
-        return readTeam(object);
-    }
-    if (kind == "target") {
-        return readTarget(object);
-    }
-    if (kind == "model") {
-        return readModel(object);
-    }
-    if (kind == "hosts") {
-        return readHosts(object);
-    }
-    if (kind == "removed") {
-        return readRemoved(object);
-    }
-    failField("kind", "must be team, target, model, hosts or removed");
-}
-
-JsonObject orderedObject()
-{
-    return new Poco::JSON::Object(Poco::JSON_PRESERVE_KEY_ORDER);
-}
-
-JsonObject writeObject(const KeyDigest &key)
-{
-    JsonObject object = orderedObject();
-    object->set("id", key.id);
-    object->set("salt", key.salt);
-    object->set("digest", key.digest);
-    return object;
-}
-
-JsonObject writeObject(const NonIdempotentRoute &route)
-{
-    JsonObject object = orderedObject();
-    object->set("method", route.method);
-    object->set("path_prefix", route.pathPrefix);
-    return object;
-}
-
-JsonObject writeObject(const HostEntry &host)
-{
-    JsonObject object = orderedObject();
-    object->set("name", host.name);
-    object->set("peer_address", host.peerAddress);
-    object->set("data_centre", host.dataCentre);
-    return object;
-}
-
-template <typename T>
-JsonArray writeList(const std::vector<T> &items)
-{
-    JsonArray array = new Poco::JSON::Array;
-    for (const T &item : items) {
-        array->add(writeObject(item));
-    }
-    return array;
-}
-
-JsonObject writeObject(const TeamConfiguration &team)
-{
-    JsonObject object = orderedObject();
-    object->set("kind", "team");
-    object->set("name", team.name);
-    object->set("rate", team.rate);
-    object->set("burst", team.burst);
-    object->set("keys", writeList(team.keys));
-    return object;
-}
-
-JsonObject writeObject(const TargetConfiguration &target)
-{
-    const bool isEngine = target.kind == TargetKind::Engine;
-    JsonObject object = orderedObject();
-    object->set("kind", "target");
-    object->set("name", target.name);
-    object->set("type", isEngine ? "engine" : "service");
-    object->set(isEngine ? "model" : "service", isEngine ? target.model : target.service);
-    object->set("address", target.address);
-    object->set("data_centre", target.dataCentre);
-    object->set("checks_fencing", target.checksFencing);
-    object->set("state", target.state == TargetState::Leaving ? "leaving" : "serving");
-    object->set("non_idempotent", writeList(target.nonIdempotent));
-    return object;
-}
-
-JsonObject writeObject(const ModelConfiguration &model)
-{
-    JsonObject object = orderedObject();
-    object->set("kind", "model");
-    object->set("name", model.name);
-    object->set("weights_version", model.weightsVersion);
-    return object;
-}
-
-JsonObject writeObject(const HostsConfiguration &hosts)
-{
-    JsonObject object = orderedObject();
-    object->set("kind", "hosts");
-    object->set("hosts", writeList(hosts.hosts));
-    return object;
-}
-
-JsonObject writeObject(const RemovedObject &removed)
-{
-    JsonObject object = orderedObject();
-    object->set("kind", "removed");
-    object->set("removes", removed.kind);
-    object->set("name", removed.name);
-    return object;
-}
-
-std::string toText(const JsonObject &object)
-{
-    std::ostringstream out;
-    object->stringify(out);
-    return out.str();
-}
-
-JsonObject parseObject(std::string_view json)
-{
-    Poco::JSON::Parser parser;
-    const Poco::Dynamic::Var document = parser.parse(std::string(json));
-    if (document.type() != typeid(JsonObject)) {
-        throw FieldError{"must be a JSON object"};
-    }
-    return document.extract<JsonObject>();
-}
-
-Ticket readTicket(const JsonObject &object)
-{
-    allowOnly(object, {"ticket", "operator", "objects"});
-    Ticket ticket;
-    const Poco::Dynamic::Var number = object->get("ticket");
-    if (!number.isInteger() || number.isBoolean()) {
-        failField("ticket", "must be a whole number");
-    }
-    ticket.number = number.convert<std::int64_t>();
-    if (ticket.number < 1) {
-        failField("ticket", "must be 1 or more");
-    }
-    ticket.operatorName = readName(object, "operator");
-    ticket.objects = readList<ConfigurationObject>(object, "objects", &readObject, true);
-    if (ticket.objects.empty()) {
-        failField("objects", "must not be empty");
-    }
-    std::vector<std::string> ids;
-    for (const ConfigurationObject &item : ticket.objects) {
-        ids.push_back(objectId(item));
-    }
-    std::sort(ids.begin(), ids.end());
-    if (std::adjacent_find(ids.begin(), ids.end()) != ids.end()) {
-        failField("objects", "names an object twice");
-    }
-    return ticket;
-}
-
-/// Runs a reader and turns what it raises into the last reason.
-template <typename Read>
-auto readWithReason(Read read, Reason &reason) -> std::optional<decltype(read())>
-{
-    try {
-        return read();
-    } catch (const FieldError &error) {
-        reason = {ResultCode::TicketInvalid, error.text};
-    } catch (const Poco::Exception &error) {
-        reason = {ResultCode::TicketInvalid, "not valid JSON"};
-    }
-    return std::nullopt;
-}
-
-} // namespace
-
 std::string objectId(const ConfigurationObject &object)
 {
     struct Visitor
@@ -428,24 +43,43 @@
     return std::visit(Visitor{}, object);
 }
 
-std::optional<Ticket> parseTicket(std::string_view json, Reason &reason)
+namespace
+{
+
+std::set<std::string_view> namesOf(const std::vector<HostEntry> &hosts)
 {
-    return readWithReason([json] { return readTicket(parseObject(json)); }, reason);
+    std::set<std::string_view> names;
+    for (const HostEntry &host : hosts) {
+        names.insert(host.name);
+    }
+    return names;
 }
 
-std::string formatTicket(const Ticket &ticket)
+/// Whether the list of hosts may follow on the other. What goes wrong when two hosts change at once: a majority of the old list
+/// and one of the new need not share a host, so a cut-off host finds enough others that know as little as it does. An operator
+/// notices a withdrawn key that still works there. With one change an entry any two such majorities share a host.
+bool mayFollow(const std::vector<HostEntry> &before, const std::vector<HostEntry> &after, Reason &reason)
 {
-    JsonArray objects = new Poco::JSON::Array;
-    for (const ConfigurationObject &object : ticket.objects) {
-        objects->add(std::visit([](const auto &item) { return writeObject(item); }, object));
+    const auto former = namesOf(before);
+    const auto next = namesOf(after);
+    if (next.size() != after.size()) {
+        reason = {ResultCode::TicketInvalid, "hosts: names a host twice"};
+        return false;
+    }
+    if (former.empty()) {
+        return true;
     }
-    JsonObject document = orderedObject();
-    document->set("ticket", ticket.number);
-    document->set("operator", ticket.operatorName);
-    document->set("objects", objects);
-    return toText(document);
+    std::vector<std::string_view> changed;
+    std::set_symmetric_difference(former.begin(), former.end(), next.begin(), next.end(), std::back_inserter(changed));
+    if (next.empty() || changed.size() > 1) {
+        reason = {ResultCode::TicketInvalid, "hosts: one ticket may add or remove one host, and must leave one"};
+        return false;
+    }
+    return true;
 }
 
+} // namespace
+
 bool ConfigurationState::apply(const Ticket &ticket, Reason &reason)
 {
     const std::string digest = sha256Hex(formatTicket(ticket));
@@ -470,6 +104,12 @@
         reason = {ResultCode::TicketAlreadyAccepted, "this ticket was accepted before"};
         return false;
     }
+    for (const ConfigurationObject &object : ticket.objects) {
+        const auto *hosts = std::get_if<HostsConfiguration>(&object);
+        if (hosts != nullptr && !mayFollow(hosts_, hosts->hosts, reason)) {
+            return false;
+        }
+    }
     for (const ConfigurationObject &object : ticket.objects) {
         std::visit([this](const auto &item) { put(item); }, object);
         lastTickets_[objectId(object)] = {ticket.number, digest};
@@ -503,6 +143,27 @@
     return last == lastTickets_.end() ? 0 : last->second.number;
 }
 
+std::string ConfigurationState::objectDigest(std::string_view objectId) const
+{
+    const std::size_t slash = objectId.find('/');
+    const std::string_view kind = objectId.substr(0, slash);
+    const std::string_view name = slash == std::string_view::npos ? std::string_view() : objectId.substr(slash + 1);
+    const auto digestIn = [name](const auto &items) {
+        const auto item = items.find(name);
+        return item == items.end() ? std::string() : sha256Hex(formatObject(item->second));
+    };
+    if (kind == "team") {
+        return digestIn(teams_);
+    }
+    if (kind == "target") {
+        return digestIn(targets_);
+    }
+    if (kind == "model") {
+        return digestIn(models_);
+    }
+    return hosts_.empty() ? std::string() : sha256Hex(formatObject(HostsConfiguration{hosts_}));
+}
+
 void ConfigurationState::put(const TeamConfiguration &team)
 {
     teams_.insert_or_assign(team.name, team);
@@ -536,47 +197,36 @@
 
 std::string ConfigurationState::toJson() const
 {
-    JsonArray objects = new Poco::JSON::Array;
-    const auto writeAll = [&objects](const auto &items) {
+    ConfigurationDocument document;
+    const auto addAll = [&document](const auto &items) {
         for (const auto &[name, item] : items) {
-            objects->add(writeObject(item));
+            document.objects.emplace_back(item);
         }
     };
-    writeAll(teams_);
-    writeAll(targets_);
-    writeAll(models_);
-    objects->add(writeObject(HostsConfiguration{hosts_}));
-    JsonArray tickets = new Poco::JSON::Array;
+    addAll(teams_);
+    addAll(targets_);
+    addAll(models_);
+    document.objects.emplace_back(HostsConfiguration{hosts_});
     for (const auto &[id, last] : lastTickets_) {
-        JsonObject ticket = orderedObject();
-        ticket->set("object", id);
-        ticket->set("ticket", last.number);
-        ticket->set("digest", last.digest);
-        tickets->add(ticket);
+        document.tickets.push_back({id, last.number, last.digest});
     }
-    JsonObject document = orderedObject();
-    document->set("objects", objects);
-    document->set("tickets", tickets);
-    return toText(document);
+    return formatConfigurationDocument(document);
 }
 
 std::optional<ConfigurationState> parseConfigurationState(std::string_view json, Reason &reason)
 {
-    const auto read = [json] {
-        const JsonObject document = parseObject(json);
-        allowOnly(document, {"objects", "tickets"});
-        ConfigurationState state;
-        for (const ConfigurationObject &object : readList<ConfigurationObject>(document, "objects", &readObject, true)) {
-            std::visit([&state](const auto &item) { state.put(item); }, object);
-        }
-        const JsonArray tickets = readArray(document, "tickets", true);
-        for (unsigned i = 0; i < tickets->size(); ++i) {
-            const JsonObject ticket = objectAt(tickets, i, "tickets");
-            state.lastTickets_[readText(ticket, "object")] = {ticket->getValue<std::int64_t>("ticket"), readText(ticket, "digest")};
-        }
-        return state;
-    };
-    return readWithReason(read, reason);
+    const auto document = parseConfigurationDocument(json, reason);
+    if (!document.has_value()) {
+        return std::nullopt;
+    }
+    ConfigurationState state;
+    for (const ConfigurationObject &object : document->objects) {
+        std::visit([&state](const auto &item) { state.put(item); }, object);
+    }
+    for (const LastTicket &last : document->tickets) {
+        state.lastTickets_[last.object] = {last.number, last.digest};
+    }
+    return state;
 }
 
 bool matchesKey(const KeyDigest &digest, std::string_view key)
--- a/coordination/configuration.h
+++ b/coordination/configuration.h
@@ -137,7 +137,7 @@
 public:
     /// Applies a ticket whole or not at all. TicketStale if its number is not above that of every object it
     /// touches, TicketAlreadyAccepted if this very ticket was the last on all of them, TicketConflict if its
-    /// number stands on one of them with other content.
+    /// number stands on one of them with other content, TicketInvalid if it changes a list of hosts by more than one.
     bool apply(const Ticket &ticket, Reason &reason);
 
     const std::map<std::string, TeamConfiguration, std::less<>> &teams() const;
@@ -148,6 +148,9 @@
     /// The number of the last ticket that touched an object, 0 if none did.
     std::int64_t lastTicket(std::string_view objectId) const;
 
+    /// sha256Hex of an object's JSON text, empty if there is no such object. For the audit trail.
+    std::string objectDigest(std::string_view objectId) const;
+
     /// The whole state as JSON, for the snapshot key; parseConfigurationState reads it back.
     std::string toJson() const;
 
--- /dev/null
+++ b/tests/coordination/faulty_store.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coordination/memory_store.h"
+#include "core/random.h"
+
+namespace Lovageloft
+{
+
+/// A store in memory that fails as the platform's does: it is down, loses answers before or after a write took effect, and lets
+/// a write whose answer was lost arrive much later. Calls happen one after another, so that a seed repeats a run.
+class FaultyStore : public Store
+{
+public:
+    enum class Fault : std::uint8_t
+    {
+        None,
+        Down, ///< The call fails at once and nothing is written.
+        LostAfterWrite,
+        LostBeforeWrite,
+        ArrivesLater, ///< The answer is lost, and the write is carried out before some later call.
+    };
+
+    using ChooseFault = std::function<Fault()>;
+
+    FaultyStore()
+        : memory_([this] { return now_; })
+    {
+    }
+
+    void setFaults(ChooseFault chooseFault)
+    {
+        chooseFault_ = std::move(chooseFault);
+    }
+
+    /// Runs before each write, for another operator who comes in between.
+    void setBeforeWrite(std::function<void()> beforeWrite)
+    {
+        beforeWrite_ = std::move(beforeWrite);
+    }
+
+    /// Carries out the writes that are still on their way.
+    void deliverLateWrites()
+    {
+        for (const LateWrite &write : std::exchange(late_, {})) {
+            memory_.compareAndSwap(write.key, write.expectedRevision, write.value, 0);
+        }
+    }
+
+    std::size_t reads() const
+    {
+        return reads_;
+    }
+
+    StoreReply get(std::string_view key) override
+    {
+        ++reads_;
+        const Fault fault = nextFault();
+        return fault == Fault::None ? memory_.get(key) : StoreReply{failure(fault), {}};
+    }
+
+    StoreListReply list(std::string_view prefix) override
+    {
+        ++reads_;
+        const Fault fault = nextFault();
+        return fault == Fault::None ? memory_.list(prefix) : StoreListReply{failure(fault), {}, 0};
+    }
+
+    StoreReply compareAndSwap(std::string_view key, std::int64_t expectedRevision, std::string_view value, std::int64_t leaseId) override
+    {
+        if (beforeWrite_) {
+            beforeWrite_();
+        }
+        const Fault fault = nextFault();
+        if (fault == Fault::None) {
+            return memory_.compareAndSwap(key, expectedRevision, value, leaseId);
+        }
+        if (fault == Fault::LostAfterWrite) {
+            memory_.compareAndSwap(key, expectedRevision, value, leaseId);
+        }
+        if (fault == Fault::ArrivesLater) {
+            late_.push_back({std::string(key), expectedRevision, std::string(value)});
+        }
+        return {failure(fault), {}};
+    }
+
+    StoreReply compareAndDelete(std::string_view key, std::int64_t expectedRevision) override
+    {
+        return memory_.compareAndDelete(key, expectedRevision);
+    }
+
+    StoreListReply watch(std::string_view prefix, std::int64_t afterRevision, Duration timeout) override
+    {
+        return memory_.watch(prefix, afterRevision, timeout);
+    }
+
+    StoreLeaseReply grantLease(Duration timeToLive) override
+    {
+        return memory_.grantLease(timeToLive);
+    }
+
+    StoreLeaseReply keepAlive(std::int64_t leaseId) override
+    {
+        return memory_.keepAlive(leaseId);
+    }
+
+    StoreLeaseReply revokeLease(std::int64_t leaseId) override
+    {
+        return memory_.revokeLease(leaseId);
+    }
+
+private:
+    struct LateWrite
+    {
+        std::string key;
+        std::int64_t expectedRevision = 0;
+        std::string value;
+    };
+
+    static StoreStatus failure(Fault fault)
+    {
+        return fault == Fault::Down ? StoreStatus::Unavailable : StoreStatus::AnswerLost;
+    }
+
+    Fault nextFault()
+    {
+        return chooseFault_ ? chooseFault_() : Fault::None;
+    }
+
+    TimePoint now_;
+    MemoryStore memory_;
+    ChooseFault chooseFault_;
+    std::function<void()> beforeWrite_;
+    std::vector<LateWrite> late_;
+    std::size_t reads_ = 0;
+};
+
+} // namespace Lovageloft
--- /dev/null
+++ b/tests/coordination/test_ticket_committer.cpp
@@ -0,0 +1,305 @@
+#include <algorithm>
+#include <deque>
+#include <map>
+
+#include <boost/test/unit_test.hpp>
+
+#include "coordination/ticket_committer.h"
+#include "faulty_store.h"
+
+using namespace Lovageloft;
+
+namespace
+{
+
+using Fault = FaultyStore::Fault;
+
+Ticket teamTicket(std::int64_t number, std::string_view name, double rate)
+{
+    Ticket ticket{number, "nino", {}};
+    ticket.objects.emplace_back(TeamConfiguration{std::string(name), rate, 100, {}});
+    return ticket;
+}
+
+HostsConfiguration hostsNamed(const std::vector<std::string> &names)
+{
+    HostsConfiguration hosts;
+    for (const std::string &name : names) {
+        hosts.hosts.push_back({name, "127.0.0.1:1", "dc1"});
+    }
+    return hosts;
+}
+
+/// One host that commits: its replica and its committer.
+struct Committing
+{
+    explicit Committing(Store &store, TicketCommitter::IsInForce isInForce = {})
+        : logStore(store, "t/")
+        , committer(logStore, log, std::move(isInForce))
+    {
+    }
+
+    ResultCode commit(const Ticket &ticket, const std::string &nonce)
+    {
+        Reason reason;
+        const auto entry = committer.commit(ticket, 1, nonce, reason);
+        return entry.has_value() ? ResultCode::Ok : reason.code;
+    }
+
+    ConfigurationLogStore logStore;
+    ConfigurationLog log;
+    TicketCommitter committer;
+};
+
+/// Faults in the order given, and none after them. The first call of a commit is a read.
+FaultyStore::ChooseFault inOrder(std::deque<Fault> faults)
+{
+    return [faults]() mutable {
+        if (faults.empty()) {
+            return Fault::None;
+        }
+        const Fault fault = faults.front();
+        faults.pop_front();
+        return fault;
+    };
+}
+
+std::int64_t entriesIn(FaultyStore &store)
+{
+    store.setFaults({});
+    store.deliverLateWrites();
+    return static_cast<std::int64_t>(store.list("t/config/log/").entries.size());
+}
+
+/// Many operators and hosts on one failing store, all drawn from a seed.
+class Race
+{
+public:
+    explicit Race(unsigned seed)
+        : random_(seed)
+    {
+        for (int i = 0; i < 3; ++i) {
+            hosts_.emplace_back(store_);
+        }
+        store_.setFaults([this] { return drawFault(); });
+        store_.setBeforeWrite([this] { mayInterrupt(); });
+    }
+
+    void run()
+    {
+        for (int i = 0; i < 10; ++i) {
+            commitOne();
+        }
+        store_.setFaults({});
+        store_.setBeforeWrite({});
+        store_.deliverLateWrites();
+        check();
+    }
+
+private:
+    struct Outcome
+    {
+        Ticket ticket;
+        ResultCode code;
+    };
+
+    Fault drawFault()
+    {
+        if (randomBelow(random_, 8) == 0) {
+            store_.deliverLateWrites();
+        }
+        constexpr Fault faults[] = {Fault::Down, Fault::LostAfterWrite, Fault::LostBeforeWrite, Fault::ArrivesLater};
+        return randomBelow(random_, 3) == 0 ? faults[randomBelow(random_, 4)] : Fault::None;
+    }
+
+    void mayInterrupt()
+    {
+        if (depth_ < 2 && randomBelow(random_, 3) == 0) {
+            commitOne();
+        }
+    }
+
+    void commitOne()
+    {
+        ++depth_;
+        // Each host commits with its own replica; an interrupting operator works at another host than the interrupted ones.
+        Committing &host = hosts_[static_cast<std::size_t>(depth_ - 1)];
+        const Ticket ticket = teamTicket(1 + static_cast<std::int64_t>(randomBelow(random_, 6)), "desk", static_cast<double>(randomBelow(random_, 2)));
+        const std::string nonce = "n" + std::to_string(++nonces_);
+        const ResultCode code = host.commit(ticket, nonce);
+        outcomes_[nonce] = {ticket, code};
+        --depth_;
+    }
+
+    void check()
+    {
+        ConfigurationLog replayed;
+        ConfigurationLogStore logStore(store_, "t/");
+        BOOST_REQUIRE((logStore.catchUp(replayed) == StoreStatus::Ok));
+        const auto entries = logStore.readRange({1, replayed.version()});
+        std::map<std::string, std::int64_t> sequenceOf;
+        ConfigurationState state;
+        Reason reason;
+        for (const LogEntry &entry : *entries) {
+            sequenceOf[entry.nonce] = entry.sequence;
+            BOOST_REQUIRE_MESSAGE(state.apply(entry.ticket, reason), "an entry that is not valid at its place was committed");
+        }
+        for (const auto &[nonce, outcome] : outcomes_) {
+            const bool isInLog = sequenceOf.contains(nonce);
+            BOOST_REQUIRE_MESSAGE(outcome.code != ResultCode::Ok || isInLog, "an accepted ticket is gone");
+            BOOST_REQUIRE_MESSAGE(outcome.code == ResultCode::Ok || outcome.code == ResultCode::StoreAnswerLost || !isInLog, "a refused ticket took effect");
+            const Ticket &ticket = outcome.ticket;
+            const bool isKnown = std::any_of(entries->begin(), entries->end(), [&ticket](const LogEntry &entry) { return entry.ticket == ticket; });
+            BOOST_REQUIRE_MESSAGE(outcome.code != ResultCode::TicketAlreadyAccepted || isKnown, "a ticket was called accepted and is not there");
+        }
+        for (Committing &host : hosts_) {
+            BOOST_REQUIRE((host.logStore.catchUp(host.log) == StoreStatus::Ok));
+            BOOST_REQUIRE_EQUAL(host.log.state().toJson(), state.toJson());
+        }
+    }
+
+    Random random_;
+    FaultyStore store_;
+    std::deque<Committing> hosts_;
+    std::map<std::string, Outcome> outcomes_;
+    int depth_ = 0;
+    int nonces_ = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TicketCommitterTest)
+
+BOOST_AUTO_TEST_CASE(theLoserOfARaceTriesOnBehindTheWinner)
+{
+    FaultyStore store;
+    Committing slow(store);
+    Committing quick(store);
+    bool isFirst = true;
+    store.setBeforeWrite([&] {
+        if (std::exchange(isFirst, false)) {
+            BOOST_TEST((quick.commit(teamTicket(1, "press", 1), "q") == ResultCode::Ok));
+        }
+    });
+    BOOST_TEST((slow.commit(teamTicket(1, "desk", 1), "s") == ResultCode::Ok));
+    BOOST_TEST(slow.log.version() == 2);
+    BOOST_TEST(slow.log.state().teams().size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(aTicketThatTheWinnerMadeStaleIsRefused)
+{
+    // Two operators change one team at the same moment, and the lower number reaches the store last. Without a new check against
+    // the winner the team's older rate would come back.
+    FaultyStore store;
+    Committing slow(store);
+    Committing quick(store);
+    bool isFirst = true;
+    store.setBeforeWrite([&] {
+        if (std::exchange(isFirst, false)) {
+            BOOST_TEST((quick.commit(teamTicket(6, "desk", 60), "q") == ResultCode::Ok));
+        }
+    });
+    BOOST_TEST((slow.commit(teamTicket(5, "desk", 50), "s") == ResultCode::TicketStale));
+    BOOST_TEST(entriesIn(store) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(anEndlessRaceIsToldSo)
+{
+    FaultyStore store;
+    Committing slow(store);
+    Committing quick(store);
+    std::int64_t number = 0;
+    bool isNested = false;
+    store.setBeforeWrite([&] {
+        if (!std::exchange(isNested, true)) {
+            ++number;
+            quick.commit(teamTicket(number, "press", 1), "q" + std::to_string(number));
+            isNested = false;
+        }
+    });
+    BOOST_TEST((slow.commit(teamTicket(1, "desk", 1), "s") == ResultCode::TicketRaced));
+    BOOST_TEST(entriesIn(store) == 8);
+}
+
+BOOST_AUTO_TEST_CASE(aLostAnswerIsSettledByReadingBack)
+{
+    // The store commits a ticket and its answer is lost, or the write is lost, or it is still on its way. The operator would be told
+    // that a ticket failed which is in force, or find it committed twice.
+    struct Case
+    {
+        std::deque<Fault> faults;
+        ResultCode first;
+        ResultCode again; ///< The same ticket once more, with a sound store.
+    };
+
+    const std::vector<Case> cases{
+        {{Fault::None, Fault::LostAfterWrite}, ResultCode::Ok, ResultCode::TicketAlreadyAccepted},
+        {{Fault::None, Fault::LostBeforeWrite}, ResultCode::Ok, ResultCode::TicketAlreadyAccepted},
+        {{Fault::None, Fault::ArrivesLater}, ResultCode::Ok, ResultCode::TicketAlreadyAccepted},
+        {{Fault::None, Fault::LostAfterWrite, Fault::Down}, ResultCode::StoreAnswerLost, ResultCode::TicketAlreadyAccepted},
+        {{Fault::None, Fault::LostBeforeWrite, Fault::Down}, ResultCode::StoreAnswerLost, ResultCode::Ok},
+        {{Fault::None, Fault::ArrivesLater, Fault::None, Fault::Down}, ResultCode::StoreAnswerLost, ResultCode::Ok},
+        {{Fault::None, Fault::Down}, ResultCode::StoreUnavailable, ResultCode::Ok},
+        {{Fault::Down}, ResultCode::StoreUnavailable, ResultCode::Ok},
+    };
+    for (const Case &row : cases) {
+        FaultyStore store;
+        Committing host(store);
+        host.commit(teamTicket(1, "press", 1), "earlier");
+        store.setFaults(inOrder(row.faults));
+        BOOST_TEST((host.commit(teamTicket(5, "desk", 50), "first") == row.first));
+        store.setFaults({});
+        BOOST_TEST((host.commit(teamTicket(5, "desk", 50), "again") == row.again));
+        BOOST_TEST(entriesIn(store) == 2);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aRepeatedTicketIsAcceptedEvenBehindALaterOne)
+{
+    // The answer to ticket 5 is lost, another operator commits ticket 6, and the first one sends 5 again. "Stale" would tell
+    // him that 5 never took effect.
+    FaultyStore store;
+    Committing host(store);
+    BOOST_TEST((host.commit(teamTicket(5, "desk", 50), "a") == ResultCode::Ok));
+    BOOST_TEST((host.commit(teamTicket(6, "desk", 60), "b") == ResultCode::Ok));
+    BOOST_TEST((host.commit(teamTicket(5, "desk", 50), "c") == ResultCode::TicketAlreadyAccepted));
+    BOOST_TEST((host.commit(teamTicket(5, "desk", 51), "d") == ResultCode::TicketStale));
+}
+
+BOOST_AUTO_TEST_CASE(aSecondChangeOfHostsWaitsForTheFirst)
+{
+    // Two operators each add a host within a second. A host that has heard of neither counts a majority of a list two changes old,
+    // which need not share a host with the new majority.
+    FaultyStore store;
+    std::int64_t inForce = 0;
+    Committing host(store, [&](std::int64_t sequence) { return sequence <= inForce; });
+    BOOST_TEST((host.commit({1, "nino", {hostsNamed({"a", "b", "c"})}}, "1") == ResultCode::Ok));
+    BOOST_TEST((host.commit({2, "nino", {hostsNamed({"a", "b", "c", "d"})}}, "2") == ResultCode::TicketRaced));
+    BOOST_TEST((host.commit(teamTicket(2, "desk", 1), "3") == ResultCode::Ok));
+    inForce = 1;
+    BOOST_TEST((host.commit({2, "nino", {hostsNamed({"a", "b", "c", "d"})}}, "4") == ResultCode::Ok));
+}
+
+BOOST_AUTO_TEST_CASE(aQuietReplicaCostsOneReadAConfirmation)
+{
+    FaultyStore store;
+    Committing host(store);
+    host.commit(teamTicket(1, "desk", 1), "a");
+    const std::size_t before = store.reads();
+    BOOST_TEST((host.logStore.catchUp(host.log) == StoreStatus::Ok));
+    BOOST_TEST(store.reads() - before == 1);
+}
+
+BOOST_AUTO_TEST_CASE(acceptedTicketsNeverRevertWhateverTheStoreLoses)
+{
+    // Operators at several hosts race while the store goes down, loses answers and lets writes arrive late. A ticket that was
+    // reported accepted must be in the log for good, one that was refused must not, and all hosts must agree.
+    for (unsigned seed = 0; seed < 4'000; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            Race(seed).run();
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
