--- /dev/null
+++ b/coordination/freshness_gate.cpp
@@ -0,0 +1,142 @@
+#include "coordination/freshness_gate.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Lovageloft
+{
+
+FreshnessGate::FreshnessGate(std::string self, Duration window, TimePoint startedAt)
+    : self_(std::move(self))
+    , window_(window)
+    , startedAt_(startedAt)
+{
+}
+
+void FreshnessGate::setHosts(HostLists lists)
+{
+    lists_ = std::move(lists);
+    std::erase_if(peers_, [this](const auto &peer) {
+        return std::find(lists_.current.begin(), lists_.current.end(), peer.first) == lists_.current.end()
+            && std::find(lists_.previous.begin(), lists_.previous.end(), peer.first) == lists_.previous.end();
+    });
+    update();
+}
+
+void FreshnessGate::setVersionHeld(std::int64_t version)
+{
+    versionHeld_ = std::max(versionHeld_, version);
+    update();
+}
+
+void FreshnessGate::onStoreConfirmed(std::int64_t version, TimePoint sentAt)
+{
+    if (confirmation_.has_value() && sentAt <= confirmation_->sentAt) {
+        return;
+    }
+    confirmation_ = Confirmation{version, sentAt};
+    update();
+}
+
+void FreshnessGate::onPeerVouch(const PeerVouch &vouch, TimePoint askedAt)
+{
+    record(vouch, askedAt);
+    update();
+}
+
+void FreshnessGate::onPeerVouches(std::span<const TimedVouch> vouches)
+{
+    for (const TimedVouch &timed : vouches) {
+        record(timed.vouch, timed.askedAt);
+    }
+    update();
+}
+
+void FreshnessGate::record(const PeerVouch &vouch, TimePoint askedAt)
+{
+    if (vouch.host == self_ || askedAt < startedAt_) {
+        return;
+    }
+    const auto [position, isNew] = peers_.try_emplace(vouch.host);
+    PeerRow &row = position->second;
+    if (!isNew) {
+        const bool isFormerSelf = vouch.incarnation != 0 && vouch.incarnation < row.incarnation;
+        if (isFormerSelf || askedAt <= row.askedAt) {
+            return;
+        }
+    }
+    row = {std::max(row.incarnation, vouch.incarnation), vouch.versionHeld, vouch.isCaughtUp, askedAt};
+}
+
+/// Works out the end of freshness from what is known now. Done at each change instead of at each request: requests come by the
+/// thousand a second, news a few times.
+void FreshnessGate::update()
+{
+    const auto confirmed = confirmedAt();
+    const auto vouched = majorityTime(lists_, [this](const std::string &host) { return vouchedAt(host); });
+    // The same majority, but of any age since the start, has seen to it that this host knows what was in force when it asked.
+    const bool wasCaughtUp = isCaughtUp_;
+    isCaughtUp_ = isCaughtUp_ || confirmed.has_value() || vouched.has_value();
+    if (!wasCaughtUp && isCaughtUp_) {
+        update(); // Once more, with this host as one of the majority.
+        return;
+    }
+    freshUntil_.reset();
+    if (!isListed()) {
+        return;
+    }
+    std::optional<TimePoint> since = confirmed;
+    if (vouched.has_value() && (!since.has_value() || *since < *vouched)) {
+        since = vouched;
+    }
+    if (since.has_value()) {
+        freshUntil_ = *since == TimePoint::max() ? *since : *since + window_;
+    }
+}
+
+std::optional<TimePoint> FreshnessGate::vouchedAt(const std::string &host) const
+{
+    if (host == self_) {
+        return isCaughtUp_ ? std::optional(TimePoint::max()) : std::nullopt;
+    }
+    const auto row = peers_.find(host);
+    if (row == peers_.end() || !row->second.isCaughtUp || row->second.versionHeld > versionHeld_) {
+        return std::nullopt;
+    }
+    return row->second.askedAt;
+}
+
+std::optional<TimePoint> FreshnessGate::confirmedAt() const
+{
+    if (!confirmation_.has_value() || confirmation_->version > versionHeld_) {
+        return std::nullopt;
+    }
+    return confirmation_->sentAt;
+}
+
+bool FreshnessGate::isListed() const
+{
+    return lists_.current.empty() || std::find(lists_.current.begin(), lists_.current.end(), self_) != lists_.current.end();
+}
+
+bool FreshnessGate::isCaughtUp() const
+{
+    return isCaughtUp_;
+}
+
+bool FreshnessGate::isFresh(TimePoint now) const
+{
+    return freshUntil_.has_value() && now < *freshUntil_;
+}
+
+std::optional<TimePoint> FreshnessGate::freshUntil() const
+{
+    return freshUntil_;
+}
+
+std::int64_t FreshnessGate::versionHeld() const
+{
+    return versionHeld_;
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/coordination/host_lists.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/clock.h"
+
+namespace Lovageloft
+{
+
+/// The names of the hosts that make up a majority. While a change of the list is not in force yet, some hosts go by the former list
+/// and some by the new one, so that a majority of both is needed.
+struct HostLists
+{
+    std::vector<std::string> current;
+    std::vector<std::string> previous; ///< Empty once the last change is in force.
+
+    bool operator==(const HostLists &) const = default;
+};
+
+/// How many of `count` hosts are a majority: more than half.
+constexpr std::size_t majorityOf(std::size_t count)
+{
+    return count / 2 + 1;
+}
+
+/// What a host answers when it is asked what it holds.
+struct PeerVouch
+{
+    std::string host;
+    std::uint64_t incarnation = 0; ///< Higher after each restart; 0 in a vouch that was relayed.
+    std::int64_t versionHeld = 0; ///< The sequence of the last log entry that it replayed.
+    bool isCaughtUp = false; ///< False after a restart until it has caught up from the store or a majority.
+};
+
+/// The latest time since which a majority of every list is covered, given the time of each host or nothing for a host that
+/// does not count. Nothing if a list has no such majority, or if there is no list.
+inline std::optional<TimePoint> majorityTime(const HostLists &lists, const std::function<std::optional<TimePoint>(const std::string &)> &timeOf)
+{
+    if (lists.current.empty()) {
+        return std::nullopt;
+    }
+    TimePoint earliest = TimePoint::max();
+    for (const std::vector<std::string> *list : {&lists.current, &lists.previous}) {
+        if (list->empty()) {
+            continue;
+        }
+        std::vector<TimePoint> times;
+        for (const std::string &host : *list) {
+            if (const auto time = timeOf(host)) {
+                times.push_back(*time);
+            }
+        }
+        const std::size_t needed = majorityOf(list->size());
+        if (times.size() < needed) {
+            return std::nullopt;
+        }
+        std::sort(times.begin(), times.end(), std::greater<>());
+        earliest = std::min(earliest, times[needed - 1]);
+    }
+    return earliest;
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/tests/coordination/test_freshness_gate.cpp
@@ -0,0 +1,144 @@
+#include <limits>
+
+#include <boost/test/unit_test.hpp>
+
+#include "coordination/freshness_gate.h"
+
+using namespace Lovageloft;
+
+namespace
+{
+
+constexpr Duration window = std::chrono::seconds(3);
+
+TimePoint at(double seconds)
+{
+    return TimePoint(fromSeconds(100 + seconds));
+}
+
+/// A gate of host a among a, b and c that holds entry 5 and was started long ago.
+FreshnessGate makeGate(HostLists lists = {{"a", "b", "c"}, {}})
+{
+    FreshnessGate gate("a", window, at(-50));
+    gate.setHosts(std::move(lists));
+    gate.setVersionHeld(5);
+    return gate;
+}
+
+PeerVouch vouch(std::string_view host, std::int64_t version = 5, bool isCaughtUp = true, std::uint64_t incarnation = 1)
+{
+    return {std::string(host), incarnation, version, isCaughtUp};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(FreshnessGateTest)
+
+BOOST_AUTO_TEST_CASE(aConfirmationCountsFromItsQuestion)
+{
+    // The store's answer waits in a stalled connection while an operator withdraws a key. Counted from its arrival it would open the
+    // gate for a window in which the key should have stopped working.
+    FreshnessGate gate = makeGate();
+    BOOST_TEST(!gate.isFresh(at(0)));
+    gate.onStoreConfirmed(5, at(0));
+    BOOST_TEST(gate.isFresh(at(2.99)));
+    BOOST_TEST(!gate.isFresh(at(3)));
+    gate.onStoreConfirmed(5, at(-1)); // An overtaken answer takes nothing away.
+    BOOST_TEST((gate.freshUntil() == at(3)));
+}
+
+BOOST_AUTO_TEST_CASE(aNewerVersionInTheStoreCloses)
+{
+    FreshnessGate gate = makeGate();
+    gate.onStoreConfirmed(6, at(0));
+    BOOST_TEST(!gate.isFresh(at(1)));
+    gate.setVersionHeld(6);
+    BOOST_TEST(gate.isFresh(at(1)));
+}
+
+BOOST_AUTO_TEST_CASE(aMajorityKeepsTheGateOpenWhileTheStoreIsDown)
+{
+    // The store is down for an hour. Without the peers every request of that hour would be refused.
+    FreshnessGate gate = makeGate();
+    gate.onStoreConfirmed(5, at(0));
+    for (int second = 1; second < 3'600; ++second) {
+        gate.onPeerVouch(vouch("b"), at(second));
+        BOOST_REQUIRE(gate.isFresh(at(second + 2.9)));
+    }
+    BOOST_TEST(!gate.isFresh(at(3'602)));
+}
+
+BOOST_AUTO_TEST_CASE(onlyAFullMajorityWithinTheWindowCounts)
+{
+    struct Case
+    {
+        const char *what;
+        HostLists lists;
+        std::vector<FreshnessGate::TimedVouch> vouches;
+        bool isFresh; ///< At 10 s, the store's last word being from 0 s.
+    };
+
+    const HostLists three{{"a", "b", "c"}, {}};
+    const HostLists five{{"a", "b", "c", "d", "e"}, {}};
+    const HostLists growing{{"a", "b", "c", "d"}, {"a", "b", "c"}};
+    const Case cases[] = {
+        {"no word", three, {}, false},
+        {"one of three", three, {{vouch("b"), at(8)}}, true},
+        {"too old", three, {{vouch("b"), at(7)}}, false},
+        {"a newer entry is held there", three, {{vouch("b", 6), at(8)}}, false},
+        {"one knows better, one does not", three, {{vouch("b", 6), at(8)}, {vouch("c", 5), at(8)}}, true},
+        {"an overtaken answer", three, {{vouch("b", 6), at(9)}, {vouch("b", 5), at(8)}}, false},
+        {"not caught up", three, {{vouch("b", 5, false), at(8)}}, false},
+        {"not listed", three, {{vouch("x"), at(8)}}, false},
+        {"its own echo", three, {{vouch("a"), at(8)}}, false},
+        {"its later incarnation has forgotten", three, {{vouch("b", 0, false, 2), at(8)}, {vouch("b", 5, true, 1), at(9)}}, false},
+        {"two of four peers are asked for", five, {{vouch("b"), at(8)}}, false},
+        {"two of four peers", five, {{vouch("b"), at(8)}, {vouch("c"), at(9)}}, true},
+        {"two hosts: both", {{"a", "b"}, {}}, {}, false},
+        {"one host: itself", {{"a"}, {}}, {}, true},
+        {"old majority only", growing, {{vouch("b"), at(8)}}, false},
+        {"new majority only", {{"a", "b", "c"}, {"a", "b", "c", "d"}}, {{vouch("b"), at(8)}}, false},
+        {"both majorities", growing, {{vouch("b"), at(8)}, {vouch("d"), at(8)}}, true},
+        {"itself not listed", {{"b", "c"}, {}}, {{vouch("b"), at(9)}, {vouch("c"), at(9)}}, false},
+        {"no list: the store alone", {}, {{vouch("b"), at(9)}, {vouch("c"), at(9)}}, false},
+    };
+    for (const Case &row : cases) {
+        FreshnessGate gate = makeGate(row.lists);
+        gate.onStoreConfirmed(5, at(0));
+        gate.onPeerVouches(row.vouches);
+        BOOST_TEST(gate.isFresh(at(10)) == row.isFresh, row.what);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aRestartedHostVouchesOnlyOnceItHasCaughtUp)
+{
+    // All hosts of a rack restart together while a key is being withdrawn. They know nothing, and agreeing with each other
+    // they would honour the key again.
+    FreshnessGate gate("a", window, at(0));
+    gate.setHosts({{"a", "b", "c"}, {}});
+    gate.onPeerVouch(vouch("b", 0, false), at(1));
+    gate.onPeerVouch(vouch("c", 0, false), at(1));
+    BOOST_TEST(!gate.isCaughtUp());
+    gate.setVersionHeld(5);
+    gate.onPeerVouch(vouch("b", 5), at(2));
+    FreshnessGate relayed = gate;
+    relayed.onPeerVouch(vouch("c", 5, true, 0), at(2));
+    BOOST_TEST(relayed.isCaughtUp());
+    relayed = FreshnessGate("a", window, at(0));
+    relayed.setHosts({{"a", "b", "c"}, {}});
+    relayed.onPeerVouch(vouch("b", 0), at(2));
+    relayed.onPeerVouch(vouch("c", 0, true, 0), at(-1)); // True before the start, and maybe no longer.
+    BOOST_TEST(!relayed.isCaughtUp());
+    BOOST_TEST(!gate.isCaughtUp()); // Itself does not count yet, so one of three is none.
+    gate.onPeerVouch(vouch("c", 5), at(3));
+    BOOST_TEST(gate.isCaughtUp());
+    BOOST_TEST(gate.isFresh(at(5.9)));
+    FreshnessGate other("a", window, at(0));
+    other.setHosts({{"a", "b"}, {}});
+    other.onPeerVouch(vouch("b", 0), at(1));
+    BOOST_TEST(!other.isCaughtUp()); // Two hosts: only the store can tell.
+    other.onStoreConfirmed(0, at(1));
+    BOOST_TEST(other.isCaughtUp());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
