--- a/benchmarks/decision/replay_table.cpp
+++ b/benchmarks/decision/replay_table.cpp
@@ -10,7 +10,7 @@
 
 #include "replay/replay.h"
 
-// Prints what came of every policy on every trace: replay_table [--scale S] [--seed N] [--trace NAME] [--policy NAME] [--set NAME=VALUE].
+// Prints what came of every policy on every trace: replay_table [--scale S] [--load L] [--seed N] [--trace NAME] [--policy NAME] [--set NAME=VALUE].
 // `--write FILE` writes the requests of the named trace as JSON lines instead.
 
 using namespace Lovageloft;
@@ -21,6 +21,7 @@
 struct Options
 {
     double scale = 1;
+    double load = 1;
     std::uint64_t seed = 1;
     std::string trace;
     std::string policy;
@@ -55,6 +56,8 @@
         const char *value = argv[i + 1];
         if (name == "--scale") {
             options.scale = std::strtod(value, nullptr);
+        } else if (name == "--load") {
+            options.load = std::strtod(value, nullptr);
         } else if (name == "--seed") {
             options.seed = std::strtoull(value, nullptr, 10);
         } else if (name == "--trace") {
@@ -106,7 +109,7 @@
             if (!options.trace.empty() && options.trace != shape.name) {
                 continue;
             }
-            const Trace trace = makeTrace(shape, deployment, options.seed, options.scale);
+            const Trace trace = makeTrace(shape, deployment, options.seed, options.scale, options.load);
             if (!options.file.empty()) {
                 std::ofstream file(options.file);
                 for (const TraceRequest &request : trace.requests) {
--- a/tests/decision/replay/trace.cpp
+++ b/tests/decision/replay/trace.cpp
@@ -104,6 +104,12 @@
     return part < 0.6 ? 1.6 : 0.9;
 }
 
+/// Caches fill at the usual rate before the rush, as on any day.
+double rushRate(double part, std::uint32_t /*team*/)
+{
+    return part < 0.15 ? 0.2 : 1;
+}
+
 double floodRate(double part, std::uint32_t team)
 {
     return team == 0 && part > 0.2 ? 5 : 1;
@@ -162,7 +168,7 @@
     {.name = "long-short", .seconds = 120, .load = 0.5, .shape = noFault, .rateAt = steady, .longPart = 0.03, .expected = usual},
     {.name = "slow-engine", .seconds = 120, .load = 0.8, .shape = oneSlowEngine, .rateAt = steady, .expected = usual},
     {.name = "three-crashes", .seconds = 120, .load = 0.8, .shape = threeCrashes, .rateAt = steady, .expected = usual},
-    {.name = "saturation", .seconds = 600, .load = 2, .shape = saturate, .rateAt = steady, .expected = usual},
+    {.name = "saturation", .seconds = 600, .load = 14, .shape = saturate, .rateAt = rushRate, .expected = usual},
     {.name = "new-weights", .seconds = 120, .load = 0.7, .shape = newWeightsOnHalf, .rateAt = steady, .expected = usual},
     {.name = "late-reports", .seconds = 120, .load = 0.8, .shape = lateAndLossy, .rateAt = steady, .expected = usual},
     {.name = "restart-herd", .seconds = 120, .load = 0.8, .shape = restartHerd, .rateAt = steady, .expected = usual},
@@ -187,7 +193,7 @@
     Trace trace{.name = std::string(shape.name), .seconds = shape.seconds * scale, .requests = {}, .faults = {}, .expected = shape.expected};
     shape.shape(trace, scale);
     // Arrivals are thinned from a Poisson stream at the greatest rate that any team has at any time.
-    constexpr double greatest = 5;
+    const double greatest = shape.rateAt == floodRate ? 5 : 1.6;
     double time = 0;
     for (std::uint32_t serial = 0;; ++serial) {
         time += -std::log(1 - uniform(random)) / (corpus.requestsPerSecond * shape.load * load * greatest);
