Hold work for busy engines, compare slowness with the fleet, and see speed in load reports

Causes found by comparing each dispatch with the exact state: (1) closed windows sent requests to engines without their prefix; (2) under load all answers are later than expected, so slowness rose above 4 on every engine and the waits believed were six times the real ones. Excluded: unknown holders (60 of 5,300 dispatches) and evictions (53).

--- a/benchmarks/decision/replay_table.cpp
+++ b/benchmarks/decision/replay_table.cpp
@@ -34,7 +34,9 @@
 const std::map<std::string, double PlacementPolicy::*, std::less<>> settings{{"splitLoad", &PlacementPolicy::splitLoad},
                                                                              {"recomputeWeight", &PlacementPolicy::recomputeWeight},
                                                                              {"secondMargin", &PlacementPolicy::secondMargin},
-                                                                             {"overdraft", &PlacementPolicy::overdraft},
+                                                                             {"openWait", &PlacementPolicy::openWait},
+                                                                             {"closedWait", &PlacementPolicy::closedWait},
+                                                                             {"holdSlack", &PlacementPolicy::holdSlack},
                                                                              {"strayMargin", &PlacementPolicy::strayMargin}};
 
 void applySetting(PlacementPolicy &placement, std::string_view assignment)
--- a/decision/engine_health.cpp
+++ b/decision/engine_health.cpp
@@ -17,7 +17,9 @@
 /// An engine comes back after this many probes below this ratio.
 constexpr std::uint32_t goodProbesNeeded = 2;
 constexpr double goodProbeRatio = 2;
-constexpr Duration probeInterval = std::chrono::seconds(2);
+/// Between two probes of all hosts together; doubled with each bad one up to 8 times.
+constexpr Duration probeInterval = std::chrono::seconds(1);
+constexpr std::uint32_t mostDoublings = 3;
 /// No more than this part of the engines is ejected: when all look slow the load is the cause, and ejecting would add to it.
 constexpr double ejectablePart = 0.34;
 constexpr double leastRatio = 0.25;
@@ -28,6 +30,7 @@
 
 EngineHealth::EngineHealth()
     : records_(engineLimit)
+    , probeInterval_(probeInterval)
 {
 }
 
@@ -40,9 +43,9 @@
         return;
     }
     record.logRatio += newestWeight * (logRatio - record.logRatio);
-    record.slowness = std::max(1.0, std::exp(record.logRatio));
+    fleetLogRatio_ += newestWeight / std::max(1.0, static_cast<double>(engineCount_)) * (logRatio - fleetLogRatio_);
     ++record.observations;
-    if (record.observations >= leastObservations && record.logRatio > std::log(ejectionRatio)) {
+    if (record.observations >= leastObservations && slowness(engine) > ejectionRatio) {
         eject(record, now);
     }
 }
@@ -65,9 +68,15 @@
     engineCount_ = count;
 }
 
+void EngineHealth::setHostCount(std::size_t count)
+{
+    probeInterval_ = probeInterval * std::max<std::size_t>(1, count);
+}
+
 double EngineHealth::slowness(EngineIndex engine) const
 {
-    return records_[engine].slowness;
+    const Record &record = records_[engine];
+    return record.observations == 0 ? 1 : std::max(1.0, std::exp(record.logRatio - fleetLogRatio_));
 }
 
 bool EngineHealth::isEjected(EngineIndex engine) const
@@ -83,7 +92,8 @@
 
 void EngineHealth::noteProbe(EngineIndex engine, TimePoint now)
 {
-    records_[engine].nextProbe = now + probeInterval;
+    Record &record = records_[engine];
+    record.nextProbe = now + probeInterval_ * (1U << std::min(record.badProbes, mostDoublings));
 }
 
 void EngineHealth::eject(Record &record, TimePoint now)
@@ -95,13 +105,16 @@
     ++ejectedCount_;
     record.isEjected = true;
     record.goodProbes = 0;
-    record.nextProbe = now + probeInterval;
+    record.badProbes = 0;
+    record.nextProbe = now + probeInterval_;
 }
 
 void EngineHealth::observeProbe(EngineIndex engine, double logRatio)
 {
     Record &record = records_[engine];
-    record.goodProbes = logRatio < std::log(goodProbeRatio) ? record.goodProbes + 1 : 0;
+    const bool isGood = logRatio < std::log(goodProbeRatio);
+    record.goodProbes = isGood ? record.goodProbes + 1 : 0;
+    record.badProbes = isGood ? 0 : record.badProbes + 1;
     if (record.goodProbes >= goodProbesNeeded) {
         reset(engine);
     }
--- a/decision/engine_health.h
+++ b/decision/engine_health.h
@@ -11,13 +11,14 @@
 
 /// Finds engines that have become slow and keeps work from them. Made for an engine that falls to a tenth of its speed and
 /// still answers: each request sent there would miss its deadline, which callers of every team notice as a long tail.
-/// Observations are ratios of the observed time to the first token to the expected one.
+/// Observations are ratios of an observed time to the expected one: to the first token of an answer, or for the prompt tokens
+/// computed between two load reports. They are compared with the fleet's: when all look slow it is the load or the estimate.
 class EngineHealth
 {
 public:
     EngineHealth();
 
-    /// Takes one answer's ratio.
+    /// Takes one ratio.
     void observe(EngineIndex engine, double ratio, TimePoint now);
 
     /// Takes a failed request, which counts as a very slow one.
@@ -29,6 +30,9 @@
     /// How many engines are listed; bounds how many may be ejected at once.
     void setEngineCount(std::size_t count);
 
+    /// How many hosts probe likewise; each probes the more seldom, so that an engine gets the same number of them.
+    void setHostCount(std::size_t count);
+
     /// By how much the engine is slower than usual, from 1 on; weighs its expected times before it is ejected.
     double slowness(EngineIndex engine) const;
 
@@ -43,10 +47,10 @@
     struct Record
     {
         double logRatio = 0; // Exponentially weighted mean.
-        double slowness = 1;
         std::uint32_t observations = 0;
         std::uint32_t goodProbes = 0;
         bool isEjected = false;
+        std::uint32_t badProbes = 0;
         TimePoint nextProbe;
     };
 
@@ -54,6 +58,8 @@
     void observeProbe(EngineIndex engine, double logRatio);
 
     std::vector<Record> records_;
+    double fleetLogRatio_ = 0; // Exponentially weighted mean over all engines.
+    Duration probeInterval_;
     std::size_t engineCount_ = 0;
     std::size_t ejectedCount_ = 0;
 };
--- a/decision/engine_load.h
+++ b/decision/engine_load.h
@@ -14,6 +14,7 @@
     TimePoint measuredAt; ///< On this host's clock: when it came in, less the lag that its sender states.
     std::uint64_t incarnation = 0; ///< Of the engine; grows with each start.
     double queuedPrefillTokens = 0; ///< Prompt tokens not in its cache that it still has to compute.
+    double computedPrefillTokens = 0; ///< All prompt tokens computed since its start, in parts as it goes; 0 if it doesn't say.
     std::uint32_t runningRequests = 0; ///< Requests that are generating.
     std::uint32_t waitingRequests = 0; ///< Requests that have no first token yet.
 };
--- a/decision/placement.cpp
+++ b/decision/placement.cpp
@@ -19,6 +19,10 @@
 /// An unanswered request says that its engine is stuck only once it is this late, in seconds and as a multiple.
 constexpr double latenessSeconds = 1.0;
 constexpr double latenessRatio = 3;
+/// A request that is sent to find out about an ejected engine may be answered late, so it is a short one.
+constexpr double mostProbeWork = 0.05;
+constexpr double longestReportGap = 5;
+constexpr double slowestSpeed = 30;
 constexpr double trustWeight = 0.05;
 constexpr double leastTrust = 0.2;
 constexpr double durationWeight = 0.05;
@@ -89,7 +93,7 @@
         }
         return std::any_of(version.nodes.begin(), version.nodes.end(), [this, now](const RendezvousNode &node) {
             const Engine &engine = engines_[node.engine];
-            return (engine.isOpen || waitOf(engine, node.engine, now) < policy_.overdraft) && !health_.isEjected(node.engine);
+            return !health_.isEjected(node.engine) && canBegin(engine, waitOf(engine, node.engine, now));
         });
     }
     return false;
@@ -98,6 +102,7 @@
 void Placement::setHostCount(std::size_t count)
 {
     policy_.hostCount = static_cast<double>(std::max<std::size_t>(1, count));
+    health_.setHostCount(count);
 }
 
 std::uint32_t Placement::expectedMissedTokens(const PlacementRequest &request) const
@@ -127,8 +132,8 @@
             }
         }
     }
-    if (!choice.best) {
-        reason = choice.sawServing ? Reason{ResultCode::Overloaded, "all engines that serve the model are at their window"}
+    if (!choice.best || choice.bestScore > choice.leastPrice + policy_.holdSlack) {
+        reason = choice.sawServing ? Reason{ResultCode::Overloaded, "the engines that suit the request are busy"}
                                    : Reason{ResultCode::NoTarget, "no engine serves the model"};
         return std::nullopt;
     }
@@ -234,6 +239,11 @@
     if (report.incarnation > engine.incarnation) {
         forgetCacheAndLoad(index, report.incarnation);
     }
+    if (report.measuredAt <= engine.lastReport.measuredAt) {
+        return;
+    }
+    observeSpeed(index, report, now);
+    engine.lastReport = report;
     engine.load.report(std::min(report.measuredAt, now), report.queuedPrefillTokens * engine.prefillSecondsPerToken);
     const double places = engine.batchLimit - report.runningRequests;
     engine.slotWait = std::max(0.0, report.waitingRequests - places) * engine.requestSeconds / std::max(1.0, engine.batchLimit);
@@ -321,6 +331,7 @@
     Engine &engine = engines_[index];
     engine.incarnation = incarnation;
     engine.load.clear();
+    engine.lastReport = {};
     engine.slotWait = 0;
     engine.cacheTrust = 1;
     engine.unanswered.clear();
@@ -378,7 +389,7 @@
 void Placement::considerAll(Choice &choice, const Version &version)
 {
     for (const RendezvousNode &node : version.nodes) {
-        consider(choice, node.engine, 0, 0);
+        consider(choice, node.engine, 0, policy_.strayMargin);
     }
 }
 
@@ -389,6 +400,9 @@
         return;
     }
     choice.sawServing = true;
+    if (!isUsable(choice, index)) {
+        return;
+    }
     const bool isProbe = health_.isEjected(index);
     const PlacementRequest &request = *choice.request;
     const double held = std::min<double>(request.promptTokens, static_cast<double>(heldBlocks) * prefixBlockTokens) * engine.cacheTrust;
@@ -396,11 +410,13 @@
     const double usualWait = engine.load.wait(choice.now) + engine.slotWait;
     const double wait = waitOf(engine, index, choice.now);
     const double slowWork = health_.slowness(index) * work;
-    if (!mayTake(choice, index, wait + slowWork)) {
+    if (isProbe && (work > mostProbeWork || !canBegin(engine, usualWait))) {
         return;
     }
     const double score = isProbe ? -1 : wait + (policy_.recomputeWeight + margin) * slowWork;
-    if (choice.best && score >= choice.bestScore) {
+    choice.leastPrice = choice.sawUsable ? std::min(choice.leastPrice, score) : score;
+    choice.sawUsable = true;
+    if (!(isProbe || canBegin(engine, wait)) || (choice.best && score >= choice.bestScore)) {
         return;
     }
     choice.bestScore = score;
@@ -413,16 +429,23 @@
                                     .isProbe = isProbe};
 }
 
-bool Placement::mayTake(const Choice &choice, EngineIndex index, double firstToken) const
+bool Placement::isUsable(const Choice &choice, EngineIndex index) const
 {
     const std::span<const EngineIndex> excluded = choice.request->excluded;
-    const bool hasRoom = engines_[index].isOpen || firstToken <= policy_.overdraft;
-    if (!hasRoom || std::find(excluded.begin(), excluded.end(), index) != excluded.end()) {
+    if (std::find(excluded.begin(), excluded.end(), index) != excluded.end()) {
         return false;
     }
     return !health_.isEjected(index) || health_.isProbeDue(index, choice.now);
 }
 
+/// Made for saturation. What waits inside an engine can't be given up, reordered between teams or sent elsewhere, so it waits here
+/// once an engine has a few seconds of work. It isn't sent to an engine without its prefix instead: when all are busy, each
+/// prefix computed twice takes capacity from all, more waits for it, and the fleet does little else even after the rush.
+bool Placement::canBegin(const Engine &engine, double wait) const
+{
+    return wait <= (engine.isOpen ? policy_.openWait : policy_.closedWait);
+}
+
 /// Expected seconds until the engine would begin with a prompt sent now.
 double Placement::waitOf(const Engine &engine, EngineIndex index, TimePoint now) const
 {
@@ -441,6 +464,21 @@
     return late > latenessSeconds && late > latenessRatio * oldest.usualFirstToken ? late : 0;
 }
 
+/// An engine's own progress shows within a second or two that it has become slow, to all hosts. From answers alone each host would
+/// need several of its own to come back late, and 370 hosts send one engine a request every few seconds each.
+void Placement::observeSpeed(EngineIndex index, const LoadReport &report, TimePoint now)
+{
+    const Engine &engine = engines_[index];
+    const LoadReport &before = engine.lastReport;
+    const double elapsed = toSeconds(report.measuredAt - before.measuredAt);
+    const bool wasBusy = before.queuedPrefillTokens > 0 && report.queuedPrefillTokens > 0 && elapsed < longestReportGap;
+    if (!wasBusy || before.computedPrefillTokens <= 0 || report.computedPrefillTokens < before.computedPrefillTokens) {
+        return;
+    }
+    const double computedSeconds = (report.computedPrefillTokens - before.computedPrefillTokens) * engine.prefillSecondsPerToken;
+    health_.observe(index, elapsed / std::max(computedSeconds, elapsed / slowestSpeed), now);
+}
+
 Placement::Dispatch *Placement::findDispatch(DispatchId id)
 {
     const std::uint64_t slot = id & 0xffffffffU;
--- a/decision/placement.h
+++ b/decision/placement.h
@@ -77,7 +77,9 @@
     double splitLoad = 0.3; ///< See PrefixHeat.
     double recomputeWeight = 2.0; ///< Price of a second of prefill against a second of wait.
     std::size_t randomCandidates = 2;
-    double overdraft = 1.0; ///< Seconds to the first token up to which an engine without room in its window is still used.
+    double openWait = 3.0; ///< Seconds of expected wait up to which an engine with room in its window is used.
+    double closedWait = 1.0; ///< The same for one without room.
+    double holdSlack = 0.5; ///< Price above the best engine's at which one that can take the request now is used.
     double secondMargin = 0.5; ///< As strayMargin, of rendezvous winners after the first.
     double strayMargin = 1.0; ///< Extra price of an engine that neither holds the prefix nor wins its hash, as part of the prefill.
 };
@@ -101,9 +103,9 @@
 
     std::string_view engineName(EngineIndex engine) const;
 
-    /// Says whether an engine's window of running requests has room; at first all have. One without room still gets a request
-    /// that it would answer within PlacementPolicy::overdraft: what its cache holds costs it hardly anything, while sending
-    /// it elsewhere costs another engine the whole prefix and the blocks that it evicts for it.
+    /// Says whether an engine's window of running requests has room; at first all have. One without room still gets requests
+    /// while it would begin with them within PlacementPolicy::closedWait: what its cache holds costs it hardly anything, while
+    /// sending it elsewhere costs another engine the whole prefix and the blocks that it evicts for it.
     void setOpen(EngineIndex engine, bool isOpen);
 
     /// Whether some engine of a version could take a request now: what decides if a queue may give out its next one.
@@ -115,7 +117,8 @@
     /// Prompt tokens that the engine best suited to the request still has to compute, for the cost by which it is queued.
     std::uint32_t expectedMissedTokens(const PlacementRequest &request) const;
 
-    /// Chooses an engine. NoTarget if none of the versions has an engine that serves, Overloaded if all that serve have no room.
+    /// Chooses an engine. NoTarget if none of the versions has an engine that serves, Overloaded if the
+    /// engines that suit the request are busy; it should then wait in its queue.
     std::optional<PlacementDecision> place(const PlacementRequest &request, TimePoint now, Random &random, Reason &reason);
 
     /// Notes that the request was sent as decided.
@@ -153,6 +156,7 @@
         std::uint64_t incarnation = 0;
         double prefillSecondsPerToken = 0;
         double batchLimit = 0;
+        LoadReport lastReport = {};
         double slotWait = 0; // Seconds until a place in the batch is free, as of the last report.
         double cacheTrust = 1; // Part of the tokens believed cached that answers confirm.
         double requestSeconds = 1; // Mean time of a request from its first token to its end.
@@ -190,9 +194,11 @@
         const PlacementRequest *request = nullptr;
         const VersionedChain *chain = nullptr;
         TimePoint now;
+        double leastPrice = 0; // Of all engines, also those that are too busy.
         double bestScore = 0;
-        std::optional<PlacementDecision> best = std::nullopt;
+        std::optional<PlacementDecision> best = std::nullopt; // Of those that can take it now.
         bool sawServing = false;
+        bool sawUsable = false;
     };
 
     std::optional<EngineIndex> takeIndex();
@@ -204,8 +210,10 @@
     void considerChain(Choice &choice, const Version &version, Random &random);
     double waitOf(const Engine &engine, EngineIndex index, TimePoint now) const;
     void considerAll(Choice &choice, const Version &version);
-    bool mayTake(const Choice &choice, EngineIndex engine, double firstToken) const;
+    bool isUsable(const Choice &choice, EngineIndex engine) const;
+    bool canBegin(const Engine &engine, double wait) const;
     double latenessOf(const Engine &engine, TimePoint now) const;
+    void observeSpeed(EngineIndex index, const LoadReport &report, TimePoint now);
     Dispatch *findDispatch(DispatchId id);
     void close(Dispatch &dispatch);
     void dropAnswered(Engine &engine);
--- a/tests/decision/replay/engine_model.cpp
+++ b/tests/decision/replay/engine_model.cpp
@@ -33,6 +33,7 @@
     current_->cachedTokens = heldTokens(current_->chain, current_->promptTokens, false);
     const double taken = prefillSeconds(current_->promptTokens - current_->cachedTokens);
     busySeconds += taken;
+    currentStart_ = now;
     currentDone_ = now + taken;
     return currentDone_;
 }
@@ -40,6 +41,7 @@
 EngineJob EngineModel::finishPrefill()
 {
     const EngineJob job = *current_;
+    computedTokens_ += job.promptTokens - job.cachedTokens;
     current_.reset();
     ++running_;
     for (const BlockHash block : job.chain) {
@@ -81,13 +83,15 @@
 
 LoadReport EngineModel::loadReport(TimePoint measuredAt) const
 {
-    double tokens = current_ ? (current_->promptTokens - current_->cachedTokens) / 2.0 : 0;
+    const double done = currentTokens(toSeconds(measuredAt.time_since_epoch()));
+    double tokens = current_ ? current_->promptTokens - current_->cachedTokens - done : 0;
     for (const EngineJob &job : queue_) {
         tokens += job.promptTokens - job.cachedTokens;
     }
     return {.measuredAt = measuredAt,
             .incarnation = incarnation,
             .queuedPrefillTokens = tokens,
+            .computedPrefillTokens = computedTokens_ + done,
             .runningRequests = running_,
             .waitingRequests = static_cast<std::uint32_t>(queue_.size())};
 }
@@ -121,6 +125,15 @@
     return std::min(held, promptTokens);
 }
 
+double EngineModel::currentTokens(double now) const
+{
+    if (!current_) {
+        return 0;
+    }
+    const double part = (now - currentStart_) / (currentDone_ - currentStart_);
+    return std::min(1.0, part) * (current_->promptTokens - current_->cachedTokens);
+}
+
 double EngineModel::prefillSeconds(double tokens) const
 {
     const double generating = 1 + 0.5 * running_ / batchLimit;
--- a/tests/decision/replay/engine_model.h
+++ b/tests/decision/replay/engine_model.h
@@ -66,11 +66,14 @@
 private:
     std::uint32_t heldTokens(std::span<const BlockHash> chain, std::uint32_t promptTokens, bool withPending) const;
     double prefillSeconds(double tokens) const;
+    double currentTokens(double now) const;
     void store(std::span<const BlockHash> chain);
 
     std::deque<EngineJob> queue_;
     std::optional<EngineJob> current_;
+    double currentStart_ = 0;
     double currentDone_ = 0;
+    double computedTokens_ = 1;
     std::uint32_t running_ = 0;
     std::list<BlockHash> recent_; // The least recently used block is last.
     std::unordered_map<BlockHash, std::list<BlockHash>::iterator> cache_;
--- a/tests/decision/replay/placing_policy.cpp
+++ b/tests/decision/replay/placing_policy.cpp
@@ -152,33 +152,40 @@
 public:
     explicit Oracle(const PolicyContext &context)
         : engines_(context.engines)
+        , policy_(context.placement)
     {
     }
 
     std::optional<Placed> place(const PlacementRequest &request, std::span<const char> isOpen, TimePoint now, Random & /*random*/) override
     {
+        // The same price and the same rule for busy engines as ours, but with exact figures.
         std::optional<Placed> best;
-        double least = std::numeric_limits<double>::max();
+        double bestPrice = std::numeric_limits<double>::max();
+        double leastPrice = std::numeric_limits<double>::max();
         for (EngineIndex engine = 0; engine < engines_.size(); ++engine) {
             if (!engines_[engine].isUp) {
                 continue;
             }
-            const double expected = engines_[engine].exactFirstToken(chainOf(request, engine), request.promptTokens, toSeconds(now.time_since_epoch()));
-            const bool hasRoom = isOpen[engine] != 0 || expected <= PlacementPolicy{}.overdraft;
-            if (hasRoom && expected < least) {
-                least = expected;
+            const double wait = waitOf(engine, now);
+            const double firstToken = engines_[engine].exactFirstToken(chainOf(request, engine), request.promptTokens, toSeconds(now.time_since_epoch()));
+            const double price = wait + policy_.recomputeWeight * (firstToken - wait);
+            leastPrice = std::min(leastPrice, price);
+            if (canBegin(isOpen[engine], wait) && price < bestPrice) {
+                bestPrice = price;
                 best = Placed{engine, {}};
             }
         }
-        return best;
+        return bestPrice <= leastPrice + policy_.holdSlack ? best : std::nullopt;
     }
 
     bool hasRoom(std::span<const char> isOpen, TimePoint now) const override
     {
-        const auto isIdle = [now](const EngineModel &engine) {
-            return engine.exactFirstToken({}, 0, toSeconds(now.time_since_epoch())) < PlacementPolicy{}.overdraft;
-        };
-        return PlacingPolicy::hasRoom(isOpen, now) || std::any_of(engines_.begin(), engines_.end(), isIdle);
+        for (EngineIndex engine = 0; engine < engines_.size(); ++engine) {
+            if (engines_[engine].isUp && canBegin(isOpen[engine], waitOf(engine, now))) {
+                return true;
+            }
+        }
+        return false;
     }
 
     std::uint32_t missedTokens(const PlacementRequest &request) const override
@@ -191,6 +198,16 @@
     }
 
 private:
+    double waitOf(EngineIndex engine, TimePoint now) const
+    {
+        return engines_[engine].exactFirstToken({}, 0, toSeconds(now.time_since_epoch()));
+    }
+
+    bool canBegin(char isOpen, double wait) const
+    {
+        return wait <= (isOpen != 0 ? policy_.openWait : policy_.closedWait);
+    }
+
     std::span<const BlockHash> chainOf(const PlacementRequest &request, EngineIndex engine) const
     {
         for (const VersionedChain &chain : request.chains) {
@@ -202,6 +219,7 @@
     }
 
     std::span<const EngineModel> engines_;
+    PlacementPolicy policy_;
 };
 
 class Ours : public PlacingPolicy
--- a/tests/decision/replay/replay.cpp
+++ b/tests/decision/replay/replay.cpp
@@ -13,6 +13,8 @@
 constexpr double publishSeconds = 0.25;
 /// At the start every cache is empty whatever the policy; that part of a trace isn't measured.
 constexpr double warmUpPart = 0.2;
+/// Part of a deadline that is left for the engine when a request leaves its queue.
+constexpr double engineSeconds = 4;
 constexpr double tickSeconds = 0.05;
 /// After the last arrival, for what still waits and runs.
 constexpr double drainSeconds = 30;
@@ -111,7 +113,7 @@
                                                             .team = TeamId{request.team},
                                                             .model = ModelId{request.model},
                                                             .cost = cost,
-                                                            .deadline = at(request.arrival + request.deadline)},
+                                                            .deadline = at(request.arrival + request.deadline - engineSeconds)},
                                                            at(now_));
     if (!decision.isAdmitted) {
         refuse(index);
--- a/tests/decision/test_placement.cpp
+++ b/tests/decision/test_placement.cpp
@@ -168,8 +168,8 @@
         const PlacementDecision decision = place(chain, now).value();
         placement.onDispatched(request, decision, at(now));
         ++hot[decision.engine];
-        const double slow = 2'000;
-        placement.onLoadReport(decision.engine, {.measuredAt = at(now), .incarnation = 1, .queuedPrefillTokens = slow * hot[decision.engine]}, at(now));
+        const double queued = 2'000 * std::min(hot[decision.engine], 12);
+        placement.onLoadReport(decision.engine, {.measuredAt = at(now), .incarnation = 1, .queuedPrefillTokens = queued}, at(now));
     }
     BOOST_TEST(hot.size() >= 8U);
 }
