Share ledger: each team's rate and burst across all hosts

Cause: a team's rate and burst count over the whole fleet, and its requests arrive at any host. Change: split over home hosts, spending from the own part, remote debits for one request gathered from as many homes as needed, settling against the engine's usage, shrinking before growing when the split changes. Excluded: handing over balances (the giver refills and the sum grows); a smaller burst to pay for the time between debit and use (a request of the whole burst could then never run) - reserved tokens take room in the bucket instead.

--- /dev/null
+++ b/coordination/share_bucket.cpp
@@ -0,0 +1,150 @@
+#include "coordination/share_bucket.h"
+
+#include <algorithm>
+
+namespace Lovageloft
+{
+
+ShareBucket::ShareBucket(TimePoint start)
+    : filled_(start)
+{
+}
+
+void ShareBucket::setLimits(double rate, double burst, TimePoint now)
+{
+    refill(now);
+    rate_ = rate;
+    burst_ = burst;
+    capLevel();
+}
+
+double ShareBucket::level(TimePoint now)
+{
+    refill(now);
+    return level_;
+}
+
+double ShareBucket::reserved() const
+{
+    return reserved_;
+}
+
+double ShareBucket::rate() const
+{
+    return rate_;
+}
+
+double ShareBucket::burst() const
+{
+    return burst_;
+}
+
+bool ShareBucket::take(double amount, TimePoint now)
+{
+    refill(now);
+    if (level_ + tokenTolerance < amount) {
+        return false;
+    }
+    level_ -= amount;
+    return true;
+}
+
+double ShareBucket::reserve(double amount, TimePoint until, std::uint64_t id, TimePoint now)
+{
+    refill(now);
+    const double granted = std::clamp(amount, 0.0, std::max(level_, 0.0));
+    if (granted <= 0) {
+        return 0;
+    }
+    level_ -= granted;
+    reserved_ += granted;
+    const auto later = std::find_if(reservations_.rbegin(), reservations_.rend(), [until](const Reservation &other) { return other.until <= until; });
+    reservations_.insert(later.base(), {id, granted, until});
+    return granted;
+}
+
+void ShareBucket::use(std::uint64_t id, TimePoint now)
+{
+    refill(now);
+    removeReservation(id);
+}
+
+double ShareBucket::giveBack(std::uint64_t id, TimePoint now)
+{
+    refill(now);
+    const double amount = removeReservation(id);
+    level_ += amount;
+    return amount;
+}
+
+double ShareBucket::refund(double amount, TimePoint now)
+{
+    refill(now);
+    const double before = level_;
+    level_ += std::max(amount, 0.0);
+    capLevel();
+    return std::max(level_ - before, 0.0);
+}
+
+void ShareBucket::charge(double amount, TimePoint now)
+{
+    refill(now);
+    level_ -= std::max(amount, 0.0);
+}
+
+void ShareBucket::skipRefill(TimePoint lapse, TimePoint now)
+{
+    refill(std::min(lapse, now));
+    filled_ = std::max(filled_, now);
+}
+
+void ShareBucket::clear(TimePoint now)
+{
+    refill(now);
+    level_ = std::min(level_, 0.0);
+}
+
+void ShareBucket::refill(TimePoint now)
+{
+    // Each reservation holds its room back until its own end, however long the host slept past it.
+    while (!reservations_.empty() && reservations_.front().until <= now) {
+        refillTo(reservations_.front().until);
+        reserved_ -= reservations_.front().amount;
+        reservations_.pop_front();
+    }
+    if (reservations_.empty()) {
+        reserved_ = 0;
+    }
+    refillTo(now);
+}
+
+void ShareBucket::refillTo(TimePoint time)
+{
+    if (time <= filled_) {
+        return;
+    }
+    level_ += rate_ * toSeconds(time - filled_);
+    filled_ = time;
+    capLevel();
+}
+
+void ShareBucket::capLevel()
+{
+    // A debt is never forgiven by the cap: the room may be negative while old reservations outlast a shrunken size.
+    const double room = std::max(burst_ - reserved_, 0.0);
+    level_ = std::min(level_, room);
+}
+
+double ShareBucket::removeReservation(std::uint64_t id)
+{
+    const auto found = std::find_if(reservations_.begin(), reservations_.end(), [id](const Reservation &other) { return other.id == id; });
+    if (found == reservations_.end()) {
+        return 0;
+    }
+    const double amount = found->amount;
+    reserved_ -= amount;
+    reservations_.erase(found);
+    return amount;
+}
+
+} // namespace Lovageloft
