Stand-in caller that checks answers and measures them

Benchmarks need callers that notice an answer that is cut off, out of order or another request's, and that take the time to the first token close to the socket.

--- /dev/null
+++ b/tests/stand_ins/http_answer_reader.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <string>
+
+#include <Poco/Net/StreamSocket.h>
+
+namespace Lovageloft
+{
+
+/// Reads HTTP answers from a socket piece by piece as they come, so that the time of each piece can be taken.
+/// Throws Poco exceptions for timeouts, and Poco::DataFormatException for an answer cut off or malformed.
+class HttpAnswerReader
+{
+public:
+    explicit HttpAnswerReader(const Poco::Net::StreamSocket &socket);
+
+    /// Reads the head of the next answer and returns its status.
+    int readHead();
+
+    /// Appends the next piece of the body; false once the body is whole.
+    bool readSome(std::string &out);
+
+    /// A field of the head by its name in lower case, empty if it isn't there.
+    std::string header(const std::string &name) const;
+
+private:
+    std::string readLine();
+    void receive();
+    void take(std::string &out, std::size_t &left);
+
+    Poco::Net::StreamSocket socket_;
+    std::string buffer_; // Received bytes; those before position_ are used up.
+    std::size_t position_ = 0;
+    std::map<std::string, std::string> fields_;
+    bool isChunked_ = false;
+    std::size_t bytesLeft_ = 0; // Of the body, or of the current chunk.
+};
+
+} // namespace Lovageloft
