--- a/tests/stand_ins/completion_checker.cpp
+++ b/tests/stand_ins/completion_checker.cpp
@@ -6,7 +6,7 @@
 
 #include "tests/stand_ins/completion.h"
 
-namespace Lovageloft
+namespace Lovageloft::StandIns
 {
 
 CompletionChecker::CompletionChecker(std::string id, std::int64_t tokens, bool isChat)
@@ -100,4 +100,4 @@
     return false;
 }
 
-} // namespace Lovageloft
+} // namespace Lovageloft::StandIns
--- a/tests/stand_ins/completion_checker.h
+++ b/tests/stand_ins/completion_checker.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-namespace Lovageloft
+namespace Lovageloft::StandIns
 {
 
 /// Checks that an answer made of a stand-in engine's tokens is complete, in order and the one to its request.
@@ -43,4 +43,4 @@
     std::string_view fault_;
 };
 
-} // namespace Lovageloft
+} // namespace Lovageloft::StandIns
--- a/tests/stand_ins/http_answer_reader.cpp
+++ b/tests/stand_ins/http_answer_reader.cpp
@@ -6,7 +6,7 @@
 #include <Poco/Exception.h>
 #include <Poco/String.h>
 
-namespace Lovageloft
+namespace Lovageloft::StandIns
 {
 
 namespace
@@ -107,4 +107,4 @@
     left -= size;
 }
 
-} // namespace Lovageloft
+} // namespace Lovageloft::StandIns
--- a/tests/stand_ins/http_answer_reader.h
+++ b/tests/stand_ins/http_answer_reader.h
@@ -6,7 +6,7 @@
 
 #include <Poco/Net/StreamSocket.h>
 
-namespace Lovageloft
+namespace Lovageloft::StandIns
 {
 
 /// Reads HTTP answers from a socket piece by piece as they come, so that the time of each piece can be taken.
@@ -38,4 +38,4 @@
     std::size_t bytesLeft_ = 0; // Of the body, or of the current chunk.
 };
 
-} // namespace Lovageloft
+} // namespace Lovageloft::StandIns
--- a/tests/stand_ins/stand_in_caller.cpp
+++ b/tests/stand_ins/stand_in_caller.cpp
@@ -19,7 +19,7 @@
 #include "tests/stand_ins/http_answer_reader.h"
 #include "tests/stand_ins/json_body.h"
 
-namespace Lovageloft
+namespace Lovageloft::StandIns
 {
 
 namespace
@@ -261,4 +261,4 @@
     return total;
 }
 
-} // namespace Lovageloft
+} // namespace Lovageloft::StandIns
--- a/tests/stand_ins/stand_in_caller.h
+++ b/tests/stand_ins/stand_in_caller.h
@@ -9,7 +9,7 @@
 #include "core/clock.h"
 
 /// Callers that send completion requests over many connections at once and check every answer.
-namespace Lovageloft
+namespace Lovageloft::StandIns
 {
 
 /// What the callers send.
@@ -44,4 +44,4 @@
 /// Sends all requests and waits for the answers.
 StandInCallerResult runStandInCallers(const StandInCallerOptions &options);
 
-} // namespace Lovageloft
+} // namespace Lovageloft::StandIns
--- a/tests/stand_ins/stand_in_caller_main.cpp
+++ b/tests/stand_ins/stand_in_caller_main.cpp
@@ -5,6 +5,7 @@
 #include "tests/stand_ins/stand_in_caller.h"
 
 using namespace Lovageloft;
+using namespace Lovageloft::StandIns;
 
 namespace
 {
--- a/tests/stand_ins/test_stand_in_engine.cpp
+++ b/tests/stand_ins/test_stand_in_engine.cpp
@@ -10,6 +10,7 @@
 #include "tests/stand_ins/stand_in_engine.h"
 
 using namespace Lovageloft;
+using namespace Lovageloft::StandIns;
 using namespace std::chrono_literals;
 
 namespace
