Configuration log, freshness gate and share ledger in the router's path

Cause: hosts held a configuration of their own and charged nobody. Change: the store watch duty replays the log and confirms freshness, operators' tickets are committed to the store and announced to the listed hosts, the peer duty asks for vouches only while the store is late or an entry is on its way, every completion is charged before it queues and settled from the engine's usage, and a host that is not fresh refuses with not_run.

--- a/main/router_host.cpp
+++ b/main/router_host.cpp
@@ -4,7 +4,9 @@
 #include <sstream>
 #include <thread>
 
+#include "coordination/memory_store.h"
 #include "core/log.h"
+#include "drivers/etcd_store.h"
 
 namespace Lovageloft
 {
@@ -12,15 +14,42 @@
 namespace
 {
 
+/// Higher after each restart, as long as the host's wall clock does not step back by more than the restart took.
+std::uint64_t makeIncarnation()
+{
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+}
+
+std::unique_ptr<Store> makeStore(const Settings &settings)
+{
+    if (settings.storeKind == "memory") {
+        return std::make_unique<MemoryStore>();
+    }
+    EtcdStoreOptions options;
+    options.callTimeout = std::chrono::milliseconds(settings.storeTimeout);
+    for (const std::string &endpoint : settings.storeEndpoints) {
+        options.endpoints.push_back(parseHostAddress(endpoint).value_or(HostAddress{}));
+    }
+    return std::make_unique<EtcdStore>(options);
+}
+
 constexpr std::chrono::milliseconds drainCheck{20};
 
 } // namespace
 
 RouterHost::RouterHost(Settings settings)
     : settings_(std::move(settings))
+    , incarnation_(makeIncarnation())
+    , shares_(settings_.hostName, std::to_string(incarnation_), metrics_)
+    , configuration_(settings_, incarnation_, shares_)
+    , store_(makeStore(settings_))
+    , peers_(settings_, incarnation_, configuration_, shares_, metrics_)
+    , tickets_(*store_, settings_.storePrefix, configuration_, [this](const LogEntry &entry) { peers_.announceToAll(entry); })
+    , storeWatch_(settings_, *store_, configuration_, metrics_)
     , dispatcher_(settings_, configuration_)
-    , parts_{settings_, metrics_, configuration_, dispatcher_, drain_, deadlines_}
+    , parts_{settings_, metrics_, configuration_, shares_, tickets_, dispatcher_, drain_, deadlines_}
 {
+    shares_.setTransport(peers_);
 }
 
 bool RouterHost::start(Reason &reason)
@@ -32,7 +61,9 @@
     callers_ = std::make_unique<CallerServer>(parts_);
     writeLog(LogLevel::Info,
              "started",
-             {{"caller_port", static_cast<std::int64_t>(callers_->port())}, {"operator_port", static_cast<std::int64_t>(operators_->port())}});
+             {{"caller_port", static_cast<std::int64_t>(callers_->port())},
+              {"operator_port", static_cast<std::int64_t>(operators_->port())},
+              {"peer_port", static_cast<std::int64_t>(peers_.port())}});
     return true;
 }
 
@@ -43,7 +74,7 @@
         std::ostringstream text;
         text << in.rdbuf();
         const auto ticket = parseTicket(text.str(), reason);
-        if (!ticket || !configuration_.apply(*ticket, reason)) {
+        if (!ticket || !tickets_.apply(*ticket, reason)) {
             reason.text = path + ": " + reason.text;
             return false;
         }
@@ -61,6 +92,11 @@
     return operators_->port();
 }
 
+std::uint16_t RouterHost::peerPort() const
+{
+    return peers_.port();
+}
+
 bool RouterHost::drain()
 {
     writeLog(LogLevel::Info, "drain_announced", {{"running", drain_.running()}});
--- a/main/router_host.h
+++ b/main/router_host.h
@@ -6,7 +6,9 @@
 #include "core/settings.h"
 #include "servers/caller_server.h"
 #include "servers/operator_server.h"
+#include "servers/peer_duty.h"
 #include "servers/router_parts.h"
+#include "servers/store_watch_duty.h"
 
 namespace Lovageloft
 {
@@ -27,6 +29,7 @@
     /// Ports as bound, for settings that take any free one.
     std::uint16_t callerPort() const;
     std::uint16_t operatorPort() const;
+    std::uint16_t peerPort() const;
 
 private:
     bool applySeedTickets(Reason &reason);
@@ -34,7 +37,13 @@
 
     Settings settings_;
     Metrics metrics_;
+    std::uint64_t incarnation_;
+    ShareService shares_;
     ConfigurationService configuration_;
+    std::unique_ptr<Store> store_;
+    PeerDuty peers_;
+    TicketService tickets_;
+    StoreWatchDuty storeWatch_;
     DrainState drain_;
     ConnectionDeadlines deadlines_;
     Dispatcher dispatcher_;
--- a/servers/caller_routes.cpp
+++ b/servers/caller_routes.cpp
@@ -59,6 +59,10 @@
         sendRefusal(exchange.response, {{ResultCode::Draining, {}}}, exchange.id, false);
         return;
     }
+    if (!parts.configuration.isFresh()) {
+        sendRefusal(exchange.response, {{ResultCode::NotFresh, {}}, RunState::NotRun, std::chrono::seconds(1)}, exchange.id, false);
+        return;
+    }
     sendJson(exchange.response, HTTPResponse::HTTP_OK, R"({"ready":true})");
 }
 
--- a/servers/completion_handler.cpp
+++ b/servers/completion_handler.cpp
@@ -29,18 +29,52 @@
 
 void CompletionHandler::handle()
 {
-    constexpr std::array<Filter, 5> filters{
+    constexpr std::array<Filter, 7> filters{
+        &CompletionHandler::checkFresh,
         &CompletionHandler::authenticate,
         &CompletionHandler::parse,
         &CompletionHandler::checkModel,
         &CompletionHandler::identifyPrefix,
+        &CompletionHandler::charge,
         &CompletionHandler::dispatch,
     };
     for (const Filter filter : filters) {
         if (!(this->*filter)()) {
-            return;
+            break;
         }
     }
+    settle();
+}
+
+bool CompletionHandler::checkFresh()
+{
+    // A host cut off from the store and the others may hold a key that was withdrawn long ago.
+    return parts_.configuration.isFresh() || refuse({{ResultCode::NotFresh, {}}, RunState::NotRun, std::chrono::seconds(1)});
+}
+
+bool CompletionHandler::charge()
+{
+    const auto cost = static_cast<double>(promptTokens_ + request_.maxTokens * request_.choices);
+    Refusal refusal;
+    charge_ = parts_.shares.charge(key_.team, cost, refusal);
+    return charge_ || refuse(refusal);
+}
+
+void CompletionHandler::settle()
+{
+    if (!charge_) {
+        return;
+    }
+    const TokenUsage usage = verifier_ ? verifier_->usage() : TokenUsage{};
+    double used = 0;
+    if (usage.promptTokens > 0) {
+        used = static_cast<double>(usage.promptTokens + usage.completionTokens);
+    } else if (relay_ && relay_->hasBegun()) {
+        used = static_cast<double>(promptTokens_ + verifier_->contentChunks());
+    } else if (hasAnswered_) {
+        used = charge_->tokens;
+    }
+    parts_.shares.settle(*charge_, used);
 }
 
 bool CompletionHandler::authenticate()
@@ -134,15 +168,23 @@
             refuse({hasTried ? reason : refusal->reason, hasTried ? RunState::MayHaveRun : RunState::NotRun, refusal->retryAfter});
             return std::nullopt;
         }
-        if (!parts_.configuration.hasKey(key_)) {
+        if (!mayStillRun()) {
             parts_.dispatcher.onEnded(id, SchedulerEnd::Cancelled);
-            refuse({{ResultCode::KeyWithdrawn, {}}});
             return std::nullopt;
         }
         return std::get<Assignment>(*outcome);
     }
 }
 
+/// Checks again what may have changed while the request waited, right before its bytes leave.
+bool CompletionHandler::mayStillRun()
+{
+    if (!parts_.configuration.hasKey(key_)) {
+        return refuse({{ResultCode::KeyWithdrawn, {}}, failedEngines_.empty() ? RunState::NotRun : RunState::MayHaveRun});
+    }
+    return checkFresh();
+}
+
 SchedulerRequest CompletionHandler::schedulerRequest() const
 {
     SchedulerRequest request;
@@ -230,6 +272,7 @@
         return RelayResult::Failed;
     }
     parts_.dispatcher.onFirstToken(current_, static_cast<std::uint32_t>(verifier_->usage().cachedTokens));
+    hasAnswered_ = true;
     exchange_.response.set("X-Request-Id", exchange_.id);
     sendJson(exchange_.response, Poco::Net::HTTPResponse::HTTP_OK, *body);
     return RelayResult::Done;
--- a/servers/completion_handler.h
+++ b/servers/completion_handler.h
@@ -26,11 +26,15 @@
 
     bool parse();
     bool authenticate();
+    bool checkFresh();
     bool checkModel();
+    bool charge();
+    void settle();
     bool identifyPrefix();
     bool dispatch();
 
     std::optional<Assignment> place(Reason &reason);
+    bool mayStillRun();
     SchedulerRequest schedulerRequest() const;
     RelayResult attempt(const Assignment &assignment, Reason &reason);
     RelayResult exchangeWith(const Assignment &assignment, Reason &reason);
@@ -49,8 +53,10 @@
     TeamKey key_;
     std::optional<AnswerVerifier> verifier_;
     std::optional<StreamRelay> relay_;
+    std::optional<ShareService::Charge> charge_;
     std::vector<BlockHash> blockDigests_;
     std::int64_t promptTokens_ = 0;
+    bool hasAnswered_ = false; ///< A whole answer that is no stream.
     std::vector<std::string> failedEngines_;
     std::string lastEngine_;
     RequestId current_{}; ///< The attempt that runs.
--- a/servers/operator_routes.cpp
+++ b/servers/operator_routes.cpp
@@ -1,11 +1,17 @@
 #include "servers/operator_routes.h"
 
+#include <algorithm>
 #include <array>
+#include <csignal>
+#include <optional>
 #include <string>
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
+#include <Poco/NumberParser.h>
 #include <Poco/StreamCopier.h>
+#include <Poco/URI.h>
+#include <unistd.h>
 
 #include "core/digest.h"
 #include "core/log.h"
@@ -42,6 +48,18 @@
     sendJson(call.response, HTTPResponse::HTTP_OK, out.str());
 }
 
+/// A number in the query part of a URI.
+std::optional<std::int64_t> queryNumber(const std::string &uri, std::string_view name)
+{
+    for (const auto &[key, value] : Poco::URI(uri).getQueryParameters()) {
+        std::int64_t number = 0;
+        if (key == name && Poco::NumberParser::tryParse64(value, number)) {
+            return number;
+        }
+    }
+    return std::nullopt;
+}
+
 std::string_view phaseName(DrainPhase phase)
 {
     constexpr std::array<std::string_view, 3> names{"serving", "announced", "closing"};
@@ -59,6 +77,10 @@
         sendRefusal(call.response, {{ResultCode::Draining, {}}}, "", true);
         return;
     }
+    if (!call.parts.configuration.isFresh()) {
+        sendRefusal(call.response, {{ResultCode::NotFresh, {}}, RunState::NotRun, std::chrono::seconds(1)}, "", true);
+        return;
+    }
     sendJson(call.response, HTTPResponse::HTTP_OK, R"({"ready":true})");
 }
 
@@ -75,6 +97,9 @@
     Object::Ptr status = ordered();
     status->set("host", call.parts.settings.hostName);
     status->set("phase", std::string(phaseName(call.parts.drain.phase())));
+    status->set("fresh", call.parts.configuration.isFresh());
+    status->set("version", call.parts.configuration.version());
+    status->set("in_force", call.parts.configuration.ownAnswer().inForceVersion);
     status->set("running", call.parts.drain.running());
     status->set("teams", state->teams().size());
     status->set("targets", state->targets().size());
@@ -93,6 +118,7 @@
         row->set("rate", team.rate);
         row->set("burst", team.burst);
         row->set("keys", team.keys.size());
+        row->set("tokens_here", call.parts.shares.balance(name));
         row->set("ticket", state->lastTicket("team/" + name));
         rows->add(row);
     }
@@ -120,23 +146,118 @@
     sendObject(call, answer);
 }
 
+void serveHosts(const OperatorCall &call)
+{
+    Array::Ptr rows = new Array;
+    const auto state = call.parts.configuration.state();
+    const auto lacking = call.parts.configuration.entryStatus(call.parts.configuration.version()).lacking;
+    for (const HostEntry &host : state->hosts()) {
+        Object::Ptr row = ordered();
+        row->set("host", host.name);
+        row->set("peer_address", host.peerAddress);
+        row->set("data_centre", host.dataCentre);
+        row->set("holds_newest", std::find(lacking.begin(), lacking.end(), host.name) == lacking.end());
+        rows->add(row);
+    }
+    Object::Ptr answer = ordered();
+    answer->set("hosts", rows);
+    sendObject(call, answer);
+}
+
+Array::Ptr auditRows(const std::vector<AuditLine> &lines)
+{
+    Array::Ptr rows = new Array;
+    for (const AuditLine &line : lines) {
+        Object::Ptr row = ordered();
+        row->set("sequence", line.sequence);
+        row->set("time_ms", line.committedAt);
+        row->set("operator", line.operatorName);
+        row->set("ticket", line.ticket);
+        row->set("object", line.change.object);
+        row->set("before", line.change.before);
+        row->set("after", line.change.after);
+        rows->add(row);
+    }
+    return rows;
+}
+
+void serveAudit(const OperatorCall &call)
+{
+    constexpr std::int64_t entriesShown = 100;
+    const std::int64_t last = call.parts.configuration.version();
+    const std::int64_t first = queryNumber(call.request.getURI(), "from").value_or(std::max<std::int64_t>(1, last - entriesShown + 1));
+    Reason reason;
+    const auto lines = call.parts.tickets.audit(first, first + entriesShown - 1, reason);
+    if (!lines) {
+        sendRefusal(call.response, {reason}, "", true);
+        return;
+    }
+    Object::Ptr answer = ordered();
+    answer->set("audit", auditRows(*lines));
+    sendObject(call, answer);
+}
+
+void setEntryStatus(const OperatorCall &call, std::int64_t sequence, Object &answer)
+{
+    const EntryStatus status = call.parts.configuration.entryStatus(sequence);
+    answer.set("sequence", sequence);
+    answer.set("state", status.isInForce ? "in_force" : "committed");
+    Array::Ptr lacking = new Array;
+    for (const std::string &host : status.lacking) {
+        lacking->add(host);
+    }
+    answer.set("hosts_lacking", lacking);
+}
+
+void showTicket(const OperatorCall &call)
+{
+    constexpr std::int64_t entriesSearched = 100;
+    const auto number = queryNumber(call.request.getURI(), "ticket").value_or(0);
+    const std::int64_t last = call.parts.configuration.version();
+    Reason reason;
+    auto lines = call.parts.tickets.audit(std::max<std::int64_t>(1, last - entriesSearched + 1), last, reason);
+    if (!lines) {
+        sendRefusal(call.response, {reason}, "", true);
+        return;
+    }
+    std::erase_if(*lines, [number](const AuditLine &line) { return line.ticket != number; });
+    if (lines->empty()) {
+        sendRefusal(call.response, {{ResultCode::StoreNotFound, "no such ticket among the last 100 entries"}}, "", true);
+        return;
+    }
+    Object::Ptr answer = ordered();
+    answer->set("ticket", number);
+    setEntryStatus(call, lines->back().sequence, *answer);
+    answer->set("objects", auditRows(*lines));
+    sendObject(call, answer);
+}
+
 void applyTicket(const OperatorCall &call)
 {
     std::string text;
     Poco::StreamCopier::copyToString(call.request.stream(), text);
     Reason reason;
     const auto ticket = parseTicket(text, reason);
-    if (!ticket || !call.parts.configuration.apply(*ticket, reason)) {
-        sendRefusal(call.response, {reason}, "", true);
+    const auto entry = ticket ? call.parts.tickets.apply(*ticket, reason) : std::nullopt;
+    if (!entry) {
+        const bool isUnknown = reason.code == ResultCode::StoreAnswerLost;
+        sendRefusal(call.response, {reason, isUnknown ? RunState::MayHaveRun : RunState::NotRun}, "", true);
         return;
     }
-    writeLog(LogLevel::Info, "ticket_accepted", {{"ticket", ticket->number}, {"operator", ticket->operatorName}});
     Object::Ptr answer = ordered();
     answer->set("ticket", ticket->number);
-    answer->set("state", "committed");
+    setEntryStatus(call, entry->sequence, *answer);
     sendObject(call, answer);
 }
 
+void startDrain(const OperatorCall &call)
+{
+    writeLog(LogLevel::Info, "drain_asked_by_operator");
+    sendJson(call.response, HTTPResponse::HTTP_OK, R"({"state":"draining"})");
+    // The main thread waits for this signal, whoever sends it.
+    ::kill(::getpid(), SIGTERM);
+}
+
 struct Route
 {
     std::string_view path;
@@ -152,7 +273,11 @@
     {"/operator/status", "GET", &serveStatus},
     {"/operator/teams", "GET", &serveTeams},
     {"/operator/targets", "GET", &serveTargets},
+    {"/operator/hosts", "GET", &serveHosts},
+    {"/operator/audit", "GET", &serveAudit},
     {"/operator/tickets", "POST", &applyTicket},
+    {"/operator/tickets", "GET", &showTicket},
+    {"/operator/drain", "POST", &startDrain},
 });
 
 bool hasOperatorKey(const OperatorCall &call)
--- a/servers/peer.capnp
+++ b/servers/peer.capnp
@@ -53,7 +53,7 @@
   entriesAfter @1 (sequence :Int64) -> (entries :List(Text), snapshot :Text);
 
   # What this host holds of the configuration.
-  vouch @2 () -> (host :Text, incarnation :Text, version :Int64, isCaughtUp :Bool);
+  vouch @2 () -> (host :Text, incarnation :UInt64, versionHeld :Int64, isCaughtUp :Bool, inForceVersion :Int64);
 
   # Takes from this host's part of a team's share for one request of the asker.
   debit @3 (request :DebitRequest) -> (reply :DebitReply);
--- a/servers/peer.capnp.h
+++ b/servers/peer.capnp.h
@@ -303,7 +303,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a7f65a3c57fb79eb, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(a7f65a3c57fb79eb, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1765,13 +1765,14 @@
   inline bool hasHost() const;
   inline  ::capnp::Text::Reader getHost() const;
 
-  inline bool hasIncarnation() const;
-  inline  ::capnp::Text::Reader getIncarnation() const;
+  inline  ::uint64_t getIncarnation() const;
 
-  inline  ::int64_t getVersion() const;
+  inline  ::int64_t getVersionHeld() const;
 
   inline bool getIsCaughtUp() const;
 
+  inline  ::int64_t getInForceVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1807,19 +1808,18 @@
   inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownHost();
 
-  inline bool hasIncarnation();
-  inline  ::capnp::Text::Builder getIncarnation();
-  inline void setIncarnation( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initIncarnation(unsigned int size);
-  inline void adoptIncarnation(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownIncarnation();
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
-  inline  ::int64_t getVersion();
-  inline void setVersion( ::int64_t value);
+  inline  ::int64_t getVersionHeld();
+  inline void setVersionHeld( ::int64_t value);
 
   inline bool getIsCaughtUp();
   inline void setIsCaughtUp(bool value);
 
+  inline  ::int64_t getInForceVersion();
+  inline void setInForceVersion( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3397,66 +3397,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Peer::VouchResults::Reader::hasIncarnation() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Peer::VouchResults::Builder::hasIncarnation() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Peer::VouchResults::Reader::getIncarnation() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Peer::VouchResults::Builder::getIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Peer::VouchResults::Builder::setIncarnation( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Peer::VouchResults::Builder::initIncarnation(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::uint64_t Peer::VouchResults::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Peer::VouchResults::Builder::adoptIncarnation(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t Peer::VouchResults::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> Peer::VouchResults::Builder::disownIncarnation() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void Peer::VouchResults::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t Peer::VouchResults::Reader::getVersion() const {
+inline  ::int64_t Peer::VouchResults::Reader::getVersionHeld() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t Peer::VouchResults::Builder::getVersion() {
+inline  ::int64_t Peer::VouchResults::Builder::getVersionHeld() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Peer::VouchResults::Builder::setVersion( ::int64_t value) {
+inline void Peer::VouchResults::Builder::setVersionHeld( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Peer::VouchResults::Reader::getIsCaughtUp() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 
 inline bool Peer::VouchResults::Builder::getIsCaughtUp() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 inline void Peer::VouchResults::Builder::setIsCaughtUp(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Peer::VouchResults::Reader::getInForceVersion() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Peer::VouchResults::Builder::getInForceVersion() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Peer::VouchResults::Builder::setInForceVersion( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Peer::DebitParams::Reader::hasRequest() const {
--- a/servers/peer_gate.cpp
+++ b/servers/peer_gate.cpp
@@ -41,11 +41,12 @@
 
     kj::Promise<void> vouch(VouchContext context) override
     {
-        const PeerVouch vouch = handler_.vouch();
-        context.getResults().setHost(vouch.host);
-        context.getResults().setIncarnation(vouch.incarnation);
-        context.getResults().setVersion(vouch.version);
-        context.getResults().setIsCaughtUp(vouch.isCaughtUp);
+        const PeerAnswer answer = handler_.vouch();
+        context.getResults().setHost(answer.vouch.host);
+        context.getResults().setIncarnation(answer.vouch.incarnation);
+        context.getResults().setVersionHeld(answer.vouch.versionHeld);
+        context.getResults().setIsCaughtUp(answer.vouch.isCaughtUp);
+        context.getResults().setInForceVersion(answer.inForceVersion);
         return kj::READY_NOW;
     }
 
--- a/servers/peer_handler.h
+++ b/servers/peer_handler.h
@@ -6,18 +6,17 @@
 #include <string_view>
 #include <vector>
 
+#include "coordination/host_lists.h"
 #include "coordination/share_messages.h"
 
 namespace Lovageloft
 {
 
-/// What a host says of the configuration that it holds.
-struct PeerVouch
+/// What a host answers about the configuration that it holds.
+struct PeerAnswer
 {
-    std::string host;
-    std::string incarnation;
-    std::int64_t version = 0;
-    bool isCaughtUp = false; ///< Since its start it has caught up from the store or a majority.
+    PeerVouch vouch;
+    std::int64_t inForceVersion = 0; ///< The last entry that it knows to be in force.
 };
 
 /// Part of the configuration log.
@@ -38,7 +37,7 @@
 
     virtual void onAnnounced(const std::vector<std::string> &entries) = 0;
     virtual PeerEntries entriesAfter(std::int64_t sequence) = 0;
-    virtual PeerVouch vouch() = 0;
+    virtual PeerAnswer vouch() = 0;
     virtual DebitReply onDebit(const DebitRequest &request) = 0;
     virtual void onSettlement(const DebitSettlement &settlement) = 0;
     virtual void onGossip(std::string_view message) = 0;
--- a/servers/peer_network.cpp
+++ b/servers/peer_network.cpp
@@ -285,7 +285,7 @@
     });
 }
 
-void PeerNetwork::askVouch(const std::string &address, std::function<void(std::optional<PeerVouch>)> onAnswer)
+void PeerNetwork::askVouch(const std::string &address, std::function<void(std::optional<PeerAnswer>)> onAnswer)
 {
     post([address, onAnswer = std::move(onAnswer)](Loop &loop) {
         loop.call<Rpc::Peer::VouchResults>(
@@ -293,7 +293,8 @@
             [](Rpc::Peer::Client &peer) { return peer.vouchRequest().send(); },
             [onAnswer](kj::Maybe<capnp::Response<Rpc::Peer::VouchResults> &> response) { // NOLINT(performance-unnecessary-value-param): a maybe of a reference.
                 KJ_IF_MAYBE (vouch, response) {
-                    onAnswer(PeerVouch{toString(vouch->getHost()), toString(vouch->getIncarnation()), vouch->getVersion(), vouch->getIsCaughtUp()});
+                    onAnswer(PeerAnswer{{toString(vouch->getHost()), vouch->getIncarnation(), vouch->getVersionHeld(), vouch->getIsCaughtUp()},
+                                        vouch->getInForceVersion()});
                 } else {
                     onAnswer(std::nullopt);
                 }
--- a/servers/router_parts.h
+++ b/servers/router_parts.h
@@ -6,6 +6,8 @@
 #include "servers/connection_deadlines.h"
 #include "servers/dispatcher.h"
 #include "servers/drain_state.h"
+#include "servers/share_service.h"
+#include "servers/ticket_service.h"
 
 namespace Lovageloft
 {
@@ -16,6 +18,8 @@
     const Settings &settings;
     Metrics &metrics;
     ConfigurationService &configuration;
+    ShareService &shares;
+    TicketService &tickets;
     Dispatcher &dispatcher;
     DrainState &drain;
     ConnectionDeadlines &deadlines;
--- a/servers/share_service.cpp
+++ b/servers/share_service.cpp
@@ -16,8 +16,9 @@
 } // namespace
 
 ShareService::ShareService(std::string host, std::string incarnation, Metrics &metrics)
-    : metrics_(metrics)
-    , ledger_(std::move(host), std::move(incarnation), BootClock::now())
+    : host_(std::move(host))
+    , metrics_(metrics)
+    , ledger_(host_, std::move(incarnation), BootClock::now())
 {
 }
 
@@ -108,7 +109,12 @@
 void ShareService::setConfiguration(std::int64_t version, const ConfigurationState &state)
 {
     const std::lock_guard lock(mutex_);
-    ledger_.setConfiguration(shareConfiguration(version, state), BootClock::now());
+    ShareConfiguration configuration = shareConfiguration(version, state);
+    if (configuration.hosts.empty()) {
+        // A deployment of one host needs no list of hosts.
+        configuration.hosts.push_back(host_);
+    }
+    ledger_.setConfiguration(configuration, BootClock::now());
 }
 
 void ShareService::onInForce(std::int64_t version)
--- a/servers/share_service.h
+++ b/servers/share_service.h
@@ -75,6 +75,7 @@
     ShareDecision waitForAnswers(std::unique_lock<std::mutex> &lock, ShareDecision asked);
     void send(const ShareDecision &decision);
 
+    std::string host_;
     Metrics &metrics_;
     ShareTransport *transport_ = nullptr;
     std::mutex mutex_;
--- a/tests/servers/router_fixture.cpp
+++ b/tests/servers/router_fixture.cpp
@@ -147,6 +147,17 @@
     if (!host_->start(reason)) {
         throw std::runtime_error(reason.text);
     }
+    // A bucket begins empty; the first call that passes tells that it has filled.
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (engineCount > 0 && call(post("/v1/completions", R"({"model":"model","prompt":"x","max_tokens":1})")).status != 200) {
+        if (std::chrono::steady_clock::now() > deadline) {
+            throw std::runtime_error("the router does not serve");
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    for (std::size_t i = 0; i < engineCount; ++i) {
+        startedBefore_.push_back(engineRecord(i, "started"));
+    }
 }
 
 RouterFixture::~RouterFixture()
@@ -188,7 +199,11 @@
     if (!std::regex_search(record, match, pattern)) {
         return -1;
     }
-    return match[1] == "true" ? 1 : match[1] == "false" ? 0 : std::stol(match[1]);
+    if (match[1] == "true" || match[1] == "false") {
+        return match[1] == "true" ? 1 : 0;
+    }
+    const bool isAdjusted = field == "started" && engine < startedBefore_.size();
+    return std::stol(match[1]) - (isAdjusted ? startedBefore_[engine] : 0);
 }
 
 bool RouterFixture::waitForRecord(std::size_t engine, std::string_view field, std::int64_t least)
--- a/tests/servers/router_fixture.h
+++ b/tests/servers/router_fixture.h
@@ -61,7 +61,7 @@
     /// Plans a fault on an engine, as JSON.
     void planFault(std::size_t engine, std::string_view json);
 
-    /// A number in an engine's record.
+    /// A number in an engine's record; "started" leaves out what the fixture's own start sent.
     std::int64_t engineRecord(std::size_t engine, std::string_view field);
 
     /// Waits until a number in an engine's record has come to `least`; false if it does not in five seconds.
@@ -82,6 +82,7 @@
     std::string callEngine(std::size_t engine, std::string_view method, std::string_view path, std::string_view body);
 
     std::vector<std::unique_ptr<StandIns::StandInEngine>> engines_;
+    std::vector<std::int64_t> startedBefore_;
     std::string ticketPath_;
     std::unique_ptr<RouterHost> host_;
 };
