--- a/decision/admission_queue.cpp
+++ b/decision/admission_queue.cpp
@@ -15,12 +15,23 @@
 
 // What part of its longest wait a request may expect when it first comes. The rest is kept for callers that come back when
 // they were told, and for estimates that prove too low: what is let in too eagerly ends as a late refusal.
-constexpr double newcomerPart = 0.8;
+constexpr double newcomerPart = 0.7;
 
 // Below this part of the longest wait newcomers are let in whatever is reserved: reservations of callers that never
 // return must not leave engines idle.
 constexpr double lowWaterPart = 0.3;
 
+// What the order of service alone says about a lane's share weighs as much as two seconds of watching it: enough to outweigh
+// one long prompt of another team.
+constexpr double backlogSeconds = 2;
+
+// Over how many seconds of service a lane's share is remembered, as for the rate of the whole model.
+constexpr double shareSeconds = 10;
+
+// Returning callers are spaced this much wider than their lane drains. At exactly its pace any error of the estimate adds
+// up in the queue until those who come back when told are refused again; newcomers use what is left over.
+constexpr double reservationSpacing = 1.1;
+
 // Another host behind the balancer can take the request at once, but the balancer needs a moment to see this one leave.
 constexpr Duration drainingRetryAfter = std::chrono::seconds(1);
 
@@ -38,7 +49,7 @@
 
 AdmissionQueue::ModelQueue::ModelQueue(const QueueLimits &limits)
     : queue(limits.shortCost, limits.quantum)
-    , estimate(limits.initialRate)
+    , estimate({.rate = limits.initialRate})
 {
 }
 
@@ -55,6 +66,11 @@
     }
 }
 
+void AdmissionQueue::scaleCapacity(ModelId model, double factor)
+{
+    modelQueue(model).estimate.scale(factor);
+}
+
 AdmissionDecision AdmissionQueue::offer(const QueuedRequest &request, TimePoint now)
 {
     collectExpired(now);
@@ -69,11 +85,11 @@
             return refuse(offer, code);
         }
     }
-    const auto book = offer.model.books.find(bookKey(offer.model, clamped));
-    if (book != offer.model.books.end()) {
-        book->second.drop(clamped.fingerprint);
-    }
+    offer.lane.book.drop(clamped.fingerprint);
     offer.model.queue.push(insert(clamped));
+    if (offer.model.estimate.isBlocked()) {
+        offer.lane.share.onWaiting(offer.model.estimate.dispatchedTokens(), now);
+    }
     return {.isAdmitted = true, .expectedWait = offer.wait, .reason = {}, .retryAfter = {}};
 }
 
@@ -86,15 +102,14 @@
         if (model.queue.size() == 0) {
             continue;
         }
-        if (!canDispatch(model.model)) {
+        if (!canDispatch(model.queue.peek()->request)) {
             model.estimate.onBlocked(now);
             continue;
         }
         QueueEntry &entry = *model.queue.pop();
         model.estimate.onDispatched(entry.request.cost, now);
-        if (model.queue.size() == 0) {
-            model.estimate.onEmptied(now);
-        }
+        laneRecord(model, entry.request).share.onServed(entry.request.cost, model.estimate.dispatchedTokens());
+        afterRemoval(model, entry.request, now);
         return forget(entry);
     }
     return std::nullopt;
@@ -211,13 +226,14 @@
 }
 
 // Made for demand above what the engines do. The harm prevented is work that waits, is given up and then sent again: the
-// caller loses its deadline and can't go elsewhere in time. Newcomers leave room for callers that were told to come now.
+// caller loses its deadline and can't go elsewhere in time. Newcomers leave room for callers that were told to come now, and
+// those are judged by the order of service alone: a lane that stood still behind one long prompt would turn them away.
 ResultCode AdmissionQueue::checkWait(const Offer &offer) const
 {
     if (offer.request.deadline <= offer.now) {
         return ResultCode::DeadlineWouldPass;
     }
-    const bool isInTime = offer.wait <= offer.bound;
+    const bool isInTime = (offer.isReserved ? offer.waitByBacklog : offer.wait) <= offer.bound;
     const bool leavesRoom = offer.waitBehindReserved <= part(offer.bound, newcomerPart) || offer.wait <= part(offer.bound, lowWaterPart);
     if (isInTime && (offer.isReserved || leavesRoom)) {
         return ResultCode::Ok;
@@ -238,42 +254,87 @@
     return found->second;
 }
 
-std::uint64_t AdmissionQueue::bookKey(const ModelQueue &model, const QueuedRequest &request)
+AdmissionQueue::LaneRecord &AdmissionQueue::laneRecord(ModelQueue &model, const QueuedRequest &request)
+{
+    const auto kind = static_cast<std::uint64_t>(model.queue.laneOf(request.cost));
+    return model.lanes[static_cast<std::uint64_t>(request.team) * laneCount + kind];
+}
+
+Duration AdmissionQueue::waitByBacklog(const Offer &offer, std::int64_t extra)
 {
-    return static_cast<std::uint64_t>(request.team) * laneCount + static_cast<std::uint64_t>(model.queue.laneOf(request.cost));
+    return offer.model.estimate.waitFor(offer.model.queue.tokensAhead(offer.request, extra));
+}
+
+// Two estimates. What waits now, in the order of service, is right at the start of a burst but knows nothing of the work
+// that others will send meanwhile and that goes first because they are within their parts. What share of the service this
+// team's lane had contains that, but only after some seconds. The longer one counts, so that few are let in to expire.
+Duration AdmissionQueue::expectedWait(const Offer &offer, std::int64_t extra)
+{
+    const Duration byBacklog = extra == 0 ? offer.waitByBacklog : waitByBacklog(offer, extra);
+    const double ownTokens = static_cast<double>(offer.model.queue.ownTokensAhead(offer.request) + extra);
+    if (ownTokens <= 0 || byBacklog <= Duration::zero()) {
+        return byBacklog;
+    }
+    const double rate = offer.model.estimate.rate();
+    const double expected = ownTokens / (toSeconds(byBacklog) * rate);
+    const double share = offer.lane.share.share(expected, backlogSeconds * rate, offer.model.estimate.dispatchedTokens(), shareSeconds * rate);
+    return std::max(byBacklog, fromSeconds(ownTokens / (share * rate)));
+}
+
+void AdmissionQueue::afterRemoval(ModelQueue &model, const QueuedRequest &request, TimePoint now)
+{
+    QueuedRequest last = request;
+    last.priority = Priority::Low;
+    if (model.queue.ownTokensAhead(last) == 0) {
+        laneRecord(model, request).share.onEmptied(model.estimate.dispatchedTokens(), now);
+    }
+    if (model.queue.size() == 0) {
+        model.estimate.onEmptied(now);
+    }
 }
 
 AdmissionQueue::Offer AdmissionQueue::assess(const QueuedRequest &request, TimePoint now)
 {
-    Offer offer{.request = request, .model = modelQueue(request.model), .now = now};
+    ModelQueue &model = modelQueue(request.model);
+    Offer offer{.request = request, .model = model, .lane = laneRecord(model, request), .now = now};
     offer.model.estimate.advance(now);
     offer.bound = std::max(request.deadline - now, Duration::zero());
-    offer.wait = offer.model.estimate.waitFor(offer.model.queue.tokensAhead(request));
+    offer.waitByBacklog = waitByBacklog(offer, 0);
+    offer.wait = expectedWait(offer, 0);
     offer.waitBehindReserved = offer.wait;
     return offer;
 }
 
 void AdmissionQueue::applyReservations(Offer &offer)
 {
-    const auto book = offer.model.books.find(bookKey(offer.model, offer.request));
-    if (book == offer.model.books.end()) {
+    if (offer.lane.book.isEmpty()) {
         return;
     }
-    offer.isReserved = book->second.redeem(offer.request.fingerprint, offer.request.isRetry, offer.now);
-    const std::int64_t reserved = book->second.tokensDue(offer.now);
+    offer.isReserved = offer.lane.book.redeem(offer.request.fingerprint, offer.request.isRetry, offer.now);
+    const std::int64_t reserved = offer.lane.book.tokensDue(offer.now);
     if (reserved > 0) {
-        offer.waitBehindReserved = offer.model.estimate.waitFor(offer.model.queue.tokensAhead(offer.request, reserved));
+        offer.waitBehindReserved = expectedWait(offer, reserved);
     }
 }
 
+// How long its team's lane takes for a request. The mean over what waits evens out the steps of the rounds; without any
+// wait of its own kind there is only the step.
+Duration AdmissionQueue::serviceTime(const Offer &offer)
+{
+    const std::int64_t ownTokens = offer.model.queue.ownTokensAhead(offer.request);
+    const Duration step = expectedWait(offer, offer.request.cost) - offer.wait;
+    if (ownTokens == 0) {
+        return step;
+    }
+    return std::max(step, part(offer.wait, static_cast<double>(offer.request.cost) / static_cast<double>(ownTokens)));
+}
+
 Duration AdmissionQueue::reserveReturn(const Offer &offer)
 {
     const QueuedRequest &request = offer.request;
-    const WaitEstimate &estimate = offer.model.estimate;
-    const Duration waitBehindIt = estimate.waitFor(offer.model.queue.tokensAhead(request, request.cost));
+    const Duration served = serviceTime(offer);
     const Duration excess = std::max(offer.wait - part(offer.bound, newcomerPart), Duration::zero());
-    ReservationBook &book = offer.model.books[bookKey(offer.model, request)];
-    return book.reserve(request.fingerprint, request.cost, offer.now + excess, waitBehindIt - offer.wait, offer.now);
+    return offer.lane.book.reserve(request.fingerprint, request.cost, offer.now + excess, part(served, reservationSpacing), offer.now);
 }
 
 AdmissionDecision AdmissionQueue::refuse(const Offer &offer, ResultCode code)
@@ -308,9 +369,7 @@
 {
     ModelQueue &model = modelQueue(entry.request.model);
     model.queue.erase(entry);
-    if (model.queue.size() == 0) {
-        model.estimate.onEmptied(now);
-    }
+    afterRemoval(model, entry.request, now);
     return forget(entry);
 }
 
--- a/decision/admission_queue.h
+++ b/decision/admission_queue.h
@@ -11,6 +11,7 @@
 #include "core/result_code.h"
 #include "decision/fair_queue.h"
 #include "decision/reservation_book.h"
+#include "decision/service_share.h"
 #include "decision/wait_estimate.h"
 
 namespace Lovageloft
@@ -52,20 +53,24 @@
 class AdmissionQueue
 {
 public:
-    /// Whether some engine of a model has room in its window now.
-    using CanDispatch = std::function<bool(ModelId)>;
+    /// Whether some engine of the request's model has room in its window for it now.
+    using CanDispatch = std::function<bool(const QueuedRequest &)>;
 
     explicit AdmissionQueue(const QueueLimits &limits = {});
 
     /// A team's part relative to the others', for example its configured rate over the mean rate. By default 1, range [0.01, 100].
     void setWeight(TeamId team, double weight);
 
+    /// Tells that a model's engines can do `factor` times what they did, as (engines now) / (engines before); above 0.
+    void scaleCapacity(ModelId model, double factor);
+
     /// Lets a request wait or refuses it: Draining, InvalidField (the id waits already), Overloaded (no memory), QueueFull
     /// (longer than the queue's longest wait) or DeadlineWouldPass. Its deadline is brought forward to the longest wait.
     AdmissionDecision offer(const QueuedRequest &request, TimePoint now);
 
-    /// The request that goes to an engine now; nothing if none waits for a model that can take one. Never one whose
-    /// deadline has passed. Call it until it returns nothing whenever a window opens or a request was admitted.
+    /// The request that goes to an engine now; nothing if each model's next request is refused by `canDispatch` or none
+    /// waits. Never one whose deadline has passed. Call it until it returns nothing whenever a window opens or a request
+    /// was admitted: a refused `canDispatch` is also how the queue learns that the engines are saturated.
     std::optional<QueuedRequest> next(TimePoint now, const CanDispatch &canDispatch);
 
     /// Puts back a request from `next` that reached no engine. It is served first among its like and its team pays once.
@@ -111,6 +116,13 @@
 
     using Deadlines = boost::intrusive::multiset<QueueEntry, boost::intrusive::compare<EarlierDeadline>>;
 
+    /// What is known of one team's short or long work for one model.
+    struct LaneRecord
+    {
+        ServiceShare share;
+        ReservationBook book;
+    };
+
     struct ModelQueue
     {
         explicit ModelQueue(const QueueLimits &limits);
@@ -118,7 +130,7 @@
         ModelId model{};
         FairQueue queue;
         WaitEstimate estimate;
-        std::unordered_map<std::uint64_t, ReservationBook> books; ///< By team and lane; only of teams that were refused.
+        std::unordered_map<std::uint64_t, LaneRecord> lanes; ///< By team and lane.
     };
 
     /// What the checks look at.
@@ -126,8 +138,10 @@
     {
         const QueuedRequest &request;
         ModelQueue &model;
+        LaneRecord &lane;
         TimePoint now;
         Duration bound{}; ///< The longest wait this request may have.
+        Duration waitByBacklog{}; ///< The wait expected from the order of service alone.
         Duration wait{}; ///< The wait expected.
         Duration waitBehindReserved{}; ///< The same if all callers whose reserved time has come were in the queue too.
         bool isReserved = false; ///< Came back at the time it was told.
@@ -142,9 +156,13 @@
     ResultCode checkWait(const Offer &offer) const;
 
     ModelQueue &modelQueue(ModelId model);
-    static std::uint64_t bookKey(const ModelQueue &model, const QueuedRequest &request);
+    static LaneRecord &laneRecord(ModelQueue &model, const QueuedRequest &request);
+    static Duration waitByBacklog(const Offer &offer, std::int64_t extra);
+    static Duration expectedWait(const Offer &offer, std::int64_t extra);
+    static void afterRemoval(ModelQueue &model, const QueuedRequest &request, TimePoint now);
     Offer assess(const QueuedRequest &request, TimePoint now);
     static void applyReservations(Offer &offer);
+    static Duration serviceTime(const Offer &offer);
     static Duration reserveReturn(const Offer &offer);
     static AdmissionDecision refuse(const Offer &offer, ResultCode code);
     QueueEntry &insert(const QueuedRequest &request);
--- a/decision/engine_window.cpp
+++ b/decision/engine_window.cpp
@@ -25,6 +25,13 @@
 // The fixed part of a first-token time, as prompt tokens: without it short prompts would seem slow for each token.
 constexpr double fixedTokens = 256;
 
+// Prompts sent before the first token of the one before may take this long together: it keeps an engine busy while the next
+// request is chosen, and a short question behind them still has its first token well within a second.
+constexpr double mostPrefillSeconds = 0.5;
+
+// Seconds a prompt token until something has been measured: 10,000 tokens a second, as one engine of today.
+constexpr double assumedPace = 1e-4;
+
 // The floor forgets after one to two epochs: new weights or a smaller accelerator are then the normal case. Much
 // shorter, and an engine that is slow for a few minutes would count as normal.
 constexpr Duration epoch = std::chrono::minutes(5);
@@ -34,9 +41,12 @@
 
 } // namespace
 
-bool EngineWindow::canStart() const
+bool EngineWindow::canStart(std::int64_t missedTokens) const
 {
-    return inFlight_ < size();
+    if (inFlight_ == 0) {
+        return true;
+    }
+    return inFlight_ < size() && prefillSeconds_ + prefillSeconds(missedTokens) <= mostPrefillSeconds;
 }
 
 EngineWindow::Dispatch EngineWindow::start(std::int64_t missedTokens, TimePoint now)
@@ -47,15 +57,18 @@
     }
     ++inFlight_;
     lastUse_ = now;
-    return {.generation = generation_, .missedTokens = std::max<std::int64_t>(missedTokens, 0), .startedAt = now};
+    const double expected = prefillSeconds(missedTokens);
+    prefillSeconds_ += expected;
+    return {.generation = generation_, .missedTokens = std::max<std::int64_t>(missedTokens, 0), .startedAt = now, .prefillSeconds = expected};
 }
 
-void EngineWindow::onFirstToken(const Dispatch &dispatch, TimePoint now)
+void EngineWindow::onFirstToken(Dispatch &dispatch, TimePoint now)
 {
     if (dispatch.generation != generation_) {
         return;
     }
     lastUse_ = now;
+    endPrefill(dispatch);
     const double ratio = slowdown(dispatch, now);
     if (ratio > slowdownLimit) {
         shrink(dispatch, std::clamp(slowdownLimit / ratio, strongestCut, weakestCut), now);
@@ -64,12 +77,13 @@
     grow();
 }
 
-void EngineWindow::onFinished(const Dispatch &dispatch, TimePoint now)
+void EngineWindow::onFinished(Dispatch &dispatch, TimePoint now)
 {
     if (dispatch.generation != generation_) {
         return;
     }
     lastUse_ = now;
+    endPrefill(dispatch);
     inFlight_ -= std::min<std::size_t>(inFlight_, 1);
 }
 
@@ -84,6 +98,7 @@
 {
     ++generation_;
     inFlight_ = 0;
+    prefillSeconds_ = 0;
     window_ = initialWindow;
     isProbing_ = true;
     floors_ = {};
@@ -99,19 +114,43 @@
     return inFlight_;
 }
 
+std::size_t EngineWindow::floorIndex(std::int64_t missedTokens)
+{
+    return std::min<std::size_t>(std::bit_width(static_cast<std::uint64_t>(missedTokens)), floorCount - 1);
+}
+
+double EngineWindow::Floor::least() const
+{
+    if (current > 0 && previous > 0) {
+        return std::min(current, previous);
+    }
+    return std::max(current, previous);
+}
+
+double EngineWindow::prefillSeconds(std::int64_t missedTokens) const
+{
+    const std::int64_t tokens = std::max<std::int64_t>(missedTokens, 0);
+    const double pace = floors_[floorIndex(tokens)].least();
+    return (pace > 0 ? pace : assumedPace) * static_cast<double>(tokens);
+}
+
+void EngineWindow::endPrefill(Dispatch &dispatch)
+{
+    prefillSeconds_ = std::max(0.0, prefillSeconds_ - dispatch.prefillSeconds);
+    dispatch.prefillSeconds = 0;
+}
+
 double EngineWindow::slowdown(const Dispatch &dispatch, TimePoint now)
 {
-    const auto tokens = static_cast<std::uint64_t>(dispatch.missedTokens);
-    Floor &floor = floors_[std::min<std::size_t>(std::bit_width(tokens), floorCount - 1)];
-    const double pace = toSeconds(now - dispatch.startedAt) / (static_cast<double>(tokens) + fixedTokens);
+    Floor &floor = floors_[floorIndex(dispatch.missedTokens)];
+    const double pace = toSeconds(now - dispatch.startedAt) / (static_cast<double>(dispatch.missedTokens) + fixedTokens);
     if (now - floor.epochStart > epoch) {
         floor.previous = floor.current;
         floor.current = 0;
         floor.epochStart = now;
     }
     floor.current = floor.current > 0 ? std::min(floor.current, pace) : pace;
-    const double least = floor.previous > 0 ? std::min(floor.current, floor.previous) : floor.current;
-    return least > 0 ? pace / least : 1;
+    return pace > 0 ? pace / floor.least() : 1;
 }
 
 void EngineWindow::grow()
--- a/decision/fair_queue.cpp
+++ b/decision/fair_queue.cpp
@@ -37,7 +37,7 @@
 void FairQueue::setWeight(TeamId team, double weight)
 {
     const double tokens = static_cast<double>(quantum_) * std::clamp(weight, leastWeight, mostWeight);
-    flowOf(team).quantum = std::max<std::int64_t>(2, std::llround(tokens));
+    figures_[flowOf(team).index].quantum = std::max<std::int64_t>(2, std::llround(tokens));
 }
 
 LaneKind FairQueue::laneOf(std::int64_t cost) const
@@ -55,7 +55,7 @@
 void FairQueue::putBack(QueueEntry &entry)
 {
     Lane &lane = laneFor(entry.request);
-    lane.account += entry.request.cost;
+    figuresOf(lane).account += entry.request.cost;
     lane.queues[static_cast<std::size_t>(entry.request.priority)].push_front(entry);
     add(lane, entry);
 }
@@ -67,43 +67,55 @@
     refresh(lane);
 }
 
+const QueueEntry *FairQueue::peek()
+{
+    Lane *lane = findReady();
+    return lane ? &headOf(*lane) : nullptr;
+}
+
 QueueEntry *FairQueue::pop()
 {
-    while (size_ > 0) {
-        // One team is topped up at a time, and only when no lane is ready: a team that has just become active then waits
-        // for what is ready now and not for a whole round.
-        for (std::size_t visits = 0; visits <= round_.size(); ++visits) {
-            if (QueueEntry *entry = serveReady()) {
-                return entry;
-            }
-            visitNextFlow();
-        }
-        skipRounds();
+    Lane *lane = findReady();
+    if (!lane) {
+        return nullptr;
     }
-    return nullptr;
+    QueueEntry &entry = headOf(*lane);
+    auto &ready = ready_[static_cast<std::size_t>(lane->kind)];
+    ready.erase(ready.iterator_to(*lane));
+    remove(*lane, entry);
+    figuresOf(*lane).account -= entry.request.cost;
+    refresh(*lane);
+    return &entry;
 }
 
 std::int64_t FairQueue::tokensAhead(const QueuedRequest &request, std::int64_t extra) const
 {
     const LaneKind kind = laneOf(request.cost);
-    const auto own = flows_.find(request.team);
-    const Lane *lane = own == flows_.end() ? nullptr : &own->second.lanes[static_cast<std::size_t>(kind)];
-    std::int64_t ownAhead = extra;
-    for (std::size_t priority = 0; lane && priority <= static_cast<std::size_t>(request.priority); ++priority) {
-        ownAhead += lane->tokens[priority];
+    const Lane *lane = findLane(request);
+    const std::int64_t ownAhead = extra + ownTokensAhead(request);
+    const std::int64_t account = lane ? figuresOf(*lane).account : 0;
+    if (account >= ownAhead) {
+        const std::int64_t ready = readyTokens(LaneKind::Short) + (kind == LaneKind::Long ? readyTokens(LaneKind::Long) : 0);
+        return ownAhead + ready - (lane ? figuresOf(*lane).servedAfter(0) : 0);
     }
-    const std::int64_t account = lane ? lane->account : 0;
-    if (account - ownAhead >= 0) {
-        return ownAhead + readyTokens(LaneKind::Short) + (kind == LaneKind::Long ? readyTokens(LaneKind::Long) : 0);
-    }
-    const std::int64_t rounds = roundsUntil(account - ownAhead, lane ? quantumOf(*lane) : quantum_);
+    const std::int64_t quantum = lane ? figures_[lane->flow->index].quantumOf(kind) : quantum_;
+    const std::int64_t rounds = roundsUntil(account - ownAhead, quantum);
     std::int64_t total = ownAhead;
-    for (const Flow &flow : round_) {
-        for (const Lane &other : flow.lanes) {
-            total += &other == lane ? 0 : servedWithin(other, rounds);
-        }
+    for (const FlowFigures &flow : figures_) {
+        total += flow.lanes[0].servedAfter(rounds * flow.quantumOf(LaneKind::Short));
+        total += flow.lanes[1].servedAfter(rounds * flow.quantumOf(LaneKind::Long));
     }
-    return total;
+    return lane ? total - figuresOf(*lane).servedAfter(rounds * quantum) : total;
+}
+
+std::int64_t FairQueue::ownTokensAhead(const QueuedRequest &request) const
+{
+    const Lane *lane = findLane(request);
+    std::int64_t ahead = 0;
+    for (std::size_t priority = 0; lane && priority <= static_cast<std::size_t>(request.priority); ++priority) {
+        ahead += lane->tokens[priority];
+    }
+    return ahead;
 }
 
 std::size_t FairQueue::size() const
@@ -123,7 +135,8 @@
     if (!isNew) {
         return flow;
     }
-    flow.quantum = quantum_;
+    flow.index = figures_.size();
+    figures_.push_back({.quantum = quantum_, .lanes = {}});
     for (const LaneKind kind : {LaneKind::Short, LaneKind::Long}) {
         Lane &lane = flow.lanes[static_cast<std::size_t>(kind)];
         lane.flow = &flow;
@@ -137,37 +150,32 @@
     return flowOf(request.team).lanes[static_cast<std::size_t>(laneOf(request.cost))];
 }
 
-bool FairQueue::needsTokens(const Lane &lane)
+const FairQueue::Lane *FairQueue::findLane(const QueuedRequest &request) const
 {
-    return lane.backlog > 0 || lane.account < 0;
+    const auto found = flows_.find(request.team);
+    return found == flows_.end() ? nullptr : &found->second.lanes[static_cast<std::size_t>(laneOf(request.cost))];
 }
 
-std::int64_t FairQueue::quantumOf(const Lane &lane)
+FairQueue::LaneFigures &FairQueue::figuresOf(const Lane &lane)
 {
-    const LaneKind otherKind = lane.kind == LaneKind::Short ? LaneKind::Long : LaneKind::Short;
-    const Lane &other = lane.flow->lanes[static_cast<std::size_t>(otherKind)];
-    return needsTokens(other) ? lane.flow->quantum / 2 : lane.flow->quantum;
+    return figures_[lane.flow->index].lanes[static_cast<std::size_t>(lane.kind)];
 }
 
-std::int64_t FairQueue::roundsUntil(std::int64_t account, std::int64_t quantum)
+const FairQueue::LaneFigures &FairQueue::figuresOf(const Lane &lane) const
 {
-    return account >= 0 ? 0 : (-account + quantum - 1) / quantum;
+    return figures_[lane.flow->index].lanes[static_cast<std::size_t>(lane.kind)];
 }
 
-std::int64_t FairQueue::servedWithin(const Lane &lane, std::int64_t rounds)
+std::int64_t FairQueue::roundsUntil(std::int64_t account, std::int64_t quantum)
 {
-    const std::int64_t account = lane.account + rounds * quantumOf(lane);
-    if (lane.backlog == 0 || account < 0) {
-        return 0;
-    }
-    return std::min(lane.backlog, account + lane.headCost);
+    return account >= 0 ? 0 : (-account + quantum - 1) / quantum;
 }
 
 std::int64_t FairQueue::readyTokens(LaneKind kind) const
 {
     std::int64_t total = 0;
     for (const Lane &lane : ready_[static_cast<std::size_t>(kind)]) {
-        total += servedWithin(lane, 0);
+        total += figuresOf(lane).servedAfter(0);
     }
     return total;
 }
@@ -175,7 +183,7 @@
 void FairQueue::add(Lane &lane, QueueEntry &entry)
 {
     lane.tokens[static_cast<std::size_t>(entry.request.priority)] += entry.request.cost;
-    lane.backlog += entry.request.cost;
+    figuresOf(lane).backlog += entry.request.cost;
     backlog_ += entry.request.cost;
     ++size_;
     refresh(lane);
@@ -186,21 +194,21 @@
     const auto priority = static_cast<std::size_t>(entry.request.priority);
     lane.queues[priority].erase(Queue::s_iterator_to(entry));
     lane.tokens[priority] -= entry.request.cost;
-    lane.backlog -= entry.request.cost;
+    figuresOf(lane).backlog -= entry.request.cost;
     backlog_ -= entry.request.cost;
     --size_;
 }
 
 void FairQueue::refresh(Lane &lane)
 {
-    const auto head = std::ranges::find_if(lane.queues, [](const Queue &queue) { return !queue.empty(); });
-    lane.headCost = head == lane.queues.end() ? 0 : head->front().request.cost;
-    if (lane.backlog == 0) {
+    LaneFigures &figures = figuresOf(lane);
+    figures.headCost = figures.backlog > 0 ? headOf(lane).request.cost : 0;
+    if (figures.backlog == 0) {
         // Nothing is saved up while idle: a team that was quiet all weekend would otherwise shut out all others on Monday.
-        lane.account = std::min<std::int64_t>(lane.account, 0);
+        figures.account = std::min<std::int64_t>(figures.account, 0);
     }
     auto &ready = ready_[static_cast<std::size_t>(lane.kind)];
-    const bool isReady = lane.backlog > 0 && lane.account >= 0;
+    const bool isReady = figures.backlog > 0 && figures.account >= 0;
     if (isReady && !lane.is_linked()) {
         ready.push_back(lane);
     } else if (!isReady && lane.is_linked()) {
@@ -211,7 +219,7 @@
 
 void FairQueue::refreshRound(Flow &flow)
 {
-    const bool isActive = std::ranges::any_of(flow.lanes, &FairQueue::needsTokens);
+    const bool isActive = std::ranges::any_of(figures_[flow.index].lanes, &LaneFigures::needsTokens);
     if (isActive && !flow.is_linked()) {
         round_.push_back(flow);
     } else if (!isActive && flow.is_linked()) {
@@ -219,32 +227,36 @@
     }
 }
 
-QueueEntry *FairQueue::serveReady()
+QueueEntry &FairQueue::headOf(Lane &lane)
 {
-    for (auto &ready : ready_) {
-        if (ready.empty()) {
-            continue;
+    const auto queue = std::ranges::find_if(lane.queues, [](const Queue &candidate) { return !candidate.empty(); });
+    return queue->front();
+}
+
+FairQueue::Lane *FairQueue::findReady()
+{
+    while (size_ > 0) {
+        // One team is topped up at a time, and only when no lane is ready: a team that has just become active then waits
+        // for what is ready now and not for a whole round.
+        for (std::size_t visits = 0; visits <= round_.size(); ++visits) {
+            const auto ready = std::ranges::find_if(ready_, [](const auto &lanes) { return !lanes.empty(); });
+            if (ready != ready_.end()) {
+                return &ready->front();
+            }
+            visitNextFlow();
         }
-        Lane &lane = ready.front();
-        const auto head = std::ranges::find_if(lane.queues, [](const Queue &queue) { return !queue.empty(); });
-        QueueEntry &entry = head->front();
-        remove(lane, entry);
-        lane.account -= entry.request.cost;
-        ready.pop_front();
-        refresh(lane);
-        return &entry;
+        skipRounds();
     }
     return nullptr;
 }
 
 void FairQueue::topUp(Flow &flow, std::int64_t rounds)
 {
-    const std::array<std::int64_t, laneCount> quanta = {quantumOf(flow.lanes[0]), quantumOf(flow.lanes[1])};
+    FlowFigures &figures = figures_[flow.index];
+    const std::array<std::int64_t, laneCount> quanta = {figures.quantumOf(LaneKind::Short), figures.quantumOf(LaneKind::Long)};
     for (std::size_t index = 0; index < laneCount; ++index) {
-        Lane &lane = flow.lanes[index];
-        if (needsTokens(lane)) {
-            lane.account += rounds * quanta[index];
-        }
+        LaneFigures &lane = figures.lanes[index];
+        lane.account += lane.needsTokens() ? rounds * quanta[index] : 0;
     }
     for (Lane &lane : flow.lanes) {
         refresh(lane);
@@ -266,9 +278,10 @@
     // All that have work are in debt after a long request each. Paying back in single rounds would cost many walks over
     // all teams for one decision, so the rounds that help nobody are paid at once.
     std::int64_t rounds = std::numeric_limits<std::int64_t>::max();
-    for (const Flow &flow : round_) {
-        for (const Lane &lane : flow.lanes) {
-            rounds = lane.backlog > 0 ? std::min(rounds, roundsUntil(lane.account, quantumOf(lane))) : rounds;
+    for (const FlowFigures &flow : figures_) {
+        for (const LaneKind kind : {LaneKind::Short, LaneKind::Long}) {
+            const LaneFigures &lane = flow.lanes[static_cast<std::size_t>(kind)];
+            rounds = lane.backlog > 0 ? std::min(rounds, roundsUntil(lane.account, flow.quantumOf(kind))) : rounds;
         }
     }
     if (size_ == 0 || rounds <= 1) {
--- a/decision/fair_queue.h
+++ b/decision/fair_queue.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <unordered_map>
+#include <vector>
 
 #include <boost/intrusive/list.hpp>
 #include <boost/intrusive/set.hpp>
@@ -61,6 +63,9 @@
     /// Takes out a request that will not be served.
     void erase(QueueEntry &entry);
 
+    /// The request that `pop` would take out; null if none waits.
+    const QueueEntry *peek();
+
     /// Takes out the request to be served next and charges its team; null if none waits.
     QueueEntry *pop();
 
@@ -68,6 +73,9 @@
     /// to go first. Walks over the teams with work: linear in their number.
     std::int64_t tokensAhead(const QueuedRequest &request, std::int64_t extra = 0) const;
 
+    /// Tokens of the same team and lane that are served before a request offered now.
+    std::int64_t ownTokensAhead(const QueuedRequest &request) const;
+
     std::size_t size() const;
 
     /// Tokens of all that waits.
@@ -77,14 +85,46 @@
     using Queue = boost::intrusive::list<QueueEntry>;
     struct Flow;
 
+    /// What the expected wait depends on, apart from the queues: an offer walks over the figures of all teams, and these lie
+    /// close together in memory.
+    struct LaneFigures
+    {
+        std::int64_t account = 0;
+        std::int64_t backlog = 0; ///< Tokens that wait.
+        std::int64_t headCost = 0; ///< Cost of the request that is served next, 0 if none waits.
+
+        /// Whether the lane has a claim on the tokens of the next round.
+        bool needsTokens() const
+        {
+            return backlog > 0 || account < 0;
+        }
+
+        /// Tokens served once `gained` have been added to the account.
+        std::int64_t servedAfter(std::int64_t gained) const
+        {
+            const std::int64_t balance = account + gained;
+            return balance < 0 ? 0 : std::min(backlog, balance + headCost);
+        }
+    };
+
+    struct FlowFigures
+    {
+        std::int64_t quantum = 0;
+        std::array<LaneFigures, laneCount> lanes;
+
+        /// The tokens that a lane gets each round: half while the other lane needs some too.
+        std::int64_t quantumOf(LaneKind kind) const
+        {
+            const LaneKind other = kind == LaneKind::Short ? LaneKind::Long : LaneKind::Short;
+            return lanes[static_cast<std::size_t>(other)].needsTokens() ? quantum / 2 : quantum;
+        }
+    };
+
     /// One team's work of one kind.
     struct Lane : boost::intrusive::list_base_hook<>
     {
         Flow *flow = nullptr;
         LaneKind kind = LaneKind::Short;
-        std::int64_t account = 0;
-        std::int64_t backlog = 0;
-        std::int64_t headCost = 0; ///< Cost of the request that is served next, 0 if none waits.
         std::array<Queue, priorityCount> queues;
         std::array<std::int64_t, priorityCount> tokens{};
     };
@@ -92,22 +132,23 @@
     /// One team. In the round while it has work or a lane's account is negative.
     struct Flow : boost::intrusive::list_base_hook<>
     {
-        std::int64_t quantum = 0;
+        std::size_t index = 0; ///< Of its figures.
         std::array<Lane, laneCount> lanes;
     };
 
     Flow &flowOf(TeamId team);
     Lane &laneFor(const QueuedRequest &request);
-    static bool needsTokens(const Lane &lane);
-    static std::int64_t quantumOf(const Lane &lane);
+    const Lane *findLane(const QueuedRequest &request) const;
+    LaneFigures &figuresOf(const Lane &lane);
+    const LaneFigures &figuresOf(const Lane &lane) const;
     static std::int64_t roundsUntil(std::int64_t account, std::int64_t quantum);
-    static std::int64_t servedWithin(const Lane &lane, std::int64_t rounds);
     std::int64_t readyTokens(LaneKind kind) const;
     void add(Lane &lane, QueueEntry &entry);
     void remove(Lane &lane, QueueEntry &entry);
     void refresh(Lane &lane);
     void refreshRound(Flow &flow);
-    QueueEntry *serveReady();
+    static QueueEntry &headOf(Lane &lane);
+    Lane *findReady();
     void topUp(Flow &flow, std::int64_t rounds);
     void visitNextFlow();
     void skipRounds();
@@ -115,6 +156,7 @@
     std::int64_t shortCost_;
     std::int64_t quantum_;
     std::unordered_map<TeamId, Flow> flows_;
+    std::vector<FlowFigures> figures_;
     boost::intrusive::list<Flow> round_; ///< The next flow to be topped up is in front.
     std::array<boost::intrusive::list<Lane>, laneCount> ready_; ///< Lanes with work and an account that allows it.
     std::size_t size_ = 0;
--- a/decision/wait_estimate.cpp
+++ b/decision/wait_estimate.cpp
@@ -13,21 +13,19 @@
 // enough that the loss of an engine shows before a usual deadline of 10 s has passed.
 constexpr double memorySeconds = 10;
 
-// Weight of a rate that is only assumed or out of date: one second of measuring counts as much.
-constexpr double assumedSeconds = 1;
-
-// After this long without a blocked queue the fleet may have changed (a night, a weekend): the old rate is still the best
-// guess but gives way to the first second of new evidence.
-constexpr Duration staleAfter = std::chrono::minutes(10);
-
 // Keeps the wait finite while all engines stand still.
 constexpr double leastRate = 1;
 
+// A change beyond these is an error of the caller or a fleet that starts from nothing; measuring has to take over then.
+constexpr double leastScale = 0.01;
+constexpr double mostScale = 100;
+
 } // namespace
 
-WaitEstimate::WaitEstimate(double initialRate)
-    : tokens_(initialRate * assumedSeconds)
-    , seconds_(assumedSeconds)
+WaitEstimate::WaitEstimate(const Assumption &assumption)
+    : assumption_(assumption)
+    , tokens_(assumption.rate * assumption.seconds)
+    , seconds_(assumption.seconds)
 {
 }
 
@@ -37,9 +35,9 @@
         advance(now);
         return;
     }
-    if (now - last_ > staleAfter && seconds_ > assumedSeconds) {
-        tokens_ *= assumedSeconds / seconds_;
-        seconds_ = assumedSeconds;
+    if (now - last_ > assumption_.staleAfter && seconds_ > assumption_.seconds) {
+        tokens_ *= assumption_.seconds / seconds_;
+        seconds_ = assumption_.seconds;
     }
     isBlocked_ = true;
     last_ = now;
@@ -52,6 +50,7 @@
     }
     advance(now);
     tokens_ += static_cast<double>(tokens);
+    dispatchedTokens_ += static_cast<double>(tokens);
 }
 
 void WaitEstimate::onEmptied(TimePoint now)
@@ -63,6 +62,11 @@
     isBlocked_ = false;
 }
 
+void WaitEstimate::scale(double factor)
+{
+    tokens_ *= std::clamp(factor, leastScale, mostScale);
+}
+
 void WaitEstimate::advance(TimePoint now)
 {
     if (!isBlocked_ || now <= last_) {
@@ -74,9 +78,19 @@
     last_ = now;
 }
 
+bool WaitEstimate::isBlocked() const
+{
+    return isBlocked_;
+}
+
+double WaitEstimate::dispatchedTokens() const
+{
+    return dispatchedTokens_;
+}
+
 double WaitEstimate::rate() const
 {
-    return std::max(leastRate, tokens_ / seconds_);
+    return seconds_ > 0 ? std::max(leastRate, tokens_ / seconds_) : leastRate;
 }
 
 Duration WaitEstimate::waitFor(std::int64_t tokens) const
--- a/decision/wait_estimate.h
+++ b/decision/wait_estimate.h
@@ -15,8 +15,15 @@
 class WaitEstimate
 {
 public:
-    /// `initialRate` in tokens a second holds until something is measured; above 0.
-    explicit WaitEstimate(double initialRate);
+    /// What holds until something has been measured, and again when that is out of date.
+    struct Assumption
+    {
+        double rate = 1; ///< Tokens a second; above 0.
+        double seconds = 3; ///< The weight of the assumed or outdated rate, in seconds of measuring.
+        Duration staleAfter = std::chrono::minutes(10); ///< A time without a blocked queue after which a rate is out of date.
+    };
+
+    explicit WaitEstimate(const Assumption &assumption);
 
     /// Requests wait and no engine can take one. Repeated calls only move the time on.
     void onBlocked(TimePoint now);
@@ -27,9 +34,18 @@
     /// Nothing waits any more.
     void onEmptied(TimePoint now);
 
+    /// The capacity changed to `factor` times what it was, as when an engine joined or was lost; above 0. The rate follows at
+    /// once instead of over seconds in which too much or too little is let in.
+    void scale(double factor);
+
     /// Moves the time on while blocked, so that a standstill shows in the rate.
     void advance(TimePoint now);
 
+    bool isBlocked() const;
+
+    /// Tokens dispatched while blocked, since the beginning.
+    double dispatchedTokens() const;
+
     /// Tokens a second, at least 1.
     double rate() const;
 
@@ -37,6 +53,8 @@
     Duration waitFor(std::int64_t tokens) const;
 
 private:
+    Assumption assumption_;
+    double dispatchedTokens_ = 0;
     double tokens_;
     double seconds_;
     TimePoint last_;
--- a/tests/decision/test_admission_queue.cpp
+++ b/tests/decision/test_admission_queue.cpp
@@ -10,7 +10,7 @@
 constexpr TimePoint start{std::chrono::hours(1)};
 constexpr Duration second = std::chrono::seconds(1);
 
-bool anyModel(ModelId /*model*/)
+bool anyEngine(const QueuedRequest & /*request*/)
 {
     return true;
 }
@@ -23,7 +23,7 @@
 std::vector<std::uint64_t> order(AdmissionQueue &queue)
 {
     std::vector<std::uint64_t> ids;
-    while (const auto request = queue.next(start, &anyModel)) {
+    while (const auto request = queue.next(start, &anyEngine)) {
         ids.push_back(static_cast<std::uint64_t>(request->id));
     }
     return ids;
