--- a/decision/admission_queue.cpp
+++ b/decision/admission_queue.cpp
@@ -120,7 +120,9 @@
     if (entries_.contains(request.id)) {
         return;
     }
-    modelQueue(request.model).queue.putBack(insert(request));
+    ModelQueue &model = modelQueue(request.model);
+    model.estimate.onPutBack(request.cost);
+    model.queue.putBack(insert(request));
     collectExpired(now);
 }
 
@@ -317,16 +319,15 @@
     }
 }
 
-// How long its team's lane takes for a request. The mean over what waits evens out the steps of the rounds; without any
-// wait of its own kind there is only the step.
+// How long its team's lane takes for a request: the mean over what waits, which evens out the steps of the rounds, or the
+// step to the next such request if nothing of its kind waits.
 Duration AdmissionQueue::serviceTime(const Offer &offer)
 {
     const std::int64_t ownTokens = offer.model.queue.ownTokensAhead(offer.request);
-    const Duration step = expectedWait(offer, offer.request.cost) - offer.wait;
-    if (ownTokens == 0) {
-        return step;
+    if (ownTokens > 0) {
+        return part(offer.wait, static_cast<double>(offer.request.cost) / static_cast<double>(ownTokens));
     }
-    return std::max(step, part(offer.wait, static_cast<double>(offer.request.cost) / static_cast<double>(ownTokens)));
+    return expectedWait(offer, offer.request.cost) - offer.wait;
 }
 
 Duration AdmissionQueue::reserveReturn(const Offer &offer)
--- a/decision/fair_queue.cpp
+++ b/decision/fair_queue.cpp
@@ -98,14 +98,15 @@
         const std::int64_t ready = readyTokens(LaneKind::Short) + (kind == LaneKind::Long ? readyTokens(LaneKind::Long) : 0);
         return ownAhead + ready - (lane ? figuresOf(*lane).servedAfter(0) : 0);
     }
-    const std::int64_t quantum = lane ? figures_[lane->flow->index].quantumOf(kind) : quantum_;
-    const std::int64_t rounds = roundsUntil(account - ownAhead, quantum);
+    const FlowFigures newcomer{.quantum = quantum_, .lanes = {}};
+    const FlowFigures &own = lane ? figures_[lane->flow->index] : newcomer;
+    const std::int64_t rounds = own.roundsUntil(kind, ownAhead - account);
     std::int64_t total = ownAhead;
     for (const FlowFigures &flow : figures_) {
-        total += flow.lanes[0].servedAfter(rounds * flow.quantumOf(LaneKind::Short));
-        total += flow.lanes[1].servedAfter(rounds * flow.quantumOf(LaneKind::Long));
+        const auto served = flow.servedWithin(rounds);
+        total += served[0] + served[1];
     }
-    return lane ? total - figuresOf(*lane).servedAfter(rounds * quantum) : total;
+    return total - own.servedWithin(rounds)[static_cast<std::size_t>(kind)];
 }
 
 std::int64_t FairQueue::ownTokensAhead(const QueuedRequest &request) const
--- a/decision/fair_queue.h
+++ b/decision/fair_queue.h
@@ -99,6 +99,12 @@
             return backlog > 0 || account < 0;
         }
 
+        /// Tokens that the account lacks until all that waits can be served and no debt is left.
+        std::int64_t lack() const
+        {
+            return std::max<std::int64_t>(0, backlog - account);
+        }
+
         /// Tokens served once `gained` have been added to the account.
         std::int64_t servedAfter(std::int64_t gained) const
         {
@@ -118,6 +124,22 @@
             const LaneKind other = kind == LaneKind::Short ? LaneKind::Long : LaneKind::Short;
             return lanes[static_cast<std::size_t>(other)].needsTokens() ? quantum / 2 : quantum;
         }
+
+        /// Tokens served of each lane within some rounds if nothing arrives: a lane gets half of what the team gets until the
+        /// other has what it lacks.
+        std::array<std::int64_t, laneCount> servedWithin(std::int64_t rounds) const
+        {
+            const std::int64_t all = rounds * quantum;
+            const std::int64_t half = static_cast<std::int64_t>(static_cast<std::uint64_t>(all) / 2);
+            return {lanes[0].servedAfter(all - std::min(half, lanes[1].lack())), lanes[1].servedAfter(all - std::min(half, lanes[0].lack()))};
+        }
+
+        /// The rounds until a lane has got `tokens`, in the same way.
+        std::int64_t roundsUntil(LaneKind kind, std::int64_t tokens) const
+        {
+            const LaneKind other = kind == LaneKind::Short ? LaneKind::Long : LaneKind::Short;
+            return (tokens + std::min(tokens, lanes[static_cast<std::size_t>(other)].lack()) + quantum - 1) / quantum;
+        }
     };
 
     /// One team's work of one kind.
--- a/decision/wait_estimate.cpp
+++ b/decision/wait_estimate.cpp
@@ -53,6 +53,15 @@
     dispatchedTokens_ += static_cast<double>(tokens);
 }
 
+void WaitEstimate::onPutBack(std::int64_t tokens)
+{
+    if (!isBlocked_) {
+        return;
+    }
+    tokens_ = std::max(0.0, tokens_ - static_cast<double>(tokens));
+    dispatchedTokens_ -= static_cast<double>(tokens);
+}
+
 void WaitEstimate::onEmptied(TimePoint now)
 {
     if (!isBlocked_) {
--- a/decision/wait_estimate.h
+++ b/decision/wait_estimate.h
@@ -31,6 +31,9 @@
     /// A request of `tokens` left for an engine.
     void onDispatched(std::int64_t tokens, TimePoint now);
 
+    /// A request of `tokens` came back without having reached an engine.
+    void onPutBack(std::int64_t tokens);
+
     /// Nothing waits any more.
     void onEmptied(TimePoint now);
 
