Make the queueing tests build under the address sanitizer

Cause: with -fsanitize=address GCC takes the iterator of Boost.Test's xrange for uninitialized, and warnings are errors. Excluded: turning the warning off, which would hide real ones. Change: seeds come from a vector. The load driver is one header, and the tests under load print their outcomes as messages. The test that a window grows is now part of the one for a slow engine, with its bound of 20.

--- a/tests/decision/load_driver.h
+++ b/tests/decision/load_driver.h
@@ -1,10 +1,17 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
+#include <memory>
+#include <numeric>
 #include <queue>
+#include <utility>
 #include <vector>
 
+#include <boost/random/exponential_distribution.hpp>
+#include <boost/random/uniform_01.hpp>
+
 #include "core/random.h"
 #include "decision/admission_queue.h"
 #include "decision/engine_window.h"
@@ -13,38 +20,58 @@
 namespace Lovageloft
 {
 
-/// What one team sends: Poisson arrivals of one cost.
+/// Seeds for repeated runs of a property.
+inline std::vector<std::uint64_t> seeds(std::size_t count)
+{
+    std::vector<std::uint64_t> all(count);
+    std::iota(all.begin(), all.end(), 1);
+    return all;
+}
+
+/// What one team sends: Poisson arrivals of one cost, between two seconds.
 struct Demand
 {
     std::uint32_t team = 0;
     double tokensPerSecond = 0;
     std::int64_t cost = 200;
-    double from = 0; ///< Seconds.
+    double from = 0;
     double until = 60;
     std::uint32_t model = 0;
 };
 
-/// A request as its caller sees it.
-struct CallerJob
-{
-    QueuedRequest request;
-    TimePoint offeredAt;
-    int refusals = 0;
-};
-
-/// What became of one team's requests of one cost.
+/// What became of requests, each counted as offered once however often it came back.
 struct Outcome
 {
-    std::int64_t offered = 0; ///< Requests, each counted once however often it came back.
-    std::int64_t servedTokens = 0;
+    std::int64_t offered = 0;
     std::int64_t served = 0;
+    std::int64_t servedTokens = 0; ///< Completed within the measured time.
     std::int64_t refused = 0; ///< On the first try.
     std::int64_t expired = 0; ///< Given up after they had been admitted.
     std::int64_t returned = 0; ///< Came back at the time they were told.
     std::int64_t returnedInVain = 0;
-    std::vector<double> waits; ///< Seconds in the queue of those served.
+    std::vector<double> waits = {}; ///< Seconds in the queue of those served.
 
-    double wait(double quantile) const;
+    Outcome &operator+=(const Outcome &other)
+    {
+        for (const auto member : {&Outcome::offered,
+                                  &Outcome::served,
+                                  &Outcome::servedTokens,
+                                  &Outcome::refused,
+                                  &Outcome::expired,
+                                  &Outcome::returned,
+                                  &Outcome::returnedInVain}) {
+            this->*member += other.*member;
+        }
+        waits.insert(waits.end(), other.waits.begin(), other.waits.end());
+        return *this;
+    }
+
+    double wait(double quantile) const
+    {
+        std::vector<double> sorted = waits;
+        std::sort(sorted.begin(), sorted.end());
+        return sorted.empty() ? 0 : sorted[static_cast<std::size_t>(quantile * static_cast<double>(sorted.size() - 1))];
+    }
 };
 
 /// An engine that works off what it is given one after the other; `rate` in tokens a second.
@@ -54,36 +81,81 @@
     std::uint32_t model = 0;
     EngineWindow window = {};
     TimePoint freeAt = {};
-    std::int64_t tokens = 0;
 };
 
 class LoadDriver
 {
 public:
-    LoadDriver(std::vector<FakeEngine> engines, std::uint64_t seed, const QueueLimits &limits = {});
+    LoadDriver(std::vector<FakeEngine> engines, std::uint64_t seed)
+        : engines_(std::move(engines))
+        , random_(seed)
+    {
+    }
 
     /// Adds demand; call before `run`.
-    void add(const Demand &demand);
+    void add(Demand demand)
+    {
+        demand.from += boost::random::exponential_distribution<double>(demand.tokensPerSecond / static_cast<double>(demand.cost))(random_);
+        if (demand.from >= demand.until) {
+            return;
+        }
+        at(demand.from, [this, demand] {
+            ++outcomes_[{demand.team, demand.cost}].offered;
+            Job job{.request = {.team = TeamId{demand.team}, .model = ModelId{demand.model}, .cost = demand.cost, .deadline = {}, .fingerprint = nextId_}};
+            offer(job);
+            add(demand);
+        });
+    }
 
     /// Does something at a time, as making an engine slow.
-    void at(double seconds, std::function<void()> action);
+    void at(double seconds, std::function<void()> action)
+    {
+        events_.push({.time = start + fromSeconds(seconds), .order = nextOrder_++, .action = std::move(action)});
+    }
 
     /// Runs until nothing happens any more or `seconds` have passed.
-    void run(double seconds);
+    void run(double seconds)
+    {
+        while (!events_.empty() && events_.top().time <= start + fromSeconds(seconds)) {
+            const Event event = events_.top();
+            events_.pop();
+            now_ = event.time;
+            event.action();
+            expire();
+            const auto canDispatch = [this](const QueuedRequest &request) { return engineFor(request) != nullptr; };
+            while (const auto request = queue.next(now_, canDispatch)) {
+                send(*engineFor(*request), *request);
+            }
+        }
+    }
 
-    AdmissionQueue &queue();
-    std::vector<FakeEngine> &engines();
     /// Over all teams and costs that match; 0 stands for all.
-    Outcome outcome(std::uint32_t team = 0, std::int64_t cost = 0) const;
+    Outcome outcome(std::uint32_t team = 0, std::int64_t cost = 0) const
+    {
+        Outcome sum;
+        for (const auto &[key, one] : outcomes_) {
+            if ((team == 0 || key.first == team) && (cost == 0 || key.second == cost)) {
+                sum += one;
+            }
+        }
+        return sum;
+    }
 
-    Duration deadline = std::chrono::seconds(10);
+    std::vector<FakeEngine> &engines()
+    {
+        return engines_;
+    }
+
+    AdmissionQueue queue;
     bool doReturn = true; ///< Whether refused callers come back when they were told.
-    double measuredFrom = 0; ///< Tokens served before this second count nowhere.
+    double measuredFrom = 0; ///< Seconds.
     double measuredUntil = 1e9;
 
+private:
     static constexpr TimePoint start{std::chrono::hours(1)};
+    static constexpr Duration deadline = std::chrono::seconds(10);
+    static constexpr double prefillPart = 0.8; ///< Of a request's cost, before its first token.
 
-private:
     struct Event
     {
         TimePoint time;
@@ -96,23 +168,98 @@
         }
     };
 
-    void schedule(TimePoint time, std::function<void()> action);
-    void arrive(const Demand &demand);
-    void offer(CallerJob job);
-    void refuse(CallerJob job, Duration retryAfter);
-    void dispatch();
-    void expire();
-    void send(FakeEngine &engine, const QueuedRequest &request);
-    FakeEngine *engineFor(const QueuedRequest &request);
+    struct Job
+    {
+        QueuedRequest request;
+        TimePoint offeredAt = {};
+        int refusals = 0;
+    };
+
+    double elapsed(TimePoint time) const
+    {
+        return toSeconds(time - start);
+    }
+
+    Outcome &outcomeOf(const Job &job)
+    {
+        return outcomes_[{static_cast<std::uint32_t>(job.request.team), job.request.cost}];
+    }
+
+    void offer(Job job)
+    {
+        job.request.id = RequestId{nextId_++};
+        job.request.deadline = now_ + deadline;
+        job.offeredAt = now_;
+        const AdmissionDecision decision = queue.offer(job.request, now_);
+        if (decision.isAdmitted) {
+            waiting_[job.request.id] = job;
+            return;
+        }
+        ++(job.refusals == 0 ? outcomeOf(job).refused : outcomeOf(job).returnedInVain);
+        refuse(job, decision.retryAfter);
+    }
+
+    void refuse(Job job, Duration retryAfter)
+    {
+        if (!doReturn) {
+            return;
+        }
+        ++job.refusals;
+        const double late = boost::random::uniform_01<double>()(random_);
+        at(elapsed(now_ + retryAfter) + late, [this, job] {
+            ++outcomeOf(job).returned;
+            offer(job);
+        });
+    }
+
+    void expire()
+    {
+        for (const ExpiredRequest &expired : queue.expire(now_)) {
+            const Job job = waiting_.extract(expired.request.id).mapped();
+            ++outcomeOf(job).expired;
+            outcomeOf(job).returnedInVain += job.refusals > 0 ? 1 : 0;
+            refuse(job, expired.retryAfter);
+        }
+    }
+
+    void send(FakeEngine &engine, const QueuedRequest &request)
+    {
+        const Job job = waiting_.extract(request.id).mapped();
+        ++outcomeOf(job).served;
+        outcomeOf(job).waits.push_back(toSeconds(now_ - job.offeredAt));
+        const double seconds = static_cast<double>(request.cost) / engine.rate;
+        const TimePoint begin = std::max(now_, engine.freeAt);
+        engine.freeAt = begin + fromSeconds(seconds);
+        const auto dispatch = std::make_shared<EngineWindow::Dispatch>(engine.window.start(request.cost, now_));
+        at(elapsed(begin) + prefillPart * seconds, [this, &engine, dispatch] { engine.window.onFirstToken(*dispatch, now_); });
+        at(elapsed(engine.freeAt), [this, &engine, job, dispatch] {
+            engine.window.onFinished(*dispatch, now_);
+            const bool isMeasured = elapsed(now_) >= measuredFrom && elapsed(now_) < measuredUntil;
+            outcomeOf(job).servedTokens += isMeasured ? job.request.cost : 0;
+        });
+    }
+
+    /// The engine with the fewest requests that can take this one; null if none can.
+    FakeEngine *engineFor(const QueuedRequest &request)
+    {
+        FakeEngine *best = nullptr;
+        for (FakeEngine &engine : engines_) {
+            if (ModelId{engine.model} != request.model || !engine.window.canStart(request.cost)) {
+                continue;
+            }
+            const bool isLess = best == nullptr || engine.window.inFlight() < best->window.inFlight();
+            best = isLess ? &engine : best;
+        }
+        return best;
+    }
 
-    AdmissionQueue queue_;
     std::vector<FakeEngine> engines_;
     Random random_;
     std::priority_queue<Event> events_;
     std::uint64_t nextOrder_ = 0;
     std::uint64_t nextId_ = 1;
     TimePoint now_ = start;
-    std::map<RequestId, CallerJob> waiting_;
+    std::map<RequestId, Job> waiting_;
     std::map<std::pair<std::uint32_t, std::int64_t>, Outcome> outcomes_;
 };
 
--- a/tests/decision/test_admission_queue.cpp
+++ b/tests/decision/test_admission_queue.cpp
@@ -3,9 +3,9 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "core/random.h"
 #include "decision/admission_queue.h"
 #include "decision/id_table.h"
+#include "load_driver.h"
 
 using namespace Lovageloft;
 namespace data = boost::unit_test::data;
@@ -132,12 +132,12 @@
     BOOST_TEST(order() == std::vector<std::uint64_t>({2, 4}), boost::test_tools::per_element());
 }
 
-BOOST_DATA_TEST_CASE(everyRequestLeavesExactlyOnce, data::xrange(1, 21), seed)
+BOOST_DATA_TEST_CASE(everyRequestLeavesExactlyOnce, data::make(seeds(20)), seed)
 {
     // Offers, dispatches, returns, hang-ups and deadlines come in any order. A request that is lost leaves its caller without
     // an answer; one that leaves twice is run twice.
     queue = AdmissionQueue({.maxRequests = 500, .initialRate = 1e6});
-    Random random(static_cast<std::uint64_t>(seed));
+    Random random(seed);
     std::set<RequestId> waiting;
     TimePoint now = start;
     for (std::uint64_t id = 1; id <= 5'000; ++id) {
--- a/tests/decision/test_engine_window.cpp
+++ b/tests/decision/test_engine_window.cpp
@@ -40,12 +40,6 @@
 
 BOOST_FIXTURE_TEST_SUITE(EngineWindowTest, Fixture)
 
-BOOST_AUTO_TEST_CASE(itGrowsWhileFirstTokensComeAtTheirFloor)
-{
-    play(4, second / 20);
-    BOOST_TEST(window.size() >= 20U);
-}
-
 BOOST_AUTO_TEST_CASE(anEngineAtATenthOfItsSpeedGetsOneAtATime)
 {
     // An engine is throttled or shares its accelerator. With its old window requests would pile up in it; users whose request
@@ -53,7 +47,7 @@
     play(4, second / 20);
     const std::size_t before = window.size();
     play(8, second / 2);
-    BOOST_TEST(before > 10U);
+    BOOST_TEST(before >= 20U);
     BOOST_TEST(window.size() == 1U);
     play(100, second / 2);
     BOOST_TEST(window.size() == 1U);
--- a/tests/decision/test_fair_queue.cpp
+++ b/tests/decision/test_fair_queue.cpp
@@ -4,8 +4,8 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "core/random.h"
 #include "decision/fair_queue.h"
+#include "load_driver.h"
 
 using namespace Lovageloft;
 namespace data = boost::unit_test::data;
@@ -49,11 +49,11 @@
 
 BOOST_FIXTURE_TEST_SUITE(FairQueueTest, Fixture)
 
-BOOST_DATA_TEST_CASE(teamsWithBacklogStayWithinOneRequestOfTheirParts, data::xrange(1, 21), seed)
+BOOST_DATA_TEST_CASE(teamsWithBacklogStayWithinOneRequestOfTheirParts, data::make(seeds(20)), seed)
 {
     // Teams of random demand and weight always have both kinds of work waiting. If one got ahead of its part by more than
     // what it is served at once, the worst-served team would see its answers come ever later.
-    random.seed(static_cast<std::uint64_t>(seed));
+    random.seed(seed);
     const auto teams = static_cast<std::uint32_t>(2 + randomBelow(random, 20));
     std::vector<double> weights(teams);
     std::vector<std::int64_t> served(teams);
@@ -75,11 +75,11 @@
     }
 }
 
-BOOST_DATA_TEST_CASE(aFloodDelaysAnIdleTeamByOneBlock, data::xrange(1, 21), seed)
+BOOST_DATA_TEST_CASE(aFloodDelaysAnIdleTeamByOneBlock, data::make(seeds(20)), seed)
 {
     // One team has a long backlog; another, idle until now, sends one request. It must not stand behind more than one
     // quantum and one request of the flood, whatever the flood has saved up or owes.
-    random.seed(static_cast<std::uint64_t>(seed));
+    random.seed(seed);
     for (int request = 0; request < 2'000; ++request) {
         push(1, randomCost());
     }
@@ -98,9 +98,9 @@
     }
 }
 
-BOOST_DATA_TEST_CASE(allThatIsPushedComesOutOnceInOrderOfItsLane, data::xrange(1, 11), seed)
+BOOST_DATA_TEST_CASE(allThatIsPushedComesOutOnceInOrderOfItsLane, data::make(seeds(10)), seed)
 {
-    random.seed(static_cast<std::uint64_t>(seed));
+    random.seed(seed);
     std::map<std::tuple<std::uint32_t, LaneKind, Priority>, std::uint64_t> last;
     std::size_t waiting = 0;
     for (int step = 0; step < 3'000; ++step) {
@@ -145,11 +145,11 @@
     BOOST_TEST(queue.pop() == &first);
 }
 
-BOOST_DATA_TEST_CASE(tokensAheadForetellsTheOrder, data::xrange(1, 21), seed)
+BOOST_DATA_TEST_CASE(tokensAheadForetellsTheOrder, data::make(seeds(20)), seed)
 {
     // The expected wait rests on this figure: if it is far too low work is let in and expires, if too high callers are refused
     // though there is room. Nothing arrives after the offer here.
-    random.seed(static_cast<std::uint64_t>(seed));
+    random.seed(seed);
     for (int request = 0; request < 300; ++request) {
         push(static_cast<std::uint32_t>(randomBelow(random, 10)), 1 + static_cast<std::int64_t>(randomBelow(random, 5'000)));
         if (randomBelow(random, 3) == 0) {
--- a/tests/decision/test_queueing_under_load.cpp
+++ b/tests/decision/test_queueing_under_load.cpp
@@ -28,6 +28,14 @@
     }
 }
 
+/// For the figures in docs/design/queueing.md; printed with --log_level=message.
+void show(std::string_view what, const Outcome &outcome)
+{
+    BOOST_TEST_MESSAGE(what << ": offered " << outcome.offered << ", served " << outcome.served << ", tokens " << outcome.servedTokens << ", refused "
+                            << outcome.refused << ", expired " << outcome.expired << ", returned " << outcome.returned << ", in vain " << outcome.returnedInVain
+                            << ", wait p50 " << outcome.wait(0.5) << " p95 " << outcome.wait(0.95) << " s");
+}
+
 std::int64_t goodput(double load, bool doReturn, std::uint64_t seed)
 {
     LoadDriver driver(threeEngines(), seed);
@@ -36,6 +44,7 @@
     driver.measuredUntil = 60;
     addEvenDemand(driver, load);
     driver.run(runTime);
+    show("load " + std::to_string(load), driver.outcome());
     return driver.outcome().servedTokens;
 }
 
@@ -48,7 +57,7 @@
 
 BOOST_AUTO_TEST_SUITE(QueueingUnderLoadTest)
 
-BOOST_DATA_TEST_CASE(goodputHoldsBeyondSaturation, data::make({false, true}) * data::xrange(1, 4), doReturn, seed)
+BOOST_DATA_TEST_CASE(goodputHoldsBeyondSaturation, data::make({false, true}) * data::make(seeds(3)), doReturn, seed)
 {
     // Demand doubles while the engines stay as they are. If the queue let in more than can be served in time, work would be
     // given up after waiting, and users would see fewer answers than before although the engines are busy.
@@ -61,7 +70,7 @@
     }
 }
 
-BOOST_DATA_TEST_CASE(belowSaturationNothingIsRefused, data::make({0.5, 0.8, 0.9}) * data::xrange(1, 4), load, seed)
+BOOST_DATA_TEST_CASE(belowSaturationNothingIsRefused, data::make({0.5, 0.8, 0.9}) * data::make(seeds(3)), load, seed)
 {
     LoadDriver driver(threeEngines(), seed);
     addEvenDemand(driver, load);
@@ -71,7 +80,7 @@
     BOOST_TEST(driver.outcome().served == driver.outcome().offered);
 }
 
-BOOST_DATA_TEST_CASE(teamsWithinTheirPartAreServedBesideAFlood, data::make({200, 2'000, 60'000}) * data::xrange(1, 4), floodCost, seed)
+BOOST_DATA_TEST_CASE(teamsWithinTheirPartAreServedBesideAFlood, data::make({200, 2'000, 60'000}) * data::make(seeds(3)), floodCost, seed)
 {
     // One team sends ten times its part. Without fair queueing the others would be refused or wait behind it, although they
     // send half of what they are entitled to.
@@ -85,6 +94,7 @@
     driver.run(runTime);
     for (std::uint32_t team = 2; team <= 5; ++team) {
         const Outcome outcome = driver.outcome(team);
+        show("beside a flood", outcome);
         BOOST_TEST(outcome.refused == 0);
         BOOST_TEST(outcome.expired == 0);
         // One block: a prompt of 60,000 tokens holds one engine for 6 s, but not all three for long.
@@ -92,7 +102,7 @@
     }
 }
 
-BOOST_DATA_TEST_CASE(teamsThatAllAskForTooMuchGetEqualParts, data::xrange(1, 6), seed)
+BOOST_DATA_TEST_CASE(teamsThatAllAskForTooMuchGetEqualParts, data::make(seeds(5)), seed)
 {
     // Each team asks for twice its part, in another mix of lengths. A queue that counts requests instead of tokens would give
     // nearly everything to the team with the longest prompts.
@@ -111,13 +121,14 @@
     for (std::uint32_t team = 1; team <= 5; ++team) {
         BOOST_TEST_CONTEXT("team " << team)
         {
+            show("team", driver.outcome(team));
             BOOST_TEST(part(driver.outcome(team).servedTokens, mean) >= 0.9);
             BOOST_TEST(part(driver.outcome(team).servedTokens, mean) <= 1.1);
         }
     }
 }
 
-BOOST_DATA_TEST_CASE(shortWorkStarvesNoLongWork, data::xrange(1, 4), seed)
+BOOST_DATA_TEST_CASE(shortWorkStarvesNoLongWork, data::make(seeds(3)), seed)
 {
     // A team floods the short lane with ten times the engines' capacity and has chapters to be read too; another team has
     // chapters only. Without the lane's bound no chapter would ever be served.
@@ -139,22 +150,19 @@
     // Demand is above capacity and each refused caller returns at the time it was told, up to a second late. A Retry-After
     // that is the same for all, or too early, sends them away again: a user presses the button and is refused twice.
     Outcome sum;
-    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    for (const std::uint64_t seed : seeds(3)) {
         LoadDriver driver(threeEngines(), seed);
         addEvenDemand(driver, load);
         driver.run(runTime);
-        const Outcome outcome = driver.outcome();
-        sum.offered += outcome.offered;
-        sum.expired += outcome.expired;
-        sum.returned += outcome.returned;
-        sum.returnedInVain += outcome.returnedInVain;
+        sum += driver.outcome();
     }
+    show("came back", sum);
     BOOST_TEST(sum.returned > 1'000);
     BOOST_TEST(part(sum.returnedInVain, sum.returned) <= 0.01);
     BOOST_TEST(part(sum.expired, sum.offered) <= 0.005);
 }
 
-BOOST_DATA_TEST_CASE(aMondayBurstAfterAQuietWeekendIsServed, data::xrange(1, 4), seed)
+BOOST_DATA_TEST_CASE(aMondayBurstAfterAQuietWeekendIsServed, data::make(seeds(3)), seed)
 {
     // Nothing happens for 60 hours, then three times the capacity arrives for 20 s. If idle time counted as slowness the
     // burst would be refused at once; if the first filling of the windows counted as speed it would be let in and expire.
@@ -166,12 +174,13 @@
     driver.measuredUntil = monday + 22;
     driver.run(monday + runTime);
     const Outcome outcome = driver.outcome();
+    show("all", outcome);
     BOOST_TEST(part(outcome.servedTokens, static_cast<std::int64_t>(20 * capacity)) >= 0.95);
     BOOST_TEST(part(outcome.expired, outcome.offered) <= 0.01);
     BOOST_TEST(outcome.served == outcome.offered);
 }
 
-BOOST_DATA_TEST_CASE(oneSlowEngineCostsOnlyItsOwnPart, data::xrange(1, 4), seed)
+BOOST_DATA_TEST_CASE(oneSlowEngineCostsOnlyItsOwnPart, data::make(seeds(3)), seed)
 {
     // One engine of three falls to a tenth of its speed at second 20, while the queue holds what three do in seven seconds.
     // With a fixed window requests would pile up in it; users whose request went there would wait for minutes while two
@@ -184,11 +193,12 @@
     driver.at(60, [&driver] { BOOST_TEST(driver.engines()[0].window.size() <= 2); });
     driver.run(runTime);
     const Outcome outcome = driver.outcome();
+    show("all", outcome);
     BOOST_TEST(part(outcome.servedTokens, static_cast<std::int64_t>(60 * 2.1 * engineRate)) >= 0.9);
     BOOST_TEST(part(outcome.expired, outcome.offered) <= 0.03);
 }
 
-BOOST_DATA_TEST_CASE(theLossOfEnginesMakesNobodyWaitInVain, data::xrange(1, 4), seed)
+BOOST_DATA_TEST_CASE(theLossOfEnginesMakesNobodyWaitInVain, data::make(seeds(3)), seed)
 {
     // Two engines of three are lost at second 20 while demand is near capacity, and the queue is told. At the old rate it
     // would let in three times what can be served; users would wait ten seconds for nothing. Only some of those that waited
@@ -198,10 +208,11 @@
     driver.at(20, [&driver] {
         driver.engines()[0].model = 9;
         driver.engines()[1].model = 9;
-        driver.queue().scaleCapacity(ModelId{0}, 1.0 / 3);
+        driver.queue.scaleCapacity(ModelId{0}, 1.0 / 3);
     });
     driver.run(runTime);
     const Outcome outcome = driver.outcome();
+    show("all", outcome);
     BOOST_TEST(part(outcome.expired, outcome.offered) <= 0.03);
     BOOST_TEST(outcome.served == outcome.offered);
 }
