--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -60,9 +60,6 @@
         entry.isServing = engine.isServing;
     }
     engines_ = std::move(kept);
-    for (const auto &[index, engine] : engines_) {
-        updateOpen(index);
-    }
 }
 
 void RequestScheduler::setTeamWeight(std::string_view team, double weight)
@@ -92,7 +89,7 @@
     queued.key = keys_.idOf(request.team + '\n' + request.keyId);
     queued.model = models_.idOf(request.model);
     queued.priority = request.priority;
-    queued.cost = static_cast<std::int64_t>(request.promptTokens) + request.outputTokens;
+    queued.cost = static_cast<std::int64_t>(placement_.expectedMissedTokens(placementRequest(request))) + request.outputTokens;
     queued.deadline = request.deadline;
     const AdmissionDecision decision = queue_.offer(queued, now);
     if (!decision.isAdmitted) {
@@ -124,7 +121,7 @@
     for (ExpiredRequest &expired : queue_.expire(now)) {
         outcomes.emplace_back(refuse(expired.request.id, std::move(expired.reason), expired.retryAfter));
     }
-    while (const auto queued = queue_.next(now, [this](ModelId model) { return canDispatch(model); })) {
+    while (const auto queued = queue_.next(now, [this, now](const QueuedRequest &next) { return canDispatch(next, now); })) {
         auto outcome = assign(*queued, now, random);
         if (!outcome) {
             queue_.putBack(*queued, now);
@@ -145,20 +142,48 @@
     queue_.drain();
 }
 
-bool RequestScheduler::canDispatch(ModelId model) const
+bool RequestScheduler::canDispatch(const QueuedRequest &queued, TimePoint now)
 {
-    // A model without any engine lets its requests out too: they are refused at once in place of waiting for their deadline.
+    const auto found = requests_.find(queued.id);
+    if (found == requests_.end()) {
+        return true;
+    }
+    const std::int64_t missed = std::max(1U, placement_.expectedMissedTokens(placementRequest(found->second)));
     bool isServed = false;
-    for (const auto &[index, engine] : engines_) {
-        if (engine.model != model || !engine.isServing) {
+    for (auto &[index, engine] : engines_) {
+        if (engine.model != queued.model) {
             continue;
         }
-        if (engine.window.canStart()) {
-            return true;
+        placement_.setOpen(index, engine.window.canStart(missed));
+        isServed = isServed || engine.isServing;
+    }
+    // A model without any engine lets its requests out too: they are refused at once in place of waiting for their deadline.
+    const std::vector<Version> &versions = versions_[queued.model];
+    return !isServed || std::any_of(versions.begin(), versions.end(), [this, now](const Version &version) { return placement_.hasRoom(version.id, now); });
+}
+
+std::span<const VersionedChain> RequestScheduler::chainsOf(const SchedulerRequest &request)
+{
+    const std::vector<Version> &versions = versions_[models_.idOf(request.model)];
+    blockScratch_.resize(std::max(blockScratch_.size(), versions.size()));
+    chainScratch_.clear();
+    for (std::size_t i = 0; i < versions.size(); ++i) {
+        chainBlocks(prefixSeed({request.cacheSalt, request.model, versions[i].weights}), request.blockDigests, blockScratch_[i]);
+        chainScratch_.push_back({versions[i].id, blockScratch_[i]});
+    }
+    return chainScratch_;
+}
+
+/// The views stay good until the next call.
+PlacementRequest RequestScheduler::placementRequest(const SchedulerRequest &request)
+{
+    failedScratch_.clear();
+    for (const std::string &name : request.failedEngines) {
+        if (const auto index = placement_.findEngine(name)) {
+            failedScratch_.push_back(*index);
         }
-        isServed = true;
     }
-    return !isServed;
+    return {chainsOf(request), request.promptTokens, request.outputTokens, failedScratch_};
 }
 
 std::optional<SchedulerOutcome> RequestScheduler::assign(const QueuedRequest &queued, TimePoint now, Random &random)
@@ -168,56 +193,28 @@
         return refuse(queued.id, {ResultCode::NoTarget, {}}, noTargetRetry);
     }
     const SchedulerRequest &request = found->second;
-    const std::vector<Version> &versions = versions_[queued.model];
-    std::vector<VersionedChain> chains;
-    chainScratch_.resize(std::max(chainScratch_.size(), versions.size()));
-    for (std::size_t i = 0; i < versions.size(); ++i) {
-        chainBlocks(prefixSeed({request.cacheSalt, request.model, versions[i].weights}), request.blockDigests, chainScratch_[i]);
-        chains.push_back({versions[i].id, chainScratch_[i]});
-    }
-    const std::vector<EngineIndex> excluded = indexesOf(request.failedEngines);
-    const PlacementRequest placed{chains, request.promptTokens, request.outputTokens, excluded};
+    const PlacementRequest placed = placementRequest(request);
     Reason reason;
     const auto decision = placement_.place(placed, now, random, reason);
     if (!decision) {
-        // Closed engines of this very request (it failed on the open ones) are worth no wait behind others' work.
+        // Busy engines are worth a wait, but not for a request that has failed on the others already.
         const bool mayWait = reason.code == ResultCode::Overloaded && request.failedEngines.empty();
         return mayWait ? std::nullopt : std::optional<SchedulerOutcome>(refuse(queued.id, {ResultCode::NoTarget, {}}, noTargetRetry));
     }
-    const std::int64_t missed = std::max<std::int64_t>(0, std::int64_t{request.promptTokens} - decision->expectedCachedTokens);
+    const std::int64_t missed = std::max<std::int64_t>(1, std::int64_t{request.promptTokens} - decision->expectedCachedTokens);
     const DispatchId dispatch = placement_.onDispatched(placed, *decision, now);
     Engine &engine = engines_[decision->engine];
     inFlight_[queued.id] = {dispatch, decision->engine, engine.serial, engine.window.start(missed, now)};
-    updateOpen(decision->engine);
     requests_.erase(found);
     return SchedulerAssignment{queued.id, std::string(placement_.engineName(decision->engine)), decision->expectedCachedTokens};
 }
 
-std::vector<EngineIndex> RequestScheduler::indexesOf(const std::vector<std::string> &names) const
-{
-    std::vector<EngineIndex> indexes;
-    for (const std::string &name : names) {
-        if (const auto index = placement_.findEngine(name)) {
-            indexes.push_back(*index);
-        }
-    }
-    return indexes;
-}
-
 SchedulerRefusal RequestScheduler::refuse(RequestId id, Reason reason, Duration retryAfter)
 {
     requests_.erase(id);
     return {id, std::move(reason), retryAfter};
 }
 
-void RequestScheduler::updateOpen(EngineIndex engine)
-{
-    const auto entry = engines_.find(engine);
-    if (entry != engines_.end()) {
-        placement_.setOpen(engine, entry->second.window.canStart());
-    }
-}
-
 void RequestScheduler::onFirstToken(RequestId id, std::optional<std::uint32_t> cachedTokens, TimePoint now)
 {
     const auto entry = inFlight_.find(id);
@@ -227,7 +224,6 @@
     placement_.onFirstToken(entry->second.dispatch, cachedTokens, now);
     if (Engine *engine = engineOf(entry->second)) {
         engine->window.onFirstToken(entry->second.window, now);
-        updateOpen(entry->second.engine);
     }
 }
 
@@ -237,7 +233,7 @@
     if (entry == inFlight_.end()) {
         return;
     }
-    const InFlight ended = entry->second;
+    InFlight ended = entry->second;
     inFlight_.erase(entry);
     switch (end) {
     case SchedulerEnd::Finished:
@@ -258,7 +254,6 @@
         engine->window.onFailed(ended.window, now);
     }
     engine->window.onFinished(ended.window, now);
-    updateOpen(ended.engine);
 }
 
 RequestScheduler::Engine *RequestScheduler::engineOf(const InFlight &request)
--- a/decision/request_scheduler.h
+++ b/decision/request_scheduler.h
@@ -147,11 +147,11 @@
         EngineWindow::Dispatch window;
     };
 
-    bool canDispatch(ModelId model) const;
+    bool canDispatch(const QueuedRequest &queued, TimePoint now);
+    std::span<const VersionedChain> chainsOf(const SchedulerRequest &request);
+    PlacementRequest placementRequest(const SchedulerRequest &request);
     std::optional<SchedulerOutcome> assign(const QueuedRequest &queued, TimePoint now, Random &random);
-    std::vector<EngineIndex> indexesOf(const std::vector<std::string> &names) const;
     SchedulerRefusal refuse(RequestId id, Reason reason, Duration retryAfter);
-    void updateOpen(EngineIndex engine);
     Engine *engineOf(const InFlight &request);
 
     AdmissionQueue queue_;
@@ -165,7 +165,9 @@
     std::map<ModelId, std::vector<Version>> versions_;
     std::unordered_map<RequestId, SchedulerRequest> requests_; ///< Those that wait.
     std::unordered_map<RequestId, InFlight> inFlight_;
-    std::vector<std::vector<BlockHash>> chainScratch_;
+    std::vector<std::vector<BlockHash>> blockScratch_;
+    std::vector<VersionedChain> chainScratch_;
+    std::vector<EngineIndex> failedScratch_;
     std::uint64_t lastSerial_ = 0;
 };
 
--- a/main/router_host.cpp
+++ b/main/router_host.cpp
@@ -43,11 +43,13 @@
     , shares_(settings_.hostName, std::to_string(incarnation_), metrics_)
     , configuration_(settings_, incarnation_, shares_)
     , store_(makeStore(settings_))
-    , peers_(settings_, incarnation_, configuration_, shares_, metrics_)
+    , claimTable_(settings_.hostName, std::to_string(incarnation_))
+    , peers_(settings_, incarnation_, configuration_, shares_, claimTable_, metrics_)
+    , claims_(*store_, settings_.storePrefix, claimTable_, [this](const ClaimQuery &query) { return peers_.askClaim(query); })
     , tickets_(*store_, settings_.storePrefix, configuration_, [this](const LogEntry &entry) { peers_.announceToAll(entry); })
     , storeWatch_(settings_, *store_, configuration_, metrics_)
     , dispatcher_(settings_, configuration_)
-    , parts_{settings_, metrics_, configuration_, shares_, tickets_, dispatcher_, drain_, deadlines_}
+    , parts_{settings_, metrics_, configuration_, shares_, tickets_, claims_, dispatcher_, drain_, deadlines_}
 {
     shares_.setTransport(peers_);
 }
--- a/main/router_host.h
+++ b/main/router_host.h
@@ -41,7 +41,9 @@
     ShareService shares_;
     ConfigurationService configuration_;
     std::unique_ptr<Store> store_;
+    ClaimTable claimTable_;
     PeerDuty peers_;
+    ClaimService claims_;
     TicketService tickets_;
     StoreWatchDuty storeWatch_;
     DrainState drain_;
--- a/servers/caller_routes.cpp
+++ b/servers/caller_routes.cpp
@@ -4,8 +4,10 @@
 #include <set>
 
 #include "core/log.h"
+#include "servers/caller_authentication.h"
 #include "servers/completion_handler.h"
 #include "servers/refusal.h"
+#include "servers/service_handler.h"
 
 namespace Lovageloft
 {
@@ -27,9 +29,9 @@
 
 void serveModels(RouterParts &parts, CallerExchange &exchange)
 {
-    const std::string_view key = bearerKey(exchange.request);
-    if (key.empty() || !parts.configuration.findKey(key)) {
-        sendRefusal(exchange.response, {{key.empty() ? ResultCode::MissingKey : ResultCode::UnknownKey, {}}}, exchange.id, true);
+    Refusal refusal;
+    if (!authenticateCaller(parts, exchange, refusal)) {
+        sendRefusal(exchange.response, refusal, exchange.id, true);
         return;
     }
     std::set<std::string_view> models;
@@ -98,6 +100,10 @@
             return;
         }
     }
+    if (!isKnown && ServiceHandler::isService(parts, path)) {
+        ServiceHandler(parts, exchange).handle();
+        return;
+    }
     const ResultCode code = isKnown ? ResultCode::MethodNotAllowed : ResultCode::UnknownPath;
     parts.metrics.add("lovageloft_requests_total{code=\"" + std::string(resultCodeInfo(code).name) + "\"}");
     sendRefusal(exchange.response, {{code, {}}}, exchange.id, true);
--- a/servers/completion_handler.cpp
+++ b/servers/completion_handler.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/log.h"
+#include "servers/caller_authentication.h"
 
 namespace Lovageloft
 {
@@ -79,15 +80,12 @@
 
 bool CompletionHandler::authenticate()
 {
-    const std::string_view key = bearerKey(exchange_.request);
-    if (key.empty()) {
-        return refuse({{ResultCode::MissingKey, {}}});
-    }
-    auto found = parts_.configuration.findKey(key);
-    if (!found) {
-        return refuse({{ResultCode::UnknownKey, {}}});
+    Refusal refusal;
+    auto key = authenticateCaller(parts_, exchange_, refusal);
+    if (!key) {
+        return refuse(refusal);
     }
-    key_ = std::move(*found);
+    key_ = std::move(*key);
     return true;
 }
 
--- a/servers/peer.capnp
+++ b/servers/peer.capnp
@@ -45,6 +45,30 @@
   used @6 :Float64;
 }
 
+enum ClaimFate {
+  running @0;
+  answered @1;
+  neverSent @2;
+  lost @3;
+  otherProcess @4;
+  forgotten @5;
+}
+
+struct ClaimQuery {
+  host @0 :Text;
+  incarnation @1 :Text;
+  nonce @2 :Text;
+}
+
+struct ClaimQueryReply {
+  nonce @0 :Text;
+  fate @1 :ClaimFate;
+  status @2 :Int32;
+  contentType @3 :Text;
+  body @4 :Data;
+  isWhole @5 :Bool;
+}
+
 interface Peer {
   # Committed log entries as JSON; the receiver replays them in order.
   announce @0 (entries :List(Text));
@@ -63,4 +87,7 @@
 
   # One datagram of the membership protocol.
   gossip @5 (message :Data);
+
+  # What became of a call that may not be repeated and that this host claimed.
+  claimFate @6 (query :ClaimQuery) -> (reply :ClaimQueryReply);
 }
--- a/servers/peer.capnp.c++
+++ b/servers/peer.capnp.c++
@@ -759,7 +759,263 @@
   0, 7, i_b9462860a489ce0a, nullptr, nullptr, { &s_b9462860a489ce0a, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<80> b_b600fd359f175a5a = {
+static const ::capnp::_::AlignedData<46> b_e3fb677c074705c8 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    200,   5,  71,   7, 124, 103, 251, 227,
+     19,   0,   0,   0,   2,   0,   0,   0,
+     88,  99, 158, 199, 164, 240, 178, 209,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 234,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 151,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 101, 114, 118, 101, 114, 115,  47,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  67, 108,  97, 105, 109,
+     70,  97, 116, 101,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     24,   0,   0,   0,   1,   0,   2,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     65,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+     57,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+     53,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      3,   0,   0,   0,   0,   0,   0,   0,
+     49,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0, 106,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+     37,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 117, 110, 110, 105, 110, 103,   0,
+     97, 110, 115, 119, 101, 114, 101, 100,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    110, 101, 118, 101, 114,  83, 101, 110,
+    116,   0,   0,   0,   0,   0,   0,   0,
+    108, 111, 115, 116,   0,   0,   0,   0,
+    111, 116, 104, 101, 114,  80, 114, 111,
+     99, 101, 115, 115,   0,   0,   0,   0,
+    102, 111, 114, 103, 111, 116, 116, 101,
+    110,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_e3fb677c074705c8 = b_e3fb677c074705c8.words;
+#if !CAPNP_LITE
+static const uint16_t m_e3fb677c074705c8[] = {1, 5, 3, 2, 4, 0};
+const ::capnp::_::RawSchema s_e3fb677c074705c8 = {
+  0xe3fb677c074705c8, b_e3fb677c074705c8.words, 46, nullptr, m_e3fb677c074705c8,
+  0, 6, nullptr, nullptr, nullptr, { &s_e3fb677c074705c8, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+CAPNP_DEFINE_ENUM(ClaimFate_e3fb677c074705c8, e3fb677c074705c8);
+static const ::capnp::_::AlignedData<64> b_bc62a433fd2ef34b = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     75, 243,  46, 253,  51, 164,  98, 188,
+     19,   0,   0,   0,   1,   0,   0,   0,
+     88,  99, 158, 199, 164, 240, 178, 209,
+      3,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 242,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 101, 114, 118, 101, 114, 115,  47,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  67, 108,  97, 105, 109,
+     81, 117, 101, 114, 121,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   0,   0,   0,   3,   0,   1,   0,
+     88,   0,   0,   0,   2,   0,   1,   0,
+    104, 111, 115, 116,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105, 110,  99,  97, 114, 110,  97, 116,
+    105, 111, 110,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    110, 111, 110,  99, 101,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_bc62a433fd2ef34b = b_bc62a433fd2ef34b.words;
+#if !CAPNP_LITE
+static const uint16_t m_bc62a433fd2ef34b[] = {0, 1, 2};
+static const uint16_t i_bc62a433fd2ef34b[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_bc62a433fd2ef34b = {
+  0xbc62a433fd2ef34b, b_bc62a433fd2ef34b.words, 64, nullptr, m_bc62a433fd2ef34b,
+  0, 3, i_bc62a433fd2ef34b, nullptr, nullptr, { &s_bc62a433fd2ef34b, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<110> b_afc51b22529aaff9 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    249, 175, 154,  82,  34,  27, 197, 175,
+     19,   0,   0,   0,   1,   0,   1,   0,
+     88,  99, 158, 199, 164, 240, 178, 209,
+      3,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  26,   1,   0,   0,
+     37,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0,  87,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 101, 114, 118, 101, 114, 115,  47,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  67, 108,  97, 105, 109,
+     81, 117, 101, 114, 121,  82, 101, 112,
+    108, 121,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     24,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    153,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    148,   0,   0,   0,   3,   0,   1,   0,
+    160,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    157,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    152,   0,   0,   0,   3,   0,   1,   0,
+    164,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    161,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    156,   0,   0,   0,   3,   0,   1,   0,
+    168,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    165,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    164,   0,   0,   0,   3,   0,   1,   0,
+    176,   0,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    173,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    168,   0,   0,   0,   3,   0,   1,   0,
+    180,   0,   0,   0,   2,   0,   1,   0,
+      5,   0,   0,   0,  16,   0,   0,   0,
+      0,   0,   1,   0,   5,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    177,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    172,   0,   0,   0,   3,   0,   1,   0,
+    184,   0,   0,   0,   2,   0,   1,   0,
+    110, 111, 110,  99, 101,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    102,  97, 116, 101,   0,   0,   0,   0,
+     15,   0,   0,   0,   0,   0,   0,   0,
+    200,   5,  71,   7, 124, 103, 251, 227,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     15,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 116,  97, 116, 117, 115,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 116, 101, 110, 116,  84,
+    121, 112, 101,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     98, 111, 100, 121,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    105, 115,  87, 104, 111, 108, 101,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_afc51b22529aaff9 = b_afc51b22529aaff9.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_afc51b22529aaff9[] = {
+  &s_e3fb677c074705c8,
+};
+static const uint16_t m_afc51b22529aaff9[] = {4, 3, 1, 5, 0, 2};
+static const uint16_t i_afc51b22529aaff9[] = {0, 1, 2, 3, 4, 5};
+const ::capnp::_::RawSchema s_afc51b22529aaff9 = {
+  0xafc51b22529aaff9, b_afc51b22529aaff9.words, 110, d_afc51b22529aaff9, m_afc51b22529aaff9,
+  1, 6, i_afc51b22529aaff9, nullptr, nullptr, { &s_afc51b22529aaff9, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<91> b_b600fd359f175a5a = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      90,  90,  23, 159,  53, 253,   0, 182,
      19,   0,   0,   0,   3,   0,   0,   0,
@@ -769,62 +1025,70 @@
      21,   0,   0,   0, 194,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 135,   1,   0,   0,
-     17,   1,   0,   0,   7,   0,   0,   0,
+     25,   0,   0,   0, 199,   1,   0,   0,
+     61,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     115, 101, 114, 118, 101, 114, 115,  47,
     112, 101, 101, 114,  46,  99,  97, 112,
     110, 112,  58,  80, 101, 101, 114,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     24,   0,   0,   0,   3,   0,   5,   0,
+     28,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      25,  71,  24, 185, 203,  11, 175, 180,
      79,  88,  99, 221, 219, 253, 165, 198,
-    177,   0,   0,   0,  74,   0,   0,   0,
+    209,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    169,   0,   0,   0,   7,   0,   0,   0,
+    201,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      60, 169,  48,  67,  86, 131, 132, 253,
     202, 121,   7,  85, 234,  97, 243, 163,
-    157,   0,   0,   0, 106,   0,   0,   0,
+    189,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    149,   0,   0,   0,   7,   0,   0,   0,
+    181,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     180, 254, 157, 154, 232, 157, 119, 148,
     235, 121, 251,  87,  60,  90, 246, 167,
-    137,   0,   0,   0,  50,   0,   0,   0,
+    169,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    125,   0,   0,   0,   7,   0,   0,   0,
+    157,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     205, 220, 117, 250,  61, 232, 145, 187,
     247,  32,  73, 166, 122,  30,  65, 141,
-    113,   0,   0,   0,  50,   0,   0,   0,
+    145,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    101,   0,   0,   0,   7,   0,   0,   0,
+    133,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
       0, 161, 109, 253, 109,  84, 156, 136,
     217,  16, 193,   3, 202, 222, 228, 138,
-     89,   0,   0,   0,  58,   0,   0,   0,
+    121,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     77,   0,   0,   0,   7,   0,   0,   0,
+    109,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
      14, 132,  24,  32, 248, 168,  62, 243,
     131,  19, 240, 134,  65, 140, 179, 182,
-     65,   0,   0,   0,  58,   0,   0,   0,
+     97,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+     85,   0,   0,   0,   7,   0,   0,   0,
+      6,   0,   0,   0,   0,   0,   0,   0,
+    228, 145, 149, 151,  58, 129, 141, 178,
+     46,  57, 163, 249,  20,  58, 241, 160,
+     73,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     53,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     65,   0,   0,   0,   7,   0,   0,   0,
      97, 110, 110, 111, 117, 110,  99, 101,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -839,6 +1103,9 @@
       0,   0,   0,   0,   0,   0,   1,   0,
     103, 111, 115, 115, 105, 112,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+     99, 108,  97, 105, 109,  70,  97, 116,
+    101,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_b600fd359f175a5a = b_b600fd359f175a5a.words;
@@ -848,8 +1115,10 @@
   &s_8ae4deca03c110d9,
   &s_8d411e7aa64920f7,
   &s_94779de89a9dfeb4,
+  &s_a0f13a14f9a3392e,
   &s_a3f361ea550779ca,
   &s_a7f65a3c57fb79eb,
+  &s_b28d813a979591e4,
   &s_b4af0bcbb9184719,
   &s_b6b38c4186f01383,
   &s_bb91e83dfa75dccd,
@@ -857,10 +1126,10 @@
   &s_f33ea8f82018840e,
   &s_fd8483564330a93c,
 };
-static const uint16_t m_b600fd359f175a5a[] = {0, 3, 1, 5, 4, 2};
+static const uint16_t m_b600fd359f175a5a[] = {0, 6, 3, 1, 5, 4, 2};
 const ::capnp::_::RawSchema s_b600fd359f175a5a = {
-  0xb600fd359f175a5a, b_b600fd359f175a5a.words, 80, d_b600fd359f175a5a, m_b600fd359f175a5a,
-  12, 6, nullptr, nullptr, nullptr, { &s_b600fd359f175a5a, nullptr, nullptr, 0, 0, nullptr }
+  0xb600fd359f175a5a, b_b600fd359f175a5a.words, 91, d_b600fd359f175a5a, m_b600fd359f175a5a,
+  14, 7, nullptr, nullptr, nullptr, { &s_b600fd359f175a5a, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<37> b_b4af0bcbb9184719 = {
@@ -1421,6 +1690,102 @@
   0, 0, nullptr, nullptr, nullptr, { &s_b6b38c4186f01383, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<34> b_b28d813a979591e4 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    228, 145, 149, 151,  58, 129, 141, 178,
+     24,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  74,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 101, 114, 118, 101, 114, 115,  47,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+     99, 108,  97, 105, 109,  70,  97, 116,
+    101,  36,  80,  97, 114,  97, 109, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    113, 117, 101, 114, 121,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     75, 243,  46, 253,  51, 164,  98, 188,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_b28d813a979591e4 = b_b28d813a979591e4.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_b28d813a979591e4[] = {
+  &s_bc62a433fd2ef34b,
+};
+static const uint16_t m_b28d813a979591e4[] = {0};
+static const uint16_t i_b28d813a979591e4[] = {0};
+const ::capnp::_::RawSchema s_b28d813a979591e4 = {
+  0xb28d813a979591e4, b_b28d813a979591e4.words, 34, d_b28d813a979591e4, m_b28d813a979591e4,
+  1, 1, i_b28d813a979591e4, nullptr, nullptr, { &s_b28d813a979591e4, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<34> b_a0f13a14f9a3392e = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     46,  57, 163, 249,  20,  58, 241, 160,
+     24,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  82,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 101, 114, 118, 101, 114, 115,  47,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  80, 101, 101, 114,  46,
+     99, 108,  97, 105, 109,  70,  97, 116,
+    101,  36,  82, 101, 115, 117, 108, 116,
+    115,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    114, 101, 112, 108, 121,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    249, 175, 154,  82,  34,  27, 197, 175,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_a0f13a14f9a3392e = b_a0f13a14f9a3392e.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_a0f13a14f9a3392e[] = {
+  &s_afc51b22529aaff9,
+};
+static const uint16_t m_a0f13a14f9a3392e[] = {0};
+static const uint16_t i_a0f13a14f9a3392e[] = {0};
+const ::capnp::_::RawSchema s_a0f13a14f9a3392e = {
+  0xa0f13a14f9a3392e, b_a0f13a14f9a3392e.words, 34, d_a0f13a14f9a3392e, m_a0f13a14f9a3392e,
+  1, 1, i_a0f13a14f9a3392e, nullptr, nullptr, { &s_a0f13a14f9a3392e, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -1577,6 +1942,22 @@
 constexpr ::capnp::_::RawSchema const* DebitSettlement::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// ClaimQuery
+constexpr uint16_t ClaimQuery::_capnpPrivate::dataWordSize;
+constexpr uint16_t ClaimQuery::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind ClaimQuery::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* ClaimQuery::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// ClaimQueryReply
+constexpr uint16_t ClaimQueryReply::_capnpPrivate::dataWordSize;
+constexpr uint16_t ClaimQueryReply::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind ClaimQueryReply::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* ClaimQueryReply::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::Lovageloft::Rpc::Peer::AnnounceParams,  ::Lovageloft::Rpc::Peer::AnnounceResults>
 Peer::Client::announceRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
@@ -1638,6 +2019,16 @@
       "servers/peer.capnp:Peer", "gossip",
       0xb600fd359f175a5aull, 5);
 }
+::capnp::Request< ::Lovageloft::Rpc::Peer::ClaimFateParams,  ::Lovageloft::Rpc::Peer::ClaimFateResults>
+Peer::Client::claimFateRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::Lovageloft::Rpc::Peer::ClaimFateParams,  ::Lovageloft::Rpc::Peer::ClaimFateResults>(
+      0xb600fd359f175a5aull, 6, sizeHint);
+}
+::kj::Promise<void> Peer::Server::claimFate(ClaimFateContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "servers/peer.capnp:Peer", "claimFate",
+      0xb600fd359f175a5aull, 6);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -1688,6 +2079,12 @@
              ::Lovageloft::Rpc::Peer::GossipParams,  ::Lovageloft::Rpc::Peer::GossipResults>(context)),
         false
       };
+    case 6:
+      return {
+        claimFate(::capnp::Capability::Server::internalGetTypedContext<
+             ::Lovageloft::Rpc::Peer::ClaimFateParams,  ::Lovageloft::Rpc::Peer::ClaimFateResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -1799,6 +2196,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::GossipResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::ClaimFateParams
+constexpr uint16_t Peer::ClaimFateParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::ClaimFateParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::ClaimFateParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::ClaimFateParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::ClaimFateResults
+constexpr uint16_t Peer::ClaimFateResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::ClaimFateResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::ClaimFateResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::ClaimFateResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/servers/peer.capnp.h
+++ b/servers/peer.capnp.h
@@ -28,6 +28,18 @@
 CAPNP_DECLARE_SCHEMA(f70e8813c6dd49a0);
 CAPNP_DECLARE_SCHEMA(a0b60d36182f6f01);
 CAPNP_DECLARE_SCHEMA(b9462860a489ce0a);
+CAPNP_DECLARE_SCHEMA(e3fb677c074705c8);
+enum class ClaimFate_e3fb677c074705c8: uint16_t {
+  RUNNING,
+  ANSWERED,
+  NEVER_SENT,
+  LOST,
+  OTHER_PROCESS,
+  FORGOTTEN,
+};
+CAPNP_DECLARE_ENUM(ClaimFate, e3fb677c074705c8);
+CAPNP_DECLARE_SCHEMA(bc62a433fd2ef34b);
+CAPNP_DECLARE_SCHEMA(afc51b22529aaff9);
 CAPNP_DECLARE_SCHEMA(b600fd359f175a5a);
 CAPNP_DECLARE_SCHEMA(b4af0bcbb9184719);
 CAPNP_DECLARE_SCHEMA(c6a5fddbdd63584f);
@@ -41,6 +53,8 @@
 CAPNP_DECLARE_SCHEMA(8ae4deca03c110d9);
 CAPNP_DECLARE_SCHEMA(f33ea8f82018840e);
 CAPNP_DECLARE_SCHEMA(b6b38c4186f01383);
+CAPNP_DECLARE_SCHEMA(b28d813a979591e4);
+CAPNP_DECLARE_SCHEMA(a0f13a14f9a3392e);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -191,6 +205,38 @@
   };
 };
 
+typedef ::capnp::schemas::ClaimFate_e3fb677c074705c8 ClaimFate;
+
+struct ClaimQuery {
+  ClaimQuery() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bc62a433fd2ef34b, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ClaimQueryReply {
+  ClaimQueryReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(afc51b22529aaff9, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Peer {
   Peer() = delete;
 
@@ -211,6 +257,8 @@
   struct SettleResults;
   struct GossipParams;
   struct GossipResults;
+  struct ClaimFateParams;
+  struct ClaimFateResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -400,6 +448,36 @@
   };
 };
 
+struct Peer::ClaimFateParams {
+  ClaimFateParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b28d813a979591e4, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::ClaimFateResults {
+  ClaimFateResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a0f13a14f9a3392e, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 #if !CAPNP_LITE
@@ -1270,6 +1348,223 @@
 };
 #endif  // !CAPNP_LITE
 
+class ClaimQuery::Reader {
+public:
+  typedef ClaimQuery Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
+
+  inline bool hasIncarnation() const;
+  inline  ::capnp::Text::Reader getIncarnation() const;
+
+  inline bool hasNonce() const;
+  inline  ::capnp::Text::Reader getNonce() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ClaimQuery::Builder {
+public:
+  typedef ClaimQuery Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
+
+  inline bool hasIncarnation();
+  inline  ::capnp::Text::Builder getIncarnation();
+  inline void setIncarnation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initIncarnation(unsigned int size);
+  inline void adoptIncarnation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownIncarnation();
+
+  inline bool hasNonce();
+  inline  ::capnp::Text::Builder getNonce();
+  inline void setNonce( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNonce(unsigned int size);
+  inline void adoptNonce(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNonce();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ClaimQuery::Pipeline {
+public:
+  typedef ClaimQuery Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ClaimQueryReply::Reader {
+public:
+  typedef ClaimQueryReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNonce() const;
+  inline  ::capnp::Text::Reader getNonce() const;
+
+  inline  ::Lovageloft::Rpc::ClaimFate getFate() const;
+
+  inline  ::int32_t getStatus() const;
+
+  inline bool hasContentType() const;
+  inline  ::capnp::Text::Reader getContentType() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
+
+  inline bool getIsWhole() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ClaimQueryReply::Builder {
+public:
+  typedef ClaimQueryReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNonce();
+  inline  ::capnp::Text::Builder getNonce();
+  inline void setNonce( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNonce(unsigned int size);
+  inline void adoptNonce(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNonce();
+
+  inline  ::Lovageloft::Rpc::ClaimFate getFate();
+  inline void setFate( ::Lovageloft::Rpc::ClaimFate value);
+
+  inline  ::int32_t getStatus();
+  inline void setStatus( ::int32_t value);
+
+  inline bool hasContentType();
+  inline  ::capnp::Text::Builder getContentType();
+  inline void setContentType( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initContentType(unsigned int size);
+  inline void adoptContentType(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownContentType();
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
+  inline bool getIsWhole();
+  inline void setIsWhole(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ClaimQueryReply::Pipeline {
+public:
+  typedef ClaimQueryReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Peer::Client
     : public virtual ::capnp::Capability::Client {
@@ -1301,6 +1596,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Lovageloft::Rpc::Peer::GossipParams,  ::Lovageloft::Rpc::Peer::GossipResults> gossipRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Lovageloft::Rpc::Peer::ClaimFateParams,  ::Lovageloft::Rpc::Peer::ClaimFateResults> claimFateRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1341,6 +1638,10 @@
   typedef  ::Lovageloft::Rpc::Peer::GossipResults GossipResults;
   typedef ::capnp::CallContext<GossipParams, GossipResults> GossipContext;
   virtual ::kj::Promise<void> gossip(GossipContext context);
+  typedef  ::Lovageloft::Rpc::Peer::ClaimFateParams ClaimFateParams;
+  typedef  ::Lovageloft::Rpc::Peer::ClaimFateResults ClaimFateResults;
+  typedef ::capnp::CallContext<ClaimFateParams, ClaimFateResults> ClaimFateContext;
+  virtual ::kj::Promise<void> claimFate(ClaimFateContext context);
 
   inline  ::Lovageloft::Rpc::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2315,44 +2616,208 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Peer::ClaimFateParams::Reader {
+public:
+  typedef ClaimFateParams Reads;
 
-#if !CAPNP_LITE
-inline PeerGate::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline PeerGate::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline PeerGate::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline PeerGate::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline PeerGate::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::Lovageloft::Rpc::PeerGate::Client& PeerGate::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::Lovageloft::Rpc::PeerGate::Client& PeerGate::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-#endif  // !CAPNP_LITE
-inline bool PeerGate::GreetResults::Reader::hasSession() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool PeerGate::GreetResults::Builder::hasSession() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
 #if !CAPNP_LITE
-inline  ::Lovageloft::Rpc::PeerSession::Client PeerGate::GreetResults::Reader::getSession() const {
-  return ::capnp::_::PointerHelpers< ::Lovageloft::Rpc::PeerSession>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasQuery() const;
+  inline  ::Lovageloft::Rpc::ClaimQuery::Reader getQuery() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ClaimFateParams::Builder {
+public:
+  typedef ClaimFateParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasQuery();
+  inline  ::Lovageloft::Rpc::ClaimQuery::Builder getQuery();
+  inline void setQuery( ::Lovageloft::Rpc::ClaimQuery::Reader value);
+  inline  ::Lovageloft::Rpc::ClaimQuery::Builder initQuery();
+  inline void adoptQuery(::capnp::Orphan< ::Lovageloft::Rpc::ClaimQuery>&& value);
+  inline ::capnp::Orphan< ::Lovageloft::Rpc::ClaimQuery> disownQuery();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ClaimFateParams::Pipeline {
+public:
+  typedef ClaimFateParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Lovageloft::Rpc::ClaimQuery::Pipeline getQuery();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ClaimFateResults::Reader {
+public:
+  typedef ClaimFateResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply() const;
+  inline  ::Lovageloft::Rpc::ClaimQueryReply::Reader getReply() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ClaimFateResults::Builder {
+public:
+  typedef ClaimFateResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply();
+  inline  ::Lovageloft::Rpc::ClaimQueryReply::Builder getReply();
+  inline void setReply( ::Lovageloft::Rpc::ClaimQueryReply::Reader value);
+  inline  ::Lovageloft::Rpc::ClaimQueryReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::Lovageloft::Rpc::ClaimQueryReply>&& value);
+  inline ::capnp::Orphan< ::Lovageloft::Rpc::ClaimQueryReply> disownReply();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ClaimFateResults::Pipeline {
+public:
+  typedef ClaimFateResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Lovageloft::Rpc::ClaimQueryReply::Pipeline getReply();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+#if !CAPNP_LITE
+inline PeerGate::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline PeerGate::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline PeerGate::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline PeerGate::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline PeerGate::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::Lovageloft::Rpc::PeerGate::Client& PeerGate::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::Lovageloft::Rpc::PeerGate::Client& PeerGate::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
+}
+
+#endif  // !CAPNP_LITE
+inline bool PeerGate::GreetResults::Reader::hasSession() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerGate::GreetResults::Builder::hasSession() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+#if !CAPNP_LITE
+inline  ::Lovageloft::Rpc::PeerSession::Client PeerGate::GreetResults::Reader::getSession() const {
+  return ::capnp::_::PointerHelpers< ::Lovageloft::Rpc::PeerSession>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline  ::Lovageloft::Rpc::PeerSession::Client PeerGate::GreetResults::Builder::getSession() {
   return ::capnp::_::PointerHelpers< ::Lovageloft::Rpc::PeerSession>::get(_builder.getPointerField(
@@ -3215,6 +3680,252 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ClaimQuery::Reader::hasHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ClaimQuery::Builder::hasHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ClaimQuery::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ClaimQuery::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ClaimQuery::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ClaimQuery::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ClaimQuery::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ClaimQuery::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ClaimQuery::Reader::hasIncarnation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ClaimQuery::Builder::hasIncarnation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ClaimQuery::Reader::getIncarnation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ClaimQuery::Builder::getIncarnation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ClaimQuery::Builder::setIncarnation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ClaimQuery::Builder::initIncarnation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ClaimQuery::Builder::adoptIncarnation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ClaimQuery::Builder::disownIncarnation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ClaimQuery::Reader::hasNonce() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ClaimQuery::Builder::hasNonce() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ClaimQuery::Reader::getNonce() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ClaimQuery::Builder::getNonce() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ClaimQuery::Builder::setNonce( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ClaimQuery::Builder::initNonce(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ClaimQuery::Builder::adoptNonce(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ClaimQuery::Builder::disownNonce() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool ClaimQueryReply::Reader::hasNonce() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ClaimQueryReply::Builder::hasNonce() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ClaimQueryReply::Reader::getNonce() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ClaimQueryReply::Builder::getNonce() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ClaimQueryReply::Builder::setNonce( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ClaimQueryReply::Builder::initNonce(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ClaimQueryReply::Builder::adoptNonce(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ClaimQueryReply::Builder::disownNonce() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::Lovageloft::Rpc::ClaimFate ClaimQueryReply::Reader::getFate() const {
+  return _reader.getDataField< ::Lovageloft::Rpc::ClaimFate>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::Lovageloft::Rpc::ClaimFate ClaimQueryReply::Builder::getFate() {
+  return _builder.getDataField< ::Lovageloft::Rpc::ClaimFate>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ClaimQueryReply::Builder::setFate( ::Lovageloft::Rpc::ClaimFate value) {
+  _builder.setDataField< ::Lovageloft::Rpc::ClaimFate>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t ClaimQueryReply::Reader::getStatus() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t ClaimQueryReply::Builder::getStatus() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ClaimQueryReply::Builder::setStatus( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ClaimQueryReply::Reader::hasContentType() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ClaimQueryReply::Builder::hasContentType() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ClaimQueryReply::Reader::getContentType() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ClaimQueryReply::Builder::getContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ClaimQueryReply::Builder::setContentType( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ClaimQueryReply::Builder::initContentType(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ClaimQueryReply::Builder::adoptContentType(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ClaimQueryReply::Builder::disownContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ClaimQueryReply::Reader::hasBody() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ClaimQueryReply::Builder::hasBody() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader ClaimQueryReply::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder ClaimQueryReply::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ClaimQueryReply::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder ClaimQueryReply::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ClaimQueryReply::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> ClaimQueryReply::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool ClaimQueryReply::Reader::getIsWhole() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline bool ClaimQueryReply::Builder::getIsWhole() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void ClaimQueryReply::Builder::setIsWhole(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -3604,6 +4315,84 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::ClaimFateParams::Reader::hasQuery() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::ClaimFateParams::Builder::hasQuery() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Lovageloft::Rpc::ClaimQuery::Reader Peer::ClaimFateParams::Reader::getQuery() const {
+  return ::capnp::_::PointerHelpers< ::Lovageloft::Rpc::ClaimQuery>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Lovageloft::Rpc::ClaimQuery::Builder Peer::ClaimFateParams::Builder::getQuery() {
+  return ::capnp::_::PointerHelpers< ::Lovageloft::Rpc::ClaimQuery>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Lovageloft::Rpc::ClaimQuery::Pipeline Peer::ClaimFateParams::Pipeline::getQuery() {
+  return  ::Lovageloft::Rpc::ClaimQuery::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::ClaimFateParams::Builder::setQuery( ::Lovageloft::Rpc::ClaimQuery::Reader value) {
+  ::capnp::_::PointerHelpers< ::Lovageloft::Rpc::ClaimQuery>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Lovageloft::Rpc::ClaimQuery::Builder Peer::ClaimFateParams::Builder::initQuery() {
+  return ::capnp::_::PointerHelpers< ::Lovageloft::Rpc::ClaimQuery>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::ClaimFateParams::Builder::adoptQuery(
+    ::capnp::Orphan< ::Lovageloft::Rpc::ClaimQuery>&& value) {
+  ::capnp::_::PointerHelpers< ::Lovageloft::Rpc::ClaimQuery>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Lovageloft::Rpc::ClaimQuery> Peer::ClaimFateParams::Builder::disownQuery() {
+  return ::capnp::_::PointerHelpers< ::Lovageloft::Rpc::ClaimQuery>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::ClaimFateResults::Reader::hasReply() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::ClaimFateResults::Builder::hasReply() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Lovageloft::Rpc::ClaimQueryReply::Reader Peer::ClaimFateResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::Lovageloft::Rpc::ClaimQueryReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Lovageloft::Rpc::ClaimQueryReply::Builder Peer::ClaimFateResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::Lovageloft::Rpc::ClaimQueryReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Lovageloft::Rpc::ClaimQueryReply::Pipeline Peer::ClaimFateResults::Pipeline::getReply() {
+  return  ::Lovageloft::Rpc::ClaimQueryReply::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::ClaimFateResults::Builder::setReply( ::Lovageloft::Rpc::ClaimQueryReply::Reader value) {
+  ::capnp::_::PointerHelpers< ::Lovageloft::Rpc::ClaimQueryReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Lovageloft::Rpc::ClaimQueryReply::Builder Peer::ClaimFateResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::Lovageloft::Rpc::ClaimQueryReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::ClaimFateResults::Builder::adoptReply(
+    ::capnp::Orphan< ::Lovageloft::Rpc::ClaimQueryReply>&& value) {
+  ::capnp::_::PointerHelpers< ::Lovageloft::Rpc::ClaimQueryReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Lovageloft::Rpc::ClaimQueryReply> Peer::ClaimFateResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::Lovageloft::Rpc::ClaimQueryReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/servers/peer_codec.cpp
+++ b/servers/peer_codec.cpp
@@ -70,6 +70,42 @@
     return settlement;
 }
 
+void write(const ClaimQuery &from, Rpc::ClaimQuery::Builder to)
+{
+    to.setHost(from.host);
+    to.setIncarnation(from.incarnation);
+    to.setNonce(from.nonce);
+}
+
+void write(const ClaimQueryReply &from, Rpc::ClaimQueryReply::Builder to)
+{
+    // Both enumerations have the same order; the names on the wire are the table's.
+    to.setFate(static_cast<Rpc::ClaimFate>(from.fate));
+    to.setNonce(from.nonce);
+    to.setStatus(from.answer.status);
+    to.setContentType(from.answer.contentType);
+    to.setBody(toBytes(from.answer.body));
+    to.setIsWhole(from.answer.isWhole);
+}
+
+ClaimQuery read(Rpc::ClaimQuery::Reader from)
+{
+    return {toString(from.getHost()), toString(from.getIncarnation()), toString(from.getNonce())};
+}
+
+ClaimQueryReply read(Rpc::ClaimQueryReply::Reader from)
+{
+    ClaimQueryReply reply;
+    reply.nonce = toString(from.getNonce());
+    // A fate that a newer host invented is none that allows a second sending.
+    reply.fate = from.getFate() <= Rpc::ClaimFate::FORGOTTEN ? static_cast<ClaimFate>(from.getFate()) : ClaimFate::Forgotten;
+    reply.answer.status = from.getStatus();
+    reply.answer.contentType = toString(from.getContentType());
+    reply.answer.body = toView(from.getBody());
+    reply.answer.isWhole = from.getIsWhole();
+    return reply;
+}
+
 void write(const std::vector<std::string> &from, capnp::List<capnp::Text>::Builder to)
 {
     for (std::size_t i = 0; i < from.size(); ++i) {
--- a/servers/peer_codec.h
+++ b/servers/peer_codec.h
@@ -11,6 +11,11 @@
 void write(const DebitReply &from, Rpc::DebitReply::Builder to);
 void write(const DebitSettlement &from, Rpc::DebitSettlement::Builder to);
 
+void write(const ClaimQuery &from, Rpc::ClaimQuery::Builder to);
+void write(const ClaimQueryReply &from, Rpc::ClaimQueryReply::Builder to);
+
+ClaimQuery read(Rpc::ClaimQuery::Reader from);
+ClaimQueryReply read(Rpc::ClaimQueryReply::Reader from);
 DebitRequest read(Rpc::DebitRequest::Reader from);
 DebitReply read(Rpc::DebitReply::Reader from);
 DebitSettlement read(Rpc::DebitSettlement::Reader from);
--- a/servers/peer_duty.cpp
+++ b/servers/peer_duty.cpp
@@ -1,6 +1,8 @@
 #include "servers/peer_duty.h"
 
 #include <algorithm>
+#include <future>
+#include <memory>
 
 namespace Lovageloft
 {
@@ -10,13 +12,17 @@
 
 /// How often the questions are worked out; a withdrawn key waits for this at most once on its way.
 constexpr std::chrono::milliseconds tickPeriod{100};
+/// Longest wait for the holder of a claim; a little more than a call's own timeout.
+constexpr std::chrono::seconds claimWait{1};
 
 } // namespace
 
-PeerDuty::PeerDuty(const Settings &settings, std::uint64_t incarnation, ConfigurationService &configuration, ShareService &shares, Metrics &metrics)
+PeerDuty::PeerDuty(
+    const Settings &settings, std::uint64_t incarnation, ConfigurationService &configuration, ShareService &shares, ClaimTable &claims, Metrics &metrics)
     : settings_(settings)
     , configuration_(configuration)
     , shares_(shares)
+    , claims_(claims)
     , network_(settings, {settings.hostName, std::to_string(incarnation)}, *this, metrics)
     , thread_([this] { run(); })
 {
@@ -127,6 +133,24 @@
     shares_.onSettlement(settlement);
 }
 
+ClaimQueryReply PeerDuty::onClaimQuery(const ClaimQuery &query)
+{
+    return claims_.onQuery(query, BootClock::now());
+}
+
+std::optional<ClaimQueryReply> PeerDuty::askClaim(const ClaimQuery &query)
+{
+    const std::string address = addressOf(query.host);
+    if (address.empty()) {
+        return std::nullopt;
+    }
+    // Shared, as the answer may come after this call has given up.
+    const auto answer = std::make_shared<std::promise<std::optional<ClaimQueryReply>>>();
+    auto arrived = answer->get_future();
+    network_.askClaim(address, query, [answer](std::optional<ClaimQueryReply> reply) { answer->set_value(std::move(reply)); });
+    return arrived.wait_for(claimWait) == std::future_status::ready ? arrived.get() : std::nullopt;
+}
+
 void PeerDuty::onGossip(std::string_view)
 {
 }
--- a/servers/peer_duty.h
+++ b/servers/peer_duty.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <thread>
 
+#include "coordination/claim_table.h"
 #include "servers/configuration_service.h"
 #include "servers/peer_handler.h"
 #include "servers/peer_network.h"
@@ -18,7 +19,8 @@
 {
 public:
     /// Binds the peer address; throws std::runtime_error if it can't be bound.
-    PeerDuty(const Settings &settings, std::uint64_t incarnation, ConfigurationService &configuration, ShareService &shares, Metrics &metrics);
+    PeerDuty(
+        const Settings &settings, std::uint64_t incarnation, ConfigurationService &configuration, ShareService &shares, ClaimTable &claims, Metrics &metrics);
     ~PeerDuty() override;
 
     std::uint16_t port() const;
@@ -26,6 +28,9 @@
     /// Tells all listed hosts of an entry.
     void announceToAll(const LogEntry &entry);
 
+    /// Asks the holder of a claim; nothing if its host gave no answer within a second. Blocks until then.
+    std::optional<ClaimQueryReply> askClaim(const ClaimQuery &query);
+
     void ask(const DebitRequest &request) override;
     void settle(const DebitSettlement &settlement) override;
 
@@ -34,6 +39,7 @@
     PeerAnswer vouch() override;
     DebitReply onDebit(const DebitRequest &request) override;
     void onSettlement(const DebitSettlement &settlement) override;
+    ClaimQueryReply onClaimQuery(const ClaimQuery &query) override;
     void onGossip(std::string_view message) override;
 
 private:
@@ -44,6 +50,7 @@
     const Settings &settings_;
     ConfigurationService &configuration_;
     ShareService &shares_;
+    ClaimTable &claims_;
     PeerNetwork network_;
     std::atomic<bool> isStopping_{false};
     std::thread thread_;
--- a/servers/peer_gate.cpp
+++ b/servers/peer_gate.cpp
@@ -62,6 +62,12 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> claimFate(ClaimFateContext context) override
+    {
+        write(handler_.onClaimQuery(read(context.getParams().getQuery())), context.getResults().initReply());
+        return kj::READY_NOW;
+    }
+
     kj::Promise<void> gossip(GossipContext context) override
     {
         handler_.onGossip(toView(context.getParams().getMessage()));
--- a/servers/peer_handler.h
+++ b/servers/peer_handler.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "coordination/claim_messages.h"
 #include "coordination/host_lists.h"
 #include "coordination/share_messages.h"
 
@@ -40,6 +41,7 @@
     virtual PeerAnswer vouch() = 0;
     virtual DebitReply onDebit(const DebitRequest &request) = 0;
     virtual void onSettlement(const DebitSettlement &settlement) = 0;
+    virtual ClaimQueryReply onClaimQuery(const ClaimQuery &query) = 0;
     virtual void onGossip(std::string_view message) = 0;
 };
 
--- a/servers/peer_network.cpp
+++ b/servers/peer_network.cpp
@@ -336,6 +336,27 @@
     });
 }
 
+void PeerNetwork::askClaim(const std::string &address, const ClaimQuery &query, std::function<void(std::optional<ClaimQueryReply>)> onAnswer)
+{
+    post([address, query, onAnswer = std::move(onAnswer)](Loop &loop) {
+        loop.call<Rpc::Peer::ClaimFateResults>(
+            address,
+            [query](Rpc::Peer::Client &peer) {
+                auto call = peer.claimFateRequest();
+                write(query, call.initQuery());
+                return call.send();
+            },
+            [onAnswer](
+                kj::Maybe<capnp::Response<Rpc::Peer::ClaimFateResults> &> response) { // NOLINT(performance-unnecessary-value-param): a maybe of a reference.
+                KJ_IF_MAYBE (found, response) {
+                    onAnswer(read(found->getReply()));
+                } else {
+                    onAnswer(std::nullopt);
+                }
+            });
+    });
+}
+
 void PeerNetwork::gossip(const std::string &address, std::string message)
 {
     post([address, message = std::move(message)](Loop &loop) {
--- a/servers/peer_network.h
+++ b/servers/peer_network.h
@@ -43,6 +43,7 @@
     void askVouch(const std::string &address, std::function<void(std::optional<PeerAnswer>)> onAnswer);
     void askDebit(const std::string &address, const DebitRequest &request, std::function<void(std::optional<DebitReply>)> onAnswer);
     void settle(const std::string &address, const DebitSettlement &settlement);
+    void askClaim(const std::string &address, const ClaimQuery &query, std::function<void(std::optional<ClaimQueryReply>)> onAnswer);
     void gossip(const std::string &address, std::string message);
 
 private:
--- a/servers/router_parts.h
+++ b/servers/router_parts.h
@@ -2,6 +2,7 @@
 
 #include "core/metrics.h"
 #include "core/settings.h"
+#include "servers/claim_service.h"
 #include "servers/configuration_service.h"
 #include "servers/connection_deadlines.h"
 #include "servers/dispatcher.h"
@@ -20,6 +21,7 @@
     ConfigurationService &configuration;
     ShareService &shares;
     TicketService &tickets;
+    ClaimService &claims;
     Dispatcher &dispatcher;
     DrainState &drain;
     ConnectionDeadlines &deadlines;
--- a/tests/decision/replay/replay.cpp
+++ b/tests/decision/replay/replay.cpp
@@ -123,8 +123,9 @@
 void Replay::dispatch(Router &router)
 {
     std::array<char, engineCount> isOpen{};
-    const auto canDispatch = [this, &router, &isOpen](ModelId /*model*/) {
-        const auto hasRoom = [this](const EngineWindow &window) { return static_cast<char>(!policy_.obeysWindows || window.canStart()); };
+    const auto canDispatch = [this, &router, &isOpen](const QueuedRequest &next) {
+        const std::int64_t missed = std::max(1U, router.policy->missedTokens(placementRequest(static_cast<std::uint32_t>(next.id))));
+        const auto hasRoom = [this, missed](const EngineWindow &window) { return static_cast<char>(!policy_.obeysWindows || window.canStart(missed)); };
         std::transform(router.windows.begin(), router.windows.end(), isOpen.begin(), hasRoom);
         return router.policy->hasRoom(isOpen, at(now_));
     };
