Hold the store driver's call timeout against trickled answers in a test

A timeout that starts anew with each byte would hold a caller of the store for as long as an overloaded store trickles. The stand-in store can trickle now, and a test holds the driver to its deadline: with the deadline taken out, it fails both checks. A second test holds that an idle connection which the store has closed is not used again; without the look at the socket it fails. The stand-in engine notes an Authorization header on every path.

--- a/tests/drivers/test_etcd_store.cpp
+++ b/tests/drivers/test_etcd_store.cpp
@@ -1,3 +1,4 @@
+#include <memory>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
@@ -148,6 +149,29 @@
     BOOST_TEST(impatient.get("a/2").entry.value == "two");
 }
 
+BOOST_AUTO_TEST_CASE(trickledAnswerEndsAtTheTimeoutOfTheCall)
+{
+    // The store is so overloaded that its answer comes byte by byte. A timeout that starts anew with each byte would
+    // hold the caller of the store for as long as that takes, and its requests with it.
+    EtcdStore impatient(impatientOptionsFor(standIn));
+    standIn.setFault({.trickle = 50ms});
+    BOOST_TEST(hasStatus(impatient.get("a/1"), StoreStatus::Unavailable));
+    BOOST_TEST(hasStatus(impatient.compareAndSwap("a/1", 0, "v", 0), StoreStatus::AnswerLost));
+}
+
+BOOST_AUTO_TEST_CASE(connectionClosedByTheStoreIsNotUsedAgain)
+{
+    // The store is restarted and has closed the idle connections. A write sent on one of them would be reported as one
+    // that may have taken effect, and a correction be held back although it never left.
+    auto restarted = std::make_unique<StandInStore>();
+    EtcdConnectionPool pool({parseHostAddress(restarted->server().address()).value()}, ample);
+    std::unique_ptr<EtcdConnection> connection = pool.take(0, ample);
+    BOOST_REQUIRE(connection->call("/v3/kv/range", R"({"key":"YQ=="})", BootClock::now() + ample).has_value());
+    pool.giveBack(0, std::move(connection));
+    restarted.reset();
+    BOOST_TEST(!pool.take(0, ample)); // A new one can't be had while the store is down.
+}
+
 BOOST_AUTO_TEST_CASE(silentConnectionsCostOneTimeoutInAll)
 {
     // A firewall between host and store restarts and forgets the open connections, while new ones work. If each idle
--- a/tests/stand_ins/exchange.cpp
+++ b/tests/stand_ins/exchange.cpp
@@ -121,6 +121,19 @@
     closeConnection();
 }
 
+void Exchange::trickleJson(std::string_view json, Duration pause)
+{
+    response_.setContentType("application/json");
+    response_.setContentLength64(static_cast<Poco::Int64>(json.size()));
+    std::ostream &out = response_.send();
+    for (const char byte : json) {
+        if (!waitUntil(BootClock::now() + pause) || !(out << byte << std::flush)) {
+            closeConnection();
+            return;
+        }
+    }
+}
+
 void Exchange::closeConnection()
 {
     response_.setKeepAlive(false);
--- a/tests/stand_ins/exchange.h
+++ b/tests/stand_ins/exchange.h
@@ -55,6 +55,9 @@
     /// Sends the head of an answer of `json`'s length and only its first half, then closes the connection.
     void sendHalf(std::string_view json);
 
+    /// Sends a whole JSON document byte by byte, with `pause` before each.
+    void trickleJson(std::string_view json, Duration pause);
+
     /// Closes the connection at once, whatever has been sent.
     void closeConnection();
 
--- a/tests/stand_ins/stand_in_engine.cpp
+++ b/tests/stand_ins/stand_in_engine.cpp
@@ -73,6 +73,10 @@
         {"POST", "/test/faults", &StandInEngine::planFault},
         {"GET", "/test/record", &StandInEngine::reportRecord},
     };
+    if (!exchange.header("Authorization").empty()) {
+        const std::lock_guard lock(mutex_);
+        record_.sawAuthorization = true;
+    }
     if (exchange.method() == "POST" && exchange.path() == "/v1/chat/completions") {
         complete(exchange, true);
         return;
@@ -224,7 +228,6 @@
 {
     const std::lock_guard lock(mutex_);
     ++record_.started;
-    record_.sawAuthorization = record_.sawAuthorization || !exchange.header("Authorization").empty();
     const std::string id = exchange.header("X-Request-Id");
     if (!id.empty()) {
         ++record_.requests[id];
--- a/tests/stand_ins/stand_in_store.cpp
+++ b/tests/stand_ins/stand_in_store.cpp
@@ -235,6 +235,11 @@
         exchange.closeConnection();
         return;
     }
+    const Duration trickle = currentFault().trickle;
+    if (trickle > Duration::zero()) {
+        exchange.trickleJson(answer.json, trickle);
+        return;
+    }
     exchange.sendJson(answer.status, answer.json);
 }
 
@@ -243,6 +248,7 @@
     const JsonBody body(exchange.body());
     StandInStoreFault fault;
     fault.delay = std::chrono::milliseconds(body.number("delay_ms"));
+    fault.trickle = std::chrono::milliseconds(body.number("trickle_ms"));
     fault.isDown = body.flag("down");
     fault.closesConnections = body.flag("close");
     fault.isFrozen = body.flag("freeze");
--- a/tests/stand_ins/stand_in_store.h
+++ b/tests/stand_ins/stand_in_store.h
@@ -24,6 +24,7 @@
     bool isDown = false; ///< Answers 503 as etcd does without a leader, and ends all watches.
     bool closesConnections = false; ///< Closes each connection instead of performing the call.
     bool isFrozen = false; ///< Takes calls and says nothing.
+    Duration trickle{}; ///< Waits before each byte of an answer.
     std::int64_t lostAnswers = 0; ///< So many writes are performed, and the connection closed without an answer.
 };
 
