--- a/servers/peer_duty.cpp
+++ b/servers/peer_duty.cpp
@@ -19,8 +19,7 @@
 
 PeerDuty::PeerDuty(
     const Settings &settings, std::uint64_t incarnation, ConfigurationService &configuration, ShareService &shares, ClaimTable &claims, Metrics &metrics)
-    : settings_(settings)
-    , configuration_(configuration)
+    : configuration_(configuration)
     , shares_(shares)
     , claims_(claims)
     , network_(settings, {settings.hostName, std::to_string(incarnation)}, *this, metrics)
--- a/servers/peer_duty.h
+++ b/servers/peer_duty.h
@@ -47,7 +47,6 @@
     void askQuestions();
     std::string addressOf(const std::string &host) const;
 
-    const Settings &settings_;
     ConfigurationService &configuration_;
     ShareService &shares_;
     ClaimTable &claims_;
--- a/servers/ticket_service.cpp
+++ b/servers/ticket_service.cpp
@@ -36,7 +36,7 @@
         reason = {ResultCode::StoreUnavailable, {}};
         return std::nullopt;
     }
-    const auto entry = committer_.commit(ticket, wallMilliseconds(), randomHex(nonceBytes), reason);
+    auto entry = committer_.commit(ticket, wallMilliseconds(), randomHex(nonceBytes), reason);
     configuration_.takeFrom(replica_);
     if (!entry) {
         writeLog(LogLevel::Warning,
