Open links to peers without forking an empty promise

Cause: a new link was first filled with the fork of an empty kj::Promise, which dereferences null. A host with peers.known or a list of hosts crashed with signal 11 at its first call to another host. Excluded: the order of the members and the secret (a host without known peers ran; gdb shows ForkHub under Loop::peer). Change: the link begins with an empty ForkedPromise. Calls now hold their link, so that a connect that ends after a newer link took its place does not write to freed memory, and a late failure of an old connection does not close the new one.

--- a/servers/peer_network.cpp
+++ b/servers/peer_network.cpp
@@ -93,15 +93,16 @@
 
         auto ends = kj::heap<Ends>(Ends{kj::mv(start), kj::mv(onEnd)});
         Ends &callbacks = *ends;
-        auto sent = peer(address).then([&callbacks](Rpc::Peer::Client client) -> kj::Promise<capnp::Response<Results>> { return callbacks.start(client); });
+        const std::shared_ptr<Link> link = linkTo(address);
+        auto sent = peer(*link).then([&callbacks](Rpc::Peer::Client client) -> kj::Promise<capnp::Response<Results>> { return callbacks.start(client); });
         auto promise = io_.provider->getTimer()
                            .timeoutAfter(callTimeout, kj::mv(sent))
                            .then([&callbacks](capnp::Response<Results> &&response) { callbacks.onEnd(response); },
-                                 [this, &callbacks, address](kj::Exception &&error) {
-                                     onFailure(address, error);
+                                 [this, &callbacks, &link = *link, address](kj::Exception &&error) {
+                                     onFailure(address, link, error);
                                      callbacks.onEnd(nullptr);
                                  })
-                           .attach(kj::mv(ends));
+                           .attach(kj::mv(ends), link);
         running_.add(kj::mv(promise));
     }
 
@@ -114,21 +115,25 @@
         bool hasFailed = false;
     };
 
-    kj::Promise<Rpc::Peer::Client> peer(const std::string &address)
+    std::shared_ptr<Link> linkTo(const std::string &address)
     {
         const kj::TimePoint now = io_.provider->getTimer().now();
-        const auto known = links_.find(address);
-        if (known != links_.end() && (!known->second->hasFailed || now < known->second->usableFrom)) {
-            return known->second->hasFailed ? kj::Promise<Rpc::Peer::Client>(KJ_EXCEPTION(DISCONNECTED, "waiting before the next attempt"))
-                                            : known->second->peer.addBranch();
+        std::shared_ptr<Link> &link = links_[address];
+        if (link == nullptr || (link->hasFailed && now >= link->usableFrom)) {
+            link = std::make_shared<Link>(Link{kj::Own<PeerConnection>(), kj::ForkedPromise<Rpc::Peer::Client>(nullptr), now, false});
+            link->peer = connect(address, *link).fork();
         }
-        links_.erase(address);
-        auto link = std::make_unique<Link>(Link{kj::Own<PeerConnection>(), kj::Promise<Rpc::Peer::Client>(nullptr).fork(), now, false});
-        link->peer = connect(address, *link).fork();
-        return links_.emplace(address, std::move(link)).first->second->peer.addBranch();
+        return link;
+    }
+
+    static kj::Promise<Rpc::Peer::Client> peer(Link &link)
+    {
+        if (link.hasFailed) {
+            return KJ_EXCEPTION(DISCONNECTED, "waiting before the next attempt");
+        }
+        return link.peer.addBranch();
     }
 
-    // The link outlives the promise that it holds, so that its address stays good.
     kj::Promise<Rpc::Peer::Client> connect(const std::string &address, Link &link)
     {
         return io_.provider->getNetwork()
@@ -165,15 +170,14 @@
         });
     }
 
-    void onFailure(const std::string &address, const kj::Exception &error)
+    void onFailure(const std::string &address, Link &link, const kj::Exception &error)
     {
         network_.metrics_.add("lovageloft_peer_calls_failed_total");
-        const auto known = links_.find(address);
-        if (known == links_.end() || known->second->hasFailed) {
+        if (link.hasFailed) {
             return;
         }
-        known->second->hasFailed = true;
-        known->second->usableFrom = io_.provider->getTimer().now() + reconnectDelay;
+        link.hasFailed = true;
+        link.usableFrom = io_.provider->getTimer().now() + reconnectDelay;
         const kj::StringPtr text = error.getDescription();
         writeLog(LogLevel::Debug, "peer_call_failed", {{"peer", address}, {"cause", std::string_view(text.begin(), text.size())}});
     }
@@ -188,7 +192,7 @@
     kj::AsyncIoContext &io_;
     capnp::TwoPartyServer server_;
     kj::Own<kj::ConnectionReceiver> receiver_;
-    std::map<std::string, std::unique_ptr<Link>> links_;
+    std::map<std::string, std::shared_ptr<Link>> links_;
     kj::TaskSet running_;
 };
 
