A host is ready only once it has shares to charge

Cause: a restarted host is fresh as soon as the store has answered, but its shares wait until the entry is known to be in force, about 0.1 to 0.2 s later. Meanwhile /ready passed and callers with a good key got 401 unknown_key. Excluded: the keys (the log line of such a call names the team). Change: isFresh also asks for shares, so such a host says not_fresh and fails its health check.

--- a/servers/configuration_service.cpp
+++ b/servers/configuration_service.cpp
@@ -63,7 +63,9 @@
 bool ConfigurationService::isFresh() const
 {
     const std::lock_guard lock(mutex_);
-    return gate_.isFresh(BootClock::now());
+    // A host that has just started knows the newest configuration before it knows it to be in force, and has no shares to charge
+    // until then. Were it ready, the balancer would send it callers whose teams it can't charge yet.
+    return sharesVersion_ != 0 && gate_.isFresh(BootClock::now());
 }
 
 void ConfigurationService::addEntries(std::span<const LogEntry> entries)
