--- a/servers/caller_routes.cpp
+++ b/servers/caller_routes.cpp
@@ -83,6 +83,16 @@
     {"/ready", "GET", &serveReady},
 });
 
+/// Why a path leads nowhere. A host that has just started knows no services yet; callers of one would take a plain
+/// "unknown path" for the final word.
+Refusal unknownPath(const RouterParts &parts)
+{
+    if (parts.configuration.isFresh()) {
+        return {{ResultCode::UnknownPath, {}}};
+    }
+    return {{ResultCode::NotFresh, {}}, RunState::NotRun, std::chrono::seconds(1)};
+}
+
 } // namespace
 
 void routeCallerExchange(RouterParts &parts, CallerExchange &exchange)
@@ -104,9 +114,10 @@
         ServiceHandler(parts, exchange).handle();
         return;
     }
-    const ResultCode code = isKnown ? ResultCode::MethodNotAllowed : ResultCode::UnknownPath;
-    parts.metrics.add("lovageloft_requests_total{code=\"" + std::string(resultCodeInfo(code).name) + "\"}");
-    sendRefusal(exchange.response, {{code, {}}}, exchange.id, true);
+    Refusal refusal = isKnown ? Refusal{{ResultCode::MethodNotAllowed, {}}} : unknownPath(parts);
+    refusal.run = isKnown ? RunState::NotRun : ServiceHandler::runStateBeforeClaim(exchange);
+    parts.metrics.add("lovageloft_requests_total{code=\"" + std::string(resultCodeInfo(refusal.reason.code).name) + "\"}");
+    sendRefusal(exchange.response, refusal, exchange.id, true);
 }
 
 } // namespace Lovageloft
--- a/servers/service_handler.cpp
+++ b/servers/service_handler.cpp
@@ -49,6 +49,11 @@
         targets.begin(), targets.end(), [name](const auto &item) { return item.second.kind == TargetKind::Service && item.second.service == name; });
 }
 
+RunState ServiceHandler::runStateBeforeClaim(const CallerExchange &exchange)
+{
+    return exchange.request.has("Idempotency-Key") ? RunState::MayHaveRun : RunState::NotRun;
+}
+
 void ServiceHandler::handle()
 {
     constexpr std::array<Filter, 5> filters{
@@ -67,7 +72,7 @@
 
 bool ServiceHandler::checkFresh()
 {
-    return parts_.configuration.isFresh() || refuse({{ResultCode::NotFresh, {}}, RunState::NotRun, std::chrono::seconds(1)});
+    return parts_.configuration.isFresh() || refuseUnclaimed({{ResultCode::NotFresh, {}}, RunState::NotRun, std::chrono::seconds(1)});
 }
 
 bool ServiceHandler::authenticate()
@@ -75,7 +80,7 @@
     Refusal refusal;
     auto key = authenticateCaller(parts_, exchange_, refusal);
     if (!key) {
-        return refuse(refusal);
+        return refuseUnclaimed(refusal);
     }
     key_ = std::move(*key);
     return true;
@@ -90,7 +95,7 @@
         }
     }
     if (targets_.empty()) {
-        return refuse({{ResultCode::NoTarget, {}}, RunState::NotRun, std::chrono::seconds(1)});
+        return refuseUnclaimed({{ResultCode::NoTarget, {}}, RunState::NotRun, std::chrono::seconds(1)});
     }
     std::rotate(targets_.begin(), targets_.begin() + static_cast<std::ptrdiff_t>(nextTurn++ % targets_.size()), targets_.end());
     return true;
@@ -102,7 +107,7 @@
     Refusal refusal;
     charge_ = parts_.shares.charge(key_.team, 1 + static_cast<double>(exchange_.body.size()) / bytesPerToken, refusal);
     if (!charge_) {
-        return refuse(refusal);
+        return refuseUnclaimed(refusal);
     }
     parts_.shares.settle(*charge_, charge_->tokens);
     return true;
@@ -244,6 +249,12 @@
     finish(ResultCode::Ok);
 }
 
+bool ServiceHandler::refuseUnclaimed(Refusal refusal)
+{
+    refusal.run = runStateBeforeClaim(exchange_);
+    return refuse(refusal);
+}
+
 bool ServiceHandler::refuse(const Refusal &refusal)
 {
     sendRefusal(exchange_.response, refusal, exchange_.id, true);
--- a/servers/service_handler.h
+++ b/servers/service_handler.h
@@ -23,6 +23,10 @@
     /// Whether the first part of a path names a service.
     static bool isService(const RouterParts &parts, std::string_view path);
 
+    /// What a refusal may say before the claim of a call has been looked up. The same Idempotency-Key may have run at an earlier
+    /// try, perhaps at another host; a caller told "not_run" would lodge its call again under a new key, and it would run twice.
+    static RunState runStateBeforeClaim(const CallerExchange &exchange);
+
     void handle();
 
 private:
@@ -43,6 +47,7 @@
     bool isNonIdempotent() const;
     void answer(const ClaimAnswer &answer);
     bool refuse(const Refusal &refusal);
+    bool refuseUnclaimed(Refusal refusal);
     void finish(ResultCode code);
 
     RouterParts &parts_;
--- a/tests/system/test_herd.cpp
+++ b/tests/system/test_herd.cpp
@@ -28,6 +28,14 @@
     return calls;
 }
 
+struct ServiceSystem : SystemFixture
+{
+    ServiceSystem()
+        : SystemFixture({.services = 1})
+    {
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(HerdSystemTest)
@@ -68,6 +76,26 @@
     BOOST_TEST(herdCalls <= mostHerdCalls * static_cast<std::int64_t>(herdSize));
 }
 
+BOOST_FIXTURE_TEST_CASE(aHostThatJustStartedTellsNoCallerThatItsKeyIsUnknown, ServiceSystem)
+{
+    // A host is replaced, and callers reach it in the moment before it has the whole configuration. If it answered for what it does
+    // not know yet, a caller with a good key would be told that the key or the path does not exist, and give up.
+    constexpr int restarts = 5;
+    for (int i = 0; i < restarts; ++i) {
+        restartHost(0);
+        const auto isServed = [this] {
+            const CallerAnswer answer = call(0, chat(tokens));
+            const bool isTruthful = answer.status == 200 || answer.code() == static_cast<int>(ResultCode::NotFresh);
+            BOOST_TEST(isTruthful, answer.head << answer.body);
+            const CallerAnswer page = call(0, post("/archive/pages", "{}"));
+            BOOST_TEST((page.status == 200 || page.code() == static_cast<int>(ResultCode::NotFresh)), page.head << page.body);
+            return answer.status == 200;
+        };
+        BOOST_TEST(waitFor(restartLimit, isServed));
+        BOOST_TEST(isReady(0));
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(anIdleHostCallsTheStoreAboutTwiceASecondAtMost, SystemFixture)
 {
     // The store counts each call, and its rate does not grow with the fleet. An idle host that polled it would be noticed when a
