--- a/tests/system/system_fixture.h
+++ b/tests/system/system_fixture.h
@@ -104,8 +104,8 @@
     struct Host
     {
         std::unique_ptr<ChildProcess> process;
-        std::uint16_t callerPort = 0;
-        std::uint16_t operatorPort = 0;
+        std::atomic<std::uint16_t> callerPort = 0; ///< Atomic, as callers go on while a host is started again.
+        std::atomic<std::uint16_t> operatorPort = 0;
         std::uint16_t peerPort = 0;
         int starts = 0;
     };
--- a/tests/system/test_non_idempotent.cpp
+++ b/tests/system/test_non_idempotent.cpp
@@ -1,14 +1,10 @@
 #include <array>
-#include <atomic>
-#include <mutex>
-#include <set>
 #include <thread>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
 
-#include "core/random.h"
-#include "tests/system/system_fixture.h"
+#include "tests/system/correction_system.h"
 
 using namespace Lovageloft;
 
@@ -17,89 +13,7 @@
 
 constexpr int okStatus = 200;
 constexpr std::size_t hosts = 3;
-constexpr std::size_t services = 2;
 constexpr std::string_view down = R"({"down":true})";
-/// Silence of a service after which its answer counts as lost.
-constexpr std::string_view settings = "[routing]\nengine_timeout = 1500\n";
-
-/// What the callers of one correction saw, with all their tries.
-struct Correction
-{
-    std::string key;
-    std::string body;
-    int tries = 0;
-    int refusedNotRun = 0; ///< Refusals that said "not_run".
-    bool lastWasNotRun = false;
-    std::vector<std::string> answers; ///< Bodies of answers with status 200.
-    std::vector<std::string> refusals; ///< Codes, for messages.
-};
-
-struct CorrectionSystem : SystemFixture
-{
-    CorrectionSystem()
-        : SystemFixture({.engines = 0, .services = services, .moreSettings = std::string(settings)})
-    {
-        // A bucket begins empty; a first call that passes tells that it has filled.
-        for (std::size_t i = 0; i < hostCount(); ++i) {
-            BOOST_TEST_REQUIRE(waitFor(patience, [&] { return call(i, post("/archive/pages", "{}")).status == okStatus; }));
-        }
-    }
-
-    /// One try of a correction at a host.
-    CallerAnswer lodge(Correction &correction, std::size_t host)
-    {
-        const std::string fields = "Idempotency-Key: " + correction.key + "\r\n";
-        CallerAnswer answer = call(host, post("/archive/corrections/7", correction.body, deskKey, fields), std::chrono::seconds(5));
-        ++correction.tries;
-        correction.lastWasNotRun = answer.body.find(R"("run":"not_run")") != std::string::npos;
-        correction.refusedNotRun += correction.lastWasNotRun ? 1 : 0;
-        if (answer.status == okStatus) {
-            correction.answers.push_back(answer.body);
-        } else {
-            correction.refusals.push_back(std::to_string(answer.code()));
-        }
-        return answer;
-    }
-
-    /// Executions of a correction at all services.
-    std::int64_t executions(const Correction &correction)
-    {
-        std::int64_t sum = 0;
-        for (std::size_t i = 0; i < services; ++i) {
-            sum += std::max<std::int64_t>(0, numberIn(record(service(i)), correction.key));
-        }
-        return sum;
-    }
-
-    /// Checks what must hold for a correction, whatever happened.
-    void check(const Correction &correction)
-    {
-        const std::int64_t ran = executions(correction);
-        BOOST_TEST(ran <= 1, correction.key << " ran " << ran << " times");
-        BOOST_TEST((correction.answers.empty() || ran == 1), correction.key << " was answered without having run");
-        for (const std::string &answer : correction.answers) {
-            BOOST_TEST(answer == correction.answers.front());
-        }
-        // The last try of all asks about all earlier ones: "not run" after one that ran would be a lie.
-        BOOST_TEST(!(correction.lastWasNotRun && ran > 0), correction.key << " ran and its caller was told that it did not");
-    }
-
-    void planServiceFault(std::string_view json)
-    {
-        for (std::size_t i = 0; i < services; ++i) {
-            planFault(service(i), json);
-        }
-    }
-
-    Correction correction(std::string name)
-    {
-        Correction lodged;
-        lodged.key = std::move(name);
-        lodged.body = R"({"table":"4.2","value":17})";
-        return lodged;
-    }
-};
-
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(NonIdempotentSystemTest, CorrectionSystem)
@@ -108,7 +22,7 @@
 {
     // A clerk's program lodges a correction, loses the answer on its own side and tries again through other hosts. A second
     // execution would issue the erratum twice.
-    Correction lodged = correction("kept");
+    Correction lodged = makeCorrection("kept");
     for (std::size_t i = 0; i < 2 * hosts; ++i) {
         const CallerAnswer answer = lodge(lodged, i % hosts);
         BOOST_TEST(answer.status == okStatus, answer.head << answer.body);
@@ -120,7 +34,7 @@
 BOOST_AUTO_TEST_CASE(simultaneousTriesAtAllHostsRunOnce)
 {
     // An impatient program sends the same correction through every host at the same moment. Each host finds no claim when it looks.
-    std::vector<Correction> tries(hosts, correction("race"));
+    std::vector<Correction> tries(hosts, makeCorrection("race"));
     planServiceFault(R"({"delay_ms":300,"times":1})");
     {
         std::array<std::jthread, hosts> callers;
@@ -129,7 +43,7 @@
         }
     }
     BOOST_TEST(executions(tries[0]) == 1);
-    Correction last = correction("race");
+    Correction last = makeCorrection("race");
     BOOST_TEST(lodge(last, 0).status == okStatus);
     for (const Correction &lodged : tries) {
         BOOST_TEST((lodged.answers.empty() || lodged.answers == last.answers));
@@ -142,7 +56,7 @@
     // The store takes the claim and its answer is lost. A host that wrote the claim once more would find its own and take it for
     // another's; one that went on without it would let a retry elsewhere run the correction again.
     for (int i = 0; i < 6; ++i) {
-        Correction lodged = correction("lost-" + std::to_string(i));
+        Correction lodged = makeCorrection("lost-" + std::to_string(i));
         planFault(store(), R"({"lose_answers":)" + std::to_string(1 + i % 3) + "}");
         lodge(lodged, static_cast<std::size_t>(i) % hosts);
         planFault(store(), "{}");
@@ -156,7 +70,7 @@
 {
     // Without the store no claim can be made, and a correction that was sent all the same could be sent again by another host.
     planFault(store(), down);
-    Correction lodged = correction("down");
+    Correction lodged = makeCorrection("down");
     for (std::size_t i = 0; i < hosts; ++i) {
         BOOST_TEST(lodge(lodged, i).status != okStatus);
     }
@@ -171,7 +85,7 @@
 {
     // The host dies after it sent the correction and before the answer came. Nobody knows whether it ran; a retry elsewhere must
     // be told so rather than run it again, or be told that it did not run.
-    Correction lodged = correction("killed");
+    Correction lodged = makeCorrection("killed");
     planServiceFault(R"({"delay_ms":1000,"times":1})");
     {
         const std::jthread caller([&] { lodge(lodged, 0); });
@@ -196,7 +110,7 @@
     // The service carries the correction out and its connection breaks, or goes silent for good. The other service would gladly
     // run it again.
     for (const std::string_view fault : {R"({"lose_answer":true})", R"({"freeze":true})"}) {
-        Correction lodged = correction("answer-" + std::to_string(fault.size()));
+        Correction lodged = makeCorrection("answer-" + std::to_string(fault.size()));
         planServiceFault(fault);
         for (std::size_t i = 0; i < 2 * hosts; ++i) {
             const CallerAnswer answer = lodge(lodged, i % hosts);
