--- a/tests/system/test_herd.cpp
+++ b/tests/system/test_herd.cpp
@@ -96,6 +96,21 @@
     }
 }
 
+BOOST_FIXTURE_TEST_CASE(hostsThatRestartWhileAnotherIsGoneServeAgain, SystemFixture)
+{
+    // One host is gone for good and still listed when the others are replaced together. They can't know whether it still spends its
+    // share under an older configuration, and wait the freshness window out; a caller notices refusals for three seconds.
+    host(2).kill();
+    restartHost(0);
+    restartHost(1);
+    const TimePoint start = BootClock::now();
+    for (std::size_t i = 0; i < 2; ++i) {
+        BOOST_TEST(waitFor(patience, [&] { return judgeStream(call(i, chat(tokens)), tokens) == StreamOutcome::Whole; }));
+        BOOST_TEST_MESSAGE("with one host gone, first answer " << toSeconds(BootClock::now() - start) << " s after the start");
+        BOOST_TEST(isReady(i));
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(anIdleHostCallsTheStoreAboutTwiceASecondAtMost, SystemFixture)
 {
     // The store counts each call, and its rate does not grow with the fleet. An idle host that polled it would be noticed when a
