Keep reservation books only for teams that were refused

Cause: every team and lane got a book with its first offer, about 600 bytes each: 9 MB by calculation for 580 teams on 13 models. Change: the book is made at the first refusal.

--- a/decision/admission_queue.cpp
+++ b/decision/admission_queue.cpp
@@ -92,7 +92,9 @@
             return refuse(offer, code);
         }
     }
-    offer.book.drop(clamped.fingerprint);
+    if (offer.book) {
+        offer.book->drop(clamped.fingerprint);
+    }
     offer.model.queue.push(insert(clamped));
     return {.isAdmitted = true, .expectedWait = offer.wait, .reason = {}, .retryAfter = {}};
 }
@@ -259,10 +261,10 @@
     return found->second;
 }
 
-ReservationBook &AdmissionQueue::reservationBook(ModelQueue &model, const QueuedRequest &request)
+std::uint64_t AdmissionQueue::bookKey(const ModelQueue &model, const QueuedRequest &request)
 {
     const auto kind = static_cast<std::uint64_t>(model.queue.laneOf(request.cost));
-    return model.books[static_cast<std::uint64_t>(request.team) * laneCount + kind];
+    return static_cast<std::uint64_t>(request.team) * laneCount + kind;
 }
 
 void AdmissionQueue::onBlocked(ModelQueue &model, TimePoint now)
@@ -308,7 +310,8 @@
 AdmissionQueue::Offer AdmissionQueue::assess(const QueuedRequest &request, TimePoint now)
 {
     ModelQueue &model = modelQueue(request.model);
-    Offer offer{.request = request, .model = model, .book = reservationBook(model, request), .now = now};
+    const auto book = model.books.empty() ? model.books.end() : model.books.find(bookKey(model, request));
+    Offer offer{.request = request, .model = model, .book = book == model.books.end() ? nullptr : &book->second, .now = now};
     offer.model.estimate.advance(now);
     offer.bound = std::max(request.deadline - now, Duration::zero());
     offer.waitByBacklog = waitByBacklog(offer, 0);
@@ -319,11 +322,11 @@
 
 void AdmissionQueue::applyReservations(Offer &offer)
 {
-    if (offer.book.isEmpty()) {
+    if (!offer.book || offer.book->isEmpty()) {
         return;
     }
-    offer.isReserved = offer.book.redeem(offer.request.fingerprint, offer.request.isRetry, offer.now);
-    const std::int64_t reserved = offer.book.tokensDue(offer.now);
+    offer.isReserved = offer.book->redeem(offer.request.fingerprint, offer.request.isRetry, offer.now);
+    const std::int64_t reserved = offer.book->tokensDue(offer.now);
     if (reserved > 0) {
         offer.waitBehindReserved = expectedWait(offer, reserved);
     }
@@ -345,7 +348,8 @@
     const QueuedRequest &request = offer.request;
     const Duration served = serviceTime(offer);
     const Duration excess = std::max(offer.wait - part(offer.bound, newcomerPart), Duration::zero());
-    return offer.book.reserve(request.fingerprint, request.cost, offer.now + excess, part(served, reservationSpacing), offer.now);
+    ReservationBook &book = offer.model.books[bookKey(offer.model, request)];
+    return book.reserve(request.fingerprint, request.cost, offer.now + excess, part(served, reservationSpacing), offer.now);
 }
 
 AdmissionDecision AdmissionQueue::refuse(const Offer &offer, ResultCode code)
--- a/decision/admission_queue.h
+++ b/decision/admission_queue.h
@@ -122,7 +122,7 @@
         ModelId model{};
         FairQueue queue;
         WaitEstimate estimate;
-        std::unordered_map<std::uint64_t, ReservationBook> books; ///< By team and lane.
+        std::unordered_map<std::uint64_t, ReservationBook> books; ///< By team and lane; only of those that were refused.
         TimePoint emptiedAt;
     };
 
@@ -131,7 +131,7 @@
     {
         const QueuedRequest &request;
         ModelQueue &model;
-        ReservationBook &book;
+        ReservationBook *book = nullptr; ///< Null if nobody of its team and lane was refused.
         TimePoint now;
         Duration bound{}; ///< The longest wait this request may have.
         Duration waitByBacklog{}; ///< The wait expected from the order of service alone.
@@ -149,7 +149,7 @@
     ResultCode checkWait(const Offer &offer) const;
 
     ModelQueue &modelQueue(ModelId model);
-    static ReservationBook &reservationBook(ModelQueue &model, const QueuedRequest &request);
+    static std::uint64_t bookKey(const ModelQueue &model, const QueuedRequest &request);
     static void onBlocked(ModelQueue &model, TimePoint now);
     static void afterRemoval(ModelQueue &model, TimePoint now);
     static Duration waitByBacklog(const Offer &offer, std::int64_t extra);
