Tell of expired requests that other calls found

Cause: offer, next and putBack collect requests past their deadline for expire, but nextDeadline then named the next one still waiting, or nothing. A decide thread that sleeps until nextDeadline would have held back their final answers. Change: nextDeadline names the deadline that has passed as long as expire has something to return; a test asks for it after next.

--- a/decision/admission_queue.cpp
+++ b/decision/admission_queue.cpp
@@ -139,6 +139,11 @@
 
 std::optional<TimePoint> AdmissionQueue::nextDeadline() const
 {
+    // Other calls may have found expired requests first. Told of the next deadline only, the caller would let them wait
+    // for their final answer until then.
+    if (!expired_.empty()) {
+        return expired_.front().request.deadline;
+    }
     if (deadlines_.empty()) {
         return std::nullopt;
     }
--- a/decision/admission_queue.h
+++ b/decision/admission_queue.h
@@ -68,8 +68,8 @@
     AdmissionDecision offer(const QueuedRequest &request, TimePoint now);
 
     /// The request that goes to an engine now; nothing if each model's next request is refused by `canDispatch` or none
-    /// waits. Never one whose deadline has passed. Call it until it returns nothing whenever a window opens or a request
-    /// was admitted: a refused `canDispatch` is also how the queue learns that the engines are saturated.
+    /// waits. Never one whose deadline has passed. Call it until it returns nothing whenever a window opens (a first token
+    /// or an end) or a request was admitted: a refused `canDispatch` is also how the queue learns that engines are saturated.
     std::optional<QueuedRequest> next(TimePoint now, const CanDispatch &canDispatch);
 
     /// Puts back a request from `next` that reached no engine. It is served first among its like and its team pays once.
@@ -78,7 +78,7 @@
     /// Takes out all requests whose deadline has passed.
     std::vector<ExpiredRequest> expire(TimePoint now);
 
-    /// When `expire` has something to do next; nothing if the queue is empty.
+    /// When `expire` has something to do next, in the past if it has already; nothing if no request is here.
     std::optional<TimePoint> nextDeadline() const;
 
     /// Takes out a request whose caller has gone; false if it doesn't wait.
--- a/tests/decision/test_admission_queue.cpp
+++ b/tests/decision/test_admission_queue.cpp
@@ -76,12 +76,14 @@
     BOOST_TEST((queue.nextDeadline() == request.deadline));
     BOOST_TEST(queue.expire(start + second / 2).empty());
     BOOST_TEST(!queue.next(start + second, &anyEngine).has_value());
+    BOOST_TEST((queue.nextDeadline() == request.deadline));
     const std::vector<ExpiredRequest> expired = queue.expire(start + second);
     BOOST_REQUIRE(expired.size() == 1U);
     BOOST_TEST((expired[0].request.id == RequestId{1}));
     BOOST_TEST((expired[0].reason.code == ResultCode::DeadlineWouldPass));
     BOOST_TEST((expired[0].retryAfter >= second));
     BOOST_TEST(queue.size() == 0U);
+    BOOST_TEST(!queue.nextDeadline().has_value());
 }
 
 BOOST_AUTO_TEST_CASE(refusalsNameTheirReason)
