Orders to engines under a lease with a fencing token

Cause: engines must come to the configured weights, adapters and role under one leader, also those that ignore fencing tokens. Engines that ignore tokens get no order until nothing of the leader before can arrive any more. At most 3 weight loads at once, where an engine not read yet by a new leader counts as loading.

--- /dev/null
+++ b/coordination/order_scheduler.cpp
@@ -0,0 +1,193 @@
+#include "coordination/order_scheduler.h"
+
+#include <algorithm>
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+constexpr int mostDoublings = 5;
+
+} // namespace
+
+OrderScheduler::OrderScheduler(OrderOptions options)
+    : options_(options)
+{
+}
+
+void OrderScheduler::setWanted(std::span<const WantedEngine> wanted)
+{
+    std::map<std::string, Engine, std::less<>> engines;
+    for (const WantedEngine &engine : wanted) {
+        auto known = engines_.extract(engine.target);
+        Engine &kept = known.empty() ? engines[engine.target] : engines.insert(std::move(known)).position->second;
+        kept.wanted = engine;
+    }
+    engines_ = std::move(engines);
+}
+
+OrderPlan OrderScheduler::plan(const LeaseHolder &lease, TimePoint now)
+{
+    OrderPlan plan;
+    if (!lease.isHeld(now)) {
+        return plan;
+    }
+    if (lease.token() != token_) {
+        startLeading(lease.token(), now);
+    }
+    plan.isSuperseded = isSuperseded_;
+    if (isSuperseded_) {
+        return plan;
+    }
+    for (auto &[target, engine] : engines_) {
+        planOrder(engine, lease, plan.orders, now);
+        planRead(engine, plan.reads, now);
+    }
+    return plan;
+}
+
+bool OrderScheduler::maySend(const Order &order, const LeaseHolder &lease, TimePoint now) const
+{
+    // A paused holder wakes with orders in its hands. By then another may lead and have ordered otherwise, and an engine
+    // that does not check fencing tokens would follow whichever order comes last.
+    if (!lease.isHeld(now) || order.fencingToken != lease.token() || isSuperseded_) {
+        return false;
+    }
+    const auto engine = engines_.find(order.target);
+    if (engine == engines_.end() || !engine->second.open || engine->second.open->order.id != order.id) {
+        return false;
+    }
+    const auto needed = difference(engine->second);
+    const bool isYoung = now - engine->second.open->madeAt < options_.orderValidity;
+    return isYoung && needed && needed->isSameAs(order) && isSettled(engine->second, lease, now);
+}
+
+void OrderScheduler::onOutcome(const Order &order, OrderOutcome outcome, TimePoint now)
+{
+    if (outcome == OrderOutcome::Fenced && order.fencingToken == token_) {
+        isSuperseded_ = true;
+    }
+    const auto engine = engines_.find(order.target);
+    if (engine != engines_.end() && engine->second.open && engine->second.open->order.id == order.id) {
+        closeOrder(engine->second, now);
+    }
+}
+
+void OrderScheduler::onState(std::string_view target, const EngineState &state, TimePoint now)
+{
+    const auto found = engines_.find(target);
+    if (found == engines_.end() || !found->second.readAskedAt) {
+        return;
+    }
+    Engine &engine = found->second;
+    const bool isCurrent = *engine.readAskedAt >= engine.readSince && !engine.open;
+    engine.readAskedAt.reset();
+    if (!isCurrent) {
+        engine.nextRead = now;
+        return;
+    }
+    engine.seen = state;
+    engine.isSeen = true;
+    engine.loadingUntil = state.isLoading ? now + options_.loadTimeout : TimePoint{};
+    engine.nextRead = now + (state.isLoading ? options_.loadPause : options_.checkPause);
+}
+
+void OrderScheduler::startLeading(std::int64_t token, TimePoint now)
+{
+    token_ = token;
+    isSuperseded_ = false;
+    for (auto &[target, engine] : engines_) {
+        const WantedEngine wanted = engine.wanted;
+        engine = {};
+        engine.wanted = wanted;
+        engine.readSince = now;
+        // The leader before may have started loads here: each engine counts as loading until it has been read.
+        engine.loadingUntil = now + options_.loadTimeout;
+    }
+}
+
+void OrderScheduler::planRead(Engine &engine, std::vector<std::string> &reads, TimePoint now) const
+{
+    const bool isWaiting = engine.readAskedAt && now - *engine.readAskedAt < options_.answerTimeout;
+    if (isWaiting || engine.open || now < engine.nextRead) {
+        return;
+    }
+    engine.readAskedAt = now;
+    reads.push_back(engine.wanted.target);
+}
+
+void OrderScheduler::planOrder(Engine &engine, const LeaseHolder &lease, std::vector<Order> &orders, TimePoint now)
+{
+    if (engine.open && now - engine.open->madeAt >= options_.answerTimeout) {
+        closeOrder(engine, now);
+    }
+    const bool isReady = engine.isSeen && !engine.seen.isLoading && !engine.open && isSettled(engine, lease, now);
+    if (!isReady) {
+        return;
+    }
+    auto order = difference(engine);
+    const bool isRepeat = order && order->isSameAs(engine.lastOrder);
+    if (!order || (isRepeat && now < engine.nextRepeat)) {
+        return;
+    }
+    if (order->kind == OrderKind::LoadWeights) {
+        if (loads(now) >= options_.mostLoads) {
+            return;
+        }
+        engine.loadingUntil = now + options_.loadTimeout;
+    }
+    engine.failures = isRepeat ? std::min(engine.failures + 1, mostDoublings) : 0;
+    engine.lastOrder = *order;
+    order->id = ++lastOrder_;
+    order->fencingToken = token_;
+    engine.open = OpenOrder{*order, now};
+    orders.push_back(std::move(*order));
+}
+
+std::optional<Order> OrderScheduler::difference(const Engine &engine) const
+{
+    const EngineState &wanted = engine.wanted.state;
+    const EngineState &seen = engine.seen;
+    const bool hasModel = wanted.model.empty() || wanted.model == seen.model;
+    const bool hasWeights = wanted.weightsVersion.empty() || wanted.weightsVersion == seen.weightsVersion;
+    if (!hasModel || !hasWeights) {
+        return Order{0, engine.wanted.target, OrderKind::LoadWeights, wanted.model, wanted.weightsVersion, 0};
+    }
+    for (const std::string &adapter : wanted.adapters) {
+        if (std::find(seen.adapters.begin(), seen.adapters.end(), adapter) == seen.adapters.end()) {
+            return Order{0, engine.wanted.target, OrderKind::LoadAdapter, wanted.model, adapter, 0};
+        }
+    }
+    if (!wanted.role.empty() && wanted.role != seen.role) {
+        return Order{0, engine.wanted.target, OrderKind::SetRole, {}, wanted.role, 0};
+    }
+    return std::nullopt;
+}
+
+std::size_t OrderScheduler::loads(TimePoint now) const
+{
+    return static_cast<std::size_t>(std::count_if(engines_.begin(), engines_.end(), [now](const auto &engine) { return engine.second.loadingUntil > now; }));
+}
+
+bool OrderScheduler::isSettled(const Engine &engine, const LeaseHolder &lease, TimePoint now)
+{
+    // Orders of the holder before may still be on their way. An engine that checks tokens refuses them once it has seen
+    // ours; with one that does not we wait until none can come.
+    return engine.wanted.checksFencing || now >= lease.settledAt();
+}
+
+void OrderScheduler::closeOrder(Engine &engine, TimePoint now) const
+{
+    engine.open.reset();
+    // Whatever the answer says, only the engine's state tells what came of the order: answers get lost and engines revert.
+    engine.isSeen = false;
+    engine.readSince = now;
+    engine.nextRead = now;
+    // An accepted order is repeated no sooner than a refused one: an engine that reverts each time, or has not begun
+    // to load yet, would be made to load without end.
+    engine.nextRepeat = now + options_.retryPause * (1 << engine.failures);
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/coordination/order_scheduler.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "coordination/lease_holder.h"
+
+/// Orders to engines: which weights, adapters and role each of them is to have. docs/design/orders.md has the reasons.
+namespace Lovageloft
+{
+
+/// What an engine runs, as it reports it, or what it is to run; then empty fields leave the engine's choice alone.
+struct EngineState
+{
+    std::string model;
+    std::string weightsVersion;
+    std::vector<std::string> adapters;
+    std::string role;
+    bool isLoading = false; ///< Reported only: it is loading weights now.
+};
+
+struct WantedEngine
+{
+    std::string target;
+    bool checksFencing = false; ///< Whether it refuses an order with an old fencing token.
+    EngineState state;
+};
+
+enum class OrderKind : std::uint8_t
+{
+    LoadWeights,
+    LoadAdapter,
+    SetRole,
+};
+
+/// One order. It names the state to reach, so that carrying it out twice is harmless.
+struct Order
+{
+    std::uint64_t id = 0;
+    std::string target;
+    OrderKind kind = OrderKind::LoadWeights;
+    std::string model; ///< With LoadWeights and LoadAdapter.
+    std::string value; ///< Weights version, adapter or role.
+    std::int64_t fencingToken = 0;
+
+    bool isSameAs(const Order &other) const
+    {
+        return target == other.target && kind == other.kind && model == other.model && value == other.value;
+    }
+};
+
+enum class OrderOutcome : std::uint8_t
+{
+    Accepted,
+    Refused,
+    Fenced, ///< The engine has seen a newer fencing token.
+    Lost, ///< No answer: it may arrive yet.
+};
+
+/// What to do now.
+struct OrderPlan
+{
+    std::vector<std::string> reads; ///< Targets whose state is to be read.
+    std::vector<Order> orders;
+    bool isSuperseded = false; ///< Release the lease: another host leads.
+};
+
+struct OrderOptions
+{
+    std::size_t mostLoads = 3; ///< Weight loads at once; the weight store slows all of them down beyond that.
+    Duration orderValidity = std::chrono::seconds(1); ///< From the decision to the sending.
+    Duration answerTimeout = std::chrono::seconds(5); ///< Wait for an answer to an order or a read.
+    Duration loadTimeout = std::chrono::seconds(30); ///< A load not seen to end counts that long.
+    Duration loadPause = std::chrono::milliseconds(200); ///< Between looks at an engine that is loading.
+    Duration checkPause = std::chrono::seconds(5); ///< Between looks at an engine that is as wanted.
+    Duration retryPause = std::chrono::seconds(1); ///< Before the same order is given again; doubles up to 32 times.
+};
+
+/// Brings the engines to the configured state while this host holds the lease, and keeps them there.
+///
+/// The load it is made for: a ticket changes the version of all 18 engines, or many engines crash and come back empty.
+/// The harm prevented: all load at once and the weight store slows each of them down; two hosts give opposite orders;
+/// an order of a paused host undoes a newer one. Not thread-safe: one duty owns it.
+class OrderScheduler
+{
+public:
+    explicit OrderScheduler(OrderOptions options = {});
+
+    /// The whole configured state; engines not named get no orders.
+    void setWanted(std::span<const WantedEngine> wanted);
+
+    /// What is due. Without the lease nothing is.
+    OrderPlan plan(const LeaseHolder &lease, TimePoint now);
+
+    /// The last check before an order's first byte leaves. False: drop it; a new one comes if it is still needed.
+    bool maySend(const Order &order, const LeaseHolder &lease, TimePoint now) const;
+
+    /// How an order that was sent, or dropped after maySend() (Lost), ended.
+    void onOutcome(const Order &order, OrderOutcome outcome, TimePoint now);
+
+    /// The answer to a read.
+    void onState(std::string_view target, const EngineState &state, TimePoint now);
+
+private:
+    struct OpenOrder
+    {
+        Order order;
+        TimePoint madeAt;
+    };
+
+    struct Engine
+    {
+        WantedEngine wanted;
+        EngineState seen;
+        bool isSeen = false; ///< Read since the last order to it and since this host leads.
+        TimePoint readSince; ///< A read asked for before this tells nothing.
+        std::optional<TimePoint> readAskedAt;
+        TimePoint nextRead;
+        Order lastOrder;
+        TimePoint nextRepeat; ///< When the last order may be given again.
+        TimePoint loadingUntil;
+        std::optional<OpenOrder> open;
+        int failures = 0;
+    };
+
+    void startLeading(std::int64_t token, TimePoint now);
+    void planRead(Engine &engine, std::vector<std::string> &reads, TimePoint now) const;
+    void planOrder(Engine &engine, const LeaseHolder &lease, std::vector<Order> &orders, TimePoint now);
+    std::optional<Order> difference(const Engine &engine) const;
+    std::size_t loads(TimePoint now) const;
+    static bool isSettled(const Engine &engine, const LeaseHolder &lease, TimePoint now);
+    void closeOrder(Engine &engine, TimePoint now) const;
+
+    OrderOptions options_;
+    std::map<std::string, Engine, std::less<>> engines_;
+    std::int64_t token_ = 0;
+    bool isSuperseded_ = false;
+    std::uint64_t lastOrder_ = 0;
+};
+
+} // namespace Lovageloft
