Tests of shares, claims and orders share their clock and faulty store

Cause: the event queue stood twice and the store with faults twice. Change: tests/coordination/virtual_time.h and faulty_store.h; no check was changed. The stream of random numbers differs, so the seeds of earlier failures don't repeat them.

--- a/tests/coordination/test_claim_runner.cpp
+++ b/tests/coordination/test_claim_runner.cpp
@@ -1,5 +1,4 @@
 #include <array>
-#include <functional>
 #include <map>
 #include <memory>
 #include <vector>
@@ -8,8 +7,8 @@
 
 #include "coordination/claim_recorder.h"
 #include "coordination/claim_runner.h"
-#include "coordination/memory_store.h"
 #include "core/random.h"
+#include "tests/coordination/faulty_store.h"
 
 using namespace Lovageloft;
 using namespace std::chrono_literals;
@@ -17,102 +16,6 @@
 namespace
 {
 
-/// A store with outages, whose answers get lost before, after and long before a write takes effect.
-class FaultyStore : public Store
-{
-public:
-    FaultyStore(Store &inner, Random &random)
-        : inner_(inner)
-        , random_(random)
-    {
-    }
-
-    StoreReply get(std::string_view key) override
-    {
-        ++calls;
-        return isFailing() ? StoreReply{chance(50) ? StoreStatus::Unavailable : StoreStatus::AnswerLost, {}} : inner_.get(key);
-    }
-
-    StoreListReply list(std::string_view prefix) override
-    {
-        return inner_.list(prefix);
-    }
-
-    StoreReply compareAndSwap(std::string_view key, std::int64_t revision, std::string_view value, std::int64_t leaseId) override
-    {
-        return write(
-            [this, key = std::string(key), revision, value = std::string(value), leaseId] { return inner_.compareAndSwap(key, revision, value, leaseId); });
-    }
-
-    StoreReply compareAndDelete(std::string_view key, std::int64_t revision) override
-    {
-        return write([this, key = std::string(key), revision] { return inner_.compareAndDelete(key, revision); });
-    }
-
-    StoreListReply watch(std::string_view prefix, std::int64_t revision, Duration timeout) override
-    {
-        return inner_.watch(prefix, revision, timeout);
-    }
-
-    StoreLeaseReply grantLease(Duration timeToLive) override
-    {
-        ++calls;
-        return isFailing() ? StoreLeaseReply{} : inner_.grantLease(timeToLive);
-    }
-
-    StoreLeaseReply keepAlive(std::int64_t leaseId) override
-    {
-        return inner_.keepAlive(leaseId);
-    }
-
-    StoreLeaseReply revokeLease(std::int64_t leaseId) override
-    {
-        return inner_.revokeLease(leaseId);
-    }
-
-    bool isDown = false;
-    std::size_t lossPercent = 0;
-    int calls = 0;
-
-private:
-    using Write = std::function<StoreReply()>;
-
-    bool chance(std::size_t percent)
-    {
-        return randomBelow(random_, 100) < percent;
-    }
-
-    bool isFailing()
-    {
-        return isDown || chance(lossPercent);
-    }
-
-    StoreReply write(const Write &apply)
-    {
-        ++calls;
-        if (!delayed_.empty() && chance(20)) {
-            delayed_.back()();
-            delayed_.pop_back();
-        }
-        if (!isFailing()) {
-            return apply();
-        }
-        if (chance(30)) {
-            return {StoreStatus::Unavailable, {}};
-        }
-        if (chance(30)) {
-            delayed_.push_back(apply);
-        } else if (!isDown && chance(50)) {
-            apply();
-        }
-        return {StoreStatus::AnswerLost, {}};
-    }
-
-    Store &inner_;
-    Random &random_;
-    std::vector<Write> delayed_;
-};
-
 ClaimCall callOf(std::size_t key)
 {
     return {"desk", "errata", "key" + std::to_string(key), "digest"};
@@ -139,8 +42,7 @@
 public:
     explicit Deployment(std::uint64_t seed)
         : random_(seed)
-        , memory_([this] { return now_; })
-        , store_(memory_, random_)
+        , store_([this] { return now_; }, seed)
     {
         store_.lossPercent = below(3) * 10;
         for (std::size_t host = 0; host < hostCount; ++host) {
@@ -282,7 +184,6 @@
 
     Random random_;
     TimePoint now_ = TimePoint(1h);
-    MemoryStore memory_;
     FaultyStore store_;
     std::array<std::shared_ptr<Process>, hostCount> processes_;
     std::vector<Attempt> attempts_;
@@ -314,9 +215,7 @@
     }
 
     TimePoint now = TimePoint(1h);
-    Random random{1};
-    MemoryStore memory{[this] { return now; }};
-    FaultyStore store{memory, random};
+    FaultyStore store{[this] { return now; }};
     std::unique_ptr<Process> first = std::make_unique<Process>(0, 1, store);
     std::unique_ptr<Process> second = std::make_unique<Process>(1, 1, store);
     int nonce = 0;
@@ -490,7 +389,7 @@
     // The store holds a claim that its living holder has dropped. Nobody knows whether it was sent.
     Pair pair;
     const ClaimRecord record{ClaimState::Claimed, "h0", "1", "dropped", "digest", 0, {}};
-    pair.memory.compareAndSwap(claimKey("p/", callOf(1)), 0, formatClaimRecord(record), 0);
+    pair.store.compareAndSwap(claimKey("p/", callOf(1)), 0, formatClaimRecord(record), 0);
     const auto retry = pair.makeRunner(*pair.second);
     BOOST_TEST((pair.runToEnd(*retry) == ClaimStep::Refuse));
     BOOST_TEST((retry->reason().code == ResultCode::MayHaveRun));
--- a/tests/coordination/test_order_scheduler.cpp
+++ b/tests/coordination/test_order_scheduler.cpp
@@ -1,15 +1,14 @@
 #include <algorithm>
-#include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
 
-#include "coordination/memory_store.h"
 #include "coordination/order_scheduler.h"
 #include "core/random.h"
+#include "tests/coordination/faulty_store.h"
+#include "tests/coordination/virtual_time.h"
 
 using namespace Lovageloft;
 using namespace std::chrono_literals;
@@ -19,38 +18,6 @@
 
 constexpr Duration loadTime = 400ms;
 
-/// The store in memory, but for outages and lost answers.
-class FlakyStore : public MemoryStore
-{
-public:
-    using MemoryStore::MemoryStore;
-
-    StoreReply get(std::string_view key) override
-    {
-        return isDown ? StoreReply{} : MemoryStore::get(key);
-    }
-
-    StoreReply compareAndSwap(std::string_view key, std::int64_t revision, std::string_view value, std::int64_t leaseId) override
-    {
-        const StoreReply reply = isDown ? StoreReply{} : MemoryStore::compareAndSwap(key, revision, value, leaseId);
-        return losesAnswers ? StoreReply{StoreStatus::AnswerLost, {}} : reply;
-    }
-
-    StoreLeaseReply grantLease(Duration timeToLive) override
-    {
-        return isDown ? StoreLeaseReply{} : MemoryStore::grantLease(timeToLive);
-    }
-
-    StoreLeaseReply keepAlive(std::int64_t leaseId) override
-    {
-        const StoreLeaseReply reply = isDown ? StoreLeaseReply{} : MemoryStore::keepAlive(leaseId);
-        return losesAnswers ? StoreLeaseReply{StoreStatus::AnswerLost, leaseId, {}} : reply;
-    }
-
-    bool isDown = false;
-    bool losesAnswers = false;
-};
-
 struct FakeEngine
 {
     EngineState state;
@@ -125,28 +92,25 @@
         }
     }
 
+    TimePoint now() const
+    {
+        return time_.now();
+    }
+
     void run(Duration time)
     {
-        const TimePoint end = now + time;
-        while (!events_.empty() && events_.top().time < end) {
-            const Event event = events_.top();
-            events_.pop();
-            now = event.time;
-            event.action();
-            observe();
-        }
-        now = end;
+        time_.runUntil(now() + time, [this] { observe(); });
     }
 
     void pause(std::size_t host, Duration time)
     {
-        hosts_[host].awake = now + time;
+        hosts_[host].awake = now() + time;
     }
 
-    /// The host that may act as leader now; the number of hosts if none may.
+    /// The host that may act as leader now(); the number of hosts if none may.
     std::size_t leader() const
     {
-        const auto found = std::find_if(hosts_.begin(), hosts_.end(), [this](const Host &host) { return host.lease->isHeld(now); });
+        const auto found = std::find_if(hosts_.begin(), hosts_.end(), [this](const Host &host) { return host.lease->isHeld(now()); });
         return static_cast<std::size_t>(found - hosts_.begin());
     }
 
@@ -180,8 +144,7 @@
         }
     }
 
-    TimePoint now = TimePoint(1h);
-    FlakyStore store{[this] { return now; }};
+    FaultyStore store{[this] { return now(); }};
     std::vector<WantedEngine> wanted;
     std::map<std::string, FakeEngine> engines;
     std::size_t orders = 0;
@@ -191,18 +154,6 @@
     Duration slowest = 2ms; ///< Of a message.
 
 private:
-    struct Event
-    {
-        TimePoint time;
-        std::uint64_t order = 0;
-        std::function<void()> action;
-
-        bool operator<(const Event &other) const
-        {
-            return std::tie(time, order) > std::tie(other.time, other.order);
-        }
-    };
-
     struct Host
     {
         std::unique_ptr<LeaseHolder> lease;
@@ -210,16 +161,11 @@
         TimePoint awake;
     };
 
-    void later(Duration delay, std::function<void()> action)
-    {
-        events_.push({now + delay, ++eventCount_, std::move(action)});
-    }
-
     void onHost(std::size_t i, Duration delay, const std::function<void()> &action)
     {
-        later(delay, [this, i, action] {
-            if (hosts_[i].awake > now) {
-                onHost(i, hosts_[i].awake - now, action);
+        time_.later(delay, [this, i, action] {
+            if (hosts_[i].awake > now()) {
+                onHost(i, hosts_[i].awake - now(), action);
             } else {
                 action();
             }
@@ -239,15 +185,15 @@
     void turn(std::size_t i)
     {
         Host &host = hosts_[i];
-        host.lease->step(now);
-        const OrderPlan plan = host.scheduler.plan(*host.lease, now);
+        host.lease->step(now());
+        const OrderPlan plan = host.scheduler.plan(*host.lease, now());
         if (plan.isSuperseded) {
-            host.lease->release(now);
+            host.lease->release(now());
         }
         for (const std::string &target : plan.reads) {
-            later(delay(), [this, i, target] {
-                const EngineState state = engines[target].read(now);
-                onHost(i, delay(), [this, i, target, state] { hosts_[i].scheduler.onState(target, state, now); });
+            time_.later(delay(), [this, i, target] {
+                const EngineState state = engines[target].read(now());
+                onHost(i, delay(), [this, i, target, state] { hosts_[i].scheduler.onState(target, state, now()); });
             });
         }
         for (const Order &order : plan.orders) {
@@ -258,34 +204,33 @@
 
     void send(std::size_t i, const Order &order)
     {
-        if (!hosts_[i].scheduler.maySend(order, *hosts_[i].lease, now)) {
-            hosts_[i].scheduler.onOutcome(order, OrderOutcome::Lost, now);
+        if (!hosts_[i].scheduler.maySend(order, *hosts_[i].lease, now())) {
+            hosts_[i].scheduler.onOutcome(order, OrderOutcome::Lost, now());
             return;
         }
         ++orders;
         if (isLost()) {
             return;
         }
-        later(delay(), [this, i, order] {
-            const OrderOutcome outcome = engines[order.target].follow(order, now);
+        time_.later(delay(), [this, i, order] {
+            const OrderOutcome outcome = engines[order.target].follow(order, now());
             if (!isLost()) {
-                onHost(i, delay(), [this, i, order, outcome] { hosts_[i].scheduler.onOutcome(order, outcome, now); });
+                onHost(i, delay(), [this, i, order, outcome] { hosts_[i].scheduler.onOutcome(order, outcome, now()); });
             }
         });
     }
 
     void observe()
     {
-        const auto loading = std::count_if(engines.begin(), engines.end(), [this](const auto &engine) { return now < engine.second.loadedAt; });
-        const auto leaders = std::count_if(hosts_.begin(), hosts_.end(), [this](const Host &host) { return host.lease->isHeld(now); });
+        const auto loading = std::count_if(engines.begin(), engines.end(), [this](const auto &engine) { return now() < engine.second.loadedAt; });
+        const auto leaders = std::count_if(hosts_.begin(), hosts_.end(), [this](const Host &host) { return host.lease->isHeld(now()); });
         mostLoading = std::max(mostLoading, static_cast<std::size_t>(loading));
         mostLeaders = std::max(mostLeaders, static_cast<std::size_t>(leaders));
     }
 
+    VirtualTime time_{1h};
     Random random_;
     std::vector<Host> hosts_;
-    std::priority_queue<Event> events_;
-    std::uint64_t eventCount_ = 0;
 };
 
 /// A leader in the hands of the test, with all engines read and as wanted but the first, which is empty.
@@ -312,7 +257,7 @@
     }
 
     TimePoint start = TimePoint(1h);
-    FlakyStore store{[this] { return start; }};
+    FaultyStore store{[this] { return start; }};
     std::vector<WantedEngine> wanted;
     LeaseHolder lease{store, "p/orders", "h9"};
     OrderScheduler scheduler;
@@ -494,7 +439,7 @@
 BOOST_AUTO_TEST_CASE(aLeaseWhoseAnswerWasLostIsFoundByReadingBack)
 {
     TimePoint now = TimePoint(1h);
-    FlakyStore store([&now] { return now; });
+    FaultyStore store([&now] { return now; });
     LeaseHolder first(store, "k", "h0");
     store.losesAnswers = true;
     for (int step = 0; step < 4; ++step) {
--- a/tests/coordination/test_share_ledger.cpp
+++ b/tests/coordination/test_share_ledger.cpp
@@ -3,13 +3,13 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <set>
 
 #include <boost/test/unit_test.hpp>
 
 #include "coordination/share_ledger.h"
 #include "core/random.h"
+#include "tests/coordination/virtual_time.h"
 
 using namespace Lovageloft;
 using namespace std::chrono_literals;
@@ -110,23 +110,18 @@
         configuration_.teams = {{"desk", 1000, 2000}, {"press", 50, 500}};
         log_.push_back(configuration_);
         for (const TeamShare &team : configuration_.teams) {
-            checks_[team.team].setLimits(team.rate, team.burst, now_);
+            checks_[team.team].setLimits(team.rate, team.burst, now());
         }
         for (std::size_t i = 0; i < poolSize; ++i) {
             start(i);
         }
-        later(400ms, [this] { change(); });
-        later(300ms, [this] { fault(); });
+        time_.later(400ms, [this] { change(); });
+        time_.later(300ms, [this] { fault(); });
     }
 
     void run(Duration time)
     {
-        while (!events_.empty() && events_.top().time < at(time)) {
-            const Event event = events_.top();
-            events_.pop();
-            now_ = event.time;
-            event.action();
-        }
+        time_.runUntil(at(time));
     }
 
     const std::map<std::string, WindowCheck> &checks() const
@@ -139,18 +134,6 @@
 private:
     static constexpr std::size_t poolSize = 6;
 
-    struct Event
-    {
-        TimePoint time;
-        std::uint64_t order = 0;
-        std::function<void()> action;
-
-        bool operator<(const Event &other) const
-        {
-            return std::tie(time, order) > std::tie(other.time, other.order);
-        }
-    };
-
     struct Host
     {
         std::unique_ptr<ShareLedger> ledger;
@@ -166,6 +149,11 @@
         return "h" + std::to_string(i);
     }
 
+    TimePoint now() const
+    {
+        return time_.now();
+    }
+
     std::size_t below(std::size_t bound)
     {
         return randomBelow(random_, bound);
@@ -176,21 +164,16 @@
         return below(100) < percent;
     }
 
-    void later(Duration delay, std::function<void()> action)
-    {
-        events_.push({now_ + delay, ++order_, std::move(action)});
-    }
-
     /// Runs on a host unless it has been replaced since; a paused one gets to it when it wakes.
     void onHost(std::size_t i, Duration delay, std::function<void(ShareLedger &)> action)
     {
         const int incarnation = hosts_[i].incarnation;
-        later(delay, [this, i, incarnation, action = std::move(action)] {
+        time_.later(delay, [this, i, incarnation, action = std::move(action)] {
             if (hosts_[i].incarnation != incarnation) {
                 return;
             }
-            if (hosts_[i].awake > now_) {
-                onHost(i, hosts_[i].awake - now_ + std::chrono::microseconds(below(50)), action);
+            if (hosts_[i].awake > now()) {
+                onHost(i, hosts_[i].awake - now() + std::chrono::microseconds(below(50)), action);
                 return;
             }
             action(*hosts_[i].ledger);
@@ -201,11 +184,11 @@
     {
         Host &host = hosts_[i];
         ++host.incarnation;
-        host.ledger = std::make_unique<ShareLedger>(name(i), std::to_string(host.incarnation), now_, testOptions());
-        host.freshUntil = now_;
-        host.awake = now_;
+        host.ledger = std::make_unique<ShareLedger>(name(i), std::to_string(host.incarnation), now(), testOptions());
+        host.freshUntil = now();
+        host.awake = now();
         host.held = inForce_;
-        host.ledger->setConfiguration(log_[inForce_ - 1], now_);
+        host.ledger->setConfiguration(log_[inForce_ - 1], now());
         renew(i);
         arrive(i);
     }
@@ -214,16 +197,16 @@
     {
         onHost(i, std::chrono::milliseconds(1 + below(400)), [this, i](ShareLedger &ledger) {
             Host &host = hosts_[i];
-            if (host.connected <= now_) {
+            if (host.connected <= now()) {
                 while (host.held < configuration_.version && chance(80)) {
-                    ledger.setConfiguration(log_[host.held++], now_);
+                    ledger.setConfiguration(log_[host.held++], now());
                 }
                 if (host.held == configuration_.version) {
-                    host.freshUntil = now_ + freshnessWindow;
-                    ledger.setFreshUntil(host.freshUntil, now_);
+                    host.freshUntil = now() + freshnessWindow;
+                    ledger.setFreshUntil(host.freshUntil, now());
                 }
                 if (chance(70)) {
-                    ledger.onInForce(inForce_, now_);
+                    ledger.onInForce(inForce_, now());
                 }
             }
             checkInForce();
@@ -235,7 +218,7 @@
     {
         std::int64_t version = configuration_.version;
         for (const Host &host : hosts_) {
-            version = host.freshUntil > now_ ? std::min(version, host.held) : version;
+            version = host.freshUntil > now() ? std::min(version, host.held) : version;
         }
         if (version <= inForce_) {
             return;
@@ -243,7 +226,7 @@
         const std::int64_t before = inForce_;
         inForce_ = version;
         limit(before, inForce_);
-        later(debitLifetime, [this, version] { limit(version, inForce_); });
+        time_.later(debitLifetime, [this, version] { limit(version, inForce_); });
     }
 
     void limit(std::int64_t first, std::int64_t last)
@@ -257,15 +240,15 @@
                     burst = share.team == team ? std::max(burst, share.burst) : burst;
                 }
             }
-            check.setLimits(rate, burst, now_);
+            check.setLimits(rate, burst, now());
         }
     }
 
     /// The oldest version that was in force within the last debit lifetime.
     std::int64_t limitFrom(std::int64_t first)
     {
-        recent_.emplace_back(now_, first);
-        std::erase_if(recent_, [this](const auto &entry) { return entry.first + debitLifetime <= now_; });
+        recent_.emplace_back(now(), first);
+        std::erase_if(recent_, [this](const auto &entry) { return entry.first + debitLifetime <= now(); });
         std::int64_t oldest = first;
         for (const auto &[time, version] : recent_) {
             oldest = std::min(oldest, version);
@@ -284,21 +267,21 @@
             configuration_.hosts.push_back(host);
         }
         log_.push_back(configuration_);
-        later(std::chrono::milliseconds(50 + below(3000)), [this] { change(); });
+        time_.later(std::chrono::milliseconds(50 + below(3000)), [this] { change(); });
     }
 
     void fault()
     {
         const std::size_t i = below(poolSize);
         if (chance(30)) {
-            hosts_[i].awake = now_ + std::chrono::milliseconds(below(4000));
+            hosts_[i].awake = now() + std::chrono::milliseconds(below(4000));
         } else if (chance(40)) {
-            hosts_[i].connected = now_ + std::chrono::milliseconds(below(4000));
+            hosts_[i].connected = now() + std::chrono::milliseconds(below(4000));
         } else {
             start(i);
         }
         loss_ = below(4) * 10;
-        later(std::chrono::milliseconds(100 + below(1500)), [this] { fault(); });
+        time_.later(std::chrono::milliseconds(100 + below(1500)), [this] { fault(); });
     }
 
     void arrive(std::size_t i)
@@ -310,7 +293,7 @@
             const double cost = 1 + burst * static_cast<double>(below(100)) / (chance(isQuiet_ ? 80 : 10) ? 100 : 1000);
             const std::uint64_t id = ++lastRequest_;
             requests_[id] = {team, cost};
-            act(i, ledger.admit(team, cost, id, now_));
+            act(i, ledger.admit(team, cost, id, now()));
             arrive(i);
         });
     }
@@ -319,8 +302,8 @@
     {
         for (const DebitRequest &ask : decision.asks) {
             send(i, ask.to, [this, i, ask](std::size_t home, ShareLedger &ledger) {
-                const DebitReply reply = ledger.onDebitRequest(ask, now_);
-                send(home, reply.to, [this, i, reply](std::size_t, ShareLedger &asker) { act(i, asker.onDebitReply(reply, now_)); });
+                const DebitReply reply = ledger.onDebitRequest(ask, now());
+                send(home, reply.to, [this, i, reply](std::size_t, ShareLedger &asker) { act(i, asker.onDebitReply(reply, now())); });
             });
         }
         for (const DebitSettlement &settlement : decision.returns) {
@@ -328,19 +311,19 @@
         }
         const std::uint64_t id = decision.requestId;
         if (decision.verdict == ShareVerdict::Ask) {
-            onHost(i, decision.deadline - now_, [this, i, id](ShareLedger &ledger) { act(i, ledger.onTimeout(id, now_)); });
+            onHost(i, decision.deadline - now(), [this, i, id](ShareLedger &ledger) { act(i, ledger.onTimeout(id, now())); });
         }
         refused += decision.verdict == ShareVerdict::Refuse ? 1 : 0;
         if (decision.verdict != ShareVerdict::Admit) {
             return;
         }
         const auto [team, cost] = requests_.at(id);
-        checks_[team].spend(cost, now_);
+        checks_[team].spend(cost, now());
         const double used = refunds_ ? cost * static_cast<double>(below(120)) / 100 : cost;
         onHost(i, std::chrono::milliseconds(below(3000)), [this, i, id, used, team = team](ShareLedger &ledger) {
-            const double before = ledger.balance(team, now_);
-            const auto messages = ledger.settle(id, used, now_);
-            checks_[team].refund(std::max(ledger.balance(team, now_) - before, 0.0), now_);
+            const double before = ledger.balance(team, now());
+            const auto messages = ledger.settle(id, used, now());
+            checks_[team].refund(std::max(ledger.balance(team, now()) - before, 0.0), now());
             for (const DebitSettlement &settlement : messages) {
                 sendSettlement(i, settlement);
             }
@@ -351,12 +334,12 @@
     {
         send(i, settlement.to, [this, settlement](std::size_t, ShareLedger &ledger) {
             for (const char *team : {"desk", "press"}) {
-                before_[team] = ledger.balance(team, now_);
+                before_[team] = ledger.balance(team, now());
             }
-            ledger.onSettlement(settlement, now_);
+            ledger.onSettlement(settlement, now());
             for (const char *team : {"desk", "press"}) {
-                const double change = ledger.balance(team, now_) - before_[team];
-                checks_[team].refund(settlement.isUsed ? std::max(change, 0.0) : 0.0, now_);
+                const double change = ledger.balance(team, now()) - before_[team];
+                checks_[team].refund(settlement.isUsed ? std::max(change, 0.0) : 0.0, now());
             }
         });
     }
@@ -366,12 +349,12 @@
         const std::size_t target = to[1] - '0';
         const int copies = chance(10) ? 2 : 1;
         for (int copy = 0; copy < copies; ++copy) {
-            if (hosts_[from].connected > now_ || hosts_[target].connected > now_ || chance(loss_)) {
+            if (hosts_[from].connected > now() || hosts_[target].connected > now() || chance(loss_)) {
                 continue;
             }
             const Duration delay = std::chrono::microseconds(chance(10) ? below(3'000'000) : 500 + below(5000));
             // A message outlives the process it was meant for: the next one on that host gets it.
-            later(delay, [this, target, deliver] { onHost(target, 0s, [target, deliver](ShareLedger &ledger) { deliver(target, ledger); }); });
+            time_.later(delay, [this, target, deliver] { onHost(target, 0s, [target, deliver](ShareLedger &ledger) { deliver(target, ledger); }); });
         }
     }
 
@@ -379,9 +362,7 @@
     bool refunds_ = false;
     bool isQuiet_ = false;
     std::size_t loss_ = 0;
-    TimePoint now_ = at(1s);
-    std::uint64_t order_ = 0;
-    std::priority_queue<Event> events_;
+    VirtualTime time_{1s};
     std::array<Host, poolSize> hosts_;
     ShareConfiguration configuration_;
     std::vector<ShareConfiguration> log_;
