A restarted host spends no part of a version not known to be in force

Cause: a restarted host learns the newest version first, without the older one that still binds it; the ledger took its word that the first version given was in force. Change: the caller says so, and until a version held is known to be in force the host asks other homes and spends nothing of its own, so that its callers are served at once all the same.

--- a/benchmarks/shares/shares_wasted.cpp
+++ b/benchmarks/shares/shares_wasted.cpp
@@ -86,7 +86,7 @@
         for (const std::string &host : configuration_.hosts) {
             ledgers_.push_back(std::make_unique<ShareLedger>(host, "1", TimePoint{}));
             ledgers_.back()->setFreshUntil(TimePoint{} + 24h, TimePoint{});
-            ledgers_.back()->setConfiguration(configuration_, TimePoint{});
+            ledgers_.back()->setConfiguration(configuration_, TimePoint{}, true);
         }
         ideal_.setLimits(rate, rate * scenario.burstSeconds, TimePoint{});
         isAlive_.assign(scenario.hosts, true);
--- a/coordination/share_ledger.cpp
+++ b/coordination/share_ledger.cpp
@@ -55,15 +55,15 @@
     , options_(options)
     , refillStart_(now + options.debitLifetime)
     , freshUntil_(now)
-    , versions_(std::max(options.growDelay, options.debitLifetime))
+    , versions_(std::max(options.growDelay, options.debitLifetime), options.debitLifetime)
 {
     options_.gatherLimit = std::min(options_.gatherLimit, options_.debitLifetime);
 }
 
-void ShareLedger::setConfiguration(const ShareConfiguration &configuration, TimePoint now)
+void ShareLedger::setConfiguration(const ShareConfiguration &configuration, TimePoint now, bool isInForce)
 {
     advance(now);
-    const bool isNext = versions_.add(configuration);
+    const bool isNext = versions_.add(configuration, isInForce);
     updateShares(now);
     if (isNext) {
         return;
@@ -88,7 +88,7 @@
             team.bucket.skipRefill(freshUntil_, now);
         }
     }
-    freshUntil_ = std::max(freshUntil_, until);
+    freshUntil_ = until;
 }
 
 ShareDecision ShareLedger::admit(std::string_view team, double cost, std::uint64_t requestId, TimePoint now)
@@ -304,7 +304,9 @@
     }
     Team &team = found->second;
     team.split = *split;
-    const HomeShare own = team.split.shareOf(host_);
+    // A process that has just started may hold a version that others don't know yet, without the older one that still
+    // binds it: what it spent by the newer one alone could come on top of the others' parts.
+    const HomeShare own = versions_.isSafe() ? team.split.shareOf(host_) : HomeShare{};
     team.bucket.setLimits(own.rate, own.burst, refillTime(now));
     std::erase_if(team.hints, [&split](const auto &hint) { return split->shareOf(hint.first).burst <= 0; });
     for (const HomeShare &home : team.split.homes) {
--- a/coordination/share_ledger.h
+++ b/coordination/share_ledger.h
@@ -67,9 +67,10 @@
     /// refill begins after one lifetime of a debit, so that debits which the process before granted have run out.
     ShareLedger(std::string host, std::string incarnation, TimePoint now, ShareOptions options = {});
 
-    /// Takes the next version of hosts and teams, one after another. The first must be in force already. After a gap
-    /// between versions all buckets are emptied.
-    void setConfiguration(const ShareConfiguration &configuration, TimePoint now);
+    /// Takes the next version of hosts and teams, one after another. `isInForce` says whether the first one is known to
+    /// be in force, as a restarted host hears from its peers; until one is, this host only asks other homes. After a
+    /// gap between versions all buckets are emptied.
+    void setConfiguration(const ShareConfiguration &configuration, TimePoint now, bool isInForce = false);
 
     /// A version is in force everywhere; parts grow once the delay has passed.
     void onInForce(std::int64_t version, TimePoint now);
--- a/coordination/share_versions.cpp
+++ b/coordination/share_versions.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace Lovageloft
 {
@@ -12,26 +13,34 @@
     return home == homes.end() ? HomeShare{std::string(host), 0, 0} : *home;
 }
 
-ShareVersions::ShareVersions(Duration growDelay)
+ShareVersions::ShareVersions(Duration growDelay, Duration firstDelay)
     : growDelay_(growDelay)
+    , firstDelay_(firstDelay)
 {
 }
 
-bool ShareVersions::add(const ShareConfiguration &configuration)
+bool ShareVersions::add(const ShareConfiguration &configuration, bool isInForce)
 {
     const std::int64_t last = newest();
     if (!versions_.empty() && configuration.version <= last) {
         return true;
     }
+    isSafe_ = isSafe_ || (versions_.empty() && isInForce);
     const bool isNext = versions_.empty() || configuration.version == last + 1;
     versions_.push_back(makeVersion(configuration));
     return isNext;
 }
 
+bool ShareVersions::isSafe() const
+{
+    return isSafe_;
+}
+
 void ShareVersions::onInForce(std::int64_t version, TimePoint now)
 {
-    if (!versions_.empty() && version > versions_.front().number) {
-        growAt_.emplace(version, now + growDelay_);
+    const std::int64_t base = versions_.empty() ? 0 : versions_.front().number;
+    if (version > base || (version == base && !isSafe_)) {
+        growAt_.emplace(version, now + (isSafe_ ? growDelay_ : firstDelay_));
     }
 }
 
@@ -46,7 +55,8 @@
     while (versions_.size() > 1 && versions_.front().number < base) {
         versions_.pop_front();
     }
-    return versions_.size() != before;
+    const bool wasSafe = std::exchange(isSafe_, isSafe_ || (base > 0 && base >= versions_.front().number));
+    return versions_.size() != before || isSafe_ != wasSafe;
 }
 
 std::vector<std::string> ShareVersions::teams() const
--- a/coordination/share_versions.h
+++ b/coordination/share_versions.h
@@ -42,13 +42,18 @@
 class ShareVersions
 {
 public:
-    /// `growDelay` is waited after a version is in force before it alone counts; it must be at least the lifetime of a
-    /// debit, so that nothing debited under the older version is used afterwards.
-    explicit ShareVersions(Duration growDelay);
+    /// `growDelay` is waited after a version is in force before it alone counts, and `firstDelay` with the first that a
+    /// process hears to be in force. Both must be at least the lifetime of a debit, so that nothing debited under an
+    /// older version is used afterwards.
+    ShareVersions(Duration growDelay, Duration firstDelay);
 
-    /// Takes the next version. The first one ever given must be in force already. False if versions were skipped:
-    /// then nothing is known of what lay between, and whoever holds tokens must drop them. An old version is ignored.
-    bool add(const ShareConfiguration &configuration);
+    /// Takes the next version. `isInForce` says whether it is known to be in force; only that of the first one counts.
+    /// False if versions were skipped: then nothing is known of what lay between, and whoever holds tokens must drop
+    /// them. An old version is ignored.
+    bool add(const ShareConfiguration &configuration, bool isInForce = false);
+
+    /// Whether any version held is known to be in force. Before that, no part is safe to spend from.
+    bool isSafe() const;
 
     /// A version is in force: no host that is fresh holds an older one.
     void onInForce(std::int64_t version, TimePoint now);
@@ -84,6 +89,8 @@
     HomeShare leastShare(std::string_view team, const std::string &host) const;
 
     Duration growDelay_;
+    Duration firstDelay_;
+    bool isSafe_ = false;
     std::deque<Version> versions_; // From the one that may be in force at the longest-lagging fresh host to the newest.
     std::map<std::int64_t, TimePoint> growAt_;
 };
