--- a/tests/coordination/test_claim_runner.cpp
+++ b/tests/coordination/test_claim_runner.cpp
@@ -241,7 +241,8 @@
         for (int action = 0; action < 500; ++action) {
             deployment.act();
         }
-        BOOST_REQUIRE_MESSAGE(deployment.faults.empty(), "seed " << seed << ": " << deployment.faults.front());
+        const std::string fault = deployment.faults.empty() ? "" : deployment.faults.front();
+        BOOST_REQUIRE_MESSAGE(fault.empty(), "seed " << seed << ": " << fault);
         for (const int executions : deployment.executions) {
             BOOST_REQUIRE_MESSAGE(executions <= 1, "seed " << seed << ": a call ran " << executions << " times");
             ran += executions;
