Share ledger: stale timers and numbers that are none

A timer of an earlier round went off during a later one and took its homes for silent; amounts that are not numbers went into the buckets. Change: onTimeout() does nothing before the newest deadline; costs, amounts and settlements that are not finite are refused or ignored. Seen with the guards taken out: the stale timer ends the round and the request is refused; a request of nan tokens leaves a bucket of nan, one of infinitely many is granted 500; a settlement of nan leaves nan, of -inf -inf; a cost of -100 is admitted.

--- a/coordination/claim_runner.cpp
+++ b/coordination/claim_runner.cpp
@@ -75,7 +75,7 @@
 
 ClaimStep ClaimRunner::onHolderSilent(TimePoint now)
 {
-    return mayHaveRun("the host that carries out the call does not answer", now);
+    return result_ == ClaimStep::AskHolder ? mayHaveRun("the host that carries out the call does not answer", now) : result_;
 }
 
 bool ClaimRunner::beginSend(TimePoint now)
--- a/coordination/share_ledger.cpp
+++ b/coordination/share_ledger.cpp
@@ -1,6 +1,7 @@
 #include "coordination/share_ledger.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #define XXH_INLINE_ALL
@@ -101,7 +102,7 @@
     if (found == nullptr || found->split.homes.empty()) {
         return refusal(requestId, ResultCode::UnknownKey, "the team is not in service");
     }
-    if (cost > found->split.burst + tokenTolerance) {
+    if (!(cost >= 0 && cost <= found->split.burst + tokenTolerance)) {
         return refusal(requestId, ResultCode::ExceedsBurst, "the request costs more than the team's whole burst");
     }
     if (gathers_.size() >= options_.mostPending || gathers_.contains(requestId) || charges_.contains(requestId)) {
@@ -129,7 +130,7 @@
     forgetOldRecords(now);
     DebitReply reply{host_, incarnation_, request.from, request.fromIncarnation, request.askId, request.team, 0, 0, 0};
     Team *team = findTeam(request.team);
-    if (!isFresh(now) || team == nullptr || request.to != host_) {
+    if (!isFresh(now) || team == nullptr || request.to != host_ || !std::isfinite(request.amount)) {
         return reply;
     }
     RecordKey key{request.from, request.fromIncarnation, request.askId};
@@ -150,7 +151,8 @@
 ShareDecision ShareLedger::onDebitReply(const DebitReply &reply, TimePoint now)
 {
     advance(now);
-    if (reply.toIncarnation != incarnation_ || reply.to != host_) {
+    const bool isSound = std::isfinite(reply.granted) && std::isfinite(reply.balance) && std::isfinite(reply.reserved);
+    if (reply.toIncarnation != incarnation_ || reply.to != host_ || !isSound) {
         return {};
     }
     const auto open = openAsks_.find(reply.askId);
@@ -183,7 +185,8 @@
 {
     advance(now);
     const auto gather = gathers_.find(requestId);
-    if (gather == gathers_.end()) {
+    // The timer of an earlier round goes off during a later one, whose homes would be taken for silent.
+    if (gather == gathers_.end() || now < gather->second.deadline) {
         return {};
     }
     for (const std::uint64_t askId : gather->second.openAsks) {
@@ -232,7 +235,7 @@
 void ShareLedger::onSettlement(const DebitSettlement &settlement, TimePoint now)
 {
     advance(now);
-    if (settlement.to != host_ || settlement.toIncarnation != incarnation_) {
+    if (settlement.to != host_ || settlement.toIncarnation != incarnation_ || !std::isfinite(settlement.used)) {
         return;
     }
     // The record goes with the first settlement: a doubled one would refund twice and make tokens.
@@ -361,7 +364,8 @@
         return complete(gather, now);
     }
     decision.verdict = ShareVerdict::Ask;
-    decision.deadline = std::min(now + options_.askTimeout, state.limit);
+    state.deadline = std::min(now + options_.askTimeout, state.limit);
+    decision.deadline = state.deadline;
     return decision;
 }
 
--- a/coordination/share_ledger.h
+++ b/coordination/share_ledger.h
@@ -59,7 +59,7 @@
 /// is refused because its tokens lie elsewhere. A host spends its own part at once and otherwise asks other homes
 /// to debit theirs for this one request. Balances are never handed over: the giver would refill and the sum grow.
 ///
-/// Not thread-safe: one duty owns it. Tokens are doubles from 0 up, and costs must be finite.
+/// Not thread-safe: one duty owns it. Tokens are doubles from 0 up; a cost below 0 or not finite is refused as ExceedsBurst.
 class ShareLedger
 {
 public:
@@ -86,7 +86,8 @@
 
     ShareDecision onDebitReply(const DebitReply &reply, TimePoint now);
 
-    /// The deadline of an Ask has passed. Homes that did not answer are left alone for a while.
+    /// The deadline of an Ask has passed. Homes that did not answer are left alone for a while. Nothing happens before the
+    /// deadline of the newest Ask, so that timers of earlier ones need not be stopped.
     ShareDecision onTimeout(std::uint64_t requestId, TimePoint now);
 
     /// The caller gave up while its request waited: what was gathered is returned.
@@ -142,6 +143,7 @@
         int rounds = 0;
         bool sparesOwn = false; ///< The first round leaves this host's own tokens alone.
         TimePoint limit;
+        TimePoint deadline; ///< Of the present round.
         std::vector<Piece> pieces;
         std::vector<std::uint64_t> openAsks;
     };
--- a/tests/coordination/test_share_ledger.cpp
+++ b/tests/coordination/test_share_ledger.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <functional>
 #include <map>
 #include <memory>
@@ -498,6 +499,23 @@
     BOOST_TEST((fleet.admit("h0", 850, 9, at(100s)).reason.code == ResultCode::PeerUnreachable));
 }
 
+BOOST_AUTO_TEST_CASE(aTimerOfAnEarlierRoundBlamesNobody)
+{
+    // The first home had less than believed, and the second is being asked when the first question's timer goes off. The
+    // second home would be left alone for a while although it answers in time, and the team refused what it holds.
+    SmallFleet fleet(3, 9, 900);
+    ShareLedger &asker = fleet.ledgers.at("h0");
+    const ShareDecision first = asker.admit("desk", 500, 1, at(300s));
+    BOOST_REQUIRE(first.asks.size() == 1);
+    ShareLedger &home = fleet.ledgers.at(first.asks[0].to);
+    home.onDebitRequest({"h9", "1", first.asks[0].to, 1, "desk", 250}, at(300s));
+    const ShareDecision second = asker.onDebitReply(home.onDebitRequest(first.asks[0], at(300s)), at(300s + 40ms));
+    BOOST_REQUIRE(second.asks.size() == 1);
+    BOOST_TEST((asker.onTimeout(1, first.deadline).verdict == ShareVerdict::None));
+    const DebitReply reply = fleet.ledgers.at(second.asks[0].to).onDebitRequest(second.asks[0], at(300s + 60ms));
+    BOOST_TEST((asker.onDebitReply(reply, at(300s + 110ms)).verdict == ShareVerdict::Admit));
+}
+
 BOOST_AUTO_TEST_CASE(aRefusedTeamDoesNotFloodItsHomes)
 {
     // One team sends many times its rate for a while. Each of its refusals would otherwise cost a message to every
@@ -532,6 +550,23 @@
     BOOST_TEST(asker.balance("desk", at(301s)) == -45, boost::test_tools::tolerance(1e-6));
 }
 
+BOOST_AUTO_TEST_CASE(numbersThatAreNoneDoNoHarm)
+{
+    // A broken peer sends amounts that are not numbers. Once in a bucket such a value makes every comparison false, and
+    // the team would be refused until the host restarts, or served without limit.
+    for (const double amount : {-100.0, std::nan(""), HUGE_VAL, -HUGE_VAL}) {
+        SmallFleet fleet(2, 10, 1000);
+        ShareLedger &home = fleet.ledgers.at("h1");
+        BOOST_TEST((home.admit("desk", amount, 1, at(300s)).verdict == ShareVerdict::Refuse));
+        BOOST_TEST(home.onDebitRequest({"h0", "1", "h1", 1, "desk", amount}, at(300s)).granted == 0);
+        home.onDebitRequest({"h0", "1", "h1", 2, "desk", 100}, at(300s));
+        home.onSettlement({"h0", "1", "h1", "1", 2, true, amount}, at(300s));
+        const double left = home.balance("desk", at(300s));
+        BOOST_TEST((left >= 400 && left <= 500), left);
+        BOOST_TEST((fleet.admit("h0", 850, 3, at(300s)).verdict == ShareVerdict::Admit));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aDoubledRequestIsDebitedOnce)
 {
     // The network delivers a request twice. A second debit would be lost, and the team refused inside its rate.
