Claims: sending and swearing race on two threads; tests free of uses after freeing

Cause: the address sanitizer aborted test_claims: its attempts were moved member by member, so that a process went before the runner that uses it, and two tests replaced a process under a living runner. The table's lock had no test.

--- a/tests/coordination/test_claim_runner.cpp
+++ b/tests/coordination/test_claim_runner.cpp
@@ -1,6 +1,9 @@
 #include <array>
+#include <barrier>
+#include <functional>
 #include <map>
 #include <memory>
+#include <thread>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
@@ -57,8 +60,8 @@
         const std::size_t dice = below(100);
         if (dice < 8) {
             const std::size_t key = below(keyCount);
-            attempts_.push_back({key, processes_[host], nullptr, ClaimStep::Again});
-            Attempt &attempt = attempts_.back();
+            attempts_.push_back(std::make_unique<Attempt>(Attempt{key, processes_[host], nullptr, ClaimStep::Again}));
+            Attempt &attempt = *attempts_.back();
             Process &process = *attempt.process;
             attempt.runner = std::make_unique<ClaimRunner>(process.table, process.lease, store_, "p/", callOf(key), std::to_string(++lastNonce_));
         } else if (dice < 10) {
@@ -85,7 +88,7 @@
     {
         std::size_t key = 0;
         std::shared_ptr<Process> process;
-        std::unique_ptr<ClaimRunner> runner;
+        std::unique_ptr<ClaimRunner> runner; // After its process, which must outlive it.
         ClaimStep step = ClaimStep::Again;
     };
 
@@ -109,13 +112,13 @@
     {
         const auto old = std::exchange(processes_[host], makeProcess(host));
         if (chance(70)) {
-            std::erase_if(attempts_, [&old](const Attempt &attempt) { return attempt.process == old; });
+            std::erase_if(attempts_, [&old](const auto &attempt) { return attempt->process == old; });
         }
     }
 
     void advance(std::size_t index)
     {
-        Attempt &attempt = attempts_[index];
+        Attempt &attempt = *attempts_[index];
         ClaimRunner &runner = *attempt.runner;
         switch (attempt.step) {
         case ClaimStep::Again:
@@ -186,7 +189,7 @@
     TimePoint now_ = TimePoint(1h);
     FaultyStore store_;
     std::array<std::shared_ptr<Process>, hostCount> processes_;
-    std::vector<Attempt> attempts_;
+    std::vector<std::unique_ptr<Attempt>> attempts_;
     std::map<const ClaimRunner *, bool> ran_;
     int lastIncarnation_ = 0;
     int lastNonce_ = 0;
@@ -214,10 +217,16 @@
         return std::make_unique<ClaimRunner>(process.table, process.lease, store, "p/", call, std::to_string(++nonce));
     }
 
+    void restartFirst()
+    {
+        gone.push_back(std::exchange(first, std::make_unique<Process>(0, static_cast<int>(gone.size()) + 2, store)));
+    }
+
     TimePoint now = TimePoint(1h);
     FaultyStore store{[this] { return now; }};
     std::unique_ptr<Process> first = std::make_unique<Process>(0, 1, store);
     std::unique_ptr<Process> second = std::make_unique<Process>(1, 1, store);
+    std::vector<std::unique_ptr<Process>> gone; ///< Kept for the runners that a test still holds.
     int nonce = 0;
 };
 
@@ -294,7 +303,7 @@
         }
         while (pair.first->recorder.step(pair.now)) {
         }
-        pair.first = std::make_unique<Process>(0, 2, pair.store);
+        pair.restartFirst();
     }
 }
 
@@ -322,7 +331,7 @@
     BOOST_TEST((pair.runToEnd(*runner) == ClaimStep::Send));
     BOOST_TEST(runner->beginSend(pair.now));
     runner.reset();
-    pair.first = std::make_unique<Process>(0, 2, pair.store);
+    pair.restartFirst();
     for (int time = 0; time < 2; ++time) {
         const auto retry = pair.makeRunner(*pair.second);
         BOOST_TEST((pair.runToEnd(*retry) == ClaimStep::Refuse));
@@ -360,6 +369,36 @@
     BOOST_TEST(!paused->beginSend(read));
 }
 
+BOOST_AUTO_TEST_CASE(sendingAndSwearingExcludeEachOther)
+{
+    // The request's thread is about to send by a time read earlier while a peer's question comes in on another thread.
+    // If both went through, the peer would take the call over and it would run twice.
+    ClaimTable table("h0", "1");
+    int sentCount = 0;
+    for (int round = 0; round < 2000; ++round) {
+        const std::string nonce = std::to_string(round);
+        BOOST_REQUIRE(table.add(nonce, "key", "digest"));
+        table.onWriting(nonce, 1, TimePoint(1h));
+        table.onClaimed(nonce, 1);
+        bool isSent = false;
+        ClaimFate fate = ClaimFate::Running;
+        std::barrier together(2);
+        const std::function<void()> send = [&] { isSent = table.beginSend(nonce, TimePoint(1h)); };
+        const std::function<void()> ask = [&] { fate = table.onQuery({"h0", "1", nonce}, TimePoint(2h)).fate; };
+        std::thread other([&] {
+            together.arrive_and_wait();
+            (round % 2 == 0 ? send : ask)();
+        });
+        together.arrive_and_wait();
+        (round % 2 == 0 ? ask : send)();
+        other.join();
+        BOOST_REQUIRE(isSent != (fate == ClaimFate::NeverSent));
+        sentCount += isSent ? 1 : 0;
+        table.onWorkDone(nonce);
+    }
+    BOOST_TEST_MESSAGE(sentCount << " of 2000 were sent first");
+}
+
 BOOST_AUTO_TEST_CASE(aCallAboutToBeSentIsLeftToItsHolder)
 {
     // A caller asks again at once. Taking the claim over each time would let two impatient callers keep it from ever being sent.
@@ -454,7 +493,7 @@
     while (pair.first->recorder.step(pair.now)) {
         pair.now += 1s;
     }
-    pair.first = std::make_unique<Process>(0, 2, pair.store);
+    pair.restartFirst();
     const auto retry = pair.makeRunner(*pair.second);
     BOOST_TEST((pair.runToEnd(*retry) == ClaimStep::Answer));
     BOOST_TEST((retry->answer() == done));
