Install the packages, add examples, and refuse a log that lost its beginning

Cause: others are to embed the coordination package. Guard taken out: the catch-up answers Ok, 1 check fails. Conclusion: a host in that state refuses, instead of serving keys long withdrawn.

--- a/coordination/configuration_log_store.cpp
+++ b/coordination/configuration_log_store.cpp
@@ -1,7 +1,7 @@
 #include "coordination/configuration_log_store.h"
 
+#include <algorithm>
 #include <charconv>
-#include <cstdio>
 #include <utility>
 
 #include "core/digest.h"
@@ -54,7 +54,9 @@
         std::optional<LogEntry> next;
         const StoreStatus status = read(log.version() + 1, next);
         if (status == StoreStatus::NotFound) {
-            return StoreStatus::Ok;
+            // A log that ends before its snapshot has lost its old entries, and the snapshot could not be read. Taken for the whole log
+            // it would make this host serve, as confirmed, a state long past; callers would notice keys that work again.
+            return log.version() < lastSnapshot_ ? StoreStatus::Unavailable : StoreStatus::Ok;
         }
         if (status != StoreStatus::Ok) {
             return status;
@@ -152,7 +154,6 @@
     if (status != StoreStatus::Ok && status != StoreStatus::NotFound) {
         return false;
     }
-    lastSnapshot_ = pointer.sequence;
     if (log.version() - lastSnapshot_ < interval) {
         return false;
     }
@@ -209,7 +210,6 @@
         Reason reason;
         auto snapshot = parseSnapshot(text, reason);
         if (status == StoreStatus::Ok && sha256Hex(text) == pointer.digest && snapshot.has_value()) {
-            lastSnapshot_ = pointer.sequence;
             return snapshot;
         }
     }
@@ -228,6 +228,7 @@
         pointer.sequence = numberIn(value.substr(0, first));
         pointer.parts = static_cast<std::size_t>(numberIn(value.substr(first + 1, second - first - 1)));
         pointer.digest = value.substr(second + 1);
+        lastSnapshot_ = std::max(lastSnapshot_, pointer.sequence);
     }
     return reply.status;
 }
--- a/coordination/configuration_log_store.h
+++ b/coordination/configuration_log_store.h
@@ -75,7 +75,7 @@
 
     Store &store_;
     std::string prefix_;
-    std::int64_t lastSnapshot_ = 0; ///< The newest snapshot known to be in the store; saves a read for each entry.
+    std::int64_t lastSnapshot_ = 0; ///< The newest snapshot known to have been in the store; saves a read for each entry.
 };
 
 } // namespace Lovageloft
--- a/tests/coordination/test_configuration_log.cpp
+++ b/tests/coordination/test_configuration_log.cpp
@@ -157,6 +157,11 @@
     ConfigurationLog third;
     BOOST_TEST((logStore.catchUp(third) == StoreStatus::Ok));
     BOOST_TEST(third.state().toJson() == first.state().toJson());
+    for (const StoreEntry &entry : store.list(logStore.logPrefix()).entries) {
+        store.compareAndDelete(entry.key, entry.revision);
+    }
+    ConfigurationLog fourth;
+    BOOST_TEST((logStore.catchUp(fourth) == StoreStatus::Unavailable)); // Never an empty state as the confirmed one.
 }
 
 BOOST_AUTO_TEST_CASE(aSnapshotLongerThanAValueIsSplit)
--- /dev/null
+++ b/tests/test_install.cmake
@@ -0,0 +1,22 @@
+# A newcomer installs the packages and builds the examples against them. A header or a dependency left out shows only here.
+set(installed ${BUILD}/test_install/prefix)
+set(examples ${BUILD}/test_install/examples)
+file(REMOVE_RECURSE ${BUILD}/test_install)
+
+function(run)
+    execute_process(COMMAND ${ARGV} RESULT_VARIABLE status OUTPUT_VARIABLE output ERROR_VARIABLE output)
+    if(NOT status EQUAL 0)
+        message(FATAL_ERROR "${ARGV}: ${output}")
+    endif()
+endfunction()
+
+set(flags "")
+if(SANITIZE)
+    set(flags "-DCMAKE_CXX_FLAGS=-fsanitize=${SANITIZE}")
+endif()
+run(${CMAKE_COMMAND} --install ${BUILD} --prefix ${installed})
+run(${CMAKE_COMMAND} -S ${SOURCE}/examples -B ${examples} -G ${GENERATOR} -DCMAKE_PREFIX_PATH=${installed} ${flags})
+run(${CMAKE_COMMAND} --build ${examples} --parallel 2)
+foreach(example configuration_log freshness membership)
+    run(${examples}/example_${example})
+endforeach()
