--- a/coordination/membership.cpp
+++ b/coordination/membership.cpp
@@ -250,6 +250,13 @@
     }
     const auto [position, isNew] = members_.try_emplace(news.host);
     Known &known = position->second;
+    if (!isNew && news.incarnation == 0 && news.state == MemberState::Suspect && known.member.news.state == MemberState::Alive) {
+        // Suspected by a host that has it from the platform's list only and never learned its incarnation. Unheeded, a crash in a young
+        // fleet would be noticed by each host on its own, after a whole round of probes.
+        note({known.member.news.host, known.member.news.address, known.member.news.incarnation, MemberState::Suspect}, known);
+        spread(known.member.news);
+        return;
+    }
     if (!isNew && !overrides(news, known.member.news)) {
         return;
     }
@@ -281,11 +288,12 @@
 void Membership::hearOfSelf(const MemberNews &news)
 {
     const bool isFormerSelf = news.incarnation > incarnation_;
-    const bool isRefutable = news.incarnation == incarnation_ && news.state != MemberState::Alive && !isLeaving_;
+    const bool isMeant = news.incarnation == incarnation_ || news.incarnation == 0;
+    const bool isRefutable = isMeant && news.state != MemberState::Alive && !isLeaving_;
     if (!isFormerSelf && !isRefutable) {
         return;
     }
-    incarnation_ = news.incarnation + 1;
+    incarnation_ = std::max(incarnation_, news.incarnation) + 1;
     spread(selfNews());
 }
 
--- a/coordination/membership.h
+++ b/coordination/membership.h
@@ -72,7 +72,7 @@
     Duration ackTimeout = std::chrono::milliseconds(300); ///< Then others are asked to probe. Ways between data centres take some milliseconds.
     std::size_t indirectProbes = 3; ///< With three others, one lost message in a hundred suspects a living host in none of a million probes.
     Duration suspicionTimeout = std::chrono::seconds(5); ///< A host that is paused for less stays a member.
-    std::size_t newsBytes = 600; ///< Greatest size of the news on one message.
+    std::size_t newsBytes = 1'000; ///< Greatest size of the news on one message, so that it fits into one packet.
 };
 
 /// Which hosts are there, by random probes with piggybacked news (SWIM). Each host probes one other a second and each message carries
