--- a/decision/engine_health.cpp
+++ b/decision/engine_health.cpp
@@ -9,11 +9,14 @@
 namespace
 {
 
-/// Weight of the newest observation: a tenth of the speed shows after three answers, a single late one doesn't.
-constexpr double newestWeight = 0.3;
-/// Ejected when the mean of the ratios passes this. Estimates from late reports are off by two or three in both directions.
-constexpr double ejectionRatio = 4;
-constexpr std::uint32_t leastObservations = 4;
+/// Weight of the newest observation: a tenth of the speed shows after five to six ratios, a few late ones don't.
+constexpr double newestWeight = 0.2;
+/// Ratio of a slow engine that the test is made to tell from 1, and the variance of the logarithms of ratios: estimates from late
+/// reports are off by two or three in both directions.
+constexpr double slowRatio = 5;
+constexpr double logRatioVariance = 1;
+/// The test's upper bound, the logarithm of 10,000: about one false ejection in as many tests.
+constexpr double ejectionLimit = 9.21;
 /// An engine comes back after this many probes below this ratio.
 constexpr std::uint32_t goodProbesNeeded = 2;
 constexpr double goodProbeRatio = 2;
@@ -45,7 +48,7 @@
     record.logRatio += newestWeight * (logRatio - record.logRatio);
     fleetLogRatio_ += newestWeight / std::max(1.0, static_cast<double>(engineCount_)) * (logRatio - fleetLogRatio_);
     ++record.observations;
-    if (record.observations >= leastObservations && slowness(engine) > ejectionRatio) {
+    if (isSlow(record, logRatio)) {
         eject(record, now);
     }
 }
@@ -96,6 +99,17 @@
     record.nextProbe = now + probeInterval_ * (1U << std::min(record.badProbes, mostDoublings));
 }
 
+/// Wald's sequential probability ratio test of "slow" against "normal", as Cohen and Zhao use it for each process in "Asymptotically
+/// Optimal Anomaly Detection via Sequential Testing" (2015). Other than there it starts over at its lower bound, as an engine may
+/// become slow at any time. docs/design/placing.md compares it with a threshold on the mean.
+bool EngineHealth::isSlow(Record &record, double logRatio) const
+{
+    const double shift = std::log(slowRatio);
+    const double step = shift / logRatioVariance * (logRatio - fleetLogRatio_ - shift / 2);
+    record.logLikelihood = std::max(0.0, record.logLikelihood + step);
+    return record.logLikelihood > ejectionLimit;
+}
+
 void EngineHealth::eject(Record &record, TimePoint now)
 {
     const auto ejectable = static_cast<std::size_t>(ejectablePart * static_cast<double>(engineCount_));
--- a/decision/engine_health.h
+++ b/decision/engine_health.h
@@ -46,6 +46,7 @@
 private:
     struct Record
     {
+        double logLikelihood = 0; // Of slow against normal, since it last looked normal.
         double logRatio = 0; // Exponentially weighted mean.
         std::uint32_t observations = 0;
         std::uint32_t goodProbes = 0;
@@ -54,6 +55,7 @@
         TimePoint nextProbe;
     };
 
+    bool isSlow(Record &record, double logRatio) const;
     void eject(Record &record, TimePoint now);
     void observeProbe(EngineIndex engine, double logRatio);
 
--- a/decision/placement.cpp
+++ b/decision/placement.cpp
@@ -390,7 +390,7 @@
         for (std::size_t rank = 0; rank < count; ++rank) {
             // A copy that the heat calls for serves the many that come after, so this request is charged its own time only.
             const bool isCalledFor = route.needed > 1 && rank < route.needed;
-            consider(choice, winners[rank], heldScratch_[winners[rank]], isCalledFor ? 1 : workPrice(rank == 0 ? 0 : policy_.secondMargin));
+            consider(choice, winners[rank], heldScratch_[winners[rank]], workPrice(isCalledFor ? policy_.copyMargin : rank == 0 ? 0 : policy_.secondMargin));
         }
     }
     for (const HeldPrefix &holder : std::span(holders).first(holderCount)) {
--- a/decision/placement.h
+++ b/decision/placement.h
@@ -80,6 +80,7 @@
     double openWait = 3.0; ///< Seconds of expected wait up to which an engine with room in its window is used.
     double closedWait = 1.0; ///< The same for one without room.
     double holdSlack = 0.3; ///< Price above the best engine's at which one that can begin now is used, divided by the mean wait.
+    double copyMargin = -1.0; ///< The same of winners that the prefix's heat calls for.
     double secondMargin = 1.0; ///< As strayMargin, of rendezvous winners after the first.
     double pressureWeight = 3.0; ///< Added to recomputeWeight for each second that engines have queued on average.
     double fallbackMargin = 2.0; ///< The same once no candidate can begin with the request.
--- a/tests/decision/replay/engine_model.h
+++ b/tests/decision/replay/engine_model.h
@@ -57,6 +57,7 @@
 
     double speed = 1;
     bool isUp = true;
+    bool isLeaving = false; ///< Gets no new work.
     std::uint32_t version = 1;
     std::uint64_t incarnation = 1;
     std::vector<CacheEvent> events; ///< Not yet published.
--- a/tests/decision/replay/placing_policy.h
+++ b/tests/decision/replay/placing_policy.h
@@ -67,6 +67,11 @@
     {
     }
 
+    virtual bool isEjected(EngineIndex /*engine*/) const
+    {
+        return false;
+    }
+
     virtual void setEngines(std::span<const EngineStatus> /*engines*/)
     {
     }
