--- a/benchmarks/decision/bench_placing.cpp
+++ b/benchmarks/decision/bench_placing.cpp
@@ -110,7 +110,9 @@
             const std::vector<BlockHash> chain = randomBlocks(chainBlocksCount + i);
             chains.emplace_back(chain.begin(), chain.begin() + chainBlocksCount);
         }
+        // Slowly at first, as each prefix is computed once.
         for (std::size_t i = 0; i < 3 * chainCount; ++i) {
+            now += std::chrono::seconds(10);
             run(i, true);
         }
     }
@@ -121,12 +123,13 @@
         const PlacementRequest request{.chains = std::span(&chain, 1), .promptTokens = chainBlocksCount * prefixBlockTokens, .expectedOutputTokens = 200};
         const auto decision = placement.place(request, now, random, reason);
         benchmark::DoNotOptimize(decision);
-        if (isDispatched) {
+        isHeld = !decision;
+        if (isDispatched && decision) {
             const DispatchId id = placement.onDispatched(request, *decision, now);
             placement.onFirstToken(id, std::nullopt, now + std::chrono::milliseconds(100));
             placement.onFinished(id, now + std::chrono::milliseconds(900));
         }
-        now += std::chrono::milliseconds(1);
+        now += std::chrono::milliseconds(10);
     }
 
     static constexpr std::size_t chainCount = 2'000;
@@ -135,6 +138,7 @@
     TimePoint now{std::chrono::seconds(1000)};
     Random random{1};
     Reason reason;
+    bool isHeld = false;
 };
 
 void placeRequest(benchmark::State &state)
@@ -144,6 +148,7 @@
     for (auto _ : state) {
         bench.run(i++, false);
     }
+    state.counters["held"] = bench.isHeld ? 1 : 0;
 }
 
 void placeDispatchAndAnswer(benchmark::State &state)
@@ -153,6 +158,7 @@
     for (auto _ : state) {
         bench.run(i++, true);
     }
+    state.counters["held"] = bench.isHeld ? 1 : 0;
 }
 
 BENCHMARK(hashWithXxh3Alone);
--- a/benchmarks/decision/replay_table.cpp
+++ b/benchmarks/decision/replay_table.cpp
@@ -1,16 +1,18 @@
-#include <algorithm>
+#include <array>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "replay/replay.h"
 
-// Prints what came of every policy on every trace: replay_table [--scale S] [--load L] [--seed N] [--trace NAME] [--policy NAME] [--set NAME=VALUE].
+// Prints what came of every policy on every trace: replay_table [--scale S] [--load L] [--seed N] [--seeds COUNT] [--trace NAME] [--policy NAME] [--set
+// NAME=VALUE].
 // `--write FILE` writes the requests of the named trace as JSON lines instead.
 
 using namespace Lovageloft;
@@ -23,6 +25,7 @@
     double scale = 1;
     double load = 1;
     std::uint64_t seed = 1;
+    std::uint64_t seeds = 1;
     std::string trace;
     std::string policy;
     std::string deployment;
@@ -65,6 +68,8 @@
             options.load = std::strtod(value, nullptr);
         } else if (name == "--seed") {
             options.seed = std::strtoull(value, nullptr, 10);
+        } else if (name == "--seeds") {
+            options.seeds = std::strtoull(value, nullptr, 10);
         } else if (name == "--trace") {
             options.trace = value;
         } else if (name == "--policy") {
@@ -80,6 +85,43 @@
     return options;
 }
 
+void writeTrace(const Trace &trace, const std::string &path)
+{
+    std::ofstream file(path);
+    for (const TraceRequest &request : trace.requests) {
+        file << formatTraceRequest(request) << '\n';
+    }
+}
+
+/// Means over the seeds of what is a rate or a time; counts are sums.
+ReplayResult meanResult(std::span<const Trace> traces, const PolicySpec &policy, const Options &options)
+{
+    static constexpr std::array means{&ReplayResult::hitRate,
+                                      &ReplayResult::medianFirstToken,
+                                      &ReplayResult::tailFirstToken,
+                                      &ReplayResult::servedTail,
+                                      &ReplayResult::recomputedTokens,
+                                      &ReplayResult::worstTeamShare,
+                                      &ReplayResult::goodput,
+                                      &ReplayResult::busyPart,
+                                      &ReplayResult::detectSeconds};
+    static constexpr std::array sums{
+        &ReplayResult::refused, &ReplayResult::wronglyRefused, &ReplayResult::inRate, &ReplayResult::detections, &ReplayResult::falseEjections};
+    ReplayResult mean;
+    mean.worstTeamShare = 0;
+    std::uint64_t seed = options.seed;
+    for (const Trace &trace : traces) {
+        const ReplayResult result = Replay(trace, policy, seed++, options.placement).run();
+        for (const auto member : means) {
+            mean.*member += result.*member / static_cast<double>(traces.size());
+        }
+        for (const auto member : sums) {
+            mean.*member += result.*member;
+        }
+    }
+    return mean;
+}
+
 void printRow(std::string_view deployment, std::string_view trace, std::string_view policy, const ReplayResult &result)
 {
     std::printf("| %s | %s | %s | %.3f | %.2f | %.2f | %.2f | %.1f | %.3f | %.2f | %.0f | %zu | %.2f | %.1f | %zu | %zu |\n",
@@ -116,19 +158,19 @@
             if (!options.trace.empty() && options.trace != shape.name) {
                 continue;
             }
-            const Trace trace = makeTrace(shape, deployment, options.seed, options.scale, options.load);
+            std::vector<Trace> traces;
+            for (std::uint64_t seed = options.seed; seed < options.seed + options.seeds; ++seed) {
+                traces.push_back(makeTrace(shape, deployment, seed, options.scale, options.load));
+            }
             if (!options.file.empty()) {
-                std::ofstream file(options.file);
-                for (const TraceRequest &request : trace.requests) {
-                    file << formatTraceRequest(request) << '\n';
-                }
+                writeTrace(traces.front(), options.file);
                 return;
             }
             for (const PolicySpec &policy : policySpecs()) {
                 if (!options.policy.empty() && options.policy != policy.name) {
                     continue;
                 }
-                printRow(deployed, shape.name, policy.name, Replay(trace, policy, options.seed, options.placement).run());
+                printRow(deployed, shape.name, policy.name, meanResult(traces, policy, options));
             }
         }
     }
--- a/decision/cache_view.cpp
+++ b/decision/cache_view.cpp
@@ -14,6 +14,8 @@
 constexpr std::uint64_t stampMask = 0xffff;
 constexpr std::size_t stampsPerTurnover = 64;
 constexpr std::size_t prefetchDistance = 16;
+/// An engine that holds this many blocks less than the best one isn't looked for: it would have to compute half a second more.
+constexpr std::size_t furtherBlocks = 16;
 /// With 14 places for 10 blocks a bucket of 8 overflows for one block in 30, and a block takes 24 bytes at most.
 constexpr std::size_t entriesPerTenBlocks = 14;
 
@@ -73,9 +75,7 @@
     record.nextSequence = end;
     for (std::size_t i = 0; i < events.size(); ++i) {
         if (i + prefetchDistance < events.size()) {
-            const Bucket &ahead = buckets_[bucketIndex(events[i + prefetchDistance].block)];
-            __builtin_prefetch(&ahead.entries.front());
-            __builtin_prefetch(&ahead.entries[entriesPerBucket / 2]);
+            prefetch(events[i + prefetchDistance].block);
         }
         apply(engine, events[i]);
     }
@@ -97,7 +97,7 @@
 void CacheView::learn(EngineIndex engine, std::span<const BlockHash> chain)
 {
     for (const BlockHash block : chain) {
-        __builtin_prefetch(&buckets_[bucketIndex(block)]);
+        prefetch(block);
     }
     for (const BlockHash block : chain) {
         store(engine, block);
@@ -111,14 +111,13 @@
 
 std::size_t CacheView::findHolders(std::span<const BlockHash> chain, std::span<HeldPrefix> found) const
 {
-    for (const BlockHash block : chain) {
-        const Bucket &bucket = buckets_[bucketIndex(block)];
-        __builtin_prefetch(&bucket.entries.front());
-        __builtin_prefetch(&bucket.entries[entriesPerBucket / 2]);
-    }
     std::bitset<engineLimit> seen;
     std::size_t count = 0;
-    for (std::size_t depth = chain.size(); depth > 0; --depth) {
+    std::size_t end = 0;
+    for (std::size_t depth = chain.size(); depth > end; --depth) {
+        if (depth > prefetchDistance) {
+            prefetch(chain[depth - 1 - prefetchDistance]);
+        }
         const BlockHash block = chain[depth - 1];
         for (const Entry &entry : buckets_[bucketIndex(block)].entries) {
             if (!hasTag(entry.tagAndStamp, block)) {
@@ -132,6 +131,9 @@
                     return count;
                 }
                 seen.set(engineOf(holder));
+                if (count == 0 && depth > furtherBlocks) {
+                    end = depth - furtherBlocks;
+                }
                 found[count++] = {.engine = engineOf(holder), .blocks = static_cast<std::uint16_t>(depth)};
             }
         }
@@ -158,6 +160,13 @@
     return static_cast<std::size_t>(((block & 0xffffffffU) * buckets_.size()) >> 32U);
 }
 
+void CacheView::prefetch(BlockHash block) const
+{
+    const Bucket &bucket = buckets_[bucketIndex(block)];
+    __builtin_prefetch(&bucket.entries.front());
+    __builtin_prefetch(&bucket.entries[entriesPerBucket / 2]);
+}
+
 CacheView::Holder CacheView::holderOf(EngineIndex engine) const
 {
     return static_cast<Holder>((static_cast<unsigned>(engine) << generationBits) | engines_[engine].generation);
--- a/decision/cache_view.h
+++ b/decision/cache_view.h
@@ -67,8 +67,8 @@
     bool isHint(EngineIndex engine) const;
 
     /// Finds engines that hold a prefix of `chain`, longest first, and writes at most `found.size()` of them; returns how many.
-    /// An engine counts as holding all blocks before its deepest one: they were computed with it and are evicted after it,
-    /// while the event that told of them may be lost.
+    /// Those that hold far less than the first are left out. An engine counts as holding all blocks before its deepest one: they were computed with it and are
+    /// evicted after it, while the event that told of them may be lost.
     std::size_t findHolders(std::span<const BlockHash> chain, std::span<HeldPrefix> found) const;
 
     /// Blocks held over all engines, counting a block once for each engine.
@@ -107,6 +107,7 @@
     };
 
     std::size_t bucketIndex(BlockHash block) const;
+    void prefetch(BlockHash block) const;
     bool isLive(Holder holder) const;
     bool hasLiveHolder(const Entry &entry) const;
     void dropAll(EngineIndex engine);
--- a/decision/placement.cpp
+++ b/decision/placement.cpp
@@ -478,7 +478,7 @@
 double Placement::slotWaitOf(const Engine &engine) const
 {
     const LoadReport &report = engine.lastReport;
-    const double sent = static_cast<double>(engine.load.sentSinceReport()) * policy_.hostCount;
+    const double sent = static_cast<double>(std::min(engine.load.sentSinceReport(), engine.inFlight)) * policy_.hostCount;
     const double behind = report.waitingRequests + sent + report.runningRequests - engine.batchLimit;
     return std::max(0.0, behind) * engine.requestSeconds / std::max(1.0, engine.batchLimit);
 }
--- a/decision/prefix_heat.cpp
+++ b/decision/prefix_heat.cpp
@@ -22,8 +22,8 @@
 /// learned better; beyond it prompts of one chapter would be scattered over the fleet.
 constexpr std::size_t startLevel = 16;
 
-/// Time in which heat falls to a third. Long against the lag of reports, short against the time a chapter is hot.
-constexpr double coolingSeconds = 10;
+/// Time in which heat falls to a third. A chapter becomes hot within a second; a few seconds are enough to smooth single requests.
+constexpr double coolingSeconds = 2.5;
 
 /// A child that has less than this part of its parent's heat isn't shared: a key there would scatter prompts that have the
 /// parent in common.
--- a/tests/decision/replay/replay.cpp
+++ b/tests/decision/replay/replay.cpp
@@ -294,7 +294,6 @@
             tellEngines();
             break;
         }
-        engine.isLeaving = false;
         stopEngine(static_cast<EngineIndex>(fault.engine), fault.factor);
         ++engine.version;
         tellEngines();
@@ -310,6 +309,7 @@
 void Replay::onEngineReturns(const Event &event)
 {
     engines_[event.subject].isUp = true;
+    engines_[event.subject].isLeaving = false;
     tellEngines();
 }
 
