--- a/decision/admission_queue.h
+++ b/decision/admission_queue.h
@@ -52,20 +52,24 @@
 class AdmissionQueue
 {
 public:
-    /// Whether some engine of a model has room in its window now.
-    using CanDispatch = std::function<bool(ModelId)>;
+    /// Whether some engine of the request's model has room in its window for it now.
+    using CanDispatch = std::function<bool(const QueuedRequest &)>;
 
     explicit AdmissionQueue(const QueueLimits &limits = {});
 
     /// A team's part relative to the others', for example its configured rate over the mean rate. By default 1, range [0.01, 100].
     void setWeight(TeamId team, double weight);
 
+    /// Tells that a model's engines can do `factor` times what they did, as (engines now) / (engines before); above 0.
+    void scaleCapacity(ModelId model, double factor);
+
     /// Lets a request wait or refuses it: Draining, InvalidField (the id waits already), Overloaded (no memory), QueueFull
     /// (longer than the queue's longest wait) or DeadlineWouldPass. Its deadline is brought forward to the longest wait.
     AdmissionDecision offer(const QueuedRequest &request, TimePoint now);
 
-    /// The request that goes to an engine now; nothing if none waits for a model that can take one. Never one whose
-    /// deadline has passed. Call it until it returns nothing whenever a window opens or a request was admitted.
+    /// The request that goes to an engine now; nothing if each model's next request is refused by `canDispatch` or none
+    /// waits. Never one whose deadline has passed. Call it until it returns nothing whenever a window opens or a request
+    /// was admitted: a refused `canDispatch` is also how the queue learns that the engines are saturated.
     std::optional<QueuedRequest> next(TimePoint now, const CanDispatch &canDispatch);
 
     /// Puts back a request from `next` that reached no engine. It is served first among its like and its team pays once.
@@ -118,7 +122,8 @@
         ModelId model{};
         FairQueue queue;
         WaitEstimate estimate;
-        std::unordered_map<std::uint64_t, ReservationBook> books; ///< By team and lane; only of teams that were refused.
+        std::unordered_map<std::uint64_t, ReservationBook> books; ///< By team and lane.
+        TimePoint emptiedAt;
     };
 
     /// What the checks look at.
@@ -126,8 +131,10 @@
     {
         const QueuedRequest &request;
         ModelQueue &model;
+        ReservationBook &book;
         TimePoint now;
         Duration bound{}; ///< The longest wait this request may have.
+        Duration waitByBacklog{}; ///< The wait expected from the order of service alone.
         Duration wait{}; ///< The wait expected.
         Duration waitBehindReserved{}; ///< The same if all callers whose reserved time has come were in the queue too.
         bool isReserved = false; ///< Came back at the time it was told.
@@ -142,9 +149,14 @@
     ResultCode checkWait(const Offer &offer) const;
 
     ModelQueue &modelQueue(ModelId model);
-    static std::uint64_t bookKey(const ModelQueue &model, const QueuedRequest &request);
+    static ReservationBook &reservationBook(ModelQueue &model, const QueuedRequest &request);
+    static void onBlocked(ModelQueue &model, TimePoint now);
+    static void afterRemoval(ModelQueue &model, TimePoint now);
+    static Duration waitByBacklog(const Offer &offer, std::int64_t extra);
+    static Duration expectedWait(const Offer &offer, std::int64_t extra);
     Offer assess(const QueuedRequest &request, TimePoint now);
     static void applyReservations(Offer &offer);
+    static Duration serviceTime(const Offer &offer);
     static Duration reserveReturn(const Offer &offer);
     static AdmissionDecision refuse(const Offer &offer, ResultCode code);
     QueueEntry &insert(const QueuedRequest &request);
--- a/decision/placement.cpp
+++ b/decision/placement.cpp
@@ -86,20 +86,6 @@
     engines_[engine].isOpen = isOpen;
 }
 
-bool Placement::hasRoom(ModelVersionId modelVersion, TimePoint now) const
-{
-    for (const Version &version : versions_) {
-        if (version.id != modelVersion) {
-            continue;
-        }
-        return std::any_of(version.nodes.begin(), version.nodes.end(), [this, now](const RendezvousNode &node) {
-            const Engine &engine = engines_[node.engine];
-            return !health_.isEjected(node.engine) && canBegin(engine, waitOf(engine, node.engine, now));
-        });
-    }
-    return false;
-}
-
 void Placement::setHostCount(std::size_t count)
 {
     policy_.hostCount = static_cast<double>(std::max<std::size_t>(1, count));
--- a/decision/placement.h
+++ b/decision/placement.h
@@ -111,9 +111,6 @@
     /// sending it elsewhere costs another engine the whole prefix and the blocks that it evicts for it.
     void setOpen(EngineIndex engine, bool isOpen);
 
-    /// Whether some engine of a version could take a request now: what decides if a queue may give out its next one.
-    bool hasRoom(ModelVersionId modelVersion, TimePoint now) const;
-
     /// How many hosts decide likewise.
     void setHostCount(std::size_t count);
 
--- a/tests/decision/replay/placing_policy.cpp
+++ b/tests/decision/replay/placing_policy.cpp
@@ -184,16 +184,6 @@
         return isGreedy_ || bestPrice <= leastPrice + policy_.holdSlack / std::max(0.01, pressure) ? best : std::nullopt;
     }
 
-    bool hasRoom(std::span<const char> isOpen, TimePoint now) const override
-    {
-        for (std::size_t engine = 0; engine < engines_.size(); ++engine) {
-            if (engines_[engine].isUp && canBegin(isOpen[engine], waitOf(engine, now))) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     std::uint32_t missedTokens(const PlacementRequest &request) const override
     {
         std::uint32_t most = 0;
@@ -250,18 +240,14 @@
 
     std::optional<Placed> place(const PlacementRequest &request, std::span<const char> isOpen, TimePoint now, Random &random) override
     {
-        setOpen(isOpen);
+        for (std::size_t engine = 0; engine < isOpen.size(); ++engine) {
+            placement_.setOpen(static_cast<EngineIndex>(engine), isOpen[engine] != 0);
+        }
         Reason reason;
         const auto decision = placement_.place(request, now, random, reason);
         return decision ? std::optional(Placed{decision->engine, *decision}) : std::nullopt;
     }
 
-    bool hasRoom(std::span<const char> isOpen, TimePoint now) const override
-    {
-        setOpen(isOpen);
-        return placement_.hasRoom(1, now) || placement_.hasRoom(2, now);
-    }
-
     std::uint32_t missedTokens(const PlacementRequest &request) const override
     {
         return placement_.expectedMissedTokens(request);
@@ -308,14 +294,7 @@
     }
 
 private:
-    void setOpen(std::span<const char> isOpen) const
-    {
-        for (std::size_t engine = 0; engine < isOpen.size(); ++engine) {
-            placement_.setOpen(static_cast<EngineIndex>(engine), isOpen[engine] != 0);
-        }
-    }
-
-    mutable Placement placement_;
+    Placement placement_;
 };
 
 template <typename Policy>
--- a/tests/decision/replay/replay.cpp
+++ b/tests/decision/replay/replay.cpp
@@ -22,6 +22,9 @@
 /// After the last arrival, for what still waits and runs.
 constexpr double drainSeconds = 30;
 
+/// A host's part of what all engines compute, as it knows it from their configuration.
+constexpr double hostTokensPerSecond = Replay::engineCount / EngineModel::prefillSecondsPerToken / Replay::routerCount;
+
 TimePoint at(double seconds)
 {
     return TimePoint(fromSeconds(seconds));
@@ -123,25 +126,26 @@
     }
 }
 
-void Replay::dispatch(Router &router)
+std::array<char, Replay::engineCount> Replay::openEngines(const Router &router) const
 {
     std::array<char, engineCount> isOpen{};
-    const auto canDispatch = [this, &router, &isOpen](ModelId /*model*/) {
-        const auto hasRoom = [this](const EngineWindow &window) { return static_cast<char>(!policy_.obeysWindows || window.canStart()); };
-        const auto isOpenAndStays = [](char open, const EngineModel &engine) { return static_cast<char>(open != 0 && !engine.isLeaving); };
-        std::transform(router.windows.begin(), router.windows.end(), isOpen.begin(), hasRoom);
-        std::transform(isOpen.begin(), isOpen.end(), engines_.begin(), isOpen.begin(), isOpenAndStays);
-        return router.policy->hasRoom(isOpen, at(now_));
+    for (std::size_t engine = 0; engine < engineCount; ++engine) {
+        const bool hasRoom = !policy_.obeysWindows || router.windows[engine].canStart(1);
+        isOpen[engine] = static_cast<char>(hasRoom && !engines_[engine].isLeaving);
+    }
+    return isOpen;
+}
+
+void Replay::dispatch(Router &router)
+{
+    std::optional<PlacingPolicy::Placed> placed;
+    const auto canDispatch = [this, &router, &placed](const QueuedRequest &queued) {
+        placed = router.policy->place(placementRequest(static_cast<std::uint32_t>(queued.id)), openEngines(router), at(now_), random_);
+        return placed.has_value();
     };
     while (const auto queued = router.queue->next(at(now_), canDispatch)) {
         const auto index = static_cast<std::uint32_t>(queued->id);
-        const PlacementRequest request = placementRequest(index);
-        const auto placed = router.policy->place(request, isOpen, at(now_), random_);
-        if (!placed) {
-            router.queue->putBack(*queued, at(now_));
-            break;
-        }
-        send(router, index, *placed, request);
+        send(router, index, *placed, placementRequest(index));
     }
     for (const ExpiredRequest &expired : router.queue->expire(at(now_))) {
         refuse(static_cast<std::uint32_t>(expired.request.id));
@@ -318,7 +322,7 @@
     ++router.epoch;
     router.policy = policy_.make({.engines = engines_, .hostCount = routerCount, .placement = placement_});
     if (!router.queue) {
-        router.queue = std::make_unique<AdmissionQueue>();
+        router.queue = std::make_unique<AdmissionQueue>(QueueLimits{.initialRate = hostTokensPerSecond});
     }
     router.windows = {};
     tellEngines();
--- a/tests/decision/replay/replay.h
+++ b/tests/decision/replay/replay.h
@@ -132,6 +132,7 @@
     void makeChains(std::uint32_t index);
     PlacementRequest placementRequest(std::uint32_t index);
     void offer(Router &router, std::uint32_t index);
+    std::array<char, engineCount> openEngines(const Router &router) const;
     void dispatch(Router &router);
     void send(Router &router, std::uint32_t index, const PlacingPolicy::Placed &placed, const PlacementRequest &request);
     void failAttempt(std::uint32_t index);
