--- a/decision/placement.cpp
+++ b/decision/placement.cpp
@@ -86,20 +86,6 @@
     engines_[engine].isOpen = isOpen;
 }
 
-bool Placement::hasRoom(ModelVersionId modelVersion, TimePoint now) const
-{
-    for (const Version &version : versions_) {
-        if (version.id != modelVersion) {
-            continue;
-        }
-        return std::any_of(version.nodes.begin(), version.nodes.end(), [this, now](const RendezvousNode &node) {
-            const Engine &engine = engines_[node.engine];
-            return !health_.isEjected(node.engine) && canBegin(engine, waitOf(engine, node.engine, now));
-        });
-    }
-    return false;
-}
-
 void Placement::setHostCount(std::size_t count)
 {
     policy_.hostCount = static_cast<double>(std::max<std::size_t>(1, count));
@@ -390,7 +376,7 @@
         for (std::size_t rank = 0; rank < count; ++rank) {
             // A copy that the heat calls for serves the many that come after, so this request is charged its own time only.
             const bool isCalledFor = route.needed > 1 && rank < route.needed;
-            consider(choice, winners[rank], heldScratch_[winners[rank]], isCalledFor ? 1 : workPrice(rank == 0 ? 0 : policy_.secondMargin));
+            consider(choice, winners[rank], heldScratch_[winners[rank]], workPrice(isCalledFor ? policy_.copyMargin : rank == 0 ? 0 : policy_.secondMargin));
         }
     }
     for (const HeldPrefix &holder : std::span(holders).first(holderCount)) {
@@ -478,7 +464,7 @@
 double Placement::slotWaitOf(const Engine &engine) const
 {
     const LoadReport &report = engine.lastReport;
-    const double sent = static_cast<double>(engine.load.sentSinceReport()) * policy_.hostCount;
+    const double sent = static_cast<double>(std::min(engine.load.sentSinceReport(), engine.inFlight)) * policy_.hostCount;
     const double behind = report.waitingRequests + sent + report.runningRequests - engine.batchLimit;
     return std::max(0.0, behind) * engine.requestSeconds / std::max(1.0, engine.batchLimit);
 }
