Engines' load reports and cache events reach the placement; placing within the queue's peek

Change: an observer reads reports and events of each engine; engines' prefill rate and batch limit are fields of the target; the scheduler places while the queue peeks, and tells the queue when engines come and go.

--- a/coordination/configuration.h
+++ b/coordination/configuration.h
@@ -69,6 +69,8 @@
     bool checksFencing = false; ///< Whether it refuses an order with an old fencing token.
     TargetState state = TargetState::Serving;
     std::vector<NonIdempotentRoute> nonIdempotent;
+    double prefillRate = 10'000; ///< For engines: prompt tokens computed a second.
+    std::int64_t batchLimit = 64; ///< For engines: requests it generates for at once.
 
     bool operator==(const TargetConfiguration &) const = default;
 };
--- a/coordination/configuration_json.cpp
+++ b/coordination/configuration_json.cpp
@@ -20,6 +20,7 @@
 using JsonObject = Poco::JSON::Object::Ptr;
 using JsonArray = Poco::JSON::Array::Ptr;
 
+constexpr double greatestBatch = 1e6;
 constexpr double greatestRate = 1e12;
 constexpr std::size_t greatestName = 128;
 
@@ -164,7 +165,7 @@
 
 TargetConfiguration readTarget(const JsonObject &object)
 {
-    allowOnly(object, {"kind", "name", "type", "service", "address", "data_centre", "model", "checks_fencing", "state", "non_idempotent"});
+    allowOnly(object, {"kind", "name", "type", "service", "address", "data_centre", "model", "checks_fencing", "state", "non_idempotent", "prefill_rate", "batch_limit"});
     TargetConfiguration target;
     target.name = readName(object, "name");
     const std::string type = readText(object, "type");
@@ -175,6 +176,12 @@
     target.address = readText(object, "address");
     target.dataCentre = readText(object, "data_centre", false);
     target.checksFencing = readFlag(object, "checks_fencing");
+    if (object->has("prefill_rate")) {
+        target.prefillRate = readNumber(object, "prefill_rate", 1, greatestRate);
+    }
+    if (object->has("batch_limit")) {
+        target.batchLimit = static_cast<std::int64_t>(readNumber(object, "batch_limit", 1, greatestBatch));
+    }
     const std::string state = readText(object, "state", false);
     if (!state.empty() && state != "serving" && state != "leaving") {
         failField("state", "must be serving or leaving");
@@ -301,6 +308,10 @@
     object->set("address", target.address);
     object->set("data_centre", target.dataCentre);
     object->set("checks_fencing", target.checksFencing);
+    if (isEngine) {
+        object->set("prefill_rate", target.prefillRate);
+        object->set("batch_limit", target.batchLimit);
+    }
     object->set("state", target.state == TargetState::Leaving ? "leaving" : "serving");
     object->set("non_idempotent", writeList(target.nonIdempotent));
     return object;
--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -32,6 +32,8 @@
         status.modelVersion = modelVersions_.idOf(engine.model + '\n' + engine.weightsVersion);
         status.incarnation = engine.incarnation;
         status.isServing = engine.isServing;
+        status.prefillTokensPerSecond = engine.prefillTokensPerSecond;
+        status.batchLimit = engine.batchLimit;
         statuses.push_back(status);
         std::vector<Version> &versions = versions_[models_.idOf(engine.model)];
         if (std::none_of(versions.begin(), versions.end(), [&status](const Version &version) { return version.id == status.modelVersion; })) {
@@ -59,9 +61,27 @@
         entry.incarnation = engine.incarnation != 0 ? engine.incarnation : entry.incarnation;
         entry.isServing = engine.isServing;
     }
+    scaleQueues(kept);
     engines_ = std::move(kept);
 }
 
+/// Tells the queue how much faster or slower each model is served now: with its old rate it would admit what then expires.
+void RequestScheduler::scaleQueues(const std::map<EngineIndex, Engine> &after)
+{
+    std::map<ModelId, std::pair<double, double>> counts;
+    for (const auto &[index, engine] : engines_) {
+        counts[engine.model].first += engine.isServing ? 1 : 0;
+    }
+    for (const auto &[index, engine] : after) {
+        counts[engine.model].second += engine.isServing ? 1 : 0;
+    }
+    for (const auto &[model, count] : counts) {
+        if (count.first > 0 && count.second > 0 && count.first != count.second) {
+            queue_.scaleCapacity(model, count.second / count.first);
+        }
+    }
+}
+
 void RequestScheduler::setTeamWeight(std::string_view team, double weight)
 {
     queue_.setWeight(teams_.idOf(team), weight);
@@ -91,6 +111,8 @@
     queued.priority = request.priority;
     queued.cost = static_cast<std::int64_t>(placement_.expectedMissedTokens(placementRequest(request))) + request.outputTokens;
     queued.deadline = request.deadline;
+    queued.fingerprint = request.fingerprint;
+    queued.isRetry = request.isRetry;
     const AdmissionDecision decision = queue_.offer(queued, now);
     if (!decision.isAdmitted) {
         return refuse(id, decision.reason, decision.retryAfter);
@@ -121,13 +143,9 @@
     for (ExpiredRequest &expired : queue_.expire(now)) {
         outcomes.emplace_back(refuse(expired.request.id, std::move(expired.reason), expired.retryAfter));
     }
-    while (const auto queued = queue_.next(now, [this, now](const QueuedRequest &next) { return canDispatch(next, now); })) {
-        auto outcome = assign(*queued, now, random);
-        if (!outcome) {
-            queue_.putBack(*queued, now);
-            break;
-        }
-        outcomes.push_back(std::move(*outcome));
+    Choice choice;
+    while (const auto queued = queue_.next(now, [&](const QueuedRequest &next) { return choose(next, now, random, choice); })) {
+        outcomes.push_back(assign(*queued, now, choice));
     }
     return outcomes;
 }
@@ -142,24 +160,28 @@
     queue_.drain();
 }
 
-bool RequestScheduler::canDispatch(const QueuedRequest &queued, TimePoint now)
+/// Whether a request can leave its queue now: to an engine, or because no engine will ever do.
+bool RequestScheduler::choose(const QueuedRequest &queued, TimePoint now, Random &random, Choice &choice)
 {
+    choice = {};
     const auto found = requests_.find(queued.id);
     if (found == requests_.end()) {
         return true;
     }
-    const std::int64_t missed = std::max(1U, placement_.expectedMissedTokens(placementRequest(found->second)));
-    bool isServed = false;
+    const SchedulerRequest &request = found->second;
+    const PlacementRequest placed = placementRequest(request);
+    const std::int64_t missed = std::max(1U, placement_.expectedMissedTokens(placed));
     for (auto &[index, engine] : engines_) {
-        if (engine.model != queued.model) {
-            continue;
+        if (engine.model == queued.model) {
+            placement_.setOpen(index, engine.window.canStart(missed));
         }
-        placement_.setOpen(index, engine.window.canStart(missed));
-        isServed = isServed || engine.isServing;
     }
-    // A model without any engine lets its requests out too: they are refused at once in place of waiting for their deadline.
-    const std::vector<Version> &versions = versions_[queued.model];
-    return !isServed || std::any_of(versions.begin(), versions.end(), [this, now](const Version &version) { return placement_.hasRoom(version.id, now); });
+    choice.engine = placement_.place(placed, now, random, choice.reason);
+    if (choice.engine) {
+        return true;
+    }
+    // Busy engines are worth a wait, but not for a request that has failed on the others already.
+    return choice.reason.code != ResultCode::Overloaded || !request.failedEngines.empty();
 }
 
 std::span<const VersionedChain> RequestScheduler::chainsOf(const SchedulerRequest &request)
@@ -186,27 +208,20 @@
     return {chainsOf(request), request.promptTokens, request.outputTokens, failedScratch_};
 }
 
-std::optional<SchedulerOutcome> RequestScheduler::assign(const QueuedRequest &queued, TimePoint now, Random &random)
+SchedulerOutcome RequestScheduler::assign(const QueuedRequest &queued, TimePoint now, const Choice &choice)
 {
     const auto found = requests_.find(queued.id);
-    if (found == requests_.end()) {
+    if (found == requests_.end() || !choice.engine) {
         return refuse(queued.id, {ResultCode::NoTarget, {}}, noTargetRetry);
     }
-    const SchedulerRequest &request = found->second;
-    const PlacementRequest placed = placementRequest(request);
-    Reason reason;
-    const auto decision = placement_.place(placed, now, random, reason);
-    if (!decision) {
-        // Busy engines are worth a wait, but not for a request that has failed on the others already.
-        const bool mayWait = reason.code == ResultCode::Overloaded && request.failedEngines.empty();
-        return mayWait ? std::nullopt : std::optional<SchedulerOutcome>(refuse(queued.id, {ResultCode::NoTarget, {}}, noTargetRetry));
-    }
-    const std::int64_t missed = std::max<std::int64_t>(1, std::int64_t{request.promptTokens} - decision->expectedCachedTokens);
-    const DispatchId dispatch = placement_.onDispatched(placed, *decision, now);
-    Engine &engine = engines_[decision->engine];
-    inFlight_[queued.id] = {dispatch, decision->engine, engine.serial, engine.window.start(missed, now)};
+    const PlacementDecision &decision = *choice.engine;
+    const PlacementRequest placed = placementRequest(found->second);
+    const std::int64_t missed = std::max<std::int64_t>(1, std::int64_t{placed.promptTokens} - decision.expectedCachedTokens);
+    const DispatchId dispatch = placement_.onDispatched(placed, decision, now);
+    Engine &engine = engines_[decision.engine];
+    inFlight_[queued.id] = {dispatch, decision.engine, engine.serial, engine.window.start(missed, now)};
     requests_.erase(found);
-    return SchedulerAssignment{queued.id, std::string(placement_.engineName(decision->engine)), decision->expectedCachedTokens};
+    return SchedulerAssignment{queued.id, std::string(placement_.engineName(decision.engine)), decision.expectedCachedTokens};
 }
 
 SchedulerRefusal RequestScheduler::refuse(RequestId id, Reason reason, Duration retryAfter)
--- a/decision/request_scheduler.h
+++ b/decision/request_scheduler.h
@@ -26,6 +26,8 @@
     std::string model;
     std::string weightsVersion; ///< What it runs now.
     std::uint64_t incarnation = 0; ///< 0 while not known.
+    double prefillTokensPerSecond = 10'000; ///< Speed at which it computes prompts.
+    std::uint32_t batchLimit = 64; ///< Requests it generates for at once.
     bool isServing = true;
 };
 
@@ -43,6 +45,8 @@
     std::uint32_t outputTokens = 0;
     TimePoint deadline;
     std::vector<std::string> failedEngines; ///< Not empty for a retry.
+    std::uint64_t fingerprint = 0; ///< Digest of key and body, by which a caller that comes back is known.
+    bool isRetry = false; ///< The caller says that it was refused before.
 };
 
 /// An engine was found; `onEnded` must follow in any case.
@@ -147,10 +151,18 @@
         EngineWindow::Dispatch window;
     };
 
-    bool canDispatch(const QueuedRequest &queued, TimePoint now);
+    /// What was found for the request that the queue would give out next.
+    struct Choice
+    {
+        std::optional<PlacementDecision> engine;
+        Reason reason;
+    };
+
+    bool choose(const QueuedRequest &queued, TimePoint now, Random &random, Choice &choice);
+    void scaleQueues(const std::map<EngineIndex, Engine> &after);
     std::span<const VersionedChain> chainsOf(const SchedulerRequest &request);
     PlacementRequest placementRequest(const SchedulerRequest &request);
-    std::optional<SchedulerOutcome> assign(const QueuedRequest &queued, TimePoint now, Random &random);
+    SchedulerOutcome assign(const QueuedRequest &queued, TimePoint now, const Choice &choice);
     SchedulerRefusal refuse(RequestId id, Reason reason, Duration retryAfter);
     Engine *engineOf(const InFlight &request);
 
--- a/main/router_host.cpp
+++ b/main/router_host.cpp
@@ -49,6 +49,7 @@
     , tickets_(*store_, settings_.storePrefix, configuration_, [this](const LogEntry &entry) { peers_.announceToAll(entry); })
     , storeWatch_(settings_, *store_, configuration_, metrics_)
     , dispatcher_(settings_, configuration_)
+    , engineObserver_(configuration_, dispatcher_, metrics_)
     , parts_{settings_, metrics_, configuration_, shares_, tickets_, claims_, dispatcher_, drain_, deadlines_}
 {
     shares_.setTransport(peers_);
--- a/main/router_host.h
+++ b/main/router_host.h
@@ -5,6 +5,7 @@
 #include "core/metrics.h"
 #include "core/settings.h"
 #include "servers/caller_server.h"
+#include "servers/engine_observer.h"
 #include "servers/operator_server.h"
 #include "servers/peer_duty.h"
 #include "servers/router_parts.h"
@@ -49,6 +50,7 @@
     DrainState drain_;
     ConnectionDeadlines deadlines_;
     Dispatcher dispatcher_;
+    EngineObserver engineObserver_;
     RouterParts parts_;
     std::unique_ptr<CallerServer> callers_;
     std::unique_ptr<OperatorServer> operators_;
--- a/servers/dispatcher.cpp
+++ b/servers/dispatcher.cpp
@@ -240,6 +240,8 @@
         engine.model = target.model;
         engine.weightsVersion = !seen.weightsVersion.empty() || model == state_->models().end() ? seen.weightsVersion : model->second.weightsVersion;
         engine.incarnation = seen.incarnation;
+        engine.prefillTokensPerSecond = target.prefillRate;
+        engine.batchLimit = static_cast<std::uint32_t>(target.batchLimit);
         engine.isServing = target.state == TargetState::Serving;
         engines.push_back(std::move(engine));
     }
--- a/tests/coordination/faulty_store.h
+++ b/tests/coordination/faulty_store.h
@@ -1,13 +1,9 @@
 #pragma once
 
 #include <functional>
-<<<<<<< HEAD
 #include <optional>
 #include <string>
 #include <utility>
-=======
-#include <string>
->>>>>>> shares
 #include <vector>
 
 #include "coordination/memory_store.h"
@@ -16,7 +12,6 @@
 namespace Lovageloft
 {
 
-<<<<<<< HEAD
 /// A store in memory that fails as the platform's does: it is down, loses answers before or after a write took effect, and lets
 /// a write whose answer was lost arrive much later. Calls happen one after another, so that a seed repeats a run.
 class FaultyStore : public Store
@@ -60,21 +55,10 @@
     std::size_t reads() const
     {
         return reads_;
-=======
-/// A store in memory with outages, whose answers get lost before, after and long before a write takes effect.
-class FaultyStore : public MemoryStore
-{
-public:
-    explicit FaultyStore(Now now, std::uint64_t seed = 1)
-        : MemoryStore(std::move(now))
-        , random_(seed)
-    {
->>>>>>> shares
     }
 
     StoreReply get(std::string_view key) override
     {
-<<<<<<< HEAD
         ++reads_;
         const Fault fault = nextFault();
         return fault == Fault::None ? memory_.get(key) : StoreReply{failure(fault), {}};
@@ -113,37 +97,15 @@
     StoreListReply watch(std::string_view prefix, std::int64_t afterRevision, Duration timeout) override
     {
         return memory_.watch(prefix, afterRevision, timeout);
-=======
-        ++calls;
-        return isFailing() ? StoreReply{chance(50) ? StoreStatus::Unavailable : StoreStatus::AnswerLost, {}} : MemoryStore::get(key);
-    }
-
-    StoreReply compareAndSwap(std::string_view key, std::int64_t revision, std::string_view value, std::int64_t leaseId) override
-    {
-        return write([this, key = std::string(key), revision, value = std::string(value), leaseId] {
-            return MemoryStore::compareAndSwap(key, revision, value, leaseId);
-        });
-    }
-
-    StoreReply compareAndDelete(std::string_view key, std::int64_t revision) override
-    {
-        return write([this, key = std::string(key), revision] { return MemoryStore::compareAndDelete(key, revision); });
->>>>>>> shares
     }
 
     StoreLeaseReply grantLease(Duration timeToLive) override
     {
-<<<<<<< HEAD
         return memory_.grantLease(timeToLive);
-=======
-        ++calls;
-        return isFailing() ? StoreLeaseReply{} : MemoryStore::grantLease(timeToLive);
->>>>>>> shares
     }
 
     StoreLeaseReply keepAlive(std::int64_t leaseId) override
     {
-<<<<<<< HEAD
         return memory_.keepAlive(leaseId);
     }
 
@@ -176,54 +138,6 @@
     std::function<void()> beforeWrite_;
     std::vector<LateWrite> late_;
     std::size_t reads_ = 0;
-=======
-        const StoreLeaseReply reply = isFailing() ? StoreLeaseReply{} : MemoryStore::keepAlive(leaseId);
-        return losesAnswers ? StoreLeaseReply{StoreStatus::AnswerLost, leaseId, {}} : reply;
-    }
-
-    bool isDown = false;
-    bool losesAnswers = false; ///< Writes take effect, and nobody is told.
-    std::size_t lossPercent = 0;
-    int calls = 0;
-
-private:
-    using Write = std::function<StoreReply()>;
-
-    bool chance(std::size_t percent)
-    {
-        return randomBelow(random_, 100) < percent;
-    }
-
-    bool isFailing()
-    {
-        return isDown || chance(lossPercent);
-    }
-
-    StoreReply write(const Write &apply)
-    {
-        ++calls;
-        if (!delayed_.empty() && chance(20)) {
-            delayed_.back()();
-            delayed_.pop_back();
-        }
-        if (!isFailing()) {
-            const StoreReply reply = apply();
-            return losesAnswers ? StoreReply{StoreStatus::AnswerLost, {}} : reply;
-        }
-        if (chance(30)) {
-            return {StoreStatus::Unavailable, {}};
-        }
-        if (chance(30)) {
-            delayed_.push_back(apply);
-        } else if (!isDown && chance(50)) {
-            apply();
-        }
-        return {StoreStatus::AnswerLost, {}};
-    }
-
-    Random random_;
-    std::vector<Write> delayed_;
->>>>>>> shares
 };
 
 } // namespace Lovageloft
--- a/tests/coordination/test_claim_runner.cpp
+++ b/tests/coordination/test_claim_runner.cpp
@@ -11,7 +11,7 @@
 #include "coordination/claim_recorder.h"
 #include "coordination/claim_runner.h"
 #include "core/random.h"
-#include "tests/coordination/faulty_store.h"
+#include "tests/coordination/lossy_store.h"
 
 using namespace Lovageloft;
 using namespace std::chrono_literals;
@@ -187,7 +187,7 @@
 
     Random random_;
     TimePoint now_ = TimePoint(1h);
-    FaultyStore store_;
+    LossyStore store_;
     std::array<std::shared_ptr<Process>, hostCount> processes_;
     std::vector<std::unique_ptr<Attempt>> attempts_;
     std::map<const ClaimRunner *, bool> ran_;
@@ -223,7 +223,7 @@
     }
 
     TimePoint now = TimePoint(1h);
-    FaultyStore store{[this] { return now; }};
+    LossyStore store{[this] { return now; }};
     std::unique_ptr<Process> first = std::make_unique<Process>(0, 1, store);
     std::unique_ptr<Process> second = std::make_unique<Process>(1, 1, store);
     std::vector<std::unique_ptr<Process>> gone; ///< Kept for the runners that a test still holds.
--- a/tests/coordination/test_order_scheduler.cpp
+++ b/tests/coordination/test_order_scheduler.cpp
@@ -7,7 +7,7 @@
 
 #include "coordination/order_scheduler.h"
 #include "core/random.h"
-#include "tests/coordination/faulty_store.h"
+#include "tests/coordination/lossy_store.h"
 #include "tests/coordination/virtual_time.h"
 
 using namespace Lovageloft;
@@ -144,7 +144,7 @@
         }
     }
 
-    FaultyStore store{[this] { return now(); }};
+    LossyStore store{[this] { return now(); }};
     std::vector<WantedEngine> wanted;
     std::map<std::string, FakeEngine> engines;
     std::size_t orders = 0;
@@ -257,7 +257,7 @@
     }
 
     TimePoint start = TimePoint(1h);
-    FaultyStore store{[this] { return start; }};
+    LossyStore store{[this] { return start; }};
     std::vector<WantedEngine> wanted;
     LeaseHolder lease{store, "p/orders", "h9"};
     OrderScheduler scheduler;
@@ -439,7 +439,7 @@
 BOOST_AUTO_TEST_CASE(aLeaseWhoseAnswerWasLostIsFoundByReadingBack)
 {
     TimePoint now = TimePoint(1h);
-    FaultyStore store([&now] { return now; });
+    LossyStore store([&now] { return now; });
     LeaseHolder first(store, "k", "h0");
     store.losesAnswers = true;
     for (int step = 0; step < 4; ++step) {
--- a/tests/decision/replay/replay.cpp
+++ b/tests/decision/replay/replay.cpp
@@ -129,13 +129,6 @@
 std::array<char, Replay::engineCount> Replay::openEngines(const Router &router) const
 {
     std::array<char, engineCount> isOpen{};
-<<<<<<< HEAD
-    const auto canDispatch = [this, &router, &isOpen](const QueuedRequest &next) {
-        const std::int64_t missed = std::max(1U, router.policy->missedTokens(placementRequest(static_cast<std::uint32_t>(next.id))));
-        const auto hasRoom = [this, missed](const EngineWindow &window) { return static_cast<char>(!policy_.obeysWindows || window.canStart(missed)); };
-        std::transform(router.windows.begin(), router.windows.end(), isOpen.begin(), hasRoom);
-        return router.policy->hasRoom(isOpen, at(now_));
-=======
     for (std::size_t engine = 0; engine < engineCount; ++engine) {
         const bool hasRoom = !policy_.obeysWindows || router.windows[engine].canStart(1);
         isOpen[engine] = static_cast<char>(hasRoom && !engines_[engine].isLeaving);
@@ -149,7 +142,6 @@
     const auto canDispatch = [this, &router, &placed](const QueuedRequest &queued) {
         placed = router.policy->place(placementRequest(static_cast<std::uint32_t>(queued.id)), openEngines(router), at(now_), random_);
         return placed.has_value();
->>>>>>> placing
     };
     while (const auto queued = router.queue->next(at(now_), canDispatch)) {
         const auto index = static_cast<std::uint32_t>(queued->id);
