--- a/tests/decision/replay/placing_policy.h
+++ b/tests/decision/replay/placing_policy.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -30,12 +29,6 @@
     /// Chooses an engine; `isOpen` tells which have room in their windows.
     virtual std::optional<Placed> place(const PlacementRequest &request, std::span<const char> isOpen, TimePoint now, Random &random) = 0;
 
-    /// Whether some engine could take a request now.
-    virtual bool hasRoom(std::span<const char> isOpen, TimePoint /*now*/) const
-    {
-        return std::any_of(isOpen.begin(), isOpen.end(), [](char open) { return open != 0; });
-    }
-
     /// Prompt tokens that will be computed, for the queue.
     virtual std::uint32_t missedTokens(const PlacementRequest &request) const
     {
@@ -67,6 +60,11 @@
     {
     }
 
+    virtual bool isEjected(EngineIndex /*engine*/) const
+    {
+        return false;
+    }
+
     virtual void setEngines(std::span<const EngineStatus> /*engines*/)
     {
     }
