--- a/tests/system/test_shares.cpp
+++ b/tests/system/test_shares.cpp
@@ -28,6 +28,11 @@
     {
     }
 
+    std::int64_t startedCalls()
+    {
+        return numberIn(record(engine(0)), "started") + numberIn(record(engine(1)), "started");
+    }
+
     /// Whether all hosts together hold a team's whole burst.
     bool hasFullBurst(std::string_view team) const
     {
@@ -115,4 +120,43 @@
     BOOST_TEST(modest.otherRefusals == 0);
 }
 
+BOOST_AUTO_TEST_CASE(restartsAndPausesGiveATeamNoMore)
+{
+    // Hosts are killed, replaced and paused while a team sends five times its rate. A host that came back with a full bucket, or
+    // that caught up on the refill of its pause, would give the team a burst more each time.
+    constexpr std::size_t callers = 15;
+    // A call costs its answer and a prompt of a few tokens; the engines count the calls, also those whose callers lost the answer.
+    const CallerAnswer sample = call(0, chat(tokens, false));
+    const std::int64_t callTokens = numberIn(sample.body, "total_tokens");
+    BOOST_TEST_REQUIRE(callTokens >= tokens);
+    BOOST_TEST_REQUIRE(waitFor(patience, [this] { return hasFullBurst("greedy"); }));
+    const std::int64_t startedBefore = startedCalls();
+    Usage greedy;
+    const TimePoint begin = BootClock::now();
+    const TimePoint end = begin + span;
+    {
+        std::vector<std::jthread> threads;
+        threads.reserve(callers);
+        for (std::size_t i = 0; i < callers; ++i) {
+            threads.emplace_back([&, i] { callAtPace(*this, greedyKey, i, std::chrono::milliseconds(50), end, greedy); });
+        }
+        for (std::size_t i = 0; BootClock::now() < end; ++i) {
+            const std::size_t paused = (i + 1) % hostCount();
+            host(paused).freeze();
+            std::this_thread::sleep_for(std::chrono::milliseconds(800));
+            host(paused).resume();
+            restartHost(i % hostCount());
+            std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        }
+    }
+    const double elapsed = toSeconds(BootClock::now() - begin);
+    const std::int64_t executed = (startedCalls() - startedBefore) * callTokens;
+    const double allowed = rate * elapsed + burst;
+    BOOST_TEST_MESSAGE("under restarts and pauses: " << executed << " tokens executed in " << elapsed << " s of " << allowed << " allowed, " << greedy.answers
+                                                     << " answers, " << greedy.overRate << " over rate, " << greedy.otherRefusals << " others");
+    BOOST_TEST(static_cast<double>(executed) <= allowed);
+    BOOST_TEST(greedy.answers > 0);
+    BOOST_TEST(greedy.overRate > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
