Long prompts pass in large reads and writes

Cause: Poco's body streams read and write in calls of 4 KB, so that a prompt of 1 MB costs some 500 system calls. A first try sent the body before the head, which waits in the same stream's buffer until it is flushed: all of test_servers failed. Change: bodies of known length are read from and written to the sockets directly, the head flushed first.

--- a/coordination/configuration_json.cpp
+++ b/coordination/configuration_json.cpp
@@ -165,7 +165,9 @@
 
 TargetConfiguration readTarget(const JsonObject &object)
 {
-    allowOnly(object, {"kind", "name", "type", "service", "address", "data_centre", "model", "checks_fencing", "state", "non_idempotent", "prefill_rate", "batch_limit"});
+    allowOnly(
+        object,
+        {"kind", "name", "type", "service", "address", "data_centre", "model", "checks_fencing", "state", "non_idempotent", "prefill_rate", "batch_limit"});
     TargetConfiguration target;
     target.name = readName(object, "name");
     const std::string type = readText(object, "type");
--- a/drivers/http_exchange.cpp
+++ b/drivers/http_exchange.cpp
@@ -97,13 +97,16 @@
     }
     stage_ = ExchangeStage::Sent;
     try {
-        std::ostream &out = session_->sendRequest(request);
-        out.write(head.body.data(), static_cast<std::streamsize>(head.body.size()));
-        out.flush();
-        if (out.good()) {
-            return true;
+        // The head waits in the stream's buffer until it is flushed.
+        session_->sendRequest(request).flush();
+        // Past Poco's stream, which would cut a long prompt into calls of 4 KB.
+        std::string_view rest = head.body;
+        while (!rest.empty()) {
+            constexpr std::size_t most = 1'048'576;
+            const int count = session_->socket().sendBytes(rest.data(), static_cast<int>(std::min(rest.size(), most)));
+            rest.remove_prefix(static_cast<std::size_t>(count));
         }
-        reason = {ResultCode::TargetUnreachable, "the connection failed while the request was sent"};
+        return true;
     } catch (const Poco::Exception &error) {
         reason = {ResultCode::TargetUnreachable, "the connection failed while the request was sent: " + error.displayText()};
     }
--- a/servers/caller_connection.cpp
+++ b/servers/caller_connection.cpp
@@ -19,6 +19,7 @@
 
 constexpr std::size_t idBytes = 12;
 constexpr std::size_t readSize = 65'536;
+constexpr std::size_t bodyReadSize = 262'144;
 
 /// Poco names what is wrong with a header only in words.
 ResultCode codeOf(const Poco::Net::MessageException &error)
@@ -96,7 +97,7 @@
         response.sendContinue();
     }
     Reason reason;
-    auto body = readBody(request, reason);
+    auto body = readBody(request, request.session(), reason);
     const bool isInTime = parts_.deadlines.setServing(descriptor_);
     if (!isInTime) {
         return refuseAndClose({ResultCode::CallerTooSlow, {}});
@@ -111,12 +112,12 @@
     return true;
 }
 
-std::optional<std::string> CallerConnection::readBody(Poco::Net::HTTPServerRequest &request, Reason &reason)
+std::optional<std::string> CallerConnection::readBody(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerSession &session, Reason &reason)
 {
     const auto limit = static_cast<std::size_t>(parts_.settings.bodyLimit);
     std::string body;
     if (request.hasContentLength()) {
-        body.reserve(static_cast<std::size_t>(request.getContentLength64()) + readSize);
+        return readBodyOfLength(static_cast<std::size_t>(request.getContentLength64()), session, reason);
     }
     std::istream &in = request.stream();
     while (in.good()) {
@@ -129,7 +130,34 @@
             return std::nullopt;
         }
     }
-    if (request.hasContentLength() && body.size() < static_cast<std::size_t>(request.getContentLength64())) {
+    return body;
+}
+
+/// Reads past Poco's stream, which would take a long prompt in calls of 4 KB.
+std::optional<std::string> CallerConnection::readBodyOfLength(std::size_t length, Poco::Net::HTTPServerSession &session, Reason &reason)
+{
+    // Room for the parser to look past the end, so that it need not copy the body.
+    constexpr std::size_t parserRoom = 256;
+    std::string body;
+    body.reserve(length + parserRoom);
+    Poco::Buffer<char> buffered(0);
+    session.drainBuffer(buffered);
+    body.assign(buffered.begin(), std::min(buffered.size(), length));
+    try {
+        while (body.size() < length) {
+            const std::size_t end = body.size();
+            body.resize(std::min(length, end + bodyReadSize));
+            const int count = session.socket().receiveBytes(body.data() + end, static_cast<int>(body.size() - end));
+            body.resize(end + static_cast<std::size_t>(std::max(count, 0)));
+            if (count <= 0) {
+                break;
+            }
+        }
+    } catch (const Poco::Exception &error) {
+        writeLog(LogLevel::Debug, "caller_body_cut", {{"cause", std::string_view(error.what())}});
+        body.clear();
+    }
+    if (body.size() < length) {
         reason = {ResultCode::MalformedHttp, "the body is shorter than announced"};
         return std::nullopt;
     }
