--- a/benchmarks/decision/bench_placing.cpp
+++ b/benchmarks/decision/bench_placing.cpp
@@ -120,7 +120,7 @@
     void run(std::size_t i, bool isDispatched)
     {
         const VersionedChain chain{.modelVersion = 1, .blocks = chains[i % chainCount]};
-        const PlacementRequest request{.chains = std::span(&chain, 1), .promptTokens = chainBlocksCount * prefixBlockTokens, .expectedOutputTokens = 200};
+        const PlacementRequest request{.chains = std::span(&chain, 1), .promptTokens = chainBlocksCount * prefixBlockTokens};
         const auto decision = placement.place(request, now, random, reason);
         benchmark::DoNotOptimize(decision);
         isHeld = !decision;
--- a/decision/placement.h
+++ b/decision/placement.h
@@ -50,7 +50,6 @@
 {
     std::span<const VersionedChain> chains; ///< One a version that may serve it; two while new weights are brought in.
     std::uint32_t promptTokens = 0;
-    std::uint32_t expectedOutputTokens = 0;
     std::span<const EngineIndex> excluded = {}; ///< Engines that have failed this request already.
 };
 
@@ -69,28 +68,31 @@
 /// Names a dispatched request until it has finished or failed.
 using DispatchId = std::uint64_t;
 
-/// What the choice weighs; the defaults are those that docs/design/placing.md gives figures for.
+/// What the choice weighs; docs/design/placing.md has the figures behind the defaults. Each candidate has a price in seconds: its
+/// wait and, times a factor, the prefill that it would have to do. The factor is recomputeWeight, pressureWeight times the mean
+/// wait of all engines, and the margin of what the candidate is.
 struct PlacementPolicy
 {
-    std::size_t viewBlocks = 1'500'000; ///< Cached blocks in view; 36 MB.
+    std::size_t viewBlocks = 1'500'000; ///< Cached blocks in view; 34 MB.
     double hostCount = 1; ///< Hosts that decide likewise; the work seen here times this is the fleet's.
-    double splitLoad = 0.3; ///< See PrefixHeat.
-    double recomputeWeight = 2.0; ///< Price of a second of prefill against a second of wait.
+    double splitLoad = 0.3; ///< Engine-seconds a second that one engine is given of a hot prefix; see PrefixHeat.
     std::size_t randomCandidates = 2;
+    double recomputeWeight = 2.0; ///< More than 1, as those behind wait for the prefill as well.
+    double pressureWeight = 3.0; ///< A second, as at saturation each prefix computed twice takes capacity from all.
+    double copyMargin = -1.0; ///< Of winners that the prefix's heat calls for: the copy serves many that come after.
+    double secondMargin = 1.0; ///< Of other winners after the first.
+    double strayMargin = 2.0; ///< Of engines that don't win the prefix's hash: a restarted host would not look there.
+    double fallbackMargin = 2.0; ///< Of all other engines, weighed only once no candidate can begin with the request.
     double openWait = 3.0; ///< Seconds of expected wait up to which an engine with room in its window is used.
     double closedWait = 1.0; ///< The same for one without room.
-    double holdSlack = 0.3; ///< Price above the best engine's at which one that can begin now is used, divided by the mean wait.
-    double copyMargin = -1.0; ///< The same of winners that the prefix's heat calls for.
-    double secondMargin = 1.0; ///< As strayMargin, of rendezvous winners after the first.
-    double pressureWeight = 3.0; ///< Added to recomputeWeight for each second that engines have queued on average.
-    double fallbackMargin = 2.0; ///< The same once no candidate can begin with the request.
-    double strayMargin = 2.0; ///< Extra price of an engine that neither holds the prefix nor wins its hash, as part of the prefill.
+    double holdSlack = 0.3; ///< Square seconds: over the mean wait, by how much dearer than the best an engine may be that can begin now.
 };
 
 /// Decides which engine gets a request. Made for prompts that share long nested prefixes over 18 engines today and 1,000 in two
 /// years: an engine that holds the prefix answers at once, while recomputing it makes all behind it wait. Candidates are the
-/// rendezvous winners of the prefix, engines in the cache view that hold it, and two random ones; the least expected time to the
-/// first token wins. All state is this host's own, and losing it costs some recomputation only. Not thread-safe.
+/// rendezvous winners of the prefix, engines in the cache view that hold it, and two random ones; the least
+/// price wins, which is the expected time to the first token with recomputation made dearer. All state is this host's own, and losing it costs some
+/// recomputation only. Not thread-safe.
 class Placement
 {
 public:
--- a/tests/decision/replay/replay.cpp
+++ b/tests/decision/replay/replay.cpp
@@ -444,10 +444,7 @@
             chainScratch_.push_back({version, progress_[index].chains[version - 1]});
         }
     }
-    return {.chains = chainScratch_,
-            .promptTokens = trace_.requests[index].promptTokens,
-            .expectedOutputTokens = trace_.requests[index].answerTokens,
-            .excluded = progress_[index].excluded};
+    return {.chains = chainScratch_, .promptTokens = trace_.requests[index].promptTokens, .excluded = progress_[index].excluded};
 }
 
 bool Replay::isMeasured(const TraceRequest &request) const
--- a/tests/decision/test_placement.cpp
+++ b/tests/decision/test_placement.cpp
@@ -45,10 +45,7 @@
     std::optional<PlacementDecision> place(std::span<const BlockHash> chain, double now, std::span<const EngineIndex> excluded = {})
     {
         chains = {VersionedChain{.modelVersion = 1, .blocks = chain}, VersionedChain{.modelVersion = 2, .blocks = chain}};
-        request = {.chains = chains,
-                   .promptTokens = static_cast<std::uint32_t>(chain.size() * prefixBlockTokens + 100),
-                   .expectedOutputTokens = 100,
-                   .excluded = excluded};
+        request = {.chains = chains, .promptTokens = static_cast<std::uint32_t>(chain.size() * prefixBlockTokens + 100), .excluded = excluded};
         return placement.place(request, at(now), random, reason);
     }
 
