--- a/coordination/configuration_log_store.h
+++ b/coordination/configuration_log_store.h
@@ -23,8 +23,8 @@
     ConfigurationLogStore(Store &store, std::string prefix);
 
     /// Brings the replica up to the store. Ok means that every entry committed before this call began is in `log`, so a
-    /// freshness gate may take the time at which it began as confirmed. One read when nothing is new; an empty replica first
-    /// takes the snapshot.
+    /// freshness gate may take the time at which it began as confirmed; the store's reads must be linearizable for that. One read when nothing is new; an empty
+    /// replica first takes the snapshot.
     StoreStatus catchUp(ConfigurationLog &log);
 
     /// Adds the entries that a watch below logPrefix() brought; returns how many of them were new.
--- a/coordination/in_force_tracker.h
+++ b/coordination/in_force_tracker.h
@@ -25,7 +25,8 @@
 
     void setHosts(HostLists lists);
 
-    /// Follows a committed entry; `now` is a time at which it was known to be committed.
+    /// Follows a committed entry; `now` is a time at which it was known to be committed. A tracker that starts anew is given the last
+    /// entry of the log: once that is in force, so are all before it.
     void track(std::int64_t sequence, TimePoint now);
 
     /// A host's own answer to a question sent at `askedAt` that came in at `answeredAt`, never a relayed one. The host that runs the
