--- a/tests/system/test_herd.cpp
+++ b/tests/system/test_herd.cpp
@@ -28,6 +28,14 @@
     return calls;
 }
 
+struct ServiceSystem : SystemFixture
+{
+    ServiceSystem()
+        : SystemFixture({.services = 1})
+    {
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(HerdSystemTest)
@@ -68,6 +76,41 @@
     BOOST_TEST(herdCalls <= mostHerdCalls * static_cast<std::int64_t>(herdSize));
 }
 
+BOOST_FIXTURE_TEST_CASE(aHostThatJustStartedTellsNoCallerThatItsKeyIsUnknown, ServiceSystem)
+{
+    // A host is replaced, and callers reach it in the moment before it has the whole configuration. If it answered for what it does
+    // not know yet, a caller with a good key would be told that the key or the path does not exist, and give up.
+    constexpr int restarts = 5;
+    for (int i = 0; i < restarts; ++i) {
+        restartHost(0);
+        const auto isServed = [this] {
+            const CallerAnswer answer = call(0, chat(tokens));
+            const bool isTruthful = answer.status == 200 || answer.code() == static_cast<int>(ResultCode::NotFresh);
+            BOOST_TEST(isTruthful, answer.head << answer.body);
+            const CallerAnswer page = call(0, post("/archive/pages", "{}"));
+            BOOST_TEST((page.status == 200 || page.code() == static_cast<int>(ResultCode::NotFresh)), page.head << page.body);
+            return answer.status == 200;
+        };
+        BOOST_TEST(waitFor(restartLimit, isServed));
+        BOOST_TEST(isReady(0));
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(hostsThatRestartWhileAnotherIsGoneServeAgain, SystemFixture)
+{
+    // One host is gone for good and still listed when the others are replaced together. They can't know whether it still spends its
+    // share under an older configuration, and wait the freshness window out; a caller notices refusals for three seconds.
+    host(2).kill();
+    restartHost(0);
+    restartHost(1);
+    const TimePoint start = BootClock::now();
+    for (std::size_t i = 0; i < 2; ++i) {
+        BOOST_TEST(waitFor(patience, [&] { return judgeStream(call(i, chat(tokens)), tokens) == StreamOutcome::Whole; }));
+        BOOST_TEST_MESSAGE("with one host gone, first answer " << toSeconds(BootClock::now() - start) << " s after the start");
+        BOOST_TEST(isReady(i));
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(anIdleHostCallsTheStoreAboutTwiceASecondAtMost, SystemFixture)
 {
     // The store counts each call, and its rate does not grow with the fleet. An idle host that polled it would be noticed when a
