--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -205,7 +205,7 @@
             failedScratch_.push_back(*index);
         }
     }
-    return {chainsOf(request), request.promptTokens, request.outputTokens, failedScratch_};
+    return {chainsOf(request), request.promptTokens, failedScratch_};
 }
 
 SchedulerOutcome RequestScheduler::assign(const QueuedRequest &queued, TimePoint now, const Choice &choice)
