--- a/benchmarks/decision/bench_placing.cpp
+++ b/benchmarks/decision/bench_placing.cpp
@@ -120,14 +120,15 @@
     void run(std::size_t i, bool isDispatched)
     {
         const VersionedChain chain{.modelVersion = 1, .blocks = chains[i % chainCount]};
-        const PlacementRequest request{.chains = std::span(&chain, 1), .promptTokens = chainBlocksCount * prefixBlockTokens, .expectedOutputTokens = 200};
+        const PlacementRequest request{.chains = std::span(&chain, 1), .promptTokens = chainBlocksCount * prefixBlockTokens};
         const auto decision = placement.place(request, now, random, reason);
         benchmark::DoNotOptimize(decision);
         isHeld = !decision;
         if (isDispatched && decision) {
             const DispatchId id = placement.onDispatched(request, *decision, now);
-            placement.onFirstToken(id, std::nullopt, now + std::chrono::milliseconds(100));
-            placement.onFinished(id, now + std::chrono::milliseconds(900));
+            const TimePoint firstToken = now + fromSeconds(decision->expectedFirstToken);
+            placement.onFirstToken(id, std::nullopt, firstToken);
+            placement.onFinished(id, firstToken + std::chrono::milliseconds(800));
         }
         now += std::chrono::milliseconds(10);
     }
