Operators' tables, keys by their id, and faults that reading found

Cause: lovageloftctl printed raw JSON and lacked half its commands; a read of the code for the operators' pages found that a taken peer port aborted the program, that seed tickets stopped a second start on an external store, that hosts without a list of hosts each gave every team its whole rate, that a bad address became an empty one, and that keys were compared one by one.

--- a/coordination/configuration_json.cpp
+++ b/coordination/configuration_json.cpp
@@ -11,6 +11,8 @@
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
 
+#include "core/settings.h"
+
 namespace Lovageloft
 {
 
@@ -72,6 +74,15 @@
     return name;
 }
 
+std::string readAddress(const JsonObject &object, const std::string &field)
+{
+    std::string address = readText(object, field);
+    if (!parseHostAddress(address)) {
+        failField(field, "must be ADDRESS:PORT");
+    }
+    return address;
+}
+
 double readNumber(const JsonObject &object, const std::string &field, double minimum, double maximum)
 {
     const Poco::Dynamic::Var value = object->get(field);
@@ -175,7 +186,7 @@
         failField("type", "must be engine or service");
     }
     target.kind = type == "engine" ? TargetKind::Engine : TargetKind::Service;
-    target.address = readText(object, "address");
+    target.address = readAddress(object, "address");
     target.dataCentre = readText(object, "data_centre", false);
     target.checksFencing = readFlag(object, "checks_fencing");
     if (object->has("prefill_rate")) {
@@ -207,7 +218,7 @@
 HostEntry readHost(const JsonObject &object)
 {
     allowOnly(object, {"name", "peer_address", "data_centre"});
-    return {readName(object, "name"), readText(object, "peer_address"), readText(object, "data_centre", false)};
+    return {readName(object, "name"), readAddress(object, "peer_address"), readText(object, "data_centre", false)};
 }
 
 HostsConfiguration readHosts(const JsonObject &object)
--- a/main/lovageloftctl.cpp
+++ b/main/lovageloftctl.cpp
@@ -11,7 +11,9 @@
 
 #include "core/settings.h"
 #include "drivers/http_exchange.h"
+#include "main/answer_table.h"
 #include "main/exit_codes.h"
+#include "main/ticket_file.h"
 
 using namespace Lovageloft;
 
@@ -23,9 +25,11 @@
     std::string address;
     std::string keyFile;
     std::vector<std::string> words;
+    bool isJson = false;
 };
 
-constexpr std::string_view usage = "Operators' calls. Commands: status | teams | engines | ticket apply FILE | settings check FILE. "
+constexpr std::string_view usage = "Operators' calls. Commands: status | teams | engines | hosts | audit [FROM] | drain | ticket apply FILE | "
+                                   "ticket show NUMBER | settings check FILE. "
                                    "The key is read from --key-file or the environment variable LOVAGELOFT_OPERATOR_KEY. "
                                    "Exit codes: 0 done, 1 refused or outcome not known, 2 wrong arguments or settings, 3 the host gave no answer.";
 
@@ -36,9 +40,10 @@
         line.setExceptionHandling(false);
         TCLAP::ValueArg<std::string> address("", "host", "Operator address of a host.", false, "127.0.0.1:8081", "ADDRESS:PORT", line);
         TCLAP::ValueArg<std::string> keyFile("", "key-file", "File that holds the operators' key.", false, "", "FILE", line);
+        TCLAP::SwitchArg json("", "json", "Print the answer as it came, in JSON.", line);
         TCLAP::UnlabeledMultiArg<std::string> words("command", "What to do.", true, "COMMAND", line);
         line.parse(argc, argv);
-        return Arguments{address.getValue(), keyFile.getValue(), words.getValue()};
+        return Arguments{address.getValue(), keyFile.getValue(), words.getValue(), json.getValue()};
     } catch (const TCLAP::ArgException &error) {
         std::cerr << "lovageloftctl: " << error.error() << ' ' << error.argId() << "; see lovageloftctl --help\n";
     } catch (const TCLAP::ExitException &) {
@@ -47,9 +52,13 @@
     return std::nullopt;
 }
 
-std::string readFile(const std::string &path)
+std::optional<std::string> readFile(const std::string &path)
 {
     const std::ifstream in(path);
+    if (!in) {
+        std::cerr << "lovageloftctl: can't read " << path << '\n';
+        return std::nullopt;
+    }
     std::ostringstream text;
     text << in.rdbuf();
     return text.str();
@@ -61,7 +70,7 @@
         const char *key = std::getenv("LOVAGELOFT_OPERATOR_KEY");
         return key == nullptr ? "" : key;
     }
-    std::string key = readFile(arguments.keyFile);
+    std::string key = readFile(arguments.keyFile).value_or("");
     while (!key.empty() && std::isspace(static_cast<unsigned char>(key.back())) != 0) {
         key.pop_back();
     }
@@ -98,7 +107,7 @@
         std::cerr << "lovageloftctl: the outcome is not known: " << reason.text << '\n';
         return ExitFailed;
     }
-    std::cout << *text << '\n';
+    std::cout << (arguments.isJson ? *text + '\n' : formatAnswer(*text));
     return answer->status < errorStatus ? ExitOk : ExitFailed;
 }
 
@@ -117,9 +126,41 @@
     return call(arguments, "GET", "/operator/targets", {});
 }
 
+int showHosts(const Arguments &arguments)
+{
+    return call(arguments, "GET", "/operator/hosts", {});
+}
+
+int showAudit(const Arguments &arguments)
+{
+    return call(arguments, "GET", "/operator/audit", {});
+}
+
+int showAuditFrom(const Arguments &arguments)
+{
+    return call(arguments, "GET", "/operator/audit?from=" + arguments.words.back(), {});
+}
+
+int drain(const Arguments &arguments)
+{
+    return call(arguments, "POST", "/operator/drain", {});
+}
+
+int showTicket(const Arguments &arguments)
+{
+    return call(arguments, "GET", "/operator/tickets?ticket=" + arguments.words.back(), {});
+}
+
 int applyTicket(const Arguments &arguments)
 {
-    return call(arguments, "POST", "/operator/tickets", readFile(arguments.words.back()));
+    const auto text = readFile(arguments.words.back());
+    Reason reason;
+    const auto ticket = text ? prepareTicket(*text, reason) : std::nullopt;
+    if (!ticket) {
+        std::cerr << "lovageloftctl: " << (text ? reason.text : "no ticket was sent") << '\n';
+        return ExitUsage;
+    }
+    return call(arguments, "POST", "/operator/tickets", *ticket);
 }
 
 int checkSettings(const Arguments &arguments)
@@ -144,7 +185,12 @@
     {{"status", ""}, 0, &showStatus},
     {{"teams", ""}, 0, &showTeams},
     {{"engines", ""}, 0, &showEngines},
+    {{"hosts", ""}, 0, &showHosts},
+    {{"audit", ""}, 0, &showAudit},
+    {{"audit", ""}, 1, &showAuditFrom},
+    {{"drain", ""}, 0, &drain},
     {{"ticket", "apply"}, 1, &applyTicket},
+    {{"ticket", "show"}, 1, &showTicket},
     {{"settings", "check"}, 1, &checkSettings},
 });
 
--- a/main/lovageloftd.cpp
+++ b/main/lovageloftd.cpp
@@ -102,6 +102,8 @@
         code = serve(*settings, signals);
     } catch (const Poco::Exception &error) {
         std::cerr << "lovageloftd: " << error.displayText() << '\n';
+    } catch (const std::exception &error) {
+        std::cerr << "lovageloftd: " << error.what() << '\n';
     }
     stopLog();
     return code;
--- a/main/router_host.cpp
+++ b/main/router_host.cpp
@@ -40,7 +40,7 @@
 RouterHost::RouterHost(Settings settings)
     : settings_(std::move(settings))
     , incarnation_(makeIncarnation())
-    , shares_(settings_.hostName, std::to_string(incarnation_), metrics_)
+    , shares_(settings_.hostName, std::to_string(incarnation_), settings_.storeKind == "memory", metrics_)
     , configuration_(settings_, incarnation_, shares_)
     , store_(makeStore(settings_))
     , claimTable_(settings_.hostName, std::to_string(incarnation_))
@@ -72,6 +72,9 @@
 
 bool RouterHost::applySeedTickets(Reason &reason)
 {
+    if (settings_.storeKind != "memory") {
+        return true;
+    }
     for (const std::string &path : settings_.seedTickets) {
         const std::ifstream in(path);
         std::ostringstream text;
--- a/servers/completion_handler.cpp
+++ b/servers/completion_handler.cpp
@@ -136,6 +136,7 @@
             return false;
         }
         failedEngines_.push_back(assignment->engine);
+        parts_.metrics.add("lovageloft_engine_failures_total{code=\"" + std::string(resultCodeInfo(reason.code).name) + "\"}");
         if (!mayTryAgain(reason)) {
             return refuse({reason, RunState::MayHaveRun, std::chrono::seconds(1)});
         }
--- a/servers/configuration_service.cpp
+++ b/servers/configuration_service.cpp
@@ -40,15 +40,12 @@
 
 std::optional<TeamKey> ConfigurationService::findKey(std::string_view key) const
 {
-    const auto current = state();
-    for (const auto &[name, team] : current->teams()) {
-        for (const KeyDigest &digest : team.keys) {
-            if (matchesKey(digest, key)) {
-                return TeamKey{name, digest.id};
-            }
-        }
+    std::shared_ptr<const KeyTable> keys;
+    {
+        const std::lock_guard lock(stateMutex_);
+        keys = keys_;
     }
-    return std::nullopt;
+    return keys->find(key);
 }
 
 bool ConfigurationService::hasKey(const TeamKey &key) const
@@ -121,9 +118,12 @@
         return;
     }
     const TimePoint now = BootClock::now();
+    auto state = std::make_shared<const ConfigurationState>(log_.state());
+    auto keys = std::make_shared<const KeyTable>(*state);
     {
         const std::lock_guard lock(stateMutex_);
-        state_ = std::make_shared<const ConfigurationState>(log_.state());
+        state_ = std::move(state);
+        keys_ = std::move(keys);
     }
     gate_.setVersionHeld(held);
     for (std::int64_t sequence = std::max(before + 1, held - static_cast<std::int64_t>(entriesPerAnswer)); sequence <= held; ++sequence) {
@@ -151,7 +151,7 @@
 {
     const TimePoint now = BootClock::now();
     // A list without hosts is that of a single host on its own store: what it holds is all that anyone holds.
-    if (log_.state().hosts().empty() && gate_.isCaughtUp()) {
+    if (settings_.storeKind == "memory" && log_.state().hosts().empty() && gate_.isCaughtUp()) {
         tracker_.onInForce(log_.version());
     }
     tracker_.onPeerVouch({settings_.hostName, incarnation_, gate_.versionHeld(), gate_.isCaughtUp()}, now, now);
--- a/servers/configuration_service.h
+++ b/servers/configuration_service.h
@@ -13,6 +13,7 @@
 #include "coordination/configuration_log.h"
 #include "coordination/freshness_gate.h"
 #include "coordination/in_force_tracker.h"
+#include "coordination/key_table.h"
 #include "core/settings.h"
 #include "servers/peer_handler.h"
 #include "servers/share_service.h"
@@ -21,11 +22,7 @@
 {
 
 /// The key that a caller showed, resolved.
-struct TeamKey
-{
-    std::string team;
-    std::string keyId;
-};
+using TeamKey = KeyMatch;
 
 /// What the peer duty is to ask, worked out by `tick`.
 struct PeerQuestions
@@ -109,6 +106,7 @@
     FreshnessGate gate_;
     InForceTracker tracker_;
     std::shared_ptr<const ConfigurationState> state_ = std::make_shared<ConfigurationState>();
+    std::shared_ptr<const KeyTable> keys_ = std::make_shared<KeyTable>(ConfigurationState());
     std::optional<TimePoint> storeConfirmedAt_;
     std::vector<std::string> aheadPeers_; ///< Addresses of peers that said they hold a newer entry.
     std::int64_t askedVersion_ = 0; ///< The version held when peers were last asked.
--- a/servers/operator_routes.cpp
+++ b/servers/operator_routes.cpp
@@ -86,6 +86,11 @@
 
 void serveMetrics(const OperatorCall &call)
 {
+    call.parts.metrics.set("lovageloft_fresh", call.parts.configuration.isFresh() ? 1 : 0);
+    call.parts.metrics.set("lovageloft_configuration_version", static_cast<double>(call.parts.configuration.version()));
+    call.parts.metrics.set("lovageloft_requests_running", static_cast<double>(call.parts.drain.running()));
+    call.parts.dispatcher.inspect(
+        [&call](const RequestScheduler &scheduler) { call.parts.metrics.set("lovageloft_requests_waiting", static_cast<double>(scheduler.waiting())); });
     const std::string text = call.parts.metrics.text();
     call.response.setContentType("text/plain; version=0.0.4");
     call.response.sendBuffer(text.data(), text.size());
--- a/servers/share_service.cpp
+++ b/servers/share_service.cpp
@@ -15,8 +15,9 @@
 
 } // namespace
 
-ShareService::ShareService(std::string host, std::string incarnation, Metrics &metrics)
+ShareService::ShareService(std::string host, std::string incarnation, bool isAlone, Metrics &metrics)
     : host_(std::move(host))
+    , isAlone_(isAlone)
     , metrics_(metrics)
     , ledger_(host_, std::move(incarnation), BootClock::now())
 {
@@ -110,8 +111,7 @@
 {
     const std::lock_guard lock(mutex_);
     ShareConfiguration configuration = shareConfiguration(version, state);
-    if (configuration.hosts.empty()) {
-        // A deployment of one host needs no list of hosts.
+    if (configuration.hosts.empty() && isAlone_) {
         configuration.hosts.push_back(host_);
     }
     ledger_.setConfiguration(configuration, BootClock::now());
--- a/servers/share_service.h
+++ b/servers/share_service.h
@@ -36,7 +36,9 @@
 class ShareService
 {
 public:
-    ShareService(std::string host, std::string incarnation, Metrics &metrics);
+    /// `isAlone` tells a deployment of one host on its own store, which needs no list of hosts. With any other store a host that
+    /// took itself for the only home while the list is empty would give each team its rate once a host.
+    ShareService(std::string host, std::string incarnation, bool isAlone, Metrics &metrics);
 
     /// Must be called before the first charge. The transport must outlive this object's use.
     void setTransport(ShareTransport &transport);
@@ -76,6 +78,7 @@
     void send(const ShareDecision &decision);
 
     std::string host_;
+    bool isAlone_;
     Metrics &metrics_;
     ShareTransport *transport_ = nullptr;
     std::mutex mutex_;
--- a/tests/servers/router_fixture.cpp
+++ b/tests/servers/router_fixture.cpp
@@ -15,7 +15,7 @@
     : ticketPath_(Poco::TemporaryFile::tempName())
 {
     Ticket ticket{1, "test", {}};
-    ticket.objects.emplace_back(TeamConfiguration{"desk", 1e9, 1e9, {makeKeyDigest("k1", key)}});
+    ticket.objects.emplace_back(TeamConfiguration{"desk", 1e9, 1e9, {makeKeyDigest("lk-test", key)}});
     ticket.objects.emplace_back(ModelConfiguration{"model", "1"});
     for (std::size_t i = 0; i < engineCount; ++i) {
         StandIns::StandInEngineOptions options = engineOptions;
--- a/tests/system/system_fixture.cpp
+++ b/tests/system/system_fixture.cpp
@@ -76,7 +76,7 @@
 SystemFixture::SystemFixture(const SystemOptions &options)
     : options_(options)
     , folder_(Poco::TemporaryFile::tempName())
-    , deskKeys_{makeKeyDigest("first", deskKey)}
+    , deskKeys_{makeKeyDigest("lk-desk", deskKey)}
     , hosts_(options.hosts)
 {
     std::signal(SIGPIPE, SIG_IGN);
--- a/tests/system/test_configuration.cpp
+++ b/tests/system/test_configuration.cpp
@@ -32,7 +32,7 @@
 BOOST_FIXTURE_TEST_CASE(aTicketIsInForceAtEveryHostAndEveryHostStreams, SystemFixture)
 {
     TeamConfiguration team = desk();
-    team.keys.push_back(makeKeyDigest("second", secondKey));
+    team.keys.push_back(makeKeyDigest("lk-desk-second", secondKey));
     const TimePoint committed = BootClock::now();
     const std::int64_t sequence = applyTicket(1, {team});
     BOOST_TEST_REQUIRE(sequence == 2);
@@ -49,7 +49,7 @@
     // A host is paused by its machine, and meanwhile an operator withdraws a key. When the host wakes it still holds the old
     // configuration; if it trusted it, whoever stole the key would go on being served there.
     TeamConfiguration team = desk();
-    team.keys = {makeKeyDigest("second", secondKey)};
+    team.keys = {makeKeyDigest("lk-desk-second", secondKey)};
     host(2).freeze();
     const std::int64_t sequence = applyTicket(0, {team});
     BOOST_TEST_REQUIRE(sequence == 2);
@@ -71,7 +71,7 @@
     // The store takes the ticket and goes down before any watch has told the others. They must learn it from the host that committed
     // it; otherwise the key works at them for as long as the outage lasts.
     TeamConfiguration team = desk();
-    team.keys = {makeKeyDigest("second", secondKey)};
+    team.keys = {makeKeyDigest("lk-desk-second", secondKey)};
     const std::int64_t sequence = applyTicket(0, {team});
     planFault(store(), R"({"down":true})");
     BOOST_TEST_REQUIRE(sequence == 2);
@@ -90,7 +90,7 @@
     // than believe that the key is gone.
     planFault(store(), R"({"down":true})");
     TeamConfiguration team = desk();
-    team.keys = {makeKeyDigest("second", secondKey)};
+    team.keys = {makeKeyDigest("lk-desk-second", secondKey)};
     BOOST_TEST(applyTicket(0, {team}) == 0);
     BOOST_TEST(judgeStream(call(0, chat(tokens)), tokens) == StreamOutcome::Whole);
     planFault(store(), "{}");
--- a/tests/system/test_shares.cpp
+++ b/tests/system/test_shares.cpp
@@ -24,7 +24,7 @@
 {
     SharedSystem()
         : SystemFixture(
-            {.moreTeams = {{"greedy", rate, burst, {makeKeyDigest("greedy", greedyKey)}}, {"modest", rate, burst, {makeKeyDigest("modest", modestKey)}}}})
+            {.moreTeams = {{"greedy", rate, burst, {makeKeyDigest("lk-greedy", greedyKey)}}, {"modest", rate, burst, {makeKeyDigest("lk-modest", modestKey)}}}})
     {
     }
 
