--- a/main/answer_table.cpp
+++ b/main/answer_table.cpp
@@ -57,7 +57,7 @@
     if (value.type() != typeid(Poco::JSON::Array::Ptr)) {
         return false;
     }
-    const auto array = value.extract<Poco::JSON::Array::Ptr>();
+    const auto &array = value.extract<Poco::JSON::Array::Ptr>();
     return array->size() > 0 && array->isObject(0);
 }
 
--- a/servers/completion_handler.cpp
+++ b/servers/completion_handler.cpp
@@ -197,6 +197,7 @@
     request.outputTokens = static_cast<std::uint32_t>(request_.maxTokens * request_.choices);
     request.deadline = exchange_.arrival + std::chrono::milliseconds(parts_.settings.queueDeadline);
     request.failedEngines = failedEngines_;
+    request.isResume = relay_->hasBegun();
     return request;
 }
 
