Tests of the scheduler that joins the decisions

Cause: the part that joins queue, windows, budget and placement had no test of its own. Change: six tests.

--- /dev/null
+++ b/tests/decision/test_request_scheduler.cpp
@@ -0,0 +1,159 @@
+#include <algorithm>
+#include <set>
+
+#include <boost/test/unit_test.hpp>
+
+#include "decision/request_scheduler.h"
+
+using namespace Lovageloft;
+
+namespace
+{
+
+const TimePoint start{std::chrono::hours(1)};
+
+SchedulerEngine engine(std::string name, std::uint64_t incarnation = 1)
+{
+    SchedulerEngine made;
+    made.name = std::move(name);
+    made.model = "m";
+    made.weightsVersion = "v1";
+    made.incarnation = incarnation;
+    return made;
+}
+
+SchedulerRequest request(std::uint64_t id, std::vector<std::string> failed = {})
+{
+    SchedulerRequest made;
+    made.id = RequestId{id};
+    made.team = "desk";
+    made.keyId = "k1";
+    made.cacheSalt = "salt";
+    made.model = "m";
+    made.promptTokens = 100;
+    made.outputTokens = 10;
+    made.deadline = start + std::chrono::seconds(10);
+    made.failedEngines = std::move(failed);
+    return made;
+}
+
+struct SchedulerFixture
+{
+    SchedulerFixture()
+    {
+        const std::vector<SchedulerEngine> engines{engine("a"), engine("b")};
+        scheduler.setEngines(engines);
+    }
+
+    /// The only outcome of the next decision.
+    SchedulerOutcome decideOne()
+    {
+        auto outcomes = scheduler.decide(start, random);
+        BOOST_REQUIRE(outcomes.size() == 1U);
+        return outcomes.front();
+    }
+
+    Random random{7};
+    RequestScheduler scheduler;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RequestSchedulerTest, SchedulerFixture)
+
+BOOST_AUTO_TEST_CASE(aRequestGoesToAnEngineOfItsModel)
+{
+    BOOST_TEST(!scheduler.submit(request(1), start).has_value());
+    const auto outcome = decideOne();
+    BOOST_REQUIRE(std::holds_alternative<SchedulerAssignment>(outcome));
+    BOOST_TEST(scheduler.inFlight() == 1U);
+    scheduler.onFirstToken(RequestId{1}, 0, start);
+    scheduler.onEnded(RequestId{1}, SchedulerEnd::Finished, start);
+    scheduler.onEnded(RequestId{1}, SchedulerEnd::Finished, start);
+    BOOST_TEST(scheduler.inFlight() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(withoutAnEngineTheFinalAnswerComesAtOnce)
+{
+    // The last engine of a model leaves while requests wait. Without the check they would wait for their deadline, and their
+    // callers for an answer that is certain already.
+    scheduler.setEngines({});
+    BOOST_TEST(!scheduler.submit(request(1), start).has_value());
+    const auto outcome = decideOne();
+    BOOST_REQUIRE(std::holds_alternative<SchedulerRefusal>(outcome));
+    BOOST_TEST((std::get<SchedulerRefusal>(outcome).reason.code == ResultCode::NoTarget));
+    BOOST_TEST((std::get<SchedulerRefusal>(outcome).retryAfter > Duration::zero()));
+}
+
+BOOST_AUTO_TEST_CASE(anEngineThatFailedARequestDoesNotGetItAgain)
+{
+    // An engine breaks every answer it begins. Sent there again, the request would break again, and its caller see an error
+    // though another engine is well.
+    for (std::uint64_t id = 1; id <= 5; ++id) {
+        SchedulerRequest resumed = request(id, {"a"});
+        resumed.isResume = true;
+        BOOST_TEST(!scheduler.submit(std::move(resumed), start).has_value());
+        const auto outcome = decideOne();
+        BOOST_REQUIRE(std::holds_alternative<SchedulerAssignment>(outcome));
+        BOOST_TEST(std::get<SchedulerAssignment>(outcome).engine == "b");
+        scheduler.onEnded(RequestId{id}, SchedulerEnd::Finished, start);
+    }
+    BOOST_TEST(!scheduler.submit(request(6, {"a", "b"}), start).has_value());
+    BOOST_TEST(std::holds_alternative<SchedulerRefusal>(decideOne()));
+}
+
+BOOST_AUTO_TEST_CASE(retriesAreBudgetedAndStreamsThatHaveBegunAreNot)
+{
+    // An engine with many streams dies on a quiet host. The retry budget is soon spent; a stream that its caller has half of
+    // would be cut for it, though no storm can come of streams that were running anyway.
+    int refused = 0;
+    for (std::uint64_t id = 1; id <= 200; ++id) {
+        const auto refusal = scheduler.submit(request(id, {"a"}), start);
+        refused += refusal && refusal->reason.code == ResultCode::RetryBudgetSpent ? 1 : 0;
+    }
+    BOOST_TEST(refused > 100);
+    for (std::uint64_t id = 1'001; id <= 1'200; ++id) {
+        SchedulerRequest resumed = request(id, {"a"});
+        resumed.isResume = true;
+        const auto refusal = scheduler.submit(std::move(resumed), start);
+        BOOST_TEST((!refusal || refusal->reason.code != ResultCode::RetryBudgetSpent));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(whatCameWithAWithdrawnKeyLeavesTheQueue)
+{
+    // An operator withdraws a key while its requests wait for busy engines. They would run seconds later for a caller that is
+    // no longer entitled to it.
+    for (std::uint64_t id = 1; id <= 50; ++id) {
+        SchedulerRequest chapter = request(id);
+        chapter.promptTokens = 20'000;
+        scheduler.submit(std::move(chapter), start);
+    }
+    scheduler.decide(start, random);
+    const std::size_t waiting = scheduler.waiting();
+    BOOST_REQUIRE(waiting > 0U);
+    const auto outcomes = scheduler.withdrawKey("desk", "k1", start);
+    BOOST_TEST(outcomes.size() == waiting);
+    BOOST_TEST(scheduler.waiting() == 0U);
+    for (const SchedulerOutcome &outcome : outcomes) {
+        BOOST_TEST((std::get<SchedulerRefusal>(outcome).reason.code == ResultCode::KeyWithdrawn));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aLateEndOfAnEngineThatLeftDoesNotTouchItsSuccessor)
+{
+    // An engine leaves with answers under way and another one takes its place in the tables. Counted against the new one, the
+    // old ends would open its window without bound, and it would be flooded.
+    scheduler.setEngines(std::vector{engine("old")});
+    scheduler.submit(request(1), start);
+    decideOne();
+    scheduler.setEngines(std::vector{engine("new")});
+    scheduler.submit(request(2), start);
+    decideOne();
+    const std::size_t window = scheduler.windowOf("new");
+    scheduler.onEnded(RequestId{1}, SchedulerEnd::Failed, start);
+    BOOST_TEST(scheduler.windowOf("new") == window);
+    BOOST_TEST(scheduler.inFlight() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
