--- a/tests/decision/test_request_scheduler.cpp
+++ b/tests/decision/test_request_scheduler.cpp
@@ -92,7 +92,8 @@
     for (std::uint64_t id = 1; id <= 5; ++id) {
         SchedulerRequest resumed = request(id, {"a"});
         resumed.isResume = true;
-        BOOST_TEST(!scheduler.submit(std::move(resumed), start).has_value());
+        const auto refusal = scheduler.submit(std::move(resumed), start);
+        BOOST_TEST(!refusal.has_value());
         const auto outcome = decideOne();
         BOOST_REQUIRE(std::holds_alternative<SchedulerAssignment>(outcome));
         BOOST_TEST(std::get<SchedulerAssignment>(outcome).engine == "b");
