Hosts of the system tests listen below the range of outgoing connections

Cause: in the last whole run test_system_two_faults failed once: a host that restarted found its peer port taken, as the kernel had given it to an outgoing connection of another test program. Excluded: the product (the program said which port and exited). Change: peer ports come from 20000 to 31999, each program beginning elsewhere; the outgoing range is 32768 to 60999. Stand-ins that restart still take a port of the kernel's range again, which may collide in the same way; it was not seen.

--- a/tests/system/system_fixture.cpp
+++ b/tests/system/system_fixture.cpp
@@ -14,6 +14,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/TemporaryFile.h>
+#include <unistd.h>
 
 #include "core/digest.h"
 
@@ -33,14 +34,25 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
-/// Ports that are free now, all different; the hosts' list must name them before the hosts are up.
+/// Ports that are free now, all different; the hosts' list must name them before the hosts are up. They lie below the range that the
+/// kernel takes the ports of outgoing connections from: one of those could hold a host's port while it restarts. Programs that
+/// run side by side begin at different places.
 std::vector<std::uint16_t> freePorts(std::size_t count)
 {
-    std::vector<Poco::Net::ServerSocket> sockets;
+    constexpr std::uint16_t first = 20'000;
+    constexpr std::uint16_t span = 12'000;
+    constexpr std::uint16_t step = 40;
+    static std::uint16_t next = static_cast<std::uint16_t>((static_cast<unsigned>(::getpid()) * step) % span);
     std::vector<std::uint16_t> ports;
-    for (std::size_t i = 0; i < count; ++i) {
-        sockets.emplace_back(Poco::Net::SocketAddress("127.0.0.1", 0));
-        ports.push_back(sockets.back().address().port());
+    while (ports.size() < count) {
+        const auto port = static_cast<std::uint16_t>(first + next);
+        next = static_cast<std::uint16_t>((next + 1U) % span);
+        try {
+            const Poco::Net::ServerSocket probe(Poco::Net::SocketAddress("127.0.0.1", port));
+            ports.push_back(port);
+        } catch (const Poco::Exception &) {
+            continue;
+        }
     }
     return ports;
 }
