A refusal after a failed engine says that the request may have run; requests are counted in one place

Cause: a request that had failed at one engine and then met not_fresh or overloaded was refused with not_run. Found by reading; the count by code stood in five places. Change: runState() from the failed engines in all four refusals; countRequest for the five counts. No test provokes the two refusals yet.

--- a/servers/caller_connection.cpp
+++ b/servers/caller_connection.cpp
@@ -83,7 +83,7 @@
 {
     CallerExchange exchange{"req-" + randomHex(idBytes), request, response, {}, descriptor_, {}};
     const auto refuseAndClose = [&](const Reason &reason) {
-        parts_.metrics.add("lovageloft_requests_total{code=\"" + std::string(resultCodeInfo(reason.code).name) + "\"}");
+        countRequest(parts_.metrics, reason.code);
         sendRefusal(response, {reason}, exchange.id, false);
         return false;
     };
@@ -166,7 +166,7 @@
 
 void CallerConnection::refuseUnread(Poco::Net::HTTPServerSession &session, ResultCode code)
 {
-    parts_.metrics.add("lovageloft_requests_total{code=\"" + std::string(resultCodeInfo(code).name) + "\"}");
+    countRequest(parts_.metrics, code);
     Poco::Net::HTTPServerResponseImpl response(session);
     response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
     sendRefusal(response, {{code, {}}}, "", false);
--- a/servers/caller_routes.cpp
+++ b/servers/caller_routes.cpp
@@ -116,7 +116,7 @@
     }
     Refusal refusal = isKnown ? Refusal{{ResultCode::MethodNotAllowed, {}}} : unknownPath(parts);
     refusal.run = isKnown ? RunState::NotRun : ServiceHandler::runStateBeforeClaim(exchange);
-    parts.metrics.add("lovageloft_requests_total{code=\"" + std::string(resultCodeInfo(refusal.reason.code).name) + "\"}");
+    countRequest(parts.metrics, refusal.reason.code);
     sendRefusal(exchange.response, refusal, exchange.id, true);
 }
 
--- a/servers/completion_handler.cpp
+++ b/servers/completion_handler.cpp
@@ -50,7 +50,7 @@
 bool CompletionHandler::checkFresh()
 {
     // A host cut off from the store and the others may hold a key that was withdrawn long ago.
-    return parts_.configuration.isFresh() || refuse({{ResultCode::NotFresh, {}}, RunState::NotRun, std::chrono::seconds(1)});
+    return parts_.configuration.isFresh() || refuse({{ResultCode::NotFresh, {}}, runState(), std::chrono::seconds(1)});
 }
 
 bool CompletionHandler::charge()
@@ -149,7 +149,7 @@
     RequestId id{};
     const auto pending = parts_.dispatcher.submit(schedulerRequest(), id);
     if (pending == nullptr) {
-        refuse({{ResultCode::Overloaded, {}}, RunState::NotRun, std::chrono::seconds(1)});
+        refuse({{ResultCode::Overloaded, {}}, runState(), std::chrono::seconds(1)});
         return std::nullopt;
     }
     while (true) {
@@ -163,8 +163,7 @@
             continue;
         }
         if (const auto *refusal = std::get_if<Refusal>(&*outcome)) {
-            const bool hasTried = !failedEngines_.empty();
-            refuse({hasTried ? reason : refusal->reason, hasTried ? RunState::MayHaveRun : RunState::NotRun, refusal->retryAfter});
+            refuse({failedEngines_.empty() ? refusal->reason : reason, runState(), refusal->retryAfter});
             return std::nullopt;
         }
         if (!mayStillRun()) {
@@ -179,11 +178,17 @@
 bool CompletionHandler::mayStillRun()
 {
     if (!parts_.configuration.hasKey(key_)) {
-        return refuse({{ResultCode::KeyWithdrawn, {}}, failedEngines_.empty() ? RunState::NotRun : RunState::MayHaveRun});
+        return refuse({{ResultCode::KeyWithdrawn, {}}, runState()});
     }
     return checkFresh();
 }
 
+/// What a refusal may say: once an engine has failed the request, that one may have run it.
+RunState CompletionHandler::runState() const
+{
+    return failedEngines_.empty() ? RunState::NotRun : RunState::MayHaveRun;
+}
+
 SchedulerRequest CompletionHandler::schedulerRequest() const
 {
     SchedulerRequest request;
@@ -310,7 +315,7 @@
 void CompletionHandler::finish(ResultCode code)
 {
     const std::string_view name = resultCodeInfo(code).name;
-    parts_.metrics.add("lovageloft_requests_total{code=\"" + std::string(name) + "\"}");
+    countRequest(parts_.metrics, code);
     const TokenUsage usage = verifier_ ? verifier_->usage() : TokenUsage{};
     if (relay_ && relay_->hasBegun()) {
         parts_.metrics.observe("lovageloft_first_token_seconds", toSeconds(relay_->firstContent() - exchange_.arrival));
--- a/servers/completion_handler.h
+++ b/servers/completion_handler.h
@@ -35,6 +35,7 @@
 
     std::optional<Assignment> place(Reason &reason);
     bool mayStillRun();
+    RunState runState() const;
     SchedulerRequest schedulerRequest() const;
     RelayResult attempt(const Assignment &assignment, Reason &reason);
     RelayResult exchangeWith(const Assignment &assignment, Reason &reason);
--- a/servers/refusal.cpp
+++ b/servers/refusal.cpp
@@ -9,6 +9,11 @@
 namespace Lovageloft
 {
 
+void countRequest(Metrics &metrics, ResultCode code)
+{
+    metrics.add("lovageloft_requests_total{code=\"" + std::string(resultCodeInfo(code).name) + "\"}");
+}
+
 std::string refusalBody(const Refusal &refusal, std::string_view requestId)
 {
     const ResultCodeInfo &info = resultCodeInfo(refusal.reason.code);
--- a/servers/refusal.h
+++ b/servers/refusal.h
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "core/clock.h"
+#include "core/metrics.h"
 #include "core/result_code.h"
 
 namespace Poco::Net
@@ -22,6 +23,9 @@
     Duration retryAfter{}; ///< When to come back; zero where coming back won't help.
 };
 
+/// Counts a request by the code of its final answer.
+void countRequest(Metrics &metrics, ResultCode code);
+
 /// The body of a refusal: `{"error":{"code":N,"type":NAME,"message":TEXT,"run":STATE,"retry_after_ms":N},...}` in the
 /// shape that OpenAI-style clients read.
 std::string refusalBody(const Refusal &refusal, std::string_view requestId);
--- a/servers/service_handler.cpp
+++ b/servers/service_handler.cpp
@@ -265,7 +265,7 @@
 void ServiceHandler::finish(ResultCode code)
 {
     const std::string_view name = resultCodeInfo(code).name;
-    parts_.metrics.add("lovageloft_requests_total{code=\"" + std::string(name) + "\"}");
+    countRequest(parts_.metrics, code);
     writeLog(code == ResultCode::Ok ? LogLevel::Info : LogLevel::Warning,
              "service_call",
              {{"request_id", exchange_.id},
