--- a/coordination/store.h
+++ b/coordination/store.h
@@ -65,6 +65,17 @@
 
     virtual StoreReply get(std::string_view key) = 0;
 
+    /// Asks whether the key's last write is still that of `revision`: Ok if so, Conflict if not. As linearizable as `get`, but
+    /// a driver may answer it without moving the value.
+    virtual StoreReply confirm(std::string_view key, std::int64_t revision)
+    {
+        StoreReply reply = get(key);
+        if (reply.status == StoreStatus::Ok && reply.entry.revision != revision) {
+            reply.status = StoreStatus::Conflict;
+        }
+        return reply;
+    }
+
     /// All keys that begin with `prefix`.
     virtual StoreListReply list(std::string_view prefix) = 0;
 
--- a/core/log.cpp
+++ b/core/log.cpp
@@ -106,7 +106,7 @@
 void startLog(LogLevel level, std::string_view host)
 {
     auto backend = boost::make_shared<Backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, [](std::ostream *) {}));
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, [](std::ostream *) {}));
     backend->auto_flush(true);
     auto sink = boost::make_shared<Sink>(backend);
     sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
--- a/core/log.h
+++ b/core/log.h
@@ -25,7 +25,7 @@
     std::variant<std::string_view, std::int64_t, double, bool> value;
 };
 
-/// Starts the log on standard error from `level` on. `host` stands in each record. Call once, before any thread starts.
+/// Starts the log on standard output from `level` on. `host` stands in each record. Call once, before any thread starts.
 void startLog(LogLevel level, std::string_view host);
 
 /// Writes what is buffered and stops the log's thread.
--- /dev/null
+++ b/decision/prompt_parts.cpp
@@ -0,0 +1,23 @@
+#include "decision/prompt_parts.h"
+
+#include <array>
+
+#include <xxhash.h>
+
+namespace Lovageloft
+{
+
+void digestParts(std::span<const PromptPart> parts, std::vector<BlockHash> &digests)
+{
+    digests.clear();
+    std::uint64_t tokens = 0;
+    for (const PromptPart &part : parts) {
+        tokens += part.tokens;
+        while (digests.size() < prefixChainLimit && (digests.size() + 1) * prefixBlockTokens <= tokens) {
+            const std::array<std::uint64_t, 2> block{part.hash, digests.size()};
+            digests.push_back(XXH3_64bits(block.data(), sizeof block));
+        }
+    }
+}
+
+} // namespace Lovageloft
--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -97,7 +97,7 @@
     const RequestId id = request.id;
     if (request.failedEngines.empty()) {
         retries_.onRequest(now);
-    } else if (!request.isResume) {
+    } else if (!request.isResume && request.reachedTarget) {
         // A stream that has begun is carried on whatever the budget says: it would be cut otherwise, and there are no more of them
         // than were running when the engine failed.
         Reason reason;
--- a/decision/request_scheduler.h
+++ b/decision/request_scheduler.h
@@ -45,6 +45,7 @@
     std::uint32_t outputTokens = 0;
     TimePoint deadline;
     std::vector<std::string> failedEngines; ///< Not empty for a retry.
+    bool reachedTarget = true; ///< A retry whose earlier targets never got it adds no load and takes nothing from the budget.
     bool isResume = false; ///< The caller has part of the answer already.
     std::uint64_t fingerprint = 0; ///< Digest of key and body, by which a caller that comes back is known.
     bool isRetry = false; ///< The caller says that it was refused before.
--- /dev/null
+++ b/decision/team_rates.cpp
@@ -0,0 +1,89 @@
+#include "decision/team_rates.h"
+
+#include <algorithm>
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+constexpr double startingPart = 0.5;
+
+/// Longest wait that is told: a request larger than the bucket can ever hold would otherwise be told hours.
+constexpr Duration longestWait = std::chrono::seconds(10);
+
+} // namespace
+
+void TeamRates::setLimits(std::span<const TeamLimit> limits, TimePoint now)
+{
+    std::map<std::string, Bucket, std::less<>> buckets;
+    for (const TeamLimit &limit : limits) {
+        const auto known = buckets_.find(limit.name);
+        Bucket bucket;
+        if (known != buckets_.end()) {
+            bucket = known->second;
+            refill(bucket, now);
+            bucket.limit = limit;
+            bucket.tokens = std::min(bucket.tokens, capacity(bucket));
+        } else {
+            bucket = {limit, 0, now};
+            bucket.tokens = capacity(bucket) * startingPart;
+        }
+        buckets.emplace(limit.name, bucket);
+    }
+    buckets_ = std::move(buckets);
+}
+
+void TeamRates::setShare(double share, TimePoint now)
+{
+    for (auto &[name, bucket] : buckets_) {
+        refill(bucket, now);
+    }
+    share_ = std::clamp(share, 0.0, 1.0);
+    for (auto &[name, bucket] : buckets_) {
+        bucket.tokens = std::min(bucket.tokens, capacity(bucket));
+    }
+}
+
+bool TeamRates::tryTake(std::string_view team, double tokens, TimePoint now, Reason &reason, Duration &retryAfter)
+{
+    const auto found = buckets_.find(team);
+    if (found == buckets_.end() || found->second.limit.rate <= 0) {
+        return true;
+    }
+    Bucket &bucket = found->second;
+    refill(bucket, now);
+    if (bucket.tokens >= std::min(tokens, capacity(bucket))) {
+        // A request larger than a full bucket runs from a full one and leaves a debt; it would never run otherwise.
+        bucket.tokens -= tokens;
+        return true;
+    }
+    reason = {ResultCode::OverRate, "team is over its rate"};
+    const double missing = std::min(tokens, capacity(bucket)) - bucket.tokens;
+    const double rate = bucket.limit.rate * share_;
+    retryAfter = rate > 0 ? std::min(fromSeconds(missing / rate), longestWait) : longestWait;
+    return false;
+}
+
+void TeamRates::giveBack(std::string_view team, double tokens)
+{
+    const auto found = buckets_.find(team);
+    if (found != buckets_.end()) {
+        found->second.tokens = std::min(found->second.tokens + tokens, capacity(found->second));
+    }
+}
+
+void TeamRates::refill(Bucket &bucket, TimePoint now) const
+{
+    const double seconds = std::max(0.0, toSeconds(now - bucket.refilledAt));
+    bucket.refilledAt = std::max(bucket.refilledAt, now);
+    bucket.tokens = std::min(bucket.tokens + bucket.limit.rate * share_ * seconds, capacity(bucket));
+}
+
+double TeamRates::capacity(const Bucket &bucket) const
+{
+    return bucket.limit.burst * share_;
+}
+
+} // namespace Lovageloft
--- a/drivers/etcd_store.cpp
+++ b/drivers/etcd_store.cpp
@@ -20,7 +20,7 @@
 
 /// Whether the endpoint says that it didn't perform the call. Only errors that etcd raises before it proposes a write
 /// count: "request timed out" carries the same status, and the write may take effect after it all the same.
-bool isRefused(const EtcdAnswer &answer)
+bool isRefused(const HttpAnswer &answer)
 {
     if (answer.status != httpUnavailable && answer.status != httpTooManyRequests) {
         return false;
@@ -30,7 +30,7 @@
 }
 
 /// A caller's mistake is refused before it takes effect; other failures of a write may come after.
-StoreStatus failureOf(const EtcdAnswer &answer, StoreStatus unknown)
+StoreStatus failureOf(const HttpAnswer &answer, StoreStatus unknown)
 {
     if (answer.status == httpNotFound && parseEtcdError(answer.body).code == grpcNotFound) {
         return StoreStatus::NotFound;
@@ -151,12 +151,12 @@
     for (std::size_t attempt = 0; attempt < pool_.size(); ++attempt) {
         const std::size_t endpoint = (first + attempt) % pool_.size();
         const Duration share = (deadline - BootClock::now()) / static_cast<std::int64_t>(pool_.size() - attempt);
-        std::unique_ptr<EtcdConnection> connection = pool_.take(endpoint, share);
+        std::unique_ptr<HttpConnection> connection = pool_.take(endpoint, share);
         if (!connection) {
             pool_.reportFailure(endpoint);
             continue;
         }
-        std::optional<EtcdAnswer> answer = connection->call(path, body, deadline);
+        std::optional<HttpAnswer> answer = connection->call(path, body, deadline);
         if (!answer) {
             pool_.reportFailure(endpoint);
             return {unknown, {}};
@@ -218,7 +218,7 @@
     for (std::size_t attempt = 0; attempt < pool_.size(); ++attempt) {
         const std::size_t endpoint = (first + attempt) % pool_.size();
         const Duration share = (deadline - BootClock::now()) / static_cast<std::int64_t>(pool_.size() - attempt);
-        std::unique_ptr<EtcdConnection> connection = pool_.connect(endpoint, share);
+        std::unique_ptr<HttpConnection> connection = pool_.connect(endpoint, share);
         if (connection && connection->startStream("/v3/watch", body, BootClock::now() + share)) {
             return std::make_unique<EtcdWatch>(std::move(connection), afterRevision);
         }
--- a/drivers/etcd_store.h
+++ b/drivers/etcd_store.h
@@ -11,7 +11,7 @@
 #include "coordination/store.h"
 #include "core/clock.h"
 #include "core/settings.h"
-#include "drivers/etcd_connection_pool.h"
+#include "drivers/http_connection_pool.h"
 #include "drivers/etcd_watch.h"
 
 namespace Lovageloft
@@ -71,7 +71,7 @@
     void keepWatch(std::string_view prefix, std::unique_ptr<EtcdWatch> watch);
 
     EtcdStoreOptions options_;
-    EtcdConnectionPool pool_;
+    HttpConnectionPool pool_;
     std::mutex watchesMutex_;
     std::map<std::string, std::unique_ptr<EtcdWatch>, std::less<>> watches_; // Open and not waited on just now, by prefix.
 };
--- a/drivers/etcd_watch.cpp
+++ b/drivers/etcd_watch.cpp
@@ -7,7 +7,7 @@
 namespace Lovageloft
 {
 
-EtcdWatch::EtcdWatch(std::unique_ptr<EtcdConnection> connection, std::int64_t afterRevision)
+EtcdWatch::EtcdWatch(std::unique_ptr<HttpConnection> connection, std::int64_t afterRevision)
     : connection_(std::move(connection))
     , position_(afterRevision)
 {
@@ -27,9 +27,9 @@
 {
     while (true) {
         std::string text;
-        const EtcdLineStatus status = connection_->readLine(text, deadline);
-        if (status != EtcdLineStatus::Line) {
-            return status == EtcdLineStatus::Timeout ? EtcdWatchStatus::Timeout : EtcdWatchStatus::Broken;
+        const HttpLineStatus status = connection_->readLine(text, deadline);
+        if (status != HttpLineStatus::Line) {
+            return status == HttpLineStatus::Timeout ? EtcdWatchStatus::Timeout : EtcdWatchStatus::Broken;
         }
         std::optional<EtcdWatchLine> line = parseEtcdWatchLine(text);
         if (!line || (line->isCanceled && line->compactRevision == 0)) {
--- a/drivers/etcd_watch.h
+++ b/drivers/etcd_watch.h
@@ -5,7 +5,7 @@
 
 #include "coordination/store.h"
 #include "core/clock.h"
-#include "drivers/etcd_connection.h"
+#include "drivers/http_connection.h"
 
 namespace Lovageloft
 {
@@ -24,7 +24,7 @@
 {
 public:
     /// Takes a connection on which the watch of the writes after `afterRevision` has been started.
-    EtcdWatch(std::unique_ptr<EtcdConnection> connection, std::int64_t afterRevision);
+    EtcdWatch(std::unique_ptr<HttpConnection> connection, std::int64_t afterRevision);
 
     /// The stream still holds all writes after this revision.
     std::int64_t position() const;
@@ -36,7 +36,7 @@
     EtcdWatchStatus wait(std::int64_t afterRevision, TimePoint deadline, StoreListReply &reply);
 
 private:
-    std::unique_ptr<EtcdConnection> connection_;
+    std::unique_ptr<HttpConnection> connection_;
     std::int64_t position_;
 };
 
--- a/drivers/etcd_connection.cpp
+++ b/drivers/http_connection.cpp
@@ -1,4 +1,4 @@
-#include "drivers/etcd_connection.h"
+#include "drivers/http_connection.h"
 
 #include <algorithm>
 #include <istream>
@@ -46,7 +46,7 @@
 
 /// A socket that gives up at a point in time. The usual timeout counts from the last byte, so that an endpoint
 /// that trickles would hold its caller for longer than the call may take.
-class EtcdConnection::DeadlineSocket : public Poco::Net::StreamSocketImpl
+class HttpConnection::DeadlineSocket : public Poco::Net::StreamSocketImpl
 {
 public:
     int receiveBytes(void *buffer, int length, int flags) override
@@ -83,7 +83,7 @@
     std::int64_t receivedBytes_ = 0;
 };
 
-class EtcdConnection::Session : public Poco::Net::HTTPClientSession
+class HttpConnection::Session : public Poco::Net::HTTPClientSession
 {
 public:
     // Built from a connected socket and without a host's name it has nothing to reconnect to, so it can't send a call
@@ -97,7 +97,7 @@
     using HTTPSession::buffered;
 };
 
-std::unique_ptr<EtcdConnection> EtcdConnection::open(const HostAddress &endpoint, Duration timeout)
+std::unique_ptr<HttpConnection> HttpConnection::open(const HostAddress &endpoint, Duration timeout)
 {
     try {
         auto *implementation = new DeadlineSocket;
@@ -105,29 +105,35 @@
         const Poco::Net::SocketAddress address(endpoint.host, endpoint.port);
         socket.connect(address, toTimespan(timeout));
         socket.setNoDelay(true);
-        return std::unique_ptr<EtcdConnection>(new EtcdConnection(std::make_unique<Session>(socket), implementation, address.toString()));
+        return std::unique_ptr<HttpConnection>(new HttpConnection(std::make_unique<Session>(socket), implementation, address.toString()));
     } catch (const Poco::Exception &) {
         return nullptr;
     }
 }
 
-EtcdConnection::EtcdConnection(std::unique_ptr<Session> session, DeadlineSocket *socket, std::string host)
+HttpConnection::HttpConnection(std::unique_ptr<Session> session, DeadlineSocket *socket, std::string host)
     : session_(std::move(session))
     , socket_(socket)
     , host_(std::move(host))
 {
 }
 
-EtcdConnection::~EtcdConnection() = default;
+HttpConnection::~HttpConnection() = default;
 
-std::optional<EtcdAnswer> EtcdConnection::call(const std::string &path, std::string_view body, TimePoint deadline)
+std::optional<HttpAnswer> HttpConnection::call(const std::string &path, std::string_view body, TimePoint deadline)
+{
+    return call(Poco::Net::HTTPRequest::HTTP_POST, path, body, deadline);
+}
+
+std::optional<HttpAnswer> HttpConnection::call(std::string_view method, const std::string &path, std::string_view body, TimePoint deadline,
+                                               std::span<const HttpField> fields)
 {
     isKeptAlive_ = false;
     try {
         socket_->setDeadline(deadline);
-        EtcdAnswer answer;
+        HttpAnswer answer;
         Poco::Net::HTTPResponse response;
-        std::istream &in = exchange(path, body, response);
+        std::istream &in = exchange(method, path, body, fields, response);
         while (appendAvailable(in, answer.body)) {
             if (answer.body.size() > answerLimit) {
                 return std::nullopt;
@@ -144,20 +150,20 @@
     }
 }
 
-bool EtcdConnection::startStream(const std::string &path, std::string_view body, TimePoint deadline)
+bool HttpConnection::startStream(const std::string &path, std::string_view body, TimePoint deadline)
 {
     isKeptAlive_ = false;
     try {
         socket_->setDeadline(deadline);
         Poco::Net::HTTPResponse response;
-        stream_ = &exchange(path, body, response);
+        stream_ = &exchange(Poco::Net::HTTPRequest::HTTP_POST, path, body, {}, response);
         return response.getStatus() == Poco::Net::HTTPResponse::HTTP_OK;
     } catch (const Poco::Exception &) {
         return false;
     }
 }
 
-EtcdLineStatus EtcdConnection::readLine(std::string &line, TimePoint deadline)
+HttpLineStatus HttpConnection::readLine(std::string &line, TimePoint deadline)
 {
     constexpr int chunkEndBytes = 2;
     const std::int64_t receivedBefore = socket_->receivedBytes();
@@ -167,41 +173,47 @@
         socket_->setDeadline(std::max(deadline, BootClock::now() + shortestWait));
         while (!takeBufferedLine(line)) {
             if (!appendAvailable(*stream_, buffer_) || buffer_.size() > answerLimit) {
-                return EtcdLineStatus::Broken;
+                return HttpLineStatus::Broken;
             }
         }
-        return EtcdLineStatus::Line;
+        return HttpLineStatus::Line;
     } catch (const Poco::TimeoutException &) {
         // A timeout within the size of a chunk would make the rest of the size look like another one.
         const bool keepsItsPlace = isBetweenChunks && socket_->receivedBytes() == receivedBefore;
-        return keepsItsPlace ? EtcdLineStatus::Timeout : EtcdLineStatus::Broken;
+        return keepsItsPlace ? HttpLineStatus::Timeout : HttpLineStatus::Broken;
     } catch (const Poco::Exception &) {
-        return EtcdLineStatus::Broken;
+        return HttpLineStatus::Broken;
     }
 }
 
-bool EtcdConnection::isReusable() const
+bool HttpConnection::isReusable() const
 {
     // Bytes or an end that nobody asked for: the endpoint has closed the connection.
     return isKeptAlive_ && !socket_->poll(Poco::Timespan(0), Poco::Net::SocketImpl::SELECT_READ);
 }
 
-TimePoint EtcdConnection::lastReceived() const
+TimePoint HttpConnection::lastReceived() const
 {
     return socket_->lastReceived();
 }
 
-std::istream &EtcdConnection::exchange(const std::string &path, std::string_view body, Poco::Net::HTTPResponse &response)
+std::istream &HttpConnection::exchange(std::string_view method, const std::string &path, std::string_view body, std::span<const HttpField> fields,
+                                       Poco::Net::HTTPResponse &response)
 {
-    Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_POST, path, Poco::Net::HTTPMessage::HTTP_1_1);
+    Poco::Net::HTTPRequest request(std::string(method), path, Poco::Net::HTTPMessage::HTTP_1_1);
     request.setHost(host_);
-    request.setContentType("application/json");
-    request.setContentLength64(static_cast<Poco::Int64>(body.size()));
+    for (const HttpField &field : fields) {
+        request.set(field.name, field.value);
+    }
+    if (method != Poco::Net::HTTPRequest::HTTP_GET) {
+        request.setContentType("application/json");
+        request.setContentLength64(static_cast<Poco::Int64>(body.size()));
+    }
     session_->sendRequest(request) << body << std::flush;
     return session_->receiveResponse(response);
 }
 
-bool EtcdConnection::takeBufferedLine(std::string &line)
+bool HttpConnection::takeBufferedLine(std::string &line)
 {
     const std::size_t end = buffer_.find('\n');
     if (end == std::string::npos) {
--- a/drivers/etcd_connection.h
+++ b/drivers/http_connection.h
@@ -4,11 +4,13 @@
 #include <iosfwd>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
 #include "core/clock.h"
 #include "core/settings.h"
+#include "drivers/http_message.h"
 
 namespace Poco::Net
 {
@@ -19,42 +21,46 @@
 {
 
 /// A whole HTTP answer.
-struct EtcdAnswer
+struct HttpAnswer
 {
     int status = 0;
     std::string body;
 };
 
 /// How reading a line of a stream ended.
-enum class EtcdLineStatus : std::uint8_t
+enum class HttpLineStatus : std::uint8_t
 {
     Line,
     Timeout, ///< None yet; the stream goes on.
     Broken, ///< The stream has ended or lost its place; of no more use.
 };
 
-/// One HTTP connection to one endpoint of the store's JSON gateway. Used by one thread at a time.
+/// One HTTP connection to one endpoint, for whole calls one after another. Used by one thread at a time.
 /// It never connects again and never sends anything twice: whoever holds it decides that.
-class EtcdConnection
+class HttpConnection
 {
 public:
     /// Connects; nothing if that fails or takes longer than `timeout`.
-    static std::unique_ptr<EtcdConnection> open(const HostAddress &endpoint, Duration timeout);
+    static std::unique_ptr<HttpConnection> open(const HostAddress &endpoint, Duration timeout);
 
-    ~EtcdConnection();
-    EtcdConnection(const EtcdConnection &) = delete;
-    EtcdConnection &operator=(const EtcdConnection &) = delete;
+    ~HttpConnection();
+    HttpConnection(const HttpConnection &) = delete;
+    HttpConnection &operator=(const HttpConnection &) = delete;
 
     /// Sends one call and reads the whole answer until `deadline`. Nothing if any part of that fails; the call may
     /// have been performed then, and the connection must be thrown away: a late answer to this call would be taken
     /// for the answer to the next.
-    std::optional<EtcdAnswer> call(const std::string &path, std::string_view body, TimePoint deadline);
+    std::optional<HttpAnswer> call(const std::string &path, std::string_view body, TimePoint deadline);
+
+    /// The same with a method of the caller's choice and, unless empty, a JSON body; `fields` are added to the head.
+    std::optional<HttpAnswer> call(std::string_view method, const std::string &path, std::string_view body, TimePoint deadline,
+                                   std::span<const HttpField> fields = {});
 
     /// Sends a call whose answer is an endless stream of lines, and reads the head of the answer; false if that fails.
     bool startStream(const std::string &path, std::string_view body, TimePoint deadline);
 
     /// Reads the next line of the stream.
-    EtcdLineStatus readLine(std::string &line, TimePoint deadline);
+    HttpLineStatus readLine(std::string &line, TimePoint deadline);
 
     /// Whether another call may be sent: the last answer came whole and the endpoint hasn't closed the connection.
     bool isReusable() const;
@@ -66,8 +72,9 @@
     class Session;
     class DeadlineSocket;
 
-    EtcdConnection(std::unique_ptr<Session> session, DeadlineSocket *socket, std::string host);
-    std::istream &exchange(const std::string &path, std::string_view body, Poco::Net::HTTPResponse &response);
+    HttpConnection(std::unique_ptr<Session> session, DeadlineSocket *socket, std::string host);
+    std::istream &exchange(std::string_view method, const std::string &path, std::string_view body, std::span<const HttpField> fields,
+                           Poco::Net::HTTPResponse &response);
     bool takeBufferedLine(std::string &line);
 
     std::unique_ptr<Session> session_;
--- a/drivers/etcd_connection_pool.cpp
+++ b/drivers/http_connection_pool.cpp
@@ -1,4 +1,4 @@
-#include "drivers/etcd_connection_pool.h"
+#include "drivers/http_connection_pool.h"
 
 #include <utility>
 
@@ -13,36 +13,36 @@
 
 } // namespace
 
-EtcdConnectionPool::EtcdConnectionPool(std::vector<HostAddress> endpoints, Duration idleLimit)
+HttpConnectionPool::HttpConnectionPool(std::vector<HostAddress> endpoints, Duration idleLimit)
     : endpoints_(std::move(endpoints))
     , idleLimit_(idleLimit)
     , idle_(endpoints_.size())
 {
 }
 
-std::size_t EtcdConnectionPool::size() const
+std::size_t HttpConnectionPool::size() const
 {
     return endpoints_.size();
 }
 
-std::size_t EtcdConnectionPool::preferred() const
+std::size_t HttpConnectionPool::preferred() const
 {
     const std::lock_guard lock(mutex_);
     return preferred_;
 }
 
-std::unique_ptr<EtcdConnection> EtcdConnectionPool::take(std::size_t endpoint, Duration timeout)
+std::unique_ptr<HttpConnection> HttpConnectionPool::take(std::size_t endpoint, Duration timeout)
 {
-    std::unique_ptr<EtcdConnection> connection = takeIdle(endpoint);
+    std::unique_ptr<HttpConnection> connection = takeIdle(endpoint);
     return connection ? std::move(connection) : connect(endpoint, timeout);
 }
 
-std::unique_ptr<EtcdConnection> EtcdConnectionPool::connect(std::size_t endpoint, Duration timeout) const
+std::unique_ptr<HttpConnection> HttpConnectionPool::connect(std::size_t endpoint, Duration timeout) const
 {
-    return timeout > Duration::zero() ? EtcdConnection::open(endpoints_[endpoint], timeout) : nullptr;
+    return timeout > Duration::zero() ? HttpConnection::open(endpoints_[endpoint], timeout) : nullptr;
 }
 
-void EtcdConnectionPool::giveBack(std::size_t endpoint, std::unique_ptr<EtcdConnection> connection)
+void HttpConnectionPool::giveBack(std::size_t endpoint, std::unique_ptr<HttpConnection> connection)
 {
     const std::lock_guard lock(mutex_);
     if (connection->isReusable() && idle_[endpoint].size() < idleConnectionLimit) {
@@ -50,7 +50,7 @@
     }
 }
 
-void EtcdConnectionPool::reportFailure(std::size_t endpoint)
+void HttpConnectionPool::reportFailure(std::size_t endpoint)
 {
     Connections closed; // Outlives the lock, so that nobody waits for the closing.
     const std::lock_guard lock(mutex_);
@@ -60,13 +60,13 @@
     }
 }
 
-std::unique_ptr<EtcdConnection> EtcdConnectionPool::takeIdle(std::size_t endpoint)
+std::unique_ptr<HttpConnection> HttpConnectionPool::takeIdle(std::size_t endpoint)
 {
     Connections closed;
     const std::lock_guard lock(mutex_);
     Connections &connections = idle_[endpoint];
     while (!connections.empty()) {
-        std::unique_ptr<EtcdConnection> connection = std::move(connections.back());
+        std::unique_ptr<HttpConnection> connection = std::move(connections.back());
         connections.pop_back();
         if (connection->isReusable() && BootClock::now() - connection->lastReceived() < idleLimit_) {
             return connection;
--- a/drivers/etcd_connection_pool.h
+++ b/drivers/http_connection_pool.h
@@ -7,17 +7,17 @@
 
 #include "core/clock.h"
 #include "core/settings.h"
-#include "drivers/etcd_connection.h"
+#include "drivers/http_connection.h"
 
 namespace Lovageloft
 {
 
 /// The endpoints of the store, the one that is preferred, and idle connections to each. Thread-safe.
-class EtcdConnectionPool
+class HttpConnectionPool
 {
 public:
     /// A connection that has been idle for longer than `idleLimit` is closed instead of used again.
-    EtcdConnectionPool(std::vector<HostAddress> endpoints, Duration idleLimit);
+    HttpConnectionPool(std::vector<HostAddress> endpoints, Duration idleLimit);
 
     /// Number of endpoints.
     std::size_t size() const;
@@ -26,13 +26,13 @@
     std::size_t preferred() const;
 
     /// An idle connection to an endpoint or a new one; nothing if it can't be reached within `timeout`.
-    std::unique_ptr<EtcdConnection> take(std::size_t endpoint, Duration timeout);
+    std::unique_ptr<HttpConnection> take(std::size_t endpoint, Duration timeout);
 
     /// A new connection to an endpoint.
-    std::unique_ptr<EtcdConnection> connect(std::size_t endpoint, Duration timeout) const;
+    std::unique_ptr<HttpConnection> connect(std::size_t endpoint, Duration timeout) const;
 
     /// Keeps a connection on which a whole answer came.
-    void giveBack(std::size_t endpoint, std::unique_ptr<EtcdConnection> connection);
+    void giveBack(std::size_t endpoint, std::unique_ptr<HttpConnection> connection);
 
     /// A call to an endpoint failed: its idle connections are closed and the next endpoint is preferred. What takes
     /// one connection to silence, a firewall that was restarted for example, takes them all; without this each of
@@ -40,9 +40,9 @@
     void reportFailure(std::size_t endpoint);
 
 private:
-    using Connections = std::vector<std::unique_ptr<EtcdConnection>>;
+    using Connections = std::vector<std::unique_ptr<HttpConnection>>;
 
-    std::unique_ptr<EtcdConnection> takeIdle(std::size_t endpoint);
+    std::unique_ptr<HttpConnection> takeIdle(std::size_t endpoint);
 
     std::vector<HostAddress> endpoints_;
     Duration idleLimit_;
--- /dev/null
+++ b/drivers/http_parser.cpp
@@ -0,0 +1,322 @@
+#include "drivers/http_parser.h"
+
+#include <algorithm>
+#include <limits>
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+namespace Http = boost::beast::http;
+using ErrorCode = boost::beast::error_code;
+using View = boost::beast::string_view;
+
+std::string_view toStd(View text)
+{
+    return {text.data(), text.size()};
+}
+
+ResultCode codeOf(const ErrorCode &error)
+{
+    if (error == Http::error::header_limit) {
+        return ResultCode::HeaderTooLarge;
+    }
+    return error == Http::error::body_limit ? ResultCode::BodyTooLarge : ResultCode::MalformedHttp;
+}
+
+bool isDecimal(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](char character) { return character >= '0' && character <= '9'; });
+}
+
+/// Whether the framing fields leave one reading only.
+bool isFramingClear(const HttpHead &head)
+{
+    std::size_t lengths = 0;
+    std::size_t encodings = 0;
+    std::size_t hosts = 0;
+    for (const HttpField &field : head.fields) {
+        if (equalsIgnoringCase(field.name, "Content-Length")) {
+            ++lengths;
+            if (!isDecimal(field.value)) {
+                return false;
+            }
+        } else if (equalsIgnoringCase(field.name, "Transfer-Encoding")) {
+            ++encodings;
+            if (!equalsIgnoringCase(field.value, "chunked")) {
+                return false;
+            }
+        } else if (equalsIgnoringCase(field.name, "Host")) {
+            ++hosts;
+        }
+    }
+    const bool isRequest = head.status == 0;
+    const bool hasHost = !isRequest || hosts == 1;
+    return lengths + encodings <= 1 && hasHost && (encodings == 0 || head.version == 11);
+}
+
+} // namespace
+
+/// One message; Beast calls the members that end in _impl.
+class HttpParser::Message
+{
+public:
+    virtual ~Message() = default;
+    virtual std::size_t put(std::string_view bytes, ErrorCode &error) = 0;
+    virtual void putEnd(ErrorCode &error) = 0;
+    virtual bool isDone() const = 0;
+    virtual bool needsEnd() const = 0;
+    virtual bool hasHead() const = 0;
+};
+
+namespace
+{
+
+template <bool isRequest>
+class BeastMessage : public Http::basic_parser<isRequest>
+{
+public:
+    BeastMessage(const HttpLimits &limits, HttpEvents &events)
+        : events_(events)
+    {
+        constexpr std::size_t spareForStartLine = 64;
+        this->eager(true);
+        this->header_limit(static_cast<std::uint32_t>(limits.head + spareForStartLine));
+        this->body_limit(limits.body != 0 ? limits.body : std::numeric_limits<std::uint64_t>::max());
+    }
+
+protected:
+    void on_request_impl(Http::verb /*method*/, View methodText, View target, int version, ErrorCode & /*error*/) override
+    {
+        head_.method = methodText.to_string();
+        head_.path = target.to_string();
+        head_.version = version;
+    }
+
+    void on_response_impl(int status, View /*reason*/, int version, ErrorCode & /*error*/) override
+    {
+        head_.status = status;
+        head_.version = version;
+    }
+
+    void on_field_impl(Http::field /*field*/, View name, View value, ErrorCode & /*error*/) override
+    {
+        head_.fields.push_back({name.to_string(), value.to_string()});
+    }
+
+    void on_header_impl(ErrorCode &error) override
+    {
+        if (!isFramingClear(head_)) {
+            error = Http::error::bad_transfer_encoding;
+        }
+    }
+
+    void on_body_init_impl(const boost::optional<std::uint64_t> &length, ErrorCode & /*error*/) override
+    {
+        sendHead(length ? std::optional<std::uint64_t>(*length) : std::nullopt);
+    }
+
+    std::size_t on_body_impl(View body, ErrorCode & /*error*/) override
+    {
+        events_.onBody(toStd(body));
+        return body.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t /*size*/, View /*extensions*/, ErrorCode & /*error*/) override
+    {
+    }
+
+    std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, View body, ErrorCode & /*error*/) override
+    {
+        events_.onBody(toStd(body));
+        return body.size();
+    }
+
+    void on_finish_impl(ErrorCode & /*error*/) override
+    {
+        sendHead(0);
+        events_.onEnd();
+    }
+
+private:
+    void sendHead(std::optional<std::uint64_t> length)
+    {
+        if (!isHeadSent_) {
+            isHeadSent_ = true;
+            events_.onHead(std::move(head_), length);
+        }
+    }
+
+    HttpEvents &events_;
+    HttpHead head_;
+    bool isHeadSent_ = false;
+};
+
+} // namespace
+
+namespace
+{
+
+template <typename Base, bool isRequest>
+class MessageOf : public Base
+{
+public:
+    MessageOf(const HttpLimits &limits, HttpEvents &events, bool isBodyless)
+        : beast_(limits, events)
+    {
+        beast_.skip(isBodyless);
+    }
+
+    std::size_t put(std::string_view bytes, ErrorCode &error) override
+    {
+        return beast_.put(boost::asio::const_buffer(bytes.data(), bytes.size()), error);
+    }
+
+    void putEnd(ErrorCode &error) override
+    {
+        beast_.put_eof(error);
+    }
+
+    bool isDone() const override
+    {
+        return beast_.is_done();
+    }
+
+    bool needsEnd() const override
+    {
+        return beast_.is_header_done() && beast_.need_eof() && !beast_.is_done();
+    }
+
+    bool hasHead() const override
+    {
+        return beast_.is_header_done();
+    }
+
+private:
+    BeastMessage<isRequest> beast_;
+};
+
+} // namespace
+
+HttpParser::HttpParser(HttpMessageKind kind, HttpLimits limits, HttpEvents &events)
+    : kind_(kind)
+    , limits_(limits)
+    , events_(events)
+{
+}
+
+HttpParser::~HttpParser() = default;
+
+bool HttpParser::read(std::string_view bytes, Reason &reason)
+{
+    kept_.append(bytes);
+    return isComplete() || readKept(reason);
+}
+
+bool HttpParser::readEnd()
+{
+    if (message_ == nullptr || !message_->needsEnd()) {
+        return false;
+    }
+    ErrorCode error;
+    message_->putEnd(error);
+    return !error && message_->isDone();
+}
+
+bool HttpParser::startNext(Reason &reason)
+{
+    message_.reset();
+    isHeadRead_ = false;
+    return readKept(reason);
+}
+
+bool HttpParser::isWithinMessage() const
+{
+    return !isComplete() && (message_ != nullptr || !kept_.empty());
+}
+
+bool HttpParser::isComplete() const
+{
+    return message_ != nullptr && message_->isDone();
+}
+
+std::size_t HttpParser::keptBytes() const
+{
+    return kept_.size();
+}
+
+void HttpParser::setLimits(HttpLimits limits)
+{
+    limits_ = limits;
+}
+
+void HttpParser::expectNoBody()
+{
+    isBodyless_ = true;
+}
+
+bool HttpParser::readKept(Reason &reason)
+{
+    if (!isHeadRead_ && !isHeadComplete(reason)) {
+        return reason.code == ResultCode::Ok;
+    }
+    if (message_ == nullptr) {
+        if (kind_ == HttpMessageKind::Request) {
+            message_ = std::make_unique<MessageOf<Message, true>>(limits_, events_, isBodyless_);
+        } else {
+            message_ = std::make_unique<MessageOf<Message, false>>(limits_, events_, isBodyless_);
+        }
+    }
+    std::size_t used = 0;
+    while (used < kept_.size() && !message_->isDone()) {
+        ErrorCode error;
+        const std::size_t taken = message_->put(std::string_view(kept_).substr(used), error);
+        used += taken;
+        if (error == Http::error::need_more || (!error && taken == 0)) {
+            break;
+        }
+        if (error) {
+            reason = {codeOf(error), "message can't be read: " + error.message()};
+            return false;
+        }
+    }
+    kept_.erase(0, used);
+    return true;
+}
+
+/// Looks at the raw bytes, as Beast joins folded lines silently.
+bool HttpParser::isHeadComplete(Reason &reason)
+{
+    reason = {};
+    while (kept_.starts_with("\r\n")) {
+        kept_.erase(0, 2);
+    }
+    const std::size_t end = kept_.find("\r\n\r\n");
+    const std::size_t size = std::min(end, kept_.size());
+    if (size > limits_.head) {
+        reason = {ResultCode::HeaderTooLarge, "head is longer than allowed"};
+        return false;
+    }
+    if (end == std::string::npos) {
+        return false;
+    }
+    const std::string_view head = std::string_view(kept_).substr(0, end);
+    for (std::size_t i = 0; i < head.size(); ++i) {
+        const bool isBareFeed = head[i] == '\n' && (i == 0 || head[i - 1] != '\r');
+        const bool isBareReturn = head[i] == '\r' && (i + 1 < head.size() && head[i + 1] != '\n');
+        const bool isFolded = head[i] == '\n' && i + 1 < head.size() && (head[i + 1] == ' ' || head[i + 1] == '\t');
+        if (head[i] == '\0' || isBareFeed || isBareReturn || isFolded) {
+            reason = {ResultCode::MalformedHttp, "head holds a folded line or a stray control character"};
+            return false;
+        }
+    }
+    isHeadRead_ = true;
+    return true;
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/drivers/tcp_connection.cpp
@@ -0,0 +1,274 @@
+#include "drivers/tcp_connection.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+using boost::asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+/// Most bytes read for one connection before others get their turn.
+constexpr std::size_t readBytesPerTurn = 65'536;
+constexpr std::size_t readBufferBytes = 16'384;
+
+/// How long sent bytes may stay unacknowledged. Well above a few lost packets in a row (retransmissions after 0.2 and 0.6 s),
+/// below the three seconds after which callers give a silent answer up.
+constexpr int unacknowledgedMilliseconds = 2'000;
+constexpr int probeIdleSeconds = 2;
+constexpr int probeIntervalSeconds = 1;
+constexpr int probeCount = 2;
+
+/// How long a closing side waits for the other end to have read the last answer: a few round trips.
+constexpr std::chrono::milliseconds lingerTime{1'000};
+
+template <typename Value>
+void setOption(int descriptor, int level, int name, Value value)
+{
+    setsockopt(descriptor, level, name, &value, sizeof value);
+}
+
+void configure(tcp::socket &socket)
+{
+    ErrorCode ignored;
+    socket.non_blocking(true, ignored);
+    const int descriptor = socket.native_handle();
+    setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMilliseconds);
+    setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, probeIdleSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, probeIntervalSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, probeCount);
+}
+
+} // namespace
+
+TcpConnection::TcpConnection(Socket socket)
+    : socket_(std::move(socket))
+    , timer_(socket_.get_executor())
+{
+}
+
+std::shared_ptr<TcpConnection> TcpConnection::adopt(Socket socket, TcpEvents &events)
+{
+    auto connection = std::make_shared<TcpConnection>(std::move(socket));
+    connection->events_ = &events;
+    configure(connection->socket_);
+    connection->waitReadable();
+    return connection;
+}
+
+std::shared_ptr<TcpConnection> TcpConnection::connect(boost::asio::io_context &loop, const HostAddress &address, Duration timeout, TcpEvents &events)
+{
+    auto connection = std::make_shared<TcpConnection>(Socket(loop));
+    connection->events_ = &events;
+    ErrorCode error;
+    const auto ip = boost::asio::ip::make_address(address.host, error);
+    if (!error) {
+        connection->socket_.open(tcp::v4(), error);
+    }
+    if (error) {
+        boost::asio::post(loop, [connection] { connection->finish(true); });
+        return connection;
+    }
+    configure(connection->socket_);
+    connection->timer_.expires_after(timeout);
+    connection->timer_.async_wait([connection](const ErrorCode &waited) {
+        if (!waited) {
+            connection->finish(true);
+        }
+    });
+    connection->socket_.async_connect({ip, address.port}, [connection](const ErrorCode &connected) {
+        connection->timer_.cancel();
+        if (connected) {
+            connection->finish(true);
+            return;
+        }
+        if (connection->isOpen_ && connection->events_ != nullptr) {
+            connection->waitReadable();
+            connection->events_->onConnected();
+        }
+    });
+    return connection;
+}
+
+void TcpConnection::setEvents(TcpEvents &events)
+{
+    events_ = &events;
+}
+
+void TcpConnection::send(std::string_view bytes)
+{
+    if (!isOpen_) {
+        return;
+    }
+    std::size_t sent = 0;
+    if (unsent_.empty()) {
+        ErrorCode error;
+        sent = socket_.write_some(boost::asio::const_buffer(bytes.data(), bytes.size()), error);
+        if (error && error != boost::asio::error::would_block) {
+            boost::asio::post(socket_.get_executor(), [self = shared_from_this()] { self->finish(true); });
+            return;
+        }
+    }
+    if (sent < bytes.size()) {
+        unsent_.append(bytes.substr(sent));
+        waitWritable();
+    }
+}
+
+std::size_t TcpConnection::unsent() const
+{
+    return unsent_.size();
+}
+
+void TcpConnection::pauseReading()
+{
+    isPaused_ = true;
+}
+
+void TcpConnection::resumeReading()
+{
+    isPaused_ = false;
+    waitReadable();
+}
+
+void TcpConnection::close()
+{
+    events_ = nullptr;
+    isOpen_ = false;
+    timer_.cancel();
+    ErrorCode ignored;
+    socket_.close(ignored);
+}
+
+void TcpConnection::closeAfterSending()
+{
+    events_ = nullptr;
+    isLingering_ = true;
+    isPaused_ = false;
+    waitReadable();
+    if (unsent_.empty()) {
+        startLinger();
+    }
+}
+
+bool TcpConnection::isQuiet()
+{
+    if (!isOpen_) {
+        return false;
+    }
+    char byte = 0;
+    const auto got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void TcpConnection::waitReadable()
+{
+    if (isReadArmed_ || isPaused_ || !isOpen_) {
+        return;
+    }
+    isReadArmed_ = true;
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const ErrorCode &error) {
+        self->isReadArmed_ = false;
+        if (error) {
+            self->finish(true);
+        } else {
+            self->onReadable();
+        }
+    });
+}
+
+void TcpConnection::onReadable()
+{
+    static thread_local std::array<char, readBufferBytes> buffer;
+    std::size_t total = 0;
+    while (isOpen_ && !isPaused_ && total < readBytesPerTurn) {
+        ErrorCode error;
+        const std::size_t got = socket_.read_some(boost::asio::buffer(buffer), error);
+        if (error == boost::asio::error::would_block) {
+            break;
+        }
+        if (error) {
+            finish(error != boost::asio::error::eof);
+            return;
+        }
+        total += got;
+        if (events_ != nullptr) {
+            events_->onBytes({buffer.data(), got});
+        }
+        if (got < buffer.size()) {
+            break;
+        }
+    }
+    waitReadable();
+}
+
+void TcpConnection::waitWritable()
+{
+    if (isWriteArmed_ || !isOpen_) {
+        return;
+    }
+    isWriteArmed_ = true;
+    socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](const ErrorCode &error) {
+        self->isWriteArmed_ = false;
+        if (error) {
+            self->finish(true);
+        } else {
+            self->flush();
+        }
+    });
+}
+
+void TcpConnection::flush()
+{
+    if (!isOpen_ || unsent_.empty()) {
+        return;
+    }
+    ErrorCode error;
+    const std::size_t sent = socket_.write_some(boost::asio::buffer(unsent_), error);
+    if (error && error != boost::asio::error::would_block) {
+        finish(true);
+        return;
+    }
+    unsent_.erase(0, sent);
+    if (!unsent_.empty()) {
+        waitWritable();
+        return;
+    }
+    if (isLingering_) {
+        startLinger();
+    } else if (events_ != nullptr) {
+        events_->onSent();
+    }
+}
+
+void TcpConnection::finish(bool isReset)
+{
+    if (!isOpen_) {
+        return;
+    }
+    TcpEvents *events = events_;
+    close();
+    if (events != nullptr) {
+        events->onClosed(isReset);
+    }
+}
+
+void TcpConnection::startLinger()
+{
+    if (!isOpen_) {
+        return;
+    }
+    ErrorCode ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    timer_.expires_after(lingerTime);
+    timer_.async_wait([self = shared_from_this()](const ErrorCode &) { self->close(); });
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/gateway/caller_session.cpp
@@ -0,0 +1,281 @@
+#include "gateway/caller_session.h"
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+#include "gateway/gateway.h"
+#include "gateway/routed_request.h"
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+/// Most bytes taken from a caller that sends its next requests before it has the answer to the first.
+constexpr std::size_t earlyBytesLimit = 131'072;
+
+/// Time for a body to arrive, for each megabyte on top of the time for the head. A slow sender would otherwise hold memory for good.
+constexpr std::uint64_t megabyte = 1'048'576;
+
+void appendChunkSize(std::string &out, std::size_t size)
+{
+    constexpr int hexadecimal = 16;
+    std::array<char, 20> digits{};
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), size, hexadecimal);
+    out.append(digits.data(), end.ptr);
+    out.append("\r\n");
+}
+
+} // namespace
+
+CallerSession::CallerSession(Gateway &gateway, TcpConnection::Socket socket)
+    : gateway_(gateway)
+    , accepted_(std::move(socket))
+    , parser_(HttpMessageKind::Request, {}, *this)
+    , timer_(gateway.loop())
+    , limits_(gateway.callerLimits())
+{
+    parser_.setLimits({limits_.headBytes, limits_.bodyBytes});
+}
+
+void CallerSession::start()
+{
+    tcp_ = TcpConnection::adopt(std::move(*accepted_), *this);
+    accepted_.reset();
+    armTimer(limits_.idleTimeout);
+}
+
+void CallerSession::beginAnswer(int status, std::string_view fields, std::optional<std::size_t> bodyBytes)
+{
+    isAnswering_ = true;
+    closesAfterAnswer_ = closesAfterAnswer_ || !keepsConnection();
+    unsentHead_ = "HTTP/1.1 " + std::to_string(status) + ' ' + std::string(statusText(status)) + "\r\n";
+    unsentHead_.append(fields);
+    isChunked_ = !bodyBytes && head_.version == 11;
+    if (bodyBytes) {
+        appendField(unsentHead_, "Content-Length", std::to_string(*bodyBytes));
+    } else if (isChunked_) {
+        appendField(unsentHead_, "Transfer-Encoding", "chunked");
+    } else {
+        closesAfterAnswer_ = true;
+    }
+    if (closesAfterAnswer_) {
+        appendField(unsentHead_, "Connection", "close");
+    }
+    unsentHead_.append("\r\n");
+}
+
+void CallerSession::sendBody(std::string_view bytes)
+{
+    if (bytes.empty() || isClosed_) {
+        return;
+    }
+    std::string out = std::exchange(unsentHead_, {});
+    if (isChunked_) {
+        appendChunkSize(out, bytes.size());
+    }
+    out.append(bytes);
+    if (isChunked_) {
+        out.append("\r\n");
+    }
+    tcp_->send(out);
+}
+
+void CallerSession::finishAnswer()
+{
+    if (isClosed_) {
+        return;
+    }
+    std::string out = std::exchange(unsentHead_, {});
+    if (isChunked_) {
+        out.append("0\r\n\r\n");
+    }
+    if (!out.empty()) {
+        tcp_->send(out);
+    }
+    isAnswering_ = false;
+    isRequestComplete_ = false;
+    request_.reset();
+    if (closesAfterAnswer_) {
+        isClosed_ = true;
+        timer_.cancel();
+        tcp_->closeAfterSending();
+        gateway_.onSessionEnded(shared_from_this());
+        return;
+    }
+    // Not from within the call that completed the answer: the next request may be in the bytes kept already.
+    boost::asio::post(gateway_.loop(), [self = shared_from_this()] { self->startNextRequest(); });
+}
+
+void CallerSession::abortAnswer()
+{
+    close();
+}
+
+std::size_t CallerSession::unsent() const
+{
+    return tcp_ != nullptr ? tcp_->unsent() : 0;
+}
+
+void CallerSession::closeIfIdle()
+{
+    if (isIdle()) {
+        close();
+    }
+}
+
+bool CallerSession::isIdle() const
+{
+    return request_ == nullptr && !isRequestComplete_ && !parser_.isWithinMessage() && early_.empty();
+}
+
+void CallerSession::onBytes(std::string_view bytes)
+{
+    const auto self = shared_from_this();
+    if (!isRequestComplete_) {
+        parse(bytes);
+        return;
+    }
+    early_.append(bytes);
+    if (early_.size() > earlyBytesLimit) {
+        tcp_->pauseReading();
+    }
+}
+
+void CallerSession::onClosed(bool /*isReset*/)
+{
+    const auto self = shared_from_this();
+    isClosed_ = true;
+    timer_.cancel();
+    if (const auto request = std::exchange(request_, nullptr)) {
+        request->onCallerGone();
+    }
+    gateway_.onSessionEnded(self);
+}
+
+void CallerSession::onSent()
+{
+    if (request_ != nullptr) {
+        request_->onCallerReady();
+    }
+}
+
+void CallerSession::onHead(HttpHead &&head, std::optional<std::uint64_t> bodyBytes)
+{
+    head_ = std::move(head);
+    body_.clear();
+    if (equalsIgnoringCase(head_.find("Expect"), "100-continue") && bodyBytes != 0) {
+        tcp_->send("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    const std::uint64_t expected = bodyBytes.value_or(limits_.bodyBytes);
+    armTimer(limits_.headTimeout * static_cast<std::int64_t>(1 + expected / megabyte));
+}
+
+void CallerSession::onBody(std::string_view bytes)
+{
+    body_.append(bytes);
+}
+
+void CallerSession::onEnd()
+{
+    isRequestComplete_ = true;
+}
+
+void CallerSession::parse(std::string_view bytes)
+{
+    if (isIdle()) {
+        armTimer(limits_.headTimeout);
+    }
+    Reason reason;
+    if (!parser_.read(bytes, reason)) {
+        refuse(reason);
+        return;
+    }
+    if (isRequestComplete_) {
+        timer_.cancel();
+        closesAfterAnswer_ = head_.version == 10 || head_.hasToken("Connection", "close");
+        const int version = head_.version;
+        const auto request = gateway_.createRequest(shared_from_this(), std::move(head_), std::move(body_));
+        head_.version = version;
+        request_ = request;
+        request->begin();
+    }
+}
+
+void CallerSession::startNextRequest()
+{
+    if (isClosed_) {
+        return;
+    }
+    limits_ = gateway_.callerLimits();
+    parser_.setLimits({limits_.headBytes, limits_.bodyBytes});
+    armTimer(limits_.idleTimeout);
+    Reason reason;
+    if (!parser_.startNext(reason)) {
+        refuse(reason);
+        return;
+    }
+    const std::string early = std::exchange(early_, {});
+    if (isRequestComplete_) {
+        early_ = early;
+        parse({});
+    } else if (!early.empty()) {
+        parse(early);
+    }
+    if (early_.size() <= earlyBytesLimit && !isClosed_) {
+        tcp_->resumeReading();
+    }
+}
+
+/// A message that can't be read gets its status and a closed connection: where the next message begins is not known.
+void CallerSession::refuse(const Reason &reason)
+{
+    closesAfterAnswer_ = true;
+    head_.version = 11;
+    gateway_.refuseUnread(*this, reason);
+}
+
+void CallerSession::close()
+{
+    if (isClosed_) {
+        return;
+    }
+    const auto self = shared_from_this();
+    isClosed_ = true;
+    timer_.cancel();
+    request_.reset();
+    tcp_->close();
+    gateway_.onSessionEnded(self);
+}
+
+void CallerSession::armTimer(Duration wait)
+{
+    timer_.expires_after(wait);
+    timer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self != nullptr) {
+            self->onTimer();
+        }
+    });
+}
+
+void CallerSession::onTimer()
+{
+    if (isClosed_ || request_ != nullptr) {
+        return;
+    }
+    if (parser_.isWithinMessage()) {
+        refuse({ResultCode::CallerTooSlow, "request did not arrive in time"});
+    } else {
+        close();
+    }
+}
+
+bool CallerSession::keepsConnection() const
+{
+    return !gateway_.isDraining();
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/gateway/gateway.cpp
@@ -0,0 +1,461 @@
+#include "gateway/gateway.h"
+
+#include <algorithm>
+#include <random>
+
+#include <xxhash.h>
+
+#include "core/log.h"
+#include "gateway/caller_session.h"
+#include "gateway/routed_request.h"
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+/// A key counts as proven this much shorter than operators allow: a request that was just let through has still to reach its target.
+constexpr Duration keyProofMargin = std::chrono::milliseconds(300);
+
+constexpr Duration tickTime = std::chrono::milliseconds(250);
+constexpr Duration drainTick = std::chrono::milliseconds(50);
+
+/// The scheduler's view of caches: 18 engines of 150,000 tokens hold 2,600 blocks, 1,000 engines 150,000; 22 bytes each.
+constexpr std::size_t viewBlocks = 65'536;
+
+/// Long enough for the work of a route's whole timeout, which bounds the wait by itself.
+constexpr Duration longestQueueWait = std::chrono::seconds(60);
+
+PlacementPolicy placementPolicy()
+{
+    PlacementPolicy policy;
+    policy.viewBlocks = viewBlocks;
+    return policy;
+}
+
+QueueLimits queueLimits()
+{
+    constexpr std::size_t mostWaiting = 4'000; // One megabyte; a host of this size serves some hundred requests a second.
+    QueueLimits limits;
+    limits.maxWait = longestQueueWait;
+    limits.maxRequests = mostWaiting;
+    return limits;
+}
+
+} // namespace
+
+Gateway::Gateway(const GatewayOptions &options, const CallerProtocol &callerProtocol, const TargetProtocol &targetProtocol, Metrics &metrics)
+    : options_(options)
+    , callerProtocol_(callerProtocol)
+    , targetProtocol_(targetProtocol)
+    , metrics_(metrics)
+    , acceptor_(loop_)
+    , decideTimer_(loop_)
+    , tickTimer_(loop_)
+    , status_(loop_, [this](std::string_view path) { return statusOf(path); })
+    , directory_(options.weightsDeadline)
+    , pool_(loop_, targetProtocol)
+    , scheduler_(queueLimits(), placementPolicy())
+    , random_(std::random_device{}())
+{
+}
+
+Gateway::~Gateway() = default;
+
+bool Gateway::open(Reason &reason)
+{
+    if (!openListener(acceptor_, options_.callers, reason) || !status_.open(options_.readiness, reason)) {
+        return false;
+    }
+    isAccepting_ = true;
+    accept();
+    tick();
+    return true;
+}
+
+void Gateway::run()
+{
+    loop_.run();
+}
+
+void Gateway::post(std::function<void(Gateway &)> task)
+{
+    boost::asio::post(loop_, [this, task = std::move(task)] { task(*this); });
+}
+
+void Gateway::setTable(std::shared_ptr<const RoutingTable> table, TimePoint provenAt)
+{
+    if (table_ != nullptr && table->version < table_->version) {
+        writeLog(LogLevel::Warning, "configuration_ignored", {{"version", table->version}, {"in_force", table_->version}});
+        return;
+    }
+    const bool isNew = table_ == nullptr || table->revision != table_->revision;
+    provenAt_ = std::max(provenAt_, provenAt);
+    if (!isNew) {
+        return;
+    }
+    table_ = std::move(table);
+    std::vector<TeamLimit> limits;
+    for (const Team &team : table_->teams) {
+        limits.push_back({team.name, team.rate, team.burst});
+    }
+    rates_.setLimits(limits, BootClock::now());
+    writeLog(LogLevel::Info,
+             "configuration_in_force",
+             {{"version", table_->version},
+              {"revision", table_->revision},
+              {"routes", static_cast<std::int64_t>(table_->routes.size())},
+              {"teams", static_cast<std::int64_t>(table_->teams.size())},
+              {"keys", static_cast<std::int64_t>(table_->teamOfKey.size())}});
+}
+
+void Gateway::confirmTable(std::int64_t revision, TimePoint provenAt)
+{
+    if (table_ != nullptr && table_->revision == revision) {
+        provenAt_ = std::max(provenAt_, provenAt);
+    }
+}
+
+void Gateway::setTargets(std::shared_ptr<const TargetMap> targets)
+{
+    directory_.setTargets(std::move(targets));
+    pool_.keepOnly(directory_.all());
+    hasTargets_ = true;
+    refreshTargets();
+}
+
+void Gateway::setNamedWeights(const NamedWeights &weights)
+{
+    writeLog(LogLevel::Info, "weights_named", {{"model", weights.model}, {"version", weights.version}});
+    directory_.setNamedWeights(weights);
+    refreshTargets();
+}
+
+void Gateway::setHosts(std::size_t count, double share)
+{
+    scheduler_.setHostCount(std::max<std::size_t>(count, 1));
+    rates_.setShare(share, BootClock::now());
+}
+
+void Gateway::drain()
+{
+    if (drainStartedAt_) {
+        return;
+    }
+    drainStartedAt_ = BootClock::now();
+    writeLog(LogLevel::Info, "drain_started", {{"sessions", static_cast<std::int64_t>(sessions_.size())}, {"requests", static_cast<std::int64_t>(requests_.size())}});
+    tickTimer_.cancel();
+    continueDrain();
+}
+
+boost::asio::io_context &Gateway::loop()
+{
+    return loop_;
+}
+
+const CallerProtocol &Gateway::callerProtocol() const
+{
+    return callerProtocol_;
+}
+
+const TargetProtocol &Gateway::targetProtocol() const
+{
+    return targetProtocol_;
+}
+
+std::shared_ptr<const RoutingTable> Gateway::table() const
+{
+    return table_;
+}
+
+TargetDirectory &Gateway::targets()
+{
+    return directory_;
+}
+
+TargetPool &Gateway::pool()
+{
+    return pool_;
+}
+
+TeamRates &Gateway::teamRates()
+{
+    return rates_;
+}
+
+CallerLimits Gateway::callerLimits() const
+{
+    return table_ != nullptr ? table_->limits : CallerLimits{};
+}
+
+bool Gateway::isDraining() const
+{
+    return drainStartedAt_.has_value();
+}
+
+bool Gateway::isKeyProofValid(TimePoint now) const
+{
+    return table_ != nullptr && proofAge(now) < options_.keyProofWindow - keyProofMargin;
+}
+
+bool Gateway::isCurrent(TimePoint now) const
+{
+    return table_ != nullptr && proofAge(now) < options_.configurationWindow;
+}
+
+Duration Gateway::proofAge(TimePoint now) const
+{
+    return now - provenAt_;
+}
+
+std::string Gateway::chooseService(const Route &route, std::string_view requestId) const
+{
+    double total = 0;
+    for (const TrafficShare &share : route.split) {
+        total += share.weight;
+    }
+    constexpr std::uint64_t steps = 1'000'000;
+    double place = total * static_cast<double>(XXH3_64bits(requestId.data(), requestId.size()) % steps) / steps;
+    for (const TrafficShare &share : route.split) {
+        if (place < share.weight) {
+            return share.service;
+        }
+        place -= share.weight;
+    }
+    return route.split.empty() ? std::string() : route.split.back().service;
+}
+
+std::uint32_t Gateway::plainWorkTokens() const
+{
+    return 100;
+}
+
+std::shared_ptr<RoutedRequest> Gateway::createRequest(const std::shared_ptr<CallerSession> &session, HttpHead &&head, std::string &&body)
+{
+    metrics_.add("lovageloft_requests_total");
+    return std::make_shared<RoutedRequest>(*this, session, std::move(head), std::move(body));
+}
+
+RequestId Gateway::submit(const std::shared_ptr<RoutedRequest> &request, SchedulerRequest &&scheduled)
+{
+    const RequestId id{++lastRequest_};
+    scheduled.id = id;
+    requests_.emplace(id, request);
+    if (const auto refusal = scheduler_.submit(std::move(scheduled), BootClock::now())) {
+        requests_.erase(id);
+        boost::asio::post(loop_, [request, refusal] { request->onRefused(*refusal); });
+    }
+    scheduleDecide();
+    return id;
+}
+
+void Gateway::cancelQueued(RequestId id)
+{
+    scheduler_.cancel(id, BootClock::now());
+    requests_.erase(id);
+}
+
+void Gateway::onFirstToken(RequestId id)
+{
+    scheduler_.onFirstToken(id, std::nullopt, BootClock::now());
+    scheduleDecide();
+}
+
+void Gateway::onDispatchEnded(RequestId id, SchedulerEnd end)
+{
+    scheduler_.onEnded(id, end, BootClock::now());
+    requests_.erase(id);
+    scheduleDecide();
+}
+
+void Gateway::onTargetLoad(std::string_view engineName, const TargetLoad &load)
+{
+    const Target *target = directory_.find(engineName);
+    if (target == nullptr) {
+        return;
+    }
+    // Targets tell how many requests wait, not how long their prompts are.
+    constexpr double assumedWaitingTokens = 1'000;
+    LoadReport report;
+    report.measuredAt = BootClock::now();
+    report.incarnation = static_cast<std::uint64_t>(target->incarnation);
+    report.runningRequests = load.running;
+    report.waitingRequests = load.waiting;
+    report.queuedPrefillTokens = load.waiting * (target->models.empty() ? plainWorkTokens() : assumedWaitingTokens);
+    scheduler_.onLoadReport(engineName, report, BootClock::now());
+}
+
+void Gateway::refreshTargets()
+{
+    scheduler_.setEngines(directory_.engines(BootClock::now()));
+    scheduleDecide();
+}
+
+int Gateway::refuse(CallerSession *session, const Reason &reason, RunState runState, Duration retryAfter)
+{
+    constexpr int tooManyRequests = 429;
+    constexpr int unavailable = 503;
+    const int status = callerProtocol_.statusOf(reason, runState);
+    if (session == nullptr) {
+        return status;
+    }
+    std::string fields;
+    appendField(fields, "Content-Type", "application/json");
+    if (status == tooManyRequests || status == unavailable) {
+        appendField(fields, "Retry-After", callerProtocol_.retryAfter(retryAfter));
+    }
+    const std::string body = callerProtocol_.body(reason, runState);
+    session->beginAnswer(status, fields, body.size());
+    session->sendBody(body);
+    session->finishAnswer();
+    return status;
+}
+
+void Gateway::refuseUnread(CallerSession &session, const Reason &reason)
+{
+    writeLog(LogLevel::Info, "message_refused", {{"code", std::int64_t{static_cast<int>(reason.code)}}, {"reason", reason.text}});
+    refuse(&session, reason, RunState::NotRun, {});
+}
+
+void Gateway::onRequestEnded(const RoutedRequest &request, std::string_view outcome, TimePoint startedAt)
+{
+    requests_.erase(request.schedulerId());
+    metrics_.add("lovageloft_requests_ended_total{outcome=\"" + std::string(outcome) + "\"}");
+    metrics_.observe("lovageloft_request_seconds", toSeconds(BootClock::now() - startedAt));
+}
+
+void Gateway::onSessionEnded(const std::shared_ptr<CallerSession> &session)
+{
+    sessions_.erase(session);
+}
+
+void Gateway::accept()
+{
+    acceptor_.async_accept([this](const boost::system::error_code &error, TcpConnection::Socket socket) {
+        if (!acceptor_.is_open()) {
+            return;
+        }
+        if (!error) {
+            auto session = std::make_shared<CallerSession>(*this, std::move(socket));
+            sessions_.insert(session);
+            session->start();
+        }
+        accept();
+    });
+}
+
+void Gateway::scheduleDecide()
+{
+    if (!isDecideScheduled_) {
+        isDecideScheduled_ = true;
+        boost::asio::post(loop_, [this] { decide(); });
+    }
+}
+
+void Gateway::decide()
+{
+    isDecideScheduled_ = false;
+    for (const SchedulerOutcome &outcome : scheduler_.decide(BootClock::now(), random_)) {
+        const RequestId id = std::visit([](const auto &known) { return known.id; }, outcome);
+        const auto found = requests_.find(id);
+        if (found == requests_.end()) {
+            scheduler_.onEnded(id, SchedulerEnd::Cancelled, BootClock::now());
+            continue;
+        }
+        const auto request = found->second;
+        if (const auto *assignment = std::get_if<SchedulerAssignment>(&outcome)) {
+            request->onAssigned(*assignment);
+        } else {
+            requests_.erase(id);
+            request->onRefused(std::get<SchedulerRefusal>(outcome));
+        }
+    }
+    if (const auto next = scheduler_.nextDeadline()) {
+        constexpr Duration shortest = std::chrono::milliseconds(5);
+        decideTimer_.expires_after(std::max(*next - BootClock::now(), shortest));
+        decideTimer_.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                scheduleDecide();
+            }
+        });
+    }
+}
+
+void Gateway::tick()
+{
+    const TimePoint now = BootClock::now();
+    pool_.closeStale(now);
+    if (directory_.nextChange(now - tickTime).value_or(now + tickTime) <= now) {
+        refreshTargets();
+    }
+    const bool ready = isReady(now);
+    if (ready != wasReady_) {
+        wasReady_ = ready;
+        writeLog(LogLevel::Info,
+                 ready ? "host_ready" : "host_not_ready",
+                 {{"configuration", table_ != nullptr ? table_->version : 0},
+                  {"targets", static_cast<std::int64_t>(directory_.all().size())},
+                  {"proof_age_ms", static_cast<std::int64_t>(toSeconds(proofAge(now)) * 1e3)}});
+    }
+    tickTimer_.expires_after(tickTime);
+    tickTimer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            tick();
+        }
+    });
+}
+
+/// The shutdown goes in two steps: while the balancer may still send connections all is served, and answers ask callers to close;
+/// then nothing is accepted and idle connections are closed. What runs is completed in both.
+void Gateway::continueDrain()
+{
+    const TimePoint now = BootClock::now();
+    const Duration elapsed = now - *drainStartedAt_;
+    pool_.closeStale(now);
+    if (elapsed >= options_.drainNotice) {
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
+        const auto sessions = sessions_;
+        for (const auto &session : sessions) {
+            session->closeIfIdle();
+        }
+    }
+    const bool isEmpty = elapsed >= options_.drainNotice && sessions_.empty() && requests_.empty();
+    if (isEmpty || elapsed >= options_.drainLimit) {
+        writeLog(LogLevel::Info, "drain_ended", {{"empty", isEmpty}, {"requests", static_cast<std::int64_t>(requests_.size())}});
+        status_.close();
+        loop_.stop();
+        return;
+    }
+    tickTimer_.expires_after(drainTick);
+    tickTimer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            continueDrain();
+        }
+    });
+}
+
+StatusAnswer Gateway::statusOf(std::string_view path)
+{
+    constexpr int unavailable = 503;
+    constexpr int notFound = 404;
+    if (path == callerProtocol_.readyPath()) {
+        return isReady(BootClock::now()) ? StatusAnswer{200, "ready\n"} : StatusAnswer{unavailable, "not ready\n"};
+    }
+    if (path == "/metrics") {
+        metrics_.set("lovageloft_requests_waiting", static_cast<double>(scheduler_.waiting()));
+        metrics_.set("lovageloft_requests_running", static_cast<double>(scheduler_.inFlight()));
+        metrics_.set("lovageloft_key_proof_age_seconds", toSeconds(proofAge(BootClock::now())));
+        metrics_.set("lovageloft_idle_target_connections", static_cast<double>(pool_.idleCount()));
+        return {200, metrics_.text()};
+    }
+    return {notFound, "not found\n"};
+}
+
+bool Gateway::isReady(TimePoint now) const
+{
+    return !drainStartedAt_ && hasTargets_ && isKeyProofValid(now);
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/gateway/gateway.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string_view>
+#include <unordered_map>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "core/metrics.h"
+#include "core/random.h"
+#include "decision/request_scheduler.h"
+#include "decision/team_rates.h"
+#include "gateway/protocol.h"
+#include "gateway/routing_table.h"
+#include "gateway/status_server.h"
+#include "gateway/target_directory.h"
+#include "gateway/target_pool.h"
+
+namespace Lovageloft
+{
+
+class CallerSession;
+class RoutedRequest;
+
+/// Addresses and times of a gateway.
+struct GatewayOptions
+{
+    HostAddress callers;
+    HostAddress readiness;
+    Duration keyProofWindow = std::chrono::seconds(5); ///< Within this time a withdrawn key must have stopped working.
+    Duration configurationWindow = std::chrono::seconds(2); ///< Within this time a new configuration must be in force.
+    Duration weightsDeadline = std::chrono::seconds(8); ///< After this time no request may begin on older weights.
+    Duration drainNotice = std::chrono::milliseconds(2'600); ///< The balancer may send new connections that long after /ready began to fail.
+    Duration drainLimit = std::chrono::seconds(7); ///< Longest time from the request to shut down to the end.
+};
+
+/// The event-driven pipeline: one thread and one event loop own all sockets of callers and targets, the scheduler, and what this
+/// host believes. Other duties hand over what they learn with `post`.
+class Gateway
+{
+public:
+    Gateway(const GatewayOptions &options, const CallerProtocol &callerProtocol, const TargetProtocol &targetProtocol, Metrics &metrics);
+    ~Gateway();
+    Gateway(const Gateway &) = delete;
+    Gateway &operator=(const Gateway &) = delete;
+
+    /// Opens the ports; false if one is taken.
+    bool open(Reason &reason);
+
+    /// Serves until a shutdown has ended.
+    void run();
+
+    /// Runs `task` on the event loop. The only member that other threads may call.
+    void post(std::function<void(Gateway &)> task);
+
+    // What follows is for the event loop only: beliefs first.
+
+    /// A new configuration, which was the newest at `provenAt`. Versions never go back.
+    void setTable(std::shared_ptr<const RoutingTable> table, TimePoint provenAt);
+
+    /// The configuration with this revision was the newest at `provenAt`.
+    void confirmTable(std::int64_t revision, TimePoint provenAt);
+
+    void setTargets(std::shared_ptr<const TargetMap> targets);
+    void setNamedWeights(const NamedWeights &weights);
+
+    /// This host's part of the teams' rates.
+    void setHosts(std::size_t count, double share);
+
+    /// Begins a graceful shutdown.
+    void drain();
+
+    // For sessions and requests.
+
+    boost::asio::io_context &loop();
+    const CallerProtocol &callerProtocol() const;
+    const TargetProtocol &targetProtocol() const;
+    std::shared_ptr<const RoutingTable> table() const;
+    TargetDirectory &targets();
+    TargetPool &pool();
+    TeamRates &teamRates();
+    CallerLimits callerLimits() const;
+    bool isDraining() const;
+
+    /// Whether no key that was withdrawn more than the allowed time ago can still be in the configuration.
+    bool isKeyProofValid(TimePoint now) const;
+
+    /// Whether the configuration can be relied on to name everything that was added more than the allowed time ago.
+    bool isCurrent(TimePoint now) const;
+
+    Duration proofAge(TimePoint now) const;
+
+    /// One of the route's services by their weights; the same for the same request.
+    std::string chooseService(const Route &route, std::string_view requestId) const;
+
+    /// What a call to a plain service counts as in the scheduler's units.
+    std::uint32_t plainWorkTokens() const;
+
+    std::shared_ptr<RoutedRequest> createRequest(const std::shared_ptr<CallerSession> &session, HttpHead &&head, std::string &&body);
+    RequestId submit(const std::shared_ptr<RoutedRequest> &request, SchedulerRequest &&scheduled);
+    void cancelQueued(RequestId id);
+    void onFirstToken(RequestId id);
+    void onDispatchEnded(RequestId id, SchedulerEnd end);
+    void onTargetLoad(std::string_view engineName, const TargetLoad &load);
+
+    /// The directory has changed.
+    void refreshTargets();
+
+    /// Writes a refusal or failure to a caller, who may be gone; returns the status.
+    int refuse(CallerSession *session, const Reason &reason, RunState runState, Duration retryAfter);
+
+    /// The same for a message that could not be read.
+    void refuseUnread(CallerSession &session, const Reason &reason);
+
+    void onRequestEnded(const RoutedRequest &request, std::string_view outcome, TimePoint startedAt);
+    void onSessionEnded(const std::shared_ptr<CallerSession> &session);
+
+private:
+    bool listen(const HostAddress &address, Reason &reason);
+    void accept();
+    void decide();
+    void scheduleDecide();
+    void tick();
+    void continueDrain();
+    StatusAnswer statusOf(std::string_view path);
+    bool isReady(TimePoint now) const;
+
+    GatewayOptions options_;
+    const CallerProtocol &callerProtocol_;
+    const TargetProtocol &targetProtocol_;
+    Metrics &metrics_;
+    boost::asio::io_context loop_{1};
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer decideTimer_;
+    boost::asio::steady_timer tickTimer_;
+    StatusServer status_;
+    std::shared_ptr<const RoutingTable> table_;
+    TimePoint provenAt_;
+    TargetDirectory directory_;
+    TargetPool pool_;
+    TeamRates rates_;
+    RequestScheduler scheduler_;
+    Random random_;
+    std::unordered_map<RequestId, std::shared_ptr<RoutedRequest>> requests_; ///< Queued or at a target.
+    std::set<std::shared_ptr<CallerSession>> sessions_;
+    std::uint64_t lastRequest_ = 0;
+    bool hasTargets_ = false;
+    bool isDecideScheduled_ = false;
+    bool isAccepting_ = false;
+    std::optional<TimePoint> drainStartedAt_;
+    bool wasReady_ = false;
+};
+
+} // namespace Lovageloft
--- /dev/null
+++ b/gateway/gateway_settings.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <string>
+
+#include "core/clock.h"
+#include "core/settings.h"
+
+namespace Lovageloft
+{
+
+/// The settings of one host that runs the gateway, however they were written.
+struct GatewaySettings
+{
+    std::string hostName;
+    std::string dataCentre;
+    HostAddress callers;
+    HostAddress readiness;
+    HostAddress store;
+    Duration keyProofWindow{}; ///< A withdrawn key must have stopped working within that time.
+    Duration configurationWindow{}; ///< A change must be in force within that time.
+    Duration weightsDeadline{}; ///< New weights must serve all new requests within that time.
+    Duration leaderLease{};
+    Duration shutdownLimit{}; ///< From the signal to stop until the process is killed.
+    bool enginesCheckFencing = true;
+    Duration shortestLease{}; ///< The store grants none below.
+};
+
+} // namespace Lovageloft
--- /dev/null
+++ b/gateway/routed_request.cpp
@@ -0,0 +1,677 @@
+#include "gateway/routed_request.h"
+
+#include <algorithm>
+#include <array>
+
+#include "core/log.h"
+#include "gateway/caller_session.h"
+#include "gateway/gateway.h"
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+/// Answers up to this size are kept until they are whole, so that a target that breaks off can be replaced unseen.
+constexpr std::size_t heldAnswerLimit = 262'144;
+
+/// Bytes that a slow caller may leave untaken before the target is no longer read.
+constexpr std::size_t callerBacklogLimit = 262'144;
+
+/// Targets that one request is offered to at most, however many of them decline without running it.
+constexpr int mostSends = 4;
+
+/// Silence after which work that may be repeated is tried elsewhere, in latency targets: such an answer is late already, and with
+/// one more latency target it still comes while callers wait.
+constexpr double stallInLatencyTargets = 1.5;
+constexpr Duration shortestStall = std::chrono::milliseconds(400);
+
+/// Less time than that is not worth another target: the answer would come after the caller has left.
+constexpr Duration leastTimeForTry = std::chrono::milliseconds(60);
+
+/// When to come back after a refusal for which nothing else is known: most causes pass or move to another host within that.
+constexpr Duration usualRetryAfter = std::chrono::milliseconds(300);
+
+/// How long a call that must run once is left to a target after its caller has its answer or is gone. Targets stop at the
+/// deadline that came with the request; beyond this one is stuck, and its connection is worth more.
+constexpr Duration orphanLimit = std::chrono::seconds(10);
+
+constexpr int lowestUrgency = 9;
+constexpr int usualUrgency = 4; ///< Of the most urgent routes; leaves room above for what operators set apart.
+
+constexpr int statusOk = 200;
+constexpr int firstErrorStatus = 500;
+
+std::int64_t toMillis(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+Priority priorityClass(int priority)
+{
+    constexpr std::array<Priority, 3> classes{Priority::High, Priority::Normal, Priority::Low};
+    return classes.at(static_cast<std::size_t>(std::clamp(priority, 0, 2)));
+}
+
+} // namespace
+
+RoutedRequest::RoutedRequest(Gateway &gateway, std::shared_ptr<CallerSession> session, HttpHead &&head, std::string &&body)
+    : gateway_(gateway)
+    , session_(std::move(session))
+    , head_(std::move(head))
+    , body_(std::move(body))
+    , startedAt_(BootClock::now())
+    , timer_(gateway.loop())
+{
+}
+
+void RoutedRequest::begin()
+{
+    const auto self = shared_from_this();
+    Reason reason;
+    for (const Filter filter : filters()) {
+        if (!(this->*filter)(reason)) {
+            fail(std::move(reason));
+            return;
+        }
+    }
+    limit_ = startedAt_ + route_->timeout;
+    if (caller_.patience) {
+        limit_ = std::min(limit_, startedAt_ + *caller_.patience);
+    }
+    armTimer();
+    enqueue();
+}
+
+std::span<const RoutedRequest::Filter> RoutedRequest::filters()
+{
+    static constexpr std::array<Filter, 5> table{
+        &RoutedRequest::readHead, &RoutedRequest::checkConfigured, &RoutedRequest::findRoute, &RoutedRequest::authenticate, &RoutedRequest::charge,
+    };
+    return table;
+}
+
+bool RoutedRequest::readHead(Reason &reason)
+{
+    auto caller = gateway_.callerProtocol().read(head_, reason);
+    if (!caller) {
+        return false;
+    }
+    caller_ = std::move(*caller);
+    return true;
+}
+
+bool RoutedRequest::checkConfigured(Reason &reason)
+{
+    table_ = gateway_.table();
+    if (table_ == nullptr) {
+        reason = {ResultCode::NotFresh, "no configuration has been read yet"};
+        return false;
+    }
+    return true;
+}
+
+bool RoutedRequest::findRoute(Reason &reason)
+{
+    route_ = table_->findRoute(head_.find("Host"), head_.path);
+    if (route_ != nullptr) {
+        service_ = gateway_.chooseService(*route_, caller_.id);
+        return true;
+    }
+    reason = {ResultCode::UnknownPath, "no route has this host and path"};
+    if (!gateway_.isCurrent(BootClock::now())) {
+        // The route may be newer than what this host knows, and a caller does not try again after "not found".
+        reason = {ResultCode::NotFresh, "the configuration is too old to say that there is no such route"};
+    }
+    return false;
+}
+
+bool RoutedRequest::authenticate(Reason &reason)
+{
+    team_ = nullptr;
+    if (route_->isPublic || table_->teams.empty()) {
+        return true;
+    }
+    if (!gateway_.isKeyProofValid(BootClock::now())) {
+        reason = {ResultCode::NotFresh, "no recent proof that the key has not been withdrawn"};
+        return false;
+    }
+    team_ = table_->findTeam(caller_.key);
+    if (team_ != nullptr) {
+        return true;
+    }
+    reason = {caller_.key.empty() ? ResultCode::MissingKey : ResultCode::UnknownKey, "no team has this key"};
+    if (!gateway_.isCurrent(BootClock::now())) {
+        reason = {ResultCode::NotFresh, "the configuration is too old to say that the key is unknown"};
+    }
+    return false;
+}
+
+bool RoutedRequest::charge(Reason &reason)
+{
+    if (team_ == nullptr) {
+        return true;
+    }
+    const double tokens = caller_.promptTokens ? static_cast<double>(*caller_.promptTokens) + caller_.outputTokens : team_->plainTokens;
+    Duration retryAfter{};
+    if (!gateway_.teamRates().tryTake(team_->name, tokens, BootClock::now(), reason, retryAfter)) {
+        fail(reason, retryAfter);
+        return false;
+    }
+    charged_ = tokens;
+    return true;
+}
+
+/// The configuration may have changed while the request waited: a withdrawn key or a moved route must not be used.
+bool RoutedRequest::isStillAllowed(Reason &reason)
+{
+    const auto newest = gateway_.table();
+    if (newest == table_ && (team_ == nullptr || gateway_.isKeyProofValid(BootClock::now()))) {
+        return true;
+    }
+    const auto old = std::exchange(table_, newest); // Keeps the route that is looked at until another is found.
+    const std::string oldService = service_;
+    if (!findRoute(reason) || !authenticate(reason)) {
+        return false;
+    }
+    const bool isSameService =
+        std::any_of(route_->split.begin(), route_->split.end(), [&](const TrafficShare &share) { return share.service == oldService && share.weight > 0; });
+    if (isSameService) {
+        service_ = oldService;
+    } else {
+        reason = {ResultCode::NoTarget, "the route has moved to another service"};
+    }
+    return isSameService;
+}
+
+void RoutedRequest::enqueue()
+{
+    phase_ = Phase::Queued;
+    schedulerId_ = gateway_.submit(shared_from_this(), schedulerRequest());
+}
+
+SchedulerRequest RoutedRequest::schedulerRequest() const
+{
+    SchedulerRequest request;
+    request.team = team_ != nullptr ? team_->name : std::string();
+    request.keyId = request.team;
+    request.cacheSalt = team_ != nullptr && team_->isIsolated ? team_->name : std::string();
+    request.model = gateway_.targets().schedulerModel(service_, caller_.model);
+    request.priority = priorityClass(team_ != nullptr && team_->priority ? *team_->priority : route_->priority);
+    request.promptTokens = caller_.promptTokens.value_or(gateway_.plainWorkTokens());
+    request.outputTokens = caller_.outputTokens;
+    digestParts(caller_.parts, request.blockDigests);
+    request.deadline = limit_ - leastTimeForTry;
+    request.failedEngines = failedTargets_;
+    request.isResume = isAnswerStarted_;
+    request.reachedTarget = sends_ > 0;
+    return request;
+}
+
+void RoutedRequest::onAssigned(const SchedulerAssignment &assignment)
+{
+    const auto self = shared_from_this();
+    targetId_ = assignment.engine;
+    Reason reason;
+    if (!isStillAllowed(reason)) {
+        endDispatch(SchedulerEnd::Cancelled);
+        fail(std::move(reason));
+        return;
+    }
+    const Target *target = gateway_.targets().find(assignment.engine);
+    if (target == nullptr) {
+        endDispatch(SchedulerEnd::Cancelled);
+        tryElsewhere();
+        return;
+    }
+    send(*target);
+}
+
+void RoutedRequest::onRefused(const SchedulerRefusal &refusal)
+{
+    fail(refusal.reason, refusal.retryAfter);
+}
+
+RequestId RoutedRequest::schedulerId() const
+{
+    return schedulerId_;
+}
+
+bool RoutedRequest::isRunning() const
+{
+    return phase_ == Phase::Sent || phase_ == Phase::Answering;
+}
+
+void RoutedRequest::send(const Target &target)
+{
+    const TimePoint now = BootClock::now();
+    phase_ = Phase::Sent;
+    sentAt_ = now;
+    lastByteAt_ = now;
+    ++sends_;
+    ++runs_;
+    isAnswerKept_ = false;
+    std::string salt;
+    const TargetRequest request = targetRequest(target, salt);
+    std::string bytes = gateway_.targetProtocol().writeHead(head_, request, body_.size());
+    bytes.append(body_);
+    connection_ = gateway_.pool().take(target, route_->isIdempotent(), now);
+    writeLog(LogLevel::Info,
+             "request_sent",
+             {{"request", caller_.id},
+              {"target", target.id},
+              {"service", service_},
+              {"send", std::int64_t{sends_}},
+              {"waited_ms", toMillis(now - startedAt_)},
+              {"weights", request.weightsVersion},
+              {"reused", connection_->isUsed()},
+              {"configuration", table_->version}});
+    connection_->start(std::move(bytes), caller_.id, head_.method != "HEAD", *this);
+    armTimer();
+}
+
+TargetRequest RoutedRequest::targetRequest(const Target &target, std::string &salt) const
+{
+    TargetRequest request;
+    request.targetId = target.id;
+    request.team = team_ != nullptr ? std::string_view(team_->name) : std::string_view();
+    request.timeLeft = timeLeft(BootClock::now());
+    request.lastEventId = events_.lastId().empty() ? std::string_view(caller_.lastEventId) : std::string_view(events_.lastId());
+    request.isForEngine = !caller_.model.empty() && !target.models.empty();
+    if (request.isForEngine) {
+        request.weightsVersion = gateway_.targets().weightsOf(target, caller_.model);
+        // What older weights computed must not be found by newer ones, nor one isolated team's by another.
+        salt = std::to_string(request.weightsVersion) + '/' + (team_ != nullptr && team_->isIsolated ? team_->name : std::string());
+        request.cacheSalt = salt;
+        const int priority = team_ != nullptr && team_->priority ? *team_->priority : route_->priority;
+        request.urgency = std::clamp(usualUrgency + priority, 0, lowestUrgency);
+    }
+    return request;
+}
+
+void RoutedRequest::onAnswerHead(HttpHead &&head, const AnswerFacts &facts)
+{
+    lastByteAt_ = BootClock::now();
+    if (facts.load) {
+        gateway_.onTargetLoad(targetId_, *facts.load);
+    }
+    answerHead_ = std::move(head);
+    isNotExecuted_ = facts.isNotExecuted || facts.isOtherTarget;
+    if (isNotExecuted_) {
+        notExecuted_ = facts;
+        return;
+    }
+    hasRun_ = true;
+    phase_ = Phase::Answering;
+    held_.clear();
+    isAnswerKept_ = !isAnswerStarted_ || answerHead_.status == statusOk;
+}
+
+void RoutedRequest::onAnswerBody(std::string_view bytes)
+{
+    lastByteAt_ = BootClock::now();
+    if (!isAnswerKept_) {
+        return;
+    }
+    if (isStream() && answerHead_.status == statusOk) {
+        onEvents(events_.push(bytes));
+        return;
+    }
+    if (isAnswerStarted_) {
+        relay(bytes);
+        return;
+    }
+    held_.append(bytes);
+    if (held_.size() > heldAnswerLimit) {
+        startAnswer(std::nullopt);
+        relay(held_);
+        held_.clear();
+    }
+}
+
+void RoutedRequest::onEvents(std::string_view events)
+{
+    if (events.empty()) {
+        return;
+    }
+    if (!firstByte_) {
+        firstByte_ = BootClock::now() - startedAt_;
+    }
+    if (!isFirstEventNoted_) {
+        isFirstEventNoted_ = true;
+        gateway_.onFirstToken(schedulerId_);
+    }
+    if (!isAnswerStarted_) {
+        startAnswer(std::nullopt);
+    }
+    relay(events);
+}
+
+void RoutedRequest::relay(std::string_view bytes)
+{
+    if (session_ == nullptr) {
+        return;
+    }
+    relayedBytes_ += bytes.size();
+    session_->sendBody(bytes);
+    if (session_->unsent() > callerBacklogLimit && connection_ != nullptr) {
+        connection_->pauseReading();
+        isReadingPaused_ = true;
+    }
+}
+
+void RoutedRequest::onCallerReady()
+{
+    if (isReadingPaused_ && connection_ != nullptr) {
+        isReadingPaused_ = false;
+        connection_->resumeReading();
+    }
+}
+
+void RoutedRequest::onAnswerEnd()
+{
+    const auto self = shared_from_this();
+    connection_.reset();
+    if (isNotExecuted_) {
+        onNotExecuted();
+        return;
+    }
+    if (!isFirstEventNoted_) {
+        gateway_.onFirstToken(schedulerId_);
+    }
+    const bool isFailure = answerHead_.status >= firstErrorStatus || !isAnswerKept_;
+    endDispatch(isFailure ? SchedulerEnd::Failed : SchedulerEnd::Finished);
+    if (!isAnswerKept_) {
+        breakOff("resumed stream was refused");
+        return;
+    }
+    if (isFailure && !isAnswerStarted_ && mayRunAgain()) {
+        fallback_ = HeldAnswer{std::move(answerHead_), std::move(held_)};
+        held_.clear();
+        tryElsewhere();
+        return;
+    }
+    if (isStream() && answerHead_.status == statusOk && events_.hasPartial()) {
+        breakOff("stream ended within an event");
+        return;
+    }
+    relayHeld();
+}
+
+void RoutedRequest::onNotExecuted()
+{
+    --runs_;
+    gateway_.targets().onNotExecuted(targetId_, notExecuted_, caller_.model, BootClock::now());
+    gateway_.refreshTargets();
+    endDispatch(SchedulerEnd::Cancelled);
+    writeLog(LogLevel::Info,
+             "request_declined",
+             {{"request", caller_.id}, {"target", targetId_}, {"status", std::int64_t{answerHead_.status}}, {"other_target", notExecuted_.isOtherTarget}});
+    isNotExecuted_ = false;
+    tryElsewhere();
+}
+
+void RoutedRequest::onTargetLost(TargetLoss loss, std::string_view why)
+{
+    const auto self = shared_from_this();
+    connection_.reset();
+    if (isNotExecuted_) {
+        onNotExecuted();
+        return;
+    }
+    writeLog(LogLevel::Info,
+             "target_lost",
+             {{"request", caller_.id}, {"target", targetId_}, {"why", why}, {"not_sent", loss == TargetLoss::NotSent}, {"relayed", isAnswerStarted_}});
+    endDispatch(SchedulerEnd::Failed);
+    events_.dropPartial();
+    held_.clear();
+    if (loss == TargetLoss::NotSent) {
+        --runs_;
+        --sends_;
+        ++unreached_;
+        tryElsewhere();
+        return;
+    }
+    hasRun_ = true;
+    if (mayRunAgain()) {
+        tryElsewhere();
+    } else if (isAnswerStarted_) {
+        breakOff(why);
+    } else {
+        fail({ResultCode::TargetTruncated, "the target broke off"});
+    }
+}
+
+void RoutedRequest::endDispatch(SchedulerEnd end)
+{
+    isFirstEventNoted_ = false;
+    gateway_.onDispatchEnded(schedulerId_, end);
+}
+
+bool RoutedRequest::mayRunAgain() const
+{
+    return route_->isIdempotent() && runs_ < route_->maxAttempts && timeLeft(BootClock::now()) > leastTimeForTry && session_ != nullptr;
+}
+
+void RoutedRequest::tryElsewhere()
+{
+    if (session_ == nullptr) {
+        finish("caller_gone", 0);
+        return;
+    }
+    failedTargets_.push_back(targetId_);
+    if (sends_ + unreached_ >= mostSends || timeLeft(BootClock::now()) <= leastTimeForTry) {
+        fail({ResultCode::NoTarget, "no target took the request in time"});
+        return;
+    }
+    enqueue();
+}
+
+void RoutedRequest::startAnswer(std::optional<std::size_t> bodyBytes)
+{
+    isAnswerStarted_ = true;
+    fallback_.reset();
+    if (!firstByte_) {
+        firstByte_ = BootClock::now() - startedAt_;
+    }
+    if (session_ == nullptr) {
+        return;
+    }
+    std::string fields;
+    for (const HttpField &field : answerHead_.fields) {
+        if (isHopByHop(answerHead_, field.name) || gateway_.targetProtocol().isPrivateField(field.name)) {
+            continue;
+        }
+        appendField(fields, field.name, field.value);
+    }
+    session_->beginAnswer(answerHead_.status, fields, bodyBytes);
+}
+
+void RoutedRequest::relayHeld()
+{
+    if (!isAnswerStarted_) {
+        startAnswer(held_.size());
+        relay(held_);
+    }
+    const auto session = std::move(session_);
+    finish("answered", answerHead_.status);
+    if (session != nullptr) {
+        session->finishAnswer();
+    }
+}
+
+void RoutedRequest::onCallerGone()
+{
+    const auto self = shared_from_this();
+    session_.reset();
+    if (phase_ == Phase::Done) {
+        return;
+    }
+    const bool mustEnd = route_ != nullptr && route_->kind == RouteKind::NonIdempotent && isRunning();
+    if (mustEnd) {
+        limit_ = BootClock::now() + orphanLimit;
+        armTimer();
+        return;
+    }
+    if (connection_ != nullptr) {
+        connection_->abandon();
+        connection_.reset();
+    }
+    if (isRunning()) {
+        endDispatch(SchedulerEnd::Cancelled);
+    } else {
+        gateway_.cancelQueued(schedulerId_);
+    }
+    finish("caller_gone", 0);
+}
+
+void RoutedRequest::armTimer()
+{
+    TimePoint next = limit_;
+    if (phase_ == Phase::Sent && mayRunAgain()) {
+        next = std::min(next, sentAt_ + stallTime());
+    }
+    timer_.expires_after(std::max(next - BootClock::now(), Duration::zero()));
+    timer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self != nullptr) {
+            self->onTimer();
+        }
+    });
+}
+
+Duration RoutedRequest::stallTime() const
+{
+    return std::max(shortestStall, std::chrono::duration_cast<Duration>(route_->latencyTarget * stallInLatencyTargets));
+}
+
+void RoutedRequest::onTimer()
+{
+    const TimePoint now = BootClock::now();
+    if (phase_ == Phase::Done) {
+        return;
+    }
+    const bool isStalled = phase_ == Phase::Sent && mayRunAgain() && now >= sentAt_ + stallTime();
+    if (now < limit_ && !isStalled) {
+        armTimer();
+        return;
+    }
+    const bool wasRunning = isRunning();
+    if (connection_ != nullptr && (wasRunning && route_->kind == RouteKind::NonIdempotent && !isStalled)) {
+        // A call that must run once is left to end; the caller gets its answer now.
+        if (session_ == nullptr) {
+            connection_->abandon();
+            connection_.reset();
+            endDispatch(SchedulerEnd::Failed);
+            finish("abandoned", 0);
+            return;
+        }
+        answerFailure({ResultCode::TargetTimeout, "the target has not answered in time"}, {});
+        limit_ = now + orphanLimit;
+        armTimer();
+        return;
+    }
+    if (connection_ != nullptr) {
+        connection_->abandon();
+        connection_.reset();
+    }
+    if (wasRunning) {
+        hasRun_ = true;
+        endDispatch(SchedulerEnd::Failed);
+    } else {
+        gateway_.cancelQueued(schedulerId_);
+    }
+    if (isStalled && now < limit_) {
+        writeLog(LogLevel::Info, "target_stalled", {{"request", caller_.id}, {"target", targetId_}, {"silent_ms", toMillis(now - sentAt_)}});
+        tryElsewhere();
+        return;
+    }
+    fail(wasRunning ? Reason{ResultCode::TargetTimeout, "the target has not answered in time"}
+                    : Reason{ResultCode::DeadlineWouldPass, "no target was free in time"});
+}
+
+void RoutedRequest::fail(Reason reason, Duration retryAfter)
+{
+    if (phase_ == Phase::Done) {
+        return;
+    }
+    if (isAnswerStarted_) {
+        breakOff(reason.text);
+        return;
+    }
+    if (fallback_) {
+        answerHead_ = std::move(fallback_->head);
+        held_ = std::move(fallback_->body);
+        relayHeld();
+        return;
+    }
+    const auto self = shared_from_this();
+    answerFailure(reason, retryAfter);
+    finish(resultCodeInfo(reason.code).name, lastStatus_);
+}
+
+/// Gives the caller its final answer and lets go of it; what runs at a target goes on.
+void RoutedRequest::answerFailure(const Reason &reason, Duration retryAfter)
+{
+    const RunState state = hasRun_ || isRunning() ? RunState::MayHaveRun : RunState::NotRun;
+    if (state == RunState::NotRun && team_ != nullptr) {
+        gateway_.teamRates().giveBack(team_->name, charged_);
+    }
+    const auto session = std::move(session_);
+    lastStatus_ = gateway_.refuse(session.get(), reason, state, retryAfter > Duration::zero() ? retryAfter : usualRetryAfter);
+    writeLog(LogLevel::Info,
+             "request_refused",
+             {{"request", caller_.id},
+              {"code", std::int64_t{static_cast<int>(reason.code)}},
+              {"reason", reason.text},
+              {"status", std::int64_t{lastStatus_}},
+              {"may_have_run", state == RunState::MayHaveRun},
+              {"waited_ms", toMillis(BootClock::now() - startedAt_)},
+              {"configuration", table_ != nullptr ? table_->version : 0},
+              {"proof_age_ms", toMillis(gateway_.proofAge(BootClock::now()))}});
+}
+
+void RoutedRequest::breakOff(std::string_view why)
+{
+    const auto self = shared_from_this();
+    const auto session = std::move(session_);
+    writeLog(LogLevel::Warning, "answer_broken_off", {{"request", caller_.id}, {"target", targetId_}, {"why", why}});
+    finish("broken_off", 0);
+    if (session != nullptr) {
+        session->abortAnswer();
+    }
+}
+
+void RoutedRequest::finish(std::string_view outcome, int status)
+{
+    if (phase_ == Phase::Done) {
+        return;
+    }
+    phase_ = Phase::Done;
+    timer_.cancel();
+    writeLog(LogLevel::Info,
+             "request_ended",
+             {{"request", caller_.id},
+              {"route", route_ != nullptr ? std::string_view(route_->name) : std::string_view()},
+              {"outcome", outcome},
+              {"status", std::int64_t{status}},
+              {"target", targetId_},
+              {"sends", std::int64_t{sends_}},
+              {"first_ms", firstByte_ ? toMillis(*firstByte_) : -1},
+              {"ms", toMillis(BootClock::now() - startedAt_)},
+              {"bytes", static_cast<std::int64_t>(relayedBytes_)}});
+    gateway_.onRequestEnded(*this, outcome, startedAt_);
+}
+
+Duration RoutedRequest::timeLeft(TimePoint now) const
+{
+    return limit_ - now;
+}
+
+bool RoutedRequest::isStream() const
+{
+    return route_->kind == RouteKind::Stream;
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/gateway/status_server.cpp
@@ -0,0 +1,146 @@
+#include "gateway/status_server.h"
+
+#include "drivers/http_parser.h"
+#include "drivers/tcp_connection.h"
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+/// Connections that wait to be accepted. After a herd of restarts all clients connect within a moment, and a full queue
+/// costs each of them a second.
+constexpr int listenBacklog = 1'024;
+
+} // namespace
+
+class StatusServer::Session final : public std::enable_shared_from_this<Session>, private TcpEvents, private HttpEvents
+{
+public:
+    Session(StatusServer &server, TcpConnection::Socket socket)
+        : server_(server)
+        , parser_(HttpMessageKind::Request, {}, *this)
+        , tcp_(TcpConnection::adopt(std::move(socket), *this))
+    {
+    }
+
+    void close()
+    {
+        tcp_->close();
+    }
+
+private:
+    void onBytes(std::string_view bytes) override
+    {
+        const auto self = shared_from_this();
+        Reason reason;
+        if (!parser_.read(bytes, reason)) {
+            tcp_->close();
+            server_.sessions_.erase(self);
+            return;
+        }
+        while (parser_.isComplete()) {
+            answer();
+            if (!parser_.startNext(reason)) {
+                break;
+            }
+        }
+    }
+
+    void onClosed(bool /*isReset*/) override
+    {
+        server_.sessions_.erase(shared_from_this());
+    }
+
+    void onHead(HttpHead &&head, std::optional<std::uint64_t> /*bodyBytes*/) override
+    {
+        path_ = head.path;
+    }
+
+    void onBody(std::string_view /*bytes*/) override
+    {
+    }
+
+    void onEnd() override
+    {
+    }
+
+    void answer()
+    {
+        const StatusAnswer answer = server_.answer_(path_);
+        std::string out = "HTTP/1.1 " + std::to_string(answer.status) + ' ' + std::string(statusText(answer.status)) + "\r\n";
+        appendField(out, "Content-Type", "text/plain; charset=utf-8");
+        appendField(out, "Content-Length", std::to_string(answer.body.size()));
+        out.append("\r\n").append(answer.body);
+        tcp_->send(out);
+    }
+
+    StatusServer &server_;
+    HttpParser parser_;
+    std::shared_ptr<TcpConnection> tcp_;
+    std::string path_;
+};
+
+StatusServer::StatusServer(boost::asio::io_context &loop, Answer answer)
+    : acceptor_(loop)
+    , answer_(std::move(answer))
+{
+}
+
+StatusServer::~StatusServer() = default;
+
+bool StatusServer::open(const HostAddress &address, Reason &reason)
+{
+    if (!openListener(acceptor_, address, reason)) {
+        return false;
+    }
+    accept();
+    return true;
+}
+
+void StatusServer::close()
+{
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    for (const auto &session : sessions_) {
+        session->close();
+    }
+    sessions_.clear();
+}
+
+void StatusServer::accept()
+{
+    acceptor_.async_accept([this](const boost::system::error_code &error, TcpConnection::Socket socket) {
+        if (!acceptor_.is_open()) {
+            return;
+        }
+        if (!error) {
+            sessions_.insert(std::make_shared<Session>(*this, std::move(socket)));
+        }
+        accept();
+    });
+}
+
+bool openListener(boost::asio::ip::tcp::acceptor &acceptor, const HostAddress &address, Reason &reason)
+{
+    using boost::asio::ip::tcp;
+    boost::system::error_code error;
+    const tcp::endpoint endpoint(boost::asio::ip::make_address(address.host, error), address.port);
+    if (!error) {
+        acceptor.open(tcp::v4(), error);
+    }
+    if (!error) {
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+        acceptor.bind(endpoint, error);
+    }
+    if (!error) {
+        acceptor.listen(listenBacklog, error);
+    }
+    if (error) {
+        reason = {ResultCode::SettingsOutOfRange, "can't listen on " + address.host + ':' + std::to_string(address.port) + ": " + error.message()};
+    }
+    return !error;
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/gateway/target.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/settings.h"
+
+namespace Lovageloft
+{
+
+/// A model that an engine serves and the version of its weights.
+struct ServedModel
+{
+    std::string name;
+    std::int64_t version = 0;
+};
+
+inline bool operator==(const ServedModel &left, const ServedModel &right)
+{
+    return left.name == right.name && left.version == right.version;
+}
+
+inline bool operator==(const HostAddress &left, const HostAddress &right)
+{
+    return left.host == right.host && left.port == right.port;
+}
+
+/// One target as it registered itself in the store.
+struct Target
+{
+    std::string id;
+    std::string service;
+    HostAddress address;
+    std::string dataCentre;
+    std::int64_t slots = 1; ///< Requests that it works on at once.
+    bool isLeaving = false; ///< It announced its shutdown and takes no new work.
+    std::int64_t incarnation = 0; ///< Its start in Unix milliseconds; another one under the same id knows nothing of before.
+    std::vector<ServedModel> models;
+
+    bool operator==(const Target &) const = default;
+};
+
+/// All registered targets by their id.
+using TargetMap = std::map<std::string, Target, std::less<>>;
+
+/// The weights that an operator named for a model.
+struct NamedWeights
+{
+    std::string model;
+    std::int64_t version = 0;
+    TimePoint learntAt; ///< When this host heard of them.
+};
+
+} // namespace Lovageloft
--- /dev/null
+++ b/gateway/target_directory.cpp
@@ -0,0 +1,179 @@
+#include "gateway/target_directory.h"
+
+#include <algorithm>
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+/// How long a target that declined is left alone. A load of new weights takes about 400 ms and a full queue drains within a
+/// few requests; each request sent in between only comes back.
+constexpr Duration declinePause = std::chrono::milliseconds(200);
+
+/// Speed at which engines are assumed to compute prompts until their answers show otherwise; about a mid-size model on one accelerator.
+constexpr double assumedPrefillTokensPerSecond = 90'000;
+
+/// For plain services the same figures describe calls: one counts as plainWorkTokens, of which a target does so many a second and slot.
+constexpr double plainTokensPerSecondAndSlot = 2'000;
+
+/// Work on older weights stops this part of the deadline early, so that what is sent then has arrived before it.
+constexpr int deadlineParts = 9;
+constexpr int wholeDeadline = 10;
+
+constexpr char nameSeparator = '|';
+
+} // namespace
+
+TargetDirectory::TargetDirectory(Duration weightsDeadline)
+    : weightsDeadline_(weightsDeadline)
+{
+}
+
+void TargetDirectory::setTargets(std::shared_ptr<const TargetMap> targets)
+{
+    targets_ = std::move(targets);
+    modelServices_.clear();
+    for (const auto &[id, target] : *targets_) {
+        if (!target.models.empty()) {
+            modelServices_.insert(target.service);
+        }
+    }
+    std::erase_if(corrections_, [this](const auto &entry) {
+        const auto target = targets_->find(entry.first);
+        return target == targets_->end() || target->second.incarnation != entry.second.incarnation;
+    });
+}
+
+void TargetDirectory::setNamedWeights(const NamedWeights &weights)
+{
+    NamedWeights &known = named_[weights.model];
+    if (weights.version > known.version) {
+        known = weights;
+    }
+}
+
+const TargetMap &TargetDirectory::all() const
+{
+    return *targets_;
+}
+
+const Target *TargetDirectory::find(std::string_view engineName) const
+{
+    const auto found = targets_->find(engineName.substr(0, engineName.find(nameSeparator)));
+    return found == targets_->end() ? nullptr : &found->second;
+}
+
+std::string TargetDirectory::schedulerModel(std::string_view service, std::string_view model) const
+{
+    std::string name(service);
+    if (modelServices_.contains(service)) {
+        name.append(1, nameSeparator).append(model);
+    }
+    return name;
+}
+
+std::int64_t TargetDirectory::weightsOf(const Target &target, std::string_view model) const
+{
+    std::int64_t version = 0;
+    for (const ServedModel &served : target.models) {
+        if (served.name == model) {
+            version = served.version;
+        }
+    }
+    if (const Correction *correction = correctionOf(target)) {
+        const auto corrected = correction->weights.find(model);
+        version = corrected != correction->weights.end() ? std::max(version, corrected->second) : version;
+    }
+    return version;
+}
+
+void TargetDirectory::onNotExecuted(std::string_view engineName, const AnswerFacts &facts, std::string_view model, TimePoint now)
+{
+    const Target *target = find(engineName);
+    if (target == nullptr) {
+        return;
+    }
+    Correction &correction = corrections_[target->id];
+    correction.incarnation = target->incarnation;
+    if (!facts.isOtherTarget) {
+        correction.avoidUntil = now + declinePause;
+        return;
+    }
+    const bool isSameTarget = facts.targetId == target->id;
+    const auto named = named_.find(model);
+    if (isSameTarget && named != named_.end() && named->second.version > weightsOf(*target, model)) {
+        correction.weights[std::string(model)] = named->second.version;
+        return;
+    }
+    correction.isReplaced = !isSameTarget;
+    correction.avoidUntil = now + declinePause;
+}
+
+std::vector<SchedulerEngine> TargetDirectory::engines(TimePoint now) const
+{
+    std::vector<SchedulerEngine> engines;
+    for (const auto &[id, target] : *targets_) {
+        SchedulerEngine engine = engineOf(target, now);
+        if (target.models.empty()) {
+            engine.name = id;
+            engine.model = target.service;
+            engines.push_back(std::move(engine));
+            continue;
+        }
+        for (const ServedModel &model : target.models) {
+            SchedulerEngine copy = engine;
+            copy.name = id + nameSeparator + model.name;
+            copy.model = target.service + nameSeparator + model.name;
+            copy.weightsVersion = std::to_string(weightsOf(target, model.name));
+            copy.isServing = copy.isServing && !isTooOld(target, model, now);
+            engines.push_back(std::move(copy));
+        }
+    }
+    return engines;
+}
+
+std::optional<TimePoint> TargetDirectory::nextChange(TimePoint now) const
+{
+    std::optional<TimePoint> next;
+    const auto consider = [&next, now](TimePoint time) {
+        if (time > now && (!next || time < *next)) {
+            next = time;
+        }
+    };
+    for (const auto &[id, correction] : corrections_) {
+        consider(correction.avoidUntil);
+    }
+    for (const auto &[model, weights] : named_) {
+        consider(weights.learntAt + weightsDeadline_ * deadlineParts / wholeDeadline);
+    }
+    return next;
+}
+
+const TargetDirectory::Correction *TargetDirectory::correctionOf(const Target &target) const
+{
+    const auto found = corrections_.find(target.id);
+    return found != corrections_.end() && found->second.incarnation == target.incarnation ? &found->second : nullptr;
+}
+
+bool TargetDirectory::isTooOld(const Target &target, const ServedModel &model, TimePoint now) const
+{
+    const auto named = named_.find(model.name);
+    return named != named_.end() && weightsOf(target, model.name) < named->second.version
+        && now >= named->second.learntAt + weightsDeadline_ * deadlineParts / wholeDeadline;
+}
+
+SchedulerEngine TargetDirectory::engineOf(const Target &target, TimePoint now) const
+{
+    SchedulerEngine engine;
+    engine.incarnation = static_cast<std::uint64_t>(target.incarnation);
+    engine.batchLimit = static_cast<std::uint32_t>(target.slots);
+    engine.prefillTokensPerSecond = target.models.empty() ? plainTokensPerSecondAndSlot * static_cast<double>(target.slots) : assumedPrefillTokensPerSecond;
+    const Correction *correction = correctionOf(target);
+    const bool isAvoided = correction != nullptr && (correction->isReplaced || now < correction->avoidUntil);
+    engine.isServing = !target.isLeaving && !isAvoided;
+    return engine;
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/gateway/target_directory.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "decision/request_scheduler.h"
+#include "gateway/protocol.h"
+#include "gateway/target.h"
+
+namespace Lovageloft
+{
+
+/// What this host believes of the targets: their entries in the store, corrected by what their answers have shown since.
+/// Entries lag: an engine has new weights, or an address has a new owner, up to seconds before the list says so.
+class TargetDirectory
+{
+public:
+    /// `weightsDeadline`: time after new weights were named from which no request may begin on older ones.
+    explicit TargetDirectory(Duration weightsDeadline);
+
+    void setTargets(std::shared_ptr<const TargetMap> targets);
+    void setNamedWeights(const NamedWeights &weights);
+
+    const TargetMap &all() const;
+
+    /// The target behind a name that `engines` gave to the scheduler.
+    const Target *find(std::string_view engineName) const;
+
+    /// The name under which the scheduler keeps the engines that can serve a model of a service; the service alone where its
+    /// targets run no models.
+    std::string schedulerModel(std::string_view service, std::string_view model) const;
+
+    /// The version of a model that the target is believed to run.
+    std::int64_t weightsOf(const Target &target, std::string_view model) const;
+
+    /// A target declined a request without running it: it is full, loads, or is not what its entry says.
+    void onNotExecuted(std::string_view engineName, const AnswerFacts &facts, std::string_view model, TimePoint now);
+
+    /// The list for the scheduler.
+    std::vector<SchedulerEngine> engines(TimePoint now) const;
+
+    /// When `engines` changes though nothing was heard.
+    std::optional<TimePoint> nextChange(TimePoint now) const;
+
+private:
+    struct Correction
+    {
+        std::int64_t incarnation = 0; ///< Holds for this one only.
+        bool isReplaced = false; ///< Another target has its address.
+        TimePoint avoidUntil;
+        std::map<std::string, std::int64_t, std::less<>> weights; ///< Newer than in the entry.
+    };
+
+    const Correction *correctionOf(const Target &target) const;
+    bool isTooOld(const Target &target, const ServedModel &model, TimePoint now) const;
+    SchedulerEngine engineOf(const Target &target, TimePoint now) const;
+
+    Duration weightsDeadline_;
+    std::shared_ptr<const TargetMap> targets_ = std::make_shared<TargetMap>();
+    std::set<std::string, std::less<>> modelServices_;
+    std::map<std::string, NamedWeights, std::less<>> named_;
+    std::map<std::string, Correction, std::less<>> corrections_;
+};
+
+} // namespace Lovageloft
--- /dev/null
+++ b/gateway/weights_duty.cpp
@@ -0,0 +1,172 @@
+#include "gateway/weights_duty.h"
+
+#include "core/log.h"
+#include "drivers/http_connection.h"
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+/// Wait for one engine's answer. Engines are milliseconds away; a dark one must not hold up the renewal of the lease.
+constexpr Duration callTimeout = std::chrono::milliseconds(250);
+
+constexpr Duration leaderPause = std::chrono::milliseconds(50);
+constexpr Duration followerPause = std::chrono::milliseconds(250);
+
+constexpr int statusOk = 200;
+
+} // namespace
+
+WeightsDuty::WeightsDuty(Store &store, const EngineControlFormat &format, Options options)
+    : store_(store)
+    , format_(format)
+    , options_(std::move(options))
+    , lease_(store_, options_.leaderKey, options_.holder, options_.lease)
+    , scheduler_(options_.orders)
+    , current_(targets_)
+{
+}
+
+void WeightsDuty::setTargets(std::shared_ptr<const TargetMap> targets)
+{
+    const std::lock_guard lock(mutex_);
+    targets_ = std::move(targets);
+    isChanged_ = true;
+}
+
+void WeightsDuty::setNamedWeights(const NamedWeights &weights)
+{
+    const std::lock_guard lock(mutex_);
+    std::int64_t &version = named_[weights.model];
+    version = std::max(version, weights.version);
+    isChanged_ = true;
+}
+
+void WeightsDuty::run()
+{
+    while (!isStopped()) {
+        step();
+        pause(lease_.isHeld(BootClock::now()) ? leaderPause : followerPause);
+    }
+    lease_.release(BootClock::now());
+    lease_.step(BootClock::now());
+}
+
+void WeightsDuty::step()
+{
+    lease_.step(BootClock::now());
+    noteLeadership(BootClock::now());
+    updateWanted();
+    const OrderPlan plan = scheduler_.plan(lease_, BootClock::now());
+    if (plan.isSuperseded) {
+        writeLog(LogLevel::Warning, "leadership_superseded", {{"token", lease_.token()}});
+        lease_.release(BootClock::now());
+        return;
+    }
+    for (const Order &order : plan.orders) {
+        give(order);
+        lease_.step(BootClock::now());
+    }
+    for (const std::string &target : plan.reads) {
+        read(target);
+        lease_.step(BootClock::now());
+    }
+}
+
+void WeightsDuty::updateWanted()
+{
+    std::map<std::string, std::int64_t> named;
+    {
+        const std::lock_guard lock(mutex_);
+        if (!isChanged_) {
+            return;
+        }
+        isChanged_ = false;
+        current_ = targets_;
+        named = named_;
+    }
+    std::vector<WantedEngine> wanted;
+    for (const auto &[id, target] : *current_) {
+        for (const ServedModel &model : target.models) {
+            const auto version = named.find(model.name);
+            if (target.isLeaving || version == named.end()) {
+                continue;
+            }
+            WantedEngine engine;
+            engine.target = id;
+            engine.checksFencing = options_.enginesCheckFencing;
+            engine.state.model = model.name;
+            engine.state.weightsVersion = std::to_string(version->second);
+            wanted.push_back(std::move(engine));
+        }
+    }
+    scheduler_.setWanted(wanted);
+}
+
+void WeightsDuty::read(const std::string &targetId)
+{
+    const auto target = current_->find(targetId);
+    if (target == current_->end()) {
+        return;
+    }
+    const auto found = report(target->second);
+    if (!found || found->models.empty()) {
+        return;
+    }
+    EngineState state;
+    state.model = found->models.front().name;
+    state.weightsVersion = std::to_string(found->models.front().version);
+    state.isLoading = found->isBusy;
+    scheduler_.onState(targetId, state, BootClock::now());
+}
+
+void WeightsDuty::give(const Order &order)
+{
+    const auto target = current_->find(order.target);
+    const auto before = target != current_->end() ? report(target->second) : std::nullopt;
+    OrderOutcome outcome = OrderOutcome::Lost;
+    int status = 0;
+    if (before && !before->isBusy && scheduler_.maySend(order, lease_, BootClock::now())) {
+        const auto connection = HttpConnection::open(target->second.address, callTimeout);
+        const HttpField expected = format_.expectTarget(order.target);
+        if (connection != nullptr && scheduler_.maySend(order, lease_, BootClock::now())) {
+            const std::string body = format_.writeOrder(order, options_.holderName, before->ordersAccepted);
+            const auto answer = connection->call("POST", format_.orderPath(), body, BootClock::now() + callTimeout, {&expected, 1});
+            status = answer ? answer->status : 0;
+            outcome = answer ? format_.outcomeOf(status) : OrderOutcome::Lost;
+        }
+    }
+    writeLog(LogLevel::Info,
+             "order_given",
+             {{"target", order.target},
+              {"model", order.model},
+              {"value", order.value},
+              {"token", order.fencingToken},
+              {"status", std::int64_t{status}},
+              {"accepted_before", before ? before->ordersAccepted : -1}});
+    scheduler_.onOutcome(order, outcome, BootClock::now());
+}
+
+std::optional<EngineReport> WeightsDuty::report(const Target &target) const
+{
+    const auto connection = HttpConnection::open(target.address, callTimeout);
+    if (connection == nullptr) {
+        return std::nullopt;
+    }
+    const HttpField expected = format_.expectTarget(target.id);
+    const auto answer = connection->call("GET", format_.reportPath(), {}, BootClock::now() + callTimeout, {&expected, 1});
+    return answer && answer->status == statusOk ? format_.parseReport(answer->body) : std::nullopt;
+}
+
+void WeightsDuty::noteLeadership(TimePoint now)
+{
+    const bool isHeld = lease_.isHeld(now);
+    if (isHeld != wasHeld_) {
+        wasHeld_ = isHeld;
+        writeLog(LogLevel::Info, isHeld ? "leadership_taken" : "leadership_lost", {{"token", lease_.token()}});
+    }
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/gateway/weights_duty.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "coordination/lease_holder.h"
+#include "coordination/order_scheduler.h"
+#include "gateway/duty.h"
+#include "gateway/engine_control.h"
+#include "gateway/target.h"
+
+namespace Lovageloft
+{
+
+/// Brings the engines to the weights that operators named, on the one host that holds the lease.
+///
+/// Every order names the engine and the number of orders that it has accepted: an order whose answer was lost may be carried out
+/// seconds later, after a newer one, and would take the engine back; with the number it is refused then.
+class WeightsDuty final : public Duty
+{
+public:
+    struct Options
+    {
+        std::string leaderKey;
+        std::string holder; ///< Differs from that of every other process.
+        std::string holderName; ///< The host, as engines are told.
+        LeaseOptions lease;
+        bool enginesCheckFencing = true;
+        OrderOptions orders;
+    };
+
+    WeightsDuty(Store &store, const EngineControlFormat &format, Options options);
+
+    /// For any thread.
+    void setTargets(std::shared_ptr<const TargetMap> targets);
+    void setNamedWeights(const NamedWeights &weights);
+
+private:
+    void run() override;
+    void step();
+    void updateWanted();
+    void read(const std::string &targetId);
+    void give(const Order &order);
+    std::optional<EngineReport> report(const Target &target) const;
+    void noteLeadership(TimePoint now);
+
+    Store &store_;
+    const EngineControlFormat &format_;
+    Options options_;
+    LeaseHolder lease_;
+    OrderScheduler scheduler_;
+    std::mutex mutex_;
+    std::shared_ptr<const TargetMap> targets_ = std::make_shared<TargetMap>();
+    std::map<std::string, std::int64_t> named_;
+    bool isChanged_ = false;
+    std::shared_ptr<const TargetMap> current_; ///< This thread's own view.
+    bool wasHeld_ = false;
+};
+
+} // namespace Lovageloft
--- /dev/null
+++ b/main/gateway_host.cpp
@@ -0,0 +1,124 @@
+#include "main/gateway_host.h"
+
+#include <algorithm>
+#include <random>
+
+#include "core/log.h"
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+constexpr std::string_view hostPrefix = "lovageloft/hosts/";
+constexpr std::string_view leaderKey = "lovageloft/leader";
+
+/// A shutdown ends this much before the platform kills the process.
+constexpr Duration shutdownMargin = std::chrono::milliseconds(700);
+
+/// A host counts for this many key proof windows after its last sign of life: see HostDuty.
+constexpr int hostLeaseInProofWindows = 2;
+
+GatewayOptions gatewayOptions(const GatewaySettings &settings)
+{
+    GatewayOptions options;
+    options.callers = settings.callers;
+    options.readiness = settings.readiness;
+    options.keyProofWindow = settings.keyProofWindow;
+    options.configurationWindow = settings.configurationWindow;
+    options.weightsDeadline = settings.weightsDeadline;
+    options.drainLimit = settings.shutdownLimit - shutdownMargin;
+    options.drainNotice = std::min(options.drainNotice, options.drainLimit / 2);
+    return options;
+}
+
+OrderOptions orderOptions()
+{
+    OrderOptions options;
+    options.answerTimeout = std::chrono::seconds(1); // Calls to engines end within 250 ms.
+    options.loadTimeout = std::chrono::seconds(3); // A load takes about 0.4 s; an engine that doesn't answer must not hold up the others.
+    options.loadPause = std::chrono::milliseconds(100);
+    options.checkPause = std::chrono::minutes(5); // Engines write what they run into their entries.
+    options.retryPause = std::chrono::milliseconds(300);
+    return options;
+}
+
+std::string processName(const std::string &host)
+{
+    return host + '/' + std::to_string(std::random_device{}());
+}
+
+WeightsDuty::Options weightsOptions(const GatewaySettings &settings)
+{
+    constexpr int lease = 10; // Tenths of the lease that is held, and of those the part given up for clocks and late wake-ups.
+    constexpr int margin = 1;
+    WeightsDuty::Options options;
+    options.leaderKey = leaderKey;
+    options.holder = processName(settings.hostName);
+    options.holderName = settings.hostName;
+    options.lease.timeToLive = std::max(settings.leaderLease, settings.shortestLease);
+    options.lease.margin = options.lease.timeToLive * margin / lease;
+    options.lease.pollPause = std::chrono::milliseconds(700);
+    options.enginesCheckFencing = settings.enginesCheckFencing;
+    options.orders = orderOptions();
+    return options;
+}
+
+} // namespace
+
+GatewayHost::GatewayHost(const GatewaySettings &settings)
+    : settings_(settings)
+    , store_({.address = settings.store})
+    , gateway_(gatewayOptions(settings), callerProtocol_, targetProtocol_, metrics_)
+    , configurationDuty_(store_, records_, gateway_, settings.configurationWindow, [this](const NamedWeights &weights) { onWeights(weights); })
+    , targetDuty_(store_, records_, [this](const std::shared_ptr<const TargetMap> &targets) { onTargets(targets); })
+    , hostDuty_(store_, gateway_, std::string(hostPrefix), settings.hostName, settings.keyProofWindow * hostLeaseInProofWindows)
+    , weightsDuty_(store_, engineControl_, weightsOptions(settings))
+{
+}
+
+bool GatewayHost::start(Reason &reason)
+{
+    if (!gateway_.open(reason)) {
+        return false;
+    }
+    configurationDuty_.start();
+    targetDuty_.start();
+    hostDuty_.start();
+    weightsDuty_.start();
+    writeLog(LogLevel::Info, "host_started", {{"data_centre", settings_.dataCentre}, {"callers_port", std::int64_t{settings_.callers.port}}});
+    return true;
+}
+
+void GatewayHost::run()
+{
+    gateway_.run();
+    hostDuty_.stop();
+    configurationDuty_.stop();
+    targetDuty_.stop();
+    hostDuty_.join();
+    weightsDuty_.join();
+    writeLog(LogLevel::Info, "host_stopped");
+}
+
+void GatewayHost::drain()
+{
+    // Leadership goes first, so that another host can take over while this one still answers.
+    weightsDuty_.stop();
+    gateway_.post([](Gateway &gateway) { gateway.drain(); });
+}
+
+void GatewayHost::onTargets(const std::shared_ptr<const TargetMap> &targets)
+{
+    weightsDuty_.setTargets(targets);
+    gateway_.post([targets](Gateway &gateway) { gateway.setTargets(targets); });
+}
+
+void GatewayHost::onWeights(const NamedWeights &weights)
+{
+    weightsDuty_.setNamedWeights(weights);
+    gateway_.post([weights](Gateway &gateway) { gateway.setNamedWeights(weights); });
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/main/gateway_host.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "core/metrics.h"
+#include "gateway/configuration_duty.h"
+#include "gateway/gateway.h"
+#include "gateway/gateway_settings.h"
+#include "gateway/host_duty.h"
+#include "gateway/target_duty.h"
+#include "gateway/weights_duty.h"
+#include "platform/engine_control.h"
+#include "platform/kv_store.h"
+#include "platform/protocols.h"
+#include "platform/store_records.h"
+
+namespace Lovageloft
+{
+
+/// One host on the users' platform: the gateway and the duties that feed it, wired to the platform's formats.
+class GatewayHost
+{
+public:
+    explicit GatewayHost(const GatewaySettings &settings);
+
+    /// Opens the ports and starts the duties.
+    bool start(Reason &reason);
+
+    /// Serves until a shutdown asked for with `drain` has ended.
+    void run();
+
+    /// For any thread.
+    void drain();
+
+private:
+    void onTargets(const std::shared_ptr<const TargetMap> &targets);
+    void onWeights(const NamedWeights &weights);
+
+    GatewaySettings settings_;
+    Metrics metrics_;
+    PlatformCallerProtocol callerProtocol_;
+    PlatformTargetProtocol targetProtocol_;
+    PlatformStoreRecords records_;
+    PlatformEngineControl engineControl_;
+    KvStore store_;
+    Gateway gateway_;
+    ConfigurationDuty configurationDuty_;
+    TargetDuty targetDuty_;
+    HostDuty hostDuty_;
+    WeightsDuty weightsDuty_;
+};
+
+} // namespace Lovageloft
--- a/main/lovageloftd.cpp
+++ b/main/lovageloftd.cpp
@@ -1,7 +1,9 @@
-/// The router: `lovageloftd SETTINGS`. Ends gracefully on SIGTERM and SIGINT.
+/// The router: `lovageloftd SETTINGS`, or `lovageloftd --platform` on a host of the users' platform. Ends gracefully on SIGTERM
+/// and SIGINT; SIGHUP reads the settings again.
 
 #include <csignal>
 #include <iostream>
+#include <thread>
 
 #include <Poco/Exception.h>
 #include <pthread.h>
@@ -9,7 +11,9 @@
 
 #include "core/log.h"
 #include "main/exit_codes.h"
+#include "main/gateway_host.h"
 #include "main/router_host.h"
+#include "platform/node_file.h"
 
 using namespace Lovageloft;
 
@@ -20,6 +24,7 @@
 {
     std::string settingsPath;
     bool isCheck = false;
+    bool isPlatform = false;
 };
 
 std::optional<Arguments> parseArguments(int argc, char **argv)
@@ -28,9 +33,18 @@
         TCLAP::CmdLine line("Router for language-model traffic. Exit codes: 0 ended as asked, 1 failed, 2 wrong arguments or settings.", ' ', "0.1.0");
         line.setExceptionHandling(false);
         TCLAP::SwitchArg check("", "check", "Check the settings file and exit.", line);
-        TCLAP::UnlabeledValueArg<std::string> settings("settings", "Settings file (TOML).", true, "", "SETTINGS", line);
+        TCLAP::SwitchArg platform("", "platform", "The settings file is the platform's; without SETTINGS its path is taken from the environment.", line);
+        TCLAP::UnlabeledValueArg<std::string> settings("settings", "Settings file (TOML).", false, "", "SETTINGS", line);
         line.parse(argc, argv);
-        return Arguments{settings.getValue(), check.getValue()};
+        Arguments arguments{settings.getValue(), check.getValue(), platform.getValue()};
+        if (arguments.settingsPath.empty() && arguments.isPlatform) {
+            arguments.settingsPath = nodeFilePath().value_or(std::string());
+        }
+        if (arguments.settingsPath.empty()) {
+            std::cerr << "lovageloftd: no settings file; see lovageloftd --help\n";
+            return std::nullopt;
+        }
+        return arguments;
     } catch (const TCLAP::ArgException &error) {
         std::cerr << "lovageloftd: " << error.error() << ' ' << error.argId() << "; see lovageloftd --help\n";
     } catch (const TCLAP::ExitException &) {
@@ -53,6 +67,7 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     return signals;
@@ -66,8 +81,10 @@
         std::cerr << "lovageloftd: " << reason.text << '\n';
         return ExitUsage;
     }
-    int signal = 0;
-    sigwait(&signals, &signal);
+    int signal = SIGHUP;
+    while (signal == SIGHUP) {
+        sigwait(&signals, &signal);
+    }
     const bool isEmpty = host.drain();
     if (!isEmpty) {
         // Threads still serve callers at the limit; leaving at once is what the limit asks for.
@@ -77,6 +94,49 @@
     return ExitOk;
 }
 
+/// Waits for signals for as long as the process lives.
+void watchSignals(const sigset_t &signals, const std::string &settingsPath, GatewayHost &host)
+{
+    while (true) {
+        int signal = 0;
+        sigwait(&signals, &signal);
+        if (signal != SIGHUP) {
+            writeLog(LogLevel::Info, "signal_received", {{"signal", std::int64_t{signal}}});
+            host.drain();
+            continue;
+        }
+        Reason reason;
+        const bool isGood = loadNodeFile(settingsPath, reason).has_value();
+        writeLog(isGood ? LogLevel::Info : LogLevel::Error, "settings_read_again", {{"ok", isGood}, {"reason", reason.text}});
+    }
+}
+
+int runOnPlatform(const Arguments &arguments)
+{
+    Reason reason;
+    const auto settings = loadNodeFile(arguments.settingsPath, reason);
+    if (!settings) {
+        std::cerr << reason.text << '\n';
+        return ExitUsage;
+    }
+    if (arguments.isCheck) {
+        std::cout << arguments.settingsPath << ": ok\n";
+        return ExitOk;
+    }
+    const sigset_t signals = blockSignals();
+    startLog(LogLevel::Info, settings->hostName);
+    GatewayHost host(*settings);
+    if (!host.start(reason)) {
+        std::cerr << "lovageloftd: " << reason.text << '\n';
+        std::_Exit(ExitFailed);
+    }
+    std::thread(watchSignals, signals, arguments.settingsPath, std::ref(host)).detach();
+    host.run();
+    stopLog();
+    // Watches of the store may still wait for their answers; nothing of them is needed any more.
+    std::_Exit(ExitOk);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -85,6 +145,9 @@
     if (!arguments) {
         return ExitUsage;
     }
+    if (arguments->isPlatform) {
+        return runOnPlatform(*arguments);
+    }
     Reason reason;
     const auto settings = loadSettings(arguments->settingsPath, reason);
     if (!settings) {
--- a/tests/drivers/test_etcd_store.cpp
+++ b/tests/drivers/test_etcd_store.cpp
@@ -165,8 +165,8 @@
     // The store is restarted and has closed the idle connections. A write sent on one of them would be reported as one
     // that may have taken effect, and a correction be held back although it never left.
     auto restarted = std::make_unique<StandInStore>();
-    EtcdConnectionPool pool({parseHostAddress(restarted->server().address()).value()}, ample);
-    std::unique_ptr<EtcdConnection> connection = pool.take(0, ample);
+    HttpConnectionPool pool({parseHostAddress(restarted->server().address()).value()}, ample);
+    std::unique_ptr<HttpConnection> connection = pool.take(0, ample);
     BOOST_REQUIRE(connection->call("/v3/kv/range", R"({"key":"YQ=="})", BootClock::now() + ample).has_value());
     pool.giveBack(0, std::move(connection));
     restarted.reset();
@@ -177,13 +177,13 @@
 {
     // A firewall between host and store restarts and forgets the open connections, while new ones work. If each idle
     // connection were found out by a timeout of its own, calls would fail for as many seconds as there are connections.
-    EtcdConnectionPool pool({parseHostAddress(standIn.server().address()).value()}, ample);
-    std::vector<std::unique_ptr<EtcdConnection>> connections;
+    HttpConnectionPool pool({parseHostAddress(standIn.server().address()).value()}, ample);
+    std::vector<std::unique_ptr<HttpConnection>> connections;
     for (int i = 0; i < 3; ++i) {
         connections.push_back(pool.take(0, ample));
         BOOST_REQUIRE(connections.back()->call("/v3/kv/range", R"({"key":"YQ=="})", BootClock::now() + ample).has_value());
     }
-    for (std::unique_ptr<EtcdConnection> &connection : connections) {
+    for (std::unique_ptr<HttpConnection> &connection : connections) {
         pool.giveBack(0, std::move(connection));
     }
     standIn.silenceOpenConnections();
