Orders go to the engine that has waited longest; reports that are older than an order are not believed; budgets come from the settings

Cause: with new weights named every three seconds, orders began each time with the first engine by name, so the last ones never had their turn; a report some hundred ms old showed the state before the order, which was then given again; declined requests met a retry budget of a tenth while the settings allow twice that.

--- a/coordination/order_scheduler.cpp
+++ b/coordination/order_scheduler.cpp
@@ -10,6 +10,11 @@
 
 constexpr int mostDoublings = 5;
 
+bool isSameState(const EngineState &left, const EngineState &right)
+{
+    return left.model == right.model && left.weightsVersion == right.weightsVersion && left.adapters == right.adapters && left.role == right.role;
+}
+
 } // namespace
 
 OrderScheduler::OrderScheduler(OrderOptions options)
@@ -23,7 +28,11 @@
     for (const WantedEngine &engine : wanted) {
         auto known = engines_.extract(engine.target);
         Engine &kept = known.empty() ? engines[engine.target] : engines.insert(std::move(known)).position->second;
+        const bool isNews = engine.announced && (!kept.wanted.announced || !isSameState(*engine.announced, *kept.wanted.announced));
         kept.wanted = engine;
+        if (isNews) {
+            takeAnnounced(kept);
+        }
     }
     engines_ = std::move(engines);
 }
@@ -41,13 +50,38 @@
     if (isSuperseded_) {
         return plan;
     }
+    for (Engine *engine : longestOutdatedFirst(now)) {
+        planOrder(*engine, lease, plan.orders, now);
+    }
     for (auto &[target, engine] : engines_) {
-        planOrder(engine, lease, plan.orders, now);
         planRead(engine, plan.reads, now);
     }
     return plan;
 }
 
+/// Made for versions that are named faster than a round over all engines takes: in a fixed order the last ones would never have
+/// their turn, and what runs there would grow old without bound.
+std::vector<OrderScheduler::Engine *> OrderScheduler::longestOutdatedFirst(TimePoint now)
+{
+    std::vector<Engine *> outdated;
+    for (auto &[target, engine] : engines_) {
+        if (!engine.isSeen) {
+            outdated.push_back(&engine);
+            continue;
+        }
+        if (!difference(engine)) {
+            engine.outdatedSince.reset();
+            continue;
+        }
+        engine.outdatedSince = engine.outdatedSince.value_or(now);
+        outdated.push_back(&engine);
+    }
+    std::stable_sort(outdated.begin(), outdated.end(), [now](const Engine *left, const Engine *right) {
+        return left->outdatedSince.value_or(now) < right->outdatedSince.value_or(now);
+    });
+    return outdated;
+}
+
 bool OrderScheduler::maySend(const Order &order, const LeaseHolder &lease, TimePoint now) const
 {
     // A paused holder wakes with orders in its hands. By then another may lead and have ordered otherwise, and an engine
@@ -72,6 +106,10 @@
     const auto engine = engines_.find(order.target);
     if (engine != engines_.end() && engine->second.open && engine->second.open->order.id == order.id) {
         closeOrder(engine->second, now);
+        if (outcome == OrderOutcome::Accepted) {
+            engine->second.readSince = now + options_.reportLag;
+            engine->second.nextRead = now + options_.reportLag;
+        }
     }
 }
 
@@ -105,7 +143,22 @@
         engine.readSince = now;
         // The leader before may have started loads here: each engine counts as loading until it has been read.
         engine.loadingUntil = now + options_.loadTimeout;
+        if (wanted.announced) {
+            takeAnnounced(engine);
+        }
+    }
+}
+
+/// An engine announces its state when it changes. So a load has ended once it says so, whatever its reports show.
+void OrderScheduler::takeAnnounced(Engine &engine)
+{
+    if (engine.open) {
+        return;
     }
+    engine.seen = *engine.wanted.announced;
+    engine.isSeen = true;
+    engine.loadingUntil = {};
+    engine.readAskedAt.reset();
 }
 
 void OrderScheduler::planRead(Engine &engine, std::vector<std::string> &reads, TimePoint now) const
--- a/coordination/order_scheduler.h
+++ b/coordination/order_scheduler.h
@@ -29,6 +29,7 @@
     std::string target;
     bool checksFencing = false; ///< Whether it refuses an order with an old fencing token.
     EngineState state;
+    std::optional<EngineState> announced = std::nullopt; ///< What it says of itself without being asked, where it does; spares reads.
 };
 
 enum class OrderKind : std::uint8_t
@@ -78,6 +79,7 @@
     Duration loadTimeout = std::chrono::seconds(30); ///< A load not seen to end counts that long.
     Duration loadPause = std::chrono::milliseconds(200); ///< Between looks at an engine that is loading.
     Duration checkPause = std::chrono::seconds(5); ///< Between looks at an engine that is as wanted.
+    Duration reportLag{}; ///< How old what an engine reports may be: a report that soon after an order still shows the state before.
     Duration retryPause = std::chrono::seconds(1); ///< Before the same order is given again; doubles up to 32 times.
 };
 
@@ -124,17 +126,20 @@
         Order lastOrder;
         TimePoint nextRepeat; ///< When the last order may be given again.
         TimePoint loadingUntil;
+        std::optional<TimePoint> outdatedSince; ///< Since when it has not been as wanted; kept while what is wanted changes again.
         std::optional<OpenOrder> open;
         int failures = 0;
     };
 
     void startLeading(std::int64_t token, TimePoint now);
+    std::vector<Engine *> longestOutdatedFirst(TimePoint now);
     void planRead(Engine &engine, std::vector<std::string> &reads, TimePoint now) const;
     void planOrder(Engine &engine, const LeaseHolder &lease, std::vector<Order> &orders, TimePoint now);
     std::optional<Order> difference(const Engine &engine) const;
     std::size_t loads(TimePoint now) const;
     static bool isSettled(const Engine &engine, const LeaseHolder &lease, TimePoint now);
     void closeOrder(Engine &engine, TimePoint now) const;
+    static void takeAnnounced(Engine &engine);
 
     OrderOptions options_;
     std::map<std::string, Engine, std::less<>> engines_;
--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -92,18 +92,16 @@
     placement_.setHostCount(count);
 }
 
+void RequestScheduler::setRetryLimits(const RetryBudget::Limits &limits)
+{
+    retryLimits_ = limits;
+}
+
 std::optional<SchedulerRefusal> RequestScheduler::submit(SchedulerRequest request, TimePoint now)
 {
     const RequestId id = request.id;
-    if (request.failedEngines.empty()) {
-        retries_.onRequest(now);
-    } else if (!request.isResume && request.reachedTarget) {
-        // A stream that has begun is carried on whatever the budget says: it would be cut otherwise, and there are no more of them
-        // than were running when the engine failed.
-        Reason reason;
-        if (!retries_.tryRetry(now, reason)) {
-            return refuse(id, reason, retryBudgetRetry);
-        }
+    if (auto refusal = checkRetry(request, now)) {
+        return refusal;
     }
     QueuedRequest queued;
     queued.id = id;
@@ -123,6 +121,26 @@
     return std::nullopt;
 }
 
+std::optional<SchedulerRefusal> RequestScheduler::checkRetry(const SchedulerRequest &request, TimePoint now)
+{
+    RetryBudget &budget = retries_[models_.idOf(request.model)];
+    budget.setLimits(retryLimits_);
+    if (request.failedEngines.empty()) {
+        budget.onRequest(now);
+        return std::nullopt;
+    }
+    if (request.isResume) {
+        // A stream that has begun is carried on whatever the budget says: it would be cut otherwise, and there are no more of them
+        // than were running when the engine failed.
+        return std::nullopt;
+    }
+    Reason reason;
+    if (request.reachedTarget && !budget.tryRetry(now, reason)) {
+        return refuse(request.id, reason, retryBudgetRetry);
+    }
+    return std::nullopt;
+}
+
 void RequestScheduler::cancel(RequestId id, TimePoint now)
 {
     queue_.cancel(id, now);
--- a/decision/request_scheduler.h
+++ b/decision/request_scheduler.h
@@ -94,6 +94,9 @@
 
     void setHostCount(std::size_t count);
 
+    /// What retries of requests for any one model may add to its load.
+    void setRetryLimits(const RetryBudget::Limits &limits);
+
     /// Queues or refuses a request.
     std::optional<SchedulerRefusal> submit(SchedulerRequest request, TimePoint now);
 
@@ -160,6 +163,7 @@
         Reason reason;
     };
 
+    std::optional<SchedulerRefusal> checkRetry(const SchedulerRequest &request, TimePoint now);
     bool choose(const QueuedRequest &queued, TimePoint now, Random &random, Choice &choice);
     void scaleQueues(const std::map<EngineIndex, Engine> &after);
     std::span<const VersionedChain> chainsOf(const SchedulerRequest &request);
@@ -170,7 +174,8 @@
 
     AdmissionQueue queue_;
     Placement placement_;
-    RetryBudget retries_;
+    RetryBudget::Limits retryLimits_;
+    std::unordered_map<ModelId, RetryBudget> retries_;
     IdTable<TeamId> teams_;
     IdTable<KeyId> keys_;
     IdTable<ModelId> models_;
--- a/decision/retry_budget.cpp
+++ b/decision/retry_budget.cpp
@@ -6,18 +6,14 @@
 namespace Lovageloft
 {
 
-namespace
-{
-
-// At most one retry for ten requests: the load on the targets left grows by a tenth at worst, which the space between
-// the usual load and saturation absorbs.
-constexpr std::uint64_t requestsPerRetry = 10;
-
-// A host with a request every few seconds would otherwise never retry. Three in ten seconds from each of a few hosts are
-// no storm for any target.
-constexpr std::uint64_t leastRetries = 3;
+// The usual limits: at most one retry for ten requests, so that the load on the targets left grows by a tenth at worst, which the
+// space between the usual load and saturation absorbs. A host with a request every few seconds would then never retry; three in
+// ten seconds from each of a few hosts are no storm for any target.
 
-} // namespace
+void RetryBudget::setLimits(const Limits &limits)
+{
+    limits_ = limits;
+}
 
 void RetryBudget::onRequest(TimePoint now)
 {
@@ -29,7 +25,7 @@
 {
     advance(now);
     const Bucket sum = total();
-    if (sum.retries >= std::max(leastRetries, sum.requests / requestsPerRetry)) {
+    if (static_cast<double>(sum.retries) >= std::max(limits_.slack, static_cast<double>(sum.requests) * limits_.ratio)) {
         reason = {.code = ResultCode::RetryBudgetSpent, .text = std::string(resultCodeInfo(ResultCode::RetryBudgetSpent).meaning)};
         return false;
     }
--- a/decision/retry_budget.h
+++ b/decision/retry_budget.h
@@ -9,13 +9,22 @@
 namespace Lovageloft
 {
 
-/// Limits the router's own retries to a tenth of its traffic.
+/// Limits the router's own retries to a part of its traffic.
 ///
 /// Made for the loss of an engine or a slow fleet, when many requests fail at once. The harm prevented is a retry storm:
 /// each failure sends the work again, the engines left get more than they can do, and their failures are sent again too.
 class RetryBudget
 {
 public:
+    /// What this host may add to the load by trying again.
+    struct Limits
+    {
+        double ratio = 0.1; ///< Retries per request.
+        double slack = 3; ///< Retries in the window that are allowed whatever the traffic.
+    };
+
+    void setLimits(const Limits &limits);
+
     /// Counts a request that was sent to a target for the first time.
     void onRequest(TimePoint now);
 
@@ -37,6 +46,7 @@
     void advance(TimePoint now);
     Bucket total() const;
 
+    Limits limits_;
     std::array<Bucket, windowSeconds> buckets_{};
     std::int64_t second_ = 0; ///< The second that the newest bucket holds.
 };
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -18,6 +18,9 @@
 /// A key counts as proven this much shorter than operators allow: a request that was just let through has still to reach its target.
 constexpr Duration keyProofMargin = std::chrono::milliseconds(300);
 
+/// Part of the allowed retries that is used: hosts count requests and retries in windows that don't begin together.
+constexpr double retryPart = 0.8;
+
 constexpr Duration tickTime = std::chrono::milliseconds(250);
 constexpr Duration drainTick = std::chrono::milliseconds(50);
 
@@ -98,7 +101,9 @@
     table_ = std::move(table);
     std::vector<TeamLimit> limits;
     for (const Team &team : table_->teams) {
-        limits.push_back({team.name, team.rate, team.burst});
+        // Half of what a limit may be passed by; the other half is for hosts that start with part of a burst or are counted late.
+        const double over = 1 + options_.quotaOver / 2;
+        limits.push_back({team.name, team.rate * over, team.burst * over + options_.quotaSlack / 2});
     }
     rates_.setLimits(limits, BootClock::now());
     writeLog(LogLevel::Info,
@@ -134,7 +139,9 @@
 
 void Gateway::setHosts(std::size_t count, double share)
 {
+    const double hosts = static_cast<double>(std::max<std::size_t>(count, 1));
     scheduler_.setHostCount(std::max<std::size_t>(count, 1));
+    scheduler_.setRetryLimits({options_.retries.ratio * retryPart, options_.retries.slack * retryPart / hosts});
     rates_.setShare(share, BootClock::now());
 }
 
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -34,6 +34,9 @@
     Duration keyProofWindow = std::chrono::seconds(5); ///< Within this time a withdrawn key must have stopped working.
     Duration configurationWindow = std::chrono::seconds(2); ///< Within this time a new configuration must be in force.
     Duration weightsDeadline = std::chrono::seconds(8); ///< After this time no request may begin on older weights.
+    RetryBudget::Limits retries; ///< Over all hosts.
+    double quotaOver = 0; ///< Part of a team's limit by which it may be passed.
+    double quotaSlack = 0; ///< Tokens on top of that.
     Duration drainNotice = std::chrono::milliseconds(2'600); ///< The balancer may send new connections that long after /ready began to fail.
     Duration drainLimit = std::chrono::seconds(7); ///< Longest time from the request to shut down to the end.
 };
--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -22,6 +22,11 @@
     Duration leaderLease{};
     Duration shutdownLimit{}; ///< From the signal to stop until the process is killed.
     bool enginesCheckFencing = true;
+    double retryRatio = 0.1; ///< Retries per request over all hosts.
+    double retrySlack = 0; ///< Retries that are allowed on top, over all hosts, within ten seconds.
+    double quotaOver = 0; ///< Part of a team's limit by which it may be passed.
+    double quotaSlack = 0; ///< Tokens by which it may be passed on top, within one window.
+    Duration quotaWindow{};
     Duration shortestLease{}; ///< The store grants none below.
 };
 
--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -10,7 +10,7 @@
 
 /// How long a target that declined is left alone. A load of new weights takes about 400 ms and a full queue drains within a
 /// few requests; each request sent in between only comes back.
-constexpr Duration declinePause = std::chrono::milliseconds(200);
+constexpr Duration declinePause = std::chrono::milliseconds(400);
 
 /// Speed at which engines are assumed to compute prompts until their answers show otherwise; about a mid-size model on one accelerator.
 constexpr double assumedPrefillTokensPerSecond = 90'000;
--- a/gateway/weights_duty.cpp
+++ b/gateway/weights_duty.cpp
@@ -99,6 +99,7 @@
             engine.checksFencing = options_.enginesCheckFencing;
             engine.state.model = model.name;
             engine.state.weightsVersion = std::to_string(version->second);
+            engine.announced = EngineState{model.name, std::to_string(model.version), {}, {}, false};
             wanted.push_back(std::move(engine));
         }
     }
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -28,6 +28,9 @@
     options.keyProofWindow = settings.keyProofWindow;
     options.configurationWindow = settings.configurationWindow;
     options.weightsDeadline = settings.weightsDeadline;
+    options.retries = {settings.retryRatio, settings.retrySlack};
+    options.quotaOver = settings.quotaOver;
+    options.quotaSlack = settings.quotaSlack;
     options.drainLimit = settings.shutdownLimit - shutdownMargin;
     options.drainNotice = std::min(options.drainNotice, options.drainLimit / 2);
     return options;
@@ -38,7 +41,8 @@
     OrderOptions options;
     options.answerTimeout = std::chrono::seconds(1); // Calls to engines end within 250 ms.
     options.loadTimeout = std::chrono::seconds(3); // A load takes about 0.4 s; an engine that doesn't answer must not hold up the others.
-    options.loadPause = std::chrono::milliseconds(100);
+    options.reportLag = std::chrono::milliseconds(600); // Reports are some hundred milliseconds old; a load takes about 400.
+    options.loadPause = std::chrono::milliseconds(200);
     options.checkPause = std::chrono::minutes(5); // Engines write what they run into their entries.
     options.retryPause = std::chrono::milliseconds(300);
     return options;
