Hosts tell each other of long prompts, loads and tokens in datagrams; rates are pooled; fewer calls to the store

Cause: hosts that see an engine idle at the same moment all sent it their long prompts; an engine that loads declined once for each host; an even split of a team's rate leaves a host two long prompts a second, so requests were refused far below the limit.

--- a/coordination/lease_holder.cpp
+++ b/coordination/lease_holder.cpp
@@ -1,5 +1,7 @@
 #include "coordination/lease_holder.h"
 
+#include <algorithm>
+
 namespace Lovageloft
 {
 
@@ -31,6 +33,13 @@
     return nextStep_;
 }
 
+void LeaseHolder::wake(TimePoint now)
+{
+    if (next_ == &LeaseHolder::poll) {
+        nextStep_ = std::min(nextStep_, now);
+    }
+}
+
 bool LeaseHolder::isHeld(TimePoint now) const
 {
     return token_ != 0 && now < deadline_;
--- a/coordination/lease_holder.h
+++ b/coordination/lease_holder.h
@@ -32,6 +32,9 @@
     void step(TimePoint now);
     TimePoint nextStep() const;
 
+    /// The key was seen to be gone: the next step is due now if this host holds nothing.
+    void wake(TimePoint now);
+
     /// Whether the lease may be acted on at `now`.
     bool isHeld(TimePoint now) const;
 
--- a/decision/placement.cpp
+++ b/decision/placement.cpp
@@ -130,6 +130,13 @@
     return choice.best;
 }
 
+void Placement::onDispatchedElsewhere(EngineIndex index, std::uint32_t missedTokens, std::span<const BlockHash> blocks, TimePoint now)
+{
+    Engine &engine = engines_[index];
+    engine.load.dispatched(now, missedTokens * engine.prefillSecondsPerToken);
+    view_.learn(index, blocks);
+}
+
 DispatchId Placement::onDispatched(const PlacementRequest &request, const PlacementDecision &decision, TimePoint now)
 {
     if (freeDispatches_.empty()) {
--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -239,8 +239,15 @@
     const DispatchId dispatch = placement_.onDispatched(placed, decision, now);
     Engine &engine = engines_[decision.engine];
     inFlight_[queued.id] = {dispatch, decision.engine, engine.serial, engine.window.start(missed, now)};
+    SchedulerAssignment assignment{queued.id, std::string(placement_.engineName(decision.engine)), decision.expectedCachedTokens, 0, {}};
+    assignment.missedTokens = static_cast<std::uint32_t>(missed);
+    for (const VersionedChain &chain : placed.chains) {
+        if (chain.modelVersion == decision.modelVersion) {
+            assignment.blocks.assign(chain.blocks.begin(), chain.blocks.end());
+        }
+    }
     requests_.erase(found);
-    return SchedulerAssignment{queued.id, std::string(placement_.engineName(decision.engine)), decision.expectedCachedTokens};
+    return assignment;
 }
 
 SchedulerRefusal RequestScheduler::refuse(RequestId id, Reason reason, Duration retryAfter)
@@ -249,6 +256,13 @@
     return {id, std::move(reason), retryAfter};
 }
 
+void RequestScheduler::onDispatchedElsewhere(std::string_view engine, std::uint32_t missedTokens, std::span<const BlockHash> blocks, TimePoint now)
+{
+    if (const auto index = placement_.findEngine(engine)) {
+        placement_.onDispatchedElsewhere(*index, missedTokens, blocks, now);
+    }
+}
+
 void RequestScheduler::onFirstToken(RequestId id, std::optional<std::uint32_t> cachedTokens, TimePoint now)
 {
     const auto entry = inFlight_.find(id);
--- a/decision/request_scheduler.h
+++ b/decision/request_scheduler.h
@@ -57,6 +57,8 @@
     RequestId id{};
     std::string engine;
     std::uint32_t expectedCachedTokens = 0;
+    std::uint32_t missedTokens = 0; ///< That the engine has to compute.
+    std::vector<BlockHash> blocks; ///< The prompt's chain for this engine's weights.
 };
 
 /// The request is given up; it reached no engine in this attempt.
@@ -115,6 +117,9 @@
     /// Refuses new requests; what waits is still served.
     void drain();
 
+    /// Another host sent a request to an engine.
+    void onDispatchedElsewhere(std::string_view engine, std::uint32_t missedTokens, std::span<const BlockHash> blocks, TimePoint now);
+
     void onFirstToken(RequestId id, std::optional<std::uint32_t> cachedTokens, TimePoint now);
     void onEnded(RequestId id, SchedulerEnd end, TimePoint now);
 
--- a/decision/team_rates.cpp
+++ b/decision/team_rates.cpp
@@ -66,6 +66,15 @@
     return false;
 }
 
+void TeamRates::empty(std::string_view team, TimePoint now)
+{
+    const auto found = buckets_.find(team);
+    if (found != buckets_.end()) {
+        found->second.tokens = 0;
+        found->second.refilledAt = now;
+    }
+}
+
 void TeamRates::giveBack(std::string_view team, double tokens)
 {
     const auto found = buckets_.find(team);
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -59,6 +59,10 @@
     , status_(loop_, [this](std::string_view path) { return statusOf(path); })
     , directory_(options.weightsDeadline)
     , pool_(loop_, targetProtocol)
+    , peers_(loop_, *this)
+    , budget_(options.hostName)
+    , tokenTimer_(loop_)
+    , sendTokenRequest_([this](const std::string &host, const TokenRequest &request) { peers_.send(host, request); })
     , scheduler_(queueLimits(), placementPolicy())
     , random_(std::random_device{}())
 {
@@ -68,7 +72,7 @@
 
 bool Gateway::open(Reason &reason)
 {
-    if (!openListener(acceptor_, options_.callers, reason) || !status_.open(options_.readiness, reason)) {
+    if (!openListener(acceptor_, options_.callers, reason) || !status_.open(options_.readiness, reason) || !peers_.open(options_.peers, reason)) {
         return false;
     }
     isAccepting_ = true;
@@ -105,7 +109,7 @@
         const double over = 1 + options_.quotaOver / 2;
         limits.push_back({team.name, team.rate * over, team.burst * over + options_.quotaSlack / 2});
     }
-    rates_.setLimits(limits, BootClock::now());
+    budget_.setLimits(limits, BootClock::now());
     writeLog(LogLevel::Info,
              "configuration_in_force",
              {{"version", table_->version},
@@ -137,12 +141,27 @@
     refreshTargets();
 }
 
-void Gateway::setHosts(std::size_t count, double share)
+void Gateway::setHosts(const std::map<std::string, HostAddress> &hosts, double share)
 {
-    const double hosts = static_cast<double>(std::max<std::size_t>(count, 1));
-    scheduler_.setHostCount(std::max<std::size_t>(count, 1));
-    scheduler_.setRetryLimits({options_.retries.ratio * retryPart, options_.retries.slack * retryPart / hosts});
-    rates_.setShare(share, BootClock::now());
+    std::vector<std::string> names;
+    std::map<std::string, HostAddress> others;
+    for (const auto &[name, address] : hosts) {
+        names.push_back(name);
+        if (name != options_.hostName) {
+            others.emplace(name, address);
+        }
+    }
+    peers_.setPeers(others);
+    budget_.setHosts(names, share, BootClock::now());
+    const std::size_t count = std::max<std::size_t>(hosts.size(), 1);
+    scheduler_.setHostCount(count);
+    scheduler_.setRetryLimits({options_.retries.ratio * retryPart, options_.retries.slack * retryPart / static_cast<double>(count)});
+}
+
+void Gateway::announceLoading(const std::string &targetId, Duration time)
+{
+    onLoadingNotice({targetId, time});
+    peers_.tellAll(LoadingNotice{targetId, time});
 }
 
 void Gateway::drain()
@@ -186,9 +205,15 @@
     return pool_;
 }
 
-TeamRates &Gateway::teamRates()
+void Gateway::takeTokens(std::string_view team, double tokens, TeamBudget::Answer answer)
 {
-    return rates_;
+    budget_.take(team, tokens, BootClock::now(), sendTokenRequest_, std::move(answer));
+    scheduleTokenTimeout();
+}
+
+void Gateway::giveBackTokens(std::string_view team, double tokens)
+{
+    budget_.giveBack(team, tokens);
 }
 
 CallerLimits Gateway::callerLimits() const
@@ -298,6 +323,52 @@
     scheduleDecide();
 }
 
+void Gateway::announceDispatch(const SchedulerAssignment &assignment, std::size_t sharedBlocks)
+{
+    if (assignment.missedTokens < prefixBlockTokens) {
+        return;
+    }
+    DispatchNotice notice{assignment.engine, assignment.missedTokens, {}};
+    notice.blocks.assign(assignment.blocks.begin(), assignment.blocks.begin() + static_cast<std::ptrdiff_t>(std::min(sharedBlocks, assignment.blocks.size())));
+    peers_.tellAll(notice);
+}
+
+void Gateway::onDispatchNotice(const DispatchNotice &notice)
+{
+    scheduler_.onDispatchedElsewhere(notice.engine, notice.missedTokens, notice.blocks, BootClock::now());
+}
+
+void Gateway::onLoadingNotice(const LoadingNotice &notice)
+{
+    directory_.avoid(notice.target, BootClock::now() + notice.time);
+    refreshTargets();
+}
+
+void Gateway::onTokenRequest(const std::string &host, const TokenRequest &request)
+{
+    peers_.send(host, budget_.onRequest(request, BootClock::now()));
+}
+
+void Gateway::onTokenReply(const TokenReply &reply)
+{
+    budget_.onReply(reply, BootClock::now(), sendTokenRequest_);
+}
+
+void Gateway::scheduleTokenTimeout()
+{
+    const auto next = budget_.nextTimeout();
+    if (!next) {
+        return;
+    }
+    tokenTimer_.expires_after(std::max(*next - BootClock::now(), Duration::zero()));
+    tokenTimer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            budget_.onTick(BootClock::now(), sendTokenRequest_);
+            scheduleTokenTimeout();
+        }
+    });
+}
+
 void Gateway::onDispatchEnded(RequestId id, SchedulerEnd end)
 {
     scheduler_.onEnded(id, end, BootClock::now());
@@ -308,17 +379,17 @@
 void Gateway::onTargetLoad(std::string_view engineName, const TargetLoad &load)
 {
     const Target *target = directory_.find(engineName);
-    if (target == nullptr) {
+    if (target == nullptr || !target->models.empty()) {
+        // An engine counts a prompt that it is computing as running, so its counts would hide the long ones that are known from
+        // the notices.
         return;
     }
-    // Targets tell how many requests wait, not how long their prompts are.
-    constexpr double assumedWaitingTokens = 1'000;
     LoadReport report;
     report.measuredAt = BootClock::now();
     report.incarnation = static_cast<std::uint64_t>(target->incarnation);
     report.runningRequests = load.running;
     report.waitingRequests = load.waiting;
-    report.queuedPrefillTokens = load.waiting * (target->models.empty() ? plainWorkTokens() : assumedWaitingTokens);
+    report.queuedPrefillTokens = load.waiting * plainWorkTokens();
     scheduler_.onLoadReport(engineName, report, BootClock::now());
 }
 
@@ -461,6 +532,7 @@
     if (isEmpty || elapsed >= options_.drainLimit) {
         writeLog(LogLevel::Info, "drain_ended", {{"empty", isEmpty}, {"requests", static_cast<std::int64_t>(requests_.size())}});
         status_.close();
+        peers_.close();
         loop_.stop();
         return;
     }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -13,12 +13,13 @@
 #include "core/metrics.h"
 #include "core/random.h"
 #include "decision/request_scheduler.h"
-#include "decision/team_rates.h"
+#include "gateway/peer_socket.h"
 #include "gateway/protocol.h"
 #include "gateway/routing_table.h"
 #include "gateway/status_server.h"
 #include "gateway/target_directory.h"
 #include "gateway/target_pool.h"
+#include "gateway/team_budget.h"
 
 namespace Lovageloft
 {
@@ -31,6 +32,8 @@
 {
     HostAddress callers;
     HostAddress readiness;
+    HostAddress peers; ///< Where datagrams of other hosts come.
+    std::string hostName;
     Duration keyProofWindow = std::chrono::seconds(5); ///< Within this time a withdrawn key must have stopped working.
     Duration configurationWindow = std::chrono::seconds(2); ///< Within this time a new configuration must be in force.
     Duration weightsDeadline = std::chrono::seconds(8); ///< After this time no request may begin on older weights.
@@ -43,11 +46,11 @@
 
 /// The event-driven pipeline: one thread and one event loop own all sockets of callers and targets, the scheduler, and what this
 /// host believes. Other duties hand over what they learn with `post`.
-class Gateway
+class Gateway final : private PeerEvents
 {
 public:
     Gateway(const GatewayOptions &options, const CallerProtocol &callerProtocol, const TargetProtocol &targetProtocol, Metrics &metrics);
-    ~Gateway();
+    ~Gateway() override;
     Gateway(const Gateway &) = delete;
     Gateway &operator=(const Gateway &) = delete;
 
@@ -71,8 +74,11 @@
     void setTargets(std::shared_ptr<const TargetMap> targets);
     void setNamedWeights(const NamedWeights &weights);
 
-    /// This host's part of the teams' rates.
-    void setHosts(std::size_t count, double share);
+    /// The hosts that count, with this one, where they take datagrams, and this host's part of what is divided evenly.
+    void setHosts(const std::map<std::string, HostAddress> &hosts, double share);
+
+    /// A target is about to load: it is left alone, here and on all other hosts.
+    void announceLoading(const std::string &targetId, Duration time);
 
     /// Begins a graceful shutdown.
     void drain();
@@ -85,7 +91,10 @@
     std::shared_ptr<const RoutingTable> table() const;
     TargetDirectory &targets();
     TargetPool &pool();
-    TeamRates &teamRates();
+
+    /// Takes tokens from a team's rate; `answer` is called at once or within some round trips.
+    void takeTokens(std::string_view team, double tokens, TeamBudget::Answer answer);
+    void giveBackTokens(std::string_view team, double tokens);
     CallerLimits callerLimits() const;
     bool isDraining() const;
 
@@ -114,6 +123,9 @@
     RequestId submit(const std::shared_ptr<RoutedRequest> &request, SchedulerRequest &&scheduled);
     void cancelQueued(RequestId id);
     void onFirstToken(RequestId id);
+
+    /// Tells the other hosts of a long prompt.
+    void announceDispatch(const SchedulerAssignment &assignment, std::size_t sharedBlocks);
     void onDispatchEnded(RequestId id, SchedulerEnd end);
     void onTargetLoad(std::string_view engineName, const TargetLoad &load);
 
@@ -130,7 +142,12 @@
     void onSessionEnded(const std::shared_ptr<CallerSession> &session);
 
 private:
-    bool listen(const HostAddress &address, Reason &reason);
+    void onDispatchNotice(const DispatchNotice &notice) override;
+    void onLoadingNotice(const LoadingNotice &notice) override;
+    void onTokenRequest(const std::string &host, const TokenRequest &request) override;
+    void onTokenReply(const TokenReply &reply) override;
+    void scheduleTokenTimeout();
+
     void accept();
     void decide();
     void scheduleDecide();
@@ -152,7 +169,10 @@
     TimePoint provenAt_;
     TargetDirectory directory_;
     TargetPool pool_;
-    TeamRates rates_;
+    PeerSocket peers_;
+    TeamBudget budget_;
+    boost::asio::steady_timer tokenTimer_;
+    TeamBudget::Send sendTokenRequest_;
     RequestScheduler scheduler_;
     Random random_;
     std::unordered_map<RequestId, std::shared_ptr<RoutedRequest>> requests_; ///< Queued or at a target.
--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -16,6 +16,7 @@
     HostAddress callers;
     HostAddress readiness;
     HostAddress store;
+    HostAddress peers; ///< Where datagrams of other hosts come.
     Duration keyProofWindow{}; ///< A withdrawn key must have stopped working within that time.
     Duration configurationWindow{}; ///< A change must be in force within that time.
     Duration weightsDeadline{}; ///< New weights must serve all new requests within that time.
--- a/gateway/host_duty.cpp
+++ b/gateway/host_duty.cpp
@@ -13,22 +13,22 @@
 
 constexpr int renewalsPerLife = 3;
 
-/// Between two counts of the hosts: a host that joins is served by the slack in the teams' limits until all have counted it.
-constexpr Duration countPause = std::chrono::milliseconds(1'500);
+/// Longest wait of one watch; renewals of the lease come between two of them.
+constexpr Duration watchTime = std::chrono::seconds(2);
 
 /// A part grows only once fewer hosts have been seen for this long: hosts that start together would otherwise each take the whole.
 constexpr Duration settleTime = std::chrono::seconds(3);
 
-constexpr Duration stepPause = std::chrono::milliseconds(250);
+/// Between two watches, so that a herd of restarts is taken in few calls.
+constexpr Duration watchPause = std::chrono::milliseconds(200);
 
 } // namespace
 
-HostDuty::HostDuty(Store &store, Gateway &gateway, std::string prefix, std::string hostName, Duration lifetime)
+HostDuty::HostDuty(Store &store, Gateway &gateway, Options options)
     : store_(store)
     , gateway_(gateway)
-    , prefix_(std::move(prefix))
-    , key_(prefix_ + hostName)
-    , lifetime_(lifetime)
+    , options_(std::move(options))
+    , key_(options_.hostsPrefix + options_.hostName)
 {
 }
 
@@ -37,7 +37,7 @@
     while (!isStopped()) {
         if (step()) {
             backoff_.reset();
-            pause(stepPause);
+            pause(watchPause);
         } else {
             pause(backoff_.next());
         }
@@ -67,20 +67,20 @@
         if (reply.status != StoreStatus::Ok) {
             return false;
         }
-        nextRenewal_ = now + lifetime_ / renewalsPerLife;
+        nextRenewal_ = now + options_.lifetime / renewalsPerLife;
     }
-    return now < nextCount_ || countHosts();
+    return followHosts();
 }
 
 bool HostDuty::takeLease()
 {
     const TimePoint now = BootClock::now();
-    const StoreLeaseReply reply = store_.grantLease(lifetime_);
+    const StoreLeaseReply reply = store_.grantLease(options_.lifetime);
     if (reply.status != StoreStatus::Ok) {
         return false;
     }
     leaseId_ = reply.leaseId;
-    nextRenewal_ = now + lifetime_ / renewalsPerLife;
+    nextRenewal_ = now + options_.lifetime / renewalsPerLife;
     return true;
 }
 
@@ -91,31 +91,80 @@
     if (known.status != StoreStatus::Ok && known.status != StoreStatus::NotFound) {
         return false;
     }
-    const StoreReply reply = store_.compareAndSwap(key_, known.status == StoreStatus::Ok ? known.entry.revision : 0, "lease " + std::to_string(leaseId_), leaseId_);
+    const std::int64_t revision = known.status == StoreStatus::Ok ? known.entry.revision : 0;
+    const std::string value = options_.peers.host + ':' + std::to_string(options_.peers.port);
+    const StoreReply reply = store_.compareAndSwap(key_, revision, value, leaseId_);
     isWritten_ = reply.status == StoreStatus::Ok;
     return isWritten_;
 }
 
-bool HostDuty::countHosts()
+bool HostDuty::followHosts()
 {
-    const TimePoint now = BootClock::now();
-    const StoreListReply reply = store_.list(prefix_);
+    if (watchFrom_ == 0 && !readAll()) {
+        return false;
+    }
+    const StoreListReply reply = store_.watch(options_.prefix, watchFrom_, watchTime);
+    if (reply.status != StoreStatus::Ok) {
+        watchFrom_ = 0;
+        return reply.status == StoreStatus::NotFound;
+    }
+    watchFrom_ = std::max(watchFrom_, reply.revision);
+    for (const StoreEntry &entry : reply.entries) {
+        take(entry);
+    }
+    publish();
+    return true;
+}
+
+bool HostDuty::readAll()
+{
+    const StoreListReply reply = store_.list(options_.prefix);
     if (reply.status != StoreStatus::Ok) {
         return false;
     }
-    nextCount_ = now + countPause;
-    const std::size_t count = std::max<std::size_t>(reply.entries.size(), 1);
-    if (count != lastCount_) {
-        const bool isFewer = count < lastCount_ || lastCount_ == 0;
-        lastCount_ = count;
-        countedSince_ = now;
-        writeLog(LogLevel::Info, "hosts_counted", {{"hosts", static_cast<std::int64_t>(count)}, {"grows_later", isFewer}});
-    }
-    // Until the number has settled the part is at most what one more host would leave.
-    const bool isSettled = now - countedSince_ >= settleTime;
-    const double share = 1.0 / static_cast<double>(isSettled ? count : count + 1);
-    gateway_.post([count, share](Gateway &gateway) { gateway.setHosts(count, share); });
+    watchFrom_ = reply.revision;
+    hosts_.clear();
+    for (const StoreEntry &entry : reply.entries) {
+        take(entry);
+    }
+    publish();
     return true;
 }
 
+void HostDuty::take(const StoreEntry &entry)
+{
+    if (!entry.key.starts_with(options_.hostsPrefix)) {
+        if (entry.isDeleted) {
+            options_.onDeleted(entry.key);
+        }
+        return;
+    }
+    const std::string name = entry.key.substr(options_.hostsPrefix.size());
+    const auto address = parseHostAddress(entry.value);
+    if (entry.isDeleted) {
+        hosts_.erase(name);
+    } else if (address) {
+        hosts_.insert_or_assign(name, *address);
+    }
+    if (entry.isDeleted && name == options_.hostName) {
+        isWritten_ = false;
+    }
+}
+
+void HostDuty::publish()
+{
+    const TimePoint now = BootClock::now();
+    const double even = 1.0 / static_cast<double>(std::max<std::size_t>(hosts_.size(), 1));
+    if (even < share_ || share_ == 0) {
+        // Hosts that start together see each other one after another: until that has settled, one more is reckoned with.
+        share_ = share_ == 0 ? 1.0 / static_cast<double>(hosts_.size() + 1) : even;
+        changedAt_ = now;
+    } else if (even > share_ && now - changedAt_ >= settleTime) {
+        share_ = even;
+        changedAt_ = now;
+    }
+    writeLog(LogLevel::Debug, "hosts_known", {{"hosts", static_cast<std::int64_t>(hosts_.size())}, {"share", share_}});
+    gateway_.post([hosts = hosts_, share = share_](Gateway &gateway) { gateway.setHosts(hosts, share); });
+}
+
 } // namespace Lovageloft
--- a/gateway/host_duty.h
+++ b/gateway/host_duty.h
@@ -1,10 +1,12 @@
 #pragma once
 
-#include <set>
+#include <functional>
+#include <map>
 #include <string>
 
 #include "coordination/store.h"
 #include "gateway/duty.h"
+#include "core/settings.h"
 #include "gateway/store_backoff.h"
 
 namespace Lovageloft
@@ -20,28 +22,40 @@
 class HostDuty final : public Duty
 {
 public:
-    /// `prefix` ends with a slash. `lifetime` of the lease must be longer than the proof of a key counts.
-    HostDuty(Store &store, Gateway &gateway, std::string prefix, std::string hostName, Duration lifetime);
+    struct Options
+    {
+        std::string prefix; ///< Of all that is watched; ends with a slash.
+        std::string hostsPrefix; ///< Of the hosts' keys, within `prefix`.
+        std::string hostName;
+        HostAddress peers; ///< Where this host takes datagrams.
+        Duration lifetime{}; ///< Of the lease; must be longer than the proof of a key counts.
+        std::function<void(const std::string &key)> onDeleted; ///< Hears of other keys under `prefix` that are gone, on the duty's thread.
+    };
+
+    HostDuty(Store &store, Gateway &gateway, Options options);
 
 private:
     void run() override;
     bool step();
     bool takeLease();
     bool writeKey();
-    bool countHosts();
+    bool followHosts();
+    bool readAll();
+    void take(const StoreEntry &entry);
+    void publish();
 
     Store &store_;
     Gateway &gateway_;
-    std::string prefix_;
+    Options options_;
     std::string key_;
-    Duration lifetime_;
     StoreBackoff backoff_;
     std::int64_t leaseId_ = 0;
     bool isWritten_ = false;
     TimePoint nextRenewal_;
-    TimePoint nextCount_;
-    std::size_t lastCount_ = 0;
-    TimePoint countedSince_; ///< When the number of hosts was first seen as it is.
+    std::int64_t watchFrom_ = 0;
+    std::map<std::string, HostAddress> hosts_;
+    double share_ = 0;
+    TimePoint changedAt_; ///< When the hosts were last seen to change.
 };
 
 } // namespace Lovageloft
--- /dev/null
+++ b/gateway/peer_messages.capnp
@@ -0,0 +1,40 @@
+@0xa4d81c5e9b3f7260;
+# What the hosts of a fleet tell each other in single datagrams. Any of them may be lost: each only improves what the receiver
+# would decide without it.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("Lovageloft::PeerMessages");
+
+struct Datagram {
+  union {
+    dispatch @0 :Dispatch;
+    loading @1 :Loading;
+    tokenRequest @2 :TokenRequest;
+    tokenReply @3 :TokenReply;
+  }
+}
+
+struct Dispatch {
+  # A request with a long prompt was sent to an engine.
+  engine @0 :Text;
+  missedTokens @1 :UInt32; # That the engine has to compute.
+  blocks @2 :List(UInt64); # The chain of the prompt's shared blocks, which the engine then holds.
+}
+
+struct Loading {
+  # An engine is about to load new weights and declines requests meanwhile.
+  target @0 :Text;
+  milliseconds @1 :UInt32;
+}
+
+struct TokenRequest {
+  id @0 :UInt64;
+  team @1 :Text;
+  tokens @2 :Float64;
+}
+
+struct TokenReply {
+  id @0 :UInt64;
+  isGranted @1 :Bool;
+  retryAfterMilliseconds @2 :UInt32;
+}
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -80,14 +80,40 @@
     if (caller_.patience) {
         limit_ = std::min(limit_, startedAt_ + *caller_.patience);
     }
+    charge();
+}
+
+void RoutedRequest::charge()
+{
+    if (team_ == nullptr) {
+        admit();
+        return;
+    }
+    const double tokens = caller_.promptTokens ? static_cast<double>(*caller_.promptTokens) + caller_.outputTokens : team_->plainTokens;
+    gateway_.takeTokens(team_->name, tokens, [self = shared_from_this(), tokens](const TokenDecision &decision) {
+        if (!decision.isGranted) {
+            self->fail({ResultCode::OverRate, "team is over its rate"}, decision.retryAfter);
+            return;
+        }
+        self->charged_ = tokens;
+        if (self->phase_ == Phase::Done) {
+            self->gateway_.giveBackTokens(self->team_->name, tokens);
+            return;
+        }
+        self->admit();
+    });
+}
+
+void RoutedRequest::admit()
+{
     armTimer();
     enqueue();
 }
 
 std::span<const RoutedRequest::Filter> RoutedRequest::filters()
 {
-    static constexpr std::array<Filter, 5> table{
-        &RoutedRequest::readHead, &RoutedRequest::checkConfigured, &RoutedRequest::findRoute, &RoutedRequest::authenticate, &RoutedRequest::charge,
+    static constexpr std::array<Filter, 4> table{
+        &RoutedRequest::readHead, &RoutedRequest::checkConfigured, &RoutedRequest::findRoute, &RoutedRequest::authenticate,
     };
     return table;
 }
@@ -148,21 +174,6 @@
     return false;
 }
 
-bool RoutedRequest::charge(Reason &reason)
-{
-    if (team_ == nullptr) {
-        return true;
-    }
-    const double tokens = caller_.promptTokens ? static_cast<double>(*caller_.promptTokens) + caller_.outputTokens : team_->plainTokens;
-    Duration retryAfter{};
-    if (!gateway_.teamRates().tryTake(team_->name, tokens, BootClock::now(), reason, retryAfter)) {
-        fail(reason, retryAfter);
-        return false;
-    }
-    charged_ = tokens;
-    return true;
-}
-
 /// The configuration may have changed while the request waited: a withdrawn key or a moved route must not be used.
 bool RoutedRequest::isStillAllowed(Reason &reason)
 {
@@ -226,6 +237,7 @@
         tryElsewhere();
         return;
     }
+    gateway_.announceDispatch(assignment, sharedTokens() / prefixBlockTokens);
     send(*target);
 }
 
@@ -620,7 +632,7 @@
 {
     const RunState state = hasRun_ || isRunning() ? RunState::MayHaveRun : RunState::NotRun;
     if (state == RunState::NotRun && team_ != nullptr) {
-        gateway_.teamRates().giveBack(team_->name, charged_);
+        gateway_.giveBackTokens(team_->name, charged_);
     }
     const auto session = std::move(session_);
     lastStatus_ = gateway_.refuse(session.get(), reason, state, retryAfter > Duration::zero() ? retryAfter : usualRetryAfter);
--- a/gateway/routed_request.h
+++ b/gateway/routed_request.h
@@ -25,7 +25,7 @@
 /// Both sides are in one place, on one thread, so that a caller who leaves, a target that breaks off and a deadline are each
 /// one call away from the other side.
 ///
-/// The filters run in the order of `filters()`; the first that refuses ends the request.
+/// The filters run in the order of `filters()`; the first that refuses ends the request. Then its team is charged and it is queued.
 class RoutedRequest final : public std::enable_shared_from_this<RoutedRequest>, private ExchangeEvents
 {
 public:
@@ -54,7 +54,7 @@
 
     enum class Phase : std::uint8_t
     {
-        Filtering,
+        Filtering, ///< Also while its team is being charged.
         Queued,
         Sent, ///< To a target that has not answered yet.
         Answering,
@@ -73,7 +73,8 @@
     bool checkConfigured(Reason &reason);
     bool findRoute(Reason &reason);
     bool authenticate(Reason &reason);
-    bool charge(Reason &reason);
+    void charge();
+    void admit();
 
     bool isStillAllowed(Reason &reason);
     void enqueue();
--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -33,6 +33,13 @@
 
 void TargetDirectory::setTargets(std::shared_ptr<const TargetMap> targets)
 {
+    for (const auto &[id, target] : *targets) {
+        const auto known = targets_->find(id);
+        const auto correction = corrections_.find(id);
+        if (known != targets_->end() && correction != corrections_.end() && !(known->second.models == target.models)) {
+            correction->second.avoidUntil = {}; // It says that it has loaded.
+        }
+    }
     targets_ = std::move(targets);
     modelServices_.clear();
     for (const auto &[id, target] : *targets_) {
@@ -116,6 +123,15 @@
     correction.avoidUntil = now + declinePause;
 }
 
+void TargetDirectory::avoid(std::string_view targetId, TimePoint until)
+{
+    if (const Target *target = find(targetId)) {
+        Correction &correction = corrections_[target->id];
+        correction.incarnation = target->incarnation;
+        correction.avoidUntil = until;
+    }
+}
+
 std::vector<SchedulerEngine> TargetDirectory::engines(TimePoint now) const
 {
     std::vector<SchedulerEngine> engines;
--- a/gateway/target_directory.h
+++ b/gateway/target_directory.h
@@ -42,6 +42,9 @@
     /// A target declined a request without running it: it is full, loads, or is not what its entry says.
     void onNotExecuted(std::string_view engineName, const AnswerFacts &facts, std::string_view model, TimePoint now);
 
+    /// Leaves a target alone for a while.
+    void avoid(std::string_view targetId, TimePoint until);
+
     /// The list for the scheduler.
     std::vector<SchedulerEngine> engines(TimePoint now) const;
 
--- a/gateway/weights_duty.cpp
+++ b/gateway/weights_duty.cpp
@@ -1,5 +1,7 @@
 #include "gateway/weights_duty.h"
 
+#include <utility>
+
 #include "core/log.h"
 #include "drivers/http_connection.h"
 
@@ -44,6 +46,12 @@
     isChanged_ = true;
 }
 
+void WeightsDuty::onLeaderGone()
+{
+    const std::lock_guard lock(mutex_);
+    isLeaderGone_ = true;
+}
+
 void WeightsDuty::run()
 {
     while (!isStopped()) {
@@ -56,6 +64,12 @@
 
 void WeightsDuty::step()
 {
+    {
+        const std::lock_guard lock(mutex_);
+        if (std::exchange(isLeaderGone_, false)) {
+            lease_.wake(BootClock::now());
+        }
+    }
     lease_.step(BootClock::now());
     noteLeadership(BootClock::now());
     updateWanted();
@@ -132,6 +146,7 @@
     if (before && !before->isBusy && scheduler_.maySend(order, lease_, BootClock::now())) {
         const auto connection = HttpConnection::open(target->second.address, callTimeout);
         const HttpField expected = format_.expectTarget(order.target);
+        options_.beforeLoad(order.target);
         if (connection != nullptr && scheduler_.maySend(order, lease_, BootClock::now())) {
             const std::string body = format_.writeOrder(order, options_.holderName, before->ordersAccepted);
             const auto answer = connection->call("POST", format_.orderPath(), body, BootClock::now() + callTimeout, {&expected, 1});
--- a/gateway/weights_duty.h
+++ b/gateway/weights_duty.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -29,6 +30,7 @@
         LeaseOptions lease;
         bool enginesCheckFencing = true;
         OrderOptions orders;
+        std::function<void(const std::string &targetId)> beforeLoad; ///< Called right before an engine is ordered to load.
     };
 
     WeightsDuty(Store &store, const EngineControlFormat &format, Options options);
@@ -37,6 +39,9 @@
     void setTargets(std::shared_ptr<const TargetMap> targets);
     void setNamedWeights(const NamedWeights &weights);
 
+    /// The leader's key is gone.
+    void onLeaderGone();
+
 private:
     void run() override;
     void step();
@@ -55,6 +60,7 @@
     std::shared_ptr<const TargetMap> targets_ = std::make_shared<TargetMap>();
     std::map<std::string, std::int64_t> named_;
     bool isChanged_ = false;
+    bool isLeaderGone_ = false;
     std::shared_ptr<const TargetMap> current_; ///< This thread's own view.
     bool wasHeld_ = false;
 };
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -11,7 +11,8 @@
 namespace
 {
 
-constexpr std::string_view hostPrefix = "lovageloft/hosts/";
+constexpr std::string_view ownPrefix = "lovageloft/";
+constexpr std::string_view hostsPrefix = "lovageloft/hosts/";
 constexpr std::string_view leaderKey = "lovageloft/leader";
 
 /// A shutdown ends this much before the platform kills the process.
@@ -20,11 +21,17 @@
 /// A host counts for this many key proof windows after its last sign of life: see HostDuty.
 constexpr int hostLeaseInProofWindows = 2;
 
+/// How long an engine that is ordered to load is left alone unless it says sooner that it has loaded: running requests end within a
+/// second and the load takes half of one.
+constexpr Duration announcedLoad = std::chrono::milliseconds(1'500);
+
 GatewayOptions gatewayOptions(const GatewaySettings &settings)
 {
     GatewayOptions options;
     options.callers = settings.callers;
     options.readiness = settings.readiness;
+    options.peers = settings.peers;
+    options.hostName = settings.hostName;
     options.keyProofWindow = settings.keyProofWindow;
     options.configurationWindow = settings.configurationWindow;
     options.weightsDeadline = settings.weightsDeadline;
@@ -54,22 +61,6 @@
     return host + '/' + std::to_string(std::random_device{}());
 }
 
-WeightsDuty::Options weightsOptions(const GatewaySettings &settings)
-{
-    constexpr int lease = 10; // Tenths of the lease that is held, and of those the part given up for clocks and late wake-ups.
-    constexpr int margin = 1;
-    WeightsDuty::Options options;
-    options.leaderKey = leaderKey;
-    options.holder = processName(settings.hostName);
-    options.holderName = settings.hostName;
-    options.lease.timeToLive = std::max(settings.leaderLease, settings.shortestLease);
-    options.lease.margin = options.lease.timeToLive * margin / lease;
-    options.lease.pollPause = std::chrono::milliseconds(700);
-    options.enginesCheckFencing = settings.enginesCheckFencing;
-    options.orders = orderOptions();
-    return options;
-}
-
 } // namespace
 
 GatewayHost::GatewayHost(const GatewaySettings &settings)
@@ -82,12 +73,46 @@
                          settings.configurationWindow,
                          {[this](const auto &table, TimePoint provenAt) { onConfiguration(table, provenAt); }, [this](const auto &weights) { onWeights(weights); }})
     , targetDuty_(store_, records_, [this](const std::shared_ptr<const TargetMap> &targets) { onTargets(targets); })
-    , hostDuty_(store_, gateway_, std::string(hostPrefix), settings.hostName, settings.keyProofWindow * hostLeaseInProofWindows)
-    , weightsDuty_(store_, engineControl_, weightsOptions(settings))
+    , hostDuty_(store_, gateway_, hostOptions())
+    , weightsDuty_(store_, engineControl_, weightsOptions())
     , cacheStoreDuty_(gateway_, engineControl_)
 {
 }
 
+HostDuty::Options GatewayHost::hostOptions()
+{
+    HostDuty::Options options;
+    options.prefix = ownPrefix;
+    options.hostsPrefix = hostsPrefix;
+    options.hostName = settings_.hostName;
+    options.peers = settings_.peers;
+    options.lifetime = settings_.keyProofWindow * hostLeaseInProofWindows;
+    options.onDeleted = [this](const std::string &key) {
+        if (key == leaderKey) {
+            weightsDuty_.onLeaderGone();
+        }
+    };
+    return options;
+}
+
+WeightsDuty::Options GatewayHost::weightsOptions()
+{
+    constexpr int leaseParts = 10; // One of ten is given up for clocks and late wake-ups.
+    WeightsDuty::Options options;
+    options.leaderKey = leaderKey;
+    options.holder = processName(settings_.hostName);
+    options.holderName = settings_.hostName;
+    options.lease.timeToLive = std::max(settings_.leaderLease, settings_.shortestLease);
+    options.lease.margin = options.lease.timeToLive / leaseParts;
+    options.lease.pollPause = std::chrono::seconds(3); // The watch of the fleet's keys tells sooner.
+    options.enginesCheckFencing = settings_.enginesCheckFencing;
+    options.orders = orderOptions();
+    options.beforeLoad = [this](const std::string &target) {
+        gateway_.post([target](Gateway &gateway) { gateway.announceLoading(target, announcedLoad); });
+    };
+    return options;
+}
+
 bool GatewayHost::start(Reason &reason)
 {
     if (!gateway_.open(reason)) {
--- a/main/gateway_host.h
+++ b/main/gateway_host.h
@@ -32,6 +32,8 @@
     void drain();
 
 private:
+    HostDuty::Options hostOptions();
+    WeightsDuty::Options weightsOptions();
     void onTargets(const std::shared_ptr<const TargetMap> &targets);
     void onConfiguration(const std::shared_ptr<const RoutingTable> &table, TimePoint provenAt);
     void onWeights(const NamedWeights &weights);
