--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -297,7 +297,7 @@
         // What older weights computed must not be found by newer ones, nor one isolated team's by another.
         salt = std::to_string(request.weightsVersion) + '/' + (team_ != nullptr && team_->isIsolated ? team_->name : std::string());
         request.cacheSalt = salt;
-        if (sharedTokens() >= prefixBlockTokens && expectedCached_ + prefixBlockTokens < sharedTokens()) {
+        if (sharedTokens() >= prefixBlockTokens) {
             request.cacheStore = gateway_.cacheStoreFor(target);
         }
         const int priority = team_ != nullptr && team_->priority ? *team_->priority : route_->priority;
