--- a/gateway/routing_table.h
+++ b/gateway/routing_table.h
@@ -79,7 +79,7 @@
 struct Team
 {
     std::string name;
-    std::optional<int> priority; ///< Goes before the route's.
+    std::optional<int> priority = std::nullopt; ///< Goes before the route's.
     bool isIsolated = false; ///< Shares no cache entry with another team.
     double rate = 0; ///< Tokens a second over all hosts; 0: no limit.
     double burst = 0; ///< Tokens on top of the rate.
--- /dev/null
+++ b/tests/platform/gateway_fixture.cpp
@@ -0,0 +1,191 @@
+#include "tests/platform/gateway_fixture.h"
+
+#include <array>
+#include <future>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <boost/test/unit_test.hpp>
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+constexpr Duration patience = std::chrono::seconds(5);
+
+Route route(const std::string &path, RouteKind kind, int attempts)
+{
+    Route route;
+    route.name = path;
+    route.host = "h.example";
+    route.pathPrefix = path;
+    route.kind = kind;
+    route.timeout = std::chrono::seconds(2);
+    route.latencyTarget = std::chrono::milliseconds(300);
+    route.eventGap = std::chrono::milliseconds(250);
+    route.maxAttempts = attempts;
+    route.split = {{"s", 1}};
+    return route;
+}
+
+/// Whether a whole answer, framed by a length or by chunks, stands in `text`.
+bool isComplete(const std::string &text)
+{
+    const std::size_t end = text.find("\r\n\r\n");
+    if (end == std::string::npos) {
+        return false;
+    }
+    const std::size_t length = text.find("Content-Length: ");
+    if (length != std::string::npos && length < end) {
+        return text.size() >= end + 4 + std::stoul(text.substr(length + 16));
+    }
+    return text.ends_with("0\r\n\r\n");
+}
+
+} // namespace
+
+GatewayFixture::GatewayFixture()
+{
+    GatewayOptions options;
+    options.callers = {"127.0.0.1", 0};
+    options.readiness = {"127.0.0.1", 0};
+    options.peers = {"127.0.0.1", 0};
+    options.hostName = "host";
+    options.drainNotice = std::chrono::milliseconds(300);
+    options.drainLimit = std::chrono::seconds(4);
+    options.retries = {0.2, 50};
+    gateway_ = std::make_unique<Gateway>(options, callerProtocol_, targetProtocol_, metrics_);
+    Reason reason;
+    BOOST_REQUIRE_MESSAGE(gateway_->open(reason), reason.text);
+    gateway_->setHosts({{"host", {"127.0.0.1", 1}}}, 1);
+    thread_ = std::thread([this] {
+        gateway_->run();
+        hasStopped_ = true;
+    });
+    configure(table());
+}
+
+GatewayFixture::~GatewayFixture()
+{
+    gateway_->post([](Gateway &gateway) { gateway.loop().stop(); });
+    thread_.join();
+}
+
+ScriptedTarget &GatewayFixture::addTarget(const std::string &id, ScriptedTarget::Script script)
+{
+    auto &target = targets_[id] = std::make_unique<ScriptedTarget>(std::move(script));
+    Target entry;
+    entry.id = id;
+    entry.service = "s";
+    entry.address = {"127.0.0.1", target->port()};
+    entry.slots = 8;
+    entry.incarnation = 1;
+    list_[id] = entry;
+    publishTargets();
+    return *target;
+}
+
+void GatewayFixture::addGone(const std::string &id)
+{
+    addTarget(id, {});
+    targets_.erase(id);
+}
+
+void GatewayFixture::publishTargets()
+{
+    gateway_->post([targets = std::make_shared<const TargetMap>(list_)](Gateway &gateway) { gateway.setTargets(targets); });
+    settle();
+}
+
+void GatewayFixture::configure(const RoutingTable &table, Duration age)
+{
+    auto shared = std::make_shared<const RoutingTable>(table);
+    gateway_->post([shared, provenAt = BootClock::now() - age](Gateway &gateway) { gateway.setTable(shared, provenAt); });
+    settle();
+}
+
+RoutingTable GatewayFixture::table(std::int64_t version)
+{
+    RoutingTable table;
+    table.version = version;
+    table.revision = version;
+    table.routes = {route("/safe/", RouteKind::Idempotent, 2),
+                    route("/once/", RouteKind::NonIdempotent, 1),
+                    route("/stream/", RouteKind::Stream, 1),
+                    route("/resume/", RouteKind::Stream, 2),
+                    route("/public/", RouteKind::Idempotent, 2)};
+    table.routes[3].isResumable = true;
+    table.routes[4].isPublic = true;
+    table.teams = {{.name = "t"}};
+    table.teamOfKey = {{"k", 0}};
+    table.limits.headBytes = 1'000;
+    table.limits.bodyBytes = 1'000;
+    table.limits.headTimeout = std::chrono::milliseconds(300);
+    table.limits.idleTimeout = std::chrono::seconds(2);
+    table.buildIndex();
+    return table;
+}
+
+void GatewayFixture::settle()
+{
+    std::promise<void> done;
+    gateway_->post([&done](Gateway &) { done.set_value(); });
+    done.get_future().wait();
+}
+
+void GatewayFixture::drain()
+{
+    gateway_->post([](Gateway &gateway) { gateway.drain(); });
+    settle();
+}
+
+bool GatewayFixture::hasStopped()
+{
+    const TimePoint limit = BootClock::now() + patience;
+    while (!hasStopped_ && BootClock::now() < limit) {
+        std::this_thread::yield();
+    }
+    return hasStopped_;
+}
+
+std::uint16_t GatewayFixture::port() const
+{
+    return gateway_->callerPort();
+}
+
+std::string GatewayFixture::request(const std::string &method, const std::string &path, const std::string &body, const std::string &fields)
+{
+    static std::atomic<int> next = 0;
+    std::string text = method + ' ' + path + " HTTP/1.1\r\nHost: h.example\r\nLovageloft-Request-Id: r" + std::to_string(next++)
+        + "\r\nLovageloft-Deadline-Ms: 1500\r\nApi-Key: k\r\n" + fields;
+    if (!body.empty()) {
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    }
+    return text + "\r\n" + body;
+}
+
+std::string GatewayFixture::exchange(const std::string &bytes) const
+{
+    Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", port()));
+    socket.setReceiveTimeout(Poco::Timespan(std::chrono::duration_cast<std::chrono::microseconds>(patience).count()));
+    std::string answer;
+    try {
+        socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+        std::array<char, 16'384> buffer{};
+        while (!isComplete(answer)) {
+            const int got = socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+            if (got <= 0) {
+                break;
+            }
+            answer.append(buffer.data(), static_cast<std::size_t>(got));
+        }
+    } catch (const Poco::Exception &error) {
+        answer += " [" + error.displayText() + ']'; // A reset is an outcome that tests look at.
+    }
+    return answer;
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/tests/platform/gateway_fixture.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "core/metrics.h"
+#include "gateway/gateway.h"
+#include "platform/protocols.h"
+#include "tests/stand_ins/scripted_target.h"
+
+namespace Lovageloft
+{
+
+/// A gateway on the loopback interface that speaks the platform's protocols, with scripted targets. Its host is h.example; the routes are
+/// /safe/, /once/, /stream/ (at most once), /resume/ and /public/, all of them to service s; team t has key k.
+class GatewayFixture
+{
+public:
+    using Connection = ScriptedTarget::Connection;
+    using Request = ScriptedTarget::Request;
+
+    GatewayFixture();
+    ~GatewayFixture();
+
+    /// Adds a target of service s; the scheduler chooses freely among them.
+    ScriptedTarget &addTarget(const std::string &id, ScriptedTarget::Script script);
+
+    /// Lists a target at whose address nobody listens.
+    void addGone(const std::string &id);
+
+    /// Puts a configuration in force that was proven `age` ago.
+    void configure(const RoutingTable &table, Duration age = {});
+
+    static RoutingTable table(std::int64_t version = 1);
+
+    /// Waits until all that was posted to the gateway so far is done.
+    void settle();
+
+    void drain();
+
+    /// Whether the gateway has ended by itself within five seconds.
+    bool hasStopped();
+
+    std::uint16_t port() const;
+
+    /// The text of a request with key k.
+    static std::string request(const std::string &method, const std::string &path, const std::string &body = {}, const std::string &fields = {});
+
+    /// Sends bytes on a new connection and reads until the answer is complete or the connection ends, for five seconds at most.
+    std::string exchange(const std::string &bytes) const;
+
+private:
+    void publishTargets();
+
+    Metrics metrics_;
+    PlatformCallerProtocol callerProtocol_;
+    PlatformTargetProtocol targetProtocol_;
+    std::unique_ptr<Gateway> gateway_;
+    std::map<std::string, std::unique_ptr<ScriptedTarget>> targets_;
+    TargetMap list_;
+    std::thread thread_;
+    std::atomic<bool> hasStopped_ = false;
+};
+
+} // namespace Lovageloft
