--- a/coordination/lease_holder.cpp
+++ b/coordination/lease_holder.cpp
@@ -71,7 +71,7 @@
     if (reply.status == StoreStatus::NotFound) {
         next(&LeaseHolder::grant, now);
     } else {
-        next(&LeaseHolder::poll, now + options_.pollPause);
+        next(&LeaseHolder::poll, now + (reply.status == StoreStatus::Ok ? options_.pollPause : options_.failurePause));
     }
 }
 
@@ -79,7 +79,7 @@
 {
     const StoreLeaseReply reply = store_.grantLease(options_.timeToLive);
     if (reply.status != StoreStatus::Ok) {
-        next(&LeaseHolder::poll, now + options_.pollPause);
+        next(&LeaseHolder::poll, now + options_.failurePause);
         return;
     }
     leaseId_ = reply.leaseId;
@@ -95,7 +95,7 @@
     } else if (reply.status == StoreStatus::AnswerLost || reply.status == StoreStatus::Conflict) {
         next(&LeaseHolder::readBack, now);
     } else {
-        next(&LeaseHolder::poll, now + options_.pollPause);
+        next(&LeaseHolder::poll, now + options_.failurePause);
     }
 }
 
@@ -106,7 +106,7 @@
     if (reply.status == StoreStatus::Ok && reply.entry.value == value()) {
         acquired(reply.entry.revision, now);
     } else {
-        next(&LeaseHolder::poll, now + options_.pollPause);
+        next(&LeaseHolder::poll, now + (reply.status == StoreStatus::Ok ? options_.pollPause : options_.failurePause));
     }
 }
 
@@ -143,7 +143,7 @@
 void LeaseHolder::lose(TimePoint now)
 {
     token_ = 0;
-    next(&LeaseHolder::poll, now + options_.pollPause);
+    next(&LeaseHolder::poll, now + options_.failurePause);
 }
 
 void LeaseHolder::next(Step step, TimePoint time)
--- a/coordination/lease_holder.h
+++ b/coordination/lease_holder.h
@@ -14,7 +14,8 @@
 {
     Duration timeToLive = std::chrono::seconds(10);
     Duration margin = std::chrono::seconds(2); ///< The holder stops this long before the store lets the lease lapse.
-    Duration pollPause = std::chrono::seconds(2); ///< Between looks at a key that another host holds, and between failed calls.
+    Duration pollPause = std::chrono::seconds(2); ///< Between looks at a key that another host holds.
+    Duration failurePause = std::chrono::seconds(2); ///< After a failed call.
 };
 
 /// Tries to hold one key of the store under a lease, so that one host at a time does a duty. A step machine: each step
--- a/coordination/order_scheduler.cpp
+++ b/coordination/order_scheduler.cpp
@@ -186,7 +186,8 @@
         return;
     }
     if (order->kind == OrderKind::LoadWeights) {
-        if (loads(now) >= options_.mostLoads) {
+        const auto share = static_cast<std::size_t>(options_.loadShare * static_cast<double>(engines_.size()));
+        if (loads(now) >= std::max(options_.mostLoads, share)) {
             return;
         }
         engine.loadingUntil = now + options_.loadTimeout;
--- a/coordination/order_scheduler.h
+++ b/coordination/order_scheduler.h
@@ -74,6 +74,7 @@
 struct OrderOptions
 {
     std::size_t mostLoads = 3; ///< Weight loads at once; the weight store slows all of them down beyond that.
+    double loadShare = 0; ///< Part of the engines that may load at once where that is more than `mostLoads`.
     Duration orderValidity = std::chrono::seconds(1); ///< From the decision to the sending.
     Duration answerTimeout = std::chrono::seconds(5); ///< Wait for an answer to an order or a read.
     Duration loadTimeout = std::chrono::seconds(30); ///< A load not seen to end counts that long.
--- a/coordination/store.h
+++ b/coordination/store.h
@@ -36,6 +36,7 @@
 {
     StoreStatus status = StoreStatus::Unavailable;
     StoreEntry entry;
+    Duration age{}; ///< How long before the call was made the answer held; above zero if somebody else asked the store.
 };
 
 /// Answer to a list or a watch. `revision` is the store's revision that the answer reflects.
--- a/gateway/cache_store_duty.cpp
+++ b/gateway/cache_store_duty.cpp
@@ -21,8 +21,9 @@
 
 } // namespace
 
-CacheStoreDuty::CacheStoreDuty(Gateway &gateway, const EngineControlFormat &format)
+CacheStoreDuty::CacheStoreDuty(Gateway &gateway, const RelayedStore &store, const EngineControlFormat &format)
     : gateway_(gateway)
+    , store_(store)
     , format_(format)
 {
 }
@@ -37,22 +38,25 @@
 {
     while (!isStopped()) {
         std::vector<CacheStore> stores;
-        {
+        if (store_.isRelay()) {
             const std::lock_guard lock(mutex_);
             stores = stores_;
         }
         for (const CacheStore &store : stores) {
-            gateway_.post([address = store.address, alive = isAlive(store.address)](Gateway &gateway) { gateway.setCacheStoreAlive(address, alive); });
+            gateway_.post([address = store.address, alive = isAlive(store.address)](Gateway &gateway) { gateway.announceCacheStore(address, alive); });
         }
         pause(askPause);
     }
 }
 
 /// Any answer will do, also one that says that too many ask.
-bool CacheStoreDuty::isAlive(const std::string &address) const
+bool CacheStoreDuty::isAlive(const std::string &address)
 {
-    const auto parsed = parseHostAddress(address);
-    const auto connection = parsed ? HttpConnection::open(*parsed, connectLimit) : nullptr;
+    auto &connection = connections_[address];
+    if (connection == nullptr || !connection->isReusable()) {
+        const auto parsed = parseHostAddress(address);
+        connection = parsed ? HttpConnection::open(*parsed, connectLimit) : nullptr;
+    }
     if (connection == nullptr) {
         return false;
     }
--- a/gateway/configuration_duty.cpp
+++ b/gateway/configuration_duty.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "core/log.h"
-#include "gateway/gateway.h"
 
 namespace Lovageloft
 {
@@ -11,25 +10,22 @@
 namespace
 {
 
-/// Parts of the window after which the next proof is due, and up to which one watch waits. Two proofs a window leave one to be lost.
-constexpr int proofsPerWindow = 2;
-constexpr int watchesPerWindow = 2;
+/// Longest wait of one watch; a returning one costs a call.
+constexpr Duration watchTime = std::chrono::seconds(3);
 
 } // namespace
 
-ConfigurationDuty::ConfigurationDuty(Store &store, const StoreRecords &records, Gateway &gateway, Duration window, Listeners listeners)
+ConfigurationDuty::ConfigurationDuty(Store &store, const StoreRecords &records, ConfigurationFeed &feed)
     : store_(store)
     , records_(records)
-    , gateway_(gateway)
-    , window_(window)
-    , listeners_(std::move(listeners))
+    , feed_(feed)
 {
 }
 
 void ConfigurationDuty::run()
 {
     while (!isStopped()) {
-        const bool isOk = watchFrom_ == 0 ? readAll() : watchOnce() && confirm();
+        const bool isOk = watchFrom_ == 0 ? readAll() : watchOnce();
         noteStore(isOk);
         if (isOk) {
             backoff_.reset();
@@ -48,7 +44,7 @@
     }
     watchFrom_ = reply.revision;
     for (const StoreEntry &entry : reply.entries) {
-        take(entry, sentAt);
+        feed_.take(entry, sentAt);
     }
     return true;
 }
@@ -56,81 +52,21 @@
 bool ConfigurationDuty::watchOnce()
 {
     const TimePoint sentAt = BootClock::now();
-    const StoreListReply reply = store_.watch(records_.operatorPrefix(), watchFrom_, window_ / watchesPerWindow);
+    const StoreListReply reply = store_.watch(records_.operatorPrefix(), watchFrom_, watchTime);
     if (reply.status == StoreStatus::NotFound) {
         watchFrom_ = 0;
         return true;
     }
     if (reply.status != StoreStatus::Ok) {
-        // Changes may have been missed meanwhile: the proof below tells.
-        return confirm() && false;
+        return false;
     }
     watchFrom_ = std::max(watchFrom_, reply.revision);
     for (const StoreEntry &entry : reply.entries) {
-        take(entry, sentAt);
+        feed_.take(entry, sentAt);
     }
     return true;
 }
 
-bool ConfigurationDuty::confirm()
-{
-    const TimePoint now = BootClock::now();
-    if (configurationRevision_ == 0 || now - provenAt_ < window_ / proofsPerWindow) {
-        return true;
-    }
-    const StoreReply reply = store_.confirm(records_.configurationKey(), configurationRevision_);
-    if (reply.status == StoreStatus::Conflict) {
-        if (reply.entry.revision > configurationRevision_ && !reply.entry.value.empty()) {
-            take(reply.entry, now);
-        } else {
-            watchFrom_ = 0;
-        }
-        return true;
-    }
-    if (reply.status != StoreStatus::Ok) {
-        return false;
-    }
-    provenAt_ = now;
-    gateway_.post([revision = configurationRevision_, now](Gateway &gateway) { gateway.confirmTable(revision, now); });
-    return true;
-}
-
-void ConfigurationDuty::take(const StoreEntry &entry, TimePoint provenAt)
-{
-    if (entry.key == records_.configurationKey()) {
-        takeConfiguration(entry, provenAt);
-        return;
-    }
-    if (!records_.isWeightsKey(entry.key) || entry.isDeleted) {
-        return;
-    }
-    Reason reason;
-    auto weights = records_.parseWeights(entry, reason);
-    if (!weights) {
-        writeLog(LogLevel::Warning, "weights_unreadable", {{"key", entry.key}, {"reason", reason.text}});
-        return;
-    }
-    weights->learntAt = provenAt;
-    listeners_.onWeights(*weights);
-}
-
-void ConfigurationDuty::takeConfiguration(const StoreEntry &entry, TimePoint provenAt)
-{
-    Reason reason;
-    auto table = entry.isDeleted ? std::nullopt : records_.parseConfiguration(entry, reason);
-    if (!table) {
-        // The last good one stays in force, but is not proven any more.
-        writeLog(LogLevel::Error, "configuration_unreadable", {{"revision", entry.revision}, {"reason", reason.text}});
-        return;
-    }
-    if (entry.revision < configurationRevision_) {
-        return;
-    }
-    configurationRevision_ = entry.revision;
-    provenAt_ = provenAt;
-    listeners_.onConfiguration(std::make_shared<const RoutingTable>(std::move(*table)), provenAt);
-}
-
 void ConfigurationDuty::noteStore(bool isReachable)
 {
     if (isReachable == isReachable_) {
--- /dev/null
+++ b/gateway/configuration_feed.cpp
@@ -0,0 +1,64 @@
+#include "gateway/configuration_feed.h"
+
+#include "core/log.h"
+
+namespace Lovageloft
+{
+
+ConfigurationFeed::ConfigurationFeed(const StoreRecords &records, Listeners listeners)
+    : records_(records)
+    , listeners_(std::move(listeners))
+{
+}
+
+void ConfigurationFeed::take(const StoreEntry &entry, TimePoint provenAt)
+{
+    const std::lock_guard lock(mutex_);
+    if (entry.key == records_.configurationKey()) {
+        takeConfiguration(entry, provenAt);
+    } else if (records_.isWeightsKey(entry.key) && !entry.isDeleted) {
+        takeWeights(entry, provenAt);
+    }
+}
+
+void ConfigurationFeed::prove(std::int64_t revision, TimePoint provenAt)
+{
+    const std::lock_guard lock(mutex_);
+    listeners_.onProof(revision, provenAt);
+}
+
+std::int64_t ConfigurationFeed::revision() const
+{
+    const std::lock_guard lock(mutex_);
+    return revision_;
+}
+
+void ConfigurationFeed::takeConfiguration(const StoreEntry &entry, TimePoint provenAt)
+{
+    if (entry.revision <= revision_) {
+        return;
+    }
+    Reason reason;
+    auto table = entry.isDeleted ? std::nullopt : records_.parseConfiguration(entry, reason);
+    if (!table) {
+        // The last good one stays in force, but is not proven any more.
+        writeLog(LogLevel::Error, "configuration_unreadable", {{"revision", entry.revision}, {"reason", reason.text}});
+        return;
+    }
+    revision_ = entry.revision;
+    listeners_.onConfiguration(std::make_shared<const RoutingTable>(std::move(*table)), provenAt);
+}
+
+void ConfigurationFeed::takeWeights(const StoreEntry &entry, TimePoint provenAt)
+{
+    Reason reason;
+    auto weights = records_.parseWeights(entry, reason);
+    if (!weights) {
+        writeLog(LogLevel::Warning, "weights_unreadable", {{"key", entry.key}, {"reason", reason.text}});
+        return;
+    }
+    weights->learntAt = provenAt;
+    listeners_.onWeights(*weights);
+}
+
+} // namespace Lovageloft
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -22,6 +22,8 @@
 constexpr double retryPart = 0.8;
 
 constexpr Duration tickTime = std::chrono::milliseconds(250);
+/// Between two signs of life of a relay; see relaySilence in relayed_store.cpp.
+constexpr Duration alivePause = std::chrono::milliseconds(400);
 constexpr Duration drainTick = std::chrono::milliseconds(50);
 
 /// The scheduler's view of caches: 18 engines of 150,000 tokens hold 2,600 blocks, 1,000 engines 150,000; 22 bytes each.
@@ -70,6 +72,14 @@
 
 Gateway::~Gateway() = default;
 
+void Gateway::setRelayedStore(RelayedStore &store)
+{
+    relayedStore_ = &store;
+    store.setNetwork(
+        {[this](const ChangesNotice &notice) { post([notice](Gateway &gateway) { gateway.peers_.tellAll(notice); }); },
+         [this](const std::string &host, const ProofRequest &request) { post([host, request](Gateway &gateway) { gateway.peers_.send(host, request); }); }});
+}
+
 bool Gateway::open(Reason &reason)
 {
     if (!openListener(acceptor_, options_.callers, reason) || !status_.open(options_.readiness, reason) || !peers_.open(options_.peers, reason)) {
@@ -158,6 +168,9 @@
         }
     }
     peers_.setPeers(others);
+    if (relayedStore_ != nullptr) {
+        relayedStore_->setHosts(names);
+    }
     budget_.setHosts(names, share, BootClock::now());
     const std::size_t count = std::max<std::size_t>(hosts.size(), 1);
     scheduler_.setHostCount(count);
@@ -295,6 +308,12 @@
     }
 }
 
+void Gateway::announceCacheStore(const std::string &address, bool isAlive)
+{
+    setCacheStoreAlive(address, isAlive);
+    peers_.tellAll(CacheStoreNotice{address, isAlive});
+}
+
 std::uint32_t Gateway::plainWorkTokens() const
 {
     return 100;
@@ -362,6 +381,32 @@
     budget_.onReply(reply, BootClock::now(), sendTokenRequest_);
 }
 
+void Gateway::onChangesNotice(const ChangesNotice &notice)
+{
+    if (relayedStore_ != nullptr) {
+        relayedStore_->onNotice(notice);
+    }
+}
+
+void Gateway::onProofRequest(const std::string &host, const ProofRequest &request)
+{
+    if (table_ != nullptr) {
+        peers_.send(host, ProofReply{request.id, table_->revision, proofAge(BootClock::now())});
+    }
+}
+
+void Gateway::onProofReply(const ProofReply &reply)
+{
+    if (relayedStore_ != nullptr) {
+        relayedStore_->onProofReply(reply);
+    }
+}
+
+void Gateway::onCacheStoreNotice(const CacheStoreNotice &notice)
+{
+    setCacheStoreAlive(notice.address, notice.isAlive);
+}
+
 void Gateway::scheduleTokenTimeout()
 {
     const auto next = budget_.nextTimeout();
@@ -501,6 +546,10 @@
 {
     const TimePoint now = BootClock::now();
     pool_.closeStale(now);
+    if (relayedStore_ != nullptr && relayedStore_->isRelay() && now >= nextAlive_) {
+        nextAlive_ = now + alivePause;
+        relayedStore_->sayAlive();
+    }
     if (directory_.nextChange(now - tickTime).value_or(now + tickTime) <= now) {
         refreshTargets();
     }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "decision/request_scheduler.h"
 #include "gateway/peer_socket.h"
 #include "gateway/protocol.h"
+#include "gateway/relayed_store.h"
 #include "gateway/routing_table.h"
 #include "gateway/status_server.h"
 #include "gateway/target_directory.h"
@@ -54,6 +55,9 @@
     Gateway(const Gateway &) = delete;
     Gateway &operator=(const Gateway &) = delete;
 
+    /// The store whose notices and proofs go through this host's datagrams. To be called before `run`.
+    void setRelayedStore(RelayedStore &store);
+
     /// Opens the ports; false if one is taken.
     bool open(Reason &reason);
 
@@ -119,6 +123,9 @@
     /// A cache store answers, or has stopped to: a dead one would cost each request some hundred milliseconds.
     void setCacheStoreAlive(const std::string &address, bool isAlive);
 
+    /// The same, and tells the other hosts.
+    void announceCacheStore(const std::string &address, bool isAlive);
+
     /// What a call to a plain service counts as in the scheduler's units.
     std::uint32_t plainWorkTokens() const;
 
@@ -149,6 +156,10 @@
     void onLoadingNotice(const LoadingNotice &notice) override;
     void onTokenRequest(const std::string &host, const TokenRequest &request) override;
     void onTokenReply(const TokenReply &reply) override;
+    void onChangesNotice(const ChangesNotice &notice) override;
+    void onProofRequest(const std::string &host, const ProofRequest &request) override;
+    void onProofReply(const ProofReply &reply) override;
+    void onCacheStoreNotice(const CacheStoreNotice &notice) override;
     void scheduleTokenTimeout();
 
     void accept();
@@ -174,6 +185,8 @@
     TargetPool pool_;
     PeerSocket peers_;
     TeamBudget budget_;
+    RelayedStore *relayedStore_ = nullptr;
+    TimePoint nextAlive_;
     boost::asio::steady_timer tokenTimer_;
     TeamBudget::Send sendTokenRequest_;
     RequestScheduler scheduler_;
--- a/gateway/host_duty.cpp
+++ b/gateway/host_duty.cpp
@@ -127,6 +127,10 @@
     for (const StoreEntry &entry : reply.entries) {
         take(entry);
     }
+    const auto isLeader = [this](const StoreEntry &entry) { return entry.key == options_.leaderKey; };
+    if (std::none_of(reply.entries.begin(), reply.entries.end(), isLeader)) {
+        options_.onLeaderGone();
+    }
     publish();
     return true;
 }
@@ -134,8 +138,8 @@
 void HostDuty::take(const StoreEntry &entry)
 {
     if (!entry.key.starts_with(options_.hostsPrefix)) {
-        if (entry.isDeleted) {
-            options_.onDeleted(entry.key);
+        if (entry.isDeleted && entry.key == options_.leaderKey) {
+            options_.onLeaderGone();
         }
         return;
     }
--- a/gateway/host_duty.h
+++ b/gateway/host_duty.h
@@ -29,7 +29,8 @@
         std::string hostName;
         HostAddress peers; ///< Where this host takes datagrams.
         Duration lifetime{}; ///< Of the lease; must be longer than the proof of a key counts.
-        std::function<void(const std::string &key)> onDeleted; ///< Hears of other keys under `prefix` that are gone, on the duty's thread.
+        std::string leaderKey; ///< Under `prefix`.
+        std::function<void()> onLeaderGone; ///< Called on the duty's thread when nobody holds that key.
     };
 
     HostDuty(Store &store, Gateway &gateway, Options options);
--- a/gateway/peer_messages.capnp
+++ b/gateway/peer_messages.capnp
@@ -11,6 +11,10 @@
     loading @1 :Loading;
     tokenRequest @2 :TokenRequest;
     tokenReply @3 :TokenReply;
+    changes @4 :Changes;
+    proofRequest @5 :ProofRequest;
+    proofReply @6 :ProofReply;
+    cacheStore @7 :CacheStore;
   }
 }
 
@@ -38,3 +42,35 @@
   isGranted @1 :Bool;
   retryAfterMilliseconds @2 :UInt32;
 }
+
+struct Changes {
+  # All that the store reported under a prefix between two of its revisions.
+  prefix @0 :Text;
+  after @1 :Int64;
+  upTo @2 :Int64;
+  entries @3 :List(Entry);
+
+  struct Entry {
+    key @0 :Text;
+    value @1 :Data;
+    revision @2 :Int64;
+    isDeleted @3 :Bool;
+    isOmitted @4 :Bool; # The value is too long for a datagram and has to be read from the store.
+  }
+}
+
+struct ProofRequest {
+  id @0 :UInt64;
+}
+
+struct ProofReply {
+  # The configuration with this revision was the newest so long before this answer was made.
+  id @0 :UInt64;
+  revision @1 :Int64;
+  ageMicroseconds @2 :UInt64;
+}
+
+struct CacheStore {
+  address @0 :Text;
+  isAlive @1 :Bool;
+}
--- a/gateway/peer_messages.capnp.h
+++ b/gateway/peer_messages.capnp.h
@@ -21,6 +21,11 @@
 CAPNP_DECLARE_SCHEMA(9e44e87458ad1460);
 CAPNP_DECLARE_SCHEMA(bdb29ee985384fad);
 CAPNP_DECLARE_SCHEMA(b4863de21bde5b75);
+CAPNP_DECLARE_SCHEMA(d2c0af39e941ac8f);
+CAPNP_DECLARE_SCHEMA(d5f44bfdf7a32d52);
+CAPNP_DECLARE_SCHEMA(dffe2324020eeefa);
+CAPNP_DECLARE_SCHEMA(a380a700a8920e5e);
+CAPNP_DECLARE_SCHEMA(94eb929f1623a27c);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -39,6 +44,10 @@
     LOADING,
     TOKEN_REQUEST,
     TOKEN_REPLY,
+    CHANGES,
+    PROOF_REQUEST,
+    PROOF_REPLY,
+    CACHE_STORE,
   };
 
   struct _capnpPrivate {
@@ -109,6 +118,82 @@
   };
 };
 
+struct Changes {
+  Changes() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  struct Entry;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d2c0af39e941ac8f, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Changes::Entry {
+  Entry() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d5f44bfdf7a32d52, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ProofRequest {
+  ProofRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dffe2324020eeefa, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ProofReply {
+  ProofReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a380a700a8920e5e, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CacheStore {
+  CacheStore() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(94eb929f1623a27c, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Datagram::Reader {
@@ -145,6 +230,22 @@
   inline bool hasTokenReply() const;
   inline  ::Lovageloft::PeerMessages::TokenReply::Reader getTokenReply() const;
 
+  inline bool isChanges() const;
+  inline bool hasChanges() const;
+  inline  ::Lovageloft::PeerMessages::Changes::Reader getChanges() const;
+
+  inline bool isProofRequest() const;
+  inline bool hasProofRequest() const;
+  inline  ::Lovageloft::PeerMessages::ProofRequest::Reader getProofRequest() const;
+
+  inline bool isProofReply() const;
+  inline bool hasProofReply() const;
+  inline  ::Lovageloft::PeerMessages::ProofReply::Reader getProofReply() const;
+
+  inline bool isCacheStore() const;
+  inline bool hasCacheStore() const;
+  inline  ::Lovageloft::PeerMessages::CacheStore::Reader getCacheStore() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -206,6 +307,38 @@
   inline void adoptTokenReply(::capnp::Orphan< ::Lovageloft::PeerMessages::TokenReply>&& value);
   inline ::capnp::Orphan< ::Lovageloft::PeerMessages::TokenReply> disownTokenReply();
 
+  inline bool isChanges();
+  inline bool hasChanges();
+  inline  ::Lovageloft::PeerMessages::Changes::Builder getChanges();
+  inline void setChanges( ::Lovageloft::PeerMessages::Changes::Reader value);
+  inline  ::Lovageloft::PeerMessages::Changes::Builder initChanges();
+  inline void adoptChanges(::capnp::Orphan< ::Lovageloft::PeerMessages::Changes>&& value);
+  inline ::capnp::Orphan< ::Lovageloft::PeerMessages::Changes> disownChanges();
+
+  inline bool isProofRequest();
+  inline bool hasProofRequest();
+  inline  ::Lovageloft::PeerMessages::ProofRequest::Builder getProofRequest();
+  inline void setProofRequest( ::Lovageloft::PeerMessages::ProofRequest::Reader value);
+  inline  ::Lovageloft::PeerMessages::ProofRequest::Builder initProofRequest();
+  inline void adoptProofRequest(::capnp::Orphan< ::Lovageloft::PeerMessages::ProofRequest>&& value);
+  inline ::capnp::Orphan< ::Lovageloft::PeerMessages::ProofRequest> disownProofRequest();
+
+  inline bool isProofReply();
+  inline bool hasProofReply();
+  inline  ::Lovageloft::PeerMessages::ProofReply::Builder getProofReply();
+  inline void setProofReply( ::Lovageloft::PeerMessages::ProofReply::Reader value);
+  inline  ::Lovageloft::PeerMessages::ProofReply::Builder initProofReply();
+  inline void adoptProofReply(::capnp::Orphan< ::Lovageloft::PeerMessages::ProofReply>&& value);
+  inline ::capnp::Orphan< ::Lovageloft::PeerMessages::ProofReply> disownProofReply();
+
+  inline bool isCacheStore();
+  inline bool hasCacheStore();
+  inline  ::Lovageloft::PeerMessages::CacheStore::Builder getCacheStore();
+  inline void setCacheStore( ::Lovageloft::PeerMessages::CacheStore::Reader value);
+  inline  ::Lovageloft::PeerMessages::CacheStore::Builder initCacheStore();
+  inline void adoptCacheStore(::capnp::Orphan< ::Lovageloft::PeerMessages::CacheStore>&& value);
+  inline ::capnp::Orphan< ::Lovageloft::PeerMessages::CacheStore> disownCacheStore();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -592,230 +725,901 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Changes::Reader {
+public:
+  typedef Changes Reads;
 
-inline  ::Lovageloft::PeerMessages::Datagram::Which Datagram::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline  ::Lovageloft::PeerMessages::Datagram::Which Datagram::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline bool Datagram::Reader::isDispatch() const {
-  return which() == Datagram::DISPATCH;
-}
-inline bool Datagram::Builder::isDispatch() {
-  return which() == Datagram::DISPATCH;
-}
-inline bool Datagram::Reader::hasDispatch() const {
-  if (which() != Datagram::DISPATCH) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Datagram::Builder::hasDispatch() {
-  if (which() != Datagram::DISPATCH) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Lovageloft::PeerMessages::Dispatch::Reader Datagram::Reader::getDispatch() const {
-  KJ_IREQUIRE((which() == Datagram::DISPATCH),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Dispatch>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::Lovageloft::PeerMessages::Dispatch::Builder Datagram::Builder::getDispatch() {
-  KJ_IREQUIRE((which() == Datagram::DISPATCH),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Dispatch>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Datagram::Builder::setDispatch( ::Lovageloft::PeerMessages::Dispatch::Reader value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::DISPATCH);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Dispatch>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Lovageloft::PeerMessages::Dispatch::Builder Datagram::Builder::initDispatch() {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::DISPATCH);
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Dispatch>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Datagram::Builder::adoptDispatch(
-    ::capnp::Orphan< ::Lovageloft::PeerMessages::Dispatch>&& value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::DISPATCH);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Dispatch>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Lovageloft::PeerMessages::Dispatch> Datagram::Builder::disownDispatch() {
-  KJ_IREQUIRE((which() == Datagram::DISPATCH),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Dispatch>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline bool Datagram::Reader::isLoading() const {
-  return which() == Datagram::LOADING;
-}
-inline bool Datagram::Builder::isLoading() {
-  return which() == Datagram::LOADING;
-}
-inline bool Datagram::Reader::hasLoading() const {
-  if (which() != Datagram::LOADING) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Datagram::Builder::hasLoading() {
-  if (which() != Datagram::LOADING) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Lovageloft::PeerMessages::Loading::Reader Datagram::Reader::getLoading() const {
-  KJ_IREQUIRE((which() == Datagram::LOADING),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Loading>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::Lovageloft::PeerMessages::Loading::Builder Datagram::Builder::getLoading() {
-  KJ_IREQUIRE((which() == Datagram::LOADING),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Loading>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Datagram::Builder::setLoading( ::Lovageloft::PeerMessages::Loading::Reader value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOADING);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Loading>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Lovageloft::PeerMessages::Loading::Builder Datagram::Builder::initLoading() {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOADING);
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Loading>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Datagram::Builder::adoptLoading(
-    ::capnp::Orphan< ::Lovageloft::PeerMessages::Loading>&& value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOADING);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Loading>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Lovageloft::PeerMessages::Loading> Datagram::Builder::disownLoading() {
-  KJ_IREQUIRE((which() == Datagram::LOADING),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Loading>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline bool Datagram::Reader::isTokenRequest() const {
-  return which() == Datagram::TOKEN_REQUEST;
-}
-inline bool Datagram::Builder::isTokenRequest() {
-  return which() == Datagram::TOKEN_REQUEST;
-}
-inline bool Datagram::Reader::hasTokenRequest() const {
-  if (which() != Datagram::TOKEN_REQUEST) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Datagram::Builder::hasTokenRequest() {
-  if (which() != Datagram::TOKEN_REQUEST) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Lovageloft::PeerMessages::TokenRequest::Reader Datagram::Reader::getTokenRequest() const {
-  KJ_IREQUIRE((which() == Datagram::TOKEN_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::Lovageloft::PeerMessages::TokenRequest::Builder Datagram::Builder::getTokenRequest() {
-  KJ_IREQUIRE((which() == Datagram::TOKEN_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Datagram::Builder::setTokenRequest( ::Lovageloft::PeerMessages::TokenRequest::Reader value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::TOKEN_REQUEST);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Lovageloft::PeerMessages::TokenRequest::Builder Datagram::Builder::initTokenRequest() {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::TOKEN_REQUEST);
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Datagram::Builder::adoptTokenRequest(
-    ::capnp::Orphan< ::Lovageloft::PeerMessages::TokenRequest>&& value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::TOKEN_REQUEST);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Lovageloft::PeerMessages::TokenRequest> Datagram::Builder::disownTokenRequest() {
-  KJ_IREQUIRE((which() == Datagram::TOKEN_REQUEST),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  inline bool hasPrefix() const;
+  inline  ::capnp::Text::Reader getPrefix() const;
 
-inline bool Datagram::Reader::isTokenReply() const {
-  return which() == Datagram::TOKEN_REPLY;
-}
-inline bool Datagram::Builder::isTokenReply() {
-  return which() == Datagram::TOKEN_REPLY;
-}
-inline bool Datagram::Reader::hasTokenReply() const {
-  if (which() != Datagram::TOKEN_REPLY) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Datagram::Builder::hasTokenReply() {
+  inline  ::int64_t getAfter() const;
+
+  inline  ::int64_t getUpTo() const;
+
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Changes::Builder {
+public:
+  typedef Changes Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPrefix();
+  inline  ::capnp::Text::Builder getPrefix();
+  inline void setPrefix( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPrefix(unsigned int size);
+  inline void adoptPrefix(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPrefix();
+
+  inline  ::int64_t getAfter();
+  inline void setAfter( ::int64_t value);
+
+  inline  ::int64_t getUpTo();
+  inline void setUpTo( ::int64_t value);
+
+  inline bool hasEntries();
+  inline  ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>> disownEntries();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Changes::Pipeline {
+public:
+  typedef Changes Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Changes::Entry::Reader {
+public:
+  typedef Entry Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
+
+  inline bool hasValue() const;
+  inline  ::capnp::Data::Reader getValue() const;
+
+  inline  ::int64_t getRevision() const;
+
+  inline bool getIsDeleted() const;
+
+  inline bool getIsOmitted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Changes::Entry::Builder {
+public:
+  typedef Entry Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+
+  inline bool hasValue();
+  inline  ::capnp::Data::Builder getValue();
+  inline void setValue( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownValue();
+
+  inline  ::int64_t getRevision();
+  inline void setRevision( ::int64_t value);
+
+  inline bool getIsDeleted();
+  inline void setIsDeleted(bool value);
+
+  inline bool getIsOmitted();
+  inline void setIsOmitted(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Changes::Entry::Pipeline {
+public:
+  typedef Entry Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ProofRequest::Reader {
+public:
+  typedef ProofRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ProofRequest::Builder {
+public:
+  typedef ProofRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ProofRequest::Pipeline {
+public:
+  typedef ProofRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ProofReply::Reader {
+public:
+  typedef ProofReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+  inline  ::int64_t getRevision() const;
+
+  inline  ::uint64_t getAgeMicroseconds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ProofReply::Builder {
+public:
+  typedef ProofReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline  ::int64_t getRevision();
+  inline void setRevision( ::int64_t value);
+
+  inline  ::uint64_t getAgeMicroseconds();
+  inline void setAgeMicroseconds( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ProofReply::Pipeline {
+public:
+  typedef ProofReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CacheStore::Reader {
+public:
+  typedef CacheStore Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool getIsAlive() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CacheStore::Builder {
+public:
+  typedef CacheStore Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool getIsAlive();
+  inline void setIsAlive(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CacheStore::Pipeline {
+public:
+  typedef CacheStore Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::Lovageloft::PeerMessages::Datagram::Which Datagram::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::Lovageloft::PeerMessages::Datagram::Which Datagram::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Datagram::Reader::isDispatch() const {
+  return which() == Datagram::DISPATCH;
+}
+inline bool Datagram::Builder::isDispatch() {
+  return which() == Datagram::DISPATCH;
+}
+inline bool Datagram::Reader::hasDispatch() const {
+  if (which() != Datagram::DISPATCH) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasDispatch() {
+  if (which() != Datagram::DISPATCH) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Lovageloft::PeerMessages::Dispatch::Reader Datagram::Reader::getDispatch() const {
+  KJ_IREQUIRE((which() == Datagram::DISPATCH),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Dispatch>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Lovageloft::PeerMessages::Dispatch::Builder Datagram::Builder::getDispatch() {
+  KJ_IREQUIRE((which() == Datagram::DISPATCH),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Dispatch>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setDispatch( ::Lovageloft::PeerMessages::Dispatch::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::DISPATCH);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Dispatch>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Lovageloft::PeerMessages::Dispatch::Builder Datagram::Builder::initDispatch() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::DISPATCH);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Dispatch>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptDispatch(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::Dispatch>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::DISPATCH);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Dispatch>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::Dispatch> Datagram::Builder::disownDispatch() {
+  KJ_IREQUIRE((which() == Datagram::DISPATCH),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Dispatch>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isLoading() const {
+  return which() == Datagram::LOADING;
+}
+inline bool Datagram::Builder::isLoading() {
+  return which() == Datagram::LOADING;
+}
+inline bool Datagram::Reader::hasLoading() const {
+  if (which() != Datagram::LOADING) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasLoading() {
+  if (which() != Datagram::LOADING) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Lovageloft::PeerMessages::Loading::Reader Datagram::Reader::getLoading() const {
+  KJ_IREQUIRE((which() == Datagram::LOADING),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Loading>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Lovageloft::PeerMessages::Loading::Builder Datagram::Builder::getLoading() {
+  KJ_IREQUIRE((which() == Datagram::LOADING),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Loading>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setLoading( ::Lovageloft::PeerMessages::Loading::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOADING);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Loading>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Lovageloft::PeerMessages::Loading::Builder Datagram::Builder::initLoading() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOADING);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Loading>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptLoading(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::Loading>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOADING);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Loading>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::Loading> Datagram::Builder::disownLoading() {
+  KJ_IREQUIRE((which() == Datagram::LOADING),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Loading>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isTokenRequest() const {
+  return which() == Datagram::TOKEN_REQUEST;
+}
+inline bool Datagram::Builder::isTokenRequest() {
+  return which() == Datagram::TOKEN_REQUEST;
+}
+inline bool Datagram::Reader::hasTokenRequest() const {
+  if (which() != Datagram::TOKEN_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasTokenRequest() {
+  if (which() != Datagram::TOKEN_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Lovageloft::PeerMessages::TokenRequest::Reader Datagram::Reader::getTokenRequest() const {
+  KJ_IREQUIRE((which() == Datagram::TOKEN_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Lovageloft::PeerMessages::TokenRequest::Builder Datagram::Builder::getTokenRequest() {
+  KJ_IREQUIRE((which() == Datagram::TOKEN_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setTokenRequest( ::Lovageloft::PeerMessages::TokenRequest::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::TOKEN_REQUEST);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Lovageloft::PeerMessages::TokenRequest::Builder Datagram::Builder::initTokenRequest() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::TOKEN_REQUEST);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptTokenRequest(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::TokenRequest>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::TOKEN_REQUEST);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::TokenRequest> Datagram::Builder::disownTokenRequest() {
+  KJ_IREQUIRE((which() == Datagram::TOKEN_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isTokenReply() const {
+  return which() == Datagram::TOKEN_REPLY;
+}
+inline bool Datagram::Builder::isTokenReply() {
+  return which() == Datagram::TOKEN_REPLY;
+}
+inline bool Datagram::Reader::hasTokenReply() const {
+  if (which() != Datagram::TOKEN_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasTokenReply() {
   if (which() != Datagram::TOKEN_REPLY) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Lovageloft::PeerMessages::TokenReply::Reader Datagram::Reader::getTokenReply() const {
-  KJ_IREQUIRE((which() == Datagram::TOKEN_REPLY),
+inline  ::Lovageloft::PeerMessages::TokenReply::Reader Datagram::Reader::getTokenReply() const {
+  KJ_IREQUIRE((which() == Datagram::TOKEN_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Lovageloft::PeerMessages::TokenReply::Builder Datagram::Builder::getTokenReply() {
+  KJ_IREQUIRE((which() == Datagram::TOKEN_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setTokenReply( ::Lovageloft::PeerMessages::TokenReply::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::TOKEN_REPLY);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Lovageloft::PeerMessages::TokenReply::Builder Datagram::Builder::initTokenReply() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::TOKEN_REPLY);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptTokenReply(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::TokenReply>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::TOKEN_REPLY);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::TokenReply> Datagram::Builder::disownTokenReply() {
+  KJ_IREQUIRE((which() == Datagram::TOKEN_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isChanges() const {
+  return which() == Datagram::CHANGES;
+}
+inline bool Datagram::Builder::isChanges() {
+  return which() == Datagram::CHANGES;
+}
+inline bool Datagram::Reader::hasChanges() const {
+  if (which() != Datagram::CHANGES) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasChanges() {
+  if (which() != Datagram::CHANGES) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Lovageloft::PeerMessages::Changes::Reader Datagram::Reader::getChanges() const {
+  KJ_IREQUIRE((which() == Datagram::CHANGES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Changes>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Lovageloft::PeerMessages::Changes::Builder Datagram::Builder::getChanges() {
+  KJ_IREQUIRE((which() == Datagram::CHANGES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Changes>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setChanges( ::Lovageloft::PeerMessages::Changes::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CHANGES);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Changes>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Lovageloft::PeerMessages::Changes::Builder Datagram::Builder::initChanges() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CHANGES);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Changes>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptChanges(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::Changes>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CHANGES);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Changes>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::Changes> Datagram::Builder::disownChanges() {
+  KJ_IREQUIRE((which() == Datagram::CHANGES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Changes>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isProofRequest() const {
+  return which() == Datagram::PROOF_REQUEST;
+}
+inline bool Datagram::Builder::isProofRequest() {
+  return which() == Datagram::PROOF_REQUEST;
+}
+inline bool Datagram::Reader::hasProofRequest() const {
+  if (which() != Datagram::PROOF_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasProofRequest() {
+  if (which() != Datagram::PROOF_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Lovageloft::PeerMessages::ProofRequest::Reader Datagram::Reader::getProofRequest() const {
+  KJ_IREQUIRE((which() == Datagram::PROOF_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Lovageloft::PeerMessages::ProofRequest::Builder Datagram::Builder::getProofRequest() {
+  KJ_IREQUIRE((which() == Datagram::PROOF_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setProofRequest( ::Lovageloft::PeerMessages::ProofRequest::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROOF_REQUEST);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Lovageloft::PeerMessages::ProofRequest::Builder Datagram::Builder::initProofRequest() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROOF_REQUEST);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptProofRequest(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::ProofRequest>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROOF_REQUEST);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::ProofRequest> Datagram::Builder::disownProofRequest() {
+  KJ_IREQUIRE((which() == Datagram::PROOF_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isProofReply() const {
+  return which() == Datagram::PROOF_REPLY;
+}
+inline bool Datagram::Builder::isProofReply() {
+  return which() == Datagram::PROOF_REPLY;
+}
+inline bool Datagram::Reader::hasProofReply() const {
+  if (which() != Datagram::PROOF_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasProofReply() {
+  if (which() != Datagram::PROOF_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Lovageloft::PeerMessages::ProofReply::Reader Datagram::Reader::getProofReply() const {
+  KJ_IREQUIRE((which() == Datagram::PROOF_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenReply>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofReply>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Lovageloft::PeerMessages::TokenReply::Builder Datagram::Builder::getTokenReply() {
-  KJ_IREQUIRE((which() == Datagram::TOKEN_REPLY),
+inline  ::Lovageloft::PeerMessages::ProofReply::Builder Datagram::Builder::getProofReply() {
+  KJ_IREQUIRE((which() == Datagram::PROOF_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenReply>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofReply>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setTokenReply( ::Lovageloft::PeerMessages::TokenReply::Reader value) {
+inline void Datagram::Builder::setProofReply( ::Lovageloft::PeerMessages::ProofReply::Reader value) {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::TOKEN_REPLY);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROOF_REPLY);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofReply>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Lovageloft::PeerMessages::TokenReply::Builder Datagram::Builder::initTokenReply() {
+inline  ::Lovageloft::PeerMessages::ProofReply::Builder Datagram::Builder::initProofReply() {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::TOKEN_REPLY);
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROOF_REPLY);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofReply>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::adoptTokenReply(
-    ::capnp::Orphan< ::Lovageloft::PeerMessages::TokenReply>&& value) {
+inline void Datagram::Builder::adoptProofReply(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::ProofReply>&& value) {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::TOKEN_REPLY);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROOF_REPLY);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofReply>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Lovageloft::PeerMessages::TokenReply> Datagram::Builder::disownTokenReply() {
-  KJ_IREQUIRE((which() == Datagram::TOKEN_REPLY),
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::ProofReply> Datagram::Builder::disownProofReply() {
+  KJ_IREQUIRE((which() == Datagram::PROOF_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenReply>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isCacheStore() const {
+  return which() == Datagram::CACHE_STORE;
+}
+inline bool Datagram::Builder::isCacheStore() {
+  return which() == Datagram::CACHE_STORE;
+}
+inline bool Datagram::Reader::hasCacheStore() const {
+  if (which() != Datagram::CACHE_STORE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasCacheStore() {
+  if (which() != Datagram::CACHE_STORE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Lovageloft::PeerMessages::CacheStore::Reader Datagram::Reader::getCacheStore() const {
+  KJ_IREQUIRE((which() == Datagram::CACHE_STORE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::CacheStore>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Lovageloft::PeerMessages::CacheStore::Builder Datagram::Builder::getCacheStore() {
+  KJ_IREQUIRE((which() == Datagram::CACHE_STORE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::CacheStore>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setCacheStore( ::Lovageloft::PeerMessages::CacheStore::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CACHE_STORE);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::CacheStore>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Lovageloft::PeerMessages::CacheStore::Builder Datagram::Builder::initCacheStore() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CACHE_STORE);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::CacheStore>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptCacheStore(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::CacheStore>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CACHE_STORE);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::CacheStore>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::CacheStore> Datagram::Builder::disownCacheStore() {
+  KJ_IREQUIRE((which() == Datagram::CACHE_STORE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::CacheStore>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -1057,6 +1861,316 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Changes::Reader::hasPrefix() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Changes::Builder::hasPrefix() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Changes::Reader::getPrefix() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Changes::Builder::getPrefix() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Changes::Builder::setPrefix( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Changes::Builder::initPrefix(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Changes::Builder::adoptPrefix(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Changes::Builder::disownPrefix() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t Changes::Reader::getAfter() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Changes::Builder::getAfter() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Changes::Builder::setAfter( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Changes::Reader::getUpTo() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Changes::Builder::getUpTo() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Changes::Builder::setUpTo( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Changes::Reader::hasEntries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Changes::Builder::hasEntries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>::Reader Changes::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>::Builder Changes::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Changes::Builder::setEntries( ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>::Builder Changes::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Changes::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>> Changes::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Changes::Entry::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Changes::Entry::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Changes::Entry::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Changes::Entry::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Changes::Entry::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Changes::Entry::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Changes::Entry::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Changes::Entry::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Changes::Entry::Reader::hasValue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Changes::Entry::Builder::hasValue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Changes::Entry::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Changes::Entry::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Changes::Entry::Builder::setValue( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Changes::Entry::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Changes::Entry::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Changes::Entry::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t Changes::Entry::Reader::getRevision() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Changes::Entry::Builder::getRevision() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Changes::Entry::Builder::setRevision( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Changes::Entry::Reader::getIsDeleted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Changes::Entry::Builder::getIsDeleted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Changes::Entry::Builder::setIsDeleted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Changes::Entry::Reader::getIsOmitted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool Changes::Entry::Builder::getIsOmitted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void Changes::Entry::Builder::setIsOmitted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ProofRequest::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ProofRequest::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ProofRequest::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ProofReply::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ProofReply::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ProofReply::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t ProofReply::Reader::getRevision() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ProofReply::Builder::getRevision() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ProofReply::Builder::setRevision( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ProofReply::Reader::getAgeMicroseconds() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ProofReply::Builder::getAgeMicroseconds() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ProofReply::Builder::setAgeMicroseconds( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CacheStore::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CacheStore::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CacheStore::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CacheStore::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CacheStore::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CacheStore::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CacheStore::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CacheStore::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CacheStore::Reader::getIsAlive() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool CacheStore::Builder::getIsAlive() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CacheStore::Builder::setIsAlive(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -23,7 +23,12 @@
 /// Datagrams read before others get their turn.
 constexpr int datagramsPerTurn = 32;
 
-std::string encode(capnp::MallocMessageBuilder &message)
+/// Longest value that goes into a datagram, and most bytes of values in one: no more than a packet's worth each, so that one lost
+/// packet costs one datagram.
+constexpr std::size_t longestValue = 1'000;
+constexpr std::size_t valuesPerDatagram = 1'000;
+
+std::string encode(capnp::MessageBuilder &message)
 {
     const auto words = capnp::messageToFlatArray(message);
     const auto bytes = words.asChars();
@@ -90,10 +95,7 @@
     for (unsigned i = 0; i < count; ++i) {
         blocks.set(i, notice.blocks[i]);
     }
-    const std::string bytes = encode(message);
-    for (const auto &[name, endpoint] : endpoints_) {
-        sendBytes(bytes, endpoint);
-    }
+    broadcast(message);
 }
 
 void PeerSocket::tellAll(const LoadingNotice &notice)
@@ -102,10 +104,7 @@
     auto loading = message.initRoot<Datagram>().initLoading();
     loading.setTarget(notice.target);
     loading.setMilliseconds(static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(notice.time).count()));
-    const std::string bytes = encode(message);
-    for (const auto &[name, endpoint] : endpoints_) {
-        sendBytes(bytes, endpoint);
-    }
+    broadcast(message);
 }
 
 void PeerSocket::send(const std::string &host, const TokenRequest &request)
@@ -115,9 +114,7 @@
     encoded.setId(request.id);
     encoded.setTeam(request.team);
     encoded.setTokens(request.tokens);
-    if (const auto found = endpoints_.find(host); found != endpoints_.end()) {
-        sendBytes(encode(message), found->second);
-    }
+    sendTo(host, message);
 }
 
 void PeerSocket::send(const std::string &host, const TokenReply &reply)
@@ -127,6 +124,78 @@
     encoded.setId(reply.id);
     encoded.setIsGranted(reply.isGranted);
     encoded.setRetryAfterMilliseconds(static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(reply.retryAfter).count()));
+    sendTo(host, message);
+}
+
+void PeerSocket::tellAll(const CacheStoreNotice &notice)
+{
+    capnp::MallocMessageBuilder message;
+    auto store = message.initRoot<Datagram>().initCacheStore();
+    store.setAddress(notice.address);
+    store.setIsAlive(notice.isAlive);
+    broadcast(message);
+}
+
+void PeerSocket::tellAll(const ChangesNotice &notice)
+{
+    std::int64_t after = notice.after;
+    std::size_t next = 0;
+    do {
+        std::size_t end = next;
+        std::size_t bytes = 0;
+        while (end < notice.entries.size() && (end == next || bytes + notice.entries[end].value.size() <= valuesPerDatagram)) {
+            bytes += std::min(notice.entries[end].value.size(), longestValue);
+            ++end;
+        }
+        const bool isLast = end == notice.entries.size();
+        capnp::MallocMessageBuilder message;
+        auto changes = message.initRoot<Datagram>().initChanges();
+        changes.setPrefix(notice.prefix);
+        changes.setAfter(after);
+        changes.setUpTo(isLast ? notice.upTo : notice.entries[end - 1].revision);
+        after = changes.getUpTo();
+        auto entries = changes.initEntries(static_cast<unsigned>(end - next));
+        for (unsigned i = 0; next < end; ++next, ++i) {
+            const StoreEntry &entry = notice.entries[next];
+            entries[i].setKey(entry.key);
+            entries[i].setRevision(entry.revision);
+            entries[i].setIsDeleted(entry.isDeleted);
+            entries[i].setIsOmitted(entry.value.size() > longestValue);
+            if (entry.value.size() <= longestValue) {
+                entries[i].setValue(kj::arrayPtr(reinterpret_cast<const unsigned char *>(entry.value.data()), entry.value.size()));
+            }
+        }
+        broadcast(message);
+    } while (next < notice.entries.size());
+}
+
+void PeerSocket::send(const std::string &host, const ProofRequest &request)
+{
+    capnp::MallocMessageBuilder message;
+    message.initRoot<Datagram>().initProofRequest().setId(request.id);
+    sendTo(host, message);
+}
+
+void PeerSocket::send(const std::string &host, const ProofReply &reply)
+{
+    capnp::MallocMessageBuilder message;
+    auto encoded = message.initRoot<Datagram>().initProofReply();
+    encoded.setId(reply.id);
+    encoded.setRevision(reply.revision);
+    encoded.setAgeMicroseconds(static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::microseconds>(reply.age).count()));
+    sendTo(host, message);
+}
+
+void PeerSocket::broadcast(capnp::MessageBuilder &message)
+{
+    const std::string bytes = encode(message);
+    for (const auto &[name, endpoint] : endpoints_) {
+        sendBytes(bytes, endpoint);
+    }
+}
+
+void PeerSocket::sendTo(const std::string &host, capnp::MessageBuilder &message)
+{
     if (const auto found = endpoints_.find(host); found != endpoints_.end()) {
         sendBytes(encode(message), found->second);
     }
@@ -179,6 +248,31 @@
             events_.onTokenRequest(host, {request.getId(), request.getTeam(), request.getTokens()});
             break;
         }
+        case Datagram::CHANGES: {
+            const auto changes = datagram.getChanges();
+            ChangesNotice notice{changes.getPrefix(), changes.getAfter(), changes.getUpTo(), {}, {}};
+            for (const auto entry : changes.getEntries()) {
+                const auto value = entry.getValue().asChars();
+                notice.entries.push_back({entry.getKey(), std::string(value.begin(), value.size()), entry.getRevision(), entry.getIsDeleted()});
+                notice.omitted.push_back(entry.getIsOmitted());
+            }
+            events_.onChangesNotice(notice);
+            break;
+        }
+        case Datagram::PROOF_REQUEST: {
+            events_.onProofRequest(host, {datagram.getProofRequest().getId()});
+            break;
+        }
+        case Datagram::PROOF_REPLY: {
+            const auto reply = datagram.getProofReply();
+            events_.onProofReply({reply.getId(), reply.getRevision(), std::chrono::microseconds(reply.getAgeMicroseconds())});
+            break;
+        }
+        case Datagram::CACHE_STORE: {
+            const auto store = datagram.getCacheStore();
+            events_.onCacheStoreNotice({store.getAddress(), store.getIsAlive()});
+            break;
+        }
         case Datagram::TOKEN_REPLY: {
             const auto reply = datagram.getTokenReply();
             events_.onTokenReply({reply.getId(), reply.getIsGranted(), std::chrono::milliseconds(reply.getRetryAfterMilliseconds())});
--- a/gateway/peer_socket.h
+++ b/gateway/peer_socket.h
@@ -13,10 +13,16 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 
+#include "coordination/store.h"
 #include "core/clock.h"
 #include "core/result_code.h"
 #include "core/settings.h"
 
+namespace capnp
+{
+class MessageBuilder;
+}
+
 namespace Lovageloft
 {
 
@@ -49,6 +55,35 @@
     Duration retryAfter{};
 };
 
+/// All that the store reported under a prefix after one revision and up to another.
+struct ChangesNotice
+{
+    std::string prefix;
+    std::int64_t after = 0;
+    std::int64_t upTo = 0;
+    std::vector<StoreEntry> entries; ///< In the order of their revisions.
+    std::vector<bool> omitted; ///< For each entry whether its value is left out, as it is too long.
+};
+
+struct ProofRequest
+{
+    std::uint64_t id = 0;
+};
+
+/// The configuration with this revision was the newest `age` before the reply was made.
+struct ProofReply
+{
+    std::uint64_t id = 0;
+    std::int64_t revision = 0;
+    Duration age{};
+};
+
+struct CacheStoreNotice
+{
+    std::string address;
+    bool isAlive = false;
+};
+
 /// Receives what other hosts say.
 class PeerEvents
 {
@@ -58,6 +93,10 @@
     virtual void onLoadingNotice(const LoadingNotice &notice) = 0;
     virtual void onTokenRequest(const std::string &host, const TokenRequest &request) = 0;
     virtual void onTokenReply(const TokenReply &reply) = 0;
+    virtual void onChangesNotice(const ChangesNotice &notice) = 0;
+    virtual void onProofRequest(const std::string &host, const ProofRequest &request) = 0;
+    virtual void onProofReply(const ProofReply &reply) = 0;
+    virtual void onCacheStoreNotice(const CacheStoreNotice &notice) = 0;
 };
 
 /// Single datagrams between the hosts of a fleet, encoded by Cap'n Proto. What comes from an address that is no known host is dropped.
@@ -75,15 +114,23 @@
     /// To all other hosts.
     void tellAll(const DispatchNotice &notice);
     void tellAll(const LoadingNotice &notice);
+    void tellAll(const CacheStoreNotice &notice);
+
+    /// In as many datagrams as it takes.
+    void tellAll(const ChangesNotice &notice);
 
     /// To one host; nothing happens if it is not known.
     void send(const std::string &host, const TokenRequest &request);
     void send(const std::string &host, const TokenReply &reply);
+    void send(const std::string &host, const ProofRequest &request);
+    void send(const std::string &host, const ProofReply &reply);
 
 private:
     using Endpoint = boost::asio::ip::udp::endpoint;
 
     void receive();
+    void broadcast(capnp::MessageBuilder &message);
+    void sendTo(const std::string &host, capnp::MessageBuilder &message);
     void read(std::span<const char> bytes, const std::string &host);
     void sendBytes(std::string_view bytes, const Endpoint &endpoint);
 
--- /dev/null
+++ b/gateway/proof_duty.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "coordination/store.h"
+#include "gateway/configuration_feed.h"
+#include "gateway/duty.h"
+#include "gateway/store_backoff.h"
+
+namespace Lovageloft
+{
+
+/// Proves again and again that the configuration in force is the newest.
+///
+/// A watch that stays silent proves nothing: while the store drops its history, watches hear nothing for a while though changes are
+/// made, and a host that trusted the silence would serve withdrawn keys. So the newest revision is asked for by its own call.
+/// An age counts from the sending of the call that proved it, on the clock that goes on while the machine is suspended.
+class ProofDuty final : public Duty
+{
+public:
+    /// `window`: time within which a change must be in force.
+    ProofDuty(Store &store, const StoreRecords &records, ConfigurationFeed &feed, Duration window);
+
+private:
+    void run() override;
+    bool prove();
+
+    Store &store_;
+    const StoreRecords &records_;
+    ConfigurationFeed &feed_;
+    Duration window_;
+    StoreBackoff backoff_;
+};
+
+} // namespace Lovageloft
--- /dev/null
+++ b/gateway/relayed_store.cpp
@@ -0,0 +1,266 @@
+#include "gateway/relayed_store.h"
+
+#include <algorithm>
+#include <array>
+
+#include "core/log.h"
+#include "decision/rendezvous.h"
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+/// Two, so that the loss of one is not noticed.
+constexpr std::size_t relayCount = 2;
+
+/// How long a relay may be silent before a host watches the store itself. Relays speak twice a second; two lost datagrams are no
+/// reason to ask, and a change is still known well within the two seconds that operators allow.
+constexpr Duration relaySilence = std::chrono::milliseconds(1'300);
+
+/// Wait for a relay's proof: hosts of one region answer within 3 ms.
+constexpr Duration proofTimeout = std::chrono::milliseconds(60);
+
+/// A proof older than this is no help; the store is asked instead.
+constexpr Duration oldestProof = std::chrono::milliseconds(1'500);
+
+} // namespace
+
+RelayedStore::RelayedStore(Store &store, std::string host)
+    : store_(store)
+    , host_(std::move(host))
+{
+}
+
+void RelayedStore::setNetwork(Network network)
+{
+    const std::lock_guard lock(mutex_);
+    network_ = std::move(network);
+}
+
+void RelayedStore::setHosts(const std::vector<std::string> &hosts)
+{
+    std::vector<RendezvousNode> nodes;
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+        nodes.push_back({static_cast<EngineIndex>(i), rendezvousId(hosts[i])});
+    }
+    std::array<EngineIndex, relayCount> winners{};
+    const std::size_t count = rendezvousWinners(rendezvousId("relay"), nodes, winners);
+    std::vector<std::string> relays;
+    for (const EngineIndex winner : std::span(winners).first(count)) {
+        relays.push_back(hosts[winner]);
+    }
+    const std::lock_guard lock(mutex_);
+    if (relays != relays_) {
+        relays_ = std::move(relays);
+        writeLog(LogLevel::Info, "relays_chosen", {{"first", relays_.empty() ? "" : relays_.front()}, {"last", relays_.empty() ? "" : relays_.back()}});
+    }
+}
+
+bool RelayedStore::isRelay() const
+{
+    const std::lock_guard lock(mutex_);
+    return relays_.empty() || std::find(relays_.begin(), relays_.end(), host_) != relays_.end();
+}
+
+void RelayedStore::onNotice(const ChangesNotice &notice)
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = followed_.find(notice.prefix);
+    if (found == followed_.end() || found->second.reached == 0) {
+        return; // Nobody watches it yet; the list comes first.
+    }
+    Followed &followed = found->second;
+    if (notice.after > followed.reached) {
+        followed.hasGap = true;
+    } else if (notice.upTo >= followed.reached) {
+        followed.heardAt = BootClock::now();
+        for (std::size_t i = 0; i < notice.entries.size(); ++i) {
+            if (notice.entries[i].revision > followed.reached) {
+                followed.entries.emplace_back(notice.entries[i], notice.omitted[i]);
+            }
+        }
+        followed.reached = notice.upTo;
+    }
+    heard_.notify_all();
+}
+
+void RelayedStore::onProofReply(const ProofReply &reply)
+{
+    const std::lock_guard lock(mutex_);
+    const auto question = questions_.find(reply.id);
+    if (question != questions_.end()) {
+        question->second = reply;
+        heard_.notify_all();
+    }
+}
+
+void RelayedStore::sayAlive()
+{
+    std::vector<ChangesNotice> notices;
+    Network network;
+    {
+        const std::lock_guard lock(mutex_);
+        network = network_;
+        for (const auto &[prefix, followed] : followed_) {
+            if (BootClock::now() - followed.heardAt < relaySilence * 4) {
+                notices.push_back({prefix, followed.reached, followed.reached, {}, {}});
+            }
+        }
+    }
+    for (const ChangesNotice &notice : notices) {
+        network.tellAll(notice);
+    }
+}
+
+StoreReply RelayedStore::get(std::string_view key)
+{
+    return store_.get(key);
+}
+
+StoreReply RelayedStore::confirm(std::string_view key, std::int64_t revision)
+{
+    std::vector<std::string> relays;
+    if (!isRelay()) {
+        const std::lock_guard lock(mutex_);
+        relays = relays_;
+    }
+    for (const std::string &relay : relays) {
+        const auto reply = askRelay(relay);
+        if (!reply || reply->age > oldestProof || reply->revision < revision) {
+            continue;
+        }
+        const bool isSame = reply->revision == revision;
+        return {isSame ? StoreStatus::Ok : StoreStatus::Conflict, {std::string(key), {}, reply->revision, false}, reply->age};
+    }
+    return store_.confirm(key, revision);
+}
+
+StoreListReply RelayedStore::list(std::string_view prefix)
+{
+    StoreListReply reply = store_.list(prefix);
+    if (reply.status == StoreStatus::Ok) {
+        const std::lock_guard lock(mutex_);
+        Followed &followed = followed_[std::string(prefix)];
+        followed = {};
+        followed.reached = reply.revision;
+        followed.heardAt = BootClock::now();
+    }
+    return reply;
+}
+
+StoreReply RelayedStore::compareAndSwap(std::string_view key, std::int64_t expectedRevision, std::string_view value, std::int64_t leaseId)
+{
+    return store_.compareAndSwap(key, expectedRevision, value, leaseId);
+}
+
+StoreReply RelayedStore::compareAndDelete(std::string_view key, std::int64_t expectedRevision)
+{
+    return store_.compareAndDelete(key, expectedRevision);
+}
+
+StoreListReply RelayedStore::watch(std::string_view prefix, std::int64_t afterRevision, Duration timeout)
+{
+    if (isRelay()) {
+        return watchStore(prefix, afterRevision, timeout);
+    }
+    std::unique_lock lock(mutex_);
+    Followed &followed = followed_[std::string(prefix)];
+    const TimePoint limit = BootClock::now() + timeout;
+    while (followed.entries.empty() && !followed.hasGap && BootClock::now() < limit) {
+        if (!hears(followed, BootClock::now())) {
+            lock.unlock();
+            return watchStore(prefix, afterRevision, std::min(timeout, relaySilence));
+        }
+        constexpr Duration look = std::chrono::milliseconds(300);
+        heard_.wait_for(lock, std::min(look, limit - BootClock::now()));
+    }
+    return takeHeard(followed, lock);
+}
+
+StoreListReply RelayedStore::takeHeard(Followed &followed, std::unique_lock<std::mutex> &lock)
+{
+    if (followed.hasGap) {
+        return {StoreStatus::NotFound, {}, followed.reached};
+    }
+    StoreListReply reply{StoreStatus::Ok, {}, followed.reached};
+    const auto entries = std::exchange(followed.entries, {});
+    lock.unlock();
+    for (const auto &[entry, isOmitted] : entries) {
+        reply.entries.push_back(entry);
+        if (!isOmitted || entry.isDeleted) {
+            continue;
+        }
+        StoreReply read = store_.get(entry.key);
+        if (read.status == StoreStatus::Ok) {
+            reply.entries.back() = std::move(read.entry);
+        } else {
+            // Gone meanwhile or not to be had: the whole list tells.
+            return {StoreStatus::NotFound, {}, reply.revision};
+        }
+    }
+    return reply;
+}
+
+StoreListReply RelayedStore::watchStore(std::string_view prefix, std::int64_t afterRevision, Duration timeout)
+{
+    StoreListReply reply = store_.watch(prefix, afterRevision, timeout);
+    if (reply.status != StoreStatus::Ok) {
+        return reply;
+    }
+    const bool isRelayNow = isRelay();
+    Network network;
+    {
+        const std::lock_guard lock(mutex_);
+        Followed &followed = followed_[std::string(prefix)];
+        // Notices may have come while the store was asked. What the answer holds already must not be handed out after it.
+        std::erase_if(followed.entries, [&reply](const auto &heard) { return heard.first.revision <= reply.revision; });
+        followed.reached = std::max(followed.reached, reply.revision);
+        followed.heardAt = isRelayNow ? BootClock::now() : followed.heardAt;
+        network = network_;
+    }
+    if (isRelayNow && !reply.entries.empty() && network.tellAll) {
+        network.tellAll({std::string(prefix), afterRevision, reply.revision, reply.entries, {}});
+    }
+    return reply;
+}
+
+bool RelayedStore::hears(const Followed &followed, TimePoint now) const
+{
+    return now - followed.heardAt < relaySilence;
+}
+
+std::optional<ProofReply> RelayedStore::askRelay(const std::string &relay)
+{
+    std::unique_lock lock(mutex_);
+    const std::uint64_t id = ++lastQuestion_;
+    questions_[id] = std::nullopt;
+    const auto ask = network_.ask;
+    lock.unlock();
+    if (ask) {
+        ask(relay, {id});
+    }
+    lock.lock();
+    heard_.wait_for(lock, proofTimeout, [&] { return questions_.at(id).has_value(); });
+    const auto reply = questions_.at(id);
+    questions_.erase(id);
+    return reply;
+}
+
+StoreLeaseReply RelayedStore::grantLease(Duration timeToLive)
+{
+    return store_.grantLease(timeToLive);
+}
+
+StoreLeaseReply RelayedStore::keepAlive(std::int64_t leaseId)
+{
+    return store_.keepAlive(leaseId);
+}
+
+StoreLeaseReply RelayedStore::revokeLease(std::int64_t leaseId)
+{
+    return store_.revokeLease(leaseId);
+}
+
+} // namespace Lovageloft
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -48,9 +48,9 @@
     OrderOptions options;
     options.answerTimeout = std::chrono::seconds(1); // Calls to engines end within 250 ms.
     options.loadTimeout = std::chrono::seconds(3); // A load takes about 0.4 s; an engine that doesn't answer must not hold up the others.
-    // The weight store slows loads down beyond three at once, but an ordered engine first ends what it runs, for about as long as
-    // it then loads. With three orders 18 engines took over 8 s and broke the deadline for new weights; with six they take 4 s.
-    options.mostLoads = 6;
+    // An ordered engine first ends what it runs, for about as long as it then loads. With three orders at once 18 engines took over
+    // 8 s and broke the deadline for new weights; with six they take 4 s. A third of the engines is what the rest can stand in for.
+    options.loadShare = 1.0 / 3;
     options.reportLag = std::chrono::milliseconds(600); // Reports are some hundred milliseconds old; a load takes about 400.
     options.loadPause = std::chrono::milliseconds(200);
     options.checkPause = std::chrono::minutes(5); // Engines write what they run into their entries.
@@ -68,18 +68,26 @@
 GatewayHost::GatewayHost(const GatewaySettings &settings)
     : settings_(settings)
     , store_({.address = settings.store})
+    , relayedStore_(store_, settings.hostName)
     , gateway_(gatewayOptions(settings), callerProtocol_, targetProtocol_, metrics_)
-    , configurationDuty_(
-          store_,
-          records_,
-          gateway_,
-          settings.configurationWindow,
-          {[this](const auto &table, TimePoint provenAt) { onConfiguration(table, provenAt); }, [this](const auto &weights) { onWeights(weights); }})
-    , targetDuty_(store_, records_, [this](const std::shared_ptr<const TargetMap> &targets) { onTargets(targets); })
-    , hostDuty_(store_, gateway_, hostOptions())
+    , feed_(records_, listeners())
+    , configurationDuty_(relayedStore_, records_, feed_)
+    , proofDuty_(relayedStore_, records_, feed_, settings.configurationWindow)
+    , targetDuty_(relayedStore_, records_, [this](const std::shared_ptr<const TargetMap> &targets) { onTargets(targets); })
+    , hostDuty_(relayedStore_, gateway_, hostOptions())
     , weightsDuty_(store_, engineControl_, weightsOptions())
-    , cacheStoreDuty_(gateway_, engineControl_)
+    , cacheStoreDuty_(gateway_, relayedStore_, engineControl_)
 {
+    gateway_.setRelayedStore(relayedStore_);
+}
+
+ConfigurationFeed::Listeners GatewayHost::listeners()
+{
+    return {[this](const auto &table, TimePoint provenAt) { onConfiguration(table, provenAt); },
+            [this](std::int64_t revision, TimePoint provenAt) {
+                gateway_.post([revision, provenAt](Gateway &gateway) { gateway.confirmTable(revision, provenAt); });
+            },
+            [this](const NamedWeights &weights) { onWeights(weights); }};
 }
 
 HostDuty::Options GatewayHost::hostOptions()
@@ -90,11 +98,8 @@
     options.hostName = settings_.hostName;
     options.peers = settings_.peers;
     options.lifetime = settings_.keyProofWindow * hostLeaseInProofWindows;
-    options.onDeleted = [this](const std::string &key) {
-        if (key == leaderKey) {
-            weightsDuty_.onLeaderGone();
-        }
-    };
+    options.leaderKey = leaderKey;
+    options.onLeaderGone = [this] { weightsDuty_.onLeaderGone(); };
     return options;
 }
 
@@ -107,7 +112,8 @@
     options.holderName = settings_.hostName;
     options.lease.timeToLive = std::max(settings_.leaderLease, settings_.shortestLease);
     options.lease.margin = options.lease.timeToLive / leaseParts;
-    options.lease.pollPause = std::chrono::seconds(3); // The watch of the fleet's keys tells sooner.
+    options.lease.pollPause = std::chrono::seconds(20); // The watch of the fleet's keys tells sooner.
+    options.lease.failurePause = std::chrono::milliseconds(700);
     options.enginesCheckFencing = settings_.enginesCheckFencing;
     options.orders = orderOptions();
     options.beforeLoad = [this](const std::string &target) { gateway_.post([target](Gateway &gateway) { gateway.announceLoading(target, announcedLoad); }); };
@@ -120,6 +126,7 @@
         return false;
     }
     configurationDuty_.start();
+    proofDuty_.start();
     targetDuty_.start();
     hostDuty_.start();
     weightsDuty_.start();
@@ -133,6 +140,7 @@
     gateway_.run();
     hostDuty_.stop();
     configurationDuty_.stop();
+    proofDuty_.stop();
     targetDuty_.stop();
     hostDuty_.join();
     weightsDuty_.join();
--- a/main/gateway_host.h
+++ b/main/gateway_host.h
@@ -6,6 +6,8 @@
 #include "gateway/gateway.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/host_duty.h"
+#include "gateway/proof_duty.h"
+#include "gateway/relayed_store.h"
 #include "gateway/target_duty.h"
 #include "gateway/weights_duty.h"
 #include "platform/engine_control.h"
@@ -32,6 +34,7 @@
     void drain();
 
 private:
+    ConfigurationFeed::Listeners listeners();
     HostDuty::Options hostOptions();
     WeightsDuty::Options weightsOptions();
     void onTargets(const std::shared_ptr<const TargetMap> &targets);
@@ -45,8 +48,11 @@
     PlatformStoreRecords records_;
     PlatformEngineControl engineControl_;
     KvStore store_;
+    RelayedStore relayedStore_;
     Gateway gateway_;
+    ConfigurationFeed feed_;
     ConfigurationDuty configurationDuty_;
+    ProofDuty proofDuty_;
     TargetDuty targetDuty_;
     HostDuty hostDuty_;
     WeightsDuty weightsDuty_;
