--- a/decision/placement.cpp
+++ b/decision/placement.cpp
@@ -130,10 +130,10 @@
     return choice.best;
 }
 
-void Placement::onDispatchedElsewhere(EngineIndex index, std::uint32_t missedTokens, std::span<const BlockHash> blocks, TimePoint now)
+void Placement::onDispatchedElsewhere(EngineIndex index, std::uint32_t workTokens, std::span<const BlockHash> blocks, TimePoint now)
 {
     Engine &engine = engines_[index];
-    engine.load.dispatched(now, missedTokens * engine.prefillSecondsPerToken);
+    engine.load.dispatched(now, workTokens * engine.prefillSecondsPerToken);
     view_.learn(index, blocks);
 }
 
@@ -420,7 +420,7 @@
     const bool isProbe = health_.isEjected(index);
     const PlacementRequest &request = *choice.request;
     const double held = std::min<double>(request.promptTokens, static_cast<double>(heldBlocks) * prefixBlockTokens) * engine.cacheTrust;
-    const double work = (request.promptTokens - held) * engine.prefillSecondsPerToken;
+    const double work = prefillSeconds(engine, held, request.promptTokens - held);
     const double usualWait = engine.load.wait(choice.now) + slotWaitOf(engine);
     const double wait = waitOf(engine, index, choice.now);
     const double slowWork = health_.slowness(index) * work;
@@ -439,6 +439,7 @@
                                     .expectedCachedTokens = static_cast<std::uint32_t>(held),
                                     .expectedFirstToken = wait + slowWork,
                                     .expectedWork = work,
+                                    .workTokens = static_cast<std::uint32_t>(work / engine.prefillSecondsPerToken),
                                     .usualFirstToken = usualWait + work,
                                     .isProbe = isProbe};
 }
@@ -455,6 +456,15 @@
 /// Made for saturation. What waits inside an engine can't be given up, reordered between teams or sent elsewhere, so it waits here
 /// once an engine has a few seconds of work. It isn't sent to an engine without its prefix instead: when all are busy, each
 /// prefix computed twice takes capacity from all, more waits for it, and the fleet does little else even after the rush.
+/// A prompt of 90,000 tokens takes an engine three times as long as its length alone tells. Reckoned by length, other hosts and
+/// requests come to that engine while it is busy for seconds.
+double Placement::prefillSeconds(const Engine &engine, double held, double missed) const
+{
+    const double meanContext = held + missed / 2;
+    const double attention = policy_.attentionTokens > 0 ? meanContext / policy_.attentionTokens : 0;
+    return missed * engine.prefillSecondsPerToken * (1 + attention);
+}
+
 bool Placement::canBegin(const Engine &engine, double wait) const
 {
     return wait <= (engine.isOpen ? policy_.openWait : policy_.closedWait);
--- a/decision/placement.h
+++ b/decision/placement.h
@@ -61,6 +61,7 @@
     std::uint32_t expectedCachedTokens = 0; ///< Prompt tokens that the engine is believed to hold.
     double expectedFirstToken = 0; ///< Seconds from now, with the engine's slowness.
     double expectedWork = 0; ///< Seconds of prefill at the engine's usual speed.
+    std::uint32_t workTokens = 0; ///< The same in prompt tokens of a short prompt.
     double usualFirstToken = 0; ///< Seconds from now were the engine not slow; what its health is measured by.
     bool isProbe = false; ///< Sent to find out whether an ejected engine has recovered.
 };
@@ -74,6 +75,7 @@
 struct PlacementPolicy
 {
     std::size_t viewBlocks = 1'500'000; ///< Cached blocks in view; 34 MB.
+    double attentionTokens = 0; ///< Context at which attention costs a prompt token as much as the weights do; 0: attention costs nothing.
     double hostCount = 1; ///< Hosts that decide likewise; the work seen here times this is the fleet's.
     double splitLoad = 0.3; ///< Engine-seconds a second that one engine is given of a hot prefix; see PrefixHeat.
     std::size_t randomCandidates = 2;
@@ -126,9 +128,9 @@
     /// Notes that the request was sent as decided.
     DispatchId onDispatched(const PlacementRequest &request, const PlacementDecision &decision, TimePoint now);
 
-    /// Notes that another host sent a request to the engine: what it has to compute, and the blocks that it holds then. Without it
+    /// Notes that another host sent a request to the engine: what it has to compute in prompt tokens of a short prompt, and the blocks that it holds then. Without it
     /// hosts that see an engine idle at the same moment all send their long prompts there.
-    void onDispatchedElsewhere(EngineIndex engine, std::uint32_t missedTokens, std::span<const BlockHash> blocks, TimePoint now);
+    void onDispatchedElsewhere(EngineIndex engine, std::uint32_t workTokens, std::span<const BlockHash> blocks, TimePoint now);
 
     /// Notes the first token; `cachedTokens` is the engine's own count where the answer gives one.
     void onFirstToken(DispatchId dispatch, std::optional<std::uint32_t> cachedTokens, TimePoint now);
@@ -222,6 +224,7 @@
     bool isUsable(const Choice &choice, EngineIndex engine) const;
     bool canBegin(const Engine &engine, double wait) const;
     double slotWaitOf(const Engine &engine) const;
+    double prefillSeconds(const Engine &engine, double held, double missed) const;
     double latenessOf(const Engine &engine, TimePoint now) const;
     void observeSpeed(EngineIndex index, const LoadReport &report, TimePoint now);
     Dispatch *findDispatch(DispatchId id);
--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -240,7 +240,7 @@
     Engine &engine = engines_[decision.engine];
     inFlight_[queued.id] = {dispatch, decision.engine, engine.serial, engine.window.start(missed, now)};
     SchedulerAssignment assignment{queued.id, std::string(placement_.engineName(decision.engine)), decision.expectedCachedTokens, 0, {}};
-    assignment.missedTokens = static_cast<std::uint32_t>(missed);
+    assignment.workTokens = decision.workTokens;
     for (const VersionedChain &chain : placed.chains) {
         if (chain.modelVersion == decision.modelVersion) {
             assignment.blocks.assign(chain.blocks.begin(), chain.blocks.end());
@@ -256,10 +256,10 @@
     return {id, std::move(reason), retryAfter};
 }
 
-void RequestScheduler::onDispatchedElsewhere(std::string_view engine, std::uint32_t missedTokens, std::span<const BlockHash> blocks, TimePoint now)
+void RequestScheduler::onDispatchedElsewhere(std::string_view engine, std::uint32_t workTokens, std::span<const BlockHash> blocks, TimePoint now)
 {
     if (const auto index = placement_.findEngine(engine)) {
-        placement_.onDispatchedElsewhere(*index, missedTokens, blocks, now);
+        placement_.onDispatchedElsewhere(*index, workTokens, blocks, now);
     }
 }
 
--- a/decision/request_scheduler.h
+++ b/decision/request_scheduler.h
@@ -57,7 +57,7 @@
     RequestId id{};
     std::string engine;
     std::uint32_t expectedCachedTokens = 0;
-    std::uint32_t missedTokens = 0; ///< That the engine has to compute.
+    std::uint32_t workTokens = 0; ///< What the engine has to compute, in prompt tokens of a short prompt.
     std::vector<BlockHash> blocks; ///< The prompt's chain for this engine's weights.
 };
 
@@ -118,7 +118,7 @@
     void drain();
 
     /// Another host sent a request to an engine.
-    void onDispatchedElsewhere(std::string_view engine, std::uint32_t missedTokens, std::span<const BlockHash> blocks, TimePoint now);
+    void onDispatchedElsewhere(std::string_view engine, std::uint32_t workTokens, std::span<const BlockHash> blocks, TimePoint now);
 
     void onFirstToken(RequestId id, std::optional<std::uint32_t> cachedTokens, TimePoint now);
     void onEnded(RequestId id, SchedulerEnd end, TimePoint now);
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -32,10 +32,15 @@
 /// Long enough for the work of a route's whole timeout, which bounds the wait by itself.
 constexpr Duration longestQueueWait = std::chrono::seconds(60);
 
+/// For a model of eight billion parameters: two operations a parameter and token, against four a token of context in each of 32 layers
+/// of width 4,096.
+constexpr double attentionTokens = 30'000;
+
 PlacementPolicy placementPolicy()
 {
     PlacementPolicy policy;
     policy.viewBlocks = viewBlocks;
+    policy.attentionTokens = attentionTokens;
     return policy;
 }
 
@@ -352,10 +357,10 @@
 
 void Gateway::announceDispatch(const SchedulerAssignment &assignment, std::size_t sharedBlocks)
 {
-    if (assignment.missedTokens < prefixBlockTokens) {
+    if (assignment.workTokens < prefixBlockTokens) {
         return;
     }
-    DispatchNotice notice{assignment.engine, assignment.missedTokens, {}};
+    DispatchNotice notice{assignment.engine, assignment.workTokens, {}};
     notice.blocks.assign(assignment.blocks.begin(), assignment.blocks.begin() + static_cast<std::ptrdiff_t>(std::min(sharedBlocks, assignment.blocks.size())));
     peers_.tellAll(notice);
 }
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -23,7 +23,7 @@
 
 /// How long an engine that is ordered to load is left alone unless it says sooner that it has loaded: running requests end within a
 /// second and the load takes half of one.
-constexpr Duration announcedLoad = std::chrono::milliseconds(1'500);
+constexpr Duration announcedLoad = std::chrono::milliseconds(2'200);
 
 GatewayOptions gatewayOptions(const GatewaySettings &settings)
 {
