--- a/gateway/protocol.h
+++ b/gateway/protocol.h
@@ -41,7 +41,8 @@
     bool isForEngine = false;
     std::int64_t weightsVersion = 0; ///< Engines with another version refuse the request; 0: any.
     std::string_view cacheSalt = {}; ///< Cache entries are found under the same text only.
-    std::string_view cacheStore = {}; ///< Address from which missing parts of the prompt are fetched and to which new ones are saved; may be empty.
+    std::string_view fetchFrom = {}; ///< Address of an engine or store that may hold parts of the prompt; may be empty.
+    std::string_view saveTo = {}; ///< Address of the store that is to keep what is computed; may be empty.
     std::optional<int> urgency = std::nullopt; ///< 0 is the most urgent.
 };
 
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -301,7 +301,9 @@
         salt = std::to_string(request.weightsVersion) + '/' + (team_ != nullptr && team_->isIsolated ? team_->name : std::string());
         request.cacheSalt = salt;
         if (sharedTokens() >= prefixBlockTokens) {
-            request.cacheStore = gateway_.cacheStoreFor(target);
+            request.fetchFrom = gateway_.cacheStoreFor(target);
+            const bool isCold = expectedCached_ + prefixBlockTokens < sharedTokens();
+            request.saveTo = isCold ? request.fetchFrom : std::string_view();
         }
         const int priority = team_ != nullptr && team_->priority ? *team_->priority : route_->priority;
         request.urgency = std::clamp(usualUrgency + priority, 0, lowestUrgency);
