--- a/gateway/relayed_store.cpp
+++ b/gateway/relayed_store.cpp
@@ -169,7 +169,7 @@
     Followed &followed = followed_[std::string(prefix)];
     const TimePoint limit = BootClock::now() + timeout;
     while (followed.entries.empty() && !followed.hasGap && BootClock::now() < limit) {
-        if (!hears(followed, BootClock::now())) {
+        if (!hears(prefix, followed, BootClock::now())) {
             lock.unlock();
             return watchStore(prefix, afterRevision, std::min(timeout, relaySilence));
         }
@@ -182,6 +182,7 @@
 StoreListReply RelayedStore::takeHeard(Followed &followed, std::unique_lock<std::mutex> &lock)
 {
     if (followed.hasGap) {
+        writeLog(LogLevel::Info, "notice_missed", {{"reached", followed.reached}});
         return {StoreStatus::NotFound, {}, followed.reached};
     }
     StoreListReply reply{StoreStatus::Ok, {}, followed.reached};
@@ -226,9 +227,18 @@
     return reply;
 }
 
-bool RelayedStore::hears(const Followed &followed, TimePoint now) const
+bool RelayedStore::hears(std::string_view prefix, Followed &followed, TimePoint now)
 {
-    return now - followed.heardAt < relaySilence;
+    const bool isSilent = now - followed.heardAt >= relaySilence;
+    if (isSilent != followed.isSilent) {
+        followed.isSilent = isSilent;
+        writeLog(LogLevel::Info,
+                 isSilent ? "relays_silent" : "relays_heard",
+                 {{"prefix", prefix},
+                  {"reached", followed.reached},
+                  {"silent_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - followed.heardAt).count()}});
+    }
+    return !isSilent;
 }
 
 std::optional<ProofReply> RelayedStore::askRelay(const std::string &relay)
--- a/gateway/relayed_store.h
+++ b/gateway/relayed_store.h
@@ -65,13 +65,14 @@
     {
         std::int64_t reached = 0; ///< Nothing up to this revision is missing.
         bool hasGap = false; ///< A notice was lost.
+        bool isSilent = false; ///< No relay speaks of it.
         TimePoint heardAt;
         std::deque<std::pair<StoreEntry, bool>> entries; ///< Not handed out yet; true: the value has to be read.
     };
 
     StoreListReply watchStore(std::string_view prefix, std::int64_t afterRevision, Duration timeout);
     StoreListReply takeHeard(Followed &followed, std::unique_lock<std::mutex> &lock);
-    bool hears(const Followed &followed, TimePoint now) const;
+    static bool hears(std::string_view prefix, Followed &followed, TimePoint now);
     std::optional<ProofReply> askRelay(const std::string &relay);
 
     Store &store_;
--- a/tests/gateway/test_relayed_store.cpp
+++ b/tests/gateway/test_relayed_store.cpp
@@ -1,5 +1,5 @@
 #include <atomic>
-#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <thread>
@@ -51,7 +51,11 @@
     StoreListReply watch(std::string_view prefix, std::int64_t afterRevision, Duration timeout) override
     {
         ++calls;
-        return isDown ? StoreListReply{} : memory.watch(prefix, afterRevision, timeout);
+        StoreListReply reply = isDown ? StoreListReply{} : memory.watch(prefix, afterRevision, timeout);
+        if (afterWatch) {
+            std::exchange(afterWatch, nullptr)();
+        }
+        return reply;
     }
 
     StoreLeaseReply grantLease(Duration timeToLive) override
@@ -72,6 +76,7 @@
     MemoryStore memory;
     std::atomic<int> calls = 0;
     std::atomic<bool> isDown = false;
+    std::function<void()> afterWatch; ///< Runs once, while the answer to a watch is on its way.
 };
 
 const std::vector<std::string> hosts{"a", "b", "c", "d", "e"};
@@ -193,6 +198,29 @@
     BOOST_TEST(reply.revision >= written);
 }
 
+BOOST_AUTO_TEST_CASE(whatAnAnswerHoldsIsNotHandedOutAgainAfterIt)
+{
+    // A host asks the store itself, and while the answer is on its way a relay comes back and tells of the same change. Handed out
+    // after the answer, which also holds that the target has left, the change would bring the target back.
+    RelayedStore &relay = *views[relays[0]];
+    RelayedStore &other = *views[others[0]];
+    const std::int64_t from = relay.list("x/").revision;
+    other.list("x/");
+    other.setHosts({}); // Asks the store itself.
+    write("x/a", "there");
+    store.afterWatch = [&] {
+        relay.watch("x/", from, 1s);
+        store.memory.compareAndDelete("x/a", store.memory.get("x/a").entry.revision);
+    };
+    const StoreListReply first = other.watch("x/", from, 1s);
+    BOOST_REQUIRE(first.entries.size() == 1U);
+    other.setHosts(hosts);
+    relay.watch("x/", first.revision, 1s);
+    const StoreListReply second = other.watch("x/", first.revision, 1s);
+    BOOST_REQUIRE(second.entries.size() == 1U);
+    BOOST_TEST(second.entries[0].isDeleted);
+}
+
 BOOST_AUTO_TEST_CASE(aProofIsAsOldAsTheRelaySays)
 {
     // A relay passes on what it has proven some time ago. Counted from the answer instead, a key would work that much longer after its
--- a/tests/platform/gateway_fixture.cpp
+++ b/tests/platform/gateway_fixture.cpp
@@ -113,8 +113,8 @@
     table.version = version;
     table.revision = version;
     table.routes = {route("/safe/", RouteKind::Idempotent, 2),
-                    route("/once/", RouteKind::NonIdempotent, 1),
-                    route("/stream/", RouteKind::Stream, 1),
+                    route("/once/", RouteKind::NonIdempotent, 2),
+                    route("/stream/", RouteKind::Stream, 2),
                     route("/resume/", RouteKind::Stream, 2),
                     route("/public/", RouteKind::Idempotent, 2)};
     table.routes[3].isResumable = true;
