Quiet times of the store are no gaps to those who follow a relay

Cause: the store's revision moves with every key, and a relay's notice began at the last watch's revision, which hosts that were not told of the quiet time took for a gap: 647 in 22 s on 22 hosts of the grown fleet, each a list read. Excluded: lost datagrams (no cpu charged, links idle).

--- a/gateway/relayed_store.cpp
+++ b/gateway/relayed_store.cpp
@@ -79,6 +79,7 @@
         for (std::size_t i = 0; i < notice.entries.size(); ++i) {
             if (notice.entries[i].revision > followed.reached) {
                 followed.entries.emplace_back(notice.entries[i], notice.omitted[i]);
+                followed.lastChange = std::max(followed.lastChange, notice.entries[i].revision);
             }
         }
         followed.reached = notice.upTo;
@@ -105,7 +106,7 @@
         network = network_;
         for (const auto &[prefix, followed] : followed_) {
             if (BootClock::now() - followed.heardAt < relaySilence * 4) {
-                notices.push_back({prefix, followed.reached, followed.reached, {}, {}});
+                notices.push_back({prefix, followed.lastChange, followed.reached, {}, {}});
             }
         }
     }
@@ -145,6 +146,7 @@
         Followed &followed = followed_[std::string(prefix)];
         followed = {};
         followed.reached = reply.revision;
+        followed.lastChange = reply.revision;
         followed.heardAt = BootClock::now();
     }
     return reply;
@@ -212,9 +214,14 @@
     }
     const bool isRelayNow = isRelay();
     Network network;
+    std::int64_t lastChange = 0;
     {
         const std::lock_guard lock(mutex_);
         Followed &followed = followed_[std::string(prefix)];
+        // The store's revision moves with every key. A notice that began at the last watch's revision would look like a gap to hosts
+        // that were not told of the quiet time in between.
+        lastChange = std::min(followed.lastChange, afterRevision);
+        followed.lastChange = std::max(followed.lastChange, reply.entries.empty() ? 0 : reply.entries.back().revision);
         // Notices may have come while the store was asked. What the answer holds already must not be handed out after it.
         std::erase_if(followed.entries, [&reply](const auto &heard) { return heard.first.revision <= reply.revision; });
         followed.reached = std::max(followed.reached, reply.revision);
@@ -222,7 +229,7 @@
         network = network_;
     }
     if (isRelayNow && !reply.entries.empty() && network.tellAll) {
-        network.tellAll({std::string(prefix), afterRevision, reply.revision, reply.entries, {}});
+        network.tellAll({std::string(prefix), lastChange, reply.revision, reply.entries, {}});
     }
     return reply;
 }
--- a/gateway/relayed_store.h
+++ b/gateway/relayed_store.h
@@ -64,6 +64,7 @@
     struct Followed
     {
         std::int64_t reached = 0; ///< Nothing up to this revision is missing.
+        std::int64_t lastChange = 0; ///< Nothing changed after this revision up to `reached`; also by what the other relay tells.
         bool hasGap = false; ///< A notice was lost.
         bool isSilent = false; ///< No relay speaks of it.
         TimePoint heardAt;
--- a/tests/gateway/test_relayed_store.cpp
+++ b/tests/gateway/test_relayed_store.cpp
@@ -187,6 +187,27 @@
     BOOST_TEST(other.list("x/").entries.size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(quietTimesAreNoGaps)
+{
+    // The store's revision moves with keys that nobody here watches. Taken for a gap, each sign of life makes 88 hosts read their lists
+    // again: 5,165 calls in 22 s.
+    RelayedStore &relay = *views[relays[0]];
+    RelayedStore &other = *views[others[0]];
+    std::int64_t from = relay.list("x/").revision;
+    other.list("x/");
+    for (int i = 0; i < 3; ++i) {
+        write("y/other", std::to_string(i));
+        write("x/a", std::to_string(i));
+        from = relay.watch("x/", from, 1s).revision;
+        write("y/other", std::to_string(i));
+        from = relay.watch("x/", from, Duration(1)).revision;
+        relay.sayAlive();
+        const StoreListReply heard = other.watch("x/", 0, Duration(1));
+        BOOST_TEST((heard.status == StoreStatus::Ok));
+        BOOST_TEST(heard.entries.size() == 1U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(withoutARelayTheStoreIsWatchedItself)
 {
     // Both relays lose power. The others must not wait for them with an old list of targets.
