--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -1,6 +1,7 @@
 #include "decision/request_scheduler.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace Lovageloft
@@ -239,17 +240,33 @@
     const DispatchId dispatch = placement_.onDispatched(placed, decision, now);
     Engine &engine = engines_[decision.engine];
     inFlight_[queued.id] = {dispatch, decision.engine, engine.serial, engine.window.start(missed, now)};
-    SchedulerAssignment assignment{queued.id, std::string(placement_.engineName(decision.engine)), decision.expectedCachedTokens, 0, {}};
+    SchedulerAssignment assignment{queued.id, std::string(placement_.engineName(decision.engine)), decision.expectedCachedTokens, 0, {}, {}};
     assignment.workTokens = decision.workTokens;
     for (const VersionedChain &chain : placed.chains) {
         if (chain.modelVersion == decision.modelVersion) {
             assignment.blocks.assign(chain.blocks.begin(), chain.blocks.end());
+            assignment.holder = findHolder(chain.blocks, decision);
         }
     }
     requests_.erase(found);
     return assignment;
 }
 
+std::string RequestScheduler::findHolder(std::span<const BlockHash> blocks, const PlacementDecision &decision) const
+{
+    constexpr std::size_t mostHolders = 4;
+    std::array<HeldPrefix, mostHolders> found;
+    const std::size_t count = placement_.cacheView().findHolders(blocks, found);
+    for (const HeldPrefix &held : std::span(found).first(count)) {
+        const auto engine = engines_.find(held.engine);
+        const bool isUsable = engine != engines_.end() && engine->second.isServing && !placement_.health().isEjected(held.engine);
+        if (held.engine != decision.engine && isUsable && held.blocks * prefixBlockTokens > decision.expectedCachedTokens) {
+            return std::string(placement_.engineName(held.engine));
+        }
+    }
+    return {};
+}
+
 SchedulerRefusal RequestScheduler::refuse(RequestId id, Reason reason, Duration retryAfter)
 {
     requests_.erase(id);
--- a/decision/request_scheduler.h
+++ b/decision/request_scheduler.h
@@ -59,6 +59,7 @@
     std::uint32_t expectedCachedTokens = 0;
     std::uint32_t workTokens = 0; ///< What the engine has to compute, in prompt tokens of a short prompt.
     std::vector<BlockHash> blocks; ///< The prompt's chain for this engine's weights.
+    std::string holder; ///< Another engine that is believed to hold more of the prompt; empty if there is none.
 };
 
 /// The request is given up; it reached no engine in this attempt.
@@ -174,6 +175,7 @@
     std::span<const VersionedChain> chainsOf(const SchedulerRequest &request);
     PlacementRequest placementRequest(const SchedulerRequest &request);
     SchedulerOutcome assign(const QueuedRequest &queued, TimePoint now, const Choice &choice);
+    std::string findHolder(std::span<const BlockHash> blocks, const PlacementDecision &decision) const;
     SchedulerRefusal refuse(RequestId id, Reason reason, Duration retryAfter);
     Engine *engineOf(const InFlight &request);
 
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -228,6 +228,7 @@
     const auto self = shared_from_this();
     targetId_ = assignment.engine;
     expectedCached_ = assignment.expectedCachedTokens;
+    holder_ = assignment.holder;
     Reason reason;
     if (!isStillAllowed(reason)) {
         endDispatch(SchedulerEnd::Cancelled);
@@ -269,7 +270,8 @@
     ++runs_;
     isAnswerKept_ = false;
     std::string salt;
-    const TargetRequest request = targetRequest(target, salt);
+    std::string fetchFrom;
+    const TargetRequest request = targetRequest(target, salt, fetchFrom);
     std::string bytes = gateway_.targetProtocol().writeHead(head_, request, body_.size());
     bytes.append(body_);
     connection_ = gateway_.pool().take(target, route_->isIdempotent(), now);
@@ -281,13 +283,16 @@
               {"send", std::int64_t{sends_}},
               {"waited_ms", toMillis(now - startedAt_)},
               {"weights", request.weightsVersion},
+              {"cached", std::int64_t{expectedCached_}},
+              {"shared", std::int64_t{sharedTokens()}},
+              {"fetch", request.fetchFrom},
               {"reused", connection_->isUsed()},
               {"configuration", table_->version}});
     connection_->start(std::move(bytes), caller_.id, head_.method != "HEAD", *this);
     armTimer();
 }
 
-TargetRequest RoutedRequest::targetRequest(const Target &target, std::string &salt) const
+TargetRequest RoutedRequest::targetRequest(const Target &target, std::string &salt, std::string &fetchFrom) const
 {
     TargetRequest request;
     request.targetId = target.id;
@@ -301,9 +306,13 @@
         salt = std::to_string(request.weightsVersion) + '/' + (team_ != nullptr && team_->isIsolated ? team_->name : std::string());
         request.cacheSalt = salt;
         if (sharedTokens() >= prefixBlockTokens) {
-            request.fetchFrom = gateway_.cacheStoreFor(target);
+            const std::string_view store = gateway_.cacheStoreFor(target);
             const bool isCold = expectedCached_ + prefixBlockTokens < sharedTokens();
-            request.saveTo = isCold ? request.fetchFrom : std::string_view();
+            request.saveTo = isCold ? store : std::string_view();
+            // The store keeps the last seconds of the fleet's prompts only; an engine that was sent the prefix keeps it longer.
+            const Target *holder = holder_.empty() ? nullptr : gateway_.targets().find(holder_);
+            fetchFrom = holder != nullptr ? holder->address.host + ':' + std::to_string(holder->address.port) : std::string(store);
+            request.fetchFrom = fetchFrom;
         }
         const int priority = team_ != nullptr && team_->priority ? *team_->priority : route_->priority;
         request.urgency = std::clamp(usualUrgency + priority, 0, lowestUrgency);
--- a/gateway/routed_request.h
+++ b/gateway/routed_request.h
@@ -80,7 +80,7 @@
     void enqueue();
     SchedulerRequest schedulerRequest() const;
     void send(const Target &target);
-    TargetRequest targetRequest(const Target &target, std::string &salt) const;
+    TargetRequest targetRequest(const Target &target, std::string &salt, std::string &fetchFrom) const;
 
     void onAnswerHead(HttpHead &&head, const AnswerFacts &facts) override;
     void onAnswerBody(std::string_view bytes) override;
@@ -125,6 +125,7 @@
     boost::asio::steady_timer timer_;
     std::shared_ptr<TargetConnection> connection_;
     std::string targetId_;
+    std::string holder_; ///< Another engine that is believed to hold more of the prompt.
     std::uint32_t expectedCached_ = 0; ///< Prompt tokens that the target is believed to hold.
     std::vector<std::string> failedTargets_;
     int runs_ = 0; ///< Targets that may have run it.
