--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -21,6 +22,11 @@
 /// Part of the allowed retries that is used: hosts count requests and retries in windows that don't begin together.
 constexpr double retryPart = 0.8;
 
+/// How long requests wait for a host that has just started to read its configuration. All clients connect again at once after a restart of
+/// the whole fleet, and the store answers within 20 ms: 133 of them were refused within that time. No longer, as they could go to
+/// another host.
+constexpr Duration configurationWait = std::chrono::milliseconds(40);
+
 constexpr Duration tickTime = std::chrono::milliseconds(250);
 /// Between two signs of life of a relay; see relaySilence in relayed_store.cpp.
 constexpr Duration alivePause = std::chrono::milliseconds(400);
@@ -77,6 +83,7 @@
     , sendTokenRequest_([this](const std::string &host, const TokenRequest &request) { peers_.send(host, request); })
     , scheduler_(queueLimits(), placementPolicy())
     , random_(std::random_device{}())
+    , waitingTimer_(loop_)
 {
 }
 
@@ -143,6 +150,9 @@
               {"routes", static_cast<std::int64_t>(table_->routes.size())},
               {"teams", static_cast<std::int64_t>(table_->teams.size())},
               {"keys", static_cast<std::int64_t>(table_->teamOfKey.size())}});
+    if (isConfigured()) {
+        beginWaiting();
+    }
 }
 
 void Gateway::confirmTable(std::int64_t revision, TimePoint provenAt)
@@ -158,6 +168,9 @@
     pool_.keepOnly(directory_.all());
     hasTargets_ = true;
     refreshTargets();
+    if (isConfigured()) {
+        beginWaiting();
+    }
 }
 
 void Gateway::setNamedWeights(const NamedWeights &weights)
@@ -335,6 +348,32 @@
     return std::make_shared<RoutedRequest>(*this, session, std::move(head), std::move(body));
 }
 
+bool Gateway::isConfigured() const
+{
+    return table_ != nullptr && hasTargets_;
+}
+
+void Gateway::beginWhenConfigured(const std::shared_ptr<RoutedRequest> &request)
+{
+    if (waiting_.empty()) {
+        waitingTimer_.expires_after(configurationWait);
+        waitingTimer_.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                beginWaiting();
+            }
+        });
+    }
+    waiting_.push_back(request);
+}
+
+void Gateway::beginWaiting()
+{
+    waitingTimer_.cancel();
+    for (const auto &request : std::exchange(waiting_, {})) {
+        request->beginNow();
+    }
+}
+
 RequestId Gateway::submit(const std::shared_ptr<RoutedRequest> &request, SchedulerRequest &&scheduled)
 {
     const RequestId id{++lastRequest_};
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -130,6 +130,12 @@
     std::uint32_t plainWorkTokens() const;
 
     std::shared_ptr<RoutedRequest> createRequest(const std::shared_ptr<CallerSession> &session, HttpHead &&head, std::string &&body);
+    /// Whether configuration and targets are known.
+    bool isConfigured() const;
+
+    /// Begins a request once they are, or after a moment in any case.
+    void beginWhenConfigured(const std::shared_ptr<RoutedRequest> &request);
+
     RequestId submit(const std::shared_ptr<RoutedRequest> &request, SchedulerRequest &&scheduled);
     void cancelQueued(RequestId id);
     void onFirstToken(RequestId id);
@@ -169,6 +175,7 @@
     void continueDrain();
     StatusAnswer statusOf(std::string_view path);
     bool isReady(TimePoint now) const;
+    void beginWaiting();
 
     GatewayOptions options_;
     const CallerProtocol &callerProtocol_;
@@ -192,6 +199,8 @@
     RequestScheduler scheduler_;
     Random random_;
     std::unordered_map<RequestId, std::shared_ptr<RoutedRequest>> requests_; ///< Queued or at a target.
+    std::vector<std::shared_ptr<RoutedRequest>> waiting_; ///< For the first configuration.
+    boost::asio::steady_timer waitingTimer_;
     std::set<std::shared_ptr<CallerSession>> sessions_;
     std::uint64_t lastRequest_ = 0;
     std::set<std::string, std::less<>> aliveCacheStores_;
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -67,8 +67,20 @@
 }
 
 void RoutedRequest::begin()
+{
+    if (gateway_.isConfigured()) {
+        beginNow();
+    } else {
+        gateway_.beginWhenConfigured(shared_from_this());
+    }
+}
+
+void RoutedRequest::beginNow()
 {
     const auto self = shared_from_this();
+    if (phase_ == Phase::Done) {
+        return; // The caller left while it waited.
+    }
     Reason reason;
     for (const Filter filter : filters()) {
         if (!(this->*filter)(reason)) {
--- a/gateway/routed_request.h
+++ b/gateway/routed_request.h
@@ -31,7 +31,9 @@
 public:
     RoutedRequest(Gateway &gateway, std::shared_ptr<CallerSession> session, HttpHead &&head, std::string &&body);
 
+    /// Starts it, or lets it wait while this host has no configuration yet.
     void begin();
+    void beginNow();
 
     /// The caller closed its connection. Work that may be repeated and streams are cancelled; a call that must run once is left
     /// to end, as breaking it off leaves open whether it took effect.
--- a/tests/platform/gateway_fixture.cpp
+++ b/tests/platform/gateway_fixture.cpp
@@ -47,7 +47,7 @@
 
 } // namespace
 
-GatewayFixture::GatewayFixture()
+GatewayFixture::GatewayFixture(bool isConfigured)
 {
     GatewayOptions options;
     options.callers = {"127.0.0.1", 0};
@@ -65,7 +65,10 @@
         gateway_->run();
         hasStopped_ = true;
     });
-    configure(table());
+    if (isConfigured) {
+        configure(table());
+        publishTargets();
+    }
 }
 
 GatewayFixture::~GatewayFixture()
--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -21,7 +21,8 @@
     using Connection = ScriptedTarget::Connection;
     using Request = ScriptedTarget::Request;
 
-    GatewayFixture();
+    /// A gateway that has its configuration, or has just started and knows nothing.
+    explicit GatewayFixture(bool isConfigured = true);
     ~GatewayFixture();
 
     /// Adds a target of service s; the scheduler chooses freely among them.
--- a/tests/platform/test_requests.cpp
+++ b/tests/platform/test_requests.cpp
@@ -286,6 +286,29 @@
     BOOST_TEST(contains(answer, "Retry-After: "));
 }
 
+BOOST_AUTO_TEST_CASE(aHostThatHasJustStartedLetsRequestsWaitForItsConfiguration)
+{
+    // All hosts are restarted at once and all clients connect again within a moment, before the first configuration is read. Refused,
+    // each of them would come back later, though the answer is milliseconds away.
+    GatewayFixture started(false);
+    std::string answer;
+    std::thread caller([&] { answer = started.exchange(request("POST", "/once/x", "body")); });
+    started.addTarget("a", wellTarget);
+    started.configure(table());
+    caller.join();
+    BOOST_TEST(statusOf(answer) == 200);
+}
+
+BOOST_AUTO_TEST_CASE(aHostWithoutConfigurationRefusesSoon)
+{
+    GatewayFixture started(false);
+    const TimePoint before = BootClock::now();
+    const std::string answer = started.exchange(request("POST", "/once/x", "body"));
+    BOOST_TEST(statusOf(answer) == 503);
+    BOOST_TEST(contains(answer, "not_run"));
+    BOOST_TEST((BootClock::now() - before < 500ms));
+}
+
 BOOST_AUTO_TEST_CASE(requestsSentAheadAreAnsweredInTheirOrder)
 {
     addTarget("a", [](Connection &connection, const Request &request) { connection.answer(request, 200, request.body); });
