--- a/main/lovageloftctl.cpp
+++ b/main/lovageloftctl.cpp
@@ -13,6 +13,7 @@
 #include "drivers/http_exchange.h"
 #include "main/answer_table.h"
 #include "main/exit_codes.h"
+#include "main/request_story.h"
 #include "main/ticket_file.h"
 
 using namespace Lovageloft;
@@ -29,7 +30,7 @@
 };
 
 constexpr std::string_view usage = "Operators' calls. Commands: status | teams | engines | hosts | audit [FROM] | drain | ticket apply FILE | "
-                                   "ticket show NUMBER | settings check FILE. "
+                                   "ticket show NUMBER | settings check FILE | explain REQUEST [FILE]. "
                                    "The key is read from --key-file or the environment variable LOVAGELOFT_OPERATOR_KEY. "
                                    "Exit codes: 0 done, 1 refused or outcome not known, 2 wrong arguments or settings, 3 the host gave no answer.";
 
@@ -174,6 +175,25 @@
     return ExitOk;
 }
 
+/// Tells a request's story from a log file, or from standard input without one.
+int explain(const Arguments &arguments)
+{
+    RequestStory story(arguments.words[1]);
+    if (arguments.words.size() > 2) {
+        std::ifstream in(arguments.words[2]);
+        if (!in) {
+            std::cerr << "lovageloftctl: can't read " << arguments.words[2] << '\n';
+            return ExitUsage;
+        }
+        story.read(in);
+    } else {
+        story.read(std::cin);
+    }
+    const std::string text = story.text();
+    std::cout << text;
+    return text.empty() ? ExitFailed : ExitOk;
+}
+
 struct Command
 {
     std::array<std::string_view, 2> words; ///< The second is empty for a command of one word.
@@ -192,6 +212,8 @@
     {{"ticket", "apply"}, 1, &applyTicket},
     {{"ticket", "show"}, 1, &showTicket},
     {{"settings", "check"}, 1, &checkSettings},
+    {{"explain", ""}, 1, &explain},
+    {{"explain", ""}, 2, &explain},
 });
 
 bool matches(const Command &command, std::span<const std::string> words)
--- /dev/null
+++ b/tests/main/test_request_story.cpp
@@ -0,0 +1,42 @@
+#define BOOST_TEST_MODULE main
+#include <boost/test/unit_test.hpp>
+
+#include <sstream>
+
+#include "main/request_story.h"
+
+using namespace Lovageloft;
+
+BOOST_AUTO_TEST_SUITE(RequestStoryTest)
+
+BOOST_AUTO_TEST_CASE(aRequestIsToldInOrderAcrossHostsWithWhatTheyCameToBelieve)
+{
+    std::istringstream first(R"(started
+{"time":"2026-01-30T00:15:02.500Z","level":"info","host":"a","event":"store_lost","duty":"targets"}
+{"time":"2026-01-30T00:15:02.900Z","level":"info","host":"a","event":"request_ended","request":"r1","outcome":"not_fresh","status":503}
+{"time":"2026-01-30T00:15:02.847Z","level":"info","host":"a","event":"request_refused","request":"r1","code":2006,"proof_age_ms":4854}
+{"time":"2026-01-30T00:15:02.848Z","level":"info","host":"a","event":"request_sent","request":"other","target":"i-1"}
+{"time":"2026-01-30T00:14:00.000Z","level":"info","host":"a","event":"host_started"}
+)");
+    std::istringstream second(R"({"time":"2026-01-30T00:15:03.100Z","level":"info","host":"b","event":"request_sent","request":"r1","target":"i-2"}
+{"time":"2026-01-30T00:15:02.950Z","level":"info","host":"c","event":"store_lost","duty":"targets"}
+)");
+    RequestStory story("r1");
+    story.read(first);
+    story.read(second);
+    BOOST_TEST(story.text() == R"(2026-01-30T00:15:02.500Z a  . store_lost duty=targets
+2026-01-30T00:15:02.847Z a  request_refused code=2006 proof_age_ms=4854
+2026-01-30T00:15:02.900Z a  request_ended outcome=not_fresh status=503
+2026-01-30T00:15:03.100Z b  request_sent target=i-2
+)");
+}
+
+BOOST_AUTO_TEST_CASE(aRequestThatNoLogKnowsHasNoStory)
+{
+    std::istringstream log(R"({"time":"2026-01-30T00:15:02.500Z","host":"a","event":"store_lost"})");
+    RequestStory story("r1");
+    story.read(log);
+    BOOST_TEST(story.text().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
