Prefixes that an engine can hold no longer are not believed in

Cause: an engine's memory holds eight prompts, which a busy engine is sent in five seconds, while hosts believed in a prefix until it was pushed out of their own table.

--- a/decision/cache_view.cpp
+++ b/decision/cache_view.cpp
@@ -253,6 +253,13 @@
     ++engines_[engine].held;
 }
 
+void CacheView::drop(EngineIndex engine, std::span<const BlockHash> blocks)
+{
+    for (const BlockHash block : blocks) {
+        evict(engine, block);
+    }
+}
+
 void CacheView::evict(EngineIndex engine, BlockHash block)
 {
     const Holder wanted = holderOf(engine);
--- a/decision/cache_view.h
+++ b/decision/cache_view.h
@@ -60,6 +60,9 @@
     /// Replaces all that is known of an engine by the full list of its blocks; events go on at `nextSequence`.
     void resync(EngineIndex engine, std::uint64_t incarnation, std::uint64_t nextSequence, std::span<const BlockHash> blocks);
 
+    /// Notes that an engine can't hold these blocks any more.
+    void drop(EngineIndex engine, std::span<const BlockHash> blocks);
+
     /// Notes that an engine holds the blocks of a chain, as it was sent a prompt or has answered one.
     void learn(EngineIndex engine, std::span<const BlockHash> chain);
 
--- a/decision/placement.cpp
+++ b/decision/placement.cpp
@@ -130,11 +130,19 @@
     return choice.best;
 }
 
-void Placement::onDispatchedElsewhere(EngineIndex index, std::uint32_t workTokens, std::span<const BlockHash> blocks, TimePoint now)
+void Placement::onDispatchedElsewhere(EngineIndex index, std::uint32_t workTokens, std::uint32_t newTokens, std::span<const BlockHash> blocks, TimePoint now)
 {
     Engine &engine = engines_[index];
     engine.load.dispatched(now, workTokens * engine.prefillSecondsPerToken);
     view_.learn(index, blocks);
+    noteSent(index, blocks, newTokens);
+}
+
+void Placement::noteSent(EngineIndex index, std::span<const BlockHash> shared, double newTokens)
+{
+    droppedScratch_.clear();
+    engines_[index].cache.onSent(shared, newTokens, droppedScratch_);
+    view_.drop(index, droppedScratch_);
 }
 
 DispatchId Placement::onDispatched(const PlacementRequest &request, const PlacementDecision &decision, TimePoint now)
@@ -163,6 +171,8 @@
         }
         // Noted at once and not with the answer: the next request of the prefix may come before the first has its token.
         view_.learn(decision.engine, chain.blocks);
+        const bool isQuiet = decision.workTokens < policy_.quietTokens;
+        noteSent(decision.engine, chain.blocks.first(std::min(request.sharedBlocks, chain.blocks.size())), decision.newTokens * (isQuiet ? policy_.hostCount : 1.0));
         const double outputWork = engine.requestSeconds / std::max(1.0, engine.batchLimit);
         const std::size_t tailTokens = request.promptTokens - std::min<std::size_t>(request.promptTokens, chain.blocks.size() * prefixBlockTokens);
         const double tailWork = static_cast<double>(tailTokens) * engine.prefillSecondsPerToken;
@@ -302,11 +312,13 @@
     engine.modelVersion = status.modelVersion;
     engine.prefillSecondsPerToken = 1 / std::max(1.0, status.prefillTokensPerSecond);
     engine.batchLimit = status.batchLimit;
+    engine.cache.setCapacity(status.cacheTokens);
     if (status.incarnation > engine.incarnation) {
         forgetCacheAndLoad(index, status.incarnation);
     } else if (hasNewWeights) {
         view_.removeEngine(index);
         view_.setIncarnation(index, engine.incarnation);
+        engine.cache.clear();
     }
 }
 
@@ -347,6 +359,7 @@
     setBacklog(engine, 0);
     engine.cacheTrust = 1;
     engine.unanswered.clear();
+    engine.cache.clear();
     view_.setIncarnation(index, incarnation);
     health_.reset(index);
 }
@@ -440,6 +453,7 @@
                                     .expectedFirstToken = wait + slowWork,
                                     .expectedWork = work,
                                     .workTokens = static_cast<std::uint32_t>(work / engine.prefillSecondsPerToken),
+                                    .newTokens = request.promptTokens - static_cast<std::uint32_t>(held) + request.outputTokens,
                                     .usualFirstToken = usualWait + work,
                                     .isProbe = isProbe};
 }
--- a/decision/placement.h
+++ b/decision/placement.h
@@ -12,6 +12,7 @@
 #include "core/clock.h"
 #include "core/random.h"
 #include "core/result_code.h"
+#include "decision/cache_budget.h"
 #include "decision/cache_view.h"
 #include "decision/engine_health.h"
 #include "decision/engine_load.h"
@@ -35,6 +36,7 @@
     double weight = 1; ///< Configured share of cold work, relative to others, the same on every host.
     double prefillTokensPerSecond = 10'000; ///< Speed at which it computes missed prompt tokens.
     std::uint32_t batchLimit = 64; ///< Requests it generates for at once.
+    double cacheTokens = 0; ///< Tokens that its memory holds; 0 while not known.
     bool isServing = true; ///< False: it is leaving or loading and gets no new work.
 };
 
@@ -50,6 +52,8 @@
 {
     std::span<const VersionedChain> chains; ///< One a version that may serve it; two while new weights are brought in.
     std::uint32_t promptTokens = 0;
+    std::uint32_t outputTokens = 0; ///< The most it may generate.
+    std::size_t sharedBlocks = prefixChainLimit; ///< Leading blocks that other prompts may have in common with it.
     std::span<const EngineIndex> excluded = {}; ///< Engines that have failed this request already.
 };
 
@@ -62,6 +66,7 @@
     double expectedFirstToken = 0; ///< Seconds from now, with the engine's slowness.
     double expectedWork = 0; ///< Seconds of prefill at the engine's usual speed.
     std::uint32_t workTokens = 0; ///< The same in prompt tokens of a short prompt.
+    std::uint32_t newTokens = 0; ///< Tokens that it adds to the engine's memory.
     double usualFirstToken = 0; ///< Seconds from now were the engine not slow; what its health is measured by.
     bool isProbe = false; ///< Sent to find out whether an ejected engine has recovered.
 };
@@ -75,6 +80,7 @@
 struct PlacementPolicy
 {
     std::size_t viewBlocks = 1'500'000; ///< Cached blocks in view; 34 MB.
+    std::uint32_t quietTokens = 0; ///< Requests that compute fewer tokens are not told to other hosts, which send as many.
     double attentionTokens = 0; ///< Context at which attention costs a prompt token as much as the weights do; 0: attention costs nothing.
     double hostCount = 1; ///< Hosts that decide likewise; the work seen here times this is the fleet's.
     double splitLoad = 0.3; ///< Engine-seconds a second that one engine is given of a hot prefix; see PrefixHeat.
@@ -130,7 +136,7 @@
 
     /// Notes that another host sent a request to the engine: what it has to compute in prompt tokens of a short prompt, and the blocks that it holds then.
     /// Without it hosts that see an engine idle at the same moment all send their long prompts there.
-    void onDispatchedElsewhere(EngineIndex engine, std::uint32_t workTokens, std::span<const BlockHash> blocks, TimePoint now);
+    void onDispatchedElsewhere(EngineIndex engine, std::uint32_t workTokens, std::uint32_t newTokens, std::span<const BlockHash> blocks, TimePoint now);
 
     /// Notes the first token; `cachedTokens` is the engine's own count where the answer gives one.
     void onFirstToken(DispatchId dispatch, std::optional<std::uint32_t> cachedTokens, TimePoint now);
@@ -174,6 +180,7 @@
         bool isServing = false;
         bool isOpen = true;
         EngineLoad load = {};
+        CacheBudget cache = {};
         std::deque<DispatchId> unanswered = {}; // In the order sent; those already answered are taken off when they come to the front.
     };
 
@@ -212,6 +219,7 @@
     std::optional<EngineIndex> takeIndex();
     void updateEngine(EngineIndex index, const EngineStatus &status);
     void removeEngine(EngineIndex index);
+    void noteSent(EngineIndex index, std::span<const BlockHash> shared, double newTokens);
     void setBacklog(Engine &engine, double backlog);
     double pressure() const;
     double workPrice(double margin) const;
@@ -243,6 +251,7 @@
     std::vector<std::uint32_t> freeDispatches_;
     double totalBacklog_ = 0; // Seconds, as of each engine's last report.
     std::uint64_t dispatchSerial_ = 0;
+    std::vector<BlockHash> droppedScratch_;
     std::vector<std::uint16_t> heldScratch_; // Blocks held by engine; all 0 between calls.
 };
 
--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -35,6 +35,7 @@
         status.isServing = engine.isServing;
         status.prefillTokensPerSecond = engine.prefillTokensPerSecond;
         status.batchLimit = engine.batchLimit;
+        status.cacheTokens = engine.cacheTokens;
         statuses.push_back(status);
         std::vector<Version> &versions = versions_[models_.idOf(engine.model)];
         if (std::none_of(versions.begin(), versions.end(), [&status](const Version &version) { return version.id == status.modelVersion; })) {
@@ -225,7 +226,11 @@
             failedScratch_.push_back(*index);
         }
     }
-    return {chainsOf(request), request.promptTokens, failedScratch_};
+    PlacementRequest placed{chainsOf(request), request.promptTokens};
+    placed.outputTokens = request.outputTokens;
+    placed.sharedBlocks = request.sharedBlocks;
+    placed.excluded = failedScratch_;
+    return placed;
 }
 
 SchedulerOutcome RequestScheduler::assign(const QueuedRequest &queued, TimePoint now, const Choice &choice)
@@ -240,8 +245,9 @@
     const DispatchId dispatch = placement_.onDispatched(placed, decision, now);
     Engine &engine = engines_[decision.engine];
     inFlight_[queued.id] = {dispatch, decision.engine, engine.serial, engine.window.start(missed, now)};
-    SchedulerAssignment assignment{queued.id, std::string(placement_.engineName(decision.engine)), decision.expectedCachedTokens, 0, {}, {}};
+    SchedulerAssignment assignment{queued.id, std::string(placement_.engineName(decision.engine)), decision.expectedCachedTokens, 0, 0, {}, {}};
     assignment.workTokens = decision.workTokens;
+    assignment.newTokens = decision.newTokens;
     for (const VersionedChain &chain : placed.chains) {
         if (chain.modelVersion == decision.modelVersion) {
             assignment.blocks.assign(chain.blocks.begin(), chain.blocks.end());
@@ -273,10 +279,10 @@
     return {id, std::move(reason), retryAfter};
 }
 
-void RequestScheduler::onDispatchedElsewhere(std::string_view engine, std::uint32_t workTokens, std::span<const BlockHash> blocks, TimePoint now)
+void RequestScheduler::onDispatchedElsewhere(std::string_view engine, std::uint32_t workTokens, std::uint32_t newTokens, std::span<const BlockHash> blocks, TimePoint now)
 {
     if (const auto index = placement_.findEngine(engine)) {
-        placement_.onDispatchedElsewhere(*index, workTokens, blocks, now);
+        placement_.onDispatchedElsewhere(*index, workTokens, newTokens, blocks, now);
     }
 }
 
--- a/decision/request_scheduler.h
+++ b/decision/request_scheduler.h
@@ -28,6 +28,7 @@
     std::uint64_t incarnation = 0; ///< 0 while not known.
     double prefillTokensPerSecond = 10'000; ///< Speed at which it computes prompts.
     std::uint32_t batchLimit = 64; ///< Requests it generates for at once.
+    double cacheTokens = 0; ///< Tokens that its memory holds; 0 while not known.
     bool isServing = true;
 };
 
@@ -43,6 +44,7 @@
     std::vector<BlockHash> blockDigests; ///< From digestBlocks.
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = 0;
+    std::size_t sharedBlocks = prefixChainLimit; ///< Leading blocks that other prompts may have in common with it.
     TimePoint deadline;
     std::vector<std::string> failedEngines; ///< Not empty for a retry.
     bool reachedTarget = true; ///< A retry whose earlier targets never got it adds no load and takes nothing from the budget.
@@ -58,6 +60,7 @@
     std::string engine;
     std::uint32_t expectedCachedTokens = 0;
     std::uint32_t workTokens = 0; ///< What the engine has to compute, in prompt tokens of a short prompt.
+    std::uint32_t newTokens = 0; ///< That it adds to the engine's memory.
     std::vector<BlockHash> blocks; ///< The prompt's chain for this engine's weights.
     std::string holder; ///< Another engine that is believed to hold more of the prompt; empty if there is none.
 };
@@ -119,7 +122,7 @@
     void drain();
 
     /// Another host sent a request to an engine.
-    void onDispatchedElsewhere(std::string_view engine, std::uint32_t workTokens, std::span<const BlockHash> blocks, TimePoint now);
+    void onDispatchedElsewhere(std::string_view engine, std::uint32_t workTokens, std::uint32_t newTokens, std::span<const BlockHash> blocks, TimePoint now);
 
     void onFirstToken(RequestId id, std::optional<std::uint32_t> cachedTokens, TimePoint now);
     void onEnded(RequestId id, SchedulerEnd end, TimePoint now);
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -42,6 +42,9 @@
 /// of width 4,096.
 constexpr double attentionTokens = 30'000;
 
+/// Requests that compute less than one cache block are not told to other hosts: they keep an engine busy for 11 ms at most.
+constexpr std::uint32_t quietTokens = prefixBlockTokens;
+
 /// Engines drawn at random for each request. While more than half of the engines compute long prompts, two draws find only such ones
 /// for three in ten short requests; six for one in thirty.
 constexpr std::size_t randomCandidates = 6;
@@ -51,6 +54,7 @@
     PlacementPolicy policy;
     policy.viewBlocks = viewBlocks;
     policy.attentionTokens = attentionTokens;
+    policy.quietTokens = quietTokens;
     policy.randomCandidates = randomCandidates;
     return policy;
 }
@@ -136,6 +140,12 @@
         return;
     }
     table_ = std::move(table);
+    std::map<std::string, double, std::less<>> cacheTokens;
+    for (const TargetService &service : table_->services) {
+        cacheTokens.emplace(service.name, static_cast<double>(service.cacheTokens));
+    }
+    directory_.setCacheTokens(std::move(cacheTokens));
+    refreshTargets();
     std::vector<TeamLimit> limits;
     for (const Team &team : table_->teams) {
         // Half of what a limit may be passed by; the other half is for hosts that start with part of a burst or are counted late.
@@ -401,17 +411,17 @@
 
 void Gateway::announceDispatch(const SchedulerAssignment &assignment, std::size_t sharedBlocks)
 {
-    if (assignment.workTokens < prefixBlockTokens) {
+    if (assignment.workTokens < quietTokens) {
         return;
     }
-    DispatchNotice notice{assignment.engine, assignment.workTokens, {}};
+    DispatchNotice notice{assignment.engine, assignment.workTokens, assignment.newTokens, {}};
     notice.blocks.assign(assignment.blocks.begin(), assignment.blocks.begin() + static_cast<std::ptrdiff_t>(std::min(sharedBlocks, assignment.blocks.size())));
     peers_.tellAll(notice);
 }
 
 void Gateway::onDispatchNotice(const DispatchNotice &notice)
 {
-    scheduler_.onDispatchedElsewhere(notice.engine, notice.missedTokens, notice.blocks, BootClock::now());
+    scheduler_.onDispatchedElsewhere(notice.engine, notice.workTokens, notice.newTokens, notice.blocks, BootClock::now());
 }
 
 void Gateway::onLoadingNotice(const LoadingNotice &notice)
--- a/gateway/peer_messages.capnp
+++ b/gateway/peer_messages.capnp
@@ -21,7 +21,8 @@
 struct Dispatch {
   # A request with a long prompt was sent to an engine.
   engine @0 :Text;
-  missedTokens @1 :UInt32; # That the engine has to compute.
+  workTokens @1 :UInt32; # What the engine has to compute, in prompt tokens of a short prompt.
+  newTokens @3 :UInt32; # That it adds to the engine's memory.
   blocks @2 :List(UInt64); # The chain of the prompt's shared blocks, which the engine then holds.
 }
 
--- a/gateway/peer_messages.capnp.h
+++ b/gateway/peer_messages.capnp.h
@@ -385,11 +385,13 @@
   inline bool hasEngine() const;
   inline  ::capnp::Text::Reader getEngine() const;
 
-  inline  ::uint32_t getMissedTokens() const;
+  inline  ::uint32_t getWorkTokens() const;
 
   inline bool hasBlocks() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getBlocks() const;
 
+  inline  ::uint32_t getNewTokens() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -425,8 +427,8 @@
   inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownEngine();
 
-  inline  ::uint32_t getMissedTokens();
-  inline void setMissedTokens( ::uint32_t value);
+  inline  ::uint32_t getWorkTokens();
+  inline void setWorkTokens( ::uint32_t value);
 
   inline bool hasBlocks();
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getBlocks();
@@ -436,6 +438,9 @@
   inline void adoptBlocks(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownBlocks();
 
+  inline  ::uint32_t getNewTokens();
+  inline void setNewTokens( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1657,16 +1662,16 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Dispatch::Reader::getMissedTokens() const {
+inline  ::uint32_t Dispatch::Reader::getWorkTokens() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Dispatch::Builder::getMissedTokens() {
+inline  ::uint32_t Dispatch::Builder::getWorkTokens() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Dispatch::Builder::setMissedTokens( ::uint32_t value) {
+inline void Dispatch::Builder::setWorkTokens( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
@@ -1709,6 +1714,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t Dispatch::Reader::getNewTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Dispatch::Builder::getNewTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Dispatch::Builder::setNewTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Loading::Reader::hasTarget() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -89,7 +89,8 @@
     capnp::MallocMessageBuilder message;
     auto dispatch = message.initRoot<Datagram>().initDispatch();
     dispatch.setEngine(notice.engine);
-    dispatch.setMissedTokens(notice.missedTokens);
+    dispatch.setWorkTokens(notice.workTokens);
+    dispatch.setNewTokens(notice.newTokens);
     const auto count = static_cast<unsigned>(std::min(notice.blocks.size(), mostBlocks));
     auto blocks = dispatch.initBlocks(count);
     for (unsigned i = 0; i < count; ++i) {
@@ -231,7 +232,7 @@
         switch (datagram.which()) {
         case Datagram::DISPATCH: {
             const auto dispatch = datagram.getDispatch();
-            DispatchNotice notice{dispatch.getEngine(), dispatch.getMissedTokens(), {}};
+            DispatchNotice notice{dispatch.getEngine(), dispatch.getWorkTokens(), dispatch.getNewTokens(), {}};
             for (const std::uint64_t block : dispatch.getBlocks()) {
                 notice.blocks.push_back(block);
             }
--- a/gateway/peer_socket.h
+++ b/gateway/peer_socket.h
@@ -30,7 +30,8 @@
 struct DispatchNotice
 {
     std::string engine; ///< As the scheduler names it.
-    std::uint32_t missedTokens = 0; ///< That the engine has to compute.
+    std::uint32_t workTokens = 0; ///< What the engine has to compute, in prompt tokens of a short prompt.
+    std::uint32_t newTokens = 0; ///< That it adds to the engine's memory.
     std::vector<std::uint64_t> blocks; ///< Chain of the prompt's shared blocks.
 };
 
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -228,6 +228,7 @@
     request.promptTokens = caller_.promptTokens.value_or(gateway_.plainWorkTokens());
     request.outputTokens = caller_.outputTokens;
     digestParts(caller_.parts, request.blockDigests);
+    request.sharedBlocks = sharedTokens() / prefixBlockTokens;
     request.deadline = limit_ - leastTimeForTry;
     request.failedEngines = failedTargets_;
     request.isResume = isAnswerStarted_;
--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -18,6 +18,9 @@
 /// For plain services the same figures describe calls: one counts as plainWorkTokens, of which a target does so many a second and slot.
 constexpr double plainTokensPerSecondAndSlot = 2'000;
 
+/// Part of an engine's memory that keeps prompts; running requests take the rest: two or three prompts of the eight that fit.
+constexpr double cachePart = 0.7;
+
 /// Work on older weights stops this part of the deadline early, so that what is sent then has arrived before it.
 constexpr int deadlineParts = 17;
 constexpr int wholeDeadline = 20;
@@ -67,6 +70,11 @@
     }
 }
 
+void TargetDirectory::setCacheTokens(std::map<std::string, double, std::less<>> tokens)
+{
+    cacheTokens_ = std::move(tokens);
+}
+
 const TargetMap &TargetDirectory::all() const
 {
     return *targets_;
@@ -204,6 +212,8 @@
     engine.incarnation = static_cast<std::uint64_t>(target.incarnation);
     engine.batchLimit = static_cast<std::uint32_t>(target.slots);
     engine.prefillTokensPerSecond = target.models.empty() ? plainTokensPerSecondAndSlot * static_cast<double>(target.slots) : assumedPrefillTokensPerSecond;
+    const auto cache = cacheTokens_.find(target.service);
+    engine.cacheTokens = cache != cacheTokens_.end() ? cache->second * cachePart : 0;
     const Correction *correction = correctionOf(target);
     const bool isAvoided = correction != nullptr && (correction->isReplaced || now < correction->avoidUntil);
     engine.isServing = !target.isLeaving && !isAvoided;
--- a/gateway/target_directory.h
+++ b/gateway/target_directory.h
@@ -27,6 +27,9 @@
     void setTargets(std::shared_ptr<const TargetMap> targets);
     void setNamedWeights(const NamedWeights &weights);
 
+    /// Tokens that one engine of each service holds.
+    void setCacheTokens(std::map<std::string, double, std::less<>> tokens);
+
     const TargetMap &all() const;
 
     /// The target behind a name that `engines` gave to the scheduler.
@@ -70,6 +73,7 @@
     std::set<std::string, std::less<>> modelServices_;
     std::map<std::string, std::vector<NamedWeights>, std::less<>> named_; ///< By model, newest last; each version has its own deadline.
     std::map<std::string, Correction, std::less<>> corrections_;
+    std::map<std::string, double, std::less<>> cacheTokens_; ///< By service.
 };
 
 } // namespace Lovageloft
