--- /dev/null
+++ b/tests/decision/test_load_of_long_prompts.cpp
@@ -0,0 +1,169 @@
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "decision/prompt_parts.h"
+#include "decision/request_scheduler.h"
+
+/// The load of a yearbook's desk and a quote platform, without a network: eight hosts before 18 engines, 25 long prompts a second (13,300
+/// tokens of 160 shared chapters and 3,700 of their own) among 175 short ones a second. The figures are those of the users' sheets; an
+/// engine computes 90,000 prompt tokens a second, one prompt after another.
+using namespace Lovageloft;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr TimePoint start{std::chrono::hours(1)};
+constexpr std::size_t hostCount = 8;
+constexpr std::size_t engineCount = 18;
+constexpr double tokensPerSecond = 90'000;
+
+struct Outcome
+{
+    int longLate = 0; ///< Long prompts that waited more than half a second for their engine.
+    int shortLate = 0; ///< Short ones that waited more than a fifth.
+    int total = 0;
+};
+
+/// Hosts with schedulers of their own; what an engine does is reckoned here, by the real order in which prompts reach it.
+class Fleet
+{
+public:
+    Fleet(bool tellsOthers, std::size_t randomCandidates)
+        : tellsOthers_(tellsOthers)
+    {
+        PlacementPolicy policy;
+        policy.viewBlocks = 65'536;
+        policy.quietTokens = prefixBlockTokens;
+        policy.randomCandidates = randomCandidates;
+        std::vector<SchedulerEngine> engines;
+        for (std::size_t i = 0; i < engineCount; ++i) {
+            engines.push_back({.name = "e" + std::to_string(i),
+                               .model = "m",
+                               .weightsVersion = "1",
+                               .incarnation = 1,
+                               .prefillTokensPerSecond = tokensPerSecond,
+                               .batchLimit = 16,
+                               .cacheTokens = 100'000});
+        }
+        for (std::size_t i = 0; i < hostCount; ++i) {
+            hosts_.push_back(std::make_unique<RequestScheduler>(QueueLimits{}, policy));
+            hosts_.back()->setEngines(engines);
+            hosts_.back()->setHostCount(hostCount);
+        }
+    }
+
+    Outcome play(double seconds)
+    {
+        for (int i = 0; i < static_cast<int>(seconds * 200); ++i) {
+            now_ += 5ms;
+            finishDue();
+            const bool isLong = i % 8 == 0;
+            send(randomBelow(random_, hostCount), isLong);
+        }
+        return outcome_;
+    }
+
+private:
+    struct Running
+    {
+        std::size_t host = 0;
+        RequestId id{};
+    };
+
+    void send(std::size_t host, bool isLong)
+    {
+        SchedulerRequest request;
+        request.id = RequestId{++lastId_};
+        request.team = "t" + std::to_string(randomBelow(random_, 5));
+        request.cacheSalt = request.team;
+        request.model = "m";
+        request.priority = isLong ? Priority::Normal : Priority::High;
+        request.outputTokens = 17;
+        request.promptTokens = isLong ? 17'000 : 383;
+        if (isLong) {
+            const std::vector<PromptPart> parts{{randomBelow(random_, 160), 13'300}, {1'000'000 + lastId_, 3'700}};
+            digestParts(parts, request.blockDigests);
+            request.sharedBlocks = 12;
+        }
+        request.deadline = now_ + 4s;
+        hosts_[host]->submit(request, now_);
+        for (const SchedulerOutcome &outcome : hosts_[host]->decide(now_, random_)) {
+            const auto *assignment = std::get_if<SchedulerAssignment>(&outcome);
+            if (assignment == nullptr) {
+                continue;
+            }
+            begin(host, *assignment, isLong);
+        }
+    }
+
+    void begin(std::size_t host, const SchedulerAssignment &assignment, bool isLong)
+    {
+        TimePoint &free = freeAt_[assignment.engine];
+        const Duration wait = std::max(free - now_, Duration::zero());
+        free = std::max(free, now_) + fromSeconds(std::max(assignment.workTokens, 100U) / tokensPerSecond);
+        running_.emplace(free, Running{host, assignment.id});
+        ++outcome_.total;
+        outcome_.longLate += isLong && wait > 500ms ? 1 : 0;
+        outcome_.shortLate += !isLong && wait > 200ms ? 1 : 0;
+        if (!tellsOthers_ || assignment.workTokens < prefixBlockTokens) {
+            return;
+        }
+        for (std::size_t other = 0; other < hostCount; ++other) {
+            if (other != host) {
+                const auto shared = std::span(assignment.blocks).first(std::min<std::size_t>(12, assignment.blocks.size()));
+                hosts_[other]->onDispatchedElsewhere(assignment.engine, assignment.workTokens, assignment.newTokens, shared, now_);
+            }
+        }
+    }
+
+    void finishDue()
+    {
+        while (!running_.empty() && running_.begin()->first <= now_) {
+            const Running done = running_.begin()->second;
+            running_.erase(running_.begin());
+            hosts_[done.host]->onFirstToken(done.id, std::nullopt, now_);
+            hosts_[done.host]->onEnded(done.id, SchedulerEnd::Finished, now_);
+        }
+    }
+
+    bool tellsOthers_;
+    std::vector<std::unique_ptr<RequestScheduler>> hosts_;
+    std::map<std::string, TimePoint> freeAt_;
+    std::multimap<TimePoint, Running> running_;
+    TimePoint now_ = start;
+    Random random_{11};
+    std::uint64_t lastId_ = 0;
+    Outcome outcome_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(LoadOfLongPromptsTest)
+
+BOOST_AUTO_TEST_CASE(hostsThatTellEachOtherOfLongPromptsKeepShortOnesFromWaiting)
+{
+    // Eight hosts see an engine idle at the same moment and all send it their long prompts; short questions that follow wait behind
+    // them and come late, though most engines idle.
+    const Outcome silent = Fleet(false, 2).play(60);
+    const Outcome told = Fleet(true, 2).play(60);
+    BOOST_TEST_MESSAGE("late of " << told.total << ": long " << silent.longLate << " -> " << told.longLate << ", short " << silent.shortLate << " -> "
+                                  << told.shortLate);
+    BOOST_TEST(told.shortLate * 2 < silent.shortLate);
+    BOOST_TEST(told.longLate <= silent.longLate);
+}
+
+BOOST_AUTO_TEST_CASE(moreDrawsFindAFreeEngine)
+{
+    const Outcome two = Fleet(true, 2).play(60);
+    const Outcome six = Fleet(true, 6).play(60);
+    BOOST_TEST_MESSAGE("short ones late of " << six.total << ": " << two.shortLate << " -> " << six.shortLate);
+    BOOST_TEST(six.shortLate <= two.shortLate);
+    BOOST_TEST(six.shortLate * 100 < six.total);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/test_store_records.cpp
+++ b/tests/platform/test_store_records.cpp
@@ -33,7 +33,7 @@
     R"({"service":"s","addr":"10.0.0.9:8080","slots":16,"state":"paused"})",
     R"({"service":"s","addr":"10.0.0.9:8080","slots":16,"state":1})",
     R"({"service":"s","addr":"10.0.0.9:8080","slots":16,"state":"ready","models":[{"name":"m","version":"3"}]})",
-    "\xff\xfe\x00",
+    "\xff\xfe\x01",
 };
 
 } // namespace
--- a/tests/stand_ins/scripted_target.cpp
+++ b/tests/stand_ins/scripted_target.cpp
@@ -15,7 +15,7 @@
 {
 
 constexpr std::size_t bufferBytes = 16'384;
-constexpr int pollMilliseconds = 20;
+constexpr Poco::Timespan::TimeDiff pollTime = 20'000; // Microseconds.
 
 /// Ports that tests listen on: the kernel gives outgoing connections none below 32,768, so nothing can take them in between.
 Poco::Net::ServerSocket listenBelowOutgoing()
@@ -51,8 +51,8 @@
     return {};
 }
 
-ScriptedTarget::Connection::Connection(Poco::Net::StreamSocket socket)
-    : socket_(std::move(socket))
+ScriptedTarget::Connection::Connection(const Poco::Net::StreamSocket &socket)
+    : socket_(socket)
 {
 }
 
@@ -159,7 +159,7 @@
 void ScriptedTarget::accept()
 {
     while (!isStopped_) {
-        if (listener_.poll(Poco::Timespan(pollMilliseconds * 1'000), Poco::Net::Socket::SELECT_READ)) {
+        if (listener_.poll(Poco::Timespan(pollTime), Poco::Net::Socket::SELECT_READ)) {
             ++connections_;
             workers_.emplace_back([this, socket = listener_.acceptConnection()] { serve(socket); });
         }
@@ -172,7 +172,7 @@
     std::string buffer;
     try {
         while (!isStopped_ && connection.isOpen_) {
-            if (buffer.empty() && !socket.poll(Poco::Timespan(pollMilliseconds * 1'000), Poco::Net::Socket::SELECT_READ)) {
+            if (buffer.empty() && !socket.poll(Poco::Timespan(pollTime), Poco::Net::Socket::SELECT_READ)) {
                 continue;
             }
             Request request;
--- a/tests/stand_ins/scripted_target.h
+++ b/tests/stand_ins/scripted_target.h
@@ -34,7 +34,7 @@
     class Connection
     {
     public:
-        explicit Connection(Poco::Net::StreamSocket socket);
+        explicit Connection(const Poco::Net::StreamSocket &socket);
 
         void send(std::string_view bytes);
 
