--- a/core/clock.h
+++ b/core/clock.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace Lovageloft
 {
@@ -30,6 +31,12 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+/// Whole milliseconds, for logs and messages.
+constexpr std::int64_t toMillis(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 /// A duration from seconds; negative and not-a-number become zero, and too large ones a hundred years.
 constexpr Duration fromSeconds(double seconds)
 {
--- a/gateway/cache_store_duty.cpp
+++ b/gateway/cache_store_duty.cpp
@@ -43,7 +43,7 @@
             stores = stores_;
         }
         for (const CacheStore &store : stores) {
-            gateway_.post([address = store.address, alive = isAlive(store.address)](Gateway &gateway) { gateway.announceCacheStore(address, alive); });
+            gateway_.post([address = store.address, alive = isAlive(store.address)](Gateway &gateway) { gateway.fleet().announceCacheStore(address, alive); });
         }
         pause(askPause);
     }
--- /dev/null
+++ b/gateway/fleet_link.cpp
@@ -0,0 +1,170 @@
+#include "gateway/fleet_link.h"
+
+#include <algorithm>
+
+#include "gateway/gateway.h"
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+/// Between two signs of life of a relay; see relaySilence in relayed_store.cpp.
+constexpr Duration alivePause = std::chrono::milliseconds(400);
+
+} // namespace
+
+FleetLink::FleetLink(Gateway &gateway, std::string hostName)
+    : gateway_(gateway)
+    , hostName_(std::move(hostName))
+    , peers_(gateway.loop(), *this)
+    , budget_(hostName_)
+    , tokenTimer_(gateway.loop())
+    , sendTokenRequest_([this](const std::string &host, const TokenRequest &request) { peers_.send(host, request); })
+{
+}
+
+bool FleetLink::open(const HostAddress &address, Reason &reason)
+{
+    return peers_.open(address, reason);
+}
+
+void FleetLink::close()
+{
+    peers_.close();
+}
+
+void FleetLink::setRelayedStore(RelayedStore &store)
+{
+    relayedStore_ = &store;
+    store.setNetwork(
+        {[this](const ChangesNotice &notice) { gateway_.post([this, notice](Gateway &) { peers_.tellAll(notice); }); },
+         [this](const std::string &host, const ProofRequest &request) { gateway_.post([this, host, request](Gateway &) { peers_.send(host, request); }); }});
+}
+
+void FleetLink::setHosts(const std::map<std::string, HostAddress> &hosts, double share)
+{
+    std::vector<std::string> names;
+    std::map<std::string, HostAddress> others;
+    for (const auto &[name, address] : hosts) {
+        names.push_back(name);
+        if (name != hostName_) {
+            others.emplace(name, address);
+        }
+    }
+    peers_.setPeers(others);
+    if (relayedStore_ != nullptr) {
+        relayedStore_->setHosts(names);
+    }
+    budget_.setHosts(names, share, BootClock::now());
+}
+
+void FleetLink::setLimits(std::span<const TeamLimit> limits)
+{
+    budget_.setLimits(limits, BootClock::now());
+}
+
+void FleetLink::takeTokens(std::string_view team, double tokens, TeamBudget::Answer answer)
+{
+    budget_.take(team, tokens, BootClock::now(), sendTokenRequest_, std::move(answer));
+    scheduleTokenTimeout();
+}
+
+void FleetLink::giveBackTokens(std::string_view team, double tokens)
+{
+    budget_.giveBack(team, tokens);
+}
+
+void FleetLink::announceLoading(const std::string &targetId, Duration time)
+{
+    gateway_.leaveAlone(targetId, time);
+    peers_.tellAll(LoadingNotice{targetId, time});
+}
+
+void FleetLink::announceCacheStore(const std::string &address, bool isAlive)
+{
+    gateway_.setCacheStoreAlive(address, isAlive);
+    peers_.tellAll(CacheStoreNotice{address, isAlive});
+}
+
+void FleetLink::sayAlive(TimePoint now)
+{
+    if (relayedStore_ != nullptr && relayedStore_->isRelay() && now >= nextAlive_) {
+        nextAlive_ = now + alivePause;
+        relayedStore_->sayAlive();
+    }
+}
+
+void FleetLink::announceDispatch(const SchedulerAssignment &assignment, std::size_t sharedBlocks)
+{
+    if (assignment.workTokens < quietTokens) {
+        return;
+    }
+    DispatchNotice notice{assignment.engine, assignment.workTokens, assignment.newTokens, {}};
+    notice.blocks.assign(assignment.blocks.begin(), assignment.blocks.begin() + static_cast<std::ptrdiff_t>(std::min(sharedBlocks, assignment.blocks.size())));
+    peers_.tellAll(notice);
+}
+
+void FleetLink::onDispatchNotice(const DispatchNotice &notice)
+{
+    gateway_.onDispatchedElsewhere(notice);
+}
+
+void FleetLink::onLoadingNotice(const LoadingNotice &notice)
+{
+    gateway_.leaveAlone(notice.target, notice.time);
+}
+
+void FleetLink::onTokenRequest(const std::string &host, const TokenRequest &request)
+{
+    peers_.send(host, budget_.onRequest(request, BootClock::now()));
+}
+
+void FleetLink::onTokenReply(const TokenReply &reply)
+{
+    budget_.onReply(reply, BootClock::now(), sendTokenRequest_);
+}
+
+void FleetLink::onChangesNotice(const ChangesNotice &notice)
+{
+    if (relayedStore_ != nullptr) {
+        relayedStore_->onNotice(notice);
+    }
+}
+
+void FleetLink::onProofRequest(const std::string &host, const ProofRequest &request)
+{
+    if (const auto table = gateway_.table()) {
+        peers_.send(host, ProofReply{request.id, table->revision, gateway_.proofAge(BootClock::now())});
+    }
+}
+
+void FleetLink::onProofReply(const ProofReply &reply)
+{
+    if (relayedStore_ != nullptr) {
+        relayedStore_->onProofReply(reply);
+    }
+}
+
+void FleetLink::onCacheStoreNotice(const CacheStoreNotice &notice)
+{
+    gateway_.setCacheStoreAlive(notice.address, notice.isAlive);
+}
+
+void FleetLink::scheduleTokenTimeout()
+{
+    const auto next = budget_.nextTimeout();
+    if (!next) {
+        return;
+    }
+    tokenTimer_.expires_after(std::max(*next - BootClock::now(), Duration::zero()));
+    tokenTimer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            budget_.onTick(BootClock::now(), sendTokenRequest_);
+            scheduleTokenTimeout();
+        }
+    });
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/gateway/fleet_link.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <map>
+#include <span>
+#include <string>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "decision/request_scheduler.h"
+#include "gateway/peer_socket.h"
+#include "gateway/relayed_store.h"
+#include "gateway/team_budget.h"
+
+namespace Lovageloft
+{
+
+class Gateway;
+
+/// Requests that compute less than one cache block are not told to other hosts: they keep an engine busy for 11 ms at most.
+inline constexpr std::uint32_t quietTokens = prefixBlockTokens;
+
+/// This host among the others: what it tells them and hears from them in datagrams, and the teams' rates that it keeps with them. For the
+/// event loop only.
+class FleetLink final : private PeerEvents
+{
+public:
+    FleetLink(Gateway &gateway, std::string hostName);
+
+    bool open(const HostAddress &address, Reason &reason);
+    void close();
+
+    /// The store whose notices and proofs go through this host's datagrams. To be called before the event loop runs.
+    void setRelayedStore(RelayedStore &store);
+
+    /// The hosts that count, with this one, where they take datagrams, and this host's part of what is divided evenly.
+    void setHosts(const std::map<std::string, HostAddress> &hosts, double share);
+
+    void setLimits(std::span<const TeamLimit> limits);
+
+    /// Takes tokens from a team's rate; `answer` is called at once or within some round trips.
+    void takeTokens(std::string_view team, double tokens, TeamBudget::Answer answer);
+    void giveBackTokens(std::string_view team, double tokens);
+
+    /// A long prompt was sent to an engine; short ones are not told.
+    void announceDispatch(const SchedulerAssignment &assignment, std::size_t sharedBlocks);
+
+    /// A target is about to load: it is left alone, here and on all other hosts.
+    void announceLoading(const std::string &targetId, Duration time);
+
+    /// Whether a cache store answers.
+    void announceCacheStore(const std::string &address, bool isAlive);
+
+    /// On a relay, now and then: that it lives.
+    void sayAlive(TimePoint now);
+
+private:
+    void onDispatchNotice(const DispatchNotice &notice) override;
+    void onLoadingNotice(const LoadingNotice &notice) override;
+    void onTokenRequest(const std::string &host, const TokenRequest &request) override;
+    void onTokenReply(const TokenReply &reply) override;
+    void onChangesNotice(const ChangesNotice &notice) override;
+    void onProofRequest(const std::string &host, const ProofRequest &request) override;
+    void onProofReply(const ProofReply &reply) override;
+    void onCacheStoreNotice(const CacheStoreNotice &notice) override;
+    void scheduleTokenTimeout();
+
+    Gateway &gateway_;
+    std::string hostName_;
+    PeerSocket peers_;
+    TeamBudget budget_;
+    boost::asio::steady_timer tokenTimer_;
+    TeamBudget::Send sendTokenRequest_;
+    RelayedStore *relayedStore_ = nullptr;
+    TimePoint nextAlive_;
+};
+
+} // namespace Lovageloft
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -28,8 +28,6 @@
 constexpr Duration configurationWait = std::chrono::milliseconds(40);
 
 constexpr Duration tickTime = std::chrono::milliseconds(250);
-/// Between two signs of life of a relay; see relaySilence in relayed_store.cpp.
-constexpr Duration alivePause = std::chrono::milliseconds(400);
 constexpr Duration drainTick = std::chrono::milliseconds(50);
 
 /// The scheduler's view of caches: 18 engines of 150,000 tokens hold 2,600 blocks, 1,000 engines 150,000; 22 bytes each.
@@ -42,9 +40,6 @@
 /// of width 4,096.
 constexpr double attentionTokens = 30'000;
 
-/// Requests that compute less than one cache block are not told to other hosts: they keep an engine busy for 11 ms at most.
-constexpr std::uint32_t quietTokens = prefixBlockTokens;
-
 /// Engines drawn at random for each request. While more than half of the engines compute long prompts, two draws find only such ones
 /// for three in ten short requests; six for one in thirty.
 constexpr std::size_t randomCandidates = 6;
@@ -82,10 +77,7 @@
     , status_(loop_, [this](std::string_view path) { return statusOf(path); })
     , directory_(options.weightsDeadline)
     , pool_(loop_, targetProtocol)
-    , peers_(loop_, *this)
-    , budget_(options.hostName)
-    , tokenTimer_(loop_)
-    , sendTokenRequest_([this](const std::string &host, const TokenRequest &request) { peers_.send(host, request); })
+    , fleet_(*this, options.hostName)
     , scheduler_(queueLimits(), placementPolicy())
     , random_(std::random_device{}())
     , waitingTimer_(loop_)
@@ -94,17 +86,9 @@
 
 Gateway::~Gateway() = default;
 
-void Gateway::setRelayedStore(RelayedStore &store)
-{
-    relayedStore_ = &store;
-    store.setNetwork(
-        {[this](const ChangesNotice &notice) { post([notice](Gateway &gateway) { gateway.peers_.tellAll(notice); }); },
-         [this](const std::string &host, const ProofRequest &request) { post([host, request](Gateway &gateway) { gateway.peers_.send(host, request); }); }});
-}
-
 bool Gateway::open(Reason &reason)
 {
-    if (!openListener(acceptor_, options_.callers, reason) || !status_.open(options_.readiness, reason) || !peers_.open(options_.peers, reason)) {
+    if (!openListener(acceptor_, options_.callers, reason) || !status_.open(options_.readiness, reason) || !fleet_.open(options_.peers, reason)) {
         return false;
     }
     isAccepting_ = true;
@@ -153,7 +137,7 @@
         const double over = 1 + options_.quotaOver / 2;
         limits.push_back({team.name, team.rate * over, team.burst * over + options_.quotaSlack / 2});
     }
-    budget_.setLimits(limits, BootClock::now());
+    fleet_.setLimits(limits);
     writeLog(LogLevel::Info,
              "configuration_in_force",
              {{"version", table_->version},
@@ -193,28 +177,15 @@
 
 void Gateway::setHosts(const std::map<std::string, HostAddress> &hosts, double share)
 {
-    std::vector<std::string> names;
-    std::map<std::string, HostAddress> others;
-    for (const auto &[name, address] : hosts) {
-        names.push_back(name);
-        if (name != options_.hostName) {
-            others.emplace(name, address);
-        }
-    }
-    peers_.setPeers(others);
-    if (relayedStore_ != nullptr) {
-        relayedStore_->setHosts(names);
-    }
-    budget_.setHosts(names, share, BootClock::now());
+    fleet_.setHosts(hosts, share);
     const std::size_t count = std::max<std::size_t>(hosts.size(), 1);
     scheduler_.setHostCount(count);
     scheduler_.setRetryLimits({options_.retries.ratio * retryPart, options_.retries.slack * retryPart / static_cast<double>(count)});
 }
 
-void Gateway::announceLoading(const std::string &targetId, Duration time)
+FleetLink &Gateway::fleet()
 {
-    onLoadingNotice({targetId, time});
-    peers_.tellAll(LoadingNotice{targetId, time});
+    return fleet_;
 }
 
 void Gateway::drain()
@@ -254,20 +225,14 @@
     return directory_;
 }
 
-TargetPool &Gateway::pool()
+const TargetDirectory &Gateway::targets() const
 {
-    return pool_;
-}
-
-void Gateway::takeTokens(std::string_view team, double tokens, TeamBudget::Answer answer)
-{
-    budget_.take(team, tokens, BootClock::now(), sendTokenRequest_, std::move(answer));
-    scheduleTokenTimeout();
+    return directory_;
 }
 
-void Gateway::giveBackTokens(std::string_view team, double tokens)
+TargetPool &Gateway::pool()
 {
-    budget_.giveBack(team, tokens);
+    return pool_;
 }
 
 CallerLimits Gateway::callerLimits() const
@@ -341,12 +306,6 @@
     }
 }
 
-void Gateway::announceCacheStore(const std::string &address, bool isAlive)
-{
-    setCacheStoreAlive(address, isAlive);
-    peers_.tellAll(CacheStoreNotice{address, isAlive});
-}
-
 std::uint32_t Gateway::plainWorkTokens() const
 {
     return 100;
@@ -409,78 +368,17 @@
     scheduleDecide();
 }
 
-void Gateway::announceDispatch(const SchedulerAssignment &assignment, std::size_t sharedBlocks)
-{
-    if (assignment.workTokens < quietTokens) {
-        return;
-    }
-    DispatchNotice notice{assignment.engine, assignment.workTokens, assignment.newTokens, {}};
-    notice.blocks.assign(assignment.blocks.begin(), assignment.blocks.begin() + static_cast<std::ptrdiff_t>(std::min(sharedBlocks, assignment.blocks.size())));
-    peers_.tellAll(notice);
-}
-
-void Gateway::onDispatchNotice(const DispatchNotice &notice)
+void Gateway::onDispatchedElsewhere(const DispatchNotice &notice)
 {
     scheduler_.onDispatchedElsewhere(notice.engine, notice.workTokens, notice.newTokens, notice.blocks, BootClock::now());
 }
 
-void Gateway::onLoadingNotice(const LoadingNotice &notice)
+void Gateway::leaveAlone(std::string_view targetId, Duration time)
 {
-    directory_.avoid(notice.target, BootClock::now() + notice.time);
+    directory_.avoid(targetId, BootClock::now() + time);
     refreshTargets();
 }
 
-void Gateway::onTokenRequest(const std::string &host, const TokenRequest &request)
-{
-    peers_.send(host, budget_.onRequest(request, BootClock::now()));
-}
-
-void Gateway::onTokenReply(const TokenReply &reply)
-{
-    budget_.onReply(reply, BootClock::now(), sendTokenRequest_);
-}
-
-void Gateway::onChangesNotice(const ChangesNotice &notice)
-{
-    if (relayedStore_ != nullptr) {
-        relayedStore_->onNotice(notice);
-    }
-}
-
-void Gateway::onProofRequest(const std::string &host, const ProofRequest &request)
-{
-    if (table_ != nullptr) {
-        peers_.send(host, ProofReply{request.id, table_->revision, proofAge(BootClock::now())});
-    }
-}
-
-void Gateway::onProofReply(const ProofReply &reply)
-{
-    if (relayedStore_ != nullptr) {
-        relayedStore_->onProofReply(reply);
-    }
-}
-
-void Gateway::onCacheStoreNotice(const CacheStoreNotice &notice)
-{
-    setCacheStoreAlive(notice.address, notice.isAlive);
-}
-
-void Gateway::scheduleTokenTimeout()
-{
-    const auto next = budget_.nextTimeout();
-    if (!next) {
-        return;
-    }
-    tokenTimer_.expires_after(std::max(*next - BootClock::now(), Duration::zero()));
-    tokenTimer_.async_wait([this](const boost::system::error_code &error) {
-        if (!error) {
-            budget_.onTick(BootClock::now(), sendTokenRequest_);
-            scheduleTokenTimeout();
-        }
-    });
-}
-
 void Gateway::onDispatchEnded(RequestId id, SchedulerEnd end)
 {
     scheduler_.onEnded(id, end, BootClock::now());
@@ -605,10 +503,7 @@
 {
     const TimePoint now = BootClock::now();
     pool_.closeStale(now);
-    if (relayedStore_ != nullptr && relayedStore_->isRelay() && now >= nextAlive_) {
-        nextAlive_ = now + alivePause;
-        relayedStore_->sayAlive();
-    }
+    fleet_.sayAlive(now);
     if (directory_.nextChange(now - tickTime).value_or(now + tickTime) <= now) {
         refreshTargets();
     }
@@ -648,7 +543,7 @@
     if (isEmpty || elapsed >= options_.drainLimit) {
         writeLog(LogLevel::Info, "drain_ended", {{"empty", isEmpty}, {"requests", static_cast<std::int64_t>(requests_.size())}});
         status_.close();
-        peers_.close();
+        fleet_.close();
         loop_.stop();
         return;
     }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -13,14 +13,12 @@
 #include "core/metrics.h"
 #include "core/random.h"
 #include "decision/request_scheduler.h"
-#include "gateway/peer_socket.h"
+#include "gateway/fleet_link.h"
 #include "gateway/protocol.h"
-#include "gateway/relayed_store.h"
 #include "gateway/routing_table.h"
 #include "gateway/status_server.h"
 #include "gateway/target_directory.h"
 #include "gateway/target_pool.h"
-#include "gateway/team_budget.h"
 
 namespace Lovageloft
 {
@@ -47,17 +45,14 @@
 
 /// The event-driven pipeline: one thread and one event loop own all sockets of callers and targets, the scheduler, and what this
 /// host believes. Other duties hand over what they learn with `post`.
-class Gateway final : private PeerEvents
+class Gateway
 {
 public:
     Gateway(const GatewayOptions &options, const CallerProtocol &callerProtocol, const TargetProtocol &targetProtocol, Metrics &metrics);
-    ~Gateway() override;
+    ~Gateway();
     Gateway(const Gateway &) = delete;
     Gateway &operator=(const Gateway &) = delete;
 
-    /// The store whose notices and proofs go through this host's datagrams. To be called before `run`.
-    void setRelayedStore(RelayedStore &store);
-
     /// Opens the ports; false if one is taken.
     bool open(Reason &reason);
 
@@ -84,9 +79,6 @@
     /// The hosts that count, with this one, where they take datagrams, and this host's part of what is divided evenly.
     void setHosts(const std::map<std::string, HostAddress> &hosts, double share);
 
-    /// A target is about to load: it is left alone, here and on all other hosts.
-    void announceLoading(const std::string &targetId, Duration time);
-
     /// Begins a graceful shutdown.
     void drain();
 
@@ -97,11 +89,10 @@
     const TargetProtocol &targetProtocol() const;
     std::shared_ptr<const RoutingTable> table() const;
     TargetDirectory &targets();
+    const TargetDirectory &targets() const;
     TargetPool &pool();
 
-    /// Takes tokens from a team's rate; `answer` is called at once or within some round trips.
-    void takeTokens(std::string_view team, double tokens, TeamBudget::Answer answer);
-    void giveBackTokens(std::string_view team, double tokens);
+    FleetLink &fleet();
     CallerLimits callerLimits() const;
     bool isDraining() const;
 
@@ -123,9 +114,6 @@
     /// A cache store answers, or has stopped to: a dead one would cost each request some hundred milliseconds.
     void setCacheStoreAlive(const std::string &address, bool isAlive);
 
-    /// The same, and tells the other hosts.
-    void announceCacheStore(const std::string &address, bool isAlive);
-
     /// What a call to a plain service counts as in the scheduler's units.
     std::uint32_t plainWorkTokens() const;
 
@@ -140,8 +128,12 @@
     void cancelQueued(RequestId id);
     void onFirstToken(RequestId id);
 
-    /// Tells the other hosts of a long prompt.
-    void announceDispatch(const SchedulerAssignment &assignment, std::size_t sharedBlocks);
+    /// Another host sent a long prompt to an engine.
+    void onDispatchedElsewhere(const DispatchNotice &notice);
+
+    /// A target is about to load and declines requests meanwhile.
+    void leaveAlone(std::string_view targetId, Duration time);
+
     void onDispatchEnded(RequestId id, SchedulerEnd end);
     void onTargetLoad(std::string_view engineName, const TargetLoad &load);
 
@@ -158,16 +150,6 @@
     void onSessionEnded(const std::shared_ptr<CallerSession> &session);
 
 private:
-    void onDispatchNotice(const DispatchNotice &notice) override;
-    void onLoadingNotice(const LoadingNotice &notice) override;
-    void onTokenRequest(const std::string &host, const TokenRequest &request) override;
-    void onTokenReply(const TokenReply &reply) override;
-    void onChangesNotice(const ChangesNotice &notice) override;
-    void onProofRequest(const std::string &host, const ProofRequest &request) override;
-    void onProofReply(const ProofReply &reply) override;
-    void onCacheStoreNotice(const CacheStoreNotice &notice) override;
-    void scheduleTokenTimeout();
-
     void accept();
     void decide();
     void scheduleDecide();
@@ -191,12 +173,7 @@
     TimePoint provenAt_;
     TargetDirectory directory_;
     TargetPool pool_;
-    PeerSocket peers_;
-    TeamBudget budget_;
-    RelayedStore *relayedStore_ = nullptr;
-    TimePoint nextAlive_;
-    boost::asio::steady_timer tokenTimer_;
-    TeamBudget::Send sendTokenRequest_;
+    FleetLink fleet_;
     RequestScheduler scheduler_;
     Random random_;
     std::unordered_map<RequestId, std::shared_ptr<RoutedRequest>> requests_; ///< Queued or at a target.
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -104,7 +104,7 @@
     capnp::MallocMessageBuilder message;
     auto loading = message.initRoot<Datagram>().initLoading();
     loading.setTarget(notice.target);
-    loading.setMilliseconds(static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(notice.time).count()));
+    loading.setMilliseconds(static_cast<std::uint32_t>(toMillis(notice.time)));
     broadcast(message);
 }
 
@@ -124,7 +124,7 @@
     auto encoded = message.initRoot<Datagram>().initTokenReply();
     encoded.setId(reply.id);
     encoded.setIsGranted(reply.isGranted);
-    encoded.setRetryAfterMilliseconds(static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(reply.retryAfter).count()));
+    encoded.setRetryAfterMilliseconds(static_cast<std::uint32_t>(toMillis(reply.retryAfter)));
     sendTo(host, message);
 }
 
--- a/gateway/relayed_store.cpp
+++ b/gateway/relayed_store.cpp
@@ -241,9 +241,7 @@
         followed.isSilent = isSilent;
         writeLog(LogLevel::Info,
                  isSilent ? "relays_silent" : "relays_heard",
-                 {{"prefix", prefix},
-                  {"reached", followed.reached},
-                  {"silent_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - followed.heardAt).count()}});
+                 {{"prefix", prefix}, {"reached", followed.reached}, {"silent_ms", toMillis(now - followed.heardAt)}});
     }
     return !isSilent;
 }
--- /dev/null
+++ b/gateway/request_intake.cpp
@@ -0,0 +1,189 @@
+#include "gateway/request_intake.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "gateway/gateway.h"
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+Priority priorityClass(int priority)
+{
+    constexpr std::array<Priority, 3> classes{Priority::High, Priority::Normal, Priority::Low};
+    return classes.at(static_cast<std::size_t>(std::clamp(priority, 0, 2)));
+}
+
+} // namespace
+
+RequestIntake::RequestIntake(const Gateway &gateway, const HttpHead &head)
+    : gateway_(gateway)
+    , head_(head)
+{
+}
+
+bool RequestIntake::run(Reason &reason)
+{
+    return std::all_of(filters().begin(), filters().end(), [&](Filter filter) { return (this->*filter)(reason); });
+}
+
+bool RequestIntake::checkAgain(Reason &reason)
+{
+    const auto newest = gateway_.table();
+    if (newest == table_ && (team_ == nullptr || gateway_.isKeyProofValid(BootClock::now()))) {
+        return true;
+    }
+    route_ = nullptr;
+    team_ = nullptr;
+    table_ = newest;
+    const std::string oldService = service_;
+    if (!findRoute(reason) || !authenticate(reason)) {
+        return false;
+    }
+    const bool isSameService =
+        std::any_of(route_->split.begin(), route_->split.end(), [&](const TrafficShare &share) { return share.service == oldService && share.weight > 0; });
+    if (isSameService) {
+        service_ = oldService;
+    } else {
+        reason = {ResultCode::NoTarget, "the route has moved to another service"};
+    }
+    return isSameService;
+}
+
+const CallerRequest &RequestIntake::caller() const
+{
+    return caller_;
+}
+
+std::int64_t RequestIntake::configurationVersion() const
+{
+    return table_ != nullptr ? table_->version : 0;
+}
+
+const Route *RequestIntake::route() const
+{
+    return route_;
+}
+
+const std::string &RequestIntake::service() const
+{
+    return service_;
+}
+
+const std::string &RequestIntake::teamName() const
+{
+    return teamName_;
+}
+
+int RequestIntake::priority() const
+{
+    return team_ != nullptr && team_->priority ? *team_->priority : route_->priority;
+}
+
+std::string RequestIntake::cacheScope() const
+{
+    return team_ != nullptr && team_->isIsolated ? team_->name : std::string();
+}
+
+double RequestIntake::chargedTokens() const
+{
+    return caller_.promptTokens ? static_cast<double>(*caller_.promptTokens) + caller_.outputTokens : team_->plainTokens;
+}
+
+std::uint32_t RequestIntake::sharedTokens() const
+{
+    std::uint32_t tokens = 0;
+    for (std::size_t i = 0; i + 1 < caller_.parts.size(); ++i) {
+        tokens += caller_.parts[i].tokens;
+    }
+    return tokens;
+}
+
+SchedulerRequest RequestIntake::schedulerRequest() const
+{
+    SchedulerRequest request;
+    request.team = teamName_;
+    request.keyId = teamName_;
+    request.cacheSalt = cacheScope();
+    request.model = gateway_.targets().schedulerModel(service_, caller_.model);
+    request.priority = priorityClass(priority());
+    request.promptTokens = caller_.promptTokens.value_or(gateway_.plainWorkTokens());
+    request.outputTokens = caller_.outputTokens;
+    digestParts(caller_.parts, request.blockDigests);
+    request.sharedBlocks = sharedTokens() / prefixBlockTokens;
+    return request;
+}
+
+std::span<const RequestIntake::Filter> RequestIntake::filters()
+{
+    static constexpr std::array<Filter, 4> table{
+        &RequestIntake::readHead,
+        &RequestIntake::checkConfigured,
+        &RequestIntake::findRoute,
+        &RequestIntake::authenticate,
+    };
+    return table;
+}
+
+bool RequestIntake::readHead(Reason &reason)
+{
+    auto caller = gateway_.callerProtocol().read(head_, reason);
+    if (!caller) {
+        return false;
+    }
+    caller_ = std::move(*caller);
+    return true;
+}
+
+bool RequestIntake::checkConfigured(Reason &reason)
+{
+    table_ = gateway_.table();
+    if (table_ == nullptr) {
+        reason = {ResultCode::NotFresh, "no configuration has been read yet"};
+        return false;
+    }
+    return true;
+}
+
+bool RequestIntake::findRoute(Reason &reason)
+{
+    route_ = table_->findRoute(head_.find("Host"), head_.path);
+    if (route_ != nullptr) {
+        service_ = gateway_.chooseService(*route_, caller_.id);
+        return true;
+    }
+    reason = {ResultCode::UnknownPath, "no route has this host and path"};
+    if (!gateway_.isCurrent(BootClock::now())) {
+        // The route may be newer than what this host knows, and a caller does not try again after "not found".
+        reason = {ResultCode::NotFresh, "the configuration is too old to say that there is no such route"};
+    }
+    return false;
+}
+
+bool RequestIntake::authenticate(Reason &reason)
+{
+    team_ = nullptr;
+    if (route_->isPublic || table_->teams.empty()) {
+        return true;
+    }
+    if (!gateway_.isKeyProofValid(BootClock::now())) {
+        reason = {ResultCode::NotFresh, "no recent proof that the key has not been withdrawn"};
+        return false;
+    }
+    team_ = table_->findTeam(caller_.key);
+    if (team_ != nullptr) {
+        teamName_ = team_->name;
+        return true;
+    }
+    reason = {caller_.key.empty() ? ResultCode::MissingKey : ResultCode::UnknownKey, "no team has this key"};
+    if (!gateway_.isCurrent(BootClock::now())) {
+        reason = {ResultCode::NotFresh, "the configuration is too old to say that the key is unknown"};
+    }
+    return false;
+}
+
+} // namespace Lovageloft
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -43,17 +43,6 @@
 constexpr int statusOk = 200;
 constexpr int firstErrorStatus = 500;
 
-std::int64_t toMillis(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
-Priority priorityClass(int priority)
-{
-    constexpr std::array<Priority, 3> classes{Priority::High, Priority::Normal, Priority::Low};
-    return classes.at(static_cast<std::size_t>(std::clamp(priority, 0, 2)));
-}
-
 } // namespace
 
 RoutedRequest::RoutedRequest(Gateway &gateway, std::shared_ptr<CallerSession> session, HttpHead &&head, std::string &&body)
@@ -61,6 +50,7 @@
     , session_(std::move(session))
     , head_(std::move(head))
     , body_(std::move(body))
+    , intake_(gateway, head_)
     , startedAt_(BootClock::now())
     , timer_(gateway.loop())
 {
@@ -82,34 +72,32 @@
         return; // The caller left while it waited.
     }
     Reason reason;
-    for (const Filter filter : filters()) {
-        if (!(this->*filter)(reason)) {
-            fail(reason);
-            return;
-        }
+    if (!intake_.run(reason)) {
+        fail(reason);
+        return;
     }
-    limit_ = startedAt_ + route_->timeout;
-    if (caller_.patience) {
-        limit_ = std::min(limit_, startedAt_ + *caller_.patience);
+    limit_ = startedAt_ + intake_.route()->timeout;
+    if (intake_.caller().patience) {
+        limit_ = std::min(limit_, startedAt_ + *intake_.caller().patience);
     }
     charge();
 }
 
 void RoutedRequest::charge()
 {
-    if (team_ == nullptr) {
+    if (intake_.teamName().empty()) {
         admit();
         return;
     }
-    const double tokens = caller_.promptTokens ? static_cast<double>(*caller_.promptTokens) + caller_.outputTokens : team_->plainTokens;
-    gateway_.takeTokens(team_->name, tokens, [self = shared_from_this(), tokens](const TokenDecision &decision) {
+    const double tokens = intake_.chargedTokens();
+    gateway_.fleet().takeTokens(intake_.teamName(), tokens, [self = shared_from_this(), tokens](const TokenDecision &decision) {
         if (!decision.isGranted) {
             self->fail({ResultCode::OverRate, "team is over its rate"}, decision.retryAfter);
             return;
         }
         self->charged_ = tokens;
         if (self->phase_ == Phase::Done) {
-            self->gateway_.giveBackTokens(self->team_->name, tokens);
+            self->gateway_.fleet().giveBackTokens(self->intake_.teamName(), tokens);
             return;
         }
         self->admit();
@@ -122,95 +110,6 @@
     enqueue();
 }
 
-std::span<const RoutedRequest::Filter> RoutedRequest::filters()
-{
-    static constexpr std::array<Filter, 4> table{
-        &RoutedRequest::readHead,
-        &RoutedRequest::checkConfigured,
-        &RoutedRequest::findRoute,
-        &RoutedRequest::authenticate,
-    };
-    return table;
-}
-
-bool RoutedRequest::readHead(Reason &reason)
-{
-    auto caller = gateway_.callerProtocol().read(head_, reason);
-    if (!caller) {
-        return false;
-    }
-    caller_ = std::move(*caller);
-    return true;
-}
-
-bool RoutedRequest::checkConfigured(Reason &reason)
-{
-    table_ = gateway_.table();
-    if (table_ == nullptr) {
-        reason = {ResultCode::NotFresh, "no configuration has been read yet"};
-        return false;
-    }
-    return true;
-}
-
-bool RoutedRequest::findRoute(Reason &reason)
-{
-    route_ = table_->findRoute(head_.find("Host"), head_.path);
-    if (route_ != nullptr) {
-        service_ = gateway_.chooseService(*route_, caller_.id);
-        return true;
-    }
-    reason = {ResultCode::UnknownPath, "no route has this host and path"};
-    if (!gateway_.isCurrent(BootClock::now())) {
-        // The route may be newer than what this host knows, and a caller does not try again after "not found".
-        reason = {ResultCode::NotFresh, "the configuration is too old to say that there is no such route"};
-    }
-    return false;
-}
-
-bool RoutedRequest::authenticate(Reason &reason)
-{
-    team_ = nullptr;
-    if (route_->isPublic || table_->teams.empty()) {
-        return true;
-    }
-    if (!gateway_.isKeyProofValid(BootClock::now())) {
-        reason = {ResultCode::NotFresh, "no recent proof that the key has not been withdrawn"};
-        return false;
-    }
-    team_ = table_->findTeam(caller_.key);
-    if (team_ != nullptr) {
-        return true;
-    }
-    reason = {caller_.key.empty() ? ResultCode::MissingKey : ResultCode::UnknownKey, "no team has this key"};
-    if (!gateway_.isCurrent(BootClock::now())) {
-        reason = {ResultCode::NotFresh, "the configuration is too old to say that the key is unknown"};
-    }
-    return false;
-}
-
-/// The configuration may have changed while the request waited: a withdrawn key or a moved route must not be used.
-bool RoutedRequest::isStillAllowed(Reason &reason)
-{
-    const auto newest = gateway_.table();
-    if (newest == table_ && (team_ == nullptr || gateway_.isKeyProofValid(BootClock::now()))) {
-        return true;
-    }
-    const auto old = std::exchange(table_, newest); // Keeps the route that is looked at until another is found.
-    const std::string oldService = service_;
-    if (!findRoute(reason) || !authenticate(reason)) {
-        return false;
-    }
-    const bool isSameService =
-        std::any_of(route_->split.begin(), route_->split.end(), [&](const TrafficShare &share) { return share.service == oldService && share.weight > 0; });
-    if (isSameService) {
-        service_ = oldService;
-    } else {
-        reason = {ResultCode::NoTarget, "the route has moved to another service"};
-    }
-    return isSameService;
-}
-
 void RoutedRequest::enqueue()
 {
     phase_ = Phase::Queued;
@@ -219,16 +118,7 @@
 
 SchedulerRequest RoutedRequest::schedulerRequest() const
 {
-    SchedulerRequest request;
-    request.team = team_ != nullptr ? team_->name : std::string();
-    request.keyId = request.team;
-    request.cacheSalt = team_ != nullptr && team_->isIsolated ? team_->name : std::string();
-    request.model = gateway_.targets().schedulerModel(service_, caller_.model);
-    request.priority = priorityClass(team_ != nullptr && team_->priority ? *team_->priority : route_->priority);
-    request.promptTokens = caller_.promptTokens.value_or(gateway_.plainWorkTokens());
-    request.outputTokens = caller_.outputTokens;
-    digestParts(caller_.parts, request.blockDigests);
-    request.sharedBlocks = sharedTokens() / prefixBlockTokens;
+    SchedulerRequest request = intake_.schedulerRequest();
     request.deadline = limit_ - leastTimeForTry;
     request.failedEngines = failedTargets_;
     request.isResume = isAnswerStarted_;
@@ -243,7 +133,7 @@
     expectedCached_ = assignment.expectedCachedTokens;
     holder_ = assignment.holder;
     Reason reason;
-    if (!isStillAllowed(reason)) {
+    if (!intake_.checkAgain(reason)) {
         endDispatch(SchedulerEnd::Cancelled);
         fail(reason);
         return;
@@ -254,7 +144,7 @@
         tryElsewhere();
         return;
     }
-    gateway_.announceDispatch(assignment, sharedTokens() / prefixBlockTokens);
+    gateway_.fleet().announceDispatch(assignment, intake_.sharedTokens() / prefixBlockTokens);
     send(*target);
 }
 
@@ -287,21 +177,21 @@
     const TargetRequest request = targetRequest(target, salt, fetchFrom);
     std::string bytes = gateway_.targetProtocol().writeHead(head_, request, body_.size());
     bytes.append(body_);
-    connection_ = gateway_.pool().take(target, route_->isIdempotent(), now);
+    connection_ = gateway_.pool().take(target, intake_.route()->isIdempotent(), now);
     writeLog(LogLevel::Info,
              "request_sent",
-             {{"request", caller_.id},
+             {{"request", intake_.caller().id},
               {"target", target.id},
-              {"service", service_},
+              {"service", intake_.service()},
               {"send", std::int64_t{sends_}},
               {"waited_ms", toMillis(now - startedAt_)},
               {"weights", request.weightsVersion},
               {"cached", std::int64_t{expectedCached_}},
-              {"shared", std::int64_t{sharedTokens()}},
+              {"shared", std::int64_t{intake_.sharedTokens()}},
               {"fetch", request.fetchFrom},
               {"reused", connection_->isUsed()},
-              {"configuration", table_->version}});
-    connection_->start(std::move(bytes), caller_.id, head_.method != "HEAD", *this);
+              {"configuration", intake_.configurationVersion()}});
+    connection_->start(std::move(bytes), intake_.caller().id, head_.method != "HEAD", *this);
     armTimer();
 }
 
@@ -309,26 +199,25 @@
 {
     TargetRequest request;
     request.targetId = target.id;
-    request.team = team_ != nullptr ? std::string_view(team_->name) : std::string_view();
+    request.team = intake_.teamName();
     request.timeLeft = timeLeft(BootClock::now());
-    request.lastEventId = events_.lastId().empty() ? std::string_view(caller_.lastEventId) : std::string_view(events_.lastId());
-    request.isForEngine = !caller_.model.empty() && !target.models.empty();
+    request.lastEventId = events_.lastId().empty() ? std::string_view(intake_.caller().lastEventId) : std::string_view(events_.lastId());
+    request.isForEngine = !intake_.caller().model.empty() && !target.models.empty();
     if (request.isForEngine) {
-        request.weightsVersion = gateway_.targets().weightsOf(target, caller_.model);
+        request.weightsVersion = gateway_.targets().weightsOf(target, intake_.caller().model);
         // What older weights computed must not be found by newer ones, nor one isolated team's by another.
-        salt = std::to_string(request.weightsVersion) + '/' + (team_ != nullptr && team_->isIsolated ? team_->name : std::string());
+        salt = std::to_string(request.weightsVersion) + '/' + intake_.cacheScope();
         request.cacheSalt = salt;
-        if (sharedTokens() >= prefixBlockTokens) {
+        if (intake_.sharedTokens() >= prefixBlockTokens) {
             const std::string_view store = gateway_.cacheStoreFor(target);
-            const bool isCold = expectedCached_ + prefixBlockTokens < sharedTokens();
+            const bool isCold = expectedCached_ + prefixBlockTokens < intake_.sharedTokens();
             request.saveTo = isCold ? store : std::string_view();
             // The store keeps the last seconds of the fleet's prompts only; an engine that was sent the prefix keeps it longer.
             const Target *holder = holder_.empty() ? nullptr : gateway_.targets().find(holder_);
             fetchFrom = holder != nullptr ? holder->address.host + ':' + std::to_string(holder->address.port) : std::string(store);
             request.fetchFrom = fetchFrom;
         }
-        const int priority = team_ != nullptr && team_->priority ? *team_->priority : route_->priority;
-        request.urgency = std::clamp(usualUrgency + priority, 0, lowestUrgency);
+        request.urgency = std::clamp(usualUrgency + intake_.priority(), 0, lowestUrgency);
     }
     return request;
 }
@@ -445,12 +334,13 @@
 void RoutedRequest::onNotExecuted()
 {
     --runs_;
-    gateway_.targets().onNotExecuted(targetId_, notExecuted_, caller_.model, BootClock::now());
+    gateway_.targets().onNotExecuted(targetId_, notExecuted_, intake_.caller().model, BootClock::now());
     gateway_.refreshTargets();
     endDispatch(SchedulerEnd::Cancelled);
-    writeLog(LogLevel::Info,
-             "request_declined",
-             {{"request", caller_.id}, {"target", targetId_}, {"status", std::int64_t{answerHead_.status}}, {"other_target", notExecuted_.isOtherTarget}});
+    writeLog(
+        LogLevel::Info,
+        "request_declined",
+        {{"request", intake_.caller().id}, {"target", targetId_}, {"status", std::int64_t{answerHead_.status}}, {"other_target", notExecuted_.isOtherTarget}});
     isNotExecuted_ = false;
     tryElsewhere();
 }
@@ -465,7 +355,7 @@
     }
     writeLog(LogLevel::Info,
              "target_lost",
-             {{"request", caller_.id}, {"target", targetId_}, {"why", why}, {"not_sent", loss == TargetLoss::NotSent}, {"relayed", isAnswerStarted_}});
+             {{"request", intake_.caller().id}, {"target", targetId_}, {"why", why}, {"not_sent", loss == TargetLoss::NotSent}, {"relayed", isAnswerStarted_}});
     endDispatch(SchedulerEnd::Failed);
     events_.dropPartial();
     held_.clear();
@@ -494,7 +384,7 @@
 
 bool RoutedRequest::mayRunAgain() const
 {
-    return route_->isIdempotent() && runs_ < route_->maxAttempts && timeLeft(BootClock::now()) > leastTimeForTry && session_ != nullptr;
+    return intake_.route()->isIdempotent() && runs_ < intake_.route()->maxAttempts && timeLeft(BootClock::now()) > leastTimeForTry && session_ != nullptr;
 }
 
 void RoutedRequest::tryElsewhere()
@@ -551,7 +441,7 @@
     if (phase_ == Phase::Done) {
         return;
     }
-    const bool mustEnd = route_ != nullptr && route_->kind == RouteKind::NonIdempotent && isRunning();
+    const bool mustEnd = intake_.route() != nullptr && intake_.route()->kind == RouteKind::NonIdempotent && isRunning();
     if (mustEnd) {
         limit_ = BootClock::now() + orphanLimit;
         armTimer();
@@ -586,7 +476,7 @@
 
 Duration RoutedRequest::stallTime() const
 {
-    return std::max(shortestStall, std::chrono::duration_cast<Duration>(route_->latencyTarget * stallInLatencyTargets));
+    return std::max(shortestStall, std::chrono::duration_cast<Duration>(intake_.route()->latencyTarget * stallInLatencyTargets));
 }
 
 void RoutedRequest::onTimer()
@@ -601,7 +491,7 @@
         return;
     }
     const bool wasRunning = isRunning();
-    if (connection_ != nullptr && (wasRunning && route_->kind == RouteKind::NonIdempotent && !isStalled)) {
+    if (connection_ != nullptr && (wasRunning && intake_.route()->kind == RouteKind::NonIdempotent && !isStalled)) {
         // A call that must run once is left to end; the caller gets its answer now.
         if (session_ == nullptr) {
             connection_->abandon();
@@ -626,7 +516,7 @@
         gateway_.cancelQueued(schedulerId_);
     }
     if (isStalled && now < limit_) {
-        writeLog(LogLevel::Info, "target_stalled", {{"request", caller_.id}, {"target", targetId_}, {"silent_ms", toMillis(now - sentAt_)}});
+        writeLog(LogLevel::Info, "target_stalled", {{"request", intake_.caller().id}, {"target", targetId_}, {"silent_ms", toMillis(now - sentAt_)}});
         tryElsewhere();
         return;
     }
@@ -658,20 +548,20 @@
 void RoutedRequest::answerFailure(const Reason &reason, Duration retryAfter)
 {
     const RunState state = hasRun_ || isRunning() ? RunState::MayHaveRun : RunState::NotRun;
-    if (state == RunState::NotRun && team_ != nullptr) {
-        gateway_.giveBackTokens(team_->name, charged_);
+    if (state == RunState::NotRun && charged_ > 0) {
+        gateway_.fleet().giveBackTokens(intake_.teamName(), charged_);
     }
     const auto session = std::move(session_);
     lastStatus_ = gateway_.refuse(session.get(), reason, state, retryAfter > Duration::zero() ? retryAfter : usualRetryAfter);
     writeLog(LogLevel::Info,
              "request_refused",
-             {{"request", caller_.id},
+             {{"request", intake_.caller().id},
               {"code", std::int64_t{static_cast<int>(reason.code)}},
               {"reason", reason.text},
               {"status", std::int64_t{lastStatus_}},
               {"may_have_run", state == RunState::MayHaveRun},
               {"waited_ms", toMillis(BootClock::now() - startedAt_)},
-              {"configuration", table_ != nullptr ? table_->version : 0},
+              {"configuration", intake_.configurationVersion()},
               {"proof_age_ms", toMillis(gateway_.proofAge(BootClock::now()))}});
 }
 
@@ -679,7 +569,7 @@
 {
     const auto self = shared_from_this();
     const auto session = std::move(session_);
-    writeLog(LogLevel::Warning, "answer_broken_off", {{"request", caller_.id}, {"target", targetId_}, {"why", why}});
+    writeLog(LogLevel::Warning, "answer_broken_off", {{"request", intake_.caller().id}, {"target", targetId_}, {"why", why}});
     finish("broken_off", 0);
     if (session != nullptr) {
         session->abortAnswer();
@@ -695,8 +585,8 @@
     timer_.cancel();
     writeLog(LogLevel::Info,
              "request_ended",
-             {{"request", caller_.id},
-              {"route", route_ != nullptr ? std::string_view(route_->name) : std::string_view()},
+             {{"request", intake_.caller().id},
+              {"route", intake_.route() != nullptr ? std::string_view(intake_.route()->name) : std::string_view()},
               {"outcome", outcome},
               {"status", std::int64_t{status}},
               {"target", targetId_},
@@ -712,19 +602,9 @@
     return limit_ - now;
 }
 
-/// Tokens of the parts that other requests may have in common with this one: all but the last.
-std::uint32_t RoutedRequest::sharedTokens() const
-{
-    std::uint32_t tokens = 0;
-    for (std::size_t i = 0; i + 1 < caller_.parts.size(); ++i) {
-        tokens += caller_.parts[i].tokens;
-    }
-    return tokens;
-}
-
 bool RoutedRequest::isStream() const
 {
-    return route_->kind == RouteKind::Stream;
+    return intake_.route()->kind == RouteKind::Stream;
 }
 
 } // namespace Lovageloft
--- a/gateway/routed_request.h
+++ b/gateway/routed_request.h
@@ -2,7 +2,6 @@
 
 #include <memory>
 #include <optional>
-#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -12,7 +11,7 @@
 #include "decision/request_scheduler.h"
 #include "gateway/event_splitter.h"
 #include "gateway/protocol.h"
-#include "gateway/routing_table.h"
+#include "gateway/request_intake.h"
 #include "gateway/target_connection.h"
 
 namespace Lovageloft
@@ -25,7 +24,7 @@
 /// Both sides are in one place, on one thread, so that a caller who leaves, a target that breaks off and a deadline are each
 /// one call away from the other side.
 ///
-/// The filters run in the order of `filters()`; the first that refuses ends the request. Then its team is charged and it is queued.
+/// What the request is comes from its intake; then its team is charged and it is queued.
 class RoutedRequest final : public std::enable_shared_from_this<RoutedRequest>, private ExchangeEvents
 {
 public:
@@ -52,8 +51,6 @@
     bool isRunning() const;
 
 private:
-    using Filter = bool (RoutedRequest::*)(Reason &);
-
     enum class Phase : std::uint8_t
     {
         Filtering, ///< Also while its team is being charged.
@@ -70,15 +67,9 @@
         std::string body;
     };
 
-    static std::span<const Filter> filters();
-    bool readHead(Reason &reason);
-    bool checkConfigured(Reason &reason);
-    bool findRoute(Reason &reason);
-    bool authenticate(Reason &reason);
     void charge();
     void admit();
 
-    bool isStillAllowed(Reason &reason);
     void enqueue();
     SchedulerRequest schedulerRequest() const;
     void send(const Target &target);
@@ -106,17 +97,12 @@
     void finish(std::string_view outcome, int status);
     Duration timeLeft(TimePoint now) const;
     bool isStream() const;
-    std::uint32_t sharedTokens() const;
 
     Gateway &gateway_;
     std::shared_ptr<CallerSession> session_; ///< Null once the caller is gone.
     HttpHead head_;
     std::string body_;
-    CallerRequest caller_;
-    std::shared_ptr<const RoutingTable> table_;
-    const Route *route_ = nullptr; ///< In `table_`, as is the team.
-    const Team *team_ = nullptr;
-    std::string service_;
+    RequestIntake intake_;
     double charged_ = 0; ///< Tokens taken from the team's rate.
     Phase phase_ = Phase::Filtering;
     TimePoint startedAt_;
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -78,7 +78,7 @@
     , weightsDuty_(store_, engineControl_, weightsOptions())
     , cacheStoreDuty_(gateway_, relayedStore_, engineControl_)
 {
-    gateway_.setRelayedStore(relayedStore_);
+    gateway_.fleet().setRelayedStore(relayedStore_);
 }
 
 ConfigurationFeed::Listeners GatewayHost::listeners()
@@ -116,7 +116,9 @@
     options.lease.failurePause = std::chrono::milliseconds(700);
     options.enginesCheckFencing = settings_.enginesCheckFencing;
     options.orders = orderOptions();
-    options.beforeLoad = [this](const std::string &target) { gateway_.post([target](Gateway &gateway) { gateway.announceLoading(target, announcedLoad); }); };
+    options.beforeLoad = [this](const std::string &target) {
+        gateway_.post([target](Gateway &gateway) { gateway.fleet().announceLoading(target, announcedLoad); });
+    };
     return options;
 }
 
