--- a/gateway/peer_socket.h
+++ b/gateway/peer_socket.h
@@ -18,7 +18,7 @@
 #include "core/result_code.h"
 #include "core/settings.h"
 
-namespace capnp
+namespace capnp // NOLINT(readability-identifier-naming): the library's name.
 {
 class MessageBuilder;
 }
--- a/gateway/request_intake.cpp
+++ b/gateway/request_intake.cpp
@@ -69,6 +69,11 @@
     return route_;
 }
 
+bool RequestIntake::isStream() const
+{
+    return route_->kind == RouteKind::Stream;
+}
+
 const std::string &RequestIntake::service() const
 {
     return service_;
--- a/gateway/request_intake.h
+++ b/gateway/request_intake.h
@@ -34,6 +34,7 @@
 
     /// Null until the route was found.
     const Route *route() const;
+    bool isStream() const;
     const std::string &service() const;
 
     /// Empty on public routes and until the key was found.
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -153,11 +153,6 @@
     fail(refusal.reason, refusal.retryAfter);
 }
 
-RequestId RoutedRequest::schedulerId() const
-{
-    return schedulerId_;
-}
-
 bool RoutedRequest::isRunning() const
 {
     return phase_ == Phase::Sent || phase_ == Phase::Answering;
@@ -168,7 +163,6 @@
     const TimePoint now = BootClock::now();
     phase_ = Phase::Sent;
     sentAt_ = now;
-    lastByteAt_ = now;
     ++sends_;
     ++runs_;
     isAnswerKept_ = false;
@@ -224,7 +218,6 @@
 
 void RoutedRequest::onAnswerHead(HttpHead &&head, const AnswerFacts &facts)
 {
-    lastByteAt_ = BootClock::now();
     if (facts.load) {
         gateway_.onTargetLoad(targetId_, *facts.load);
     }
@@ -242,11 +235,10 @@
 
 void RoutedRequest::onAnswerBody(std::string_view bytes)
 {
-    lastByteAt_ = BootClock::now();
     if (!isAnswerKept_) {
         return;
     }
-    if (isStream() && answerHead_.status == statusOk) {
+    if (intake_.isStream() && answerHead_.status == statusOk) {
         onEvents(events_.push(bytes));
         return;
     }
@@ -324,7 +316,7 @@
         tryElsewhere();
         return;
     }
-    if (isStream() && answerHead_.status == statusOk && events_.hasPartial()) {
+    if (intake_.isStream() && answerHead_.status == statusOk && events_.hasPartial()) {
         breakOff("stream ended within an event");
         return;
     }
@@ -602,9 +594,4 @@
     return limit_ - now;
 }
 
-bool RoutedRequest::isStream() const
-{
-    return intake_.route()->kind == RouteKind::Stream;
-}
-
 } // namespace Lovageloft
--- a/gateway/routed_request.h
+++ b/gateway/routed_request.h
@@ -45,7 +45,10 @@
     void onAssigned(const SchedulerAssignment &assignment);
     void onRefused(const SchedulerRefusal &refusal);
 
-    RequestId schedulerId() const;
+    RequestId schedulerId() const
+    {
+        return schedulerId_;
+    }
 
     /// Whether a target may be at work on it.
     bool isRunning() const;
@@ -96,7 +99,6 @@
     void breakOff(std::string_view why);
     void finish(std::string_view outcome, int status);
     Duration timeLeft(TimePoint now) const;
-    bool isStream() const;
 
     Gateway &gateway_;
     std::shared_ptr<CallerSession> session_; ///< Null once the caller is gone.
@@ -108,7 +110,6 @@
     TimePoint startedAt_;
     TimePoint limit_; ///< When the caller must have its final answer.
     TimePoint sentAt_;
-    TimePoint lastByteAt_;
     RequestId schedulerId_{};
     boost::asio::steady_timer timer_;
     std::shared_ptr<TargetConnection> connection_;
--- a/tests/stand_ins/stand_in_kv_store.cpp
+++ b/tests/stand_ins/stand_in_kv_store.cpp
@@ -149,7 +149,7 @@
     std::string target;
     start >> method >> target;
     const Poco::URI uri(target);
-    const std::string path = uri.getPath();
+    const std::string &path = uri.getPath();
     if (path == "/v1/kv-key") {
         const StoreReply reply = memory_.get(queryValue(uri, "key"));
         status = reply.status == StoreStatus::Ok ? ok : notFound;
