--- a/tests/decision/test_request_scheduler.cpp
+++ b/tests/decision/test_request_scheduler.cpp
@@ -182,7 +182,8 @@
             request.blockDigests = {id % 7, id % 5, id};
             request.sharedBlocks = 2;
             request.deadline = now + 10s;
-            BOOST_TEST(!growing.submit(std::move(request), now).has_value());
+            const bool isRefused = growing.submit(std::move(request), now).has_value();
+            BOOST_TEST(!isRefused);
             for (const SchedulerOutcome &outcome : growing.decide(now, random)) {
                 if (const auto *assignment = std::get_if<SchedulerAssignment>(&outcome)) {
                     ++assigned;
