A host that starts alone learns from the store what is in force

Cause: a host spends its share of a split only once the newest entry is known to be in force, and it learned that from a majority of the listed hosts alone. With the others gone and the store up it refused with 2006 for as long as they were. Excluded: the freshness gate, which the store's word opens by itself; the shares, which only ask whether the entry is in force. Change: the first host to learn that an entry is in force writes its number to PREFIXconfig/in-force; hosts that start read it, and a host becomes ready only after it, or another, has written it while the store answers. What is in force stays so, so an old answer does no harm. Costs one read and one write a host for each entry.

--- a/coordination/configuration_log_store.cpp
+++ b/coordination/configuration_log_store.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t blockDigits = 2; // The digits of a sequence number within its block.
 constexpr std::size_t partSize = 500'000;
 constexpr int snapshotReadAttempts = 3;
+/// Writes of the last entry in force: one that may meet another host's, and one that goes on from what that host wrote.
+constexpr int recordAttempts = 2;
 
 std::string padded(std::int64_t number, std::size_t digits)
 {
@@ -217,6 +219,42 @@
     return std::nullopt;
 }
 
+std::optional<std::int64_t> ConfigurationLogStore::readInForce()
+{
+    if (!takeInForce(store_.get(inForceKey()))) {
+        return std::nullopt;
+    }
+    return inForce_.sequence;
+}
+
+std::optional<std::int64_t> ConfigurationLogStore::recordInForce(std::int64_t sequence)
+{
+    for (int attempt = 0; attempt < recordAttempts && inForce_.sequence < sequence; ++attempt) {
+        const StoreReply reply = store_.compareAndSwap(inForceKey(), inForce_.revision, std::to_string(sequence));
+        if (reply.status == StoreStatus::Ok) {
+            inForce_ = {sequence, reply.entry.revision};
+            break;
+        }
+        if (reply.status != StoreStatus::Conflict || !readInForce().has_value()) {
+            return std::nullopt;
+        }
+    }
+    return inForce_.sequence < sequence ? std::nullopt : std::optional(inForce_.sequence);
+}
+
+bool ConfigurationLogStore::takeInForce(const StoreReply &reply)
+{
+    if (reply.status == StoreStatus::NotFound) {
+        inForce_.revision = 0;
+        return true;
+    }
+    if (reply.status != StoreStatus::Ok) {
+        return false;
+    }
+    inForce_ = {std::max(inForce_.sequence, numberIn(reply.entry.value)), reply.entry.revision};
+    return true;
+}
+
 StoreStatus ConfigurationLogStore::readPointer(Pointer &pointer)
 {
     const StoreReply reply = store_.get(prefix_ + "config/snapshot");
@@ -250,6 +288,11 @@
     return prefix_ + "config/log/";
 }
 
+std::string ConfigurationLogStore::inForceKey() const
+{
+    return prefix_ + "config/in-force";
+}
+
 std::string ConfigurationLogStore::keyOf(std::int64_t sequence) const
 {
     return logPrefix() + padded(sequence, sequenceDigits);
--- a/coordination/configuration_log_store.h
+++ b/coordination/configuration_log_store.h
@@ -46,6 +46,14 @@
     /// The snapshot, or nothing if there is none or it can't be read; `status` tells which.
     std::optional<ConfigurationSnapshot> readSnapshot(StoreStatus &status);
 
+    /// The last entry that a host wrote down as in force, 0 if none did. Once true it stays true, so an old answer does no harm.
+    /// Nothing if the store gave no answer.
+    std::optional<std::int64_t> readInForce();
+
+    /// Writes down that the entry is in force, unless a later one is known to be. Returns the last entry then known to be written
+    /// down, or nothing if the store gave no answer or another host came first more than once.
+    std::optional<std::int64_t> recordInForce(std::int64_t sequence);
+
     /// Where the entries lie, for a watch.
     std::string logPrefix() const;
 
@@ -64,18 +72,28 @@
         std::int64_t revision = 0;
     };
 
+    /// The value of the key of the last entry in force.
+    struct InForceRecord
+    {
+        std::int64_t sequence = 0;
+        std::int64_t revision = 0;
+    };
+
+    bool takeInForce(const StoreReply &reply);
     StoreStatus readPointer(Pointer &pointer);
     StoreStatus readParts(const Pointer &pointer, std::string &text);
     bool writeParts(std::int64_t sequence, std::string_view text, std::size_t &parts);
     void deletePartsBefore(std::int64_t sequence);
     StoreStatus addBlock(ConfigurationLog &log);
     LogEntry entryOf(const StoreEntry &stored) const;
+    std::string inForceKey() const;
     std::string partsPrefix() const;
     std::string partKey(std::int64_t sequence, std::size_t part) const;
 
     Store &store_;
     std::string prefix_;
     std::int64_t lastSnapshot_ = 0; ///< The newest snapshot known to have been in the store; saves a read for each entry.
+    InForceRecord inForce_;
 };
 
 } // namespace Lovageloft
--- a/servers/configuration_service.cpp
+++ b/servers/configuration_service.cpp
@@ -157,7 +157,9 @@
     tracker_.onPeerVouch({settings_.hostName, incarnation_, gate_.versionHeld(), gate_.isCaughtUp()}, now, now);
     tracker_.advance(now);
     const std::int64_t inForce = std::min(tracker_.inForceVersion(), log_.version());
-    if (sharesVersion_ == 0 && inForce == log_.version() && inForce > 0) {
+    // A host is ready only once the store knows what is in force, so that one which replaces it finds that there.
+    const bool isShared = inForceShared_ >= inForce || isStoreLate(now);
+    if (sharesVersion_ == 0 && inForce == log_.version() && inForce > 0 && isShared) {
         shares_.setConfiguration(inForce, *state_);
         sharesVersion_ = inForce;
     }
@@ -179,6 +181,14 @@
     publishInForce();
 }
 
+void ConfigurationService::onInForceShared(std::int64_t sequence)
+{
+    const std::lock_guard lock(mutex_);
+    inForceShared_ = std::max(inForceShared_, sequence);
+    tracker_.onInForce(sequence);
+    publishInForce();
+}
+
 void ConfigurationService::onPeerAnswer(const std::string &address, const PeerAnswer &answer, TimePoint askedAt)
 {
     const std::lock_guard lock(mutex_);
@@ -231,6 +241,12 @@
     return listedPeers();
 }
 
+/// Whether the store has been silent for so long that the peers are to be asked as well.
+bool ConfigurationService::isStoreLate(TimePoint now) const
+{
+    return !storeConfirmedAt_ || now - *storeConfirmedAt_ > window_ * 2 / 3;
+}
+
 /// Paces the rounds of questions: quick after news, then slower, so that one host that is dead, or a store that is down for an
 /// hour, does not make every host call all others ten times a second. A quarter of the window still leaves room for two lost rounds.
 bool ConfigurationService::isAskDue(TimePoint now)
@@ -257,13 +273,12 @@
     const TimePoint now = BootClock::now();
     // Peers are asked only when the store has not answered for a while, or when an entry is on its way: a healthy and quiet
     // deployment costs no messages.
-    const bool isStoreLate = !storeConfirmedAt_ || now - *storeConfirmedAt_ > window_ * 2 / 3;
     const bool isEntryOnItsWay = tracker_.inForceVersion() < log_.version();
-    if ((isStoreLate || isEntryOnItsWay) && isAskDue(now)) {
+    if ((isStoreLate(now) || isEntryOnItsWay) && isAskDue(now)) {
         questions.vouchFrom = listedPeers();
     }
     questions.entriesFrom = std::exchange(aheadPeers_, {});
-    if (log_.version() == 0 && isStoreLate) {
+    if (log_.version() == 0 && isStoreLate(now)) {
         questions.entriesFrom = settings_.peers;
     }
     return questions;
--- a/servers/configuration_service.h
+++ b/servers/configuration_service.h
@@ -76,6 +76,9 @@
     /// The store said at `sentAt` or later that `version` was its last entry.
     void onStoreConfirmed(std::int64_t version, TimePoint sentAt);
 
+    /// The store holds the entry as one in force, or this host has tried in vain to have it written there.
+    void onInForceShared(std::int64_t sequence);
+
     void onPeerAnswer(const std::string &address, const PeerAnswer &answer, TimePoint askedAt);
 
     PeerAnswer ownAnswer() const;
@@ -93,6 +96,7 @@
     void afterChange(std::int64_t before);
     void updateLists();
     void publishInForce();
+    bool isStoreLate(TimePoint now) const;
     bool isAskDue(TimePoint now);
     std::vector<std::string> listedPeers() const;
 
@@ -114,6 +118,7 @@
     TimePoint nextAsk_;
     std::int64_t sharesVersion_ = 0; ///< The version that the shares have been given, 0 before the first.
     std::int64_t sharesInForce_ = 0;
+    std::int64_t inForceShared_ = 0; ///< The last entry that the store was told, or told us, to be in force.
 };
 
 } // namespace Lovageloft
--- a/servers/store_watch_duty.cpp
+++ b/servers/store_watch_duty.cpp
@@ -47,6 +47,7 @@
         const TimePoint next = BootClock::now() + period_;
         while (!isStopping_ && BootClock::now() < next) {
             watch();
+            shareInForce();
         }
     }
 }
@@ -68,9 +69,31 @@
     configuration_.takeFrom(replica_);
     configuration_.onStoreConfirmed(replica_.version(), sentAt);
     logStore_.writeSnapshotIfDue(replica_);
+    const bool isEntryOnItsWay = configuration_.ownAnswer().inForceVersion < replica_.version();
+    if (isEntryOnItsWay && inForceShared_ < replica_.version()) {
+        inForceShared_ = logStore_.readInForce().value_or(inForceShared_);
+        configuration_.onInForceShared(inForceShared_);
+    }
+    shareInForce();
     return true;
 }
 
+/// Tells the store which entry is in force. What goes wrong without it: a host that starts while a majority is gone never
+/// learns that the newest entry is in force, and refuses every caller until the others are back, with the store up all along.
+void StoreWatchDuty::shareInForce()
+{
+    const std::int64_t inForce = std::min(configuration_.ownAnswer().inForceVersion, replica_.version());
+    if (inForce <= inForceShared_) {
+        return;
+    }
+    const auto shared = logStore_.recordInForce(inForce);
+    if (!shared.has_value()) {
+        writeLog(LogLevel::Warning, "in_force_not_shared", {{"version", inForce}});
+    }
+    inForceShared_ = shared.value_or(inForceShared_);
+    configuration_.onInForceShared(inForce);
+}
+
 void StoreWatchDuty::watch()
 {
     constexpr std::chrono::milliseconds slice{250};
--- a/servers/store_watch_duty.h
+++ b/servers/store_watch_duty.h
@@ -26,6 +26,7 @@
     void run();
     bool catchUp();
     void watch();
+    void shareInForce();
     void pause(Duration duration) const;
 
     Duration period_;
@@ -35,6 +36,7 @@
     ConfigurationLogStore logStore_;
     ConfigurationLog replica_;
     std::string watchPrefix_;
+    std::int64_t inForceShared_ = 0; ///< The last entry that the store is known to hold as in force.
     std::int64_t revision_ = 0; ///< Where the next watch goes on; 0 while not known.
     std::atomic<bool> isStopping_{false};
     std::thread thread_;
