Relays that the store doesn't answer stop saying that they live

Each took the other's sign of life for news and went on saying that it lives; no host heard of weights named at seconds 2, 6 and 10 until 13.7, nor of targets that came and went. Excluded: the orders (given within 4 s of the first word), the watch of the others (they would have asked the store, had the relays been silent). Change: a relay says that it lives only while the store has answered a call of its own within 2 s and a watch or list within 4.5 s. Test: relaysWithoutTheStoreAreSoonNotListenedTo, red before (10 s and more), green after (within 3.5 s).

--- a/gateway/relayed_store.cpp
+++ b/gateway/relayed_store.cpp
@@ -19,6 +19,14 @@
 /// reason to ask, and a change is still known well within the two seconds that operators allow.
 constexpr Duration relaySilence = std::chrono::milliseconds(1'300);
 
+/// How long after the store's last answer to it a relay goes on saying that it lives. A relay renews its lease and proves its
+/// configuration more often than that. With `relaySilence` the others then watch the store themselves 3.3 s after a cut of both
+/// relays; without this limit it took as long as the cut.
+constexpr Duration oldestContact = std::chrono::seconds(2);
+
+/// A relay whose last watch was answered longer ago than this waits on a connection that has died: watches last three seconds at most.
+constexpr Duration oldestWatch = std::chrono::milliseconds(4'500);
+
 /// Wait for a relay's proof: hosts of one region answer within 3 ms.
 constexpr Duration proofTimeout = std::chrono::milliseconds(60);
 
@@ -27,9 +35,21 @@
 
 } // namespace
 
-RelayedStore::RelayedStore(Store &store, std::string host)
+template <typename Reply>
+Reply RelayedStore::noted(Reply reply)
+{
+    const bool isAnswered = reply.status != StoreStatus::Unavailable && reply.status != StoreStatus::AnswerLost;
+    if (isAnswered) {
+        const std::lock_guard lock(mutex_);
+        contactAt_ = now_();
+    }
+    return reply;
+}
+
+RelayedStore::RelayedStore(Store &store, std::string host, Now now)
     : store_(store)
     , host_(std::move(host))
+    , now_(std::move(now))
 {
 }
 
@@ -75,7 +95,7 @@
     if (notice.after > followed.reached) {
         followed.hasGap = true;
     } else if (notice.upTo >= followed.reached) {
-        followed.heardAt = BootClock::now();
+        followed.heardAt = now_();
         for (std::size_t i = 0; i < notice.entries.size(); ++i) {
             if (notice.entries[i].revision > followed.reached) {
                 followed.entries.emplace_back(notice.entries[i], notice.omitted[i]);
@@ -104,8 +124,10 @@
     {
         const std::lock_guard lock(mutex_);
         network = network_;
+        // Only the store's own answers count. What the other relay says does not: two that are cut off would keep each other going.
+        const TimePoint now = now_();
         for (const auto &[prefix, followed] : followed_) {
-            if (BootClock::now() - followed.heardAt < relaySilence * 4) {
+            if (now - contactAt_ < oldestContact && now - followed.readAt < oldestWatch) {
                 notices.push_back({prefix, followed.lastChange, followed.reached, {}, {}});
             }
         }
@@ -117,7 +139,7 @@
 
 StoreReply RelayedStore::get(std::string_view key)
 {
-    return store_.get(key);
+    return noted(store_.get(key));
 }
 
 StoreReply RelayedStore::confirm(std::string_view key, std::int64_t revision)
@@ -135,19 +157,20 @@
         const bool isSame = reply->revision == revision;
         return {isSame ? StoreStatus::Ok : StoreStatus::Conflict, {std::string(key), {}, reply->revision, false}, reply->age};
     }
-    return store_.confirm(key, revision);
+    return noted(store_.confirm(key, revision));
 }
 
 StoreListReply RelayedStore::list(std::string_view prefix)
 {
-    StoreListReply reply = store_.list(prefix);
+    StoreListReply reply = noted(store_.list(prefix));
     if (reply.status == StoreStatus::Ok) {
         const std::lock_guard lock(mutex_);
         Followed &followed = followed_[std::string(prefix)];
         followed = {};
         followed.reached = reply.revision;
         followed.lastChange = reply.revision;
-        followed.heardAt = BootClock::now();
+        followed.heardAt = now_();
+        followed.readAt = followed.heardAt;
     }
     return reply;
 }
@@ -169,14 +192,14 @@
     }
     std::unique_lock lock(mutex_);
     Followed &followed = followed_[std::string(prefix)];
-    const TimePoint limit = BootClock::now() + timeout;
-    while (followed.entries.empty() && !followed.hasGap && BootClock::now() < limit) {
-        if (!hears(prefix, followed, BootClock::now())) {
+    const TimePoint limit = now_() + timeout;
+    while (followed.entries.empty() && !followed.hasGap && now_() < limit) {
+        if (!hears(prefix, followed, now_())) {
             lock.unlock();
             return watchStore(prefix, afterRevision, std::min(timeout, relaySilence));
         }
         constexpr Duration look = std::chrono::milliseconds(300);
-        heard_.wait_for(lock, std::min(look, limit - BootClock::now()));
+        heard_.wait_for(lock, std::min(look, limit - now_()));
     }
     return takeHeard(followed, lock);
 }
@@ -208,7 +231,7 @@
 
 StoreListReply RelayedStore::watchStore(std::string_view prefix, std::int64_t afterRevision, Duration timeout)
 {
-    StoreListReply reply = store_.watch(prefix, afterRevision, timeout);
+    StoreListReply reply = noted(store_.watch(prefix, afterRevision, timeout));
     if (reply.status != StoreStatus::Ok) {
         return reply;
     }
@@ -225,7 +248,8 @@
         // Notices may have come while the store was asked. What the answer holds already must not be handed out after it.
         std::erase_if(followed.entries, [&reply](const auto &heard) { return heard.first.revision <= reply.revision; });
         followed.reached = std::max(followed.reached, reply.revision);
-        followed.heardAt = isRelayNow ? BootClock::now() : followed.heardAt;
+        followed.readAt = now_();
+        followed.heardAt = isRelayNow ? followed.readAt : followed.heardAt;
         network = network_;
     }
     if (isRelayNow && !reply.entries.empty() && network.tellAll) {
@@ -270,7 +294,7 @@
 
 StoreLeaseReply RelayedStore::keepAlive(std::int64_t leaseId)
 {
-    return store_.keepAlive(leaseId);
+    return noted(store_.keepAlive(leaseId));
 }
 
 StoreLeaseReply RelayedStore::revokeLease(std::int64_t leaseId)
--- a/gateway/relayed_store.h
+++ b/gateway/relayed_store.h
@@ -34,7 +34,9 @@
         std::function<void(const std::string &host, const ProofRequest &)> ask;
     };
 
-    RelayedStore(Store &store, std::string host);
+    using Now = std::function<TimePoint()>;
+
+    RelayedStore(Store &store, std::string host, Now now = &BootClock::now);
 
     void setNetwork(Network network);
 
@@ -67,10 +69,15 @@
         std::int64_t lastChange = 0; ///< Nothing changed after this revision up to `reached`; also by what the other relay tells.
         bool hasGap = false; ///< A notice was lost.
         bool isSilent = false; ///< No relay speaks of it.
-        TimePoint heardAt;
+        TimePoint heardAt; ///< When a relay last spoke of it, or this host last read it itself.
+        TimePoint readAt; ///< When the store last answered this host's own list or watch.
         std::deque<std::pair<StoreEntry, bool>> entries; ///< Not handed out yet; true: the value has to be read.
     };
 
+    /// Notes that the store has answered, and passes its reply on.
+    template <typename Reply>
+    Reply noted(Reply reply);
+
     StoreListReply watchStore(std::string_view prefix, std::int64_t afterRevision, Duration timeout);
     StoreListReply takeHeard(Followed &followed, std::unique_lock<std::mutex> &lock);
     static bool hears(std::string_view prefix, Followed &followed, TimePoint now);
@@ -78,10 +85,12 @@
 
     Store &store_;
     std::string host_;
+    Now now_;
     mutable std::mutex mutex_;
     std::condition_variable heard_;
     Network network_;
     std::vector<std::string> relays_;
+    TimePoint contactAt_; ///< When the store last answered a call of this host.
     std::map<std::string, Followed, std::less<>> followed_;
     std::map<std::uint64_t, std::optional<ProofReply>> questions_;
     std::uint64_t lastQuestion_ = 0;
--- a/tests/gateway/test_relayed_store.cpp
+++ b/tests/gateway/test_relayed_store.cpp
@@ -219,6 +219,36 @@
     BOOST_TEST(reply.revision >= written);
 }
 
+BOOST_AUTO_TEST_CASE(relaysWithoutTheStoreAreSoonNotListenedTo)
+{
+    // Both relays are cut off from the store but not from the other hosts, and each hears the other say that it lives. Were either to
+    // take that for news, both would go on for as long as the cut lasts: no host would hear of new weights, and each would go on sending
+    // to targets that have left. Operators notice engines that answer on weights replaced long ago.
+    TimePoint now = BootClock::now();
+    const auto clock = [&now] { return now += std::chrono::microseconds(1); };
+    for (const std::string &name : hosts) {
+        Store &reached = views[name]->isRelay() ? static_cast<Store &>(store) : store.memory;
+        views[name] = std::make_unique<RelayedStore>(reached, name, clock);
+        views[name]->setNetwork({[this, name](const ChangesNotice &notice) { tellAll(name, notice); }, {}});
+        views[name]->setHosts(hosts);
+        views[name]->list("x/");
+    }
+    RelayedStore &other = *views[others[0]];
+    store.isDown = true;
+    const std::int64_t from = store.memory.list("x/").revision;
+    write("x/a", "1");
+    const TimePoint cutAt = now;
+    constexpr Duration step = 100ms;
+    constexpr Duration lookTime = 10us; // The clock moves on at each look, so that this ends.
+    while (other.watch("x/", from, lookTime).entries.empty() && now < cutAt + 10s) {
+        now += step;
+        for (const std::string &relay : relays) {
+            views[relay]->sayAlive();
+        }
+    }
+    BOOST_TEST(toMillis(now - cutAt) <= 3'500);
+}
+
 BOOST_AUTO_TEST_CASE(whatAnAnswerHoldsIsNotHandedOutAgainAfterIt)
 {
     // A host asks the store itself, and while the answer is on its way a relay comes back and tells of the same change. Handed out
