Engine failure test: the fault waits until every stream is under way

Its log shows all twenty streams refused with 3001 some 30 ms after the first had reached an engine: the engines were killed before any had sent a token, and then a refusal is the right answer. Excluded: streams that end cleanly or are cut (both counts were 0), the router (each caller was told). Change: the wait before the fault counts streams that have sent ten tokens in place of streams that have reached an engine, so the fault always falls into running streams. The checks themselves stay as they were.

--- a/tests/stand_ins/stand_in_engine.cpp
+++ b/tests/stand_ins/stand_in_engine.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::int64_t bytesPerToken = 4;
 constexpr std::size_t incarnationBytes = 8;
+/// Tokens after which a stream counts as under way: its caller has surely got some of them.
+constexpr std::int64_t tokensUnderWay = 10;
 
 std::int64_t firstTokenOf(const Exchange &exchange)
 {
@@ -164,6 +166,9 @@
         if (!exchange.waitUntil(next) || !(out << writer.tokenEvent(token, token == 0) << std::flush)) {
             return Outcome::Cancelled;
         }
+        if (sent == tokensUnderWay) {
+            recordUnderWay();
+        }
     }
     out << writer.finishEvent();
     if (request.wantsUsage) {
@@ -234,6 +239,12 @@
     }
 }
 
+void StandInEngine::recordUnderWay()
+{
+    const std::lock_guard lock(mutex_);
+    ++record_.underWay;
+}
+
 void StandInEngine::recordOutcome(Outcome outcome)
 {
     const std::lock_guard lock(mutex_);
@@ -349,7 +360,7 @@
     std::unique_lock lock(mutex_);
     const Record record = record_;
     lock.unlock();
-    std::string json = R"({"started":)" + std::to_string(record.started) + R"(,"completed":)" + std::to_string(record.completed) + R"(,"cancelled":)"
+    std::string json = R"({"started":)" + std::to_string(record.started) + R"(,"under_way":)" + std::to_string(record.underWay) + R"(,"completed":)" + std::to_string(record.completed) + R"(,"cancelled":)"
         + std::to_string(record.cancelled) + R"(,"faulted":)" + std::to_string(record.faulted) + R"(,"saw_authorization":)"
         + (record.sawAuthorization ? "true" : "false") + R"(,"requests":{)";
     std::string_view separator;
--- a/tests/stand_ins/stand_in_engine.h
+++ b/tests/stand_ins/stand_in_engine.h
@@ -80,6 +80,7 @@
     struct Record
     {
         std::int64_t started = 0;
+        std::int64_t underWay = 0; ///< Streams that have sent their first tokens, ended or not.
         std::int64_t completed = 0;
         std::int64_t cancelled = 0;
         std::int64_t faulted = 0;
@@ -96,6 +97,7 @@
     };
 
     void handle(Exchange &exchange);
+    void recordUnderWay();
     void complete(Exchange &exchange, bool isChat);
     Outcome answer(Exchange &exchange, const CompletionRequest &request, const StandInEngineFault &fault);
     Outcome stream(Exchange &exchange, const CompletionRequest &request, const CompletionUsage &usage, const StandInEngineFault &fault);
--- a/tests/system/test_engine_failures.cpp
+++ b/tests/system/test_engine_failures.cpp
@@ -26,7 +26,7 @@
     {
     }
 
-    /// Waits until at least one engine streams, then shows the fault while twenty callers stream, and judges what each got.
+    /// Waits until all twenty callers' streams are under way, then shows the fault, and judges what each got.
     template <typename Fault>
     std::map<StreamOutcome, int> streamThrough(Fault fault)
     {
@@ -42,7 +42,7 @@
                     codes[i] = answer.code();
                 });
             }
-            BOOST_TEST(waitFor(patience, [this] { return startedStreams() >= static_cast<std::int64_t>(callerCount); }));
+            BOOST_TEST(waitFor(patience, [this] { return streamsUnderWay() >= static_cast<std::int64_t>(callerCount); }));
             fault();
         }
         std::map<StreamOutcome, int> counts;
@@ -57,13 +57,15 @@
         return counts;
     }
 
-    std::int64_t startedStreams()
+    /// A stream that has only reached its engine may not have given its caller a byte yet, and would rightly be refused instead of
+    /// broken off; so only those count that have sent some tokens.
+    std::int64_t streamsUnderWay()
     {
-        std::int64_t started = 0;
+        std::int64_t count = 0;
         for (std::size_t i = 0; i < 3; ++i) {
-            started += std::max<std::int64_t>(0, numberIn(record(engine(i)), "started"));
+            count += std::max<std::int64_t>(0, numberIn(record(engine(i)), "under_way"));
         }
-        return started - startedBefore_;
+        return count - underWayBefore_;
     }
 
     std::size_t busiestEngine()
@@ -81,7 +83,7 @@
         return busiest;
     }
 
-    std::int64_t startedBefore_ = startedStreams();
+    std::int64_t underWayBefore_ = streamsUnderWay();
 };
 
 /// Engines are left that can carry the streams on, but a host's retry budget may not reach for all of them at once. What must hold
