--- a/core/log.cpp
+++ b/core/log.cpp
@@ -1,8 +1,10 @@
 #include "core/log.h"
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <iostream>
+#include <mutex>
 
 #include <boost/log/attributes/attribute_value_set.hpp>
 #include <boost/log/core.hpp>
@@ -16,6 +18,8 @@
 #include <boost/make_shared.hpp>
 #include <boost/smart_ptr/shared_ptr.hpp>
 
+#include "core/log_limiter.h"
+
 namespace Lovageloft
 {
 
@@ -25,14 +29,46 @@
 constexpr std::size_t queueRecords = 8192;
 constexpr std::array<std::string_view, 4> levelNames{"debug", "info", "warning", "error"};
 
+/// Lines of one event a second. A host of the target fleet serves 27 requests a second and writes each of a request's lines once or
+/// twice; ten times that is the longest burst whose stories are wanted whole.
+constexpr double eventLines = 270;
+
+/// Lines of one event at once: two seconds of them, for a herd of callers after a restart.
+constexpr double eventBurst = 2 * eventLines;
+
+/// Between two accounts of lines that were not written.
+constexpr Duration accountPause = std::chrono::seconds(1);
+
+std::atomic<std::uint64_t> &droppedLines()
+{
+    static std::atomic<std::uint64_t> count{0};
+    return count;
+}
+
+/// Drops what finds the queue full, like Boost's own strategy, and counts it.
+class CountedDrop : public boost::log::sinks::drop_on_overflow
+{
+public:
+    template <typename Lock>
+    static bool on_overflow(const boost::log::record_view & /*record*/, Lock & /*lock*/)
+    {
+        ++droppedLines();
+        return false;
+    }
+};
+
 using Backend = boost::log::sinks::text_ostream_backend;
-using Sink = boost::log::sinks::asynchronous_sink<Backend, boost::log::sinks::bounded_fifo_queue<queueRecords, boost::log::sinks::drop_on_overflow>>;
+using Sink = boost::log::sinks::asynchronous_sink<Backend, boost::log::sinks::bounded_fifo_queue<queueRecords, CountedDrop>>;
 
 struct LogState
 {
     LogLevel level = LogLevel::Info;
     std::string host;
     boost::shared_ptr<Sink> sink;
+    std::mutex mutex; ///< Of what follows.
+    LogLimiter limiter{eventLines, eventBurst};
+    TimePoint nextAccount;
+    std::uint64_t droppedTold = 0;
 };
 
 LogState &state()
@@ -61,6 +97,42 @@
     return text.data();
 }
 
+void push(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    std::string line = "{\"time\":\"" + timeText() + "\",\"level\":\"";
+    line.append(levelNames[static_cast<std::size_t>(level)]);
+    line.append("\",\"host\":");
+    appendJsonString(line, state().host);
+    line.append(",\"event\":");
+    appendJsonString(line, event);
+    line.append(formatLogFields(fields));
+    line.push_back('}');
+    static thread_local boost::log::sources::logger logger;
+    BOOST_LOG(logger) << line;
+}
+
+/// Tells once in a while which lines were not written, so that a reader of the log knows what he doesn't see.
+void accountForLines(TimePoint now)
+{
+    std::vector<LogLimiter::Suppressed> suppressed;
+    std::uint64_t dropped = 0;
+    {
+        const std::lock_guard lock(state().mutex);
+        if (now < state().nextAccount) {
+            return;
+        }
+        state().nextAccount = now == TimePoint::max() ? now : now + accountPause;
+        suppressed = state().limiter.takeSuppressed();
+        dropped = droppedLines() - std::exchange(state().droppedTold, droppedLines());
+    }
+    for (const LogLimiter::Suppressed &item : suppressed) {
+        push(LogLevel::Warning, "lines_suppressed", {{"of", item.event}, {"lines", static_cast<std::int64_t>(item.lines)}});
+    }
+    if (dropped > 0) {
+        push(LogLevel::Warning, "lines_dropped", {{"lines", static_cast<std::int64_t>(dropped)}});
+    }
+}
+
 } // namespace
 
 void appendJsonString(std::string &out, std::string_view text)
@@ -111,7 +183,9 @@
     auto sink = boost::make_shared<Sink>(backend);
     sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
     boost::log::core::get()->add_sink(sink);
-    state() = {level, std::string(host), sink};
+    state().level = level;
+    state().host = host;
+    state().sink = sink;
 }
 
 void stopLog()
@@ -119,6 +193,7 @@
     if (state().sink == nullptr) {
         return;
     }
+    accountForLines(TimePoint::max());
     boost::log::core::get()->remove_sink(state().sink);
     state().sink->stop();
     state().sink->flush();
@@ -130,16 +205,21 @@
     if (state().sink == nullptr || level < state().level) {
         return;
     }
-    std::string line = "{\"time\":\"" + timeText() + "\",\"level\":\"";
-    line.append(levelNames[static_cast<std::size_t>(level)]);
-    line.append("\",\"host\":");
-    appendJsonString(line, state().host);
-    line.append(",\"event\":");
-    appendJsonString(line, event);
-    line.append(formatLogFields(fields));
-    line.push_back('}');
-    static thread_local boost::log::sources::logger logger;
-    BOOST_LOG(logger) << line;
+    const TimePoint now = BootClock::now();
+    accountForLines(now);
+    {
+        const std::lock_guard lock(state().mutex);
+        if (!state().limiter.admit(event, now)) {
+            return;
+        }
+    }
+    push(level, event, fields);
+}
+
+LogCounts logCounts()
+{
+    const std::lock_guard lock(state().mutex);
+    return {droppedLines(), state().limiter.suppressed()};
 }
 
 } // namespace Lovageloft
--- a/core/log.h
+++ b/core/log.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <map>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -31,10 +32,20 @@
 /// Writes what is buffered and stops the log's thread.
 void stopLog();
 
-/// Writes one record: `{"time":...,"level":...,"host":...,"event":...,FIELDS}`. Records that the log's
-/// bounded queue has no room for are dropped, so that a stuck terminal never stops a request.
+/// Writes one record: `{"time":...,"level":...,"host":...,"event":...,FIELDS}`. Each event has a rate; what is above it is suppressed and
+/// told once a second as `lines_suppressed`. Records that the log's bounded queue has no room for are dropped and told as
+/// `lines_dropped`, so that a reader that doesn't read never stops a request.
 void writeLog(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
+/// Lines that were not written since the start.
+struct LogCounts
+{
+    std::uint64_t dropped = 0; ///< They found the queue full.
+    std::map<std::string, std::uint64_t, std::less<>> suppressed; ///< By event: they were above its rate.
+};
+
+LogCounts logCounts();
+
 /// The JSON text of a record's fields, without braces; for the log and its tests.
 std::string formatLogFields(std::initializer_list<LogField> fields);
 
--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -1,13 +1,13 @@
 #include "core/metrics.h"
 
+#include <algorithm>
 #include <array>
-#include <sstream>
 
-#include <boost/accumulators/accumulators.hpp>
-#include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square.hpp>
-#include <boost/accumulators/statistics/stats.hpp>
-#include <boost/accumulators/statistics/sum.hpp>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
 
 namespace Lovageloft
 {
@@ -15,94 +15,122 @@
 namespace
 {
 
-constexpr std::array<double, 3> quantiles{0.5, 0.95, 0.99};
+/// From the wait for a free target to the longest stream; three bounds for each factor of ten tell the promised times apart.
+const prometheus::Histogram::BucketBoundaries secondBounds{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 2.5, 5, 10, 30, 60};
 
-using Accumulator = boost::accumulators::accumulator_set<
-    double,
-    boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum, boost::accumulators::tag::extended_p_square>>;
+struct Description
+{
+    std::string_view name;
+    const char *help;
+};
+
+constexpr auto descriptions = std::to_array<Description>({
+    {"lovageloft_cached_tokens_total", "Prompt tokens that targets found in their cache."},
+    {"lovageloft_configuration_version", "Version of the configuration held."},
+    {"lovageloft_engine_failures_total", "Attempts that failed at a target, by result."},
+    {"lovageloft_engine_reports_missed_total", "Reports of engines that did not come."},
+    {"lovageloft_first_byte_seconds", "Time from reading a request to the first byte of its answer."},
+    {"lovageloft_first_token_seconds", "Time from a request's arrival to its first token."},
+    {"lovageloft_fresh", "1 while new work may begin under the configuration held."},
+    {"lovageloft_idle_target_connections", "Connections to targets that are kept for later requests."},
+    {"lovageloft_key_proof_age_seconds", "Age of the proof that the configuration held is the newest."},
+    {"lovageloft_leader", "1 while this host orders the engines."},
+    {"lovageloft_log_lines_dropped_total", "Log lines that found the log's queue full."},
+    {"lovageloft_log_lines_suppressed_total", "Log lines above their event's rate, by event."},
+    {"lovageloft_peer_calls_dropped_total", "Calls to other hosts that found the queue full."},
+    {"lovageloft_peer_calls_failed_total", "Calls to other hosts that failed."},
+    {"lovageloft_peers_refused_total", "Connections of other hosts that did not prove who they are."},
+    {"lovageloft_prompt_tokens_total", "Prompt tokens of answered requests."},
+    {"lovageloft_queue_seconds", "Time from reading a request to sending it to its first target."},
+    {"lovageloft_ready", "1 while the balancer is told to send callers."},
+    {"lovageloft_remote_debits_total", "Requests charged to shares of other hosts."},
+    {"lovageloft_request_seconds", "Time from reading a request to the end of its answer."},
+    {"lovageloft_requests_ended_total", "Requests by how they ended."},
+    {"lovageloft_requests_running", "Requests at a target."},
+    {"lovageloft_requests_total", "Requests read."},
+    {"lovageloft_requests_waiting", "Requests that wait for a target."},
+    {"lovageloft_sends_total", "Requests sent to targets, first or again."},
+    {"lovageloft_store_call_seconds", "Time of answered calls to the store, by call; watches wait on purpose."},
+    {"lovageloft_store_calls_total", "Calls to the store, by call and result."},
+    {"lovageloft_store_failures_total", "Readings of the configuration that failed."},
+    {"lovageloft_targets_known", "Targets that the store lists."},
+});
+
+const char *helpOf(std::string_view name)
+{
+    const auto *found = std::find_if(descriptions.begin(), descriptions.end(), [name](const Description &item) { return item.name == name; });
+    return found == descriptions.end() ? "" : found->help;
+}
 
-std::string_view withoutLabels(std::string_view name)
+prometheus::Labels ownedLabels(MetricLabels labels)
 {
-    return name.substr(0, name.find('{'));
+    prometheus::Labels owned;
+    for (const MetricLabel &label : labels) {
+        owned.emplace(label.name, label.value);
+    }
+    return owned;
 }
 
-/// Prints the TYPE line once for each family; names come sorted, so a family stands together.
-void writeType(std::ostream &out, std::string &lastFamily, std::string_view name, std::string_view type)
+/// The family of a name, made on its first use.
+template <typename Families, typename Build>
+auto &familyOf(Families &families, std::string_view name, prometheus::Registry &registry, Build build)
 {
-    const std::string_view family = withoutLabels(name);
-    if (family == lastFamily) {
-        return;
+    auto found = families.find(name);
+    if (found == families.end()) {
+        auto &family = build().Name(std::string(name)).Help(helpOf(name)).Register(registry);
+        found = families.emplace(name, &family).first;
     }
-    lastFamily = family;
-    out << "# TYPE " << family << ' ' << type << '\n';
+    return *found->second;
 }
 
 } // namespace
 
-struct Metrics::Summary
+Metrics::Metrics()
+    : registry_(std::make_unique<prometheus::Registry>())
 {
-    Accumulator accumulator{boost::accumulators::tag::extended_p_square::probabilities = quantiles};
-};
+}
 
-Metrics::Metrics() = default;
 Metrics::~Metrics() = default;
 
-void Metrics::add(std::string_view name, std::uint64_t amount)
+prometheus::Counter &Metrics::counterOf(std::string_view name, MetricLabels labels) const
+{
+    return familyOf(counters_, name, *registry_, &prometheus::BuildCounter).Add(ownedLabels(labels));
+}
+
+void Metrics::add(std::string_view name, MetricLabels labels, std::uint64_t amount)
 {
     const std::lock_guard lock(mutex_);
-    auto entry = counters_.find(name);
-    if (entry == counters_.end()) {
-        entry = counters_.emplace(name, 0).first;
-    }
-    entry->second += amount;
+    counterOf(name, labels).Increment(static_cast<double>(amount));
+}
+
+void Metrics::raiseTo(std::string_view name, MetricLabels labels, std::uint64_t total)
+{
+    const std::lock_guard lock(mutex_);
+    prometheus::Counter &counter = counterOf(name, labels);
+    counter.Increment(std::max(0.0, static_cast<double>(total) - counter.Value()));
 }
 
 void Metrics::set(std::string_view name, double value)
 {
     const std::lock_guard lock(mutex_);
-    gauges_.insert_or_assign(std::string(name), value);
+    familyOf(gauges_, name, *registry_, &prometheus::BuildGauge).Add({}).Set(value);
 }
 
-void Metrics::observe(std::string_view name, double value)
+void Metrics::observe(std::string_view name, MetricLabels labels, double seconds)
 {
     const std::lock_guard lock(mutex_);
-    auto entry = summaries_.find(name);
-    if (entry == summaries_.end()) {
-        entry = summaries_.emplace(name, std::make_unique<Summary>()).first;
-    }
-    entry->second->accumulator(value);
+    familyOf(histograms_, name, *registry_, &prometheus::BuildHistogram).Add(ownedLabels(labels), secondBounds).Observe(seconds);
 }
 
-std::uint64_t Metrics::counter(std::string_view name) const
+std::uint64_t Metrics::counter(std::string_view name, MetricLabels labels) const
 {
     const std::lock_guard lock(mutex_);
-    const auto entry = counters_.find(name);
-    return entry == counters_.end() ? 0 : entry->second;
+    return static_cast<std::uint64_t>(counterOf(name, labels).Value());
 }
 
 std::string Metrics::text() const
 {
-    const std::lock_guard lock(mutex_);
-    std::ostringstream out;
-    std::string lastFamily;
-    for (const auto &[name, value] : counters_) {
-        writeType(out, lastFamily, name, "counter");
-        out << name << ' ' << value << '\n';
-    }
-    for (const auto &[name, value] : gauges_) {
-        writeType(out, lastFamily, name, "gauge");
-        out << name << ' ' << value << '\n';
-    }
-    for (const auto &[name, summary] : summaries_) {
-        writeType(out, lastFamily, name, "summary");
-        const auto estimates = boost::accumulators::extended_p_square(summary->accumulator);
-        for (std::size_t i = 0; i < quantiles.size(); ++i) {
-            out << name << "{quantile=\"" << quantiles[i] << "\"} " << estimates[i] << '\n';
-        }
-        out << name << "_sum " << boost::accumulators::sum(summary->accumulator) << '\n';
-        out << name << "_count " << boost::accumulators::count(summary->accumulator) << '\n';
-    }
-    return out.str();
+    return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
 
 } // namespace Lovageloft
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -1,18 +1,37 @@
 #pragma once
 
 #include <cstdint>
+#include <initializer_list>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <string_view>
 
-/// Figures of a running host in Prometheus' text format; distributions by Boost.Accumulators.
+namespace prometheus
+{
+class Counter;
+class Gauge;
+class Histogram;
+class Registry;
+template <typename T>
+class Family;
+} // namespace prometheus
+
+/// Figures of a running host in Prometheus' text format, by prometheus-cpp. docs/METRICS.md lists them all.
 namespace Lovageloft
 {
 
-/// A registry of counters, gauges and summaries. Thread-safe. A name may carry labels:
-/// `lovageloft_requests_total{code="ok"}`.
+/// What tells apart the figures of one name. Values come from small sets: outcomes, services, never requests.
+struct MetricLabel
+{
+    std::string_view name;
+    std::string_view value;
+};
+
+using MetricLabels = std::initializer_list<MetricLabel>;
+
+/// A registry of counters, gauges and histograms of seconds. Thread-safe.
 class Metrics
 {
 public:
@@ -22,27 +41,34 @@
     Metrics &operator=(const Metrics &) = delete;
 
     /// Adds to a counter, which starts at 0.
-    void add(std::string_view name, std::uint64_t amount = 1);
+    void add(std::string_view name, MetricLabels labels = {}, std::uint64_t amount = 1);
+
+    /// Brings a counter that something else keeps up to `total`.
+    void raiseTo(std::string_view name, MetricLabels labels, std::uint64_t total);
 
     /// Sets a gauge.
     void set(std::string_view name, double value);
 
-    /// Adds one observation to a summary with the quantiles 0.5, 0.95 and 0.99 (P-square estimates).
-    void observe(std::string_view name, double value);
+    /// Adds one duration to a histogram with bounds from a millisecond to a minute.
+    void observe(std::string_view name, MetricLabels labels, double seconds);
 
     /// The value of a counter, 0 for one never added to.
-    std::uint64_t counter(std::string_view name) const;
+    std::uint64_t counter(std::string_view name, MetricLabels labels = {}) const;
 
     /// All figures as Prometheus text.
     std::string text() const;
 
 private:
-    struct Summary;
+    template <typename Metric>
+    using Families = std::map<std::string, prometheus::Family<Metric> *, std::less<>>;
+
+    prometheus::Counter &counterOf(std::string_view name, MetricLabels labels) const;
 
+    std::unique_ptr<prometheus::Registry> registry_;
     mutable std::mutex mutex_;
-    std::map<std::string, std::uint64_t, std::less<>> counters_;
-    std::map<std::string, double, std::less<>> gauges_;
-    std::map<std::string, std::unique_ptr<Summary>, std::less<>> summaries_;
+    mutable Families<prometheus::Counter> counters_;
+    Families<prometheus::Gauge> gauges_;
+    Families<prometheus::Histogram> histograms_;
 };
 
 } // namespace Lovageloft
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -74,7 +74,9 @@
     , decideTimer_(loop_)
     , tickTimer_(loop_)
     , drainTimer_(loop_)
-    , status_(loop_, [this](std::string_view path) { return statusOf(path); })
+    , readiness_(loop_, [this](std::string_view path) { return readinessAnswer(path); })
+    , metricsServer_(loop_, [this](std::string_view path) { return metricsAnswer(path); })
+    , operatorView_(*this)
     , directory_(options.weightsDeadline)
     , pool_(loop_, targetProtocol)
     , fleet_(*this, options.hostName)
@@ -88,7 +90,10 @@
 
 bool Gateway::open(Reason &reason)
 {
-    if (!openListener(acceptor_, options_.callers, reason) || !status_.open(options_.readiness, reason) || !fleet_.open(options_.peers, reason)) {
+    if (!openListener(acceptor_, options_.callers, reason) || !readiness_.open(options_.readiness, reason) || !fleet_.open(options_.peers, reason)) {
+        return false;
+    }
+    if (options_.metrics && !metricsServer_.open(*options_.metrics, reason)) {
         return false;
     }
     isAccepting_ = true;
@@ -103,6 +108,11 @@
     return acceptor_.local_endpoint(ignored).port();
 }
 
+std::uint16_t Gateway::metricsPort() const
+{
+    return metricsServer_.port();
+}
+
 void Gateway::run()
 {
     loop_.run();
@@ -131,13 +141,7 @@
     }
     directory_.setCacheTokens(std::move(cacheTokens));
     refreshTargets();
-    std::vector<TeamLimit> limits;
-    for (const Team &team : table_->teams) {
-        // Half of what a limit may be passed by; the other half is for hosts that start with part of a burst or are counted late.
-        const double over = 1 + options_.quotaOver / 2;
-        limits.push_back({team.name, team.rate * over, team.burst * over + options_.quotaSlack / 2});
-    }
-    fleet_.setLimits(limits);
+    applyTeamLimits();
     writeLog(LogLevel::Info,
              "configuration_in_force",
              {{"version", table_->version},
@@ -177,12 +181,85 @@
 
 void Gateway::setHosts(const std::map<std::string, HostAddress> &hosts, double share)
 {
+    hosts_ = hosts;
+    share_ = share;
     fleet_.setHosts(hosts, share);
-    const std::size_t count = std::max<std::size_t>(hosts.size(), 1);
-    scheduler_.setHostCount(count);
+    scheduler_.setHostCount(std::max<std::size_t>(hosts.size(), 1));
+    applyRetryLimits();
+}
+
+void Gateway::setLeader(const std::string &host)
+{
+    if (leader_ != host) {
+        leader_ = host;
+        writeLog(LogLevel::Info, "leader_known", {{"leader", host}});
+    }
+}
+
+void Gateway::setOptions(const GatewayOptions &options)
+{
+    GatewayOptions taken = options;
+    taken.callers = options_.callers;
+    taken.readiness = options_.readiness;
+    taken.peers = options_.peers;
+    taken.metrics = options_.metrics;
+    taken.hostName = options_.hostName;
+    options_ = taken;
+    directory_.setWeightsDeadline(options_.weightsDeadline);
+    applyRetryLimits();
+    if (table_ != nullptr) {
+        applyTeamLimits();
+    }
+    refreshTargets();
+}
+
+void Gateway::applyTeamLimits()
+{
+    std::vector<TeamLimit> limits;
+    for (const Team &team : table_->teams) {
+        // Half of what a limit may be passed by; the other half is for hosts that start with part of a burst or are counted late.
+        const double over = 1 + options_.quotaOver / 2;
+        limits.push_back({team.name, team.rate * over, team.burst * over + options_.quotaSlack / 2});
+    }
+    fleet_.setLimits(limits);
+}
+
+void Gateway::applyRetryLimits()
+{
+    const std::size_t count = std::max<std::size_t>(hosts_.size(), 1);
     scheduler_.setRetryLimits({options_.retries.ratio * retryPart, options_.retries.slack * retryPart / static_cast<double>(count)});
 }
 
+const std::string &Gateway::hostName() const
+{
+    return options_.hostName;
+}
+
+const std::map<std::string, HostAddress> &Gateway::hosts() const
+{
+    return hosts_;
+}
+
+double Gateway::share() const
+{
+    return share_;
+}
+
+const std::string &Gateway::leader() const
+{
+    return leader_;
+}
+
+std::size_t Gateway::runningCount() const
+{
+    return scheduler_.inFlight();
+}
+
+std::size_t Gateway::waitingCount() const
+{
+    return scheduler_.waiting();
+}
+
 FleetLink &Gateway::fleet()
 {
     return fleet_;
@@ -435,11 +512,10 @@
     refuse(&session, reason, RunState::NotRun, {});
 }
 
-void Gateway::onRequestEnded(const RoutedRequest &request, std::string_view outcome, TimePoint startedAt)
+void Gateway::onRequestEnded(const RoutedRequest &request, const EndedRequest &ended)
 {
     requests_.erase(request.schedulerId());
-    metrics_.add("lovageloft_requests_ended_total{outcome=\"" + std::string(outcome) + "\"}");
-    metrics_.observe("lovageloft_request_seconds", toSeconds(BootClock::now() - startedAt));
+    observeRequest(metrics_, ended);
 }
 
 void Gateway::onSessionEnded(const std::shared_ptr<CallerSession> &session)
@@ -542,7 +618,8 @@
     const bool isEmpty = elapsed >= options_.drainNotice && sessions_.empty() && requests_.empty();
     if (isEmpty || elapsed >= options_.drainLimit) {
         writeLog(LogLevel::Info, "drain_ended", {{"empty", isEmpty}, {"requests", static_cast<std::int64_t>(requests_.size())}});
-        status_.close();
+        readiness_.close();
+        metricsServer_.close();
         fleet_.close();
         loop_.stop();
         return;
@@ -555,23 +632,43 @@
     });
 }
 
-StatusAnswer Gateway::statusOf(std::string_view path)
+StatusAnswer Gateway::readinessAnswer(std::string_view path)
 {
     constexpr int unavailable = 503;
     constexpr int notFound = 404;
     if (path == callerProtocol_.readyPath()) {
         return isReady(BootClock::now()) ? StatusAnswer{200, "ready\n"} : StatusAnswer{unavailable, "not ready\n"};
     }
-    if (path == "/metrics") {
-        metrics_.set("lovageloft_requests_waiting", static_cast<double>(scheduler_.waiting()));
-        metrics_.set("lovageloft_requests_running", static_cast<double>(scheduler_.inFlight()));
-        metrics_.set("lovageloft_key_proof_age_seconds", toSeconds(proofAge(BootClock::now())));
-        metrics_.set("lovageloft_idle_target_connections", static_cast<double>(pool_.idleCount()));
-        return {200, metrics_.text()};
-    }
     return {notFound, "not found\n"};
 }
 
+StatusAnswer Gateway::metricsAnswer(std::string_view path)
+{
+    if (path != "/metrics") {
+        return operatorView_.answer(path);
+    }
+    updateGauges();
+    return {200, metrics_.text(), "text/plain; version=0.0.4"};
+}
+
+void Gateway::updateGauges()
+{
+    const TimePoint now = BootClock::now();
+    metrics_.set("lovageloft_requests_waiting", static_cast<double>(waitingCount()));
+    metrics_.set("lovageloft_requests_running", static_cast<double>(runningCount()));
+    metrics_.set("lovageloft_key_proof_age_seconds", toSeconds(proofAge(now)));
+    metrics_.set("lovageloft_idle_target_connections", static_cast<double>(pool_.idleCount()));
+    metrics_.set("lovageloft_configuration_version", table_ != nullptr ? static_cast<double>(table_->version) : 0);
+    metrics_.set("lovageloft_targets_known", static_cast<double>(directory_.all().size()));
+    metrics_.set("lovageloft_ready", isReady(now) ? 1 : 0);
+    metrics_.set("lovageloft_leader", leader_ == options_.hostName ? 1 : 0);
+    const LogCounts lines = logCounts();
+    metrics_.raiseTo("lovageloft_log_lines_dropped_total", {}, lines.dropped);
+    for (const auto &[event, count] : lines.suppressed) {
+        metrics_.raiseTo("lovageloft_log_lines_suppressed_total", {{"event", event}}, count);
+    }
+}
+
 bool Gateway::isReady(TimePoint now) const
 {
     return !drainStartedAt_ && hasTargets_ && isKeyProofValid(now);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -14,7 +14,9 @@
 #include "core/random.h"
 #include "decision/request_scheduler.h"
 #include "gateway/fleet_link.h"
+#include "gateway/operator_view.h"
 #include "gateway/protocol.h"
+#include "gateway/request_metrics.h"
 #include "gateway/routing_table.h"
 #include "gateway/status_server.h"
 #include "gateway/target_directory.h"
@@ -32,6 +34,7 @@
     HostAddress callers;
     HostAddress readiness;
     HostAddress peers; ///< Where datagrams of other hosts come.
+    std::optional<HostAddress> metrics; ///< Where metrics and operators' calls are answered.
     std::string hostName;
     Duration keyProofWindow = std::chrono::seconds(5); ///< Within this time a withdrawn key must have stopped working.
     Duration configurationWindow = std::chrono::seconds(2); ///< Within this time a new configuration must be in force.
@@ -59,6 +62,9 @@
     /// The callers' port as bound, for options that take any free one.
     std::uint16_t callerPort() const;
 
+    /// The port for metrics and operators' calls as bound.
+    std::uint16_t metricsPort() const;
+
     /// Serves until a shutdown has ended.
     void run();
 
@@ -79,9 +85,25 @@
     /// The hosts that count, with this one, where they take datagrams, and this host's part of what is divided evenly.
     void setHosts(const std::map<std::string, HostAddress> &hosts, double share);
 
+    /// The host that orders the engines; empty if there is none.
+    void setLeader(const std::string &host);
+
+    /// Times and limits that were set anew; addresses and names stay as they are.
+    void setOptions(const GatewayOptions &options);
+
     /// Begins a graceful shutdown.
     void drain();
 
+    // For operators.
+
+    const std::string &hostName() const;
+    const std::map<std::string, HostAddress> &hosts() const;
+    double share() const;
+    const std::string &leader() const;
+    std::size_t runningCount() const;
+    std::size_t waitingCount() const;
+    bool isReady(TimePoint now) const;
+
     // For sessions and requests.
 
     boost::asio::io_context &loop();
@@ -146,7 +168,7 @@
     /// The same for a message that could not be read.
     void refuseUnread(CallerSession &session, const Reason &reason);
 
-    void onRequestEnded(const RoutedRequest &request, std::string_view outcome, TimePoint startedAt);
+    void onRequestEnded(const RoutedRequest &request, const EndedRequest &ended);
     void onSessionEnded(const std::shared_ptr<CallerSession> &session);
 
 private:
@@ -155,8 +177,11 @@
     void scheduleDecide();
     void tick();
     void continueDrain();
-    StatusAnswer statusOf(std::string_view path);
-    bool isReady(TimePoint now) const;
+    StatusAnswer readinessAnswer(std::string_view path);
+    StatusAnswer metricsAnswer(std::string_view path);
+    void updateGauges();
+    void applyTeamLimits();
+    void applyRetryLimits();
     void beginWaiting();
 
     GatewayOptions options_;
@@ -168,7 +193,9 @@
     boost::asio::steady_timer decideTimer_;
     boost::asio::steady_timer tickTimer_;
     boost::asio::steady_timer drainTimer_; ///< Its own: a tick that is due already would take a shared one over.
-    StatusServer status_;
+    StatusServer readiness_;
+    StatusServer metricsServer_;
+    OperatorView operatorView_;
     std::shared_ptr<const RoutingTable> table_;
     TimePoint provenAt_;
     TargetDirectory directory_;
@@ -182,6 +209,9 @@
     std::set<std::shared_ptr<CallerSession>> sessions_;
     std::uint64_t lastRequest_ = 0;
     std::set<std::string, std::less<>> aliveCacheStores_;
+    std::map<std::string, HostAddress> hosts_; ///< All that count, with this one.
+    double share_ = 0; ///< This host's part of what is divided evenly.
+    std::string leader_;
     bool hasTargets_ = false;
     bool isDecideScheduled_ = false;
     bool isAccepting_ = false;
--- a/gateway/host_duty.cpp
+++ b/gateway/host_duty.cpp
@@ -129,7 +129,7 @@
     }
     const auto isLeader = [this](const StoreEntry &entry) { return entry.key == options_.leaderKey; };
     if (std::none_of(reply.entries.begin(), reply.entries.end(), isLeader)) {
-        options_.onLeaderGone();
+        takeLeader({options_.leaderKey, {}, 0, true});
     }
     publish();
     return true;
@@ -138,9 +138,7 @@
 void HostDuty::take(const StoreEntry &entry)
 {
     if (!entry.key.starts_with(options_.hostsPrefix)) {
-        if (entry.isDeleted && entry.key == options_.leaderKey) {
-            options_.onLeaderGone();
-        }
+        takeLeader(entry);
         return;
     }
     const std::string name = entry.key.substr(options_.hostsPrefix.size());
@@ -155,6 +153,19 @@
     }
 }
 
+/// The value begins with the holder's name, and that with its host's.
+void HostDuty::takeLeader(const StoreEntry &entry)
+{
+    if (entry.key != options_.leaderKey) {
+        return;
+    }
+    if (entry.isDeleted) {
+        options_.onLeaderGone();
+    }
+    const std::string leader = entry.isDeleted ? std::string() : entry.value.substr(0, entry.value.find('/'));
+    gateway_.post([leader](Gateway &gateway) { gateway.setLeader(leader); });
+}
+
 void HostDuty::publish()
 {
     const TimePoint now = BootClock::now();
--- a/gateway/host_duty.h
+++ b/gateway/host_duty.h
@@ -43,6 +43,7 @@
     bool followHosts();
     bool readAll();
     void take(const StoreEntry &entry);
+    void takeLeader(const StoreEntry &entry);
     void publish();
 
     Store &store_;
--- /dev/null
+++ b/gateway/operator_view.cpp
@@ -0,0 +1,145 @@
+#include "gateway/operator_view.h"
+
+#include <array>
+#include <sstream>
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+
+#include "gateway/gateway.h"
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+using Poco::JSON::Array;
+using Poco::JSON::Object;
+
+constexpr int ok = 200;
+constexpr int notFound = 404;
+
+Object::Ptr ordered()
+{
+    return new Object(Poco::JSON_PRESERVE_KEY_ORDER);
+}
+
+std::string textOf(const Object &object)
+{
+    std::ostringstream out;
+    object.stringify(out);
+    return out.str();
+}
+
+std::string tableOf(const char *name, const Array::Ptr &rows)
+{
+    Object::Ptr answer = ordered();
+    answer->set(name, rows);
+    return textOf(*answer);
+}
+
+} // namespace
+
+OperatorView::OperatorView(const Gateway &gateway)
+    : gateway_(gateway)
+{
+}
+
+StatusAnswer OperatorView::answer(std::string_view path) const
+{
+    struct Row
+    {
+        std::string_view path;
+        std::string (OperatorView::*answer)() const;
+    };
+
+    static constexpr auto rows = std::to_array<Row>({
+        {"/operator/status", &OperatorView::status},
+        {"/operator/teams", &OperatorView::teams},
+        {"/operator/targets", &OperatorView::targets},
+        {"/operator/hosts", &OperatorView::hosts},
+        {"/operator/leader", &OperatorView::leader},
+    });
+    for (const Row &row : rows) {
+        if (row.path == path) {
+            return {ok, (this->*row.answer)(), "application/json"};
+        }
+    }
+    return {notFound, "not found\n"};
+}
+
+std::string OperatorView::status() const
+{
+    const TimePoint now = BootClock::now();
+    const auto table = gateway_.table();
+    Object::Ptr status = ordered();
+    status->set("host", gateway_.hostName());
+    status->set("phase", gateway_.isDraining() ? "draining" : "serving");
+    status->set("ready", gateway_.isReady(now));
+    status->set("version", table != nullptr ? table->version : std::int64_t{0});
+    status->set("proof_age_ms", toMillis(gateway_.proofAge(now)));
+    status->set("running", gateway_.runningCount());
+    status->set("waiting", gateway_.waitingCount());
+    status->set("teams", table != nullptr ? table->teams.size() : std::size_t{0});
+    status->set("targets", gateway_.targets().all().size());
+    status->set("hosts", gateway_.hosts().size());
+    status->set("share", gateway_.share());
+    status->set("leader", gateway_.leader());
+    return textOf(*status);
+}
+
+std::string OperatorView::teams() const
+{
+    Array::Ptr rows = new Array;
+    const auto table = gateway_.table();
+    for (const Team &team : table != nullptr ? table->teams : std::vector<Team>{}) {
+        Object::Ptr row = ordered();
+        row->set("team", team.name);
+        row->set("rate", team.rate);
+        row->set("burst", team.burst);
+        row->set("isolated", team.isIsolated);
+        rows->add(row);
+    }
+    return tableOf("teams", rows);
+}
+
+std::string OperatorView::targets() const
+{
+    Array::Ptr rows = new Array;
+    for (const auto &[id, target] : gateway_.targets().all()) {
+        Object::Ptr row = ordered();
+        const bool hasModel = !target.models.empty();
+        row->set("target", id);
+        row->set("service", target.service);
+        row->set("model", hasModel ? target.models.front().name : std::string());
+        row->set("weights", hasModel ? gateway_.targets().weightsOf(target, target.models.front().name) : std::int64_t{0});
+        row->set("address", target.address.host + ':' + std::to_string(target.address.port));
+        row->set("data_centre", target.dataCentre);
+        row->set("state", target.isLeaving ? "leaving" : "serving");
+        rows->add(row);
+    }
+    return tableOf("targets", rows);
+}
+
+std::string OperatorView::hosts() const
+{
+    Array::Ptr rows = new Array;
+    for (const auto &[name, address] : gateway_.hosts()) {
+        Object::Ptr row = ordered();
+        row->set("host", name);
+        row->set("peer_address", address.host + ':' + std::to_string(address.port));
+        rows->add(row);
+    }
+    return tableOf("hosts", rows);
+}
+
+std::string OperatorView::leader() const
+{
+    Object::Ptr answer = ordered();
+    answer->set("leader", gateway_.leader());
+    answer->set("told_by", gateway_.hostName());
+    return textOf(*answer);
+}
+
+} // namespace Lovageloft
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -163,6 +163,7 @@
     const TimePoint now = BootClock::now();
     phase_ = Phase::Sent;
     sentAt_ = now;
+    queued_ = queued_.value_or(now - startedAt_);
     ++sends_;
     ++runs_;
     isAnswerKept_ = false;
@@ -586,7 +587,11 @@
               {"first_ms", firstByte_ ? toMillis(*firstByte_) : -1},
               {"ms", toMillis(BootClock::now() - startedAt_)},
               {"bytes", static_cast<std::int64_t>(relayedBytes_)}});
-    gateway_.onRequestEnded(*this, outcome, startedAt_);
+    EndedRequest ended{std::nullopt, intake_.service(), outcome, status, sends_, BootClock::now() - startedAt_, queued_, firstByte_};
+    if (intake_.route() != nullptr) {
+        ended.kind = intake_.route()->kind;
+    }
+    gateway_.onRequestEnded(*this, ended);
 }
 
 Duration RoutedRequest::timeLeft(TimePoint now) const
--- a/gateway/routed_request.h
+++ b/gateway/routed_request.h
@@ -133,6 +133,7 @@
     bool isAnswerStarted_ = false; ///< The caller has the head of an answer.
     bool isAnswerKept_ = false; ///< The answer being read is passed on.
     std::size_t relayedBytes_ = 0;
+    std::optional<Duration> queued_; ///< Until it was first sent to a target.
     std::optional<Duration> firstByte_;
 };
 
--- a/gateway/status_server.cpp
+++ b/gateway/status_server.cpp
@@ -70,7 +70,7 @@
     {
         const StatusAnswer answer = server_.answer_(path_);
         std::string out = "HTTP/1.1 " + std::to_string(answer.status) + ' ' + std::string(statusText(answer.status)) + "\r\n";
-        appendField(out, "Content-Type", "text/plain; charset=utf-8");
+        appendField(out, "Content-Type", answer.contentType);
         appendField(out, "Content-Length", std::to_string(answer.body.size()));
         out.append("\r\n").append(answer.body);
         tcp_->send(out);
@@ -109,6 +109,12 @@
     sessions_.clear();
 }
 
+std::uint16_t StatusServer::port() const
+{
+    boost::system::error_code ignored;
+    return acceptor_.local_endpoint(ignored).port();
+}
+
 void StatusServer::accept()
 {
     acceptor_.async_accept([this](const boost::system::error_code &error, TcpConnection::Socket socket) {
--- a/gateway/status_server.h
+++ b/gateway/status_server.h
@@ -19,6 +19,7 @@
 {
     int status = 200;
     std::string body;
+    std::string contentType = "text/plain; charset=utf-8";
 };
 
 /// Answers short questions about this host on an address of its own: readiness for the balancer, and metrics.
@@ -33,6 +34,9 @@
     bool open(const HostAddress &address, Reason &reason);
     void close();
 
+    /// The port as bound, for an address that takes any free one.
+    std::uint16_t port() const;
+
 private:
     class Session;
 
--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -34,6 +34,11 @@
 {
 }
 
+void TargetDirectory::setWeightsDeadline(Duration deadline)
+{
+    weightsDeadline_ = deadline;
+}
+
 void TargetDirectory::setTargets(std::shared_ptr<const TargetMap> targets)
 {
     for (const auto &[id, target] : *targets) {
--- a/gateway/target_directory.h
+++ b/gateway/target_directory.h
@@ -24,6 +24,8 @@
     /// `weightsDeadline`: time after new weights were named from which no request may begin on older ones.
     explicit TargetDirectory(Duration weightsDeadline);
 
+    void setWeightsDeadline(Duration deadline);
+
     void setTargets(std::shared_ptr<const TargetMap> targets);
     void setNamedWeights(const NamedWeights &weights);
 
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -25,9 +25,12 @@
 /// second and the load takes half of one.
 constexpr Duration announcedLoad = std::chrono::milliseconds(2'200);
 
-GatewayOptions gatewayOptions(const GatewaySettings &settings)
+GatewayOptions gatewayOptions(const GatewaySettings &settings, std::uint16_t metricsPort)
 {
     GatewayOptions options;
+    if (metricsPort != 0) {
+        options.metrics = HostAddress{settings.callers.host, metricsPort};
+    }
     options.callers = settings.callers;
     options.readiness = settings.readiness;
     options.peers = settings.peers;
@@ -63,19 +66,55 @@
     return host + '/' + std::to_string(std::random_device{}());
 }
 
+/// A setting, and whether a new value is taken without a new start. Addresses are bound, and leases granted, at the start.
+struct SettingField
+{
+    std::string_view name;
+    bool (*isSame)(const GatewaySettings &, const GatewaySettings &);
+    bool isLive;
+};
+
+template <auto Member>
+bool isSame(const GatewaySettings &left, const GatewaySettings &right)
+{
+    return left.*Member == right.*Member;
+}
+
+constexpr auto settingFields = std::to_array<SettingField>({
+    {"host_name", &isSame<&GatewaySettings::hostName>, false},
+    {"data_centre", &isSame<&GatewaySettings::dataCentre>, false},
+    {"callers", &isSame<&GatewaySettings::callers>, false},
+    {"readiness", &isSame<&GatewaySettings::readiness>, false},
+    {"store", &isSame<&GatewaySettings::store>, false},
+    {"peers", &isSame<&GatewaySettings::peers>, false},
+    {"leader_lease", &isSame<&GatewaySettings::leaderLease>, false},
+    {"shortest_lease", &isSame<&GatewaySettings::shortestLease>, false},
+    {"engines_check_fencing", &isSame<&GatewaySettings::enginesCheckFencing>, false},
+    {"key_proof_window", &isSame<&GatewaySettings::keyProofWindow>, true},
+    {"configuration_window", &isSame<&GatewaySettings::configurationWindow>, true},
+    {"weights_deadline", &isSame<&GatewaySettings::weightsDeadline>, true},
+    {"shutdown_limit", &isSame<&GatewaySettings::shutdownLimit>, true},
+    {"retry_ratio", &isSame<&GatewaySettings::retryRatio>, true},
+    {"retry_slack", &isSame<&GatewaySettings::retrySlack>, true},
+    {"quota_over", &isSame<&GatewaySettings::quotaOver>, true},
+    {"quota_slack", &isSame<&GatewaySettings::quotaSlack>, true},
+});
+
 } // namespace
 
-GatewayHost::GatewayHost(const GatewaySettings &settings)
+GatewayHost::GatewayHost(const GatewaySettings &settings, std::uint16_t metricsPort)
     : settings_(settings)
+    , metricsPort_(metricsPort)
     , store_({.address = settings.store})
-    , relayedStore_(store_, settings.hostName)
-    , gateway_(gatewayOptions(settings), callerProtocol_, targetProtocol_, metrics_)
+    , measuredStore_(store_, metrics_)
+    , relayedStore_(measuredStore_, settings.hostName)
+    , gateway_(gatewayOptions(settings, metricsPort), callerProtocol_, targetProtocol_, metrics_)
     , feed_(records_, listeners())
     , configurationDuty_(relayedStore_, records_, feed_)
     , proofDuty_(relayedStore_, records_, feed_, settings.configurationWindow)
     , targetDuty_(relayedStore_, records_, [this](const std::shared_ptr<const TargetMap> &targets) { onTargets(targets); })
     , hostDuty_(relayedStore_, gateway_, hostOptions())
-    , weightsDuty_(store_, engineControl_, weightsOptions())
+    , weightsDuty_(measuredStore_, engineControl_, weightsOptions())
     , cacheStoreDuty_(gateway_, relayedStore_, engineControl_)
 {
     gateway_.fleet().setRelayedStore(relayedStore_);
@@ -149,6 +188,21 @@
     writeLog(LogLevel::Info, "host_stopped");
 }
 
+void GatewayHost::reload(const GatewaySettings &settings)
+{
+    std::string applied;
+    std::string needsStart;
+    for (const SettingField &field : settingFields) {
+        if (!field.isSame(settings_, settings)) {
+            std::string &list = field.isLive ? applied : needsStart;
+            list.append(list.empty() ? "" : ",").append(field.name);
+        }
+    }
+    writeLog(needsStart.empty() ? LogLevel::Info : LogLevel::Warning, "settings_applied", {{"applied", applied}, {"needs_start", needsStart}});
+    settings_ = settings;
+    gateway_.post([options = gatewayOptions(settings, metricsPort_)](Gateway &gateway) { gateway.setOptions(options); });
+}
+
 void GatewayHost::drain()
 {
     // Leadership goes first, so that another host can take over while this one still answers.
--- a/main/gateway_host.h
+++ b/main/gateway_host.h
@@ -6,6 +6,7 @@
 #include "gateway/gateway.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/host_duty.h"
+#include "gateway/measured_store.h"
 #include "gateway/proof_duty.h"
 #include "gateway/relayed_store.h"
 #include "gateway/target_duty.h"
@@ -22,7 +23,8 @@
 class GatewayHost
 {
 public:
-    explicit GatewayHost(const GatewaySettings &settings);
+    /// `metricsPort`: where metrics and operators' calls are answered on this host's address; 0 for nowhere.
+    GatewayHost(const GatewaySettings &settings, std::uint16_t metricsPort);
 
     /// Opens the ports and starts the duties.
     bool start(Reason &reason);
@@ -30,6 +32,9 @@
     /// Serves until a shutdown asked for with `drain` has ended.
     void run();
 
+    /// Takes settings that were read again, and tells which of them need a new start. For any thread.
+    void reload(const GatewaySettings &settings);
+
     /// For any thread.
     void drain();
 
@@ -42,12 +47,14 @@
     void onWeights(const NamedWeights &weights);
 
     GatewaySettings settings_;
+    std::uint16_t metricsPort_;
     Metrics metrics_;
     PlatformCallerProtocol callerProtocol_;
     PlatformTargetProtocol targetProtocol_;
     PlatformStoreRecords records_;
     PlatformEngineControl engineControl_;
     KvStore store_;
+    MeasuredStore measuredStore_;
     RelayedStore relayedStore_;
     Gateway gateway_;
     ConfigurationFeed feed_;
--- a/main/lovageloftctl.cpp
+++ b/main/lovageloftctl.cpp
@@ -29,7 +29,7 @@
     bool isJson = false;
 };
 
-constexpr std::string_view usage = "Operators' calls. Commands: status | teams | engines | hosts | audit [FROM] | drain | ticket apply FILE | "
+constexpr std::string_view usage = "Operators' calls. Commands: status | teams | engines | hosts | leader | audit [FROM] | drain | ticket apply FILE | "
                                    "ticket show NUMBER | settings check FILE | explain REQUEST [FILE]. "
                                    "The key is read from --key-file or the environment variable LOVAGELOFT_OPERATOR_KEY. "
                                    "Exit codes: 0 done, 1 refused or outcome not known, 2 wrong arguments or settings, 3 the host gave no answer.";
@@ -132,6 +132,11 @@
     return call(arguments, "GET", "/operator/hosts", {});
 }
 
+int showLeader(const Arguments &arguments)
+{
+    return call(arguments, "GET", "/operator/leader", {});
+}
+
 int showAudit(const Arguments &arguments)
 {
     return call(arguments, "GET", "/operator/audit", {});
@@ -206,6 +211,7 @@
     {{"teams", ""}, 0, &showTeams},
     {{"engines", ""}, 0, &showEngines},
     {{"hosts", ""}, 0, &showHosts},
+    {{"leader", ""}, 0, &showLeader},
     {{"audit", ""}, 0, &showAudit},
     {{"audit", ""}, 1, &showAuditFrom},
     {{"drain", ""}, 0, &drain},
--- a/main/lovageloftd.cpp
+++ b/main/lovageloftd.cpp
@@ -25,6 +25,7 @@
     std::string settingsPath;
     bool isCheck = false;
     bool isPlatform = false;
+    std::uint16_t metricsPort = 0;
 };
 
 std::optional<Arguments> parseArguments(int argc, char **argv)
@@ -32,11 +33,13 @@
     try {
         TCLAP::CmdLine line("Router for language-model traffic. Exit codes: 0 ended as asked, 1 failed, 2 wrong arguments or settings.", ' ', "0.1.0");
         line.setExceptionHandling(false);
-        TCLAP::SwitchArg check("", "check", "Check the settings file and exit.", line);
+        TCLAP::SwitchArg check("", "check-settings", "Check the settings file and exit.", line);
+        TCLAP::ValueArg<std::uint16_t> metrics(
+            "", "metrics-port", "With --platform: port of this host's address for metrics and operators' calls.", false, 0, "PORT", line);
         TCLAP::SwitchArg platform("", "platform", "The settings file is the platform's; without SETTINGS its path is taken from the environment.", line);
         TCLAP::UnlabeledValueArg<std::string> settings("settings", "Settings file (TOML).", false, "", "SETTINGS", line);
         line.parse(argc, argv);
-        Arguments arguments{settings.getValue(), check.getValue(), platform.getValue()};
+        Arguments arguments{settings.getValue(), check.getValue(), platform.getValue(), metrics.getValue()};
         if (arguments.settingsPath.empty() && arguments.isPlatform) {
             arguments.settingsPath = nodeFilePath().value_or(std::string());
         }
@@ -106,8 +109,11 @@
             continue;
         }
         Reason reason;
-        const bool isGood = loadNodeFile(settingsPath, reason).has_value();
-        writeLog(isGood ? LogLevel::Info : LogLevel::Error, "settings_read_again", {{"ok", isGood}, {"reason", reason.text}});
+        const auto settings = loadNodeFile(settingsPath, reason);
+        writeLog(settings ? LogLevel::Info : LogLevel::Error, "settings_read_again", {{"ok", settings.has_value()}, {"reason", reason.text}});
+        if (settings) {
+            host.reload(*settings);
+        }
     }
 }
 
@@ -125,7 +131,7 @@
     }
     const sigset_t signals = blockSignals();
     startLog(LogLevel::Info, settings->hostName);
-    GatewayHost host(*settings);
+    GatewayHost host(*settings, arguments.metricsPort);
     if (!host.start(reason)) {
         std::cerr << "lovageloftd: " << reason.text << '\n';
         std::_Exit(ExitFailed);
--- a/servers/completion_handler.cpp
+++ b/servers/completion_handler.cpp
@@ -136,7 +136,7 @@
             return false;
         }
         failedEngines_.push_back(assignment->engine);
-        parts_.metrics.add("lovageloft_engine_failures_total{code=\"" + std::string(resultCodeInfo(reason.code).name) + "\"}");
+        parts_.metrics.add("lovageloft_engine_failures_total", {{"code", resultCodeInfo(reason.code).name}});
         if (!mayTryAgain(reason)) {
             return refuse({reason, RunState::MayHaveRun, std::chrono::seconds(1)});
         }
@@ -227,8 +227,8 @@
     const TokenUsage &usage = verifier_->usage();
     if (result == RelayResult::Done && usage.promptTokens > 0) {
         // Too late for the time, but the cached count comes only with the usage at the end.
-        parts_.metrics.add("lovageloft_prompt_tokens_total", static_cast<std::uint64_t>(usage.promptTokens));
-        parts_.metrics.add("lovageloft_cached_tokens_total", static_cast<std::uint64_t>(usage.cachedTokens));
+        parts_.metrics.add("lovageloft_prompt_tokens_total", {}, static_cast<std::uint64_t>(usage.promptTokens));
+        parts_.metrics.add("lovageloft_cached_tokens_total", {}, static_cast<std::uint64_t>(usage.cachedTokens));
     }
     const SchedulerEnd end = result == RelayResult::Done ? SchedulerEnd::Finished
         : result == RelayResult::Failed                  ? SchedulerEnd::Failed
@@ -318,7 +318,7 @@
     countRequest(parts_.metrics, code);
     const TokenUsage usage = verifier_ ? verifier_->usage() : TokenUsage{};
     if (relay_ && relay_->hasBegun()) {
-        parts_.metrics.observe("lovageloft_first_token_seconds", toSeconds(relay_->firstContent() - exchange_.arrival));
+        parts_.metrics.observe("lovageloft_first_token_seconds", {}, toSeconds(relay_->firstContent() - exchange_.arrival));
     }
     const LogLevel level = code == ResultCode::Ok ? LogLevel::Info : LogLevel::Warning;
     writeLog(level,
--- a/servers/operator_routes.cpp
+++ b/servers/operator_routes.cpp
@@ -109,7 +109,7 @@
     status->set("teams", state->teams().size());
     status->set("targets", state->targets().size());
     status->set("hosts", state->hosts().size());
-    status->set("requests_ok", call.parts.metrics.counter("lovageloft_requests_total{code=\"ok\"}"));
+    status->set("requests_ok", call.parts.metrics.counter("lovageloft_requests_total", {{"code", "ok"}}));
     sendObject(call, status);
 }
 
--- a/servers/refusal.cpp
+++ b/servers/refusal.cpp
@@ -11,7 +11,7 @@
 
 void countRequest(Metrics &metrics, ResultCode code)
 {
-    metrics.add("lovageloft_requests_total{code=\"" + std::string(resultCodeInfo(code).name) + "\"}");
+    metrics.add("lovageloft_requests_total", {{"code", resultCodeInfo(code).name}});
 }
 
 std::string refusalBody(const Refusal &refusal, std::string_view requestId)
--- a/tests/core/test_log_events.cpp
+++ b/tests/core/test_log_events.cpp
@@ -19,9 +19,9 @@
 std::set<std::string> writtenEvents()
 {
     std::set<std::string> events;
-    const std::regex call(R"(writeLog\(([^{;]*)[{;])");
+    const std::regex call(R"((?:writeLog|push)\(([^{;]*)[{;])");
     const std::regex text(R"re("([a-z_]+)")re");
-    for (const char *folder : {"gateway", "platform", "main"}) {
+    for (const char *folder : {"core", "gateway", "platform", "main"}) {
         for (const auto &file : std::filesystem::directory_iterator(folder)) {
             if (file.path().extension() != ".cpp") {
                 continue;
--- a/tests/platform/gateway_fixture.cpp
+++ b/tests/platform/gateway_fixture.cpp
@@ -53,6 +53,7 @@
     options.callers = {"127.0.0.1", 0};
     options.readiness = {"127.0.0.1", 0};
     options.peers = {"127.0.0.1", 0};
+    options.metrics = HostAddress{"127.0.0.1", 0};
     options.hostName = "host";
     options.drainNotice = std::chrono::milliseconds(300);
     options.drainLimit = std::chrono::seconds(4);
@@ -185,9 +186,27 @@
     return text + "\r\n" + body;
 }
 
+void GatewayFixture::onLoop(const std::function<void(Gateway &)> &task)
+{
+    gateway_->post(task);
+    settle();
+}
+
+std::string GatewayFixture::askOperator(const std::string &path) const
+{
+    const std::string answer = exchangeAt(gateway_->metricsPort(), "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n");
+    const std::size_t end = answer.find("\r\n\r\n");
+    return answer.starts_with("HTTP/1.1 200 ") && end != std::string::npos ? answer.substr(end + 4) : std::string();
+}
+
 std::string GatewayFixture::exchange(const std::string &bytes) const
 {
-    Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", port()));
+    return exchangeAt(port(), bytes);
+}
+
+std::string GatewayFixture::exchangeAt(std::uint16_t port, const std::string &bytes)
+{
+    Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", port));
     socket.setReceiveTimeout(Poco::Timespan(std::chrono::duration_cast<std::chrono::microseconds>(patience).count()));
     std::string answer;
     try {
--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -49,6 +49,12 @@
 
     std::uint16_t port() const;
 
+    /// Runs a task on the gateway's event loop, and waits for it.
+    void onLoop(const std::function<void(Gateway &)> &task);
+
+    /// The body of the answer on the address for metrics and operators' calls.
+    std::string askOperator(const std::string &path) const;
+
     /// The text of a request with key k.
     static std::string request(const std::string &method, const std::string &path, const std::string &body = {}, const std::string &fields = {});
 
@@ -56,6 +62,7 @@
     std::string exchange(const std::string &bytes) const;
 
 private:
+    static std::string exchangeAt(std::uint16_t port, const std::string &bytes);
     void publishTargets();
 
     Metrics metrics_;
--- a/tests/stand_ins/stand_in_engine.cpp
+++ b/tests/stand_ins/stand_in_engine.cpp
@@ -360,9 +360,9 @@
     std::unique_lock lock(mutex_);
     const Record record = record_;
     lock.unlock();
-    std::string json = R"({"started":)" + std::to_string(record.started) + R"(,"under_way":)" + std::to_string(record.underWay) + R"(,"completed":)" + std::to_string(record.completed) + R"(,"cancelled":)"
-        + std::to_string(record.cancelled) + R"(,"faulted":)" + std::to_string(record.faulted) + R"(,"saw_authorization":)"
-        + (record.sawAuthorization ? "true" : "false") + R"(,"requests":{)";
+    std::string json = R"({"started":)" + std::to_string(record.started) + R"(,"under_way":)" + std::to_string(record.underWay) + R"(,"completed":)"
+        + std::to_string(record.completed) + R"(,"cancelled":)" + std::to_string(record.cancelled) + R"(,"faulted":)" + std::to_string(record.faulted)
+        + R"(,"saw_authorization":)" + (record.sawAuthorization ? "true" : "false") + R"(,"requests":{)";
     std::string_view separator;
     for (const auto &[id, count] : record.requests) {
         json += separator;
