--- a/main/lovageloftd.cpp
+++ b/main/lovageloftd.cpp
@@ -26,8 +26,16 @@
     bool isCheck = false;
     bool isPlatform = false;
     std::uint16_t metricsPort = 0;
+    LogLevel logLevel = LogLevel::Info; ///< With --platform, whose settings file says nothing of it.
 };
 
+constexpr std::array<std::string_view, 4> levelNames{"debug", "info", "warning", "error"};
+
+LogLevel levelOf(std::string_view name)
+{
+    return static_cast<LogLevel>(std::find(levelNames.begin(), levelNames.end(), name) - levelNames.begin());
+}
+
 std::optional<Arguments> parseArguments(int argc, char **argv)
 {
     try {
@@ -37,9 +45,12 @@
         TCLAP::ValueArg<std::uint16_t> metrics(
             "", "metrics-port", "With --platform: port of this host's address for metrics and operators' calls.", false, 0, "PORT", line);
         TCLAP::SwitchArg platform("", "platform", "The settings file is the platform's; without SETTINGS its path is taken from the environment.", line);
+        std::vector<std::string> levels(levelNames.begin(), levelNames.end());
+        TCLAP::ValuesConstraint<std::string> allowedLevels(levels);
+        TCLAP::ValueArg<std::string> level("", "log-level", "With --platform: the least level of log lines.", false, "info", &allowedLevels, line);
         TCLAP::UnlabeledValueArg<std::string> settings("settings", "Settings file (TOML).", false, "", "SETTINGS", line);
         line.parse(argc, argv);
-        Arguments arguments{settings.getValue(), check.getValue(), platform.getValue(), metrics.getValue()};
+        Arguments arguments{settings.getValue(), check.getValue(), platform.getValue(), metrics.getValue(), levelOf(level.getValue())};
         if (arguments.settingsPath.empty() && arguments.isPlatform) {
             arguments.settingsPath = nodeFilePath().value_or(std::string());
         }
@@ -56,13 +67,6 @@
     return std::nullopt;
 }
 
-LogLevel levelOf(const Settings &settings)
-{
-    constexpr std::array<std::string_view, 4> names{"debug", "info", "warning", "error"};
-    const auto name = std::find(names.begin(), names.end(), settings.logLevel);
-    return static_cast<LogLevel>(name - names.begin());
-}
-
 /// Blocks the signals in all threads, so that only the main thread's wait takes them.
 sigset_t blockSignals()
 {
@@ -130,7 +134,7 @@
         return ExitOk;
     }
     const sigset_t signals = blockSignals();
-    startLog(LogLevel::Info, settings->hostName);
+    startLog(arguments.logLevel, settings->hostName);
     GatewayHost host(*settings, arguments.metricsPort);
     if (!host.start(reason)) {
         std::cerr << "lovageloftd: " << reason.text << '\n';
@@ -165,7 +169,7 @@
         return ExitOk;
     }
     const sigset_t signals = blockSignals();
-    startLog(levelOf(*settings), settings->hostName);
+    startLog(levelOf(settings->logLevel), settings->hostName);
     int code = ExitFailed;
     try {
         code = serve(*settings, signals);
