--- a/core/digest.cpp
+++ b/core/digest.cpp
@@ -40,6 +40,12 @@
     return toHex(std::span(digest).first(length));
 }
 
+std::string fingerprint(std::string_view secret)
+{
+    constexpr std::size_t digits = 8;
+    return sha256Hex(secret).substr(0, digits);
+}
+
 std::string hmacSha256Hex(std::string_view secret, std::string_view data)
 {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
--- a/core/digest.h
+++ b/core/digest.h
@@ -10,6 +10,9 @@
 /// SHA-256 as 64 lower-case hexadecimal digits.
 std::string sha256Hex(std::string_view data);
 
+/// The first eight digits of its SHA-256: tells two secrets apart in a log without giving either away.
+std::string fingerprint(std::string_view secret);
+
 /// HMAC-SHA-256 of `data` under `secret` as 64 lower-case hexadecimal digits.
 std::string hmacSha256Hex(std::string_view secret, std::string_view data);
 
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 
 #include <xxhash.h>
 
+#include "core/digest.h"
 #include "core/log.h"
 #include "gateway/caller_session.h"
 #include "gateway/routed_request.h"
@@ -134,6 +135,7 @@
     if (!isNew) {
         return;
     }
+    noteWithdrawnKeys(*table);
     table_ = std::move(table);
     std::map<std::string, double, std::less<>> cacheTokens;
     for (const TargetService &service : table_->services) {
@@ -154,6 +156,18 @@
     }
 }
 
+void Gateway::noteWithdrawnKeys(const RoutingTable &next) const
+{
+    if (table_ == nullptr) {
+        return;
+    }
+    for (const auto &[key, team] : table_->teamOfKey) {
+        if (!next.teamOfKey.contains(key)) {
+            writeLog(LogLevel::Info, "key_withdrawn", {{"key", fingerprint(key)}, {"team", table_->teams[team].name}, {"configuration", next.version}});
+        }
+    }
+}
+
 void Gateway::confirmTable(std::int64_t revision, TimePoint provenAt)
 {
     if (table_ != nullptr && table_->revision == revision) {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -180,6 +180,7 @@
     StatusAnswer readinessAnswer(std::string_view path);
     StatusAnswer metricsAnswer(std::string_view path);
     void updateGauges();
+    void noteWithdrawnKeys(const RoutingTable &next) const;
     void applyTeamLimits();
     void applyRetryLimits();
     void beginWaiting();
--- /dev/null
+++ b/gateway/request_log.cpp
@@ -0,0 +1,92 @@
+#include "gateway/request_log.h"
+
+#include "core/digest.h"
+#include "core/log.h"
+
+namespace Lovageloft
+{
+
+RequestLog::RequestLog(const RequestIntake &intake)
+    : intake_(intake)
+{
+}
+
+void RequestLog::sent(const Sent &sent) const
+{
+    writeLog(LogLevel::Info,
+             "request_sent",
+             {{"request", intake_.caller().id},
+              {"target", sent.target},
+              {"service", intake_.service()},
+              {"send", std::int64_t{sent.send}},
+              {"waited_ms", toMillis(sent.waited)},
+              {"weights", sent.weights},
+              {"cached", std::int64_t{sent.cachedTokens}},
+              {"shared", std::int64_t{intake_.sharedTokens()}},
+              {"fetch", sent.fetchFrom},
+              {"reused", sent.isReused},
+              {"configuration", intake_.configurationVersion()}});
+}
+
+void RequestLog::declined(std::string_view target, int status, bool isOtherTarget) const
+{
+    writeLog(LogLevel::Info,
+             "request_declined",
+             {{"request", intake_.caller().id}, {"target", target}, {"status", std::int64_t{status}}, {"other_target", isOtherTarget}});
+}
+
+void RequestLog::lost(std::string_view target, std::string_view why, bool wasNotSent, bool wasRelayed) const
+{
+    writeLog(
+        LogLevel::Info, "target_lost", {{"request", intake_.caller().id}, {"target", target}, {"why", why}, {"not_sent", wasNotSent}, {"relayed", wasRelayed}});
+}
+
+void RequestLog::stalled(std::string_view target, Duration silent) const
+{
+    writeLog(LogLevel::Info, "target_stalled", {{"request", intake_.caller().id}, {"target", target}, {"silent_ms", toMillis(silent)}});
+}
+
+void RequestLog::failed(std::string_view target, int status, bool isTriedElsewhere) const
+{
+    writeLog(LogLevel::Info,
+             "target_failed",
+             {{"request", intake_.caller().id}, {"target", target}, {"status", std::int64_t{status}}, {"tried_elsewhere", isTriedElsewhere}});
+}
+
+void RequestLog::refused(const Reason &reason, int status, bool mayHaveRun, Duration waited, Duration proofAge) const
+{
+    const bool isKeyAtFault = reason.code == ResultCode::UnknownKey || reason.code == ResultCode::KeyWithdrawn;
+    writeLog(LogLevel::Info,
+             "request_refused",
+             {{"request", intake_.caller().id},
+              {"code", std::int64_t{static_cast<int>(reason.code)}},
+              {"reason", reason.text},
+              {"status", std::int64_t{status}},
+              {"may_have_run", mayHaveRun},
+              {"waited_ms", toMillis(waited)},
+              {"configuration", intake_.configurationVersion()},
+              {"proof_age_ms", toMillis(proofAge)},
+              {"key", isKeyAtFault ? fingerprint(intake_.caller().key) : std::string()}});
+}
+
+void RequestLog::brokenOff(std::string_view target, std::string_view why) const
+{
+    writeLog(LogLevel::Warning, "answer_broken_off", {{"request", intake_.caller().id}, {"target", target}, {"why", why}});
+}
+
+void RequestLog::ended(const Ended &ended) const
+{
+    writeLog(LogLevel::Info,
+             "request_ended",
+             {{"request", intake_.caller().id},
+              {"route", intake_.route() != nullptr ? std::string_view(intake_.route()->name) : std::string_view()},
+              {"outcome", ended.outcome},
+              {"status", std::int64_t{ended.status}},
+              {"target", ended.target},
+              {"sends", std::int64_t{ended.sends}},
+              {"first_ms", ended.firstByte ? toMillis(*ended.firstByte) : -1},
+              {"ms", toMillis(ended.time)},
+              {"bytes", static_cast<std::int64_t>(ended.bytes)}});
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/gateway/request_log.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <optional>
+#include <string_view>
+
+#include "core/result_code.h"
+#include "gateway/request_intake.h"
+
+namespace Lovageloft
+{
+
+/// The log lines of one request, so that from its id alone an engineer finds what was decided about it and why; docs/LOGS.md lists them.
+class RequestLog
+{
+public:
+    /// `intake` must outlive this object.
+    explicit RequestLog(const RequestIntake &intake);
+
+    struct Sent
+    {
+        std::string_view target;
+        int send = 0; ///< 1 for the first target.
+        Duration waited{}; ///< Since the request was read.
+        std::int64_t weights = 0; ///< Version expected of the engine.
+        std::uint32_t cachedTokens = 0; ///< Believed in the engine's cache.
+        std::string_view fetchFrom; ///< Where missing parts of the prompt come from.
+        bool isReused = false; ///< On a kept connection.
+    };
+
+    void sent(const Sent &sent) const;
+
+    /// The target says that it did not run the request.
+    void declined(std::string_view target, int status, bool isOtherTarget) const;
+
+    /// The connection to the target ended.
+    void lost(std::string_view target, std::string_view why, bool wasNotSent, bool wasRelayed) const;
+
+    /// No answer for so long that another target is tried.
+    void stalled(std::string_view target, Duration silent) const;
+
+    /// The target answered that it failed.
+    void failed(std::string_view target, int status, bool isTriedElsewhere) const;
+
+    /// The caller gets a refusal or failure of ours.
+    void refused(const Reason &reason, int status, bool mayHaveRun, Duration waited, Duration proofAge) const;
+
+    /// The caller's answer can't be completed.
+    void brokenOff(std::string_view target, std::string_view why) const;
+
+    struct Ended
+    {
+        std::string_view outcome;
+        int status = 0;
+        std::string_view target; ///< The last one.
+        int sends = 0;
+        std::optional<Duration> firstByte;
+        Duration time{};
+        std::size_t bytes = 0;
+    };
+
+    /// The last line of each request.
+    void ended(const Ended &ended) const;
+
+private:
+    const RequestIntake &intake_;
+};
+
+} // namespace Lovageloft
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -1,9 +1,7 @@
 #include "gateway/routed_request.h"
 
 #include <algorithm>
-#include <array>
 
-#include "core/log.h"
 #include "gateway/caller_session.h"
 #include "gateway/gateway.h"
 
@@ -51,6 +49,7 @@
     , head_(std::move(head))
     , body_(std::move(body))
     , intake_(gateway, head_)
+    , log_(intake_)
     , startedAt_(BootClock::now())
     , timer_(gateway.loop())
 {
@@ -173,19 +172,7 @@
     std::string bytes = gateway_.targetProtocol().writeHead(head_, request, body_.size());
     bytes.append(body_);
     connection_ = gateway_.pool().take(target, intake_.route()->isIdempotent(), now);
-    writeLog(LogLevel::Info,
-             "request_sent",
-             {{"request", intake_.caller().id},
-              {"target", target.id},
-              {"service", intake_.service()},
-              {"send", std::int64_t{sends_}},
-              {"waited_ms", toMillis(now - startedAt_)},
-              {"weights", request.weightsVersion},
-              {"cached", std::int64_t{expectedCached_}},
-              {"shared", std::int64_t{intake_.sharedTokens()}},
-              {"fetch", request.fetchFrom},
-              {"reused", connection_->isUsed()},
-              {"configuration", intake_.configurationVersion()}});
+    log_.sent({target.id, sends_, now - startedAt_, request.weightsVersion, expectedCached_, request.fetchFrom, connection_->isUsed()});
     connection_->start(std::move(bytes), intake_.caller().id, head_.method != "HEAD", *this);
     armTimer();
 }
@@ -311,7 +298,11 @@
         breakOff("resumed stream was refused");
         return;
     }
-    if (isFailure && !isAnswerStarted_ && mayRunAgain()) {
+    const bool isTriedElsewhere = isFailure && !isAnswerStarted_ && mayRunAgain();
+    if (isFailure) {
+        log_.failed(targetId_, answerHead_.status, isTriedElsewhere);
+    }
+    if (isTriedElsewhere) {
         fallback_ = HeldAnswer{std::move(answerHead_), std::move(held_)};
         held_.clear();
         tryElsewhere();
@@ -330,10 +321,7 @@
     gateway_.targets().onNotExecuted(targetId_, notExecuted_, intake_.caller().model, BootClock::now());
     gateway_.refreshTargets();
     endDispatch(SchedulerEnd::Cancelled);
-    writeLog(
-        LogLevel::Info,
-        "request_declined",
-        {{"request", intake_.caller().id}, {"target", targetId_}, {"status", std::int64_t{answerHead_.status}}, {"other_target", notExecuted_.isOtherTarget}});
+    log_.declined(targetId_, answerHead_.status, notExecuted_.isOtherTarget);
     isNotExecuted_ = false;
     tryElsewhere();
 }
@@ -346,9 +334,7 @@
         onNotExecuted();
         return;
     }
-    writeLog(LogLevel::Info,
-             "target_lost",
-             {{"request", intake_.caller().id}, {"target", targetId_}, {"why", why}, {"not_sent", loss == TargetLoss::NotSent}, {"relayed", isAnswerStarted_}});
+    log_.lost(targetId_, why, loss == TargetLoss::NotSent, isAnswerStarted_);
     endDispatch(SchedulerEnd::Failed);
     events_.dropPartial();
     held_.clear();
@@ -509,7 +495,7 @@
         gateway_.cancelQueued(schedulerId_);
     }
     if (isStalled && now < limit_) {
-        writeLog(LogLevel::Info, "target_stalled", {{"request", intake_.caller().id}, {"target", targetId_}, {"silent_ms", toMillis(now - sentAt_)}});
+        log_.stalled(targetId_, now - sentAt_);
         tryElsewhere();
         return;
     }
@@ -546,23 +532,15 @@
     }
     const auto session = std::move(session_);
     lastStatus_ = gateway_.refuse(session.get(), reason, state, retryAfter > Duration::zero() ? retryAfter : usualRetryAfter);
-    writeLog(LogLevel::Info,
-             "request_refused",
-             {{"request", intake_.caller().id},
-              {"code", std::int64_t{static_cast<int>(reason.code)}},
-              {"reason", reason.text},
-              {"status", std::int64_t{lastStatus_}},
-              {"may_have_run", state == RunState::MayHaveRun},
-              {"waited_ms", toMillis(BootClock::now() - startedAt_)},
-              {"configuration", intake_.configurationVersion()},
-              {"proof_age_ms", toMillis(gateway_.proofAge(BootClock::now()))}});
+    const TimePoint now = BootClock::now();
+    log_.refused(reason, lastStatus_, state == RunState::MayHaveRun, now - startedAt_, gateway_.proofAge(now));
 }
 
 void RoutedRequest::breakOff(std::string_view why)
 {
     const auto self = shared_from_this();
     const auto session = std::move(session_);
-    writeLog(LogLevel::Warning, "answer_broken_off", {{"request", intake_.caller().id}, {"target", targetId_}, {"why", why}});
+    log_.brokenOff(targetId_, why);
     finish("broken_off", 0);
     if (session != nullptr) {
         session->abortAnswer();
@@ -576,18 +554,9 @@
     }
     phase_ = Phase::Done;
     timer_.cancel();
-    writeLog(LogLevel::Info,
-             "request_ended",
-             {{"request", intake_.caller().id},
-              {"route", intake_.route() != nullptr ? std::string_view(intake_.route()->name) : std::string_view()},
-              {"outcome", outcome},
-              {"status", std::int64_t{status}},
-              {"target", targetId_},
-              {"sends", std::int64_t{sends_}},
-              {"first_ms", firstByte_ ? toMillis(*firstByte_) : -1},
-              {"ms", toMillis(BootClock::now() - startedAt_)},
-              {"bytes", static_cast<std::int64_t>(relayedBytes_)}});
-    EndedRequest ended{std::nullopt, intake_.service(), outcome, status, sends_, BootClock::now() - startedAt_, queued_, firstByte_};
+    const Duration time = BootClock::now() - startedAt_;
+    log_.ended({outcome, status, targetId_, sends_, firstByte_, time, relayedBytes_});
+    EndedRequest ended{std::nullopt, intake_.service(), outcome, status, sends_, time, queued_, firstByte_};
     if (intake_.route() != nullptr) {
         ended.kind = intake_.route()->kind;
     }
--- a/gateway/routed_request.h
+++ b/gateway/routed_request.h
@@ -12,6 +12,7 @@
 #include "gateway/event_splitter.h"
 #include "gateway/protocol.h"
 #include "gateway/request_intake.h"
+#include "gateway/request_log.h"
 #include "gateway/target_connection.h"
 
 namespace Lovageloft
@@ -105,6 +106,7 @@
     HttpHead head_;
     std::string body_;
     RequestIntake intake_;
+    RequestLog log_;
     double charged_ = 0; ///< Tokens taken from the team's rate.
     Phase phase_ = Phase::Filtering;
     TimePoint startedAt_;
--- a/tests/main/test_request_story.cpp
+++ b/tests/main/test_request_story.cpp
@@ -31,6 +31,25 @@
 )");
 }
 
+BOOST_AUTO_TEST_CASE(theStoryBeginsWithWhatTheHostBelievedAndSinceWhen)
+{
+    // A caller is refused as no team has its key. The engineer must see which configuration said so, since when, and which team had the key
+    // before, though those lines came long before the request; and not what other hosts believed, nor of other keys.
+    std::istringstream log(R"({"time":"2026-01-30T00:14:00.100Z","host":"a","event":"configuration_in_force","version":2}
+{"time":"2026-01-30T00:14:30.100Z","host":"a","event":"key_withdrawn","key":"0badcafe","team":"t","configuration":3}
+{"time":"2026-01-30T00:14:30.100Z","host":"a","event":"key_withdrawn","key":"11111111","team":"u","configuration":3}
+{"time":"2026-01-30T00:14:30.101Z","host":"a","event":"configuration_in_force","version":3}
+{"time":"2026-01-30T00:14:30.102Z","host":"b","event":"configuration_in_force","version":3}
+{"time":"2026-01-30T00:15:02.500Z","host":"a","event":"request_refused","request":"r1","code":1004,"configuration":3,"key":"0badcafe"}
+)");
+    RequestStory story("r1");
+    story.read(log);
+    BOOST_TEST(story.text() == R"(2026-01-30T00:14:30.100Z a  < key_withdrawn configuration=3 key=0badcafe team=t
+2026-01-30T00:14:30.101Z a  < configuration_in_force version=3
+2026-01-30T00:15:02.500Z a  request_refused code=1004 configuration=3 key=0badcafe
+)");
+}
+
 BOOST_AUTO_TEST_CASE(aRequestThatNoLogKnowsHasNoStory)
 {
     std::istringstream log(R"({"time":"2026-01-30T00:15:02.500Z","host":"a","event":"store_lost"})");
