--- a/gateway/request_log.cpp
+++ b/gateway/request_log.cpp
@@ -53,6 +53,18 @@
              {{"request", intake_.caller().id}, {"target", target}, {"status", std::int64_t{status}}, {"tried_elsewhere", isTriedElsewhere}});
 }
 
+void RequestLog::tokensDenied(double tokens, const TokenDecision &decision) const
+{
+    writeLog(LogLevel::Info,
+             "tokens_denied",
+             {{"request", intake_.caller().id},
+              {"team", intake_.teamName()},
+              {"tokens", tokens},
+              {"homes_asked", static_cast<std::int64_t>(decision.homesAsked)},
+              {"homes_silent", static_cast<std::int64_t>(decision.homesSilent)},
+              {"retry_after_ms", toMillis(decision.retryAfter)}});
+}
+
 void RequestLog::refused(const Reason &reason, int status, bool mayHaveRun, Duration waited, Duration proofAge) const
 {
     const bool isKeyAtFault = reason.code == ResultCode::UnknownKey || reason.code == ResultCode::KeyWithdrawn;
--- a/gateway/request_log.h
+++ b/gateway/request_log.h
@@ -5,6 +5,7 @@
 
 #include "core/result_code.h"
 #include "gateway/request_intake.h"
+#include "gateway/team_budget.h"
 
 namespace Lovageloft
 {
@@ -41,6 +42,9 @@
     /// The target answered that it failed.
     void failed(std::string_view target, int status, bool isTriedElsewhere) const;
 
+    /// The team's rate doesn't allow the request.
+    void tokensDenied(double tokens, const TokenDecision &decision) const;
+
     /// The caller gets a refusal or failure of ours.
     void refused(const Reason &reason, int status, bool mayHaveRun, Duration waited, Duration proofAge) const;
 
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -91,6 +91,7 @@
     const double tokens = intake_.chargedTokens();
     gateway_.fleet().takeTokens(intake_.teamName(), tokens, [self = shared_from_this(), tokens](const TokenDecision &decision) {
         if (!decision.isGranted) {
+            self->log_.tokensDenied(tokens, decision);
             self->fail({ResultCode::OverRate, "team is over its rate"}, decision.retryAfter);
             return;
         }
--- a/gateway/target_duty.cpp
+++ b/gateway/target_duty.cpp
@@ -66,7 +66,10 @@
             targets.emplace(id, target);
         }
     }
-    lostAt_.reset();
+    if (lostAt_) {
+        writeLog(LogLevel::Info, "store_regained", {{"duty", "targets"}, {"away_ms", toMillis(now - *lostAt_)}});
+        lostAt_.reset();
+    }
     publish(std::move(targets));
     return true;
 }
--- a/gateway/team_budget.cpp
+++ b/gateway/team_budget.cpp
@@ -63,11 +63,11 @@
     Reason reason;
     Duration retryAfter{};
     if (own_.tryTake(team, tokens, now, reason, retryAfter)) {
-        answer({true, {}});
+        answer({true});
         return;
     }
     const std::uint64_t id = ++lastId_;
-    pending_.emplace(id, Pending{std::string(team), tokens, 0, now, retryAfter, std::move(answer)});
+    pending_.emplace(id, Pending{std::string(team), tokens, 0, 0, now, retryAfter, std::move(answer)});
     askNext(id, now, send);
 }
 
@@ -90,7 +90,7 @@
         return;
     }
     if (reply.isGranted) {
-        finish(reply.id, {true, {}});
+        finish(reply.id, {true});
         return;
     }
     found->second.retryAfter = std::min(found->second.retryAfter, reply.retryAfter);
@@ -106,6 +106,7 @@
         }
     }
     for (const std::uint64_t id : late) {
+        ++pending_.at(id).homesSilent;
         askNext(id, now, send);
     }
 }
@@ -153,12 +154,12 @@
         }
         const TokenReply reply = onRequest(request, now);
         if (reply.isGranted) {
-            finish(id, {true, {}});
+            finish(id, {true});
             return;
         }
         pending.retryAfter = std::min(pending.retryAfter, reply.retryAfter);
     }
-    finish(id, {false, pending.retryAfter});
+    finish(id, {false, pending.retryAfter, pending.nextHome, pending.homesSilent});
 }
 
 void TeamBudget::finish(std::uint64_t id, const TokenDecision &decision)
--- a/gateway/team_budget.h
+++ b/gateway/team_budget.h
@@ -19,6 +19,8 @@
 {
     bool isGranted = false;
     Duration retryAfter{};
+    std::size_t homesAsked = 0; ///< Hosts with a pool of the team that were asked, this one included.
+    std::size_t homesSilent = 0; ///< Of them, those that did not answer in time.
 };
 
 /// Keeps the teams' rates over all hosts. A part of each limit is divided evenly among the hosts and spent without a message; the
@@ -61,6 +63,7 @@
         std::string team;
         double tokens = 0;
         std::size_t nextHome = 0;
+        std::size_t homesSilent = 0;
         TimePoint deadline;
         Duration retryAfter{};
         Answer answer;
