The gateway's scheduling moves to RequestDispatch; parts that were read in vain go

RoutingTable::findService, TargetService::healthPath, maxConnections and isModelService, AnswerFacts::weightsVersion and GatewaySettings::quotaWindow were filled and used nowhere; the check of the last in test_node_file goes with it, as team rates are kept by token buckets at any window. The comment on usual retry limits stands at the limits.

--- a/decision/retry_budget.cpp
+++ b/decision/retry_budget.cpp
@@ -6,10 +6,6 @@
 namespace Lovageloft
 {
 
-// The usual limits: at most one retry for ten requests, so that the load on the targets left grows by a tenth at worst, which the
-// space between the usual load and saturation absorbs. A host with a request every few seconds would then never retry; three in
-// ten seconds from each of a few hosts are no storm for any target.
-
 void RetryBudget::setLimits(const Limits &limits)
 {
     limits_ = limits;
--- a/decision/retry_budget.h
+++ b/decision/retry_budget.h
@@ -16,7 +16,9 @@
 class RetryBudget
 {
 public:
-    /// What this host may add to the load by trying again.
+    /// What this host may add to the load by trying again. The usual limits: at most one retry for ten requests, so that the load on
+    /// the targets left grows by a tenth at worst, which the space between the usual load and saturation absorbs. A host with a request
+    /// every few seconds would then never retry; three in ten seconds from each of a few hosts are no storm for any target.
     struct Limits
     {
         double ratio = 0.1; ///< Retries per request.
--- a/gateway/fleet_link.cpp
+++ b/gateway/fleet_link.cpp
@@ -108,7 +108,7 @@
 
 void FleetLink::onDispatchNotice(const DispatchNotice &notice)
 {
-    gateway_.onDispatchedElsewhere(notice);
+    gateway_.dispatch().onDispatchedElsewhere(notice);
 }
 
 void FleetLink::onLoadingNotice(const LoadingNotice &notice)
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -1,7 +1,6 @@
 #include "gateway/gateway.h"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 #include <xxhash.h>
@@ -31,39 +30,6 @@
 constexpr Duration tickTime = std::chrono::milliseconds(250);
 constexpr Duration drainTick = std::chrono::milliseconds(50);
 
-/// The scheduler's view of caches: 18 engines of 150,000 tokens hold 2,600 blocks, 1,000 engines 150,000; 22 bytes each.
-constexpr std::size_t viewBlocks = 65'536;
-
-/// Long enough for the work of a route's whole timeout, which bounds the wait by itself.
-constexpr Duration longestQueueWait = std::chrono::seconds(60);
-
-/// For a model of eight billion parameters: two operations a parameter and token, against four a token of context in each of 32 layers
-/// of width 4,096.
-constexpr double attentionTokens = 30'000;
-
-/// Engines drawn at random for each request. While more than half of the engines compute long prompts, two draws find only such ones
-/// for three in ten short requests; six for one in thirty.
-constexpr std::size_t randomCandidates = 6;
-
-PlacementPolicy placementPolicy()
-{
-    PlacementPolicy policy;
-    policy.viewBlocks = viewBlocks;
-    policy.attentionTokens = attentionTokens;
-    policy.quietTokens = quietTokens;
-    policy.randomCandidates = randomCandidates;
-    return policy;
-}
-
-QueueLimits queueLimits()
-{
-    constexpr std::size_t mostWaiting = 4'000; // One megabyte; a host of this size serves some hundred requests a second.
-    QueueLimits limits;
-    limits.maxWait = longestQueueWait;
-    limits.maxRequests = mostWaiting;
-    return limits;
-}
-
 } // namespace
 
 Gateway::Gateway(const GatewayOptions &options, const CallerProtocol &callerProtocol, const TargetProtocol &targetProtocol, Metrics &metrics)
@@ -72,7 +38,6 @@
     , targetProtocol_(targetProtocol)
     , metrics_(metrics)
     , acceptor_(loop_)
-    , decideTimer_(loop_)
     , tickTimer_(loop_)
     , drainTimer_(loop_)
     , readiness_(loop_, [this](std::string_view path) { return readinessAnswer(path); })
@@ -81,8 +46,7 @@
     , directory_(options.weightsDeadline)
     , pool_(loop_, targetProtocol)
     , fleet_(*this, options.hostName)
-    , scheduler_(queueLimits(), placementPolicy())
-    , random_(std::random_device{}())
+    , dispatch_(loop_)
     , waitingTimer_(loop_)
 {
 }
@@ -198,7 +162,7 @@
     hosts_ = hosts;
     share_ = share;
     fleet_.setHosts(hosts, share);
-    scheduler_.setHostCount(std::max<std::size_t>(hosts.size(), 1));
+    dispatch_.setHostCount(std::max<std::size_t>(hosts.size(), 1));
     applyRetryLimits();
 }
 
@@ -241,7 +205,7 @@
 void Gateway::applyRetryLimits()
 {
     const std::size_t count = std::max<std::size_t>(hosts_.size(), 1);
-    scheduler_.setRetryLimits({options_.retries.ratio * retryPart, options_.retries.slack * retryPart / static_cast<double>(count)});
+    dispatch_.setRetryLimits({options_.retries.ratio * retryPart, options_.retries.slack * retryPart / static_cast<double>(count)});
 }
 
 const std::string &Gateway::hostName() const
@@ -264,14 +228,14 @@
     return leader_;
 }
 
-std::size_t Gateway::runningCount() const
+RequestDispatch &Gateway::dispatch()
 {
-    return scheduler_.inFlight();
+    return dispatch_;
 }
 
-std::size_t Gateway::waitingCount() const
+const RequestDispatch &Gateway::dispatch() const
 {
-    return scheduler_.waiting();
+    return dispatch_;
 }
 
 FleetLink &Gateway::fleet()
@@ -287,7 +251,7 @@
     drainStartedAt_ = BootClock::now();
     writeLog(LogLevel::Info,
              "drain_started",
-             {{"sessions", static_cast<std::int64_t>(sessions_.size())}, {"requests", static_cast<std::int64_t>(requests_.size())}});
+             {{"sessions", static_cast<std::int64_t>(sessions_.size())}, {"requests", static_cast<std::int64_t>(dispatch_.count())}});
     continueDrain();
 }
 
@@ -397,11 +361,6 @@
     }
 }
 
-std::uint32_t Gateway::plainWorkTokens() const
-{
-    return 100;
-}
-
 std::shared_ptr<RoutedRequest> Gateway::createRequest(const std::shared_ptr<CallerSession> &session, HttpHead &&head, std::string &&body)
 {
     metrics_.add("lovageloft_requests_total");
@@ -434,70 +393,22 @@
     }
 }
 
-RequestId Gateway::submit(const std::shared_ptr<RoutedRequest> &request, SchedulerRequest &&scheduled)
-{
-    const RequestId id{++lastRequest_};
-    scheduled.id = id;
-    requests_.emplace(id, request);
-    if (const auto refusal = scheduler_.submit(std::move(scheduled), BootClock::now())) {
-        requests_.erase(id);
-        boost::asio::post(loop_, [request, refusal] { request->onRefused(*refusal); });
-    }
-    scheduleDecide();
-    return id;
-}
-
-void Gateway::cancelQueued(RequestId id)
-{
-    scheduler_.cancel(id, BootClock::now());
-    requests_.erase(id);
-}
-
-void Gateway::onFirstToken(RequestId id)
-{
-    scheduler_.onFirstToken(id, std::nullopt, BootClock::now());
-    scheduleDecide();
-}
-
-void Gateway::onDispatchedElsewhere(const DispatchNotice &notice)
-{
-    scheduler_.onDispatchedElsewhere(notice.engine, notice.workTokens, notice.newTokens, notice.blocks, BootClock::now());
-}
-
 void Gateway::leaveAlone(std::string_view targetId, Duration time)
 {
     directory_.avoid(targetId, BootClock::now() + time);
     refreshTargets();
 }
 
-void Gateway::onDispatchEnded(RequestId id, SchedulerEnd end)
-{
-    scheduler_.onEnded(id, end, BootClock::now());
-    requests_.erase(id);
-    scheduleDecide();
-}
-
 void Gateway::onTargetLoad(std::string_view engineName, const TargetLoad &load)
 {
-    const Target *target = directory_.find(engineName);
-    if (target == nullptr || !target->models.empty()) {
-        // An engine counts a prompt that it is computing as running, so its counts would hide the long ones that are known from
-        // the notices.
-        return;
+    if (const Target *target = directory_.find(engineName)) {
+        dispatch_.onTargetLoad(engineName, *target, load);
     }
-    LoadReport report;
-    report.measuredAt = BootClock::now();
-    report.incarnation = static_cast<std::uint64_t>(target->incarnation);
-    report.runningRequests = load.running;
-    report.waitingRequests = load.waiting;
-    report.queuedPrefillTokens = load.waiting * plainWorkTokens();
-    scheduler_.onLoadReport(engineName, report, BootClock::now());
 }
 
 void Gateway::refreshTargets()
 {
-    scheduler_.setEngines(directory_.engines(BootClock::now()));
-    scheduleDecide();
+    dispatch_.setEngines(directory_.engines(BootClock::now()));
 }
 
 int Gateway::refuse(CallerSession *session, const Reason &reason, RunState runState, Duration retryAfter)
@@ -528,7 +439,7 @@
 
 void Gateway::onRequestEnded(const RoutedRequest &request, const EndedRequest &ended)
 {
-    requests_.erase(request.schedulerId());
+    dispatch_.forget(request.schedulerId());
     observeRequest(metrics_, ended);
 }
 
@@ -552,43 +463,6 @@
     });
 }
 
-void Gateway::scheduleDecide()
-{
-    if (!isDecideScheduled_) {
-        isDecideScheduled_ = true;
-        boost::asio::post(loop_, [this] { decide(); });
-    }
-}
-
-void Gateway::decide()
-{
-    isDecideScheduled_ = false;
-    for (const SchedulerOutcome &outcome : scheduler_.decide(BootClock::now(), random_)) {
-        const RequestId id = std::visit([](const auto &known) { return known.id; }, outcome);
-        const auto found = requests_.find(id);
-        if (found == requests_.end()) {
-            scheduler_.onEnded(id, SchedulerEnd::Cancelled, BootClock::now());
-            continue;
-        }
-        const auto request = found->second;
-        if (const auto *assignment = std::get_if<SchedulerAssignment>(&outcome)) {
-            request->onAssigned(*assignment);
-        } else {
-            requests_.erase(id);
-            request->onRefused(std::get<SchedulerRefusal>(outcome));
-        }
-    }
-    if (const auto next = scheduler_.nextDeadline()) {
-        constexpr Duration shortest = std::chrono::milliseconds(5);
-        decideTimer_.expires_after(std::max(*next - BootClock::now(), shortest));
-        decideTimer_.async_wait([this](const boost::system::error_code &error) {
-            if (!error) {
-                scheduleDecide();
-            }
-        });
-    }
-}
-
 void Gateway::tick()
 {
     const TimePoint now = BootClock::now();
@@ -629,9 +503,9 @@
             session->closeIfIdle();
         }
     }
-    const bool isEmpty = elapsed >= options_.drainNotice && sessions_.empty() && requests_.empty();
+    const bool isEmpty = elapsed >= options_.drainNotice && sessions_.empty() && dispatch_.count() == 0;
     if (isEmpty || elapsed >= options_.drainLimit) {
-        writeLog(LogLevel::Info, "drain_ended", {{"empty", isEmpty}, {"requests", static_cast<std::int64_t>(requests_.size())}});
+        writeLog(LogLevel::Info, "drain_ended", {{"empty", isEmpty}, {"requests", static_cast<std::int64_t>(dispatch_.count())}});
         readiness_.close();
         metricsServer_.close();
         fleet_.close();
@@ -668,8 +542,8 @@
 void Gateway::updateGauges()
 {
     const TimePoint now = BootClock::now();
-    metrics_.set("lovageloft_requests_waiting", static_cast<double>(waitingCount()));
-    metrics_.set("lovageloft_requests_running", static_cast<double>(runningCount()));
+    metrics_.set("lovageloft_requests_waiting", static_cast<double>(dispatch_.waitingCount()));
+    metrics_.set("lovageloft_requests_running", static_cast<double>(dispatch_.runningCount()));
     metrics_.set("lovageloft_key_proof_age_seconds", toSeconds(proofAge(now)));
     metrics_.set("lovageloft_idle_target_connections", static_cast<double>(pool_.idleCount()));
     metrics_.set("lovageloft_configuration_version", table_ != nullptr ? static_cast<double>(table_->version) : 0);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -4,18 +4,16 @@
 #include <memory>
 #include <set>
 #include <string_view>
-#include <unordered_map>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "core/metrics.h"
-#include "core/random.h"
-#include "decision/request_scheduler.h"
 #include "gateway/fleet_link.h"
 #include "gateway/operator_view.h"
 #include "gateway/protocol.h"
+#include "gateway/request_dispatch.h"
 #include "gateway/request_metrics.h"
 #include "gateway/routing_table.h"
 #include "gateway/status_server.h"
@@ -100,8 +98,6 @@
     const std::map<std::string, HostAddress> &hosts() const;
     double share() const;
     const std::string &leader() const;
-    std::size_t runningCount() const;
-    std::size_t waitingCount() const;
     bool isReady(TimePoint now) const;
 
     // For sessions and requests.
@@ -114,6 +110,8 @@
     const TargetDirectory &targets() const;
     TargetPool &pool();
 
+    RequestDispatch &dispatch();
+    const RequestDispatch &dispatch() const;
     FleetLink &fleet();
     CallerLimits callerLimits() const;
     bool isDraining() const;
@@ -136,9 +134,6 @@
     /// A cache store answers, or has stopped to: a dead one would cost each request some hundred milliseconds.
     void setCacheStoreAlive(const std::string &address, bool isAlive);
 
-    /// What a call to a plain service counts as in the scheduler's units.
-    std::uint32_t plainWorkTokens() const;
-
     std::shared_ptr<RoutedRequest> createRequest(const std::shared_ptr<CallerSession> &session, HttpHead &&head, std::string &&body);
     /// Whether configuration and targets are known.
     bool isConfigured() const;
@@ -146,17 +141,9 @@
     /// Begins a request once they are, or after a moment in any case.
     void beginWhenConfigured(const std::shared_ptr<RoutedRequest> &request);
 
-    RequestId submit(const std::shared_ptr<RoutedRequest> &request, SchedulerRequest &&scheduled);
-    void cancelQueued(RequestId id);
-    void onFirstToken(RequestId id);
-
-    /// Another host sent a long prompt to an engine.
-    void onDispatchedElsewhere(const DispatchNotice &notice);
-
     /// A target is about to load and declines requests meanwhile.
     void leaveAlone(std::string_view targetId, Duration time);
 
-    void onDispatchEnded(RequestId id, SchedulerEnd end);
     void onTargetLoad(std::string_view engineName, const TargetLoad &load);
 
     /// The directory has changed.
@@ -173,8 +160,6 @@
 
 private:
     void accept();
-    void decide();
-    void scheduleDecide();
     void tick();
     void continueDrain();
     StatusAnswer readinessAnswer(std::string_view path);
@@ -191,7 +176,6 @@
     Metrics &metrics_;
     boost::asio::io_context loop_{1};
     boost::asio::ip::tcp::acceptor acceptor_;
-    boost::asio::steady_timer decideTimer_;
     boost::asio::steady_timer tickTimer_;
     boost::asio::steady_timer drainTimer_; ///< Its own: a tick that is due already would take a shared one over.
     StatusServer readiness_;
@@ -202,19 +186,15 @@
     TargetDirectory directory_;
     TargetPool pool_;
     FleetLink fleet_;
-    RequestScheduler scheduler_;
-    Random random_;
-    std::unordered_map<RequestId, std::shared_ptr<RoutedRequest>> requests_; ///< Queued or at a target.
+    RequestDispatch dispatch_;
     std::vector<std::shared_ptr<RoutedRequest>> waiting_; ///< For the first configuration.
     boost::asio::steady_timer waitingTimer_;
     std::set<std::shared_ptr<CallerSession>> sessions_;
-    std::uint64_t lastRequest_ = 0;
     std::set<std::string, std::less<>> aliveCacheStores_;
     std::map<std::string, HostAddress> hosts_; ///< All that count, with this one.
     double share_ = 0; ///< This host's part of what is divided evenly.
     std::string leader_;
     bool hasTargets_ = false;
-    bool isDecideScheduled_ = false;
     bool isAccepting_ = false;
     std::optional<TimePoint> drainStartedAt_;
     bool wasReady_ = false;
--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -27,7 +27,6 @@
     double retrySlack = 0; ///< Retries that are allowed on top, over all hosts, within ten seconds.
     double quotaOver = 0; ///< Part of a team's limit by which it may be passed.
     double quotaSlack = 0; ///< Tokens by which it may be passed on top, within one window.
-    Duration quotaWindow{};
     Duration shortestLease{}; ///< The store grants none below.
 };
 
--- a/gateway/operator_view.cpp
+++ b/gateway/operator_view.cpp
@@ -79,8 +79,8 @@
     status->set("ready", gateway_.isReady(now));
     status->set("version", table != nullptr ? table->version : std::int64_t{0});
     status->set("proof_age_ms", toMillis(gateway_.proofAge(now)));
-    status->set("running", gateway_.runningCount());
-    status->set("waiting", gateway_.waitingCount());
+    status->set("running", gateway_.dispatch().runningCount());
+    status->set("waiting", gateway_.dispatch().waitingCount());
     status->set("teams", table != nullptr ? table->teams.size() : std::size_t{0});
     status->set("targets", gateway_.targets().all().size());
     status->set("hosts", gateway_.hosts().size());
--- a/gateway/protocol.h
+++ b/gateway/protocol.h
@@ -62,7 +62,6 @@
     bool isOtherTarget = false; ///< Another target has this address, or it has other weights than were expected.
     std::string targetId; ///< Where the answer names it.
     std::optional<TargetLoad> load;
-    std::optional<std::int64_t> weightsVersion;
 };
 
 /// The interface towards callers.
--- /dev/null
+++ b/gateway/request_dispatch.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "core/random.h"
+#include "decision/request_scheduler.h"
+#include "gateway/protocol.h"
+#include "gateway/target.h"
+
+namespace Lovageloft
+{
+
+class RoutedRequest;
+struct DispatchNotice;
+
+/// What a call to a plain service counts as in the scheduler's units.
+inline constexpr std::uint32_t plainWorkTokens = 100;
+
+/// Joins the scheduler, which knows ids only, to the requests that it decides about: those that wait for a target and those at one.
+/// For the event loop only.
+class RequestDispatch
+{
+public:
+    explicit RequestDispatch(boost::asio::io_context &loop);
+
+    /// The targets in service, whenever the directory has changed.
+    void setEngines(std::vector<SchedulerEngine> &&engines);
+
+    void setHostCount(std::size_t count);
+    void setRetryLimits(const RetryBudget::Limits &limits);
+
+    /// Queues a request, which hears of the decision by `onAssigned` or `onRefused`, never during this call.
+    RequestId submit(const std::shared_ptr<RoutedRequest> &request, SchedulerRequest &&scheduled);
+
+    void cancelQueued(RequestId id);
+    void onFirstToken(RequestId id);
+
+    /// A target is done with a request, well or not.
+    void onEnded(RequestId id, SchedulerEnd end);
+
+    /// The request has its outcome.
+    void forget(RequestId id);
+
+    /// Another host sent a long prompt to an engine.
+    void onDispatchedElsewhere(const DispatchNotice &notice);
+
+    /// What a target said of its load.
+    void onTargetLoad(std::string_view engineName, const Target &target, const TargetLoad &load);
+
+    std::size_t waitingCount() const;
+    std::size_t runningCount() const;
+
+    /// Requests that wait or run.
+    std::size_t count() const;
+
+private:
+    void scheduleDecide();
+    void decide();
+
+    boost::asio::io_context &loop_;
+    boost::asio::steady_timer timer_;
+    RequestScheduler scheduler_;
+    Random random_;
+    std::unordered_map<RequestId, std::shared_ptr<RoutedRequest>> requests_;
+    std::uint64_t lastRequest_ = 0;
+    bool isDecideScheduled_ = false;
+};
+
+} // namespace Lovageloft
--- a/gateway/request_intake.cpp
+++ b/gateway/request_intake.cpp
@@ -116,7 +116,7 @@
     request.cacheSalt = cacheScope();
     request.model = gateway_.targets().schedulerModel(service_, caller_.model);
     request.priority = priorityClass(priority());
-    request.promptTokens = caller_.promptTokens.value_or(gateway_.plainWorkTokens());
+    request.promptTokens = caller_.promptTokens.value_or(plainWorkTokens);
     request.outputTokens = caller_.outputTokens;
     digestParts(caller_.parts, request.blockDigests);
     request.sharedBlocks = sharedTokens() / prefixBlockTokens;
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -113,7 +113,7 @@
 void RoutedRequest::enqueue()
 {
     phase_ = Phase::Queued;
-    schedulerId_ = gateway_.submit(shared_from_this(), schedulerRequest());
+    schedulerId_ = gateway_.dispatch().submit(shared_from_this(), schedulerRequest());
 }
 
 SchedulerRequest RoutedRequest::schedulerRequest() const
@@ -253,7 +253,7 @@
     }
     if (!isFirstEventNoted_) {
         isFirstEventNoted_ = true;
-        gateway_.onFirstToken(schedulerId_);
+        gateway_.dispatch().onFirstToken(schedulerId_);
     }
     if (!isAnswerStarted_) {
         startAnswer(std::nullopt);
@@ -291,7 +291,7 @@
         return;
     }
     if (!isFirstEventNoted_) {
-        gateway_.onFirstToken(schedulerId_);
+        gateway_.dispatch().onFirstToken(schedulerId_);
     }
     const bool isFailure = answerHead_.status >= firstErrorStatus || !isAnswerKept_;
     endDispatch(isFailure ? SchedulerEnd::Failed : SchedulerEnd::Finished);
@@ -359,7 +359,7 @@
 void RoutedRequest::endDispatch(SchedulerEnd end)
 {
     isFirstEventNoted_ = false;
-    gateway_.onDispatchEnded(schedulerId_, end);
+    gateway_.dispatch().onEnded(schedulerId_, end);
 }
 
 bool RoutedRequest::mayRunAgain() const
@@ -434,7 +434,7 @@
     if (isRunning()) {
         endDispatch(SchedulerEnd::Cancelled);
     } else {
-        gateway_.cancelQueued(schedulerId_);
+        gateway_.dispatch().cancelQueued(schedulerId_);
     }
     finish("caller_gone", 0);
 }
@@ -493,7 +493,7 @@
         hasRun_ = true;
         endDispatch(SchedulerEnd::Failed);
     } else {
-        gateway_.cancelQueued(schedulerId_);
+        gateway_.dispatch().cancelQueued(schedulerId_);
     }
     if (isStalled && now < limit_) {
         log_.stalled(targetId_, now - sentAt_);
--- a/gateway/routing_table.cpp
+++ b/gateway/routing_table.cpp
@@ -39,10 +39,4 @@
     return found == teamOfKey.end() ? nullptr : &teams[found->second];
 }
 
-const TargetService *RoutingTable::findService(std::string_view name) const
-{
-    const auto found = std::find_if(services.begin(), services.end(), [name](const TargetService &service) { return service.name == name; });
-    return found == services.end() ? nullptr : &*found;
-}
-
 } // namespace Lovageloft
--- a/gateway/routing_table.h
+++ b/gateway/routing_table.h
@@ -61,9 +61,6 @@
 struct TargetService
 {
     std::string name;
-    std::string healthPath;
-    std::int64_t maxConnections = 0; ///< Connections that one target accepts from all hosts together.
-    bool isModelService = false; ///< Its targets are engines that cache prompts.
     std::int64_t cacheTokens = 0; ///< Tokens that one engine's memory holds.
 };
 
@@ -108,8 +105,6 @@
     /// The team that holds a key; null if none does.
     const Team *findTeam(const std::string &key) const;
 
-    const TargetService *findService(std::string_view name) const;
-
 private:
     std::map<std::string, std::vector<std::size_t>, std::less<>> routesOfHost_; ///< Longest prefix first.
 };
--- a/tests/platform/test_node_file.cpp
+++ b/tests/platform/test_node_file.cpp
@@ -69,7 +69,6 @@
     BOOST_TEST(settings->hostName == "front-1");
     BOOST_TEST((settings->shutdownLimit == 8s));
     BOOST_TEST((settings->keyProofWindow == 5s));
-    BOOST_TEST((settings->quotaWindow == 8s));
     BOOST_TEST(settings->peers.port == 7600);
     BOOST_TEST(settings->retryRatio == 0.2);
     BOOST_TEST(settings->enginesCheckFencing);
