--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
+#include <map>
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -71,9 +73,12 @@
     return owned;
 }
 
+template <typename Metric>
+using FamilyMap = std::map<std::string, prometheus::Family<Metric> *, std::less<>>;
+
 /// The family of a name, made on its first use.
-template <typename Families, typename Build>
-auto &familyOf(Families &families, std::string_view name, prometheus::Registry &registry, Build build)
+template <typename Metric, typename Build>
+prometheus::Family<Metric> &familyOf(FamilyMap<Metric> &families, std::string_view name, prometheus::Registry &registry, Build build)
 {
     auto found = families.find(name);
     if (found == families.end()) {
@@ -85,52 +90,61 @@
 
 } // namespace
 
-Metrics::Metrics()
-    : registry_(std::make_unique<prometheus::Registry>())
+struct Metrics::Families
 {
-}
+    prometheus::Counter &counter(std::string_view name, MetricLabels labels)
+    {
+        return familyOf(counters, name, registry, &prometheus::BuildCounter).Add(ownedLabels(labels));
+    }
 
-Metrics::~Metrics() = default;
+    prometheus::Registry registry;
+    FamilyMap<prometheus::Counter> counters;
+    FamilyMap<prometheus::Gauge> gauges;
+    FamilyMap<prometheus::Histogram> histograms;
+};
 
-prometheus::Counter &Metrics::counterOf(std::string_view name, MetricLabels labels) const
+Metrics::Metrics()
+    : families_(std::make_unique<Families>())
 {
-    return familyOf(counters_, name, *registry_, &prometheus::BuildCounter).Add(ownedLabels(labels));
 }
 
+Metrics::~Metrics() = default;
+
 void Metrics::add(std::string_view name, MetricLabels labels, std::uint64_t amount)
 {
     const std::lock_guard lock(mutex_);
-    counterOf(name, labels).Increment(static_cast<double>(amount));
+    families_->counter(name, labels).Increment(static_cast<double>(amount));
 }
 
 void Metrics::raiseTo(std::string_view name, MetricLabels labels, std::uint64_t total)
 {
     const std::lock_guard lock(mutex_);
-    prometheus::Counter &counter = counterOf(name, labels);
+    prometheus::Counter &counter = families_->counter(name, labels);
     counter.Increment(std::max(0.0, static_cast<double>(total) - counter.Value()));
 }
 
 void Metrics::set(std::string_view name, double value)
 {
     const std::lock_guard lock(mutex_);
-    familyOf(gauges_, name, *registry_, &prometheus::BuildGauge).Add({}).Set(value);
+    familyOf(families_->gauges, name, families_->registry, &prometheus::BuildGauge).Add({}).Set(value);
 }
 
 void Metrics::observe(std::string_view name, MetricLabels labels, double seconds)
 {
     const std::lock_guard lock(mutex_);
-    familyOf(histograms_, name, *registry_, &prometheus::BuildHistogram).Add(ownedLabels(labels), secondBounds).Observe(seconds);
+    familyOf(families_->histograms, name, families_->registry, &prometheus::BuildHistogram).Add(ownedLabels(labels), secondBounds).Observe(seconds);
 }
 
 std::uint64_t Metrics::counter(std::string_view name, MetricLabels labels) const
 {
     const std::lock_guard lock(mutex_);
-    return static_cast<std::uint64_t>(counterOf(name, labels).Value());
+    return static_cast<std::uint64_t>(families_->counter(name, labels).Value());
 }
 
 std::string Metrics::text() const
 {
-    return prometheus::TextSerializer().Serialize(registry_->Collect());
+    const std::lock_guard lock(mutex_);
+    return prometheus::TextSerializer().Serialize(families_->registry.Collect());
 }
 
 } // namespace Lovageloft
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -2,22 +2,11 @@
 
 #include <cstdint>
 #include <initializer_list>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <string_view>
 
-namespace prometheus
-{
-class Counter;
-class Gauge;
-class Histogram;
-class Registry;
-template <typename T>
-class Family;
-} // namespace prometheus
-
 /// Figures of a running host in Prometheus' text format, by prometheus-cpp. docs/METRICS.md lists them all.
 namespace Lovageloft
 {
@@ -59,16 +48,10 @@
     std::string text() const;
 
 private:
-    template <typename Metric>
-    using Families = std::map<std::string, prometheus::Family<Metric> *, std::less<>>;
-
-    prometheus::Counter &counterOf(std::string_view name, MetricLabels labels) const;
+    struct Families; ///< The library's registry and what has been entered there.
 
-    std::unique_ptr<prometheus::Registry> registry_;
     mutable std::mutex mutex_;
-    mutable Families<prometheus::Counter> counters_;
-    Families<prometheus::Gauge> gauges_;
-    Families<prometheus::Histogram> histograms_;
+    std::unique_ptr<Families> families_;
 };
 
 } // namespace Lovageloft
--- a/main/request_story.cpp
+++ b/main/request_story.cpp
@@ -120,6 +120,7 @@
         known = known == nullptr || known->time <= line.time ? &line : known;
     }
     std::vector<const Line *> found;
+    found.reserve(newest.size());
     for (const auto &[key, line] : newest) {
         found.push_back(line);
     }
--- a/tests/decision/test_request_scheduler.cpp
+++ b/tests/decision/test_request_scheduler.cpp
@@ -149,9 +149,9 @@
     // where neither urgency nor a team's share counts.
     std::uint64_t id = 0;
     const auto run = [&](SchedulerEnd end) {
-        SchedulerRequest made = request(++id);
-        BOOST_REQUIRE(!scheduler.submit(std::move(made), start));
-        const std::string engine = std::get<SchedulerAssignment>(decideOne()).engine;
+        const auto refusal = scheduler.submit(request(++id), start);
+        BOOST_REQUIRE(!refusal);
+        std::string engine = std::get<SchedulerAssignment>(decideOne()).engine;
         scheduler.onFirstToken(RequestId{id}, std::nullopt, start);
         scheduler.onEnded(RequestId{id}, end, start);
         return engine;
--- a/tests/gateway/test_key_freshness.cpp
+++ b/tests/gateway/test_key_freshness.cpp
@@ -119,7 +119,7 @@
         StoreReply get(std::string_view key) override
         {
             fleet_.advance(300);
-            const StoreReply reply = isCut_ || fleet_.isAway_ ? StoreReply{} : fleet_.store_.get(key);
+            StoreReply reply = isCut_ || fleet_.isAway_ ? StoreReply{} : fleet_.store_.get(key);
             fleet_.advance(300); // The answer is on its way while operators go on.
             return reply;
         }
