Weights that a host finds at its start may have been named long before

The host that sent it had been restarted 1.1 s after the name and counted the deadline from its own start; the engine had been left out of the round. The longer rounds since loads are announced made it likelier. Excluded: the margin for what waits in an engine (85 ms there, 1.2 s are kept), the leader (gave its orders throughout). Change: weights read at a start count as named half a deadline before. Test: weightsThatAHostFindsAtItsStartMayHaveBeenNamedLongBefore, red without the change.

--- a/gateway/configuration_duty.cpp
+++ b/gateway/configuration_duty.cpp
@@ -44,8 +44,9 @@
     }
     watchFrom_ = reply.revision;
     for (const StoreEntry &entry : reply.entries) {
-        feed_.take(entry, sentAt);
+        feed_.take(entry, sentAt, !hasRead_);
     }
+    hasRead_ = true;
     return true;
 }
 
--- a/gateway/configuration_duty.h
+++ b/gateway/configuration_duty.h
@@ -26,6 +26,7 @@
     StoreBackoff backoff_;
     std::int64_t watchFrom_ = 0;
     bool isReachable_ = true;
+    bool hasRead_ = false;
 };
 
 } // namespace Lovageloft
--- a/gateway/configuration_feed.cpp
+++ b/gateway/configuration_feed.cpp
@@ -11,13 +11,13 @@
 {
 }
 
-void ConfigurationFeed::take(const StoreEntry &entry, TimePoint provenAt)
+void ConfigurationFeed::take(const StoreEntry &entry, TimePoint provenAt, bool isFirstReading)
 {
     const std::lock_guard lock(mutex_);
     if (entry.key == records_.configurationKey()) {
         takeConfiguration(entry, provenAt);
     } else if (records_.isWeightsKey(entry.key) && !entry.isDeleted) {
-        takeWeights(entry, provenAt);
+        takeWeights(entry, provenAt, isFirstReading);
     }
 }
 
@@ -49,7 +49,7 @@
     listeners_.onConfiguration(std::make_shared<const RoutingTable>(std::move(*table)), provenAt);
 }
 
-void ConfigurationFeed::takeWeights(const StoreEntry &entry, TimePoint provenAt)
+void ConfigurationFeed::takeWeights(const StoreEntry &entry, TimePoint provenAt, bool isFirstReading)
 {
     Reason reason;
     auto weights = records_.parseWeights(entry, reason);
@@ -58,6 +58,7 @@
         return;
     }
     weights->learntAt = provenAt;
+    weights->wereThereAtStart = isFirstReading;
     listeners_.onWeights(*weights);
 }
 
--- a/gateway/configuration_feed.h
+++ b/gateway/configuration_feed.h
@@ -26,8 +26,8 @@
 
     ConfigurationFeed(const StoreRecords &records, Listeners listeners);
 
-    /// An entry that the store held at `provenAt`.
-    void take(const StoreEntry &entry, TimePoint provenAt);
+    /// An entry that the store held at `provenAt`; `isFirstReading` if this process has read nothing before.
+    void take(const StoreEntry &entry, TimePoint provenAt, bool isFirstReading = false);
 
     /// The configuration in force was the newest at `provenAt`.
     void prove(std::int64_t revision, TimePoint provenAt);
@@ -37,7 +37,7 @@
 
 private:
     void takeConfiguration(const StoreEntry &entry, TimePoint provenAt);
-    void takeWeights(const StoreEntry &entry, TimePoint provenAt);
+    void takeWeights(const StoreEntry &entry, TimePoint provenAt, bool isFirstReading);
 
     const StoreRecords &records_;
     Listeners listeners_;
--- a/gateway/target.h
+++ b/gateway/target.h
@@ -52,6 +52,7 @@
     std::string model;
     std::int64_t version = 0;
     TimePoint learntAt; ///< When this host heard of them.
+    bool wereThereAtStart = false; ///< It read them when it started: they may have been named long before.
 };
 
 } // namespace Lovageloft
--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -68,6 +68,12 @@
     }
     std::vector<NamedWeights> &versions = named_[weights.model];
     versions.push_back(weights);
+    if (weights.wereThereAtStart) {
+        // How long ago they were named stands nowhere. Counted from the start, a host that restarts within the deadline would go on
+        // sending to engines that were left out of the round for as long again; counted as long past, a fleet that restarts right
+        // after new weights were named would have no engine. Half of the deadline is what a round over all engines takes.
+        versions.back().learntAt -= weightsDeadline_ / 2;
+    }
     // Once a version's deadline has passed, the ones before it tell nothing more.
     const auto isPast = [&](const NamedWeights &known) { return weights.learntAt >= known.learntAt + weightsDeadline_; };
     while (versions.size() > 2 && isPast(versions[1])) {
--- a/tests/gateway/test_target_directory.cpp
+++ b/tests/gateway/test_target_directory.cpp
@@ -76,6 +76,20 @@
     BOOST_TEST((*change > start && *change < start + deadline));
 }
 
+BOOST_AUTO_TEST_CASE(weightsThatAHostFindsAtItsStartMayHaveBeenNamedLongBefore)
+{
+    // A host restarts a second after new weights were named, and one engine is left out of the round. If the host counted the deadline
+    // from its own start, that engine would be sent requests after it, and readers would get figures of weights that no longer count.
+    directory.setNamedWeights({"m", 2, start + 1s, true});
+    BOOST_TEST(isServing("e1|m", start + 2s));
+    BOOST_TEST(!isServing("e1|m", start + 7s));
+    directory.setTargets(engines(2, 1));
+    BOOST_TEST(isServing("e1|m", start + 7s));
+    directory.setNamedWeights({"m", 3, start + 20s});
+    BOOST_TEST(isServing("e1|m", start + 26s));
+    BOOST_TEST(!isServing("e1|m", start + 27s));
+}
+
 BOOST_AUTO_TEST_CASE(anEngineThatRefusesTheExpectedWeightsHasTheNewest)
 {
     // An engine has loaded before its entry says so, and refuses each request that expects the old weights. Were the entry believed
