One forwarding store and one way to hosts' winners

Change: ForwardingStore is the base of the three; RendezvousNames keeps the nodes until the hosts change.

--- a/decision/rendezvous.cpp
+++ b/decision/rendezvous.cpp
@@ -65,4 +65,30 @@
     return count;
 }
 
+RendezvousNames::RendezvousNames(std::vector<std::string> names)
+    : names_(std::move(names))
+{
+    nodes_.reserve(names_.size());
+    for (const std::string &name : names_) {
+        nodes_.push_back({static_cast<EngineIndex>(nodes_.size()), rendezvousId(name)});
+    }
+}
+
+bool RendezvousNames::isEmpty() const
+{
+    return names_.empty();
+}
+
+std::vector<std::string> RendezvousNames::winners(std::string_view key, std::size_t count) const
+{
+    std::array<EngineIndex, winnersLimit> places{};
+    const std::size_t found = rendezvousWinners(rendezvousId(key), nodes_, std::span(places).first(std::min(count, winnersLimit)));
+    std::vector<std::string> winners;
+    winners.reserve(found);
+    for (const EngineIndex place : std::span(places).first(found)) {
+        winners.push_back(names_[place]);
+    }
+    return winners;
+}
+
 } // namespace Lovageloft
--- a/decision/rendezvous.h
+++ b/decision/rendezvous.h
@@ -3,7 +3,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <span>
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include "decision/cache_view.h"
 
@@ -25,4 +27,21 @@
 /// Writes the engines that win `key`, the first winner first, and returns how many: the lesser of both sizes.
 std::size_t rendezvousWinners(std::uint64_t key, std::span<const RendezvousNode> nodes, std::span<EngineIndex> winners);
 
+/// Names, of hosts for one, among which each key has the same winners wherever the same names are known.
+class RendezvousNames
+{
+public:
+    RendezvousNames() = default;
+    explicit RendezvousNames(std::vector<std::string> names);
+
+    bool isEmpty() const;
+
+    /// Up to `count` names, the first winner first; 16 at most.
+    std::vector<std::string> winners(std::string_view key, std::size_t count) const;
+
+private:
+    std::vector<std::string> names_;
+    std::vector<RendezvousNode> nodes_; ///< Of the same order.
+};
+
 } // namespace Lovageloft
--- a/gateway/relayed_store.cpp
+++ b/gateway/relayed_store.cpp
@@ -1,7 +1,6 @@
 #include "gateway/relayed_store.h"
 
 #include <algorithm>
-#include <array>
 
 #include "core/log.h"
 #include "decision/rendezvous.h"
@@ -47,7 +46,7 @@
 }
 
 RelayedStore::RelayedStore(Store &store, std::string host, Now now)
-    : store_(store)
+    : ForwardingStore(store)
     , host_(std::move(host))
     , now_(std::move(now))
 {
@@ -61,16 +60,7 @@
 
 void RelayedStore::setHosts(const std::vector<std::string> &hosts)
 {
-    std::vector<RendezvousNode> nodes;
-    for (std::size_t i = 0; i < hosts.size(); ++i) {
-        nodes.push_back({static_cast<EngineIndex>(i), rendezvousId(hosts[i])});
-    }
-    std::array<EngineIndex, relayCount> winners{};
-    const std::size_t count = rendezvousWinners(rendezvousId("relay"), nodes, winners);
-    std::vector<std::string> relays;
-    for (const EngineIndex winner : std::span(winners).first(count)) {
-        relays.push_back(hosts[winner]);
-    }
+    std::vector<std::string> relays = RendezvousNames(hosts).winners("relay", relayCount);
     const std::lock_guard lock(mutex_);
     if (relays != relays_) {
         relays_ = std::move(relays);
@@ -139,7 +129,7 @@
 
 StoreReply RelayedStore::get(std::string_view key)
 {
-    return noted(store_.get(key));
+    return noted(ForwardingStore::get(key));
 }
 
 StoreReply RelayedStore::confirm(std::string_view key, std::int64_t revision)
@@ -157,12 +147,12 @@
         const bool isSame = reply->revision == revision;
         return {isSame ? StoreStatus::Ok : StoreStatus::Conflict, {std::string(key), {}, reply->revision, false}, reply->age};
     }
-    return noted(store_.confirm(key, revision));
+    return noted(ForwardingStore::confirm(key, revision));
 }
 
 StoreListReply RelayedStore::list(std::string_view prefix)
 {
-    StoreListReply reply = noted(store_.list(prefix));
+    StoreListReply reply = noted(ForwardingStore::list(prefix));
     if (reply.status == StoreStatus::Ok) {
         const std::lock_guard lock(mutex_);
         Followed &followed = followed_[std::string(prefix)];
@@ -175,16 +165,6 @@
     return reply;
 }
 
-StoreReply RelayedStore::compareAndSwap(std::string_view key, std::int64_t expectedRevision, std::string_view value, std::int64_t leaseId)
-{
-    return store_.compareAndSwap(key, expectedRevision, value, leaseId);
-}
-
-StoreReply RelayedStore::compareAndDelete(std::string_view key, std::int64_t expectedRevision)
-{
-    return store_.compareAndDelete(key, expectedRevision);
-}
-
 StoreListReply RelayedStore::watch(std::string_view prefix, std::int64_t afterRevision, Duration timeout)
 {
     if (isRelay()) {
@@ -218,7 +198,7 @@
         if (!isOmitted || entry.isDeleted) {
             continue;
         }
-        StoreReply read = store_.get(entry.key);
+        StoreReply read = ForwardingStore::get(entry.key);
         if (read.status == StoreStatus::Ok) {
             reply.entries.back() = std::move(read.entry);
         } else {
@@ -231,7 +211,7 @@
 
 StoreListReply RelayedStore::watchStore(std::string_view prefix, std::int64_t afterRevision, Duration timeout)
 {
-    StoreListReply reply = noted(store_.watch(prefix, afterRevision, timeout));
+    StoreListReply reply = noted(ForwardingStore::watch(prefix, afterRevision, timeout));
     if (reply.status != StoreStatus::Ok) {
         return reply;
     }
@@ -287,19 +267,9 @@
     return reply;
 }
 
-StoreLeaseReply RelayedStore::grantLease(Duration timeToLive)
-{
-    return store_.grantLease(timeToLive);
-}
-
 StoreLeaseReply RelayedStore::keepAlive(std::int64_t leaseId)
 {
-    return noted(store_.keepAlive(leaseId));
-}
-
-StoreLeaseReply RelayedStore::revokeLease(std::int64_t leaseId)
-{
-    return store_.revokeLease(leaseId);
+    return noted(ForwardingStore::keepAlive(leaseId));
 }
 
 } // namespace Lovageloft
--- a/gateway/relayed_store.h
+++ b/gateway/relayed_store.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "coordination/store.h"
+#include "coordination/forwarding_store.h"
 #include "gateway/peer_socket.h"
 
 namespace Lovageloft
@@ -24,7 +24,7 @@
 /// asks the store itself.
 ///
 /// Watches and proofs are called by duties and block; `onNotice` and `onProofReply` come from the event loop. Thread-safe.
-class RelayedStore final : public Store
+class RelayedStore final : public ForwardingStore
 {
 public:
     /// What the event loop does for this object.
@@ -54,12 +54,8 @@
     StoreReply get(std::string_view key) override;
     StoreReply confirm(std::string_view key, std::int64_t revision) override;
     StoreListReply list(std::string_view prefix) override;
-    StoreReply compareAndSwap(std::string_view key, std::int64_t expectedRevision, std::string_view value, std::int64_t leaseId) override;
-    StoreReply compareAndDelete(std::string_view key, std::int64_t expectedRevision) override;
     StoreListReply watch(std::string_view prefix, std::int64_t afterRevision, Duration timeout) override;
-    StoreLeaseReply grantLease(Duration timeToLive) override;
     StoreLeaseReply keepAlive(std::int64_t leaseId) override;
-    StoreLeaseReply revokeLease(std::int64_t leaseId) override;
 
 private:
     /// What notices have brought under one prefix, or on a relay what the store has.
@@ -83,7 +79,6 @@
     static bool hears(std::string_view prefix, Followed &followed, TimePoint now);
     std::optional<ProofReply> askRelay(const std::string &relay);
 
-    Store &store_;
     std::string host_;
     Now now_;
     mutable std::mutex mutex_;
--- a/gateway/team_budget.cpp
+++ b/gateway/team_budget.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "decision/rendezvous.h"
-
 namespace Lovageloft
 {
 
@@ -53,8 +51,7 @@
     own_.setShare(ownPart * share, now);
     const std::size_t homes = std::clamp<std::size_t>(hosts.size(), 1, homesPerTeam);
     pools_.setShare((1 - ownPart) / static_cast<double>(homes), now);
-    hosts_ = hosts;
-    std::sort(hosts_.begin(), hosts_.end());
+    hosts_ = RendezvousNames(hosts);
     updateHomes(now);
 }
 
@@ -127,17 +124,7 @@
 
 std::vector<std::string> TeamBudget::homesOf(std::string_view team) const
 {
-    std::vector<RendezvousNode> nodes;
-    for (std::size_t i = 0; i < hosts_.size(); ++i) {
-        nodes.push_back({static_cast<EngineIndex>(i), rendezvousId(hosts_[i])});
-    }
-    std::array<EngineIndex, homesPerTeam> winners{};
-    const std::size_t count = rendezvousWinners(rendezvousId(team), nodes, winners);
-    std::vector<std::string> homes;
-    for (const EngineIndex winner : std::span(winners).first(count)) {
-        homes.push_back(hosts_[winner]);
-    }
-    return homes;
+    return hosts_.winners(team, homesPerTeam);
 }
 
 void TeamBudget::askNext(std::uint64_t id, TimePoint now, const Send &send)
@@ -171,7 +158,7 @@
 
 void TeamBudget::updateHomes(TimePoint now)
 {
-    if (hosts_.empty() || limits_.empty()) {
+    if (hosts_.isEmpty() || limits_.empty()) {
         return;
     }
     const bool isStart = !std::exchange(hasHomes_, true);
--- a/gateway/team_budget.h
+++ b/gateway/team_budget.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "decision/rendezvous.h"
 #include "decision/team_rates.h"
 #include "gateway/peer_socket.h"
 
@@ -76,7 +77,7 @@
 
     std::string host_;
     std::vector<TeamLimit> limits_;
-    std::vector<std::string> hosts_;
+    RendezvousNames hosts_; ///< All that count, with this one.
     TeamRates own_;
     TeamRates pools_;
     std::map<std::string, TimePoint, std::less<>> homeSince_; ///< Teams whose pool lies here, and from when on it is given out.
--- a/tests/gateway/test_duties.cpp
+++ b/tests/gateway/test_duties.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "coordination/forwarding_store.h"
 #include "coordination/memory_store.h"
 #include "gateway/proof_duty.h"
 #include "gateway/target_duty.h"
@@ -17,28 +18,28 @@
 constexpr Duration patience = 6s;
 
 /// A store in memory that can be away, and whose watches can be deaf.
-class MoodyStore final : public Store
+class MoodyStore final : public ForwardingStore
 {
 public:
-    StoreReply get(std::string_view key) override
+    MoodyStore()
+        : ForwardingStore(memory)
     {
-        return isDown ? StoreReply{} : memory.get(key);
     }
 
-    StoreListReply list(std::string_view prefix) override
+    StoreReply get(std::string_view key) override
     {
-        ++lists;
-        return isDown ? StoreListReply{} : memory.list(prefix);
+        return isDown ? StoreReply{} : memory.get(key);
     }
 
-    StoreReply compareAndSwap(std::string_view key, std::int64_t expectedRevision, std::string_view value, std::int64_t leaseId) override
+    StoreReply confirm(std::string_view key, std::int64_t revision) override
     {
-        return memory.compareAndSwap(key, expectedRevision, value, leaseId);
+        return Store::confirm(key, revision);
     }
 
-    StoreReply compareAndDelete(std::string_view key, std::int64_t expectedRevision) override
+    StoreListReply list(std::string_view prefix) override
     {
-        return memory.compareAndDelete(key, expectedRevision);
+        ++lists;
+        return isDown ? StoreListReply{} : memory.list(prefix);
     }
 
     StoreListReply watch(std::string_view prefix, std::int64_t afterRevision, Duration timeout) override
@@ -47,21 +48,6 @@
         return isDown ? StoreListReply{} : memory.watch(prefix, afterRevision, std::min(timeout, shortWait));
     }
 
-    StoreLeaseReply grantLease(Duration timeToLive) override
-    {
-        return memory.grantLease(timeToLive);
-    }
-
-    StoreLeaseReply keepAlive(std::int64_t leaseId) override
-    {
-        return memory.keepAlive(leaseId);
-    }
-
-    StoreLeaseReply revokeLease(std::int64_t leaseId) override
-    {
-        return memory.revokeLease(leaseId);
-    }
-
     void write(const std::string &key, const std::string &value)
     {
         const StoreReply known = memory.get(key);
--- a/tests/gateway/test_relayed_store.cpp
+++ b/tests/gateway/test_relayed_store.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "coordination/forwarding_store.h"
 #include "coordination/memory_store.h"
 #include "core/random.h"
 #include "gateway/relayed_store.h"
@@ -17,9 +18,14 @@
 {
 
 /// A store in memory that counts calls and can be out of reach.
-class CountingStore final : public Store
+class CountingStore final : public ForwardingStore
 {
 public:
+    CountingStore()
+        : ForwardingStore(memory)
+    {
+    }
+
     StoreReply get(std::string_view key) override
     {
         ++calls;
@@ -38,16 +44,6 @@
         return isDown ? StoreListReply{} : memory.list(prefix);
     }
 
-    StoreReply compareAndSwap(std::string_view key, std::int64_t expectedRevision, std::string_view value, std::int64_t leaseId) override
-    {
-        return memory.compareAndSwap(key, expectedRevision, value, leaseId);
-    }
-
-    StoreReply compareAndDelete(std::string_view key, std::int64_t expectedRevision) override
-    {
-        return memory.compareAndDelete(key, expectedRevision);
-    }
-
     StoreListReply watch(std::string_view prefix, std::int64_t afterRevision, Duration timeout) override
     {
         ++calls;
@@ -58,21 +54,6 @@
         return reply;
     }
 
-    StoreLeaseReply grantLease(Duration timeToLive) override
-    {
-        return memory.grantLease(timeToLive);
-    }
-
-    StoreLeaseReply keepAlive(std::int64_t leaseId) override
-    {
-        return memory.keepAlive(leaseId);
-    }
-
-    StoreLeaseReply revokeLease(std::int64_t leaseId) override
-    {
-        return memory.revokeLease(leaseId);
-    }
-
     MemoryStore memory;
     std::atomic<int> calls = 0;
     std::atomic<bool> isDown = false;
