A request's end is described once; a gateway's limits stand apart from its addresses

Cause: RoutedRequest filled two structs with nearly the same fields, one for the last log line and one for the figures. Setting limits anew took a whole GatewayOptions and copied five addresses and names back, so that the next address added would have been overwritten. Change: EndedRequest serves both; GatewayLimits is what setLimits takes, GatewayOptions holds it beside the addresses; GatewayHost need not keep the metrics port. Behaviour as before; assertions of the tests unchanged. test_platform and test_gateway pass.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -43,7 +43,7 @@
     , readiness_(loop_, [this](std::string_view path) { return readinessAnswer(path); })
     , metricsServer_(loop_, [this](std::string_view path) { return metricsAnswer(path); })
     , operatorView_(*this)
-    , directory_(options.weightsDeadline)
+    , directory_(options.limits.weightsDeadline)
     , pool_(loop_, targetProtocol)
     , fleet_(*this, options.hostName)
     , dispatch_(loop_)
@@ -174,16 +174,10 @@
     }
 }
 
-void Gateway::setOptions(const GatewayOptions &options)
+void Gateway::setLimits(const GatewayLimits &limits)
 {
-    GatewayOptions taken = options;
-    taken.callers = options_.callers;
-    taken.readiness = options_.readiness;
-    taken.peers = options_.peers;
-    taken.metrics = options_.metrics;
-    taken.hostName = options_.hostName;
-    options_ = taken;
-    directory_.setWeightsDeadline(options_.weightsDeadline);
+    options_.limits = limits;
+    directory_.setWeightsDeadline(options_.limits.weightsDeadline);
     applyRetryLimits();
     if (table_ != nullptr) {
         applyTeamLimits();
@@ -196,8 +190,8 @@
     std::vector<TeamLimit> limits;
     for (const Team &team : table_->teams) {
         // Half of what a limit may be passed by; the other half is for hosts that start with part of a burst or are counted late.
-        const double over = 1 + options_.quotaOver / 2;
-        limits.push_back({team.name, team.rate * over, team.burst * over + options_.quotaSlack / 2});
+        const double over = 1 + options_.limits.quotaOver / 2;
+        limits.push_back({team.name, team.rate * over, team.burst * over + options_.limits.quotaSlack / 2});
     }
     fleet_.setLimits(limits);
 }
@@ -205,7 +199,7 @@
 void Gateway::applyRetryLimits()
 {
     const std::size_t count = std::max<std::size_t>(hosts_.size(), 1);
-    dispatch_.setRetryLimits({options_.retries.ratio * retryPart, options_.retries.slack * retryPart / static_cast<double>(count)});
+    dispatch_.setRetryLimits({options_.limits.retries.ratio * retryPart, options_.limits.retries.slack * retryPart / static_cast<double>(count)});
 }
 
 const std::string &Gateway::hostName() const
@@ -302,12 +296,12 @@
 
 bool Gateway::isKeyProofValid(TimePoint now) const
 {
-    return table_ != nullptr && proofAge(now) < options_.keyProofWindow - keyProofMargin;
+    return table_ != nullptr && proofAge(now) < options_.limits.keyProofWindow - keyProofMargin;
 }
 
 bool Gateway::isCurrent(TimePoint now) const
 {
-    return table_ != nullptr && proofAge(now) < options_.configurationWindow;
+    return table_ != nullptr && proofAge(now) < options_.limits.configurationWindow;
 }
 
 Duration Gateway::proofAge(TimePoint now) const
@@ -495,7 +489,7 @@
     const TimePoint now = BootClock::now();
     const Duration elapsed = now - *drainStartedAt_;
     pool_.closeStale(now);
-    if (elapsed >= options_.drainNotice) {
+    if (elapsed >= options_.limits.drainNotice) {
         boost::system::error_code ignored;
         acceptor_.close(ignored);
         const auto sessions = sessions_;
@@ -503,8 +497,8 @@
             session->closeIfIdle();
         }
     }
-    const bool isEmpty = elapsed >= options_.drainNotice && sessions_.empty() && dispatch_.count() == 0;
-    if (isEmpty || elapsed >= options_.drainLimit) {
+    const bool isEmpty = elapsed >= options_.limits.drainNotice && sessions_.empty() && dispatch_.count() == 0;
+    if (isEmpty || elapsed >= options_.limits.drainLimit) {
         writeLog(LogLevel::Info, "drain_ended", {{"empty", isEmpty}, {"requests", static_cast<std::int64_t>(dispatch_.count())}});
         readiness_.close();
         metricsServer_.close();
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -26,14 +26,9 @@
 class CallerSession;
 class RoutedRequest;
 
-/// Addresses and times of a gateway.
-struct GatewayOptions
+/// Times and limits of a gateway, which may be set anew while it serves.
+struct GatewayLimits
 {
-    HostAddress callers;
-    HostAddress readiness;
-    HostAddress peers; ///< Where datagrams of other hosts come.
-    std::optional<HostAddress> metrics; ///< Where metrics and operators' calls are answered.
-    std::string hostName;
     Duration keyProofWindow = std::chrono::seconds(5); ///< Within this time a withdrawn key must have stopped working.
     Duration configurationWindow = std::chrono::seconds(2); ///< Within this time a new configuration must be in force.
     Duration weightsDeadline = std::chrono::seconds(8); ///< After this time no request may begin on older weights.
@@ -44,6 +39,17 @@
     Duration drainLimit = std::chrono::seconds(7); ///< Longest time from the request to shut down to the end.
 };
 
+/// What a gateway is started with.
+struct GatewayOptions
+{
+    HostAddress callers;
+    HostAddress readiness;
+    HostAddress peers; ///< Where datagrams of other hosts come.
+    std::optional<HostAddress> metrics; ///< Where metrics and operators' calls are answered.
+    std::string hostName;
+    GatewayLimits limits;
+};
+
 /// The event-driven pipeline: one thread and one event loop own all sockets of callers and targets, the scheduler, and what this
 /// host believes. Other duties hand over what they learn with `post`.
 class Gateway
@@ -86,8 +92,8 @@
     /// The host that orders the engines; empty if there is none.
     void setLeader(const std::string &host);
 
-    /// Times and limits that were set anew; addresses and names stay as they are.
-    void setOptions(const GatewayOptions &options);
+    /// Times and limits that were set anew.
+    void setLimits(const GatewayLimits &limits);
 
     /// Begins a graceful shutdown.
     void drain();
--- a/gateway/request_log.cpp
+++ b/gateway/request_log.cpp
@@ -86,7 +86,7 @@
     writeLog(LogLevel::Warning, "answer_broken_off", {{"request", intake_.caller().id}, {"target", target}, {"why", why}});
 }
 
-void RequestLog::ended(const Ended &ended) const
+void RequestLog::ended(const EndedRequest &ended) const
 {
     writeLog(LogLevel::Info,
              "request_ended",
--- a/gateway/request_log.h
+++ b/gateway/request_log.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <optional>
 #include <string_view>
 
 #include "core/result_code.h"
 #include "gateway/request_intake.h"
+#include "gateway/request_metrics.h"
 #include "gateway/team_budget.h"
 
 namespace Lovageloft
@@ -51,19 +51,8 @@
     /// The caller's answer can't be completed.
     void brokenOff(std::string_view target, std::string_view why) const;
 
-    struct Ended
-    {
-        std::string_view outcome;
-        int status = 0;
-        std::string_view target; ///< The last one.
-        int sends = 0;
-        std::optional<Duration> firstByte;
-        Duration time{};
-        std::size_t bytes = 0;
-    };
-
     /// The last line of each request.
-    void ended(const Ended &ended) const;
+    void ended(const EndedRequest &ended) const;
 
 private:
     const RequestIntake &intake_;
--- a/gateway/request_metrics.h
+++ b/gateway/request_metrics.h
@@ -10,7 +10,7 @@
 namespace Lovageloft
 {
 
-/// How a request ended, for its figures.
+/// How a request ended, for its last log line and its figures.
 struct EndedRequest
 {
     std::optional<RouteKind> kind; ///< Nothing if no route was found.
@@ -21,6 +21,8 @@
     Duration time{}; ///< From reading it to its end.
     std::optional<Duration> queued; ///< From reading it to its first target.
     std::optional<Duration> firstByte; ///< From reading it to the first byte of its answer.
+    std::string_view target; ///< The last one; empty if there was none.
+    std::size_t bytes = 0; ///< Of the answer's body.
 };
 
 /// Counts a request and adds its times to the histograms, told apart by route kind, service and outcome.
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -565,12 +565,20 @@
     }
     phase_ = Phase::Done;
     timer_.cancel();
-    const Duration time = BootClock::now() - startedAt_;
-    log_.ended({outcome, status, targetId_, sends_, firstByte_, time, relayedBytes_});
-    EndedRequest ended{std::nullopt, intake_.service(), outcome, status, sends_, time, queued_, firstByte_};
+    EndedRequest ended;
     if (intake_.route() != nullptr) {
         ended.kind = intake_.route()->kind;
     }
+    ended.service = intake_.service();
+    ended.outcome = outcome;
+    ended.status = status;
+    ended.sends = sends_;
+    ended.time = BootClock::now() - startedAt_;
+    ended.queued = queued_;
+    ended.firstByte = firstByte_;
+    ended.target = targetId_;
+    ended.bytes = relayedBytes_;
+    log_.ended(ended);
     gateway_.onRequestEnded(*this, ended);
 }
 
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -30,24 +30,31 @@
 /// second and the load takes half of one.
 constexpr Duration announcedLoad = std::chrono::milliseconds(2'200);
 
+GatewayLimits gatewayLimits(const GatewaySettings &settings)
+{
+    GatewayLimits limits;
+    limits.keyProofWindow = settings.keyProofWindow;
+    limits.configurationWindow = settings.configurationWindow;
+    limits.weightsDeadline = settings.weightsDeadline;
+    limits.retries = {settings.retryRatio, settings.retrySlack};
+    limits.quotaOver = settings.quotaOver;
+    limits.quotaSlack = settings.quotaSlack;
+    limits.drainLimit = settings.shutdownLimit - shutdownMargin;
+    limits.drainNotice = std::min(limits.drainNotice, limits.drainLimit / 2);
+    return limits;
+}
+
 GatewayOptions gatewayOptions(const GatewaySettings &settings, std::uint16_t metricsPort)
 {
     GatewayOptions options;
-    if (metricsPort != 0) {
-        options.metrics = HostAddress{settings.callers.host, metricsPort};
-    }
     options.callers = settings.callers;
     options.readiness = settings.readiness;
     options.peers = settings.peers;
+    if (metricsPort != 0) {
+        options.metrics = HostAddress{settings.callers.host, metricsPort};
+    }
     options.hostName = settings.hostName;
-    options.keyProofWindow = settings.keyProofWindow;
-    options.configurationWindow = settings.configurationWindow;
-    options.weightsDeadline = settings.weightsDeadline;
-    options.retries = {settings.retryRatio, settings.retrySlack};
-    options.quotaOver = settings.quotaOver;
-    options.quotaSlack = settings.quotaSlack;
-    options.drainLimit = settings.shutdownLimit - shutdownMargin;
-    options.drainNotice = std::min(options.drainNotice, options.drainLimit / 2);
+    options.limits = gatewayLimits(settings);
     return options;
 }
 
@@ -110,7 +117,6 @@
 
 GatewayHost::GatewayHost(const GatewaySettings &settings, std::uint16_t metricsPort)
     : settings_(settings)
-    , metricsPort_(metricsPort)
     , store_({.address = settings.store})
     , measuredStore_(store_, metrics_)
     , relayedStore_(measuredStore_, settings.hostName)
@@ -206,7 +212,7 @@
     }
     writeLog(needsStart.empty() ? LogLevel::Info : LogLevel::Warning, "settings_applied", {{"applied", applied}, {"needs_start", needsStart}});
     settings_ = settings;
-    gateway_.post([options = gatewayOptions(settings, metricsPort_)](Gateway &gateway) { gateway.setOptions(options); });
+    gateway_.post([limits = gatewayLimits(settings)](Gateway &gateway) { gateway.setLimits(limits); });
 }
 
 void GatewayHost::drain()
--- a/main/gateway_host.h
+++ b/main/gateway_host.h
@@ -47,7 +47,6 @@
     void onWeights(const NamedWeights &weights);
 
     GatewaySettings settings_;
-    std::uint16_t metricsPort_;
     Metrics metrics_;
     PlatformCallerProtocol callerProtocol_;
     PlatformTargetProtocol targetProtocol_;
--- a/tests/platform/gateway_fixture.cpp
+++ b/tests/platform/gateway_fixture.cpp
@@ -55,9 +55,9 @@
     options.peers = {"127.0.0.1", 0};
     options.metrics = HostAddress{"127.0.0.1", 0};
     options.hostName = "host";
-    options.drainNotice = std::chrono::milliseconds(300);
-    options.drainLimit = std::chrono::seconds(4);
-    options.retries = {0.2, 50};
+    options.limits.drainNotice = std::chrono::milliseconds(300);
+    options.limits.drainLimit = std::chrono::seconds(4);
+    options.limits.retries = {0.2, 50};
     gateway_ = std::make_unique<Gateway>(options, callerProtocol_, targetProtocol_, metrics_);
     Reason reason;
     BOOST_REQUIRE_MESSAGE(gateway_->open(reason), reason.text);
--- a/tests/platform/test_operators.cpp
+++ b/tests/platform/test_operators.cpp
@@ -59,10 +59,10 @@
     host.configure(table(), std::chrono::seconds(3));
     host.addTarget("a", [](Connection &connection, const Request &request) { connection.answer(request, 200, "whole"); });
     BOOST_TEST(host.exchange(request("POST", "/safe/x", "body")).starts_with("HTTP/1.1 200 "));
-    GatewayOptions options;
-    options.keyProofWindow = std::chrono::seconds(1);
-    options.retries = {0.2, 50};
-    host.onLoop([&options](Gateway &gateway) { gateway.setOptions(options); });
+    GatewayLimits limits;
+    limits.keyProofWindow = std::chrono::seconds(1);
+    limits.retries = {0.2, 50};
+    host.onLoop([&limits](Gateway &gateway) { gateway.setLimits(limits); });
     BOOST_TEST(host.exchange(request("POST", "/safe/x", "body")).starts_with("HTTP/1.1 503 "));
     std::string name;
     host.onLoop([&name](Gateway &gateway) { name = gateway.hostName(); });
--- a/tests/platform/test_requests.cpp
+++ b/tests/platform/test_requests.cpp
@@ -228,9 +228,9 @@
     const ScriptedTarget &first = addTarget("a", slowTarget);
     BOOST_TEST(statusOf(exchange(request("GET", "/safe/x"))) == 200);
     const ScriptedTarget &second = addTarget("b", slowTarget);
-    GatewayOptions options;
-    options.retries = {0, 0};
-    onLoop([&options](Gateway &gateway) { gateway.setOptions(options); });
+    GatewayLimits limits;
+    limits.retries = {0, 0};
+    onLoop([&limits](Gateway &gateway) { gateway.setLimits(limits); });
     BOOST_TEST(statusOf(exchange(request("GET", "/safe/x"))) == 200);
     BOOST_TEST(first.requests() + second.requests() == 2);
 }
