Loads counted once a plan, one budget of a model, one list of log levels, one reader of sources for tests

Cause: OrderScheduler counted the loads of all engines anew for each outdated one (a million looks a plan at 1,000 engines); the retry budget of a model was fetched and set in two places; a target's id was cut out of its key in two; the names of log levels stood twice; three tests each had the same reader and matcher of source files, two the same check of a part. Change: the count is kept while a plan is made; budgetOf, targetOf, logLevelNames, tests/core/source_text and contains serve all.

--- a/coordination/order_scheduler.cpp
+++ b/coordination/order_scheduler.cpp
@@ -50,8 +50,9 @@
     if (isSuperseded_) {
         return plan;
     }
+    std::size_t loading = loads(now);
     for (Engine *engine : longestOutdatedFirst(now)) {
-        planOrder(*engine, lease, plan, now);
+        planOrder(*engine, lease, plan, loading, now);
     }
     for (auto &[target, engine] : engines_) {
         planRead(engine, plan.reads, now);
@@ -172,7 +173,7 @@
     reads.push_back(engine.wanted.target);
 }
 
-void OrderScheduler::planOrder(Engine &engine, const LeaseHolder &lease, OrderPlan &plan, TimePoint now)
+void OrderScheduler::planOrder(Engine &engine, const LeaseHolder &lease, OrderPlan &plan, std::size_t &loading, TimePoint now)
 {
     if (engine.open && now - engine.open->madeAt >= options_.answerTimeout) {
         closeOrder(engine, now);
@@ -186,7 +187,7 @@
     if (!order || (isRepeat && now < engine.nextRepeat)) {
         return;
     }
-    if (order->kind == OrderKind::LoadWeights && !mayLoadNow(engine, plan, now)) {
+    if (order->kind == OrderKind::LoadWeights && !mayLoadNow(engine, plan, loading, now)) {
         return;
     }
     engine.failures = isRepeat ? std::min(engine.failures + 1, mostDoublings) : 0;
@@ -199,13 +200,13 @@
 
 /// Whether there is room for one more load and its notice is old enough. What goes wrong without a notice: requests that wait in the
 /// engine when the order comes are declined, and go to another engine that has its turn next.
-bool OrderScheduler::mayLoadNow(Engine &engine, OrderPlan &plan, TimePoint now) const
+bool OrderScheduler::mayLoadNow(Engine &engine, OrderPlan &plan, std::size_t &loading, TimePoint now) const
 {
     // A notice keeps its room for as long as it counts as a load: an engine that could not be ordered for longer has to find room anew.
     const bool hasRoom = engine.noticedAt && engine.loadingUntil > now;
     if (!hasRoom) {
         const auto share = static_cast<std::size_t>(options_.loadShare * static_cast<double>(engines_.size()));
-        if (loads(now) >= std::max(options_.mostLoads, share)) {
+        if (loading >= std::max(options_.mostLoads, share)) {
             return false;
         }
         if (options_.loadNotice > Duration::zero()) {
@@ -213,6 +214,7 @@
             plan.notices.push_back(engine.wanted.target);
         }
     }
+    loading += engine.loadingUntil > now ? 0 : 1;
     engine.loadingUntil = now + options_.loadTimeout;
     if (engine.noticedAt && now - *engine.noticedAt < options_.loadNotice) {
         return false;
--- a/coordination/order_scheduler.h
+++ b/coordination/order_scheduler.h
@@ -138,8 +138,8 @@
     void startLeading(std::int64_t token, TimePoint now);
     std::vector<Engine *> longestOutdatedFirst(TimePoint now);
     void planRead(Engine &engine, std::vector<std::string> &reads, TimePoint now) const;
-    void planOrder(Engine &engine, const LeaseHolder &lease, OrderPlan &plan, TimePoint now);
-    bool mayLoadNow(Engine &engine, OrderPlan &plan, TimePoint now) const;
+    void planOrder(Engine &engine, const LeaseHolder &lease, OrderPlan &plan, std::size_t &loading, TimePoint now);
+    bool mayLoadNow(Engine &engine, OrderPlan &plan, std::size_t &loading, TimePoint now) const;
     std::optional<Order> difference(const Engine &engine) const;
     std::size_t loads(TimePoint now) const;
     static bool isSettled(const Engine &engine, const LeaseHolder &lease, TimePoint now);
--- a/core/log.cpp
+++ b/core/log.cpp
@@ -27,7 +27,6 @@
 {
 
 constexpr std::size_t queueRecords = 8192;
-constexpr std::array<std::string_view, 4> levelNames{"debug", "info", "warning", "error"};
 
 /// Lines of one event a second. A host of the target fleet serves 27 requests a second and writes each of a request's lines once or
 /// twice; ten times that is the longest burst whose stories are wanted whole.
@@ -100,7 +99,7 @@
 void push(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
     std::string line = "{\"time\":\"" + timeText() + "\",\"level\":\"";
-    line.append(levelNames[static_cast<std::size_t>(level)]);
+    line.append(logLevelNames[static_cast<std::size_t>(level)]);
     line.append("\",\"host\":");
     appendJsonString(line, state().host);
     line.append(",\"event\":");
--- a/core/log.h
+++ b/core/log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <initializer_list>
 #include <map>
@@ -19,6 +20,9 @@
     Error,
 };
 
+/// By level, as they stand in records and settings.
+inline constexpr std::array<std::string_view, 4> logLevelNames{"debug", "info", "warning", "error"};
+
 /// One named value of a record.
 struct LogField
 {
--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -123,10 +123,16 @@
     return std::nullopt;
 }
 
-std::optional<SchedulerRefusal> RequestScheduler::checkRetry(const SchedulerRequest &request, TimePoint now)
+RetryBudget &RequestScheduler::budgetOf(ModelId model)
 {
-    RetryBudget &budget = retries_[models_.idOf(request.model)];
+    RetryBudget &budget = retries_[model];
     budget.setLimits(retryLimits_);
+    return budget;
+}
+
+std::optional<SchedulerRefusal> RequestScheduler::checkRetry(const SchedulerRequest &request, TimePoint now)
+{
+    RetryBudget &budget = budgetOf(models_.idOf(request.model));
     if (request.failedEngines.empty()) {
         budget.onRequest(now);
         return std::nullopt;
@@ -336,9 +342,7 @@
     if (present == nullptr) {
         return true; // Its engine is gone from the list: nothing is to be expected there.
     }
-    RetryBudget &budget = retries_[present->model];
-    budget.setLimits(retryLimits_);
-    return budget.hasRoom(now) && std::any_of(engines_.begin(), engines_.end(), [&](const auto &item) {
+    return budgetOf(present->model).hasRoom(now) && std::any_of(engines_.begin(), engines_.end(), [&](const auto &item) {
                const Engine &engine = item.second;
                return &engine != present && engine.model == present->model && engine.isServing && engine.window.canStart(1);
            });
--- a/decision/request_scheduler.h
+++ b/decision/request_scheduler.h
@@ -179,6 +179,7 @@
         Reason reason;
     };
 
+    RetryBudget &budgetOf(ModelId model);
     std::optional<SchedulerRefusal> checkRetry(const SchedulerRequest &request, TimePoint now);
     bool choose(const QueuedRequest &queued, TimePoint now, Random &random, Choice &choice);
     void scaleQueues(const std::map<EngineIndex, Engine> &after);
--- a/gateway/target_duty.cpp
+++ b/gateway/target_duty.cpp
@@ -93,16 +93,21 @@
     }
     TargetMap targets = targets_;
     for (const StoreEntry &entry : reply.entries) {
-        missing_.erase(entry.key.substr(std::min(records_.targetPrefix().size(), entry.key.size())));
+        missing_.erase(targetOf(entry));
         take(entry, targets);
     }
     publish(std::move(targets));
     return true;
 }
 
+std::string TargetDuty::targetOf(const StoreEntry &entry) const
+{
+    return entry.key.substr(std::min(records_.targetPrefix().size(), entry.key.size()));
+}
+
 void TargetDuty::take(const StoreEntry &entry, TargetMap &targets) const
 {
-    const std::string id = entry.key.substr(std::min(records_.targetPrefix().size(), entry.key.size()));
+    const std::string id = targetOf(entry);
     if (entry.isDeleted) {
         targets.erase(id);
         return;
--- a/gateway/target_duty.h
+++ b/gateway/target_duty.h
@@ -31,6 +31,7 @@
     void run() override;
     bool readAll();
     bool watchOnce();
+    std::string targetOf(const StoreEntry &entry) const;
     void take(const StoreEntry &entry, TargetMap &targets) const;
     void publish(TargetMap &&targets);
     void dropMissing();
--- a/main/lovageloftd.cpp
+++ b/main/lovageloftd.cpp
@@ -29,11 +29,9 @@
     LogLevel logLevel = LogLevel::Info; ///< With --platform, whose settings file says nothing of it.
 };
 
-constexpr std::array<std::string_view, 4> levelNames{"debug", "info", "warning", "error"};
-
 LogLevel levelOf(std::string_view name)
 {
-    return static_cast<LogLevel>(std::find(levelNames.begin(), levelNames.end(), name) - levelNames.begin());
+    return static_cast<LogLevel>(std::find(logLevelNames.begin(), logLevelNames.end(), name) - logLevelNames.begin());
 }
 
 std::optional<Arguments> parseArguments(int argc, char **argv)
@@ -45,7 +43,7 @@
         TCLAP::ValueArg<std::uint16_t> metrics(
             "", "metrics-port", "With --platform: port of this host's address for metrics and operators' calls.", false, 0, "PORT", line);
         TCLAP::SwitchArg platform("", "platform", "The settings file is the platform's; without SETTINGS its path is taken from the environment.", line);
-        std::vector<std::string> levels(levelNames.begin(), levelNames.end());
+        std::vector<std::string> levels(logLevelNames.begin(), logLevelNames.end());
         TCLAP::ValuesConstraint<std::string> allowedLevels(levels);
         TCLAP::ValueArg<std::string> level("", "log-level", "With --platform: the least level of log lines.", false, "info", &allowedLevels, line);
         TCLAP::UnlabeledValueArg<std::string> settings("settings", "Settings file (TOML).", false, "", "SETTINGS", line);
--- a/tests/core/test_layers.cpp
+++ b/tests/core/test_layers.cpp
@@ -1,26 +1,21 @@
 #include <algorithm>
 #include <filesystem>
-#include <fstream>
-#include <iterator>
 #include <map>
-#include <regex>
 #include <set>
 #include <string>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
 
+#include "tests/core/source_text.h"
+
+using namespace Lovageloft;
+
 namespace
 {
 
 namespace Files = std::filesystem;
 
-std::string readAll(const Files::path &path)
-{
-    std::ifstream in(path);
-    return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
-}
-
 std::vector<Files::path> sourcesIn(const std::string &folder)
 {
     std::vector<Files::path> found;
@@ -33,15 +28,6 @@
     return found;
 }
 
-std::set<std::string> matches(const std::string &text, const std::regex &pattern)
-{
-    std::set<std::string> found;
-    for (std::sregex_iterator match(text.begin(), text.end(), pattern), end; match != end; ++match) {
-        found.insert((*match)[1]);
-    }
-    return found;
-}
-
 /// What each folder may include besides itself.
 const std::map<std::string, std::set<std::string>> mayInclude{
     {"core", {}},
@@ -61,10 +47,10 @@
 BOOST_AUTO_TEST_CASE(foldersIncludeDownwardOnly)
 {
     // A decision that reaches up for a socket can't be tested without one, and can't be embedded by others without all the rest.
-    const std::regex include(R"re(#include "([a-z]+)/)re");
+    const std::string include = R"re(#include "([a-z]+)/)re";
     for (const auto &[folder, allowed] : mayInclude) {
         for (const Files::path &source : sourcesIn(folder)) {
-            for (const std::string &included : matches(readAll(source), include)) {
+            for (const std::string &included : matchesIn(readAll(source), include)) {
                 BOOST_TEST((included == folder || allowed.contains(included)), source.string() << " includes " << included);
             }
         }
@@ -74,15 +60,15 @@
 BOOST_AUTO_TEST_CASE(onlyTheAdapterNamesThePlatformsWire)
 {
     // A field's or a path's name that stands in two folders is changed in one of them only when the platform changes.
-    const std::regex wireName(R"re("(Lovageloft-[A-Za-z-]+|/v1/[a-z/-]+)")re");
+    const std::string wireName = R"re("(Lovageloft-[A-Za-z-]+|/v1/[a-z/-]+)")re";
     std::set<std::string> names;
     for (const Files::path &source : sourcesIn("platform")) {
-        names.merge(matches(readAll(source), wireName));
+        names.merge(matchesIn(readAll(source), wireName));
     }
     BOOST_TEST(names.size() > 15U);
     for (const char *folder : {"core", "decision", "coordination", "drivers", "gateway", "main"}) {
         for (const Files::path &source : sourcesIn(folder)) {
-            for (const std::string &name : matches(readAll(source), wireName)) {
+            for (const std::string &name : matchesIn(readAll(source), wireName)) {
                 BOOST_TEST(!names.contains(name), source.string() << " names " << name);
             }
         }
--- a/tests/core/test_log_events.cpp
+++ b/tests/core/test_log_events.cpp
@@ -1,37 +1,26 @@
 #include <filesystem>
-#include <fstream>
-#include <iterator>
-#include <regex>
 #include <set>
 
 #include <boost/test/unit_test.hpp>
 
-namespace
-{
+#include "tests/core/source_text.h"
 
-std::string readAll(const std::filesystem::path &path)
+using namespace Lovageloft;
+
+namespace
 {
-    std::ifstream in(path);
-    return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
-}
 
 /// The events that the sources of the gateway write: all texts between writeLog( and the first brace.
 std::set<std::string> writtenEvents()
 {
     std::set<std::string> events;
-    const std::regex call(R"((?:writeLog|push)\(([^{;]*)[{;])");
-    const std::regex text(R"re("([a-z_]+)")re");
     for (const char *folder : {"core", "gateway", "platform", "main"}) {
         for (const auto &file : std::filesystem::directory_iterator(folder)) {
             if (file.path().extension() != ".cpp") {
                 continue;
             }
-            const std::string source = readAll(file.path());
-            for (std::sregex_iterator found(source.begin(), source.end(), call), end; found != end; ++found) {
-                const std::string head = (*found)[1];
-                for (std::sregex_iterator event(head.begin(), head.end(), text); event != end; ++event) {
-                    events.insert((*event)[1]);
-                }
+            for (const std::string &head : matchesIn(readAll(file.path()), R"((?:writeLog|push)\(([^{;]*)[{;])")) {
+                events.merge(matchesIn(head, R"re("([a-z_]+)")re"));
             }
         }
     }
@@ -40,13 +29,7 @@
 
 std::set<std::string> documentedEvents()
 {
-    std::set<std::string> events;
-    const std::string page = readAll("docs/LOGS.md");
-    const std::regex row(R"(\n\| `([a-z_]+)` \|)");
-    for (std::sregex_iterator found(page.begin(), page.end(), row), end; found != end; ++found) {
-        events.insert((*found)[1]);
-    }
-    return events;
+    return matchesIn(readAll("docs/LOGS.md"), R"(\n\| `([a-z_]+)` \|)");
 }
 
 } // namespace
--- a/tests/core/test_metrics.cpp
+++ b/tests/core/test_metrics.cpp
@@ -1,36 +1,13 @@
 #include <filesystem>
-#include <fstream>
-#include <iterator>
-#include <regex>
 #include <set>
 
 #include <boost/test/unit_test.hpp>
 
 #include "core/metrics.h"
+#include "tests/core/source_text.h"
 
 using namespace Lovageloft;
 
-namespace
-{
-
-std::string readAll(const std::filesystem::path &path)
-{
-    std::ifstream in(path);
-    return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
-}
-
-std::set<std::string> namesIn(const std::string &text, const std::string &pattern)
-{
-    std::set<std::string> names;
-    const std::regex name(pattern);
-    for (std::sregex_iterator found(text.begin(), text.end(), name), end; found != end; ++found) {
-        names.insert((*found)[1]);
-    }
-    return names;
-}
-
-} // namespace
-
 BOOST_AUTO_TEST_SUITE(MetricsTest)
 
 BOOST_AUTO_TEST_CASE(countersGaugesAndHistogramsComeAsPrometheusText)
@@ -62,12 +39,12 @@
     for (const char *folder : {"gateway", "main", "servers"}) {
         for (const auto &file : std::filesystem::directory_iterator(folder)) {
             if (file.path().extension() == ".cpp") {
-                used.merge(namesIn(readAll(file.path()), R"re("(lovageloft_[a-z_]+)")re"));
+                used.merge(matchesIn(readAll(file.path()), R"re("(lovageloft_[a-z_]+)")re"));
             }
         }
     }
-    const auto helped = namesIn(readAll("core/metrics.cpp"), R"re(\{"(lovageloft_[a-z_]+)", ")re");
-    const auto documented = namesIn(readAll("docs/METRICS.md"), R"(\n\| `(lovageloft_[a-z_]+)` \|)");
+    const auto helped = matchesIn(readAll("core/metrics.cpp"), R"re(\{"(lovageloft_[a-z_]+)", ")re");
+    const auto documented = matchesIn(readAll("docs/METRICS.md"), R"(\n\| `(lovageloft_[a-z_]+)` \|)");
     BOOST_TEST(used.size() > 20U);
     for (const std::string &name : used) {
         BOOST_TEST(helped.contains(name), name << " has no help text");
--- a/tests/gateway/test_duties.cpp
+++ b/tests/gateway/test_duties.cpp
@@ -33,7 +33,7 @@
 
     StoreReply confirm(std::string_view key, std::int64_t revision) override
     {
-        return Store::confirm(key, revision);
+        return isDown ? StoreReply{} : memory.confirm(key, revision);
     }
 
     StoreListReply list(std::string_view prefix) override
--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -13,6 +13,12 @@
 namespace Lovageloft
 {
 
+/// Whether a text has a part, for checks of answers.
+inline bool contains(const std::string &text, std::string_view part)
+{
+    return text.find(part) != std::string::npos;
+}
+
 /// A gateway on the loopback interface that speaks the platform's protocols, with scripted targets. Its host is h.example; the routes are
 /// /safe/, /once/, /stream/ (at most once), /resume/ and /public/, all of them to service s; team t has key k.
 class GatewayFixture
--- a/tests/platform/test_operators.cpp
+++ b/tests/platform/test_operators.cpp
@@ -4,16 +4,6 @@
 
 using namespace Lovageloft;
 
-namespace
-{
-
-bool contains(const std::string &text, std::string_view part)
-{
-    return text.find(part) != std::string::npos;
-}
-
-} // namespace
-
 BOOST_FIXTURE_TEST_SUITE(OperatorsTest, GatewayFixture)
 
 BOOST_AUTO_TEST_CASE(metricsTellRequestsApartByKindServiceAndOutcome)
--- a/tests/platform/test_requests.cpp
+++ b/tests/platform/test_requests.cpp
@@ -21,11 +21,6 @@
     return answer.starts_with("HTTP/1.1 ") ? std::stoi(answer.substr(9)) : 0;
 }
 
-bool contains(const std::string &text, std::string_view part)
-{
-    return text.find(part) != std::string::npos;
-}
-
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(RequestsTest, GatewayFixture)
