As many engines load at once as the time left calls for; a new leader orders at once where it may; weights count from when they are heard of

Weights were taken to have been named when the waiting watch was sent, up to three seconds too early, which closed engines that early, too. Change: OrderScheduler follows how long rounds take and gives out as many as fit before the deadline; hosts hear of each other's orders, so that a new leader waits a turn only at engines that the one before was heard to order; calls that are given up take their bytes along.

--- a/coordination/lease_holder.cpp
+++ b/coordination/lease_holder.cpp
@@ -52,7 +52,7 @@
 
 TimePoint LeaseHolder::settledAt() const
 {
-    return acquiredAt_ + options_.timeToLive + options_.margin;
+    return acquiredAt_ + options_.settleTime.value_or(options_.timeToLive + options_.margin);
 }
 
 void LeaseHolder::release(TimePoint now)
--- a/coordination/lease_holder.h
+++ b/coordination/lease_holder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -16,6 +17,7 @@
     Duration margin = std::chrono::seconds(2); ///< The holder stops this long before the store lets the lease lapse.
     Duration pollPause = std::chrono::seconds(2); ///< Between looks at a key that another host holds.
     Duration failurePause = std::chrono::seconds(2); ///< After a failed call.
+    std::optional<Duration> settleTime = std::nullopt; ///< See LeaseHolder::settledAt; the lease's life and the margin if not set.
 };
 
 /// Tries to hold one key of the store under a lease, so that one host at a time does a duty. A step machine: each step
@@ -43,7 +45,8 @@
     std::int64_t token() const;
 
     /// From when on nothing that an earlier holder sent can still arrive, if messages take less than a lease's life:
-    /// the acquisition plus the life of a lease and the margin.
+    /// the acquisition plus the life of a lease and the margin. Where every call is known to have ended sooner, LeaseOptions::settleTime
+    /// says so.
     TimePoint settledAt() const;
 
     /// Stops at once, and frees the key with the next step.
--- a/coordination/order_scheduler.cpp
+++ b/coordination/order_scheduler.cpp
@@ -1,6 +1,7 @@
 #include "coordination/order_scheduler.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Lovageloft
 {
@@ -10,6 +11,12 @@
 
 constexpr int mostDoublings = 5;
 
+/// Part of a newer round in the mean: drains differ by their longest answer, and three rounds are seen within seconds.
+constexpr double newestRound = 0.3;
+
+/// How much longer than the mean a round is reckoned: the engine whose answers run longest decides when a batch has ended.
+constexpr double longestToMean = 1.25;
+
 bool isSameState(const EngineState &left, const EngineState &right)
 {
     return left.model == right.model && left.weightsVersion == right.weightsVersion && left.adapters == right.adapters && left.role == right.role;
@@ -19,10 +26,11 @@
 
 OrderScheduler::OrderScheduler(OrderOptions options)
     : options_(options)
+    , roundSeconds_(toSeconds(options.usualRound))
 {
 }
 
-void OrderScheduler::setWanted(std::span<const WantedEngine> wanted)
+void OrderScheduler::setWanted(std::span<const WantedEngine> wanted, TimePoint now)
 {
     std::map<std::string, Engine, std::less<>> engines;
     for (const WantedEngine &engine : wanted) {
@@ -31,7 +39,7 @@
         const bool isNews = engine.announced && (!kept.wanted.announced || !isSameState(*engine.announced, *kept.wanted.announced));
         kept.wanted = engine;
         if (isNews) {
-            takeAnnounced(kept);
+            takeAnnounced(kept, now);
         }
     }
     engines_ = std::move(engines);
@@ -51,6 +59,7 @@
         return plan;
     }
     std::size_t loading = loads(now);
+    mostAtOnce_ = mostAtOnce(now);
     for (Engine *engine : longestOutdatedFirst(now)) {
         planOrder(*engine, lease, plan, loading, now);
     }
@@ -114,6 +123,14 @@
     }
 }
 
+void OrderScheduler::onOrderOfOther(std::string_view target, TimePoint now)
+{
+    const auto engine = engines_.find(target);
+    if (engine != engines_.end()) {
+        engine->second.orderedByOther = now;
+    }
+}
+
 void OrderScheduler::onState(std::string_view target, const EngineState &state, TimePoint now)
 {
     const auto found = engines_.find(target);
@@ -139,23 +156,29 @@
     isSuperseded_ = false;
     for (auto &[target, engine] : engines_) {
         const WantedEngine wanted = engine.wanted;
+        const auto orderedByOther = engine.orderedByOther;
         engine = {};
         engine.wanted = wanted;
+        engine.orderedByOther = orderedByOther;
         engine.readSince = now;
         // The leader before may have started loads here: each engine counts as loading until it has been read.
         engine.loadingUntil = now + options_.loadTimeout;
         if (wanted.announced) {
-            takeAnnounced(engine);
+            takeAnnounced(engine, now);
         }
     }
 }
 
 /// An engine announces its state when it changes. So a load has ended once it says so, whatever its reports show.
-void OrderScheduler::takeAnnounced(Engine &engine)
+void OrderScheduler::takeAnnounced(Engine &engine, TimePoint now)
 {
     if (engine.open) {
         return;
     }
+    if (engine.chosenAt) {
+        roundSeconds_ += newestRound * (toSeconds(now - *engine.chosenAt) - roundSeconds_);
+        engine.chosenAt.reset();
+    }
     engine.seen = *engine.wanted.announced;
     engine.isSeen = true;
     engine.loadingUntil = {};
@@ -205,10 +228,10 @@
     // A notice keeps its room for as long as it counts as a load: an engine that could not be ordered for longer has to find room anew.
     const bool hasRoom = engine.noticedAt && engine.loadingUntil > now;
     if (!hasRoom) {
-        const auto share = static_cast<std::size_t>(options_.loadShare * static_cast<double>(engines_.size()));
-        if (loading >= std::max(options_.mostLoads, share)) {
+        if (loading >= mostAtOnce_) {
             return false;
         }
+        engine.chosenAt = now;
         if (options_.loadNotice > Duration::zero()) {
             engine.noticedAt = now;
             plan.notices.push_back(engine.wanted.target);
@@ -243,16 +266,43 @@
     return std::nullopt;
 }
 
+/// How many engines may be out at the same time. What goes wrong with a fixed number: a leader that takes over late, or answers that run
+/// for seconds, leave more rounds than fit before the deadline, from when on an engine that still waits for its turn serves nobody:
+/// ten of fourteen stood idle while the four that were done were overrun. So as many go at once as the time that is left calls
+/// for, going by how long a round has taken lately.
+std::size_t OrderScheduler::mostAtOnce(TimePoint now) const
+{
+    std::size_t outdated = 0;
+    std::optional<TimePoint> due;
+    for (const auto &[target, engine] : engines_) {
+        if (!engine.isSeen || !engine.wanted.dueAt || !difference(engine)) {
+            continue;
+        }
+        ++outdated;
+        due = std::min(due.value_or(*engine.wanted.dueAt), *engine.wanted.dueAt);
+    }
+    const auto share = static_cast<std::size_t>(options_.loadShare * static_cast<double>(engines_.size()));
+    const std::size_t usual = std::max(options_.mostLoads, share);
+    if (!due) {
+        return usual;
+    }
+    const double round = roundSeconds_ * longestToMean;
+    const double rounds = std::max(1.0, toSeconds(*due - now) / round);
+    return std::max(usual, static_cast<std::size_t>(std::ceil(static_cast<double>(outdated) / rounds)));
+}
+
 std::size_t OrderScheduler::loads(TimePoint now) const
 {
     return static_cast<std::size_t>(std::count_if(engines_.begin(), engines_.end(), [now](const auto &engine) { return engine.second.loadingUntil > now; }));
 }
 
-bool OrderScheduler::isSettled(const Engine &engine, const LeaseHolder &lease, TimePoint now)
+bool OrderScheduler::isSettled(const Engine &engine, const LeaseHolder &lease, TimePoint now) const
 {
     // Orders of the holder before may still be on their way. An engine that checks tokens refuses them once it has seen
-    // ours; with one that does not we wait until none can come.
-    return engine.wanted.checksFencing || now >= lease.settledAt();
+    // ours; with one that does not we wait until none can come. An engine that the holder before was heard to order gets a longer pause,
+    // so that two holders don't take turns at it.
+    const bool isTurn = now < std::max(engine.orderedByOther.value_or(TimePoint{}), options_.hearsSince) + options_.turnPause;
+    return engine.wanted.checksFencing || (now >= lease.settledAt() && !isTurn);
 }
 
 void OrderScheduler::closeOrder(Engine &engine, TimePoint now) const
--- a/coordination/order_scheduler.h
+++ b/coordination/order_scheduler.h
@@ -30,6 +30,7 @@
     bool checksFencing = false; ///< Whether it refuses an order with an old fencing token.
     EngineState state;
     std::optional<EngineState> announced = std::nullopt; ///< What it says of itself without being asked, where it does; spares reads.
+    std::optional<TimePoint> dueAt = std::nullopt; ///< When it has to be as wanted, where there is such a time.
 };
 
 enum class OrderKind : std::uint8_t
@@ -80,6 +81,9 @@
     Duration answerTimeout = std::chrono::seconds(5); ///< Wait for an answer to an order or a read.
     Duration loadTimeout = std::chrono::seconds(30); ///< A load not seen to end counts that long.
     Duration loadPause = std::chrono::milliseconds(200); ///< Between looks at an engine that is loading.
+    Duration usualRound = std::chrono::seconds(2); ///< From the choice of an engine until it has loaded, before any was seen.
+    Duration turnPause{}; ///< After another holder's order to an engine that doesn't check tokens.
+    TimePoint hearsSince{}; ///< Since when orders of others are heard; before that any engine may have got one.
     Duration loadNotice{}; ///< Between the notice that an engine is going to load and the order; zero for no notice.
     Duration checkPause = std::chrono::seconds(5); ///< Between looks at an engine that is as wanted.
     Duration reportLag{}; ///< How old what an engine reports may be: a report that soon after an order still shows the state before.
@@ -97,7 +101,7 @@
     explicit OrderScheduler(OrderOptions options = {});
 
     /// The whole configured state; engines not named get no orders.
-    void setWanted(std::span<const WantedEngine> wanted);
+    void setWanted(std::span<const WantedEngine> wanted, TimePoint now);
 
     /// What is due. Without the lease nothing is.
     OrderPlan plan(const LeaseHolder &lease, TimePoint now);
@@ -108,6 +112,9 @@
     /// How an order that was sent, or dropped after maySend() (Lost), ended.
     void onOutcome(const Order &order, OrderOutcome outcome, TimePoint now);
 
+    /// Another holder has ordered, or is about to order, this engine.
+    void onOrderOfOther(std::string_view target, TimePoint now);
+
     /// The answer to a read.
     void onState(std::string_view target, const EngineState &state, TimePoint now);
 
@@ -130,6 +137,8 @@
         TimePoint nextRepeat; ///< When the last order may be given again.
         TimePoint loadingUntil;
         std::optional<TimePoint> noticedAt; ///< When the notice of the load that is due went out.
+        std::optional<TimePoint> chosenAt; ///< When it got its turn to load; until it has loaded.
+        std::optional<TimePoint> orderedByOther; ///< When another holder was last heard to order it.
         std::optional<TimePoint> outdatedSince; ///< Since when it has not been as wanted; kept while what is wanted changes again.
         std::optional<OpenOrder> open;
         int failures = 0;
@@ -142,15 +151,18 @@
     bool mayLoadNow(Engine &engine, OrderPlan &plan, std::size_t &loading, TimePoint now) const;
     std::optional<Order> difference(const Engine &engine) const;
     std::size_t loads(TimePoint now) const;
-    static bool isSettled(const Engine &engine, const LeaseHolder &lease, TimePoint now);
+    std::size_t mostAtOnce(TimePoint now) const;
+    bool isSettled(const Engine &engine, const LeaseHolder &lease, TimePoint now) const;
     void closeOrder(Engine &engine, TimePoint now) const;
-    static void takeAnnounced(Engine &engine);
+    void takeAnnounced(Engine &engine, TimePoint now);
 
     OrderOptions options_;
     std::map<std::string, Engine, std::less<>> engines_;
     std::int64_t token_ = 0;
     bool isSuperseded_ = false;
     std::uint64_t lastOrder_ = 0;
+    double roundSeconds_; ///< Mean of the last rounds seen, each from the choice of an engine until it had loaded.
+    std::size_t mostAtOnce_ = 0; ///< As of this plan.
 };
 
 } // namespace Lovageloft
--- a/drivers/http_connection.cpp
+++ b/drivers/http_connection.cpp
@@ -131,6 +131,9 @@
     isKeptAlive_ = false;
     try {
         socket_->setDeadline(deadline);
+        // A call that is given up takes its bytes along: the kernel would go on sending them, and an order of a leader whose lease has ended
+        // since would arrive when the link heals.
+        socket_->setLinger(true, 0);
         HttpAnswer answer;
         Poco::Net::HTTPResponse response;
         std::istream &in = exchange(method, path, body, fields, response);
@@ -142,6 +145,7 @@
         if (response.hasContentLength() && static_cast<std::size_t>(response.getContentLength64()) != answer.body.size()) {
             return std::nullopt;
         }
+        socket_->setLinger(false, 0);
         answer.status = response.getStatus();
         isKeptAlive_ = response.getKeepAlive();
         return answer;
--- a/gateway/configuration_feed.cpp
+++ b/gateway/configuration_feed.cpp
@@ -17,7 +17,7 @@
     if (entry.key == records_.configurationKey()) {
         takeConfiguration(entry, provenAt);
     } else if (records_.isWeightsKey(entry.key) && !entry.isDeleted) {
-        takeWeights(entry, provenAt, isFirstReading);
+        takeWeights(entry, isFirstReading);
     }
 }
 
@@ -49,7 +49,7 @@
     listeners_.onConfiguration(std::make_shared<const RoutingTable>(std::move(*table)), provenAt);
 }
 
-void ConfigurationFeed::takeWeights(const StoreEntry &entry, TimePoint provenAt, bool isFirstReading)
+void ConfigurationFeed::takeWeights(const StoreEntry &entry, bool isFirstReading)
 {
     Reason reason;
     auto weights = records_.parseWeights(entry, reason);
@@ -57,7 +57,9 @@
         writeLog(LogLevel::Warning, "weights_unreadable", {{"key", entry.key}, {"reason", reason.text}});
         return;
     }
-    weights->learntAt = provenAt;
+    // A waiting watch is answered when the change is made. Counted from when it was sent, up to three seconds earlier, engines that still
+    // have their turn would be left out while they may be used.
+    weights->learntAt = BootClock::now();
     weights->wereThereAtStart = isFirstReading;
     listeners_.onWeights(*weights);
 }
--- a/gateway/configuration_feed.h
+++ b/gateway/configuration_feed.h
@@ -37,7 +37,7 @@
 
 private:
     void takeConfiguration(const StoreEntry &entry, TimePoint provenAt);
-    void takeWeights(const StoreEntry &entry, TimePoint provenAt, bool isFirstReading);
+    void takeWeights(const StoreEntry &entry, bool isFirstReading);
 
     const StoreRecords &records_;
     Listeners listeners_;
--- a/gateway/fleet_link.cpp
+++ b/gateway/fleet_link.cpp
@@ -43,6 +43,11 @@
          [this](const std::string &host, const ProofRequest &request) { gateway_.post([this, host, request](Gateway &) { peers_.send(host, request); }); }});
 }
 
+void FleetLink::setOrderListener(std::function<void(const std::string &targetId)> listener)
+{
+    onOrderOfOther_ = std::move(listener);
+}
+
 void FleetLink::setHosts(const std::map<std::string, HostAddress> &hosts, double share)
 {
     std::vector<std::string> names;
@@ -112,6 +117,7 @@
 void FleetLink::onLoadingNotice(const LoadingNotice &notice)
 {
     gateway_.leaveAlone(notice.target, notice.time);
+    onOrderOfOther_(notice.target);
 }
 
 void FleetLink::onTokenRequest(const std::string &host, const TokenRequest &request)
--- a/gateway/fleet_link.h
+++ b/gateway/fleet_link.h
@@ -32,6 +32,9 @@
     /// The store whose notices and proofs go through this host's datagrams. To be called before the event loop runs.
     void setRelayedStore(RelayedStore &store);
 
+    /// Hears of engines that other hosts order, or are about to. To be called before the event loop runs.
+    void setOrderListener(std::function<void(const std::string &targetId)> listener);
+
     /// The hosts that count, with this one, where they take datagrams, and this host's part of what is divided evenly.
     void setHosts(const std::map<std::string, HostAddress> &hosts, double share);
 
@@ -71,6 +74,7 @@
     boost::asio::steady_timer tokenTimer_;
     TeamBudget::Send sendTokenRequest_;
     RelayedStore *relayedStore_ = nullptr;
+    std::function<void(const std::string &targetId)> onOrderOfOther_ = [](const std::string &) {};
     TimePoint nextAlive_;
 };
 
--- a/gateway/target.h
+++ b/gateway/target.h
@@ -55,4 +55,13 @@
     bool wereThereAtStart = false; ///< It read them when it started: they may have been named long before.
 };
 
+/// How long after new weights were named older ones may be used, given the time by which no request may begin on them. What is sent
+/// last has to begin in the rest.
+constexpr Duration useOfOlderWeights(Duration deadline)
+{
+    constexpr int parts = 17;
+    constexpr int whole = 20;
+    return deadline * parts / whole;
+}
+
 } // namespace Lovageloft
--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -21,10 +21,6 @@
 /// Part of an engine's memory that keeps prompts; running requests take the rest: two or three prompts of the eight that fit.
 constexpr double cachePart = 0.7;
 
-/// Work on older weights stops this part of the deadline early, so that what is sent then has arrived before it.
-constexpr int deadlineParts = 17;
-constexpr int wholeDeadline = 20;
-
 constexpr char nameSeparator = '|';
 
 } // namespace
@@ -187,7 +183,7 @@
     }
     for (const auto &[model, versions] : named_) {
         for (const NamedWeights &weights : versions) {
-            consider(weights.learntAt + weightsDeadline_ * deadlineParts / wholeDeadline);
+            consider(weights.learntAt + useOfOlderWeights(weightsDeadline_));
         }
     }
     return next;
@@ -213,7 +209,7 @@
     }
     const std::int64_t version = weightsOf(target, model.name);
     return std::any_of(found->second.begin(), found->second.end(), [&](const NamedWeights &named) {
-        return named.version > version && now >= named.learntAt + weightsDeadline_ * deadlineParts / wholeDeadline;
+        return named.version > version && now >= named.learntAt + useOfOlderWeights(weightsDeadline_);
     });
 }
 
--- a/gateway/weights_duty.cpp
+++ b/gateway/weights_duty.cpp
@@ -41,9 +41,17 @@
 void WeightsDuty::setNamedWeights(const NamedWeights &weights)
 {
     const std::lock_guard lock(mutex_);
-    std::int64_t &version = named_[weights.model];
-    version = std::max(version, weights.version);
-    isChanged_ = true;
+    NamedWeights &newest = named_[weights.model];
+    if (weights.version > newest.version) {
+        newest = weights;
+        isChanged_ = true;
+    }
+}
+
+void WeightsDuty::onOrderOfOther(const std::string &targetId)
+{
+    const std::lock_guard lock(mutex_);
+    orderedByOthers_.push_back(targetId);
 }
 
 void WeightsDuty::onLeaderGone()
@@ -94,9 +102,12 @@
 
 void WeightsDuty::updateWanted()
 {
-    std::map<std::string, std::int64_t> named;
+    std::map<std::string, NamedWeights> named;
     {
         const std::lock_guard lock(mutex_);
+        for (const std::string &target : std::exchange(orderedByOthers_, {})) {
+            scheduler_.onOrderOfOther(target, BootClock::now());
+        }
         if (!isChanged_) {
             return;
         }
@@ -115,12 +126,13 @@
             engine.target = id;
             engine.checksFencing = options_.enginesCheckFencing;
             engine.state.model = model.name;
-            engine.state.weightsVersion = std::to_string(version->second);
+            engine.state.weightsVersion = std::to_string(version->second.version);
+            engine.dueAt = version->second.learntAt + useOfOlderWeights(options_.deadline);
             engine.announced = EngineState{model.name, std::to_string(model.version), {}, {}, false};
             wanted.push_back(std::move(engine));
         }
     }
-    scheduler_.setWanted(wanted);
+    scheduler_.setWanted(wanted, BootClock::now());
 }
 
 void WeightsDuty::read(const std::string &targetId)
--- a/gateway/weights_duty.h
+++ b/gateway/weights_duty.h
@@ -30,6 +30,7 @@
         LeaseOptions lease;
         bool enginesCheckFencing = true;
         OrderOptions orders;
+        Duration deadline{}; ///< After weights were named, from when on no engine serves older ones.
         std::function<void(const std::string &targetId)> beforeLoad; ///< Called some time before an engine is ordered to load, and again right before.
     };
 
@@ -39,6 +40,9 @@
     void setTargets(std::shared_ptr<const TargetMap> targets);
     void setNamedWeights(const NamedWeights &weights);
 
+    /// Another host was heard to order this engine, or to be about to.
+    void onOrderOfOther(const std::string &targetId);
+
     /// The leader's key is gone.
     void onLeaderGone();
 
@@ -58,7 +62,8 @@
     OrderScheduler scheduler_;
     std::mutex mutex_;
     std::shared_ptr<const TargetMap> targets_ = std::make_shared<TargetMap>();
-    std::map<std::string, std::int64_t> named_;
+    std::map<std::string, NamedWeights> named_; ///< The newest of each model.
+    std::vector<std::string> orderedByOthers_; ///< Heard, not taken yet.
     bool isChanged_ = false;
     bool isLeaderGone_ = false;
     std::shared_ptr<const TargetMap> current_; ///< This thread's own view.
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -26,9 +26,13 @@
 /// declined none either, but left long prompts later.
 constexpr Duration loadNotice = std::chrono::milliseconds(300);
 
-/// How long an engine that is ordered to load is left alone unless it says sooner that it has loaded: running requests end within a
-/// second and the load takes half of one.
-constexpr Duration announcedLoad = std::chrono::milliseconds(2'200);
+/// How long an engine that is ordered to load is left alone unless it says sooner that it has loaded: it first ends what it runs, and
+/// answers run for up to five seconds. Sent to sooner it declines, and the request waits in vain.
+constexpr Duration announcedLoad = std::chrono::seconds(6);
+
+/// Waits before a new leader's first order to an engine that doesn't check tokens. A holder stops leaseMargin before its lease ends, and
+/// its calls end within 250 ms.
+constexpr Duration settleTime = std::chrono::milliseconds(300);
 
 GatewayLimits gatewayLimits(const GatewaySettings &settings)
 {
@@ -130,6 +134,7 @@
     , cacheStoreDuty_(gateway_, relayedStore_, engineControl_)
 {
     gateway_.fleet().setRelayedStore(relayedStore_);
+    gateway_.fleet().setOrderListener([this](const std::string &target) { weightsDuty_.onOrderOfOther(target); });
 }
 
 ConfigurationFeed::Listeners GatewayHost::listeners()
@@ -165,8 +170,12 @@
     options.lease.margin = options.lease.timeToLive / leaseParts;
     options.lease.pollPause = std::chrono::seconds(20); // The watch of the fleet's keys tells sooner.
     options.lease.failurePause = std::chrono::milliseconds(700);
+    options.lease.settleTime = std::max(settleTime, options.lease.margin);
     options.enginesCheckFencing = settings_.enginesCheckFencing;
+    options.deadline = settings_.weightsDeadline;
     options.orders = orderOptions();
+    options.orders.turnPause = options.lease.timeToLive;
+    options.orders.hearsSince = BootClock::now();
     options.beforeLoad = [this](const std::string &target) {
         gateway_.post([target](Gateway &gateway) { gateway.fleet().announceLoading(target, announcedLoad); });
     };
--- a/tests/coordination/test_order_scheduler.cpp
+++ b/tests/coordination/test_order_scheduler.cpp
@@ -80,7 +80,7 @@
         for (std::size_t i = 0; i < hosts; ++i) {
             hosts_[i].scheduler = OrderScheduler(options);
             hosts_[i].lease = std::make_unique<LeaseHolder>(store, "p/orders", "h" + std::to_string(i));
-            hosts_[i].scheduler.setWanted(wanted);
+            hosts_[i].scheduler.setWanted(wanted, now());
             turn(i);
         }
     }
@@ -89,7 +89,7 @@
     {
         wanted = wantedEngines(wanted.size(), version);
         for (Host &host : hosts_) {
-            host.scheduler.setWanted(wanted);
+            host.scheduler.setWanted(wanted, now());
         }
     }
 
@@ -249,7 +249,7 @@
     explicit Leader(std::size_t engineCount)
         : wanted(wantedEngines(engineCount, "v1"))
     {
-        scheduler.setWanted(wanted);
+        scheduler.setWanted(wanted, start);
         for (int step = 0; step < 3; ++step) {
             lease.step(start);
         }
@@ -378,7 +378,7 @@
     BOOST_TEST(!lapsing.scheduler.maySend(last, lapsing.lease, lapsing.start + 8100ms));
     Leader overruled(4);
     const Order stale = overruled.firstOrder(overruled.start);
-    overruled.scheduler.setWanted(wantedEngines(4, "v2"));
+    overruled.scheduler.setWanted(wantedEngines(4, "v2"), overruled.start);
     BOOST_TEST(!overruled.scheduler.maySend(stale, overruled.lease, overruled.start));
 }
 
@@ -392,7 +392,7 @@
     leader.scheduler.onState("e0", leader.wanted[0].state, leader.start);
     const TimePoint later = leader.start + 5500ms;
     BOOST_TEST(leader.scheduler.plan(leader.lease, later).reads.size() == 2);
-    leader.scheduler.setWanted(wantedEngines(2, "v2"));
+    leader.scheduler.setWanted(wantedEngines(2, "v2"), later);
     const OrderPlan plan = leader.scheduler.plan(leader.lease, later);
     BOOST_REQUIRE(plan.orders.size() == 1);
     leader.scheduler.onOutcome(plan.orders[0], OrderOutcome::Accepted, later + 100ms);
