Short work stays in its data centre where that costs nobody a wait

Change: an engine in another data centre costs 2 ms of wait a thousand bytes for prompts up to 4,096 tokens and calls; where that is more than computing the shared part, each data centre has a home for it; every other draw is local.

--- a/decision/placement.cpp
+++ b/decision/placement.cpp
@@ -27,6 +27,8 @@
 constexpr double trustWeight = 0.05;
 constexpr double leastTrust = 0.2;
 constexpr double durationWeight = 0.05;
+/// Longest prompt for which bytes between data centres are weighed: it keeps an engine busy for some 60 ms.
+constexpr std::uint32_t localPromptTokens = 4'096;
 
 } // namespace
 
@@ -309,6 +311,7 @@
     engine.name = status.name;
     engine.isListed = true;
     engine.isServing = status.isServing;
+    engine.isRemote = status.isRemote;
     engine.modelVersion = status.modelVersion;
     engine.prefillSecondsPerToken = 1 / std::max(1.0, status.prefillTokensPerSecond);
     engine.batchLimit = status.batchLimit;
@@ -374,10 +377,13 @@
         }
         auto version = std::find_if(versions_.begin(), versions_.end(), [&status](const Version &known) { return known.id == status.modelVersion; });
         if (version == versions_.end()) {
-            versions_.push_back({.id = status.modelVersion, .nodes = {}});
+            versions_.push_back({.id = status.modelVersion, .nodes = {}, .localNodes = {}});
             version = std::prev(versions_.end());
         }
         version->nodes.push_back({.engine = *index, .id = rendezvousId(status.name), .inverseWeight = static_cast<float>(1 / status.weight)});
+        if (!status.isRemote) {
+            version->localNodes.push_back(version->nodes.back());
+        }
     }
 }
 
@@ -391,13 +397,8 @@
     }
     const PrefixRoute route = heat_.route(blocks, choice.now);
     if (route.level > 0) {
-        std::array<EngineIndex, winnerLimit> winners;
-        const std::size_t count = rendezvousWinners(blocks[route.level - 1], version.nodes, std::span(winners).first(route.candidates));
-        for (std::size_t rank = 0; rank < count; ++rank) {
-            // A copy that the heat calls for serves the many that come after, so this request is charged its own time only.
-            const bool isCalledFor = route.needed > 1 && rank < route.needed;
-            consider(choice, winners[rank], heldScratch_[winners[rank]], workPrice(isCalledFor ? policy_.copyMargin : rank == 0 ? 0 : policy_.secondMargin));
-        }
+        const bool isLocal = belongsLocally(*choice.request, *choice.chain, version);
+        considerWinners(choice, isLocal ? version.localNodes : version.nodes, route);
     }
     for (const HeldPrefix &holder : std::span(holders).first(holderCount)) {
         if (engines_[holder.engine].modelVersion == version.id) {
@@ -405,7 +406,10 @@
         }
     }
     for (std::size_t i = 0; i < policy_.randomCandidates; ++i) {
-        const EngineIndex engine = version.nodes[randomBelow(random, version.nodes.size())].engine;
+        // Every other draw is from this data centre, which else would seldom be seen idle.
+        const bool isLocal = i % 2 == 1 && !version.localNodes.empty();
+        const std::vector<RendezvousNode> &nodes = isLocal ? version.localNodes : version.nodes;
+        const EngineIndex engine = nodes[randomBelow(random, nodes.size())].engine;
         consider(choice, engine, heldScratch_[engine], workPrice(policy_.strayMargin));
     }
     for (const HeldPrefix &holder : std::span(holders).first(holderCount)) {
@@ -413,6 +417,40 @@
     }
 }
 
+void Placement::considerWinners(Choice &choice, std::span<const RendezvousNode> nodes, const PrefixRoute &route)
+{
+    std::array<EngineIndex, winnerLimit> winners;
+    const std::size_t count = rendezvousWinners(choice.chain->blocks[route.level - 1], nodes, std::span(winners).first(route.candidates));
+    for (std::size_t rank = 0; rank < count; ++rank) {
+        // A copy that the heat calls for serves the many that come after, so this request is charged its own time only.
+        const bool isCalledFor = route.needed > 1 && rank < route.needed;
+        consider(choice, winners[rank], heldScratch_[winners[rank]], workPrice(isCalledFor ? policy_.copyMargin : rank == 0 ? 0 : policy_.secondMargin));
+    }
+}
+
+/// What sending the request to another data centre is worth in seconds of wait. A long prompt goes where it is begun soonest: kept in its
+/// data centre, it finds a third or a quarter of the engines and waits behind others, and two in a hundred of the longest came late.
+double Placement::crossingPrice(const PlacementRequest &request) const
+{
+    constexpr double bytesInPrice = 1'000;
+    if (request.promptTokens > localPromptTokens) {
+        return 0;
+    }
+    return policy_.remoteWait * static_cast<double>(request.bytes) / bytesInPrice;
+}
+
+/// Whether each data centre gets an engine of its own for the prompt's shared part: where computing that part there once more costs less
+/// than sending the prompts across. Long shared parts belong to one engine of the whole fleet.
+bool Placement::belongsLocally(const PlacementRequest &request, const VersionedChain &chain, const Version &version) const
+{
+    if (version.localNodes.empty()) {
+        return false;
+    }
+    const Engine &any = engines_[version.localNodes.front().engine];
+    const double sharedTokens = static_cast<double>(chain.blocks.size()) * policy_.blockTokens;
+    return prefillSeconds(any, 0, sharedTokens) < crossingPrice(request);
+}
+
 void Placement::considerAll(Choice &choice, const Version &version)
 {
     for (const RendezvousNode &node : version.nodes) {
@@ -440,7 +478,7 @@
     if (isProbe && (work > mostProbeWork || !canBegin(engine, usualWait))) {
         return;
     }
-    const double score = isProbe ? -1 : wait + workPrice * slowWork;
+    const double score = isProbe ? -1 : wait + workPrice * slowWork + (engine.isRemote ? crossingPrice(request) : 0);
     choice.leastPrice = choice.sawUsable ? std::min(choice.leastPrice, score) : score;
     choice.sawUsable = true;
     if (!(isProbe || canBegin(engine, wait)) || (choice.best && score >= choice.bestScore)) {
--- a/decision/placement.h
+++ b/decision/placement.h
@@ -38,6 +38,7 @@
     std::uint32_t batchLimit = 64; ///< Requests it generates for at once.
     double cacheTokens = 0; ///< Tokens that its memory holds; 0 while not known.
     bool isServing = true; ///< False: it is leaving or loading and gets no new work.
+    bool isRemote = false; ///< In another data centre than this host.
 };
 
 /// The prompt's chain under one version of the weights that may answer it.
@@ -54,6 +55,7 @@
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = 0; ///< The most it may generate.
     std::span<const EngineIndex> excluded = {}; ///< Engines that have failed this request already.
+    std::size_t bytes = 0; ///< That go to the engine and back.
 };
 
 /// Where a request should go.
@@ -91,6 +93,7 @@
     double secondMargin = 1.0; ///< Of other winners after the first.
     double strayMargin = 2.0; ///< Of engines that don't win the prefix's hash: a restarted host would not look there.
     double fallbackMargin = 2.0; ///< Of all other engines, weighed only once no candidate can begin with the request.
+    double remoteWait = 0; ///< Seconds of wait that 1,000 bytes sent to another data centre are worth.
     double openWait = 3.0; ///< Seconds of expected wait up to which an engine with room in its window is used.
     double closedWait = 1.0; ///< The same for one without room.
     double holdSlack = 0.3; ///< Square seconds: over the mean wait, by how much dearer than the best an engine may be that can begin now.
@@ -178,6 +181,7 @@
         std::uint32_t epoch = 0; // Told apart from earlier engines that had the same index.
         bool isListed = false;
         bool isServing = false;
+        bool isRemote = false;
         bool isOpen = true;
         EngineLoad load = {};
         CacheBudget cache = {};
@@ -201,6 +205,7 @@
     {
         ModelVersionId id = 0;
         std::vector<RendezvousNode> nodes;
+        std::vector<RendezvousNode> localNodes; ///< Those in this host's data centre.
     };
 
     /// What one call of place is about, and the best candidate so far.
@@ -227,6 +232,9 @@
     void rebuildVersions(std::span<const EngineStatus> engines);
     void consider(Choice &choice, EngineIndex engine, std::size_t heldBlocks, double workPrice);
     void considerChain(Choice &choice, const Version &version, Random &random);
+    void considerWinners(Choice &choice, std::span<const RendezvousNode> nodes, const PrefixRoute &route);
+    double crossingPrice(const PlacementRequest &request) const;
+    bool belongsLocally(const PlacementRequest &request, const VersionedChain &chain, const Version &version) const;
     double waitOf(const Engine &engine, EngineIndex index, TimePoint now) const;
     void considerAll(Choice &choice, const Version &version);
     bool isUsable(const Choice &choice, EngineIndex engine) const;
--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -34,6 +34,7 @@
         status.modelVersion = modelVersions_.idOf(engine.model + '\n' + engine.weightsVersion);
         status.incarnation = engine.incarnation;
         status.isServing = engine.isServing;
+        status.isRemote = engine.isRemote;
         status.prefillTokensPerSecond = engine.prefillTokensPerSecond;
         status.batchLimit = engine.batchLimit;
         status.cacheTokens = engine.cacheTokens;
@@ -235,6 +236,7 @@
     }
     PlacementRequest placed{chainsOf(request), request.promptTokens};
     placed.outputTokens = request.outputTokens;
+    placed.bytes = request.bytes;
     placed.excluded = failedScratch_;
     return placed;
 }
--- a/decision/request_scheduler.h
+++ b/decision/request_scheduler.h
@@ -30,6 +30,7 @@
     std::uint32_t batchLimit = 64; ///< Requests it generates for at once.
     double cacheTokens = 0; ///< Tokens that its memory holds; 0 while not known.
     bool isServing = true;
+    bool isRemote = false; ///< In another data centre than this host.
 };
 
 /// A request that needs an engine.
@@ -44,6 +45,7 @@
     std::vector<BlockHash> blockDigests; ///< From digestBlocks, or from digestParts of what other prompts may share.
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = 0;
+    std::size_t bytes = 0; ///< That go to the engine and back.
     TimePoint deadline;
     std::vector<std::string> failedEngines; ///< Not empty for a retry.
     bool reachedTarget = true; ///< A retry whose earlier targets never got it adds no load and takes nothing from the budget.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -49,6 +49,7 @@
     , dispatch_(loop_)
     , waitingTimer_(loop_)
 {
+    directory_.setDataCentre(options.dataCentre);
 }
 
 Gateway::~Gateway() = default;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -47,6 +47,7 @@
     HostAddress peers; ///< Where datagrams of other hosts come.
     std::optional<HostAddress> metrics; ///< Where metrics and operators' calls are answered.
     std::string hostName;
+    std::string dataCentre;
     GatewayLimits limits;
 };
 
--- a/gateway/request_dispatch.cpp
+++ b/gateway/request_dispatch.cpp
@@ -30,6 +30,10 @@
 /// for three in ten short requests; six for one in thirty.
 constexpr std::size_t randomCandidates = 6;
 
+/// Seconds of wait that 1,000 bytes to another data centre are worth. Enough to decide between engines that are both idle: short work
+/// then stays in its data centre, which saves an eighth of the bytes between data centres; nobody waits longer for it.
+constexpr double remoteWait = 0.002;
+
 PlacementPolicy placementPolicy()
 {
     PlacementPolicy policy;
@@ -37,6 +41,7 @@
     policy.blockTokens = partBlockTokens;
     policy.attentionTokens = attentionTokens;
     policy.quietTokens = quietTokens;
+    policy.remoteWait = remoteWait;
     policy.randomCandidates = randomCandidates;
     return policy;
 }
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -38,6 +38,10 @@
 /// deadline that came with the request; beyond this one is stuck, and its connection is worth more.
 constexpr Duration orphanLimit = std::chrono::seconds(10);
 
+/// Bytes of the heads of a request and its answer, and of an event that carries one token; for what crosses between data centres.
+constexpr std::size_t headBytes = 1'000;
+constexpr std::size_t bytesPerToken = 55;
+
 constexpr int lowestUrgency = 9;
 constexpr int usualUrgency = 4; ///< Of the most urgent routes; leaves room above for what operators set apart.
 
@@ -122,6 +126,7 @@
 SchedulerRequest RoutedRequest::schedulerRequest() const
 {
     SchedulerRequest request = intake_.schedulerRequest();
+    request.bytes = headBytes + body_.size() + request.outputTokens * bytesPerToken;
     request.deadline = limit_ - leastTimeForTry;
     request.failedEngines = failedTargets_;
     request.isResume = isAnswerStarted_;
--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -1,6 +1,7 @@
 #include "gateway/target_directory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Lovageloft
 {
@@ -35,6 +36,11 @@
     weightsDeadline_ = deadline;
 }
 
+void TargetDirectory::setDataCentre(std::string dataCentre)
+{
+    dataCentre_ = std::move(dataCentre);
+}
+
 void TargetDirectory::setTargets(std::shared_ptr<const TargetMap> targets)
 {
     for (const auto &[id, target] : *targets) {
@@ -224,6 +230,7 @@
     const Correction *correction = correctionOf(target);
     const bool isAvoided = correction != nullptr && (correction->isReplaced || now < correction->avoidUntil);
     engine.isServing = !target.isLeaving && !isAvoided;
+    engine.isRemote = target.dataCentre != dataCentre_;
     return engine;
 }
 
--- a/gateway/target_directory.h
+++ b/gateway/target_directory.h
@@ -26,6 +26,9 @@
 
     void setWeightsDeadline(Duration deadline);
 
+    /// Where this host is.
+    void setDataCentre(std::string dataCentre);
+
     void setTargets(std::shared_ptr<const TargetMap> targets);
     void setNamedWeights(const NamedWeights &weights);
 
@@ -71,6 +74,7 @@
     SchedulerEngine engineOf(const Target &target, TimePoint now) const;
 
     Duration weightsDeadline_;
+    std::string dataCentre_;
     std::shared_ptr<const TargetMap> targets_ = std::make_shared<TargetMap>();
     std::set<std::string, std::less<>> modelServices_;
     std::map<std::string, std::vector<NamedWeights>, std::less<>> named_; ///< By model, newest last; each version has its own deadline.
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -58,6 +58,7 @@
         options.metrics = HostAddress{settings.callers.host, metricsPort};
     }
     options.hostName = settings.hostName;
+    options.dataCentre = settings.dataCentre;
     options.limits = gatewayLimits(settings);
     return options;
 }
--- a/tests/decision/test_homes_of_prompts.cpp
+++ b/tests/decision/test_homes_of_prompts.cpp
@@ -22,9 +22,11 @@
 class Fleet
 {
 public:
-    Fleet()
+    /// The first `remoteCount` engines are in another data centre.
+    explicit Fleet(std::size_t remoteCount = 0)
     {
         PlacementPolicy policy;
+        policy.remoteWait = 0.002;
         policy.viewBlocks = 65'536;
         policy.blockTokens = partBlockTokens;
         std::vector<SchedulerEngine> engines;
@@ -34,7 +36,8 @@
                                .weightsVersion = "1",
                                .incarnation = 1,
                                .prefillTokensPerSecond = tokensPerSecond,
-                               .cacheTokens = 200'000});
+                               .cacheTokens = 200'000,
+                               .isRemote = i < remoteCount});
         }
         for (std::size_t i = 0; i < hostCount; ++i) {
             hosts_.push_back(std::make_unique<RequestScheduler>(QueueLimits{}, policy));
@@ -58,6 +61,7 @@
             request.team = "t";
             request.model = "m";
             request.promptTokens = sharedTokens + ownTokens;
+            request.bytes = 5 * std::size_t{request.promptTokens};
             digestParts(shared, request.blockDigests);
             request.deadline = now_ + 4s;
             host.submit(request, now_);
@@ -108,4 +112,23 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(shortPromptsStayInTheirDataCentreAndLongOnesGoHome)
+{
+    // Four data centres have three engines each. Sent anywhere, three of four short requests cross between them, and what crosses is paid
+    // for. The long prompts of one subject still come together at one engine of the whole fleet: were each data centre to compute its
+    // shared part, callers would wait for it four times.
+    Fleet fleet(9);
+    const std::set<std::string> local{"e9", "e10", "e11"};
+    std::set<std::string> longHomes;
+    for (std::uint64_t subject = 1; subject <= 20; ++subject) {
+        const std::vector<PromptPart> few{{subject % 3, 341}, {200 + subject, 227}};
+        for (const std::string &engine : fleet.enginesOf(few, 1'200)) {
+            BOOST_TEST(local.contains(engine));
+        }
+        const std::vector<PromptPart> many{{1, 512}, {300 + subject, 4'870}};
+        longHomes.merge(fleet.enginesOf(many, 6'600));
+    }
+    BOOST_TEST(longHomes.size() > local.size());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
