A host that starts asks others how long ago the weights it finds were named

Excluded: the leader's rounds alone (they had ended late, but an engine that a round leaves out shows the same). Change: a starting host asks three hosts a tick until one knows; each answer brings the exact age, also of versions that others have followed. Without an answer, as after a restart of the whole fleet, half a deadline is assumed as before.

--- a/gateway/fleet_link.cpp
+++ b/gateway/fleet_link.cpp
@@ -59,6 +59,8 @@
         }
     }
     peers_.setPeers(others);
+    others_.clear();
+    std::transform(others.begin(), others.end(), std::back_inserter(others_), [](const auto &other) { return other.first; });
     if (relayedStore_ != nullptr) {
         relayedStore_->setHosts(names);
     }
@@ -93,6 +95,27 @@
     peers_.tellAll(CacheStoreNotice{address, isAlive});
 }
 
+void FleetLink::askWeightsAges()
+{
+    constexpr std::size_t askedAtOnce = 3; // In a rolling restart at least one of three has run for longer than the deadline.
+    for (std::size_t i = 0; i < std::min(askedAtOnce, others_.size()); ++i) {
+        peers_.send(others_[nextAsked_++ % others_.size()], WeightsQuestion{});
+    }
+}
+
+void FleetLink::onWeightsQuestion(const std::string &host)
+{
+    const TimePoint now = BootClock::now();
+    for (const NamedWeights &weights : gateway_.targets().namedWithKnownAge()) {
+        peers_.send(host, WeightsAge{weights.model, weights.version, now - weights.learntAt});
+    }
+}
+
+void FleetLink::onWeightsAge(const WeightsAge &age)
+{
+    gateway_.learnWeightsAge(age);
+}
+
 void FleetLink::sayAlive(TimePoint now)
 {
     if (relayedStore_ != nullptr && relayedStore_->isRelay() && now >= nextAlive_) {
--- a/gateway/fleet_link.h
+++ b/gateway/fleet_link.h
@@ -53,6 +53,9 @@
     /// Whether a cache store answers.
     void announceCacheStore(const std::string &address, bool isAlive);
 
+    /// Asks a few hosts how long ago the weights were named that this host found when it started.
+    void askWeightsAges();
+
     /// On a relay, now and then: that it lives.
     void sayAlive(TimePoint now);
 
@@ -65,6 +68,8 @@
     void onProofRequest(const std::string &host, const ProofRequest &request) override;
     void onProofReply(const ProofReply &reply) override;
     void onCacheStoreNotice(const CacheStoreNotice &notice) override;
+    void onWeightsQuestion(const std::string &host) override;
+    void onWeightsAge(const WeightsAge &age) override;
     void scheduleTokenTimeout();
 
     Gateway &gateway_;
@@ -73,6 +78,8 @@
     TeamBudget budget_;
     boost::asio::steady_timer tokenTimer_;
     TeamBudget::Send sendTokenRequest_;
+    std::vector<std::string> others_; ///< Names of the other hosts.
+    std::size_t nextAsked_ = 0; ///< Of those.
     RelayedStore *relayedStore_ = nullptr;
     std::function<void(const std::string &targetId)> onOrderOfOther_ = [](const std::string &) {};
     TimePoint nextAlive_;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -158,6 +158,14 @@
     refreshTargets();
 }
 
+void Gateway::learnWeightsAge(const WeightsAge &age)
+{
+    if (directory_.learnAge({age.model, age.version, BootClock::now() - age.age})) {
+        writeLog(LogLevel::Info, "weights_age_known", {{"model", age.model}, {"version", age.version}, {"age_ms", toMillis(age.age)}});
+        refreshTargets();
+    }
+}
+
 void Gateway::setHosts(const std::map<std::string, HostAddress> &hosts, double share)
 {
     hosts_ = hosts;
@@ -463,6 +471,9 @@
     const TimePoint now = BootClock::now();
     pool_.closeStale(now);
     fleet_.sayAlive(now);
+    if (directory_.needsAge(now)) {
+        fleet_.askWeightsAges();
+    }
     if (directory_.nextChange(now - tickTime).value_or(now + tickTime) <= now) {
         refreshTargets();
     }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -87,6 +87,9 @@
     void setTargets(std::shared_ptr<const TargetMap> targets);
     void setNamedWeights(const NamedWeights &weights);
 
+    /// Another host knows how long ago weights were named.
+    void learnWeightsAge(const WeightsAge &age);
+
     /// The hosts that count, with this one, where they take datagrams, and this host's part of what is divided evenly.
     void setHosts(const std::map<std::string, HostAddress> &hosts, double share);
 
--- a/gateway/peer_messages.capnp
+++ b/gateway/peer_messages.capnp
@@ -15,6 +15,8 @@
     proofRequest @5 :ProofRequest;
     proofReply @6 :ProofReply;
     cacheStore @7 :CacheStore;
+    weightsQuestion @8 :Void; # How long ago were the weights named that you know of? Each is answered by a weightsAge.
+    weightsAge @9 :WeightsAge;
   }
 }
 
@@ -71,6 +73,13 @@
   ageMicroseconds @2 :UInt64;
 }
 
+struct WeightsAge {
+  # New weights of a model were named so long before this answer was made.
+  model @0 :Text;
+  version @1 :Int64;
+  ageMilliseconds @2 :UInt64;
+}
+
 struct CacheStore {
   address @0 :Text;
   isAlive @1 :Bool;
--- a/gateway/peer_messages.capnp.h
+++ b/gateway/peer_messages.capnp.h
@@ -25,6 +25,7 @@
 CAPNP_DECLARE_SCHEMA(d5f44bfdf7a32d52);
 CAPNP_DECLARE_SCHEMA(dffe2324020eeefa);
 CAPNP_DECLARE_SCHEMA(a380a700a8920e5e);
+CAPNP_DECLARE_SCHEMA(bf8a7ad19014924c);
 CAPNP_DECLARE_SCHEMA(94eb929f1623a27c);
 
 }  // namespace schemas
@@ -48,6 +49,8 @@
     PROOF_REQUEST,
     PROOF_REPLY,
     CACHE_STORE,
+    WEIGHTS_QUESTION,
+    WEIGHTS_AGE,
   };
 
   struct _capnpPrivate {
@@ -179,6 +182,21 @@
   };
 };
 
+struct WeightsAge {
+  WeightsAge() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bf8a7ad19014924c, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct CacheStore {
   CacheStore() = delete;
 
@@ -246,6 +264,13 @@
   inline bool hasCacheStore() const;
   inline  ::Lovageloft::PeerMessages::CacheStore::Reader getCacheStore() const;
 
+  inline bool isWeightsQuestion() const;
+  inline  ::capnp::Void getWeightsQuestion() const;
+
+  inline bool isWeightsAge() const;
+  inline bool hasWeightsAge() const;
+  inline  ::Lovageloft::PeerMessages::WeightsAge::Reader getWeightsAge() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -339,6 +364,18 @@
   inline void adoptCacheStore(::capnp::Orphan< ::Lovageloft::PeerMessages::CacheStore>&& value);
   inline ::capnp::Orphan< ::Lovageloft::PeerMessages::CacheStore> disownCacheStore();
 
+  inline bool isWeightsQuestion();
+  inline  ::capnp::Void getWeightsQuestion();
+  inline void setWeightsQuestion( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isWeightsAge();
+  inline bool hasWeightsAge();
+  inline  ::Lovageloft::PeerMessages::WeightsAge::Builder getWeightsAge();
+  inline void setWeightsAge( ::Lovageloft::PeerMessages::WeightsAge::Reader value);
+  inline  ::Lovageloft::PeerMessages::WeightsAge::Builder initWeightsAge();
+  inline void adoptWeightsAge(::capnp::Orphan< ::Lovageloft::PeerMessages::WeightsAge>&& value);
+  inline ::capnp::Orphan< ::Lovageloft::PeerMessages::WeightsAge> disownWeightsAge();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1099,6 +1136,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class WeightsAge::Reader {
+public:
+  typedef WeightsAge Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasModel() const;
+  inline  ::capnp::Text::Reader getModel() const;
+
+  inline  ::int64_t getVersion() const;
+
+  inline  ::uint64_t getAgeMilliseconds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class WeightsAge::Builder {
+public:
+  typedef WeightsAge Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasModel();
+  inline  ::capnp::Text::Builder getModel();
+  inline void setModel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initModel(unsigned int size);
+  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownModel();
+
+  inline  ::int64_t getVersion();
+  inline void setVersion( ::int64_t value);
+
+  inline  ::uint64_t getAgeMilliseconds();
+  inline void setAgeMilliseconds( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class WeightsAge::Pipeline {
+public:
+  typedef WeightsAge Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class CacheStore::Reader {
 public:
   typedef CacheStore Reads;
@@ -1628,6 +1756,86 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::isWeightsQuestion() const {
+  return which() == Datagram::WEIGHTS_QUESTION;
+}
+inline bool Datagram::Builder::isWeightsQuestion() {
+  return which() == Datagram::WEIGHTS_QUESTION;
+}
+inline  ::capnp::Void Datagram::Reader::getWeightsQuestion() const {
+  KJ_IREQUIRE((which() == Datagram::WEIGHTS_QUESTION),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void Datagram::Builder::getWeightsQuestion() {
+  KJ_IREQUIRE((which() == Datagram::WEIGHTS_QUESTION),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setWeightsQuestion( ::capnp::Void value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::WEIGHTS_QUESTION);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Datagram::Reader::isWeightsAge() const {
+  return which() == Datagram::WEIGHTS_AGE;
+}
+inline bool Datagram::Builder::isWeightsAge() {
+  return which() == Datagram::WEIGHTS_AGE;
+}
+inline bool Datagram::Reader::hasWeightsAge() const {
+  if (which() != Datagram::WEIGHTS_AGE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasWeightsAge() {
+  if (which() != Datagram::WEIGHTS_AGE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Lovageloft::PeerMessages::WeightsAge::Reader Datagram::Reader::getWeightsAge() const {
+  KJ_IREQUIRE((which() == Datagram::WEIGHTS_AGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::WeightsAge>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Lovageloft::PeerMessages::WeightsAge::Builder Datagram::Builder::getWeightsAge() {
+  KJ_IREQUIRE((which() == Datagram::WEIGHTS_AGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::WeightsAge>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setWeightsAge( ::Lovageloft::PeerMessages::WeightsAge::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::WEIGHTS_AGE);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::WeightsAge>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Lovageloft::PeerMessages::WeightsAge::Builder Datagram::Builder::initWeightsAge() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::WEIGHTS_AGE);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::WeightsAge>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptWeightsAge(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::WeightsAge>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::WEIGHTS_AGE);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::WeightsAge>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::WeightsAge> Datagram::Builder::disownWeightsAge() {
+  KJ_IREQUIRE((which() == Datagram::WEIGHTS_AGE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::WeightsAge>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Dispatch::Reader::hasEngine() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2142,6 +2350,68 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool WeightsAge::Reader::hasModel() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool WeightsAge::Builder::hasModel() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader WeightsAge::Reader::getModel() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder WeightsAge::Builder::getModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void WeightsAge::Builder::setModel( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder WeightsAge::Builder::initModel(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void WeightsAge::Builder::adoptModel(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> WeightsAge::Builder::disownModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t WeightsAge::Reader::getVersion() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t WeightsAge::Builder::getVersion() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void WeightsAge::Builder::setVersion( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t WeightsAge::Reader::getAgeMilliseconds() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t WeightsAge::Builder::getAgeMilliseconds() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void WeightsAge::Builder::setAgeMilliseconds( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CacheStore::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -1,5 +1,7 @@
 #include "gateway/peer_socket.h"
 
+#include <algorithm>
+
 #include <capnp/message.h>
 #include <capnp/serialize.h>
 #include <kj/exception.h>
@@ -128,6 +130,23 @@
     sendTo(host, message);
 }
 
+void PeerSocket::send(const std::string &host, const WeightsQuestion & /*question*/)
+{
+    capnp::MallocMessageBuilder message;
+    message.initRoot<Datagram>().setWeightsQuestion();
+    sendTo(host, message);
+}
+
+void PeerSocket::send(const std::string &host, const WeightsAge &age)
+{
+    capnp::MallocMessageBuilder message;
+    auto encoded = message.initRoot<Datagram>().initWeightsAge();
+    encoded.setModel(age.model);
+    encoded.setVersion(age.version);
+    encoded.setAgeMilliseconds(static_cast<std::uint64_t>(std::max<std::int64_t>(0, toMillis(age.age))));
+    sendTo(host, message);
+}
+
 void PeerSocket::tellAll(const CacheStoreNotice &notice)
 {
     capnp::MallocMessageBuilder message;
@@ -274,6 +293,17 @@
             events_.onCacheStoreNotice({store.getAddress(), store.getIsAlive()});
             break;
         }
+        case Datagram::WEIGHTS_QUESTION: {
+            events_.onWeightsQuestion(host);
+            break;
+        }
+        case Datagram::WEIGHTS_AGE: {
+            const auto age = datagram.getWeightsAge();
+            // A century is more than any process lives, and keeps what a broken sender says from overflowing.
+            constexpr std::uint64_t longest = 3'000'000'000'000;
+            events_.onWeightsAge({age.getModel(), age.getVersion(), std::chrono::milliseconds(std::min(age.getAgeMilliseconds(), longest))});
+            break;
+        }
         case Datagram::TOKEN_REPLY: {
             const auto reply = datagram.getTokenReply();
             events_.onTokenReply({reply.getId(), reply.getIsGranted(), std::chrono::milliseconds(reply.getRetryAfterMilliseconds())});
--- a/gateway/peer_socket.h
+++ b/gateway/peer_socket.h
@@ -85,6 +85,19 @@
     bool isAlive = false;
 };
 
+/// Asks how long ago the weights were named that another host has heard of.
+struct WeightsQuestion
+{
+};
+
+/// New weights were named `age` before the answer was made.
+struct WeightsAge
+{
+    std::string model;
+    std::int64_t version = 0;
+    Duration age{};
+};
+
 /// Receives what other hosts say.
 class PeerEvents
 {
@@ -98,6 +111,8 @@
     virtual void onProofRequest(const std::string &host, const ProofRequest &request) = 0;
     virtual void onProofReply(const ProofReply &reply) = 0;
     virtual void onCacheStoreNotice(const CacheStoreNotice &notice) = 0;
+    virtual void onWeightsQuestion(const std::string &host) = 0;
+    virtual void onWeightsAge(const WeightsAge &age) = 0;
 };
 
 /// Single datagrams between the hosts of a fleet, encoded by Cap'n Proto. What comes from an address that is no known host is dropped.
@@ -125,6 +140,8 @@
     void send(const std::string &host, const TokenReply &reply);
     void send(const std::string &host, const ProofRequest &request);
     void send(const std::string &host, const ProofReply &reply);
+    void send(const std::string &host, const WeightsQuestion &question);
+    void send(const std::string &host, const WeightsAge &age);
 
 private:
     using Endpoint = boost::asio::ip::udp::endpoint;
--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -1,6 +1,7 @@
 #include "gateway/target_directory.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Lovageloft
@@ -83,6 +84,46 @@
     }
 }
 
+bool TargetDirectory::needsAge(TimePoint now) const
+{
+    return std::any_of(named_.begin(), named_.end(), [&](const auto &entry) {
+        const NamedWeights &newest = entry.second.back();
+        return newest.wereThereAtStart && now < newest.learntAt + weightsDeadline_;
+    });
+}
+
+std::vector<NamedWeights> TargetDirectory::namedWithKnownAge() const
+{
+    std::vector<NamedWeights> known;
+    for (const auto &[model, versions] : named_) {
+        std::copy_if(versions.begin(), versions.end(), std::back_inserter(known), [](const NamedWeights &weights) { return !weights.wereThereAtStart; });
+    }
+    return known;
+}
+
+bool TargetDirectory::learnAge(const NamedWeights &weights)
+{
+    const auto found = named_.find(weights.model);
+    if (found == named_.end()) {
+        return false; // Nothing was read yet; it is asked for again.
+    }
+    std::vector<NamedWeights> &versions = found->second;
+    const auto known = std::find_if(versions.begin(), versions.end(), [&](const NamedWeights &named) { return named.version >= weights.version; });
+    if (known == versions.end()) {
+        return false; // Newer than what the store has told this host; it will.
+    }
+    if (known->version > weights.version) {
+        // Named before this host started and followed by others since: engines that are older still have its deadline.
+        versions.insert(known, weights);
+        return true;
+    }
+    if (!known->wereThereAtStart) {
+        return false;
+    }
+    *known = weights;
+    return true;
+}
+
 void TargetDirectory::setCacheTokens(std::map<std::string, double, std::less<>> tokens)
 {
     cacheTokens_ = std::move(tokens);
--- a/gateway/target_directory.h
+++ b/gateway/target_directory.h
@@ -32,6 +32,15 @@
     void setTargets(std::shared_ptr<const TargetMap> targets);
     void setNamedWeights(const NamedWeights &weights);
 
+    /// Whether weights are in force of which this host doesn't know how long ago they were named.
+    bool needsAge(TimePoint now) const;
+
+    /// Weights whose `learntAt` is when they were named, as this host heard of them then or was told since.
+    std::vector<NamedWeights> namedWithKnownAge() const;
+
+    /// Another host knows when weights were named. True if that is news.
+    bool learnAge(const NamedWeights &weights);
+
     /// Tokens that one engine of each service holds.
     void setCacheTokens(std::map<std::string, double, std::less<>> tokens);
 
--- a/tests/gateway/test_target_directory.cpp
+++ b/tests/gateway/test_target_directory.cpp
@@ -90,6 +90,34 @@
     BOOST_TEST(!isServing("e1|m", start + 27s));
 }
 
+BOOST_AUTO_TEST_CASE(aHostThatStartsIsToldHowLongAgoWeightsWereNamed)
+{
+    // Hosts are restarted in turn while new weights are brought in. One that starts six seconds after they were named and guesses that it
+    // was four goes on sending to engines with older weights after the deadline; readers get figures of weights that no longer count.
+    directory.setNamedWeights({"m", 2, start + 6s, true});
+    BOOST_TEST(directory.needsAge(start + 6s));
+    BOOST_TEST(directory.namedWithKnownAge().empty());
+    BOOST_TEST(isServing("e1|m", start + 7s));
+    BOOST_TEST(directory.learnAge({"m", 2, start}));
+    BOOST_TEST(!directory.needsAge(start + 6s));
+    BOOST_TEST(!isServing("e1|m", start + 7s));
+    BOOST_TEST(directory.namedWithKnownAge().size() == 1U);
+    BOOST_TEST(!directory.learnAge({"m", 2, start + 5s}));
+}
+
+BOOST_AUTO_TEST_CASE(aHostThatStartsIsToldOfWeightsThatOthersHaveFollowed)
+{
+    // Two versions were named before a host started, and the store shows the newer one only. An engine left out of both rounds has the
+    // deadline of the first.
+    directory.setNamedWeights({"m", 3, start + 6s, true});
+    BOOST_TEST(directory.learnAge({"m", 3, start + 5s}));
+    BOOST_TEST(isServing("e1|m", start + 7s));
+    BOOST_TEST(directory.learnAge({"m", 2, start}));
+    BOOST_TEST(!isServing("e1|m", start + 7s));
+    BOOST_TEST(!directory.learnAge({"m", 9, start}));
+    BOOST_TEST(!directory.learnAge({"other", 1, start}));
+}
+
 BOOST_AUTO_TEST_CASE(anEngineThatRefusesTheExpectedWeightsHasTheNewest)
 {
     // An engine has loaded before its entry says so, and refuses each request that expects the old weights. Were the entry believed
