What comes late anyway is sent to engines as less urgent

A late answer is worth the same after one second and after ten. Change: an assignment tells when its first token is expected; a request that is expected after its route's latency target is two steps less urgent.

--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -253,7 +253,8 @@
     const DispatchId dispatch = placement_.onDispatched(placed, decision, now);
     Engine &engine = engines_[decision.engine];
     inFlight_[queued.id] = {dispatch, decision.engine, engine.serial, engine.window.start(missed, now)};
-    SchedulerAssignment assignment{queued.id, std::string(placement_.engineName(decision.engine)), decision.expectedCachedTokens, 0, 0, {}, {}};
+    SchedulerAssignment assignment{
+        queued.id, std::string(placement_.engineName(decision.engine)), decision.expectedCachedTokens, decision.expectedFirstToken, 0, 0, {}, {}};
     assignment.workTokens = decision.workTokens;
     assignment.newTokens = decision.newTokens;
     for (const VersionedChain &chain : placed.chains) {
--- a/decision/request_scheduler.h
+++ b/decision/request_scheduler.h
@@ -60,6 +60,7 @@
     RequestId id{};
     std::string engine;
     std::uint32_t expectedCachedTokens = 0;
+    double expectedFirstToken = 0; ///< Seconds from now.
     std::uint32_t workTokens = 0; ///< What the engine has to compute, in prompt tokens of a short prompt.
     std::uint32_t newTokens = 0; ///< That it adds to the engine's memory.
     std::vector<BlockHash> blocks; ///< The prompt's chain for this engine's weights.
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "gateway/caller_session.h"
+#include "gateway/engine_urgency.h"
 #include "gateway/gateway.h"
 
 namespace Lovageloft
@@ -42,9 +43,6 @@
 constexpr std::size_t headBytes = 1'000;
 constexpr std::size_t bytesPerToken = 55;
 
-constexpr int lowestUrgency = 9;
-constexpr int usualUrgency = 4; ///< Of the most urgent routes; leaves room above for what operators set apart.
-
 constexpr int statusOk = 200;
 constexpr int firstErrorStatus = 500;
 
@@ -139,6 +137,7 @@
     const auto self = shared_from_this();
     targetId_ = assignment.engine;
     expectedCached_ = assignment.expectedCachedTokens;
+    comesLate_ = BootClock::now() + fromSeconds(assignment.expectedFirstToken) > startedAt_ + intake_.route()->latencyTarget;
     holder_ = assignment.holder;
     Reason reason;
     if (!intake_.checkAgain(reason)) {
@@ -204,7 +203,7 @@
         plan = planCache({intake_.caller().promptTokens.value_or(0), intake_.sharedTokens(), expectedCached_, gateway_.cacheStoreFor(target), holder});
         request.fetchFrom = plan.fetchFrom;
         request.saveTo = plan.saveTo;
-        request.urgency = std::clamp(usualUrgency + intake_.priority(), 0, lowestUrgency);
+        request.urgency = engineUrgency(intake_.priority(), comesLate_);
     }
     return request;
 }
--- a/gateway/routed_request.h
+++ b/gateway/routed_request.h
@@ -121,6 +121,7 @@
     std::string holder_; ///< Another engine that is believed to hold more of the prompt.
     std::uint32_t expectedCached_ = 0; ///< Prompt tokens that the target is believed to hold.
     std::vector<std::string> failedTargets_;
+    bool comesLate_ = false; ///< Its first token is expected after the route's latency target.
     int runs_ = 0; ///< Targets that may have run it.
     int sends_ = 0; ///< Targets that got it, also those that declined.
     int unreached_ = 0; ///< Targets that could not be reached.
--- a/tests/decision/test_request_scheduler.cpp
+++ b/tests/decision/test_request_scheduler.cpp
@@ -207,6 +207,35 @@
     BOOST_TEST(scheduler.inFlight() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(anAssignmentTellsWhenItsFirstTokenIsExpected)
+{
+    // Twenty long prompts come at once before one engine. Those at the end of its backlog are known to come late when they are sent, so that
+    // they can be sent as less urgent.
+    QueueLimits limits;
+    limits.initialRate = 1e9;
+    RequestScheduler single(limits);
+    single.setEngines(std::vector<SchedulerEngine>{{.name = "e", .model = "m", .weightsVersion = "1", .incarnation = 1, .prefillTokensPerSecond = 10'000}});
+    std::vector<double> expected;
+    for (std::uint64_t i = 1; i <= 20; ++i) {
+        SchedulerRequest request;
+        request.id = RequestId{5'000 + i};
+        request.team = "t";
+        request.model = "m";
+        request.promptTokens = 1'000;
+        request.deadline = start + 10s;
+        const bool isRefused = single.submit(std::move(request), start).has_value();
+        BOOST_TEST(!isRefused);
+        for (const SchedulerOutcome &outcome : single.decide(start, random)) {
+            if (const auto *assignment = std::get_if<SchedulerAssignment>(&outcome)) {
+                expected.push_back(assignment->expectedFirstToken);
+            }
+        }
+    }
+    BOOST_REQUIRE(expected.size() >= 2U);
+    BOOST_TEST(expected.front() == 0.1, boost::test_tools::tolerance(1e-6));
+    BOOST_TEST(expected.back() >= 0.1 * static_cast<double>(expected.size()) - 1e-6);
+}
+
 BOOST_AUTO_TEST_CASE(whatEnginesHoldIsKeptWhenMoreEnginesJoin)
 {
     // Engines are added while the others are at work. What was reckoned of the others' memory moved along wrongly, and the router ended
