Weights named lately have a key in the store, by which a fleet that restarts tells young names from old ones

Excluded: assuming more (a fleet that restarts right after the naming would have no engine for some four seconds). Change: the leader leaves a key under a lease of half the deadline when it hears of new weights, two calls to the store a naming; a host that starts reads the keys with the list of hosts: weights with a key are taken for half a deadline old as before, others for past it, until a host tells the exact age. What is left: a leader that can't reach the store for four seconds after a naming, and all hosts restarting within them, leave engines with older weights unused until they have loaded.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -158,6 +158,13 @@
     refreshTargets();
 }
 
+void Gateway::setYoungWeights(const std::set<std::string> &names)
+{
+    writeLog(LogLevel::Info, "young_weights_known", {{"count", static_cast<std::int64_t>(names.size())}});
+    directory_.setYoungWeights(names);
+    refreshTargets();
+}
+
 void Gateway::learnWeightsAge(const WeightsAge &age)
 {
     if (directory_.learnAge({age.model, age.version, BootClock::now() - age.age})) {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -87,6 +87,9 @@
     void setTargets(std::shared_ptr<const TargetMap> targets);
     void setNamedWeights(const NamedWeights &weights);
 
+    /// The weights that the store still kept as young when this host started.
+    void setYoungWeights(const std::set<std::string> &names);
+
     /// Another host knows how long ago weights were named.
     void learnWeightsAge(const WeightsAge &age);
 
--- a/gateway/host_duty.cpp
+++ b/gateway/host_duty.cpp
@@ -1,6 +1,8 @@
 #include "gateway/host_duty.h"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 #include "core/log.h"
 #include "gateway/gateway.h"
@@ -131,6 +133,9 @@
     if (std::none_of(reply.entries.begin(), reply.entries.end(), isLeader)) {
         takeLeader({options_.leaderKey, {}, 0, true});
     }
+    if (!std::exchange(hasRead_, true)) {
+        takeYoungWeights(reply);
+    }
     publish();
     return true;
 }
@@ -153,6 +158,17 @@
     }
 }
 
+void HostDuty::takeYoungWeights(const StoreListReply &reply)
+{
+    std::set<std::string> names;
+    for (const StoreEntry &entry : reply.entries) {
+        if (entry.key.starts_with(options_.weightsPrefix)) {
+            names.insert(entry.key.substr(options_.weightsPrefix.size()));
+        }
+    }
+    gateway_.post([names = std::move(names)](Gateway &gateway) { gateway.setYoungWeights(names); });
+}
+
 /// The value begins with the holder's name, and that with its host's.
 void HostDuty::takeLeader(const StoreEntry &entry)
 {
--- a/gateway/host_duty.h
+++ b/gateway/host_duty.h
@@ -26,6 +26,7 @@
     {
         std::string prefix; ///< Of all that is watched; ends with a slash.
         std::string hostsPrefix; ///< Of the hosts' keys, within `prefix`.
+        std::string weightsPrefix; ///< Of the keys of weights that were named lately, within `prefix`.
         std::string hostName;
         HostAddress peers; ///< Where this host takes datagrams.
         Duration lifetime{}; ///< Of the lease; must be longer than the proof of a key counts.
@@ -44,6 +45,7 @@
     bool readAll();
     void take(const StoreEntry &entry);
     void takeLeader(const StoreEntry &entry);
+    void takeYoungWeights(const StoreListReply &reply);
     void publish();
 
     Store &store_;
@@ -53,6 +55,7 @@
     StoreBackoff backoff_;
     std::int64_t leaseId_ = 0;
     bool isWritten_ = false;
+    bool hasRead_ = false;
     TimePoint nextRenewal_;
     std::int64_t watchFrom_ = 0;
     std::map<std::string, HostAddress> hosts_;
--- a/gateway/target.h
+++ b/gateway/target.h
@@ -55,6 +55,19 @@
     bool wereThereAtStart = false; ///< It read them when it started: they may have been named long before.
 };
 
+/// The name of weights in keys of the store.
+inline std::string nameOf(const NamedWeights &weights)
+{
+    return weights.model + '/' + std::to_string(weights.version);
+}
+
+/// How long after new weights were named they count as young: what a host that finds them at its start takes for their age if it can't be
+/// told better. Half of the deadline is what a round over all engines takes.
+constexpr Duration youthOfWeights(Duration deadline)
+{
+    return deadline / 2;
+}
+
 /// How long after new weights were named older ones may be used, given the time by which no request may begin on them. What is sent
 /// last has to begin in the rest.
 constexpr Duration useOfOlderWeights(Duration deadline)
--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -72,10 +72,9 @@
     std::vector<NamedWeights> &versions = named_[weights.model];
     versions.push_back(weights);
     if (weights.wereThereAtStart) {
-        // How long ago they were named stands nowhere. Counted from the start, a host that restarts within the deadline would go on
-        // sending to engines that were left out of the round for as long again; counted as long past, a fleet that restarts right
-        // after new weights were named would have no engine. Half of the deadline is what a round over all engines takes.
-        versions.back().learntAt -= weightsDeadline_ / 2;
+        // Counted from the start, a host that restarts within the deadline would go on sending to engines that were left out of the round
+        // for as long again; counted as long past, a fleet that restarts right after new weights were named would have no engine.
+        versions.back().learntAt -= youthOfWeights(weightsDeadline_);
     }
     // Once a version's deadline has passed, the ones before it tell nothing more.
     const auto isPast = [&](const NamedWeights &known) { return weights.learntAt >= known.learntAt + weightsDeadline_; };
@@ -84,6 +83,11 @@
     }
 }
 
+void TargetDirectory::setYoungWeights(std::set<std::string> names)
+{
+    youngAtStart_ = std::move(names);
+}
+
 bool TargetDirectory::needsAge(TimePoint now) const
 {
     return std::any_of(named_.begin(), named_.end(), [&](const auto &entry) {
@@ -255,9 +259,14 @@
         return false;
     }
     const std::int64_t version = weightsOf(target, model.name);
-    return std::any_of(found->second.begin(), found->second.end(), [&](const NamedWeights &named) {
-        return named.version > version && now >= named.learntAt + useOfOlderWeights(weightsDeadline_);
-    });
+    return std::any_of(found->second.begin(), found->second.end(), [&](const NamedWeights &named) { return named.version > version && hasEnded(named, now); });
+}
+
+/// Whether these weights were named so long ago that older ones may not be used any more.
+bool TargetDirectory::hasEnded(const NamedWeights &named, TimePoint now) const
+{
+    const bool isOld = named.wereThereAtStart && youngAtStart_ && !youngAtStart_->contains(nameOf(named));
+    return isOld || now >= named.learntAt + useOfOlderWeights(weightsDeadline_);
 }
 
 SchedulerEngine TargetDirectory::engineOf(const Target &target, TimePoint now) const
--- a/gateway/target_directory.h
+++ b/gateway/target_directory.h
@@ -32,6 +32,9 @@
     void setTargets(std::shared_ptr<const TargetMap> targets);
     void setNamedWeights(const NamedWeights &weights);
 
+    /// The weights that the store still kept as young when this host started, by their names. Others that it found then are older.
+    void setYoungWeights(std::set<std::string> names);
+
     /// Whether weights are in force of which this host doesn't know how long ago they were named.
     bool needsAge(TimePoint now) const;
 
@@ -79,6 +82,7 @@
 
     const Correction *correctionOf(const Target &target) const;
     std::int64_t newestNamed(std::string_view model) const;
+    bool hasEnded(const NamedWeights &named, TimePoint now) const;
     bool isTooOld(const Target &target, const ServedModel &model, TimePoint now) const;
     SchedulerEngine engineOf(const Target &target, TimePoint now) const;
 
@@ -87,6 +91,7 @@
     std::shared_ptr<const TargetMap> targets_ = std::make_shared<TargetMap>();
     std::set<std::string, std::less<>> modelServices_;
     std::map<std::string, std::vector<NamedWeights>, std::less<>> named_; ///< By model, newest last; each version has its own deadline.
+    std::optional<std::set<std::string>> youngAtStart_; ///< Unknown until the store has been read.
     std::map<std::string, Correction, std::less<>> corrections_;
     std::map<std::string, double, std::less<>> cacheTokens_; ///< By service.
 };
--- a/gateway/weights_duty.cpp
+++ b/gateway/weights_duty.cpp
@@ -27,6 +27,7 @@
     , options_(std::move(options))
     , lease_(store_, options_.leaderKey, options_.holder, options_.lease)
     , scheduler_(options_.orders)
+    , records_(store_, options_.recordsPrefix, youthOfWeights(options_.deadline))
     , current_(targets_)
 {
 }
@@ -98,6 +99,22 @@
         read(target);
         lease_.step(BootClock::now());
     }
+    recordNamed();
+}
+
+void WeightsDuty::recordNamed()
+{
+    std::map<std::string, NamedWeights> named;
+    {
+        const std::lock_guard lock(mutex_);
+        named = named_;
+    }
+    for (const auto &[model, weights] : named) {
+        if (lease_.isHeld(BootClock::now())) {
+            records_.keep(weights, BootClock::now());
+            lease_.step(BootClock::now());
+        }
+    }
 }
 
 void WeightsDuty::updateWanted()
--- a/gateway/weights_duty.h
+++ b/gateway/weights_duty.h
@@ -11,6 +11,7 @@
 #include "gateway/duty.h"
 #include "gateway/engine_control.h"
 #include "gateway/target.h"
+#include "gateway/weights_records.h"
 
 namespace Lovageloft
 {
@@ -30,6 +31,7 @@
         LeaseOptions lease;
         bool enginesCheckFencing = true;
         OrderOptions orders;
+        std::string recordsPrefix; ///< Of the keys of weights that were named lately.
         Duration deadline{}; ///< After weights were named, from when on no engine serves older ones.
         std::function<void(const std::string &targetId)> beforeLoad; ///< Called some time before an engine is ordered to load, and again right before.
     };
@@ -50,6 +52,7 @@
     void run() override;
     void step();
     void updateWanted();
+    void recordNamed();
     void read(const std::string &targetId);
     void give(const Order &order);
     std::optional<EngineReport> report(const Target &target) const;
@@ -60,6 +63,7 @@
     Options options_;
     LeaseHolder lease_;
     OrderScheduler scheduler_;
+    WeightsRecords records_;
     std::mutex mutex_;
     std::shared_ptr<const TargetMap> targets_ = std::make_shared<TargetMap>();
     std::map<std::string, NamedWeights> named_; ///< The newest of each model.
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::string_view ownPrefix = "lovageloft/";
 constexpr std::string_view hostsPrefix = "lovageloft/hosts/";
+constexpr std::string_view weightsPrefix = "lovageloft/weights/";
 constexpr std::string_view leaderKey = "lovageloft/leader";
 
 /// A shutdown ends this much before the platform kills the process.
@@ -152,6 +153,7 @@
     HostDuty::Options options;
     options.prefix = ownPrefix;
     options.hostsPrefix = hostsPrefix;
+    options.weightsPrefix = weightsPrefix;
     options.hostName = settings_.hostName;
     options.peers = settings_.peers;
     options.lifetime = settings_.keyProofWindow * hostLeaseInProofWindows;
@@ -174,6 +176,7 @@
     options.lease.settleTime = std::max(settleTime, options.lease.margin);
     options.enginesCheckFencing = settings_.enginesCheckFencing;
     options.deadline = settings_.weightsDeadline;
+    options.recordsPrefix = weightsPrefix;
     options.orders = orderOptions();
     options.orders.turnPause = options.lease.timeToLive;
     options.orders.hearsSince = BootClock::now();
--- a/tests/gateway/test_target_directory.cpp
+++ b/tests/gateway/test_target_directory.cpp
@@ -105,6 +105,18 @@
     BOOST_TEST(!directory.learnAge({"m", 2, start + 5s}));
 }
 
+BOOST_AUTO_TEST_CASE(aFleetThatRestartsRightAfterWeightsWereNamedUsesTheOlderOnes)
+{
+    // All hosts restart a second after new weights were named, before an engine has them. Taken for long named, they would leave callers
+    // without any engine for seconds. The key that the leader left in the store tells that they are young.
+    directory.setNamedWeights({"m", 2, start, true});
+    directory.setYoungWeights({"m/2"});
+    BOOST_TEST(isServing("e1|m", start + 2s));
+    directory.setNamedWeights({"m", 3, start + 10s});
+    directory.setTargets(engines(2, 2));
+    BOOST_TEST(isServing("e1|m", start + 12s));
+}
+
 BOOST_AUTO_TEST_CASE(aHostThatStartsIsToldOfWeightsThatOthersHaveFollowed)
 {
     // Two versions were named before a host started, and the store shows the newer one only. An engine left out of both rounds has the
--- a/tests/gateway/test_weights_after_fleet_restart.cpp
+++ b/tests/gateway/test_weights_after_fleet_restart.cpp
@@ -9,8 +9,9 @@
 BOOST_AUTO_TEST_CASE(noRequestGoesToOlderWeightsAfterTheDeadlineThoughTheWholeFleetHasRestarted)
 {
     // New weights are named, and 6.5 s later all hosts lose power at once while an engine still waits for its turn. No host is left that
-    // knows how long ago the weights were named, and the store tells no time. Readers get figures of weights that no longer count until
-    // more than nine seconds after the naming, where operators allow eight.
+    // knows how long ago the weights were named, and the store tells no time: taken for half a deadline old, they had readers get figures
+    // of weights that no longer count until more than nine seconds after the naming, where operators allow eight. By then the key that
+    // the leader had left for half a deadline is gone.
     constexpr TimePoint namedAt{1h};
     constexpr Duration deadline = 8s;
     const TimePoint startedAt = namedAt + 6'500ms;
@@ -24,6 +25,7 @@
     targets->emplace(engine.id, engine);
     directory.setTargets(targets);
     directory.setNamedWeights({"m", 4, startedAt, true});
+    directory.setYoungWeights({});
     for (const SchedulerEngine &listed : directory.engines(namedAt + deadline)) {
         BOOST_TEST(!listed.isServing);
     }
--- /dev/null
+++ b/tests/gateway/test_weights_records.cpp
@@ -0,0 +1,53 @@
+#include <boost/test/unit_test.hpp>
+
+#include "coordination/memory_store.h"
+#include "gateway/weights_records.h"
+
+using namespace Lovageloft;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr TimePoint start{1h};
+constexpr std::string_view key = "p/weights/m/2";
+
+struct Fixture
+{
+    MemoryStore store;
+    WeightsRecords records{store, "p/weights/", 4s};
+
+    bool isKept()
+    {
+        return store.get(key).status == StoreStatus::Ok;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(WeightsRecordsTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(namesAreRecordedWhileTheyAreYoung)
+{
+    records.keep({"m", 2, start}, start + 3500ms);
+    BOOST_TEST(!isKept());
+    records.keep({"m", 2, start}, start + 20ms);
+    BOOST_TEST(isKept());
+}
+
+BOOST_AUTO_TEST_CASE(whatAHostFoundAtItsStartIsNotRecordedAsYoung)
+{
+    // A new leader that has just started doesn't know how long ago the weights were named. Were it to record them as young, a fleet that
+    // restarts again would use older ones for as long once more.
+    records.keep({"m", 2, start, true}, start);
+    BOOST_TEST(!isKept());
+}
+
+BOOST_AUTO_TEST_CASE(aRecordOfAnotherLeaderIsLeftAsItIs)
+{
+    const std::int64_t revision = store.compareAndSwap(key, 0, "m/2", 0).entry.revision;
+    records.keep({"m", 2, start}, start);
+    BOOST_TEST(store.get(key).entry.revision == revision);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
