The name of weights is made once in WeightsRecords; the log says what was written

Found in a last read of the change: keep() made the name four times and asked its own set whether the write had succeeded.

--- a/gateway/weights_records.cpp
+++ b/gateway/weights_records.cpp
@@ -26,16 +26,18 @@
 
 void WeightsRecords::keep(const NamedWeights &weights, TimePoint now)
 {
+    const std::string name = nameOf(weights);
     const Duration left = weights.learntAt + youth_ - now;
-    if (weights.wereThereAtStart || left < shortestLease || now < nextTry_ || kept_.contains(nameOf(weights))) {
+    if (weights.wereThereAtStart || left < shortestLease || now < nextTry_ || kept_.contains(name)) {
         return;
     }
-    if (write(weights, left)) {
-        kept_.insert(nameOf(weights));
+    const bool isWritten = write(weights, left);
+    if (isWritten) {
+        kept_.insert(name);
     } else {
         nextTry_ = now + retryPause;
     }
-    writeLog(LogLevel::Info, "weights_recorded", {{"weights", nameOf(weights)}, {"left_ms", toMillis(left)}, {"ok", kept_.contains(nameOf(weights))}});
+    writeLog(LogLevel::Info, "weights_recorded", {{"weights", name}, {"left_ms", toMillis(left)}, {"ok", isWritten}});
 }
 
 bool WeightsRecords::write(const NamedWeights &weights, Duration left)
@@ -44,7 +46,8 @@
     if (lease.status != StoreStatus::Ok) {
         return false;
     }
-    const StoreReply reply = store_.compareAndSwap(prefix_ + nameOf(weights), 0, nameOf(weights), lease.leaseId);
+    const std::string name = nameOf(weights);
+    const StoreReply reply = store_.compareAndSwap(prefix_ + name, 0, name, lease.leaseId);
     return reply.status == StoreStatus::Ok || reply.status == StoreStatus::Conflict; // Another leader wrote it before.
 }
 
