Sight: the age of named weights, a list of targets that is overdue, a process that stood still

Printers got replies on weights that had been replaced more than eight seconds before. Two explanations could not be told apart, as the host's log of those seconds is not kept: that it heard late of the new weights and counted from then, or that it knew and went on using a list of targets in which older ones were still open. No change of logic.

--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -56,6 +56,8 @@
     {"lovageloft_store_calls_total", "Calls to the store, by call and result."},
     {"lovageloft_store_failures_total", "Readings of the configuration that failed."},
     {"lovageloft_targets_known", "Targets that the store lists."},
+    {"lovageloft_targets_overdue_seconds", "For how long a change of the targets in use has been due and not made."},
+    {"lovageloft_weights_age_seconds", "Time since the newest weights were named, as this host reckons it; 0 before any."},
 });
 
 const char *helpOf(std::string_view name)
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -418,7 +418,8 @@
 
 void Gateway::refreshTargets()
 {
-    dispatch_.setEngines(directory_.engines(BootClock::now()));
+    listedAt_ = BootClock::now();
+    dispatch_.setEngines(directory_.engines(listedAt_));
 }
 
 int Gateway::refuse(CallerSession *session, const Reason &reason, RunState runState, Duration retryAfter)
@@ -476,6 +477,7 @@
 void Gateway::tick()
 {
     const TimePoint now = BootClock::now();
+    standstills_.look(now);
     pool_.closeStale(now);
     fleet_.sayAlive(now);
     if (directory_.needsAge(now)) {
@@ -561,6 +563,8 @@
     metrics_.set("lovageloft_idle_target_connections", static_cast<double>(pool_.idleCount()));
     metrics_.set("lovageloft_configuration_version", table_ != nullptr ? static_cast<double>(table_->version) : 0);
     metrics_.set("lovageloft_targets_known", static_cast<double>(directory_.all().size()));
+    metrics_.set("lovageloft_targets_overdue_seconds", toSeconds(directory_.overdue(listedAt_, now)));
+    metrics_.set("lovageloft_weights_age_seconds", toSeconds(now - directory_.newestNamedAt().value_or(now)));
     metrics_.set("lovageloft_ready", isReady(now) ? 1 : 0);
     metrics_.set("lovageloft_leader", leader_ == options_.hostName ? 1 : 0);
     const LogCounts lines = logCounts();
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include "gateway/request_dispatch.h"
 #include "gateway/request_metrics.h"
 #include "gateway/routing_table.h"
+#include "gateway/standstill_log.h"
 #include "gateway/status_server.h"
 #include "gateway/target_directory.h"
 #include "gateway/target_pool.h"
@@ -208,6 +209,8 @@
     double share_ = 0; ///< This host's part of what is divided evenly.
     std::string leader_;
     bool hasTargets_ = false;
+    TimePoint listedAt_; ///< As of when the scheduler was given the targets.
+    StandstillLog standstills_;
     bool isAccepting_ = false;
     std::optional<TimePoint> drainStartedAt_;
     bool wasReady_ = false;
--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -128,6 +128,15 @@
     return true;
 }
 
+std::optional<TimePoint> TargetDirectory::newestNamedAt() const
+{
+    std::optional<TimePoint> newest;
+    for (const auto &[model, versions] : named_) {
+        newest = std::max(newest, std::optional(versions.back().learntAt));
+    }
+    return newest;
+}
+
 void TargetDirectory::setCacheTokens(std::map<std::string, double, std::less<>> tokens)
 {
     cacheTokens_ = std::move(tokens);
@@ -240,6 +249,12 @@
     return next;
 }
 
+Duration TargetDirectory::overdue(TimePoint listedAt, TimePoint now) const
+{
+    const auto due = nextChange(listedAt);
+    return due ? std::max(now - *due, Duration::zero()) : Duration::zero();
+}
+
 const TargetDirectory::Correction *TargetDirectory::correctionOf(const Target &target) const
 {
     const auto found = corrections_.find(target.id);
--- a/gateway/target_directory.h
+++ b/gateway/target_directory.h
@@ -44,6 +44,9 @@
     /// Another host knows when weights were named. True if that is news.
     bool learnAge(const NamedWeights &weights);
 
+    /// When the weights named last were named, as this host reckons it.
+    std::optional<TimePoint> newestNamedAt() const;
+
     /// Tokens that one engine of each service holds.
     void setCacheTokens(std::map<std::string, double, std::less<>> tokens);
 
@@ -71,6 +74,9 @@
     /// When `engines` changes though nothing was heard.
     std::optional<TimePoint> nextChange(TimePoint now) const;
 
+    /// For how long such a change has been due since `engines` was asked for at `listedAt`.
+    Duration overdue(TimePoint listedAt, TimePoint now) const;
+
 private:
     struct Correction
     {
