The list of targets ends by itself: nothing is sent on it after the moment at which it changes

What callers see: replies on weights that no longer count, from an engine that was left out of the round. Cause: a host made its list of targets anew only if the moment of a change lay in the 250 ms before a tick. Ticks come 250 ms and a little after one another, and seconds late after a standstill; a change that fell between was never made, until something else was heard of the targets. The same passed over the moment at which a target that had declined may be used again. A second fault of the same outcome, with its own test. Change: the list is given to the dispatch with the time at which it ends, and the dispatch renews it before it decides.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -46,7 +46,7 @@
     , directory_(options.limits.weightsDeadline)
     , pool_(loop_, targetProtocol)
     , fleet_(*this, options.hostName)
-    , dispatch_(loop_)
+    , dispatch_(loop_, [this] { refreshTargets(); })
     , waitingTimer_(loop_)
 {
     directory_.setDataCentre(options.dataCentre);
@@ -418,8 +418,8 @@
 
 void Gateway::refreshTargets()
 {
-    listedAt_ = BootClock::now();
-    dispatch_.setEngines(directory_.engines(listedAt_));
+    const TimePoint now = BootClock::now();
+    dispatch_.setEngines(directory_.engines(now), directory_.nextChange(now));
 }
 
 int Gateway::refuse(CallerSession *session, const Reason &reason, RunState runState, Duration retryAfter)
@@ -483,9 +483,7 @@
     if (directory_.needsAge(now)) {
         fleet_.askWeightsAges();
     }
-    if (directory_.nextChange(now - tickTime).value_or(now + tickTime) <= now) {
-        refreshTargets();
-    }
+    dispatch_.renewEngines(now);
     const bool ready = isReady(now);
     if (ready != wasReady_) {
         wasReady_ = ready;
@@ -563,7 +561,7 @@
     metrics_.set("lovageloft_idle_target_connections", static_cast<double>(pool_.idleCount()));
     metrics_.set("lovageloft_configuration_version", table_ != nullptr ? static_cast<double>(table_->version) : 0);
     metrics_.set("lovageloft_targets_known", static_cast<double>(directory_.all().size()));
-    metrics_.set("lovageloft_targets_overdue_seconds", toSeconds(directory_.overdue(listedAt_, now)));
+    metrics_.set("lovageloft_targets_overdue_seconds", toSeconds(dispatch_.enginesOverdue(now)));
     metrics_.set("lovageloft_weights_age_seconds", toSeconds(now - directory_.newestNamedAt().value_or(now)));
     metrics_.set("lovageloft_ready", isReady(now) ? 1 : 0);
     metrics_.set("lovageloft_leader", leader_ == options_.hostName ? 1 : 0);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -209,7 +209,6 @@
     double share_ = 0; ///< This host's part of what is divided evenly.
     std::string leader_;
     bool hasTargets_ = false;
-    TimePoint listedAt_; ///< As of when the scheduler was given the targets.
     StandstillLog standstills_;
     bool isAccepting_ = false;
     std::optional<TimePoint> drainStartedAt_;
--- a/gateway/request_dispatch.cpp
+++ b/gateway/request_dispatch.cpp
@@ -57,20 +57,34 @@
 
 } // namespace
 
-RequestDispatch::RequestDispatch(boost::asio::io_context &loop)
+RequestDispatch::RequestDispatch(boost::asio::io_context &loop, std::function<void()> renewEngines)
     : loop_(loop)
     , timer_(loop)
     , scheduler_(queueLimits(), placementPolicy())
     , random_(std::random_device{}())
+    , renewEngines_(std::move(renewEngines))
 {
 }
 
-void RequestDispatch::setEngines(std::vector<SchedulerEngine> &&engines)
+void RequestDispatch::setEngines(std::vector<SchedulerEngine> &&engines, std::optional<TimePoint> endsAt)
 {
     scheduler_.setEngines(std::move(engines));
+    enginesEnd_ = endsAt;
     scheduleDecide();
 }
 
+void RequestDispatch::renewEngines(TimePoint now)
+{
+    if (enginesEnd_ && now >= *enginesEnd_) {
+        renewEngines_();
+    }
+}
+
+Duration RequestDispatch::enginesOverdue(TimePoint now) const
+{
+    return enginesEnd_ ? std::max(now - *enginesEnd_, Duration::zero()) : Duration::zero();
+}
+
 void RequestDispatch::setHostCount(std::size_t count)
 {
     scheduler_.setHostCount(count);
@@ -174,6 +188,9 @@
 
 void RequestDispatch::decide()
 {
+    // A host that has stood still decides before its timers have run. Requests would go to engines whose time ended meanwhile, such as
+    // those with older weights, for which callers get answers that no longer count.
+    renewEngines(BootClock::now());
     isDecideScheduled_ = false;
     for (const SchedulerOutcome &outcome : scheduler_.decide(BootClock::now(), random_)) {
         const RequestId id = std::visit([](const auto &known) { return known.id; }, outcome);
--- a/gateway/request_dispatch.h
+++ b/gateway/request_dispatch.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -26,10 +28,17 @@
 class RequestDispatch
 {
 public:
-    explicit RequestDispatch(boost::asio::io_context &loop);
+    /// `renewEngines` is called when the targets given last don't hold any more, and is to set new ones.
+    RequestDispatch(boost::asio::io_context &loop, std::function<void()> renewEngines);
 
-    /// The targets in service, whenever the directory has changed.
-    void setEngines(std::vector<SchedulerEngine> &&engines);
+    /// The targets in service, whenever the directory has changed; they hold until `endsAt` at most.
+    void setEngines(std::vector<SchedulerEngine> &&engines, std::optional<TimePoint> endsAt);
+
+    /// Renews the targets if they don't hold any more.
+    void renewEngines(TimePoint now);
+
+    /// For how long they have not held.
+    Duration enginesOverdue(TimePoint now) const;
 
     void setHostCount(std::size_t count);
     void setRetryLimits(const RetryBudget::Limits &limits);
@@ -74,6 +83,8 @@
     Random random_;
     std::unordered_map<RequestId, std::shared_ptr<RoutedRequest>> requests_;
     std::uint64_t lastRequest_ = 0;
+    std::function<void()> renewEngines_;
+    std::optional<TimePoint> enginesEnd_;
     bool isDecideScheduled_ = false;
 };
 
--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -249,12 +249,6 @@
     return next;
 }
 
-Duration TargetDirectory::overdue(TimePoint listedAt, TimePoint now) const
-{
-    const auto due = nextChange(listedAt);
-    return due ? std::max(now - *due, Duration::zero()) : Duration::zero();
-}
-
 const TargetDirectory::Correction *TargetDirectory::correctionOf(const Target &target) const
 {
     const auto found = corrections_.find(target.id);
--- a/gateway/target_directory.h
+++ b/gateway/target_directory.h
@@ -74,9 +74,6 @@
     /// When `engines` changes though nothing was heard.
     std::optional<TimePoint> nextChange(TimePoint now) const;
 
-    /// For how long such a change has been due since `engines` was asked for at `listedAt`.
-    Duration overdue(TimePoint listedAt, TimePoint now) const;
-
 private:
     struct Correction
     {
--- a/tests/platform/test_requests.cpp
+++ b/tests/platform/test_requests.cpp
@@ -412,4 +412,18 @@
     BOOST_TEST(hasStopped());
 }
 
+BOOST_AUTO_TEST_CASE(aTargetThatDeclinedIsUsedAgainThoughTheHostStoodStill)
+{
+    // The only target of a service declines a request, as it is full for a moment, and is left alone for 400 ms. The host stands still while
+    // that time ends. It went on refusing callers, with a target that idled, until something else was heard of the targets.
+    std::atomic<bool> isFull = true;
+    addTarget("a", [&isFull](ScriptedTarget::Connection &connection, const ScriptedTarget::Request &request) {
+        connection.answer(request, isFull ? 503 : 200, "whole", isFull ? "Lovageloft-Not-Executed: 1\r\n" : "");
+    });
+    exchange(request("GET", "/safe/x"));
+    isFull = false;
+    holdUp(900ms);
+    BOOST_TEST(statusOf(exchange(request("GET", "/safe/x"))) == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
