--- /dev/null
+++ b/tests/platform/test_weights_heard_late.cpp
@@ -0,0 +1,148 @@
+#define BOOST_TEST_MODULE weights_heard_late
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "coordination/forwarding_store.h"
+#include "coordination/memory_store.h"
+#include "gateway/configuration_duty.h"
+#include "gateway/target_directory.h"
+#include "platform/store_records.h"
+#include "tests/platform/gateway_fixture.h"
+
+using namespace Lovageloft;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string weightsKey = "op/version/m";
+
+/// A store that one host can be cut off from.
+class CutStore final : public ForwardingStore
+{
+public:
+    CutStore()
+        : ForwardingStore(memory)
+    {
+    }
+
+    StoreListReply list(std::string_view prefix) override
+    {
+        return isCut ? noted() : memory.list(prefix);
+    }
+
+    StoreListReply watch(std::string_view prefix, std::int64_t afterRevision, Duration timeout) override
+    {
+        constexpr Duration shortWait = 20ms; // So that the cut is seen within a watch.
+        return isCut ? noted() : memory.watch(prefix, afterRevision, std::min(timeout, shortWait));
+    }
+
+    void name(int version)
+    {
+        const StoreReply known = memory.get(weightsKey);
+        const std::string value = R"({"model":"m","version":)" + std::to_string(version) + '}';
+        memory.compareAndSwap(weightsKey, known.status == StoreStatus::Ok ? known.entry.revision : 0, value, 0);
+    }
+
+    MemoryStore memory;
+    std::atomic<bool> isCut = false;
+    std::atomic<int> failures = 0;
+
+private:
+    StoreListReply noted()
+    {
+        ++failures;
+        return {};
+    }
+};
+
+/// What a host has heard of named weights.
+class Heard
+{
+public:
+    void add(const NamedWeights &weights)
+    {
+        const std::lock_guard lock(mutex_);
+        all_.push_back(weights);
+        changed_.notify_all();
+    }
+
+    std::vector<NamedWeights> waitFor(std::size_t count)
+    {
+        std::unique_lock lock(mutex_);
+        changed_.wait_for(lock, 10s, [&] { return all_.size() >= count; });
+        return all_;
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::vector<NamedWeights> all_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(weightsNamedWhileAHostIsCutOffCountFromTheirNaming)
+{
+    // Weights are named while a host can't reach the store, and an engine is left out of the round. The host hears of them when the cut
+    // heals and counted the time for older ones from then: its callers got answers of weights that no longer count for as much longer as
+    // the cut had lasted.
+    constexpr Duration deadline = 4s;
+    PlatformStoreRecords records;
+    CutStore store;
+    Heard heard;
+    ConfigurationFeed feed(records,
+                           {[](const auto &, TimePoint) {}, [](std::int64_t, TimePoint) {}, [&heard](const NamedWeights &weights) { heard.add(weights); }});
+    store.name(1);
+    ConfigurationDuty duty(store, records, feed);
+    duty.start();
+    BOOST_REQUIRE(heard.waitFor(1).size() == 1U);
+    store.isCut = true;
+    while (store.failures == 0) {
+        std::this_thread::yield();
+    }
+    const TimePoint namedAt = BootClock::now();
+    store.name(2);
+    std::this_thread::sleep_for(1200ms);
+    store.isCut = false;
+    const auto all = heard.waitFor(2);
+    duty.stop();
+    duty.join();
+    BOOST_REQUIRE(all.size() == 2U);
+
+    TargetDirectory directory(deadline);
+    auto targets = std::make_shared<TargetMap>();
+    Target engine;
+    engine.id = "e";
+    engine.service = "s";
+    engine.models = {{"m", 1}};
+    targets->emplace(engine.id, engine);
+    directory.setTargets(targets);
+    for (const NamedWeights &weights : all) {
+        directory.setNamedWeights(weights);
+    }
+    BOOST_TEST(!directory.engines(namedAt + deadline).at(0).isServing);
+}
+
+BOOST_FIXTURE_TEST_CASE(weightsNamedWhileAHostStandsStillCountFromTheirNaming, GatewayFixture)
+{
+    // Weights are named while a host stands still. It hears of them when it goes on, and counted the time for older ones from then.
+    constexpr Duration deadline = 2s;
+    onLoop([&](Gateway &gateway) {
+        GatewayLimits limits;
+        limits.weightsDeadline = deadline;
+        gateway.setLimits(limits);
+    });
+    const ScriptedTarget &engine = addEngine(
+        "e", {"m", 1}, [](ScriptedTarget::Connection &connection, const ScriptedTarget::Request &request) { connection.answer(request, 200, "old"); });
+    const TimePoint namedAt = BootClock::now();
+    holdUp(900ms);
+    onLoop([](Gateway &gateway) { gateway.setNamedWeights({"m", 2, BootClock::now()}); });
+    std::this_thread::sleep_for(namedAt + deadline - BootClock::now());
+    exchange(request("POST", "/safe/x", {}, "Lovageloft-Model: m\r\nLovageloft-Token-Count: 10,1\r\nLovageloft-Prefix-Hash: a:10\r\n"));
+    BOOST_TEST(engine.requests() == 0);
+}
