--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 #include "core/digest.h"
 #include "core/log.h"
 #include "gateway/caller_session.h"
+#include "gateway/gauges.h"
 #include "gateway/routed_request.h"
 
 namespace Lovageloft
@@ -300,6 +301,11 @@
     return pool_;
 }
 
+const TargetPool &Gateway::pool() const
+{
+    return pool_;
+}
+
 CallerLimits Gateway::callerLimits() const
 {
     return table_ != nullptr ? table_->limits : CallerLimits{};
@@ -548,30 +554,10 @@
     if (path != "/metrics") {
         return operatorView_.answer(path);
     }
-    updateGauges();
+    setGauges(metrics_, *this);
     return {200, metrics_.text(), "text/plain; version=0.0.4"};
 }
 
-void Gateway::updateGauges()
-{
-    const TimePoint now = BootClock::now();
-    metrics_.set("lovageloft_requests_waiting", static_cast<double>(dispatch_.waitingCount()));
-    metrics_.set("lovageloft_requests_running", static_cast<double>(dispatch_.runningCount()));
-    metrics_.set("lovageloft_key_proof_age_seconds", toSeconds(proofAge(now)));
-    metrics_.set("lovageloft_idle_target_connections", static_cast<double>(pool_.idleCount()));
-    metrics_.set("lovageloft_configuration_version", table_ != nullptr ? static_cast<double>(table_->version) : 0);
-    metrics_.set("lovageloft_targets_known", static_cast<double>(directory_.all().size()));
-    metrics_.set("lovageloft_targets_overdue_seconds", toSeconds(dispatch_.enginesOverdue(now)));
-    metrics_.set("lovageloft_weights_age_seconds", toSeconds(now - directory_.newestNamedAt().value_or(now)));
-    metrics_.set("lovageloft_ready", isReady(now) ? 1 : 0);
-    metrics_.set("lovageloft_leader", leader_ == options_.hostName ? 1 : 0);
-    const LogCounts lines = logCounts();
-    metrics_.raiseTo("lovageloft_log_lines_dropped_total", {}, lines.dropped);
-    for (const auto &[event, count] : lines.suppressed) {
-        metrics_.raiseTo("lovageloft_log_lines_suppressed_total", {{"event", event}}, count);
-    }
-}
-
 bool Gateway::isReady(TimePoint now) const
 {
     return !drainStartedAt_ && hasTargets_ && isKeyProofValid(now);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -123,6 +123,7 @@
     TargetDirectory &targets();
     const TargetDirectory &targets() const;
     TargetPool &pool();
+    const TargetPool &pool() const;
 
     RequestDispatch &dispatch();
     const RequestDispatch &dispatch() const;
@@ -178,7 +179,6 @@
     void continueDrain();
     StatusAnswer readinessAnswer(std::string_view path);
     StatusAnswer metricsAnswer(std::string_view path);
-    void updateGauges();
     void noteWithdrawnKeys(const RoutingTable &next) const;
     void applyTeamLimits();
     void applyRetryLimits();
--- /dev/null
+++ b/gateway/gauges.cpp
@@ -0,0 +1,30 @@
+#include "gateway/gauges.h"
+
+#include "core/log.h"
+#include "gateway/gateway.h"
+
+namespace Lovageloft
+{
+
+void setGauges(Metrics &metrics, const Gateway &gateway)
+{
+    const TimePoint now = BootClock::now();
+    const auto table = gateway.table();
+    metrics.set("lovageloft_requests_waiting", static_cast<double>(gateway.dispatch().waitingCount()));
+    metrics.set("lovageloft_requests_running", static_cast<double>(gateway.dispatch().runningCount()));
+    metrics.set("lovageloft_key_proof_age_seconds", toSeconds(gateway.proofAge(now)));
+    metrics.set("lovageloft_idle_target_connections", static_cast<double>(gateway.pool().idleCount()));
+    metrics.set("lovageloft_configuration_version", table != nullptr ? static_cast<double>(table->version) : 0);
+    metrics.set("lovageloft_targets_known", static_cast<double>(gateway.targets().all().size()));
+    metrics.set("lovageloft_targets_overdue_seconds", toSeconds(gateway.dispatch().enginesOverdue(now)));
+    metrics.set("lovageloft_weights_age_seconds", toSeconds(now - gateway.targets().newestNamedAt().value_or(now)));
+    metrics.set("lovageloft_ready", gateway.isReady(now) ? 1 : 0);
+    metrics.set("lovageloft_leader", gateway.leader() == gateway.hostName() ? 1 : 0);
+    const LogCounts lines = logCounts();
+    metrics.raiseTo("lovageloft_log_lines_dropped_total", {}, lines.dropped);
+    for (const auto &[event, count] : lines.suppressed) {
+        metrics.raiseTo("lovageloft_log_lines_suppressed_total", {{"event", event}}, count);
+    }
+}
+
+} // namespace Lovageloft
