A connection that stands outlives the time that it had for connecting

What callers saw: nothing reported; after a standstill of more than 400 ms while connecting, a call that must run once was answered as "may have run" and one that may be repeated ran twice, though target and network were well. Cause: TcpConnection's connect timer and the connection itself become ready in one turn of the event loop. The connection's handler runs first and sends the call; its cancel() finds no waiting timer, and the timer's handler runs without an error and closes the connection. Excluded: the other use of the timer (lingering) ends in close(), which may run twice; adopted connections arm no timer to connect. Change: the connection remembers that it stands, and the timer's handler looks at that. A timer that runs first still closes the connection: nothing was sent by then, and the request goes elsewhere as not sent.

--- a/drivers/tcp_connection.cpp
+++ b/drivers/tcp_connection.cpp
@@ -79,11 +79,14 @@
     configure(connection->socket_);
     connection->timer_.expires_after(timeout);
     connection->timer_.async_wait([connection](const ErrorCode &waited) {
-        if (!waited) {
+        // A loop that stood still for longer finds the connection and the end of its time at once, and this handler can't be cancelled
+        // any more. A connection closed here would take the call with it that has just been sent.
+        if (!waited && !connection->isConnected_) {
             connection->finish(true);
         }
     });
     connection->socket_.async_connect({ip, address.port}, [connection](const ErrorCode &connected) {
+        connection->isConnected_ = !connected;
         connection->timer_.cancel();
         if (connected) {
             connection->finish(true);
--- a/drivers/tcp_connection.h
+++ b/drivers/tcp_connection.h
@@ -93,6 +93,7 @@
     TcpEvents *events_ = nullptr;
     std::string unsent_;
     bool isOpen_ = true;
+    bool isConnected_ = false; ///< After `connect` only.
     bool isReadArmed_ = false;
     bool isWriteArmed_ = false;
     bool isPaused_ = false;
