A failing test: a host that hears by its watch that its key is gone is never listed again

A host that was frozen for longer than its lease hears by its watch that its own key is deleted, before a renewal has told it that the lease is gone. It then writes the key under that lease, gets NotFound, and tries the same again for good: the renewal comes after the write and is never reached. Other hosts ignore it and divide the teams' rates among themselves, while it serves callers still. The test plays it with a store in memory whose clock it moves. A second case lets the renewal come first, which was untested.

--- /dev/null
+++ b/tests/platform/test_host_listed_again.cpp
@@ -0,0 +1,131 @@
+#define BOOST_TEST_MODULE host_listed_again
+#include <atomic>
+
+#include <boost/test/unit_test.hpp>
+
+#include "coordination/forwarding_store.h"
+#include "coordination/memory_store.h"
+#include "core/metrics.h"
+#include "gateway/gateway.h"
+#include "gateway/host_duty.h"
+#include "platform/protocols.h"
+
+using namespace Lovageloft;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr Duration patience = 5s;
+constexpr std::string_view hostKey = "fleet/hosts/a";
+
+/// A store in memory whose clock the test moves, and whose watches may be deaf.
+class MovedStore final : public ForwardingStore
+{
+public:
+    MovedStore()
+        : ForwardingStore(memory)
+    {
+    }
+
+    StoreListReply watch(std::string_view prefix, std::int64_t afterRevision, Duration timeout) override
+    {
+        constexpr Duration shortWait = 20ms; // So that the duty ends soon when the test does.
+        StoreListReply reply = memory.watch(prefix, afterRevision, std::min(timeout, shortWait));
+        if (isDeaf) {
+            reply.entries.clear();
+        }
+        return reply;
+    }
+
+    /// Lets the time pass that a host stands still for; leases lapse by it.
+    void passTime(Duration time)
+    {
+        passed = passed.load() + time;
+    }
+
+    std::atomic<Duration> passed = Duration::zero();
+    std::atomic<bool> isDeaf = false;
+    MemoryStore memory{[this] { return BootClock::now() + passed.load(); }};
+};
+
+struct HostFixture
+{
+    explicit HostFixture(Duration lifetime = 1h)
+        : duty(store, gateway, options(lifetime))
+    {
+        duty.start();
+    }
+
+    ~HostFixture()
+    {
+        duty.stop();
+        duty.join();
+    }
+
+    static HostDuty::Options options(Duration lifetime)
+    {
+        HostDuty::Options options;
+        options.prefix = "fleet/";
+        options.hostsPrefix = "fleet/hosts/";
+        options.weightsPrefix = "fleet/weights/";
+        options.hostName = "a";
+        options.peers = {"127.0.0.1", 1};
+        options.lifetime = lifetime;
+        options.leaderKey = "fleet/leader";
+        options.onLeaderGone = [] {};
+        return options;
+    }
+
+    /// Whether other hosts see this one before the test's patience ends.
+    bool isListedInTime()
+    {
+        const TimePoint limit = BootClock::now() + patience;
+        while (BootClock::now() < limit) {
+            if (store.get(hostKey).status == StoreStatus::Ok) {
+                return true;
+            }
+            std::this_thread::sleep_for(5ms);
+        }
+        return false;
+    }
+
+    Metrics metrics;
+    PlatformCallerProtocol callerProtocol;
+    PlatformTargetProtocol targetProtocol;
+    Gateway gateway{GatewayOptions{}, callerProtocol, targetProtocol, metrics};
+    MovedStore store;
+    HostDuty duty;
+};
+
+constexpr Duration shortLifetime = 600ms;
+
+struct ShortLeaseFixture : HostFixture
+{
+    ShortLeaseFixture()
+        : HostFixture(shortLifetime)
+    {
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(aHostWhoseKeyWentWithItsLeaseIsListedAgain, HostFixture)
+{
+    // A host is frozen by its machine for longer than its lease lives. When it goes on, its watch tells it that its own key is deleted
+    // before a renewal has told it that the lease is gone, and it writes the key under the lease that no longer exists. A host that goes
+    // on doing so is never listed again: the others ignore it and divide the teams' rates among themselves, while it serves callers
+    // still, so that teams get more than their limits.
+    BOOST_REQUIRE(isListedInTime());
+    store.passTime(2h);
+    BOOST_TEST(isListedInTime());
+}
+
+BOOST_FIXTURE_TEST_CASE(aHostThatHearsOfItsLapsedLeaseByARenewalIsListedAgain, ShortLeaseFixture)
+{
+    // The same, but the store's watch has not told of the deletion yet when the host renews its lease.
+    BOOST_REQUIRE(isListedInTime());
+    store.isDeaf = true;
+    store.passTime(shortLifetime * 2);
+    BOOST_TEST(isListedInTime());
+}
