A host whose lease ended takes a new one, whoever tells it first

What callers saw: nothing reported; a host that was frozen for longer than its lease (two key proof windows) could stay unlisted until its restart, so that the sum of the hosts' parts of a team's rate passed one, and the other hosts ignored it. Cause: HostDuty::step writes the key before it renews the lease. When the watch told of the key's deletion first, the write under the ended lease got NotFound, which counted as any failed write; the renewal, the only one to take a new lease, was never reached. Excluded: a store that is away or a key that another process of the host holds (Unavailable, AnswerLost, Conflict): these are tried again under the same lease as before. A watch that hears of nothing: the renewal tells, as the second case of the test shows. Change: NotFound for the write means that the lease is gone, as it does for the renewal; both forget it, log host_lease_lapsed and take a new one.

--- a/gateway/host_duty.cpp
+++ b/gateway/host_duty.cpp
@@ -61,9 +61,7 @@
     if (now >= nextRenewal_) {
         const StoreLeaseReply reply = store_.keepAlive(leaseId_);
         if (reply.status == StoreStatus::NotFound) {
-            writeLog(LogLevel::Warning, "host_lease_lapsed", {{"lease", leaseId_}});
-            leaseId_ = 0;
-            isWritten_ = false;
+            forgetLease();
             return true;
         }
         if (reply.status != StoreStatus::Ok) {
@@ -96,10 +94,23 @@
     const std::int64_t revision = known.status == StoreStatus::Ok ? known.entry.revision : 0;
     const std::string value = options_.peers.host + ':' + std::to_string(options_.peers.port);
     const StoreReply reply = store_.compareAndSwap(key_, revision, value, leaseId_);
+    if (reply.status == StoreStatus::NotFound) {
+        // After a standstill the watch can tell of the deleted key before a renewal tells of the lapsed lease. No renewal comes before
+        // the key is written: without a new lease the other hosts would never count this one again.
+        forgetLease();
+        return false;
+    }
     isWritten_ = reply.status == StoreStatus::Ok;
     return isWritten_;
 }
 
+void HostDuty::forgetLease()
+{
+    writeLog(LogLevel::Warning, "host_lease_lapsed", {{"lease", leaseId_}});
+    leaseId_ = 0;
+    isWritten_ = false;
+}
+
 bool HostDuty::followHosts()
 {
     if (watchFrom_ == 0 && !readAll()) {
--- a/gateway/host_duty.h
+++ b/gateway/host_duty.h
@@ -41,6 +41,7 @@
     bool step();
     bool takeLease();
     bool writeKey();
+    void forgetLease();
     bool followHosts();
     bool readAll();
     void take(const StoreEntry &entry);
