A caller's timer that was set anew is not taken for the one before

What callers saw: nothing reported; 408 and a closed connection for a request whose first part came while the host stood still, if the connection's idle time ended meanwhile, though the time for the request had just begun. Cause: bytes and the end of the idle time become ready in one turn of the event loop. Reading the bytes sets the timer anew, which can't cancel a handler that is queued already; it runs without an error and finds a request that is arriving. Excluded, read for the same pattern and left as they are: RoutedRequest::onTimer compares its limits with the clock and waits again; RequestDispatch only looks at the queue once more; the gateway's ticks and drain have one chain each and nobody cancels or sets them from elsewhere; the timer for waiting requests finds none; FleetLink's compares deadlines; TargetConnection has no timer but TcpConnection's. Change: the handler returns if the timer's present expiry is still to come.

--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -269,6 +269,11 @@
     if (isClosed_ || request_ != nullptr) {
         return;
     }
+    // A loop that stood still finds bytes and the end of the time for them at once. Reading them sets the timer anew, but can't call
+    // this handler back: a caller whose request has just begun would be refused as too slow.
+    if (timer_.expiry() > boost::asio::steady_timer::clock_type::now()) {
+        return;
+    }
     if (parser_.isWithinMessage()) {
         refuse({ResultCode::CallerTooSlow, "request did not arrive in time"});
     } else {
