A connection whose request waits to be read is not closed as idle

What callers saw: nothing reported; a reset on kept connections after a standstill within which the idle time ended, and no way to know whether a call that must run once had run. Cause: the event loop takes 128 events a turn and then all timers that have ended, so that with more connections the idle time of some ends before their bytes are read. Change: before it closes an idle connection, CallerSession asks it whether something waits to be read, as the pool of target connections does before it uses one. The read that follows sets the timer anew, or ends the session if the caller left. Not changed: a request that is still arriving when its time ends gets 408 although its rest may lie in the kernel; it is told truly that it did not run.

--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -276,7 +276,11 @@
     }
     if (parser_.isWithinMessage()) {
         refuse({ResultCode::CallerTooSlow, "request did not arrive in time"});
-    } else {
+        return;
+    }
+    // Bytes that wait to be read set the timer anew. Closed with a request unread, the connection would be reset, and the caller couldn't
+    // know whether the request ran.
+    if (tcp_->isQuiet()) {
         close();
     }
 }
