The stand-in for the platform's store refuses a write under a lease that has ended

What callers saw: nothing; tests could not see the fault of the commits on the host's lease through KvStore. Cause: the stand-in turned NotFound into Ok wherever the key was expected not to exist, which is meant for confirmations. A first write under an ended lease was answered 200 and not done, where the users' pages say 404. Change: such a write gets 404; leasesEndTheirKeys checks that KvStore tells NotFound then, on which HostDuty relies.

--- a/tests/platform/test_kv_store.cpp
+++ b/tests/platform/test_kv_store.cpp
@@ -65,6 +65,8 @@
     BOOST_TEST((store.revokeLease(lease.leaseId).status == StoreStatus::Ok));
     BOOST_TEST((store.get("x/a").status == StoreStatus::NotFound));
     BOOST_TEST((store.keepAlive(lease.leaseId).status == StoreStatus::NotFound));
+    BOOST_TEST((store.compareAndSwap("x/a", 0, "2", lease.leaseId).status == StoreStatus::NotFound));
+    BOOST_TEST((store.get("x/a").status == StoreStatus::NotFound));
 }
 
 BOOST_AUTO_TEST_CASE(aLostAnswerIsNotTakenForAFailure)
--- a/tests/stand_ins/stand_in_kv_store.cpp
+++ b/tests/stand_ins/stand_in_kv_store.cpp
@@ -187,6 +187,10 @@
     if (writes->size() > 0) {
         const auto write = writes->getObject(0);
         reply = memory_.compareAndSwap(key, revision, decode(write->getValue<std::string>("value")), write->getValue<std::int64_t>("lease"));
+        if (reply.status == StoreStatus::NotFound) {
+            status = notFound; // No such lease.
+            return "{}";
+        }
     } else if (call->getArray("remove")->size() > 0) {
         reply = memory_.compareAndDelete(key, revision);
     } else {
