--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -28,6 +28,10 @@
 /// another host.
 constexpr Duration configurationWait = std::chrono::milliseconds(40);
 
+/// How long other hosts are asked when weights were named though this one seems to have heard at once: a cut that healed while it waited for
+/// the store leaves no trace here. Some datagrams may be lost, and others may hear a moment later.
+constexpr Duration ageQuestionTime = std::chrono::seconds(1);
+
 constexpr Duration tickTime = std::chrono::milliseconds(250);
 constexpr Duration drainTick = std::chrono::milliseconds(50);
 
@@ -154,12 +158,12 @@
 
 void Gateway::setNamedWeights(const NamedWeights &weights)
 {
+    const TimePoint now = BootClock::now();
     NamedWeights heard = weights;
-    heard.unheard = std::max(heard.unheard, standstills_.justEnded(BootClock::now()));
+    heard.unheard = std::max(heard.unheard, standstills_.justEnded(now) - (now - weights.learntAt));
     writeLog(LogLevel::Info, "weights_named", {{"model", weights.model}, {"version", weights.version}, {"unheard_ms", toMillis(heard.unheard)}});
     directory_.setNamedWeights(heard);
-    // Also where this host seems to have heard at once: a cut that healed while it waited for the store leaves no trace here.
-    fleet_.askWeightsAges();
+    agesAskedUntil_ = now + ageQuestionTime;
     onWeightsChanged();
 }
 
@@ -507,7 +511,7 @@
     standstills_.look(now);
     pool_.closeStale(now);
     fleet_.sayAlive(now);
-    if (directory_.needsAge(now)) {
+    if (now < agesAskedUntil_ || directory_.needsAge(now)) {
         fleet_.askWeightsAges();
     }
     dispatch_.renewEngines(now);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -216,6 +216,7 @@
     std::string leader_;
     bool hasTargets_ = false;
     Standstills standstills_;
+    TimePoint agesAskedUntil_;
     bool isAccepting_ = false;
     std::optional<TimePoint> drainStartedAt_;
     bool wasReady_ = false;
--- a/gateway/relayed_store.cpp
+++ b/gateway/relayed_store.cpp
@@ -231,8 +231,11 @@
         followed.lastChange = std::max(followed.lastChange, reply.entries.empty() ? 0 : reply.entries.back().revision);
         // Notices may have come while the store was asked. What the answer holds already must not be handed out after it.
         std::erase_if(followed.entries, [&reply](const auto &heard) { return heard.first.revision <= reply.revision; });
+        followed.unheard = followed.entries.empty() ? Duration::zero() : followed.unheard;
         followed.reached = std::max(followed.reached, reply.revision);
-        reply.unheard = std::max(Duration::zero(), askedAt - std::max(followed.heardAt, followed.readAt));
+        // A relay doesn't go by what the other says: with silent connections to the store the two would vouch for each other.
+        const TimePoint heardAt = isRelayNow ? followed.readAt : std::max(followed.heardAt, followed.readAt);
+        reply.unheard = std::max(Duration::zero(), askedAt - heardAt);
         followed.readAt = now_();
         followed.heardAt = isRelayNow ? followed.readAt : followed.heardAt;
         network = network_;
--- a/gateway/standstills.cpp
+++ b/gateway/standstills.cpp
@@ -22,8 +22,9 @@
 {
     const auto before = std::exchange(lookedAt_, now);
     if (before && now - *before > shortestStandstill) {
+        const bool goesOn = *before - endedAt_ < wakeTime; // It was awake too shortly to take up what had come.
+        length_ = now - (goesOn ? endedAt_ - length_ : *before);
         endedAt_ = now;
-        length_ = now - *before;
         writeLog(LogLevel::Warning, "host_stood_still", {{"ms", toMillis(length_)}});
     }
 }
--- a/gateway/standstills.h
+++ b/gateway/standstills.h
@@ -17,7 +17,7 @@
     /// To be called a few times a second.
     void look(TimePoint now);
 
-    /// How long the process had stood still if it does until now or did until a moment ago; else zero.
+    /// The time since a standstill began that ends now or ended a moment ago; else zero. Standstills right after one another count as one.
     Duration justEnded(TimePoint now) const;
 
 private:
--- a/gateway/target.h
+++ b/gateway/target.h
@@ -51,9 +51,9 @@
 {
     std::string model;
     std::int64_t version = 0;
-    TimePoint learntAt; ///< When this host heard of them.
+    TimePoint learntAt; ///< When this host heard of them; in TargetDirectory when they were named, as far as is known.
     bool wereThereAtStart = false; ///< It read them when it started: they may have been named long before.
-    Duration unheard{}; ///< For how long before that nothing would have been heard of them: cut off, or standing still.
+    Duration unheard{}; ///< For how long before it heard the host was cut off or stood still: they may have been named any time in it.
 };
 
 /// Whether weights count as named when they were heard of. A shorter silence is within what is left after `useOfOlderWeights`.
--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -74,8 +74,10 @@
     // Counted from when they were heard of, a host that restarts, or that was cut off or stood still while they were named, would go on
     // sending to engines that were left out of the round for as long again; counted as long past, a fleet that restarts right after new
     // weights were named would have no engine.
-    const Duration youth = youthOfWeights(weightsDeadline_);
-    versions.back().learntAt -= weights.wereThereAtStart ? youth : std::min(youth, weights.unheard);
+    if (!isAgeKnown(weights)) {
+        const Duration youth = youthOfWeights(weightsDeadline_);
+        versions.back().learntAt -= weights.wereThereAtStart ? youth : std::min(youth, weights.unheard);
+    }
     // Once a version's deadline has passed, the ones before it tell nothing more.
     const auto isPast = [&](const NamedWeights &known) { return weights.learntAt >= known.learntAt + weightsDeadline_; };
     while (versions.size() > 2 && isPast(versions[1])) {
--- a/gateway/weights_records.cpp
+++ b/gateway/weights_records.cpp
@@ -28,7 +28,7 @@
 {
     const std::string name = nameOf(weights);
     const Duration left = weights.learntAt + youth_ - now;
-    if (!isAgeKnown(weights) || left < shortestLease || now < nextTry_ || kept_.contains(name)) {
+    if (weights.wereThereAtStart || left < shortestLease || now < nextTry_ || kept_.contains(name)) {
         return;
     }
     const bool isWritten = write(weights, left);
--- a/tests/gateway/test_relayed_store.cpp
+++ b/tests/gateway/test_relayed_store.cpp
@@ -359,4 +359,40 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(aRelayTellsForHowLongItHeardNothing)
+{
+    // A relay's connection to the store is dead for a while, though the other relay and the rest of its calls are well, and a key is written
+    // meanwhile. Whoever takes the time of the notice for that of the writing counts from too late.
+    RelayedStore &relay = *views[relays[0]];
+    RelayedStore &other = *views[others[0]];
+    const std::int64_t from = relay.list("x/").revision;
+    other.list("x/");
+    store.isDown = true;
+    relay.watch("x/", from, 10ms);
+    std::this_thread::sleep_for(600ms);
+    views[relays[1]]->list("x/");
+    views[relays[1]]->sayAlive();
+    store.isDown = false;
+    write("x/a", "1");
+    const StoreListReply own = relay.watch("x/", from, 1s);
+    const StoreListReply heard = other.watch("x/", from, 1s);
+    BOOST_REQUIRE(own.entries.size() == 1U);
+    BOOST_REQUIRE(heard.entries.size() == 1U);
+    BOOST_TEST((own.unheard >= 600ms));
+    BOOST_TEST((heard.unheard >= 600ms));
+    write("x/a", "2");
+    BOOST_TEST((relay.watch("x/", own.revision, 1s).unheard < 500ms));
+    BOOST_TEST((other.watch("x/", heard.revision, 1s).unheard < 500ms));
+}
+
+BOOST_AUTO_TEST_CASE(aHostWhoseRelaysAreSilentCountsFromTheirLastWord)
+{
+    RelayedStore &other = *views[others[0]];
+    const std::int64_t from = other.list("x/").revision;
+    write("x/a", "1");
+    const StoreListReply heard = other.watch("x/", from, 3s);
+    BOOST_REQUIRE(heard.entries.size() == 1U);
+    BOOST_TEST((heard.unheard >= 1s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/gateway/test_target_directory.cpp
+++ b/tests/gateway/test_target_directory.cpp
@@ -130,6 +130,29 @@
     BOOST_TEST(!directory.learnAge({"other", 1, start}));
 }
 
+BOOST_AUTO_TEST_CASE(ofTwoHostsThatKnowTheOneThatHeardFirstIsNearer)
+{
+    // A host's cut heals while it waits for the store: nothing shows that it heard three seconds late, and it believes that it knows.
+    directory.setNamedWeights({"m", 2, start + 3s});
+    BOOST_TEST(!directory.learnAge({"m", 2, start + 4s}));
+    BOOST_TEST(directory.learnAge({"m", 2, start}));
+    BOOST_TEST(!isServing("e1|m", start + 7s));
+    BOOST_TEST(!directory.learnAge({"m", 2, start - 1ms})); // Datagrams take as long.
+}
+
+BOOST_AUTO_TEST_CASE(aHostThatHeardLateAsksAndDoesNotTell)
+{
+    // It stood still for three seconds. What it makes of that is a guess, which must not be spread as knowledge.
+    directory.setNamedWeights({"m", 2, start + 3s, false, 3s});
+    BOOST_TEST(directory.needsAge(start + 3s));
+    BOOST_TEST(directory.namedWithKnownAge().empty());
+    BOOST_TEST(isServing("e1|m", start + 6s));
+    BOOST_TEST(!isServing("e1|m", start + 7s));
+    BOOST_TEST(directory.learnAge({"m", 2, start + 2s}));
+    BOOST_TEST(isServing("e1|m", start + 8s));
+    BOOST_TEST((directory.newestNamed().at(0).learntAt == start + 2s));
+}
+
 BOOST_AUTO_TEST_CASE(anEngineThatRefusesTheExpectedWeightsHasTheNewest)
 {
     // An engine has loaded before its entry says so, and refuses each request that expects the old weights. Were the entry believed
