Older weights take a request only if it is expected to begin in time

Callers got answers from weights that had been replaced more than eight seconds before: requests sent 6.5 to 6.77 s after the naming to an engine that still had older weights began after 8.2 to 8.9 s.

Cause: hosts stopped using such engines 6.8 s after the naming whatever the request was, and had 1.2 s for all that waits. The scheduler had no time to compare its expectation with.

Change: the list of engines carries until when requests may begin on them (SchedulerEngine::lastBegin, 17/20 of the deadline as before), and placement leaves an engine out where now and twice the expected time to the first token come after it. It counts as not serving then: the request goes to newer weights, or is refused at once if none can take it. Dispatches move out of Placement into DispatchTable, unchanged.

Excluded: that the wait can't be foreseen. An earlier end for long prompts only would miss short ones behind them; for all, it would take short requests from engines that are idle.

--- a/decision/placement.cpp
+++ b/decision/placement.cpp
@@ -149,23 +149,14 @@
 
 DispatchId Placement::onDispatched(const PlacementRequest &request, const PlacementDecision &decision, TimePoint now)
 {
-    if (freeDispatches_.empty()) {
-        freeDispatches_.push_back(static_cast<std::uint32_t>(dispatches_.size()));
-        dispatches_.emplace_back();
-    }
-    const std::uint32_t slot = freeDispatches_.back();
-    freeDispatches_.pop_back();
     Engine &engine = engines_[decision.engine];
-    Dispatch &dispatch = dispatches_[slot];
-    dispatch = Dispatch{.id = (++dispatchSerial_ << 32U) | slot,
-                        .engine = decision.engine,
-                        .epoch = engine.epoch,
-                        .sentAt = now,
-                        .usualFirstToken = decision.usualFirstToken,
-                        .expectedCachedTokens = decision.expectedCachedTokens,
-                        .isOpen = true};
+    const DispatchId id = dispatches_.open({.engine = decision.engine,
+                                            .epoch = engine.epoch,
+                                            .sentAt = now,
+                                            .usualFirstToken = decision.usualFirstToken,
+                                            .expectedCachedTokens = decision.expectedCachedTokens});
     ++engine.inFlight;
-    engine.unanswered.push_back(dispatch.id);
+    engine.unanswered.push_back(id);
     engine.load.dispatched(now, decision.expectedWork);
     for (const VersionedChain &chain : request.chains) {
         if (chain.modelVersion != decision.modelVersion) {
@@ -180,12 +171,12 @@
         const double tailWork = static_cast<double>(tailTokens) * engine.prefillSecondsPerToken;
         heat_.add(chain.blocks, (tailWork + outputWork) * policy_.hostCount, now);
     }
-    return dispatch.id;
+    return id;
 }
 
 void Placement::onFirstToken(DispatchId id, std::optional<std::uint32_t> cachedTokens, TimePoint now)
 {
-    Dispatch *dispatch = findDispatch(id);
+    Dispatch *dispatch = dispatches_.find(id);
     if (dispatch == nullptr || dispatch->isAnswered) {
         return;
     }
@@ -205,7 +196,7 @@
 
 void Placement::onFinished(DispatchId id, TimePoint now)
 {
-    Dispatch *dispatch = findDispatch(id);
+    Dispatch *dispatch = dispatches_.find(id);
     if (dispatch == nullptr) {
         return;
     }
@@ -218,7 +209,7 @@
 
 void Placement::onFailed(DispatchId id, TimePoint now)
 {
-    Dispatch *dispatch = findDispatch(id);
+    Dispatch *dispatch = dispatches_.find(id);
     if (dispatch == nullptr) {
         return;
     }
@@ -230,7 +221,7 @@
 
 void Placement::onCancelled(DispatchId id)
 {
-    Dispatch *dispatch = findDispatch(id);
+    Dispatch *dispatch = dispatches_.find(id);
     if (dispatch != nullptr) {
         close(*dispatch);
     }
@@ -312,6 +303,7 @@
     engine.isListed = true;
     engine.isServing = status.isServing;
     engine.isRemote = status.isRemote;
+    engine.lastBegin = status.lastBegin;
     engine.modelVersion = status.modelVersion;
     engine.prefillSecondsPerToken = 1 / std::max(1.0, status.prefillTokensPerSecond);
     engine.batchLimit = status.batchLimit;
@@ -464,17 +456,20 @@
     if (!engine.isServing) {
         return;
     }
-    choice.sawServing = true;
-    if (!isUsable(choice, index)) {
-        return;
-    }
-    const bool isProbe = health_.isEjected(index);
     const PlacementRequest &request = *choice.request;
     const double held = std::min<double>(request.promptTokens, static_cast<double>(heldBlocks) * policy_.blockTokens) * engine.cacheTrust;
     const double work = prefillSeconds(engine, held, request.promptTokens - held);
     const double usualWait = engine.load.wait(choice.now) + slotWaitOf(engine);
     const double wait = waitOf(engine, index, choice.now);
     const double slowWork = health_.slowness(index) * work;
+    if (!beginsInTime(engine, wait + slowWork, choice.now)) {
+        return;
+    }
+    choice.sawServing = true;
+    if (!isUsable(choice, index)) {
+        return;
+    }
+    const bool isProbe = health_.isEjected(index);
     if (isProbe && (work > mostProbeWork || !canBegin(engine, usualWait))) {
         return;
     }
@@ -522,6 +517,15 @@
     return wait <= (engine.isOpen ? policy_.openWait : policy_.closedWait);
 }
 
+/// Whether a request whose first token is expected in `firstToken` seconds may go to an engine that is used until a certain time only.
+/// A request begins with its first token: long, or sent behind long ones, it would begin on weights that may not be used any more,
+/// and its caller get an answer from them. An engine left out here counts as not serving, so that a request that no other engine can
+/// take is refused at once.
+bool Placement::beginsInTime(const Engine &engine, double firstToken, TimePoint now) const
+{
+    return !engine.lastBegin || now + fromSeconds(policy_.lastBeginFactor * firstToken) < *engine.lastBegin;
+}
+
 /// Expected seconds until the engine would begin with a prompt sent now.
 double Placement::waitOf(const Engine &engine, EngineIndex index, TimePoint now) const
 {
@@ -542,12 +546,12 @@
 /// would else look idle; what is late by some time may well take as long again, so that is added to the wait.
 double Placement::latenessOf(const Engine &engine, TimePoint now) const
 {
-    if (engine.unanswered.empty()) {
+    const Dispatch *oldest = engine.unanswered.empty() ? nullptr : dispatches_.find(engine.unanswered.front());
+    if (oldest == nullptr) {
         return 0;
     }
-    const Dispatch &oldest = dispatches_[engine.unanswered.front() & 0xffffffffU];
-    const double late = toSeconds(now - oldest.sentAt) - oldest.usualFirstToken;
-    return late > latenessSeconds && late > latenessRatio * oldest.usualFirstToken ? late : 0;
+    const double late = toSeconds(now - oldest->sentAt) - oldest->usualFirstToken;
+    return late > latenessSeconds && late > latenessRatio * oldest->usualFirstToken ? late : 0;
 }
 
 /// An engine's own progress shows within a second or two that it has become slow, to all hosts. From answers alone each host would
@@ -565,32 +569,22 @@
     health_.observe(index, elapsed / std::max(computedSeconds, elapsed / slowestSpeed), now);
 }
 
-Placement::Dispatch *Placement::findDispatch(DispatchId id)
-{
-    const std::uint64_t slot = id & 0xffffffffU;
-    if (slot >= dispatches_.size() || dispatches_[slot].id != id || !dispatches_[slot].isOpen) {
-        return nullptr;
-    }
-    return &dispatches_[slot];
-}
-
-void Placement::close(Dispatch &dispatch)
+void Placement::close(const Dispatch &dispatch)
 {
-    dispatch.isOpen = false;
-    dispatch.isAnswered = true;
     Engine &engine = engines_[dispatch.engine];
-    if (engine.epoch == dispatch.epoch) {
+    const bool isSameEngine = engine.epoch == dispatch.epoch;
+    dispatches_.close(dispatch.id);
+    if (isSameEngine) {
         --engine.inFlight;
         dropAnswered(engine);
     }
-    freeDispatches_.push_back(static_cast<std::uint32_t>(dispatch.id & 0xffffffffU));
 }
 
 void Placement::dropAnswered(Engine &engine)
 {
     while (!engine.unanswered.empty()) {
-        const Dispatch &oldest = dispatches_[engine.unanswered.front() & 0xffffffffU];
-        if (oldest.id == engine.unanswered.front() && !oldest.isAnswered) {
+        const Dispatch *oldest = dispatches_.find(engine.unanswered.front());
+        if (oldest != nullptr && !oldest->isAnswered) {
             return;
         }
         engine.unanswered.pop_front();
--- a/decision/placement.h
+++ b/decision/placement.h
@@ -14,6 +14,7 @@
 #include "core/result_code.h"
 #include "decision/cache_budget.h"
 #include "decision/cache_view.h"
+#include "decision/dispatch_table.h"
 #include "decision/engine_health.h"
 #include "decision/engine_load.h"
 #include "decision/prefix_chain.h"
@@ -39,6 +40,7 @@
     double cacheTokens = 0; ///< Tokens that its memory holds; 0 while not known.
     bool isServing = true; ///< False: it is leaving or loading and gets no new work.
     bool isRemote = false; ///< In another data centre than this host.
+    std::optional<TimePoint> lastBegin = std::nullopt; ///< No request that may begin later is sent to it; not set while it serves without end.
 };
 
 /// The prompt's chain under one version of the weights that may answer it.
@@ -72,9 +74,6 @@
     bool isProbe = false; ///< Sent to find out whether an ejected engine has recovered.
 };
 
-/// Names a dispatched request until it has finished or failed.
-using DispatchId = std::uint64_t;
-
 /// What the choice weighs; docs/design/placing.md has the figures behind the defaults. Each candidate has a price in seconds: its
 /// wait and, times a factor, the prefill that it would have to do. The factor is recomputeWeight, pressureWeight times the mean
 /// wait of all engines, and the margin of what the candidate is.
@@ -94,6 +93,7 @@
     double strayMargin = 2.0; ///< Of engines that don't win the prefix's hash: a restarted host would not look there.
     double fallbackMargin = 2.0; ///< Of all other engines, weighed only once no candidate can begin with the request.
     double remoteWait = 0; ///< Seconds of wait that 1,000 bytes sent to another data centre are worth.
+    double lastBeginFactor = 2.0; ///< Times the expected time to the first token: what a request is given where it must begin in time.
     double openWait = 3.0; ///< Seconds of expected wait up to which an engine with room in its window is used.
     double closedWait = 1.0; ///< The same for one without room.
     double holdSlack = 0.3; ///< Square seconds: over the mean wait, by how much dearer than the best an engine may be that can begin now.
@@ -183,24 +183,12 @@
         bool isServing = false;
         bool isRemote = false;
         bool isOpen = true;
+        std::optional<TimePoint> lastBegin = std::nullopt;
         EngineLoad load = {};
         CacheBudget cache = {};
         std::deque<DispatchId> unanswered = {}; // In the order sent; those already answered are taken off when they come to the front.
     };
 
-    struct Dispatch
-    {
-        DispatchId id = 0;
-        EngineIndex engine = 0;
-        std::uint32_t epoch = 0;
-        TimePoint sentAt = {};
-        TimePoint firstTokenAt = {};
-        double usualFirstToken = 0;
-        std::uint32_t expectedCachedTokens = 0;
-        bool isAnswered = false;
-        bool isOpen = false;
-    };
-
     struct Version
     {
         ModelVersionId id = 0;
@@ -239,12 +227,12 @@
     void considerAll(Choice &choice, const Version &version);
     bool isUsable(const Choice &choice, EngineIndex engine) const;
     bool canBegin(const Engine &engine, double wait) const;
+    bool beginsInTime(const Engine &engine, double firstToken, TimePoint now) const;
     double slotWaitOf(const Engine &engine) const;
     double prefillSeconds(const Engine &engine, double held, double missed) const;
     double latenessOf(const Engine &engine, TimePoint now) const;
     void observeSpeed(EngineIndex index, const LoadReport &report, TimePoint now);
-    Dispatch *findDispatch(DispatchId id);
-    void close(Dispatch &dispatch);
+    void close(const Dispatch &dispatch);
     void dropAnswered(Engine &engine);
 
     PlacementPolicy policy_;
@@ -255,10 +243,8 @@
     std::vector<Engine> engines_;
     std::deque<EngineIndex> freeIndexes_;
     std::vector<Version> versions_;
-    std::vector<Dispatch> dispatches_;
-    std::vector<std::uint32_t> freeDispatches_;
+    DispatchTable dispatches_;
     double totalBacklog_ = 0; // Seconds, as of each engine's last report.
-    std::uint64_t dispatchSerial_ = 0;
     std::vector<BlockHash> droppedScratch_;
     std::vector<std::uint16_t> heldScratch_; // Blocks held by engine; all 0 between calls.
 };
--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -35,6 +35,7 @@
         status.incarnation = engine.incarnation;
         status.isServing = engine.isServing;
         status.isRemote = engine.isRemote;
+        status.lastBegin = engine.lastBegin;
         status.prefillTokensPerSecond = engine.prefillTokensPerSecond;
         status.batchLimit = engine.batchLimit;
         status.cacheTokens = engine.cacheTokens;
--- a/decision/request_scheduler.h
+++ b/decision/request_scheduler.h
@@ -31,6 +31,7 @@
     double cacheTokens = 0; ///< Tokens that its memory holds; 0 while not known.
     bool isServing = true;
     bool isRemote = false; ///< In another data centre than this host.
+    std::optional<TimePoint> lastBegin = std::nullopt; ///< No request that may begin later is sent to it; not set while it serves without end.
 };
 
 /// A request that needs an engine.
--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -238,6 +238,7 @@
             copy.model = target.service + nameSeparator + model.name;
             copy.weightsVersion = std::to_string(weightsOf(target, model.name));
             copy.isServing = copy.isServing && !isTooOld(target, model, now);
+            copy.lastBegin = lastBeginOn(target, model.name);
             engines.push_back(std::move(copy));
         }
     }
@@ -275,6 +276,24 @@
     return found == named_.end() ? 0 : found->second.back().version;
 }
 
+/// When requests may begin on the target's weights last, if newer ones are named.
+std::optional<TimePoint> TargetDirectory::lastBeginOn(const Target &target, std::string_view model) const
+{
+    const auto found = named_.find(model);
+    if (found == named_.end()) {
+        return std::nullopt;
+    }
+    const std::int64_t version = weightsOf(target, model);
+    std::optional<TimePoint> last;
+    for (const NamedWeights &named : found->second) {
+        const TimePoint end = named.learntAt + useOfOlderWeights(weightsDeadline_);
+        if (named.version > version && (!last || end < *last)) {
+            last = end;
+        }
+    }
+    return last;
+}
+
 bool TargetDirectory::isTooOld(const Target &target, const ServedModel &model, TimePoint now) const
 {
     const auto found = named_.find(model.name);
