--- a/gateway/fleet_link.cpp
+++ b/gateway/fleet_link.cpp
@@ -35,6 +35,11 @@
     peers_.close();
 }
 
+std::uint16_t FleetLink::port() const
+{
+    return peers_.port();
+}
+
 void FleetLink::setRelayedStore(RelayedStore &store)
 {
     relayedStore_ = &store;
--- a/gateway/fleet_link.h
+++ b/gateway/fleet_link.h
@@ -29,6 +29,9 @@
     bool open(const HostAddress &address, Reason &reason);
     void close();
 
+    /// The port for datagrams as bound.
+    std::uint16_t port() const;
+
     /// The store whose notices and proofs go through this host's datagrams. To be called before the event loop runs.
     void setRelayedStore(RelayedStore &store);
 
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -72,6 +72,12 @@
     socket_.close(ignored);
 }
 
+std::uint16_t PeerSocket::port() const
+{
+    boost::system::error_code ignored;
+    return socket_.local_endpoint(ignored).port();
+}
+
 void PeerSocket::setPeers(const std::map<std::string, HostAddress> &peers)
 {
     endpoints_.clear();
--- a/gateway/peer_socket.h
+++ b/gateway/peer_socket.h
@@ -125,6 +125,9 @@
     bool open(const HostAddress &address, Reason &reason);
     void close();
 
+    /// The port as bound, for an address that takes any free one.
+    std::uint16_t port() const;
+
     /// The other hosts by name.
     void setPeers(const std::map<std::string, HostAddress> &peers);
 
--- /dev/null
+++ b/tests/platform/test_datagrams.cpp
@@ -0,0 +1,190 @@
+#define BOOST_TEST_MODULE datagrams
+#include <atomic>
+#include <future>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/peer_socket.h"
+#include "tests/platform/gateway_fixture.h"
+
+using namespace Lovageloft;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Another host of the fleet, which talks to the gateway under test in datagrams.
+class OtherHost final : private PeerEvents
+{
+public:
+    explicit OtherHost(GatewayFixture &gateway)
+        : socket_(loop_, *this)
+    {
+        Reason reason;
+        BOOST_REQUIRE(socket_.open({"127.0.0.1", 0}, reason));
+        std::uint16_t gatewayPort = 0;
+        gateway.onLoop([&](Gateway &host) {
+            gatewayPort = host.fleet().port();
+            host.setHosts({{"host", {"127.0.0.1", gatewayPort}}, {"other", {"127.0.0.1", socket_.port()}}}, 0.5);
+        });
+        socket_.setPeers({{"host", {"127.0.0.1", gatewayPort}}});
+        thread_ = std::thread([this] { loop_.run(); });
+    }
+
+    ~OtherHost()
+    {
+        loop_.stop();
+        thread_.join();
+    }
+
+    /// Answers each question with this age of version 2.
+    void setAge(Duration age)
+    {
+        age_ = age;
+    }
+
+    template <typename Message>
+    void send(const Message &message)
+    {
+        boost::asio::post(loop_, [this, message] { tell(message); });
+    }
+
+    /// The age that the gateway tells; nothing within two seconds.
+    std::optional<Duration> ask()
+    {
+        send(WeightsQuestion{});
+        auto told = told_.get_future();
+        return told.wait_for(2s) == std::future_status::ready ? std::optional(told.get()) : std::nullopt;
+    }
+
+private:
+    void tell(const WeightsQuestion &question)
+    {
+        socket_.send("host", question);
+    }
+
+    void tell(const LoadingNotice &notice)
+    {
+        socket_.tellAll(notice);
+    }
+
+    void onWeightsQuestion(const std::string &host) override
+    {
+        if (age_.load() != Duration::zero()) {
+            socket_.send(host, WeightsAge{"m", 2, age_});
+        }
+    }
+
+    void onWeightsAge(const WeightsAge &age) override
+    {
+        told_.set_value(age.age);
+    }
+
+    void onDispatchNotice(const DispatchNotice & /*notice*/) override
+    {
+    }
+
+    void onLoadingNotice(const LoadingNotice & /*notice*/) override
+    {
+    }
+
+    void onTokenRequest(const std::string & /*host*/, const TokenRequest & /*request*/) override
+    {
+    }
+
+    void onTokenReply(const TokenReply & /*reply*/) override
+    {
+    }
+
+    void onChangesNotice(const ChangesNotice & /*notice*/) override
+    {
+    }
+
+    void onProofRequest(const std::string & /*host*/, const ProofRequest & /*request*/) override
+    {
+    }
+
+    void onProofReply(const ProofReply & /*reply*/) override
+    {
+    }
+
+    void onCacheStoreNotice(const CacheStoreNotice & /*notice*/) override
+    {
+    }
+
+    boost::asio::io_context loop_{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_ = boost::asio::make_work_guard(loop_);
+    PeerSocket socket_;
+    std::atomic<Duration> age_ = Duration::zero();
+    std::promise<Duration> told_;
+    std::thread thread_;
+};
+
+/// A gateway with one engine that has version 1, and another host.
+struct Fixture : GatewayFixture
+{
+    Fixture()
+        : other(*this)
+    {
+        onLoop([](Gateway &gateway) {
+            GatewayLimits limits;
+            limits.configurationWindow = 1h; // No proof of the configuration comes here.
+            limits.keyProofWindow = 1h;
+            gateway.setLimits(limits);
+        });
+        addEngine(
+            "e", {"m", 1}, [](ScriptedTarget::Connection &connection, const ScriptedTarget::Request &request) { connection.answer(request, 200, "old"); });
+    }
+
+    bool isServed()
+    {
+        const std::string fields = "Lovageloft-Model: m\r\nLovageloft-Token-Count: 10,1\r\nLovageloft-Prefix-Hash: a:10\r\n";
+        return exchange(request("POST", "/safe/x", {}, fields)).starts_with("HTTP/1.1 200 ");
+    }
+
+    OtherHost other;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(DatagramsTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(aHostThatHeardLateDoesNotTellItsGuessAndIsToldTheAge)
+{
+    // A host hears of weights after a standstill of three seconds. Another one knows that they were named more than seven seconds ago.
+    onLoop([](Gateway &gateway) { gateway.setNamedWeights({"m", 2, BootClock::now(), false, 3s}); });
+    BOOST_TEST(isServed());
+    BOOST_TEST(!other.ask().has_value());
+    other.setAge(7200ms);
+    const TimePoint limit = BootClock::now() + 3s;
+    while (isServed() && BootClock::now() < limit) {
+        std::this_thread::yield();
+    }
+    BOOST_TEST(!isServed());
+}
+
+BOOST_AUTO_TEST_CASE(aHostTellsAnAgeThatItKnows)
+{
+    onLoop([](Gateway &gateway) { gateway.setNamedWeights({"m", 2, BootClock::now() - 2s}); });
+    const auto age = other.ask();
+    BOOST_REQUIRE(age.has_value());
+    BOOST_TEST((*age >= 2s && *age < 4s));
+}
+
+BOOST_AUTO_TEST_CASE(aLoadThatIsHeardOfAfterAStandstillCountsFromBefore)
+{
+    // The host that orders the engines tells that one is going to load and is to be left alone for two seconds. The notice lies unread while
+    // a host stands still. That one left the engine alone for two seconds more, though it had long loaded: after a change of weights it
+    // used few engines for seconds, and its callers waited or were refused.
+    BOOST_TEST(isServed());
+    holdUp(1500ms);
+    const TimePoint sentAt = BootClock::now();
+    other.send(LoadingNotice{"e", 2s});
+    settle();
+    std::this_thread::sleep_for(sentAt + 2200ms - BootClock::now());
+    BOOST_TEST(isServed());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
