A load heard of after a standstill counts from before it

What callers may see: a host that stood still through a change of weights leaves engines alone that have long loaded, for up to six seconds. Cause: datagrams that tell of loads lie unread meanwhile and were counted from when they are read. Excluded: that the entries of the engines end it: a relay has them by another way, often before the datagrams. Change: the length of the standstill is taken off; what is then over is not taken up.

--- a/gateway/fleet_link.cpp
+++ b/gateway/fleet_link.cpp
@@ -144,7 +144,12 @@
 
 void FleetLink::onLoadingNotice(const LoadingNotice &notice)
 {
-    gateway_.leaveAlone(notice.target, notice.time);
+    // It may have lain unread while this host stood still. Counted from now, engines that have long loaded would be left alone for seconds,
+    // all of them after a change of weights; one that still loads declines, and is left alone then.
+    const Duration left = notice.time - gateway_.justStoodStill(BootClock::now());
+    if (left > Duration::zero()) {
+        gateway_.leaveAlone(notice.target, left);
+    }
     onOrderOfOther_(notice.target);
 }
 
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -199,6 +199,11 @@
     }
 }
 
+Duration Gateway::justStoodStill(TimePoint now) const
+{
+    return standstills_.justEnded(now);
+}
+
 void Gateway::setHosts(const std::map<std::string, HostAddress> &hosts, double share)
 {
     hosts_ = hosts;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -107,6 +107,9 @@
     /// Times and limits that were set anew.
     void setLimits(const GatewayLimits &limits);
 
+    /// The time since a standstill of this process began that ends now or ended a moment ago; else zero.
+    Duration justStoodStill(TimePoint now) const;
+
     /// Begins a graceful shutdown.
     void drain();
 
