--- a/tests/platform/test_datagrams.cpp
+++ b/tests/platform/test_datagrams.cpp
@@ -33,7 +33,7 @@
         thread_ = std::thread([this] { loop_.run(); });
     }
 
-    ~OtherHost()
+    ~OtherHost() override
     {
         loop_.stop();
         thread_.join();
