A host's silence is called silence

unheard was the name of how long a host would have heard nothing before it heard of weights; what users of the field would look for is silence, as in relaySilence. No change of behaviour; the log's field is silence_ms.

--- a/coordination/store.h
+++ b/coordination/store.h
@@ -45,7 +45,7 @@
     StoreStatus status = StoreStatus::Unavailable;
     std::vector<StoreEntry> entries; ///< A list: ascending by key. A watch: in the order of the writes.
     std::int64_t revision = 0;
-    Duration unheard{}; ///< From a store that hears of changes through others: for how long before the entries came they were silent.
+    Duration silence{}; ///< From a store that hears of changes through others: for how long before the entries came they were silent.
 };
 
 /// Answer to a call about a lease.
--- a/gateway/configuration_duty.cpp
+++ b/gateway/configuration_duty.cpp
@@ -46,7 +46,7 @@
         return false;
     }
     watchFrom_ = reply.revision;
-    const auto heard = hearing(BootClock::now(), reply.unheard);
+    const auto heard = hearing(BootClock::now(), reply.silence);
     for (const StoreEntry &entry : reply.entries) {
         feed_.take(entry, sentAt, heard);
     }
@@ -66,7 +66,7 @@
         return false;
     }
     watchFrom_ = std::max(watchFrom_, reply.revision);
-    const auto heard = hearing(BootClock::now(), reply.unheard);
+    const auto heard = hearing(BootClock::now(), reply.silence);
     for (const StoreEntry &entry : reply.entries) {
         feed_.take(entry, sentAt, heard);
     }
@@ -74,9 +74,9 @@
 }
 
 /// What is read after calls that failed, or after a gap in what a watch told, may have been written at any time since.
-ConfigurationFeed::Hearing ConfigurationDuty::hearing(TimePoint now, Duration unheard) const
+ConfigurationFeed::Hearing ConfigurationDuty::hearing(TimePoint now, Duration silence) const
 {
-    return {!hasRead_, std::max(unheard, deafSince_ ? now - *deafSince_ : Duration::zero())};
+    return {!hasRead_, std::max(silence, deafSince_ ? now - *deafSince_ : Duration::zero())};
 }
 
 void ConfigurationDuty::noteStore(bool isReachable)
--- a/gateway/configuration_duty.h
+++ b/gateway/configuration_duty.h
@@ -21,7 +21,7 @@
     bool readAll();
     bool watchOnce();
     void noteStore(bool isReachable);
-    ConfigurationFeed::Hearing hearing(TimePoint now, Duration unheard) const;
+    ConfigurationFeed::Hearing hearing(TimePoint now, Duration silence) const;
 
     Store &store_;
     const StoreRecords &records_;
--- a/gateway/configuration_feed.cpp
+++ b/gateway/configuration_feed.cpp
@@ -66,7 +66,7 @@
     // have their turn would be left out while they may be used.
     weights->learntAt = BootClock::now();
     weights->wereThereAtStart = hearing.isFirst;
-    weights->unheard = hearing.unheard;
+    weights->silence = hearing.silence;
     listeners_.onWeights(*weights);
 }
 
--- a/gateway/configuration_feed.h
+++ b/gateway/configuration_feed.h
@@ -30,7 +30,7 @@
     struct Hearing
     {
         bool isFirst = false; ///< This process has read nothing before.
-        Duration unheard{}; ///< For how long before nothing would have been heard of the entry.
+        Duration silence{}; ///< For how long before nothing would have been heard of the entry.
     };
 
     /// An entry that the store held at `provenAt`.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -160,8 +160,8 @@
 {
     const TimePoint now = BootClock::now();
     NamedWeights heard = weights;
-    heard.unheard = std::max(heard.unheard, standstills_.justEnded(now) - (now - weights.learntAt));
-    writeLog(LogLevel::Info, "weights_named", {{"model", weights.model}, {"version", weights.version}, {"unheard_ms", toMillis(heard.unheard)}});
+    heard.silence = std::max(heard.silence, standstills_.justEnded(now) - (now - weights.learntAt));
+    writeLog(LogLevel::Info, "weights_named", {{"model", weights.model}, {"version", weights.version}, {"silence_ms", toMillis(heard.silence)}});
     directory_.setNamedWeights(heard);
     agesAskedUntil_ = now + ageQuestionTime;
     onWeightsChanged();
--- a/gateway/peer_messages.capnp
+++ b/gateway/peer_messages.capnp
@@ -52,7 +52,7 @@
   after @1 :Int64;
   upTo @2 :Int64;
   entries @3 :List(Entry);
-  unheardMilliseconds @4 :UInt32; # For how long before the sender could not have heard of them.
+  silenceMilliseconds @4 :UInt32; # For how long before the sender could not have heard of them.
 
   struct Entry {
     key @0 :Text;
--- a/gateway/peer_messages.capnp.h
+++ b/gateway/peer_messages.capnp.h
@@ -794,7 +794,7 @@
   inline bool hasEntries() const;
   inline  ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
 
-  inline  ::uint32_t getUnheardMilliseconds() const;
+  inline  ::uint32_t getSilenceMilliseconds() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -844,8 +844,8 @@
   inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>> disownEntries();
 
-  inline  ::uint32_t getUnheardMilliseconds();
-  inline void setUnheardMilliseconds( ::uint32_t value);
+  inline  ::uint32_t getSilenceMilliseconds();
+  inline void setSilenceMilliseconds( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2189,16 +2189,16 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Changes::Reader::getUnheardMilliseconds() const {
+inline  ::uint32_t Changes::Reader::getSilenceMilliseconds() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Changes::Builder::getUnheardMilliseconds() {
+inline  ::uint32_t Changes::Builder::getSilenceMilliseconds() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Changes::Builder::setUnheardMilliseconds( ::uint32_t value) {
+inline void Changes::Builder::setSilenceMilliseconds( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -179,7 +179,7 @@
         changes.setPrefix(notice.prefix);
         changes.setAfter(after);
         changes.setUpTo(isLast ? notice.upTo : notice.entries[end - 1].revision);
-        changes.setUnheardMilliseconds(static_cast<std::uint32_t>(toMillis(notice.unheard)));
+        changes.setSilenceMilliseconds(static_cast<std::uint32_t>(toMillis(notice.silence)));
         after = changes.getUpTo();
         auto entries = changes.initEntries(static_cast<unsigned>(end - next));
         for (unsigned i = 0; next < end; ++next, ++i) {
@@ -283,7 +283,7 @@
                 notice.entries.push_back({entry.getKey(), std::string(value.begin(), value.size()), entry.getRevision(), entry.getIsDeleted()});
                 notice.omitted.push_back(entry.getIsOmitted());
             }
-            notice.unheard = std::chrono::milliseconds(changes.getUnheardMilliseconds());
+            notice.silence = std::chrono::milliseconds(changes.getSilenceMilliseconds());
             events_.onChangesNotice(notice);
             break;
         }
--- a/gateway/peer_socket.h
+++ b/gateway/peer_socket.h
@@ -64,7 +64,7 @@
     std::int64_t upTo = 0;
     std::vector<StoreEntry> entries; ///< In the order of their revisions.
     std::vector<bool> omitted; ///< For each entry whether its value is left out, as it is too long.
-    Duration unheard{}; ///< For how long before the sender could not have heard of them.
+    Duration silence{}; ///< For how long before the sender could not have heard of them.
 };
 
 struct ProofRequest
--- a/gateway/relayed_store.cpp
+++ b/gateway/relayed_store.cpp
@@ -86,11 +86,11 @@
         followed.hasGap = true;
     } else if (notice.upTo >= followed.reached) {
         const TimePoint now = now_();
-        const Duration unheard = std::max(notice.unheard, now - std::max(followed.heardAt, followed.readAt));
+        const Duration silence = std::max(notice.silence, now - std::max(followed.heardAt, followed.readAt));
         followed.heardAt = now;
         for (std::size_t i = 0; i < notice.entries.size(); ++i) {
             if (notice.entries[i].revision > followed.reached) {
-                followed.unheard = std::max(followed.unheard, unheard);
+                followed.silence = std::max(followed.silence, silence);
                 followed.entries.emplace_back(notice.entries[i], notice.omitted[i]);
                 followed.lastChange = std::max(followed.lastChange, notice.entries[i].revision);
             }
@@ -193,7 +193,7 @@
         writeLog(LogLevel::Info, "notice_missed", {{"reached", followed.reached}});
         return {StoreStatus::NotFound, {}, followed.reached};
     }
-    StoreListReply reply{StoreStatus::Ok, {}, followed.reached, std::exchange(followed.unheard, {})};
+    StoreListReply reply{StoreStatus::Ok, {}, followed.reached, std::exchange(followed.silence, {})};
     const auto entries = std::exchange(followed.entries, {});
     lock.unlock();
     for (const auto &[entry, isOmitted] : entries) {
@@ -231,17 +231,17 @@
         followed.lastChange = std::max(followed.lastChange, reply.entries.empty() ? 0 : reply.entries.back().revision);
         // Notices may have come while the store was asked. What the answer holds already must not be handed out after it.
         std::erase_if(followed.entries, [&reply](const auto &heard) { return heard.first.revision <= reply.revision; });
-        followed.unheard = followed.entries.empty() ? Duration::zero() : followed.unheard;
+        followed.silence = followed.entries.empty() ? Duration::zero() : followed.silence;
         followed.reached = std::max(followed.reached, reply.revision);
         // A relay doesn't go by what the other says: with silent connections to the store the two would vouch for each other.
         const TimePoint heardAt = isRelayNow ? followed.readAt : std::max(followed.heardAt, followed.readAt);
-        reply.unheard = std::max(Duration::zero(), askedAt - heardAt);
+        reply.silence = std::max(Duration::zero(), askedAt - heardAt);
         followed.readAt = now_();
         followed.heardAt = isRelayNow ? followed.readAt : followed.heardAt;
         network = network_;
     }
     if (isRelayNow && !reply.entries.empty() && network.tellAll) {
-        network.tellAll({std::string(prefix), lastChange, reply.revision, reply.entries, {}, reply.unheard});
+        network.tellAll({std::string(prefix), lastChange, reply.revision, reply.entries, {}, reply.silence});
     }
     return reply;
 }
--- a/gateway/relayed_store.h
+++ b/gateway/relayed_store.h
@@ -67,7 +67,7 @@
         bool isSilent = false; ///< No relay speaks of it.
         TimePoint heardAt; ///< When a relay last spoke of it, or this host last read it itself.
         TimePoint readAt; ///< When the store last answered this host's own list or watch.
-        Duration unheard{}; ///< For how long what was not handed out yet could not have been heard of.
+        Duration silence{}; ///< For how long what was not handed out yet could not have been heard of.
         std::deque<std::pair<StoreEntry, bool>> entries; ///< Not handed out yet; true: the value has to be read.
     };
 
--- a/gateway/target.h
+++ b/gateway/target.h
@@ -53,14 +53,14 @@
     std::int64_t version = 0;
     TimePoint learntAt; ///< When this host heard of them; in TargetDirectory when they were named, as far as is known.
     bool wereThereAtStart = false; ///< It read them when it started: they may have been named long before.
-    Duration unheard{}; ///< For how long before it heard the host was cut off or stood still: they may have been named any time in it.
+    Duration silence{}; ///< For how long before it heard the host was cut off or stood still: they may have been named any time in it.
 };
 
 /// Whether weights count as named when they were heard of. A shorter silence is within what is left after `useOfOlderWeights`.
 inline bool isAgeKnown(const NamedWeights &weights)
 {
     constexpr Duration shortSilence = std::chrono::milliseconds(500);
-    return !weights.wereThereAtStart && weights.unheard <= shortSilence;
+    return !weights.wereThereAtStart && weights.silence <= shortSilence;
 }
 
 /// The name of weights in keys of the store.
--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -76,7 +76,7 @@
     // weights were named would have no engine.
     if (!isAgeKnown(weights)) {
         const Duration youth = youthOfWeights(weightsDeadline_);
-        versions.back().learntAt -= weights.wereThereAtStart ? youth : std::min(youth, weights.unheard);
+        versions.back().learntAt -= weights.wereThereAtStart ? youth : std::min(youth, weights.silence);
     }
     // Once a version's deadline has passed, the ones before it tell nothing more.
     const auto isPast = [&](const NamedWeights &known) { return weights.learntAt >= known.learntAt + weightsDeadline_; };
--- a/tests/gateway/test_relayed_store.cpp
+++ b/tests/gateway/test_relayed_store.cpp
@@ -378,11 +378,11 @@
     const StoreListReply heard = other.watch("x/", from, 1s);
     BOOST_REQUIRE(own.entries.size() == 1U);
     BOOST_REQUIRE(heard.entries.size() == 1U);
-    BOOST_TEST((own.unheard >= 600ms));
-    BOOST_TEST((heard.unheard >= 600ms));
+    BOOST_TEST((own.silence >= 600ms));
+    BOOST_TEST((heard.silence >= 600ms));
     write("x/a", "2");
-    BOOST_TEST((relay.watch("x/", own.revision, 1s).unheard < 500ms));
-    BOOST_TEST((other.watch("x/", heard.revision, 1s).unheard < 500ms));
+    BOOST_TEST((relay.watch("x/", own.revision, 1s).silence < 500ms));
+    BOOST_TEST((other.watch("x/", heard.revision, 1s).silence < 500ms));
 }
 
 BOOST_AUTO_TEST_CASE(aHostWhoseRelaysAreSilentCountsFromTheirLastWord)
@@ -392,7 +392,7 @@
     write("x/a", "1");
     const StoreListReply heard = other.watch("x/", from, 3s);
     BOOST_REQUIRE(heard.entries.size() == 1U);
-    BOOST_TEST((heard.unheard >= 1s));
+    BOOST_TEST((heard.silence >= 1s));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
