One walk over the named weights tells until when an engine may be used

Cause: since engines with older weights have a last moment for requests to begin, each was looked up twice for every list of targets: whether its time is over (isTooOld, hasEnded) and when it is (lastBeginOn), with the same sum three times. Change: endOfUse gives the moment, and the list follows from it.

--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -237,8 +237,8 @@
             copy.name = id + nameSeparator + model.name;
             copy.model = target.service + nameSeparator + model.name;
             copy.weightsVersion = std::to_string(weightsOf(target, model.name));
-            copy.isServing = copy.isServing && !isTooOld(target, model, now);
-            copy.lastBegin = lastBeginOn(target, model.name);
+            copy.lastBegin = endOfUse(target, model.name);
+            copy.isServing = copy.isServing && (!copy.lastBegin || now < *copy.lastBegin);
             engines.push_back(std::move(copy));
         }
     }
@@ -258,7 +258,7 @@
     }
     for (const auto &[model, versions] : named_) {
         for (const NamedWeights &weights : versions) {
-            consider(weights.learntAt + useOfOlderWeights(weightsDeadline_));
+            consider(endOfOlder(weights));
         }
     }
     return next;
@@ -276,39 +276,28 @@
     return found == named_.end() ? 0 : found->second.back().version;
 }
 
-/// When requests may begin on the target's weights last, if newer ones are named.
-std::optional<TimePoint> TargetDirectory::lastBeginOn(const Target &target, std::string_view model) const
+/// Until when older weights may be used, where these have been named.
+TimePoint TargetDirectory::endOfOlder(const NamedWeights &named) const
 {
+    const bool isLongNamed = named.wereThereAtStart && youngAtStart_ && !youngAtStart_->contains(nameOf(named));
+    return isLongNamed ? TimePoint{} : named.learntAt + useOfOlderWeights(weightsDeadline_);
+}
+
+/// Until when requests may begin on the target's weights; nothing while no newer ones are named.
+std::optional<TimePoint> TargetDirectory::endOfUse(const Target &target, std::string_view model) const
+{
+    std::optional<TimePoint> end;
     const auto found = named_.find(model);
     if (found == named_.end()) {
-        return std::nullopt;
+        return end;
     }
     const std::int64_t version = weightsOf(target, model);
-    std::optional<TimePoint> last;
     for (const NamedWeights &named : found->second) {
-        const TimePoint end = named.learntAt + useOfOlderWeights(weightsDeadline_);
-        if (named.version > version && (!last || end < *last)) {
-            last = end;
+        if (named.version > version) {
+            end = std::min(end.value_or(TimePoint::max()), endOfOlder(named));
         }
     }
-    return last;
-}
-
-bool TargetDirectory::isTooOld(const Target &target, const ServedModel &model, TimePoint now) const
-{
-    const auto found = named_.find(model.name);
-    if (found == named_.end()) {
-        return false;
-    }
-    const std::int64_t version = weightsOf(target, model.name);
-    return std::any_of(found->second.begin(), found->second.end(), [&](const NamedWeights &named) { return named.version > version && hasEnded(named, now); });
-}
-
-/// Whether these weights were named so long ago that older ones may not be used any more.
-bool TargetDirectory::hasEnded(const NamedWeights &named, TimePoint now) const
-{
-    const bool isOld = named.wereThereAtStart && youngAtStart_ && !youngAtStart_->contains(nameOf(named));
-    return isOld || now >= named.learntAt + useOfOlderWeights(weightsDeadline_);
+    return end;
 }
 
 SchedulerEngine TargetDirectory::engineOf(const Target &target, TimePoint now) const
--- a/gateway/target_directory.h
+++ b/gateway/target_directory.h
@@ -88,9 +88,8 @@
 
     const Correction *correctionOf(const Target &target) const;
     std::int64_t newestVersion(std::string_view model) const;
-    bool hasEnded(const NamedWeights &named, TimePoint now) const;
-    std::optional<TimePoint> lastBeginOn(const Target &target, std::string_view model) const;
-    bool isTooOld(const Target &target, const ServedModel &model, TimePoint now) const;
+    TimePoint endOfOlder(const NamedWeights &named) const;
+    std::optional<TimePoint> endOfUse(const Target &target, std::string_view model) const;
     SchedulerEngine engineOf(const Target &target, TimePoint now) const;
 
     Duration weightsDeadline_;
