--- a/coordination/store.h
+++ b/coordination/store.h
@@ -46,6 +46,7 @@
     std::vector<StoreEntry> entries; ///< A list: ascending by key. A watch: in the order of the writes.
     std::int64_t revision = 0;
     Duration silence{}; ///< From a store that hears of changes through others: for how long before the entries came they were silent.
+    Duration age{}; ///< The same: how long before the call was made the answer held.
 };
 
 /// Answer to a call about a lease.
--- a/gateway/configuration_duty.cpp
+++ b/gateway/configuration_duty.cpp
@@ -68,7 +68,7 @@
     watchFrom_ = std::max(watchFrom_, reply.revision);
     const auto heard = hearing(BootClock::now(), reply.silence);
     for (const StoreEntry &entry : reply.entries) {
-        feed_.take(entry, sentAt, heard);
+        feed_.take(entry, sentAt - reply.age, heard);
     }
     return true;
 }
--- a/gateway/fleet_link.cpp
+++ b/gateway/fleet_link.cpp
@@ -43,9 +43,10 @@
 void FleetLink::setRelayedStore(RelayedStore &store)
 {
     relayedStore_ = &store;
-    store.setNetwork(
-        {[this](const ChangesNotice &notice) { gateway_.post([this, notice](Gateway &) { peers_.tellAll(notice); }); },
-         [this](const std::string &host, const ProofRequest &request) { gateway_.post([this, host, request](Gateway &) { peers_.send(host, request); }); }});
+    const auto sendOnLoop = [this](const std::string &host, const auto &request) {
+        gateway_.post([this, host, request](Gateway &) { peers_.send(host, request); });
+    };
+    store.setNetwork({[this](const ChangesNotice &notice) { gateway_.post([this, notice](Gateway &) { peers_.tellAll(notice); }); }, sendOnLoop, sendOnLoop});
 }
 
 void FleetLink::setOrderListener(std::function<void(const std::string &targetId)> listener)
@@ -53,23 +54,24 @@
     onOrderOfOther_ = std::move(listener);
 }
 
-void FleetLink::setHosts(const std::map<std::string, HostAddress> &hosts, double share)
+void FleetLink::setHosts(const std::map<std::string, HostRecord> &hosts, double share)
 {
     std::vector<std::string> names;
-    std::map<std::string, HostAddress> others;
-    for (const auto &[name, address] : hosts) {
+    std::map<std::string, HostRecord> others;
+    for (const auto &[name, record] : hosts) {
         names.push_back(name);
         if (name != hostName_) {
-            others.emplace(name, address);
+            others.emplace(name, record);
         }
     }
     peers_.setPeers(others);
     others_.clear();
     std::transform(others.begin(), others.end(), std::back_inserter(others_), [](const auto &other) { return other.first; });
+    const std::vector<std::string> candidates = dutyHosts(capacitiesOf(hosts));
     if (relayedStore_ != nullptr) {
-        relayedStore_->setHosts(names);
+        relayedStore_->setHosts(names, candidates);
     }
-    budget_.setHosts(names, share, BootClock::now());
+    budget_.setHosts(names.size(), candidates, share, BootClock::now());
 }
 
 void FleetLink::setLimits(std::span<const TeamLimit> limits)
@@ -170,6 +172,28 @@
     }
 }
 
+void FleetLink::onChangesRequest(const std::string &host, const ChangesRequest &request)
+{
+    if (relayedStore_ == nullptr) {
+        return;
+    }
+    if (const auto reply = relayedStore_->changesFor(request)) {
+        peers_.send(host, *reply);
+    }
+}
+
+void FleetLink::onChangesReply(const ChangesReply &reply)
+{
+    if (relayedStore_ != nullptr) {
+        relayedStore_->onChangesReply(reply);
+    }
+}
+
+bool FleetLink::isBehind() const
+{
+    return gateway_.justStoodStill(BootClock::now()) != Duration::zero();
+}
+
 void FleetLink::onProofRequest(const std::string &host, const ProofRequest &request)
 {
     if (const auto table = gateway_.table()) {
--- a/gateway/fleet_link.h
+++ b/gateway/fleet_link.h
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "decision/request_scheduler.h"
+#include "gateway/host_record.h"
 #include "gateway/peer_socket.h"
 #include "gateway/relayed_store.h"
 #include "gateway/team_budget.h"
@@ -38,8 +39,8 @@
     /// Hears of engines that other hosts order, or are about to. To be called before the event loop runs.
     void setOrderListener(std::function<void(const std::string &targetId)> listener);
 
-    /// The hosts that count, with this one, where they take datagrams, and this host's part of what is divided evenly.
-    void setHosts(const std::map<std::string, HostAddress> &hosts, double share);
+    /// The hosts that count, with this one, and this host's part of what is divided evenly.
+    void setHosts(const std::map<std::string, HostRecord> &hosts, double share);
 
     void setLimits(std::span<const TeamLimit> limits);
 
@@ -68,11 +69,14 @@
     void onTokenRequest(const std::string &host, const TokenRequest &request) override;
     void onTokenReply(const TokenReply &reply) override;
     void onChangesNotice(const ChangesNotice &notice) override;
+    void onChangesRequest(const std::string &host, const ChangesRequest &request) override;
+    void onChangesReply(const ChangesReply &reply) override;
     void onProofRequest(const std::string &host, const ProofRequest &request) override;
     void onProofReply(const ProofReply &reply) override;
     void onCacheStoreNotice(const CacheStoreNotice &notice) override;
     void onWeightsQuestion(const std::string &host) override;
     void onWeightsAge(const WeightsAge &age) override;
+    bool isBehind() const override;
     void scheduleTokenTimeout();
 
     Gateway &gateway_;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -204,7 +204,7 @@
     return standstills_.justEnded(now);
 }
 
-void Gateway::setHosts(const std::map<std::string, HostAddress> &hosts, double share)
+void Gateway::setHosts(const std::map<std::string, HostRecord> &hosts, double share)
 {
     hosts_ = hosts;
     share_ = share;
@@ -254,7 +254,7 @@
     return options_.hostName;
 }
 
-const std::map<std::string, HostAddress> &Gateway::hosts() const
+const std::map<std::string, HostRecord> &Gateway::hosts() const
 {
     return hosts_;
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -99,7 +99,7 @@
     void learnWeightsAge(const WeightsAge &age);
 
     /// The hosts that count, with this one, where they take datagrams, and this host's part of what is divided evenly.
-    void setHosts(const std::map<std::string, HostAddress> &hosts, double share);
+    void setHosts(const std::map<std::string, HostRecord> &hosts, double share);
 
     /// The host that orders the engines; empty if there is none.
     void setLeader(const std::string &host);
@@ -116,7 +116,7 @@
     // For operators.
 
     const std::string &hostName() const;
-    const std::map<std::string, HostAddress> &hosts() const;
+    const std::map<std::string, HostRecord> &hosts() const;
     double share() const;
     const std::string &leader() const;
     bool isReady(TimePoint now) const;
@@ -214,7 +214,7 @@
     boost::asio::steady_timer waitingTimer_;
     std::set<std::shared_ptr<CallerSession>> sessions_;
     std::set<std::string, std::less<>> aliveCacheStores_;
-    std::map<std::string, HostAddress> hosts_; ///< All that count, with this one.
+    std::map<std::string, HostRecord> hosts_; ///< All that count, with this one.
     double share_ = 0; ///< This host's part of what is divided evenly.
     std::string leader_;
     bool hasTargets_ = false;
--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "coordination/duty_hosts.h"
 #include "core/clock.h"
 #include "core/settings.h"
 
@@ -17,6 +18,7 @@
     HostAddress readiness;
     HostAddress store;
     HostAddress peers; ///< Where datagrams of other hosts come.
+    HostCapacity capacity;
     Duration keyProofWindow{}; ///< A withdrawn key must have stopped working within that time.
     Duration configurationWindow{}; ///< A change must be in force within that time.
     Duration weightsDeadline{}; ///< New weights must serve all new requests within that time.
--- a/gateway/host_duty.cpp
+++ b/gateway/host_duty.cpp
@@ -13,7 +13,8 @@
 namespace
 {
 
-constexpr int renewalsPerLife = 3;
+/// A renewal that fails is tried again several times a second for the other half of the lease's life.
+constexpr int renewalsPerLife = 2;
 
 /// Longest wait of one watch; renewals of the lease come between two of them.
 constexpr Duration watchTime = std::chrono::seconds(2);
@@ -87,13 +88,15 @@
 /// Takes the key over from an earlier process of this host, whose lease would otherwise remove it.
 bool HostDuty::writeKey()
 {
-    const StoreReply known = store_.get(key_);
-    if (known.status != StoreStatus::Ok && known.status != StoreStatus::NotFound) {
-        return false;
+    const std::string value = hostRecordText(options_.record);
+    StoreReply reply = store_.compareAndSwap(key_, 0, value, leaseId_);
+    if (reply.status == StoreStatus::Conflict) {
+        const StoreReply known = store_.get(key_);
+        if (known.status != StoreStatus::Ok) {
+            return false;
+        }
+        reply = store_.compareAndSwap(key_, known.entry.revision, value, leaseId_);
     }
-    const std::int64_t revision = known.status == StoreStatus::Ok ? known.entry.revision : 0;
-    const std::string value = options_.peers.host + ':' + std::to_string(options_.peers.port);
-    const StoreReply reply = store_.compareAndSwap(key_, revision, value, leaseId_);
     if (reply.status == StoreStatus::NotFound) {
         // After a standstill the watch can tell of the deleted key before a renewal tells of the lapsed lease. No renewal comes before
         // the key is written: without a new lease the other hosts would never count this one again.
@@ -158,11 +161,11 @@
         return;
     }
     const std::string name = entry.key.substr(options_.hostsPrefix.size());
-    const auto address = parseHostAddress(entry.value);
+    const auto record = parseHostRecord(entry.value);
     if (entry.isDeleted) {
         hosts_.erase(name);
-    } else if (address) {
-        hosts_.insert_or_assign(name, *address);
+    } else if (record) {
+        hosts_.insert_or_assign(name, *record);
     }
     if (entry.isDeleted && name == options_.hostName) {
         isWritten_ = false;
@@ -186,10 +189,8 @@
     if (entry.key != options_.leaderKey) {
         return;
     }
-    if (entry.isDeleted) {
-        options_.onLeaderGone();
-    }
     const std::string leader = entry.isDeleted ? std::string() : entry.value.substr(0, entry.value.find('/'));
+    options_.onLeader(leader);
     gateway_.post([leader](Gateway &gateway) { gateway.setLeader(leader); });
 }
 
@@ -205,6 +206,7 @@
         share_ = even;
         changedAt_ = now;
     }
+    options_.onHosts(dutyHosts(capacitiesOf(hosts_)), hosts_.size());
     writeLog(LogLevel::Debug, "hosts_known", {{"hosts", static_cast<std::int64_t>(hosts_.size())}, {"share", share_}});
     gateway_.post([hosts = hosts_, share = share_](Gateway &gateway) { gateway.setHosts(hosts, share); });
 }
--- a/gateway/host_duty.h
+++ b/gateway/host_duty.h
@@ -3,10 +3,12 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "coordination/store.h"
 #include "core/settings.h"
 #include "gateway/duty.h"
+#include "gateway/host_record.h"
 #include "gateway/store_backoff.h"
 
 namespace Lovageloft
@@ -28,10 +30,13 @@
         std::string hostsPrefix; ///< Of the hosts' keys, within `prefix`.
         std::string weightsPrefix; ///< Of the keys of weights that were named lately, within `prefix`.
         std::string hostName;
-        HostAddress peers; ///< Where this host takes datagrams.
+        HostRecord record; ///< What others are told of this host.
         Duration lifetime{}; ///< Of the lease; must be longer than the proof of a key counts.
         std::string leaderKey; ///< Under `prefix`.
-        std::function<void()> onLeaderGone; ///< Called on the duty's thread when nobody holds that key.
+        /// Called on the duty's thread with the host that holds that key; empty if nobody does.
+        std::function<void(const std::string &host)> onLeader;
+        /// The same with the hosts among which duties for others are given out, and how many hosts count in all.
+        std::function<void(const std::vector<std::string> &candidates, std::size_t hosts)> onHosts;
     };
 
     HostDuty(Store &store, Gateway &gateway, Options options);
@@ -59,7 +64,7 @@
     bool hasRead_ = false;
     TimePoint nextRenewal_;
     std::int64_t watchFrom_ = 0;
-    std::map<std::string, HostAddress> hosts_;
+    std::map<std::string, HostRecord> hosts_;
     double share_ = 0;
     TimePoint changedAt_; ///< When the hosts were last seen to change.
 };
--- a/gateway/operator_view.cpp
+++ b/gateway/operator_view.cpp
@@ -125,10 +125,11 @@
 std::string OperatorView::hosts() const
 {
     Array::Ptr rows = new Array;
-    for (const auto &[name, address] : gateway_.hosts()) {
+    for (const auto &[name, record] : gateway_.hosts()) {
         Object::Ptr row = ordered();
         row->set("host", name);
-        row->set("peer_address", address.host + ':' + std::to_string(address.port));
+        row->set("peer_address", record.address.host + ':' + std::to_string(record.address.port));
+        row->set("data_centre", record.dataCentre);
         rows->add(row);
     }
     return tableOf("hosts", rows);
--- a/gateway/peer_messages.capnp
+++ b/gateway/peer_messages.capnp
@@ -17,9 +17,32 @@
     cacheStore @7 :CacheStore;
     weightsQuestion @8 :Void; # How long ago were the weights named that you know of? Each is answered by a weightsAge.
     weightsAge @9 :WeightsAge;
+    forward @10 :Forward;
+    packed @11 :Data; # A deflated datagram.
+    changesRequest @12 :ChangesRequest;
+    changesReply @13 :ChangesReply;
   }
 }
 
+struct Forward {
+  # A datagram for the receiver, who passes it on to others as well.
+  receivers @0 :List(UInt64); # Each an IPv4 address in the upper bits, and 16 bits of its port.
+  datagram @1 :Data;
+}
+
+struct ChangesRequest {
+  # What changed under a prefix after a revision?
+  id @0 :UInt64;
+  prefix @1 :Text;
+  after @2 :Int64;
+}
+
+struct ChangesReply {
+  id @0 :UInt64;
+  changes @1 :Changes;
+  ageMicroseconds @2 :UInt64; # So long ago the sender knew of all changes up to this revision.
+}
+
 struct Dispatch {
   # A request with a long prompt was sent to an engine.
   engine @0 :Text;
@@ -53,6 +76,7 @@
   upTo @2 :Int64;
   entries @3 :List(Entry);
   silenceMilliseconds @4 :UInt32; # For how long before the sender could not have heard of them.
+  latestStart @5 :Int64 = 0x7fffffffffffffff; # Only for a receiver that has reached no more than this.
 
   struct Entry {
     key @0 :Text;
--- a/gateway/peer_messages.capnp.h
+++ b/gateway/peer_messages.capnp.h
@@ -17,6 +17,9 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(c25249b8c89549ee);
+CAPNP_DECLARE_SCHEMA(9b0092764b1509af);
+CAPNP_DECLARE_SCHEMA(b936ef4fb1dc4e3c);
+CAPNP_DECLARE_SCHEMA(b11fb0dbbe552d39);
 CAPNP_DECLARE_SCHEMA(9842ba8fb9b3b5dc);
 CAPNP_DECLARE_SCHEMA(9e44e87458ad1460);
 CAPNP_DECLARE_SCHEMA(bdb29ee985384fad);
@@ -51,6 +54,10 @@
     CACHE_STORE,
     WEIGHTS_QUESTION,
     WEIGHTS_AGE,
+    FORWARD,
+    PACKED,
+    CHANGES_REQUEST,
+    CHANGES_REPLY,
   };
 
   struct _capnpPrivate {
@@ -61,6 +68,51 @@
   };
 };
 
+struct Forward {
+  Forward() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9b0092764b1509af, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ChangesRequest {
+  ChangesRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b936ef4fb1dc4e3c, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ChangesReply {
+  ChangesReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b11fb0dbbe552d39, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Dispatch {
   Dispatch() = delete;
 
@@ -130,7 +182,7 @@
   struct Entry;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d2c0af39e941ac8f, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(d2c0af39e941ac8f, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -271,6 +323,22 @@
   inline bool hasWeightsAge() const;
   inline  ::Lovageloft::PeerMessages::WeightsAge::Reader getWeightsAge() const;
 
+  inline bool isForward() const;
+  inline bool hasForward() const;
+  inline  ::Lovageloft::PeerMessages::Forward::Reader getForward() const;
+
+  inline bool isPacked() const;
+  inline bool hasPacked() const;
+  inline  ::capnp::Data::Reader getPacked() const;
+
+  inline bool isChangesRequest() const;
+  inline bool hasChangesRequest() const;
+  inline  ::Lovageloft::PeerMessages::ChangesRequest::Reader getChangesRequest() const;
+
+  inline bool isChangesReply() const;
+  inline bool hasChangesReply() const;
+  inline  ::Lovageloft::PeerMessages::ChangesReply::Reader getChangesReply() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -376,6 +444,38 @@
   inline void adoptWeightsAge(::capnp::Orphan< ::Lovageloft::PeerMessages::WeightsAge>&& value);
   inline ::capnp::Orphan< ::Lovageloft::PeerMessages::WeightsAge> disownWeightsAge();
 
+  inline bool isForward();
+  inline bool hasForward();
+  inline  ::Lovageloft::PeerMessages::Forward::Builder getForward();
+  inline void setForward( ::Lovageloft::PeerMessages::Forward::Reader value);
+  inline  ::Lovageloft::PeerMessages::Forward::Builder initForward();
+  inline void adoptForward(::capnp::Orphan< ::Lovageloft::PeerMessages::Forward>&& value);
+  inline ::capnp::Orphan< ::Lovageloft::PeerMessages::Forward> disownForward();
+
+  inline bool isPacked();
+  inline bool hasPacked();
+  inline  ::capnp::Data::Builder getPacked();
+  inline void setPacked( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPacked(unsigned int size);
+  inline void adoptPacked(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPacked();
+
+  inline bool isChangesRequest();
+  inline bool hasChangesRequest();
+  inline  ::Lovageloft::PeerMessages::ChangesRequest::Builder getChangesRequest();
+  inline void setChangesRequest( ::Lovageloft::PeerMessages::ChangesRequest::Reader value);
+  inline  ::Lovageloft::PeerMessages::ChangesRequest::Builder initChangesRequest();
+  inline void adoptChangesRequest(::capnp::Orphan< ::Lovageloft::PeerMessages::ChangesRequest>&& value);
+  inline ::capnp::Orphan< ::Lovageloft::PeerMessages::ChangesRequest> disownChangesRequest();
+
+  inline bool isChangesReply();
+  inline bool hasChangesReply();
+  inline  ::Lovageloft::PeerMessages::ChangesReply::Builder getChangesReply();
+  inline void setChangesReply( ::Lovageloft::PeerMessages::ChangesReply::Reader value);
+  inline  ::Lovageloft::PeerMessages::ChangesReply::Builder initChangesReply();
+  inline void adoptChangesReply(::capnp::Orphan< ::Lovageloft::PeerMessages::ChangesReply>&& value);
+  inline ::capnp::Orphan< ::Lovageloft::PeerMessages::ChangesReply> disownChangesReply();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -402,9 +502,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Dispatch::Reader {
+class Forward::Reader {
 public:
-  typedef Dispatch Reads;
+  typedef Forward Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -419,15 +519,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEngine() const;
-  inline  ::capnp::Text::Reader getEngine() const;
-
-  inline  ::uint32_t getWorkTokens() const;
-
-  inline bool hasBlocks() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getBlocks() const;
+  inline bool hasReceivers() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getReceivers() const;
 
-  inline  ::uint32_t getNewTokens() const;
+  inline bool hasDatagram() const;
+  inline  ::capnp::Data::Reader getDatagram() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -441,9 +537,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Dispatch::Builder {
+class Forward::Builder {
 public:
-  typedef Dispatch Builds;
+  typedef Forward Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -457,26 +553,20 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEngine();
-  inline  ::capnp::Text::Builder getEngine();
-  inline void setEngine( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEngine(unsigned int size);
-  inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEngine();
-
-  inline  ::uint32_t getWorkTokens();
-  inline void setWorkTokens( ::uint32_t value);
-
-  inline bool hasBlocks();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getBlocks();
-  inline void setBlocks( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setBlocks(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initBlocks(unsigned int size);
-  inline void adoptBlocks(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownBlocks();
-
-  inline  ::uint32_t getNewTokens();
-  inline void setNewTokens( ::uint32_t value);
+  inline bool hasReceivers();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getReceivers();
+  inline void setReceivers( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setReceivers(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initReceivers(unsigned int size);
+  inline void adoptReceivers(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownReceivers();
+
+  inline bool hasDatagram();
+  inline  ::capnp::Data::Builder getDatagram();
+  inline void setDatagram( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initDatagram(unsigned int size);
+  inline void adoptDatagram(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownDatagram();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -488,9 +578,9 @@
 };
 
 #if !CAPNP_LITE
-class Dispatch::Pipeline {
+class Forward::Pipeline {
 public:
-  typedef Dispatch Pipelines;
+  typedef Forward Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -504,9 +594,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Loading::Reader {
+class ChangesRequest::Reader {
 public:
-  typedef Loading Reads;
+  typedef ChangesRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -521,10 +611,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTarget() const;
-  inline  ::capnp::Text::Reader getTarget() const;
+  inline  ::uint64_t getId() const;
 
-  inline  ::uint32_t getMilliseconds() const;
+  inline bool hasPrefix() const;
+  inline  ::capnp::Text::Reader getPrefix() const;
+
+  inline  ::int64_t getAfter() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -538,9 +630,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Loading::Builder {
+class ChangesRequest::Builder {
 public:
-  typedef Loading Builds;
+  typedef ChangesRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -554,15 +646,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTarget();
-  inline  ::capnp::Text::Builder getTarget();
-  inline void setTarget( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTarget(unsigned int size);
-  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
 
-  inline  ::uint32_t getMilliseconds();
-  inline void setMilliseconds( ::uint32_t value);
+  inline bool hasPrefix();
+  inline  ::capnp::Text::Builder getPrefix();
+  inline void setPrefix( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPrefix(unsigned int size);
+  inline void adoptPrefix(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPrefix();
+
+  inline  ::int64_t getAfter();
+  inline void setAfter( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -574,9 +669,9 @@
 };
 
 #if !CAPNP_LITE
-class Loading::Pipeline {
+class ChangesRequest::Pipeline {
 public:
-  typedef Loading Pipelines;
+  typedef ChangesRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -590,9 +685,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class TokenRequest::Reader {
+class ChangesReply::Reader {
 public:
-  typedef TokenRequest Reads;
+  typedef ChangesReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -609,10 +704,10 @@
 
   inline  ::uint64_t getId() const;
 
-  inline bool hasTeam() const;
-  inline  ::capnp::Text::Reader getTeam() const;
+  inline bool hasChanges() const;
+  inline  ::Lovageloft::PeerMessages::Changes::Reader getChanges() const;
 
-  inline double getTokens() const;
+  inline  ::uint64_t getAgeMicroseconds() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -626,9 +721,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class TokenRequest::Builder {
+class ChangesReply::Builder {
 public:
-  typedef TokenRequest Builds;
+  typedef ChangesReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -645,15 +740,15 @@
   inline  ::uint64_t getId();
   inline void setId( ::uint64_t value);
 
-  inline bool hasTeam();
-  inline  ::capnp::Text::Builder getTeam();
-  inline void setTeam( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTeam(unsigned int size);
-  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
+  inline bool hasChanges();
+  inline  ::Lovageloft::PeerMessages::Changes::Builder getChanges();
+  inline void setChanges( ::Lovageloft::PeerMessages::Changes::Reader value);
+  inline  ::Lovageloft::PeerMessages::Changes::Builder initChanges();
+  inline void adoptChanges(::capnp::Orphan< ::Lovageloft::PeerMessages::Changes>&& value);
+  inline ::capnp::Orphan< ::Lovageloft::PeerMessages::Changes> disownChanges();
 
-  inline double getTokens();
-  inline void setTokens(double value);
+  inline  ::uint64_t getAgeMicroseconds();
+  inline void setAgeMicroseconds( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -665,14 +760,15 @@
 };
 
 #if !CAPNP_LITE
-class TokenRequest::Pipeline {
+class ChangesReply::Pipeline {
 public:
-  typedef TokenRequest Pipelines;
+  typedef ChangesReply Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Lovageloft::PeerMessages::Changes::Pipeline getChanges();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -681,9 +777,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class TokenReply::Reader {
+class Dispatch::Reader {
 public:
-  typedef TokenReply Reads;
+  typedef Dispatch Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -698,11 +794,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getId() const;
+  inline bool hasEngine() const;
+  inline  ::capnp::Text::Reader getEngine() const;
 
-  inline bool getIsGranted() const;
+  inline  ::uint32_t getWorkTokens() const;
 
-  inline  ::uint32_t getRetryAfterMilliseconds() const;
+  inline bool hasBlocks() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getBlocks() const;
+
+  inline  ::uint32_t getNewTokens() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -716,9 +816,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class TokenReply::Builder {
+class Dispatch::Builder {
 public:
-  typedef TokenReply Builds;
+  typedef Dispatch Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -732,14 +832,26 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getId();
-  inline void setId( ::uint64_t value);
+  inline bool hasEngine();
+  inline  ::capnp::Text::Builder getEngine();
+  inline void setEngine( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEngine(unsigned int size);
+  inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEngine();
 
-  inline bool getIsGranted();
-  inline void setIsGranted(bool value);
+  inline  ::uint32_t getWorkTokens();
+  inline void setWorkTokens( ::uint32_t value);
 
-  inline  ::uint32_t getRetryAfterMilliseconds();
-  inline void setRetryAfterMilliseconds( ::uint32_t value);
+  inline bool hasBlocks();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getBlocks();
+  inline void setBlocks( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setBlocks(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initBlocks(unsigned int size);
+  inline void adoptBlocks(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownBlocks();
+
+  inline  ::uint32_t getNewTokens();
+  inline void setNewTokens( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -751,9 +863,9 @@
 };
 
 #if !CAPNP_LITE
-class TokenReply::Pipeline {
+class Dispatch::Pipeline {
 public:
-  typedef TokenReply Pipelines;
+  typedef Dispatch Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -767,9 +879,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Changes::Reader {
+class Loading::Reader {
 public:
-  typedef Changes Reads;
+  typedef Loading Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -784,17 +896,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPrefix() const;
-  inline  ::capnp::Text::Reader getPrefix() const;
-
-  inline  ::int64_t getAfter() const;
-
-  inline  ::int64_t getUpTo() const;
-
-  inline bool hasEntries() const;
-  inline  ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
 
-  inline  ::uint32_t getSilenceMilliseconds() const;
+  inline  ::uint32_t getMilliseconds() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -808,9 +913,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Changes::Builder {
+class Loading::Builder {
 public:
-  typedef Changes Builds;
+  typedef Loading Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -824,28 +929,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPrefix();
-  inline  ::capnp::Text::Builder getPrefix();
-  inline void setPrefix( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPrefix(unsigned int size);
-  inline void adoptPrefix(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPrefix();
-
-  inline  ::int64_t getAfter();
-  inline void setAfter( ::int64_t value);
-
-  inline  ::int64_t getUpTo();
-  inline void setUpTo( ::int64_t value);
-
-  inline bool hasEntries();
-  inline  ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>::Builder getEntries();
-  inline void setEntries( ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
-  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>> disownEntries();
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
 
-  inline  ::uint32_t getSilenceMilliseconds();
-  inline void setSilenceMilliseconds( ::uint32_t value);
+  inline  ::uint32_t getMilliseconds();
+  inline void setMilliseconds( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -857,9 +949,9 @@
 };
 
 #if !CAPNP_LITE
-class Changes::Pipeline {
+class Loading::Pipeline {
 public:
-  typedef Changes Pipelines;
+  typedef Loading Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -873,9 +965,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Changes::Entry::Reader {
+class TokenRequest::Reader {
 public:
-  typedef Entry Reads;
+  typedef TokenRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -890,17 +982,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey() const;
-  inline  ::capnp::Text::Reader getKey() const;
-
-  inline bool hasValue() const;
-  inline  ::capnp::Data::Reader getValue() const;
-
-  inline  ::int64_t getRevision() const;
+  inline  ::uint64_t getId() const;
 
-  inline bool getIsDeleted() const;
+  inline bool hasTeam() const;
+  inline  ::capnp::Text::Reader getTeam() const;
 
-  inline bool getIsOmitted() const;
+  inline double getTokens() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -914,9 +1001,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Changes::Entry::Builder {
+class TokenRequest::Builder {
 public:
-  typedef Entry Builds;
+  typedef TokenRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -930,28 +1017,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey();
-  inline  ::capnp::Text::Builder getKey();
-  inline void setKey( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownKey();
-
-  inline bool hasValue();
-  inline  ::capnp::Data::Builder getValue();
-  inline void setValue( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initValue(unsigned int size);
-  inline void adoptValue(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownValue();
-
-  inline  ::int64_t getRevision();
-  inline void setRevision( ::int64_t value);
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
 
-  inline bool getIsDeleted();
-  inline void setIsDeleted(bool value);
+  inline bool hasTeam();
+  inline  ::capnp::Text::Builder getTeam();
+  inline void setTeam( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTeam(unsigned int size);
+  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
 
-  inline bool getIsOmitted();
-  inline void setIsOmitted(bool value);
+  inline double getTokens();
+  inline void setTokens(double value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -963,9 +1040,9 @@
 };
 
 #if !CAPNP_LITE
-class Changes::Entry::Pipeline {
+class TokenRequest::Pipeline {
 public:
-  typedef Entry Pipelines;
+  typedef TokenRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -979,9 +1056,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ProofRequest::Reader {
+class TokenReply::Reader {
 public:
-  typedef ProofRequest Reads;
+  typedef TokenReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -998,6 +1075,10 @@
 
   inline  ::uint64_t getId() const;
 
+  inline bool getIsGranted() const;
+
+  inline  ::uint32_t getRetryAfterMilliseconds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1010,9 +1091,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ProofRequest::Builder {
+class TokenReply::Builder {
 public:
-  typedef ProofRequest Builds;
+  typedef TokenReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1029,6 +1110,12 @@
   inline  ::uint64_t getId();
   inline void setId( ::uint64_t value);
 
+  inline bool getIsGranted();
+  inline void setIsGranted(bool value);
+
+  inline  ::uint32_t getRetryAfterMilliseconds();
+  inline void setRetryAfterMilliseconds( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1039,9 +1126,9 @@
 };
 
 #if !CAPNP_LITE
-class ProofRequest::Pipeline {
+class TokenReply::Pipeline {
 public:
-  typedef ProofRequest Pipelines;
+  typedef TokenReply Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1055,9 +1142,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ProofReply::Reader {
+class Changes::Reader {
 public:
-  typedef ProofReply Reads;
+  typedef Changes Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1072,11 +1159,19 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getId() const;
+  inline bool hasPrefix() const;
+  inline  ::capnp::Text::Reader getPrefix() const;
 
-  inline  ::int64_t getRevision() const;
+  inline  ::int64_t getAfter() const;
 
-  inline  ::uint64_t getAgeMicroseconds() const;
+  inline  ::int64_t getUpTo() const;
+
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+
+  inline  ::uint32_t getSilenceMilliseconds() const;
+
+  inline  ::int64_t getLatestStart() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1090,9 +1185,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ProofReply::Builder {
+class Changes::Builder {
 public:
-  typedef ProofReply Builds;
+  typedef Changes Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1106,14 +1201,31 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getId();
-  inline void setId( ::uint64_t value);
+  inline bool hasPrefix();
+  inline  ::capnp::Text::Builder getPrefix();
+  inline void setPrefix( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPrefix(unsigned int size);
+  inline void adoptPrefix(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPrefix();
 
-  inline  ::int64_t getRevision();
-  inline void setRevision( ::int64_t value);
+  inline  ::int64_t getAfter();
+  inline void setAfter( ::int64_t value);
 
-  inline  ::uint64_t getAgeMicroseconds();
-  inline void setAgeMicroseconds( ::uint64_t value);
+  inline  ::int64_t getUpTo();
+  inline void setUpTo( ::int64_t value);
+
+  inline bool hasEntries();
+  inline  ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>> disownEntries();
+
+  inline  ::uint32_t getSilenceMilliseconds();
+  inline void setSilenceMilliseconds( ::uint32_t value);
+
+  inline  ::int64_t getLatestStart();
+  inline void setLatestStart( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1125,9 +1237,9 @@
 };
 
 #if !CAPNP_LITE
-class ProofReply::Pipeline {
+class Changes::Pipeline {
 public:
-  typedef ProofReply Pipelines;
+  typedef Changes Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1141,9 +1253,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class WeightsAge::Reader {
+class Changes::Entry::Reader {
 public:
-  typedef WeightsAge Reads;
+  typedef Entry Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1158,12 +1270,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasModel() const;
-  inline  ::capnp::Text::Reader getModel() const;
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
 
-  inline  ::int64_t getVersion() const;
+  inline bool hasValue() const;
+  inline  ::capnp::Data::Reader getValue() const;
 
-  inline  ::uint64_t getAgeMilliseconds() const;
+  inline  ::int64_t getRevision() const;
+
+  inline bool getIsDeleted() const;
+
+  inline bool getIsOmitted() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1177,9 +1294,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class WeightsAge::Builder {
+class Changes::Entry::Builder {
 public:
-  typedef WeightsAge Builds;
+  typedef Entry Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1193,18 +1310,28 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasModel();
-  inline  ::capnp::Text::Builder getModel();
-  inline void setModel( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initModel(unsigned int size);
-  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownModel();
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
 
-  inline  ::int64_t getVersion();
-  inline void setVersion( ::int64_t value);
+  inline bool hasValue();
+  inline  ::capnp::Data::Builder getValue();
+  inline void setValue( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownValue();
 
-  inline  ::uint64_t getAgeMilliseconds();
-  inline void setAgeMilliseconds( ::uint64_t value);
+  inline  ::int64_t getRevision();
+  inline void setRevision( ::int64_t value);
+
+  inline bool getIsDeleted();
+  inline void setIsDeleted(bool value);
+
+  inline bool getIsOmitted();
+  inline void setIsOmitted(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1216,9 +1343,9 @@
 };
 
 #if !CAPNP_LITE
-class WeightsAge::Pipeline {
+class Changes::Entry::Pipeline {
 public:
-  typedef WeightsAge Pipelines;
+  typedef Entry Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1232,9 +1359,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class CacheStore::Reader {
+class ProofRequest::Reader {
 public:
-  typedef CacheStore Reads;
+  typedef ProofRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1249,10 +1376,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
-
-  inline bool getIsAlive() const;
+  inline  ::uint64_t getId() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1266,9 +1390,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class CacheStore::Builder {
+class ProofRequest::Builder {
 public:
-  typedef CacheStore Builds;
+  typedef ProofRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1282,15 +1406,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
-
-  inline bool getIsAlive();
-  inline void setIsAlive(bool value);
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1302,9 +1419,9 @@
 };
 
 #if !CAPNP_LITE
-class CacheStore::Pipeline {
+class ProofRequest::Pipeline {
 public:
-  typedef CacheStore Pipelines;
+  typedef ProofRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1318,529 +1435,1209 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class ProofReply::Reader {
+public:
+  typedef ProofReply Reads;
 
-inline  ::Lovageloft::PeerMessages::Datagram::Which Datagram::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline  ::Lovageloft::PeerMessages::Datagram::Which Datagram::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline bool Datagram::Reader::isDispatch() const {
-  return which() == Datagram::DISPATCH;
-}
-inline bool Datagram::Builder::isDispatch() {
-  return which() == Datagram::DISPATCH;
-}
-inline bool Datagram::Reader::hasDispatch() const {
-  if (which() != Datagram::DISPATCH) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Datagram::Builder::hasDispatch() {
-  if (which() != Datagram::DISPATCH) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::Lovageloft::PeerMessages::Dispatch::Reader Datagram::Reader::getDispatch() const {
-  KJ_IREQUIRE((which() == Datagram::DISPATCH),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Dispatch>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::Lovageloft::PeerMessages::Dispatch::Builder Datagram::Builder::getDispatch() {
-  KJ_IREQUIRE((which() == Datagram::DISPATCH),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Dispatch>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Datagram::Builder::setDispatch( ::Lovageloft::PeerMessages::Dispatch::Reader value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::DISPATCH);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Dispatch>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::Lovageloft::PeerMessages::Dispatch::Builder Datagram::Builder::initDispatch() {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::DISPATCH);
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Dispatch>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Datagram::Builder::adoptDispatch(
-    ::capnp::Orphan< ::Lovageloft::PeerMessages::Dispatch>&& value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::DISPATCH);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Dispatch>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::Lovageloft::PeerMessages::Dispatch> Datagram::Builder::disownDispatch() {
-  KJ_IREQUIRE((which() == Datagram::DISPATCH),
-              "Must check which() before get()ing a union member.");
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+  inline  ::int64_t getRevision() const;
+
+  inline  ::uint64_t getAgeMicroseconds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ProofReply::Builder {
+public:
+  typedef ProofReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline  ::int64_t getRevision();
+  inline void setRevision( ::int64_t value);
+
+  inline  ::uint64_t getAgeMicroseconds();
+  inline void setAgeMicroseconds( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ProofReply::Pipeline {
+public:
+  typedef ProofReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class WeightsAge::Reader {
+public:
+  typedef WeightsAge Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasModel() const;
+  inline  ::capnp::Text::Reader getModel() const;
+
+  inline  ::int64_t getVersion() const;
+
+  inline  ::uint64_t getAgeMilliseconds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class WeightsAge::Builder {
+public:
+  typedef WeightsAge Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasModel();
+  inline  ::capnp::Text::Builder getModel();
+  inline void setModel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initModel(unsigned int size);
+  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownModel();
+
+  inline  ::int64_t getVersion();
+  inline void setVersion( ::int64_t value);
+
+  inline  ::uint64_t getAgeMilliseconds();
+  inline void setAgeMilliseconds( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class WeightsAge::Pipeline {
+public:
+  typedef WeightsAge Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CacheStore::Reader {
+public:
+  typedef CacheStore Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool getIsAlive() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CacheStore::Builder {
+public:
+  typedef CacheStore Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool getIsAlive();
+  inline void setIsAlive(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CacheStore::Pipeline {
+public:
+  typedef CacheStore Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::Lovageloft::PeerMessages::Datagram::Which Datagram::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::Lovageloft::PeerMessages::Datagram::Which Datagram::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Datagram::Reader::isDispatch() const {
+  return which() == Datagram::DISPATCH;
+}
+inline bool Datagram::Builder::isDispatch() {
+  return which() == Datagram::DISPATCH;
+}
+inline bool Datagram::Reader::hasDispatch() const {
+  if (which() != Datagram::DISPATCH) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasDispatch() {
+  if (which() != Datagram::DISPATCH) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Lovageloft::PeerMessages::Dispatch::Reader Datagram::Reader::getDispatch() const {
+  KJ_IREQUIRE((which() == Datagram::DISPATCH),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Dispatch>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Lovageloft::PeerMessages::Dispatch::Builder Datagram::Builder::getDispatch() {
+  KJ_IREQUIRE((which() == Datagram::DISPATCH),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Dispatch>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setDispatch( ::Lovageloft::PeerMessages::Dispatch::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::DISPATCH);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Dispatch>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Lovageloft::PeerMessages::Dispatch::Builder Datagram::Builder::initDispatch() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::DISPATCH);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Dispatch>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptDispatch(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::Dispatch>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::DISPATCH);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Dispatch>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::Dispatch> Datagram::Builder::disownDispatch() {
+  KJ_IREQUIRE((which() == Datagram::DISPATCH),
+              "Must check which() before get()ing a union member.");
   return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Dispatch>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Datagram::Reader::isLoading() const {
-  return which() == Datagram::LOADING;
+inline bool Datagram::Reader::isLoading() const {
+  return which() == Datagram::LOADING;
+}
+inline bool Datagram::Builder::isLoading() {
+  return which() == Datagram::LOADING;
+}
+inline bool Datagram::Reader::hasLoading() const {
+  if (which() != Datagram::LOADING) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasLoading() {
+  if (which() != Datagram::LOADING) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Lovageloft::PeerMessages::Loading::Reader Datagram::Reader::getLoading() const {
+  KJ_IREQUIRE((which() == Datagram::LOADING),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Loading>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Lovageloft::PeerMessages::Loading::Builder Datagram::Builder::getLoading() {
+  KJ_IREQUIRE((which() == Datagram::LOADING),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Loading>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setLoading( ::Lovageloft::PeerMessages::Loading::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOADING);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Loading>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Lovageloft::PeerMessages::Loading::Builder Datagram::Builder::initLoading() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOADING);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Loading>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptLoading(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::Loading>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOADING);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Loading>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::Loading> Datagram::Builder::disownLoading() {
+  KJ_IREQUIRE((which() == Datagram::LOADING),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Loading>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isTokenRequest() const {
+  return which() == Datagram::TOKEN_REQUEST;
+}
+inline bool Datagram::Builder::isTokenRequest() {
+  return which() == Datagram::TOKEN_REQUEST;
+}
+inline bool Datagram::Reader::hasTokenRequest() const {
+  if (which() != Datagram::TOKEN_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasTokenRequest() {
+  if (which() != Datagram::TOKEN_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Lovageloft::PeerMessages::TokenRequest::Reader Datagram::Reader::getTokenRequest() const {
+  KJ_IREQUIRE((which() == Datagram::TOKEN_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Lovageloft::PeerMessages::TokenRequest::Builder Datagram::Builder::getTokenRequest() {
+  KJ_IREQUIRE((which() == Datagram::TOKEN_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setTokenRequest( ::Lovageloft::PeerMessages::TokenRequest::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::TOKEN_REQUEST);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Lovageloft::PeerMessages::TokenRequest::Builder Datagram::Builder::initTokenRequest() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::TOKEN_REQUEST);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptTokenRequest(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::TokenRequest>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::TOKEN_REQUEST);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::TokenRequest> Datagram::Builder::disownTokenRequest() {
+  KJ_IREQUIRE((which() == Datagram::TOKEN_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isTokenReply() const {
+  return which() == Datagram::TOKEN_REPLY;
+}
+inline bool Datagram::Builder::isTokenReply() {
+  return which() == Datagram::TOKEN_REPLY;
+}
+inline bool Datagram::Reader::hasTokenReply() const {
+  if (which() != Datagram::TOKEN_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasTokenReply() {
+  if (which() != Datagram::TOKEN_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Lovageloft::PeerMessages::TokenReply::Reader Datagram::Reader::getTokenReply() const {
+  KJ_IREQUIRE((which() == Datagram::TOKEN_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Lovageloft::PeerMessages::TokenReply::Builder Datagram::Builder::getTokenReply() {
+  KJ_IREQUIRE((which() == Datagram::TOKEN_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setTokenReply( ::Lovageloft::PeerMessages::TokenReply::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::TOKEN_REPLY);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Lovageloft::PeerMessages::TokenReply::Builder Datagram::Builder::initTokenReply() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::TOKEN_REPLY);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptTokenReply(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::TokenReply>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::TOKEN_REPLY);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::TokenReply> Datagram::Builder::disownTokenReply() {
+  KJ_IREQUIRE((which() == Datagram::TOKEN_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isChanges() const {
+  return which() == Datagram::CHANGES;
+}
+inline bool Datagram::Builder::isChanges() {
+  return which() == Datagram::CHANGES;
+}
+inline bool Datagram::Reader::hasChanges() const {
+  if (which() != Datagram::CHANGES) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasChanges() {
+  if (which() != Datagram::CHANGES) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Lovageloft::PeerMessages::Changes::Reader Datagram::Reader::getChanges() const {
+  KJ_IREQUIRE((which() == Datagram::CHANGES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Changes>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Lovageloft::PeerMessages::Changes::Builder Datagram::Builder::getChanges() {
+  KJ_IREQUIRE((which() == Datagram::CHANGES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Changes>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setChanges( ::Lovageloft::PeerMessages::Changes::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CHANGES);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Changes>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Lovageloft::PeerMessages::Changes::Builder Datagram::Builder::initChanges() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CHANGES);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Changes>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptChanges(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::Changes>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CHANGES);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Changes>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::Changes> Datagram::Builder::disownChanges() {
+  KJ_IREQUIRE((which() == Datagram::CHANGES),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Changes>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isProofRequest() const {
+  return which() == Datagram::PROOF_REQUEST;
+}
+inline bool Datagram::Builder::isProofRequest() {
+  return which() == Datagram::PROOF_REQUEST;
+}
+inline bool Datagram::Reader::hasProofRequest() const {
+  if (which() != Datagram::PROOF_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasProofRequest() {
+  if (which() != Datagram::PROOF_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Lovageloft::PeerMessages::ProofRequest::Reader Datagram::Reader::getProofRequest() const {
+  KJ_IREQUIRE((which() == Datagram::PROOF_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Lovageloft::PeerMessages::ProofRequest::Builder Datagram::Builder::getProofRequest() {
+  KJ_IREQUIRE((which() == Datagram::PROOF_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setProofRequest( ::Lovageloft::PeerMessages::ProofRequest::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROOF_REQUEST);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Lovageloft::PeerMessages::ProofRequest::Builder Datagram::Builder::initProofRequest() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROOF_REQUEST);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptProofRequest(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::ProofRequest>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROOF_REQUEST);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::ProofRequest> Datagram::Builder::disownProofRequest() {
+  KJ_IREQUIRE((which() == Datagram::PROOF_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isProofReply() const {
+  return which() == Datagram::PROOF_REPLY;
 }
-inline bool Datagram::Builder::isLoading() {
-  return which() == Datagram::LOADING;
+inline bool Datagram::Builder::isProofReply() {
+  return which() == Datagram::PROOF_REPLY;
 }
-inline bool Datagram::Reader::hasLoading() const {
-  if (which() != Datagram::LOADING) return false;
+inline bool Datagram::Reader::hasProofReply() const {
+  if (which() != Datagram::PROOF_REPLY) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasLoading() {
-  if (which() != Datagram::LOADING) return false;
+inline bool Datagram::Builder::hasProofReply() {
+  if (which() != Datagram::PROOF_REPLY) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Lovageloft::PeerMessages::Loading::Reader Datagram::Reader::getLoading() const {
-  KJ_IREQUIRE((which() == Datagram::LOADING),
+inline  ::Lovageloft::PeerMessages::ProofReply::Reader Datagram::Reader::getProofReply() const {
+  KJ_IREQUIRE((which() == Datagram::PROOF_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Loading>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofReply>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Lovageloft::PeerMessages::Loading::Builder Datagram::Builder::getLoading() {
-  KJ_IREQUIRE((which() == Datagram::LOADING),
+inline  ::Lovageloft::PeerMessages::ProofReply::Builder Datagram::Builder::getProofReply() {
+  KJ_IREQUIRE((which() == Datagram::PROOF_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Loading>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofReply>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setLoading( ::Lovageloft::PeerMessages::Loading::Reader value) {
+inline void Datagram::Builder::setProofReply( ::Lovageloft::PeerMessages::ProofReply::Reader value) {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOADING);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Loading>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROOF_REPLY);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofReply>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Lovageloft::PeerMessages::Loading::Builder Datagram::Builder::initLoading() {
+inline  ::Lovageloft::PeerMessages::ProofReply::Builder Datagram::Builder::initProofReply() {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOADING);
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Loading>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROOF_REPLY);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofReply>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::adoptLoading(
-    ::capnp::Orphan< ::Lovageloft::PeerMessages::Loading>&& value) {
+inline void Datagram::Builder::adoptProofReply(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::ProofReply>&& value) {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::LOADING);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Loading>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROOF_REPLY);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofReply>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Lovageloft::PeerMessages::Loading> Datagram::Builder::disownLoading() {
-  KJ_IREQUIRE((which() == Datagram::LOADING),
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::ProofReply> Datagram::Builder::disownProofReply() {
+  KJ_IREQUIRE((which() == Datagram::PROOF_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Loading>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofReply>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Datagram::Reader::isTokenRequest() const {
-  return which() == Datagram::TOKEN_REQUEST;
+inline bool Datagram::Reader::isCacheStore() const {
+  return which() == Datagram::CACHE_STORE;
 }
-inline bool Datagram::Builder::isTokenRequest() {
-  return which() == Datagram::TOKEN_REQUEST;
+inline bool Datagram::Builder::isCacheStore() {
+  return which() == Datagram::CACHE_STORE;
 }
-inline bool Datagram::Reader::hasTokenRequest() const {
-  if (which() != Datagram::TOKEN_REQUEST) return false;
+inline bool Datagram::Reader::hasCacheStore() const {
+  if (which() != Datagram::CACHE_STORE) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasTokenRequest() {
-  if (which() != Datagram::TOKEN_REQUEST) return false;
+inline bool Datagram::Builder::hasCacheStore() {
+  if (which() != Datagram::CACHE_STORE) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Lovageloft::PeerMessages::TokenRequest::Reader Datagram::Reader::getTokenRequest() const {
-  KJ_IREQUIRE((which() == Datagram::TOKEN_REQUEST),
+inline  ::Lovageloft::PeerMessages::CacheStore::Reader Datagram::Reader::getCacheStore() const {
+  KJ_IREQUIRE((which() == Datagram::CACHE_STORE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenRequest>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::CacheStore>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Lovageloft::PeerMessages::TokenRequest::Builder Datagram::Builder::getTokenRequest() {
-  KJ_IREQUIRE((which() == Datagram::TOKEN_REQUEST),
+inline  ::Lovageloft::PeerMessages::CacheStore::Builder Datagram::Builder::getCacheStore() {
+  KJ_IREQUIRE((which() == Datagram::CACHE_STORE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenRequest>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::CacheStore>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setTokenRequest( ::Lovageloft::PeerMessages::TokenRequest::Reader value) {
+inline void Datagram::Builder::setCacheStore( ::Lovageloft::PeerMessages::CacheStore::Reader value) {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::TOKEN_REQUEST);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CACHE_STORE);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::CacheStore>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Lovageloft::PeerMessages::TokenRequest::Builder Datagram::Builder::initTokenRequest() {
+inline  ::Lovageloft::PeerMessages::CacheStore::Builder Datagram::Builder::initCacheStore() {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::TOKEN_REQUEST);
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CACHE_STORE);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::CacheStore>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::adoptTokenRequest(
-    ::capnp::Orphan< ::Lovageloft::PeerMessages::TokenRequest>&& value) {
+inline void Datagram::Builder::adoptCacheStore(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::CacheStore>&& value) {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::TOKEN_REQUEST);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CACHE_STORE);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::CacheStore>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Lovageloft::PeerMessages::TokenRequest> Datagram::Builder::disownTokenRequest() {
-  KJ_IREQUIRE((which() == Datagram::TOKEN_REQUEST),
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::CacheStore> Datagram::Builder::disownCacheStore() {
+  KJ_IREQUIRE((which() == Datagram::CACHE_STORE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenRequest>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::CacheStore>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Datagram::Reader::isTokenReply() const {
-  return which() == Datagram::TOKEN_REPLY;
+inline bool Datagram::Reader::isWeightsQuestion() const {
+  return which() == Datagram::WEIGHTS_QUESTION;
 }
-inline bool Datagram::Builder::isTokenReply() {
-  return which() == Datagram::TOKEN_REPLY;
+inline bool Datagram::Builder::isWeightsQuestion() {
+  return which() == Datagram::WEIGHTS_QUESTION;
 }
-inline bool Datagram::Reader::hasTokenReply() const {
-  if (which() != Datagram::TOKEN_REPLY) return false;
+inline  ::capnp::Void Datagram::Reader::getWeightsQuestion() const {
+  KJ_IREQUIRE((which() == Datagram::WEIGHTS_QUESTION),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void Datagram::Builder::getWeightsQuestion() {
+  KJ_IREQUIRE((which() == Datagram::WEIGHTS_QUESTION),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setWeightsQuestion( ::capnp::Void value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::WEIGHTS_QUESTION);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Datagram::Reader::isWeightsAge() const {
+  return which() == Datagram::WEIGHTS_AGE;
+}
+inline bool Datagram::Builder::isWeightsAge() {
+  return which() == Datagram::WEIGHTS_AGE;
+}
+inline bool Datagram::Reader::hasWeightsAge() const {
+  if (which() != Datagram::WEIGHTS_AGE) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasTokenReply() {
-  if (which() != Datagram::TOKEN_REPLY) return false;
+inline bool Datagram::Builder::hasWeightsAge() {
+  if (which() != Datagram::WEIGHTS_AGE) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Lovageloft::PeerMessages::TokenReply::Reader Datagram::Reader::getTokenReply() const {
-  KJ_IREQUIRE((which() == Datagram::TOKEN_REPLY),
+inline  ::Lovageloft::PeerMessages::WeightsAge::Reader Datagram::Reader::getWeightsAge() const {
+  KJ_IREQUIRE((which() == Datagram::WEIGHTS_AGE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenReply>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::WeightsAge>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Lovageloft::PeerMessages::TokenReply::Builder Datagram::Builder::getTokenReply() {
-  KJ_IREQUIRE((which() == Datagram::TOKEN_REPLY),
+inline  ::Lovageloft::PeerMessages::WeightsAge::Builder Datagram::Builder::getWeightsAge() {
+  KJ_IREQUIRE((which() == Datagram::WEIGHTS_AGE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenReply>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::WeightsAge>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setTokenReply( ::Lovageloft::PeerMessages::TokenReply::Reader value) {
+inline void Datagram::Builder::setWeightsAge( ::Lovageloft::PeerMessages::WeightsAge::Reader value) {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::TOKEN_REPLY);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::WEIGHTS_AGE);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::WeightsAge>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Lovageloft::PeerMessages::TokenReply::Builder Datagram::Builder::initTokenReply() {
+inline  ::Lovageloft::PeerMessages::WeightsAge::Builder Datagram::Builder::initWeightsAge() {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::TOKEN_REPLY);
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::WEIGHTS_AGE);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::WeightsAge>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::adoptTokenReply(
-    ::capnp::Orphan< ::Lovageloft::PeerMessages::TokenReply>&& value) {
+inline void Datagram::Builder::adoptWeightsAge(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::WeightsAge>&& value) {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::TOKEN_REPLY);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::WEIGHTS_AGE);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::WeightsAge>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Lovageloft::PeerMessages::TokenReply> Datagram::Builder::disownTokenReply() {
-  KJ_IREQUIRE((which() == Datagram::TOKEN_REPLY),
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::WeightsAge> Datagram::Builder::disownWeightsAge() {
+  KJ_IREQUIRE((which() == Datagram::WEIGHTS_AGE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::TokenReply>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::WeightsAge>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Datagram::Reader::isChanges() const {
-  return which() == Datagram::CHANGES;
+inline bool Datagram::Reader::isForward() const {
+  return which() == Datagram::FORWARD;
 }
-inline bool Datagram::Builder::isChanges() {
-  return which() == Datagram::CHANGES;
+inline bool Datagram::Builder::isForward() {
+  return which() == Datagram::FORWARD;
 }
-inline bool Datagram::Reader::hasChanges() const {
-  if (which() != Datagram::CHANGES) return false;
+inline bool Datagram::Reader::hasForward() const {
+  if (which() != Datagram::FORWARD) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasChanges() {
-  if (which() != Datagram::CHANGES) return false;
+inline bool Datagram::Builder::hasForward() {
+  if (which() != Datagram::FORWARD) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Lovageloft::PeerMessages::Changes::Reader Datagram::Reader::getChanges() const {
-  KJ_IREQUIRE((which() == Datagram::CHANGES),
+inline  ::Lovageloft::PeerMessages::Forward::Reader Datagram::Reader::getForward() const {
+  KJ_IREQUIRE((which() == Datagram::FORWARD),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Changes>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Forward>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Lovageloft::PeerMessages::Changes::Builder Datagram::Builder::getChanges() {
-  KJ_IREQUIRE((which() == Datagram::CHANGES),
+inline  ::Lovageloft::PeerMessages::Forward::Builder Datagram::Builder::getForward() {
+  KJ_IREQUIRE((which() == Datagram::FORWARD),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Changes>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Forward>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setChanges( ::Lovageloft::PeerMessages::Changes::Reader value) {
+inline void Datagram::Builder::setForward( ::Lovageloft::PeerMessages::Forward::Reader value) {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CHANGES);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Changes>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::FORWARD);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Forward>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Lovageloft::PeerMessages::Changes::Builder Datagram::Builder::initChanges() {
+inline  ::Lovageloft::PeerMessages::Forward::Builder Datagram::Builder::initForward() {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CHANGES);
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Changes>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::FORWARD);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Forward>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::adoptChanges(
-    ::capnp::Orphan< ::Lovageloft::PeerMessages::Changes>&& value) {
+inline void Datagram::Builder::adoptForward(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::Forward>&& value) {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CHANGES);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Changes>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::FORWARD);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Forward>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::Forward> Datagram::Builder::disownForward() {
+  KJ_IREQUIRE((which() == Datagram::FORWARD),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Forward>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isPacked() const {
+  return which() == Datagram::PACKED;
+}
+inline bool Datagram::Builder::isPacked() {
+  return which() == Datagram::PACKED;
+}
+inline bool Datagram::Reader::hasPacked() const {
+  if (which() != Datagram::PACKED) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasPacked() {
+  if (which() != Datagram::PACKED) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Datagram::Reader::getPacked() const {
+  KJ_IREQUIRE((which() == Datagram::PACKED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Datagram::Builder::getPacked() {
+  KJ_IREQUIRE((which() == Datagram::PACKED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setPacked( ::capnp::Data::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PACKED);
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Datagram::Builder::initPacked(unsigned int size) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PACKED);
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::Builder::adoptPacked(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PACKED);
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Lovageloft::PeerMessages::Changes> Datagram::Builder::disownChanges() {
-  KJ_IREQUIRE((which() == Datagram::CHANGES),
+inline ::capnp::Orphan< ::capnp::Data> Datagram::Builder::disownPacked() {
+  KJ_IREQUIRE((which() == Datagram::PACKED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Changes>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Datagram::Reader::isProofRequest() const {
-  return which() == Datagram::PROOF_REQUEST;
+inline bool Datagram::Reader::isChangesRequest() const {
+  return which() == Datagram::CHANGES_REQUEST;
 }
-inline bool Datagram::Builder::isProofRequest() {
-  return which() == Datagram::PROOF_REQUEST;
+inline bool Datagram::Builder::isChangesRequest() {
+  return which() == Datagram::CHANGES_REQUEST;
 }
-inline bool Datagram::Reader::hasProofRequest() const {
-  if (which() != Datagram::PROOF_REQUEST) return false;
+inline bool Datagram::Reader::hasChangesRequest() const {
+  if (which() != Datagram::CHANGES_REQUEST) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasProofRequest() {
-  if (which() != Datagram::PROOF_REQUEST) return false;
+inline bool Datagram::Builder::hasChangesRequest() {
+  if (which() != Datagram::CHANGES_REQUEST) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Lovageloft::PeerMessages::ProofRequest::Reader Datagram::Reader::getProofRequest() const {
-  KJ_IREQUIRE((which() == Datagram::PROOF_REQUEST),
+inline  ::Lovageloft::PeerMessages::ChangesRequest::Reader Datagram::Reader::getChangesRequest() const {
+  KJ_IREQUIRE((which() == Datagram::CHANGES_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofRequest>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ChangesRequest>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Lovageloft::PeerMessages::ProofRequest::Builder Datagram::Builder::getProofRequest() {
-  KJ_IREQUIRE((which() == Datagram::PROOF_REQUEST),
+inline  ::Lovageloft::PeerMessages::ChangesRequest::Builder Datagram::Builder::getChangesRequest() {
+  KJ_IREQUIRE((which() == Datagram::CHANGES_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofRequest>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ChangesRequest>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setProofRequest( ::Lovageloft::PeerMessages::ProofRequest::Reader value) {
+inline void Datagram::Builder::setChangesRequest( ::Lovageloft::PeerMessages::ChangesRequest::Reader value) {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROOF_REQUEST);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CHANGES_REQUEST);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ChangesRequest>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Lovageloft::PeerMessages::ProofRequest::Builder Datagram::Builder::initProofRequest() {
+inline  ::Lovageloft::PeerMessages::ChangesRequest::Builder Datagram::Builder::initChangesRequest() {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROOF_REQUEST);
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CHANGES_REQUEST);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ChangesRequest>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::adoptProofRequest(
-    ::capnp::Orphan< ::Lovageloft::PeerMessages::ProofRequest>&& value) {
+inline void Datagram::Builder::adoptChangesRequest(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::ChangesRequest>&& value) {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROOF_REQUEST);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CHANGES_REQUEST);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ChangesRequest>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Lovageloft::PeerMessages::ProofRequest> Datagram::Builder::disownProofRequest() {
-  KJ_IREQUIRE((which() == Datagram::PROOF_REQUEST),
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::ChangesRequest> Datagram::Builder::disownChangesRequest() {
+  KJ_IREQUIRE((which() == Datagram::CHANGES_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofRequest>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ChangesRequest>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Datagram::Reader::isProofReply() const {
-  return which() == Datagram::PROOF_REPLY;
+inline bool Datagram::Reader::isChangesReply() const {
+  return which() == Datagram::CHANGES_REPLY;
 }
-inline bool Datagram::Builder::isProofReply() {
-  return which() == Datagram::PROOF_REPLY;
+inline bool Datagram::Builder::isChangesReply() {
+  return which() == Datagram::CHANGES_REPLY;
 }
-inline bool Datagram::Reader::hasProofReply() const {
-  if (which() != Datagram::PROOF_REPLY) return false;
+inline bool Datagram::Reader::hasChangesReply() const {
+  if (which() != Datagram::CHANGES_REPLY) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasProofReply() {
-  if (which() != Datagram::PROOF_REPLY) return false;
+inline bool Datagram::Builder::hasChangesReply() {
+  if (which() != Datagram::CHANGES_REPLY) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Lovageloft::PeerMessages::ProofReply::Reader Datagram::Reader::getProofReply() const {
-  KJ_IREQUIRE((which() == Datagram::PROOF_REPLY),
+inline  ::Lovageloft::PeerMessages::ChangesReply::Reader Datagram::Reader::getChangesReply() const {
+  KJ_IREQUIRE((which() == Datagram::CHANGES_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofReply>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ChangesReply>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Lovageloft::PeerMessages::ProofReply::Builder Datagram::Builder::getProofReply() {
-  KJ_IREQUIRE((which() == Datagram::PROOF_REPLY),
+inline  ::Lovageloft::PeerMessages::ChangesReply::Builder Datagram::Builder::getChangesReply() {
+  KJ_IREQUIRE((which() == Datagram::CHANGES_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofReply>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ChangesReply>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setProofReply( ::Lovageloft::PeerMessages::ProofReply::Reader value) {
+inline void Datagram::Builder::setChangesReply( ::Lovageloft::PeerMessages::ChangesReply::Reader value) {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROOF_REPLY);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CHANGES_REPLY);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ChangesReply>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Lovageloft::PeerMessages::ProofReply::Builder Datagram::Builder::initProofReply() {
+inline  ::Lovageloft::PeerMessages::ChangesReply::Builder Datagram::Builder::initChangesReply() {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROOF_REPLY);
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CHANGES_REPLY);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ChangesReply>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::adoptProofReply(
-    ::capnp::Orphan< ::Lovageloft::PeerMessages::ProofReply>&& value) {
+inline void Datagram::Builder::adoptChangesReply(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::ChangesReply>&& value) {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PROOF_REPLY);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CHANGES_REPLY);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ChangesReply>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Lovageloft::PeerMessages::ProofReply> Datagram::Builder::disownProofReply() {
-  KJ_IREQUIRE((which() == Datagram::PROOF_REPLY),
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::ChangesReply> Datagram::Builder::disownChangesReply() {
+  KJ_IREQUIRE((which() == Datagram::CHANGES_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ProofReply>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::ChangesReply>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Datagram::Reader::isCacheStore() const {
-  return which() == Datagram::CACHE_STORE;
-}
-inline bool Datagram::Builder::isCacheStore() {
-  return which() == Datagram::CACHE_STORE;
-}
-inline bool Datagram::Reader::hasCacheStore() const {
-  if (which() != Datagram::CACHE_STORE) return false;
+inline bool Forward::Reader::hasReceivers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasCacheStore() {
-  if (which() != Datagram::CACHE_STORE) return false;
+inline bool Forward::Builder::hasReceivers() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Lovageloft::PeerMessages::CacheStore::Reader Datagram::Reader::getCacheStore() const {
-  KJ_IREQUIRE((which() == Datagram::CACHE_STORE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::CacheStore>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Forward::Reader::getReceivers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Lovageloft::PeerMessages::CacheStore::Builder Datagram::Builder::getCacheStore() {
-  KJ_IREQUIRE((which() == Datagram::CACHE_STORE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::CacheStore>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Forward::Builder::getReceivers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setCacheStore( ::Lovageloft::PeerMessages::CacheStore::Reader value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CACHE_STORE);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::CacheStore>::set(_builder.getPointerField(
+inline void Forward::Builder::setReceivers( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Lovageloft::PeerMessages::CacheStore::Builder Datagram::Builder::initCacheStore() {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CACHE_STORE);
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::CacheStore>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Forward::Builder::setReceivers(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Datagram::Builder::adoptCacheStore(
-    ::capnp::Orphan< ::Lovageloft::PeerMessages::CacheStore>&& value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CACHE_STORE);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::CacheStore>::adopt(_builder.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Forward::Builder::initReceivers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Forward::Builder::adoptReceivers(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Lovageloft::PeerMessages::CacheStore> Datagram::Builder::disownCacheStore() {
-  KJ_IREQUIRE((which() == Datagram::CACHE_STORE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::CacheStore>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Forward::Builder::disownReceivers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Datagram::Reader::isWeightsQuestion() const {
-  return which() == Datagram::WEIGHTS_QUESTION;
+inline bool Forward::Reader::hasDatagram() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::isWeightsQuestion() {
-  return which() == Datagram::WEIGHTS_QUESTION;
+inline bool Forward::Builder::hasDatagram() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Void Datagram::Reader::getWeightsQuestion() const {
-  KJ_IREQUIRE((which() == Datagram::WEIGHTS_QUESTION),
-              "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::capnp::Void>(
+inline  ::capnp::Data::Reader Forward::Reader::getDatagram() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Forward::Builder::getDatagram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Forward::Builder::setDatagram( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Forward::Builder::initDatagram(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Forward::Builder::adoptDatagram(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Forward::Builder::disownDatagram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ChangesRequest::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::capnp::Void Datagram::Builder::getWeightsQuestion() {
-  KJ_IREQUIRE((which() == Datagram::WEIGHTS_QUESTION),
-              "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::capnp::Void>(
+inline  ::uint64_t ChangesRequest::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setWeightsQuestion( ::capnp::Void value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::WEIGHTS_QUESTION);
-  _builder.setDataField< ::capnp::Void>(
+inline void ChangesRequest::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Datagram::Reader::isWeightsAge() const {
-  return which() == Datagram::WEIGHTS_AGE;
+inline bool ChangesRequest::Reader::hasPrefix() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::isWeightsAge() {
-  return which() == Datagram::WEIGHTS_AGE;
+inline bool ChangesRequest::Builder::hasPrefix() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Reader::hasWeightsAge() const {
-  if (which() != Datagram::WEIGHTS_AGE) return false;
+inline  ::capnp::Text::Reader ChangesRequest::Reader::getPrefix() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ChangesRequest::Builder::getPrefix() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ChangesRequest::Builder::setPrefix( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ChangesRequest::Builder::initPrefix(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ChangesRequest::Builder::adoptPrefix(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ChangesRequest::Builder::disownPrefix() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t ChangesRequest::Reader::getAfter() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ChangesRequest::Builder::getAfter() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ChangesRequest::Builder::setAfter( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ChangesReply::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ChangesReply::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ChangesReply::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ChangesReply::Reader::hasChanges() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasWeightsAge() {
-  if (which() != Datagram::WEIGHTS_AGE) return false;
+inline bool ChangesReply::Builder::hasChanges() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Lovageloft::PeerMessages::WeightsAge::Reader Datagram::Reader::getWeightsAge() const {
-  KJ_IREQUIRE((which() == Datagram::WEIGHTS_AGE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::WeightsAge>::get(_reader.getPointerField(
+inline  ::Lovageloft::PeerMessages::Changes::Reader ChangesReply::Reader::getChanges() const {
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Changes>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Lovageloft::PeerMessages::WeightsAge::Builder Datagram::Builder::getWeightsAge() {
-  KJ_IREQUIRE((which() == Datagram::WEIGHTS_AGE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::WeightsAge>::get(_builder.getPointerField(
+inline  ::Lovageloft::PeerMessages::Changes::Builder ChangesReply::Builder::getChanges() {
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Changes>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setWeightsAge( ::Lovageloft::PeerMessages::WeightsAge::Reader value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::WEIGHTS_AGE);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::WeightsAge>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::Lovageloft::PeerMessages::Changes::Pipeline ChangesReply::Pipeline::getChanges() {
+  return  ::Lovageloft::PeerMessages::Changes::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void ChangesReply::Builder::setChanges( ::Lovageloft::PeerMessages::Changes::Reader value) {
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Changes>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Lovageloft::PeerMessages::WeightsAge::Builder Datagram::Builder::initWeightsAge() {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::WEIGHTS_AGE);
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::WeightsAge>::init(_builder.getPointerField(
+inline  ::Lovageloft::PeerMessages::Changes::Builder ChangesReply::Builder::initChanges() {
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Changes>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::adoptWeightsAge(
-    ::capnp::Orphan< ::Lovageloft::PeerMessages::WeightsAge>&& value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::WEIGHTS_AGE);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::WeightsAge>::adopt(_builder.getPointerField(
+inline void ChangesReply::Builder::adoptChanges(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::Changes>&& value) {
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Changes>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Lovageloft::PeerMessages::WeightsAge> Datagram::Builder::disownWeightsAge() {
-  KJ_IREQUIRE((which() == Datagram::WEIGHTS_AGE),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::WeightsAge>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::Changes> ChangesReply::Builder::disownChanges() {
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::Changes>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t ChangesReply::Reader::getAgeMicroseconds() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ChangesReply::Builder::getAgeMicroseconds() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ChangesReply::Builder::setAgeMicroseconds( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Dispatch::Reader::hasEngine() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2203,6 +3000,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Changes::Reader::getLatestStart() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 9223372036854775807ll);
+}
+
+inline  ::int64_t Changes::Builder::getLatestStart() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 9223372036854775807ll);
+}
+inline void Changes::Builder::setLatestStart( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, 9223372036854775807ll);
+}
+
 inline bool Changes::Entry::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -1,12 +1,16 @@
 #include "gateway/peer_socket.h"
 
 #include <algorithm>
+#include <cstring>
+#include <random>
 
 #include <capnp/message.h>
 #include <capnp/serialize.h>
 #include <kj/exception.h>
 
+#include "coordination/broadcast_plan.h"
 #include "core/log.h"
+#include "gateway/deflate.h"
 #include "gateway/peer_messages.capnp.h"
 
 namespace Lovageloft
@@ -25,11 +29,21 @@
 /// Datagrams read before others get their turn.
 constexpr int datagramsPerTurn = 32;
 
-/// Longest value that goes into a datagram, and most bytes of values in one: no more than a packet's worth each, so that one lost
-/// packet costs one datagram.
-constexpr std::size_t longestValue = 1'000;
+/// Bytes of values in one datagram of several changes: a packet's worth, so that one lost packet costs one datagram. A longer value has a
+/// datagram of its own.
 constexpr std::size_t valuesPerDatagram = 1'000;
 
+/// Datagrams are deflated from this size on, about a packet's.
+constexpr std::size_t packedFrom = 1'200;
+
+/// Longest datagram: what UDP carries, with room for a list of receivers.
+constexpr std::size_t longestDatagram = 56'000;
+
+/// Longest datagram once inflated; a longer one is not believed.
+constexpr std::size_t longestInflated = std::size_t{4} << 20U;
+
+constexpr unsigned portBits = 16;
+
 std::string encode(capnp::MessageBuilder &message)
 {
     const auto words = capnp::messageToFlatArray(message);
@@ -37,11 +51,103 @@
     return {bytes.begin(), bytes.size()};
 }
 
+kj::ArrayPtr<const unsigned char> bytesOf(std::string_view text)
+{
+    return kj::arrayPtr(reinterpret_cast<const unsigned char *>(text.data()), text.size());
+}
+
+std::string_view textOf(capnp::Data::Reader data)
+{
+    const auto chars = data.asChars();
+    return {chars.begin(), chars.size()};
+}
+
+std::string packed(std::string datagram)
+{
+    if (datagram.size() < packedFrom) {
+        return datagram;
+    }
+    capnp::MallocMessageBuilder message;
+    message.initRoot<Datagram>().setPacked(bytesOf(deflated(datagram)));
+    return encode(message);
+}
+
+std::string encodeForward(std::string_view datagram, std::span<const udp::endpoint> receivers)
+{
+    capnp::MallocMessageBuilder message;
+    auto forward = message.initRoot<Datagram>().initForward();
+    auto addresses = forward.initReceivers(static_cast<unsigned>(receivers.size()));
+    for (unsigned i = 0; i < receivers.size(); ++i) {
+        addresses.set(i, (std::uint64_t{receivers[i].address().to_v4().to_uint()} << portBits) | receivers[i].port());
+    }
+    forward.setDatagram(bytesOf(datagram));
+    return encode(message);
+}
+
+udp::endpoint endpointOf(std::uint64_t address)
+{
+    constexpr std::uint64_t portMask = (1U << portBits) - 1;
+    return {boost::asio::ip::address_v4(static_cast<std::uint32_t>(address >> portBits)), static_cast<std::uint16_t>(address & portMask)};
+}
+
+void writeEntries(PeerMessages::Changes::Builder changes, std::span<const StoreEntry> entries, bool withValues)
+{
+    auto encoded = changes.initEntries(static_cast<unsigned>(entries.size()));
+    for (unsigned i = 0; i < entries.size(); ++i) {
+        const StoreEntry &entry = entries[i];
+        encoded[i].setKey(entry.key);
+        encoded[i].setRevision(entry.revision);
+        encoded[i].setIsDeleted(entry.isDeleted);
+        encoded[i].setIsOmitted(!withValues);
+        if (withValues) {
+            encoded[i].setValue(bytesOf(entry.value));
+        }
+    }
+}
+
+void writeChanges(PeerMessages::Changes::Builder changes, const ChangesNotice &notice, std::span<const StoreEntry> entries, bool withValues)
+{
+    changes.setPrefix(notice.prefix);
+    changes.setAfter(notice.after);
+    changes.setUpTo(notice.upTo);
+    changes.setSilenceMilliseconds(static_cast<std::uint32_t>(toMillis(notice.silence)));
+    changes.setLatestStart(notice.latestStart);
+    writeEntries(changes, entries, withValues);
+}
+
+ChangesNotice readChanges(PeerMessages::Changes::Reader changes)
+{
+    ChangesNotice notice{changes.getPrefix(), changes.getAfter(), changes.getUpTo(), {}, {}, {}};
+    for (const auto entry : changes.getEntries()) {
+        notice.entries.push_back({entry.getKey(), std::string(textOf(entry.getValue())), entry.getRevision(), entry.getIsDeleted()});
+        notice.omitted.push_back(entry.getIsOmitted());
+    }
+    notice.silence = std::chrono::milliseconds(changes.getSilenceMilliseconds());
+    notice.latestStart = changes.getLatestStart();
+    return notice;
+}
+
+/// A datagram of some of the notice's entries; without their values if it would be too long with them.
+std::string encodeChanges(const ChangesNotice &notice, std::span<const StoreEntry> entries)
+{
+    std::string datagram;
+    for (const bool withValues : {true, false}) {
+        capnp::MallocMessageBuilder message;
+        writeChanges(message.initRoot<Datagram>().initChanges(), notice, entries, withValues);
+        datagram = packed(encode(message));
+        if (datagram.size() <= longestDatagram) {
+            break;
+        }
+    }
+    return datagram;
+}
+
 } // namespace
 
 PeerSocket::PeerSocket(boost::asio::io_context &loop, PeerEvents &events)
     : socket_(loop)
     , events_(events)
+    , random_(std::random_device{}())
 {
 }
 
@@ -78,15 +184,20 @@
     return socket_.local_endpoint(ignored).port();
 }
 
-void PeerSocket::setPeers(const std::map<std::string, HostAddress> &peers)
+void PeerSocket::setPeers(const std::map<std::string, HostRecord> &peers)
 {
     endpoints_.clear();
+    receivers_.clear();
+    dataCentres_.clear();
     hosts_.clear();
-    for (const auto &[name, address] : peers) {
+    std::map<std::string_view, std::size_t> numbers;
+    for (const auto &[name, record] : peers) {
         ErrorCode error;
-        const Endpoint endpoint(boost::asio::ip::make_address(address.host, error), address.port);
+        const Endpoint endpoint(boost::asio::ip::make_address(record.address.host, error), record.address.port);
         if (!error) {
             endpoints_.emplace(name, endpoint);
+            receivers_.push_back(endpoint);
+            dataCentres_.push_back(numbers.try_emplace(record.dataCentre, numbers.size()).first->second);
             hosts_.emplace(endpoint, name);
         }
     }
@@ -104,7 +215,7 @@
     for (unsigned i = 0; i < count; ++i) {
         blocks.set(i, notice.blocks[i]);
     }
-    broadcast(message);
+    broadcast(encode(message));
 }
 
 void PeerSocket::tellAll(const LoadingNotice &notice)
@@ -113,7 +224,7 @@
     auto loading = message.initRoot<Datagram>().initLoading();
     loading.setTarget(notice.target);
     loading.setMilliseconds(static_cast<std::uint32_t>(toMillis(notice.time)));
-    broadcast(message);
+    broadcast(encode(message));
 }
 
 void PeerSocket::send(const std::string &host, const TokenRequest &request)
@@ -123,7 +234,7 @@
     encoded.setId(request.id);
     encoded.setTeam(request.team);
     encoded.setTokens(request.tokens);
-    sendTo(host, message);
+    sendTo(host, encode(message));
 }
 
 void PeerSocket::send(const std::string &host, const TokenReply &reply)
@@ -133,14 +244,14 @@
     encoded.setId(reply.id);
     encoded.setIsGranted(reply.isGranted);
     encoded.setRetryAfterMilliseconds(static_cast<std::uint32_t>(toMillis(reply.retryAfter)));
-    sendTo(host, message);
+    sendTo(host, encode(message));
 }
 
 void PeerSocket::send(const std::string &host, const WeightsQuestion & /*question*/)
 {
     capnp::MallocMessageBuilder message;
     message.initRoot<Datagram>().setWeightsQuestion();
-    sendTo(host, message);
+    sendTo(host, encode(message));
 }
 
 void PeerSocket::send(const std::string &host, const WeightsAge &age)
@@ -150,7 +261,7 @@
     encoded.setModel(age.model);
     encoded.setVersion(age.version);
     encoded.setAgeMilliseconds(static_cast<std::uint64_t>(std::max<std::int64_t>(0, toMillis(age.age))));
-    sendTo(host, message);
+    sendTo(host, encode(message));
 }
 
 void PeerSocket::tellAll(const CacheStoreNotice &notice)
@@ -159,48 +270,63 @@
     auto store = message.initRoot<Datagram>().initCacheStore();
     store.setAddress(notice.address);
     store.setIsAlive(notice.isAlive);
-    broadcast(message);
+    broadcast(encode(message));
 }
 
 void PeerSocket::tellAll(const ChangesNotice &notice)
 {
-    std::int64_t after = notice.after;
+    const std::span<const StoreEntry> entries = notice.entries;
+    if (notice.latestStart < notice.upTo) {
+        broadcast(encodeChanges(notice, entries)); // A receiver of some of it would be in between.
+        return;
+    }
+    ChangesNotice part{notice.prefix, notice.after, notice.upTo, {}, {}, notice.silence};
     std::size_t next = 0;
     do {
         std::size_t end = next;
         std::size_t bytes = 0;
-        while (end < notice.entries.size() && (end == next || bytes + notice.entries[end].value.size() <= valuesPerDatagram)) {
-            bytes += std::min(notice.entries[end].value.size(), longestValue);
+        // Changes of one revision stay together: who has the first of them counts as having reached it.
+        const auto isSameRevision = [&] { return end > next && entries[end].revision == entries[end - 1].revision; };
+        while (end < entries.size() && (end == next || isSameRevision() || bytes + entries[end].value.size() <= valuesPerDatagram)) {
+            bytes += entries[end].value.size();
             ++end;
         }
-        const bool isLast = end == notice.entries.size();
-        capnp::MallocMessageBuilder message;
-        auto changes = message.initRoot<Datagram>().initChanges();
-        changes.setPrefix(notice.prefix);
-        changes.setAfter(after);
-        changes.setUpTo(isLast ? notice.upTo : notice.entries[end - 1].revision);
-        changes.setSilenceMilliseconds(static_cast<std::uint32_t>(toMillis(notice.silence)));
-        after = changes.getUpTo();
-        auto entries = changes.initEntries(static_cast<unsigned>(end - next));
-        for (unsigned i = 0; next < end; ++next, ++i) {
-            const StoreEntry &entry = notice.entries[next];
-            entries[i].setKey(entry.key);
-            entries[i].setRevision(entry.revision);
-            entries[i].setIsDeleted(entry.isDeleted);
-            entries[i].setIsOmitted(entry.value.size() > longestValue);
-            if (entry.value.size() <= longestValue) {
-                entries[i].setValue(kj::arrayPtr(reinterpret_cast<const unsigned char *>(entry.value.data()), entry.value.size()));
-            }
-        }
-        broadcast(message);
-    } while (next < notice.entries.size());
+        part.upTo = end == entries.size() ? notice.upTo : entries[end - 1].revision;
+        broadcast(encodeChanges(part, entries.subspan(next, end - next)));
+        part.after = part.upTo;
+        next = end;
+    } while (next < entries.size());
+}
+
+void PeerSocket::send(const std::string &host, const ChangesRequest &request)
+{
+    capnp::MallocMessageBuilder message;
+    auto encoded = message.initRoot<Datagram>().initChangesRequest();
+    encoded.setId(request.id);
+    encoded.setPrefix(request.prefix);
+    encoded.setAfter(request.after);
+    sendTo(host, encode(message));
+}
+
+/// A reply too long for a datagram is not sent: the other one asks the store.
+void PeerSocket::send(const std::string &host, const ChangesReply &reply)
+{
+    capnp::MallocMessageBuilder message;
+    auto encoded = message.initRoot<Datagram>().initChangesReply();
+    encoded.setId(reply.id);
+    encoded.setAgeMicroseconds(static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::microseconds>(reply.age).count()));
+    writeChanges(encoded.initChanges(), reply.changes, reply.changes.entries, true);
+    const std::string datagram = packed(encode(message));
+    if (datagram.size() <= longestDatagram) {
+        sendTo(host, datagram);
+    }
 }
 
 void PeerSocket::send(const std::string &host, const ProofRequest &request)
 {
     capnp::MallocMessageBuilder message;
     message.initRoot<Datagram>().initProofRequest().setId(request.id);
-    sendTo(host, message);
+    sendTo(host, encode(message));
 }
 
 void PeerSocket::send(const std::string &host, const ProofReply &reply)
@@ -210,21 +336,29 @@
     encoded.setId(reply.id);
     encoded.setRevision(reply.revision);
     encoded.setAgeMicroseconds(static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::microseconds>(reply.age).count()));
-    sendTo(host, message);
+    sendTo(host, encode(message));
 }
 
-void PeerSocket::broadcast(capnp::MessageBuilder &message)
+void PeerSocket::broadcast(std::string_view datagram)
 {
-    const std::string bytes = encode(message);
-    for (const auto &[name, endpoint] : endpoints_) {
-        sendBytes(bytes, endpoint);
+    std::vector<Endpoint> receivers;
+    for (const BroadcastBranch &branch : planBroadcast(dataCentres_, random_)) {
+        if (branch.receivers.empty()) {
+            sendBytes(datagram, receivers_[branch.forwarder]);
+            continue;
+        }
+        receivers.clear();
+        for (const std::size_t receiver : branch.receivers) {
+            receivers.push_back(receivers_[receiver]);
+        }
+        sendBytes(encodeForward(datagram, receivers), receivers_[branch.forwarder]);
     }
 }
 
-void PeerSocket::sendTo(const std::string &host, capnp::MessageBuilder &message)
+void PeerSocket::sendTo(const std::string &host, std::string_view datagram)
 {
     if (const auto found = endpoints_.find(host); found != endpoints_.end()) {
-        sendBytes(encode(message), found->second);
+        sendBytes(datagram, found->second);
     }
 }
 
@@ -249,11 +383,24 @@
     });
 }
 
-void PeerSocket::read(std::span<const char> bytes, const std::string &host)
+/// Passes a datagram on to others, known hosts only, and takes it itself.
+void PeerSocket::readForwarded(std::string_view datagram, std::span<const Endpoint> receivers, const std::string &host)
+{
+    for (const Endpoint &receiver : receivers) {
+        if (hosts_.contains(receiver) && !events_.isBehind()) {
+            sendBytes(datagram, receiver);
+        }
+    }
+    read(datagram, host);
+}
+
+void PeerSocket::read(std::string_view bytes, const std::string &host)
 {
     try {
-        const kj::ArrayPtr<const capnp::word> words(reinterpret_cast<const capnp::word *>(bytes.data()), bytes.size() / sizeof(capnp::word));
-        capnp::FlatArrayMessageReader reader(words);
+        // Datagrams within datagrams are not aligned.
+        std::vector<std::uint64_t> words(bytes.size() / sizeof(std::uint64_t));
+        std::memcpy(words.data(), bytes.data(), words.size() * sizeof(std::uint64_t));
+        capnp::FlatArrayMessageReader reader(kj::arrayPtr(reinterpret_cast<const capnp::word *>(words.data()), words.size()));
         const auto datagram = reader.getRoot<Datagram>();
         switch (datagram.which()) {
         case Datagram::DISPATCH: {
@@ -276,15 +423,32 @@
             break;
         }
         case Datagram::CHANGES: {
-            const auto changes = datagram.getChanges();
-            ChangesNotice notice{changes.getPrefix(), changes.getAfter(), changes.getUpTo(), {}, {}, {}};
-            for (const auto entry : changes.getEntries()) {
-                const auto value = entry.getValue().asChars();
-                notice.entries.push_back({entry.getKey(), std::string(value.begin(), value.size()), entry.getRevision(), entry.getIsDeleted()});
-                notice.omitted.push_back(entry.getIsOmitted());
+            events_.onChangesNotice(readChanges(datagram.getChanges()));
+            break;
+        }
+        case Datagram::CHANGES_REQUEST: {
+            const auto request = datagram.getChangesRequest();
+            events_.onChangesRequest(host, {request.getId(), request.getPrefix(), request.getAfter()});
+            break;
+        }
+        case Datagram::CHANGES_REPLY: {
+            const auto reply = datagram.getChangesReply();
+            events_.onChangesReply({reply.getId(), readChanges(reply.getChanges()), std::chrono::microseconds(reply.getAgeMicroseconds())});
+            break;
+        }
+        case Datagram::FORWARD: {
+            const auto forward = datagram.getForward();
+            std::vector<Endpoint> receivers;
+            for (const std::uint64_t address : forward.getReceivers()) {
+                receivers.push_back(endpointOf(address));
+            }
+            readForwarded(textOf(forward.getDatagram()), receivers, host);
+            break;
+        }
+        case Datagram::PACKED: {
+            if (const auto datagramInside = inflated(textOf(datagram.getPacked()), longestInflated)) {
+                read(*datagramInside, host);
             }
-            notice.silence = std::chrono::milliseconds(changes.getSilenceMilliseconds());
-            events_.onChangesNotice(notice);
             break;
         }
         case Datagram::PROOF_REQUEST: {
--- a/gateway/peer_socket.h
+++ b/gateway/peer_socket.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <span>
@@ -15,13 +16,10 @@
 
 #include "coordination/store.h"
 #include "core/clock.h"
+#include "core/random.h"
 #include "core/result_code.h"
 #include "core/settings.h"
-
-namespace capnp // NOLINT(readability-identifier-naming): the library's name.
-{
-class MessageBuilder;
-}
+#include "gateway/host_record.h"
 
 namespace Lovageloft
 {
@@ -65,6 +63,26 @@
     std::vector<StoreEntry> entries; ///< In the order of their revisions.
     std::vector<bool> omitted; ///< For each entry whether its value is left out, as it is too long.
     Duration silence{}; ///< For how long before the sender could not have heard of them.
+
+    /// Only for a receiver that has reached no more than this. Changes that were found by comparing two lists don't show what came and
+    /// went between them, which a receiver in between may have seen come.
+    std::int64_t latestStart = std::numeric_limits<std::int64_t>::max();
+};
+
+/// What changed under a prefix after a revision?
+struct ChangesRequest
+{
+    std::uint64_t id = 0;
+    std::string prefix;
+    std::int64_t after = 0;
+};
+
+/// All changes up to a revision, of which the sender knew `age` before the reply was made.
+struct ChangesReply
+{
+    std::uint64_t id = 0;
+    ChangesNotice changes;
+    Duration age{};
 };
 
 struct ProofRequest
@@ -109,14 +127,20 @@
     virtual void onTokenRequest(const std::string &host, const TokenRequest &request) = 0;
     virtual void onTokenReply(const TokenReply &reply) = 0;
     virtual void onChangesNotice(const ChangesNotice &notice) = 0;
+    virtual void onChangesRequest(const std::string &host, const ChangesRequest &request) = 0;
+    virtual void onChangesReply(const ChangesReply &reply) = 0;
     virtual void onProofRequest(const std::string &host, const ProofRequest &request) = 0;
     virtual void onProofReply(const ProofReply &reply) = 0;
     virtual void onCacheStoreNotice(const CacheStoreNotice &notice) = 0;
     virtual void onWeightsQuestion(const std::string &host) = 0;
     virtual void onWeightsAge(const WeightsAge &age) = 0;
+
+    /// Whether what comes in now may have lain unread; it is then not passed on to others.
+    virtual bool isBehind() const = 0;
 };
 
-/// Single datagrams between the hosts of a fleet, encoded by Cap'n Proto. What comes from an address that is no known host is dropped.
+/// Single datagrams between the hosts of a fleet, encoded by Cap'n Proto, deflated if they are long. What comes from an address that is no
+/// known host is dropped. What is told to all goes through forwarders: see planBroadcast.
 class PeerSocket
 {
 public:
@@ -129,7 +153,7 @@
     std::uint16_t port() const;
 
     /// The other hosts by name.
-    void setPeers(const std::map<std::string, HostAddress> &peers);
+    void setPeers(const std::map<std::string, HostRecord> &peers);
 
     /// To all other hosts.
     void tellAll(const DispatchNotice &notice);
@@ -142,6 +166,8 @@
     /// To one host; nothing happens if it is not known.
     void send(const std::string &host, const TokenRequest &request);
     void send(const std::string &host, const TokenReply &reply);
+    void send(const std::string &host, const ChangesRequest &request);
+    void send(const std::string &host, const ChangesReply &reply);
     void send(const std::string &host, const ProofRequest &request);
     void send(const std::string &host, const ProofReply &reply);
     void send(const std::string &host, const WeightsQuestion &question);
@@ -151,17 +177,21 @@
     using Endpoint = boost::asio::ip::udp::endpoint;
 
     void receive();
-    void broadcast(capnp::MessageBuilder &message);
-    void sendTo(const std::string &host, capnp::MessageBuilder &message);
-    void read(std::span<const char> bytes, const std::string &host);
+    void broadcast(std::string_view datagram);
+    void sendTo(const std::string &host, std::string_view datagram);
+    void read(std::string_view bytes, const std::string &host);
+    void readForwarded(std::string_view datagram, std::span<const Endpoint> receivers, const std::string &host);
     void sendBytes(std::string_view bytes, const Endpoint &endpoint);
 
-    static constexpr std::size_t datagramLimit = 8'192;
+    static constexpr std::size_t datagramLimit = 65'536;
 
     boost::asio::ip::udp::socket socket_;
     PeerEvents &events_;
     std::map<std::string, Endpoint> endpoints_;
+    std::vector<Endpoint> receivers_; ///< All of endpoints_.
+    std::vector<std::size_t> dataCentres_; ///< Of the same, numbered.
     std::map<Endpoint, std::string> hosts_;
+    Random random_;
     alignas(8) std::array<char, datagramLimit> buffer_{};
 };
 
--- a/gateway/proof_duty.cpp
+++ b/gateway/proof_duty.cpp
@@ -10,6 +10,10 @@
 /// into the window.
 constexpr int proofsPerWindow = 3;
 
+/// How long a configuration of which another host has told only the revision is waited for before the store is asked: the watch brings it,
+/// and all hosts would ask for each change.
+constexpr Duration watchPatience = std::chrono::milliseconds(600);
+
 } // namespace
 
 ProofDuty::ProofDuty(Store &store, const StoreRecords &records, ConfigurationFeed &feed, Duration window, Now now)
@@ -42,18 +46,24 @@
     const TimePoint sentAt = now_();
     StoreReply reply = store_.confirm(records_.configurationKey(), revision);
     if (reply.status == StoreStatus::Ok) {
+        outdatedSince_.reset();
         feed_.prove(revision, sentAt - reply.age);
         return true;
     }
     if (reply.status != StoreStatus::Conflict) {
         return false;
     }
+    outdatedSince_ = outdatedSince_.value_or(sentAt);
     TimePoint provenAt = sentAt - reply.age;
     if (reply.entry.value.empty()) {
+        if (sentAt - *outdatedSince_ < watchPatience) {
+            return false;
+        }
         provenAt = now_();
         reply = store_.get(records_.configurationKey());
     }
     if (reply.status != StoreStatus::Unavailable && !reply.entry.value.empty()) {
+        outdatedSince_.reset();
         feed_.take(reply.entry, provenAt);
         return true;
     }
--- a/gateway/proof_duty.h
+++ b/gateway/proof_duty.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 
 #include "coordination/store.h"
 #include "gateway/configuration_feed.h"
@@ -34,6 +35,7 @@
     ConfigurationFeed &feed_;
     Duration window_;
     Now now_;
+    std::optional<TimePoint> outdatedSince_; ///< When another host was first found to have a newer configuration.
     StoreBackoff backoff_;
 };
 
--- a/gateway/relayed_store.cpp
+++ b/gateway/relayed_store.cpp
@@ -1,6 +1,8 @@
 #include "gateway/relayed_store.h"
 
 #include <algorithm>
+#include <random>
+#include <set>
 
 #include "core/log.h"
 #include "decision/rendezvous.h"
@@ -14,10 +16,23 @@
 /// Two, so that the loss of one is not noticed.
 constexpr std::size_t relayCount = 2;
 
-/// How long a relay may be silent before a host watches the store itself. Relays speak twice a second; two lost datagrams are no
-/// reason to ask, and a change is still known well within the two seconds that operators allow.
+/// With the relays, those who ask the store first when the relays are silent.
+constexpr std::size_t rankedCount = 16;
+
+/// How long a relay may be silent before a host asks others, and before the first in rank ask the store themselves. Relays speak twice a
+/// second; two lost datagrams are no reason to ask, and a change is still known well within the two seconds that operators allow.
+constexpr Duration questionSilence = std::chrono::milliseconds(900);
 constexpr Duration relaySilence = std::chrono::milliseconds(1'300);
 
+/// For how long a host that is behind asks others only. They answer within some milliseconds.
+constexpr Duration questionTime = relaySilence - questionSilence;
+constexpr Duration questionPause = std::chrono::milliseconds(100);
+
+/// Between two hosts in rank that ask the store, and the rate at which all others may do so. A host of 300 waits a second at most, in which
+/// what the first ones have read reaches it through others.
+constexpr Duration rankPause = std::chrono::milliseconds(10);
+constexpr double asksPerSecond = 300;
+
 /// How long after the store's last answer to it a relay goes on saying that it lives. A relay renews its lease and proves its
 /// configuration more often than that. With `relaySilence` the others then watch the store themselves 3.3 s after a cut of both
 /// relays; without this limit it took as long as the cut.
@@ -29,6 +44,9 @@
 /// Wait for a relay's proof: hosts of one region answer within 3 ms.
 constexpr Duration proofTimeout = std::chrono::milliseconds(60);
 
+/// A question that nobody answered is forgotten.
+constexpr Duration longestQuestion = std::chrono::seconds(2);
+
 /// A proof older than this is no help; the store is asked instead.
 constexpr Duration oldestProof = std::chrono::milliseconds(1'500);
 
@@ -49,6 +67,7 @@
     : ForwardingStore(store)
     , host_(std::move(host))
     , now_(std::move(now))
+    , random_(std::random_device{}())
 {
 }
 
@@ -58,10 +77,15 @@
     network_ = std::move(network);
 }
 
-void RelayedStore::setHosts(const std::vector<std::string> &hosts)
+void RelayedStore::setHosts(const std::vector<std::string> &hosts, const std::vector<std::string> &candidates)
 {
-    std::vector<std::string> relays = RendezvousNames(hosts).winners("relay", relayCount);
+    std::vector<std::string> ranked = RendezvousNames(candidates).winners("relay", rankedCount);
     const std::lock_guard lock(mutex_);
+    knowsHosts_ = true;
+    others_ = hosts;
+    std::erase(others_, host_);
+    ranked_ = std::move(ranked);
+    std::vector<std::string> relays(ranked_.begin(), ranked_.begin() + static_cast<std::ptrdiff_t>(std::min(ranked_.size(), relayCount)));
     if (relays != relays_) {
         relays_ = std::move(relays);
         writeLog(LogLevel::Info, "relays_chosen", {{"first", relays_.empty() ? "" : relays_.front()}, {"last", relays_.empty() ? "" : relays_.back()}});
@@ -74,6 +98,18 @@
     return relays_.empty() || std::find(relays_.begin(), relays_.end(), host_) != relays_.end();
 }
 
+bool RelayedStore::isDeputy() const
+{
+    return std::find(ranked_.begin(), ranked_.end(), host_) != ranked_.end();
+}
+
+/// A host that doesn't know the others yet waits for them: they are known within some calls, and a watch of its own would be one more.
+bool RelayedStore::watchesItself() const
+{
+    const std::lock_guard lock(mutex_);
+    return knowsHosts_ && (relays_.empty() || std::find(relays_.begin(), relays_.end(), host_) != relays_.end());
+}
+
 void RelayedStore::onNotice(const ChangesNotice &notice)
 {
     const std::lock_guard lock(mutex_);
@@ -82,24 +118,138 @@
         return; // Nobody watches it yet; the list comes first.
     }
     Followed &followed = found->second;
-    if (notice.after > followed.reached) {
-        followed.hasGap = true;
+    const TimePoint now = now_();
+    const bool isBetween = notice.latestStart < followed.reached && followed.reached < notice.upTo;
+    if (notice.after > followed.reached || isBetween) {
+        followed.needed = std::max(followed.needed, notice.upTo);
+        noteBehind(notice.prefix, followed, now);
     } else if (notice.upTo >= followed.reached) {
-        const TimePoint now = now_();
-        const Duration silence = std::max(notice.silence, now - std::max(followed.heardAt, followed.readAt));
+        takeChanges(followed, notice, now);
         followed.heardAt = now;
-        for (std::size_t i = 0; i < notice.entries.size(); ++i) {
-            if (notice.entries[i].revision > followed.reached) {
-                followed.silence = std::max(followed.silence, silence);
-                followed.entries.emplace_back(notice.entries[i], notice.omitted[i]);
-                followed.lastChange = std::max(followed.lastChange, notice.entries[i].revision);
-            }
-        }
-        followed.reached = notice.upTo;
+        noteBehind(notice.prefix, followed, now);
+    }
+    heard_.notify_all();
+}
+
+void RelayedStore::onChangesReply(const ChangesReply &reply)
+{
+    const std::lock_guard lock(mutex_);
+    const auto question = changesQuestions_.find(reply.id);
+    if (question == changesQuestions_.end()) {
+        return;
     }
+    const auto found = followed_.find(question->second.prefix);
+    const bool isFollowed = found != followed_.end() && found->second.reached != 0 && found->first == reply.changes.prefix;
+    if (!isFollowed || reply.changes.after != found->second.reached) {
+        return;
+    }
+    Followed &followed = found->second;
+    const TimePoint now = now_();
+    takeChanges(followed, reply.changes, now);
+    if (!isDeputy()) {
+        followed.heardAt = std::max(followed.heardAt, question->second.sentAt - reply.age);
+    }
+    noteBehind(found->first, followed, now);
     heard_.notify_all();
 }
 
+std::optional<ChangesReply> RelayedStore::changesFor(const ChangesRequest &request) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = followed_.find(request.prefix);
+    if (found == followed_.end() || found->second.reached == 0 || found->second.reached < request.after) {
+        return std::nullopt;
+    }
+    const Followed &followed = found->second;
+    auto entries = followed.log.since(request.after);
+    if (!entries) {
+        return std::nullopt;
+    }
+    const TimePoint now = now_();
+    const Duration age = isInContact(followed, now) ? Duration::zero() : std::max(Duration::zero(), now - newsAt(followed));
+    return ChangesReply{request.id, {request.prefix, request.after, followed.reached, std::move(*entries), {}, followed.silence}, age};
+}
+
+/// Takes what continues the revision that this host has reached.
+void RelayedStore::takeChanges(Followed &followed, const ChangesNotice &notice, TimePoint now)
+{
+    const Duration silence = std::max(notice.silence, now - std::max(followed.heardAt, followed.readAt));
+    for (std::size_t i = 0; i < notice.entries.size(); ++i) {
+        const StoreEntry &entry = notice.entries[i];
+        if (entry.revision <= followed.reached) {
+            continue;
+        }
+        const bool isOmitted = i < notice.omitted.size() && notice.omitted[i];
+        followed.silence = std::max(followed.silence, silence);
+        followed.entries.emplace_back(entry, isOmitted);
+        followed.lastChange = std::max(followed.lastChange, entry.revision);
+        noteKey(followed, entry);
+        if (isOmitted) {
+            followed.log.reset(entry.revision);
+        } else {
+            followed.log.append(entry);
+        }
+    }
+    followed.reached = notice.upTo;
+}
+
+void RelayedStore::noteKey(Followed &followed, const StoreEntry &entry)
+{
+    if (entry.isDeleted) {
+        followed.keys.erase(entry.key);
+    } else {
+        followed.keys.insert_or_assign(entry.key, entry.revision);
+    }
+}
+
+/// Whether the store would have told of changes by now: its own answers are recent, and a watch waits there. Only they count. What other
+/// hosts say does not: two that are cut off would keep each other going.
+bool RelayedStore::isInContact(const Followed &followed, TimePoint now) const
+{
+    return followed.isWatched && now - contactAt_ < oldestContact && now - followed.readAt < oldestWatch;
+}
+
+/// Until when this host has heard of all changes. A deputy that the relays are silent for goes on watching the store, as they do.
+TimePoint RelayedStore::newsAt(const Followed &followed) const
+{
+    return isDeputy() ? followed.heardAt : std::max(followed.heardAt, followed.readAt);
+}
+
+bool RelayedStore::isBehind(const Followed &followed, TimePoint now) const
+{
+    return followed.needed > followed.reached || now - newsAt(followed) >= questionSilence;
+}
+
+/// Begins or ends the search for what is missing. Without other hosts to ask, as in a fleet of one, the store is asked at once.
+void RelayedStore::noteBehind(std::string_view prefix, Followed &followed, TimePoint now)
+{
+    if (!isBehind(followed, now)) {
+        followed.behindSince.reset();
+        return;
+    }
+    if (!followed.behindSince) {
+        followed.behindSince = now;
+        const bool canAsk = network_.askChanges && !others_.empty();
+        const bool isMissing = followed.needed > followed.reached;
+        const Duration wait = canAsk ? questionTime + storeDelay() : (isMissing ? Duration::zero() : questionTime);
+        followed.storeAt = now + wait;
+        followed.questionAt = now;
+        writeLog(LogLevel::Debug, "host_behind", {{"prefix", prefix}, {"reached", followed.reached}, {"needed", followed.needed}});
+    }
+}
+
+Duration RelayedStore::storeDelay()
+{
+    const auto place = std::find(ranked_.begin(), ranked_.end(), host_);
+    const Duration ofRank = rankPause * (place - ranked_.begin());
+    if (place != ranked_.end()) {
+        return ofRank;
+    }
+    constexpr std::size_t steps = 1'000;
+    const double window = static_cast<double>(others_.size()) / asksPerSecond;
+    return ofRank + fromSeconds(window * static_cast<double>(randomBelow(random_, steps)) / steps);
+}
+
 void RelayedStore::onProofReply(const ProofReply &reply)
 {
     const std::lock_guard lock(mutex_);
@@ -117,7 +267,6 @@
     {
         const std::lock_guard lock(mutex_);
         network = network_;
-        // Only the store's own answers count. What the other relay says does not: two that are cut off would keep each other going.
         const TimePoint now = now_();
         for (const auto &[prefix, followed] : followed_) {
             if (now - contactAt_ < oldestContact && now - followed.readAt < oldestWatch) {
@@ -137,60 +286,193 @@
 
 StoreReply RelayedStore::confirm(std::string_view key, std::int64_t revision)
 {
-    std::vector<std::string> relays;
-    if (!isRelay()) {
-        const std::lock_guard lock(mutex_);
-        relays = relays_;
-    }
-    for (const std::string &relay : relays) {
-        const auto reply = askRelay(relay);
+    for (const std::string &host : hostsWithProofs()) {
+        const auto reply = askForProof(host);
         if (!reply || reply->age > oldestProof || reply->revision < revision) {
             continue;
         }
         const bool isSame = reply->revision == revision;
+        if (!isSame) {
+            needRevision(key, reply->revision);
+        }
         return {isSame ? StoreStatus::Ok : StoreStatus::Conflict, {std::string(key), {}, reply->revision, false}, reply->age};
     }
     return noted(ForwardingStore::confirm(key, revision));
 }
 
+/// A newer revision of a key exists: whoever follows its prefix has missed a change.
+void RelayedStore::needRevision(std::string_view key, std::int64_t revision)
+{
+    const std::lock_guard lock(mutex_);
+    for (auto &[prefix, followed] : followed_) {
+        if (key.starts_with(prefix) && followed.reached != 0) {
+            followed.needed = std::max(followed.needed, revision);
+            noteBehind(prefix, followed, now_());
+        }
+    }
+    heard_.notify_all();
+}
+
+/// The relays, and if they don't answer one of the deputies and any other host. None on a relay, which asks the store.
+std::vector<std::string> RelayedStore::hostsWithProofs()
+{
+    if (isRelay()) {
+        return {};
+    }
+    const std::lock_guard lock(mutex_);
+    std::vector<std::string> hosts = relays_;
+    // Half of the hosts ask each relay first.
+    if (hosts.size() > 1 && randomBelow(random_, 2) == 0) {
+        std::swap(hosts.front(), hosts.back());
+    }
+    for (const std::string &host : hostsToAsk()) {
+        if (std::find(hosts.begin(), hosts.end(), host) == hosts.end()) {
+            hosts.push_back(host);
+        }
+    }
+    return hosts;
+}
+
 StoreListReply RelayedStore::list(std::string_view prefix)
 {
     StoreListReply reply = noted(ForwardingStore::list(prefix));
-    if (reply.status == StoreStatus::Ok) {
-        const std::lock_guard lock(mutex_);
-        Followed &followed = followed_[std::string(prefix)];
-        followed = {};
-        followed.reached = reply.revision;
-        followed.lastChange = reply.revision;
-        followed.heardAt = now_();
-        followed.readAt = followed.heardAt;
+    if (reply.status != StoreStatus::Ok) {
+        return reply;
+    }
+    const bool isRelayNow = isRelay();
+    std::unique_lock lock(mutex_);
+    Followed &followed = followed_[std::string(prefix)];
+    const TimePoint now = now_();
+    const bool continues = followed.reached != 0 && followed.reached <= reply.revision;
+    ChangesNotice notice{std::string(prefix), followed.lastChange, reply.revision, {}, {}, now - followed.readAt, followed.reached};
+    if (continues) {
+        notice.entries = changesBy(followed, reply);
+    }
+    takeList(followed, reply, notice.entries, continues);
+    followed.heardAt = now;
+    followed.readAt = now;
+    const auto broadcast = network_.tellAll;
+    lock.unlock();
+    if (isRelayNow && continues && broadcast) {
+        broadcast(notice);
     }
     return reply;
 }
 
+/// What a list shows to have changed since the revision that this host has reached, as a watch would have told it. A store that has
+/// forgotten its history is read once by each relay then, and not by all hosts. Pages of a list are no snapshot: what is newer than its
+/// revision comes by the watch.
+std::vector<StoreEntry> RelayedStore::changesBy(const Followed &followed, const StoreListReply &list)
+{
+    std::vector<StoreEntry> changes;
+    std::set<std::string_view> listed;
+    for (const StoreEntry &entry : list.entries) {
+        listed.insert(entry.key);
+        if (entry.revision > followed.reached && entry.revision <= list.revision) {
+            changes.push_back(entry);
+        }
+    }
+    std::stable_sort(changes.begin(), changes.end(), [](const StoreEntry &left, const StoreEntry &right) { return left.revision < right.revision; });
+    for (const auto &[key, revision] : followed.keys) {
+        if (!listed.contains(key)) {
+            changes.push_back({key, {}, list.revision, true});
+        }
+    }
+    return changes;
+}
+
+void RelayedStore::takeList(Followed &followed, const StoreListReply &list, std::span<const StoreEntry> changes, bool continues)
+{
+    if (continues) {
+        followed.log.appendLeap(followed.reached, list.revision, changes);
+    } else {
+        followed.log.reset(list.revision);
+    }
+    followed.lastChange = list.revision;
+    followed.keys.clear();
+    for (const StoreEntry &entry : list.entries) {
+        followed.keys.insert_or_assign(entry.key, entry.revision);
+    }
+    followed.reached = list.revision;
+    followed.needed = 0;
+    followed.behindSince.reset();
+    followed.entries.clear();
+    followed.silence = {};
+}
+
 StoreListReply RelayedStore::watch(std::string_view prefix, std::int64_t afterRevision, Duration timeout)
 {
-    if (isRelay()) {
+    if (watchesItself()) {
         return watchStore(prefix, afterRevision, timeout);
     }
     std::unique_lock lock(mutex_);
     Followed &followed = followed_[std::string(prefix)];
-    const TimePoint limit = now_() + timeout;
-    while (followed.entries.empty() && !followed.hasGap && now_() < limit) {
-        if (!hears(prefix, followed, now_())) {
+    const TimePoint calledAt = now_();
+    const TimePoint limit = calledAt + timeout;
+    while (followed.entries.empty()) {
+        const TimePoint now = now_();
+        noteBehind(prefix, followed, now);
+        noteSilence(prefix, followed, now);
+        const bool asksStore = followed.behindSince && now >= followed.storeAt;
+        if (asksStore && followed.needed <= followed.reached) {
             lock.unlock();
             return watchStore(prefix, afterRevision, std::min(timeout, relaySilence));
         }
+        if (followed.behindSince && !asksStore && now >= followed.questionAt) {
+            followed.questionAt = now + questionPause;
+            askForChanges(prefix, followed.reached, lock);
+            continue;
+        }
+        if (asksStore || now >= limit) {
+            break;
+        }
         constexpr Duration look = std::chrono::milliseconds(300);
-        heard_.wait_for(lock, std::min(look, limit - now_()));
+        heard_.wait_for(lock, std::min(followed.behindSince ? questionPause / 2 : look, limit - now));
     }
-    return takeHeard(followed, lock);
+    const Duration age = std::max(Duration::zero(), calledAt - followed.heardAt);
+    StoreListReply reply = takeHeard(followed, lock);
+    reply.age = age;
+    return reply;
+}
+
+/// Two hosts that may know more: one of the first in rank, which ask the store before others do, and any.
+std::vector<std::string> RelayedStore::hostsToAsk()
+{
+    std::vector<std::string> hosts;
+    for (const std::vector<std::string> *group : {&ranked_, &others_}) {
+        if (group->empty()) {
+            continue;
+        }
+        const std::string &host = (*group)[randomBelow(random_, group->size())];
+        if (host != host_ && std::find(hosts.begin(), hosts.end(), host) == hosts.end()) {
+            hosts.push_back(host);
+        }
+    }
+    return hosts;
+}
+
+void RelayedStore::askForChanges(std::string_view prefix, std::int64_t reached, std::unique_lock<std::mutex> &lock)
+{
+    const TimePoint now = now_();
+    std::erase_if(changesQuestions_, [now](const auto &question) { return now - question.second.sentAt > longestQuestion; });
+    const std::uint64_t id = ++lastQuestion_;
+    const std::vector<std::string> hosts = hostsToAsk();
+    const auto ask = network_.askChanges;
+    if (!ask || hosts.empty()) {
+        return;
+    }
+    changesQuestions_[id] = {std::string(prefix), now};
+    lock.unlock();
+    for (const std::string &host : hosts) {
+        ask(host, {id, std::string(prefix), reached});
+    }
+    lock.lock();
 }
 
 StoreListReply RelayedStore::takeHeard(Followed &followed, std::unique_lock<std::mutex> &lock)
 {
-    if (followed.hasGap) {
-        writeLog(LogLevel::Info, "notice_missed", {{"reached", followed.reached}});
+    if (followed.entries.empty() && followed.needed > followed.reached && now_() >= followed.storeAt) {
+        writeLog(LogLevel::Info, "notice_missed", {{"reached", followed.reached}, {"needed", followed.needed}});
         return {StoreStatus::NotFound, {}, followed.reached};
     }
     StoreListReply reply{StoreStatus::Ok, {}, followed.reached, std::exchange(followed.silence, {})};
@@ -215,8 +497,10 @@
 StoreListReply RelayedStore::watchStore(std::string_view prefix, std::int64_t afterRevision, Duration timeout)
 {
     const TimePoint askedAt = now_();
+    setWatched(prefix, true);
     StoreListReply reply = noted(ForwardingStore::watch(prefix, afterRevision, timeout));
     if (reply.status != StoreStatus::Ok) {
+        setWatched(prefix, false);
         return reply;
     }
     const bool isRelayNow = isRelay();
@@ -232,7 +516,14 @@
         // Notices may have come while the store was asked. What the answer holds already must not be handed out after it.
         std::erase_if(followed.entries, [&reply](const auto &heard) { return heard.first.revision <= reply.revision; });
         followed.silence = followed.entries.empty() ? Duration::zero() : followed.silence;
+        for (const StoreEntry &entry : reply.entries) {
+            if (entry.revision > followed.reached) {
+                followed.log.append(entry);
+                noteKey(followed, entry);
+            }
+        }
         followed.reached = std::max(followed.reached, reply.revision);
+        followed.isWatched = isRelayNow;
         // A relay doesn't go by what the other says: with silent connections to the store the two would vouch for each other.
         const TimePoint heardAt = isRelayNow ? followed.readAt : std::max(followed.heardAt, followed.readAt);
         reply.silence = std::max(Duration::zero(), askedAt - heardAt);
@@ -246,7 +537,13 @@
     return reply;
 }
 
-bool RelayedStore::hears(std::string_view prefix, Followed &followed, TimePoint now)
+void RelayedStore::setWatched(std::string_view prefix, bool isWatched)
+{
+    const std::lock_guard lock(mutex_);
+    followed_[std::string(prefix)].isWatched = isWatched;
+}
+
+void RelayedStore::noteSilence(std::string_view prefix, Followed &followed, TimePoint now)
 {
     const bool isSilent = now - followed.heardAt >= relaySilence;
     if (isSilent != followed.isSilent) {
@@ -255,10 +552,9 @@
                  isSilent ? "relays_silent" : "relays_heard",
                  {{"prefix", prefix}, {"reached", followed.reached}, {"silent_ms", toMillis(now - followed.heardAt)}});
     }
-    return !isSilent;
 }
 
-std::optional<ProofReply> RelayedStore::askRelay(const std::string &relay)
+std::optional<ProofReply> RelayedStore::askForProof(const std::string &host)
 {
     std::unique_lock lock(mutex_);
     const std::uint64_t id = ++lastQuestion_;
@@ -266,7 +562,7 @@
     const auto ask = network_.ask;
     lock.unlock();
     if (ask) {
-        ask(relay, {id});
+        ask(host, {id});
     }
     lock.lock();
     heard_.wait_for(lock, proofTimeout, [&] { return questions_.at(id).has_value(); });
--- a/gateway/target_duty.cpp
+++ b/gateway/target_duty.cpp
@@ -17,6 +17,9 @@
 /// after which a leaving target may get nothing new.
 constexpr Duration watchPause = std::chrono::milliseconds(150);
 
+/// After a store was away for that long, entries may have lapsed though their targets live.
+constexpr Duration lapseTime = std::chrono::seconds(2);
+
 /// How long targets have to write a lapsed entry again once the store is back, by the platform's word, and one call on top.
 constexpr Duration returnGrace = std::chrono::milliseconds(2'300);
 
@@ -92,7 +95,13 @@
         return true;
     }
     TargetMap targets = targets_;
+    const bool wasAway = reply.silence >= lapseTime;
+    const TimePoint now = BootClock::now();
     for (const StoreEntry &entry : reply.entries) {
+        if (wasAway && entry.isDeleted) {
+            missing_.try_emplace(targetOf(entry), now + returnGrace);
+            continue;
+        }
         missing_.erase(targetOf(entry));
         take(entry, targets);
     }
--- a/gateway/team_budget.cpp
+++ b/gateway/team_budget.cpp
@@ -46,12 +46,12 @@
     updateHomes(now);
 }
 
-void TeamBudget::setHosts(const std::vector<std::string> &hosts, double share, TimePoint now)
+void TeamBudget::setHosts(std::size_t /*hosts*/, const std::vector<std::string> &candidates, double share, TimePoint now)
 {
     own_.setShare(ownPart * share, now);
-    const std::size_t homes = std::clamp<std::size_t>(hosts.size(), 1, homesPerTeam);
+    const std::size_t homes = std::clamp<std::size_t>(candidates.size(), 1, homesPerTeam);
     pools_.setShare((1 - ownPart) / static_cast<double>(homes), now);
-    hosts_ = RendezvousNames(hosts);
+    candidates_ = RendezvousNames(candidates);
     updateHomes(now);
 }
 
@@ -124,7 +124,7 @@
 
 std::vector<std::string> TeamBudget::homesOf(std::string_view team) const
 {
-    return hosts_.winners(team, homesPerTeam);
+    return candidates_.winners(team, homesPerTeam);
 }
 
 void TeamBudget::askNext(std::uint64_t id, TimePoint now, const Send &send)
@@ -158,7 +158,7 @@
 
 void TeamBudget::updateHomes(TimePoint now)
 {
-    if (hosts_.isEmpty() || limits_.empty()) {
+    if (candidates_.isEmpty() || limits_.empty()) {
         return;
     }
     const bool isStart = !std::exchange(hasHomes_, true);
--- a/gateway/team_budget.h
+++ b/gateway/team_budget.h
@@ -40,8 +40,9 @@
 
     void setLimits(std::span<const TeamLimit> limits, TimePoint now);
 
-    /// The hosts that count, with this one. `share` is this host's part of what is divided evenly, at most 1 / hosts.
-    void setHosts(const std::vector<std::string> &hosts, double share, TimePoint now);
+    /// How many hosts count, with this one, and those of them that may be homes. `share` is this host's part of what is divided evenly, at
+    /// most 1 / hosts.
+    void setHosts(std::size_t hosts, const std::vector<std::string> &candidates, double share, TimePoint now);
 
     /// Takes tokens. `answer` is called at once or later, from `onReply` or `onTick`.
     void take(std::string_view team, double tokens, TimePoint now, const Send &send, Answer answer);
@@ -77,7 +78,7 @@
 
     std::string host_;
     std::vector<TeamLimit> limits_;
-    RendezvousNames hosts_; ///< All that count, with this one.
+    RendezvousNames candidates_; ///< Hosts that may be homes.
     TeamRates own_;
     TeamRates pools_;
     std::map<std::string, TimePoint, std::less<>> homeSince_; ///< Teams whose pool lies here, and from when on it is given out.
--- a/gateway/weights_duty.cpp
+++ b/gateway/weights_duty.cpp
@@ -1,8 +1,11 @@
 #include "gateway/weights_duty.h"
 
+#include <algorithm>
+#include <random>
 #include <utility>
 
 #include "core/log.h"
+#include "decision/rendezvous.h"
 #include "drivers/http_connection.h"
 
 namespace Lovageloft
@@ -19,6 +22,9 @@
 
 constexpr int statusOk = 200;
 
+/// Hosts that stand for leader in turn before others do.
+constexpr std::size_t rankedHosts = 8;
+
 } // namespace
 
 WeightsDuty::WeightsDuty(Store &store, const EngineControlFormat &format, Options options)
@@ -28,6 +34,7 @@
     , lease_(store_, options_.leaderKey, options_.holder, options_.lease)
     , scheduler_(options_.orders)
     , records_(store_, options_.recordsPrefix, youthOfWeights(options_.deadline))
+    , candidacy_(Random(std::random_device{}()))
     , current_(targets_)
 {
 }
@@ -54,10 +61,19 @@
     orderedByOthers_.push_back(targetId);
 }
 
-void WeightsDuty::onLeaderGone()
+void WeightsDuty::setLeader(const std::string &host)
+{
+    const std::lock_guard lock(mutex_);
+    candidacy_.setLeader(host, BootClock::now());
+}
+
+void WeightsDuty::setHosts(const std::vector<std::string> &candidates, std::size_t hosts)
 {
+    const std::vector<std::string> ranked = RendezvousNames(candidates).winners("leader", rankedHosts);
+    const auto place = std::find(ranked.begin(), ranked.end(), options_.holderName);
+    const auto rank = place != ranked.end() ? std::optional(static_cast<std::size_t>(place - ranked.begin())) : std::nullopt;
     const std::lock_guard lock(mutex_);
-    isLeaderGone_ = true;
+    candidacy_.setRank(rank, hosts, BootClock::now());
 }
 
 void WeightsDuty::run()
@@ -67,18 +83,19 @@
         pause(lease_.isHeld(BootClock::now()) ? leaderPause : followerPause);
     }
     lease_.release(BootClock::now());
-    lease_.step(BootClock::now());
+    stepLease();
 }
 
 void WeightsDuty::step()
 {
     {
         const std::lock_guard lock(mutex_);
-        if (std::exchange(isLeaderGone_, false)) {
+        if (candidacy_.isDue(BootClock::now())) {
+            hasStood_ = true;
             lease_.wake(BootClock::now());
         }
     }
-    lease_.step(BootClock::now());
+    stepLease();
     noteLeadership(BootClock::now());
     updateWanted();
     const OrderPlan plan = scheduler_.plan(lease_, BootClock::now());
@@ -101,6 +118,13 @@
     recordNamed();
 }
 
+void WeightsDuty::stepLease()
+{
+    if (hasStood_) {
+        lease_.step(BootClock::now());
+    }
+}
+
 void WeightsDuty::recordNamed()
 {
     std::map<std::string, NamedWeights> named;
--- a/gateway/weights_duty.h
+++ b/gateway/weights_duty.h
@@ -6,6 +6,7 @@
 #include <mutex>
 #include <string>
 
+#include "coordination/candidacy.h"
 #include "coordination/lease_holder.h"
 #include "coordination/order_scheduler.h"
 #include "gateway/duty.h"
@@ -47,12 +48,16 @@
     /// Another host was heard to order this engine, or to be about to.
     void onOrderOfOther(const std::string &targetId);
 
-    /// The leader's key is gone.
-    void onLeaderGone();
+    /// The host that holds the leader's key; empty if nobody does.
+    void setLeader(const std::string &host);
+
+    /// The hosts among which the leader is chosen first, and how many there are in all.
+    void setHosts(const std::vector<std::string> &candidates, std::size_t hosts);
 
 private:
     void run() override;
     void step();
+    void stepLease();
     void updateWanted();
     void recordNamed();
     void read(const std::string &targetId);
@@ -71,8 +76,9 @@
     std::map<std::string, NamedWeights> named_; ///< The newest of each model.
     std::vector<std::string> orderedByOthers_; ///< Heard, not taken yet.
     bool isChanged_ = false;
-    bool isLeaderGone_ = false;
+    Candidacy candidacy_;
     std::shared_ptr<const TargetMap> current_; ///< This thread's own view.
+    bool hasStood_ = false; ///< Has looked at the leader's key.
     bool wasHeld_ = false;
 };
 
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -106,6 +106,7 @@
     {"readiness", &isSame<&GatewaySettings::readiness>, false},
     {"store", &isSame<&GatewaySettings::store>, false},
     {"peers", &isSame<&GatewaySettings::peers>, false},
+    {"capacity", &isSame<&GatewaySettings::capacity>, false},
     {"leader_lease", &isSame<&GatewaySettings::leaderLease>, false},
     {"shortest_lease", &isSame<&GatewaySettings::shortestLease>, false},
     {"engines_check_fencing", &isSame<&GatewaySettings::enginesCheckFencing>, false},
@@ -156,10 +157,11 @@
     options.hostsPrefix = hostsPrefix;
     options.weightsPrefix = weightsPrefix;
     options.hostName = settings_.hostName;
-    options.peers = settings_.peers;
+    options.record = {settings_.peers, settings_.capacity, settings_.dataCentre};
     options.lifetime = settings_.keyProofWindow * hostLeaseInProofWindows;
     options.leaderKey = leaderKey;
-    options.onLeaderGone = [this] { weightsDuty_.onLeaderGone(); };
+    options.onLeader = [this](const std::string &host) { weightsDuty_.setLeader(host); };
+    options.onHosts = [this](const std::vector<std::string> &candidates, std::size_t hosts) { weightsDuty_.setHosts(candidates, hosts); };
     return options;
 }
 
@@ -172,7 +174,7 @@
     options.holderName = settings_.hostName;
     options.lease.timeToLive = std::max(settings_.leaderLease, settings_.shortestLease);
     options.lease.margin = options.lease.timeToLive / leaseParts;
-    options.lease.pollPause = std::chrono::seconds(20); // The watch of the fleet's keys tells sooner.
+    options.lease.pollPause = std::chrono::hours(1); // Candidacy says when to look.
     options.lease.failurePause = std::chrono::milliseconds(700);
     options.lease.settleTime = std::max(settleTime, options.lease.margin);
     options.enginesCheckFencing = settings_.enginesCheckFencing;
--- /dev/null
+++ b/tests/coordination/test_change_log.cpp
@@ -0,0 +1,73 @@
+#include <string>
+
+#include <boost/test/unit_test.hpp>
+
+#include "coordination/change_log.h"
+
+using namespace Lovageloft;
+
+BOOST_AUTO_TEST_SUITE(ChangeLogTest)
+
+BOOST_AUTO_TEST_CASE(itTellsTheLastChangeOfEachKeyInOrder)
+{
+    ChangeLog log;
+    log.reset(10);
+    log.append({"a", "1", 11, false});
+    log.append({"b", "1", 12, false});
+    log.append({"a", "2", 13, false});
+    log.append({"c", "", 15, true});
+    const auto all = log.since(10);
+    BOOST_REQUIRE(all.has_value());
+    BOOST_REQUIRE(all->size() == 3U);
+    BOOST_TEST((*all)[0].key == "b");
+    BOOST_TEST((*all)[1].value == "2");
+    BOOST_TEST((*all)[2].isDeleted);
+    BOOST_TEST(log.since(13)->size() == 1U);
+    BOOST_TEST(log.since(15)->empty());
+}
+
+BOOST_AUTO_TEST_CASE(whatItDoesNotReachBackToIsNotTold)
+{
+    // Guards against a host that takes a part of what it missed for all of it.
+    ChangeLog log;
+    log.reset(10);
+    BOOST_TEST(!log.since(9).has_value());
+    for (int i = 1; i <= 5'000; ++i) {
+        log.append({std::to_string(i), "v", 10 + i, false});
+    }
+    BOOST_TEST(!log.since(10).has_value());
+    BOOST_TEST(log.since(5'000).value().size() == 10U);
+    log.reset(6'000);
+    BOOST_TEST(!log.since(5'500).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(aHostWithinALeapIsNotTold)
+{
+    // Guards against a host that has seen a key come, which was gone again before the next list, and is never told that it went.
+    ChangeLog log;
+    log.reset(10);
+    const std::vector<StoreEntry> changes{{"a", "1", 12, false}, {"b", "", 20, true}};
+    log.appendLeap(10, 20, changes);
+    BOOST_TEST(log.since(10)->size() == 2U);
+    BOOST_TEST(!log.since(11).has_value());
+    BOOST_TEST(!log.since(19).has_value());
+    BOOST_TEST(log.since(20)->empty());
+    for (int i = 1; i <= 1'023; ++i) {
+        log.append({std::to_string(i), "v", 20 + i, false});
+    }
+    BOOST_TEST(!log.since(12).has_value());
+    BOOST_TEST(log.since(20).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(longValuesDoNotFillTheMemory)
+{
+    ChangeLog log;
+    const std::string value(500'000, 'x');
+    for (int i = 1; i <= 100; ++i) {
+        log.append({"configuration", value, i, false});
+    }
+    BOOST_TEST(!log.since(90).has_value());
+    BOOST_TEST(log.since(98).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/gateway/test_key_freshness.cpp
+++ b/tests/gateway/test_key_freshness.cpp
@@ -78,7 +78,7 @@
         }
         for (auto &[name, host] : hosts_) {
             host->relayed.setNetwork({{}, [this, name = name](const std::string &to, const ProofRequest &request) { ask(name, to, request); }});
-            host->relayed.setHosts(names);
+            host->relayed.setHosts(names, names);
         }
     }
 
--- a/tests/gateway/test_relayed_store.cpp
+++ b/tests/gateway/test_relayed_store.cpp
@@ -71,7 +71,7 @@
             views[name] = std::make_unique<RelayedStore>(store, name);
             views[name]->setNetwork({[this, name](const ChangesNotice &notice) { tellAll(name, notice); },
                                      [this, name](const std::string &to, const ProofRequest &request) { ask(name, to, request); }});
-            views[name]->setHosts(hosts);
+            views[name]->setHosts(hosts, hosts);
             (views[name]->isRelay() ? relays : others).push_back(name);
         }
         store.memory.compareAndSwap("x/seed", 0, "0", 0);
@@ -211,7 +211,7 @@
         Store &reached = views[name]->isRelay() ? static_cast<Store &>(store) : store.memory;
         views[name] = std::make_unique<RelayedStore>(reached, name, clock);
         views[name]->setNetwork({[this, name](const ChangesNotice &notice) { tellAll(name, notice); }, {}});
-        views[name]->setHosts(hosts);
+        views[name]->setHosts(hosts, hosts);
         views[name]->list("x/");
     }
     RelayedStore &other = *views[others[0]];
@@ -238,7 +238,7 @@
     RelayedStore &other = *views[others[0]];
     const std::int64_t from = relay.list("x/").revision;
     other.list("x/");
-    other.setHosts({}); // Asks the store itself.
+    other.setHosts({}, {}); // Asks the store itself.
     write("x/a", "there");
     store.afterWatch = [&] {
         relay.watch("x/", from, 1s);
@@ -246,7 +246,7 @@
     };
     const StoreListReply first = other.watch("x/", from, 1s);
     BOOST_REQUIRE(first.entries.size() == 1U);
-    other.setHosts(hosts);
+    other.setHosts(hosts, hosts);
     relay.watch("x/", first.revision, 1s);
     const StoreListReply second = other.watch("x/", first.revision, 1s);
     BOOST_REQUIRE(second.entries.size() == 1U);
--- a/tests/gateway/test_team_budget.cpp
+++ b/tests/gateway/test_team_budget.cpp
@@ -30,7 +30,7 @@
             auto &host = hosts[name];
             host = std::make_unique<TeamBudget>(name);
             host->setLimits(limits, now);
-            host->setHosts(names, 1.0 / static_cast<double>(count), now);
+            host->setHosts(count, names, 1.0 / static_cast<double>(count), now);
         }
     }
 
@@ -179,10 +179,10 @@
     const std::vector<TeamLimit> limits{{"t", 1'000, 1'000}};
     const std::vector<std::string> many{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"};
     host.setLimits(limits, start);
-    host.setHosts(many, 0.1, start);
+    host.setHosts(many.size(), many, 0.1, start);
     BOOST_REQUIRE(!host.onRequest({1, "t", 1}, start + 1h).isGranted); // No home while there are ten.
     const TimePoint moved = start + 2h;
-    host.setHosts({"a", "b"}, 0.5, moved);
+    host.setHosts(2, {"a", "b"}, 0.5, moved);
     BOOST_TEST(!host.onRequest({2, "t", 1}, moved + 900ms).isGranted);
     BOOST_TEST(!host.onRequest({3, "t", 1'000}, moved + 1s).isGranted);
     BOOST_TEST(host.onRequest({4, "t", 300}, moved + 10s).isGranted);
--- a/tests/platform/gateway_fixture.cpp
+++ b/tests/platform/gateway_fixture.cpp
@@ -61,7 +61,7 @@
     gateway_ = std::make_unique<Gateway>(options, callerProtocol_, targetProtocol_, metrics_);
     Reason reason;
     BOOST_REQUIRE_MESSAGE(gateway_->open(reason), reason.text);
-    gateway_->setHosts({{"host", {"127.0.0.1", 1}}}, 1);
+    gateway_->setHosts({{"host", {{"127.0.0.1", 1}, {}, {}}}}, 1);
     thread_ = std::thread([this] {
         gateway_->run();
         hasStopped_ = true;
--- a/tests/platform/test_datagrams.cpp
+++ b/tests/platform/test_datagrams.cpp
@@ -27,9 +27,9 @@
         std::uint16_t gatewayPort = 0;
         gateway.onLoop([&](Gateway &host) {
             gatewayPort = host.fleet().port();
-            host.setHosts({{"host", {"127.0.0.1", gatewayPort}}, {"other", {"127.0.0.1", socket_.port()}}}, 0.5);
+            host.setHosts({{"host", {{"127.0.0.1", gatewayPort}, {}, {}}}, {"other", {{"127.0.0.1", socket_.port()}, {}, {}}}}, 0.5);
         });
-        socket_.setPeers({{"host", {"127.0.0.1", gatewayPort}}});
+        socket_.setPeers({{"host", {{"127.0.0.1", gatewayPort}, {}, {}}}});
         thread_ = std::thread([this] { loop_.run(); });
     }
 
@@ -102,6 +102,19 @@
     {
     }
 
+    void onChangesRequest(const std::string & /*host*/, const ChangesRequest & /*request*/) override
+    {
+    }
+
+    void onChangesReply(const ChangesReply & /*reply*/) override
+    {
+    }
+
+    bool isBehind() const override
+    {
+        return false;
+    }
+
     void onProofRequest(const std::string & /*host*/, const ProofRequest & /*request*/) override
     {
     }
--- a/tests/platform/test_host_listed_again.cpp
+++ b/tests/platform/test_host_listed_again.cpp
@@ -70,10 +70,11 @@
         options.hostsPrefix = "fleet/hosts/";
         options.weightsPrefix = "fleet/weights/";
         options.hostName = "a";
-        options.peers = {"127.0.0.1", 1};
+        options.record.address = {"127.0.0.1", 1};
         options.lifetime = lifetime;
         options.leaderKey = "fleet/leader";
-        options.onLeaderGone = [] {};
+        options.onLeader = [](const std::string & /*host*/) {};
+        options.onHosts = [](const std::vector<std::string> & /*candidates*/, std::size_t /*hosts*/) {};
         return options;
     }
 
