A host's own part of a team's tokens is never overdrawn

Cause: a prompt larger than a full bucket ran from a full one and left a debt, also at the even parts. Each of 295 hosts has a bucket of some hundred tokens a team, so each let one prompt of 17,000 pass: a team at 4.6 times its usual rate got 5.39 million tokens in eight seconds where 2.73 are its limit with a burst (the new test on the code before).

Change: only the pools may be overdrawn. The part that is divided evenly shrinks beyond 96 hosts, as it lies idle there.

Tests: aTeamAboveItsRateGetsNoPromptFromEachOfHundredsOfHosts fails before (5,389,000 > 2,734,000) and passes; aTeamWithinItsRateIsServedByHundredsOfHosts holds less than 1% refused at 1/1.8 of the rate.

--- a/decision/team_rates.cpp
+++ b/decision/team_rates.cpp
@@ -18,6 +18,11 @@
 
 } // namespace
 
+TeamRates::TeamRates(LargeRequests largeRequests)
+    : largeRequests_(largeRequests)
+{
+}
+
 void TeamRates::setLimits(std::span<const TeamLimit> limits, TimePoint now)
 {
     std::map<std::string, Bucket, std::less<>> buckets;
@@ -57,8 +62,8 @@
     }
     Bucket &bucket = found->second;
     refill(bucket, now);
-    if (bucket.tokens >= std::min(tokens, capacity(bucket))) {
-        // A request larger than a full bucket runs from a full one and leaves a debt; it would never run otherwise.
+    const double needed = largeRequests_ == LargeRequests::LeaveDebt ? std::min(tokens, capacity(bucket)) : tokens;
+    if (bucket.tokens >= needed) {
         bucket.tokens -= tokens;
         return true;
     }
--- a/decision/team_rates.h
+++ b/decision/team_rates.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <span>
 #include <string>
@@ -27,6 +28,16 @@
 class TeamRates
 {
 public:
+    /// Whether a request larger than a full bucket may run from a full one and leave a debt. It would never run otherwise; but each of
+    /// hundreds of hosts, with small buckets of their own, would let one such request pass.
+    enum class LargeRequests : std::uint8_t
+    {
+        LeaveDebt,
+        Refused,
+    };
+
+    explicit TeamRates(LargeRequests largeRequests = LargeRequests::LeaveDebt);
+
     /// Replaces the limits. A team that is known keeps what it has, up to its new burst; a new one begins with half of its burst:
     /// hosts that restart together would otherwise each hand out a whole one again.
     void setLimits(std::span<const TeamLimit> limits, TimePoint now);
@@ -54,6 +65,7 @@
     void refill(Bucket &bucket, TimePoint now) const;
     double capacity(const Bucket &bucket) const;
 
+    LargeRequests largeRequests_;
     std::map<std::string, Bucket, std::less<>> buckets_;
     double share_ = 1;
 };
--- a/gateway/team_budget.cpp
+++ b/gateway/team_budget.cpp
@@ -9,11 +9,17 @@
 namespace
 {
 
-/// Part of each limit that is divided evenly. Enough that small requests of most teams need no message; what lies in pools is what a
-/// host can get beyond its even part.
-constexpr double ownPart = 0.3;
+/// Part of each limit that is divided evenly, in a fleet of evenHosts or less. Enough that small requests of most teams need no message;
+/// what lies in pools is what a host can get beyond its even part.
+constexpr double mostOwnPart = 0.3;
+constexpr std::size_t evenHosts = 96;
 constexpr std::size_t homesPerTeam = 2;
 
+double ownPartOf(std::size_t hosts)
+{
+    return mostOwnPart * std::min(1.0, static_cast<double>(evenHosts) / static_cast<double>(std::max<std::size_t>(hosts, 1)));
+}
+
 /// Hosts of one region answer within 3 ms; one that has not after this is gone or cut off.
 constexpr Duration replyTimeout = std::chrono::milliseconds(30);
 
@@ -46,8 +52,9 @@
     updateHomes(now);
 }
 
-void TeamBudget::setHosts(std::size_t /*hosts*/, const std::vector<std::string> &candidates, double share, TimePoint now)
+void TeamBudget::setHosts(std::size_t hosts, const std::vector<std::string> &candidates, double share, TimePoint now)
 {
+    const double ownPart = ownPartOf(hosts);
     own_.setShare(ownPart * share, now);
     const std::size_t homes = std::clamp<std::size_t>(candidates.size(), 1, homesPerTeam);
     pools_.setShare((1 - ownPart) / static_cast<double>(homes), now);
--- a/gateway/team_budget.h
+++ b/gateway/team_budget.h
@@ -29,7 +29,9 @@
 ///
 /// The load it is made for: prompts of 17,000 tokens against rates of which an even split leaves a host two a second. A team whose
 /// requests meet the same host by chance would be refused far below its rate. The sum of all parts is one whatever messages are
-/// lost: a host that is cut off spends its even part only, a home that is lost takes its pool with it until another one has it.
+/// lost: a host that is cut off spends its even part only, a home that is lost takes its pool with it until another one has it. Only pools
+/// may be overdrawn, by a request larger than a full one. The larger the fleet, the smaller the part that is divided evenly: what each
+/// of hundreds of hosts gets of it is less than one prompt, and lies idle.
 class TeamBudget
 {
 public:
@@ -79,7 +81,7 @@
     std::string host_;
     std::vector<TeamLimit> limits_;
     RendezvousNames candidates_; ///< Hosts that may be homes.
-    TeamRates own_;
+    TeamRates own_{TeamRates::LargeRequests::Refused};
     TeamRates pools_;
     std::map<std::string, TimePoint, std::less<>> homeSince_; ///< Teams whose pool lies here, and from when on it is given out.
     std::map<std::uint64_t, Pending> pending_;
--- a/tests/gateway/test_team_budget.cpp
+++ b/tests/gateway/test_team_budget.cpp
@@ -204,4 +204,49 @@
     BOOST_TEST(fleet.granted < 45'000);
 }
 
+BOOST_AUTO_TEST_CASE(aTeamAboveItsRateGetsNoPromptFromEachOfHundredsOfHosts)
+{
+    // Guards against a limit that grows with the fleet: one team sends 4.6 times its usual tokens, in long prompts, to all hosts.
+    constexpr std::size_t hosts = 295;
+    constexpr double rate = 300'000;
+    constexpr double prompt = 17'000;
+    constexpr Duration step = 20ms;
+    constexpr double seconds = 8;
+    Fleet fleet(hosts, 3);
+    for (auto &[name, host] : fleet.hosts) {
+        host->setLimits(std::vector<TeamLimit>{{"large", rate, rate}}, fleet.now);
+    }
+    fleet.advance(10s);
+    double owed = 0;
+    for (double at = 0; at < seconds; at += toSeconds(step)) {
+        for (owed += 4.6 * rate / 1.8 * toSeconds(step); owed >= prompt; owed -= prompt) {
+            fleet.take("h" + std::to_string(randomBelow(fleet.random, hosts)), "large", prompt);
+        }
+        fleet.advance(step);
+    }
+    BOOST_TEST(fleet.granted <= rate * (seconds + 1) + 2 * prompt);
+}
+
+BOOST_AUTO_TEST_CASE(aTeamWithinItsRateIsServedByHundredsOfHosts)
+{
+    // Guards against tokens that lie idle in small parts at hundreds of hosts while prompts within the team's rate are refused.
+    constexpr std::size_t hosts = 295;
+    constexpr double rate = 300'000;
+    constexpr double prompt = 17'000;
+    constexpr Duration step = 20ms;
+    Fleet fleet(hosts, 4);
+    for (auto &[name, host] : fleet.hosts) {
+        host->setLimits(std::vector<TeamLimit>{{"large", rate, rate}}, fleet.now);
+    }
+    fleet.advance(10s);
+    double owed = 0;
+    for (int i = 0; i < 1'500; ++i) {
+        for (owed += rate / 1.8 * toSeconds(step); owed >= prompt; owed -= prompt) {
+            fleet.take("h" + std::to_string(randomBelow(fleet.random, hosts)), "large", prompt);
+        }
+        fleet.advance(step);
+    }
+    BOOST_TEST(fleet.refused < 0.01 * fleet.granted);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
