The list of targets is made anew before a decision, not for each change

Cause: each engine that is about to load is told twice, and each time every host made its list of 133 targets anew, 244 times within some seconds when new weights are named, on a processor of an eighth of a core.

Change: a change marks the list; it is made anew before the next decision, at once if a request waits.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -150,7 +150,7 @@
     directory_.setTargets(std::move(targets));
     pool_.keepOnly(directory_.all());
     hasTargets_ = true;
-    refreshTargets();
+    dispatch_.invalidateEngines();
     if (isConfigured()) {
         beginWaiting();
     }
@@ -442,7 +442,7 @@
 void Gateway::leaveAlone(std::string_view targetId, Duration time)
 {
     directory_.avoid(targetId, BootClock::now() + time);
-    refreshTargets();
+    dispatch_.invalidateEngines();
 }
 
 void Gateway::onTargetLoad(std::string_view engineName, const TargetLoad &load)
--- a/gateway/request_dispatch.cpp
+++ b/gateway/request_dispatch.cpp
@@ -73,6 +73,14 @@
     scheduleDecide();
 }
 
+void RequestDispatch::invalidateEngines()
+{
+    enginesEnd_ = std::min(enginesEnd_.value_or(TimePoint::max()), BootClock::now());
+    if (scheduler_.waiting() > 0) {
+        scheduleDecide();
+    }
+}
+
 void RequestDispatch::renewEngines(TimePoint now)
 {
     if (enginesEnd_ && now >= *enginesEnd_) {
--- a/gateway/request_dispatch.h
+++ b/gateway/request_dispatch.h
@@ -34,6 +34,10 @@
     /// The targets in service, whenever the directory has changed; they hold until `endsAt` at most.
     void setEngines(std::vector<SchedulerEngine> &&engines, std::optional<TimePoint> endsAt);
 
+    /// The directory has changed: the targets are renewed before the next decision, at once if a request waits for one. Each change of a
+    /// hundred engines that load new weights at the same time would else make the whole list anew.
+    void invalidateEngines();
+
     /// Renews the targets if they don't hold any more.
     void renewEngines(TimePoint now);
 
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -323,7 +323,7 @@
 {
     --runs_;
     gateway_.targets().onNotExecuted(targetId_, notExecuted_, intake_.caller().model, BootClock::now());
-    gateway_.refreshTargets();
+    gateway_.dispatch().invalidateEngines();
     endDispatch(notExecuted_.isOtherTarget ? SchedulerEnd::Cancelled : SchedulerEnd::Declined);
     log_.declined(targetId_, answerHead_.status, notExecuted_.isOtherTarget);
     isNotExecuted_ = false;
