A leader calls engines at the same time, and reads none that announced what it runs

The leader read all 122 one after another before its first order, 250 ms for each silent one: orders were given from 3.0 s to 11.8 s to nobody.

Change: reports and orders go to up to 16 engines at the same time, with the lease renewed in between; an engine that announced its state is looked at five minutes later as others are.

Test: test_orders_beside_silent_engines, 40 silent engines and 10 that answer: on the code before no order within 15 s, now all within a second.

--- a/coordination/order_scheduler.cpp
+++ b/coordination/order_scheduler.cpp
@@ -184,6 +184,7 @@
     engine.loadingUntil = {};
     engine.noticedAt.reset();
     engine.readAskedAt.reset();
+    engine.nextRead = std::max(engine.nextRead, now + options_.checkPause);
 }
 
 void OrderScheduler::planRead(Engine &engine, std::vector<std::string> &reads, TimePoint now) const
--- a/gateway/weights_duty.cpp
+++ b/gateway/weights_duty.cpp
@@ -7,6 +7,7 @@
 #include "core/log.h"
 #include "decision/rendezvous.h"
 #include "drivers/http_connection.h"
+#include "gateway/parallel_calls.h"
 
 namespace Lovageloft
 {
@@ -22,6 +23,9 @@
 
 constexpr int statusOk = 200;
 
+/// Calls to engines that wait at the same time.
+constexpr std::size_t callsAtOnce = 16;
+
 /// Hosts that stand for leader in turn before others do.
 constexpr std::size_t rankedHosts = 8;
 
@@ -107,14 +111,8 @@
     for (const std::string &target : plan.notices) {
         options_.beforeLoad(target);
     }
-    for (const Order &order : plan.orders) {
-        give(order);
-        lease_.step(BootClock::now());
-    }
-    for (const std::string &target : plan.reads) {
-        read(target);
-        lease_.step(BootClock::now());
-    }
+    giveOrders(plan.orders);
+    readEngines(plan.reads);
     recordNamed();
 }
 
@@ -175,49 +173,85 @@
     scheduler_.setWanted(wanted, BootClock::now());
 }
 
-void WeightsDuty::read(const std::string &targetId)
+/// The lease is renewed between batches, which take no longer than a few calls that nobody answers.
+void WeightsDuty::giveOrders(std::span<const Order> orders)
 {
-    const auto target = current_->find(targetId);
-    if (target == current_->end()) {
-        return;
+    while (!orders.empty()) {
+        const std::span<const Order> batch = orders.first(std::min(orders.size(), callsAtOnce));
+        std::vector<SentOrder> sent(batch.size());
+        callInParallel(batch.size(), callsAtOnce, [&](std::size_t i) { sent[i] = send(batch[i]); });
+        for (std::size_t i = 0; i < batch.size(); ++i) {
+            const Order &order = batch[i];
+            writeLog(LogLevel::Info,
+                     "order_given",
+                     {{"target", order.target},
+                      {"model", order.model},
+                      {"value", order.value},
+                      {"token", order.fencingToken},
+                      {"status", std::int64_t{sent[i].status}},
+                      {"accepted_before", sent[i].acceptedBefore}});
+            scheduler_.onOutcome(order, sent[i].outcome, BootClock::now());
+        }
+        lease_.step(BootClock::now());
+        orders = orders.subspan(batch.size());
+    }
+}
+
+void WeightsDuty::readEngines(std::span<const std::string> targets)
+{
+    while (!targets.empty()) {
+        const std::span<const std::string> batch = targets.first(std::min(targets.size(), callsAtOnce));
+        std::vector<std::optional<EngineState>> states(batch.size());
+        callInParallel(batch.size(), callsAtOnce, [&](std::size_t i) { states[i] = read(batch[i]); });
+        for (std::size_t i = 0; i < batch.size(); ++i) {
+            if (states[i]) {
+                scheduler_.onState(batch[i], *states[i], BootClock::now());
+            }
+        }
+        lease_.step(BootClock::now());
+        targets = targets.subspan(batch.size());
     }
-    const auto found = report(target->second);
+}
+
+std::optional<EngineState> WeightsDuty::read(const std::string &targetId) const
+{
+    const auto target = current_->find(targetId);
+    const auto found = target != current_->end() ? report(target->second) : std::nullopt;
     if (!found || found->models.empty()) {
-        return;
+        return std::nullopt;
     }
     EngineState state;
     state.model = found->models.front().name;
     state.weightsVersion = std::to_string(found->models.front().version);
     state.isLoading = found->isBusy;
-    scheduler_.onState(targetId, state, BootClock::now());
+    return state;
 }
 
-void WeightsDuty::give(const Order &order)
+WeightsDuty::SentOrder WeightsDuty::send(const Order &order) const
 {
+    SentOrder sent;
     const auto target = current_->find(order.target);
     const auto before = target != current_->end() ? report(target->second) : std::nullopt;
-    OrderOutcome outcome = OrderOutcome::Lost;
-    int status = 0;
-    if (before && !before->isBusy && scheduler_.maySend(order, lease_, BootClock::now())) {
-        const auto connection = HttpConnection::open(target->second.address, callTimeout);
-        const HttpField expected = format_.expectTarget(order.target);
-        options_.beforeLoad(order.target);
-        if (connection != nullptr && scheduler_.maySend(order, lease_, BootClock::now())) {
-            const std::string body = format_.writeOrder(order, options_.holderName, before->ordersAccepted);
-            const auto answer = connection->call("POST", format_.orderPath(), body, BootClock::now() + callTimeout, {&expected, 1});
-            status = answer ? answer->status : 0;
-            outcome = answer ? format_.outcomeOf(status) : OrderOutcome::Lost;
-        }
+    if (!before) {
+        return sent;
+    }
+    sent.acceptedBefore = before->ordersAccepted;
+    if (before->isBusy || !scheduler_.maySend(order, lease_, BootClock::now())) {
+        return sent;
+    }
+    const auto connection = HttpConnection::open(target->second.address, callTimeout);
+    options_.beforeLoad(order.target);
+    if (connection == nullptr || !scheduler_.maySend(order, lease_, BootClock::now())) {
+        return sent;
+    }
+    const HttpField expected = format_.expectTarget(order.target);
+    const std::string body = format_.writeOrder(order, options_.holderName, before->ordersAccepted);
+    const auto answer = connection->call("POST", format_.orderPath(), body, BootClock::now() + callTimeout, {&expected, 1});
+    if (answer) {
+        sent.status = answer->status;
+        sent.outcome = format_.outcomeOf(answer->status);
     }
-    writeLog(LogLevel::Info,
-             "order_given",
-             {{"target", order.target},
-              {"model", order.model},
-              {"value", order.value},
-              {"token", order.fencingToken},
-              {"status", std::int64_t{status}},
-              {"accepted_before", before ? before->ordersAccepted : -1}});
-    scheduler_.onOutcome(order, outcome, BootClock::now());
+    return sent;
 }
 
 std::optional<EngineReport> WeightsDuty::report(const Target &target) const
--- a/gateway/weights_duty.h
+++ b/gateway/weights_duty.h
@@ -4,6 +4,8 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <span>
 #include <string>
 
 #include "coordination/candidacy.h"
@@ -60,8 +62,19 @@
     void stepLease();
     void updateWanted();
     void recordNamed();
-    void read(const std::string &targetId);
-    void give(const Order &order);
+
+    /// What came of sending an order.
+    struct SentOrder
+    {
+        OrderOutcome outcome = OrderOutcome::Lost;
+        int status = 0; ///< Of the engine's answer; 0 without one.
+        std::int64_t acceptedBefore = -1; ///< Orders that the engine had accepted; -1 if it did not tell.
+    };
+
+    void giveOrders(std::span<const Order> orders);
+    void readEngines(std::span<const std::string> targets);
+    SentOrder send(const Order &order) const;
+    std::optional<EngineState> read(const std::string &targetId) const;
     std::optional<EngineReport> report(const Target &target) const;
     void noteLeadership(TimePoint now);
 
