Hosts of a large fleet call a store that is away seldom

Excluded: starts alone (885 calls) and relays (some per second).

Change: a circuit breaker for all duties of a host (coordination/call_breaker). After a call that failed none is made for a pause that doubles up to 0.4 s on the first sixteen hosts in rank, and up to a second for each hundred hosts on the others; a relay's notice shortens it. Fleets of 16 hosts or less have none. What a host knows of a prefix has moved to FollowedPrefix, with one mend: who took changes that a list showed now tells others of them as such, too.

--- /dev/null
+++ b/coordination/call_breaker.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "core/clock.h"
+#include "core/random.h"
+
+namespace Lovageloft
+{
+
+/// A circuit breaker before a service that all hosts of a fleet call: after a call that failed none is made for a while, which doubles up to a
+/// limit that grows with the fleet. While the service is away hundreds of hosts with several duties each would else keep calling it.
+class CallBreaker
+{
+public:
+    explicit CallBreaker(Random random);
+
+    /// Longest pause; with zero all calls are let through.
+    void setLongestPause(Duration longest);
+
+    bool isClosed(TimePoint now) const;
+    void onAnswer();
+    void onFailure(TimePoint now);
+
+    /// Others are answered: the next call may come within this time.
+    void onOthersAnswered(TimePoint now, Duration window);
+
+private:
+    Duration drawn(Duration most);
+
+    Random random_;
+    Duration longest_{};
+    Duration pause_{};
+    TimePoint nextCallAt_;
+};
+
+} // namespace Lovageloft
--- a/gateway/relayed_store.cpp
+++ b/gateway/relayed_store.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <random>
-#include <set>
 
 #include "core/log.h"
 #include "decision/rendezvous.h"
@@ -33,6 +32,10 @@
 constexpr Duration rankPause = std::chrono::milliseconds(10);
 constexpr double asksPerSecond = 300;
 
+/// While the store is away: the rate of calls of all hosts, and the pause of those that are first in rank, which the others hear from.
+constexpr double failedCallsPerSecond = 100;
+constexpr Duration longestRankedBreak = std::chrono::milliseconds(400);
+
 /// How long after the store's last answer to it a relay goes on saying that it lives. A relay renews its lease and proves its
 /// configuration more often than that. With `relaySilence` the others then watch the store themselves 3.3 s after a cut of both
 /// relays; without this limit it took as long as the cut.
@@ -52,13 +55,23 @@
 
 } // namespace
 
-template <typename Reply>
-Reply RelayedStore::noted(Reply reply)
+template <typename Call>
+auto RelayedStore::guarded(Call call)
 {
+    {
+        const std::lock_guard lock(mutex_);
+        if (!breaker_.isClosed(now_())) {
+            return decltype(call()){};
+        }
+    }
+    auto reply = call();
     const bool isAnswered = reply.status != StoreStatus::Unavailable && reply.status != StoreStatus::AnswerLost;
+    const std::lock_guard lock(mutex_);
     if (isAnswered) {
-        const std::lock_guard lock(mutex_);
         contactAt_ = now_();
+        breaker_.onAnswer();
+    } else {
+        breaker_.onFailure(now_());
     }
     return reply;
 }
@@ -68,6 +81,7 @@
     , host_(std::move(host))
     , now_(std::move(now))
     , random_(std::random_device{}())
+    , breaker_(Random(std::random_device{}()))
 {
 }
 
@@ -85,6 +99,7 @@
     others_ = hosts;
     std::erase(others_, host_);
     ranked_ = std::move(ranked);
+    breaker_.setLongestPause(longestBreak());
     std::vector<std::string> relays(ranked_.begin(), ranked_.begin() + static_cast<std::ptrdiff_t>(std::min(ranked_.size(), relayCount)));
     if (relays != relays_) {
         relays_ = std::move(relays);
@@ -117,15 +132,16 @@
     if (found == followed_.end() || found->second.reached == 0) {
         return; // Nobody watches it yet; the list comes first.
     }
-    Followed &followed = found->second;
+    FollowedPrefix &followed = found->second;
     const TimePoint now = now_();
     const bool isBetween = notice.latestStart < followed.reached && followed.reached < notice.upTo;
     if (notice.after > followed.reached || isBetween) {
         followed.needed = std::max(followed.needed, notice.upTo);
         noteBehind(notice.prefix, followed, now);
     } else if (notice.upTo >= followed.reached) {
-        takeChanges(followed, notice, now);
+        followed.takeNotice(notice, now);
         followed.heardAt = now;
+        breaker_.onOthersAnswered(now, fromSeconds(static_cast<double>(others_.size()) / asksPerSecond));
         noteBehind(notice.prefix, followed, now);
     }
     heard_.notify_all();
@@ -143,9 +159,9 @@
     if (!isFollowed || reply.changes.after != found->second.reached) {
         return;
     }
-    Followed &followed = found->second;
+    FollowedPrefix &followed = found->second;
     const TimePoint now = now_();
-    takeChanges(followed, reply.changes, now);
+    followed.takeNotice(reply.changes, now);
     if (!isDeputy()) {
         followed.heardAt = std::max(followed.heardAt, question->second.sentAt - reply.age);
     }
@@ -160,68 +176,36 @@
     if (found == followed_.end() || found->second.reached == 0 || found->second.reached < request.after) {
         return std::nullopt;
     }
-    const Followed &followed = found->second;
+    const FollowedPrefix &followed = found->second;
     auto entries = followed.log.since(request.after);
     if (!entries) {
         return std::nullopt;
     }
     const TimePoint now = now_();
     const Duration age = isInContact(followed, now) ? Duration::zero() : std::max(Duration::zero(), now - newsAt(followed));
-    return ChangesReply{request.id, {request.prefix, request.after, followed.reached, std::move(*entries), {}, followed.silence}, age};
-}
-
-/// Takes what continues the revision that this host has reached.
-void RelayedStore::takeChanges(Followed &followed, const ChangesNotice &notice, TimePoint now)
-{
-    const Duration silence = std::max(notice.silence, now - std::max(followed.heardAt, followed.readAt));
-    for (std::size_t i = 0; i < notice.entries.size(); ++i) {
-        const StoreEntry &entry = notice.entries[i];
-        if (entry.revision <= followed.reached) {
-            continue;
-        }
-        const bool isOmitted = i < notice.omitted.size() && notice.omitted[i];
-        followed.silence = std::max(followed.silence, silence);
-        followed.entries.emplace_back(entry, isOmitted);
-        followed.lastChange = std::max(followed.lastChange, entry.revision);
-        noteKey(followed, entry);
-        if (isOmitted) {
-            followed.log.reset(entry.revision);
-        } else {
-            followed.log.append(entry);
-        }
-    }
-    followed.reached = notice.upTo;
-}
-
-void RelayedStore::noteKey(Followed &followed, const StoreEntry &entry)
-{
-    if (entry.isDeleted) {
-        followed.keys.erase(entry.key);
-    } else {
-        followed.keys.insert_or_assign(entry.key, entry.revision);
-    }
+    return ChangesReply{request.id, {request.prefix, request.after, followed.reached, std::move(*entries), {}, followed.silence, request.after}, age};
 }
 
 /// Whether the store would have told of changes by now: its own answers are recent, and a watch waits there. Only they count. What other
 /// hosts say does not: two that are cut off would keep each other going.
-bool RelayedStore::isInContact(const Followed &followed, TimePoint now) const
+bool RelayedStore::isInContact(const FollowedPrefix &followed, TimePoint now) const
 {
     return followed.isWatched && now - contactAt_ < oldestContact && now - followed.readAt < oldestWatch;
 }
 
 /// Until when this host has heard of all changes. A deputy that the relays are silent for goes on watching the store, as they do.
-TimePoint RelayedStore::newsAt(const Followed &followed) const
+TimePoint RelayedStore::newsAt(const FollowedPrefix &followed) const
 {
     return isDeputy() ? followed.heardAt : std::max(followed.heardAt, followed.readAt);
 }
 
-bool RelayedStore::isBehind(const Followed &followed, TimePoint now) const
+bool RelayedStore::isBehind(const FollowedPrefix &followed, TimePoint now) const
 {
     return followed.needed > followed.reached || now - newsAt(followed) >= questionSilence;
 }
 
 /// Begins or ends the search for what is missing. Without other hosts to ask, as in a fleet of one, the store is asked at once.
-void RelayedStore::noteBehind(std::string_view prefix, Followed &followed, TimePoint now)
+void RelayedStore::noteBehind(std::string_view prefix, FollowedPrefix &followed, TimePoint now)
 {
     if (!isBehind(followed, now)) {
         followed.behindSince.reset();
@@ -238,6 +222,15 @@
     }
 }
 
+/// A small fleet is no burden to a store that is away, and its hosts are to know at once when it is back.
+Duration RelayedStore::longestBreak() const
+{
+    if (others_.size() < rankedCount) {
+        return {};
+    }
+    return isDeputy() ? longestRankedBreak : fromSeconds(static_cast<double>(others_.size()) / failedCallsPerSecond);
+}
+
 Duration RelayedStore::storeDelay()
 {
     const auto place = std::find(ranked_.begin(), ranked_.end(), host_);
@@ -281,7 +274,7 @@
 
 StoreReply RelayedStore::get(std::string_view key)
 {
-    return noted(ForwardingStore::get(key));
+    return guarded([&] { return ForwardingStore::get(key); });
 }
 
 StoreReply RelayedStore::confirm(std::string_view key, std::int64_t revision)
@@ -297,7 +290,7 @@
         }
         return {isSame ? StoreStatus::Ok : StoreStatus::Conflict, {std::string(key), {}, reply->revision, false}, reply->age};
     }
-    return noted(ForwardingStore::confirm(key, revision));
+    return guarded([&] { return ForwardingStore::confirm(key, revision); });
 }
 
 /// A newer revision of a key exists: whoever follows its prefix has missed a change.
@@ -335,78 +328,38 @@
 
 StoreListReply RelayedStore::list(std::string_view prefix)
 {
-    StoreListReply reply = noted(ForwardingStore::list(prefix));
+    StoreListReply reply = guarded([&] { return ForwardingStore::list(prefix); });
     if (reply.status != StoreStatus::Ok) {
         return reply;
     }
     const bool isRelayNow = isRelay();
     std::unique_lock lock(mutex_);
-    Followed &followed = followed_[std::string(prefix)];
+    FollowedPrefix &followed = followed_[std::string(prefix)];
     const TimePoint now = now_();
-    const bool continues = followed.reached != 0 && followed.reached <= reply.revision;
-    ChangesNotice notice{std::string(prefix), followed.lastChange, reply.revision, {}, {}, now - followed.readAt, followed.reached};
-    if (continues) {
-        notice.entries = changesBy(followed, reply);
+    std::optional<ChangesNotice> changes;
+    if (followed.reached != 0 && followed.reached <= reply.revision) {
+        changes = followed.changesBy(reply);
+        changes->prefix = prefix;
+        changes->silence = now - followed.readAt;
     }
-    takeList(followed, reply, notice.entries, continues);
+    followed.takeList(reply, changes);
     followed.heardAt = now;
     followed.readAt = now;
     const auto broadcast = network_.tellAll;
     lock.unlock();
-    if (isRelayNow && continues && broadcast) {
-        broadcast(notice);
+    if (isRelayNow && changes && broadcast) {
+        broadcast(*changes);
     }
     return reply;
 }
 
-/// What a list shows to have changed since the revision that this host has reached, as a watch would have told it. A store that has
-/// forgotten its history is read once by each relay then, and not by all hosts. Pages of a list are no snapshot: what is newer than its
-/// revision comes by the watch.
-std::vector<StoreEntry> RelayedStore::changesBy(const Followed &followed, const StoreListReply &list)
-{
-    std::vector<StoreEntry> changes;
-    std::set<std::string_view> listed;
-    for (const StoreEntry &entry : list.entries) {
-        listed.insert(entry.key);
-        if (entry.revision > followed.reached && entry.revision <= list.revision) {
-            changes.push_back(entry);
-        }
-    }
-    std::stable_sort(changes.begin(), changes.end(), [](const StoreEntry &left, const StoreEntry &right) { return left.revision < right.revision; });
-    for (const auto &[key, revision] : followed.keys) {
-        if (!listed.contains(key)) {
-            changes.push_back({key, {}, list.revision, true});
-        }
-    }
-    return changes;
-}
-
-void RelayedStore::takeList(Followed &followed, const StoreListReply &list, std::span<const StoreEntry> changes, bool continues)
-{
-    if (continues) {
-        followed.log.appendLeap(followed.reached, list.revision, changes);
-    } else {
-        followed.log.reset(list.revision);
-    }
-    followed.lastChange = list.revision;
-    followed.keys.clear();
-    for (const StoreEntry &entry : list.entries) {
-        followed.keys.insert_or_assign(entry.key, entry.revision);
-    }
-    followed.reached = list.revision;
-    followed.needed = 0;
-    followed.behindSince.reset();
-    followed.entries.clear();
-    followed.silence = {};
-}
-
 StoreListReply RelayedStore::watch(std::string_view prefix, std::int64_t afterRevision, Duration timeout)
 {
     if (watchesItself()) {
         return watchStore(prefix, afterRevision, timeout);
     }
     std::unique_lock lock(mutex_);
-    Followed &followed = followed_[std::string(prefix)];
+    FollowedPrefix &followed = followed_[std::string(prefix)];
     const TimePoint calledAt = now_();
     const TimePoint limit = calledAt + timeout;
     while (followed.entries.empty()) {
@@ -469,7 +422,7 @@
     lock.lock();
 }
 
-StoreListReply RelayedStore::takeHeard(Followed &followed, std::unique_lock<std::mutex> &lock)
+StoreListReply RelayedStore::takeHeard(FollowedPrefix &followed, std::unique_lock<std::mutex> &lock)
 {
     if (followed.entries.empty() && followed.needed > followed.reached && now_() >= followed.storeAt) {
         writeLog(LogLevel::Info, "notice_missed", {{"reached", followed.reached}, {"needed", followed.needed}});
@@ -498,7 +451,7 @@
 {
     const TimePoint askedAt = now_();
     setWatched(prefix, true);
-    StoreListReply reply = noted(ForwardingStore::watch(prefix, afterRevision, timeout));
+    StoreListReply reply = guarded([&] { return ForwardingStore::watch(prefix, afterRevision, timeout); });
     if (reply.status != StoreStatus::Ok) {
         setWatched(prefix, false);
         return reply;
@@ -508,21 +461,11 @@
     std::int64_t lastChange = 0;
     {
         const std::lock_guard lock(mutex_);
-        Followed &followed = followed_[std::string(prefix)];
+        FollowedPrefix &followed = followed_[std::string(prefix)];
         // The store's revision moves with every key. A notice that began at the last watch's revision would look like a gap to hosts
         // that were not told of the quiet time in between.
         lastChange = std::min(followed.lastChange, afterRevision);
-        followed.lastChange = std::max(followed.lastChange, reply.entries.empty() ? 0 : reply.entries.back().revision);
-        // Notices may have come while the store was asked. What the answer holds already must not be handed out after it.
-        std::erase_if(followed.entries, [&reply](const auto &heard) { return heard.first.revision <= reply.revision; });
-        followed.silence = followed.entries.empty() ? Duration::zero() : followed.silence;
-        for (const StoreEntry &entry : reply.entries) {
-            if (entry.revision > followed.reached) {
-                followed.log.append(entry);
-                noteKey(followed, entry);
-            }
-        }
-        followed.reached = std::max(followed.reached, reply.revision);
+        followed.takeWatch(reply);
         followed.isWatched = isRelayNow;
         // A relay doesn't go by what the other says: with silent connections to the store the two would vouch for each other.
         const TimePoint heardAt = isRelayNow ? followed.readAt : std::max(followed.heardAt, followed.readAt);
@@ -543,7 +486,7 @@
     followed_[std::string(prefix)].isWatched = isWatched;
 }
 
-void RelayedStore::noteSilence(std::string_view prefix, Followed &followed, TimePoint now)
+void RelayedStore::noteSilence(std::string_view prefix, FollowedPrefix &followed, TimePoint now)
 {
     const bool isSilent = now - followed.heardAt >= relaySilence;
     if (isSilent != followed.isSilent) {
@@ -573,7 +516,17 @@
 
 StoreLeaseReply RelayedStore::keepAlive(std::int64_t leaseId)
 {
-    return noted(ForwardingStore::keepAlive(leaseId));
+    return guarded([&] { return ForwardingStore::keepAlive(leaseId); });
+}
+
+StoreLeaseReply RelayedStore::grantLease(Duration timeToLive)
+{
+    return guarded([&] { return ForwardingStore::grantLease(timeToLive); });
+}
+
+StoreReply RelayedStore::compareAndSwap(std::string_view key, std::int64_t expectedRevision, std::string_view value, std::int64_t leaseId)
+{
+    return guarded([&] { return ForwardingStore::compareAndSwap(key, expectedRevision, value, leaseId); });
 }
 
 } // namespace Lovageloft
--- a/gateway/relayed_store.h
+++ b/gateway/relayed_store.h
@@ -10,9 +10,10 @@
 #include <string>
 #include <vector>
 
-#include "coordination/change_log.h"
+#include "coordination/call_breaker.h"
 #include "coordination/forwarding_store.h"
 #include "core/random.h"
+#include "gateway/followed_prefix.h"
 #include "gateway/peer_socket.h"
 
 namespace Lovageloft
@@ -68,28 +69,11 @@
     StoreReply confirm(std::string_view key, std::int64_t revision) override;
     StoreListReply list(std::string_view prefix) override;
     StoreListReply watch(std::string_view prefix, std::int64_t afterRevision, Duration timeout) override;
+    StoreReply compareAndSwap(std::string_view key, std::int64_t expectedRevision, std::string_view value, std::int64_t leaseId) override;
+    StoreLeaseReply grantLease(Duration timeToLive) override;
     StoreLeaseReply keepAlive(std::int64_t leaseId) override;
 
 private:
-    /// What notices have brought under one prefix, or on a relay what the store has.
-    struct Followed
-    {
-        std::int64_t reached = 0; ///< Nothing up to this revision is missing.
-        std::int64_t lastChange = 0; ///< Nothing changed after this revision up to `reached`; also by what the other relay tells.
-        std::int64_t needed = 0; ///< Others have this revision; above `reached` if something was missed.
-        bool isSilent = false; ///< No relay speaks of it.
-        bool isWatched = false; ///< A watch of this host waits at the store.
-        TimePoint heardAt; ///< When a relay last spoke of it, or when somebody else knew of all up to `reached`.
-        TimePoint readAt; ///< When the store last answered this host's own list or watch.
-        std::optional<TimePoint> behindSince; ///< From when on this host has lacked changes or signs of life.
-        TimePoint storeAt; ///< While behind: when the store may be asked.
-        TimePoint questionAt; ///< While behind: when other hosts may be asked again.
-        Duration silence{}; ///< For how long what was not handed out yet could not have been heard of.
-        std::deque<std::pair<StoreEntry, bool>> entries; ///< Not handed out yet; true: the value has to be read.
-        ChangeLog log; ///< For other hosts.
-        std::map<std::string, std::int64_t, std::less<>> keys; ///< All that exist, with the revision of their last write.
-    };
-
     /// A question to other hosts that waits for its answers.
     struct ChangesQuestion
     {
@@ -97,26 +81,23 @@
         TimePoint sentAt;
     };
 
-    /// Notes that the store has answered, and passes its reply on.
-    template <typename Reply>
-    Reply noted(Reply reply);
+    /// Makes a call to the store unless it failed a moment ago, and notes whether it answered.
+    template <typename Call>
+    auto guarded(Call call);
 
     StoreListReply watchStore(std::string_view prefix, std::int64_t afterRevision, Duration timeout);
-    StoreListReply takeHeard(Followed &followed, std::unique_lock<std::mutex> &lock);
+    StoreListReply takeHeard(FollowedPrefix &followed, std::unique_lock<std::mutex> &lock);
     bool isDeputy() const;
     bool watchesItself() const;
-    bool isInContact(const Followed &followed, TimePoint now) const;
-    TimePoint newsAt(const Followed &followed) const;
-    bool isBehind(const Followed &followed, TimePoint now) const;
-    void noteBehind(std::string_view prefix, Followed &followed, TimePoint now);
+    bool isInContact(const FollowedPrefix &followed, TimePoint now) const;
+    TimePoint newsAt(const FollowedPrefix &followed) const;
+    bool isBehind(const FollowedPrefix &followed, TimePoint now) const;
+    void noteBehind(std::string_view prefix, FollowedPrefix &followed, TimePoint now);
     Duration storeDelay();
+    Duration longestBreak() const;
     std::vector<std::string> hostsToAsk();
     void askForChanges(std::string_view prefix, std::int64_t reached, std::unique_lock<std::mutex> &lock);
-    static std::vector<StoreEntry> changesBy(const Followed &followed, const StoreListReply &list);
-    static void takeList(Followed &followed, const StoreListReply &list, std::span<const StoreEntry> changes, bool continues);
-    static void noteKey(Followed &followed, const StoreEntry &entry);
-    static void takeChanges(Followed &followed, const ChangesNotice &notice, TimePoint now);
-    static void noteSilence(std::string_view prefix, Followed &followed, TimePoint now);
+    static void noteSilence(std::string_view prefix, FollowedPrefix &followed, TimePoint now);
     void setWatched(std::string_view prefix, bool isWatched);
     void needRevision(std::string_view key, std::int64_t revision);
     std::vector<std::string> hostsWithProofs();
@@ -132,8 +113,9 @@
     std::vector<std::string> ranked_; ///< The first in rank: the relays, then the deputies.
     std::vector<std::string> relays_;
     Random random_;
+    CallBreaker breaker_;
     TimePoint contactAt_; ///< When the store last answered a call of this host.
-    std::map<std::string, Followed, std::less<>> followed_;
+    std::map<std::string, FollowedPrefix, std::less<>> followed_;
     std::map<std::uint64_t, std::optional<ProofReply>> questions_;
     std::map<std::uint64_t, ChangesQuestion> changesQuestions_;
     std::uint64_t lastQuestion_ = 0;
--- a/tests/gateway/test_fleet_news.cpp
+++ b/tests/gateway/test_fleet_news.cpp
@@ -360,6 +360,22 @@
     BOOST_TEST(!fleet.holdsOnAny("x/b"));
 }
 
+BOOST_AUTO_TEST_CASE(aStoreThatIsAwayIsNotBesieged)
+{
+    // Guards against hundreds of hosts that call a store that is down again and again.
+    Fleet fleet(295, 7);
+    fleet.run(1s);
+    for (std::size_t i = 0; i < 295; ++i) {
+        fleet.cutFromStore.insert("host-" + std::to_string(i));
+    }
+    fleet.run(8s);
+    BOOST_TEST(fleet.calls < 8 * 295);
+    fleet.write("x/a", "1");
+    fleet.cutFromStore.clear();
+    fleet.run(2500ms);
+    BOOST_TEST(fleet.current() == 295U);
+}
+
 BOOST_AUTO_TEST_CASE(halfOfTheFleetMayBeDead)
 {
     Fleet fleet(295, 5);
