--- a/coordination/call_breaker.cpp
+++ b/coordination/call_breaker.cpp
@@ -1,7 +1,6 @@
 #include "coordination/call_breaker.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace Lovageloft
 {
@@ -13,8 +12,8 @@
 
 } // namespace
 
-CallBreaker::CallBreaker(Random random)
-    : random_(std::move(random))
+CallBreaker::CallBreaker(const Random &random)
+    : random_(random)
 {
 }
 
--- a/coordination/call_breaker.h
+++ b/coordination/call_breaker.h
@@ -11,7 +11,7 @@
 class CallBreaker
 {
 public:
-    explicit CallBreaker(Random random);
+    explicit CallBreaker(const Random &random);
 
     /// Longest pause; with zero all calls are let through.
     void setLongestPause(Duration longest);
--- a/coordination/candidacy.cpp
+++ b/coordination/candidacy.cpp
@@ -1,7 +1,5 @@
 #include "coordination/candidacy.h"
 
-#include <utility>
-
 namespace Lovageloft
 {
 
@@ -24,8 +22,8 @@
 
 } // namespace
 
-Candidacy::Candidacy(Random random)
-    : random_(std::move(random))
+Candidacy::Candidacy(const Random &random)
+    : random_(random)
 {
 }
 
--- a/coordination/candidacy.h
+++ b/coordination/candidacy.h
@@ -15,7 +15,7 @@
 class Candidacy
 {
 public:
-    explicit Candidacy(Random random);
+    explicit Candidacy(const Random &random);
 
     /// This host's place, 0 for the first; nothing if it is not among the first. `hosts`: how many there are.
     void setRank(std::optional<std::size_t> rank, std::size_t hosts, TimePoint now);
--- a/gateway/fleet_link.cpp
+++ b/gateway/fleet_link.cpp
@@ -10,8 +10,8 @@
 namespace
 {
 
-/// Between two signs of life of a relay; see relaySilence in relayed_store.cpp.
-constexpr Duration alivePause = std::chrono::milliseconds(400);
+/// Between two heartbeats of a relay; see relaySilence in relayed_store.cpp.
+constexpr Duration heartbeatInterval = std::chrono::milliseconds(400);
 
 } // namespace
 
@@ -46,7 +46,7 @@
     const auto sendOnLoop = [this](const std::string &host, const auto &request) {
         gateway_.post([this, host, request](Gateway &) { peers_.send(host, request); });
     };
-    store.setNetwork({[this](const ChangesNotice &notice) { gateway_.post([this, notice](Gateway &) { peers_.tellAll(notice); }); }, sendOnLoop, sendOnLoop});
+    store.setNetwork({[this](const ChangesNotice &notice) { gateway_.post([this, notice](Gateway &) { peers_.broadcast(notice); }); }, sendOnLoop, sendOnLoop});
 }
 
 void FleetLink::setOrderListener(std::function<void(const std::string &targetId)> listener)
@@ -93,13 +93,13 @@
 void FleetLink::announceLoading(const std::string &targetId, Duration time)
 {
     gateway_.leaveAlone(targetId, time);
-    peers_.tellAll(LoadingNotice{targetId, time});
+    peers_.broadcast(LoadingNotice{targetId, time});
 }
 
 void FleetLink::announceCacheStore(const std::string &address, bool isAlive)
 {
     gateway_.setCacheStoreAlive(address, isAlive);
-    peers_.tellAll(CacheStoreNotice{address, isAlive});
+    peers_.broadcast(CacheStoreNotice{address, isAlive});
 }
 
 void FleetLink::askWeightsAges()
@@ -123,11 +123,11 @@
     gateway_.learnWeightsAge(age);
 }
 
-void FleetLink::sayAlive(TimePoint now)
+void FleetLink::sendHeartbeat(TimePoint now)
 {
-    if (relayedStore_ != nullptr && relayedStore_->isRelay() && now >= nextAlive_) {
-        nextAlive_ = now + alivePause;
-        relayedStore_->sayAlive();
+    if (relayedStore_ != nullptr && relayedStore_->isRelay() && now >= nextHeartbeat_) {
+        nextHeartbeat_ = now + heartbeatInterval;
+        relayedStore_->sendHeartbeat();
     }
 }
 
@@ -136,7 +136,7 @@
     if (assignment.workTokens < quietTokens) {
         return;
     }
-    peers_.tellAll(DispatchNotice{assignment.engine, assignment.workTokens, assignment.newTokens, assignment.blocks});
+    peers_.broadcast(DispatchNotice{assignment.engine, assignment.workTokens, assignment.newTokens, assignment.blocks});
 }
 
 void FleetLink::onDispatchNotice(const DispatchNotice &notice)
--- a/gateway/fleet_link.h
+++ b/gateway/fleet_link.h
@@ -60,8 +60,8 @@
     /// Asks a few hosts how long ago the weights were named that this host found when it started.
     void askWeightsAges();
 
-    /// On a relay, now and then: that it lives.
-    void sayAlive(TimePoint now);
+    /// On a relay, now and then: see RelayedStore::sendHeartbeat.
+    void sendHeartbeat(TimePoint now);
 
 private:
     void onDispatchNotice(const DispatchNotice &notice) override;
@@ -89,7 +89,7 @@
     std::size_t nextAsked_ = 0; ///< Of those.
     RelayedStore *relayedStore_ = nullptr;
     std::function<void(const std::string &targetId)> onOrderOfOther_ = [](const std::string &) {};
-    TimePoint nextAlive_;
+    TimePoint nextHeartbeat_;
 };
 
 } // namespace Lovageloft
--- a/gateway/followed_prefix.h
+++ b/gateway/followed_prefix.h
@@ -23,7 +23,7 @@
     bool isWatched = false; ///< A watch of this host waits at the store.
     TimePoint heardAt; ///< When a relay last spoke of it, or when somebody else knew of all up to `reached`.
     TimePoint readAt; ///< When the store last answered this host's own list or watch.
-    std::optional<TimePoint> behindSince; ///< From when on this host has lacked changes or signs of life.
+    std::optional<TimePoint> behindSince; ///< From when on this host has lacked changes or heartbeats.
     TimePoint storeAt; ///< While behind: when the store may be asked.
     TimePoint questionAt; ///< While behind: when other hosts may be asked again.
     Duration silence{}; ///< For how long what was not handed out yet could not have been heard of.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -515,7 +515,7 @@
     const TimePoint now = BootClock::now();
     standstills_.look(now);
     pool_.closeStale(now);
-    fleet_.sayAlive(now);
+    fleet_.sendHeartbeat(now);
     if (now < agesAskedUntil_ || directory_.needsAge(now)) {
         fleet_.askWeightsAges();
     }
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -203,7 +203,7 @@
     }
 }
 
-void PeerSocket::tellAll(const DispatchNotice &notice)
+void PeerSocket::broadcast(const DispatchNotice &notice)
 {
     capnp::MallocMessageBuilder message;
     auto dispatch = message.initRoot<Datagram>().initDispatch();
@@ -215,16 +215,16 @@
     for (unsigned i = 0; i < count; ++i) {
         blocks.set(i, notice.blocks[i]);
     }
-    broadcast(encode(message));
+    broadcastBytes(encode(message));
 }
 
-void PeerSocket::tellAll(const LoadingNotice &notice)
+void PeerSocket::broadcast(const LoadingNotice &notice)
 {
     capnp::MallocMessageBuilder message;
     auto loading = message.initRoot<Datagram>().initLoading();
     loading.setTarget(notice.target);
     loading.setMilliseconds(static_cast<std::uint32_t>(toMillis(notice.time)));
-    broadcast(encode(message));
+    broadcastBytes(encode(message));
 }
 
 void PeerSocket::send(const std::string &host, const TokenRequest &request)
@@ -264,20 +264,20 @@
     sendTo(host, encode(message));
 }
 
-void PeerSocket::tellAll(const CacheStoreNotice &notice)
+void PeerSocket::broadcast(const CacheStoreNotice &notice)
 {
     capnp::MallocMessageBuilder message;
     auto store = message.initRoot<Datagram>().initCacheStore();
     store.setAddress(notice.address);
     store.setIsAlive(notice.isAlive);
-    broadcast(encode(message));
+    broadcastBytes(encode(message));
 }
 
-void PeerSocket::tellAll(const ChangesNotice &notice)
+void PeerSocket::broadcast(const ChangesNotice &notice)
 {
     const std::span<const StoreEntry> entries = notice.entries;
     if (notice.latestStart < notice.upTo) {
-        broadcast(encodeChanges(notice, entries)); // A receiver of some of it would be in between.
+        broadcastBytes(encodeChanges(notice, entries)); // A receiver of some of it would be in between.
         return;
     }
     ChangesNotice part{notice.prefix, notice.after, notice.upTo, {}, {}, notice.silence};
@@ -292,7 +292,7 @@
             ++end;
         }
         part.upTo = end == entries.size() ? notice.upTo : entries[end - 1].revision;
-        broadcast(encodeChanges(part, entries.subspan(next, end - next)));
+        broadcastBytes(encodeChanges(part, entries.subspan(next, end - next)));
         part.after = part.upTo;
         next = end;
     } while (next < entries.size());
@@ -339,7 +339,7 @@
     sendTo(host, encode(message));
 }
 
-void PeerSocket::broadcast(std::string_view datagram)
+void PeerSocket::broadcastBytes(std::string_view datagram)
 {
     std::vector<Endpoint> receivers;
     for (const BroadcastBranch &branch : planBroadcast(dataCentres_, random_)) {
--- a/gateway/peer_socket.h
+++ b/gateway/peer_socket.h
@@ -156,12 +156,12 @@
     void setPeers(const std::map<std::string, HostRecord> &peers);
 
     /// To all other hosts.
-    void tellAll(const DispatchNotice &notice);
-    void tellAll(const LoadingNotice &notice);
-    void tellAll(const CacheStoreNotice &notice);
+    void broadcast(const DispatchNotice &notice);
+    void broadcast(const LoadingNotice &notice);
+    void broadcast(const CacheStoreNotice &notice);
 
     /// In as many datagrams as it takes.
-    void tellAll(const ChangesNotice &notice);
+    void broadcast(const ChangesNotice &notice);
 
     /// To one host; nothing happens if it is not known.
     void send(const std::string &host, const TokenRequest &request);
@@ -177,7 +177,7 @@
     using Endpoint = boost::asio::ip::udp::endpoint;
 
     void receive();
-    void broadcast(std::string_view datagram);
+    void broadcastBytes(std::string_view datagram);
     void sendTo(const std::string &host, std::string_view datagram);
     void read(std::string_view bytes, const std::string &host);
     void readForwarded(std::string_view datagram, std::span<const Endpoint> receivers, const std::string &host);
--- a/gateway/relayed_store.cpp
+++ b/gateway/relayed_store.cpp
@@ -36,7 +36,7 @@
 constexpr double failedCallsPerSecond = 100;
 constexpr Duration longestRankedBreak = std::chrono::milliseconds(400);
 
-/// How long after the store's last answer to it a relay goes on saying that it lives. A relay renews its lease and proves its
+/// How long after the store's last answer to it a relay goes on sending heartbeats. A relay renews its lease and proves its
 /// configuration more often than that. With `relaySilence` the others then watch the store themselves 3.3 s after a cut of both
 /// relays; without this limit it took as long as the cut.
 constexpr Duration oldestContact = std::chrono::seconds(2);
@@ -253,7 +253,7 @@
     }
 }
 
-void RelayedStore::sayAlive()
+void RelayedStore::sendHeartbeat()
 {
     std::vector<ChangesNotice> notices;
     Network network;
@@ -268,7 +268,7 @@
         }
     }
     for (const ChangesNotice &notice : notices) {
-        network.tellAll(notice);
+        network.broadcast(notice);
     }
 }
 
@@ -345,7 +345,7 @@
     followed.takeList(reply, changes);
     followed.heardAt = now;
     followed.readAt = now;
-    const auto broadcast = network_.tellAll;
+    const auto broadcast = network_.broadcast;
     lock.unlock();
     if (isRelayNow && changes && broadcast) {
         broadcast(*changes);
@@ -474,8 +474,8 @@
         followed.heardAt = isRelayNow ? followed.readAt : followed.heardAt;
         network = network_;
     }
-    if (isRelayNow && !reply.entries.empty() && network.tellAll) {
-        network.tellAll({std::string(prefix), lastChange, reply.revision, reply.entries, {}, reply.silence});
+    if (isRelayNow && !reply.entries.empty() && network.broadcast) {
+        network.broadcast({std::string(prefix), lastChange, reply.revision, reply.entries, {}, reply.silence});
     }
     return reply;
 }
--- a/gateway/relayed_store.h
+++ b/gateway/relayed_store.h
@@ -38,7 +38,7 @@
     /// What the event loop does for this object.
     struct Network
     {
-        std::function<void(const ChangesNotice &)> tellAll;
+        std::function<void(const ChangesNotice &)> broadcast;
         std::function<void(const std::string &host, const ProofRequest &)> ask;
         std::function<void(const std::string &host, const ChangesRequest &)> askChanges{};
     };
@@ -62,8 +62,8 @@
 
     void onProofReply(const ProofReply &reply);
 
-    /// On a relay: tells the others how far it has come, by which they know that it lives.
-    void sayAlive();
+    /// On a relay: tells the others how far it has come, by which they also notice what they missed.
+    void sendHeartbeat();
 
     StoreReply get(std::string_view key) override;
     StoreReply confirm(std::string_view key, std::int64_t revision) override;
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -302,7 +302,7 @@
         breakOff("resumed stream was refused");
         return;
     }
-    const bool isTriedElsewhere = isFailure && !isAnswerStarted_ && mayRunAgain();
+    const bool isTriedElsewhere = isFailure && !isAnswerStarted_ && isRetryable();
     if (isFailure) {
         log_.failed(targetId_, answerHead_.status, isTriedElsewhere);
     }
@@ -350,7 +350,7 @@
         return;
     }
     hasRun_ = true;
-    if (mayRunAgain()) {
+    if (isRetryable()) {
         tryElsewhere();
     } else if (isAnswerStarted_) {
         breakOff(why);
@@ -365,7 +365,7 @@
     gateway_.dispatch().onEnded(schedulerId_, end);
 }
 
-bool RoutedRequest::mayRunAgain() const
+bool RoutedRequest::isRetryable() const
 {
     return intake_.route()->isIdempotent() && runs_ < intake_.route()->maxAttempts && timeLeft(BootClock::now()) > leastTimeForTry && session_ != nullptr;
 }
@@ -445,7 +445,7 @@
 void RoutedRequest::armTimer()
 {
     TimePoint next = limit_;
-    if (phase_ == Phase::Sent && mayRunAgain()) {
+    if (phase_ == Phase::Sent && isRetryable()) {
         next = std::min(next, stallAt_);
     }
     timer_.expires_after(std::max(next - BootClock::now(), Duration::zero()));
@@ -468,7 +468,7 @@
     if (phase_ == Phase::Done) {
         return;
     }
-    bool isStalled = phase_ == Phase::Sent && mayRunAgain() && now >= stallAt_;
+    bool isStalled = phase_ == Phase::Sent && isRetryable() && now >= stallAt_;
     if (isStalled && now < limit_ && !gateway_.dispatch().canTryElsewhere(schedulerId_)) {
         // Broken off here, work that nobody else can take now would be lost, and its answer, though late, with it.
         isStalled = false;
--- a/gateway/routed_request.h
+++ b/gateway/routed_request.h
@@ -89,7 +89,7 @@
     void onEvents(std::string_view events);
     void relay(std::string_view bytes);
     void endDispatch(SchedulerEnd end);
-    bool mayRunAgain() const;
+    bool isRetryable() const;
     void tryElsewhere();
     void startAnswer(std::optional<std::size_t> bodyBytes);
     void relayHeld();
--- a/tests/gateway/test_fleet_news.cpp
+++ b/tests/gateway/test_fleet_news.cpp
@@ -35,7 +35,7 @@
         }
         for (const std::string &name : names_) {
             auto &host = hosts_[name] = std::make_unique<Host>(*this, name);
-            host->view.setNetwork({[this, name](const ChangesNotice &notice) { tellAll(name, notice); },
+            host->view.setNetwork({[this, name](const ChangesNotice &notice) { broadcast(name, notice); },
                                    {},
                                    [this, name](const std::string &to, const ChangesRequest &request) { ask(name, to, request); }});
             host->view.setHosts(names_, names_);
@@ -73,14 +73,14 @@
     {
         for (const TimePoint end = now + time; now < end; now += step) {
             deliver();
-            const bool isAliveDue = toMillis(now - TimePoint{}) % 400 < toMillis(step);
+            const bool isHeartbeatDue = toMillis(now - TimePoint{}) % 400 < toMillis(step);
             for (std::size_t i = 0; i < names_.size(); ++i) {
                 Host &host = *hosts_.at(names_[i]);
                 if (dead.contains(names_[i])) {
                     continue;
                 }
-                if (isAliveDue && host.view.isRelay()) {
-                    host.view.sayAlive();
+                if (isHeartbeatDue && host.view.isRelay()) {
+                    host.view.sendHeartbeat();
                 }
                 follow(host);
             }
@@ -225,7 +225,7 @@
         }
     }
 
-    void tellAll(const std::string &from, const ChangesNotice &notice)
+    void broadcast(const std::string &from, const ChangesNotice &notice)
     {
         std::vector<std::string> others = names_;
         std::erase(others, from);
--- a/tests/gateway/test_relayed_store.cpp
+++ b/tests/gateway/test_relayed_store.cpp
@@ -69,7 +69,7 @@
     {
         for (const std::string &name : hosts) {
             views[name] = std::make_unique<RelayedStore>(store, name);
-            views[name]->setNetwork({[this, name](const ChangesNotice &notice) { tellAll(name, notice); },
+            views[name]->setNetwork({[this, name](const ChangesNotice &notice) { broadcast(name, notice); },
                                      [this, name](const std::string &to, const ProofRequest &request) { ask(name, to, request); }});
             views[name]->setHosts(hosts, hosts);
             (views[name]->isRelay() ? relays : others).push_back(name);
@@ -77,7 +77,7 @@
         store.memory.compareAndSwap("x/seed", 0, "0", 0);
     }
 
-    void tellAll(const std::string &from, const ChangesNotice &notice)
+    void broadcast(const std::string &from, const ChangesNotice &notice)
     {
         ChangesNotice full = notice;
         full.omitted.resize(full.entries.size(), omitsValues);
@@ -163,7 +163,7 @@
     write("x/a", "1");
     relay.watch("x/", from, 1s);
     losses = 0;
-    relay.sayAlive();
+    relay.sendHeartbeat();
     BOOST_TEST((other.watch("x/", from, 1s).status == StoreStatus::NotFound));
     BOOST_TEST(other.list("x/").entries.size() == 2U);
 }
@@ -182,7 +182,7 @@
         from = relay.watch("x/", from, 1s).revision;
         write("y/other", std::to_string(i));
         from = relay.watch("x/", from, Duration(1)).revision;
-        relay.sayAlive();
+        relay.sendHeartbeat();
         const StoreListReply heard = other.watch("x/", 0, Duration(1));
         BOOST_TEST((heard.status == StoreStatus::Ok));
         BOOST_TEST(heard.entries.size() == 1U);
@@ -210,7 +210,7 @@
     for (const std::string &name : hosts) {
         Store &reached = views[name]->isRelay() ? static_cast<Store &>(store) : store.memory;
         views[name] = std::make_unique<RelayedStore>(reached, name, clock);
-        views[name]->setNetwork({[this, name](const ChangesNotice &notice) { tellAll(name, notice); }, {}});
+        views[name]->setNetwork({[this, name](const ChangesNotice &notice) { broadcast(name, notice); }, {}});
         views[name]->setHosts(hosts, hosts);
         views[name]->list("x/");
     }
@@ -224,7 +224,7 @@
     while (other.watch("x/", from, lookTime).entries.empty() && now < cutAt + 10s) {
         now += step;
         for (const std::string &relay : relays) {
-            views[relay]->sayAlive();
+            views[relay]->sendHeartbeat();
         }
     }
     BOOST_TEST(toMillis(now - cutAt) <= 3'500);
@@ -335,7 +335,7 @@
             }
             follow(hosts[randomBelow(world.random, hosts.size())]);
             if (randomBelow(world.random, 4) == 0) {
-                world.views[world.relays[randomBelow(world.random, 2)]]->sayAlive();
+                world.views[world.relays[randomBelow(world.random, 2)]]->sendHeartbeat();
             }
         }
         world.losses = 0;
@@ -343,7 +343,7 @@
         for (int round = 0; round < 3; ++round) {
             for (const std::string &relay : world.relays) {
                 follow(relay);
-                world.views[relay]->sayAlive();
+                world.views[relay]->sendHeartbeat();
             }
             for (const std::string &name : hosts) {
                 follow(name);
@@ -371,7 +371,7 @@
     store.isDown = true;
     relay.watch("x/", from, 10ms);
     std::this_thread::sleep_for(600ms);
-    views[relays[1]]->sayAlive();
+    views[relays[1]]->sendHeartbeat();
     store.isDown = false;
     write("x/a", "1");
     const StoreListReply own = relay.watch("x/", from, 1s);
--- a/tests/platform/test_datagrams.cpp
+++ b/tests/platform/test_datagrams.cpp
@@ -67,7 +67,7 @@
 
     void tell(const LoadingNotice &notice)
     {
-        socket_.tellAll(notice);
+        socket_.broadcast(notice);
     }
 
     void onWeightsQuestion(const std::string &host) override
