--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -24,7 +24,7 @@
 constexpr double retryPart = 0.8;
 
 /// How long requests wait for a host that has just started to read its configuration. All clients connect again at once after a restart of
-/// the whole fleet, and the store answers within 20 ms: 133 of them were refused within that time. No longer, as they could go to
+/// the whole fleet, and the store answers within 20 ms. No longer, as they could go to
 /// another host.
 constexpr Duration configurationWait = std::chrono::milliseconds(40);
 
--- a/gateway/relayed_store.h
+++ b/gateway/relayed_store.h
@@ -21,9 +21,8 @@
 
 /// The store as a host sees it that lets two hosts of the fleet, the relays, watch for all.
 ///
-/// The load it is made for: 370 hosts before a store whose rates grow more slowly than the fleet. If each of them watched three
-/// prefixes and proved its configuration itself, 88 hosts made 27,000 calls in 48 s; with relays the number hardly depends on the
-/// fleet's size. Nothing is believed on hearsay: a notice continues the revision that this host has reached; a proof counts from the sending
+/// The load it is made for: hundreds of hosts before a store whose rates grow more slowly than the fleet. With relays the number of calls hardly
+/// depends on the fleet's size. Nothing is believed on hearsay: a notice continues the revision that this host has reached; a proof counts from the sending
 /// of the question less the age that the other host states.
 ///
 /// A host that missed a notice or hears from no relay asks other hosts for what it lacks, and only then the store, after a delay that
--- a/gateway/team_budget.cpp
+++ b/gateway/team_budget.cpp
@@ -28,7 +28,7 @@
 constexpr Duration homeSettleTime = std::chrono::seconds(1);
 
 /// A process that has just started gives its pools out at once, and begins with this part of them. Made for a restart of the whole
-/// fleet under load: with empty pools 227 of 700 requests in three seconds were refused below their teams' limits. A part and not
+/// fleet under load, when empty pools refuse requests below their teams' limits. A part and not
 /// all, since a host that was home until then may have given out the rest: this much is covered by what limits may be passed by.
 constexpr double startingPool = 0.25;
 
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -22,9 +22,8 @@
 /// A host counts for this many key proof windows after its last sign of life: see HostDuty.
 constexpr int hostLeaseInProofWindows = 2;
 
-/// Between the notice of an engine's load and the order. In an engine wait one or two long prompts of 150 ms; with 300 ms all that waits
-/// has begun. Of 11,000 requests under five changes of weights engines declined 165 to 270 without a notice and none with it; 180 ms
-/// declined none either, but left long prompts later.
+/// Between the notice of an engine's load and the order. In an engine wait one or two long prompts of 150 ms; after this time all that waits
+/// has begun and none is declined.
 constexpr Duration loadNotice = std::chrono::milliseconds(300);
 
 /// How long an engine that is ordered to load is left alone unless it says sooner that it has loaded: it first ends what it runs, and
