One backoff for duties and for the circuit breaker

Cause: the circuit breaker wrote again what StoreBackoff does: pauses that double up to a longest one, half of each drawn. Change: coordination/backoff serves both; StoreBackoff becomes storeBackoff(), which gives a duty's times. A pause may be one nanosecond longer than before; nothing else changes. Run: test_coordination with a new case of the pauses, test_gateway, test_fleet_news, test_host_listed_again and test_core pass.

--- a/coordination/call_breaker.cpp
+++ b/coordination/call_breaker.cpp
@@ -14,12 +14,14 @@
 
 CallBreaker::CallBreaker(const Random &random)
     : random_(random)
+    , backoff_(firstPause, firstPause, random)
 {
 }
 
 void CallBreaker::setLongestPause(Duration longest)
 {
     longest_ = longest;
+    backoff_.setLongest(longest);
 }
 
 bool CallBreaker::isClosed(TimePoint now) const
@@ -29,29 +31,23 @@
 
 void CallBreaker::onAnswer()
 {
-    pause_ = {};
+    backoff_.reset();
     nextCallAt_ = {};
 }
 
 void CallBreaker::onFailure(TimePoint now)
 {
-    if (now < nextCallAt_) {
-        return; // It was made before the last one failed.
+    const bool wasMadeBefore = now < nextCallAt_; // Before the last one failed.
+    if (longest_ > Duration::zero() && !wasMadeBefore) {
+        nextCallAt_ = now + backoff_.next();
     }
-    pause_ = std::min(std::max(firstPause, 2 * pause_), longest_);
-    nextCallAt_ = now + pause_ / 2 + drawn(pause_ / 2);
 }
 
 void CallBreaker::onOthersAnswered(TimePoint now, Duration window)
 {
     if (now < nextCallAt_) {
-        nextCallAt_ = std::min(nextCallAt_, now + drawn(window));
+        nextCallAt_ = std::min(nextCallAt_, now + randomUpTo(random_, window));
     }
 }
 
-Duration CallBreaker::drawn(Duration most)
-{
-    return Duration(randomBelow(random_, static_cast<std::size_t>(most.count()) + 1));
-}
-
 } // namespace Lovageloft
--- a/coordination/call_breaker.h
+++ b/coordination/call_breaker.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "core/clock.h"
-#include "core/random.h"
+#include "coordination/backoff.h"
 
 namespace Lovageloft
 {
@@ -24,11 +23,9 @@
     void onOthersAnswered(TimePoint now, Duration window);
 
 private:
-    Duration drawn(Duration most);
-
     Random random_;
+    Backoff backoff_;
     Duration longest_{};
-    Duration pause_{};
     TimePoint nextCallAt_;
 };
 
--- a/core/random.h
+++ b/core/random.h
@@ -3,6 +3,8 @@
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
 
+#include "core/clock.h"
+
 namespace Lovageloft
 {
 
@@ -15,4 +17,10 @@
     return boost::random::uniform_int_distribution<std::size_t>(0, bound - 1)(random);
 }
 
+/// A duration from zero to `most`, which must not be negative.
+inline Duration randomUpTo(Random &random, Duration most)
+{
+    return Duration(randomBelow(random, static_cast<std::size_t>(most.count()) + 1));
+}
+
 } // namespace Lovageloft
--- a/gateway/configuration_duty.h
+++ b/gateway/configuration_duty.h
@@ -26,7 +26,7 @@
     Store &store_;
     const StoreRecords &records_;
     ConfigurationFeed &feed_;
-    StoreBackoff backoff_;
+    Backoff backoff_ = storeBackoff();
     std::int64_t watchFrom_ = 0;
     bool isReachable_ = true;
     bool hasRead_ = false;
--- a/gateway/host_duty.h
+++ b/gateway/host_duty.h
@@ -58,7 +58,7 @@
     Gateway &gateway_;
     Options options_;
     std::string key_;
-    StoreBackoff backoff_;
+    Backoff backoff_ = storeBackoff();
     std::int64_t leaseId_ = 0;
     bool isWritten_ = false;
     bool hasRead_ = false;
--- a/gateway/proof_duty.h
+++ b/gateway/proof_duty.h
@@ -36,7 +36,7 @@
     Duration window_;
     Now now_;
     std::optional<TimePoint> outdatedSince_; ///< When another host was first found to have a newer configuration.
-    StoreBackoff backoff_;
+    Backoff backoff_ = storeBackoff();
 };
 
 } // namespace Lovageloft
--- a/gateway/store_backoff.cpp
+++ b/gateway/store_backoff.cpp
@@ -1,6 +1,5 @@
 #include "gateway/store_backoff.h"
 
-#include <algorithm>
 #include <random>
 
 namespace Lovageloft
@@ -15,23 +14,9 @@
 
 } // namespace
 
-StoreBackoff::StoreBackoff()
-    : random_(std::random_device{}())
-    , pause_(firstPause)
+Backoff storeBackoff()
 {
-}
-
-Duration StoreBackoff::next()
-{
-    const Duration half = pause_ / 2;
-    const Duration drawn = half + Duration(randomBelow(random_, static_cast<std::size_t>(half.count())));
-    pause_ = std::min(pause_ * 2, longestPause);
-    return drawn;
-}
-
-void StoreBackoff::reset()
-{
-    pause_ = firstPause;
+    return {firstPause, longestPause, Random(std::random_device{}())};
 }
 
 } // namespace Lovageloft
--- a/gateway/store_backoff.h
+++ b/gateway/store_backoff.h
@@ -1,26 +1,11 @@
 #pragma once
 
-#include "core/clock.h"
-#include "core/random.h"
+#include "coordination/backoff.h"
 
 namespace Lovageloft
 {
 
-/// Pauses between failed calls to the store: they double and are drawn at random, so that hosts that lost the store together
-/// don't come back together.
-class StoreBackoff
-{
-public:
-    StoreBackoff();
-
-    /// The pause after one more failure.
-    Duration next();
-
-    void reset();
-
-private:
-    Random random_;
-    Duration pause_;
-};
+/// The pauses of a duty whose calls to the store fail.
+Backoff storeBackoff();
 
 } // namespace Lovageloft
--- a/gateway/target_duty.h
+++ b/gateway/target_duty.h
@@ -39,7 +39,7 @@
     Store &store_;
     const StoreRecords &records_;
     Listener listener_;
-    StoreBackoff backoff_;
+    Backoff backoff_ = storeBackoff();
     TargetMap targets_;
     std::map<std::string, TimePoint> missing_; ///< Entries that were not there after an outage, and when each is taken as gone.
     std::int64_t watchFrom_ = 0;
--- /dev/null
+++ b/tests/coordination/test_backoff.cpp
@@ -0,0 +1,23 @@
+#include <boost/test/unit_test.hpp>
+
+#include "coordination/backoff.h"
+
+using namespace Lovageloft;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(BackoffTest)
+
+BOOST_AUTO_TEST_CASE(pausesDoubleUpToTheLongestAndBeginAnew)
+{
+    Backoff backoff(50ms, 400ms, Random(1));
+    for (const Duration pause : {50ms, 100ms, 200ms, 400ms, 400ms}) {
+        const Duration drawn = backoff.next();
+        BOOST_TEST((drawn >= pause / 2 && drawn <= pause));
+    }
+    backoff.setLongest(80ms);
+    BOOST_TEST((backoff.next() <= 80ms));
+    backoff.reset();
+    BOOST_TEST((backoff.next() <= 50ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
