A change log looks at its leaps when entries go, not at each change

Cause: each change walked over all leaps; and entries that went after a leap was forgotten could take the log's beginning back into it. Change: leaps are in order, so the front ones are dropped as the log's beginning passes them, and the beginning only rises. Whether a notice lacks values is a flag. Run: test_coordination, test_fleet_news and test_gateway pass.

--- a/coordination/change_log.cpp
+++ b/coordination/change_log.cpp
@@ -29,13 +29,14 @@
     bytes_ += entry.value.size();
     entries_.push_back(entry);
     while (entries_.size() > mostEntries || bytes_ > mostBytes) {
-        begin_ = entries_.front().revision;
+        begin_ = std::max(begin_, entries_.front().revision);
         bytes_ -= entries_.front().value.size();
         entries_.pop_front();
     }
     // A log that begins within a leap lacks what that left out.
-    for (const Leap &leap : leaps_) {
-        begin_ = leap.after < begin_ ? std::max(begin_, leap.upTo) : begin_;
+    while (!leaps_.empty() && leaps_.front().after < begin_) {
+        begin_ = std::max(begin_, leaps_.front().upTo);
+        leaps_.pop_front();
     }
 }
 
@@ -45,7 +46,6 @@
     for (const StoreEntry &entry : entries) {
         append(entry);
     }
-    std::erase_if(leaps_, [this](const Leap &leap) { return leap.upTo <= begin_; });
 }
 
 std::optional<std::vector<StoreEntry>> ChangeLog::since(std::int64_t revision) const
--- a/coordination/change_log.h
+++ b/coordination/change_log.h
@@ -30,16 +30,15 @@
     std::optional<std::vector<StoreEntry>> since(std::int64_t revision) const;
 
 private:
-    std::int64_t begin_ = 0; ///< All changes after this revision are held.
-
     struct Leap
     {
         std::int64_t after = 0;
         std::int64_t upTo = 0;
     };
 
+    std::int64_t begin_ = 0; ///< All changes after this revision are held.
     std::size_t bytes_ = 0; ///< Of all values.
-    std::deque<Leap> leaps_;
+    std::deque<Leap> leaps_; ///< In the order of their revisions; none begins before begin_.
     std::deque<StoreEntry> entries_;
 };
 
--- a/gateway/followed_prefix.cpp
+++ b/gateway/followed_prefix.cpp
@@ -11,7 +11,7 @@
 {
     const Duration heardNothing = std::max(notice.silence, now - std::max(heardAt, readAt));
     std::vector<StoreEntry> changes;
-    std::int64_t lastOmitted = 0;
+    bool lacksValues = false;
     for (std::size_t i = 0; i < notice.entries.size(); ++i) {
         const StoreEntry &entry = notice.entries[i];
         if (entry.revision <= reached) {
@@ -20,13 +20,13 @@
         const bool isOmitted = i < notice.omitted.size() && notice.omitted[i];
         silence = std::max(silence, heardNothing);
         lastChange = std::max(lastChange, entry.revision);
-        lastOmitted = isOmitted ? entry.revision : lastOmitted;
+        lacksValues = lacksValues || isOmitted;
         entries.emplace_back(entry, isOmitted);
         changes.push_back(entry);
         noteKey(entry);
     }
     const bool isLeap = notice.latestStart < notice.upTo;
-    if (lastOmitted != 0) {
+    if (lacksValues) {
         log.reset(notice.upTo);
     } else if (isLeap) {
         log.appendLeap(reached, notice.upTo, changes);
