The relays are the first in rank, and what a host checks of them stands once

Cause: the relays were kept beside the ranked hosts of which they are the first; whether this host is one, whether the store answered of late, that a change is missing and the window for questions were each written two or three times; heartbeats copied all three functions of the network to call one. Change: relays(), isAmongRelays(), hasRecentAnswers(), noteMissing() and askWindow() serve all. No change of behaviour, but that a delay is drawn from all times of the window and not from a thousand steps. Run: test_gateway, test_fleet_news, test_coordination, test_host_listed_again, test_core pass.

--- a/gateway/relayed_store.cpp
+++ b/gateway/relayed_store.cpp
@@ -98,19 +98,32 @@
     knowsHosts_ = true;
     others_ = hosts;
     std::erase(others_, host_);
+    const std::vector<std::string> before(relays().begin(), relays().end());
     ranked_ = std::move(ranked);
     breaker_.setLongestPause(longestBreak());
-    std::vector<std::string> relays(ranked_.begin(), ranked_.begin() + static_cast<std::ptrdiff_t>(std::min(ranked_.size(), relayCount)));
-    if (relays != relays_) {
-        relays_ = std::move(relays);
-        writeLog(LogLevel::Info, "relays_chosen", {{"first", relays_.empty() ? "" : relays_.front()}, {"last", relays_.empty() ? "" : relays_.back()}});
+    const auto chosen = relays();
+    if (!std::equal(chosen.begin(), chosen.end(), before.begin(), before.end())) {
+        writeLog(LogLevel::Info, "relays_chosen", {{"first", chosen.empty() ? "" : chosen.front()}, {"last", chosen.empty() ? "" : chosen.back()}});
     }
 }
 
 bool RelayedStore::isRelay() const
 {
     const std::lock_guard lock(mutex_);
-    return relays_.empty() || std::find(relays_.begin(), relays_.end(), host_) != relays_.end();
+    return isAmongRelays();
+}
+
+/// The first in rank.
+std::span<const std::string> RelayedStore::relays() const
+{
+    return std::span(ranked_).first(std::min(ranked_.size(), relayCount));
+}
+
+/// With no hosts to choose among each host is its own relay.
+bool RelayedStore::isAmongRelays() const
+{
+    const auto chosen = relays();
+    return chosen.empty() || std::find(chosen.begin(), chosen.end(), host_) != chosen.end();
 }
 
 bool RelayedStore::isDeputy() const
@@ -122,7 +135,7 @@
 bool RelayedStore::watchesItself() const
 {
     const std::lock_guard lock(mutex_);
-    return knowsHosts_ && (relays_.empty() || std::find(relays_.begin(), relays_.end(), host_) != relays_.end());
+    return knowsHosts_ && isAmongRelays();
 }
 
 void RelayedStore::onNotice(const ChangesNotice &notice)
@@ -136,12 +149,11 @@
     const TimePoint now = now_();
     const bool isBetween = notice.latestStart < followed.reached && followed.reached < notice.upTo;
     if (notice.after > followed.reached || isBetween) {
-        followed.needed = std::max(followed.needed, notice.upTo);
-        noteBehind(notice.prefix, followed, now);
+        noteMissing(notice.prefix, followed, notice.upTo, now);
     } else if (notice.upTo >= followed.reached) {
         followed.takeNotice(notice, now);
         followed.heardAt = now;
-        breaker_.onOthersAnswered(now, fromSeconds(static_cast<double>(others_.size()) / asksPerSecond));
+        breaker_.onOthersAnswered(now, askWindow());
         noteBehind(notice.prefix, followed, now);
     }
     heard_.notify_all();
@@ -182,15 +194,16 @@
         return std::nullopt;
     }
     const TimePoint now = now_();
-    const Duration age = isInContact(followed, now) ? Duration::zero() : std::max(Duration::zero(), now - newsAt(followed));
+    const bool isToldByStore = followed.isWatched && hasRecentAnswers(followed, now);
+    const Duration age = isToldByStore ? Duration::zero() : std::max(Duration::zero(), now - newsAt(followed));
     return ChangesReply{request.id, {request.prefix, request.after, followed.reached, std::move(*entries), {}, followed.silence, request.after}, age};
 }
 
-/// Whether the store would have told of changes by now: its own answers are recent, and a watch waits there. Only they count. What other
-/// hosts say does not: two that are cut off would keep each other going.
-bool RelayedStore::isInContact(const FollowedPrefix &followed, TimePoint now) const
+/// Whether the store has answered of late, any call and one about this prefix. What other hosts say doesn't count: two that are cut off would keep
+/// each other going.
+bool RelayedStore::hasRecentAnswers(const FollowedPrefix &followed, TimePoint now) const
 {
-    return followed.isWatched && now - contactAt_ < oldestContact && now - followed.readAt < oldestWatch;
+    return now - contactAt_ < oldestContact && now - followed.readAt < oldestWatch;
 }
 
 /// Until when this host has heard of all changes. A deputy that the relays are silent for goes on watching the store, as they do.
@@ -222,6 +235,13 @@
     }
 }
 
+/// A change up to this revision was made and has not come.
+void RelayedStore::noteMissing(std::string_view prefix, FollowedPrefix &followed, std::int64_t revision, TimePoint now)
+{
+    followed.needed = std::max(followed.needed, revision);
+    noteBehind(prefix, followed, now);
+}
+
 /// A small fleet is no burden to a store that is away, and its hosts are to know at once when it is back.
 Duration RelayedStore::longestBreak() const
 {
@@ -231,16 +251,17 @@
     return isDeputy() ? longestRankedBreak : fromSeconds(static_cast<double>(others_.size()) / failedCallsPerSecond);
 }
 
+/// In which all hosts may ask the store at the rate that is meant for it.
+Duration RelayedStore::askWindow() const
+{
+    return fromSeconds(static_cast<double>(others_.size()) / asksPerSecond);
+}
+
 Duration RelayedStore::storeDelay()
 {
     const auto place = std::find(ranked_.begin(), ranked_.end(), host_);
     const Duration ofRank = rankPause * (place - ranked_.begin());
-    if (place != ranked_.end()) {
-        return ofRank;
-    }
-    constexpr std::size_t steps = 1'000;
-    const double window = static_cast<double>(others_.size()) / asksPerSecond;
-    return ofRank + fromSeconds(window * static_cast<double>(randomBelow(random_, steps)) / steps);
+    return place != ranked_.end() ? ofRank : ofRank + randomUpTo(random_, askWindow());
 }
 
 void RelayedStore::onProofReply(const ProofReply &reply)
@@ -256,19 +277,19 @@
 void RelayedStore::sendHeartbeat()
 {
     std::vector<ChangesNotice> notices;
-    Network network;
+    decltype(Network::broadcast) broadcast;
     {
         const std::lock_guard lock(mutex_);
-        network = network_;
+        broadcast = network_.broadcast;
         const TimePoint now = now_();
         for (const auto &[prefix, followed] : followed_) {
-            if (now - contactAt_ < oldestContact && now - followed.readAt < oldestWatch) {
+            if (hasRecentAnswers(followed, now)) {
                 notices.push_back({prefix, followed.lastChange, followed.reached, {}, {}, {}});
             }
         }
     }
     for (const ChangesNotice &notice : notices) {
-        network.broadcast(notice);
+        broadcast(notice);
     }
 }
 
@@ -299,8 +320,7 @@
     const std::lock_guard lock(mutex_);
     for (auto &[prefix, followed] : followed_) {
         if (key.starts_with(prefix) && followed.reached != 0) {
-            followed.needed = std::max(followed.needed, revision);
-            noteBehind(prefix, followed, now_());
+            noteMissing(prefix, followed, revision, now_());
         }
     }
     heard_.notify_all();
@@ -313,7 +333,7 @@
         return {};
     }
     const std::lock_guard lock(mutex_);
-    std::vector<std::string> hosts = relays_;
+    std::vector<std::string> hosts(relays().begin(), relays().end());
     // Half of the hosts ask each relay first.
     if (hosts.size() > 1 && randomBelow(random_, 2) == 0) {
         std::swap(hosts.front(), hosts.back());
@@ -457,7 +477,7 @@
         return reply;
     }
     const bool isRelayNow = isRelay();
-    Network network;
+    decltype(Network::broadcast) broadcast;
     std::int64_t lastChange = 0;
     {
         const std::lock_guard lock(mutex_);
@@ -472,10 +492,10 @@
         reply.silence = std::max(Duration::zero(), askedAt - heardAt);
         followed.readAt = now_();
         followed.heardAt = isRelayNow ? followed.readAt : followed.heardAt;
-        network = network_;
+        broadcast = network_.broadcast;
     }
-    if (isRelayNow && !reply.entries.empty() && network.broadcast) {
-        network.broadcast({std::string(prefix), lastChange, reply.revision, reply.entries, {}, reply.silence});
+    if (isRelayNow && !reply.entries.empty() && broadcast) {
+        broadcast({std::string(prefix), lastChange, reply.revision, reply.entries, {}, reply.silence});
     }
     return reply;
 }
--- a/gateway/relayed_store.h
+++ b/gateway/relayed_store.h
@@ -86,12 +86,16 @@
 
     StoreListReply watchStore(std::string_view prefix, std::int64_t afterRevision, Duration timeout);
     StoreListReply takeHeard(FollowedPrefix &followed, std::unique_lock<std::mutex> &lock);
+    std::span<const std::string> relays() const;
+    bool isAmongRelays() const;
     bool isDeputy() const;
     bool watchesItself() const;
-    bool isInContact(const FollowedPrefix &followed, TimePoint now) const;
+    bool hasRecentAnswers(const FollowedPrefix &followed, TimePoint now) const;
     TimePoint newsAt(const FollowedPrefix &followed) const;
     bool isBehind(const FollowedPrefix &followed, TimePoint now) const;
     void noteBehind(std::string_view prefix, FollowedPrefix &followed, TimePoint now);
+    void noteMissing(std::string_view prefix, FollowedPrefix &followed, std::int64_t revision, TimePoint now);
+    Duration askWindow() const;
     Duration storeDelay();
     Duration longestBreak() const;
     std::vector<std::string> hostsToAsk();
@@ -110,7 +114,6 @@
     bool knowsHosts_ = false;
     std::vector<std::string> others_; ///< All hosts but this one.
     std::vector<std::string> ranked_; ///< The first in rank: the relays, then the deputies.
-    std::vector<std::string> relays_;
     Random random_;
     CallBreaker breaker_;
     TimePoint contactAt_; ///< When the store last answered a call of this host.
