Orders to and reads of engines go through one loop of batches

Cause: giveOrders and readEngines were the same loop over batches, and callInParallel shared out work that its callers had cut to its limit already. Change: callEngines serves both with member functions for the call and for its result; callInParallel runs what it is given. No change of behaviour. Run: test_orders_beside_silent_engines, test_orders, test_weights_after_fleet_restart, test_weights_deadline and test_core pass.

--- a/gateway/weights_duty.cpp
+++ b/gateway/weights_duty.cpp
@@ -111,8 +111,8 @@
     for (const std::string &target : plan.notices) {
         options_.beforeLoad(target);
     }
-    giveOrders(plan.orders);
-    readEngines(plan.reads);
+    callEngines(std::span(plan.orders), &WeightsDuty::send, &WeightsDuty::takeSent);
+    callEngines(std::span(plan.reads), &WeightsDuty::read, &WeightsDuty::takeState);
     recordNamed();
 }
 
@@ -174,42 +174,40 @@
 }
 
 /// The lease is renewed between batches, which take no longer than a few calls that nobody answers.
-void WeightsDuty::giveOrders(std::span<const Order> orders)
+template <typename Item, typename Result>
+void WeightsDuty::callEngines(std::span<const Item> items,
+                              Result (WeightsDuty::*call)(const Item &) const,
+                              void (WeightsDuty::*take)(const Item &, const Result &))
 {
-    while (!orders.empty()) {
-        const std::span<const Order> batch = orders.first(std::min(orders.size(), callsAtOnce));
-        std::vector<SentOrder> sent(batch.size());
-        callInParallel(batch.size(), callsAtOnce, [&](std::size_t i) { sent[i] = send(batch[i]); });
+    while (!items.empty()) {
+        const std::span<const Item> batch = items.first(std::min(items.size(), callsAtOnce));
+        std::vector<Result> results(batch.size());
+        callInParallel(batch.size(), [&](std::size_t i) { results[i] = (this->*call)(batch[i]); });
         for (std::size_t i = 0; i < batch.size(); ++i) {
-            const Order &order = batch[i];
-            writeLog(LogLevel::Info,
-                     "order_given",
-                     {{"target", order.target},
-                      {"model", order.model},
-                      {"value", order.value},
-                      {"token", order.fencingToken},
-                      {"status", std::int64_t{sent[i].status}},
-                      {"accepted_before", sent[i].acceptedBefore}});
-            scheduler_.onOutcome(order, sent[i].outcome, BootClock::now());
+            (this->*take)(batch[i], results[i]);
         }
         lease_.step(BootClock::now());
-        orders = orders.subspan(batch.size());
+        items = items.subspan(batch.size());
     }
 }
 
-void WeightsDuty::readEngines(std::span<const std::string> targets)
+void WeightsDuty::takeSent(const Order &order, const SentOrder &sent)
 {
-    while (!targets.empty()) {
-        const std::span<const std::string> batch = targets.first(std::min(targets.size(), callsAtOnce));
-        std::vector<std::optional<EngineState>> states(batch.size());
-        callInParallel(batch.size(), callsAtOnce, [&](std::size_t i) { states[i] = read(batch[i]); });
-        for (std::size_t i = 0; i < batch.size(); ++i) {
-            if (states[i]) {
-                scheduler_.onState(batch[i], *states[i], BootClock::now());
-            }
-        }
-        lease_.step(BootClock::now());
-        targets = targets.subspan(batch.size());
+    writeLog(LogLevel::Info,
+             "order_given",
+             {{"target", order.target},
+              {"model", order.model},
+              {"value", order.value},
+              {"token", order.fencingToken},
+              {"status", std::int64_t{sent.status}},
+              {"accepted_before", sent.acceptedBefore}});
+    scheduler_.onOutcome(order, sent.outcome, BootClock::now());
+}
+
+void WeightsDuty::takeState(const std::string &targetId, const std::optional<EngineState> &state)
+{
+    if (state) {
+        scheduler_.onState(targetId, *state, BootClock::now());
     }
 }
 
--- a/gateway/weights_duty.h
+++ b/gateway/weights_duty.h
@@ -71,10 +71,14 @@
         std::int64_t acceptedBefore = -1; ///< Orders that the engine had accepted; -1 if it did not tell.
     };
 
-    void giveOrders(std::span<const Order> orders);
-    void readEngines(std::span<const std::string> targets);
+    /// Calls the engine of each item, some at the same time, and takes what came of it.
+    template <typename Item, typename Result>
+    void callEngines(std::span<const Item> items, Result (WeightsDuty::*call)(const Item &) const, void (WeightsDuty::*take)(const Item &, const Result &));
+
     SentOrder send(const Order &order) const;
+    void takeSent(const Order &order, const SentOrder &sent);
     std::optional<EngineState> read(const std::string &targetId) const;
+    void takeState(const std::string &targetId, const std::optional<EngineState> &state);
     std::optional<EngineReport> report(const Target &target) const;
     void noteLeadership(TimePoint now);
 
