A host that starts again takes its key over without a second read

Cause: writeKey read the key after the conflict, though a conflict tells how the key stands (Store::StoreReply); a restart of a whole fleet made a call for nothing on each host. Change: the revision of the conflict is used. Test: aHostThatStartsAgainTakesItsKeyOver; nothing held that before. Calls to the store were not measured anew.

--- a/gateway/host_duty.cpp
+++ b/gateway/host_duty.cpp
@@ -91,11 +91,7 @@
     const std::string value = hostRecordText(options_.record);
     StoreReply reply = store_.compareAndSwap(key_, 0, value, leaseId_);
     if (reply.status == StoreStatus::Conflict) {
-        const StoreReply known = store_.get(key_);
-        if (known.status != StoreStatus::Ok) {
-            return false;
-        }
-        reply = store_.compareAndSwap(key_, known.entry.revision, value, leaseId_);
+        reply = store_.compareAndSwap(key_, reply.entry.revision, value, leaseId_);
     }
     if (reply.status == StoreStatus::NotFound) {
         // After a standstill the watch can tell of the deleted key before a renewal tells of the lapsed lease. No renewal comes before
--- a/tests/platform/test_host_listed_again.cpp
+++ b/tests/platform/test_host_listed_again.cpp
@@ -51,9 +51,13 @@
 
 struct HostFixture
 {
-    explicit HostFixture(Duration lifetime = 1h)
+    /// `earlier`: what an earlier process of the host has left in its key.
+    explicit HostFixture(Duration lifetime = 1h, std::string_view earlier = {})
         : duty(store, gateway, options(lifetime))
     {
+        if (!earlier.empty()) {
+            store.memory.compareAndSwap(hostKey, 0, earlier, 0);
+        }
         duty.start();
     }
 
@@ -101,6 +105,16 @@
 
 constexpr Duration shortLifetime = 600ms;
 
+constexpr std::string_view earlierRecord = "127.0.0.2:1";
+
+struct RestartFixture : HostFixture
+{
+    RestartFixture()
+        : HostFixture(1h, earlierRecord)
+    {
+    }
+};
+
 struct ShortLeaseFixture : HostFixture
 {
     ShortLeaseFixture()
@@ -111,6 +125,16 @@
 
 } // namespace
 
+BOOST_FIXTURE_TEST_CASE(aHostThatStartsAgainTakesItsKeyOver, RestartFixture)
+{
+    // Guards against a host that is no longer counted once the lease of its earlier process ends.
+    const TimePoint limit = BootClock::now() + patience;
+    while (store.get(hostKey).entry.value == earlierRecord && BootClock::now() < limit) {
+        std::this_thread::sleep_for(5ms);
+    }
+    BOOST_TEST(store.get(hostKey).entry.value == hostRecordText(options(1h).record));
+}
+
 BOOST_FIXTURE_TEST_CASE(aHostWhoseKeyWentWithItsLeaseIsListedAgain, HostFixture)
 {
     // A host is frozen by its machine for longer than its lease lives. When it goes on, its watch tells it that its own key is deleted
