Two tests share their list with one engine

Cause: test_weights_ages and test_weights_heard_late built the same list. Change: tests/gateway/one_engine.h gives it; assertions stay. Run: both pass.

--- /dev/null
+++ b/tests/gateway/one_engine.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <memory>
+
+#include "gateway/target.h"
+
+namespace Lovageloft
+{
+
+/// A list of targets with one engine, "e" of the service "s", that runs version 1 of the model "m".
+inline std::shared_ptr<TargetMap> oneEngine()
+{
+    auto targets = std::make_shared<TargetMap>();
+    Target engine;
+    engine.id = "e";
+    engine.service = "s";
+    engine.models = {{"m", 1}};
+    targets->emplace(engine.id, engine);
+    return targets;
+}
+
+} // namespace Lovageloft
--- a/tests/gateway/test_weights_ages.cpp
+++ b/tests/gateway/test_weights_ages.cpp
@@ -4,6 +4,7 @@
 
 #include "core/random.h"
 #include "gateway/target_directory.h"
+#include "tests/gateway/one_engine.h"
 
 using namespace Lovageloft;
 using namespace std::chrono_literals;
@@ -24,7 +25,7 @@
         const std::size_t count = 1 + randomBelow(random_, 8);
         for (std::size_t i = 0; i < count; ++i) {
             hosts_.emplace_back(deadline);
-            hosts_.back().setTargets(targets());
+            hosts_.back().setTargets(oneEngine());
         }
         lossPercent_ = randomBelow(random_, 50);
     }
@@ -87,17 +88,6 @@
         }
     }
 
-    static std::shared_ptr<TargetMap> targets()
-    {
-        auto targets = std::make_shared<TargetMap>();
-        Target engine;
-        engine.id = "e";
-        engine.service = "s";
-        engine.models = {{"m", 1}};
-        targets->emplace(engine.id, engine);
-        return targets;
-    }
-
     Random random_;
     std::vector<TargetDirectory> hosts_;
     std::vector<bool> isLate_;
--- a/tests/platform/test_weights_heard_late.cpp
+++ b/tests/platform/test_weights_heard_late.cpp
@@ -11,6 +11,7 @@
 #include "gateway/configuration_duty.h"
 #include "gateway/target_directory.h"
 #include "platform/store_records.h"
+#include "tests/gateway/one_engine.h"
 #include "tests/platform/gateway_fixture.h"
 
 using namespace Lovageloft;
@@ -115,13 +116,7 @@
     BOOST_REQUIRE(all.size() == 2U);
 
     TargetDirectory directory(deadline);
-    auto targets = std::make_shared<TargetMap>();
-    Target engine;
-    engine.id = "e";
-    engine.service = "s";
-    engine.models = {{"m", 1}};
-    targets->emplace(engine.id, engine);
-    directory.setTargets(targets);
+    directory.setTargets(oneEngine());
     for (const NamedWeights &weights : all) {
         directory.setNamedWeights(weights);
     }
