The text of a host's address is written once

Cause: ADDRESS:PORT was put together in six places, one of them new with the hosts' records. Change: hostAddressText stands beside parseHostAddress and serves all. Run: test_gateway, test_platform, test_core pass.

--- a/core/settings.cpp
+++ b/core/settings.cpp
@@ -294,4 +294,9 @@
     return HostAddress{std::string(text.substr(0, colon)), static_cast<std::uint16_t>(port)};
 }
 
+std::string hostAddressText(const HostAddress &address)
+{
+    return address.host + ':' + std::to_string(address.port);
+}
+
 } // namespace Lovageloft
--- a/core/settings.h
+++ b/core/settings.h
@@ -92,4 +92,7 @@
 /// Splits "ADDRESS:PORT"; nothing if the port is missing or out of range.
 std::optional<HostAddress> parseHostAddress(std::string_view text);
 
+/// "ADDRESS:PORT".
+std::string hostAddressText(const HostAddress &address);
+
 } // namespace Lovageloft
--- a/gateway/cache_plan.cpp
+++ b/gateway/cache_plan.cpp
@@ -31,8 +31,7 @@
         return plan;
     }
     // The store keeps the last seconds of the fleet's prompts only; an engine that was sent the prefix keeps it longer.
-    plan.fetchFrom =
-        question.holder != nullptr ? question.holder->address.host + ':' + std::to_string(question.holder->address.port) : std::string(question.store);
+    plan.fetchFrom = question.holder != nullptr ? hostAddressText(question.holder->address) : std::string(question.store);
     if (isCold(question) && question.sharedTokens * leastSavedShare >= question.promptTokens) {
         plan.saveTo = question.store;
     }
--- a/gateway/host_record.cpp
+++ b/gateway/host_record.cpp
@@ -37,8 +37,7 @@
 
 std::string hostRecordText(const HostRecord &record)
 {
-    const std::string address = record.address.host + ':' + std::to_string(record.address.port);
-    return address + ' ' + textOf(record.capacity.cores) + ' ' + textOf(record.capacity.linkMegabits) + ' ' + record.dataCentre;
+    return hostAddressText(record.address) + ' ' + textOf(record.capacity.cores) + ' ' + textOf(record.capacity.linkMegabits) + ' ' + record.dataCentre;
 }
 
 std::optional<HostRecord> parseHostRecord(std::string_view text)
--- a/gateway/operator_view.cpp
+++ b/gateway/operator_view.cpp
@@ -114,7 +114,7 @@
         row->set("service", target.service);
         row->set("model", hasModel ? target.models.front().name : std::string());
         row->set("weights", hasModel ? gateway_.targets().weightsOf(target, target.models.front().name) : std::int64_t{0});
-        row->set("address", target.address.host + ':' + std::to_string(target.address.port));
+        row->set("address", hostAddressText(target.address));
         row->set("data_centre", target.dataCentre);
         row->set("state", target.isLeaving ? "leaving" : "serving");
         rows->add(row);
@@ -128,7 +128,7 @@
     for (const auto &[name, record] : gateway_.hosts()) {
         Object::Ptr row = ordered();
         row->set("host", name);
-        row->set("peer_address", record.address.host + ':' + std::to_string(record.address.port));
+        row->set("peer_address", hostAddressText(record.address));
         row->set("data_centre", record.dataCentre);
         rows->add(row);
     }
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -165,7 +165,7 @@
         socket_.non_blocking(true, error);
     }
     if (error) {
-        reason = {ResultCode::SettingsOutOfRange, "can't take datagrams on " + address.host + ':' + std::to_string(address.port) + ": " + error.message()};
+        reason = {ResultCode::SettingsOutOfRange, "can't take datagrams on " + hostAddressText(address) + ": " + error.message()};
         return false;
     }
     receive();
--- a/gateway/status_server.cpp
+++ b/gateway/status_server.cpp
@@ -144,7 +144,7 @@
         acceptor.listen(listenBacklog, error);
     }
     if (error) {
-        reason = {ResultCode::SettingsOutOfRange, "can't listen on " + address.host + ':' + std::to_string(address.port) + ": " + error.message()};
+        reason = {ResultCode::SettingsOutOfRange, "can't listen on " + hostAddressText(address) + ": " + error.message()};
     }
     return !error;
 }
