--- a/drivers/http_connection.cpp
+++ b/drivers/http_connection.cpp
@@ -129,6 +129,7 @@
 HttpConnection::call(std::string_view method, const std::string &path, std::string_view body, TimePoint deadline, std::span<const HttpField> fields)
 {
     isKeptAlive_ = false;
+    bytesBefore_ = socket_->receivedBytes();
     try {
         socket_->setDeadline(deadline);
         // A call that is given up takes its bytes along: the kernel would go on sending them, and an order of a leader whose lease has ended
@@ -201,6 +202,11 @@
     return socket_->lastReceived();
 }
 
+std::int64_t HttpConnection::bytesOfAnswer() const
+{
+    return socket_->receivedBytes() - bytesBefore_;
+}
+
 std::istream &HttpConnection::exchange(
     std::string_view method, const std::string &path, std::string_view body, std::span<const HttpField> fields, Poco::Net::HTTPResponse &response)
 {
--- a/drivers/http_connection.h
+++ b/drivers/http_connection.h
@@ -68,6 +68,9 @@
     /// When the endpoint last showed a sign of life.
     TimePoint lastReceived() const;
 
+    /// Bytes that have come of the answer to the last call, with its head.
+    std::int64_t bytesOfAnswer() const;
+
 private:
     class Session;
     class DeadlineSocket;
@@ -83,6 +86,7 @@
     std::istream *stream_ = nullptr; // Owned by the session.
     std::string buffer_; // Bytes of the stream after the last line.
     bool isKeptAlive_ = true;
+    std::int64_t bytesBefore_ = 0; // Received before the last call.
 };
 
 } // namespace Lovageloft
