A failing test: a long answer of the store is given up while its bytes are coming

What callers saw: on hosts with links of 10 Mbit/s nine of ten requests refused from the moment at which the configuration passed about a megabyte, and requests handled by a version that had been replaced more than 3 s before.

--- a/tests/stand_ins/scripted_target.cpp
+++ b/tests/stand_ins/scripted_target.cpp
@@ -1,5 +1,6 @@
 #include "tests/stand_ins/scripted_target.h"
 
+#include <algorithm>
 #include <array>
 
 #include <Poco/Exception.h>
@@ -58,15 +59,26 @@
 
 void ScriptedTarget::Connection::send(std::string_view bytes)
 {
+    constexpr std::size_t slicesPerSecond = 50;
+    const std::size_t slice = rate_ == 0 ? bytes.size() : rate_ / slicesPerSecond;
     try {
         while (!bytes.empty() && isOpen_) {
-            bytes.remove_prefix(static_cast<std::size_t>(socket_.sendBytes(bytes.data(), static_cast<int>(bytes.size()))));
+            const std::size_t size = std::min(slice, bytes.size());
+            bytes.remove_prefix(static_cast<std::size_t>(socket_.sendBytes(bytes.data(), static_cast<int>(size))));
+            if (rate_ != 0) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(1'000) / slicesPerSecond);
+            }
         }
     } catch (const Poco::Exception &) {
         isOpen_ = false; // The router has closed, which is what some scripts wait for.
     }
 }
 
+void ScriptedTarget::Connection::setRate(std::size_t bytesPerSecond)
+{
+    rate_ = bytesPerSecond;
+}
+
 void ScriptedTarget::Connection::answer(const Request &request, int status, std::string_view body, std::string_view fields)
 {
     send("HTTP/1.1 " + std::to_string(status) + " X\r\nLovageloft-Request-Id: " + request.field("Lovageloft-Request-Id")
--- a/tests/stand_ins/scripted_target.h
+++ b/tests/stand_ins/scripted_target.h
@@ -38,6 +38,9 @@
 
         void send(std::string_view bytes);
 
+        /// From now on sends so many bytes a second, as over a thin link; 0: as fast as they are taken.
+        void setRate(std::size_t bytesPerSecond);
+
         /// An answer with a length that bears the request's id.
         void answer(const Request &request, int status, std::string_view body, std::string_view fields = {});
 
@@ -57,6 +60,7 @@
 
         Poco::Net::StreamSocket socket_;
         bool isOpen_ = true;
+        std::size_t rate_ = 0;
     };
 
     using Script = std::function<void(Connection &, const Request &)>;
--- a/tests/stand_ins/stand_in_kv_store.cpp
+++ b/tests/stand_ins/stand_in_kv_store.cpp
@@ -122,6 +122,11 @@
     fault_ = fault;
 }
 
+void StandInKvStore::setRate(std::size_t bytesPerSecond)
+{
+    rate_ = bytesPerSecond;
+}
+
 int StandInKvStore::calls() const
 {
     return server_.requests();
@@ -139,6 +144,12 @@
         connection.reset();
         return;
     }
+    if (fault_ == Fault::Stalled) {
+        connection.send("HTTP/1.1 200 X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body.substr(0, body.size() / 2));
+        connection.waitClosed(std::chrono::seconds(5));
+        return;
+    }
+    connection.setRate(rate_);
     connection.answer(request, fault_ == Fault::Busy ? unavailable : status, body, "Content-Type: application/json\r\n");
 }
 
--- a/tests/stand_ins/stand_in_kv_store.h
+++ b/tests/stand_ins/stand_in_kv_store.h
@@ -20,6 +20,7 @@
         Busy, ///< 503; nothing is done.
         Silent, ///< No answer, nothing done.
         LostAnswer, ///< Done, and the connection is reset.
+        Stalled, ///< Half of the answer, then silence.
     };
 
     StandInKvStore();
@@ -30,6 +31,9 @@
     /// The fault of all calls from now on.
     void setFault(Fault fault);
 
+    /// Bytes a second in which answers are sent from now on; 0: as fast as they are taken.
+    void setRate(std::size_t bytesPerSecond);
+
     int calls() const;
 
 private:
@@ -39,6 +43,7 @@
 
     MemoryStore memory_;
     std::atomic<Fault> fault_ = Fault::None;
+    std::atomic<std::size_t> rate_ = 0;
     ScriptedTarget server_;
 };
 
