An answer of the store that goes on coming is not given up

What callers saw: nine of ten requests refused on hosts with thin links, for as long as the configuration was larger than what the link carries in 0.8 s; the rest were handled by a version long replaced. Cause: the time of a call to the store was one limit for its whole answer, whatever its length and the link. A read that was given up was begun anew, so that the link stayed full and nothing was ever learnt. Its class: a fixed limit on the total time of a transfer of any size, and a retry that keeps nothing. Excluded: a store that refuses or is slow (it answered all calls); a busy processor (4 in 100 of a core at most). Change: the limit is for the answer's begin and for each pause in it.

--- a/drivers/http_connection.cpp
+++ b/drivers/http_connection.cpp
@@ -58,12 +58,18 @@
         const int received = StreamSocketImpl::receiveBytes(buffer, length, flags);
         lastReceived_ = BootClock::now();
         receivedBytes_ += received;
+        if (pace_.slowestRate > 0) {
+            latest_ += fromSeconds(received / pace_.slowestRate);
+            deadline_ = std::min(latest_, lastReceived_ + pace_.longestPause);
+        }
         return received;
     }
 
-    void setDeadline(TimePoint deadline)
+    void setDeadline(TimePoint deadline, const AnswerPace &pace = {})
     {
         deadline_ = deadline;
+        latest_ = deadline;
+        pace_ = pace;
         setSendTimeout(toTimespan(deadline - BootClock::now()));
     }
 
@@ -79,6 +85,8 @@
 
 private:
     TimePoint deadline_;
+    TimePoint latest_; ///< With a pace: the deadline, were there no pauses.
+    AnswerPace pace_;
     TimePoint lastReceived_ = BootClock::now();
     std::int64_t receivedBytes_ = 0;
 };
@@ -125,13 +133,13 @@
     return call(Poco::Net::HTTPRequest::HTTP_POST, path, body, deadline);
 }
 
-std::optional<HttpAnswer>
-HttpConnection::call(std::string_view method, const std::string &path, std::string_view body, TimePoint deadline, std::span<const HttpField> fields)
+std::optional<HttpAnswer> HttpConnection::call(
+    std::string_view method, const std::string &path, std::string_view body, TimePoint deadline, std::span<const HttpField> fields, const AnswerPace &pace)
 {
     isKeptAlive_ = false;
     bytesBefore_ = socket_->receivedBytes();
     try {
-        socket_->setDeadline(deadline);
+        socket_->setDeadline(deadline, pace);
         // A call that is given up takes its bytes along: the kernel would go on sending them, and an order of a leader whose lease has ended
         // since would arrive when the link heals.
         socket_->setLinger(true, 0);
--- a/drivers/http_connection.h
+++ b/drivers/http_connection.h
@@ -27,6 +27,14 @@
     std::string body;
 };
 
+/// How long an answer that has begun is waited for beyond a call's deadline: long ones take a thin link a while, and begun anew each
+/// time they would never come whole.
+struct AnswerPace
+{
+    Duration longestPause{}; ///< Between two pieces.
+    double slowestRate = 0; ///< Bytes a second that lengthen the deadline; 0: it stands.
+};
+
 /// How reading a line of a stream ended.
 enum class HttpLineStatus : std::uint8_t
 {
@@ -52,9 +60,14 @@
     /// for the answer to the next.
     std::optional<HttpAnswer> call(const std::string &path, std::string_view body, TimePoint deadline);
 
-    /// The same with a method of the caller's choice and, unless empty, a JSON body; `fields` are added to the head.
-    std::optional<HttpAnswer>
-    call(std::string_view method, const std::string &path, std::string_view body, TimePoint deadline, std::span<const HttpField> fields = {});
+    /// The same with a method of the caller's choice and, unless empty, a JSON body; `fields` are added to the head. With a pace the deadline
+    /// is that of the answer's begin.
+    std::optional<HttpAnswer> call(std::string_view method,
+                                   const std::string &path,
+                                   std::string_view body,
+                                   TimePoint deadline,
+                                   std::span<const HttpField> fields = {},
+                                   const AnswerPace &pace = {});
 
     /// Sends a call whose answer is an endless stream of lines, and reads the head of the answer; false if that fails.
     bool startStream(const std::string &path, std::string_view body, TimePoint deadline);
