A configuration that is known to be replaced serves nobody beyond its time

What callers saw: requests on keyless routes were handled by version 17 more than 3 s after version 20 was acknowledged, by hosts that had failed their readiness check two seconds before. Cause: only keys were checked against the age of the proof, as a host that can't reach the store must go on with what needs no key. A host that was told by others that a newer configuration exists, and can't get it, was not told apart from one that nobody tells anything. Change: the question for a proof also tells that a newer one exists. From then on the older one serves until its last proof is as old as operators allow a change to take, and then nobody; the host isn't ready. Without such word all stays as it was. Test: aConfigurationThatIsKnownToBeReplacedServesNobodyBeyondItsTime; four of its checks fail with isOutdated taken out.

--- a/gateway/configuration_feed.cpp
+++ b/gateway/configuration_feed.cpp
@@ -32,6 +32,14 @@
     listeners_.onProof(revision, provenAt);
 }
 
+void ConfigurationFeed::noteNewer(std::int64_t revision)
+{
+    const std::lock_guard lock(mutex_);
+    if (revision > revision_ && listeners_.onNewerExists) {
+        listeners_.onNewerExists(revision);
+    }
+}
+
 std::int64_t ConfigurationFeed::revision() const
 {
     const std::lock_guard lock(mutex_);
--- a/gateway/configuration_feed.h
+++ b/gateway/configuration_feed.h
@@ -22,6 +22,7 @@
         std::function<void(const std::shared_ptr<const RoutingTable> &, TimePoint provenAt)> onConfiguration;
         std::function<void(std::int64_t revision, TimePoint provenAt)> onProof;
         std::function<void(const NamedWeights &)> onWeights;
+        std::function<void(std::int64_t revision)> onNewerExists{};
     };
 
     ConfigurationFeed(const StoreRecords &records, Listeners listeners);
@@ -40,6 +41,9 @@
     /// The configuration in force was the newest at `provenAt`.
     void prove(std::int64_t revision, TimePoint provenAt);
 
+    /// The store or another host has a newer configuration than the one in force.
+    void noteNewer(std::int64_t revision);
+
     /// Revision of the newest configuration taken; 0 before the first.
     std::int64_t revision() const;
 
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -142,9 +142,18 @@
 {
     if (table_ != nullptr && table_->revision == revision) {
         provenAt_ = std::max(provenAt_, provenAt);
+        newestRevision_ = revision;
     }
 }
 
+void Gateway::noteNewerTable(std::int64_t revision)
+{
+    if (revision > newestRevision_) {
+        writeLog(LogLevel::Info, "newer_configuration_exists", {{"revision", revision}, {"in_force", table_ != nullptr ? table_->version : 0}});
+    }
+    newestRevision_ = std::max(newestRevision_, revision);
+}
+
 void Gateway::setTargets(std::shared_ptr<const TargetMap> targets)
 {
     directory_.setTargets(std::move(targets));
@@ -356,6 +365,11 @@
     return table_ != nullptr && proofAge(now) < options_.limits.configurationWindow;
 }
 
+bool Gateway::isOutdated(TimePoint now) const
+{
+    return table_ != nullptr && newestRevision_ > table_->revision && !isCurrent(now);
+}
+
 Duration Gateway::proofAge(TimePoint now) const
 {
     return now - provenAt_;
@@ -590,7 +604,7 @@
 
 bool Gateway::isReady(TimePoint now) const
 {
-    return !drainStartedAt_ && hasTargets_ && isKeyProofValid(now);
+    return !drainStartedAt_ && hasTargets_ && isKeyProofValid(now) && !isOutdated(now);
 }
 
 } // namespace Lovageloft
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -85,6 +85,9 @@
     /// The configuration with this revision was the newest at `provenAt`.
     void confirmTable(std::int64_t revision, TimePoint provenAt);
 
+    /// The configuration with this revision exists and may not have been read yet.
+    void noteNewerTable(std::int64_t revision);
+
     void setTargets(std::shared_ptr<const TargetMap> targets);
     void setNamedWeights(const NamedWeights &weights);
 
@@ -144,6 +147,9 @@
     /// Whether the configuration can be relied on to name everything that was added more than the allowed time ago.
     bool isCurrent(TimePoint now) const;
 
+    /// Whether a newer configuration is known to exist and has been in force for so long that the older one must not be used any more.
+    bool isOutdated(TimePoint now) const;
+
     Duration proofAge(TimePoint now) const;
 
     /// One of the route's services by their weights; the same for the same request.
@@ -205,6 +211,7 @@
     OperatorView operatorView_;
     std::shared_ptr<const RoutingTable> table_;
     TimePoint provenAt_;
+    std::int64_t newestRevision_ = 0; ///< Of a configuration that this host has heard of.
     TargetDirectory directory_;
     WeightsListener weightsListener_;
     TargetPool pool_;
--- a/gateway/proof_duty.cpp
+++ b/gateway/proof_duty.cpp
@@ -53,6 +53,7 @@
     if (reply.status != StoreStatus::Conflict) {
         return false;
     }
+    feed_.noteNewer(reply.entry.revision);
     outdatedSince_ = outdatedSince_.value_or(sentAt);
     TimePoint provenAt = sentAt - reply.age;
     if (reply.entry.value.empty()) {
--- a/gateway/request_intake.cpp
+++ b/gateway/request_intake.cpp
@@ -154,6 +154,10 @@
         reason = {ResultCode::NotFresh, "no configuration has been read yet"};
         return false;
     }
+    if (gateway_.isOutdated(BootClock::now())) {
+        reason = {ResultCode::NotFresh, "a newer configuration is in force and has not been read yet"};
+        return false;
+    }
     return true;
 }
 
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -146,7 +146,8 @@
             [this](std::int64_t revision, TimePoint provenAt) {
                 gateway_.post([revision, provenAt](Gateway &gateway) { gateway.confirmTable(revision, provenAt); });
             },
-            [this](const NamedWeights &weights) { onWeights(weights); }};
+            [this](const NamedWeights &weights) { onWeights(weights); },
+            [this](std::int64_t revision) { gateway_.post([revision](Gateway &gateway) { gateway.noteNewerTable(revision); }); }};
 }
 
 HostDuty::Options GatewayHost::hostOptions()
--- a/tests/platform/test_requests.cpp
+++ b/tests/platform/test_requests.cpp
@@ -296,6 +296,25 @@
     BOOST_TEST(statusOf(exchange(request("GET", "/safe/x"))) == 401);
 }
 
+// Guards against keyless routes that are served as a replaced configuration says, for as long as the newer one can't be read.
+BOOST_AUTO_TEST_CASE(aConfigurationThatIsKnownToBeReplacedServesNobodyBeyondItsTime)
+{
+    GatewayFixture stale(false);
+    stale.addTarget("a", wellTarget);
+    stale.configure(table(2), 2'500ms);
+    BOOST_TEST(statusOf(stale.exchange(request("GET", "/public/x"))) == 200); // Nobody knows of a newer one: the store may be away.
+    stale.onLoop([](Gateway &gateway) { gateway.noteNewerTable(3); });
+    const std::string refused = stale.exchange(request("GET", "/public/x"));
+    BOOST_TEST(statusOf(refused) == 503);
+    BOOST_TEST(contains(refused, "not_run"));
+    BOOST_TEST(statusOf(stale.exchange(request("GET", "/safe/x"))) == 503);
+    stale.onLoop([](Gateway &gateway) { BOOST_TEST(!gateway.isReady(BootClock::now())); });
+    stale.configure(table(3));
+    BOOST_TEST(statusOf(stale.exchange(request("GET", "/public/x"))) == 200);
+    stale.onLoop([](Gateway &gateway) { gateway.noteNewerTable(4); });
+    BOOST_TEST(statusOf(stale.exchange(request("GET", "/public/x"))) == 200); // Its proof is young: the newer one isn't due yet.
+}
+
 BOOST_AUTO_TEST_CASE(aHostThatHasNoTargetsRefusesTruly)
 {
     const std::string answer = exchange(request("POST", "/once/x", "body"));
