The etcd client doesn't give up an answer that goes on coming either

Cause: the same as in the client of the platform's store, found by looking for its class: one limit for the whole answer of a call, whatever its length and the link. Change: the same limit for the answer's begin and for pauses, which grows with the bytes that come. Test: longAnswerThatGoesOnComingIsNotGivenUp fails without the change; trickledAnswerEndsAtTheTimeoutOfTheCall holds as before. Looked at besides: calls to engines (answers of a kilobyte, 0.25 s) and the feed of cache events (answers bounded by the engine) stay.

--- a/drivers/etcd_store.cpp
+++ b/drivers/etcd_store.cpp
@@ -156,7 +156,7 @@
             pool_.reportFailure(endpoint);
             continue;
         }
-        std::optional<HttpAnswer> answer = connection->call(path, body, deadline);
+        std::optional<HttpAnswer> answer = connection->call("POST", path, body, deadline, {}, {options_.callTimeout, slowestStoreRate});
         if (!answer) {
             pool_.reportFailure(endpoint);
             return {unknown, {}};
--- a/drivers/etcd_store.h
+++ b/drivers/etcd_store.h
@@ -21,7 +21,7 @@
 struct EtcdStoreOptions
 {
     std::vector<HostAddress> endpoints; ///< Of the HTTP/JSON gateway; at least one.
-    Duration callTimeout = std::chrono::seconds(1); ///< From the start of a call to the end of its answer.
+    Duration callTimeout = std::chrono::seconds(1); ///< Until an answer begins, and between two pieces of it.
     Duration idleLimit = std::chrono::seconds(2); ///< A connection idle for longer isn't used again.
     Duration watchSilenceLimit = std::chrono::seconds(5); ///< A watch silent for longer is started anew.
 };
--- a/drivers/http_connection.h
+++ b/drivers/http_connection.h
@@ -35,6 +35,9 @@
     double slowestRate = 0; ///< Bytes a second that lengthen the deadline; 0: it stands.
 };
 
+/// Bytes a second below which an answer of the store counts as stuck: a tenth of a link of 10 Mbit/s.
+inline constexpr double slowestStoreRate = 125'000;
+
 /// How reading a line of a stream ended.
 enum class HttpLineStatus : std::uint8_t
 {
--- a/tests/drivers/test_etcd_store.cpp
+++ b/tests/drivers/test_etcd_store.cpp
@@ -160,6 +160,19 @@
     BOOST_TEST(hasStatus(impatient.compareAndSwap("a/1", 0, "v", 0), StoreStatus::AnswerLost));
 }
 
+// Guards against hosts on thin links that give a long read up while its bytes are coming, and begin it anew without end.
+BOOST_AUTO_TEST_CASE(longAnswerThatGoesOnComingIsNotGivenUp)
+{
+    const std::string value(150'000, 'v');
+    BOOST_REQUIRE(hasStatus(store.compareAndSwap("a/1", 0, value, 0), StoreStatus::Ok));
+    EtcdStore impatient(impatientOptionsFor(standIn));
+    standIn.setFault({.trickle = 20ms, .trickleBytes = 10'000});
+    BOOST_TEST((impatient.get("a/1").entry.value == value));
+    const StoreListReply list = impatient.list("a/");
+    BOOST_REQUIRE(list.entries.size() == 1U);
+    BOOST_TEST((list.entries.front().value == value));
+}
+
 BOOST_AUTO_TEST_CASE(connectionClosedByTheStoreIsNotUsedAgain)
 {
     // The store is restarted and has closed the idle connections. A write sent on one of them would be reported as one
--- a/tests/stand_ins/exchange.cpp
+++ b/tests/stand_ins/exchange.cpp
@@ -121,13 +121,15 @@
     closeConnection();
 }
 
-void Exchange::trickleJson(std::string_view json, Duration pause)
+void Exchange::trickleJson(std::string_view json, Duration pause, std::size_t pieceBytes)
 {
     response_.setContentType("application/json");
     response_.setContentLength64(static_cast<Poco::Int64>(json.size()));
     std::ostream &out = response_.send();
-    for (const char byte : json) {
-        if (!waitUntil(BootClock::now() + pause) || !(out << byte << std::flush)) {
+    while (!json.empty()) {
+        const std::string_view piece = json.substr(0, pieceBytes);
+        json.remove_prefix(piece.size());
+        if (!waitUntil(BootClock::now() + pause) || !(out << piece << std::flush)) {
             closeConnection();
             return;
         }
--- a/tests/stand_ins/exchange.h
+++ b/tests/stand_ins/exchange.h
@@ -56,7 +56,7 @@
     void sendHalf(std::string_view json);
 
     /// Sends a whole JSON document byte by byte, with `pause` before each.
-    void trickleJson(std::string_view json, Duration pause);
+    void trickleJson(std::string_view json, Duration pause, std::size_t pieceBytes);
 
     /// Closes the connection at once, whatever has been sent.
     void closeConnection();
--- a/tests/stand_ins/stand_in_store.cpp
+++ b/tests/stand_ins/stand_in_store.cpp
@@ -235,9 +235,9 @@
         exchange.closeConnection();
         return;
     }
-    const Duration trickle = currentFault().trickle;
-    if (trickle > Duration::zero()) {
-        exchange.trickleJson(answer.json, trickle);
+    const StandInStoreFault fault = currentFault();
+    if (fault.trickle > Duration::zero()) {
+        exchange.trickleJson(answer.json, fault.trickle, fault.trickleBytes);
         return;
     }
     exchange.sendJson(answer.status, answer.json);
--- a/tests/stand_ins/stand_in_store.h
+++ b/tests/stand_ins/stand_in_store.h
@@ -24,7 +24,8 @@
     bool isDown = false; ///< Answers 503 as etcd does without a leader, and ends all watches.
     bool closesConnections = false; ///< Closes each connection instead of performing the call.
     bool isFrozen = false; ///< Takes calls and says nothing.
-    Duration trickle{}; ///< Waits before each byte of an answer.
+    Duration trickle{}; ///< Waits before each piece of an answer.
+    std::size_t trickleBytes = 1; ///< Of such a piece.
     std::int64_t lostAnswers = 0; ///< So many writes are performed, and the connection closed without an answer.
 };
 
