A route's service is chosen beside the route

The choice of a service needs a route and a request's id and nothing of the gateway; it moves to routing_table, unchanged.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <xxhash.h>
-
 #include "core/digest.h"
 #include "core/log.h"
 #include "gateway/caller_session.h"
@@ -375,23 +373,6 @@
     return now - provenAt_;
 }
 
-std::string Gateway::chooseService(const Route &route, std::string_view requestId) const
-{
-    double total = 0;
-    for (const TrafficShare &share : route.split) {
-        total += share.weight;
-    }
-    constexpr std::uint64_t steps = 1'000'000;
-    double place = total * static_cast<double>(XXH3_64bits(requestId.data(), requestId.size()) % steps) / steps;
-    for (const TrafficShare &share : route.split) {
-        if (place < share.weight) {
-            return share.service;
-        }
-        place -= share.weight;
-    }
-    return route.split.empty() ? std::string() : route.split.back().service;
-}
-
 std::string_view Gateway::cacheStoreFor(const Target &target) const
 {
     std::string_view chosen;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -152,9 +152,6 @@
 
     Duration proofAge(TimePoint now) const;
 
-    /// One of the route's services by their weights; the same for the same request.
-    std::string chooseService(const Route &route, std::string_view requestId) const;
-
     /// The address of the cache store that an engine should use; empty if there is none that answers. Fetching 13,000 tokens takes an
     /// engine about half the time of computing them, and after new weights each prefix is computed once instead of once an engine.
     std::string_view cacheStoreFor(const Target &target) const;
--- a/gateway/request_intake.cpp
+++ b/gateway/request_intake.cpp
@@ -165,7 +165,7 @@
 {
     route_ = table_->findRoute(head_.find("Host"), head_.path);
     if (route_ != nullptr) {
-        service_ = gateway_.chooseService(*route_, caller_.id);
+        service_ = chooseService(*route_, caller_.id);
         return true;
     }
     reason = {ResultCode::UnknownPath, "no route has this host and path"};
--- a/gateway/routing_table.cpp
+++ b/gateway/routing_table.cpp
@@ -2,9 +2,28 @@
 
 #include <algorithm>
 
+#include <xxhash.h>
+
 namespace Lovageloft
 {
 
+std::string chooseService(const Route &route, std::string_view requestId)
+{
+    double total = 0;
+    for (const TrafficShare &share : route.split) {
+        total += share.weight;
+    }
+    constexpr std::uint64_t steps = 1'000'000;
+    double place = total * static_cast<double>(XXH3_64bits(requestId.data(), requestId.size()) % steps) / steps;
+    for (const TrafficShare &share : route.split) {
+        if (place < share.weight) {
+            return share.service;
+        }
+        place -= share.weight;
+    }
+    return route.split.empty() ? std::string() : route.split.back().service;
+}
+
 void RoutingTable::buildIndex()
 {
     routesOfHost_.clear();
--- a/gateway/routing_table.h
+++ b/gateway/routing_table.h
@@ -51,6 +51,9 @@
     }
 };
 
+/// One of the route's services by their weights; the same for the same request.
+std::string chooseService(const Route &route, std::string_view requestId);
+
 /// A store that keeps what engines have computed of prompts. It is on no list of targets.
 struct CacheStore
 {
