A target that left while the store was there is not waited for

Suspected cause, found by reading: entries that go are kept 2.3 s more where the store was away, as they may have lapsed. What decided on that was for how long changes could not have been heard of. A relay whose watch was cut or whose history was dropped after it had waited 2 s told deletions that way to all hosts, though the store was there all the time: 2.3 s, where operators allow 2. Change: notices tell besides for how long the store had answered nobody; only that counts. Hosts of the release before don't tell it, and are taken as before. Tests: aTargetThatLeftWhileTheStoreWasThereIsNotWaitedFor fails without the change; onlyAStoreThatAnsweredNobodyCountsAsAway holds what is told to an outage that another duty saw the end of.

--- a/coordination/store.h
+++ b/coordination/store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -47,6 +48,10 @@
     std::int64_t revision = 0;
     Duration silence{}; ///< From a store that hears of changes through others: for how long before the entries came they were silent.
     Duration age{}; ///< The same: how long before the call was made the answer held.
+
+    /// The same: for how long before the entries came the store had answered nobody, so that leases may have run out; nothing if that is
+    /// not known.
+    std::optional<Duration> away{};
 };
 
 /// Answer to a call about a lease.
--- a/gateway/peer_messages.capnp.h
+++ b/gateway/peer_messages.capnp.h
@@ -1173,6 +1173,8 @@
 
   inline  ::int64_t getLatestStart() const;
 
+  inline  ::uint32_t getAwayMilliseconds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1227,6 +1229,9 @@
   inline  ::int64_t getLatestStart();
   inline void setLatestStart( ::int64_t value);
 
+  inline  ::uint32_t getAwayMilliseconds();
+  inline void setAwayMilliseconds( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3014,6 +3019,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, 9223372036854775807ll);
 }
 
+inline  ::uint32_t Changes::Reader::getAwayMilliseconds() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, 4294967295u);
+}
+
+inline  ::uint32_t Changes::Builder::getAwayMilliseconds() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, 4294967295u);
+}
+inline void Changes::Builder::setAwayMilliseconds( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value, 4294967295u);
+}
+
 inline bool Changes::Entry::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -44,6 +44,9 @@
 
 constexpr unsigned portBits = 16;
 
+/// In place of milliseconds that are not known.
+constexpr std::uint32_t unknownTime = 0xffffffff;
+
 std::string encode(capnp::MessageBuilder &message)
 {
     const auto words = capnp::messageToFlatArray(message);
@@ -112,6 +115,9 @@
     changes.setUpTo(notice.upTo);
     changes.setSilenceMilliseconds(static_cast<std::uint32_t>(toMillis(notice.silence)));
     changes.setLatestStart(notice.latestStart);
+    if (notice.away) {
+        changes.setAwayMilliseconds(static_cast<std::uint32_t>(std::min<std::int64_t>(toMillis(*notice.away), unknownTime - 1)));
+    }
     writeEntries(changes, entries, withValues);
 }
 
@@ -124,6 +130,9 @@
     }
     notice.silence = std::chrono::milliseconds(changes.getSilenceMilliseconds());
     notice.latestStart = changes.getLatestStart();
+    if (changes.getAwayMilliseconds() != unknownTime) {
+        notice.away = std::chrono::milliseconds(changes.getAwayMilliseconds());
+    }
     return notice;
 }
 
@@ -281,6 +290,7 @@
         return;
     }
     ChangesNotice part{notice.prefix, notice.after, notice.upTo, {}, {}, notice.silence};
+    part.away = notice.away;
     std::size_t next = 0;
     do {
         std::size_t end = next;
--- a/gateway/peer_socket.h
+++ b/gateway/peer_socket.h
@@ -67,6 +67,8 @@
     /// Only for a receiver that has reached no more than this. Changes that were found by comparing two lists don't show what came and
     /// went between them, which a receiver in between may have seen come.
     std::int64_t latestStart = std::numeric_limits<std::int64_t>::max();
+
+    std::optional<Duration> away{}; ///< As in StoreListReply.
 };
 
 /// What changed under a prefix after a revision?
--- a/gateway/relayed_store.cpp
+++ b/gateway/relayed_store.cpp
@@ -69,8 +69,14 @@
     const std::lock_guard lock(mutex_);
     if (isAnswered) {
         contactAt_ = now_();
+        if (failingSince_) {
+            outageEnd_ = contactAt_;
+            outage_ = contactAt_ - *failingSince_;
+            failingSince_.reset();
+        }
         breaker_.onAnswer();
     } else {
+        failingSince_ = failingSince_.value_or(contactAt_);
         breaker_.onFailure(now_());
     }
     return reply;
@@ -196,7 +202,8 @@
     const TimePoint now = now_();
     const bool isToldByStore = followed.isWatched && hasRecentAnswers(followed, now);
     const Duration age = isToldByStore ? Duration::zero() : std::max(Duration::zero(), now - newsAt(followed));
-    return ChangesReply{request.id, {request.prefix, request.after, followed.reached, std::move(*entries), {}, followed.silence, request.after}, age};
+    return ChangesReply{
+        request.id, {request.prefix, request.after, followed.reached, std::move(*entries), {}, followed.silence, request.after, followed.away}, age};
 }
 
 /// Whether the store has answered of late, any call and one about this prefix. What other hosts say doesn't count: two that are cut off would keep
@@ -206,6 +213,13 @@
     return now - contactAt_ < oldestContact && now - followed.readAt < oldestWatch;
 }
 
+/// For how long the store was away after a prefix was read last; zero if it wasn't. A watch that was cut while other calls were answered is no
+/// outage: entries that are gone then have not lapsed.
+Duration RelayedStore::outageSince(TimePoint readAt) const
+{
+    return outageEnd_ > readAt ? outage_ : Duration::zero();
+}
+
 /// Until when this host has heard of all changes. A deputy that the relays are silent for goes on watching the store, as they do.
 TimePoint RelayedStore::newsAt(const FollowedPrefix &followed) const
 {
@@ -356,11 +370,13 @@
     std::unique_lock lock(mutex_);
     FollowedPrefix &followed = followed_[std::string(prefix)];
     const TimePoint now = now_();
+    reply.away = outageSince(followed.readAt);
     std::optional<ChangesNotice> changes;
     if (followed.reached != 0 && followed.reached <= reply.revision) {
         changes = followed.changesBy(reply);
         changes->prefix = prefix;
         changes->silence = now - followed.readAt;
+        changes->away = reply.away;
     }
     followed.takeList(reply, changes);
     followed.heardAt = now;
@@ -449,6 +465,7 @@
         return {StoreStatus::NotFound, {}, followed.reached};
     }
     StoreListReply reply{StoreStatus::Ok, {}, followed.reached, std::exchange(followed.silence, {})};
+    reply.away = std::exchange(followed.away, {});
     const auto entries = std::exchange(followed.entries, {});
     lock.unlock();
     for (const auto &[entry, isOmitted] : entries) {
@@ -490,12 +507,15 @@
         // A relay doesn't go by what the other says: with silent connections to the store the two would vouch for each other.
         const TimePoint heardAt = isRelayNow ? followed.readAt : std::max(followed.heardAt, followed.readAt);
         reply.silence = std::max(Duration::zero(), askedAt - heardAt);
+        reply.away = outageSince(followed.readAt);
         followed.readAt = now_();
         followed.heardAt = isRelayNow ? followed.readAt : followed.heardAt;
         broadcast = network_.broadcast;
     }
     if (isRelayNow && !reply.entries.empty() && broadcast) {
-        broadcast({std::string(prefix), lastChange, reply.revision, reply.entries, {}, reply.silence});
+        ChangesNotice notice{std::string(prefix), lastChange, reply.revision, reply.entries, {}, reply.silence};
+        notice.away = reply.away;
+        broadcast(notice);
     }
     return reply;
 }
--- a/gateway/relayed_store.h
+++ b/gateway/relayed_store.h
@@ -91,6 +91,7 @@
     bool isDeputy() const;
     bool watchesItself() const;
     bool hasRecentAnswers(const FollowedPrefix &followed, TimePoint now) const;
+    Duration outageSince(TimePoint readAt) const;
     TimePoint newsAt(const FollowedPrefix &followed) const;
     bool isBehind(const FollowedPrefix &followed, TimePoint now) const;
     void noteBehind(std::string_view prefix, FollowedPrefix &followed, TimePoint now);
@@ -117,6 +118,9 @@
     Random random_;
     CallBreaker breaker_;
     TimePoint contactAt_; ///< When the store last answered a call of this host.
+    std::optional<TimePoint> failingSince_; ///< While calls fail: when the store last answered before.
+    TimePoint outageEnd_; ///< When the store answered again after calls had failed.
+    Duration outage_{}; ///< From the answer before.
     std::map<std::string, FollowedPrefix, std::less<>> followed_;
     std::map<std::uint64_t, std::optional<ProofReply>> questions_;
     std::map<std::uint64_t, ChangesQuestion> changesQuestions_;
--- a/gateway/target_duty.cpp
+++ b/gateway/target_duty.cpp
@@ -62,7 +62,7 @@
         take(entry, targets);
     }
     const TimePoint now = BootClock::now();
-    const bool wasAway = lostAt_.has_value();
+    const bool wasAway = lostAt_ && reply.away.value_or(lapseTime) >= lapseTime;
     for (const auto &[id, target] : targets_) {
         if (!targets.contains(id) && wasAway) {
             missing_.try_emplace(id, now + returnGrace);
@@ -95,7 +95,7 @@
         return true;
     }
     TargetMap targets = targets_;
-    const bool wasAway = reply.silence >= lapseTime;
+    const bool wasAway = reply.away.value_or(reply.silence) >= lapseTime;
     const TimePoint now = BootClock::now();
     for (const StoreEntry &entry : reply.entries) {
         if (wasAway && entry.isDeleted) {
--- a/tests/gateway/test_duties.cpp
+++ b/tests/gateway/test_duties.cpp
@@ -182,6 +182,47 @@
     TargetDuty duty{store, records, [this](const std::shared_ptr<const TargetMap> &targets) { latest.set(*targets); }};
 };
 
+/// A store that lists two targets, and whose watches tell of deletions that nobody could have heard of for three seconds.
+class ToldStore final : public ForwardingStore
+{
+public:
+    ToldStore()
+        : ForwardingStore(memory_)
+    {
+    }
+
+    StoreListReply list(std::string_view /*prefix*/) override
+    {
+        return {StoreStatus::Ok, {{"t/a", "s", 1, false}, {"t/b", "s", 2, false}}, 2};
+    }
+
+    StoreListReply watch(std::string_view /*prefix*/, std::int64_t afterRevision, Duration /*timeout*/) override
+    {
+        constexpr Duration longestWait = 20ms;
+        std::unique_lock lock(mutex_);
+        told_.wait_for(lock, longestWait, [this] { return !entries_.empty(); });
+        StoreListReply reply{StoreStatus::Ok, std::exchange(entries_, {}), afterRevision + 1, 3s};
+        reply.away = away_;
+        return reply;
+    }
+
+    /// `away`: for how long the store had answered nobody.
+    void tell(const std::string &deletedKey, Duration away)
+    {
+        const std::lock_guard lock(mutex_);
+        entries_.push_back({deletedKey, {}, 3, true});
+        away_ = away;
+        told_.notify_all();
+    }
+
+private:
+    MemoryStore memory_;
+    std::mutex mutex_;
+    std::condition_variable told_;
+    std::vector<StoreEntry> entries_;
+    Duration away_{};
+};
+
 struct ProofFixture
 {
     ProofFixture()
@@ -252,6 +293,24 @@
     BOOST_TEST((BootClock::now() - before < 1s));
 }
 
+// Guards against targets that get requests beyond the time in which a leaving one may, as the relay that tells of them was deaf for a while.
+BOOST_AUTO_TEST_CASE(aTargetThatLeftWhileTheStoreWasThereIsNotWaitedFor)
+{
+    ToldStore store;
+    Latest<TargetMap> latest;
+    TargetDuty duty(store, records, [&](const std::shared_ptr<const TargetMap> &targets) { latest.set(*targets); });
+    duty.start();
+    BOOST_REQUIRE(latest.waitFor(TargetFixture::names({"a", "b"})));
+    const TimePoint before = BootClock::now();
+    store.tell("t/a", 0ms);
+    BOOST_TEST(latest.waitFor(TargetFixture::names({"b"})));
+    BOOST_TEST((BootClock::now() - before < 1s));
+    store.tell("t/b", 3s);
+    BOOST_TEST(latest.holdsFor(1s, TargetFixture::names({"b"}))); // It may have lapsed and be written again.
+    duty.stop();
+    duty.join();
+}
+
 BOOST_FIXTURE_TEST_CASE(aChangeThatNoWatchToldOfIsFoundByTheProof, ProofFixture)
 {
     // The store drops its history, and for a while its watches hear nothing though an operator withdraws a key. Nothing here watches at
--- a/tests/gateway/test_relayed_store.cpp
+++ b/tests/gateway/test_relayed_store.cpp
@@ -189,6 +189,39 @@
     }
 }
 
+// Guards against targets that are kept in use after they left, as a watch that was cut is taken for an outage in which entries lapsed.
+BOOST_AUTO_TEST_CASE(onlyAStoreThatAnsweredNobodyCountsAsAway)
+{
+    TimePoint now{1h};
+    RelayedStore relay(store, "a", [&now] { return now; });
+    std::vector<ChangesNotice> told;
+    relay.setNetwork({[&](const ChangesNotice &notice) { told.push_back(notice); }, {}});
+    relay.setHosts({"a"}, {"a"});
+    const std::int64_t seed = relay.list("x/").entries.front().revision;
+    now += 2'900ms;
+    BOOST_TEST((relay.confirm("x/seed", seed).status == StoreStatus::Ok));
+    store.isDown = true;
+    BOOST_TEST((relay.watch("x/", seed, 1ms).status == StoreStatus::Unavailable));
+    store.isDown = false;
+    now += 100ms;
+    store.memory.compareAndDelete("x/seed", seed);
+    const StoreListReply cut = relay.list("x/");
+    BOOST_TEST((cut.away == Duration(100ms)));
+    BOOST_REQUIRE(told.size() == 1U);
+    BOOST_TEST((told.back().away == Duration(100ms)));
+    BOOST_TEST((told.back().silence >= 3s));
+
+    store.isDown = true;
+    relay.list("x/");
+    now += 5s;
+    store.isDown = false;
+    relay.confirm("x/seed", seed); // Another duty is the first to be answered.
+    now += 100ms;
+    BOOST_TEST((relay.list("x/").away >= Duration(5s)));
+    BOOST_TEST((told.back().away >= Duration(5s)));
+    BOOST_TEST((relay.list("x/").away == Duration::zero()));
+}
+
 BOOST_AUTO_TEST_CASE(withoutARelayTheStoreIsWatchedItself)
 {
     // Both relays lose power. The others must not wait for them with an old list of targets.
