A lost engine is logged with the fingerprint of the request that it had

Change: target_lost has the digest of method, host, path, key and body. Keys and bodies are not told by it.

--- a/gateway/request_intake.cpp
+++ b/gateway/request_intake.cpp
@@ -5,6 +5,8 @@
 #include <numeric>
 #include <utility>
 
+#include <xxhash.h>
+
 #include "gateway/gateway.h"
 
 namespace Lovageloft
@@ -95,6 +97,16 @@
     return team_ != nullptr && team_->isIsolated ? team_->name : std::string();
 }
 
+RequestFingerprint RequestIntake::fingerprint(std::string_view body) const
+{
+    std::uint64_t digest = 0;
+    for (const std::string_view part :
+         {std::string_view(head_.method), head_.find("Host"), std::string_view(head_.path), std::string_view(caller_.key), body}) {
+        digest = XXH3_64bits_withSeed(part.data(), part.size(), digest);
+    }
+    return RequestFingerprint{digest};
+}
+
 double RequestIntake::chargedTokens() const
 {
     return caller_.promptTokens ? static_cast<double>(*caller_.promptTokens) + caller_.outputTokens : team_->plainTokens;
--- a/gateway/request_intake.h
+++ b/gateway/request_intake.h
@@ -5,6 +5,7 @@
 #include <span>
 #include <string>
 
+#include "coordination/request_fingerprint.h"
 #include "decision/request_scheduler.h"
 #include "gateway/protocol.h"
 #include "gateway/routing_table.h"
@@ -46,6 +47,9 @@
     /// The team's name if it is isolated: only prompts under the same text share cache entries.
     std::string cacheScope() const;
 
+    /// The same for each try of the same caller with the same body. To be called once the request was let in.
+    RequestFingerprint fingerprint(std::string_view body) const;
+
     /// Tokens that the team is charged.
     double chargedTokens() const;
 
--- a/gateway/request_log.cpp
+++ b/gateway/request_log.cpp
@@ -35,10 +35,16 @@
              {{"request", intake_.caller().id}, {"target", target}, {"status", std::int64_t{status}}, {"other_target", isOtherTarget}});
 }
 
-void RequestLog::lost(std::string_view target, std::string_view why, bool wasNotSent, bool wasRelayed) const
+void RequestLog::lost(std::string_view target, RequestFingerprint fingerprint, std::string_view why, bool wasNotSent, bool wasRelayed) const
 {
-    writeLog(
-        LogLevel::Info, "target_lost", {{"request", intake_.caller().id}, {"target", target}, {"why", why}, {"not_sent", wasNotSent}, {"relayed", wasRelayed}});
+    writeLog(LogLevel::Info,
+             "target_lost",
+             {{"request", intake_.caller().id},
+              {"target", target},
+              {"fingerprint", fingerprintText(fingerprint)},
+              {"why", why},
+              {"not_sent", wasNotSent},
+              {"relayed", wasRelayed}});
 }
 
 void RequestLog::stalled(std::string_view target, Duration silent) const
--- a/gateway/request_log.h
+++ b/gateway/request_log.h
@@ -34,7 +34,7 @@
     void declined(std::string_view target, int status, bool isOtherTarget) const;
 
     /// The connection to the target ended.
-    void lost(std::string_view target, std::string_view why, bool wasNotSent, bool wasRelayed) const;
+    void lost(std::string_view target, RequestFingerprint fingerprint, std::string_view why, bool wasNotSent, bool wasRelayed) const;
 
     /// No answer for so long that another target is tried.
     void stalled(std::string_view target, Duration silent) const;
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -80,6 +80,7 @@
         fail(reason);
         return;
     }
+    fingerprint_ = intake_.fingerprint(body_);
     limit_ = startedAt_ + intake_.route()->timeout;
     if (intake_.caller().patience) {
         limit_ = std::min(limit_, startedAt_ + *intake_.caller().patience);
@@ -338,7 +339,7 @@
         onNotExecuted();
         return;
     }
-    log_.lost(targetId_, why, loss == TargetLoss::NotSent, isAnswerStarted_);
+    log_.lost(targetId_, fingerprint_, why, loss == TargetLoss::NotSent, isAnswerStarted_);
     endDispatch(SchedulerEnd::Failed);
     events_.dropPartial();
     held_.clear();
--- a/gateway/routed_request.h
+++ b/gateway/routed_request.h
@@ -108,6 +108,7 @@
     std::string body_;
     RequestIntake intake_;
     RequestLog log_;
+    RequestFingerprint fingerprint_{};
     double charged_ = 0; ///< Tokens taken from the team's rate.
     Phase phase_ = Phase::Filtering;
     TimePoint startedAt_;
