What a target is told beside a request is made apart from the request's way

What a send tells its target (weights, cache, urgency) depends on the target, the request's intake and five facts of the send; it moves to makeTargetRequest, unchanged.

--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 
 #include "gateway/caller_session.h"
-#include "gateway/engine_urgency.h"
 #include "gateway/gateway.h"
+#include "gateway/target_request.h"
 
 namespace Lovageloft
 {
@@ -178,7 +178,8 @@
     isAnswerKept_ = false;
     std::string salt;
     CachePlan plan;
-    const TargetRequest request = targetRequest(target, salt, plan);
+    const std::string_view lastEventId = events_.lastId().empty() ? std::string_view(intake_.caller().lastEventId) : std::string_view(events_.lastId());
+    const TargetRequest request = makeTargetRequest(gateway_, intake_, {target, timeLeft(now), lastEventId, expectedCached_, holder_, comesLate_}, salt, plan);
     std::string bytes = gateway_.targetProtocol().writeHead(head_, request, body_.size());
     bytes.append(body_);
     connection_ = gateway_.pool().take(target, intake_.route()->isIdempotent(), now);
@@ -187,28 +188,6 @@
     armTimer();
 }
 
-TargetRequest RoutedRequest::targetRequest(const Target &target, std::string &salt, CachePlan &plan) const
-{
-    TargetRequest request;
-    request.targetId = target.id;
-    request.team = intake_.teamName();
-    request.timeLeft = timeLeft(BootClock::now());
-    request.lastEventId = events_.lastId().empty() ? std::string_view(intake_.caller().lastEventId) : std::string_view(events_.lastId());
-    request.isForEngine = !intake_.caller().model.empty() && !target.models.empty();
-    if (request.isForEngine) {
-        request.weightsVersion = gateway_.targets().weightsOf(target, intake_.caller().model);
-        // What older weights computed must not be found by newer ones, nor one isolated team's by another.
-        salt = std::to_string(request.weightsVersion) + '/' + intake_.cacheScope();
-        request.cacheSalt = salt;
-        const Target *holder = holder_.empty() ? nullptr : gateway_.targets().find(holder_);
-        plan = planCache({intake_.caller().promptTokens.value_or(0), intake_.sharedTokens(), expectedCached_, gateway_.cacheStoreFor(target), holder});
-        request.fetchFrom = plan.fetchFrom;
-        request.saveTo = plan.saveTo;
-        request.urgency = engineUrgency(intake_.priority(), comesLate_);
-    }
-    return request;
-}
-
 void RoutedRequest::onAnswerHead(HttpHead &&head, const AnswerFacts &facts)
 {
     if (facts.load) {
--- a/gateway/routed_request.h
+++ b/gateway/routed_request.h
@@ -78,7 +78,6 @@
     void enqueue();
     SchedulerRequest schedulerRequest() const;
     void send(const Target &target);
-    TargetRequest targetRequest(const Target &target, std::string &salt, CachePlan &plan) const;
 
     void onAnswerHead(HttpHead &&head, const AnswerFacts &facts) override;
     void onAnswerBody(std::string_view bytes) override;
