A request that ends the engines that begin it is sent to no more of them

What callers saw: engines of all data centres ended one after the other, 42 to 51 under one request, and up to 361 other requests a second lost theirs; their callers got 502 or waited. Cause: no host remembered what a request did. Each try was new to the host that got it, was tried twice, and was led to healthy engines by the very care that keeps requests from failing ones. Its class: retries that are bounded within a request and not over its repeats. Excluded: hosts' retry budget (two sends a try at most; the tries come from callers). Change: a host that loses an engine with a request that was not begun to be answered tells two homes of the request, found by rendezvous hashing; a home that has heard of three different engines puts it into quarantine, tells all hosts, and keeps it in the store for those that start later. In quarantine a request is refused at once (quarantined, 503, truly not run). Requests that were ever answered, such as those that ran beside it, are not held against. It ends after ten minutes.

--- /dev/null
+++ b/coordination/crash_quarantine.cpp
@@ -0,0 +1,90 @@
+#include "coordination/crash_quarantine.h"
+
+#include <algorithm>
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+constexpr std::size_t mostSuspects = 4'096;
+constexpr std::size_t mostQuarantined = 1'024;
+
+/// Crashes further apart than this are not counted together: any request is unlucky now and then.
+constexpr Duration suspicionTime = std::chrono::minutes(2);
+
+/// A request may do no harm any more once targets have been mended.
+constexpr Duration quarantineTime = std::chrono::minutes(10);
+
+} // namespace
+
+void CrashQuarantine::noteAnswered(RequestFingerprint request)
+{
+    answered_[static_cast<std::uint64_t>(request) % answeredSlots] = request;
+}
+
+bool CrashQuarantine::isSuspect(RequestFingerprint request) const
+{
+    return answered_[static_cast<std::uint64_t>(request) % answeredSlots] != request;
+}
+
+bool CrashQuarantine::countCrash(const CrashReport &report, TimePoint now)
+{
+    forgetOld(now);
+    const auto [entry, isNew] = suspects_.try_emplace(report.request);
+    Suspect &suspect = entry->second;
+    if (isNew) {
+        suspectOrder_.push_back(report.request);
+    }
+    if (now - suspect.lastAt > suspicionTime) {
+        suspect.crashes = 0;
+    }
+    suspect.lastAt = now;
+    const auto end = suspect.targets.begin() + static_cast<std::ptrdiff_t>(suspect.crashes);
+    if (suspect.crashes < crashLimit && std::find(suspect.targets.begin(), end, report.target) == end) {
+        suspect.targets.at(suspect.crashes++) = report.target;
+    }
+    return suspect.crashes >= crashLimit;
+}
+
+bool CrashQuarantine::add(RequestFingerprint request, TimePoint now)
+{
+    if (!isSuspect(request) || contains(request, now)) {
+        return false;
+    }
+    if (quarantined_.insert_or_assign(request, now + quarantineTime).second) {
+        quarantineOrder_.push_back(request);
+    }
+    if (quarantineOrder_.size() > mostQuarantined) {
+        quarantined_.erase(quarantineOrder_.front());
+        quarantineOrder_.pop_front();
+    }
+    return true;
+}
+
+bool CrashQuarantine::contains(RequestFingerprint request, TimePoint now) const
+{
+    const auto found = quarantined_.find(request);
+    return found != quarantined_.end() && now < found->second;
+}
+
+std::size_t CrashQuarantine::size(TimePoint now) const
+{
+    return static_cast<std::size_t>(std::count_if(quarantined_.begin(), quarantined_.end(), [now](const auto &entry) { return now < entry.second; }));
+}
+
+void CrashQuarantine::forgetOld(TimePoint now)
+{
+    while (!suspectOrder_.empty()) {
+        const auto oldest = suspects_.find(suspectOrder_.front());
+        const bool isFull = suspectOrder_.size() > mostSuspects;
+        if (!isFull && now - oldest->second.lastAt <= suspicionTime) {
+            return;
+        }
+        suspects_.erase(oldest);
+        suspectOrder_.pop_front();
+    }
+}
+
+} // namespace Lovageloft
--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -48,6 +48,7 @@
     {"lovageloft_remote_debits_total", "Requests charged to shares of other hosts."},
     {"lovageloft_request_seconds", "Time from reading a request to the end of its answer."},
     {"lovageloft_requests_ended_total", "Requests by how they ended."},
+    {"lovageloft_requests_quarantined", "Requests that are sent to no target, as targets ended when they began them."},
     {"lovageloft_requests_running", "Requests at a target."},
     {"lovageloft_requests_total", "Requests read."},
     {"lovageloft_requests_waiting", "Requests that wait for a target."},
--- a/core/result_code.h
+++ b/core/result_code.h
@@ -42,6 +42,7 @@
     ExceedsBurst = 2007,
     RetryBudgetSpent = 2008,
     Overloaded = 2009,
+    Quarantined = 2010,
 
     TargetUnreachable = 3001,
     TargetTimeout = 3002,
--- /dev/null
+++ b/gateway/crash_guard.cpp
@@ -0,0 +1,77 @@
+#include "gateway/crash_guard.h"
+
+#include <utility>
+
+#include "core/log.h"
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+constexpr std::size_t homeCount = 2;
+
+} // namespace
+
+CrashGuard::CrashGuard(std::string host, Network network)
+    : host_(std::move(host))
+    , network_(std::move(network))
+{
+}
+
+void CrashGuard::setHosts(const std::vector<std::string> &candidates)
+{
+    candidates_ = RendezvousNames(candidates);
+}
+
+void CrashGuard::noteAnswered(RequestFingerprint request)
+{
+    quarantine_.noteAnswered(request);
+}
+
+bool CrashGuard::isQuarantined(RequestFingerprint request, TimePoint now) const
+{
+    return quarantine_.contains(request, now);
+}
+
+std::size_t CrashGuard::quarantinedCount(TimePoint now) const
+{
+    return quarantine_.size(now);
+}
+
+void CrashGuard::onTargetLost(const CrashReport &report, TimePoint now)
+{
+    if (!quarantine_.isSuspect(report.request)) {
+        return;
+    }
+    onReport(host_, report, now);
+    for (const std::string &home : candidates_.winners(fingerprintText(report.request), homeCount)) {
+        if (home != host_) {
+            network_.report(home, report);
+        }
+    }
+}
+
+void CrashGuard::onReport(const std::string &from, const CrashReport &report, TimePoint now)
+{
+    if (!quarantine_.countCrash(report, now)) {
+        return;
+    }
+    if (quarantine_.add(report.request, now)) {
+        writeLog(LogLevel::Warning, "request_quarantined", {{"fingerprint", fingerprintText(report.request)}, {"counted", true}});
+        network_.broadcast(report.request);
+        network_.record(report.request);
+    } else if (from != host_ && quarantine_.contains(report.request, now)) {
+        network_.tell(from, report.request);
+    }
+}
+
+void CrashGuard::onQuarantined(RequestFingerprint request, TimePoint now)
+{
+    if (quarantine_.add(request, now)) {
+        writeLog(LogLevel::Warning, "request_quarantined", {{"fingerprint", fingerprintText(request)}, {"counted", false}});
+    }
+}
+
+} // namespace Lovageloft
--- a/gateway/fleet_link.cpp
+++ b/gateway/fleet_link.cpp
@@ -22,6 +22,11 @@
     , budget_(hostName_)
     , tokenTimer_(gateway.loop())
     , sendTokenRequest_([this](const std::string &host, const TokenRequest &request) { peers_.send(host, request); })
+    , crashes_(hostName_,
+               {[this](const std::string &host, const CrashReport &report) { peers_.send(host, report); },
+                [this](const std::string &host, RequestFingerprint request) { peers_.send(host, request); },
+                [this](RequestFingerprint request) { peers_.broadcast(request); },
+                [this](RequestFingerprint request) { recordQuarantine_(request); }})
 {
 }
 
@@ -71,6 +76,7 @@
     if (relayedStore_ != nullptr) {
         relayedStore_->setHosts(names, candidates);
     }
+    crashes_.setHosts(candidates);
     budget_.setHosts(names.size(), candidates, share, BootClock::now());
 }
 
@@ -110,6 +116,31 @@
     }
 }
 
+void FleetLink::setQuarantineRecorder(std::function<void(RequestFingerprint)> recorder)
+{
+    recordQuarantine_ = std::move(recorder);
+}
+
+CrashGuard &FleetLink::crashes()
+{
+    return crashes_;
+}
+
+const CrashGuard &FleetLink::crashes() const
+{
+    return crashes_;
+}
+
+void FleetLink::onCrashReport(const std::string &host, const CrashReport &report)
+{
+    crashes_.onReport(host, report, BootClock::now());
+}
+
+void FleetLink::onQuarantined(RequestFingerprint request)
+{
+    crashes_.onQuarantined(request, BootClock::now());
+}
+
 void FleetLink::onWeightsQuestion(const std::string &host)
 {
     const TimePoint now = BootClock::now();
--- a/gateway/fleet_link.h
+++ b/gateway/fleet_link.h
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "decision/request_scheduler.h"
+#include "gateway/crash_guard.h"
 #include "gateway/host_record.h"
 #include "gateway/peer_socket.h"
 #include "gateway/relayed_store.h"
@@ -57,6 +58,13 @@
     /// Whether a cache store answers.
     void announceCacheStore(const std::string &address, bool isAlive);
 
+    /// Takes a request out of use on hosts that start later. To be called before the event loop runs.
+    void setQuarantineRecorder(std::function<void(RequestFingerprint)> recorder);
+
+    /// What this host knows of requests that end their targets.
+    CrashGuard &crashes();
+    const CrashGuard &crashes() const;
+
     /// Asks a few hosts how long ago the weights were named that this host found when it started.
     void askWeightsAges();
 
@@ -76,6 +84,8 @@
     void onCacheStoreNotice(const CacheStoreNotice &notice) override;
     void onWeightsQuestion(const std::string &host) override;
     void onWeightsAge(const WeightsAge &age) override;
+    void onCrashReport(const std::string &host, const CrashReport &report) override;
+    void onQuarantined(RequestFingerprint request) override;
     bool isBehind() const override;
     void scheduleTokenTimeout();
 
@@ -85,6 +95,8 @@
     TeamBudget budget_;
     boost::asio::steady_timer tokenTimer_;
     TeamBudget::Send sendTokenRequest_;
+    std::function<void(RequestFingerprint)> recordQuarantine_ = [](RequestFingerprint) {};
+    CrashGuard crashes_;
     std::vector<std::string> others_; ///< Names of the other hosts.
     std::size_t nextAsked_ = 0; ///< Of those.
     RelayedStore *relayedStore_ = nullptr;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -291,6 +291,11 @@
     return fleet_;
 }
 
+const FleetLink &Gateway::fleet() const
+{
+    return fleet_;
+}
+
 void Gateway::drain()
 {
     if (drainStartedAt_) {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -138,6 +138,7 @@
     RequestDispatch &dispatch();
     const RequestDispatch &dispatch() const;
     FleetLink &fleet();
+    const FleetLink &fleet() const;
     CallerLimits callerLimits() const;
     bool isDraining() const;
 
--- a/gateway/host_duty.cpp
+++ b/gateway/host_duty.cpp
@@ -1,6 +1,7 @@
 #include "gateway/host_duty.h"
 
 #include <algorithm>
+#include <charconv>
 #include <set>
 #include <utility>
 
@@ -25,6 +26,12 @@
 /// Between two watches, so that a herd of restarts is taken in few calls.
 constexpr Duration watchPause = std::chrono::milliseconds(200);
 
+/// Of a key that keeps a request in quarantine: the longest lease.
+constexpr Duration quarantineLifetime = std::chrono::minutes(10);
+
+/// Requests in quarantine that wait to be written while the store is away.
+constexpr std::size_t mostUnrecorded = 256;
+
 } // namespace
 
 HostDuty::HostDuty(Store &store, Gateway &gateway, Options options)
@@ -70,9 +77,51 @@
         }
         nextRenewal_ = now + options_.lifetime / renewalsPerLife;
     }
+    writeQuarantines();
     return followHosts();
 }
 
+void HostDuty::recordQuarantine(RequestFingerprint request)
+{
+    const std::lock_guard lock(mutex_);
+    if (!options_.quarantinePrefix.empty() && unrecorded_.size() < mostUnrecorded) {
+        unrecorded_.push_back(request);
+    }
+}
+
+/// Two homes write each key: that it exists already is as good.
+void HostDuty::writeQuarantines()
+{
+    std::vector<RequestFingerprint> requests;
+    {
+        const std::lock_guard lock(mutex_);
+        requests.swap(unrecorded_);
+    }
+    if (requests.empty()) {
+        return;
+    }
+    const StoreLeaseReply lease = store_.grantLease(quarantineLifetime);
+    for (const RequestFingerprint request : requests) {
+        StoreReply reply;
+        if (lease.status == StoreStatus::Ok) {
+            reply = store_.compareAndSwap(options_.quarantinePrefix + fingerprintText(request), 0, {}, lease.leaseId);
+        }
+        if (reply.status != StoreStatus::Ok && reply.status != StoreStatus::Conflict) {
+            recordQuarantine(request);
+        }
+    }
+}
+
+void HostDuty::takeQuarantine(std::string_view name)
+{
+    constexpr int hexadecimal = 16;
+    std::uint64_t value = 0;
+    const auto [end, error] = std::from_chars(name.data(), name.data() + name.size(), value, hexadecimal);
+    if (error == std::errc() && end == name.data() + name.size()) {
+        options_.onQuarantined(RequestFingerprint{value});
+    }
+}
+
 bool HostDuty::takeLease()
 {
     const TimePoint now = BootClock::now();
@@ -152,6 +201,12 @@
 
 void HostDuty::take(const StoreEntry &entry)
 {
+    if (!options_.quarantinePrefix.empty() && entry.key.starts_with(options_.quarantinePrefix)) {
+        if (!entry.isDeleted) {
+            takeQuarantine(std::string_view(entry.key).substr(options_.quarantinePrefix.size()));
+        }
+        return;
+    }
     if (!entry.key.starts_with(options_.hostsPrefix)) {
         takeLeader(entry);
         return;
--- a/gateway/host_duty.h
+++ b/gateway/host_duty.h
@@ -2,9 +2,11 @@
 
 #include <functional>
 #include <map>
+#include <mutex>
 #include <string>
 #include <vector>
 
+#include "coordination/request_fingerprint.h"
 #include "coordination/store.h"
 #include "core/settings.h"
 #include "gateway/duty.h"
@@ -29,6 +31,7 @@
         std::string prefix; ///< Of all that is watched; ends with a slash.
         std::string hostsPrefix; ///< Of the hosts' keys, within `prefix`.
         std::string weightsPrefix; ///< Of the keys of weights that were named lately, within `prefix`.
+        std::string quarantinePrefix = {}; ///< Of the keys of requests in quarantine, within `prefix`; empty: they are neither kept nor read.
         std::string hostName;
         HostRecord record; ///< What others are told of this host.
         Duration lifetime{}; ///< Of the lease; must be longer than the proof of a key counts.
@@ -37,10 +40,15 @@
         std::function<void(const std::string &host)> onLeader;
         /// The same with the hosts among which duties for others are given out, and how many hosts count in all.
         std::function<void(const std::vector<std::string> &candidates, std::size_t hosts)> onHosts;
+        /// The same with a request that is in quarantine.
+        std::function<void(RequestFingerprint)> onQuarantined = [](RequestFingerprint) {};
     };
 
     HostDuty(Store &store, Gateway &gateway, Options options);
 
+    /// Keeps a request in quarantine for hosts that start later. From any thread.
+    void recordQuarantine(RequestFingerprint request);
+
 private:
     void run() override;
     bool step();
@@ -48,6 +56,8 @@
     bool writeKey();
     void forgetLease();
     bool followHosts();
+    void writeQuarantines();
+    void takeQuarantine(std::string_view name);
     bool readAll();
     void take(const StoreEntry &entry);
     void takeLeader(const StoreEntry &entry);
@@ -67,6 +77,8 @@
     std::map<std::string, HostRecord> hosts_;
     double share_ = 0;
     TimePoint changedAt_; ///< When the hosts were last seen to change.
+    std::mutex mutex_;
+    std::vector<RequestFingerprint> unrecorded_; ///< Under mutex_.
 };
 
 } // namespace Lovageloft
--- a/gateway/peer_messages.capnp
+++ b/gateway/peer_messages.capnp
@@ -21,6 +21,8 @@
     packed @11 :Data; # A deflated datagram.
     changesRequest @12 :ChangesRequest;
     changesReply @13 :ChangesReply;
+    crashReport @14 :CrashReport;
+    quarantine @15 :UInt64; # Fingerprint of a request that is not to be sent to targets any more.
   }
 }
 
@@ -30,6 +32,12 @@
   datagram @1 :Data;
 }
 
+struct CrashReport {
+  # A target was lost that had this request and had not begun to answer it.
+  request @0 :UInt64; # Fingerprint.
+  target @1 :UInt64; # Digest of the target's name and start.
+}
+
 struct ChangesRequest {
   # What changed under a prefix after a revision?
   id @0 :UInt64;
--- a/gateway/peer_messages.capnp.h
+++ b/gateway/peer_messages.capnp.h
@@ -18,6 +18,7 @@
 
 CAPNP_DECLARE_SCHEMA(c25249b8c89549ee);
 CAPNP_DECLARE_SCHEMA(9b0092764b1509af);
+CAPNP_DECLARE_SCHEMA(fc538531887ec76e);
 CAPNP_DECLARE_SCHEMA(b936ef4fb1dc4e3c);
 CAPNP_DECLARE_SCHEMA(b11fb0dbbe552d39);
 CAPNP_DECLARE_SCHEMA(9842ba8fb9b3b5dc);
@@ -58,10 +59,12 @@
     PACKED,
     CHANGES_REQUEST,
     CHANGES_REPLY,
+    CRASH_REPORT,
+    QUARANTINE,
   };
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c25249b8c89549ee, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c25249b8c89549ee, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -83,6 +86,21 @@
   };
 };
 
+struct CrashReport {
+  CrashReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fc538531887ec76e, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct ChangesRequest {
   ChangesRequest() = delete;
 
@@ -339,6 +357,13 @@
   inline bool hasChangesReply() const;
   inline  ::Lovageloft::PeerMessages::ChangesReply::Reader getChangesReply() const;
 
+  inline bool isCrashReport() const;
+  inline bool hasCrashReport() const;
+  inline  ::Lovageloft::PeerMessages::CrashReport::Reader getCrashReport() const;
+
+  inline bool isQuarantine() const;
+  inline  ::uint64_t getQuarantine() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -476,6 +501,18 @@
   inline void adoptChangesReply(::capnp::Orphan< ::Lovageloft::PeerMessages::ChangesReply>&& value);
   inline ::capnp::Orphan< ::Lovageloft::PeerMessages::ChangesReply> disownChangesReply();
 
+  inline bool isCrashReport();
+  inline bool hasCrashReport();
+  inline  ::Lovageloft::PeerMessages::CrashReport::Builder getCrashReport();
+  inline void setCrashReport( ::Lovageloft::PeerMessages::CrashReport::Reader value);
+  inline  ::Lovageloft::PeerMessages::CrashReport::Builder initCrashReport();
+  inline void adoptCrashReport(::capnp::Orphan< ::Lovageloft::PeerMessages::CrashReport>&& value);
+  inline ::capnp::Orphan< ::Lovageloft::PeerMessages::CrashReport> disownCrashReport();
+
+  inline bool isQuarantine();
+  inline  ::uint64_t getQuarantine();
+  inline void setQuarantine( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -594,6 +631,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class CrashReport::Reader {
+public:
+  typedef CrashReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest() const;
+
+  inline  ::uint64_t getTarget() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashReport::Builder {
+public:
+  typedef CrashReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
+
+  inline  ::uint64_t getTarget();
+  inline void setTarget( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashReport::Pipeline {
+public:
+  typedef CrashReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ChangesRequest::Reader {
 public:
   typedef ChangesRequest Reads;
@@ -2442,6 +2560,86 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::isCrashReport() const {
+  return which() == Datagram::CRASH_REPORT;
+}
+inline bool Datagram::Builder::isCrashReport() {
+  return which() == Datagram::CRASH_REPORT;
+}
+inline bool Datagram::Reader::hasCrashReport() const {
+  if (which() != Datagram::CRASH_REPORT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasCrashReport() {
+  if (which() != Datagram::CRASH_REPORT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Lovageloft::PeerMessages::CrashReport::Reader Datagram::Reader::getCrashReport() const {
+  KJ_IREQUIRE((which() == Datagram::CRASH_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::CrashReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Lovageloft::PeerMessages::CrashReport::Builder Datagram::Builder::getCrashReport() {
+  KJ_IREQUIRE((which() == Datagram::CRASH_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::CrashReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setCrashReport( ::Lovageloft::PeerMessages::CrashReport::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CRASH_REPORT);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::CrashReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Lovageloft::PeerMessages::CrashReport::Builder Datagram::Builder::initCrashReport() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CRASH_REPORT);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::CrashReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptCrashReport(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::CrashReport>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::CRASH_REPORT);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::CrashReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::CrashReport> Datagram::Builder::disownCrashReport() {
+  KJ_IREQUIRE((which() == Datagram::CRASH_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::CrashReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isQuarantine() const {
+  return which() == Datagram::QUARANTINE;
+}
+inline bool Datagram::Builder::isQuarantine() {
+  return which() == Datagram::QUARANTINE;
+}
+inline  ::uint64_t Datagram::Reader::getQuarantine() const {
+  KJ_IREQUIRE((which() == Datagram::QUARANTINE),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Datagram::Builder::getQuarantine() {
+  KJ_IREQUIRE((which() == Datagram::QUARANTINE),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setQuarantine( ::uint64_t value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::QUARANTINE);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Forward::Reader::hasReceivers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2514,6 +2712,34 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t CrashReport::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashReport::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CrashReport::Reader::getTarget() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashReport::Builder::getTarget() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setTarget( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t ChangesRequest::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -151,6 +151,13 @@
     return datagram;
 }
 
+std::string encodeQuarantine(RequestFingerprint request)
+{
+    capnp::MallocMessageBuilder message;
+    message.initRoot<Datagram>().setQuarantine(static_cast<std::uint64_t>(request));
+    return encode(message);
+}
+
 } // namespace
 
 PeerSocket::PeerSocket(boost::asio::io_context &loop, PeerEvents &events)
@@ -273,6 +280,25 @@
     sendTo(host, encode(message));
 }
 
+void PeerSocket::send(const std::string &host, const CrashReport &report)
+{
+    capnp::MallocMessageBuilder message;
+    auto encoded = message.initRoot<Datagram>().initCrashReport();
+    encoded.setRequest(static_cast<std::uint64_t>(report.request));
+    encoded.setTarget(report.target);
+    sendTo(host, encode(message));
+}
+
+void PeerSocket::send(const std::string &host, RequestFingerprint quarantined)
+{
+    sendTo(host, encodeQuarantine(quarantined));
+}
+
+void PeerSocket::broadcast(RequestFingerprint quarantined)
+{
+    broadcastBytes(encodeQuarantine(quarantined));
+}
+
 void PeerSocket::broadcast(const CacheStoreNotice &notice)
 {
     capnp::MallocMessageBuilder message;
@@ -486,6 +512,15 @@
             events_.onWeightsAge({age.getModel(), age.getVersion(), std::chrono::milliseconds(std::min(age.getAgeMilliseconds(), longest))});
             break;
         }
+        case Datagram::CRASH_REPORT: {
+            const auto report = datagram.getCrashReport();
+            events_.onCrashReport(host, {RequestFingerprint{report.getRequest()}, report.getTarget()});
+            break;
+        }
+        case Datagram::QUARANTINE: {
+            events_.onQuarantined(RequestFingerprint{datagram.getQuarantine()});
+            break;
+        }
         case Datagram::TOKEN_REPLY: {
             const auto reply = datagram.getTokenReply();
             events_.onTokenReply({reply.getId(), reply.getIsGranted(), std::chrono::milliseconds(reply.getRetryAfterMilliseconds())});
--- a/gateway/peer_socket.h
+++ b/gateway/peer_socket.h
@@ -14,6 +14,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 
+#include "coordination/crash_quarantine.h"
 #include "coordination/store.h"
 #include "core/clock.h"
 #include "core/random.h"
@@ -136,6 +137,8 @@
     virtual void onCacheStoreNotice(const CacheStoreNotice &notice) = 0;
     virtual void onWeightsQuestion(const std::string &host) = 0;
     virtual void onWeightsAge(const WeightsAge &age) = 0;
+    virtual void onCrashReport(const std::string &host, const CrashReport &report) = 0;
+    virtual void onQuarantined(RequestFingerprint request) = 0;
 
     /// Whether what comes in now may have lain unread; it is then not passed on to others.
     virtual bool isBehind() const = 0;
@@ -161,6 +164,7 @@
     void broadcast(const DispatchNotice &notice);
     void broadcast(const LoadingNotice &notice);
     void broadcast(const CacheStoreNotice &notice);
+    void broadcast(RequestFingerprint quarantined);
 
     /// In as many datagrams as it takes.
     void broadcast(const ChangesNotice &notice);
@@ -174,6 +178,8 @@
     void send(const std::string &host, const ProofReply &reply);
     void send(const std::string &host, const WeightsQuestion &question);
     void send(const std::string &host, const WeightsAge &age);
+    void send(const std::string &host, const CrashReport &report);
+    void send(const std::string &host, RequestFingerprint quarantined);
 
 private:
     using Endpoint = boost::asio::ip::udp::endpoint;
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <xxhash.h>
+
 #include "gateway/caller_session.h"
 #include "gateway/gateway.h"
 #include "gateway/target_request.h"
@@ -35,6 +37,9 @@
 /// When to come back after a refusal for which nothing else is known: most causes pass or move to another host within that.
 constexpr Duration usualRetryAfter = std::chrono::milliseconds(300);
 
+/// When to come back with a request in quarantine: it will not be sent to a target for minutes.
+constexpr Duration quarantineRetryAfter = std::chrono::seconds(30);
+
 /// How long a call that must run once is left to a target after its caller has its answer or is gone. Targets stop at the
 /// deadline that came with the request; beyond this one is stuck, and its connection is worth more.
 constexpr Duration orphanLimit = std::chrono::seconds(10);
@@ -81,6 +86,10 @@
         return;
     }
     fingerprint_ = intake_.fingerprint(body_);
+    if (isQuarantined()) {
+        failQuarantined();
+        return;
+    }
     limit_ = startedAt_ + intake_.route()->timeout;
     if (intake_.caller().patience) {
         limit_ = std::min(limit_, startedAt_ + *intake_.caller().patience);
@@ -146,6 +155,11 @@
         fail(reason);
         return;
     }
+    if (isQuarantined()) {
+        endDispatch(SchedulerEnd::Cancelled);
+        failQuarantined();
+        return;
+    }
     const Target *target = gateway_.targets().find(assignment.engine);
     if (target == nullptr) {
         endDispatch(SchedulerEnd::Cancelled);
@@ -176,6 +190,7 @@
     ++sends_;
     ++runs_;
     isAnswerKept_ = false;
+    targetStart_ = XXH3_64bits_withSeed(target.id.data(), target.id.size(), static_cast<std::uint64_t>(target.incarnation));
     std::string salt;
     CachePlan plan;
     const std::string_view lastEventId = events_.lastId().empty() ? std::string_view(intake_.caller().lastEventId) : std::string_view(events_.lastId());
@@ -236,6 +251,7 @@
     }
     if (!isFirstEventNoted_) {
         isFirstEventNoted_ = true;
+        gateway_.fleet().crashes().noteAnswered(fingerprint_);
         gateway_.dispatch().onFirstToken(schedulerId_);
     }
     if (!isAnswerStarted_) {
@@ -274,6 +290,7 @@
         return;
     }
     if (!isFirstEventNoted_) {
+        gateway_.fleet().crashes().noteAnswered(fingerprint_);
         gateway_.dispatch().onFirstToken(schedulerId_);
     }
     const bool isFailure = answerHead_.status >= firstErrorStatus || !isAnswerKept_;
@@ -319,6 +336,9 @@
         return;
     }
     log_.lost(targetId_, fingerprint_, why, loss == TargetLoss::NotSent, isAnswerStarted_);
+    if (loss == TargetLoss::MayHaveRun && !isFirstEventNoted_) {
+        gateway_.fleet().crashes().onTargetLost({fingerprint_, targetStart_}, BootClock::now());
+    }
     endDispatch(SchedulerEnd::Failed);
     events_.dropPartial();
     held_.clear();
@@ -330,7 +350,7 @@
         return;
     }
     hasRun_ = true;
-    if (isRetryable()) {
+    if (isRetryable() && !isQuarantined()) {
         tryElsewhere();
     } else if (isAnswerStarted_) {
         breakOff(why);
@@ -350,6 +370,16 @@
     return intake_.route()->isIdempotent() && runs_ < intake_.route()->maxAttempts && timeLeft(BootClock::now()) > leastTimeForTry && session_ != nullptr;
 }
 
+bool RoutedRequest::isQuarantined() const
+{
+    return gateway_.fleet().crashes().isQuarantined(fingerprint_, BootClock::now());
+}
+
+void RoutedRequest::failQuarantined()
+{
+    fail({ResultCode::Quarantined, "targets ended when they began this request"}, quarantineRetryAfter);
+}
+
 void RoutedRequest::tryElsewhere()
 {
     if (session_ == nullptr) {
--- a/gateway/routed_request.h
+++ b/gateway/routed_request.h
@@ -89,6 +89,8 @@
     void relay(std::string_view bytes);
     void endDispatch(SchedulerEnd end);
     bool isRetryable() const;
+    bool isQuarantined() const;
+    void failQuarantined();
     void tryElsewhere();
     void startAnswer(std::optional<std::size_t> bodyBytes);
     void relayHeld();
@@ -108,6 +110,7 @@
     RequestIntake intake_;
     RequestLog log_;
     RequestFingerprint fingerprint_{};
+    std::uint64_t targetStart_ = 0; ///< Digest of the name and start of the target that has it.
     double charged_ = 0; ///< Tokens taken from the team's rate.
     Phase phase_ = Phase::Filtering;
     TimePoint startedAt_;
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -14,6 +14,7 @@
 constexpr std::string_view ownPrefix = "lovageloft/";
 constexpr std::string_view hostsPrefix = "lovageloft/hosts/";
 constexpr std::string_view weightsPrefix = "lovageloft/weights/";
+constexpr std::string_view quarantinePrefix = "lovageloft/quarantine/";
 constexpr std::string_view leaderKey = "lovageloft/leader";
 
 /// A shutdown ends this much before the platform kills the process.
@@ -137,6 +138,7 @@
 {
     gateway_.fleet().setRelayedStore(relayedStore_);
     gateway_.setWeightsListener([this](const std::vector<NamedWeights> &weights) { weightsDuty_.setNamedWeights(weights); });
+    gateway_.fleet().setQuarantineRecorder([this](RequestFingerprint request) { hostDuty_.recordQuarantine(request); });
     gateway_.fleet().setOrderListener([this](const std::string &target) { weightsDuty_.onOrderOfOther(target); });
 }
 
@@ -156,12 +158,16 @@
     options.prefix = ownPrefix;
     options.hostsPrefix = hostsPrefix;
     options.weightsPrefix = weightsPrefix;
+    options.quarantinePrefix = quarantinePrefix;
     options.hostName = settings_.hostName;
     options.record = {settings_.peers, settings_.capacity, settings_.dataCentre};
     options.lifetime = settings_.keyProofWindow * hostLeaseInProofWindows;
     options.leaderKey = leaderKey;
     options.onLeader = [this](const std::string &host) { weightsDuty_.setLeader(host); };
     options.onHosts = [this](const std::vector<std::string> &candidates, std::size_t hosts) { weightsDuty_.setHosts(candidates, hosts); };
+    options.onQuarantined = [this](RequestFingerprint request) {
+        gateway_.post([request](Gateway &gateway) { gateway.fleet().crashes().onQuarantined(request, BootClock::now()); });
+    };
     return options;
 }
 
--- a/tests/platform/test_datagrams.cpp
+++ b/tests/platform/test_datagrams.cpp
@@ -59,6 +59,8 @@
         return told.wait_for(2s) == std::future_status::ready ? std::optional(told.get()) : std::nullopt;
     }
 
+    std::atomic<int> reports = 0;
+
 private:
     void tell(const WeightsQuestion &question)
     {
@@ -115,6 +117,16 @@
         return false;
     }
 
+    void onCrashReport(const std::string &host, const CrashReport &report) override
+    {
+        socket_.send(host, report.request); // It has heard of enough targets already.
+        ++reports;
+    }
+
+    void onQuarantined(RequestFingerprint /*request*/) override
+    {
+    }
+
     void onProofRequest(const std::string & /*host*/, const ProofRequest & /*request*/) override
     {
     }
@@ -135,10 +147,10 @@
     std::thread thread_;
 };
 
-/// A gateway with one engine that has version 1, and another host.
-struct Fixture : GatewayFixture
+/// A gateway and another host.
+struct TwoHosts : GatewayFixture
 {
-    Fixture()
+    TwoHosts()
         : other(*this)
     {
         onLoop([](Gateway &gateway) {
@@ -147,6 +159,16 @@
             limits.keyProofWindow = 1h;
             gateway.setLimits(limits);
         });
+    }
+
+    OtherHost other;
+};
+
+/// The same with one engine that has version 1.
+struct Fixture : TwoHosts
+{
+    Fixture()
+    {
         addEngine(
             "e", {"m", 1}, [](ScriptedTarget::Connection &connection, const ScriptedTarget::Request &request) { connection.answer(request, 200, "old"); });
     }
@@ -156,8 +178,6 @@
         const std::string fields = "Lovageloft-Model: m\r\nLovageloft-Token-Count: 10,1\r\nLovageloft-Prefix-Hash: a:10\r\n";
         return exchange(request("POST", "/safe/x", {}, fields)).starts_with("HTTP/1.1 200 ");
     }
-
-    OtherHost other;
 };
 
 } // namespace
@@ -200,4 +220,25 @@
     BOOST_TEST(isServed());
 }
 
+// Guards against a host that goes on sending a request which other hosts have in quarantine.
+BOOST_FIXTURE_TEST_CASE(aRequestThatAnotherHostHasInQuarantineIsNotSent, TwoHosts)
+{
+    std::atomic<int> crashes = 0;
+    addTarget("t", [&crashes](ScriptedTarget::Connection &connection, const ScriptedTarget::Request & /*request*/) {
+        ++crashes;
+        connection.reset();
+    });
+    const auto answer = [this] { return exchange(request("POST", "/once/x", "crash")); };
+    BOOST_TEST(answer().starts_with("HTTP/1.1 502 "));
+    const TimePoint limit = BootClock::now() + 3s;
+    std::string last;
+    while (!last.starts_with("HTTP/1.1 503 ") && BootClock::now() < limit) {
+        last = answer();
+    }
+    BOOST_TEST(contains(last, "\"code\":2010"));
+    BOOST_TEST(contains(last, "not_run"));
+    BOOST_TEST(other.reports >= 1);
+    BOOST_TEST(crashes <= static_cast<int>(CrashQuarantine::crashLimit));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/test_host_listed_again.cpp
+++ b/tests/platform/test_host_listed_again.cpp
@@ -77,6 +77,7 @@
         options.record.address = {"127.0.0.1", 1};
         options.lifetime = lifetime;
         options.leaderKey = "fleet/leader";
+        options.quarantinePrefix = "fleet/quarantine/";
         options.onLeader = [](const std::string & /*host*/) {};
         options.onHosts = [](const std::vector<std::string> & /*candidates*/, std::size_t /*hosts*/) {};
         return options;
@@ -123,8 +124,52 @@
     }
 };
 
+/// What a host's duty is told of requests in quarantine.
+class ToldRequests
+{
+public:
+    HostDuty::Options listen(HostDuty::Options options)
+    {
+        options.hostName = "b";
+        options.onQuarantined = [this](RequestFingerprint request) {
+            told_ = request;
+            told_.notify_all();
+        };
+        return options;
+    }
+
+    RequestFingerprint wait()
+    {
+        told_.wait(RequestFingerprint{});
+        return told_;
+    }
+
+private:
+    std::atomic<RequestFingerprint> told_{};
+};
+
 } // namespace
 
+// Guards against hosts that start, or all of a fleet that restarts, and send a request on that has ended targets before.
+BOOST_FIXTURE_TEST_CASE(aRequestInQuarantineIsKnownToHostsThatStartLater, HostFixture)
+{
+    constexpr RequestFingerprint request{0xabcdef0123456789};
+    duty.recordQuarantine(request);
+    const TimePoint limit = BootClock::now() + patience;
+    while (store.list("fleet/quarantine/").entries.empty() && BootClock::now() < limit) {
+        std::this_thread::sleep_for(5ms);
+    }
+    const StoreListReply kept = store.list("fleet/quarantine/");
+    BOOST_REQUIRE(kept.entries.size() == 1U);
+    BOOST_TEST(kept.entries.front().key == "fleet/quarantine/" + fingerprintText(request));
+    ToldRequests told;
+    HostDuty later(store, gateway, told.listen(options(1h)));
+    later.start();
+    BOOST_TEST((told.wait() == request));
+    later.stop();
+    later.join();
+}
+
 BOOST_FIXTURE_TEST_CASE(aHostThatStartsAgainTakesItsKeyOver, RestartFixture)
 {
     // Guards against a host that is no longer counted once the lease of its earlier process ends.
