Revisions go on rising when the store comes back from an older copy

Cause: in a drill the store gives revisions out a second time. All that orders by the bare revision would then take another value for a known one: proofs of freshness for what was never read, conditional writes upon another's value, fencing tokens that go back, watches that miss changes. Change: the driver of the platform's store puts the era of each answer above the revision, in one number, so that everything else orders by era first without knowing of eras. A leader of an earlier era is none, and its successor waits for its lease.

--- a/coordination/forwarding_store.h
+++ b/coordination/forwarding_store.h
@@ -15,6 +15,11 @@
     {
     }
 
+    std::int64_t era() const override
+    {
+        return next_.era();
+    }
+
     StoreReply get(std::string_view key) override
     {
         return next_.get(key);
--- a/coordination/lease_holder.cpp
+++ b/coordination/lease_holder.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "coordination/store_position.h"
+
 namespace Lovageloft
 {
 
@@ -26,6 +28,23 @@
     if (now >= nextStep_) {
         (this->*next_)(now);
     }
+    noteEra(now);
+}
+
+/// A store that came back from an older copy may have given the key to another, or may do so at any moment.
+void LeaseHolder::noteEra(TimePoint now)
+{
+    const std::int64_t era = store_.era();
+    if (era == era_) {
+        return;
+    }
+    if (era_ != 0) {
+        otherHolderUntil_ = now + options_.timeToLive + options_.margin;
+    }
+    era_ = era;
+    if (token_ != 0 && eraOf(token_) != era) {
+        lose(now);
+    }
 }
 
 TimePoint LeaseHolder::nextStep() const
@@ -42,7 +61,7 @@
 
 bool LeaseHolder::isHeld(TimePoint now) const
 {
-    return token_ != 0 && now < deadline_;
+    return token_ != 0 && now < deadline_ && eraOf(token_) == store_.era();
 }
 
 std::int64_t LeaseHolder::token() const
@@ -52,7 +71,7 @@
 
 TimePoint LeaseHolder::settledAt() const
 {
-    return acquiredAt_ + options_.settleTime.value_or(options_.timeToLive + options_.margin);
+    return std::max(acquiredAt_ + options_.settleTime.value_or(options_.timeToLive + options_.margin), otherHolderUntil_);
 }
 
 void LeaseHolder::release(TimePoint now)
--- a/coordination/lease_holder.h
+++ b/coordination/lease_holder.h
@@ -46,7 +46,7 @@
 
     /// From when on nothing that an earlier holder sent can still arrive, if messages take less than a lease's life:
     /// the acquisition plus the life of a lease and the margin. Where every call is known to have ended sooner, LeaseOptions::settleTime
-    /// says so.
+    /// says so. After a change of the store's era the earlier holder may not have heard of it, so its lease is waited for in any case.
     TimePoint settledAt() const;
 
     /// Stops at once, and frees the key with the next step.
@@ -55,6 +55,7 @@
 private:
     using Step = void (LeaseHolder::*)(TimePoint);
 
+    void noteEra(TimePoint now);
     void poll(TimePoint now);
     void grant(TimePoint now);
     void create(TimePoint now);
@@ -77,6 +78,8 @@
     std::int64_t removedToken_ = 0;
     TimePoint deadline_;
     TimePoint acquiredAt_;
+    std::int64_t era_ = 0; ///< Last seen.
+    TimePoint otherHolderUntil_; ///< Until when a holder of the era before may act.
 };
 
 } // namespace Lovageloft
--- a/coordination/memory_store.cpp
+++ b/coordination/memory_store.cpp
@@ -20,6 +20,34 @@
 {
 }
 
+std::shared_ptr<const MemoryStore::Copy> MemoryStore::copy()
+{
+    const std::lock_guard lock(mutex_);
+    expireLeases();
+    auto copy = std::make_shared<Copy>();
+    copy->values_ = values_;
+    copy->leases_ = leases_;
+    copy->revision_ = revision_;
+    return copy;
+}
+
+void MemoryStore::restore(const Copy &copy)
+{
+    const std::lock_guard lock(mutex_);
+    values_ = copy.values_;
+    leases_ = copy.leases_;
+    revision_ = copy.revision_;
+    history_.clear();
+    compactedRevision_ = revision_;
+    ++restores_;
+    changed_.notify_all();
+}
+
+std::int64_t MemoryStore::restores() const
+{
+    return restores_;
+}
+
 StoreReply MemoryStore::get(std::string_view key)
 {
     const std::lock_guard lock(mutex_);
@@ -127,7 +155,7 @@
 
 StoreListReply MemoryStore::historyAfter(std::string_view prefix, std::int64_t afterRevision) const
 {
-    if (afterRevision < compactedRevision_) {
+    if (afterRevision < compactedRevision_ || afterRevision > revision_) {
         return {StoreStatus::NotFound, {}, compactedRevision_};
     }
     StoreListReply reply{StoreStatus::Ok, {}, revision_};
--- a/coordination/memory_store.h
+++ b/coordination/memory_store.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <atomic>
 #include <condition_variable>
 #include <cstddef>
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 
 #include "coordination/store.h"
@@ -23,6 +25,18 @@
     /// NotFound with the oldest revision that it may go on from; its caller has to list again.
     explicit MemoryStore(Now now = &BootClock::now, std::size_t historyLimit = 4096);
 
+    /// All that a copy of the store holds.
+    class Copy;
+
+    std::shared_ptr<const Copy> copy();
+
+    /// Comes back from a copy: what was written since is gone, leases too, and revisions are given out again. A watch from a revision that there
+    /// isn't gets NotFound.
+    void restore(const Copy &copy);
+
+    /// How often it was restored.
+    std::int64_t restores() const;
+
     StoreReply get(std::string_view key) override;
     StoreListReply list(std::string_view prefix) override;
     StoreReply compareAndSwap(std::string_view key, std::int64_t expectedRevision, std::string_view value, std::int64_t leaseId) override;
@@ -63,6 +77,16 @@
     std::int64_t compactedRevision_ = 0; // The last write that has left the history.
     std::int64_t revision_ = 0;
     std::int64_t lastLeaseId_ = 0;
+    std::atomic<std::int64_t> restores_ = 0;
+};
+
+class MemoryStore::Copy
+{
+    friend class MemoryStore;
+
+    std::map<std::string, Value, std::less<>> values_;
+    std::map<std::int64_t, Lease> leases_;
+    std::int64_t revision_ = 0;
 };
 
 } // namespace Lovageloft
--- a/coordination/store.h
+++ b/coordination/store.h
@@ -28,7 +28,7 @@
 {
     std::string key;
     std::string value;
-    std::int64_t revision = 0; ///< Revision of the last write to this key, from 1 on; 0 for a key that does not exist.
+    std::int64_t revision = 0; ///< Position of the last write to this key, from 1 on; 0 for a key that does not exist.
     bool isDeleted = false; ///< In a watch: the key was deleted or its lease lapsed.
 };
 
@@ -71,6 +71,12 @@
     Store &operator=(const Store &) = delete;
     virtual ~Store() = default;
 
+    /// The era that the store was last seen in; see coordination/store_position.h. 0 for one without eras.
+    virtual std::int64_t era() const
+    {
+        return 0;
+    }
+
     virtual StoreReply get(std::string_view key) = 0;
 
     /// Asks whether the key's last write is still that of `revision`: Ok if so, Conflict if not. As linearizable as `get`, but
--- a/drivers/http_connection.cpp
+++ b/drivers/http_connection.cpp
@@ -156,6 +156,9 @@
         }
         socket_->setLinger(false, 0);
         answer.status = response.getStatus();
+        for (const auto &[name, value] : response) {
+            answer.fields.push_back({name, value});
+        }
         isKeptAlive_ = response.getKeepAlive();
         return answer;
     } catch (const Poco::Exception &) {
--- a/drivers/http_connection.h
+++ b/drivers/http_connection.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "core/clock.h"
 #include "core/settings.h"
@@ -25,6 +26,7 @@
 {
     int status = 0;
     std::string body;
+    std::vector<HttpField> fields = {};
 };
 
 /// How long an answer that has begun is waited for beyond a call's deadline: long ones take a thin link a while, and begun anew each
--- a/gateway/measured_store.cpp
+++ b/gateway/measured_store.cpp
@@ -34,6 +34,11 @@
     return reply;
 }
 
+std::int64_t MeasuredStore::era() const
+{
+    return store_.era();
+}
+
 StoreReply MeasuredStore::get(std::string_view key)
 {
     return measured("get", [&] { return store_.get(key); });
--- a/gateway/measured_store.h
+++ b/gateway/measured_store.h
@@ -13,6 +13,7 @@
     /// Both must outlive this object.
     MeasuredStore(Store &store, Metrics &metrics);
 
+    std::int64_t era() const override;
     StoreReply get(std::string_view key) override;
     StoreReply confirm(std::string_view key, std::int64_t revision) override;
     StoreListReply list(std::string_view prefix) override;
--- a/tests/stand_ins/stand_in_kv_store.cpp
+++ b/tests/stand_ins/stand_in_kv_store.cpp
@@ -127,6 +127,12 @@
     rate_ = bytesPerSecond;
 }
 
+void StandInKvStore::setEraText(const std::string &text)
+{
+    const std::lock_guard lock(mutex_);
+    eraText_ = text;
+}
+
 int StandInKvStore::calls() const
 {
     return server_.requests();
@@ -150,7 +156,14 @@
         return;
     }
     connection.setRate(rate_);
-    connection.answer(request, fault_ == Fault::Busy ? unavailable : status, body, "Content-Type: application/json\r\n");
+    connection.answer(request, fault_ == Fault::Busy ? unavailable : status, body, "Content-Type: application/json\r\n" + eraField());
+}
+
+std::string StandInKvStore::eraField()
+{
+    const std::lock_guard lock(mutex_);
+    const std::string text = eraText_.value_or(std::to_string(1 + memory_.restores()));
+    return text.empty() ? text : "Store-Era: " + text + "\r\n";
 }
 
 std::string StandInKvStore::perform(const ScriptedTarget::Request &request, int &status)
--- a/tests/stand_ins/stand_in_kv_store.h
+++ b/tests/stand_ins/stand_in_kv_store.h
@@ -2,6 +2,8 @@
 
 #include <atomic>
 #include <functional>
+#include <mutex>
+#include <optional>
 #include <string>
 
 #include "coordination/memory_store.h"
@@ -34,16 +36,22 @@
     /// Bytes a second in which answers are sent from now on; 0: as fast as they are taken.
     void setRate(std::size_t bytesPerSecond);
 
+    /// The era named in answers, in place of that of the memory: may be no number, or empty for none.
+    void setEraText(const std::string &text);
+
     int calls() const;
 
 private:
     void answer(ScriptedTarget::Connection &connection, const ScriptedTarget::Request &request);
+    std::string eraField();
     std::string perform(const ScriptedTarget::Request &request, int &status);
     std::string transact(const std::string &body, int &status);
 
     MemoryStore memory_;
     std::atomic<Fault> fault_ = Fault::None;
     std::atomic<std::size_t> rate_ = 0;
+    std::mutex mutex_;
+    std::optional<std::string> eraText_;
     ScriptedTarget server_;
 };
 
