Engines that an older copy of the store lacks are waited for, and those that left stay so

Cause: after the store came back from a copy, engines that came since are not listed until they write again, and engines that said they leave are listed as ready. Hosts would drop the former and send to the latter. Change: a change of era counts as an outage for entries that are missing; an entry of the same start of an engine doesn't undo that it leaves. Test: whatAnOlderCopyOfTheStoreLacksIsWaitedForAndWhatLeftStaysSo.

--- a/gateway/target_duty.cpp
+++ b/gateway/target_duty.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "coordination/store_position.h"
 #include "core/log.h"
 
 namespace Lovageloft
@@ -62,7 +63,8 @@
         take(entry, targets);
     }
     const TimePoint now = BootClock::now();
-    const bool wasAway = lostAt_ && reply.away.value_or(lapseTime) >= lapseTime;
+    const bool wasAway = isOtherEra(reply.revision) || (lostAt_ && reply.away.value_or(lapseTime) >= lapseTime);
+    reached_ = reply.revision;
     for (const auto &[id, target] : targets_) {
         if (!targets.contains(id) && wasAway) {
             missing_.try_emplace(id, now + returnGrace);
@@ -95,7 +97,8 @@
         return true;
     }
     TargetMap targets = targets_;
-    const bool wasAway = reply.away.value_or(reply.silence) >= lapseTime;
+    const bool wasAway = isOtherEra(reply.revision) || reply.away.value_or(reply.silence) >= lapseTime;
+    reached_ = watchFrom_;
     const TimePoint now = BootClock::now();
     for (const StoreEntry &entry : reply.entries) {
         if (wasAway && entry.isDeleted) {
@@ -109,6 +112,12 @@
     return true;
 }
 
+/// Whether the store came back from an older copy since it was last heard of. What that lacks is written again, as after an outage.
+bool TargetDuty::isOtherEra(std::int64_t position) const
+{
+    return reached_ != 0 && eraOf(position) != eraOf(reached_);
+}
+
 std::string TargetDuty::targetOf(const StoreEntry &entry) const
 {
     return entry.key.substr(std::min(records_.targetPrefix().size(), entry.key.size()));
@@ -128,6 +137,9 @@
         targets.erase(id);
         return;
     }
+    // A store that came back from an older copy tells what was written before.
+    const auto known = targets_.find(id);
+    target->isLeaving = target->isLeaving || (known != targets_.end() && known->second.incarnation == target->incarnation && known->second.isLeaving);
     targets.insert_or_assign(id, std::move(*target));
 }
 
--- a/gateway/target_duty.h
+++ b/gateway/target_duty.h
@@ -31,6 +31,7 @@
     void run() override;
     bool readAll();
     bool watchOnce();
+    bool isOtherEra(std::int64_t position) const;
     std::string targetOf(const StoreEntry &entry) const;
     void take(const StoreEntry &entry, TargetMap &targets) const;
     void publish(TargetMap &&targets);
@@ -43,6 +44,7 @@
     TargetMap targets_;
     std::map<std::string, TimePoint> missing_; ///< Entries that were not there after an outage, and when each is taken as gone.
     std::int64_t watchFrom_ = 0;
+    std::int64_t reached_ = 0; ///< Position up to which changes were heard of.
     std::optional<TimePoint> lostAt_;
 };
 
--- a/tests/gateway/test_duties.cpp
+++ b/tests/gateway/test_duties.cpp
@@ -6,6 +6,7 @@
 
 #include "coordination/forwarding_store.h"
 #include "coordination/memory_store.h"
+#include "coordination/store_position.h"
 #include "gateway/proof_duty.h"
 #include "gateway/target_duty.h"
 
@@ -109,6 +110,7 @@
         Target target;
         target.id = entry.key.substr(targetPrefix().size());
         target.service = entry.value;
+        target.isLeaving = entry.value == "leaving";
         return target;
     }
 
@@ -193,7 +195,9 @@
 
     StoreListReply list(std::string_view /*prefix*/) override
     {
-        return {StoreStatus::Ok, {{"t/a", "s", 1, false}, {"t/b", "s", 2, false}}, 2};
+        const std::lock_guard lock(mutex_);
+        isListDue_ = false;
+        return {StoreStatus::Ok, listed_, position_};
     }
 
     StoreListReply watch(std::string_view /*prefix*/, std::int64_t afterRevision, Duration /*timeout*/) override
@@ -201,24 +205,38 @@
         constexpr Duration longestWait = 20ms;
         std::unique_lock lock(mutex_);
         told_.wait_for(lock, longestWait, [this] { return !entries_.empty(); });
+        if (isListDue_) {
+            return {StoreStatus::NotFound, {}, 0};
+        }
         StoreListReply reply{StoreStatus::Ok, std::exchange(entries_, {}), afterRevision + 1, 3s};
         reply.away = away_;
         return reply;
     }
 
     /// `away`: for how long the store had answered nobody.
-    void tell(const std::string &deletedKey, Duration away)
+    void tell(const StoreEntry &entry, Duration away)
     {
         const std::lock_guard lock(mutex_);
-        entries_.push_back({deletedKey, {}, 3, true});
+        entries_.push_back(entry);
         away_ = away;
         told_.notify_all();
     }
 
+    void comeBack(const std::vector<StoreEntry> &entries, std::int64_t position)
+    {
+        const std::lock_guard lock(mutex_);
+        listed_ = entries;
+        position_ = position;
+        isListDue_ = true;
+    }
+
 private:
     MemoryStore memory_;
     std::mutex mutex_;
     std::condition_variable told_;
+    std::vector<StoreEntry> listed_{{"t/a", "s", 1, false}, {"t/b", "s", 2, false}};
+    std::int64_t position_ = 2;
+    bool isListDue_ = false;
     std::vector<StoreEntry> entries_;
     Duration away_{};
 };
@@ -302,15 +320,33 @@
     duty.start();
     BOOST_REQUIRE(latest.waitFor(TargetFixture::names({"a", "b"})));
     const TimePoint before = BootClock::now();
-    store.tell("t/a", 0ms);
+    store.tell({"t/a", {}, 3, true}, 0ms);
     BOOST_TEST(latest.waitFor(TargetFixture::names({"b"})));
     BOOST_TEST((BootClock::now() - before < 1s));
-    store.tell("t/b", 3s);
+    store.tell({"t/b", {}, 3, true}, 3s);
     BOOST_TEST(latest.holdsFor(1s, TargetFixture::names({"b"}))); // It may have lapsed and be written again.
     duty.stop();
     duty.join();
 }
 
+// Guards against engines that vanish, or come back from leaving, when the store comes back from a copy that is some seconds old.
+BOOST_AUTO_TEST_CASE(whatAnOlderCopyOfTheStoreLacksIsWaitedForAndWhatLeftStaysSo)
+{
+    ToldStore store;
+    Latest<TargetMap> latest;
+    TargetDuty duty(store, records, [&](const std::shared_ptr<const TargetMap> &targets) { latest.set(*targets); });
+    duty.start();
+    BOOST_REQUIRE(latest.waitFor(TargetFixture::names({"a", "b"})));
+    store.tell({"t/a", "leaving", 3, false}, 0ms);
+    const auto isLeaving = [](const TargetMap &targets) { return targets.contains("a") && targets.at("a").isLeaving; };
+    BOOST_REQUIRE(latest.waitFor(isLeaving));
+    store.comeBack({{"t/a", "s", positionOf(2, 1), false}}, positionOf(2, 1)); // Before b came and a left.
+    BOOST_TEST(latest.holdsFor(1s, [&](const TargetMap &targets) { return isLeaving(targets) && targets.contains("b"); }));
+    BOOST_TEST(latest.waitFor(TargetFixture::names({"a"}))); // It was not written again.
+    duty.stop();
+    duty.join();
+}
+
 BOOST_FIXTURE_TEST_CASE(aChangeThatNoWatchToldOfIsFoundByTheProof, ProofFixture)
 {
     // The store drops its history, and for a while its watches hear nothing though an operator withdraws a key. Nothing here watches at
