A host writes its key again, and a configuration older than that in force is no newer one, after a change of era

Cause: a host's key may be missing in the copy from which the store came back, with no deletion told; and the copy's configuration has a higher position with an older version, for which all requests would be refused as if a newer one were in force. Change: a list without the own key has it written again; an older version that was read ends the word that a newer one exists.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -96,6 +96,7 @@
 {
     if (table_ != nullptr && table->version < table_->version) {
         writeLog(LogLevel::Warning, "configuration_ignored", {{"version", table->version}, {"in_force", table_->version}});
+        newestRevision_ = table_->revision; // What the store has is no newer one.
         return;
     }
     const bool isNew = table_ == nullptr || table->revision != table_->revision;
--- a/gateway/host_duty.cpp
+++ b/gateway/host_duty.cpp
@@ -188,6 +188,7 @@
     for (const StoreEntry &entry : reply.entries) {
         take(entry);
     }
+    isWritten_ = hosts_.contains(options_.hostName);
     const auto isLeader = [this](const StoreEntry &entry) { return entry.key == options_.leaderKey; };
     if (std::none_of(reply.entries.begin(), reply.entries.end(), isLeader)) {
         takeLeader({options_.leaderKey, {}, 0, true});
