Tests reserve the ports that they give to hosts

Cause of the failure listed for test_system_two_faults (peers: Address already in use, once beside load): a port was only found free, by binding and closing it, and bound by the host some hundred milliseconds later. Meanwhile scripted targets of other tests took ports from the same range, and of two system tests whose process ids differ by a multiple of 300 both began to look at the same place. The failure itself was not reproduced, before or after; the entry leaves the list as its cause is gone.

--- a/tests/system/system_fixture.cpp
+++ b/tests/system/system_fixture.cpp
@@ -11,8 +11,6 @@
 #include <boost/test/unit_test.hpp>
 
 #include <Poco/Exception.h>
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/SocketAddress.h>
 #include <Poco/TemporaryFile.h>
 #include <unistd.h>
 
@@ -34,27 +32,11 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
-/// Ports that are free now, all different; the hosts' list must name them before the hosts are up. They lie below the range that the
-/// kernel takes the ports of outgoing connections from: one of those could hold a host's port while it restarts. Programs that
-/// run side by side begin at different places.
-std::vector<std::uint16_t> freePorts(std::size_t count)
-{
-    constexpr std::uint16_t first = 20'000;
-    constexpr std::uint16_t span = 12'000;
-    constexpr std::uint16_t step = 40;
-    static std::uint16_t next = static_cast<std::uint16_t>((static_cast<unsigned>(::getpid()) * step) % span);
-    std::vector<std::uint16_t> ports;
-    while (ports.size() < count) {
-        const auto port = static_cast<std::uint16_t>(first + next);
-        next = static_cast<std::uint16_t>((next + 1U) % span);
-        try {
-            const Poco::Net::ServerSocket probe(Poco::Net::SocketAddress("127.0.0.1", port));
-            ports.push_back(port);
-        } catch (const Poco::Exception &) {
-            continue;
-        }
-    }
-    return ports;
+/// Where a program begins to look for ports.
+std::size_t firstPort()
+{
+    constexpr std::size_t step = 40;
+    return static_cast<std::size_t>(::getpid()) * step;
 }
 
 CallerAnswer exchange(std::uint16_t port, std::string_view request, std::chrono::milliseconds silenceLimit)
@@ -90,11 +72,12 @@
     , folder_(Poco::TemporaryFile::tempName())
     , deskKeys_{makeKeyDigest("lk-desk", deskKey)}
     , hosts_(options.hosts)
+    , ports_(options.hosts, firstPort())
 {
     std::signal(SIGPIPE, SIG_IGN);
     std::filesystem::create_directories(folder_);
     startStandIns();
-    const auto ports = freePorts(hosts_.size());
+    const std::vector<std::uint16_t> &ports = ports_.ports();
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
         hosts_[i].peerPort = ports[i];
     }
--- a/tests/system/system_fixture.h
+++ b/tests/system/system_fixture.h
@@ -8,6 +8,7 @@
 
 #include "coordination/configuration.h"
 #include "tests/servers/raw_caller.h"
+#include "tests/stand_ins/port_reservation.h"
 #include "tests/system/child_process.h"
 
 namespace Lovageloft
@@ -117,6 +118,7 @@
     std::vector<StandInProcess> engines_;
     std::vector<StandInProcess> services_;
     std::vector<Host> hosts_;
+    StandIns::PortReservation ports_; ///< The hosts' list must name them before the hosts are up.
     std::int64_t lastTicket_ = 0;
     int standInStarts_ = 0;
 };
