A host that starts on an older copy of the store serves nobody

Cause: a host that starts after the store came back from a copy takes the copy's configuration, and the store proves it fresh: keys that were withdrawn since would work again there. Change: hosts tell the version of what they have in force with each proof. A later version at an earlier position can only have been lost by the store; a host that hears of one refuses all requests until the operators' configuration is written again. A host that has just started asks three others, four times in the first second. What a host knows of its configuration's age moves into TableFreshness, which needs no network.

--- a/gateway/fleet_link.cpp
+++ b/gateway/fleet_link.cpp
@@ -110,9 +110,20 @@
 
 void FleetLink::askWeightsAges()
 {
-    constexpr std::size_t askedAtOnce = 3; // In a rolling restart at least one of three has run for longer than the deadline.
+    forSomeOthers([this](const std::string &host) { peers_.send(host, WeightsQuestion{}); });
+}
+
+void FleetLink::askProofs()
+{
+    forSomeOthers([this](const std::string &host) { peers_.send(host, ProofRequest{}); });
+}
+
+/// In a rolling restart at least one of three has run for longer than the deadline of new weights.
+void FleetLink::forSomeOthers(const std::function<void(const std::string &host)> &task)
+{
+    constexpr std::size_t askedAtOnce = 3;
     for (std::size_t i = 0; i < std::min(askedAtOnce, others_.size()); ++i) {
-        peers_.send(others_[nextAsked_++ % others_.size()], WeightsQuestion{});
+        task(others_[nextAsked_++ % others_.size()]);
     }
 }
 
@@ -228,12 +239,13 @@
 void FleetLink::onProofRequest(const std::string &host, const ProofRequest &request)
 {
     if (const auto table = gateway_.table()) {
-        peers_.send(host, ProofReply{request.id, table->revision, gateway_.proofAge(BootClock::now())});
+        peers_.send(host, ProofReply{request.id, table->revision, gateway_.proofAge(BootClock::now()), table->version});
     }
 }
 
 void FleetLink::onProofReply(const ProofReply &reply)
 {
+    gateway_.noteTableElsewhere(reply.revision, reply.version);
     if (relayedStore_ != nullptr) {
         relayedStore_->onProofReply(reply);
     }
--- a/gateway/fleet_link.h
+++ b/gateway/fleet_link.h
@@ -68,6 +68,9 @@
     /// Asks a few hosts how long ago the weights were named that this host found when it started.
     void askWeightsAges();
 
+    /// Asks a few hosts for the configuration that they have in force.
+    void askProofs();
+
     /// On a relay, now and then: see RelayedStore::sendHeartbeat.
     void sendHeartbeat(TimePoint now);
 
@@ -88,6 +91,7 @@
     void onQuarantined(RequestFingerprint request) override;
     bool isBehind() const override;
     void scheduleTokenTimeout();
+    void forSomeOthers(const std::function<void(const std::string &host)> &task);
 
     Gateway &gateway_;
     std::string hostName_;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -30,6 +30,9 @@
 /// the store leaves no trace here. Some datagrams may be lost, and others may hear a moment later.
 constexpr Duration ageQuestionTime = std::chrono::seconds(1);
 
+/// How long a host that has just started asks others what they have in force: the others must become known, and some datagrams may be lost.
+constexpr Duration proofQuestionTime = std::chrono::seconds(1);
+
 constexpr Duration tickTime = std::chrono::milliseconds(250);
 constexpr Duration drainTick = std::chrono::milliseconds(50);
 
@@ -96,15 +99,18 @@
 {
     if (table_ != nullptr && table->version < table_->version) {
         writeLog(LogLevel::Warning, "configuration_ignored", {{"version", table->version}, {"in_force", table_->version}});
-        newestRevision_ = table_->revision; // What the store has is no newer one.
+        freshness_.noteNothingNewer();
         return;
     }
     const bool isNew = table_ == nullptr || table->revision != table_->revision;
-    provenAt_ = std::max(provenAt_, provenAt);
+    freshness_.take({table->version, table->revision}, provenAt);
     if (!isNew) {
         return;
     }
     noteWithdrawnKeys(*table);
+    if (table_ == nullptr) {
+        proofsAskedUntil_ = BootClock::now() + proofQuestionTime;
+    }
     table_ = std::move(table);
     std::map<std::string, double, std::less<>> cacheTokens;
     for (const TargetService &service : table_->services) {
@@ -139,18 +145,21 @@
 
 void Gateway::confirmTable(std::int64_t revision, TimePoint provenAt)
 {
-    if (table_ != nullptr && table_->revision == revision) {
-        provenAt_ = std::max(provenAt_, provenAt);
-        newestRevision_ = revision;
-    }
+    freshness_.confirm(revision, provenAt);
 }
 
 void Gateway::noteNewerTable(std::int64_t revision)
 {
-    if (revision > newestRevision_) {
+    if (freshness_.noteNewer(revision)) {
         writeLog(LogLevel::Info, "newer_configuration_exists", {{"revision", revision}, {"in_force", table_ != nullptr ? table_->version : 0}});
     }
-    newestRevision_ = std::max(newestRevision_, revision);
+}
+
+void Gateway::noteTableElsewhere(std::int64_t revision, std::int64_t version)
+{
+    if (freshness_.noteElsewhere({version, revision})) {
+        writeLog(LogLevel::Warning, "configuration_of_older_copy", {{"version", table_->version}, {"elsewhere", version}});
+    }
 }
 
 void Gateway::setTargets(std::shared_ptr<const TargetMap> targets)
@@ -257,26 +266,11 @@
     dispatch_.setRetryLimits({options_.limits.retries.ratio * retryPart, options_.limits.retries.slack * retryPart / static_cast<double>(count)});
 }
 
-const std::string &Gateway::hostName() const
-{
-    return options_.hostName;
-}
-
 const std::map<std::string, HostRecord> &Gateway::hosts() const
 {
     return hosts_;
 }
 
-double Gateway::share() const
-{
-    return share_;
-}
-
-const std::string &Gateway::leader() const
-{
-    return leader_;
-}
-
 RequestDispatch &Gateway::dispatch()
 {
     return dispatch_;
@@ -371,12 +365,12 @@
 
 bool Gateway::isOutdated(TimePoint now) const
 {
-    return table_ != nullptr && newestRevision_ > table_->revision && !isCurrent(now);
+    return freshness_.isOutdated(now, options_.limits.configurationWindow);
 }
 
 Duration Gateway::proofAge(TimePoint now) const
 {
-    return now - provenAt_;
+    return freshness_.age(now);
 }
 
 std::string_view Gateway::cacheStoreFor(const Target &target) const
@@ -517,6 +511,9 @@
     standstills_.look(now);
     pool_.closeStale(now);
     fleet_.sendHeartbeat(now);
+    if (now < proofsAskedUntil_) {
+        fleet_.askProofs();
+    }
     if (now < agesAskedUntil_ || directory_.needsAge(now)) {
         fleet_.askWeightsAges();
     }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "gateway/routing_table.h"
 #include "gateway/standstills.h"
 #include "gateway/status_server.h"
+#include "gateway/table_freshness.h"
 #include "gateway/target_directory.h"
 #include "gateway/target_pool.h"
 
@@ -88,6 +89,9 @@
     /// The configuration with this revision exists and may not have been read yet.
     void noteNewerTable(std::int64_t revision);
 
+    /// Another host has this configuration in force; see TableFreshness::noteElsewhere.
+    void noteTableElsewhere(std::int64_t revision, std::int64_t version);
+
     void setTargets(std::shared_ptr<const TargetMap> targets);
     void setNamedWeights(const NamedWeights &weights);
 
@@ -118,10 +122,23 @@
 
     // For operators.
 
-    const std::string &hostName() const;
+    const std::string &hostName() const
+    {
+        return options_.hostName;
+    }
+
     const std::map<std::string, HostRecord> &hosts() const;
-    double share() const;
-    const std::string &leader() const;
+
+    double share() const
+    {
+        return share_;
+    }
+
+    const std::string &leader() const
+    {
+        return leader_;
+    }
+
     bool isReady(TimePoint now) const;
 
     // For sessions and requests.
@@ -208,8 +225,8 @@
     StatusServer metricsServer_;
     OperatorView operatorView_;
     std::shared_ptr<const RoutingTable> table_;
-    TimePoint provenAt_;
-    std::int64_t newestRevision_ = 0; ///< Of a configuration that this host has heard of.
+    TableFreshness freshness_; ///< Of `table_`.
+    TimePoint proofsAskedUntil_;
     TargetDirectory directory_;
     WeightsListener weightsListener_;
     TargetPool pool_;
--- a/gateway/peer_messages.capnp
+++ b/gateway/peer_messages.capnp
@@ -105,6 +105,7 @@
   id @0 :UInt64;
   revision @1 :Int64;
   ageMicroseconds @2 :UInt64;
+  version @3 :Int64; # The operators' number of it; 0: not told.
 }
 
 struct WeightsAge {
--- a/gateway/peer_messages.capnp.h
+++ b/gateway/peer_messages.capnp.h
@@ -245,7 +245,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a380a700a8920e5e, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(a380a700a8920e5e, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1581,6 +1581,8 @@
 
   inline  ::uint64_t getAgeMicroseconds() const;
 
+  inline  ::int64_t getVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1618,6 +1620,9 @@
   inline  ::uint64_t getAgeMicroseconds();
   inline void setAgeMicroseconds( ::uint64_t value);
 
+  inline  ::int64_t getVersion();
+  inline void setVersion( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3425,6 +3430,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t ProofReply::Reader::getVersion() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ProofReply::Builder::getVersion() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ProofReply::Builder::setVersion( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool WeightsAge::Reader::hasModel() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -371,6 +371,7 @@
     auto encoded = message.initRoot<Datagram>().initProofReply();
     encoded.setId(reply.id);
     encoded.setRevision(reply.revision);
+    encoded.setVersion(reply.version);
     encoded.setAgeMicroseconds(static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::microseconds>(reply.age).count()));
     sendTo(host, encode(message));
 }
@@ -493,7 +494,7 @@
         }
         case Datagram::PROOF_REPLY: {
             const auto reply = datagram.getProofReply();
-            events_.onProofReply({reply.getId(), reply.getRevision(), std::chrono::microseconds(reply.getAgeMicroseconds())});
+            events_.onProofReply({reply.getId(), reply.getRevision(), std::chrono::microseconds(reply.getAgeMicroseconds()), reply.getVersion()});
             break;
         }
         case Datagram::CACHE_STORE: {
--- a/gateway/peer_socket.h
+++ b/gateway/peer_socket.h
@@ -99,6 +99,7 @@
     std::uint64_t id = 0;
     std::int64_t revision = 0;
     Duration age{};
+    std::int64_t version = 0; ///< The operators' number of it; 0 from hosts that don't tell.
 };
 
 struct CacheStoreNotice
--- a/tests/platform/test_datagrams.cpp
+++ b/tests/platform/test_datagrams.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "coordination/store_position.h"
 #include "gateway/peer_socket.h"
 #include "tests/platform/gateway_fixture.h"
 
@@ -60,6 +61,7 @@
     }
 
     std::atomic<int> reports = 0;
+    ProofReply proof; ///< What it has in force; to be set before anybody asks.
 
 private:
     void tell(const WeightsQuestion &question)
@@ -127,8 +129,11 @@
     {
     }
 
-    void onProofRequest(const std::string & /*host*/, const ProofRequest & /*request*/) override
+    void onProofRequest(const std::string &host, const ProofRequest &request) override
     {
+        if (proof.version != 0) {
+            socket_.send(host, ProofReply{request.id, proof.revision, {}, proof.version});
+        }
     }
 
     void onProofReply(const ProofReply & /*reply*/) override
@@ -220,6 +225,29 @@
     BOOST_TEST(isServed());
 }
 
+// Guards against withdrawn keys that work again on a host which starts after the store came back from an older copy.
+BOOST_AUTO_TEST_CASE(aHostThatStartsOnAnOlderCopyOfTheStoreServesNobody)
+{
+    GatewayFixture started(false);
+    started.addTarget("t", [](ScriptedTarget::Connection &connection, const ScriptedTarget::Request &request) { connection.answer(request, 200, "old"); });
+    OtherHost fleet(started);
+    fleet.proof = {0, positionOf(1, 812), {}, 7};
+    const auto isServed = [&started] { return started.exchange(request("GET", "/public/x")).starts_with("HTTP/1.1 200 "); };
+    const auto configureAs = [&started](std::int64_t version, std::int64_t position) {
+        RoutingTable table = GatewayFixture::table(version);
+        table.revision = position;
+        started.configure(table);
+    };
+    configureAs(5, positionOf(2, 800));
+    const TimePoint limit = BootClock::now() + 3s;
+    while (isServed() && BootClock::now() < limit) {
+        std::this_thread::yield();
+    }
+    BOOST_TEST(!isServed());
+    configureAs(7, positionOf(2, 801)); // The operators have written it again.
+    BOOST_TEST(isServed());
+}
+
 // Guards against a host that goes on sending a request which other hosts have in quarantine.
 BOOST_FIXTURE_TEST_CASE(aRequestThatAnotherHostHasInQuarantineIsNotSent, TwoHosts)
 {
