Tests of targets that are told of share a fixture, and one that waits for word gives up in time

Two tests built the same store, listener and duty, and left the duty's thread running if a requirement failed; a third would have waited for ever for a quarantine that nobody tells. No check changes.

--- a/tests/gateway/test_duties.cpp
+++ b/tests/gateway/test_duties.cpp
@@ -241,6 +241,24 @@
     Duration away_{};
 };
 
+struct ToldFixture
+{
+    ToldFixture()
+    {
+        duty.start();
+    }
+
+    ~ToldFixture()
+    {
+        duty.stop();
+        duty.join();
+    }
+
+    ToldStore store;
+    Latest<TargetMap> latest;
+    TargetDuty duty{store, records, [this](const std::shared_ptr<const TargetMap> &targets) { latest.set(*targets); }};
+};
+
 struct ProofFixture
 {
     ProofFixture()
@@ -312,12 +330,8 @@
 }
 
 // Guards against targets that get requests beyond the time in which a leaving one may, as the relay that tells of them was deaf for a while.
-BOOST_AUTO_TEST_CASE(aTargetThatLeftWhileTheStoreWasThereIsNotWaitedFor)
+BOOST_FIXTURE_TEST_CASE(aTargetThatLeftWhileTheStoreWasThereIsNotWaitedFor, ToldFixture)
 {
-    ToldStore store;
-    Latest<TargetMap> latest;
-    TargetDuty duty(store, records, [&](const std::shared_ptr<const TargetMap> &targets) { latest.set(*targets); });
-    duty.start();
     BOOST_REQUIRE(latest.waitFor(TargetFixture::names({"a", "b"})));
     const TimePoint before = BootClock::now();
     store.tell({"t/a", {}, 3, true}, 0ms);
@@ -325,17 +339,11 @@
     BOOST_TEST((BootClock::now() - before < 1s));
     store.tell({"t/b", {}, 3, true}, 3s);
     BOOST_TEST(latest.holdsFor(1s, TargetFixture::names({"b"}))); // It may have lapsed and be written again.
-    duty.stop();
-    duty.join();
 }
 
 // Guards against engines that vanish, or come back from leaving, when the store comes back from a copy that is some seconds old.
-BOOST_AUTO_TEST_CASE(whatAnOlderCopyOfTheStoreLacksIsWaitedForAndWhatLeftStaysSo)
+BOOST_FIXTURE_TEST_CASE(whatAnOlderCopyOfTheStoreLacksIsWaitedForAndWhatLeftStaysSo, ToldFixture)
 {
-    ToldStore store;
-    Latest<TargetMap> latest;
-    TargetDuty duty(store, records, [&](const std::shared_ptr<const TargetMap> &targets) { latest.set(*targets); });
-    duty.start();
     BOOST_REQUIRE(latest.waitFor(TargetFixture::names({"a", "b"})));
     store.tell({"t/a", "leaving", 3, false}, 0ms);
     const auto isLeaving = [](const TargetMap &targets) { return targets.contains("a") && targets.at("a").isLeaving; };
@@ -343,8 +351,6 @@
     store.comeBack({{"t/a", "s", positionOf(2, 1), false}}, positionOf(2, 1)); // Before b came and a left.
     BOOST_TEST(latest.holdsFor(1s, [&](const TargetMap &targets) { return isLeaving(targets) && targets.contains("b"); }));
     BOOST_TEST(latest.waitFor(TargetFixture::names({"a"}))); // It was not written again.
-    duty.stop();
-    duty.join();
 }
 
 BOOST_FIXTURE_TEST_CASE(aChangeThatNoWatchToldOfIsFoundByTheProof, ProofFixture)
--- a/tests/platform/test_host_listed_again.cpp
+++ b/tests/platform/test_host_listed_again.cpp
@@ -131,16 +131,17 @@
     HostDuty::Options listen(HostDuty::Options options)
     {
         options.hostName = "b";
-        options.onQuarantined = [this](RequestFingerprint request) {
-            told_ = request;
-            told_.notify_all();
-        };
+        options.onQuarantined = [this](RequestFingerprint request) { told_ = request; };
         return options;
     }
 
-    RequestFingerprint wait()
+    /// The request, or none if it isn't told before the test's patience ends.
+    RequestFingerprint wait() const
     {
-        told_.wait(RequestFingerprint{});
+        const TimePoint limit = BootClock::now() + patience;
+        while (told_.load() == RequestFingerprint{} && BootClock::now() < limit) {
+            std::this_thread::sleep_for(5ms);
+        }
         return told_;
     }
 
