The longest outage since a prefix was read is kept, not the last one

Cause: RelayedStore kept the length of the last outage only. A call that was sent during an outage of 5 s and failed after it made a second outage of 0.2 s, which hid the first, so entries that had expired counted as deleted and their targets were dropped until they were written again, two seconds later.

Change: each prefix keeps the longest outage that ended since it was last read.

--- a/gateway/prefix_state.h
+++ b/gateway/prefix_state.h
@@ -25,6 +25,9 @@
     /// or the time up to which another host confirmed that `syncedRevision` was current.
     TimePoint lastHeardAt;
     TimePoint lastReadAt; ///< When the store last answered a list or watch of this host.
+    /// Longest outage of the store that ended after `lastReadAt`, from the last answer to any call before it. A watch that was cut while other
+    /// calls were answered is not an outage: entries that are gone after it were deleted and did not expire.
+    Duration maxOutage{};
     std::optional<TimePoint> behindSince; ///< Since when changes or heartbeats have been missing.
     TimePoint storeCallAllowedAt; ///< While behind: when the store may be called.
     TimePoint nextPeerQueryAt; ///< While behind: when other hosts may be queried again.
--- a/gateway/relayed_store.cpp
+++ b/gateway/relayed_store.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 #include "core/log.h"
 #include "decision/rendezvous.h"
@@ -72,8 +73,9 @@
     if (isAnswered) {
         lastStoreReplyAt_ = now_();
         if (lastReplyBeforeOutage_) {
-            outageEndedAt_ = lastStoreReplyAt_;
-            outageDuration_ = lastStoreReplyAt_ - *lastReplyBeforeOutage_;
+            for (auto &[prefix, state] : prefixes_) {
+                state.maxOutage = std::max(state.maxOutage, lastStoreReplyAt_ - *lastReplyBeforeOutage_);
+            }
             lastReplyBeforeOutage_.reset();
         }
         breaker_.onSuccess();
@@ -216,13 +218,6 @@
     return now - lastStoreReplyAt_ < maxStoreReplyAge && now - state.lastReadAt < maxWatchReplyAge;
 }
 
-/// Length of the last outage of the store that ended after a prefix was last read; zero if there was none. A watch that was cut while other
-/// calls were answered is not an outage: entries that are gone after it were deleted and did not expire.
-Duration RelayedStore::outageSince(TimePoint lastReadAt) const
-{
-    return outageEndedAt_ > lastReadAt ? outageDuration_ : Duration::zero();
-}
-
 /// Until when this host is known to have received all changes. Replies to a deputy's own watches do not count, so that it keeps
 /// watching the store, as the relays do, while it does not hear from them.
 TimePoint RelayedStore::lastUpdateAt(const PrefixState &state) const
@@ -375,7 +370,7 @@
     std::unique_lock lock(mutex_);
     PrefixState &state = prefixes_[std::string(prefix)];
     const TimePoint now = now_();
-    reply.outage = outageSince(state.lastReadAt);
+    reply.outage = std::exchange(state.maxOutage, {});
     std::optional<ChangesNotice> changes;
     if (state.syncedRevision != 0 && state.syncedRevision <= reply.revision) {
         changes = state.changesInList(reply);
@@ -512,7 +507,7 @@
         // A relay ignores what the other relay reports: if both have dead connections to the store, they would confirm each other.
         const TimePoint lastHeardAt = isRelayNow ? state.lastReadAt : std::max(state.lastHeardAt, state.lastReadAt);
         reply.silence = std::max(Duration::zero(), calledAt - lastHeardAt);
-        reply.outage = outageSince(state.lastReadAt);
+        reply.outage = std::exchange(state.maxOutage, {});
         state.lastReadAt = now_();
         state.lastHeardAt = isRelayNow ? state.lastReadAt : state.lastHeardAt;
         broadcast = network_.broadcast;
--- a/gateway/relayed_store.h
+++ b/gateway/relayed_store.h
@@ -94,7 +94,6 @@
     bool isRankedHost() const;
     bool watchesStoreDirectly() const;
     bool hasRecentStoreReplies(const PrefixState &state, TimePoint now) const;
-    Duration outageSince(TimePoint lastReadAt) const;
     TimePoint lastUpdateAt(const PrefixState &state) const;
     bool isBehind(const PrefixState &state, TimePoint now) const;
     void updateBehindState(std::string_view prefix, PrefixState &state, TimePoint now);
@@ -122,8 +121,6 @@
     CircuitBreaker breaker_;
     TimePoint lastStoreReplyAt_; ///< When the store last answered any call of this host.
     std::optional<TimePoint> lastReplyBeforeOutage_; ///< When the store last answered before the first failed call; only set while calls fail.
-    TimePoint outageEndedAt_; ///< When the store answered again after calls had failed.
-    Duration outageDuration_{}; ///< Of the last outage, from the last answer before it.
     std::map<std::string, PrefixState, std::less<>> prefixes_;
     std::map<std::uint64_t, std::optional<ProofReply>> pendingProofRequests_;
     std::map<std::uint64_t, PendingChangesRequest> pendingChangesRequests_;
