A request's log line says what the decision was made on

Cause: request_sent had neither the prompt's tokens, its prefix, the expected time to the first token nor the next best target, so nobody could tell from the log how wrong an estimate was.

Change: request_sent gets prompt, prefix, expected_ms, alternative and alternative_ms; target_known gets version, read from the target's entry. Placement keeps the second in cost.

--- a/coordination/request_fingerprint.cpp
+++ b/coordination/request_fingerprint.cpp
@@ -1,17 +1,13 @@
 #include "coordination/request_fingerprint.h"
 
-#include <array>
-#include <cinttypes>
-#include <cstdio>
+#include "core/digest.h"
 
 namespace Lovageloft
 {
 
 std::string fingerprintText(RequestFingerprint request)
 {
-    std::array<char, 17> text{};
-    std::snprintf(text.data(), text.size(), "%016" PRIx64, static_cast<std::uint64_t>(request));
-    return text.data();
+    return hexText(static_cast<std::uint64_t>(request));
 }
 
 } // namespace Lovageloft
--- /dev/null
+++ b/coordination/serving_versions.cpp
@@ -0,0 +1,171 @@
+#include "coordination/serving_versions.h"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+#include <utility>
+
+namespace Lovageloft
+{
+
+void ServingVersions::setOrder(std::string_view service, std::string_view version)
+{
+    services_[std::string(service)].ordered = std::string(version);
+    update();
+}
+
+void ServingVersions::removeOrder(std::string_view service)
+{
+    services_[std::string(service)].ordered.reset();
+    update();
+}
+
+void ServingVersions::setRecorded(std::map<std::string, std::string, std::less<>> versions)
+{
+    recorded_ = std::move(versions);
+    hasReadRecords_ = true;
+    for (const auto &[name, version] : recorded_) {
+        services_[name].serving = version;
+    }
+    update();
+}
+
+void ServingVersions::setTargets(std::span<const VersionedTarget> targets)
+{
+    std::map<std::string, std::map<std::string, KnownTarget, std::less<>>, std::less<>> listed;
+    for (const VersionedTarget &target : targets) {
+        listed[std::string(target.service)].emplace(target.id, KnownTarget{std::string(target.version), target.incarnation, target.isLeaving});
+    }
+    for (auto &[name, known] : listed) {
+        services_.try_emplace(name);
+    }
+    for (auto &[name, service] : services_) {
+        auto &known = listed[name];
+        for (const auto &[id, target] : known) {
+            const auto before = service.targets.find(id);
+            const bool wasLeaving = before != service.targets.end() && before->second.isLeaving;
+            // A target that was first listed as leaving may have been replaced before this host started.
+            const bool announcesShutdown = target.isLeaving && !wasLeaving && before != service.targets.end();
+            service.replaceable += announcesShutdown && service.serving == target.version ? 1 : 0;
+        }
+        service.targets = std::move(known);
+    }
+    update();
+}
+
+const std::set<std::string, std::less<>> &ServingVersions::withheld() const
+{
+    return withheld_;
+}
+
+std::optional<std::string> ServingVersions::servingVersion(std::string_view service) const
+{
+    const auto found = services_.find(service);
+    return found == services_.end() ? std::nullopt : found->second.serving;
+}
+
+std::map<std::string, std::string> ServingVersions::unrecorded() const
+{
+    std::map<std::string, std::string> versions;
+    if (!hasReadRecords_) {
+        return versions;
+    }
+    for (const auto &[name, service] : services_) {
+        const auto recorded = recorded_.find(name);
+        if (service.serving && (recorded == recorded_.end() || recorded->second != *service.serving)) {
+            versions.emplace(name, *service.serving);
+        }
+    }
+    return versions;
+}
+
+/// The version of most targets; of two with as many, the one whose first target started earlier. An ordered version is taken only if there is
+/// no other and, as the records tell, there was none when the order came.
+std::optional<std::string> ServingVersions::inferServing(const Service &service) const
+{
+    struct Count
+    {
+        std::int64_t targets = 0;
+        std::int64_t firstStart = std::numeric_limits<std::int64_t>::max();
+    };
+    std::map<std::string_view, Count> counts;
+    for (const auto &[id, target] : service.targets) {
+        Count &count = counts[target.version];
+        count.targets += target.isLeaving ? 0 : 1;
+        count.firstStart = std::min(count.firstStart, target.incarnation);
+    }
+    const bool hasOther = std::any_of(counts.begin(), counts.end(), [&service](const auto &entry) { return !isOrdered(service, entry.first); });
+    if (hasOther || !hasReadRecords_) {
+        std::erase_if(counts, [&service](const auto &entry) { return isOrdered(service, entry.first); });
+    }
+    const auto best = std::max_element(counts.begin(), counts.end(), [](const auto &left, const auto &right) {
+        return std::tuple(left.second.targets, -left.second.firstStart) < std::tuple(right.second.targets, -right.second.firstStart);
+    });
+    return best == counts.end() ? std::nullopt : std::optional(std::string(best->first));
+}
+
+/// Whether an order names the version. An order that can't be read may name any.
+bool ServingVersions::isOrdered(const Service &service, std::string_view version)
+{
+    return service.ordered && (service.ordered->empty() || *service.ordered == version);
+}
+
+bool ServingVersions::hasVersion(const Service &service, std::string_view version)
+{
+    return std::any_of(service.targets.begin(), service.targets.end(), [version](const auto &entry) { return entry.second.version == version; });
+}
+
+void ServingVersions::admitReplacements(Service &service)
+{
+    const std::size_t before = service.admitted.size();
+    std::erase_if(service.admitted, [&service](const std::string &id) {
+        const auto target = service.targets.find(id);
+        return target == service.targets.end() || target->second.version == service.serving || isOrdered(service, target->second.version);
+    });
+    service.replaceable += before - service.admitted.size();
+    for (const auto &[id, target] : service.targets) {
+        if (service.replaceable == 0) {
+            break;
+        }
+        if (target.version == service.serving || target.isLeaving || isOrdered(service, target.version) || service.admitted.contains(id)) {
+            continue;
+        }
+        service.admitted.insert(id);
+        --service.replaceable;
+    }
+}
+
+/// Once the last target of the serving version has gone, the version of its replacements serves.
+void ServingVersions::finishRelease(Service &service)
+{
+    if (service.admitted.empty() || hasVersion(service, *service.serving)) {
+        return;
+    }
+    service.serving = service.targets.find(*service.admitted.begin())->second.version;
+    service.admitted.clear();
+    service.replaceable = 0;
+}
+
+void ServingVersions::update()
+{
+    withheld_.clear();
+    for (auto &[name, service] : services_) {
+        if (!service.serving) {
+            service.serving = inferServing(service);
+        }
+        if (service.serving) {
+            admitReplacements(service);
+            finishRelease(service);
+        }
+        // Without any target of the serving version, another one is better than none, unless it is under an order.
+        const bool needsFallback = !service.serving || !hasVersion(service, *service.serving);
+        for (const auto &[id, target] : service.targets) {
+            const bool isServing = target.version == service.serving || service.admitted.contains(id);
+            if (!isServing && (isOrdered(service, target.version) || !needsFallback)) {
+                withheld_.insert(id);
+            }
+        }
+    }
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/coordination/serving_versions.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace Lovageloft
+{
+
+/// A target as far as its software version matters.
+struct VersionedTarget
+{
+    std::string_view id;
+    std::string_view service;
+    std::string_view version; ///< Empty if its entry states none.
+    std::int64_t incarnation = 0; ///< Start time in Unix milliseconds; 0 if unknown.
+    bool isLeaving = false; ///< It announced its shutdown.
+};
+
+/// Decides which software version of each service gets requests.
+///
+/// One version of a service serves. Targets of another version are withheld, as they may be the first of a rollout whose order is not known
+/// yet. An ordinary release also brings another version, one target at a time: for each serving target that announces its shutdown, one
+/// withheld target is admitted. The version that an operator ordered is never admitted. The serving version is recorded in the store, so
+/// that hosts that start in the middle of a rollout know it. Not thread-safe.
+class ServingVersions
+{
+public:
+    /// Sets the version that an operator ordered a service to move to; an empty one if the order can't be read, which withholds all versions
+    /// but the serving one.
+    void setOrder(std::string_view service, std::string_view version);
+
+    /// The order was withdrawn.
+    void removeOrder(std::string_view service);
+
+    /// Sets the recorded serving versions by service, replacing earlier ones.
+    void setRecorded(std::map<std::string, std::string, std::less<>> versions);
+
+    /// Sets all listed targets. The views need to be valid during the call only.
+    void setTargets(std::span<const VersionedTarget> targets);
+
+    /// Ids of the targets that get no requests because of their version.
+    const std::set<std::string, std::less<>> &withheld() const;
+
+    /// The serving version of a service; nothing if none of its targets has been listed yet.
+    std::optional<std::string> servingVersion(std::string_view service) const;
+
+    /// Serving versions that differ from the recorded ones, by service. Empty before the first call of setRecorded().
+    std::map<std::string, std::string> unrecorded() const;
+
+private:
+    struct KnownTarget
+    {
+        std::string version;
+        std::int64_t incarnation = 0;
+        bool isLeaving = false;
+    };
+
+    struct Service
+    {
+        std::map<std::string, KnownTarget, std::less<>> targets; ///< All listed ones by id.
+        std::optional<std::string> serving;
+        std::optional<std::string> ordered;
+        std::set<std::string, std::less<>> admitted; ///< Targets of other versions that replace a serving target.
+        std::size_t replaceable = 0; ///< Serving targets that announced their shutdown and were not replaced yet.
+    };
+
+    std::optional<std::string> inferServing(const Service &service) const;
+    static bool isOrdered(const Service &service, std::string_view version);
+    static bool hasVersion(const Service &service, std::string_view version);
+    static void admitReplacements(Service &service);
+    static void finishRelease(Service &service);
+    void update();
+
+    std::map<std::string, Service, std::less<>> services_;
+    std::map<std::string, std::string, std::less<>> recorded_;
+    bool hasReadRecords_ = false;
+    std::set<std::string, std::less<>> withheld_;
+};
+
+} // namespace Lovageloft
--- a/core/digest.cpp
+++ b/core/digest.cpp
@@ -62,6 +62,16 @@
     return left.size() == right.size() && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
 }
 
+std::string hexText(std::uint64_t value)
+{
+    std::array<unsigned char, sizeof value> bytes{};
+    for (unsigned char &byte : bytes) {
+        byte = static_cast<unsigned char>(value >> 56U);
+        value <<= 8U;
+    }
+    return toHex(bytes);
+}
+
 std::string randomHex(std::size_t bytes)
 {
     std::vector<unsigned char> buffer(bytes);
--- a/core/digest.h
+++ b/core/digest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -19,6 +20,9 @@
 /// Compares in a time that depends on the lengths only, so that a stranger can't guess a digest byte by byte.
 bool equalInConstantTime(std::string_view left, std::string_view right);
 
+/// The value as 16 lower-case hexadecimal digits.
+std::string hexText(std::uint64_t value);
+
 /// `bytes` bytes from the system's cryptographic generator, in hexadecimal. For nonces and incarnations.
 std::string randomHex(std::size_t bytes);
 
--- a/decision/placement.cpp
+++ b/decision/placement.cpp
@@ -129,6 +129,7 @@
     if (choice.best->isProbe) {
         health_.onProbeSent(choice.best->engine, now);
     }
+    choice.best->alternative = choice.alternative;
     return choice.best;
 }
 
@@ -481,9 +482,16 @@
     const double cost = isProbe ? -1 : wait + prefillWeight * slowedPrefill + (engine.isRemote ? remoteCost(request) : 0);
     choice.minCost = choice.foundUsable ? std::min(choice.minCost, cost) : cost;
     choice.foundUsable = true;
-    if (!(isProbe || isWaitAcceptable(engine, wait)) || (choice.best && cost >= choice.bestCost)) {
+    if (!(isProbe || isWaitAcceptable(engine, wait))) {
         return;
     }
+    if (choice.best && cost >= choice.bestCost) {
+        recordAlternative(choice, {index, wait + slowedPrefill}, cost);
+        return;
+    }
+    if (choice.best) {
+        recordAlternative(choice, {choice.best->engine, choice.best->expectedFirstTokenSeconds}, choice.bestCost);
+    }
     choice.bestCost = cost;
     choice.best = PlacementDecision{.engine = index,
                                     .modelVersion = engine.modelVersion,
@@ -496,6 +504,15 @@
                                     .isProbe = isProbe};
 }
 
+/// An engine may be evaluated more than once, as a rendezvous winner and as a holder, and is then no alternative to itself.
+void Placement::recordAlternative(Choice &choice, PlacementAlternative alternative, double cost)
+{
+    if (alternative.engine != choice.best->engine && (!choice.alternative || cost < choice.alternativeCost)) {
+        choice.alternative = alternative;
+        choice.alternativeCost = cost;
+    }
+}
+
 bool Placement::isUsable(const Choice &choice, EngineIndex index) const
 {
     const std::span<const EngineIndex> excluded = choice.request->excluded;
--- a/decision/placement.h
+++ b/decision/placement.h
@@ -60,6 +60,13 @@
     std::size_t bytes = 0; ///< Bytes sent to the engine and back.
 };
 
+/// The engine that was second in cost, for operators who ask why a request went where it did.
+struct PlacementAlternative
+{
+    EngineIndex engine = 0;
+    double expectedFirstTokenSeconds = 0; ///< Seconds from now.
+};
+
 /// The engine chosen for a request, with the estimates behind the choice.
 struct PlacementDecision
 {
@@ -72,6 +79,7 @@
     std::uint32_t newTokens = 0; ///< Tokens that the request adds to the engine's cache.
     double nominalFirstTokenSeconds = 0; ///< Seconds from now at the engine's nominal speed; EngineHealth compares the observed time with it.
     bool isProbe = false; ///< True if the request tests whether an ejected engine has recovered.
+    std::optional<PlacementAlternative> alternative = std::nullopt; ///< Not set if only one engine could take the request.
 };
 
 /// Parameters of the placement decision; docs/design/placing.md has the figures behind the defaults. The cost of a candidate in
@@ -220,6 +228,8 @@
         double minCost = 0; // Over all engines that isUsable() accepts, including busy ones.
         double bestCost = 0;
         std::optional<PlacementDecision> best = std::nullopt; // Among the engines that can take the request now.
+        double alternativeCost = 0;
+        std::optional<PlacementAlternative> alternative = std::nullopt; // The second in cost among them.
         bool foundServing = false;
         bool foundUsable = false;
     };
@@ -240,6 +250,7 @@
     bool usesLocalWinners(const PlacementRequest &request, const VersionedChain &chain, const Version &version) const;
     double engineWait(const Engine &engine, EngineIndex index, TimePoint now) const;
     void evaluateAllEngines(Choice &choice, const Version &version);
+    static void recordAlternative(Choice &choice, PlacementAlternative alternative, double cost);
     bool isUsable(const Choice &choice, EngineIndex engine) const;
     bool isWaitAcceptable(const Engine &engine, double wait) const;
     bool beginsInTime(const Engine &engine, double firstToken, TimePoint now) const;
--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -255,10 +255,15 @@
     const DispatchId dispatch = placement_.onDispatched(toPlace, decision, now);
     Engine &engine = engines_[decision.engine];
     inFlight_[queued.id] = {dispatch, decision.engine, engine.generation, engine.window.start(missed, now)};
-    SchedulerAssignment assignment{
-        queued.id, std::string(placement_.engineName(decision.engine)), decision.expectedCachedTokens, decision.expectedFirstTokenSeconds, 0, 0, {}, {}};
+    SchedulerAssignment assignment{queued.id, std::string(placement_.engineName(decision.engine))};
+    assignment.expectedCachedTokens = decision.expectedCachedTokens;
+    assignment.expectedFirstTokenSeconds = decision.expectedFirstTokenSeconds;
     assignment.workTokens = decision.workTokens;
     assignment.newTokens = decision.newTokens;
+    if (decision.alternative) {
+        assignment.alternative = placement_.engineName(decision.alternative->engine);
+        assignment.alternativeFirstTokenSeconds = decision.alternative->expectedFirstTokenSeconds;
+    }
     for (const VersionedChain &chain : toPlace.chains) {
         if (chain.modelVersion == decision.modelVersion) {
             assignment.blocks.assign(chain.blocks.begin(), chain.blocks.end());
--- a/decision/request_scheduler.h
+++ b/decision/request_scheduler.h
@@ -65,8 +65,10 @@
     double expectedFirstTokenSeconds = 0; ///< Seconds from now.
     std::uint32_t workTokens = 0; ///< Work that the request adds, as the length in tokens of an uncached short prompt that takes as long to compute.
     std::uint32_t newTokens = 0; ///< Tokens that the request adds to the engine's cache.
-    std::vector<BlockHash> blocks; ///< Block hashes of the prompt for this engine's weights.
-    std::string holder; ///< Another engine that is expected to hold more of the prompt in its cache; empty if there is none.
+    std::vector<BlockHash> blocks = {}; ///< Block hashes of the prompt for this engine's weights.
+    std::string holder = {}; ///< Another engine that is expected to hold more of the prompt in its cache; empty if there is none.
+    std::string alternative = {}; ///< The engine that was second in cost; empty if only one could take the request.
+    double alternativeFirstTokenSeconds = 0; ///< Seconds from now, at `alternative`.
 };
 
 /// The request is refused. It reached no engine in this attempt.
--- a/gateway/request_log.h
+++ b/gateway/request_log.h
@@ -3,6 +3,7 @@
 #include <string_view>
 
 #include "core/result_code.h"
+#include "decision/request_scheduler.h"
 #include "gateway/request_intake.h"
 #include "gateway/request_metrics.h"
 #include "gateway/team_budget.h"
@@ -23,7 +24,7 @@
         int sendNumber = 0; ///< 1 for the first target that the request is sent to.
         Duration waited{}; ///< Time since the request was read.
         std::int64_t weightsVersion = 0; ///< Weights version that the engine is expected to run.
-        std::uint32_t cachedTokens = 0; ///< Prompt tokens expected in the engine's cache.
+        const SchedulerAssignment &assignment;
         std::string_view fetchFrom; ///< Address to fetch missing parts of the prompt from; empty for none.
         bool isReused = false; ///< Sent on a connection kept open from an earlier request.
     };
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -146,9 +146,8 @@
 {
     const auto self = shared_from_this();
     targetId_ = assignment.engine;
-    expectedCached_ = assignment.expectedCachedTokens;
+    assignment_ = assignment;
     isExpectedLate_ = BootClock::now() + fromSeconds(assignment.expectedFirstTokenSeconds) > startedAt_ + intake_.route()->latencyTarget;
-    cacheHolderId_ = assignment.holder;
     Reason reason;
     if (!intake_.recheck(reason)) {
         endDispatch(DispatchResult::Cancelled);
@@ -195,11 +194,11 @@
     CachePlan plan;
     const std::string_view lastEventId = events_.lastId().empty() ? std::string_view(intake_.caller().lastEventId) : std::string_view(events_.lastId());
     const TargetRequest request =
-        makeTargetRequest(gateway_, intake_, {target, timeLeft(now), lastEventId, expectedCached_, cacheHolderId_, isExpectedLate_}, salt, plan);
+        makeTargetRequest(gateway_, intake_, {target, timeLeft(now), lastEventId, assignment_.expectedCachedTokens, assignment_.holder, isExpectedLate_}, salt, plan);
     std::string bytes = gateway_.targetProtocol().writeHead(head_, request, body_.size());
     bytes.append(body_);
     connection_ = gateway_.pool().acquire(target, intake_.route()->isIdempotent(), now);
-    log_.sent({target.id, sends_, now - startedAt_, request.weightsVersion, expectedCached_, request.fetchFrom, connection_->hasSentRequest()});
+    log_.sent({target.id, sends_, now - startedAt_, request.weightsVersion, assignment_, request.fetchFrom, connection_->hasSentRequest()});
     connection_->sendRequest(std::move(bytes), intake_.caller().id, head_.method != "HEAD", *this);
     armTimer();
 }
--- a/gateway/routed_request.h
+++ b/gateway/routed_request.h
@@ -121,8 +121,7 @@
     boost::asio::steady_timer timer_;
     std::shared_ptr<TargetConnection> connection_;
     std::string targetId_;
-    std::string cacheHolderId_; ///< Id of another engine that is expected to have more of the prompt in its cache; may be empty.
-    std::uint32_t expectedCached_ = 0; ///< Prompt tokens expected in the target's cache.
+    SchedulerAssignment assignment_; ///< The newest one.
     std::vector<std::string> failedTargets_;
     bool isExpectedLate_ = false; ///< The first token is expected after the route's latency target.
     int attempts_ = 0; ///< Sends that count against the route's maxAttempts: all but declined and unreachable ones.
--- a/gateway/target_duty.cpp
+++ b/gateway/target_duty.cpp
@@ -152,6 +152,7 @@
                      "target_known",
                      {{"target", id},
                       {"service", target.service},
+                      {"version", target.softwareVersion},
                       {"leaving", target.isLeaving},
                       {"incarnation", target.incarnation},
                       {"weights", target.models.empty() ? std::int64_t{0} : target.models.front().version}});
