A software version under an order gets no requests

Cause: the version of a target's entry was not read, so targets that operators start for a rollout got requests like all others, a bad version up to half of its service's.

Change: ServingVersions keeps one serving version for each service: targets of another one are withheld from their first entry on, admitted one by one as serving targets announce their shutdown (a release that changes the version), and never under an order, also when serving targets crash or hosts restart. The leader records the serving version in the store. An order that can't be read withholds all versions but the serving one.

--- a/coordination/serving_versions.cpp
+++ b/coordination/serving_versions.cpp
@@ -88,6 +88,7 @@
         std::int64_t targets = 0;
         std::int64_t firstStart = std::numeric_limits<std::int64_t>::max();
     };
+
     std::map<std::string_view, Count> counts;
     for (const auto &[id, target] : service.targets) {
         Count &count = counts[target.version];
--- a/coordination/serving_versions.h
+++ b/coordination/serving_versions.h
@@ -8,9 +8,19 @@
 #include <string>
 #include <string_view>
 
+#include "core/clock.h"
+
 namespace Lovageloft
 {
 
+/// An operator's order to move a service to the targets of another software version.
+struct RolloutOrder
+{
+    std::string service;
+    std::string version; ///< Never empty.
+    Duration duration{}; ///< How long the move may take; positive.
+};
+
 /// A target as far as its software version matters.
 struct VersionedTarget
 {
--- a/gateway/configuration_duty.cpp
+++ b/gateway/configuration_duty.cpp
@@ -1,6 +1,7 @@
 #include "gateway/configuration_duty.h"
 
 #include <algorithm>
+#include <vector>
 
 #include "core/log.h"
 
@@ -47,7 +48,10 @@
     }
     watchRevision_ = reply.revision;
     const auto context = readContext(BootClock::now(), reply.silence);
-    for (const StoreEntry &entry : reply.entries) {
+    // Requests begin with the configuration, which therefore comes last: they must not go to a version that an order names.
+    std::vector<StoreEntry> entries = reply.entries;
+    std::stable_partition(entries.begin(), entries.end(), [this](const StoreEntry &entry) { return entry.key != records_.configurationKey(); });
+    for (const StoreEntry &entry : entries) {
         feed_.apply(entry, sentAt, context);
     }
     hasReadStore_ = true;
--- a/gateway/configuration_feed.cpp
+++ b/gateway/configuration_feed.cpp
@@ -23,6 +23,8 @@
         applyConfiguration(entry, provenAt);
     } else if (records_.isWeightsKey(entry.key) && !entry.isDeleted) {
         applyWeights(entry, context);
+    } else if (entry.key.starts_with(records_.rolloutPrefix())) {
+        applyRollout(entry);
     }
 }
 
@@ -78,4 +80,19 @@
     listeners_.onWeights(*weights);
 }
 
+void ConfigurationFeed::applyRollout(const StoreEntry &entry)
+{
+    const std::string service = entry.key.substr(records_.rolloutPrefix().size());
+    if (entry.isDeleted) {
+        listeners_.onRolloutWithdrawn(service);
+        return;
+    }
+    Reason reason;
+    const auto order = records_.parseRollout(entry, reason);
+    if (!order) {
+        writeLog(LogLevel::Warning, "rollout_unreadable", {{"key", entry.key}, {"revision", entry.revision}, {"reason", reason.text}});
+    }
+    listeners_.onRollout(service, order ? order->version : std::string());
+}
+
 } // namespace Lovageloft
--- a/gateway/configuration_feed.h
+++ b/gateway/configuration_feed.h
@@ -25,6 +25,9 @@
         std::function<void(std::int64_t revision, TimePoint provenAt)> onProof;
         std::function<void(const PublishedWeights &)> onWeights;
         std::function<void(std::int64_t revision)> onNewerExists{};
+        /// An operator ordered a service to move to this software version; an empty one if the order can't be read.
+        std::function<void(const std::string &service, const std::string &version)> onRollout = [](const std::string &, const std::string &) {};
+        std::function<void(const std::string &service)> onRolloutWithdrawn = [](const std::string &) {};
     };
 
     ConfigurationFeed(const StoreRecords &records, Listeners listeners);
@@ -36,7 +39,7 @@
         Duration silence{}; ///< For how long before the read this host could not have noticed a change.
     };
 
-    /// Applies an entry that the store held at `provenAt`. Keys other than the configuration and published weights are ignored.
+    /// Applies an entry that the store held at `provenAt`. Keys other than the configuration, published weights and rollout orders are ignored.
     /// An entry that cannot be parsed is logged and ignored: the last valid configuration stays in force.
     void apply(const StoreEntry &entry, TimePoint provenAt, const ReadContext &context);
 
@@ -56,6 +59,7 @@
 private:
     void applyConfiguration(const StoreEntry &entry, TimePoint provenAt);
     void applyWeights(const StoreEntry &entry, const ReadContext &context);
+    void applyRollout(const StoreEntry &entry);
 
     const StoreRecords &records_;
     Listeners listeners_;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -51,6 +51,10 @@
     , metricsServer_(loop_, [this](std::string_view path) { return metricsAnswer(path); })
     , operatorView_(*this)
     , directory_(options.limits.weightsDeadline)
+    , versions_([this](const auto &withheld) {
+        directory_.setWithheld(withheld);
+        dispatch_.invalidateEngines();
+    })
     , pool_(loop_, targetProtocol)
     , fleet_(*this, options.hostName)
     , dispatch_(loop_, [this] { refreshTargets(); })
@@ -166,6 +170,7 @@
 void Gateway::setTargets(std::shared_ptr<const TargetMap> targets)
 {
     directory_.setTargets(std::move(targets));
+    versions_.setTargets(directory_.all());
     pool_.closeUnlisted(directory_.all());
     hasTargets_ = true;
     dispatch_.invalidateEngines();
@@ -235,6 +240,7 @@
 {
     if (leader_ != host) {
         leader_ = host;
+        versions_.setLeading(host == options_.hostName);
         writeLog(LogLevel::Info, "leader_known", {{"leader", host}});
     }
 }
@@ -274,16 +280,6 @@
     return hosts_;
 }
 
-RequestDispatch &Gateway::dispatch()
-{
-    return dispatch_;
-}
-
-const RequestDispatch &Gateway::dispatch() const
-{
-    return dispatch_;
-}
-
 FleetLink &Gateway::fleet()
 {
     return fleet_;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -21,6 +21,7 @@
 #include "gateway/table_freshness.h"
 #include "gateway/target_directory.h"
 #include "gateway/target_pool.h"
+#include "gateway/version_guard.h"
 
 namespace Lovageloft
 {
@@ -112,6 +113,12 @@
     /// Sets the host that orders engines to load weights; empty if there is none.
     void setLeader(const std::string &host);
 
+    /// The software versions that may serve.
+    VersionGuard &versions()
+    {
+        return versions_;
+    }
+
     /// Applies changed times and limits.
     void setLimits(const GatewayLimits &limits);
 
@@ -153,8 +160,16 @@
     TargetPool &pool();
     const TargetPool &pool() const;
 
-    RequestDispatch &dispatch();
-    const RequestDispatch &dispatch() const;
+    RequestDispatch &dispatch()
+    {
+        return dispatch_;
+    }
+
+    const RequestDispatch &dispatch() const
+    {
+        return dispatch_;
+    }
+
     FleetLink &fleet();
     const FleetLink &fleet() const;
     CallerLimits callerLimits() const;
@@ -234,6 +249,7 @@
     TableFreshness freshness_; ///< Of `table_`.
     TimePoint queryProofsUntil_;
     TargetDirectory directory_;
+    VersionGuard versions_;
     WeightsListener weightsListener_;
     TargetPool pool_;
     FleetLink fleet_;
--- a/gateway/host_duty.cpp
+++ b/gateway/host_duty.cpp
@@ -78,6 +78,7 @@
         nextRenewal_ = now + options_.leaseTimeToLive / renewalsPerTimeToLive;
     }
     writeQuarantines();
+    writeVersions();
     return watchStore();
 }
 
@@ -122,6 +123,54 @@
     }
 }
 
+void HostDuty::recordServingVersions(const std::map<std::string, std::string> &versions)
+{
+    const std::lock_guard lock(mutex_);
+    if (!options_.versionsPrefix.empty()) {
+        unwrittenVersions_ = versions;
+    }
+}
+
+void HostDuty::writeVersions()
+{
+    std::map<std::string, std::string> versions;
+    {
+        const std::lock_guard lock(mutex_);
+        versions.swap(unwrittenVersions_);
+    }
+    for (const auto &[service, version] : versions) {
+        StoreEntry &known = versionRecords_[service];
+        if (known.revision != 0 && known.value == version) {
+            continue;
+        }
+        StoreReply reply = store_.compareAndSwap(options_.versionsPrefix + service, known.revision, version, 0);
+        const bool isOk = reply.status == StoreStatus::Ok;
+        writeLog(LogLevel::Info, "version_recorded", {{"service", service}, {"version", version}, {"ok", isOk}});
+        if (isOk) {
+            known = {options_.versionsPrefix + service, version, reply.entry.revision, false};
+        } else if (reply.status == StoreStatus::Conflict) {
+            known = std::move(reply.entry);
+        } else {
+            const std::lock_guard lock(mutex_);
+            unwrittenVersions_.emplace(service, version);
+        }
+    }
+    if (!versions.empty()) {
+        reportVersions();
+    }
+}
+
+void HostDuty::reportVersions()
+{
+    std::map<std::string, std::string, std::less<>> versions;
+    for (const auto &[service, entry] : versionRecords_) {
+        if (entry.revision != 0 && !entry.isDeleted) {
+            versions.emplace(service, entry.value);
+        }
+    }
+    gateway_.post([versions = std::move(versions)](Gateway &gateway) { gateway.versions().setRecorded(versions); });
+}
+
 bool HostDuty::acquireLease()
 {
     const TimePoint now = BootClock::now();
@@ -170,13 +219,23 @@
         return reply.status == StoreStatus::NotFound;
     }
     watchRevision_ = std::max(watchRevision_, reply.revision);
+    bool haveVersionsChanged = false;
     for (const StoreEntry &entry : reply.entries) {
         applyEntry(entry);
+        haveVersionsChanged = haveVersionsChanged || isVersionRecord(entry);
+    }
+    if (haveVersionsChanged) {
+        reportVersions();
     }
     publishHosts();
     return true;
 }
 
+bool HostDuty::isVersionRecord(const StoreEntry &entry) const
+{
+    return !options_.versionsPrefix.empty() && entry.key.starts_with(options_.versionsPrefix);
+}
+
 bool HostDuty::readAll()
 {
     const StoreListReply reply = store_.list(options_.prefix);
@@ -185,9 +244,11 @@
     }
     watchRevision_ = reply.revision;
     hosts_.clear();
+    versionRecords_.clear();
     for (const StoreEntry &entry : reply.entries) {
         applyEntry(entry);
     }
+    reportVersions();
     isKeyWritten_ = hosts_.contains(options_.hostName);
     const auto isLeader = [this](const StoreEntry &entry) { return entry.key == options_.leaderKey; };
     if (std::none_of(reply.entries.begin(), reply.entries.end(), isLeader)) {
@@ -208,6 +269,10 @@
         }
         return;
     }
+    if (isVersionRecord(entry)) {
+        versionRecords_[entry.key.substr(options_.versionsPrefix.size())] = entry;
+        return;
+    }
     if (!entry.key.starts_with(options_.hostsPrefix)) {
         applyLeader(entry);
         return;
--- a/gateway/host_duty.h
+++ b/gateway/host_duty.h
@@ -33,6 +33,7 @@
         std::string hostsPrefix; ///< Prefix of the hosts' keys, within `prefix`.
         std::string weightsPrefix; ///< Prefix of the WeightsRecords keys, within `prefix`.
         std::string quarantinePrefix = {}; ///< Prefix of the keys of quarantined requests, within `prefix`; empty: none are written or read.
+        std::string versionsPrefix = {}; ///< Prefix of the keys that hold the serving version of a service, within `prefix`; empty: none are written or read.
         std::string hostName;
         HostRecord record; ///< Value of this host's key.
         Duration leaseTimeToLive{}; ///< Must be longer than a configuration proof is valid for keyed requests.
@@ -51,6 +52,10 @@
     /// while 256 requests are queued, or if `quarantinePrefix` is empty. Thread-safe.
     void recordQuarantine(RequestFingerprint request);
 
+    /// Queues serving versions, by service, to be written to the store. A version that another host has recorded meanwhile is not replaced but
+    /// passed to the gateway. Thread-safe.
+    void recordServingVersions(const std::map<std::string, std::string> &versions);
+
 private:
     void run() override;
     bool step();
@@ -60,7 +65,10 @@
     bool watchStore();
     void writeQuarantines();
     void applyQuarantine(std::string_view name);
+    void writeVersions();
+    void reportVersions();
     bool readAll();
+    bool isVersionRecord(const StoreEntry &entry) const;
     void applyEntry(const StoreEntry &entry);
     void applyLeader(const StoreEntry &entry);
     void reportRecentWeights(const StoreListReply &reply);
@@ -77,10 +85,12 @@
     TimePoint nextRenewal_;
     std::int64_t watchRevision_ = 0;
     std::map<std::string, HostRecord> hosts_;
+    std::map<std::string, StoreEntry> versionRecords_; ///< By service.
     double share_ = 0;
     TimePoint shareChangedAt_;
     std::mutex mutex_;
     std::vector<RequestFingerprint> unwrittenQuarantines_; ///< Not yet written to the store; guarded by `mutex_`.
+    std::map<std::string, std::string> unwrittenVersions_; ///< By service; guarded by `mutex_`.
 };
 
 } // namespace Lovageloft
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -193,8 +193,8 @@
     std::string salt;
     CachePlan plan;
     const std::string_view lastEventId = events_.lastId().empty() ? std::string_view(intake_.caller().lastEventId) : std::string_view(events_.lastId());
-    const TargetRequest request =
-        makeTargetRequest(gateway_, intake_, {target, timeLeft(now), lastEventId, assignment_.expectedCachedTokens, assignment_.holder, isExpectedLate_}, salt, plan);
+    const TargetRequest request = makeTargetRequest(
+        gateway_, intake_, {target, timeLeft(now), lastEventId, assignment_.expectedCachedTokens, assignment_.holder, isExpectedLate_}, salt, plan);
     std::string bytes = gateway_.targetProtocol().writeHead(head_, request, body_.size());
     bytes.append(body_);
     connection_ = gateway_.pool().acquire(target, intake_.route()->isIdempotent(), now);
--- a/gateway/store_records.h
+++ b/gateway/store_records.h
@@ -3,6 +3,7 @@
 #include <optional>
 #include <string_view>
 
+#include "coordination/serving_versions.h"
 #include "coordination/store.h"
 #include "core/result_code.h"
 #include "gateway/routing_table.h"
@@ -23,6 +24,9 @@
     virtual bool isWeightsKey(std::string_view key) const = 0;
     virtual std::string_view targetPrefix() const = 0;
 
+    /// Prefix of the keys that hold rollout orders; the rest of such a key is the service's name.
+    virtual std::string_view rolloutPrefix() const = 0;
+
     /// This and the following functions return nothing and set `reason` if the entry is invalid.
     virtual std::optional<RoutingTable> parseConfiguration(const StoreEntry &entry, Reason &reason) const = 0;
 
@@ -30,6 +34,7 @@
     virtual std::optional<Target> parseTarget(const StoreEntry &entry, Reason &reason) const = 0;
     /// Sets only the model and version of the weights.
     virtual std::optional<PublishedWeights> parseWeights(const StoreEntry &entry, Reason &reason) const = 0;
+    virtual std::optional<RolloutOrder> parseRollout(const StoreEntry &entry, Reason &reason) const = 0;
 };
 
 } // namespace Lovageloft
--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -85,6 +85,11 @@
     }
 }
 
+void TargetDirectory::setWithheld(std::set<std::string, std::less<>> withheld)
+{
+    withheld_ = std::move(withheld);
+}
+
 void TargetDirectory::setRecentWeights(std::set<std::string> names)
 {
     recentAtStartup_ = std::move(names);
@@ -311,7 +316,7 @@
     engine.cacheTokens = cache != cacheTokens_.end() ? cache->second * promptCacheFraction : 0;
     const Correction *correction = findCorrection(target);
     const bool isAvoided = correction != nullptr && (correction->isAddressReused || now < correction->avoidUntil);
-    engine.isServing = !target.isLeaving && !isAvoided;
+    engine.isServing = !target.isLeaving && !isAvoided && !withheld_.contains(target.id);
     engine.isRemote = target.dataCentre != dataCentre_;
     return engine;
 }
--- a/gateway/target_directory.h
+++ b/gateway/target_directory.h
@@ -32,6 +32,9 @@
     void setTargets(std::shared_ptr<const TargetMap> targets);
     void setPublishedWeights(const PublishedWeights &weights);
 
+    /// Sets the ids of the targets that get no requests because of their software version.
+    void setWithheld(std::set<std::string, std::less<>> withheld);
+
     /// Sets which of the weights found at startup are recent: those whose WeightsRecords key was in the store, by `weightsKeyName`. The
     /// others are older than `recentWeightsPeriod`: engines with weights older than these get no requests any more.
     void setRecentWeights(std::set<std::string> names);
@@ -105,6 +108,7 @@
     std::map<std::string, std::vector<PublishedWeights>, std::less<>> published_; ///< By model, oldest first; each version has its own deadline.
     std::optional<std::set<std::string>> recentAtStartup_; ///< Not set until the store has been read.
     std::map<std::string, Correction, std::less<>> corrections_;
+    std::set<std::string, std::less<>> withheld_; ///< Ids of targets whose software version does not serve.
     std::map<std::string, double, std::less<>> cacheTokens_; ///< Capacity of one engine's memory, by service.
 };
 
--- /dev/null
+++ b/gateway/version_guard.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+#include "coordination/serving_versions.h"
+#include "gateway/target.h"
+
+namespace Lovageloft
+{
+
+/// Keeps requests from targets whose software version must not serve. On the leader, has the serving versions recorded in the store. For
+/// use on the event loop only.
+class VersionGuard
+{
+public:
+    /// Ids of the targets that get no requests because of their version.
+    using WithheldListener = std::function<void(const std::set<std::string, std::less<>> &withheld)>;
+
+    /// Records the serving versions, by service.
+    using Recorder = std::function<void(const std::map<std::string, std::string> &versions)>;
+
+    /// `listener` is called whenever the withheld targets change.
+    explicit VersionGuard(WithheldListener listener);
+
+    /// Must be called before the event loop runs.
+    void setRecorder(Recorder recorder);
+
+    /// Whether this host is the leader.
+    void setLeading(bool isLeading);
+
+    void setTargets(const TargetMap &targets);
+
+    /// Sets the version that an operator ordered a service to move to; an empty one if the order can't be read.
+    void setOrder(const std::string &service, const std::string &version);
+
+    /// The order was withdrawn.
+    void removeOrder(const std::string &service);
+
+    /// Sets the serving versions that the store holds, by service.
+    void setRecorded(const std::map<std::string, std::string, std::less<>> &versions);
+
+private:
+    void update();
+
+    WithheldListener listener_;
+    Recorder recorder_ = [](const std::map<std::string, std::string> &) {};
+    ServingVersions versions_;
+    std::set<std::string, std::less<>> withheld_; ///< As last passed to the listener.
+    bool isLeading_ = false;
+};
+
+} // namespace Lovageloft
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -15,6 +15,7 @@
 constexpr std::string_view hostsPrefix = "lovageloft/hosts/";
 constexpr std::string_view weightsPrefix = "lovageloft/weights/";
 constexpr std::string_view quarantinePrefix = "lovageloft/quarantine/";
+constexpr std::string_view versionsPrefix = "lovageloft/versions/";
 constexpr std::string_view leaderKey = "lovageloft/leader";
 
 /// A shutdown ends this much before the platform kills the process.
@@ -139,6 +140,7 @@
     gateway_.fleet().setRelayedStore(relayedStore_);
     gateway_.setWeightsListener([this](const std::vector<PublishedWeights> &weights) { weightsDuty_.setPublishedWeights(weights); });
     gateway_.fleet().setQuarantineRecorder([this](RequestFingerprint request) { hostDuty_.recordQuarantine(request); });
+    gateway_.versions().setRecorder([this](const auto &versions) { hostDuty_.recordServingVersions(versions); });
     gateway_.fleet().setOrderListener([this](const std::string &target) { weightsDuty_.onOrderByOther(target); });
 }
 
@@ -149,7 +151,11 @@
                 gateway_.post([revision, provenAt](Gateway &gateway) { gateway.confirmTable(revision, provenAt); });
             },
             [this](const PublishedWeights &weights) { onWeights(weights); },
-            [this](std::int64_t revision) { gateway_.post([revision](Gateway &gateway) { gateway.noteNewerTable(revision); }); }};
+            [this](std::int64_t revision) { gateway_.post([revision](Gateway &gateway) { gateway.noteNewerTable(revision); }); },
+            [this](const std::string &service, const std::string &version) {
+                gateway_.post([service, version](Gateway &gateway) { gateway.versions().setOrder(service, version); });
+            },
+            [this](const std::string &service) { gateway_.post([service](Gateway &gateway) { gateway.versions().removeOrder(service); }); }};
 }
 
 HostDuty::Options GatewayHost::hostOptions()
@@ -159,6 +165,7 @@
     options.hostsPrefix = hostsPrefix;
     options.weightsPrefix = weightsPrefix;
     options.quarantinePrefix = quarantinePrefix;
+    options.versionsPrefix = versionsPrefix;
     options.hostName = settings_.hostName;
     options.record = {settings_.peers, settings_.capacity, settings_.dataCentre};
     options.leaseTimeToLive = settings_.keyProofWindow * hostLeaseInProofWindows;
--- /dev/null
+++ b/tests/coordination/test_serving_versions.cpp
@@ -0,0 +1,271 @@
+#include <map>
+#include <string>
+#include <vector>
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "coordination/serving_versions.h"
+#include "core/random.h"
+
+using namespace Lovageloft;
+
+namespace
+{
+
+struct Listed
+{
+    std::string version;
+    std::int64_t incarnation = 1;
+    bool isLeaving = false;
+};
+
+struct Fixture
+{
+    ServingVersions versions;
+    std::map<std::string, Listed> targets;
+
+    Fixture()
+    {
+        versions.setRecorded({});
+    }
+
+    /// Lists targets named VERSION-NUMBER.
+    void add(const std::string &version, int count, std::int64_t incarnation = 1)
+    {
+        for (int i = 0; i < count; ++i) {
+            targets[version + '-' + std::to_string(i)] = {version, incarnation, false};
+        }
+    }
+
+    void publish()
+    {
+        std::vector<VersionedTarget> views;
+        for (const auto &[id, target] : targets) {
+            views.push_back({id, "s", target.version, target.incarnation, target.isLeaving});
+        }
+        versions.setTargets(views);
+    }
+
+    std::size_t servingTargets(const std::string &version) const
+    {
+        std::size_t count = 0;
+        for (const auto &[id, target] : targets) {
+            count += target.version == version && !versions.withheld().contains(id) ? 1 : 0;
+        }
+        return count;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ServingVersionsTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(targetsThatComeBeforeTheirOrderGetNothing)
+{
+    // Guards against traffic for a version under test, because its targets are listed before the order is read.
+    add("v1", 3);
+    publish();
+    add("v2", 3, 2);
+    publish();
+    BOOST_TEST(servingTargets("v1") == 3U);
+    BOOST_TEST(servingTargets("v2") == 0U);
+    versions.setOrder("s", "v2");
+    BOOST_TEST(servingTargets("v1") == 3U);
+    BOOST_TEST(servingTargets("v2") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(crashesOfTheServingVersionDoNotMoveTrafficToAnOrderedOne)
+{
+    // Guards against a majority that flips to the version under test when serving targets crash.
+    add("v1", 3);
+    publish();
+    add("v2", 3, 2);
+    versions.setOrder("s", "v2");
+    targets.erase("v1-0");
+    targets.erase("v1-1");
+    publish();
+    BOOST_TEST(servingTargets("v1") == 1U);
+    BOOST_TEST(servingTargets("v2") == 0U);
+    targets.erase("v1-2");
+    publish();
+    BOOST_TEST(servingTargets("v2") == 0U);
+    add("v1", 1);
+    publish();
+    BOOST_TEST(servingTargets("v1") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(anOrderTakesTrafficFromAVersionThatStoodInForCrashedTargets)
+{
+    // Guards against an order that finds its version serving already, because all targets of the serving one had crashed a moment before.
+    add("v1", 2);
+    publish();
+    targets.clear();
+    add("v2", 2, 2);
+    publish();
+    BOOST_TEST(servingTargets("v2") == 2U);
+    versions.setOrder("s", "v2");
+    BOOST_TEST(servingTargets("v2") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(aReleaseReplacesOneTargetAtATime)
+{
+    // Guards against a service that shrinks with each replaced target, because its new version is taken for one under test.
+    add("v1", 3);
+    publish();
+    for (const std::string number : {"0", "1", "2"}) {
+        targets["v2-" + number] = {"v2", 2, false};
+        publish();
+        targets["v1-" + number].isLeaving = true;
+        publish();
+        BOOST_TEST(servingTargets("v2") == static_cast<std::size_t>(std::stoi(number)) + 1);
+        targets.erase("v1-" + number);
+        publish();
+    }
+    BOOST_TEST(servingTargets("v2") == 3U);
+    BOOST_TEST(versions.servingVersion("s").value_or("") == "v2");
+    BOOST_TEST(versions.unrecorded().at("s") == "v2");
+}
+
+BOOST_AUTO_TEST_CASE(anOrderOutranksARelease)
+{
+    add("v1", 2);
+    publish();
+    add("v2", 1, 2);
+    targets["v1-0"].isLeaving = true;
+    publish();
+    BOOST_TEST(servingTargets("v2") == 1U);
+    versions.setOrder("s", "v2");
+    BOOST_TEST(servingTargets("v2") == 0U);
+    versions.removeOrder("s");
+    BOOST_TEST(servingTargets("v2") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aHostThatStartsInTheMiddleKnowsTheServingVersion)
+{
+    // Guards against hosts that restart during a rollout and take the version with more targets for the serving one.
+    versions.setRecorded({{"s", "v1"}});
+    add("v1", 1);
+    add("v2", 5, 2);
+    publish();
+    BOOST_TEST(servingTargets("v1") == 1U);
+    BOOST_TEST(servingTargets("v2") == 0U);
+    BOOST_TEST(versions.unrecorded().empty());
+}
+
+BOOST_AUTO_TEST_CASE(withoutARecordMostTargetsDecideAndThenTheOlderOnes)
+{
+    add("v1", 2, 5);
+    add("v2", 2, 9);
+    publish();
+    BOOST_TEST(versions.servingVersion("s").value_or("") == "v1");
+    BOOST_TEST(versions.unrecorded().at("s") == "v1");
+    ServingVersions other;
+    const std::vector<VersionedTarget> views{{"a", "s", "v1", 1, false}, {"b", "s", "v2", 2, false}, {"c", "s", "v2", 3, false}};
+    other.setTargets(views);
+    BOOST_TEST(other.servingVersion("s").value_or("") == "v2");
+    BOOST_TEST(other.unrecorded().empty()); // The records have not been read yet.
+}
+
+BOOST_AUTO_TEST_CASE(anOrderThatIsKnownFirstLeavesTheOtherVersionServing)
+{
+    // Guards against a host that starts with the order known and takes the ordered version, which has more targets, for the serving one.
+    ServingVersions starting;
+    starting.setOrder("s", "v2");
+    const std::vector<VersionedTarget> onlyOrdered{{"b", "s", "v2", 2, false}, {"c", "s", "v2", 3, false}};
+    starting.setTargets(onlyOrdered);
+    BOOST_TEST(starting.withheld().size() == 2U);
+    const std::vector<VersionedTarget> both{{"a", "s", "v1", 1, false}, {"b", "s", "v2", 2, false}, {"c", "s", "v2", 3, false}};
+    starting.setTargets(both);
+    BOOST_TEST(starting.servingVersion("s").value_or("") == "v1");
+    BOOST_TEST(!starting.withheld().contains("a"));
+    BOOST_TEST(starting.withheld().size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(anOldOrderForTheOnlyVersionDoesNotStopTheService)
+{
+    // Guards against a service without targets after an order that was carried out long ago.
+    versions.setOrder("s", "v2");
+    add("v2", 2);
+    publish();
+    BOOST_TEST(servingTargets("v2") == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(anUnreadableOrderLeavesOnlyTheServingVersion)
+{
+    add("v1", 2);
+    publish();
+    versions.setOrder("s", "");
+    add("v2", 2, 2);
+    targets["v1-0"].isLeaving = true;
+    publish();
+    BOOST_TEST(servingTargets("v1") == 2U);
+    BOOST_TEST(servingTargets("v2") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(targetsWithoutAVersionServe)
+{
+    add("", 2);
+    publish();
+    BOOST_TEST(servingTargets("") == 2U);
+}
+
+BOOST_DATA_TEST_CASE(noScheduleSendsRequestsToAnOrderedVersion, boost::unit_test::data::xrange(1'000), seed)
+{
+    // Guards against any order of crashes, returns, releases, restarts and orders that lets an ordered version serve.
+    Random random(static_cast<std::uint64_t>(seed));
+    const std::size_t count = 1 + randomBelow(random, 5);
+    add("v1", static_cast<int>(count));
+    publish();
+    std::map<std::string, std::string, std::less<>> record{{"s", "v1"}};
+    bool isOrdered = false;
+    int next = 0;
+    for (int step = 0; step < 40; ++step) {
+        const std::string id =
+            targets.empty() ? std::string() : std::next(targets.begin(), static_cast<std::ptrdiff_t>(randomBelow(random, targets.size())))->first;
+        switch (randomBelow(random, 6)) {
+        case 0:
+            targets.erase(id);
+            break;
+        case 1:
+            targets["v2+" + std::to_string(next++)] = {"v2", 2, false};
+            break;
+        case 2:
+            targets["v1+" + std::to_string(next++)] = {"v1", 1, false};
+            break;
+        case 3:
+            if (!isOrdered && !id.empty() && targets[id].version == "v1") {
+                targets[id].isLeaving = true;
+            }
+            break;
+        case 4:
+            if (versions.servingVersion("s") == "v1") {
+                versions.setOrder("s", "v2");
+                isOrdered = true;
+            }
+            break;
+        default:
+            // A host that starts now: the list of operators' entries precedes all decisions, the record may come later.
+            versions = ServingVersions();
+            if (isOrdered) {
+                versions.setOrder("s", "v2");
+            }
+            if (randomBelow(random, 2) == 0) {
+                publish();
+            }
+            versions.setRecorded(record);
+            break;
+        }
+        publish();
+        const auto unrecorded = versions.unrecorded();
+        if (!unrecorded.empty()) {
+            record["s"] = unrecorded.at("s");
+        }
+        if (isOrdered) {
+            BOOST_REQUIRE_EQUAL(servingTargets("v2"), 0U);
+        }
+        BOOST_REQUIRE(isOrdered || versions.withheld().size() < targets.size() || targets.empty());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/gateway/test_duties.cpp
+++ b/tests/gateway/test_duties.cpp
@@ -118,6 +118,17 @@
     {
         return std::nullopt;
     }
+
+    std::string_view rolloutPrefix() const override
+    {
+        return "op/rollout/";
+    }
+
+    std::optional<RolloutOrder> parseRollout(const StoreEntry &entry, Reason &) const override
+    {
+        return entry.value == "strange" ? std::nullopt
+                                        : std::optional(RolloutOrder{entry.key.substr(rolloutPrefix().size()), entry.value, std::chrono::seconds(12)});
+    }
 };
 
 const PlainRecords records;
--- a/tests/gateway/test_key_freshness.cpp
+++ b/tests/gateway/test_key_freshness.cpp
@@ -61,6 +61,16 @@
     {
         return std::nullopt;
     }
+
+    std::string_view rolloutPrefix() const override
+    {
+        return "op/rollout/";
+    }
+
+    std::optional<RolloutOrder> parseRollout(const StoreEntry & /*entry*/, Reason & /*reason*/) const override
+    {
+        return std::nullopt;
+    }
 };
 
 /// Simulates in virtual time hosts that prove their configuration while operators write new ones. Each call to the store and each message
--- a/tests/gateway/test_target_directory.cpp
+++ b/tests/gateway/test_target_directory.cpp
@@ -221,4 +221,13 @@
     BOOST_TEST(isServing("p1", start));
 }
 
+BOOST_FIXTURE_TEST_CASE(aWithheldTargetIsNotServing, Fixture)
+{
+    directory.setWithheld({"e2"});
+    BOOST_TEST(isServing("e1|m", start));
+    BOOST_TEST(!isServing("e2|m", start));
+    directory.setWithheld({});
+    BOOST_TEST(isServing("e2|m", start));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/gateway_fixture.cpp
+++ b/tests/platform/gateway_fixture.cpp
@@ -93,6 +93,14 @@
     return add(std::move(entry), std::move(script));
 }
 
+ScriptedTarget &GatewayFixture::addVersion(const std::string &id, const std::string &version, ScriptedTarget::Script script)
+{
+    Target entry;
+    entry.id = id;
+    entry.softwareVersion = version;
+    return add(std::move(entry), std::move(script));
+}
+
 ScriptedTarget &GatewayFixture::add(Target entry, ScriptedTarget::Script script)
 {
     auto &target = targets_[entry.id] = std::make_unique<ScriptedTarget>(std::move(script));
--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -37,6 +37,9 @@
     /// Adds an engine of service s that serves a model.
     ScriptedTarget &addEngine(const std::string &id, const ServedModel &model, ScriptedTarget::Script script);
 
+    /// Adds a target of service s that runs this version of its software.
+    ScriptedTarget &addVersion(const std::string &id, const std::string &version, ScriptedTarget::Script script);
+
     /// Lists a target at whose address nobody listens.
     void addGone(const std::string &id);
 
--- a/tests/platform/test_host_listed_again.cpp
+++ b/tests/platform/test_host_listed_again.cpp
@@ -78,6 +78,7 @@
         options.leaseTimeToLive = leaseTimeToLive;
         options.leaderKey = "fleet/leader";
         options.quarantinePrefix = "fleet/quarantine/";
+        options.versionsPrefix = "fleet/versions/";
         options.onLeader = [](const std::string & /*host*/) {};
         options.onHosts = [](const std::vector<std::string> & /*candidates*/, std::size_t /*hosts*/) {};
         return options;
@@ -171,6 +172,24 @@
     later.join();
 }
 
+// Guards against a leader that writes over a version which another one has recorded meanwhile.
+BOOST_FIXTURE_TEST_CASE(aServingVersionIsRecordedOnce, HostFixture)
+{
+    constexpr std::string_view key = "fleet/versions/s";
+    duty.recordServingVersions({{"s", "v1"}});
+    const TimePoint limit = BootClock::now() + patience;
+    while (store.get(key).status != StoreStatus::Ok && BootClock::now() < limit) {
+        std::this_thread::sleep_for(5ms);
+    }
+    const StoreReply first = store.get(key);
+    BOOST_TEST(first.entry.value == "v1");
+    store.isDeaf = true;
+    store.compareAndSwap(key, first.entry.revision, "v2", 0);
+    duty.recordServingVersions({{"s", "v3"}});
+    std::this_thread::sleep_for(600ms);
+    BOOST_TEST(store.get(key).entry.value == "v2");
+}
+
 BOOST_FIXTURE_TEST_CASE(aHostThatStartsAgainTakesItsKeyOver, RestartFixture)
 {
     // Guards against a host that is no longer counted once the lease of its earlier process ends.
--- a/tests/platform/test_store_records.cpp
+++ b/tests/platform/test_store_records.cpp
@@ -48,6 +48,7 @@
     BOOST_TEST(target->id == "i-1");
     BOOST_TEST(target->address.host == "10.0.0.9");
     BOOST_TEST(target->address.port == 8080);
+    BOOST_TEST(target->softwareVersion == "v1");
     BOOST_TEST(target->slots == 16);
     BOOST_TEST(target->incarnation == 1773883766765);
     BOOST_TEST(!target->isLeaving);
@@ -75,6 +76,31 @@
     BOOST_TEST((reason.code == ResultCode::MalformedJson));
 }
 
+BOOST_AUTO_TEST_CASE(aRolloutOrderIsRead)
+{
+    Reason reason;
+    const auto order = records.parseRollout(entryOf("op/rollout/s", R"({"service":"s","target":"v2","durationS":12})"), reason);
+    BOOST_REQUIRE(order.has_value());
+    BOOST_TEST(order->service == "s");
+    BOOST_TEST(order->version == "v2");
+    BOOST_TEST((order->duration == Duration(12s)));
+}
+
+BOOST_DATA_TEST_CASE(aGarbledRolloutOrderIsNone,
+                     boost::unit_test::data::make(std::vector<std::string>{"",
+                                                                           "[]",
+                                                                           R"({"service":"s","target":"v2"})",
+                                                                           R"({"service":"s","target":"","durationS":12})",
+                                                                           R"({"service":"s","target":2,"durationS":12})",
+                                                                           R"({"service":"other","target":"v2","durationS":12})",
+                                                                           R"({"service":"s","target":"v2","durationS":-1})"}),
+                     text)
+{
+    Reason reason;
+    BOOST_TEST(!records.parseRollout(entryOf("op/rollout/s", text), reason).has_value());
+    BOOST_TEST((reason.code == ResultCode::MalformedJson));
+}
+
 BOOST_AUTO_TEST_CASE(aConfigurationIsReadWhole)
 {
     const std::string text =
