Dispatch notices name the ends of shared parts, so that long prefixes are known whole

Cause: a notice carried the first 64 blocks of a prompt, 16,384 tokens. Other hosts believed that an engine held half of a prefix of 30,000 tokens, expected it late there, and computed it again elsewhere.

Change: a notice names the last block of each shared part; an engine that holds it holds all before it. A prompt with one shared part costs 8 bytes of a notice in place of up to 512.

AnnouncedPrefixesTest fails on the old notices.

--- a/decision/prompt_parts.cpp
+++ b/decision/prompt_parts.cpp
@@ -1,5 +1,6 @@
 #include "decision/prompt_parts.h"
 
+#include <algorithm>
 #include <array>
 
 #include <xxhash.h>
@@ -20,4 +21,20 @@
     }
 }
 
+std::vector<std::uint32_t> partEnds(std::span<const PromptPart> parts)
+{
+    std::vector<std::uint32_t> ends;
+    std::uint64_t tokens = 0;
+    std::uint64_t lastEnd = 0;
+    for (const PromptPart &part : parts) {
+        tokens += part.tokens;
+        const std::uint64_t end = std::min<std::uint64_t>(tokens / partBlockTokens, maxPrefixChainBlocks);
+        if (end > lastEnd) {
+            ends.push_back(static_cast<std::uint32_t>(end));
+        }
+        lastEnd = end;
+    }
+    return ends;
+}
+
 } // namespace Lovageloft
--- a/decision/prompt_parts.h
+++ b/decision/prompt_parts.h
@@ -29,4 +29,8 @@
 /// it would choose an arbitrary engine.
 void digestParts(std::span<const PromptPart> parts, std::vector<BlockHash> &digests);
 
+/// Returns the numbers of full blocks up to the end of each part, ascending and without zero and repetitions, at most maxPrefixChainBlocks.
+/// Prompts share whole parts, so the blocks at these ends tell which parts an engine holds.
+std::vector<std::uint32_t> partEnds(std::span<const PromptPart> parts);
+
 } // namespace Lovageloft
--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -15,6 +15,20 @@
 /// Retry-After if the retry budget is spent: about when a burst of failures no longer fills the budget's window.
 constexpr std::chrono::seconds retryBudgetRetryAfter{2};
 
+std::vector<BlockHash> announcedBlocks(std::span<const BlockHash> chain, std::span<const std::uint32_t> partEnds)
+{
+    if (partEnds.empty()) {
+        return {chain.begin(), chain.end()};
+    }
+    std::vector<BlockHash> blocks;
+    for (const std::uint32_t end : partEnds) {
+        if (end > 0 && end <= chain.size()) {
+            blocks.push_back(chain[end - 1]);
+        }
+    }
+    return blocks;
+}
+
 } // namespace
 
 RequestScheduler::RequestScheduler(const QueueLimits &limits, const PlacementPolicy &policy)
@@ -267,6 +281,7 @@
     for (const VersionedChain &chain : toPlace.chains) {
         if (chain.modelVersion == decision.modelVersion) {
             assignment.blocks.assign(chain.blocks.begin(), chain.blocks.end());
+            assignment.announcedBlocks = announcedBlocks(chain.blocks, found->second.partEnds);
             assignment.holder = findHolder(chain.blocks, decision);
         }
     }
--- a/decision/request_scheduler.h
+++ b/decision/request_scheduler.h
@@ -45,6 +45,7 @@
     std::string model;
     Priority priority = Priority::Normal;
     std::vector<BlockHash> blockDigests; ///< From digestBlocks, or from digestParts for the parts that other prompts may share.
+    std::vector<std::uint32_t> partEnds; ///< From the function of that name, for digests of parts; empty for a text.
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = 0; ///< Maximum number of tokens that may be generated.
     std::size_t bytes = 0; ///< Size of the request and its answer.
@@ -66,6 +67,7 @@
     std::uint32_t workTokens = 0; ///< Work that the request adds, as the length in tokens of an uncached short prompt that takes as long to compute.
     std::uint32_t newTokens = 0; ///< Tokens that the request adds to the engine's cache.
     std::vector<BlockHash> blocks = {}; ///< Block hashes of the prompt for this engine's weights.
+    std::vector<BlockHash> announcedBlocks = {}; ///< Those of `blocks` that tell other hosts what the engine holds: the last of each part, or all of a text.
     std::string holder = {}; ///< Another engine that is expected to hold more of the prompt in its cache; empty if there is none.
     std::string alternative = {}; ///< The engine that was second in cost; empty if only one could take the request.
     double alternativeFirstTokenSeconds = 0; ///< Seconds from now, at `alternative`.
--- a/gateway/fleet_link.cpp
+++ b/gateway/fleet_link.cpp
@@ -179,7 +179,7 @@
     if (assignment.workTokens < minAnnouncedTokens) {
         return;
     }
-    socket_.broadcast(DispatchNotice{assignment.engine, assignment.workTokens, assignment.newTokens, assignment.blocks});
+    socket_.broadcast(DispatchNotice{assignment.engine, assignment.workTokens, assignment.newTokens, assignment.announcedBlocks});
 }
 
 void FleetLink::onDispatchNotice(const DispatchNotice &notice)
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -23,8 +23,8 @@
 using ErrorCode = boost::system::error_code;
 using PeerMessages::Datagram;
 
-/// Limits the blocks in a DispatchNotice to half a kilobyte. That should be more than most prompts share. 64 blocks of
-/// partBlockTokens are 16,384 tokens; further blocks are not announced.
+/// Limits the blocks in a DispatchNotice to half a kilobyte. Of more blocks the last ones are announced: an engine that holds them holds
+/// those before them as well.
 constexpr std::size_t maxAnnouncedBlocks = 64;
 
 /// Datagrams read in a row before other handlers of the event loop run.
@@ -229,8 +229,9 @@
     dispatch.setNewTokens(notice.newTokens);
     const auto count = static_cast<unsigned>(std::min(notice.blocks.size(), maxAnnouncedBlocks));
     auto blocks = dispatch.initBlocks(count);
+    const auto announced = std::span(notice.blocks).last(count);
     for (unsigned i = 0; i < count; ++i) {
-        blocks.set(i, notice.blocks[i]);
+        blocks.set(i, announced[i]);
     }
     broadcastBytes(encode(message));
 }
--- a/gateway/request_intake.cpp
+++ b/gateway/request_intake.cpp
@@ -135,6 +135,7 @@
     request.promptTokens = caller_.promptTokens.value_or(serviceCallWorkTokens);
     request.outputTokens = caller_.outputTokens;
     digestParts(sharedParts(), request.blockDigests);
+    request.partEnds = partEnds(sharedParts());
     return request;
 }
 
--- /dev/null
+++ b/tests/decision/test_announced_prefixes.cpp
@@ -0,0 +1,99 @@
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "decision/prompt_parts.h"
+#include "decision/request_scheduler.h"
+
+/// Hosts that announce the long prompts that they send to engines, and prompts with shared parts of up to 40,000 tokens.
+using namespace Lovageloft;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr TimePoint start{std::chrono::hours(1)};
+constexpr std::uint32_t ownTokens = 3'700;
+
+class Host
+{
+public:
+    Host()
+    {
+        std::vector<SchedulerEngine> engines;
+        for (const char *name : {"e0", "e1", "e2", "e3", "e4", "e5"}) {
+            engines.push_back({.name = name, .model = "m", .weightsVersion = "1", .incarnation = 1, .prefillTokensPerSecond = 90'000, .cacheTokens = 110'000});
+        }
+        scheduler_.setEngines(engines);
+        scheduler_.setHostCount(2);
+    }
+
+    SchedulerAssignment send(const std::vector<PromptPart> &shared)
+    {
+        SchedulerRequest request;
+        request.id = RequestId{++lastId_};
+        request.team = "t";
+        request.model = "m";
+        for (const PromptPart &part : shared) {
+            request.promptTokens += part.tokens;
+        }
+        request.promptTokens += ownTokens;
+        digestParts(shared, request.blockDigests);
+        request.partEnds = partEnds(shared);
+        request.deadline = start + 4s;
+        scheduler_.submit(request, start);
+        const auto outcomes = scheduler_.decide(start, random_);
+        BOOST_REQUIRE(outcomes.size() == 1U);
+        return std::get<SchedulerAssignment>(outcomes.front());
+    }
+
+    void learn(const SchedulerAssignment &assignment)
+    {
+        scheduler_.onDispatchedByPeer(assignment.engine, assignment.workTokens, assignment.newTokens, assignment.announcedBlocks, start);
+    }
+
+private:
+    static PlacementPolicy policy()
+    {
+        PlacementPolicy policy;
+        policy.cacheViewBlocks = 65'536;
+        policy.blockTokens = partBlockTokens;
+        return policy;
+    }
+
+    RequestScheduler scheduler_{QueueLimits{}, policy()};
+    Random random_{5};
+    std::uint64_t lastId_ = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AnnouncedPrefixesTest)
+
+BOOST_AUTO_TEST_CASE(theLongestPrefixesAreFoundWholeByOtherHosts)
+{
+    // Guards against long shared parts that other hosts find only in part: they would compute half of 30,000 tokens again, 0.3 s late.
+    for (const std::uint32_t tokens : {1'100U, 13'300U, 20'000U, 30'000U, 39'900U}) {
+        Host first;
+        Host second;
+        const std::vector<PromptPart> shared{{tokens, tokens}};
+        const SchedulerAssignment sent = first.send(shared);
+        BOOST_TEST(sent.announcedBlocks.size() == 1U);
+        second.learn(sent);
+        const SchedulerAssignment found = second.send(shared);
+        BOOST_TEST(found.engine == sent.engine);
+        BOOST_TEST(found.expectedCachedTokens == tokens / partBlockTokens * partBlockTokens);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aPromptThatSharesOnlyTheFirstPartIsFoundToo)
+{
+    Host first;
+    Host second;
+    const SchedulerAssignment sent = first.send({{1, 9'000}, {2, 20'000}});
+    BOOST_TEST(sent.announcedBlocks.size() == 2U);
+    second.learn(sent);
+    BOOST_TEST(second.send({{1, 9'000}, {3, 20'000}}).expectedCachedTokens == 35U * partBlockTokens);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
