A prompt with a new prefix goes where it begins soonest

Cause: the margins of placement keep prompts at the engines that rendezvous hashing selects, so that restarted hosts find them. A prompt whose prefix nobody had sent yet waited up to 0.4 s behind another one while other engines were idle; on the shifted site two prompts of three are such first ones, and those of 18,000 tokens or more have no 0.1 s to lose.

Change: hosts that announce their dispatches find a prefix wherever it was computed. They use margins of 0, 0.25 and 0.5 in place of 0, 1 and 2 (PlacementPolicy::withAnnouncements).

--- a/decision/placement.cpp
+++ b/decision/placement.cpp
@@ -32,6 +32,14 @@
 
 } // namespace
 
+PlacementPolicy PlacementPolicy::withAnnouncements()
+{
+    PlacementPolicy policy;
+    policy.laterWinnerMargin = 0.25;
+    policy.nonWinnerMargin = 0.5;
+    return policy;
+}
+
 Placement::Placement(const PlacementPolicy &policy)
     : policy_(policy)
     , view_(policy.cacheViewBlocks)
--- a/decision/placement.h
+++ b/decision/placement.h
@@ -109,6 +109,11 @@
     double maxWaitWindowOpen = 3.0; ///< Maximum expected wait in seconds for an engine with room in its window.
     double maxWaitWindowFull = 1.0; ///< Maximum expected wait in seconds for an engine whose window is full.
     double holdSlack = 0.3; ///< In s^2. A request waits if the best engine that can take it costs over holdSlack / mean wait more than the cheapest one.
+
+    /// The policy for hosts that announce their long prompts to each other. They find a prefix on whichever engine computed it, so that a prompt
+    /// with a new prefix need not wait for the engine that rendezvous hashing selects. Small margins remain: a host that has just started
+    /// has heard no announcements.
+    static PlacementPolicy withAnnouncements();
 };
 
 /// Decides which engine gets a request. Designed for prompts that share long nested prefixes, over 18 to 1,000 engines: an engine
--- a/gateway/request_dispatch.cpp
+++ b/gateway/request_dispatch.cpp
@@ -36,7 +36,7 @@
 
 PlacementPolicy placementPolicy()
 {
-    PlacementPolicy policy;
+    PlacementPolicy policy = PlacementPolicy::withAnnouncements();
     policy.cacheViewBlocks = cacheViewBlocks;
     policy.blockTokens = partBlockTokens;
     policy.attentionParityTokens = attentionParityTokens;
--- a/tests/decision/test_announced_prefixes.cpp
+++ b/tests/decision/test_announced_prefixes.cpp
@@ -18,7 +18,8 @@
 class Host
 {
 public:
-    Host()
+    explicit Host(PlacementPolicy policy = {})
+        : scheduler_(QueueLimits{}, withBlocks(policy))
     {
         std::vector<SchedulerEngine> engines;
         for (const char *name : {"e0", "e1", "e2", "e3", "e4", "e5"}) {
@@ -40,9 +41,9 @@
         request.promptTokens += ownTokens;
         digestParts(shared, request.blockDigests);
         request.partEnds = partEnds(shared);
-        request.deadline = start + 4s;
+        request.deadline = now_ + 4s;
         request.failedEngines = failedEngines;
-        scheduler_.submit(request, start);
+        scheduler_.submit(request, now_);
         const auto outcomes = scheduler_.decide(start, random_);
         BOOST_REQUIRE(outcomes.size() == 1U);
         return std::get<SchedulerAssignment>(outcomes.front());
@@ -50,26 +51,37 @@
 
     void learn(const SchedulerAssignment &assignment)
     {
-        scheduler_.onDispatchedByPeer(assignment.engine, assignment.workTokens, assignment.newTokens, assignment.announcedBlocks, start);
+        scheduler_.onDispatchedByPeer(assignment.engine, assignment.workTokens, assignment.newTokens, assignment.announcedBlocks, now_);
+    }
+
+    /// Another host sends this engine a prompt that shares nothing with others.
+    void learnWork(const std::string &engine, std::uint32_t tokens)
+    {
+        scheduler_.onDispatchedByPeer(engine, tokens, tokens, {}, now_);
+    }
+
+    void wait(Duration time)
+    {
+        now_ += time;
     }
 
     void decline(const SchedulerAssignment &assignment)
     {
-        scheduler_.onEnded(assignment.id, DispatchResult::Declined, start);
+        scheduler_.onEnded(assignment.id, DispatchResult::Declined, now_);
     }
 
 private:
-    static PlacementPolicy policy()
+    static PlacementPolicy withBlocks(PlacementPolicy policy)
     {
-        PlacementPolicy policy;
         policy.cacheViewBlocks = 65'536;
         policy.blockTokens = partBlockTokens;
         return policy;
     }
 
-    RequestScheduler scheduler_{QueueLimits{}, policy()};
+    RequestScheduler scheduler_;
     Random random_{5};
     std::uint64_t lastId_ = 0;
+    TimePoint now_ = start;
 };
 
 } // namespace
@@ -125,4 +137,27 @@
     BOOST_TEST(host.send(shared).holdsAllBlocks);
 }
 
+BOOST_AUTO_TEST_CASE(aPromptWithANewPrefixGoesWhereItBeginsSoonest)
+{
+    // Guards against prompts that nobody has sent before and that still wait for the engine of their hash, 0.2 s behind another prompt, while
+    // others are idle.
+    for (std::uint64_t prefix = 1; prefix <= 20; ++prefix) {
+        const std::vector<PromptPart> shared{{prefix, 13'300}};
+        const std::string home = Host().send(shared).engine;
+        Host host(PlacementPolicy::withAnnouncements());
+        host.learnWork(home, 18'000);
+        BOOST_TEST(host.send(shared).engine != home);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aPromptWithAKnownPrefixWaitsForItsEngine)
+{
+    const std::vector<PromptPart> shared{{1, 13'300}};
+    Host host(PlacementPolicy::withAnnouncements());
+    const std::string holder = host.send(shared).engine;
+    host.wait(1s);
+    host.learnWork(holder, 18'000);
+    BOOST_TEST(host.send(shared).engine == holder);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
