Core: comments and names in the field's terms

Reasons kept: why a full ring rejects, why the clock counts while suspended, why log events are limited, why digests are compared in constant time.

--- a/core/bounded_ring.h
+++ b/core/bounded_ring.h
@@ -11,8 +11,8 @@
 namespace Lovageloft
 {
 
-/// A ring of fixed capacity between two duties. A full ring refuses instead of blocking: what goes wrong
-/// otherwise is that one slow duty stops all that feed it, which is noticed as callers waiting without an answer.
+/// A queue of fixed capacity between two duties. A full queue rejects items instead of blocking: otherwise one slow duty would block all duties
+/// that feed it, and callers would wait without a response. Thread-safe.
 template <typename T>
 class BoundedRing
 {
@@ -22,7 +22,7 @@
     {
     }
 
-    /// Puts an item in; false if the ring is full or closed, and the item is then left as it was.
+    /// Appends an item. Returns false and leaves the item unchanged if the ring is full or closed.
     bool tryPush(T &&item)
     {
         {
@@ -37,7 +37,8 @@
         return true;
     }
 
-    /// Takes the oldest item; waits `timeout` for one, and returns nothing after that or once closed and empty.
+    /// Removes and returns the oldest item, waiting up to `timeout` for one. Returns nothing after the timeout, or at once if the ring is closed and
+    /// empty.
     template <typename Rep, typename Period>
     std::optional<T> pop(std::chrono::duration<Rep, Period> timeout)
     {
@@ -53,7 +54,7 @@
         return item;
     }
 
-    /// Refuses further items and wakes the reader; what is inside can still be taken.
+    /// Rejects further items and wakes the reader. Items in the ring can still be popped.
     void close()
     {
         {
--- a/core/clock.h
+++ b/core/clock.h
@@ -8,9 +8,8 @@
 
 using Duration = std::chrono::nanoseconds;
 
-/// The monotonic clock that goes on counting while the machine is suspended (CLOCK_BOOTTIME).
-/// What goes wrong without it: a paused host wakes, its clock has stood still, and it takes a lapsed
-/// lease or an old confirmation for a valid one.
+/// A monotonic clock that also advances while the machine is suspended (CLOCK_BOOTTIME). With a clock that stops meanwhile, a host that resumes
+/// would take an expired lease or an old confirmation for a valid one.
 struct BootClock
 {
     using duration = Duration;
@@ -22,22 +21,22 @@
     static time_point now() noexcept;
 };
 
-/// A point on BootClock. The pure packages take it as a parameter and never read the clock.
+/// A time on BootClock. `coordination/` and `decision/` get it as a parameter and never read the clock.
 using TimePoint = BootClock::time_point;
 
-/// Seconds as a double, for rates.
+/// The duration in seconds.
 constexpr double toSeconds(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
 }
 
-/// Whole milliseconds, for logs and messages.
+/// The duration in whole milliseconds, rounded towards zero.
 constexpr std::int64_t toMillis(Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
-/// A duration from seconds; negative and not-a-number become zero, and too large ones a hundred years.
+/// The duration of a number of seconds. Negative numbers and NaN give zero; the maximum is a hundred years.
 constexpr Duration fromSeconds(double seconds)
 {
     constexpr double hundredYears = 3.15e9;
--- a/core/digest.h
+++ b/core/digest.h
@@ -8,22 +8,22 @@
 namespace Lovageloft
 {
 
-/// SHA-256 as 64 lower-case hexadecimal digits.
+/// The SHA-256 of `data` as 64 lower-case hexadecimal digits.
 std::string sha256Hex(std::string_view data);
 
-/// The first eight digits of its SHA-256: tells two secrets apart in a log without giving either away.
+/// The first eight digits of the secret's SHA-256. Distinguishes secrets in logs without revealing them.
 std::string fingerprint(std::string_view secret);
 
-/// HMAC-SHA-256 of `data` under `secret` as 64 lower-case hexadecimal digits.
+/// The HMAC-SHA-256 of `data` under `secret` as 64 lower-case hexadecimal digits.
 std::string hmacSha256Hex(std::string_view secret, std::string_view data);
 
-/// Compares in a time that depends on the lengths only, so that a stranger can't guess a digest byte by byte.
+/// Whether two texts are equal. The time depends on their lengths only, so that it does not help an attacker to guess a digest byte by byte.
 bool equalInConstantTime(std::string_view left, std::string_view right);
 
 /// The value as 16 lower-case hexadecimal digits.
 std::string hexText(std::uint64_t value);
 
-/// `bytes` bytes from the system's cryptographic generator, in hexadecimal. For nonces and incarnations.
+/// `bytes` bytes of OpenSSL's random generator in lower-case hexadecimal, for nonces and incarnations.
 std::string randomHex(std::size_t bytes);
 
 } // namespace Lovageloft
--- a/core/log.cpp
+++ b/core/log.cpp
@@ -28,15 +28,15 @@
 
 constexpr std::size_t queueRecords = 8192;
 
-/// Lines of one event a second. A host of the target fleet serves 27 requests a second and writes each of a request's lines once or
-/// twice; ten times that is the longest burst whose stories are wanted whole.
-constexpr double eventLines = 270;
+/// Rate limit of each event. A host of the fleet designed for serves 27 requests a second and logs each event once or twice per request. Bursts
+/// of ten times that load are logged completely.
+constexpr double maxEventLinesPerSecond = 270;
 
-/// Lines of one event at once: two seconds of them, for a herd of callers after a restart.
-constexpr double eventBurst = 2 * eventLines;
+/// Lines of an event that may come at once: those of two seconds, as when all callers reconnect after a restart.
+constexpr double maxEventBurst = 2 * maxEventLinesPerSecond;
 
-/// Between two accounts of lines that were not written.
-constexpr Duration accountPause = std::chrono::seconds(1);
+/// Minimum time between two reports of lines that were not written.
+constexpr Duration lossReportInterval = std::chrono::seconds(1);
 
 std::atomic<std::uint64_t> &droppedLines()
 {
@@ -44,8 +44,8 @@
     return count;
 }
 
-/// Drops what finds the queue full, like Boost's own strategy, and counts it.
-class CountedDrop : public boost::log::sinks::drop_on_overflow
+/// Drops and counts records that find the queue full.
+class CountingDropStrategy : public boost::log::sinks::drop_on_overflow
 {
 public:
     template <typename Lock>
@@ -57,17 +57,17 @@
 };
 
 using Backend = boost::log::sinks::text_ostream_backend;
-using Sink = boost::log::sinks::asynchronous_sink<Backend, boost::log::sinks::bounded_fifo_queue<queueRecords, CountedDrop>>;
+using Sink = boost::log::sinks::asynchronous_sink<Backend, boost::log::sinks::bounded_fifo_queue<queueRecords, CountingDropStrategy>>;
 
 struct LogState
 {
     LogLevel level = LogLevel::Info;
     std::string host;
     boost::shared_ptr<Sink> sink;
-    std::mutex mutex; ///< Of what follows.
-    LogLimiter limiter{eventLines, eventBurst};
-    TimePoint nextAccount;
-    std::uint64_t droppedTold = 0;
+    std::mutex mutex; ///< Guards the members below.
+    LogLimiter limiter{maxEventLinesPerSecond, maxEventBurst};
+    TimePoint nextLossReport;
+    std::uint64_t reportedDropped = 0;
 };
 
 LogState &state()
@@ -96,7 +96,7 @@
     return text.data();
 }
 
-void push(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+void writeRecord(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
     std::string line = "{\"time\":\"" + timeText() + "\",\"level\":\"";
     line.append(logLevelNames[static_cast<std::size_t>(level)]);
@@ -110,25 +110,25 @@
     BOOST_LOG(logger) << line;
 }
 
-/// Tells once in a while which lines were not written, so that a reader of the log knows what he doesn't see.
-void accountForLines(TimePoint now)
+/// Logs at intervals how many lines were not written, so that a reader of the log knows what is missing. `TimePoint::max()` logs it at once.
+void reportLostLines(TimePoint now)
 {
     std::vector<LogLimiter::Suppressed> suppressed;
     std::uint64_t dropped = 0;
     {
         const std::lock_guard lock(state().mutex);
-        if (now < state().nextAccount) {
+        if (now < state().nextLossReport) {
             return;
         }
-        state().nextAccount = now == TimePoint::max() ? now : now + accountPause;
-        suppressed = state().limiter.takeSuppressed();
-        dropped = droppedLines() - std::exchange(state().droppedTold, droppedLines());
+        state().nextLossReport = now == TimePoint::max() ? now : now + lossReportInterval;
+        suppressed = state().limiter.consumeSuppressed();
+        dropped = droppedLines() - std::exchange(state().reportedDropped, droppedLines());
     }
     for (const LogLimiter::Suppressed &item : suppressed) {
-        push(LogLevel::Warning, "lines_suppressed", {{"of", item.event}, {"lines", static_cast<std::int64_t>(item.lines)}});
+        writeRecord(LogLevel::Warning, "lines_suppressed", {{"of", item.event}, {"lines", static_cast<std::int64_t>(item.lines)}});
     }
     if (dropped > 0) {
-        push(LogLevel::Warning, "lines_dropped", {{"lines", static_cast<std::int64_t>(dropped)}});
+        writeRecord(LogLevel::Warning, "lines_dropped", {{"lines", static_cast<std::int64_t>(dropped)}});
     }
 }
 
@@ -192,7 +192,7 @@
     if (state().sink == nullptr) {
         return;
     }
-    accountForLines(TimePoint::max());
+    reportLostLines(TimePoint::max());
     boost::log::core::get()->remove_sink(state().sink);
     state().sink->stop();
     state().sink->flush();
@@ -205,14 +205,14 @@
         return;
     }
     const TimePoint now = BootClock::now();
-    accountForLines(now);
+    reportLostLines(now);
     {
         const std::lock_guard lock(state().mutex);
         if (!state().limiter.admit(event, now)) {
             return;
         }
     }
-    push(level, event, fields);
+    writeRecord(level, event, fields);
 }
 
 LogCounts logCounts()
--- a/core/log.h
+++ b/core/log.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <variant>
 
-/// Structured logs in JSON lines, by Boost.Log. Keys and prompt text never go into a record.
+/// Structured logs as JSON lines, by Boost.Log. Never log API keys or prompt text.
 namespace Lovageloft
 {
 
@@ -20,40 +20,40 @@
     Error,
 };
 
-/// By level, as they stand in records and settings.
+/// Names of the levels in records and settings, indexed by LogLevel.
 inline constexpr std::array<std::string_view, 4> logLevelNames{"debug", "info", "warning", "error"};
 
-/// One named value of a record.
+/// A named value of a record.
 struct LogField
 {
     std::string_view name;
     std::variant<std::string_view, std::int64_t, double, bool> value;
 };
 
-/// Starts the log on standard output from `level` on. `host` stands in each record. Call once, before any thread starts.
+/// Starts to log records of `level` and above to standard output. Each record names `host`. Must be called once, before any thread starts.
 void startLog(LogLevel level, std::string_view host);
 
-/// Writes what is buffered and stops the log's thread.
+/// Writes buffered records and stops the log's thread.
 void stopLog();
 
-/// Writes one record: `{"time":...,"level":...,"host":...,"event":...,FIELDS}`. Each event has a rate; what is above it is suppressed and
-/// told once a second as `lines_suppressed`. Records that the log's bounded queue has no room for are dropped and told as
-/// `lines_dropped`, so that a reader that doesn't read never stops a request.
+/// Writes one record: `{"time":...,"level":...,"host":...,"event":...,FIELDS}`. Never blocks. Each event has a rate limit; records above it are
+/// suppressed and counted in `lines_suppressed` records, once a second. Records that find the log's queue full, as when nobody reads the
+/// output, are dropped and counted in `lines_dropped` records.
 void writeLog(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
-/// Lines that were not written since the start.
+/// Numbers of lines that were not written since the start.
 struct LogCounts
 {
-    std::uint64_t dropped = 0; ///< They found the queue full.
-    std::map<std::string, std::uint64_t, std::less<>> suppressed; ///< By event: they were above its rate.
+    std::uint64_t dropped = 0; ///< Because the queue was full.
+    std::map<std::string, std::uint64_t, std::less<>> suppressed; ///< Because their event was above its rate limit; by event.
 };
 
 LogCounts logCounts();
 
-/// The JSON text of a record's fields, without braces; for the log and its tests.
+/// The JSON text of fields, each after a comma, without braces.
 std::string formatLogFields(std::initializer_list<LogField> fields);
 
-/// Appends `text` as a JSON string with its quotes.
+/// Appends `text` as a quoted JSON string.
 void appendJsonString(std::string &out, std::string_view text);
 
 } // namespace Lovageloft
--- a/core/log_limiter.cpp
+++ b/core/log_limiter.cpp
@@ -29,15 +29,15 @@
     return true;
 }
 
-std::vector<LogLimiter::Suppressed> LogLimiter::takeSuppressed()
+std::vector<LogLimiter::Suppressed> LogLimiter::consumeSuppressed()
 {
-    std::vector<Suppressed> taken;
+    std::vector<Suppressed> consumed;
     for (auto &[event, bucket] : buckets_) {
-        if (bucket.suppressed > bucket.told) {
-            taken.push_back({event, bucket.suppressed - std::exchange(bucket.told, bucket.suppressed)});
+        if (bucket.suppressed > bucket.reported) {
+            consumed.push_back({event, bucket.suppressed - std::exchange(bucket.reported, bucket.suppressed)});
         }
     }
-    return taken;
+    return consumed;
 }
 
 std::map<std::string, std::uint64_t, std::less<>> LogLimiter::suppressed() const
--- a/core/log_limiter.h
+++ b/core/log_limiter.h
@@ -11,17 +11,17 @@
 namespace Lovageloft
 {
 
-/// Keeps each event of a log within a rate and counts what is above it.
+/// Limits the rate of each log event with a token bucket, and counts the lines above it.
 ///
-/// The load it is made for: a failing dependency or a burst of callers that makes one line come thousands of times a second. The
-/// lines would cost the processor time that the requests need, and bury the one line that tells the cause. Not thread-safe.
+/// Designed for failing dependencies and bursts of callers, which cause thousands of equal lines per second. These would take processor time from
+/// requests and hide the line that shows the cause. Not thread-safe.
 class LogLimiter
 {
 public:
-    /// Lines a second of each event, and how many may come at once.
+    /// `rate`: lines per second of each event; `burst`: lines that may come at once.
     LogLimiter(double rate, double burst);
 
-    /// Whether the line may be written; if not it is counted. Time may not go back.
+    /// Whether a line may be written; if not, it is counted as suppressed. `now` must not decrease between calls.
     bool admit(std::string_view event, TimePoint now);
 
     struct Suppressed
@@ -30,19 +30,19 @@
         std::uint64_t lines = 0;
     };
 
-    /// What was suppressed since the last call.
-    std::vector<Suppressed> takeSuppressed();
+    /// Numbers of suppressed lines since the last call, only of events with any.
+    std::vector<Suppressed> consumeSuppressed();
 
-    /// What was suppressed since the start, by event.
+    /// Numbers of suppressed lines since the start, by event.
     std::map<std::string, std::uint64_t, std::less<>> suppressed() const;
 
 private:
     struct Bucket
     {
-        double lines = 0; ///< That may come now.
+        double lines = 0; ///< Lines that may be written now.
         TimePoint filledAt;
         std::uint64_t suppressed = 0;
-        std::uint64_t told = 0;
+        std::uint64_t reported = 0;
     };
 
     double rate_;
--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -17,7 +17,7 @@
 namespace
 {
 
-/// From the wait for a free target to the longest stream; three bounds for each factor of ten tell the promised times apart.
+/// Bucket bounds in seconds, from the wait for a free target to the longest stream. Close enough to distinguish the usual latency targets.
 const prometheus::Histogram::BucketBoundaries secondBounds{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 2.5, 5, 10, 30, 60};
 
 struct Description
@@ -79,7 +79,7 @@
 template <typename Metric>
 using FamilyMap = std::map<std::string, prometheus::Family<Metric> *, std::less<>>;
 
-/// The family of a name, made on its first use.
+/// The metric family with this name; created on first use.
 template <typename Metric, typename Build>
 prometheus::Family<Metric> &familyOf(FamilyMap<Metric> &families, std::string_view name, prometheus::Registry &registry, Build build)
 {
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -7,11 +7,11 @@
 #include <string>
 #include <string_view>
 
-/// Figures of a running host in Prometheus' text format, by prometheus-cpp. docs/METRICS.md lists them all.
+/// Metrics of a host in the Prometheus text format, by prometheus-cpp. docs/METRICS.md lists them all.
 namespace Lovageloft
 {
 
-/// What tells apart the figures of one name. Values come from small sets: outcomes, services, never requests.
+/// A label of a metric. Its values must come from a small set, such as outcomes or services, but not request ids.
 struct MetricLabel
 {
     std::string_view name;
@@ -29,26 +29,26 @@
     Metrics(const Metrics &) = delete;
     Metrics &operator=(const Metrics &) = delete;
 
-    /// Adds to a counter, which starts at 0.
+    /// Adds `amount` to a counter, which starts at 0.
     void add(std::string_view name, MetricLabels labels = {}, std::uint64_t amount = 1);
 
-    /// Brings a counter that something else keeps up to `total`.
+    /// Raises a counter to `total`, which is counted elsewhere. Does nothing if the counter is higher.
     void raiseTo(std::string_view name, MetricLabels labels, std::uint64_t total);
 
     /// Sets a gauge.
     void set(std::string_view name, double value);
 
-    /// Adds one duration to a histogram with bounds from a millisecond to a minute.
+    /// Adds a duration to a histogram with bucket bounds from a millisecond to a minute.
     void observe(std::string_view name, MetricLabels labels, double seconds);
 
-    /// The value of a counter, 0 for one never added to.
+    /// The value of a counter; 0 if nothing was added to it.
     std::uint64_t counter(std::string_view name, MetricLabels labels = {}) const;
 
-    /// All figures as Prometheus text.
+    /// All metrics in the Prometheus text format.
     std::string text() const;
 
 private:
-    struct Families; ///< The library's registry and what has been entered there.
+    struct Families; ///< The library's registry and the metric families in it.
 
     mutable std::mutex mutex_;
     std::unique_ptr<Families> families_;
--- a/core/result_code.h
+++ b/core/result_code.h
@@ -5,13 +5,12 @@
 #include <string>
 #include <string_view>
 
-/// The numbered result codes of the whole system and the reason type that carries them.
-/// Functions that can fail return std::optional and fill a Reason with the last failure.
+/// The result codes of the whole system, and the Reason that carries them. Functions that can fail return std::optional and set a Reason.
 namespace Lovageloft
 {
 
-/// Result codes. The thousands tell where the cause lies: 1 caller, 2 refusal under load, 3 target,
-/// 4 coordination and store, 5 configuration tickets, 6 settings. docs/RESULT-CODES.md holds the same table.
+/// Result codes. The thousands digit shows where the cause lies: 1 caller, 2 refusal under load, 3 target, 4 coordination and store,
+/// 5 configuration tickets, 6 settings. docs/RESULT-CODES.md has the same table.
 enum class ResultCode : std::uint16_t
 {
     Ok = 0,
@@ -76,29 +75,29 @@
     SettingsMissing = 6006,
 };
 
-/// What a refused caller may rely on.
+/// Whether a refused request may have been executed.
 enum class RunState : std::uint8_t
 {
-    NotRun, ///< Nothing reached a target that could run it; safe to send again.
-    MayHaveRun, ///< A target may have run it.
+    NotRun, ///< It was not and will not be executed; it is safe to send it again.
+    MayHaveRun, ///< A target may have executed it.
 };
 
-/// One row of the table of result codes.
+/// A row of the table of result codes.
 struct ResultCodeInfo
 {
     ResultCode code;
-    std::string_view name; ///< snake_case, as it stands in answers and logs.
-    int httpStatus; ///< The status of an answer that carries this code.
+    std::string_view name; ///< In snake_case, as in responses and logs.
+    int httpStatus; ///< Status of a response with this code.
     std::string_view meaning; ///< One sentence for operators and callers.
 };
 
-/// All rows in ascending order of code.
+/// All rows, sorted by code.
 std::span<const ResultCodeInfo> resultCodeTable();
 
-/// The row of a code; the row of Ok for a number that is not in the table.
+/// The row of a code; that of Ok for a number that is not in the table.
 const ResultCodeInfo &resultCodeInfo(ResultCode code);
 
-/// The last reason of a failed call: its code and a sentence without keys or prompt text.
+/// Why a call failed: a code and a sentence, which contains no API keys or prompt text.
 struct Reason
 {
     ResultCode code = ResultCode::Ok;
--- a/core/settings.cpp
+++ b/core/settings.cpp
@@ -14,8 +14,8 @@
 namespace
 {
 
-constexpr std::int64_t hour = 3'600'000;
-constexpr std::int64_t textLimit = 256;
+constexpr std::int64_t maxTimeMs = 3'600'000;
+constexpr std::int64_t maxTextLength = 256;
 
 constexpr std::array specs = std::to_array<SettingSpec>({
     {"host", "name", &Settings::hostName, 1, 64, "text", "Name of this host, unique in the deployment."},
@@ -25,18 +25,18 @@
     {"callers", "threads", &Settings::callerThreads, 4, 20'000, "connections", "Connections served at once."},
     {"callers", "body_limit", &Settings::bodyLimit, 1'024, 67'108'864, "bytes", "Largest body of a request."},
     {"callers", "header_field_limit", &Settings::headerFieldLimit, 8, 1'000, "fields", "Most header fields of a request."},
-    {"callers", "header_timeout", &Settings::headerTimeout, 100, hour, "ms", "Longest time for a request's header and body to arrive."},
-    {"callers", "keep_alive_timeout", &Settings::keepAliveTimeout, 100, hour, "ms", "Longest idle time of a caller's connection."},
+    {"callers", "header_timeout", &Settings::headerTimeout, 100, maxTimeMs, "ms", "Longest time for a request's header and body to arrive."},
+    {"callers", "keep_alive_timeout", &Settings::keepAliveTimeout, 100, maxTimeMs, "ms", "Longest idle time of a caller's connection."},
     {"operators", "address", &Settings::operatorAddress, 1, 64, "IP number", "Address for operator calls."},
     {"operators", "port", &Settings::operatorPort, 0, 65'535, "port", "Port for operator calls; 0 takes any free one."},
     {"operators", "key_digest", &Settings::operatorKeyDigest, 0, 64, "hexadecimal", "SHA-256 of the operators' key; empty refuses all operator calls."},
     {"peers", "address", &Settings::peerAddress, 1, 64, "IP number", "Address for the other hosts."},
     {"peers", "port", &Settings::peerPort, 0, 65'535, "port", "Port for the other hosts; 0 takes any free one."},
-    {"peers", "secret", &Settings::peerSecret, 0, textLimit, "text", "Secret shared by all hosts; empty refuses all peers."},
+    {"peers", "secret", &Settings::peerSecret, 0, maxTextLength, "text", "Secret shared by all hosts; empty refuses all peers."},
     {"peers", "known", &Settings::peers, 0, 1'000, "ADDRESS:PORT", "Hosts known at the start."},
     {"store", "kind", &Settings::storeKind, 1, 16, "text", "Which store keeps the configuration.", "memory|etcd"},
     {"store", "endpoints", &Settings::storeEndpoints, 0, 16, "ADDRESS:PORT", "The store's HTTP/JSON gateways."},
-    {"store", "prefix", &Settings::storePrefix, 1, textLimit, "text", "First part of every key in the store."},
+    {"store", "prefix", &Settings::storePrefix, 1, maxTextLength, "text", "First part of every key in the store."},
     {"store", "timeout", &Settings::storeTimeout, 10, 60'000, "ms", "Longest wait for the store's answer."},
     {"store", "seed_tickets", &Settings::seedTickets, 0, 100, "paths", "Ticket files applied at the start on the memory store."},
     {"routing", "freshness_window", &Settings::freshnessWindow, 500, 60'000, "ms", "How long a confirmation of the configuration counts."},
@@ -44,23 +44,23 @@
     {"routing", "engine_timeout", &Settings::engineTimeout, 100, 600'000, "ms", "Longest silence of an engine within an answer."},
     {"routing", "connect_timeout", &Settings::connectTimeout, 10, 60'000, "ms", "Longest wait for a connection to a target."},
     {"routing", "drain_notice", &Settings::drainNotice, 0, 600'000, "ms", "New work is still served this long after /ready began to fail."},
-    {"routing", "drain_limit", &Settings::drainLimit, 0, hour, "ms", "Longest wait for running answers at a graceful shutdown."},
+    {"routing", "drain_limit", &Settings::drainLimit, 0, maxTimeMs, "ms", "Longest wait for running answers at a graceful shutdown."},
     {"routing", "ring_capacity", &Settings::ringCapacity, 16, 1'000'000, "requests", "Requests between two duties."},
     {"log", "level", &Settings::logLevel, 1, 16, "text", "Least level of a log record.", "debug|info|warning|error"},
 });
 
-/// Where a value stands and how its errors begin.
-struct Place
+/// Where a value is in the settings file, for error messages.
+struct Location
 {
     std::string_view file;
     std::int64_t line;
     std::string name;
 };
 
-void fail(Reason &reason, ResultCode code, const Place &place, std::string_view what, std::string_view allowed)
+void setError(Reason &reason, ResultCode code, const Location &location, std::string_view what, std::string_view allowed)
 {
     std::ostringstream out;
-    out << place.file << ':' << place.line << ": " << place.name << ": " << what << "; allowed: " << allowed;
+    out << location.file << ':' << location.line << ": " << location.name << ": " << what << "; allowed: " << allowed;
     reason = {code, out.str()};
 }
 
@@ -87,38 +87,38 @@
     return value >= spec.minimum && value <= spec.maximum;
 }
 
-bool storeNumber(const SettingSpec &spec, const toml::node &node, const Place &place, Settings &settings, Reason &reason)
+bool storeNumber(const SettingSpec &spec, const toml::node &node, const Location &location, Settings &settings, Reason &reason)
 {
     const auto value = node.value_exact<std::int64_t>();
     if (!value) {
-        fail(reason, ResultCode::SettingsWrongType, place, "must be " + typeName(spec), settingRange(spec));
+        setError(reason, ResultCode::SettingsWrongType, location, "must be " + typeName(spec), settingRange(spec));
         return false;
     }
     if (!isInRange(spec, *value)) {
-        fail(reason, ResultCode::SettingsOutOfRange, place, std::to_string(*value) + " is out of range", settingRange(spec));
+        setError(reason, ResultCode::SettingsOutOfRange, location, std::to_string(*value) + " is out of range", settingRange(spec));
         return false;
     }
     settings.*std::get<std::int64_t Settings::*>(spec.member) = *value;
     return true;
 }
 
-bool storeText(const SettingSpec &spec, const toml::node &node, const Place &place, Settings &settings, Reason &reason)
+bool storeText(const SettingSpec &spec, const toml::node &node, const Location &location, Settings &settings, Reason &reason)
 {
     const auto value = node.value_exact<std::string>();
     if (!value) {
-        fail(reason, ResultCode::SettingsWrongType, place, "must be " + typeName(spec), settingRange(spec));
+        setError(reason, ResultCode::SettingsWrongType, location, "must be " + typeName(spec), settingRange(spec));
         return false;
     }
     const bool isAllowed = spec.choices.empty() ? isInRange(spec, static_cast<std::int64_t>(value->size())) : isChoice(spec.choices, *value);
     if (!isAllowed) {
-        fail(reason, ResultCode::SettingsOutOfRange, place, "is not allowed", settingRange(spec));
+        setError(reason, ResultCode::SettingsOutOfRange, location, "is not allowed", settingRange(spec));
         return false;
     }
     settings.*std::get<std::string Settings::*>(spec.member) = *value;
     return true;
 }
 
-bool storeList(const SettingSpec &spec, const toml::node &node, const Place &place, Settings &settings, Reason &reason)
+bool storeList(const SettingSpec &spec, const toml::node &node, const Location &location, Settings &settings, Reason &reason)
 {
     const toml::array *array = node.as_array();
     std::vector<std::string> values;
@@ -131,22 +131,22 @@
         values.push_back(*value);
     }
     if (array == nullptr) {
-        fail(reason, ResultCode::SettingsWrongType, place, "must be " + typeName(spec), settingRange(spec));
+        setError(reason, ResultCode::SettingsWrongType, location, "must be " + typeName(spec), settingRange(spec));
         return false;
     }
     if (!isInRange(spec, static_cast<std::int64_t>(values.size()))) {
-        fail(reason, ResultCode::SettingsOutOfRange, place, "has too many entries", settingRange(spec));
+        setError(reason, ResultCode::SettingsOutOfRange, location, "has too many entries", settingRange(spec));
         return false;
     }
     settings.*std::get<std::vector<std::string> Settings::*>(spec.member) = std::move(values);
     return true;
 }
 
-bool storeValue(const SettingSpec &spec, const toml::node &node, const Place &place, Settings &settings, Reason &reason)
+bool storeValue(const SettingSpec &spec, const toml::node &node, const Location &location, Settings &settings, Reason &reason)
 {
-    using Store = bool (*)(const SettingSpec &, const toml::node &, const Place &, Settings &, Reason &);
-    constexpr std::array<Store, 3> stores{&storeNumber, &storeText, &storeList};
-    return stores.at(spec.member.index())(spec, node, place, settings, reason);
+    using Setter = bool (*)(const SettingSpec &, const toml::node &, const Location &, Settings &, Reason &);
+    constexpr std::array<Setter, 3> setters{&storeNumber, &storeText, &storeList};
+    return setters.at(spec.member.index())(spec, node, location, settings, reason);
 }
 
 std::string sectionKeys(std::string_view section)
@@ -180,30 +180,30 @@
 bool readSection(std::string_view section, const toml::table &table, std::string_view file, Settings &settings, Reason &reason)
 {
     for (const auto &[key, node] : table) {
-        const Place place{file, node.source().begin.line, std::string(section) + '.' + std::string(key.str())};
+        const Location location{file, node.source().begin.line, std::string(section) + '.' + std::string(key.str())};
         const std::string_view name = key.str();
         const auto spec =
             std::find_if(specs.begin(), specs.end(), [&](const SettingSpec &candidate) { return candidate.section == section && candidate.key == name; });
         if (spec == specs.end()) {
-            fail(reason, ResultCode::SettingsUnknownKey, place, "unknown key", sectionKeys(section));
+            setError(reason, ResultCode::SettingsUnknownKey, location, "unknown key", sectionKeys(section));
             return false;
         }
-        if (!storeValue(*spec, node, place, settings, reason)) {
+        if (!storeValue(*spec, node, location, settings, reason)) {
             return false;
         }
     }
     return true;
 }
 
-/// What one key alone can't show: addresses that don't parse, a store without an endpoint.
-bool checkTogether(const Settings &settings, std::string_view file, Reason &reason)
+/// Checks what concerns several keys or all entries of a list: required keys, a store without an endpoint, malformed addresses.
+bool checkConsistency(const Settings &settings, std::string_view file, Reason &reason)
 {
     if (settings.hostName.empty()) {
-        fail(reason, ResultCode::SettingsMissing, {file, 1, "host.name"}, "is missing", "1 to 64 characters");
+        setError(reason, ResultCode::SettingsMissing, {file, 1, "host.name"}, "is missing", "1 to 64 characters");
         return false;
     }
     if (settings.storeKind == "etcd" && settings.storeEndpoints.empty()) {
-        fail(reason, ResultCode::SettingsMissing, {file, 1, "store.endpoints"}, "is missing", "at least one ADDRESS:PORT when store.kind is \"etcd\"");
+        setError(reason, ResultCode::SettingsMissing, {file, 1, "store.endpoints"}, "is missing", "at least one ADDRESS:PORT when store.kind is \"etcd\"");
         return false;
     }
     for (const auto *list : {&settings.storeEndpoints, &settings.peers}) {
@@ -212,7 +212,7 @@
                 continue;
             }
             const std::string name = list == &settings.peers ? "peers.known" : "store.endpoints";
-            fail(reason, ResultCode::SettingsOutOfRange, {file, 1, name}, "\"" + text + "\" is no address", "ADDRESS:PORT, port 1 to 65535");
+            setError(reason, ResultCode::SettingsOutOfRange, {file, 1, name}, "\"" + text + "\" is no address", "ADDRESS:PORT, port 1 to 65535");
             return false;
         }
     }
@@ -241,27 +241,27 @@
     try {
         document = toml::parse(text);
     } catch (const toml::parse_error &error) {
-        fail(reason, ResultCode::SettingsSyntax, {file, error.source().begin.line, "syntax"}, error.description(), "TOML 1.0");
+        setError(reason, ResultCode::SettingsSyntax, {file, error.source().begin.line, "syntax"}, error.description(), "TOML 1.0");
         return std::nullopt;
     }
     Settings settings;
     for (const auto &[section, node] : document) {
-        const Place place{file, node.source().begin.line, std::string(section.str())};
+        const Location location{file, node.source().begin.line, std::string(section.str())};
         const std::string keys = sectionKeys(section.str());
         if (keys.empty()) {
-            fail(reason, ResultCode::SettingsUnknownKey, place, "unknown section", sectionNames());
+            setError(reason, ResultCode::SettingsUnknownKey, location, "unknown section", sectionNames());
             return std::nullopt;
         }
         const toml::table *table = node.as_table();
         if (table == nullptr) {
-            fail(reason, ResultCode::SettingsWrongType, place, "must be a section", keys);
+            setError(reason, ResultCode::SettingsWrongType, location, "must be a section", keys);
             return std::nullopt;
         }
         if (!readSection(section.str(), *table, file, settings, reason)) {
             return std::nullopt;
         }
     }
-    if (!checkTogether(settings, file, reason)) {
+    if (!checkConsistency(settings, file, reason)) {
         return std::nullopt;
     }
     return settings;
@@ -271,7 +271,7 @@
 {
     std::ifstream in(path);
     if (!in) {
-        fail(reason, ResultCode::SettingsUnreadable, {path, 0, "file"}, "can't be read", "a readable TOML file");
+        setError(reason, ResultCode::SettingsUnreadable, {path, 0, "file"}, "can't be read", "a readable TOML file");
         return std::nullopt;
     }
     std::ostringstream text;
--- a/tests/core/test_log_limiter.cpp
+++ b/tests/core/test_log_limiter.cpp
@@ -20,11 +20,11 @@
     }
     BOOST_TEST(written >= 1'190);
     BOOST_TEST(written <= 1'201);
-    const auto told = limiter.takeSuppressed();
+    const auto told = limiter.consumeSuppressed();
     BOOST_REQUIRE(told.size() == 1U);
     BOOST_TEST(told.front().event == "store_lost");
     BOOST_TEST(told.front().lines == static_cast<std::uint64_t>(10'000 - written));
-    BOOST_TEST(limiter.takeSuppressed().empty());
+    BOOST_TEST(limiter.consumeSuppressed().empty());
     BOOST_TEST(limiter.suppressed().at("store_lost") == told.front().lines);
 }
 
