--- a/main/answer_table.h
+++ b/main/answer_table.h
@@ -6,8 +6,8 @@
 namespace Lovageloft
 {
 
-/// An operator call's JSON answer as text for people: a field a line, and each list of objects as a table with aligned
-/// columns. What is not a JSON object is returned as it is.
+/// Formats the JSON response to an operator call as text: one line per field, and a table with aligned columns for each list of objects. A text that
+/// is no JSON object is returned unchanged.
 std::string formatAnswer(std::string_view json);
 
 } // namespace Lovageloft
--- a/main/exit_codes.h
+++ b/main/exit_codes.h
@@ -7,9 +7,9 @@
 enum ExitCode : int
 {
     ExitOk = 0,
-    ExitFailed = 1, ///< The call was refused or its outcome is not known; the message says which.
+    ExitFailed = 1, ///< The call was refused or its outcome is unknown; the message says which.
     ExitUsage = 2, ///< Wrong arguments or settings; nothing was done.
-    ExitUnreachable = 3, ///< The host gave no answer.
+    ExitUnreachable = 3, ///< The host did not respond.
 };
 
 } // namespace Lovageloft
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -18,22 +18,22 @@
 constexpr std::string_view versionsPrefix = "lovageloft/versions/";
 constexpr std::string_view leaderKey = "lovageloft/leader";
 
-/// A shutdown ends this much before the platform kills the process.
+/// The shutdown ends this long before the platform kills the process.
 constexpr Duration shutdownMargin = std::chrono::milliseconds(700);
 
-/// A host counts for this many key proof windows after its last sign of life: see HostDuty.
+/// Time to live of a host's lease, in key proof windows; HostDuty explains why it must be longer than one.
 constexpr int hostLeaseInProofWindows = 2;
 
-/// Between the notice of an engine's load and the order. In an engine wait one or two long prompts of 150 ms; after this time all that waits
-/// has begun and none is declined.
+/// Time between the notice that an engine will load and the order. One or two long prompts of 150 ms each wait in an engine; after this time all
+/// waiting requests have begun, and none is declined.
 constexpr Duration loadNotice = std::chrono::milliseconds(300);
 
-/// How long an engine that is ordered to load is left alone unless it says sooner that it has loaded: it first ends what it runs, and
-/// answers run for up to five seconds. Sent to sooner it declines, and the request waits in vain.
+/// How long an engine gets no requests after an order to load, unless it announces earlier that it has loaded. It first finishes its running
+/// requests, which takes up to five seconds, and declines new ones meanwhile.
 constexpr Duration announcedLoad = std::chrono::seconds(6);
 
-/// Waits before a new leader's first order to an engine that doesn't check tokens. A holder stops leaseMargin before its lease ends, and
-/// its calls end within 250 ms.
+/// Minimum wait of a new leader before its first order to an engine that does not check fencing tokens. The previous leader stops when the lease
+/// margin begins, and its calls end within 250 ms.
 constexpr Duration settleTime = std::chrono::milliseconds(300);
 
 GatewayLimits gatewayLimits(const GatewaySettings &settings)
@@ -70,13 +70,13 @@
     OrderOptions options;
     options.answerTimeout = std::chrono::seconds(1); // Calls to engines end within 250 ms.
     options.loadTimeout = std::chrono::seconds(3); // A load takes about 0.4 s; an engine that doesn't answer must not hold up the others.
-    // An ordered engine first ends what it runs, for about as long as it then loads. With three orders at once 18 engines took over
-    // 8 s and broke the deadline for new weights; with six they take 4 s. A third of the engines is what the rest can stand in for.
+    // An engine first finishes its running requests, which takes about as long as loading. With three loads at a time 18 engines take over 8 s,
+    // which violates the deadline for new weights; with six they take 4 s. The other two thirds of the engines can take over the requests.
     options.maxLoadFraction = 1.0 / 3;
     options.loadNotice = loadNotice;
     options.maxReportAge = std::chrono::milliseconds(600); // Reports are some hundred milliseconds old; a load takes about 400.
     options.loadPollInterval = std::chrono::milliseconds(200);
-    options.pollInterval = std::chrono::minutes(5); // Engines write what they run into their entries.
+    options.pollInterval = std::chrono::minutes(5); // Engines announce their weights in their entries.
     options.retryDelay = std::chrono::milliseconds(300);
     return options;
 }
@@ -86,7 +86,7 @@
     return host + '/' + std::to_string(std::random_device{}());
 }
 
-/// A setting, and whether a new value is taken without a new start. Addresses are bound, and leases granted, at the start.
+/// A setting, and whether a new value applies without a restart. Addresses are bound, and leases granted, at startup.
 struct SettingField
 {
     std::string_view name;
@@ -180,14 +180,14 @@
 
 WeightsDuty::Options GatewayHost::weightsOptions()
 {
-    constexpr int leaseParts = 10; // One of ten is given up for clocks and late wake-ups.
+    constexpr int leaseParts = 10; // A tenth of the lease is the margin for clock drift and late wake-ups.
     WeightsDuty::Options options;
     options.leaderKey = leaderKey;
     options.holder = processName(settings_.hostName);
     options.holderName = settings_.hostName;
     options.lease.timeToLive = std::max(settings_.leaderLease, settings_.minLeaseTimeToLive);
     options.lease.margin = options.lease.timeToLive / leaseParts;
-    options.lease.pollInterval = std::chrono::hours(1); // Candidacy says when to look.
+    options.lease.pollInterval = std::chrono::hours(1); // Candidacy decides when to poll.
     options.lease.retryDelay = std::chrono::milliseconds(700);
     options.lease.settleTime = std::max(settleTime, options.lease.margin);
     options.enginesCheckFencing = settings_.enginesCheckFencing;
@@ -246,7 +246,7 @@
 
 void GatewayHost::drain()
 {
-    // Leadership goes first, so that another host can take over while this one still answers.
+    // Leadership ends first, so that another host can take over while this one still serves.
     weightsDuty_.stop();
     gateway_.post([](Gateway &gateway) { gateway.drain(); });
 }
--- a/main/gateway_host.h
+++ b/main/gateway_host.h
@@ -19,23 +19,23 @@
 namespace Lovageloft
 {
 
-/// One host on the users' platform: the gateway and the duties that feed it, wired to the platform's formats.
+/// A host on the users' platform: creates the gateway and its duties and connects them, with the platform's formats.
 class GatewayHost
 {
 public:
-    /// `metricsPort`: where metrics and operators' calls are answered on this host's address; 0 for nowhere.
+    /// `metricsPort`: port of this host's address for metrics and operators' calls; 0 for none.
     GatewayHost(const GatewaySettings &settings, std::uint16_t metricsPort);
 
-    /// Opens the ports and starts the duties.
+    /// Opens the ports and starts the duties. Returns false and sets `reason` if a port can't be opened.
     bool start(Reason &reason);
 
-    /// Serves until a shutdown asked for with `drain` has ended.
+    /// Serves until the shutdown that `drain` starts has ended.
     void run();
 
-    /// Takes settings that were read again, and tells which of them need a new start. For any thread.
+    /// Applies settings that were read again, and logs which of them need a restart. May be called from any thread, but not concurrently.
     void reload(const GatewaySettings &settings);
 
-    /// For any thread.
+    /// Starts a graceful shutdown. Thread-safe.
     void drain();
 
 private:
--- a/main/lovageloftctl.cpp
+++ b/main/lovageloftctl.cpp
@@ -1,4 +1,4 @@
-/// The operators' command line.
+/// The command line for operators: calls the operator interface of a host, and reads its logs.
 
 #include <array>
 #include <cstdlib>
@@ -13,7 +13,7 @@
 #include "drivers/http_exchange.h"
 #include "main/answer_table.h"
 #include "main/exit_codes.h"
-#include "main/request_story.h"
+#include "main/request_timeline.h"
 #include "main/ticket_file.h"
 
 using namespace Lovageloft;
@@ -80,8 +80,8 @@
 
 int call(const Arguments &arguments, std::string_view method, std::string_view path, std::string_view body)
 {
-    constexpr std::size_t answerLimit = 67'108'864;
-    constexpr int errorStatus = 400;
+    constexpr std::size_t maxAnswerBytes = 67'108'864;
+    constexpr int firstErrorStatus = 400;
     const auto address = parseHostAddress(arguments.address);
     if (!address) {
         std::cerr << "lovageloftctl: --host must be ADDRESS:PORT\n";
@@ -102,14 +102,14 @@
     std::optional<std::string> text;
     if (exchange.send(head, reason)) {
         answer = exchange.readHead(-1, reason);
-        text = answer ? exchange.readAll(answerLimit, -1, reason) : std::nullopt;
+        text = answer ? exchange.readAll(maxAnswerBytes, -1, reason) : std::nullopt;
     }
     if (!text) {
         std::cerr << "lovageloftctl: the outcome is not known: " << reason.text << '\n';
         return ExitFailed;
     }
     std::cout << (arguments.isJson ? *text + '\n' : formatAnswer(*text));
-    return answer->status < errorStatus ? ExitOk : ExitFailed;
+    return answer->status < firstErrorStatus ? ExitOk : ExitFailed;
 }
 
 int showStatus(const Arguments &arguments)
@@ -180,21 +180,21 @@
     return ExitOk;
 }
 
-/// Tells a request's story from a log file, or from standard input without one.
+/// Prints the timeline of a request from a log file, or from standard input if no file is given.
 int explain(const Arguments &arguments)
 {
-    RequestStory story(arguments.words[1]);
+    RequestTimeline timeline(arguments.words[1]);
     if (arguments.words.size() > 2) {
         std::ifstream in(arguments.words[2]);
         if (!in) {
             std::cerr << "lovageloftctl: can't read " << arguments.words[2] << '\n';
             return ExitUsage;
         }
-        story.read(in);
+        timeline.read(in);
     } else {
-        story.read(std::cin);
+        timeline.read(std::cin);
     }
-    const std::string text = story.text();
+    const std::string text = timeline.text();
     std::cout << text;
     return text.empty() ? ExitFailed : ExitOk;
 }
@@ -224,11 +224,11 @@
 
 bool matches(const Command &command, std::span<const std::string> words)
 {
-    const std::size_t fixed = command.words[1].empty() ? 1 : 2;
-    if (words.size() != fixed + command.operands || words[0] != command.words[0]) {
+    const std::size_t commandWords = command.words[1].empty() ? 1 : 2;
+    if (words.size() != commandWords + command.operands || words[0] != command.words[0]) {
         return false;
     }
-    return fixed == 1 || words[1] == command.words[1];
+    return commandWords == 1 || words[1] == command.words[1];
 }
 
 } // namespace
--- a/main/lovageloftd.cpp
+++ b/main/lovageloftd.cpp
@@ -1,5 +1,5 @@
-/// The router: `lovageloftd SETTINGS`, or `lovageloftd --platform` on a host of the users' platform. Ends gracefully on SIGTERM
-/// and SIGINT; SIGHUP reads the settings again.
+/// The router: `lovageloftd SETTINGS`, or `lovageloftd --platform` on a host of the users' platform. Shuts down gracefully on SIGTERM and SIGINT.
+/// With `--platform`, SIGHUP reloads the settings.
 
 #include <csignal>
 #include <iostream>
@@ -26,10 +26,10 @@
     bool isCheck = false;
     bool isPlatform = false;
     std::uint16_t metricsPort = 0;
-    LogLevel logLevel = LogLevel::Info; ///< With --platform, whose settings file says nothing of it.
+    LogLevel logLevel = LogLevel::Info; ///< Only with --platform, whose settings file has no log level.
 };
 
-LogLevel levelOf(std::string_view name)
+LogLevel parseLogLevel(std::string_view name)
 {
     return static_cast<LogLevel>(std::find(logLevelNames.begin(), logLevelNames.end(), name) - logLevelNames.begin());
 }
@@ -48,7 +48,7 @@
         TCLAP::ValueArg<std::string> level("", "log-level", "With --platform: the least level of log lines.", false, "info", &allowedLevels, line);
         TCLAP::UnlabeledValueArg<std::string> settings("settings", "Settings file (TOML).", false, "", "SETTINGS", line);
         line.parse(argc, argv);
-        Arguments arguments{settings.getValue(), check.getValue(), platform.getValue(), metrics.getValue(), levelOf(level.getValue())};
+        Arguments arguments{settings.getValue(), check.getValue(), platform.getValue(), metrics.getValue(), parseLogLevel(level.getValue())};
         if (arguments.settingsPath.empty() && arguments.isPlatform) {
             arguments.settingsPath = nodeFilePath().value_or(std::string());
         }
@@ -65,7 +65,7 @@
     return std::nullopt;
 }
 
-/// Blocks the signals in all threads, so that only the main thread's wait takes them.
+/// Blocks the handled signals in all threads, so that only sigwait() receives them, and ignores SIGPIPE. Must be called before any thread starts.
 sigset_t blockSignals()
 {
     sigset_t signals;
@@ -92,14 +92,14 @@
     }
     const bool isEmpty = host.drain();
     if (!isEmpty) {
-        // Threads still serve callers at the limit; leaving at once is what the limit asks for.
+        // Threads still serve callers at the drain limit. The process exits without waiting for them.
         stopLog();
         std::_Exit(ExitFailed);
     }
     return ExitOk;
 }
 
-/// Waits for signals for as long as the process lives.
+/// Handles signals until the process ends.
 void watchSignals(const sigset_t &signals, const std::string &settingsPath, GatewayHost &host)
 {
     while (true) {
@@ -141,7 +141,7 @@
     std::thread(watchSignals, signals, arguments.settingsPath, std::ref(host)).detach();
     host.run();
     stopLog();
-    // Watches of the store may still wait for their answers; nothing of them is needed any more.
+    // Store watches may still be pending, and their results are not needed.
     std::_Exit(ExitOk);
 }
 
@@ -167,7 +167,7 @@
         return ExitOk;
     }
     const sigset_t signals = blockSignals();
-    startLog(levelOf(settings->logLevel), settings->hostName);
+    startLog(parseLogLevel(settings->logLevel), settings->hostName);
     int code = ExitFailed;
     try {
         code = serve(*settings, signals);
--- a/main/request_story.cpp
+++ b/main/request_timeline.cpp
@@ -1,4 +1,4 @@
-#include "main/request_story.h"
+#include "main/request_timeline.h"
 
 #include <algorithm>
 #include <array>
@@ -15,10 +15,10 @@
 namespace
 {
 
-/// Part of a time that names the second: changes of belief are told from the second before the request's first line on.
-constexpr std::size_t secondLength = 19;
+/// Length of the part of a time up to the second. Changes of state are listed from the start of the second in which the request began.
+constexpr std::size_t secondPrefixLength = 19;
 
-std::string fieldsOf(const Poco::JSON::Object &record)
+std::string formatFields(const Poco::JSON::Object &record)
 {
     std::string text;
     for (const auto &[name, value] : record) {
@@ -30,16 +30,16 @@
     return text;
 }
 
-/// What a host believes until its next line of the same kind and subject.
-struct Belief
+/// An event that describes a part of a host's state. It is valid until the next event of the same aspect and subject.
+struct StateEvent
 {
     std::string_view event;
-    std::string_view about; ///< The lines that tell of the same thing have this in common.
-    std::string_view subjectField; ///< Of those, the ones with the same value here; empty if there is one thing only.
-    bool isOfRequestOnly = false; ///< Told only if the request's own lines name the subject.
+    std::string_view aspect; ///< The part of the state; the same for all events that change it.
+    std::string_view subjectField; ///< Field with the subject; empty if the host has only one.
+    bool isOfRequestOnly = false; ///< Listed only if the request's lines name the subject.
 };
 
-constexpr auto beliefs = std::to_array<Belief>({
+constexpr auto stateEvents = std::to_array<StateEvent>({
     {"configuration_in_force", "configuration", "", false},
     {"key_withdrawn", "key", "key", true},
     {"host_ready", "readiness", "", false},
@@ -54,26 +54,26 @@
     {"target_gone", "target", "target", true},
 });
 
-const Belief *beliefOf(const std::string &event)
+const StateEvent *findStateEvent(const std::string &event)
 {
-    const auto *found = std::find_if(beliefs.begin(), beliefs.end(), [&event](const Belief &belief) { return belief.event == event; });
-    return found == beliefs.end() ? nullptr : found;
+    const auto *found = std::find_if(stateEvents.begin(), stateEvents.end(), [&event](const StateEvent &state) { return state.event == event; });
+    return found == stateEvents.end() ? nullptr : found;
 }
 
-/// A target's id, without the model that it was asked for.
-std::string targetOf(const std::string &name)
+/// The id of a target from its engine name, "ID|MODEL".
+std::string targetId(const std::string &name)
 {
     return name.substr(0, name.find('|'));
 }
 
 } // namespace
 
-RequestStory::RequestStory(std::string requestId)
+RequestTimeline::RequestTimeline(std::string requestId)
     : requestId_(std::move(requestId))
 {
 }
 
-void RequestStory::read(std::istream &in)
+void RequestTimeline::read(std::istream &in)
 {
     std::string text;
     while (std::getline(in, text)) {
@@ -88,35 +88,35 @@
                 continue;
             }
             const auto event = record->optValue<std::string>("event", "");
-            const Belief *belief = beliefOf(event);
-            const std::string subject = belief != nullptr ? record->optValue<std::string>(std::string(belief->subjectField), "") : std::string();
+            const StateEvent *state = findStateEvent(event);
+            const std::string subject = state != nullptr ? record->optValue<std::string>(std::string(state->subjectField), "") : std::string();
             if (request == requestId_) {
-                subjects_.insert(targetOf(record->optValue<std::string>("target", "")));
+                subjects_.insert(targetId(record->optValue<std::string>("target", "")));
                 subjects_.insert(record->optValue<std::string>("key", ""));
             }
             lines_.push_back({record->optValue<std::string>("time", ""),
                               record->optValue<std::string>("host", ""),
                               event,
-                              fieldsOf(*record),
+                              formatFields(*record),
                               subject,
                               request == requestId_});
         } catch (const Poco::Exception &) {
-            continue; // Other programs write to the same stream.
+            continue; // Not a log line: other programs may write to the same stream.
         }
     }
 }
 
-/// The lines by which the request's hosts believed what they did when its second began, the oldest first.
-std::vector<const RequestStory::Line *> RequestStory::beliefsBefore(const std::set<std::string> &hosts, const std::string &first) const
+/// The newest line of each part of the hosts' state before the second in which the request began, in order of time.
+std::vector<const RequestTimeline::Line *> RequestTimeline::statesBefore(const std::set<std::string> &hosts, const std::string &first) const
 {
     std::map<std::tuple<std::string, std::string_view, std::string>, const Line *> newest;
     for (const Line &line : lines_) {
-        const Belief *belief = beliefOf(line.event);
-        const bool isEarlier = line.time.substr(0, secondLength) < first.substr(0, secondLength);
-        if (belief == nullptr || !isEarlier || !hosts.contains(line.host) || (belief->isOfRequestOnly && !subjects_.contains(line.subject))) {
+        const StateEvent *state = findStateEvent(line.event);
+        const bool isEarlier = line.time.substr(0, secondPrefixLength) < first.substr(0, secondPrefixLength);
+        if (state == nullptr || !isEarlier || !hosts.contains(line.host) || (state->isOfRequestOnly && !subjects_.contains(line.subject))) {
             continue;
         }
-        const Line *&known = newest[{line.host, belief->about, line.subject}];
+        const Line *&known = newest[{line.host, state->aspect, line.subject}];
         known = known == nullptr || known->time <= line.time ? &line : known;
     }
     std::vector<const Line *> found;
@@ -128,7 +128,7 @@
     return found;
 }
 
-std::string RequestStory::text() const
+std::string RequestTimeline::text() const
 {
     std::vector<Line> lines = lines_;
     std::stable_sort(lines.begin(), lines.end(), [](const Line &left, const Line &right) { return left.time < right.time; });
@@ -143,12 +143,13 @@
         }
     }
     std::string out;
-    for (const Line *line : beliefsBefore(hosts, first)) {
+    for (const Line *line : statesBefore(hosts, first)) {
         out.append(line->time).append(" ").append(line->host).append("  < ").append(line->event).append(" ").append(line->fields).append("\n");
     }
     for (const Line &line : lines) {
-        const bool isMeanwhile = hosts.contains(line.host) && line.time.substr(0, secondLength) >= first.substr(0, secondLength) && line.time <= last;
-        if (!line.isOfRequest && !isMeanwhile) {
+        const bool isDuringRequest =
+            hosts.contains(line.host) && line.time.substr(0, secondPrefixLength) >= first.substr(0, secondPrefixLength) && line.time <= last;
+        if (!line.isOfRequest && !isDuringRequest) {
             continue;
         }
         out.append(line.time).append(" ").append(line.host).append(line.isOfRequest ? "  " : "  . ");
--- a/main/router_host.cpp
+++ b/main/router_host.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-/// Higher after each restart, as long as the host's wall clock does not step back by more than the restart took.
+/// Increases with each restart unless the wall clock is set back by more than the time since the previous start.
 std::uint64_t makeIncarnation()
 {
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
@@ -33,7 +33,7 @@
     return std::make_unique<EtcdStore>(options);
 }
 
-constexpr std::chrono::milliseconds drainCheck{20};
+constexpr std::chrono::milliseconds drainCheckInterval{20};
 
 } // namespace
 
@@ -123,7 +123,7 @@
         if (BootClock::now() >= deadline) {
             return false;
         }
-        std::this_thread::sleep_for(drainCheck);
+        std::this_thread::sleep_for(drainCheckInterval);
     }
     return true;
 }
--- a/main/router_host.h
+++ b/main/router_host.h
@@ -14,20 +14,20 @@
 namespace Lovageloft
 {
 
-/// One running host: all duties, wired. The order of the members is the order in which they may use each other.
+/// A host with all duties. Members may use only those declared before them.
 class RouterHost
 {
 public:
     explicit RouterHost(Settings settings);
 
-    /// Applies the seed tickets and opens the ports; false if a ticket is refused.
+    /// Applies the seed tickets and opens the ports. Returns false and sets `reason` if a ticket is refused.
     bool start(Reason &reason);
 
-    /// Shuts down gracefully: /ready fails first, work is still taken while the balancer lags, and what runs is completed.
-    /// False if something still ran at the limit.
+    /// Shuts down gracefully: /ready fails at once, new requests are served for the notice period of the balancer, and running requests are
+    /// completed. Returns false if some were still running at the drain limit.
     bool drain();
 
-    /// Ports as bound, for settings that take any free one.
+    /// The bound ports, useful if the settings have port 0.
     std::uint16_t callerPort() const;
     std::uint16_t operatorPort() const;
     std::uint16_t peerPort() const;
--- a/main/ticket_file.cpp
+++ b/main/ticket_file.cpp
@@ -20,7 +20,7 @@
 
 constexpr std::size_t saltDigits = 32;
 
-void hideSecret(Object &key, const std::string &ticket, const std::string &team)
+void replaceSecret(Object &key, const std::string &ticket, const std::string &team)
 {
     if (!key.has("secret")) {
         return;
@@ -29,7 +29,7 @@
     const std::string id = key.optValue<std::string>("id", "");
     const std::string_view publicId = KeyTable::publicId(secret);
     if (!publicId.empty() && publicId != id) {
-        // Hosts look such a key up by the id in its text alone; under another id it would never be found.
+        // Hosts look up such a key only by the id in its text, so they would never find it under another id.
         throw Poco::InvalidArgumentException("the id of this key must be " + std::string(publicId));
     }
     const std::string salt = sha256Hex(ticket + '\n' + team + '\n' + id + '\n' + sha256Hex(secret)).substr(0, saltDigits);
@@ -38,7 +38,7 @@
     key.set("digest", sha256Hex(salt + secret));
 }
 
-void hideSecrets(const Object &document)
+void replaceSecrets(const Object &document)
 {
     const std::string ticket = document.get("ticket").toString();
     const Array::Ptr objects = document.getArray("objects");
@@ -47,7 +47,7 @@
         const Array::Ptr keys = object.isNull() ? nullptr : object->getArray("keys");
         for (unsigned k = 0; !keys.isNull() && k < keys->size(); ++k) {
             if (Object::Ptr key = keys->getObject(k)) {
-                hideSecret(*key, ticket, object->optValue<std::string>("name", ""));
+                replaceSecret(*key, ticket, object->optValue<std::string>("name", ""));
             }
         }
     }
@@ -60,7 +60,7 @@
     try {
         Poco::JSON::Parser parser(new Poco::JSON::ParseHandler(true));
         const auto document = parser.parse(std::string(text)).extract<Object::Ptr>();
-        hideSecrets(*document);
+        replaceSecrets(*document);
         std::ostringstream out;
         document->stringify(out);
         return out.str();
