A shutdown does not wait for a store that does not respond

Cause: after the drain a host waited without a bound for the two duties that return its leases.

Change: the wait has a bound of half the margin before the platform kills the process; host_stopped says whether the leases were returned. The process leaves at once after that, as before.

--- a/gateway/duty.cpp
+++ b/gateway/duty.cpp
@@ -5,7 +5,12 @@
 
 void Duty::start()
 {
-    thread_ = std::thread([this] { run(); });
+    thread_ = std::thread([this] {
+        run();
+        const std::lock_guard lock(mutex_);
+        hasEnded_ = true;
+        stateChanged_.notify_all();
+    });
 }
 
 void Duty::stop()
@@ -14,7 +19,7 @@
         const std::lock_guard lock(mutex_);
         isStopped_ = true;
     }
-    stopping_.notify_all();
+    stateChanged_.notify_all();
 }
 
 void Duty::join()
@@ -24,6 +29,18 @@
     }
 }
 
+bool Duty::joinFor(Duration timeout)
+{
+    {
+        std::unique_lock lock(mutex_);
+        if (thread_.joinable() && !stateChanged_.wait_for(lock, timeout, [this] { return hasEnded_; })) {
+            return false;
+        }
+    }
+    join();
+    return true;
+}
+
 bool Duty::isStopped() const
 {
     const std::lock_guard lock(mutex_);
@@ -33,7 +50,7 @@
 void Duty::sleepFor(Duration duration)
 {
     std::unique_lock lock(mutex_);
-    stopping_.wait_for(lock, duration, [this] { return isStopped_; });
+    stateChanged_.wait_for(lock, duration, [this] { return isStopped_; });
 }
 
 } // namespace Lovageloft
--- a/gateway/duty.h
+++ b/gateway/duty.h
@@ -27,6 +27,9 @@
     /// Waits until the thread has ended. This takes as long as its network calls in progress.
     void join();
 
+    /// The same for at most `timeout`; returns whether the thread has ended. If not, it still uses this object.
+    bool joinFor(Duration timeout);
+
 protected:
     /// Body of the thread. Must return soon after `isStopped` becomes true.
     virtual void run() = 0;
@@ -38,8 +41,9 @@
 
 private:
     mutable std::mutex mutex_;
-    std::condition_variable stopping_;
+    std::condition_variable stateChanged_;
     bool isStopped_ = false;
+    bool hasEnded_ = false; ///< The thread has left run().
     std::thread thread_;
 };
 
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -21,6 +21,9 @@
 /// The shutdown ends this long before the platform kills the process.
 constexpr Duration shutdownMargin = std::chrono::milliseconds(700);
 
+/// How long the shutdown waits for duties that return their leases.
+constexpr Duration maxLeaseReturnTime = shutdownMargin / 2;
+
 /// Time to live of a host's lease, in key proof windows; HostDuty explains why it must be longer than one.
 constexpr int hostLeaseInProofWindows = 2;
 
@@ -224,9 +227,12 @@
     configurationDuty_.stop();
     proofDuty_.stop();
     targetDuty_.stop();
-    hostDuty_.join();
-    weightsDuty_.join();
-    writeLog(LogLevel::Info, "host_stopped");
+    // These two return their leases, so that other hosts need not wait for the leases to expire. While the store does not respond, that takes
+    // longer than the platform waits.
+    const TimePoint limit = BootClock::now() + maxLeaseReturnTime;
+    const bool hasHostDutyEnded = hostDuty_.joinFor(limit - BootClock::now());
+    const bool hasWeightsDutyEnded = weightsDuty_.joinFor(limit - BootClock::now());
+    writeLog(LogLevel::Info, "host_stopped", {{"leases_returned", hasHostDutyEnded && hasWeightsDutyEnded}});
 }
 
 void GatewayHost::reload(const GatewaySettings &settings)
--- a/main/gateway_host.h
+++ b/main/gateway_host.h
@@ -29,7 +29,8 @@
     /// Opens the ports and starts the duties. Returns false and sets `reason` if a port can't be opened.
     bool start(Reason &reason);
 
-    /// Serves until the shutdown that `drain` starts has ended.
+    /// Serves until the shutdown that `drain` starts has ended. Duties that wait for the store may still run then, so the process must end without
+    /// destroying this object.
     void run();
 
     /// Applies settings that were read again, and logs which of them need a restart. May be called from any thread, but not concurrently.
--- a/tests/gateway/test_duties.cpp
+++ b/tests/gateway/test_duties.cpp
@@ -7,6 +7,7 @@
 #include "coordination/forwarding_store.h"
 #include "coordination/memory_store.h"
 #include "coordination/store_position.h"
+#include "gateway/configuration_duty.h"
 #include "gateway/proof_duty.h"
 #include "gateway/target_duty.h"
 
@@ -405,4 +406,61 @@
     BOOST_TEST((versions == std::vector<std::int64_t>{2}));
 }
 
+BOOST_AUTO_TEST_CASE(rolloutOrdersAreAppliedBeforeTheConfiguration)
+{
+    // Guards against requests that a starting host sends to a version under an order, as it reads the configuration first.
+    UnreliableStore store;
+    store.write("op/config", "1");
+    store.write("op/rollout/s", "v2");
+    store.write("op/rollout/t", "strange");
+    Latest<std::vector<std::string>> applied;
+    std::vector<std::string> events;
+    const auto record = [&](const std::string &event) {
+        events.push_back(event);
+        applied.set(events);
+    };
+    ConfigurationFeed feed(records,
+                           {[&](const auto &, TimePoint) { record("configuration"); },
+                            [](std::int64_t, TimePoint) {},
+                            [](const PublishedWeights &) {},
+                            {},
+                            [&](const std::string &service, const std::string &version) { record(service + ":" + version); },
+                            [&](const std::string &service) { record(service + " withdrawn"); }});
+    ConfigurationDuty duty(store, records, feed);
+    duty.start();
+    BOOST_TEST(applied.waitFor([](const auto &list) { return list == std::vector<std::string>{"s:v2", "t:", "configuration"}; }));
+    store.remove("op/rollout/s");
+    BOOST_TEST(applied.waitFor([](const auto &list) { return list.size() == 4 && list.back() == "s withdrawn"; }));
+    duty.stop();
+    duty.join();
+}
+
+namespace
+{
+
+/// A duty that is in a call which takes a second when it is told to stop.
+class BusyDuty final : public Duty
+{
+private:
+    void run() override
+    {
+        std::this_thread::sleep_for(1s);
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(aDutyThatWaitsForTheStoreDoesNotHoldUpTheShutdown)
+{
+    // Guards against hosts that are killed at the end of their grace period, because a duty waits for a store that does not respond.
+    BusyDuty duty;
+    duty.start();
+    duty.stop();
+    const TimePoint begin = BootClock::now();
+    BOOST_TEST(!duty.joinFor(50ms));
+    BOOST_TEST((BootClock::now() - begin < Duration(500ms)));
+    BOOST_TEST(duty.joinFor(5s));
+    BOOST_TEST(duty.joinFor(Duration::zero()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
