--- a/drivers/answer_verifier.cpp
+++ b/drivers/answer_verifier.cpp
@@ -27,11 +27,11 @@
     return {readCount(usage, "/prompt_tokens"), readCount(usage, "/completion_tokens"), readCount(usage, "/prompt_tokens_details/cached_tokens")};
 }
 
-/// What one choice of a chunk shows.
+/// The content of a choice in a chunk.
 struct ChoiceContent
 {
     bool hasText = false;
-    bool hasOther = false; ///< Tool calls and the like, which no engine can resume.
+    bool hasOther = false; ///< It has tool calls or other content that can't be resumed.
     bool hasFinished = false;
 };
 
@@ -86,7 +86,7 @@
 
 bool AnswerVerifier::matchesId(std::string_view id) const
 {
-    // Engines put their kind of answer before the id that they were given.
+    // Engines prepend the type of the answer to the id that they were given.
     for (const std::string_view prefix : {"chatcmpl-", "cmpl-"}) {
         if (id.starts_with(prefix)) {
             id.remove_prefix(prefix.size());
@@ -141,7 +141,7 @@
     }
     const bool isOnlyUsage = choices.size() == 0 && hasUsage;
     if (isOnlyUsage && !expected_.wantsUsage) {
-        return EventAction::Swallow;
+        return EventAction::Discard;
     }
     if (finishedChoices_ >= expected_.choices) {
         heldChunks_ += newChunks;
--- a/drivers/answer_verifier.h
+++ b/drivers/answer_verifier.h
@@ -18,27 +18,27 @@
     std::int64_t cachedTokens = 0;
 };
 
-/// What is to be done with an event of a stream.
+/// How to handle an event of a stream.
 enum class EventAction : std::uint8_t
 {
     Forward,
-    Hold, ///< Part of the answer's end: to be forwarded only once [DONE] has come.
-    Swallow, ///< Not meant for the caller: the usage that only the router asked for.
-    Finish, ///< The stream is whole; forward it and end.
-    Fail, ///< The reason says why.
+    Hold, ///< Part of the end of the answer: to be forwarded only when [DONE] has arrived.
+    Discard, ///< Not meant for the caller: the usage, if only the router requested it.
+    Finish, ///< The stream is complete: forward the held events and this one, and end.
+    Fail, ///< The stream is invalid; the reason states why.
 };
 
-/// What an answer has to show to count as the whole answer to its own request.
+/// What a complete answer to a request must contain.
 struct ExpectedAnswer
 {
     std::string requestId;
     std::int64_t choices = 1;
-    bool wantsUsage = false; ///< Whether the caller asked for the usage itself.
+    bool wantsUsage = false; ///< Whether the caller requested the usage.
 };
 
-/// Checks an engine's answer as it passes: each chunk is valid JSON and carries the request's own id, every choice ends with
-/// a finish reason, and the stream ends with [DONE] after that. What goes wrong otherwise: a broken or crossed stream looks
-/// like a short answer, and a clerk prints half a table or another team's text.
+/// Verifies an engine's answer while it is forwarded: each chunk is valid JSON with the request's id, every choice ends with a finish reason, and
+/// the stream ends with [DONE] after that. Otherwise a broken or crossed stream would look like a short answer, and the caller would use half a
+/// text or the text of another team.
 class AnswerVerifier
 {
 public:
@@ -47,22 +47,22 @@
     AnswerVerifier(const AnswerVerifier &) = delete;
     AnswerVerifier &operator=(const AnswerVerifier &) = delete;
 
-    /// Checks the data of one event. At least SseReader::padding bytes behind the view must be readable.
+    /// Verifies the data of an event. At least SseReader::padding bytes after the view must be readable.
     EventAction onEvent(std::string_view data, Reason &reason);
 
-    /// Checks a whole JSON answer.
+    /// Verifies a complete JSON answer; returns false and sets `reason` if it is invalid.
     bool onAnswer(std::string_view body, Reason &reason);
 
-    /// Begins again with another engine: the end that was held, and what came with it, counts no more.
+    /// Starts over with another engine: the held end of the answer and its content are discarded.
     void restart();
 
-    /// Chunks with content forwarded so far; where a resumed stream has to go on.
+    /// Number of forwarded chunks with content, after which a resumed stream must continue.
     std::int64_t contentChunks() const;
 
-    /// Whether the stream can be resumed elsewhere: one choice and plain text only.
+    /// Whether the stream can be resumed at another engine: it has one choice and only plain text.
     bool isResumable() const;
 
-    /// What the engine counted; zeros until it said so.
+    /// The engine's token counts; zeros until it has reported them.
     const TokenUsage &usage() const;
 
 private:
@@ -75,7 +75,7 @@
     std::unique_ptr<Parser> parser_;
     TokenUsage usage_;
     std::int64_t contentChunks_ = 0;
-    std::int64_t heldChunks_ = 0; ///< With content, within the end that is held.
+    std::int64_t heldChunks_ = 0; ///< Chunks with content in the held end of the answer.
     std::int64_t finishedChoices_ = 0;
     bool isPlainText_ = true;
 };
--- a/drivers/engine_reports.h
+++ b/drivers/engine_reports.h
@@ -8,42 +8,42 @@
 
 #include "core/result_code.h"
 
-/// What engines publish about themselves: GET /control/load and GET /control/cache-events?after=N.
+/// The reports of engines: GET /control/load and GET /control/cache-events?after=N.
 namespace Lovageloft
 {
 
-/// An engine's load as it says.
+/// An engine's load as reported by itself.
 struct EngineLoadReport
 {
-    std::string incarnation; ///< Unlike that of any earlier process of the engine.
+    std::string incarnation; ///< Differs from that of any earlier process of the engine.
     std::string weightsVersion;
     std::int64_t running = 0;
     std::int64_t waiting = 0;
     std::int64_t queuedPrefillTokens = 0;
-    std::int64_t computedPrefillTokens = 0; ///< Since its start; 0 if it does not say.
-    std::optional<std::uint64_t> cacheEventSequence; ///< The newest cache event, where it says so.
+    std::int64_t computedPrefillTokens = 0; ///< Since its start; 0 if not reported.
+    std::optional<std::uint64_t> cacheEventSequence; ///< Number of the newest cache event, if reported.
 };
 
-/// One change of an engine's cache.
+/// A change of an engine's cache.
 struct EngineCacheEvent
 {
     std::uint64_t sequence = 0;
     std::uint64_t block = 0;
-    bool isStored = true; ///< False: evicted.
+    bool isStored = true; ///< False if the block was evicted.
 };
 
-/// Part of an engine's event stream; lost events show as gaps in the sequence.
+/// A part of an engine's events. Lost events appear as gaps in the sequence numbers.
 struct EngineCacheEvents
 {
     std::string incarnation;
-    std::uint64_t last = 0; ///< The newest event that the engine has numbered.
+    std::uint64_t last = 0; ///< Number of the engine's newest event.
     std::vector<EngineCacheEvent> events;
 };
 
-/// Reads a load report; TargetMalformed if it is none.
+/// Parses a load report; returns nothing with TargetMalformed if it is invalid.
 std::optional<EngineLoadReport> parseEngineLoadReport(std::string_view json, Reason &reason);
 
-/// Reads cache events; TargetMalformed if they are none.
+/// Parses cache events; returns nothing with TargetMalformed if they are invalid.
 std::optional<EngineCacheEvents> parseEngineCacheEvents(std::string_view json, Reason &reason);
 
 } // namespace Lovageloft
--- a/drivers/etcd_codec.cpp
+++ b/drivers/etcd_codec.cpp
@@ -15,7 +15,7 @@
 
 std::string encodeBase64(std::string_view bytes)
 {
-    std::string text((bytes.size() + bytesPerGroup - 1) / bytesPerGroup * digitsPerGroup + 1, '\0'); // One for the encoder's final zero.
+    std::string text((bytes.size() + bytesPerGroup - 1) / bytesPerGroup * digitsPerGroup + 1, '\0'); // One more for the encoder's terminating zero.
     const int length =
         EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()), reinterpret_cast<const unsigned char *>(bytes.data()), static_cast<int>(bytes.size()));
     text.resize(static_cast<std::size_t>(length));
--- a/drivers/etcd_messages.cpp
+++ b/drivers/etcd_messages.cpp
@@ -31,14 +31,14 @@
         + R"(}],"success":[)" + std::string(write) + R"(],"failure":[{"request_range":{"key":)" + jsonString(key) + "}}]}";
 }
 
-/// The document of an answer; nothing if the text isn't a whole JSON document. The element lives until the next parse in this thread.
+/// Parses a response; returns nothing if it is not a complete JSON document. The element is valid until the next call in this thread.
 Field parseDocument(std::string_view json)
 {
     thread_local simdjson::dom::parser parser;
     return parser.parse(simdjson::padded_string(json));
 }
 
-/// A number, 0 if it isn't there. The mapping writes 64-bit numbers as strings and leaves out zeros.
+/// A number; 0 if the field is missing. The mapping encodes 64-bit numbers as strings and omits zeros.
 std::int64_t numberOf(const Field &field)
 {
     std::int64_t number = 0;
@@ -79,7 +79,7 @@
 {
     simdjson::dom::array keyValues;
     if (range["kvs"].get(keyValues) != simdjson::SUCCESS) {
-        return true; // Empty lists are left out.
+        return true; // The mapping omits empty lists.
     }
     for (const element keyValue : keyValues) {
         if (!appendEntry(keyValue, false, entries)) {
@@ -89,7 +89,7 @@
     return true;
 }
 
-/// Every answer has a header; a text without one comes from something else, a proxy's page for example.
+/// Whether a response has a header. All responses of etcd do; a document without one is from something else, such as a proxy.
 bool hasHeader(const Field &answer)
 {
     return answer["header"].error() == simdjson::SUCCESS;
@@ -104,7 +104,7 @@
 
 std::string etcdListCall(std::string_view prefix)
 {
-    // The mapping leaves no empty key: the zero byte is the first key there can be.
+    // The mapping does not allow an empty key; a zero byte is the first possible one.
     const std::string_view begin = prefix.empty() ? std::string_view("\0", 1) : prefix;
     return R"({"key":)" + jsonString(begin) + R"(,"range_end":)" + jsonString(prefixRangeEnd(prefix)) + "}";
 }
@@ -166,7 +166,7 @@
 std::optional<EtcdLeaseAnswer> parseEtcdLease(std::string_view json)
 {
     const Field document = parseDocument(json);
-    const Field answer = document["result"].error() == simdjson::SUCCESS ? document["result"] : document; // Keep-alives come as a stream of results.
+    const Field answer = document["result"].error() == simdjson::SUCCESS ? document["result"] : document; // Responses to keep-alives are a stream of results.
     if (!hasHeader(answer)) {
         return std::nullopt;
     }
--- a/drivers/etcd_store.cpp
+++ b/drivers/etcd_store.cpp
@@ -18,8 +18,8 @@
 constexpr int httpUnavailable = 503;
 constexpr std::int64_t grpcNotFound = 5;
 
-/// Whether the endpoint says that it didn't perform the call. Only errors that etcd raises before it proposes a write
-/// count: "request timed out" carries the same status, and the write may take effect after it all the same.
+/// Whether the error states that the call was not executed. Only errors that etcd raises before it proposes a write count: "request timed out" has
+/// the same status, but the write may still take effect.
 bool isRefused(const HttpAnswer &answer)
 {
     if (answer.status != httpUnavailable && answer.status != httpTooManyRequests) {
@@ -29,7 +29,7 @@
     return text == "etcdserver: no leader" || text == "etcdserver: too many requests";
 }
 
-/// A caller's mistake is refused before it takes effect; other failures of a write may come after.
+/// Whether the error is that of an invalid request, which is rejected before it takes effect. After other errors a write may have taken effect.
 StoreStatus failureOf(const HttpAnswer &answer, StoreStatus unknown)
 {
     if (answer.status == httpNotFound && parseEtcdError(answer.body).code == grpcNotFound) {
@@ -71,7 +71,7 @@
 
 StoreReply EtcdStore::compareAndSwap(std::string_view key, std::int64_t expectedRevision, std::string_view value, std::int64_t leaseId)
 {
-    StoreReply reply = guardedWrite(key, etcdSwapCall(key, expectedRevision, value, leaseId));
+    StoreReply reply = conditionalWrite(key, etcdSwapCall(key, expectedRevision, value, leaseId));
     if (reply.status == StoreStatus::Ok) {
         reply.entry.value = value;
     }
@@ -80,7 +80,7 @@
 
 StoreReply EtcdStore::compareAndDelete(std::string_view key, std::int64_t expectedRevision)
 {
-    StoreReply reply = guardedWrite(key, etcdDeleteCall(key, expectedRevision));
+    StoreReply reply = conditionalWrite(key, etcdDeleteCall(key, expectedRevision));
     const bool wasAbsent = reply.status == StoreStatus::Ok ? expectedRevision == 0 : reply.entry.revision == 0;
     if (wasAbsent && (reply.status == StoreStatus::Ok || reply.status == StoreStatus::Conflict)) {
         reply.status = StoreStatus::NotFound;
@@ -91,11 +91,11 @@
 StoreListReply EtcdStore::watch(std::string_view prefix, std::int64_t afterRevision, Duration timeout)
 {
     const TimePoint deadline = BootClock::now() + timeout;
-    std::unique_ptr<EtcdWatch> watch = takeWatch(prefix, afterRevision);
-    int reopensLeft = 1; // A store that ends each watch at once would otherwise be called in a tight loop.
+    std::unique_ptr<EtcdWatch> watch = acquireWatch(prefix, afterRevision);
+    int reopensLeft = 1; // Otherwise a store that ends each watch at once would be called in a busy loop.
     while (true) {
-        // A connection that something in between has lost track of looks just like a quiet one, and a watch on it would
-        // miss every write from then on. A fresh one from the same revision shows what was missed.
+        // A connection that a firewall has dropped silently looks like a quiet one, and a watch on it would miss all further writes. A new watch
+        // from the same revision returns what was missed.
         if (!watch || BootClock::now() - watch->lastReceived() >= options_.watchSilenceLimit) {
             watch = openWatch(prefix, afterRevision);
         }
@@ -108,7 +108,7 @@
             return {StoreStatus::NotFound, {}, reply.revision};
         }
         if (status == EtcdWatchStatus::Events || (status == EtcdWatchStatus::Timeout && BootClock::now() >= deadline)) {
-            keepWatch(prefix, std::move(watch));
+            releaseWatch(prefix, std::move(watch));
             return reply;
         }
         if (status == EtcdWatchStatus::Timeout) {
@@ -123,12 +123,12 @@
 
 StoreLeaseReply EtcdStore::grantLease(Duration timeToLive)
 {
-    return leaseCall("/v3/lease/grant", etcdGrantCall(timeToLive));
+    return callLease("/v3/lease/grant", etcdGrantCall(timeToLive));
 }
 
 StoreLeaseReply EtcdStore::keepAlive(std::int64_t leaseId)
 {
-    StoreLeaseReply reply = leaseCall("/v3/lease/keepalive", etcdLeaseCall(leaseId));
+    StoreLeaseReply reply = callLease("/v3/lease/keepalive", etcdLeaseCall(leaseId));
     reply.leaseId = leaseId;
     if (reply.status == StoreStatus::Ok && reply.timeToLive <= Duration::zero()) {
         reply.status = StoreStatus::NotFound;
@@ -138,7 +138,7 @@
 
 StoreLeaseReply EtcdStore::revokeLease(std::int64_t leaseId)
 {
-    StoreLeaseReply reply = leaseCall("/v3/lease/revoke", etcdLeaseCall(leaseId));
+    StoreLeaseReply reply = callLease("/v3/lease/revoke", etcdLeaseCall(leaseId));
     reply.leaseId = leaseId;
     return reply;
 }
@@ -156,7 +156,7 @@
             pool_.reportFailure(endpoint);
             continue;
         }
-        std::optional<HttpAnswer> answer = connection->call("POST", path, body, deadline, {}, {options_.callTimeout, slowestStoreRate});
+        std::optional<HttpAnswer> answer = connection->call("POST", path, body, deadline, {}, {options_.callTimeout, minStoreBytesPerSecond});
         if (!answer) {
             pool_.reportFailure(endpoint);
             return {unknown, {}};
@@ -174,7 +174,7 @@
     return {StoreStatus::Unavailable, {}};
 }
 
-StoreReply EtcdStore::guardedWrite(std::string_view key, std::string_view body)
+StoreReply EtcdStore::conditionalWrite(std::string_view key, std::string_view body)
 {
     const CallResult result = call("/v3/kv/txn", body, Effect::Write);
     StoreReply reply{result.status, {std::string(key), {}, 0, false}};
@@ -197,7 +197,7 @@
     return reply;
 }
 
-StoreLeaseReply EtcdStore::leaseCall(const std::string &path, std::string_view body)
+StoreLeaseReply EtcdStore::callLease(const std::string &path, std::string_view body)
 {
     const CallResult result = call(path, body, Effect::Write);
     if (result.status != StoreStatus::Ok) {
@@ -227,7 +227,7 @@
     return nullptr;
 }
 
-std::unique_ptr<EtcdWatch> EtcdStore::takeWatch(std::string_view prefix, std::int64_t afterRevision)
+std::unique_ptr<EtcdWatch> EtcdStore::acquireWatch(std::string_view prefix, std::int64_t afterRevision)
 {
     const std::lock_guard lock(watchesMutex_);
     const auto found = watches_.find(prefix);
@@ -239,7 +239,7 @@
     return watch->position() <= afterRevision ? std::move(watch) : nullptr;
 }
 
-void EtcdStore::keepWatch(std::string_view prefix, std::unique_ptr<EtcdWatch> watch)
+void EtcdStore::releaseWatch(std::string_view prefix, std::unique_ptr<EtcdWatch> watch)
 {
     const std::lock_guard lock(watchesMutex_);
     watches_.insert_or_assign(std::string(prefix), std::move(watch));
--- a/drivers/etcd_store.h
+++ b/drivers/etcd_store.h
@@ -17,19 +17,18 @@
 namespace Lovageloft
 {
 
-/// How the driver reaches the store.
+/// Endpoints and timeouts of EtcdStore.
 struct EtcdStoreOptions
 {
-    std::vector<HostAddress> endpoints; ///< Of the HTTP/JSON gateway; at least one.
-    Duration callTimeout = std::chrono::seconds(1); ///< Until an answer begins, and between two pieces of it.
-    Duration idleLimit = std::chrono::seconds(2); ///< A connection idle for longer isn't used again.
-    Duration watchSilenceLimit = std::chrono::seconds(5); ///< A watch silent for longer is started anew.
+    std::vector<HostAddress> endpoints; ///< HTTP/JSON gateways; at least one.
+    Duration callTimeout = std::chrono::seconds(1); ///< For the start of a response, and between two parts of it.
+    Duration idleLimit = std::chrono::seconds(2); ///< Connections that were idle for longer are not reused.
+    Duration watchSilenceLimit = std::chrono::seconds(5); ///< A watch that is silent for longer is reopened.
 };
 
-/// The platform's key-value service over etcd v3's published HTTP/JSON mapping. Thread-safe; calls of several threads
-/// run at once, each on a connection of its own. An endpoint that can't be reached, or refuses before it performs a
-/// call, is followed by the next within the call's timeout. A call that has left is never sent again, so a write
-/// that fails then gives AnswerLost, and a read Unavailable.
+/// Client of etcd v3 over its HTTP/JSON mapping. Thread-safe; concurrent calls use different connections. If an endpoint can't be reached, or
+/// rejects a call without executing it, the next one is tried within the call's timeout. A call that was sent is never repeated: if it fails, a
+/// write returns AnswerLost and a read Unavailable.
 class EtcdStore : public Store
 {
 public:
@@ -40,10 +39,9 @@
     StoreReply compareAndSwap(std::string_view key, std::int64_t expectedRevision, std::string_view value, std::int64_t leaseId) override;
     StoreReply compareAndDelete(std::string_view key, std::int64_t expectedRevision) override;
 
-    /// Keeps the stream open from call to call, so that the store counts one watch and no write is missed as long as
-    /// the caller goes on from the revision of the last answer. NotFound: the store has forgotten writes after
-    /// `afterRevision`, and the keys have to be listed again. Unavailable comes at once when no endpoint answers,
-    /// so the caller should pause before the next call.
+    /// Keeps the stream open between calls, so that the store has one watch and no write is missed as long as the caller continues from the revision
+    /// of the last reply. Returns NotFound if the store has compacted writes after `afterRevision`: the keys must be listed again. Returns
+    /// Unavailable at once if no endpoint responds; the caller should then wait before the next call.
     StoreListReply watch(std::string_view prefix, std::int64_t afterRevision, Duration timeout) override;
 
     StoreLeaseReply grantLease(Duration timeToLive) override;
@@ -60,20 +58,20 @@
     struct CallResult
     {
         StoreStatus status = StoreStatus::Unavailable;
-        std::string body; ///< Of an answer that is Ok.
+        std::string body; ///< Of a successful response.
     };
 
     CallResult call(const std::string &path, std::string_view body, Effect effect);
-    StoreReply guardedWrite(std::string_view key, std::string_view body);
-    StoreLeaseReply leaseCall(const std::string &path, std::string_view body);
+    StoreReply conditionalWrite(std::string_view key, std::string_view body);
+    StoreLeaseReply callLease(const std::string &path, std::string_view body);
     std::unique_ptr<EtcdWatch> openWatch(std::string_view prefix, std::int64_t afterRevision);
-    std::unique_ptr<EtcdWatch> takeWatch(std::string_view prefix, std::int64_t afterRevision);
-    void keepWatch(std::string_view prefix, std::unique_ptr<EtcdWatch> watch);
+    std::unique_ptr<EtcdWatch> acquireWatch(std::string_view prefix, std::int64_t afterRevision);
+    void releaseWatch(std::string_view prefix, std::unique_ptr<EtcdWatch> watch);
 
     EtcdStoreOptions options_;
     HttpConnectionPool pool_;
     std::mutex watchesMutex_;
-    std::map<std::string, std::unique_ptr<EtcdWatch>, std::less<>> watches_; // Open and not waited on just now, by prefix.
+    std::map<std::string, std::unique_ptr<EtcdWatch>, std::less<>> watches_; // Open watches that no call is waiting on, by prefix.
 };
 
 } // namespace Lovageloft
--- a/drivers/etcd_watch.cpp
+++ b/drivers/etcd_watch.cpp
@@ -41,9 +41,9 @@
         }
         std::erase_if(line->entries, [afterRevision](const StoreEntry &entry) { return entry.revision <= afterRevision; });
         if (line->entries.empty()) {
-            continue; // The answer to the start, or writes that the caller has listed meanwhile.
+            continue; // The response to the start, or writes that the caller already has from a list.
         }
-        // Not the header's revision: that is the store's, and writes below it may still be on their way.
+        // The header has the revision of the store, up to which writes may still be in transit.
         position_ = line->entries.back().revision;
         reply.entries = std::move(line->entries);
         reply.revision = position_;
--- a/drivers/etcd_watch.h
+++ b/drivers/etcd_watch.h
@@ -10,29 +10,29 @@
 namespace Lovageloft
 {
 
-/// How waiting on a watch ended.
+/// Result of waiting on a watch.
 enum class EtcdWatchStatus : std::uint8_t
 {
     Events,
     Timeout,
-    Broken, ///< The stream is of no more use; a new one goes on from the last revision seen.
-    Compacted, ///< The store has forgotten writes that were not seen; the keys have to be listed again.
+    Broken, ///< The stream can't be used any more; a new one has to continue from the last revision received.
+    Compacted, ///< The store has compacted writes that were not received: the keys must be listed again.
 };
 
-/// One open watch stream of the store. Used by one thread at a time.
+/// An open watch stream. Not thread-safe.
 class EtcdWatch
 {
 public:
-    /// Takes a connection on which the watch of the writes after `afterRevision` has been started.
+    /// `connection`: one on which a watch of the writes after `afterRevision` was started.
     EtcdWatch(std::unique_ptr<HttpConnection> connection, std::int64_t afterRevision);
 
-    /// The stream still holds all writes after this revision.
+    /// The revision after which the stream still returns all writes.
     std::int64_t position() const;
 
-    /// When the store last sent anything, its answer to the start included.
+    /// When anything was last received from the store, including its response to the start.
     TimePoint lastReceived() const;
 
-    /// Waits for the next writes after `afterRevision`, which must not be below position(), and puts them into `reply`.
+    /// Waits for writes after `afterRevision`, which must be at least position(), and adds them to `reply`.
     EtcdWatchStatus wait(std::int64_t afterRevision, TimePoint deadline, StoreListReply &reply);
 
 private:
--- a/drivers/http_connection.cpp
+++ b/drivers/http_connection.cpp
@@ -18,18 +18,18 @@
 namespace
 {
 
-/// Longest answer taken: a list of some hundred values of a megabyte. What goes wrong without it: an endpoint
-/// that never stops sending fills the memory of the host.
+/// Maximum size of a response: that of a list of some hundred values of a megabyte. Without a limit, an endpoint that never stops sending would
+/// exhaust the memory of the host.
 constexpr std::size_t answerLimit = std::size_t{256} * 1024 * 1024;
 
 Poco::Timespan toTimespan(Duration duration)
 {
-    constexpr Duration shortest = std::chrono::milliseconds(1); // Poco takes 0 for no limit.
-    return {std::chrono::duration_cast<std::chrono::microseconds>(std::max(duration, shortest)).count()};
+    constexpr Duration minTimeout = std::chrono::milliseconds(1); // For Poco, 0 means no timeout.
+    return {std::chrono::duration_cast<std::chrono::microseconds>(std::max(duration, minTimeout)).count()};
 }
 
-/// Reads what the stream's buffer holds after waiting for at least one byte; false at the end of the stream.
-/// Works on the buffer, since the stream itself would swallow the exception that tells a timeout from an end.
+/// Waits for at least one byte and reads all that the stream's buffer contains; returns false at the end of the stream. Uses the buffer directly,
+/// as the stream would catch the exception that distinguishes a timeout from the end.
 bool appendAvailable(std::istream &stream, std::string &out)
 {
     std::streambuf &buffer = *stream.rdbuf();
@@ -44,8 +44,8 @@
 
 } // namespace
 
-/// A socket that gives up at a point in time. The usual timeout counts from the last byte, so that an endpoint
-/// that trickles would hold its caller for longer than the call may take.
+/// A socket with a deadline. The usual timeout counts from the last byte, so that an endpoint that sends slowly could hold its caller for longer
+/// than the call may take.
 class HttpConnection::DeadlineSocket : public Poco::Net::StreamSocketImpl
 {
 public:
@@ -58,17 +58,17 @@
         const int received = StreamSocketImpl::receiveBytes(buffer, length, flags);
         lastReceived_ = BootClock::now();
         receivedBytes_ += received;
-        if (pace_.slowestRate > 0) {
-            latest_ += fromSeconds(received / pace_.slowestRate);
-            deadline_ = std::min(latest_, lastReceived_ + pace_.longestPause);
+        if (pace_.minBytesPerSecond > 0) {
+            deadlineWithoutPauses_ += fromSeconds(received / pace_.minBytesPerSecond);
+            deadline_ = std::min(deadlineWithoutPauses_, lastReceived_ + pace_.maxPause);
         }
         return received;
     }
 
-    void setDeadline(TimePoint deadline, const AnswerPace &pace = {})
+    void setDeadline(TimePoint deadline, const AnswerPacing &pace = {})
     {
         deadline_ = deadline;
-        latest_ = deadline;
+        deadlineWithoutPauses_ = deadline;
         pace_ = pace;
         setSendTimeout(toTimespan(deadline - BootClock::now()));
     }
@@ -85,8 +85,8 @@
 
 private:
     TimePoint deadline_;
-    TimePoint latest_; ///< With a pace: the deadline, were there no pauses.
-    AnswerPace pace_;
+    TimePoint deadlineWithoutPauses_; ///< With a pacing: the deadline if there are no long pauses.
+    AnswerPacing pace_;
     TimePoint lastReceived_ = BootClock::now();
     std::int64_t receivedBytes_ = 0;
 };
@@ -94,8 +94,7 @@
 class HttpConnection::Session : public Poco::Net::HTTPClientSession
 {
 public:
-    // Built from a connected socket and without a host's name it has nothing to reconnect to, so it can't send a call
-    // a second time by itself.
+    // A session that is created from a connected socket, without a host name, can't reconnect and so can't repeat a call by itself.
     explicit Session(const Poco::Net::StreamSocket &socket)
         : HTTPClientSession(socket)
     {
@@ -134,14 +133,14 @@
 }
 
 std::optional<HttpAnswer> HttpConnection::call(
-    std::string_view method, const std::string &path, std::string_view body, TimePoint deadline, std::span<const HttpField> fields, const AnswerPace &pace)
+    std::string_view method, const std::string &path, std::string_view body, TimePoint deadline, std::span<const HttpField> fields, const AnswerPacing &pace)
 {
     isKeptAlive_ = false;
     bytesBefore_ = socket_->receivedBytes();
     try {
         socket_->setDeadline(deadline, pace);
-        // A call that is given up takes its bytes along: the kernel would go on sending them, and an order of a leader whose lease has ended
-        // since would arrive when the link heals.
+        // Unsent bytes of an aborted call are discarded: otherwise the kernel would send them later, and an order of a leader whose lease has
+        // expired would arrive when the link is restored.
         socket_->setLinger(true, 0);
         HttpAnswer answer;
         Poco::Net::HTTPResponse response;
@@ -185,16 +184,16 @@
     const std::int64_t receivedBefore = socket_->receivedBytes();
     const bool isBetweenChunks = session_->buffered() <= chunkEndBytes;
     try {
-        constexpr Duration shortestWait = std::chrono::milliseconds(1); // So that a call without patience still sees what has come.
-        socket_->setDeadline(std::max(deadline, BootClock::now() + shortestWait));
-        while (!takeBufferedLine(line)) {
+        constexpr Duration minWait = std::chrono::milliseconds(1); // So that a call without a timeout still reads what has arrived.
+        socket_->setDeadline(std::max(deadline, BootClock::now() + minWait));
+        while (!consumeBufferedLine(line)) {
             if (!appendAvailable(*stream_, buffer_) || buffer_.size() > answerLimit) {
                 return HttpLineStatus::Broken;
             }
         }
         return HttpLineStatus::Line;
     } catch (const Poco::TimeoutException &) {
-        // A timeout within the size of a chunk would make the rest of the size look like another one.
+        // After a timeout within a chunk size, the rest of it would be parsed as another size.
         const bool keepsItsPlace = isBetweenChunks && socket_->receivedBytes() == receivedBefore;
         return keepsItsPlace ? HttpLineStatus::Timeout : HttpLineStatus::Broken;
     } catch (const Poco::Exception &) {
@@ -204,7 +203,7 @@
 
 bool HttpConnection::isReusable() const
 {
-    // Bytes or an end that nobody asked for: the endpoint has closed the connection.
+    // Unexpected bytes or the end of the stream: the endpoint has closed the connection.
     return isKeptAlive_ && !socket_->poll(Poco::Timespan(0), Poco::Net::SocketImpl::SELECT_READ);
 }
 
@@ -213,7 +212,7 @@
     return socket_->lastReceived();
 }
 
-std::int64_t HttpConnection::bytesOfAnswer() const
+std::int64_t HttpConnection::answerBytes() const
 {
     return socket_->receivedBytes() - bytesBefore_;
 }
@@ -234,7 +233,7 @@
     return session_->receiveResponse(response);
 }
 
-bool HttpConnection::takeBufferedLine(std::string &line)
+bool HttpConnection::consumeBufferedLine(std::string &line)
 {
     const std::size_t end = buffer_.find('\n');
     if (end == std::string::npos) {
--- a/drivers/http_connection.h
+++ b/drivers/http_connection.h
@@ -21,7 +21,7 @@
 namespace Lovageloft
 {
 
-/// A whole HTTP answer.
+/// A complete HTTP response.
 struct HttpAnswer
 {
     int status = 0;
@@ -29,65 +29,63 @@
     std::vector<HttpField> fields = {};
 };
 
-/// How long an answer that has begun is waited for beyond a call's deadline: long ones take a thin link a while, and begun anew each
-/// time they would never come whole.
-struct AnswerPace
+/// For how long a response that has begun may exceed the deadline of its call. A long response takes a while on a slow link, and would never be
+/// received completely if each attempt were aborted at the deadline.
+struct AnswerPacing
 {
-    Duration longestPause{}; ///< Between two pieces.
-    double slowestRate = 0; ///< Bytes a second that lengthen the deadline; 0: it stands.
+    Duration maxPause{}; ///< Maximum time between two parts of the response.
+    double minBytesPerSecond = 0; ///< Each received byte extends the deadline by the inverse; 0 for a fixed deadline.
 };
 
-/// Bytes a second below which an answer of the store counts as stuck: a tenth of a link of 10 Mbit/s.
-inline constexpr double slowestStoreRate = 125'000;
+/// Rate below which a response of the store counts as stalled: a tenth of a link of 10 Mbit/s.
+inline constexpr double minStoreBytesPerSecond = 125'000;
 
-/// How reading a line of a stream ended.
+/// Result of reading a line of a stream.
 enum class HttpLineStatus : std::uint8_t
 {
     Line,
-    Timeout, ///< None yet; the stream goes on.
-    Broken, ///< The stream has ended or lost its place; of no more use.
+    Timeout, ///< No line yet; the stream is still open.
+    Broken, ///< The stream has ended or can't be parsed any more.
 };
 
-/// One HTTP connection to one endpoint, for whole calls one after another. Used by one thread at a time.
-/// It never connects again and never sends anything twice: whoever holds it decides that.
+/// An HTTP connection to an endpoint, for calls one after another. It never reconnects and never repeats a call by itself. Not thread-safe.
 class HttpConnection
 {
 public:
-    /// Connects; nothing if that fails or takes longer than `timeout`.
+    /// Opens a connection; returns null if that fails or takes longer than `timeout`.
     static std::unique_ptr<HttpConnection> open(const HostAddress &endpoint, Duration timeout);
 
     ~HttpConnection();
     HttpConnection(const HttpConnection &) = delete;
     HttpConnection &operator=(const HttpConnection &) = delete;
 
-    /// Sends one call and reads the whole answer until `deadline`. Nothing if any part of that fails; the call may
-    /// have been performed then, and the connection must be thrown away: a late answer to this call would be taken
-    /// for the answer to the next.
+    /// Sends a POST with a JSON body and reads the complete response until `deadline`. Returns nothing on failure: the call may have been executed
+    /// then, and the connection must not be used again, as a late response would be taken for that to the next call.
     std::optional<HttpAnswer> call(const std::string &path, std::string_view body, TimePoint deadline);
 
-    /// The same with a method of the caller's choice and, unless empty, a JSON body; `fields` are added to the head. With a pace the deadline
-    /// is that of the answer's begin.
+    /// The same with any method. An empty `body` is not sent; `fields` are added to the head. With a pacing, `deadline` applies to the start of the
+    /// response.
     std::optional<HttpAnswer> call(std::string_view method,
                                    const std::string &path,
                                    std::string_view body,
                                    TimePoint deadline,
                                    std::span<const HttpField> fields = {},
-                                   const AnswerPace &pace = {});
+                                   const AnswerPacing &pace = {});
 
-    /// Sends a call whose answer is an endless stream of lines, and reads the head of the answer; false if that fails.
+    /// Sends a call whose response is an endless stream of lines, and reads its head; returns false on failure.
     bool startStream(const std::string &path, std::string_view body, TimePoint deadline);
 
     /// Reads the next line of the stream.
     HttpLineStatus readLine(std::string &line, TimePoint deadline);
 
-    /// Whether another call may be sent: the last answer came whole and the endpoint hasn't closed the connection.
+    /// Whether another call may be sent: the last response was complete, and the endpoint has not closed the connection.
     bool isReusable() const;
 
-    /// When the endpoint last showed a sign of life.
+    /// When anything was last received from the endpoint.
     TimePoint lastReceived() const;
 
-    /// Bytes that have come of the answer to the last call, with its head.
-    std::int64_t bytesOfAnswer() const;
+    /// Bytes received of the response to the last call, including its head.
+    std::int64_t answerBytes() const;
 
 private:
     class Session;
@@ -96,13 +94,13 @@
     HttpConnection(std::unique_ptr<Session> session, DeadlineSocket *socket, std::string host);
     std::istream &
     exchange(std::string_view method, const std::string &path, std::string_view body, std::span<const HttpField> fields, Poco::Net::HTTPResponse &response);
-    bool takeBufferedLine(std::string &line);
+    bool consumeBufferedLine(std::string &line);
 
     std::unique_ptr<Session> session_;
     DeadlineSocket *socket_; // Owned by the session.
     std::string host_;
     std::istream *stream_ = nullptr; // Owned by the session.
-    std::string buffer_; // Bytes of the stream after the last line.
+    std::string buffer_; // Received bytes of the stream after the last returned line.
     bool isKeptAlive_ = true;
     std::int64_t bytesBefore_ = 0; // Received before the last call.
 };
--- a/drivers/http_connection_pool.cpp
+++ b/drivers/http_connection_pool.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-/// Idle connections kept to one endpoint; about as many threads of a host call the store at once.
+/// Maximum idle connections to an endpoint: about the number of threads of a host that call the store concurrently.
 constexpr std::size_t idleConnectionLimit = 8;
 
 } // namespace
@@ -33,7 +33,7 @@
 
 std::unique_ptr<HttpConnection> HttpConnectionPool::take(std::size_t endpoint, Duration timeout)
 {
-    std::unique_ptr<HttpConnection> connection = takeIdle(endpoint);
+    std::unique_ptr<HttpConnection> connection = acquireIdle(endpoint);
     return connection ? std::move(connection) : connect(endpoint, timeout);
 }
 
@@ -52,7 +52,7 @@
 
 void HttpConnectionPool::reportFailure(std::size_t endpoint)
 {
-    Connections closed; // Outlives the lock, so that nobody waits for the closing.
+    Connections closed; // Destroyed after the lock, so that other threads do not wait while they are closed.
     const std::lock_guard lock(mutex_);
     closed.swap(idle_[endpoint]);
     if (preferred_ == endpoint) {
@@ -60,7 +60,7 @@
     }
 }
 
-std::unique_ptr<HttpConnection> HttpConnectionPool::takeIdle(std::size_t endpoint)
+std::unique_ptr<HttpConnection> HttpConnectionPool::acquireIdle(std::size_t endpoint)
 {
     Connections closed;
     const std::lock_guard lock(mutex_);
--- a/drivers/http_exchange.cpp
+++ b/drivers/http_exchange.cpp
@@ -18,9 +18,9 @@
 {
 
 constexpr std::size_t readSize = 65'536;
-/// Data that is not acknowledged for this long fails the connection; long enough for a retransmission or two.
+/// Unacknowledged data closes the connection after this time, which is long enough for one or two retransmissions.
 constexpr int unacknowledgedLimitMs = 3'000;
-/// Probes on a connection that is silent: after one second, each second, three times.
+/// Keep-alive probes on a silent connection: the first after one second, then each second, three in total.
 constexpr int probeSeconds = 1;
 constexpr int probeCount = 3;
 
@@ -31,7 +31,7 @@
 
 } // namespace
 
-/// Poco's session with its buffer's fill level made visible, so that what has arrived is taken in one go.
+/// Poco's session with access to the fill level of its buffer, so that all that has arrived is read at once.
 class HttpExchange::Session : public Poco::Net::HTTPClientSession
 {
 public:
@@ -42,9 +42,8 @@
         connect(address);
     }
 
-    /// Whether a part of the answer has arrived that was not read yet. The line end behind a chunk stays in the buffer until
-    /// the next chunk; taking it for a part would block until that comes, with the caller's stream held back and its hang-up
-    /// not noticed.
+    /// Whether unread bytes of the response have arrived. The line end after a chunk stays in the buffer until the next chunk and does not count:
+    /// reading it would block until then, which would delay the caller's stream and hide that the caller disconnects.
     bool hasBuffered() const
     {
         constexpr int lineEnd = 2;
@@ -97,9 +96,9 @@
     }
     stage_ = ExchangeStage::Sent;
     try {
-        // The head waits in the stream's buffer until it is flushed.
+        // The head is in the stream's buffer until it is flushed.
         session_->sendRequest(request).flush();
-        // Past Poco's stream, which would cut a long prompt into calls of 4 KB.
+        // Not through Poco's stream, which would send a long prompt in calls of 4 KB.
         std::string_view rest = head.body;
         while (!rest.empty()) {
             constexpr std::size_t most = 1'048'576;
--- a/drivers/http_exchange.h
+++ b/drivers/http_exchange.h
@@ -22,7 +22,7 @@
     std::string value;
 };
 
-/// What is sent to a target. The body is only looked at and must outlive the exchange.
+/// A request to a target. The body must stay valid during the exchange.
 struct HttpRequestHead
 {
     std::string method;
@@ -32,34 +32,34 @@
     std::string_view body;
 };
 
-/// How long the steps of an exchange may take.
+/// Timeouts of an exchange.
 struct ExchangeTimeouts
 {
     Duration connect;
-    Duration silence; ///< Longest time without a byte from the target.
+    Duration silence; ///< Maximum time without a byte from the target.
 };
 
-/// The beginning of a target's answer.
+/// The head of a target's response.
 struct HttpAnswerHead
 {
     int status = 0;
     std::string contentType;
-    std::optional<std::size_t> contentLength; ///< Nothing for a chunked answer.
+    std::optional<std::size_t> contentLength; ///< Not set for a chunked response.
 };
 
-/// How far an exchange came, for what may be said of it.
+/// Progress of an exchange; determines whether the request may have run.
 enum class ExchangeStage : std::uint8_t
 {
-    NotSent, ///< No byte left; the target can't have run it.
-    Sent, ///< At least one byte left.
-    Answering, ///< The answer's head has arrived.
+    NotSent, ///< No byte was sent: the target can't have run the request.
+    Sent, ///< At least one byte was sent.
+    Answering, ///< The head of the response has arrived.
 };
 
-/// A request and its answer on a connection that is opened for them and closed with them.
-/// What goes wrong with pooled connections: something between the two ends loses track of an idle one, the request
-/// sent on it is never answered, and nobody can tell whether it ran. A caller would see a stall of a whole timeout, or a
-/// doubled correction after a retry. A connection for each exchange costs one round trip, and an answer can't belong to
-/// another request. Unacknowledged data and keep-alive probes fail the connection within seconds.
+/// A request and its response on a connection of their own.
+///
+/// With pooled connections, a firewall or balancer may drop an idle one silently. A request that is then sent on it gets no response, and nobody
+/// knows whether it ran: callers would wait for a whole timeout, or a retry would apply a correction twice. A connection per exchange costs a round
+/// trip, and a response can't belong to another request. Unacknowledged data and keep-alive probes close a dead connection within seconds.
 class HttpExchange
 {
 public:
@@ -68,20 +68,21 @@
     HttpExchange(const HttpExchange &) = delete;
     HttpExchange &operator=(const HttpExchange &) = delete;
 
-    /// Opens the connection. TargetUnreachable if that fails; nothing has been sent then.
+    /// Opens the connection. On failure returns false with TargetUnreachable; nothing was sent then.
     bool connect(Reason &reason);
 
-    /// Sends the request whole. After a failure the target may have it.
+    /// Sends the complete request. After a failure the target may have received it.
     bool send(const HttpRequestHead &head, Reason &reason);
 
-    /// Waits for the head of the answer, while `callerSocket` (or -1) stays open.
+    /// Waits for the head of the response; returns nothing with CallerGone if `callerSocket` is closed meanwhile. -1: no caller is watched.
     std::optional<HttpAnswerHead> readHead(int callerSocket, Reason &reason);
 
-    /// Appends what has arrived of the answer's body to `out`, waiting for at least one byte. Returns the number of bytes
-    /// appended, 0 at the end of the answer, and nothing on TargetTimeout, CallerGone, TargetTruncated or TargetMalformed.
+    /// Waits for at least one byte of the response body and appends all that has arrived to `out`. Returns the number of bytes, 0 at the end of the
+    /// response, and nothing with TargetTimeout, CallerGone, TargetTruncated or TargetMalformed.
     std::optional<std::size_t> read(std::string &out, int callerSocket, Reason &reason);
 
-    /// Reads the whole answer; TargetMalformed if it is longer than `limit` bytes, TargetTruncated if it is shorter than announced.
+    /// Reads the complete response body. Also fails with TargetMalformed if it is longer than `limit` bytes, and with TargetTruncated if it is shorter
+    /// than announced.
     std::optional<std::string> readAll(std::size_t limit, int callerSocket, Reason &reason);
 
     ExchangeStage stage() const;
--- a/drivers/http_parser.cpp
+++ b/drivers/http_parser.cpp
@@ -34,7 +34,7 @@
     return !text.empty() && std::all_of(text.begin(), text.end(), [](char character) { return character >= '0' && character <= '9'; });
 }
 
-/// Whether the framing fields leave one reading only.
+/// Whether the framing fields are unambiguous.
 bool isFramingClear(const HttpHead &head)
 {
     std::size_t lengths = 0;
@@ -62,7 +62,7 @@
 
 } // namespace
 
-/// One message; Beast calls the members that end in _impl.
+/// A message being parsed; Beast calls the members that end in _impl.
 class HttpParser::Message
 {
 public:
@@ -214,8 +214,8 @@
 
 bool HttpParser::read(std::string_view bytes, Reason &reason)
 {
-    kept_.append(bytes);
-    return isComplete() || readKept(reason);
+    buffered_.append(bytes);
+    return isComplete() || readBuffered(reason);
 }
 
 bool HttpParser::readEnd()
@@ -232,12 +232,12 @@
 {
     message_.reset();
     isHeadRead_ = false;
-    return readKept(reason);
+    return readBuffered(reason);
 }
 
 bool HttpParser::isWithinMessage() const
 {
-    return !isComplete() && (message_ != nullptr || !kept_.empty());
+    return !isComplete() && (message_ != nullptr || !buffered_.empty());
 }
 
 bool HttpParser::isComplete() const
@@ -245,9 +245,9 @@
     return message_ != nullptr && message_->isDone();
 }
 
-std::size_t HttpParser::keptBytes() const
+std::size_t HttpParser::bufferedBytes() const
 {
-    return kept_.size();
+    return buffered_.size();
 }
 
 void HttpParser::setLimits(HttpLimits limits)
@@ -260,7 +260,7 @@
     isBodyless_ = true;
 }
 
-bool HttpParser::readKept(Reason &reason)
+bool HttpParser::readBuffered(Reason &reason)
 {
     if (!isHeadRead_ && !isHeadComplete(reason)) {
         return reason.code == ResultCode::Ok;
@@ -273,9 +273,9 @@
         }
     }
     std::size_t used = 0;
-    while (used < kept_.size() && !message_->isDone()) {
+    while (used < buffered_.size() && !message_->isDone()) {
         ErrorCode error;
-        const std::size_t taken = message_->put(std::string_view(kept_).substr(used), error);
+        const std::size_t taken = message_->put(std::string_view(buffered_).substr(used), error);
         used += taken;
         if (error == Http::error::need_more || (!error && taken == 0)) {
             break;
@@ -285,19 +285,19 @@
             return false;
         }
     }
-    kept_.erase(0, used);
+    buffered_.erase(0, used);
     return true;
 }
 
-/// Looks at the raw bytes, as Beast joins folded lines silently.
+/// Checks the raw bytes, as Beast joins folded lines.
 bool HttpParser::isHeadComplete(Reason &reason)
 {
     reason = {};
-    while (kept_.starts_with("\r\n")) {
-        kept_.erase(0, 2);
+    while (buffered_.starts_with("\r\n")) {
+        buffered_.erase(0, 2);
     }
-    const std::size_t end = kept_.find("\r\n\r\n");
-    const std::size_t size = std::min(end, kept_.size());
+    const std::size_t end = buffered_.find("\r\n\r\n");
+    const std::size_t size = std::min(end, buffered_.size());
     if (size > limits_.head) {
         reason = {ResultCode::HeaderTooLarge, "head is longer than allowed"};
         return false;
@@ -305,7 +305,7 @@
     if (end == std::string::npos) {
         return false;
     }
-    const std::string_view head = std::string_view(kept_).substr(0, end);
+    const std::string_view head = std::string_view(buffered_).substr(0, end);
     for (std::size_t i = 0; i < head.size(); ++i) {
         const bool isBareFeed = head[i] == '\n' && (i == 0 || head[i - 1] != '\r');
         const bool isBareReturn = head[i] == '\r' && (i + 1 < head.size() && head[i + 1] != '\n');
--- a/drivers/http_parser.h
+++ b/drivers/http_parser.h
@@ -13,7 +13,7 @@
 namespace Lovageloft
 {
 
-/// Takes the pieces of a message as they are read.
+/// Receives the parts of a message as they are parsed.
 class HttpEvents
 {
 public:
@@ -22,7 +22,7 @@
     HttpEvents &operator=(const HttpEvents &) = delete;
     virtual ~HttpEvents() = default;
 
-    /// The head is complete. `bodyBytes` is the declared length of the body; nothing for a chunked or unframed one.
+    /// The head is complete. `bodyBytes` is the declared length of the body; not set if it is chunked or ends with the connection.
     virtual void onHead(HttpHead &&head, std::optional<std::uint64_t> bodyBytes) = 0;
     virtual void onBody(std::string_view bytes) = 0;
     virtual void onEnd() = 0;
@@ -34,17 +34,17 @@
     Answer,
 };
 
-/// Sizes in bytes beyond which a message is refused.
+/// Maximum sizes of a message in bytes.
 struct HttpLimits
 {
     std::size_t head = 16'384;
-    std::uint64_t body = 0; ///< 0: any.
+    std::uint64_t body = 0; ///< 0 for no limit.
 };
 
-/// Reads HTTP/1.1 messages piece by piece, one after another, by Boost.Beast's parser. Stricter than that where two readers could
-/// see different messages in the same bytes: what goes wrong otherwise is that a caller hides a second request inside the body
-/// of a first one, and a target runs it under another team's name. So two lengths, a length beside chunks, encodings other
-/// than "chunked", folded lines, bare line feeds and zero bytes in a head are refused. After an error nothing more is read.
+/// Incremental parser for consecutive HTTP/1.1 messages, based on Boost.Beast's parser. It is stricter than that where two parsers could find
+/// different messages in the same bytes: otherwise a caller could hide a second request in the body of the first (request smuggling), and a target
+/// would run it as another team. Rejected are two lengths, a length with chunks, encodings other than "chunked", folded lines, bare line feeds, and
+/// zero bytes in a head. After an error nothing more is parsed.
 class HttpParser
 {
 public:
@@ -53,40 +53,40 @@
     HttpParser(const HttpParser &) = delete;
     HttpParser &operator=(const HttpParser &) = delete;
 
-    /// Takes bytes and reads up to the end of the message begun; what follows is kept for `startNext`. False with
-    /// MalformedHttp, HeaderTooLarge or BodyTooLarge on a message that can't be read.
+    /// Parses bytes up to the end of the current message; further bytes are buffered for `startNext`. Returns false with MalformedHttp,
+    /// HeaderTooLarge or BodyTooLarge if the message is rejected.
     bool read(std::string_view bytes, Reason &reason);
 
-    /// The sender has closed its side. True if that ends an answer without a length.
+    /// The sender has closed its side. Returns whether that completes a response without a length.
     bool readEnd();
 
-    /// After the end of a message: begins the next with the bytes kept.
+    /// After the end of a message: starts the next one with the buffered bytes.
     bool startNext(Reason &reason);
 
-    /// Whether a message has begun and not ended.
+    /// Whether a message has begun and is incomplete.
     bool isWithinMessage() const;
 
     bool isComplete() const;
 
-    /// Bytes after the end of the message, or of a head not complete yet.
-    std::size_t keptBytes() const;
+    /// Number of buffered bytes: after the end of the message, or of an incomplete head.
+    std::size_t bufferedBytes() const;
 
     void setLimits(HttpLimits limits);
 
-    /// The answer to a HEAD request has no body whatever its fields say.
+    /// Expects a response to a HEAD request, which has no body regardless of its fields.
     void expectNoBody();
 
 private:
     class Message;
 
-    bool readKept(Reason &reason);
+    bool readBuffered(Reason &reason);
     bool isHeadComplete(Reason &reason);
 
     HttpMessageKind kind_;
     HttpLimits limits_;
     HttpEvents &events_;
     std::unique_ptr<Message> message_;
-    std::string kept_;
+    std::string buffered_;
     bool isHeadRead_ = false;
     bool isBodyless_ = false;
 };
--- a/drivers/socket_wait.cpp
+++ b/drivers/socket_wait.cpp
@@ -31,7 +31,7 @@
     }
 }
 
-bool isHungUp(int socket)
+bool isClosedByPeer(int socket)
 {
     pollfd watched{socket, POLLRDHUP, 0};
     return poll(&watched, 1, 0) > 0;
--- a/drivers/socket_wait.h
+++ b/drivers/socket_wait.h
@@ -4,7 +4,7 @@
 
 #include "core/clock.h"
 
-/// Waiting for the target and the caller of one request at the same time.
+/// Waiting for the target and the caller of a request at the same time.
 namespace Lovageloft
 {
 
@@ -15,12 +15,12 @@
     CallerGone, ///< The caller closed its connection.
 };
 
-/// Waits until `targetSocket` can be read, the caller hangs up, or `timeout` has passed. Both are file descriptors;
-/// a caller's that is negative is not watched. What goes wrong without watching the caller: it hangs up during a long
-/// prefill, and the engine goes on working for nobody, which shows as load without answers.
+/// Waits until `targetSocket` is readable, the caller disconnects, or `timeout` has passed. Both sockets are file descriptors; a negative
+/// `callerSocket` is not watched. Without watching the caller, an engine would continue to compute for callers that disconnected during a long
+/// prefill.
 WaitResult waitForTarget(int targetSocket, int callerSocket, Duration timeout);
 
-/// Whether the other end has closed the connection. Bytes waiting to be read do not matter.
-bool isHungUp(int socket);
+/// Whether the peer has closed the connection, even if there are unread bytes.
+bool isClosedByPeer(int socket);
 
 } // namespace Lovageloft
--- a/drivers/sse_reader.cpp
+++ b/drivers/sse_reader.cpp
@@ -28,7 +28,7 @@
 
 std::optional<std::string_view> SseReader::next()
 {
-    // Each chunk of an answer is one data line; the empty line behind it is passed over like any other.
+    // Each chunk of an answer is a single data line; the empty line after it is skipped like other lines.
     while (true) {
         const std::size_t end = buffer_.find('\n', position_);
         if (end == std::string::npos) {
@@ -46,7 +46,7 @@
 {
     buffer_.erase(0, position_);
     position_ = 0;
-    if (buffer_.size() > eventLimit) {
+    if (buffer_.size() > maxEventBytes) {
         reason = {ResultCode::TargetMalformed, "an event of the stream is over the limit"};
         return false;
     }
@@ -55,7 +55,7 @@
     return true;
 }
 
-bool SseReader::hasRest() const
+bool SseReader::hasPartialEvent() const
 {
     return position_ < buffer_.size();
 }
--- a/drivers/sse_reader.h
+++ b/drivers/sse_reader.h
@@ -9,28 +9,27 @@
 namespace Lovageloft
 {
 
-/// Cuts a stream of server-sent events into the data of each event. Only `data:` fields are kept; comments and other
-/// fields are passed over.
+/// Splits a stream of server-sent events into the data of the events. Comments and fields other than `data:` are ignored.
 class SseReader
 {
 public:
-    /// Room that stays free behind the buffer, so that a parser may read past an event's end.
+    /// Readable bytes after each event, as required by the JSON parser.
     static constexpr std::size_t padding = 64;
 
-    /// Most bytes of one event; a longer one can't be a chunk of an answer, and would grow the buffer without bound.
-    static constexpr std::size_t eventLimit = 4'194'304;
+    /// Maximum bytes of an event. Limits the buffer; no chunk of an answer is that long.
+    static constexpr std::size_t maxEventBytes = 4'194'304;
 
     /// The buffer that the connection appends to.
     std::string &buffer();
 
-    /// The data of the next whole event, or nothing if none is whole yet. The view holds until `compact`.
+    /// The data of the next complete event; nothing if there is none. The view is valid until `compact`.
     std::optional<std::string_view> next();
 
-    /// Drops what was read and makes room for more. False if an event is over the limit.
+    /// Removes the events that were returned from the buffer. Returns false and sets `reason` if an event exceeds the limit.
     bool compact(Reason &reason);
 
-    /// Whether bytes of an unfinished event are left.
-    bool hasRest() const;
+    /// Whether the buffer has bytes of an incomplete event.
+    bool hasPartialEvent() const;
 
 private:
     std::string buffer_;
--- a/drivers/tcp_connection.cpp
+++ b/drivers/tcp_connection.cpp
@@ -13,18 +13,18 @@
 using boost::asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
-/// Most bytes read for one connection before others get their turn.
+/// Maximum bytes read from a connection before other handlers run.
 constexpr std::size_t readBytesPerTurn = 65'536;
 constexpr std::size_t readBufferBytes = 16'384;
 
-/// How long sent bytes may stay unacknowledged. Well above a few lost packets in a row (retransmissions after 0.2 and 0.6 s),
-/// below the three seconds after which callers give a silent answer up.
+/// How long sent bytes may stay unacknowledged. Well above the time of a few consecutive lost packets (retransmissions after 0.2 and 0.6 s), and
+/// below the three seconds after which callers abandon a silent response.
 constexpr int unacknowledgedMilliseconds = 2'000;
 constexpr int probeIdleSeconds = 2;
 constexpr int probeIntervalSeconds = 1;
 constexpr int probeCount = 2;
 
-/// How long a closing side waits for the other end to have read the last answer: a few round trips.
+/// How long to wait after closing the sending side until the peer has read the last response: a few round trips.
 constexpr std::chrono::milliseconds lingerTime{1'000};
 
 template <typename Value>
@@ -79,8 +79,8 @@
     configure(connection->socket_);
     connection->timer_.expires_after(timeout);
     connection->timer_.async_wait([connection](const ErrorCode &waited) {
-        // A loop that stood still for longer finds the connection and the end of its time at once, and this handler can't be cancelled
-        // any more. A connection closed here would take the call with it that has just been sent.
+        // If the event loop was paused for longer than the timeout, the connection may be established at the same time, and this handler can't be
+        // cancelled any more. Closing the connection here would abort the request that was just sent.
         if (!waited && !connection->isConnected_) {
             connection->finish(true);
         }
--- a/drivers/tcp_connection.h
+++ b/drivers/tcp_connection.h
@@ -15,7 +15,7 @@
 namespace Lovageloft
 {
 
-/// What a connection tells its owner, always from the event loop and never from within a call of the owner's.
+/// Events of a connection. They are called on the event loop, never during a call of the owner to the connection.
 class TcpEvents
 {
 public:
@@ -24,59 +24,59 @@
     TcpEvents &operator=(const TcpEvents &) = delete;
     virtual ~TcpEvents() = default;
 
-    /// A connection that was asked for stands.
+    /// The connection requested by TcpConnection::connect() is established.
     virtual void onConnected()
     {
     }
 
-    /// Bytes came; the view holds during the call only.
+    /// Bytes were received; the view is valid only during the call.
     virtual void onBytes(std::string_view bytes) = 0;
 
-    /// The other end closed its side, or the connection broke (`isReset`). The last event of a connection.
+    /// The peer closed its side, or the connection failed (`isReset`). No further event follows.
     virtual void onClosed(bool isReset) = 0;
 
-    /// All that was sent has left this process.
+    /// The kernel has taken all sent bytes.
     virtual void onSent()
     {
     }
 };
 
-/// One TCP connection on an event loop: reads as bytes come, sends at once what the kernel takes and keeps the rest.
-/// Connections between hosts can fall silent for good without a reset; TCP_USER_TIMEOUT and keep-alive probes end them.
+/// A TCP connection on an event loop. Sends as many bytes as the kernel takes and buffers the rest. Connections between hosts can become silent
+/// without a reset; TCP_USER_TIMEOUT and keep-alive probes close such connections.
 class TcpConnection : public std::enable_shared_from_this<TcpConnection>
 {
 public:
     using Socket = boost::asio::ip::tcp::socket;
 
-    /// Takes over an accepted socket.
+    /// Creates a connection from an accepted socket.
     static std::shared_ptr<TcpConnection> adopt(Socket socket, TcpEvents &events);
 
-    /// Connects; `onConnected` or `onClosed` follows, at the latest after `timeout`.
+    /// Connects; onConnected() or onClosed() follows after `timeout` at the latest.
     static std::shared_ptr<TcpConnection> connect(boost::asio::io_context &loop, const HostAddress &address, Duration timeout, TcpEvents &events);
 
     explicit TcpConnection(Socket socket);
 
-    /// Whoever owns the connection from now on.
+    /// Sets a new owner, which gets all further events.
     void setEvents(TcpEvents &events);
 
-    /// Sends, or keeps what can't be sent yet. Errors show as `onClosed`.
+    /// Sends bytes, and buffers those that can't be sent yet. Errors are reported by onClosed().
     void send(std::string_view bytes);
 
-    /// Bytes that the kernel has not taken.
+    /// Number of buffered bytes that the kernel has not taken yet.
     std::size_t unsent() const;
 
-    /// Stops and resumes reading, so that a fast sender can't fill the memory while the receiver is slow.
+    /// Pauses and resumes reading, so that a fast sender can't exhaust the memory while the receiver is slow.
     void pauseReading();
     void resumeReading();
 
-    /// Closes at once; no event follows.
+    /// Closes the connection immediately; no event follows.
     void close();
 
-    /// Sends what is kept, tells the other end that nothing follows, and reads on for a moment: closing with unread bytes would
-    /// reset the connection, and the last answer would be lost on its way. No event follows.
+    /// Sends buffered bytes, closes the sending side, and continues to read for a moment: closing a socket with unread bytes resets the connection,
+    /// and the peer could lose the last response. No event follows.
     void closeAfterSending();
 
-    /// Whether nothing has come that wasn't asked for: neither bytes nor an end. To be asked right before an idle connection is used.
+    /// Whether neither bytes nor the end of the stream have arrived. To be checked right before an idle connection is reused.
     bool isQuiet();
 
 private:
@@ -93,7 +93,7 @@
     TcpEvents *events_ = nullptr;
     std::string unsent_;
     bool isOpen_ = true;
-    bool isConnected_ = false; ///< After `connect` only.
+    bool isConnected_ = false; ///< Only for connections opened with connect().
     bool isReadArmed_ = false;
     bool isWriteArmed_ = false;
     bool isPaused_ = false;
--- a/gateway/target_connection.cpp
+++ b/gateway/target_connection.cpp
@@ -181,7 +181,7 @@
     ExchangeEvents *events = events_;
     events_ = nullptr;
     // If the answer arrived before the whole request was sent, the target would read the next request as the rest of this one.
-    const bool isConnectionReusable = isReusable_ && parser_.keptBytes() == 0 && tcp_->unsent() == 0;
+    const bool isConnectionReusable = isReusable_ && parser_.bufferedBytes() == 0 && tcp_->unsent() == 0;
     Reason reason;
     if (isConnectionReusable && parser_.startNext(reason)) {
         idleSince_ = BootClock::now();
--- a/servers/completion_handler.cpp
+++ b/servers/completion_handler.cpp
@@ -155,7 +155,7 @@
     while (true) {
         const auto outcome = pending->wait(hangUpCheck);
         if (!outcome) {
-            if (isHungUp(exchange_.socket)) {
+            if (isClosedByPeer(exchange_.socket)) {
                 parts_.dispatcher.cancel(id);
                 finish(ResultCode::CallerGone);
                 return std::nullopt;
--- a/servers/stream_relay.cpp
+++ b/servers/stream_relay.cpp
@@ -57,7 +57,7 @@
         case EventAction::Hold:
             append(*data, held_);
             break;
-        case EventAction::Swallow:
+        case EventAction::Discard:
             break;
         case EventAction::Finish:
             pending_.append(held_);
