The ranking of candidates is a class of its own

The wording of core/ had renamed push(), by which the test of log events finds them.

Change: CandidateRanking keeps the cheapest two candidates and the cheapest usable cost; Placement's small accessors stand in its header.

No decision differs but that an engine which becomes the best is no longer named as the alternative to itself in the log.

--- a/decision/placement.cpp
+++ b/decision/placement.cpp
@@ -91,11 +91,6 @@
     return engines_[engine].name;
 }
 
-void Placement::setWindowOpen(EngineIndex engine, bool isWindowOpen)
-{
-    engines_[engine].isWindowOpen = isWindowOpen;
-}
-
 void Placement::setHostCount(std::size_t count)
 {
     policy_.hostCount = static_cast<double>(std::max<std::size_t>(1, count));
@@ -124,21 +119,21 @@
             }
             choice.chain = &chain;
             evaluateChain(choice, version, random);
-            if (!choice.best) {
+            if (choice.ranking.isEmpty()) {
                 evaluateAllEngines(choice, version);
             }
         }
     }
-    if (!choice.best || choice.bestCost > choice.minCost + policy_.holdSlack / std::max(meanWait(), minMeanWait)) {
+    if (choice.ranking.isEmpty() || choice.ranking.excessCost() > policy_.holdSlack / std::max(meanWait(), minMeanWait)) {
         reason = choice.foundServing ? Reason{ResultCode::Overloaded, "the engines that suit the request are busy"}
                                      : Reason{ResultCode::NoTarget, "no engine serves the model"};
         return std::nullopt;
     }
-    if (choice.best->isProbe) {
-        health_.onProbeSent(choice.best->engine, now);
+    const PlacementDecision best = choice.ranking.best();
+    if (best.isProbe) {
+        health_.onProbeSent(best.engine, now);
     }
-    choice.best->alternative = choice.alternative;
-    return choice.best;
+    return best;
 }
 
 void Placement::onDispatchedByPeer(EngineIndex index, std::uint32_t workTokens, std::uint32_t newTokens, std::span<const BlockHash> blocks, TimePoint now)
@@ -286,21 +281,6 @@
     }
 }
 
-std::size_t Placement::inFlight(EngineIndex engine) const
-{
-    return engines_[engine].inFlight;
-}
-
-const EngineHealth &Placement::health() const
-{
-    return health_;
-}
-
-const CacheView &Placement::cacheView() const
-{
-    return view_;
-}
-
 std::optional<EngineIndex> Placement::allocateIndex()
 {
     if (engines_.size() < maxEngines) {
@@ -500,37 +480,20 @@
         return;
     }
     const double cost = isProbe ? -1 : wait + prefillWeight * slowedPrefill + (engine.isRemote ? remoteCost(request) : 0);
-    choice.minCost = choice.foundUsable ? std::min(choice.minCost, cost) : cost;
-    choice.foundUsable = true;
+    choice.ranking.addUsable(cost);
     if (!(isProbe || isWaitAcceptable(engine, wait))) {
         return;
     }
-    if (choice.best && cost >= choice.bestCost) {
-        recordAlternative(choice, {index, wait + slowedPrefill}, cost);
-        return;
-    }
-    if (choice.best) {
-        recordAlternative(choice, {choice.best->engine, choice.best->expectedFirstTokenSeconds}, choice.bestCost);
-    }
-    choice.bestCost = cost;
-    choice.best = PlacementDecision{.engine = index,
-                                    .modelVersion = engine.modelVersion,
-                                    .expectedCachedTokens = static_cast<std::uint32_t>(held),
-                                    .expectedFirstTokenSeconds = wait + slowedPrefill,
-                                    .expectedPrefillSeconds = nominalPrefill,
-                                    .workTokens = static_cast<std::uint32_t>(nominalPrefill / engine.prefillSecondsPerToken),
-                                    .newTokens = request.promptTokens - static_cast<std::uint32_t>(held) + request.outputTokens,
-                                    .nominalFirstTokenSeconds = nominalWait + nominalPrefill,
-                                    .isProbe = isProbe};
-}
-
-/// An engine may be evaluated more than once, as a rendezvous winner and as a holder, and is then no alternative to itself.
-void Placement::recordAlternative(Choice &choice, PlacementAlternative alternative, double cost)
-{
-    if (alternative.engine != choice.best->engine && (!choice.alternative || cost < choice.alternativeCost)) {
-        choice.alternative = alternative;
-        choice.alternativeCost = cost;
-    }
+    const PlacementDecision candidate{.engine = index,
+                                      .modelVersion = engine.modelVersion,
+                                      .expectedCachedTokens = static_cast<std::uint32_t>(held),
+                                      .expectedFirstTokenSeconds = wait + slowedPrefill,
+                                      .expectedPrefillSeconds = nominalPrefill,
+                                      .workTokens = static_cast<std::uint32_t>(nominalPrefill / engine.prefillSecondsPerToken),
+                                      .newTokens = request.promptTokens - static_cast<std::uint32_t>(held) + request.outputTokens,
+                                      .nominalFirstTokenSeconds = nominalWait + nominalPrefill,
+                                      .isProbe = isProbe};
+    choice.ranking.add(candidate, cost);
 }
 
 bool Placement::isUsable(const Choice &choice, EngineIndex index) const
--- a/decision/placement.h
+++ b/decision/placement.h
@@ -13,6 +13,7 @@
 #include "core/random.h"
 #include "core/result_code.h"
 #include "decision/cache_view.h"
+#include "decision/candidate_ranking.h"
 #include "decision/dispatch_table.h"
 #include "decision/engine_health.h"
 #include "decision/engine_load.h"
@@ -24,10 +25,6 @@
 namespace Lovageloft
 {
 
-/// Id that the router assigns to one model at one version of its weights. Only engines with this id can hold blocks of a chain
-/// that was seeded for it.
-using ModelVersionId = std::uint32_t;
-
 /// Description of one engine, from the configuration and from the engine's own announcements.
 struct EngineStatus
 {
@@ -60,28 +57,6 @@
     std::size_t bytes = 0; ///< Bytes sent to the engine and back.
 };
 
-/// The engine that was second in cost, for operators who ask why a request went where it did.
-struct PlacementAlternative
-{
-    EngineIndex engine = 0;
-    double expectedFirstTokenSeconds = 0; ///< Seconds from now.
-};
-
-/// The engine chosen for a request, with the estimates behind the choice.
-struct PlacementDecision
-{
-    EngineIndex engine = 0;
-    ModelVersionId modelVersion = 0;
-    std::uint32_t expectedCachedTokens = 0; ///< Prompt tokens expected in the engine's cache.
-    double expectedFirstTokenSeconds = 0; ///< Seconds from now, scaled by the measured slowdown, plus the time by which its oldest request is overdue.
-    double expectedPrefillSeconds = 0; ///< Prefill time in seconds at the engine's nominal speed.
-    std::uint32_t workTokens = 0; ///< The prefill time in tokens at nominal speed. Includes attention, so it is at least the number of uncached prompt tokens.
-    std::uint32_t newTokens = 0; ///< Tokens that the request adds to the engine's cache.
-    double nominalFirstTokenSeconds = 0; ///< Seconds from now at the engine's nominal speed; EngineHealth compares the observed time with it.
-    bool isProbe = false; ///< True if the request tests whether an ejected engine has recovered.
-    std::optional<PlacementAlternative> alternative = std::nullopt; ///< Not set if only one engine could take the request.
-};
-
 /// Parameters of the placement decision; docs/design/placing.md has the figures behind the defaults. The cost of a candidate in
 /// seconds is
 ///
@@ -142,7 +117,10 @@
     /// Sets whether an engine's window has room for another request; initially true for all. An engine with a full window still
     /// gets requests while its expected wait is at most PlacementPolicy::maxWaitWindowFull: a request for a cached prefix costs it
     /// little, while another engine would have to compute the whole prefix and evict other blocks for it.
-    void setWindowOpen(EngineIndex engine, bool isWindowOpen);
+    void setWindowOpen(EngineIndex engine, bool isWindowOpen)
+    {
+        engines_[engine].isWindowOpen = isWindowOpen;
+    }
 
     /// Sets the number of hosts that place requests on these engines.
     void setHostCount(std::size_t count);
@@ -191,10 +169,20 @@
     void onCacheResync(EngineIndex engine, std::uint64_t incarnation, std::uint64_t nextSequence, std::span<const BlockHash> blocks);
 
     /// Returns the number of requests sent by this host that have not ended.
-    std::size_t inFlight(EngineIndex engine) const;
+    std::size_t inFlight(EngineIndex engine) const
+    {
+        return engines_[engine].inFlight;
+    }
 
-    const EngineHealth &health() const;
-    const CacheView &cacheView() const;
+    const EngineHealth &health() const
+    {
+        return health_;
+    }
+
+    const CacheView &cacheView() const
+    {
+        return view_;
+    }
 
 private:
     struct Engine
@@ -233,13 +221,8 @@
         const PlacementRequest *request = nullptr;
         const VersionedChain *chain = nullptr;
         TimePoint now;
-        double minCost = 0; // Over all engines that isUsable() accepts, including busy ones.
-        double bestCost = 0;
-        std::optional<PlacementDecision> best = std::nullopt; // Among the engines that can take the request now.
-        double alternativeCost = 0;
-        std::optional<PlacementAlternative> alternative = std::nullopt; // The second in cost among them.
+        CandidateRanking ranking = {};
         bool foundServing = false;
-        bool foundUsable = false;
     };
 
     std::optional<EngineIndex> allocateIndex();
@@ -258,7 +241,6 @@
     bool usesLocalWinners(const PlacementRequest &request, const VersionedChain &chain, const Version &version) const;
     double engineWait(const Engine &engine, EngineIndex index, TimePoint now) const;
     void evaluateAllEngines(Choice &choice, const Version &version);
-    static void recordAlternative(Choice &choice, PlacementAlternative alternative, double cost);
     bool isUsable(const Choice &choice, EngineIndex engine) const;
     bool isWaitAcceptable(const Engine &engine, double wait) const;
     bool beginsInTime(const Engine &engine, double firstToken, TimePoint now) const;
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -165,9 +165,8 @@
         retryElsewhere();
         return;
     }
-    // The announcement comes second: with it, this request's own parts count as saved.
-    const bool isSaved = send(*target);
-    gateway_.fleet().announceDispatch(assignment, isSaved);
+    // send() comes first: once announced, this request's own parts count as saved.
+    gateway_.fleet().announceDispatch(assignment, send(*target));
 }
 
 void RoutedRequest::onRefused(const SchedulerRefusal &refusal)
--- a/tests/core/test_log_events.cpp
+++ b/tests/core/test_log_events.cpp
@@ -19,7 +19,7 @@
             if (file.path().extension() != ".cpp") {
                 continue;
             }
-            for (const std::string &head : matchesIn(readAll(file.path()), R"((?:writeLog|push)\(([^{;]*)[{;])")) {
+            for (const std::string &head : matchesIn(readAll(file.path()), R"((?:writeLog|writeRecord)\(([^{;]*)[{;])")) {
                 events.merge(matchesIn(head, R"re("([a-z_]+)")re"));
             }
         }
