A port has one listener

Poco's ServerSocket constructor sets SO_REUSEPORT, so two test processes that chose the same port both listened on it, and the kernel shared connections out between them. The store's stand-in got a request that test_platform had sent to its target (its path is no number: stoll threw), and test_platform missed the answer. The same held in the product: two routers started on one port took each other's callers.

Change: listenExclusively() in drivers/, used by the callers' and the operators' listeners and by all stand-ins and port reservations.

--- a/servers/caller_server.cpp
+++ b/servers/caller_server.cpp
@@ -1,10 +1,9 @@
 #include "servers/caller_server.h"
 
 #include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/TCPServerConnectionFactory.h>
 
+#include "drivers/listener.h"
 #include "servers/caller_connection.h"
 
 namespace Lovageloft
@@ -59,7 +58,7 @@
 {
     const Poco::Net::HTTPServerParams::Ptr params = makeParams(parts.settings);
     const Poco::Net::SocketAddress address(parts.settings.callerAddress, static_cast<std::uint16_t>(parts.settings.callerPort));
-    const Poco::Net::ServerSocket socket(address, listenBacklog);
+    const Poco::Net::ServerSocket socket = listenExclusively(address, listenBacklog);
     server_ = std::make_unique<Poco::Net::TCPServer>(new CallerConnectionFactory(parts, params), threads_, socket, params);
     server_->start();
 }
--- a/servers/operator_server.cpp
+++ b/servers/operator_server.cpp
@@ -3,8 +3,8 @@
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/ServerSocket.h>
 
+#include "drivers/listener.h"
 #include "servers/operator_routes.h"
 
 namespace Lovageloft
@@ -15,6 +15,7 @@
 
 constexpr int operatorThreads = 8;
 constexpr int operatorQueue = 64;
+constexpr int listenBacklog = 64;
 
 class OperatorRequestHandler : public Poco::Net::HTTPRequestHandler
 {
@@ -55,7 +56,7 @@
 OperatorServer::OperatorServer(RouterParts &parts)
 {
     const Poco::Net::SocketAddress address(parts.settings.operatorAddress, static_cast<std::uint16_t>(parts.settings.operatorPort));
-    const Poco::Net::ServerSocket socket(address);
+    const Poco::Net::ServerSocket socket = listenExclusively(address, listenBacklog);
     Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
     params->setMaxThreads(operatorThreads);
     params->setMaxQueued(operatorQueue);
--- a/tests/stand_ins/port_reservation.cpp
+++ b/tests/stand_ins/port_reservation.cpp
@@ -1,9 +1,10 @@
 #include "tests/stand_ins/port_reservation.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 
+#include "drivers/listener.h"
+
 namespace Lovageloft::StandIns
 {
 
@@ -16,7 +17,7 @@
         const Poco::Net::SocketAddress address("127.0.0.1", port);
         try {
             Poco::Net::DatagramSocket mark(address, false);
-            const Poco::Net::ServerSocket probe(address);
+            const Poco::Net::ServerSocket probe = listenExclusively(address, 1);
             marks_.push_back(mark);
             ports_.push_back(port);
         } catch (const Poco::Exception &) {
--- a/tests/stand_ins/scripted_target.cpp
+++ b/tests/stand_ins/scripted_target.cpp
@@ -8,6 +8,7 @@
 #include <Poco/Net/SocketAddress.h>
 
 #include "drivers/http_message.h"
+#include "drivers/listener.h"
 
 namespace Lovageloft
 {
@@ -17,6 +18,7 @@
 
 constexpr std::size_t bufferBytes = 16'384;
 constexpr Poco::Timespan::TimeDiff pollTime = 20'000; // Microseconds.
+constexpr int listenBacklog = 64;
 
 /// Ports that tests listen on: the kernel gives outgoing connections none below 32,768, so nothing can take them in between.
 Poco::Net::ServerSocket listenBelowOutgoing()
@@ -27,7 +29,7 @@
     while (true) {
         const int port = lowest + (next++ - lowest) % (highest - lowest);
         try {
-            return Poco::Net::ServerSocket(Poco::Net::SocketAddress("127.0.0.1", static_cast<std::uint16_t>(port)));
+            return listenExclusively(Poco::Net::SocketAddress("127.0.0.1", static_cast<std::uint16_t>(port)), listenBacklog);
         } catch (const Poco::Net::NetException &) {
             continue; // Another test has it.
         }
--- a/tests/stand_ins/stand_in_server.cpp
+++ b/tests/stand_ins/stand_in_server.cpp
@@ -7,7 +7,8 @@
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/ServerSocket.h>
+
+#include "drivers/listener.h"
 
 namespace Lovageloft::StandIns
 {
@@ -60,10 +61,7 @@
 Poco::Net::ServerSocket listenOnLoopback(std::uint16_t port)
 {
     constexpr int backlog = 1024;
-    Poco::Net::ServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress("127.0.0.1", port), true);
-    socket.listen(backlog);
-    return socket;
+    return listenExclusively(Poco::Net::SocketAddress("127.0.0.1", port), backlog);
 }
 
 Poco::Net::HTTPServerParams::Ptr serverParameters()
