Datagrams between hosts are counted by message

Cause: nobody could tell which messages make up what a host sends to others.

Change: lovageloft_peer_datagrams_total and lovageloft_peer_bytes_total by message, direction and whether data centres are crossed; a forwarded message counts as what it carries.

--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -54,6 +54,8 @@
     {"lovageloft_requests_waiting", "Requests that wait for a target."},
     {"lovageloft_version_first_byte_seconds", "Time from sending a request to the first byte of the answer, by software version, during a rollout."},
     {"lovageloft_version_requests_total", "Requests by software version of their first target and by outcome, during a rollout."},
+    {"lovageloft_peer_bytes_total", "Bytes of datagrams between hosts, by kind of message, direction, and whether they cross data centres."},
+    {"lovageloft_peer_datagrams_total", "Datagrams between hosts, by kind of message, direction, and whether they cross data centres."},
     {"lovageloft_sends_total", "Requests sent to targets, first or again."},
     {"lovageloft_store_call_seconds", "Time of answered calls to the store, by call; watches wait on purpose."},
     {"lovageloft_store_calls_total", "Calls to the store, by call and result."},
--- a/gateway/fleet_link.cpp
+++ b/gateway/fleet_link.cpp
@@ -45,6 +45,11 @@
     return socket_.port();
 }
 
+const PeerTrafficCounter &FleetLink::traffic() const
+{
+    return socket_.traffic();
+}
+
 void FleetLink::setRelayedStore(RelayedStore &store)
 {
     relayedStore_ = &store;
@@ -70,7 +75,8 @@
             others.emplace(name, record);
         }
     }
-    socket_.setPeers(others);
+    const auto self = hosts.find(hostName_);
+    socket_.setPeers(others, self != hosts.end() ? std::string_view(self->second.dataCentre) : std::string_view());
     otherHosts_.clear();
     std::transform(others.begin(), others.end(), std::back_inserter(otherHosts_), [](const auto &other) { return other.first; });
     const std::vector<std::string> candidates = dutyHosts(capacitiesOf(hosts));
--- a/gateway/fleet_link.h
+++ b/gateway/fleet_link.h
@@ -35,6 +35,9 @@
     /// The bound UDP port.
     std::uint16_t port() const;
 
+    /// The datagrams exchanged with other hosts so far.
+    const PeerTrafficCounter &traffic() const;
+
     /// Sets the store client whose notices, requests and replies are sent and received here. Must be called before the event loop runs.
     void setRelayedStore(RelayedStore &store);
 
--- a/gateway/gauges.cpp
+++ b/gateway/gauges.cpp
@@ -24,6 +24,13 @@
     metrics.set("lovageloft_requests_quarantined", static_cast<double>(gateway.fleet().crashes().quarantinedCount(now)));
     metrics.set("lovageloft_ready", gateway.isReady(now) ? 1 : 0);
     metrics.set("lovageloft_leader", gateway.leader() == gateway.hostName() ? 1 : 0);
+    for (const PeerTraffic &row : gateway.fleet().traffic().rows()) {
+        const std::string_view scope = row.isRemote ? "remote" : "local";
+        metrics.raiseTo("lovageloft_peer_datagrams_total", {{"message", row.message}, {"direction", "sent"}, {"scope", scope}}, row.sentDatagrams);
+        metrics.raiseTo("lovageloft_peer_datagrams_total", {{"message", row.message}, {"direction", "received"}, {"scope", scope}}, row.receivedDatagrams);
+        metrics.raiseTo("lovageloft_peer_bytes_total", {{"message", row.message}, {"direction", "sent"}, {"scope", scope}}, row.sentBytes);
+        metrics.raiseTo("lovageloft_peer_bytes_total", {{"message", row.message}, {"direction", "received"}, {"scope", scope}}, row.receivedBytes);
+    }
     const LogCounts lines = logCounts();
     metrics.raiseTo("lovageloft_log_lines_dropped_total", {}, lines.dropped);
     for (const auto &[event, count] : lines.suppressed) {
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -202,12 +202,13 @@
     return socket_.local_endpoint(ignored).port();
 }
 
-void PeerSocket::setPeers(const std::map<std::string, HostRecord> &peers)
+void PeerSocket::setPeers(const std::map<std::string, HostRecord> &peers, std::string_view dataCentre)
 {
     endpoints_.clear();
     receivers_.clear();
     dataCentres_.clear();
     hostNames_.clear();
+    remoteEndpoints_.clear();
     std::map<std::string_view, std::size_t> dataCentreNumbers;
     for (const auto &[name, record] : peers) {
         ErrorCode error;
@@ -217,10 +218,18 @@
             receivers_.push_back(endpoint);
             dataCentres_.push_back(dataCentreNumbers.try_emplace(record.dataCentre, dataCentreNumbers.size()).first->second);
             hostNames_.emplace(endpoint, name);
+            if (record.dataCentre != dataCentre) {
+                remoteEndpoints_.insert(endpoint);
+            }
         }
     }
 }
 
+const PeerTrafficCounter &PeerSocket::traffic() const
+{
+    return traffic_;
+}
+
 void PeerSocket::broadcast(const DispatchNotice &notice)
 {
     capnp::MallocMessageBuilder message;
@@ -426,6 +435,7 @@
                 break;
             }
             if (const auto host = hostNames_.find(from); host != hostNames_.end()) {
+                traffic_.addReceived({buffer_.data(), size}, remoteEndpoints_.contains(from));
                 handleDatagram({buffer_.data(), size}, host->second);
             }
         }
@@ -557,6 +567,7 @@
 void PeerSocket::sendBytes(std::string_view bytes, const Endpoint &endpoint)
 {
     ErrorCode error;
+    traffic_.addSent(bytes, remoteEndpoints_.contains(endpoint));
     socket_.send_to(boost::asio::buffer(bytes.data(), bytes.size()), endpoint, 0, error);
     if (error && error != boost::asio::error::would_block) {
         writeLog(LogLevel::Debug, "datagram_not_sent", {{"reason", error.message()}});
--- a/gateway/peer_socket.h
+++ b/gateway/peer_socket.h
@@ -6,6 +6,7 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -21,6 +22,7 @@
 #include "core/result_code.h"
 #include "core/settings.h"
 #include "gateway/host_record.h"
+#include "gateway/peer_traffic.h"
 #include "gateway/rollout_messages.h"
 
 namespace Lovageloft
@@ -179,8 +181,11 @@
     /// The bound UDP port; useful if the address has port 0.
     std::uint16_t port() const;
 
-    /// Sets the other hosts, by name. Hosts whose address can't be parsed are left out.
-    void setPeers(const std::map<std::string, HostRecord> &peers);
+    /// Sets the other hosts, by name, and the data centre of this one. Hosts whose address can't be parsed are left out.
+    void setPeers(const std::map<std::string, HostRecord> &peers, std::string_view dataCentre = {});
+
+    /// What was sent and received so far.
+    const PeerTrafficCounter &traffic() const;
 
     /// Sends a message to all other hosts.
     void broadcast(const DispatchNotice &notice);
@@ -233,6 +238,8 @@
     std::vector<Endpoint> receivers_; ///< The values of endpoints_.
     std::vector<std::size_t> dataCentres_; ///< For each of receivers_, the number of its data centre.
     std::map<Endpoint, std::string> hostNames_;
+    std::set<Endpoint> remoteEndpoints_; ///< Of hosts in other data centres.
+    PeerTrafficCounter traffic_;
     Random random_;
     alignas(8) std::array<char, receiveBufferBytes> buffer_{};
 };
--- /dev/null
+++ b/gateway/peer_traffic.cpp
@@ -0,0 +1,93 @@
+#include "gateway/peer_traffic.h"
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <iterator>
+
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
+#include "gateway/peer_messages.capnp.h"
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+using PeerMessages::Datagram;
+
+/// In the order of the union's members.
+constexpr std::array<std::string_view, 18> messageNames{"dispatch",
+                                                        "loading",
+                                                        "token_request",
+                                                        "token_reply",
+                                                        "changes",
+                                                        "proof_request",
+                                                        "proof_reply",
+                                                        "cache_store",
+                                                        "weights_query",
+                                                        "weights_age",
+                                                        "forward",
+                                                        "packed",
+                                                        "changes_query",
+                                                        "changes_reply",
+                                                        "crash_report",
+                                                        "quarantine",
+                                                        "rollout_report",
+                                                        "rollout_reply"};
+constexpr std::string_view unreadable = "unreadable";
+
+std::string_view messageOf(std::string_view bytes)
+{
+    try {
+        // Copied, as Cap'n Proto requires alignment, which nested datagrams don't have.
+        std::vector<std::uint64_t> words(bytes.size() / sizeof(std::uint64_t));
+        std::memcpy(words.data(), bytes.data(), words.size() * sizeof(std::uint64_t));
+        capnp::FlatArrayMessageReader reader(kj::arrayPtr(reinterpret_cast<const capnp::word *>(words.data()), words.size()));
+        const auto datagram = reader.getRoot<Datagram>();
+        if (datagram.which() == Datagram::FORWARD) {
+            const auto chars = datagram.getForward().getDatagram().asChars();
+            return messageOf({chars.begin(), chars.size()});
+        }
+        const auto index = static_cast<std::size_t>(datagram.which());
+        return index < messageNames.size() ? messageNames.at(index) : unreadable;
+    } catch (const kj::Exception &) {
+        return unreadable;
+    }
+}
+
+} // namespace
+
+void PeerTrafficCounter::addSent(std::string_view datagram, bool isRemote)
+{
+    PeerTraffic &row = rowOf(datagram, isRemote);
+    ++row.sentDatagrams;
+    row.sentBytes += datagram.size();
+}
+
+void PeerTrafficCounter::addReceived(std::string_view datagram, bool isRemote)
+{
+    PeerTraffic &row = rowOf(datagram, isRemote);
+    ++row.receivedDatagrams;
+    row.receivedBytes += datagram.size();
+}
+
+std::vector<PeerTraffic> PeerTrafficCounter::rows() const
+{
+    std::vector<PeerTraffic> rows;
+    std::transform(rows_.begin(), rows_.end(), std::back_inserter(rows), [](const auto &entry) { return entry.second; });
+    return rows;
+}
+
+PeerTraffic &PeerTrafficCounter::rowOf(std::string_view datagram, bool isRemote)
+{
+    const std::string_view message = messageOf(datagram);
+    PeerTraffic &row = rows_[{message, isRemote}];
+    row.message = message;
+    row.isRemote = isRemote;
+    return row;
+}
+
+} // namespace Lovageloft
