--- a/tests/platform/test_rollout.cpp
+++ b/tests/platform/test_rollout.cpp
@@ -151,7 +151,9 @@
     std::vector<std::thread> calls;
     std::atomic<int> served = 0;
     BOOST_TEST(!serveUntil(RolloutPhase::Switching, 1s));
-    for (int i = 0; i < 12; ++i) {
+    constexpr int callCount = 12;
+    calls.reserve(callCount);
+    for (int i = 0; i < callCount; ++i) {
         calls.emplace_back([this, &served] {
             std::string call = request("POST", "/once/x", "long");
             call.replace(call.find("1500"), 4, "9000");
@@ -165,5 +167,5 @@
     for (std::thread &call : calls) {
         call.join();
     }
-    BOOST_TEST(served == 12);
+    BOOST_TEST(served == callCount);
 }
--- a/tests/system/test_rollout.cpp
+++ b/tests/system/test_rollout.cpp
@@ -103,9 +103,12 @@
                     std::this_thread::sleep_for(time);
                     connection.answer(request, status, "whole");
                 }));
-            const std::string address = "127.0.0.1:" + std::to_string(targets_.back()->port());
-            write("servers/" + id,
-                  R"({"service":"s","addr":")" + address + R"(","zone":"z","version":")" + version + R"(","slots":16,"state":"ready","coldLeftMs":0,"seq":1})");
+            std::string entry = R"({"service":"s","zone":"z","slots":16,"state":"ready","coldLeftMs":0,"seq":1,"addr":"127.0.0.1:)";
+            entry += std::to_string(targets_.back()->port());
+            entry += R"(","version":")";
+            entry += version;
+            entry += "\"}";
+            write("servers/" + id, entry);
         }
     }
 
