--- a/gateway/rollout_duty.cpp
+++ b/gateway/rollout_duty.cpp
@@ -10,7 +10,8 @@
 namespace
 {
 
-constexpr Duration stepPause = std::chrono::milliseconds(50);
+constexpr Duration leaderPause = std::chrono::milliseconds(50);
+constexpr Duration followerPause = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -41,7 +42,7 @@
                 pending_.emplace(service, record); // A newer one that was queued meanwhile stays.
             }
         }
-        sleepFor(stepPause);
+        sleepFor(BootClock::now() < options_.leaseUntil() ? leaderPause : followerPause);
     }
 }
 
