--- a/gateway/fleet_link.cpp
+++ b/gateway/fleet_link.cpp
@@ -56,8 +56,10 @@
     const auto sendOnLoop = [this](const std::string &host, const auto &request) {
         gateway_.post([this, host, request](Gateway &) { socket_.send(host, request); });
     };
-    store.setNetwork(
-        {[this](const ChangesNotice &notice) { gateway_.post([this, notice](Gateway &) { socket_.broadcast(notice); }); }, sendOnLoop, sendOnLoop});
+    store.setNetwork({[this](const ChangesNotice &notice) { gateway_.post([this, notice](Gateway &) { socket_.broadcast(notice); }); },
+                      sendOnLoop,
+                      sendOnLoop,
+                      [this](const std::vector<ChangesNotice> &notices) { gateway_.post([this, notices](Gateway &) { socket_.broadcast(notices); }); }});
 }
 
 void FleetLink::setOrderListener(std::function<void(const std::string &targetId)> listener)
--- a/gateway/peer_messages.capnp
+++ b/gateway/peer_messages.capnp
@@ -25,6 +25,7 @@
     quarantine @15 :UInt64; # Fingerprint of a request that is not to be sent to targets any more.
     rolloutReport @16 :RolloutReport;
     rolloutReply @17 :RolloutReply;
+    bundle @18 :List(Data); # Several datagrams.
   }
 }
 
--- a/gateway/peer_messages.capnp.h
+++ b/gateway/peer_messages.capnp.h
@@ -67,6 +67,7 @@
     QUARANTINE,
     ROLLOUT_REPORT,
     ROLLOUT_REPLY,
+    BUNDLE,
   };
 
   struct _capnpPrivate {
@@ -440,6 +441,10 @@
   inline bool hasRolloutReply() const;
   inline  ::Lovageloft::PeerMessages::RolloutReply::Reader getRolloutReply() const;
 
+  inline bool isBundle() const;
+  inline bool hasBundle() const;
+  inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader getBundle() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -605,6 +610,15 @@
   inline void adoptRolloutReply(::capnp::Orphan< ::Lovageloft::PeerMessages::RolloutReply>&& value);
   inline ::capnp::Orphan< ::Lovageloft::PeerMessages::RolloutReply> disownRolloutReply();
 
+  inline bool isBundle();
+  inline bool hasBundle();
+  inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder getBundle();
+  inline void setBundle( ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setBundle(::kj::ArrayPtr<const  ::capnp::Data::Reader> value);
+  inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder initBundle(unsigned int size);
+  inline void adoptBundle(::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>> disownBundle();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3297,6 +3311,66 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::isBundle() const {
+  return which() == Datagram::BUNDLE;
+}
+inline bool Datagram::Builder::isBundle() {
+  return which() == Datagram::BUNDLE;
+}
+inline bool Datagram::Reader::hasBundle() const {
+  if (which() != Datagram::BUNDLE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasBundle() {
+  if (which() != Datagram::BUNDLE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader Datagram::Reader::getBundle() const {
+  KJ_IREQUIRE((which() == Datagram::BUNDLE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder Datagram::Builder::getBundle() {
+  KJ_IREQUIRE((which() == Datagram::BUNDLE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setBundle( ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::BUNDLE);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Datagram::Builder::setBundle(::kj::ArrayPtr<const  ::capnp::Data::Reader> value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::BUNDLE);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder Datagram::Builder::initBundle(unsigned int size) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::BUNDLE);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::Builder::adoptBundle(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::BUNDLE);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>> Datagram::Builder::disownBundle() {
+  KJ_IREQUIRE((which() == Datagram::BUNDLE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Forward::Reader::hasReceivers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -347,6 +347,16 @@
     } while (next < entries.size());
 }
 
+void PeerSocket::broadcast(const std::vector<ChangesNotice> &notices)
+{
+    capnp::MallocMessageBuilder message;
+    auto bundle = message.initRoot<Datagram>().initBundle(static_cast<unsigned>(notices.size()));
+    for (unsigned i = 0; i < bundle.size(); ++i) {
+        bundle.set(i, toBytes(encodeChanges(notices[i], {})));
+    }
+    broadcastBytes(encode(message));
+}
+
 void PeerSocket::send(const std::string &host, const ChangesRequest &request)
 {
     capnp::MallocMessageBuilder message;
@@ -549,6 +559,12 @@
             events_.onRolloutReply(readRolloutReply(datagram.getRolloutReply()));
             break;
         }
+        case Datagram::BUNDLE: {
+            for (const auto member : datagram.getBundle()) {
+                handleDatagram(toText(member), host);
+            }
+            break;
+        }
         case Datagram::QUARANTINE: {
             events_.onQuarantined(RequestFingerprint{datagram.getQuarantine()});
             break;
--- a/gateway/peer_socket.h
+++ b/gateway/peer_socket.h
@@ -199,6 +199,9 @@
     /// divided. Values that make a datagram too long are left out; if it is too long even so, sending it fails with only a log line.
     void broadcast(const ChangesNotice &notice);
 
+    /// Sends several notices without entries to all other hosts, in one datagram.
+    void broadcast(const std::vector<ChangesNotice> &notices);
+
     /// Sends a message to one host. Does nothing if the host is unknown.
     void send(const std::string &host, const TokenRequest &request);
     void send(const std::string &host, const TokenReply &reply);
--- a/gateway/peer_traffic.cpp
+++ b/gateway/peer_traffic.cpp
@@ -19,7 +19,7 @@
 using PeerMessages::Datagram;
 
 /// In the order of the union's members.
-constexpr std::array<std::string_view, 18> messageNames{"dispatch",
+constexpr std::array<std::string_view, 19> messageNames{"dispatch",
                                                         "loading",
                                                         "token_request",
                                                         "token_reply",
@@ -36,7 +36,8 @@
                                                         "crash_report",
                                                         "quarantine",
                                                         "rollout_report",
-                                                        "rollout_reply"};
+                                                        "rollout_reply",
+                                                        "bundle"};
 constexpr std::string_view unreadable = "unreadable";
 
 std::string_view messageOf(std::string_view bytes)
--- a/gateway/relayed_store.cpp
+++ b/gateway/relayed_store.cpp
@@ -290,10 +290,10 @@
 void RelayedStore::sendHeartbeat()
 {
     std::vector<ChangesNotice> notices;
-    decltype(Network::broadcast) broadcast;
+    Network network;
     {
         const std::lock_guard lock(mutex_);
-        broadcast = network_.broadcast;
+        network = network_;
         const TimePoint now = now_();
         for (const auto &[prefix, state] : prefixes_) {
             if (hasRecentStoreReplies(state, now)) {
@@ -301,8 +301,12 @@
             }
         }
     }
+    if (network.broadcastTogether && !notices.empty()) {
+        network.broadcastTogether(notices);
+        return;
+    }
     for (const ChangesNotice &notice : notices) {
-        broadcast(notice);
+        network.broadcast(notice);
     }
 }
 
--- a/gateway/relayed_store.h
+++ b/gateway/relayed_store.h
@@ -42,6 +42,9 @@
         std::function<void(const ChangesNotice &)> broadcast;
         std::function<void(const std::string &host, const ProofRequest &)> sendProofRequest;
         std::function<void(const std::string &host, const ChangesRequest &)> sendChangesRequest{};
+
+        /// Broadcasts notices without entries in one datagram; if not set, each is broadcast by itself.
+        std::function<void(const std::vector<ChangesNotice> &)> broadcastTogether{};
     };
 
     using Now = std::function<TimePoint()>;
@@ -64,7 +67,7 @@
 
     void onProofReply(const ProofReply &reply);
 
-    /// On a relay: broadcasts the revision that it has synced to. From it, other hosts also detect missed notices.
+    /// On a relay: broadcasts the revisions that it has synced to, of all prefixes in one datagram. From them, other hosts also detect missed notices.
     void sendHeartbeat();
 
     StoreReply get(std::string_view key) override;
--- a/tests/platform/test_datagrams.cpp
+++ b/tests/platform/test_datagrams.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "coordination/memory_store.h"
 #include "coordination/store_position.h"
 #include "gateway/peer_socket.h"
 #include "tests/platform/gateway_fixture.h"
@@ -61,6 +62,7 @@
     }
 
     std::atomic<int> reports = 0;
+    std::atomic<int> changes = 0; ///< Notices of changes received.
     ProofReply proof; ///< What it has in force; to be set before anybody asks.
 
 private:
@@ -104,6 +106,7 @@
 
     void onChangesNotice(const ChangesNotice & /*notice*/) override
     {
+        ++changes;
     }
 
     void onChangesRequest(const std::string & /*host*/, const ChangesRequest & /*request*/) override
@@ -257,6 +260,31 @@
 }
 
 // Guards against a host that goes on sending a request which other hosts have in quarantine.
+// Guards against hosts that hear from a relay about one prefix only, and call the store for the others.
+BOOST_AUTO_TEST_CASE(aHeartbeatTellsOfAllPrefixesInOneDatagram)
+{
+    MemoryStore memory;
+    RelayedStore relay(memory, "host");
+    GatewayFixture gateway;
+    gateway.onLoop([&relay](Gateway &host) { host.fleet().setRelayedStore(relay); });
+    OtherHost other(gateway);
+    relay.list("x/");
+    relay.list("y/");
+    relay.sendHeartbeat();
+    const TimePoint limit = BootClock::now() + 2s;
+    while (other.changes < 2 && BootClock::now() < limit) {
+        std::this_thread::sleep_for(5ms);
+    }
+    BOOST_TEST(other.changes == 2);
+    gateway.onLoop([](Gateway &host) {
+        std::uint64_t sent = 0;
+        for (const PeerTraffic &row : host.fleet().traffic().rows()) {
+            sent += row.message == "bundle" || row.message == "changes" ? row.sentDatagrams : 0;
+        }
+        BOOST_TEST(sent == 1U);
+    });
+}
+
 BOOST_FIXTURE_TEST_CASE(aRequestThatAnotherHostHasInQuarantineIsNotSent, TwoHosts)
 {
     std::atomic<int> crashes = 0;
