--- a/tests/stand_ins/completion.cpp
+++ b/tests/stand_ins/completion.cpp
@@ -13,10 +13,10 @@
 using simdjson::dom::element;
 
 template <typename T>
-T valueOr(const simdjson::simdjson_result<element> &field, T otherwise)
+T valueOr(const simdjson::simdjson_result<element> &field, T fallback)
 {
     T value{};
-    return field.get(value) == simdjson::SUCCESS ? value : otherwise;
+    return field.get(value) == simdjson::SUCCESS ? value : fallback;
 }
 
 void appendContent(std::string &out, element content)
@@ -82,7 +82,7 @@
         return std::nullopt;
     }
     request.model = valueOr(document["model"], std::string_view());
-    request.maximumTokens = valueOr(document["max_completion_tokens"], valueOr(document["max_tokens"], request.maximumTokens));
+    request.maxCompletionTokens = valueOr(document["max_completion_tokens"], valueOr(document["max_tokens"], request.maxCompletionTokens));
     request.isStream = valueOr(document["stream"], false);
     request.wantsUsage = valueOr(document["stream_options"]["include_usage"], false);
     return request;
--- a/tests/stand_ins/completion.h
+++ b/tests/stand_ins/completion.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-/// The request and answer bodies of OpenAI's public completions API, as far as the stand-ins use them.
+/// The parts of the request and response bodies of OpenAI's public completions API that the stand-ins use.
 namespace Lovageloft::StandIns
 {
 
@@ -14,16 +14,16 @@
 {
     bool isChat = false;
     bool isStream = false;
-    bool wantsUsage = false; ///< stream_options.include_usage.
-    std::int64_t maximumTokens = 16;
+    bool wantsUsage = false; ///< The value of stream_options.include_usage.
+    std::int64_t maxCompletionTokens = 16;
     std::string model;
-    std::string prompt; ///< The contents of all messages, one after the other, or the prompt.
+    std::string prompt; ///< The prompt; for a chat the concatenated contents of all messages.
 };
 
-/// Reads a request body; nothing if it isn't a JSON object with messages or a prompt.
+/// Parses a request body. Returns nothing if it is not a JSON object with messages or a prompt.
 std::optional<CompletionRequest> parseCompletionRequest(std::string_view body, bool isChat);
 
-/// What an answer says about itself.
+/// The fields that all parts of one response have in common.
 struct CompletionHeading
 {
     std::string id;
@@ -32,7 +32,7 @@
     bool isChat = false;
 };
 
-/// Token counts of an answer.
+/// Token counts of a response.
 struct CompletionUsage
 {
     std::int64_t promptTokens = 0;
@@ -40,13 +40,13 @@
     std::int64_t cachedTokens = 0;
 };
 
-/// Writes the parts of one answer.
+/// Formats the parts of one response.
 class CompletionWriter
 {
 public:
     explicit CompletionWriter(const CompletionHeading &heading);
 
-    /// The server-sent event of one token. `isFirst` adds the role to a chat answer.
+    /// The server-sent event of one token. `isFirst` adds the role to a chat response.
     std::string tokenEvent(std::int64_t token, bool isFirst) const;
 
     /// The event with the finish reason.
@@ -55,7 +55,7 @@
     /// The event with the usage and no choices.
     std::string usageEvent(const CompletionUsage &usage) const;
 
-    /// The whole answer of a request without `stream`, with the tokens from `firstToken` on.
+    /// The complete body for a request without `stream`, with the tokens from `firstToken` on.
     std::string wholeAnswer(std::int64_t firstToken, const CompletionUsage &usage) const;
 
     /// The text of a token: "tok<i> ".
@@ -65,7 +65,7 @@
     std::string start(std::string_view object) const;
 
     CompletionHeading heading_;
-    std::string chunkStart_; // The same for all chunks of the answer.
+    std::string chunkStart_; ///< The same for all chunks of the response.
 };
 
 } // namespace Lovageloft::StandIns
--- a/tests/stand_ins/completion_checker.cpp
+++ b/tests/stand_ins/completion_checker.cpp
@@ -16,7 +16,7 @@
 {
 }
 
-bool CompletionChecker::takeEvent(std::string_view event)
+bool CompletionChecker::addEvent(std::string_view event)
 {
     if (isDone_) {
         return fail("malformed");
@@ -25,13 +25,13 @@
         isDone_ = true;
         return true;
     }
-    return take(event, isChat_ ? "/delta/content" : "/text");
+    return addDocument(event, isChat_ ? "/delta/content" : "/text");
 }
 
-bool CompletionChecker::takeAnswer(std::string_view json)
+bool CompletionChecker::addAnswer(std::string_view json)
 {
     isDone_ = true;
-    return take(json, isChat_ ? "/message/content" : "/text");
+    return addDocument(json, isChat_ ? "/message/content" : "/text");
 }
 
 bool CompletionChecker::isComplete() const
@@ -52,7 +52,7 @@
     return isComplete() ? "" : "truncated";
 }
 
-bool CompletionChecker::take(std::string_view json, std::string_view textPath)
+bool CompletionChecker::addDocument(std::string_view json, std::string_view textPath)
 {
     thread_local simdjson::dom::parser parser;
     simdjson::dom::element document;
@@ -60,7 +60,7 @@
     if (parser.parse(simdjson::padded_string(json)).get(document) != simdjson::SUCCESS || document["id"].get(id) != simdjson::SUCCESS) {
         return fail("malformed");
     }
-    if (!takeId(id)) {
+    if (!matchId(id)) {
         return fail("wrong_id");
     }
     const auto choice = document["choices"].at(0);
@@ -68,12 +68,12 @@
     isFinished_ = isFinished_ || choice["finish_reason"].get(finishReason) == simdjson::SUCCESS;
     std::string_view text;
     if (choice.at_pointer(textPath).get(text) != simdjson::SUCCESS) {
-        return true; // The events with the finish reason and the usage have no text.
+        return true; // Events with the finish reason or the usage have no text.
     }
-    return takeText(text) || fail("out_of_order");
+    return matchText(text) || fail("out_of_order");
 }
 
-bool CompletionChecker::takeId(std::string_view id)
+bool CompletionChecker::matchId(std::string_view id)
 {
     if (id_.empty()) {
         id_ = id;
@@ -81,7 +81,7 @@
     return id == id_;
 }
 
-bool CompletionChecker::takeText(std::string_view text)
+bool CompletionChecker::matchText(std::string_view text)
 {
     while (!text.empty()) {
         const std::string expected = CompletionWriter::tokenText(tokensSeen_);
--- a/tests/stand_ins/completion_checker.h
+++ b/tests/stand_ins/completion_checker.h
@@ -7,31 +7,31 @@
 namespace Lovageloft::StandIns
 {
 
-/// Checks that an answer made of a stand-in engine's tokens is complete, in order and the one to its request.
+/// Checks that a response of a stand-in engine is complete, has its tokens in order and belongs to its request.
 class CompletionChecker
 {
 public:
-    /// An empty `id` takes any id, as long as all parts of the answer carry the same.
+    /// With an empty `id` any id is accepted, as long as all parts of the response have the same.
     CompletionChecker(std::string id, std::int64_t tokens, bool isChat);
 
-    /// Takes one server-sent event without "data: "; false as soon as the answer is at fault.
-    bool takeEvent(std::string_view event);
+    /// Adds one server-sent event without "data: ". Returns false once the response is faulty.
+    bool addEvent(std::string_view event);
 
-    /// Takes a whole answer.
-    bool takeAnswer(std::string_view json);
+    /// Adds a complete response body. Returns false if the response is faulty.
+    bool addAnswer(std::string_view json);
 
-    /// Whether all tokens, the finish reason and, of a stream, its end have come.
+    /// Whether all tokens, the finish reason and, for a stream, its end were added.
     bool isComplete() const;
 
     std::int64_t tokensSeen() const;
 
-    /// What is wrong so far: "malformed", "wrong_id", "out_of_order" or "truncated"; empty for a complete answer.
+    /// The first fault found: "malformed", "wrong_id", "out_of_order" or "truncated"; empty for a complete response.
     std::string_view fault() const;
 
 private:
-    bool take(std::string_view json, std::string_view textPath);
-    bool takeId(std::string_view id);
-    bool takeText(std::string_view text);
+    bool addDocument(std::string_view json, std::string_view textPath);
+    bool matchId(std::string_view id);
+    bool matchText(std::string_view text);
     bool fail(std::string_view fault);
 
     std::string id_;
--- a/tests/stand_ins/exchange.cpp
+++ b/tests/stand_ins/exchange.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-/// How long a wait may overlook that the caller has hung up.
+/// Interval between checks whether the caller has closed the connection.
 constexpr Duration hangUpCheckInterval = std::chrono::milliseconds(20);
 
 Poco::Net::StreamSocket &socketOf(Poco::Net::HTTPServerRequest &request)
@@ -56,15 +56,15 @@
     return request_.get(name, "");
 }
 
-std::int64_t Exchange::queryNumber(std::string_view name, std::int64_t otherwise) const
+std::int64_t Exchange::queryNumber(std::string_view name, std::int64_t fallback) const
 {
     const std::string field = std::string(name) + "=";
     const std::size_t found = ("&" + query_).find("&" + field);
     if (found == std::string::npos) {
-        return otherwise;
+        return fallback;
     }
     const char *begin = query_.data() + found + field.size();
-    std::int64_t value = otherwise;
+    std::int64_t value = fallback;
     std::from_chars(begin, query_.data() + query_.size(), value);
     return value;
 }
--- a/tests/stand_ins/exchange.h
+++ b/tests/stand_ins/exchange.h
@@ -14,11 +14,11 @@
 namespace Lovageloft::StandIns
 {
 
-/// One HTTP request at a stand-in and the ways to answer it, the faulty ones included.
+/// One HTTP request received by a stand-in, with functions for correct and faulty responses.
 class Exchange
 {
 public:
-    /// `isStopping` ends all waits once the server is being stopped.
+    /// All waits end once `isStopping` is set.
     Exchange(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response, const std::atomic<bool> &isStopping);
 
     const std::string &method() const;
@@ -28,37 +28,37 @@
 
     const std::string &body() const;
 
-    /// The value of a header field, empty if it isn't there.
+    /// The value of a header field; empty if there is none.
     std::string header(const std::string &name) const;
 
-    /// The value of a number in the query, `otherwise` if it isn't there or isn't a number.
-    std::int64_t queryNumber(std::string_view name, std::int64_t otherwise) const;
+    /// A number in the query; `fallback` if it is missing or no number.
+    std::int64_t queryNumber(std::string_view name, std::int64_t fallback) const;
 
-    /// "ADDRESS:PORT" of the caller's end, which tells connections apart.
+    /// "ADDRESS:PORT" of the caller, which identifies the connection.
     std::string callerAddress() const;
 
-    /// Whether the caller has hung up.
+    /// Whether the caller has closed the connection.
     bool isCallerGone() const;
 
-    /// Waits until `deadline`; false as soon as the caller has hung up or the server stops.
+    /// Waits until `deadline`. Returns false as soon as the caller closes the connection or the server stops.
     bool waitUntil(TimePoint deadline) const;
 
-    /// Says nothing and keeps the connection open until the caller hangs up or the server stops.
+    /// Sends nothing and keeps the connection open until the caller closes it or the server stops.
     void freeze() const;
 
-    /// Answers with a whole JSON document.
+    /// Responds with a JSON document.
     void sendJson(int status, std::string_view json);
 
-    /// Sends the head of a chunked answer; each flush of the stream sends one chunk.
+    /// Sends the head of a chunked response. Each flush of the returned stream sends one chunk.
     std::ostream &startStream(const std::string &contentType);
 
-    /// Sends the head of an answer of `json`'s length and only its first half, then closes the connection.
+    /// Sends the head of a response with the length of `json`, then only the first half of it, and closes the connection.
     void sendHalf(std::string_view json);
 
-    /// Sends a whole JSON document byte by byte, with `pause` before each.
+    /// Sends a JSON document in pieces of `pieceBytes`, with `pause` before each.
     void trickleJson(std::string_view json, Duration pause, std::size_t pieceBytes);
 
-    /// Closes the connection at once, whatever has been sent.
+    /// Closes the connection immediately, even within a response.
     void closeConnection();
 
 private:
--- a/tests/stand_ins/fault_plan.h
+++ b/tests/stand_ins/fault_plan.h
@@ -7,12 +7,12 @@
 namespace Lovageloft::StandIns
 {
 
-/// The fault that a stand-in was told to show, and for how many requests still. Thread-safe.
+/// The fault that the next requests to a stand-in meet, and for how many of them. Thread-safe.
 template <typename Fault>
 class FaultPlan
 {
 public:
-    /// Replaces the plan: the next `times` requests show `fault`.
+    /// Replaces the plan: the next `times` requests meet `fault`.
     void set(Fault fault, std::int64_t times)
     {
         const std::lock_guard lock(mutex_);
@@ -20,8 +20,8 @@
         timesLeft_ = times;
     }
 
-    /// The fault of the next request, a default one when none is planned any more.
-    Fault take()
+    /// The fault of the next request; a default-constructed one if none is planned.
+    Fault nextFault()
     {
         const std::lock_guard lock(mutex_);
         if (timesLeft_ <= 0) {
--- a/tests/stand_ins/http_answer_reader.cpp
+++ b/tests/stand_ins/http_answer_reader.cpp
@@ -57,7 +57,7 @@
     if (bytesLeft_ == 0) {
         return false;
     }
-    take(out, bytesLeft_);
+    consume(out, bytesLeft_);
     if (isChunked_ && bytesLeft_ == 0) {
         readLine();
     }
@@ -96,7 +96,7 @@
     }
 }
 
-void HttpAnswerReader::take(std::string &out, std::size_t &left)
+void HttpAnswerReader::consume(std::string &out, std::size_t &left)
 {
     if (position_ == buffer_.size()) {
         receive();
--- a/tests/stand_ins/http_answer_reader.h
+++ b/tests/stand_ins/http_answer_reader.h
@@ -9,33 +9,33 @@
 namespace Lovageloft::StandIns
 {
 
-/// Reads HTTP answers from a socket piece by piece as they come, so that the time of each piece can be taken.
-/// Throws Poco exceptions for timeouts, and Poco::DataFormatException for an answer cut off or malformed.
+/// Reads HTTP responses from a socket in pieces as they arrive, so that the time of each piece can be measured.
+/// Throws Poco exceptions for timeouts, and Poco::DataFormatException for a truncated or malformed response.
 class HttpAnswerReader
 {
 public:
     explicit HttpAnswerReader(const Poco::Net::StreamSocket &socket);
 
-    /// Reads the head of the next answer and returns its status.
+    /// Reads the head of the next response and returns its status.
     int readHead();
 
-    /// Appends the next piece of the body; false once the body is whole.
+    /// Appends the next piece of the body to `out`. Returns false once the body is complete.
     bool readSome(std::string &out);
 
-    /// A field of the head by its name in lower case, empty if it isn't there.
+    /// A field of the head by its name in lower case; empty if there is none.
     std::string header(const std::string &name) const;
 
 private:
     std::string readLine();
     void receive();
-    void take(std::string &out, std::size_t &left);
+    void consume(std::string &out, std::size_t &left);
 
     Poco::Net::StreamSocket socket_;
-    std::string buffer_; // Received bytes; those before position_ are used up.
+    std::string buffer_; ///< Received bytes; those before `position_` were consumed.
     std::size_t position_ = 0;
     std::map<std::string, std::string> fields_;
     bool isChunked_ = false;
-    std::size_t bytesLeft_ = 0; // Of the body, or of the current chunk.
+    std::size_t bytesLeft_ = 0; ///< Of the body, or of the current chunk.
 };
 
 } // namespace Lovageloft::StandIns
--- a/tests/stand_ins/json_body.cpp
+++ b/tests/stand_ins/json_body.cpp
@@ -46,9 +46,9 @@
     return read<double>(name).value_or(0);
 }
 
-std::int64_t JsonBody::number(const std::string &name, std::int64_t otherwise) const
+std::int64_t JsonBody::number(const std::string &name, std::int64_t fallback) const
 {
-    return optionalNumber(name).value_or(otherwise);
+    return optionalNumber(name).value_or(fallback);
 }
 
 std::optional<std::int64_t> JsonBody::optionalNumber(const std::string &name) const
--- a/tests/stand_ins/json_body.h
+++ b/tests/stand_ins/json_body.h
@@ -10,8 +10,8 @@
 namespace Lovageloft::StandIns
 {
 
-/// A JSON object sent to a stand-in by a test. Fields that aren't there, or of another type, read as a default;
-/// a body that isn't an object reads as an empty one.
+/// A JSON object that a test sent to a stand-in. Fields that are missing or of another type read as a default;
+/// a body that is no object reads as an empty object.
 class JsonBody
 {
 public:
@@ -22,16 +22,16 @@
     bool flag(const std::string &name) const;
     double real(const std::string &name) const;
 
-    /// A whole number, also one written as a string.
-    std::int64_t number(const std::string &name, std::int64_t otherwise = 0) const;
+    /// An integer, which may be written as a string.
+    std::int64_t number(const std::string &name, std::int64_t fallback = 0) const;
     std::optional<std::int64_t> optionalNumber(const std::string &name) const;
 
-    /// An object inside, empty if it isn't there.
+    /// A nested object; empty if there is none.
     JsonBody object(const std::string &name) const;
 
     bool has(const std::string &name) const;
 
-    /// Objects of an array.
+    /// The objects of an array; other elements are left out.
     std::vector<JsonBody> objects(const std::string &name) const;
 
 private:
--- a/tests/stand_ins/port_reservation.cpp
+++ b/tests/stand_ins/port_reservation.cpp
@@ -16,12 +16,12 @@
         const auto port = static_cast<std::uint16_t>(first + (start + i) % span);
         const Poco::Net::SocketAddress address("127.0.0.1", port);
         try {
-            Poco::Net::DatagramSocket mark(address, false);
+            Poco::Net::DatagramSocket socket(address, false);
             const Poco::Net::ServerSocket probe = listenExclusively(address, 1);
-            marks_.push_back(mark);
+            sockets_.push_back(socket);
             ports_.push_back(port);
         } catch (const Poco::Exception &) {
-            continue; // Another test has it.
+            continue; // In use by another test.
         }
     }
 }
--- a/tests/stand_ins/port_reservation.h
+++ b/tests/stand_ins/port_reservation.h
@@ -8,20 +8,20 @@
 namespace Lovageloft::StandIns
 {
 
-/// TCP ports of the loopback interface for programs that are started with them, also again after they ended. Nobody else is given them as long as
-/// the reservation lives: a datagram socket of the same number marks each.
+/// TCP ports of the loopback interface for programs that a test starts, also repeatedly. No other reservation gets them as long as
+/// this one exists, as it holds a UDP socket with the number of each port.
 ///
-/// They lie below the range from which the kernel takes the ports of outgoing connections, and below that of ScriptedTarget.
+/// They lie below the kernel's range of ephemeral ports, and below that of ScriptedTarget.
 class PortReservation
 {
 public:
-    /// Looks from the `start`th port of the range on; programs that run side by side should begin at different places.
+    /// Searches from the `start`th port of the range on; test programs that run concurrently should start at different ones.
     PortReservation(std::size_t count, std::size_t start);
 
     const std::vector<std::uint16_t> &ports() const;
 
 private:
-    std::vector<Poco::Net::DatagramSocket> marks_;
+    std::vector<Poco::Net::DatagramSocket> sockets_;
     std::vector<std::uint16_t> ports_;
 };
 
--- a/tests/stand_ins/prefix_cache.cpp
+++ b/tests/stand_ins/prefix_cache.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-/// Events kept for readers; one that is further behind has a gap.
+/// Number of kept events; a reader that is further behind misses some.
 constexpr std::size_t keptEvents = 65'536;
 
 } // namespace
--- a/tests/stand_ins/prefix_cache.h
+++ b/tests/stand_ins/prefix_cache.h
@@ -14,17 +14,17 @@
 namespace Lovageloft::StandIns
 {
 
-/// One change of an engine's cache.
+/// A change of an engine's cache.
 struct CacheEvent
 {
     std::int64_t sequence = 0;
     bool isStored = true; ///< False: evicted.
     std::uint64_t block = 0;
-    std::uint64_t parent = 0; ///< The block before it, or the hash of the salt for the first block.
+    std::uint64_t parent = 0; ///< Hash of the preceding block; for the first block, that of the salt.
 };
 
-/// A model of an engine's prefix cache: whole blocks of prompt text, named by a chain of XXH3 hashes that
-/// starts from the salt, with eviction of the least recently used. Not thread-safe.
+/// A model of an engine's prefix cache: complete blocks of prompt text, identified by a chain of XXH3 hashes that
+/// starts with the salt. The least recently used blocks are evicted. Not thread-safe.
 class PrefixCache
 {
 public:
@@ -32,16 +32,16 @@
 
     explicit PrefixCache(std::size_t capacityBlocks);
 
-    /// Looks a prompt up and then stores all its whole blocks. Returns the bytes of its leading blocks that were cached.
+    /// Looks up a prompt, then stores all its complete blocks. Returns the bytes of its leading blocks that were cached.
     std::size_t use(std::string_view salt, std::string_view prompt);
 
-    /// Forgets all blocks without events, as new weights do.
+    /// Removes all blocks without events, as a load of new weights does.
     void clear();
 
-    /// From now on this share (0 to 1) of the events gets its number but is lost.
+    /// From now on this fraction (0 to 1) of the events is lost; lost events use up their sequence numbers.
     void setLostShare(double share);
 
-    /// Events after a sequence number that are still kept.
+    /// The kept events after a sequence number.
     std::vector<CacheEvent> eventsAfter(std::int64_t sequence) const;
 
     std::int64_t firstKeptSequence() const;
@@ -49,10 +49,10 @@
     std::size_t size() const;
     std::size_t capacity() const;
 
-    /// The hash that a chain starts from.
+    /// The hash with which a chain starts.
     static std::uint64_t rootHash(std::string_view salt);
 
-    /// The hash of a block of text after `parent`.
+    /// The hash of a block of text that follows `parent`.
     static std::uint64_t blockHash(std::uint64_t parent, std::string_view block);
 
 private:
@@ -66,7 +66,7 @@
     void recordEvent(bool isStored, const Block &block);
 
     std::size_t capacity_;
-    std::list<Block> blocks_; // The most recently used first.
+    std::list<Block> blocks_; ///< The most recently used first.
     std::unordered_map<std::uint64_t, std::list<Block>::iterator> index_;
     std::deque<CacheEvent> events_;
     std::int64_t lastSequence_ = 0;
--- a/tests/stand_ins/scripted_target.cpp
+++ b/tests/stand_ins/scripted_target.cpp
@@ -20,8 +20,8 @@
 constexpr Poco::Timespan::TimeDiff pollTime = 20'000; // Microseconds.
 constexpr int listenBacklog = 64;
 
-/// Ports that tests listen on: the kernel gives outgoing connections none below 32,768, so nothing can take them in between.
-Poco::Net::ServerSocket listenBelowOutgoing()
+/// Listens on a port below the kernel's ephemeral ports, which begin at 32,768, so that no outgoing connection can use it.
+Poco::Net::ServerSocket listenBelowEphemeralPorts()
 {
     static std::atomic<int> next = 20'000 + static_cast<int>(std::chrono::steady_clock::now().time_since_epoch().count() / 1'000 % 10'000);
     constexpr int highest = 32'000;
@@ -31,7 +31,7 @@
         try {
             return listenExclusively(Poco::Net::SocketAddress("127.0.0.1", static_cast<std::uint16_t>(port)), listenBacklog);
         } catch (const Poco::Net::NetException &) {
-            continue; // Another test has it.
+            continue; // In use by another test.
         }
     }
 }
@@ -72,7 +72,7 @@
             }
         }
     } catch (const Poco::Exception &) {
-        isOpen_ = false; // The router has closed, which is what some scripts wait for.
+        isOpen_ = false; // The router has closed the connection, which some scripts wait for.
     }
 }
 
@@ -128,13 +128,13 @@
     } catch (const Poco::TimeoutException &) {
         return false;
     } catch (const Poco::Exception &) {
-        return true; // A reset closes as well.
+        return true; // A reset counts as closed.
     }
 }
 
 ScriptedTarget::ScriptedTarget(Script script)
     : script_(std::move(script))
-    , listener_(listenBelowOutgoing())
+    , listener_(listenBelowEphemeralPorts())
     , acceptor_([this] { accept(); })
 {
 }
--- a/tests/stand_ins/scripted_target.h
+++ b/tests/stand_ins/scripted_target.h
@@ -16,11 +16,11 @@
 namespace Lovageloft
 {
 
-/// A target for tests that answers as a script says, also with what is no answer: late, doubled, cut off, without a length.
+/// A target for tests that responds as a script says, also incorrectly: late, twice, truncated or without a length.
 class ScriptedTarget
 {
 public:
-    /// One request as it arrived.
+    /// A request as received.
     struct Request
     {
         std::string head;
@@ -30,7 +30,7 @@
         std::string field(std::string_view name) const;
     };
 
-    /// One connection, for the script to write on.
+    /// A connection that the script writes to.
     class Connection
     {
     public:
@@ -38,13 +38,13 @@
 
         void send(std::string_view bytes);
 
-        /// From now on sends so many bytes a second, as over a thin link; 0: as fast as they are taken.
+        /// Limits the rate of sending, as a slow link does; 0 removes the limit.
         void setRate(std::size_t bytesPerSecond);
 
-        /// An answer with a length that bears the request's id.
+        /// Sends a response with a length and the id of the request.
         void answer(const Request &request, int status, std::string_view body, std::string_view fields = {});
 
-        /// The head of a chunked answer, then events as chunks, then its end.
+        /// These send the head of a chunked response, an event as a chunk, and the end.
         void beginStream(const Request &request);
         void sendEvent(int id);
         void endStream();
@@ -52,7 +52,7 @@
         void close();
         void reset();
 
-        /// Waits until the other end has closed; false if it has not within `timeout`.
+        /// Waits until the peer has closed the connection. Returns false after `timeout`.
         bool waitClosed(std::chrono::milliseconds timeout);
 
     private:
@@ -65,7 +65,7 @@
 
     using Script = std::function<void(Connection &, const Request &)>;
 
-    /// Listens on a free port of the loopback interface, below the kernel's range of outgoing ports.
+    /// Listens on a free port of the loopback interface, below the kernel's range of ephemeral ports.
     explicit ScriptedTarget(Script script);
     ~ScriptedTarget();
     ScriptedTarget(const ScriptedTarget &) = delete;
--- a/tests/stand_ins/stand_in_caller.cpp
+++ b/tests/stand_ins/stand_in_caller.cpp
@@ -33,7 +33,7 @@
     HttpAnswerReader reader;
 };
 
-/// Text without repeats within a block, so that two prompts share no more than they are told to.
+/// Text without repetitions within a block, so that two prompts share only what they are meant to.
 std::string makeText(std::string_view seed, std::size_t size)
 {
     std::string text;
@@ -51,7 +51,7 @@
     return std::to_string(status) + (code.empty() ? "" : "/" + code);
 }
 
-/// One connection's requests, one after the other.
+/// Sends the requests of one connection, one after the other.
 class Caller
 {
 public:
@@ -106,7 +106,7 @@
         const TimePoint start = BootClock::now();
         connection_->socket.sendBytes(request.data(), static_cast<int>(request.size()));
         const int status = connection_->reader.readHead();
-        CompletionChecker checker(options_.takesAnyId ? "" : id, options_.maximumTokens, true);
+        CompletionChecker checker(options_.acceptsAnyId ? "" : id, options_.maxCompletionTokens, true);
         const bool isStream = connection_->reader.header("content-type").starts_with("text/event-stream");
         const std::string body = isStream ? readStream(checker, start) : readWhole();
         if (status != httpOk) {
@@ -115,7 +115,7 @@
         if (!isStream) {
             noteFirstToken(start);
             ++result_.chunks;
-            static_cast<void>(checker.takeAnswer(body));
+            static_cast<void>(checker.addAnswer(body));
         }
         std::string fault(checker.fault());
         if (fault.empty()) {
@@ -136,7 +136,7 @@
         return body;
     }
 
-    /// Checks the events as they come; the rest that is no whole event is returned.
+    /// Checks the complete events and returns the rest, an incomplete event.
     std::string readStream(CompletionChecker &checker, TimePoint start)
     {
         std::string text;
@@ -144,7 +144,7 @@
         while (isSound && connection_->reader.readSome(text)) {
             std::size_t begin = 0;
             for (std::size_t end = text.find("\n\n"); isSound && end != std::string::npos; end = text.find("\n\n", begin)) {
-                isSound = takeEvent(checker, std::string_view(text).substr(begin, end - begin), start);
+                isSound = addEvent(checker, std::string_view(text).substr(begin, end - begin), start);
                 begin = end + 2;
             }
             text.erase(0, begin);
@@ -152,14 +152,14 @@
         return text;
     }
 
-    bool takeEvent(CompletionChecker &checker, std::string_view event, TimePoint start)
+    bool addEvent(CompletionChecker &checker, std::string_view event, TimePoint start)
     {
         constexpr std::string_view field = "data: ";
         if (!event.starts_with(field)) {
-            return true; // Comments keep a connection alive.
+            return true; // A comment, sent to keep the connection alive.
         }
         const std::int64_t before = checker.tokensSeen();
-        const bool isSound = checker.takeEvent(event.substr(field.size()));
+        const bool isSound = checker.addEvent(event.substr(field.size()));
         if (checker.tokensSeen() > before) {
             noteFirstToken(start);
             ++result_.chunks;
@@ -181,7 +181,7 @@
         appendJsonString(body, options_.model);
         body += R"(,"messages":[{"role":"user","content":)";
         appendJsonString(body, prompt);
-        body += R"(}],"max_tokens":)" + std::to_string(options_.maximumTokens) + R"(,"stream":)" + (options_.isStream ? "true}" : "false}");
+        body += R"(}],"max_tokens":)" + std::to_string(options_.maxCompletionTokens) + R"(,"stream":)" + (options_.isStream ? "true}" : "false}");
         std::string head = "POST /v1/chat/completions HTTP/1.1\r\nHost: " + options_.address + "\r\nContent-Type: application/json\r\nX-Request-Id: " + id;
         if (!options_.key.empty()) {
             head += "\r\nAuthorization: Bearer " + options_.key;
--- a/tests/stand_ins/stand_in_caller_main.cpp
+++ b/tests/stand_ins/stand_in_caller_main.cpp
@@ -22,17 +22,17 @@
     TCLAP::ValueArg<std::int64_t> requests("", "requests", "Requests in all", false, defaults.requests, number, line);
     TCLAP::ValueArg<std::size_t> promptBytes("", "prompt-bytes", "Length of each prompt", false, defaults.promptBytes, number, line);
     TCLAP::ValueArg<std::int64_t> sharedBytes("", "shared-bytes", "Leading bytes that all prompts share; -1 for all", false, -1, number, line);
-    TCLAP::ValueArg<std::int64_t> tokens("", "max-tokens", "Tokens of each answer", false, defaults.maximumTokens, number, line);
+    TCLAP::ValueArg<std::int64_t> tokens("", "max-tokens", "Tokens of each answer", false, defaults.maxCompletionTokens, number, line);
     TCLAP::ValueArg<std::int64_t> timeout("", "timeout-ms", "Longest silence within an answer", false, 30'000, number, line);
     TCLAP::SwitchArg isStream("", "stream", "Ask for streams", line);
-    TCLAP::SwitchArg takesAnyId("", "any-id", "Don't expect the request's id in the answer", line);
+    TCLAP::SwitchArg acceptsAnyId("", "any-id", "Don't expect the request's id in the answer", line);
     line.parse(argc, argv);
     StandInCallerOptions options{address.getValue(), key.getValue(), model.getValue(), streams.getValue(), requests.getValue()};
     options.promptBytes = promptBytes.getValue();
     options.sharedBytes = sharedBytes.getValue() < 0 ? options.promptBytes : static_cast<std::size_t>(sharedBytes.getValue());
-    options.maximumTokens = tokens.getValue();
+    options.maxCompletionTokens = tokens.getValue();
     options.isStream = isStream.getValue();
-    options.takesAnyId = takesAnyId.getValue();
+    options.acceptsAnyId = acceptsAnyId.getValue();
     options.timeout = std::chrono::milliseconds(timeout.getValue());
     return options;
 }
--- a/tests/stand_ins/stand_in_engine.cpp
+++ b/tests/stand_ins/stand_in_engine.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::int64_t bytesPerToken = 4;
 constexpr std::size_t incarnationBytes = 8;
-/// Tokens after which a stream counts as under way: its caller has surely got some of them.
+/// Tokens after which a stream counts as streaming, as its caller has certainly received some of them.
 constexpr std::int64_t tokensUnderWay = 10;
 
 std::int64_t firstTokenOf(const Exchange &exchange)
@@ -70,7 +70,7 @@
     static constexpr Route routes[] = {
         {"GET", "/control/load", &StandInEngine::reportLoad},
         {"GET", "/control/cache-events", &StandInEngine::reportCacheEvents},
-        {"POST", "/control/orders", &StandInEngine::takeOrder},
+        {"POST", "/control/orders", &StandInEngine::executeOrder},
         {"POST", "/test/restart", &StandInEngine::restart},
         {"POST", "/test/faults", &StandInEngine::planFault},
         {"GET", "/test/record", &StandInEngine::reportRecord},
@@ -99,7 +99,7 @@
 void StandInEngine::complete(Exchange &exchange, bool isChat)
 {
     recordStart(exchange);
-    const StandInEngineFault fault = faults_.take();
+    const StandInEngineFault fault = faults_.nextFault();
     if (!exchange.waitUntil(BootClock::now() + fault.delay)) {
         recordOutcome(Outcome::Cancelled);
         return;
@@ -122,7 +122,7 @@
 {
     CompletionUsage usage;
     usage.promptTokens = static_cast<std::int64_t>(request.prompt.size()) / bytesPerToken;
-    usage.completionTokens = std::max<std::int64_t>(0, request.maximumTokens);
+    usage.completionTokens = std::max<std::int64_t>(0, request.maxCompletionTokens);
     {
         const std::lock_guard lock(mutex_);
         usage.cachedTokens = static_cast<std::int64_t>(cache_.use(exchange.header("X-Cache-Salt"), request.prompt)) / bytesPerToken;
@@ -140,7 +140,7 @@
 StandInEngine::Outcome
 StandInEngine::stream(Exchange &exchange, const CompletionRequest &request, const CompletionUsage &usage, const StandInEngineFault &fault)
 {
-    const CompletionWriter writer(headingFor(exchange, request, fault));
+    const CompletionWriter writer(makeHeading(exchange, request, fault));
     const std::int64_t first = firstTokenOf(exchange);
     std::ostream &out = exchange.startStream("text/event-stream");
     TimePoint next = BootClock::now();
@@ -155,7 +155,7 @@
             return Outcome::Faulted;
         }
         if (isReached(fault.freezeAfterTokens, sent)) {
-            out << std::flush; // The head of the answer still goes out.
+            out << std::flush; // The head of the response is still sent.
             exchange.freeze();
             return Outcome::Faulted;
         }
@@ -167,7 +167,7 @@
             return Outcome::Cancelled;
         }
         if (sent == tokensUnderWay) {
-            recordUnderWay();
+            recordStreaming();
         }
     }
     out << writer.finishEvent();
@@ -188,7 +188,7 @@
     if (!exchange.waitUntil(BootClock::now() + options_.tokenDelay * tokens)) {
         return Outcome::Cancelled;
     }
-    const std::string json = CompletionWriter(headingFor(exchange, request, fault)).wholeAnswer(first, usage);
+    const std::string json = CompletionWriter(makeHeading(exchange, request, fault)).wholeAnswer(first, usage);
     if (fault.freezeAfterTokens) {
         exchange.freeze();
         return Outcome::Faulted;
@@ -201,7 +201,7 @@
     return fault.malformedAfterTokens ? Outcome::Faulted : Outcome::Completed;
 }
 
-CompletionHeading StandInEngine::headingFor(const Exchange &exchange, const CompletionRequest &request, const StandInEngineFault &fault)
+CompletionHeading StandInEngine::makeHeading(const Exchange &exchange, const CompletionRequest &request, const StandInEngineFault &fault)
 {
     std::string id = exchange.header("X-Request-Id");
     if (id.empty()) {
@@ -239,10 +239,10 @@
     }
 }
 
-void StandInEngine::recordUnderWay()
+void StandInEngine::recordStreaming()
 {
     const std::lock_guard lock(mutex_);
-    ++record_.underWay;
+    ++record_.streaming;
 }
 
 void StandInEngine::recordOutcome(Outcome outcome)
@@ -267,7 +267,7 @@
 void StandInEngine::reportLoad(Exchange &exchange)
 {
     std::unique_lock lock(mutex_);
-    publishLoad(); // Drops what has become older than the lag.
+    publishLoad(); // Removes the loads that are older than the lag.
     const Load load = publishedLoads_.front().load;
     std::string json = R"({"incarnation":")" + incarnation_ + R"(","name":)";
     appendJsonString(json, options_.name);
@@ -299,7 +299,7 @@
     exchange.sendJson(200, json + "]}");
 }
 
-void StandInEngine::takeOrder(Exchange &exchange)
+void StandInEngine::executeOrder(Exchange &exchange)
 {
     const JsonBody body(exchange.body());
     const Order order{body.text("kind"), body.number("fencing"), body.text("value")};
@@ -360,7 +360,7 @@
     std::unique_lock lock(mutex_);
     const Record record = record_;
     lock.unlock();
-    std::string json = R"({"started":)" + std::to_string(record.started) + R"(,"under_way":)" + std::to_string(record.underWay) + R"(,"completed":)"
+    std::string json = R"({"started":)" + std::to_string(record.started) + R"(,"under_way":)" + std::to_string(record.streaming) + R"(,"completed":)"
         + std::to_string(record.completed) + R"(,"cancelled":)" + std::to_string(record.cancelled) + R"(,"faulted":)" + std::to_string(record.faulted)
         + R"(,"saw_authorization":)" + (record.sawAuthorization ? "true" : "false") + R"(,"requests":{)";
     std::string_view separator;
--- a/tests/stand_ins/stand_in_engine.h
+++ b/tests/stand_ins/stand_in_engine.h
@@ -18,7 +18,7 @@
 namespace Lovageloft::StandIns
 {
 
-/// How a stand-in engine behaves.
+/// Parameters of a stand-in engine.
 struct StandInEngineOptions
 {
     std::uint16_t port = 0; ///< 0: a free one.
@@ -26,25 +26,25 @@
     std::string model = "model";
     std::string weights = "1";
     Duration tokenDelay = std::chrono::milliseconds(1);
-    Duration prefillPerToken{}; ///< Prefill runs one request after the other.
+    Duration prefillPerToken{}; ///< Prompts are computed one after the other.
     std::size_t cacheBlocks = 1024;
-    Duration loadLag{}; ///< Age of the load that is reported.
+    Duration loadLag{}; ///< Age of the reported load.
     bool checksFencing = false;
 };
 
-/// A fault that a completion request is to show. Counts of tokens are those sent before it.
+/// A fault of the response to a completion request. Counts of tokens are those sent before it.
 struct StandInEngineFault
 {
-    std::optional<std::int64_t> dropAfterTokens; ///< Closes the connection in the middle.
-    std::optional<std::int64_t> malformedAfterTokens; ///< Sends an event that isn't JSON, and ends.
-    std::optional<std::int64_t> freezeAfterTokens; ///< Goes silent with the connection open.
-    bool isCrossed = false; ///< Answers with the id of another request.
-    bool isRefused = false; ///< Answers 503.
-    bool hasNoDone = false; ///< Ends the stream cleanly without [DONE].
-    Duration delay{}; ///< Waits before anything else.
+    std::optional<std::int64_t> dropAfterTokens; ///< Closes the connection within the response.
+    std::optional<std::int64_t> malformedAfterTokens; ///< Sends an event that is not JSON, and ends the response.
+    std::optional<std::int64_t> freezeAfterTokens; ///< Stops sending and keeps the connection open.
+    bool isCrossed = false; ///< Responds with the id of another request.
+    bool isRefused = false; ///< Responds with 503.
+    bool hasNoDone = false; ///< Ends the stream correctly but without [DONE].
+    Duration delay{}; ///< Time before the response begins.
 };
 
-/// A language-model engine as the router sees it, with OpenAI's public API, a model of a prefix cache,
+/// A language-model engine as seen by the router, with OpenAI's public API, a model of a prefix cache,
 /// load reports, cache events, orders, and faults on demand. The content is "tok0 tok1 ..." so that a caller
 /// can tell whether an answer is complete and in order.
 class StandInEngine
@@ -80,7 +80,7 @@
     struct Record
     {
         std::int64_t started = 0;
-        std::int64_t underWay = 0; ///< Streams that have sent their first tokens, ended or not.
+        std::int64_t streaming = 0; ///< Streams that have sent their first tokens, also those that have ended.
         std::int64_t completed = 0;
         std::int64_t cancelled = 0;
         std::int64_t faulted = 0;
@@ -97,12 +97,12 @@
     };
 
     void handle(Exchange &exchange);
-    void recordUnderWay();
+    void recordStreaming();
     void complete(Exchange &exchange, bool isChat);
     Outcome answer(Exchange &exchange, const CompletionRequest &request, const StandInEngineFault &fault);
     Outcome stream(Exchange &exchange, const CompletionRequest &request, const CompletionUsage &usage, const StandInEngineFault &fault);
     Outcome sendWhole(Exchange &exchange, const CompletionRequest &request, const CompletionUsage &usage, const StandInEngineFault &fault);
-    CompletionHeading headingFor(const Exchange &exchange, const CompletionRequest &request, const StandInEngineFault &fault);
+    CompletionHeading makeHeading(const Exchange &exchange, const CompletionRequest &request, const StandInEngineFault &fault);
     bool prefill(const Exchange &exchange, std::int64_t tokens);
     void recordStart(const Exchange &exchange);
     void recordOutcome(Outcome outcome);
@@ -110,7 +110,7 @@
 
     void reportLoad(Exchange &exchange);
     void reportCacheEvents(Exchange &exchange);
-    void takeOrder(Exchange &exchange);
+    void executeOrder(Exchange &exchange);
     void restart(Exchange &exchange);
     void planFault(Exchange &exchange);
     void reportRecord(Exchange &exchange);
@@ -122,12 +122,12 @@
     std::string weights_;
     PrefixCache cache_;
     Load load_;
-    std::deque<TimedLoad> publishedLoads_; // Ascending; the first is the one reported.
+    std::deque<TimedLoad> publishedLoads_; ///< In ascending order of time; the first one is reported.
     TimePoint prefillFreeAt_;
     Record record_;
     std::int64_t lastFencing_ = 0;
     std::int64_t lastId_ = 0;
-    StandInServer server_; // Last, so that it stops before the rest goes.
+    StandInServer server_; ///< Last member, so that it stops before the others are destroyed.
 };
 
 } // namespace Lovageloft::StandIns
--- a/tests/stand_ins/stand_in_kv_store.cpp
+++ b/tests/stand_ins/stand_in_kv_store.cpp
@@ -199,7 +199,7 @@
     return leaseText(method == "DELETE" ? memory_.revokeLease(std::stoll(id)) : memory_.keepAlive(std::stoll(id)), status);
 }
 
-/// Transactions with one precondition and at most one change, which is all that the router sends.
+/// Performs transactions with one precondition and at most one change; the router sends no others.
 std::string StandInKvStore::transact(const std::string &body, int &status)
 {
     const auto call = Poco::JSON::Parser().parse(body).extract<Object::Ptr>();
@@ -212,7 +212,7 @@
         const auto write = writes->getObject(0);
         reply = memory_.compareAndSwap(key, revision, decode(write->getValue<std::string>("value")), write->getValue<std::int64_t>("lease"));
         if (reply.status == StoreStatus::NotFound) {
-            status = notFound; // No such lease.
+            status = notFound; // The lease does not exist.
             return "{}";
         }
     } else if (call->getArray("remove")->size() > 0) {
--- a/tests/stand_ins/stand_in_kv_store.h
+++ b/tests/stand_ins/stand_in_kv_store.h
@@ -12,17 +12,17 @@
 namespace Lovageloft
 {
 
-/// The platform's metadata store over HTTP, as its published protocol says, on top of a store in memory.
+/// The platform's metadata store over HTTP, according to its published protocol, on top of a MemoryStore.
 class StandInKvStore
 {
 public:
     enum class Fault : std::uint8_t
     {
         None,
-        Busy, ///< 503; nothing is done.
-        Silent, ///< No answer, nothing done.
-        LostAnswer, ///< Done, and the connection is reset.
-        Stalled, ///< Half of the answer, then silence.
+        Busy, ///< Responds with 503 and performs nothing.
+        Silent, ///< Sends no response and performs nothing.
+        LostAnswer, ///< Performs the call and resets the connection.
+        Stalled, ///< Sends half of the response and nothing more.
     };
 
     StandInKvStore();
@@ -30,13 +30,13 @@
     std::uint16_t port() const;
     MemoryStore &memory();
 
-    /// The fault of all calls from now on.
+    /// Sets the fault of all later calls.
     void setFault(Fault fault);
 
-    /// Bytes a second in which answers are sent from now on; 0: as fast as they are taken.
+    /// Sets the rate in bytes a second at which later responses are sent; 0 for no limit.
     void setRate(std::size_t bytesPerSecond);
 
-    /// The era named in answers, in place of that of the memory: may be no number, or empty for none.
+    /// Sets the era stated in responses, instead of that of the memory. May be no number; empty for none.
     void setEraText(const std::string &text);
 
     int calls() const;
--- a/tests/stand_ins/stand_in_server.cpp
+++ b/tests/stand_ins/stand_in_server.cpp
@@ -16,8 +16,8 @@
 namespace
 {
 
-/// 400 streams at once for the largest benchmark, and as many idle keep-alive connections beside them.
-constexpr int maximumThreads = 1024;
+/// The largest benchmark has 400 streams at once and as many idle keep-alive connections.
+constexpr int maxThreads = 1024;
 
 class FunctionHandler : public Poco::Net::HTTPRequestHandler
 {
@@ -68,8 +68,8 @@
 {
     constexpr Poco::Timespan::TimeDiff keepAliveMicroseconds = 60'000'000;
     Poco::Net::HTTPServerParams::Ptr parameters = new Poco::Net::HTTPServerParams;
-    parameters->setMaxThreads(maximumThreads);
-    parameters->setMaxQueued(maximumThreads);
+    parameters->setMaxThreads(maxThreads);
+    parameters->setMaxQueued(maxThreads);
     parameters->setKeepAlive(true);
     parameters->setKeepAliveTimeout(Poco::Timespan(keepAliveMicroseconds));
     return parameters;
@@ -88,7 +88,7 @@
 
 StandInServer::StandInServer(Handler handler, std::uint16_t port)
     : handler_(std::move(handler))
-    , threads_(2, maximumThreads + 1)
+    , threads_(2, maxThreads + 1)
     , server_(std::make_unique<Poco::Net::HTTPServer>(new FunctionHandlerFactory(handler_, isStopping_), threads_, listenOnLoopback(port), serverParameters()))
 {
     server_->start();
--- a/tests/stand_ins/stand_in_server.h
+++ b/tests/stand_ins/stand_in_server.h
@@ -13,16 +13,16 @@
 namespace Lovageloft::StandIns
 {
 
-/// The HTTP server that all stand-ins share: a thread for each connection, on the loopback address.
+/// HTTP server of the stand-ins on the loopback address, with one thread for each connection.
 class StandInServer
 {
 public:
     using Handler = std::function<void(Exchange &)>;
 
-    /// Serves on `port`, or on a free one for 0. `handler` is called by many threads at once.
+    /// Listens on `port`; 0 for any free one. `handler` is called from many threads at once.
     StandInServer(Handler handler, std::uint16_t port);
 
-    /// Cuts all connections and waits for their threads.
+    /// Closes all connections and waits for their threads.
     ~StandInServer();
 
     StandInServer(const StandInServer &) = delete;
@@ -34,7 +34,7 @@
     /// Prints `listening ADDRESS:PORT` and blocks until SIGINT or SIGTERM. Call blockStopSignals() first.
     void runUntilStopped() const;
 
-    /// Leaves SIGINT and SIGTERM to runUntilStopped(). Call before any thread starts.
+    /// Blocks SIGINT and SIGTERM, for runUntilStopped() to receive. Must be called before any thread starts.
     static void blockStopSignals();
 
 private:
--- a/tests/stand_ins/stand_in_service.cpp
+++ b/tests/stand_ins/stand_in_service.cpp
@@ -34,12 +34,12 @@
         ++received_;
         sawAuthorization_ = sawAuthorization_ || !exchange.header("Authorization").empty();
     }
-    const StandInServiceFault fault = faults_.take();
+    const StandInServiceFault fault = faults_.nextFault();
     if (fault.isRefused) {
         exchange.sendJson(503, R"({"error":"refused"})");
         return;
     }
-    // A caller that hangs up meanwhile doesn't stop a real service from executing, so it doesn't here.
+    // Like a real service, it executes even if the caller closes the connection meanwhile.
     static_cast<void>(exchange.waitUntil(BootClock::now() + fault.delay));
     const std::string answer = execute(exchange);
     if (fault.losesAnswer) {
--- a/tests/stand_ins/stand_in_service.h
+++ b/tests/stand_ins/stand_in_service.h
@@ -12,21 +12,21 @@
 namespace Lovageloft::StandIns
 {
 
-/// A fault that a request to a stand-in service is to show.
+/// A fault of the response to a request to a stand-in service.
 struct StandInServiceFault
 {
-    bool isRefused = false; ///< Answers 503 before executing.
-    Duration delay{}; ///< Waits before executing.
-    bool losesAnswer = false; ///< Executes, then closes the connection without an answer.
-    bool isFrozen = false; ///< Executes, then goes silent with the connection open.
+    bool isRefused = false; ///< Responds with 503 without executing.
+    Duration delay{}; ///< Time before the execution.
+    bool losesAnswer = false; ///< Executes, then closes the connection without a response.
+    bool isFrozen = false; ///< Executes, then sends nothing and keeps the connection open.
 };
 
-/// A plain service beside the engines. Each GET or POST on any path counts as one execution, in all and for its
-/// `Idempotency-Key`, so that a test sees whether a call that may not be repeated ran more than once.
+/// A service that runs no models. Each GET or POST on any path counts as one execution, in total and for its
+/// `Idempotency-Key`, so that a test can check whether a non-idempotent call was executed more than once.
 class StandInService
 {
 public:
-    /// Serves on `port`, or on a free one for 0.
+    /// Listens on `port`; 0 for any free one.
     explicit StandInService(std::uint16_t port = 0);
 
     const StandInServer &server() const;
@@ -44,7 +44,7 @@
     std::int64_t executions_ = 0;
     std::int64_t received_ = 0;
     bool sawAuthorization_ = false;
-    StandInServer server_; // Last, so that it stops before the rest goes.
+    StandInServer server_; ///< Last member, so that it stops before the others are destroyed.
 };
 
 } // namespace Lovageloft::StandIns
--- a/tests/stand_ins/stand_in_store.cpp
+++ b/tests/stand_ins/stand_in_store.cpp
@@ -18,7 +18,7 @@
 using Poco::JSON::Array;
 using Poco::JSON::Object;
 
-/// How soon a waiting watch sees a fault or a lapsed lease.
+/// Interval at which a pending watch checks for faults and expired leases.
 constexpr Duration watchCheckInterval = std::chrono::milliseconds(20);
 
 std::string toText(const Object::Ptr &object)
@@ -48,7 +48,7 @@
 {
     Object::Ptr event = new Object;
     if (entry.isDeleted) {
-        event->set("type", "DELETE"); // PUT is the default and left out, as in all proto3 mappings.
+        event->set("type", "DELETE"); // PUT is the default, which proto3 mappings leave out.
     }
     event->set("kv", keyValue(entry));
     return event;
@@ -90,13 +90,13 @@
     return toText(error);
 }
 
-/// A field of a call under its proto name or its JSON name; both are allowed by the mapping.
+/// A field of a call by its proto name or its JSON name; the mapping allows both.
 JsonBody member(const JsonBody &body, const std::string &protoName, const std::string &jsonName)
 {
     return body.object(body.has(protoName) ? protoName : jsonName);
 }
 
-/// An answer with its header and nothing else yet.
+/// A response that has only its header so far.
 Object::Ptr headed(std::int64_t revision)
 {
     Object::Ptr header = new Object;
@@ -109,7 +109,7 @@
     return answer;
 }
 
-/// The one shape of a txn that the stand-in performs.
+/// The only form of a txn that the stand-in supports.
 struct GuardedWrite
 {
     std::string key;
@@ -117,7 +117,7 @@
     bool isPut = false;
     JsonBody call; ///< The put or the delete.
     bool hasRead = false;
-    JsonBody read; ///< Performed when the comparison fails.
+    JsonBody read; ///< Performed if the comparison fails.
 };
 
 std::optional<std::int64_t> expectedRevision(const JsonBody &comparison)
@@ -223,7 +223,7 @@
         return;
     }
     countCall(exchange, std::string(route->kind));
-    if (showFault(exchange, currentFault())) {
+    if (applyFault(exchange, currentFault())) {
         return;
     }
     if (route->handler == nullptr) {
@@ -231,7 +231,7 @@
         return;
     }
     const Answer answer = (this->*route->handler)(JsonBody(exchange.body()));
-    if (route->isWrite && takeLostAnswer()) {
+    if (route->isWrite && consumeLostAnswer()) {
         exchange.closeConnection();
         return;
     }
@@ -283,7 +283,7 @@
     connections_.insert(exchange.callerAddress());
 }
 
-bool StandInStore::showFault(Exchange &exchange, const StandInStoreFault &fault)
+bool StandInStore::applyFault(Exchange &exchange, const StandInStoreFault &fault)
 {
     if (fault.isFrozen || isSilenced(exchange)) {
         exchange.freeze();
@@ -307,7 +307,7 @@
     return fault_;
 }
 
-bool StandInStore::takeLostAnswer()
+bool StandInStore::consumeLostAnswer()
 {
     const std::lock_guard lock(mutex_);
     if (fault_.lostAnswers <= 0) {
@@ -416,7 +416,7 @@
     Object::Ptr created = headed(after);
     created->set("created", true);
     sendResult(out, created);
-    while (mayWatchGoOn(exchange)) {
+    while (canContinueWatch(exchange)) {
         const StoreListReply reply = memory_.watch("", after, watchCheckInterval);
         if (reply.status != StoreStatus::Ok) {
             Object::Ptr canceled = headed(reply.revision);
@@ -426,7 +426,7 @@
             return;
         }
         const Array::Ptr events = eventsInRange(reply.entries, bytesOf(call, "key"), bytesOf(call, "range_end"));
-        if (!mayWatchGoOn(exchange)) {
+        if (!canContinueWatch(exchange)) {
             break;
         }
         after = std::max(after, reply.revision);
@@ -442,7 +442,7 @@
     exchange.closeConnection();
 }
 
-bool StandInStore::mayWatchGoOn(const Exchange &exchange) const
+bool StandInStore::canContinueWatch(const Exchange &exchange) const
 {
     StandInStoreFault fault = currentFault();
     while (fault.isFrozen && exchange.waitUntil(BootClock::now() + watchCheckInterval)) {
--- a/tests/stand_ins/stand_in_store.h
+++ b/tests/stand_ins/stand_in_store.h
@@ -17,37 +17,37 @@
 namespace Lovageloft::StandIns
 {
 
-/// How a stand-in store misbehaves until told otherwise.
+/// Faults of a stand-in store, which last until they are replaced.
 struct StandInStoreFault
 {
-    Duration delay{}; ///< Waits before each call, and performs it even when the caller has given up by then.
-    bool isDown = false; ///< Answers 503 as etcd does without a leader, and ends all watches.
+    Duration delay{}; ///< Time before each call is performed, even if the caller has given up by then.
+    bool isDown = false; ///< Responds with 503, as etcd does without a leader, and ends all watches.
     bool closesConnections = false; ///< Closes each connection instead of performing the call.
-    bool isFrozen = false; ///< Takes calls and says nothing.
-    Duration trickle{}; ///< Waits before each piece of an answer.
-    std::size_t trickleBytes = 1; ///< Of such a piece.
-    std::int64_t lostAnswers = 0; ///< So many writes are performed, and the connection closed without an answer.
+    bool isFrozen = false; ///< Accepts calls and sends nothing.
+    Duration trickle{}; ///< Time before each piece of a response.
+    std::size_t trickleBytes = 1; ///< Size of such a piece.
+    std::int64_t lostAnswers = 0; ///< Number of writes that are performed without a response; the connection is closed.
 };
 
-/// The platform's key-value service as the router sees it: etcd v3's HTTP/JSON mapping over a MemoryStore, with
+/// The platform's key-value service as seen by the router: etcd v3's HTTP/JSON mapping of a MemoryStore, with
 /// faults on demand. A txn may hold one comparison, of one key, that guards one write of that key; creation revisions
-/// and versions can be compared with 0 only and stand in no answer. Range options beside the keys are ignored.
+/// and versions can be compared with 0 only and are in no response. Range options other than the keys are ignored.
 class StandInStore
 {
 public:
-    /// Serves on `port`, or on a free one for 0; keeps `historyLimit` writes for watches.
+    /// Listens on `port`, 0 for any free one. Keeps `historyLimit` writes for watches.
     explicit StandInStore(std::uint16_t port = 0, std::size_t historyLimit = 4096);
 
     const StandInServer &server() const;
 
     void setFault(const StandInStoreFault &fault);
 
-    /// All connections that exist now go silent for good, their watches too; new ones work. So does a stateful
-    /// firewall that has lost track of them.
+    /// Stops all traffic on the existing connections, also on those with watches; new ones work. The same happens when a stateful
+    /// firewall loses its connection table.
     void silenceOpenConnections();
 
-    /// How often a kind of call has come: "range", "put", "txn", "deleterange", "watch", "grant", "keepalive",
-    /// "revoke". A waiting watch counts as one.
+    /// Number of calls of a kind: "range", "put", "txn", "deleterange", "watch", "grant", "keepalive",
+    /// "revoke". A pending watch counts as one.
     std::int64_t callCount(const std::string &kind) const;
 
 private:
@@ -64,8 +64,8 @@
 
     void countCall(const Exchange &exchange, const std::string &kind);
     StandInStoreFault currentFault() const;
-    bool showFault(Exchange &exchange, const StandInStoreFault &fault);
-    bool takeLostAnswer();
+    bool applyFault(Exchange &exchange, const StandInStoreFault &fault);
+    bool consumeLostAnswer();
     bool isSilenced(const Exchange &exchange) const;
 
     Answer range(const JsonBody &call);
@@ -76,7 +76,7 @@
     Answer keepLeaseAlive(const JsonBody &call);
     Answer revokeLease(const JsonBody &call);
     void watch(Exchange &exchange);
-    bool mayWatchGoOn(const Exchange &exchange) const;
+    bool canContinueWatch(const Exchange &exchange) const;
 
     StoreListReply entriesOf(const JsonBody &call);
     Poco::JSON::Object::Ptr rangeResult(const JsonBody &call);
@@ -86,9 +86,9 @@
     mutable std::mutex mutex_;
     StandInStoreFault fault_;
     std::map<std::string, std::int64_t> callCounts_;
-    std::set<std::string> connections_; // Addresses of the callers' ends.
+    std::set<std::string> connections_; ///< Addresses of the callers.
     std::set<std::string> silencedConnections_;
-    StandInServer server_; // Last, so that it stops before the rest goes.
+    StandInServer server_; ///< Last member, so that it stops before the others are destroyed.
 };
 
 } // namespace Lovageloft::StandIns
--- a/tests/stand_ins/test_port_reservation.cpp
+++ b/tests/stand_ins/test_port_reservation.cpp
@@ -6,8 +6,8 @@
 
 using namespace Lovageloft::StandIns;
 
-// Guards against two tests that are given the same port, of which the one that starts its host later finds it taken.
-BOOST_AUTO_TEST_CASE(aPortIsNotGivenOutAgainBeforeItIsBound)
+// Guards against two tests that get the same port: the host that is started later could not listen on it.
+BOOST_AUTO_TEST_CASE(aReservedPortIsNotReservedAgain)
 {
     constexpr std::size_t start = 4'321;
     const PortReservation first(5, start);
--- a/tests/stand_ins/test_stand_in_engine.cpp
+++ b/tests/stand_ins/test_stand_in_engine.cpp
@@ -55,18 +55,17 @@
         options.address = engine.server().address();
         options.streams = 8;
         options.requests = 64;
-        options.maximumTokens = 50;
+        options.maxCompletionTokens = 50;
         options.isStream = isStream;
         const StandInCallerResult result = runStandInCallers(options);
         BOOST_TEST(result.complete == options.requests);
-        BOOST_TEST(result.chunks == (isStream ? options.requests * options.maximumTokens : options.requests));
+        BOOST_TEST(result.chunks == (isStream ? options.requests * options.maxCompletionTokens : options.requests));
     }
 }
 
-BOOST_AUTO_TEST_CASE(callersTellEachFault)
+BOOST_AUTO_TEST_CASE(callersDetectEachFault)
 {
-    // An engine breaks off, sends rubbish, mixes answers up, goes silent, refuses or leaves out the end. A caller that
-    // took any of these for a whole answer would make every benchmark and test of the router worthless.
+    // Guards against callers that count a faulty response as complete, which would invalidate all benchmarks and tests of the router.
     struct Example
     {
         std::string fault;
@@ -94,7 +93,7 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(resumedAnswerGoesOnFromTheTokenAskedFor)
+BOOST_AUTO_TEST_CASE(resumedAnswerContinuesFromTheRequestedToken)
 {
     const std::string answer = post("/v1/completions", R"({"prompt":"x","max_tokens":4})", "2");
     BOOST_TEST(answer.find(R"("text":"tok2 tok3 ")") != std::string::npos);
--- a/tests/system/stream_outcome.cpp
+++ b/tests/system/stream_outcome.cpp
@@ -33,7 +33,7 @@
         if (event.starts_with(R"({"error")")) {
             return rest.empty() ? StreamOutcome::EndedWithError : StreamOutcome::Misleading;
         }
-        if (!checker.takeEvent(event)) {
+        if (!checker.addEvent(event)) {
             return StreamOutcome::Misleading;
         }
     }
