lovageloftctl shows the rollouts that a host knows, and explain the rollout of a request

Cause: neither told an operator why a request ran on a new version. Tests: theTimelineTellsTheRolloutOfTheVersionThatRanARequest, operatorsReadWhatTheHostBelieves.

--- a/main/lovageloftctl.cpp
+++ b/main/lovageloftctl.cpp
@@ -29,10 +29,11 @@
     bool isJson = false;
 };
 
-constexpr std::string_view usage = "Operators' calls. Commands: status | teams | engines | hosts | leader | audit [FROM] | drain | ticket apply FILE | "
-                                   "ticket show NUMBER | settings check FILE | explain REQUEST [FILE]. "
-                                   "The key is read from --key-file or the environment variable LOVAGELOFT_OPERATOR_KEY. "
-                                   "Exit codes: 0 done, 1 refused or outcome not known, 2 wrong arguments or settings, 3 the host gave no answer.";
+constexpr std::string_view usage =
+    "Operators' calls. Commands: status | teams | engines | hosts | leader | rollouts | audit [FROM] | drain | ticket apply FILE | "
+    "ticket show NUMBER | settings check FILE | explain REQUEST [FILE]. "
+    "The key is read from --key-file or the environment variable LOVAGELOFT_OPERATOR_KEY. "
+    "Exit codes: 0 done, 1 refused or outcome not known, 2 wrong arguments or settings, 3 the host gave no answer.";
 
 std::optional<Arguments> parseArguments(int argc, char **argv)
 {
@@ -137,6 +138,11 @@
     return call(arguments, "GET", "/operator/leader", {});
 }
 
+int showRollouts(const Arguments &arguments)
+{
+    return call(arguments, "GET", "/operator/rollouts", {});
+}
+
 int showAudit(const Arguments &arguments)
 {
     return call(arguments, "GET", "/operator/audit", {});
@@ -212,6 +218,7 @@
     {{"engines", ""}, 0, &showEngines},
     {{"hosts", ""}, 0, &showHosts},
     {{"leader", ""}, 0, &showLeader},
+    {{"rollouts", ""}, 0, &showRollouts},
     {{"audit", ""}, 0, &showAudit},
     {{"audit", ""}, 1, &showAuditFrom},
     {{"drain", ""}, 0, &drain},
--- a/main/request_timeline.cpp
+++ b/main/request_timeline.cpp
@@ -50,6 +50,7 @@
     {"relays_heard", "relays", "prefix", false},
     {"weights_named", "weights", "model", false},
     {"leader_known", "leader", "", false},
+    {"rollout_known", "rollout", "service", false},
     {"target_known", "target", "target", true},
     {"target_gone", "target", "target", true},
 });
--- a/tests/main/test_request_timeline.cpp
+++ b/tests/main/test_request_timeline.cpp
@@ -50,6 +50,21 @@
 )");
 }
 
+// Guards against a request at a new version that nobody can explain, as its rollout began long before.
+BOOST_AUTO_TEST_CASE(theTimelineTellsTheRolloutOfTheVersionThatRanARequest)
+{
+    std::istringstream log(
+        R"({"time":"2026-01-30T00:14:00.100Z","host":"a","event":"rollout_known","service":"s","version":"v2","phase":"running","stage":0,"position":1}
+{"time":"2026-01-30T00:14:30.100Z","host":"a","event":"rollout_known","service":"s","version":"v2","phase":"running","stage":1,"position":2}
+{"time":"2026-01-30T00:15:02.500Z","host":"a","event":"request_sent","request":"r1","target":"i-1","version":"v2","trial":true}
+)");
+    RequestTimeline timeline("r1");
+    timeline.read(log);
+    BOOST_TEST(timeline.text() == R"(2026-01-30T00:14:30.100Z a  < rollout_known phase=running position=2 service=s stage=1 version=v2
+2026-01-30T00:15:02.500Z a  request_sent target=i-1 trial=true version=v2
+)");
+}
+
 BOOST_AUTO_TEST_CASE(aRequestWithoutLinesHasNoTimeline)
 {
     std::istringstream log(R"({"time":"2026-01-30T00:15:02.500Z","host":"a","event":"store_lost"})");
--- a/tests/platform/test_operators.cpp
+++ b/tests/platform/test_operators.cpp
@@ -35,6 +35,7 @@
     BOOST_TEST(contains(askOperator("/operator/targets"), R"("target":"a","service":"s")"));
     BOOST_TEST(contains(askOperator("/operator/hosts"), R"("host":"host")"));
     BOOST_TEST(contains(askOperator("/operator/leader"), R"({"leader":"host","told_by":"host"})"));
+    BOOST_TEST(contains(askOperator("/operator/rollouts"), R"({"rollouts":[]})"));
     BOOST_TEST(askOperator("/operator/nothing").empty());
     for (const char *path : {"/operator/status", "/operator/teams", "/operator/targets"}) {
         BOOST_TEST(!contains(askOperator(path), R"("k")"));
