A report that was overtaken does not count twice; the coordinator has its name

Cause: read as a newcomer. ExposurePool took the requests between an overtaken report and the next one for new ones, so a version could have got its share of them twice. RolloutConductor was named by a metaphor.

Change: a report with fewer requests than the last one of its process is ignored; RolloutConductor is RolloutCoordinator, spoil() applyFaults().

Result: allHostsTogetherKeepToTheShare now overtakes reports.

--- a/decision/exposure_pool.cpp
+++ b/decision/exposure_pool.cpp
@@ -83,7 +83,10 @@
         known = {};
         known.usage.process = usage.process;
     }
-    known.newRequests = usage.requests - std::min(usage.requests, known.usage.requests);
+    if (usage.requests < known.usage.requests) {
+        return; // An earlier report that arrived late: its requests were counted already.
+    }
+    known.newRequests = usage.requests - known.usage.requests;
     earned_ += share_ * known.newRequests;
     if (usage.allowance > known.granted) {
         granted_ += usage.allowance - known.granted;
--- a/gateway/rollout_conductor.cpp
+++ b/gateway/rollout_coordinator.cpp
@@ -1,4 +1,4 @@
-#include "gateway/rollout_conductor.h"
+#include "gateway/rollout_coordinator.h"
 
 #include <algorithm>
 #include <utility>
@@ -8,12 +8,12 @@
 namespace Lovageloft
 {
 
-RolloutConductor::RolloutConductor(std::string service)
+RolloutCoordinator::RolloutCoordinator(std::string service)
     : service_(std::move(service))
 {
 }
 
-void RolloutConductor::setOrder(const SeenRolloutOrder &seen, TimePoint now)
+void RolloutCoordinator::setOrder(const SeenRolloutOrder &seen, TimePoint now)
 {
     if (seen.revision == leader_.orderRevision() && leader_.order()) {
         return;
@@ -28,12 +28,12 @@
     answersBefore_ = 0;
 }
 
-void RolloutConductor::removeOrder()
+void RolloutCoordinator::removeOrder()
 {
     leader_.removeOrder();
 }
 
-void RolloutConductor::setRecord(const RolloutRecord &record, TimePoint now)
+void RolloutCoordinator::setRecord(const RolloutRecord &record, TimePoint now)
 {
     const int before = stage();
     leader_.setRecord(record, now);
@@ -42,12 +42,12 @@
     }
 }
 
-void RolloutConductor::setHosts(const std::vector<std::string> &hosts, TimePoint now)
+void RolloutCoordinator::setHosts(const std::vector<std::string> &hosts, TimePoint now)
 {
     leader_.setHosts(hosts, now);
 }
 
-std::optional<RolloutReply> RolloutConductor::onReport(const std::string &host, RolloutReport &&report, const Context &context, TimePoint now)
+std::optional<RolloutReply> RolloutCoordinator::onReport(const std::string &host, RolloutReport &&report, const Context &context, TimePoint now)
 {
     leader_.onReport(host, report.progress, now);
     if (!leader_.order() || report.progress.order != leader_.orderRevision() || !leader_.record()) {
@@ -71,7 +71,7 @@
     return reply;
 }
 
-std::optional<RolloutRecord> RolloutConductor::step(const Context &context, TimePoint now)
+std::optional<RolloutRecord> RolloutCoordinator::step(const Context &context, TimePoint now)
 {
     leader_.setSilentTime(context.silentTime);
     const RolloutPlan limits = plan(context);
@@ -106,17 +106,17 @@
     return record;
 }
 
-const RolloutLeader &RolloutConductor::leader() const
+const RolloutLeader &RolloutCoordinator::leader() const
 {
     return leader_;
 }
 
-RolloutPlan RolloutConductor::plan(const Context &context) const
+RolloutPlan RolloutCoordinator::plan(const Context &context) const
 {
     return {context.limits, leader_.order() ? leader_.order()->duration : Duration::zero(), context.hosts};
 }
 
-int RolloutConductor::stage() const
+int RolloutCoordinator::stage() const
 {
     return leader_.record() ? leader_.record()->stage : 0;
 }
--- a/gateway/rollout_conductor.h
+++ b/gateway/rollout_coordinator.h
@@ -14,10 +14,10 @@
 
 /// The leader's part in the rollout of one service: gathers the reports of all hosts, decides by them, and grants requests to the ordered
 /// version. For use on the event loop only.
-class RolloutConductor
+class RolloutCoordinator
 {
 public:
-    /// What the conductor needs to know of its host at each call.
+    /// What the coordinator needs to know of its host at each call.
     struct Context
     {
         bool isLeading = false; ///< This host holds the leader lease and knows the operators' orders.
@@ -29,7 +29,7 @@
         Duration silentTime{}; ///< See RolloutLeader.
     };
 
-    explicit RolloutConductor(std::string service);
+    explicit RolloutCoordinator(std::string service);
 
     void setOrder(const SeenRolloutOrder &seen, TimePoint now);
     void removeOrder();
--- a/gateway/rollouts.cpp
+++ b/gateway/rollouts.cpp
@@ -11,7 +11,7 @@
 
 Rollouts::Service::Service(const std::string &name, std::uint64_t process)
     : client(process)
-    , conductor(name)
+    , coordinator(name)
 {
 }
 
@@ -47,7 +47,7 @@
 {
     hosts_ = hosts;
     for (auto &[name, service] : services_) {
-        service.conductor.setHosts(hosts_, BootClock::now());
+        service.coordinator.setHosts(hosts_, BootClock::now());
     }
 }
 
@@ -65,7 +65,7 @@
 {
     versions_.setOrder(name, seen.order.version);
     Service &service = serviceOf(name);
-    service.conductor.setOrder(seen, BootClock::now());
+    service.coordinator.setOrder(seen, BootClock::now());
     if (seen.order.version.empty()) {
         service.order.reset();
     } else if (!service.order || service.order->revision != seen.revision) {
@@ -79,7 +79,7 @@
 {
     versions_.removeOrder(name);
     Service &service = serviceOf(name);
-    service.conductor.removeOrder();
+    service.coordinator.removeOrder();
     service.order.reset();
     updateCandidates();
 }
@@ -93,7 +93,7 @@
     const bool wasSwitching = service.record && service.record->phase == RolloutPhase::Switching && service.record->order == record.order;
     service.record = record;
     service.client.onPosition(record.position);
-    service.conductor.setRecord(record, BootClock::now());
+    service.coordinator.setRecord(record, BootClock::now());
     if (record.phase == RolloutPhase::Completed && wasSwitching) {
         versions_.setServing(name, record.version);
     }
@@ -137,7 +137,7 @@
             service.nextReport = now + planOf(service).reportInterval();
             report(name, service, now);
         }
-        if (const auto record = service.conductor.step(contextOf(name), now)) {
+        if (const auto record = service.coordinator.step(contextOf(name), now)) {
             writer_(name, *record);
         }
     }
@@ -166,7 +166,7 @@
     if (service == services_.end()) {
         return std::nullopt;
     }
-    return service->second.conductor.onReport(host, std::move(report), contextOf(service->first), BootClock::now());
+    return service->second.coordinator.onReport(host, std::move(report), contextOf(service->first), BootClock::now());
 }
 
 void Rollouts::onReply(const RolloutReply &reply)
@@ -209,7 +209,7 @@
         return found->second;
     }
     Service &service = services_.emplace(std::piecewise_construct, std::forward_as_tuple(name), std::forward_as_tuple(name, process_)).first->second;
-    service.conductor.setHosts(hosts_, BootClock::now());
+    service.coordinator.setHosts(hosts_, BootClock::now());
     return service;
 }
 
@@ -223,9 +223,9 @@
     return !isCurrent || service.record->phase == RolloutPhase::Running;
 }
 
-RolloutConductor::Context Rollouts::contextOf(const std::string &name) const
+RolloutCoordinator::Context Rollouts::contextOf(const std::string &name) const
 {
-    RolloutConductor::Context context;
+    RolloutCoordinator::Context context;
     context.leaseUntil = leaseUntil_();
     context.isLeading = areOrdersKnown_ && leader_ == hostName_ && BootClock::now() < context.leaseUntil;
     context.limits = limits_;
--- a/gateway/rollouts.h
+++ b/gateway/rollouts.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "gateway/rollout_client.h"
-#include "gateway/rollout_conductor.h"
+#include "gateway/rollout_coordinator.h"
 #include "gateway/version_guard.h"
 
 namespace Lovageloft
@@ -97,13 +97,13 @@
         std::optional<SeenRolloutOrder> order; ///< Only one that can be read.
         std::optional<RolloutRecord> record;
         RolloutClient client;
-        RolloutConductor conductor;
+        RolloutCoordinator coordinator;
         TimePoint nextReport;
     };
 
     Service &serviceOf(const std::string &name);
     static bool isRunning(const Service &service);
-    RolloutConductor::Context contextOf(const std::string &name) const;
+    RolloutCoordinator::Context contextOf(const std::string &name) const;
     RolloutPlan planOf(const Service &service) const;
     void report(const std::string &name, Service &service, TimePoint now);
 
--- a/tests/decision/replay/rollout_replay.cpp
+++ b/tests/decision/replay/rollout_replay.cpp
@@ -125,7 +125,7 @@
         if (isCandidate) {
             recent_.push_back(now_);
             std::erase_if(recent_, [this](Duration at) { return at + loadTime < now_; });
-            spoil(answer);
+            applyFaults(answer);
             result_.requests = requests_;
             ++result_.exposed;
             if (fiftiethAt_) {
@@ -135,7 +135,7 @@
         running_.emplace(now_ + fromSeconds(answer.isFailure ? answer.seconds / 4 : answer.seconds), answer);
     }
 
-    void spoil(Answer &answer)
+    void applyFaults(Answer &answer)
     {
         const bool isHit = now_ >= faults_.from && (!faults_.onlyRoute || answer.route == *faults_.onlyRoute) && (!faults_.onlyUnderLoad || isLoaded());
         if (isHit && draw(faults_.failedShare)) {
--- a/tests/decision/test_rollout.cpp
+++ b/tests/decision/test_rollout.cpp
@@ -111,6 +111,7 @@
         const std::size_t hosts = 1 + randomBelow(random, 12);
         std::vector<ExposureBudget> budgets(hosts);
         std::vector<std::uint64_t> processes(hosts, 1);
+        std::vector<ExposurePool::Usage> earlier(hosts); ///< The report before the last one.
         ExposurePool pool;
         double requests = 0;
         double exposed = 0;
@@ -122,7 +123,12 @@
             exposed += budgets[host].tryExpose(route) ? 1 : 0;
             if (randomBelow(random, 10) == 0) {
                 pool.setLimits(limits.share, limits.slack);
-                pool.onReport(std::to_string(host), {processes[host], budgets[host].requests(), budgets[host].exposed(), budgets[host].allowance()});
+                const ExposurePool::Usage usage{processes[host], budgets[host].requests(), budgets[host].exposed(), budgets[host].allowance()};
+                pool.onReport(std::to_string(host), usage);
+                if (randomBelow(random, 4) == 0 && earlier[host].process == processes[host]) {
+                    pool.onReport(std::to_string(host), earlier[host]); // Overtaken by the newer one.
+                }
+                earlier[host] = usage;
                 const std::uint32_t allowance = pool.allowanceOf(std::to_string(host), randomBelow(random, 4) == 0);
                 if (randomBelow(random, 5) != 0) { // Some replies are lost.
                     budgets[host].setAllowance(allowance);
--- a/tests/system/test_rollout.cpp
+++ b/tests/system/test_rollout.cpp
@@ -38,8 +38,8 @@
 class Fleet
 {
 public:
-    explicit Fleet(std::function<void(std::string &version, int &status, Duration &time)> spoil)
-        : spoil_(std::move(spoil))
+    explicit Fleet(std::function<void(std::string &version, int &status, Duration &time)> applyFaults)
+        : applyFaults_(std::move(applyFaults))
         , ports_(portsPerHost * hostCount, static_cast<std::size_t>(::getpid()) * 40)
         , folder_(Poco::TemporaryFile::tempName())
     {
@@ -99,7 +99,7 @@
                     Duration time = 20ms;
                     std::string served = version;
                     ++(version == "v1" ? atOld_ : atNew_);
-                    spoil_(served, status, time);
+                    applyFaults_(served, status, time);
                     std::this_thread::sleep_for(time);
                     connection.answer(request, status, "whole");
                 }));
@@ -190,7 +190,7 @@
         }
     }
 
-    std::function<void(std::string &, int &, Duration &)> spoil_;
+    std::function<void(std::string &, int &, Duration &)> applyFaults_;
     StandIns::PortReservation ports_;
     std::string folder_;
     StandInKvStore store_;
