One piece of code for a datagram's bytes, a record's words and a held lease

Cause: the codec of roll-outs and the traffic counter had written again what PeerSocket already did (encoding a message; copying a datagram to aligned words and reading its root), the roll-out record had a twin of the host record's consumeWord, and LeaseHolder::heldUntil() repeated the condition of isHeld().

Change: gateway/datagram_codec has encodeDatagram() and DatagramReader, used by all three; core/words has consumeWord(); isHeld() asks heldUntil(). Nothing else differs.

--- a/coordination/lease_holder.cpp
+++ b/coordination/lease_holder.cpp
@@ -61,7 +61,7 @@
 
 bool LeaseHolder::isHeld(TimePoint now) const
 {
-    return token_ != 0 && now < deadline_ && eraOf(token_) == store_.era();
+    return now < heldUntil();
 }
 
 TimePoint LeaseHolder::heldUntil() const
--- a/coordination/rollout_record.cpp
+++ b/coordination/rollout_record.cpp
@@ -4,6 +4,8 @@
 #include <array>
 #include <charconv>
 
+#include "core/words.h"
+
 namespace Lovageloft
 {
 
@@ -13,14 +15,6 @@
 /// In the order of RolloutPhase.
 constexpr std::array<std::string_view, 4> phaseNames{"running", "switching", "completed", "rolled_back"};
 
-std::string_view consumeWord(std::string_view &text)
-{
-    const std::size_t end = std::min(text.find(' '), text.size());
-    const std::string_view word = text.substr(0, end);
-    text.remove_prefix(std::min(end + 1, text.size()));
-    return word;
-}
-
 bool consumeNumber(std::string_view &text, std::int64_t &number)
 {
     const std::string_view word = consumeWord(text);
--- /dev/null
+++ b/gateway/datagram_codec.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
+#include "gateway/peer_messages.capnp.h"
+
+namespace Lovageloft
+{
+
+/// The bytes of a message, as sent in a datagram.
+std::string encodeDatagram(capnp::MessageBuilder &message);
+
+/// Decodes a datagram from bytes of any alignment; a trailing part of a word is ignored.
+class DatagramReader
+{
+public:
+    /// Throws kj::Exception if the bytes are no message.
+    explicit DatagramReader(std::string_view bytes);
+
+    /// Valid as long as the reader. Throws kj::Exception if the message has no valid root.
+    PeerMessages::Datagram::Reader root();
+
+private:
+    std::vector<std::uint64_t> words_; ///< A copy, as Cap'n Proto requires alignment, which nested datagrams don't have.
+    capnp::FlatArrayMessageReader reader_;
+};
+
+} // namespace Lovageloft
--- a/gateway/host_record.cpp
+++ b/gateway/host_record.cpp
@@ -1,9 +1,10 @@
 #include "gateway/host_record.h"
 
-#include <algorithm>
 #include <charconv>
 #include <cmath>
 
+#include "core/words.h"
+
 namespace Lovageloft
 {
 
@@ -12,15 +13,6 @@
 
 constexpr double thousandthsPerUnit = 1'000;
 
-/// Removes the first word from the text and returns it.
-std::string_view consumeWord(std::string_view &text)
-{
-    const std::size_t end = std::min(text.find(' '), text.size());
-    const std::string_view word = text.substr(0, end);
-    text.remove_prefix(std::min(end + 1, text.size()));
-    return word;
-}
-
 double parseThousandths(std::string_view word)
 {
     std::uint32_t value = 0;
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -1,15 +1,14 @@
 #include "gateway/peer_socket.h"
 
 #include <algorithm>
-#include <cstring>
 #include <random>
 
 #include <capnp/message.h>
-#include <capnp/serialize.h>
 #include <kj/exception.h>
 
 #include "coordination/broadcast_plan.h"
 #include "core/log.h"
+#include "gateway/datagram_codec.h"
 #include "gateway/deflate.h"
 #include "gateway/peer_messages.capnp.h"
 #include "gateway/rollout_codec.h"
@@ -49,13 +48,6 @@
 /// Encodes an unknown duration.
 constexpr std::uint32_t unknownMilliseconds = 0xffffffff;
 
-std::string encode(capnp::MessageBuilder &message)
-{
-    const auto words = capnp::messageToFlatArray(message);
-    const auto bytes = words.asChars();
-    return {bytes.begin(), bytes.size()};
-}
-
 kj::ArrayPtr<const unsigned char> toBytes(std::string_view text)
 {
     return kj::arrayPtr(reinterpret_cast<const unsigned char *>(text.data()), text.size());
@@ -74,7 +66,7 @@
     }
     capnp::MallocMessageBuilder message;
     message.initRoot<Datagram>().setPacked(toBytes(deflated(datagram)));
-    return encode(message);
+    return encodeDatagram(message);
 }
 
 std::string encodeForward(std::string_view datagram, std::span<const udp::endpoint> receivers)
@@ -86,7 +78,7 @@
         addresses.set(i, (std::uint64_t{receivers[i].address().to_v4().to_uint()} << portBits) | receivers[i].port());
     }
     forward.setDatagram(toBytes(datagram));
-    return encode(message);
+    return encodeDatagram(message);
 }
 
 udp::endpoint decodeEndpoint(std::uint64_t address)
@@ -145,7 +137,7 @@
     for (const bool withValues : {true, false}) {
         capnp::MallocMessageBuilder message;
         writeChanges(message.initRoot<Datagram>().initChanges(), notice, entries, withValues);
-        datagram = deflatedIfLong(encode(message));
+        datagram = deflatedIfLong(encodeDatagram(message));
         if (datagram.size() <= maxSentDatagramBytes) {
             break;
         }
@@ -157,7 +149,7 @@
 {
     capnp::MallocMessageBuilder message;
     message.initRoot<Datagram>().setQuarantine(static_cast<std::uint64_t>(request));
-    return encode(message);
+    return encodeDatagram(message);
 }
 
 } // namespace
@@ -244,7 +236,7 @@
     for (unsigned i = 0; i < count; ++i) {
         blocks.set(i, announced[i]);
     }
-    broadcastBytes(encode(message));
+    broadcastBytes(encodeDatagram(message));
 }
 
 void PeerSocket::broadcast(const LoadingNotice &notice)
@@ -253,7 +245,7 @@
     auto loading = message.initRoot<Datagram>().initLoading();
     loading.setTarget(notice.target);
     loading.setMilliseconds(static_cast<std::uint32_t>(toMillis(notice.duration)));
-    broadcastBytes(encode(message));
+    broadcastBytes(encodeDatagram(message));
 }
 
 void PeerSocket::send(const std::string &host, const TokenRequest &request)
@@ -263,7 +255,7 @@
     encoded.setId(request.id);
     encoded.setTeam(request.team);
     encoded.setTokens(request.tokens);
-    sendTo(host, encode(message));
+    sendTo(host, encodeDatagram(message));
 }
 
 void PeerSocket::send(const std::string &host, const TokenReply &reply)
@@ -273,14 +265,14 @@
     encoded.setId(reply.id);
     encoded.setIsGranted(reply.isGranted);
     encoded.setRetryAfterMilliseconds(static_cast<std::uint32_t>(toMillis(reply.retryAfter)));
-    sendTo(host, encode(message));
+    sendTo(host, encodeDatagram(message));
 }
 
 void PeerSocket::send(const std::string &host, const WeightsRequest & /*request*/)
 {
     capnp::MallocMessageBuilder message;
     message.initRoot<Datagram>().setWeightsQuestion();
-    sendTo(host, encode(message));
+    sendTo(host, encodeDatagram(message));
 }
 
 void PeerSocket::send(const std::string &host, const WeightsAge &age)
@@ -290,7 +282,7 @@
     encoded.setModel(age.model);
     encoded.setVersion(age.version);
     encoded.setAgeMilliseconds(static_cast<std::uint64_t>(std::max<std::int64_t>(0, toMillis(age.age))));
-    sendTo(host, encode(message));
+    sendTo(host, encodeDatagram(message));
 }
 
 void PeerSocket::send(const std::string &host, const CrashReport &report)
@@ -299,7 +291,7 @@
     auto encoded = message.initRoot<Datagram>().initCrashReport();
     encoded.setRequest(static_cast<std::uint64_t>(report.request));
     encoded.setTarget(report.target);
-    sendTo(host, encode(message));
+    sendTo(host, encodeDatagram(message));
 }
 
 void PeerSocket::send(const std::string &host, RequestFingerprint quarantined)
@@ -318,7 +310,7 @@
     auto store = message.initRoot<Datagram>().initCacheStore();
     store.setAddress(notice.address);
     store.setIsAlive(notice.isAlive);
-    broadcastBytes(encode(message));
+    broadcastBytes(encodeDatagram(message));
 }
 
 void PeerSocket::broadcast(const ChangesNotice &notice)
@@ -354,7 +346,7 @@
     for (unsigned i = 0; i < bundle.size(); ++i) {
         bundle.set(i, toBytes(encodeChanges(notices[i], {})));
     }
-    broadcastBytes(encode(message));
+    broadcastBytes(encodeDatagram(message));
 }
 
 void PeerSocket::send(const std::string &host, const ChangesRequest &request)
@@ -364,7 +356,7 @@
     encoded.setId(request.id);
     encoded.setPrefix(request.prefix);
     encoded.setAfter(request.after);
-    sendTo(host, encode(message));
+    sendTo(host, encodeDatagram(message));
 }
 
 void PeerSocket::send(const std::string &host, const ChangesReply &reply)
@@ -374,7 +366,7 @@
     encoded.setId(reply.id);
     encoded.setAgeMicroseconds(static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::microseconds>(reply.age).count()));
     writeChanges(encoded.initChanges(), reply.changes, reply.changes.entries, true);
-    const std::string datagram = deflatedIfLong(encode(message));
+    const std::string datagram = deflatedIfLong(encodeDatagram(message));
     if (datagram.size() <= maxSentDatagramBytes) {
         sendTo(host, datagram);
     }
@@ -384,7 +376,7 @@
 {
     capnp::MallocMessageBuilder message;
     message.initRoot<Datagram>().initProofRequest().setId(request.id);
-    sendTo(host, encode(message));
+    sendTo(host, encodeDatagram(message));
 }
 
 void PeerSocket::send(const std::string &host, const ProofReply &reply)
@@ -395,7 +387,7 @@
     encoded.setRevision(reply.revision);
     encoded.setVersion(reply.version);
     encoded.setAgeMicroseconds(static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::microseconds>(reply.age).count()));
-    sendTo(host, encode(message));
+    sendTo(host, encodeDatagram(message));
 }
 
 void PeerSocket::send(const std::string &host, const RolloutReport &report)
@@ -467,11 +459,8 @@
 void PeerSocket::handleDatagram(std::string_view bytes, const std::string &host)
 {
     try {
-        // Copied, as Cap'n Proto requires alignment, which nested datagrams don't have.
-        std::vector<std::uint64_t> words(bytes.size() / sizeof(std::uint64_t));
-        std::memcpy(words.data(), bytes.data(), words.size() * sizeof(std::uint64_t));
-        capnp::FlatArrayMessageReader reader(kj::arrayPtr(reinterpret_cast<const capnp::word *>(words.data()), words.size()));
-        const auto datagram = reader.getRoot<Datagram>();
+        DatagramReader reader(bytes);
+        const auto datagram = reader.root();
         switch (datagram.which()) {
         case Datagram::DISPATCH: {
             const auto dispatch = datagram.getDispatch();
--- a/gateway/peer_traffic.cpp
+++ b/gateway/peer_traffic.cpp
@@ -2,12 +2,11 @@
 
 #include <algorithm>
 #include <array>
-#include <cstring>
 #include <iterator>
 
-#include <capnp/serialize.h>
 #include <kj/exception.h>
 
+#include "gateway/datagram_codec.h"
 #include "gateway/peer_messages.capnp.h"
 
 namespace Lovageloft
@@ -43,11 +42,8 @@
 std::string_view messageOf(std::string_view bytes)
 {
     try {
-        // Copied, as Cap'n Proto requires alignment, which nested datagrams don't have.
-        std::vector<std::uint64_t> words(bytes.size() / sizeof(std::uint64_t));
-        std::memcpy(words.data(), bytes.data(), words.size() * sizeof(std::uint64_t));
-        capnp::FlatArrayMessageReader reader(kj::arrayPtr(reinterpret_cast<const capnp::word *>(words.data()), words.size()));
-        const auto datagram = reader.getRoot<Datagram>();
+        DatagramReader reader(bytes);
+        const auto datagram = reader.root();
         if (datagram.which() == Datagram::FORWARD) {
             const auto chars = datagram.getForward().getDatagram().asChars();
             return messageOf({chars.begin(), chars.size()});
--- a/gateway/rollout_codec.cpp
+++ b/gateway/rollout_codec.cpp
@@ -3,7 +3,8 @@
 #include <algorithm>
 
 #include <capnp/message.h>
-#include <capnp/serialize.h>
+
+#include "gateway/datagram_codec.h"
 
 namespace Lovageloft
 {
@@ -13,13 +14,6 @@
 
 using Counts = capnp::List<std::uint32_t>;
 
-std::string encode(capnp::MessageBuilder &message)
-{
-    const auto words = capnp::messageToFlatArray(message);
-    const auto bytes = words.asChars();
-    return {bytes.begin(), bytes.size()};
-}
-
 void writeCounts(Counts::Builder list, const AnswerCounts &counts)
 {
     for (unsigned i = 0; i < counts.answered.size(); ++i) {
@@ -69,7 +63,7 @@
         targets[i].setAnswers(target.answers);
         targets[i].setBad(target.bad);
     }
-    return encode(message);
+    return encodeDatagram(message);
 }
 
 std::string encodeRolloutReply(const RolloutReply &reply)
@@ -86,7 +80,7 @@
     for (unsigned i = 0; i < excluded.size(); ++i) {
         excluded.set(i, reply.excludedTargets[i]);
     }
-    return encode(message);
+    return encodeDatagram(message);
 }
 
 RolloutReport readRolloutReport(PeerMessages::RolloutReport::Reader reader)
