--- a/decision/version_judge.cpp
+++ b/decision/version_judge.cpp
@@ -99,11 +99,6 @@
     return slow;
 }
 
-bool VersionJudge::isBad() const
-{
-    return level() >= 1;
-}
-
 double VersionJudge::level() const
 {
     double highest = 0;
--- a/decision/version_judge.h
+++ b/decision/version_judge.h
@@ -40,8 +40,6 @@
     /// base of the next comparison.
     void update(std::uint64_t route, const AnswerCounts &serving, const AnswerCounts &candidate);
 
-    bool isBad() const;
-
     /// The highest level of all routes; see RatioTest::level().
     double level() const;
 
