A host says which of its links to targets it has lost

A connect that failed looked the same whether the target was down or this host had lost its link to it, and nothing summed it up over targets. Nothing decides by it yet.

--- /dev/null
+++ b/decision/relay_selector.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/random.h"
+
+namespace Lovageloft
+{
+
+/// A host that may relay connections to targets.
+struct RelayHost
+{
+    std::string name;
+    std::string dataCentre;
+};
+
+/// Chooses the host that relays a connection to a target which this host can't reach directly. Hosts that have relayed lately come first, so
+/// that a host which has found a few of them does not ask those that are cut off as well; then come hosts of the same data centre. Among
+/// equals the choice is random, so that the hosts which are left share the load. Not thread-safe; performs no I/O and reads no clock.
+class RelaySelector
+{
+public:
+    /// Sets the other hosts, and the data centre of this one. Hosts that are still listed keep their state.
+    void setHosts(std::span<const RelayHost> hosts, std::string_view dataCentre);
+
+    /// Chooses a host that is not in `excluded`; nothing if all are excluded or have failed lately.
+    std::optional<std::string> choose(std::span<const std::string> excluded, TimePoint now, Random &random) const;
+
+    /// The host has relayed a connection to a target.
+    void onRelayed(std::string_view host, TimePoint now);
+
+    /// The host could not be reached or refused to relay; it is not chosen for a second.
+    void onFailed(std::string_view host, TimePoint now);
+
+    bool isEmpty() const;
+
+private:
+    struct Record
+    {
+        std::string dataCentre;
+        TimePoint avoidUntil;
+        TimePoint preferUntil;
+    };
+
+    std::map<std::string, Record, std::less<>> hosts_; ///< By name.
+    std::string dataCentre_;
+};
+
+} // namespace Lovageloft
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -56,7 +56,8 @@
         dispatch_.invalidateEngines();
     })
     , rollouts_(options.hostName, versions_, rolloutLinks())
-    , pool_(loop_, targetProtocol)
+    , paths_(loop_, metrics)
+    , pool_(loop_, targetProtocol, paths_)
     , fleet_(*this, options.hostName)
     , dispatch_(loop_, [this] { refreshTargets(); })
     , configurationTimer_(loop_)
@@ -192,6 +193,7 @@
     directory_.setTargets(std::move(targets));
     versions_.setTargets(directory_.all());
     rollouts_.updateCandidates();
+    paths_.setTargets(directory_.all());
     pool_.closeUnlisted(directory_.all());
     hasTargets_ = true;
     dispatch_.invalidateEngines();
@@ -501,6 +503,7 @@
 {
     const TimePoint now = BootClock::now();
     pauseDetector_.tick(now);
+    paths_.tick(now);
     pool_.closeStale(now);
     fleet_.sendHeartbeat(now);
     if (now < queryProofsUntil_) {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "gateway/status_server.h"
 #include "gateway/table_freshness.h"
 #include "gateway/target_directory.h"
+#include "gateway/target_paths.h"
 #include "gateway/target_pool.h"
 #include "gateway/version_guard.h"
 
@@ -181,6 +182,11 @@
     TargetPool &pool();
     const TargetPool &pool() const;
 
+    const TargetPaths &paths() const
+    {
+        return paths_;
+    }
+
     RequestDispatch &dispatch()
     {
         return dispatch_;
@@ -287,6 +293,7 @@
     VersionGuard versions_;
     Rollouts rollouts_;
     WeightsListener weightsListener_;
+    TargetPaths paths_;
     TargetPool pool_;
     FleetLink fleet_;
     RequestDispatch dispatch_;
--- a/gateway/target_connection.cpp
+++ b/gateway/target_connection.cpp
@@ -27,6 +27,8 @@
 
 void TargetConnection::connect(boost::asio::io_context &loop, const HostAddress &address, Duration timeout)
 {
+    connectStartedAt_ = BootClock::now();
+    connectTimeout_ = timeout;
     tcp_ = TcpConnection::connect(loop, address, timeout, *this);
 }
 
@@ -93,6 +95,7 @@
 {
     const auto self = shared_from_this();
     isConnected_ = true;
+    owner_.onConnectResult(*this, ConnectResult::Connected);
     if (events_ != nullptr) {
         sendPendingRequest();
     }
@@ -113,6 +116,9 @@
 void TargetConnection::onClosed(bool isReset)
 {
     const auto self = shared_from_this();
+    if (!isConnected_) {
+        owner_.onConnectResult(*this, connectFailure(BootClock::now() - connectStartedAt_, connectTimeout_));
+    }
     if (events_ == nullptr) {
         owner_.onIdleClosed(self);
         return;
@@ -134,6 +140,7 @@
         isReusable_ = isReusable_ && head.status < firstFinalStatus;
         return;
     }
+    owner_.onAnswered(*this);
     updateKeepAlive(head);
     isReusable_ = isReusable_ && head.version == 11 && !head.hasToken("Connection", "close");
     if (events_ != nullptr) {
--- a/gateway/target_connection.h
+++ b/gateway/target_connection.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 
+#include "decision/link_monitor.h"
 #include "drivers/http_parser.h"
 #include "drivers/tcp_connection.h"
 #include "gateway/protocol.h"
@@ -43,11 +44,15 @@
 class TargetConnection final : public std::enable_shared_from_this<TargetConnection>, private TcpEvents, private HttpEvents
 {
 public:
-    /// Notified when a connection becomes idle and can be reused, and when an idle connection was closed.
+    /// Notified of the connection attempt's result, of answers, when a connection becomes idle and can be reused, and when an idle connection
+    /// was closed.
     class Owner
     {
     public:
         virtual ~Owner() = default;
+        virtual void onConnectResult(const TargetConnection &connection, ConnectResult result) = 0;
+        /// The head of an answer was received.
+        virtual void onAnswered(const TargetConnection &connection) = 0;
         /// Called before ExchangeEvents::onAnswerEnd() of the exchange that has ended.
         virtual void onIdle(const std::shared_ptr<TargetConnection> &connection) = 0;
         virtual void onIdleClosed(const std::shared_ptr<TargetConnection> &connection) = 0;
@@ -113,6 +118,8 @@
     bool hasSentRequest_ = false;
     bool isDiscarding_ = false; ///< The message being read is not the final answer to the current request.
     bool isReusable_ = true;
+    TimePoint connectStartedAt_;
+    Duration connectTimeout_{};
     Duration keepAlive_;
     TimePoint idleSince_;
 };
--- a/gateway/target_pool.cpp
+++ b/gateway/target_pool.cpp
@@ -21,9 +21,10 @@
 
 } // namespace
 
-TargetPool::TargetPool(boost::asio::io_context &loop, const TargetProtocol &protocol)
+TargetPool::TargetPool(boost::asio::io_context &loop, const TargetProtocol &protocol, TargetPaths &paths)
     : loop_(loop)
     , protocol_(protocol)
+    , paths_(paths)
 {
 }
 
@@ -83,6 +84,16 @@
     return count;
 }
 
+void TargetPool::onConnectResult(const TargetConnection &connection, ConnectResult result)
+{
+    paths_.onConnectResult(connection.targetId(), result, BootClock::now());
+}
+
+void TargetPool::onAnswered(const TargetConnection &connection)
+{
+    paths_.onAnswered(connection.targetId(), BootClock::now());
+}
+
 void TargetPool::onIdle(const std::shared_ptr<TargetConnection> &connection)
 {
     IdleConnections &idle = idle_[connection->targetId()];
--- a/gateway/target_pool.h
+++ b/gateway/target_pool.h
@@ -7,6 +7,7 @@
 
 #include "gateway/target.h"
 #include "gateway/target_connection.h"
+#include "gateway/target_paths.h"
 
 namespace Lovageloft
 {
@@ -17,7 +18,7 @@
 class TargetPool final : private TargetConnection::Owner
 {
 public:
-    TargetPool(boost::asio::io_context &loop, const TargetProtocol &protocol);
+    TargetPool(boost::asio::io_context &loop, const TargetProtocol &protocol, TargetPaths &paths);
 
     /// Returns an idle or a new connection for one exchange. If the request is not idempotent, an idle connection is used only if it was
     /// idle for at most half of the time for which the target keeps it open, instead of 7/10: if the target closed the connection while the
@@ -36,11 +37,14 @@
 private:
     using IdleConnections = std::vector<std::shared_ptr<TargetConnection>>;
 
+    void onConnectResult(const TargetConnection &connection, ConnectResult result) override;
+    void onAnswered(const TargetConnection &connection) override;
     void onIdle(const std::shared_ptr<TargetConnection> &connection) override;
     void onIdleClosed(const std::shared_ptr<TargetConnection> &connection) override;
 
     boost::asio::io_context &loop_;
     const TargetProtocol &protocol_;
+    TargetPaths &paths_;
     std::map<std::string, IdleConnections, std::less<>> idle_; ///< By target id; the most recently used connection is last.
 };
 
