A failing test: a host without links to targets serves nobody

What callers saw: 0 of 418 first attempts served at hosts that had lost their links, 825 of 834 at the others. Measured: six of eight cases fail on this code, each with 0 served from 1 s to 3 s after the cut; with established connections that live on both pass.

--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -76,8 +76,10 @@
     /// Sends bytes on a new connection and reads until the answer is complete or the connection ends, for five seconds at most.
     std::string exchange(const std::string &bytes) const;
 
-private:
+    /// The same, to a port of the loopback interface.
     static std::string exchangeAt(std::uint16_t port, const std::string &bytes);
+
+private:
     ScriptedTarget &add(Target entry, ScriptedTarget::Script script);
     void publishTargets();
 
--- /dev/null
+++ b/tests/platform/test_host_without_links.cpp
@@ -0,0 +1,55 @@
+#define BOOST_TEST_MODULE host_without_links
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "tests/platform/fleet_fixture.h"
+
+using namespace Lovageloft;
+using namespace std::chrono_literals;
+using StandIns::LinkMode;
+
+namespace
+{
+
+constexpr std::size_t cutHost = 0;
+
+/// The time after a cut from which requests have to be served again, and for which they are counted.
+constexpr Duration settleTime = 1s;
+constexpr Duration countedTime = 2s;
+
+/// Of the first attempts at a host without links, relative to the others where these have room.
+constexpr double goal = 0.95;
+
+struct CutFixture : FleetFixture
+{
+    CutFixture()
+    {
+        for (const std::string id : {"a", "b", "c", "d"}) {
+            addTarget(id, [](Connection &connection, const Request &request) { connection.answer(request, 200, "whole"); });
+        }
+        BOOST_REQUIRE(servedShare(cutHost, "GET", "/safe/x", 300ms) == 1);
+    }
+};
+
+} // namespace
+
+BOOST_TEST_DONT_PRINT_LOG_VALUE(LinkMode)
+
+BOOST_FIXTURE_TEST_SUITE(HostWithoutLinks, CutFixture)
+
+// Guards against a host that has lost its links to all targets and refuses all requests, while other hosts reach the same targets.
+BOOST_DATA_TEST_CASE_F(CutFixture,
+                       aHostThatLostItsLinksStillServes,
+                       boost::unit_test::data::make({LinkMode::Reset, LinkMode::Silent, LinkMode::RefusesNew, LinkMode::LosesAnswers})
+                           * boost::unit_test::data::make({std::string("GET /safe/x"), std::string("POST /once/x")}),
+                       mode,
+                       call)
+{
+    const std::string method = call.substr(0, call.find(' '));
+    const std::string path = call.substr(call.find(' ') + 1);
+    setLinks(cutHost, mode);
+    servedShare(cutHost, method, path, settleTime);
+    BOOST_TEST(servedShare(cutHost, method, path, countedTime) >= goal);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
