--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -46,6 +46,8 @@
     {"lovageloft_prompt_tokens_total", "Prompt tokens of answered requests."},
     {"lovageloft_queue_seconds", "Time from reading a request to sending it to its first target."},
     {"lovageloft_ready", "1 while the balancer is told to send callers."},
+    {"lovageloft_relay_connects_total", "Attempts to connect to a target through another host, by direction and result."},
+    {"lovageloft_relayed_connections", "Connections of other hosts that this host relays to targets."},
     {"lovageloft_remote_debits_total", "Requests charged to shares of other hosts."},
     {"lovageloft_request_seconds", "Time from reading a request to the end of its answer."},
     {"lovageloft_requests_ended_total", "Requests by how they ended."},
--- a/decision/link_monitor.cpp
+++ b/decision/link_monitor.cpp
@@ -9,13 +9,14 @@
 namespace
 {
 
+constexpr int failuresToLose = 2;
 constexpr int successesToRestore = 2;
 
-/// Lost links from which those to other targets of the same service or data centre are presumed lost.
+/// Links with failed attempts from which those to other targets of the same service or data centre are presumed lost.
 constexpr std::ptrdiff_t lostLinksToPresume = 2;
 
 /// For how long a target counts as down after another host could not reach it either.
-constexpr Duration downTime = std::chrono::seconds(1);
+constexpr Duration downTime = std::chrono::milliseconds(500);
 
 /// Interval between two probes of one target. Shorter once a probe has succeeded, to restore the link soon.
 constexpr Duration probeInterval = std::chrono::milliseconds(750);
@@ -48,8 +49,8 @@
         links.emplace(target.id, std::move(link));
     }
     links_ = std::move(links);
-    lostCount_ = static_cast<std::size_t>(std::count_if(links_.begin(), links_.end(), [](const auto &entry) { return entry.second.isLost; }));
-    if (lostCount_ == 0) {
+    countLinks();
+    if (suspectCount_ == 0 && lostCount_ == 0) {
         lostScopes_.clear();
     }
 }
@@ -61,31 +62,57 @@
         return;
     }
     Link &link = found->second;
-    link.lastResult = result;
-    if (result != ConnectResult::Connected) {
-        link.successes = 0;
-        link.failedAt = now;
-        link.nextProbe = now + probeInterval;
-        lastFailure_ = result;
-        if (!link.isLost) {
-            setLost(found->first, link, true, now);
-        }
+    const bool wasLost = link.isLost;
+    if (result == ConnectResult::Connected) {
+        recordSuccess(link, now);
+    } else {
+        recordFailure(link, result, now);
+    }
+    if (link.isLost != wasLost) {
+        noteTargetChange(found->first, link, now);
+    }
+    if (suspectCount_ > 0 || lostCount_ > 0 || !lostScopes_.empty()) {
+        countLinks();
         updateScopes(now);
-        return;
     }
+}
+
+void LinkMonitor::recordFailure(Link &link, ConnectResult result, TimePoint now)
+{
+    link.lastResult = result;
+    link.failedAt = now;
+    link.successes = 0;
+    ++link.failures;
+    link.isLost = link.isLost || link.failures >= failuresToLose;
+    link.nextProbe = link.isLost ? now + probeInterval : now;
+    lastFailure_ = result;
+    ++suspectCount_;
+}
+
+void LinkMonitor::recordSuccess(Link &link, TimePoint now)
+{
+    link.lastResult = ConnectResult::Connected;
     link.reachedAt = now;
     link.connectedAt = now;
+    link.failures = 0;
     if (!link.isLost) {
-        if (!lostScopes_.empty()) {
-            updateScopes(now);
-        }
         return;
     }
     link.nextProbe = now + confirmationInterval;
     if (++link.successes >= successesToRestore) {
-        setLost(found->first, link, false, now);
+        link.isLost = false;
+        link.isSilent = false;
+    }
+}
+
+void LinkMonitor::countLinks()
+{
+    lostCount_ = 0;
+    suspectCount_ = 0;
+    for (const auto &[id, link] : links_) {
+        lostCount_ += link.isLost ? 1 : 0;
+        suspectCount_ += link.failures > 0 ? 1 : 0;
     }
-    updateScopes(now);
 }
 
 void LinkMonitor::onAnswered(std::string_view id, TimePoint now)
@@ -95,6 +122,7 @@
         return;
     }
     found->second.reachedAt = now;
+    found->second.isSilent = false;
 }
 
 void LinkMonitor::onUnreachableFromPeer(std::string_view id, TimePoint now)
@@ -109,20 +137,43 @@
 
 bool LinkMonitor::isLost(std::string_view id, TimePoint now) const
 {
-    if (lostCount_ == 0) {
+    if (lostCount_ == 0 && lostScopes_.empty()) {
         return false;
     }
     const auto found = links_.find(id);
     if (found == links_.end() || now < found->second.downUntil) {
         return false;
     }
-    const Link &link = found->second;
-    return link.isLost || std::any_of(lostScopes_.begin(), lostScopes_.end(), [&link](const auto &entry) { return contains(entry.second, link); });
+    return found->second.isLost || lostScopeOf(found->second) != nullptr;
+}
+
+const LinkMonitor::Scope *LinkMonitor::lostScopeOf(const Link &link) const
+{
+    const auto found = std::find_if(lostScopes_.begin(), lostScopes_.end(), [&link](const auto &entry) { return contains(entry.second, link); });
+    return found != lostScopes_.end() ? &found->second : nullptr;
+}
+
+void LinkMonitor::onSilent(std::string_view id)
+{
+    const auto found = links_.find(id);
+    if (found != links_.end()) {
+        found->second.isSilent = true;
+    }
+}
+
+bool LinkMonitor::mayUseEstablished(std::string_view id, TimePoint now) const
+{
+    if (!isLost(id, now)) {
+        return true;
+    }
+    const Link &link = links_.find(id)->second;
+    const ConnectResult cause = link.failures > 0 ? link.lastResult : lastFailure_;
+    return !link.isSilent && cause != ConnectResult::TimedOut;
 }
 
-bool LinkMonitor::areAllLost() const
+bool LinkMonitor::isAnySuspect() const
 {
-    return lostScopes_.contains(std::string(allTargets));
+    return suspectCount_ > 0;
 }
 
 std::size_t LinkMonitor::lostCount() const
@@ -133,13 +184,13 @@
 std::vector<std::string> LinkMonitor::dueProbes(TimePoint now)
 {
     std::vector<std::string> due;
-    if (lostCount_ == 0) {
+    if (lostCount_ == 0 && suspectCount_ == 0) {
         return due;
     }
     std::vector<std::pair<TimePoint, std::string_view>> candidates;
     bool isRestoring = false;
     for (const auto &[id, link] : links_) {
-        if (!link.isLost) {
+        if (!link.isLost && link.failures == 0) {
             continue;
         }
         isRestoring = isRestoring || link.successes > 0;
@@ -168,13 +219,13 @@
     return scope.field == nullptr || link.*scope.field == scope.name;
 }
 
-/// Scopes that contain a lost link.
+/// Scopes that contain a link to a target to which the newest attempt failed.
 std::vector<LinkMonitor::Scope> LinkMonitor::candidateScopes() const
 {
     std::set<std::string> services;
     std::set<std::string> dataCentres;
     for (const auto &[id, link] : links_) {
-        if (link.isLost) {
+        if (link.failures > 0) {
             services.insert(link.service);
             dataCentres.insert(link.dataCentre);
         }
@@ -219,7 +270,7 @@
     }
     const auto lost = std::count_if(links_.begin(), links_.end(), [&](const auto &entry) {
         const Link &link = entry.second;
-        return contains(scope, link) && link.isLost && now >= link.downUntil && link.failedAt > reachedAt;
+        return contains(scope, link) && link.failures > 0 && now >= link.downUntil && link.failedAt > reachedAt;
     });
     return lost >= lostLinksToPresume;
 }
@@ -234,17 +285,14 @@
         if (link.connectedAt > scope.lostAt) {
             return false;
         }
-        hasLostLink = hasLostLink || (link.isLost && now >= link.downUntil);
+        hasLostLink = hasLostLink || (link.failures > 0 && now >= link.downUntil);
     }
     return hasLostLink;
 }
 
-void LinkMonitor::setLost(const std::string &id, Link &link, bool isLost, TimePoint now)
+void LinkMonitor::noteTargetChange(const std::string &id, const Link &link, TimePoint now)
 {
-    link.isLost = isLost;
-    link.successes = 0;
-    lostCount_ = isLost ? lostCount_ + 1 : lostCount_ - 1;
-    LinkChange change{"target " + id, isLost, link.lastResult, isLost ? 1U : 0U, 1, std::nullopt};
+    LinkChange change{"target " + id, link.isLost, link.lastResult, link.isLost ? 1U : 0U, 1, std::nullopt};
     if (link.reachedAt) {
         change.sinceReached = now - *link.reachedAt;
     }
@@ -260,7 +308,7 @@
             continue;
         }
         ++change.targets;
-        change.lostTargets += link.isLost ? 1 : 0;
+        change.lostTargets += link.failures > 0 ? 1 : 0;
         reachedAt = std::max(reachedAt, link.reachedAt);
     }
     if (reachedAt) {
--- a/drivers/http_parser.cpp
+++ b/drivers/http_parser.cpp
@@ -81,8 +81,9 @@
 class BeastMessage : public Http::basic_parser<isRequest>
 {
 public:
-    BeastMessage(const HttpLimits &limits, HttpEvents &events)
+    BeastMessage(const HttpLimits &limits, HttpEvents &events, bool isHeadReportedAtOnce)
         : events_(events)
+        , isHeadReportedAtOnce_(isHeadReportedAtOnce)
     {
         constexpr std::size_t spareForStartLine = 64;
         this->eager(true);
@@ -113,6 +114,9 @@
     {
         if (!isFramingClear(head_)) {
             error = Http::error::bad_transfer_encoding;
+        } else if (isHeadReportedAtOnce_) {
+            const auto length = this->content_length();
+            sendHead(length ? std::optional<std::uint64_t>(*length) : std::nullopt);
         }
     }
 
@@ -153,6 +157,7 @@
     }
 
     HttpEvents &events_;
+    bool isHeadReportedAtOnce_;
     HttpHead head_;
     bool isHeadSent_ = false;
 };
@@ -166,8 +171,8 @@
 class MessageOf : public Base
 {
 public:
-    MessageOf(const HttpLimits &limits, HttpEvents &events, bool isBodyless)
-        : beast_(limits, events)
+    MessageOf(const HttpLimits &limits, HttpEvents &events, bool isBodyless, bool isHeadReportedAtOnce)
+        : beast_(limits, events, isHeadReportedAtOnce)
     {
         beast_.skip(isBodyless);
     }
@@ -260,6 +265,11 @@
     isBodyless_ = true;
 }
 
+void HttpParser::reportHeadAtOnce()
+{
+    isHeadReportedAtOnce_ = true;
+}
+
 bool HttpParser::readBuffered(Reason &reason)
 {
     if (!isHeadRead_ && !isHeadComplete(reason)) {
@@ -267,9 +277,9 @@
     }
     if (message_ == nullptr) {
         if (kind_ == HttpMessageKind::Request) {
-            message_ = std::make_unique<MessageOf<Message, true>>(limits_, events_, isBodyless_);
+            message_ = std::make_unique<MessageOf<Message, true>>(limits_, events_, isBodyless_, isHeadReportedAtOnce_);
         } else {
-            message_ = std::make_unique<MessageOf<Message, false>>(limits_, events_, isBodyless_);
+            message_ = std::make_unique<MessageOf<Message, false>>(limits_, events_, isBodyless_, isHeadReportedAtOnce_);
         }
     }
     std::size_t used = 0;
--- a/drivers/http_parser.h
+++ b/drivers/http_parser.h
@@ -73,6 +73,9 @@
 
     void setLimits(HttpLimits limits);
 
+    /// Calls HttpEvents::onHead() as soon as the head is complete. Otherwise that waits for the first byte of the body, if there is one.
+    void reportHeadAtOnce();
+
     /// Expects a response to a HEAD request, which has no body regardless of its fields.
     void expectNoBody();
 
@@ -89,6 +92,7 @@
     std::string buffered_;
     bool isHeadRead_ = false;
     bool isBodyless_ = false;
+    bool isHeadReportedAtOnce_ = false;
 };
 
 } // namespace Lovageloft
--- a/drivers/tcp_connection.cpp
+++ b/drivers/tcp_connection.cpp
@@ -105,6 +105,12 @@
     events_ = &events;
 }
 
+boost::asio::ip::address TcpConnection::peerAddress() const
+{
+    ErrorCode ignored;
+    return socket_.remote_endpoint(ignored).address();
+}
+
 void TcpConnection::send(std::string_view bytes)
 {
     if (!isOpen_) {
--- a/drivers/tcp_connection.h
+++ b/drivers/tcp_connection.h
@@ -11,6 +11,7 @@
 
 #include "core/clock.h"
 #include "core/settings.h"
+#include "drivers/byte_stream.h"
 
 namespace Lovageloft
 {
@@ -43,7 +44,7 @@
 
 /// A TCP connection on an event loop. Sends as many bytes as the kernel takes and buffers the rest. Connections between hosts can become silent
 /// without a reset; TCP_USER_TIMEOUT and keep-alive probes close such connections.
-class TcpConnection : public std::enable_shared_from_this<TcpConnection>
+class TcpConnection final : public ByteStream, public std::enable_shared_from_this<TcpConnection>
 {
 public:
     using Socket = boost::asio::ip::tcp::socket;
@@ -59,25 +60,20 @@
     /// Sets a new owner, which gets all further events.
     void setEvents(TcpEvents &events);
 
-    /// Sends bytes, and buffers those that can't be sent yet. Errors are reported by onClosed().
-    void send(std::string_view bytes);
+    /// IP address of the peer; unspecified if the connection has ended.
+    boost::asio::ip::address peerAddress() const;
 
-    /// Number of buffered bytes that the kernel has not taken yet.
-    std::size_t unsent() const;
-
-    /// Pauses and resumes reading, so that a fast sender can't exhaust the memory while the receiver is slow.
-    void pauseReading();
-    void resumeReading();
-
-    /// Closes the connection immediately; no event follows.
-    void close();
+    void send(std::string_view bytes) override;
+    std::size_t unsent() const override;
+    void pauseReading() override;
+    void resumeReading() override;
+    void close() override;
 
     /// Sends buffered bytes, closes the sending side, and continues to read for a moment: closing a socket with unread bytes resets the connection,
     /// and the peer could lose the last response. No event follows.
     void closeAfterSending();
 
-    /// Whether neither bytes nor the end of the stream have arrived. To be checked right before an idle connection is reused.
-    bool isQuiet();
+    bool isQuiet() override;
 
 private:
     void start();
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -56,7 +56,8 @@
         dispatch_.invalidateEngines();
     })
     , rollouts_(options.hostName, versions_, rolloutLinks())
-    , paths_(loop_, metrics)
+    , paths_(loop_, options.hostName, metrics)
+    , relayServer_(loop_, relayLinks(), metrics)
     , pool_(loop_, targetProtocol, paths_)
     , fleet_(*this, options.hostName)
     , dispatch_(loop_, [this] { refreshTargets(); })
@@ -64,6 +65,45 @@
 {
     directory_.setDataCentre(options.dataCentre);
     rollouts_.setLimits(options.limits.exposure);
+    paths_.setChangeListener([this] { onLinksChanged(); });
+}
+
+RelayServer::Links Gateway::relayLinks()
+{
+    return {[this](const boost::asio::ip::address &address) {
+                return std::any_of(hosts_.begin(), hosts_.end(), [text = address.to_string()](const auto &host) { return host.second.address.host == text; });
+            },
+            [this](std::string_view targetId) {
+                const auto found = directory_.all().find(targetId);
+                return found != directory_.all().end() ? std::optional(found->second.address) : std::nullopt;
+            },
+            [this](std::string_view targetId) { return paths_.isLost(targetId, BootClock::now()); },
+            [this](std::string_view targetId, ConnectResult result) { paths_.onConnectResult(targetId, result, BootClock::now()); }};
+}
+
+/// Requests in flight over lost links are tried elsewhere, and a leader that can't reach the engines resigns.
+void Gateway::onLinksChanged()
+{
+    const TimePoint now = BootClock::now();
+    std::size_t engines = 0;
+    std::size_t lost = 0;
+    for (const auto &[id, target] : directory_.all()) {
+        if (!target.models.empty()) {
+            ++engines;
+            lost += paths_.isLost(id, now) ? 1 : 0;
+        }
+    }
+    const bool canOrder = 2 * lost < engines || engines == 0;
+    if (canOrder != canOrder_) {
+        canOrder_ = canOrder;
+        controlListener_(canOrder);
+    }
+    boost::asio::post(loop_, [this] { dispatch_.retryOverLostLinks(); });
+}
+
+void Gateway::setControlListener(ControlListener listener)
+{
+    controlListener_ = std::move(listener);
 }
 
 Rollouts::Links Gateway::rolloutLinks()
@@ -85,7 +125,9 @@
 
 bool Gateway::open(Reason &reason)
 {
-    if (!openListener(acceptor_, options_.callers, reason) || !readiness_.open(options_.readiness, reason) || !fleet_.open(options_.peers, reason)) {
+    // Both protocols between hosts use the same port number.
+    if (!openListener(acceptor_, options_.callers, reason) || !readiness_.open(options_.readiness, reason) || !relayServer_.open(options_.peers, reason)
+        || !fleet_.open({options_.peers.host, relayServer_.port()}, reason)) {
         return false;
     }
     if (options_.metrics && !metricsServer_.open(*options_.metrics, reason)) {
@@ -255,6 +297,7 @@
     hosts_ = hosts;
     share_ = share;
     fleet_.setHosts(hosts, share);
+    paths_.setHosts(hosts);
     dispatch_.setHostCount(std::max<std::size_t>(hosts.size(), 1));
     std::vector<std::string> names;
     std::transform(hosts.begin(), hosts.end(), std::back_inserter(names), [](const auto &host) { return host.first; });
@@ -320,52 +363,13 @@
         return;
     }
     drainStartedAt_ = BootClock::now();
+    relayServer_.drain();
     writeLog(LogLevel::Info,
              "drain_started",
              {{"sessions", static_cast<std::int64_t>(sessions_.size())}, {"requests", static_cast<std::int64_t>(dispatch_.count())}});
     continueDrain();
 }
 
-boost::asio::io_context &Gateway::loop()
-{
-    return loop_;
-}
-
-const CallerProtocol &Gateway::callerProtocol() const
-{
-    return callerProtocol_;
-}
-
-const TargetProtocol &Gateway::targetProtocol() const
-{
-    return targetProtocol_;
-}
-
-std::shared_ptr<const RoutingTable> Gateway::table() const
-{
-    return table_;
-}
-
-TargetDirectory &Gateway::targets()
-{
-    return directory_;
-}
-
-const TargetDirectory &Gateway::targets() const
-{
-    return directory_;
-}
-
-TargetPool &Gateway::pool()
-{
-    return pool_;
-}
-
-const TargetPool &Gateway::pool() const
-{
-    return pool_;
-}
-
 CallerLimits Gateway::callerLimits() const
 {
     return table_ != nullptr ? table_->limits : CallerLimits{};
@@ -546,12 +550,13 @@
             session->closeIfIdle();
         }
     }
-    const bool isEmpty = elapsed >= options_.limits.drainNotice && sessions_.empty() && dispatch_.count() == 0;
+    const bool isEmpty = elapsed >= options_.limits.drainNotice && sessions_.empty() && dispatch_.count() == 0 && relayServer_.count() == 0;
     if (isEmpty || elapsed >= options_.limits.drainLimit) {
         writeLog(LogLevel::Info, "drain_ended", {{"empty", isEmpty}, {"requests", static_cast<std::int64_t>(dispatch_.count())}});
         readiness_.close();
         metricsServer_.close();
         fleet_.close();
+        relayServer_.close();
         loop_.stop();
         return;
     }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "gateway/operator_view.h"
 #include "gateway/pause_detector.h"
 #include "gateway/protocol.h"
+#include "gateway/relay_server.h"
 #include "gateway/request_dispatch.h"
 #include "gateway/request_metrics.h"
 #include "gateway/rollouts.h"
@@ -100,6 +101,10 @@
     void setTargets(std::shared_ptr<const TargetMap> targets);
     void setPublishedWeights(const PublishedWeights &weights);
 
+    /// Called with whether this host reaches too few of the engines to give them orders, whenever that changes. Set it before `run`.
+    using ControlListener = std::function<void(bool canOrder)>;
+    void setControlListener(ControlListener listener);
+
     /// Called with the newest weights of each model whenever this host learns of new weights or of when weights were published. Set it before
     /// `run`.
     using WeightsListener = std::function<void(const std::vector<PublishedWeights> &)>;
@@ -173,14 +178,55 @@
 
     // For sessions and requests.
 
-    boost::asio::io_context &loop();
-    const CallerProtocol &callerProtocol() const;
-    const TargetProtocol &targetProtocol() const;
-    std::shared_ptr<const RoutingTable> table() const;
-    TargetDirectory &targets();
-    const TargetDirectory &targets() const;
-    TargetPool &pool();
-    const TargetPool &pool() const;
+    boost::asio::io_context &loop()
+    {
+        return loop_;
+    }
+
+    const CallerProtocol &callerProtocol() const
+    {
+        return callerProtocol_;
+    }
+
+    const TargetProtocol &targetProtocol() const
+    {
+        return targetProtocol_;
+    }
+
+    std::shared_ptr<const RoutingTable> table() const
+    {
+        return table_;
+    }
+
+    TargetDirectory &targets()
+    {
+        return directory_;
+    }
+
+    const TargetDirectory &targets() const
+    {
+        return directory_;
+    }
+
+    TargetPool &pool()
+    {
+        return pool_;
+    }
+
+    const TargetPool &pool() const
+    {
+        return pool_;
+    }
+
+    TargetPaths &paths()
+    {
+        return paths_;
+    }
+
+    const RelayServer &relayServer() const
+    {
+        return relayServer_;
+    }
 
     const TargetPaths &paths() const
     {
@@ -274,6 +320,8 @@
     void applyTeamLimits();
     void applyRetryLimits();
     void beginPending();
+    RelayServer::Links relayLinks();
+    void onLinksChanged();
 
     GatewayOptions options_;
     const CallerProtocol &callerProtocol_;
@@ -293,7 +341,10 @@
     VersionGuard versions_;
     Rollouts rollouts_;
     WeightsListener weightsListener_;
+    ControlListener controlListener_ = [](bool) {};
+    bool canOrder_ = true;
     TargetPaths paths_;
+    RelayServer relayServer_;
     TargetPool pool_;
     FleetLink fleet_;
     RequestDispatch dispatch_;
--- a/gateway/gauges.cpp
+++ b/gateway/gauges.cpp
@@ -16,6 +16,7 @@
     metrics.set("lovageloft_key_proof_age_seconds", toSeconds(gateway.proofAge(now)));
     metrics.set("lovageloft_idle_target_connections", static_cast<double>(gateway.pool().idleCount()));
     metrics.set("lovageloft_links_lost", static_cast<double>(gateway.paths().links().lostCount()));
+    metrics.set("lovageloft_relayed_connections", static_cast<double>(gateway.relayServer().count()));
     metrics.set("lovageloft_configuration_version", table != nullptr ? static_cast<double>(table->version) : 0);
     metrics.set("lovageloft_targets_known", static_cast<double>(gateway.targets().all().size()));
     // For how long the list of engines has been out of date.
--- a/gateway/operator_view.cpp
+++ b/gateway/operator_view.cpp
@@ -84,6 +84,8 @@
     status->set("waiting", gateway_.dispatch().waitingCount());
     status->set("teams", table != nullptr ? table->teams.size() : std::size_t{0});
     status->set("targets", gateway_.targets().all().size());
+    status->set("links_lost", gateway_.paths().links().lostCount());
+    status->set("relayed_connections", gateway_.relayServer().count());
     status->set("hosts", gateway_.hosts().size());
     status->set("share", gateway_.share());
     status->set("leader", gateway_.leader());
--- /dev/null
+++ b/gateway/relayed_stream.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "drivers/http_parser.h"
+#include "drivers/tcp_connection.h"
+
+namespace Lovageloft
+{
+
+/// How an attempt to connect to a target through another host ended.
+enum class RelayResult : std::uint8_t
+{
+    Pending,
+    Connected,
+    TargetUnreachable, ///< The other host can't reach the target either.
+    Refused, ///< The other host can't be reached, doesn't relay now, or doesn't know the target.
+};
+
+/// HTTP message between hosts that asks for a connection to a target: "POST /relay" with the target's id in `relayTargetField`.
+///
+/// The bodies of the request and of its answer carry the bytes to and from the target, both with chunked transfer coding. The answer ends with
+/// its last chunk if the target has closed the connection, so that a relay that is killed does not seem to end an answer of the target.
+inline constexpr std::string_view relayPath = "/relay";
+inline constexpr std::string_view relayTargetField = "Relay-Target";
+
+/// Appends bytes as one chunk of the chunked transfer coding.
+void appendChunk(std::string &out, std::string_view bytes);
+
+/// A connection to a target through another host, see RelayServer.
+class RelayedStream final : public ByteStream, public std::enable_shared_from_this<RelayedStream>, private TcpEvents, private HttpEvents
+{
+public:
+    /// Connects; onConnected() or onClosed() of `events` follows after `timeout` at the latest.
+    static std::shared_ptr<RelayedStream>
+    connect(boost::asio::io_context &loop, const HostAddress &relay, std::string_view targetId, Duration timeout, TcpEvents &events);
+
+    RelayedStream(boost::asio::io_context &loop, TcpEvents &events);
+
+    /// How the attempt to connect ended; to be read in onConnected() or in the first onClosed().
+    RelayResult result() const;
+
+    void send(std::string_view bytes) override;
+    std::size_t unsent() const override;
+    void pauseReading() override;
+    void resumeReading() override;
+    void close() override;
+    bool isQuiet() override;
+
+private:
+    void onConnected() override;
+    void onBytes(std::string_view bytes) override;
+    void onClosed(bool isReset) override;
+    void onSent() override;
+    void onHead(HttpHead &&head, std::optional<std::uint64_t> bodyBytes) override;
+    void onBody(std::string_view bytes) override;
+    void onEnd() override;
+
+    void fail();
+
+    TcpEvents *events_;
+    boost::asio::steady_timer timer_;
+    HttpParser parser_;
+    std::shared_ptr<TcpConnection> tcp_;
+    std::string request_; ///< Sent when the other host accepts the connection.
+    RelayResult result_ = RelayResult::Pending;
+};
+
+} // namespace Lovageloft
--- a/gateway/request_dispatch.cpp
+++ b/gateway/request_dispatch.cpp
@@ -138,6 +138,19 @@
     scheduler_.onEngineSilent(id, BootClock::now());
 }
 
+void RequestDispatch::retryOverLostLinks()
+{
+    std::vector<std::shared_ptr<RoutedRequest>> running;
+    for (const auto &[id, request] : requests_) {
+        if (request->isRunning()) {
+            running.push_back(request);
+        }
+    }
+    for (const auto &request : running) {
+        request->retryIfLinkIsLost();
+    }
+}
+
 void RequestDispatch::onEnded(RequestId id, DispatchResult result)
 {
     scheduler_.onEnded(id, result, BootClock::now());
--- a/gateway/request_dispatch.h
+++ b/gateway/request_dispatch.h
@@ -59,6 +59,9 @@
     /// A target has not responded for too long to a request that stays in flight there.
     void onEngineSilent(RequestId id);
 
+    /// Tries the requests elsewhere that are in flight on direct connections over lost links, as far as they may be repeated.
+    void retryOverLostLinks();
+
     /// A request is no longer in flight at its target, whatever the result.
     void onEnded(RequestId id, DispatchResult result);
 
--- /dev/null
+++ b/gateway/request_limits.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstddef>
+
+#include "core/clock.h"
+
+/// Sizes and times in the handling of one request, see RoutedRequest.
+namespace Lovageloft
+{
+
+/// Responses other than streams up to this size are buffered until complete, so that a request whose target is lost can be retried unnoticed by the caller.
+inline constexpr std::size_t maxBufferedAnswerBytes = 262'144;
+
+/// Unsent bytes for a slow caller above which reading from the target pauses.
+inline constexpr std::size_t maxCallerBacklogBytes = 262'144;
+
+/// Maximum targets tried for one request, including unreachable ones and those that decline it without running it.
+inline constexpr int maxSends = 4;
+
+/// Interval between checks whether another target can take a stalled request.
+inline constexpr Duration stallCheckInterval = std::chrono::milliseconds(100);
+
+/// Interval between checks of the link to a target that has not responded.
+inline constexpr Duration linkCheckInterval = std::chrono::milliseconds(200);
+
+/// Time left to the deadline below which no target is tried: the response would come after the caller has given up.
+inline constexpr Duration minTimeForAttempt = std::chrono::milliseconds(60);
+
+/// Retry-After of refusals without a more specific time: most causes are gone, or the load has moved to another host, by then.
+inline constexpr Duration defaultRetryAfter = std::chrono::milliseconds(300);
+
+/// Retry-After of a quarantined request, which is not sent to any target for minutes.
+inline constexpr Duration quarantineRetryAfter = std::chrono::seconds(30);
+
+/// How long a non-idempotent call may still run at a target after its caller got a final response or disconnected. Targets stop at the
+/// deadline sent with the request; one that takes longer is stuck, and its connection is closed to free it.
+inline constexpr Duration orphanTimeout = std::chrono::seconds(10);
+
+/// Bytes of the heads of a request and its response together, and of an event that carries one token, to estimate the traffic between data centres.
+inline constexpr std::size_t headBytes = 1'000;
+inline constexpr std::size_t bytesPerToken = 55;
+
+inline constexpr int successStatus = 200;
+
+/// Statuses from this one on are failures of the target.
+inline constexpr int firstErrorStatus = 500;
+
+} // namespace Lovageloft
--- a/gateway/request_log.cpp
+++ b/gateway/request_log.cpp
@@ -108,6 +108,7 @@
               {"outcome", ended.outcome},
               {"status", std::int64_t{ended.status}},
               {"target", ended.target},
+              {"relay", ended.relay},
               {"sends", std::int64_t{ended.sends}},
               {"first_ms", ended.timeToFirstByte ? toMillis(*ended.timeToFirstByte) : -1},
               {"ms", toMillis(ended.duration)},
--- a/gateway/request_metrics.h
+++ b/gateway/request_metrics.h
@@ -22,6 +22,7 @@
     std::optional<Duration> queueTime; ///< From reading the request to sending it to the first target.
     std::optional<Duration> timeToFirstByte; ///< From reading the request to the first byte of the response.
     std::string_view target; ///< Id of the last target; empty if there was none.
+    std::string_view relay; ///< Host that relayed the connection to the last target; empty if it was direct.
     std::size_t bytes = 0; ///< Bytes of the target's response body relayed to the caller; 0 for refusals.
 };
 
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -7,48 +7,12 @@
 
 #include "gateway/caller_session.h"
 #include "gateway/gateway.h"
+#include "gateway/request_limits.h"
 #include "gateway/target_request.h"
 
 namespace Lovageloft
 {
 
-namespace
-{
-
-/// Responses other than streams up to this size are buffered until complete, so that a request whose target is lost can be retried unnoticed by the caller.
-constexpr std::size_t maxBufferedAnswerBytes = 262'144;
-
-/// Unsent bytes for a slow caller above which reading from the target pauses.
-constexpr std::size_t maxCallerBacklogBytes = 262'144;
-
-/// Maximum targets tried for one request, including unreachable ones and those that decline it without running it.
-constexpr int maxSends = 4;
-
-/// Interval between checks whether another target can take a stalled request.
-constexpr Duration stallCheckInterval = std::chrono::milliseconds(100);
-
-/// Time left to the deadline below which no target is tried: the response would come after the caller has given up.
-constexpr Duration minTimeForAttempt = std::chrono::milliseconds(60);
-
-/// Retry-After of refusals without a more specific time: most causes are gone, or the load has moved to another host, by then.
-constexpr Duration defaultRetryAfter = std::chrono::milliseconds(300);
-
-/// Retry-After of a quarantined request, which is not sent to any target for minutes.
-constexpr Duration quarantineRetryAfter = std::chrono::seconds(30);
-
-/// How long a non-idempotent call may still run at a target after its caller got a final response or disconnected. Targets stop at the
-/// deadline sent with the request; one that takes longer is stuck, and its connection is closed to free it.
-constexpr Duration orphanTimeout = std::chrono::seconds(10);
-
-/// Bytes of the heads of a request and its response together, and of an event that carries one token, to estimate the traffic between data centres.
-constexpr std::size_t headBytes = 1'000;
-constexpr std::size_t bytesPerToken = 55;
-
-constexpr int statusOk = 200;
-constexpr int firstErrorStatus = 500;
-
-} // namespace
-
 RoutedRequest::RoutedRequest(Gateway &gateway, std::shared_ptr<CallerSession> session, HttpHead &&head, std::string &&body)
     : gateway_(gateway)
     , session_(std::move(session))
@@ -189,6 +153,8 @@
     const TimePoint now = BootClock::now();
     phase_ = Phase::Sent;
     sentAt_ = now;
+    sentTo_ = target.id;
+    linkCheckAt_ = now + linkCheckInterval;
     stallCheckAt_ = now + intake_.route()->stallTimeout();
     queueTime_ = queueTime_.value_or(now - startedAt_);
     ++sends_;
@@ -215,6 +181,7 @@
         gateway_.onTargetLoad(targetId_, *facts.load);
     }
     answerHead_ = std::move(head);
+    relay_ = connection_->relay();
     isNotExecuted_ = facts.isNotExecuted || facts.isTargetMismatch;
     if (isNotExecuted_) {
         notExecutedFacts_ = facts;
@@ -223,7 +190,7 @@
     mayHaveRun_ = true;
     phase_ = Phase::Answering;
     bufferedBody_.clear();
-    isAnswerRelayed_ = !isAnswerStarted_ || answerHead_.status == statusOk;
+    isAnswerRelayed_ = !isAnswerStarted_ || answerHead_.status == successStatus;
 }
 
 void RoutedRequest::onAnswerBody(std::string_view bytes)
@@ -231,7 +198,7 @@
     if (!isAnswerRelayed_) {
         return;
     }
-    if (intake_.isStream() && answerHead_.status == statusOk) {
+    if (intake_.isStream() && answerHead_.status == successStatus) {
         onEvents(events_.push(bytes));
         return;
     }
@@ -317,7 +284,7 @@
         retryElsewhere();
         return;
     }
-    if (intake_.isStream() && answerHead_.status == statusOk && events_.hasPartial()) {
+    if (intake_.isStream() && answerHead_.status == successStatus && events_.hasPartial()) {
         abortRelay("stream ended within an event");
         return;
     }
@@ -347,7 +314,8 @@
     if (loss == TargetLoss::MayHaveRun && !isFirstTokenReported_) {
         gateway_.fleet().crashes().onTargetLost({fingerprint_, targetIncarnationDigest_}, BootClock::now());
     }
-    endDispatch(DispatchResult::Failed);
+    const bool isLinkLost = loss == TargetLoss::NotSent && gateway_.paths().isLost(sentTo_, BootClock::now());
+    endDispatch(isLinkLost ? DispatchResult::Cancelled : DispatchResult::Failed);
     events_.dropPartial();
     bufferedBody_.clear();
     if (loss == TargetLoss::NotSent) {
@@ -367,6 +335,22 @@
     }
 }
 
+void RoutedRequest::retryIfLinkIsLost()
+{
+    const bool mayMove = isRunning() && isOnDirectConnection() && isRetryable() && !isQuarantined();
+    if (!mayMove || gateway_.paths().mayUseEstablished(sentTo_, BootClock::now())) {
+        return;
+    }
+    const auto self = shared_from_this();
+    closeConnection();
+    mayHaveRun_ = true;
+    endDispatch(DispatchResult::Cancelled);
+    events_.dropPartial();
+    bufferedBody_.clear();
+    log_.lost(targetId_, fingerprint_, "link lost", false, isAnswerStarted_);
+    retryElsewhere();
+}
+
 void RoutedRequest::endDispatch(DispatchResult result)
 {
     isFirstTokenReported_ = false;
@@ -386,11 +370,11 @@
 
 bool RoutedRequest::failIfQuarantined()
 {
-    const bool mustFail = isQuarantined();
-    if (mustFail) {
-        fail({ResultCode::Quarantined, "targets ended when they began this request"}, quarantineRetryAfter);
+    if (!isQuarantined()) {
+        return false;
     }
-    return mustFail;
+    fail({ResultCode::Quarantined, "targets ended when they began this request"}, quarantineRetryAfter);
+    return true;
 }
 
 void RoutedRequest::retryElsewhere()
@@ -446,10 +430,7 @@
         armTimer();
         return;
     }
-    if (connection_ != nullptr) {
-        connection_->abort();
-        connection_.reset();
-    }
+    closeConnection();
     if (isRunning()) {
         endDispatch(DispatchResult::Cancelled);
     } else {
@@ -464,6 +445,9 @@
     if (phase_ == Phase::Sent && isRetryable()) {
         next = std::min(next, stallCheckAt_);
     }
+    if (phase_ == Phase::Sent && isOnDirectConnection()) {
+        next = std::min(next, linkCheckAt_);
+    }
     timer_.expires_after(std::max(next - BootClock::now(), Duration::zero()));
     timer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
         const auto self = weak.lock();
@@ -479,6 +463,14 @@
     if (phase_ == Phase::Done) {
         return;
     }
+    if (phase_ == Phase::Sent && isOnDirectConnection() && now >= linkCheckAt_) {
+        linkCheckAt_ = now + linkCheckInterval;
+        gateway_.paths().onWaiting(connection_->targetId(), sentAt_, now >= stallCheckAt_, now);
+        retryIfLinkIsLost();
+        if (phase_ != Phase::Sent) {
+            return;
+        }
+    }
     bool isStalled = phase_ == Phase::Sent && isRetryable() && now >= stallCheckAt_;
     if (isStalled && now < deadline_ && !gateway_.dispatch().canRetryElsewhere(schedulerId_)) {
         // No other target can take the request now. Aborting it here would lose the work done and a response that may still come, though late.
@@ -494,8 +486,7 @@
     if (connection_ != nullptr && (wasRunning && intake_.route()->kind == RouteKind::NonIdempotent && !isStalled)) {
         // A non-idempotent call is left to complete; the caller gets its error response now.
         if (session_ == nullptr) {
-            connection_->abort();
-            connection_.reset();
+            closeConnection();
             endDispatch(DispatchResult::Failed);
             finish("abandoned", 0);
             return;
@@ -505,10 +496,7 @@
         armTimer();
         return;
     }
-    if (connection_ != nullptr) {
-        connection_->abort();
-        connection_.reset();
-    }
+    closeConnection();
     if (wasRunning) {
         mayHaveRun_ = true;
         endDispatch(DispatchResult::Failed);
@@ -588,6 +576,7 @@
     ended.queueTime = queueTime_;
     ended.timeToFirstByte = timeToFirstByte_;
     ended.target = targetId_;
+    ended.relay = relay_;
     ended.bytes = relayedBytes_;
     log_.ended(ended);
     gateway_.onRequestEnded(*this, ended);
--- a/gateway/routed_request.h
+++ b/gateway/routed_request.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/steady_timer.hpp>
@@ -48,6 +49,9 @@
     void onAssigned(const SchedulerAssignment &assignment);
     void onRefused(const SchedulerRefusal &refusal);
 
+    /// Tries the request elsewhere if it is in flight on a direct connection over a lost link and may be repeated.
+    void retryIfLinkIsLost();
+
     RequestId schedulerId() const
     {
         return schedulerId_;
@@ -117,6 +121,18 @@
     void abortRelay(std::string_view why);
     void finish(std::string_view outcome, int status);
 
+    void closeConnection()
+    {
+        if (const auto connection = std::move(connection_)) {
+            connection->abort();
+        }
+    }
+
+    bool isOnDirectConnection() const
+    {
+        return connection_ != nullptr && connection_->relay().empty();
+    }
+
     Duration timeLeft(TimePoint now) const
     {
         return deadline_ - now;
@@ -136,11 +152,14 @@
     TimePoint startedAt_;
     TimePoint deadline_; ///< When the caller must have its final response, or when an orphaned call is abandoned.
     TimePoint sentAt_;
+    TimePoint linkCheckAt_; ///< When the link to a target that has not responded is next checked.
     TimePoint stallCheckAt_; ///< When a target that has not responded is next checked for a stall.
     RequestId schedulerId_{};
     boost::asio::steady_timer timer_;
     std::shared_ptr<TargetConnection> connection_;
     std::string targetId_;
+    std::string relay_; ///< Host that relayed the connection on which the last answer began; empty if it was direct.
+    std::string sentTo_; ///< Id of the target that the request was last sent to.
     SchedulerAssignment assignment_; ///< The newest one.
     std::vector<std::string> failedTargets_;
     bool isExpectedLate_ = false; ///< The first token is expected after the route's latency target.
--- a/gateway/target_connection.cpp
+++ b/gateway/target_connection.cpp
@@ -2,6 +2,8 @@
 
 #include <charconv>
 
+#include <boost/asio/post.hpp>
+
 namespace Lovageloft
 {
 
@@ -17,7 +19,7 @@
 } // namespace
 
 TargetConnection::TargetConnection(std::string targetId, const TargetProtocol &protocol, Owner &owner)
-    : targetId_(std::move(targetId))
+    : attempts_{std::move(targetId), {}, {}, false, {}, 0}
     , protocol_(protocol)
     , owner_(owner)
     , parser_(HttpMessageKind::Answer, {maxAnswerHeadBytes, 0}, *this)
@@ -25,11 +27,44 @@
 {
 }
 
-void TargetConnection::connect(boost::asio::io_context &loop, const HostAddress &address, Duration timeout)
+void TargetConnection::connect(boost::asio::io_context &loop, const HostAddress &address)
+{
+    loop_ = &loop;
+    attempts_.address = address;
+    attempts_.startedAt = BootClock::now();
+    tryNextPath();
+}
+
+void TargetConnection::tryNextPath()
 {
-    connectStartedAt_ = BootClock::now();
-    connectTimeout_ = timeout;
-    tcp_ = TcpConnection::connect(loop, address, timeout, *this);
+    const auto path = owner_.nextPath(attempts_);
+    if (!path) {
+        boost::asio::post(*loop_, [self = shared_from_this()] {
+            if (self->events_ != nullptr) {
+                self->fail(TargetLoss::NotSent, "not connected");
+            }
+        });
+        return;
+    }
+    path_ = *path;
+    pathStartedAt_ = BootClock::now();
+    if (path_.relay.empty()) {
+        stream_ = TcpConnection::connect(*loop_, path_.address, path_.timeout, *this);
+    } else {
+        stream_ = RelayedStream::connect(*loop_, path_.address, attempts_.targetId, path_.timeout, *this);
+    }
+}
+
+void TargetConnection::onPathFailed()
+{
+    if (path_.relay.empty()) {
+        owner_.onConnectResult(*this, connectFailure(BootClock::now() - pathStartedAt_, path_.timeout));
+    } else {
+        owner_.onRelayResult(attempts_, path_.relay, static_cast<const RelayedStream &>(*stream_).result());
+    }
+    if (events_ != nullptr) {
+        tryNextPath();
+    }
 }
 
 void TargetConnection::sendRequest(std::string bytes, std::string requestId, bool hasAnswerBody, ExchangeEvents &events)
@@ -51,29 +86,39 @@
 void TargetConnection::abort()
 {
     events_ = nullptr;
-    if (tcp_ != nullptr) {
-        tcp_->close();
+    if (stream_ != nullptr) {
+        stream_->close();
     }
 }
 
 void TargetConnection::pauseReading()
 {
-    tcp_->pauseReading();
+    stream_->pauseReading();
 }
 
 void TargetConnection::resumeReading()
 {
-    tcp_->resumeReading();
+    stream_->resumeReading();
 }
 
 bool TargetConnection::isQuiet()
 {
-    return isConnected_ && tcp_->isQuiet();
+    return isConnected_ && stream_->isQuiet();
 }
 
 const std::string &TargetConnection::targetId() const
 {
-    return targetId_;
+    return attempts_.targetId;
+}
+
+const std::string &TargetConnection::relay() const
+{
+    return path_.relay;
+}
+
+TimePoint TargetConnection::connectedAt() const
+{
+    return connectedAt_;
 }
 
 Duration TargetConnection::keepAlive() const
@@ -95,7 +140,12 @@
 {
     const auto self = shared_from_this();
     isConnected_ = true;
-    owner_.onConnectResult(*this, ConnectResult::Connected);
+    connectedAt_ = BootClock::now();
+    if (path_.relay.empty()) {
+        owner_.onConnectResult(*this, ConnectResult::Connected);
+    } else {
+        owner_.onRelayResult(attempts_, path_.relay, RelayResult::Connected);
+    }
     if (events_ != nullptr) {
         sendPendingRequest();
     }
@@ -106,10 +156,13 @@
     const auto self = shared_from_this();
     if (events_ == nullptr) {
         // Unsolicited bytes: a late or duplicate answer.
-        tcp_->close();
+        stream_->close();
         owner_.onIdleClosed(self);
         return;
     }
+    if (path_.relay.empty()) {
+        owner_.onBytesFrom(*this, false);
+    }
     parse(bytes);
 }
 
@@ -117,7 +170,8 @@
 {
     const auto self = shared_from_this();
     if (!isConnected_) {
-        owner_.onConnectResult(*this, connectFailure(BootClock::now() - connectStartedAt_, connectTimeout_));
+        onPathFailed();
+        return;
     }
     if (events_ == nullptr) {
         owner_.onIdleClosed(self);
@@ -128,8 +182,8 @@
         finish();
         return;
     }
-    const bool isRequestUnsent = !isConnected_ || tcp_->unsent() >= requestBytes_;
-    fail(isRequestUnsent ? TargetLoss::NotSent : TargetLoss::MayHaveRun, isConnected_ ? (isReset ? "reset" : "closed") : "not connected");
+    const bool isRequestUnsent = stream_->unsent() >= requestBytes_;
+    fail(isRequestUnsent ? TargetLoss::NotSent : TargetLoss::MayHaveRun, isReset ? "reset" : "closed");
 }
 
 void TargetConnection::onHead(HttpHead &&head, std::optional<std::uint64_t> /*bodyBytes*/)
@@ -140,7 +194,9 @@
         isReusable_ = isReusable_ && head.status < firstFinalStatus;
         return;
     }
-    owner_.onAnswered(*this);
+    if (path_.relay.empty()) {
+        owner_.onBytesFrom(*this, true);
+    }
     updateKeepAlive(head);
     isReusable_ = isReusable_ && head.version == 11 && !head.hasToken("Connection", "close");
     if (events_ != nullptr) {
@@ -162,7 +218,7 @@
 void TargetConnection::sendPendingRequest()
 {
     hasSentRequest_ = true;
-    tcp_->send(pendingRequest_);
+    stream_->send(pendingRequest_);
     pendingRequest_.clear();
 }
 
@@ -188,13 +244,13 @@
     ExchangeEvents *events = events_;
     events_ = nullptr;
     // If the answer arrived before the whole request was sent, the target would read the next request as the rest of this one.
-    const bool isConnectionReusable = isReusable_ && parser_.bufferedBytes() == 0 && tcp_->unsent() == 0;
+    const bool isConnectionReusable = isReusable_ && parser_.bufferedBytes() == 0 && stream_->unsent() == 0;
     Reason reason;
     if (isConnectionReusable && parser_.startNext(reason)) {
         idleSince_ = BootClock::now();
         owner_.onIdle(shared_from_this());
     } else {
-        tcp_->close();
+        stream_->close();
     }
     events->onAnswerEnd();
 }
--- a/gateway/target_connection.h
+++ b/gateway/target_connection.h
@@ -4,10 +4,10 @@
 #include <string>
 #include <string_view>
 
-#include "decision/link_monitor.h"
 #include "drivers/http_parser.h"
 #include "drivers/tcp_connection.h"
 #include "gateway/protocol.h"
+#include "gateway/target_paths.h"
 
 namespace Lovageloft
 {
@@ -44,15 +44,18 @@
 class TargetConnection final : public std::enable_shared_from_this<TargetConnection>, private TcpEvents, private HttpEvents
 {
 public:
-    /// Notified of the connection attempt's result, of answers, when a connection becomes idle and can be reused, and when an idle connection
-    /// was closed.
+    /// Chooses the paths of a connection. Notified of each attempt's result, of received bytes, when a connection becomes idle and can be reused,
+    /// and when an idle connection was closed.
     class Owner
     {
     public:
         virtual ~Owner() = default;
+        /// The next path to try; nothing if the connection can't be established.
+        virtual std::optional<TargetPath> nextPath(PathAttempts &attempts) = 0;
         virtual void onConnectResult(const TargetConnection &connection, ConnectResult result) = 0;
-        /// The head of an answer was received.
-        virtual void onAnswered(const TargetConnection &connection) = 0;
+        virtual void onRelayResult(PathAttempts &attempts, const std::string &relay, RelayResult result) = 0;
+        /// Bytes were received on a direct connection; `isAnswer` with the head of an answer.
+        virtual void onBytesFrom(const TargetConnection &connection, bool isAnswer) = 0;
         /// Called before ExchangeEvents::onAnswerEnd() of the exchange that has ended.
         virtual void onIdle(const std::shared_ptr<TargetConnection> &connection) = 0;
         virtual void onIdleClosed(const std::shared_ptr<TargetConnection> &connection) = 0;
@@ -60,9 +63,9 @@
 
     TargetConnection(std::string targetId, const TargetProtocol &protocol, Owner &owner);
 
-    /// Starts to connect; must be called once. If the connection is not established within `timeout`, the exchange fails with
-    /// ExchangeEvents::onTargetLost().
-    void connect(boost::asio::io_context &loop, const HostAddress &address, Duration timeout);
+    /// Starts to connect on the paths that the owner chooses, one after the other; must be called once. If none leads to the target, the
+    /// exchange fails with ExchangeEvents::onTargetLost().
+    void connect(boost::asio::io_context &loop, const HostAddress &address);
 
     /// Sends a request as soon as the connection is established. Its answer must carry `requestId`. `hasAnswerBody` is false for requests,
     /// such as HEAD, whose answer has no body whatever its header says; the connection is then not reused.
@@ -82,6 +85,12 @@
 
     const std::string &targetId() const;
 
+    /// Name of the host that relays this connection; empty if it is direct.
+    const std::string &relay() const;
+
+    /// When the connection was established.
+    TimePoint connectedAt() const;
+
     /// How long the target keeps the connection open while idle: as its Keep-Alive header says, or a default.
     Duration keepAlive() const;
 
@@ -99,16 +108,20 @@
     void onBody(std::string_view bytes) override;
     void onEnd() override;
 
+    void tryNextPath();
+    void onPathFailed();
     void sendPendingRequest();
     void parse(std::string_view bytes);
     void finish();
     void fail(TargetLoss loss, std::string_view why);
     void updateKeepAlive(const HttpHead &head);
 
-    std::string targetId_;
+    PathAttempts attempts_;
+    TargetPath path_; ///< The newest one.
+    boost::asio::io_context *loop_ = nullptr;
     const TargetProtocol &protocol_;
     Owner &owner_;
-    std::shared_ptr<TcpConnection> tcp_;
+    std::shared_ptr<ByteStream> stream_;
     HttpParser parser_;
     ExchangeEvents *events_ = nullptr; ///< Null while idle.
     std::string pendingRequest_; ///< Sent when the connection is established.
@@ -118,8 +131,8 @@
     bool hasSentRequest_ = false;
     bool isDiscarding_ = false; ///< The message being read is not the final answer to the current request.
     bool isReusable_ = true;
-    TimePoint connectStartedAt_;
-    Duration connectTimeout_{};
+    TimePoint pathStartedAt_;
+    TimePoint connectedAt_;
     Duration keepAlive_;
     TimePoint idleSince_;
 };
--- a/gateway/target_paths.cpp
+++ b/gateway/target_paths.cpp
@@ -1,8 +1,9 @@
 #include "gateway/target_paths.h"
 
+#include <algorithm>
 #include <array>
+#include <random>
 #include <utility>
-#include <vector>
 
 #include "core/log.h"
 #include "drivers/tcp_connection.h"
@@ -13,7 +14,26 @@
 namespace
 {
 
-constexpr Duration probeTimeout = std::chrono::milliseconds(200);
+/// The network latency between hosts and targets is about a millisecond. A target that does not accept within this time is unreachable or
+/// overloaded.
+constexpr Duration connectTimeout = std::chrono::milliseconds(400);
+
+/// The same if another host can be asked to relay afterwards.
+constexpr Duration connectTimeoutBeforeRelay = std::chrono::milliseconds(150);
+
+/// Covers the connection to the other host and its own attempt to connect to the target.
+constexpr Duration relayTimeout = std::chrono::milliseconds(250);
+constexpr Duration probeTimeout = std::chrono::milliseconds(150);
+
+/// No further path is tried after this time.
+constexpr Duration maxPathTime = std::chrono::milliseconds(600);
+constexpr std::size_t maxRelaysTried = 3;
+
+/// Hosts that must report a target as unreachable before it counts as down: one alone may have lost its own link.
+constexpr int reportsOfDownTarget = 2;
+
+/// How long nothing may arrive from any target while requests wait for answers.
+constexpr Duration maxSilence = std::chrono::milliseconds(200);
 
 std::string_view nameOf(ConnectResult result)
 {
@@ -21,9 +41,15 @@
     return names.at(static_cast<std::size_t>(result));
 }
 
+std::string_view nameOf(RelayResult result)
+{
+    static constexpr auto names = std::to_array<std::string_view>({"pending", "connected", "unreachable", "refused"});
+    return names.at(static_cast<std::size_t>(result));
+}
+
 } // namespace
 
-/// A connection that is opened only to learn whether it can be, and then closed.
+/// A direct connection that is opened only to learn whether it can be, and then closed.
 class TargetPaths::Probe final : private TcpEvents
 {
 public:
@@ -40,6 +66,12 @@
         tcp_->close();
     }
 
+    /// Adds a function that is called with the result.
+    void addListener(std::function<void(ConnectResult)> listener)
+    {
+        listeners_.push_back(std::move(listener));
+    }
+
 private:
     void onConnected() override
     {
@@ -58,21 +90,91 @@
     void end(ConnectResult result)
     {
         TargetPaths &paths = paths_;
-        const std::string targetId = targetId_;
-        const auto self = std::move(paths.probes_[targetId]);
-        paths.probes_.erase(targetId);
-        paths.onConnectResult(targetId, result, BootClock::now());
+        const auto found = paths.probes_.find(targetId_);
+        if (found == paths.probes_.end()) {
+            return;
+        }
+        const auto self = std::move(found->second);
+        paths.probes_.erase(found);
+        paths.onConnectResult(targetId_, result, BootClock::now());
+        for (const auto &listener : listeners_) {
+            listener(result);
+        }
     }
 
     TargetPaths &paths_;
     std::string targetId_;
     TimePoint startedAt_;
+    std::vector<std::function<void(ConnectResult)>> listeners_;
     std::shared_ptr<TcpConnection> tcp_;
 };
 
-TargetPaths::TargetPaths(boost::asio::io_context &loop, Metrics &metrics)
+/// A connection through other hosts that is opened only to learn whether it can be, and then closed.
+class TargetPaths::RelayProbe final : public std::enable_shared_from_this<RelayProbe>, private TcpEvents
+{
+public:
+    RelayProbe(TargetPaths &paths, PathAttempts attempts, std::function<void(bool isReached)> handler)
+        : paths_(paths)
+        , attempts_(std::move(attempts))
+        , handler_(std::move(handler))
+    {
+    }
+
+    ~RelayProbe() override
+    {
+        if (stream_ != nullptr) {
+            stream_->close();
+        }
+    }
+
+    void tryNext()
+    {
+        const auto path = paths_.relayPathFor(attempts_, BootClock::now());
+        if (!path) {
+            end(false);
+            return;
+        }
+        relay_ = path->relay;
+        attempts_.relays.push_back(relay_);
+        stream_ = RelayedStream::connect(paths_.loop_, path->address, attempts_.targetId, path->timeout, *this);
+    }
+
+private:
+    void onConnected() override
+    {
+        paths_.onRelayResult(attempts_, relay_, RelayResult::Connected, BootClock::now());
+        end(true);
+    }
+
+    void onBytes(std::string_view /*bytes*/) override
+    {
+    }
+
+    void onClosed(bool /*isReset*/) override
+    {
+        paths_.onRelayResult(attempts_, relay_, stream_->result(), BootClock::now());
+        tryNext();
+    }
+
+    void end(bool isReached)
+    {
+        const auto self = shared_from_this();
+        paths_.relayProbes_.erase(self);
+        handler_(isReached);
+    }
+
+    TargetPaths &paths_;
+    PathAttempts attempts_;
+    std::function<void(bool isReached)> handler_;
+    std::string relay_;
+    std::shared_ptr<RelayedStream> stream_;
+};
+
+TargetPaths::TargetPaths(boost::asio::io_context &loop, std::string hostName, Metrics &metrics)
     : loop_(loop)
+    , hostName_(std::move(hostName))
     , metrics_(metrics)
+    , random_(std::random_device{}())
 {
 }
 
@@ -90,23 +192,136 @@
     logChanges();
 }
 
+void TargetPaths::setHosts(const std::map<std::string, HostRecord> &hosts)
+{
+    std::vector<RelayHost> others;
+    std::string dataCentre;
+    hostAddresses_.clear();
+    for (const auto &[name, record] : hosts) {
+        if (name == hostName_) {
+            dataCentre = record.dataCentre;
+            continue;
+        }
+        others.push_back({name, record.dataCentre});
+        hostAddresses_.emplace(name, record.address);
+    }
+    relays_.setHosts(others, dataCentre);
+}
+
+void TargetPaths::setChangeListener(std::function<void()> listener)
+{
+    changeListener_ = std::move(listener);
+}
+
+std::optional<TargetPath> TargetPaths::nextPath(PathAttempts &attempts, TimePoint now)
+{
+    const bool isLost = links_.isLost(attempts.targetId, now);
+    if (!attempts.wasTriedDirectly && !isLost) {
+        attempts.wasTriedDirectly = true;
+        return TargetPath{attempts.address, {}, relays_.isEmpty() ? connectTimeout : connectTimeoutBeforeRelay};
+    }
+    auto path = relayPathFor(attempts, now);
+    if (path) {
+        attempts.relays.push_back(path->relay);
+    }
+    return path;
+}
+
+std::optional<TargetPath> TargetPaths::relayPathFor(const PathAttempts &attempts, TimePoint now)
+{
+    const bool isDown = attempts.unreachableReports >= reportsOfDownTarget;
+    if (isDown || attempts.relays.size() >= maxRelaysTried || now - attempts.startedAt > maxPathTime) {
+        return std::nullopt;
+    }
+    const auto relay = relays_.choose(attempts.relays, now, random_);
+    if (!relay) {
+        return std::nullopt;
+    }
+    return TargetPath{hostAddresses_.at(*relay), *relay, relayTimeout};
+}
+
 void TargetPaths::onConnectResult(std::string_view targetId, ConnectResult result, TimePoint now)
 {
     metrics_.add("lovageloft_target_connects_total", {{"result", nameOf(result)}});
     links_.onConnectResult(targetId, result, now);
     logChanges();
+    if (result != ConnectResult::Connected) {
+        openDueProbes(now);
+    }
 }
 
-void TargetPaths::onAnswered(std::string_view targetId, TimePoint now)
+void TargetPaths::onRelayResult(PathAttempts &attempts, const std::string &relay, RelayResult result, TimePoint now)
 {
-    links_.onAnswered(targetId, now);
+    metrics_.add("lovageloft_relay_connects_total", {{"direction", "out"}, {"result", nameOf(result)}});
+    switch (result) {
+    case RelayResult::Connected:
+        relays_.onRelayed(relay, now);
+        break;
+    case RelayResult::TargetUnreachable:
+        if (++attempts.unreachableReports >= reportsOfDownTarget || hostAddresses_.size() == 1) {
+            links_.onUnreachableFromPeer(attempts.targetId, now);
+            logChanges();
+        }
+        break;
+    case RelayResult::Refused:
+    case RelayResult::Pending:
+        relays_.onFailed(relay, now);
+        break;
+    }
 }
 
-void TargetPaths::tick(TimePoint now)
+void TargetPaths::onBytes(std::string_view targetId, bool isAnswer, TimePoint now)
 {
-    for (const std::string &targetId : links_.dueProbes(now)) {
-        openProbe(targetId);
+    heardAt_ = now;
+    if (isAnswer) {
+        links_.onAnswered(targetId, now);
+    }
+}
+
+void TargetPaths::onWaiting(std::string_view targetId, TimePoint sentAt, bool isOverdue, TimePoint now)
+{
+    if (links_.isLost(targetId, now)) {
+        links_.onSilent(targetId);
+        return;
     }
+    if (isOverdue || now - std::max(heardAt_, sentAt) >= maxSilence) {
+        openProbe(std::string(targetId));
+    }
+}
+
+bool TargetPaths::isLost(std::string_view targetId, TimePoint now) const
+{
+    return links_.isLost(targetId, now);
+}
+
+bool TargetPaths::mayUseEstablished(std::string_view targetId, TimePoint now) const
+{
+    return links_.mayUseEstablished(targetId, now);
+}
+
+void TargetPaths::checkLoss(std::string_view targetId, std::function<void(bool isLinkLost)> handler)
+{
+    const auto address = addresses_.find(targetId);
+    if (address == addresses_.end() || hostAddresses_.empty()) {
+        handler(false);
+        return;
+    }
+    const PathAttempts attempts{address->first, address->second, BootClock::now(), true, {}, 0};
+    openProbe(address->first);
+    probes_.at(address->first)->addListener([this, attempts, handler = std::move(handler)](ConnectResult result) {
+        if (result == ConnectResult::Connected) {
+            handler(false);
+            return;
+        }
+        const auto probe = std::make_shared<RelayProbe>(*this, attempts, handler);
+        relayProbes_.insert(probe);
+        probe->tryNext();
+    });
+}
+
+void TargetPaths::tick(TimePoint now)
+{
+    openDueProbes(now);
 }
 
 const LinkMonitor &TargetPaths::links() const
@@ -114,6 +329,13 @@
     return links_;
 }
 
+void TargetPaths::openDueProbes(TimePoint now)
+{
+    for (const std::string &targetId : links_.dueProbes(now)) {
+        openProbe(targetId);
+    }
+}
+
 void TargetPaths::openProbe(const std::string &targetId)
 {
     const auto address = addresses_.find(targetId);
@@ -124,7 +346,8 @@
 
 void TargetPaths::logChanges()
 {
-    for (const LinkChange &change : links_.takeChanges()) {
+    const std::vector<LinkChange> changes = links_.takeChanges();
+    for (const LinkChange &change : changes) {
         writeLog(change.isLost ? LogLevel::Warning : LogLevel::Info,
                  change.isLost ? "links_lost" : "links_restored",
                  {{"scope", change.scope},
@@ -133,6 +356,9 @@
                   {"targets", static_cast<std::int64_t>(change.targets)},
                   {"reached_ms", change.sinceReached ? toMillis(*change.sinceReached) : -1}});
     }
+    if (!changes.empty()) {
+        changeListener_();
+    }
 }
 
 } // namespace Lovageloft
--- a/gateway/target_pool.cpp
+++ b/gateway/target_pool.cpp
@@ -8,10 +8,6 @@
 namespace
 {
 
-/// The network latency between hosts and targets is about a millisecond. A target that does not accept within this time is unreachable or
-/// overloaded.
-constexpr Duration connectTimeout = std::chrono::milliseconds(400);
-
 /// An idle connection is reused until it was idle for this many tenths of the time for which the target keeps it open.
 constexpr int idempotentTenths = 7;
 constexpr int nonIdempotentTenths = 5;
@@ -19,6 +15,10 @@
 
 constexpr std::size_t maxIdlePerTarget = 8;
 
+/// A connection through another host takes no further requests after this time, so that none is on its way there when the other host shuts
+/// down, and that requests go directly soon after the link is restored.
+constexpr Duration maxRelayedAge = std::chrono::seconds(2);
+
 } // namespace
 
 TargetPool::TargetPool(boost::asio::io_context &loop, const TargetProtocol &protocol, TargetPaths &paths)
@@ -38,22 +38,28 @@
             break;
         }
         idle.pop_back();
-        if (connection->isQuiet()) {
+        if (isOnLivePath(*connection, now) && connection->isQuiet()) {
             return connection;
         }
         connection->abort();
     }
     TargetConnection::Owner &owner = *this;
     auto connection = std::make_shared<TargetConnection>(target.id, protocol_, owner);
-    connection->connect(loop_, target.address, connectTimeout);
+    connection->connect(loop_, target.address);
     return connection;
 }
 
+bool TargetPool::isOnLivePath(const TargetConnection &connection, TimePoint now) const
+{
+    return connection.relay().empty() ? paths_.mayUseEstablished(connection.targetId(), now) : now - connection.connectedAt() < maxRelayedAge;
+}
+
 void TargetPool::closeStale(TimePoint now)
 {
     for (auto &[id, idle] : idle_) {
-        std::erase_if(idle, [now](const auto &connection) {
-            const bool isStale = now - connection->idleSince() > connection->keepAlive() * idempotentTenths / tenthsPerUnit;
+        std::erase_if(idle, [this, now](const auto &connection) {
+            const Duration maxIdleTime = connection->keepAlive() * idempotentTenths / tenthsPerUnit;
+            const bool isStale = now - connection->idleSince() > maxIdleTime || !isOnLivePath(*connection, now);
             if (isStale) {
                 connection->abort();
             }
@@ -84,14 +90,24 @@
     return count;
 }
 
+std::optional<TargetPath> TargetPool::nextPath(PathAttempts &attempts)
+{
+    return paths_.nextPath(attempts, BootClock::now());
+}
+
 void TargetPool::onConnectResult(const TargetConnection &connection, ConnectResult result)
 {
     paths_.onConnectResult(connection.targetId(), result, BootClock::now());
 }
 
-void TargetPool::onAnswered(const TargetConnection &connection)
+void TargetPool::onRelayResult(PathAttempts &attempts, const std::string &relay, RelayResult result)
+{
+    paths_.onRelayResult(attempts, relay, result, BootClock::now());
+}
+
+void TargetPool::onBytesFrom(const TargetConnection &connection, bool isAnswer)
 {
-    paths_.onAnswered(connection.targetId(), BootClock::now());
+    paths_.onBytes(connection.targetId(), isAnswer, BootClock::now());
 }
 
 void TargetPool::onIdle(const std::shared_ptr<TargetConnection> &connection)
--- a/gateway/target_pool.h
+++ b/gateway/target_pool.h
@@ -26,7 +26,7 @@
     /// exchange fails with TargetLoss::NotSent.
     std::shared_ptr<TargetConnection> acquire(const Target &target, bool isIdempotent, TimePoint now);
 
-    /// Closes connections that were idle for too long to be reused.
+    /// Closes connections that were idle for too long to be reused, and those over lost links.
     void closeStale(TimePoint now);
 
     /// Closes the idle connections to targets that are not in `targets`.
@@ -37,8 +37,11 @@
 private:
     using IdleConnections = std::vector<std::shared_ptr<TargetConnection>>;
 
+    bool isOnLivePath(const TargetConnection &connection, TimePoint now) const;
+    std::optional<TargetPath> nextPath(PathAttempts &attempts) override;
     void onConnectResult(const TargetConnection &connection, ConnectResult result) override;
-    void onAnswered(const TargetConnection &connection) override;
+    void onRelayResult(PathAttempts &attempts, const std::string &relay, RelayResult result) override;
+    void onBytesFrom(const TargetConnection &connection, bool isAnswer) override;
     void onIdle(const std::shared_ptr<TargetConnection> &connection) override;
     void onIdleClosed(const std::shared_ptr<TargetConnection> &connection) override;
 
