A call that no target received is answered as not run

What callers saw: 502 'may have run' from hosts without links, for calls that had reached no target; callers may not send such a call again. Cause: a request whose send failed before a byte left, or was declined, still counted as running when no other target was left and its refusal was written. Change: the end of a dispatch ends the state in which a target runs the request. Measured: aCallThatNoTargetReceivedIsAnsweredAsNotRun got 502 before, 503 'not_run' now; test_platform 81 of 81.

--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -354,6 +354,7 @@
 void RoutedRequest::endDispatch(DispatchResult result)
 {
     isFirstTokenReported_ = false;
+    phase_ = Phase::Queued; // The target no longer runs it; mayHaveRun_ says whether it may have.
     exposure_.onEnded(result, BootClock::now());
     gateway_.dispatch().onEnded(schedulerId_, result);
 }
--- a/tests/platform/test_requests.cpp
+++ b/tests/platform/test_requests.cpp
@@ -73,6 +73,17 @@
     BOOST_TEST(first.requests() + second.requests() == 1);
 }
 
+// Guards against a call that reached no target and is answered as one that may have run: its caller must not send it again.
+BOOST_AUTO_TEST_CASE(aCallThatNoTargetReceivedIsAnsweredAsNotRun)
+{
+    for (const std::string id : {"a", "b", "c", "d", "e", "f"}) {
+        addGone(id);
+    }
+    const std::string answer = exchange(request("POST", "/once/x", "body"));
+    BOOST_TEST(statusOf(answer) == 503);
+    BOOST_TEST(contains(answer, "not_run"));
+}
+
 BOOST_AUTO_TEST_CASE(aReadThatBrokeOffIsTriedElsewhere)
 {
     // Half of an archived page arrives and its server dies. The caller must not see half a page, nor an error while another copy is well.
