A host that loses its links does not have its requests quarantined

What callers saw: three requests that had done no harm were refused by all hosts, as hosts whose links were reset had lost them at three targets each. Cause: the loss of a connection counted as a crash of the target, also if only this host's link was lost.

--- a/gateway/fleet_link.cpp
+++ b/gateway/fleet_link.cpp
@@ -141,6 +141,15 @@
     recordQuarantine_ = std::move(recorder);
 }
 
+void FleetLink::reportTargetLoss(std::string_view targetId, const CrashReport &report)
+{
+    gateway_.paths().checkLoss(targetId, [this, report](bool isLinkLost) {
+        if (!isLinkLost) {
+            crashes_.onTargetLost(report, BootClock::now());
+        }
+    });
+}
+
 CrashGuard &FleetLink::crashes()
 {
     return crashes_;
--- a/gateway/fleet_link.h
+++ b/gateway/fleet_link.h
@@ -69,6 +69,9 @@
     /// Sets the function that records a quarantined request for hosts that start later. Must be called before the event loop runs.
     void setQuarantineRecorder(std::function<void(RequestFingerprint)> recorder);
 
+    /// A target was lost before it began to answer a request. Counts as a crash unless only this host's link to the target was lost.
+    void reportTargetLoss(std::string_view targetId, const CrashReport &report);
+
     /// Tracks requests that crash their targets.
     CrashGuard &crashes();
     const CrashGuard &crashes() const;
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -312,7 +312,7 @@
     }
     log_.lost(targetId_, fingerprint_, why, loss == TargetLoss::NotSent, isAnswerStarted_);
     if (loss == TargetLoss::MayHaveRun && !isFirstTokenReported_) {
-        gateway_.fleet().crashes().onTargetLost({fingerprint_, targetIncarnationDigest_}, BootClock::now());
+        gateway_.fleet().reportTargetLoss(sentTo_, {fingerprint_, targetIncarnationDigest_});
     }
     const bool isLinkLost = loss == TargetLoss::NotSent && gateway_.paths().isLost(sentTo_, BootClock::now());
     endDispatch(isLinkLost ? DispatchResult::Cancelled : DispatchResult::Failed);
--- a/tests/platform/test_host_without_links.cpp
+++ b/tests/platform/test_host_without_links.cpp
@@ -25,7 +25,12 @@
     CutFixture()
     {
         for (const std::string id : {"a", "b", "c", "d"}) {
-            addTarget(id, [](Connection &connection, const Request &request) { connection.answer(request, 200, "whole"); });
+            addTarget(id, [](Connection &connection, const Request &request) {
+                if (contains(request.head, "/slow ")) {
+                    std::this_thread::sleep_for(200ms);
+                }
+                connection.answer(request, 200, "whole");
+            });
         }
         BOOST_REQUIRE(servedShare(cutHost, "GET", "/safe/x", 300ms) == 1);
     }
@@ -52,4 +57,21 @@
     BOOST_TEST(servedShare(cutHost, method, path, countedTime) >= goal);
 }
 
+// Guards against requests that are quarantined on all hosts because one host lost its links while they ran.
+BOOST_AUTO_TEST_CASE(requestsThatLostTheirLinkAreNotQuarantined)
+{
+    const std::string text = GatewayFixture::request("POST", "/once/slow", "body");
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 16; ++i) {
+        callers.emplace_back([this, &text] { exchange(cutHost, text); });
+    }
+    std::this_thread::sleep_for(100ms);
+    setLinks(cutHost, LinkMode::Reset);
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    constexpr std::size_t otherHost = 1;
+    BOOST_TEST(exchange(otherHost, text).starts_with("HTTP/1.1 200 "));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
