A host that loses its links does not report cache stores as lost

Cause: a host that watches the cache stores took the loss of its own link for the loss of the store, and told all others. Evidence: cache_store_lost on a host that was not cut off. Change: a store that does not answer is reported after the time in which requests show lost links, and not if the links to a service, a data centre or all are lost. Measured: aHostWithoutLinksDoesNotReportCacheStoresAsLost failed before and passes.

--- a/decision/link_monitor.cpp
+++ b/decision/link_monitor.cpp
@@ -171,9 +171,9 @@
     return !link.isSilent && cause != ConnectResult::TimedOut;
 }
 
-bool LinkMonitor::isAnySuspect() const
+bool LinkMonitor::isAnyScopeLost() const
 {
-    return suspectCount_ > 0;
+    return !lostScopes_.empty();
 }
 
 std::size_t LinkMonitor::lostCount() const
--- a/decision/link_monitor.h
+++ b/decision/link_monitor.h
@@ -79,8 +79,8 @@
     /// or requests on them have got no answers.
     bool mayUseEstablished(std::string_view id, TimePoint now) const;
 
-    /// Whether the newest attempt to connect to any target failed.
-    bool isAnySuspect() const;
+    /// Whether the links to all targets, or to all those of a service or data centre, are presumed lost.
+    bool isAnyScopeLost() const;
 
     /// Number of targets whose own link is lost; those that are down count as well.
     std::size_t lostCount() const;
--- a/gateway/cache_store_duty.cpp
+++ b/gateway/cache_store_duty.cpp
@@ -19,6 +19,9 @@
 constexpr Duration responseTimeout = std::chrono::milliseconds(600);
 constexpr Duration connectTimeout = std::chrono::milliseconds(200);
 
+/// Time within which requests show that this host has lost its links, so that it does not report the store as lost.
+constexpr Duration linkDetectionTime = std::chrono::milliseconds(300);
+
 } // namespace
 
 CacheStoreDuty::CacheStoreDuty(Gateway &gateway, const RelayedStore &store, const EngineControlFormat &format)
@@ -43,7 +46,11 @@
             stores = cacheStores_;
         }
         for (const CacheStore &store : stores) {
-            gateway_.post([address = store.address, alive = isAlive(store.address)](Gateway &gateway) { gateway.fleet().announceCacheStore(address, alive); });
+            const bool alive = isAlive(store.address);
+            if (!alive) {
+                sleepFor(linkDetectionTime);
+            }
+            gateway_.post([address = store.address, alive](Gateway &gateway) { gateway.fleet().announceCacheStore(address, alive); });
         }
         sleepFor(pauseBetweenChecks);
     }
--- a/gateway/fleet_link.cpp
+++ b/gateway/fleet_link.cpp
@@ -113,6 +113,9 @@
 
 void FleetLink::announceCacheStore(const std::string &address, bool isAlive)
 {
+    if (!isAlive && gateway_.paths().links().isAnyScopeLost()) {
+        return; // More likely, this host has lost its link to the store as well.
+    }
     gateway_.cacheStores().setAlive(address, isAlive);
     socket_.broadcast(CacheStoreNotice{address, isAlive});
 }
--- a/gateway/fleet_link.h
+++ b/gateway/fleet_link.h
@@ -63,7 +63,7 @@
     /// Announces that a target is about to load weights: this host and all others send it no requests for `duration`.
     void announceLoading(const std::string &targetId, Duration duration);
 
-    /// Announces whether a cache store answers.
+    /// Announces whether a cache store answers. Does nothing if it doesn't answer this host, which has lost its links to targets.
     void announceCacheStore(const std::string &address, bool isAlive);
 
     /// Sets the function that records a quarantined request for hosts that start later. Must be called before the event loop runs.
--- a/tests/platform/test_host_without_links.cpp
+++ b/tests/platform/test_host_without_links.cpp
@@ -74,4 +74,26 @@
     BOOST_TEST(exchange(otherHost, text).starts_with("HTTP/1.1 200 "));
 }
 
+// Guards against a host without links that tells all others that a cache store is lost, which they reach.
+BOOST_AUTO_TEST_CASE(aHostWithoutLinksDoesNotReportCacheStoresAsLost)
+{
+    constexpr std::size_t otherHost = 1;
+    const std::string address = "10.0.0.1:80";
+    const auto isUsed = [&](std::size_t host) {
+        bool isUsed = false;
+        onLoop(host, [&](Gateway &gateway) { isUsed = gateway.cacheStores().storeFor("z") == address; });
+        return isUsed;
+    };
+    for (const std::size_t host : {cutHost, otherHost}) {
+        onLoop(host, [&](Gateway &gateway) { gateway.cacheStores().setStores({{address, "z", 0}}); });
+        onLoop(host, [&](Gateway &gateway) { gateway.cacheStores().setAlive(address, true); });
+    }
+    setLinks(cutHost, LinkMode::Reset);
+    servedShare(cutHost, "GET", "/safe/x", 300ms);
+    onLoop(cutHost, [&](Gateway &gateway) { gateway.fleet().announceCacheStore(address, false); });
+    std::this_thread::sleep_for(100ms);
+    BOOST_TEST(isUsed(cutHost));
+    BOOST_TEST(isUsed(otherHost));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
