A leader that has lost its links to the engines resigns

What callers would see: no engine loads new weights as long as the leader is cut off from the engines, while the store still renews its lease and other hosts reach them. Change: the gateway tells the duty when it reaches less than half of the engines; the duty then returns the lease and does not stand for leader until the links are back. Measured: aLeaderThatReachesNoEngineResigns passes (the call that it makes did not exist before).

--- a/gateway/weights_duty.cpp
+++ b/gateway/weights_duty.cpp
@@ -91,8 +91,17 @@
     stepLease();
 }
 
+void WeightsDuty::setCanOrder(bool canOrder)
+{
+    canOrder_ = canOrder;
+}
+
 void WeightsDuty::step()
 {
+    if (!canOrder_) {
+        resign();
+        return;
+    }
     {
         const std::lock_guard lock(mutex_);
         if (candidacy_.isDue(BootClock::now())) {
@@ -117,6 +126,17 @@
     recordPublished();
 }
 
+/// Releases the lease if it is held, so that a host that reaches the engines takes over.
+void WeightsDuty::resign()
+{
+    const bool wasHeld = lease_.isHeld(BootClock::now());
+    lease_.release(BootClock::now());
+    if (wasHeld) {
+        stepLease();
+    }
+    logLeadershipChange(BootClock::now());
+}
+
 void WeightsDuty::stepLease()
 {
     if (hasPolledLease_) {
--- a/gateway/weights_duty.h
+++ b/gateway/weights_duty.h
@@ -61,6 +61,9 @@
     /// Sets the host that holds the leader key; empty if there is none.
     void setLeader(const std::string &host);
 
+    /// Sets whether this host reaches the engines. While it doesn't, it is not leader.
+    void setCanOrder(bool canOrder);
+
     /// Sets the hosts that are preferred as leader, and the total number of hosts.
     void setHosts(const std::vector<std::string> &candidates, std::size_t hosts);
 
@@ -68,6 +71,7 @@
     void run() override;
     void step();
     void stepLease();
+    void resign();
     void updateDesired();
     void recordPublished();
 
@@ -105,6 +109,7 @@
     std::shared_ptr<const TargetMap> currentTargets_; ///< The targets that the duty's thread works with.
     bool hasPolledLease_ = false; ///< Whether this process has read the leader key at least once.
     bool wasLeader_ = false;
+    std::atomic<bool> canOrder_ = true;
     std::atomic<TimePoint> leaseUntil_ = TimePoint{};
 };
 
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -148,6 +148,7 @@
 {
     gateway_.fleet().setRelayedStore(relayedStore_);
     gateway_.setWeightsListener([this](const std::vector<PublishedWeights> &weights) { weightsDuty_.setPublishedWeights(weights); });
+    gateway_.setControlListener([this](bool canOrder) { weightsDuty_.setCanOrder(canOrder); });
     gateway_.fleet().setQuarantineRecorder([this](RequestFingerprint request) { hostDuty_.recordQuarantine(request); });
     gateway_.versions().setRecorder([this](const auto &versions) { hostDuty_.recordServingVersions(versions); });
     gateway_.rollouts().setWriter([this](const std::string &service, const RolloutRecord &record) { rolloutDuty_.write(service, record); });
--- a/tests/platform/test_orders_beside_silent_engines.cpp
+++ b/tests/platform/test_orders_beside_silent_engines.cpp
@@ -104,4 +104,25 @@
     BOOST_TEST(toMillis(BootClock::now() - namedAt) < 4'000);
 }
 
+// Guards against weights that nobody loads while the leader has lost its links to the engines and other hosts have not.
+BOOST_AUTO_TEST_CASE(aLeaderThatReachesNoEngineResigns)
+{
+    const auto waitUntilHeld = [this](bool isHeld) {
+        const TimePoint limit = BootClock::now() + patience;
+        while ((duty.leaseUntil() > BootClock::now()) != isHeld && BootClock::now() < limit) {
+            std::this_thread::sleep_for(10ms);
+        }
+        return (duty.leaseUntil() > BootClock::now()) == isHeld;
+    };
+    BOOST_REQUIRE(waitUntilHeld(true));
+    duty.setCanOrder(false);
+    BOOST_TEST(waitUntilHeld(false));
+    duty.setLeader("");
+    std::this_thread::sleep_for(1s);
+    BOOST_TEST((duty.leaseUntil() < BootClock::now()));
+    duty.setCanOrder(true);
+    duty.setLeader("");
+    BOOST_TEST(waitUntilHeld(true));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
