Paths to targets are planned in decision/, and hold in fleets of 295 hosts

Cause: how a host finds another that relays was decided among sockets and could not be played in virtual time. Played there it failed at scale: with a data centre of 295 hosts cut off, hosts asked only their neighbours, which were cut off as well (about 85 of 100 served), and with all hosts but one cut off most never found it (33 to 69 of 100). A partial cut was also taken for a whole one if two connects failed after the last answer, though an answer had come while they waited. Change: PathPlanner joins LinkMonitor and RelaySelector; TargetPaths only does what it says. After one failure a host asks beyond its data centre, one that refuses again is avoided for longer, and a host that is cut off suggests one that relays to it. A loss is presumed only if nothing was reached since the attempts began. Measured: test_lost_links, a model of 9, 90 and 295 hosts with links that hang or are refused, of one service or all, at one host, two thirds, a data centre, all but one: from 1 s on cut hosts serve at least 95 in 100 of the others' share, the others lose nothing, and 4 s after the cut nothing is relayed.

--- a/decision/link_monitor.cpp
+++ b/decision/link_monitor.cpp
@@ -123,6 +123,9 @@
     }
     found->second.reachedAt = now;
     found->second.isSilent = false;
+    if (!lostScopes_.empty()) {
+        updateScopes(now);
+    }
 }
 
 void LinkMonitor::onUnreachableFromPeer(std::string_view id, TimePoint now)
@@ -167,7 +170,8 @@
         return true;
     }
     const Link &link = links_.find(id)->second;
-    const ConnectResult cause = link.failures > 0 ? link.lastResult : lastFailure_;
+    const Scope *scope = lostScopeOf(link);
+    const ConnectResult cause = link.failures == 0 && scope != nullptr ? scope->cause : link.lastResult;
     return !link.isSilent && cause != ConnectResult::TimedOut;
 }
 
@@ -230,12 +234,12 @@
             dataCentres.insert(link.dataCentre);
         }
     }
-    std::vector<Scope> scopes{{nullptr, {}, {}}};
+    std::vector<Scope> scopes{{nullptr, {}, lastFailure_, {}}};
     for (const std::string &service : services) {
-        scopes.push_back({&Link::service, service, {}});
+        scopes.push_back({&Link::service, service, lastFailure_, {}});
     }
     for (const std::string &dataCentre : dataCentres) {
-        scopes.push_back({&Link::dataCentre, dataCentre, {}});
+        scopes.push_back({&Link::dataCentre, dataCentre, lastFailure_, {}});
     }
     return scopes;
 }
@@ -270,7 +274,12 @@
     }
     const auto lost = std::count_if(links_.begin(), links_.end(), [&](const auto &entry) {
         const Link &link = entry.second;
-        return contains(scope, link) && link.failures > 0 && now >= link.downUntil && link.failedAt > reachedAt;
+        if (!contains(scope, link) || link.failures == 0 || now < link.downUntil) {
+            return false;
+        }
+        // A target that was reached while an attempt was waiting shows that the scope is not lost as a whole.
+        const Duration attemptTime = link.lastResult == ConnectResult::TimedOut ? linkConnectTimeout : Duration::zero();
+        return !reachedAt || *link.failedAt - attemptTime > *reachedAt;
     });
     return lost >= lostLinksToPresume;
 }
@@ -282,7 +291,9 @@
         if (!contains(scope, link)) {
             continue;
         }
-        if (link.connectedAt > scope.lostAt) {
+        // Established connections may outlive a link that refuses new ones, but not one on which connections hang.
+        const std::optional<TimePoint> &reachedAt = scope.cause == ConnectResult::TimedOut ? link.reachedAt : link.connectedAt;
+        if (reachedAt > scope.lostAt) {
             return false;
         }
         hasLostLink = hasLostLink || (link.failures > 0 && now >= link.downUntil);
--- a/decision/link_monitor.h
+++ b/decision/link_monitor.h
@@ -22,6 +22,9 @@
     TimedOut,
 };
 
+/// Timeout of direct attempts to connect while other hosts can relay, and of probes.
+inline constexpr Duration linkConnectTimeout = std::chrono::milliseconds(150);
+
 /// The result of an attempt that failed after `elapsed`: it timed out if `timeout` has passed.
 constexpr ConnectResult connectFailure(Duration elapsed, Duration timeout)
 {
@@ -52,8 +55,8 @@
 ///
 /// The link to a target is lost once two attempts in a row to connect to it fail, unless another host can't reach the target either: then the
 /// target is down. If attempts to connect to two targets of a service or data centre fail and no target there was reached since, the links to all
-/// targets there are presumed lost until one of them accepts a connection. A lost link is restored by two successful attempts in a row,
-/// which are made by probes, so that it doesn't change with each lost packet. Not thread-safe; performs no I/O and reads no clock.
+/// targets there are presumed lost until one of them accepts a connection, or answers if connections hang. A lost link is restored by two successful attempts
+/// in a row, which are made by probes, so that it doesn't change with each lost packet. Not thread-safe; performs no I/O and reads no clock.
 class LinkMonitor
 {
 public:
@@ -113,6 +116,7 @@
     {
         std::string Link::*field = nullptr; ///< Links in the scope have `name` here; null for all links.
         std::string name;
+        ConnectResult cause = ConnectResult::Connected; ///< Of the attempts from which the loss was presumed.
         TimePoint lostAt;
     };
 
--- a/decision/relay_selector.cpp
+++ b/decision/relay_selector.cpp
@@ -1,7 +1,6 @@
 #include "decision/relay_selector.h"
 
 #include <algorithm>
-#include <array>
 
 namespace Lovageloft
 {
@@ -10,10 +9,12 @@
 {
 
 constexpr Duration avoidTime = std::chrono::seconds(1);
+constexpr unsigned maxAvoidDoublings = 2;
 constexpr Duration preferTime = std::chrono::seconds(2);
 
-/// With fewer hosts than this that have relayed lately, others are tried as well.
-constexpr std::size_t minPreferredHosts = 3;
+/// With fewer hosts than this that have relayed lately, one attempt in three goes to another, so that the load is shared.
+constexpr std::size_t minPreferredHosts = 8;
+constexpr std::size_t attemptsPerExploration = 3;
 
 } // namespace
 
@@ -32,36 +33,52 @@
 
 std::optional<std::string> RelaySelector::choose(std::span<const std::string> excluded, TimePoint now, Random &random) const
 {
-    enum Rank : std::size_t
-    {
-        Preferred,
-        Near,
-        Far,
-        RankCount
-    };
-
-    std::array<std::vector<std::string_view>, RankCount> ranked;
-    std::size_t preferredCount = 0;
+    std::vector<std::string_view> preferred;
+    std::vector<std::string_view> near;
+    std::vector<std::string_view> others;
     for (const auto &[name, record] : hosts_) {
-        const bool isPreferred = now < record.preferUntil;
-        preferredCount += isPreferred ? 1 : 0;
         if (now < record.avoidUntil || std::find(excluded.begin(), excluded.end(), name) != excluded.end()) {
             continue;
         }
-        const Rank otherRank = record.dataCentre == dataCentre_ ? Near : Far;
-        ranked.at(isPreferred ? Preferred : otherRank).push_back(name);
-    }
-    std::size_t first = Preferred;
-    if (preferredCount < minPreferredHosts && (!ranked[Near].empty() || !ranked[Far].empty())) {
-        first = randomBelow(random, 2) == 0 ? Preferred : Near; // Finds further hosts, so that the load is shared.
+        if (now < record.preferUntil) {
+            preferred.push_back(name);
+            continue;
+        }
+        others.push_back(name);
+        if (record.dataCentre == dataCentre_) {
+            near.push_back(name);
+        }
     }
-    for (std::size_t i = 0; i < RankCount; ++i) {
-        const auto &names = ranked.at((first + i) % RankCount);
-        if (!names.empty()) {
-            return std::string(names[randomBelow(random, names.size())]);
+    const bool isFirstAttempt = excluded.empty();
+    const bool explores = isFirstAttempt && preferred.size() < minPreferredHosts && randomBelow(random, attemptsPerExploration) == 0;
+    const std::vector<std::string_view> &unproven = isFirstAttempt && !near.empty() ? near : others;
+    const std::vector<std::string_view> &names = preferred.empty() || (explores && !unproven.empty()) ? unproven : preferred;
+    return names.empty() ? std::nullopt : std::optional<std::string>(names[randomBelow(random, names.size())]);
+}
+
+std::vector<std::string_view> RelaySelector::preferredHosts(TimePoint now) const
+{
+    std::vector<std::string_view> names;
+    for (const auto &[name, record] : hosts_) {
+        if (now < record.preferUntil) {
+            names.push_back(name);
         }
     }
-    return std::nullopt;
+    return names;
+}
+
+std::string RelaySelector::suggestion(TimePoint now, Random &random) const
+{
+    const std::vector<std::string_view> names = preferredHosts(now);
+    return names.empty() ? std::string() : std::string(names[randomBelow(random, names.size())]);
+}
+
+void RelaySelector::onSuggested(std::string_view host, TimePoint now)
+{
+    const auto found = hosts_.find(host);
+    if (found != hosts_.end() && now >= found->second.avoidUntil && preferredHosts(now).empty()) {
+        found->second.preferUntil = now + preferTime;
+    }
 }
 
 void RelaySelector::onRelayed(std::string_view host, TimePoint now)
@@ -70,6 +87,7 @@
     if (found != hosts_.end()) {
         found->second.preferUntil = now + preferTime;
         found->second.avoidUntil = {};
+        found->second.failures = 0;
     }
 }
 
@@ -78,7 +96,8 @@
     const auto found = hosts_.find(host);
     if (found != hosts_.end()) {
         found->second.preferUntil = {};
-        found->second.avoidUntil = now + avoidTime;
+        found->second.avoidUntil = now + avoidTime * (1U << std::min(found->second.failures, maxAvoidDoublings));
+        ++found->second.failures;
     }
 }
 
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -78,7 +78,8 @@
                 return found != directory_.all().end() ? std::optional(found->second.address) : std::nullopt;
             },
             [this](std::string_view targetId) { return paths_.isLost(targetId, BootClock::now()); },
-            [this](std::string_view targetId, ConnectResult result) { paths_.onConnectResult(targetId, result, BootClock::now()); }};
+            [this](std::string_view targetId, ConnectResult result) { paths_.onConnectResult(targetId, result, BootClock::now()); },
+            [this] { return paths_.suggestion(BootClock::now()); }};
 }
 
 /// Requests in flight over lost links are tried elsewhere, and a leader that can't reach the engines resigns.
--- a/gateway/relay_server.cpp
+++ b/gateway/relay_server.cpp
@@ -189,6 +189,9 @@
     {
         count(status == statusBadGateway ? "unreachable" : "refused");
         std::string answer = "HTTP/1.1 " + std::to_string(status) + ' ' + std::string(statusText(status)) + "\r\n";
+        if (const std::string suggestion = server_.links_.suggestion(); status == statusUnavailable && !suggestion.empty()) {
+            appendField(answer, relaySuggestionField, suggestion);
+        }
         appendField(answer, "Content-Length", "0");
         host_->send(answer.append("\r\n"));
         endAfterSending();
--- a/gateway/relay_server.h
+++ b/gateway/relay_server.h
@@ -31,6 +31,7 @@
         std::function<std::optional<HostAddress>(std::string_view targetId)> findTarget;
         std::function<bool(std::string_view targetId)> isLost; ///< Whether this host has lost its own link to the target.
         std::function<void(std::string_view targetId, ConnectResult)> onConnectResult;
+        std::function<std::string()> suggestion; ///< A host to ask instead; empty if none is known.
     };
 
     RelayServer(boost::asio::io_context &loop, Links links, Metrics &metrics);
--- a/gateway/relayed_stream.cpp
+++ b/gateway/relayed_stream.cpp
@@ -59,6 +59,11 @@
     return result_;
 }
 
+const std::string &RelayedStream::suggestion() const
+{
+    return suggestion_;
+}
+
 void RelayedStream::send(std::string_view bytes)
 {
     std::string chunk;
@@ -126,6 +131,7 @@
 void RelayedStream::onHead(HttpHead &&head, std::optional<std::uint64_t> /*bodyBytes*/)
 {
     if (head.status != statusOk) {
+        suggestion_ = head.find(relaySuggestionField);
         result_ = head.status == statusBadGateway ? RelayResult::TargetUnreachable : RelayResult::Refused;
         return;
     }
--- a/gateway/relayed_stream.h
+++ b/gateway/relayed_stream.h
@@ -7,21 +7,13 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "decision/path_planner.h"
 #include "drivers/http_parser.h"
 #include "drivers/tcp_connection.h"
 
 namespace Lovageloft
 {
 
-/// How an attempt to connect to a target through another host ended.
-enum class RelayResult : std::uint8_t
-{
-    Pending,
-    Connected,
-    TargetUnreachable, ///< The other host can't reach the target either.
-    Refused, ///< The other host can't be reached, doesn't relay now, or doesn't know the target.
-};
-
 /// HTTP message between hosts that asks for a connection to a target: "POST /relay" with the target's id in `relayTargetField`.
 ///
 /// The bodies of the request and of its answer carry the bytes to and from the target, both with chunked transfer coding. The answer ends with
@@ -29,6 +21,9 @@
 inline constexpr std::string_view relayPath = "/relay";
 inline constexpr std::string_view relayTargetField = "Relay-Target";
 
+/// Field of an answer that refuses: the name of a host that has relayed connections of the host that refuses.
+inline constexpr std::string_view relaySuggestionField = "Relay-Suggestion";
+
 /// Appends bytes as one chunk of the chunked transfer coding.
 void appendChunk(std::string &out, std::string_view bytes);
 
@@ -45,6 +40,9 @@
     /// How the attempt to connect ended; to be read in onConnected() or in the first onClosed().
     RelayResult result() const;
 
+    /// The host that a host which refused suggests instead; empty if it suggests none.
+    const std::string &suggestion() const;
+
     void send(std::string_view bytes) override;
     std::size_t unsent() const override;
     void pauseReading() override;
@@ -69,6 +67,7 @@
     std::shared_ptr<TcpConnection> tcp_;
     std::string request_; ///< Sent when the other host accepts the connection.
     RelayResult result_ = RelayResult::Pending;
+    std::string suggestion_;
 };
 
 } // namespace Lovageloft
--- a/gateway/target_connection.cpp
+++ b/gateway/target_connection.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include "gateway/relayed_stream.h"
+
 namespace Lovageloft
 {
 
@@ -19,7 +21,7 @@
 } // namespace
 
 TargetConnection::TargetConnection(std::string targetId, const TargetProtocol &protocol, Owner &owner)
-    : attempts_{std::move(targetId), {}, {}, false, {}, 0}
+    : attempts_{std::move(targetId), {}, false, {}, 0}
     , protocol_(protocol)
     , owner_(owner)
     , parser_(HttpMessageKind::Answer, {maxAnswerHeadBytes, 0}, *this)
@@ -30,14 +32,14 @@
 void TargetConnection::connect(boost::asio::io_context &loop, const HostAddress &address)
 {
     loop_ = &loop;
-    attempts_.address = address;
+    address_ = address;
     attempts_.startedAt = BootClock::now();
     tryNextPath();
 }
 
 void TargetConnection::tryNextPath()
 {
-    const auto path = owner_.nextPath(attempts_);
+    const auto path = owner_.nextPath(attempts_, address_);
     if (!path) {
         boost::asio::post(*loop_, [self = shared_from_this()] {
             if (self->events_ != nullptr) {
@@ -60,7 +62,7 @@
     if (path_.relay.empty()) {
         owner_.onConnectResult(*this, connectFailure(BootClock::now() - pathStartedAt_, path_.timeout));
     } else {
-        owner_.onRelayResult(attempts_, path_.relay, static_cast<const RelayedStream &>(*stream_).result());
+        owner_.onRelayResult(attempts_, path_.relay, static_cast<const RelayedStream &>(*stream_));
     }
     if (events_ != nullptr) {
         tryNextPath();
@@ -144,7 +146,7 @@
     if (path_.relay.empty()) {
         owner_.onConnectResult(*this, ConnectResult::Connected);
     } else {
-        owner_.onRelayResult(attempts_, path_.relay, RelayResult::Connected);
+        owner_.onRelayResult(attempts_, path_.relay, static_cast<const RelayedStream &>(*stream_));
     }
     if (events_ != nullptr) {
         sendPendingRequest();
--- a/gateway/target_connection.h
+++ b/gateway/target_connection.h
@@ -51,9 +51,9 @@
     public:
         virtual ~Owner() = default;
         /// The next path to try; nothing if the connection can't be established.
-        virtual std::optional<TargetPath> nextPath(PathAttempts &attempts) = 0;
+        virtual std::optional<TargetPath> nextPath(PathAttempts &attempts, const HostAddress &address) = 0;
         virtual void onConnectResult(const TargetConnection &connection, ConnectResult result) = 0;
-        virtual void onRelayResult(PathAttempts &attempts, const std::string &relay, RelayResult result) = 0;
+        virtual void onRelayResult(PathAttempts &attempts, const std::string &relay, const RelayedStream &stream) = 0;
         /// Bytes were received on a direct connection; `isAnswer` with the head of an answer.
         virtual void onBytesFrom(const TargetConnection &connection, bool isAnswer) = 0;
         /// Called before ExchangeEvents::onAnswerEnd() of the exchange that has ended.
@@ -117,6 +117,7 @@
     void updateKeepAlive(const HttpHead &head);
 
     PathAttempts attempts_;
+    HostAddress address_; ///< Of the target.
     TargetPath path_; ///< The newest one.
     boost::asio::io_context *loop_ = nullptr;
     const TargetProtocol &protocol_;
--- a/gateway/target_paths.cpp
+++ b/gateway/target_paths.cpp
@@ -7,6 +7,7 @@
 
 #include "core/log.h"
 #include "drivers/tcp_connection.h"
+#include "gateway/relayed_stream.h"
 
 namespace Lovageloft
 {
@@ -14,24 +15,6 @@
 namespace
 {
 
-/// The network latency between hosts and targets is about a millisecond. A target that does not accept within this time is unreachable or
-/// overloaded.
-constexpr Duration connectTimeout = std::chrono::milliseconds(400);
-
-/// The same if another host can be asked to relay afterwards.
-constexpr Duration connectTimeoutBeforeRelay = std::chrono::milliseconds(150);
-
-/// Covers the connection to the other host and its own attempt to connect to the target.
-constexpr Duration relayTimeout = std::chrono::milliseconds(250);
-constexpr Duration probeTimeout = std::chrono::milliseconds(150);
-
-/// No further path is tried after this time.
-constexpr Duration maxPathTime = std::chrono::milliseconds(600);
-constexpr std::size_t maxRelaysTried = 3;
-
-/// Hosts that must report a target as unreachable before it counts as down: one alone may have lost its own link.
-constexpr int reportsOfDownTarget = 2;
-
 /// How long nothing may arrive from any target while requests wait for answers.
 constexpr Duration maxSilence = std::chrono::milliseconds(200);
 
@@ -57,7 +40,7 @@
         : paths_(paths)
         , targetId_(std::move(targetId))
         , startedAt_(BootClock::now())
-        , tcp_(TcpConnection::connect(paths.loop_, address, probeTimeout, *this))
+        , tcp_(TcpConnection::connect(paths.loop_, address, linkConnectTimeout, *this))
     {
     }
 
@@ -84,7 +67,7 @@
 
     void onClosed(bool /*isReset*/) override
     {
-        end(connectFailure(BootClock::now() - startedAt_, probeTimeout));
+        end(connectFailure(BootClock::now() - startedAt_, linkConnectTimeout));
     }
 
     void end(ConnectResult result)
@@ -129,20 +112,19 @@
 
     void tryNext()
     {
-        const auto path = paths_.relayPathFor(attempts_, BootClock::now());
+        const auto path = paths_.planner_.nextRelayedPath(attempts_, BootClock::now());
         if (!path) {
             end(false);
             return;
         }
         relay_ = path->relay;
-        attempts_.relays.push_back(relay_);
-        stream_ = RelayedStream::connect(paths_.loop_, path->address, attempts_.targetId, path->timeout, *this);
+        stream_ = RelayedStream::connect(paths_.loop_, paths_.hostAddresses_.at(relay_), attempts_.targetId, path->timeout, *this);
     }
 
 private:
     void onConnected() override
     {
-        paths_.onRelayResult(attempts_, relay_, RelayResult::Connected, BootClock::now());
+        paths_.onRelayResult(attempts_, relay_, *stream_, BootClock::now());
         end(true);
     }
 
@@ -152,7 +134,7 @@
 
     void onClosed(bool /*isReset*/) override
     {
-        paths_.onRelayResult(attempts_, relay_, stream_->result(), BootClock::now());
+        paths_.onRelayResult(attempts_, relay_, *stream_, BootClock::now());
         tryNext();
     }
 
@@ -174,7 +156,7 @@
     : loop_(loop)
     , hostName_(std::move(hostName))
     , metrics_(metrics)
-    , random_(std::random_device{}())
+    , planner_(Random(std::random_device{}()))
 {
 }
 
@@ -188,7 +170,7 @@
         monitored.push_back({id, target.service, target.dataCentre});
         addresses_.emplace(id, target.address);
     }
-    links_.setTargets(monitored);
+    planner_.links().setTargets(monitored);
     logChanges();
 }
 
@@ -205,7 +187,7 @@
         others.push_back({name, record.dataCentre});
         hostAddresses_.emplace(name, record.address);
     }
-    relays_.setHosts(others, dataCentre);
+    planner_.setHosts(others, dataCentre);
 }
 
 void TargetPaths::setChangeListener(std::function<void()> listener)
@@ -213,75 +195,50 @@
     changeListener_ = std::move(listener);
 }
 
-std::optional<TargetPath> TargetPaths::nextPath(PathAttempts &attempts, TimePoint now)
-{
-    const bool isLost = links_.isLost(attempts.targetId, now);
-    if (!attempts.wasTriedDirectly && !isLost) {
-        attempts.wasTriedDirectly = true;
-        return TargetPath{attempts.address, {}, relays_.isEmpty() ? connectTimeout : connectTimeoutBeforeRelay};
-    }
-    auto path = relayPathFor(attempts, now);
-    if (path) {
-        attempts.relays.push_back(path->relay);
-    }
-    return path;
-}
-
-std::optional<TargetPath> TargetPaths::relayPathFor(const PathAttempts &attempts, TimePoint now)
+std::optional<TargetPath> TargetPaths::nextPath(PathAttempts &attempts, const HostAddress &address, TimePoint now)
 {
-    const bool isDown = attempts.unreachableReports >= reportsOfDownTarget;
-    if (isDown || attempts.relays.size() >= maxRelaysTried || now - attempts.startedAt > maxPathTime) {
-        return std::nullopt;
-    }
-    const auto relay = relays_.choose(attempts.relays, now, random_);
-    if (!relay) {
+    const auto path = planner_.nextPath(attempts, now);
+    if (!path) {
         return std::nullopt;
     }
-    return TargetPath{hostAddresses_.at(*relay), *relay, relayTimeout};
+    return TargetPath{path->relay.empty() ? address : hostAddresses_.at(path->relay), path->relay, path->timeout};
 }
 
 void TargetPaths::onConnectResult(std::string_view targetId, ConnectResult result, TimePoint now)
 {
     metrics_.add("lovageloft_target_connects_total", {{"result", nameOf(result)}});
-    links_.onConnectResult(targetId, result, now);
+    planner_.links().onConnectResult(targetId, result, now);
     logChanges();
     if (result != ConnectResult::Connected) {
         openDueProbes(now);
     }
 }
 
-void TargetPaths::onRelayResult(PathAttempts &attempts, const std::string &relay, RelayResult result, TimePoint now)
+void TargetPaths::onRelayResult(PathAttempts &attempts, const std::string &relay, const RelayedStream &stream, TimePoint now)
 {
+    const RelayResult result = stream.result();
     metrics_.add("lovageloft_relay_connects_total", {{"direction", "out"}, {"result", nameOf(result)}});
-    switch (result) {
-    case RelayResult::Connected:
-        relays_.onRelayed(relay, now);
-        break;
-    case RelayResult::TargetUnreachable:
-        if (++attempts.unreachableReports >= reportsOfDownTarget || hostAddresses_.size() == 1) {
-            links_.onUnreachableFromPeer(attempts.targetId, now);
-            logChanges();
-        }
-        break;
-    case RelayResult::Refused:
-    case RelayResult::Pending:
-        relays_.onFailed(relay, now);
-        break;
-    }
+    planner_.onRelayResult(attempts, relay, result, stream.suggestion(), now);
+    logChanges();
+}
+
+std::string TargetPaths::suggestion(TimePoint now)
+{
+    return planner_.suggestion(now);
 }
 
 void TargetPaths::onBytes(std::string_view targetId, bool isAnswer, TimePoint now)
 {
     heardAt_ = now;
     if (isAnswer) {
-        links_.onAnswered(targetId, now);
+        planner_.links().onAnswered(targetId, now);
     }
 }
 
 void TargetPaths::onWaiting(std::string_view targetId, TimePoint sentAt, bool isOverdue, TimePoint now)
 {
-    if (links_.isLost(targetId, now)) {
-        links_.onSilent(targetId);
+    if (planner_.links().isLost(targetId, now)) {
+        planner_.links().onSilent(targetId);
         return;
     }
     if (isOverdue || now - std::max(heardAt_, sentAt) >= maxSilence) {
@@ -291,12 +248,12 @@
 
 bool TargetPaths::isLost(std::string_view targetId, TimePoint now) const
 {
-    return links_.isLost(targetId, now);
+    return planner_.links().isLost(targetId, now);
 }
 
 bool TargetPaths::mayUseEstablished(std::string_view targetId, TimePoint now) const
 {
-    return links_.mayUseEstablished(targetId, now);
+    return planner_.links().mayUseEstablished(targetId, now);
 }
 
 void TargetPaths::checkLoss(std::string_view targetId, std::function<void(bool isLinkLost)> handler)
@@ -306,7 +263,7 @@
         handler(false);
         return;
     }
-    const PathAttempts attempts{address->first, address->second, BootClock::now(), true, {}, 0};
+    const PathAttempts attempts{address->first, BootClock::now(), true, {}, 0};
     openProbe(address->first);
     probes_.at(address->first)->addListener([this, attempts, handler = std::move(handler)](ConnectResult result) {
         if (result == ConnectResult::Connected) {
@@ -326,12 +283,12 @@
 
 const LinkMonitor &TargetPaths::links() const
 {
-    return links_;
+    return planner_.links();
 }
 
 void TargetPaths::openDueProbes(TimePoint now)
 {
-    for (const std::string &targetId : links_.dueProbes(now)) {
+    for (const std::string &targetId : planner_.links().dueProbes(now)) {
         openProbe(targetId);
     }
 }
@@ -346,7 +303,7 @@
 
 void TargetPaths::logChanges()
 {
-    const std::vector<LinkChange> changes = links_.takeChanges();
+    const std::vector<LinkChange> changes = planner_.links().takeChanges();
     for (const LinkChange &change : changes) {
         writeLog(change.isLost ? LogLevel::Warning : LogLevel::Info,
                  change.isLost ? "links_lost" : "links_restored",
--- a/gateway/target_paths.h
+++ b/gateway/target_paths.h
@@ -12,15 +12,15 @@
 #include <boost/asio/io_context.hpp>
 
 #include "core/metrics.h"
-#include "decision/link_monitor.h"
-#include "decision/relay_selector.h"
+#include "decision/path_planner.h"
 #include "gateway/host_record.h"
-#include "gateway/relayed_stream.h"
 #include "gateway/target.h"
 
 namespace Lovageloft
 {
 
+class RelayedStream;
+
 /// One way to connect to a target.
 struct TargetPath
 {
@@ -29,17 +29,6 @@
     Duration timeout{};
 };
 
-/// The paths that were tried for one connection to a target.
-struct PathAttempts
-{
-    std::string targetId;
-    HostAddress address;
-    TimePoint startedAt;
-    bool wasTriedDirectly = false;
-    std::vector<std::string> relays; ///< Hosts that were asked to relay.
-    int unreachableReports = 0; ///< Hosts among them that could not reach the target.
-};
-
 /// Chooses how connections to targets are made: directly, or through another host if this host has lost its link to the target. It records the
 /// results of all attempts, opens probe connections to targets whose links are lost, and logs what changes. For use on the event loop only.
 class TargetPaths
@@ -56,14 +45,17 @@
     /// Called whenever links are lost or restored.
     void setChangeListener(std::function<void()> listener);
 
-    /// The next path to try for a connection; nothing if none is left.
-    std::optional<TargetPath> nextPath(PathAttempts &attempts, TimePoint now);
+    /// The next path to try for a connection to a target with this address; nothing if none is left.
+    std::optional<TargetPath> nextPath(PathAttempts &attempts, const HostAddress &address, TimePoint now);
 
     /// Records the result of an attempt to connect directly.
     void onConnectResult(std::string_view targetId, ConnectResult result, TimePoint now);
 
     /// Records the result of an attempt to connect through another host.
-    void onRelayResult(PathAttempts &attempts, const std::string &relay, RelayResult result, TimePoint now);
+    void onRelayResult(PathAttempts &attempts, const std::string &relay, const RelayedStream &stream, TimePoint now);
+
+    /// A host that has relayed lately, to be suggested to others; empty if there is none.
+    std::string suggestion(TimePoint now);
 
     /// Records that bytes arrived from a target on a direct connection; `isAnswer` with the first bytes of an answer.
     void onBytes(std::string_view targetId, bool isAnswer, TimePoint now);
@@ -92,15 +84,12 @@
 
     void openProbe(const std::string &targetId);
     void openDueProbes(TimePoint now);
-    std::optional<TargetPath> relayPathFor(const PathAttempts &attempts, TimePoint now);
     void logChanges();
 
     boost::asio::io_context &loop_;
     std::string hostName_;
     Metrics &metrics_;
-    LinkMonitor links_;
-    RelaySelector relays_;
-    Random random_;
+    PathPlanner planner_;
     std::function<void()> changeListener_ = [] {};
     std::map<std::string, HostAddress, std::less<>> addresses_; ///< By target id.
     std::map<std::string, HostAddress, std::less<>> hostAddresses_; ///< Of the other hosts, by name.
--- a/gateway/target_pool.cpp
+++ b/gateway/target_pool.cpp
@@ -90,9 +90,9 @@
     return count;
 }
 
-std::optional<TargetPath> TargetPool::nextPath(PathAttempts &attempts)
+std::optional<TargetPath> TargetPool::nextPath(PathAttempts &attempts, const HostAddress &address)
 {
-    return paths_.nextPath(attempts, BootClock::now());
+    return paths_.nextPath(attempts, address, BootClock::now());
 }
 
 void TargetPool::onConnectResult(const TargetConnection &connection, ConnectResult result)
@@ -100,9 +100,9 @@
     paths_.onConnectResult(connection.targetId(), result, BootClock::now());
 }
 
-void TargetPool::onRelayResult(PathAttempts &attempts, const std::string &relay, RelayResult result)
+void TargetPool::onRelayResult(PathAttempts &attempts, const std::string &relay, const RelayedStream &stream)
 {
-    paths_.onRelayResult(attempts, relay, result, BootClock::now());
+    paths_.onRelayResult(attempts, relay, stream, BootClock::now());
 }
 
 void TargetPool::onBytesFrom(const TargetConnection &connection, bool isAnswer)
--- a/gateway/target_pool.h
+++ b/gateway/target_pool.h
@@ -38,9 +38,9 @@
     using IdleConnections = std::vector<std::shared_ptr<TargetConnection>>;
 
     bool isOnLivePath(const TargetConnection &connection, TimePoint now) const;
-    std::optional<TargetPath> nextPath(PathAttempts &attempts) override;
+    std::optional<TargetPath> nextPath(PathAttempts &attempts, const HostAddress &address) override;
     void onConnectResult(const TargetConnection &connection, ConnectResult result) override;
-    void onRelayResult(PathAttempts &attempts, const std::string &relay, RelayResult result) override;
+    void onRelayResult(PathAttempts &attempts, const std::string &relay, const RelayedStream &stream) override;
     void onBytesFrom(const TargetConnection &connection, bool isAnswer) override;
     void onIdle(const std::shared_ptr<TargetConnection> &connection) override;
     void onIdleClosed(const std::shared_ptr<TargetConnection> &connection) override;
