A few targets that fail together no longer look like lost links to every host

Cause: two engines that crashed at the same moment refused connections on every host between two answers. Every host presumed all its links lost, asked the others to relay, and was refused by them for the same reason; the probes went to the two dead engines only, so nobody ever learnt better, and the leader had resigned. Change: two failures make a host probe other targets of the service or data centre, and only four (or all) are presumed to be lost links. While links are presumed lost, untried targets are probed as well. If no host is left to ask, a target whose own link is not known to be lost is tried directly. A host that relays says 'unreachable' for a single target that fails, and refuses only if it presumes links lost, so that asking for a dead target does not rule it out for others.

--- a/decision/link_monitor.cpp
+++ b/decision/link_monitor.cpp
@@ -1,6 +1,7 @@
 #include "decision/link_monitor.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Lovageloft
@@ -12,8 +13,9 @@
 constexpr int failuresToLose = 2;
 constexpr int successesToRestore = 2;
 
-/// Links with failed attempts from which those to other targets of the same service or data centre are presumed lost.
-constexpr std::ptrdiff_t lostLinksToPresume = 2;
+/// Targets that fail from which others of the same service or data centre are probed, and from which their links are presumed lost.
+constexpr std::size_t failingLinksToSuspect = 2;
+constexpr std::size_t failingLinksToPresume = 4;
 
 /// For how long a target counts as down after another host could not reach it either.
 constexpr Duration downTime = std::chrono::milliseconds(500);
@@ -26,6 +28,9 @@
 constexpr std::size_t probesWhileLost = 2;
 constexpr std::size_t probesWhileRestoring = 32;
 
+/// Further probes, of targets to which no attempt has failed.
+constexpr std::size_t probesOfUntried = 2;
+
 constexpr std::string_view allTargets = "all";
 
 std::string scopeLabel(bool isAll, bool isService, const std::string &name)
@@ -150,6 +155,18 @@
     return found->second.isLost || lostScopeOf(found->second) != nullptr;
 }
 
+bool LinkMonitor::isOwnLinkLost(std::string_view id) const
+{
+    const auto found = links_.find(id);
+    return found != links_.end() && found->second.isLost;
+}
+
+bool LinkMonitor::isPresumedLost(std::string_view id) const
+{
+    const auto found = links_.find(id);
+    return found != links_.end() && lostScopeOf(found->second) != nullptr;
+}
+
 const LinkMonitor::Scope *LinkMonitor::lostScopeOf(const Link &link) const
 {
     const auto found = std::find_if(lostScopes_.begin(), lostScopes_.end(), [&link](const auto &entry) { return contains(entry.second, link); });
@@ -188,7 +205,7 @@
 std::vector<std::string> LinkMonitor::dueProbes(TimePoint now)
 {
     std::vector<std::string> due;
-    if (lostCount_ == 0 && suspectCount_ == 0) {
+    if (lostCount_ == 0 && suspectCount_ == 0 && lostScopes_.empty()) {
         return due;
     }
     std::vector<std::pair<TimePoint, std::string_view>> candidates;
@@ -210,6 +227,16 @@
         links_.find(id)->second.nextProbe = now + probeInterval;
         due.emplace_back(id);
     }
+    std::size_t left = probesOfUntried;
+    for (const std::string_view id : untriedTargets(now)) {
+        Link &link = links_.find(id)->second;
+        if (left == 0 || link.nextProbe > now) {
+            break;
+        }
+        --left;
+        link.nextProbe = now + probeInterval;
+        due.emplace_back(id);
+    }
     return due;
 }
 
@@ -265,6 +292,19 @@
 }
 
 bool LinkMonitor::mustPresumeLost(const Scope &scope, TimePoint now) const
+{
+    const auto size = std::count_if(links_.begin(), links_.end(), [&scope](const auto &entry) { return contains(scope, entry.second); });
+    const std::size_t needed = std::min(failingLinksToPresume, static_cast<std::size_t>(size));
+    return isSuspicious(scope, now) && countFailing(scope, now) >= needed;
+}
+
+bool LinkMonitor::isSuspicious(const Scope &scope, TimePoint now) const
+{
+    return countFailing(scope, now) >= failingLinksToSuspect;
+}
+
+/// Targets in the scope to which the newest attempt failed and began after any target there was last reached. Those that are down don't count.
+std::size_t LinkMonitor::countFailing(const Scope &scope, TimePoint now) const
 {
     std::optional<TimePoint> reachedAt;
     for (const auto &[id, link] : links_) {
@@ -272,16 +312,36 @@
             reachedAt = std::max(reachedAt, link.reachedAt);
         }
     }
-    const auto lost = std::count_if(links_.begin(), links_.end(), [&](const auto &entry) {
+    const auto failing = std::count_if(links_.begin(), links_.end(), [&](const auto &entry) {
         const Link &link = entry.second;
         if (!contains(scope, link) || link.failures == 0 || now < link.downUntil) {
             return false;
         }
-        // A target that was reached while an attempt was waiting shows that the scope is not lost as a whole.
         const Duration attemptTime = link.lastResult == ConnectResult::TimedOut ? linkConnectTimeout : Duration::zero();
         return !reachedAt || *link.failedAt - attemptTime > *reachedAt;
     });
-    return lost >= lostLinksToPresume;
+    return static_cast<std::size_t>(failing);
+}
+
+/// Targets in suspicious or lost scopes to which no attempt has failed, least recently probed first: they tell whether the whole scope is lost.
+std::vector<std::string_view> LinkMonitor::untriedTargets(TimePoint now) const
+{
+    std::vector<Scope> scopes = candidateScopes();
+    std::erase_if(scopes, [&](const Scope &scope) { return !isSuspicious(scope, now); });
+    for (const auto &[label, scope] : lostScopes_) {
+        scopes.push_back(scope);
+    }
+    std::vector<std::pair<TimePoint, std::string_view>> untried;
+    for (const auto &[id, link] : links_) {
+        const bool isInScope = std::any_of(scopes.begin(), scopes.end(), [&link](const Scope &scope) { return contains(scope, link); });
+        if (isInScope && link.failures == 0) {
+            untried.emplace_back(link.nextProbe, id);
+        }
+    }
+    std::sort(untried.begin(), untried.end());
+    std::vector<std::string_view> ids;
+    std::transform(untried.begin(), untried.end(), std::back_inserter(ids), [](const auto &entry) { return entry.second; });
+    return ids;
 }
 
 bool LinkMonitor::isStillLost(const Scope &scope, TimePoint now) const
--- a/decision/link_monitor.h
+++ b/decision/link_monitor.h
@@ -54,9 +54,11 @@
 /// own connection attempts, answers of targets, and what other hosts report about the same targets.
 ///
 /// The link to a target is lost once two attempts in a row to connect to it fail, unless another host can't reach the target either: then the
-/// target is down. If attempts to connect to two targets of a service or data centre fail and no target there was reached since, the links to all
-/// targets there are presumed lost until one of them accepts a connection, or answers if connections hang. A lost link is restored by two successful attempts
-/// in a row, which are made by probes, so that it doesn't change with each lost packet. Not thread-safe; performs no I/O and reads no clock.
+/// target is down. If attempts to connect to two targets of a service or data centre fail and no target there was reached since, others there
+/// are probed; if attempts to four fail, or to all, the links to all targets there are presumed lost until one of them accepts a connection,
+/// or answers if connections hang. A few targets that fail at the same time must not look like lost links: if all hosts presumed so, none
+/// would connect to the others any more. A lost link is restored by two successful attempts in a row, which are made by probes, so that it
+/// doesn't change with each lost packet. Not thread-safe; performs no I/O and reads no clock.
 class LinkMonitor
 {
 public:
@@ -75,6 +77,12 @@
     /// Whether the link to the target is lost, or presumed lost, while the target is not known to be down.
     bool isLost(std::string_view id, TimePoint now) const;
 
+    /// Whether two attempts in a row to connect to this target have failed.
+    bool isOwnLinkLost(std::string_view id) const;
+
+    /// Whether the link is presumed lost with all others of a scope, whatever attempts to connect to this target showed.
+    bool isPresumedLost(std::string_view id) const;
+
     /// A request has waited for an answer on an established connection without any sign of the target, while its link is lost.
     void onSilent(std::string_view id);
 
@@ -128,6 +136,9 @@
     const Scope *lostScopeOf(const Link &link) const;
     void countLinks();
     bool mustPresumeLost(const Scope &scope, TimePoint now) const;
+    bool isSuspicious(const Scope &scope, TimePoint now) const;
+    std::size_t countFailing(const Scope &scope, TimePoint now) const;
+    std::vector<std::string_view> untriedTargets(TimePoint now) const;
     bool isStillLost(const Scope &scope, TimePoint now) const;
     void noteTargetChange(const std::string &id, const Link &link, TimePoint now);
     LinkChange describe(const std::string &label, const Scope &scope, bool isLost, TimePoint now) const;
--- a/decision/path_planner.cpp
+++ b/decision/path_planner.cpp
@@ -39,7 +39,13 @@
         attempts.wasTriedDirectly = true;
         return PlannedPath{{}, hostCount_ == 0 ? connectTimeout : linkConnectTimeout};
     }
-    return nextRelayedPath(attempts, now);
+    auto path = nextRelayedPath(attempts, now);
+    if (!path && !attempts.wasTriedDirectly && links_.isPresumedLost(attempts.targetId) && !links_.isOwnLinkLost(attempts.targetId)) {
+        // The presumption may be wrong, and no host is left to ask.
+        attempts.wasTriedDirectly = true;
+        return PlannedPath{{}, linkConnectTimeout};
+    }
+    return path;
 }
 
 std::optional<PlannedPath> PathPlanner::nextRelayedPath(PathAttempts &attempts, TimePoint now)
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -77,7 +77,8 @@
                 const auto found = directory_.all().find(targetId);
                 return found != directory_.all().end() ? std::optional(found->second.address) : std::nullopt;
             },
-            [this](std::string_view targetId) { return paths_.isLost(targetId, BootClock::now()); },
+            [this](std::string_view targetId) { return paths_.links().isPresumedLost(targetId); },
+            [this](std::string_view targetId) { return paths_.links().isOwnLinkLost(targetId); },
             [this](std::string_view targetId, ConnectResult result) { paths_.onConnectResult(targetId, result, BootClock::now()); },
             [this] { return paths_.suggestion(BootClock::now()); }};
 }
--- a/gateway/relay_server.cpp
+++ b/gateway/relay_server.cpp
@@ -128,10 +128,14 @@
             refuse(statusNotFound);
             return;
         }
-        if (server_.isDraining_ || server_.sessions_.size() > maxSessions || server_.links_.isLost(targetId_)) {
+        if (server_.isDraining_ || server_.sessions_.size() > maxSessions || server_.links_.isPresumedLost(targetId_)) {
             refuse(statusUnavailable);
             return;
         }
+        if (server_.links_.isOwnLinkLost(targetId_)) {
+            refuse(statusBadGateway);
+            return;
+        }
         connectStartedAt_ = BootClock::now();
         target_.tcp = TcpConnection::connect(server_.loop_, *address, connectTimeout, target_);
     }
@@ -174,7 +178,7 @@
         const auto self = shared_from_this();
         if (!isConnected_) {
             server_.links_.onConnectResult(targetId_, connectFailure(BootClock::now() - connectStartedAt_, connectTimeout));
-            refuse(server_.links_.isLost(targetId_) ? statusUnavailable : statusBadGateway);
+            refuse(server_.links_.isPresumedLost(targetId_) ? statusUnavailable : statusBadGateway);
             return;
         }
         if (isReset) {
--- a/gateway/relay_server.h
+++ b/gateway/relay_server.h
@@ -29,7 +29,8 @@
     {
         std::function<bool(const boost::asio::ip::address &)> isHost; ///< Whether the address is that of another host of the fleet.
         std::function<std::optional<HostAddress>(std::string_view targetId)> findTarget;
-        std::function<bool(std::string_view targetId)> isLost; ///< Whether this host has lost its own link to the target.
+        std::function<bool(std::string_view targetId)> isPresumedLost; ///< Whether this host has lost its links to the target and others.
+        std::function<bool(std::string_view targetId)> isOwnLinkLost; ///< Whether this host fails to connect to the target, for whatever reason.
         std::function<void(std::string_view targetId, ConnectResult)> onConnectResult;
         std::function<std::string()> suggestion; ///< A host to ask instead; empty if none is known.
     };
--- a/tests/decision/cut_model.cpp
+++ b/tests/decision/cut_model.cpp
@@ -151,14 +151,17 @@
     elapsed += roundTrip;
     const LinkMonitor &links = hosts_[host].planner.links();
     suggestion = hosts_[host].planner.suggestion(now);
-    if (links.isLost(targets_[target], now)) {
+    if (links.isPresumedLost(targets_[target])) {
         return RelayResult::Refused;
     }
+    if (links.isOwnLinkLost(targets_[target])) {
+        return RelayResult::TargetUnreachable;
+    }
     if (connect(host, target, now, elapsed)) {
         ++hosts_[host].relayed;
         return RelayResult::Connected;
     }
-    return links.isLost(targets_[target], now) ? RelayResult::Refused : RelayResult::TargetUnreachable;
+    return links.isPresumedLost(targets_[target]) ? RelayResult::Refused : RelayResult::TargetUnreachable;
 }
 
 bool CutModel::connect(std::size_t host, std::size_t target, TimePoint now, Duration &elapsed)
--- a/tests/decision/test_lost_links.cpp
+++ b/tests/decision/test_lost_links.cpp
@@ -154,6 +154,26 @@
     BOOST_TEST(all.servedShare() > 1 - 2.0 / static_cast<double>(size.targets));
 }
 
+// Guards against a fleet in which a few targets that fail at the same moment look like lost links to every host, so that none connects to the
+// other targets any more.
+BOOST_DATA_TEST_CASE(targetsThatFailTogetherDoNotTakeTheOthersAlong,
+                     boost::unit_test::data::make(sizes) * boost::unit_test::data::make({2, 4, 7}),
+                     size,
+                     failing)
+{
+    for (std::uint64_t seed = 0; seed < std::max<std::uint64_t>(size.seeds / 10, 1); ++seed) {
+        CutModel model({size.hosts, size.targets, 3, seed, true});
+        model.run(1s, requestsPerSecond);
+        for (int target = 0; target < failing; ++target) {
+            model.setTargetDown(static_cast<std::size_t>(target) * 2, true); // All of one service.
+        }
+        model.run(detectionTime, requestsPerSecond);
+        const CutModel::Count all = sum(model.run(countedTime, requestsPerSecond), {}, false);
+        const double share = 1 - static_cast<double>(failing) / static_cast<double>(size.targets);
+        BOOST_TEST(all.servedShare() > goal * share, "seed " << seed << ": served " << all.served << " of " << all.sent);
+    }
+}
+
 // Guards against a few of the remaining hosts that relay for all others.
 BOOST_DATA_TEST_CASE(theRemainingHostsShareTheLoad, boost::unit_test::data::make(sizes), size)
 {
