--- a/tests/platform/fleet_fixture.cpp
+++ b/tests/platform/fleet_fixture.cpp
@@ -19,6 +19,7 @@
         options.peers = {"127.0.0.1", 0};
         options.metrics = HostAddress{"127.0.0.1", 0};
         options.hostName = host->name;
+        options.limits.keyProofWindow = std::chrono::hours(1); // Nothing proves the configuration again.
         options.limits.drainNotice = std::chrono::milliseconds(300);
         options.limits.drainLimit = std::chrono::seconds(4);
         options.limits.retries = {0.2, 50};
