The check of a lost target waits until cut hosts know that they are

Cause: in the first moments of a cut a host asks others whether they reach the target that it lost; those that are cut off too and don't know yet say that it is unreachable, and the loss counts as a crash. Found by reading; with six hosts of nine cut off about one check in three would have asked two such hosts first. Change: a refused connect is followed by 100 ms, after which the host goes by its own presumption, or asks. Measured: test_host_without_links and test_crashing_request pass.

--- a/gateway/target_paths.cpp
+++ b/gateway/target_paths.cpp
@@ -5,6 +5,8 @@
 #include <random>
 #include <utility>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include "core/log.h"
 #include "drivers/tcp_connection.h"
 #include "gateway/relayed_stream.h"
@@ -18,6 +20,9 @@
 /// How long nothing may arrive from any target while requests wait for answers.
 constexpr Duration maxSilence = std::chrono::milliseconds(200);
 
+/// Time within which hosts that have lost their links presume so. One that does not yet would report a target as unreachable.
+constexpr Duration lossDetectionTime = std::chrono::milliseconds(100);
+
 std::string_view nameOf(ConnectResult result)
 {
     static constexpr auto names = std::to_array<std::string_view>({"connected", "refused", "timed_out"});
@@ -270,12 +275,24 @@
             handler(false);
             return;
         }
-        const auto probe = std::make_shared<RelayProbe>(*this, attempts, handler);
-        relayProbes_.insert(probe);
-        probe->tryNext();
+        const auto timer = std::make_shared<boost::asio::steady_timer>(loop_, lossDetectionTime);
+        timer->async_wait([this, timer, attempts, handler](const boost::system::error_code &) { askForLoss(attempts, handler); });
     });
 }
 
+void TargetPaths::askForLoss(const PathAttempts &attempts, const std::function<void(bool isLinkLost)> &handler)
+{
+    if (planner_.links().isPresumedLost(attempts.targetId)) {
+        handler(true);
+        return;
+    }
+    PathAttempts begun = attempts;
+    begun.startedAt = BootClock::now();
+    const auto probe = std::make_shared<RelayProbe>(*this, begun, handler);
+    relayProbes_.insert(probe);
+    probe->tryNext();
+}
+
 void TargetPaths::tick(TimePoint now)
 {
     openDueProbes(now);
--- a/gateway/target_paths.h
+++ b/gateway/target_paths.h
@@ -84,6 +84,7 @@
 
     void openProbe(const std::string &targetId);
     void openDueProbes(TimePoint now);
+    void askForLoss(const PathAttempts &attempts, const std::function<void(bool isLinkLost)> &handler);
     void logChanges();
 
     boost::asio::io_context &loop_;
