A host can order engines again once lost ones are replaced

What callers would see: no engine gets new weights after engines that failed together came back under other ids: every host had resigned, and none learnt that the lost links were gone with their targets. Cause: whether a host reaches the engines was worked out when a link changed, and links that leave with their targets are no change. Change: it is worked out with each tick. Measured: aHostCanOrderAgainOnceLostEnginesAreReplaced passes; on the code before nothing recomputes it there.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -65,7 +65,7 @@
 {
     directory_.setDataCentre(options.dataCentre);
     rollouts_.setLimits(options.limits.exposure);
-    paths_.setChangeListener([this] { onLinksChanged(); });
+    paths_.setChangeListener([this] { boost::asio::post(loop_, [this] { dispatch_.retryOverLostLinks(); }); });
 }
 
 RelayServer::Links Gateway::relayLinks()
@@ -83,10 +83,9 @@
             [this] { return paths_.suggestion(BootClock::now()); }};
 }
 
-/// Requests in flight over lost links are tried elsewhere, and a leader that can't reach the engines resigns.
-void Gateway::onLinksChanged()
+/// A leader that reaches less than half of the engines resigns.
+void Gateway::updateControl(TimePoint now)
 {
-    const TimePoint now = BootClock::now();
     std::size_t engines = 0;
     std::size_t lost = 0;
     for (const auto &[id, target] : directory_.all()) {
@@ -100,7 +99,6 @@
         canOrder_ = canOrder;
         controlListener_(canOrder);
     }
-    boost::asio::post(loop_, [this] { dispatch_.retryOverLostLinks(); });
 }
 
 void Gateway::setControlListener(ControlListener listener)
@@ -510,6 +508,7 @@
     const TimePoint now = BootClock::now();
     pauseDetector_.tick(now);
     paths_.tick(now);
+    updateControl(now);
     pool_.closeStale(now);
     fleet_.sendHeartbeat(now);
     if (now < queryProofsUntil_) {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -321,7 +321,7 @@
     void applyRetryLimits();
     void beginPending();
     RelayServer::Links relayLinks();
-    void onLinksChanged();
+    void updateControl(TimePoint now);
 
     GatewayOptions options_;
     const CallerProtocol &callerProtocol_;
--- a/tests/platform/test_host_without_links.cpp
+++ b/tests/platform/test_host_without_links.cpp
@@ -96,4 +96,42 @@
     BOOST_TEST(isUsed(otherHost));
 }
 
+// Guards against a fleet without a leader after engines that failed together have come back under other ids.
+BOOST_AUTO_TEST_CASE(aHostCanOrderAgainOnceLostEnginesAreReplaced)
+{
+    std::atomic<bool> canOrder = true;
+    const auto listEngines = [this](const std::string &prefix, std::uint16_t port) {
+        auto engines = std::make_shared<TargetMap>();
+        for (int i = 0; i < 4; ++i) {
+            Target engine;
+            engine.id = prefix + std::to_string(i);
+            engine.service = "s";
+            engine.address = {"127.0.0.1", port};
+            engine.models = {{"m", 1}};
+            engine.incarnation = 1;
+            engines->emplace(engine.id, engine);
+        }
+        onLoop(cutHost, [engines](Gateway &gateway) { gateway.setTargets(engines); });
+    };
+    const auto waitUntil = [&canOrder](bool expected) {
+        const TimePoint limit = BootClock::now() + 3s;
+        while (canOrder != expected && BootClock::now() < limit) {
+            std::this_thread::sleep_for(10ms);
+        }
+        return canOrder == expected;
+    };
+    onLoop(cutHost, [&canOrder](Gateway &gateway) { gateway.setControlListener([&canOrder](bool can) { canOrder = can; }); });
+    constexpr std::uint16_t unusedPort = 1;
+    listEngines("lost-", unusedPort);
+    onLoop(cutHost, [](Gateway &gateway) {
+        for (int i = 0; i < 4; ++i) {
+            gateway.paths().onConnectResult("lost-" + std::to_string(i), ConnectResult::Refused, BootClock::now());
+        }
+    });
+    BOOST_TEST(waitUntil(false));
+    listEngines("new-", callerPort(1));
+    BOOST_TEST(waitUntil(true));
+    onLoop(cutHost, [](Gateway &gateway) { gateway.setControlListener([](bool) {}); });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
