An answer that broke off midway is not followed by another target's

What callers would see: the first part of one answer and then the whole of another, as one complete answer. Cause: an answer too long to be buffered (over 256 KB) is passed on as it comes; when its target was lost the request still counted as one that may be repeated, and the second answer was appended. Change: a request whose body has begun to be passed on is not retried unless it is a stream, which goes on by its events.

--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -361,7 +361,10 @@
 
 bool RoutedRequest::isRetryable() const
 {
-    return intake_.route()->isIdempotent() && attempts_ < intake_.route()->maxAttempts && timeLeft(BootClock::now()) > minTimeForAttempt && session_ != nullptr;
+    // The caller has part of the body already; only a stream can go on where it ended.
+    const bool isBodyStarted = isAnswerStarted_ && !intake_.isStream();
+    return !isBodyStarted && intake_.route()->isIdempotent() && attempts_ < intake_.route()->maxAttempts && timeLeft(BootClock::now()) > minTimeForAttempt
+        && session_ != nullptr;
 }
 
 bool RoutedRequest::isQuarantined() const
--- a/tests/platform/test_requests.cpp
+++ b/tests/platform/test_requests.cpp
@@ -73,6 +73,27 @@
     BOOST_TEST(first.requests() + second.requests() == 1);
 }
 
+// Guards against an answer too long to be buffered that breaks off and is followed by that of another target, as if both were one.
+BOOST_AUTO_TEST_CASE(aLongAnswerThatBreaksOffIsNotContinuedByAnother)
+{
+    constexpr std::size_t bodyBytes = 400'000;
+    std::atomic<int> answers = 0;
+    const auto target = [&answers](Connection &connection, const Request &request) {
+        const bool breaksOff = answers++ == 0;
+        connection.send("HTTP/1.1 200 OK\r\nLovageloft-Request-Id: " + request.field("Lovageloft-Request-Id")
+                        + "\r\nLovageloft-Response-Stamp: s\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n");
+        connection.send(std::string(breaksOff ? bodyBytes - 1'000 : bodyBytes, 'x'));
+        if (breaksOff) {
+            connection.reset();
+        }
+    };
+    addTarget("a", target);
+    addTarget("b", target);
+    const std::string answer = exchange(request("GET", "/safe/x"));
+    BOOST_TEST(!answer.ends_with("0\r\n\r\n"));
+    BOOST_TEST(answers == 1);
+}
+
 // Guards against a call that reached no target and is answered as one that may have run: its caller must not send it again.
 BOOST_AUTO_TEST_CASE(aCallThatNoTargetReceivedIsAnsweredAsNotRun)
 {
