--- a/tests/platform/test_requests.cpp
+++ b/tests/platform/test_requests.cpp
@@ -84,6 +84,7 @@
                         + "\r\nLovageloft-Response-Stamp: s\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n");
         connection.send(std::string(breaksOff ? bodyBytes - 1'000 : bodyBytes, 'x'));
         if (breaksOff) {
+            std::this_thread::sleep_for(200ms); // Until the first part has been read: a reset discards what has not.
             connection.reset();
         }
     };
