An overdue request causes one probe of its link

Cause: each 200 ms that a request was late opened another probe connection to its target; new connections to targets are dear. Change: one probe when the request becomes late.

--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -468,8 +468,10 @@
         return;
     }
     if (phase_ == Phase::Sent && isOnDirectConnection() && now >= linkCheckAt_) {
+        const TimePoint overdueAt = sentAt_ + intake_.route()->stallTimeout();
+        const bool becomesOverdue = linkCheckAt_ - linkCheckInterval < overdueAt && overdueAt <= now;
         linkCheckAt_ = now + linkCheckInterval;
-        gateway_.paths().onWaiting(connection_->targetId(), sentAt_, now >= stallCheckAt_, now);
+        gateway_.paths().onWaiting(connection_->targetId(), sentAt_, becomesOverdue, now);
         retryIfLinkIsLost();
         if (phase_ != Phase::Sent) {
             return;
