--- a/decision/link_monitor.cpp
+++ b/decision/link_monitor.cpp
@@ -333,7 +333,7 @@
     }
     std::vector<std::pair<TimePoint, std::string_view>> untried;
     for (const auto &[id, link] : links_) {
-        const bool isInScope = std::any_of(scopes.begin(), scopes.end(), [&link](const Scope &scope) { return contains(scope, link); });
+        const bool isInScope = std::any_of(scopes.begin(), scopes.end(), [&link = link](const Scope &scope) { return contains(scope, link); });
         if (isInScope && link.failures == 0) {
             untried.emplace_back(link.nextProbe, id);
         }
--- a/gateway/relay_server.cpp
+++ b/gateway/relay_server.cpp
@@ -26,7 +26,6 @@
 constexpr Duration connectTimeout = std::chrono::milliseconds(150);
 constexpr Duration headTimeout = std::chrono::seconds(1);
 
-constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
 constexpr int statusNotFound = 404;
 constexpr int statusBadGateway = 502;
--- a/tests/platform/test_host_without_links.cpp
+++ b/tests/platform/test_host_without_links.cpp
@@ -61,8 +61,10 @@
 BOOST_AUTO_TEST_CASE(requestsThatLostTheirLinkAreNotQuarantined)
 {
     const std::string text = GatewayFixture::request("POST", "/once/slow", "body");
+    constexpr std::size_t callerCount = 16;
     std::vector<std::thread> callers;
-    for (int i = 0; i < 16; ++i) {
+    callers.reserve(callerCount);
+    for (std::size_t i = 0; i < callerCount; ++i) {
         callers.emplace_back([this, &text] { exchange(cutHost, text); });
     }
     std::this_thread::sleep_for(100ms);
