One writer of chunks, one timeout, and no state that can be derived

Cause: the relays wrote chunks anew beside the callers' sessions, repeated the connect timeout of the link monitor, counted other hosts beside the list that has them, kept a member nobody calls, and counted failing links twice for one decision. The comment of the control listener said the opposite of its argument. Change: appendChunk in drivers/http_message serves callers and relays; RelayServer uses linkConnectTimeout; PathPlanner asks RelaySelector for its size; mustPresumeLost counts once; TargetPaths::tick is what it wrapped.

--- a/decision/link_monitor.cpp
+++ b/decision/link_monitor.cpp
@@ -76,7 +76,8 @@
     if (link.isLost != wasLost) {
         noteTargetChange(found->first, link, now);
     }
-    if (suspectCount_ > 0 || lostCount_ > 0 || !lostScopes_.empty()) {
+    const bool hadFailures = suspectCount_ > 0 || lostCount_ > 0 || !lostScopes_.empty();
+    if (hadFailures || result != ConnectResult::Connected) {
         countLinks();
         updateScopes(now);
     }
@@ -91,7 +92,6 @@
     link.isLost = link.isLost || link.failures >= failuresToLose;
     link.nextProbe = link.isLost ? now + probeInterval : now;
     lastFailure_ = result;
-    ++suspectCount_;
 }
 
 void LinkMonitor::recordSuccess(Link &link, TimePoint now)
@@ -294,8 +294,8 @@
 bool LinkMonitor::mustPresumeLost(const Scope &scope, TimePoint now) const
 {
     const auto size = std::count_if(links_.begin(), links_.end(), [&scope](const auto &entry) { return contains(scope, entry.second); });
-    const std::size_t needed = std::min(failingLinksToPresume, static_cast<std::size_t>(size));
-    return isSuspicious(scope, now) && countFailing(scope, now) >= needed;
+    const std::size_t needed = std::clamp(static_cast<std::size_t>(size), failingLinksToSuspect, failingLinksToPresume);
+    return countFailing(scope, now) >= needed;
 }
 
 bool LinkMonitor::isSuspicious(const Scope &scope, TimePoint now) const
--- a/decision/link_monitor.h
+++ b/decision/link_monitor.h
@@ -22,7 +22,7 @@
     TimedOut,
 };
 
-/// Timeout of direct attempts to connect while other hosts can relay, and of probes.
+/// Timeout of direct attempts to connect while other hosts can relay, of those made for another host, and of probes.
 inline constexpr Duration linkConnectTimeout = std::chrono::milliseconds(150);
 
 /// The result of an attempt that failed after `elapsed`: it timed out if `timeout` has passed.
--- a/decision/path_planner.cpp
+++ b/decision/path_planner.cpp
@@ -29,7 +29,6 @@
 
 void PathPlanner::setHosts(std::span<const RelayHost> hosts, std::string_view dataCentre)
 {
-    hostCount_ = hosts.size();
     relays_.setHosts(hosts, dataCentre);
 }
 
@@ -37,7 +36,7 @@
 {
     if (!attempts.wasTriedDirectly && !links_.isLost(attempts.targetId, now)) {
         attempts.wasTriedDirectly = true;
-        return PlannedPath{{}, hostCount_ == 0 ? connectTimeout : linkConnectTimeout};
+        return PlannedPath{{}, relays_.size() == 0 ? connectTimeout : linkConnectTimeout};
     }
     auto path = nextRelayedPath(attempts, now);
     if (!path && !attempts.wasTriedDirectly && links_.isPresumedLost(attempts.targetId) && !links_.isOwnLinkLost(attempts.targetId)) {
@@ -69,7 +68,7 @@
         relays_.onRelayed(relay, now);
         break;
     case RelayResult::TargetUnreachable:
-        if (++attempts.unreachableReports >= reportsOfDownTarget || hostCount_ == 1) {
+        if (++attempts.unreachableReports >= reportsOfDownTarget || relays_.size() == 1) {
             links_.onUnreachableFromPeer(attempts.targetId, now);
         }
         break;
--- a/decision/path_planner.h
+++ b/decision/path_planner.h
@@ -75,7 +75,6 @@
 private:
     LinkMonitor links_;
     RelaySelector relays_;
-    std::size_t hostCount_ = 0; ///< Other hosts.
     Random random_;
 };
 
--- a/decision/relay_selector.cpp
+++ b/decision/relay_selector.cpp
@@ -101,9 +101,9 @@
     }
 }
 
-bool RelaySelector::isEmpty() const
+std::size_t RelaySelector::size() const
 {
-    return hosts_.empty();
+    return hosts_.size();
 }
 
 } // namespace Lovageloft
--- a/decision/relay_selector.h
+++ b/decision/relay_selector.h
@@ -46,7 +46,8 @@
     /// The host could not be reached or refused to relay; it is not chosen for a second, or longer if it fails again.
     void onFailed(std::string_view host, TimePoint now);
 
-    bool isEmpty() const;
+    /// Number of hosts, whether they can be chosen now or not.
+    std::size_t size() const;
 
 private:
     struct Record
--- a/drivers/http_message.cpp
+++ b/drivers/http_message.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 
 #include <Poco/Net/HTTPResponse.h>
 
@@ -91,6 +92,14 @@
     out.append(name).append(": ").append(value).append("\r\n");
 }
 
+void appendChunk(std::string &out, std::string_view bytes)
+{
+    constexpr int hexadecimal = 16;
+    std::array<char, 20> digits{};
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), bytes.size(), hexadecimal);
+    out.append(digits.data(), end.ptr).append("\r\n").append(bytes).append("\r\n");
+}
+
 std::string_view statusText(int status)
 {
     return Poco::Net::HTTPResponse::getReasonForStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -1,7 +1,5 @@
 #include "gateway/caller_session.h"
 
-#include <array>
-#include <charconv>
 #include <utility>
 
 #include "gateway/gateway.h"
@@ -20,15 +18,6 @@
 /// has no length. Without a timeout, a slow sender would hold memory indefinitely.
 constexpr std::uint64_t bodyBytesPerHeadTimeout = 1'048'576;
 
-void appendChunkSize(std::string &out, std::size_t size)
-{
-    constexpr int hexadecimal = 16;
-    std::array<char, 20> digits{};
-    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), size, hexadecimal);
-    out.append(digits.data(), end.ptr);
-    out.append("\r\n");
-}
-
 } // namespace
 
 CallerSession::CallerSession(Gateway &gateway, TcpConnection::Socket socket)
@@ -75,11 +64,9 @@
     }
     std::string out = std::exchange(unsentHead_, {});
     if (isChunked_) {
-        appendChunkSize(out, bytes.size());
-    }
-    out.append(bytes);
-    if (isChunked_) {
-        out.append("\r\n");
+        appendChunk(out, bytes);
+    } else {
+        out.append(bytes);
     }
     tcp_->send(out);
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -101,7 +101,7 @@
     void setTargets(std::shared_ptr<const TargetMap> targets);
     void setPublishedWeights(const PublishedWeights &weights);
 
-    /// Called with whether this host reaches too few of the engines to give them orders, whenever that changes. Set it before `run`.
+    /// Called with whether this host reaches enough of the engines to give them orders, whenever that changes. Set it before `run`.
     using ControlListener = std::function<void(bool canOrder)>;
     void setControlListener(ControlListener listener);
 
--- a/gateway/relay_server.cpp
+++ b/gateway/relay_server.cpp
@@ -22,8 +22,6 @@
 /// Unsent bytes in one direction above which reading from the other side pauses.
 constexpr std::size_t maxBacklogBytes = 65'536;
 
-/// Shorter than the time after which the other host tries a third one.
-constexpr Duration connectTimeout = std::chrono::milliseconds(150);
 constexpr Duration headTimeout = std::chrono::seconds(1);
 
 constexpr int statusBadRequest = 400;
@@ -136,7 +134,7 @@
             return;
         }
         connectStartedAt_ = BootClock::now();
-        target_.tcp = TcpConnection::connect(server_.loop_, *address, connectTimeout, target_);
+        target_.tcp = TcpConnection::connect(server_.loop_, *address, linkConnectTimeout, target_);
     }
 
     void onBody(std::string_view bytes) override
@@ -176,7 +174,7 @@
     {
         const auto self = shared_from_this();
         if (!isConnected_) {
-            server_.links_.onConnectResult(targetId_, connectFailure(BootClock::now() - connectStartedAt_, connectTimeout));
+            server_.links_.onConnectResult(targetId_, connectFailure(BootClock::now() - connectStartedAt_, linkConnectTimeout));
             refuse(server_.links_.isPresumedLost(targetId_) ? statusUnavailable : statusBadGateway);
             return;
         }
--- a/gateway/relayed_stream.cpp
+++ b/gateway/relayed_stream.cpp
@@ -1,8 +1,6 @@
 #include "gateway/relayed_stream.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 
 namespace Lovageloft
 {
@@ -18,14 +16,6 @@
 
 } // namespace
 
-void appendChunk(std::string &out, std::string_view bytes)
-{
-    constexpr int hexadecimal = 16;
-    std::array<char, 20> digits{};
-    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), bytes.size(), hexadecimal);
-    out.append(digits.data(), end.ptr).append(lineEnd).append(bytes).append(lineEnd);
-}
-
 std::shared_ptr<RelayedStream>
 RelayedStream::connect(boost::asio::io_context &loop, const HostAddress &relay, std::string_view targetId, Duration timeout, TcpEvents &events)
 {
--- a/gateway/relayed_stream.h
+++ b/gateway/relayed_stream.h
@@ -24,9 +24,6 @@
 /// Field of an answer that refuses: the name of a host that has relayed connections of the host that refuses.
 inline constexpr std::string_view relaySuggestionField = "Relay-Suggestion";
 
-/// Appends bytes as one chunk of the chunked transfer coding.
-void appendChunk(std::string &out, std::string_view bytes);
-
 /// A connection to a target through another host, see RelayServer.
 class RelayedStream final : public ByteStream, public std::enable_shared_from_this<RelayedStream>, private TcpEvents, private HttpEvents
 {
--- a/gateway/target_paths.cpp
+++ b/gateway/target_paths.cpp
@@ -215,7 +215,7 @@
     planner_.links().onConnectResult(targetId, result, now);
     logChanges();
     if (result != ConnectResult::Connected) {
-        openDueProbes(now);
+        tick(now);
     }
 }
 
@@ -293,17 +293,12 @@
     probe->tryNext();
 }
 
-void TargetPaths::tick(TimePoint now)
-{
-    openDueProbes(now);
-}
-
 const LinkMonitor &TargetPaths::links() const
 {
     return planner_.links();
 }
 
-void TargetPaths::openDueProbes(TimePoint now)
+void TargetPaths::tick(TimePoint now)
 {
     for (const std::string &targetId : planner_.links().dueProbes(now)) {
         openProbe(targetId);
--- a/gateway/target_paths.h
+++ b/gateway/target_paths.h
@@ -83,7 +83,6 @@
     class RelayProbe;
 
     void openProbe(const std::string &targetId);
-    void openDueProbes(TimePoint now);
     void askForLoss(const PathAttempts &attempts, const std::function<void(bool isLinkLost)> &handler);
     void logChanges();
 
