What targets state in their answers is read, counted and logged

Cause: an answer's header was read for a target's load alone.

Change: one table of headers in platform/, from name to parse function; typed statements with target, incarnation, kind, value, when and by whom they were heard; StatementTable decides what is newer. Nothing decides by it yet.

test_target_statements (7 cases) and TargetStatementsTest of test_platform pass.

--- /dev/null
+++ b/decision/target_statement.cpp
@@ -0,0 +1,17 @@
+#include "decision/target_statement.h"
+
+namespace Lovageloft
+{
+
+std::string_view statementKindName(StatementKind kind)
+{
+    switch (kind) {
+    case StatementKind::RateLimit:
+        return "rate_limit";
+    case StatementKind::RejectionLimit:
+        return "rejection_limit";
+    }
+    return "unknown";
+}
+
+} // namespace Lovageloft
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -58,6 +58,7 @@
     , rollouts_(options.hostName, versions_, rolloutLinks())
     , paths_(loop_, options.hostName, metrics)
     , relayServer_(loop_, relayLinks(), metrics)
+    , statements_(options.hostName, metrics)
     , pool_(loop_, targetProtocol, paths_)
     , fleet_(*this, options.hostName)
     , dispatch_(loop_, [this] { refreshTargets(); })
@@ -237,6 +238,7 @@
     rollouts_.updateCandidates();
     paths_.setTargets(directory_.all());
     pool_.closeUnlisted(directory_.all());
+    statements_.setTargets(directory_.all());
     hasTargets_ = true;
     dispatch_.invalidateEngines();
     if (isConfigured()) {
@@ -508,6 +510,7 @@
     const TimePoint now = BootClock::now();
     pauseDetector_.tick(now);
     paths_.tick(now);
+    statements_.tick(now);
     updateControl(now);
     pool_.closeStale(now);
     fleet_.sendHeartbeat(now);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -25,6 +25,7 @@
 #include "gateway/target_directory.h"
 #include "gateway/target_paths.h"
 #include "gateway/target_pool.h"
+#include "gateway/target_statements.h"
 #include "gateway/version_guard.h"
 
 namespace Lovageloft
@@ -295,6 +296,16 @@
 
     void onTargetLoad(std::string_view engineName, const TargetLoad &load);
 
+    TargetStatements &statements()
+    {
+        return statements_;
+    }
+
+    const TargetStatements &statements() const
+    {
+        return statements_;
+    }
+
     /// Passes the engines in service to the scheduler, after a change of the target directory.
     void refreshTargets();
 
@@ -345,6 +356,7 @@
     bool canOrder_ = true;
     TargetPaths paths_;
     RelayServer relayServer_;
+    TargetStatements statements_;
     TargetPool pool_;
     FleetLink fleet_;
     RequestDispatch dispatch_;
--- a/gateway/protocol.h
+++ b/gateway/protocol.h
@@ -9,6 +9,7 @@
 #include "core/clock.h"
 #include "core/result_code.h"
 #include "decision/prompt_parts.h"
+#include "decision/target_statement.h"
 #include "drivers/http_message.h"
 #include "gateway/routing_table.h"
 #include "gateway/target.h"
@@ -54,6 +55,21 @@
     std::uint32_t slots = 0;
 };
 
+/// One value that a target states about itself in an answer.
+struct StatedValue
+{
+    StatementKind kind{};
+    std::optional<double> value; ///< Nothing if it can't be read.
+    bool isAmbiguous = false; ///< It can't be read, or is stated more than once.
+};
+
+/// All that a target states about itself in an answer.
+struct StatementFacts
+{
+    std::vector<StatedValue> statements; ///< One for each kind that is stated.
+    std::vector<std::string> unknownFields; ///< Header fields that have the form of a statement and are not known.
+};
+
 /// Contents of the head of a target's answer.
 struct AnswerFacts
 {
@@ -62,6 +78,7 @@
     bool isTargetMismatch = false; ///< The address belongs to another target, or the target has other weights than expected.
     std::string targetId; ///< Empty if the answer does not name it; with a mismatch, this counts as another target.
     std::optional<TargetLoad> load;
+    StatementFacts stated;
 };
 
 /// The protocol between callers and the gateway.
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -154,6 +154,7 @@
     phase_ = Phase::Sent;
     sentAt_ = now;
     sentTo_ = target.id;
+    sentIncarnation_ = target.incarnation;
     linkCheckAt_ = now + linkCheckInterval;
     stallCheckAt_ = now + intake_.route()->stallTimeout();
     queueTime_ = queueTime_.value_or(now - startedAt_);
@@ -177,6 +178,7 @@
 
 void RoutedRequest::onAnswerHead(HttpHead &&head, const AnswerFacts &facts)
 {
+    gateway_.statements().onAnswer(sentTo_, sentIncarnation_, sentAt_, facts);
     if (facts.load) {
         gateway_.onTargetLoad(targetId_, *facts.load);
     }
--- /dev/null
+++ b/gateway/statement_log.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "core/metrics.h"
+#include "decision/statement_table.h"
+#include "gateway/protocol.h"
+
+namespace Lovageloft
+{
+
+/// Counts and logs what targets state about themselves, including what can't be read and what this build does not know.
+class StatementLog
+{
+public:
+    explicit StatementLog(Metrics &metrics);
+
+    /// Counts the statements of an answer. Each unknown field is logged once, each ambiguous statement once for each target.
+    void heard(std::string_view target, const StatementFacts &facts);
+
+    /// A statement was made, changed or ended. `isLapsed`: it was not heard again for long.
+    void changed(const StatementTable::Update &update, bool isLapsed = false) const;
+
+private:
+    Metrics &metrics_;
+    std::set<std::string, std::less<>> unknownFields_;
+    std::set<std::pair<std::string, StatementKind>> ambiguous_;
+};
+
+} // namespace Lovageloft
