Known red: targets get more requests than they state they take

Six gateways on the loopback interface, six targets; two, then all of them, state 2.1 requests a second in all their answers. From 1 s after the first statement a target may get its rate and 2 requests in any 4 s (10.4).

--- /dev/null
+++ b/tests/platform/test_stated_limits.cpp
@@ -0,0 +1,135 @@
+#define BOOST_TEST_MODULE stated_limits
+#include <algorithm>
+#include <mutex>
+#include <numeric>
+
+#include <boost/test/unit_test.hpp>
+
+#include "tests/platform/fleet_fixture.h"
+
+using namespace Lovageloft;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::size_t hostCount = 6;
+constexpr std::size_t targetCount = 6;
+constexpr std::size_t callersPerHost = 3;
+
+/// Requests a second that a limited target takes from all hosts.
+constexpr double statedRate = 2.1;
+
+/// In each window, from this time after the first statement, a target gets no more than its rate allows, and this many requests.
+constexpr Duration window = 4s;
+constexpr Duration settleTime = 1s;
+constexpr double allowedExcess = 2;
+
+/// Of the stated rate, while there is demand.
+constexpr double minUse = 0.9;
+
+/// Targets that state a limit in all their answers from a set time on and record when requests arrive.
+struct LimitFixture : FleetFixture
+{
+    LimitFixture()
+        : FleetFixture(hostCount)
+    {
+        arrivals.resize(targetCount);
+        for (std::size_t i = 0; i < targetCount; ++i) {
+            addTarget(std::string(1, static_cast<char>('a' + i)), [this, i](Connection &connection, const Request &request) {
+                const TimePoint now = BootClock::now();
+                bool isLimited = false;
+                {
+                    const std::lock_guard lock(mutex);
+                    arrivals[i].push_back(now);
+                    isLimited = i < limitedTargets;
+                }
+                connection.answer(request, 200, "whole", isLimited ? "Lovageloft-Server-Limit: 2.1\r\n" : "");
+            });
+        }
+    }
+
+    /// Has callers of all hosts send requests for a time and returns the share that is served.
+    double sendFor(Duration time)
+    {
+        std::vector<double> served(hostCount * callersPerHost);
+        std::vector<std::thread> callers;
+        for (std::size_t i = 0; i < served.size(); ++i) {
+            callers.emplace_back([this, i, time, &served] { served[i] = servedShare(i % hostCount, "GET", "/safe/x", time); });
+        }
+        for (std::thread &caller : callers) {
+            caller.join();
+        }
+        return std::accumulate(served.begin(), served.end(), 0.0) / static_cast<double>(served.size());
+    }
+
+    void limit(std::size_t count)
+    {
+        const std::lock_guard lock(mutex);
+        limitedTargets = count;
+        limitedSince = BootClock::now();
+    }
+
+    /// The most requests that a target got in any window that begins at `from` or later.
+    std::size_t mostInWindow(std::size_t target, TimePoint from) const
+    {
+        std::vector<TimePoint> times = arrivals[target];
+        std::erase_if(times, [from](TimePoint time) { return time < from; });
+        std::size_t most = 0;
+        for (auto first = times.begin(); first != times.end(); ++first) {
+            const auto end = std::lower_bound(first, times.end(), *first + window);
+            most = std::max(most, static_cast<std::size_t>(end - first));
+        }
+        return most;
+    }
+
+    std::size_t countSince(std::size_t target, TimePoint from) const
+    {
+        return static_cast<std::size_t>(std::count_if(arrivals[target].begin(), arrivals[target].end(), [from](TimePoint time) { return time >= from; }));
+    }
+
+    std::mutex mutex;
+    std::vector<std::vector<TimePoint>> arrivals;
+    std::size_t limitedTargets = 0;
+    TimePoint limitedSince;
+};
+
+constexpr double allowedInWindow()
+{
+    return statedRate * toSeconds(window) + allowedExcess;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(StatedLimits, LimitFixture)
+
+// Guards against hosts that together send a target more requests than it has stated it takes, while others of its service are free.
+BOOST_AUTO_TEST_CASE(aTargetGetsNoMoreThanItStates)
+{
+    sendFor(500ms);
+    limit(2);
+    const double served = sendFor(settleTime + window + 2s);
+    for (std::size_t i = 0; i < 2; ++i) {
+        BOOST_TEST(mostInWindow(i, limitedSince + settleTime) <= allowedInWindow());
+        BOOST_TEST(countSince(i, limitedSince + settleTime) > 0U);
+    }
+    BOOST_TEST(served > 0.99);
+}
+
+// Guards against hosts that exceed the limits of all targets of a service at once, or use little of them, or keep callers waiting in vain.
+BOOST_AUTO_TEST_CASE(allTargetsOfAServiceGetWhatTheyState)
+{
+    sendFor(500ms);
+    limit(targetCount);
+    const Duration counted = window + 4s;
+    sendFor(settleTime + counted);
+    const TimePoint from = limitedSince + settleTime;
+    double used = 0;
+    for (std::size_t i = 0; i < targetCount; ++i) {
+        BOOST_TEST(mostInWindow(i, from) <= allowedInWindow());
+        used += static_cast<double>(countSince(i, from));
+    }
+    BOOST_TEST(used >= minUse * statedRate * toSeconds(counted) * targetCount);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
