--- a/decision/candidate_ranking.h
+++ b/decision/candidate_ranking.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 #include "decision/cache_view.h"
 
@@ -45,6 +46,12 @@
     /// then no alternative to itself.
     void add(const PlacementDecision &candidate, double cost);
 
+    /// Records an engine that could take the request but for a permit, with its cost without the wait for one.
+    void addWithoutPermit(EngineIndex engine, double cost);
+
+    /// Engines without a permit that cost less than the best one; the best first.
+    std::vector<EngineIndex> preferredWithoutPermit() const;
+
     /// Whether no engine can take the request now.
     bool isEmpty() const;
 
@@ -55,11 +62,19 @@
     PlacementDecision best() const;
 
 private:
+    /// An engine that only lacks a permit.
+    struct Unpermitted
+    {
+        EngineIndex engine = 0;
+        double cost = 0;
+    };
+
     void addAlternative(const PlacementAlternative &alternative, double cost);
 
     std::optional<double> minCost_; ///< Over all usable engines, including busy ones.
     double bestCost_ = 0;
     std::optional<PlacementDecision> best_;
+    std::vector<Unpermitted> unpermitted_;
     double alternativeCost_ = 0;
     std::optional<PlacementAlternative> alternative_;
 };
--- a/decision/placement.cpp
+++ b/decision/placement.cpp
@@ -32,14 +32,6 @@
 
 } // namespace
 
-PlacementPolicy PlacementPolicy::withAnnouncements()
-{
-    PlacementPolicy policy;
-    policy.laterWinnerMargin = 0.25;
-    policy.nonWinnerMargin = 0.5;
-    return policy;
-}
-
 Placement::Placement(const PlacementPolicy &policy)
     : policy_(policy)
     , view_(policy.cacheViewBlocks)
@@ -124,6 +116,7 @@
             }
         }
     }
+    preferredWithoutPermit_ = choice.ranking.preferredWithoutPermit();
     if (choice.ranking.isEmpty() || choice.ranking.excessCost() > policy_.holdSlack / std::max(meanWait(), minMeanWait)) {
         reason = choice.foundServing ? Reason{ResultCode::Overloaded, "the engines that suit the request are busy"}
                                      : Reason{ResultCode::NoTarget, "no engine serves the model"};
@@ -480,10 +473,14 @@
         return;
     }
     const double cost = isProbe ? -1 : wait + prefillWeight * slowedPrefill + (engine.isRemote ? remoteCost(request) : 0);
-    choice.ranking.addUsable(cost);
+    choice.ranking.addUsable(cost + engine.permitWait);
     if (!(isProbe || isWaitAcceptable(engine, wait))) {
         return;
     }
+    if (engine.permitWait > 0) {
+        choice.ranking.addWithoutPermit(index, cost);
+        return;
+    }
     const PlacementDecision candidate{.engine = index,
                                       .modelVersion = engine.modelVersion,
                                       .expectedCachedTokens = static_cast<std::uint32_t>(held),
--- a/decision/placement.h
+++ b/decision/placement.h
@@ -122,6 +122,18 @@
         engines_[engine].isWindowOpen = isWindowOpen;
     }
 
+    /// Sets the time in seconds until a request may be sent to the engine; initially 0. Until then it gets none, but a request may wait for it.
+    void setPermitWait(EngineIndex engine, double seconds)
+    {
+        engines_[engine].permitWait = seconds;
+    }
+
+    /// Engines that the last call of place() would have preferred to the one that it chose, had a request been permitted there; the best first.
+    const std::vector<EngineIndex> &preferredWithoutPermit() const
+    {
+        return preferredWithoutPermit_;
+    }
+
     /// Sets the number of hosts that place requests on these engines.
     void setHostCount(std::size_t count);
 
@@ -202,6 +214,7 @@
         bool isServing = false;
         bool isRemote = false;
         bool isWindowOpen = true;
+        double permitWait = 0; // Seconds.
         std::optional<TimePoint> firstTokenDeadline = std::nullopt;
         EngineLoad load = {};
         EvictionEstimator cache = {};
@@ -261,6 +274,7 @@
     std::vector<Version> versions_;
     DispatchTable dispatches_;
     double totalBacklog_ = 0; // Seconds; sum over the engines' last reports.
+    std::vector<EngineIndex> preferredWithoutPermit_;
     std::vector<BlockHash> evictedScratch_;
     std::vector<std::uint16_t> heldScratch_; // Held blocks by engine index; all 0 between calls.
 };
--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::seconds noTargetRetryAfter{1};
 /// Retry-After if the retry budget is spent: about when a burst of failures no longer fills the budget's window.
 constexpr std::chrono::seconds retryBudgetRetryAfter{2};
+/// Longest Retry-After of a request that no permit is expected for in time.
+constexpr std::chrono::seconds maxPermitRetryAfter{10};
 
 std::vector<BlockHash> announcedBlocks(std::span<const BlockHash> chain, std::span<const std::uint32_t> partEnds)
 {
@@ -76,6 +78,7 @@
         if (entry.incarnation != 0 && engine.incarnation != 0 && engine.incarnation != entry.incarnation) {
             entry.window.reset();
         }
+        entry.target = engine.target;
         entry.model = poolOf(engine.model, engine.pool);
         entry.incarnation = engine.incarnation != 0 ? engine.incarnation : entry.incarnation;
         entry.isServing = engine.isServing;
@@ -221,14 +224,84 @@
             placement_.setWindowOpen(index, engine.window.canStart(1));
         }
     }
+    updatePermitWaits(queued.model, now);
     choice.engine = placement_.place(toPlace, now, random, choice.reason);
+    if (hadLimits_) {
+        wantPermits(choice.engine.has_value(), now);
+    }
     if (choice.engine) {
         return true;
     }
+    if (hadLimits_ && choice.reason.code == ResultCode::Overloaded && refuseWithoutPermits(queued, now, choice)) {
+        return true;
+    }
     // Waits for busy engines, except with a retry: the request has failed at other engines already.
     return choice.reason.code != ResultCode::Overloaded || !request.failedEngines.empty();
 }
 
+void RequestScheduler::updatePermitWaits(ModelId model, TimePoint now)
+{
+    const bool hasLimits = permits_ != nullptr && !permits_->isIdle();
+    if (!hasLimits && !hadLimits_) {
+        return;
+    }
+    hadLimits_ = hasLimits;
+    for (const auto &[index, engine] : engines_) {
+        if (!hasLimits || engine.model == model) {
+            placement_.setPermitWait(index, hasLimits ? toSeconds(permits_->wait(engine.target, now)) : 0);
+        }
+    }
+}
+
+/// Refuses a request if all engines of its model need permits, and none is expected before its deadline.
+bool RequestScheduler::refuseWithoutPermits(const QueuedRequest &queued, TimePoint now, Choice &choice) const
+{
+    std::optional<Duration> shortest;
+    for (const auto &[index, engine] : engines_) {
+        if (engine.model != queued.model || !engine.isServing) {
+            continue;
+        }
+        const Duration wait = permits_->wait(engine.target, now);
+        shortest = std::min(shortest.value_or(wait), wait);
+    }
+    if (!shortest || now + *shortest < queued.deadline) {
+        return false;
+    }
+    choice.reason = {ResultCode::DeadlineWouldPass, "all targets are at the rate limits that they state"};
+    choice.retryAfter = std::min<Duration>(*shortest, maxPermitRetryAfter);
+    return true;
+}
+
+/// Wants a permit of the best engine without one for a request that goes to another engine; for requests that have to wait, permits of several engines.
+void RequestScheduler::wantPermits(bool isPlaced, TimePoint now)
+{
+    std::size_t needed = isPlaced ? 1 : requests_.size();
+    for (const EngineIndex index : placement_.preferredWithoutPermit()) {
+        const std::string &target = engines_.at(index).target;
+        const auto known = std::find_if(wantedPermits_.begin(), wantedPermits_.end(), [&target](const auto &wanted) { return wanted.target == target; });
+        if (known == wantedPermits_.end()) {
+            wantedPermits_.push_back({target, needed});
+        } else {
+            known->count = std::max(known->count, needed);
+        }
+        const std::size_t expected = std::max<std::size_t>(permits_->expected(target, now), 1);
+        if (expected >= needed) {
+            return;
+        }
+        needed -= expected;
+    }
+}
+
+void RequestScheduler::setPermits(SendPermits *permits)
+{
+    permits_ = permits;
+}
+
+std::vector<WantedPermits> RequestScheduler::takeWantedPermits()
+{
+    return std::exchange(wantedPermits_, {});
+}
+
 /// The id of the engines that serve a model in a pool.
 ModelId RequestScheduler::poolOf(const std::string &model, const std::string &pool)
 {
@@ -266,6 +339,9 @@
 SchedulerOutcome RequestScheduler::assign(const QueuedRequest &queued, TimePoint now, const Choice &choice)
 {
     const auto found = requests_.find(queued.id);
+    if (choice.retryAfter > Duration::zero()) {
+        return refuse(queued.id, choice.reason, choice.retryAfter);
+    }
     if (found == requests_.end() || !choice.engine) {
         return refuse(queued.id, {ResultCode::NoTarget, {}}, noTargetRetryAfter);
     }
@@ -274,6 +350,9 @@
     const std::int64_t missed = std::max<std::int64_t>(1, std::int64_t{toPlace.promptTokens} - decision.expectedCachedTokens);
     const DispatchId dispatch = placement_.onDispatched(toPlace, decision, now);
     Engine &engine = engines_[decision.engine];
+    if (permits_ != nullptr) {
+        permits_->use(engine.target, now);
+    }
     InFlight &inFlight = inFlight_[queued.id];
     inFlight = {dispatch, decision.engine, engine.generation, engine.window.start(missed, now), {}};
     SchedulerAssignment assignment{queued.id, std::string(placement_.engineName(decision.engine))};
@@ -382,7 +461,8 @@
     }
     return budgetOf(current->model).canRetry(now) && std::any_of(engines_.begin(), engines_.end(), [&](const auto &item) {
                const Engine &engine = item.second;
-               return &engine != current && engine.model == current->model && engine.isServing && engine.window.canStart(1);
+               const bool isPermitted = permits_ == nullptr || permits_->wait(engine.target, now) == Duration::zero();
+               return &engine != current && engine.model == current->model && engine.isServing && engine.window.canStart(1) && isPermitted;
            });
 }
 
--- a/decision/request_scheduler.h
+++ b/decision/request_scheduler.h
@@ -15,6 +15,7 @@
 #include "decision/id_table.h"
 #include "decision/placement.h"
 #include "decision/retry_budget.h"
+#include "decision/send_permits.h"
 
 namespace Lovageloft
 {
@@ -23,6 +24,7 @@
 struct SchedulerEngine
 {
     std::string name;
+    std::string target = {}; ///< Id of the target that runs it; permits are for targets.
     std::string model;
     std::string pool = {}; ///< It takes only requests of the same pool.
     std::string weightsVersion = {}; ///< Version of the weights that it runs now.
@@ -84,6 +86,13 @@
     Duration retryAfter{}; ///< Zero with KeyWithdrawn.
 };
 
+/// Permits that queued requests need for a target.
+struct WantedPermits
+{
+    std::string target; ///< Id of the target.
+    std::size_t count = 1;
+};
+
 using SchedulerOutcome = std::variant<SchedulerAssignment, SchedulerRefusal>;
 
 /// How a dispatched request ended.
@@ -116,6 +125,12 @@
     /// Sets the limits of the retry budget that each model has.
     void setRetryLimits(const RetryBudget::Limits &limits);
 
+    /// Sets the permits without which no request is sent to a target that states a rate limit. `permits` must outlive this object; null for none.
+    void setPermits(SendPermits *permits);
+
+    /// Targets for which queued requests need a permit, since the last call. The best ones for the request that is next come first.
+    std::vector<WantedPermits> takeWantedPermits();
+
     /// Queues a request; returns a refusal if it is refused at once, with RetryBudgetSpent or a code of AdmissionQueue::offer. The id
     /// must not be that of a queued request.
     std::optional<SchedulerRefusal> submit(SchedulerRequest request, TimePoint now);
@@ -174,6 +189,7 @@
     struct Engine
     {
         EngineWindow window;
+        std::string target;
         ModelId model{};
         std::uint64_t incarnation = 0;
         std::uint64_t generation = 0; ///< Distinguishes the engine from an earlier one with the same index.
@@ -200,11 +216,15 @@
     {
         std::optional<PlacementDecision> engine;
         Reason reason;
+        Duration retryAfter{}; ///< If the request is refused.
     };
 
     RetryBudget &budgetOf(ModelId model);
     std::optional<SchedulerRefusal> checkRetry(const SchedulerRequest &request, TimePoint now);
     bool choose(const QueuedRequest &queued, TimePoint now, Random &random, Choice &choice);
+    void updatePermitWaits(ModelId model, TimePoint now);
+    bool refuseWithoutPermits(const QueuedRequest &queued, TimePoint now, Choice &choice) const;
+    void wantPermits(bool isPlaced, TimePoint now);
     void scaleQueues(const std::map<EngineIndex, Engine> &updated);
     ModelId poolOf(const std::string &model, const std::string &pool);
     std::span<const VersionedChain> chainsOf(const SchedulerRequest &request);
@@ -224,6 +244,9 @@
     IdTable<ModelId> models_;
     IdTable<ModelVersionId> modelVersions_;
     std::map<EngineIndex, Engine> engines_;
+    SendPermits *permits_ = nullptr;
+    bool hadLimits_ = false; ///< Whether engines were last placed with permits.
+    std::vector<WantedPermits> wantedPermits_;
     std::map<ModelId, std::vector<Version>> versions_;
     std::unordered_map<RequestId, SchedulerRequest> requests_; ///< Queued requests.
     std::unordered_map<RequestId, InFlight> inFlight_;
--- a/decision/statement_table.cpp
+++ b/decision/statement_table.cpp
@@ -9,10 +9,10 @@
 namespace
 {
 
-/// A statement lapses when it was not heard for this time and for so many requests at the stated rate.
-constexpr Duration silenceBeforeLapse = std::chrono::seconds(10);
-constexpr double requestsBeforeLapse = 4;
-constexpr double minLapseRate = 0.1;
+/// A statement lapses when it was not heard for this time. A target that gets hardly any requests can't tell when its limit ends; it is tried sooner.
+constexpr Duration silenceBeforeLapse = std::chrono::seconds(60);
+constexpr Duration silenceBeforeTrial = std::chrono::seconds(10);
+constexpr double maxTrialRate = 0.1;
 
 /// After its end, a rate limit doubles each `rampStep`, from at least one request a second, for `rampTime`.
 constexpr Duration rampStep = std::chrono::milliseconds(250);
@@ -21,10 +21,8 @@
 
 Duration lapseTime(const TargetStatement &statement)
 {
-    if (statement.kind != StatementKind::RateLimit) {
-        return silenceBeforeLapse;
-    }
-    return silenceBeforeLapse + fromSeconds(requestsBeforeLapse / std::max(statement.value, minLapseRate));
+    const bool isStarved = statement.kind == StatementKind::RateLimit && statement.value <= maxTrialRate;
+    return isStarved ? silenceBeforeTrial : silenceBeforeLapse;
 }
 
 } // namespace
@@ -72,12 +70,25 @@
     return {std::move(statement), false};
 }
 
+void StatementTable::confirm(std::string_view target, StatementKind kind, TimePoint now)
+{
+    const auto found = entries_.find({std::string(target), kind});
+    if (found != entries_.end() && !found->second.endedAt) {
+        found->second.statement.heardAt = now;
+    }
+}
+
 bool StatementTable::onUpdate(const Update &update)
 {
     const TargetStatement &news = update.statement;
     const auto found = entries_.find({news.target, news.kind});
     if (found != entries_.end()) {
         const TargetStatement &known = found->second.statement;
+        const bool isSame = news.incarnation == known.incarnation && news.value == known.value && !update.isEnded && !found->second.endedAt;
+        if (isSame) {
+            found->second.statement.heardAt = std::max(known.heardAt, news.heardAt);
+            return false;
+        }
         const bool isOvertaken = news.incarnation < known.incarnation || (news.incarnation == known.incarnation && news.statedAt <= known.statedAt);
         if (isOvertaken) {
             return false;
--- a/decision/statement_table.h
+++ b/decision/statement_table.h
@@ -43,6 +43,9 @@
     /// Applies an answer. Returns the update for other hosts if it changed anything.
     std::optional<Update> onAnswer(const Heard &heard, TimePoint now);
 
+    /// Another host acts on a statement, which it has heard lately. Keeps it from lapsing here.
+    void confirm(std::string_view target, StatementKind kind, TimePoint now);
+
     /// Applies an update from another host; returns whether it changed anything. Those of an earlier incarnation and overtaken ones are ignored.
     bool onUpdate(const Update &update);
 
--- a/gateway/datagram_codec.cpp
+++ b/gateway/datagram_codec.cpp
@@ -2,12 +2,43 @@
 
 #include <cstring>
 
+#include "gateway/deflate.h"
+
 namespace Lovageloft
 {
 
 namespace
 {
 
+/// Datagrams of this size and above, about the size of a packet, are deflated.
+constexpr std::size_t minDeflatedBytes = 1'200;
+
+} // namespace
+
+std::string deflatedIfLong(std::string datagram)
+{
+    if (datagram.size() < minDeflatedBytes) {
+        return datagram;
+    }
+    capnp::MallocMessageBuilder message;
+    message.initRoot<PeerMessages::Datagram>().setPacked(toBytes(deflated(datagram)));
+    return encodeDatagram(message);
+}
+
+kj::ArrayPtr<const unsigned char> toBytes(std::string_view text)
+{
+    return kj::arrayPtr(reinterpret_cast<const unsigned char *>(text.data()), text.size());
+}
+
+std::string_view toText(capnp::Data::Reader data)
+{
+    const auto chars = data.asChars();
+    return {chars.begin(), chars.size()};
+}
+
+namespace
+{
+
 std::vector<std::uint64_t> alignedWords(std::string_view bytes)
 {
     std::vector<std::uint64_t> words(bytes.size() / sizeof(std::uint64_t));
--- a/gateway/datagram_codec.h
+++ b/gateway/datagram_codec.h
@@ -16,6 +16,16 @@
 /// The bytes of a message, as sent in a datagram.
 std::string encodeDatagram(capnp::MessageBuilder &message);
 
+/// The maximum size of a UDP datagram, less room for the list of receivers of a forwarded one.
+inline constexpr std::size_t maxSentDatagramBytes = 56'000;
+
+/// The datagram itself, or a datagram with its deflated bytes if it is as long as a packet.
+std::string deflatedIfLong(std::string datagram);
+
+/// Text as bytes of a message, and back.
+kj::ArrayPtr<const unsigned char> toBytes(std::string_view text);
+std::string_view toText(capnp::Data::Reader data);
+
 /// Decodes a datagram from bytes of any alignment; a trailing part of a word is ignored.
 class DatagramReader
 {
--- a/gateway/fleet_link.cpp
+++ b/gateway/fleet_link.cpp
@@ -86,6 +86,7 @@
         relayedStore_->setHosts(names, candidates);
     }
     crashes_.setHosts(candidates);
+    gateway_.statements().setHosts(names.size(), candidates);
     budget_.setHosts(names.size(), candidates, share, BootClock::now());
 }
 
@@ -240,6 +241,43 @@
     budget_.onReply(reply, BootClock::now(), sendTokenRequest_);
 }
 
+void FleetLink::queryStatements()
+{
+    forSomeHosts([this](const std::string &host) { socket_.queryStatements(host); });
+}
+
+void FleetLink::announceStatements(std::span<const StatementTable::Update> updates)
+{
+    socket_.broadcast(updates);
+}
+
+void FleetLink::requestPermit(const std::string &home, const PermitRequest &request)
+{
+    socket_.send(home, request);
+}
+
+void FleetLink::onPermitRequest(const std::string &host, const PermitRequest &request)
+{
+    socket_.send(host, gateway_.statements().onPermitRequest(request));
+}
+
+void FleetLink::onPermitReply(const PermitReply &reply)
+{
+    gateway_.statements().onPermitReply(reply);
+}
+
+void FleetLink::onStatements(const std::vector<StatementTable::Update> &updates)
+{
+    if (!mayHaveStaleMessages()) {
+        gateway_.statements().onUpdates(updates);
+    }
+}
+
+void FleetLink::onStatementsQuery(const std::string &host)
+{
+    socket_.send(host, gateway_.statements().inForce());
+}
+
 void FleetLink::sendRolloutReport(const std::string &host, const RolloutReport &report)
 {
     socket_.send(host, report);
--- a/gateway/fleet_link.h
+++ b/gateway/fleet_link.h
@@ -82,6 +82,15 @@
     /// Asks a few hosts for the revision and version of the configuration that they use.
     void queryProofs();
 
+    /// Asks a few hosts what targets state.
+    void queryStatements();
+
+    /// Tells all other hosts what targets have begun or ceased to state.
+    void announceStatements(std::span<const StatementTable::Update> updates);
+
+    /// Asks a home of a target for a permit.
+    void requestPermit(const std::string &home, const PermitRequest &request);
+
     /// Sends a report on a rollout to the leader.
     void sendRolloutReport(const std::string &host, const RolloutReport &report);
 
@@ -93,6 +102,10 @@
     void onLoadingNotice(const LoadingNotice &notice) override;
     void onTokenRequest(const std::string &host, const TokenRequest &request) override;
     void onTokenReply(const TokenReply &reply) override;
+    void onPermitRequest(const std::string &host, const PermitRequest &request) override;
+    void onPermitReply(const PermitReply &reply) override;
+    void onStatements(const std::vector<StatementTable::Update> &updates) override;
+    void onStatementsQuery(const std::string &host) override;
     void onRolloutReport(const std::string &host, RolloutReport &&report) override;
     void onRolloutReply(const RolloutReply &reply) override;
     void onChangesNotice(const ChangesNotice &notice) override;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -58,7 +58,7 @@
     , rollouts_(options.hostName, versions_, rolloutLinks())
     , paths_(loop_, options.hostName, metrics)
     , relayServer_(loop_, relayLinks(), metrics)
-    , statements_(options.hostName, metrics)
+    , statements_(loop_, options.hostName, metrics, statementLinks())
     , pool_(loop_, targetProtocol, paths_)
     , fleet_(*this, options.hostName)
     , dispatch_(loop_, [this] { refreshTargets(); })
@@ -66,24 +66,10 @@
 {
     directory_.setDataCentre(options.dataCentre);
     rollouts_.setLimits(options.limits.exposure);
+    dispatch_.setPermits(statements_.permits(), [this](std::span<const WantedPermits> wanted) { statements_.wantPermits(wanted); });
     paths_.setChangeListener([this] { boost::asio::post(loop_, [this] { dispatch_.retryOverLostLinks(); }); });
 }
 
-RelayServer::Links Gateway::relayLinks()
-{
-    return {[this](const boost::asio::ip::address &address) {
-                return std::any_of(hosts_.begin(), hosts_.end(), [text = address.to_string()](const auto &host) { return host.second.address.host == text; });
-            },
-            [this](std::string_view targetId) {
-                const auto found = directory_.all().find(targetId);
-                return found != directory_.all().end() ? std::optional(found->second.address) : std::nullopt;
-            },
-            [this](std::string_view targetId) { return paths_.links().isPresumedLost(targetId); },
-            [this](std::string_view targetId) { return paths_.links().isOwnLinkLost(targetId); },
-            [this](std::string_view targetId, ConnectResult result) { paths_.onConnectResult(targetId, result, BootClock::now()); },
-            [this] { return paths_.suggestion(BootClock::now()); }};
-}
-
 /// A leader that reaches less than half of the engines resigns.
 void Gateway::updateControl(TimePoint now)
 {
@@ -107,21 +93,6 @@
     controlListener_ = std::move(listener);
 }
 
-Rollouts::Links Gateway::rolloutLinks()
-{
-    return {[this](const std::string &host, const RolloutReport &report) { fleet_.sendRolloutReport(host, report); },
-            [this](const auto &candidates) {
-                directory_.setCandidates(candidates);
-                dispatch_.invalidateEngines();
-            },
-            [this](std::string_view service, std::string_view version) {
-                return dispatch_.countRunning(service, [this, version](std::string_view id) {
-                    const Target *target = directory_.find(id);
-                    return target != nullptr && target->softwareVersion != version;
-                });
-            }};
-}
-
 Gateway::~Gateway() = default;
 
 bool Gateway::open(Reason &reason)
@@ -516,6 +487,7 @@
     fleet_.sendHeartbeat(now);
     if (now < queryProofsUntil_) {
         fleet_.queryProofs();
+        fleet_.queryStatements();
     }
     if (now < queryWeightsAgesUntil_ || directory_.needsPublicationTime(now)) {
         fleet_.queryWeightsAges();
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -332,6 +332,7 @@
     void applyRetryLimits();
     void beginPending();
     RelayServer::Links relayLinks();
+    TargetStatements::Links statementLinks();
     void updateControl(TimePoint now);
 
     GatewayOptions options_;
--- a/gateway/gauges.cpp
+++ b/gateway/gauges.cpp
@@ -33,6 +33,12 @@
         metrics.raiseTo("lovageloft_peer_bytes_total", {{"message", row.message}, {"direction", "sent"}, {"scope", scope}}, row.sentBytes);
         metrics.raiseTo("lovageloft_peer_bytes_total", {{"message", row.message}, {"direction", "received"}, {"scope", scope}}, row.receivedBytes);
     }
+    metrics.set("lovageloft_targets_stating", static_cast<double>(gateway.statements().table().inForce().size()));
+    const SendPermits::Counts &permits = gateway.statements().permits().counts();
+    metrics.raiseTo("lovageloft_send_permits_total", {{"result", "granted"}}, permits.granted);
+    metrics.raiseTo("lovageloft_send_permits_total", {{"result", "denied"}}, permits.denied);
+    metrics.raiseTo("lovageloft_send_permits_total", {{"result", "timed_out"}}, permits.timedOut);
+    metrics.raiseTo("lovageloft_send_permits_total", {{"result", "own"}}, permits.own);
     const LogCounts lines = logCounts();
     metrics.raiseTo("lovageloft_log_lines_dropped_total", {}, lines.dropped);
     for (const auto &[event, count] : lines.suppressed) {
--- a/gateway/operator_view.cpp
+++ b/gateway/operator_view.cpp
@@ -86,6 +86,7 @@
     status->set("targets", gateway_.targets().all().size());
     status->set("links_lost", gateway_.paths().links().lostCount());
     status->set("relayed_connections", gateway_.relayServer().count());
+    status->set("targets_stating", gateway_.statements().table().inForce().size());
     status->set("hosts", gateway_.hosts().size());
     status->set("share", gateway_.share());
     status->set("leader", gateway_.leader());
@@ -109,6 +110,7 @@
 
 std::string OperatorView::targets() const
 {
+    const TimePoint now = BootClock::now();
     Array::Ptr rows = new Array;
     for (const auto &[id, target] : gateway_.targets().all()) {
         Object::Ptr row = makeObject();
@@ -120,6 +122,12 @@
         row->set("address", hostAddressText(target.address));
         row->set("data_centre", target.dataCentre);
         row->set("state", target.isLeaving ? "leaving" : "serving");
+        for (const StatementKind kind : allStatementKinds) {
+            if (const TargetStatement *stated = gateway_.statements().table().find(id, kind)) {
+                row->set(std::string(statementKindName(kind)), stated->value);
+                row->set(std::string(statementKindName(kind)) + "_age_ms", toMillis(now - stated->statedAt));
+            }
+        }
         rows->add(row);
     }
     return makeTable("targets", rows);
--- a/gateway/peer_messages.capnp
+++ b/gateway/peer_messages.capnp
@@ -26,6 +26,10 @@
     rolloutReport @16 :RolloutReport;
     rolloutReply @17 :RolloutReply;
     bundle @18 :List(Data); # Several datagrams.
+    permitRequest @19 :PermitRequest;
+    permitReply @20 :PermitReply;
+    statements @21 :List(Statement); # What targets have begun or ceased to state.
+    statementsQuery @22 :Void; # What do targets state? The reply is `statements`.
   }
 }
 
@@ -35,6 +39,30 @@
   datagram @1 :Data;
 }
 
+struct PermitRequest {
+  # May the sender send a request to a target that states a rate limit?
+  id @0 :UInt64;
+  target @1 :Text;
+  rate @2 :Float64; # Requests a second, as the sender knows it.
+}
+
+struct PermitReply {
+  id @0 :UInt64;
+  isGranted @1 :Bool;
+  waitMicroseconds @2 :UInt64; # Until the permit is valid, or until to ask again.
+}
+
+struct Statement {
+  # A value that a target states about itself.
+  target @0 :Text;
+  incarnation @1 :Int64;
+  kind @2 :UInt8; # 0: rate limit, 1: rejection limit.
+  value @3 :Float64;
+  isEnded @4 :Bool; # It no longer does.
+  ageMicroseconds @5 :UInt64; # Since it was first heard.
+  heardBy @6 :Text;
+}
+
 struct CrashReport {
   # A target was lost that had this request and had not begun to answer it.
   request @0 :UInt64; # Fingerprint.
--- a/gateway/peer_messages.capnp.h
+++ b/gateway/peer_messages.capnp.h
@@ -18,6 +18,9 @@
 
 CAPNP_DECLARE_SCHEMA(c25249b8c89549ee);
 CAPNP_DECLARE_SCHEMA(9b0092764b1509af);
+CAPNP_DECLARE_SCHEMA(bc91cf4b4f90280f);
+CAPNP_DECLARE_SCHEMA(b09704a1815bdb08);
+CAPNP_DECLARE_SCHEMA(bf235427c1d3fd6a);
 CAPNP_DECLARE_SCHEMA(fc538531887ec76e);
 CAPNP_DECLARE_SCHEMA(b936ef4fb1dc4e3c);
 CAPNP_DECLARE_SCHEMA(b11fb0dbbe552d39);
@@ -68,6 +71,10 @@
     ROLLOUT_REPORT,
     ROLLOUT_REPLY,
     BUNDLE,
+    PERMIT_REQUEST,
+    PERMIT_REPLY,
+    STATEMENTS,
+    STATEMENTS_QUERY,
   };
 
   struct _capnpPrivate {
@@ -93,6 +100,51 @@
   };
 };
 
+struct PermitRequest {
+  PermitRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bc91cf4b4f90280f, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PermitReply {
+  PermitReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b09704a1815bdb08, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Statement {
+  Statement() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bf235427c1d3fd6a, 4, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct CrashReport {
   CrashReport() = delete;
 
@@ -445,6 +497,21 @@
   inline bool hasBundle() const;
   inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader getBundle() const;
 
+  inline bool isPermitRequest() const;
+  inline bool hasPermitRequest() const;
+  inline  ::Lovageloft::PeerMessages::PermitRequest::Reader getPermitRequest() const;
+
+  inline bool isPermitReply() const;
+  inline bool hasPermitReply() const;
+  inline  ::Lovageloft::PeerMessages::PermitReply::Reader getPermitReply() const;
+
+  inline bool isStatements() const;
+  inline bool hasStatements() const;
+  inline  ::capnp::List< ::Lovageloft::PeerMessages::Statement,  ::capnp::Kind::STRUCT>::Reader getStatements() const;
+
+  inline bool isStatementsQuery() const;
+  inline  ::capnp::Void getStatementsQuery() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -619,6 +686,34 @@
   inline void adoptBundle(::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>> disownBundle();
 
+  inline bool isPermitRequest();
+  inline bool hasPermitRequest();
+  inline  ::Lovageloft::PeerMessages::PermitRequest::Builder getPermitRequest();
+  inline void setPermitRequest( ::Lovageloft::PeerMessages::PermitRequest::Reader value);
+  inline  ::Lovageloft::PeerMessages::PermitRequest::Builder initPermitRequest();
+  inline void adoptPermitRequest(::capnp::Orphan< ::Lovageloft::PeerMessages::PermitRequest>&& value);
+  inline ::capnp::Orphan< ::Lovageloft::PeerMessages::PermitRequest> disownPermitRequest();
+
+  inline bool isPermitReply();
+  inline bool hasPermitReply();
+  inline  ::Lovageloft::PeerMessages::PermitReply::Builder getPermitReply();
+  inline void setPermitReply( ::Lovageloft::PeerMessages::PermitReply::Reader value);
+  inline  ::Lovageloft::PeerMessages::PermitReply::Builder initPermitReply();
+  inline void adoptPermitReply(::capnp::Orphan< ::Lovageloft::PeerMessages::PermitReply>&& value);
+  inline ::capnp::Orphan< ::Lovageloft::PeerMessages::PermitReply> disownPermitReply();
+
+  inline bool isStatements();
+  inline bool hasStatements();
+  inline  ::capnp::List< ::Lovageloft::PeerMessages::Statement,  ::capnp::Kind::STRUCT>::Builder getStatements();
+  inline void setStatements( ::capnp::List< ::Lovageloft::PeerMessages::Statement,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Lovageloft::PeerMessages::Statement,  ::capnp::Kind::STRUCT>::Builder initStatements(unsigned int size);
+  inline void adoptStatements(::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::Statement,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::Statement,  ::capnp::Kind::STRUCT>> disownStatements();
+
+  inline bool isStatementsQuery();
+  inline  ::capnp::Void getStatementsQuery();
+  inline void setStatementsQuery( ::capnp::Void value = ::capnp::VOID);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -737,9 +832,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class CrashReport::Reader {
+class PermitRequest::Reader {
 public:
-  typedef CrashReport Reads;
+  typedef PermitRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -754,9 +849,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getRequest() const;
+  inline  ::uint64_t getId() const;
 
-  inline  ::uint64_t getTarget() const;
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline double getRate() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -770,9 +868,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class CrashReport::Builder {
+class PermitRequest::Builder {
 public:
-  typedef CrashReport Builds;
+  typedef PermitRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -786,11 +884,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getRequest();
-  inline void setRequest( ::uint64_t value);
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
 
-  inline  ::uint64_t getTarget();
-  inline void setTarget( ::uint64_t value);
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline double getRate();
+  inline void setRate(double value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -802,9 +907,9 @@
 };
 
 #if !CAPNP_LITE
-class CrashReport::Pipeline {
+class PermitRequest::Pipeline {
 public:
-  typedef CrashReport Pipelines;
+  typedef PermitRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -818,9 +923,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ChangesRequest::Reader {
+class PermitReply::Reader {
 public:
-  typedef ChangesRequest Reads;
+  typedef PermitReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -837,10 +942,9 @@
 
   inline  ::uint64_t getId() const;
 
-  inline bool hasPrefix() const;
-  inline  ::capnp::Text::Reader getPrefix() const;
+  inline bool getIsGranted() const;
 
-  inline  ::int64_t getAfter() const;
+  inline  ::uint64_t getWaitMicroseconds() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -854,9 +958,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ChangesRequest::Builder {
+class PermitReply::Builder {
 public:
-  typedef ChangesRequest Builds;
+  typedef PermitReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -873,15 +977,11 @@
   inline  ::uint64_t getId();
   inline void setId( ::uint64_t value);
 
-  inline bool hasPrefix();
-  inline  ::capnp::Text::Builder getPrefix();
-  inline void setPrefix( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPrefix(unsigned int size);
-  inline void adoptPrefix(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPrefix();
+  inline bool getIsGranted();
+  inline void setIsGranted(bool value);
 
-  inline  ::int64_t getAfter();
-  inline void setAfter( ::int64_t value);
+  inline  ::uint64_t getWaitMicroseconds();
+  inline void setWaitMicroseconds( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -893,9 +993,9 @@
 };
 
 #if !CAPNP_LITE
-class ChangesRequest::Pipeline {
+class PermitReply::Pipeline {
 public:
-  typedef ChangesRequest Pipelines;
+  typedef PermitReply Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -909,9 +1009,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ChangesReply::Reader {
+class Statement::Reader {
 public:
-  typedef ChangesReply Reads;
+  typedef Statement Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -926,13 +1026,22 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getId() const;
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
 
-  inline bool hasChanges() const;
-  inline  ::Lovageloft::PeerMessages::Changes::Reader getChanges() const;
+  inline  ::int64_t getIncarnation() const;
+
+  inline  ::uint8_t getKind() const;
+
+  inline double getValue() const;
+
+  inline bool getIsEnded() const;
 
   inline  ::uint64_t getAgeMicroseconds() const;
 
+  inline bool hasHeardBy() const;
+  inline  ::capnp::Text::Reader getHeardBy() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -945,9 +1054,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ChangesReply::Builder {
+class Statement::Builder {
 public:
-  typedef ChangesReply Builds;
+  typedef Statement Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -961,19 +1070,35 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getId();
-  inline void setId( ::uint64_t value);
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
 
-  inline bool hasChanges();
-  inline  ::Lovageloft::PeerMessages::Changes::Builder getChanges();
-  inline void setChanges( ::Lovageloft::PeerMessages::Changes::Reader value);
-  inline  ::Lovageloft::PeerMessages::Changes::Builder initChanges();
-  inline void adoptChanges(::capnp::Orphan< ::Lovageloft::PeerMessages::Changes>&& value);
-  inline ::capnp::Orphan< ::Lovageloft::PeerMessages::Changes> disownChanges();
+  inline  ::int64_t getIncarnation();
+  inline void setIncarnation( ::int64_t value);
+
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
+  inline double getValue();
+  inline void setValue(double value);
+
+  inline bool getIsEnded();
+  inline void setIsEnded(bool value);
 
   inline  ::uint64_t getAgeMicroseconds();
   inline void setAgeMicroseconds( ::uint64_t value);
 
+  inline bool hasHeardBy();
+  inline  ::capnp::Text::Builder getHeardBy();
+  inline void setHeardBy( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHeardBy(unsigned int size);
+  inline void adoptHeardBy(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHeardBy();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -984,15 +1109,14 @@
 };
 
 #if !CAPNP_LITE
-class ChangesReply::Pipeline {
+class Statement::Pipeline {
 public:
-  typedef ChangesReply Pipelines;
+  typedef Statement Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Lovageloft::PeerMessages::Changes::Pipeline getChanges();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1001,9 +1125,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Dispatch::Reader {
+class CrashReport::Reader {
 public:
-  typedef Dispatch Reads;
+  typedef CrashReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1018,17 +1142,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEngine() const;
-  inline  ::capnp::Text::Reader getEngine() const;
-
-  inline  ::uint32_t getWorkTokens() const;
-
-  inline bool hasBlocks() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getBlocks() const;
-
-  inline  ::uint32_t getNewTokens() const;
+  inline  ::uint64_t getRequest() const;
 
-  inline bool getIsSaved() const;
+  inline  ::uint64_t getTarget() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1042,9 +1158,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Dispatch::Builder {
+class CrashReport::Builder {
 public:
-  typedef Dispatch Builds;
+  typedef CrashReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1058,29 +1174,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEngine();
-  inline  ::capnp::Text::Builder getEngine();
-  inline void setEngine( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEngine(unsigned int size);
-  inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEngine();
-
-  inline  ::uint32_t getWorkTokens();
-  inline void setWorkTokens( ::uint32_t value);
-
-  inline bool hasBlocks();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getBlocks();
-  inline void setBlocks( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setBlocks(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initBlocks(unsigned int size);
-  inline void adoptBlocks(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownBlocks();
-
-  inline  ::uint32_t getNewTokens();
-  inline void setNewTokens( ::uint32_t value);
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
 
-  inline bool getIsSaved();
-  inline void setIsSaved(bool value);
+  inline  ::uint64_t getTarget();
+  inline void setTarget( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1092,9 +1190,9 @@
 };
 
 #if !CAPNP_LITE
-class Dispatch::Pipeline {
+class CrashReport::Pipeline {
 public:
-  typedef Dispatch Pipelines;
+  typedef CrashReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1108,9 +1206,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Loading::Reader {
+class ChangesRequest::Reader {
 public:
-  typedef Loading Reads;
+  typedef ChangesRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1125,10 +1223,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTarget() const;
-  inline  ::capnp::Text::Reader getTarget() const;
+  inline  ::uint64_t getId() const;
 
-  inline  ::uint32_t getMilliseconds() const;
+  inline bool hasPrefix() const;
+  inline  ::capnp::Text::Reader getPrefix() const;
+
+  inline  ::int64_t getAfter() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1142,9 +1242,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Loading::Builder {
+class ChangesRequest::Builder {
 public:
-  typedef Loading Builds;
+  typedef ChangesRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1158,15 +1258,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTarget();
-  inline  ::capnp::Text::Builder getTarget();
-  inline void setTarget( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTarget(unsigned int size);
-  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
 
-  inline  ::uint32_t getMilliseconds();
-  inline void setMilliseconds( ::uint32_t value);
+  inline bool hasPrefix();
+  inline  ::capnp::Text::Builder getPrefix();
+  inline void setPrefix( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPrefix(unsigned int size);
+  inline void adoptPrefix(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPrefix();
+
+  inline  ::int64_t getAfter();
+  inline void setAfter( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1178,9 +1281,9 @@
 };
 
 #if !CAPNP_LITE
-class Loading::Pipeline {
+class ChangesRequest::Pipeline {
 public:
-  typedef Loading Pipelines;
+  typedef ChangesRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1194,9 +1297,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class TokenRequest::Reader {
+class ChangesReply::Reader {
 public:
-  typedef TokenRequest Reads;
+  typedef ChangesReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1213,10 +1316,10 @@
 
   inline  ::uint64_t getId() const;
 
-  inline bool hasTeam() const;
-  inline  ::capnp::Text::Reader getTeam() const;
+  inline bool hasChanges() const;
+  inline  ::Lovageloft::PeerMessages::Changes::Reader getChanges() const;
 
-  inline double getTokens() const;
+  inline  ::uint64_t getAgeMicroseconds() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1230,9 +1333,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class TokenRequest::Builder {
+class ChangesReply::Builder {
 public:
-  typedef TokenRequest Builds;
+  typedef ChangesReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1249,15 +1352,15 @@
   inline  ::uint64_t getId();
   inline void setId( ::uint64_t value);
 
-  inline bool hasTeam();
-  inline  ::capnp::Text::Builder getTeam();
-  inline void setTeam( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTeam(unsigned int size);
-  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
+  inline bool hasChanges();
+  inline  ::Lovageloft::PeerMessages::Changes::Builder getChanges();
+  inline void setChanges( ::Lovageloft::PeerMessages::Changes::Reader value);
+  inline  ::Lovageloft::PeerMessages::Changes::Builder initChanges();
+  inline void adoptChanges(::capnp::Orphan< ::Lovageloft::PeerMessages::Changes>&& value);
+  inline ::capnp::Orphan< ::Lovageloft::PeerMessages::Changes> disownChanges();
 
-  inline double getTokens();
-  inline void setTokens(double value);
+  inline  ::uint64_t getAgeMicroseconds();
+  inline void setAgeMicroseconds( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1269,14 +1372,15 @@
 };
 
 #if !CAPNP_LITE
-class TokenRequest::Pipeline {
+class ChangesReply::Pipeline {
 public:
-  typedef TokenRequest Pipelines;
+  typedef ChangesReply Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Lovageloft::PeerMessages::Changes::Pipeline getChanges();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1285,9 +1389,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class TokenReply::Reader {
+class Dispatch::Reader {
 public:
-  typedef TokenReply Reads;
+  typedef Dispatch Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1302,11 +1406,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getId() const;
+  inline bool hasEngine() const;
+  inline  ::capnp::Text::Reader getEngine() const;
 
-  inline bool getIsGranted() const;
+  inline  ::uint32_t getWorkTokens() const;
 
-  inline  ::uint32_t getRetryAfterMilliseconds() const;
+  inline bool hasBlocks() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getBlocks() const;
+
+  inline  ::uint32_t getNewTokens() const;
+
+  inline bool getIsSaved() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1320,9 +1430,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class TokenReply::Builder {
+class Dispatch::Builder {
 public:
-  typedef TokenReply Builds;
+  typedef Dispatch Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1336,14 +1446,29 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getId();
-  inline void setId( ::uint64_t value);
+  inline bool hasEngine();
+  inline  ::capnp::Text::Builder getEngine();
+  inline void setEngine( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEngine(unsigned int size);
+  inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEngine();
 
-  inline bool getIsGranted();
-  inline void setIsGranted(bool value);
+  inline  ::uint32_t getWorkTokens();
+  inline void setWorkTokens( ::uint32_t value);
 
-  inline  ::uint32_t getRetryAfterMilliseconds();
-  inline void setRetryAfterMilliseconds( ::uint32_t value);
+  inline bool hasBlocks();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getBlocks();
+  inline void setBlocks( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setBlocks(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initBlocks(unsigned int size);
+  inline void adoptBlocks(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownBlocks();
+
+  inline  ::uint32_t getNewTokens();
+  inline void setNewTokens( ::uint32_t value);
+
+  inline bool getIsSaved();
+  inline void setIsSaved(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1355,9 +1480,9 @@
 };
 
 #if !CAPNP_LITE
-class TokenReply::Pipeline {
+class Dispatch::Pipeline {
 public:
-  typedef TokenReply Pipelines;
+  typedef Dispatch Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1371,9 +1496,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Changes::Reader {
+class Loading::Reader {
 public:
-  typedef Changes Reads;
+  typedef Loading Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1388,21 +1513,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPrefix() const;
-  inline  ::capnp::Text::Reader getPrefix() const;
-
-  inline  ::int64_t getAfter() const;
-
-  inline  ::int64_t getUpTo() const;
-
-  inline bool hasEntries() const;
-  inline  ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
-
-  inline  ::uint32_t getSilenceMilliseconds() const;
-
-  inline  ::int64_t getLatestStart() const;
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
 
-  inline  ::uint32_t getAwayMilliseconds() const;
+  inline  ::uint32_t getMilliseconds() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1416,9 +1530,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Changes::Builder {
+class Loading::Builder {
 public:
-  typedef Changes Builds;
+  typedef Loading Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1432,34 +1546,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPrefix();
-  inline  ::capnp::Text::Builder getPrefix();
-  inline void setPrefix( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPrefix(unsigned int size);
-  inline void adoptPrefix(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPrefix();
-
-  inline  ::int64_t getAfter();
-  inline void setAfter( ::int64_t value);
-
-  inline  ::int64_t getUpTo();
-  inline void setUpTo( ::int64_t value);
-
-  inline bool hasEntries();
-  inline  ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>::Builder getEntries();
-  inline void setEntries( ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
-  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>> disownEntries();
-
-  inline  ::uint32_t getSilenceMilliseconds();
-  inline void setSilenceMilliseconds( ::uint32_t value);
-
-  inline  ::int64_t getLatestStart();
-  inline void setLatestStart( ::int64_t value);
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
 
-  inline  ::uint32_t getAwayMilliseconds();
-  inline void setAwayMilliseconds( ::uint32_t value);
+  inline  ::uint32_t getMilliseconds();
+  inline void setMilliseconds( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1471,9 +1566,9 @@
 };
 
 #if !CAPNP_LITE
-class Changes::Pipeline {
+class Loading::Pipeline {
 public:
-  typedef Changes Pipelines;
+  typedef Loading Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1487,9 +1582,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Changes::Entry::Reader {
+class TokenRequest::Reader {
 public:
-  typedef Entry Reads;
+  typedef TokenRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1504,17 +1599,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey() const;
-  inline  ::capnp::Text::Reader getKey() const;
-
-  inline bool hasValue() const;
-  inline  ::capnp::Data::Reader getValue() const;
-
-  inline  ::int64_t getRevision() const;
+  inline  ::uint64_t getId() const;
 
-  inline bool getIsDeleted() const;
+  inline bool hasTeam() const;
+  inline  ::capnp::Text::Reader getTeam() const;
 
-  inline bool getIsOmitted() const;
+  inline double getTokens() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1528,9 +1618,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Changes::Entry::Builder {
+class TokenRequest::Builder {
 public:
-  typedef Entry Builds;
+  typedef TokenRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1544,28 +1634,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey();
-  inline  ::capnp::Text::Builder getKey();
-  inline void setKey( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownKey();
-
-  inline bool hasValue();
-  inline  ::capnp::Data::Builder getValue();
-  inline void setValue( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initValue(unsigned int size);
-  inline void adoptValue(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownValue();
-
-  inline  ::int64_t getRevision();
-  inline void setRevision( ::int64_t value);
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
 
-  inline bool getIsDeleted();
-  inline void setIsDeleted(bool value);
+  inline bool hasTeam();
+  inline  ::capnp::Text::Builder getTeam();
+  inline void setTeam( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTeam(unsigned int size);
+  inline void adoptTeam(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTeam();
 
-  inline bool getIsOmitted();
-  inline void setIsOmitted(bool value);
+  inline double getTokens();
+  inline void setTokens(double value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1577,9 +1657,9 @@
 };
 
 #if !CAPNP_LITE
-class Changes::Entry::Pipeline {
+class TokenRequest::Pipeline {
 public:
-  typedef Entry Pipelines;
+  typedef TokenRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1593,9 +1673,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ProofRequest::Reader {
+class TokenReply::Reader {
 public:
-  typedef ProofRequest Reads;
+  typedef TokenReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1612,6 +1692,10 @@
 
   inline  ::uint64_t getId() const;
 
+  inline bool getIsGranted() const;
+
+  inline  ::uint32_t getRetryAfterMilliseconds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1624,9 +1708,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ProofRequest::Builder {
+class TokenReply::Builder {
 public:
-  typedef ProofRequest Builds;
+  typedef TokenReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1643,6 +1727,12 @@
   inline  ::uint64_t getId();
   inline void setId( ::uint64_t value);
 
+  inline bool getIsGranted();
+  inline void setIsGranted(bool value);
+
+  inline  ::uint32_t getRetryAfterMilliseconds();
+  inline void setRetryAfterMilliseconds( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1653,9 +1743,9 @@
 };
 
 #if !CAPNP_LITE
-class ProofRequest::Pipeline {
+class TokenReply::Pipeline {
 public:
-  typedef ProofRequest Pipelines;
+  typedef TokenReply Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1669,9 +1759,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ProofReply::Reader {
+class Changes::Reader {
 public:
-  typedef ProofReply Reads;
+  typedef Changes Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1686,13 +1776,21 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getId() const;
+  inline bool hasPrefix() const;
+  inline  ::capnp::Text::Reader getPrefix() const;
 
-  inline  ::int64_t getRevision() const;
+  inline  ::int64_t getAfter() const;
 
-  inline  ::uint64_t getAgeMicroseconds() const;
+  inline  ::int64_t getUpTo() const;
 
-  inline  ::int64_t getVersion() const;
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+
+  inline  ::uint32_t getSilenceMilliseconds() const;
+
+  inline  ::int64_t getLatestStart() const;
+
+  inline  ::uint32_t getAwayMilliseconds() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1706,9 +1804,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ProofReply::Builder {
+class Changes::Builder {
 public:
-  typedef ProofReply Builds;
+  typedef Changes Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1722,17 +1820,34 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getId();
-  inline void setId( ::uint64_t value);
+  inline bool hasPrefix();
+  inline  ::capnp::Text::Builder getPrefix();
+  inline void setPrefix( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPrefix(unsigned int size);
+  inline void adoptPrefix(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPrefix();
 
-  inline  ::int64_t getRevision();
-  inline void setRevision( ::int64_t value);
+  inline  ::int64_t getAfter();
+  inline void setAfter( ::int64_t value);
 
-  inline  ::uint64_t getAgeMicroseconds();
-  inline void setAgeMicroseconds( ::uint64_t value);
+  inline  ::int64_t getUpTo();
+  inline void setUpTo( ::int64_t value);
 
-  inline  ::int64_t getVersion();
-  inline void setVersion( ::int64_t value);
+  inline bool hasEntries();
+  inline  ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::Changes::Entry,  ::capnp::Kind::STRUCT>> disownEntries();
+
+  inline  ::uint32_t getSilenceMilliseconds();
+  inline void setSilenceMilliseconds( ::uint32_t value);
+
+  inline  ::int64_t getLatestStart();
+  inline void setLatestStart( ::int64_t value);
+
+  inline  ::uint32_t getAwayMilliseconds();
+  inline void setAwayMilliseconds( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1744,9 +1859,9 @@
 };
 
 #if !CAPNP_LITE
-class ProofReply::Pipeline {
+class Changes::Pipeline {
 public:
-  typedef ProofReply Pipelines;
+  typedef Changes Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1760,9 +1875,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class WeightsAge::Reader {
+class Changes::Entry::Reader {
 public:
-  typedef WeightsAge Reads;
+  typedef Entry Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1777,15 +1892,20 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasModel() const;
-  inline  ::capnp::Text::Reader getModel() const;
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
 
-  inline  ::int64_t getVersion() const;
+  inline bool hasValue() const;
+  inline  ::capnp::Data::Reader getValue() const;
 
-  inline  ::uint64_t getAgeMilliseconds() const;
+  inline  ::int64_t getRevision() const;
 
-private:
-  ::capnp::_::StructReader _reader;
+  inline bool getIsDeleted() const;
+
+  inline bool getIsOmitted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   template <typename, ::capnp::Kind>
@@ -1796,9 +1916,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class WeightsAge::Builder {
+class Changes::Entry::Builder {
 public:
-  typedef WeightsAge Builds;
+  typedef Entry Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1812,18 +1932,28 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasModel();
-  inline  ::capnp::Text::Builder getModel();
-  inline void setModel( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initModel(unsigned int size);
-  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownModel();
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
 
-  inline  ::int64_t getVersion();
-  inline void setVersion( ::int64_t value);
+  inline bool hasValue();
+  inline  ::capnp::Data::Builder getValue();
+  inline void setValue( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownValue();
 
-  inline  ::uint64_t getAgeMilliseconds();
-  inline void setAgeMilliseconds( ::uint64_t value);
+  inline  ::int64_t getRevision();
+  inline void setRevision( ::int64_t value);
+
+  inline bool getIsDeleted();
+  inline void setIsDeleted(bool value);
+
+  inline bool getIsOmitted();
+  inline void setIsOmitted(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1835,9 +1965,9 @@
 };
 
 #if !CAPNP_LITE
-class WeightsAge::Pipeline {
+class Changes::Entry::Pipeline {
 public:
-  typedef WeightsAge Pipelines;
+  typedef Entry Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1851,9 +1981,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RolloutReport::Reader {
+class ProofRequest::Reader {
 public:
-  typedef RolloutReport Reads;
+  typedef ProofRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1870,31 +2000,6 @@
 
   inline  ::uint64_t getId() const;
 
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
-
-  inline  ::int64_t getOrder() const;
-
-  inline  ::int64_t getPosition() const;
-
-  inline  ::int64_t getOrderAgeMilliseconds() const;
-
-  inline  ::uint32_t getOtherInFlight() const;
-
-  inline  ::uint64_t getProcess() const;
-
-  inline  ::uint32_t getRequests() const;
-
-  inline  ::uint32_t getExposed() const;
-
-  inline  ::uint32_t getAllowance() const;
-
-  inline bool hasRoutes() const;
-  inline  ::capnp::List< ::Lovageloft::PeerMessages::RolloutReport::Route,  ::capnp::Kind::STRUCT>::Reader getRoutes() const;
-
-  inline bool hasTargets() const;
-  inline  ::capnp::List< ::Lovageloft::PeerMessages::RolloutReport::Target,  ::capnp::Kind::STRUCT>::Reader getTargets() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1907,9 +2012,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RolloutReport::Builder {
+class ProofRequest::Builder {
 public:
-  typedef RolloutReport Builds;
+  typedef ProofRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1926,51 +2031,6 @@
   inline  ::uint64_t getId();
   inline void setId( ::uint64_t value);
 
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
-
-  inline  ::int64_t getOrder();
-  inline void setOrder( ::int64_t value);
-
-  inline  ::int64_t getPosition();
-  inline void setPosition( ::int64_t value);
-
-  inline  ::int64_t getOrderAgeMilliseconds();
-  inline void setOrderAgeMilliseconds( ::int64_t value);
-
-  inline  ::uint32_t getOtherInFlight();
-  inline void setOtherInFlight( ::uint32_t value);
-
-  inline  ::uint64_t getProcess();
-  inline void setProcess( ::uint64_t value);
-
-  inline  ::uint32_t getRequests();
-  inline void setRequests( ::uint32_t value);
-
-  inline  ::uint32_t getExposed();
-  inline void setExposed( ::uint32_t value);
-
-  inline  ::uint32_t getAllowance();
-  inline void setAllowance( ::uint32_t value);
-
-  inline bool hasRoutes();
-  inline  ::capnp::List< ::Lovageloft::PeerMessages::RolloutReport::Route,  ::capnp::Kind::STRUCT>::Builder getRoutes();
-  inline void setRoutes( ::capnp::List< ::Lovageloft::PeerMessages::RolloutReport::Route,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Lovageloft::PeerMessages::RolloutReport::Route,  ::capnp::Kind::STRUCT>::Builder initRoutes(unsigned int size);
-  inline void adoptRoutes(::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::RolloutReport::Route,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::RolloutReport::Route,  ::capnp::Kind::STRUCT>> disownRoutes();
-
-  inline bool hasTargets();
-  inline  ::capnp::List< ::Lovageloft::PeerMessages::RolloutReport::Target,  ::capnp::Kind::STRUCT>::Builder getTargets();
-  inline void setTargets( ::capnp::List< ::Lovageloft::PeerMessages::RolloutReport::Target,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Lovageloft::PeerMessages::RolloutReport::Target,  ::capnp::Kind::STRUCT>::Builder initTargets(unsigned int size);
-  inline void adoptTargets(::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::RolloutReport::Target,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::RolloutReport::Target,  ::capnp::Kind::STRUCT>> disownTargets();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1981,9 +2041,9 @@
 };
 
 #if !CAPNP_LITE
-class RolloutReport::Pipeline {
+class ProofRequest::Pipeline {
 public:
-  typedef RolloutReport Pipelines;
+  typedef ProofRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1997,9 +2057,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RolloutReport::Route::Reader {
+class ProofReply::Reader {
 public:
-  typedef Route Reads;
+  typedef ProofReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2014,13 +2074,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getRoute() const;
+  inline  ::uint64_t getId() const;
 
-  inline bool hasServing() const;
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getServing() const;
+  inline  ::int64_t getRevision() const;
 
-  inline bool hasCandidate() const;
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getCandidate() const;
+  inline  ::uint64_t getAgeMicroseconds() const;
+
+  inline  ::int64_t getVersion() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2034,9 +2094,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RolloutReport::Route::Builder {
+class ProofReply::Builder {
 public:
-  typedef Route Builds;
+  typedef ProofReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2050,24 +2110,17 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getRoute();
-  inline void setRoute( ::uint64_t value);
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
 
-  inline bool hasServing();
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getServing();
-  inline void setServing( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setServing(::kj::ArrayPtr<const  ::uint32_t> value);
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initServing(unsigned int size);
-  inline void adoptServing(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownServing();
+  inline  ::int64_t getRevision();
+  inline void setRevision( ::int64_t value);
 
-  inline bool hasCandidate();
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getCandidate();
-  inline void setCandidate( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setCandidate(::kj::ArrayPtr<const  ::uint32_t> value);
-  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initCandidate(unsigned int size);
-  inline void adoptCandidate(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownCandidate();
+  inline  ::uint64_t getAgeMicroseconds();
+  inline void setAgeMicroseconds( ::uint64_t value);
+
+  inline  ::int64_t getVersion();
+  inline void setVersion( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2079,9 +2132,9 @@
 };
 
 #if !CAPNP_LITE
-class RolloutReport::Route::Pipeline {
+class ProofReply::Pipeline {
 public:
-  typedef Route Pipelines;
+  typedef ProofReply Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2095,9 +2148,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RolloutReport::Target::Reader {
+class WeightsAge::Reader {
 public:
-  typedef Target Reads;
+  typedef WeightsAge Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2112,11 +2165,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getTarget() const;
+  inline bool hasModel() const;
+  inline  ::capnp::Text::Reader getModel() const;
 
-  inline  ::uint32_t getAnswers() const;
+  inline  ::int64_t getVersion() const;
 
-  inline  ::uint32_t getBad() const;
+  inline  ::uint64_t getAgeMilliseconds() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2130,9 +2184,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RolloutReport::Target::Builder {
+class WeightsAge::Builder {
 public:
-  typedef Target Builds;
+  typedef WeightsAge Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2146,14 +2200,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getTarget();
-  inline void setTarget( ::uint64_t value);
+  inline bool hasModel();
+  inline  ::capnp::Text::Builder getModel();
+  inline void setModel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initModel(unsigned int size);
+  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownModel();
 
-  inline  ::uint32_t getAnswers();
-  inline void setAnswers( ::uint32_t value);
+  inline  ::int64_t getVersion();
+  inline void setVersion( ::int64_t value);
 
-  inline  ::uint32_t getBad();
-  inline void setBad( ::uint32_t value);
+  inline  ::uint64_t getAgeMilliseconds();
+  inline void setAgeMilliseconds( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2165,9 +2223,9 @@
 };
 
 #if !CAPNP_LITE
-class RolloutReport::Target::Pipeline {
+class WeightsAge::Pipeline {
 public:
-  typedef Target Pipelines;
+  typedef WeightsAge Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2181,9 +2239,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RolloutReply::Reader {
+class RolloutReport::Reader {
 public:
-  typedef RolloutReply Reads;
+  typedef RolloutReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2207,12 +2265,23 @@
 
   inline  ::int64_t getPosition() const;
 
-  inline  ::uint32_t getValidMilliseconds() const;
+  inline  ::int64_t getOrderAgeMilliseconds() const;
+
+  inline  ::uint32_t getOtherInFlight() const;
+
+  inline  ::uint64_t getProcess() const;
+
+  inline  ::uint32_t getRequests() const;
+
+  inline  ::uint32_t getExposed() const;
 
   inline  ::uint32_t getAllowance() const;
 
-  inline bool hasExcludedTargets() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getExcludedTargets() const;
+  inline bool hasRoutes() const;
+  inline  ::capnp::List< ::Lovageloft::PeerMessages::RolloutReport::Route,  ::capnp::Kind::STRUCT>::Reader getRoutes() const;
+
+  inline bool hasTargets() const;
+  inline  ::capnp::List< ::Lovageloft::PeerMessages::RolloutReport::Target,  ::capnp::Kind::STRUCT>::Reader getTargets() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2226,9 +2295,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RolloutReply::Builder {
+class RolloutReport::Builder {
 public:
-  typedef RolloutReply Builds;
+  typedef RolloutReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2258,19 +2327,338 @@
   inline  ::int64_t getPosition();
   inline void setPosition( ::int64_t value);
 
-  inline  ::uint32_t getValidMilliseconds();
-  inline void setValidMilliseconds( ::uint32_t value);
+  inline  ::int64_t getOrderAgeMilliseconds();
+  inline void setOrderAgeMilliseconds( ::int64_t value);
+
+  inline  ::uint32_t getOtherInFlight();
+  inline void setOtherInFlight( ::uint32_t value);
+
+  inline  ::uint64_t getProcess();
+  inline void setProcess( ::uint64_t value);
+
+  inline  ::uint32_t getRequests();
+  inline void setRequests( ::uint32_t value);
+
+  inline  ::uint32_t getExposed();
+  inline void setExposed( ::uint32_t value);
 
   inline  ::uint32_t getAllowance();
   inline void setAllowance( ::uint32_t value);
 
-  inline bool hasExcludedTargets();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getExcludedTargets();
-  inline void setExcludedTargets( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setExcludedTargets(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initExcludedTargets(unsigned int size);
-  inline void adoptExcludedTargets(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownExcludedTargets();
+  inline bool hasRoutes();
+  inline  ::capnp::List< ::Lovageloft::PeerMessages::RolloutReport::Route,  ::capnp::Kind::STRUCT>::Builder getRoutes();
+  inline void setRoutes( ::capnp::List< ::Lovageloft::PeerMessages::RolloutReport::Route,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Lovageloft::PeerMessages::RolloutReport::Route,  ::capnp::Kind::STRUCT>::Builder initRoutes(unsigned int size);
+  inline void adoptRoutes(::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::RolloutReport::Route,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::RolloutReport::Route,  ::capnp::Kind::STRUCT>> disownRoutes();
+
+  inline bool hasTargets();
+  inline  ::capnp::List< ::Lovageloft::PeerMessages::RolloutReport::Target,  ::capnp::Kind::STRUCT>::Builder getTargets();
+  inline void setTargets( ::capnp::List< ::Lovageloft::PeerMessages::RolloutReport::Target,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Lovageloft::PeerMessages::RolloutReport::Target,  ::capnp::Kind::STRUCT>::Builder initTargets(unsigned int size);
+  inline void adoptTargets(::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::RolloutReport::Target,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::RolloutReport::Target,  ::capnp::Kind::STRUCT>> disownTargets();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RolloutReport::Pipeline {
+public:
+  typedef RolloutReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RolloutReport::Route::Reader {
+public:
+  typedef Route Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRoute() const;
+
+  inline bool hasServing() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getServing() const;
+
+  inline bool hasCandidate() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getCandidate() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RolloutReport::Route::Builder {
+public:
+  typedef Route Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRoute();
+  inline void setRoute( ::uint64_t value);
+
+  inline bool hasServing();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getServing();
+  inline void setServing( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setServing(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initServing(unsigned int size);
+  inline void adoptServing(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownServing();
+
+  inline bool hasCandidate();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getCandidate();
+  inline void setCandidate( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setCandidate(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initCandidate(unsigned int size);
+  inline void adoptCandidate(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownCandidate();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RolloutReport::Route::Pipeline {
+public:
+  typedef Route Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RolloutReport::Target::Reader {
+public:
+  typedef Target Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getTarget() const;
+
+  inline  ::uint32_t getAnswers() const;
+
+  inline  ::uint32_t getBad() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RolloutReport::Target::Builder {
+public:
+  typedef Target Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getTarget();
+  inline void setTarget( ::uint64_t value);
+
+  inline  ::uint32_t getAnswers();
+  inline void setAnswers( ::uint32_t value);
+
+  inline  ::uint32_t getBad();
+  inline void setBad( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RolloutReport::Target::Pipeline {
+public:
+  typedef Target Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class RolloutReply::Reader {
+public:
+  typedef RolloutReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline  ::int64_t getOrder() const;
+
+  inline  ::int64_t getPosition() const;
+
+  inline  ::uint32_t getValidMilliseconds() const;
+
+  inline  ::uint32_t getAllowance() const;
+
+  inline bool hasExcludedTargets() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getExcludedTargets() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RolloutReply::Builder {
+public:
+  typedef RolloutReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::int64_t getOrder();
+  inline void setOrder( ::int64_t value);
+
+  inline  ::int64_t getPosition();
+  inline void setPosition( ::int64_t value);
+
+  inline  ::uint32_t getValidMilliseconds();
+  inline void setValidMilliseconds( ::uint32_t value);
+
+  inline  ::uint32_t getAllowance();
+  inline void setAllowance( ::uint32_t value);
+
+  inline bool hasExcludedTargets();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getExcludedTargets();
+  inline void setExcludedTargets( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setExcludedTargets(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initExcludedTargets(unsigned int size);
+  inline void adoptExcludedTargets(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownExcludedTargets();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3260,117 +3648,305 @@
 inline bool Datagram::Reader::isRolloutReply() const {
   return which() == Datagram::ROLLOUT_REPLY;
 }
-inline bool Datagram::Builder::isRolloutReply() {
-  return which() == Datagram::ROLLOUT_REPLY;
+inline bool Datagram::Builder::isRolloutReply() {
+  return which() == Datagram::ROLLOUT_REPLY;
+}
+inline bool Datagram::Reader::hasRolloutReply() const {
+  if (which() != Datagram::ROLLOUT_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasRolloutReply() {
+  if (which() != Datagram::ROLLOUT_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Lovageloft::PeerMessages::RolloutReply::Reader Datagram::Reader::getRolloutReply() const {
+  KJ_IREQUIRE((which() == Datagram::ROLLOUT_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::RolloutReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Lovageloft::PeerMessages::RolloutReply::Builder Datagram::Builder::getRolloutReply() {
+  KJ_IREQUIRE((which() == Datagram::ROLLOUT_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::RolloutReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setRolloutReply( ::Lovageloft::PeerMessages::RolloutReply::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::ROLLOUT_REPLY);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::RolloutReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Lovageloft::PeerMessages::RolloutReply::Builder Datagram::Builder::initRolloutReply() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::ROLLOUT_REPLY);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::RolloutReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptRolloutReply(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::RolloutReply>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::ROLLOUT_REPLY);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::RolloutReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::RolloutReply> Datagram::Builder::disownRolloutReply() {
+  KJ_IREQUIRE((which() == Datagram::ROLLOUT_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::RolloutReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isBundle() const {
+  return which() == Datagram::BUNDLE;
+}
+inline bool Datagram::Builder::isBundle() {
+  return which() == Datagram::BUNDLE;
+}
+inline bool Datagram::Reader::hasBundle() const {
+  if (which() != Datagram::BUNDLE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasBundle() {
+  if (which() != Datagram::BUNDLE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader Datagram::Reader::getBundle() const {
+  KJ_IREQUIRE((which() == Datagram::BUNDLE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder Datagram::Builder::getBundle() {
+  KJ_IREQUIRE((which() == Datagram::BUNDLE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setBundle( ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::BUNDLE);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Datagram::Builder::setBundle(::kj::ArrayPtr<const  ::capnp::Data::Reader> value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::BUNDLE);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder Datagram::Builder::initBundle(unsigned int size) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::BUNDLE);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::Builder::adoptBundle(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::BUNDLE);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>> Datagram::Builder::disownBundle() {
+  KJ_IREQUIRE((which() == Datagram::BUNDLE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isPermitRequest() const {
+  return which() == Datagram::PERMIT_REQUEST;
+}
+inline bool Datagram::Builder::isPermitRequest() {
+  return which() == Datagram::PERMIT_REQUEST;
+}
+inline bool Datagram::Reader::hasPermitRequest() const {
+  if (which() != Datagram::PERMIT_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasPermitRequest() {
+  if (which() != Datagram::PERMIT_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Lovageloft::PeerMessages::PermitRequest::Reader Datagram::Reader::getPermitRequest() const {
+  KJ_IREQUIRE((which() == Datagram::PERMIT_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::PermitRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Lovageloft::PeerMessages::PermitRequest::Builder Datagram::Builder::getPermitRequest() {
+  KJ_IREQUIRE((which() == Datagram::PERMIT_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::PermitRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setPermitRequest( ::Lovageloft::PeerMessages::PermitRequest::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PERMIT_REQUEST);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::PermitRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Lovageloft::PeerMessages::PermitRequest::Builder Datagram::Builder::initPermitRequest() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PERMIT_REQUEST);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::PermitRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptPermitRequest(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::PermitRequest>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PERMIT_REQUEST);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::PermitRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::PermitRequest> Datagram::Builder::disownPermitRequest() {
+  KJ_IREQUIRE((which() == Datagram::PERMIT_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::PermitRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isPermitReply() const {
+  return which() == Datagram::PERMIT_REPLY;
+}
+inline bool Datagram::Builder::isPermitReply() {
+  return which() == Datagram::PERMIT_REPLY;
 }
-inline bool Datagram::Reader::hasRolloutReply() const {
-  if (which() != Datagram::ROLLOUT_REPLY) return false;
+inline bool Datagram::Reader::hasPermitReply() const {
+  if (which() != Datagram::PERMIT_REPLY) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasRolloutReply() {
-  if (which() != Datagram::ROLLOUT_REPLY) return false;
+inline bool Datagram::Builder::hasPermitReply() {
+  if (which() != Datagram::PERMIT_REPLY) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Lovageloft::PeerMessages::RolloutReply::Reader Datagram::Reader::getRolloutReply() const {
-  KJ_IREQUIRE((which() == Datagram::ROLLOUT_REPLY),
+inline  ::Lovageloft::PeerMessages::PermitReply::Reader Datagram::Reader::getPermitReply() const {
+  KJ_IREQUIRE((which() == Datagram::PERMIT_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::RolloutReply>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::PermitReply>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Lovageloft::PeerMessages::RolloutReply::Builder Datagram::Builder::getRolloutReply() {
-  KJ_IREQUIRE((which() == Datagram::ROLLOUT_REPLY),
+inline  ::Lovageloft::PeerMessages::PermitReply::Builder Datagram::Builder::getPermitReply() {
+  KJ_IREQUIRE((which() == Datagram::PERMIT_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::RolloutReply>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::PermitReply>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setRolloutReply( ::Lovageloft::PeerMessages::RolloutReply::Reader value) {
+inline void Datagram::Builder::setPermitReply( ::Lovageloft::PeerMessages::PermitReply::Reader value) {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::ROLLOUT_REPLY);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::RolloutReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PERMIT_REPLY);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::PermitReply>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Lovageloft::PeerMessages::RolloutReply::Builder Datagram::Builder::initRolloutReply() {
+inline  ::Lovageloft::PeerMessages::PermitReply::Builder Datagram::Builder::initPermitReply() {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::ROLLOUT_REPLY);
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::RolloutReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PERMIT_REPLY);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::PermitReply>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::adoptRolloutReply(
-    ::capnp::Orphan< ::Lovageloft::PeerMessages::RolloutReply>&& value) {
+inline void Datagram::Builder::adoptPermitReply(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::PermitReply>&& value) {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::ROLLOUT_REPLY);
-  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::RolloutReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::PERMIT_REPLY);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::PermitReply>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Lovageloft::PeerMessages::RolloutReply> Datagram::Builder::disownRolloutReply() {
-  KJ_IREQUIRE((which() == Datagram::ROLLOUT_REPLY),
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::PermitReply> Datagram::Builder::disownPermitReply() {
+  KJ_IREQUIRE((which() == Datagram::PERMIT_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::RolloutReply>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::PermitReply>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Datagram::Reader::isBundle() const {
-  return which() == Datagram::BUNDLE;
+inline bool Datagram::Reader::isStatements() const {
+  return which() == Datagram::STATEMENTS;
 }
-inline bool Datagram::Builder::isBundle() {
-  return which() == Datagram::BUNDLE;
+inline bool Datagram::Builder::isStatements() {
+  return which() == Datagram::STATEMENTS;
 }
-inline bool Datagram::Reader::hasBundle() const {
-  if (which() != Datagram::BUNDLE) return false;
+inline bool Datagram::Reader::hasStatements() const {
+  if (which() != Datagram::STATEMENTS) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasBundle() {
-  if (which() != Datagram::BUNDLE) return false;
+inline bool Datagram::Builder::hasStatements() {
+  if (which() != Datagram::STATEMENTS) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader Datagram::Reader::getBundle() const {
-  KJ_IREQUIRE((which() == Datagram::BUNDLE),
+inline  ::capnp::List< ::Lovageloft::PeerMessages::Statement,  ::capnp::Kind::STRUCT>::Reader Datagram::Reader::getStatements() const {
+  KJ_IREQUIRE((which() == Datagram::STATEMENTS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Lovageloft::PeerMessages::Statement,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder Datagram::Builder::getBundle() {
-  KJ_IREQUIRE((which() == Datagram::BUNDLE),
+inline  ::capnp::List< ::Lovageloft::PeerMessages::Statement,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::getStatements() {
+  KJ_IREQUIRE((which() == Datagram::STATEMENTS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Lovageloft::PeerMessages::Statement,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setBundle( ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader value) {
-  _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::BUNDLE);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline void Datagram::Builder::setBundle(::kj::ArrayPtr<const  ::capnp::Data::Reader> value) {
+inline void Datagram::Builder::setStatements( ::capnp::List< ::Lovageloft::PeerMessages::Statement,  ::capnp::Kind::STRUCT>::Reader value) {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::BUNDLE);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::STATEMENTS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Lovageloft::PeerMessages::Statement,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder Datagram::Builder::initBundle(unsigned int size) {
+inline  ::capnp::List< ::Lovageloft::PeerMessages::Statement,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::initStatements(unsigned int size) {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::BUNDLE);
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::STATEMENTS);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Lovageloft::PeerMessages::Statement,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Datagram::Builder::adoptBundle(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>&& value) {
+inline void Datagram::Builder::adoptStatements(
+    ::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::Statement,  ::capnp::Kind::STRUCT>>&& value) {
   _builder.setDataField<Datagram::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::BUNDLE);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::STATEMENTS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Lovageloft::PeerMessages::Statement,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>> Datagram::Builder::disownBundle() {
-  KJ_IREQUIRE((which() == Datagram::BUNDLE),
+inline ::capnp::Orphan< ::capnp::List< ::Lovageloft::PeerMessages::Statement,  ::capnp::Kind::STRUCT>> Datagram::Builder::disownStatements() {
+  KJ_IREQUIRE((which() == Datagram::STATEMENTS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Lovageloft::PeerMessages::Statement,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::isStatementsQuery() const {
+  return which() == Datagram::STATEMENTS_QUERY;
+}
+inline bool Datagram::Builder::isStatementsQuery() {
+  return which() == Datagram::STATEMENTS_QUERY;
+}
+inline  ::capnp::Void Datagram::Reader::getStatementsQuery() const {
+  KJ_IREQUIRE((which() == Datagram::STATEMENTS_QUERY),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void Datagram::Builder::getStatementsQuery() {
+  KJ_IREQUIRE((which() == Datagram::STATEMENTS_QUERY),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setStatementsQuery( ::capnp::Void value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::STATEMENTS_QUERY);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Forward::Reader::hasReceivers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3443,6 +4019,248 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t PermitRequest::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PermitRequest::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PermitRequest::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitRequest::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitRequest::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PermitRequest::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PermitRequest::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PermitRequest::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PermitRequest::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PermitRequest::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PermitRequest::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline double PermitRequest::Reader::getRate() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double PermitRequest::Builder::getRate() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PermitRequest::Builder::setRate(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PermitReply::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PermitReply::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PermitReply::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitReply::Reader::getIsGranted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool PermitReply::Builder::getIsGranted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void PermitReply::Builder::setIsGranted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PermitReply::Reader::getWaitMicroseconds() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PermitReply::Builder::getWaitMicroseconds() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PermitReply::Builder::setWaitMicroseconds( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Statement::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Statement::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Statement::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Statement::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Statement::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Statement::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Statement::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Statement::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t Statement::Reader::getIncarnation() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Statement::Builder::getIncarnation() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Statement::Builder::setIncarnation( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Statement::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Statement::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Statement::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline double Statement::Reader::getValue() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double Statement::Builder::getValue() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Statement::Builder::setValue(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Statement::Reader::getIsEnded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+
+inline bool Statement::Builder::getIsEnded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+inline void Statement::Builder::setIsEnded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Statement::Reader::getAgeMicroseconds() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Statement::Builder::getAgeMicroseconds() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Statement::Builder::setAgeMicroseconds( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Statement::Reader::hasHeardBy() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Statement::Builder::hasHeardBy() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Statement::Reader::getHeardBy() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Statement::Builder::getHeardBy() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Statement::Builder::setHeardBy( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Statement::Builder::initHeardBy(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Statement::Builder::adoptHeardBy(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Statement::Builder::disownHeardBy() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t CrashReport::Reader::getRequest() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -8,10 +8,12 @@
 
 #include "coordination/broadcast_plan.h"
 #include "core/log.h"
+#include "gateway/changes_codec.h"
 #include "gateway/datagram_codec.h"
 #include "gateway/deflate.h"
 #include "gateway/peer_messages.capnp.h"
 #include "gateway/rollout_codec.h"
+#include "gateway/statement_codec.h"
 
 namespace Lovageloft
 {
@@ -34,41 +36,11 @@
 /// datagram. A longer value is sent in a datagram of its own. Changes of the same revision are sent together even if they exceed this size.
 constexpr std::size_t maxValueBytesPerDatagram = 1'000;
 
-/// Datagrams of this size and above, about the size of a packet, are deflated.
-constexpr std::size_t minDeflatedBytes = 1'200;
-
-/// The maximum size of a UDP datagram, less room for the list of receivers of a forwarded one.
-constexpr std::size_t maxSentDatagramBytes = 56'000;
-
 /// Datagrams that are longer than this once inflated are dropped as malformed.
 constexpr std::size_t maxInflatedBytes = std::size_t{4} << 20U;
 
 constexpr unsigned portBits = 16;
 
-/// Encodes an unknown duration.
-constexpr std::uint32_t unknownMilliseconds = 0xffffffff;
-
-kj::ArrayPtr<const unsigned char> toBytes(std::string_view text)
-{
-    return kj::arrayPtr(reinterpret_cast<const unsigned char *>(text.data()), text.size());
-}
-
-std::string_view toText(capnp::Data::Reader data)
-{
-    const auto chars = data.asChars();
-    return {chars.begin(), chars.size()};
-}
-
-std::string deflatedIfLong(std::string datagram)
-{
-    if (datagram.size() < minDeflatedBytes) {
-        return datagram;
-    }
-    capnp::MallocMessageBuilder message;
-    message.initRoot<Datagram>().setPacked(toBytes(deflated(datagram)));
-    return encodeDatagram(message);
-}
-
 std::string encodeForward(std::string_view datagram, std::span<const udp::endpoint> receivers)
 {
     capnp::MallocMessageBuilder message;
@@ -87,64 +59,6 @@
     return {boost::asio::ip::address_v4(static_cast<std::uint32_t>(address >> portBits)), static_cast<std::uint16_t>(address & portMask)};
 }
 
-void writeEntries(PeerMessages::Changes::Builder changes, std::span<const StoreEntry> entries, bool withValues)
-{
-    auto encoded = changes.initEntries(static_cast<unsigned>(entries.size()));
-    for (unsigned i = 0; i < entries.size(); ++i) {
-        const StoreEntry &entry = entries[i];
-        encoded[i].setKey(entry.key);
-        encoded[i].setRevision(entry.revision);
-        encoded[i].setIsDeleted(entry.isDeleted);
-        encoded[i].setIsOmitted(!withValues);
-        if (withValues) {
-            encoded[i].setValue(toBytes(entry.value));
-        }
-    }
-}
-
-void writeChanges(PeerMessages::Changes::Builder changes, const ChangesNotice &notice, std::span<const StoreEntry> entries, bool withValues)
-{
-    changes.setPrefix(notice.prefix);
-    changes.setAfter(notice.after);
-    changes.setUpTo(notice.upTo);
-    changes.setSilenceMilliseconds(static_cast<std::uint32_t>(toMillis(notice.silence)));
-    changes.setLatestStart(notice.maxStartRevision);
-    if (notice.outage) {
-        changes.setAwayMilliseconds(static_cast<std::uint32_t>(std::min<std::int64_t>(toMillis(*notice.outage), unknownMilliseconds - 1)));
-    }
-    writeEntries(changes, entries, withValues);
-}
-
-ChangesNotice readChanges(PeerMessages::Changes::Reader changes)
-{
-    ChangesNotice notice{changes.getPrefix(), changes.getAfter(), changes.getUpTo(), {}, {}, {}};
-    for (const auto entry : changes.getEntries()) {
-        notice.entries.push_back({entry.getKey(), std::string(toText(entry.getValue())), entry.getRevision(), entry.getIsDeleted()});
-        notice.omitted.push_back(entry.getIsOmitted());
-    }
-    notice.silence = std::chrono::milliseconds(changes.getSilenceMilliseconds());
-    notice.maxStartRevision = changes.getLatestStart();
-    if (changes.getAwayMilliseconds() != unknownMilliseconds) {
-        notice.outage = std::chrono::milliseconds(changes.getAwayMilliseconds());
-    }
-    return notice;
-}
-
-/// Encodes a datagram with some of the notice's entries; without their values if it would be too long otherwise.
-std::string encodeChanges(const ChangesNotice &notice, std::span<const StoreEntry> entries)
-{
-    std::string datagram;
-    for (const bool withValues : {true, false}) {
-        capnp::MallocMessageBuilder message;
-        writeChanges(message.initRoot<Datagram>().initChanges(), notice, entries, withValues);
-        datagram = deflatedIfLong(encodeDatagram(message));
-        if (datagram.size() <= maxSentDatagramBytes) {
-            break;
-        }
-    }
-    return datagram;
-}
-
 std::string encodeQuarantine(RequestFingerprint request)
 {
     capnp::MallocMessageBuilder message;
@@ -304,6 +218,37 @@
     broadcastBytes(encodeQuarantine(quarantined));
 }
 
+void PeerSocket::send(const std::string &host, const PermitRequest &request)
+{
+    sendTo(host, encodePermitRequest(request));
+}
+
+void PeerSocket::send(const std::string &host, const PermitReply &reply)
+{
+    sendTo(host, encodePermitReply(reply));
+}
+
+void PeerSocket::send(const std::string &host, std::span<const StatementTable::Update> updates)
+{
+    for (const std::string &datagram : encodeStatements(updates, BootClock::now())) {
+        sendTo(host, datagram);
+    }
+}
+
+void PeerSocket::broadcast(std::span<const StatementTable::Update> updates)
+{
+    for (const std::string &datagram : encodeStatements(updates, BootClock::now())) {
+        broadcastBytes(datagram);
+    }
+}
+
+void PeerSocket::queryStatements(const std::string &host)
+{
+    capnp::MallocMessageBuilder message;
+    message.initRoot<Datagram>().setStatementsQuery();
+    sendTo(host, encodeDatagram(message));
+}
+
 void PeerSocket::broadcast(const CacheStoreNotice &notice)
 {
     capnp::MallocMessageBuilder message;
@@ -548,6 +493,22 @@
             events_.onRolloutReply(readRolloutReply(datagram.getRolloutReply()));
             break;
         }
+        case Datagram::PERMIT_REQUEST: {
+            events_.onPermitRequest(host, decodePermitRequest(datagram.getPermitRequest()));
+            break;
+        }
+        case Datagram::PERMIT_REPLY: {
+            events_.onPermitReply(decodePermitReply(datagram.getPermitReply()));
+            break;
+        }
+        case Datagram::STATEMENTS: {
+            events_.onStatements(decodeStatements(datagram.getStatements(), BootClock::now()));
+            break;
+        }
+        case Datagram::STATEMENTS_QUERY: {
+            events_.onStatementsQuery(host);
+            break;
+        }
         case Datagram::BUNDLE: {
             for (const auto member : datagram.getBundle()) {
                 handleDatagram(toText(member), host);
--- a/gateway/peer_socket.h
+++ b/gateway/peer_socket.h
@@ -21,6 +21,7 @@
 #include "core/random.h"
 #include "core/result_code.h"
 #include "core/settings.h"
+#include "decision/send_permits.h"
 #include "gateway/host_record.h"
 #include "gateway/peer_traffic.h"
 #include "gateway/rollout_messages.h"
@@ -158,6 +159,13 @@
     /// The request must not be sent to any target any more.
     virtual void onQuarantined(RequestFingerprint request) = 0;
 
+    virtual void onPermitRequest(const std::string &host, const PermitRequest &request) = 0;
+    virtual void onPermitReply(const PermitReply &reply) = 0;
+    virtual void onStatements(const std::vector<StatementTable::Update> &updates) = 0;
+
+    /// Another host asks for the statements in force.
+    virtual void onStatementsQuery(const std::string &host) = 0;
+
     virtual void onRolloutReport(const std::string &host, RolloutReport &&report) = 0;
     virtual void onRolloutReply(const RolloutReply &reply) = 0;
 
@@ -195,6 +203,9 @@
     /// Tells all other hosts that a request is quarantined, see PeerEvents::onQuarantined().
     void broadcast(RequestFingerprint quarantined);
 
+    /// Tells all other hosts what targets have begun or ceased to state.
+    void broadcast(std::span<const StatementTable::Update> updates);
+
     /// Sends changes to all other hosts, divided into several datagrams if needed. A notice whose `maxStartRevision` is less than `upTo` is not
     /// divided. Values that make a datagram too long are left out; if it is too long even so, sending it fails with only a log line.
     void broadcast(const ChangesNotice &notice);
@@ -217,6 +228,13 @@
     void send(const std::string &host, const WeightsAge &age);
     void send(const std::string &host, const CrashReport &report);
 
+    void send(const std::string &host, const PermitRequest &request);
+    void send(const std::string &host, const PermitReply &reply);
+    void send(const std::string &host, std::span<const StatementTable::Update> updates);
+
+    /// Asks a host for the statements in force.
+    void queryStatements(const std::string &host);
+
     void send(const std::string &host, const RolloutReport &report);
     void send(const std::string &host, const RolloutReply &reply);
 
--- a/gateway/request_dispatch.cpp
+++ b/gateway/request_dispatch.cpp
@@ -103,6 +103,19 @@
     scheduler_.setRetryLimits(limits);
 }
 
+void RequestDispatch::setPermits(SendPermits &permits, std::function<void(std::span<const WantedPermits> wanted)> want)
+{
+    scheduler_.setPermits(&permits);
+    wantPermits_ = std::move(want);
+}
+
+void RequestDispatch::onPermitValid()
+{
+    if (scheduler_.waiting() > 0) {
+        scheduleDecide();
+    }
+}
+
 RequestId RequestDispatch::submit(const std::shared_ptr<RoutedRequest> &request, SchedulerRequest &&scheduled)
 {
     const RequestId id{++lastRequestId_};
@@ -236,6 +249,9 @@
             request->onRefused(std::get<SchedulerRefusal>(outcome));
         }
     }
+    if (const auto wanted = scheduler_.takeWantedPermits(); !wanted.empty()) {
+        wantPermits_(wanted);
+    }
     if (const auto next = scheduler_.nextDeadline()) {
         constexpr Duration minTimerDelay = std::chrono::milliseconds(5);
         timer_.expires_after(std::max(*next - BootClock::now(), minTimerDelay));
--- a/gateway/request_dispatch.h
+++ b/gateway/request_dispatch.h
@@ -3,6 +3,8 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -47,6 +49,13 @@
     void setHostCount(std::size_t count);
     void setRetryLimits(const RetryBudget::Limits &limits);
 
+    /// Sets the permits that requests to targets with a rate limit need, and the function that is called with the targets for which
+    /// queued requests need one. `permits` must outlive this object.
+    void setPermits(SendPermits &permits, std::function<void(std::span<const WantedPermits> wanted)> want);
+
+    /// A permit may have become valid.
+    void onPermitValid();
+
     /// Queues a request. The decision is reported to its `onAssigned` or `onRefused`, never during this call.
     RequestId submit(const std::shared_ptr<RoutedRequest> &request, SchedulerRequest &&scheduled);
 
@@ -94,6 +103,7 @@
     std::unordered_map<RequestId, std::shared_ptr<RoutedRequest>> requests_;
     std::uint64_t lastRequestId_ = 0;
     std::function<void()> refreshEngines_;
+    std::function<void(std::span<const WantedPermits> wanted)> wantPermits_ = [](std::span<const WantedPermits>) {};
     std::optional<TimePoint> enginesExpireAt_;
     bool isDecideScheduled_ = false;
 };
--- /dev/null
+++ b/gateway/statement_codec.cpp
@@ -0,0 +1,115 @@
+#include "gateway/statement_codec.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <capnp/message.h>
+
+#include "gateway/datagram_codec.h"
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+using PeerMessages::Datagram;
+
+/// Statements in a datagram, which then fits into one packet.
+constexpr std::size_t maxStatementsPerDatagram = 10;
+
+/// Longer times of a faulty sender are cut to this, which no process runs.
+constexpr std::uint64_t maxMicroseconds = 3'000'000'000'000'000;
+
+std::uint64_t toMicroseconds(Duration time)
+{
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::microseconds>(time).count()));
+}
+
+Duration fromMicroseconds(std::uint64_t microseconds)
+{
+    return std::chrono::microseconds(std::min(microseconds, maxMicroseconds));
+}
+
+bool isAmount(double value)
+{
+    return std::isfinite(value) && value >= 0;
+}
+
+} // namespace
+
+std::vector<std::string> encodeStatements(std::span<const StatementTable::Update> updates, TimePoint now)
+{
+    std::vector<std::string> datagrams;
+    while (!updates.empty()) {
+        const auto part = updates.first(std::min(updates.size(), maxStatementsPerDatagram));
+        updates = updates.subspan(part.size());
+        capnp::MallocMessageBuilder message;
+        auto encoded = message.initRoot<Datagram>().initStatements(static_cast<unsigned>(part.size()));
+        for (unsigned i = 0; i < part.size(); ++i) {
+            const TargetStatement &statement = part[i].statement;
+            encoded[i].setTarget(statement.target);
+            encoded[i].setIncarnation(statement.incarnation);
+            encoded[i].setKind(static_cast<std::uint8_t>(statement.kind));
+            encoded[i].setValue(statement.value);
+            encoded[i].setIsEnded(part[i].isEnded);
+            encoded[i].setAgeMicroseconds(toMicroseconds(now - statement.statedAt));
+            encoded[i].setHeardBy(statement.heardBy);
+        }
+        datagrams.push_back(encodeDatagram(message));
+    }
+    return datagrams;
+}
+
+std::vector<StatementTable::Update> decodeStatements(capnp::List<PeerMessages::Statement>::Reader reader, TimePoint now)
+{
+    std::vector<StatementTable::Update> updates;
+    for (const auto statement : reader) {
+        if (statement.getKind() >= allStatementKinds.size() || !isAmount(statement.getValue())) {
+            continue;
+        }
+        const TimePoint statedAt = now - fromMicroseconds(statement.getAgeMicroseconds());
+        updates.push_back({{statement.getTarget(),
+                            statement.getIncarnation(),
+                            static_cast<StatementKind>(statement.getKind()),
+                            statement.getValue(),
+                            statedAt,
+                            now,
+                            statement.getHeardBy()},
+                           statement.getIsEnded()});
+    }
+    return updates;
+}
+
+std::string encodePermitRequest(const PermitRequest &request)
+{
+    capnp::MallocMessageBuilder message;
+    auto encoded = message.initRoot<Datagram>().initPermitRequest();
+    encoded.setId(request.id);
+    encoded.setTarget(request.target);
+    encoded.setRate(request.rate);
+    return encodeDatagram(message);
+}
+
+std::string encodePermitReply(const PermitReply &reply)
+{
+    capnp::MallocMessageBuilder message;
+    auto encoded = message.initRoot<Datagram>().initPermitReply();
+    encoded.setId(reply.id);
+    encoded.setIsGranted(reply.decision.isGranted);
+    encoded.setWaitMicroseconds(toMicroseconds(reply.decision.wait));
+    return encodeDatagram(message);
+}
+
+PermitRequest decodePermitRequest(PeerMessages::PermitRequest::Reader reader)
+{
+    const double rate = reader.getRate();
+    return {reader.getId(), reader.getTarget(), isAmount(rate) ? rate : 0};
+}
+
+PermitReply decodePermitReply(PeerMessages::PermitReply::Reader reader)
+{
+    return {reader.getId(), {reader.getIsGranted(), fromMicroseconds(reader.getWaitMicroseconds())}};
+}
+
+} // namespace Lovageloft
--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -314,6 +314,7 @@
 SchedulerEngine TargetDirectory::makeEngine(const Target &target, TimePoint now) const
 {
     SchedulerEngine engine;
+    engine.target = target.id;
     engine.incarnation = static_cast<std::uint64_t>(target.incarnation);
     engine.batchLimit = static_cast<std::uint32_t>(target.slots);
     engine.prefillTokensPerSecond = target.models.empty() ? serviceTokensPerSecondAndSlot * static_cast<double>(target.slots) : assumedPrefillTokensPerSecond;
--- a/gateway/target_statements.cpp
+++ b/gateway/target_statements.cpp
@@ -1,16 +1,36 @@
 #include "gateway/target_statements.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Lovageloft
 {
 
-TargetStatements::TargetStatements(std::string hostName, Metrics &metrics)
-    : table_(std::move(hostName))
+namespace
+{
+
+/// Targets of a service tend to state something at the same time, and many hosts to hear it.
+constexpr Duration announcementDelay = std::chrono::milliseconds(10);
+
+constexpr Duration minTimerDelay = std::chrono::milliseconds(1);
+
+} // namespace
+
+TargetStatements::TargetStatements(boost::asio::io_context &loop, std::string hostName, Metrics &metrics, Links links)
+    : table_(hostName)
     , log_(metrics)
+    , permits_(std::move(hostName), table_)
+    , links_(std::move(links))
+    , announcementTimer_(loop)
+    , permitTimer_(loop)
 {
 }
 
+void TargetStatements::setHosts(std::size_t hosts, const std::vector<std::string> &candidates)
+{
+    permits_.setHosts(hosts, candidates, BootClock::now());
+}
+
 void TargetStatements::onAnswer(std::string_view targetId, std::int64_t incarnation, TimePoint sentAt, const AnswerFacts &facts)
 {
     const bool isOtherTarget = facts.isTargetMismatch && facts.targetId != targetId;
@@ -29,10 +49,36 @@
         const auto update = table_.onAnswer({targetId, incarnation, kind, isStated, isStated ? stated->value : std::nullopt, sentAt}, now);
         if (update) {
             log_.changed(*update);
+            announce(*update);
         }
     }
 }
 
+void TargetStatements::announce(const StatementTable::Update &update)
+{
+    announcements_.push_back(update);
+    if (announcements_.size() > 1) {
+        return;
+    }
+    announcementTimer_.expires_after(announcementDelay);
+    announcementTimer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            flushAnnouncements();
+        }
+    });
+}
+
+/// Leaves out what another host has told all others meanwhile.
+void TargetStatements::flushAnnouncements()
+{
+    std::erase_if(announcements_, [this](const StatementTable::Update &update) {
+        const TargetStatement *known = table_.find(update.statement.target, update.statement.kind);
+        return !update.isEnded && known != nullptr && known->heardBy != update.statement.heardBy && known->value == update.statement.value;
+    });
+    links_.broadcast(announcements_);
+    announcements_.clear();
+}
+
 void TargetStatements::setTargets(const TargetMap &targets)
 {
     table_.retainListed([&targets](std::string_view id) {
@@ -41,11 +87,79 @@
     });
 }
 
+void TargetStatements::wantPermits(std::span<const WantedPermits> wanted)
+{
+    const TimePoint now = BootClock::now();
+    for (const auto &[target, count] : wanted) {
+        permits_.want(target, count, now, links_.requestPermit);
+        if (permits_.wait(target, now) == Duration::zero()) {
+            links_.onPermitValid();
+        }
+    }
+    armPermitTimer(now);
+}
+
+void TargetStatements::onUpdates(std::span<const StatementTable::Update> updates)
+{
+    for (const StatementTable::Update &update : updates) {
+        if (table_.onUpdate(update)) {
+            log_.changed(update);
+        }
+    }
+}
+
+PermitReply TargetStatements::onPermitRequest(const PermitRequest &request)
+{
+    return permits_.onRequest(request, BootClock::now());
+}
+
+void TargetStatements::onPermitReply(const PermitReply &reply)
+{
+    const TimePoint now = BootClock::now();
+    permits_.onReply(reply, now);
+    links_.onPermitValid();
+    armPermitTimer(now);
+}
+
+std::vector<StatementTable::Update> TargetStatements::inForce() const
+{
+    std::vector<StatementTable::Update> updates;
+    for (TargetStatement &statement : table_.inForce()) {
+        updates.push_back({std::move(statement), false});
+    }
+    return updates;
+}
+
 void TargetStatements::tick(TimePoint now)
 {
     for (const StatementTable::Update &lapsed : table_.expire(now)) {
         log_.changed(lapsed, true);
     }
+    permits_.onTick(now);
+    if (const auto repeats = permits_.takeRepeats(now); !repeats.empty()) {
+        links_.broadcast(repeats);
+    }
+    if (!table_.isEmpty()) {
+        links_.onPermitValid(); // A limit that rises after its end lets requests go without a message.
+    }
+}
+
+void TargetStatements::armPermitTimer(TimePoint now)
+{
+    const auto next = permits_.nextEvent(now);
+    if (!next) {
+        return;
+    }
+    permitTimer_.expires_after(std::max(*next - now, minTimerDelay));
+    permitTimer_.async_wait([this](const boost::system::error_code &error) {
+        if (error) {
+            return;
+        }
+        const TimePoint wakeup = BootClock::now();
+        permits_.onTick(wakeup);
+        links_.onPermitValid();
+        armPermitTimer(wakeup);
+    });
 }
 
 } // namespace Lovageloft
--- /dev/null
+++ b/tests/decision/permit_model.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <queue>
+#include <string>
+#include <vector>
+
+#include "core/random.h"
+#include "decision/send_permits.h"
+
+namespace Lovageloft
+{
+
+/// A model in virtual time of hosts that send requests to targets which state rate limits. Messages between hosts take time, may be lost and may
+/// arrive twice; hosts pause, end and start anew, or are cut off from others.
+class PermitModel
+{
+public:
+    /// How hosts keep to a limit.
+    enum class Way : std::uint8_t
+    {
+        Homes, ///< SendPermits.
+        EvenShares, ///< Each host sends its even share and asks nobody.
+    };
+
+    struct Options
+    {
+        std::size_t hosts = 9;
+        std::size_t targets = 3;
+        Way way = Way::Homes;
+        double demand = 6; ///< Requests a second for each target, over all hosts.
+        double hostsWithDemand = 1; ///< Fraction of the hosts that get requests.
+        double lossRate = 0; ///< Of messages.
+        double doubledRate = 0;
+        std::uint64_t seed = 0;
+    };
+
+    explicit PermitModel(const Options &options);
+
+    /// The rate that a target states in its answers from now on; negative for none.
+    void state(std::size_t target, double rate);
+
+    /// A host stands still for a time. Messages to it wait.
+    void pause(std::size_t host, Duration time);
+
+    /// A host ends and starts again after a time, when it knows nothing. Others learn of both a moment later.
+    void restart(std::size_t host, Duration downTime);
+
+    /// Messages between a host and all others are lost for a time.
+    void cutOff(std::size_t host, Duration time);
+
+    void run(Duration time);
+
+    /// The most requests that a target got in 4 s, from a second after it first stated a limit.
+    std::size_t mostInWindow(std::size_t target) const;
+
+    /// Requests that a target got since the time `since`.
+    std::size_t arrivals(std::size_t target, Duration since) const;
+
+    /// Time until all hosts that ran knew of a target's first statement; Duration::max() if some never did.
+    Duration knownAfter(std::size_t target) const;
+
+    /// Messages sent by the busiest host so far.
+    std::size_t mostMessages() const;
+
+    Duration elapsed() const;
+
+private:
+    struct Host
+    {
+        std::string name;
+        std::unique_ptr<StatementTable> table;
+        std::unique_ptr<SendPermits> permits;
+        PermitIssuer ownShare;
+        std::vector<std::deque<TimePoint>> waiting; ///< Deadlines of waiting requests, by target.
+        std::vector<TimePoint> shareOpenAt; ///< By target, for even shares.
+        TimePoint pausedUntil;
+        TimePoint downUntil;
+        TimePoint cutUntil;
+        std::size_t messages = 0;
+        std::size_t waitingCount = 0; ///< Over all targets.
+    };
+
+    struct Target
+    {
+        double rate = -1;
+        std::vector<TimePoint> arrivals;
+        std::optional<TimePoint> statedAt;
+        std::optional<TimePoint> knownAt; ///< By all hosts.
+    };
+
+    struct Event
+    {
+        TimePoint at;
+        std::uint64_t order = 0;
+        std::function<void()> action;
+        std::size_t host = 0; ///< That it is for.
+        bool isMessage = false;
+
+        bool operator>(const Event &other) const
+        {
+            return at != other.at ? at > other.at : order > other.order;
+        }
+    };
+
+    void start(Host &host);
+    void updateHosts();
+    bool isUp(const Host &host) const;
+    bool isRunning(const Host &host) const;
+    bool chance(double probability);
+    void post(std::size_t host, Duration delay, bool isMessage, std::function<void()> action);
+    void sendMessage(std::size_t from, std::size_t to, const std::function<void()> &action);
+    std::size_t indexOf(const std::string &name) const;
+    void step();
+    void deliver();
+    void serve(std::size_t host, std::size_t target);
+    bool mayBegin(Host &host, std::size_t target);
+    void begin(std::size_t host, std::size_t target);
+    void onAnswer(std::size_t host, std::size_t target, double stated, TimePoint sentAt);
+    void broadcast(std::size_t from, const StatementTable::Update &update);
+    void noteKnown();
+
+    Options options_;
+    Random random_;
+    TimePoint now_ = TimePoint{} + std::chrono::hours(1);
+    TimePoint startedAt_ = now_;
+    std::vector<Host> hosts_;
+    std::vector<Target> targets_;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+    std::uint64_t lastOrder_ = 0;
+};
+
+} // namespace Lovageloft
--- a/tests/platform/test_datagrams.cpp
+++ b/tests/platform/test_datagrams.cpp
@@ -117,6 +117,22 @@
     {
     }
 
+    void onPermitRequest(const std::string & /*host*/, const PermitRequest & /*request*/) override
+    {
+    }
+
+    void onPermitReply(const PermitReply & /*reply*/) override
+    {
+    }
+
+    void onStatements(const std::vector<StatementTable::Update> & /*updates*/) override
+    {
+    }
+
+    void onStatementsQuery(const std::string & /*host*/) override
+    {
+    }
+
     void onRolloutReport(const std::string & /*host*/, RolloutReport && /*report*/) override
     {
     }
