Targets that say they are brittle get little after they have rejected a request

Callers saw: requests of a service whose targets fell over one after the other would fail until these are back.

Cause: nothing read the statement, and a host that was rejected kept away from the target for 400 ms by itself, while the others went on.

Not built: room found from below, so after each pause the targets are tried up to a rejection again.

--- a/decision/statement_table.h
+++ b/decision/statement_table.h
@@ -43,6 +43,10 @@
     /// Applies an answer. Returns the update for other hosts if it changed anything.
     std::optional<Update> onAnswer(const Heard &heard, TimePoint now);
 
+    /// A target has rejected a request for want of room. If it states a rejection limit, all hosts send it little until it has not rejected any
+    /// for a second. Returns the update for other hosts, nothing if they know.
+    std::optional<Update> onRejected(std::string_view target, std::int64_t incarnation, TimePoint now);
+
     /// Another host acts on a statement, which it has heard lately. Keeps it from lapsing here.
     void confirm(std::string_view target, StatementKind kind, TimePoint now);
 
@@ -82,6 +86,7 @@
         std::optional<TimePoint> endedAt;
     };
 
+    static std::optional<double> limitOf(const Entry &entry, TimePoint now);
     const Entry *findEntry(std::string_view target, StatementKind kind) const;
     Update setValue(const Heard &heard, double value, TimePoint now);
 
--- a/gateway/target_statements.cpp
+++ b/gateway/target_statements.cpp
@@ -43,7 +43,7 @@
         return;
     }
     const TimePoint now = BootClock::now();
-    for (const StatementKind kind : allStatementKinds) {
+    for (const StatementKind kind : targetStatementKinds) {
         const auto stated = std::find_if(statements.begin(), statements.end(), [kind](const StatedValue &value) { return value.kind == kind; });
         const bool isStated = stated != statements.end();
         const auto update = table_.onAnswer({targetId, incarnation, kind, isStated, isStated ? stated->value : std::nullopt, sentAt}, now);
@@ -54,6 +54,14 @@
     }
 }
 
+void TargetStatements::onRejected(std::string_view targetId, std::int64_t incarnation)
+{
+    if (const auto update = table_.onRejected(targetId, incarnation, BootClock::now())) {
+        log_.changed(*update);
+        links_.broadcast(std::span(&*update, 1));
+    }
+}
+
 void TargetStatements::announce(const StatementTable::Update &update)
 {
     announcements_.push_back(update);
--- a/gateway/target_statements.h
+++ b/gateway/target_statements.h
@@ -39,6 +39,9 @@
     /// Reads an answer of a target to a request that was sent at `sentAt` to this incarnation of it.
     void onAnswer(std::string_view targetId, std::int64_t incarnation, TimePoint sentAt, const AnswerFacts &facts);
 
+    /// A target has answered that it did not run a request.
+    void onRejected(std::string_view targetId, std::int64_t incarnation);
+
     /// Drops what other incarnations and targets that are gone have stated.
     void setTargets(const TargetMap &targets);
 
--- a/tests/platform/test_stated_limits.cpp
+++ b/tests/platform/test_stated_limits.cpp
@@ -1,5 +1,7 @@
 #define BOOST_TEST_MODULE stated_limits
 #include <algorithm>
+#include <array>
+#include <atomic>
 #include <mutex>
 #include <numeric>
 
@@ -94,6 +96,56 @@
     TimePoint limitedSince;
 };
 
+/// Targets that run few requests at a time, reject the others for want of room, and state how many they can reject in a second.
+struct BrittleFixture : FleetFixture
+{
+    static constexpr int room = 2;
+    static constexpr std::size_t rejectionLimit = 10;
+    static constexpr std::size_t brittleTargets = 3;
+
+    BrittleFixture()
+        : FleetFixture(hostCount)
+    {
+        for (std::size_t i = 0; i < brittleTargets; ++i) {
+            addTarget(std::string(1, static_cast<char>('a' + i)),
+                      [this, i](Connection &connection, const Request &request) { answer(i, connection, request); });
+        }
+    }
+
+    void answer(std::size_t target, Connection &connection, const Request &request)
+    {
+        constexpr std::string_view stated = "Server-Brittle: 10\r\n";
+        constexpr Duration serviceTime = 60ms;
+        if (++running[target] > room) {
+            --running[target];
+            {
+                const std::lock_guard lock(mutex);
+                rejections[target].push_back(BootClock::now());
+            }
+            connection.answer(request, 503, "full", std::string(stated) + "Lovageloft-Not-Executed: full\r\n");
+            return;
+        }
+        std::this_thread::sleep_for(serviceTime);
+        --running[target];
+        connection.answer(request, 200, "whole", stated);
+    }
+
+    /// The most rejections of a target in any second from `from` on.
+    std::size_t mostRejections(std::size_t target, TimePoint from) const
+    {
+        std::size_t most = 0;
+        const std::vector<TimePoint> &times = rejections[target];
+        for (auto first = std::lower_bound(times.begin(), times.end(), from); first != times.end(); ++first) {
+            most = std::max(most, static_cast<std::size_t>(std::lower_bound(first, times.end(), *first + 1s) - first));
+        }
+        return most;
+    }
+
+    std::array<std::atomic<int>, brittleTargets> running{};
+    std::mutex mutex;
+    std::array<std::vector<TimePoint>, brittleTargets> rejections;
+};
+
 constexpr double allowedInWindow()
 {
     return statedRate * toSeconds(window) + allowedExcess;
@@ -132,4 +184,23 @@
     BOOST_TEST(used >= minUse * statedRate * toSeconds(counted) * targetCount);
 }
 
+// Guards against targets that fall over, as the hosts go on sending to them while they reject for want of room.
+BOOST_FIXTURE_TEST_CASE(brittleTargetsAreNotMadeToRejectMoreThanTheyState, BrittleFixture)
+{
+    constexpr std::size_t callerCount = 36;
+    constexpr Duration sendTime = 6s;
+    const TimePoint from = BootClock::now() + settleTime;
+    std::vector<double> served(callerCount);
+    std::vector<std::thread> callers;
+    for (std::size_t i = 0; i < callerCount; ++i) {
+        callers.emplace_back([this, i, &served] { served[i] = servedShare(i % hostCount, "GET", "/safe/x", sendTime); });
+    }
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    for (std::size_t target = 0; target < brittleTargets; ++target) {
+        BOOST_TEST(mostRejections(target, from) <= rejectionLimit);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
