--- a/tests/decision/permit_model.cpp
+++ b/tests/decision/permit_model.cpp
@@ -44,10 +44,8 @@
     host.permits.reset();
     host.table = std::make_unique<StatementTable>(host.name);
     host.permits = std::make_unique<SendPermits>(host.name, *host.table);
-    host.ownShare = {};
     host.waiting.assign(targets_.size(), {});
     host.waitingCount = 0;
-    host.shareOpenAt.assign(targets_.size(), {});
 }
 
 void PermitModel::updateHosts()
@@ -204,7 +202,7 @@
         --host.waitingCount;
         begin(index, target);
     }
-    if (waiting.empty() || options_.way != Way::Homes) {
+    if (waiting.empty()) {
         return;
     }
     host.permits->want(targetName(target), waiting.size(), now_, [this, index](const std::string &home, const PermitRequest &request) {
@@ -219,21 +217,10 @@
 bool PermitModel::mayBegin(Host &host, std::size_t target)
 {
     const std::string name = targetName(target);
-    if (options_.way == Way::Homes) {
-        if (host.permits->wait(name, now_) > Duration::zero()) {
-            return false;
-        }
-        host.permits->use(name, now_);
-        return true;
-    }
-    const auto rate = host.table->rateLimit(name, now_);
-    if (!rate) {
-        return true;
-    }
-    if (now_ < host.shareOpenAt[target] || *rate <= 0) {
+    if (host.permits->wait(name, now_) > Duration::zero()) {
         return false;
     }
-    host.shareOpenAt[target] = now_ + fromSeconds(static_cast<double>(hosts_.size()) / *rate);
+    host.permits->use(name, now_);
     return true;
 }
 
--- a/tests/decision/permit_model.h
+++ b/tests/decision/permit_model.h
@@ -18,18 +18,10 @@
 class PermitModel
 {
 public:
-    /// How hosts keep to a limit.
-    enum class Way : std::uint8_t
-    {
-        Homes, ///< SendPermits.
-        EvenShares, ///< Each host sends its even share and asks nobody.
-    };
-
     struct Options
     {
         std::size_t hosts = 9;
         std::size_t targets = 3;
-        Way way = Way::Homes;
         double demand = 6; ///< Requests a second for each target, over all hosts.
         double hostsWithDemand = 1; ///< Fraction of the hosts that get requests.
         double lossRate = 0; ///< Of messages.
@@ -73,9 +65,7 @@
         std::string name;
         std::unique_ptr<StatementTable> table;
         std::unique_ptr<SendPermits> permits;
-        PermitIssuer ownShare;
         std::vector<std::deque<TimePoint>> waiting; ///< Deadlines of waiting requests, by target.
-        std::vector<TimePoint> shareOpenAt; ///< By target, for even shares.
         TimePoint pausedUntil;
         TimePoint downUntil;
         TimePoint cutUntil;
--- a/tests/platform/test_stated_limits.cpp
+++ b/tests/platform/test_stated_limits.cpp
@@ -96,6 +96,9 @@
     TimePoint limitedSince;
 };
 
+/// How long callers send to brittle targets.
+constexpr Duration sendTime = 6s;
+
 /// Targets that run few requests at a time, reject the others for want of room, and state how many they can reject in a second.
 struct BrittleFixture : FleetFixture
 {
@@ -188,7 +191,6 @@
 BOOST_FIXTURE_TEST_CASE(brittleTargetsAreNotMadeToRejectMoreThanTheyState, BrittleFixture)
 {
     constexpr std::size_t callerCount = 36;
-    constexpr Duration sendTime = 6s;
     const TimePoint from = BootClock::now() + settleTime;
     std::vector<double> served(callerCount);
     std::vector<std::thread> callers;
