Requests that the permits of all targets don't suffice for are refused at once

Cause: the queue estimates its wait by the work that it has seen served under load, which says nothing in the first seconds of a limit. Change: a request is refused on arrival, with the time until the queue has room as Retry-After, if this host's permits (those used in the last seconds, or its even share of the rates if that is more) don't suffice for the requests before it within its deadline. Requests that are queued when the limit comes still wait.

--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 namespace Lovageloft
@@ -14,8 +15,13 @@
 constexpr std::chrono::seconds noTargetRetryAfter{1};
 /// Retry-After if the retry budget is spent: about when a burst of failures no longer fills the budget's window.
 constexpr std::chrono::seconds retryBudgetRetryAfter{2};
-/// Longest Retry-After of a request that no permit is expected for in time.
+/// Bounds of Retry-After of a request that no permit is expected for in time.
+constexpr std::chrono::milliseconds minPermitRetryAfter{100};
 constexpr std::chrono::seconds maxPermitRetryAfter{10};
+constexpr double maxPermitWaitSeconds = 60;
+constexpr std::string_view permitsSpent = "all targets are at the rate limits that they state";
+/// Time constant of the decay by which permits that were used are counted.
+constexpr double permitUseSeconds = 2;
 
 std::vector<BlockHash> announcedBlocks(std::span<const BlockHash> chain, std::span<const std::uint32_t> partEnds)
 {
@@ -113,6 +119,7 @@
 void RequestScheduler::setHostCount(std::size_t count)
 {
     placement_.setHostCount(count);
+    hostCount_ = std::max<std::size_t>(count, 1);
 }
 
 void RequestScheduler::setRetryLimits(const RetryBudget::Limits &limits)
@@ -126,6 +133,9 @@
     if (auto refusal = checkRetry(request, now)) {
         return refusal;
     }
+    if (auto refusal = checkPermits(request, poolOf(request.model, request.pool), now)) {
+        return refusal;
+    }
     QueuedRequest queued;
     queued.id = id;
     queued.team = teams_.idOf(request.team);
@@ -267,7 +277,7 @@
     if (!shortest || now + *shortest < queued.deadline) {
         return false;
     }
-    choice.reason = {ResultCode::DeadlineWouldPass, "all targets are at the rate limits that they state"};
+    choice.reason = {ResultCode::DeadlineWouldPass, std::string(permitsSpent)};
     choice.retryAfter = std::min<Duration>(*shortest, maxPermitRetryAfter);
     return true;
 }
@@ -292,6 +302,59 @@
     }
 }
 
+double RequestScheduler::PermitUse::at(TimePoint now) const
+{
+    return count * std::exp(-toSeconds(now - countedAt) / permitUseSeconds);
+}
+
+/// The rate at which this host can send requests of a model whose engines all need permits: what it has sent lately, or its even share if that is
+/// more. Nothing if some engine needs none.
+std::optional<double> RequestScheduler::permittedRate(ModelId model, TimePoint now) const
+{
+    if (permits_ == nullptr || permits_->isIdle()) {
+        return std::nullopt;
+    }
+    std::optional<double> total;
+    for (const auto &[index, engine] : engines_) {
+        if (engine.model != model || !engine.isServing) {
+            continue;
+        }
+        const auto rate = permits_->rateLimit(engine.target, now);
+        if (!rate) {
+            return std::nullopt;
+        }
+        total = total.value_or(0) + *rate;
+    }
+    if (!total) {
+        return std::nullopt;
+    }
+    const auto use = permitUse_.find(model);
+    const double recent = use != permitUse_.end() ? use->second.at(now) / permitUseSeconds : 0;
+    return std::min(*total, std::max(recent, *total / static_cast<double>(hostCount_)));
+}
+
+/// Refuses a request if the permits of all engines don't suffice for it and those that are queued before its deadline.
+std::optional<SchedulerRefusal> RequestScheduler::checkPermits(const SchedulerRequest &request, ModelId model, TimePoint now)
+{
+    const auto rate = permittedRate(model, now);
+    if (!rate) {
+        return std::nullopt;
+    }
+    const auto ahead = std::count_if(requests_.begin(), requests_.end(), [&request](const auto &queued) {
+        return queued.second.model == request.model && queued.second.pool == request.pool;
+    });
+    const Duration timeLeft = request.deadline - now;
+    const Duration wait = *rate > 0 ? fromSeconds(std::min(static_cast<double>(ahead) / *rate, maxPermitWaitSeconds)) : fromSeconds(maxPermitWaitSeconds);
+    if (ahead == 0 && *rate > 0) {
+        return std::nullopt;
+    }
+    if (wait < timeLeft) {
+        return std::nullopt;
+    }
+    const Duration retryAfter = std::clamp<Duration>(wait - timeLeft, minPermitRetryAfter, maxPermitRetryAfter);
+    return refuse(request.id, {ResultCode::DeadlineWouldPass, std::string(permitsSpent)}, retryAfter);
+}
+
 void RequestScheduler::setPermits(SendPermits *permits)
 {
     permits_ = permits;
@@ -350,8 +413,9 @@
     const std::int64_t missed = std::max<std::int64_t>(1, std::int64_t{toPlace.promptTokens} - decision.expectedCachedTokens);
     const DispatchId dispatch = placement_.onDispatched(toPlace, decision, now);
     Engine &engine = engines_[decision.engine];
-    if (permits_ != nullptr) {
-        permits_->use(engine.target, now);
+    if (permits_ != nullptr && permits_->use(engine.target, now)) {
+        PermitUse &use = permitUse_[engine.model];
+        use = {use.at(now) + 1, now};
     }
     InFlight &inFlight = inFlight_[queued.id];
     inFlight = {dispatch, decision.engine, engine.generation, engine.window.start(missed, now), {}};
--- a/decision/request_scheduler.h
+++ b/decision/request_scheduler.h
@@ -211,6 +211,15 @@
         std::vector<BlockHash> addedBlocks; ///< Blocks that the engine did not hold before.
     };
 
+    /// Requests that this host has sent with permits, counted with exponential decay.
+    struct PermitUse
+    {
+        double count = 0;
+        TimePoint countedAt;
+
+        double at(TimePoint now) const;
+    };
+
     /// Result of placing the next request of the queue.
     struct Choice
     {
@@ -225,6 +234,8 @@
     void updatePermitWaits(ModelId model, TimePoint now);
     bool refuseWithoutPermits(const QueuedRequest &queued, TimePoint now, Choice &choice) const;
     void wantPermits(bool isPlaced, TimePoint now);
+    std::optional<double> permittedRate(ModelId model, TimePoint now) const;
+    std::optional<SchedulerRefusal> checkPermits(const SchedulerRequest &request, ModelId model, TimePoint now);
     void scaleQueues(const std::map<EngineIndex, Engine> &updated);
     ModelId poolOf(const std::string &model, const std::string &pool);
     std::span<const VersionedChain> chainsOf(const SchedulerRequest &request);
@@ -247,6 +258,8 @@
     SendPermits *permits_ = nullptr;
     bool hadLimits_ = false; ///< Whether engines were last placed with permits.
     std::vector<WantedPermits> wantedPermits_;
+    std::map<ModelId, PermitUse> permitUse_;
+    std::size_t hostCount_ = 1;
     std::map<ModelId, std::vector<Version>> versions_;
     std::unordered_map<RequestId, SchedulerRequest> requests_; ///< Queued requests.
     std::unordered_map<RequestId, InFlight> inFlight_;
--- a/decision/send_permits.cpp
+++ b/decision/send_permits.cpp
@@ -75,8 +75,8 @@
 
 Duration SendPermits::wait(std::string_view target, TimePoint now) const
 {
-    const auto rate = statements_.rateLimit(target, now);
-    if (!rate || *rate >= unlimitedRate) {
+    const auto rate = rateLimit(target, now);
+    if (!rate) {
         return {};
     }
     if (*rate <= 0) {
@@ -98,19 +98,29 @@
     return shortest;
 }
 
-void SendPermits::use(std::string_view target, TimePoint now)
+std::optional<double> SendPermits::rateLimit(std::string_view target, TimePoint now) const
 {
-    const auto found = sources_.find(target);
     const auto rate = statements_.rateLimit(target, now);
-    if (found == sources_.end() || !rate) {
-        return;
+    return rate && *rate < unlimitedRate ? rate : std::nullopt;
+}
+
+bool SendPermits::use(std::string_view target, TimePoint now)
+{
+    const auto rate = rateLimit(target, now);
+    if (!rate) {
+        return false;
+    }
+    const auto found = sources_.find(target);
+    if (found == sources_.end()) {
+        return true;
     }
     for (auto &[issuer, source] : found->second) {
         if (isUsable(source, *rate, now) && source.permit->from <= now) {
             source.permit.reset();
-            return;
+            break;
         }
     }
+    return true;
 }
 
 std::vector<std::string> SendPermits::homesOf(std::string_view target) const
@@ -125,7 +135,7 @@
 
 void SendPermits::want(std::string_view target, std::size_t count, TimePoint now, const RequestSender &send)
 {
-    const auto rate = statements_.rateLimit(target, now);
+    const auto rate = rateLimit(target, now);
     if (!rate || *rate <= 0 || expected(target, now) >= count) {
         return;
     }
--- a/decision/send_permits.h
+++ b/decision/send_permits.h
@@ -63,8 +63,11 @@
     /// Time until a request can be sent to the target, as far as it is known; zero if it can be sent now.
     Duration wait(std::string_view target, TimePoint now) const;
 
-    /// Uses a permit for a request that is sent now. Does nothing if the target has no limit.
-    void use(std::string_view target, TimePoint now);
+    /// Requests a second that all hosts together may send to the target; nothing if it has no limit.
+    std::optional<double> rateLimit(std::string_view target, TimePoint now) const;
+
+    /// Uses a permit for a request that is sent now. Returns false if the target has no limit.
+    bool use(std::string_view target, TimePoint now);
 
     /// Requests a permit if fewer than `count` are held or requested.
     void want(std::string_view target, std::size_t count, TimePoint now, const RequestSender &send);
--- a/tests/platform/test_stated_limits.cpp
+++ b/tests/platform/test_stated_limits.cpp
@@ -96,6 +96,10 @@
     TimePoint limitedSince;
 };
 
+/// A refusal within this time is prompt, and this part of them has to be.
+constexpr Duration promptTime = 200ms;
+constexpr double promptShare = 0.9;
+
 /// How long callers send to brittle targets.
 constexpr Duration sendTime = 6s;
 
@@ -187,6 +191,35 @@
     BOOST_TEST(used >= minUse * statedRate * toSeconds(counted) * targetCount);
 }
 
+// Guards against callers that are kept waiting for most of their time and then refused, as far more is asked for than the targets state.
+BOOST_AUTO_TEST_CASE(whatCanNotBeServedInTimeIsRefusedAtOnce)
+{
+    constexpr std::size_t callerCount = 60;
+    limit(targetCount);
+    sendFor(settleTime);
+    std::atomic<int> refused = 0;
+    std::atomic<int> prompt = 0;
+    std::atomic<int> served = 0;
+    std::vector<std::thread> callers;
+    for (std::size_t i = 0; i < callerCount; ++i) {
+        callers.emplace_back([this, i, &refused, &prompt, &served] {
+            const TimePoint end = BootClock::now() + window;
+            while (BootClock::now() < end) {
+                const TimePoint sentAt = BootClock::now();
+                const bool isServed = exchange(i % hostCount, GatewayFixture::request("GET", "/safe/x")).starts_with("HTTP/1.1 200 ");
+                (isServed ? served : refused) += 1;
+                prompt += !isServed && BootClock::now() - sentAt <= promptTime ? 1 : 0;
+                std::this_thread::sleep_for(20ms);
+            }
+        });
+    }
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    BOOST_TEST(prompt >= promptShare * refused);
+    BOOST_TEST(served >= minUse * statedRate * toSeconds(window) * targetCount);
+}
+
 // Guards against targets that fall over, as the hosts go on sending to them while they reject for want of room.
 BOOST_FIXTURE_TEST_CASE(brittleTargetsAreNotMadeToRejectMoreThanTheyState, BrittleFixture)
 {
