--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -133,14 +133,15 @@
     if (auto refusal = checkRetry(request, now)) {
         return refusal;
     }
-    if (auto refusal = checkPermits(request, poolOf(request.model, request.pool), now)) {
+    const ModelId model = poolOf(request.model, request.pool);
+    if (auto refusal = checkPermits(request, model, now)) {
         return refusal;
     }
     QueuedRequest queued;
     queued.id = id;
     queued.team = teams_.idOf(request.team);
     queued.key = keys_.idOf(request.team + '\n' + request.keyId);
-    queued.model = poolOf(request.model, request.pool);
+    queued.model = model;
     queued.priority = request.priority;
     queued.cost = static_cast<std::int64_t>(placement_.expectedMissedTokens(placementRequest(request))) + request.outputTokens;
     queued.deadline = request.deadline;
