--- a/tests/platform/test_limit_soak.cpp
+++ b/tests/platform/test_limit_soak.cpp
@@ -2,9 +2,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
-#include <cstdlib>
 #include <mutex>
-#include <numeric>
 #include <sstream>
 
 #include <boost/test/data/test_case.hpp>
@@ -12,6 +10,7 @@
 
 #include "core/random.h"
 #include "tests/platform/fleet_fixture.h"
+#include "tests/platform/soak_seeds.h"
 
 using namespace Lovageloft;
 using namespace std::chrono_literals;
@@ -34,21 +33,6 @@
 constexpr std::array<double, 4> rates{0.8, 2.1, 5, 20};
 constexpr double unlimited = -1;
 
-/// A number from the environment, for long runs by hand.
-std::uint64_t numberFromEnvironment(const char *name, std::uint64_t fallback)
-{
-    const char *text = std::getenv(name); // NOLINT(concurrency-mt-unsafe): read before any thread starts.
-    return text != nullptr ? std::strtoull(text, nullptr, 10) : fallback;
-}
-
-std::vector<std::uint64_t> seeds()
-{
-    const std::uint64_t first = numberFromEnvironment("LIMIT_SOAK_FIRST_SEED", 1);
-    std::vector<std::uint64_t> seeds(numberFromEnvironment("LIMIT_SOAK_SEEDS", 2));
-    std::iota(seeds.begin(), seeds.end(), first);
-    return seeds;
-}
-
 /// Six hosts and six targets that state rates which change, beside links that come and go and event loops that stand still.
 class Soak : public FleetFixture
 {
@@ -176,7 +160,7 @@
 } // namespace
 
 // Guards against targets that get more than they state while their limits change, links fail and hosts stand still.
-BOOST_DATA_TEST_CASE(statedRatesHoldBesideFaults, boost::unit_test::data::make(seeds()), seed)
+BOOST_DATA_TEST_CASE(statedRatesHoldBesideFaults, boost::unit_test::data::make(soakSeeds("LIMIT_SOAK")), seed)
 {
     Soak soak(seed);
     soak.run();
--- a/tests/platform/test_link_soak.cpp
+++ b/tests/platform/test_link_soak.cpp
@@ -1,7 +1,6 @@
 #define BOOST_TEST_MODULE link_soak
 #include <atomic>
 #include <charconv>
-#include <cstdlib>
 #include <filesystem>
 #include <map>
 #include <mutex>
@@ -13,6 +12,7 @@
 
 #include "core/random.h"
 #include "tests/platform/fleet_fixture.h"
+#include "tests/platform/soak_seeds.h"
 
 using namespace Lovageloft;
 using namespace std::chrono_literals;
@@ -30,24 +30,6 @@
 /// From the end of the last cut until all requests go over direct connections again.
 constexpr Duration restoreTime = 5s;
 
-/// A number from the environment, for long runs by hand.
-std::uint64_t numberFromEnvironment(const char *name, std::uint64_t fallback)
-{
-    const char *text = std::getenv(name); // NOLINT(concurrency-mt-unsafe): read before any thread starts.
-    return text != nullptr ? std::strtoull(text, nullptr, 10) : fallback;
-}
-
-std::vector<std::uint64_t> seeds()
-{
-    const std::uint64_t first = numberFromEnvironment("LINK_SOAK_FIRST_SEED", 1);
-    const std::uint64_t count = numberFromEnvironment("LINK_SOAK_SEEDS", 2);
-    std::vector<std::uint64_t> seeds;
-    for (std::uint64_t i = 0; i < count; ++i) {
-        seeds.push_back(first + i);
-    }
-    return seeds;
-}
-
 std::size_t openDescriptors()
 {
     const std::filesystem::directory_iterator entries("/proc/self/fd");
@@ -245,7 +227,7 @@
 BOOST_AUTO_TEST_SUITE(LinkSoak)
 
 // Guards against answers and promises that are wrong while links between hosts and targets come and go, and against connections that are left over.
-BOOST_DATA_TEST_CASE(promisesHoldWhileLinksComeAndGo, boost::unit_test::data::make(seeds()), seed)
+BOOST_DATA_TEST_CASE(promisesHoldWhileLinksComeAndGo, boost::unit_test::data::make(soakSeeds("LINK_SOAK")), seed)
 {
     Soak soak(seed);
     const std::size_t descriptorsBefore = openDescriptors();
