A request's lines say which stream it takes up, and at which version that began

The collected lines could not tell a stream that a host sends on to another version (hypothesis 1) from one that a caller takes up at another host (2), nor an engine that the host takes for another version (3). No logic changes.

--- a/gateway/protocol.h
+++ b/gateway/protocol.h
@@ -30,6 +30,7 @@
     std::vector<PromptPart> parts; ///< In the order of the prompt.
     std::optional<Duration> timeout; ///< How long the caller waits, from the arrival of the head.
     std::string lastEventId; ///< Resume a stream after this event; may be empty.
+    std::string resumes; ///< Id of the attempt that received the first event of the stream to resume; empty if the caller did not state it.
 };
 
 /// Values that the gateway adds to a request for one target.
--- a/gateway/request_log.h
+++ b/gateway/request_log.h
@@ -29,6 +29,8 @@
         const SchedulerAssignment &assignment;
         std::string_view fetchFrom; ///< Address to fetch missing parts of the prompt from; empty for none.
         bool isReused = false; ///< Sent on a connection kept open from an earlier request.
+        std::string_view lastEventId = {}; ///< Event after which a stream resumes; empty for a new one.
+        std::string_view streamVersion = {}; ///< Software version of the target that sent the stream's first event to this host's caller; empty if none did.
     };
 
     void sent(const Sent &sent) const;
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -155,6 +155,7 @@
     sentAt_ = now;
     sentTo_ = target.id;
     sentIncarnation_ = target.incarnation;
+    sentVersion_ = target.softwareVersion;
     linkCheckAt_ = now + linkCheckInterval;
     stallCheckAt_ = now + intake_.route()->stallTimeout();
     queueTime_ = queueTime_.value_or(now - startedAt_);
@@ -169,7 +170,16 @@
     std::string bytes = gateway_.targetProtocol().writeHead(head_, request, body_.size());
     bytes.append(body_);
     connection_ = gateway_.pool().acquire(target, intake_.route()->isIdempotent(), now);
-    log_.sent({target, sends_, now - startedAt_, exposure_.isPending(), request.weightsVersion, assignment_, request.fetchFrom, connection_->hasSentRequest()});
+    log_.sent({target,
+               sends_,
+               now - startedAt_,
+               exposure_.isPending(),
+               request.weightsVersion,
+               assignment_,
+               request.fetchFrom,
+               connection_->hasSentRequest(),
+               lastEventId,
+               streamVersion_.value_or("")});
     exposure_.onSent(target, assignment_, now);
     connection_->sendRequest(std::move(bytes), intake_.caller().id, head_.method != "HEAD", *this);
     armTimer();
@@ -225,6 +235,9 @@
         timeToFirstByte_ = BootClock::now() - startedAt_;
     }
     reportFirstToken();
+    if (!streamVersion_) {
+        streamVersion_ = sentVersion_;
+    }
     if (!isAnswerStarted_) {
         startAnswer(std::nullopt);
     }
--- a/gateway/routed_request.h
+++ b/gateway/routed_request.h
@@ -161,6 +161,8 @@
     std::string relay_; ///< Host that relayed the connection on which the last answer began; empty if it was direct.
     std::string sentTo_; ///< Id of the target that the request was last sent to.
     std::int64_t sentIncarnation_ = 0; ///< Incarnation of the target that the request was last sent to.
+    std::string sentVersion_; ///< Software version of the target that the request was last sent to.
+    std::optional<std::string> streamVersion_; ///< Software version of the target that sent the first event; nothing before.
     SchedulerAssignment assignment_; ///< The newest one.
     std::vector<std::string> failedTargets_;
     bool isExpectedLate_ = false; ///< The first token is expected after the route's latency target.
