--- a/tests/platform/fleet_fixture.cpp
+++ b/tests/platform/fleet_fixture.cpp
@@ -47,7 +47,7 @@
     }
 }
 
-ScriptedTarget &FleetFixture::addTarget(const std::string &id, ScriptedTarget::Script script)
+ScriptedTarget &FleetFixture::addTarget(const std::string &id, ScriptedTarget::Script script, const std::string &version)
 {
     ScriptedTarget &target = *(targets_[id] = std::make_unique<ScriptedTarget>(std::move(script)));
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
@@ -59,12 +59,37 @@
         entry.address = {"127.0.0.1", link->port()};
         entry.slots = 8;
         entry.incarnation = 1;
+        entry.softwareVersion = version;
         host.targets[id] = entry;
-        onLoop(i, [targets = std::make_shared<const TargetMap>(host.targets)](Gateway &gateway) { gateway.setTargets(targets); });
+        publishTargets(i);
     }
     return target;
 }
 
+void FleetFixture::changeTarget(const std::string &id, const std::function<void(Target &)> &change)
+{
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+        change(hosts_[i]->targets.at(id));
+        publishTargets(i);
+    }
+}
+
+void FleetFixture::unlistTarget(const std::string &id)
+{
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+        hosts_[i]->targets.erase(id);
+        publishTargets(i);
+    }
+}
+
+/// A killed host hears nothing.
+void FleetFixture::publishTargets(std::size_t host)
+{
+    if (hosts_[host]->gateway != nullptr) {
+        onLoop(host, [targets = std::make_shared<const TargetMap>(hosts_[host]->targets)](Gateway &gateway) { gateway.setTargets(targets); });
+    }
+}
+
 void FleetFixture::setLinks(std::size_t host, LinkMode mode)
 {
     for (const auto &[id, link] : hosts_[host]->links) {
--- a/tests/platform/fleet_fixture.h
+++ b/tests/platform/fleet_fixture.h
@@ -27,8 +27,14 @@
     explicit FleetFixture(std::size_t hostCount = 2);
     ~FleetFixture();
 
-    /// Adds a target that all gateways list.
-    ScriptedTarget &addTarget(const std::string &id, ScriptedTarget::Script script);
+    /// Adds a target that all gateways list, with the version of its software.
+    ScriptedTarget &addTarget(const std::string &id, ScriptedTarget::Script script, const std::string &version = {});
+
+    /// Changes a target's entry on all gateways.
+    void changeTarget(const std::string &id, const std::function<void(Target &)> &change);
+
+    /// Removes a target's entry from all gateways.
+    void unlistTarget(const std::string &id);
 
     /// Sets the mode of the links from a host to all targets, or to one.
     void setLinks(std::size_t host, LinkMode mode);
@@ -60,6 +66,8 @@
         TargetMap targets;
     };
 
+    void publishTargets(std::size_t host);
+
     PlatformCallerProtocol callerProtocol_;
     PlatformTargetProtocol targetProtocol_;
     std::map<std::string, std::unique_ptr<ScriptedTarget>> targets_;
--- a/tests/stand_ins/scripted_target.cpp
+++ b/tests/stand_ins/scripted_target.cpp
@@ -95,7 +95,12 @@
 
 void ScriptedTarget::Connection::sendEvent(int id)
 {
-    const std::string event = "id: " + std::to_string(id) + "\ndata: piece" + std::to_string(id) + "\n\n";
+    sendEvent(id, "piece" + std::to_string(id));
+}
+
+void ScriptedTarget::Connection::sendEvent(int id, std::string_view data)
+{
+    const std::string event = "id: " + std::to_string(id) + "\ndata: " + std::string(data) + "\n\n";
     std::array<char, 16> size{};
     std::snprintf(size.data(), size.size(), "%zx\r\n", event.size());
     send(size.data() + event + "\r\n");
--- a/tests/stand_ins/scripted_target.h
+++ b/tests/stand_ins/scripted_target.h
@@ -47,6 +47,7 @@
         /// These send the head of a chunked response, an event as a chunk, and the end.
         void beginStream(const Request &request);
         void sendEvent(int id);
+        void sendEvent(int id, std::string_view data);
         void endStream();
 
         void close();
