--- a/coordination/serving_versions.cpp
+++ b/coordination/serving_versions.cpp
@@ -28,7 +28,10 @@
 
 void ServingVersions::setServing(std::string_view service, std::string_view version)
 {
-    services_[std::string(service)].serving = std::string(version);
+    Service &known = services_[std::string(service)];
+    known.serving = std::string(version);
+    known.admitted.clear();
+    known.replaceable = 0;
     update();
 }
 
@@ -42,7 +45,7 @@
     update();
 }
 
-void ServingVersions::setTargets(std::span<const VersionedTarget> targets)
+void ServingVersions::setTargets(std::span<const VersionedTarget> targets, TimePoint now)
 {
     std::map<std::string, std::map<std::string, KnownTarget, std::less<>>, std::less<>> listed;
     for (const VersionedTarget &target : targets) {
@@ -58,13 +61,52 @@
             const bool wasLeaving = before != service.targets.end() && before->second.isLeaving;
             // A target that was first listed as leaving may have been replaced before this host started.
             const bool announcesShutdown = target.isLeaving && !wasLeaving && before != service.targets.end();
-            service.replaceable += announcesShutdown && service.serving == target.version ? 1 : 0;
+            service.replaceable += announcesShutdown && servesAlone(service) && service.serving == target.version ? 1 : 0;
         }
         service.targets = std::move(known);
+        listVersions(service, now);
     }
     update();
 }
 
+/// A version whose last target has gone is new when it comes back.
+void ServingVersions::listVersions(Service &service, TimePoint now)
+{
+    std::set<std::string, std::less<>> listed;
+    for (const auto &[id, target] : service.targets) {
+        listed.insert(target.version);
+    }
+    const auto isGone = [&listed](const std::string &version) { return !listed.contains(version); };
+    std::erase_if(service.newSince, [&isGone](const auto &entry) { return isGone(entry.first); });
+    std::erase_if(service.established, isGone);
+    for (const std::string &version : listed) {
+        if (!service.established.contains(version)) {
+            service.newSince.try_emplace(version, now);
+        }
+    }
+}
+
+void ServingVersions::advance(TimePoint now, TimePoint ordersKnownAt)
+{
+    bool hasChanged = false;
+    for (auto &[name, service] : services_) {
+        hasChanged = std::erase_if(service.newSince,
+                                   [&service, now, ordersKnownAt](const auto &entry) {
+                                       const auto &[version, since] = entry;
+                                       if (now - since < orderDelay || ordersKnownAt < since + orderDelay / 2) {
+                                           return false;
+                                       }
+                                       service.established.insert(version);
+                                       return true;
+                                   })
+                > 0
+            || hasChanged;
+    }
+    if (hasChanged) {
+        update();
+    }
+}
+
 const std::set<std::string, std::less<>> &ServingVersions::withheld() const
 {
     return withheld_;
@@ -106,8 +148,8 @@
     return versions;
 }
 
-/// The version of most targets; of two with as many, the one whose first target started earlier. An ordered version is taken only if there is
-/// no other and, as the records tell, there was none when the order came.
+/// The version of most targets, of those that are not new if there are any; of two with as many, the one whose first target started earlier. An ordered version
+/// is taken only if there is no other and, as the records tell, there was none when the order came.
 std::optional<std::string> ServingVersions::inferServing(const Service &service) const
 {
     struct Count
@@ -118,6 +160,9 @@
 
     std::map<std::string_view, Count> counts;
     for (const auto &[id, target] : service.targets) {
+        if (!service.established.empty() && !service.established.contains(target.version)) {
+            continue;
+        }
         Count &count = counts[target.version];
         count.targets += target.isLeaving ? 0 : 1;
         count.firstStart = std::min(count.firstStart, target.incarnation);
@@ -169,15 +214,37 @@
     }
 }
 
-/// Once the last target of the serving version has gone, the version of its replacements serves.
-void ServingVersions::finishRelease(Service &service)
+/// Whether a rollout was completed whose order still stands, or an order can't be read.
+bool ServingVersions::servesAlone(const Service &service)
+{
+    return service.ordered && (service.ordered->empty() || service.ordered == service.serving);
+}
+
+/// Once the last target of the serving version has gone, the version of its replacements serves, or without an order that of most targets.
+void ServingVersions::finishRelease(Service &service) const
 {
-    if (service.admitted.empty() || hasVersion(service, *service.serving)) {
+    if (hasVersion(service, *service.serving)) {
         return;
     }
-    service.serving = service.targets.find(*service.admitted.begin())->second.version;
-    service.admitted.clear();
-    service.replaceable = 0;
+    if (!service.admitted.empty()) {
+        service.serving = service.targets.find(*service.admitted.begin())->second.version;
+        service.admitted.clear();
+        service.replaceable = 0;
+    } else if (!service.ordered && !service.established.empty()) {
+        service.serving = inferServing(service);
+    }
+}
+
+/// Whether a target gets requests while some target of the serving version is listed.
+bool ServingVersions::mayServe(const Service &service, const std::string &id, const KnownTarget &target)
+{
+    if (target.version == effective(service)) {
+        return true;
+    }
+    if (service.switched || isOrdered(service, target.version)) {
+        return false;
+    }
+    return servesAlone(service) ? service.admitted.contains(id) : service.established.contains(target.version);
 }
 
 void ServingVersions::update()
@@ -188,15 +255,17 @@
             service.serving = inferServing(service);
         }
         if (service.serving && !service.switched) {
-            admitReplacements(service);
+            if (servesAlone(service)) {
+                admitReplacements(service);
+            }
             finishRelease(service);
         }
         // Without any target of the serving version, another one is better than none, unless it is under an order.
         const std::optional<std::string> &serving = effective(service);
         const bool needsFallback = !serving || !hasVersion(service, *serving);
         for (const auto &[id, target] : service.targets) {
-            const bool isServing = target.version == serving || (!service.switched && service.admitted.contains(id));
-            if (!isServing && (isOrdered(service, target.version) || !needsFallback)) {
+            const bool isFallback = needsFallback && !isOrdered(service, target.version);
+            if (!isFallback && !mayServe(service, id, target)) {
                 withheld_.insert(id);
             }
         }
--- a/coordination/serving_versions.h
+++ b/coordination/serving_versions.h
@@ -34,13 +34,17 @@
 
 /// Decides which software version of each service gets requests.
 ///
-/// One version of a service serves. Targets of another version are withheld, as they may be the first of a rollout whose order is not known
-/// yet. An ordinary release also brings another version, one target at a time: for each serving target that announces its shutdown, one
-/// withheld target is admitted. The version that an operator ordered is never admitted; only its rollout switches to it. The serving version is recorded in the
-/// store, so that hosts that start in the middle of a rollout know it. Not thread-safe.
+/// Without an order, all versions of a service serve side by side. A version that is new is withheld for `orderDelay`, as its targets may be the
+/// first of a rollout whose order is not known yet. The version that an operator ordered is withheld; only its rollout switches to it. After a
+/// rollout its version serves alone, and targets of another version only replace targets of it that announce their shutdown. One version
+/// counts as the serving one, with which an ordered version is compared; it is recorded in the store, so that hosts that start in the
+/// middle of a rollout know it. Not thread-safe; reads no clock.
 class ServingVersions
 {
 public:
+    /// How long a version that is new to this host is withheld. Longer than the order takes from the store to this host.
+    static constexpr Duration orderDelay = std::chrono::milliseconds(700);
+
     /// Sets the version that an operator ordered a service to move to; an empty one if the order can't be read, which withholds all versions
     /// but the serving one.
     void setOrder(std::string_view service, std::string_view version);
@@ -58,7 +62,10 @@
     void setRecorded(std::map<std::string, std::string, std::less<>> versions);
 
     /// Sets all listed targets. The views need to be valid during the call only.
-    void setTargets(std::span<const VersionedTarget> targets);
+    void setTargets(std::span<const VersionedTarget> targets, TimePoint now);
+
+    /// Ends the withholding of versions that are not new any more. `ordersKnownAt`: this host knew all orders that the store held then.
+    void advance(TimePoint now, TimePoint ordersKnownAt);
 
     /// Ids of the targets that get no requests because of their version.
     const std::set<std::string, std::less<>> &withheld() const;
@@ -86,7 +93,9 @@
         std::optional<std::string> serving;
         std::optional<std::string> switched; ///< Serves in place of `serving`.
         std::optional<std::string> ordered;
-        std::set<std::string, std::less<>> admitted; ///< Targets of other versions that replace a serving target.
+        std::map<std::string, TimePoint, std::less<>> newSince; ///< When versions were first listed; only of those that are withheld as new.
+        std::set<std::string, std::less<>> established; ///< Listed versions that are not new.
+        std::set<std::string, std::less<>> admitted; ///< Targets of other versions that replace a serving target, after a rollout.
         std::size_t replaceable = 0; ///< Serving targets that announced their shutdown and were not replaced yet.
     };
 
@@ -95,7 +104,10 @@
     static bool isOrdered(const Service &service, std::string_view version);
     static bool hasVersion(const Service &service, std::string_view version);
     static void admitReplacements(Service &service);
-    static void finishRelease(Service &service);
+    void finishRelease(Service &service) const;
+    static bool servesAlone(const Service &service);
+    static bool mayServe(const Service &service, const std::string &id, const KnownTarget &target);
+    void listVersions(Service &service, TimePoint now);
     void update();
 
     std::map<std::string, Service, std::less<>> services_;
--- a/core/result_code.cpp
+++ b/core/result_code.cpp
@@ -37,6 +37,7 @@
     {ResultCode::RetryBudgetSpent, "retry_budget_spent", 503, "Too large a part of the traffic is retries already."},
     {ResultCode::Overloaded, "overloaded", 503, "This host has no room for another request."},
     {ResultCode::Quarantined, "quarantined", 503, "Several targets have ended when they began this request."},
+    {ResultCode::StreamUnknown, "stream_unknown", 503, "The software version that began the stream is not known."},
     {ResultCode::TargetUnreachable, "target_unreachable", 502, "No connection to the target could be opened."},
     {ResultCode::TargetTimeout, "target_timeout", 504, "The target stopped answering."},
     {ResultCode::TargetMalformed, "target_malformed", 502, "The target's answer is malformed."},
--- a/core/result_code.h
+++ b/core/result_code.h
@@ -42,6 +42,7 @@
     RetryBudgetSpent = 2008,
     Overloaded = 2009,
     Quarantined = 2010,
+    StreamUnknown = 2011,
 
     TargetUnreachable = 3001,
     TargetTimeout = 3002,
--- a/decision/admission_queue.cpp
+++ b/decision/admission_queue.cpp
@@ -78,6 +78,15 @@
     modelQueue(model).estimate.scale(factor);
 }
 
+void AdmissionQueue::setPreferred(ModelId model)
+{
+    ModelQueue &queue = modelQueue(model);
+    if (!std::exchange(queue.isPreferred, true)) {
+        std::erase(modelOrder_, &queue);
+        preferred_.push_back(&queue);
+    }
+}
+
 AdmissionDecision AdmissionQueue::offer(const QueuedRequest &request, TimePoint now)
 {
     collectExpired(now);
@@ -102,24 +111,35 @@
 std::optional<QueuedRequest> AdmissionQueue::next(TimePoint now, const CanDispatch &canDispatch)
 {
     collectExpired(now);
+    for (ModelQueue *model : preferred_) {
+        if (auto request = nextOf(*model, now, canDispatch)) {
+            return request;
+        }
+    }
     for (std::size_t tried = 0; tried < modelOrder_.size(); ++tried) {
         nextModel_ = (nextModel_ + 1) % modelOrder_.size();
-        ModelQueue &model = *modelOrder_[nextModel_];
-        if (model.queue.size() == 0) {
-            continue;
-        }
-        if (!canDispatch(model.queue.peek()->request)) {
-            onBlocked(model, now);
-            continue;
+        if (auto request = nextOf(*modelOrder_[nextModel_], now, canDispatch)) {
+            return request;
         }
-        QueueEntry &entry = *model.queue.pop();
-        model.estimate.onDispatched(entry.request.cost, now);
-        onRequestRemoved(model, now);
-        return eraseEntry(entry);
     }
     return std::nullopt;
 }
 
+std::optional<QueuedRequest> AdmissionQueue::nextOf(ModelQueue &model, TimePoint now, const CanDispatch &canDispatch)
+{
+    if (model.queue.size() == 0) {
+        return std::nullopt;
+    }
+    if (!canDispatch(model.queue.peek()->request)) {
+        onBlocked(model, now);
+        return std::nullopt;
+    }
+    QueueEntry &entry = *model.queue.pop();
+    model.estimate.onDispatched(entry.request.cost, now);
+    onRequestRemoved(model, now);
+    return eraseEntry(entry);
+}
+
 void AdmissionQueue::requeue(const QueuedRequest &request, TimePoint now)
 {
     if (entries_.contains(request.id)) {
--- a/decision/admission_queue.h
+++ b/decision/admission_queue.h
@@ -68,6 +68,9 @@
     /// [0.01, 100].
     void scaleCapacity(ModelId model, double factor);
 
+    /// Lets the requests of a model be dispatched before those of others.
+    void setPreferred(ModelId model);
+
     /// Queues a request, or refuses it with Draining, InvalidField (the id is queued already), Overloaded (the team has too many
     /// queued requests), or because of the expected wait with DeadlineWouldPass if its deadline is nearer than QueueLimits::maxWait,
     /// otherwise with QueueFull. A retry at its reserved time may use all of the time until the nearer of both. A new request may use
@@ -134,6 +137,7 @@
         WaitEstimate estimate;
         std::unordered_map<std::uint64_t, ReservationBook> reservationBooks; ///< By laneKey; only lanes of which requests were refused.
         TimePoint emptiedAt;
+        bool isPreferred = false;
     };
 
     /// Input of the admission checks.
@@ -159,6 +163,7 @@
     ResultCode checkWait(const Offer &offer) const;
 
     ModelQueue &modelQueue(ModelId model);
+    std::optional<QueuedRequest> nextOf(ModelQueue &model, TimePoint now, const CanDispatch &canDispatch);
     static std::uint64_t laneKey(const ModelQueue &model, const QueuedRequest &request);
     static void onBlocked(ModelQueue &model, TimePoint now);
     static void onRequestRemoved(ModelQueue &model, TimePoint now);
@@ -180,7 +185,8 @@
     std::unordered_map<RequestId, QueueEntry> entries_; ///< Declared before the containers that link the entries, so that it is destroyed after them.
     Deadlines deadlines_;
     std::unordered_map<ModelId, ModelQueue> models_;
-    std::vector<ModelQueue *> modelOrder_; ///< Models in order of creation; `next` visits them round robin.
+    std::vector<ModelQueue *> preferred_; ///< Models that `next` visits first, in order of creation.
+    std::vector<ModelQueue *> modelOrder_; ///< The others in order of creation; `next` visits them round robin.
     std::size_t nextModel_ = 0;
     std::unordered_map<TeamId, std::size_t> teamSizes_;
     std::unordered_map<TeamId, double> weights_;
--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <utility>
 
 namespace Lovageloft
@@ -15,13 +14,6 @@
 constexpr std::chrono::seconds noTargetRetryAfter{1};
 /// Retry-After if the retry budget is spent: about when a burst of failures no longer fills the budget's window.
 constexpr std::chrono::seconds retryBudgetRetryAfter{2};
-/// Bounds of Retry-After of a request that no permit is expected for in time.
-constexpr std::chrono::milliseconds minPermitRetryAfter{100};
-constexpr std::chrono::seconds maxPermitRetryAfter{10};
-constexpr double maxPermitWaitSeconds = 60;
-constexpr std::string_view permitsSpent = "all targets are at the rate limits that they state";
-/// Time constant of the decay by which permits that were used are counted.
-constexpr double permitUseSeconds = 2;
 
 std::vector<BlockHash> announcedBlocks(std::span<const BlockHash> chain, std::span<const std::uint32_t> partEnds)
 {
@@ -85,6 +77,7 @@
             entry.window.reset();
         }
         entry.target = engine.target;
+        entry.softwareVersion = engine.softwareVersion;
         entry.model = poolOf(engine.model, engine.pool);
         entry.incarnation = engine.incarnation != 0 ? engine.incarnation : entry.incarnation;
         entry.isServing = engine.isServing;
@@ -133,15 +126,15 @@
     if (auto refusal = checkRetry(request, now)) {
         return refusal;
     }
-    const ModelId model = poolOf(request.model, request.pool);
-    if (auto refusal = checkPermits(request, model, now)) {
+    const ModelId pool = poolOf(request.model, request.pool);
+    if (auto refusal = checkPermits(request, pool, now)) {
         return refusal;
     }
     QueuedRequest queued;
     queued.id = id;
     queued.team = teams_.idOf(request.team);
     queued.key = keys_.idOf(request.team + '\n' + request.keyId);
-    queued.model = model;
+    queued.model = queueOf(request, pool);
     queued.priority = request.priority;
     queued.cost = static_cast<std::int64_t>(placement_.expectedMissedTokens(placementRequest(request))) + request.outputTokens;
     queued.deadline = request.deadline;
@@ -229,13 +222,14 @@
         return true;
     }
     const SchedulerRequest &request = found->second;
+    const ModelId pool = poolOf(request.model, request.pool);
     const PlacementRequest toPlace = placementRequest(request);
     for (auto &[index, engine] : engines_) {
-        if (engine.model == queued.model) {
+        if (engine.model == pool) {
             placement_.setWindowOpen(index, engine.window.canStart(1));
         }
     }
-    updatePermitWaits(queued.model, now);
+    updatePermitWaits(pool, now);
     choice.engine = placement_.place(toPlace, now, random, choice.reason);
     if (hadLimits_) {
         wantPermits(choice.engine.has_value(), now);
@@ -243,127 +237,41 @@
     if (choice.engine) {
         return true;
     }
-    if (hadLimits_ && choice.reason.code == ResultCode::Overloaded && refuseWithoutPermits(queued, now, choice)) {
+    if (hadLimits_ && choice.reason.code == ResultCode::Overloaded && refuseWithoutPermits(request, pool, now, choice)) {
         return true;
     }
-    // Waits for busy engines, except with a retry: the request has failed at other engines already.
-    return choice.reason.code != ResultCode::Overloaded || !request.failedEngines.empty();
+    // Waits for busy engines, except with a retry that can go anywhere: the request has failed at other engines already.
+    const bool isFreeRetry = !request.failedEngines.empty() && !request.softwareVersion;
+    return choice.reason.code != ResultCode::Overloaded || isFreeRetry;
 }
 
-void RequestScheduler::updatePermitWaits(ModelId model, TimePoint now)
+/// Whether the engine can take requests of a pool, or those that are bound to a software version.
+bool RequestScheduler::isEligible(const Engine &engine, ModelId pool, const std::optional<std::string> &softwareVersion)
 {
-    const bool hasLimits = permits_ != nullptr && !permits_->isIdle();
-    if (!hasLimits && !hadLimits_) {
-        return;
-    }
-    hadLimits_ = hasLimits;
-    for (const auto &[index, engine] : engines_) {
-        if (!hasLimits || engine.model == model) {
-            placement_.setPermitWait(index, hasLimits ? toSeconds(permits_->wait(engine.target, now)) : 0);
-        }
-    }
+    return engine.model == pool && (!softwareVersion || engine.softwareVersion == *softwareVersion);
 }
 
-/// Refuses a request if all engines of its model need permits, and none is expected before its deadline.
-bool RequestScheduler::refuseWithoutPermits(const QueuedRequest &queued, TimePoint now, Choice &choice) const
+/// The queue of a request. Requests that are bound to a version have one of their own, so that neither they nor others wait for engines that
+/// can't take them, and leave it first: few engines can take them.
+ModelId RequestScheduler::queueOf(const SchedulerRequest &request, ModelId pool)
 {
-    std::optional<Duration> shortest;
-    for (const auto &[index, engine] : engines_) {
-        if (engine.model != queued.model || !engine.isServing) {
-            continue;
-        }
-        const Duration wait = permits_->wait(engine.target, now);
-        shortest = std::min(shortest.value_or(wait), wait);
-    }
-    if (!shortest || now + *shortest < queued.deadline) {
-        return false;
+    if (!request.softwareVersion) {
+        return pool;
     }
-    choice.reason = {ResultCode::DeadlineWouldPass, std::string(permitsSpent)};
-    choice.retryAfter = std::min<Duration>(*shortest, maxPermitRetryAfter);
-    return true;
-}
-
-/// Wants a permit of the best engine without one for a request that goes to another engine; for requests that have to wait, permits of several engines.
-void RequestScheduler::wantPermits(bool isPlaced, TimePoint now)
-{
-    std::size_t needed = isPlaced ? 1 : requests_.size();
-    for (const EngineIndex index : placement_.preferredWithoutPermit()) {
-        const std::string &target = engines_.at(index).target;
-        const auto known = std::find_if(wantedPermits_.begin(), wantedPermits_.end(), [&target](const auto &wanted) { return wanted.target == target; });
-        if (known == wantedPermits_.end()) {
-            wantedPermits_.push_back({target, needed});
-        } else {
-            known->count = std::max(known->count, needed);
+    const ModelId queue = models_.idOf(request.model + '\n' + request.pool + '\n' + *request.softwareVersion);
+    queue_.setPreferred(queue);
+    if (queue_.backlog(queue) == 0) {
+        double all = 0;
+        double eligible = 0;
+        for (const auto &[index, engine] : engines_) {
+            all += isEligible(engine, pool, std::nullopt) ? 1 : 0;
+            eligible += isEligible(engine, pool, request.softwareVersion) ? 1 : 0;
         }
-        const std::size_t expected = std::max<std::size_t>(permits_->expected(target, now), 1);
-        if (expected >= needed) {
-            return;
+        if (eligible > 0) {
+            queue_.scaleCapacity(queue, queue_.serviceRate(pool) * eligible / all / queue_.serviceRate(queue));
         }
-        needed -= expected;
     }
-}
-
-double RequestScheduler::PermitUse::at(TimePoint now) const
-{
-    return count * std::exp(-toSeconds(now - countedAt) / permitUseSeconds);
-}
-
-/// The rate at which this host can send requests of a model whose engines all need permits: what it has sent lately, or its even share if that is
-/// more. Nothing if some engine needs none.
-std::optional<double> RequestScheduler::permittedRate(ModelId model, TimePoint now) const
-{
-    if (permits_ == nullptr || permits_->isIdle()) {
-        return std::nullopt;
-    }
-    std::optional<double> total;
-    for (const auto &[index, engine] : engines_) {
-        if (engine.model != model || !engine.isServing) {
-            continue;
-        }
-        const auto rate = permits_->rateLimit(engine.target, now);
-        if (!rate) {
-            return std::nullopt;
-        }
-        total = total.value_or(0) + *rate;
-    }
-    if (!total) {
-        return std::nullopt;
-    }
-    const auto use = permitUse_.find(model);
-    const double recent = use != permitUse_.end() ? use->second.at(now) / permitUseSeconds : 0;
-    return std::min(*total, std::max(recent, *total / static_cast<double>(hostCount_)));
-}
-
-/// Refuses a request if the permits of all engines don't suffice for it and those that are queued before its deadline.
-std::optional<SchedulerRefusal> RequestScheduler::checkPermits(const SchedulerRequest &request, ModelId model, TimePoint now)
-{
-    const auto rate = permittedRate(model, now);
-    if (!rate) {
-        return std::nullopt;
-    }
-    const auto ahead = std::count_if(requests_.begin(), requests_.end(), [&request](const auto &queued) {
-        return queued.second.model == request.model && queued.second.pool == request.pool;
-    });
-    const Duration timeLeft = request.deadline - now;
-    const Duration wait = *rate > 0 ? fromSeconds(std::min(static_cast<double>(ahead) / *rate, maxPermitWaitSeconds)) : fromSeconds(maxPermitWaitSeconds);
-    if (ahead == 0 && *rate > 0) {
-        return std::nullopt;
-    }
-    if (wait < timeLeft) {
-        return std::nullopt;
-    }
-    const Duration retryAfter = std::clamp<Duration>(wait - timeLeft, minPermitRetryAfter, maxPermitRetryAfter);
-    return refuse(request.id, {ResultCode::DeadlineWouldPass, std::string(permitsSpent)}, retryAfter);
-}
-
-void RequestScheduler::setPermits(SendPermits *permits)
-{
-    permits_ = permits;
-}
-
-std::vector<WantedPermits> RequestScheduler::takeWantedPermits()
-{
-    return std::exchange(wantedPermits_, {});
+    return queue;
 }
 
 /// The id of the engines that serve a model in a pool.
@@ -393,6 +301,14 @@
             failedScratch_.push_back(*index);
         }
     }
+    if (request.softwareVersion) {
+        const ModelId pool = poolOf(request.model, request.pool);
+        for (const auto &[index, engine] : engines_) {
+            if (engine.model == pool && !isEligible(engine, pool, request.softwareVersion)) {
+                failedScratch_.push_back(index);
+            }
+        }
+    }
     PlacementRequest toPlace{chainsOf(request), request.promptTokens};
     toPlace.outputTokens = request.outputTokens;
     toPlace.bytes = request.bytes;
@@ -419,7 +335,7 @@
         use = {use.at(now) + 1, now};
     }
     InFlight &inFlight = inFlight_[queued.id];
-    inFlight = {dispatch, decision.engine, engine.generation, engine.window.start(missed, now), {}};
+    inFlight = {dispatch, decision.engine, engine.generation, engine.window.start(missed, now), {}, found->second.softwareVersion};
     SchedulerAssignment assignment{queued.id, std::string(placement_.engineName(decision.engine))};
     assignment.expectedCachedTokens = decision.expectedCachedTokens;
     assignment.expectedFirstTokenSeconds = decision.expectedFirstTokenSeconds;
@@ -527,7 +443,8 @@
     return budgetOf(current->model).canRetry(now) && std::any_of(engines_.begin(), engines_.end(), [&](const auto &item) {
                const Engine &engine = item.second;
                const bool isPermitted = permits_ == nullptr || permits_->wait(engine.target, now) == Duration::zero();
-               return &engine != current && engine.model == current->model && engine.isServing && engine.window.canStart(1) && isPermitted;
+               return &engine != current && isEligible(engine, current->model, entry->second.softwareVersion) && engine.isServing && engine.window.canStart(1)
+                   && isPermitted;
            });
 }
 
--- a/decision/request_scheduler.h
+++ b/decision/request_scheduler.h
@@ -28,6 +28,7 @@
     std::string model;
     std::string pool = {}; ///< It takes only requests of the same pool.
     std::string weightsVersion = {}; ///< Version of the weights that it runs now.
+    std::string softwareVersion = {}; ///< Empty if unknown.
     std::uint64_t incarnation = 0; ///< 0 if unknown.
     double prefillTokensPerSecond = 10'000; ///< Speed at which it computes prompt tokens.
     std::uint32_t batchLimit = 64; ///< Requests for which it generates concurrently.
@@ -47,6 +48,8 @@
     std::string cacheSalt; ///< Salt of the team; separates its cache entries from those of other teams.
     std::string model;
     std::string pool = {}; ///< Goes only to engines of the same pool; empty for the engines that serve all requests.
+    /// Goes only to engines of this software version, as these can go on with the stream; not set if any can take the request.
+    std::optional<std::string> softwareVersion = std::nullopt;
     Priority priority = Priority::Normal;
     std::vector<BlockHash> blockDigests; ///< From digestBlocks, or from digestParts for the parts that other prompts may share.
     std::vector<std::uint32_t> partEnds; ///< From the function of that name, for digests of parts; empty for a text.
@@ -190,6 +193,7 @@
     {
         EngineWindow window;
         std::string target;
+        std::string softwareVersion;
         ModelId model{};
         std::uint64_t incarnation = 0;
         std::uint64_t generation = 0; ///< Distinguishes the engine from an earlier one with the same index.
@@ -209,6 +213,7 @@
         std::uint64_t generation = 0;
         EngineWindow::Dispatch window;
         std::vector<BlockHash> addedBlocks; ///< Blocks that the engine did not hold before.
+        std::optional<std::string> softwareVersion; ///< As in the request.
     };
 
     /// Requests that this host has sent with permits, counted with exponential decay.
@@ -231,11 +236,13 @@
     RetryBudget &budgetOf(ModelId model);
     std::optional<SchedulerRefusal> checkRetry(const SchedulerRequest &request, TimePoint now);
     bool choose(const QueuedRequest &queued, TimePoint now, Random &random, Choice &choice);
-    void updatePermitWaits(ModelId model, TimePoint now);
-    bool refuseWithoutPermits(const QueuedRequest &queued, TimePoint now, Choice &choice) const;
+    void updatePermitWaits(ModelId pool, TimePoint now);
+    bool refuseWithoutPermits(const SchedulerRequest &request, ModelId pool, TimePoint now, Choice &choice) const;
     void wantPermits(bool isPlaced, TimePoint now);
-    std::optional<double> permittedRate(ModelId model, TimePoint now) const;
-    std::optional<SchedulerRefusal> checkPermits(const SchedulerRequest &request, ModelId model, TimePoint now);
+    std::optional<double> permittedRate(const SchedulerRequest &request, ModelId pool, TimePoint now) const;
+    std::optional<SchedulerRefusal> checkPermits(const SchedulerRequest &request, ModelId pool, TimePoint now);
+    static bool isEligible(const Engine &engine, ModelId pool, const std::optional<std::string> &softwareVersion);
+    ModelId queueOf(const SchedulerRequest &request, ModelId pool);
     void scaleQueues(const std::map<EngineIndex, Engine> &updated);
     ModelId poolOf(const std::string &model, const std::string &pool);
     std::span<const VersionedChain> chainsOf(const SchedulerRequest &request);
--- /dev/null
+++ b/decision/version_history.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/clock.h"
+
+namespace Lovageloft
+{
+
+/// Digest of a service's or a software version's name; never 0.
+std::uint32_t shortDigest(std::string_view name);
+
+/// The service and the software version of a listed target. A target whose entry states no version has an empty one, which counts as a version
+/// of its own.
+struct ServiceVersion
+{
+    std::string_view service;
+    std::string_view version;
+};
+
+/// The software versions that targets of each service have had lately. Not thread-safe; reads no clock.
+class VersionHistory
+{
+public:
+    /// Sets for how long a version counts after its last target has gone.
+    void setRetention(Duration retention);
+
+    Duration retention() const;
+
+    /// Sets the service and version of all listed targets. The views need to be valid during the call only.
+    void setTargets(std::span<const ServiceVersion> listed, TimePoint now);
+
+    /// Sets the services of which several versions were listed within the retention time before this host started; of the others there was
+    /// one only.
+    void setEarlierSkew(const std::set<std::string, std::less<>> &skewed);
+
+    /// Whether this host has known targets for less than the retention time.
+    bool isYoung(TimePoint now) const;
+
+    /// Whether targets of more than one version of the service were listed within the retention time, as far as this host knows.
+    bool hadSeveral(std::string_view service, TimePoint now) const;
+
+    /// The version of the service if it is certain that no other was listed within the retention time.
+    std::optional<std::string> onlyVersion(std::string_view service, TimePoint now) const;
+
+    /// The name of a version of the service that was listed within the retention time.
+    std::optional<std::string> versionName(std::string_view service, std::uint32_t digest, TimePoint now) const;
+
+    /// The name of a service by its digest; nothing if none of its targets was ever listed.
+    std::optional<std::string> serviceName(std::uint32_t digest) const;
+
+    /// Names of the services of which several versions were listed within the retention time, also before this host started.
+    std::vector<std::string> skewedServices(TimePoint now) const;
+
+private:
+    struct Service
+    {
+        std::map<std::string, TimePoint, std::less<>> lastListed; ///< By version; the end of time while one of its targets is listed.
+        bool wasListedAtStart = false; ///< Some target was listed when this host first knew any.
+    };
+
+    bool isRecent(TimePoint lastListed, TimePoint now) const;
+    bool isComplete(std::string_view service, TimePoint now) const;
+
+    Duration retention_ = std::chrono::seconds(10);
+    std::map<std::string, Service, std::less<>> services_;
+    std::optional<TimePoint> startedAt_; ///< When targets were first listed.
+    std::optional<std::set<std::string, std::less<>>> skewedBefore_; ///< Services that had several versions before `startedAt_`; nothing if unknown.
+};
+
+} // namespace Lovageloft
--- a/gateway/datagram_codec.cpp
+++ b/gateway/datagram_codec.cpp
@@ -2,6 +2,9 @@
 
 #include <cstring>
 
+#include <capnp/serialize-packed.h>
+#include <kj/io.h>
+
 #include "gateway/deflate.h"
 
 namespace Lovageloft
@@ -39,8 +42,27 @@
 namespace
 {
 
+/// Whether the bytes are in the packed encoding. They then begin with the tag of the first word, which has only the size of the message, and
+/// that size; otherwise with the number of segments less one in four bytes, which is below 256.
+bool isPacked(std::string_view bytes)
+{
+    return bytes.size() > 1 && bytes[0] != 0 && bytes[1] != 0;
+}
+
+std::string unpacked(std::string_view bytes)
+{
+    kj::ArrayInputStream in(toBytes(bytes));
+    capnp::PackedMessageReader reader(in);
+    capnp::MallocMessageBuilder message;
+    message.setRoot(reader.getRoot<PeerMessages::Datagram>());
+    return encodeDatagram(message);
+}
+
 std::vector<std::uint64_t> alignedWords(std::string_view bytes)
 {
+    if (isPacked(bytes)) {
+        return alignedWords(unpacked(bytes));
+    }
     std::vector<std::uint64_t> words(bytes.size() / sizeof(std::uint64_t));
     std::memcpy(words.data(), bytes.data(), words.size() * sizeof(std::uint64_t));
     return words;
@@ -55,6 +77,14 @@
     return {bytes.begin(), bytes.size()};
 }
 
+std::string encodePackedDatagram(capnp::MessageBuilder &message)
+{
+    kj::VectorOutputStream out;
+    capnp::writePackedMessage(out, message);
+    const auto chars = out.getArray().asChars();
+    return {chars.begin(), chars.size()};
+}
+
 DatagramReader::DatagramReader(std::string_view bytes)
     : words_(alignedWords(bytes))
     , reader_(kj::arrayPtr(reinterpret_cast<const capnp::word *>(words_.data()), words_.size()))
--- a/gateway/datagram_codec.h
+++ b/gateway/datagram_codec.h
@@ -16,6 +16,9 @@
 /// The bytes of a message, as sent in a datagram.
 std::string encodeDatagram(capnp::MessageBuilder &message);
 
+/// The same in Cap'n Proto's packed encoding, which leaves out zero bytes: half as long for messages of a few numbers.
+std::string encodePackedDatagram(capnp::MessageBuilder &message);
+
 /// The maximum size of a UDP datagram, less room for the list of receivers of a forwarded one.
 inline constexpr std::size_t maxSentDatagramBytes = 56'000;
 
@@ -26,7 +29,7 @@
 kj::ArrayPtr<const unsigned char> toBytes(std::string_view text);
 std::string_view toText(capnp::Data::Reader data);
 
-/// Decodes a datagram from bytes of any alignment; a trailing part of a word is ignored.
+/// Decodes a datagram, packed or not, from bytes of any alignment; a trailing part of a word is ignored.
 class DatagramReader
 {
 public:
--- a/gateway/fleet_link.cpp
+++ b/gateway/fleet_link.cpp
@@ -278,6 +278,40 @@
     socket_.send(host, gateway_.statements().inForce());
 }
 
+void FleetLink::sendStreamRecord(const std::string &home, const StreamRecord &record)
+{
+    socket_.send(home, record);
+}
+
+void FleetLink::queryStream(const std::string &host, const StreamQuery &query)
+{
+    socket_.send(host, query);
+}
+
+void FleetLink::onStreamRecord(const StreamRecord &record)
+{
+    gateway_.streams().onRecord(record);
+}
+
+void FleetLink::onStreamQuery(const std::string &host, const StreamQuery &query)
+{
+    if (const auto reply = gateway_.streams().onQuery(host, query)) {
+        socket_.sendReply(host, *reply);
+    }
+}
+
+void FleetLink::onStreamReply(const std::string &host, const StreamRecord &reply)
+{
+    gateway_.streams().onReply(host, reply);
+}
+
+/// A relay reads the store itself.
+bool FleetLink::hearsRelays(TimePoint now) const
+{
+    constexpr Duration maxSilence = 2 * heartbeatInterval + std::chrono::milliseconds(100);
+    return relayedStore_ == nullptr || relayedStore_->isRelay() || now - heardRelayAt_ <= maxSilence;
+}
+
 void FleetLink::sendRolloutReport(const std::string &host, const RolloutReport &report)
 {
     socket_.send(host, report);
@@ -297,6 +331,9 @@
 
 void FleetLink::onChangesNotice(const ChangesNotice &notice)
 {
+    if (!mayHaveStaleMessages()) {
+        heardRelayAt_ = BootClock::now();
+    }
     if (relayedStore_ != nullptr) {
         relayedStore_->onNotice(notice);
     }
--- a/gateway/fleet_link.h
+++ b/gateway/fleet_link.h
@@ -91,6 +91,21 @@
     /// Asks a home of a target for a permit.
     void requestPermit(const std::string &home, const PermitRequest &request);
 
+    /// Tells a home of a stream which version began it.
+    void sendStreamRecord(const std::string &home, const StreamRecord &record);
+
+    /// Asks a host which version began a stream.
+    void queryStream(const std::string &host, const StreamQuery &query);
+
+    /// Whether the relays have told lately how far the store's changes go.
+    bool hearsRelays(TimePoint now) const;
+
+    /// When a relay last told; long ago if none has.
+    TimePoint heardRelayAt() const
+    {
+        return heardRelayAt_;
+    }
+
     /// Sends a report on a rollout to the leader.
     void sendRolloutReport(const std::string &host, const RolloutReport &report);
 
@@ -106,6 +121,9 @@
     void onPermitReply(const PermitReply &reply) override;
     void onStatements(const std::vector<StatementTable::Update> &updates) override;
     void onStatementsQuery(const std::string &host) override;
+    void onStreamRecord(const StreamRecord &record) override;
+    void onStreamQuery(const std::string &host, const StreamQuery &query) override;
+    void onStreamReply(const std::string &host, const StreamRecord &reply) override;
     void onRolloutReport(const std::string &host, RolloutReport &&report) override;
     void onRolloutReply(const RolloutReply &reply) override;
     void onChangesNotice(const ChangesNotice &notice) override;
@@ -136,6 +154,7 @@
     RelayedStore *relayedStore_ = nullptr;
     std::function<void(const std::string &targetId)> orderListener_ = [](const std::string &) {};
     TimePoint nextHeartbeat_;
+    TimePoint heardRelayAt_; ///< When a relay's heartbeat or notice was last received.
 };
 
 } // namespace Lovageloft
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -59,6 +59,7 @@
     , paths_(loop_, options.hostName, metrics)
     , relayServer_(loop_, relayLinks(), metrics)
     , statements_(loop_, options.hostName, metrics, statementLinks())
+    , streams_(loop_, options.hostName, metrics, streamLinks())
     , pool_(loop_, targetProtocol, paths_)
     , fleet_(*this, options.hostName)
     , dispatch_(loop_, [this] { refreshTargets(); })
@@ -157,7 +158,7 @@
     cacheStores_.setStores(table_->cacheStores);
     refreshTargets();
     applyTeamLimits();
-    applyRolloutLimits();
+    applyVersionLimits();
     rollouts_.setOrdersKnown();
     writeLog(LogLevel::Info,
              "configuration_in_force",
@@ -210,6 +211,7 @@
     paths_.setTargets(directory_.all());
     pool_.closeUnlisted(directory_.all());
     statements_.setTargets(directory_.all());
+    streams_.setTargets(directory_.all());
     hasTargets_ = true;
     dispatch_.invalidateEngines();
     if (isConfigured()) {
@@ -275,6 +277,7 @@
     std::vector<std::string> names;
     std::transform(hosts.begin(), hosts.end(), std::back_inserter(names), [](const auto &host) { return host.first; });
     rollouts_.setHosts(names);
+    streams_.setHosts(names);
     applyRetryLimits();
 }
 
@@ -283,6 +286,7 @@
     if (leader_ != host) {
         leader_ = host;
         versions_.setLeading(host == options_.hostName);
+        streams_.setLeading(host == options_.hostName);
         rollouts_.setLeader(host);
         writeLog(LogLevel::Info, "leader_known", {{"leader", host}});
     }
@@ -295,20 +299,23 @@
     applyRetryLimits();
     if (table_ != nullptr) {
         applyTeamLimits();
-        applyRolloutLimits();
+        applyVersionLimits();
     }
     refreshTargets();
 }
 
-/// A host that left the fleet accepts requests until its configuration is no longer proven, and they run until their timeouts.
-void Gateway::applyRolloutLimits()
+/// A host that left the fleet accepts requests until its configuration is no longer proven, and they run until their timeouts. A caller takes a
+/// stream up within the time that it waits for all of its attempts.
+void Gateway::applyVersionLimits()
 {
+    constexpr Duration minStreamRetention = std::chrono::seconds(10);
     Duration longestTimeout{};
     for (const Route &route : table_->routes) {
         longestTimeout = std::max(longestTimeout, route.timeout);
     }
     rollouts_.setLimits(options_.limits.exposure);
     rollouts_.setSilentTime(options_.limits.keyProofWindow + longestTimeout);
+    streams_.setRetention(std::max(minStreamRetention, 2 * longestTimeout));
 }
 
 void Gateway::applyTeamLimits()
@@ -482,6 +489,7 @@
     pauseDetector_.tick(now);
     paths_.tick(now);
     statements_.tick(now);
+    streams_.tick(now);
     updateControl(now);
     pool_.closeStale(now);
     fleet_.sendHeartbeat(now);
@@ -492,6 +500,7 @@
     if (now < queryWeightsAgesUntil_ || directory_.needsPublicationTime(now)) {
         fleet_.queryWeightsAges();
     }
+    versions_.tick(now, std::max(now - proofAge(now), fleet_.heardRelayAt()));
     rollouts_.tick(now);
     dispatch_.refreshEngines(now);
     const bool ready = isReady(now);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -21,6 +21,7 @@
 #include "gateway/rollouts.h"
 #include "gateway/routing_table.h"
 #include "gateway/status_server.h"
+#include "gateway/stream_versions.h"
 #include "gateway/table_freshness.h"
 #include "gateway/target_directory.h"
 #include "gateway/target_paths.h"
@@ -306,6 +307,16 @@
         return statements_;
     }
 
+    StreamVersions &streams()
+    {
+        return streams_;
+    }
+
+    const StreamVersions &streams() const
+    {
+        return streams_;
+    }
+
     /// Passes the engines in service to the scheduler, after a change of the target directory.
     void refreshTargets();
 
@@ -327,12 +338,13 @@
     StatusAnswer metricsAnswer(std::string_view path);
     void logWithdrawnKeys(const RoutingTable &next) const;
     Rollouts::Links rolloutLinks();
-    void applyRolloutLimits();
+    void applyVersionLimits();
     void applyTeamLimits();
     void applyRetryLimits();
     void beginPending();
     RelayServer::Links relayLinks();
     TargetStatements::Links statementLinks();
+    StreamVersions::Links streamLinks();
     void updateControl(TimePoint now);
 
     GatewayOptions options_;
@@ -358,6 +370,7 @@
     TargetPaths paths_;
     RelayServer relayServer_;
     TargetStatements statements_;
+    StreamVersions streams_;
     TargetPool pool_;
     FleetLink fleet_;
     RequestDispatch dispatch_;
--- a/gateway/gateway_links.cpp
+++ b/gateway/gateway_links.cpp
@@ -28,6 +28,16 @@
             [this] { dispatch_.onPermitValid(); }};
 }
 
+StreamVersions::Links Gateway::streamLinks()
+{
+    return {{[this](const std::string &host, const StreamRecord &record) { fleet_.sendStreamRecord(host, record); },
+             [this](const std::string &host, const StreamQuery &query) { fleet_.queryStream(host, query); }},
+            [this] {
+                const TimePoint now = BootClock::now();
+                return isTableProofRecent(now) && fleet_.hearsRelays(now);
+            }};
+}
+
 Rollouts::Links Gateway::rolloutLinks()
 {
     return {[this](const std::string &host, const RolloutReport &report) { fleet_.sendRolloutReport(host, report); },
--- a/gateway/host_duty.cpp
+++ b/gateway/host_duty.cpp
@@ -79,6 +79,7 @@
     }
     writeQuarantines();
     writeVersions();
+    writeSkew();
     return watchStore();
 }
 
@@ -160,6 +161,55 @@
     }
 }
 
+void HostDuty::recordSkew(const std::vector<std::string> &services, Duration timeToLive)
+{
+    const std::lock_guard lock(mutex_);
+    if (!options_.skewPrefix.empty()) {
+        unwrittenSkew_ = services;
+        skewTimeToLive_ = timeToLive;
+    }
+}
+
+/// A failed write is not repeated here, as the leader records the skew again while it lasts.
+void HostDuty::writeSkew()
+{
+    std::vector<std::string> services;
+    Duration timeToLive{};
+    {
+        const std::lock_guard lock(mutex_);
+        services.swap(unwrittenSkew_);
+        timeToLive = skewTimeToLive_;
+    }
+    if (services.empty()) {
+        return;
+    }
+    const StoreLeaseReply lease = store_.grantLease(timeToLive);
+    if (lease.status != StoreStatus::Ok) {
+        return;
+    }
+    for (const std::string &service : services) {
+        StoreReply reply = store_.compareAndSwap(options_.skewPrefix + service, 0, {}, lease.leaseId);
+        if (reply.status == StoreStatus::Conflict) {
+            reply = store_.compareAndSwap(options_.skewPrefix + service, reply.entry.revision, {}, lease.leaseId);
+        }
+        writeLog(LogLevel::Info, "version_skew_recorded", {{"service", service}, {"ok", reply.status == StoreStatus::Ok}});
+    }
+}
+
+void HostDuty::reportEarlierSkew(const StoreListReply &reply)
+{
+    if (options_.skewPrefix.empty()) {
+        return;
+    }
+    std::set<std::string, std::less<>> skewed;
+    for (const StoreEntry &entry : reply.entries) {
+        if (entry.key.starts_with(options_.skewPrefix) && !entry.isDeleted) {
+            skewed.insert(entry.key.substr(options_.skewPrefix.size()));
+        }
+    }
+    gateway_.post([skewed = std::move(skewed)](Gateway &gateway) { gateway.streams().setEarlierSkew(skewed); });
+}
+
 void HostDuty::reportVersions()
 {
     std::map<std::string, std::string, std::less<>> versions;
@@ -274,6 +324,7 @@
     }
     if (!std::exchange(hasReadStore_, true)) {
         reportRecentWeights(reply);
+        reportEarlierSkew(reply);
     }
     publishHosts();
     return true;
--- a/gateway/host_duty.h
+++ b/gateway/host_duty.h
@@ -34,6 +34,7 @@
         std::string weightsPrefix; ///< Prefix of the WeightsRecords keys, within `prefix`.
         std::string quarantinePrefix = {}; ///< Prefix of the keys of quarantined requests, within `prefix`; empty: none are written or read.
         std::string versionsPrefix = {}; ///< Prefix of the keys that hold the serving version of a service, within `prefix`; empty: none are written or read.
+        std::string skewPrefix = {}; ///< Prefix of the keys of services that had several versions lately, within `prefix`; empty: none are written or read.
         std::string rolloutsPrefix = {}; ///< Prefix of the keys that hold a RolloutRecord, within `prefix`; empty: none are read.
         std::string hostName;
         HostRecord record; ///< Value of this host's key.
@@ -57,6 +58,9 @@
     /// passed to the gateway. Thread-safe.
     void recordServingVersions(const std::map<std::string, std::string> &versions);
 
+    /// Queues the names of services that have had several versions, to be written to the store for this long. Thread-safe.
+    void recordSkew(const std::vector<std::string> &services, Duration timeToLive);
+
 private:
     void run() override;
     bool step();
@@ -67,6 +71,8 @@
     void writeQuarantines();
     void applyQuarantine(std::string_view name);
     void writeVersions();
+    void writeSkew();
+    void reportEarlierSkew(const StoreListReply &reply);
     void reportVersions();
     void reportRollouts(const StoreListReply &reply);
     bool readAll();
@@ -93,6 +99,8 @@
     std::mutex mutex_;
     std::vector<RequestFingerprint> unwrittenQuarantines_; ///< Not yet written to the store; guarded by `mutex_`.
     std::map<std::string, std::string> unwrittenVersions_; ///< By service; guarded by `mutex_`.
+    std::vector<std::string> unwrittenSkew_; ///< Names of services; guarded by `mutex_`.
+    Duration skewTimeToLive_{}; ///< Of `unwrittenSkew_`; guarded by `mutex_`.
 };
 
 } // namespace Lovageloft
--- a/gateway/peer_messages.capnp
+++ b/gateway/peer_messages.capnp
@@ -30,6 +30,20 @@
     permitReply @20 :PermitReply;
     statements @21 :List(Statement); # What targets have begun or ceased to state.
     statementsQuery @22 :Void; # What do targets state? The reply is `statements`.
+    streamRecord :group {
+      # Targets of this software version began this stream.
+      key @23 :UInt64;
+      version @24 :UInt32; # Digest.
+    }
+    streamQuery :group {
+      # Which version began this stream?
+      key @25 :UInt64;
+      service @26 :UInt32; # Digest of its name.
+    }
+    streamReply :group {
+      key @27 :UInt64;
+      version @28 :UInt32; # 0: not known.
+    }
   }
 }
 
--- a/gateway/peer_messages.capnp.h
+++ b/gateway/peer_messages.capnp.h
@@ -17,6 +17,9 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(c25249b8c89549ee);
+CAPNP_DECLARE_SCHEMA(8e24664eba6404d1);
+CAPNP_DECLARE_SCHEMA(cb0b721197464581);
+CAPNP_DECLARE_SCHEMA(fbcb4f5053ecc997);
 CAPNP_DECLARE_SCHEMA(9b0092764b1509af);
 CAPNP_DECLARE_SCHEMA(bc91cf4b4f90280f);
 CAPNP_DECLARE_SCHEMA(b09704a1815bdb08);
@@ -75,7 +78,13 @@
     PERMIT_REPLY,
     STATEMENTS,
     STATEMENTS_QUERY,
+    STREAM_RECORD,
+    STREAM_QUERY,
+    STREAM_REPLY,
   };
+  struct StreamRecord;
+  struct StreamQuery;
+  struct StreamReply;
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c25249b8c89549ee, 2, 1)
@@ -85,6 +94,51 @@
   };
 };
 
+struct Datagram::StreamRecord {
+  StreamRecord() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8e24664eba6404d1, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Datagram::StreamQuery {
+  StreamQuery() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cb0b721197464581, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Datagram::StreamReply {
+  StreamReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fbcb4f5053ecc997, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Forward {
   Forward() = delete;
 
@@ -512,6 +566,15 @@
   inline bool isStatementsQuery() const;
   inline  ::capnp::Void getStatementsQuery() const;
 
+  inline bool isStreamRecord() const;
+  inline typename StreamRecord::Reader getStreamRecord() const;
+
+  inline bool isStreamQuery() const;
+  inline typename StreamQuery::Reader getStreamQuery() const;
+
+  inline bool isStreamReply() const;
+  inline typename StreamReply::Reader getStreamReply() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -714,6 +777,18 @@
   inline  ::capnp::Void getStatementsQuery();
   inline void setStatementsQuery( ::capnp::Void value = ::capnp::VOID);
 
+  inline bool isStreamRecord();
+  inline typename StreamRecord::Builder getStreamRecord();
+  inline typename StreamRecord::Builder initStreamRecord();
+
+  inline bool isStreamQuery();
+  inline typename StreamQuery::Builder getStreamQuery();
+  inline typename StreamQuery::Builder initStreamQuery();
+
+  inline bool isStreamReply();
+  inline typename StreamReply::Builder getStreamReply();
+  inline typename StreamReply::Builder initStreamReply();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -740,6 +815,249 @@
 };
 #endif  // !CAPNP_LITE
 
+class Datagram::StreamRecord::Reader {
+public:
+  typedef StreamRecord Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getKey() const;
+
+  inline  ::uint32_t getVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Datagram::StreamRecord::Builder {
+public:
+  typedef StreamRecord Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getKey();
+  inline void setKey( ::uint64_t value);
+
+  inline  ::uint32_t getVersion();
+  inline void setVersion( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Datagram::StreamRecord::Pipeline {
+public:
+  typedef StreamRecord Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Datagram::StreamQuery::Reader {
+public:
+  typedef StreamQuery Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getKey() const;
+
+  inline  ::uint32_t getService() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Datagram::StreamQuery::Builder {
+public:
+  typedef StreamQuery Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getKey();
+  inline void setKey( ::uint64_t value);
+
+  inline  ::uint32_t getService();
+  inline void setService( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Datagram::StreamQuery::Pipeline {
+public:
+  typedef StreamQuery Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Datagram::StreamReply::Reader {
+public:
+  typedef StreamReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getKey() const;
+
+  inline  ::uint32_t getVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Datagram::StreamReply::Builder {
+public:
+  typedef StreamReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getKey();
+  inline void setKey( ::uint64_t value);
+
+  inline  ::uint32_t getVersion();
+  inline void setVersion( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Datagram::StreamReply::Pipeline {
+public:
+  typedef StreamReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Forward::Reader {
 public:
   typedef Forward Reads;
@@ -3947,6 +4265,159 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Datagram::Reader::isStreamRecord() const {
+  return which() == Datagram::STREAM_RECORD;
+}
+inline bool Datagram::Builder::isStreamRecord() {
+  return which() == Datagram::STREAM_RECORD;
+}
+inline typename Datagram::StreamRecord::Reader Datagram::Reader::getStreamRecord() const {
+  KJ_IREQUIRE((which() == Datagram::STREAM_RECORD),
+              "Must check which() before get()ing a union member.");
+  return typename Datagram::StreamRecord::Reader(_reader);
+}
+inline typename Datagram::StreamRecord::Builder Datagram::Builder::getStreamRecord() {
+  KJ_IREQUIRE((which() == Datagram::STREAM_RECORD),
+              "Must check which() before get()ing a union member.");
+  return typename Datagram::StreamRecord::Builder(_builder);
+}
+inline typename Datagram::StreamRecord::Builder Datagram::Builder::initStreamRecord() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::STREAM_RECORD);
+  _builder.setDataField< ::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
+  return typename Datagram::StreamRecord::Builder(_builder);
+}
+inline bool Datagram::Reader::isStreamQuery() const {
+  return which() == Datagram::STREAM_QUERY;
+}
+inline bool Datagram::Builder::isStreamQuery() {
+  return which() == Datagram::STREAM_QUERY;
+}
+inline typename Datagram::StreamQuery::Reader Datagram::Reader::getStreamQuery() const {
+  KJ_IREQUIRE((which() == Datagram::STREAM_QUERY),
+              "Must check which() before get()ing a union member.");
+  return typename Datagram::StreamQuery::Reader(_reader);
+}
+inline typename Datagram::StreamQuery::Builder Datagram::Builder::getStreamQuery() {
+  KJ_IREQUIRE((which() == Datagram::STREAM_QUERY),
+              "Must check which() before get()ing a union member.");
+  return typename Datagram::StreamQuery::Builder(_builder);
+}
+inline typename Datagram::StreamQuery::Builder Datagram::Builder::initStreamQuery() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::STREAM_QUERY);
+  _builder.setDataField< ::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
+  return typename Datagram::StreamQuery::Builder(_builder);
+}
+inline bool Datagram::Reader::isStreamReply() const {
+  return which() == Datagram::STREAM_REPLY;
+}
+inline bool Datagram::Builder::isStreamReply() {
+  return which() == Datagram::STREAM_REPLY;
+}
+inline typename Datagram::StreamReply::Reader Datagram::Reader::getStreamReply() const {
+  KJ_IREQUIRE((which() == Datagram::STREAM_REPLY),
+              "Must check which() before get()ing a union member.");
+  return typename Datagram::StreamReply::Reader(_reader);
+}
+inline typename Datagram::StreamReply::Builder Datagram::Builder::getStreamReply() {
+  KJ_IREQUIRE((which() == Datagram::STREAM_REPLY),
+              "Must check which() before get()ing a union member.");
+  return typename Datagram::StreamReply::Builder(_builder);
+}
+inline typename Datagram::StreamReply::Builder Datagram::Builder::initStreamReply() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::STREAM_REPLY);
+  _builder.setDataField< ::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
+  return typename Datagram::StreamReply::Builder(_builder);
+}
+inline  ::uint64_t Datagram::StreamRecord::Reader::getKey() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Datagram::StreamRecord::Builder::getKey() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::StreamRecord::Builder::setKey( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Datagram::StreamRecord::Reader::getVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Datagram::StreamRecord::Builder::getVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::StreamRecord::Builder::setVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Datagram::StreamQuery::Reader::getKey() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Datagram::StreamQuery::Builder::getKey() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::StreamQuery::Builder::setKey( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Datagram::StreamQuery::Reader::getService() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Datagram::StreamQuery::Builder::getService() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::StreamQuery::Builder::setService( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Datagram::StreamReply::Reader::getKey() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Datagram::StreamReply::Builder::getKey() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::StreamReply::Builder::setKey( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Datagram::StreamReply::Reader::getVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Datagram::StreamReply::Builder::getVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::StreamReply::Builder::setVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Forward::Reader::hasReceivers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -14,6 +14,7 @@
 #include "gateway/peer_messages.capnp.h"
 #include "gateway/rollout_codec.h"
 #include "gateway/statement_codec.h"
+#include "gateway/stream_codec.h"
 
 namespace Lovageloft
 {
@@ -228,6 +229,21 @@
     sendTo(host, encodePermitReply(reply));
 }
 
+void PeerSocket::send(const std::string &host, const StreamRecord &record)
+{
+    sendTo(host, encodeStreamRecord(record));
+}
+
+void PeerSocket::send(const std::string &host, const StreamQuery &query)
+{
+    sendTo(host, encodeStreamQuery(query));
+}
+
+void PeerSocket::sendReply(const std::string &host, const StreamRecord &reply)
+{
+    sendTo(host, encodeStreamReply(reply));
+}
+
 void PeerSocket::send(const std::string &host, std::span<const StatementTable::Update> updates)
 {
     for (const std::string &datagram : encodeStatements(updates, BootClock::now())) {
@@ -505,6 +521,18 @@
             events_.onStatements(decodeStatements(datagram.getStatements(), BootClock::now()));
             break;
         }
+        case Datagram::STREAM_RECORD: {
+            events_.onStreamRecord(decodeStreamRecord(datagram.getStreamRecord()));
+            break;
+        }
+        case Datagram::STREAM_QUERY: {
+            events_.onStreamQuery(host, decodeStreamQuery(datagram.getStreamQuery()));
+            break;
+        }
+        case Datagram::STREAM_REPLY: {
+            events_.onStreamReply(host, decodeStreamReply(datagram.getStreamReply()));
+            break;
+        }
         case Datagram::STATEMENTS_QUERY: {
             events_.onStatementsQuery(host);
             break;
--- a/gateway/peer_socket.h
+++ b/gateway/peer_socket.h
@@ -22,6 +22,7 @@
 #include "core/result_code.h"
 #include "core/settings.h"
 #include "decision/send_permits.h"
+#include "decision/stream_origins.h"
 #include "gateway/host_record.h"
 #include "gateway/peer_traffic.h"
 #include "gateway/rollout_messages.h"
@@ -163,6 +164,11 @@
     virtual void onPermitReply(const PermitReply &reply) = 0;
     virtual void onStatements(const std::vector<StatementTable::Update> &updates) = 0;
 
+    /// A stream of another host has begun.
+    virtual void onStreamRecord(const StreamRecord &record) = 0;
+    virtual void onStreamQuery(const std::string &host, const StreamQuery &query) = 0;
+    virtual void onStreamReply(const std::string &host, const StreamRecord &reply) = 0;
+
     /// Another host asks for the statements in force.
     virtual void onStatementsQuery(const std::string &host) = 0;
 
@@ -232,6 +238,10 @@
     void send(const std::string &host, const PermitReply &reply);
     void send(const std::string &host, std::span<const StatementTable::Update> updates);
 
+    void send(const std::string &host, const StreamRecord &record);
+    void send(const std::string &host, const StreamQuery &query);
+    void sendReply(const std::string &host, const StreamRecord &reply);
+
     /// Asks a host for the statements in force.
     void queryStatements(const std::string &host);
 
--- a/gateway/request_intake.cpp
+++ b/gateway/request_intake.cpp
@@ -87,6 +87,11 @@
     return teamName_;
 }
 
+bool RequestIntake::isTakenUp() const
+{
+    return isStream() && route_->isResumable && !caller_.lastEventId.empty();
+}
+
 int RequestIntake::priority() const
 {
     return team_ != nullptr && team_->priority ? *team_->priority : route_->priority;
@@ -178,7 +183,8 @@
 {
     route_ = table_->findRoute(head_.find("Host"), head_.path);
     if (route_ != nullptr) {
-        service_ = chooseService(*route_, caller_.id);
+        // A stream that is taken up goes to the service that began it.
+        service_ = chooseService(*route_, isTakenUp() && !caller_.resumes.empty() ? caller_.resumes : caller_.id);
         return true;
     }
     reason = {ResultCode::UnknownPath, "no route has this host and path"};
--- a/gateway/request_intake.h
+++ b/gateway/request_intake.h
@@ -39,6 +39,9 @@
     const Route *route() const;
     bool isStream() const;
 
+    /// Whether the request takes up a stream that an earlier attempt of its caller began.
+    bool isTakenUp() const;
+
     /// Service chosen from the route's split; empty until the route is found.
     const std::string &service() const;
 
--- a/gateway/request_limits.h
+++ b/gateway/request_limits.h
@@ -29,6 +29,9 @@
 /// Retry-After of refusals without a more specific time: most causes are gone, or the load has moved to another host, by then.
 inline constexpr Duration defaultRetryAfter = std::chrono::milliseconds(300);
 
+/// Retry-After of a stream whose version has no target: about the time that a target takes to restart.
+inline constexpr Duration noVersionRetryAfter = std::chrono::seconds(1);
+
 /// Retry-After of a quarantined request, which is not sent to any target for minutes.
 inline constexpr Duration quarantineRetryAfter = std::chrono::seconds(30);
 
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -21,6 +21,7 @@
     , intake_(gateway, head_)
     , log_(intake_)
     , exposure_(gateway, intake_)
+    , binding_(gateway, intake_)
     , startedAt_(BootClock::now())
     , timer_(gateway.loop())
 {
@@ -54,7 +55,25 @@
     if (intake_.caller().timeout) {
         deadline_ = std::min(deadline_, startedAt_ + *intake_.caller().timeout);
     }
-    charge();
+    if (intake_.isTakenUp()) {
+        findStreamVersion();
+    } else {
+        charge();
+    }
+}
+
+void RoutedRequest::findStreamVersion()
+{
+    binding_.find([self = shared_from_this()](const std::optional<StreamBinding::Refusal> &refusal) {
+        if (self->phase_ == Phase::Done) {
+            return; // The caller disconnected meanwhile.
+        }
+        if (refusal) {
+            self->fail(refusal->reason, refusal->retryAfter);
+        } else {
+            self->charge();
+        }
+    });
 }
 
 void RoutedRequest::charge()
@@ -101,6 +120,7 @@
     request.isResume = isAnswerStarted_;
     request.reachedTarget = sends_ > 0;
     request.pool = exposure_.pool();
+    request.softwareVersion = binding_.version();
     return request;
 }
 
@@ -155,7 +175,7 @@
     sentAt_ = now;
     sentTo_ = target.id;
     sentIncarnation_ = target.incarnation;
-    sentVersion_ = target.softwareVersion;
+    binding_.onSent(target);
     linkCheckAt_ = now + linkCheckInterval;
     stallCheckAt_ = now + intake_.route()->stallTimeout();
     queueTime_ = queueTime_.value_or(now - startedAt_);
@@ -179,7 +199,7 @@
                request.fetchFrom,
                connection_->hasSentRequest(),
                lastEventId,
-               streamVersion_.value_or("")});
+               binding_.version().value_or("")});
     exposure_.onSent(target, assignment_, now);
     connection_->sendRequest(std::move(bytes), intake_.caller().id, head_.method != "HEAD", *this);
     armTimer();
@@ -211,7 +231,11 @@
         return;
     }
     if (intake_.isStream() && answerHead_.status == successStatus) {
-        onEvents(events_.push(bytes));
+        if (binding_.onBytes()) {
+            onEvents(events_.push(bytes));
+        } else {
+            leaveTarget("target started again");
+        }
         return;
     }
     if (isAnswerStarted_) {
@@ -234,10 +258,8 @@
     if (!timeToFirstByte_) {
         timeToFirstByte_ = BootClock::now() - startedAt_;
     }
+    binding_.onEvents();
     reportFirstToken();
-    if (!streamVersion_) {
-        streamVersion_ = sentVersion_;
-    }
     if (!isAnswerStarted_) {
         startAnswer(std::nullopt);
     }
@@ -359,14 +381,24 @@
     if (!mayMove || gateway_.paths().mayUseEstablished(sentTo_, BootClock::now())) {
         return;
     }
+    leaveTarget("link lost");
+}
+
+/// Takes the request away from the target that has it, and tries it elsewhere.
+void RoutedRequest::leaveTarget(std::string_view why)
+{
     const auto self = shared_from_this();
     closeConnection();
     mayHaveRun_ = true;
     endDispatch(DispatchResult::Cancelled);
     events_.dropPartial();
     bufferedBody_.clear();
-    log_.lost(targetId_, fingerprint_, "link lost", false, isAnswerStarted_);
-    retryElsewhere();
+    log_.lost(targetId_, fingerprint_, why, false, isAnswerStarted_);
+    if (isRetryable()) {
+        retryElsewhere();
+    } else {
+        fail({ResultCode::TargetTruncated, "the target broke off"});
+    }
 }
 
 void RoutedRequest::endDispatch(DispatchResult result)
@@ -379,8 +411,8 @@
 
 bool RoutedRequest::isRetryable() const
 {
-    // The caller has part of the body already; only a stream can go on where it ended.
-    const bool isBodyStarted = isAnswerStarted_ && !intake_.isStream();
+    // The caller has part of the body already; only a stream whose version is known can go on where it ended.
+    const bool isBodyStarted = isAnswerStarted_ && !(intake_.isStream() && binding_.version());
     return !isBodyStarted && intake_.route()->isIdempotent() && attempts_ < intake_.route()->maxAttempts && timeLeft(BootClock::now()) > minTimeForAttempt
         && session_ != nullptr;
 }
@@ -536,74 +568,4 @@
                     : Reason{ResultCode::DeadlineWouldPass, "no target was free in time"});
 }
 
-void RoutedRequest::fail(const Reason &reason, Duration retryAfter)
-{
-    if (phase_ == Phase::Done) {
-        return;
-    }
-    if (isAnswerStarted_) {
-        abortRelay(reason.text);
-        return;
-    }
-    if (fallback_) {
-        answerHead_ = std::move(fallback_->head);
-        bufferedBody_ = std::move(fallback_->body);
-        relayBuffered();
-        return;
-    }
-    const auto self = shared_from_this();
-    answerFailure(reason, retryAfter);
-    finish(resultCodeInfo(reason.code).name, failureStatus_);
-}
-
-/// Sends the caller its final error response and releases the session. A call that runs at a target continues.
-void RoutedRequest::answerFailure(const Reason &reason, Duration retryAfter)
-{
-    const RunState state = mayHaveRun_ || isRunning() ? RunState::MayHaveRun : RunState::NotRun;
-    if (state == RunState::NotRun && chargedTokens_ > 0) {
-        gateway_.fleet().refundTokens(intake_.teamName(), chargedTokens_);
-    }
-    const auto session = std::move(session_);
-    failureStatus_ = gateway_.refuse(session.get(), reason, state, retryAfter > Duration::zero() ? retryAfter : defaultRetryAfter);
-    const TimePoint now = BootClock::now();
-    log_.refused(reason, failureStatus_, state == RunState::MayHaveRun, now - startedAt_, gateway_.proofAge(now));
-}
-
-void RoutedRequest::abortRelay(std::string_view why)
-{
-    const auto self = shared_from_this();
-    const auto session = std::move(session_);
-    log_.aborted(targetId_, why);
-    finish("broken_off", 0);
-    if (session != nullptr) {
-        session->abortAnswer();
-    }
-}
-
-void RoutedRequest::finish(std::string_view outcome, int status)
-{
-    if (phase_ == Phase::Done) {
-        return;
-    }
-    phase_ = Phase::Done;
-    exposure_.withdraw();
-    timer_.cancel();
-    EndedRequest ended;
-    if (intake_.route() != nullptr) {
-        ended.kind = intake_.route()->kind;
-    }
-    ended.service = intake_.service();
-    ended.outcome = outcome;
-    ended.status = status;
-    ended.sends = sends_;
-    ended.duration = BootClock::now() - startedAt_;
-    ended.queueTime = queueTime_;
-    ended.timeToFirstByte = timeToFirstByte_;
-    ended.target = targetId_;
-    ended.relay = relay_;
-    ended.bytes = relayedBytes_;
-    log_.ended(ended);
-    gateway_.onRequestEnded(*this, ended);
-}
-
 } // namespace Lovageloft
--- a/gateway/routed_request.h
+++ b/gateway/routed_request.h
@@ -16,6 +16,7 @@
 #include "gateway/request_intake.h"
 #include "gateway/request_log.h"
 #include "gateway/rollout_exposure.h"
+#include "gateway/stream_binding.h"
 #include "gateway/target_connection.h"
 
 namespace Lovageloft
@@ -91,6 +92,7 @@
         std::string body;
     };
 
+    void findStreamVersion();
     void charge();
     void admit();
 
@@ -111,6 +113,7 @@
     bool isRetryable() const;
     bool isQuarantined() const;
     bool failIfQuarantined();
+    void leaveTarget(std::string_view why);
     void retryElsewhere();
     void startAnswer(std::optional<std::size_t> bodyBytes);
     void relayBuffered();
@@ -145,6 +148,7 @@
     RequestIntake intake_;
     RequestLog log_;
     RolloutExposure exposure_;
+    StreamBinding binding_;
     RequestFingerprint fingerprint_{};
     std::uint64_t targetIncarnationDigest_ = 0; ///< Digest of the current target's id and incarnation.
     double chargedTokens_ = 0; ///< Tokens consumed from the team's rate.
@@ -161,8 +165,6 @@
     std::string relay_; ///< Host that relayed the connection on which the last answer began; empty if it was direct.
     std::string sentTo_; ///< Id of the target that the request was last sent to.
     std::int64_t sentIncarnation_ = 0; ///< Incarnation of the target that the request was last sent to.
-    std::string sentVersion_; ///< Software version of the target that the request was last sent to.
-    std::optional<std::string> streamVersion_; ///< Software version of the target that sent the first event; nothing before.
     SchedulerAssignment assignment_; ///< The newest one.
     std::vector<std::string> failedTargets_;
     bool isExpectedLate_ = false; ///< The first token is expected after the route's latency target.
--- /dev/null
+++ b/gateway/routed_request_end.cpp
@@ -0,0 +1,83 @@
+#include "gateway/routed_request.h"
+
+#include <utility>
+
+#include "gateway/caller_session.h"
+#include "gateway/gateway.h"
+#include "gateway/request_limits.h"
+
+/// How a request ends: failures of this host's, broken answers, and the last log line.
+namespace Lovageloft
+{
+
+void RoutedRequest::fail(const Reason &reason, Duration retryAfter)
+{
+    if (phase_ == Phase::Done) {
+        return;
+    }
+    if (isAnswerStarted_) {
+        abortRelay(reason.text);
+        return;
+    }
+    if (fallback_) {
+        answerHead_ = std::move(fallback_->head);
+        bufferedBody_ = std::move(fallback_->body);
+        relayBuffered();
+        return;
+    }
+    const auto self = shared_from_this();
+    answerFailure(reason, retryAfter);
+    finish(resultCodeInfo(reason.code).name, failureStatus_);
+}
+
+/// Sends the caller its final error response and releases the session. A call that runs at a target continues.
+void RoutedRequest::answerFailure(const Reason &reason, Duration retryAfter)
+{
+    const RunState state = mayHaveRun_ || isRunning() ? RunState::MayHaveRun : RunState::NotRun;
+    if (state == RunState::NotRun && chargedTokens_ > 0) {
+        gateway_.fleet().refundTokens(intake_.teamName(), chargedTokens_);
+    }
+    const auto session = std::move(session_);
+    failureStatus_ = gateway_.refuse(session.get(), reason, state, retryAfter > Duration::zero() ? retryAfter : defaultRetryAfter);
+    const TimePoint now = BootClock::now();
+    log_.refused(reason, failureStatus_, state == RunState::MayHaveRun, now - startedAt_, gateway_.proofAge(now));
+}
+
+void RoutedRequest::abortRelay(std::string_view why)
+{
+    const auto self = shared_from_this();
+    const auto session = std::move(session_);
+    log_.aborted(targetId_, why);
+    finish("broken_off", 0);
+    if (session != nullptr) {
+        session->abortAnswer();
+    }
+}
+
+void RoutedRequest::finish(std::string_view outcome, int status)
+{
+    if (phase_ == Phase::Done) {
+        return;
+    }
+    phase_ = Phase::Done;
+    exposure_.withdraw();
+    timer_.cancel();
+    EndedRequest ended;
+    if (intake_.route() != nullptr) {
+        ended.kind = intake_.route()->kind;
+    }
+    ended.service = intake_.service();
+    ended.outcome = outcome;
+    ended.status = status;
+    ended.sends = sends_;
+    ended.duration = BootClock::now() - startedAt_;
+    ended.queueTime = queueTime_;
+    ended.timeToFirstByte = timeToFirstByte_;
+    ended.target = targetId_;
+    ended.relay = relay_;
+    ended.bytes = relayedBytes_;
+    log_.ended(ended);
+    gateway_.onRequestEnded(*this, ended);
+}
+
+} // namespace Lovageloft
--- /dev/null
+++ b/gateway/stream_versions.cpp
@@ -0,0 +1,141 @@
+#include "gateway/stream_versions.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "core/log.h"
+
+namespace Lovageloft
+{
+
+StreamVersions::StreamVersions(boost::asio::io_context &loop, std::string hostName, Metrics &metrics, Links links)
+    : origins_(std::move(hostName), std::move(links.messages))
+    , metrics_(metrics)
+    , isViewCurrent_(std::move(links.isViewCurrent))
+    , timer_(loop)
+{
+}
+
+void StreamVersions::setHosts(const std::vector<std::string> &hosts)
+{
+    origins_.setHosts(hosts, BootClock::now());
+}
+
+void StreamVersions::setRetention(Duration retention)
+{
+    origins_.setRetention(retention);
+}
+
+void StreamVersions::setTargets(const TargetMap &targets)
+{
+    std::vector<ServiceVersion> listed;
+    for (const auto &[id, target] : targets) {
+        listed.push_back({target.service, target.softwareVersion});
+    }
+    origins_.setTargets(listed, BootClock::now());
+}
+
+void StreamVersions::setEarlierSkew(const std::set<std::string, std::less<>> &skewed)
+{
+    origins_.setEarlierSkew(skewed);
+}
+
+void StreamVersions::setSkewRecorder(SkewRecorder recorder)
+{
+    recorder_ = std::move(recorder);
+}
+
+void StreamVersions::setLeading(bool isLeading)
+{
+    isLeading_ = isLeading;
+    recordedSkew_.clear();
+}
+
+/// Records outlive the retention time after the last of them, as they are renewed each time a part of it has passed.
+void StreamVersions::recordSkew(TimePoint now)
+{
+    const std::vector<std::string> skewed = origins_.history().skewedServices(now);
+    if (!isLeading_ || skewed.empty() || (skewed == recordedSkew_ && now < recordAgainAt_)) {
+        return;
+    }
+    const Duration retention = origins_.history().retention();
+    recordedSkew_ = skewed;
+    recordAgainAt_ = now + retention / 2;
+    recorder_(skewed, 2 * retention);
+}
+
+void StreamVersions::onBegun(const RequestIntake &intake, std::string_view version)
+{
+    origins_.onBegun(streamKey(intake.caller().id, intake.teamName(), intake.service()), intake.service(), version, BootClock::now());
+}
+
+void StreamVersions::find(const RequestIntake &intake, StreamOrigins::Handler handler)
+{
+    const TimePoint now = BootClock::now();
+    const StreamKey key = streamKey(intake.caller().resumes, intake.teamName(), intake.service());
+    origins_.find(key, intake.service(), isViewCurrent_(), now, [this, &intake, now, handler = std::move(handler)](const StreamOrigins::Origin &origin) {
+        onFound(intake, now, origin);
+        handler(origin);
+    });
+    armTimer();
+}
+
+void StreamVersions::onFound(const RequestIntake &intake, TimePoint askedAt, const StreamOrigins::Origin &origin)
+{
+    const std::string_view knowledge = knowledgeName(origin.knowledge);
+    metrics_.add("lovageloft_streams_taken_up_total", {{"service", intake.service()}, {"knowledge", knowledge}, {"source", origin.source}});
+    writeLog(LogLevel::Info,
+             "stream_taken_up",
+             {{"request", intake.caller().id},
+              {"resumes", intake.caller().resumes},
+              {"after", intake.caller().lastEventId},
+              {"knowledge", knowledge},
+              {"version", origin.version},
+              {"source", origin.source},
+              {"asked_ms", toMillis(BootClock::now() - askedAt)}});
+}
+
+void StreamVersions::onRecord(const StreamRecord &record)
+{
+    origins_.onRecord(record, BootClock::now());
+}
+
+std::optional<StreamRecord> StreamVersions::onQuery(const std::string &host, const StreamQuery &query) const
+{
+    return origins_.onQuery(host, query, isViewCurrent_(), BootClock::now());
+}
+
+void StreamVersions::onReply(const std::string &host, const StreamRecord &reply)
+{
+    origins_.onReply(host, reply, BootClock::now());
+}
+
+void StreamVersions::tick(TimePoint now)
+{
+    origins_.onTick(now);
+    recordSkew(now);
+}
+
+void StreamVersions::armTimer()
+{
+    const auto next = origins_.nextEvent();
+    if (!next) {
+        return;
+    }
+    timer_.expires_after(std::max(*next - BootClock::now(), Duration::zero()));
+    timer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            origins_.onTick(BootClock::now());
+            armTimer();
+        }
+    });
+}
+
+std::string_view knowledgeName(StreamOrigins::Knowledge knowledge)
+{
+    constexpr std::array<std::string_view, 3> names{"known", "unlisted", "unknown"};
+    return names.at(static_cast<std::size_t>(knowledge));
+}
+
+} // namespace Lovageloft
--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -315,6 +315,7 @@
 {
     SchedulerEngine engine;
     engine.target = target.id;
+    engine.softwareVersion = target.softwareVersion;
     engine.incarnation = static_cast<std::uint64_t>(target.incarnation);
     engine.batchLimit = static_cast<std::uint32_t>(target.slots);
     engine.prefillTokensPerSecond = target.models.empty() ? serviceTokensPerSecondAndSlot * static_cast<double>(target.slots) : assumedPrefillTokensPerSecond;
--- a/gateway/version_guard.cpp
+++ b/gateway/version_guard.cpp
@@ -30,7 +30,13 @@
     for (const auto &[id, target] : targets) {
         versioned.push_back({id, target.service, target.softwareVersion, target.incarnation, target.isLeaving});
     }
-    versions_.setTargets(versioned);
+    versions_.setTargets(versioned, BootClock::now());
+    update();
+}
+
+void VersionGuard::tick(TimePoint now, TimePoint ordersKnownAt)
+{
+    versions_.advance(now, ordersKnownAt);
     update();
 }
 
--- a/gateway/version_guard.h
+++ b/gateway/version_guard.h
@@ -36,6 +36,9 @@
 
     void setTargets(const TargetMap &targets);
 
+    /// To be called several times a second. `ordersKnownAt`: this host knew all orders that the store held then.
+    void tick(TimePoint now, TimePoint ordersKnownAt);
+
     /// Sets the version that an operator ordered a service to move to; an empty one if the order can't be read.
     void setOrder(const std::string &service, const std::string &version);
 
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -16,6 +16,7 @@
 constexpr std::string_view weightsPrefix = "lovageloft/weights/";
 constexpr std::string_view quarantinePrefix = "lovageloft/quarantine/";
 constexpr std::string_view versionsPrefix = "lovageloft/versions/";
+constexpr std::string_view skewPrefix = "lovageloft/skew/";
 constexpr std::string_view rolloutsPrefix = "lovageloft/rollouts/";
 constexpr std::string_view leaderKey = "lovageloft/leader";
 
@@ -151,6 +152,7 @@
     gateway_.setControlListener([this](bool canOrder) { weightsDuty_.setCanOrder(canOrder); });
     gateway_.fleet().setQuarantineRecorder([this](RequestFingerprint request) { hostDuty_.recordQuarantine(request); });
     gateway_.versions().setRecorder([this](const auto &versions) { hostDuty_.recordServingVersions(versions); });
+    gateway_.streams().setSkewRecorder([this](const auto &services, Duration timeToLive) { hostDuty_.recordSkew(services, timeToLive); });
     gateway_.rollouts().setWriter([this](const std::string &service, const RolloutRecord &record) { rolloutDuty_.write(service, record); });
     gateway_.rollouts().setLeaseClock([this] { return weightsDuty_.leaseUntil(); });
     gateway_.fleet().setOrderListener([this](const std::string &target) { weightsDuty_.onOrderByOther(target); });
@@ -178,6 +180,7 @@
     options.weightsPrefix = weightsPrefix;
     options.quarantinePrefix = quarantinePrefix;
     options.versionsPrefix = versionsPrefix;
+    options.skewPrefix = skewPrefix;
     options.rolloutsPrefix = rolloutsPrefix;
     options.hostName = settings_.hostName;
     options.record = {settings_.peers, settings_.capacity, settings_.dataCentre};
--- a/tests/coordination/test_serving_versions.cpp
+++ b/tests/coordination/test_serving_versions.cpp
@@ -24,6 +24,7 @@
 {
     ServingVersions versions;
     std::map<std::string, Listed> targets;
+    TimePoint now;
 
     Fixture()
     {
@@ -44,7 +45,14 @@
         for (const auto &[id, target] : targets) {
             views.push_back({id, "s", target.version, target.incarnation, target.isLeaving});
         }
-        versions.setTargets(views);
+        versions.setTargets(views, now);
+    }
+
+    /// Lets so much time pass that versions listed before are not new any more.
+    void settle()
+    {
+        now += ServingVersions::orderDelay;
+        versions.advance(now, now);
     }
 
     std::size_t servingTargets(const std::string &version) const
@@ -108,16 +116,69 @@
     BOOST_TEST(servingTargets("v2") == 0U);
 }
 
-BOOST_AUTO_TEST_CASE(aReleaseReplacesOneTargetAtATime)
+BOOST_AUTO_TEST_CASE(versionsServeSideBySideWithoutAnOrder)
+{
+    // Guards against targets that stand idle, as their version is taken for one under test though nobody ordered it.
+    add("v1", 3);
+    publish();
+    settle();
+    add("v2", 2, 2);
+    publish();
+    BOOST_TEST(servingTargets("v2") == 0U);
+    settle();
+    add("v3", 4, 3);
+    publish();
+    BOOST_TEST(servingTargets("v2") == 2U);
+    BOOST_TEST(servingTargets("v3") == 0U);
+    settle();
+    BOOST_TEST(servingTargets("v1") == 3U);
+    BOOST_TEST(servingTargets("v2") == 2U);
+    BOOST_TEST(servingTargets("v3") == 4U);
+    BOOST_TEST(versions.servingVersion("s").value_or("") == "v1");
+}
+
+BOOST_AUTO_TEST_CASE(aNewVersionWaitsUntilItsOrderWouldBeKnown)
+{
+    // Guards against traffic for a version under test on a host that has lost the store after it had read the first entry.
+    add("v1", 3);
+    publish();
+    settle();
+    const TimePoint heardAt = now;
+    add("v2", 2, 2);
+    publish();
+    now += 10 * ServingVersions::orderDelay;
+    versions.advance(now, heardAt);
+    BOOST_TEST(servingTargets("v2") == 0U);
+    versions.advance(now, now);
+    BOOST_TEST(servingTargets("v2") == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(anOrderWithholdsAVersionThatServes)
+{
+    // Guards against exposure of a version under test, because its targets served before the order came.
+    add("v1", 3);
+    add("v2", 2, 2);
+    publish();
+    settle();
+    BOOST_TEST(servingTargets("v2") == 2U);
+    versions.setOrder("s", "v2");
+    BOOST_TEST(servingTargets("v2") == 0U);
+    BOOST_TEST(servingTargets("v1") == 3U);
+    add("v3", 1, 3);
+    publish();
+    settle();
+    BOOST_TEST(servingTargets("v3") == 1U);
+    BOOST_TEST(servingTargets("v2") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(aReleaseMovesTheServingVersion)
 {
-    // Guards against a service that shrinks with each replaced target, because its new version is taken for one under test.
     add("v1", 3);
     publish();
     for (const std::string number : {"0", "1", "2"}) {
         targets["v2-" + number] = {"v2", 2, false};
         publish();
-        targets["v1-" + number].isLeaving = true;
-        publish();
+        settle();
         BOOST_TEST(servingTargets("v2") == static_cast<std::size_t>(std::stoi(number)) + 1);
         targets.erase("v1-" + number);
         publish();
@@ -127,6 +188,38 @@
     BOOST_TEST(versions.unrecorded().at("s") == "v2");
 }
 
+BOOST_AUTO_TEST_CASE(afterARolloutAReleaseReplacesOneTargetAtATime)
+{
+    // Guards against requests at targets of the version that a rollout has replaced, and against a service that shrinks with each target that a later
+    // release replaces.
+    add("v1", 3);
+    publish();
+    settle();
+    add("v2", 3, 2);
+    versions.setOrder("s", "v2");
+    publish();
+    versions.setSwitched("s", "v2");
+    versions.setServing("s", "v2");
+    versions.setSwitched("s", std::nullopt);
+    settle();
+    BOOST_TEST(servingTargets("v1") == 0U);
+    BOOST_TEST(servingTargets("v2") == 3U);
+    targets.erase("v1-0");
+    targets.erase("v1-1");
+    targets.erase("v1-2");
+    for (const std::string number : {"0", "1", "2"}) {
+        targets["v3-" + number] = {"v3", 3, false};
+        publish();
+        settle();
+        targets["v2-" + number].isLeaving = true;
+        publish();
+        BOOST_TEST(servingTargets("v3") == static_cast<std::size_t>(std::stoi(number)) + 1);
+        targets.erase("v2-" + number);
+        publish();
+    }
+    BOOST_TEST(versions.servingVersion("s").value_or("") == "v3");
+}
+
 BOOST_AUTO_TEST_CASE(anOrderOutranksARelease)
 {
     add("v1", 2);
@@ -134,6 +227,7 @@
     add("v2", 1, 2);
     targets["v1-0"].isLeaving = true;
     publish();
+    settle();
     BOOST_TEST(servingTargets("v2") == 1U);
     versions.setOrder("s", "v2");
     BOOST_TEST(servingTargets("v2") == 0U);
@@ -162,7 +256,7 @@
     BOOST_TEST(versions.unrecorded().at("s") == "v1");
     ServingVersions other;
     const std::vector<VersionedTarget> views{{"a", "s", "v1", 1, false}, {"b", "s", "v2", 2, false}, {"c", "s", "v2", 3, false}};
-    other.setTargets(views);
+    other.setTargets(views, now);
     BOOST_TEST(other.servingVersion("s").value_or("") == "v2");
     BOOST_TEST(other.unrecorded().empty()); // The records have not been read yet.
 }
@@ -173,10 +267,10 @@
     ServingVersions starting;
     starting.setOrder("s", "v2");
     const std::vector<VersionedTarget> onlyOrdered{{"b", "s", "v2", 2, false}, {"c", "s", "v2", 3, false}};
-    starting.setTargets(onlyOrdered);
+    starting.setTargets(onlyOrdered, now);
     BOOST_TEST(starting.withheld().size() == 2U);
     const std::vector<VersionedTarget> both{{"a", "s", "v1", 1, false}, {"b", "s", "v2", 2, false}, {"c", "s", "v2", 3, false}};
-    starting.setTargets(both);
+    starting.setTargets(both, now);
     BOOST_TEST(starting.servingVersion("s").value_or("") == "v1");
     BOOST_TEST(!starting.withheld().contains("a"));
     BOOST_TEST(starting.withheld().size() == 2U);
@@ -257,9 +351,13 @@
             break;
         }
         publish();
+        if (randomBelow(random, 2) == 0) {
+            settle();
+        }
         const auto unrecorded = versions.unrecorded();
         if (!unrecorded.empty()) {
             record["s"] = unrecorded.at("s");
+            versions.setRecorded(record); // All hosts read what the leader has written.
         }
         if (isOrdered) {
             BOOST_REQUIRE_EQUAL(servingTargets("v2"), 0U);
--- /dev/null
+++ b/tests/decision/stream_model.cpp
@@ -0,0 +1,305 @@
+#include "tests/decision/stream_model.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::string_view service = "s";
+constexpr std::string_view team = "t";
+constexpr std::size_t recordSize = 23;
+
+/// A version gets streams only so long after a host has first listed it.
+constexpr Duration newVersionDelay = 700ms;
+
+/// Until a host learns of a change of the targets.
+constexpr Duration maxListDelay = 300ms;
+
+/// Until a host learns that another one has gone.
+constexpr Duration maxHostsDelay = 3s;
+
+/// Until a host that starts has read who is up.
+constexpr Duration maxFirstListDelay = 50ms;
+
+constexpr Duration tickInterval = 5ms;
+constexpr Duration maxStreamTime = 3s;
+constexpr Duration maxReturnTime = 500ms;
+constexpr Duration maxLateness = 500ms;
+
+std::string nameOf(std::size_t host)
+{
+    return "host-" + std::to_string(host);
+}
+
+} // namespace
+
+StreamModel::StreamModel(const Options &options)
+    : options_(options)
+    , random_(options.seed)
+    , hosts_(options.hosts)
+{
+    listed_.emplace("v1", now_ - 1h);
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+        start(i, true);
+    }
+    tellHosts();
+    at(now_, [this] { begin(); });
+}
+
+void StreamModel::at(TimePoint time, std::function<void()> action)
+{
+    events_.push({time, ++lastEvent_, std::move(action)});
+}
+
+std::size_t StreamModel::random(std::size_t bound)
+{
+    return randomBelow(random_, bound);
+}
+
+bool StreamModel::isUp(std::size_t index) const
+{
+    return hosts_[index].origins != nullptr && now_ >= hosts_[index].pausedUntil;
+}
+
+/// Hosts that run from the beginning know of the hour before.
+void StreamModel::start(std::size_t index, bool isFirst)
+{
+    Host &host = hosts_[index];
+    ++host.process;
+    host.versions.clear();
+    const StreamOrigins::Links links{[this, index](const std::string &to, const StreamRecord &record) {
+                                         counts_.recordBytes += recordSize;
+                                         send(index, to, [this, record](std::size_t receiver) { hosts_[receiver].origins->onRecord(record, now_); });
+                                     },
+                                     [this, index](const std::string &to, const StreamQuery &query) {
+                                         send(index, to, [this, index, query](std::size_t receiver) {
+                                             if (const auto reply = hosts_[receiver].origins->onQuery(nameOf(index), query, isViewCurrent(receiver), now_)) {
+                                                 send(receiver, nameOf(index), [this, receiver, reply](std::size_t asker) {
+                                                     hosts_[asker].origins->onReply(nameOf(receiver), *reply, now_);
+                                                 });
+                                             }
+                                         });
+                                     }};
+    host.origins = std::make_unique<StreamOrigins>(nameOf(index), links);
+    if (isFirst) {
+        host.origins->setTargets({}, now_ - 1h);
+        host.versions = listed_;
+    }
+    tellTargets(index);
+    const Duration retention = host.origins->history().retention();
+    const bool isSkewed = listed_.size()
+            + static_cast<std::size_t>(std::count_if(
+                goneAt_.begin(), goneAt_.end(), [this, retention](const auto &entry) { return now_ - entry.second < 2 * retention; }))
+        > 1;
+    if (options_.usesEarlierSkew) {
+        host.origins->setEarlierSkew(isSkewed ? std::set<std::string, std::less<>>{std::string(service)} : std::set<std::string, std::less<>>{});
+    }
+    at(now_ + maxFirstListDelay, [this, index, process = host.process] {
+        if (hosts_[index].process == process) {
+            hosts_[index].origins->setHosts(namesOfHostsUp(), now_);
+        }
+    });
+    tick(index, host.process);
+}
+
+void StreamModel::send(std::size_t from, const std::string &to, std::function<void(std::size_t to)> deliver)
+{
+    const std::size_t receiver = std::stoul(to.substr(to.find('-') + 1));
+    const int copies = random(1'000) < static_cast<std::size_t>(options_.doubledRate * 1'000) ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+        if (random(1'000) < static_cast<std::size_t>(options_.lossRate * 1'000)) {
+            continue;
+        }
+        const bool isLate = random(1'000) < static_cast<std::size_t>(options_.lateRate * 1'000);
+        const Duration delay = 500us + randomUpTo(random_, isLate ? maxLateness : Duration(1ms));
+        at(now_ + delay, [this, from, receiver, deliver] {
+            if (hosts_[receiver].origins == nullptr || hosts_[from].process == 0) {
+                return;
+            }
+            const TimePoint ready = hosts_[receiver].pausedUntil;
+            if (now_ >= ready) {
+                deliver(receiver);
+                return;
+            }
+            at(ready, [this, receiver, deliver] {
+                if (isUp(receiver)) {
+                    deliver(receiver);
+                }
+            });
+        });
+    }
+}
+
+void StreamModel::tellTargets(std::size_t index)
+{
+    Host &host = hosts_[index];
+    if (host.origins == nullptr) {
+        return;
+    }
+    host.listBehindSince.reset();
+    std::vector<ServiceVersion> targets;
+    for (const auto &[version, since] : listed_) {
+        host.versions.try_emplace(version, now_);
+        targets.push_back({service, version});
+    }
+    std::erase_if(host.versions, [this](const auto &entry) { return !listed_.contains(entry.first); });
+    host.origins->setTargets(targets, now_);
+}
+
+void StreamModel::list(const std::string &version, bool isListed)
+{
+    if (isListed) {
+        listed_.try_emplace(version, now_);
+    } else if (listed_.erase(version) > 0) {
+        goneAt_[version] = now_;
+    }
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+        hosts_[i].listBehindSince = hosts_[i].listBehindSince.value_or(now_);
+        at(std::max(now_, hosts_[i].pausedUntil) + randomUpTo(random_, maxListDelay), [this, i] { tellTargets(i); });
+    }
+}
+
+/// A host notices that it has heard nothing for longer than usual.
+bool StreamModel::isViewCurrent(std::size_t index) const
+{
+    const auto behindSince = hosts_[index].listBehindSince;
+    return !behindSince || now_ - *behindSince <= maxListDelay;
+}
+
+/// Each host learns at another time who is up.
+void StreamModel::tellHosts()
+{
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+        const Duration delay = lastStream_ == 0 ? Duration::zero() : randomUpTo(random_, maxHostsDelay);
+        at(now_ + delay, [this, i] {
+            if (hosts_[i].origins != nullptr) {
+                hosts_[i].origins->setHosts(namesOfHostsUp(), now_);
+            }
+        });
+    }
+}
+
+std::vector<std::string> StreamModel::namesOfHostsUp() const
+{
+    std::vector<std::string> names;
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+        if (hosts_[i].origins != nullptr) {
+            names.push_back(nameOf(i));
+        }
+    }
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
+void StreamModel::tick(std::size_t index, int process)
+{
+    if (hosts_[index].process != process || hosts_[index].origins == nullptr) {
+        return;
+    }
+    if (isUp(index)) {
+        hosts_[index].origins->onTick(now_);
+    }
+    at(now_ + tickInterval, [this, index, process] { tick(index, process); });
+}
+
+void StreamModel::begin()
+{
+    at(now_ + fromSeconds(1.0 / options_.streamsPerSecond), [this] { begin(); });
+    std::erase_if(streams_, [this](const Stream &stream) { return stream.end <= now_; });
+    const std::size_t index = random(hosts_.size());
+    std::vector<std::string> serving;
+    for (const auto &[version, since] : hosts_[index].versions) {
+        if (now_ - since >= newVersionDelay) {
+            serving.push_back(version);
+        }
+    }
+    if (!isUp(index) || serving.empty()) {
+        return;
+    }
+    Stream stream{"r" + std::to_string(++lastStream_), serving[random(serving.size())], index, now_ + randomUpTo(random_, maxStreamTime)};
+    hosts_[index].origins->onBegun(streamKey(stream.id, team, service), service, stream.version, now_);
+    ++counts_.begun;
+    streams_.push_back(std::move(stream));
+}
+
+void StreamModel::takeUp(const Stream &stream)
+{
+    std::vector<std::size_t> up;
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+        if (isUp(i)) {
+            up.push_back(i);
+        }
+    }
+    if (up.empty()) {
+        at(now_ + maxReturnTime, [this, stream] { takeUp(stream); });
+        return;
+    }
+    ++counts_.takenUp;
+    const std::size_t index = up[random(up.size())];
+    StreamOrigins &origins = *hosts_[index].origins;
+    const TimePoint askedAt = now_;
+    origins.find(streamKey(stream.id, team, service), service, isViewCurrent(index), now_, [this, stream, askedAt](const StreamOrigins::Origin &origin) {
+        counts_.lookupTimes.push_back(now_ - askedAt);
+        const bool isKnown = origin.knowledge == StreamOrigins::Knowledge::Known;
+        counts_.joined += isKnown && origin.version != stream.version ? 1 : 0;
+        counts_.wentOn += isKnown && origin.version == stream.version ? 1 : 0;
+        counts_.refused += !isKnown && listed_.contains(stream.version) ? 1 : 0;
+    });
+}
+
+void StreamModel::kill(const std::vector<std::size_t> &hosts, Duration downTime)
+{
+    const std::set<std::size_t> killed(hosts.begin(), hosts.end());
+    for (const std::size_t index : killed) {
+        hosts_[index].origins.reset();
+        ++hosts_[index].process;
+        at(now_ + downTime, [this, index] {
+            if (hosts_[index].origins == nullptr) {
+                start(index, false);
+                tellHosts();
+            }
+        });
+    }
+    for (const Stream &stream : streams_) {
+        if (killed.contains(stream.host) && stream.end > now_) {
+            at(now_ + 10ms + randomUpTo(random_, maxReturnTime), [this, stream] { takeUp(stream); });
+        }
+    }
+    std::erase_if(streams_, [&killed](const Stream &stream) { return killed.contains(stream.host); });
+    tellHosts();
+}
+
+void StreamModel::pause(std::size_t host, Duration time)
+{
+    hosts_[host].pausedUntil = std::max(hosts_[host].pausedUntil, now_ + time);
+}
+
+void StreamModel::run(Duration time)
+{
+    const TimePoint end = now_ + time;
+    while (!events_.empty() && events_.top().at <= end) {
+        const Event event = events_.top();
+        events_.pop();
+        now_ = std::max(now_, event.at);
+        event.action();
+    }
+    now_ = end;
+}
+
+const StreamModel::Counts &StreamModel::counts() const
+{
+    return counts_;
+}
+
+std::size_t StreamModel::hostCount() const
+{
+    return hosts_.size();
+}
+
+} // namespace Lovageloft
--- a/tests/decision/test_request_scheduler.cpp
+++ b/tests/decision/test_request_scheduler.cpp
@@ -274,4 +274,68 @@
     BOOST_TEST(growing.inFlight() == 0U);
 }
 
+// Guards against a stream that is sent on to an engine of another software version, or that waits for one that can't take it.
+BOOST_AUTO_TEST_CASE(aBoundRequestGoesOnlyToItsVersion)
+{
+    std::vector<SchedulerEngine> engines{engine("a"), engine("b"), engine("c")};
+    engines[0].softwareVersion = "v1";
+    engines[1].softwareVersion = "v2";
+    engines[2].softwareVersion = "v2";
+    scheduler.setEngines(engines);
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        SchedulerRequest bound = request(id, {"b"});
+        bound.isResume = true;
+        bound.softwareVersion = "v2";
+        BOOST_TEST(!scheduler.submit(bound, start).has_value());
+        const auto outcome = decideOne();
+        BOOST_REQUIRE(std::holds_alternative<SchedulerAssignment>(outcome));
+        BOOST_TEST(std::get<SchedulerAssignment>(outcome).engine == "c");
+    }
+    SchedulerRequest lost = request(5);
+    lost.softwareVersion = "v3";
+    BOOST_TEST(!scheduler.submit(lost, start).has_value());
+    const auto outcome = decideOne();
+    BOOST_REQUIRE(std::holds_alternative<SchedulerRefusal>(outcome));
+    BOOST_TEST((std::get<SchedulerRefusal>(outcome).reason.code == ResultCode::NoTarget));
+}
+
+// Guards against streams that are taken up and then wait behind new requests for the few engines that can go on with them.
+BOOST_AUTO_TEST_CASE(boundRequestsComeBeforeOthers)
+{
+    std::vector<SchedulerEngine> engines{engine("a")};
+    engines[0].softwareVersion = "v1";
+    scheduler.setEngines(engines);
+    std::uint64_t id = 0;
+    while (scheduler.waiting() == 0) { // Until the engine's window is full.
+        BOOST_REQUIRE(!scheduler.submit(request(++id), start).has_value());
+        scheduler.decide(start, random);
+    }
+    SchedulerRequest bound = request(++id);
+    bound.softwareVersion = "v1";
+    BOOST_TEST(!scheduler.submit(bound, start).has_value());
+    scheduler.onFirstToken(RequestId{1}, std::nullopt, start);
+    scheduler.onEnded(RequestId{1}, DispatchResult::Finished, start);
+    const auto outcomes = scheduler.decide(start, random);
+    BOOST_REQUIRE(!outcomes.empty());
+    BOOST_REQUIRE(std::holds_alternative<SchedulerAssignment>(outcomes.front()));
+    BOOST_TEST((std::get<SchedulerAssignment>(outcomes.front()).id == bound.id));
+}
+
+// Guards against a stalled stream that is taken from its engine though no other engine of its version can take it.
+BOOST_AUTO_TEST_CASE(aBoundRequestIsNotTakenAwayForAnotherVersion)
+{
+    std::vector<SchedulerEngine> engines{engine("a"), engine("b")};
+    engines[0].softwareVersion = "v1";
+    engines[1].softwareVersion = "v2";
+    scheduler.setEngines(engines);
+    SchedulerRequest bound = request(1);
+    bound.softwareVersion = "v1";
+    BOOST_TEST(!scheduler.submit(bound, start).has_value());
+    scheduler.decide(start, random);
+    BOOST_TEST(!scheduler.canRetryElsewhere(RequestId{1}, start));
+    engines[1].softwareVersion = "v1";
+    scheduler.setEngines(engines);
+    BOOST_TEST(scheduler.canRetryElsewhere(RequestId{1}, start));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/decision/test_stream_origins.cpp
@@ -0,0 +1,217 @@
+#define BOOST_TEST_MODULE stream_origins
+#include <algorithm>
+#include <cstdlib>
+#include <numeric>
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "tests/decision/stream_model.h"
+
+using namespace Lovageloft;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Of the streams that are taken up while targets of their version serve, the share that has to go on.
+constexpr double minShare = 0.95;
+
+/// Time within which 99 of 100 streams' versions have to be known.
+constexpr Duration maxLookupTime = 20ms;
+
+Duration percentile99(std::vector<Duration> times)
+{
+    std::sort(times.begin(), times.end());
+    return times.empty() ? Duration::zero() : times[times.size() * 99 / 100];
+}
+
+double shareGoneOn(const StreamModel::Counts &counts)
+{
+    const std::size_t all = counts.wentOn + counts.refused;
+    return all > 0 ? static_cast<double>(counts.wentOn) / static_cast<double>(all) : 1;
+}
+
+/// The number of schedules, as STREAM_SCHEDULES says, from STREAM_FIRST_SEED on.
+std::size_t numberFrom(const char *name, std::size_t fallback)
+{
+    const char *text = std::getenv(name); // NOLINT(concurrency-mt-unsafe): read before any thread starts.
+    return text != nullptr ? std::strtoull(text, nullptr, 10) : fallback;
+}
+
+std::vector<std::uint64_t> schedules()
+{
+    std::vector<std::uint64_t> seeds(numberFrom("STREAM_SCHEDULES", 1'000));
+    std::iota(seeds.begin(), seeds.end(), numberFrom("STREAM_FIRST_SEED", 1));
+    return seeds;
+}
+
+/// Plays upgrades, kills and pauses that follow from the seed for some ten seconds.
+void playSchedule(StreamModel &model)
+{
+    constexpr int steps = 14;
+    int newest = 1;
+    for (int step = 0; step < steps; ++step) {
+        switch (model.random(7)) {
+        case 0:
+            model.list("v" + std::to_string(++newest), true);
+            break;
+        case 1:
+            model.list("v" + std::to_string(1 + model.random(static_cast<std::size_t>(newest))), false);
+            break;
+        case 2:
+            model.list("v" + std::to_string(1 + model.random(static_cast<std::size_t>(newest))), true);
+            break;
+        case 3:
+            model.pause(model.random(model.hostCount()), 100ms * (1 + static_cast<int>(model.random(30))));
+            break;
+        case 4: {
+            std::vector<std::size_t> all(model.hostCount());
+            std::iota(all.begin(), all.end(), 0);
+            model.kill(model.random(4) == 0 ? all : std::vector<std::size_t>{model.random(model.hostCount()), model.random(model.hostCount())}, 600ms);
+            break;
+        }
+        default:
+            model.kill({model.random(model.hostCount())}, 600ms);
+            break;
+        }
+        model.run(50ms * (1 + static_cast<int>(model.random(30))));
+    }
+    model.run(2s);
+}
+
+struct HostCount
+{
+    std::size_t hosts;
+    double streamsPerSecond;
+};
+
+std::ostream &operator<<(std::ostream &out, const HostCount &count)
+{
+    return out << count.hosts << " hosts";
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(StreamOriginsTest)
+
+// Guards against streams that go on at another version than the one that began them, whatever is lost, doubled or late and whoever is killed.
+BOOST_DATA_TEST_CASE(noScheduleJoinsTwoVersions, boost::unit_test::data::make(schedules()), seed)
+{
+    StreamModel::Options options;
+    options.seed = seed;
+    options.hosts = 2 + seed % 8;
+    options.lossRate = seed % 3 == 0 ? 0.1 : 0;
+    options.doubledRate = seed % 2 == 0 ? 0.1 : 0;
+    options.lateRate = seed % 5 == 0 ? 0.05 : 0;
+    StreamModel model(options);
+    playSchedule(model);
+    BOOST_TEST(model.counts().joined == 0U);
+    BOOST_TEST(model.counts().begun > 0U);
+}
+
+// Guards against streams that can't be taken up though targets of their version serve, as hosts are killed one after the other, and against slow or
+// talkative ways to know their versions.
+BOOST_DATA_TEST_CASE(streamsOfKilledHostsGoOn,
+                     boost::unit_test::data::make({HostCount{9, 60}, HostCount{90, 900}, HostCount{295, 3'000}}) * boost::unit_test::data::xrange(2),
+                     count,
+                     seed)
+{
+    StreamModel::Options options;
+    options.seed = static_cast<std::uint64_t>(seed);
+    options.hosts = count.hosts;
+    options.streamsPerSecond = count.streamsPerSecond;
+    options.lossRate = 0.01;
+    StreamModel model(options);
+    model.run(1s);
+    model.list("v2", true);
+    model.run(1s);
+    model.list("v3", true);
+    model.run(1s);
+    constexpr double maxRecordBytes = 60; // In large fleets.
+    constexpr std::size_t largeFleet = 90;
+    const StreamModel::Counts &counts = model.counts();
+    BOOST_TEST((model.hostCount() < largeFleet || static_cast<double>(counts.recordBytes) <= maxRecordBytes * static_cast<double>(counts.begun)));
+    for (int i = 0; i < 6; ++i) {
+        std::vector<std::size_t> killed(1 + model.hostCount() / 90);
+        std::generate(killed.begin(), killed.end(), [&model] { return model.random(model.hostCount()); });
+        model.kill(killed, 600ms);
+        model.run(800ms);
+    }
+    model.run(2s);
+    BOOST_TEST(counts.joined == 0U);
+    BOOST_TEST(counts.takenUp > 0U);
+    BOOST_TEST(shareGoneOn(counts) >= minShare);
+    BOOST_TEST((percentile99(counts.lookupTimes) <= maxLookupTime));
+}
+
+// Guards against hosts that refuse streams after a restart of all, though the service has had one version only, and messages that nobody needs then.
+BOOST_AUTO_TEST_CASE(oneVersionNeedsNoMessage)
+{
+    StreamModel model({});
+    model.run(2s);
+    std::vector<std::size_t> all(model.hostCount());
+    std::iota(all.begin(), all.end(), 0);
+    model.kill(all, 600ms);
+    model.run(4s);
+    BOOST_TEST(model.counts().recordBytes == 0U);
+    BOOST_TEST(model.counts().takenUp > 0U);
+    BOOST_TEST(shareGoneOn(model.counts()) == 1.0);
+}
+
+// Guards against a host that takes the only version it has seen since its start for the only one there was.
+BOOST_AUTO_TEST_CASE(aHostThatHasJustStartedDoesNotGuess)
+{
+    StreamModel::Options options;
+    options.usesEarlierSkew = false;
+    StreamModel model(options);
+    model.list("v2", true);
+    model.run(3s);
+    std::vector<std::size_t> all(model.hostCount());
+    std::iota(all.begin(), all.end(), 0);
+    model.list("v1", false);
+    model.run(400ms);
+    model.kill(all, 600ms);
+    model.run(4s);
+    BOOST_TEST(model.counts().takenUp > 0U);
+    BOOST_TEST(model.counts().joined == 0U);
+}
+
+// Guards against an id of another team, or of another service, that tells which version began a stream.
+BOOST_AUTO_TEST_CASE(anotherTeamsStreamIsNotKnown)
+{
+    StreamOrigins origins("host", {[](const std::string &, const StreamRecord &) {}, [](const std::string &, const StreamQuery &) {}});
+    const TimePoint now(1h);
+    const std::vector<ServiceVersion> targets{{"s", "v1"}, {"s", "v2"}};
+    origins.setHosts({"host"}, now);
+    origins.setTargets(targets, now);
+    origins.onBegun(streamKey("r1", "a", "s"), "s", "v2", now);
+    const auto versionFor = [&](std::string_view team, std::string_view service) {
+        std::optional<std::string> version;
+        origins.find(streamKey("r1", team, service), "s", true, now, [&version](const StreamOrigins::Origin &origin) {
+            if (origin.knowledge == StreamOrigins::Knowledge::Known) {
+                version = origin.version;
+            }
+        });
+        return version.value_or("none");
+    };
+    BOOST_TEST(versionFor("a", "s") == "v2");
+    BOOST_TEST(versionFor("b", "s") == "none");
+    BOOST_TEST(versionFor("a", "other") == "none");
+}
+
+// Guards against memory that grows with all streams ever begun.
+BOOST_AUTO_TEST_CASE(recordsLapse)
+{
+    StreamOrigins origins("host", {[](const std::string &, const StreamRecord &) {}, [](const std::string &, const StreamQuery &) {}});
+    TimePoint now(1h);
+    for (std::uint64_t i = 1; i <= 100'000; ++i) {
+        origins.onRecord({StreamKey{i}, 1}, now);
+        now += 1ms;
+    }
+    BOOST_TEST(origins.size() <= 10'000U);
+    origins.onTick(now + 1h);
+    BOOST_TEST(origins.size() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/test_datagrams.cpp
+++ b/tests/platform/test_datagrams.cpp
@@ -104,6 +104,18 @@
     {
     }
 
+    void onStreamRecord(const StreamRecord & /*record*/) override
+    {
+    }
+
+    void onStreamQuery(const std::string & /*host*/, const StreamQuery & /*query*/) override
+    {
+    }
+
+    void onStreamReply(const std::string & /*host*/, const StreamRecord & /*reply*/) override
+    {
+    }
+
     void onChangesNotice(const ChangesNotice & /*notice*/) override
     {
         ++changes;
--- a/tests/platform/test_stream_versions.cpp
+++ b/tests/platform/test_stream_versions.cpp
@@ -24,8 +24,11 @@
 /// Of the streams that are taken up while two targets of their version serve, the share that has to go on.
 constexpr double minResumed = 0.95;
 
+/// Until a host has read the first events of a stream.
+constexpr Duration readTime = 100ms;
+
 /// Until a target whose version is new to the hosts gets requests.
-constexpr Duration newVersionDelay = 1500ms;
+constexpr Duration newVersionDelay = 800ms;
 
 /// Targets of two versions in a service that is replacing the older one, as in a release without an order. Their events name the version.
 struct VersionFixture : FleetFixture
@@ -49,11 +52,16 @@
         changeTarget("c", [](Target &target) { target.isLeaving = true; });
         changeTarget("d", [](Target &target) { target.isLeaving = true; });
         std::this_thread::sleep_for(newVersionDelay);
+        for (std::size_t i = 0; i < hostCount; ++i) {
+            onLoop(i, [](Gateway &gateway) { gateway.confirmTable(1, BootClock::now()); });
+        }
+        std::this_thread::sleep_for(newVersionDelay);
     }
 
     ScriptedTarget &addVersion(const std::string &id, const std::string &version)
     {
-        return addTarget(id, [this, version](Connection &connection, const Request &request) { stream(version, connection, request); }, version);
+        return addTarget(
+            id, [this, version](Connection &connection, const Request &request) { stream(version, connection, request); }, version);
     }
 
     void stream(const std::string &version, Connection &connection, const Request &request)
@@ -64,6 +72,7 @@
         for (int id = isNew ? 1 : std::stoi(last) + 1; id <= eventCount; ++id) {
             connection.sendEvent(id, version);
             if (isNew && id == static_cast<int>(eventsBefore) && fault == Fault::Reset) {
+                std::this_thread::sleep_for(readTime); // A reset discards what the peer has not read yet.
                 connection.reset();
                 return;
             }
