A request that comes again while the loss of its target is checked waits for the outcome

Callers that repeat a request at once had it end more targets than the three after which it is refused. Cause: a loss counts only once a probe has shown that not just the link was lost, and a request that came again meanwhile was sent. Why this works: the same request (method, host, path, key and body) is held back at the host that lost its target until its homes have heard of it, for 0.5 s at most.

--- a/gateway/fleet_link.cpp
+++ b/gateway/fleet_link.cpp
@@ -1,6 +1,8 @@
 #include "gateway/fleet_link.h"
 
 #include <algorithm>
+#include <memory>
+#include <utility>
 
 #include "gateway/gateway.h"
 
@@ -13,6 +15,12 @@
 /// Interval between two heartbeats of a relay; see silenceBeforeStoreCall in relayed_store.cpp.
 constexpr Duration heartbeatInterval = std::chrono::milliseconds(400);
 
+/// Time in which the homes of a request answer the report of a loss if they have the request in quarantine.
+constexpr Duration quarantineReplyTime = std::chrono::milliseconds(30);
+
+/// Longest wait of a repeated request for the checks of losses.
+constexpr Duration maxLossCheckWait = std::chrono::milliseconds(500);
+
 } // namespace
 
 FleetLink::FleetLink(Gateway &gateway, std::string hostName)
@@ -147,9 +155,50 @@
 
 void FleetLink::reportTargetLoss(std::string_view targetId, const CrashReport &report)
 {
+    ++lossChecks_[report.request].running;
     gateway_.paths().checkLoss(targetId, [this, report](bool isLinkLost) {
-        if (!isLinkLost) {
-            crashes_.onTargetLost(report, BootClock::now());
+        if (isLinkLost) {
+            onLossChecked(report.request);
+            return;
+        }
+        crashes_.onTargetLost(report, BootClock::now());
+        const auto timer = std::make_shared<boost::asio::steady_timer>(gateway_.loop(), quarantineReplyTime);
+        timer->async_wait([this, timer, report](const boost::system::error_code &) { onLossChecked(report.request); });
+    });
+}
+
+void FleetLink::onLossChecked(RequestFingerprint request)
+{
+    const auto checks = lossChecks_.find(request);
+    if (checks == lossChecks_.end() || --checks->second.running > 0) {
+        return;
+    }
+    const auto waiting = std::move(checks->second.waiting);
+    lossChecks_.erase(checks);
+    for (const auto &action : waiting) {
+        action();
+    }
+}
+
+void FleetLink::whenLossesChecked(RequestFingerprint request, std::function<void()> action)
+{
+    const auto checks = lossChecks_.find(request);
+    if (checks == lossChecks_.end()) {
+        action();
+        return;
+    }
+    // The check of a target that is removed meanwhile does not end.
+    const auto timer = std::make_shared<boost::asio::steady_timer>(gateway_.loop(), maxLossCheckWait);
+    const auto runOnce = [timer, action = std::move(action), isDone = std::make_shared<bool>(false)] {
+        if (!std::exchange(*isDone, true)) {
+            timer->cancel();
+            action();
+        }
+    };
+    checks->second.waiting.emplace_back(runOnce);
+    timer->async_wait([runOnce](const boost::system::error_code &error) {
+        if (!error) {
+            runOnce();
         }
     });
 }
--- a/gateway/fleet_link.h
+++ b/gateway/fleet_link.h
@@ -72,6 +72,10 @@
     /// A target was lost before it began to answer a request. Counts as a crash unless only this host's link to the target was lost.
     void reportTargetLoss(std::string_view targetId, const CrashReport &report);
 
+    /// Calls `action` once no loss of a target with this request is being checked any more, at once if none is. A caller that repeats such a request
+    /// meanwhile would have it end another target before the loss counts.
+    void whenLossesChecked(RequestFingerprint request, std::function<void()> action);
+
     /// Tracks requests that crash their targets.
     CrashGuard &crashes();
     const CrashGuard &crashes() const;
@@ -153,6 +157,17 @@
     std::size_t nextQueriedHost_ = 0; ///< Counter; modulo the size of otherHosts_ it is the next host to query.
     RelayedStore *relayedStore_ = nullptr;
     std::function<void(const std::string &targetId)> orderListener_ = [](const std::string &) {};
+
+    /// Losses of targets that are being checked, by the request that they had.
+    struct LossChecks
+    {
+        std::size_t running = 0;
+        std::vector<std::function<void()>> waiting;
+    };
+
+    void onLossChecked(RequestFingerprint request);
+
+    std::map<RequestFingerprint, LossChecks> lossChecks_;
     TimePoint nextHeartbeat_;
     TimePoint heardRelayAt_; ///< When a relay's heartbeat or notice was last received.
 };
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -48,7 +48,12 @@
         return;
     }
     fingerprint_ = intake_.fingerprint(body_);
-    if (failIfQuarantined()) {
+    gateway_.fleet().whenLossesChecked(fingerprint_, [self] { self->beginUnlessQuarantined(); });
+}
+
+void RoutedRequest::beginUnlessQuarantined()
+{
+    if (phase_ == Phase::Done || failIfQuarantined()) {
         return;
     }
     deadline_ = startedAt_ + intake_.route()->timeout;
--- a/gateway/routed_request.h
+++ b/gateway/routed_request.h
@@ -92,6 +92,7 @@
         std::string body;
     };
 
+    void beginUnlessQuarantined();
     void findStreamVersion();
     void charge();
     void admit();
