The test of engines that all die waits until its callers have received events

Cause of the known red: the test took a stream for begun once its engine had sent some tokens; beside load the host had not passed one on when the engines were killed, and refused the request, as it should. Change: each caller counts itself once it has received an event, so all 20 streams have begun. The checks are the same.

--- a/tests/system/system_fixture.cpp
+++ b/tests/system/system_fixture.cpp
@@ -220,6 +220,11 @@
     return exchange(hosts_.at(host).callerPort, request, silenceLimit);
 }
 
+std::uint16_t SystemFixture::callerPort(std::size_t host) const
+{
+    return hosts_.at(host).callerPort;
+}
+
 CallerAnswer SystemFixture::callOperator(std::size_t host, std::string_view method, std::string_view path, std::string_view body) const
 {
     const std::string fields = "Authorization: Bearer " + std::string(operatorKey) + "\r\n";
--- a/tests/system/system_fixture.h
+++ b/tests/system/system_fixture.h
@@ -58,6 +58,9 @@
     /// One caller's request on a connection of its own; status 0 if no answer came.
     CallerAnswer call(std::size_t host, std::string_view request, std::chrono::milliseconds silenceLimit = std::chrono::seconds(10)) const;
 
+    /// The port on which a host serves callers.
+    std::uint16_t callerPort(std::size_t host) const;
+
     /// One operator's request with the operators' key; status 0 if no answer came.
     CallerAnswer callOperator(std::size_t host, std::string_view method, std::string_view path, std::string_view body = {}) const;
 
--- a/tests/system/test_engine_failures.cpp
+++ b/tests/system/test_engine_failures.cpp
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <csignal>
 #include <map>
 #include <thread>
@@ -5,6 +6,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "tests/servers/raw_caller.h"
 #include "tests/system/stream_outcome.h"
 #include "tests/system/system_fixture.h"
 
@@ -32,17 +34,18 @@
     {
         std::vector<StreamOutcome> outcomes(callerCount);
         std::vector<int> codes(callerCount);
+        std::atomic<std::size_t> begun = 0;
         {
             std::vector<std::jthread> callers;
             callers.reserve(callerCount);
             for (std::size_t i = 0; i < callerCount; ++i) {
                 callers.emplace_back([&, i] {
-                    const CallerAnswer answer = call(i % hostCount(), chat(tokens));
+                    const CallerAnswer answer = callAndCount(i % hostCount(), begun);
                     outcomes[i] = judgeStream(answer, tokens);
                     codes[i] = answer.code();
                 });
             }
-            BOOST_TEST(waitFor(patience, [this] { return streamsUnderWay() >= static_cast<std::int64_t>(callerCount); }));
+            BOOST_TEST(waitFor(patience, [&begun] { return begun == callerCount; }));
             fault();
         }
         std::map<StreamOutcome, int> counts;
@@ -57,15 +60,15 @@
         return counts;
     }
 
-    /// A stream that has only reached its engine may not have given its caller a byte yet, and would rightly be refused instead of
-    /// broken off; so only those count that have sent some tokens.
-    std::int64_t streamsUnderWay()
+    /// One caller's request; counts it in `begun` once the caller has received an event. A stream that has only reached its host would rightly be
+    /// refused instead of broken off.
+    CallerAnswer callAndCount(std::size_t host, std::atomic<std::size_t> &begun) const
     {
-        std::int64_t count = 0;
-        for (std::size_t i = 0; i < 3; ++i) {
-            count += std::max<std::int64_t>(0, numberIn(record(engine(i)), "under_way"));
-        }
-        return count - underWayBefore_;
+        RawCaller caller(callerPort(host));
+        caller.send(chat(tokens));
+        caller.readUntil("data: ");
+        ++begun;
+        return caller.readAnswer();
     }
 
     std::size_t busiestEngine()
@@ -82,8 +85,6 @@
         }
         return busiest;
     }
-
-    std::int64_t underWayBefore_ = streamsUnderWay();
 };
 
 /// Engines are left that can carry the streams on, but a host's retry budget may not reach for all of them at once. What must hold
