--- a/gateway/operator_view.cpp
+++ b/gateway/operator_view.cpp
@@ -87,6 +87,7 @@
     status->set("links_lost", gateway_.paths().links().lostCount());
     status->set("relayed_connections", gateway_.relayServer().count());
     status->set("targets_stating", gateway_.statements().table().inForce().size());
+    status->set("streams_known", gateway_.streams().origins().size());
     status->set("hosts", gateway_.hosts().size());
     status->set("share", gateway_.share());
     status->set("leader", gateway_.leader());
@@ -119,6 +120,8 @@
         row->set("service", target.service);
         row->set("model", hasModel ? target.models.front().name : std::string());
         row->set("weights", hasModel ? gateway_.targets().weightsVersionOf(target, target.models.front().name) : std::int64_t{0});
+        row->set("software", target.softwareVersion);
+        row->set("withheld", gateway_.targets().isWithheld(id));
         row->set("address", hostAddressText(target.address));
         row->set("data_centre", target.dataCentre);
         row->set("state", target.isLeaving ? "leaving" : "serving");
--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -85,6 +85,11 @@
     }
 }
 
+bool TargetDirectory::isWithheld(std::string_view targetId) const
+{
+    return withheld_.contains(targetId);
+}
+
 void TargetDirectory::setCandidates(std::set<std::string, std::less<>> candidates)
 {
     candidates_ = std::move(candidates);
--- a/gateway/target_directory.h
+++ b/gateway/target_directory.h
@@ -38,6 +38,9 @@
     /// Sets the ids of the targets that get no requests because of their software version.
     void setWithheld(std::set<std::string, std::less<>> withheld);
 
+    /// Whether a target gets no requests because of its software version.
+    bool isWithheld(std::string_view targetId) const;
+
     /// Sets the ids of the targets that only get requests of the rollout pool.
     void setCandidates(std::set<std::string, std::less<>> candidates);
 
