--- a/tests/platform/fleet_fixture.cpp
+++ b/tests/platform/fleet_fixture.cpp
@@ -9,7 +9,6 @@
 
 FleetFixture::FleetFixture(std::size_t hostCount)
 {
-    std::map<std::string, HostRecord> records;
     for (std::size_t i = 0; i < hostCount; ++i) {
         auto host = std::make_unique<Host>();
         host->name = "host-" + std::to_string(i);
@@ -26,12 +25,12 @@
         host->gateway = std::make_unique<Gateway>(options, callerProtocol_, targetProtocol_, host->metrics);
         Reason reason;
         BOOST_REQUIRE_MESSAGE(host->gateway->open(reason), reason.text);
-        records.emplace(host->name, HostRecord{{"127.0.0.1", host->gateway->fleet().port()}, {}, "z"});
+        records_.emplace(host->name, HostRecord{{"127.0.0.1", host->gateway->fleet().port()}, {}, "z"});
         hosts_.push_back(std::move(host));
     }
     const auto table = std::make_shared<const RoutingTable>(GatewayFixture::table());
     for (const auto &host : hosts_) {
-        host->gateway->setHosts(records, 1.0 / static_cast<double>(hostCount));
+        host->gateway->setHosts(records_, 1.0 / static_cast<double>(hostCount));
         host->thread = std::thread([gateway = host->gateway.get()] { gateway->run(); });
         host->gateway->post([table](Gateway &gateway) {
             gateway.setTable(table, BootClock::now());
@@ -142,6 +141,16 @@
     killed.gateway.reset();
 }
 
+void FleetFixture::unlistHost(std::size_t host)
+{
+    records_.erase(hosts_[host]->name);
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+        if (hosts_[i]->gateway != nullptr) {
+            onLoop(i, [this](Gateway &gateway) { gateway.setHosts(records_, 1.0 / static_cast<double>(records_.size())); });
+        }
+    }
+}
+
 std::uint16_t FleetFixture::callerPort(std::size_t host) const
 {
     return hosts_[host]->gateway->callerPort();
--- a/tests/platform/fleet_fixture.h
+++ b/tests/platform/fleet_fixture.h
@@ -52,6 +52,9 @@
     /// Ends a gateway at once, as a kill does.
     void kill(std::size_t host);
 
+    /// Tells the other gateways that a host has gone, as the end of its lease does.
+    void unlistHost(std::size_t host);
+
     std::uint16_t callerPort(std::size_t host) const;
     std::uint16_t metricsPort(std::size_t host) const;
 
@@ -72,6 +75,7 @@
     PlatformTargetProtocol targetProtocol_;
     std::map<std::string, std::unique_ptr<ScriptedTarget>> targets_;
     std::vector<std::unique_ptr<Host>> hosts_;
+    std::map<std::string, HostRecord> records_; ///< Of the listed hosts.
 };
 
 } // namespace Lovageloft
