Code, logs and metrics say that a stream is resumed, as elsewhere in the field

Wording only: stream_resumed, lovageloft_stream_resumptions_total, isResumption. The checks of losses stand beside the other members of FleetLink.

--- a/decision/stream_origins.cpp
+++ b/decision/stream_origins.cpp
@@ -61,7 +61,7 @@
     if (!wereUnknown) {
         return;
     }
-    // Streams that were taken up before this host, which has just started, knew the others.
+    // Streams that were resumed before this host, which has just started, knew the others.
     std::vector<std::uint64_t> waiting;
     std::transform(lookups_.begin(), lookups_.end(), std::back_inserter(waiting), [](const auto &entry) { return entry.first; });
     for (const std::uint64_t key : waiting) {
--- a/decision/stream_origins.h
+++ b/decision/stream_origins.h
@@ -41,10 +41,10 @@
     std::uint32_t service = 0; ///< shortDigest() of the service.
 };
 
-/// Knows on all hosts which software version began a stream, so that a caller can take it up at any of them.
+/// Knows on all hosts which software version began a stream, so that a caller can resume it at any of them.
 ///
 /// While a service has, or lately had, targets of several versions, the host of a stream sends a record to the stream's two home hosts, or three in a small
-/// fleet, chosen by rendezvous hashing, as soon as the first event arrived. A host at which a caller takes a stream up asks the homes, and all other hosts if
+/// fleet, chosen by rendezvous hashing, as soon as the first event arrived. A host at which a caller resumes a stream asks the homes, and all other hosts if
 /// these don't know it: lists of hosts may differ, and a home may be gone. A host that starts asks the others for the records that it is to hold. A record
 /// never changes, so messages may be lost, doubled or late. A service with one version needs no message. Not thread-safe; reads no clock.
 class StreamOrigins
@@ -79,7 +79,7 @@
     /// Sets the hosts of the fleet, which include this one.
     void setHosts(const std::vector<std::string> &hosts, TimePoint now);
 
-    /// Sets how long after its begin a stream may be taken up.
+    /// Sets how long after its begin a stream may be resumed.
     void setRetention(Duration retention);
 
     void setTargets(std::span<const ServiceVersion> listed, TimePoint now);
--- a/gateway/fleet_link.h
+++ b/gateway/fleet_link.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <cstddef>
+#include <functional>
 #include <map>
 #include <span>
 #include <string>
+#include <vector>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -117,6 +120,14 @@
     void sendHeartbeat(TimePoint now);
 
 private:
+    /// Checks of losses that have not ended, and what waits for them.
+    struct LossChecks
+    {
+        std::size_t running = 0;
+        std::vector<std::function<void()>> waiting;
+    };
+
+    void onLossChecked(RequestFingerprint request);
     void onDispatchNotice(const DispatchNotice &notice) override;
     void onLoadingNotice(const LoadingNotice &notice) override;
     void onTokenRequest(const std::string &host, const TokenRequest &request) override;
@@ -158,16 +169,7 @@
     RelayedStore *relayedStore_ = nullptr;
     std::function<void(const std::string &targetId)> orderListener_ = [](const std::string &) {};
 
-    /// Losses of targets that are being checked, by the request that they had.
-    struct LossChecks
-    {
-        std::size_t running = 0;
-        std::vector<std::function<void()>> waiting;
-    };
-
-    void onLossChecked(RequestFingerprint request);
-
-    std::map<RequestFingerprint, LossChecks> lossChecks_;
+    std::map<RequestFingerprint, LossChecks> lossChecks_; ///< By the request that the lost targets had.
     TimePoint nextHeartbeat_;
     TimePoint heardRelayAt_; ///< When a relay's heartbeat or notice was last received.
 };
--- a/gateway/request_intake.cpp
+++ b/gateway/request_intake.cpp
@@ -87,7 +87,7 @@
     return teamName_;
 }
 
-bool RequestIntake::isTakenUp() const
+bool RequestIntake::isResumption() const
 {
     return isStream() && route_->isResumable && !caller_.lastEventId.empty();
 }
@@ -183,8 +183,8 @@
 {
     route_ = table_->findRoute(head_.find("Host"), head_.path);
     if (route_ != nullptr) {
-        // A stream that is taken up goes to the service that began it.
-        service_ = chooseService(*route_, isTakenUp() && !caller_.resumes.empty() ? caller_.resumes : caller_.id);
+        // A resumed stream goes to the service that began it.
+        service_ = chooseService(*route_, isResumption() && !caller_.resumes.empty() ? caller_.resumes : caller_.id);
         return true;
     }
     reason = {ResultCode::UnknownPath, "no route has this host and path"};
--- a/gateway/request_intake.h
+++ b/gateway/request_intake.h
@@ -39,8 +39,8 @@
     const Route *route() const;
     bool isStream() const;
 
-    /// Whether the request takes up a stream that an earlier attempt of its caller began.
-    bool isTakenUp() const;
+    /// Whether the request resumes a stream that an earlier attempt of its caller began.
+    bool isResumption() const;
 
     /// Service chosen from the route's split; empty until the route is found.
     const std::string &service() const;
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -60,7 +60,7 @@
     if (intake_.caller().timeout) {
         deadline_ = std::min(deadline_, startedAt_ + *intake_.caller().timeout);
     }
-    if (intake_.isTakenUp()) {
+    if (intake_.isResumption()) {
         findStreamVersion();
     } else {
         charge();
--- a/gateway/stream_binding.h
+++ b/gateway/stream_binding.h
@@ -28,7 +28,7 @@
     /// Both must outlive this object.
     StreamBinding(Gateway &gateway, const RequestIntake &intake);
 
-    /// Finds the version that began the stream which the request takes up. `handler` is called once, possibly before this function returns, with
+    /// Finds the version that began the stream which the request resumes. `handler` is called once, possibly before this function returns, with
     /// nothing if the stream can go on. It has to keep this object alive.
     void find(std::function<void(const std::optional<Refusal> &)> handler);
 
--- a/gateway/stream_versions.cpp
+++ b/gateway/stream_versions.cpp
@@ -84,9 +84,9 @@
 void StreamVersions::onFound(const RequestIntake &intake, TimePoint askedAt, const StreamOrigins::Origin &origin)
 {
     const std::string_view knowledge = knowledgeName(origin.knowledge);
-    metrics_.add("lovageloft_streams_taken_up_total", {{"service", intake.service()}, {"knowledge", knowledge}, {"source", origin.source}});
+    metrics_.add("lovageloft_stream_resumptions_total", {{"service", intake.service()}, {"knowledge", knowledge}, {"source", origin.source}});
     writeLog(LogLevel::Info,
-             "stream_taken_up",
+             "stream_resumed",
              {{"request", intake.caller().id},
               {"resumes", intake.caller().resumes},
               {"after", intake.caller().lastEventId},
--- a/gateway/stream_versions.h
+++ b/gateway/stream_versions.h
@@ -17,7 +17,7 @@
 namespace Lovageloft
 {
 
-/// Knows which software version began a stream that a caller takes up, wherever it began. For use on the event loop only.
+/// Knows which software version began a stream that a caller resumes, wherever it began. For use on the event loop only.
 class StreamVersions
 {
 public:
@@ -32,7 +32,7 @@
 
     void setHosts(const std::vector<std::string> &hosts);
 
-    /// Sets for how long after its begin a stream may be taken up.
+    /// Sets for how long after its begin a stream may be resumed.
     void setRetention(Duration retention);
 
     void setTargets(const TargetMap &targets);
@@ -52,7 +52,7 @@
     /// The caller of a request receives its stream's first event of this attempt.
     void onBegun(const RequestIntake &intake, std::string_view version);
 
-    /// Finds out which version began the stream that a request takes up. `handler` is called once, possibly before this function returns.
+    /// Finds out which version began the stream that a request resumes. `handler` is called once, possibly before this function returns.
     void find(const RequestIntake &intake, StreamOrigins::Handler handler);
 
     // Messages of other hosts.
--- a/tests/decision/stream_model.cpp
+++ b/tests/decision/stream_model.cpp
@@ -228,7 +228,7 @@
     streams_.push_back(std::move(stream));
 }
 
-void StreamModel::takeUp(const Stream &stream)
+void StreamModel::resume(const Stream &stream)
 {
     std::vector<std::size_t> up;
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
@@ -237,10 +237,10 @@
         }
     }
     if (up.empty()) {
-        at(now_ + maxReturnTime, [this, stream] { takeUp(stream); });
+        at(now_ + maxReturnTime, [this, stream] { resume(stream); });
         return;
     }
-    ++counts_.takenUp;
+    ++counts_.resumptions;
     const std::size_t index = up[random(up.size())];
     StreamOrigins &origins = *hosts_[index].origins;
     const TimePoint askedAt = now_;
@@ -268,7 +268,7 @@
     }
     for (const Stream &stream : streams_) {
         if (killed.contains(stream.host) && stream.end > now_) {
-            at(now_ + 10ms + randomUpTo(random_, maxReturnTime), [this, stream] { takeUp(stream); });
+            at(now_ + 10ms + randomUpTo(random_, maxReturnTime), [this, stream] { resume(stream); });
         }
     }
     std::erase_if(streams_, [&killed](const Stream &stream) { return killed.contains(stream.host); });
--- a/tests/decision/stream_model.h
+++ b/tests/decision/stream_model.h
@@ -15,7 +15,7 @@
 namespace Lovageloft
 {
 
-/// A model in virtual time of hosts whose callers begin streams in a service with several software versions, and take them up at other hosts.
+/// A model in virtual time of hosts whose callers begin streams in a service with several software versions, and resume them at other hosts.
 /// Messages between hosts take time, may be lost, late or arrive twice; hosts are killed, stand still and start anew, also all at once; lists of
 /// targets and of hosts reach each host at another time.
 class StreamModel
@@ -36,7 +36,7 @@
     struct Counts
     {
         std::size_t begun = 0;
-        std::size_t takenUp = 0;
+        std::size_t resumptions = 0;
         std::size_t joined = 0; ///< Went on at another version.
         std::size_t wentOn = 0;
         std::size_t refused = 0; ///< Their version was not known, though its targets serve.
@@ -49,7 +49,7 @@
     /// Lists a version's targets, or their end.
     void list(const std::string &version, bool isListed);
 
-    /// Kills hosts, which start anew after a time; their callers take their streams up elsewhere.
+    /// Kills hosts, which start anew after a time; their callers resume their streams elsewhere.
     void kill(const std::vector<std::size_t> &hosts, Duration downTime);
 
     /// A host stands still for a time.
@@ -102,7 +102,7 @@
     std::vector<std::string> namesOfHostsUp() const;
     void tick(std::size_t index, int process);
     void begin();
-    void takeUp(const Stream &stream);
+    void resume(const Stream &stream);
     bool isUp(std::size_t index) const;
     bool isViewCurrent(std::size_t index) const;
 
--- a/tests/decision/test_request_scheduler.cpp
+++ b/tests/decision/test_request_scheduler.cpp
@@ -299,7 +299,7 @@
     BOOST_TEST((std::get<SchedulerRefusal>(outcome).reason.code == ResultCode::NoTarget));
 }
 
-// Guards against streams that are taken up and then wait behind new requests for the few engines that can go on with them.
+// Guards against resumed streams that wait behind new requests for the few engines that can go on with them.
 BOOST_AUTO_TEST_CASE(boundRequestsComeBeforeOthers)
 {
     std::vector<SchedulerEngine> engines{engine("a")};
--- a/tests/decision/test_stream_origins.cpp
+++ b/tests/decision/test_stream_origins.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-/// Of the streams that are taken up while targets of their version serve, the share that has to go on.
+/// Of the streams that are resumed while targets of their version serve, the share that has to go on.
 constexpr double minShare = 0.95;
 
 /// Time within which 99 of 100 streams' versions have to be known.
@@ -110,7 +110,7 @@
     BOOST_TEST(model.counts().begun > 0U);
 }
 
-// Guards against streams that can't be taken up though targets of their version serve, as hosts are killed one after the other, and against slow or
+// Guards against streams that can't be resumed though targets of their version serve, as hosts are killed one after the other, and against slow or
 // talkative ways to know their versions.
 BOOST_DATA_TEST_CASE(streamsOfKilledHostsGoOn,
                      boost::unit_test::data::make({HostCount{9, 60}, HostCount{90, 900}, HostCount{295, 3'000}}) * boost::unit_test::data::xrange(2),
@@ -140,7 +140,7 @@
     }
     model.run(2s);
     BOOST_TEST(counts.joined == 0U);
-    BOOST_TEST(counts.takenUp > 0U);
+    BOOST_TEST(counts.resumptions > 0U);
     BOOST_TEST(shareGoneOn(counts) >= minShare);
     BOOST_TEST((percentile99(counts.lookupTimes) <= maxLookupTime));
 }
@@ -155,7 +155,7 @@
     model.kill(all, 600ms);
     model.run(4s);
     BOOST_TEST(model.counts().recordBytes == 0U);
-    BOOST_TEST(model.counts().takenUp > 0U);
+    BOOST_TEST(model.counts().resumptions > 0U);
     BOOST_TEST(shareGoneOn(model.counts()) == 1.0);
 }
 
@@ -173,7 +173,7 @@
     model.run(400ms);
     model.kill(all, 600ms);
     model.run(4s);
-    BOOST_TEST(model.counts().takenUp > 0U);
+    BOOST_TEST(model.counts().resumptions > 0U);
     BOOST_TEST(model.counts().joined == 0U);
 }
 
--- a/tests/platform/stream_caller.h
+++ b/tests/platform/stream_caller.h
@@ -19,7 +19,7 @@
     std::string data;
 };
 
-/// A caller's stream over all of its attempts: it takes the stream up where the last attempt broke off, and names the attempt that received
+/// A caller's stream over all of its attempts: it resumes the stream where the last attempt broke off, and names the attempt that received
 /// the first event.
 class StreamCaller
 {
--- a/tests/platform/test_stream_soak.cpp
+++ b/tests/platform/test_stream_soak.cpp
@@ -32,7 +32,7 @@
 
 constexpr Duration soakTime = 9s;
 
-/// Of streams that are taken up while two targets of their version serve, the share that has to go on.
+/// Of streams that are resumed while two targets of their version serve, the share that has to go on.
 constexpr double minShare = 0.95;
 
 /// Targets of several versions whose events say who wrote them. Some break streams off.
@@ -84,21 +84,21 @@
         connection.endStream();
     }
 
-    /// Has callers send streams for a time, each to a host that is up, and take them up at others.
+    /// Has callers send streams for a time, each to a host that is up, and resume them at others.
     void callUntil(TimePoint end, std::size_t caller, std::uint64_t seed)
     {
         Random random(seed * callerCount + caller);
         for (int number = 0; BootClock::now() < end; ++number) {
             StreamCaller stream("s" + std::to_string(caller) + "." + std::to_string(number));
             for (int attempt = 0; attempt < maxAttempts && (stream.events().empty() || !stream.isComplete()); ++attempt) {
-                const bool isTakenUp = !stream.events().empty();
+                const bool isResumption = !stream.events().empty();
                 const std::size_t eventsBefore = stream.events().size();
-                const std::size_t servingBefore = isTakenUp ? servingTargets(stream.events().front().data) : 0;
+                const std::size_t servingBefore = isResumption ? servingTargets(stream.events().front().data) : 0;
                 stream.send(portOf(random));
                 stream.readAll();
                 const bool wentOn = stream.events().size() > eventsBefore || stream.isComplete();
-                if (isTakenUp && servingBefore >= 2 && servingTargets(stream.events().front().data) >= 2 && stream.status() != 0) {
-                    ++takenUp;
+                if (isResumption && servingBefore >= 2 && servingTargets(stream.events().front().data) >= 2 && stream.status() != 0) {
+                    ++resumptions;
                     gone += wentOn && stream.status() == 200 ? 1 : 0;
                 }
             }
@@ -159,13 +159,13 @@
     std::atomic<int> whole = 0;
     std::atomic<int> mixed = 0;
     std::atomic<int> disordered = 0;
-    std::atomic<int> takenUp = 0;
+    std::atomic<int> resumptions = 0;
     std::atomic<int> gone = 0;
 };
 
 } // namespace
 
-// Guards against streams that hold events of two versions, or can't be taken up, while versions come and go, targets break off and hosts are killed.
+// Guards against streams that hold events of two versions, or can't be resumed, while versions come and go, targets break off and hosts are killed.
 BOOST_DATA_TEST_CASE_F(SoakFixture, streamsStayAtTheirVersion, boost::unit_test::data::make(soakSeeds("STREAM_SOAK")), seed)
 {
     Random random(seed);
@@ -217,9 +217,9 @@
     for (std::thread &caller : callers) {
         caller.join();
     }
-    BOOST_TEST_MESSAGE(streams << " streams, " << whole << " whole, " << takenUp << " taken up, " << gone << " went on");
+    BOOST_TEST_MESSAGE(streams << " streams, " << whole << " whole, " << resumptions << " resumed, " << gone << " went on");
     BOOST_TEST(mixed == 0);
     BOOST_TEST(disordered == 0);
     BOOST_TEST(whole >= 0.9 * streams);
-    BOOST_TEST(static_cast<double>(gone) >= minShare * takenUp);
+    BOOST_TEST(static_cast<double>(gone) >= minShare * resumptions);
 }
--- a/tests/platform/test_stream_versions.cpp
+++ b/tests/platform/test_stream_versions.cpp
@@ -21,7 +21,7 @@
 /// Events that a stream has before it breaks off.
 constexpr std::size_t eventsBefore = 2;
 
-/// Of the streams that are taken up while two targets of their version serve, the share that has to go on.
+/// Of the streams that are resumed while two targets of their version serve, the share that has to go on.
 constexpr double minResumed = 0.95;
 
 /// Until a host has read the first events of a stream.
@@ -137,8 +137,8 @@
     BOOST_TEST(static_cast<double>(countWhole(callers)) >= minResumed * streamCount);
 }
 
-// Guards against a stream that a caller takes up at another host, as the first one was killed, and that goes on at another version.
-BOOST_AUTO_TEST_CASE(aStreamTakenUpAtAnotherHostGoesOnAtTheVersionThatBeganIt)
+// Guards against a stream that a caller resumes at another host, as the first one was killed, and that goes on at another version.
+BOOST_AUTO_TEST_CASE(aStreamResumedAtAnotherHostGoesOnAtTheVersionThatBeganIt)
 {
     const auto callers = beginStreams(0, "t");
     BOOST_TEST(hasVersion(callers, "v1"));
