Findings of the linter, and hosts of the soak that know how many versions there were

clang-tidy's front end takes no structured binding in a capture. They now keep streams for 3 s and the callers begin after that.

--- a/coordination/serving_versions.cpp
+++ b/coordination/serving_versions.cpp
@@ -91,12 +91,12 @@
     bool hasChanged = false;
     for (auto &[name, service] : services_) {
         hasChanged = std::erase_if(service.newSince,
-                                   [&service, now, ordersKnownAt](const auto &entry) {
+                                   [&established = service.established, now, ordersKnownAt](const auto &entry) {
                                        const auto &[version, since] = entry;
                                        if (now - since < orderDelay || ordersKnownAt < since + orderDelay / 2) {
                                            return false;
                                        }
-                                       service.established.insert(version);
+                                       established.insert(version);
                                        return true;
                                    })
                 > 0
--- a/tests/decision/stream_model.cpp
+++ b/tests/decision/stream_model.cpp
@@ -1,6 +1,7 @@
 #include "tests/decision/stream_model.h"
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace Lovageloft
@@ -111,6 +112,7 @@
 void StreamModel::send(std::size_t from, const std::string &to, std::function<void(std::size_t to)> deliver)
 {
     const std::size_t receiver = std::stoul(to.substr(to.find('-') + 1));
+    const auto shared = std::make_shared<const std::function<void(std::size_t)>>(std::move(deliver)); // For copies of the message.
     const int copies = random(1'000) < static_cast<std::size_t>(options_.doubledRate * 1'000) ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
         if (random(1'000) < static_cast<std::size_t>(options_.lossRate * 1'000)) {
@@ -118,18 +120,18 @@
         }
         const bool isLate = random(1'000) < static_cast<std::size_t>(options_.lateRate * 1'000);
         const Duration delay = 500us + randomUpTo(random_, isLate ? maxLateness : Duration(1ms));
-        at(now_ + delay, [this, from, receiver, deliver] {
+        at(now_ + delay, [this, from, receiver, shared] {
             if (hosts_[receiver].origins == nullptr || hosts_[from].process == 0) {
                 return;
             }
             const TimePoint ready = hosts_[receiver].pausedUntil;
             if (now_ >= ready) {
-                deliver(receiver);
+                (*shared)(receiver);
                 return;
             }
-            at(ready, [this, receiver, deliver] {
+            at(ready, [this, receiver, shared] {
                 if (isUp(receiver)) {
-                    deliver(receiver);
+                    (*shared)(receiver);
                 }
             });
         });
--- a/tests/platform/test_stream_soak.cpp
+++ b/tests/platform/test_stream_soak.cpp
@@ -27,6 +27,9 @@
 constexpr int eventCount = 6;
 constexpr int maxAttempts = 4;
 constexpr Duration eventGap = 15ms;
+/// How long streams may be resumed after their begin.
+constexpr Duration retention = 3s;
+
 /// Until the other hosts learn that one has gone.
 constexpr Duration leaseTime = 400ms;
 
@@ -41,6 +44,10 @@
     SoakFixture()
         : FleetFixture(hostCount)
     {
+        for (std::size_t i = 0; i < hostCount; ++i) {
+            portsUp.emplace(i, callerPort(i));
+            onLoop(i, [](Gateway &gateway) { gateway.streams().setRetention(retention); });
+        }
     }
 
     /// Adds a target of a version; every tenth new stream breaks off there after some events.
@@ -169,9 +176,6 @@
 BOOST_DATA_TEST_CASE_F(SoakFixture, streamsStayAtTheirVersion, boost::unit_test::data::make(soakSeeds("STREAM_SOAK")), seed)
 {
     Random random(seed);
-    for (std::size_t i = 0; i < hostCount; ++i) {
-        portsUp.emplace(i, callerPort(i));
-    }
     int newest = 1;
     int next = 0;
     std::vector<std::pair<std::string, std::string>> targets; // Ids and versions.
@@ -182,6 +186,7 @@
     for (int i = 0; i < 4; ++i) {
         addTargetOf(1);
     }
+    std::this_thread::sleep_for(retention); // Until the hosts know that there was no other version.
     const TimePoint end = BootClock::now() + soakTime;
     std::vector<std::thread> callers;
     for (std::size_t i = 0; i < callerCount; ++i) {
