A test's caller notices that the host it waits for was killed

Change: a caller that hears nothing looks every 100 ms whether the port still accepts, as a kernel would have told it.

--- a/tests/platform/stream_caller.cpp
+++ b/tests/platform/stream_caller.cpp
@@ -12,6 +12,25 @@
 namespace Lovageloft
 {
 
+namespace
+{
+
+constexpr Poco::Timespan::TimeDiff pollTime = 100'000; // Microseconds.
+constexpr int maxPolls = 50;
+
+/// Whether nobody listens at an address any more.
+bool isGone(const Poco::Net::SocketAddress &address)
+{
+    try {
+        const Poco::Net::StreamSocket probe(address);
+        return false;
+    } catch (const Poco::Exception &) {
+        return true;
+    }
+}
+
+} // namespace
+
 StreamCaller::StreamCaller(std::string id)
     : id_(std::move(id))
 {
@@ -32,9 +51,8 @@
     answer_.clear();
     parsed_ = 0;
     try {
-        constexpr int timeoutSeconds = 5;
         socket_ = Poco::Net::StreamSocket(Poco::Net::SocketAddress("127.0.0.1", port));
-        socket_.setReceiveTimeout(Poco::Timespan(timeoutSeconds, 0));
+        socket_.setReceiveTimeout(Poco::Timespan(pollTime));
         socket_.sendBytes(head.data(), static_cast<int>(head.size()));
     } catch (const Poco::Exception &) {
         answer_.clear(); // A host that is gone refuses the connection; the attempt has no answer.
@@ -58,10 +76,18 @@
 {
     std::array<char, 4'096> buffer{};
     int got = 0;
-    try {
-        got = socket_.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
-    } catch (const Poco::Exception &) {
-        return false; // A reset ends the attempt.
+    for (int polls = 0;; ++polls) {
+        try {
+            got = socket_.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+            break;
+        } catch (const Poco::TimeoutException &) {
+            // The connections of a host that a test has killed stay open in this process, unlike its port.
+            if (polls >= maxPolls || isGone(socket_.peerAddress())) {
+                return false;
+            }
+        } catch (const Poco::Exception &) {
+            return false; // A reset ends the attempt.
+        }
     }
     answer_.append(buffer.data(), static_cast<std::size_t>(std::max(got, 0)));
     parse();
