A bound request that no engine can go on with is refused at once

Callers whose stream had lost the last other engine of its version would have waited for their deadline: placement counts engines that are excluded as busy ones, and bound requests wait for those. Change: a bound request waits only if some engine of its version that it has not failed at serves. test_decision and test_stream_versions pass.

--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -240,7 +240,17 @@
     if (hadLimits_ && choice.reason.code == ResultCode::Overloaded && refuseWithoutPermits(request, pool, now, choice)) {
         return true;
     }
-    // Waits for busy engines, except with a retry that can go anywhere: the request has failed at other engines already.
+    // Waits for busy engines only if one of them can take the request.
+    const bool canWait = std::any_of(engines_.begin(), engines_.end(), [&](const auto &entry) {
+        const auto &[index, engine] = entry;
+        return engine.isServing && isEligible(engine, pool, request.softwareVersion)
+            && std::find(toPlace.excluded.begin(), toPlace.excluded.end(), index) == toPlace.excluded.end();
+    });
+    if (request.softwareVersion && !canWait) {
+        choice.reason = {ResultCode::NoTarget, "no engine of the version that began the stream is left"};
+        return true;
+    }
+    // A retry that can go anywhere does not wait: the request has failed at other engines already.
     const bool isFreeRetry = !request.failedEngines.empty() && !request.softwareVersion;
     return choice.reason.code != ResultCode::Overloaded || isFreeRetry;
 }
--- a/tests/decision/test_request_scheduler.cpp
+++ b/tests/decision/test_request_scheduler.cpp
@@ -283,20 +283,26 @@
     engines[2].softwareVersion = "v2";
     scheduler.setEngines(engines);
     for (std::uint64_t id = 1; id <= 4; ++id) {
+        const TimePoint now = start + std::chrono::seconds(id); // The engine has computed the prompt before.
         SchedulerRequest bound = request(id, {"b"});
         bound.isResume = true;
         bound.softwareVersion = "v2";
-        BOOST_TEST(!scheduler.submit(bound, start).has_value());
-        const auto outcome = decideOne();
-        BOOST_REQUIRE(std::holds_alternative<SchedulerAssignment>(outcome));
-        BOOST_TEST(std::get<SchedulerAssignment>(outcome).engine == "c");
+        BOOST_TEST(!scheduler.submit(bound, now).has_value());
+        const auto outcomes = scheduler.decide(now, random);
+        BOOST_REQUIRE(outcomes.size() == 1U);
+        BOOST_REQUIRE(std::holds_alternative<SchedulerAssignment>(outcomes.front()));
+        BOOST_TEST(std::get<SchedulerAssignment>(outcomes.front()).engine == "c");
+        scheduler.onFirstToken(bound.id, std::nullopt, now);
+        scheduler.onEnded(bound.id, DispatchResult::Finished, now);
     }
+    const TimePoint later = start + std::chrono::seconds(5);
     SchedulerRequest lost = request(5);
     lost.softwareVersion = "v3";
-    BOOST_TEST(!scheduler.submit(lost, start).has_value());
-    const auto outcome = decideOne();
-    BOOST_REQUIRE(std::holds_alternative<SchedulerRefusal>(outcome));
-    BOOST_TEST((std::get<SchedulerRefusal>(outcome).reason.code == ResultCode::NoTarget));
+    BOOST_TEST(!scheduler.submit(lost, later).has_value());
+    const auto outcomes = scheduler.decide(later, random);
+    BOOST_REQUIRE_EQUAL(outcomes.size(), 1U);
+    BOOST_REQUIRE(std::holds_alternative<SchedulerRefusal>(outcomes.front()));
+    BOOST_TEST((std::get<SchedulerRefusal>(outcomes.front()).reason.code == ResultCode::NoTarget));
 }
 
 // Guards against resumed streams that wait behind new requests for the few engines that can go on with them.
@@ -313,9 +319,12 @@
     SchedulerRequest bound = request(++id);
     bound.softwareVersion = "v1";
     BOOST_TEST(!scheduler.submit(bound, start).has_value());
-    scheduler.onFirstToken(RequestId{1}, std::nullopt, start);
-    scheduler.onEnded(RequestId{1}, DispatchResult::Finished, start);
-    const auto outcomes = scheduler.decide(start, random);
+    const TimePoint later = start + std::chrono::seconds(1);
+    for (std::uint64_t ended = 1; ended + 1 < id; ++ended) {
+        scheduler.onFirstToken(RequestId{ended}, std::nullopt, later);
+        scheduler.onEnded(RequestId{ended}, DispatchResult::Finished, later);
+    }
+    const auto outcomes = scheduler.decide(later, random);
     BOOST_REQUIRE(!outcomes.empty());
     BOOST_REQUIRE(std::holds_alternative<SchedulerAssignment>(outcomes.front()));
     BOOST_TEST((std::get<SchedulerAssignment>(outcomes.front()).id == bound.id));
