Blocked requests that any engine can take don't look for one of their version

Cause: choose() walked all engines, and for each the excluded ones, each time a request had to wait, though only requests bound to a version need it: work on the hot path of a saturated host. Change: the walk is made for bound requests alone; the exchange of the shared services names what it returns; one comment in the field's word.

--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -240,13 +240,13 @@
     if (hadLimits_ && choice.reason.code == ResultCode::Overloaded && refuseWithoutPermits(request, pool, now, choice)) {
         return true;
     }
-    // Waits for busy engines only if one of them can take the request.
-    const bool canWait = std::any_of(engines_.begin(), engines_.end(), [&](const auto &entry) {
+    const auto canTakeLater = [&](const auto &entry) {
         const auto &[index, engine] = entry;
         return engine.isServing && isEligible(engine, pool, request.softwareVersion)
             && std::find(toPlace.excluded.begin(), toPlace.excluded.end(), index) == toPlace.excluded.end();
-    });
-    if (request.softwareVersion && !canWait) {
+    };
+    // A bound request waits only for engines that can take it.
+    if (request.softwareVersion && std::none_of(engines_.begin(), engines_.end(), canTakeLater)) {
         choice.reason = {ResultCode::NoTarget, "no engine of the version that began the stream is left"};
         return true;
     }
--- a/decision/stream_origins.cpp
+++ b/decision/stream_origins.cpp
@@ -105,9 +105,9 @@
     for (const std::string &service : history_.skewedServices(now)) {
         shared.insert(shortDigest(service));
     }
-    shared.swap(shared_);
+    const std::set<std::uint32_t> earlier = std::exchange(shared_, std::move(shared));
     for (const std::uint32_t service : shared_) {
-        if (!shared.contains(service)) {
+        if (!earlier.contains(service)) {
             sendOwn(service); // Streams that began while there was one version.
         }
     }
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -304,8 +304,8 @@
     refreshTargets();
 }
 
-/// A host that left the fleet accepts requests until its configuration is no longer proven, and they run until their timeouts. A caller takes a
-/// stream up within the time that it waits for all of its attempts.
+/// A host that left the fleet accepts requests until its configuration is no longer proven, and they run until their timeouts. A caller resumes a
+/// stream within the time that it waits for all of its attempts.
 void Gateway::applyVersionLimits()
 {
     constexpr Duration minStreamRetention = std::chrono::seconds(10);
