--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -340,7 +340,8 @@
     const std::int64_t missed = std::max<std::int64_t>(1, std::int64_t{toPlace.promptTokens} - decision.expectedCachedTokens);
     const DispatchId dispatch = placement_.onDispatched(toPlace, decision, now);
     Engine &engine = engines_[decision.engine];
-    if (permits_ != nullptr && permits_->use(engine.target, now)) {
+    const bool usesPermit = permits_ != nullptr && permits_->use(engine.target, now);
+    if (usesPermit) {
         PermitUse &use = permitUse_[engine.model];
         use = {use.at(now) + 1, now};
     }
@@ -351,6 +352,7 @@
     assignment.expectedFirstTokenSeconds = decision.expectedFirstTokenSeconds;
     assignment.workTokens = decision.workTokens;
     assignment.newTokens = decision.newTokens;
+    assignment.usesPermit = usesPermit;
     if (decision.alternative) {
         assignment.alternative = placement_.engineName(decision.alternative->engine);
         assignment.alternativeFirstTokenSeconds = decision.alternative->expectedFirstTokenSeconds;
--- a/decision/request_scheduler.h
+++ b/decision/request_scheduler.h
@@ -79,6 +79,7 @@
     std::vector<std::string> holders = {}; ///< Other engines that are expected to hold more of the prompt in their caches.
     std::string alternative = {}; ///< The engine that was second in cost; empty if only one could take the request.
     double alternativeFirstTokenSeconds = 0; ///< Seconds from now, at `alternative`.
+    bool usesPermit = false; ///< Whether the target was limited, so that the request goes there with a permit.
 };
 
 /// The request is refused. It reached no engine in this attempt.
--- a/gateway/request_log.cpp
+++ b/gateway/request_log.cpp
@@ -36,14 +36,19 @@
               {"alternative_ms", toMillis(fromSeconds(sent.assignment.alternativeFirstTokenSeconds))},
               {"fetch", sent.fetchFrom},
               {"reused", sent.isReused},
+              {"permit", sent.assignment.usesPermit},
               {"configuration", intake_.configurationVersion()}});
 }
 
-void RequestLog::declined(std::string_view target, int status, bool isTargetMismatch) const
+void RequestLog::declined(std::string_view target, int status, bool isTargetMismatch, std::optional<double> rateLimit) const
 {
     writeLog(LogLevel::Info,
              "request_declined",
-             {{"request", intake_.caller().id}, {"target", target}, {"status", std::int64_t{status}}, {"other_target", isTargetMismatch}});
+             {{"request", intake_.caller().id},
+              {"target", target},
+              {"status", std::int64_t{status}},
+              {"other_target", isTargetMismatch},
+              {"rate_limit", rateLimit.value_or(-1)}});
 }
 
 void RequestLog::lost(std::string_view target, RequestFingerprint fingerprint, std::string_view why, bool wasNotSent, bool isAnswerStarted) const
--- a/gateway/request_log.h
+++ b/gateway/request_log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string_view>
 
 #include "core/result_code.h"
@@ -37,7 +38,8 @@
 
     /// The target responded that it did not run the request. `isTargetMismatch`: another target listens at the address, or the target has
     /// other weights than expected.
-    void declined(std::string_view target, int status, bool isTargetMismatch) const;
+    /// `rateLimit`: requests a second that all hosts may send to the target at this time; nothing if there is no limit.
+    void declined(std::string_view target, int status, bool isTargetMismatch, std::optional<double> rateLimit) const;
 
     /// The connection to the target failed or ended. `wasNotSent`: the target can't have received the request. `isAnswerStarted`: the head of
     /// a response was already sent to the caller.
