--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -71,7 +71,8 @@
     {"lovageloft_targets_known", "Targets that the store lists."},
     {"lovageloft_targets_overdue_seconds", "For how long a change of the targets in use has been due and not made."},
     {"lovageloft_send_permits_total", "Permits to send to targets that state a rate limit, by result."},
-    {"lovageloft_target_slots_total", "Slots at targets that state a rejection limit: granted by their homes, given back unused, or taken from this host\'s own share as no home replies."},
+    {"lovageloft_target_slots_total",
+     "Slots at targets that state a rejection limit: granted by their homes, given back unused, or taken from this host\'s own share as no home replies."},
     {"lovageloft_targets_stating", "Statements of targets in force, of all kinds."},
     {"lovageloft_weights_age_seconds", "Time since the newest weights were named, as this host reckons it; 0 before any."},
 });
--- a/gateway/fleet_link.cpp
+++ b/gateway/fleet_link.cpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <utility>
 
+#include "core/log.h"
 #include "gateway/gateway.h"
 
 namespace Lovageloft
@@ -156,7 +157,8 @@
 void FleetLink::reportTargetLoss(std::string_view targetId, const CrashReport &report)
 {
     ++lossChecks_[report.request].running;
-    gateway_.paths().checkLoss(targetId, [this, report](bool isLinkLost) {
+    gateway_.paths().checkLoss(targetId, [this, report, target = std::string(targetId)](bool isLinkLost) {
+        writeLog(LogLevel::Info, "target_loss_checked", {{"target", target}, {"fingerprint", fingerprintText(report.request)}, {"link_lost", isLinkLost}});
         if (isLinkLost) {
             onLossChecked(report.request);
             return;
--- a/gateway/request_log.cpp
+++ b/gateway/request_log.cpp
@@ -1,11 +1,29 @@
 #include "gateway/request_log.h"
 
+#include <algorithm>
+
 #include "core/digest.h"
 #include "core/log.h"
 
 namespace Lovageloft
 {
 
+namespace
+{
+
+/// Hashes of the parts that other prompts may share, separated by commas; those after the eighth are left out.
+std::string sharedPartsText(std::span<const PromptPart> parts)
+{
+    constexpr std::size_t maxParts = 8;
+    std::string text;
+    for (const PromptPart &part : parts.first(std::min(parts.size(), maxParts))) {
+        text += (text.empty() ? "" : ",") + hexText(part.hash);
+    }
+    return text;
+}
+
+} // namespace
+
 RequestLog::RequestLog(const RequestIntake &intake)
     : intake_(intake)
 {
@@ -51,16 +69,18 @@
               {"rate_limit", rateLimit.value_or(-1)}});
 }
 
-void RequestLog::lost(std::string_view target, RequestFingerprint fingerprint, std::string_view why, bool wasNotSent, bool isAnswerStarted) const
+void RequestLog::lost(const Lost &lost) const
 {
     writeLog(LogLevel::Info,
              "target_lost",
              {{"request", intake_.caller().id},
-              {"target", target},
-              {"fingerprint", fingerprintText(fingerprint)},
-              {"why", why},
-              {"not_sent", wasNotSent},
-              {"relayed", isAnswerStarted}});
+              {"target", lost.target},
+              {"fingerprint", fingerprintText(lost.fingerprint)},
+              {"parts", sharedPartsText(intake_.sharedParts())},
+              {"why", lost.why},
+              {"not_sent", lost.isNotSent},
+              {"answered", lost.hasAnswered},
+              {"relayed", lost.isAnswerStarted}});
 }
 
 void RequestLog::stalled(std::string_view target, Duration silence) const
--- a/gateway/request_log.h
+++ b/gateway/request_log.h
@@ -41,9 +41,18 @@
     /// `rateLimit`: requests a second that all hosts may send to the target at this time; nothing if there is no limit.
     void declined(std::string_view target, int status, bool isTargetMismatch, std::optional<double> rateLimit) const;
 
-    /// The connection to the target failed or ended. `wasNotSent`: the target can't have received the request. `isAnswerStarted`: the head of
-    /// a response was already sent to the caller.
-    void lost(std::string_view target, RequestFingerprint fingerprint, std::string_view why, bool wasNotSent, bool isAnswerStarted) const;
+    /// A connection to a target that failed or ended.
+    struct Lost
+    {
+        std::string_view target;
+        RequestFingerprint fingerprint{};
+        std::string_view why;
+        bool isNotSent = false; ///< No byte of the request can have arrived.
+        bool hasAnswered = false; ///< The target had begun to write an answer.
+        bool isAnswerStarted = false; ///< The caller has part of an answer.
+    };
+
+    void lost(const Lost &lost) const;
 
     /// The target has not responded for so long that another target is tried.
     void stalled(std::string_view target, Duration silence) const;
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -353,7 +353,7 @@
         onNotExecuted();
         return;
     }
-    log_.lost(targetId_, fingerprint_, why, loss == TargetLoss::NotSent, isAnswerStarted_);
+    log_.lost({targetId_, fingerprint_, why, loss == TargetLoss::NotSent, isFirstTokenReported_, isAnswerStarted_});
     if (loss == TargetLoss::MayHaveRun && !isFirstTokenReported_) {
         gateway_.fleet().reportTargetLoss(sentTo_, {fingerprint_, targetIncarnationDigest_});
     }
@@ -393,10 +393,10 @@
     const auto self = shared_from_this();
     closeConnection();
     mayHaveRun_ = true;
+    log_.lost({targetId_, fingerprint_, why, false, isFirstTokenReported_, isAnswerStarted_});
     endDispatch(DispatchResult::Cancelled);
     events_.dropPartial();
     bufferedBody_.clear();
-    log_.lost(targetId_, fingerprint_, why, false, isAnswerStarted_);
     if (isRetryable()) {
         retryElsewhere();
     } else {
