--- a/coordination/crash_quarantine.cpp
+++ b/coordination/crash_quarantine.cpp
@@ -19,12 +19,12 @@
 
 } // namespace
 
-void CrashQuarantine::noteAnswered(RequestFingerprint request)
+void CrashQuarantine::noteAnswered(RequestFeature request)
 {
     answered_[static_cast<std::uint64_t>(request) % answeredSlots] = request;
 }
 
-bool CrashQuarantine::isSuspect(RequestFingerprint request) const
+bool CrashQuarantine::isSuspect(RequestFeature request) const
 {
     return answered_[static_cast<std::uint64_t>(request) % answeredSlots] != request;
 }
@@ -48,7 +48,7 @@
     return suspect.crashes >= maxCrashes;
 }
 
-bool CrashQuarantine::add(RequestFingerprint request, TimePoint now)
+bool CrashQuarantine::add(RequestFeature request, TimePoint now)
 {
     if (!isSuspect(request) || contains(request, now)) {
         return false;
@@ -63,7 +63,7 @@
     return true;
 }
 
-bool CrashQuarantine::contains(RequestFingerprint request, TimePoint now) const
+bool CrashQuarantine::contains(RequestFeature request, TimePoint now) const
 {
     const auto found = quarantined_.find(request);
     return found != quarantined_.end() && now < found->second;
--- a/coordination/crash_quarantine.h
+++ b/coordination/crash_quarantine.h
@@ -7,7 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "coordination/request_fingerprint.h"
+#include "coordination/request_feature.h"
 #include "core/clock.h"
 
 namespace Lovageloft
@@ -16,7 +16,7 @@
 /// Reports that a target crashed, or closed the connection, before it began to answer a request.
 struct CrashReport
 {
-    RequestFingerprint request{};
+    RequestFeature request{};
     std::uint64_t target = 0; ///< Hash of the target's name and start time.
 };
 
@@ -34,19 +34,19 @@
     static constexpr std::size_t maxCrashes = 3;
 
     /// Records that this host received an answer to the request, or the beginning of one.
-    void noteAnswered(RequestFingerprint request);
+    void noteAnswered(RequestFeature request);
 
     /// Whether the loss of a target with this request is to be reported to its home hosts: true unless this host recently received an answer
     /// to the request, of which up to 8,192 are remembered.
-    bool isSuspect(RequestFingerprint request) const;
+    bool isSuspect(RequestFeature request) const;
 
     /// Counts a crash on a home host; returns whether the request has now crashed `maxCrashes` different targets.
     bool countCrash(const CrashReport &report, TimePoint now);
 
     /// Quarantines a request; returns false if it was quarantined already or is known to be harmless.
-    bool add(RequestFingerprint request, TimePoint now);
+    bool add(RequestFeature request, TimePoint now);
 
-    bool contains(RequestFingerprint request, TimePoint now) const;
+    bool contains(RequestFeature request, TimePoint now) const;
 
     /// Number of requests in quarantine.
     std::size_t size(TimePoint now) const;
@@ -63,11 +63,11 @@
 
     static constexpr std::size_t answeredSlots = 8'192;
 
-    std::vector<RequestFingerprint> answered_ = std::vector<RequestFingerprint>(answeredSlots); ///< Indexed by the lower bits; newer ones replace older ones.
-    std::unordered_map<RequestFingerprint, Suspect> suspects_;
-    std::deque<RequestFingerprint> suspectOrder_; ///< In the order of the first crash.
-    std::unordered_map<RequestFingerprint, TimePoint> quarantined_; ///< Time at which the quarantine ends.
-    std::deque<RequestFingerprint> quarantineOrder_;
+    std::vector<RequestFeature> answered_ = std::vector<RequestFeature>(answeredSlots); ///< Indexed by the lower bits; newer ones replace older ones.
+    std::unordered_map<RequestFeature, Suspect> suspects_;
+    std::deque<RequestFeature> suspectOrder_; ///< In the order of the first crash.
+    std::unordered_map<RequestFeature, TimePoint> quarantined_; ///< Time at which the quarantine ends.
+    std::deque<RequestFeature> quarantineOrder_;
 };
 
 } // namespace Lovageloft
--- a/gateway/crash_guard.cpp
+++ b/gateway/crash_guard.cpp
@@ -25,12 +25,12 @@
     candidates_ = RendezvousNames(candidates);
 }
 
-void CrashGuard::noteAnswered(RequestFingerprint request)
+void CrashGuard::noteAnswered(RequestFeature request)
 {
     quarantine_.noteAnswered(request);
 }
 
-bool CrashGuard::isQuarantined(RequestFingerprint request, TimePoint now) const
+bool CrashGuard::isQuarantined(RequestFeature request, TimePoint now) const
 {
     return quarantine_.contains(request, now);
 }
@@ -46,7 +46,7 @@
         return;
     }
     onReport(host_, report, now);
-    for (const std::string &home : candidates_.winners(fingerprintText(report.request), homesPerRequest)) {
+    for (const std::string &home : candidates_.winners(featureText(report.request), homesPerRequest)) {
         if (home != host_) {
             network_.report(home, report);
         }
@@ -59,7 +59,7 @@
         return;
     }
     if (quarantine_.add(report.request, now)) {
-        writeLog(LogLevel::Warning, "request_quarantined", {{"fingerprint", fingerprintText(report.request)}, {"counted", true}});
+        writeLog(LogLevel::Warning, "request_quarantined", {{"fingerprint", featureText(report.request)}, {"counted", true}});
         network_.broadcast(report.request);
         network_.record(report.request);
     } else if (from != host_ && quarantine_.contains(report.request, now)) {
@@ -67,10 +67,10 @@
     }
 }
 
-void CrashGuard::onQuarantined(RequestFingerprint request, TimePoint now)
+void CrashGuard::onQuarantined(RequestFeature request, TimePoint now)
 {
     if (quarantine_.add(request, now)) {
-        writeLog(LogLevel::Warning, "request_quarantined", {{"fingerprint", fingerprintText(request)}, {"counted", false}});
+        writeLog(LogLevel::Warning, "request_quarantined", {{"fingerprint", featureText(request)}, {"counted", false}});
     }
 }
 
--- a/gateway/crash_guard.h
+++ b/gateway/crash_guard.h
@@ -23,9 +23,9 @@
     struct Network
     {
         std::function<void(const std::string &host, const CrashReport &)> report; ///< Reports a crash to a home host.
-        std::function<void(const std::string &host, RequestFingerprint)> notify; ///< Tells one host that the request is quarantined.
-        std::function<void(RequestFingerprint)> broadcast; ///< Tells all hosts that the request is quarantined.
-        std::function<void(RequestFingerprint)> record; ///< Writes the quarantined request to the store.
+        std::function<void(const std::string &host, RequestFeature)> notify; ///< Tells one host that the request is quarantined.
+        std::function<void(RequestFeature)> broadcast; ///< Tells all hosts that the request is quarantined.
+        std::function<void(RequestFeature)> record; ///< Writes the quarantined request to the store.
     };
 
     CrashGuard(std::string host, Network network);
@@ -34,8 +34,8 @@
     void setHosts(const std::vector<std::string> &candidates);
 
     /// A target responded to the request, at least in part: it will not be reported or quarantined.
-    void noteAnswered(RequestFingerprint request);
-    bool isQuarantined(RequestFingerprint request, TimePoint now) const;
+    void noteAnswered(RequestFeature request);
+    bool isQuarantined(RequestFeature request, TimePoint now) const;
     std::size_t quarantinedCount(TimePoint now) const;
 
     /// A target that was executing the request was lost before it began to respond.
@@ -45,7 +45,7 @@
     void onReport(const std::string &from, const CrashReport &report, TimePoint now);
 
     /// Another host or the store reports that the request is quarantined.
-    void onQuarantined(RequestFingerprint request, TimePoint now);
+    void onQuarantined(RequestFeature request, TimePoint now);
 
 private:
     std::string host_;
--- a/gateway/fleet_link.cpp
+++ b/gateway/fleet_link.cpp
@@ -33,9 +33,9 @@
     , sendTokenRequest_([this](const std::string &host, const TokenRequest &request) { socket_.send(host, request); })
     , crashes_(hostName_,
                {[this](const std::string &host, const CrashReport &report) { socket_.send(host, report); },
-                [this](const std::string &host, RequestFingerprint request) { socket_.send(host, request); },
-                [this](RequestFingerprint request) { socket_.broadcast(request); },
-                [this](RequestFingerprint request) { recordQuarantine_(request); }})
+                [this](const std::string &host, RequestFeature request) { socket_.send(host, request); },
+                [this](RequestFeature request) { socket_.broadcast(request); },
+                [this](RequestFeature request) { recordQuarantine_(request); }})
 {
 }
 
@@ -149,7 +149,7 @@
     }
 }
 
-void FleetLink::setQuarantineRecorder(std::function<void(RequestFingerprint)> recorder)
+void FleetLink::setQuarantineRecorder(std::function<void(RequestFeature)> recorder)
 {
     recordQuarantine_ = std::move(recorder);
 }
@@ -158,7 +158,7 @@
 {
     ++lossChecks_[report.request].running;
     gateway_.paths().checkLoss(targetId, [this, report, target = std::string(targetId)](bool isLinkLost) {
-        writeLog(LogLevel::Info, "target_loss_checked", {{"target", target}, {"fingerprint", fingerprintText(report.request)}, {"link_lost", isLinkLost}});
+        writeLog(LogLevel::Info, "target_loss_checked", {{"target", target}, {"fingerprint", featureText(report.request)}, {"link_lost", isLinkLost}});
         if (isLinkLost) {
             onLossChecked(report.request);
             return;
@@ -169,7 +169,7 @@
     });
 }
 
-void FleetLink::onLossChecked(RequestFingerprint request)
+void FleetLink::onLossChecked(RequestFeature request)
 {
     const auto checks = lossChecks_.find(request);
     if (checks == lossChecks_.end() || --checks->second.running > 0) {
@@ -182,7 +182,7 @@
     }
 }
 
-void FleetLink::whenLossesChecked(RequestFingerprint request, std::function<void()> action)
+void FleetLink::whenLossesChecked(RequestFeature request, std::function<void()> action)
 {
     const auto checks = lossChecks_.find(request);
     if (checks == lossChecks_.end()) {
@@ -220,7 +220,7 @@
     crashes_.onReport(host, report, BootClock::now());
 }
 
-void FleetLink::onQuarantined(RequestFingerprint request)
+void FleetLink::onQuarantined(RequestFeature request)
 {
     crashes_.onQuarantined(request, BootClock::now());
 }
--- a/gateway/fleet_link.h
+++ b/gateway/fleet_link.h
@@ -70,14 +70,14 @@
     void announceCacheStore(const std::string &address, bool isAlive);
 
     /// Sets the function that records a quarantined request for hosts that start later. Must be called before the event loop runs.
-    void setQuarantineRecorder(std::function<void(RequestFingerprint)> recorder);
+    void setQuarantineRecorder(std::function<void(RequestFeature)> recorder);
 
     /// A target was lost before it began to answer a request. Counts as a crash unless only this host's link to the target was lost.
     void reportTargetLoss(std::string_view targetId, const CrashReport &report);
 
     /// Calls `action` once no loss of a target with this request is being checked any more, at once if none is. A caller that repeats such a request
     /// meanwhile would have it end another target before the loss counts.
-    void whenLossesChecked(RequestFingerprint request, std::function<void()> action);
+    void whenLossesChecked(RequestFeature request, std::function<void()> action);
 
     /// Tracks requests that crash their targets.
     CrashGuard &crashes();
@@ -131,7 +131,7 @@
         std::vector<std::function<void()>> waiting;
     };
 
-    void onLossChecked(RequestFingerprint request);
+    void onLossChecked(RequestFeature request);
     void onDispatchNotice(const DispatchNotice &notice) override;
     void onLoadingNotice(const LoadingNotice &notice) override;
     void onTokenRequest(const std::string &host, const TokenRequest &request) override;
@@ -156,7 +156,7 @@
     void onWeightsRequest(const std::string &host) override;
     void onWeightsAge(const WeightsAge &age) override;
     void onCrashReport(const std::string &host, const CrashReport &report) override;
-    void onQuarantined(RequestFingerprint request) override;
+    void onQuarantined(RequestFeature request) override;
     bool mayHaveStaleMessages() const override;
     void scheduleTokenTimeout();
     void noteSaved(const DispatchNotice &notice);
@@ -168,14 +168,14 @@
     TeamBudget budget_;
     boost::asio::steady_timer tokenTimer_;
     TeamBudget::RequestSender sendTokenRequest_;
-    std::function<void(RequestFingerprint)> recordQuarantine_ = [](RequestFingerprint) {};
+    std::function<void(RequestFeature)> recordQuarantine_ = [](RequestFeature) {};
     CrashGuard crashes_;
     std::vector<std::string> otherHosts_; ///< Names of all other hosts.
     std::size_t nextQueriedHost_ = 0; ///< Counter; modulo the size of otherHosts_ it is the next host to query.
     RelayedStore *relayedStore_ = nullptr;
     std::function<void(const std::string &targetId)> orderListener_ = [](const std::string &) {};
 
-    std::map<RequestFingerprint, LossChecks> lossChecks_; ///< By the request that the lost targets had.
+    std::map<RequestFeature, LossChecks> lossChecks_; ///< By the request that the lost targets had.
     TimePoint nextHeartbeat_;
     TimePoint heardRelayAt_; ///< When a relay's heartbeat or notice was last received.
 };
--- a/gateway/host_duty.cpp
+++ b/gateway/host_duty.cpp
@@ -83,7 +83,7 @@
     return watchStore();
 }
 
-void HostDuty::recordQuarantine(RequestFingerprint request)
+void HostDuty::recordQuarantine(RequestFeature request)
 {
     const std::lock_guard lock(mutex_);
     if (!options_.quarantinePrefix.empty() && unwrittenQuarantines_.size() < maxUnwrittenQuarantines) {
@@ -94,7 +94,7 @@
 /// Both home hosts of a request write its key, so a conflict counts as success.
 void HostDuty::writeQuarantines()
 {
-    std::vector<RequestFingerprint> requests;
+    std::vector<RequestFeature> requests;
     {
         const std::lock_guard lock(mutex_);
         requests.swap(unwrittenQuarantines_);
@@ -103,10 +103,10 @@
         return;
     }
     const StoreLeaseReply lease = store_.grantLease(quarantineTimeToLive);
-    for (const RequestFingerprint request : requests) {
+    for (const RequestFeature request : requests) {
         StoreReply reply;
         if (lease.status == StoreStatus::Ok) {
-            reply = store_.compareAndSwap(options_.quarantinePrefix + fingerprintText(request), 0, {}, lease.leaseId);
+            reply = store_.compareAndSwap(options_.quarantinePrefix + featureText(request), 0, {}, lease.leaseId);
         }
         if (reply.status != StoreStatus::Ok && reply.status != StoreStatus::Conflict) {
             recordQuarantine(request);
@@ -120,7 +120,7 @@
     std::uint64_t value = 0;
     const auto [end, error] = std::from_chars(name.data(), name.data() + name.size(), value, hexadecimal);
     if (error == std::errc() && end == name.data() + name.size()) {
-        options_.onQuarantined(RequestFingerprint{value});
+        options_.onQuarantined(RequestFeature{value});
     }
 }
 
--- a/gateway/host_duty.h
+++ b/gateway/host_duty.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "coordination/request_fingerprint.h"
+#include "coordination/request_feature.h"
 #include "coordination/store.h"
 #include "core/settings.h"
 #include "gateway/duty.h"
@@ -45,14 +45,14 @@
         /// Called on the duty's thread with the hosts that may get fleet-wide tasks, and the total number of hosts.
         std::function<void(const std::vector<std::string> &candidates, std::size_t hosts)> onHosts;
         /// Called on the duty's thread with each quarantined request that the store holds.
-        std::function<void(RequestFingerprint)> onQuarantined = [](RequestFingerprint) {};
+        std::function<void(RequestFeature)> onQuarantined = [](RequestFeature) {};
     };
 
     HostDuty(Store &store, Gateway &gateway, Options options);
 
     /// Queues a quarantined request to be written to the store for hosts that start later. Its key expires after 10 minutes. Does nothing
     /// while 256 requests are queued, or if `quarantinePrefix` is empty. Thread-safe.
-    void recordQuarantine(RequestFingerprint request);
+    void recordQuarantine(RequestFeature request);
 
     /// Queues serving versions, by service, to be written to the store. A version that another host has recorded meanwhile is not replaced but
     /// passed to the gateway. Thread-safe.
@@ -97,7 +97,7 @@
     double share_ = 0;
     TimePoint shareChangedAt_;
     std::mutex mutex_;
-    std::vector<RequestFingerprint> unwrittenQuarantines_; ///< Not yet written to the store; guarded by `mutex_`.
+    std::vector<RequestFeature> unwrittenQuarantines_; ///< Not yet written to the store; guarded by `mutex_`.
     std::map<std::string, std::string> unwrittenVersions_; ///< By service; guarded by `mutex_`.
     std::vector<std::string> unwrittenSkew_; ///< Names of services; guarded by `mutex_`.
     Duration skewTimeToLive_{}; ///< Of `unwrittenSkew_`; guarded by `mutex_`.
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -60,7 +60,7 @@
     return {boost::asio::ip::address_v4(static_cast<std::uint32_t>(address >> portBits)), static_cast<std::uint16_t>(address & portMask)};
 }
 
-std::string encodeQuarantine(RequestFingerprint request)
+std::string encodeQuarantine(RequestFeature request)
 {
     capnp::MallocMessageBuilder message;
     message.initRoot<Datagram>().setQuarantine(static_cast<std::uint64_t>(request));
@@ -209,12 +209,12 @@
     sendTo(host, encodeDatagram(message));
 }
 
-void PeerSocket::send(const std::string &host, RequestFingerprint quarantined)
+void PeerSocket::send(const std::string &host, RequestFeature quarantined)
 {
     sendTo(host, encodeQuarantine(quarantined));
 }
 
-void PeerSocket::broadcast(RequestFingerprint quarantined)
+void PeerSocket::broadcast(RequestFeature quarantined)
 {
     broadcastBytes(encodeQuarantine(quarantined));
 }
@@ -508,7 +508,7 @@
         }
         case Datagram::CRASH_REPORT: {
             const auto report = datagram.getCrashReport();
-            events_.onCrashReport(host, {RequestFingerprint{report.getRequest()}, report.getTarget()});
+            events_.onCrashReport(host, {RequestFeature{report.getRequest()}, report.getTarget()});
             break;
         }
         case Datagram::ROLLOUT_REPORT: {
@@ -562,7 +562,7 @@
             break;
         }
         case Datagram::QUARANTINE: {
-            events_.onQuarantined(RequestFingerprint{datagram.getQuarantine()});
+            events_.onQuarantined(RequestFeature{datagram.getQuarantine()});
             break;
         }
         case Datagram::TOKEN_REPLY: {
--- a/gateway/peer_socket.h
+++ b/gateway/peer_socket.h
@@ -158,7 +158,7 @@
     virtual void onCrashReport(const std::string &host, const CrashReport &report) = 0;
 
     /// The request must not be sent to any target any more.
-    virtual void onQuarantined(RequestFingerprint request) = 0;
+    virtual void onQuarantined(RequestFeature request) = 0;
 
     virtual void onPermitRequest(const std::string &host, const PermitRequest &request) = 0;
     virtual void onPermitReply(const PermitReply &reply) = 0;
@@ -209,7 +209,7 @@
     void broadcast(const CacheStoreNotice &notice);
 
     /// Tells all other hosts that a request is quarantined, see PeerEvents::onQuarantined().
-    void broadcast(RequestFingerprint quarantined);
+    void broadcast(RequestFeature quarantined);
 
     /// Tells all other hosts what targets have begun or ceased to state.
     void broadcast(std::span<const StatementTable::Update> updates);
@@ -253,7 +253,7 @@
     void send(const std::string &host, const RolloutReply &reply);
 
     /// Tells one host that a request is quarantined.
-    void send(const std::string &host, RequestFingerprint quarantined);
+    void send(const std::string &host, RequestFeature quarantined);
 
 private:
     using Endpoint = boost::asio::ip::udp::endpoint;
--- a/gateway/request_intake.cpp
+++ b/gateway/request_intake.cpp
@@ -102,14 +102,14 @@
     return team_ != nullptr && team_->isIsolated ? team_->name : std::string();
 }
 
-RequestFingerprint RequestIntake::fingerprint(std::string_view body) const
+RequestFeature RequestIntake::fingerprint(std::string_view body) const
 {
     std::uint64_t digest = 0;
     for (const std::string_view part :
          {std::string_view(head_.method), head_.find("Host"), std::string_view(head_.path), std::string_view(caller_.key), body}) {
         digest = XXH3_64bits_withSeed(part.data(), part.size(), digest);
     }
-    return RequestFingerprint{digest};
+    return RequestFeature{digest};
 }
 
 double RequestIntake::chargedTokens() const
--- a/gateway/request_intake.h
+++ b/gateway/request_intake.h
@@ -5,7 +5,7 @@
 #include <span>
 #include <string>
 
-#include "coordination/request_fingerprint.h"
+#include "coordination/request_feature.h"
 #include "decision/request_scheduler.h"
 #include "gateway/protocol.h"
 #include "gateway/routing_table.h"
@@ -56,7 +56,7 @@
     std::string cacheScope() const;
 
     /// Digest of method, Host header, path, key and body, so the same for each attempt of a caller. Call it after `run` has succeeded.
-    RequestFingerprint fingerprint(std::string_view body) const;
+    RequestFeature fingerprint(std::string_view body) const;
 
     /// Tokens that the team is charged: prompt and output tokens, or the team's fixed charge for calls without a prompt. Requires a team.
     double chargedTokens() const;
--- a/gateway/request_log.cpp
+++ b/gateway/request_log.cpp
@@ -75,7 +75,7 @@
              "target_lost",
              {{"request", intake_.caller().id},
               {"target", lost.target},
-              {"fingerprint", fingerprintText(lost.fingerprint)},
+              {"fingerprint", featureText(lost.fingerprint)},
               {"parts", sharedPartsText(intake_.sharedParts())},
               {"why", lost.why},
               {"not_sent", lost.isNotSent},
--- a/gateway/request_log.h
+++ b/gateway/request_log.h
@@ -45,7 +45,7 @@
     struct Lost
     {
         std::string_view target;
-        RequestFingerprint fingerprint{};
+        RequestFeature fingerprint{};
         std::string_view why;
         bool isNotSent = false; ///< No byte of the request can have arrived.
         bool hasAnswered = false; ///< The target had begun to write an answer.
--- a/gateway/routed_request.h
+++ b/gateway/routed_request.h
@@ -150,7 +150,7 @@
     RequestLog log_;
     RolloutExposure exposure_;
     StreamBinding binding_;
-    RequestFingerprint fingerprint_{};
+    RequestFeature fingerprint_{};
     std::uint64_t targetIncarnationDigest_ = 0; ///< Digest of the current target's id and incarnation.
     double chargedTokens_ = 0; ///< Tokens consumed from the team's rate.
     Phase phase_ = Phase::Accepting;
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -150,7 +150,7 @@
     gateway_.fleet().setRelayedStore(relayedStore_);
     gateway_.setWeightsListener([this](const std::vector<PublishedWeights> &weights) { weightsDuty_.setPublishedWeights(weights); });
     gateway_.setControlListener([this](bool canOrder) { weightsDuty_.setCanOrder(canOrder); });
-    gateway_.fleet().setQuarantineRecorder([this](RequestFingerprint request) { hostDuty_.recordQuarantine(request); });
+    gateway_.fleet().setQuarantineRecorder([this](RequestFeature request) { hostDuty_.recordQuarantine(request); });
     gateway_.versions().setRecorder([this](const auto &versions) { hostDuty_.recordServingVersions(versions); });
     gateway_.streams().setSkewRecorder([this](const auto &services, Duration timeToLive) { hostDuty_.recordSkew(services, timeToLive); });
     gateway_.rollouts().setWriter([this](const std::string &service, const RolloutRecord &record) { rolloutDuty_.write(service, record); });
@@ -188,7 +188,7 @@
     options.leaderKey = leaderKey;
     options.onLeader = [this](const std::string &host) { weightsDuty_.setLeader(host); };
     options.onHosts = [this](const std::vector<std::string> &candidates, std::size_t hosts) { weightsDuty_.setHosts(candidates, hosts); };
-    options.onQuarantined = [this](RequestFingerprint request) {
+    options.onQuarantined = [this](RequestFeature request) {
         gateway_.post([request](Gateway &gateway) { gateway.fleet().crashes().onQuarantined(request, BootClock::now()); });
     };
     return options;
--- a/tests/coordination/test_crash_quarantine.cpp
+++ b/tests/coordination/test_crash_quarantine.cpp
@@ -9,7 +9,7 @@
 {
 
 const TimePoint start{1h};
-constexpr RequestFingerprint request{42};
+constexpr RequestFeature request{42};
 
 } // namespace
 
@@ -24,7 +24,7 @@
     BOOST_TEST(!quarantine.countCrash({request, 2}, start));
     BOOST_TEST(quarantine.countCrash({request, 3}, start));
     BOOST_TEST(quarantine.countCrash({request, 1}, start));
-    BOOST_TEST(!quarantine.countCrash({RequestFingerprint{43}, 1}, start));
+    BOOST_TEST(!quarantine.countCrash({RequestFeature{43}, 1}, start));
 }
 
 // Guards against refusing requests that happened to run on targets that crashed for another reason.
@@ -35,9 +35,9 @@
     BOOST_TEST(!quarantine.isSuspect(request));
     BOOST_TEST(!quarantine.add(request, start));
     BOOST_TEST(!quarantine.contains(request, start));
-    BOOST_TEST(quarantine.add(RequestFingerprint{43}, start));
-    BOOST_TEST(!quarantine.add(RequestFingerprint{43}, start));
-    BOOST_TEST(quarantine.contains(RequestFingerprint{43}, start));
+    BOOST_TEST(quarantine.add(RequestFeature{43}, start));
+    BOOST_TEST(!quarantine.add(RequestFeature{43}, start));
+    BOOST_TEST(quarantine.contains(RequestFeature{43}, start));
 }
 
 BOOST_AUTO_TEST_CASE(crashesFarApartAreNotCountedTogetherAndQuarantineExpires)
@@ -59,14 +59,14 @@
 {
     CrashQuarantine quarantine;
     for (std::uint64_t i = 1; i <= 20'000; ++i) {
-        quarantine.countCrash({RequestFingerprint{i}, 1}, start);
-        quarantine.add(RequestFingerprint{i}, start);
+        quarantine.countCrash({RequestFeature{i}, 1}, start);
+        quarantine.add(RequestFeature{i}, start);
     }
     BOOST_TEST(quarantine.size(start) == 1'024U);
-    BOOST_TEST(quarantine.contains(RequestFingerprint{20'000}, start));
-    BOOST_TEST(!quarantine.contains(RequestFingerprint{1}, start));
-    BOOST_TEST(!quarantine.countCrash({RequestFingerprint{1}, 2}, start)); // Its first crash was evicted.
-    BOOST_TEST(!quarantine.countCrash({RequestFingerprint{1}, 3}, start));
+    BOOST_TEST(quarantine.contains(RequestFeature{20'000}, start));
+    BOOST_TEST(!quarantine.contains(RequestFeature{1}, start));
+    BOOST_TEST(!quarantine.countCrash({RequestFeature{1}, 2}, start)); // Its first crash was evicted.
+    BOOST_TEST(!quarantine.countCrash({RequestFeature{1}, 3}, start));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/gateway/test_crash_guard.cpp
+++ b/tests/gateway/test_crash_guard.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-constexpr RequestFingerprint crashingRequest{4'711};
+constexpr RequestFeature crashingRequest{4'711};
 
 /// Simulates hosts that exchange datagrams, which may be lost. Some hosts may be unreachable. All get the same request, which crashes its
 /// target each time.
@@ -42,12 +42,12 @@
                                                                                  guard->onReport(name, report, now);
                                                                              }
                                                                          },
-                                                                         [this](const std::string &to, RequestFingerprint request) {
+                                                                         [this](const std::string &to, RequestFeature request) {
                                                                              if (CrashGuard *guard = reachableGuard(to)) {
                                                                                  guard->onQuarantined(request, now);
                                                                              }
                                                                          },
-                                                                         [this, name](RequestFingerprint request) {
+                                                                         [this, name](RequestFeature request) {
                                                                              for (const std::string &to : names_) {
                                                                                  CrashGuard *guard = to == name ? nullptr : reachableGuard(to);
                                                                                  if (guard != nullptr) {
@@ -55,9 +55,9 @@
                                                                                  }
                                                                              }
                                                                          },
-                                                                         [this](RequestFingerprint request) { recorded_.insert(request); }});
+                                                                         [this](RequestFeature request) { recorded_.insert(request); }});
         guards_[name]->setHosts(names_);
-        for (const RequestFingerprint request : recorded_) {
+        for (const RequestFeature request : recorded_) {
             guards_[name]->onQuarantined(request, now);
         }
     }
@@ -117,7 +117,7 @@
     std::vector<std::string> names_;
     std::map<std::string, std::unique_ptr<CrashGuard>> guards_;
     std::set<std::string> unreachable_;
-    std::set<RequestFingerprint> recorded_;
+    std::set<RequestFeature> recorded_;
     std::uint64_t lastTarget_ = 0;
 };
 
@@ -157,9 +157,9 @@
     std::vector<std::string> notified;
     CrashGuard home("home",
                     {[](const std::string &, const CrashReport &) {},
-                     [&](const std::string &host, RequestFingerprint) { notified.push_back(host); },
-                     [](RequestFingerprint) {},
-                     [](RequestFingerprint) {}});
+                     [&](const std::string &host, RequestFeature) { notified.push_back(host); },
+                     [](RequestFeature) {},
+                     [](RequestFeature) {}});
     for (std::uint64_t target = 1; target <= 4; ++target) {
         home.onReport("other", {crashingRequest, target}, fleet.now);
     }
@@ -171,9 +171,9 @@
     int reports = 0;
     CrashGuard guard("a",
                      {[&](const std::string &, const CrashReport &) { ++reports; },
-                      [](const std::string &, RequestFingerprint) {},
-                      [](RequestFingerprint) {},
-                      [](RequestFingerprint) {}});
+                      [](const std::string &, RequestFeature) {},
+                      [](RequestFeature) {},
+                      [](RequestFeature) {}});
     guard.setHosts({"b", "c"});
     guard.noteAnswered(crashingRequest);
     guard.onTargetLost({crashingRequest, 1}, TimePoint{1h});
--- a/tests/platform/test_datagrams.cpp
+++ b/tests/platform/test_datagrams.cpp
@@ -172,7 +172,7 @@
         ++reports;
     }
 
-    void onQuarantined(RequestFingerprint /*request*/) override
+    void onQuarantined(RequestFeature /*request*/) override
     {
     }
 
--- a/tests/platform/test_host_listed_again.cpp
+++ b/tests/platform/test_host_listed_again.cpp
@@ -132,22 +132,22 @@
     HostDuty::Options listen(HostDuty::Options options)
     {
         options.hostName = "b";
-        options.onQuarantined = [this](RequestFingerprint request) { told_ = request; };
+        options.onQuarantined = [this](RequestFeature request) { told_ = request; };
         return options;
     }
 
     /// The request, or none if it isn't told before the test's patience ends.
-    RequestFingerprint wait() const
+    RequestFeature wait() const
     {
         const TimePoint limit = BootClock::now() + patience;
-        while (told_.load() == RequestFingerprint{} && BootClock::now() < limit) {
+        while (told_.load() == RequestFeature{} && BootClock::now() < limit) {
             std::this_thread::sleep_for(5ms);
         }
         return told_;
     }
 
 private:
-    std::atomic<RequestFingerprint> told_{};
+    std::atomic<RequestFeature> told_{};
 };
 
 } // namespace
@@ -155,7 +155,7 @@
 // Guards against hosts that start, or all of a fleet that restarts, and send a request on that has ended targets before.
 BOOST_FIXTURE_TEST_CASE(aRequestInQuarantineIsKnownToHostsThatStartLater, HostFixture)
 {
-    constexpr RequestFingerprint request{0xabcdef0123456789};
+    constexpr RequestFeature request{0xabcdef0123456789};
     duty.recordQuarantine(request);
     const TimePoint limit = BootClock::now() + patience;
     while (store.list("fleet/quarantine/").entries.empty() && BootClock::now() < limit) {
@@ -163,7 +163,7 @@
     }
     const StoreListReply kept = store.list("fleet/quarantine/");
     BOOST_REQUIRE(kept.entries.size() == 1U);
-    BOOST_TEST(kept.entries.front().key == "fleet/quarantine/" + fingerprintText(request));
+    BOOST_TEST(kept.entries.front().key == "fleet/quarantine/" + featureText(request));
     ToldRequests told;
     HostDuty later(store, gateway, told.listen(options(1h)));
     later.start();
