--- a/coordination/crash_quarantine.cpp
+++ b/coordination/crash_quarantine.cpp
@@ -17,44 +17,100 @@
 /// Quarantine ends after this time, because the request may be harmless once the targets have been fixed.
 constexpr Duration quarantineDuration = std::chrono::minutes(10);
 
+/// How long it matters that a feature was sound.
+constexpr Duration soundMemory = std::chrono::minutes(10);
+
+/// Targets that fail together, as with a rack, say nothing about features that all of them run. Requests are answered elsewhere within this time.
+constexpr Duration minCertainAge = std::chrono::seconds(1);
+
 } // namespace
 
-void CrashQuarantine::noteAnswered(RequestFeature request)
+void CrashQuarantine::noteSound(RequestFeature feature, TimePoint now)
 {
-    answered_[static_cast<std::uint64_t>(request) % answeredSlots] = request;
+    sound_[static_cast<std::uint64_t>(feature) % soundSlots] = {feature, now};
 }
 
-bool CrashQuarantine::isSuspect(RequestFeature request) const
+const CrashQuarantine::Sound &CrashQuarantine::soundOf(RequestFeature feature) const
 {
-    return answered_[static_cast<std::uint64_t>(request) % answeredSlots] != request;
+    return sound_[static_cast<std::uint64_t>(feature) % soundSlots];
 }
 
-bool CrashQuarantine::countCrash(const CrashReport &report, TimePoint now)
+bool CrashQuarantine::isSoundSince(RequestFeature feature, TimePoint since) const
+{
+    const Sound &sound = soundOf(feature);
+    return sound.feature == feature && sound.at >= since;
+}
+
+std::optional<QuarantineNotice> CrashQuarantine::countCrash(const CrashReport &report, TimePoint now)
 {
     evictSuspects(now);
-    const auto [entry, isNew] = suspects_.try_emplace(report.request);
+    const auto [entry, isNew] = suspects_.try_emplace(report.feature);
     Suspect &suspect = entry->second;
     if (isNew) {
-        suspectOrder_.push_back(report.request);
+        suspectOrder_.push_back(report.feature);
     }
-    if (now - suspect.lastCrashAt > suspicionWindow) {
-        suspect.crashes = 0;
+    if (now - suspect.lastCrashAt > suspicionWindow || isSoundSince(report.feature, suspect.firstCrashAt)) {
+        suspect.count = 0;
     }
     suspect.lastCrashAt = now;
-    const auto end = suspect.targets.begin() + static_cast<std::ptrdiff_t>(suspect.crashes);
-    if (suspect.crashes < maxCrashes && std::find(suspect.targets.begin(), end, report.target) == end) {
-        suspect.targets.at(suspect.crashes++) = report.target;
+    if (suspect.count == 0) {
+        suspect.firstCrashAt = now;
+        suspect.wasSound = suspect.wasSound || isSoundSince(report.feature, now - soundMemory);
+    }
+    const auto end = suspect.crashes.begin() + static_cast<std::ptrdiff_t>(suspect.count);
+    const bool isKnown = std::any_of(suspect.crashes.begin(), end, [&report](const Crash &crash) { return crash.target == report.target; });
+    if (!isKnown && suspect.count < certainCrashes) {
+        suspect.crashes.at(suspect.count++) = {report.target, report.request};
+    }
+    const bool isPart = report.feature != report.request;
+    if (isPart && requestsOf(suspect) < minRequests) {
+        return std::nullopt;
+    }
+    const Duration age = now - suspect.firstCrashAt;
+    const bool isCertain = suspect.count >= certainCrashes && age >= minCertainAge;
+    const bool isSuspected = suspect.count >= maxCrashes && !suspect.wasSound;
+    return isCertain || isSuspected ? std::optional(QuarantineNotice{report.feature, age, isCertain}) : std::nullopt;
+}
+
+std::size_t CrashQuarantine::requestsOf(const Suspect &suspect)
+{
+    std::size_t requests = 0;
+    for (std::size_t i = 0; i < suspect.count; ++i) {
+        const auto end = suspect.crashes.begin() + static_cast<std::ptrdiff_t>(i);
+        const bool isKnown = std::any_of(suspect.crashes.begin(), end, [&](const Crash &crash) { return crash.request == suspect.crashes.at(i).request; });
+        requests += isKnown ? 0 : 1;
+    }
+    return requests;
+}
+
+std::optional<QuarantineObjection> CrashQuarantine::objectionTo(const QuarantineNotice &notice, TimePoint now) const
+{
+    if (!isSoundSince(notice.feature, now - (notice.isCertain ? notice.age : soundMemory))) {
+        return std::nullopt;
+    }
+    return QuarantineObjection{notice.feature, now - soundOf(notice.feature).at};
+}
+
+void CrashQuarantine::onObjection(const QuarantineObjection &objection, TimePoint now)
+{
+    const auto found = suspects_.find(objection.feature);
+    if (found == suspects_.end()) {
+        return;
+    }
+    Suspect &suspect = found->second;
+    suspect.wasSound = true;
+    if (now - objection.soundAge >= suspect.firstCrashAt) {
+        suspect.count = 0;
     }
-    return suspect.crashes >= maxCrashes;
 }
 
-bool CrashQuarantine::add(RequestFeature request, TimePoint now)
+bool CrashQuarantine::add(RequestFeature feature, TimePoint now)
 {
-    if (!isSuspect(request) || contains(request, now)) {
+    if (contains(feature, now)) {
         return false;
     }
-    if (quarantined_.insert_or_assign(request, now + quarantineDuration).second) {
-        quarantineOrder_.push_back(request);
+    if (quarantined_.insert_or_assign(feature, now + quarantineDuration).second) {
+        quarantineOrder_.push_back(feature);
     }
     if (quarantineOrder_.size() > maxQuarantined) {
         quarantined_.erase(quarantineOrder_.front());
@@ -63,9 +119,18 @@
     return true;
 }
 
-bool CrashQuarantine::contains(RequestFeature request, TimePoint now) const
+bool CrashQuarantine::lift(RequestFeature feature)
+{
+    if (quarantined_.erase(feature) == 0) {
+        return false;
+    }
+    std::erase(quarantineOrder_, feature);
+    return true;
+}
+
+bool CrashQuarantine::contains(RequestFeature feature, TimePoint now) const
 {
-    const auto found = quarantined_.find(request);
+    const auto found = quarantined_.find(feature);
     return found != quarantined_.end() && now < found->second;
 }
 
--- a/coordination/crash_quarantine.h
+++ b/coordination/crash_quarantine.h
@@ -13,57 +13,103 @@
 namespace Lovageloft
 {
 
-/// Reports that a target crashed, or closed the connection, before it began to answer a request.
+/// Reports that a target crashed, or closed the connection, while it ran a request with this feature.
 struct CrashReport
 {
-    RequestFeature request{};
+    RequestFeature feature{};
     std::uint64_t target = 0; ///< Hash of the target's name and start time.
+    RequestFeature request{}; ///< The whole request; the same as `feature` if that is reported.
 };
 
-/// Prevents a request that crashes each target that runs it, and that callers retry at any host, from crashing a whole fleet of targets.
+/// Requests with a feature are not sent to targets any more.
+struct QuarantineNotice
+{
+    RequestFeature feature{};
+    Duration age{}; ///< Since the first of the crashes that were counted.
+    bool isCertain = false; ///< A host that has seen the feature answered before these crashes does not object.
+};
+
+/// A host knows a feature as sound.
+struct QuarantineObjection
+{
+    RequestFeature feature{};
+    Duration soundAge{}; ///< Since the last answer to a request with it.
+};
+
+/// Prevents requests with a feature that crashes each target which runs it, and which come at any host, from crashing a whole fleet of targets.
 ///
-/// No single host sees enough of the attempts to detect such a request. Each host therefore reports a target that it lost with the request to
-/// the request's home hosts, which rendezvous hashing selects. A home host that received reports of `maxCrashes` different targets, each
-/// within two minutes of the previous one, quarantines the request for ten minutes and notifies all hosts. Requests that were answered once,
-/// such as those that happened to run on the same targets at the same time, are not suspected. The number of entries is limited; the oldest
-/// are evicted first.
+/// No single host sees enough of the attempts to detect this. Each host therefore reports a target that it lost, with each feature of the request that
+/// it had there, to home hosts of the feature. A home host that received reports of several different targets, each within two minutes of the
+/// previous one, quarantines the feature for ten minutes and notifies all hosts. Features of requests that were answered are sound: such requests merely
+/// ran on the same targets at the same time. That an answer came before the crashes counts less, as a target may have learnt to crash on the feature
+/// since. The number of entries is limited; the oldest are evicted first.
 class CrashQuarantine
 {
 public:
-    /// Number of different targets that a request may crash before it is refused.
+    /// Number of different targets that a feature may crash before requests with it are refused.
     static constexpr std::size_t maxCrashes = 3;
 
-    /// Records that this host received an answer to the request, or the beginning of one.
-    void noteAnswered(RequestFeature request);
+    /// The same for a feature that was sound earlier.
+    static constexpr std::size_t certainCrashes = 5;
+
+    /// Different requests in which a part of a prompt must have crashed targets: a single one is told by its own feature.
+    static constexpr std::size_t minRequests = 2;
+
+    /// A target has answered a request with the feature, or has written its answer for long.
+    void noteSound(RequestFeature feature, TimePoint now);
+
+    /// Whether the feature was sound at `since` or later, as far as this host remembers: up to 8,192 features.
+    bool isSoundSince(RequestFeature feature, TimePoint since) const;
 
-    /// Whether the loss of a target with this request is to be reported to its home hosts: true unless this host recently received an answer
-    /// to the request, of which up to 8,192 are remembered.
-    bool isSuspect(RequestFeature request) const;
+    /// Counts a crash on a home host. Returns the notice if there are enough for a quarantine.
+    std::optional<QuarantineNotice> countCrash(const CrashReport &report, TimePoint now);
 
-    /// Counts a crash on a home host; returns whether the request has now crashed `maxCrashes` different targets.
-    bool countCrash(const CrashReport &report, TimePoint now);
+    /// What this host knows against a notice; nothing if it agrees.
+    std::optional<QuarantineObjection> objectionTo(const QuarantineNotice &notice, TimePoint now) const;
 
-    /// Quarantines a request; returns false if it was quarantined already or is known to be harmless.
-    bool add(RequestFeature request, TimePoint now);
+    /// Applies an objection to a notice of this home host. Earlier crashes don't count any more if the feature was sound since, and certainty is needed.
+    void onObjection(const QuarantineObjection &objection, TimePoint now);
 
-    bool contains(RequestFeature request, TimePoint now) const;
+    /// Quarantines a feature; returns false if it was quarantined already.
+    bool add(RequestFeature feature, TimePoint now);
 
-    /// Number of requests in quarantine.
+    /// Ends a quarantine; returns false if there was none.
+    bool lift(RequestFeature feature);
+
+    bool contains(RequestFeature feature, TimePoint now) const;
+
+    /// Number of features in quarantine.
     std::size_t size(TimePoint now) const;
 
 private:
+    struct Crash
+    {
+        std::uint64_t target = 0;
+        RequestFeature request{};
+    };
+
     struct Suspect
     {
-        std::array<std::uint64_t, maxCrashes> targets{};
-        std::size_t crashes = 0;
+        std::array<Crash, certainCrashes> crashes{}; ///< Of different targets.
+        std::size_t count = 0;
+        TimePoint firstCrashAt;
         TimePoint lastCrashAt;
+        bool wasSound = false; ///< A host has seen it answered, possibly before the crashes.
+    };
+
+    struct Sound
+    {
+        RequestFeature feature{};
+        TimePoint at;
     };
 
+    const Sound &soundOf(RequestFeature feature) const;
+    static std::size_t requestsOf(const Suspect &suspect);
     void evictSuspects(TimePoint now);
 
-    static constexpr std::size_t answeredSlots = 8'192;
+    static constexpr std::size_t soundSlots = 8'192;
 
-    std::vector<RequestFeature> answered_ = std::vector<RequestFeature>(answeredSlots); ///< Indexed by the lower bits; newer ones replace older ones.
+    std::vector<Sound> sound_ = std::vector<Sound>(soundSlots); ///< Indexed by the lower bits; newer ones replace older ones.
     std::unordered_map<RequestFeature, Suspect> suspects_;
     std::deque<RequestFeature> suspectOrder_; ///< In the order of the first crash.
     std::unordered_map<RequestFeature, TimePoint> quarantined_; ///< Time at which the quarantine ends.
--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -51,7 +51,7 @@
     {"lovageloft_remote_debits_total", "Requests charged to shares of other hosts."},
     {"lovageloft_request_seconds", "Time from reading a request to the end of its answer."},
     {"lovageloft_requests_ended_total", "Requests by how they ended."},
-    {"lovageloft_requests_quarantined", "Requests that are sent to no target, as targets ended when they began them."},
+    {"lovageloft_requests_quarantined", "Requests and parts of prompts that are sent to no target, as targets ended when they ran them."},
     {"lovageloft_requests_running", "Requests at a target."},
     {"lovageloft_requests_total", "Requests read."},
     {"lovageloft_requests_waiting", "Requests that wait for a target."},
@@ -71,8 +71,7 @@
     {"lovageloft_targets_known", "Targets that the store lists."},
     {"lovageloft_targets_overdue_seconds", "For how long a change of the targets in use has been due and not made."},
     {"lovageloft_send_permits_total", "Permits to send to targets that state a rate limit, by result."},
-    {"lovageloft_target_slots_total",
-     "Slots at targets that state a rejection limit: granted by their homes, given back unused, or taken from this host\'s own share as no home replies."},
+    {"lovageloft_target_slots_total", "Slots at targets that state a rejection limit: granted, given back unused, or from this host's own share."},
     {"lovageloft_targets_stating", "Statements of targets in force, of all kinds."},
     {"lovageloft_weights_age_seconds", "Time since the newest weights were named, as this host reckons it; 0 before any."},
 });
--- /dev/null
+++ b/gateway/crash_codec.cpp
@@ -0,0 +1,88 @@
+#include "gateway/crash_codec.h"
+
+#include <algorithm>
+
+#include <capnp/message.h>
+
+#include "gateway/datagram_codec.h"
+
+namespace Lovageloft
+{
+
+namespace
+{
+
+using PeerMessages::Datagram;
+
+/// Longer times of a faulty sender are cut to this.
+constexpr std::uint64_t maxMicroseconds = 3'600'000'000;
+
+std::uint64_t toMicroseconds(Duration time)
+{
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::microseconds>(time).count()));
+}
+
+Duration fromMicroseconds(std::uint64_t microseconds)
+{
+    return std::chrono::microseconds(std::min(microseconds, maxMicroseconds));
+}
+
+std::uint64_t number(RequestFeature feature)
+{
+    return static_cast<std::uint64_t>(feature);
+}
+
+} // namespace
+
+std::string encodeCrashReport(const CrashReport &report)
+{
+    capnp::MallocMessageBuilder message;
+    auto encoded = message.initRoot<Datagram>().initCrashReport();
+    encoded.setFeature(number(report.feature));
+    encoded.setTarget(report.target);
+    encoded.setRequest(number(report.request));
+    return encodeDatagram(message);
+}
+
+std::string encodeQuarantineNotice(const QuarantineNotice &notice)
+{
+    capnp::MallocMessageBuilder message;
+    auto encoded = message.initRoot<Datagram>().initQuarantineNotice();
+    encoded.setFeature(number(notice.feature));
+    encoded.setAgeMicroseconds(toMicroseconds(notice.age));
+    encoded.setIsCertain(notice.isCertain);
+    return encodeDatagram(message);
+}
+
+std::string encodeQuarantineObjection(const QuarantineObjection &objection)
+{
+    capnp::MallocMessageBuilder message;
+    auto encoded = message.initRoot<Datagram>().initQuarantineObjection();
+    encoded.setFeature(number(objection.feature));
+    encoded.setAgeMicroseconds(toMicroseconds(objection.soundAge));
+    return encodeDatagram(message);
+}
+
+std::string encodeQuarantineLift(RequestFeature feature)
+{
+    capnp::MallocMessageBuilder message;
+    message.initRoot<Datagram>().setQuarantineLift(number(feature));
+    return encodeDatagram(message);
+}
+
+CrashReport decodeCrashReport(PeerMessages::CrashReport::Reader reader)
+{
+    return {RequestFeature{reader.getFeature()}, reader.getTarget(), RequestFeature{reader.getRequest()}};
+}
+
+QuarantineNotice decodeQuarantineNotice(PeerMessages::QuarantineNotice::Reader reader)
+{
+    return {RequestFeature{reader.getFeature()}, fromMicroseconds(reader.getAgeMicroseconds()), reader.getIsCertain()};
+}
+
+QuarantineObjection decodeQuarantineObjection(Datagram::QuarantineObjection::Reader reader)
+{
+    return {RequestFeature{reader.getFeature()}, fromMicroseconds(reader.getAgeMicroseconds())};
+}
+
+} // namespace Lovageloft
--- a/gateway/crash_guard.cpp
+++ b/gateway/crash_guard.cpp
@@ -10,7 +10,12 @@
 namespace
 {
 
-constexpr std::size_t homesPerRequest = 2;
+constexpr std::size_t homesPerFeature = 2;
+
+/// Time in which other hosts object to a notice.
+constexpr Duration objectionTime = std::chrono::milliseconds(600);
+
+constexpr int messageRepeats = 2;
 
 } // namespace
 
@@ -25,14 +30,16 @@
     candidates_ = RendezvousNames(candidates);
 }
 
-void CrashGuard::noteAnswered(RequestFeature request)
+void CrashGuard::noteSound(std::span<const RequestFeature> features, TimePoint now)
 {
-    quarantine_.noteAnswered(request);
+    for (const RequestFeature feature : features) {
+        quarantine_.noteSound(feature, now);
+    }
 }
 
-bool CrashGuard::isQuarantined(RequestFeature request, TimePoint now) const
+bool CrashGuard::isQuarantined(RequestFeature feature, TimePoint now) const
 {
-    return quarantine_.contains(request, now);
+    return quarantine_.contains(feature, now);
 }
 
 std::size_t CrashGuard::quarantinedCount(TimePoint now) const
@@ -42,11 +49,8 @@
 
 void CrashGuard::onTargetLost(const CrashReport &report, TimePoint now)
 {
-    if (!quarantine_.isSuspect(report.request)) {
-        return;
-    }
     onReport(host_, report, now);
-    for (const std::string &home : candidates_.winners(featureText(report.request), homesPerRequest)) {
+    for (const std::string &home : candidates_.winners(featureText(report.feature), homesPerFeature)) {
         if (home != host_) {
             network_.report(home, report);
         }
@@ -55,23 +59,81 @@
 
 void CrashGuard::onReport(const std::string &from, const CrashReport &report, TimePoint now)
 {
-    if (!quarantine_.countCrash(report, now)) {
+    const auto notice = quarantine_.countCrash(report, now);
+    if (!notice || quarantine_.objectionTo(*notice, now)) {
+        return;
+    }
+    if (!quarantine_.contains(report.feature, now)) {
+        add(*notice, true, now);
+        unrecorded_.push_back({*notice, now});
+        network_.broadcast(*notice);
+    } else if (from != host_) {
+        network_.notify(from, *notice);
+    }
+}
+
+void CrashGuard::onQuarantined(const std::string &from, const QuarantineNotice &notice, TimePoint now)
+{
+    if (const auto objection = quarantine_.objectionTo(notice, now)) {
+        network_.object(from, *objection);
+        objections_.push_back({*objection, from, messageRepeats});
         return;
     }
-    if (quarantine_.add(report.request, now)) {
-        writeLog(LogLevel::Warning, "request_quarantined", {{"fingerprint", featureText(report.request)}, {"counted", true}});
-        network_.broadcast(report.request);
-        network_.record(report.request);
-    } else if (from != host_ && quarantine_.contains(report.request, now)) {
-        network_.notify(from, report.request);
+    if (!quarantine_.contains(notice.feature, now)) {
+        add(notice, false, now);
+    }
+}
+
+void CrashGuard::add(const QuarantineNotice &notice, bool isCounted, TimePoint now)
+{
+    quarantine_.add(notice.feature, now);
+    writeLog(LogLevel::Warning,
+             "request_quarantined",
+             {{"feature", featureText(notice.feature)}, {"counted", isCounted}, {"certain", notice.isCertain}, {"age_ms", toMillis(notice.age)}});
+    network_.onAdded();
+}
+
+void CrashGuard::onObjection(const QuarantineObjection &objection, TimePoint now)
+{
+    const RequestFeature feature = objection.feature;
+    quarantine_.onObjection(objection, now);
+    onLifted(feature);
+    network_.lift(feature);
+    std::erase_if(lifts_, [feature](const RepeatedLift &lift) { return lift.feature == feature; });
+    lifts_.push_back({feature, messageRepeats});
+}
+
+void CrashGuard::onLifted(RequestFeature feature)
+{
+    std::erase_if(unrecorded_, [feature](const Unrecorded &unrecorded) { return unrecorded.notice.feature == feature; });
+    if (quarantine_.lift(feature)) {
+        writeLog(LogLevel::Warning, "quarantine_lifted", {{"feature", featureText(feature)}});
     }
 }
 
-void CrashGuard::onQuarantined(RequestFeature request, TimePoint now)
+void CrashGuard::onTick(TimePoint now)
 {
-    if (quarantine_.add(request, now)) {
-        writeLog(LogLevel::Warning, "request_quarantined", {{"fingerprint", featureText(request)}, {"counted", false}});
+    const auto isDone = [](const auto &message) { return message.repeats <= 0; };
+    for (RepeatedObjection &repeated : objections_) {
+        network_.object(repeated.receiver, repeated.objection);
+        --repeated.repeats;
     }
+    std::erase_if(objections_, isDone);
+    for (RepeatedLift &lift : lifts_) {
+        network_.lift(lift.feature);
+        --lift.repeats;
+    }
+    std::erase_if(lifts_, isDone);
+    for (const auto &[notice, addedAt] : std::vector(unrecorded_)) {
+        network_.broadcast({notice.feature, notice.age + (now - addedAt), notice.isCertain});
+    }
+    std::erase_if(unrecorded_, [this, now](const Unrecorded &unrecorded) {
+        const bool isDue = now - unrecorded.addedAt >= objectionTime;
+        if (isDue) {
+            network_.record(unrecorded.notice.feature);
+        }
+        return isDue;
+    });
 }
 
 } // namespace Lovageloft
--- a/gateway/fleet_link.cpp
+++ b/gateway/fleet_link.cpp
@@ -33,9 +33,12 @@
     , sendTokenRequest_([this](const std::string &host, const TokenRequest &request) { socket_.send(host, request); })
     , crashes_(hostName_,
                {[this](const std::string &host, const CrashReport &report) { socket_.send(host, report); },
-                [this](const std::string &host, RequestFeature request) { socket_.send(host, request); },
-                [this](RequestFeature request) { socket_.broadcast(request); },
-                [this](RequestFeature request) { recordQuarantine_(request); }})
+                [this](const std::string &host, const QuarantineNotice &notice) { socket_.send(host, notice); },
+                [this](const QuarantineNotice &notice) { socket_.broadcast(notice); },
+                [this](RequestFeature feature) { recordQuarantine_(feature); },
+                [this](const std::string &host, const QuarantineObjection &objection) { socket_.send(host, objection); },
+                [this](RequestFeature feature) { socket_.broadcastLift(feature); },
+                [this] { gateway_.dispatch().failQuarantined(); }})
 {
 }
 
@@ -154,19 +157,23 @@
     recordQuarantine_ = std::move(recorder);
 }
 
-void FleetLink::reportTargetLoss(std::string_view targetId, const CrashReport &report)
+void FleetLink::reportTargetLoss(std::string_view targetId, std::uint64_t target, std::span<const RequestFeature> features)
 {
-    ++lossChecks_[report.request].running;
-    gateway_.paths().checkLoss(targetId, [this, report, target = std::string(targetId)](bool isLinkLost) {
-        writeLog(LogLevel::Info, "target_loss_checked", {{"target", target}, {"fingerprint", featureText(report.request)}, {"link_lost", isLinkLost}});
+    const RequestFeature request = features.front();
+    ++lossChecks_[request].running;
+    const auto onChecked = [this, request, target, id = std::string(targetId), lost = std::vector(features.begin(), features.end())](bool isLinkLost) {
+        writeLog(LogLevel::Info, "target_loss_checked", {{"target", id}, {"fingerprint", featureText(request)}, {"link_lost", isLinkLost}});
         if (isLinkLost) {
-            onLossChecked(report.request);
+            onLossChecked(request);
             return;
         }
-        crashes_.onTargetLost(report, BootClock::now());
+        for (const RequestFeature feature : lost) {
+            crashes_.onTargetLost({feature, target, request}, BootClock::now());
+        }
         const auto timer = std::make_shared<boost::asio::steady_timer>(gateway_.loop(), quarantineReplyTime);
-        timer->async_wait([this, timer, report](const boost::system::error_code &) { onLossChecked(report.request); });
-    });
+        timer->async_wait([this, timer, request](const boost::system::error_code &) { onLossChecked(request); });
+    };
+    gateway_.paths().checkLoss(targetId, onChecked);
 }
 
 void FleetLink::onLossChecked(RequestFeature request)
@@ -220,9 +227,19 @@
     crashes_.onReport(host, report, BootClock::now());
 }
 
-void FleetLink::onQuarantined(RequestFeature request)
+void FleetLink::onQuarantined(const std::string &host, const QuarantineNotice &notice)
+{
+    crashes_.onQuarantined(host, notice, BootClock::now());
+}
+
+void FleetLink::onQuarantineLifted(RequestFeature feature)
+{
+    crashes_.onLifted(feature);
+}
+
+void FleetLink::onQuarantineObjection(const QuarantineObjection &objection)
 {
-    crashes_.onQuarantined(request, BootClock::now());
+    crashes_.onObjection(objection, BootClock::now());
 }
 
 void FleetLink::onWeightsRequest(const std::string &host)
--- a/gateway/fleet_link.h
+++ b/gateway/fleet_link.h
@@ -69,11 +69,12 @@
     /// Announces whether a cache store answers. Does nothing if it doesn't answer this host, which has lost its links to targets.
     void announceCacheStore(const std::string &address, bool isAlive);
 
-    /// Sets the function that records a quarantined request for hosts that start later. Must be called before the event loop runs.
+    /// Sets the function that records a quarantined feature for hosts that start later. Must be called before the event loop runs.
     void setQuarantineRecorder(std::function<void(RequestFeature)> recorder);
 
-    /// A target was lost before it began to answer a request. Counts as a crash unless only this host's link to the target was lost.
-    void reportTargetLoss(std::string_view targetId, const CrashReport &report);
+    /// A target was lost that ran a request with these features, of which the first is the whole request. Counts as a crash unless only this host's link
+    /// to the target was lost. `target` is the digest in the crash reports.
+    void reportTargetLoss(std::string_view targetId, std::uint64_t target, std::span<const RequestFeature> features);
 
     /// Calls `action` once no loss of a target with this request is being checked any more, at once if none is. A caller that repeats such a request
     /// meanwhile would have it end another target before the loss counts.
@@ -156,7 +157,9 @@
     void onWeightsRequest(const std::string &host) override;
     void onWeightsAge(const WeightsAge &age) override;
     void onCrashReport(const std::string &host, const CrashReport &report) override;
-    void onQuarantined(RequestFeature request) override;
+    void onQuarantined(const std::string &host, const QuarantineNotice &notice) override;
+    void onQuarantineLifted(RequestFeature feature) override;
+    void onQuarantineObjection(const QuarantineObjection &objection) override;
     bool mayHaveStaleMessages() const override;
     void scheduleTokenTimeout();
     void noteSaved(const DispatchNotice &notice);
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -493,6 +493,7 @@
     updateControl(now);
     pool_.closeStale(now);
     fleet_.sendHeartbeat(now);
+    fleet_.crashes().onTick(now);
     if (now < queryProofsUntil_) {
         fleet_.queryProofs();
         fleet_.queryStatements();
--- a/gateway/peer_messages.capnp
+++ b/gateway/peer_messages.capnp
@@ -22,7 +22,7 @@
     changesRequest @12 :ChangesRequest;
     changesReply @13 :ChangesReply;
     crashReport @14 :CrashReport;
-    quarantine @15 :UInt64; # Fingerprint of a request that is not to be sent to targets any more.
+    quarantine @15 :UInt64; # Of earlier builds; see quarantineNotice.
     rolloutReport @16 :RolloutReport;
     rolloutReply @17 :RolloutReply;
     bundle @18 :List(Data); # Several datagrams.
@@ -46,6 +46,13 @@
     }
     slotReport @29 :SlotReport;
     slotGrant @30 :SlotGrant;
+    quarantineNotice @31 :QuarantineNotice;
+    quarantineObjection :group {
+      # Requests with the feature were answered.
+      feature @32 :UInt64;
+      ageMicroseconds @33 :UInt64; # Since the last answer.
+    }
+    quarantineLift @34 :UInt64; # The feature is not in quarantine any more.
   }
 }
 
@@ -101,9 +108,17 @@
 }
 
 struct CrashReport {
-  # A target was lost that had this request and had not begun to answer it.
-  request @0 :UInt64; # Fingerprint.
+  # A target was lost that ran a request with this feature.
+  feature @0 :UInt64;
   target @1 :UInt64; # Digest of the target's name and start.
+  request @2 :UInt64; # Fingerprint of the whole request.
+}
+
+struct QuarantineNotice {
+  # Requests with this feature are not to be sent to targets any more.
+  feature @0 :UInt64;
+  ageMicroseconds @1 :UInt64; # Since the first crash that was counted.
+  isCertain @2 :Bool; # Also if it was sound before these crashes.
 }
 
 struct ChangesRequest {
--- a/gateway/peer_messages.capnp.h
+++ b/gateway/peer_messages.capnp.h
@@ -20,6 +20,7 @@
 CAPNP_DECLARE_SCHEMA(8e24664eba6404d1);
 CAPNP_DECLARE_SCHEMA(cb0b721197464581);
 CAPNP_DECLARE_SCHEMA(fbcb4f5053ecc997);
+CAPNP_DECLARE_SCHEMA(8405a93e3ba08adb);
 CAPNP_DECLARE_SCHEMA(9b0092764b1509af);
 CAPNP_DECLARE_SCHEMA(bc91cf4b4f90280f);
 CAPNP_DECLARE_SCHEMA(b09704a1815bdb08);
@@ -27,6 +28,7 @@
 CAPNP_DECLARE_SCHEMA(d7f84b297a0b72bb);
 CAPNP_DECLARE_SCHEMA(bf235427c1d3fd6a);
 CAPNP_DECLARE_SCHEMA(fc538531887ec76e);
+CAPNP_DECLARE_SCHEMA(dc7f636b10d4057b);
 CAPNP_DECLARE_SCHEMA(b936ef4fb1dc4e3c);
 CAPNP_DECLARE_SCHEMA(b11fb0dbbe552d39);
 CAPNP_DECLARE_SCHEMA(9842ba8fb9b3b5dc);
@@ -85,13 +87,17 @@
     STREAM_REPLY,
     SLOT_REPORT,
     SLOT_GRANT,
+    QUARANTINE_NOTICE,
+    QUARANTINE_OBJECTION,
+    QUARANTINE_LIFT,
   };
   struct StreamRecord;
   struct StreamQuery;
   struct StreamReply;
+  struct QuarantineObjection;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c25249b8c89549ee, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c25249b8c89549ee, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -106,7 +112,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8e24664eba6404d1, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(8e24664eba6404d1, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -121,7 +127,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cb0b721197464581, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(cb0b721197464581, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -136,7 +142,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fbcb4f5053ecc997, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(fbcb4f5053ecc997, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Datagram::QuarantineObjection {
+  QuarantineObjection() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8405a93e3ba08adb, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -241,7 +262,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fc538531887ec76e, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(fc538531887ec76e, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QuarantineNotice {
+  QuarantineNotice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dc7f636b10d4057b, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -617,6 +653,16 @@
   inline bool hasSlotGrant() const;
   inline  ::Lovageloft::PeerMessages::SlotGrant::Reader getSlotGrant() const;
 
+  inline bool isQuarantineNotice() const;
+  inline bool hasQuarantineNotice() const;
+  inline  ::Lovageloft::PeerMessages::QuarantineNotice::Reader getQuarantineNotice() const;
+
+  inline bool isQuarantineObjection() const;
+  inline typename QuarantineObjection::Reader getQuarantineObjection() const;
+
+  inline bool isQuarantineLift() const;
+  inline  ::uint64_t getQuarantineLift() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -847,6 +893,22 @@
   inline void adoptSlotGrant(::capnp::Orphan< ::Lovageloft::PeerMessages::SlotGrant>&& value);
   inline ::capnp::Orphan< ::Lovageloft::PeerMessages::SlotGrant> disownSlotGrant();
 
+  inline bool isQuarantineNotice();
+  inline bool hasQuarantineNotice();
+  inline  ::Lovageloft::PeerMessages::QuarantineNotice::Builder getQuarantineNotice();
+  inline void setQuarantineNotice( ::Lovageloft::PeerMessages::QuarantineNotice::Reader value);
+  inline  ::Lovageloft::PeerMessages::QuarantineNotice::Builder initQuarantineNotice();
+  inline void adoptQuarantineNotice(::capnp::Orphan< ::Lovageloft::PeerMessages::QuarantineNotice>&& value);
+  inline ::capnp::Orphan< ::Lovageloft::PeerMessages::QuarantineNotice> disownQuarantineNotice();
+
+  inline bool isQuarantineObjection();
+  inline typename QuarantineObjection::Builder getQuarantineObjection();
+  inline typename QuarantineObjection::Builder initQuarantineObjection();
+
+  inline bool isQuarantineLift();
+  inline  ::uint64_t getQuarantineLift();
+  inline void setQuarantineLift( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1116,6 +1178,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class Datagram::QuarantineObjection::Reader {
+public:
+  typedef QuarantineObjection Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFeature() const;
+
+  inline  ::uint64_t getAgeMicroseconds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Datagram::QuarantineObjection::Builder {
+public:
+  typedef QuarantineObjection Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFeature();
+  inline void setFeature( ::uint64_t value);
+
+  inline  ::uint64_t getAgeMicroseconds();
+  inline void setAgeMicroseconds( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Datagram::QuarantineObjection::Pipeline {
+public:
+  typedef QuarantineObjection Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Forward::Reader {
 public:
   typedef Forward Reads;
@@ -1735,10 +1878,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getRequest() const;
+  inline  ::uint64_t getFeature() const;
 
   inline  ::uint64_t getTarget() const;
 
+  inline  ::uint64_t getRequest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1767,12 +1912,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getRequest();
-  inline void setRequest( ::uint64_t value);
+  inline  ::uint64_t getFeature();
+  inline void setFeature( ::uint64_t value);
 
   inline  ::uint64_t getTarget();
   inline void setTarget( ::uint64_t value);
 
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1799,6 +1947,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class QuarantineNotice::Reader {
+public:
+  typedef QuarantineNotice Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFeature() const;
+
+  inline  ::uint64_t getAgeMicroseconds() const;
+
+  inline bool getIsCertain() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuarantineNotice::Builder {
+public:
+  typedef QuarantineNotice Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFeature();
+  inline void setFeature( ::uint64_t value);
+
+  inline  ::uint64_t getAgeMicroseconds();
+  inline void setAgeMicroseconds( ::uint64_t value);
+
+  inline bool getIsCertain();
+  inline void setIsCertain(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuarantineNotice::Pipeline {
+public:
+  typedef QuarantineNotice Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ChangesRequest::Reader {
 public:
   typedef ChangesRequest Reads;
@@ -4717,6 +4951,109 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::isQuarantineNotice() const {
+  return which() == Datagram::QUARANTINE_NOTICE;
+}
+inline bool Datagram::Builder::isQuarantineNotice() {
+  return which() == Datagram::QUARANTINE_NOTICE;
+}
+inline bool Datagram::Reader::hasQuarantineNotice() const {
+  if (which() != Datagram::QUARANTINE_NOTICE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasQuarantineNotice() {
+  if (which() != Datagram::QUARANTINE_NOTICE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Lovageloft::PeerMessages::QuarantineNotice::Reader Datagram::Reader::getQuarantineNotice() const {
+  KJ_IREQUIRE((which() == Datagram::QUARANTINE_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::QuarantineNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Lovageloft::PeerMessages::QuarantineNotice::Builder Datagram::Builder::getQuarantineNotice() {
+  KJ_IREQUIRE((which() == Datagram::QUARANTINE_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::QuarantineNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setQuarantineNotice( ::Lovageloft::PeerMessages::QuarantineNotice::Reader value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::QUARANTINE_NOTICE);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::QuarantineNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Lovageloft::PeerMessages::QuarantineNotice::Builder Datagram::Builder::initQuarantineNotice() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::QUARANTINE_NOTICE);
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::QuarantineNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptQuarantineNotice(
+    ::capnp::Orphan< ::Lovageloft::PeerMessages::QuarantineNotice>&& value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::QUARANTINE_NOTICE);
+  ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::QuarantineNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Lovageloft::PeerMessages::QuarantineNotice> Datagram::Builder::disownQuarantineNotice() {
+  KJ_IREQUIRE((which() == Datagram::QUARANTINE_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Lovageloft::PeerMessages::QuarantineNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::isQuarantineObjection() const {
+  return which() == Datagram::QUARANTINE_OBJECTION;
+}
+inline bool Datagram::Builder::isQuarantineObjection() {
+  return which() == Datagram::QUARANTINE_OBJECTION;
+}
+inline typename Datagram::QuarantineObjection::Reader Datagram::Reader::getQuarantineObjection() const {
+  KJ_IREQUIRE((which() == Datagram::QUARANTINE_OBJECTION),
+              "Must check which() before get()ing a union member.");
+  return typename Datagram::QuarantineObjection::Reader(_reader);
+}
+inline typename Datagram::QuarantineObjection::Builder Datagram::Builder::getQuarantineObjection() {
+  KJ_IREQUIRE((which() == Datagram::QUARANTINE_OBJECTION),
+              "Must check which() before get()ing a union member.");
+  return typename Datagram::QuarantineObjection::Builder(_builder);
+}
+inline typename Datagram::QuarantineObjection::Builder Datagram::Builder::initQuarantineObjection() {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::QUARANTINE_OBJECTION);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
+  return typename Datagram::QuarantineObjection::Builder(_builder);
+}
+inline bool Datagram::Reader::isQuarantineLift() const {
+  return which() == Datagram::QUARANTINE_LIFT;
+}
+inline bool Datagram::Builder::isQuarantineLift() {
+  return which() == Datagram::QUARANTINE_LIFT;
+}
+inline  ::uint64_t Datagram::Reader::getQuarantineLift() const {
+  KJ_IREQUIRE((which() == Datagram::QUARANTINE_LIFT),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Datagram::Builder::getQuarantineLift() {
+  KJ_IREQUIRE((which() == Datagram::QUARANTINE_LIFT),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setQuarantineLift( ::uint64_t value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::QUARANTINE_LIFT);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Datagram::StreamRecord::Reader::getKey() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
@@ -4801,6 +5138,34 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Datagram::QuarantineObjection::Reader::getFeature() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Datagram::QuarantineObjection::Builder::getFeature() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::QuarantineObjection::Builder::setFeature( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Datagram::QuarantineObjection::Reader::getAgeMicroseconds() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Datagram::QuarantineObjection::Builder::getAgeMicroseconds() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::QuarantineObjection::Builder::setAgeMicroseconds( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Forward::Reader::hasReceivers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5337,16 +5702,16 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t CrashReport::Reader::getRequest() const {
+inline  ::uint64_t CrashReport::Reader::getFeature() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t CrashReport::Builder::getRequest() {
+inline  ::uint64_t CrashReport::Builder::getFeature() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CrashReport::Builder::setRequest( ::uint64_t value) {
+inline void CrashReport::Builder::setFeature( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
@@ -5365,6 +5730,62 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t CrashReport::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashReport::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuarantineNotice::Reader::getFeature() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuarantineNotice::Builder::getFeature() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineNotice::Builder::setFeature( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuarantineNotice::Reader::getAgeMicroseconds() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuarantineNotice::Builder::getAgeMicroseconds() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineNotice::Builder::setAgeMicroseconds( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuarantineNotice::Reader::getIsCertain() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool QuarantineNotice::Builder::getIsCertain() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineNotice::Builder::setIsCertain(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t ChangesRequest::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -9,6 +9,7 @@
 #include "coordination/broadcast_plan.h"
 #include "core/log.h"
 #include "gateway/changes_codec.h"
+#include "gateway/crash_codec.h"
 #include "gateway/datagram_codec.h"
 #include "gateway/deflate.h"
 #include "gateway/peer_messages.capnp.h"
@@ -60,13 +61,6 @@
     return {boost::asio::ip::address_v4(static_cast<std::uint32_t>(address >> portBits)), static_cast<std::uint16_t>(address & portMask)};
 }
 
-std::string encodeQuarantine(RequestFeature request)
-{
-    capnp::MallocMessageBuilder message;
-    message.initRoot<Datagram>().setQuarantine(static_cast<std::uint64_t>(request));
-    return encodeDatagram(message);
-}
-
 } // namespace
 
 PeerSocket::PeerSocket(boost::asio::io_context &loop, PeerEvents &events)
@@ -202,21 +196,27 @@
 
 void PeerSocket::send(const std::string &host, const CrashReport &report)
 {
-    capnp::MallocMessageBuilder message;
-    auto encoded = message.initRoot<Datagram>().initCrashReport();
-    encoded.setRequest(static_cast<std::uint64_t>(report.request));
-    encoded.setTarget(report.target);
-    sendTo(host, encodeDatagram(message));
+    sendTo(host, encodeCrashReport(report));
+}
+
+void PeerSocket::send(const std::string &host, const QuarantineNotice &notice)
+{
+    sendTo(host, encodeQuarantineNotice(notice));
 }
 
-void PeerSocket::send(const std::string &host, RequestFeature quarantined)
+void PeerSocket::send(const std::string &host, const QuarantineObjection &objection)
 {
-    sendTo(host, encodeQuarantine(quarantined));
+    sendTo(host, encodeQuarantineObjection(objection));
 }
 
-void PeerSocket::broadcast(RequestFeature quarantined)
+void PeerSocket::broadcast(const QuarantineNotice &notice)
 {
-    broadcastBytes(encodeQuarantine(quarantined));
+    broadcastBytes(encodeQuarantineNotice(notice));
+}
+
+void PeerSocket::broadcastLift(RequestFeature feature)
+{
+    broadcastBytes(encodeQuarantineLift(feature));
 }
 
 void PeerSocket::send(const std::string &host, const PermitRequest &request)
@@ -507,8 +507,7 @@
             break;
         }
         case Datagram::CRASH_REPORT: {
-            const auto report = datagram.getCrashReport();
-            events_.onCrashReport(host, {RequestFeature{report.getRequest()}, report.getTarget()});
+            events_.onCrashReport(host, decodeCrashReport(datagram.getCrashReport()));
             break;
         }
         case Datagram::ROLLOUT_REPORT: {
@@ -562,7 +561,19 @@
             break;
         }
         case Datagram::QUARANTINE: {
-            events_.onQuarantined(RequestFeature{datagram.getQuarantine()});
+            events_.onQuarantined(host, {RequestFeature{datagram.getQuarantine()}, {}, false});
+            break;
+        }
+        case Datagram::QUARANTINE_NOTICE: {
+            events_.onQuarantined(host, decodeQuarantineNotice(datagram.getQuarantineNotice()));
+            break;
+        }
+        case Datagram::QUARANTINE_OBJECTION: {
+            events_.onQuarantineObjection(decodeQuarantineObjection(datagram.getQuarantineObjection()));
+            break;
+        }
+        case Datagram::QUARANTINE_LIFT: {
+            events_.onQuarantineLifted(RequestFeature{datagram.getQuarantineLift()});
             break;
         }
         case Datagram::TOKEN_REPLY: {
--- a/gateway/peer_socket.h
+++ b/gateway/peer_socket.h
@@ -154,11 +154,13 @@
     virtual void onWeightsRequest(const std::string &host) = 0;
     virtual void onWeightsAge(const WeightsAge &age) = 0;
 
-    /// Another host lost a target before the target began to answer a request.
+    /// Another host lost a target that ran a request.
     virtual void onCrashReport(const std::string &host, const CrashReport &report) = 0;
 
-    /// The request must not be sent to any target any more.
-    virtual void onQuarantined(RequestFeature request) = 0;
+    /// Requests with a feature must not be sent to any target any more, may be after all, or are known as sound to the host.
+    virtual void onQuarantined(const std::string &host, const QuarantineNotice &notice) = 0;
+    virtual void onQuarantineLifted(RequestFeature feature) = 0;
+    virtual void onQuarantineObjection(const QuarantineObjection &objection) = 0;
 
     virtual void onPermitRequest(const std::string &host, const PermitRequest &request) = 0;
     virtual void onPermitReply(const PermitReply &reply) = 0;
@@ -208,8 +210,9 @@
     void broadcast(const LoadingNotice &notice);
     void broadcast(const CacheStoreNotice &notice);
 
-    /// Tells all other hosts that a request is quarantined, see PeerEvents::onQuarantined().
-    void broadcast(RequestFeature quarantined);
+    /// Tells all other hosts that a feature of requests is quarantined, see PeerEvents::onQuarantined(), or not any more.
+    void broadcast(const QuarantineNotice &notice);
+    void broadcastLift(RequestFeature feature);
 
     /// Tells all other hosts what targets have begun or ceased to state.
     void broadcast(std::span<const StatementTable::Update> updates);
@@ -252,8 +255,9 @@
     void send(const std::string &host, const RolloutReport &report);
     void send(const std::string &host, const RolloutReply &reply);
 
-    /// Tells one host that a request is quarantined.
-    void send(const std::string &host, RequestFeature quarantined);
+    /// Tells one host that a feature of requests is quarantined, or that it is sound.
+    void send(const std::string &host, const QuarantineNotice &notice);
+    void send(const std::string &host, const QuarantineObjection &objection);
 
 private:
     using Endpoint = boost::asio::ip::udp::endpoint;
--- a/gateway/peer_traffic.cpp
+++ b/gateway/peer_traffic.cpp
@@ -18,11 +18,11 @@
 using PeerMessages::Datagram;
 
 /// In the order of the union's members.
-constexpr std::array<std::string_view, 28> messageNames{"dispatch",      "loading",        "token_request", "token_reply", "changes",          "proof_request",
-                                                        "proof_reply",   "cache_store",    "weights_query", "weights_age", "forward",          "packed",
-                                                        "changes_query", "changes_reply",  "crash_report",  "quarantine",  "rollout_report",   "rollout_reply",
-                                                        "bundle",        "permit_request", "permit_reply",  "statements",  "statements_query", "stream_record",
-                                                        "stream_query",  "stream_reply",   "slot_report",   "slot_grant"};
+constexpr std::array<std::string_view, 31> messageNames{
+    "dispatch",       "loading",       "token_request", "token_reply",    "changes",           "proof_request",        "proof_reply",      "cache_store",
+    "weights_query",  "weights_age",   "forward",       "packed",         "changes_query",     "changes_reply",        "crash_report",     "quarantine",
+    "rollout_report", "rollout_reply", "bundle",        "permit_request", "permit_reply",      "statements",           "statements_query", "stream_record",
+    "stream_query",   "stream_reply",  "slot_report",   "slot_grant",     "quarantine_notice", "quarantine_objection", "quarantine_lift"};
 constexpr std::string_view unreadable = "unreadable";
 
 std::string_view messageOf(std::string_view bytes)
--- a/gateway/request_dispatch.cpp
+++ b/gateway/request_dispatch.cpp
@@ -162,6 +162,17 @@
     }
 }
 
+void RequestDispatch::failQuarantined()
+{
+    std::vector<std::shared_ptr<RoutedRequest>> requests;
+    for (const auto &[id, request] : requests_) {
+        requests.push_back(request);
+    }
+    for (const auto &request : requests) {
+        request->endIfQuarantined();
+    }
+}
+
 void RequestDispatch::onEnded(RequestId id, DispatchResult result)
 {
     scheduler_.onEnded(id, result, BootClock::now());
--- a/gateway/request_dispatch.h
+++ b/gateway/request_dispatch.h
@@ -71,6 +71,9 @@
     /// Tries the requests elsewhere that are in flight on direct connections over lost links, as far as they may be repeated.
     void retryOverLostLinks();
 
+    /// Ends the requests that may not be sent to targets any more, see RoutedRequest::endIfQuarantined.
+    void failQuarantined();
+
     /// A request is no longer in flight at its target, whatever the result.
     void onEnded(RequestId id, DispatchResult result);
 
--- a/gateway/request_intake.cpp
+++ b/gateway/request_intake.cpp
@@ -102,14 +102,21 @@
     return team_ != nullptr && team_->isIsolated ? team_->name : std::string();
 }
 
-RequestFeature RequestIntake::fingerprint(std::string_view body) const
+std::vector<RequestFeature> RequestIntake::features(std::string_view body) const
 {
+    constexpr std::size_t maxParts = 16;
+    constexpr XXH64_hash_t partSeed = 1;
     std::uint64_t digest = 0;
     for (const std::string_view part :
          {std::string_view(head_.method), head_.find("Host"), std::string_view(head_.path), std::string_view(caller_.key), body}) {
         digest = XXH3_64bits_withSeed(part.data(), part.size(), digest);
     }
-    return RequestFeature{digest};
+    std::vector<RequestFeature> features{RequestFeature{digest}};
+    const std::span<const PromptPart> parts = sharedParts();
+    for (const PromptPart &part : parts.first(std::min(parts.size(), maxParts))) {
+        features.push_back(RequestFeature{XXH3_64bits_withSeed(&part.hash, sizeof part.hash, partSeed)});
+    }
+    return features;
 }
 
 double RequestIntake::chargedTokens() const
--- a/gateway/request_intake.h
+++ b/gateway/request_intake.h
@@ -55,8 +55,9 @@
     /// The team's name if the team is isolated, otherwise empty. Only prompts with the same scope share cache entries.
     std::string cacheScope() const;
 
-    /// Digest of method, Host header, path, key and body, so the same for each attempt of a caller. Call it after `run` has succeeded.
-    RequestFeature fingerprint(std::string_view body) const;
+    /// What may crash a target: first the whole request, that is a digest of method, Host header, path, key and body, so the same for each attempt of a
+    /// caller; then the parts of the prompt that other requests may share, up to 16. Call it after `run` has succeeded.
+    std::vector<RequestFeature> features(std::string_view body) const;
 
     /// Tokens that the team is charged: prompt and output tokens, or the team's fixed charge for calls without a prompt. Requires a team.
     double chargedTokens() const;
--- a/gateway/request_limits.h
+++ b/gateway/request_limits.h
@@ -32,6 +32,9 @@
 /// Retry-After of a stream whose version has no target: about the time that a target takes to restart.
 inline constexpr Duration noVersionRetryAfter = std::chrono::seconds(1);
 
+/// A target that has written a stream for this time does not crash on the request.
+inline constexpr Duration soundWritingTime = std::chrono::seconds(1);
+
 /// Retry-After of a quarantined request, which is not sent to any target for minutes.
 inline constexpr Duration quarantineRetryAfter = std::chrono::seconds(30);
 
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -47,8 +47,8 @@
         fail(reason);
         return;
     }
-    fingerprint_ = intake_.fingerprint(body_);
-    gateway_.fleet().whenLossesChecked(fingerprint_, [self] { self->beginUnlessQuarantined(); });
+    features_ = intake_.features(body_);
+    gateway_.fleet().whenLossesChecked(features_.front(), [self] { self->beginUnlessQuarantined(); });
 }
 
 void RoutedRequest::beginUnlessQuarantined()
@@ -187,6 +187,7 @@
     ++sends_;
     ++attempts_;
     isAnswerRelayed_ = false;
+    isSoundNoted_ = false;
     targetIncarnationDigest_ = XXH3_64bits_withSeed(target.id.data(), target.id.size(), static_cast<std::uint64_t>(target.incarnation));
     std::string salt;
     CachePlan plan;
@@ -265,6 +266,9 @@
     }
     binding_.onEvents();
     reportFirstToken();
+    if (BootClock::now() - firstTokenAt_ >= soundWritingTime) {
+        noteSound();
+    }
     if (!isAnswerStarted_) {
         startAnswer(std::nullopt);
     }
@@ -274,12 +278,19 @@
 void RoutedRequest::reportFirstToken()
 {
     if (!std::exchange(isFirstTokenReported_, true)) {
-        exposure_.onFirstByte(BootClock::now());
-        gateway_.fleet().crashes().noteAnswered(fingerprint_);
+        firstTokenAt_ = BootClock::now();
+        exposure_.onFirstByte(firstTokenAt_);
         gateway_.dispatch().onFirstToken(schedulerId_);
     }
 }
 
+void RoutedRequest::noteSound()
+{
+    if (!std::exchange(isSoundNoted_, true)) {
+        gateway_.fleet().crashes().noteSound(features_, BootClock::now());
+    }
+}
+
 void RoutedRequest::relay(std::string_view bytes)
 {
     if (session_ == nullptr) {
@@ -310,6 +321,7 @@
         return;
     }
     reportFirstToken();
+    noteSound();
     const bool isFailure = answerHead_.status >= firstErrorStatus || !isAnswerRelayed_;
     endDispatch(isFailure ? DispatchResult::Failed : DispatchResult::Finished);
     if (!isAnswerRelayed_) {
@@ -353,9 +365,9 @@
         onNotExecuted();
         return;
     }
-    log_.lost({targetId_, fingerprint_, why, loss == TargetLoss::NotSent, isFirstTokenReported_, isAnswerStarted_});
-    if (loss == TargetLoss::MayHaveRun && !isFirstTokenReported_) {
-        gateway_.fleet().reportTargetLoss(sentTo_, {fingerprint_, targetIncarnationDigest_});
+    log_.lost({targetId_, fingerprint(), why, loss == TargetLoss::NotSent, isFirstTokenReported_, isAnswerStarted_});
+    if (loss == TargetLoss::MayHaveRun && !isSoundNoted_) {
+        gateway_.fleet().reportTargetLoss(sentTo_, targetIncarnationDigest_, features_);
     }
     const bool isLinkLost = loss == TargetLoss::NotSent && gateway_.paths().isLost(sentTo_, BootClock::now());
     endDispatch(isLinkLost ? DispatchResult::Cancelled : DispatchResult::Failed);
@@ -393,7 +405,7 @@
     const auto self = shared_from_this();
     closeConnection();
     mayHaveRun_ = true;
-    log_.lost({targetId_, fingerprint_, why, false, isFirstTokenReported_, isAnswerStarted_});
+    log_.lost({targetId_, fingerprint(), why, false, isFirstTokenReported_, isAnswerStarted_});
     endDispatch(DispatchResult::Cancelled);
     events_.dropPartial();
     bufferedBody_.clear();
@@ -420,20 +432,6 @@
         && session_ != nullptr;
 }
 
-bool RoutedRequest::isQuarantined() const
-{
-    return gateway_.fleet().crashes().isQuarantined(fingerprint_, BootClock::now());
-}
-
-bool RoutedRequest::failIfQuarantined()
-{
-    if (!isQuarantined()) {
-        return false;
-    }
-    fail({ResultCode::Quarantined, "targets ended when they began this request"}, quarantineRetryAfter);
-    return true;
-}
-
 void RoutedRequest::retryElsewhere()
 {
     if (session_ == nullptr) {
--- a/gateway/routed_request.h
+++ b/gateway/routed_request.h
@@ -53,6 +53,10 @@
     /// Tries the request elsewhere if it is in flight on a direct connection over a lost link and may be repeated.
     void retryIfLinkIsLost();
 
+    /// Ends the request if it waits, or its target has not begun to answer, and targets end under its like. A non-idempotent call that a target may be
+    /// running is left to complete.
+    void endIfQuarantined();
+
     RequestId schedulerId() const
     {
         return schedulerId_;
@@ -107,6 +111,7 @@
     void onTargetLost(TargetLoss loss, std::string_view why) override;
 
     void reportFirstToken();
+    void noteSound();
     void onNotExecuted();
     void onEvents(std::string_view events);
     void relay(std::string_view bytes);
@@ -132,6 +137,11 @@
         }
     }
 
+    RequestFeature fingerprint() const
+    {
+        return features_.empty() ? RequestFeature{} : features_.front();
+    }
+
     bool isOnDirectConnection() const
     {
         return connection_ != nullptr && connection_->relay().empty();
@@ -150,7 +160,7 @@
     RequestLog log_;
     RolloutExposure exposure_;
     StreamBinding binding_;
-    RequestFeature fingerprint_{};
+    std::vector<RequestFeature> features_; ///< By which requests that crash targets are told; the first is the whole request.
     std::uint64_t targetIncarnationDigest_ = 0; ///< Digest of the current target's id and incarnation.
     double chargedTokens_ = 0; ///< Tokens consumed from the team's rate.
     Phase phase_ = Phase::Accepting;
@@ -180,6 +190,8 @@
     bool isNotExecuted_ = false; ///< The response being read says that the request did not run.
     std::optional<BufferedAnswer> fallback_; ///< A target's error response, relayed if no other target succeeds.
     bool isFirstTokenReported_ = false;
+    TimePoint firstTokenAt_;
+    bool isSoundNoted_ = false; ///< The current target has got past where it would have crashed.
     bool isReadingPaused_ = false;
     int failureStatus_ = 0;
     bool isAnswerStarted_ = false; ///< The head of a response was sent to the caller.
--- a/gateway/routed_request_end.cpp
+++ b/gateway/routed_request_end.cpp
@@ -1,5 +1,6 @@
 #include "gateway/routed_request.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "gateway/caller_session.h"
@@ -80,4 +81,37 @@
     gateway_.onRequestEnded(*this, ended);
 }
 
+bool RoutedRequest::isQuarantined() const
+{
+    const TimePoint now = BootClock::now();
+    return std::any_of(
+        features_.begin(), features_.end(), [this, now](RequestFeature feature) { return gateway_.fleet().crashes().isQuarantined(feature, now); });
+}
+
+bool RoutedRequest::failIfQuarantined()
+{
+    if (!isQuarantined()) {
+        return false;
+    }
+    fail({ResultCode::Quarantined, "targets ended when they began this request"}, quarantineRetryAfter);
+    return true;
+}
+
+void RoutedRequest::endIfQuarantined()
+{
+    const bool mayEnd = phase_ == Phase::Queued || (phase_ == Phase::Sent && intake_.route()->isIdempotent());
+    if (!mayEnd || !isQuarantined()) {
+        return;
+    }
+    const auto self = shared_from_this();
+    if (phase_ == Phase::Sent) {
+        closeConnection();
+        mayHaveRun_ = true;
+        endDispatch(DispatchResult::Cancelled);
+    } else {
+        gateway_.dispatch().cancelQueued(schedulerId_);
+    }
+    failIfQuarantined();
+}
+
 } // namespace Lovageloft
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -189,7 +189,7 @@
     options.onLeader = [this](const std::string &host) { weightsDuty_.setLeader(host); };
     options.onHosts = [this](const std::vector<std::string> &candidates, std::size_t hosts) { weightsDuty_.setHosts(candidates, hosts); };
     options.onQuarantined = [this](RequestFeature request) {
-        gateway_.post([request](Gateway &gateway) { gateway.fleet().crashes().onQuarantined(request, BootClock::now()); });
+        gateway_.post([request](Gateway &gateway) { gateway.fleet().crashes().onQuarantined({}, {request, {}, false}, BootClock::now()); });
     };
     return options;
 }
--- a/tests/gateway/test_crash_guard.cpp
+++ b/tests/gateway/test_crash_guard.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <array>
+#include <functional>
 #include <memory>
 #include <set>
 
@@ -14,6 +17,20 @@
 {
 
 constexpr RequestFeature crashingRequest{4'711};
+constexpr RequestFeature crashingPart{4'712};
+constexpr RequestFeature soundPart{4'713};
+
+/// A network whose messages all get lost.
+CrashGuard::Network silentNetwork()
+{
+    return {[](const std::string &, const CrashReport &) {},
+            [](const std::string &, const QuarantineNotice &) {},
+            [](const QuarantineNotice &) {},
+            [](RequestFeature) {},
+            [](const std::string &, const QuarantineObjection &) {},
+            [](RequestFeature) {},
+            [] {}};
+}
 
 /// Simulates hosts that exchange datagrams, which may be lost. Some hosts may be unreachable. All get the same request, which crashes its
 /// target each time.
@@ -36,29 +53,24 @@
     void restart(std::size_t host)
     {
         const std::string name = names_[host];
-        guards_[name] = std::make_unique<CrashGuard>(name,
-                                                     CrashGuard::Network{[this, name](const std::string &to, const CrashReport &report) {
-                                                                             if (CrashGuard *guard = reachableGuard(to)) {
-                                                                                 guard->onReport(name, report, now);
-                                                                             }
-                                                                         },
-                                                                         [this](const std::string &to, RequestFeature request) {
-                                                                             if (CrashGuard *guard = reachableGuard(to)) {
-                                                                                 guard->onQuarantined(request, now);
-                                                                             }
-                                                                         },
-                                                                         [this, name](RequestFeature request) {
-                                                                             for (const std::string &to : names_) {
-                                                                                 CrashGuard *guard = to == name ? nullptr : reachableGuard(to);
-                                                                                 if (guard != nullptr) {
-                                                                                     guard->onQuarantined(request, now);
-                                                                                 }
-                                                                             }
-                                                                         },
-                                                                         [this](RequestFeature request) { recorded_.insert(request); }});
+        const auto report = [this, name](const std::string &to, const CrashReport &crash) {
+            call(to, [&](CrashGuard &guard) { guard.onReport(name, crash, now); });
+        };
+        const auto notify = [this, name](const std::string &to, const QuarantineNotice &notice) {
+            call(to, [&](CrashGuard &guard) { guard.onQuarantined(name, notice, now); });
+        };
+        const auto broadcast = [this, name](const QuarantineNotice &notice) {
+            callOthers(name, [&](CrashGuard &guard) { guard.onQuarantined(name, notice, now); });
+        };
+        const auto record = [this](RequestFeature feature) { recorded_.insert(feature); };
+        const auto object = [this](const std::string &to, const QuarantineObjection &objection) {
+            call(to, [&](CrashGuard &guard) { guard.onObjection(objection, now); });
+        };
+        const auto lift = [this, name](RequestFeature feature) { callOthers(name, [&](CrashGuard &guard) { guard.onLifted(feature); }); };
+        guards_[name] = std::make_unique<CrashGuard>(name, CrashGuard::Network{report, notify, broadcast, record, object, lift, [] {}});
         guards_[name]->setHosts(names_);
         for (const RequestFeature request : recorded_) {
-            guards_[name]->onQuarantined(request, now);
+            guards_[name]->onQuarantined({}, {request, {}, false}, now);
         }
     }
 
@@ -75,10 +87,42 @@
         if (unreachable_.contains(name) || guard.isQuarantined(crashingRequest, now)) {
             return false;
         }
-        guard.onTargetLost({crashingRequest, ++lastTarget_}, now);
+        guard.onTargetLost({crashingRequest, ++lastTarget_, crashingRequest}, now);
+        tick();
         return true;
     }
 
+    /// Targets end while they run requests with these features, all different but for them, that came from random hosts.
+    void crash(std::size_t targets, std::span<const RequestFeature> features)
+    {
+        for (std::size_t i = 0; i < targets; ++i) {
+            ++lastTarget_;
+            CrashGuard &guard = randomGuard();
+            for (const RequestFeature feature : features) {
+                guard.onTargetLost({feature, lastTarget_, RequestFeature{firstRequest + lastTarget_}}, now);
+            }
+        }
+        tick();
+    }
+
+    /// A request with a feature is answered at a random host.
+    void answer(RequestFeature feature)
+    {
+        randomGuard().noteSound(std::span(&feature, 1), now);
+    }
+
+    /// Hosts that have a feature in quarantine.
+    std::size_t quarantined(RequestFeature feature) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(guards_.begin(), guards_.end(), [this, feature](const auto &entry) { return entry.second->isQuarantined(feature, now); }));
+    }
+
+    bool isRecorded(RequestFeature feature) const
+    {
+        return recorded_.contains(feature);
+    }
+
     /// Returns how many of `tries` attempts were sent to a target.
     int countSends(int tries)
     {
@@ -105,11 +149,40 @@
     TimePoint now{1h};
 
 private:
-    CrashGuard *reachableGuard(const std::string &name)
+    static constexpr std::uint64_t firstRequest = 1'000'000;
+
+    void call(const std::string &name, const std::function<void(CrashGuard &)> &action)
     {
         constexpr std::size_t parts = 1'000;
         const bool isLost = static_cast<double>(randomBelow(random_, parts)) < lossRate_ * parts;
-        return isLost || unreachable_.contains(name) ? nullptr : guards_[name].get();
+        if (!isLost && !unreachable_.contains(name) && guards_.contains(name)) {
+            action(*guards_[name]);
+        }
+    }
+
+    void callOthers(const std::string &from, const std::function<void(CrashGuard &)> &action)
+    {
+        for (const std::string &name : names_) {
+            if (name != from) {
+                call(name, action);
+            }
+        }
+    }
+
+    CrashGuard &randomGuard()
+    {
+        return *guards_[names_[randomBelow(random_, names_.size())]];
+    }
+
+    /// Time passes in which lost messages are repeated and quarantines recorded.
+    void tick()
+    {
+        for (int i = 0; i < 3; ++i) {
+            now += 250ms;
+            for (const auto &[name, guard] : guards_) {
+                guard->onTick(now);
+            }
+        }
     }
 
     Random random_;
@@ -155,31 +228,103 @@
     Fleet fleet(9, 1, 2); // All datagrams are lost, so each host counts alone.
     BOOST_TEST(fleet.countSends(2'000) == 9 * static_cast<int>(CrashQuarantine::maxCrashes));
     std::vector<std::string> notified;
-    CrashGuard home("home",
-                    {[](const std::string &, const CrashReport &) {},
-                     [&](const std::string &host, RequestFeature) { notified.push_back(host); },
-                     [](RequestFeature) {},
-                     [](RequestFeature) {}});
+    CrashGuard::Network network = silentNetwork();
+    network.notify = [&](const std::string &host, const QuarantineNotice &) { notified.push_back(host); };
+    CrashGuard home("home", network);
     for (std::uint64_t target = 1; target <= 4; ++target) {
-        home.onReport("other", {crashingRequest, target}, fleet.now);
+        home.onReport("other", {crashingRequest, target, crashingRequest}, fleet.now);
     }
     BOOST_TEST(notified.size() == 1U);
 }
 
-BOOST_AUTO_TEST_CASE(answeredRequestsAreNeitherReportedNorQuarantined)
+// Guards against refusing requests that happened to run on targets that crashed for another reason.
+BOOST_AUTO_TEST_CASE(answeredRequestsAreNotQuarantined)
 {
-    int reports = 0;
-    CrashGuard guard("a",
-                     {[&](const std::string &, const CrashReport &) { ++reports; },
-                      [](const std::string &, RequestFeature) {},
-                      [](RequestFeature) {},
-                      [](RequestFeature) {}});
+    std::vector<std::string> objections;
+    CrashGuard::Network network = silentNetwork();
+    network.object = [&](const std::string &host, const QuarantineObjection &) { objections.push_back(host); };
+    CrashGuard guard("a", network);
     guard.setHosts({"b", "c"});
-    guard.noteAnswered(crashingRequest);
-    guard.onTargetLost({crashingRequest, 1}, TimePoint{1h});
-    guard.onQuarantined(crashingRequest, TimePoint{1h});
-    BOOST_TEST(reports == 0);
+    guard.noteSound(std::span(&crashingRequest, 1), TimePoint{1h});
+    for (std::uint64_t target = 1; target <= 4; ++target) {
+        guard.onTargetLost({crashingRequest, target, crashingRequest}, TimePoint{1h});
+    }
+    guard.onQuarantined("b", {crashingRequest, {}, false}, TimePoint{1h});
+    BOOST_TEST(objections == std::vector<std::string>{"b"});
     BOOST_TEST(!guard.isQuarantined(crashingRequest, TimePoint{1h}));
 }
 
+// Guards against requests that share a part, no two alike, and crash one target after the other.
+BOOST_DATA_TEST_CASE(aPartThatCrashesThreeTargetsIsQuarantinedEverywhere, boost::unit_test::data::make({1, 9, 69, 295}), hosts)
+{
+    Fleet fleet(static_cast<std::size_t>(hosts), 0, 1);
+    const std::array features{crashingPart};
+    fleet.crash(2, features);
+    BOOST_TEST(fleet.quarantined(crashingPart) == 0U);
+    fleet.crash(1, features);
+    BOOST_TEST(fleet.quarantined(crashingPart) == static_cast<std::size_t>(hosts));
+    BOOST_TEST(fleet.isRecorded(crashingPart));
+}
+
+// Guards against a part that is refused because one request with it, tried again each time, had bad luck.
+BOOST_AUTO_TEST_CASE(aPartOfASingleRequestIsNotQuarantined)
+{
+    Fleet fleet(9, 0, 1);
+    for (std::uint64_t target = 1; target <= 9; ++target) {
+        fleet.guard(0).onTargetLost({crashingPart, target, crashingRequest}, fleet.now);
+    }
+    BOOST_TEST(fleet.quarantined(crashingPart) == 0U);
+}
+
+// Guards against refusing sound requests for minutes that share a part which ran on all targets of a rack that failed.
+BOOST_AUTO_TEST_CASE(aPartThatWasSoundIsNotQuarantinedWhenManyTargetsFailAtOnce)
+{
+    for (std::uint64_t seed = 0; seed < 100; ++seed) {
+        Fleet fleet(9, 0.01, seed);
+        const std::array features{crashingPart};
+        fleet.answer(crashingPart);
+        fleet.now += 5s;
+        fleet.crash(10, features);
+        fleet.crash(1, features);
+        BOOST_TEST(fleet.quarantined(crashingPart) <= 1U, "seed " << seed << ": " << fleet.quarantined(crashingPart));
+        fleet.now += 500ms;
+        fleet.answer(crashingPart);
+        fleet.now += 2s;
+        fleet.crash(10, features);
+        BOOST_TEST(!fleet.isRecorded(crashingPart), "seed " << seed);
+    }
+}
+
+// Guards against a part that targets have learnt to crash on, and that was answered before.
+BOOST_AUTO_TEST_CASE(aPartThatWasSoundIsQuarantinedAfterFiveCrashesWithoutAnAnswer)
+{
+    Fleet fleet(9, 0, 1);
+    const std::array features{crashingPart};
+    for (int i = 0; i < 50; ++i) {
+        fleet.answer(crashingPart);
+    }
+    for (int i = 0; i < 6; ++i) {
+        fleet.now += 300ms;
+        fleet.crash(1, features);
+    }
+    BOOST_TEST(fleet.quarantined(crashingPart) == 9U);
+}
+
+// Guards against requests that are refused because they share their first part with those that crash targets.
+BOOST_AUTO_TEST_CASE(aPartThatIsAnsweredBetweenCrashesIsNotQuarantined)
+{
+    Fleet fleet(9, 0, 1);
+    const std::array features{crashingPart, soundPart};
+    for (int i = 0; i < 12; ++i) {
+        fleet.now += 300ms;
+        for (int host = 0; host < 20; ++host) {
+            fleet.answer(soundPart);
+        }
+        fleet.crash(1, features);
+    }
+    BOOST_TEST(fleet.quarantined(crashingPart) == 9U);
+    BOOST_TEST(fleet.quarantined(soundPart) == 0U);
+    BOOST_TEST(!fleet.isRecorded(soundPart));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/test_datagrams.cpp
+++ b/tests/platform/test_datagrams.cpp
@@ -168,11 +168,19 @@
 
     void onCrashReport(const std::string &host, const CrashReport &report) override
     {
-        socket_.send(host, report.request); // It has heard of enough targets already.
+        socket_.send(host, QuarantineNotice{report.feature, {}, false}); // It has heard of enough targets already.
         ++reports;
     }
 
-    void onQuarantined(RequestFeature /*request*/) override
+    void onQuarantined(const std::string & /*host*/, const QuarantineNotice & /*notice*/) override
+    {
+    }
+
+    void onQuarantineLifted(RequestFeature /*feature*/) override
+    {
+    }
+
+    void onQuarantineObjection(const QuarantineObjection & /*objection*/) override
     {
     }
 
@@ -295,7 +303,6 @@
     BOOST_TEST(isServed());
 }
 
-// Guards against a host that goes on sending a request which other hosts have in quarantine.
 // Guards against hosts that hear from a relay about one prefix only, and call the store for the others.
 BOOST_AUTO_TEST_CASE(aHeartbeatTellsOfAllPrefixesInOneDatagram)
 {
@@ -321,6 +328,7 @@
     });
 }
 
+// Guards against a host that goes on sending a request which other hosts have in quarantine.
 BOOST_FIXTURE_TEST_CASE(aRequestThatAnotherHostHasInQuarantineIsNotSent, TwoHosts)
 {
     std::atomic<int> crashes = 0;
