A host's own delays don't make a good version's short answers look slow

Operators saw a good version that got a few requests of its first stage and never the traffic: the known red test_rollout_through_gateway, beside load.

Cause: answers of less than a millisecond were compared by the ratio of their times. Requests to a new version leave in the moments in which a host gets its allowance, when its loop is busy, and a delay of 3 ms is ten times the usual.

The time by which a busy host may see any answer late, 10 ms, is now part of both times that are compared. Versions that are three times slower at 20 ms and at 100 ms still count as slow (test_rollout).

--- a/decision/answer_counts.cpp
+++ b/decision/answer_counts.cpp
@@ -10,6 +10,12 @@
 namespace
 {
 
+/// By how much a busy host may see an answer late.
+constexpr Duration hostDelay = std::chrono::milliseconds(10);
+
+/// Shorter expected times, in seconds, are taken as this.
+constexpr double minExpectedSeconds = 0.001;
+
 /// Answers before the means are used.
 constexpr std::uint32_t minAnswers = 8;
 
@@ -44,6 +50,12 @@
     return static_cast<std::size_t>(std::min(bucket, static_cast<double>(AnswerCounts::bucketCount - 1)));
 }
 
+AnswerTimes relativeTimes(Duration firstByte, Duration whole, double expectedFirstByte, double expectedWhole)
+{
+    return {toSeconds(firstByte + hostDelay) / std::max(expectedFirstByte, minExpectedSeconds),
+            toSeconds(whole + hostDelay) / std::max(expectedWhole, minExpectedSeconds)};
+}
+
 void UsualTimes::add(const AnswerTimes &times)
 {
     if (!(times.firstByte > 0) || !(times.whole > 0)) {
--- a/decision/answer_counts.h
+++ b/decision/answer_counts.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <optional>
 
+#include "core/clock.h"
+
 namespace Lovageloft
 {
 
@@ -39,6 +41,10 @@
     double whole = 0;
 };
 
+/// The times of an answer relative to the expected ones, in seconds. Both are extended by the time by which a busy host may see any answer late: among
+/// answers of a millisecond, such delays would look like a target that is several times slower.
+AnswerTimes relativeTimes(Duration firstByte, Duration whole, double expectedFirstByte, double expectedWhole);
+
 /// What is usual for the answers on one route: the running geometric means of both times.
 class UsualTimes
 {
--- a/gateway/rollout_exposure.cpp
+++ b/gateway/rollout_exposure.cpp
@@ -7,13 +7,6 @@
 namespace Lovageloft
 {
 
-namespace
-{
-
-constexpr double minExpectedSeconds = 1e-3;
-
-} // namespace
-
 RolloutExposure::RolloutExposure(Gateway &gateway, const RequestIntake &intake)
     : gateway_(gateway)
     , intake_(intake)
@@ -87,8 +80,7 @@
     observation.target = target_;
     observation.isCandidate = isCandidate_;
     observation.outcome = result == DispatchResult::Finished ? Outcome::Answered : result == DispatchResult::Failed ? Outcome::Failed : Outcome::LeftEarly;
-    observation.times.firstByte = toSeconds(firstByteAt_.value_or(now) - sentAt_) / std::max(expectedSeconds_, minExpectedSeconds);
-    observation.times.whole = toSeconds(now - sentAt_) / std::max(toSeconds(intake_.route()->latencyTarget), minExpectedSeconds);
+    observation.times = relativeTimes(firstByteAt_.value_or(now) - sentAt_, now - sentAt_, expectedSeconds_, toSeconds(intake_.route()->latencyTarget));
     rollout->observe(observation);
     const std::string_view outcome = result == DispatchResult::Finished ? "answered" : result == DispatchResult::Failed ? "failed" : "caller_gone";
     Metrics &metrics = gateway_.metrics();
--- a/tests/decision/test_rollout.cpp
+++ b/tests/decision/test_rollout.cpp
@@ -188,4 +188,20 @@
     BOOST_TEST(evidence.level() == 0);
 }
 
+// Guards against a good version that never gets the traffic, as a busy host sees some of its answers of a millisecond a few milliseconds late.
+BOOST_AUTO_TEST_CASE(delaysOfTheHostDoNotMakeShortAnswersSlow)
+{
+    const auto slowness = [](Duration usually, Duration now) {
+        constexpr double expected = 0.3;
+        UsualTimes usual;
+        for (int i = 0; i < 20; ++i) {
+            usual.add(relativeTimes(usually, usually, expected, expected));
+        }
+        return usual.slowness(relativeTimes(now, now, expected, expected)).value();
+    };
+    BOOST_TEST(slownessBucket(slowness(300us, 4ms)) < firstSlowBucket);
+    BOOST_TEST(slownessBucket(slowness(20ms, 60ms)) >= firstSlowBucket);
+    BOOST_TEST(slownessBucket(slowness(100ms, 300ms)) >= firstSlowBucket);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
