--- a/gateway/crash_codec.cpp
+++ b/gateway/crash_codec.cpp
@@ -1,7 +1,5 @@
 #include "gateway/crash_codec.h"
 
-#include <algorithm>
-
 #include <capnp/message.h>
 
 #include "gateway/datagram_codec.h"
@@ -14,19 +12,6 @@
 
 using PeerMessages::Datagram;
 
-/// Longer times of a faulty sender are cut to this.
-constexpr std::uint64_t maxMicroseconds = 3'600'000'000;
-
-std::uint64_t toMicroseconds(Duration time)
-{
-    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::microseconds>(time).count()));
-}
-
-Duration fromMicroseconds(std::uint64_t microseconds)
-{
-    return std::chrono::microseconds(std::min(microseconds, maxMicroseconds));
-}
-
 std::uint64_t number(RequestFeature feature)
 {
     return static_cast<std::uint64_t>(feature);
--- a/gateway/datagram_codec.cpp
+++ b/gateway/datagram_codec.cpp
@@ -1,5 +1,6 @@
 #include "gateway/datagram_codec.h"
 
+#include <algorithm>
 #include <cstring>
 
 #include <capnp/serialize-packed.h>
@@ -85,6 +86,17 @@
     return {chars.begin(), chars.size()};
 }
 
+std::uint64_t toMicroseconds(Duration time)
+{
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::microseconds>(time).count()));
+}
+
+Duration fromMicroseconds(std::uint64_t microseconds)
+{
+    constexpr std::uint64_t maxMicroseconds = 3'000'000'000'000'000;
+    return std::chrono::microseconds(std::min(microseconds, maxMicroseconds));
+}
+
 DatagramReader::DatagramReader(std::string_view bytes)
     : words_(alignedWords(bytes))
     , reader_(kj::arrayPtr(reinterpret_cast<const capnp::word *>(words_.data()), words_.size()))
--- a/gateway/datagram_codec.h
+++ b/gateway/datagram_codec.h
@@ -8,6 +8,7 @@
 #include <capnp/message.h>
 #include <capnp/serialize.h>
 
+#include "core/clock.h"
 #include "gateway/peer_messages.capnp.h"
 
 namespace Lovageloft
@@ -25,6 +26,10 @@
 /// The datagram itself, or a datagram with its deflated bytes if it is as long as a packet.
 std::string deflatedIfLong(std::string datagram);
 
+/// A time as a number in a message, and back. Negative times are sent as 0; those of a faulty sender that no process runs for are cut.
+std::uint64_t toMicroseconds(Duration time);
+Duration fromMicroseconds(std::uint64_t microseconds);
+
 /// Text as bytes of a message, and back.
 kj::ArrayPtr<const unsigned char> toBytes(std::string_view text);
 std::string_view toText(capnp::Data::Reader data);
--- a/gateway/statement_codec.cpp
+++ b/gateway/statement_codec.cpp
@@ -18,19 +18,6 @@
 /// Statements in a datagram, which then fits into one packet.
 constexpr std::size_t maxStatementsPerDatagram = 10;
 
-/// Longer times of a faulty sender are cut to this, which no process runs.
-constexpr std::uint64_t maxMicroseconds = 3'000'000'000'000'000;
-
-std::uint64_t toMicroseconds(Duration time)
-{
-    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::microseconds>(time).count()));
-}
-
-Duration fromMicroseconds(std::uint64_t microseconds)
-{
-    return std::chrono::microseconds(std::min(microseconds, maxMicroseconds));
-}
-
 bool isAmount(double value)
 {
     return std::isfinite(value) && value >= 0;
