--- a/coordination/crash_quarantine.h
+++ b/coordination/crash_quarantine.h
@@ -41,8 +41,8 @@
 /// No single host sees enough of the attempts to detect this. Each host therefore reports a target that it lost, with each feature of the request that
 /// it had there, to home hosts of the feature. A home host that received reports of several different targets, each within two minutes of the
 /// previous one, quarantines the feature for ten minutes and notifies all hosts. Features of requests that were answered are sound: such requests merely
-/// ran on the same targets at the same time. That an answer came before the crashes counts less, as a target may have learnt to crash on the feature
-/// since. The number of entries is limited; the oldest are evicted first.
+/// ran on the same targets at the same time. An answer from before the crashes counts less, as targets may crash on the feature only since
+/// then. The number of entries is limited; the oldest are evicted first.
 class CrashQuarantine
 {
 public:
--- a/decision/request_scheduler.h
+++ b/decision/request_scheduler.h
@@ -129,7 +129,7 @@
     /// Sets the limits of the retry budget that each model has.
     void setRetryLimits(const RetryBudget::Limits &limits);
 
-    /// Sets the permits without which no request is sent to a target that states a rate limit. `permits` must outlive this object; null for none.
+    /// Sets the permits without which no request is sent to a target that states a limit. `permits` must outlive this object; null for none.
     void setPermits(SendPermits *permits);
 
     /// Targets for which queued requests need a permit, since the last call. The best ones for the request that is next come first.
--- a/gateway/routed_request.h
+++ b/gateway/routed_request.h
@@ -53,8 +53,8 @@
     /// Tries the request elsewhere if it is in flight on a direct connection over a lost link and may be repeated.
     void retryIfLinkIsLost();
 
-    /// Ends the request if it waits, or its target has not begun to answer, and targets end under its like. A non-idempotent call that a target may be
-    /// running is left to complete.
+    /// Ends the request if one of its features is quarantined and it is queued, or its target has not begun to answer. A non-idempotent call that a target
+    /// may be running is left to complete.
     void endIfQuarantined();
 
     RequestId schedulerId() const
