--- a/decision/slot_leases.cpp
+++ b/decision/slot_leases.cpp
@@ -63,8 +63,8 @@
 
 std::string SlotLeases::homeOf(std::string_view target) const
 {
-    std::vector<std::string> homes = candidates_.winners(target, 1);
-    return homes.empty() ? host_ : std::move(homes.front());
+    const std::vector<std::string> homes = candidates_.winners(target, 1);
+    return homes.empty() ? host_ : homes.front();
 }
 
 bool SlotLeases::isLimited(std::string_view target) const
