Waiting requests want slots of several targets

Callers waited most of their time and were refused then, while room of targets with a rejection limit stayed free.

Cause: a host with one request waiting wanted a slot of its best target alone. With six hosts and little room some targets had nobody who wanted their slots; their home then tells that there is no shortage, and nothing is refused on arrival.

--- a/decision/request_scheduler_permits.cpp
+++ b/decision/request_scheduler_permits.cpp
@@ -16,6 +16,9 @@
 constexpr std::chrono::seconds maxPermitRetryAfter{10};
 constexpr double maxPermitWaitSeconds = 60;
 constexpr std::string_view permitsSpent = "all targets are at the rate limits that they state";
+/// Engines of which waiting requests want slots at the same time.
+constexpr std::size_t maxSlotEngines = 6;
+
 /// Time constant of the decay by which permits that were used are counted.
 constexpr double permitUseSeconds = 2;
 
@@ -55,9 +58,11 @@
 }
 
 /// Wants a permit of the best engine without one for a request that goes to another engine; for requests that have to wait, permits of several engines.
+/// Slots are wanted of more engines than there are requests: it is not known which engine has room first, and those that aren't needed go back at once.
 void RequestScheduler::wantPermits(bool isPlaced, TimePoint now)
 {
     std::size_t needed = isPlaced ? 1 : requests_.size();
+    std::size_t slotEngines = 0;
     for (const EngineIndex index : placement_.preferredWithoutPermit()) {
         const std::string &target = engines_.at(index).target;
         const auto known = std::find_if(wantedPermits_.begin(), wantedPermits_.end(), [&target](const auto &wanted) { return wanted.target == target; });
@@ -66,6 +71,9 @@
         } else {
             known->count = std::max(known->count, needed);
         }
+        if (!isPlaced && permits_->slots().isLimited(target) && ++slotEngines < maxSlotEngines) {
+            continue;
+        }
         const std::size_t expected = std::max<std::size_t>(permits_->expected(target, now), 1);
         if (expected >= needed) {
             return;
--- a/tests/platform/test_rejection_limits.cpp
+++ b/tests/platform/test_rejection_limits.cpp
@@ -26,6 +26,14 @@
 constexpr int smallRoom = 2;
 
 constexpr Duration serviceTime = 60ms;
+
+/// With this service time and these callers, far more is asked for than can be served within the callers' time of 1.5 s.
+constexpr Duration longServiceTime = 300ms;
+constexpr std::size_t addedCallers = 114;
+
+/// A refusal within this time is prompt, and this part of them has to be.
+constexpr Duration promptTime = 200ms;
+constexpr double promptShare = 0.9;
 constexpr Duration downTime = 1s;
 
 constexpr Duration fullTime = 1s;
@@ -47,13 +55,17 @@
         }
     }
 
-    /// Has callers of all hosts send requests, one after the other, while the targets' room shrinks.
-    void play()
+    /// Has callers of all hosts send requests, one after the other, while the targets' room shrinks. At that moment `addedCallers` more join them.
+    void play(Duration serviceTime, std::size_t addedCallers = 0)
     {
+        serviceTime_ = serviceTime;
         const TimePoint start = BootClock::now();
         std::vector<std::thread> callers;
-        for (std::size_t i = 0; i < callerCount; ++i) {
-            callers.emplace_back([this, i] { servedShare(i % hostCount, "GET", "/safe/x", fullTime + smallTime); });
+        for (std::size_t i = 0; i < callerCount + addedCallers; ++i) {
+            callers.emplace_back([this, i, start] {
+                std::this_thread::sleep_for(i < callerCount ? Duration::zero() : fullTime);
+                call(i % hostCount, start + fullTime + smallTime);
+            });
         }
         while (BootClock::now() < start + fullTime + smallTime) {
             std::this_thread::sleep_for(10ms);
@@ -79,10 +91,16 @@
     /// Part of the smaller room of all targets that was used.
     double roomUsed() const
     {
-        const double capacity = toSeconds(smallTime - settleTime) / toSeconds(serviceTime) * smallRoom * targetCount;
+        const double capacity = toSeconds(smallTime - settleTime) / toSeconds(serviceTime_) * smallRoom * targetCount;
         return served_ / capacity;
     }
 
+    /// Part of the refusals, from when the room had been small for a while, that came promptly.
+    double promptRefusals() const
+    {
+        return refused_ > 0 ? prompt_ / refused_ : 1;
+    }
+
 private:
     struct State
     {
@@ -91,6 +109,23 @@
         std::optional<TimePoint> fallenAt;
     };
 
+    void call(std::size_t host, TimePoint end)
+    {
+        constexpr Duration pause = 10ms;
+        while (BootClock::now() < end) {
+            const TimePoint sentAt = BootClock::now();
+            const bool isServed = exchange(host, GatewayFixture::request("GET", "/safe/x")).starts_with("HTTP/1.1 200 ");
+            {
+                const std::lock_guard lock(mutex_);
+                if (!isServed && sentAt >= countedFrom_) {
+                    refused_ += 1;
+                    prompt_ += BootClock::now() - sentAt <= promptTime ? 1 : 0;
+                }
+            }
+            std::this_thread::sleep_for(pause);
+        }
+    }
+
     static std::string nameOf(std::size_t target)
     {
         return std::string(1, static_cast<char>('a' + target));
@@ -138,7 +173,7 @@
         case Admission::Admitted:
             break;
         }
-        std::this_thread::sleep_for(serviceTime);
+        std::this_thread::sleep_for(serviceTime_);
         {
             const std::lock_guard lock(mutex_);
             --state.running;
@@ -178,6 +213,9 @@
     int room_ = fullRoom;
     int falls_ = 0;
     double served_ = 0;
+    double refused_ = 0;
+    double prompt_ = 0;
+    Duration serviceTime_{};
     TimePoint countedFrom_ = TimePoint::max();
 };
 
@@ -188,10 +226,20 @@
 // Guards against targets that fall over again and again under requests that they have to reject, while hardly any of their room is used.
 BOOST_AUTO_TEST_CASE(targetsWhoseRoomShrinksDoNotFallOverAndAreUsed)
 {
-    play();
+    play(serviceTime);
     BOOST_TEST(falls() == 0);
     BOOST_TEST_MESSAGE("part of the room used: " << roomUsed());
     BOOST_TEST(roomUsed() >= minRoomUsed);
 }
 
+// Guards against callers that are kept waiting for most of their time and then refused, as targets hold far fewer requests than are sent.
+BOOST_AUTO_TEST_CASE(whatTheRoomDoesNotSufficeForIsRefusedAtOnce)
+{
+    play(longServiceTime, addedCallers);
+    BOOST_TEST_MESSAGE("part of the room used: " << roomUsed() << ", of the refusals prompt: " << promptRefusals());
+    BOOST_TEST(falls() == 0);
+    BOOST_TEST(roomUsed() >= minRoomUsed);
+    BOOST_TEST(promptRefusals() >= promptShare);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
