An answer that has begun counts as history of a request

Cause: since crashes also count after the first byte, only complete answers spoke for a request. Where no host had seen one yet, three targets that broke off within 0.3 s quarantined a request that all callers sent, until the first host could object (trace: request_quarantined after 1 ms, quarantine_lifted on all hosts, 584 refusals).

The beginning of an answer counts as history of the whole request again, as it did before: five targets over a second without a complete answer since are needed then. Parts of prompts don't get such history, as requests that crash their target begin to answer as well.

--- a/coordination/crash_quarantine.cpp
+++ b/coordination/crash_quarantine.cpp
@@ -27,18 +27,39 @@
 
 void CrashQuarantine::noteSound(RequestFeature feature, TimePoint now)
 {
-    sound_[static_cast<std::uint64_t>(feature) % soundSlots] = {feature, now};
+    soundOf(feature).at = now;
 }
 
-const CrashQuarantine::Sound &CrashQuarantine::soundOf(RequestFeature feature) const
+void CrashQuarantine::noteBegun(RequestFeature feature, TimePoint now)
 {
-    return sound_[static_cast<std::uint64_t>(feature) % soundSlots];
+    soundOf(feature).begunAt = now;
+}
+
+CrashQuarantine::Sound &CrashQuarantine::soundOf(RequestFeature feature)
+{
+    Sound &sound = sound_[static_cast<std::uint64_t>(feature) % soundSlots];
+    if (sound.feature != feature) {
+        sound = {feature, {}, {}};
+    }
+    return sound;
+}
+
+const CrashQuarantine::Sound *CrashQuarantine::findSound(RequestFeature feature) const
+{
+    const Sound &sound = sound_[static_cast<std::uint64_t>(feature) % soundSlots];
+    return sound.feature == feature ? &sound : nullptr;
 }
 
 bool CrashQuarantine::isSoundSince(RequestFeature feature, TimePoint since) const
 {
-    const Sound &sound = soundOf(feature);
-    return sound.feature == feature && sound.at >= since;
+    const Sound *sound = findSound(feature);
+    return sound != nullptr && sound->at >= since && sound->at > TimePoint{};
+}
+
+bool CrashQuarantine::wasSoundLately(RequestFeature feature, TimePoint now) const
+{
+    const Sound *sound = findSound(feature);
+    return sound != nullptr && now - std::max(sound->at, sound->begunAt) <= soundMemory;
 }
 
 std::optional<QuarantineNotice> CrashQuarantine::countCrash(const CrashReport &report, TimePoint now)
@@ -55,7 +76,7 @@
     suspect.lastCrashAt = now;
     if (suspect.count == 0) {
         suspect.firstCrashAt = now;
-        suspect.wasSound = suspect.wasSound || isSoundSince(report.feature, now - soundMemory);
+        suspect.wasSound = suspect.wasSound || wasSoundLately(report.feature, now);
     }
     const auto end = suspect.crashes.begin() + static_cast<std::ptrdiff_t>(suspect.count);
     const bool isKnown = std::any_of(suspect.crashes.begin(), end, [&report](const Crash &crash) { return crash.target == report.target; });
@@ -85,10 +106,11 @@
 
 std::optional<QuarantineObjection> CrashQuarantine::objectionTo(const QuarantineNotice &notice, TimePoint now) const
 {
-    if (!isSoundSince(notice.feature, now - (notice.isCertain ? notice.age : soundMemory))) {
+    const bool objects = notice.isCertain ? isSoundSince(notice.feature, now - notice.age) : wasSoundLately(notice.feature, now);
+    if (!objects) {
         return std::nullopt;
     }
-    return QuarantineObjection{notice.feature, now - soundOf(notice.feature).at};
+    return QuarantineObjection{notice.feature, now - findSound(notice.feature)->at};
 }
 
 void CrashQuarantine::onObjection(const QuarantineObjection &objection, TimePoint now)
--- a/coordination/crash_quarantine.h
+++ b/coordination/crash_quarantine.h
@@ -58,6 +58,9 @@
     /// A target has answered a request with the feature, or has written its answer for long.
     void noteSound(RequestFeature feature, TimePoint now);
 
+    /// A target has begun to answer a request. Counts as an answer from before the crashes.
+    void noteBegun(RequestFeature feature, TimePoint now);
+
     /// Whether the feature was sound at `since` or later, as far as this host remembers: up to 8,192 features.
     bool isSoundSince(RequestFeature feature, TimePoint since) const;
 
@@ -100,10 +103,13 @@
     struct Sound
     {
         RequestFeature feature{};
-        TimePoint at;
+        TimePoint at; ///< Of the last answer.
+        TimePoint begunAt; ///< Of the last beginning of an answer.
     };
 
-    const Sound &soundOf(RequestFeature feature) const;
+    Sound &soundOf(RequestFeature feature);
+    const Sound *findSound(RequestFeature feature) const;
+    bool wasSoundLately(RequestFeature feature, TimePoint now) const;
     static std::size_t requestsOf(const Suspect &suspect);
     void evictSuspects(TimePoint now);
 
--- a/gateway/crash_guard.cpp
+++ b/gateway/crash_guard.cpp
@@ -37,6 +37,11 @@
     }
 }
 
+void CrashGuard::noteBegun(RequestFeature request, TimePoint now)
+{
+    quarantine_.noteBegun(request, now);
+}
+
 bool CrashGuard::isQuarantined(RequestFeature feature, TimePoint now) const
 {
     return quarantine_.contains(feature, now);
--- a/gateway/crash_guard.h
+++ b/gateway/crash_guard.h
@@ -41,6 +41,9 @@
     /// A target has answered a request with these features, or has written its answer for long.
     void noteSound(std::span<const RequestFeature> features, TimePoint now);
 
+    /// A target has begun to answer a request.
+    void noteBegun(RequestFeature request, TimePoint now);
+
     bool isQuarantined(RequestFeature feature, TimePoint now) const;
     std::size_t quarantinedCount(TimePoint now) const;
 
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -280,6 +280,7 @@
     if (!std::exchange(isFirstTokenReported_, true)) {
         firstTokenAt_ = BootClock::now();
         exposure_.onFirstByte(firstTokenAt_);
+        gateway_.fleet().crashes().noteBegun(fingerprint(), firstTokenAt_);
         gateway_.dispatch().onFirstToken(schedulerId_);
     }
 }
--- a/tests/coordination/test_crash_quarantine.cpp
+++ b/tests/coordination/test_crash_quarantine.cpp
@@ -41,6 +41,20 @@
     BOOST_TEST(quarantine.countCrash({request, 5, request}, start + 3s)->isCertain);
 }
 
+// Guards against refusing a request that many callers send while some targets break off, before any of them has answered it to the end.
+BOOST_AUTO_TEST_CASE(aRequestWhoseAnswerHasBegunNeedsMoreCrashes)
+{
+    CrashQuarantine quarantine;
+    quarantine.noteBegun(request, start);
+    for (std::uint64_t target = 1; target <= 4; ++target) {
+        BOOST_TEST(!quarantine.countCrash({request, target, request}, start).has_value());
+    }
+    BOOST_TEST(quarantine.objectionTo({request, 0s, false}, start).has_value());
+    quarantine.noteBegun(request, start + 2s);
+    BOOST_TEST(quarantine.countCrash({request, 5, request}, start + 2s)->isCertain);
+    BOOST_TEST(!quarantine.objectionTo({request, 2s, true}, start + 2s).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(aQuarantineIsLiftedAndNeedsMoreCrashesThen)
 {
     CrashQuarantine quarantine;
