The models' faults of a host stand in one place

Cause: the random schedules of test_send_permits and test_slot_leases had the same choice among a pause, a restart and a cut, written twice.

PermitModel::disturb takes the kind of fault by number.

--- a/tests/decision/permit_model.cpp
+++ b/tests/decision/permit_model.cpp
@@ -1,6 +1,7 @@
 #include "tests/decision/permit_model.h"
 
 #include <algorithm>
+#include <array>
 
 namespace Lovageloft
 {
@@ -155,6 +156,13 @@
     hosts_[host].cutUntil = now_ + time;
 }
 
+void PermitModel::disturb(std::size_t host, Duration time, std::size_t faultKind)
+{
+    static constexpr std::array<void (PermitModel::*)(std::size_t, Duration), faultKinds> faults{
+        &PermitModel::pause, &PermitModel::restart, &PermitModel::cutOff};
+    (this->*faults.at(faultKind))(host, time);
+}
+
 void PermitModel::post(std::size_t host, Duration delay, bool isMessage, std::function<void()> action)
 {
     events_.push({now_ + delay, ++lastOrder_, std::move(action), host, isMessage});
--- a/tests/decision/permit_model.h
+++ b/tests/decision/permit_model.h
@@ -51,6 +51,10 @@
     /// Messages between a host and all others are lost for a time.
     void cutOff(std::size_t host, Duration time);
 
+    /// Faults of a host, as by the functions above.
+    static constexpr std::size_t faultKinds = 3;
+    void disturb(std::size_t host, Duration time, std::size_t faultKind);
+
     void run(Duration time);
 
     /// The most requests that a target got in 4 s, from a second after it first stated a limit.
--- a/tests/decision/test_send_permits.cpp
+++ b/tests/decision/test_send_permits.cpp
@@ -96,17 +96,7 @@
         for (int i = 0; i < 10; ++i) {
             const std::size_t host = randomBelow(random, options.hosts);
             const Duration time = 100ms + randomUpTo(random, 3s);
-            switch (randomBelow(random, 3)) {
-            case 0:
-                model.pause(host, time);
-                break;
-            case 1:
-                model.restart(host, time);
-                break;
-            default:
-                model.cutOff(host, time);
-                break;
-            }
+            model.disturb(host, time, randomBelow(random, PermitModel::faultKinds));
             model.run(randomUpTo(random, 2s));
         }
         for (std::size_t target = 0; target < options.targets; ++target) {
--- a/tests/decision/test_slot_leases.cpp
+++ b/tests/decision/test_slot_leases.cpp
@@ -70,19 +70,11 @@
         for (int i = 0; i < 10; ++i) {
             const std::size_t host = randomBelow(random, options.hosts);
             const Duration time = 100ms + randomUpTo(random, 3s);
-            switch (randomBelow(random, 4)) {
-            case 0:
-                model.pause(host, time);
-                break;
-            case 1:
-                model.restart(host, time);
-                break;
-            case 2:
-                model.cutOff(host, time);
-                break;
-            default:
+            const std::size_t event = randomBelow(random, PermitModel::faultKinds + 1);
+            if (event < PermitModel::faultKinds) {
+                model.disturb(host, time, event);
+            } else {
                 model.setRoom(randomBelow(random, targets), 1 + randomBelow(random, fullRoom));
-                break;
             }
             model.run(randomUpTo(random, 2s));
         }
