--- a/decision/concurrency_limit.cpp
+++ b/decision/concurrency_limit.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "decision/earliest_time.h"
+
 namespace Lovageloft
 {
 
@@ -96,23 +98,18 @@
 
 std::optional<TimePoint> ConcurrencyLimit::nextChange(TimePoint now) const
 {
-    std::optional<TimePoint> next;
-    const auto consider = [&next, now](TimePoint at) {
-        if (at > now) {
-            next = std::min(next.value_or(at), at);
-        }
-    };
-    consider(pausedUntil_);
+    EarliestTime next(now);
+    next.consider(pausedUntil_);
     if (probe_) {
-        consider(probeEndsAt_);
+        next.consider(probeEndsAt_);
     }
     if (limit_) {
-        consider(nextProbeAt_);
+        next.consider(nextProbeAt_);
     }
     for (const TimePoint at : rejectedAt_) {
-        consider(at + rejectionWindow + Duration(1));
+        next.consider(at + rejectionWindow + Duration(1));
     }
-    return next;
+    return next.value();
 }
 
 } // namespace Lovageloft
--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -15,6 +15,9 @@
 /// Retry-After if the retry budget is spent: about when a burst of failures no longer fills the budget's window.
 constexpr std::chrono::seconds retryBudgetRetryAfter{2};
 
+/// Over which requests with permits are counted.
+constexpr std::chrono::seconds permitUseTime{2};
+
 std::vector<BlockHash> announcedBlocks(std::span<const BlockHash> chain, std::span<const std::uint32_t> partEnds)
 {
     if (partEnds.empty()) {
@@ -342,8 +345,7 @@
     Engine &engine = engines_[decision.engine];
     const auto slot = permits_ != nullptr ? permits_->use(engine.target, now) : std::nullopt;
     if (slot) {
-        PermitUse &use = permitUse_[engine.model];
-        use = {use.at(now) + 1, now};
+        permitUse_.try_emplace(engine.model, permitUseTime).first->second.add(now);
     }
     InFlight &inFlight = inFlight_[queued.id];
     inFlight = {
--- a/decision/request_scheduler.h
+++ b/decision/request_scheduler.h
@@ -11,6 +11,7 @@
 
 #include "core/random.h"
 #include "decision/admission_queue.h"
+#include "decision/decaying_count.h"
 #include "decision/engine_window.h"
 #include "decision/id_table.h"
 #include "decision/placement.h"
@@ -219,15 +220,6 @@
         SlotId slot = 0;
     };
 
-    /// Requests that this host has sent with permits, counted with exponential decay.
-    struct PermitUse
-    {
-        double count = 0;
-        TimePoint countedAt;
-
-        double at(TimePoint now) const;
-    };
-
     /// Result of placing the next request of the queue.
     struct Choice
     {
@@ -269,7 +261,7 @@
     SendPermits *permits_ = nullptr;
     bool hadLimits_ = false; ///< Whether engines were last placed with permits.
     std::vector<WantedPermits> wantedPermits_;
-    std::map<ModelId, PermitUse> permitUse_;
+    std::map<ModelId, DecayingCount> permitUse_; ///< Requests that this host has sent with permits.
     std::size_t hostCount_ = 1;
     std::map<ModelId, std::vector<Version>> versions_;
     std::unordered_map<RequestId, SchedulerRequest> requests_; ///< Queued requests.
--- a/decision/request_scheduler_permits.cpp
+++ b/decision/request_scheduler_permits.cpp
@@ -1,7 +1,6 @@
 #include "decision/request_scheduler.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 /// The part of the scheduler that follows the rate limits which targets state.
@@ -19,9 +18,6 @@
 /// Engines of which waiting requests want slots at the same time.
 constexpr std::size_t maxSlotEngines = 6;
 
-/// Time constant of the decay by which permits that were used are counted.
-constexpr double permitUseSeconds = 2;
-
 } // namespace
 
 void RequestScheduler::updatePermitWaits(ModelId pool, TimePoint now)
@@ -94,11 +90,6 @@
     }
 }
 
-double RequestScheduler::PermitUse::at(TimePoint now) const
-{
-    return count * std::exp(-toSeconds(now - countedAt) / permitUseSeconds);
-}
-
 /// The rate at which this host can send requests like this one if all engines that can take it need permits: what it has sent lately, or its even
 /// share if that is more. Nothing if some engine needs none.
 std::optional<double> RequestScheduler::permittedRate(const SchedulerRequest &request, ModelId pool, TimePoint now) const
@@ -121,7 +112,7 @@
         return std::nullopt;
     }
     const auto use = permitUse_.find(pool);
-    const double recent = use != permitUse_.end() ? use->second.at(now) / permitUseSeconds : 0;
+    const double recent = use != permitUse_.end() ? use->second.rate(now) : 0;
     return std::min(*total, std::max(recent, *total / static_cast<double>(hostCount_)));
 }
 
--- a/decision/send_permits.cpp
+++ b/decision/send_permits.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "decision/earliest_time.h"
+
 namespace Lovageloft
 {
 
@@ -306,24 +308,20 @@
 
 std::optional<TimePoint> SendPermits::nextEvent(TimePoint now) const
 {
-    std::optional<TimePoint> next = slots_.nextEvent(now);
-    const auto consider = [&next, now](TimePoint at) {
-        if (at > now) {
-            next = std::min(next.value_or(at), at);
-        }
-    };
+    EarliestTime next(now);
+    next.consider(slots_.nextEvent(now));
     for (const auto &[target, sources] : sources_) {
         for (const auto &[home, source] : sources) {
             if (source.requestId != 0) {
-                consider(source.requestedAt + replyTimeout);
+                next.consider(source.requestedAt + replyTimeout);
             } else if (source.permit && source.permit->until > now) {
-                consider(source.permit->from);
+                next.consider(source.permit->from);
             } else {
-                consider(source.askAgainAt);
+                next.consider(source.askAgainAt);
             }
         }
     }
-    return next;
+    return next.value();
 }
 
 } // namespace Lovageloft
--- a/decision/slot_issuer.cpp
+++ b/decision/slot_issuer.cpp
@@ -1,7 +1,8 @@
 #include "decision/slot_issuer.h"
 
 #include <algorithm>
-#include <cmath>
+
+#include "decision/earliest_time.h"
 
 namespace Lovageloft
 {
@@ -24,9 +25,6 @@
 /// Bounds the work for a report of a faulty host.
 constexpr std::uint64_t maxCountedRejections = 1'000;
 
-/// Time constant of the decay by which granted slots are counted.
-constexpr double rateSeconds = 2;
-
 /// Whether a report was sent before the newest one. Sequences follow the sender's clock, which is set back when its machine restarts.
 bool isOvertaken(std::uint64_t sequence, std::uint64_t newest)
 {
@@ -98,17 +96,18 @@
     return sum;
 }
 
-/// The host that is next to get a slot; null if none wants one.
-SlotIssuer::Host *SlotIssuer::nextHost(Target &target)
+/// The host that is next to get a slot; the end if none wants one.
+SlotIssuer::Hosts::iterator SlotIssuer::nextHost(Hosts &hosts)
 {
-    Host *next = nullptr;
+    auto next = hosts.end();
     const auto rank = [](const Host &host) { return std::pair(host.report.inUse + host.pending.size(), host.grantedAt); };
-    for (auto &[name, host] : target.hosts) {
+    for (auto entry = hosts.begin(); entry != hosts.end(); ++entry) {
+        const Host &host = entry->second;
         if (host.report.wanted <= host.pending.size()) {
             continue;
         }
-        if (next == nullptr || rank(host) < rank(*next)) {
-            next = &host;
+        if (next == hosts.end() || rank(host) < rank(next->second)) {
+            next = entry;
         }
     }
     return next;
@@ -120,26 +119,24 @@
     if (now < target.issuesFrom) {
         return;
     }
-    for (Host *host = nextHost(target); host != nullptr; host = nextHost(target)) {
+    for (auto next = nextHost(target.hosts); next != target.hosts.end(); next = nextHost(target.hosts)) {
+        auto &[hostName, host] = *next;
         const std::size_t used = inUse(target);
         if (!target.limit.canSend(used, unverified(target), now)) {
             return;
         }
         target.limit.onSent(used, now);
-        host->pending.push_back({++target.lastGrant, now});
-        host->grantedAt = now;
-        target.granted = target.granted * std::exp(-toSeconds(now - target.countedAt) / rateSeconds) + 1;
-        target.countedAt = now;
-        const auto entry = std::find_if(target.hosts.begin(), target.hosts.end(), [host](const auto &item) { return &item.second == host; });
-        grants.push_back({entry->first, makeGrant(name, target, *host, target.lastGrant, now)});
+        host.pending.push_back({++target.lastGrant, now});
+        host.grantedAt = now;
+        target.granted.add(now);
+        grants.push_back({hostName, makeGrant(name, target, host, target.lastGrant, now)});
     }
 }
 
 SlotGrant SlotIssuer::makeGrant(const std::string &name, const Target &target, const Host &host, std::uint64_t id, TimePoint now)
 {
     const bool isScarce = target.limit.limit() && inUse(target) >= *target.limit.limit();
-    const double granted = target.granted * std::exp(-toSeconds(now - target.countedAt) / rateSeconds);
-    return {name, id, isScarce ? granted / rateSeconds : 0, host.report.sequence};
+    return {name, id, isScarce ? target.granted.rate(now) : 0, host.report.sequence};
 }
 
 std::vector<SlotIssuer::Grant> SlotIssuer::onTick(TimePoint now)
@@ -163,11 +160,8 @@
 
 std::optional<TimePoint> SlotIssuer::nextEvent(TimePoint now) const
 {
-    std::optional<TimePoint> next;
-    const auto consider = [&next, now](TimePoint at) {
-        at = std::max(at, now + minTickInterval);
-        next = std::min(next.value_or(at), at);
-    };
+    EarliestTime next(now);
+    const auto consider = [&next, now](TimePoint at) { next.consider(std::max(at, now + minTickInterval)); };
     for (const auto &[name, target] : targets_) {
         const bool isWanted = std::any_of(target.hosts.begin(), target.hosts.end(), [](const auto &entry) { return entry.second.report.wanted > 0; });
         if (!isWanted) {
@@ -185,7 +179,7 @@
             consider(target.issuesFrom);
         }
     }
-    return next;
+    return next.value();
 }
 
 } // namespace Lovageloft
--- a/decision/slot_issuer.h
+++ b/decision/slot_issuer.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "decision/concurrency_limit.h"
+#include "decision/decaying_count.h"
 
 namespace Lovageloft
 {
@@ -60,6 +61,9 @@
     std::optional<TimePoint> nextEvent(TimePoint now) const;
 
 private:
+    /// Over which granted slots are counted.
+    static constexpr Duration grantRateTime = std::chrono::seconds(2);
+
     struct Pending
     {
         std::uint64_t id = 0;
@@ -74,20 +78,21 @@
         std::deque<Pending> pending; ///< Grants that no report takes into account yet.
     };
 
+    using Hosts = std::map<std::string, Host, std::less<>>;
+
     struct Target
     {
         std::int64_t incarnation = 0;
         ConcurrencyLimit limit;
-        std::map<std::string, Host, std::less<>> hosts;
+        Hosts hosts;
         std::uint64_t lastGrant = 0;
         TimePoint issuesFrom;
-        double granted = 0; ///< Slots granted, with exponential decay.
-        TimePoint countedAt;
+        DecayingCount granted{grantRateTime};
     };
 
     static std::size_t inUse(const Target &target);
     static std::size_t unverified(const Target &target);
-    static Host *nextHost(Target &target);
+    static Hosts::iterator nextHost(Hosts &hosts);
     void issue(const std::string &name, Target &target, TimePoint now, std::vector<Grant> &grants);
     static SlotGrant makeGrant(const std::string &name, const Target &target, const Host &host, std::uint64_t id, TimePoint now);
 
--- a/decision/slot_leases.cpp
+++ b/decision/slot_leases.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "decision/earliest_time.h"
+
 namespace Lovageloft
 {
 
@@ -215,22 +217,18 @@
 
 std::optional<TimePoint> SlotLeases::nextEvent(TimePoint now) const
 {
-    std::optional<TimePoint> next = issuer_.nextEvent(now);
-    const auto consider = [&next, now](TimePoint at) {
-        if (at > now) {
-            next = std::min(next.value_or(at), at);
-        }
-    };
+    EarliestTime next(now);
+    next.consider(issuer_.nextEvent(now));
     for (const auto &[target, lease] : leases_) {
         for (const auto &[slot, sentAt] : lease.running) {
-            consider(sentAt + verdictTime);
+            next.consider(sentAt + verdictTime);
         }
         if (isWanted(lease, now)) {
-            consider(lease.reportedAt + wantedReportInterval);
-            consider(lease.wantedAt + wishTime);
+            next.consider(lease.reportedAt + wantedReportInterval);
+            next.consider(lease.wantedAt + wishTime);
         }
     }
-    return next;
+    return next.value();
 }
 
 std::size_t SlotLeases::unverified(const Lease &lease, TimePoint now)
--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <utility>
 
+#include "decision/earliest_time.h"
+
 namespace Lovageloft
 {
 
@@ -263,21 +265,16 @@
 
 std::optional<TimePoint> TargetDirectory::nextChange(TimePoint now) const
 {
-    std::optional<TimePoint> next;
-    const auto consider = [&next, now](TimePoint time) {
-        if (time > now && (!next || time < *next)) {
-            next = time;
-        }
-    };
+    EarliestTime next(now);
     for (const auto &[id, correction] : corrections_) {
-        consider(correction.avoidUntil);
+        next.consider(correction.avoidUntil);
     }
     for (const auto &[model, versions] : published_) {
         for (const PublishedWeights &weights : versions) {
-            consider(olderWeightsEnd(weights));
+            next.consider(olderWeightsEnd(weights));
         }
     }
-    return next;
+    return next.value();
 }
 
 const TargetDirectory::Correction *TargetDirectory::findCorrection(const Target &target) const
