A quarantine is looked up once where it is added

Cause: CrashGuard asked whether a feature was quarantined and then added it by a function that asks the same and whose answer it dropped, in both places.

CrashGuard::add passes the answer on. What only CrashQuarantine itself asks is private now.

--- a/coordination/crash_quarantine.h
+++ b/coordination/crash_quarantine.h
@@ -55,15 +55,12 @@
     /// Different requests in which a part of a prompt must have crashed targets: a single one is told by its own feature.
     static constexpr std::size_t minRequests = 2;
 
-    /// A target has answered a request with the feature, or has written its answer for long.
+    /// A target has answered a request with the feature, or has written its answer for long. Up to 8,192 features are remembered.
     void noteSound(RequestFeature feature, TimePoint now);
 
     /// A target has begun to answer a request. Counts as an answer from before the crashes.
     void noteBegun(RequestFeature feature, TimePoint now);
 
-    /// Whether the feature was sound at `since` or later, as far as this host remembers: up to 8,192 features.
-    bool isSoundSince(RequestFeature feature, TimePoint since) const;
-
     /// Counts a crash on a home host. Returns the notice if there are enough for a quarantine.
     std::optional<QuarantineNotice> countCrash(const CrashReport &report, TimePoint now);
 
@@ -109,6 +106,7 @@
 
     Sound &soundOf(RequestFeature feature);
     const Sound *findSound(RequestFeature feature) const;
+    bool isSoundSince(RequestFeature feature, TimePoint since) const;
     bool wasSoundLately(RequestFeature feature, TimePoint now) const;
     static std::size_t requestsOf(const Suspect &suspect);
     void evictSuspects(TimePoint now);
--- a/gateway/crash_guard.cpp
+++ b/gateway/crash_guard.cpp
@@ -68,8 +68,7 @@
     if (!notice || quarantine_.objectionTo(*notice, now)) {
         return;
     }
-    if (!quarantine_.contains(report.feature, now)) {
-        add(*notice, true, now);
+    if (add(*notice, true, now)) {
         unrecorded_.push_back({*notice, now});
         network_.broadcast(*notice);
     } else if (from != host_) {
@@ -84,18 +83,20 @@
         objections_.push_back({*objection, from, messageRepeats});
         return;
     }
-    if (!quarantine_.contains(notice.feature, now)) {
-        add(notice, false, now);
-    }
+    add(notice, false, now);
 }
 
-void CrashGuard::add(const QuarantineNotice &notice, bool isCounted, TimePoint now)
+/// Returns whether the feature was not quarantined yet.
+bool CrashGuard::add(const QuarantineNotice &notice, bool isCounted, TimePoint now)
 {
-    quarantine_.add(notice.feature, now);
+    if (!quarantine_.add(notice.feature, now)) {
+        return false;
+    }
     writeLog(LogLevel::Warning,
              "request_quarantined",
              {{"feature", featureText(notice.feature)}, {"counted", isCounted}, {"certain", notice.isCertain}, {"age_ms", toMillis(notice.age)}});
     network_.onAdded();
+    return true;
 }
 
 void CrashGuard::onObjection(const QuarantineObjection &objection, TimePoint now)
--- a/gateway/crash_guard.h
+++ b/gateway/crash_guard.h
@@ -87,7 +87,7 @@
         int repeats = 0;
     };
 
-    void add(const QuarantineNotice &notice, bool isCounted, TimePoint now);
+    bool add(const QuarantineNotice &notice, bool isCounted, TimePoint now);
 
     std::string host_;
     Network network_;
