Logs tell which targets are used without an entry, and until when

Cause: of the hypotheses on a request at a target that had left, a grace period after an outage could not be told from a leave that was forgotten or never heard: nothing was logged when a target was kept without its entry, nor that a request went to such a target. Change: target_unlisted with its grace period; target_gone says whether the target had announced its leave and whether its grace period had ended; request_sent says whether the target has an entry.

--- a/gateway/request_log.cpp
+++ b/gateway/request_log.cpp
@@ -40,6 +40,7 @@
               {"waited_ms", toMillis(sent.waited)},
               {"version", sent.target.softwareVersion},
               {"incarnation", sent.target.incarnation},
+              {"unlisted", sent.target.isUnlisted},
               {"after", sent.lastEventId},
               {"resumes", intake_.caller().resumes},
               {"began_at", sent.streamVersion},
--- a/gateway/target.h
+++ b/gateway/target.h
@@ -38,6 +38,7 @@
     std::string softwareVersion; ///< Empty if its entry states none.
     std::int64_t slots = 1; ///< Maximum number of concurrent requests.
     bool isLeaving = false; ///< It announced its shutdown and accepts no new requests.
+    bool isUnlisted = false; ///< Its entry has gone in an outage of the store, and it is kept for a grace period.
     std::int64_t incarnation = 0; ///< Start time in Unix milliseconds. Another incarnation under the same id has no state of the previous one.
     std::vector<ServedModel> models;
 
--- a/gateway/target_duty.cpp
+++ b/gateway/target_duty.cpp
@@ -67,8 +67,8 @@
     lastRevision_ = reply.revision;
     for (const auto &[id, target] : targets_) {
         if (!targets.contains(id) && mayHaveExpired) {
-            missing_.try_emplace(id, now + reregistrationGrace);
             targets.emplace(id, target);
+            keepUnlisted(id, targets, now);
         }
     }
     if (storeLostAt_) {
@@ -102,7 +102,7 @@
     const TimePoint now = BootClock::now();
     for (const StoreEntry &entry : reply.entries) {
         if (mayHaveExpired && entry.isDeleted) {
-            missing_.try_emplace(targetId(entry), now + reregistrationGrace);
+            keepUnlisted(targetId(entry), targets, now);
             continue;
         }
         missing_.erase(targetId(entry));
@@ -143,6 +143,20 @@
     targets.insert_or_assign(id, std::move(*target));
 }
 
+/// Keeps a target whose entry is gone and may have expired in an outage.
+void TargetDuty::keepUnlisted(std::string_view id, TargetMap &targets, TimePoint now)
+{
+    const auto target = targets.find(id);
+    const auto [missing, isNew] = missing_.try_emplace(std::string(id), now + reregistrationGrace);
+    if (target == targets.end()) {
+        return;
+    }
+    target->second.isUnlisted = true;
+    if (isNew) {
+        writeLog(LogLevel::Info, "target_unlisted", {{"target", id}, {"leaving", target->second.isLeaving}, {"kept_ms", toMillis(missing->second - now)}});
+    }
+}
+
 void TargetDuty::publish(TargetMap &&targets)
 {
     for (const auto &[id, target] : targets) {
@@ -160,7 +174,9 @@
     }
     for (const auto &[id, target] : targets_) {
         if (!targets.contains(id)) {
-            writeLog(LogLevel::Info, "target_gone", {{"target", id}, {"service", target.service}});
+            writeLog(LogLevel::Info,
+                     "target_gone",
+                     {{"target", id}, {"service", target.service}, {"leaving", target.isLeaving}, {"unlisted", target.isUnlisted}});
         }
     }
     targets_ = std::move(targets);
--- a/gateway/target_duty.h
+++ b/gateway/target_duty.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "coordination/store.h"
 #include "gateway/duty.h"
@@ -34,6 +35,7 @@
     bool isDifferentEra(std::int64_t position) const;
     std::string targetId(const StoreEntry &entry) const;
     void applyEntry(const StoreEntry &entry, TargetMap &targets) const;
+    void keepUnlisted(std::string_view id, TargetMap &targets, TimePoint now);
     void publish(TargetMap &&targets);
     void removeExpired();
 
