A target whose entry went in an outage is used no longer than 2.3 s after the store's return

Cause: entries that are gone after an outage are kept for 2.3 s, as healthy targets have to write theirs again. The time began when this host's own list was answered: a call that hangs takes 0.8 s to time out, is repeated once, and the next one waits up to 0.4 s, so a target that had left was used up to 3.5 s after the store's return; other hosts began their own 2.3 s when they were told. Change: RelayedStore dates the return to the first call of any duty that was answered, and to no later than 0.6 s after the last call that was not; the age goes to all hosts with the changes. The grace period begins there. Why this works: 2.3 s and 0.6 s are less than the 3 s after which hosts count as in touch again, whenever the calls of a host were sent. Ways: from this host's own answer (before), up to 3.5 s; from the first answer of any duty, capped (kept), up to 2.9 s.

--- a/coordination/store.h
+++ b/coordination/store.h
@@ -40,7 +40,7 @@
     Duration age{}; ///< Age of the reply at the start of the call: 0 if this host asked the store itself, more if another host did.
 };
 
-/// Reply to a list or a watch. `revision` is the store's revision that the reply reflects. The last three members are set by a store that also
+/// Reply to a list or a watch. `revision` is the store's revision that the reply reflects. The last four members are set by a store that also
 /// receives changes and replies through other hosts; they stay at their defaults for a store that asks the service directly.
 struct StoreListReply
 {
@@ -53,6 +53,9 @@
     /// How long the service had answered no host before the entries arrived, so that leases may have expired; zero if there was no outage,
     /// nothing if that is not known.
     std::optional<Duration> outage{};
+
+    /// How long before the reply the service began to answer again after that outage, as far as it is known.
+    Duration returnAge{};
 };
 
 /// Reply to a call for a lease.
--- a/gateway/changes_codec.cpp
+++ b/gateway/changes_codec.cpp
@@ -41,6 +41,7 @@
     changes.setUpTo(notice.upTo);
     changes.setSilenceMilliseconds(static_cast<std::uint32_t>(toMillis(notice.silence)));
     changes.setLatestStart(notice.maxStartRevision);
+    changes.setReturnAgeMilliseconds(static_cast<std::uint32_t>(toMillis(notice.returnAge)));
     if (notice.outage) {
         changes.setAwayMilliseconds(static_cast<std::uint32_t>(std::min<std::int64_t>(toMillis(*notice.outage), unknownMilliseconds - 1)));
     }
@@ -56,6 +57,7 @@
     }
     notice.silence = std::chrono::milliseconds(changes.getSilenceMilliseconds());
     notice.maxStartRevision = changes.getLatestStart();
+    notice.returnAge = std::chrono::milliseconds(changes.getReturnAgeMilliseconds());
     if (changes.getAwayMilliseconds() != unknownMilliseconds) {
         notice.outage = std::chrono::milliseconds(changes.getAwayMilliseconds());
     }
--- a/gateway/peer_messages.capnp
+++ b/gateway/peer_messages.capnp
@@ -170,6 +170,7 @@
   silenceMilliseconds @4 :UInt32; # For how long before the sender could not have heard of them.
   latestStart @5 :Int64 = 0x7fffffffffffffff; # Only for a receiver that has reached no more than this.
   awayMilliseconds @6 :UInt32 = 0xffffffff; # For how long before the store had answered nobody; the default: not known.
+  returnAgeMilliseconds @7 :UInt32; # Since it answers again after that.
 
   struct Entry {
     key @0 :Text;
--- a/gateway/peer_messages.capnp.h
+++ b/gateway/peer_messages.capnp.h
@@ -383,7 +383,7 @@
   struct Entry;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d2c0af39e941ac8f, 4, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(d2c0af39e941ac8f, 5, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2619,6 +2619,8 @@
 
   inline  ::uint32_t getAwayMilliseconds() const;
 
+  inline  ::uint32_t getReturnAgeMilliseconds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2676,6 +2678,9 @@
   inline  ::uint32_t getAwayMilliseconds();
   inline void setAwayMilliseconds( ::uint32_t value);
 
+  inline  ::uint32_t getReturnAgeMilliseconds();
+  inline void setReturnAgeMilliseconds( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6319,6 +6324,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value, 4294967295u);
 }
 
+inline  ::uint32_t Changes::Reader::getReturnAgeMilliseconds() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Changes::Builder::getReturnAgeMilliseconds() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Changes::Builder::setReturnAgeMilliseconds( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Changes::Entry::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -293,6 +293,7 @@
     }
     ChangesNotice part{notice.prefix, notice.after, notice.upTo, {}, {}, notice.silence};
     part.outage = notice.outage;
+    part.returnAge = notice.returnAge;
     std::size_t next = 0;
     do {
         std::size_t end = next;
--- a/gateway/peer_socket.h
+++ b/gateway/peer_socket.h
@@ -83,6 +83,9 @@
 
     /// How long the store had answered no host before the entries arrived, if known. `awayMilliseconds` in the datagram.
     std::optional<Duration> outage{};
+
+    /// Time since the store answers again after that outage.
+    Duration returnAge{};
 };
 
 /// Asks for all changes under a prefix after a revision.
--- a/gateway/prefix_state.cpp
+++ b/gateway/prefix_state.cpp
@@ -20,6 +20,7 @@
         const bool isOmitted = i < notice.omitted.size() && notice.omitted[i];
         silence = std::max(silence, silentFor);
         outage = std::max(outage, notice.outage);
+        pendingReturnedAt = std::min(pendingReturnedAt.value_or(now), now - notice.returnAge);
         lastChangeRevision = std::max(lastChangeRevision, entry.revision);
         lacksValues = lacksValues || isOmitted;
         pendingEntries.emplace_back(entry, isOmitted);
@@ -50,6 +51,7 @@
     std::erase_if(pendingEntries, [&watch](const auto &pending) { return pending.first.revision <= watch.revision; });
     silence = pendingEntries.empty() ? Duration::zero() : silence;
     outage = pendingEntries.empty() ? std::nullopt : outage;
+    pendingReturnedAt = pendingEntries.empty() ? std::nullopt : pendingReturnedAt;
     syncedRevision = std::max(syncedRevision, watch.revision);
 }
 
@@ -91,6 +93,7 @@
     pendingEntries.clear();
     silence = {};
     outage = {};
+    pendingReturnedAt = {};
 }
 
 void PrefixState::recordKey(const StoreEntry &entry)
--- a/gateway/prefix_state.h
+++ b/gateway/prefix_state.h
@@ -31,7 +31,9 @@
     std::optional<TimePoint> behindSince; ///< Since when changes or heartbeats have been missing.
     TimePoint storeCallAllowedAt; ///< While behind: when the store may be called.
     TimePoint nextPeerQueryAt; ///< While behind: when other hosts may be queried again.
+    TimePoint returnedAt; ///< When the store began to answer again after `maxOutage`, at the latest.
     std::optional<Duration> outage; ///< For how long before the pending entries the store had answered no call; nothing if unknown.
+    std::optional<TimePoint> pendingReturnedAt; ///< When the store began to answer again after `outage`.
     Duration silence{}; ///< For how long before the pending entries arrived this host could not have noticed a change.
     std::deque<std::pair<StoreEntry, bool>> pendingEntries; ///< Not returned to a caller yet; true: the value has to be read.
     ChangeLog log; ///< Changes to answer requests of other hosts with.
--- a/gateway/relayed_store.cpp
+++ b/gateway/relayed_store.cpp
@@ -47,6 +47,10 @@
 /// If a relay's last watch was answered longer ago than this, its connection is dead: watches last at most three seconds.
 constexpr Duration maxWatchReplyAge = std::chrono::milliseconds(4'500);
 
+/// How much later than the last unanswered call the store may be taken to have returned. What is kept until targets have written their entries again
+/// would otherwise be kept too long after an outage in which calls hang.
+constexpr Duration maxReturnDelay = std::chrono::milliseconds(600);
+
 /// Timeout of a proof request; hosts of one region answer within 3 ms.
 constexpr Duration proofTimeout = std::chrono::milliseconds(60);
 
@@ -61,9 +65,12 @@
 template <typename Call>
 auto RelayedStore::callThroughBreaker(Call call)
 {
+    TimePoint calledAt;
     {
         const std::lock_guard lock(mutex_);
-        if (!breaker_.isClosed(now_())) {
+        calledAt = now_();
+        if (!breaker_.isClosed(calledAt)) {
+            unansweredCallAt_.reset();
             return decltype(call()){};
         }
     }
@@ -73,19 +80,32 @@
     if (isAnswered) {
         lastStoreReplyAt_ = now_();
         if (lastReplyBeforeOutage_) {
-            for (auto &[prefix, state] : prefixes_) {
-                state.maxOutage = std::max(state.maxOutage, lastStoreReplyAt_ - *lastReplyBeforeOutage_);
-            }
-            lastReplyBeforeOutage_.reset();
+            noteStoreReturn();
         }
         breaker_.onSuccess();
     } else {
+        unansweredCallAt_ = std::max(unansweredCallAt_, std::optional(calledAt));
         lastReplyBeforeOutage_ = lastReplyBeforeOutage_.value_or(lastStoreReplyAt_);
         breaker_.onFailure(now_());
     }
     return reply;
 }
 
+/// The store has answered the first call after an outage. It may have returned any time since the last call without an answer was sent.
+void RelayedStore::noteStoreReturn()
+{
+    const Duration outage = lastStoreReplyAt_ - *lastReplyBeforeOutage_;
+    const TimePoint returnedAt = unansweredCallAt_ ? std::min(lastStoreReplyAt_, *unansweredCallAt_ + maxReturnDelay) : lastStoreReplyAt_;
+    for (auto &[prefix, state] : prefixes_) {
+        if (outage > state.maxOutage) {
+            state.maxOutage = outage;
+            state.returnedAt = returnedAt;
+        }
+    }
+    lastReplyBeforeOutage_.reset();
+    unansweredCallAt_.reset();
+}
+
 RelayedStore::RelayedStore(Store &store, std::string host, Now now)
     : ForwardingStore(store)
     , host_(std::move(host))
@@ -207,8 +227,9 @@
     const TimePoint now = now_();
     const bool isUpdatedByStore = state.hasOpenWatch && hasRecentStoreReplies(state, now);
     const Duration age = isUpdatedByStore ? Duration::zero() : std::max(Duration::zero(), now - lastUpdateAt(state));
+    const Duration returnAge = now - state.pendingReturnedAt.value_or(now);
     return ChangesReply{
-        request.id, {request.prefix, request.after, state.syncedRevision, std::move(*entries), {}, state.silence, request.after, state.outage}, age};
+        request.id, {request.prefix, request.after, state.syncedRevision, std::move(*entries), {}, state.silence, request.after, state.outage, returnAge}, age};
 }
 
 /// Whether the store has recently answered any call, and a list or watch of this prefix. Messages from other hosts do not count: two relays
@@ -375,12 +396,14 @@
     PrefixState &state = prefixes_[std::string(prefix)];
     const TimePoint now = now_();
     reply.outage = std::exchange(state.maxOutage, {});
+    reply.returnAge = reply.outage > Duration::zero() ? now - state.returnedAt : Duration::zero();
     std::optional<ChangesNotice> changes;
     if (state.syncedRevision != 0 && state.syncedRevision <= reply.revision) {
         changes = state.changesInList(reply);
         changes->prefix = prefix;
         changes->silence = now - state.lastReadAt;
         changes->outage = reply.outage;
+        changes->returnAge = reply.returnAge;
     }
     state.applyList(reply, changes);
     state.lastHeardAt = now;
@@ -470,6 +493,8 @@
     }
     StoreListReply reply{StoreStatus::Ok, {}, state.syncedRevision, std::exchange(state.silence, {})};
     reply.outage = std::exchange(state.outage, {});
+    const TimePoint now = now_();
+    reply.returnAge = now - std::exchange(state.pendingReturnedAt, {}).value_or(now);
     const auto entries = std::exchange(state.pendingEntries, {});
     lock.unlock();
     for (const auto &[entry, isOmitted] : entries) {
@@ -513,12 +538,14 @@
         reply.silence = std::max(Duration::zero(), calledAt - lastHeardAt);
         reply.outage = std::exchange(state.maxOutage, {});
         state.lastReadAt = now_();
+        reply.returnAge = reply.outage > Duration::zero() ? state.lastReadAt - state.returnedAt : Duration::zero();
         state.lastHeardAt = isRelayNow ? state.lastReadAt : state.lastHeardAt;
         broadcast = network_.broadcast;
     }
     if (isRelayNow && !reply.entries.empty() && broadcast) {
         ChangesNotice notice{std::string(prefix), lastChangeRevision, reply.revision, reply.entries, {}, reply.silence};
         notice.outage = reply.outage;
+        notice.returnAge = reply.returnAge;
         broadcast(notice);
     }
     return reply;
--- a/gateway/relayed_store.h
+++ b/gateway/relayed_store.h
@@ -90,6 +90,7 @@
     template <typename Call>
     auto callThroughBreaker(Call call);
 
+    void noteStoreReturn();
     StoreListReply watchStore(std::string_view prefix, std::int64_t afterRevision, Duration timeout);
     StoreListReply consumePendingEntries(PrefixState &state, std::unique_lock<std::mutex> &lock);
     std::span<const std::string> relays() const;
@@ -124,6 +125,7 @@
     CircuitBreaker breaker_;
     TimePoint lastStoreReplyAt_; ///< When the store last answered any call of this host.
     std::optional<TimePoint> lastReplyBeforeOutage_; ///< When the store last answered before the first failed call; only set while calls fail.
+    std::optional<TimePoint> unansweredCallAt_; ///< While calls fail: when the last one was sent; nothing if one was left out since.
     std::map<std::string, PrefixState, std::less<>> prefixes_;
     std::map<std::uint64_t, std::optional<ProofReply>> pendingProofRequests_;
     std::map<std::uint64_t, PendingChangesRequest> pendingChangesRequests_;
--- a/gateway/target_duty.cpp
+++ b/gateway/target_duty.cpp
@@ -21,7 +21,7 @@
 /// Shortest store outage in which entries of running targets may have expired.
 constexpr Duration minOutageForExpiry = std::chrono::seconds(2);
 
-/// How long expired entries are kept once the store is back: the time that the platform gives targets to write them again, plus one call.
+/// How long expired entries are kept from the store's return: the time that the platform gives targets to write them again, plus one call.
 constexpr Duration reregistrationGrace = std::chrono::milliseconds(2'300);
 
 } // namespace
@@ -68,7 +68,7 @@
     for (const auto &[id, target] : targets_) {
         if (!targets.contains(id) && mayHaveExpired) {
             targets.emplace(id, target);
-            keepUnlisted(id, targets, now);
+            keepUnlisted(id, targets, now - reply.returnAge);
         }
     }
     if (storeLostAt_) {
@@ -102,7 +102,7 @@
     const TimePoint now = BootClock::now();
     for (const StoreEntry &entry : reply.entries) {
         if (mayHaveExpired && entry.isDeleted) {
-            keepUnlisted(targetId(entry), targets, now);
+            keepUnlisted(targetId(entry), targets, now - reply.returnAge);
             continue;
         }
         missing_.erase(targetId(entry));
@@ -143,17 +143,19 @@
     targets.insert_or_assign(id, std::move(*target));
 }
 
-/// Keeps a target whose entry is gone and may have expired in an outage.
-void TargetDuty::keepUnlisted(std::string_view id, TargetMap &targets, TimePoint now)
+/// Keeps a target whose entry is gone and may have expired in an outage of the store that ended at `returnedAt`.
+void TargetDuty::keepUnlisted(std::string_view id, TargetMap &targets, TimePoint returnedAt)
 {
     const auto target = targets.find(id);
-    const auto [missing, isNew] = missing_.try_emplace(std::string(id), now + reregistrationGrace);
+    const auto [missing, isNew] = missing_.try_emplace(std::string(id), returnedAt + reregistrationGrace);
     if (target == targets.end()) {
         return;
     }
     target->second.isUnlisted = true;
     if (isNew) {
-        writeLog(LogLevel::Info, "target_unlisted", {{"target", id}, {"leaving", target->second.isLeaving}, {"kept_ms", toMillis(missing->second - now)}});
+        writeLog(LogLevel::Info,
+                 "target_unlisted",
+                 {{"target", id}, {"leaving", target->second.isLeaving}, {"kept_ms", toMillis(missing->second - BootClock::now())}});
     }
 }
 
@@ -174,9 +176,8 @@
     }
     for (const auto &[id, target] : targets_) {
         if (!targets.contains(id)) {
-            writeLog(LogLevel::Info,
-                     "target_gone",
-                     {{"target", id}, {"service", target.service}, {"leaving", target.isLeaving}, {"unlisted", target.isUnlisted}});
+            writeLog(
+                LogLevel::Info, "target_gone", {{"target", id}, {"service", target.service}, {"leaving", target.isLeaving}, {"unlisted", target.isUnlisted}});
         }
     }
     targets_ = std::move(targets);
--- a/gateway/target_duty.h
+++ b/gateway/target_duty.h
@@ -35,7 +35,7 @@
     bool isDifferentEra(std::int64_t position) const;
     std::string targetId(const StoreEntry &entry) const;
     void applyEntry(const StoreEntry &entry, TargetMap &targets) const;
-    void keepUnlisted(std::string_view id, TargetMap &targets, TimePoint now);
+    void keepUnlisted(std::string_view id, TargetMap &targets, TimePoint returnedAt);
     void publish(TargetMap &&targets);
     void removeExpired();
 
--- a/tests/gateway/test_duties.cpp
+++ b/tests/gateway/test_duties.cpp
@@ -232,15 +232,17 @@
         }
         StoreListReply reply{StoreStatus::Ok, std::exchange(entries_, {}), afterRevision + 1, 3s};
         reply.outage = outage_;
+        reply.returnAge = returnAge_;
         return reply;
     }
 
-    /// Makes the next watch return an entry. `outage`: how long the store had been unavailable to all hosts.
-    void deliver(const StoreEntry &entry, Duration outage)
+    /// Makes the next watch return entries. `outage`: how long the store had been unavailable to all hosts, until `returnAge` ago.
+    void deliver(const std::vector<StoreEntry> &entries, Duration outage, Duration returnAge = {})
     {
         const std::lock_guard lock(mutex_);
-        entries_.push_back(entry);
+        entries_.insert(entries_.end(), entries.begin(), entries.end());
         outage_ = outage;
+        returnAge_ = returnAge;
         delivered_.notify_all();
     }
 
@@ -262,6 +264,7 @@
     bool isListDue_ = false;
     std::vector<StoreEntry> entries_;
     Duration outage_{};
+    Duration returnAge_{};
 };
 
 struct ScriptedFixture
@@ -357,19 +360,30 @@
 {
     BOOST_REQUIRE(latest.waitFor(TargetFixture::names({"a", "b"})));
     const TimePoint deletedAt = BootClock::now();
-    store.deliver({"t/a", {}, 3, true}, 0ms);
+    store.deliver({{"t/a", {}, 3, true}}, 0ms);
     BOOST_TEST(latest.waitFor(TargetFixture::names({"b"})));
     BOOST_TEST((BootClock::now() - deletedAt < 1s));
-    store.deliver({"t/b", {}, 3, true}, 3s);
+    store.deliver({{"t/b", {}, 3, true}}, 3s);
     BOOST_TEST(latest.holdsFor(1s, TargetFixture::names({"b"}))); // The entry may have expired and may be written again.
 }
 
+// Guards against requests to targets that left during an outage, by a host that heard late of the store's return.
+BOOST_FIXTURE_TEST_CASE(theGracePeriodBeginsWithTheReturnOfTheStore, ScriptedFixture)
+{
+    BOOST_REQUIRE(latest.waitFor(TargetFixture::names({"a", "b"})));
+    const TimePoint heardAt = BootClock::now();
+    store.deliver({{"t/b", {}, 3, true}}, 9s, 1'700ms);
+    BOOST_TEST(latest.holdsFor(200ms, TargetFixture::names({"a", "b"})));
+    BOOST_TEST(latest.waitFor(TargetFixture::names({"a"})));
+    BOOST_TEST((BootClock::now() - heardAt < 1'200ms));
+}
+
 // Guards against engines that disappear, or are used again after announcing their shutdown, when the store is restored from a copy that is
 // some seconds old.
 BOOST_FIXTURE_TEST_CASE(aStoreRestoredFromAnOlderCopyKeepsTargetsAndLeavingStates, ScriptedFixture)
 {
     BOOST_REQUIRE(latest.waitFor(TargetFixture::names({"a", "b"})));
-    store.deliver({"t/a", "leaving", 3, false}, 0ms);
+    store.deliver({{"t/a", "leaving", 3, false}}, 0ms);
     const auto isLeaving = [](const TargetMap &targets) { return targets.contains("a") && targets.at("a").isLeaving; };
     BOOST_REQUIRE(latest.waitFor(isLeaving));
     store.restore({{"t/a", "s", positionOf(2, 1), false}}, positionOf(2, 1)); // The copy is from before b registered and a announced its shutdown.
--- a/tests/gateway/test_outage_in_pieces.cpp
+++ b/tests/gateway/test_outage_in_pieces.cpp
@@ -31,3 +31,61 @@
     relay.confirm("x/seed", seed);
     BOOST_TEST((relay.list("x/").outage >= Duration(5s)));
 }
+
+// Guards against targets that are used for too long after they left, because a host whose calls hang notices late that the store is back.
+BOOST_AUTO_TEST_CASE(theReturnOfAStoreIsDatedToTheCallsBeforeIt)
+{
+    constexpr Duration callTimeout = 800ms;
+    FaultyStore store;
+    const auto setDown = [&store](bool isDown) { store.setFaults([isDown] { return isDown ? FaultyStore::Fault::Down : FaultyStore::Fault::None; }); };
+    setDown(false);
+    TimePoint now{1h};
+    TimePoint calledAt;
+    bool isHanging = false;
+    RelayedStore relay(store, "a", [&] {
+        // The first reading of the clock in a call is its start, the others follow its end.
+        calledAt = now;
+        now += isHanging ? callTimeout : Duration::zero();
+        return calledAt;
+    });
+    std::vector<ChangesNotice> broadcasts;
+    relay.setNetwork({[&](const ChangesNotice &notice) { broadcasts.push_back(notice); }, {}});
+    relay.setHosts({"a"}, {"a"});
+    store.compareAndSwap("x/seed", 0, "0", 0);
+    relay.list("x/");
+    BOOST_TEST((relay.list("x/").returnAge == Duration::zero()));
+    setDown(true);
+    now += 5s;
+    isHanging = true;
+    const TimePoint lastCallAt = now;
+    relay.list("x/");
+    isHanging = false;
+    setDown(false);
+    now = lastCallAt + 1'200ms;
+    const StoreListReply reply = relay.list("x/");
+    BOOST_TEST((reply.outage >= Duration(5s)));
+    BOOST_TEST((reply.returnAge == Duration(600ms)));
+    BOOST_REQUIRE(!broadcasts.empty());
+    BOOST_TEST((broadcasts.back().returnAge == Duration(600ms)));
+}
+
+// Guards against grace periods that begin anew with each duty that notices the store's return.
+BOOST_AUTO_TEST_CASE(theReturnOfAStoreIsDatedToTheFirstCallThatItAnswers)
+{
+    FaultyStore store;
+    const auto setDown = [&store](bool isDown) { store.setFaults([isDown] { return isDown ? FaultyStore::Fault::Down : FaultyStore::Fault::None; }); };
+    setDown(false);
+    TimePoint now{1h};
+    RelayedStore relay(store, "a", [&now] { return now; });
+    relay.setHosts({"a"}, {"a"});
+    const std::int64_t seed = store.compareAndSwap("x/seed", 0, "0", 0).entry.revision;
+    relay.list("x/");
+    setDown(true);
+    now += 5s;
+    relay.list("x/");
+    setDown(false);
+    now += 100ms;
+    relay.confirm("x/seed", seed);
+    now += 700ms;
+    BOOST_TEST((relay.list("x/").returnAge == Duration(700ms)));
+}
