A list read in the grace period neither ends it nor is forgotten at its end

What callers saw: nothing reported; found by reading while a request at a target that had left was traced. Cause: targets without an entry are kept for a grace period after an outage. A second list in that time (a watch that is cut, a compacted history) dropped them at once, as no outage lay before it; and a target that was in the list again was still dropped at the end of the period, until its next change. Evidence: aListReadInTheGracePeriodNeitherEndsItNorIsForgotten fails without the change (its first check). Change: what is in its grace period stays; an entry that is listed ends its period.

--- a/gateway/target_duty.cpp
+++ b/gateway/target_duty.cpp
@@ -60,13 +60,14 @@
     watchRevision_ = reply.revision;
     TargetMap targets;
     for (const StoreEntry &entry : reply.entries) {
+        missing_.erase(targetId(entry));
         applyEntry(entry, targets);
     }
     const TimePoint now = BootClock::now();
     const bool mayHaveExpired = isDifferentEra(reply.revision) || (storeLostAt_ && reply.outage.value_or(minOutageForExpiry) >= minOutageForExpiry);
     lastRevision_ = reply.revision;
     for (const auto &[id, target] : targets_) {
-        if (!targets.contains(id) && mayHaveExpired) {
+        if (!targets.contains(id) && (mayHaveExpired || missing_.contains(id))) {
             targets.emplace(id, target);
             keepUnlisted(id, targets, now - reply.returnAge);
         }
--- a/tests/gateway/test_duties.cpp
+++ b/tests/gateway/test_duties.cpp
@@ -378,6 +378,22 @@
     BOOST_TEST((BootClock::now() - heardAt < 1'200ms));
 }
 
+// Guards against a healthy target that is dropped because the list is read again in its grace period: for the rest of it, or at its end
+// although the target has written its entry again.
+BOOST_FIXTURE_TEST_CASE(aListReadInTheGracePeriodNeitherEndsItNorIsForgotten, ScriptedFixture)
+{
+    BOOST_REQUIRE(latest.waitFor(TargetFixture::names({"a", "b"})));
+    store.deliver({{"t/a", {}, 3, true}, {"t/b", {}, 3, true}}, 3s);
+    const auto areUnlisted = [](const TargetMap &targets) { return targets.size() == 2 && targets.at("a").isUnlisted && targets.at("b").isUnlisted; };
+    BOOST_REQUIRE(latest.waitFor(areUnlisted));
+    store.restore({}, 4);
+    BOOST_TEST(latest.holdsFor(500ms, areUnlisted));
+    store.restore({{"t/a", "s", 5, false}}, 5);
+    BOOST_TEST(latest.waitFor([](const TargetMap &targets) { return targets.contains("a") && !targets.at("a").isUnlisted; }));
+    BOOST_TEST(latest.waitFor(TargetFixture::names({"a"})));
+    BOOST_TEST(latest.holdsFor(1s, TargetFixture::names({"a"})));
+}
+
 // Guards against engines that disappear, or are used again after announcing their shutdown, when the store is restored from a copy that is
 // some seconds old.
 BOOST_FIXTURE_TEST_CASE(aStoreRestoredFromAnOlderCopyKeepsTargetsAndLeavingStates, ScriptedFixture)
