A target that has announced its leave is remembered over entries that are gone or can't be read

What callers saw: nothing reported for certain; one of the hypotheses on a request at a target 12 s after its leave was acknowledged. Cause: the leaving state of an entry was kept against the list published before, not against the batch that is read, and was forgotten with the entry. An entry that can't be read, a deletion or a store restored from an older copy, followed by an older entry, made the target serve again. Evidence: aLeaveIsRememberedWithinABatchAndOverEntriesThatAreGone fails without the change (three checks). Why this works: a leave is final for an incarnation, so what is heard later about it or an earlier one can't take it back.

--- a/gateway/target_duty.cpp
+++ b/gateway/target_duty.cpp
@@ -38,6 +38,7 @@
     while (!isStopped()) {
         const bool isOk = watchRevision_ == 0 ? readAll() : watchOnce();
         removeExpired();
+        leaves_.forgetOld(BootClock::now());
         if (isOk) {
             backoff_.reset();
             sleepFor(pauseBetweenWatches);
@@ -124,7 +125,7 @@
     return entry.key.substr(std::min(records_.targetPrefix().size(), entry.key.size()));
 }
 
-void TargetDuty::applyEntry(const StoreEntry &entry, TargetMap &targets) const
+void TargetDuty::applyEntry(const StoreEntry &entry, TargetMap &targets)
 {
     const std::string id = targetId(entry);
     if (entry.isDeleted) {
@@ -139,8 +140,11 @@
         return;
     }
     // A store restored from an older copy may return an entry from before the target announced its shutdown.
-    const auto previous = targets_.find(id);
-    target->isLeaving = target->isLeaving || (previous != targets_.end() && previous->second.incarnation == target->incarnation && previous->second.isLeaving);
+    if (target->isLeaving) {
+        const TimePoint now = BootClock::now();
+        leaves_.add({id, target->incarnation, now, now, {}});
+    }
+    target->isLeaving = leaves_.isLeaving(id, target->incarnation);
     targets.insert_or_assign(id, std::move(*target));
 }
 
--- a/gateway/target_duty.h
+++ b/gateway/target_duty.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "coordination/store.h"
+#include "decision/leave_table.h"
 #include "gateway/duty.h"
 #include "gateway/store_backoff.h"
 #include "gateway/store_records.h"
@@ -34,7 +35,7 @@
     bool watchOnce();
     bool isDifferentEra(std::int64_t position) const;
     std::string targetId(const StoreEntry &entry) const;
-    void applyEntry(const StoreEntry &entry, TargetMap &targets) const;
+    void applyEntry(const StoreEntry &entry, TargetMap &targets);
     void keepUnlisted(std::string_view id, TargetMap &targets, TimePoint returnedAt);
     void publish(TargetMap &&targets);
     void removeExpired();
@@ -44,6 +45,7 @@
     Listener listener_;
     Backoff backoff_ = storeBackoff();
     TargetMap targets_;
+    LeaveTable leaves_; ///< What the entries have said, also those that are gone.
     std::map<std::string, TimePoint> missing_; ///< Targets whose entries were missing after an outage, and when each is removed.
     std::int64_t watchRevision_ = 0; ///< Revision from which to watch; 0 to read the whole list first.
     std::int64_t lastRevision_ = 0; ///< Revision up to which changes have been seen; 0 before the first list.
--- a/tests/gateway/test_duties.cpp
+++ b/tests/gateway/test_duties.cpp
@@ -407,6 +407,21 @@
     BOOST_TEST(latest.waitFor(TargetFixture::names({"a"}))); // b was not written again.
 }
 
+// Guards against requests to a target that has announced its leave, because an older entry comes after one that can't be read or a deletion.
+BOOST_FIXTURE_TEST_CASE(aLeaveIsRememberedWithinABatchAndOverEntriesThatAreGone, ScriptedFixture)
+{
+    BOOST_REQUIRE(latest.waitFor(TargetFixture::names({"a", "b"})));
+    store.deliver({{"t/a", "leaving", 3, false}, {"t/a", "strange", 4, false}, {"t/a", "s", 5, false}}, 0ms);
+    const auto isServing = [](const TargetMap &targets) { return targets.contains("a") && !targets.at("a").isLeaving; };
+    const auto isLeaving = [](const TargetMap &targets) { return targets.contains("a") && targets.at("a").isLeaving; };
+    BOOST_TEST(latest.waitFor(isLeaving));
+    store.deliver({{"t/a", {}, 6, true}}, 0ms);
+    BOOST_REQUIRE(latest.waitFor(TargetFixture::names({"b"})));
+    store.deliver({{"t/a", "s", 7, false}}, 0ms);
+    BOOST_TEST(latest.waitFor(isLeaving));
+    BOOST_TEST(latest.holdsFor(200ms, [&](const TargetMap &targets) { return !isServing(targets); }));
+}
+
 BOOST_FIXTURE_TEST_CASE(aChangeMissedByTheWatchIsFoundByTheProof, ProofFixture)
 {
     // While the store compacts its history, watches miss that an operator revokes a key. This test uses no watch at all: the change must be
