A host that keeps a target without an entry hears from others that it leaves

Cause: which targets leave was known to each host from its own view of the entries. A host that had not heard of a leave before an outage of the store kept the target as a serving one for its grace period, although others knew. Change: hosts pass on the leaves that they know with what targets state. Leaves mark the listed targets as leaving, so that the scheduler, the version guard, streams and operators' pages see one state.

--- a/decision/target_statement.cpp
+++ b/decision/target_statement.cpp
@@ -10,6 +10,8 @@
         return "rate_limit";
     case StatementKind::RejectionLimit:
         return "rejection_limit";
+    case StatementKind::Leaving:
+        return "leaving";
     }
     return "unknown";
 }
--- a/decision/target_statement.h
+++ b/decision/target_statement.h
@@ -15,9 +15,13 @@
 {
     RateLimit, ///< Requests a second that it takes from all hosts together.
     RejectionLimit, ///< Requests a second that it can reject for want of room; it falls over above that.
+    Leaving, ///< It shuts down and wants no new requests. Final for its incarnation, see LeaveTable.
 };
 
-inline constexpr std::array allStatementKinds{StatementKind::RateLimit, StatementKind::RejectionLimit};
+inline constexpr std::array allStatementKinds{StatementKind::RateLimit, StatementKind::RejectionLimit, StatementKind::Leaving};
+
+/// The kinds that a StatementTable holds.
+inline constexpr std::array limitKinds{StatementKind::RateLimit, StatementKind::RejectionLimit};
 
 /// Name of the kind in logs, metrics and operators' pages.
 std::string_view statementKindName(StatementKind kind);
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -205,7 +205,20 @@
 
 void Gateway::setTargets(std::shared_ptr<const TargetMap> targets)
 {
-    directory_.setTargets(std::move(targets));
+    listedTargets_ = std::move(targets);
+    statements_.noteLeaving(*listedTargets_);
+    const bool hasUnlisted = std::any_of(listedTargets_->begin(), listedTargets_->end(), [](const auto &entry) { return entry.second.isUnlisted; });
+    if (hasUnlisted) {
+        // Others may have heard before the outage that some of these targets have left.
+        queryStatementsUntil_ = BootClock::now() + proofQueryTime;
+    }
+    applyTargets();
+}
+
+/// Puts the listed targets in force, and what else is known of their leaving.
+void Gateway::applyTargets()
+{
+    directory_.setTargets(statements_.withLeaves(listedTargets_));
     versions_.setTargets(directory_.all());
     rollouts_.updateCandidates();
     paths_.setTargets(directory_.all());
@@ -496,6 +509,8 @@
     fleet_.crashes().onTick(now);
     if (now < queryProofsUntil_) {
         fleet_.queryProofs();
+    }
+    if (now < std::max(queryProofsUntil_, queryStatementsUntil_)) {
         fleet_.queryStatements();
     }
     if (now < queryWeightsAgesUntil_ || directory_.needsPublicationTime(now)) {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -341,6 +341,7 @@
     void applyVersionLimits();
     void applyTeamLimits();
     void applyRetryLimits();
+    void applyTargets();
     void beginPending();
     RelayServer::Links relayLinks();
     TargetStatements::Links statementLinks();
@@ -361,6 +362,7 @@
     std::shared_ptr<const RoutingTable> table_;
     TableFreshness freshness_; ///< Of `table_`.
     TimePoint queryProofsUntil_;
+    TimePoint queryStatementsUntil_;
     TargetDirectory directory_;
     VersionGuard versions_;
     Rollouts rollouts_;
@@ -381,6 +383,7 @@
     std::map<std::string, HostRecord> hosts_; ///< All active hosts including this one.
     double share_ = 0; ///< This host's share of what is divided evenly.
     std::string leader_;
+    std::shared_ptr<const TargetMap> listedTargets_ = std::make_shared<TargetMap>(); ///< As in the store, without what targets and hosts have told.
     bool hasTargets_ = false;
     PauseDetector pauseDetector_;
     TimePoint queryWeightsAgesUntil_;
--- a/gateway/gateway_links.cpp
+++ b/gateway/gateway_links.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <boost/asio/post.hpp>
+
 /// What the gateway's parts call in each other.
 namespace Lovageloft
 {
@@ -26,6 +28,7 @@
     return {[this](const std::string &home, const PermitRequest &request) { fleet_.requestPermit(home, request); },
             [this](std::span<const StatementTable::Update> updates) { fleet_.announceStatements(updates); },
             [this] { dispatch_.onPermitValid(); },
+            [this] { boost::asio::post(loop_, [this] { applyTargets(); }); },
             {[this](const std::string &home, const SlotReport &report) { fleet_.sendSlotReport(home, report); },
              [this](const std::string &host, const SlotGrant &grant) { fleet_.sendSlotGrant(host, grant); }}};
 }
--- a/gateway/operator_view.cpp
+++ b/gateway/operator_view.cpp
@@ -125,7 +125,11 @@
         row->set("address", hostAddressText(target.address));
         row->set("data_centre", target.dataCentre);
         row->set("state", target.isLeaving ? "leaving" : "serving");
-        for (const StatementKind kind : allStatementKinds) {
+        if (const LeaveTable::Leave *leave = gateway_.statements().leaves().find(id); target.isLeaving && leave != nullptr) {
+            row->set("leaving_heard_by", leave->heardBy);
+            row->set("leaving_age_ms", toMillis(now - leave->saidAt));
+        }
+        for (const StatementKind kind : limitKinds) {
             if (const TargetStatement *stated = gateway_.statements().table().find(id, kind)) {
                 row->set(std::string(statementKindName(kind)), stated->value);
                 row->set(std::string(statementKindName(kind)) + "_age_ms", toMillis(now - stated->statedAt));
--- a/gateway/peer_messages.capnp
+++ b/gateway/peer_messages.capnp
@@ -100,7 +100,7 @@
   # A value that a target states about itself.
   target @0 :Text;
   incarnation @1 :Int64;
-  kind @2 :UInt8; # 0: rate limit, 1: rejection limit.
+  kind @2 :UInt8; # 0: rate limit, 1: rejection limit, 2: it leaves.
   value @3 :Float64;
   isEnded @4 :Bool; # It no longer does.
   ageMicroseconds @5 :UInt64; # Since it was first heard.
--- a/gateway/statement_log.cpp
+++ b/gateway/statement_log.cpp
@@ -43,6 +43,12 @@
     }
 }
 
+void StatementLog::leaving(const LeaveTable::Leave &leave, std::string_view source) const
+{
+    metrics_.add("lovageloft_target_leaves_total", {{"source", source}});
+    writeLog(LogLevel::Info, "target_leaving", {{"target", leave.target}, {"incarnation", leave.incarnation}, {"source", source}, {"heard_by", leave.heardBy}});
+}
+
 void StatementLog::changed(const StatementTable::Update &update, bool isLapsed) const
 {
     const TargetStatement &statement = update.statement;
--- a/gateway/statement_log.h
+++ b/gateway/statement_log.h
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/metrics.h"
+#include "decision/leave_table.h"
 #include "decision/statement_table.h"
 #include "gateway/protocol.h"
 
@@ -24,6 +25,9 @@
     /// A statement was made, changed or ended. `isLapsed`: it was not heard again for long.
     void changed(const StatementTable::Update &update, bool isLapsed = false) const;
 
+    /// A target is known to leave. `source`: where this host has it from.
+    void leaving(const LeaveTable::Leave &leave, std::string_view source) const;
+
 private:
     Metrics &metrics_;
     std::set<std::string, std::less<>> unknownFields_;
--- a/gateway/target_statements.cpp
+++ b/gateway/target_statements.cpp
@@ -14,10 +14,17 @@
 
 constexpr Duration minTimerDelay = std::chrono::milliseconds(1);
 
+/// A leave as passed between hosts.
+StatementTable::Update leaveUpdate(const LeaveTable::Leave &leave)
+{
+    return {{leave.target, leave.incarnation, StatementKind::Leaving, 1, leave.saidAt, leave.heardAt, leave.heardBy}, false};
+}
+
 } // namespace
 
 TargetStatements::TargetStatements(boost::asio::io_context &loop, std::string hostName, Metrics &metrics, Links links)
-    : table_(hostName)
+    : hostName_(hostName)
+    , table_(hostName)
     , log_(metrics)
     , permits_(std::move(hostName), table_)
     , links_(std::move(links))
@@ -44,7 +51,7 @@
         return;
     }
     const TimePoint now = BootClock::now();
-    for (const StatementKind kind : allStatementKinds) {
+    for (const StatementKind kind : limitKinds) {
         const auto stated = std::find_if(statements.begin(), statements.end(), [kind](const StatedValue &value) { return value.kind == kind; });
         const bool isStated = stated != statements.end();
         const auto update = table_.onAnswer({targetId, incarnation, kind, isStated, isStated ? stated->value : std::nullopt, sentAt}, now);
@@ -89,6 +96,41 @@
     });
 }
 
+void TargetStatements::noteLeaving(const TargetMap &listed)
+{
+    const TimePoint now = BootClock::now();
+    for (const auto &[id, target] : listed) {
+        if (target.isLeaving) {
+            addLeave({id, target.incarnation, now, now, hostName_}, "entry");
+        }
+    }
+}
+
+std::shared_ptr<const TargetMap> TargetStatements::withLeaves(std::shared_ptr<const TargetMap> listed) const
+{
+    std::shared_ptr<TargetMap> marked;
+    for (const auto &[id, target] : *listed) {
+        if (target.isLeaving || !leaves_.isLeaving(id, target.incarnation)) {
+            continue;
+        }
+        if (marked == nullptr) {
+            marked = std::make_shared<TargetMap>(*listed);
+        }
+        marked->at(id).isLeaving = true;
+    }
+    return marked != nullptr ? marked : std::move(listed);
+}
+
+/// Returns whether the leave is new. `source`: where this host has it from, for the log.
+bool TargetStatements::addLeave(const LeaveTable::Leave &leave, std::string_view source)
+{
+    const bool isNew = leaves_.add(leave);
+    if (isNew) {
+        log_.leaving(leave, source);
+    }
+    return isNew;
+}
+
 void TargetStatements::presumeRejectionLimits(const TargetMap &targets)
 {
     std::map<std::string_view, double> limits; // By service.
@@ -128,11 +170,18 @@
 
 void TargetStatements::onUpdates(std::span<const StatementTable::Update> updates)
 {
+    bool hasNewLeave = false;
     for (const StatementTable::Update &update : updates) {
-        if (table_.onUpdate(update)) {
+        const TargetStatement &statement = update.statement;
+        if (statement.kind == StatementKind::Leaving) {
+            hasNewLeave |= addLeave({statement.target, statement.incarnation, statement.statedAt, statement.heardAt, statement.heardBy}, "host");
+        } else if (table_.onUpdate(update)) {
             log_.changed(update);
         }
     }
+    if (hasNewLeave) {
+        links_.onLeave();
+    }
 }
 
 PermitReply TargetStatements::onPermitRequest(const PermitRequest &request)
@@ -170,6 +219,9 @@
     for (TargetStatement &statement : table_.inForce()) {
         updates.push_back({std::move(statement), false});
     }
+    for (const LeaveTable::Leave &leave : leaves_.all()) {
+        updates.push_back(leaveUpdate(leave));
+    }
     return updates;
 }
 
@@ -178,6 +230,7 @@
     for (const StatementTable::Update &lapsed : table_.expire(now)) {
         log_.changed(lapsed, true);
     }
+    leaves_.forgetOld(now);
     permits_.onTick(now);
     if (const auto repeats = permits_.takeRepeats(now); !repeats.empty()) {
         links_.broadcast(repeats);
--- a/gateway/target_statements.h
+++ b/gateway/target_statements.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <span>
 #include <string>
 #include <string_view>
@@ -10,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "decision/leave_table.h"
 #include "decision/request_scheduler.h"
 #include "decision/send_permits.h"
 #include "gateway/protocol.h"
@@ -19,8 +21,8 @@
 namespace Lovageloft
 {
 
-/// What the fleet knows of the statements that targets make about themselves with their answers, and the permits to send to those that state a
-/// rate limit. Changes are passed on to all other hosts. For use on the event loop only.
+/// What the fleet knows of the statements that targets make about themselves with their answers, which targets leave, and the permits to send to those
+/// that state a rate limit. Changes are passed on to all other hosts. For use on the event loop only.
 class TargetStatements
 {
 public:
@@ -30,6 +32,7 @@
         SendPermits::RequestSender requestPermit;
         std::function<void(std::span<const StatementTable::Update> updates)> broadcast;
         std::function<void()> onPermitValid;
+        std::function<void()> onLeave; ///< A target is known to leave that was not before.
         SlotLeases::Links slots;
     };
 
@@ -45,6 +48,12 @@
     /// their service do: they would get too much before their first answer otherwise.
     void setTargets(const TargetMap &targets);
 
+    /// Notes which targets say in their entries that they leave.
+    void noteLeaving(const TargetMap &listed);
+
+    /// The listed targets, with all that leave by what any host has heard marked as such.
+    std::shared_ptr<const TargetMap> withLeaves(std::shared_ptr<const TargetMap> listed) const;
+
     /// Requests are queued that would go to these targets if there were permits. Slots that are held now are not needed.
     void wantPermits(std::span<const WantedPermits> wanted);
 
@@ -66,6 +75,11 @@
         return table_;
     }
 
+    const LeaveTable &leaves() const
+    {
+        return leaves_;
+    }
+
     SendPermits &permits()
     {
         return permits_;
@@ -78,11 +92,14 @@
 
 private:
     void presumeRejectionLimits(const TargetMap &targets);
+    bool addLeave(const LeaveTable::Leave &leave, std::string_view source);
     void announce(const StatementTable::Update &update);
     void flushAnnouncements();
     void armPermitTimer(TimePoint now);
 
+    std::string hostName_;
     StatementTable table_;
+    LeaveTable leaves_;
     StatementLog log_;
     SendPermits permits_;
     Links links_;
--- a/tests/platform/fleet_fixture.cpp
+++ b/tests/platform/fleet_fixture.cpp
@@ -68,11 +68,16 @@
 void FleetFixture::changeTarget(const std::string &id, const std::function<void(Target &)> &change)
 {
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-        change(hosts_[i]->targets.at(id));
-        publishTargets(i);
+        changeTargetAt(i, id, change);
     }
 }
 
+void FleetFixture::changeTargetAt(std::size_t host, const std::string &id, const std::function<void(Target &)> &change)
+{
+    change(hosts_[host]->targets.at(id));
+    publishTargets(host);
+}
+
 void FleetFixture::unlistTarget(const std::string &id)
 {
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
--- a/tests/platform/fleet_fixture.h
+++ b/tests/platform/fleet_fixture.h
@@ -33,6 +33,9 @@
     /// Changes a target's entry on all gateways.
     void changeTarget(const std::string &id, const std::function<void(Target &)> &change);
 
+    /// Changes a target's entry as one gateway has it.
+    void changeTargetAt(std::size_t host, const std::string &id, const std::function<void(Target &)> &change);
+
     /// Removes a target's entry from all gateways.
     void unlistTarget(const std::string &id);
 
