Known red: hosts go on sending to a target whose answers say that it leaves

What callers and targets saw: requests reached a target up to 12.7 s after its answers said that it leaves.

--- a/tests/platform/test_leaving_targets.cpp
+++ b/tests/platform/test_leaving_targets.cpp
@@ -109,4 +109,16 @@
     BOOST_TEST(lateArrivals(from) == 0U);
 }
 
+// Guards against requests that hosts go on sending to a target whose answers say that it leaves, while its entry doesn't say so yet.
+BOOST_AUTO_TEST_CASE(aTargetThatSaysInItsAnswersThatItLeavesGetsNoMoreRequests)
+{
+    BOOST_TEST(sendFor(1'500ms, allHosts) >= minServed);
+    setSaysThatItLeaves(true);
+    const TimePoint from = BootClock::now();
+    BOOST_TEST(sendFor(sendTime, allHosts) >= minServed);
+    BOOST_TEST(arrivals() > 0U);
+    BOOST_TEST_MESSAGE(lateArrivals(from) << " of " << arrivals() << " requests came late");
+    BOOST_TEST(lateArrivals(from) == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
