A target whose answers say that it leaves gets no more requests

What callers and targets saw: requests reached a target up to 12.7 s after its answers had said that it leaves; its entry could not change, as the store was away. Cause: no code read the field; hosts learnt of leaves from entries alone. Why this works: a leave is final for an incarnation, so the first answer of any host suffices, whatever the store says or doesn't.

--- a/decision/leave_table.cpp
+++ b/decision/leave_table.cpp
@@ -25,8 +25,9 @@
         return true;
     }
     if (leave.incarnation == known->second.incarnation) {
-        known->second.heardAt = std::max(known->second.heardAt, leave.heardAt);
-        known->second.saidAt = std::min(known->second.saidAt, leave.saidAt);
+        const TimePoint heardAt = std::max(known->second.heardAt, leave.heardAt);
+        known->second = leave.saidAt < known->second.saidAt ? leave : known->second;
+        known->second.heardAt = heardAt;
     }
     return false;
 }
--- a/gateway/target_statements.cpp
+++ b/gateway/target_statements.cpp
@@ -51,6 +51,14 @@
         return;
     }
     const TimePoint now = BootClock::now();
+    const auto leaving = std::find_if(statements.begin(), statements.end(), [](const StatedValue &value) { return value.kind == StatementKind::Leaving; });
+    if (leaving != statements.end() && leaving->value.value_or(0) > 0) {
+        const LeaveTable::Leave leave{std::string(targetId), incarnation, now, now, hostName_};
+        if (addLeave(leave, "answer")) {
+            announce(leaveUpdate(leave));
+            links_.onLeave();
+        }
+    }
     for (const StatementKind kind : limitKinds) {
         const auto stated = std::find_if(statements.begin(), statements.end(), [kind](const StatedValue &value) { return value.kind == kind; });
         const bool isStated = stated != statements.end();
@@ -81,12 +89,22 @@
 {
     std::erase_if(announcements_, [this](const StatementTable::Update &update) {
         const TargetStatement *known = table_.find(update.statement.target, update.statement.kind);
+        if (update.statement.kind == StatementKind::Leaving) {
+            return isToldByOther(update.statement);
+        }
         return !update.isEnded && known != nullptr && known->heardBy != update.statement.heardBy && known->value == update.statement.value;
     });
     links_.broadcast(announcements_);
     announcements_.clear();
 }
 
+/// Whether another host has told of this leave before this host could.
+bool TargetStatements::isToldByOther(const TargetStatement &leaving) const
+{
+    const LeaveTable::Leave *known = leaves_.find(leaving.target);
+    return known != nullptr && known->heardBy != hostName_ && known->incarnation >= leaving.incarnation;
+}
+
 void TargetStatements::setTargets(const TargetMap &targets)
 {
     presumeRejectionLimits(targets);
--- a/gateway/target_statements.h
+++ b/gateway/target_statements.h
@@ -93,6 +93,7 @@
 private:
     void presumeRejectionLimits(const TargetMap &targets);
     bool addLeave(const LeaveTable::Leave &leave, std::string_view source);
+    bool isToldByOther(const TargetStatement &leaving) const;
     void announce(const StatementTable::Update &update);
     void flushAnnouncements();
     void armPermitTimer(TimePoint now);
--- a/tests/decision/test_leave_table.cpp
+++ b/tests/decision/test_leave_table.cpp
@@ -35,8 +35,11 @@
 {
     LeaveTable table;
     BOOST_TEST(table.add(leave(5, 2s)));
-    BOOST_TEST(!table.add(leave(5, 1s)));
+    LeaveTable::Leave earlier = leave(5, 1s);
+    earlier.heardBy = "other";
+    BOOST_TEST(!table.add(earlier));
     BOOST_TEST(!table.add(leave(4, 3s)));
+    BOOST_TEST(table.find("t")->heardBy == "other");
     BOOST_TEST(table.isLeaving("t", 5));
     BOOST_TEST((table.find("t")->saidAt == start + 1s));
     BOOST_TEST((table.find("t")->heardAt == start + 2s));
