Logs of declined requests say for how long the target wants rest

Cause: a target that is full and one that asks for rest looked the same in the logs. Change: Retry-After of a target's 503 is read, in seconds, and stands in request_declined. No decision reads it yet.

--- a/gateway/protocol.h
+++ b/gateway/protocol.h
@@ -78,6 +78,7 @@
     bool isNotExecuted = false; ///< The target guarantees that it did not execute the request.
     bool isTargetMismatch = false; ///< The address belongs to another target, or the target has other weights than expected.
     std::string targetId; ///< Empty if the answer does not name it; with a mismatch, this counts as another target.
+    std::optional<Duration> retryAfter; ///< With status 503: for how long the target wants no requests from this host.
     std::optional<TargetLoad> load;
     StatementFacts stated;
 };
--- a/gateway/request_log.cpp
+++ b/gateway/request_log.cpp
@@ -59,7 +59,7 @@
               {"configuration", intake_.configurationVersion()}});
 }
 
-void RequestLog::declined(std::string_view target, int status, bool isTargetMismatch, std::optional<double> rateLimit) const
+void RequestLog::declined(std::string_view target, int status, bool isTargetMismatch, std::optional<double> rateLimit, std::optional<Duration> retryAfter) const
 {
     writeLog(LogLevel::Info,
              "request_declined",
@@ -67,7 +67,8 @@
               {"target", target},
               {"status", std::int64_t{status}},
               {"other_target", isTargetMismatch},
-              {"rate_limit", rateLimit.value_or(-1)}});
+              {"rate_limit", rateLimit.value_or(-1)},
+              {"retry_after_ms", retryAfter ? toMillis(*retryAfter) : std::int64_t{-1}}});
 }
 
 void RequestLog::lost(const Lost &lost) const
--- a/gateway/request_log.h
+++ b/gateway/request_log.h
@@ -38,8 +38,9 @@
 
     /// The target responded that it did not run the request. `isTargetMismatch`: another target listens at the address, or the target has
     /// other weights than expected.
-    /// `rateLimit`: requests a second that all hosts may send to the target at this time; nothing if there is no limit.
-    void declined(std::string_view target, int status, bool isTargetMismatch, std::optional<double> rateLimit) const;
+    /// `rateLimit`: requests a second that all hosts may send to the target at this time; nothing if there is no limit. `retryAfter`: for how long the
+    /// target wants no requests from this host; nothing if it didn't say.
+    void declined(std::string_view target, int status, bool isTargetMismatch, std::optional<double> rateLimit, std::optional<Duration> retryAfter) const;
 
     /// A connection to a target that failed or ended.
     struct Lost
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -353,7 +353,7 @@
     gateway_.targets().onNotExecuted(targetId_, notExecutedFacts_, intake_.caller().model, BootClock::now());
     gateway_.dispatch().invalidateEngines();
     endDispatch(notExecutedFacts_.isTargetMismatch ? DispatchResult::Cancelled : DispatchResult::Declined);
-    log_.declined(targetId_, answerHead_.status, notExecutedFacts_.isTargetMismatch, rateLimit);
+    log_.declined(targetId_, answerHead_.status, notExecutedFacts_.isTargetMismatch, rateLimit, notExecutedFacts_.retryAfter);
     isNotExecuted_ = false;
     retryElsewhere();
 }
--- a/tests/platform/test_protocols.cpp
+++ b/tests/platform/test_protocols.cpp
@@ -116,4 +116,25 @@
     BOOST_TEST(targets.readAnswer(answer).isTargetMismatch);
 }
 
+BOOST_AUTO_TEST_CASE(targetsAskForRestWithARejectionAndInSeconds)
+{
+    HttpHead answer;
+    answer.status = 503;
+    const auto retryAfter = [&answer](const std::string &text) {
+        answer.fields = {{"Retry-After", text}};
+        return targets.readAnswer(answer).retryAfter;
+    };
+    BOOST_TEST((retryAfter("3") == Duration(3s)));
+    BOOST_TEST((retryAfter("0.5") == Duration(500ms)));
+    BOOST_TEST((retryAfter("604800") == Duration(1h)));
+    for (const char *text : {"", "0", "-1", "3 s", "inf", "nan", "Fri, 31 Dec 1999 23:59:59 GMT"}) {
+        BOOST_TEST_CONTEXT(text)
+        {
+            BOOST_TEST(!retryAfter(text).has_value());
+        }
+    }
+    answer.status = 200;
+    BOOST_TEST(!retryAfter("3").has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
