A target that asks for rest with a rejection gets it

What targets saw: a target that had turned a host away with Retry-After: 3 got four and five requests from it between half a second later and the end of that time. Cause: Retry-After of targets was read nowhere; each host tried a target again 400 ms after each rejection. Change: a target rests for a host until the end of the longest time that it asked for, whatever becomes of its entry. While all rest, requests are refused at once with the earliest end as Retry-After. Why this works: a resting target is not a serving engine, so no way through the scheduler leads there; the engines are renewed in the turn of the loop that reads the answer. Without network: aTargetRestsUntilTheEndOfTheTimeThatItAskedFor, whileAllEnginesRestARequestIsRefusedUntilTheFirstRestEnds.

--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -84,6 +84,7 @@
         entry.model = poolOf(engine.model, engine.pool);
         entry.incarnation = engine.incarnation != 0 ? engine.incarnation : entry.incarnation;
         entry.isServing = engine.isServing;
+        entry.restUntil = engine.restUntil;
     }
     scaleQueues(kept);
     engines_ = std::move(kept);
@@ -335,9 +336,13 @@
     if (choice.retryAfter > Duration::zero()) {
         return refuse(queued.id, choice.reason, choice.retryAfter);
     }
-    if (found == requests_.end() || !choice.engine) {
+    if (found == requests_.end()) {
         return refuse(queued.id, {ResultCode::NoTarget, {}}, noTargetRetryAfter);
     }
+    if (!choice.engine) {
+        const auto rest = restTimeLeft(found->second, now);
+        return refuse(queued.id, {ResultCode::NoTarget, rest ? "all targets have asked for rest" : ""}, rest.value_or(noTargetRetryAfter));
+    }
     const PlacementDecision &decision = *choice.engine;
     const PlacementRequest toPlace = placementRequest(found->second);
     const std::int64_t missed = std::max<std::int64_t>(1, std::int64_t{toPlace.promptTokens} - decision.expectedCachedTokens);
@@ -472,6 +477,26 @@
     }
 }
 
+/// Time until the first engine that can take the request ends its rest. Nothing if one serves, or none will.
+std::optional<Duration> RequestScheduler::restTimeLeft(const SchedulerRequest &request, TimePoint now)
+{
+    const ModelId pool = poolOf(request.model, request.pool);
+    std::optional<Duration> shortest;
+    for (const auto &[index, engine] : engines_) {
+        if (!isEligible(engine, pool, request.softwareVersion)) {
+            continue;
+        }
+        if (engine.isServing) {
+            return std::nullopt;
+        }
+        if (engine.restUntil) {
+            const Duration left = std::max<Duration>(*engine.restUntil - now, std::chrono::milliseconds(1));
+            shortest = std::min(shortest.value_or(left), left);
+        }
+    }
+    return shortest;
+}
+
 RequestScheduler::Engine *RequestScheduler::engineOf(const InFlight &request)
 {
     const auto engine = engines_.find(request.engine);
--- a/decision/request_scheduler.h
+++ b/decision/request_scheduler.h
@@ -35,6 +35,7 @@
     std::uint32_t batchLimit = 64; ///< Requests for which it generates concurrently.
     double cacheTokens = 0; ///< Capacity of its KV cache in tokens; 0 if unknown.
     bool isServing = true;
+    std::optional<TimePoint> restUntil = std::nullopt; ///< It has asked this host for rest until then, and serves afterwards.
     bool isRemote = false; ///< In another data centre than this host.
     /// No request whose first token may come later is sent to it; not set if there is no such limit.
     std::optional<TimePoint> firstTokenDeadline = std::nullopt;
@@ -200,6 +201,7 @@
         std::uint64_t incarnation = 0;
         std::uint64_t generation = 0; ///< Distinguishes the engine from an earlier one with the same index.
         bool isServing = false;
+        std::optional<TimePoint> restUntil;
     };
 
     struct Version
@@ -233,6 +235,7 @@
     bool choose(const QueuedRequest &queued, TimePoint now, Random &random, Choice &choice);
     void updatePermitWaits(ModelId pool, TimePoint now);
     bool refuseWithoutPermits(const SchedulerRequest &request, ModelId pool, TimePoint now, Choice &choice) const;
+    std::optional<Duration> restTimeLeft(const SchedulerRequest &request, TimePoint now);
     void wantPermits(bool isPlaced, TimePoint now);
     void releaseSlot(const InFlight &ended, DispatchResult end, TimePoint now);
     std::optional<double> permittedRate(const SchedulerRequest &request, ModelId pool, TimePoint now) const;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -431,6 +431,17 @@
     dispatch_.invalidateEngines();
 }
 
+void Gateway::onRestAsked(std::string_view targetId, std::int64_t incarnation, Duration rest)
+{
+    const TimePoint now = BootClock::now();
+    const bool isNew = directory_.rest(targetId, incarnation, now + rest, now);
+    dispatch_.invalidateEngines();
+    if (isNew) {
+        metrics_.add("lovageloft_target_rests_total");
+        writeLog(LogLevel::Info, "target_rests", {{"target", targetId}, {"incarnation", incarnation}, {"rest_ms", toMillis(rest)}});
+    }
+}
+
 void Gateway::onTargetLoad(std::string_view engineName, const TargetLoad &load)
 {
     if (const Target *target = directory_.find(engineName)) {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -295,6 +295,9 @@
     /// Sends no requests to a target for some time, as it is about to load weights and declines requests meanwhile.
     void avoidTarget(std::string_view targetId, Duration time);
 
+    /// A target has turned a request away and wants no more from this host for a time.
+    void onRestAsked(std::string_view targetId, std::int64_t incarnation, Duration rest);
+
     void onTargetLoad(std::string_view engineName, const TargetLoad &load);
 
     TargetStatements &statements()
--- a/gateway/operator_view.cpp
+++ b/gateway/operator_view.cpp
@@ -124,7 +124,11 @@
         row->set("withheld", gateway_.targets().isWithheld(id));
         row->set("address", hostAddressText(target.address));
         row->set("data_centre", target.dataCentre);
-        row->set("state", target.isLeaving ? "leaving" : "serving");
+        const auto restUntil = gateway_.targets().restUntil(target, now);
+        row->set("state", target.isLeaving ? "leaving" : (restUntil ? "resting" : "serving"));
+        if (restUntil) {
+            row->set("rest_left_ms", toMillis(*restUntil - now));
+        }
         if (const LeaveTable::Leave *leave = gateway_.statements().leaves().find(id); target.isLeaving && leave != nullptr) {
             row->set("leaving_heard_by", leave->heardBy);
             row->set("leaving_age_ms", toMillis(now - leave->saidAt));
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -215,6 +215,9 @@
 void RoutedRequest::onAnswerHead(HttpHead &&head, const AnswerFacts &facts)
 {
     gateway_.statements().onAnswer(sentTo_, sentIncarnation_, sentAt_, facts);
+    if (facts.retryAfter && !facts.isTargetMismatch) {
+        gateway_.onRestAsked(sentTo_, sentIncarnation_, *facts.retryAfter);
+    }
     if (facts.load) {
         gateway_.onTargetLoad(targetId_, *facts.load);
     }
--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -230,6 +230,27 @@
     correction.avoidUntil = now + declineBackoff;
 }
 
+bool TargetDirectory::rest(std::string_view targetId, std::int64_t incarnation, TimePoint until, TimePoint now)
+{
+    std::erase_if(rests_, [now](const auto &entry) { return entry.second.until <= now; });
+    const auto [known, isNew] = rests_.try_emplace(std::string(targetId), Rest{incarnation, until});
+    if (isNew || known->second.incarnation < incarnation) {
+        known->second = {incarnation, until};
+        return true;
+    }
+    if (known->second.incarnation == incarnation) {
+        known->second.until = std::max(known->second.until, until);
+    }
+    return false;
+}
+
+std::optional<TimePoint> TargetDirectory::restUntil(const Target &target, TimePoint now) const
+{
+    const auto found = rests_.find(target.id);
+    const bool isResting = found != rests_.end() && found->second.incarnation == target.incarnation && now < found->second.until;
+    return isResting ? std::optional(found->second.until) : std::nullopt;
+}
+
 void TargetDirectory::avoid(std::string_view targetId, TimePoint until)
 {
     if (const Target *target = find(targetId)) {
@@ -269,6 +290,9 @@
     for (const auto &[id, correction] : corrections_) {
         next.consider(correction.avoidUntil);
     }
+    for (const auto &[id, rest] : rests_) {
+        next.consider(rest.until);
+    }
     for (const auto &[model, versions] : published_) {
         for (const PublishedWeights &weights : versions) {
             next.consider(olderWeightsEnd(weights));
@@ -326,7 +350,10 @@
     const Correction *correction = findCorrection(target);
     const bool isAvoided = correction != nullptr && (correction->isAddressReused || now < correction->avoidUntil);
     const bool isCandidate = candidates_.contains(target.id);
-    engine.isServing = !target.isLeaving && !isAvoided && (isCandidate || !withheld_.contains(target.id));
+    const bool wouldServe = !target.isLeaving && (isCandidate || !withheld_.contains(target.id)) && !(correction != nullptr && correction->isAddressReused);
+    const auto resting = restUntil(target, now);
+    engine.restUntil = wouldServe ? resting : std::nullopt;
+    engine.isServing = wouldServe && !isAvoided && !resting;
     engine.pool = isCandidate ? rolloutPool : std::string_view();
     engine.isRemote = target.dataCentre != dataCentre_;
     return engine;
--- a/gateway/target_directory.h
+++ b/gateway/target_directory.h
@@ -86,6 +86,13 @@
     /// If another target has its address, or an answer that reports a mismatch names no target, it is excluded until its incarnation changes.
     void onNotExecuted(std::string_view engineName, const AnswerFacts &facts, std::string_view model, TimePoint now);
 
+    /// An incarnation of a target wants no requests from this host until the given time. A shorter time does not end a longer one. Returns whether
+    /// the target did not rest before.
+    bool rest(std::string_view targetId, std::int64_t incarnation, TimePoint until, TimePoint now);
+
+    /// Until when a target rests; nothing if it does not.
+    std::optional<TimePoint> restUntil(const Target &target, TimePoint now) const;
+
     /// Excludes a target from scheduling until the given time, or until its entry shows other models or weights. Replaces an earlier time.
     void avoid(std::string_view targetId, TimePoint until);
 
@@ -104,6 +111,13 @@
         std::map<std::string, std::int64_t, std::less<>> weights; ///< Newer versions than in the entry, by model.
     };
 
+    /// What a target that turned a request away has asked this host for.
+    struct Rest
+    {
+        std::int64_t incarnation = 0;
+        TimePoint until;
+    };
+
     const Correction *findCorrection(const Target &target) const;
     std::int64_t newestVersion(std::string_view model) const;
     TimePoint olderWeightsEnd(const PublishedWeights &newer) const;
@@ -117,6 +131,7 @@
     std::map<std::string, std::vector<PublishedWeights>, std::less<>> published_; ///< By model, oldest first; each version has its own deadline.
     std::optional<std::set<std::string>> recentAtStartup_; ///< Not set until the store has been read.
     std::map<std::string, Correction, std::less<>> corrections_;
+    std::map<std::string, Rest, std::less<>> rests_; ///< By target; kept while a target is not listed.
     std::set<std::string, std::less<>> withheld_; ///< Ids of targets whose software version does not serve.
     std::set<std::string, std::less<>> candidates_; ///< Ids of targets in the rollout pool.
     std::map<std::string, double, std::less<>> cacheTokens_; ///< Capacity of one engine's memory, by service.
--- a/tests/decision/test_request_scheduler.cpp
+++ b/tests/decision/test_request_scheduler.cpp
@@ -62,6 +62,27 @@
 
 BOOST_FIXTURE_TEST_SUITE(RequestSchedulerTest, SchedulerFixture)
 
+// Guards against callers that come back while all engines still rest, or long after the first of them serves again.
+BOOST_AUTO_TEST_CASE(whileAllEnginesRestARequestIsRefusedUntilTheFirstRestEnds)
+{
+    std::vector<SchedulerEngine> engines{engine("a"), engine("b"), engine("c")};
+    for (SchedulerEngine &resting : engines) {
+        resting.isServing = false;
+    }
+    engines[0].restUntil = start + 3s;
+    engines[1].restUntil = start + 2s;
+    scheduler.setEngines(engines);
+    BOOST_TEST(!scheduler.submit(request(1), start).has_value());
+    const auto refused = decideOne();
+    BOOST_REQUIRE(std::holds_alternative<SchedulerRefusal>(refused));
+    BOOST_TEST((std::get<SchedulerRefusal>(refused).retryAfter == Duration(2s)));
+
+    engines[2].isServing = true;
+    scheduler.setEngines(engines);
+    BOOST_TEST(!scheduler.submit(request(2), start).has_value());
+    BOOST_TEST(std::holds_alternative<SchedulerAssignment>(decideOne()));
+}
+
 BOOST_AUTO_TEST_CASE(aRequestGoesToAnEngineOfItsModel)
 {
     BOOST_TEST(!scheduler.submit(request(1), start).has_value());
--- a/tests/gateway/test_target_directory.cpp
+++ b/tests/gateway/test_target_directory.cpp
@@ -76,6 +76,24 @@
     BOOST_TEST((*change > start && *change < start + deadline));
 }
 
+// Guards against requests to an engine that has asked for rest, because a shorter wish, a change of its entry or a gap in the list ends it.
+BOOST_AUTO_TEST_CASE(aTargetRestsUntilTheEndOfTheTimeThatItAskedFor)
+{
+    BOOST_TEST(directory.rest("e1", 1, start + 3s, start));
+    BOOST_TEST(!directory.rest("e1", 1, start + 2s, start + 1s));
+    directory.onNotExecuted("e1|m", {.isNotExecuted = true}, "m", start + 1s);
+    directory.setTargets(engines(2, 1));
+    directory.setTargets(std::make_shared<TargetMap>());
+    directory.setTargets(engines(2, 1));
+    BOOST_TEST(!isServing("e1|m", start + 2'999ms));
+    BOOST_TEST(isServing("e2|m", start + 2s));
+    BOOST_TEST((directory.nextChange(start + 2s) == start + 3s));
+    BOOST_TEST(isServing("e1|m", start + 3s));
+    BOOST_TEST(directory.rest("e1", 1, start + 9s, start + 4s));
+    directory.setTargets(engines(2, 1, 2));
+    BOOST_TEST(isServing("e1|m", start + 5s)); // Another incarnation has not asked for it.
+}
+
 BOOST_AUTO_TEST_CASE(weightsFoundAtStartupMayHaveBeenPublishedLongBefore)
 {
     // A host restarts a second after new weights were published, and one engine misses the update. If the deadline ran from the start of the
