--- a/tests/gateway/test_target_directory.cpp
+++ b/tests/gateway/test_target_directory.cpp
@@ -81,7 +81,9 @@
 {
     BOOST_TEST(directory.rest("e1", 1, start + 3s, start));
     BOOST_TEST(!directory.rest("e1", 1, start + 2s, start + 1s));
-    directory.onNotExecuted("e1|m", {.isNotExecuted = true}, "m", start + 1s);
+    AnswerFacts declined;
+    declined.isNotExecuted = true;
+    directory.onNotExecuted("e1|m", declined, "m", start + 1s);
     directory.setTargets(engines(2, 1));
     directory.setTargets(std::make_shared<TargetMap>());
     directory.setTargets(engines(2, 1));
