A call that hung for long does not date the store's return

Cause: the return is dated to no later than 0.6 s after the last unanswered call. A call that hung for seconds through the return would date it so early that the grace period of healthy targets is over before they can write their entries again. Change: only calls sent within 1.5 s before the first answered one count. Evidence: by reading; aCallThatHungForLongDoesNotDateTheReturnOfAStore (3.5 s, as a watch) passes.

--- a/gateway/relayed_store.cpp
+++ b/gateway/relayed_store.cpp
@@ -51,6 +51,10 @@
 /// would otherwise be kept too long after an outage in which calls hang.
 constexpr Duration maxReturnDelay = std::chrono::milliseconds(600);
 
+/// An unanswered call that was sent longer than this before the first answered one tells too little: targets that were about to write their entries again
+/// would be dropped.
+constexpr Duration maxReturnUncertainty = std::chrono::milliseconds(1'500);
+
 /// Timeout of a proof request; hosts of one region answer within 3 ms.
 constexpr Duration proofTimeout = std::chrono::milliseconds(60);
 
@@ -95,7 +99,8 @@
 void RelayedStore::noteStoreReturn()
 {
     const Duration outage = lastStoreReplyAt_ - *lastReplyBeforeOutage_;
-    const TimePoint returnedAt = unansweredCallAt_ ? std::min(lastStoreReplyAt_, *unansweredCallAt_ + maxReturnDelay) : lastStoreReplyAt_;
+    const bool isDated = unansweredCallAt_ && lastStoreReplyAt_ - *unansweredCallAt_ <= maxReturnUncertainty;
+    const TimePoint returnedAt = isDated ? std::min(lastStoreReplyAt_, *unansweredCallAt_ + maxReturnDelay) : lastStoreReplyAt_;
     for (auto &[prefix, state] : prefixes_) {
         if (outage > state.maxOutage) {
             state.maxOutage = outage;
--- a/tests/gateway/test_outage_in_pieces.cpp
+++ b/tests/gateway/test_outage_in_pieces.cpp
@@ -69,6 +69,25 @@
     BOOST_TEST((broadcasts.back().returnAge == Duration(600ms)));
 }
 
+// Guards against healthy targets that are dropped before they can write their entries again, because a call hung through the store's return.
+BOOST_AUTO_TEST_CASE(aCallThatHungForLongDoesNotDateTheReturnOfAStore)
+{
+    FaultyStore store;
+    const auto setDown = [&store](bool isDown) { store.setFaults([isDown] { return isDown ? FaultyStore::Fault::Down : FaultyStore::Fault::None; }); };
+    setDown(false);
+    TimePoint now{1h};
+    RelayedStore relay(store, "a", [&now] { return now; });
+    relay.setHosts({"a"}, {"a"});
+    store.compareAndSwap("x/seed", 0, "0", 0);
+    relay.list("x/");
+    setDown(true);
+    now += 5s;
+    relay.list("x/");
+    setDown(false);
+    now += 3'500ms;
+    BOOST_TEST((relay.list("x/").returnAge == Duration::zero()));
+}
+
 // Guards against grace periods that begin anew with each duty that notices the store's return.
 BOOST_AUTO_TEST_CASE(theReturnOfAStoreIsDatedToTheFirstCallThatItAnswers)
 {
