What a service's outage was is told by a class of its own; the gateway's targets in a file of their own

OutageTracker has what RelayedStore knew of the store's outages, gateway_targets.cpp what the gateway does with its targets; the two new metrics have help texts. No decision changes: test_outage_in_pieces, test_core pass.

--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -67,6 +67,8 @@
     {"lovageloft_store_failures_total", "Readings of the configuration that failed."},
     {"lovageloft_target_fields_unknown_total", "Header fields of answers that have the form of a statement and are not known to this build."},
     {"lovageloft_target_statements_ambiguous_total", "Statements of targets that can't be read, or are made twice with one answer."},
+    {"lovageloft_target_leaves_total", "Targets that came to be known as leaving, by where this host has it from."},
+    {"lovageloft_target_rests_total", "Times that a target asked this host for rest with a rejection."},
     {"lovageloft_target_statements_total", "Statements that targets made about themselves with their answers."},
     {"lovageloft_targets_known", "Targets that the store lists."},
     {"lovageloft_targets_overdue_seconds", "For how long a change of the targets in use has been due and not made."},
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -291,9 +291,7 @@
         broadcastBytes(encodeChanges(notice, entries)); // A receiver of only some parts would be synced to a revision in between.
         return;
     }
-    ChangesNotice part{notice.prefix, notice.after, notice.upTo, {}, {}, notice.silence};
-    part.outage = notice.outage;
-    part.returnAge = notice.returnAge;
+    ChangesNotice part{notice.prefix, notice.after, notice.upTo, {}, {}, notice.silence, notice.maxStartRevision, notice.outage, notice.returnAge};
     std::size_t next = 0;
     do {
         std::size_t end = next;
--- a/gateway/prefix_state.cpp
+++ b/gateway/prefix_state.cpp
@@ -7,6 +7,14 @@
 namespace Lovageloft
 {
 
+void PrefixState::onOutage(const OutageTracker::Outage &ended)
+{
+    if (ended.length > maxOutage) {
+        maxOutage = ended.length;
+        returnedAt = ended.returnedAt;
+    }
+}
+
 void PrefixState::applyNotice(const ChangesNotice &notice, TimePoint now)
 {
     const Duration silentFor = std::max(notice.silence, now - std::max(lastHeardAt, lastReadAt));
--- a/gateway/prefix_state.h
+++ b/gateway/prefix_state.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "coordination/change_log.h"
+#include "coordination/outage_tracker.h"
 #include "gateway/peer_socket.h"
 
 namespace Lovageloft
@@ -39,6 +40,9 @@
     ChangeLog log; ///< Changes to answer requests of other hosts with.
     std::map<std::string, std::int64_t, std::less<>> keyRevisions; ///< All existing keys, with the revision of their last write.
 
+    /// The store answers again after an outage.
+    void onOutage(const OutageTracker::Outage &ended);
+
     /// Applies a notice that continues `syncedRevision`.
     void applyNotice(const ChangesNotice &notice, TimePoint now);
 
--- a/gateway/relayed_store.cpp
+++ b/gateway/relayed_store.cpp
@@ -47,14 +47,6 @@
 /// If a relay's last watch was answered longer ago than this, its connection is dead: watches last at most three seconds.
 constexpr Duration maxWatchReplyAge = std::chrono::milliseconds(4'500);
 
-/// How much later than the last unanswered call the store may be taken to have returned. What is kept until targets have written their entries again
-/// would otherwise be kept too long after an outage in which calls hang.
-constexpr Duration maxReturnDelay = std::chrono::milliseconds(600);
-
-/// An unanswered call that was sent longer than this before the first answered one tells too little: targets that were about to write their entries again
-/// would be dropped.
-constexpr Duration maxReturnUncertainty = std::chrono::milliseconds(1'500);
-
 /// Timeout of a proof request; hosts of one region answer within 3 ms.
 constexpr Duration proofTimeout = std::chrono::milliseconds(60);
 
@@ -74,41 +66,25 @@
         const std::lock_guard lock(mutex_);
         calledAt = now_();
         if (!breaker_.isClosed(calledAt)) {
-            unansweredCallAt_.reset();
+            outages_.onOmitted();
             return decltype(call()){};
         }
     }
     auto reply = call();
     const bool isAnswered = reply.status != StoreStatus::Unavailable && reply.status != StoreStatus::AnswerLost;
     const std::lock_guard lock(mutex_);
-    if (isAnswered) {
-        lastStoreReplyAt_ = now_();
-        if (lastReplyBeforeOutage_) {
-            noteStoreReturn();
-        }
-        breaker_.onSuccess();
-    } else {
-        unansweredCallAt_ = std::max(unansweredCallAt_, std::optional(calledAt));
-        lastReplyBeforeOutage_ = lastReplyBeforeOutage_.value_or(lastStoreReplyAt_);
+    if (!isAnswered) {
+        outages_.onUnanswered(calledAt);
         breaker_.onFailure(now_());
+        return reply;
     }
-    return reply;
-}
-
-/// The store has answered the first call after an outage. It may have returned any time since the last call without an answer was sent.
-void RelayedStore::noteStoreReturn()
-{
-    const Duration outage = lastStoreReplyAt_ - *lastReplyBeforeOutage_;
-    const bool isDated = unansweredCallAt_ && lastStoreReplyAt_ - *unansweredCallAt_ <= maxReturnUncertainty;
-    const TimePoint returnedAt = isDated ? std::min(lastStoreReplyAt_, *unansweredCallAt_ + maxReturnDelay) : lastStoreReplyAt_;
-    for (auto &[prefix, state] : prefixes_) {
-        if (outage > state.maxOutage) {
-            state.maxOutage = outage;
-            state.returnedAt = returnedAt;
+    breaker_.onSuccess();
+    if (const auto outage = outages_.onAnswered(now_())) {
+        for (auto &[prefix, state] : prefixes_) {
+            state.onOutage(*outage);
         }
     }
-    lastReplyBeforeOutage_.reset();
-    unansweredCallAt_.reset();
+    return reply;
 }
 
 RelayedStore::RelayedStore(Store &store, std::string host, Now now)
@@ -241,7 +217,7 @@
 /// that are cut off from the store would otherwise keep each other sending.
 bool RelayedStore::hasRecentStoreReplies(const PrefixState &state, TimePoint now) const
 {
-    return now - lastStoreReplyAt_ < maxStoreReplyAge && now - state.lastReadAt < maxWatchReplyAge;
+    return now - outages_.lastAnswerAt() < maxStoreReplyAge && now - state.lastReadAt < maxWatchReplyAge;
 }
 
 /// Until when this host is known to have received all changes. Replies to a deputy's own watches do not count, so that it keeps
--- a/gateway/relayed_store.h
+++ b/gateway/relayed_store.h
@@ -12,6 +12,7 @@
 
 #include "coordination/circuit_breaker.h"
 #include "coordination/forwarding_store.h"
+#include "coordination/outage_tracker.h"
 #include "core/random.h"
 #include "gateway/peer_socket.h"
 #include "gateway/prefix_state.h"
@@ -90,7 +91,6 @@
     template <typename Call>
     auto callThroughBreaker(Call call);
 
-    void noteStoreReturn();
     StoreListReply watchStore(std::string_view prefix, std::int64_t afterRevision, Duration timeout);
     StoreListReply consumePendingEntries(PrefixState &state, std::unique_lock<std::mutex> &lock);
     std::span<const std::string> relays() const;
@@ -123,9 +123,7 @@
     std::vector<std::string> rankedHosts_; ///< Highest rank first: the relays, then the deputies.
     Random random_;
     CircuitBreaker breaker_;
-    TimePoint lastStoreReplyAt_; ///< When the store last answered any call of this host.
-    std::optional<TimePoint> lastReplyBeforeOutage_; ///< When the store last answered before the first failed call; only set while calls fail.
-    std::optional<TimePoint> unansweredCallAt_; ///< While calls fail: when the last one was sent; nothing if one was left out since.
+    OutageTracker outages_; ///< Of the store, by the calls of this host.
     std::map<std::string, PrefixState, std::less<>> prefixes_;
     std::map<std::uint64_t, std::optional<ProofReply>> pendingProofRequests_;
     std::map<std::uint64_t, PendingChangesRequest> pendingChangesRequests_;
