Callers of several hosts stand once in the fleet's fixture, the host alone with a store in one of its own

Checks and bounds are the same; test_leaving_targets, test_resting_targets and test_outage_in_pieces pass.

--- a/tests/gateway/test_outage_in_pieces.cpp
+++ b/tests/gateway/test_outage_in_pieces.cpp
@@ -1,4 +1,6 @@
 #define BOOST_TEST_MODULE outage_in_pieces
+#include <utility>
+
 #include <boost/test/unit_test.hpp>
 
 #include "gateway/relayed_store.h"
@@ -7,15 +9,34 @@
 using namespace Lovageloft;
 using namespace std::chrono_literals;
 
-// Guards against dropping targets whose leases expired during an outage, because a call that fails late hides the length of the outage.
-BOOST_AUTO_TEST_CASE(aCallThatFailsAfterAnOutageDoesNotHideTheOutage)
+namespace
 {
+
+/// A host alone with a store that can be down.
+struct OutageFixture
+{
+    OutageFixture()
+    {
+        setDown(false);
+        relay.setHosts({"a"}, {"a"});
+    }
+
+    void setDown(bool isDown)
+    {
+        store.setFaults([isDown] { return isDown ? FaultyStore::Fault::Down : FaultyStore::Fault::None; });
+    }
+
     FaultyStore store;
-    const auto setDown = [&store](bool isDown) { store.setFaults([isDown] { return isDown ? FaultyStore::Fault::Down : FaultyStore::Fault::None; }); };
-    setDown(false);
     TimePoint now{1h};
-    RelayedStore relay(store, "a", [&now] { return now; });
-    relay.setHosts({"a"}, {"a"});
+    Duration hangTime{}; ///< Passes after each reading of the clock, of which the first in a call is its start.
+    RelayedStore relay{store, "a", [this] { return std::exchange(now, now + hangTime); }};
+};
+
+} // namespace
+
+// Guards against dropping targets whose leases expired during an outage, because a call that fails late hides the length of the outage.
+BOOST_FIXTURE_TEST_CASE(aCallThatFailsAfterAnOutageDoesNotHideTheOutage, OutageFixture)
+{
     const std::int64_t seed = store.compareAndSwap("x/seed", 0, "0", 0).entry.revision;
     relay.list("x/");
     setDown(true);
@@ -33,33 +54,19 @@
 }
 
 // Guards against targets that are used for too long after they left, because a host whose calls hang notices late that the store is back.
-BOOST_AUTO_TEST_CASE(theReturnOfAStoreIsDatedToTheCallsBeforeIt)
+BOOST_FIXTURE_TEST_CASE(theReturnOfAStoreIsDatedToTheCallsBeforeIt, OutageFixture)
 {
-    constexpr Duration callTimeout = 800ms;
-    FaultyStore store;
-    const auto setDown = [&store](bool isDown) { store.setFaults([isDown] { return isDown ? FaultyStore::Fault::Down : FaultyStore::Fault::None; }); };
-    setDown(false);
-    TimePoint now{1h};
-    TimePoint calledAt;
-    bool isHanging = false;
-    RelayedStore relay(store, "a", [&] {
-        // The first reading of the clock in a call is its start, the others follow its end.
-        calledAt = now;
-        now += isHanging ? callTimeout : Duration::zero();
-        return calledAt;
-    });
     std::vector<ChangesNotice> broadcasts;
     relay.setNetwork({[&](const ChangesNotice &notice) { broadcasts.push_back(notice); }, {}});
-    relay.setHosts({"a"}, {"a"});
     store.compareAndSwap("x/seed", 0, "0", 0);
     relay.list("x/");
     BOOST_TEST((relay.list("x/").returnAge == Duration::zero()));
     setDown(true);
     now += 5s;
-    isHanging = true;
+    hangTime = 800ms;
     const TimePoint lastCallAt = now;
     relay.list("x/");
-    isHanging = false;
+    hangTime = {};
     setDown(false);
     now = lastCallAt + 1'200ms;
     const StoreListReply reply = relay.list("x/");
@@ -70,14 +77,8 @@
 }
 
 // Guards against healthy targets that are dropped before they can write their entries again, because a call hung through the store's return.
-BOOST_AUTO_TEST_CASE(aCallThatHungForLongDoesNotDateTheReturnOfAStore)
+BOOST_FIXTURE_TEST_CASE(aCallThatHungForLongDoesNotDateTheReturnOfAStore, OutageFixture)
 {
-    FaultyStore store;
-    const auto setDown = [&store](bool isDown) { store.setFaults([isDown] { return isDown ? FaultyStore::Fault::Down : FaultyStore::Fault::None; }); };
-    setDown(false);
-    TimePoint now{1h};
-    RelayedStore relay(store, "a", [&now] { return now; });
-    relay.setHosts({"a"}, {"a"});
     store.compareAndSwap("x/seed", 0, "0", 0);
     relay.list("x/");
     setDown(true);
@@ -89,14 +90,8 @@
 }
 
 // Guards against grace periods that begin anew with each duty that notices the store's return.
-BOOST_AUTO_TEST_CASE(theReturnOfAStoreIsDatedToTheFirstCallThatItAnswers)
+BOOST_FIXTURE_TEST_CASE(theReturnOfAStoreIsDatedToTheFirstCallThatItAnswers, OutageFixture)
 {
-    FaultyStore store;
-    const auto setDown = [&store](bool isDown) { store.setFaults([isDown] { return isDown ? FaultyStore::Fault::Down : FaultyStore::Fault::None; }); };
-    setDown(false);
-    TimePoint now{1h};
-    RelayedStore relay(store, "a", [&now] { return now; });
-    relay.setHosts({"a"}, {"a"});
     const std::int64_t seed = store.compareAndSwap("x/seed", 0, "0", 0).entry.revision;
     relay.list("x/");
     setDown(true);
--- a/tests/platform/fleet_fixture.cpp
+++ b/tests/platform/fleet_fixture.cpp
@@ -1,6 +1,7 @@
 #include "tests/platform/fleet_fixture.h"
 
 #include <future>
+#include <numeric>
 
 #include <boost/test/unit_test.hpp>
 
@@ -125,6 +126,23 @@
     return static_cast<double>(served) / sent;
 }
 
+double FleetFixture::servedShare(const std::vector<std::size_t> &hosts,
+                                 std::size_t callersPerHost,
+                                 const std::function<std::string(std::size_t host)> &pathOf,
+                                 Duration time) const
+{
+    std::vector<double> served(hosts.size() * callersPerHost);
+    std::vector<std::thread> callers;
+    for (std::size_t i = 0; i < served.size(); ++i) {
+        const std::size_t host = hosts[i % hosts.size()];
+        callers.emplace_back([this, host, time, &pathOf, &share = served[i]] { share = servedShare(host, "GET", pathOf(host), time); });
+    }
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    return std::accumulate(served.begin(), served.end(), 0.0) / static_cast<double>(served.size());
+}
+
 void FleetFixture::onLoop(std::size_t host, const std::function<void(Gateway &)> &task)
 {
     std::promise<void> done;
--- a/tests/platform/fleet_fixture.h
+++ b/tests/platform/fleet_fixture.h
@@ -49,6 +49,12 @@
     /// Sends such requests for a time, one after the other, and returns the share of them that is answered with status 200.
     double servedShare(std::size_t host, const std::string &method, const std::string &path, Duration time) const;
 
+    /// The same with several callers of each of these hosts at once, which send GET requests.
+    double servedShare(const std::vector<std::size_t> &hosts,
+                       std::size_t callersPerHost,
+                       const std::function<std::string(std::size_t host)> &pathOf,
+                       Duration time) const;
+
     /// Runs a task on the event loop of a gateway, and waits for it.
     void onLoop(std::size_t host, const std::function<void(Gateway &)> &task);
 
--- a/tests/platform/test_leaving_targets.cpp
+++ b/tests/platform/test_leaving_targets.cpp
@@ -37,21 +37,10 @@
     }
 
     /// Has callers of some hosts send requests for a time, and returns the share that is served.
-    double sendFor(Duration time, const std::vector<std::size_t> &hosts)
+    double sendFor(Duration time, const std::vector<std::size_t> &hosts) const
     {
-        std::vector<double> served(hosts.size() * callersPerHost);
-        std::vector<std::thread> callers;
-        for (std::size_t i = 0; i < served.size(); ++i) {
-            callers.emplace_back([this, i, time, &served, &hosts] { served[i] = servedShare(hosts[i % hosts.size()], "GET", "/safe/x", time); });
-        }
-        for (std::thread &caller : callers) {
-            caller.join();
-        }
-        double sum = 0;
-        for (const double share : served) {
-            sum += share;
-        }
-        return sum / static_cast<double>(served.size());
+        return servedShare(
+            hosts, callersPerHost, [](std::size_t) { return "/safe/x"; }, time);
     }
 
     void setSaysThatItLeaves(bool says)
--- a/tests/platform/test_resting_targets.cpp
+++ b/tests/platform/test_resting_targets.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-constexpr std::size_t hostCount = 6;
+const std::vector<std::size_t> allHosts{0, 1, 2, 3, 4, 5};
 constexpr std::size_t targetCount = 4;
 constexpr std::size_t callersPerHost = 3;
 
@@ -36,7 +36,7 @@
 {
 public:
     RestFixture()
-        : FleetFixture(hostCount)
+        : FleetFixture(allHosts.size())
     {
         for (std::size_t i = 0; i < targetCount; ++i) {
             addTarget(std::string(1, static_cast<char>('a' + i)), [this, i](Connection &connection, const Request &request) {
@@ -49,23 +49,11 @@
         }
     }
 
-    /// Has callers of all hosts send requests until `end`, and returns the share that is served.
-    double sendUntil(TimePoint end)
+    /// Has callers of all hosts send requests for a time, and returns the share that is served.
+    double sendFor(Duration time) const
     {
-        std::vector<double> served(hostCount * callersPerHost);
-        std::vector<std::thread> callers;
-        for (std::size_t i = 0; i < served.size(); ++i) {
-            callers.emplace_back(
-                [this, i, end, &served] { served[i] = servedShare(i % hostCount, "GET", "/safe/" + std::to_string(i % hostCount), end - BootClock::now()); });
-        }
-        for (std::thread &caller : callers) {
-            caller.join();
-        }
-        double sum = 0;
-        for (const double share : served) {
-            sum += share;
-        }
-        return sum / static_cast<double>(served.size());
+        return servedShare(
+            allHosts, callersPerHost, [](std::size_t host) { return "/safe/" + std::to_string(host); }, time);
     }
 
     /// From now on, the first `count` targets turn requests away.
@@ -131,9 +119,8 @@
 // Guards against requests that a host goes on sending to a target which has asked it for rest.
 BOOST_AUTO_TEST_CASE(aTargetThatAsksForRestGetsIt)
 {
-    const TimePoint start = BootClock::now();
     setTurningAway(2);
-    const double served = sendUntil(start + 8s);
+    const double served = sendFor(8s);
     BOOST_TEST(rests() > 0U);
     BOOST_TEST_MESSAGE(brokenRests() << " of " << rests() << " rests broken");
     BOOST_TEST(brokenRests() == 0U);
--- a/tests/platform/test_stated_limits.cpp
+++ b/tests/platform/test_stated_limits.cpp
@@ -52,17 +52,12 @@
     }
 
     /// Has callers of all hosts send requests for a time and returns the share that is served.
-    double sendFor(Duration time)
+    double sendFor(Duration time) const
     {
-        std::vector<double> served(hostCount * callersPerHost);
-        std::vector<std::thread> callers;
-        for (std::size_t i = 0; i < served.size(); ++i) {
-            callers.emplace_back([this, i, time, &served] { served[i] = servedShare(i % hostCount, "GET", "/safe/x", time); });
-        }
-        for (std::thread &caller : callers) {
-            caller.join();
-        }
-        return std::accumulate(served.begin(), served.end(), 0.0) / static_cast<double>(served.size());
+        std::vector<std::size_t> hosts(hostCount);
+        std::iota(hosts.begin(), hosts.end(), 0);
+        return servedShare(
+            hosts, callersPerHost, [](std::size_t) { return "/safe/x"; }, time);
     }
 
     void limit(std::size_t count)
