Bytes without end in the framing of a message are rejected at the limit of a head

Callers saw a host end for lack of memory: the line with a chunk's size, its extensions, trailers and blank lines before a head had no limit, since Beast takes only whole lines and trailers. An event of a stream without an end had no limit either, nor had bytes of answers to other requests.

Now each is bounded: framing by the limit of a head (16 KB, 64 KB for answers), an event by 256 KiB, discarded answers by 256 KiB. The connection is closed, and a target counts as failing.

--- a/drivers/http_parser.cpp
+++ b/drivers/http_parser.cpp
@@ -237,6 +237,8 @@
 {
     message_.reset();
     isHeadRead_ = false;
+    blankBytes_ = 0;
+    searchedBytes_ = 0;
     return readBuffered(reason);
 }
 
@@ -296,23 +298,34 @@
         }
     }
     buffered_.erase(0, used);
+    // Beast consumes bodies at once. What is left is the line of a chunk's size, or the trailers, of which Beast takes only whole ones, however long.
+    if (!message_->isDone() && buffered_.size() > limits_.head) {
+        reason = {ResultCode::HeaderTooLarge, "chunk header or trailers are longer than a head may be"};
+        return false;
+    }
     return true;
 }
 
 /// Checks the raw bytes, as Beast joins folded lines.
 bool HttpParser::isHeadComplete(Reason &reason)
 {
+    constexpr std::string_view lineEnd = "\r\n";
+    constexpr std::string_view headEnd = "\r\n\r\n";
     reason = {};
-    while (buffered_.starts_with("\r\n")) {
-        buffered_.erase(0, 2);
+    std::size_t blank = 0;
+    while (std::string_view(buffered_).substr(blank).starts_with(lineEnd)) {
+        blank += lineEnd.size();
     }
-    const std::size_t end = buffered_.find("\r\n\r\n");
+    buffered_.erase(0, blank);
+    blankBytes_ += blank;
+    const std::size_t end = buffered_.find(headEnd, searchedBytes_);
     const std::size_t size = std::min(end, buffered_.size());
-    if (size > limits_.head) {
+    if (size > limits_.head || blankBytes_ > limits_.head) {
         reason = {ResultCode::HeaderTooLarge, "head is longer than allowed"};
         return false;
     }
     if (end == std::string::npos) {
+        searchedBytes_ = buffered_.size() - std::min(buffered_.size(), headEnd.size() - 1);
         return false;
     }
     const std::string_view head = std::string_view(buffered_).substr(0, end);
--- a/drivers/http_parser.h
+++ b/drivers/http_parser.h
@@ -37,7 +37,7 @@
 /// Maximum sizes of a message in bytes.
 struct HttpLimits
 {
-    std::size_t head = 16'384;
+    std::size_t head = 16'384; ///< Also of the blank lines before a head, of each line with a chunk's size, and of the trailers.
     std::uint64_t body = 0; ///< 0 for no limit.
 };
 
@@ -90,6 +90,8 @@
     HttpEvents &events_;
     std::unique_ptr<Message> message_;
     std::string buffered_;
+    std::size_t blankBytes_ = 0; ///< Blank lines skipped before the current head.
+    std::size_t searchedBytes_ = 0; ///< Buffered bytes in which no end of the head begins.
     bool isHeadRead_ = false;
     bool isBodyless_ = false;
     bool isHeadReportedAtOnce_ = false;
--- a/gateway/event_splitter.h
+++ b/gateway/event_splitter.h
@@ -8,7 +8,7 @@
 
 /// Splits a stream of server-sent events into whole events, so that a caller never receives a partial one. An engine may fail in the middle
 /// of an event; the engine that continues the stream begins with the next whole event. An event ends with "\n\n" or "\r\n\r\n"; "\r\r" is not
-/// recognized. The size of a buffered event is not limited.
+/// recognized. An incomplete event that is longer than any that a target should write makes the splitter overlong; nothing more may be pushed then.
 class EventSplitter
 {
 public:
@@ -21,6 +21,9 @@
     /// Whether an incomplete event is buffered.
     bool hasPartial() const;
 
+    /// Whether an incomplete event is too long.
+    bool isOverlong() const;
+
     /// Drops an incomplete event, as another engine continues the stream.
     void dropPartial();
 
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -240,10 +240,14 @@
         return;
     }
     if (intake_.isStream() && answerHead_.status == successStatus) {
-        if (binding_.onBytes()) {
-            onEvents(events_.push(bytes));
-        } else {
+        if (!binding_.onBytes()) {
             leaveTarget("target started again");
+            return;
+        }
+        onEvents(events_.push(bytes));
+        if (events_.isOverlong()) {
+            closeConnection();
+            onTargetLost(TargetLoss::MayHaveRun, "event without end");
         }
         return;
     }
--- a/gateway/target_connection.cpp
+++ b/gateway/target_connection.cpp
@@ -18,6 +18,9 @@
 constexpr int firstFinalStatus = 200;
 constexpr std::size_t maxAnswerHeadBytes = 65'536;
 
+/// Bytes of answers to other requests, or of informational ones, after which the connection is closed.
+constexpr std::size_t maxDiscardedBytes = 262'144;
+
 } // namespace
 
 TargetConnection::TargetConnection(std::string targetId, const TargetProtocol &protocol, Owner &owner)
@@ -76,6 +79,7 @@
     requestBytes_ = bytes.size();
     pendingRequest_ = std::move(bytes);
     isDiscarding_ = false;
+    discardedBytes_ = 0;
     if (!hasAnswerBody) {
         parser_.expectNoBody();
         isReusable_ = false;
@@ -234,7 +238,8 @@
     if (events_ == nullptr) {
         return;
     }
-    if (!isValid) {
+    discardedBytes_ += isDiscarding_ ? bytes.size() : 0;
+    if (!isValid || discardedBytes_ > maxDiscardedBytes) {
         fail(TargetLoss::MayHaveRun, "malformed answer");
     } else if (parser_.isComplete()) {
         finish();
--- a/gateway/target_connection.h
+++ b/gateway/target_connection.h
@@ -131,6 +131,7 @@
     bool isConnected_ = false;
     bool hasSentRequest_ = false;
     bool isDiscarding_ = false; ///< The message being read is not the final answer to the current request.
+    std::size_t discardedBytes_ = 0; ///< Since the request was sent.
     bool isReusable_ = true;
     TimePoint pathStartedAt_;
     TimePoint connectedAt_;
--- a/tests/drivers/test_http_parser.cpp
+++ b/tests/drivers/test_http_parser.cpp
@@ -1,4 +1,8 @@
+#include <algorithm>
+#include <optional>
+#include <ostream>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/test/data/test_case.hpp>
@@ -140,6 +144,93 @@
     BOOST_TEST((reason.code == ResultCode::BodyTooLarge));
 }
 
+/// Framing that never ends: the start of a message, and what its sender repeats.
+struct EndlessFraming
+{
+    std::string_view start;
+    std::string_view repeated;
+};
+
+std::ostream &operator<<(std::ostream &out, const EndlessFraming &framing)
+{
+    return out << framing.start << '|' << framing.repeated;
+}
+
+constexpr std::string_view chunkedRequest = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+const std::vector<EndlessFraming> endlessRequests{
+    {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+    {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2;x=", "y"},
+    {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n", "T: r\r\n"},
+    {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nT: ", "r"},
+    {"GET / HTTP/1.1\r\nHost: h\r\nX: ", "y"},
+    {"", "\r\n"},
+};
+
+const std::vector<EndlessFraming> endlessAnswers{
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x=", "y"},
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n", "T: r\r\n"},
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nT: ", "r"},
+    {"HTTP/1.1 200 OK\r\nX: ", "y"},
+    {"", "\r\n"},
+};
+
+/// Feeds `framing` until the parser rejects it; returns the most bytes that were buffered, or nothing if `maxBytes` were taken.
+std::optional<std::size_t> bufferedBeforeRejection(HttpMessageKind kind, const EndlessFraming &framing, std::size_t piece, std::size_t maxBytes)
+{
+    Collector collector;
+    HttpParser parser(kind, {.head = 4'096, .body = 0}, collector);
+    Reason reason;
+    parser.read(framing.start, reason);
+    std::string bytes;
+    while (bytes.size() < piece) {
+        bytes.append(framing.repeated);
+    }
+    std::size_t most = 0;
+    for (std::size_t taken = 0; taken < maxBytes; taken += bytes.size()) {
+        if (!parser.read(bytes, reason)) {
+            BOOST_TEST((reason.code == ResultCode::HeaderTooLarge || reason.code == ResultCode::MalformedHttp));
+            return most;
+        }
+        most = std::max(most, parser.bufferedBytes());
+    }
+    return std::nullopt;
+}
+
+void checkRejected(HttpMessageKind kind, const EndlessFraming &framing)
+{
+    for (const std::size_t piece : {std::size_t{1}, std::size_t{1'000}, std::size_t{16'384}}) {
+        const auto most = bufferedBeforeRejection(kind, framing, piece, 100'000);
+        BOOST_TEST(most.has_value());
+        BOOST_TEST(most.value_or(0) <= 4'096U);
+    }
+}
+
+BOOST_DATA_TEST_CASE(aRequestWhoseFramingNeverEndsIsRejected, boost::unit_test::data::make(endlessRequests), framing)
+{
+    // Guards against callers that fill a host's memory with the line of a chunk's size, a chunk's extension or trailers without end.
+    checkRejected(HttpMessageKind::Request, framing);
+}
+
+BOOST_DATA_TEST_CASE(anAnswerWhoseFramingNeverEndsIsRejected, boost::unit_test::data::make(endlessAnswers), framing)
+{
+    // Guards against targets in trouble that fill a host's memory with bytes that are no answer.
+    checkRejected(HttpMessageKind::Answer, framing);
+}
+
+BOOST_AUTO_TEST_CASE(aLongBodyInOneReadIsNotTakenForFraming)
+{
+    Collector collector;
+    HttpParser parser(HttpMessageKind::Request, {.head = 4'096, .body = 0}, collector);
+    Reason reason;
+    const std::string body(100'000, 'b');
+    BOOST_TEST(parser.read(std::string(chunkedRequest) + "186a0\r\n" + body + "\r\n0\r\nT: r\r\n\r\n" + std::string(50'000, 'n'), reason));
+    BOOST_TEST(parser.isComplete());
+    BOOST_TEST(collector.messages.back().body.size() == body.size());
+    BOOST_TEST(parser.bufferedBytes() == 50'000U);
+}
+
 BOOST_AUTO_TEST_CASE(anAnswerWithoutLengthEndsWithItsConnectionAndAShortOneDoesNot)
 {
     // A target that crashes closes its connection in the middle of an answer. Taken for complete, a caller would print half a table.
--- a/tests/gateway/test_event_splitter.cpp
+++ b/tests/gateway/test_event_splitter.cpp
@@ -1,3 +1,6 @@
+#include <string>
+#include <string_view>
+
 #include <boost/test/unit_test.hpp>
 
 #include "gateway/event_splitter.h"
@@ -36,4 +39,34 @@
     BOOST_TEST(splitter.lastId() == "8");
 }
 
+BOOST_AUTO_TEST_CASE(anEventThatNeverEndsIsNotBuffered)
+{
+    // Guards against a target that writes an event without end, which would fill the host's memory until the deadline.
+    EventSplitter splitter;
+    splitter.push("id: 1\ndata: a\n\n");
+    const std::string piece(1'000, 'x');
+    std::size_t pushed = 0;
+    while (!splitter.isOverlong() && pushed < 10'000'000) {
+        splitter.push(piece);
+        pushed += piece.size();
+    }
+    BOOST_TEST(splitter.isOverlong());
+    BOOST_TEST(pushed <= 300'000U);
+    splitter.dropPartial();
+    BOOST_TEST(!splitter.isOverlong());
+    BOOST_TEST(splitter.lastId() == "1");
+}
+
+BOOST_AUTO_TEST_CASE(aLongEventThatIsWholeIsReturned)
+{
+    EventSplitter splitter;
+    const std::string event = "id: 1\ndata: " + std::string(200'000, 'x') + "\n\n";
+    std::size_t returned = 0;
+    for (std::size_t offset = 0; offset < event.size(); offset += 1'000) {
+        returned += splitter.push(std::string_view(event).substr(offset, 1'000)).size();
+        BOOST_TEST(!splitter.isOverlong());
+    }
+    BOOST_TEST(returned == event.size());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
