Engines are divided between short and long prompts under load, and their times are learned

Callers with short prompts saw answers of 45 tokens take up to 4 s and then failures: engines compute long prompts in chunks between the steps of running responses, so that slots ran out, engines rejected, and the retry budget was spent on rejections. Hosts expected 2 to 200 ms where it took 30 to 1,430 ms.

Change: estimation/ learns the time to first byte of a model's engines from what all hosts observe; partitioning/ keeps a part of the engines free of long prompts while both classes compete, by positions that all hosts know. Long prompts have a queue of their own. The load header's fourth figure, the pace, is read, where before it made the whole header unreadable.

--- a/cmake/LovageloftInstall.cmake
+++ b/cmake/LovageloftInstall.cmake
@@ -1,8 +1,8 @@
 include(CMakePackageConfigHelpers)
 
-# The packages that others can embed, as find_package(Lovageloft) and Lovageloft::core, Lovageloft::coordination, Lovageloft::decision.
+# The packages that others can embed, as find_package(Lovageloft) and Lovageloft::core, Lovageloft::coordination, Lovageloft::decision and what that uses.
 set(lovageloft_installed "")
-foreach(name core coordination decision)
+foreach(name core estimation partitioning coordination decision)
     if(TARGET lovageloft_${name})
         target_compile_features(lovageloft_${name} PUBLIC cxx_std_20)
         list(APPEND lovageloft_installed lovageloft_${name})
--- a/decision/decaying_count.h
+++ b/core/decaying_count.h
@@ -7,7 +7,7 @@
 namespace Lovageloft
 {
 
-/// A count of events with exponential decay, by which their recent rate is known.
+/// A sum over events with exponential decay, by which their recent rate is known.
 class DecayingCount
 {
 public:
@@ -17,13 +17,13 @@
     {
     }
 
-    void add(TimePoint now)
+    void add(TimePoint now, double amount = 1)
     {
-        count_ = at(now) + 1;
+        count_ = at(now) + amount;
         countedAt_ = now;
     }
 
-    /// Events a second.
+    /// The sum per second; events per second if each adds 1.
     double rate(TimePoint now) const
     {
         return at(now) / toSeconds(decayTime_);
--- a/decision/candidate_ranking.h
+++ b/decision/candidate_ranking.h
@@ -27,6 +27,7 @@
     ModelVersionId modelVersion = 0;
     std::uint32_t expectedCachedTokens = 0; ///< Prompt tokens expected in the engine's cache.
     double expectedFirstTokenSeconds = 0; ///< Seconds from now, scaled by the measured slowdown, plus the time by which its oldest request is overdue.
+    double expectedWaitSeconds = 0; ///< Until the engine begins the request.
     double expectedPrefillSeconds = 0; ///< Prefill time in seconds at the engine's nominal speed.
     std::uint32_t workTokens = 0; ///< The prefill time in tokens at nominal speed. Includes attention, so it is at least the number of uncached prompt tokens.
     std::uint32_t newTokens = 0; ///< Tokens that the request adds to the engine's cache.
--- a/decision/dispatch_table.h
+++ b/decision/dispatch_table.h
@@ -5,6 +5,8 @@
 
 #include "core/clock.h"
 #include "decision/cache_view.h"
+#include "estimation/engine_time_model.h"
+#include "partitioning/engine_partition.h"
 
 namespace Lovageloft
 {
@@ -12,6 +14,9 @@
 /// Identifies a dispatched request until it has ended.
 using DispatchId = std::uint64_t;
 
+/// Identifies the engines that serve one model to the same requests, with any version of its weights.
+using EngineGroup = std::uint32_t;
+
 /// A request that was sent to an engine and has not ended.
 struct Dispatch
 {
@@ -22,6 +27,10 @@
     TimePoint firstTokenAt = {};
     double nominalFirstTokenSeconds = 0; ///< Expected seconds from `sentAt` to the first token at the engine's normal speed.
     std::uint32_t expectedCachedTokens = 0;
+    EngineGroup group = 0; ///< Group of the engine.
+    PromptWork work;
+    double expectedWaitSeconds = 0; ///< Until the engine begins the request.
+    PromptClass promptClass = PromptClass::Short;
     bool isAnswered = false; ///< Whether the first token has arrived.
 };
 
--- a/decision/placement.cpp
+++ b/decision/placement.cpp
@@ -110,6 +110,11 @@
                 continue;
             }
             choice.chain = &chain;
+            AdaptiveGroup *group = findGroup(version.group);
+            if (group != nullptr) {
+                updateGroup(*group, now);
+            }
+            choice.group = group;
             evaluateChain(choice, version, random);
             if (choice.ranking.isEmpty()) {
                 evaluateAllEngines(choice, version);
@@ -132,7 +137,9 @@
 void Placement::onDispatchedByPeer(EngineIndex index, std::uint32_t workTokens, std::uint32_t newTokens, std::span<const BlockHash> blocks, TimePoint now)
 {
     Engine &engine = engines_[index];
-    engine.load.addDispatched(now, workTokens * engine.prefillSecondsPerToken);
+    const double prefillSeconds = workTokens * engine.prefillSecondsPerToken;
+    engine.load.addDispatched(now, prefillSeconds);
+    addWork(engine, PromptClass::Long, prefillSeconds, 1, now);
     view_.addBlocks(index, blocks);
     recordSent(index, blocks, newTokens);
 }
@@ -147,11 +154,19 @@
 DispatchId Placement::onDispatched(const PlacementRequest &request, const PlacementDecision &decision, TimePoint now)
 {
     Engine &engine = engines_[decision.engine];
-    const DispatchId id = dispatches_.open({.engine = decision.engine,
-                                            .epoch = engine.epoch,
-                                            .sentAt = now,
-                                            .nominalFirstTokenSeconds = decision.nominalFirstTokenSeconds,
-                                            .expectedCachedTokens = decision.expectedCachedTokens});
+    const DispatchId id = dispatches_.open(
+        {.engine = decision.engine,
+         .epoch = engine.epoch,
+         .sentAt = now,
+         .nominalFirstTokenSeconds = decision.nominalFirstTokenSeconds,
+         .expectedCachedTokens = decision.expectedCachedTokens,
+         .group = engine.group,
+         .work = {static_cast<double>(request.promptTokens) - decision.expectedCachedTokens, static_cast<double>(decision.expectedCachedTokens)},
+         .expectedWaitSeconds = decision.expectedWaitSeconds,
+         .promptClass = classOf(request)});
+    // Short prompts are not announced: each other host is assumed to send as many of them.
+    const double count = decision.workTokens >= policy_.minAnnouncedTokens ? 1 : policy_.hostCount;
+    addWork(engine, classOf(request), decision.expectedPrefillSeconds, count, now);
     ++engine.inFlight;
     engine.unanswered.push_back(id);
     engine.load.addDispatched(now, decision.expectedPrefillSeconds);
@@ -184,6 +199,9 @@
         return;
     }
     removeAnswered(engine);
+    if (AdaptiveGroup *group = findGroup(dispatch->group)) {
+        group->times.observe(dispatch->work, toSeconds(now - dispatch->sentAt), dispatch->expectedWaitSeconds, engine.pace.pace(now), now);
+    }
     health_.observe(
         dispatch->engine, (toSeconds(now - dispatch->sentAt) + fixedOverheadSeconds) / (dispatch->nominalFirstTokenSeconds + fixedOverheadSeconds), now);
     if (cachedTokens && dispatch->expectedCachedTokens > 0) {
@@ -199,8 +217,13 @@
         return;
     }
     if (dispatch->isAnswered) {
+        const double seconds = toSeconds(now - dispatch->firstTokenAt);
         Engine &engine = engines_[dispatch->engine];
-        engine.generationSeconds += generationSecondsWeight * (toSeconds(now - dispatch->firstTokenAt) - engine.generationSeconds);
+        engine.generationSeconds += generationSecondsWeight * (seconds - engine.generationSeconds);
+        if (AdaptiveGroup *group = findGroup(dispatch->group)) {
+            double &mean = group->generationSeconds.at(static_cast<std::size_t>(dispatch->promptClass));
+            mean += generationSecondsWeight * (seconds - mean);
+        }
     }
     closeDispatch(*dispatch);
 }
@@ -274,53 +297,6 @@
     }
 }
 
-std::optional<EngineIndex> Placement::allocateIndex()
-{
-    if (engines_.size() < maxEngines) {
-        engines_.emplace_back();
-        return static_cast<EngineIndex>(engines_.size() - 1);
-    }
-    // Indexes are reused only after all were allocated, the one free for longest first, so that no late event or answer still refers to the previous engine.
-    if (freeIndexes_.empty()) {
-        return std::nullopt;
-    }
-    const EngineIndex index = freeIndexes_.front();
-    freeIndexes_.pop_front();
-    return index;
-}
-
-void Placement::updateEngine(EngineIndex index, const EngineStatus &status)
-{
-    Engine &engine = engines_[index];
-    const bool hasNewWeights = engine.isListed && engine.modelVersion != status.modelVersion;
-    engine.name = status.name;
-    engine.isListed = true;
-    engine.isServing = status.isServing;
-    engine.isRemote = status.isRemote;
-    engine.firstTokenDeadline = status.firstTokenDeadline;
-    engine.modelVersion = status.modelVersion;
-    engine.prefillSecondsPerToken = 1 / std::max(1.0, status.prefillTokensPerSecond);
-    engine.batchLimit = status.batchLimit;
-    engine.cache.setCapacity(status.cacheTokens);
-    if (status.incarnation > engine.incarnation) {
-        clearCacheAndLoad(index, status.incarnation);
-    } else if (hasNewWeights) {
-        view_.removeEngine(index);
-        view_.setIncarnation(index, engine.incarnation);
-        engine.cache.clear();
-    }
-}
-
-void Placement::removeEngine(EngineIndex index)
-{
-    view_.removeEngine(index);
-    health_.reset(index);
-    setBacklog(engines_[index], 0);
-    const std::uint32_t epoch = engines_[index].epoch;
-    engines_[index] = Engine{.epoch = epoch + 1};
-    freeIndexes_.push_back(index);
-}
-
 void Placement::setBacklog(Engine &engine, double backlog)
 {
     totalBacklog_ += backlog - engine.reportedBacklog;
@@ -353,24 +329,9 @@
     health_.reset(index);
 }
 
-void Placement::rebuildVersions(std::span<const EngineStatus> engines)
+PromptClass Placement::classOf(const PlacementRequest &request) const
 {
-    versions_.clear();
-    for (const EngineStatus &status : engines) {
-        const std::optional<EngineIndex> index = findEngine(status.name);
-        if (!index || !status.isServing || status.weight <= 0) {
-            continue;
-        }
-        auto version = std::find_if(versions_.begin(), versions_.end(), [&status](const Version &known) { return known.id == status.modelVersion; });
-        if (version == versions_.end()) {
-            versions_.push_back({.id = status.modelVersion, .nodes = {}, .localNodes = {}});
-            version = std::prev(versions_.end());
-        }
-        version->nodes.push_back({.engine = *index, .id = rendezvousId(status.name), .inverseWeight = static_cast<float>(1 / status.weight)});
-        if (!status.isRemote) {
-            version->localNodes.push_back(version->nodes.back());
-        }
-    }
+    return isLong(request.promptTokens) ? PromptClass::Long : PromptClass::Short;
 }
 
 void Placement::evaluateChain(Choice &choice, const Version &version, Random &random)
@@ -394,7 +355,7 @@
     for (std::size_t i = 0; i < policy_.randomCandidates; ++i) {
         // Every other sample is from this data centre; otherwise idle engines there would rarely be found.
         const bool isLocal = i % 2 == 1 && !version.localNodes.empty();
-        const std::vector<RendezvousNode> &nodes = isLocal ? version.localNodes : version.nodes;
+        const std::span<const RendezvousNode> nodes = drawnNodes(choice, isLocal ? version.localNodes : version.nodes);
         const EngineIndex engine = nodes[randomBelow(random, nodes.size())].engine;
         evaluateEngine(choice, engine, heldScratch_[engine], prefillWeight(policy_.nonWinnerMargin));
     }
@@ -460,7 +421,8 @@
     const double nominalPrefill = prefillSeconds(engine, held, request.promptTokens - held);
     const double nominalWait = engine.load.queueWait(choice.now) + batchSlotWait(engine);
     const double wait = engineWait(engine, index, choice.now);
-    const double slowedPrefill = health_.slowdownFactor(index) * nominalPrefill;
+    const double fixedSeconds = choice.group != nullptr ? choice.group->times.coefficients().fixedSeconds : 0;
+    const double slowedPrefill = health_.slowdownFactor(index) * engine.pace.pace(choice.now) * nominalPrefill;
     if (!beginsInTime(engine, wait + slowedPrefill, choice.now)) {
         return;
     }
@@ -472,7 +434,12 @@
     if (isProbe && (nominalPrefill > maxProbePrefillSeconds || !isWaitAcceptable(engine, nominalWait))) {
         return;
     }
-    const double cost = isProbe ? -1 : wait + prefillWeight * slowedPrefill + (engine.isRemote ? remoteCost(request) : 0);
+    if (isKeptFree(choice, engine)) {
+        return;
+    }
+    const bool isForClass = choice.group == nullptr || choice.group->partition.serves(engine.position, classOf(request));
+    const double cost =
+        isProbe ? -1 : wait + prefillWeight * slowedPrefill + (engine.isRemote ? remoteCost(request) : 0) + (isForClass ? 0 : policy_.otherClassCost);
     choice.ranking.addUsable(cost + engine.permitWait);
     if (!(isProbe || isWaitAcceptable(engine, wait))) {
         return;
@@ -484,11 +451,12 @@
     const PlacementDecision candidate{.engine = index,
                                       .modelVersion = engine.modelVersion,
                                       .expectedCachedTokens = static_cast<std::uint32_t>(held),
-                                      .expectedFirstTokenSeconds = wait + slowedPrefill,
+                                      .expectedFirstTokenSeconds = wait + slowedPrefill + fixedSeconds,
+                                      .expectedWaitSeconds = wait,
                                       .expectedPrefillSeconds = nominalPrefill,
                                       .workTokens = static_cast<std::uint32_t>(nominalPrefill / engine.prefillSecondsPerToken),
                                       .newTokens = request.promptTokens - static_cast<std::uint32_t>(held) + request.outputTokens,
-                                      .nominalFirstTokenSeconds = nominalWait + nominalPrefill,
+                                      .nominalFirstTokenSeconds = nominalWait + nominalPrefill + fixedSeconds,
                                       .isProbe = isProbe};
     choice.ranking.add(candidate, cost);
 }
@@ -506,6 +474,9 @@
 /// length alone suggests, and an estimate by length would let hosts send requests to an engine that is busy for seconds.
 double Placement::prefillSeconds(const Engine &engine, double held, double missed) const
 {
+    if (const AdaptiveGroup *group = adaptiveGroup(engine.group)) {
+        return group->times.computeSeconds({missed, held});
+    }
     const double meanContext = held + missed / 2;
     const double attention = policy_.attentionParityTokens > 0 ? meanContext / policy_.attentionParityTokens : 0;
     return missed * engine.prefillSecondsPerToken * (1 + attention);
@@ -530,7 +501,7 @@
 /// Returns the expected seconds until the engine starts a prompt sent now.
 double Placement::engineWait(const Engine &engine, EngineIndex index, TimePoint now) const
 {
-    return health_.slowdownFactor(index) * (engine.load.queueWait(now) + batchSlotWait(engine)) + overdueSeconds(engine, now);
+    return health_.slowdownFactor(index) * engine.pace.pace(now) * (engine.load.queueWait(now) + batchSlotWait(engine)) + overdueSeconds(engine, now);
 }
 
 /// Returns the seconds until the engine's batch has a free slot for a prompt sent now. Each other host is assumed to have sent as many requests since the last
--- a/decision/placement.h
+++ b/decision/placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -21,6 +22,9 @@
 #include "decision/prefix_chain.h"
 #include "decision/prefix_heat.h"
 #include "decision/rendezvous.h"
+#include "estimation/engine_time_model.h"
+#include "estimation/pace_tracker.h"
+#include "partitioning/engine_partition.h"
 
 namespace Lovageloft
 {
@@ -30,6 +34,7 @@
 {
     std::string_view name; ///< Unique; also the input of rendezvous hashing.
     ModelVersionId modelVersion = 0;
+    EngineGroup group = 0;
     std::uint64_t incarnation = 0; ///< 0 while unknown; reports and events then supply it.
     double weight = 1; ///< Configured relative share of requests without a cached prefix, the same on every host. At 0, only cached prefixes bring requests.
     double prefillTokensPerSecond = 10'000; ///< Speed of computing prompt tokens that are not cached.
@@ -83,6 +88,7 @@
     double firstTokenSafetyFactor = 2.0; ///< The expected time to the first token times this must fit before an engine's firstTokenDeadline.
     double maxWaitWindowOpen = 3.0; ///< Maximum expected wait in seconds for an engine with room in its window.
     double maxWaitWindowFull = 1.0; ///< Maximum expected wait in seconds for an engine whose window is full.
+    double otherClassCost = 1.0; ///< In seconds, for an engine that is for prompts of the other class while a group is divided; see EnginePartition.
     double holdSlack = 0.3; ///< In s^2. A request waits if the best engine that can take it costs over holdSlack / mean wait more than the cheapest one.
 
     /// The policy for hosts that announce their long prompts to each other. They find a prefix on whichever engine computed it, so that a prompt
@@ -91,6 +97,21 @@
     static PlacementPolicy withAnnouncements();
 };
 
+/// What is learned of the engines that serve one model, and how they are divided.
+struct AdaptiveGroup
+{
+    explicit AdaptiveGroup(const TimeCoefficients &assumed)
+        : times(assumed)
+    {
+    }
+
+    EngineTimeModel times;
+    EnginePartition partition;
+    std::size_t engineCount = 0; ///< Serving engines.
+    std::array<double, 2> generationSeconds{1, 1}; ///< By PromptClass: mean time from the first token to the end.
+    TimePoint updatedAt;
+};
+
 /// Decides which engine gets a request. Designed for prompts that share long nested prefixes, over 18 to 1,000 engines: an engine
 /// that holds the prefix answers at once, while recomputing the prefix delays all requests queued behind it. Candidates are the
 /// rendezvous winners of the prefix, the engines that hold it according to the cache view, and some random engines. The candidate
@@ -137,6 +158,31 @@
     /// Sets the number of hosts that place requests on these engines.
     void setHostCount(std::size_t count);
 
+    /// Adapts to the engines of a group: learns their times, and divides them between short and long prompts while both compete for them. See EngineTimeModel
+    /// and EnginePartition.
+    void enableAdaptation(EngineGroup group);
+
+    /// What is known of a group; null unless adaptation to it is enabled.
+    const AdaptiveGroup *adaptiveGroup(EngineGroup group) const;
+
+    /// The group of an engine.
+    EngineGroup groupOf(EngineIndex engine) const
+    {
+        return engines_[engine].group;
+    }
+
+    /// Whether a prompt counts as long where engines are divided.
+    bool isLong(std::uint32_t promptTokens) const
+    {
+        return promptTokens >= policy_.minAnnouncedTokens;
+    }
+
+    /// The engine has stated its pace, relative to the usual 1.
+    void onPaceStated(EngineIndex engine, double pace, TimePoint now);
+
+    /// Another host has told what it observed of an engine's group.
+    void mergeStatistics(EngineGroup group, std::uint64_t host, const TimeStatistics &statistics, TimePoint now);
+
     /// Returns the prompt tokens that the engine with the longest cached prefix still has to compute; part of the request's queueing cost.
     std::uint32_t expectedMissedTokens(const PlacementRequest &request) const;
 
@@ -201,6 +247,9 @@
     {
         std::string name = {};
         ModelVersionId modelVersion = 0;
+        EngineGroup group = 0;
+        double position = 0; // Between 0 and 1; see EnginePartition.
+        PaceTracker pace = {};
         std::uint64_t incarnation = 0;
         double prefillSecondsPerToken = 0;
         double batchLimit = 0;
@@ -224,7 +273,8 @@
     struct Version
     {
         ModelVersionId id = 0;
-        std::vector<RendezvousNode> nodes;
+        EngineGroup group = 0;
+        std::vector<RendezvousNode> nodes; ///< Ascending by id.
         std::vector<RendezvousNode> localNodes; ///< The nodes in this host's data centre.
     };
 
@@ -233,6 +283,7 @@
     {
         const PlacementRequest *request = nullptr;
         const VersionedChain *chain = nullptr;
+        const AdaptiveGroup *group = nullptr; ///< Group of the version; null unless adaptation to it is enabled.
         TimePoint now;
         CandidateRanking ranking = {};
         bool foundServing = false;
@@ -253,6 +304,12 @@
     double remoteCost(const PlacementRequest &request) const;
     bool usesLocalWinners(const PlacementRequest &request, const VersionedChain &chain, const Version &version) const;
     double engineWait(const Engine &engine, EngineIndex index, TimePoint now) const;
+    AdaptiveGroup *findGroup(EngineGroup group);
+    void updateGroup(AdaptiveGroup &group, TimePoint now);
+    bool isKeptFree(const Choice &choice, const Engine &engine) const;
+    PromptClass classOf(const PlacementRequest &request) const;
+    void addWork(const Engine &engine, PromptClass promptClass, double prefillSeconds, double count, TimePoint now);
+    std::span<const RendezvousNode> drawnNodes(const Choice &choice, std::span<const RendezvousNode> nodes) const;
     void evaluateAllEngines(Choice &choice, const Version &version);
     bool isUsable(const Choice &choice, EngineIndex engine) const;
     bool isWaitAcceptable(const Engine &engine, double wait) const;
@@ -272,6 +329,7 @@
     std::vector<Engine> engines_;
     std::deque<EngineIndex> freeIndexes_;
     std::vector<Version> versions_;
+    std::map<EngineGroup, AdaptiveGroup> adaptiveGroups_;
     DispatchTable dispatches_;
     double totalBacklog_ = 0; // Seconds; sum over the engines' last reports.
     std::vector<EngineIndex> preferredWithoutPermit_;
--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -15,6 +15,9 @@
 /// Retry-After if the retry budget is spent: about when a burst of failures no longer fills the budget's window.
 constexpr std::chrono::seconds retryBudgetRetryAfter{2};
 
+/// Between two times that this host tells others what it has observed of a group of engines.
+constexpr std::chrono::seconds statisticsInterval{1};
+
 /// Over which requests with permits are counted.
 constexpr std::chrono::seconds permitUseTime{2};
 
@@ -49,6 +52,7 @@
         EngineStatus status;
         status.name = engine.name;
         status.modelVersion = modelVersions_.idOf(engine.model + '\n' + engine.pool + '\n' + engine.weightsVersion);
+        status.group = static_cast<EngineGroup>(poolOf(engine.model, engine.pool));
         status.incarnation = engine.incarnation;
         status.isServing = engine.isServing;
         status.isRemote = engine.isRemote;
@@ -63,6 +67,11 @@
         }
     }
     placement_.setEngines(statuses);
+    for (const SchedulerEngine &engine : engines) {
+        if (engine.isAdaptive) {
+            placement_.enableAdaptation(static_cast<EngineGroup>(poolOf(engine.model, engine.pool)));
+        }
+    }
     std::map<EngineIndex, Engine> kept;
     for (const SchedulerEngine &engine : engines) {
         const auto index = placement_.findEngine(engine.name);
@@ -113,6 +122,36 @@
     queue_.setWeight(teams_.idOf(team), weight);
 }
 
+void RequestScheduler::onPaceStated(std::string_view engine, double pace, TimePoint now)
+{
+    if (const auto index = placement_.findEngine(engine)) {
+        placement_.enableAdaptation(placement_.groupOf(*index));
+        placement_.onPaceStated(*index, pace, now);
+    }
+}
+
+std::optional<TimeStatistics> RequestScheduler::takeStatistics(std::string_view engine, TimePoint now)
+{
+    const auto index = placement_.findEngine(engine);
+    const AdaptiveGroup *group = index ? placement_.adaptiveGroup(placement_.groupOf(*index)) : nullptr;
+    if (group == nullptr) {
+        return std::nullopt;
+    }
+    TimePoint &toldAt = statisticsToldAt_[placement_.groupOf(*index)];
+    if (now - toldAt < statisticsInterval) {
+        return std::nullopt;
+    }
+    toldAt = now;
+    return group->times.ownStatistics(now);
+}
+
+void RequestScheduler::mergeStatistics(std::string_view engine, std::uint64_t host, const TimeStatistics &statistics, TimePoint now)
+{
+    if (const auto index = placement_.findEngine(engine)) {
+        placement_.mergeStatistics(placement_.groupOf(*index), host, statistics, now);
+    }
+}
+
 void RequestScheduler::setHostCount(std::size_t count)
 {
     placement_.setHostCount(count);
@@ -265,12 +304,14 @@
     return engine.model == pool && (!softwareVersion || engine.softwareVersion == *softwareVersion);
 }
 
-/// The queue of a request. Requests that are bound to a version have one of their own, so that neither they nor others wait for engines that
+/// The queue of a request. Where engines are divided, long prompts have one of their own, so that short ones don't wait behind them for engines that are for
+/// long prompts only. Requests that are bound to a version have one of their own, so that neither they nor others wait for engines that
 /// can't take them, and leave it first: few engines can take them.
 ModelId RequestScheduler::queueOf(const SchedulerRequest &request, ModelId pool)
 {
     if (!request.softwareVersion) {
-        return pool;
+        const bool isSeparate = placement_.adaptiveGroup(static_cast<EngineGroup>(pool)) != nullptr && placement_.isLong(request.promptTokens);
+        return isSeparate ? models_.idOf(request.model + '\n' + request.pool + "\nlong") : pool;
     }
     const ModelId queue = models_.idOf(request.model + '\n' + request.pool + '\n' + *request.softwareVersion);
     queue_.setPreferred(queue);
--- a/decision/request_scheduler.h
+++ b/decision/request_scheduler.h
@@ -9,9 +9,9 @@
 #include <variant>
 #include <vector>
 
+#include "core/decaying_count.h"
 #include "core/random.h"
 #include "decision/admission_queue.h"
-#include "decision/decaying_count.h"
 #include "decision/engine_window.h"
 #include "decision/id_table.h"
 #include "decision/placement.h"
@@ -37,6 +37,7 @@
     bool isServing = true;
     std::optional<TimePoint> restUntil = std::nullopt; ///< It has asked this host for rest until then, and serves afterwards.
     bool isRemote = false; ///< In another data centre than this host.
+    bool isAdaptive = false; ///< Adapts to the engines of the same model and pool from the start, not only once one has stated its pace.
     /// No request whose first token may come later is sent to it; not set if there is no such limit.
     std::optional<TimePoint> firstTokenDeadline = std::nullopt;
 };
@@ -125,6 +126,16 @@
     /// Sets a team's weight relative to other teams; see AdmissionQueue::setWeight.
     void setTeamWeight(std::string_view team, double weight);
 
+    /// An engine has stated its pace, relative to the usual 1. Turns on the adaptation to the engines that serve the same model and pool; see
+    /// Placement::enableAdaptation.
+    void onPaceStated(std::string_view engine, double pace, TimePoint now);
+
+    /// What this host has observed of the group of an engine; nothing unless it adapts to the group, or if it was told less than a second ago.
+    std::optional<TimeStatistics> takeStatistics(std::string_view engine, TimePoint now);
+
+    /// Another host has told what it observed of an engine's group.
+    void mergeStatistics(std::string_view engine, std::uint64_t host, const TimeStatistics &statistics, TimePoint now);
+
     /// Sets the number of hosts that send requests to the same engines.
     void setHostCount(std::size_t count);
 
@@ -264,6 +275,7 @@
     SendPermits *permits_ = nullptr;
     bool hadLimits_ = false; ///< Whether engines were last placed with permits.
     std::vector<WantedPermits> wantedPermits_;
+    std::map<EngineGroup, TimePoint> statisticsToldAt_;
     std::map<ModelId, DecayingCount> permitUse_; ///< Requests that this host has sent with permits.
     std::size_t hostCount_ = 1;
     std::map<ModelId, std::vector<Version>> versions_;
--- a/decision/slot_issuer.h
+++ b/decision/slot_issuer.h
@@ -7,8 +7,8 @@
 #include <string_view>
 #include <vector>
 
+#include "core/decaying_count.h"
 #include "decision/concurrency_limit.h"
-#include "decision/decaying_count.h"
 
 namespace Lovageloft
 {
--- a/gateway/fleet_link.cpp
+++ b/gateway/fleet_link.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/log.h"
+#include "decision/rendezvous.h"
 #include "gateway/gateway.h"
 
 namespace Lovageloft
@@ -268,7 +269,13 @@
     if (assignment.workTokens < minAnnouncedTokens) {
         return;
     }
-    const DispatchNotice notice{assignment.engine, assignment.workTokens, assignment.newTokens, isSaved, assignment.announcedBlocks};
+    const DispatchNotice notice{assignment.engine,
+                                assignment.workTokens,
+                                assignment.newTokens,
+                                isSaved,
+                                assignment.announcedBlocks,
+                                rendezvousId(hostName_),
+                                gateway_.dispatch().takeStatistics(assignment.engine)};
     noteSaved(notice);
     socket_.broadcast(notice);
 }
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -67,6 +67,7 @@
 {
     directory_.setDataCentre(options.dataCentre);
     rollouts_.setLimits(options.limits.exposure);
+    directory_.setAdaptive(options.limits.adaptsToEngines);
     dispatch_.setPermits(statements_.permits(), [this](std::span<const WantedPermits> wanted) { statements_.wantPermits(wanted); });
     paths_.setChangeListener([this] { boost::asio::post(loop_, [this] { dispatch_.retryOverLostLinks(); }); });
 }
@@ -280,6 +281,7 @@
 {
     options_.limits = limits;
     directory_.setWeightsDeadline(options_.limits.weightsDeadline);
+    directory_.setAdaptive(options_.limits.adaptsToEngines);
     applyRetryLimits();
     if (table_ != nullptr) {
         applyTeamLimits();
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -45,6 +45,7 @@
     double quotaOver = 0; ///< Fraction of a team's limit by which the limit may be exceeded.
     double quotaSlack = 0; ///< Tokens by which the limit may be exceeded in addition.
     ExposureLimits exposure; ///< Of a version that is not trusted yet, over all hosts.
+    bool adaptsToEngines = false; ///< See GatewaySettings.
     Duration drainNotice = std::chrono::milliseconds(2'600); ///< Time that the balancer may send new connections after /ready has begun to fail.
     Duration drainLimit = std::chrono::seconds(7); ///< Maximum time from the start of a graceful shutdown to its end.
 };
--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -32,6 +32,7 @@
     double exposureShare = 0.05; ///< Fraction of a service's requests that a version may get which is not trusted yet, over all hosts.
     double exposureSlack = 20; ///< Requests that such a version may get in addition.
     Duration rollbackTime = std::chrono::seconds(5); ///< From the answers that show a bad version to the last request sent to it.
+    bool adaptsToEngines = false; ///< Learns the times of engines and divides them between short and long prompts, also where engines state no pace.
     Duration minLeaseTimeToLive{}; ///< The shortest lease that the store grants.
 };
 
--- a/gateway/peer_messages.capnp
+++ b/gateway/peer_messages.capnp
@@ -141,6 +141,8 @@
   newTokens @3 :UInt32; # That it adds to the engine's memory.
   isSaved @4 :Bool; # The engine saves the prompt to its cache store.
   blocks @2 :List(UInt64); # The last block of each part that other prompts may share; the engine then holds them and all before them.
+  hostDigest @5 :UInt64; # Of the name of the host that sent the request; 0 without statistics.
+  statistics @6 :List(Float32); # What that host has observed of the times of engines with the same model: see TimeStatistics.
 }
 
 struct Loading {
--- a/gateway/peer_messages.capnp.h
+++ b/gateway/peer_messages.capnp.h
@@ -322,7 +322,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9842ba8fb9b3b5dc, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(9842ba8fb9b3b5dc, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2245,6 +2245,11 @@
 
   inline bool getIsSaved() const;
 
+  inline  ::uint64_t getHostDigest() const;
+
+  inline bool hasStatistics() const;
+  inline  ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>::Reader getStatistics() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2297,6 +2302,17 @@
   inline bool getIsSaved();
   inline void setIsSaved(bool value);
 
+  inline  ::uint64_t getHostDigest();
+  inline void setHostDigest( ::uint64_t value);
+
+  inline bool hasStatistics();
+  inline  ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>::Builder getStatistics();
+  inline void setStatistics( ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setStatistics(::kj::ArrayPtr<const float> value);
+  inline  ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>::Builder initStatistics(unsigned int size);
+  inline void adoptStatistics(::capnp::Orphan< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>> disownStatistics();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6034,6 +6050,58 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Dispatch::Reader::getHostDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Dispatch::Builder::getHostDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Dispatch::Builder::setHostDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Dispatch::Reader::hasStatistics() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Dispatch::Builder::hasStatistics() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>::Reader Dispatch::Reader::getStatistics() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>::Builder Dispatch::Builder::getStatistics() {
+  return ::capnp::_::PointerHelpers< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Dispatch::Builder::setStatistics( ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void Dispatch::Builder::setStatistics(::kj::ArrayPtr<const float> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>::Builder Dispatch::Builder::initStatistics(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Dispatch::Builder::adoptStatistics(
+    ::capnp::Orphan< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>> Dispatch::Builder::disownStatistics() {
+  return ::capnp::_::PointerHelpers< ::capnp::List<float,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool Loading::Reader::hasTarget() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -27,10 +27,6 @@
 using ErrorCode = boost::system::error_code;
 using PeerMessages::Datagram;
 
-/// Limits the blocks in a DispatchNotice to half a kilobyte. Of more blocks the last ones are announced: an engine that holds them holds
-/// those before them as well.
-constexpr std::size_t maxAnnouncedBlocks = 64;
-
 /// Datagrams read in a row before other handlers of the event loop run.
 constexpr int maxDatagramsPerWakeup = 32;
 
@@ -133,19 +129,7 @@
 
 void PeerSocket::broadcast(const DispatchNotice &notice)
 {
-    capnp::MallocMessageBuilder message;
-    auto dispatch = message.initRoot<Datagram>().initDispatch();
-    dispatch.setEngine(notice.engine);
-    dispatch.setWorkTokens(notice.workTokens);
-    dispatch.setNewTokens(notice.newTokens);
-    dispatch.setIsSaved(notice.isSaved);
-    const auto count = static_cast<unsigned>(std::min(notice.blocks.size(), maxAnnouncedBlocks));
-    auto blocks = dispatch.initBlocks(count);
-    const auto announced = std::span(notice.blocks).last(count);
-    for (unsigned i = 0; i < count; ++i) {
-        blocks.set(i, announced[i]);
-    }
-    broadcastBytes(encodeDatagram(message));
+    broadcastBytes(encodeDispatchNotice(notice));
 }
 
 void PeerSocket::broadcast(const LoadingNotice &notice)
@@ -432,15 +416,9 @@
         DatagramReader reader(bytes);
         const auto datagram = reader.root();
         switch (datagram.which()) {
-        case Datagram::DISPATCH: {
-            const auto dispatch = datagram.getDispatch();
-            DispatchNotice notice{dispatch.getEngine(), dispatch.getWorkTokens(), dispatch.getNewTokens(), dispatch.getIsSaved(), {}};
-            for (const std::uint64_t block : dispatch.getBlocks()) {
-                notice.blocks.push_back(block);
-            }
-            events_.onDispatchNotice(notice);
+        case Datagram::DISPATCH:
+            events_.onDispatchNotice(decodeDispatchNotice(datagram.getDispatch()));
             break;
-        }
         case Datagram::LOADING: {
             const auto loading = datagram.getLoading();
             events_.onLoadingNotice({loading.getTarget(), std::chrono::milliseconds(loading.getMilliseconds())});
--- a/gateway/peer_socket.h
+++ b/gateway/peer_socket.h
@@ -23,6 +23,7 @@
 #include "core/settings.h"
 #include "decision/send_permits.h"
 #include "decision/stream_origins.h"
+#include "gateway/dispatch_codec.h"
 #include "gateway/host_record.h"
 #include "gateway/peer_traffic.h"
 #include "gateway/rollout_messages.h"
@@ -30,16 +31,6 @@
 namespace Lovageloft
 {
 
-/// Announces that a request with a long prompt was sent to an engine.
-struct DispatchNotice
-{
-    std::string engine; ///< The engine's id in the scheduler.
-    std::uint32_t workTokens = 0; ///< Work of computing the prompt, as the length in tokens of an uncached short prompt that takes as long.
-    std::uint32_t newTokens = 0; ///< Tokens added to the engine's cache.
-    bool isSaved = false; ///< The engine saves the prompt to its cache store.
-    std::vector<std::uint64_t> blocks; ///< Hashes of blocks that the engine then holds, with all blocks before them; only the last 64 are sent.
-};
-
 /// Announces that a target is about to load new weights and declines requests meanwhile.
 struct LoadingNotice
 {
--- a/gateway/protocol.h
+++ b/gateway/protocol.h
@@ -54,6 +54,8 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    /// How long work takes on the target's machine, which it shares with others, relative to the usual time of 1; not set if the target does not state it.
+    std::optional<double> pace = std::nullopt;
 };
 
 /// One value that a target states about itself in an answer.
@@ -80,6 +82,7 @@
     std::string targetId; ///< Empty if the answer does not name it; with a mismatch, this counts as another target.
     std::optional<Duration> retryAfter; ///< With status 503: for how long the target wants no requests from this host.
     std::optional<TargetLoad> load;
+    bool isLoadMalformed = false; ///< The load is stated in a form that can't be read, or only in part.
     StatementFacts stated;
 };
 
--- a/gateway/request_dispatch.cpp
+++ b/gateway/request_dispatch.cpp
@@ -185,14 +185,25 @@
     requests_.erase(id);
 }
 
+std::optional<TimeStatistics> RequestDispatch::takeStatistics(std::string_view engine)
+{
+    return scheduler_.takeStatistics(engine, BootClock::now());
+}
+
 void RequestDispatch::onDispatchedByPeer(const DispatchNotice &notice)
 {
+    if (notice.statistics) {
+        scheduler_.mergeStatistics(notice.engine, notice.hostDigest, *notice.statistics, BootClock::now());
+    }
     scheduler_.onDispatchedByPeer(notice.engine, notice.workTokens, notice.newTokens, notice.blocks, BootClock::now());
 }
 
 void RequestDispatch::onTargetLoad(std::string_view targetId, const Target &target, const TargetLoad &load)
 {
     if (!target.models.empty()) {
+        if (load.pace) {
+            scheduler_.onPaceStated(targetId, *load.pace, BootClock::now());
+        }
         // An engine counts a prompt that it is computing as running, so its counts would hide the long prompts that are known from the
         // dispatch notices.
         return;
--- a/gateway/request_dispatch.h
+++ b/gateway/request_dispatch.h
@@ -80,6 +80,9 @@
     /// Releases a request that has its final outcome.
     void release(RequestId id);
 
+    /// See RequestScheduler::takeStatistics.
+    std::optional<TimeStatistics> takeStatistics(std::string_view engine);
+
     /// Another host sent a long prompt to an engine.
     void onDispatchedByPeer(const DispatchNotice &notice);
 
--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -39,6 +39,11 @@
     weightsDeadline_ = deadline;
 }
 
+void TargetDirectory::setAdaptive(bool isAdaptive)
+{
+    isAdaptive_ = isAdaptive;
+}
+
 void TargetDirectory::setDataCentre(std::string dataCentre)
 {
     dataCentre_ = std::move(dataCentre);
@@ -355,6 +360,7 @@
     engine.restUntil = wouldServe ? resting : std::nullopt;
     engine.isServing = wouldServe && !isAvoided && !resting;
     engine.pool = isCandidate ? rolloutPool : std::string_view();
+    engine.isAdaptive = isAdaptive_ && !target.models.empty();
     engine.isRemote = target.dataCentre != dataCentre_;
     return engine;
 }
--- a/gateway/target_directory.h
+++ b/gateway/target_directory.h
@@ -29,6 +29,9 @@
 
     void setWeightsDeadline(Duration deadline);
 
+    /// Sets whether the scheduler adapts to all engines with models, see SchedulerEngine::isAdaptive.
+    void setAdaptive(bool isAdaptive);
+
     /// Data centre of this host. Targets in other data centres count as remote.
     void setDataCentre(std::string dataCentre);
 
@@ -125,6 +128,7 @@
     SchedulerEngine makeEngine(const Target &target, TimePoint now) const;
 
     Duration weightsDeadline_;
+    bool isAdaptive_ = false;
     std::string dataCentre_;
     std::shared_ptr<const TargetMap> targets_ = std::make_shared<TargetMap>();
     std::set<std::string, std::less<>> modelServices_;
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -51,6 +51,7 @@
     limits.quotaOver = settings.quotaOver;
     limits.quotaSlack = settings.quotaSlack;
     limits.exposure = {settings.exposureShare, settings.exposureSlack, settings.rollbackTime};
+    limits.adaptsToEngines = settings.adaptsToEngines;
     limits.drainLimit = settings.shutdownTimeout - shutdownMargin;
     limits.drainNotice = std::min(limits.drainNotice, limits.drainLimit / 2);
     return limits;
--- a/tests/core/test_layers.cpp
+++ b/tests/core/test_layers.cpp
@@ -31,7 +31,9 @@
 /// What each folder may include besides itself.
 const std::map<std::string, std::set<std::string>> mayInclude{
     {"core", {}},
-    {"decision", {"core"}},
+    {"estimation", {"core"}},
+    {"partitioning", {"core"}},
+    {"decision", {"core", "estimation", "partitioning"}},
     {"coordination", {"core"}},
     {"drivers", {"core", "coordination", "decision"}},
     {"gateway", {"core", "coordination", "decision", "drivers"}},
--- a/tests/platform/test_protocols.cpp
+++ b/tests/platform/test_protocols.cpp
@@ -116,6 +116,29 @@
     BOOST_TEST(targets.readAnswer(answer).isTargetMismatch);
 }
 
+// Guards against load headers with a pace being dropped whole, and against malformed ones being taken for none.
+BOOST_AUTO_TEST_CASE(aLoadOfThreeOrFourFiguresIsRead)
+{
+    const auto read = [](const std::string &value) {
+        HttpHead answer;
+        answer.status = 200;
+        answer.fields = {{"Lovageloft-Server-Load", value}};
+        return targets.readAnswer(answer);
+    };
+    const AnswerFacts three = read("8,0,24");
+    BOOST_REQUIRE(three.load.has_value());
+    BOOST_TEST((three.load->running == 8U && three.load->slots == 24U && !three.load->pace && !three.isLoadMalformed));
+    const AnswerFacts four = read("8,2,24,130");
+    BOOST_REQUIRE(four.load.has_value());
+    BOOST_TEST(four.load->waiting == 2U);
+    BOOST_TEST(four.load->pace.value_or(0) == 1.3);
+    for (const char *malformed : {"8,0", "8,0,x", "8,0,24,", "8,0,24,x", "8,0,24,0", "8,0,24,-5"}) {
+        BOOST_TEST(read(malformed).load.has_value() == std::string_view(malformed).starts_with("8,0,24,"));
+        BOOST_TEST((read(malformed).isLoadMalformed || std::string_view(malformed) == "8,0,24,"));
+    }
+    BOOST_TEST(!HttpHead().has("Lovageloft-Server-Load"));
+}
+
 // Guards against callers that come back a moment too early, and are refused once more.
 BOOST_AUTO_TEST_CASE(retryAfterIsNeverShorterThanTheWait)
 {
