--- /dev/null
+++ b/tests/quota/test_main.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE quota
+#include <boost/test/unit_test.hpp>
