ReservingTokenBucket: reserve from a bucket that refills later

The bucket of a process that starts must not give out what reservations of its predecessor still use. A bucket may now refill from a later time on, and reservations count from then.

--- a/quota/reserving_token_bucket.cpp
+++ b/quota/reserving_token_bucket.cpp
@@ -41,7 +41,8 @@
     }
     refill(now);
     const double missing = std::min(tokens, limit_.capacity) - tokens_;
-    const Duration wait = std::max({Duration::zero(), fromSeconds(missing / limit_.rate), lastValidAt_ - now});
+    const Duration refillWait = missing > 0 ? refilledAt_ - now + fromSeconds(missing / limit_.rate) : Duration::zero();
+    const Duration wait = std::max({Duration::zero(), refillWait, lastValidAt_ - now});
     // A request larger than the capacity leaves more debt than it waits for.
     const bool mayBeReserved = wait <= std::min(maxWait, longestReservationWait) && tokens - tokens_ <= limit_.rate * toSeconds(longestReservationWait);
     if (wait > Duration::zero() && !mayBeReserved) {
--- a/quota/reserving_token_bucket.h
+++ b/quota/reserving_token_bucket.h
@@ -34,7 +34,7 @@
 class ReservingTokenBucket
 {
 public:
-    /// Holds `tokens` from the start and refills from `since` on.
+    /// Holds `tokens` at once and refills from `since` on, which may be in the future.
     ReservingTokenBucket(const TokenBucketLimit &limit, double tokens, TimePoint since);
 
     /// Changes the limit and keeps the tokens, up to the new capacity. Reservations stay valid.
--- a/tests/quota/test_reserving_token_bucket.cpp
+++ b/tests/quota/test_reserving_token_bucket.cpp
@@ -61,6 +61,15 @@
     BOOST_TEST(!bucket.reserve(1, 2s, start + 100ms).isGranted);
 }
 
+BOOST_AUTO_TEST_CASE(aBucketThatRefillsLaterReservesFromThenOn)
+{
+    // Guards against a new bucket that gives out what reservations of its predecessor still use.
+    ReservingTokenBucket bucket({1'000, 1'000}, 100, start + 1s);
+    BOOST_TEST((bucket.reserve(100, 0s, start).validIn == 0s));
+    BOOST_TEST((bucket.reserve(100, 2s, start).validIn == 1'100ms));
+    BOOST_TEST((bucket.reserve(100, 2s, start + 1s).validIn == 200ms));
+}
+
 BOOST_AUTO_TEST_CASE(impossibleNumbersTakeNothing)
 {
     // Guards against a damaged message that empties the bucket for ever or fills it without end.
