Test requests that wait for tokens through the gateway

The test guards against refusals of requests whose tokens come soon and against tokens that are lost with a caller. test_platform passes, and the test fails without the return of the tokens.

--- a/gateway/team_budget.cpp
+++ b/gateway/team_budget.cpp
@@ -260,7 +260,7 @@
             continue;
         }
         known->second.bucket.setLimit(poolLimit(limit), now);
-        pools.emplace(limit.name, std::move(known->second));
+        pools.emplace(limit.name, known->second);
     }
     pools_ = std::move(pools);
 }
--- a/tests/platform/test_requests.cpp
+++ b/tests/platform/test_requests.cpp
@@ -478,4 +478,31 @@
     BOOST_TEST(statusOf(exchange(request("GET", "/safe/x"))) == 200);
 }
 
+BOOST_AUTO_TEST_CASE(aRequestWaitsForTokensAndACallerThatLeavesReturnsThem)
+{
+    // Guards against refusals of requests whose tokens come soon, and against tokens that are lost with a caller. The empty pool refills by
+    // 70 tokens/s, so a request of 50 waits 714 ms; a second one would wait longer than half of its 2 s.
+    addTarget("a", wellTarget);
+    RoutingTable limited = table(2);
+    limited.teams = {{.name = "t", .rate = 100, .burst = 100, .plainTokens = 50}};
+    const TimePoint limitedAt = BootClock::now();
+    configure(limited);
+    BOOST_TEST(statusOf(exchange(request("GET", "/safe/x"))) == 429);
+    onLoop([](Gateway &gateway) {
+        GatewayLimits limits;
+        limits.requestsWaitForTokens = true;
+        gateway.setLimits(limits);
+    });
+    {
+        Poco::Net::StreamSocket leaves(Poco::Net::SocketAddress("127.0.0.1", port()));
+        const std::string bytes = request("GET", "/safe/x");
+        leaves.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+        std::this_thread::sleep_for(100ms);
+    }
+    std::this_thread::sleep_for(100ms);
+    BOOST_TEST(statusOf(exchange(request("GET", "/safe/x"))) == 200);
+    BOOST_TEST((BootClock::now() - limitedAt > 700ms));
+    BOOST_TEST(statusOf(exchange(request("GET", "/safe/x"))) == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
