--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -68,6 +68,7 @@
     directory_.setDataCentre(options.dataCentre);
     rollouts_.setLimits(options.limits.exposure);
     directory_.setAdaptive(options.limits.adaptsToEngines);
+    fleet_.setRequestsMayWait(options.limits.requestsWaitForTokens);
     dispatch_.setPermits(statements_.permits(), [this](std::span<const WantedPermits> wanted) { statements_.wantPermits(wanted); });
     paths_.setChangeListener([this] { boost::asio::post(loop_, [this] { dispatch_.retryOverLostLinks(); }); });
 }
@@ -280,6 +281,7 @@
 void Gateway::setLimits(const GatewayLimits &limits)
 {
     options_.limits = limits;
+    fleet_.setRequestsMayWait(limits.requestsWaitForTokens);
     directory_.setWeightsDeadline(options_.limits.weightsDeadline);
     directory_.setAdaptive(options_.limits.adaptsToEngines);
     applyRetryLimits();
