--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -144,9 +144,14 @@
 }
 
 void Metrics::set(std::string_view name, double value)
+{
+    set(name, {}, value);
+}
+
+void Metrics::set(std::string_view name, MetricLabels labels, double value)
 {
     const std::lock_guard lock(mutex_);
-    familyOf(families_->gauges, name, families_->registry, &prometheus::BuildGauge).Add({}).Set(value);
+    familyOf(families_->gauges, name, families_->registry, &prometheus::BuildGauge).Add(ownedLabels(labels)).Set(value);
 }
 
 void Metrics::observe(std::string_view name, MetricLabels labels, double seconds)
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -37,6 +37,7 @@
 
     /// Sets a gauge.
     void set(std::string_view name, double value);
+    void set(std::string_view name, MetricLabels labels, double value);
 
     /// Adds a duration to a histogram with bucket bounds from a millisecond to a minute.
     void observe(std::string_view name, MetricLabels labels, double seconds);
--- a/decision/placement.h
+++ b/decision/placement.h
@@ -162,6 +162,12 @@
     /// and EnginePartition.
     void enableAdaptation(EngineGroup group);
 
+    /// All groups that placement adapts to.
+    const std::map<EngineGroup, AdaptiveGroup> &adaptiveGroups() const
+    {
+        return adaptiveGroups_;
+    }
+
     /// What is known of a group; null unless adaptation to it is enabled.
     const AdaptiveGroup *adaptiveGroup(EngineGroup group) const;
 
--- a/decision/request_scheduler.cpp
+++ b/decision/request_scheduler.cpp
@@ -53,6 +53,7 @@
         status.name = engine.name;
         status.modelVersion = modelVersions_.idOf(engine.model + '\n' + engine.pool + '\n' + engine.weightsVersion);
         status.group = static_cast<EngineGroup>(poolOf(engine.model, engine.pool));
+        groupModels_.try_emplace(status.group, engine.pool.empty() ? engine.model : engine.model + ' ' + engine.pool);
         status.incarnation = engine.incarnation;
         status.isServing = engine.isServing;
         status.isRemote = engine.isRemote;
@@ -130,6 +131,17 @@
     }
 }
 
+std::vector<EngineGroupState> RequestScheduler::engineGroups() const
+{
+    std::vector<EngineGroupState> states;
+    for (const auto &[id, group] : placement_.adaptiveGroups()) {
+        const auto model = groupModels_.find(id);
+        states.push_back(
+            {model != groupModels_.end() ? model->second : std::string(), group.engineCount, group.partition.boundary(), group.times.coefficients()});
+    }
+    return states;
+}
+
 std::optional<TimeStatistics> RequestScheduler::takeStatistics(std::string_view engine, TimePoint now)
 {
     const auto index = placement_.findEngine(engine);
--- a/decision/request_scheduler.h
+++ b/decision/request_scheduler.h
@@ -93,6 +93,15 @@
     Duration retryAfter{}; ///< Zero with KeyWithdrawn.
 };
 
+/// What a host has learned of the engines of one model and pool.
+struct EngineGroupState
+{
+    std::string model;
+    std::size_t engineCount = 0; ///< Serving engines.
+    double boundary = 0; ///< Fraction of them that is for short prompts; 0 while they are not divided.
+    TimeCoefficients times;
+};
+
 /// Permits that queued requests need for a target.
 struct WantedPermits
 {
@@ -130,6 +139,9 @@
     /// Placement::enableAdaptation.
     void onPaceStated(std::string_view engine, double pace, TimePoint now);
 
+    /// What is known of the engines that this host adapts to, by model and pool.
+    std::vector<EngineGroupState> engineGroups() const;
+
     /// What this host has observed of the group of an engine; nothing unless it adapts to the group, or if it was told less than a second ago.
     std::optional<TimeStatistics> takeStatistics(std::string_view engine, TimePoint now);
 
@@ -275,6 +287,7 @@
     SendPermits *permits_ = nullptr;
     bool hadLimits_ = false; ///< Whether engines were last placed with permits.
     std::vector<WantedPermits> wantedPermits_;
+    std::map<EngineGroup, std::string> groupModels_; ///< Model and pool of each group.
     std::map<EngineGroup, TimePoint> statisticsToldAt_;
     std::map<ModelId, DecayingCount> permitUse_; ///< Requests that this host has sent with permits.
     std::size_t hostCount_ = 1;
--- a/estimation/engine_time_model.cpp
+++ b/estimation/engine_time_model.cpp
@@ -118,12 +118,17 @@
 
 void EngineTimeModel::observe(const PromptWork &work, double observedSeconds, double expectedWaitSeconds, double pace, TimePoint now)
 {
-    const double usualSeconds = (observedSeconds - expectedWaitSeconds) / pace;
-    if (!std::isfinite(usualSeconds) || pace <= 0 || usualSeconds <= 0) {
+    if (!std::isfinite(observedSeconds) || !std::isfinite(expectedWaitSeconds) || observedSeconds <= 0 || pace <= 0) {
         return;
     }
     decayTo(now);
-    const double expected = seconds(work) + errorFloorSeconds;
+    const double estimate = seconds(work);
+    double usualSeconds = (observedSeconds - expectedWaitSeconds) / pace;
+    if (usualSeconds < estimate) {
+        // The wait was shorter than expected. If such observations were left out, the slow ones would remain, and the estimate would only rise.
+        usualSeconds = std::min(estimate, observedSeconds / pace);
+    }
+    const double expected = estimate + errorFloorSeconds;
     const double error = usualSeconds / expected - 1;
     const double certainty = 1 / (1 + std::max(0.0, expectedWaitSeconds) / expected);
     double weight = certainty * certainty / (expected * expected);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -302,6 +302,9 @@
 
     void onTargetLoad(std::string_view engineName, const TargetLoad &load);
 
+    /// A target has stated its load in a form that can't be read.
+    void onMalformedLoad(std::string_view targetId);
+
     TargetStatements &statements()
     {
         return statements_;
@@ -388,6 +391,7 @@
     std::map<std::string, HostRecord> hosts_; ///< All active hosts including this one.
     double share_ = 0; ///< This host's share of what is divided evenly.
     std::string leader_;
+    std::set<std::string, std::less<>> malformedLoads_; ///< Targets whose malformed loads were logged.
     std::shared_ptr<const TargetMap> listedTargets_ = std::make_shared<TargetMap>(); ///< As in the store, without what targets and hosts have told.
     bool hasTargets_ = false;
     PauseDetector pauseDetector_;
--- a/gateway/gateway_targets.cpp
+++ b/gateway/gateway_targets.cpp
@@ -68,6 +68,15 @@
     }
 }
 
+void Gateway::onMalformedLoad(std::string_view targetId)
+{
+    constexpr std::size_t maxLogged = 256;
+    metrics_.add("lovageloft_target_loads_malformed_total");
+    if (malformedLoads_.size() < maxLogged && malformedLoads_.emplace(targetId).second) {
+        writeLog(LogLevel::Warning, "target_load_malformed", {{"target", targetId}});
+    }
+}
+
 void Gateway::refreshTargets()
 {
     const TimePoint now = BootClock::now();
--- a/gateway/gauges.cpp
+++ b/gateway/gauges.cpp
@@ -43,6 +43,10 @@
     metrics.raiseTo("lovageloft_target_slots_total", {{"result", "granted"}}, slots.granted);
     metrics.raiseTo("lovageloft_target_slots_total", {{"result", "returned"}}, slots.returned);
     metrics.raiseTo("lovageloft_target_slots_total", {{"result", "own"}}, slots.own);
+    for (const EngineGroupState &state : gateway.dispatch().engineGroups()) {
+        metrics.set("lovageloft_engines_for_short_prompts", {{"model", state.model}}, state.boundary);
+        metrics.set("lovageloft_engine_seconds_per_token", {{"model", state.model}}, state.times.secondsPerToken);
+    }
     const LogCounts lines = logCounts();
     metrics.raiseTo("lovageloft_log_lines_dropped_total", {}, lines.dropped);
     for (const auto &[event, count] : lines.suppressed) {
--- a/gateway/request_dispatch.cpp
+++ b/gateway/request_dispatch.cpp
@@ -1,11 +1,13 @@
 #include "gateway/request_dispatch.h"
 
 #include <algorithm>
+#include <cmath>
 #include <random>
 #include <utility>
 
 #include <boost/asio/post.hpp>
 
+#include "core/log.h"
 #include "gateway/fleet_link.h"
 #include "gateway/routed_request.h"
 
@@ -185,6 +187,32 @@
     requests_.erase(id);
 }
 
+std::vector<EngineGroupState> RequestDispatch::engineGroups() const
+{
+    return scheduler_.engineGroups();
+}
+
+/// Logs when engines are divided or united, and when the boundary has moved far.
+void RequestDispatch::logDivisions()
+{
+    constexpr double minLoggedChange = 0.1;
+    for (const EngineGroupState &state : scheduler_.engineGroups()) {
+        double &logged = loggedBoundaries_[state.model];
+        const bool hasChanged = (state.boundary > 0) != (logged > 0) || std::abs(state.boundary - logged) >= minLoggedChange;
+        if (!hasChanged) {
+            continue;
+        }
+        logged = state.boundary;
+        writeLog(LogLevel::Info,
+                 "engines_divided",
+                 {{"model", state.model},
+                  {"boundary", state.boundary},
+                  {"engines", static_cast<std::int64_t>(state.engineCount)},
+                  {"fixed_ms", toMillis(fromSeconds(state.times.fixedSeconds))},
+                  {"tokens_per_s", 1 / state.times.secondsPerToken}});
+    }
+}
+
 std::optional<TimeStatistics> RequestDispatch::takeStatistics(std::string_view engine)
 {
     return scheduler_.takeStatistics(engine, BootClock::now());
@@ -269,6 +297,7 @@
             request->onRefused(std::get<SchedulerRefusal>(outcome));
         }
     }
+    logDivisions();
     wantPermits_(scheduler_.takeWantedPermits());
     if (const auto next = scheduler_.nextDeadline()) {
         constexpr Duration minTimerDelay = std::chrono::milliseconds(5);
--- a/gateway/request_dispatch.h
+++ b/gateway/request_dispatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <span>
@@ -80,6 +81,9 @@
     /// Releases a request that has its final outcome.
     void release(RequestId id);
 
+    /// See RequestScheduler::engineGroups.
+    std::vector<EngineGroupState> engineGroups() const;
+
     /// See RequestScheduler::takeStatistics.
     std::optional<TimeStatistics> takeStatistics(std::string_view engine);
 
@@ -99,6 +103,7 @@
     std::uint32_t countRunning(std::string_view service, const std::function<bool(std::string_view targetId)> &isCounted) const;
 
 private:
+    void logDivisions();
     void scheduleDecide();
     void decide();
 
@@ -111,6 +116,7 @@
     std::function<void()> refreshEngines_;
     std::function<void(std::span<const WantedPermits> wanted)> wantPermits_ = [](std::span<const WantedPermits>) {};
     std::optional<TimePoint> enginesExpireAt_;
+    std::map<std::string, double> loggedBoundaries_; ///< By model.
     bool isDecideScheduled_ = false;
 };
 
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -226,6 +226,9 @@
     if (facts.retryAfter && !facts.isTargetMismatch) {
         gateway_.onRestAsked(sentTo_, sentIncarnation_, *facts.retryAfter);
     }
+    if (facts.isLoadMalformed) {
+        gateway_.onMalformedLoad(sentTo_);
+    }
     if (facts.load) {
         gateway_.onTargetLoad(targetId_, *facts.load);
     }
