--- a/tests/core/test_layers.cpp
+++ b/tests/core/test_layers.cpp
@@ -32,6 +32,7 @@
 const std::map<std::string, std::set<std::string>> mayInclude{
     {"core", {}},
     {"decision", {"core"}},
+    {"suspicion", {"core", "decision"}},
     {"coordination", {"core"}},
     {"drivers", {"core", "coordination", "decision"}},
     {"gateway", {"core", "coordination", "decision", "drivers"}},
