--- a/suspicion/engine_suspicions.cpp
+++ b/suspicion/engine_suspicions.cpp
@@ -329,7 +329,7 @@
         record.suspicion = Suspicion{.silentSince = first->second.silentSince, .beganAt = now, .confirmedAt = now};
     }
     if (record.suspicion) {
-        record.suspicion->beganAt = std::min(record.suspicion->beganAt, now - suspectedFor);
+        record.suspicion->beganAt = std::min(record.suspicion->beganAt, now - std::max(suspectedFor, Duration::zero()));
     }
 }
 
