--- a/tests/core/test_layers.cpp
+++ b/tests/core/test_layers.cpp
@@ -34,6 +34,8 @@
     {"estimation", {"core"}},
     {"partitioning", {"core"}},
     {"decision", {"core", "estimation", "partitioning"}},
+    {"decision", {"core"}},
+    {"suspicion", {"core", "decision"}},
     {"coordination", {"core"}},
     {"quota", {"core"}},
     {"drivers", {"core", "coordination", "decision"}},
