--- a/tests/core/test_layers.cpp
+++ b/tests/core/test_layers.cpp
@@ -31,6 +31,7 @@
 /// What each folder may include besides itself.
 const std::map<std::string, std::set<std::string>> mayInclude{
     {"core", {}},
+    {"overload", {"core"}},
     {"decision", {"core"}},
     {"coordination", {"core"}},
     {"drivers", {"core", "coordination", "decision"}},
