--- a/tests/core/test_layers.cpp
+++ b/tests/core/test_layers.cpp
@@ -34,6 +34,7 @@
     {"estimation", {"core"}},
     {"partitioning", {"core"}},
     {"decision", {"core", "estimation", "partitioning"}},
+    {"overload", {"core"}},
     {"decision", {"core"}},
     {"suspicion", {"core", "decision"}},
     {"coordination", {"core"}},
