--- a/tests/core/test_layers.cpp
+++ b/tests/core/test_layers.cpp
@@ -33,11 +33,12 @@
     {"core", {}},
     {"decision", {"core"}},
     {"coordination", {"core"}},
+    {"memory", {"core"}},
     {"drivers", {"core", "coordination", "decision"}},
-    {"gateway", {"core", "coordination", "decision", "drivers"}},
-    {"platform", {"core", "coordination", "decision", "drivers", "gateway"}},
+    {"gateway", {"core", "coordination", "decision", "memory", "drivers"}},
+    {"platform", {"core", "coordination", "decision", "memory", "drivers", "gateway"}},
     {"servers", {"core", "coordination", "decision", "drivers"}},
-    {"main", {"core", "coordination", "decision", "drivers", "gateway", "platform", "servers"}},
+    {"main", {"core", "coordination", "decision", "memory", "drivers", "gateway", "platform", "servers"}},
 };
 
 } // namespace
