Bound the memory that a host holds for slow callers

A connection held up to 262,144 bytes of a response whatever the number of connections, a response that is not a stream was buffered beside that, and the kernel's send buffers were not limited. 500 slow callers could take more than a host of 120 MB has.

Caller connections now count unread bytes, incomplete responses and request bodies in a BufferBudget of a quarter of the host's memory (limits.memoryMb of the platform's file), and stop reading from their targets at its bound. The kernel buffers at most 32,768 unsent bytes for each of them. Without a known size the fixed bound remains.

A connection that is to be closed after its response stays counted until the caller has read it, and is reset after 10 s without progress. A call that must complete although its caller has gone is read on, where it stayed paused.

--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -28,6 +28,7 @@
 
 constexpr auto descriptions = std::to_array<Description>({
     {"lovageloft_cached_tokens_total", "Prompt tokens that targets found in their cache."},
+    {"lovageloft_caller_buffer_bytes", "Bytes of responses and request bodies that this host holds for callers."},
     {"lovageloft_configuration_version", "Version of the configuration held."},
     {"lovageloft_engine_failures_total", "Attempts that failed at a target, by result."},
     {"lovageloft_engine_reports_missed_total", "Reports of engines that did not come."},
--- a/drivers/tcp_connection.cpp
+++ b/drivers/tcp_connection.cpp
@@ -17,6 +17,9 @@
 constexpr std::size_t readBytesPerTurn = 65'536;
 constexpr std::size_t readBufferBytes = 16'384;
 
+/// An empty buffer above this size is freed: an idle connection would hold it until the next message.
+constexpr std::size_t keptBufferBytes = 16'384;
+
 /// How long sent bytes may stay unacknowledged. Well above the time of a few consecutive lost packets (retransmissions after 0.2 and 0.6 s), and
 /// below the three seconds after which callers abandon a silent response.
 constexpr int unacknowledgedMilliseconds = 2'000;
@@ -126,7 +129,7 @@
         }
     }
     if (sent < bytes.size()) {
-        unsent_.append(bytes.substr(sent));
+        buffer(bytes.substr(sent));
         waitWritable();
     }
 }
@@ -164,9 +167,23 @@
     waitReadable();
     if (unsent_.empty()) {
         startLinger();
+    } else {
+        startStallTimer();
     }
 }
 
+void TcpConnection::reset()
+{
+    ErrorCode ignored;
+    socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
+void TcpConnection::limitKernelBuffer(std::size_t bytes)
+{
+    setOption(socket_.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, static_cast<int>(bytes));
+}
+
 bool TcpConnection::isQuiet()
 {
     if (!isOpen_) {
@@ -245,11 +262,19 @@
         finish(true);
         return;
     }
-    unsent_.erase(0, sent);
+    unsent_.erase(unsent_.begin(), unsent_.begin() + static_cast<std::ptrdiff_t>(sent));
     if (!unsent_.empty()) {
         waitWritable();
+        if (sent > 0 && isLingering_) {
+            startStallTimer();
+        } else if (sent > 0 && events_ != nullptr) {
+            events_->onProgress();
+        }
         return;
     }
+    if (unsent_.capacity() > keptBufferBytes) {
+        std::vector<char>().swap(unsent_);
+    }
     if (isLingering_) {
         startLinger();
     } else if (events_ != nullptr) {
@@ -257,6 +282,15 @@
     }
 }
 
+void TcpConnection::buffer(std::string_view bytes)
+{
+    const std::size_t needed = unsent_.size() + bytes.size();
+    if (needed > unsent_.capacity()) {
+        unsent_.reserve(needed + needed / 4);
+    }
+    unsent_.insert(unsent_.end(), bytes.begin(), bytes.end());
+}
+
 void TcpConnection::finish(bool isReset)
 {
     if (!isOpen_) {
@@ -280,4 +314,15 @@
     timer_.async_wait([self = shared_from_this()](const ErrorCode &) { self->close(); });
 }
 
+/// Guards a connection that is to be closed against a peer that never reads the rest: it would be held for as long as the peer stays connected.
+void TcpConnection::startStallTimer()
+{
+    timer_.expires_after(maxSendStall);
+    timer_.async_wait([self = shared_from_this()](const ErrorCode &error) {
+        if (!error) {
+            self->reset();
+        }
+    });
+}
+
 } // namespace Lovageloft
--- a/drivers/tcp_connection.h
+++ b/drivers/tcp_connection.h
@@ -2,8 +2,8 @@
 
 #include <array>
 #include <memory>
-#include <string>
 #include <string_view>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -40,6 +40,11 @@
     virtual void onSent()
     {
     }
+
+    /// The kernel has taken some of the sent bytes, and others are still buffered.
+    virtual void onProgress()
+    {
+    }
 };
 
 /// A TCP connection on an event loop. Sends as many bytes as the kernel takes and buffers the rest. Connections between hosts can become silent
@@ -49,6 +54,9 @@
 public:
     using Socket = boost::asio::ip::tcp::socket;
 
+    /// How long a peer may take none of the bytes that are left when a connection is to be closed.
+    static constexpr Duration maxSendStall = std::chrono::seconds(10);
+
     /// Creates a connection from an accepted socket.
     static std::shared_ptr<TcpConnection> adopt(Socket socket, TcpEvents &events);
 
@@ -70,9 +78,15 @@
     void close() override;
 
     /// Sends buffered bytes, closes the sending side, and continues to read for a moment: closing a socket with unread bytes resets the connection,
-    /// and the peer could lose the last response. No event follows.
+    /// and the peer could lose the last response. A peer that takes none of the buffered bytes for `maxSendStall` is reset. No event follows.
     void closeAfterSending();
 
+    /// Closes the connection so that the peer sees a reset rather than the end of a message, and drops what is buffered here and in the kernel.
+    void reset();
+
+    /// Limits the bytes that the kernel buffers and has not sent yet, so that a slow peer is noticed here and does not fill the kernel's buffer.
+    void limitKernelBuffer(std::size_t bytes);
+
     bool isQuiet() override;
 
 private:
@@ -81,13 +95,15 @@
     void onReadable();
     void waitWritable();
     void flush();
+    void buffer(std::string_view bytes);
     void finish(bool isReset);
     void startLinger();
+    void startStallTimer();
 
     Socket socket_;
     boost::asio::steady_timer timer_;
     TcpEvents *events_ = nullptr;
-    std::string unsent_;
+    std::vector<char> unsent_; ///< A vector grows by as much as it is told to; a string would double its memory.
     bool isOpen_ = true;
     bool isConnected_ = false; ///< Only for connections opened with connect().
     bool isReadArmed_ = false;
--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -18,6 +18,9 @@
 /// has no length. Without a timeout, a slow sender would hold memory indefinitely.
 constexpr std::uint64_t bodyBytesPerHeadTimeout = 1'048'576;
 
+/// Bytes that the kernel may buffer for a caller and has not sent yet. Without a limit it takes up to some megabytes, which no budget counts.
+constexpr std::size_t kernelBufferBytes = 32'768;
+
 } // namespace
 
 CallerSession::CallerSession(Gateway &gateway, TcpConnection::Socket socket)
@@ -26,6 +29,7 @@
     , parser_(HttpMessageKind::Request, {}, *this)
     , timer_(gateway.loop())
     , limits_(gateway.callerLimits())
+    , bufferId_(gateway.callerBuffers().open())
 {
     parser_.setLimits({limits_.headBytes, limits_.bodyBytes});
 }
@@ -34,6 +38,9 @@
 {
     tcp_ = TcpConnection::adopt(std::move(*acceptedSocket_), *this);
     acceptedSocket_.reset();
+    if (gateway_.callerBuffers().total() != 0) {
+        tcp_->limitKernelBuffer(kernelBufferBytes);
+    }
     startTimer(limits_.idleTimeout);
 }
 
@@ -69,6 +76,7 @@
         out.append(bytes);
     }
     tcp_->send(out);
+    updateBuffer();
 }
 
 void CallerSession::finishAnswer()
@@ -82,7 +90,10 @@
     }
     if (!out.empty()) {
         tcp_->send(out);
+        updateBuffer();
     }
+    setIncompleteBytes(0);
+    gateway_.callerBuffers().release(bufferId_, BufferUse::RequestBody, std::exchange(bufferedBodyBytes_, 0), BootClock::now());
     isAnswering_ = false;
     isRequestComplete_ = false;
     request_.reset();
@@ -91,9 +102,13 @@
     const bool endsWithShutdown = gateway_.isDraining() && pipelined_.empty();
     if (closesAfterAnswer_ || endsWithShutdown) {
         isClosed_ = true;
-        timer_.cancel();
-        tcp_->closeAfterSending();
-        gateway_.onSessionEnded(shared_from_this());
+        if (unsent() == 0) {
+            endAfterSending();
+        } else {
+            isSendingRest_ = true;
+            tcp_->resumeReading(); // Else the end of a connection whose caller has gone would not be noticed.
+            startTimer(TcpConnection::maxSendStall);
+        }
         return;
     }
     // Posted rather than called: the buffered bytes may hold the next request, which must not be processed within the call that completed
@@ -111,6 +126,29 @@
     return tcp_ != nullptr ? tcp_->unsent() : 0;
 }
 
+bool CallerSession::isAtBufferBound() const
+{
+    return gateway_.callerBuffers().isAtBound(bufferId_);
+}
+
+void CallerSession::setIncompleteBytes(std::size_t bytes)
+{
+    const std::size_t before = std::exchange(incompleteBytes_, bytes);
+    const TimePoint now = BootClock::now();
+    if (bytes > before) {
+        gateway_.callerBuffers().reserve(bufferId_, BufferUse::IncompleteResponse, bytes - before, now);
+    } else {
+        gateway_.callerBuffers().release(bufferId_, BufferUse::IncompleteResponse, before - bytes, now);
+    }
+}
+
+void CallerSession::closeStalled()
+{
+    const auto self = shared_from_this();
+    tcp_->reset();
+    onClosed(true);
+}
+
 void CallerSession::closeIfIdle()
 {
     if (isIdle()) {
@@ -126,6 +164,9 @@
 void CallerSession::onBytes(std::string_view bytes)
 {
     const auto self = shared_from_this();
+    if (isClosed_) {
+        return; // The answer under way is the last one.
+    }
     if (!isRequestComplete_) {
         parse(bytes);
         return;
@@ -149,11 +190,26 @@
 
 void CallerSession::onSent()
 {
-    if (request_ != nullptr) {
+    const auto self = shared_from_this();
+    updateBuffer();
+    if (isSendingRest_) {
+        endAfterSending();
+    } else if (request_ != nullptr) {
         request_->onCallerBufferEmpty();
     }
 }
 
+void CallerSession::onProgress()
+{
+    updateBuffer();
+    if (isSendingRest_) {
+        startTimer(TcpConnection::maxSendStall);
+    } else if (isIdle()) {
+        // The time that the caller takes to read the answer is not idle.
+        startTimer(limits_.idleTimeout);
+    }
+}
+
 void CallerSession::onHead(HttpHead &&head, std::optional<std::uint64_t> bodyBytes)
 {
     head_ = std::move(head);
@@ -168,6 +224,8 @@
 void CallerSession::onBody(std::string_view bytes)
 {
     body_.append(bytes);
+    bufferedBodyBytes_ += bytes.size();
+    gateway_.callerBuffers().reserve(bufferId_, BufferUse::RequestBody, bytes.size(), BootClock::now());
 }
 
 void CallerSession::onEnd()
@@ -185,6 +243,10 @@
         refuse(reason);
         return;
     }
+    if (!isRequestComplete_ && body_.size() > BufferBudget::minConnectionBytes && gateway_.callerBuffers().isExhausted()) {
+        refuse({ResultCode::Overloaded, "no memory is left for the request's body"});
+        return;
+    }
     if (isRequestComplete_) {
         timer_.cancel();
         closesAfterAnswer_ = head_.version == 10 || head_.hasToken("Connection", "close");
@@ -242,6 +304,27 @@
     gateway_.onSessionEnded(self);
 }
 
+/// Ends the session when nothing is unsent.
+void CallerSession::endAfterSending()
+{
+    timer_.cancel();
+    tcp_->closeAfterSending();
+    gateway_.onSessionEnded(shared_from_this());
+}
+
+/// Accounts for what the caller has read or what has been sent since the last call.
+void CallerSession::updateBuffer()
+{
+    const std::size_t bytes = unsent();
+    const TimePoint now = BootClock::now();
+    if (bytes > bufferedBytes_) {
+        gateway_.callerBuffers().reserve(bufferId_, BufferUse::Response, bytes - bufferedBytes_, now);
+    } else {
+        gateway_.callerBuffers().release(bufferId_, BufferUse::Response, bufferedBytes_ - bytes, now);
+    }
+    bufferedBytes_ = bytes;
+}
+
 void CallerSession::startTimer(Duration timeout)
 {
     timer_.expires_after(timeout);
@@ -255,6 +338,12 @@
 
 void CallerSession::onTimer()
 {
+    if (isSendingRest_) {
+        if (timer_.expiry() <= boost::asio::steady_timer::clock_type::now()) {
+            closeStalled();
+        }
+        return;
+    }
     if (isClosed_ || request_ != nullptr) {
         return;
     }
--- a/gateway/caller_session.h
+++ b/gateway/caller_session.h
@@ -10,6 +10,7 @@
 #include "drivers/http_parser.h"
 #include "drivers/tcp_connection.h"
 #include "gateway/routing_table.h"
+#include "memory/buffer_budget.h"
 
 namespace Lovageloft
 {
@@ -46,6 +47,22 @@
     /// Bytes of the answer that the kernel has not accepted yet because the caller reads slowly.
     std::size_t unsent() const;
 
+    /// Whether the caller reads so slowly that no more of the answer should be sent for now. Ends at the latest when nothing is unsent.
+    bool isAtBufferBound() const;
+
+    /// Counts the bytes of an incomplete answer that its request buffers instead of sending them.
+    void setIncompleteBytes(std::size_t bytes);
+
+    /// The connection's account in Gateway::callerBuffers().
+    BufferBudget::ConnectionId bufferId() const
+    {
+        return bufferId_;
+    }
+
+    /// Resets the connection of a caller that does not read, and cancels its request. The caller can't take the part already sent for a complete
+    /// answer.
+    void closeStalled();
+
     /// Closes the connection if it is idle.
     void closeIfIdle();
 
@@ -56,6 +73,7 @@
     void onBytes(std::string_view bytes) override;
     void onClosed(bool isReset) override;
     void onSent() override;
+    void onProgress() override;
     void onHead(HttpHead &&head, std::optional<std::uint64_t> bodyBytes) override;
     void onBody(std::string_view bytes) override;
     void onEnd() override;
@@ -64,6 +82,8 @@
     void startNextRequest();
     void refuse(const Reason &reason);
     void close();
+    void endAfterSending();
+    void updateBuffer();
     void startTimer(Duration timeout);
     void onTimer();
     bool mayKeepConnection() const;
@@ -84,6 +104,11 @@
     bool closesAfterAnswer_ = false;
     bool isRequestComplete_ = false;
     bool isClosed_ = false;
+    bool isSendingRest_ = false; ///< The last answer is complete, and the connection ends when the caller has read it.
+    BufferBudget::ConnectionId bufferId_;
+    std::size_t bufferedBytes_ = 0; ///< Reserved for unsent bytes of answers.
+    std::size_t incompleteBytes_ = 0; ///< Reserved for an answer that is not complete.
+    std::size_t bufferedBodyBytes_ = 0; ///< Reserved for the body of the request.
 };
 
 } // namespace Lovageloft
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -7,6 +7,7 @@
 #include "core/log.h"
 #include "gateway/caller_session.h"
 #include "gateway/gauges.h"
+#include "gateway/request_limits.h"
 #include "gateway/routed_request.h"
 
 namespace Lovageloft
@@ -64,6 +65,7 @@
     , fleet_(*this, options.hostName)
     , dispatch_(loop_, [this] { refreshTargets(); })
     , configurationTimer_(loop_)
+    , callerBuffers_(options.callerBufferBytes)
 {
     directory_.setDataCentre(options.dataCentre);
     rollouts_.setLimits(options.limits.exposure);
@@ -419,7 +421,7 @@
 void Gateway::refuseMalformed(CallerSession &session, const Reason &reason)
 {
     writeLog(LogLevel::Info, "message_refused", {{"code", std::int64_t{static_cast<int>(reason.code)}}, {"reason", reason.text}});
-    refuse(&session, reason, RunState::NotRun, {});
+    refuse(&session, reason, RunState::NotRun, defaultRetryAfter);
 }
 
 void Gateway::onRequestEnded(const RoutedRequest &request, const EndedRequest &ended)
@@ -430,9 +432,33 @@
 
 void Gateway::onSessionEnded(const std::shared_ptr<CallerSession> &session)
 {
+    callerBuffers_.close(session->bufferId());
     sessions_.erase(session);
 }
 
+/// Closes connections whose callers have stopped reading, while they hold the memory that other callers need. After a pause of the event loop it
+/// is not known yet what callers have read meanwhile.
+void Gateway::closeStalledCallers(TimePoint now)
+{
+    if (pauseDetector_.recentPause(now) != Duration::zero()) {
+        return;
+    }
+    while (const auto stalled = callerBuffers_.findStalled(now)) {
+        writeLog(LogLevel::Info,
+                 "slow_caller_closed",
+                 {{"bytes", static_cast<std::int64_t>(stalled->bytes)},
+                  {"silent_ms", toMillis(stalled->silence)},
+                  {"held_bytes", static_cast<std::int64_t>(callerBuffers_.reserved())},
+                  {"budget_bytes", static_cast<std::int64_t>(callerBuffers_.total())}});
+        const auto session =
+            std::find_if(sessions_.begin(), sessions_.end(), [&stalled](const auto &other) { return other->bufferId() == stalled->connection; });
+        if (session != sessions_.end()) {
+            std::shared_ptr<CallerSession>(*session)->closeStalled();
+        }
+        callerBuffers_.close(stalled->connection);
+    }
+}
+
 void Gateway::accept()
 {
     acceptor_.async_accept([this](const boost::system::error_code &error, TcpConnection::Socket socket) {
@@ -480,6 +506,7 @@
                   {"targets", static_cast<std::int64_t>(directory_.all().size())},
                   {"proof_age_ms", static_cast<std::int64_t>(toSeconds(proofAge(now)) * 1e3)}});
     }
+    closeStalledCallers(now);
     tickTimer_.expires_after(tickInterval);
     tickTimer_.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -28,6 +28,7 @@
 #include "gateway/target_pool.h"
 #include "gateway/target_statements.h"
 #include "gateway/version_guard.h"
+#include "memory/buffer_budget.h"
 
 namespace Lovageloft
 {
@@ -58,6 +59,7 @@
     std::optional<HostAddress> metrics; ///< Address of the metrics and the operators' interface.
     std::string hostName;
     std::string dataCentre;
+    std::size_t callerBufferBytes = 0; ///< Memory for slow callers and request bodies; 0 if the size of the host's memory is not known.
     GatewayLimits limits;
 };
 
@@ -255,6 +257,17 @@
         return fleet_;
     }
 
+    /// The memory that caller connections hold.
+    BufferBudget &callerBuffers()
+    {
+        return callerBuffers_;
+    }
+
+    const BufferBudget &callerBuffers() const
+    {
+        return callerBuffers_;
+    }
+
     CallerLimits callerLimits() const;
     bool isDraining() const;
 
@@ -335,6 +348,7 @@
 private:
     void accept();
     void tick();
+    void closeStalledCallers(TimePoint now);
     void onWeightsChanged();
     void continueDrain();
     StatusAnswer readinessAnswer(std::string_view path);
@@ -381,6 +395,7 @@
     RequestDispatch dispatch_;
     std::vector<std::shared_ptr<RoutedRequest>> pendingRequests_; ///< Requests that wait for the first configuration.
     boost::asio::steady_timer configurationTimer_;
+    BufferBudget callerBuffers_;
     std::set<std::shared_ptr<CallerSession>> sessions_;
     CacheStores cacheStores_;
     std::map<std::string, HostRecord> hosts_; ///< All active hosts including this one.
--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -19,6 +19,7 @@
     HostAddress store; ///< Address of the store's server.
     HostAddress peers; ///< Receives datagrams of other hosts.
     HostCapacity capacity;
+    double memoryMegabytes = 0; ///< Memory of the host; 0 if it is not known.
     Duration keyProofWindow{}; ///< Time within which a withdrawn key must stop working.
     Duration configurationWindow{}; ///< Time within which a configuration change must be in force.
     Duration weightsDeadline{}; ///< Time after the publication of weights from which no request may begin on older ones.
--- a/gateway/request_limits.h
+++ b/gateway/request_limits.h
@@ -8,12 +8,6 @@
 namespace Lovageloft
 {
 
-/// Responses other than streams up to this size are buffered until complete, so that a request whose target is lost can be retried unnoticed by the caller.
-inline constexpr std::size_t maxBufferedAnswerBytes = 262'144;
-
-/// Unsent bytes for a slow caller above which reading from the target pauses.
-inline constexpr std::size_t maxCallerBacklogBytes = 262'144;
-
 /// Maximum targets tried for one request, including unreachable ones and those that decline it without running it.
 inline constexpr int maxSends = 4;
 
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -230,7 +230,7 @@
     }
     mayHaveRun_ = true;
     phase_ = Phase::Answering;
-    bufferedBody_.clear();
+    takeBuffered();
     isAnswerRelayed_ = !isAnswerStarted_ || answerHead_.status == successStatus;
 }
 
@@ -252,10 +252,12 @@
         return;
     }
     bufferedBody_.append(bytes);
-    if (bufferedBody_.size() > maxBufferedAnswerBytes) {
+    if (session_ != nullptr) {
+        session_->setIncompleteBytes(bufferedBody_.size());
+    }
+    if (bufferedBody_.size() > gateway_.callerBuffers().connectionBound()) {
         startAnswer(std::nullopt);
-        relay(bufferedBody_);
-        bufferedBody_.clear();
+        relay(takeBuffered());
     }
 }
 
@@ -295,6 +297,15 @@
     }
 }
 
+/// The part of the body that is not relayed yet, which is no longer counted for the caller.
+std::string RoutedRequest::takeBuffered()
+{
+    if (session_ != nullptr) {
+        session_->setIncompleteBytes(0);
+    }
+    return std::exchange(bufferedBody_, {});
+}
+
 void RoutedRequest::relay(std::string_view bytes)
 {
     if (session_ == nullptr) {
@@ -302,7 +313,7 @@
     }
     relayedBytes_ += bytes.size();
     session_->sendBody(bytes);
-    if (session_->unsent() > maxCallerBacklogBytes && connection_ != nullptr) {
+    if (session_->isAtBufferBound() && connection_ != nullptr) {
         connection_->pauseReading();
         isReadingPaused_ = true;
     }
@@ -337,8 +348,7 @@
         log_.failed(targetId_, answerHead_.status, isRetriedElsewhere);
     }
     if (isRetriedElsewhere) {
-        fallback_ = BufferedAnswer{std::move(answerHead_), std::move(bufferedBody_)};
-        bufferedBody_.clear();
+        fallback_ = BufferedAnswer{std::move(answerHead_), takeBuffered()};
         retryElsewhere();
         return;
     }
@@ -376,7 +386,7 @@
     const bool isLinkLost = loss == TargetLoss::NotSent && gateway_.paths().isLost(sentTo_, BootClock::now());
     endDispatch(isLinkLost ? DispatchResult::Cancelled : DispatchResult::Failed);
     events_.dropPartial();
-    bufferedBody_.clear();
+    takeBuffered();
     if (loss == TargetLoss::NotSent) {
         --attempts_;
         --sends_;
@@ -412,7 +422,7 @@
     log_.lost({targetId_, fingerprint(), why, false, isFirstTokenReported_, isAnswerStarted_});
     endDispatch(DispatchResult::Cancelled);
     events_.dropPartial();
-    bufferedBody_.clear();
+    takeBuffered();
     if (isRetryable()) {
         retryElsewhere();
     } else {
@@ -467,7 +477,7 @@
 {
     if (!isAnswerStarted_) {
         startAnswer(bufferedBody_.size());
-        relay(bufferedBody_);
+        relay(takeBuffered());
     }
     const auto session = std::move(session_);
     finish("answered", answerHead_.status);
@@ -487,6 +497,7 @@
     if (mustComplete) {
         deadline_ = BootClock::now() + orphanTimeout;
         armTimer();
+        onCallerBufferEmpty(); // Nobody reads the rest; the target can complete it.
         return;
     }
     closeConnection();
--- a/gateway/routed_request.h
+++ b/gateway/routed_request.h
@@ -115,6 +115,7 @@
     void onNotExecuted();
     void onEvents(std::string_view events);
     void relay(std::string_view bytes);
+    std::string takeBuffered();
     void endDispatch(DispatchResult result);
     bool isRetryable() const;
     bool isQuarantined() const;
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -56,6 +56,10 @@
     return limits;
 }
 
+/// Fraction of the host's memory for callers that read slowly and for request bodies. The rest is for the program, its tables and the kernel.
+constexpr double callerBufferFraction = 0.25;
+constexpr double bytesPerMegabyte = 1e6;
+
 GatewayOptions gatewayOptions(const GatewaySettings &settings, std::uint16_t metricsPort)
 {
     GatewayOptions options;
@@ -68,6 +72,7 @@
     options.hostName = settings.hostName;
     options.dataCentre = settings.dataCentre;
     options.limits = gatewayLimits(settings);
+    options.callerBufferBytes = static_cast<std::size_t>(std::max(settings.memoryMegabytes, 0.0) * bytesPerMegabyte * callerBufferFraction);
     return options;
 }
 
@@ -114,6 +119,7 @@
     {"store", &isSame<&GatewaySettings::store>, false},
     {"peers", &isSame<&GatewaySettings::peers>, false},
     {"capacity", &isSame<&GatewaySettings::capacity>, false},
+    {"memory", &isSame<&GatewaySettings::memoryMegabytes>, false},
     {"leader_lease", &isSame<&GatewaySettings::leaderLease>, false},
     {"shortest_lease", &isSame<&GatewaySettings::minLeaseTimeToLive>, false},
     {"engines_check_fencing", &isSame<&GatewaySettings::enginesCheckFencing>, false},
--- a/memory/buffer_budget.cpp
+++ b/memory/buffer_budget.cpp
@@ -44,8 +44,9 @@
     if (found == connections_.end()) {
         return;
     }
-    change(found->second, BufferUse::Response, 0);
-    change(found->second, BufferUse::RequestBody, 0);
+    for (const BufferUse use : {BufferUse::Response, BufferUse::IncompleteResponse, BufferUse::RequestBody}) {
+        change(found->second, use, 0);
+    }
     connections_.erase(found);
 }
 
@@ -55,10 +56,10 @@
     if (found == connections_.end()) {
         return;
     }
-    if (use == BufferUse::Response && found->second.responseBytes == 0) {
+    if (use == BufferUse::Response && found->second.of(use) == 0) {
         found->second.progressAt = now;
     }
-    change(found->second, use, held(found->second, use) + bytes);
+    change(found->second, use, found->second.of(use) + bytes);
 }
 
 void BufferBudget::release(ConnectionId connection, BufferUse use, std::size_t bytes, TimePoint now)
@@ -70,7 +71,7 @@
     if (use == BufferUse::Response) {
         found->second.progressAt = now;
     }
-    const std::size_t current = held(found->second, use);
+    const std::size_t current = found->second.of(use);
     change(found->second, use, current - std::min(bytes, current));
 }
 
@@ -86,7 +87,7 @@
 bool BufferBudget::isAtBound(ConnectionId connection) const
 {
     const auto found = connections_.find(connection);
-    return found != connections_.end() && found->second.responseBytes > connectionBound();
+    return found != connections_.end() && found->second.of(BufferUse::Response) > connectionBound();
 }
 
 bool BufferBudget::isExhausted() const
@@ -102,33 +103,27 @@
     std::optional<Stalled> largest;
     for (const auto &[id, connection] : connections_) {
         const Duration silence = now - connection.progressAt;
-        if (connection.responseBytes == 0 || silence < stallTime) {
+        const std::size_t bytes = connection.of(BufferUse::Response);
+        if (bytes == 0 || silence < stallTime) {
             continue;
         }
         // Of equal ones the oldest, so that the choice does not depend on the order of the table.
-        const bool isLarger = !largest || connection.responseBytes > largest->bytes || (connection.responseBytes == largest->bytes && id < largest->connection);
+        const bool isLarger = !largest || bytes > largest->bytes || (bytes == largest->bytes && id < largest->connection);
         if (isLarger) {
-            largest = Stalled{id, connection.responseBytes, silence};
+            largest = Stalled{id, bytes, silence};
         }
     }
     return largest;
 }
 
-std::size_t &BufferBudget::held(Connection &connection, BufferUse use)
-{
-    return use == BufferUse::Response ? connection.responseBytes : connection.bodyBytes;
-}
-
 /// Sets what a connection holds for a use, and updates the sums.
 void BufferBudget::change(Connection &connection, BufferUse use, std::size_t bytes)
 {
-    std::size_t &current = held(connection, use);
+    std::size_t &current = connection.of(use);
     reserved_ = reserved_ - current + bytes;
-    if (use == BufferUse::Response) {
-        largeConnections_ -= current > minConnectionBytes ? 1 : 0;
-        largeConnections_ += bytes > minConnectionBytes ? 1 : 0;
-    }
+    largeConnections_ -= connection.isLarge() ? 1 : 0;
     current = bytes;
+    largeConnections_ += connection.isLarge() ? 1 : 0;
 }
 
 } // namespace Lovageloft
--- a/memory/buffer_budget.h
+++ b/memory/buffer_budget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -14,9 +15,12 @@
 enum class BufferUse : std::uint8_t
 {
     Response, ///< Part of a response that the caller has not read yet.
+    IncompleteResponse, ///< Part of a response that is not sent to the caller before it is complete.
     RequestBody,
 };
 
+inline constexpr std::size_t bufferUses = 3;
+
 /// Bounds the memory that a host holds for callers that read slowly and for request bodies.
 ///
 /// Below half of the budget, each connection may hold up to `maxConnectionBytes` of a response. Above it, the free bytes are divided evenly among
@@ -65,10 +69,10 @@
     /// Counts bytes that a registered connection no longer holds, at most what it holds. Bytes of a response have been taken by the caller.
     void release(ConnectionId connection, BufferUse use, std::size_t bytes, TimePoint now);
 
-    /// Maximum bytes of a response that each connection may hold now, between `minConnectionBytes` and `maxConnectionBytes`.
+    /// Maximum bytes of a response, complete or not, that each connection may hold now, between `minConnectionBytes` and `maxConnectionBytes`.
     std::size_t connectionBound() const;
 
-    /// Whether the connection holds more of a response than the bound, and its source must stop.
+    /// Whether the connection holds more unread bytes of a response than the bound, and its source must stop.
     bool isAtBound(ConnectionId connection) const;
 
     /// Whether no byte is left, so that no further request body can be accepted. Never true without a known size.
@@ -93,12 +97,25 @@
 private:
     struct Connection
     {
-        std::size_t responseBytes = 0;
-        std::size_t bodyBytes = 0;
+        std::array<std::size_t, bufferUses> bytes{};
         TimePoint progressAt; ///< When the caller last took bytes, or the first byte began to wait for it.
+
+        std::size_t &of(BufferUse use)
+        {
+            return bytes[static_cast<std::size_t>(use)];
+        }
+
+        std::size_t of(BufferUse use) const
+        {
+            return bytes[static_cast<std::size_t>(use)];
+        }
+
+        bool isLarge() const
+        {
+            return of(BufferUse::Response) + of(BufferUse::IncompleteResponse) > minConnectionBytes;
+        }
     };
 
-    static std::size_t &held(Connection &connection, BufferUse use);
     void change(Connection &connection, BufferUse use, std::size_t bytes);
 
     std::size_t total_;
--- a/tests/memory/test_buffer_budget.cpp
+++ b/tests/memory/test_buffer_budget.cpp
@@ -108,6 +108,22 @@
     BOOST_TEST(!budget.findStalled(start + 10s));
 }
 
+// Guards against responses that are buffered until they are complete: they cost memory too, but their callers are not stalled.
+BOOST_AUTO_TEST_CASE(incompleteResponsesCountAndAreNotStalled)
+{
+    BufferBudget budget(1'000 * kib);
+    const auto buffering = budget.open();
+    const auto reading = budget.open();
+    budget.reserve(buffering, BufferUse::IncompleteResponse, 600 * kib, start);
+    budget.reserve(reading, BufferUse::Response, 200 * kib, start);
+    BOOST_TEST(budget.connectionBound() == 100 * kib);
+    budget.reserve(buffering, BufferUse::IncompleteResponse, 200 * kib, start);
+    BOOST_TEST(!budget.isAtBound(buffering));
+    const auto found = budget.findStalled(start + 10s);
+    BOOST_REQUIRE(found);
+    BOOST_TEST(found->connection == reading);
+}
+
 // Guards against sums that go wrong when a connection releases more than it holds or is closed twice.
 BOOST_AUTO_TEST_CASE(impossibleReleasesDoNotChangeTheSums)
 {
--- a/tests/platform/test_node_file.cpp
+++ b/tests/platform/test_node_file.cpp
@@ -74,6 +74,18 @@
     BOOST_TEST(settings->enginesCheckFencing);
 }
 
+// Guards against a host of unknown size that takes itself for one without memory, and a known size that is not read.
+BOOST_AUTO_TEST_CASE(theMemoryOfTheHostIsOptional)
+{
+    Reason reason;
+    const auto unknown = parseNodeFile(good, "test.toml", reason);
+    BOOST_REQUIRE_MESSAGE(unknown.has_value(), reason.text);
+    BOOST_TEST(unknown->memoryMegabytes == 0);
+    const auto known = parseNodeFile(good + "[limits]\nmemoryMb = 120\n", "test.toml", reason);
+    BOOST_REQUIRE_MESSAGE(known.has_value(), reason.text);
+    BOOST_TEST(known->memoryMegabytes == 120);
+}
+
 BOOST_DATA_TEST_CASE(aWrongFieldIsNamedWithItsPlaceAndRange, boost::unit_test::data::make(changes), change)
 {
     std::string text = good;
