--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -19,6 +19,7 @@
     HostAddress store; ///< Address of the store's server.
     HostAddress peers; ///< Receives datagrams of other hosts.
     HostCapacity capacity;
+    double memoryMegabytes = 0; ///< Memory of the host; 0 if it is not known.
     Duration keyProofWindow{}; ///< Time within which a withdrawn key must stop working.
     Duration configurationWindow{}; ///< Time within which a configuration change must be in force.
     Duration weightsDeadline{}; ///< Time after the publication of weights from which no request may begin on older ones.
@@ -33,6 +34,7 @@
     double exposureShare = 0.05; ///< Fraction of a service's requests that a version may get which is not trusted yet, over all hosts.
     double exposureSlack = 20; ///< Requests that such a version may get in addition.
     Duration rollbackTime = std::chrono::seconds(5); ///< From the answers that show a bad version to the last request sent to it.
+    bool boundsCallerBuffers = false; ///< Bounds what slow callers and request bodies hold by the host's memory.
     bool adaptsToEngines = false; ///< Learns the times of engines and divides them between short and long prompts, also where engines state no pace.
     Duration minLeaseTimeToLive{}; ///< The shortest lease that the store grants.
 };
--- a/suspicion/engine_suspicions.h
+++ b/suspicion/engine_suspicions.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "core/clock.h"
-#include "decision/decaying_count.h"
+#include "core/decaying_count.h"
 #include "decision/rendezvous.h"
 
 namespace Lovageloft
--- a/tests/platform/test_node_file.cpp
+++ b/tests/platform/test_node_file.cpp
@@ -88,9 +88,23 @@
         const auto settings = parseNodeFile(line + good, "test.toml", reason);
         BOOST_REQUIRE_MESSAGE(settings.has_value(), reason.text);
         BOOST_TEST(settings->requestsWaitForTokens == expected, line);
+        BOOST_TEST(settings->adaptsToEngines == expected, line);
+        BOOST_TEST(settings->boundsCallerBuffers == expected, line);
     }
 }
 
+// Guards against a host of unknown size that takes itself for one without memory, and a known size that is not read.
+BOOST_AUTO_TEST_CASE(theMemoryOfTheHostIsOptional)
+{
+    Reason reason;
+    const auto unknown = parseNodeFile(good, "test.toml", reason);
+    BOOST_REQUIRE_MESSAGE(unknown.has_value(), reason.text);
+    BOOST_TEST(unknown->memoryMegabytes == 0);
+    const auto known = parseNodeFile(good + "[limits]\nmemoryMb = 120\n", "test.toml", reason);
+    BOOST_REQUIRE_MESSAGE(known.has_value(), reason.text);
+    BOOST_TEST(known->memoryMegabytes == 120);
+}
+
 BOOST_DATA_TEST_CASE(aWrongFieldIsNamedWithItsPlaceAndRange, boost::unit_test::data::make(changes), change)
 {
     std::string text = good;
