Logs tell how long a request was at its target when it was rejected or given up

A rejection that comes late, one that nobody hears as the caller has left, and a prompt one looked the same. request_declined gets sent_ms; request_undecided is new: a request left a target with a limit before it was known whether the target would run it. No change of behaviour.

--- a/gateway/request_log.cpp
+++ b/gateway/request_log.cpp
@@ -59,16 +59,22 @@
               {"configuration", intake_.configurationVersion()}});
 }
 
-void RequestLog::declined(std::string_view target, int status, bool isTargetMismatch, std::optional<double> rateLimit, std::optional<Duration> retryAfter) const
+void RequestLog::declined(const Declined &declined) const
 {
     writeLog(LogLevel::Info,
              "request_declined",
              {{"request", intake_.caller().id},
-              {"target", target},
-              {"status", std::int64_t{status}},
-              {"other_target", isTargetMismatch},
-              {"rate_limit", rateLimit.value_or(-1)},
-              {"retry_after_ms", retryAfter ? toMillis(*retryAfter) : std::int64_t{-1}}});
+              {"target", declined.target},
+              {"status", std::int64_t{declined.status}},
+              {"other_target", declined.isTargetMismatch},
+              {"rate_limit", declined.rateLimit.value_or(-1)},
+              {"retry_after_ms", declined.retryAfter ? toMillis(*declined.retryAfter) : std::int64_t{-1}},
+              {"sent_ms", toMillis(declined.age)}});
+}
+
+void RequestLog::undecided(std::string_view target, Duration age) const
+{
+    writeLog(LogLevel::Info, "request_undecided", {{"request", intake_.caller().id}, {"target", target}, {"sent_ms", toMillis(age)}});
 }
 
 void RequestLog::lost(const Lost &lost) const
--- a/gateway/request_log.h
+++ b/gateway/request_log.h
@@ -36,11 +36,21 @@
 
     void sent(const Sent &sent) const;
 
-    /// The target responded that it did not run the request. `isTargetMismatch`: another target listens at the address, or the target has
-    /// other weights than expected.
-    /// `rateLimit`: requests a second that all hosts may send to the target at this time; nothing if there is no limit. `retryAfter`: for how long the
-    /// target wants no requests from this host; nothing if it didn't say.
-    void declined(std::string_view target, int status, bool isTargetMismatch, std::optional<double> rateLimit, std::optional<Duration> retryAfter) const;
+    /// A response which says that the target did not run the request.
+    struct Declined
+    {
+        std::string_view target;
+        int status = 0;
+        bool isTargetMismatch = false; ///< Another target listens at the address, or the target has other weights than expected.
+        std::optional<double> rateLimit; ///< Requests a second that all hosts may send to the target at this time; nothing if there is no limit.
+        std::optional<Duration> retryAfter; ///< For how long the target wants no requests from this host; nothing if it didn't say.
+        Duration age{}; ///< Time since the request was sent to the target.
+    };
+
+    void declined(const Declined &declined) const;
+
+    /// The request has left a target with a limit before it was known whether the target would run it. `age`: time since it was sent there.
+    void undecided(std::string_view target, Duration age) const;
 
     /// A connection to a target that failed or ended.
     struct Lost
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -376,7 +376,7 @@
     gateway_.targets().onNotExecuted(targetId_, notExecutedFacts_, intake_.caller().model, BootClock::now());
     gateway_.dispatch().invalidateEngines();
     endDispatch(notExecutedFacts_.isTargetMismatch ? DispatchResult::Cancelled : DispatchResult::Declined);
-    log_.declined(targetId_, answerHead_.status, notExecutedFacts_.isTargetMismatch, rateLimit, notExecutedFacts_.retryAfter);
+    log_.declined({targetId_, answerHead_.status, notExecutedFacts_.isTargetMismatch, rateLimit, notExecutedFacts_.retryAfter, BootClock::now() - sentAt_});
     isNotExecuted_ = false;
     retryElsewhere();
 }
@@ -442,6 +442,9 @@
 
 void RoutedRequest::endDispatch(DispatchResult result)
 {
+    if (phase_ == Phase::Sent && !isNotExecuted_ && assignment_.usesPermit) {
+        log_.undecided(targetId_, BootClock::now() - sentAt_);
+    }
     isFirstTokenReported_ = false;
     phase_ = Phase::Queued; // The target no longer runs it; mayHaveRun_ says whether it may have.
     exposure_.onEnded(result, BootClock::now());
