The scripted target joins the threads of connections that have ended

A test with many short connections ended with std::system_error: some 14,000 threads had ended unjoined and kept their stacks. They are joined when the next connection comes.

--- a/tests/stand_ins/scripted_target.cpp
+++ b/tests/stand_ins/scripted_target.cpp
@@ -148,8 +148,8 @@
 {
     isStopped_ = true;
     acceptor_.join();
-    for (std::thread &worker : workers_) {
-        worker.join();
+    for (Worker &worker : workers_) {
+        worker.thread.join();
     }
 }
 
@@ -180,11 +180,29 @@
     while (!isStopped_) {
         if (listener_.poll(Poco::Timespan(pollTime), Poco::Net::Socket::SELECT_READ)) {
             ++connections_;
-            workers_.emplace_back([this, socket = listener_.acceptConnection()] { serve(socket); });
+            joinEnded();
+            const auto hasEnded = std::make_shared<std::atomic<bool>>(false);
+            std::thread thread([this, hasEnded, socket = listener_.acceptConnection()] {
+                serve(socket);
+                *hasEnded = true;
+            });
+            workers_.push_back({std::move(thread), hasEnded});
         }
     }
 }
 
+/// Threads that have ended keep their stacks until they are joined.
+void ScriptedTarget::joinEnded()
+{
+    std::erase_if(workers_, [](Worker &worker) {
+        if (!*worker.hasEnded) {
+            return false;
+        }
+        worker.thread.join();
+        return true;
+    });
+}
+
 void ScriptedTarget::serve(Poco::Net::StreamSocket socket)
 {
     Connection connection(socket);
--- a/tests/stand_ins/scripted_target.h
+++ b/tests/stand_ins/scripted_target.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <string_view>
@@ -78,7 +79,15 @@
     std::vector<Request> received() const;
 
 private:
+    /// Serves one connection.
+    struct Worker
+    {
+        std::thread thread;
+        std::shared_ptr<std::atomic<bool>> hasEnded;
+    };
+
     void accept();
+    void joinEnded();
     void serve(Poco::Net::StreamSocket socket);
     static bool readRequest(Poco::Net::StreamSocket &socket, std::string &buffer, Request &request);
 
@@ -88,7 +97,7 @@
     std::atomic<int> connections_ = 0;
     mutable std::mutex mutex_;
     std::vector<Request> received_;
-    std::vector<std::thread> workers_;
+    std::vector<Worker> workers_;
     std::thread acceptor_;
 };
 
