--- a/tests/platform/test_rejection_limits.cpp
+++ b/tests/platform/test_rejection_limits.cpp
@@ -1,9 +1,11 @@
 #define BOOST_TEST_MODULE rejection_limits
 #include <array>
+#include <atomic>
 #include <deque>
 #include <mutex>
 #include <optional>
 
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "tests/platform/fleet_fixture.h"
@@ -24,6 +26,13 @@
 /// Requests that a target holds at a time, before and after it shrinks.
 constexpr int fullRoom = 8;
 constexpr int smallRoom = 2;
+constexpr int smallestRoom = 1;
+
+/// Callers that leave do so after this time.
+constexpr Duration callerPatience = 20ms;
+
+/// Falls that the users allow: two and a tenth of the targets.
+constexpr int allowedFalls = 2 + targetCount / 10;
 
 constexpr Duration serviceTime = 60ms;
 
@@ -38,6 +47,7 @@
 
 constexpr Duration fullTime = 1s;
 constexpr Duration smallTime = 6s;
+constexpr Duration smallestTime = 6s;
 
 /// The use of the smaller room counts from this time after the change.
 constexpr Duration settleTime = 2s;
@@ -55,22 +65,38 @@
         }
     }
 
-    /// Has callers of all hosts send requests, one after the other, while the targets' room shrinks. At that moment `addedCallers` more join them.
-    void play(Duration serviceTime, std::size_t addedCallers = 0)
+    /// How targets and callers behave.
+    struct Load
+    {
+        Duration serviceTime{};
+        std::size_t callers = callerCount;
+        std::size_t addedCallers = 0; ///< That join the others when the room shrinks.
+        std::size_t leavingCallers = 0; ///< That leave after `callerPatience`. They begin when all hosts know the limit.
+        Duration rejectionDelay{}; ///< By which rejections leave late.
+        bool hasSmallestRoom = false; ///< Whether the room shrinks a second time.
+    };
+
+    /// Has callers of all hosts send requests, one after the other, while the targets' room shrinks.
+    void play(const Load &load)
     {
-        serviceTime_ = serviceTime;
+        load_ = load;
         const TimePoint start = BootClock::now();
+        const TimePoint end = start + fullTime + smallTime + (load.hasSmallestRoom ? smallestTime : Duration::zero());
         std::vector<std::thread> callers;
-        for (std::size_t i = 0; i < callerCount + addedCallers; ++i) {
-            callers.emplace_back([this, i, start] {
-                std::this_thread::sleep_for(i < callerCount ? Duration::zero() : fullTime);
-                call(i % hostCount, start + fullTime + smallTime);
+        for (std::size_t i = 0; i < load.callers + load.addedCallers + load.leavingCallers; ++i) {
+            callers.emplace_back([this, i, end] {
+                const bool isLeaving = i >= load_.callers + load_.addedCallers;
+                const Duration added = isLeaving ? fullTime / 2 : fullTime;
+                std::this_thread::sleep_for(i < load_.callers ? Duration::zero() : added);
+                isLeaving ? callAndLeave(i % hostCount, end) : call(i % hostCount, end);
             });
         }
-        while (BootClock::now() < start + fullTime + smallTime) {
+        for (TimePoint now = start; now < end; now = BootClock::now()) {
             std::this_thread::sleep_for(10ms);
-            if (BootClock::now() >= start + fullTime) {
-                shrink(start + fullTime + settleTime);
+            if (now >= start + fullTime + smallTime) {
+                shrink(smallestRoom, start + fullTime + smallTime + settleTime);
+            } else if (now >= start + fullTime) {
+                shrink(smallRoom, start + fullTime + settleTime);
             }
             restartFallen();
         }
@@ -88,11 +114,12 @@
         return falls_;
     }
 
-    /// Part of the smaller room of all targets that was used.
+    /// Part of the smaller rooms of all targets that was used.
     double roomUsed() const
     {
-        const double capacity = toSeconds(smallTime - settleTime) / toSeconds(serviceTime_) * smallRoom * targetCount;
-        return served_ / capacity;
+        const double small = toSeconds(smallTime - settleTime) * smallRoom;
+        const double smallest = load_.hasSmallestRoom ? toSeconds(smallestTime - settleTime) * smallestRoom : 0;
+        return served_ * toSeconds(load_.serviceTime) / ((small + smallest) * targetCount);
     }
 
     /// Part of the refusals, from when the room had been small for a while, that came promptly.
@@ -114,7 +141,7 @@
         constexpr Duration pause = 10ms;
         while (BootClock::now() < end) {
             const TimePoint sentAt = BootClock::now();
-            const bool isServed = exchange(host, GatewayFixture::request("GET", "/safe/x")).starts_with("HTTP/1.1 200 ");
+            const bool isServed = exchange(host, request()).starts_with("HTTP/1.1 200 ");
             {
                 const std::lock_guard lock(mutex_);
                 if (!isServed && sentAt >= countedFrom_) {
@@ -126,6 +153,27 @@
         }
     }
 
+    /// No two are alike, so that none of them is suspected when targets fall over.
+    std::string request()
+    {
+        return GatewayFixture::request("GET", "/safe/" + std::to_string(++lastRequest_));
+    }
+
+    /// Sends requests without waiting for their answers.
+    void callAndLeave(std::size_t host, TimePoint end)
+    {
+        while (BootClock::now() < end) {
+            const std::string bytes = request();
+            try {
+                Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", callerPort(host)));
+                socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+                std::this_thread::sleep_for(callerPatience);
+            } catch (const Poco::Exception &) {
+                continue; // The host has refused it already.
+            }
+        }
+    }
+
     static std::string nameOf(std::size_t target)
     {
         return std::string(1, static_cast<char>('a' + target));
@@ -165,6 +213,7 @@
         State &state = states_.at(target);
         switch (admit(state)) {
         case Admission::Rejected:
+            std::this_thread::sleep_for(load_.rejectionDelay);
             connection.answer(request, 503, "full", std::string(stated) + "Lovageloft-Not-Executed: full\r\n");
             return;
         case Admission::Down:
@@ -173,7 +222,7 @@
         case Admission::Admitted:
             break;
         }
-        std::this_thread::sleep_for(serviceTime_);
+        std::this_thread::sleep_for(load_.serviceTime);
         {
             const std::lock_guard lock(mutex_);
             --state.running;
@@ -186,10 +235,10 @@
         connection.answer(request, 200, "whole", stated);
     }
 
-    void shrink(TimePoint countedFrom)
+    void shrink(int room, TimePoint countedFrom)
     {
         const std::lock_guard lock(mutex_);
-        room_ = smallRoom;
+        room_ = room;
         countedFrom_ = countedFrom;
     }
 
@@ -208,6 +257,7 @@
         }
     }
 
+    std::atomic<int> lastRequest_ = 0;
     std::mutex mutex_;
     std::array<State, targetCount> states_;
     int room_ = fullRoom;
@@ -215,10 +265,29 @@
     double served_ = 0;
     double refused_ = 0;
     double prompt_ = 0;
-    Duration serviceTime_{};
+    Load load_;
     TimePoint countedFrom_ = TimePoint::max();
 };
 
+constexpr std::size_t leavingCount = 30;
+
+using Load = RejectionLimitFixture::Load;
+
+constexpr std::array lateRejections{
+    Load{.serviceTime = longServiceTime, .rejectionDelay = 150ms, .hasSmallestRoom = true},
+    Load{.serviceTime = serviceTime, .rejectionDelay = 400ms, .hasSmallestRoom = true},
+};
+
+constexpr std::array leavingCallers{
+    Load{.serviceTime = longServiceTime, .callers = leavingCount, .leavingCallers = leavingCount, .rejectionDelay = 50ms, .hasSmallestRoom = true},
+    Load{.serviceTime = longServiceTime, .callers = leavingCount, .leavingCallers = leavingCount, .rejectionDelay = 150ms, .hasSmallestRoom = true},
+};
+
+std::ostream &operator<<(std::ostream &out, const Load &load)
+{
+    return out << toMillis(load.serviceTime) << " ms of service, rejections " << toMillis(load.rejectionDelay) << " ms late";
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(RejectionLimits, RejectionLimitFixture)
@@ -226,7 +295,7 @@
 // Guards against targets that fall over again and again under requests that they have to reject, while hardly any of their room is used.
 BOOST_AUTO_TEST_CASE(targetsWhoseRoomShrinksDoNotFallOverAndAreUsed)
 {
-    play(serviceTime);
+    play({.serviceTime = serviceTime});
     BOOST_TEST(falls() == 0);
     BOOST_TEST_MESSAGE("part of the room used: " << roomUsed());
     BOOST_TEST(roomUsed() >= minRoomUsed);
@@ -235,11 +304,29 @@
 // Guards against callers that are kept waiting for most of their time and then refused, as targets hold far fewer requests than are sent.
 BOOST_AUTO_TEST_CASE(whatTheRoomDoesNotSufficeForIsRefusedAtOnce)
 {
-    play(longServiceTime, addedCallers);
+    play({.serviceTime = longServiceTime, .addedCallers = addedCallers});
     BOOST_TEST_MESSAGE("part of the room used: " << roomUsed() << ", of the refusals prompt: " << promptRefusals());
     BOOST_TEST(falls() == 0);
     BOOST_TEST(roomUsed() >= minRoomUsed);
     BOOST_TEST(promptRefusals() >= promptShare);
 }
 
+// Guards against targets that fall over as their rejections come late, and requests without an answer are taken for accepted.
+BOOST_DATA_TEST_CASE(targetsThatRejectLateDoNotFallOverAndAreUsed, boost::unit_test::data::make(lateRejections), load)
+{
+    play(load);
+    BOOST_TEST_MESSAGE("part of the room used: " << roomUsed() << ", falls: " << falls());
+    BOOST_TEST(falls() <= allowedFalls);
+    BOOST_TEST(roomUsed() >= minRoomUsed);
+}
+
+// Guards against targets that fall over under requests whose callers have left: their slots are free, but what became of them is not known.
+BOOST_DATA_TEST_CASE(targetsWhoseCallersLeaveDoNotFallOverAndAreUsed, boost::unit_test::data::make(leavingCallers), load)
+{
+    play(load);
+    BOOST_TEST_MESSAGE("part of the room used: " << roomUsed() << ", falls: " << falls());
+    BOOST_TEST(falls() <= allowedFalls);
+    BOOST_TEST(roomUsed() >= minRoomUsed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
