--- a/decision/concurrency_limit.cpp
+++ b/decision/concurrency_limit.cpp
@@ -20,9 +20,6 @@
 /// Rejections of requests that were sent before a decrease reached all hosts don't decrease the limit again.
 constexpr Duration decreaseTime = std::chrono::milliseconds(60);
 
-/// A probe that was not rejected within this time is accepted.
-constexpr Duration probeTime = std::chrono::milliseconds(80);
-
 /// Wait after an accepted and after a rejected probe; the latter doubles up to a maximum.
 constexpr Duration probeInterval = std::chrono::milliseconds(100);
 constexpr Duration firstProbeDelay = std::chrono::milliseconds(500);
@@ -39,9 +36,14 @@
     budget_ = static_cast<std::size_t>(std::clamp(std::floor(rejectionsPerSecond * usedFraction), 1.0, maxBudget));
 }
 
-bool ConcurrencyLimit::canSend(std::size_t inUse, std::size_t unverified, TimePoint now) const
+void ConcurrencyLimit::setRejectionTime(Duration time)
 {
-    if (unverified + recentRejections(now) >= budget_ || now < pausedUntil_) {
+    rejectionTime_ = time;
+}
+
+bool ConcurrencyLimit::canSend(std::size_t inUse, std::size_t undecided, TimePoint now) const
+{
+    if (undecided + recentRejections(now) >= budget_ || now < pausedUntil_) {
         return false;
     }
     if (!limit_ || inUse < *limit_) {
@@ -50,12 +52,13 @@
     return now >= nextProbeAt_ && inUse < *limit_ + probeStep_;
 }
 
-void ConcurrencyLimit::onSent(std::size_t inUse, TimePoint now)
+bool ConcurrencyLimit::onSent(std::size_t inUse)
 {
-    if (limit_ && inUse >= *limit_) {
+    const bool isProbe = limit_ && inUse >= *limit_;
+    if (isProbe) {
         probe_ = inUse + 1;
-        probeEndsAt_ = now + probeTime;
     }
+    return isProbe;
 }
 
 void ConcurrencyLimit::onRejected(std::size_t inUse, TimePoint now)
@@ -70,7 +73,7 @@
     if (probe_) {
         probe_.reset();
         probeDelay_ = std::clamp(probeDelay_ * 2, firstProbeDelay, maxProbeDelay);
-    } else if (now - decreasedAt_ > decreaseTime) {
+    } else if (now - decreasedAt_ > decreaseTime + rejectionTime_) {
         limit_ = std::max<std::size_t>(1, std::min(limit_.value_or(inUse), inUse) / 2);
         probeDelay_ = Duration::zero();
     }
@@ -79,9 +82,9 @@
     nextProbeAt_ = now + std::max(probeDelay_, probeInterval);
 }
 
-void ConcurrencyLimit::update(TimePoint now)
+void ConcurrencyLimit::onProbeAccepted(TimePoint now)
 {
-    if (!probe_ || now < probeEndsAt_) {
+    if (!probe_) {
         return;
     }
     limit_ = std::max(*limit_, *probe_);
@@ -91,6 +94,11 @@
     nextProbeAt_ = now + probeInterval;
 }
 
+void ConcurrencyLimit::onProbeCancelled()
+{
+    probe_.reset();
+}
+
 std::size_t ConcurrencyLimit::recentRejections(TimePoint now) const
 {
     return static_cast<std::size_t>(std::count_if(rejectedAt_.begin(), rejectedAt_.end(), [now](TimePoint at) { return now - at <= rejectionWindow; }));
@@ -100,9 +108,6 @@
 {
     EarliestTime next(now);
     next.consider(pausedUntil_);
-    if (probe_) {
-        next.consider(probeEndsAt_);
-    }
     if (limit_) {
         next.consider(nextProbeAt_);
     }
--- a/decision/request_scheduler.h
+++ b/decision/request_scheduler.h
@@ -183,6 +183,15 @@
     /// Records that another host sent a request to an engine; see Placement::onDispatchedByPeer.
     void onDispatchedByPeer(std::string_view engine, std::uint32_t workTokens, std::uint32_t newTokens, std::span<const BlockHash> blocks, TimePoint now);
 
+    /// A dispatched request was sent to its target on an established connection.
+    void onSent(RequestId id, TimePoint now);
+
+    /// The answer to a dispatched request has begun, and is not a rejection.
+    void onAccepted(RequestId id, TimePoint now);
+
+    /// Whether the target of a dispatched request, which tolerates few rejections, may still reject it; see SlotLeases.
+    bool isUndecided(RequestId id);
+
     /// Records the first token; `cachedTokens` is the engine's own count if the answer contains one.
     void onFirstToken(RequestId id, std::optional<std::uint32_t> cachedTokens, TimePoint now);
 
@@ -261,6 +270,7 @@
     std::optional<Duration> restTimeLeft(const SchedulerRequest &request, TimePoint now);
     void wantPermits(bool isPlaced, TimePoint now);
     void releaseSlot(const InFlight &ended, DispatchResult end, TimePoint now);
+    const InFlight *findWithSlot(RequestId id) const;
     std::optional<double> permittedRate(const SchedulerRequest &request, ModelId pool, TimePoint now) const;
     std::optional<SchedulerRefusal> checkPermits(const SchedulerRequest &request, ModelId pool, TimePoint now);
     static bool isEligible(const Engine &engine, ModelId pool, const std::optional<std::string> &softwareVersion);
--- a/decision/request_scheduler_permits.cpp
+++ b/decision/request_scheduler_permits.cpp
@@ -86,10 +86,37 @@
     if (end == DispatchResult::Declined) {
         permits_->onRejected(ended.target, ended.slot, now);
     } else {
-        permits_->onEnded(ended.target, ended.slot, now);
+        permits_->onEnded(ended.target, ended.slot, end == DispatchResult::Finished ? SlotEnd::Finished : SlotEnd::Abandoned, now);
     }
 }
 
+void RequestScheduler::onSent(RequestId id, TimePoint now)
+{
+    if (const InFlight *request = findWithSlot(id)) {
+        permits_->slots().onSent(request->target, request->slot, now);
+    }
+}
+
+void RequestScheduler::onAccepted(RequestId id, TimePoint now)
+{
+    if (const InFlight *request = findWithSlot(id)) {
+        permits_->slots().onAccepted(request->target, request->slot, now);
+    }
+}
+
+bool RequestScheduler::isUndecided(RequestId id)
+{
+    const InFlight *request = findWithSlot(id);
+    return request != nullptr && permits_->slots().isUndecided(request->target, request->slot);
+}
+
+/// The dispatched request with this id if it uses a slot; null otherwise.
+const RequestScheduler::InFlight *RequestScheduler::findWithSlot(RequestId id) const
+{
+    const auto entry = inFlight_.find(id);
+    return entry != inFlight_.end() && entry->second.slot != 0 ? &entry->second : nullptr;
+}
+
 /// The rate at which this host can send requests like this one if all engines that can take it need permits: what it has sent lately, or its even
 /// share if that is more. Nothing if some engine needs none.
 std::optional<double> RequestScheduler::permittedRate(const SchedulerRequest &request, ModelId pool, TimePoint now) const
--- a/decision/send_permits.cpp
+++ b/decision/send_permits.cpp
@@ -123,7 +123,7 @@
 std::optional<SlotId> SendPermits::use(std::string_view target, TimePoint now)
 {
     const bool needsSlot = slots_.isLimited(target);
-    const SlotId slot = needsSlot ? slots_.use(target, now) : 0;
+    const SlotId slot = needsSlot ? slots_.use(target) : 0;
     const auto rate = statedRate(target, now);
     if (!rate) {
         return needsSlot ? std::optional(slot) : std::nullopt;
@@ -141,9 +141,9 @@
     return slot;
 }
 
-void SendPermits::onEnded(std::string_view target, SlotId slot, TimePoint now)
+void SendPermits::onEnded(std::string_view target, SlotId slot, SlotEnd end, TimePoint now)
 {
-    slots_.onEnded(target, slot, now);
+    slots_.onEnded(target, slot, end, now);
 }
 
 void SendPermits::onRejected(std::string_view target, SlotId slot, TimePoint now)
--- a/decision/send_permits.h
+++ b/decision/send_permits.h
@@ -71,7 +71,7 @@
     std::optional<SlotId> use(std::string_view target, TimePoint now);
 
     /// A request that was sent has ended, or was rejected by the target. `slot` is 0 if it used none.
-    void onEnded(std::string_view target, SlotId slot, TimePoint now);
+    void onEnded(std::string_view target, SlotId slot, SlotEnd end, TimePoint now);
     void onRejected(std::string_view target, SlotId slot, TimePoint now);
 
     /// Requests a permit if fewer than `count` are held or requested.
--- a/decision/slot_issuer.cpp
+++ b/decision/slot_issuer.cpp
@@ -22,6 +22,11 @@
 /// Grants due to time alone are issued at most this often.
 constexpr Duration minTickInterval = std::chrono::milliseconds(5);
 
+/// The longest time that rejections took is known from this number of them on. Requests count as accepted after a multiple of it.
+constexpr std::uint64_t minTimedRejections = 4;
+constexpr int acceptanceTimeFactor = 2;
+constexpr Duration minAcceptanceTime = std::chrono::milliseconds(30);
+
 /// Bounds the work for a report of a faulty host.
 constexpr std::uint64_t maxCountedRejections = 1'000;
 
@@ -48,6 +53,8 @@
         target.incarnation = report.incarnation;
         target.limit = {};
         target.hosts.clear();
+        target.probe = 0;
+        target.timedRejections = 0;
     }
     if (isNew) {
         target.lastGrant = static_cast<std::uint64_t>(now.time_since_epoch().count());
@@ -67,9 +74,8 @@
     state.reportedAt = now;
     std::erase_if(state.pending, [&report](const Pending &pending) { return pending.id <= report.lastGrant; });
     target.limit.setRejectionLimit(report.rejectionLimit);
-    for (std::uint64_t i = 0; i < std::min(rejections, maxCountedRejections); ++i) {
-        target.limit.onRejected(inUse(target), now);
-    }
+    applyRejections(target, report, rejections, now);
+    updateProbe(target, host, report, now);
     issue(report.target, target, now, grants);
     const bool isAnswered = std::any_of(grants.begin(), grants.end(), [&host](const Grant &grant) { return grant.host == host; });
     if (report.wanted > 0 && !isAnswered && now >= target.issuesFrom) {
@@ -87,15 +93,67 @@
     return sum;
 }
 
-std::size_t SlotIssuer::unverified(const Target &target)
+std::size_t SlotIssuer::undecided(const Target &target)
 {
     std::size_t sum = 0;
     for (const auto &[name, host] : target.hosts) {
-        sum += host.report.unverified + host.pending.size();
+        sum += host.report.undecided + host.pending.size();
     }
     return sum;
 }
 
+Duration SlotIssuer::longestRejectionTime(const Target &target)
+{
+    Duration longest{};
+    for (const auto &[name, host] : target.hosts) {
+        longest = std::max(longest, host.report.rejectionTime);
+    }
+    return longest;
+}
+
+/// Time without a rejection after which a request has been accepted; zero if rejections are not known well enough to tell.
+Duration SlotIssuer::acceptanceTime(const Target &target)
+{
+    if (target.timedRejections < minTimedRejections) {
+        return Duration::zero();
+    }
+    return std::max(longestRejectionTime(target) * acceptanceTimeFactor, minAcceptanceTime);
+}
+
+/// A host has heard of that many more rejections.
+void SlotIssuer::applyRejections(Target &target, const SlotReport &report, std::uint64_t rejections, TimePoint now)
+{
+    if (rejections == 0) {
+        return;
+    }
+    target.timedRejections += report.rejectionTime > Duration::zero() ? rejections : 0;
+    target.limit.setRejectionTime(longestRejectionTime(target));
+    target.probe = 0; // The limit takes the rejected request for the probe.
+    for (std::uint64_t i = 0; i < std::min(rejections, maxCountedRejections); ++i) {
+        target.limit.onRejected(inUse(target), now);
+    }
+}
+
+/// Reads from a report what became of the newest probe.
+void SlotIssuer::updateProbe(Target &target, const std::string &host, const SlotReport &report, TimePoint now)
+{
+    if (target.probe == 0 || host != target.probeHost || report.lastGrant < target.probe) {
+        return;
+    }
+    if (report.acceptedProbe == target.probe) {
+        target.probe = 0;
+        target.limit.onProbeAccepted(now);
+    } else if (report.probe != target.probe) {
+        cancelProbe(target);
+    }
+}
+
+void SlotIssuer::cancelProbe(Target &target)
+{
+    target.probe = 0;
+    target.limit.onProbeCancelled();
+}
+
 /// The host that is next to get a slot; the end if none wants one.
 SlotIssuer::Hosts::iterator SlotIssuer::nextHost(Hosts &hosts)
 {
@@ -115,20 +173,23 @@
 
 void SlotIssuer::issue(const std::string &name, Target &target, TimePoint now, std::vector<Grant> &grants)
 {
-    target.limit.update(now);
     if (now < target.issuesFrom) {
         return;
     }
     for (auto next = nextHost(target.hosts); next != target.hosts.end(); next = nextHost(target.hosts)) {
         auto &[hostName, host] = *next;
         const std::size_t used = inUse(target);
-        if (!target.limit.canSend(used, unverified(target), now)) {
+        if (!target.limit.canSend(used, undecided(target), now)) {
             return;
         }
-        target.limit.onSent(used, now);
+        const bool isProbe = target.limit.onSent(used);
         host.pending.push_back({++target.lastGrant, now});
         host.grantedAt = now;
         target.granted.add(now);
+        if (isProbe) {
+            target.probe = target.lastGrant;
+            target.probeHost = hostName;
+        }
         grants.push_back({hostName, makeGrant(name, target, host, target.lastGrant, now)});
     }
 }
@@ -136,7 +197,12 @@
 SlotGrant SlotIssuer::makeGrant(const std::string &name, const Target &target, const Host &host, std::uint64_t id, TimePoint now)
 {
     const bool isScarce = target.limit.limit() && inUse(target) >= *target.limit.limit();
-    return {name, id, isScarce ? target.granted.rate(now) : 0, host.report.sequence};
+    return {.target = name,
+            .id = id,
+            .rate = isScarce ? target.granted.rate(now) : 0,
+            .report = host.report.sequence,
+            .isProbe = id != 0 && id == target.probe,
+            .acceptanceTime = acceptanceTime(target)};
 }
 
 std::vector<SlotIssuer::Grant> SlotIssuer::onTick(TimePoint now)
@@ -145,12 +211,17 @@
     for (auto &[name, target] : targets_) {
         std::erase_if(target.hosts, [now](const auto &entry) { return now - entry.second.reportedAt > forgetTime; });
         for (auto &[host, state] : target.hosts) {
-            if (now - state.reportedAt > reportTimeout) {
+            const bool hasEnded = now - state.reportedAt > reportTimeout;
+            if (hasEnded) {
                 state.report.wanted = 0;
                 state.report.inUse = 0;
-                state.report.unverified = 0;
+                state.report.undecided = 0;
+            }
+            const bool isProbeLost = std::erase_if(state.pending, [now](const Pending &pending) { return now - pending.at > grantTimeout; }) > 0
+                && state.report.lastGrant < target.probe;
+            if (host == target.probeHost && (hasEnded || isProbeLost)) {
+                cancelProbe(target);
             }
-            std::erase_if(state.pending, [now](const Pending &pending) { return now - pending.at > grantTimeout; });
         }
         issue(name, target, now, grants);
     }
--- a/decision/slot_issuer.h
+++ b/decision/slot_issuer.h
@@ -22,9 +22,12 @@
     std::uint64_t sequence = 0; ///< Rises with each report of a host, also after its restart.
     std::uint32_t wanted = 0; ///< Slots for which requests wait.
     std::uint32_t inUse = 0; ///< Slots that are in use or held.
-    std::uint32_t unverified = 0; ///< Those of them whose requests may still be rejected.
+    std::uint32_t undecided = 0; ///< Those of them whose requests may still be rejected.
     std::uint64_t rejections = 0; ///< Since the host started.
+    Duration rejectionTime{}; ///< Longest time from sending a request to its rejection that the host has seen lately; zero if it has seen none.
     std::uint64_t lastGrant = 0; ///< Highest id of a grant that the report takes into account.
+    std::uint64_t probe = 0; ///< Id of the newest grant for a probe that is undecided; 0 for none.
+    std::uint64_t acceptedProbe = 0; ///< Id of the newest grant for a probe that the target has accepted; 0 for none.
 };
 
 /// A home's reply to a report of a host that wants slots.
@@ -34,6 +37,8 @@
     std::uint64_t id = 0; ///< Rises with each grant for a target; 0 if nothing is granted now.
     double rate = 0; ///< Slots granted a second over all hosts while there are too few; 0 if there are enough.
     std::uint64_t report = 0; ///< Sequence of the host's newest report.
+    bool isProbe = false; ///< The slot is for a request above the number that the target is known to hold.
+    Duration acceptanceTime{}; ///< A request that was not rejected within this time has been accepted; zero if no such time is known.
 };
 
 /// The part of a home host in sharing the room of targets that state a rejection limit: gives out slots to hosts, each of which allows one request
@@ -86,12 +91,20 @@
         ConcurrencyLimit limit;
         Hosts hosts;
         std::uint64_t lastGrant = 0;
+        std::uint64_t probe = 0; ///< Id of the grant for the newest probe; 0 if none is undecided.
+        std::string probeHost; ///< That got this grant.
+        std::uint64_t timedRejections = 0; ///< Rejections whose times are known.
         TimePoint issuesFrom;
         DecayingCount granted{grantRateTime};
     };
 
     static std::size_t inUse(const Target &target);
-    static std::size_t unverified(const Target &target);
+    static std::size_t undecided(const Target &target);
+    static Duration longestRejectionTime(const Target &target);
+    static Duration acceptanceTime(const Target &target);
+    static void applyRejections(Target &target, const SlotReport &report, std::uint64_t rejections, TimePoint now);
+    static void updateProbe(Target &target, const std::string &host, const SlotReport &report, TimePoint now);
+    static void cancelProbe(Target &target);
     static Hosts::iterator nextHost(Hosts &hosts);
     void issue(const std::string &name, Target &target, TimePoint now, std::vector<Grant> &grants);
     static SlotGrant makeGrant(const std::string &name, const Target &target, const Host &host, std::uint64_t id, TimePoint now);
--- a/decision/slot_leases.cpp
+++ b/decision/slot_leases.cpp
@@ -11,8 +11,19 @@
 namespace
 {
 
-/// A request that was not rejected within this time counts as accepted.
-constexpr Duration verdictTime = std::chrono::milliseconds(30);
+/// An undecided request that was abandoned may have been rejected at that moment, and rejections count for a second.
+constexpr Duration undecidedTime = std::chrono::milliseconds(1'100);
+
+/// Bound of the time for which an accepted request that was abandoned is taken to go on.
+constexpr Duration maxAbandonedTime = std::chrono::milliseconds(500);
+
+/// How long the longest time to a rejection is remembered. Before it has passed, only a longer one takes its place.
+constexpr Duration rejectionTimeValidity = std::chrono::seconds(60);
+
+constexpr double serviceTimeWeight = 0.2;
+
+/// Sockets are read between two looks at the clock that are this far apart.
+constexpr Duration minTickInterval = std::chrono::milliseconds(1);
 
 /// Wishes that are not repeated within this time have ended.
 constexpr Duration wishTime = std::chrono::milliseconds(150);
@@ -98,33 +109,104 @@
     return isKnown ? std::optional(found->second.rate) : std::nullopt;
 }
 
-SlotId SlotLeases::use(std::string_view target, TimePoint now)
+SlotId SlotLeases::use(std::string_view target)
 {
     Lease &lease = leases_[std::string(target)];
     lease.held -= std::min<std::size_t>(lease.held, 1);
     lease.wanted -= std::min<std::size_t>(lease.wanted, 1);
-    lease.running.emplace(++lastSlot_, now);
+    lease.running[++lastSlot_].probe = std::exchange(lease.heldProbe, 0);
     return lastSlot_;
 }
 
-void SlotLeases::onEnded(std::string_view target, SlotId slot, TimePoint now)
+SlotLeases::Running *SlotLeases::findRunning(std::string_view target, SlotId slot)
 {
-    const auto found = leases_.find(target);
-    if (found != leases_.end() && found->second.running.erase(slot) > 0) {
-        report(found->first, found->second, now);
+    const auto lease = leases_.find(target);
+    if (lease == leases_.end()) {
+        return nullptr;
     }
+    const auto running = lease->second.running.find(slot);
+    return running != lease->second.running.end() ? &running->second : nullptr;
 }
 
-void SlotLeases::onRejected(std::string_view target, SlotId slot, TimePoint now)
+void SlotLeases::onSent(std::string_view target, SlotId slot, TimePoint now)
 {
-    if (!isLimited(target)) {
-        onEnded(target, slot, now);
+    if (Running *running = findRunning(target, slot)) {
+        running->sentAt = now;
+    }
+}
+
+void SlotLeases::onAccepted(std::string_view target, SlotId slot, TimePoint now)
+{
+    Running *running = findRunning(target, slot);
+    if (running == nullptr || running->isAccepted) {
         return;
     }
+    const auto lease = leases_.find(target);
+    accept(lease->second, *running);
+    report(lease->first, lease->second, now);
+}
+
+bool SlotLeases::isUndecided(std::string_view target, SlotId slot)
+{
+    const Running *running = findRunning(target, slot);
+    return running != nullptr && running->sentAt && !running->isAccepted;
+}
+
+void SlotLeases::onEnded(std::string_view target, SlotId slot, SlotEnd end, TimePoint now)
+{
+    Running *running = findRunning(target, slot);
+    if (running == nullptr) {
+        return;
+    }
+    const auto found = leases_.find(target);
+    Lease &lease = found->second;
+    if (end == SlotEnd::Finished) {
+        if (running->sentAt) {
+            addServiceTime(lease, now - *running->sentAt);
+        }
+        accept(lease, *running);
+    }
+    if (end == SlotEnd::Finished || !running->sentAt) {
+        lease.running.erase(slot);
+    } else {
+        const TimePoint acceptedUntil = std::min(*running->sentAt + lease.serviceTime, now + maxAbandonedTime);
+        running->abandonedUntil = running->isAccepted ? acceptedUntil : now + undecidedTime;
+    }
+    report(found->first, lease, now);
+}
+
+void SlotLeases::onRejected(std::string_view target, SlotId slot, TimePoint now)
+{
     const auto found = leases_.try_emplace(std::string(target)).first;
-    ++found->second.rejections;
-    found->second.running.erase(slot);
-    report(found->first, found->second, now);
+    Lease &lease = found->second;
+    if (const Running *running = findRunning(target, slot); running != nullptr && running->sentAt) {
+        addRejectionTime(lease, now - *running->sentAt, now);
+    }
+    ++lease.rejections;
+    lease.running.erase(slot);
+    report(found->first, lease, now);
+}
+
+/// The request has been accepted by its target.
+void SlotLeases::accept(Lease &lease, Running &running)
+{
+    running.isAccepted = true;
+    lease.acceptedProbe = std::max(lease.acceptedProbe, running.probe);
+}
+
+void SlotLeases::addServiceTime(Lease &lease, Duration time)
+{
+    const double before = toSeconds(lease.serviceTime);
+    const double weight = before > 0 ? serviceTimeWeight : 1;
+    lease.serviceTime = fromSeconds((1 - weight) * before + weight * toSeconds(time));
+}
+
+void SlotLeases::addRejectionTime(Lease &lease, Duration time, TimePoint now)
+{
+    if (time >= lease.rejectionTime || now - lease.rejectionTimeAt > rejectionTimeValidity) {
+        lease.rejectionTime = std::max(time, Duration(1));
+        lease.rejectionTimeAt = now;
+    }
 }
 
 void SlotLeases::want(std::string_view target, std::size_t count, TimePoint now)
@@ -163,6 +245,7 @@
         }
         counts_.returned += lease.held;
         lease.held = 0;
+        lease.heldProbe = 0;
         report(target, lease, now);
     }
 }
@@ -177,6 +260,7 @@
     lease.answeredAt = now;
     lease.rate = grant.rate;
     lease.rateAt = now;
+    lease.acceptanceTime = grant.acceptanceTime;
     // The home takes a grant that comes after a later one for lost.
     if (grant.id <= lease.lastGrant || now - reportTime(grant) > grantValidity) {
         return;
@@ -184,6 +268,9 @@
     lease.lastGrant = grant.id;
     ++lease.held;
     ++counts_.granted;
+    if (grant.isProbe) {
+        lease.heldProbe = grant.id;
+    }
     if (isWanted(lease, now)) {
         const double delay = toSeconds(now - lease.wantedSince);
         lease.grantDelay = fromSeconds((1 - grantDelayWeight) * toSeconds(lease.grantDelay) + grantDelayWeight * delay);
@@ -201,9 +288,9 @@
     for (auto &[target, lease] : leases_) {
         const Duration age = now - lease.reportedAt;
         const bool isRepeatDue = isWanted(lease, now) ? age >= wantedReportInterval : !lease.running.empty() && age >= usedReportInterval;
-        const bool hasVerdicts = unverified(lease, now) < lease.reported.unverified;
+        const bool hasChanged = updateRunning(lease, now);
         const bool hasLapsedWish = lease.reported.wanted > 0 && !isWanted(lease, now);
-        if (isRepeatDue || hasVerdicts || hasLapsedWish) {
+        if (isRepeatDue || hasChanged || hasLapsedWish) {
             report(target, lease, now);
         }
     }
@@ -220,8 +307,14 @@
     EarliestTime next(now);
     next.consider(issuer_.nextEvent(now));
     for (const auto &[target, lease] : leases_) {
-        for (const auto &[slot, sentAt] : lease.running) {
-            next.consider(sentAt + verdictTime);
+        for (const auto &[slot, running] : lease.running) {
+            if (running.abandonedUntil) {
+                next.consider(*running.abandonedUntil);
+            } else if (running.quietAt) {
+                next.consider(*running.quietAt + minTickInterval);
+            } else if (running.sentAt && lease.acceptanceTime > Duration::zero()) {
+                next.consider(*running.sentAt + lease.acceptanceTime);
+            }
         }
         if (isWanted(lease, now)) {
             next.consider(lease.reportedAt + wantedReportInterval);
@@ -231,11 +324,41 @@
     return next.value();
 }
 
-std::size_t SlotLeases::unverified(const Lease &lease, TimePoint now)
+/// Requests that may still be rejected, among them those that are yet to be sent.
+std::size_t SlotLeases::undecided(const Lease &lease)
 {
-    return lease.held + static_cast<std::size_t>(std::count_if(lease.running.begin(), lease.running.end(), [now](const auto &entry) {
-               return now - entry.second < verdictTime;
-           }));
+    const auto isUndecided = [](const auto &entry) { return !entry.second.isAccepted; };
+    return lease.held + static_cast<std::size_t>(std::count_if(lease.running.begin(), lease.running.end(), isUndecided));
+}
+
+std::uint64_t SlotLeases::undecidedProbe(const Lease &lease)
+{
+    std::uint64_t newest = lease.heldProbe;
+    for (const auto &[slot, running] : lease.running) {
+        newest = std::max(newest, running.isAccepted || running.abandonedUntil ? 0 : running.probe);
+    }
+    return newest;
+}
+
+/// Accepts the requests that were not rejected in time, and drops the abandoned ones whose time is over. Returns whether anything has changed.
+bool SlotLeases::updateRunning(Lease &lease, TimePoint now)
+{
+    bool hasChanged = false;
+    for (auto &[slot, running] : lease.running) {
+        const bool isQuiet = lease.acceptanceTime > Duration::zero() && running.sentAt && now - *running.sentAt >= lease.acceptanceTime;
+        if (running.isAccepted || running.abandonedUntil || !isQuiet) {
+            continue;
+        }
+        // A rejection may have come while this host stood still, and is read before the next look at the clock.
+        if (!running.quietAt) {
+            running.quietAt = now;
+        } else if (now - *running.quietAt >= minTickInterval) {
+            accept(lease, running);
+            hasChanged = true;
+        }
+    }
+    return std::erase_if(lease.running, [now](const auto &entry) { return entry.second.abandonedUntil && now >= *entry.second.abandonedUntil; }) > 0
+        || hasChanged;
 }
 
 bool SlotLeases::isWanted(const Lease &lease, TimePoint now)
@@ -265,6 +388,9 @@
         lease.home = std::move(home);
         lease.lastGrant = 0;
         lease.held = 0;
+        lease.heldProbe = 0;
+        lease.acceptedProbe = 0;
+        lease.acceptanceTime = {};
         lease.answeredAt = now;
     }
     lastSequence_ = std::max(lastSequence_ + 1, static_cast<std::uint64_t>(now.time_since_epoch().count()));
@@ -274,9 +400,12 @@
                       .sequence = lastSequence_,
                       .wanted = static_cast<std::uint32_t>(isWanted(lease, now) ? lease.wanted : 0),
                       .inUse = static_cast<std::uint32_t>(lease.held + lease.running.size()),
-                      .unverified = static_cast<std::uint32_t>(unverified(lease, now)),
+                      .undecided = static_cast<std::uint32_t>(undecided(lease)),
                       .rejections = lease.rejections,
-                      .lastGrant = lease.lastGrant};
+                      .rejectionTime = now - lease.rejectionTimeAt <= rejectionTimeValidity ? lease.rejectionTime : Duration::zero(),
+                      .lastGrant = lease.lastGrant,
+                      .probe = undecidedProbe(lease),
+                      .acceptedProbe = lease.acceptedProbe};
     lease.reportedAt = now;
     if (lease.home == host_) {
         deliver(issuer_.onReport(host_, lease.reported, now), now);
--- a/decision/slot_leases.h
+++ b/decision/slot_leases.h
@@ -18,10 +18,20 @@
 /// Identifies the use of a slot by a request; 0 for a request without one.
 using SlotId = std::uint64_t;
 
+/// How a request in a slot ended, other than by a rejection.
+enum class SlotEnd : std::uint8_t
+{
+    Finished, ///< The target's answer is complete.
+    Abandoned, ///< The host has closed or lost the connection to the target before.
+};
+
 /// The part of a host in sharing the room of targets that state a rejection limit. The host sends a request to such a target only with a slot, which the
 /// target's home host has granted (see SlotIssuer), and reports when the request was accepted, rejected or has ended. A slot that no request needs
-/// goes back at once. A host that can't reach the home grants itself an even share of the rejections that homes don't use. Not thread-safe; reads no
-/// clock.
+/// goes back at once. A host that can't reach the home grants itself an even share of the rejections that homes don't use.
+///
+/// A request is undecided until its answer begins, or until it was not rejected for longer than the target's rejections take, as far as that is
+/// known. A target may go on with a request that the host has abandoned, so that its slot stays in use for a time; if it was undecided, it counts as
+/// rejected at that moment. Not thread-safe; reads no clock.
 class SlotLeases
 {
 public:
@@ -56,11 +66,20 @@
     /// Slots granted a second over all hosts for a target that has too few; nothing if it has enough.
     std::optional<double> rate(std::string_view target, TimePoint now) const;
 
-    /// Uses a slot for a request that is sent now.
-    SlotId use(std::string_view target, TimePoint now);
+    /// Uses a slot for a request that is about to be sent.
+    SlotId use(std::string_view target);
+
+    /// The request was sent on an established connection. One that ends before can't have reached the target.
+    void onSent(std::string_view target, SlotId slot, TimePoint now);
+
+    /// The target's answer to a request has begun, and is not a rejection.
+    void onAccepted(std::string_view target, SlotId slot, TimePoint now);
+
+    /// Whether a request that was sent may still be rejected.
+    bool isUndecided(std::string_view target, SlotId slot);
 
     /// A request in a slot has ended.
-    void onEnded(std::string_view target, SlotId slot, TimePoint now);
+    void onEnded(std::string_view target, SlotId slot, SlotEnd end, TimePoint now);
 
     /// The target has rejected a request; `slot` is 0 if that used none.
     void onRejected(std::string_view target, SlotId slot, TimePoint now);
@@ -91,12 +110,28 @@
     }
 
 private:
+    /// A request in a slot.
+    struct Running
+    {
+        std::optional<TimePoint> sentAt;
+        std::uint64_t probe = 0; ///< Id of the grant if the request is a probe; 0 if it isn't.
+        bool isAccepted = false;
+        std::optional<TimePoint> quietAt; ///< When it was first noticed that no rejection had come in time.
+        std::optional<TimePoint> abandonedUntil; ///< When the slot of a request that has ended without an answer goes back.
+    };
+
     /// What this host has at a target.
     struct Lease
     {
         std::string home; ///< That the fields below are of.
         std::size_t held = 0; ///< Granted slots that no request uses yet.
-        std::map<SlotId, TimePoint> running; ///< When the requests in slots were sent.
+        std::uint64_t heldProbe = 0; ///< Id of the grant of one of them if it is for a probe; 0 if none is.
+        std::uint64_t acceptedProbe = 0; ///< Id of the newest grant for a probe that the target has accepted.
+        Duration acceptanceTime{}; ///< As in the newest grant.
+        std::map<SlotId, Running> running;
+        Duration serviceTime{}; ///< From sending a request to the end of its answer, smoothed; zero if unknown.
+        Duration rejectionTime{}; ///< Longest one from sending a request to its rejection.
+        TimePoint rejectionTimeAt;
         std::size_t wanted = 0;
         TimePoint wantedAt; ///< When slots were last wanted.
         TimePoint wantedSince;
@@ -116,7 +151,13 @@
 
     void report(const std::string &target, Lease &lease, TimePoint now);
     void reportIfChanged(const std::string &target, Lease &lease, TimePoint now);
-    static std::size_t unverified(const Lease &lease, TimePoint now);
+    static std::size_t undecided(const Lease &lease);
+    static std::uint64_t undecidedProbe(const Lease &lease);
+    static void accept(Lease &lease, Running &running);
+    static bool updateRunning(Lease &lease, TimePoint now);
+    static void addServiceTime(Lease &lease, Duration time);
+    static void addRejectionTime(Lease &lease, Duration time, TimePoint now);
+    Running *findRunning(std::string_view target, SlotId slot);
     static bool isWanted(const Lease &lease, TimePoint now);
     static bool isHomeSilent(const Lease &lease, TimePoint now);
     static TimePoint reportTime(const SlotGrant &grant);
--- a/gateway/peer_messages.capnp
+++ b/gateway/peer_messages.capnp
@@ -84,9 +84,12 @@
   sequence @3 :UInt64;
   wanted @4 :UInt32;
   inUse @5 :UInt32;
-  unverified @6 :UInt32;
+  undecided @6 :UInt32;
   rejections @7 :UInt64; # Since the sender began to count.
   lastGrant @8 :UInt64; # Newest grant that the report takes into account.
+  rejectionMicroseconds @9 :UInt64; # Longest time from sending a request to its rejection; 0: not known.
+  probe @10 :UInt64; # Newest grant for a probe that is undecided.
+  acceptedProbe @11 :UInt64;
 }
 
 struct SlotGrant {
@@ -95,6 +98,8 @@
   id @1 :UInt64; # 0: nothing is granted.
   rate @2 :Float64; # Slots granted a second over all hosts while there are too few.
   report @3 :UInt64; # Sequence of the receiver's newest report.
+  isProbe @4 :Bool;
+  acceptanceMicroseconds @5 :UInt64; # A request that was not rejected within this time has been accepted; 0: not known.
 }
 
 struct Statement {
--- a/gateway/peer_messages.capnp.h
+++ b/gateway/peer_messages.capnp.h
@@ -219,7 +219,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eac85dc83676c51a, 7, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(eac85dc83676c51a, 10, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -234,7 +234,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d7f84b297a0b72bb, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d7f84b297a0b72bb, 5, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1587,12 +1587,18 @@
 
   inline  ::uint32_t getInUse() const;
 
-  inline  ::uint32_t getUnverified() const;
+  inline  ::uint32_t getUndecided() const;
 
   inline  ::uint64_t getRejections() const;
 
   inline  ::uint64_t getLastGrant() const;
 
+  inline  ::uint64_t getRejectionMicroseconds() const;
+
+  inline  ::uint64_t getProbe() const;
+
+  inline  ::uint64_t getAcceptedProbe() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1643,8 +1649,8 @@
   inline  ::uint32_t getInUse();
   inline void setInUse( ::uint32_t value);
 
-  inline  ::uint32_t getUnverified();
-  inline void setUnverified( ::uint32_t value);
+  inline  ::uint32_t getUndecided();
+  inline void setUndecided( ::uint32_t value);
 
   inline  ::uint64_t getRejections();
   inline void setRejections( ::uint64_t value);
@@ -1652,6 +1658,15 @@
   inline  ::uint64_t getLastGrant();
   inline void setLastGrant( ::uint64_t value);
 
+  inline  ::uint64_t getRejectionMicroseconds();
+  inline void setRejectionMicroseconds( ::uint64_t value);
+
+  inline  ::uint64_t getProbe();
+  inline void setProbe( ::uint64_t value);
+
+  inline  ::uint64_t getAcceptedProbe();
+  inline void setAcceptedProbe( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1704,6 +1719,10 @@
 
   inline  ::uint64_t getReport() const;
 
+  inline bool getIsProbe() const;
+
+  inline  ::uint64_t getAcceptanceMicroseconds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1748,6 +1767,12 @@
   inline  ::uint64_t getReport();
   inline void setReport( ::uint64_t value);
 
+  inline bool getIsProbe();
+  inline void setIsProbe(bool value);
+
+  inline  ::uint64_t getAcceptanceMicroseconds();
+  inline void setAcceptanceMicroseconds( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5651,16 +5676,16 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t SlotReport::Reader::getUnverified() const {
+inline  ::uint32_t SlotReport::Reader::getUndecided() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t SlotReport::Builder::getUnverified() {
+inline  ::uint32_t SlotReport::Builder::getUndecided() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void SlotReport::Builder::setUnverified( ::uint32_t value) {
+inline void SlotReport::Builder::setUndecided( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
@@ -5693,6 +5718,48 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t SlotReport::Reader::getRejectionMicroseconds() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SlotReport::Builder::getRejectionMicroseconds() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void SlotReport::Builder::setRejectionMicroseconds( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SlotReport::Reader::getProbe() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SlotReport::Builder::getProbe() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void SlotReport::Builder::setProbe( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SlotReport::Reader::getAcceptedProbe() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SlotReport::Builder::getAcceptedProbe() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void SlotReport::Builder::setAcceptedProbe( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SlotGrant::Reader::hasTarget() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5769,6 +5836,34 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SlotGrant::Reader::getIsProbe() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool SlotGrant::Builder::getIsProbe() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void SlotGrant::Builder::setIsProbe(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SlotGrant::Reader::getAcceptanceMicroseconds() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SlotGrant::Builder::getAcceptanceMicroseconds() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void SlotGrant::Builder::setAcceptanceMicroseconds( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Statement::Reader::hasTarget() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/gateway/request_dispatch.cpp
+++ b/gateway/request_dispatch.cpp
@@ -141,6 +141,27 @@
     scheduleDecide();
 }
 
+void RequestDispatch::onSent(RequestId id)
+{
+    scheduler_.onSent(id, BootClock::now());
+    if (scheduler_.isUndecided(id)) {
+        scheduleDecide();
+    }
+}
+
+void RequestDispatch::onAccepted(RequestId id)
+{
+    if (scheduler_.isUndecided(id)) {
+        scheduler_.onAccepted(id, BootClock::now());
+        scheduleDecide();
+    }
+}
+
+bool RequestDispatch::isUndecided(RequestId id)
+{
+    return scheduler_.isUndecided(id);
+}
+
 bool RequestDispatch::canRetryElsewhere(RequestId id)
 {
     return scheduler_.canRetryElsewhere(id, BootClock::now());
--- a/gateway/request_dispatch.h
+++ b/gateway/request_dispatch.h
@@ -63,6 +63,11 @@
     void cancelQueued(RequestId id);
     void onFirstToken(RequestId id);
 
+    /// See the functions of these names of RequestScheduler. Changes of slots take effect with the next decision.
+    void onSent(RequestId id);
+    void onAccepted(RequestId id);
+    bool isUndecided(RequestId id);
+
     /// Whether a request in flight could be sent to another target now.
     bool canRetryElsewhere(RequestId id);
 
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -220,6 +220,11 @@
     return !plan.saveTo.empty();
 }
 
+void RoutedRequest::onRequestSent()
+{
+    gateway_.dispatch().onSent(schedulerId_);
+}
+
 void RoutedRequest::onAnswerHead(HttpHead &&head, const AnswerFacts &facts)
 {
     gateway_.statements().onAnswer(sentTo_, sentIncarnation_, sentAt_, facts);
@@ -230,6 +235,9 @@
     answerHead_ = std::move(head);
     relay_ = connection_->relay();
     isNotExecuted_ = facts.isNotExecuted || facts.isTargetMismatch;
+    if (!facts.isNotExecuted || facts.isTargetMismatch) {
+        gateway_.dispatch().onAccepted(schedulerId_);
+    }
     if (isNotExecuted_) {
         notExecutedFacts_ = facts;
         return;
--- a/gateway/routed_request.h
+++ b/gateway/routed_request.h
@@ -107,6 +107,7 @@
     SchedulerRequest schedulerRequest() const;
     bool send(const Target &target);
 
+    void onRequestSent() override;
     void onAnswerHead(HttpHead &&head, const AnswerFacts &facts) override;
     void onAnswerBody(std::string_view bytes) override;
     void onAnswerEnd() override;
--- a/gateway/statement_codec.cpp
+++ b/gateway/statement_codec.cpp
@@ -109,9 +109,12 @@
     encoded.setSequence(report.sequence);
     encoded.setWanted(report.wanted);
     encoded.setInUse(report.inUse);
-    encoded.setUnverified(report.unverified);
+    encoded.setUndecided(report.undecided);
     encoded.setRejections(report.rejections);
     encoded.setLastGrant(report.lastGrant);
+    encoded.setRejectionMicroseconds(toMicroseconds(report.rejectionTime));
+    encoded.setProbe(report.probe);
+    encoded.setAcceptedProbe(report.acceptedProbe);
     return encodeDatagram(message);
 }
 
@@ -123,6 +126,8 @@
     encoded.setId(grant.id);
     encoded.setRate(grant.rate);
     encoded.setReport(grant.report);
+    encoded.setIsProbe(grant.isProbe);
+    encoded.setAcceptanceMicroseconds(toMicroseconds(grant.acceptanceTime));
     return encodeDatagram(message);
 }
 
@@ -135,15 +140,23 @@
             .sequence = reader.getSequence(),
             .wanted = reader.getWanted(),
             .inUse = reader.getInUse(),
-            .unverified = reader.getUnverified(),
+            .undecided = reader.getUndecided(),
             .rejections = reader.getRejections(),
-            .lastGrant = reader.getLastGrant()};
+            .rejectionTime = fromMicroseconds(reader.getRejectionMicroseconds()),
+            .lastGrant = reader.getLastGrant(),
+            .probe = reader.getProbe(),
+            .acceptedProbe = reader.getAcceptedProbe()};
 }
 
 SlotGrant decodeSlotGrant(PeerMessages::SlotGrant::Reader reader)
 {
     const double rate = reader.getRate();
-    return {reader.getTarget(), reader.getId(), isAmount(rate) ? rate : 0, reader.getReport()};
+    return {.target = reader.getTarget(),
+            .id = reader.getId(),
+            .rate = isAmount(rate) ? rate : 0,
+            .report = reader.getReport(),
+            .isProbe = reader.getIsProbe(),
+            .acceptanceTime = fromMicroseconds(reader.getAcceptanceMicroseconds())};
 }
 
 } // namespace Lovageloft
--- a/gateway/target_connection.cpp
+++ b/gateway/target_connection.cpp
@@ -226,6 +226,7 @@
     hasSentRequest_ = true;
     stream_->send(pendingRequest_);
     pendingRequest_.clear();
+    events_->onRequestSent();
 }
 
 void TargetConnection::parse(std::string_view bytes)
--- a/gateway/target_connection.h
+++ b/gateway/target_connection.h
@@ -28,6 +28,11 @@
     ExchangeEvents &operator=(const ExchangeEvents &) = delete;
     virtual ~ExchangeEvents() = default;
 
+    /// The request was sent on an established connection; also called during TargetConnection::sendRequest().
+    virtual void onRequestSent()
+    {
+    }
+
     /// Called once, for the final answer; those with a 1xx status are skipped.
     virtual void onAnswerHead(HttpHead &&head, const AnswerFacts &facts) = 0;
     virtual void onAnswerBody(std::string_view bytes) = 0;
--- a/tests/decision/permit_model.cpp
+++ b/tests/decision/permit_model.cpp
@@ -19,6 +19,7 @@
 constexpr Duration minAnswerTime = std::chrono::milliseconds(20);
 constexpr Duration answerJitter = std::chrono::milliseconds(100);
 constexpr Duration serviceTime = std::chrono::milliseconds(100); ///< Of a target with a rejection limit.
+constexpr Duration abandonTime = std::chrono::milliseconds(20); ///< After which a request is abandoned.
 constexpr Duration downTime = std::chrono::seconds(1); ///< Of a target that has fallen over.
 constexpr Duration rejectionWindow = std::chrono::seconds(1);
 constexpr Duration membershipDelay = std::chrono::milliseconds(1'500); ///< Until a host that ended is no longer listed.
@@ -286,7 +287,12 @@
 {
     const auto slot = hosts_[host].permits->use(targetName(target), now_);
     Target &to = targets_[target];
-    const Exchange exchange{host, hosts_[host].starts, target, to.incarnation, slot.value_or(0), now_, deadline};
+    const bool isAbandoned = to.rejectionLimit > 0 && chance(options_.abandonedRate);
+    const Exchange exchange{host, hosts_[host].starts, target, to.incarnation, slot.value_or(0), now_, deadline, isAbandoned};
+    hosts_[host].permits->slots().onSent(targetName(target), exchange.slot, now_);
+    if (isAbandoned) {
+        post(host, abandonTime, true, [this, exchange] { abandon(exchange); });
+    }
     if (to.rejectionLimit > 0) {
         post(host, minMessageTime + randomUpTo(random_, options_.jitter), false, [this, exchange] { arrive(exchange); });
         return;
@@ -332,9 +338,8 @@
     std::erase_if(target.rejectedAt, [this](TimePoint at) { return now_ - at > rejectionWindow; });
     target.rejectedAt.push_back(now_);
     mostRejections_ = std::max(mostRejections_, target.rejectedAt.size());
-    post(exchange.host, minMessageTime + randomUpTo(random_, options_.jitter), true, [this, exchange, limit = target.rejectionLimit] {
-        onAnswer(exchange, -1, limit, true);
-    });
+    const Duration delay = options_.rejectionDelay + minMessageTime + randomUpTo(random_, options_.jitter);
+    post(exchange.host, delay, true, [this, exchange, limit = target.rejectionLimit] { onAnswer(exchange, -1, limit, true); });
     if (static_cast<double>(target.rejectedAt.size()) > target.rejectionLimit) {
         fall(exchange.target);
     }
@@ -370,16 +375,23 @@
     return hosts_[exchange.host].starts == exchange.hostStart;
 }
 
-void PermitModel::onLost(const Exchange &exchange)
+void PermitModel::abandon(const Exchange &exchange)
 {
     if (isSender(exchange)) {
-        hosts_[exchange.host].permits->onEnded(targetName(exchange.target), exchange.slot, now_);
+        hosts_[exchange.host].permits->onEnded(targetName(exchange.target), exchange.slot, SlotEnd::Abandoned, now_);
+    }
+}
+
+void PermitModel::onLost(const Exchange &exchange)
+{
+    if (!exchange.isAbandoned) {
+        abandon(exchange);
     }
 }
 
 void PermitModel::onAnswer(const Exchange &exchange, double statedRate, double statedRejections, bool isRejected)
 {
-    if (!isSender(exchange)) {
+    if (!isSender(exchange) || exchange.isAbandoned) {
         return;
     }
     hear(exchange, StatementKind::RateLimit, statedRate >= 0 ? std::optional(statedRate) : std::nullopt);
@@ -387,7 +399,7 @@
     Host &host = hosts_[exchange.host];
     const std::string name = targetName(exchange.target);
     if (!isRejected) {
-        host.permits->onEnded(name, exchange.slot, now_);
+        host.permits->onEnded(name, exchange.slot, SlotEnd::Finished, now_);
         return;
     }
     host.permits->onRejected(name, exchange.slot, now_);
--- a/tests/decision/permit_model.h
+++ b/tests/decision/permit_model.h
@@ -28,6 +28,8 @@
         double lossRate = 0; ///< Of messages.
         double doubledRate = 0;
         Duration jitter = std::chrono::milliseconds(3); ///< Largest variation of the time that a message takes.
+        Duration rejectionDelay{}; ///< By which rejections leave late.
+        double abandonedRate = 0; ///< Of requests that their hosts abandon while they are at a target.
         std::uint64_t seed = 0;
     };
 
@@ -120,6 +122,7 @@
         SlotId slot = 0;
         TimePoint sentAt;
         TimePoint deadline;
+        bool isAbandoned = false; ///< The host hears no answer to it.
     };
 
     struct Event
@@ -153,6 +156,7 @@
     void reject(const Exchange &exchange);
     void fall(std::size_t target);
     void onAnswer(const Exchange &exchange, double statedRate, double statedRejections, bool isRejected);
+    void abandon(const Exchange &exchange);
     void onLost(const Exchange &exchange);
     bool isSender(const Exchange &exchange) const;
     void listTargets(Host &host);
--- a/tests/decision/test_concurrency_limit.cpp
+++ b/tests/decision/test_concurrency_limit.cpp
@@ -47,10 +47,9 @@
     BOOST_TEST((limit.limit() == std::size_t{4}));
     now += 110ms;
     BOOST_TEST(limit.canSend(4, 0, now));
-    limit.onSent(4, now);
-    limit.update(now + 10ms);
+    BOOST_TEST(limit.onSent(4));
     BOOST_TEST((limit.limit() == std::size_t{4}));
-    limit.update(now + 100ms);
+    limit.onProbeAccepted(now + 10ms);
     BOOST_TEST((limit.limit() == std::size_t{5}));
 }
 
@@ -59,7 +58,7 @@
 {
     limit.onRejected(8, now);
     now += 110ms;
-    limit.onSent(4, now);
+    BOOST_TEST(limit.onSent(4));
     limit.onRejected(4, now + 5ms);
     BOOST_TEST((limit.limit() == std::size_t{4}));
     BOOST_TEST(!limit.canSend(4, 0, now + 400ms));
@@ -75,4 +74,27 @@
     BOOST_TEST((limit.limit() == std::size_t{4}));
 }
 
+// Guards against a limit that rises by a request within it, or by a probe whose fate is not known.
+BOOST_AUTO_TEST_CASE(onlyAnAcceptedProbeRaisesTheLimit)
+{
+    limit.onRejected(8, now);
+    now += 110ms;
+    BOOST_TEST(!limit.onSent(3));
+    limit.onProbeAccepted(now);
+    BOOST_TEST((limit.limit() == std::size_t{4}));
+    BOOST_TEST(limit.onSent(4));
+    limit.onProbeCancelled();
+    limit.onProbeAccepted(now);
+    BOOST_TEST((limit.limit() == std::size_t{4}));
+}
+
+// Guards against rejections that come late for requests which were sent before the limit was halved, and would halve it again.
+BOOST_AUTO_TEST_CASE(lateRejectionsOfOneMomentHalveTheLimitOnce)
+{
+    limit.setRejectionTime(150ms);
+    limit.onRejected(8, now);
+    limit.onRejected(7, now + 140ms);
+    BOOST_TEST((limit.limit() == std::size_t{4}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/decision/test_slot_leases.cpp
+++ b/tests/decision/test_slot_leases.cpp
@@ -57,6 +57,28 @@
     BOOST_TEST(used >= minRoomUsed);
 }
 
+// Guards against targets that fall over as their rejections come late or nobody hears them, and silence is taken for acceptance.
+BOOST_DATA_TEST_CASE(targetsWhoseRejectionsAreLateOrUnheardDoNotFallOver,
+                     boost::unit_test::data::make({0ms, 50ms, 150ms, 400ms}) * boost::unit_test::data::make({0.0, 0.3}),
+                     delay,
+                     abandonedRate)
+{
+    constexpr std::uint64_t seeds = 10;
+    constexpr std::size_t targets = 6;
+    for (std::uint64_t seed = 0; seed < seeds; ++seed) {
+        PermitModel model =
+            start({.hosts = 6, .targets = targets, .demand = 60, .jitter = 500us, .rejectionDelay = delay, .abandonedRate = abandonedRate, .seed = seed});
+        const std::size_t early = model.falls(); // Targets may fall over before any host has had an answer.
+        for (const std::size_t room : {smallRoom, smallRoom / 2, fullRoom, smallRoom}) {
+            for (std::size_t target = 0; target < targets; ++target) {
+                model.setRoom(target, room);
+            }
+            model.run(4s);
+        }
+        BOOST_TEST(model.falls() == early, "seed " << seed << ": " << model.falls() - early << " falls");
+    }
+}
+
 // Guards against falls beside lost and doubled messages, and hosts that pause, restart or are cut off while the room changes.
 BOOST_AUTO_TEST_CASE(targetsDoNotFallOverBesideFaults)
 {
@@ -110,9 +132,9 @@
     leases.setHosts(2, {"home"}, now);
     leases.want("t", 1, now);
     BOOST_REQUIRE(reports.size() == 1U);
-    leases.onGrant("home", {"t", 1, 0, reports.back().sequence}, now + 300ms);
+    leases.onGrant("home", {.target = "t", .id = 1, .report = reports.back().sequence}, now + 300ms);
     BOOST_TEST(leases.wait("t", now + 300ms).count() > 0);
-    leases.onGrant("home", {"t", 2, 0, reports.back().sequence}, now + 100ms);
+    leases.onGrant("home", {.target = "t", .id = 2, .report = reports.back().sequence}, now + 100ms);
     BOOST_TEST(leases.wait("t", now + 100ms).count() == 0);
     leases.returnUnused(now + 101ms);
     BOOST_TEST(reports.back().inUse == 0U);
