A home that was no home in between forgets what it knew of slots

Found by reading: a host that becomes the home of a target again granted slots at once, from reports of before, while the home in between had granted as well and knew of other rejections; together they could exceed what the target tolerates. A home now drops the targets that are no longer its own, so that it waits for a second as any new one does, and does not answer reports for targets of other homes. aHomeThatIsHomeAgainGrantsNothingAtFirst failed before (grants at once, and for a target that is not its own).

--- a/decision/slot_issuer.h
+++ b/decision/slot_issuer.h
@@ -65,6 +65,14 @@
     /// When to call onTick() next; nothing if there is no such time.
     std::optional<TimePoint> nextEvent(TimePoint now) const;
 
+    /// Drops the targets for which `isHome` is false. If this host becomes their home again, it begins without what it knew before: another home has
+    /// granted slots meanwhile.
+    template <typename IsHome>
+    void retainTargets(const IsHome &isHome)
+    {
+        std::erase_if(targets_, [&isHome](const auto &entry) { return !isHome(entry.first); });
+    }
+
 private:
     /// Over which granted slots are counted.
     static constexpr Duration grantRateTime = std::chrono::seconds(2);
--- a/decision/slot_leases.cpp
+++ b/decision/slot_leases.cpp
@@ -72,6 +72,7 @@
     hostCount_ = std::max<std::size_t>(hosts, 1);
     candidates_ = RendezvousNames(candidates);
     issuer_.startAt(now + homeActivationDelay);
+    issuer_.retainTargets([this](std::string_view target) { return homeOf(target) == host_; });
 }
 
 std::string SlotLeases::homeOf(std::string_view target) const
@@ -280,6 +281,9 @@
 
 void SlotLeases::onReport(const std::string &host, const SlotReport &report, TimePoint now)
 {
+    if (homeOf(report.target) != host_) {
+        return; // The sender doesn't know of the newest hosts yet, and another home grants slots.
+    }
     deliver(issuer_.onReport(host, report, now), now);
 }
 
--- a/tests/decision/test_slot_leases.cpp
+++ b/tests/decision/test_slot_leases.cpp
@@ -79,6 +79,32 @@
     }
 }
 
+// Guards against two homes that grant slots of one target in turn, as each goes on from what it knew before the other one.
+BOOST_AUTO_TEST_CASE(aHomeThatIsHomeAgainGrantsNothingAtFirst)
+{
+    TimePoint now{1h};
+    StatementTable table("h");
+    table.presumeRejectionLimit("t", 1, rejectionLimit, now);
+    std::vector<SlotGrant> grants;
+    SlotLeases leases("h", table);
+    leases.setLinks({[](const std::string &, const SlotReport &) {}, [&grants](const std::string &, const SlotGrant &grant) { grants.push_back(grant); }});
+    leases.setHosts(2, {"h"}, now);
+    SlotReport report{.target = "t", .incarnation = 1, .rejectionLimit = rejectionLimit, .sequence = 1, .wanted = 1};
+    leases.onReport("other", report, now + 1s);
+    BOOST_TEST(grants.size() == 1U);
+    leases.setHosts(2, {"other"}, now + 2s);
+    report.sequence = 2;
+    leases.onReport("other", report, now + 2s);
+    BOOST_TEST(grants.size() == 1U);
+    leases.setHosts(2, {"h"}, now + 3s);
+    report.sequence = 3;
+    leases.onReport("other", report, now + 3s);
+    BOOST_TEST(grants.size() == 1U);
+    report.sequence = 4;
+    leases.onReport("other", report, now + 4s);
+    BOOST_TEST(grants.size() == 2U);
+}
+
 // Guards against falls beside lost and doubled messages, and hosts that pause, restart or are cut off while the room changes.
 BOOST_AUTO_TEST_CASE(targetsDoNotFallOverBesideFaults)
 {
