A request whose caller has left is awaited until its target has decided

An abandoned request that its target may have rejected takes part of the budget of rejections for a second.

--- a/gateway/request_limits.h
+++ b/gateway/request_limits.h
@@ -36,6 +36,11 @@
 /// deadline sent with the request; one that takes longer is stuck, and its connection is closed to free it.
 inline constexpr Duration orphanTimeout = std::chrono::seconds(10);
 
+/// How long a request whose caller has left stays at a target that tolerates few rejections, so that its rejection is heard, and how often it is
+/// looked whether it may still come. Within half a second of the caller's leaving the target has to be free of the request.
+inline constexpr Duration maxUnreadTime = std::chrono::milliseconds(400);
+inline constexpr Duration unreadCheckInterval = std::chrono::milliseconds(50);
+
 /// Bytes of the heads of a request and its response together, and of an event that carries one token, to estimate the traffic between data centres.
 inline constexpr std::size_t headBytes = 1'000;
 inline constexpr std::size_t bytesPerToken = 55;
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -244,6 +244,10 @@
     }
     mayHaveRun_ = true;
     phase_ = Phase::Answering;
+    if (isOnlyAwaited_) {
+        endUnread();
+        return;
+    }
     takeBuffered();
     isAnswerRelayed_ = !isAnswerStarted_ || answerHead_.status == successStatus;
 }
@@ -521,13 +525,27 @@
         onCallerBufferEmpty(); // Nobody reads the rest; the target can complete it.
         return;
     }
-    closeConnection();
+    if (phase_ == Phase::Sent && gateway_.dispatch().isUndecided(schedulerId_)) {
+        isOnlyAwaited_ = true;
+        deadline_ = std::min(deadline_, BootClock::now() + maxUnreadTime);
+        armTimer();
+        return;
+    }
     if (isRunning()) {
-        endDispatch(DispatchResult::Cancelled);
-    } else {
-        gateway_.dispatch().cancelQueued(schedulerId_);
-        refundUnusedTokens();
+        endUnread();
+        return;
     }
+    gateway_.dispatch().cancelQueued(schedulerId_);
+    refundUnusedTokens();
+    finish("caller_gone", 0);
+}
+
+/// Takes a request whose caller has left away from its target.
+void RoutedRequest::endUnread()
+{
+    const auto self = shared_from_this();
+    closeConnection();
+    endDispatch(DispatchResult::Cancelled);
     finish("caller_gone", 0);
 }
 
@@ -540,6 +558,9 @@
     if (phase_ == Phase::Sent && isOnDirectConnection()) {
         next = std::min(next, linkCheckAt_);
     }
+    if (isOnlyAwaited_) {
+        next = std::min(next, BootClock::now() + unreadCheckInterval);
+    }
     timer_.expires_after(std::max(next - BootClock::now(), Duration::zero()));
     timer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
         const auto self = weak.lock();
@@ -555,6 +576,10 @@
     if (phase_ == Phase::Done) {
         return;
     }
+    if (isOnlyAwaited_ && (now >= deadline_ || !gateway_.dispatch().isUndecided(schedulerId_))) {
+        endUnread();
+        return;
+    }
     if (phase_ == Phase::Sent && isOnDirectConnection() && now >= linkCheckAt_) {
         const TimePoint overdueAt = sentAt_ + intake_.route()->stallTimeout();
         const bool becomesOverdue = linkCheckAt_ - linkCheckInterval < overdueAt && overdueAt <= now;
--- a/gateway/routed_request.h
+++ b/gateway/routed_request.h
@@ -125,6 +125,7 @@
     bool failIfQuarantined();
     void leaveTarget(std::string_view why);
     void retryElsewhere();
+    void endUnread();
     void startAnswer(std::optional<std::size_t> bodyBytes);
     void relayBuffered();
     void onTimer();
@@ -194,6 +195,7 @@
     EventSplitter events_;
     AnswerFacts notExecutedFacts_;
     bool isNotExecuted_ = false; ///< The response being read says that the request did not run.
+    bool isOnlyAwaited_ = false; ///< The caller has left, and only whether the target rejects the request still matters.
     std::optional<BufferedAnswer> fallback_; ///< A target's error response, relayed if no other target succeeds.
     bool isFirstTokenReported_ = false;
     TimePoint firstTokenAt_;
