--- a/gateway/target_statements.cpp
+++ b/gateway/target_statements.cpp
@@ -64,12 +64,28 @@
         const bool isStated = stated != statements.end();
         const auto update = table_.onAnswer({targetId, incarnation, kind, isStated, isStated ? stated->value : std::nullopt, sentAt}, now);
         if (update) {
-            log_.changed(*update);
+            onChanged(*update);
             announce(*update);
         }
     }
 }
 
+/// A target has stated something else than before. What it tolerates, others of its service that have not answered yet are taken to tolerate as well.
+void TargetStatements::onChanged(const StatementTable::Update &update)
+{
+    log_.changed(update);
+    const TargetStatement &statement = update.statement;
+    const auto changed = listed_.find(statement.target);
+    if (statement.kind != StatementKind::RejectionLimit || update.isEnded || changed == listed_.end()) {
+        return;
+    }
+    for (const auto &[id, target] : listed_) {
+        if (target.service == changed->second.service) {
+            table_.presumeRejectionLimit(id, target.incarnation, statement.value, BootClock::now());
+        }
+    }
+}
+
 void TargetStatements::announce(const StatementTable::Update &update)
 {
     announcements_.push_back(update);
@@ -160,17 +176,17 @@
         const auto limit = limits.try_emplace(target.service, stated->value).first;
         limit->second = std::min(limit->second, stated->value);
     }
-    std::map<std::string, std::int64_t, std::less<>> incarnations;
+    std::map<std::string, Listed, std::less<>> listed;
     for (const auto &[id, target] : targets) {
-        incarnations.emplace(id, target.incarnation);
-        const auto before = incarnations_.find(id);
-        const bool hasStarted = before == incarnations_.end() || before->second < target.incarnation;
+        listed.emplace(id, Listed{target.incarnation, target.service});
+        const auto before = listed_.find(id);
+        const bool hasStarted = before == listed_.end() || before->second.incarnation < target.incarnation;
         const auto limit = limits.find(target.service);
         if (hasStarted && limit != limits.end()) {
             table_.presumeRejectionLimit(id, target.incarnation, limit->second, BootClock::now());
         }
     }
-    incarnations_ = std::move(incarnations);
+    listed_ = std::move(listed);
 }
 
 void TargetStatements::wantPermits(std::span<const WantedPermits> wanted)
@@ -194,7 +210,7 @@
         if (statement.kind == StatementKind::Leaving) {
             hasNewLeave |= addLeave({statement.target, statement.incarnation, statement.statedAt, statement.heardAt, statement.heardBy}, "host");
         } else if (table_.onUpdate(update)) {
-            log_.changed(update);
+            onChanged(update);
         }
     }
     if (hasNewLeave) {
--- a/gateway/target_statements.h
+++ b/gateway/target_statements.h
@@ -44,8 +44,8 @@
     /// Reads an answer of a target to a request that was sent at `sentAt` to this incarnation of it.
     void onAnswer(std::string_view targetId, std::int64_t incarnation, TimePoint sentAt, const AnswerFacts &facts);
 
-    /// Drops what other incarnations and targets that are gone have stated. Targets that have started are taken to state a rejection limit if others of
-    /// their service do: they would get too much before their first answer otherwise.
+    /// Drops what other incarnations and targets that are gone have stated. Targets that have not answered yet are taken to state a rejection limit if
+    /// others of their service do: they would get too much before their first answer otherwise.
     void setTargets(const TargetMap &targets);
 
     /// Notes which targets say in their entries that they leave.
@@ -91,7 +91,15 @@
     }
 
 private:
+    /// A target that was last listed.
+    struct Listed
+    {
+        std::int64_t incarnation = 0;
+        std::string service;
+    };
+
     void presumeRejectionLimits(const TargetMap &targets);
+    void onChanged(const StatementTable::Update &update);
     bool addLeave(const LeaveTable::Leave &leave, std::string_view source);
     bool isToldByOther(const TargetStatement &leaving) const;
     void announce(const StatementTable::Update &update);
@@ -104,7 +112,7 @@
     StatementLog log_;
     SendPermits permits_;
     Links links_;
-    std::map<std::string, std::int64_t, std::less<>> incarnations_; ///< Of the targets that were last listed.
+    std::map<std::string, Listed, std::less<>> listed_; ///< By target id.
     std::vector<StatementTable::Update> announcements_; ///< Sent together a moment later.
     boost::asio::steady_timer announcementTimer_;
     boost::asio::steady_timer permitTimer_;
