An abandoned slot whose time is over goes back at once

A request that its target has held for longer than its answers take kept the slot until the next look at the clock, up to a quarter of a second.

--- a/decision/slot_leases.cpp
+++ b/decision/slot_leases.cpp
@@ -167,12 +167,13 @@
         }
         accept(lease, *running);
     }
-    if (end == SlotEnd::Finished || !running->sentAt) {
-        lease.running.erase(slot);
-    } else {
+    if (end == SlotEnd::Abandoned && running->sentAt) {
         const TimePoint acceptedUntil = std::min(*running->sentAt + lease.serviceTime, now + maxAbandonedTime);
         running->abandonedUntil = running->isAccepted ? acceptedUntil : now + undecidedTime;
     }
+    if (running->abandonedUntil.value_or(now) <= now) {
+        lease.running.erase(slot);
+    }
     report(found->first, lease, now);
 }
 
