How a request ends stands in one file

What happens when a caller leaves, and the complete answer, go to routed_request_end.cpp. Nothing but the place of three functions changes.

--- a/gateway/routed_request_end.cpp
+++ b/gateway/routed_request_end.cpp
@@ -7,7 +7,7 @@
 #include "gateway/gateway.h"
 #include "gateway/request_limits.h"
 
-/// How a request ends: failures of this host's, broken answers, and the last log line.
+/// How a request ends: failures of this host's, callers that leave, complete and broken answers, and the last log line.
 namespace Lovageloft
 {
 
@@ -52,6 +52,57 @@
     }
 }
 
+void RoutedRequest::relayBuffered()
+{
+    if (!isAnswerStarted_) {
+        startAnswer(bufferedBody_.size());
+        relay(takeBuffered());
+    }
+    const auto session = std::move(session_);
+    finish("answered", answerHead_.status);
+    if (session != nullptr) {
+        session->finishAnswer();
+    }
+}
+
+void RoutedRequest::onCallerDisconnected()
+{
+    const auto self = shared_from_this();
+    session_.reset();
+    if (phase_ == Phase::Done) {
+        return;
+    }
+    const bool mustComplete = intake_.route() != nullptr && intake_.route()->kind == RouteKind::NonIdempotent && isRunning();
+    if (mustComplete) {
+        deadline_ = BootClock::now() + orphanTimeout;
+        armTimer();
+        onCallerBufferEmpty(); // Nobody reads the rest; the target can complete it.
+        return;
+    }
+    if (phase_ == Phase::Sent && gateway_.dispatch().isUndecided(schedulerId_)) {
+        isOnlyAwaited_ = true;
+        deadline_ = std::min(deadline_, BootClock::now() + maxUnreadTime);
+        armTimer();
+        return;
+    }
+    if (isRunning()) {
+        endUnread();
+        return;
+    }
+    gateway_.dispatch().cancelQueued(schedulerId_);
+    refundUnusedTokens();
+    finish("caller_gone", 0);
+}
+
+/// Takes a request whose caller has left away from its target.
+void RoutedRequest::endUnread()
+{
+    const auto self = shared_from_this();
+    closeConnection();
+    endDispatch(DispatchResult::Cancelled);
+    finish("caller_gone", 0);
+}
+
 void RoutedRequest::abortRelay(std::string_view why)
 {
     const auto self = shared_from_this();
