An order without an answer is given up at every engine

What operators saw: an engine that keeps weights for good which nobody wants, though the leader leads and the engine answers.

Cause: an open order was given up after its timeout only while its engine was outdated by what the leader had last read of it; an engine with an open order isn't read. If the wanted state went back to the one last read while the answer was lost, the order stayed open for good.

Change: orders without an answer are given up for all engines before a plan is made.

--- a/coordination/order_scheduler.cpp
+++ b/coordination/order_scheduler.cpp
@@ -59,6 +59,7 @@
     if (isSuperseded_) {
         return plan;
     }
+    closeUnansweredOrders(now);
     std::size_t loading = countLoads(now);
     maxConcurrentLoads_ = maxConcurrentLoads(now);
     for (Engine *engine : longestOutdatedFirst(now)) {
@@ -201,9 +202,6 @@
 
 void OrderScheduler::planOrder(Engine &engine, const LeaseHolder &lease, OrderPlan &plan, std::size_t &loading, TimePoint now)
 {
-    if (engine.pending && now - engine.pending->createdAt >= options_.answerTimeout) {
-        closeOrder(engine, now);
-    }
     const bool isReady = engine.isObserved && !engine.observed.isLoading && !engine.pending && isSettled(engine, lease, now);
     if (!isReady) {
         return;
@@ -308,6 +306,16 @@
     return engine.desired.checksFencing || (now >= lease.settledAt() && !isHandover);
 }
 
+/// An order may have taken effect though its answer was lost, also at an engine that was in its desired state when the order was no longer wanted.
+void OrderScheduler::closeUnansweredOrders(TimePoint now)
+{
+    for (auto &[target, engine] : engines_) {
+        if (engine.pending && now - engine.pending->createdAt >= options_.answerTimeout) {
+            closeOrder(engine, now);
+        }
+    }
+}
+
 void OrderScheduler::closeOrder(Engine &engine, TimePoint now) const
 {
     engine.pending.reset();
--- a/coordination/order_scheduler.h
+++ b/coordination/order_scheduler.h
@@ -159,6 +159,7 @@
     std::size_t countLoads(TimePoint now) const;
     std::size_t maxConcurrentLoads(TimePoint now) const;
     bool isSettled(const Engine &engine, const LeaseHolder &lease, TimePoint now) const;
+    void closeUnansweredOrders(TimePoint now);
     void closeOrder(Engine &engine, TimePoint now) const;
     void applyAnnounced(Engine &engine, TimePoint now);
 
--- a/tests/coordination/test_order_scheduler.cpp
+++ b/tests/coordination/test_order_scheduler.cpp
@@ -305,6 +305,25 @@
     }
 }
 
+// Guards against an engine that keeps weights for good which nobody wants any more: it was ordered to load them, the answer was lost, and the
+// weights that it had before were wanted again meanwhile.
+BOOST_AUTO_TEST_CASE(anEngineIsReadAfterAnUnansweredOrderThatIsNoLongerWanted)
+{
+    Leader leader(2);
+    TimePoint now = leader.start;
+    leader.firstOrder(now);
+    leader.desired[0].state = {};
+    leader.scheduler.setDesired(leader.desired, now);
+    for (const TimePoint timeout = now + OrderOptions{}.answerTimeout; now < timeout;) {
+        now += 500ms;
+        leader.start = now;
+        leader.lease.step(now);
+    }
+    BOOST_REQUIRE(leader.lease.isHeld(now));
+    const OrderPlan plan = leader.scheduler.plan(leader.lease, now);
+    BOOST_TEST((std::find(plan.reads.begin(), plan.reads.end(), "e0") != plan.reads.end()));
+}
+
 BOOST_AUTO_TEST_CASE(threeEnginesLoadAtOnceAndAllFinishSoon)
 {
     // A ticket changes the version of all engines. If all loaded at once, the weight store would slow every load down.
