Silence of the relays counts from the store's last answer to one of them

While the store turned both relays away, hosts that it served sent requests to targets that had announced their shutdown over 2 s before.

Cause: a heartbeat said which revision its relay had reached, not since when. A relay sent them until the store had answered none of its calls for 2 s, and the others watched the store 1.3 s after the last one: 3.3 s by two timeouts that nobody added up. That a relay is told at once that it is turned away made no difference.

Change: a heartbeat states for each prefix how long ago the store last answered its relay while the relay's watch was pending, and hosts count silence from that time, less a pause of their own in which the notice lay unread. So the whole way from the store is bounded by 1.3 s, whoever is cut off from whom; a prefix whose watch fails isn't covered by answers to other calls. What a host tells others of a prefix, and whether its list is current for resumed streams and new versions, is dated in the same way, also on relays. Between watches a relay renews its lease if neither relay was answered for 0.3 s. relay_unconfirmed and relay_confirmed tell of it.

--- a/gateway/changes_codec.cpp
+++ b/gateway/changes_codec.cpp
@@ -42,6 +42,7 @@
     changes.setSilenceMilliseconds(static_cast<std::uint32_t>(toMillis(notice.silence)));
     changes.setLatestStart(notice.maxStartRevision);
     changes.setReturnAgeMilliseconds(static_cast<std::uint32_t>(toMillis(notice.returnAge)));
+    changes.setAgeMilliseconds(static_cast<std::uint32_t>(toMillis(notice.age)));
     if (notice.outage) {
         changes.setAwayMilliseconds(static_cast<std::uint32_t>(std::min<std::int64_t>(toMillis(*notice.outage), unknownMilliseconds - 1)));
     }
@@ -58,6 +59,7 @@
     notice.silence = std::chrono::milliseconds(changes.getSilenceMilliseconds());
     notice.maxStartRevision = changes.getLatestStart();
     notice.returnAge = std::chrono::milliseconds(changes.getReturnAgeMilliseconds());
+    notice.age = std::chrono::milliseconds(changes.getAgeMilliseconds());
     if (changes.getAwayMilliseconds() != unknownMilliseconds) {
         notice.outage = std::chrono::milliseconds(changes.getAwayMilliseconds());
     }
--- a/gateway/fleet_link.cpp
+++ b/gateway/fleet_link.cpp
@@ -422,11 +422,15 @@
     gateway_.streams().onReply(host, reply);
 }
 
-/// A relay reads the store itself.
-bool FleetLink::hearsRelays(TimePoint now) const
+TimePoint FleetLink::syncedUntil(TimePoint now) const
 {
-    constexpr Duration maxSilence = 2 * heartbeatInterval + std::chrono::milliseconds(100);
-    return relayedStore_ == nullptr || relayedStore_->isRelay() || now - heardRelayAt_ <= maxSilence;
+    return relayedStore_ == nullptr ? now : relayedStore_->syncedUntil();
+}
+
+bool FleetLink::isSynced(TimePoint now) const
+{
+    constexpr Duration maxAge = 2 * heartbeatInterval + std::chrono::milliseconds(100);
+    return now - syncedUntil(now) <= maxAge;
 }
 
 void FleetLink::sendRolloutReport(const std::string &host, const RolloutReport &report)
@@ -448,11 +452,8 @@
 
 void FleetLink::onChangesNotice(const ChangesNotice &notice)
 {
-    if (!mayHaveStaleMessages()) {
-        heardRelayAt_ = BootClock::now();
-    }
     if (relayedStore_ != nullptr) {
-        relayedStore_->onNotice(notice);
+        relayedStore_->onNotice(notice, gateway_.recentPause(BootClock::now()));
     }
 }
 
--- a/gateway/fleet_link.h
+++ b/gateway/fleet_link.h
@@ -117,14 +117,11 @@
     /// Asks a host which version began a stream.
     void queryStream(const std::string &host, const StreamQuery &query);
 
-    /// Whether the relays have told lately how far the store's changes go.
-    bool hearsRelays(TimePoint now) const;
+    /// Until when this host has received all changes in the store; `now` without a store client.
+    TimePoint syncedUntil(TimePoint now) const;
 
-    /// When a relay last told; long ago if none has.
-    TimePoint heardRelayAt() const
-    {
-        return heardRelayAt_;
-    }
+    /// Whether this host has lately received all changes in the store.
+    bool isSynced(TimePoint now) const;
 
     /// Sends a report on a rollout to the leader.
     void sendRolloutReport(const std::string &host, const RolloutReport &report);
@@ -189,7 +186,6 @@
 
     std::map<RequestFeature, LossChecks> lossChecks_; ///< By the request that the lost targets had.
     TimePoint nextHeartbeat_;
-    TimePoint heardRelayAt_; ///< When a relay's heartbeat or notice was last received.
 };
 
 } // namespace Lovageloft
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -498,7 +498,7 @@
     if (now < queryWeightsAgesUntil_ || directory_.needsPublicationTime(now)) {
         fleet_.queryWeightsAges();
     }
-    versions_.tick(now, std::max(now - proofAge(now), fleet_.heardRelayAt()));
+    versions_.tick(now, std::max(now - proofAge(now), fleet_.syncedUntil(now)));
     rollouts_.tick(now);
     dispatch_.refreshEngines(now);
     const bool ready = isReady(now);
--- a/gateway/host_duty.cpp
+++ b/gateway/host_duty.cpp
@@ -269,7 +269,7 @@
 
 void HostDuty::dropLease()
 {
-    writeLog(LogLevel::Warning, "host_lease_lapsed", {{"lease", leaseId_}});
+    writeLog(LogLevel::Warning, "host_lease_lapsed", {{"lease", leaseId()}});
     leaseId_ = 0;
     isKeyWritten_ = false;
 }
--- a/gateway/host_duty.h
+++ b/gateway/host_duty.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -61,6 +62,12 @@
     /// Queues the names of services that have had several versions, to be written to the store for this long. Thread-safe.
     void recordSkew(const std::vector<std::string> &services, Duration timeToLive);
 
+    /// The lease of this host's key; 0 if there is none. Thread-safe.
+    std::int64_t leaseId() const
+    {
+        return leaseId_;
+    }
+
 private:
     void run() override;
     bool step();
@@ -87,7 +94,7 @@
     Options options_;
     std::string key_;
     Backoff backoff_ = storeBackoff();
-    std::int64_t leaseId_ = 0;
+    std::atomic<std::int64_t> leaseId_ = 0;
     bool isKeyWritten_ = false;
     bool hasReadStore_ = false;
     TimePoint nextRenewal_;
--- a/gateway/peer_messages.capnp
+++ b/gateway/peer_messages.capnp
@@ -188,6 +188,7 @@
   latestStart @5 :Int64 = 0x7fffffffffffffff; # Only for a receiver that has reached no more than this.
   awayMilliseconds @6 :UInt32 = 0xffffffff; # For how long before the store had answered nobody; the default: not known.
   returnAgeMilliseconds @7 :UInt32; # Since it answers again after that.
+  ageMilliseconds @8 :UInt32; # So long ago the sender knew that these are all changes up to then.
 
   struct Entry {
     key @0 :Text;
--- a/gateway/peer_messages.capnp.h
+++ b/gateway/peer_messages.capnp.h
@@ -2792,6 +2792,8 @@
 
   inline  ::uint32_t getReturnAgeMilliseconds() const;
 
+  inline  ::uint32_t getAgeMilliseconds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2852,6 +2854,9 @@
   inline  ::uint32_t getReturnAgeMilliseconds();
   inline void setReturnAgeMilliseconds( ::uint32_t value);
 
+  inline  ::uint32_t getAgeMilliseconds();
+  inline void setAgeMilliseconds( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6775,6 +6780,20 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Changes::Reader::getAgeMilliseconds() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Changes::Builder::getAgeMilliseconds() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Changes::Builder::setAgeMilliseconds( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Changes::Entry::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/gateway/peer_socket.h
+++ b/gateway/peer_socket.h
@@ -87,6 +87,9 @@
 
     /// Time since the store answers again after that outage.
     Duration returnAge{};
+
+    /// How long ago the sender knew that there were no changes after `upTo`; the time since the store last answered it.
+    Duration age{};
 };
 
 /// Asks for all changes under a prefix after a revision.
--- a/gateway/prefix_state.h
+++ b/gateway/prefix_state.h
@@ -21,9 +21,10 @@
     std::int64_t lastChangeRevision = 0; ///< Revision of the last change known, also from notices; nothing changed from it up to `syncedRevision`.
     std::int64_t requiredRevision = 0; ///< Other hosts have this revision; it is above `syncedRevision` if changes were missed.
     bool areRelaysSilent = false; ///< Whether no relay has sent anything about this prefix for too long.
-    bool hasOpenWatch = false; ///< Whether a watch of this host is pending at the store; on a relay also between successful watches.
-    /// Until when this host has received all changes: the time of the last notice of a relay or own list, on a relay also of the last own watch,
-    /// or the time up to which another host confirmed that `syncedRevision` was current.
+    std::optional<TimePoint> watchSentAt; ///< When the watch was sent that is pending at the store.
+    bool isConfirmed = false; ///< On a relay: whether its last heartbeat included this prefix.
+    /// Until when this host has received all changes: the time of the last own list, on a relay also of the last own watch, or the time up to
+    /// which a relay or another host knew that `syncedRevision` was current.
     TimePoint lastHeardAt;
     TimePoint lastReadAt; ///< When the store last answered a list or watch of this host.
     /// Longest outage of the store that ended after `lastReadAt`, from the last answer to any call before it. A watch that was cut while other
--- a/gateway/relayed_store.cpp
+++ b/gateway/relayed_store.cpp
@@ -39,19 +39,12 @@
 constexpr double failedCallsPerSecond = 100;
 constexpr Duration maxRankedOpenDuration = std::chrono::milliseconds(400);
 
-/// How long a relay keeps sending heartbeats after the store last answered it. A relay renews its lease and confirms its configuration more
-/// often than that. Together with `silenceBeforeStoreCall`, other hosts watch the store themselves 3.3 s after both relays are cut off from
-/// it; without this limit they would not do so until the cut ends.
-constexpr Duration maxStoreReplyAge = std::chrono::seconds(2);
+/// A relay that the store has not answered for this long has nothing to tell: its heartbeat would be as old as the silence after which other
+/// hosts query their peers.
+constexpr Duration maxHeartbeatAge = silenceBeforePeerQuery;
 
-/// If a relay's last watch was answered longer ago than this, its connection is dead: watches last at most three seconds.
-constexpr Duration maxWatchReplyAge = std::chrono::milliseconds(4'500);
-
-/// Timeout of a proof request; hosts of one region answer within 3 ms.
-constexpr Duration proofTimeout = std::chrono::milliseconds(60);
-
-/// Unanswered requests are removed after this time.
-constexpr Duration pendingRequestTimeout = std::chrono::seconds(2);
+/// How old the newest answer to one of the relays may become. With the interval between heartbeats it stays below `silenceBeforePeerQuery`.
+constexpr Duration maxAnswerAge = std::chrono::milliseconds(300);
 
 /// Older proofs are ignored and the store is called instead.
 constexpr Duration maxProofAge = std::chrono::milliseconds(1'500);
@@ -59,7 +52,7 @@
 } // namespace
 
 template <typename Call>
-auto RelayedStore::callThroughBreaker(Call call)
+auto RelayedStore::callThroughBreaker(Call call, Duration hold)
 {
     TimePoint calledAt;
     {
@@ -79,6 +72,7 @@
         return reply;
     }
     breaker_.onSuccess();
+    storeReachedAt_ = std::max(storeReachedAt_, std::min(now_(), calledAt + hold));
     if (const auto outage = outages_.onAnswered(now_())) {
         for (auto &[prefix, state] : prefixes_) {
             state.onOutage(*outage);
@@ -150,74 +144,60 @@
     return knowsHosts_ && isAmongRelays();
 }
 
-void RelayedStore::onNotice(const ChangesNotice &notice)
+void RelayedStore::onNotice(const ChangesNotice &notice, Duration delay)
 {
     const std::lock_guard lock(mutex_);
+    const TimePoint now = now_();
+    const TimePoint confirmedAt = now - notice.age - delay;
+    otherRelayConfirmedAt_ = std::max(otherRelayConfirmedAt_, confirmedAt);
     const auto found = prefixes_.find(notice.prefix);
     if (found == prefixes_.end() || found->second.syncedRevision == 0) {
         return; // The prefix has not been listed yet.
     }
     PrefixState &state = found->second;
-    const TimePoint now = now_();
     const bool isInsideCoalescedRange = notice.maxStartRevision < state.syncedRevision && state.syncedRevision < notice.upTo;
     if (notice.after > state.syncedRevision || isInsideCoalescedRange) {
         recordGap(notice.prefix, state, notice.upTo, now);
     } else if (notice.upTo >= state.syncedRevision) {
         state.applyNotice(notice, now);
-        state.lastHeardAt = now;
-        breaker_.onPeersAnswered(now, storeCallWindow());
+        state.lastHeardAt = std::max(state.lastHeardAt, confirmedAt);
+        if (now - confirmedAt < silenceBeforePeerQuery) {
+            breaker_.onPeersAnswered(now, storeCallWindow());
+        }
         updateBehindState(notice.prefix, state, now);
     }
     updateArrived_.notify_all();
 }
 
-void RelayedStore::onChangesReply(const ChangesReply &reply)
+/// Until when the store itself has told this host of all changes. While a watch is pending, an answer to any later call shows that the store
+/// still reaches this host. Messages from other hosts do not count: two relays that are cut off from the store would otherwise keep each other
+/// sending.
+TimePoint RelayedStore::confirmedAt(const PrefixState &state) const
 {
-    const std::lock_guard lock(mutex_);
-    const auto pendingRequest = pendingChangesRequests_.find(reply.id);
-    if (pendingRequest == pendingChangesRequests_.end()) {
-        return;
-    }
-    const auto found = prefixes_.find(pendingRequest->second.prefix);
-    const bool isFollowed = found != prefixes_.end() && found->second.syncedRevision != 0 && found->first == reply.changes.prefix;
-    if (!isFollowed || reply.changes.after != found->second.syncedRevision) {
-        return;
-    }
-    PrefixState &state = found->second;
-    const TimePoint now = now_();
-    state.applyNotice(reply.changes, now);
-    if (!isRankedHost()) {
-        state.lastHeardAt = std::max(state.lastHeardAt, pendingRequest->second.sentAt - reply.age);
-    }
-    updateBehindState(found->first, state, now);
-    updateArrived_.notify_all();
+    const bool isWatchPending = state.watchSentAt && storeReachedAt_ > *state.watchSentAt;
+    return isWatchPending ? std::max(state.lastReadAt, storeReachedAt_) : state.lastReadAt;
 }
 
-std::optional<ChangesReply> RelayedStore::changesFor(const ChangesRequest &request) const
+TimePoint RelayedStore::syncedUntil() const
 {
     const std::lock_guard lock(mutex_);
-    const auto found = prefixes_.find(request.prefix);
-    if (found == prefixes_.end() || found->second.syncedRevision == 0 || found->second.syncedRevision < request.after) {
-        return std::nullopt;
+    if (prefixes_.empty()) {
+        return {};
     }
-    const PrefixState &state = found->second;
-    auto entries = state.log.since(request.after);
-    if (!entries) {
-        return std::nullopt;
+    TimePoint until = TimePoint::max();
+    for (const auto &[prefix, state] : prefixes_) {
+        until = std::min(until, std::max(state.lastHeardAt, confirmedAt(state)));
     }
-    const TimePoint now = now_();
-    const bool isUpdatedByStore = state.hasOpenWatch && hasRecentStoreReplies(state, now);
-    const Duration age = isUpdatedByStore ? Duration::zero() : std::max(Duration::zero(), now - lastUpdateAt(state));
-    const Duration returnAge = now - state.pendingReturnedAt.value_or(now);
-    return ChangesReply{
-        request.id, {request.prefix, request.after, state.syncedRevision, std::move(*entries), {}, state.silence, request.after, state.outage, returnAge}, age};
+    return until;
 }
 
-/// Whether the store has recently answered any call, and a list or watch of this prefix. Messages from other hosts do not count: two relays
-/// that are cut off from the store would otherwise keep each other sending.
-bool RelayedStore::hasRecentStoreReplies(const PrefixState &state, TimePoint now) const
+std::optional<Duration> RelayedStore::probeDelay() const
 {
-    return now - outages_.lastAnswerAt() < maxStoreReplyAge && now - state.lastReadAt < maxWatchReplyAge;
+    const std::lock_guard lock(mutex_);
+    if (!knowsHosts_ || otherHosts_.empty() || !isAmongRelays()) {
+        return std::nullopt;
+    }
+    return std::max(storeReachedAt_, otherRelayConfirmedAt_) + maxAnswerAge - now_();
 }
 
 /// Until when this host is known to have received all changes. Replies to a deputy's own watches do not count, so that it keeps
@@ -279,16 +259,6 @@
     return position != rankedHosts_.end() ? rankDelay : rankDelay + randomUpTo(random_, storeCallWindow());
 }
 
-void RelayedStore::onProofReply(const ProofReply &reply)
-{
-    const std::lock_guard lock(mutex_);
-    const auto pendingRequest = pendingProofRequests_.find(reply.id);
-    if (pendingRequest != pendingProofRequests_.end()) {
-        pendingRequest->second = reply;
-        updateArrived_.notify_all();
-    }
-}
-
 void RelayedStore::sendHeartbeat()
 {
     std::vector<ChangesNotice> notices;
@@ -297,10 +267,15 @@
         const std::lock_guard lock(mutex_);
         network = network_;
         const TimePoint now = now_();
-        for (const auto &[prefix, state] : prefixes_) {
-            if (hasRecentStoreReplies(state, now)) {
-                notices.push_back({prefix, state.lastChangeRevision, state.syncedRevision, {}, {}, {}});
+        for (auto &[prefix, state] : prefixes_) {
+            const Duration age = std::max(Duration::zero(), now - confirmedAt(state));
+            logConfirmation(prefix, state, age < maxHeartbeatAge, age);
+            if (!state.isConfirmed) {
+                continue;
             }
+            ChangesNotice notice{prefix, state.lastChangeRevision, state.syncedRevision, {}, {}, {}};
+            notice.age = age;
+            notices.push_back(std::move(notice));
         }
     }
     if (network.broadcastTogether && !notices.empty()) {
@@ -345,27 +320,6 @@
     updateArrived_.notify_all();
 }
 
-/// Hosts to request a proof from, in order: the relays, then a random ranked host and a random host. Empty on a relay, which calls the
-/// store.
-std::vector<std::string> RelayedStore::proofSources()
-{
-    if (isRelay()) {
-        return {};
-    }
-    const std::lock_guard lock(mutex_);
-    std::vector<std::string> hosts(relays().begin(), relays().end());
-    // Each relay is the first choice of half of the hosts.
-    if (hosts.size() > 1 && randomBelow(random_, 2) == 0) {
-        std::swap(hosts.front(), hosts.back());
-    }
-    for (const std::string &host : hostsToQuery()) {
-        if (std::find(hosts.begin(), hosts.end(), host) == hosts.end()) {
-            hosts.push_back(host);
-        }
-    }
-    return hosts;
-}
-
 StoreListReply RelayedStore::list(std::string_view prefix)
 {
     StoreListReply reply = callThroughBreaker([&] { return ForwardingStore::list(prefix); });
@@ -432,40 +386,6 @@
     return reply;
 }
 
-/// Up to two hosts that may have newer changes: a random ranked host, as these call the store before others, and a random host.
-std::vector<std::string> RelayedStore::hostsToQuery()
-{
-    std::vector<std::string> hosts;
-    for (const std::vector<std::string> *group : {&rankedHosts_, &otherHosts_}) {
-        if (group->empty()) {
-            continue;
-        }
-        const std::string &host = (*group)[randomBelow(random_, group->size())];
-        if (host != host_ && std::find(hosts.begin(), hosts.end(), host) == hosts.end()) {
-            hosts.push_back(host);
-        }
-    }
-    return hosts;
-}
-
-void RelayedStore::queryChanges(std::string_view prefix, std::int64_t syncedRevision, std::unique_lock<std::mutex> &lock)
-{
-    const TimePoint now = now_();
-    std::erase_if(pendingChangesRequests_, [now](const auto &pendingRequest) { return now - pendingRequest.second.sentAt > pendingRequestTimeout; });
-    const std::uint64_t id = ++lastRequestId_;
-    const std::vector<std::string> hosts = hostsToQuery();
-    const auto send = network_.sendChangesRequest;
-    if (!send || hosts.empty()) {
-        return;
-    }
-    pendingChangesRequests_[id] = {std::string(prefix), now};
-    lock.unlock();
-    for (const std::string &host : hosts) {
-        send(host, {id, std::string(prefix), syncedRevision});
-    }
-    lock.lock();
-}
-
 StoreListReply RelayedStore::consumePendingEntries(PrefixState &state, std::unique_lock<std::mutex> &lock)
 {
     if (state.pendingEntries.empty() && state.requiredRevision > state.syncedRevision && now_() >= state.storeCallAllowedAt) {
@@ -497,23 +417,25 @@
 StoreListReply RelayedStore::watchStore(std::string_view prefix, std::int64_t afterRevision, Duration timeout)
 {
     const TimePoint calledAt = now_();
-    setOpenWatch(prefix, true);
-    StoreListReply reply = callThroughBreaker([&] { return ForwardingStore::watch(prefix, afterRevision, timeout); });
-    if (reply.status != StoreStatus::Ok) {
-        setOpenWatch(prefix, false);
-        return reply;
+    {
+        const std::lock_guard lock(mutex_);
+        prefixes_[std::string(prefix)].watchSentAt = calledAt;
     }
+    StoreListReply reply = callThroughBreaker([&] { return ForwardingStore::watch(prefix, afterRevision, timeout); }, timeout);
     const bool isRelayNow = isRelay();
     decltype(Network::broadcast) broadcast;
     std::int64_t lastChangeRevision = 0;
     {
         const std::lock_guard lock(mutex_);
         PrefixState &state = prefixes_[std::string(prefix)];
+        state.watchSentAt.reset();
+        if (reply.status != StoreStatus::Ok) {
+            return reply;
+        }
         // The store's revision increases with writes to any key. A notice that started at the revision of the last watch would look like a
         // gap to hosts that have not heard of the revisions without changes in between.
         lastChangeRevision = std::min(state.lastChangeRevision, afterRevision);
         state.applyWatch(reply);
-        state.hasOpenWatch = isRelayNow;
         // A relay ignores what the other relay reports: if both have dead connections to the store, they would confirm each other.
         const TimePoint lastHeardAt = isRelayNow ? state.lastReadAt : std::max(state.lastHeardAt, state.lastReadAt);
         reply.silence = std::max(Duration::zero(), calledAt - lastHeardAt);
@@ -532,10 +454,14 @@
     return reply;
 }
 
-void RelayedStore::setOpenWatch(std::string_view prefix, bool hasOpenWatch)
+void RelayedStore::logConfirmation(std::string_view prefix, PrefixState &state, bool isConfirmed, Duration age)
 {
-    const std::lock_guard lock(mutex_);
-    prefixes_[std::string(prefix)].hasOpenWatch = hasOpenWatch;
+    if (isConfirmed != state.isConfirmed) {
+        state.isConfirmed = isConfirmed;
+        writeLog(LogLevel::Info,
+                 isConfirmed ? "relay_confirmed" : "relay_unconfirmed",
+                 {{"prefix", prefix}, {"reached", state.syncedRevision}, {"age_ms", toMillis(age)}});
+    }
 }
 
 void RelayedStore::updateRelaySilence(std::string_view prefix, PrefixState &state, TimePoint now)
@@ -549,23 +475,6 @@
     }
 }
 
-std::optional<ProofReply> RelayedStore::queryProof(const std::string &host)
-{
-    std::unique_lock lock(mutex_);
-    const std::uint64_t id = ++lastRequestId_;
-    pendingProofRequests_[id] = std::nullopt;
-    const auto send = network_.sendProofRequest;
-    lock.unlock();
-    if (send) {
-        send(host, {id});
-    }
-    lock.lock();
-    updateArrived_.wait_for(lock, proofTimeout, [&] { return pendingProofRequests_.at(id).has_value(); });
-    const auto reply = pendingProofRequests_.at(id);
-    pendingProofRequests_.erase(id);
-    return reply;
-}
-
 StoreLeaseReply RelayedStore::keepAlive(std::int64_t leaseId)
 {
     return callThroughBreaker([&] { return ForwardingStore::keepAlive(leaseId); });
--- a/gateway/relayed_store.h
+++ b/gateway/relayed_store.h
@@ -60,7 +60,8 @@
     /// Whether this host is one of the relays. Without candidates, each host is its own relay.
     bool isRelay() const;
 
-    void onNotice(const ChangesNotice &notice);
+    /// `delay` is for how long the notice may have waited unread after it arrived.
+    void onNotice(const ChangesNotice &notice, Duration delay = {});
     void onChangesReply(const ChangesReply &reply);
 
     /// The changes that another host requested, or nothing if this host does not have them.
@@ -69,8 +70,16 @@
     void onProofReply(const ProofReply &reply);
 
     /// On a relay: broadcasts the revisions that it has synced to, of all prefixes in one datagram. From them, other hosts also detect missed notices.
+    /// Each states when the store last answered this relay, and prefixes of which it has known nothing for too long are left out.
     void sendHeartbeat();
 
+    /// Until when this host has received all changes under all prefixes that it follows, from the store or from other hosts.
+    TimePoint syncedUntil() const;
+
+    /// On a relay: how long to wait until a call to the store is needed, as neither this nor the other relay has had an answer. Nothing on
+    /// other hosts.
+    std::optional<Duration> probeDelay() const;
+
     StoreReply get(std::string_view key) override;
     StoreReply confirm(std::string_view key, std::int64_t revision) override;
     StoreListReply list(std::string_view prefix) override;
@@ -87,9 +96,10 @@
         TimePoint sentAt;
     };
 
-    /// Calls the store if the circuit breaker is closed, and records whether the store answered.
+    /// Calls the store if the circuit breaker is closed, and records whether the store answered. `hold` is for how long the store may hold the
+    /// call before it answers.
     template <typename Call>
-    auto callThroughBreaker(Call call);
+    auto callThroughBreaker(Call call, Duration hold = {});
 
     StoreListReply watchStore(std::string_view prefix, std::int64_t afterRevision, Duration timeout);
     StoreListReply consumePendingEntries(PrefixState &state, std::unique_lock<std::mutex> &lock);
@@ -97,7 +107,7 @@
     bool isAmongRelays() const;
     bool isRankedHost() const;
     bool watchesStoreDirectly() const;
-    bool hasRecentStoreReplies(const PrefixState &state, TimePoint now) const;
+    TimePoint confirmedAt(const PrefixState &state) const;
     TimePoint lastUpdateAt(const PrefixState &state) const;
     bool isBehind(const PrefixState &state, TimePoint now) const;
     void updateBehindState(std::string_view prefix, PrefixState &state, TimePoint now);
@@ -108,7 +118,7 @@
     std::vector<std::string> hostsToQuery();
     void queryChanges(std::string_view prefix, std::int64_t syncedRevision, std::unique_lock<std::mutex> &lock);
     static void updateRelaySilence(std::string_view prefix, PrefixState &state, TimePoint now);
-    void setOpenWatch(std::string_view prefix, bool hasOpenWatch);
+    void logConfirmation(std::string_view prefix, PrefixState &state, bool isConfirmed, Duration age);
     void requireRevision(std::string_view key, std::int64_t revision);
     std::vector<std::string> proofSources();
     std::optional<ProofReply> queryProof(const std::string &host);
@@ -124,6 +134,8 @@
     Random random_;
     CircuitBreaker breaker_;
     OutageTracker outages_; ///< Of the store, by the calls of this host.
+    TimePoint storeReachedAt_; ///< Latest time at which the store is known to have reached this host: that of a call that it answered.
+    TimePoint otherRelayConfirmedAt_; ///< When the store last answered the other relay, as that relay states.
     std::map<std::string, PrefixState, std::less<>> prefixes_;
     std::map<std::uint64_t, std::optional<ProofReply>> pendingProofRequests_;
     std::map<std::uint64_t, PendingChangesRequest> pendingChangesRequests_;
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -154,6 +154,7 @@
     , proofDuty_(relayedStore_, records_, feed_, settings.configurationWindow)
     , targetDuty_(relayedStore_, records_, [this](const std::shared_ptr<const TargetMap> &targets) { onTargets(targets); })
     , hostDuty_(relayedStore_, gateway_, hostOptions())
+    , storeProbeDuty_(relayedStore_, [this] { return hostDuty_.leaseId(); })
     , weightsDuty_(measuredStore_, engineControl_, weightsOptions())
     , cacheStoreDuty_(gateway_, relayedStore_, engineControl_)
     , rolloutDuty_(measuredStore_, records_, rolloutOptions())
@@ -250,6 +251,7 @@
     proofDuty_.start();
     targetDuty_.start();
     hostDuty_.start();
+    storeProbeDuty_.start();
     weightsDuty_.start();
     cacheStoreDuty_.start();
     rolloutDuty_.start();
@@ -260,6 +262,7 @@
 void GatewayHost::run()
 {
     gateway_.run();
+    storeProbeDuty_.stop();
     hostDuty_.stop();
     configurationDuty_.stop();
     proofDuty_.stop();
--- a/main/gateway_host.h
+++ b/main/gateway_host.h
@@ -10,6 +10,7 @@
 #include "gateway/proof_duty.h"
 #include "gateway/relayed_store.h"
 #include "gateway/rollout_duty.h"
+#include "gateway/store_probe_duty.h"
 #include "gateway/target_duty.h"
 #include "gateway/weights_duty.h"
 #include "platform/engine_control.h"
@@ -64,6 +65,7 @@
     ProofDuty proofDuty_;
     TargetDuty targetDuty_;
     HostDuty hostDuty_;
+    StoreProbeDuty storeProbeDuty_;
     WeightsDuty weightsDuty_;
     CacheStoreDuty cacheStoreDuty_;
     RolloutDuty rolloutDuty_;
--- a/tests/gateway/test_fleet_news.cpp
+++ b/tests/gateway/test_fleet_news.cpp
@@ -323,6 +323,24 @@
     }
 }
 
+// Guards against requests to targets that have left because hosts believe relays that the store turns away or that are cut off from it.
+BOOST_AUTO_TEST_CASE(hostsKnowAChangeInTimeThoughBothRelaysHaveLostTheStore)
+{
+    constexpr Duration leaveLimit = 2s;
+    for (const std::size_t size : {9U, 90U, 295U}) {
+        for (std::uint64_t seed = 0; seed < 8; ++seed) {
+            Fleet fleet(size, seed);
+            fleet.lossPercent = seed % 2 * 5;
+            fleet.run(1s + seed * 50ms);
+            fleet.hostsCutFromStore.insert(fleet.relays.begin(), fleet.relays.end());
+            fleet.run(seed % 3 * 200ms);
+            fleet.write("x/a", "1");
+            fleet.run(leaveLimit);
+            BOOST_TEST(fleet.upToDateCount() >= size - fleet.relays.size(), "hosts " << size << ", seed " << seed);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(hostsCutOffFromTheStoreReceiveChangesFromOtherHosts)
 {
     // Guards against hosts that accept withdrawn keys, or refuse all requests, because the store answers only other hosts.
--- a/tests/gateway/test_relayed_store.cpp
+++ b/tests/gateway/test_relayed_store.cpp
@@ -47,6 +47,10 @@
     StoreListReply watch(std::string_view prefix, std::int64_t afterRevision, Duration timeout) override
     {
         ++calls;
+        if (whileWatching) {
+            std::exchange(whileWatching, nullptr)();
+            return memory.watch(prefix, afterRevision, Duration::zero());
+        }
         StoreListReply reply = isDown ? StoreListReply{} : memory.watch(prefix, afterRevision, timeout);
         if (afterWatch) {
             std::exchange(afterWatch, nullptr)();
@@ -57,26 +61,35 @@
     MemoryStore memory;
     std::atomic<int> calls = 0;
     std::atomic<bool> isDown = false;
+    std::function<void()> whileWatching; ///< Runs once, while a watch is pending, which then ends.
     std::function<void()> afterWatch; ///< Runs once, between the evaluation of a watch and the return of its reply.
 };
 
 const std::vector<std::string> hosts{"a", "b", "c", "d", "e"};
 
+/// Within this time all hosts must know that a target leaves.
+constexpr Duration leaveLimit = 2s;
+
 /// Hosts whose notices are delivered immediately or are lost.
 struct Fixture
 {
     Fixture()
     {
         for (const std::string &name : hosts) {
-            relayedStores[name] = std::make_unique<RelayedStore>(store, name);
-            relayedStores[name]->setNetwork({[this, name](const ChangesNotice &notice) { broadcast(name, notice); },
-                                             [this, name](const std::string &to, const ProofRequest &request) { answerProofRequest(name, to, request); }});
-            relayedStores[name]->setHosts(hosts, hosts);
+            setUp(name, &BootClock::now);
             (relayedStores[name]->isRelay() ? relays : nonRelays).push_back(name);
         }
         store.memory.compareAndSwap("x/seed", 0, "0", 0);
     }
 
+    void setUp(const std::string &name, RelayedStore::Now now)
+    {
+        relayedStores[name] = std::make_unique<RelayedStore>(store, name, std::move(now));
+        relayedStores[name]->setNetwork({[this, name](const ChangesNotice &notice) { broadcast(name, notice); },
+                                         [this, name](const std::string &to, const ProofRequest &request) { answerProofRequest(name, to, request); }});
+        relayedStores[name]->setHosts(hosts, hosts);
+    }
+
     void broadcast(const std::string &from, const ChangesNotice &notice)
     {
         ChangesNotice full = notice;
@@ -260,7 +273,93 @@
             relayedStores[relay]->sendHeartbeat();
         }
     }
-    BOOST_TEST(toMillis(now - cutAt) <= 3'500);
+    BOOST_TEST(toMillis(now - cutAt) < toMillis(leaveLimit));
+}
+
+// Guards against relays that vouch for a prefix whose watch the store refuses, as it answers their other calls.
+BOOST_AUTO_TEST_CASE(aPrefixWhoseWatchFailsIsReadInTimeBesideOthersThatAreCurrent)
+{
+    TimePoint now = BootClock::now();
+    for (const std::string &name : hosts) {
+        setUp(name, [&now] { return now += std::chrono::microseconds(1); });
+        relayedStores[name]->list("x/");
+        relayedStores[name]->list("y/");
+    }
+    RelayedStore &other = *relayedStores[nonRelays[0]];
+    const std::int64_t from = store.memory.list("x/").revision;
+    write("x/a", "1");
+    const TimePoint writtenAt = now;
+    while (other.watch("x/", from, 10us).entries.empty() && now < writtenAt + 10s) {
+        now += 100ms;
+        for (const std::string &relay : relays) {
+            store.isDown = true;
+            relayedStores[relay]->watch("x/", from, 1us);
+            store.isDown = false;
+            relayedStores[relay]->watch("y/", from, 1us);
+            relayedStores[relay]->sendHeartbeat();
+        }
+    }
+    BOOST_TEST(toMillis(now - writtenAt) < toMillis(leaveLimit));
+}
+
+// Guards against hosts that count the silence of the relays from a heartbeat, although the store had answered its sender long before.
+BOOST_AUTO_TEST_CASE(aHeartbeatStatesWhenTheStoreLastAnswered)
+{
+    TimePoint now = BootClock::now();
+    RelayedStore relay(store, relays[0], [&now] { return now; });
+    std::vector<ChangesNotice> heartbeats;
+    relay.setNetwork({[&heartbeats](const ChangesNotice &notice) { heartbeats.push_back(notice); }, {}});
+    relay.setHosts(hosts, hosts);
+    const std::int64_t from = relay.list("x/").revision;
+    const std::int64_t lease = store.memory.grantLease(1h).leaseId;
+    store.whileWatching = [&] {
+        now += 500ms;
+        relay.sendHeartbeat();
+        relay.keepAlive(lease);
+        relay.sendHeartbeat();
+        now += 800ms;
+        relay.sendHeartbeat();
+        BOOST_TEST((relay.syncedUntil() == now - 800ms));
+        now += 200ms;
+        relay.sendHeartbeat();
+    };
+    relay.watch("x/", from, 3s);
+    BOOST_REQUIRE(heartbeats.size() == 3U);
+    BOOST_TEST((heartbeats[0].age == 500ms));
+    BOOST_TEST((heartbeats[1].age == Duration::zero()));
+    BOOST_TEST((heartbeats[2].age == 800ms));
+
+    RelayedStore &other = *relayedStores[nonRelays[0]];
+    other.list("x/");
+    ChangesNotice old{"x/", 0, from, {}, {}, {}};
+    old.age = 700ms;
+    other.onNotice(old, 300ms);
+    BOOST_TEST((BootClock::now() - other.syncedUntil() < 500ms)); // Its own list is newer.
+}
+
+// Guards against a fleet that learns nothing of its relays between two watches, which last for seconds.
+BOOST_AUTO_TEST_CASE(aRelayProbesTheStoreUnlessOneOfThemWasAnswered)
+{
+    TimePoint now = BootClock::now();
+    RelayedStore relay(store, relays[0], [&now] { return now; });
+    RelayedStore other(store, nonRelays[0], [&now] { return now; });
+    for (RelayedStore *host : {&relay, &other}) {
+        host->setHosts(hosts, hosts);
+        host->list("x/");
+    }
+    BOOST_TEST(!other.probeDelay().has_value());
+    const Duration interval = relay.probeDelay().value();
+    BOOST_TEST((interval > Duration::zero() && interval < 500ms));
+    now += interval;
+    BOOST_TEST((relay.probeDelay() == Duration::zero()));
+    ChangesNotice heartbeat{"x/", 0, 1, {}, {}, {}};
+    heartbeat.age = 100ms;
+    relay.onNotice(heartbeat);
+    BOOST_TEST((relay.probeDelay() == interval - 100ms));
+    now += 1s;
+    BOOST_TEST((relay.probeDelay() < Duration::zero()));
+    relay.get("x/seed");
+    BOOST_TEST((relay.probeDelay() == interval));
 }
 
 BOOST_AUTO_TEST_CASE(changesInAWatchReplyAreNotReturnedAgain)
