One set of framing rules for all HTTP clients, and one connection an exchange

What callers could see: a target that closes within its answer's head, after a whole line, gave a 200 with an empty body; a chunked answer without its last chunk counted as complete. So did an order to an engine whose answer was cut. The gateway reads each rightly; the clients of the product's own interface, of the stores and of engines' control (HttpExchange, HttpConnection) did not.

Cause: they read through sessions of the HTTP library, which takes the end of the connection for the end of what it reads. The session that isn't kept alive also closed the connected socket and connected again, so that each exchange cost two connections, the second without TCP_NODELAY, probes and TCP_USER_TIMEOUT.

Change: HttpAnswerCollector, a layer over the gateway's parser, reads for both clients on plain sockets. A stream of lines goes on after a pause within a chunk's size, which the session's parser could not.

--- a/drivers/http_connection.cpp
+++ b/drivers/http_connection.cpp
@@ -1,14 +1,11 @@
 #include "drivers/http_connection.h"
 
 #include <algorithm>
-#include <istream>
-#include <ostream>
+#include <array>
+#include <sstream>
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocketImpl.h>
 
@@ -18,30 +15,18 @@
 namespace
 {
 
-/// Maximum size of a response: that of a list of some hundred values of a megabyte. Without a limit, an endpoint that never stops sending would
-/// exhaust the memory of the host.
+/// Maximum size of a response, or of a line of a stream: that of a list of some hundred values of a megabyte. Without a limit, an endpoint that never stops
+/// sending would exhaust the memory of the host.
 constexpr std::size_t answerLimit = std::size_t{256} * 1024 * 1024;
 
+constexpr std::size_t readSize = 16'384;
+
 Poco::Timespan toTimespan(Duration duration)
 {
     constexpr Duration minTimeout = std::chrono::milliseconds(1); // For Poco, 0 means no timeout.
     return {std::chrono::duration_cast<std::chrono::microseconds>(std::max(duration, minTimeout)).count()};
 }
 
-/// Waits for at least one byte and reads all that the stream's buffer contains; returns false at the end of the stream. Uses the buffer directly,
-/// as the stream would catch the exception that distinguishes a timeout from the end.
-bool appendAvailable(std::istream &stream, std::string &out)
-{
-    std::streambuf &buffer = *stream.rdbuf();
-    if (buffer.sgetc() == std::char_traits<char>::eof()) {
-        return false;
-    }
-    const std::size_t before = out.size();
-    out.resize(before + static_cast<std::size_t>(buffer.in_avail()));
-    buffer.sgetn(out.data() + before, static_cast<std::streamsize>(out.size() - before));
-    return true;
-}
-
 } // namespace
 
 /// A socket with a deadline. The usual timeout counts from the last byte, so that an endpoint that sends slowly could hold its caller for longer
@@ -91,42 +76,26 @@
     std::int64_t receivedBytes_ = 0;
 };
 
-class HttpConnection::Session : public Poco::Net::HTTPClientSession
-{
-public:
-    // A session that is created from a connected socket, without a host name, can't reconnect and so can't repeat a call by itself.
-    explicit Session(const Poco::Net::StreamSocket &socket)
-        : HTTPClientSession(socket)
-    {
-        setKeepAlive(true);
-    }
-
-    using HTTPSession::buffered;
-};
-
 std::unique_ptr<HttpConnection> HttpConnection::open(const HostAddress &endpoint, Duration timeout)
 {
     try {
-        auto *implementation = new DeadlineSocket;
-        Poco::Net::StreamSocket socket(implementation);
         const Poco::Net::SocketAddress address(endpoint.host, endpoint.port);
-        socket.connect(address, toTimespan(timeout));
-        socket.setNoDelay(true);
-        return std::unique_ptr<HttpConnection>(new HttpConnection(std::make_unique<Session>(socket), implementation, address.toString()));
+        std::unique_ptr<HttpConnection> connection(new HttpConnection(new DeadlineSocket, address.toString()));
+        connection->socket_.connect(address, toTimespan(timeout));
+        connection->socket_.setNoDelay(true);
+        return connection;
     } catch (const Poco::Exception &) {
         return nullptr;
     }
 }
 
-HttpConnection::HttpConnection(std::unique_ptr<Session> session, DeadlineSocket *socket, std::string host)
-    : session_(std::move(session))
-    , socket_(socket)
+HttpConnection::HttpConnection(DeadlineSocket *implementation, std::string host)
+    : socket_(implementation)
+    , implementation_(implementation)
     , host_(std::move(host))
 {
 }
 
-HttpConnection::~HttpConnection() = default;
-
 std::optional<HttpAnswer> HttpConnection::call(const std::string &path, std::string_view body, TimePoint deadline)
 {
     return call(Poco::Net::HTTPRequest::HTTP_POST, path, body, deadline);
@@ -136,30 +105,21 @@
     std::string_view method, const std::string &path, std::string_view body, TimePoint deadline, std::span<const HttpField> fields, const AnswerPacing &pace)
 {
     isKeptAlive_ = false;
-    bytesBefore_ = socket_->receivedBytes();
+    bytesBefore_ = implementation_->receivedBytes();
     try {
-        socket_->setDeadline(deadline, pace);
+        implementation_->setDeadline(deadline, pace);
         // Unsent bytes of an aborted call are discarded: otherwise the kernel would send them later, and an order of a leader whose lease has
         // expired would arrive when the link is restored.
-        socket_->setLinger(true, 0);
-        HttpAnswer answer;
-        Poco::Net::HTTPResponse response;
-        std::istream &in = exchange(method, path, body, fields, response);
-        while (appendAvailable(in, answer.body)) {
-            if (answer.body.size() > answerLimit) {
+        socket_.setLinger(true, 0);
+        sendRequest(method, path, body, fields, {.body = answerLimit});
+        while (!answer_->isComplete()) {
+            if (!receive()) {
                 return std::nullopt;
             }
         }
-        if (response.hasContentLength() && static_cast<std::size_t>(response.getContentLength64()) != answer.body.size()) {
-            return std::nullopt;
-        }
-        socket_->setLinger(false, 0);
-        answer.status = response.getStatus();
-        for (const auto &[name, value] : response) {
-            answer.fields.push_back({name, value});
-        }
-        isKeptAlive_ = response.getKeepAlive();
-        return answer;
+        socket_.setLinger(false, 0);
+        isKeptAlive_ = answer_->isConnectionKept();
+        return HttpAnswer{answer_->head().status, std::move(answer_->body()), answer_->head().fields};
     } catch (const Poco::Exception &) {
         return std::nullopt;
     }
@@ -169,10 +129,15 @@
 {
     isKeptAlive_ = false;
     try {
-        socket_->setDeadline(deadline);
-        Poco::Net::HTTPResponse response;
-        stream_ = &exchange(Poco::Net::HTTPRequest::HTTP_POST, path, body, {}, response);
-        return response.getStatus() == Poco::Net::HTTPResponse::HTTP_OK;
+        implementation_->setDeadline(deadline);
+        sendRequest(Poco::Net::HTTPRequest::HTTP_POST, path, body, {}, {});
+        while (!answer_->hasHead()) {
+            if (!receive()) {
+                return false;
+            }
+        }
+        constexpr int statusOk = 200;
+        return answer_->head().status == statusOk;
     } catch (const Poco::Exception &) {
         return false;
     }
@@ -180,22 +145,17 @@
 
 HttpLineStatus HttpConnection::readLine(std::string &line, TimePoint deadline)
 {
-    constexpr int chunkEndBytes = 2;
-    const std::int64_t receivedBefore = socket_->receivedBytes();
-    const bool isBetweenChunks = session_->buffered() <= chunkEndBytes;
     try {
         constexpr Duration minWait = std::chrono::milliseconds(1); // So that a call without a timeout still reads what has arrived.
-        socket_->setDeadline(std::max(deadline, BootClock::now() + minWait));
-        while (!consumeBufferedLine(line)) {
-            if (!appendAvailable(*stream_, buffer_) || buffer_.size() > answerLimit) {
+        implementation_->setDeadline(std::max(deadline, BootClock::now() + minWait));
+        while (!consumeLine(line)) {
+            if (answer_->isComplete() || answer_->body().size() > answerLimit || !receive()) {
                 return HttpLineStatus::Broken;
             }
         }
         return HttpLineStatus::Line;
     } catch (const Poco::TimeoutException &) {
-        // After a timeout within a chunk size, the rest of it would be parsed as another size.
-        const bool keepsItsPlace = isBetweenChunks && socket_->receivedBytes() == receivedBefore;
-        return keepsItsPlace ? HttpLineStatus::Timeout : HttpLineStatus::Broken;
+        return HttpLineStatus::Timeout;
     } catch (const Poco::Exception &) {
         return HttpLineStatus::Broken;
     }
@@ -204,24 +164,26 @@
 bool HttpConnection::isReusable() const
 {
     // Unexpected bytes or the end of the stream: the endpoint has closed the connection.
-    return isKeptAlive_ && !socket_->poll(Poco::Timespan(0), Poco::Net::SocketImpl::SELECT_READ);
+    return isKeptAlive_ && !socket_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
 }
 
 TimePoint HttpConnection::lastReceived() const
 {
-    return socket_->lastReceived();
+    return implementation_->lastReceived();
 }
 
 std::int64_t HttpConnection::answerBytes() const
 {
-    return socket_->receivedBytes() - bytesBefore_;
+    return implementation_->receivedBytes() - bytesBefore_;
 }
 
-std::istream &HttpConnection::exchange(
-    std::string_view method, const std::string &path, std::string_view body, std::span<const HttpField> fields, Poco::Net::HTTPResponse &response)
+/// Throws Poco::Exception if the connection fails.
+void HttpConnection::sendRequest(
+    std::string_view method, const std::string &path, std::string_view body, std::span<const HttpField> fields, const HttpLimits &limits)
 {
     Poco::Net::HTTPRequest request(std::string(method), path, Poco::Net::HTTPMessage::HTTP_1_1);
     request.setHost(host_);
+    request.setKeepAlive(true);
     for (const HttpField &field : fields) {
         request.set(field.name, field.value);
     }
@@ -229,18 +191,36 @@
         request.setContentType("application/json");
         request.setContentLength64(static_cast<Poco::Int64>(body.size()));
     }
-    session_->sendRequest(request) << body << std::flush;
-    return session_->receiveResponse(response);
+    answer_.emplace(limits);
+    std::ostringstream head;
+    request.write(head);
+    std::string text = std::move(head).str();
+    text.append(body);
+    std::string_view rest = text;
+    while (!rest.empty()) {
+        rest.remove_prefix(static_cast<std::size_t>(socket_.sendBytes(rest.data(), static_cast<int>(rest.size()))));
+    }
+}
+
+/// Reads what has arrived, waiting for at least one byte. Returns false if the response can't be completed any more; throws Poco::Exception if the
+/// connection fails or the deadline has passed.
+bool HttpConnection::receive()
+{
+    std::array<char, readSize> buffer{};
+    const int count = socket_.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+    Reason reason;
+    return count > 0 ? answer_->read({buffer.data(), static_cast<std::size_t>(count)}, reason) : answer_->readEnd();
 }
 
-bool HttpConnection::consumeBufferedLine(std::string &line)
+bool HttpConnection::consumeLine(std::string &line)
 {
-    const std::size_t end = buffer_.find('\n');
+    std::string &body = answer_->body();
+    const std::size_t end = body.find('\n');
     if (end == std::string::npos) {
         return false;
     }
-    line = buffer_.substr(0, end);
-    buffer_.erase(0, end + 1);
+    line = body.substr(0, end);
+    body.erase(0, end + 1);
     return true;
 }
 
--- a/drivers/http_connection.h
+++ b/drivers/http_connection.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <iosfwd>
 #include <memory>
 #include <optional>
 #include <span>
@@ -9,14 +8,11 @@
 #include <string_view>
 #include <vector>
 
+#include <Poco/Net/StreamSocket.h>
+
 #include "core/clock.h"
 #include "core/settings.h"
-#include "drivers/http_message.h"
-
-namespace Poco::Net
-{
-class HTTPResponse;
-}
+#include "drivers/http_answer_collector.h"
 
 namespace Lovageloft
 {
@@ -55,7 +51,7 @@
     /// Opens a connection; returns null if that fails or takes longer than `timeout`.
     static std::unique_ptr<HttpConnection> open(const HostAddress &endpoint, Duration timeout);
 
-    ~HttpConnection();
+    ~HttpConnection() = default;
     HttpConnection(const HttpConnection &) = delete;
     HttpConnection &operator=(const HttpConnection &) = delete;
 
@@ -88,19 +84,17 @@
     std::int64_t answerBytes() const;
 
 private:
-    class Session;
     class DeadlineSocket;
 
-    HttpConnection(std::unique_ptr<Session> session, DeadlineSocket *socket, std::string host);
-    std::istream &
-    exchange(std::string_view method, const std::string &path, std::string_view body, std::span<const HttpField> fields, Poco::Net::HTTPResponse &response);
-    bool consumeBufferedLine(std::string &line);
+    HttpConnection(DeadlineSocket *implementation, std::string host);
+    void sendRequest(std::string_view method, const std::string &path, std::string_view body, std::span<const HttpField> fields, const HttpLimits &limits);
+    bool receive();
+    bool consumeLine(std::string &line);
 
-    std::unique_ptr<Session> session_;
-    DeadlineSocket *socket_; // Owned by the session.
+    Poco::Net::StreamSocket socket_;
+    DeadlineSocket *implementation_; // Owned by the socket.
     std::string host_;
-    std::istream *stream_ = nullptr; // Owned by the session.
-    std::string buffer_; // Received bytes of the stream after the last returned line.
+    std::optional<HttpAnswerCollector> answer_; // Response to the last call.
     bool isKeptAlive_ = true;
     std::int64_t bytesBefore_ = 0; // Received before the last call.
 };
--- a/drivers/http_exchange.cpp
+++ b/drivers/http_exchange.cpp
@@ -2,10 +2,9 @@
 
 #include <algorithm>
 #include <array>
+#include <sstream>
 
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 #include <netinet/in.h>
@@ -17,7 +16,7 @@
 namespace
 {
 
-constexpr std::size_t readSize = 65'536;
+constexpr std::size_t readSize = 16'384;
 /// Unacknowledged data closes the connection after this time, which is long enough for one or two retransmissions.
 constexpr int unacknowledgedLimitMs = 3'000;
 /// Keep-alive probes on a silent connection: the first after one second, then each second, three in total.
@@ -31,41 +30,16 @@
 
 } // namespace
 
-/// Poco's session with access to the fill level of its buffer, so that all that has arrived is read at once.
-class HttpExchange::Session : public Poco::Net::HTTPClientSession
-{
-public:
-    using Poco::Net::HTTPClientSession::HTTPClientSession;
-
-    void open(const Poco::Net::SocketAddress &address)
-    {
-        connect(address);
-    }
-
-    /// Whether unread bytes of the response have arrived. The line end after a chunk stays in the buffer until the next chunk and does not count:
-    /// reading it would block until then, which would delay the caller's stream and hide that the caller disconnects.
-    bool hasBuffered() const
-    {
-        constexpr int lineEnd = 2;
-        return buffered() > lineEnd;
-    }
-};
-
 HttpExchange::HttpExchange(const HostAddress &address, const ExchangeTimeouts &timeouts)
     : address_(address)
     , timeouts_(timeouts)
 {
 }
 
-HttpExchange::~HttpExchange() = default;
-
 bool HttpExchange::connect(Reason &reason)
 {
     try {
-        session_ = std::make_unique<Session>(address_.host, address_.port);
-        session_->setTimeout(toTimespan(timeouts_.connect), toTimespan(timeouts_.silence), toTimespan(timeouts_.silence));
-        session_->setKeepAlive(false);
-        session_->open(Poco::Net::SocketAddress(address_.host, address_.port));
+        socket_.connect(Poco::Net::SocketAddress(address_.host, address_.port), toTimespan(timeouts_.connect));
         setSocketOptions();
         return true;
     } catch (const Poco::Exception &error) {
@@ -76,34 +50,40 @@
 
 void HttpExchange::setSocketOptions()
 {
-    Poco::Net::StreamSocket &socket = session_->socket();
-    socket.setNoDelay(true);
-    socket.setKeepAlive(true);
-    socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, probeSeconds);
-    socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, probeSeconds);
-    socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, probeCount);
-    socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedLimitMs);
+    socket_.setSendTimeout(toTimespan(timeouts_.silence));
+    socket_.setReceiveTimeout(toTimespan(timeouts_.silence));
+    socket_.setNoDelay(true);
+    socket_.setKeepAlive(true);
+    socket_.setOption(IPPROTO_TCP, TCP_KEEPIDLE, probeSeconds);
+    socket_.setOption(IPPROTO_TCP, TCP_KEEPINTVL, probeSeconds);
+    socket_.setOption(IPPROTO_TCP, TCP_KEEPCNT, probeCount);
+    socket_.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedLimitMs);
 }
 
 bool HttpExchange::send(const HttpRequestHead &head, Reason &reason)
 {
     Poco::Net::HTTPRequest request(head.method, head.path, Poco::Net::HTTPMessage::HTTP_1_1);
     request.setHost(address_.host, address_.port);
+    request.setKeepAlive(false);
     request.setContentType(head.contentType);
     request.setContentLength64(static_cast<Poco::Int64>(head.body.size()));
     for (const HttpField &field : head.fields) {
         request.set(field.name, field.value);
     }
+    std::ostringstream text;
+    request.write(text);
+    answer_.emplace(HttpLimits{}, head.method != Poco::Net::HTTPRequest::HTTP_HEAD);
     stage_ = ExchangeStage::Sent;
+    return sendBytes(text.str(), reason) && sendBytes(head.body, reason);
+}
+
+bool HttpExchange::sendBytes(std::string_view bytes, Reason &reason)
+{
     try {
-        // The head is in the stream's buffer until it is flushed.
-        session_->sendRequest(request).flush();
-        // Not through Poco's stream, which would send a long prompt in calls of 4 KB.
-        std::string_view rest = head.body;
-        while (!rest.empty()) {
+        while (!bytes.empty()) {
             constexpr std::size_t most = 1'048'576;
-            const int count = session_->socket().sendBytes(rest.data(), static_cast<int>(std::min(rest.size(), most)));
-            rest.remove_prefix(static_cast<std::size_t>(count));
+            const int count = socket_.sendBytes(bytes.data(), static_cast<int>(std::min(bytes.size(), most)));
+            bytes.remove_prefix(static_cast<std::size_t>(count));
         }
         return true;
     } catch (const Poco::Exception &error) {
@@ -114,10 +94,7 @@
 
 bool HttpExchange::waitReadable(int callerSocket, Reason &reason)
 {
-    if (session_->hasBuffered()) {
-        return true;
-    }
-    switch (waitForTarget(session_->socket().impl()->sockfd(), callerSocket, timeouts_.silence)) {
+    switch (waitForTarget(socket_.impl()->sockfd(), callerSocket, timeouts_.silence)) {
     case WaitResult::Readable:
         return true;
     case WaitResult::TimedOut:
@@ -130,68 +107,58 @@
     return false;
 }
 
-std::optional<HttpAnswerHead> HttpExchange::readHead(int callerSocket, Reason &reason)
+/// Waits for bytes of the response, or for its end, and parses what has arrived.
+bool HttpExchange::receive(int callerSocket, Reason &reason)
 {
     if (!waitReadable(callerSocket, reason)) {
-        return std::nullopt;
+        return false;
     }
+    std::array<char, readSize> buffer{};
+    int count = 0;
     try {
-        Poco::Net::HTTPResponse response;
-        body_ = &session_->receiveResponse(response);
-        stage_ = ExchangeStage::Answering;
-        HttpAnswerHead head{static_cast<int>(response.getStatus()), response.getContentType(), std::nullopt};
-        if (response.hasContentLength()) {
-            head.contentLength = static_cast<std::size_t>(response.getContentLength64());
-        }
-        bytesExpected_ = head.contentLength;
-        return head;
-    } catch (const Poco::Net::NoMessageException &) {
-        reason = {ResultCode::TargetTruncated, "the target closed the connection without an answer"};
+        count = socket_.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
     } catch (const Poco::TimeoutException &) {
         reason = {ResultCode::TargetTimeout, "the target was silent for too long"};
-    } catch (const Poco::Net::MessageException &error) {
-        reason = {ResultCode::TargetMalformed, "the answer's head is malformed: " + error.displayText()};
+        return false;
     } catch (const Poco::Exception &error) {
-        reason = {ResultCode::TargetTruncated, "the connection failed before the answer: " + error.displayText()};
+        reason = {ResultCode::TargetTruncated, "the connection failed within the answer: " + error.displayText()};
+        return false;
+    }
+    if (count > 0 && !answer_->read({buffer.data(), static_cast<std::size_t>(count)}, reason)) {
+        reason = {ResultCode::TargetMalformed, "the answer is malformed: " + reason.text};
+        return false;
+    }
+    if (count == 0 && !answer_->readEnd()) {
+        reason = {ResultCode::TargetTruncated, "the target closed the connection before the end of its answer"};
+        return false;
     }
-    return std::nullopt;
+    return true;
 }
 
-std::optional<std::size_t> HttpExchange::read(std::string &out, int callerSocket, Reason &reason)
+std::optional<HttpAnswerHead> HttpExchange::readHead(int callerSocket, Reason &reason)
 {
-    const std::size_t before = out.size();
-    std::streambuf &buffer = *body_->rdbuf();
-    do {
-        if (bytesExpected_ && *bytesExpected_ == 0) {
-            break;
-        }
-        if (buffer.in_avail() <= 0 && !waitReadable(callerSocket, reason)) {
+    while (!answer_->hasHead()) {
+        if (!receive(callerSocket, reason)) {
             return std::nullopt;
         }
-        try {
-            if (buffer.sgetc() == std::streambuf::traits_type::eof()) {
-                break;
-            }
-        } catch (const Poco::TimeoutException &) {
-            reason = {ResultCode::TargetTimeout, "the target was silent for too long"};
-            return std::nullopt;
-        } catch (const std::exception &) {
-            reason = {ResultCode::TargetTruncated, "the connection failed within the answer"};
+    }
+    stage_ = ExchangeStage::Answering;
+    const HttpHead &head = answer_->head();
+    return HttpAnswerHead{head.status, std::string(head.find("Content-Type")), answer_->bodyBytes()};
+}
+
+std::optional<std::size_t> HttpExchange::read(std::string &out, int callerSocket, Reason &reason)
+{
+    std::string &body = answer_->body();
+    while (body.empty() && !answer_->isComplete()) {
+        if (!receive(callerSocket, reason)) {
             return std::nullopt;
         }
-        const auto available = std::min<std::size_t>(static_cast<std::size_t>(buffer.in_avail()), readSize);
-        const std::size_t end = out.size();
-        out.resize(end + available);
-        buffer.sgetn(out.data() + end, static_cast<std::streamsize>(available));
-        if (bytesExpected_) {
-            *bytesExpected_ -= std::min(available, *bytesExpected_);
-        }
-    } while (out.size() - before < readSize && session_->hasBuffered());
-    if (out.size() == before && bytesExpected_.value_or(0) > 0) {
-        reason = {ResultCode::TargetTruncated, "the answer is shorter than announced"};
-        return std::nullopt;
     }
-    return out.size() - before;
+    const std::size_t count = body.size();
+    out.append(body);
+    body.clear();
+    return count;
 }
 
 std::optional<std::string> HttpExchange::readAll(std::size_t limit, int callerSocket, Reason &reason)
--- a/drivers/http_exchange.h
+++ b/drivers/http_exchange.h
@@ -1,27 +1,22 @@
 #pragma once
 
-#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include <Poco/Net/StreamSocket.h>
+
 #include "core/clock.h"
 #include "core/result_code.h"
 #include "core/settings.h"
+#include "drivers/http_answer_collector.h"
 #include "drivers/socket_wait.h"
 
 /// One HTTP request to a target on a connection of its own.
 namespace Lovageloft
 {
 
-/// A header field.
-struct HttpField
-{
-    std::string name;
-    std::string value;
-};
-
 /// A request to a target. The body must stay valid during the exchange.
 struct HttpRequestHead
 {
@@ -44,7 +39,7 @@
 {
     int status = 0;
     std::string contentType;
-    std::optional<std::size_t> contentLength; ///< Not set for a chunked response.
+    std::optional<std::size_t> contentLength; ///< Not set for a response that is chunked or ends with its connection.
 };
 
 /// Progress of an exchange; determines whether the request may have run.
@@ -64,7 +59,7 @@
 {
 public:
     HttpExchange(const HostAddress &address, const ExchangeTimeouts &timeouts);
-    ~HttpExchange();
+    ~HttpExchange() = default;
     HttpExchange(const HttpExchange &) = delete;
     HttpExchange &operator=(const HttpExchange &) = delete;
 
@@ -74,7 +69,8 @@
     /// Sends the complete request. After a failure the target may have received it.
     bool send(const HttpRequestHead &head, Reason &reason);
 
-    /// Waits for the head of the response; returns nothing with CallerGone if `callerSocket` is closed meanwhile. -1: no caller is watched.
+    /// Waits for the head of the response; returns nothing with TargetTimeout, TargetTruncated or TargetMalformed, or with CallerGone if `callerSocket`
+    /// is closed meanwhile. -1: no caller is watched.
     std::optional<HttpAnswerHead> readHead(int callerSocket, Reason &reason);
 
     /// Waits for at least one byte of the response body and appends all that has arrived to `out`. Returns the number of bytes, 0 at the end of the
@@ -88,17 +84,16 @@
     ExchangeStage stage() const;
 
 private:
-    class Session;
-
+    bool sendBytes(std::string_view bytes, Reason &reason);
     bool waitReadable(int callerSocket, Reason &reason);
+    bool receive(int callerSocket, Reason &reason);
     void setSocketOptions();
 
     HostAddress address_;
     ExchangeTimeouts timeouts_;
-    std::unique_ptr<Session> session_;
-    std::istream *body_ = nullptr;
+    Poco::Net::StreamSocket socket_;
+    std::optional<HttpAnswerCollector> answer_; ///< Set once the request is sent.
     ExchangeStage stage_ = ExchangeStage::NotSent;
-    std::optional<std::size_t> bytesExpected_;
 };
 
 } // namespace Lovageloft
--- a/tests/stand_ins/scripted_target.cpp
+++ b/tests/stand_ins/scripted_target.cpp
@@ -124,6 +124,11 @@
     socket_.close();
 }
 
+std::uint16_t ScriptedTarget::Connection::peerPort() const
+{
+    return socket_.peerAddress().port();
+}
+
 bool ScriptedTarget::Connection::waitClosed(std::chrono::milliseconds timeout)
 {
     try {
--- a/tests/stand_ins/scripted_target.h
+++ b/tests/stand_ins/scripted_target.h
@@ -54,6 +54,8 @@
         void close();
         void reset();
 
+        std::uint16_t peerPort() const;
+
         /// Waits until the peer has closed the connection. Returns false after `timeout`.
         bool waitClosed(std::chrono::milliseconds timeout);
 
