A version beside another serves once the store holds that there are two

Cause: a host that starts concludes from an absent record that a service has had one version. The record could be absent though there had been two: it was written behind a watch of up to 2 s, counted as written before it was, and a failed write waited for half the retention time; nobody wrote it if targets were replaced while no host was up; and a host that started first recorded the new version as the serving one before it recorded that there had been another.

Change: a version beside another gets no request until this host has read the record from the store; SkewDuty writes it and repeats failed writes at once; a host takes a version for the only one only if it is the one recorded as serving; that record is replaced only after the other one is written.

Evidence: aKillOfAllHostsBesideAnUpgradeJoinsNoStream (9 and 90 hosts, 100 seeds each: killed at any moment of an upgrade, back at different times, old targets gone before, rolled back, store away at first). Streams that ran when all hosts were killed are refused as unknown while there are several versions, as before.

--- a/coordination/serving_versions.cpp
+++ b/coordination/serving_versions.cpp
@@ -86,10 +86,29 @@
     }
 }
 
+void ServingVersions::requireSkewRecords()
+{
+    needsSkewRecords_ = true;
+}
+
+void ServingVersions::setSkewRecorded(std::set<std::string, std::less<>> services)
+{
+    skewRecorded_ = std::move(services);
+}
+
+/// Whether the service has several versions that no host could know of that starts when all others have ended.
+bool ServingVersions::lacksSkewRecord(const std::string &name, const Service &service) const
+{
+    return needsSkewRecords_ && service.newSince.size() + service.established.size() > 1 && !skewRecorded_.contains(name);
+}
+
 void ServingVersions::advance(TimePoint now, TimePoint ordersKnownAt)
 {
     bool hasChanged = false;
     for (auto &[name, service] : services_) {
+        if (lacksSkewRecord(name, service)) {
+            continue;
+        }
         hasChanged = std::erase_if(service.newSince,
                                    [&established = service.established, now, ordersKnownAt](const auto &entry) {
                                        const auto &[version, since] = entry;
--- a/coordination/serving_versions.h
+++ b/coordination/serving_versions.h
@@ -35,10 +35,10 @@
 /// Decides which software version of each service gets requests.
 ///
 /// Without an order, all versions of a service serve side by side. A version that is new is withheld for `orderDelay`, as its targets may be the
-/// first of a rollout whose order is not known yet. The version that an operator ordered is withheld; only its rollout switches to it. After a
-/// rollout its version serves alone, and targets of another version only replace targets of it that announce their shutdown. One version
-/// counts as the serving one, with which an ordered version is compared; it is recorded in the store, so that hosts that start in the
-/// middle of a rollout know it. Not thread-safe; reads no clock.
+/// first of a rollout whose order is not known yet, and until it is recorded that the service has several versions. The version that an operator ordered is
+/// withheld; only its rollout switches to it. After a rollout its version serves alone, and targets of another version only replace targets of it that announce
+/// their shutdown. One version counts as the serving one, with which an ordered version is compared; it is recorded in the store, so that hosts that start in
+/// the middle of a rollout know it. Not thread-safe; reads no clock.
 class ServingVersions
 {
 public:
@@ -64,6 +64,13 @@
     /// Sets all listed targets. The views need to be valid during the call only.
     void setTargets(std::span<const VersionedTarget> targets, TimePoint now);
 
+    /// Withholds a further version of a service also until setSkewRecorded() has named the service. Hosts that start when all have lost what they
+    /// knew then never take a version for the only one that has served.
+    void requireSkewRecords();
+
+    /// Sets the services that are recorded as having several versions.
+    void setSkewRecorded(std::set<std::string, std::less<>> services);
+
     /// Ends the withholding of versions that are not new any more. `ordersKnownAt`: this host knew all orders that the store held then.
     void advance(TimePoint now, TimePoint ordersKnownAt);
 
@@ -103,6 +110,7 @@
     static const std::optional<std::string> &effective(const Service &service);
     static bool isOrdered(const Service &service, std::string_view version);
     static bool hasVersion(const Service &service, std::string_view version);
+    bool lacksSkewRecord(const std::string &name, const Service &service) const;
     static void admitReplacements(Service &service);
     void finishRelease(Service &service) const;
     static bool servesAlone(const Service &service);
@@ -113,6 +121,8 @@
     std::map<std::string, Service, std::less<>> services_;
     std::map<std::string, std::string, std::less<>> recorded_;
     bool hasReadRecords_ = false;
+    bool needsSkewRecords_ = false;
+    std::set<std::string, std::less<>> skewRecorded_; ///< Services.
     std::set<std::string, std::less<>> withheld_;
 };
 
--- a/decision/stream_origins.cpp
+++ b/decision/stream_origins.cpp
@@ -113,9 +113,9 @@
     }
 }
 
-void StreamOrigins::setEarlierSkew(const std::set<std::string, std::less<>> &skewed)
+void StreamOrigins::setEarlier(const std::set<std::string, std::less<>> &skewed, const std::map<std::string, std::string, std::less<>> &serving)
 {
-    history_.setEarlierSkew(skewed);
+    history_.setEarlier(skewed, serving);
 }
 
 void StreamOrigins::onBegun(StreamKey key, std::string_view service, std::string_view version, TimePoint now)
--- a/decision/stream_origins.h
+++ b/decision/stream_origins.h
@@ -84,8 +84,8 @@
 
     void setTargets(std::span<const ServiceVersion> listed, TimePoint now);
 
-    /// See VersionHistory::setEarlierSkew.
-    void setEarlierSkew(const std::set<std::string, std::less<>> &skewed);
+    /// See VersionHistory::setEarlier.
+    void setEarlier(const std::set<std::string, std::less<>> &skewed, const std::map<std::string, std::string, std::less<>> &serving);
 
     /// A caller of this host receives the first event of a stream.
     void onBegun(StreamKey key, std::string_view service, std::string_view version, TimePoint now);
--- a/decision/version_history.cpp
+++ b/decision/version_history.cpp
@@ -41,9 +41,10 @@
     }
 }
 
-void VersionHistory::setEarlierSkew(const std::set<std::string, std::less<>> &skewed)
+void VersionHistory::setEarlier(const std::set<std::string, std::less<>> &skewed, const std::map<std::string, std::string, std::less<>> &serving)
 {
     skewedBefore_ = skewed;
+    servingBefore_ = serving;
 }
 
 bool VersionHistory::isRecent(TimePoint lastListed, TimePoint now) const
@@ -63,9 +64,15 @@
     if (found == services_.end()) {
         return false;
     }
+    if (!isYoung(now)) {
+        return true;
+    }
     // Where no target was listed at the start, those before may have been of any version.
-    const bool isKnownBefore = skewedBefore_ && !skewedBefore_->contains(service) && found->second.wasListedAtStart;
-    return !isYoung(now) || isKnownBefore;
+    if (!skewedBefore_ || skewedBefore_->contains(service) || !found->second.wasListedAtStart) {
+        return false;
+    }
+    const auto recorded = servingBefore_.find(service);
+    return recorded != servingBefore_.end() && found->second.lastListed.contains(recorded->second);
 }
 
 bool VersionHistory::hadSeveral(std::string_view service, TimePoint now) const
@@ -117,7 +124,9 @@
 {
     std::vector<std::string> names;
     for (const auto &[name, service] : services_) {
-        const bool wasSkewed = skewedBefore_ && skewedBefore_->contains(name) && !isComplete(name, now);
+        const auto recorded = servingBefore_.find(name);
+        const bool wasReplaced = recorded != servingBefore_.end() && !service.lastListed.empty() && !service.lastListed.contains(recorded->second);
+        const bool wasSkewed = skewedBefore_ && (skewedBefore_->contains(name) || wasReplaced) && !isComplete(name, now);
         if (hadSeveral(name, now) || wasSkewed) {
             names.push_back(name);
         }
--- a/decision/version_history.h
+++ b/decision/version_history.h
@@ -37,9 +37,10 @@
     /// Sets the service and version of all listed targets. The views need to be valid during the call only.
     void setTargets(std::span<const ServiceVersion> listed, TimePoint now);
 
-    /// Sets the services of which several versions were listed within the retention time before this host started; of the others there was
-    /// one only.
-    void setEarlierSkew(const std::set<std::string, std::less<>> &skewed);
+    /// Sets what was recorded before this host started: the services of which several versions were listed within the retention time, and the
+    /// serving version of each service. A service counts as having had one version only if that is its recorded one: targets may also have been
+    /// replaced while no host was up that could record it.
+    void setEarlier(const std::set<std::string, std::less<>> &skewed, const std::map<std::string, std::string, std::less<>> &serving);
 
     /// Whether this host has known targets for less than the retention time.
     bool isYoung(TimePoint now) const;
@@ -56,7 +57,7 @@
     /// The name of a service by its digest; nothing if none of its targets was ever listed.
     std::optional<std::string> serviceName(std::uint32_t digest) const;
 
-    /// Names of the services of which several versions were listed within the retention time, also before this host started.
+    /// Names of the services of which several versions were listed within the retention time, also before this host started, as far as known.
     std::vector<std::string> skewedServices(TimePoint now) const;
 
 private:
@@ -73,6 +74,7 @@
     std::map<std::string, Service, std::less<>> services_;
     std::optional<TimePoint> startedAt_; ///< When targets were first listed.
     std::optional<std::set<std::string, std::less<>>> skewedBefore_; ///< Services that had several versions before `startedAt_`; nothing if unknown.
+    std::map<std::string, std::string, std::less<>> servingBefore_; ///< Recorded before `startedAt_`: the serving version by service.
 };
 
 } // namespace Lovageloft
--- a/gateway/host_duty.cpp
+++ b/gateway/host_duty.cpp
@@ -7,6 +7,7 @@
 
 #include "core/log.h"
 #include "gateway/gateway.h"
+#include "gateway/skew_duty.h"
 
 namespace Lovageloft
 {
@@ -79,7 +80,6 @@
     }
     writeQuarantines();
     writeVersions();
-    writeSkew();
     return watchStore();
 }
 
@@ -124,27 +124,40 @@
     }
 }
 
-void HostDuty::recordServingVersions(const std::map<std::string, std::string> &versions)
+void HostDuty::recordServingVersions(const std::map<std::string, std::string> &versions, Duration skewTimeToLive)
 {
     const std::lock_guard lock(mutex_);
     if (!options_.versionsPrefix.empty()) {
         unwrittenVersions_ = versions;
+        skewTimeToLive_ = skewTimeToLive;
     }
 }
 
+/// Before the record of a service's version is replaced, it is recorded that the service has had several. A host that starts in between and lists
+/// targets of the new version only would take it for the one that began all streams.
+bool HostDuty::mayReplaceVersion(const std::string &service, const StoreEntry &known, Duration skewTimeToLive)
+{
+    return known.revision == 0 || options_.skewPrefix.empty() || writeSkewRecord(store_, options_.skewPrefix, service, skewTimeToLive);
+}
+
 void HostDuty::writeVersions()
 {
     std::map<std::string, std::string> versions;
+    Duration skewTimeToLive{};
     {
         const std::lock_guard lock(mutex_);
         versions.swap(unwrittenVersions_);
+        skewTimeToLive = skewTimeToLive_;
     }
     for (const auto &[service, version] : versions) {
         StoreEntry &known = versionRecords_[service];
         if (known.revision != 0 && known.value == version) {
             continue;
         }
-        StoreReply reply = store_.compareAndSwap(options_.versionsPrefix + service, known.revision, version, 0);
+        StoreReply reply;
+        if (mayReplaceVersion(service, known, skewTimeToLive)) {
+            reply = store_.compareAndSwap(options_.versionsPrefix + service, known.revision, version, 0);
+        }
         const bool isOk = reply.status == StoreStatus::Ok;
         writeLog(LogLevel::Info, "version_recorded", {{"service", service}, {"version", version}, {"ok", isOk}});
         if (isOk) {
@@ -161,56 +174,33 @@
     }
 }
 
-void HostDuty::recordSkew(const std::vector<std::string> &services, Duration timeToLive)
+/// To be called after the version records have been read.
+void HostDuty::reportEarlierVersions()
 {
-    const std::lock_guard lock(mutex_);
-    if (!options_.skewPrefix.empty()) {
-        unwrittenSkew_ = services;
-        skewTimeToLive_ = timeToLive;
-    }
+    gateway_.post([skewed = skewed_, serving = servingVersions()](Gateway &gateway) { gateway.streams().setEarlier(skewed, serving); });
 }
 
-/// A failed write is not repeated here, as the leader records the skew again while it lasts.
-void HostDuty::writeSkew()
+void HostDuty::reportSkew()
 {
-    std::vector<std::string> services;
-    Duration timeToLive{};
-    {
-        const std::lock_guard lock(mutex_);
-        services.swap(unwrittenSkew_);
-        timeToLive = skewTimeToLive_;
-    }
-    if (services.empty()) {
-        return;
-    }
-    const StoreLeaseReply lease = store_.grantLease(timeToLive);
-    if (lease.status != StoreStatus::Ok) {
-        return;
-    }
-    for (const std::string &service : services) {
-        StoreReply reply = store_.compareAndSwap(options_.skewPrefix + service, 0, {}, lease.leaseId);
-        if (reply.status == StoreStatus::Conflict) {
-            reply = store_.compareAndSwap(options_.skewPrefix + service, reply.entry.revision, {}, lease.leaseId);
-        }
-        writeLog(LogLevel::Info, "version_skew_recorded", {{"service", service}, {"ok", reply.status == StoreStatus::Ok}});
-    }
+    gateway_.post([skewed = skewed_](Gateway &gateway) { gateway.versions().setSkewRecorded(skewed); });
 }
 
-void HostDuty::reportEarlierSkew(const StoreListReply &reply)
+bool HostDuty::isSkewRecord(const StoreEntry &entry) const
 {
-    if (options_.skewPrefix.empty()) {
-        return;
-    }
-    std::set<std::string, std::less<>> skewed;
-    for (const StoreEntry &entry : reply.entries) {
-        if (entry.key.starts_with(options_.skewPrefix) && !entry.isDeleted) {
-            skewed.insert(entry.key.substr(options_.skewPrefix.size()));
-        }
+    return !options_.skewPrefix.empty() && entry.key.starts_with(options_.skewPrefix);
+}
+
+void HostDuty::applySkew(const StoreEntry &entry)
+{
+    const std::string service = entry.key.substr(options_.skewPrefix.size());
+    if (entry.isDeleted) {
+        skewed_.erase(service);
+    } else {
+        skewed_.insert(service);
     }
-    gateway_.post([skewed = std::move(skewed)](Gateway &gateway) { gateway.streams().setEarlierSkew(skewed); });
 }
 
-void HostDuty::reportVersions()
+std::map<std::string, std::string, std::less<>> HostDuty::servingVersions() const
 {
     std::map<std::string, std::string, std::less<>> versions;
     for (const auto &[service, entry] : versionRecords_) {
@@ -218,7 +208,12 @@
             versions.emplace(service, entry.value);
         }
     }
-    gateway_.post([versions = std::move(versions)](Gateway &gateway) { gateway.versions().setRecorded(versions); });
+    return versions;
+}
+
+void HostDuty::reportVersions()
+{
+    gateway_.post([versions = servingVersions()](Gateway &gateway) { gateway.versions().setRecorded(versions); });
 }
 
 /// To be called after reportVersions(): a completed rollout is recorded after the version that it leaves.
@@ -285,14 +280,15 @@
         return reply.status == StoreStatus::NotFound;
     }
     watchRevision_ = std::max(watchRevision_, reply.revision);
-    bool haveVersionsChanged = false;
     for (const StoreEntry &entry : reply.entries) {
         applyEntry(entry);
-        haveVersionsChanged = haveVersionsChanged || isVersionRecord(entry);
     }
-    if (haveVersionsChanged) {
+    if (std::any_of(reply.entries.begin(), reply.entries.end(), [this](const StoreEntry &entry) { return isVersionRecord(entry); })) {
         reportVersions();
     }
+    if (std::any_of(reply.entries.begin(), reply.entries.end(), [this](const StoreEntry &entry) { return isSkewRecord(entry); })) {
+        reportSkew();
+    }
     reportRollouts(reply);
     publishHosts();
     return true;
@@ -312,9 +308,11 @@
     watchRevision_ = reply.revision;
     hosts_.clear();
     versionRecords_.clear();
+    skewed_.clear();
     for (const StoreEntry &entry : reply.entries) {
         applyEntry(entry);
     }
+    reportSkew();
     reportVersions();
     reportRollouts(reply);
     isKeyWritten_ = hosts_.contains(options_.hostName);
@@ -324,7 +322,7 @@
     }
     if (!std::exchange(hasReadStore_, true)) {
         reportRecentWeights(reply);
-        reportEarlierSkew(reply);
+        reportEarlierVersions();
     }
     publishHosts();
     return true;
@@ -338,6 +336,10 @@
         }
         return;
     }
+    if (isSkewRecord(entry)) {
+        applySkew(entry);
+        return;
+    }
     if (isVersionRecord(entry)) {
         versionRecords_[entry.key.substr(options_.versionsPrefix.size())] = entry;
         return;
--- a/gateway/host_duty.h
+++ b/gateway/host_duty.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,7 +36,7 @@
         std::string weightsPrefix; ///< Prefix of the WeightsRecords keys, within `prefix`.
         std::string quarantinePrefix = {}; ///< Prefix of the keys of quarantined requests, within `prefix`; empty: none are written or read.
         std::string versionsPrefix = {}; ///< Prefix of the keys that hold the serving version of a service, within `prefix`; empty: none are written or read.
-        std::string skewPrefix = {}; ///< Prefix of the keys of services that had several versions lately, within `prefix`; empty: none are written or read.
+        std::string skewPrefix = {}; ///< Prefix of the SkewDuty keys, within `prefix`; empty: none are written or read.
         std::string rolloutsPrefix = {}; ///< Prefix of the keys that hold a RolloutRecord, within `prefix`; empty: none are read.
         std::string hostName;
         HostRecord record; ///< Value of this host's key.
@@ -56,11 +57,8 @@
     void recordQuarantine(RequestFeature request);
 
     /// Queues serving versions, by service, to be written to the store. A version that another host has recorded meanwhile is not replaced but
-    /// passed to the gateway. Thread-safe.
-    void recordServingVersions(const std::map<std::string, std::string> &versions);
-
-    /// Queues the names of services that have had several versions, to be written to the store for this long. Thread-safe.
-    void recordSkew(const std::vector<std::string> &services, Duration timeToLive);
+    /// passed to the gateway. A service whose version is replaced is recorded for `skewTimeToLive` as having had several. Thread-safe.
+    void recordServingVersions(const std::map<std::string, std::string> &versions, Duration skewTimeToLive);
 
     /// The lease of this host's key; 0 if there is none. Thread-safe.
     std::int64_t leaseId() const
@@ -78,8 +76,12 @@
     void writeQuarantines();
     void applyQuarantine(std::string_view name);
     void writeVersions();
-    void writeSkew();
-    void reportEarlierSkew(const StoreListReply &reply);
+    bool mayReplaceVersion(const std::string &service, const StoreEntry &known, Duration skewTimeToLive);
+    void reportEarlierVersions();
+    void reportSkew();
+    bool isSkewRecord(const StoreEntry &entry) const;
+    void applySkew(const StoreEntry &entry);
+    std::map<std::string, std::string, std::less<>> servingVersions() const;
     void reportVersions();
     void reportRollouts(const StoreListReply &reply);
     bool readAll();
@@ -101,13 +103,13 @@
     std::int64_t watchRevision_ = 0;
     std::map<std::string, HostRecord> hosts_;
     std::map<std::string, StoreEntry> versionRecords_; ///< By service.
+    std::set<std::string, std::less<>> skewed_; ///< Services that are recorded as having several versions.
     double share_ = 0;
     TimePoint shareChangedAt_;
     std::mutex mutex_;
     std::vector<RequestFeature> unwrittenQuarantines_; ///< Not yet written to the store; guarded by `mutex_`.
     std::map<std::string, std::string> unwrittenVersions_; ///< By service; guarded by `mutex_`.
-    std::vector<std::string> unwrittenSkew_; ///< Names of services; guarded by `mutex_`.
-    Duration skewTimeToLive_{}; ///< Of `unwrittenSkew_`; guarded by `mutex_`.
+    Duration skewTimeToLive_{}; ///< For services in `unwrittenVersions_`; guarded by `mutex_`.
 };
 
 } // namespace Lovageloft
--- a/gateway/stream_versions.cpp
+++ b/gateway/stream_versions.cpp
@@ -36,9 +36,14 @@
     origins_.setTargets(listed, BootClock::now());
 }
 
-void StreamVersions::setEarlierSkew(const std::set<std::string, std::less<>> &skewed)
+void StreamVersions::setEarlier(const std::set<std::string, std::less<>> &skewed, const std::map<std::string, std::string, std::less<>> &serving)
 {
-    origins_.setEarlierSkew(skewed);
+    origins_.setEarlier(skewed, serving);
+}
+
+Duration StreamVersions::skewTimeToLive() const
+{
+    return 2 * origins_.history().retention();
 }
 
 void StreamVersions::setSkewRecorder(SkewRecorder recorder)
@@ -59,10 +64,9 @@
     if (!isLeading_ || skewed.empty() || (skewed == recordedSkew_ && now < recordAgainAt_)) {
         return;
     }
-    const Duration retention = origins_.history().retention();
     recordedSkew_ = skewed;
-    recordAgainAt_ = now + retention / 2;
-    recorder_(skewed, 2 * retention);
+    recordAgainAt_ = now + origins_.history().retention() / 2;
+    recorder_(skewed, skewTimeToLive());
 }
 
 void StreamVersions::onBegun(const RequestIntake &intake, std::string_view version)
--- a/gateway/stream_versions.h
+++ b/gateway/stream_versions.h
@@ -37,8 +37,11 @@
 
     void setTargets(const TargetMap &targets);
 
-    /// Sets the services that had targets of several versions when this host started.
-    void setEarlierSkew(const std::set<std::string, std::less<>> &skewed);
+    /// Sets what the store held when this host started: the services that had targets of several versions, and the serving version of each service.
+    void setEarlier(const std::set<std::string, std::less<>> &skewed, const std::map<std::string, std::string, std::less<>> &serving);
+
+    /// For how long a service that has had several versions is recorded, from the last time that it had.
+    Duration skewTimeToLive() const;
 
     /// Records in the store, for hosts that start later, which services have had several versions; for `timeToLive`.
     using SkewRecorder = std::function<void(const std::vector<std::string> &services, Duration timeToLive)>;
--- a/gateway/version_guard.cpp
+++ b/gateway/version_guard.cpp
@@ -76,6 +76,16 @@
     return versions_.targetsOf(service, version);
 }
 
+void VersionGuard::requireSkewRecords()
+{
+    versions_.requireSkewRecords();
+}
+
+void VersionGuard::setSkewRecorded(const std::set<std::string, std::less<>> &services)
+{
+    versions_.setSkewRecorded(services);
+}
+
 void VersionGuard::setRecorded(const std::map<std::string, std::string, std::less<>> &versions)
 {
     versions_.setRecorded(versions);
--- a/gateway/version_guard.h
+++ b/gateway/version_guard.h
@@ -57,6 +57,12 @@
     /// Ids of the targets of a version that have not announced their shutdown.
     std::vector<std::string> targetsOf(std::string_view service, std::string_view version) const;
 
+    /// See ServingVersions::requireSkewRecords. Must be called before the event loop runs.
+    void requireSkewRecords();
+
+    /// Sets the services of which the store holds that they have several versions.
+    void setSkewRecorded(const std::set<std::string, std::less<>> &services);
+
     /// Sets the serving versions that the store holds, by service.
     void setRecorded(const std::map<std::string, std::string, std::less<>> &versions);
 
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -155,6 +155,7 @@
     , targetDuty_(relayedStore_, records_, [this](const std::shared_ptr<const TargetMap> &targets) { onTargets(targets); })
     , hostDuty_(relayedStore_, gateway_, hostOptions())
     , storeProbeDuty_(relayedStore_, [this] { return hostDuty_.leaseId(); })
+    , skewDuty_(measuredStore_, std::string(skewPrefix))
     , weightsDuty_(measuredStore_, engineControl_, weightsOptions())
     , cacheStoreDuty_(gateway_, relayedStore_, engineControl_)
     , rolloutDuty_(measuredStore_, records_, rolloutOptions())
@@ -163,8 +164,9 @@
     gateway_.setWeightsListener([this](const std::vector<PublishedWeights> &weights) { weightsDuty_.setPublishedWeights(weights); });
     gateway_.setControlListener([this](bool canOrder) { weightsDuty_.setCanOrder(canOrder); });
     gateway_.fleet().setQuarantineRecorder([this](RequestFeature request) { hostDuty_.recordQuarantine(request); });
-    gateway_.versions().setRecorder([this](const auto &versions) { hostDuty_.recordServingVersions(versions); });
-    gateway_.streams().setSkewRecorder([this](const auto &services, Duration timeToLive) { hostDuty_.recordSkew(services, timeToLive); });
+    gateway_.versions().requireSkewRecords();
+    gateway_.versions().setRecorder([this](const auto &versions) { hostDuty_.recordServingVersions(versions, gateway_.streams().skewTimeToLive()); });
+    gateway_.streams().setSkewRecorder([this](const auto &services, Duration timeToLive) { skewDuty_.record(services, timeToLive); });
     gateway_.rollouts().setWriter([this](const std::string &service, const RolloutRecord &record) { rolloutDuty_.write(service, record); });
     gateway_.rollouts().setLeaseClock([this] { return weightsDuty_.leaseUntil(); });
     gateway_.fleet().setOrderListener([this](const std::string &target) { weightsDuty_.onOrderByOther(target); });
@@ -252,6 +254,7 @@
     targetDuty_.start();
     hostDuty_.start();
     storeProbeDuty_.start();
+    skewDuty_.start();
     weightsDuty_.start();
     cacheStoreDuty_.start();
     rolloutDuty_.start();
@@ -263,6 +266,7 @@
 {
     gateway_.run();
     storeProbeDuty_.stop();
+    skewDuty_.stop();
     hostDuty_.stop();
     configurationDuty_.stop();
     proofDuty_.stop();
--- a/main/gateway_host.h
+++ b/main/gateway_host.h
@@ -10,6 +10,7 @@
 #include "gateway/proof_duty.h"
 #include "gateway/relayed_store.h"
 #include "gateway/rollout_duty.h"
+#include "gateway/skew_duty.h"
 #include "gateway/store_probe_duty.h"
 #include "gateway/target_duty.h"
 #include "gateway/weights_duty.h"
@@ -66,6 +67,7 @@
     TargetDuty targetDuty_;
     HostDuty hostDuty_;
     StoreProbeDuty storeProbeDuty_;
+    SkewDuty skewDuty_;
     WeightsDuty weightsDuty_;
     CacheStoreDuty cacheStoreDuty_;
     RolloutDuty rolloutDuty_;
--- a/tests/decision/stream_model.cpp
+++ b/tests/decision/stream_model.cpp
@@ -93,13 +93,9 @@
         host.versions = listed_;
     }
     tellTargets(index);
-    const Duration retention = host.origins->history().retention();
-    const bool isSkewed = listed_.size()
-            + static_cast<std::size_t>(std::count_if(
-                goneAt_.begin(), goneAt_.end(), [this, retention](const auto &entry) { return now_ - entry.second < 2 * retention; }))
-        > 1;
     if (options_.usesEarlierSkew) {
-        host.origins->setEarlierSkew(isSkewed ? std::set<std::string, std::less<>>{std::string(service)} : std::set<std::string, std::less<>>{});
+        host.origins->setEarlier(isSkewRecorded() ? std::set<std::string, std::less<>>{std::string(service)} : std::set<std::string, std::less<>>{},
+                                 {{std::string(service), servingRecord_}});
     }
     at(now_ + maxFirstListDelay, [this, index, process = host.process] {
         if (hosts_[index].process == process) {
@@ -158,8 +154,8 @@
 {
     if (isListed) {
         listed_.try_emplace(version, now_);
-    } else if (listed_.erase(version) > 0) {
-        goneAt_[version] = now_;
+    } else {
+        listed_.erase(version);
     }
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
         hosts_[i].listBehindSince = hosts_[i].listBehindSince.value_or(now_);
@@ -206,10 +202,58 @@
     }
     if (isUp(index)) {
         hosts_[index].origins->onTick(now_);
+        lead(index);
     }
     at(now_ + tickInterval, [this, index, process] { tick(index, process); });
 }
 
+/// What the leader, the first host that is up, records in the store.
+void StreamModel::lead(std::size_t index)
+{
+    const bool isLeader =
+        std::none_of(hosts_.begin(), hosts_.begin() + static_cast<std::ptrdiff_t>(index), [](const Host &host) { return host.origins != nullptr; });
+    if (!isLeader || now_ < nextWriteAt_ || isStoreAway_) {
+        return;
+    }
+    const Host &host = hosts_[index];
+    const bool isReplaced = !host.versions.empty() && !host.versions.contains(servingRecord_);
+    if (isReplaced || !host.origins->history().skewedServices(now_).empty()) {
+        write(index, [this, until = now_ + 2 * host.origins->history().retention()] { skewRecordedUntil_ = until; });
+    }
+    if (isReplaced && isSkewRecorded()) {
+        write(index, [this, version = host.versions.begin()->first] { servingRecord_ = version; });
+    }
+}
+
+/// A write of a host that is killed before it has taken effect is lost.
+void StreamModel::write(std::size_t index, std::function<void()> change)
+{
+    const Duration delay = randomUpTo(random_, options_.maxWriteDelay);
+    nextWriteAt_ = now_ + options_.maxWriteDelay;
+    at(now_ + delay, [this, index, process = hosts_[index].process, change = std::move(change)] {
+        if (hosts_[index].process == process && !isStoreAway_) {
+            change();
+        }
+    });
+}
+
+bool StreamModel::isSkewRecorded() const
+{
+    return now_ < skewRecordedUntil_;
+}
+
+void StreamModel::setStoreAway(bool isAway)
+{
+    isStoreAway_ = isAway;
+}
+
+void StreamModel::killAll(Duration downTime)
+{
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+        kill({i}, randomUpTo(random_, downTime));
+    }
+}
+
 void StreamModel::begin()
 {
     at(now_ + fromSeconds(1.0 / options_.streamsPerSecond), [this] { begin(); });
@@ -217,7 +261,8 @@
     const std::size_t index = random(hosts_.size());
     std::vector<std::string> serving;
     for (const auto &[version, since] : hosts_[index].versions) {
-        if (now_ - since >= newVersionDelay) {
+        const bool isOnly = hosts_[index].versions.size() == 1;
+        if (now_ - since >= newVersionDelay && (isOnly || isSkewRecorded() || version == servingRecord_)) {
             serving.push_back(version);
         }
     }
--- a/tests/decision/stream_model.h
+++ b/tests/decision/stream_model.h
@@ -30,6 +30,7 @@
         double lateRate = 0; ///< Of messages that take up to half a second.
         std::uint64_t seed = 0;
         bool usesEarlierSkew = true; ///< Hosts that start know from the store which services had several versions.
+        Duration maxWriteDelay = std::chrono::milliseconds(300); ///< Until the leader's write to the store has taken effect.
     };
 
     /// What became of the streams that callers took up.
@@ -49,6 +50,12 @@
     /// Lists a version's targets, or their end.
     void list(const std::string &version, bool isListed);
 
+    /// Kills all hosts, each of which is back at another time up to `downTime`.
+    void killAll(Duration downTime);
+
+    /// Whether the leader's writes to the store fail.
+    void setStoreAway(bool isAway);
+
     /// Kills hosts, which start anew after a time; their callers resume their streams elsewhere.
     void kill(const std::vector<std::size_t> &hosts, Duration downTime);
 
@@ -101,6 +108,9 @@
     void tellHosts();
     std::vector<std::string> namesOfHostsUp() const;
     void tick(std::size_t index, int process);
+    void lead(std::size_t index);
+    void write(std::size_t index, std::function<void()> change);
+    bool isSkewRecorded() const;
     void begin();
     void resume(const Stream &stream);
     bool isUp(std::size_t index) const;
@@ -113,7 +123,10 @@
     std::uint64_t lastEvent_ = 0;
     std::vector<Host> hosts_;
     std::map<std::string, TimePoint> listed_; ///< Versions that are listed now, and since when.
-    std::map<std::string, TimePoint> goneAt_; ///< Versions that were listed.
+    std::string servingRecord_ = "v1"; ///< In the store: the serving version.
+    TimePoint skewRecordedUntil_; ///< In the store: until when it holds that there were several versions.
+    TimePoint nextWriteAt_;
+    bool isStoreAway_ = false;
     std::vector<Stream> streams_; ///< In life.
     std::uint64_t lastStream_ = 0;
     Counts counts_;
--- a/tests/decision/test_stream_origins.cpp
+++ b/tests/decision/test_stream_origins.cpp
@@ -177,6 +177,44 @@
     BOOST_TEST(model.counts().joined == 0U);
 }
 
+// Guards against streams that go on at another version because nobody is left that knew of two: all hosts are killed at any moment of an upgrade, and
+// the targets of the version before have gone, or come back, when the hosts do.
+BOOST_DATA_TEST_CASE(aKillOfAllHostsBesideAnUpgradeJoinsNoStream,
+                     boost::unit_test::data::make({HostCount{9, 60}, HostCount{90, 300}}) * boost::unit_test::data::xrange(100),
+                     count,
+                     seed)
+{
+    StreamModel::Options options;
+    options.seed = static_cast<std::uint64_t>(seed);
+    options.hosts = count.hosts;
+    options.streamsPerSecond = count.streamsPerSecond;
+    StreamModel model(options);
+    model.run(1s);
+    const bool isUpgradeSeen = seed % 4 != 3;
+    const bool isRolledBack = seed % 8 == 2;
+    const bool isStoreAwayAtFirst = seed % 5 == 4;
+    model.setStoreAway(isStoreAwayAtFirst);
+    if (isUpgradeSeen) {
+        model.list("v2", true);
+        model.run(20ms * static_cast<int>(model.random(160)));
+    }
+    if (seed % 3 == 0) {
+        model.list("v1", false);
+        model.run(20ms * static_cast<int>(model.random(60)));
+    }
+    model.killAll(200ms + 10ms * static_cast<int>(model.random(300)));
+    model.run(10ms * static_cast<int>(model.random(20)));
+    model.list("v2", !isRolledBack);
+    if (!isRolledBack) {
+        model.list("v1", false);
+    }
+    model.run(500ms);
+    model.setStoreAway(false);
+    model.run(6s);
+    BOOST_TEST(model.counts().resumptions > 0U);
+    BOOST_TEST(model.counts().joined == 0U);
+}
+
 // Guards against an id of another team, or of another service, that tells which version began a stream.
 BOOST_AUTO_TEST_CASE(anotherTeamsStreamIsNotKnown)
 {
--- a/tests/platform/test_host_listed_again.cpp
+++ b/tests/platform/test_host_listed_again.cpp
@@ -176,7 +176,7 @@
 BOOST_FIXTURE_TEST_CASE(aServingVersionIsRecordedOnce, HostFixture)
 {
     constexpr std::string_view key = "fleet/versions/s";
-    duty.recordServingVersions({{"s", "v1"}});
+    duty.recordServingVersions({{"s", "v1"}}, std::chrono::seconds(20));
     const TimePoint limit = BootClock::now() + patience;
     while (store.get(key).status != StoreStatus::Ok && BootClock::now() < limit) {
         std::this_thread::sleep_for(5ms);
@@ -185,7 +185,7 @@
     BOOST_TEST(first.entry.value == "v1");
     store.isDeaf = true;
     store.compareAndSwap(key, first.entry.revision, "v2", 0);
-    duty.recordServingVersions({{"s", "v3"}});
+    duty.recordServingVersions({{"s", "v3"}}, std::chrono::seconds(20));
     std::this_thread::sleep_for(600ms);
     BOOST_TEST(store.get(key).entry.value == "v2");
 }
