A caller's bytes lie in one buffer, in their order

Cause: bytes that arrive while a request runs went to a buffer beside the parser's. If they were handled between the end of an answer and the start of the next request, newer bytes were parsed before older ones; a shutdown asked only one of the buffers whether a request waits.

Change: the parser holds all bytes; it takes none beyond the end of a message until the next one is started.

--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -99,7 +99,7 @@
     request_.reset();
     // An answer that began before the shutdown has no "Connection: close" field. If the connection stayed open, the caller would send its
     // next request within a millisecond, and a request that runs for seconds would be cut off when the platform ends the process.
-    const bool endsWithShutdown = gateway_.isDraining() && pipelined_.empty();
+    const bool endsWithShutdown = gateway_.isDraining() && parser_.bufferedBytes() == 0;
     if (closesAfterAnswer_ || endsWithShutdown) {
         isClosed_ = true;
         if (unsent() == 0) {
@@ -158,7 +158,7 @@
 
 bool CallerSession::isIdle() const
 {
-    return request_ == nullptr && !isRequestComplete_ && !parser_.isWithinMessage() && pipelined_.empty();
+    return request_ == nullptr && !isRequestComplete_ && !parser_.isWithinMessage() && parser_.bufferedBytes() == 0;
 }
 
 void CallerSession::onBytes(std::string_view bytes)
@@ -167,12 +167,8 @@
     if (isClosed_) {
         return; // The answer under way is the last one.
     }
-    if (!isRequestComplete_) {
-        parse(bytes);
-        return;
-    }
-    pipelined_.append(bytes);
-    if (pipelined_.size() > maxPipelinedBytes) {
+    parse(bytes);
+    if (parser_.isComplete() && parser_.bufferedBytes() > maxPipelinedBytes) {
         tcp_->pauseReading();
     }
 }
@@ -235,6 +231,7 @@
 
 void CallerSession::parse(std::string_view bytes)
 {
+    const bool isPipelined = parser_.isComplete();
     if (isIdle()) {
         startTimer(limits_.headTimeout);
     }
@@ -243,6 +240,14 @@
         refuse(reason);
         return;
     }
+    if (!isPipelined) {
+        onParsed();
+    }
+}
+
+/// Begins the request if it is complete.
+void CallerSession::onParsed()
+{
     if (!isRequestComplete_ && body_.size() > BufferBudget::minConnectionBytes && gateway_.callerBuffers().isExhausted()) {
         refuse({ResultCode::Overloaded, "no memory is left for the request's body"});
         return;
@@ -265,20 +270,14 @@
     }
     limits_ = gateway_.callerLimits();
     parser_.setLimits({limits_.headBytes, limits_.bodyBytes});
-    startTimer(limits_.idleTimeout);
+    startTimer(parser_.bufferedBytes() > 0 ? limits_.headTimeout : limits_.idleTimeout);
     Reason reason;
     if (!parser_.startNext(reason)) {
         refuse(reason);
         return;
     }
-    const std::string pipelined = std::exchange(pipelined_, {});
-    if (isRequestComplete_) {
-        pipelined_ = pipelined;
-        parse({});
-    } else if (!pipelined.empty()) {
-        parse(pipelined);
-    }
-    if (pipelined_.size() <= maxPipelinedBytes && !isClosed_) {
+    onParsed();
+    if (!isClosed_ && parser_.bufferedBytes() <= maxPipelinedBytes) {
         tcp_->resumeReading();
     }
 }
--- a/gateway/caller_session.h
+++ b/gateway/caller_session.h
@@ -79,6 +79,7 @@
     void onEnd() override;
 
     void parse(std::string_view bytes);
+    void onParsed();
     void startNextRequest();
     void refuse(const Reason &reason);
     void close();
@@ -91,14 +92,13 @@
     Gateway &gateway_;
     std::optional<TcpConnection::Socket> acceptedSocket_;
     std::shared_ptr<TcpConnection> tcp_;
-    HttpParser parser_;
+    HttpParser parser_; ///< Also holds, in their order, the bytes that arrive before the answer to the last request is complete.
     boost::asio::steady_timer timer_;
     CallerLimits limits_;
     HttpHead head_;
     std::string body_;
     std::string unsentHead_; ///< Sent together with the first bytes of the body, which saves a system call.
     std::shared_ptr<RoutedRequest> request_;
-    std::string pipelined_; ///< Bytes received while the previous request was being answered.
     bool isChunked_ = false;
     bool isAnswering_ = false;
     bool closesAfterAnswer_ = false;
