An answer that has begun is broken off, by whatever ends it

Cause: a call that may run once is left to complete when its deadline passes and its caller answered at once, without a look at whether an answer has begun.

Change: CallerSession::sendOwnAnswer decides for all refusals and failures, where it is known whether a byte is out. An answer to an HTTP/1.0 caller without a length is broken off by a reset; by a close it looked complete.

--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -51,6 +51,7 @@
     unsentHead_ = "HTTP/1.1 " + std::to_string(status) + ' ' + std::string(statusText(status)) + "\r\n";
     unsentHead_.append(fields);
     isChunked_ = !bodyBytes && head_.version == 11; // HTTP/1.1; 10 is HTTP/1.0.
+    isEndedByClose_ = !bodyBytes && !isChunked_;
     if (bodyBytes) {
         appendField(unsentHead_, "Content-Length", std::to_string(*bodyBytes));
     } else if (isChunked_) {
@@ -116,9 +117,25 @@
     boost::asio::post(gateway_.loop(), [self = shared_from_this()] { self->startNextRequest(); });
 }
 
+bool CallerSession::sendOwnAnswer(int status, std::string_view fields, std::string_view body)
+{
+    if (isAnswering_ && unsentHead_.empty()) {
+        abortAnswer();
+        return false;
+    }
+    beginAnswer(status, fields, body.size());
+    sendBody(body);
+    finishAnswer();
+    return true;
+}
+
 void CallerSession::abortAnswer()
 {
-    close();
+    if (isEndedByClose_ && !isClosed_) {
+        closeStalled();
+    } else {
+        close();
+    }
 }
 
 std::size_t CallerSession::unsent() const
--- a/gateway/caller_session.h
+++ b/gateway/caller_session.h
@@ -40,8 +40,12 @@
     /// this host is shutting down and no byte of a further request has arrived.
     void finishAnswer();
 
-    /// Closes the connection without completing the answer, so that the caller can't take the part already sent for a complete one.
-    /// An HTTP/1.0 caller can't tell them apart if the answer has no Content-Length, as the closed connection is the end of such an answer.
+    /// Sends a complete answer of this host's own in place of the one that a target owes. If a byte of that one is out, the connection is closed
+    /// instead, as bytes of another answer would be taken for its body. Returns whether the answer was sent.
+    bool sendOwnAnswer(int status, std::string_view fields, std::string_view body);
+
+    /// Closes the connection without completing the answer, so that the caller can't take the part already sent for a complete one. An answer
+    /// that ends with the connection is broken off by a reset.
     void abortAnswer();
 
     /// Bytes of the answer that the kernel has not accepted yet because the caller reads slowly.
@@ -100,6 +104,7 @@
     std::string unsentHead_; ///< Sent together with the first bytes of the body, which saves a system call.
     std::shared_ptr<RoutedRequest> request_;
     bool isChunked_ = false;
+    bool isEndedByClose_ = false; ///< The answer has neither a length nor chunks.
     bool isAnswering_ = false;
     bool closesAfterAnswer_ = false;
     bool isRequestComplete_ = false;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -415,11 +415,7 @@
     if (status == tooManyRequests || status == unavailable) {
         appendField(fields, "Retry-After", callerProtocol_.retryAfter(retryAfter));
     }
-    const std::string body = callerProtocol_.body(reason, runState);
-    session->beginAnswer(status, fields, body.size());
-    session->sendBody(body);
-    session->finishAnswer();
-    return status;
+    return session->sendOwnAnswer(status, fields, callerProtocol_.body(reason, runState)) ? status : 0;
 }
 
 void Gateway::refuseMalformed(CallerSession &session, const Reason &reason)
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -338,7 +338,8 @@
     /// Passes the engines in service to the scheduler, after a change of the target directory.
     void refreshTargets();
 
-    /// Sends a refusal or error response to a caller and returns its HTTP status. `session` is null if the caller has disconnected.
+    /// Sends a refusal or error response to a caller and returns its HTTP status; 0 if a response that had begun was broken off instead. `session` is
+    /// null if the caller has disconnected.
     int refuse(CallerSession *session, const Reason &reason, RunState runState, Duration retryAfter);
 
     /// Refuses a message that can't be parsed.
--- a/gateway/routed_request_end.cpp
+++ b/gateway/routed_request_end.cpp
@@ -31,7 +31,8 @@
     finish(resultCodeInfo(reason.code).name, failureStatus_);
 }
 
-/// Sends the caller its final error response and releases the session. A call that runs at a target continues.
+/// Sends the caller its final error response, or breaks off the response that has begun, and releases the session. A call that runs at a target
+/// continues.
 void RoutedRequest::answerFailure(const Reason &reason, Duration retryAfter)
 {
     const RunState state = mayHaveRun_ || isRunning() ? RunState::MayHaveRun : RunState::NotRun;
@@ -40,6 +41,10 @@
     }
     const auto session = std::move(session_);
     failureStatus_ = gateway_.refuse(session.get(), reason, state, retryAfter > Duration::zero() ? retryAfter : defaultRetryAfter);
+    if (failureStatus_ == 0) {
+        log_.aborted(targetId_, reason.text);
+        return;
+    }
     const TimePoint now = BootClock::now();
     log_.refused(reason, failureStatus_, state == RunState::MayHaveRun, now - startedAt_, gateway_.proofAge(now));
 }
