Request bodies are bounded by the host's memory, and held once

Cause: the memory for bodies was bounded only under the contract 'pressure'; and a body was held by its request, in a copy with its head and in the connection's buffer, in strings that grow by doubling.

Change: the budget for callers is 0.4 of the host's memory wherever that is known. A stated length is reserved when the body begins; what does not fit is refused at once, 503 with Retry-After, as not run. Bodies above 16,384 bytes are sent from where the request holds them.

--- a/drivers/byte_stream.h
+++ b/drivers/byte_stream.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstddef>
+#include <memory>
+#include <string>
 #include <string_view>
 
 namespace Lovageloft
@@ -18,6 +20,9 @@
     /// Sends bytes, and buffers those that can't be sent yet. Errors are reported by TcpEvents::onClosed().
     virtual void send(std::string_view bytes) = 0;
 
+    /// The same without a copy of those that can't be sent yet. `bytes` is held until then.
+    virtual void sendShared(const std::shared_ptr<const std::string> &bytes) = 0;
+
     /// Number of buffered bytes that the kernel has not taken yet.
     virtual std::size_t unsent() const = 0;
 
--- a/drivers/http_message.cpp
+++ b/drivers/http_message.cpp
@@ -92,12 +92,18 @@
     out.append(name).append(": ").append(value).append("\r\n");
 }
 
-void appendChunk(std::string &out, std::string_view bytes)
+void appendChunkHead(std::string &out, std::size_t size)
 {
     constexpr int hexadecimal = 16;
     std::array<char, 20> digits{};
-    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), bytes.size(), hexadecimal);
-    out.append(digits.data(), end.ptr).append("\r\n").append(bytes).append("\r\n");
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), size, hexadecimal);
+    out.append(digits.data(), end.ptr).append("\r\n");
+}
+
+void appendChunk(std::string &out, std::string_view bytes)
+{
+    appendChunkHead(out, bytes.size());
+    out.append(bytes).append("\r\n");
 }
 
 std::string_view statusText(int status)
--- a/drivers/http_message.h
+++ b/drivers/http_message.h
@@ -41,6 +41,9 @@
 /// Appends "name: value" and a line end.
 void appendField(std::string &out, std::string_view name, std::string_view value);
 
+/// Appends what precedes the bytes of a chunk in the chunked transfer coding. A line end follows them.
+void appendChunkHead(std::string &out, std::size_t size);
+
 /// Appends bytes, which must not be empty, as one chunk of the chunked transfer coding.
 void appendChunk(std::string &out, std::string_view bytes);
 
--- a/drivers/tcp_connection.cpp
+++ b/drivers/tcp_connection.cpp
@@ -1,5 +1,7 @@
 #include "drivers/tcp_connection.h"
 
+#include <utility>
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -17,9 +19,6 @@
 constexpr std::size_t readBytesPerTurn = 65'536;
 constexpr std::size_t readBufferBytes = 16'384;
 
-/// An empty buffer above this size is freed: an idle connection would hold it until the next message.
-constexpr std::size_t keptBufferBytes = 16'384;
-
 /// How long sent bytes may stay unacknowledged. Well above the time of a few consecutive lost packets (retransmissions after 0.2 and 0.6 s), and
 /// below the three seconds after which callers abandon a silent response.
 constexpr int unacknowledgedMilliseconds = 2'000;
@@ -116,27 +115,41 @@
 
 void TcpConnection::send(std::string_view bytes)
 {
-    if (!isOpen_) {
-        return;
-    }
-    std::size_t sent = 0;
-    if (unsent_.empty()) {
-        ErrorCode error;
-        sent = socket_.write_some(boost::asio::const_buffer(bytes.data(), bytes.size()), error);
-        if (error && error != boost::asio::error::would_block) {
-            boost::asio::post(socket_.get_executor(), [self = shared_from_this()] { self->finish(true); });
-            return;
-        }
-    }
-    if (sent < bytes.size()) {
+    const std::size_t sent = write(bytes);
+    if (isOpen_ && sent < bytes.size()) {
         buffer(bytes.substr(sent));
         waitWritable();
     }
 }
 
+void TcpConnection::sendShared(const std::shared_ptr<const std::string> &bytes)
+{
+    const std::size_t sent = write(*bytes);
+    if (isOpen_ && sent < bytes->size()) {
+        unsent_.push_back({{}, bytes, sent});
+        unsentBytes_ += bytes->size() - sent;
+        waitWritable();
+    }
+}
+
+/// Sends what the kernel takes now, nothing while earlier bytes are buffered. Returns the number of bytes that need no buffer.
+std::size_t TcpConnection::write(std::string_view bytes)
+{
+    if (!isOpen_ || !unsent_.empty()) {
+        return 0;
+    }
+    ErrorCode error;
+    const std::size_t sent = socket_.write_some(boost::asio::const_buffer(bytes.data(), bytes.size()), error);
+    if (error && error != boost::asio::error::would_block) {
+        boost::asio::post(socket_.get_executor(), [self = shared_from_this()] { self->finish(true); });
+        return bytes.size();
+    }
+    return sent;
+}
+
 std::size_t TcpConnection::unsent() const
 {
-    return unsent_.size();
+    return unsentBytes_;
 }
 
 void TcpConnection::pauseReading()
@@ -257,12 +270,13 @@
         return;
     }
     ErrorCode error;
-    const std::size_t sent = socket_.write_some(boost::asio::buffer(unsent_), error);
+    const std::string_view rest = unsent_.front().rest();
+    const std::size_t sent = socket_.write_some(boost::asio::const_buffer(rest.data(), rest.size()), error);
     if (error && error != boost::asio::error::would_block) {
         finish(true);
         return;
     }
-    unsent_.erase(unsent_.begin(), unsent_.begin() + static_cast<std::ptrdiff_t>(sent));
+    dropSent(sent);
     if (!unsent_.empty()) {
         waitWritable();
         if (sent > 0 && isLingering_) {
@@ -272,9 +286,6 @@
         }
         return;
     }
-    if (unsent_.capacity() > keptBufferBytes) {
-        std::vector<char>().swap(unsent_);
-    }
     if (isLingering_) {
         startLinger();
     } else if (events_ != nullptr) {
@@ -284,11 +295,33 @@
 
 void TcpConnection::buffer(std::string_view bytes)
 {
-    const std::size_t needed = unsent_.size() + bytes.size();
-    if (needed > unsent_.capacity()) {
-        unsent_.reserve(needed + needed / 4);
+    if (unsent_.empty() || unsent_.back().shared != nullptr) {
+        unsent_.emplace_back();
+    }
+    std::vector<char> &last = unsent_.back().copy;
+    const std::size_t needed = last.size() + bytes.size();
+    if (needed > last.capacity()) {
+        last.reserve(needed + needed / 4);
+    }
+    last.insert(last.end(), bytes.begin(), bytes.end());
+    unsentBytes_ += bytes.size();
+}
+
+/// Removes bytes of the first segment that the kernel has taken.
+void TcpConnection::dropSent(std::size_t bytes)
+{
+    Segment &first = unsent_.front();
+    first.sent += bytes;
+    unsentBytes_ -= bytes;
+    if (first.rest().empty()) {
+        unsent_.pop_front();
+        return;
+    }
+    // A slow receiver that is sent more all the time would else let a copy grow for good.
+    constexpr std::size_t maxSentBytes = 65'536;
+    if (first.shared == nullptr && first.sent >= maxSentBytes) {
+        first.copy.erase(first.copy.begin(), first.copy.begin() + static_cast<std::ptrdiff_t>(std::exchange(first.sent, 0)));
     }
-    unsent_.insert(unsent_.end(), bytes.begin(), bytes.end());
 }
 
 void TcpConnection::finish(bool isReset)
--- a/drivers/tcp_connection.h
+++ b/drivers/tcp_connection.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <array>
+#include <deque>
 #include <memory>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -72,6 +74,7 @@
     boost::asio::ip::address peerAddress() const;
 
     void send(std::string_view bytes) override;
+    void sendShared(const std::shared_ptr<const std::string> &bytes) override;
     std::size_t unsent() const override;
     void pauseReading() override;
     void resumeReading() override;
@@ -90,12 +93,28 @@
     bool isQuiet() override;
 
 private:
+    /// Bytes that the kernel has not taken yet: a copy, or bytes that are shared with their sender.
+    struct Segment
+    {
+        std::vector<char> copy; ///< A vector grows by as much as it is told to; a string would double its memory.
+        std::shared_ptr<const std::string> shared;
+        std::size_t sent = 0;
+
+        std::string_view rest() const
+        {
+            const std::string_view all = shared != nullptr ? std::string_view(*shared) : std::string_view(copy.data(), copy.size());
+            return all.substr(sent);
+        }
+    };
+
     void start();
     void waitReadable();
     void onReadable();
     void waitWritable();
     void flush();
+    std::size_t write(std::string_view bytes);
     void buffer(std::string_view bytes);
+    void dropSent(std::size_t bytes);
     void finish(bool isReset);
     void startLinger();
     void startStallTimer();
@@ -103,7 +122,8 @@
     Socket socket_;
     boost::asio::steady_timer timer_;
     TcpEvents *events_ = nullptr;
-    std::vector<char> unsent_; ///< A vector grows by as much as it is told to; a string would double its memory.
+    std::deque<Segment> unsent_;
+    std::size_t unsentBytes_ = 0;
     bool isOpen_ = true;
     bool isConnected_ = false; ///< Only for connections opened with connect().
     bool isReadArmed_ = false;
--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -230,15 +230,32 @@
     if (equalsIgnoringCase(head_.find("Expect"), "100-continue") && bodyBytes != 0) {
         tcp_->send("HTTP/1.1 100 Continue\r\n\r\n");
     }
+    hasDeclaredBody_ = bodyBytes.has_value();
+    const std::size_t declaredBytes = bodyBytes.value_or(0);
+    isBodyTooLong_ = declaredBytes > BufferBudget::minConnectionBytes && !gateway_.callerBuffers().hasRoom(declaredBytes);
+    if (!isBodyTooLong_) {
+        reserveBody(declaredBytes);
+        body_.reserve(declaredBytes);
+    }
     const std::uint64_t expectedBytes = bodyBytes.value_or(limits_.bodyBytes);
     startTimer(limits_.headTimeout * static_cast<std::int64_t>(1 + expectedBytes / bodyBytesPerHeadTimeout));
 }
 
 void CallerSession::onBody(std::string_view bytes)
 {
+    if (isBodyTooLong_) {
+        return;
+    }
     body_.append(bytes);
-    bufferedBodyBytes_ += bytes.size();
-    gateway_.callerBuffers().reserve(bufferId_, BufferUse::RequestBody, bytes.size(), BootClock::now());
+    if (body_.size() > bufferedBodyBytes_) {
+        reserveBody(body_.size() - bufferedBodyBytes_);
+    }
+}
+
+void CallerSession::reserveBody(std::size_t bytes)
+{
+    bufferedBodyBytes_ += bytes;
+    gateway_.callerBuffers().reserve(bufferId_, BufferUse::RequestBody, bytes, BootClock::now());
 }
 
 void CallerSession::onEnd()
@@ -265,7 +282,8 @@
 /// Begins the request if it is complete.
 void CallerSession::onParsed()
 {
-    if (!isRequestComplete_ && body_.size() > BufferBudget::minConnectionBytes && gateway_.callerBuffers().isExhausted()) {
+    const bool isGrowing = !isRequestComplete_ && body_.size() > BufferBudget::minConnectionBytes;
+    if (isBodyTooLong_ || (isGrowing && !hasDeclaredBody_ && gateway_.callerBuffers().isExhausted())) {
         refuse({ResultCode::Overloaded, "no memory is left for the request's body"});
         return;
     }
--- a/gateway/caller_session.h
+++ b/gateway/caller_session.h
@@ -84,6 +84,7 @@
 
     void parse(std::string_view bytes);
     void onParsed();
+    void reserveBody(std::size_t bytes);
     void startNextRequest();
     void refuse(const Reason &reason);
     void close();
@@ -114,6 +115,8 @@
     std::size_t bufferedBytes_ = 0; ///< Reserved for unsent bytes of answers.
     std::size_t incompleteBytes_ = 0; ///< Reserved for an answer that is not complete.
     std::size_t bufferedBodyBytes_ = 0; ///< Reserved for the body of the request.
+    bool hasDeclaredBody_ = false; ///< The request states the length of its body, all of which is reserved.
+    bool isBodyTooLong_ = false; ///< No memory is left for the body of the request.
 };
 
 } // namespace Lovageloft
--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <cstddef>
 #include <string>
 
 #include "coordination/duty_hosts.h"
@@ -34,9 +36,16 @@
     double exposureShare = 0.05; ///< Fraction of a service's requests that a version may get which is not trusted yet, over all hosts.
     double exposureSlack = 20; ///< Requests that such a version may get in addition.
     Duration rollbackTime = std::chrono::seconds(5); ///< From the answers that show a bad version to the last request sent to it.
-    bool boundsCallerBuffers = false; ///< Bounds what slow callers and request bodies hold by the host's memory.
+    double callerBufferFraction = 0.4; ///< Part of the host's memory for slow callers and request bodies; the rest is for the program and the kernel.
     bool adaptsToEngines = false; ///< Learns the times of engines and divides them between short and long prompts, also where engines state no pace.
     Duration minLeaseTimeToLive{}; ///< The shortest lease that the store grants.
+
+    /// Memory in bytes for slow callers and request bodies; 0 if the host's is not known.
+    std::size_t callerBufferBytes() const
+    {
+        constexpr double bytesPerMegabyte = 1e6;
+        return static_cast<std::size_t>(std::max(memoryMegabytes, 0.0) * bytesPerMegabyte * callerBufferFraction);
+    }
 };
 
 } // namespace Lovageloft
--- a/gateway/relayed_stream.cpp
+++ b/gateway/relayed_stream.cpp
@@ -61,6 +61,15 @@
     tcp_->send(chunk);
 }
 
+void RelayedStream::sendShared(const std::shared_ptr<const std::string> &bytes)
+{
+    std::string head;
+    appendChunkHead(head, bytes->size());
+    tcp_->send(head);
+    tcp_->sendShared(bytes);
+    tcp_->send(lineEnd);
+}
+
 /// Without the end of the last chunk, so that a stream whose payload has left has nothing unsent.
 std::size_t RelayedStream::unsent() const
 {
--- a/gateway/relayed_stream.h
+++ b/gateway/relayed_stream.h
@@ -41,6 +41,7 @@
     const std::string &suggestion() const;
 
     void send(std::string_view bytes) override;
+    void sendShared(const std::shared_ptr<const std::string> &bytes) override;
     std::size_t unsent() const override;
     void pauseReading() override;
     void resumeReading() override;
--- a/gateway/request_limits.h
+++ b/gateway/request_limits.h
@@ -45,6 +45,9 @@
 inline constexpr std::size_t headBytes = 1'000;
 inline constexpr std::size_t bytesPerToken = 55;
 
+/// A request's body up to this size is sent in one piece with its head, which saves a system call; a longer one without a copy.
+inline constexpr std::size_t maxCopiedBody = 16'384;
+
 inline constexpr int successStatus = 200;
 
 /// Statuses from this one on are failures of the target.
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -17,7 +17,8 @@
     : gateway_(gateway)
     , session_(std::move(session))
     , head_(std::move(head))
-    , body_(std::move(body))
+    , body_(std::make_shared<const std::string>(std::move(body)))
+    , bodyBytes_(body_->size())
     , intake_(gateway, head_)
     , log_(intake_)
     , exposure_(gateway, intake_)
@@ -47,7 +48,7 @@
         fail(reason);
         return;
     }
-    features_ = intake_.features(body_);
+    features_ = intake_.features(*body_);
     gateway_.fleet().whenLossesChecked(features_.front(), [self] { self->beginUnlessQuarantined(); });
 }
 
@@ -127,7 +128,7 @@
 SchedulerRequest RoutedRequest::schedulerRequest() const
 {
     SchedulerRequest request = intake_.schedulerRequest();
-    request.bytes = headBytes + body_.size() + request.outputTokens * bytesPerToken;
+    request.bytes = headBytes + bodyBytes_ + request.outputTokens * bytesPerToken;
     request.deadline = deadline_ - minTimeForAttempt;
     request.failedEngines = failedTargets_;
     request.isResume = isAnswerStarted_;
@@ -201,8 +202,11 @@
     CachePlan plan;
     const std::string_view lastEventId = events_.lastId().empty() ? std::string_view(intake_.caller().lastEventId) : std::string_view(events_.lastId());
     const TargetRequest request = makeTargetRequest(gateway_, intake_, {target, timeLeft(now), lastEventId, assignment_, isExpectedLate_}, salt, plan);
-    std::string bytes = gateway_.targetProtocol().writeHead(head_, request, body_.size());
-    bytes.append(body_);
+    std::string bytes = gateway_.targetProtocol().writeHead(head_, request, body_->size());
+    const bool isShort = body_->size() <= maxCopiedBody;
+    if (isShort) {
+        bytes.append(*body_);
+    }
     connection_ = gateway_.pool().acquire(target, intake_.route()->isIdempotent(), now);
     log_.sent({target,
                sends_,
@@ -215,7 +219,7 @@
                lastEventId,
                binding_.version().value_or("")});
     exposure_.onSent(target, assignment_, now);
-    connection_->sendRequest(std::move(bytes), intake_.caller().id, head_.method != "HEAD", *this);
+    connection_->sendRequest(std::move(bytes), isShort ? nullptr : body_, intake_.caller().id, head_.method != "HEAD", *this);
     armTimer();
     return !plan.saveTo.empty();
 }
@@ -560,6 +564,7 @@
             return;
         }
         answerFailure({ResultCode::TargetTimeout, "the target has not answered in time"}, {});
+        body_.reset();
         deadline_ = now + orphanTimeout;
         armTimer();
         return;
--- a/gateway/routed_request.h
+++ b/gateway/routed_request.h
@@ -160,7 +160,8 @@
     Gateway &gateway_;
     std::shared_ptr<CallerSession> session_; ///< Null after the caller disconnected or got its final response.
     HttpHead head_;
-    std::string body_;
+    std::shared_ptr<const std::string> body_; ///< Null once no target can get it any more.
+    std::size_t bodyBytes_ = 0;
     RequestIntake intake_;
     RequestLog log_;
     RolloutExposure exposure_;
--- a/gateway/routed_request_end.cpp
+++ b/gateway/routed_request_end.cpp
@@ -81,6 +81,7 @@
     if (mustComplete) {
         deadline_ = BootClock::now() + orphanTimeout;
         armTimer();
+        body_.reset();
         onCallerBufferEmpty(); // Nobody reads the rest; the target can complete it.
         return;
     }
--- a/gateway/target_connection.cpp
+++ b/gateway/target_connection.cpp
@@ -72,12 +72,14 @@
     }
 }
 
-void TargetConnection::sendRequest(std::string bytes, std::string requestId, bool hasAnswerBody, ExchangeEvents &events)
+void TargetConnection::sendRequest(
+    std::string bytes, std::shared_ptr<const std::string> body, std::string requestId, bool hasAnswerBody, ExchangeEvents &events)
 {
     events_ = &events;
     requestId_ = std::move(requestId);
-    requestBytes_ = bytes.size();
+    requestBytes_ = bytes.size() + (body != nullptr ? body->size() : 0);
     pendingRequest_ = std::move(bytes);
+    pendingBody_ = std::move(body);
     isDiscarding_ = false;
     discardedBytes_ = 0;
     if (!hasAnswerBody) {
@@ -226,6 +228,9 @@
     hasSentRequest_ = true;
     stream_->send(pendingRequest_);
     pendingRequest_.clear();
+    if (const auto body = std::move(pendingBody_)) {
+        stream_->sendShared(body);
+    }
     events_->onRequestSent();
 }
 
--- a/gateway/target_connection.h
+++ b/gateway/target_connection.h
@@ -72,10 +72,11 @@
     /// exchange fails with ExchangeEvents::onTargetLost().
     void connect(boost::asio::io_context &loop, const HostAddress &address);
 
-    /// Sends a request as soon as the connection is established. Its answer must carry `requestId`. `hasAnswerBody` is false for requests,
+    /// Sends a request as soon as the connection is established. `bytes` are its head and what of its body isn't in `body`, which is held without a copy
+    /// until it is sent; null for none. Its answer must carry `requestId`. `hasAnswerBody` is false for requests,
     /// such as HEAD, whose answer has no body whatever its header says; the connection is then not reused.
     /// Must be called only on a new or idle connection. `events` must remain valid until the exchange ends or is aborted.
-    void sendRequest(std::string bytes, std::string requestId, bool hasAnswerBody, ExchangeEvents &events);
+    void sendRequest(std::string bytes, std::shared_ptr<const std::string> body, std::string requestId, bool hasAnswerBody, ExchangeEvents &events);
 
     /// Aborts the exchange by closing the connection, which makes most targets cancel the request. Neither the exchange's
     /// events nor the owner is notified.
@@ -131,6 +132,7 @@
     HttpParser parser_;
     ExchangeEvents *events_ = nullptr; ///< Null while idle.
     std::string pendingRequest_; ///< Sent when the connection is established.
+    std::shared_ptr<const std::string> pendingBody_; ///< Sent after `pendingRequest_`.
     std::string requestId_;
     std::size_t requestBytes_ = 0;
     bool isConnected_ = false;
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -58,10 +58,6 @@
     return limits;
 }
 
-/// Fraction of the host's memory for callers that read slowly and for request bodies. The rest is for the program, its tables and the kernel.
-constexpr double callerBufferFraction = 0.25;
-constexpr double bytesPerMegabyte = 1e6;
-
 GatewayOptions gatewayOptions(const GatewaySettings &settings, std::uint16_t metricsPort)
 {
     GatewayOptions options;
@@ -74,9 +70,7 @@
     options.hostName = settings.hostName;
     options.dataCentre = settings.dataCentre;
     options.limits = gatewayLimits(settings);
-    if (settings.boundsCallerBuffers) {
-        options.callerBufferBytes = static_cast<std::size_t>(std::max(settings.memoryMegabytes, 0.0) * bytesPerMegabyte * callerBufferFraction);
-    }
+    options.callerBufferBytes = settings.callerBufferBytes();
     return options;
 }
 
--- a/memory/buffer_budget.cpp
+++ b/memory/buffer_budget.cpp
@@ -90,6 +90,11 @@
     return found != connections_.end() && found->second.of(BufferUse::Response) > connectionBound();
 }
 
+bool BufferBudget::hasRoom(std::size_t bytes) const
+{
+    return total_ == 0 || bytes <= total_ - std::min(reserved_, total_);
+}
+
 bool BufferBudget::isExhausted() const
 {
     return total_ != 0 && reserved_ >= total_;
--- a/memory/buffer_budget.h
+++ b/memory/buffer_budget.h
@@ -75,6 +75,9 @@
     /// Whether the connection holds more unread bytes of a response than the bound, and its source must stop.
     bool isAtBound(ConnectionId connection) const;
 
+    /// Whether this many more bytes fit. Always true without a known size.
+    bool hasRoom(std::size_t bytes) const;
+
     /// Whether no byte is left, so that no further request body can be accepted. Never true without a known size.
     bool isExhausted() const;
 
--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -40,6 +40,9 @@
     /// Adds a target of service s that runs this version of its software.
     ScriptedTarget &addVersion(const std::string &id, const std::string &version, ScriptedTarget::Script script);
 
+    /// Lists a target at a port of the loopback interface.
+    void addTargetAt(const std::string &id, std::uint16_t port);
+
     /// Lists a target at whose address nobody listens.
     void addGone(const std::string &id);
 
@@ -81,6 +84,7 @@
 
 private:
     ScriptedTarget &add(Target entry, ScriptedTarget::Script script);
+    void list(Target entry, std::uint16_t port);
     void publishTargets();
 
     Metrics metrics_;
