--- a/gateway/configuration_duty.cpp
+++ b/gateway/configuration_duty.cpp
@@ -12,7 +12,7 @@
 {
 
 /// Timeout of one watch; each watch that returns costs a call.
-constexpr Duration watchTimeout = std::chrono::seconds(4);
+constexpr Duration watchTimeout = std::chrono::seconds(5);
 
 } // namespace
 
--- a/gateway/relayed_store.cpp
+++ b/gateway/relayed_store.cpp
@@ -43,8 +43,12 @@
 /// hosts query their peers.
 constexpr Duration maxHeartbeatAge = silenceBeforePeerQuery;
 
-/// How old the newest answer to one of the relays may become. With the interval between heartbeats it stays below `silenceBeforePeerQuery`.
-constexpr Duration maxAnswerAge = std::chrono::milliseconds(300);
+/// How old the store's newest answer to the first relay may become. With the interval between heartbeats it stays below `silenceBeforePeerQuery`.
+constexpr Duration maxAnswerAge = std::chrono::milliseconds(350);
+
+/// How old the one to the first relay may be, as the second relay hears of it, before that calls the store in its place: a heartbeat may be lost,
+/// and the next one of the second relay still arrives before `silenceBeforeStoreCall`.
+constexpr Duration maxHeardAnswerAge = std::chrono::milliseconds(700);
 
 /// Older proofs are ignored and the store is called instead.
 constexpr Duration maxProofAge = std::chrono::milliseconds(1'500);
@@ -194,10 +198,13 @@
 std::optional<Duration> RelayedStore::probeDelay() const
 {
     const std::lock_guard lock(mutex_);
-    if (!knowsHosts_ || otherHosts_.empty() || !isAmongRelays()) {
+    const auto chosen = relays();
+    if (!knowsHosts_ || otherHosts_.empty() || chosen.empty() || !isAmongRelays()) {
         return std::nullopt;
     }
-    return std::max(storeReachedAt_, otherRelayConfirmedAt_) + maxAnswerAge - now_();
+    const TimePoint ownDueAt = storeReachedAt_ + maxAnswerAge;
+    const TimePoint dueAt = chosen.front() == host_ ? ownDueAt : std::max(ownDueAt, otherRelayConfirmedAt_ + maxHeardAnswerAge);
+    return dueAt - now_();
 }
 
 /// Until when this host is known to have received all changes. Replies to a deputy's own watches do not count, so that it keeps
--- a/gateway/relayed_store.h
+++ b/gateway/relayed_store.h
@@ -76,8 +76,8 @@
     /// Until when this host has received all changes under all prefixes that it follows, from the store or from other hosts.
     TimePoint syncedUntil() const;
 
-    /// On a relay: how long to wait until a call to the store is needed, as neither this nor the other relay has had an answer. Nothing on
-    /// other hosts.
+    /// On a relay: how long to wait until a call to the store is needed to show that it still answers. On the second relay this waits for the first
+    /// one. Nothing on other hosts.
     std::optional<Duration> probeDelay() const;
 
     StoreReply get(std::string_view key) override;
--- a/gateway/store_probe_duty.h
+++ b/gateway/store_probe_duty.h
@@ -9,8 +9,9 @@
 namespace Lovageloft
 {
 
-/// On a relay: renews this host's lease whenever neither relay has had an answer from the store for some time, so that the heartbeats show whether
-/// the store still reaches the relays. A watch alone is answered every few seconds, and a renewal is the cheapest call of the store.
+/// On a relay: renews this host's lease whenever it has had no answer from the store for some time, so that the heartbeats show whether the store still
+/// reaches the relays. The second relay does so only in place of the first. A watch alone is answered every few seconds, and a renewal is the cheapest call of
+/// the store.
 class StoreProbeDuty final : public Duty
 {
 public:
