Reserved ports are held by TCP sockets, those for datagrams too

What was seen: a host of test_system_rollout or test_system_configuration can't listen, address already in use (ports 25850 and 10568).

Cause: test_system_rollout listened for its hosts' datagrams and relayed connections on ports 10,000 above the reserved ones, which are those that scripted targets of other test programs draw from. And a reservation was a UDP socket, and looked whether a port is free by listening on it for a moment, at which a host of another program could not.

Change: a reservation is a TCP socket that is bound, does not listen and lets programs listen that set SO_REUSEADDR, as the hosts do; it covers TCP and UDP of the number. All ports of the hosts are reserved. The ports aren't left to the kernel: hosts are listed before they are up, and start again on their ports, which outgoing connections could hold in the kernel's range.

--- a/tests/stand_ins/port_reservation.cpp
+++ b/tests/stand_ins/port_reservation.cpp
@@ -3,8 +3,6 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 
-#include "drivers/listener.h"
-
 namespace Lovageloft::StandIns
 {
 
@@ -16,8 +14,9 @@
         const auto port = static_cast<std::uint16_t>(first + (start + i) % span);
         const Poco::Net::SocketAddress address("127.0.0.1", port);
         try {
-            Poco::Net::DatagramSocket socket(address, false);
-            const Poco::Net::ServerSocket probe = listenExclusively(address, 1);
+            Poco::Net::ServerSocket socket;
+            socket.bind(address, false, false);
+            socket.setReuseAddress(true);
             sockets_.push_back(socket);
             ports_.push_back(port);
         } catch (const Poco::Exception &) {
--- a/tests/stand_ins/port_reservation.h
+++ b/tests/stand_ins/port_reservation.h
@@ -3,13 +3,13 @@
 #include <cstdint>
 #include <vector>
 
-#include <Poco/Net/DatagramSocket.h>
+#include <Poco/Net/ServerSocket.h>
 
 namespace Lovageloft::StandIns
 {
 
-/// TCP ports of the loopback interface for programs that a test starts, also repeatedly. No other reservation gets them as long as
-/// this one exists, as it holds a UDP socket with the number of each port.
+/// Ports of the loopback interface for programs that a test starts, also repeatedly, for TCP and UDP. No other program gets them as long as this
+/// reservation exists: it holds a TCP socket that is bound to each and does not listen. Programs that set SO_REUSEADDR can listen there all the same.
 ///
 /// They lie below the kernel's range of ephemeral ports, and below that of ScriptedTarget.
 class PortReservation
@@ -21,7 +21,7 @@
     const std::vector<std::uint16_t> &ports() const;
 
 private:
-    std::vector<Poco::Net::DatagramSocket> sockets_;
+    std::vector<Poco::Net::ServerSocket> sockets_;
     std::vector<std::uint16_t> ports_;
 };
 
--- a/tests/stand_ins/test_port_reservation.cpp
+++ b/tests/stand_ins/test_port_reservation.cpp
@@ -1,7 +1,11 @@
 #include <algorithm>
 
+#include <Poco/Exception.h>
+#include <Poco/Net/DatagramSocket.h>
+#include <Poco/Net/SocketAddress.h>
 #include <boost/test/unit_test.hpp>
 
+#include "drivers/listener.h"
 #include "tests/stand_ins/port_reservation.h"
 
 using namespace Lovageloft::StandIns;
@@ -18,3 +22,17 @@
         BOOST_TEST(std::count(first.ports().begin(), first.ports().end(), port) == 0);
     }
 }
+
+// Guards against a host that can't listen on its reserved port, at its start or when it starts again, and against another program that listens there.
+BOOST_AUTO_TEST_CASE(aReservedPortIsFreeForHostsOnly)
+{
+    const PortReservation reservation(1, 5'432);
+    const Poco::Net::SocketAddress address("127.0.0.1", reservation.ports().front());
+    for (int start = 0; start < 2; ++start) {
+        const Poco::Net::ServerSocket host = Lovageloft::listenExclusively(address, 1);
+        BOOST_TEST(host.address().port() == address.port());
+    }
+    const Poco::Net::DatagramSocket datagrams(address, false);
+    Poco::Net::ServerSocket other;
+    BOOST_CHECK_THROW(other.bind(address, false, false), Poco::Exception);
+}
--- a/tests/system/test_rollout.cpp
+++ b/tests/system/test_rollout.cpp
@@ -27,10 +27,7 @@
 {
 
 constexpr std::size_t hostCount = 9;
-constexpr std::size_t portsPerHost = 2;
-
-/// From a host's port for callers to that for datagrams, which the reservation of the former does not mark.
-constexpr int datagramPortOffset = 10'000;
+constexpr std::size_t portsPerHost = 3; ///< For callers, readiness, and datagrams of other hosts.
 constexpr std::size_t callerCount = 4;
 
 /// Nine hosts of the users' platform in processes of their own, a store, and three targets each of the versions v1 and v2 of a service, which answer
@@ -74,7 +71,7 @@
     void start(std::size_t index)
     {
         const std::string path = folder_ + "/" + std::to_string(index) + ".toml";
-        std::ofstream(path) << "nodeName = \"host-" << index << "\"\nzone = \"z\"\nip = \"127.0.0.1\"\ninternalPorts = [" << port(index, 0) + datagramPortOffset
+        std::ofstream(path) << "nodeName = \"host-" << index << "\"\nzone = \"z\"\nip = \"127.0.0.1\"\ninternalPorts = [" << port(index, 2)
                             << "]\n[listen]\nfront = \"127.0.0.1:" << port(index, 0) << "\"\nreadinessAddr = \"127.0.0.1:" << port(index, 1)
                             << "\"\n[bounds]\nconfigMs = 3000\nrevokeMs = 5000\nversionMs = 10000\nleaseMs = 3000\ngraceS = 8\nretryBudgetRatio = 0.2\n"
                                "budgetSlack = 50\nquotaOver = 0.1\nquotaSlack = 10\nexposeShare = 0.1\nexposeSlack = 50\nrollbackMs = 5000\n"
