Crashes that a feature in quarantine explains count against no other

What callers saw: sound requests are refused as crashing targets, as they ran beside those that do and were not answered meanwhile.

Cause: a crash counted in full against each feature that ran at the target, also where a feature in quarantine explains it.

Change: a notice names the crashed targets that were counted. A host at which they are all crashes of features in quarantine, which have others beside, objects, and the home forgets them. Of two features with the same crashes neither explains the other. Homes remember 64 crashes of a feature.

Two new cases show that a culprit which ran beside another is quarantined by its own crashes, and two with the same crashes are.

--- a/coordination/crash_quarantine.cpp
+++ b/coordination/crash_quarantine.cpp
@@ -1,6 +1,7 @@
 #include "coordination/crash_quarantine.h"
 
 #include <algorithm>
+#include <set>
 
 namespace Lovageloft
 {
@@ -71,41 +72,66 @@
         suspectOrder_.push_back(report.feature);
     }
     if (now - suspect.lastCrashAt > suspicionWindow || isSoundSince(report.feature, suspect.firstCrashAt)) {
-        suspect.count = 0;
+        suspect.crashes.clear();
     }
     suspect.lastCrashAt = now;
-    if (suspect.count == 0) {
+    if (suspect.crashes.empty()) {
         suspect.firstCrashAt = now;
         suspect.wasSound = suspect.wasSound || wasSoundLately(report.feature, now);
     }
-    const auto end = suspect.crashes.begin() + static_cast<std::ptrdiff_t>(suspect.count);
-    const bool isKnown = std::any_of(suspect.crashes.begin(), end, [&report](const Crash &crash) { return crash.target == report.target; });
-    if (!isKnown && suspect.count < certainCrashes) {
-        suspect.crashes.at(suspect.count++) = {report.target, report.request};
+    const bool isKnown = std::any_of(suspect.crashes.begin(), suspect.crashes.end(), [&report](const Crash &crash) { return crash.target == report.target; });
+    if (!isKnown && suspect.crashes.size() < maxCounted) {
+        suspect.crashes.push_back({report.target, report.request});
     }
     const bool isPart = report.feature != report.request;
     if (isPart && requestsOf(suspect) < minRequests) {
         return std::nullopt;
     }
     const Duration age = now - suspect.firstCrashAt;
-    const bool isCertain = suspect.count >= certainCrashes && age >= minCertainAge;
-    const bool isSuspected = suspect.count >= maxCrashes && !suspect.wasSound;
-    return isCertain || isSuspected ? std::optional(QuarantineNotice{report.feature, age, isCertain}) : std::nullopt;
+    const bool isCertain = suspect.crashes.size() >= certainCrashes && age >= minCertainAge;
+    const bool isSuspected = suspect.crashes.size() >= maxCrashes && !suspect.wasSound;
+    if (!isCertain && !isSuspected) {
+        return std::nullopt;
+    }
+    QuarantineNotice notice{report.feature, age, isCertain};
+    for (const Crash &crash : suspect.crashes) {
+        notice.targets.push_back(crash.target);
+    }
+    return notice;
 }
 
 std::size_t CrashQuarantine::requestsOf(const Suspect &suspect)
 {
-    std::size_t requests = 0;
-    for (std::size_t i = 0; i < suspect.count; ++i) {
-        const auto end = suspect.crashes.begin() + static_cast<std::ptrdiff_t>(i);
-        const bool isKnown = std::any_of(suspect.crashes.begin(), end, [&](const Crash &crash) { return crash.request == suspect.crashes.at(i).request; });
-        requests += isKnown ? 0 : 1;
+    std::set<RequestFeature> requests;
+    for (const Crash &crash : suspect.crashes) {
+        requests.insert(crash.request);
+    }
+    return requests.size();
+}
+
+/// Whether the crashes are all those of features in quarantine, as far as this host has counted, and one of these has others beside. Of two features
+/// with the same crashes, neither explains the other.
+bool CrashQuarantine::isExplained(const QuarantineNotice &notice, TimePoint now) const
+{
+    std::set<std::uint64_t> explained;
+    for (const auto &[feature, until] : quarantined_) {
+        const auto suspect = suspects_.find(feature);
+        if (feature == notice.feature || now >= until || suspect == suspects_.end()) {
+            continue;
+        }
+        for (const Crash &crash : suspect->second.crashes) {
+            explained.insert(crash.target);
+        }
     }
-    return requests;
+    const bool isCovered = std::all_of(notice.targets.begin(), notice.targets.end(), [&explained](std::uint64_t target) { return explained.contains(target); });
+    return isCovered && !notice.targets.empty() && explained.size() > notice.targets.size();
 }
 
 std::optional<QuarantineObjection> CrashQuarantine::objectionTo(const QuarantineNotice &notice, TimePoint now) const
 {
+    if (isExplained(notice, now)) {
+        return QuarantineObjection{notice.feature, {}, true};
+    }
     const bool objects = notice.isCertain ? isSoundSince(notice.feature, now - notice.age) : wasSoundLately(notice.feature, now);
     if (!objects) {
         return std::nullopt;
@@ -120,9 +146,13 @@
         return;
     }
     Suspect &suspect = found->second;
+    if (objection.isExplained) {
+        suspect.crashes.clear();
+        return;
+    }
     suspect.wasSound = true;
     if (now - objection.soundAge >= suspect.firstCrashAt) {
-        suspect.count = 0;
+        suspect.crashes.clear();
     }
 }
 
--- a/coordination/crash_quarantine.h
+++ b/coordination/crash_quarantine.h
@@ -27,13 +27,15 @@
     RequestFeature feature{};
     Duration age{}; ///< Since the first of the crashes that were counted.
     bool isCertain = false; ///< A host that has seen the feature answered before these crashes does not object.
+    std::vector<std::uint64_t> targets = {}; ///< CrashReport::target of the crashes that were counted.
 };
 
-/// A host knows a feature as sound.
+/// A host knows a feature as sound, or knows what else has caused the crashes.
 struct QuarantineObjection
 {
     RequestFeature feature{};
     Duration soundAge{}; ///< Since the last answer to a request with it.
+    bool isExplained = false; ///< Not known as sound, but the crashes are those of features in quarantine.
 };
 
 /// Prevents requests with a feature that crashes each target which runs it, and which come at any host, from crashing a whole fleet of targets.
@@ -41,8 +43,8 @@
 /// No single host sees enough of the attempts to detect this. Each host therefore reports a target that it lost, with each feature of the request that
 /// it had there, to home hosts of the feature. A home host that received reports of several different targets, each within two minutes of the
 /// previous one, quarantines the feature for ten minutes and notifies all hosts. Features of requests that were answered are sound: such requests merely
-/// ran on the same targets at the same time. An answer from before the crashes counts less, as targets may crash on the feature only since
-/// then. The number of entries is limited; the oldest are evicted first.
+/// ran on the same targets at the same time. Crashes that all are those of features in quarantine, which have others beside, don't count. An answer from before
+/// the crashes counts less, as targets may crash on the feature only since then. The number of entries is limited; the oldest are evicted first.
 class CrashQuarantine
 {
 public:
@@ -67,7 +69,8 @@
     /// What this host knows against a notice; nothing if it agrees.
     std::optional<QuarantineObjection> objectionTo(const QuarantineNotice &notice, TimePoint now) const;
 
-    /// Applies an objection to a notice of this home host. Earlier crashes don't count any more if the feature was sound since, and certainty is needed.
+    /// Applies an objection to a notice of this home host. Earlier crashes don't count any more if they are explained or the feature was sound since; in the
+    /// latter case certainty is needed for others.
     void onObjection(const QuarantineObjection &objection, TimePoint now);
 
     /// Quarantines a feature; returns false if it was quarantined already.
@@ -90,8 +93,7 @@
 
     struct Suspect
     {
-        std::array<Crash, certainCrashes> crashes{}; ///< Of different targets.
-        std::size_t count = 0;
+        std::vector<Crash> crashes; ///< Of different targets, `maxCounted` at most.
         TimePoint firstCrashAt;
         TimePoint lastCrashAt;
         bool wasSound = false; ///< A host has seen it answered, possibly before the crashes.
@@ -109,9 +111,11 @@
     bool isSoundSince(RequestFeature feature, TimePoint since) const;
     bool wasSoundLately(RequestFeature feature, TimePoint now) const;
     static std::size_t requestsOf(const Suspect &suspect);
+    bool isExplained(const QuarantineNotice &notice, TimePoint now) const;
     void evictSuspects(TimePoint now);
 
     static constexpr std::size_t soundSlots = 8'192;
+    static constexpr std::size_t maxCounted = 64;
 
     std::vector<Sound> sound_ = std::vector<Sound>(soundSlots); ///< Indexed by the lower bits; newer ones replace older ones.
     std::unordered_map<RequestFeature, Suspect> suspects_;
--- a/gateway/crash_codec.cpp
+++ b/gateway/crash_codec.cpp
@@ -36,12 +36,20 @@
     encoded.setFeature(number(notice.feature));
     encoded.setAgeMicroseconds(toMicroseconds(notice.age));
     encoded.setIsCertain(notice.isCertain);
+    auto targets = encoded.initTargets(static_cast<unsigned>(notice.targets.size()));
+    for (unsigned i = 0; i < notice.targets.size(); ++i) {
+        targets.set(i, notice.targets[i]);
+    }
     return encodeDatagram(message);
 }
 
 std::string encodeQuarantineObjection(const QuarantineObjection &objection)
 {
     capnp::MallocMessageBuilder message;
+    if (objection.isExplained) {
+        message.initRoot<Datagram>().setQuarantineExplained(number(objection.feature));
+        return encodeDatagram(message);
+    }
     auto encoded = message.initRoot<Datagram>().initQuarantineObjection();
     encoded.setFeature(number(objection.feature));
     encoded.setAgeMicroseconds(toMicroseconds(objection.soundAge));
@@ -62,7 +70,11 @@
 
 QuarantineNotice decodeQuarantineNotice(PeerMessages::QuarantineNotice::Reader reader)
 {
-    return {RequestFeature{reader.getFeature()}, fromMicroseconds(reader.getAgeMicroseconds()), reader.getIsCertain()};
+    QuarantineNotice notice{RequestFeature{reader.getFeature()}, fromMicroseconds(reader.getAgeMicroseconds()), reader.getIsCertain()};
+    for (const std::uint64_t target : reader.getTargets()) {
+        notice.targets.push_back(target);
+    }
+    return notice;
 }
 
 QuarantineObjection decodeQuarantineObjection(Datagram::QuarantineObjection::Reader reader)
--- a/gateway/crash_guard.cpp
+++ b/gateway/crash_guard.cpp
@@ -65,7 +65,13 @@
 void CrashGuard::onReport(const std::string &from, const CrashReport &report, TimePoint now)
 {
     const auto notice = quarantine_.countCrash(report, now);
-    if (!notice || quarantine_.objectionTo(*notice, now)) {
+    if (!notice) {
+        return;
+    }
+    if (const auto objection = quarantine_.objectionTo(*notice, now)) {
+        if (objection->isExplained) {
+            quarantine_.onObjection(*objection, now);
+        }
         return;
     }
     if (add(*notice, true, now)) {
@@ -131,7 +137,7 @@
     }
     std::erase_if(lifts_, isDone);
     for (const auto &[notice, addedAt] : std::vector(unrecorded_)) {
-        network_.broadcast({notice.feature, notice.age + (now - addedAt), notice.isCertain});
+        network_.broadcast({notice.feature, notice.age + (now - addedAt), notice.isCertain, notice.targets});
     }
     std::erase_if(unrecorded_, [this, now](const Unrecorded &unrecorded) {
         const bool isDue = now - unrecorded.addedAt >= objectionTime;
--- a/gateway/peer_messages.capnp
+++ b/gateway/peer_messages.capnp
@@ -54,6 +54,7 @@
     }
     quarantineLift @34 :UInt64; # The feature is not in quarantine any more.
     tokenReturn @35 :TokenReturn;
+    quarantineExplained @36 :UInt64; # The crashes counted for the feature are all those of features in quarantine.
   }
 }
 
@@ -125,6 +126,7 @@
   feature @0 :UInt64;
   ageMicroseconds @1 :UInt64; # Since the first crash that was counted.
   isCertain @2 :Bool; # Also if it was sound before these crashes.
+  targets @3 :List(UInt64); # The crashed ones that were counted, each a digest of its name and start.
 }
 
 struct ChangesRequest {
--- a/gateway/peer_messages.capnp.h
+++ b/gateway/peer_messages.capnp.h
@@ -92,6 +92,7 @@
     QUARANTINE_OBJECTION,
     QUARANTINE_LIFT,
     TOKEN_RETURN,
+    QUARANTINE_EXPLAINED,
   };
   struct StreamRecord;
   struct StreamQuery;
@@ -279,7 +280,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dc7f636b10d4057b, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(dc7f636b10d4057b, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -684,6 +685,9 @@
   inline bool hasTokenReturn() const;
   inline  ::Lovageloft::PeerMessages::TokenReturn::Reader getTokenReturn() const;
 
+  inline bool isQuarantineExplained() const;
+  inline  ::uint64_t getQuarantineExplained() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -938,6 +942,10 @@
   inline void adoptTokenReturn(::capnp::Orphan< ::Lovageloft::PeerMessages::TokenReturn>&& value);
   inline ::capnp::Orphan< ::Lovageloft::PeerMessages::TokenReturn> disownTokenReturn();
 
+  inline bool isQuarantineExplained();
+  inline  ::uint64_t getQuarantineExplained();
+  inline void setQuarantineExplained( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2024,6 +2032,9 @@
 
   inline bool getIsCertain() const;
 
+  inline bool hasTargets() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getTargets() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2061,6 +2072,14 @@
   inline bool getIsCertain();
   inline void setIsCertain(bool value);
 
+  inline bool hasTargets();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getTargets();
+  inline void setTargets( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTargets(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initTargets(unsigned int size);
+  inline void adoptTargets(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownTargets();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5289,6 +5308,32 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::isQuarantineExplained() const {
+  return which() == Datagram::QUARANTINE_EXPLAINED;
+}
+inline bool Datagram::Builder::isQuarantineExplained() {
+  return which() == Datagram::QUARANTINE_EXPLAINED;
+}
+inline  ::uint64_t Datagram::Reader::getQuarantineExplained() const {
+  KJ_IREQUIRE((which() == Datagram::QUARANTINE_EXPLAINED),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Datagram::Builder::getQuarantineExplained() {
+  KJ_IREQUIRE((which() == Datagram::QUARANTINE_EXPLAINED),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setQuarantineExplained( ::uint64_t value) {
+  _builder.setDataField<Datagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Datagram::QUARANTINE_EXPLAINED);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Datagram::StreamRecord::Reader::getKey() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
@@ -6091,6 +6136,44 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool QuarantineNotice::Reader::hasTargets() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuarantineNotice::Builder::hasTargets() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader QuarantineNotice::Reader::getTargets() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder QuarantineNotice::Builder::getTargets() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QuarantineNotice::Builder::setTargets( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void QuarantineNotice::Builder::setTargets(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder QuarantineNotice::Builder::initTargets(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QuarantineNotice::Builder::adoptTargets(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> QuarantineNotice::Builder::disownTargets() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t ChangesRequest::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -544,6 +544,10 @@
             events_.onQuarantineObjection(decodeQuarantineObjection(datagram.getQuarantineObjection()));
             break;
         }
+        case Datagram::QUARANTINE_EXPLAINED: {
+            events_.onQuarantineObjection({RequestFeature{datagram.getQuarantineExplained()}, {}, true});
+            break;
+        }
         case Datagram::QUARANTINE_LIFT: {
             events_.onQuarantineLifted(RequestFeature{datagram.getQuarantineLift()});
             break;
--- a/tests/gateway/test_crash_guard.cpp
+++ b/tests/gateway/test_crash_guard.cpp
@@ -340,7 +340,7 @@
 }
 
 // Guards against sound requests that are refused as they ran beside those that crash targets, and were not answered meanwhile.
-BOOST_AUTO_TEST_CASE(aSoundPartThatRunsBesideACulpritIsNotQuarantined, *boost::unit_test::disabled())
+BOOST_AUTO_TEST_CASE(aSoundPartThatRunsBesideACulpritIsNotQuarantined)
 {
     Fleet fleet(9, 0, 1);
     const std::array sound{soundPart};
@@ -358,4 +358,36 @@
     BOOST_TEST(fleet.quarantined(soundPart) == 0U);
 }
 
+// Guards against a culprit that is taken for a bystander of another one: it goes on to crash targets by itself.
+BOOST_AUTO_TEST_CASE(aCulpritThatRanBesideAnotherIsQuarantinedByItsOwnCrashes)
+{
+    Fleet fleet(9, 0, 2);
+    const std::array other{soundPart};
+    for (int i = 0; i < 8; ++i) {
+        fleet.now += 300ms;
+        const std::uint64_t target = fleet.crash(1, std::array{crashingPart});
+        if (i % 2 == 0) {
+            fleet.crashAgain(target, other);
+        }
+    }
+    BOOST_TEST(fleet.quarantined(crashingPart) == 9U);
+    for (int i = 0; i < 5; ++i) {
+        fleet.now += 300ms;
+        fleet.crash(1, other);
+    }
+    BOOST_TEST(fleet.quarantined(soundPart) == 9U);
+}
+
+// Guards against two parts that are always requested together and keep each other out of quarantine.
+BOOST_AUTO_TEST_CASE(twoPartsWithTheSameCrashesAreBothQuarantined)
+{
+    Fleet fleet(9, 0, 3);
+    for (int i = 0; i < 4; ++i) {
+        fleet.now += 300ms;
+        fleet.crash(1, std::array{crashingPart, soundPart});
+    }
+    BOOST_TEST(fleet.quarantined(crashingPart) == 9U);
+    BOOST_TEST(fleet.quarantined(soundPart) == 9U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
