A slow store does not look like one that has cut the relays off

Cause: the time of a call dated its answer, so that with answers that take 0.6 s each relay's evidence is 0.6 to 1.2 s old, and all hosts would call the store that is slow already.

Change: an answer shows that the store reached this host 250 ms before it arrived, at the earliest when it was called. Calls take at most 800 ms, so the way from the store stays below 1.3 s + 0.55 s.

--- a/gateway/relayed_store.cpp
+++ b/gateway/relayed_store.cpp
@@ -46,6 +46,10 @@
 /// How old the store's newest answer to the first relay may become. With the interval between heartbeats it stays below `silenceBeforePeerQuery`.
 constexpr Duration maxAnswerAge = std::chrono::milliseconds(350);
 
+/// How long an answer may have been underway: it shows that the store reached this host so long before it arrived. With a slow store the time of
+/// the call would make each relay look as if it were cut off.
+constexpr Duration maxAnswerTransit = std::chrono::milliseconds(250);
+
 /// How old the one to the first relay may be, as the second relay hears of it, before that calls the store in its place: a heartbeat may be lost,
 /// and the next one of the second relay still arrives before `silenceBeforeStoreCall`.
 constexpr Duration maxHeardAnswerAge = std::chrono::milliseconds(700);
@@ -76,7 +80,9 @@
         return reply;
     }
     breaker_.onSuccess();
-    storeReachedAt_ = std::max(storeReachedAt_, std::min(now_(), calledAt + hold));
+    const TimePoint answeredAt = now_();
+    const TimePoint reachedAt = std::max(answeredAt - maxAnswerTransit, std::min(answeredAt, calledAt + hold));
+    storeReachedAt_ = std::max(storeReachedAt_, reachedAt);
     if (const auto outage = outages_.onAnswered(now_())) {
         for (auto &[prefix, state] : prefixes_) {
             state.onOutage(*outage);
