The test of an exchange's connection looks at that connection

Cause, from the timer's column: the kernel's table was searched by the client's port alone, which also stands in the line of an earlier connection to another port that had ended.

--- a/tests/drivers/test_incomplete_answers.cpp
+++ b/tests/drivers/test_incomplete_answers.cpp
@@ -1,4 +1,5 @@
 #include <fstream>
+#include <iomanip>
 #include <optional>
 #include <sstream>
 #include <string>
@@ -78,15 +79,15 @@
 
 const std::vector<Client> clients{{"exchange", &fetchWhole}, {"exchange in pieces", &fetchInPieces}, {"connection", &callOnKeptConnection}};
 
-/// The kernel's line about the connection with this local port, as in /proc/net/tcp.
-std::string kernelLine(std::uint16_t port)
+/// The kernel's line about the connection between two ports of the loopback interface, as in /proc/net/tcp. The local port may also stand in lines about
+/// connections to other ports that have ended.
+std::string kernelLine(std::uint16_t localPort, std::uint16_t remotePort)
 {
     std::ostringstream wanted;
-    wanted << "0100007F:" << std::uppercase << std::hex << port << ' ';
+    wanted << std::uppercase << std::hex << std::setfill('0') << "0100007F:" << std::setw(4) << localPort << " 0100007F:" << std::setw(4) << remotePort << ' ';
     std::ifstream table("/proc/net/tcp");
     for (std::string line; std::getline(table, line);) {
-        const std::size_t local = line.find(wanted.str());
-        if (local != std::string::npos && local < line.find(':', line.find(':') + 1)) {
+        if (line.find(wanted.str()) != std::string::npos) {
             return line;
         }
     }
@@ -173,13 +174,15 @@
 BOOST_AUTO_TEST_CASE(anExchangeUsesOneConnectionWithKeepAliveProbes)
 {
     std::atomic<std::uint16_t> clientPort = 0;
+    std::atomic<std::uint16_t> targetPort = 0;
     std::string line;
     ScriptedTarget target([&](ScriptedTarget::Connection &connection, const ScriptedTarget::Request &) {
         clientPort = connection.peerPort();
         std::this_thread::sleep_for(50ms); // Until the request is acknowledged: then only the timer of the probes runs.
-        line = kernelLine(clientPort);
+        line = kernelLine(clientPort, targetPort);
         connection.send(framings[0].answer);
     });
+    targetPort = target.port();
     for (int i = 0; i < 7; ++i) {
         BOOST_TEST((fetchWhole(target.port()) == wholeBody));
     }
