An accessor that nothing calls any more is gone

Cause: heartbeats were the only reader of OutageTracker::lastAnswerAt(); since they are dated by each prefix's confirmation nobody asks for it.

Change: the accessor is removed. Checked: format, a whole build, and test_core, test_gateway, test_fleet_news, test_outage_in_pieces, test_coordination and test_drivers, all passed; the whole script was not run again on this commit.

--- a/coordination/outage_tracker.h
+++ b/coordination/outage_tracker.h
@@ -26,12 +26,6 @@
     /// A call was answered. Returns the outage that ends with it, if there was one.
     std::optional<Outage> onAnswered(TimePoint now);
 
-    /// When the service last answered.
-    TimePoint lastAnswerAt() const
-    {
-        return lastAnswerAt_;
-    }
-
 private:
     TimePoint lastAnswerAt_;
     std::optional<TimePoint> lastAnswerBeforeOutage_; ///< Only set while calls fail.
