A host out of step joins streams of two versions: reproduced in the model

What callers saw: streams with events of two software versions, resumed at a host that had been cut off or had stood still. Change: the model of streams knows until when a host's list is complete, hosts that are cut off, and streams that break because their targets do.

--- a/tests/decision/stream_model.cpp
+++ b/tests/decision/stream_model.cpp
@@ -4,6 +4,8 @@
 #include <memory>
 #include <utility>
 
+#include "coordination/serving_versions.h"
+
 namespace Lovageloft
 {
 
@@ -17,11 +19,18 @@
 constexpr std::size_t recordSize = 23;
 
 /// A version gets streams only so long after a host has first listed it.
-constexpr Duration newVersionDelay = 700ms;
+constexpr Duration newVersionDelay = ServingVersions::orderDelay;
 
 /// Until a host learns of a change of the targets.
 constexpr Duration maxListDelay = 300ms;
 
+/// Between two notices of a relay, each of which may state the store's answer of so long ago.
+constexpr Duration noticeInterval = 500ms;
+constexpr Duration maxNoticeAge = 350ms;
+
+/// A host takes a list for current for so long.
+constexpr Duration maxViewAge = 900ms;
+
 /// Until a host learns that another one has gone.
 constexpr Duration maxHostsDelay = 3s;
 
@@ -103,6 +112,27 @@
         }
     });
     tick(index, host.process);
+    at(now_ + randomUpTo(random_, noticeInterval), [this, index, process = host.process] { hearRelay(index, process); });
+}
+
+/// A notice shows until when the host's list is complete, unless it has missed a change.
+void StreamModel::hearRelay(std::size_t index, int process)
+{
+    Host &host = hosts_[index];
+    if (host.process != process || host.origins == nullptr) {
+        return;
+    }
+    if (now_ >= host.cutUntil) {
+        const TimePoint until = std::min(now_ - randomUpTo(random_, maxNoticeAge), host.listBehindSince.value_or(TimePoint::max()));
+        at(std::max(now_, host.pausedUntil), [this, index, until] { hosts_[index].viewedUntil = std::max(hosts_[index].viewedUntil, until); });
+    }
+    at(now_ + noticeInterval, [this, index, process] { hearRelay(index, process); });
+}
+
+/// When a host hears of changes again.
+TimePoint StreamModel::inStepAt(std::size_t index) const
+{
+    return std::max({now_, hosts_[index].pausedUntil, hosts_[index].cutUntil});
 }
 
 void StreamModel::send(std::size_t from, const std::string &to, std::function<void(std::size_t to)> deliver)
@@ -117,7 +147,8 @@
         const bool isLate = random(1'000) < static_cast<std::size_t>(options_.lateRate * 1'000);
         const Duration delay = 500us + randomUpTo(random_, isLate ? maxLateness : Duration(1ms));
         at(now_ + delay, [this, from, receiver, shared] {
-            if (hosts_[receiver].origins == nullptr || hosts_[from].process == 0) {
+            const bool isCut = now_ < hosts_[receiver].cutUntil || now_ < hosts_[from].cutUntil;
+            if (hosts_[receiver].origins == nullptr || hosts_[from].process == 0 || isCut) {
                 return;
             }
             const TimePoint ready = hosts_[receiver].pausedUntil;
@@ -140,7 +171,12 @@
     if (host.origins == nullptr) {
         return;
     }
+    if (now_ < inStepAt(index)) {
+        at(inStepAt(index) + randomUpTo(random_, maxListDelay), [this, index] { tellTargets(index); });
+        return;
+    }
     host.listBehindSince.reset();
+    host.viewedUntil = now_;
     std::vector<ServiceVersion> targets;
     for (const auto &[version, since] : listed_) {
         host.versions.try_emplace(version, now_);
@@ -159,15 +195,13 @@
     }
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
         hosts_[i].listBehindSince = hosts_[i].listBehindSince.value_or(now_);
-        at(std::max(now_, hosts_[i].pausedUntil) + randomUpTo(random_, maxListDelay), [this, i] { tellTargets(i); });
+        at(inStepAt(i) + randomUpTo(random_, maxListDelay), [this, i] { tellTargets(i); });
     }
 }
 
-/// A host notices that it has heard nothing for longer than usual.
 bool StreamModel::isViewCurrent(std::size_t index) const
 {
-    const auto behindSince = hosts_[index].listBehindSince;
-    return !behindSince || now_ - *behindSince <= maxListDelay;
+    return now_ - hosts_[index].viewedUntil <= maxViewAge;
 }
 
 /// Each host learns at another time who is up.
@@ -275,16 +309,16 @@
     streams_.push_back(std::move(stream));
 }
 
-void StreamModel::resume(const Stream &stream)
+void StreamModel::resume(const Stream &stream, std::optional<std::size_t> host)
 {
     std::vector<std::size_t> up;
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-        if (isUp(i)) {
+        if (isUp(i) && host.value_or(i) == i) {
             up.push_back(i);
         }
     }
     if (up.empty()) {
-        at(now_ + maxReturnTime, [this, stream] { resume(stream); });
+        at(now_ + randomUpTo(random_, maxReturnTime), [this, stream, host] { resume(stream, host); });
         return;
     }
     ++counts_.resumptions;
@@ -327,6 +361,21 @@
     hosts_[host].pausedUntil = std::max(hosts_[host].pausedUntil, now_ + time);
 }
 
+void StreamModel::cut(std::size_t host, Duration time)
+{
+    hosts_[host].cutUntil = std::max(hosts_[host].cutUntil, now_ + time);
+}
+
+void StreamModel::breakStreams(const std::string &version, std::size_t host)
+{
+    for (const Stream &stream : streams_) {
+        if (stream.version == version && stream.end > now_) {
+            at(now_ + randomUpTo(random_, maxReturnTime), [this, stream, host] { resume(stream, host); });
+        }
+    }
+    std::erase_if(streams_, [&version](const Stream &stream) { return stream.version == version; });
+}
+
 void StreamModel::run(Duration time)
 {
     const TimePoint end = now_ + time;
--- a/tests/decision/stream_model.h
+++ b/tests/decision/stream_model.h
@@ -62,6 +62,12 @@
     /// A host stands still for a time.
     void pause(std::size_t host, Duration time);
 
+    /// A host hears nothing of the store and of other hosts for a time, but its callers reach it.
+    void cut(std::size_t host, Duration time);
+
+    /// All streams that a version's targets have begun break; their callers resume them at `host`.
+    void breakStreams(const std::string &version, std::size_t host);
+
     void run(Duration time);
 
     const Counts &counts() const;
@@ -77,6 +83,8 @@
         std::unique_ptr<StreamOrigins> origins; ///< Null while it is down.
         std::map<std::string, TimePoint> versions; ///< Listed ones, as it knows, and since when.
         TimePoint pausedUntil;
+        TimePoint cutUntil;
+        TimePoint viewedUntil; ///< Its list of targets has all changes until then.
         std::optional<TimePoint> listBehindSince; ///< When the list of targets changed that it has not heard of.
         int process = 0;
     };
@@ -112,7 +120,9 @@
     void write(std::size_t index, std::function<void()> change);
     bool isSkewRecorded() const;
     void begin();
-    void resume(const Stream &stream);
+    void resume(const Stream &stream, std::optional<std::size_t> host = std::nullopt);
+    void hearRelay(std::size_t index, int process);
+    TimePoint inStepAt(std::size_t index) const;
     bool isUp(std::size_t index) const;
     bool isViewCurrent(std::size_t index) const;
 
--- a/tests/decision/test_stream_origins.cpp
+++ b/tests/decision/test_stream_origins.cpp
@@ -215,6 +215,55 @@
     BOOST_TEST(model.counts().joined == 0U);
 }
 
+// Guards against a host that takes a service's version for the only one, as it heard of no other while it was cut off or stood still: the other one may
+// serve by then, and may even have gone again.
+BOOST_DATA_TEST_CASE(aHostOutOfStepJoinsNoStream,
+                     boost::unit_test::data::make({HostCount{9, 60}}) * boost::unit_test::data::xrange(120)
+                         + boost::unit_test::data::make({HostCount{90, 300}, HostCount{295, 600}}) * boost::unit_test::data::xrange(18),
+                     count,
+                     seed)
+{
+    StreamModel::Options options;
+    options.seed = static_cast<std::uint64_t>(seed);
+    options.hosts = count.hosts;
+    options.streamsPerSecond = count.streamsPerSecond;
+    StreamModel model(options);
+    model.run(1s);
+    const std::size_t host = model.random(model.hostCount());
+    const auto step = seed % 2 == 0 ? &StreamModel::cut : &StreamModel::pause;
+    (model.*step)(host, 500ms + 10ms * static_cast<int>(model.random(400)));
+    model.run(10ms * static_cast<int>(model.random(60)));
+    model.list("v2", true);
+    model.run(700ms);
+    for (int i = 0; i < 12; ++i) {
+        model.run(10ms * static_cast<int>(model.random(40)));
+        model.breakStreams("v2", host);
+        if (seed % 3 == 0 && i == 6) {
+            model.list("v2", false);
+        }
+    }
+    model.run(6s);
+    BOOST_TEST(model.counts().joined == 0U);
+}
+
+// Guards against refusals of streams at a host that was out of step while the service had one version all along.
+BOOST_DATA_TEST_CASE(streamsOfOneVersionGoOnAtAHostThatWasOutOfStep, boost::unit_test::data::xrange(20), seed)
+{
+    StreamModel::Options options;
+    options.seed = static_cast<std::uint64_t>(seed);
+    StreamModel model(options);
+    model.run(1s);
+    const auto step = seed % 2 == 0 ? &StreamModel::cut : &StreamModel::pause;
+    (model.*step)(0, 4s);
+    model.run(4s + 500ms);
+    for (int i = 0; i < 6; ++i) {
+        model.breakStreams("v1", 0);
+        model.run(700ms);
+    }
+    BOOST_TEST(model.counts().resumptions > 0U);
+    BOOST_TEST(shareGoneOn(model.counts()) == 1.0);
+}
+
 // Guards against an id of another team, or of another service, that tells which version began a stream.
 BOOST_AUTO_TEST_CASE(anotherTeamsStreamIsNotKnown)
 {
