A new version is withheld for longer than other hosts may not know of it

What callers saw: a stream of a new version, resumed at a host that was cut off as the version came, went on at the old one. Cause: a host concludes that a service has one version from a list that is up to 0.9 s old, while others send streams to a new version 0.7 s after they list it. Change: ServingVersions::newVersionDelay, 1.5 s; the delay for orders stays 0.7 s. The first target of a new version gets requests 0.8 s later than before, further ones at once as before.

--- a/coordination/serving_versions.cpp
+++ b/coordination/serving_versions.cpp
@@ -112,7 +112,7 @@
         hasChanged = std::erase_if(service.newSince,
                                    [&established = service.established, now, ordersKnownAt](const auto &entry) {
                                        const auto &[version, since] = entry;
-                                       if (now - since < orderDelay || ordersKnownAt < since + orderDelay / 2) {
+                                       if (now - since < newVersionDelay || ordersKnownAt < since + orderDelay / 2) {
                                            return false;
                                        }
                                        established.insert(version);
--- a/coordination/serving_versions.h
+++ b/coordination/serving_versions.h
@@ -34,17 +34,21 @@
 
 /// Decides which software version of each service gets requests.
 ///
-/// Without an order, all versions of a service serve side by side. A version that is new is withheld for `orderDelay`, as its targets may be the
-/// first of a rollout whose order is not known yet, and until it is recorded that the service has several versions. The version that an operator ordered is
+/// Without an order, all versions of a service serve side by side. A version that is new is withheld for `newVersionDelay`, as its targets may be the
+/// first of a rollout whose order is not known yet and other hosts may not list them yet, and until it is recorded that the service has several versions. The version that an operator ordered is
 /// withheld; only its rollout switches to it. After a rollout its version serves alone, and targets of another version only replace targets of it that announce
 /// their shutdown. One version counts as the serving one, with which an ordered version is compared; it is recorded in the store, so that hosts that start in
 /// the middle of a rollout know it. Not thread-safe; reads no clock.
 class ServingVersions
 {
 public:
-    /// How long a version that is new to this host is withheld. Longer than the order takes from the store to this host.
+    /// Longer than an order takes from the store to this host.
     static constexpr Duration orderDelay = std::chrono::milliseconds(700);
 
+    /// How long a version that is new to this host is withheld: longer than `orderDelay`, and than the list may be old from which another host
+    /// concludes that a service has one version only, with what may be unknown of that age (`VersionHistory::maxListAge`).
+    static constexpr Duration newVersionDelay = std::chrono::milliseconds(1'500);
+
     /// Sets the version that an operator ordered a service to move to; an empty one if the order can't be read, which withholds all versions
     /// but the serving one.
     void setOrder(std::string_view service, std::string_view version);
--- a/tests/coordination/test_serving_versions.cpp
+++ b/tests/coordination/test_serving_versions.cpp
@@ -51,7 +51,7 @@
     /// Lets so much time pass that versions listed before are not new any more.
     void settle()
     {
-        now += ServingVersions::orderDelay;
+        now += ServingVersions::newVersionDelay;
         versions.advance(now, now);
     }
 
@@ -146,7 +146,7 @@
     const TimePoint heardAt = now;
     add("v2", 2, 2);
     publish();
-    now += 10 * ServingVersions::orderDelay;
+    now += 10 * ServingVersions::newVersionDelay;
     versions.advance(now, heardAt);
     BOOST_TEST(servingTargets("v2") == 0U);
     versions.advance(now, now);
--- a/tests/platform/test_stream_versions.cpp
+++ b/tests/platform/test_stream_versions.cpp
@@ -31,7 +31,7 @@
 constexpr Duration readTime = 100ms;
 
 /// Until a target whose version is new to the hosts gets requests.
-constexpr Duration newVersionDelay = 800ms;
+constexpr Duration newVersionDelay = 1'800ms;
 
 /// Targets of two versions in a service that is replacing the older one, as in a release without an order. Their events name the version.
 struct VersionFixture : FleetFixture
