Resumed streams tell how old the host's list was, and hosts tell gaps in it

Cause: no line told whether a host had been out of step before a stream was resumed there, so that the hypotheses of the incident could not be told apart in a log. Change: stream_resumed has list_age_ms; target_list_gap and lovageloft_target_list_gaps_total tell of a list that was not kept.

--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -62,6 +62,8 @@
     {"lovageloft_peer_datagrams_total", "Datagrams between hosts, by kind of message, direction, and whether they cross data centres."},
     {"lovageloft_sends_total", "Requests sent to targets, first or again."},
     {"lovageloft_stream_resumptions_total", "Requests that resume a stream, by how much is known of the version that began it, and from where."},
+    {"lovageloft_target_list_gaps_total",
+     "Times that this host did not hear of changes of the targets for so long that a software version may have come and gone unseen."},
     {"lovageloft_target_connects_total", "Attempts to connect directly to a target, by result."},
     {"lovageloft_store_call_seconds", "Time of answered calls to the store, by call; watches wait on purpose."},
     {"lovageloft_store_calls_total", "Calls to the store, by call and result."},
--- a/decision/version_history.cpp
+++ b/decision/version_history.cpp
@@ -54,6 +54,16 @@
     listedUntil_ = listedUntil;
 }
 
+TimePoint VersionHistory::listedUntil() const
+{
+    return listedUntil_;
+}
+
+const std::optional<TimePoint> &VersionHistory::gapEndedAt() const
+{
+    return gapEndedAt_;
+}
+
 void VersionHistory::setSkewed(std::set<std::string, std::less<>> services)
 {
     skewed_ = std::move(services);
--- a/decision/version_history.h
+++ b/decision/version_history.h
@@ -41,6 +41,12 @@
     /// gap between two such times, a version may have come, served and gone unseen.
     void observe(TimePoint listedUntil);
 
+    /// Until when the list of targets has all changes.
+    TimePoint listedUntil() const;
+
+    /// The end of the last gap in which versions may have come and gone unseen; nothing if there was none.
+    const std::optional<TimePoint> &gapEndedAt() const;
+
     /// Sets the services that are recorded as having, or lately having had, several versions; as current as the list of targets.
     void setSkewed(std::set<std::string, std::less<>> services);
 
--- a/gateway/stream_versions.cpp
+++ b/gateway/stream_versions.cpp
@@ -83,7 +83,7 @@
 {
     const TimePoint now = BootClock::now();
     const StreamKey key = streamKey(intake.caller().resumes, intake.teamName(), intake.service());
-    origins_.observe(listedUntil_());
+    observe();
     origins_.find(key, intake.service(), now, [this, &intake, now, handler = std::move(handler)](const StreamOrigins::Origin &origin) {
         onFound(intake, now, origin);
         handler(origin);
@@ -103,7 +103,19 @@
               {"knowledge", knowledge},
               {"version", origin.version},
               {"source", origin.source},
-              {"asked_ms", toMillis(BootClock::now() - askedAt)}});
+              {"asked_ms", toMillis(BootClock::now() - askedAt)},
+              {"list_age_ms", toMillis(BootClock::now() - origins_.history().listedUntil())}});
+}
+
+void StreamVersions::observe()
+{
+    const TimePoint before = origins_.history().listedUntil();
+    origins_.observe(listedUntil_());
+    const TimePoint listedUntil = origins_.history().listedUntil();
+    if (listedUntil != before && origins_.history().gapEndedAt() == listedUntil) {
+        writeLog(LogLevel::Info, "target_list_gap", {{"ms", toMillis(listedUntil - before)}});
+        metrics_.add("lovageloft_target_list_gaps_total");
+    }
 }
 
 void StreamVersions::onRecord(const StreamRecord &record)
@@ -113,7 +125,7 @@
 
 std::optional<StreamRecord> StreamVersions::onQuery(const std::string &host, const StreamQuery &query)
 {
-    origins_.observe(listedUntil_());
+    observe();
     return origins_.onQuery(host, query, BootClock::now());
 }
 
@@ -124,7 +136,7 @@
 
 void StreamVersions::tick(TimePoint now)
 {
-    origins_.observe(listedUntil_());
+    observe();
     origins_.onTick(now);
     recordSkew(now);
 }
@@ -138,7 +150,7 @@
     timer_.expires_after(std::max(*next - BootClock::now(), Duration::zero()));
     timer_.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
-            origins_.observe(listedUntil_());
+            observe();
             origins_.onTick(BootClock::now());
             armTimer();
         }
--- a/gateway/stream_versions.h
+++ b/gateway/stream_versions.h
@@ -76,6 +76,7 @@
     }
 
 private:
+    void observe();
     void armTimer();
     void recordSkew(TimePoint now);
     void onFound(const RequestIntake &intake, TimePoint askedAt, const StreamOrigins::Origin &origin);
