What a host knows of the store is dated by when it was true, not when it was read

What callers saw: nothing yet; by reading, streams joined in the first moments after a host or a relay stood still, or while datagrams waited. Cause: three ages were too small. Answers of the store that lay unread in a socket through a pause counted as 0.25 s old at most, also in the heartbeats made from them. Notices were as old as they said, plus a pause of the reader above 0.5 s, whatever queue, relay or forwarder had held them. And changes counted as known as soon as the store client had them, before the list in use was replaced by another thread. Change: answers are dated before a pause of this process that ends or has just ended; notices carry the sender's clock, by which receivers notice what exceeds the fastest one (TransitEstimator); changes count as known once they are in force (RelayedStore::onApplied). Notices of watches and lists state an age too, and parts of a long notice keep it. Older hosts ignore the new fields, and get notices without them as before.

--- a/gateway/changes_codec.cpp
+++ b/gateway/changes_codec.cpp
@@ -43,6 +43,8 @@
     changes.setLatestStart(notice.maxStartRevision);
     changes.setReturnAgeMilliseconds(static_cast<std::uint32_t>(toMillis(notice.returnAge)));
     changes.setAgeMilliseconds(static_cast<std::uint32_t>(toMillis(notice.age)));
+    changes.setProcess(notice.process);
+    changes.setSentMicroseconds(static_cast<std::uint64_t>(std::chrono::floor<std::chrono::microseconds>(notice.sentAt.time_since_epoch()).count()));
     if (notice.outage) {
         changes.setAwayMilliseconds(static_cast<std::uint32_t>(std::min<std::int64_t>(toMillis(*notice.outage), unknownMilliseconds - 1)));
     }
@@ -60,6 +62,8 @@
     notice.maxStartRevision = changes.getLatestStart();
     notice.returnAge = std::chrono::milliseconds(changes.getReturnAgeMilliseconds());
     notice.age = std::chrono::milliseconds(changes.getAgeMilliseconds());
+    notice.process = changes.getProcess();
+    notice.sentAt = TimePoint(std::chrono::microseconds(changes.getSentMicroseconds()));
     if (changes.getAwayMilliseconds() != unknownMilliseconds) {
         notice.outage = std::chrono::milliseconds(changes.getAwayMilliseconds());
     }
--- a/gateway/fleet_link.cpp
+++ b/gateway/fleet_link.cpp
@@ -66,6 +66,7 @@
 void FleetLink::setRelayedStore(RelayedStore &store)
 {
     relayedStore_ = &store;
+    store.setPauseSource([this] { return gateway_.recentPause(BootClock::now()); });
     const auto sendOnLoop = [this](const std::string &host, const auto &request) {
         gateway_.post([this, host, request](Gateway &) { socket_.send(host, request); });
     };
@@ -446,9 +447,12 @@
 
 void FleetLink::onChangesNotice(const ChangesNotice &notice)
 {
-    if (relayedStore_ != nullptr) {
-        relayedStore_->onNotice(notice, gateway_.recentPause(BootClock::now()));
+    if (relayedStore_ == nullptr) {
+        return;
     }
+    const TimePoint now = BootClock::now();
+    const Duration transit = notice.process != 0 ? transit_.onMessage(notice.process, notice.sentAt, now) : Duration::zero();
+    relayedStore_->onNotice(notice, std::max(transit, gateway_.recentPause(now)));
 }
 
 void FleetLink::onChangesRequest(const std::string &host, const ChangesRequest &request)
--- a/gateway/fleet_link.h
+++ b/gateway/fleet_link.h
@@ -15,6 +15,7 @@
 #include "gateway/peer_socket.h"
 #include "gateway/relayed_store.h"
 #include "gateway/team_budget.h"
+#include "gateway/transit_estimator.h"
 
 namespace Lovageloft
 {
@@ -179,6 +180,7 @@
     std::vector<std::string> otherHosts_; ///< Names of all other hosts.
     std::size_t nextQueriedHost_ = 0; ///< Counter; modulo the size of otherHosts_ it is the next host to query.
     RelayedStore *relayedStore_ = nullptr;
+    TransitEstimator transit_; ///< Of notices about the store.
     std::function<void(const std::string &targetId)> orderListener_ = [](const std::string &) {};
 
     std::map<RequestFeature, LossChecks> lossChecks_; ///< By the request that the lost targets had.
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -152,7 +152,7 @@
     /// Applies changed times and limits.
     void setLimits(const GatewayLimits &limits);
 
-    /// Time since the start of a pause of this process that is ending now or ended a moment ago; zero if there was none.
+    /// Time since the start of a pause of this process that is ending now or ended a moment ago; zero if there was none. Thread-safe.
     Duration recentPause(TimePoint now) const;
 
     /// Starts a graceful shutdown.
--- a/gateway/host_duty.cpp
+++ b/gateway/host_duty.cpp
@@ -188,6 +188,12 @@
     });
 }
 
+/// To be called after all other reports of what was read.
+void HostDuty::reportApplied()
+{
+    gateway_.post([onApplied = options_.onApplied, revision = watchRevision_](Gateway &) { onApplied(revision); });
+}
+
 bool HostDuty::isSkewRecord(const StoreEntry &entry) const
 {
     return !options_.skewPrefix.empty() && entry.key.starts_with(options_.skewPrefix);
@@ -294,6 +300,7 @@
     }
     reportRollouts(reply);
     publishHosts();
+    reportApplied();
     return true;
 }
 
@@ -328,6 +335,7 @@
         reportEarlierVersions();
     }
     publishHosts();
+    reportApplied();
     return true;
 }
 
--- a/gateway/host_duty.h
+++ b/gateway/host_duty.h
@@ -43,6 +43,7 @@
         Duration leaseTimeToLive{}; ///< Must be longer than a configuration proof is valid for keyed requests.
         std::string leaderKey; ///< Key of the leader lease, within `prefix`.
         /// Called on the duty's thread with the host that holds `leaderKey`; empty if there is none.
+        std::function<void(std::int64_t revision)> onApplied = [](std::int64_t) {}; ///< Called on the event loop: all changes up to it are in force.
         std::function<void(const std::string &host)> onLeader;
         /// Called on the duty's thread with the hosts that may get fleet-wide tasks, and the total number of hosts.
         std::function<void(const std::vector<std::string> &candidates, std::size_t hosts)> onHosts;
@@ -79,6 +80,7 @@
     bool mayReplaceVersion(const std::string &service, const StoreEntry &known, Duration skewTimeToLive);
     void reportEarlierVersions();
     void reportSkew();
+    void reportApplied();
     bool isSkewRecord(const StoreEntry &entry) const;
     void applySkew(const StoreEntry &entry);
     std::map<std::string, std::string, std::less<>> servingVersions() const;
--- a/gateway/pause_detector.cpp
+++ b/gateway/pause_detector.cpp
@@ -20,6 +20,7 @@
 
 void PauseDetector::tick(TimePoint now)
 {
+    const std::lock_guard lock(mutex_);
     const auto previousTickAt = std::exchange(lastTickAt_, now);
     if (previousTickAt && now - *previousTickAt > minPause) {
         const bool isContinuation = *previousTickAt - pauseEndedAt_ < recoveryTime; // Too short to process what had arrived.
@@ -31,6 +32,7 @@
 
 Duration PauseDetector::recentPause(TimePoint now) const
 {
+    const std::lock_guard lock(mutex_);
     const Duration sinceLastTick = lastTickAt_ ? now - *lastTickAt_ : Duration::zero();
     if (sinceLastTick > minPause) {
         return sinceLastTick;
--- a/gateway/peer_messages.capnp
+++ b/gateway/peer_messages.capnp
@@ -191,6 +191,8 @@
   awayMilliseconds @6 :UInt32 = 0xffffffff; # For how long before the store had answered nobody; the default: not known.
   returnAgeMilliseconds @7 :UInt32; # Since it answers again after that.
   ageMilliseconds @8 :UInt32; # So long ago the sender knew that these are all changes up to then.
+  process @9 :UInt64; # Random id of the sender's process; 0: not told.
+  sentMicroseconds @10 :UInt64; # When the sender made this, by a clock of its own.
 
   struct Entry {
     key @0 :Text;
--- a/gateway/peer_messages.capnp.h
+++ b/gateway/peer_messages.capnp.h
@@ -401,7 +401,7 @@
   struct Entry;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d2c0af39e941ac8f, 5, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(d2c0af39e941ac8f, 7, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2813,6 +2813,10 @@
 
   inline  ::uint32_t getAgeMilliseconds() const;
 
+  inline  ::uint64_t getProcess() const;
+
+  inline  ::uint64_t getSentMicroseconds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2876,6 +2880,12 @@
   inline  ::uint32_t getAgeMilliseconds();
   inline void setAgeMilliseconds( ::uint32_t value);
 
+  inline  ::uint64_t getProcess();
+  inline void setProcess( ::uint64_t value);
+
+  inline  ::uint64_t getSentMicroseconds();
+  inline void setSentMicroseconds( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6877,6 +6887,34 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Changes::Reader::getProcess() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Changes::Builder::getProcess() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Changes::Builder::setProcess( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Changes::Reader::getSentMicroseconds() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Changes::Builder::getSentMicroseconds() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Changes::Builder::setSentMicroseconds( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Changes::Entry::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -272,6 +272,9 @@
         return;
     }
     ChangesNotice part{notice.prefix, notice.after, notice.upTo, {}, {}, notice.silence, notice.maxStartRevision, notice.outage, notice.returnAge};
+    part.age = notice.age;
+    part.process = notice.process;
+    part.sentAt = notice.sentAt;
     std::size_t next = 0;
     do {
         std::size_t end = next;
--- a/gateway/peer_socket.h
+++ b/gateway/peer_socket.h
@@ -90,6 +90,11 @@
 
     /// How long ago the sender knew that there were no changes after `upTo`; the time since the store last answered it.
     Duration age{};
+
+    /// Random id of the sender's process and the time on its clock when it made the notice, by which receivers notice how long it was underway; 0 if
+    /// it doesn't say.
+    std::uint64_t process = 0;
+    TimePoint sentAt{};
 };
 
 /// Asks for all changes under a prefix after a revision.
--- a/gateway/prefix_state.cpp
+++ b/gateway/prefix_state.cpp
@@ -7,6 +7,22 @@
 namespace Lovageloft
 {
 
+TimePoint PrefixState::appliedUntil() const
+{
+    return appliedRevision.value_or(lastChangeRevision) < lastChangeRevision ? unappliedSince : TimePoint::max();
+}
+
+void PrefixState::setLastChange(std::int64_t revision)
+{
+    if (revision <= lastChangeRevision) {
+        return;
+    }
+    if (appliedUntil() == TimePoint::max()) {
+        unappliedSince = std::max(lastHeardAt, lastReadAt);
+    }
+    lastChangeRevision = revision;
+}
+
 void PrefixState::onOutage(const OutageTracker::Outage &ended)
 {
     if (ended.length > maxOutage) {
@@ -29,7 +45,7 @@
         silence = std::max(silence, silentFor);
         outage = std::max(outage, notice.outage);
         pendingReturnedAt = std::min(pendingReturnedAt.value_or(now), now - notice.returnAge);
-        lastChangeRevision = std::max(lastChangeRevision, entry.revision);
+        setLastChange(entry.revision);
         lacksValues = lacksValues || isOmitted;
         pendingEntries.emplace_back(entry, isOmitted);
         changes.push_back(entry);
@@ -49,7 +65,7 @@
 void PrefixState::applyWatch(const StoreListReply &watch)
 {
     for (const StoreEntry &entry : watch.entries) {
-        lastChangeRevision = std::max(lastChangeRevision, entry.revision);
+        setLastChange(entry.revision);
         if (entry.revision > syncedRevision) {
             log.append(entry);
             recordKey(entry);
@@ -90,6 +106,7 @@
     } else {
         log.reset(list.revision);
     }
+    setLastChange(list.revision);
     lastChangeRevision = list.revision;
     keyRevisions.clear();
     for (const StoreEntry &entry : list.entries) {
--- a/gateway/prefix_state.h
+++ b/gateway/prefix_state.h
@@ -19,6 +19,8 @@
 {
     std::int64_t syncedRevision = 0; ///< All changes up to this revision have been received; 0 before the first list.
     std::int64_t lastChangeRevision = 0; ///< Revision of the last change known, also from notices; nothing changed from it up to `syncedRevision`.
+    std::optional<std::int64_t> appliedRevision; ///< All changes up to this revision are in force on this host; nothing if it does not say so.
+    TimePoint unappliedSince; ///< Until when all changes were in force, while some are not.
     std::int64_t requiredRevision = 0; ///< Other hosts have this revision; it is above `syncedRevision` if changes were missed.
     bool areRelaysSilent = false; ///< Whether no relay has sent anything about this prefix for too long.
     std::optional<TimePoint> watchSentAt; ///< When the watch was sent that is pending at the store.
@@ -41,6 +43,9 @@
     ChangeLog log; ///< Changes to answer requests of other hosts with.
     std::map<std::string, std::int64_t, std::less<>> keyRevisions; ///< All existing keys, with the revision of their last write.
 
+    /// Until when all changes are in force on this host; the end of time while none waits.
+    TimePoint appliedUntil() const;
+
     /// The store answers again after an outage.
     void onOutage(const OutageTracker::Outage &ended);
 
@@ -59,6 +64,7 @@
     void applyList(const StoreListReply &list, const std::optional<ChangesNotice> &changes);
 
 private:
+    void setLastChange(std::int64_t revision);
     void recordKey(const StoreEntry &entry);
 };
 
--- a/gateway/relayed_store.cpp
+++ b/gateway/relayed_store.cpp
@@ -80,7 +80,7 @@
         return reply;
     }
     breaker_.onSuccess();
-    const TimePoint answeredAt = now_();
+    const TimePoint answeredAt = readTime(calledAt);
     const TimePoint reachedAt = std::max(answeredAt - maxAnswerTransit, std::min(answeredAt, calledAt + hold));
     storeReachedAt_ = std::max(storeReachedAt_, reachedAt);
     if (const auto outage = outages_.onAnswered(now_())) {
@@ -94,6 +94,7 @@
 RelayedStore::RelayedStore(Store &store, std::string host, Now now)
     : ForwardingStore(store)
     , host_(std::move(host))
+    , process_((std::uint64_t{std::random_device{}()} << 32U) | (std::random_device{}() | 1U))
     , now_(std::move(now))
     , random_(std::random_device{}())
     , breaker_(Random(std::random_device{}()))
@@ -106,6 +107,24 @@
     network_ = std::move(network);
 }
 
+void RelayedStore::setPauseSource(std::function<Duration()> source)
+{
+    const std::lock_guard lock(mutex_);
+    recentPause_ = std::move(source);
+}
+
+/// When an answer that is read now had arrived at the latest, to a call that was made at `calledAt`: it may have waited unread through a pause.
+TimePoint RelayedStore::readTime(TimePoint calledAt) const
+{
+    return std::max(calledAt, now_() - recentPause_());
+}
+
+void RelayedStore::stamp(ChangesNotice &notice) const
+{
+    notice.process = process_;
+    notice.sentAt = now_();
+}
+
 void RelayedStore::setHosts(const std::vector<std::string> &hosts, const std::vector<std::string> &candidates)
 {
     std::vector<std::string> ranked = RendezvousNames(candidates).winners("relay", rankedHostCount);
@@ -196,11 +215,19 @@
     }
     TimePoint until = TimePoint::max();
     for (const auto &[prefix, state] : prefixes_) {
-        until = std::min(until, std::max(state.lastHeardAt, confirmedAt(state)));
+        until = std::min({until, std::max(state.lastHeardAt, confirmedAt(state)), state.appliedUntil()});
     }
     return until;
 }
 
+void RelayedStore::onApplied(std::string_view prefix, std::int64_t revision)
+{
+    const std::lock_guard lock(mutex_);
+    if (const auto found = prefixes_.find(prefix); found != prefixes_.end()) {
+        found->second.appliedRevision = std::max(found->second.appliedRevision.value_or(0), revision);
+    }
+}
+
 std::optional<Duration> RelayedStore::probeDelay() const
 {
     const std::lock_guard lock(mutex_);
@@ -288,6 +315,7 @@
             }
             ChangesNotice notice{prefix, state.lastChangeRevision, state.syncedRevision, {}, {}, {}};
             notice.age = age;
+            stamp(notice);
             notices.push_back(std::move(notice));
         }
     }
@@ -335,6 +363,7 @@
 
 StoreListReply RelayedStore::list(std::string_view prefix)
 {
+    const TimePoint calledAt = now_();
     StoreListReply reply = callThroughBreaker([&] { return ForwardingStore::list(prefix); });
     if (reply.status != StoreStatus::Ok) {
         return reply;
@@ -354,8 +383,12 @@
         changes->returnAge = reply.returnAge;
     }
     state.applyList(reply, changes);
-    state.lastHeardAt = now;
-    state.lastReadAt = now;
+    state.lastReadAt = readTime(calledAt);
+    state.lastHeardAt = state.lastReadAt;
+    if (changes) {
+        changes->age = now_() - state.lastReadAt;
+        stamp(*changes);
+    }
     const auto broadcast = network_.broadcast;
     lock.unlock();
     if (isRelayNow && changes && broadcast) {
@@ -438,6 +471,7 @@
     const bool isRelayNow = isRelay();
     decltype(Network::broadcast) broadcast;
     std::int64_t lastChangeRevision = 0;
+    Duration age{};
     {
         const std::lock_guard lock(mutex_);
         PrefixState &state = prefixes_[std::string(prefix)];
@@ -453,15 +487,18 @@
         const TimePoint lastHeardAt = isRelayNow ? state.lastReadAt : std::max(state.lastHeardAt, state.lastReadAt);
         reply.silence = std::max(Duration::zero(), calledAt - lastHeardAt);
         reply.outage = std::exchange(state.maxOutage, {});
-        state.lastReadAt = now_();
+        state.lastReadAt = readTime(calledAt);
         reply.returnAge = reply.outage > Duration::zero() ? state.lastReadAt - state.returnedAt : Duration::zero();
         state.lastHeardAt = isRelayNow ? state.lastReadAt : state.lastHeardAt;
+        age = now_() - state.lastReadAt;
         broadcast = network_.broadcast;
     }
     if (isRelayNow && !reply.entries.empty() && broadcast) {
         ChangesNotice notice{std::string(prefix), lastChangeRevision, reply.revision, reply.entries, {}, reply.silence};
         notice.outage = reply.outage;
         notice.returnAge = reply.returnAge;
+        notice.age = age;
+        stamp(notice);
         broadcast(notice);
     }
     return reply;
--- a/gateway/relayed_store.h
+++ b/gateway/relayed_store.h
@@ -54,6 +54,10 @@
 
     void setNetwork(Network network);
 
+    /// Sets where to learn of a pause of this process that ends now or ended a moment ago: an answer of the store may have waited unread for so long.
+    /// Called on any thread.
+    void setPauseSource(std::function<Duration()> source);
+
     /// `hosts` are all hosts including this one; the relays and deputies are chosen from `candidates`.
     void setHosts(const std::vector<std::string> &hosts, const std::vector<std::string> &candidates);
 
@@ -73,9 +77,13 @@
     /// Each states when the store last answered this relay, and prefixes of which it has known nothing for too long are left out.
     void sendHeartbeat();
 
-    /// Until when this host has received all changes under all prefixes that it follows, from the store or from other hosts.
+    /// Until when this host has received all changes under all prefixes that it follows, from the store or from other hosts, and has put them in force
+    /// where onApplied() says so.
     TimePoint syncedUntil() const;
 
+    /// All changes under a prefix up to this revision are in force on this host.
+    void onApplied(std::string_view prefix, std::int64_t revision);
+
     /// On a relay: how long to wait until a call to the store is needed to show that it still answers. On the second relay this waits for the first
     /// one. Nothing on other hosts.
     std::optional<Duration> probeDelay() const;
@@ -107,6 +115,8 @@
     bool isAmongRelays() const;
     bool isRankedHost() const;
     bool watchesStoreDirectly() const;
+    TimePoint readTime(TimePoint calledAt) const;
+    void stamp(ChangesNotice &notice) const;
     TimePoint confirmedAt(const PrefixState &state) const;
     TimePoint lastUpdateAt(const PrefixState &state) const;
     bool isBehind(const PrefixState &state, TimePoint now) const;
@@ -124,6 +134,8 @@
     std::optional<ProofReply> queryProof(const std::string &host);
 
     std::string host_;
+    std::uint64_t process_; ///< Random id of this process.
+    std::function<Duration()> recentPause_ = [] { return Duration::zero(); };
     Now now_;
     mutable std::mutex mutex_;
     std::condition_variable updateArrived_;
--- a/gateway/target_duty.cpp
+++ b/gateway/target_duty.cpp
@@ -186,7 +186,7 @@
         }
     }
     targets_ = std::move(targets);
-    listener_(std::make_shared<const TargetMap>(targets_));
+    listener_(std::make_shared<const TargetMap>(targets_), watchRevision_);
 }
 
 void TargetDuty::removeExpired()
--- a/gateway/target_duty.h
+++ b/gateway/target_duty.h
@@ -25,7 +25,8 @@
 {
 public:
     /// Called on the duty's thread with each new list.
-    using Listener = std::function<void(const std::shared_ptr<const TargetMap> &)>;
+    /// All targets as of a revision of the store.
+    using Listener = std::function<void(const std::shared_ptr<const TargetMap> &, std::int64_t revision)>;
 
     TargetDuty(Store &store, const StoreRecords &records, Listener listener);
 
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -146,7 +146,7 @@
     , feed_(records_, listeners())
     , configurationDuty_(relayedStore_, records_, feed_)
     , proofDuty_(relayedStore_, records_, feed_, settings.configurationWindow)
-    , targetDuty_(relayedStore_, records_, [this](const std::shared_ptr<const TargetMap> &targets) { onTargets(targets); })
+    , targetDuty_(relayedStore_, records_, [this](const std::shared_ptr<const TargetMap> &targets, std::int64_t revision) { onTargets(targets, revision); })
     , hostDuty_(relayedStore_, gateway_, hostOptions())
     , storeProbeDuty_(relayedStore_, [this] { return hostDuty_.leaseId(); })
     , skewDuty_(measuredStore_, std::string(skewPrefix))
@@ -194,6 +194,7 @@
     options.record = {settings_.peers, settings_.capacity, settings_.dataCentre};
     options.leaseTimeToLive = settings_.keyProofWindow * hostLeaseInProofWindows;
     options.leaderKey = leaderKey;
+    options.onApplied = [this](std::int64_t revision) { relayedStore_.onApplied(ownPrefix, revision); };
     options.onLeader = [this](const std::string &host) { weightsDuty_.setLeader(host); };
     options.onHosts = [this](const std::vector<std::string> &candidates, std::size_t hosts) { weightsDuty_.setHosts(candidates, hosts); };
     options.onQuarantined = [this](RequestFeature request) {
@@ -296,10 +297,13 @@
     gateway_.post([](Gateway &gateway) { gateway.drain(); });
 }
 
-void GatewayHost::onTargets(const std::shared_ptr<const TargetMap> &targets)
+void GatewayHost::onTargets(const std::shared_ptr<const TargetMap> &targets, std::int64_t revision)
 {
     weightsDuty_.setTargets(targets);
-    gateway_.post([targets](Gateway &gateway) { gateway.setTargets(targets); });
+    gateway_.post([this, targets, revision](Gateway &gateway) {
+        gateway.setTargets(targets);
+        relayedStore_.onApplied(records_.targetPrefix(), revision);
+    });
 }
 
 void GatewayHost::onConfiguration(const std::shared_ptr<const RoutingTable> &table, TimePoint provenAt)
--- a/main/gateway_host.h
+++ b/main/gateway_host.h
@@ -47,7 +47,7 @@
     HostDuty::Options hostOptions();
     WeightsDuty::Options weightsOptions();
     RolloutDuty::Options rolloutOptions();
-    void onTargets(const std::shared_ptr<const TargetMap> &targets);
+    void onTargets(const std::shared_ptr<const TargetMap> &targets, std::int64_t revision);
     void onConfiguration(const std::shared_ptr<const RoutingTable> &table, TimePoint provenAt);
     void onWeights(const PublishedWeights &weights);
 
--- a/tests/gateway/test_duties.cpp
+++ b/tests/gateway/test_duties.cpp
@@ -203,7 +203,7 @@
 
     UnreliableStore store;
     Latest<TargetMap> latest;
-    TargetDuty duty{store, records, [this](const std::shared_ptr<const TargetMap> &targets) { latest.set(*targets); }};
+    TargetDuty duty{store, records, [this](const std::shared_ptr<const TargetMap> &targets, std::int64_t /*revision*/) { latest.set(*targets); }};
 };
 
 /// A store that lists two targets and whose watch events are given by the test. All events come after a silence of three seconds.
@@ -282,7 +282,7 @@
 
     ScriptedStore store;
     Latest<TargetMap> latest;
-    TargetDuty duty{store, records, [this](const std::shared_ptr<const TargetMap> &targets) { latest.set(*targets); }};
+    TargetDuty duty{store, records, [this](const std::shared_ptr<const TargetMap> &targets, std::int64_t /*revision*/) { latest.set(*targets); }};
 };
 
 struct ProofFixture
--- a/tests/gateway/test_relayed_store.cpp
+++ b/tests/gateway/test_relayed_store.cpp
@@ -44,6 +44,15 @@
         return isDown ? StoreListReply{} : memory.list(prefix);
     }
 
+    StoreLeaseReply keepAlive(std::int64_t leaseId) override
+    {
+        const StoreLeaseReply reply = ForwardingStore::keepAlive(leaseId);
+        if (whileRenewing) {
+            std::exchange(whileRenewing, nullptr)();
+        }
+        return reply;
+    }
+
     StoreListReply watch(std::string_view prefix, std::int64_t afterRevision, Duration timeout) override
     {
         ++calls;
@@ -61,6 +70,7 @@
     MemoryStore memory;
     std::atomic<int> calls = 0;
     std::atomic<bool> isDown = false;
+    std::function<void()> whileRenewing; ///< Called once, after the store has answered and before the answer is read.
     std::function<void()> whileWatching; ///< Runs once, while a watch is pending, which then ends.
     std::function<void()> afterWatch; ///< Runs once, between the evaluation of a watch and the return of its reply.
 };
@@ -337,6 +347,49 @@
     BOOST_TEST((BootClock::now() - other.syncedUntil() < 500ms)); // Its own list is newer.
 }
 
+// Guards against a host that stood still and takes answers of the store for new that had waited unread in its socket.
+BOOST_AUTO_TEST_CASE(anAnswerThatWaitedThroughAPauseIsAsOldAsThePause)
+{
+    TimePoint now = BootClock::now();
+    Duration pause{};
+    RelayedStore relay(store, relays[0], [&now] { return now; });
+    relay.setPauseSource([&pause] { return pause; });
+    std::vector<ChangesNotice> heartbeats;
+    relay.setNetwork({[&heartbeats](const ChangesNotice &notice) { heartbeats.push_back(notice); }, {}});
+    relay.setHosts(hosts, hosts);
+    const std::int64_t from = relay.list("x/").revision;
+    const std::int64_t lease = store.memory.grantLease(1h).leaseId;
+    const TimePoint listedAt = now;
+    store.whileWatching = [&] {
+        now += 100ms;
+        store.whileRenewing = [&] {
+            now += 3s;
+            pause = 3s;
+        };
+        relay.keepAlive(lease);
+        BOOST_TEST((relay.syncedUntil() == listedAt + 100ms));
+        relay.sendHeartbeat();
+        BOOST_TEST(heartbeats.empty());
+        pause = {};
+    };
+    relay.watch("x/", from, 10s);
+}
+
+// Guards against a host that takes its list for complete while changes that it has received are not in force yet.
+BOOST_AUTO_TEST_CASE(changesThatAreNotInForceYetAreNoPartOfTheList)
+{
+    RelayedStore &other = *relayedStores[nonRelays[0]];
+    const std::int64_t listed = other.list("x/").revision;
+    other.onApplied("x/", listed);
+    const TimePoint before = other.syncedUntil();
+    other.onNotice({"x/", listed, listed + 1, {{"x/a", "1", listed + 1, false}}, {false}, {}});
+    BOOST_TEST((other.syncedUntil() == before));
+    other.onNotice({"x/", listed + 1, listed + 2, {}, {}, {}});
+    BOOST_TEST((other.syncedUntil() == before));
+    other.onApplied("x/", listed + 1);
+    BOOST_TEST((other.syncedUntil() > before));
+}
+
 // Guards against a fleet that learns nothing of its relays between two watches, which last for seconds.
 BOOST_AUTO_TEST_CASE(oneRelayProbesTheStoreUnlessItWasAnswered)
 {
