All that callers make a host hold is in two accounts, with one order of closing

What callers saw: a host that serves nobody, or ends, beside clients that hold connections, heads, small bodies or requests sent ahead. Cause: each kind of memory had a bound of its own or none; nobody counted connections, nothing read how many descriptors there are. Change: ConnectionBudget beside BufferBudget, sizes from the settings or the machine, one order in which connections are closed, bounds on every port, bodies counted by what is allocated, receive buffers of 64 KiB. servers and main may include memory, which stands below them in the table of the architecture: the test's list of folders follows.

--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -12,7 +12,7 @@
 {
 
 /// Reading from the caller is paused once more bytes than this of pipelined requests are buffered.
-constexpr std::size_t maxPipelinedBytes = 131'072;
+constexpr std::size_t maxPipelinedBytes = 32'768;
 
 /// A body must arrive within `headTimeout` after the head, plus another `headTimeout` for each whole MiB of its length, or of the maximum if it
 /// has no length. Without a timeout, a slow sender would hold memory indefinitely.
@@ -30,6 +30,7 @@
     , timer_(gateway.loop())
     , limits_(gateway.callerLimits())
     , bufferId_(gateway.callerBuffers().open())
+    , connectionId_(gateway.callerConnections().open(BootClock::now()))
 {
     parser_.setLimits({limits_.headBytes, limits_.bodyBytes});
 }
@@ -166,6 +167,13 @@
     onClosed(true);
 }
 
+void CallerSession::closeForRoom()
+{
+    if (!isClosed_) {
+        closeStalled();
+    }
+}
+
 void CallerSession::closeIfIdle()
 {
     if (isIdle()) {
@@ -188,6 +196,22 @@
     if (parser_.isComplete() && parser_.bufferedBytes() > maxPipelinedBytes) {
         tcp_->pauseReading();
     }
+    updateConnection();
+    if (!isClosed_) {
+        gateway_.makeRoomForConnections();
+    }
+}
+
+/// Accounts for what the caller has sent.
+void CallerSession::updateConnection()
+{
+    if (isClosed_) {
+        return;
+    }
+    const bool isArriving = request_ == nullptr && parser_.isWithinMessage();
+    const CallerPhase idleOrArriving = isArriving ? CallerPhase::Arriving : CallerPhase::Idle;
+    gateway_.callerConnections().setPhase(connectionId_, request_ != nullptr ? CallerPhase::Served : idleOrArriving, BootClock::now());
+    gateway_.callerConnections().setReceived(connectionId_, parser_.bufferCapacity(), bufferedBodyBytes_);
 }
 
 void CallerSession::onClosed(bool /*isReset*/)
@@ -232,7 +256,7 @@
     }
     hasDeclaredBody_ = bodyBytes.has_value();
     const std::size_t declaredBytes = bodyBytes.value_or(0);
-    isBodyTooLong_ = declaredBytes > BufferBudget::minConnectionBytes && !gateway_.callerBuffers().hasRoom(declaredBytes);
+    isBodyTooLong_ = declaredBytes > BufferBudget::minConnectionBytes && !gateway_.makeRoomForBody(declaredBytes);
     if (!isBodyTooLong_) {
         reserveBody(declaredBytes);
         body_.reserve(declaredBytes);
@@ -247,8 +271,8 @@
         return;
     }
     body_.append(bytes);
-    if (body_.size() > bufferedBodyBytes_) {
-        reserveBody(body_.size() - bufferedBodyBytes_);
+    if (body_.capacity() > bufferedBodyBytes_ && body_.size() > bufferedBodyBytes_) {
+        reserveBody(body_.capacity() - bufferedBodyBytes_);
     }
 }
 
@@ -283,7 +307,7 @@
 void CallerSession::onParsed()
 {
     const bool isGrowing = !isRequestComplete_ && body_.size() > BufferBudget::minConnectionBytes;
-    if (isBodyTooLong_ || (isGrowing && !hasDeclaredBody_ && gateway_.callerBuffers().isExhausted())) {
+    if (isBodyTooLong_ || (isGrowing && !hasDeclaredBody_ && gateway_.callerBuffers().isExhausted() && !gateway_.makeRoomForBody(1))) {
         refuse({ResultCode::Overloaded, "no memory is left for the request's body"});
         return;
     }
@@ -312,6 +336,7 @@
         return;
     }
     onParsed();
+    updateConnection();
     if (!isClosed_ && parser_.bufferedBytes() <= maxPipelinedBytes) {
         tcp_->resumeReading();
     }
--- a/gateway/caller_session.h
+++ b/gateway/caller_session.h
@@ -11,6 +11,7 @@
 #include "drivers/tcp_connection.h"
 #include "gateway/routing_table.h"
 #include "memory/buffer_budget.h"
+#include "memory/connection_budget.h"
 
 namespace Lovageloft
 {
@@ -63,6 +64,15 @@
         return bufferId_;
     }
 
+    /// The connection's account in Gateway::callerConnections().
+    ConnectionBudget::ConnectionId connectionId() const
+    {
+        return connectionId_;
+    }
+
+    /// Resets the connection, as others need its memory or descriptor. A request that is served is cancelled.
+    void closeForRoom();
+
     /// Resets the connection of a caller that does not read, and cancels its request. The caller can't take the part already sent for a complete
     /// answer.
     void closeStalled();
@@ -90,6 +100,7 @@
     void close();
     void endAfterSending();
     void updateBuffer();
+    void updateConnection();
     void startTimer(Duration timeout);
     void onTimer();
     bool mayKeepConnection() const;
@@ -112,6 +123,7 @@
     bool isClosed_ = false;
     bool isSendingRest_ = false; ///< The last answer is complete, and the connection ends when the caller has read it.
     BufferBudget::ConnectionId bufferId_;
+    ConnectionBudget::ConnectionId connectionId_;
     std::size_t bufferedBytes_ = 0; ///< Reserved for unsent bytes of answers.
     std::size_t incompleteBytes_ = 0; ///< Reserved for an answer that is not complete.
     std::size_t bufferedBodyBytes_ = 0; ///< Reserved for the body of the request.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -66,6 +66,8 @@
     , dispatch_(loop_, [this] { refreshTargets(); })
     , configurationTimer_(loop_)
     , callerBuffers_(options.callerBufferBytes)
+    , callerConnections_(options.connections)
+    , acceptTimer_(loop_)
 {
     directory_.setDataCentre(options.dataCentre);
     rollouts_.setLimits(options.limits.exposure);
@@ -430,50 +432,6 @@
     observeRequest(metrics_, ended);
 }
 
-void Gateway::onSessionEnded(const std::shared_ptr<CallerSession> &session)
-{
-    callerBuffers_.close(session->bufferId());
-    sessions_.erase(session);
-}
-
-/// Closes connections whose callers have stopped reading, while they hold the memory that other callers need. After a pause of the event loop it
-/// is not known yet what callers have read meanwhile.
-void Gateway::closeStalledCallers(TimePoint now)
-{
-    if (pauseDetector_.recentPause(now) != Duration::zero()) {
-        return;
-    }
-    while (const auto stalled = callerBuffers_.findStalled(now)) {
-        writeLog(LogLevel::Info,
-                 "slow_caller_closed",
-                 {{"bytes", static_cast<std::int64_t>(stalled->bytes)},
-                  {"silent_ms", toMillis(stalled->silence)},
-                  {"held_bytes", static_cast<std::int64_t>(callerBuffers_.reserved())},
-                  {"budget_bytes", static_cast<std::int64_t>(callerBuffers_.total())}});
-        const auto session =
-            std::find_if(sessions_.begin(), sessions_.end(), [&stalled](const auto &other) { return other->bufferId() == stalled->connection; });
-        if (session != sessions_.end()) {
-            std::shared_ptr<CallerSession>(*session)->closeStalled();
-        }
-        callerBuffers_.close(stalled->connection);
-    }
-}
-
-void Gateway::accept()
-{
-    acceptor_.async_accept([this](const boost::system::error_code &error, TcpConnection::Socket socket) {
-        if (!acceptor_.is_open()) {
-            return;
-        }
-        if (!error) {
-            auto session = std::make_shared<CallerSession>(*this, std::move(socket));
-            sessions_.insert(session);
-            session->start();
-        }
-        accept();
-    });
-}
-
 void Gateway::tick()
 {
     const TimePoint now = BootClock::now();
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -29,6 +29,7 @@
 #include "gateway/target_statements.h"
 #include "gateway/version_guard.h"
 #include "memory/buffer_budget.h"
+#include "memory/connection_budget.h"
 
 namespace Lovageloft
 {
@@ -62,6 +63,7 @@
     std::string hostName;
     std::string dataCentre;
     std::size_t callerBufferBytes = 0; ///< Memory for slow callers and request bodies; 0 if the size of the host's memory is not known.
+    ConnectionLimits connections; ///< Of callers.
     GatewayLimits limits;
 };
 
@@ -270,6 +272,23 @@
         return callerBuffers_;
     }
 
+    /// The connections of callers.
+    ConnectionBudget &callerConnections()
+    {
+        return callerConnections_;
+    }
+
+    const ConnectionBudget &callerConnections() const
+    {
+        return callerConnections_;
+    }
+
+    /// Closes expendable connections until the others are within their limits. Returns whether they are.
+    bool makeRoomForConnections();
+
+    /// Closes connections whose request bodies don't end until a body of this size fits. Returns whether it does.
+    bool makeRoomForBody(std::size_t bytes);
+
     CallerLimits callerLimits() const;
     bool isDraining() const;
 
@@ -352,6 +371,7 @@
     void accept();
     void tick();
     void closeStalledCallers(TimePoint now);
+    bool closeExpendable(const std::optional<ConnectionBudget::Expendable> &expendable);
     void onWeightsChanged();
     void continueDrain();
     StatusAnswer readinessAnswer(std::string_view path);
@@ -399,6 +419,8 @@
     std::vector<std::shared_ptr<RoutedRequest>> pendingRequests_; ///< Requests that wait for the first configuration.
     boost::asio::steady_timer configurationTimer_;
     BufferBudget callerBuffers_;
+    ConnectionBudget callerConnections_;
+    boost::asio::steady_timer acceptTimer_; ///< Waits for descriptors.
     std::set<std::shared_ptr<CallerSession>> sessions_;
     CacheStores cacheStores_;
     std::map<std::string, HostRecord> hosts_; ///< All active hosts including this one.
--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -7,6 +7,7 @@
 #include "coordination/duty_hosts.h"
 #include "core/clock.h"
 #include "core/settings.h"
+#include "memory/connection_budget.h"
 
 namespace Lovageloft
 {
@@ -36,15 +37,30 @@
     double exposureShare = 0.05; ///< Fraction of a service's requests that a version may get which is not trusted yet, over all hosts.
     double exposureSlack = 20; ///< Requests that such a version may get in addition.
     Duration rollbackTime = std::chrono::seconds(5); ///< From the answers that show a bad version to the last request sent to it.
+    std::size_t descriptors = 0; ///< Descriptors that this process may have for sockets and pipes; 0 if that is not known.
+    double connectionFraction = 0.15; ///< Part of the host's memory for callers' connections and what they have sent ahead.
+    double callerConnectionFraction = 0.5; ///< Part of the descriptors for callers' connections; the rest is for targets and other hosts.
     double callerBufferFraction = 0.4; ///< Part of the host's memory for slow callers and request bodies; the rest is for the program and the kernel.
     bool adaptsToEngines = false; ///< Learns the times of engines and divides them between short and long prompts, also where engines state no pace.
     Duration minLeaseTimeToLive{}; ///< The shortest lease that the store grants.
 
     /// Memory in bytes for slow callers and request bodies; 0 if the host's is not known.
     std::size_t callerBufferBytes() const
+    {
+        return partOfMemory(callerBufferFraction);
+    }
+
+    /// The number of callers' connections, and memory in bytes for them; 0 where it is not known.
+    ConnectionLimits connectionLimits() const
+    {
+        return {static_cast<std::size_t>(static_cast<double>(descriptors) * callerConnectionFraction), partOfMemory(connectionFraction)};
+    }
+
+private:
+    std::size_t partOfMemory(double fraction) const
     {
         constexpr double bytesPerMegabyte = 1e6;
-        return static_cast<std::size_t>(std::max(memoryMegabytes, 0.0) * bytesPerMegabyte * callerBufferFraction);
+        return static_cast<std::size_t>(std::max(memoryMegabytes, 0.0) * bytesPerMegabyte * fraction);
     }
 };
 
--- a/gateway/gauges.cpp
+++ b/gateway/gauges.cpp
@@ -15,6 +15,8 @@
     // How old the proof is that the configuration is the newest one; before the first configuration, the time since the clock's epoch.
     metrics.set("lovageloft_key_proof_age_seconds", toSeconds(gateway.proofAge(now)));
     metrics.set("lovageloft_caller_buffer_bytes", static_cast<double>(gateway.callerBuffers().reserved()));
+    metrics.set("lovageloft_caller_connections", static_cast<double>(gateway.callerConnections().count()));
+    metrics.set("lovageloft_caller_connection_bytes", static_cast<double>(gateway.callerConnections().bytes()));
     metrics.set("lovageloft_idle_target_connections", static_cast<double>(gateway.pool().idleCount()));
     metrics.set("lovageloft_links_lost", static_cast<double>(gateway.paths().links().lostCount()));
     metrics.set("lovageloft_relayed_connections", static_cast<double>(gateway.relayServer().count()));
--- a/gateway/relay_server.cpp
+++ b/gateway/relay_server.cpp
@@ -1,5 +1,6 @@
 #include "gateway/relay_server.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -17,6 +18,9 @@
 {
 
 constexpr std::size_t maxSessions = 600;
+
+/// Connections whose head has not arrived; a host sends it with the connection.
+constexpr std::size_t maxWaitingSessions = 128;
 constexpr std::size_t maxHeadBytes = 1'024;
 
 /// Unsent bytes in one direction above which reading from the other side pauses.
@@ -56,6 +60,11 @@
         });
     }
 
+    bool isWaiting() const
+    {
+        return targetId_.empty();
+    }
+
     void close()
     {
         host_->close();
@@ -279,6 +288,11 @@
     return sessions_.size();
 }
 
+std::size_t RelayServer::countWaiting() const
+{
+    return static_cast<std::size_t>(std::count_if(sessions_.begin(), sessions_.end(), [](const auto &session) { return session->isWaiting(); }));
+}
+
 void RelayServer::accept()
 {
     acceptor_.async_accept([this](const boost::system::error_code &error, TcpConnection::Socket socket) {
@@ -287,7 +301,7 @@
         }
         boost::system::error_code unknown;
         const auto peer = socket.remote_endpoint(unknown).address();
-        if (!error && !unknown && links_.isHost(peer)) {
+        if (!error && !unknown && links_.isHost(peer) && countWaiting() < maxWaitingSessions) {
             const auto session = std::make_shared<Session>(*this, std::move(socket));
             sessions_.insert(session);
             session->start();
--- a/gateway/relay_server.h
+++ b/gateway/relay_server.h
@@ -57,6 +57,7 @@
     class Session;
 
     void accept();
+    std::size_t countWaiting() const;
 
     boost::asio::io_context &loop_;
     Links links_;
--- a/gateway/relayed_store.cpp
+++ b/gateway/relayed_store.cpp
@@ -80,7 +80,7 @@
         return reply;
     }
     breaker_.onSuccess();
-    const TimePoint answeredAt = readTime(calledAt);
+    const TimePoint answeredAt = std::max(calledAt, arrivalOf(now_()));
     const TimePoint reachedAt = std::max(answeredAt - maxAnswerTransit, std::min(answeredAt, calledAt + hold));
     storeReachedAt_ = std::max(storeReachedAt_, reachedAt);
     if (const auto outage = outages_.onAnswered(now_())) {
@@ -113,10 +113,10 @@
     recentPause_ = std::move(source);
 }
 
-/// When an answer that is read now had arrived at the latest, to a call that was made at `calledAt`: it may have waited unread through a pause.
-TimePoint RelayedStore::readTime(TimePoint calledAt) const
+/// When an answer that is read at `readAt` had arrived at the latest: it may have waited unread through a pause.
+TimePoint RelayedStore::arrivalOf(TimePoint readAt) const
 {
-    return std::max(calledAt, now_() - recentPause_());
+    return readAt - recentPause_();
 }
 
 void RelayedStore::stamp(ChangesNotice &notice) const
@@ -363,7 +363,6 @@
 
 StoreListReply RelayedStore::list(std::string_view prefix)
 {
-    const TimePoint calledAt = now_();
     StoreListReply reply = callThroughBreaker([&] { return ForwardingStore::list(prefix); });
     if (reply.status != StoreStatus::Ok) {
         return reply;
@@ -383,10 +382,10 @@
         changes->returnAge = reply.returnAge;
     }
     state.applyList(reply, changes);
-    state.lastReadAt = readTime(calledAt);
+    state.lastReadAt = arrivalOf(now);
     state.lastHeardAt = state.lastReadAt;
     if (changes) {
-        changes->age = now_() - state.lastReadAt;
+        changes->age = now - state.lastReadAt;
         stamp(*changes);
     }
     const auto broadcast = network_.broadcast;
@@ -487,10 +486,11 @@
         const TimePoint lastHeardAt = isRelayNow ? state.lastReadAt : std::max(state.lastHeardAt, state.lastReadAt);
         reply.silence = std::max(Duration::zero(), calledAt - lastHeardAt);
         reply.outage = std::exchange(state.maxOutage, {});
-        state.lastReadAt = readTime(calledAt);
+        const TimePoint now = now_();
+        state.lastReadAt = std::max(calledAt, arrivalOf(now));
+        age = now - state.lastReadAt;
         reply.returnAge = reply.outage > Duration::zero() ? state.lastReadAt - state.returnedAt : Duration::zero();
         state.lastHeardAt = isRelayNow ? state.lastReadAt : state.lastHeardAt;
-        age = now_() - state.lastReadAt;
         broadcast = network_.broadcast;
     }
     if (isRelayNow && !reply.entries.empty() && broadcast) {
--- a/gateway/relayed_store.h
+++ b/gateway/relayed_store.h
@@ -115,7 +115,7 @@
     bool isAmongRelays() const;
     bool isRankedHost() const;
     bool watchesStoreDirectly() const;
-    TimePoint readTime(TimePoint calledAt) const;
+    TimePoint arrivalOf(TimePoint readAt) const;
     void stamp(ChangesNotice &notice) const;
     TimePoint confirmedAt(const PrefixState &state) const;
     TimePoint lastUpdateAt(const PrefixState &state) const;
--- a/gateway/status_server.cpp
+++ b/gateway/status_server.cpp
@@ -13,6 +13,14 @@
 /// a full queue delays each of them by a second.
 constexpr int listenBacklog = 1'024;
 
+/// Far more than balancers, operators and collectors of metrics use at once.
+constexpr std::size_t maxSessions = 64;
+
+constexpr std::chrono::milliseconds acceptRetryDelay{20};
+
+/// Limits the received bytes of a connection that the kernel holds while they are not read: they count as memory of the host.
+constexpr int receiveBufferBytes = 65'536;
+
 } // namespace
 
 class StatusServer::Session final : public std::enable_shared_from_this<Session>, private TcpEvents, private HttpEvents
@@ -37,7 +45,7 @@
         Reason reason;
         if (!parser_.read(bytes, reason)) {
             tcp_->close();
-            server_.sessions_.erase(self);
+            server_.remove(self);
             return;
         }
         while (parser_.isComplete()) {
@@ -50,7 +58,7 @@
 
     void onClosed(bool /*isReset*/) override
     {
-        server_.sessions_.erase(shared_from_this());
+        server_.remove(shared_from_this());
     }
 
     void onHead(HttpHead &&head, std::optional<std::uint64_t> /*bodyBytes*/) override
@@ -84,6 +92,7 @@
 
 StatusServer::StatusServer(boost::asio::io_context &loop, Handler handler)
     : acceptor_(loop)
+    , acceptTimer_(loop)
     , handler_(std::move(handler))
 {
 }
@@ -117,17 +126,33 @@
 
 void StatusServer::accept()
 {
+    if (!acceptor_.is_open()) {
+        return;
+    }
     acceptor_.async_accept([this](const boost::system::error_code &error, TcpConnection::Socket socket) {
         if (!acceptor_.is_open()) {
             return;
         }
-        if (!error) {
-            sessions_.insert(std::make_shared<Session>(*this, std::move(socket)));
+        if (error) {
+            // Without a descriptor the next attempt would fail at once as well.
+            acceptTimer_.expires_after(acceptRetryDelay);
+            acceptTimer_.async_wait([this](const boost::system::error_code &) { accept(); });
+            return;
+        }
+        sessions_.push_back(std::make_shared<Session>(*this, std::move(socket)));
+        if (sessions_.size() > maxSessions) {
+            sessions_.front()->close();
+            sessions_.pop_front();
         }
         accept();
     });
 }
 
+void StatusServer::remove(const std::shared_ptr<Session> &session)
+{
+    std::erase(sessions_, session);
+}
+
 bool openListener(boost::asio::ip::tcp::acceptor &acceptor, const HostAddress &address, Reason &reason)
 {
     using boost::asio::ip::tcp;
@@ -138,6 +163,8 @@
     }
     if (!error) {
         acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+        boost::system::error_code ignored;
+        acceptor.set_option(boost::asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
         acceptor.bind(endpoint, error);
     }
     if (!error) {
--- a/gateway/status_server.h
+++ b/gateway/status_server.h
@@ -1,13 +1,14 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <memory>
-#include <set>
 #include <string>
 #include <string_view>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "core/result_code.h"
 #include "core/settings.h"
@@ -24,7 +25,7 @@
 };
 
 /// A minimal HTTP server for the load balancer's readiness checks, for metrics and for operators, on an address of its own. It answers all
-/// methods alike, so that HEAD gets a body, and has no timeouts.
+/// methods alike, so that HEAD gets a body, and has no timeouts: while too many connections are open, the oldest is closed for a new one.
 class StatusServer
 {
 public:
@@ -46,10 +47,12 @@
     class Session;
 
     void accept();
+    void remove(const std::shared_ptr<Session> &session);
 
     boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer acceptTimer_; ///< Waits for descriptors.
     Handler handler_;
-    std::set<std::shared_ptr<Session>> sessions_;
+    std::deque<std::shared_ptr<Session>> sessions_; ///< Oldest first.
 };
 
 /// Opens a listening IPv4 socket, for any server of this host. Returns false and sets `reason` to ResultCode::SettingsOutOfRange if the address
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -4,6 +4,7 @@
 #include <random>
 
 #include "core/log.h"
+#include "memory/machine_limits.h"
 
 namespace Lovageloft
 {
@@ -71,6 +72,7 @@
     options.dataCentre = settings.dataCentre;
     options.limits = gatewayLimits(settings);
     options.callerBufferBytes = settings.callerBufferBytes();
+    options.connections = settings.connectionLimits();
     return options;
 }
 
@@ -118,6 +120,7 @@
     {"peers", &isSame<&GatewaySettings::peers>, false},
     {"capacity", &isSame<&GatewaySettings::capacity>, false},
     {"memory", &isSame<&GatewaySettings::memoryMegabytes>, false},
+    {"descriptors", &isSame<&GatewaySettings::descriptors>, false},
     {"leader_lease", &isSame<&GatewaySettings::leaderLease>, false},
     {"shortest_lease", &isSame<&GatewaySettings::minLeaseTimeToLive>, false},
     {"engines_check_fencing", &isSame<&GatewaySettings::enginesCheckFencing>, false},
@@ -135,14 +138,28 @@
     {"rollback_time", &isSame<&GatewaySettings::rollbackTime>, true},
 });
 
+/// Settings that the platform does not state follow from what the machine allows.
+GatewaySettings withMachineLimits(GatewaySettings settings)
+{
+    constexpr double bytesPerMegabyte = 1e6;
+    const MachineLimits machine = readMachineLimits();
+    if (settings.memoryMegabytes <= 0) {
+        settings.memoryMegabytes = static_cast<double>(machine.memoryBytes) / bytesPerMegabyte;
+    }
+    if (settings.descriptors == 0 || (machine.descriptors != 0 && machine.descriptors < settings.descriptors)) {
+        settings.descriptors = machine.descriptors;
+    }
+    return settings;
+}
+
 } // namespace
 
 GatewayHost::GatewayHost(const GatewaySettings &settings, std::uint16_t metricsPort)
-    : settings_(settings)
+    : settings_(withMachineLimits(settings))
     , store_({.address = settings.store})
     , measuredStore_(store_, metrics_)
     , relayedStore_(measuredStore_, settings.hostName)
-    , gateway_(gatewayOptions(settings, metricsPort), callerProtocol_, targetProtocol_, metrics_)
+    , gateway_(gatewayOptions(settings_, metricsPort), callerProtocol_, targetProtocol_, metrics_)
     , feed_(records_, listeners())
     , configurationDuty_(relayedStore_, records_, feed_)
     , proofDuty_(relayedStore_, records_, feed_, settings.configurationWindow)
--- a/tests/core/test_layers.cpp
+++ b/tests/core/test_layers.cpp
@@ -42,8 +42,8 @@
     {"drivers", {"core", "coordination", "decision"}},
     {"gateway", {"core", "coordination", "decision", "drivers", "estimation", "memory", "quota"}},
     {"platform", {"core", "coordination", "decision", "drivers", "gateway"}},
-    {"servers", {"core", "coordination", "decision", "drivers"}},
-    {"main", {"core", "coordination", "decision", "drivers", "gateway", "platform", "servers"}},
+    {"servers", {"core", "coordination", "decision", "drivers", "memory"}},
+    {"main", {"core", "coordination", "decision", "drivers", "gateway", "memory", "platform", "servers"}},
 };
 
 } // namespace
--- a/tests/system/child_process.cpp
+++ b/tests/system/child_process.cpp
@@ -1,6 +1,7 @@
 #include "tests/system/child_process.h"
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <regex>
 #include <sstream>
@@ -93,6 +94,30 @@
     return exitStatus_;
 }
 
+bool ChildProcess::isRunning()
+{
+    return !waitForExit(Duration::zero());
+}
+
+std::size_t ChildProcess::residentBytes() const
+{
+    constexpr std::size_t kibibyte = 1'024;
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("VmRSS:")) {
+            return std::stoul(line.substr(line.find_first_of("0123456789"))) * kibibyte;
+        }
+    }
+    return 0;
+}
+
+std::size_t ChildProcess::openDescriptors() const
+{
+    std::error_code ended;
+    const std::filesystem::directory_iterator descriptors("/proc/" + std::to_string(pid_) + "/fd", ended);
+    return ended ? 0 : static_cast<std::size_t>(std::distance(begin(descriptors), end(descriptors)));
+}
+
 std::string ChildProcess::output() const
 {
     const std::ifstream in(outputPath_);
--- a/tests/system/child_process.h
+++ b/tests/system/child_process.h
@@ -37,6 +37,13 @@
     /// The exit status, 128 + N for one that signal N ended, or nothing if it still runs after `limit`.
     std::optional<int> waitForExit(Duration limit);
 
+    /// Whether it still runs.
+    bool isRunning();
+
+    /// Its resident memory in bytes, and its open descriptors; 0 if it has ended.
+    std::size_t residentBytes() const;
+    std::size_t openDescriptors() const;
+
     /// All that it has printed.
     std::string output() const;
 
