The router on its own store bounds the memory of bodies, and gives it back

What callers saw: 60 bodies of 4 MiB took 486 to 712 MB, most of it for good. Cause: no size of memory was known, and the allocator keeps large blocks of each thread once some were freed. Change: callers.memory, by default 0.4 of what the machine allows; three times the length of a body counts; a body that doesn't fit ends the request that has been arriving longest, waits 0.5 s, or is refused with 503 and Retry-After. Threads follow the descriptors. Large blocks go back at once. A request that needs tokens within 20 ms waits for them, so that a team's first call is not refused with 429: not tested by itself.

--- a/core/settings.cpp
+++ b/core/settings.cpp
@@ -24,6 +24,7 @@
     {"callers", "port", &Settings::callerPort, 0, 65'535, "port", "Port that callers connect to; 0 takes any free one."},
     {"callers", "threads", &Settings::callerThreads, 4, 20'000, "connections", "Connections served at once."},
     {"callers", "body_limit", &Settings::bodyLimit, 1'024, 67'108'864, "bytes", "Largest body of a request."},
+    {"callers", "memory", &Settings::callerMemory, 0, 1'000'000'000'000, "bytes", "Memory for the bodies of all requests; 0: 0.4 of what the machine allows."},
     {"callers", "header_field_limit", &Settings::headerFieldLimit, 8, 1'000, "fields", "Most header fields of a request."},
     {"callers", "header_timeout", &Settings::headerTimeout, 100, maxTimeMs, "ms", "Longest time for a request's header and body to arrive."},
     {"callers", "keep_alive_timeout", &Settings::keepAliveTimeout, 100, maxTimeMs, "ms", "Longest idle time of a caller's connection."},
--- a/main/lovageloftd.cpp
+++ b/main/lovageloftd.cpp
@@ -6,6 +6,7 @@
 #include <thread>
 
 #include <Poco/Exception.h>
+#include <malloc.h>
 #include <pthread.h>
 #include <tclap/CmdLine.h>
 
@@ -78,8 +79,19 @@
     return signals;
 }
 
+/// Has the allocator return large blocks to the system when they are freed. By default it keeps those of each thread once some were freed, and a crowd of
+/// callers with large bodies would leave the process as large as it was at its peak.
+void limitKeptMemory()
+{
+    constexpr int largeBlockBytes = 131'072;
+    constexpr int arenas = 8;
+    mallopt(M_MMAP_THRESHOLD, largeBlockBytes);
+    mallopt(M_ARENA_MAX, arenas);
+}
+
 int serve(const Settings &settings, const sigset_t &signals)
 {
+    limitKeptMemory();
     RouterHost host(settings);
     Reason reason;
     if (!host.start(reason)) {
--- a/main/router_host.cpp
+++ b/main/router_host.cpp
@@ -7,6 +7,8 @@
 #include "coordination/memory_store.h"
 #include "core/log.h"
 #include "drivers/etcd_store.h"
+#include "memory/connection_budget.h"
+#include "memory/machine_limits.h"
 
 namespace Lovageloft
 {
@@ -33,6 +35,15 @@
     return std::make_unique<EtcdStore>(options);
 }
 
+/// Part of the machine's memory for the bodies of requests, where the settings don't say how much.
+constexpr double callerMemoryFraction = 0.4;
+
+std::size_t callerMemoryOf(const Settings &settings)
+{
+    const auto allowed = static_cast<double>(readMachineLimits().memoryBytes);
+    return settings.callerMemory != 0 ? static_cast<std::size_t>(settings.callerMemory) : static_cast<std::size_t>(allowed * callerMemoryFraction);
+}
+
 constexpr std::chrono::milliseconds drainCheckInterval{20};
 
 } // namespace
@@ -50,7 +61,8 @@
     , storeWatch_(settings_, *store_, configuration_, metrics_)
     , dispatcher_(settings_, configuration_)
     , engineObserver_(configuration_, dispatcher_, metrics_)
-    , parts_{settings_, metrics_, configuration_, shares_, tickets_, claims_, dispatcher_, drain_, deadlines_}
+    , callerMemory_(callerMemoryOf(settings_), [this] { return deadlines_.endOldestArriving(ConnectionBudget::minArrivalTime); })
+    , parts_{settings_, metrics_, configuration_, shares_, tickets_, claims_, dispatcher_, drain_, deadlines_, callerMemory_}
 {
     shares_.setTransport(peers_);
 }
--- a/main/router_host.h
+++ b/main/router_host.h
@@ -4,6 +4,7 @@
 
 #include "core/metrics.h"
 #include "core/settings.h"
+#include "servers/caller_memory.h"
 #include "servers/caller_server.h"
 #include "servers/engine_observer.h"
 #include "servers/operator_server.h"
@@ -51,6 +52,7 @@
     ConnectionDeadlines deadlines_;
     Dispatcher dispatcher_;
     EngineObserver engineObserver_;
+    CallerMemory callerMemory_;
     RouterParts parts_;
     std::unique_ptr<CallerServer> callers_;
     std::unique_ptr<OperatorServer> operators_;
--- a/servers/caller_connection.cpp
+++ b/servers/caller_connection.cpp
@@ -21,6 +21,12 @@
 constexpr std::size_t readSize = 65'536;
 constexpr std::size_t bodyReadSize = 262'144;
 
+/// A body is held as received, parsed, and as sent to its target.
+constexpr std::size_t copiesOfBody = 3;
+
+/// When a caller may come back whose body did not fit.
+constexpr Duration memoryRetryAfter = std::chrono::seconds(1);
+
 /// Poco names what is wrong with a header only in words.
 ResultCode codeOf(const Poco::Net::MessageException &error)
 {
@@ -83,8 +89,9 @@
 {
     CallerExchange exchange{"req-" + randomHex(idBytes), request, response, {}, descriptor_, {}};
     const auto refuseAndClose = [&](const Reason &reason) {
+        const Duration retryAfter = reason.code == ResultCode::Overloaded ? memoryRetryAfter : Duration::zero();
         countRequest(parts_.metrics, reason.code);
-        sendRefusal(response, {reason}, exchange.id, false);
+        sendRefusal(response, {reason, RunState::NotRun, retryAfter}, exchange.id, false);
         return false;
     };
     if (request.size() > static_cast<std::size_t>(parts_.settings.headerFieldLimit)) {
@@ -93,11 +100,15 @@
     if (request.hasContentLength() && request.getContentLength64() > parts_.settings.bodyLimit) {
         return refuseAndClose({ResultCode::BodyTooLarge, {}});
     }
+    CallerMemory::Reservation memory(parts_.callerMemory);
+    if (request.hasContentLength() && !memory.growTo(copiesOfBody * static_cast<std::size_t>(request.getContentLength64()))) {
+        return refuseAndClose({ResultCode::Overloaded, "no memory is left for the request's body"});
+    }
     if (request.getExpectContinue()) {
         response.sendContinue();
     }
     Reason reason;
-    auto body = readBody(request, request.session(), reason);
+    auto body = readBody(request, request.session(), memory, reason);
     const bool isInTime = parts_.deadlines.setServing(descriptor_);
     if (!isInTime) {
         return refuseAndClose({ResultCode::CallerTooSlow, {}});
@@ -112,7 +123,8 @@
     return true;
 }
 
-std::optional<std::string> CallerConnection::readBody(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerSession &session, Reason &reason)
+std::optional<std::string>
+CallerConnection::readBody(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerSession &session, CallerMemory::Reservation &memory, Reason &reason)
 {
     const auto limit = static_cast<std::size_t>(parts_.settings.bodyLimit);
     std::string body;
@@ -122,6 +134,10 @@
     std::istream &in = request.stream();
     while (in.good()) {
         const std::size_t end = body.size();
+        if (!memory.growTo(copiesOfBody * (end + readSize))) {
+            reason = {ResultCode::Overloaded, "no memory is left for the request's body"};
+            return std::nullopt;
+        }
         body.resize(end + readSize);
         in.read(body.data() + end, readSize);
         body.resize(end + static_cast<std::size_t>(in.gcount()));
--- a/servers/caller_connection.h
+++ b/servers/caller_connection.h
@@ -5,6 +5,7 @@
 #include <Poco/Net/TCPServerConnection.h>
 
 #include "servers/caller_exchange.h"
+#include "servers/caller_memory.h"
 #include "servers/router_parts.h"
 
 namespace Poco::Net
@@ -28,7 +29,8 @@
     /// Serves one request; false if the connection can't be used any further.
     bool serve(Poco::Net::HTTPServerSession &session);
     bool answer(Poco::Net::HTTPServerRequestImpl &request, Poco::Net::HTTPServerResponseImpl &response);
-    std::optional<std::string> readBody(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerSession &session, Reason &reason);
+    std::optional<std::string>
+    readBody(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerSession &session, CallerMemory::Reservation &memory, Reason &reason);
     static std::optional<std::string> readBodyOfLength(std::size_t length, Poco::Net::HTTPServerSession &session, Reason &reason);
     void closeGently();
     void refuseUnread(Poco::Net::HTTPServerSession &session, ResultCode code);
--- a/servers/caller_server.cpp
+++ b/servers/caller_server.cpp
@@ -1,9 +1,12 @@
 #include "servers/caller_server.h"
 
+#include <algorithm>
+
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/TCPServerConnectionFactory.h>
 
 #include "drivers/listener.h"
+#include "memory/machine_limits.h"
 #include "servers/caller_connection.h"
 
 namespace Lovageloft
@@ -37,12 +40,23 @@
     Poco::Net::HTTPServerParams::Ptr params_;
 };
 
+/// A connection takes a descriptor, and one to its target; others wait in the queue.
+constexpr std::size_t descriptorsPerThread = 4;
+
+/// The connections served at once, as the settings say and as far as descriptors allow.
+int threadCount(const Settings &settings)
+{
+    const auto threads = static_cast<int>(settings.callerThreads);
+    const std::size_t descriptors = readMachineLimits().descriptors;
+    return descriptors != 0 ? std::clamp(static_cast<int>(descriptors / descriptorsPerThread), minimumThreads, threads) : threads;
+}
+
 Poco::Net::HTTPServerParams::Ptr makeParams(const Settings &settings)
 {
     constexpr int microseconds = 1'000;
     Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
-    params->setMaxThreads(static_cast<int>(settings.callerThreads));
-    params->setMaxQueued(static_cast<int>(settings.callerThreads));
+    params->setMaxThreads(threadCount(settings));
+    params->setMaxQueued(threadCount(settings));
     // Twice the deadline, which ConnectionDeadlines holds: that one knows why it ended the wait.
     params->setTimeout(Poco::Timespan(2 * settings.headerTimeout * microseconds));
     params->setKeepAlive(true);
@@ -54,7 +68,7 @@
 } // namespace
 
 CallerServer::CallerServer(RouterParts &parts)
-    : threads_(minimumThreads, static_cast<int>(parts.settings.callerThreads), threadIdleSeconds, stackSize)
+    : threads_(minimumThreads, threadCount(parts.settings), threadIdleSeconds, stackSize)
 {
     const Poco::Net::HTTPServerParams::Ptr params = makeParams(parts.settings);
     const Poco::Net::SocketAddress address(parts.settings.callerAddress, static_cast<std::uint16_t>(parts.settings.callerPort));
--- a/servers/connection_deadlines.cpp
+++ b/servers/connection_deadlines.cpp
@@ -42,7 +42,8 @@
 void ConnectionDeadlines::setArriving(int socket, Duration limit)
 {
     const std::lock_guard lock(mutex_);
-    connections_[socket] = {State::Arriving, BootClock::now() + limit, false};
+    const TimePoint now = BootClock::now();
+    connections_[socket] = {State::Arriving, now, now + limit, false};
 }
 
 bool ConnectionDeadlines::setServing(int socket)
@@ -53,6 +54,28 @@
     return !connection.isLate;
 }
 
+bool ConnectionDeadlines::endOldestArriving(Duration minAge)
+{
+    const std::lock_guard lock(mutex_);
+    const TimePoint youngest = BootClock::now() - minAge;
+    auto oldest = connections_.end();
+    for (auto entry = connections_.begin(); entry != connections_.end(); ++entry) {
+        const Connection &connection = entry->second;
+        if (connection.state != State::Arriving || connection.isLate || connection.since > youngest) {
+            continue;
+        }
+        if (oldest == connections_.end() || connection.since < oldest->second.since) {
+            oldest = entry;
+        }
+    }
+    if (oldest == connections_.end()) {
+        return false;
+    }
+    oldest->second.isLate = true;
+    shutdown(oldest->first, SHUT_RD);
+    return true;
+}
+
 void ConnectionDeadlines::remove(int socket)
 {
     const std::lock_guard lock(mutex_);
--- a/servers/connection_deadlines.h
+++ b/servers/connection_deadlines.h
@@ -32,6 +32,9 @@
     /// The request is whole; nothing ends the connection now. True if it came in time.
     bool setServing(int socket);
 
+    /// Ends the request that has been arriving longest, if for at least `minAge`. Returns whether there was one.
+    bool endOldestArriving(Duration minAge);
+
     /// The connection is over; must be called before its socket is closed.
     void remove(int socket);
 
@@ -49,6 +52,7 @@
     struct Connection
     {
         State state = State::Idle;
+        TimePoint since;
         TimePoint deadline;
         bool isLate = false;
     };
--- a/servers/router_parts.h
+++ b/servers/router_parts.h
@@ -2,6 +2,7 @@
 
 #include "core/metrics.h"
 #include "core/settings.h"
+#include "servers/caller_memory.h"
 #include "servers/claim_service.h"
 #include "servers/configuration_service.h"
 #include "servers/connection_deadlines.h"
@@ -25,6 +26,7 @@
     Dispatcher &dispatcher;
     DrainState &drain;
     ConnectionDeadlines &deadlines;
+    CallerMemory &callerMemory;
 };
 
 } // namespace Lovageloft
--- a/servers/share_service.cpp
+++ b/servers/share_service.cpp
@@ -1,5 +1,6 @@
 #include "servers/share_service.h"
 
+#include <thread>
 #include <utility>
 
 namespace Lovageloft
@@ -8,6 +9,16 @@
 namespace
 {
 
+/// A request waits for tokens that come so soon in place of its caller, for whom a round trip takes longer; a few times, as others may take them. A team's
+/// bucket begins empty, so that its first call would else be refused.
+constexpr Duration maxTokenWait = std::chrono::milliseconds(20);
+constexpr int maxTokenWaits = 3;
+
+} // namespace
+
+namespace
+{
+
 std::chrono::steady_clock::time_point steadyTime(TimePoint time)
 {
     return std::chrono::steady_clock::now() + (time - BootClock::now());
@@ -31,18 +42,32 @@
 std::optional<ShareService::Charge> ShareService::charge(std::string_view team, double tokens, Refusal &refusal)
 {
     std::unique_lock lock(mutex_);
-    const std::uint64_t id = ++lastId_;
+    for (int waits = 0;; ++waits) {
+        const std::uint64_t id = ++lastId_;
+        const ShareDecision decision = decide(lock, team, tokens, id);
+        if (decision.verdict == ShareVerdict::Admit) {
+            return Charge{id, tokens};
+        }
+        const bool comesSoon = decision.retryAfter > Duration::zero() && decision.retryAfter <= maxTokenWait;
+        if (!comesSoon || waits == maxTokenWaits) {
+            refusal = {decision.reason, RunState::NotRun, decision.retryAfter};
+            return std::nullopt;
+        }
+        lock.unlock();
+        std::this_thread::sleep_for(decision.retryAfter);
+        lock.lock();
+    }
+}
+
+ShareDecision ShareService::decide(std::unique_lock<std::mutex> &lock, std::string_view team, double tokens, std::uint64_t id)
+{
     ShareDecision decision = ledger_.admit(team, tokens, id, BootClock::now());
     send(decision);
-    if (decision.verdict == ShareVerdict::Pending) {
-        metrics_.add("lovageloft_remote_debits_total");
-        decision = waitForAnswers(lock, std::move(decision));
-    }
-    if (decision.verdict != ShareVerdict::Admit) {
-        refusal = {decision.reason, RunState::NotRun, decision.retryAfter};
-        return std::nullopt;
+    if (decision.verdict != ShareVerdict::Pending) {
+        return decision;
     }
-    return Charge{id, tokens};
+    metrics_.add("lovageloft_remote_debits_total");
+    return waitForAnswers(lock, std::move(decision));
 }
 
 ShareDecision ShareService::waitForAnswers(std::unique_lock<std::mutex> &lock, ShareDecision asked)
--- a/servers/share_service.h
+++ b/servers/share_service.h
@@ -74,6 +74,7 @@
         std::optional<ShareDecision> decision;
     };
 
+    ShareDecision decide(std::unique_lock<std::mutex> &lock, std::string_view team, double tokens, std::uint64_t id);
     ShareDecision waitForAnswers(std::unique_lock<std::mutex> &lock, ShareDecision asked);
     void send(const ShareDecision &decision);
 
