--- a/memory/connection_budget.cpp
+++ b/memory/connection_budget.cpp
@@ -22,11 +22,6 @@
 {
 }
 
-void ConnectionBudget::setLimits(const ConnectionLimits &limits)
-{
-    limits_ = limits;
-}
-
 ConnectionBudget::ConnectionId ConnectionBudget::open(TimePoint now)
 {
     connections_.emplace(++lastConnection_, Connection{CallerPhase::Idle, now, 0, 0});
--- a/memory/connection_budget.h
+++ b/memory/connection_budget.h
@@ -46,8 +46,6 @@
 
     explicit ConnectionBudget(const ConnectionLimits &limits = {});
 
-    void setLimits(const ConnectionLimits &limits);
-
     ConnectionId open(TimePoint now);
 
     /// Does nothing if the connection is not registered.
@@ -85,11 +83,6 @@
         return bytes_;
     }
 
-    const ConnectionLimits &limits() const
-    {
-        return limits_;
-    }
-
 private:
     struct Connection
     {
--- a/tests/system/crowd.cpp
+++ b/tests/system/crowd.cpp
@@ -73,11 +73,4 @@
     }
 }
 
-void Crowd::send(std::string_view bytes)
-{
-    for (const int descriptor : sockets_) {
-        static_cast<void>(::send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT));
-    }
-}
-
 } // namespace Lovageloft
--- a/tests/system/crowd.h
+++ b/tests/system/crowd.h
@@ -23,9 +23,6 @@
     /// A connection that the peer refuses or resets is given up.
     void open(std::uint16_t port, std::size_t count, std::string_view bytes);
 
-    /// Sends more bytes on all connections, as far as the peer takes them at once.
-    void send(std::string_view bytes);
-
 private:
     std::vector<int> sockets_;
 };
