Tests: a link keeps its port while it refuses connections

Cause: a LinkProxy that resets or refuses connections closes its listening socket, and its port was free then. All test programs take these ports from the same range, so that a link of a program that runs at the same time can get it; requests over the link reach the targets of that test, some of which answer "whole". Change: a LinkProxy reserves its port (PortReservation) for as long as it exists. Evidence: aLinkKeepsItsPortWhileItRefusesConnections fails 4 checks with the LinkProxy before (the port is given out again at once), none now.

--- a/tests/stand_ins/link_proxy.cpp
+++ b/tests/stand_ins/link_proxy.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
+#include "tests/stand_ins/port_reservation.h"
+
 namespace Lovageloft::StandIns
 {
 
@@ -22,8 +24,13 @@
 
 constexpr int listenBacklog = 128;
 constexpr std::size_t bufferBytes = 16'384;
-constexpr std::uint16_t lowestPort = 10'000;
-constexpr std::uint16_t portCount = 8'000;
+
+/// Where to search for a port: another place for each proxy, and for proxies of other processes.
+std::size_t nextStart()
+{
+    static std::atomic<std::size_t> next = static_cast<std::size_t>(std::chrono::steady_clock::now().time_since_epoch().count() / 1'000);
+    return next++;
+}
 
 void resetConnection(tcp::socket &socket)
 {
@@ -39,13 +46,11 @@
 public:
     Forwarder(boost::asio::io_context &loop, std::uint16_t targetPort)
         : loop_(loop)
+        , reservation_(1, nextStart())
+        , own_(boost::asio::ip::address_v4::loopback(), reservation_.ports().at(0))
         , target_(boost::asio::ip::address_v4::loopback(), targetPort)
     {
-        static std::atomic<unsigned> next = static_cast<unsigned>(std::chrono::steady_clock::now().time_since_epoch().count() / 1'000);
-        while (!acceptor_) {
-            own_ = {boost::asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(lowestPort + next++ % portCount)};
-            listen(listenBacklog);
-        }
+        listen(listenBacklog);
         accept();
     }
 
@@ -204,6 +209,7 @@
     }
 
     boost::asio::io_context &loop_;
+    PortReservation reservation_; ///< Keeps the port while no connections are accepted.
     tcp::endpoint own_;
     tcp::endpoint target_;
     LinkMode mode_ = LinkMode::Up;
--- a/tests/stand_ins/test_port_reservation.cpp
+++ b/tests/stand_ins/test_port_reservation.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "drivers/listener.h"
+#include "tests/stand_ins/link_proxy.h"
 #include "tests/stand_ins/port_reservation.h"
 
 using namespace Lovageloft::StandIns;
@@ -36,3 +37,18 @@
     Poco::Net::ServerSocket other;
     BOOST_CHECK_THROW(other.bind(address, false, false), Poco::Exception);
 }
+
+// Guards against a link whose port another test gets while it refuses connections: requests would reach that test's targets.
+BOOST_AUTO_TEST_CASE(aLinkKeepsItsPortWhileItRefusesConnections)
+{
+    constexpr std::size_t firstPort = 10'000;
+    for (const LinkMode mode : {LinkMode::Reset, LinkMode::RefusesNew}) {
+        LinkProxy link(1);
+        link.setMode(mode);
+        const PortReservation other(1, link.port() - firstPort);
+        BOOST_REQUIRE(other.ports().size() == 1U);
+        BOOST_TEST(other.ports().front() != link.port());
+        link.setMode(LinkMode::Up);
+        BOOST_TEST(link.port() != other.ports().front());
+    }
+}
