Test of a host out of step: streams break all at once, whatever the machine's speed

Cause: each stream was broken off by its target before the next was begun, after a pause of 100 ms, one after the other; how many fit into the time hangs on the machine's load. Change: the streams begin and stay open; their targets break them off together once all 12 have begun, as in the incident. Checks, counts and the limit of 8 s are as before; that each stream was broken after its first events is checked besides.

--- a/tests/system/test_host_out_of_step.cpp
+++ b/tests/system/test_host_out_of_step.cpp
@@ -1,5 +1,5 @@
-#include <atomic>
 #include <chrono>
+#include <future>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -26,11 +26,12 @@
 constexpr int eventCount = 4;
 constexpr std::size_t eventsBefore = 2;
 
-/// Until a host has read the first events of a stream: a reset discards what the peer has not read yet.
-constexpr Duration readTime = 100ms;
-
-/// Targets of a version stream events that name it. Those of v2 break off a new stream after its first events, and never go on with one.
-void streamEvents(const std::string &version, ScriptedTarget::Connection &connection, const ScriptedTarget::Request &request)
+/// Targets of a version stream events that name it. Those of v2 break off a new stream after its first events, once `isBroken` is set, and never go on
+/// with one.
+void streamEvents(const std::string &version,
+                  const std::shared_future<void> &isBroken,
+                  ScriptedTarget::Connection &connection,
+                  const ScriptedTarget::Request &request)
 {
     if (request.head.find(" /resume/") == std::string::npos) {
         connection.answer(request, 200, version);
@@ -45,7 +46,7 @@
     for (int id = last.empty() ? 1 : std::stoi(last) + 1; id <= eventCount; ++id) {
         connection.sendEvent(id, version);
         if (version == "v2" && id == static_cast<int>(eventsBefore)) {
-            std::this_thread::sleep_for(readTime);
+            isBroken.wait();
             connection.reset();
             return;
         }
@@ -53,10 +54,11 @@
     connection.endStream();
 }
 
-void add(PlatformFleet &fleet, const std::string &id, const std::string &version)
+void add(PlatformFleet &fleet, const std::string &id, const std::string &version, const std::shared_future<void> &isBroken)
 {
-    fleet.addTarget(
-        id, version, [version](ScriptedTarget::Connection &connection, const ScriptedTarget::Request &request) { streamEvents(version, connection, request); });
+    fleet.addTarget(id, version, [version, isBroken](ScriptedTarget::Connection &connection, const ScriptedTarget::Request &request) {
+        streamEvents(version, isBroken, connection, request);
+    });
 }
 
 /// Fills the buffer of a host's socket for datagrams, so that the kernel drops what others send until the host reads again.
@@ -80,8 +82,10 @@
 BOOST_AUTO_TEST_CASE(aHostThatStoodStillJoinsNoStreamOfAVersionThatHasGone)
 {
     PlatformFleet fleet({hostCount, {}, "{}"});
-    add(fleet, "a", "v1");
-    add(fleet, "b", "v1");
+    std::promise<void> streamsBreak;
+    const std::shared_future<void> isBroken = streamsBreak.get_future().share();
+    add(fleet, "a", "v1", isBroken);
+    add(fleet, "b", "v1", isBroken);
     fleet.start();
     std::this_thread::sleep_for(11s); // Streams can be resumed for ten seconds: the hosts have seen all versions since then.
     const bool isFirstLeader = fleet.leader() == candidates[0]; // The leader records that there are two versions.
@@ -90,20 +94,25 @@
     fleet.host(frozen).freeze();
     fillSocket(fleet.peerPort(frozen));
     for (const char *id : {"c", "d", "e", "f"}) {
-        add(fleet, id, "v2");
+        add(fleet, id, "v2", isBroken);
     }
     std::vector<std::unique_ptr<StreamCaller>> callers;
     int begun = 0;
     waitFor(8s, [&] {
         auto caller = std::make_unique<StreamCaller>("s" + std::to_string(++begun));
         caller->send(fleet.callerPort(other));
-        caller->readEvents(eventsBefore + 1);
+        caller->readEvents(eventsBefore);
         if (!caller->events().empty() && caller->events().front().data == "v2") {
             callers.push_back(std::move(caller));
         }
         return callers.size() >= streamCount;
     });
     BOOST_REQUIRE_EQUAL(callers.size(), streamCount);
+    streamsBreak.set_value();
+    for (const auto &caller : callers) {
+        caller->readAll();
+        BOOST_TEST(caller->events().size() == eventsBefore);
+    }
     for (const char *id : {"c", "d", "e", "f"}) {
         fleet.unlistTarget(id);
     }
