An ordered version gets no request while other hosts may not list it

What callers could see: events of two versions in one stream, as in the incident of hosts out of step. Cause: a version under an order skips the delay of new versions, as its rollout decides on its requests. Found by the review of the incident's trace, by reading; no joined stream was seen by it. Evidence: anOrderedVersionThatIsNewGetsNoRequests fails without the check, passes with it.

--- a/coordination/serving_versions.cpp
+++ b/coordination/serving_versions.cpp
@@ -152,6 +152,12 @@
     return ids;
 }
 
+bool ServingVersions::isNew(std::string_view name, std::string_view version) const
+{
+    const auto service = services_.find(name);
+    return service != services_.end() && service->second.newSince.contains(version);
+}
+
 std::map<std::string, std::string> ServingVersions::unrecorded() const
 {
     std::map<std::string, std::string> versions;
--- a/coordination/serving_versions.h
+++ b/coordination/serving_versions.h
@@ -87,6 +87,9 @@
     /// Ids of the targets of a version that have not announced their shutdown.
     std::vector<std::string> targetsOf(std::string_view service, std::string_view version) const;
 
+    /// Whether a version of a service is listed and new, so that other hosts may not know of it.
+    bool isNew(std::string_view service, std::string_view version) const;
+
     /// Serving versions that differ from the recorded ones, by service. Empty before the first call of setRecorded().
     std::map<std::string, std::string> unrecorded() const;
 
--- a/gateway/rollouts.cpp
+++ b/gateway/rollouts.cpp
@@ -116,6 +116,10 @@
         if (!isRunning(service) || !service.record || service.record->order != service.order->revision || serving == service.order->order.version) {
             continue;
         }
+        // A host that doesn't know of the version yet would resume its streams at another one.
+        if (versions_.isNew(name, service.order->order.version)) {
+            continue;
+        }
         std::vector<std::string> ids = versions_.targetsOf(name, service.order->order.version);
         std::erase_if(ids, [&service = service](const std::string &id) { return service.client.excludedTargets().contains(rolloutDigest(id)); });
         std::sort(ids.begin(), ids.end(), [](const std::string &left, const std::string &right) { return rolloutDigest(left) < rolloutDigest(right); });
@@ -131,6 +135,7 @@
 
 void Rollouts::tick(TimePoint now)
 {
+    updateCandidates();
     for (auto &[name, service] : services_) {
         const bool isSwitching = service.record && service.record->phase == RolloutPhase::Switching;
         if ((isRunning(service) || isSwitching) && now >= service.nextReport) {
--- a/gateway/rollouts.h
+++ b/gateway/rollouts.h
@@ -60,7 +60,7 @@
     /// Applies a record that the store holds.
     void setRecord(const std::string &service, const RolloutRecord &record);
 
-    /// To be called after the list of targets has changed.
+    /// To be called after the list of targets has changed. The ordered version has candidates once it is not new any more.
     void updateCandidates();
 
     /// Sends reports and, on the leader, decides; to be called several times a second.
--- a/gateway/version_guard.cpp
+++ b/gateway/version_guard.cpp
@@ -76,6 +76,11 @@
     return versions_.targetsOf(service, version);
 }
 
+bool VersionGuard::isNew(std::string_view service, std::string_view version) const
+{
+    return versions_.isNew(service, version);
+}
+
 void VersionGuard::requireSkewRecords()
 {
     versions_.requireSkewRecords();
--- a/gateway/version_guard.h
+++ b/gateway/version_guard.h
@@ -57,6 +57,9 @@
     /// Ids of the targets of a version that have not announced their shutdown.
     std::vector<std::string> targetsOf(std::string_view service, std::string_view version) const;
 
+    /// See ServingVersions::isNew.
+    bool isNew(std::string_view service, std::string_view version) const;
+
     /// See ServingVersions::requireSkewRecords. Must be called before the event loop runs.
     void requireSkewRecords();
 
--- a/tests/gateway/test_rollout_parts.cpp
+++ b/tests/gateway/test_rollout_parts.cpp
@@ -7,6 +7,7 @@
 #include "gateway/rollout_client.h"
 #include "gateway/rollout_codec.h"
 #include "gateway/rollout_duty.h"
+#include "gateway/rollouts.h"
 
 using namespace Lovageloft;
 using namespace std::chrono_literals;
@@ -202,4 +203,42 @@
     BOOST_TEST(report.evidence.targets.at(0).bad == 1U);
 }
 
+// Guards against streams that begin on an ordered version which hosts out of step don't list yet: they would resume them at another version.
+BOOST_AUTO_TEST_CASE(anOrderedVersionThatIsNewGetsNoRequests)
+{
+    const auto target = [](const std::string &id, const std::string &version) {
+        Target target;
+        target.id = id;
+        target.service = "s";
+        target.softwareVersion = version;
+        return target;
+    };
+    const auto endDelay = [](VersionGuard &versions) {
+        const TimePoint later = BootClock::now() + ServingVersions::newVersionDelay;
+        versions.tick(later, later);
+    };
+    std::set<std::string, std::less<>> candidates;
+    VersionGuard versions([](const auto &) {});
+    Rollouts rollouts("a",
+                      versions,
+                      {[](const std::string &, const RolloutReport &) {},
+                       [&candidates](const auto &ids) { candidates = ids; },
+                       [](std::string_view, std::string_view) { return 0U; }});
+    rollouts.setHosts({"a"});
+    TargetMap targets{{"old", target("old", "v1")}};
+    versions.setTargets(targets);
+    endDelay(versions);
+    constexpr std::int64_t order = 7;
+    rollouts.setOrder("s", {{"s", "v2", 60s}, order, BootClock::now()});
+    rollouts.setRecord("s", {1, RolloutPhase::Running, 0, order, {}, "v2"});
+    targets.emplace("new", target("new", "v2"));
+    versions.setTargets(targets);
+    rollouts.updateCandidates();
+    rollouts.tick(BootClock::now());
+    BOOST_TEST(candidates.empty());
+    endDelay(versions);
+    rollouts.tick(BootClock::now());
+    BOOST_TEST(candidates.contains("new"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
