An answer that ends before its upload has arrived is complete only if the target takes the upload

What callers saw: the part of an answer without a length as all of it. A target closed its side while the rest of the upload was on its way, and the reset that this rest met came after the end had been taken for orderly. Cause: the end was held back only while bytes of the request were unsent here; those that the kernel had taken and the target had not acknowledged did not count. Change: on connections opened here, a peer's end is reported once all that was sent is acknowledged (SIOCOUTQ, looked at each 5 ms), and as a reset if the connection is reset before. The kernel bounds the wait (TCP_USER_TIMEOUT). A second closeAfterSending() on a connection no longer counts twice among those that linger.

--- a/drivers/tcp_connection.cpp
+++ b/drivers/tcp_connection.cpp
@@ -2,8 +2,10 @@
 
 #include <utility>
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace Lovageloft
@@ -26,6 +28,9 @@
 constexpr int probeIntervalSeconds = 1;
 constexpr int probeCount = 2;
 
+/// How often to look whether a peer that has closed its side has taken the rest of what it is owed.
+constexpr std::chrono::milliseconds acknowledgementInterval{5};
+
 /// How long to wait after closing the sending side until the peer has read the last response: a few round trips.
 constexpr std::chrono::milliseconds lingerTime{1'000};
 
@@ -162,6 +167,16 @@
     isPaused_ = true;
 }
 
+void TcpConnection::setReceiveBuffer(std::size_t bytes)
+{
+    setOption(socket_.native_handle(), SOL_SOCKET, SO_RCVBUF, static_cast<int>(bytes));
+}
+
+bool TcpConnection::isReadingPaused() const
+{
+    return isPaused_;
+}
+
 void TcpConnection::resumeReading()
 {
     isPaused_ = false;
@@ -181,7 +196,7 @@
 void TcpConnection::closeAfterSending()
 {
     events_ = nullptr;
-    if (!isOpen_) {
+    if (!isOpen_ || isLingering_) {
         return;
     }
     if (lingering >= maxLingering) {
@@ -248,8 +263,9 @@
             break;
         }
         const bool isEnd = error == boost::asio::error::eof && !hasFailed_;
-        if (isEnd && isConnected_ && !unsent_.empty()) {
+        if (isEnd && isConnected_ && (!unsent_.empty() || hasUnacknowledged())) {
             hasPeerEnded_ = true;
+            finishOnceAcknowledged();
             return;
         }
         if (error) {
@@ -306,7 +322,7 @@
         return;
     }
     if (hasPeerEnded_) {
-        finish(false);
+        finishOnceAcknowledged();
     } else if (isLingering_) {
         startLinger();
     } else if (events_ != nullptr) {
@@ -357,6 +373,33 @@
     }
 }
 
+bool TcpConnection::hasUnacknowledged()
+{
+    int bytes = 0;
+    return ::ioctl(socket_.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
+/// Reports the peer's end once it has taken all that it is owed, or as a reset if it doesn't. The kernel ends the connection if the peer is silent.
+void TcpConnection::finishOnceAcknowledged()
+{
+    if (!isOpen_ || !unsent_.empty()) {
+        return;
+    }
+    int failure = 0;
+    socklen_t size = sizeof failure;
+    ::getsockopt(socket_.native_handle(), SOL_SOCKET, SO_ERROR, &failure, &size);
+    if (failure != 0 || !hasUnacknowledged()) {
+        finish(failure != 0);
+        return;
+    }
+    timer_.expires_after(acknowledgementInterval);
+    timer_.async_wait([self = shared_from_this()](const ErrorCode &error) {
+        if (!error) {
+            self->finishOnceAcknowledged();
+        }
+    });
+}
+
 void TcpConnection::startLinger()
 {
     if (!isOpen_) {
--- a/drivers/tcp_connection.h
+++ b/drivers/tcp_connection.h
@@ -36,7 +36,7 @@
     virtual void onBytes(std::string_view bytes) = 0;
 
     /// The peer closed its side, or the connection failed (`isReset`). No further event follows. On a connection that was opened here, a peer that closes its
-    /// side while bytes are unsent has failed if it doesn't take these.
+    /// side before it has acknowledged all that was sent has failed if it resets the connection instead.
     virtual void onClosed(bool isReset) = 0;
 
     /// The kernel has taken all sent bytes.
@@ -78,6 +78,12 @@
     void sendShared(const std::shared_ptr<const std::string> &bytes) override;
     std::size_t unsent() const override;
     void pauseReading() override;
+
+    /// Bytes of the kernel's receive buffer to ask for; the kernel doubles the figure.
+    void setReceiveBuffer(std::size_t bytes);
+
+    /// Whether reading is paused, so that the kernel holds what the peer sends.
+    bool isReadingPaused() const;
     void resumeReading() override;
     void close() override;
 
@@ -117,6 +123,8 @@
     void buffer(std::string_view bytes);
     void dropSent(std::size_t bytes);
     void finish(bool isReset);
+    bool hasUnacknowledged();
+    void finishOnceAcknowledged();
     void startLinger();
     void startStallTimer();
 
--- a/tests/platform/test_answers_to_uploads.cpp
+++ b/tests/platform/test_answers_to_uploads.cpp
@@ -24,6 +24,10 @@
 
 constexpr std::size_t uploadBytes = 4'000'000;
 
+/// The kernel of the host takes all of it at once, and that of a target with `smallReceiveBuffer` only a part.
+constexpr std::size_t smallUploadBytes = 12'000;
+constexpr int smallReceiveBuffer = 2'048;
+
 using Socket = Poco::Net::StreamSocket;
 
 /// A target that answers as soon as it has read the head of a request, and then ends as the test says.
@@ -32,13 +36,17 @@
 public:
     using Ending = std::function<void(Socket &socket)>;
 
-    HastyTarget(std::string statusLine, std::string fields, Ending ending)
+    /// `receiveBufferBytes` limits what the kernel takes of a request that is not read; 0 for its default.
+    HastyTarget(std::string statusLine, std::string fields, Ending ending, int receiveBufferBytes = 0)
         : statusLine_(std::move(statusLine))
         , fields_(std::move(fields))
         , ending_(std::move(ending))
         , server_(Poco::Net::SocketAddress("127.0.0.1", 0))
-        , thread_([this] { run(); })
     {
+        if (receiveBufferBytes != 0) {
+            server_.setReceiveBufferSize(receiveBufferBytes);
+        }
+        thread_ = std::thread([this] { run(); });
     }
 
     ~HastyTarget()
@@ -181,6 +189,36 @@
     }
 }
 
+// Guards against a part of an answer that callers take for all of it: its target closes its side, and resets the connection when the host has sent the
+// request, but has not had all of it acknowledged.
+BOOST_AUTO_TEST_CASE(anAnswerThatIsResetBeforeTheUploadHasArrivedIsNotComplete)
+{
+    for (const HastyTarget::Ending &ending : {brokenEnds().back().ending, HastyTarget::Ending([](Socket &socket) { socket.close(); })}) {
+        HastyTarget target("HTTP/1.1 200 OK", {}, ending, smallReceiveBuffer);
+        addTargetAt("a", target.port());
+        const std::string answer = exchange(request("POST", "/once/x", std::string(smallUploadBytes, 'x')));
+        BOOST_TEST(!answer.starts_with("HTTP/1.1 200 "));
+    }
+}
+
+// Guards against such answers that are lost though the target reads on.
+BOOST_AUTO_TEST_CASE(anAnswerThatEndsBeforeASmallUploadHasArrivedIsCompleteIfTheTargetReadsOn)
+{
+    HastyTarget target(
+        "HTTP/1.1 200 OK",
+        {},
+        [](Socket &socket) {
+            socket.shutdownSend();
+            std::this_thread::sleep_for(100ms);
+            readTo(socket, smallUploadBytes);
+            socket.close();
+        },
+        smallReceiveBuffer);
+    addTargetAt("a", target.port());
+    const std::string answer = exchange(request("POST", "/once/x", std::string(smallUploadBytes, 'x')));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200 "), answer.substr(0, 300));
+}
+
 // Guards against answers without a length that are lost because the target reads the rest of the request after it has ended its answer.
 BOOST_AUTO_TEST_CASE(anAnswerThatEndsBeforeTheUploadIsCompleteIfTheTargetReadsOn)
 {
