--- a/servers/share_service.cpp
+++ b/servers/share_service.cpp
@@ -14,11 +14,6 @@
 constexpr Duration maxTokenWait = std::chrono::milliseconds(20);
 constexpr int maxTokenWaits = 3;
 
-} // namespace
-
-namespace
-{
-
 std::chrono::steady_clock::time_point steadyTime(TimePoint time)
 {
     return std::chrono::steady_clock::now() + (time - BootClock::now());
