The router on its own store counts connections and heads of callers as well

What was seen: callers who begin heads or small bodies and leave them make the router grow beyond any setting. It is told of 48 MB for callers, and may hold 112 MB with its own: 1,500 bodies of 16 KiB one byte short, 133 MB; 1,500 heads of 15 KB without an end, 125 MB; 300 heads of 675 KB, 274 MB. Cause: only bodies were counted. A connection costs a thread and the library's buffers, and the library accepts heads of 860 KB. Change: one account (CallerMemory) for connections, heads and bodies. A head reserves the most that the library accepts until it has arrived, then its size; heads that arrive in one piece hold that for a moment only. What doesn't fit ends the oldest unfinished request, and for connections and heads then the longest idle connection.

--- a/core/settings.h
+++ b/core/settings.h
@@ -31,7 +31,7 @@
     std::int64_t callerPort = 8080;
     std::int64_t callerThreads = 1200; ///< Maximum concurrent connections.
     std::int64_t bodyLimit = 8'388'608;
-    std::int64_t callerMemory = 0; ///< For the bodies of all requests; 0: two fifths of what the machine allows.
+    std::int64_t callerMemory = 0; ///< For all connections and requests; 0: two fifths of what the machine allows.
     std::int64_t headerFieldLimit = 64;
     std::int64_t headerTimeout = 10'000; ///< From the first byte of a request to the end of its header and body.
     std::int64_t keepAliveTimeout = 60'000;
--- a/main/router_host.cpp
+++ b/main/router_host.cpp
@@ -1,5 +1,6 @@
 #include "main/router_host.h"
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 #include <thread>
@@ -35,13 +36,18 @@
     return std::make_unique<EtcdStore>(options);
 }
 
-/// Part of the machine's memory for the bodies of requests, where the settings don't say how much.
+/// Part of the machine's memory for callers, where the settings don't say how much.
 constexpr double callerMemoryFraction = 0.4;
 
+/// Room for some connections whose heads arrive at the same time.
+constexpr std::size_t minCallerMemory = 8'000'000;
+
 std::size_t callerMemoryOf(const Settings &settings)
 {
     const auto allowed = static_cast<double>(readMachineLimits().memoryBytes);
-    return settings.callerMemory != 0 ? static_cast<std::size_t>(settings.callerMemory) : static_cast<std::size_t>(allowed * callerMemoryFraction);
+    const std::size_t bytes =
+        settings.callerMemory != 0 ? static_cast<std::size_t>(settings.callerMemory) : static_cast<std::size_t>(allowed * callerMemoryFraction);
+    return bytes != 0 ? std::max(bytes, minCallerMemory) : 0;
 }
 
 constexpr std::chrono::milliseconds drainCheckInterval{20};
@@ -61,7 +67,11 @@
     , storeWatch_(settings_, *store_, configuration_, metrics_)
     , dispatcher_(settings_, configuration_)
     , engineObserver_(configuration_, dispatcher_, metrics_)
-    , callerMemory_(callerMemoryOf(settings_), [this] { return deadlines_.endOldestArriving(ConnectionBudget::minArrivalTime); })
+    , callerMemory_(callerMemoryOf(settings_),
+                    [this](CallerMemoryUse use) {
+                        return deadlines_.endOldestArriving(ConnectionBudget::minArrivalTime)
+                            || (use == CallerMemoryUse::Connection && deadlines_.endOldestIdle());
+                    })
     , parts_{settings_, metrics_, configuration_, shares_, tickets_, claims_, dispatcher_, drain_, deadlines_, callerMemory_}
 {
     shares_.setTransport(peers_);
--- a/servers/caller_connection.cpp
+++ b/servers/caller_connection.cpp
@@ -1,6 +1,7 @@
 #include "servers/caller_connection.h"
 
 #include <array>
+#include <numeric>
 
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponseImpl.h>
@@ -21,6 +22,12 @@
 constexpr std::size_t readSize = 65'536;
 constexpr std::size_t bodyReadSize = 262'144;
 
+/// What a connection holds that has received nothing: its thread, and the library's buffers.
+constexpr std::size_t connectionBytes = 65'536;
+
+/// The largest head that the library accepts, with its limits for the target, and for the number of fields, their names and their values.
+constexpr std::size_t maxHeadBytes = 16'384 + 100 * (256 + 8'192);
+
 /// A body is held as received, parsed, and as sent to its target.
 constexpr std::size_t copiesOfBody = 3;
 
@@ -35,6 +42,13 @@
     return isTooLarge ? ResultCode::HeaderTooLarge : ResultCode::MalformedHttp;
 }
 
+std::size_t headBytes(const Poco::Net::HTTPRequest &request)
+{
+    return std::accumulate(request.begin(), request.end(), request.getURI().size(), [](std::size_t sum, const auto &field) {
+        return sum + field.first.size() + field.second.size();
+    });
+}
+
 } // namespace
 
 CallerConnection::CallerConnection(const Poco::Net::StreamSocket &socket, RouterParts &parts, Poco::Net::HTTPServerParams::Ptr params)
@@ -49,6 +63,11 @@
 {
     try {
         socket().setNoDelay(true);
+        CallerMemory::Reservation memory(parts_.callerMemory, CallerMemoryUse::Connection);
+        if (!memory.growTo(connectionBytes)) {
+            countRequest(parts_.metrics, ResultCode::Overloaded);
+            return;
+        }
         Poco::Net::HTTPServerSession session(socket(), params_);
         parts_.deadlines.setIdle(descriptor_);
         while (session.hasMoreRequests() && serve(session)) {
@@ -64,9 +83,16 @@
 bool CallerConnection::serve(Poco::Net::HTTPServerSession &session)
 {
     parts_.deadlines.setArriving(descriptor_, std::chrono::milliseconds(parts_.settings.headerTimeout));
+    CallerMemory::Reservation head(parts_.callerMemory, CallerMemoryUse::Connection);
+    if (!head.growTo(maxHeadBytes)) {
+        parts_.deadlines.setServing(descriptor_);
+        refuseUnread(session, ResultCode::Overloaded);
+        return false;
+    }
     try {
         Poco::Net::HTTPServerResponseImpl response(session);
         Poco::Net::HTTPServerRequestImpl request(response, session, params_.get());
+        head.shrinkTo(headBytes(request));
         const bool keepsAlive = request.getKeepAlive() && parts_.drain.phase() == DrainPhase::Serving;
         response.setVersion(request.getVersion());
         response.setKeepAlive(keepsAlive);
@@ -100,7 +126,7 @@
     if (request.hasContentLength() && request.getContentLength64() > parts_.settings.bodyLimit) {
         return refuseAndClose({ResultCode::BodyTooLarge, {}});
     }
-    CallerMemory::Reservation memory(parts_.callerMemory);
+    CallerMemory::Reservation memory(parts_.callerMemory, CallerMemoryUse::Body);
     if (request.hasContentLength() && !memory.growTo(copiesOfBody * static_cast<std::size_t>(request.getContentLength64()))) {
         return refuseAndClose({ResultCode::Overloaded, "no memory is left for the request's body"});
     }
@@ -185,7 +211,7 @@
     countRequest(parts_.metrics, code);
     Poco::Net::HTTPServerResponseImpl response(session);
     response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
-    sendRefusal(response, {{code, {}}}, "", false);
+    sendRefusal(response, {{code, {}}, RunState::NotRun, code == ResultCode::Overloaded ? memoryRetryAfter : Duration::zero()}, "", false);
 }
 
 void CallerConnection::closeGently()
--- a/servers/connection_deadlines.cpp
+++ b/servers/connection_deadlines.cpp
@@ -33,7 +33,7 @@
 void ConnectionDeadlines::setIdle(int socket)
 {
     const std::lock_guard lock(mutex_);
-    connections_[socket] = {};
+    connections_[socket] = {State::Idle, BootClock::now(), {}, false};
     if (closesIdle_) {
         shutdown(socket, SHUT_RD);
     }
@@ -55,13 +55,23 @@
 }
 
 bool ConnectionDeadlines::endOldestArriving(Duration minAge)
+{
+    return endOldest(State::Arriving, BootClock::now() - minAge);
+}
+
+bool ConnectionDeadlines::endOldestIdle()
+{
+    return endOldest(State::Idle, BootClock::now());
+}
+
+/// Of the connections that have been in a state since `since` or longer.
+bool ConnectionDeadlines::endOldest(State state, TimePoint since)
 {
     const std::lock_guard lock(mutex_);
-    const TimePoint youngest = BootClock::now() - minAge;
     auto oldest = connections_.end();
     for (auto entry = connections_.begin(); entry != connections_.end(); ++entry) {
         const Connection &connection = entry->second;
-        if (connection.state != State::Arriving || connection.isLate || connection.since > youngest) {
+        if (connection.state != state || connection.isLate || connection.since > since) {
             continue;
         }
         if (oldest == connections_.end() || connection.since < oldest->second.since) {
--- a/servers/connection_deadlines.h
+++ b/servers/connection_deadlines.h
@@ -35,6 +35,9 @@
     /// Ends the request that has been arriving longest, if for at least `minAge`. Returns whether there was one.
     bool endOldestArriving(Duration minAge);
 
+    /// Ends the connection that has been idle longest. Returns whether there was one.
+    bool endOldestIdle();
+
     /// The connection is over; must be called before its socket is closed.
     void remove(int socket);
 
@@ -52,11 +55,12 @@
     struct Connection
     {
         State state = State::Idle;
-        TimePoint since;
+        TimePoint since; ///< When the state began.
         TimePoint deadline;
         bool isLate = false;
     };
 
+    bool endOldest(State state, TimePoint since);
     void run();
 
     std::mutex mutex_;
