What the kernel holds unread of callers is bounded and counted; a port without descriptors does not spin

Two things in one file each, as all ports now accept through one class (ConnectionAcceptor), which stood three times, in two forms.

What was seen: kinds of memory that are each within their bound exceed the host's together. Of 64 MB a mixed crowd (60 bodies in chunks, 200 connections with requests sent ahead) took 65 and 78 MB, of which the kernel held up to 25 MB unread, and 37 MB in the play of 600 connections; the platform counts these. Cause: the kernel took up to 131,072 bytes for each connection, also for those that wait to be accepted, and no account knew of it; and freed bodies stayed with the process. Change: 16,384 bytes are asked for each connection, which the kernel doubles, more only while a large body arrives, whose memory is reserved; a connection that is not read counts with its whole buffer; freed blocks from 128 KiB on go back at once, as in the router on its own store. What would be seen: a host without a descriptor spins on the port for other hosts. Cause: a failed accept was tried again at once. Change: all ports try again after 20 ms.

Besides: both accounts know a connection by one id, so that the connection to close is looked up and not searched; refused messages are counted by their reason (lovageloft_messages_refused_total). Plays count what the kernel holds unread, can be made longer by hand (MISBEHAVING_CLIENTS_LONGER_SECONDS), and sip answers.

--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -65,6 +65,7 @@
     {"lovageloft_caller_connections", "Open connections of callers."},
     {"lovageloft_caller_connection_bytes", "Memory of callers' connections, without bodies of requests and answers."},
     {"lovageloft_callers_closed_total", "Connections of callers closed as there were too many, or for the memory that others need, by what they did."},
+    {"lovageloft_messages_refused_total", "Messages of callers refused before they were requests, as malformed, too long or too large for the memory left."},
     {"lovageloft_target_list_gaps_total", "Times without news of the targets in which a software version may have come and gone unseen."},
     {"lovageloft_target_connects_total", "Attempts to connect directly to a target, by result."},
     {"lovageloft_store_call_seconds", "Time of answered calls to the store, by call; watches wait on purpose."},
--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -14,6 +14,12 @@
 /// Reading from the caller is paused once more bytes than this of pipelined requests are buffered.
 constexpr std::size_t maxPipelinedBytes = 32'768;
 
+/// What the kernel holds at most for a connection that is not read.
+constexpr std::size_t maxKernelBytes = 2 * CallerSession::receiveBufferBytes;
+
+/// While a large body arrives: what the kernel holds of it is memory that is reserved for the body and not used yet.
+constexpr std::size_t bodyReceiveBufferBytes = 65'536;
+
 /// A body must arrive within `headTimeout` after the head, plus another `headTimeout` for each whole MiB of its length, or of the maximum if it
 /// has no length. Without a timeout, a slow sender would hold memory indefinitely.
 constexpr std::uint64_t bodyBytesPerHeadTimeout = 1'048'576;
@@ -29,9 +35,9 @@
     , parser_(HttpMessageKind::Request, {}, *this)
     , timer_(gateway.loop())
     , limits_(gateway.callerLimits())
-    , bufferId_(gateway.callerBuffers().open())
-    , connectionId_(gateway.callerConnections().open(BootClock::now()))
+    , connectionId_(gateway.callerBuffers().open())
 {
+    gateway_.callerConnections().open(connectionId_, BootClock::now());
     parser_.setLimits({limits_.headBytes, limits_.bodyBytes});
 }
 
@@ -95,7 +101,7 @@
         updateBuffer();
     }
     setIncompleteBytes(0);
-    gateway_.callerBuffers().release(bufferId_, BufferUse::RequestBody, std::exchange(bufferedBodyBytes_, 0), BootClock::now());
+    gateway_.callerBuffers().release(connectionId_, BufferUse::RequestBody, std::exchange(bufferedBodyBytes_, 0), BootClock::now());
     isAnswering_ = false;
     isRequestComplete_ = false;
     request_.reset();
@@ -146,7 +152,7 @@
 
 bool CallerSession::isAtBufferBound() const
 {
-    return gateway_.callerBuffers().isAtBound(bufferId_);
+    return gateway_.callerBuffers().isAtBound(connectionId_);
 }
 
 void CallerSession::setIncompleteBytes(std::size_t bytes)
@@ -154,9 +160,9 @@
     const std::size_t before = std::exchange(incompleteBytes_, bytes);
     const TimePoint now = BootClock::now();
     if (bytes > before) {
-        gateway_.callerBuffers().reserve(bufferId_, BufferUse::IncompleteResponse, bytes - before, now);
+        gateway_.callerBuffers().reserve(connectionId_, BufferUse::IncompleteResponse, bytes - before, now);
     } else {
-        gateway_.callerBuffers().release(bufferId_, BufferUse::IncompleteResponse, before - bytes, now);
+        gateway_.callerBuffers().release(connectionId_, BufferUse::IncompleteResponse, before - bytes, now);
     }
 }
 
@@ -211,7 +217,8 @@
     const bool isArriving = request_ == nullptr && parser_.isWithinMessage();
     const CallerPhase idleOrArriving = isArriving ? CallerPhase::Arriving : CallerPhase::Idle;
     gateway_.callerConnections().setPhase(connectionId_, request_ != nullptr ? CallerPhase::Served : idleOrArriving, BootClock::now());
-    gateway_.callerConnections().setReceived(connectionId_, parser_.bufferCapacity(), bufferedBodyBytes_);
+    const std::size_t kernelBytes = tcp_->isReadingPaused() ? maxKernelBytes : 0;
+    gateway_.callerConnections().setReceived(connectionId_, parser_.bufferCapacity() + kernelBytes, bufferedBodyBytes_);
 }
 
 void CallerSession::onClosed(bool /*isReset*/)
@@ -260,18 +267,27 @@
     if (!isBodyTooLong_) {
         reserveBody(declaredBytes);
         body_.reserve(declaredBytes);
+        setReceivesLargeBody(declaredBytes > receiveBufferBytes || !hasDeclaredBody_);
     }
     const std::uint64_t expectedBytes = bodyBytes.value_or(limits_.bodyBytes);
     startTimer(limits_.headTimeout * static_cast<std::int64_t>(1 + expectedBytes / bodyBytesPerHeadTimeout));
 }
 
+void CallerSession::setReceivesLargeBody(bool receivesLargeBody)
+{
+    if (receivesLargeBody_ != receivesLargeBody) {
+        receivesLargeBody_ = receivesLargeBody;
+        tcp_->setReceiveBuffer(receivesLargeBody ? bodyReceiveBufferBytes : receiveBufferBytes);
+    }
+}
+
 void CallerSession::onBody(std::string_view bytes)
 {
     if (isBodyTooLong_) {
         return;
     }
     body_.append(bytes);
-    if (body_.capacity() > bufferedBodyBytes_ && body_.size() > bufferedBodyBytes_) {
+    if (body_.size() > bufferedBodyBytes_) {
         reserveBody(body_.capacity() - bufferedBodyBytes_);
     }
 }
@@ -279,7 +295,7 @@
 void CallerSession::reserveBody(std::size_t bytes)
 {
     bufferedBodyBytes_ += bytes;
-    gateway_.callerBuffers().reserve(bufferId_, BufferUse::RequestBody, bytes, BootClock::now());
+    gateway_.callerBuffers().reserve(connectionId_, BufferUse::RequestBody, bytes, BootClock::now());
 }
 
 void CallerSession::onEnd()
@@ -329,6 +345,7 @@
     }
     limits_ = gateway_.callerLimits();
     parser_.setLimits({limits_.headBytes, limits_.bodyBytes});
+    setReceivesLargeBody(false);
     startTimer(parser_.bufferedBytes() > 0 ? limits_.headTimeout : limits_.idleTimeout);
     Reason reason;
     if (!parser_.startNext(reason)) {
@@ -336,10 +353,10 @@
         return;
     }
     onParsed();
-    updateConnection();
     if (!isClosed_ && parser_.bufferedBytes() <= maxPipelinedBytes) {
         tcp_->resumeReading();
     }
+    updateConnection();
 }
 
 /// Answers a malformed or late request with an error status and closes the connection, as the start of the next request is unknown.
@@ -377,9 +394,9 @@
     const std::size_t bytes = unsent();
     const TimePoint now = BootClock::now();
     if (bytes > bufferedBytes_) {
-        gateway_.callerBuffers().reserve(bufferId_, BufferUse::Response, bytes - bufferedBytes_, now);
+        gateway_.callerBuffers().reserve(connectionId_, BufferUse::Response, bytes - bufferedBytes_, now);
     } else {
-        gateway_.callerBuffers().release(bufferId_, BufferUse::Response, bufferedBytes_ - bytes, now);
+        gateway_.callerBuffers().release(connectionId_, BufferUse::Response, bufferedBytes_ - bytes, now);
     }
     bufferedBytes_ = bytes;
 }
--- a/gateway/caller_session.h
+++ b/gateway/caller_session.h
@@ -24,6 +24,9 @@
 class CallerSession final : public std::enable_shared_from_this<CallerSession>, private TcpEvents, private HttpEvents
 {
 public:
+    /// Receive buffer that the kernel is asked for; larger while a large body arrives.
+    static constexpr std::size_t receiveBufferBytes = 16'384;
+
     CallerSession(Gateway &gateway, TcpConnection::Socket socket);
 
     /// Starts to read. Must be called once, when a shared_ptr holds the session.
@@ -58,13 +61,7 @@
     /// Counts the bytes of an incomplete answer that its request buffers instead of sending them.
     void setIncompleteBytes(std::size_t bytes);
 
-    /// The connection's account in Gateway::callerBuffers().
-    BufferBudget::ConnectionId bufferId() const
-    {
-        return bufferId_;
-    }
-
-    /// The connection's account in Gateway::callerConnections().
+    /// The connection's accounts in Gateway::callerBuffers() and Gateway::callerConnections().
     ConnectionBudget::ConnectionId connectionId() const
     {
         return connectionId_;
@@ -101,6 +98,7 @@
     void endAfterSending();
     void updateBuffer();
     void updateConnection();
+    void setReceivesLargeBody(bool receivesLargeBody);
     void startTimer(Duration timeout);
     void onTimer();
     bool mayKeepConnection() const;
@@ -122,8 +120,8 @@
     bool isRequestComplete_ = false;
     bool isClosed_ = false;
     bool isSendingRest_ = false; ///< The last answer is complete, and the connection ends when the caller has read it.
-    BufferBudget::ConnectionId bufferId_;
     ConnectionBudget::ConnectionId connectionId_;
+    bool receivesLargeBody_ = false;
     std::size_t bufferedBytes_ = 0; ///< Reserved for unsent bytes of answers.
     std::size_t incompleteBytes_ = 0; ///< Reserved for an answer that is not complete.
     std::size_t bufferedBodyBytes_ = 0; ///< Reserved for the body of the request.
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -45,7 +45,7 @@
     , callerProtocol_(callerProtocol)
     , targetProtocol_(targetProtocol)
     , metrics_(metrics)
-    , acceptor_(loop_)
+    , acceptor_(loop_, CallerSession::receiveBufferBytes, [this](TcpConnection::Socket socket) { accept(std::move(socket)); })
     , tickTimer_(loop_)
     , drainTimer_(loop_)
     , readiness_(loop_, [this](std::string_view path) { return readinessAnswer(path); })
@@ -67,7 +67,6 @@
     , configurationTimer_(loop_)
     , callerBuffers_(options.callerBufferBytes)
     , callerConnections_(options.connections)
-    , acceptTimer_(loop_)
 {
     directory_.setDataCentre(options.dataCentre);
     rollouts_.setLimits(options.limits.exposure);
@@ -105,7 +104,7 @@
 bool Gateway::open(Reason &reason)
 {
     // Both protocols between hosts use the same port number.
-    if (!openListener(acceptor_, options_.callers, reason) || !readiness_.open(options_.readiness, reason) || !relayServer_.open(options_.peers, reason)
+    if (!acceptor_.open(options_.callers, reason) || !readiness_.open(options_.readiness, reason) || !relayServer_.open(options_.peers, reason)
         || !fleet_.open({options_.peers.host, relayServer_.port()}, reason)) {
         return false;
     }
@@ -113,15 +112,13 @@
         return false;
     }
     isAccepting_ = true;
-    accept();
     tick();
     return true;
 }
 
 std::uint16_t Gateway::callerPort() const
 {
-    boost::system::error_code ignored;
-    return acceptor_.local_endpoint(ignored).port();
+    return acceptor_.port();
 }
 
 std::uint16_t Gateway::metricsPort() const
@@ -423,6 +420,7 @@
 void Gateway::refuseMalformed(CallerSession &session, const Reason &reason)
 {
     writeLog(LogLevel::Info, "message_refused", {{"code", std::int64_t{static_cast<int>(reason.code)}}, {"reason", reason.text}});
+    metrics_.add("lovageloft_messages_refused_total", {{"reason", resultCodeInfo(reason.code).name}});
     refuse(&session, reason, RunState::NotRun, defaultRetryAfter);
 }
 
@@ -481,10 +479,9 @@
     const Duration elapsed = now - *drainStartedAt_;
     pool_.closeStale(now);
     if (elapsed >= options_.limits.drainNotice) {
-        boost::system::error_code ignored;
-        acceptor_.close(ignored);
+        acceptor_.close();
         const auto sessions = sessions_;
-        for (const auto &session : sessions) {
+        for (const auto &[id, session] : sessions) {
             session->closeIfIdle();
         }
     }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string_view>
@@ -368,7 +369,7 @@
     void onSessionEnded(const std::shared_ptr<CallerSession> &session);
 
 private:
-    void accept();
+    void accept(TcpConnection::Socket socket);
     void tick();
     void closeStalledCallers(TimePoint now);
     bool closeExpendable(const std::optional<ConnectionBudget::Expendable> &expendable);
@@ -393,7 +394,7 @@
     const TargetProtocol &targetProtocol_;
     Metrics &metrics_;
     boost::asio::io_context loop_{1};
-    boost::asio::ip::tcp::acceptor acceptor_;
+    ConnectionAcceptor acceptor_;
     boost::asio::steady_timer tickTimer_;
     boost::asio::steady_timer drainTimer_; ///< Separate from tickTimer_, which a tick that is already due would set again.
     StatusServer readiness_;
@@ -420,8 +421,7 @@
     boost::asio::steady_timer configurationTimer_;
     BufferBudget callerBuffers_;
     ConnectionBudget callerConnections_;
-    boost::asio::steady_timer acceptTimer_; ///< Waits for descriptors.
-    std::set<std::shared_ptr<CallerSession>> sessions_;
+    std::map<ConnectionBudget::ConnectionId, std::shared_ptr<CallerSession>> sessions_;
     CacheStores cacheStores_;
     std::map<std::string, HostRecord> hosts_; ///< All active hosts including this one.
     double share_ = 0; ///< This host's share of what is divided evenly.
--- a/gateway/gateway_callers.cpp
+++ b/gateway/gateway_callers.cpp
@@ -1,4 +1,3 @@
-#include <algorithm>
 #include <array>
 
 #include "core/log.h"
@@ -9,18 +8,12 @@
 namespace Lovageloft
 {
 
-namespace
-{
-
-constexpr Duration acceptRetryDelay = std::chrono::milliseconds(20);
-
-} // namespace
-
 void Gateway::onSessionEnded(const std::shared_ptr<CallerSession> &session)
 {
-    callerBuffers_.close(session->bufferId());
-    callerConnections_.close(session->connectionId());
-    sessions_.erase(session);
+    const ConnectionBudget::ConnectionId id = session->connectionId();
+    callerBuffers_.close(id);
+    callerConnections_.close(id);
+    sessions_.erase(id);
 }
 
 bool Gateway::makeRoomForConnections()
@@ -59,10 +52,8 @@
               {"connections", static_cast<std::int64_t>(callerConnections_.count())},
               {"held_bytes", static_cast<std::int64_t>(callerConnections_.bytes() + callerBuffers_.reserved())}});
     metrics_.add("lovageloft_callers_closed_total", {{"phase", phase}});
-    const auto session =
-        std::find_if(sessions_.begin(), sessions_.end(), [&expendable](const auto &other) { return other->connectionId() == expendable->connection; });
-    if (session != sessions_.end()) {
-        std::shared_ptr<CallerSession>(*session)->closeForRoom();
+    if (const auto session = sessions_.find(expendable->connection); session != sessions_.end()) {
+        std::shared_ptr<CallerSession>(session->second)->closeForRoom();
     }
     callerConnections_.close(expendable->connection);
     return true;
@@ -82,39 +73,22 @@
                   {"silent_ms", toMillis(stalled->silence)},
                   {"held_bytes", static_cast<std::int64_t>(callerBuffers_.reserved())},
                   {"budget_bytes", static_cast<std::int64_t>(callerBuffers_.total())}});
-        const auto session =
-            std::find_if(sessions_.begin(), sessions_.end(), [&stalled](const auto &other) { return other->bufferId() == stalled->connection; });
-        if (session != sessions_.end()) {
-            std::shared_ptr<CallerSession>(*session)->closeStalled();
+        if (const auto session = sessions_.find(stalled->connection); session != sessions_.end()) {
+            std::shared_ptr<CallerSession>(session->second)->closeStalled();
         }
         callerBuffers_.close(stalled->connection);
     }
 }
 
-void Gateway::accept()
+void Gateway::accept(TcpConnection::Socket socket)
 {
-    if (!acceptor_.is_open()) {
-        return;
+    const auto session = std::make_shared<CallerSession>(*this, std::move(socket));
+    sessions_.emplace(session->connectionId(), session);
+    session->start();
+    if (!makeRoomForConnections()) {
+        metrics_.add("lovageloft_callers_closed_total", {{"phase", "new"}});
+        session->closeForRoom();
     }
-    acceptor_.async_accept([this](const boost::system::error_code &error, TcpConnection::Socket socket) {
-        if (!acceptor_.is_open()) {
-            return;
-        }
-        if (error) {
-            // Without a descriptor the next attempt would fail at once as well.
-            acceptTimer_.expires_after(acceptRetryDelay);
-            acceptTimer_.async_wait([this](const boost::system::error_code &) { accept(); });
-            return;
-        }
-        auto session = std::make_shared<CallerSession>(*this, std::move(socket));
-        sessions_.insert(session);
-        session->start();
-        if (!makeRoomForConnections()) {
-            metrics_.add("lovageloft_callers_closed_total", {{"phase", "new"}});
-            session->closeForRoom();
-        }
-        accept();
-    });
 }
 
 } // namespace Lovageloft
--- a/gateway/relay_server.cpp
+++ b/gateway/relay_server.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "drivers/http_parser.h"
-#include "drivers/tcp_connection.h"
 #include "gateway/relayed_stream.h"
 #include "gateway/status_server.h"
 
@@ -22,6 +21,7 @@
 /// Connections whose head has not arrived; a host sends it with the connection.
 constexpr std::size_t maxWaitingSessions = 128;
 constexpr std::size_t maxHeadBytes = 1'024;
+constexpr std::size_t receiveBufferBytes = 65'536;
 
 /// Unsent bytes in one direction above which reading from the other side pauses.
 constexpr std::size_t maxBacklogBytes = 65'536;
@@ -245,7 +245,7 @@
     : loop_(loop)
     , links_(std::move(links))
     , metrics_(metrics)
-    , acceptor_(loop)
+    , acceptor_(loop, receiveBufferBytes, [this](TcpConnection::Socket socket) { accept(std::move(socket)); })
 {
 }
 
@@ -256,17 +256,12 @@
 
 bool RelayServer::open(const HostAddress &address, Reason &reason)
 {
-    if (!openListener(acceptor_, address, reason)) {
-        return false;
-    }
-    accept();
-    return true;
+    return acceptor_.open(address, reason);
 }
 
 std::uint16_t RelayServer::port() const
 {
-    boost::system::error_code ignored;
-    return acceptor_.local_endpoint(ignored).port();
+    return acceptor_.port();
 }
 
 void RelayServer::drain()
@@ -276,8 +271,7 @@
 
 void RelayServer::close()
 {
-    boost::system::error_code ignored;
-    acceptor_.close(ignored);
+    acceptor_.close();
     for (const auto &session : std::exchange(sessions_, {})) {
         session->close();
     }
@@ -293,21 +287,16 @@
     return static_cast<std::size_t>(std::count_if(sessions_.begin(), sessions_.end(), [](const auto &session) { return session->isWaiting(); }));
 }
 
-void RelayServer::accept()
+void RelayServer::accept(TcpConnection::Socket socket)
 {
-    acceptor_.async_accept([this](const boost::system::error_code &error, TcpConnection::Socket socket) {
-        if (!acceptor_.is_open()) {
-            return;
-        }
-        boost::system::error_code unknown;
-        const auto peer = socket.remote_endpoint(unknown).address();
-        if (!error && !unknown && links_.isHost(peer) && countWaiting() < maxWaitingSessions) {
-            const auto session = std::make_shared<Session>(*this, std::move(socket));
-            sessions_.insert(session);
-            session->start();
-        }
-        accept();
-    });
+    boost::system::error_code unknown;
+    const auto peer = socket.remote_endpoint(unknown).address();
+    if (unknown || !links_.isHost(peer) || countWaiting() >= maxWaitingSessions) {
+        return;
+    }
+    const auto session = std::make_shared<Session>(*this, std::move(socket));
+    sessions_.insert(session);
+    session->start();
 }
 
 } // namespace Lovageloft
--- a/gateway/relay_server.h
+++ b/gateway/relay_server.h
@@ -14,6 +14,8 @@
 #include "core/result_code.h"
 #include "core/settings.h"
 #include "decision/link_monitor.h"
+#include "drivers/connection_acceptor.h"
+#include "drivers/tcp_connection.h"
 
 namespace Lovageloft
 {
@@ -38,7 +40,7 @@
     RelayServer(boost::asio::io_context &loop, Links links, Metrics &metrics);
     ~RelayServer();
 
-    /// Binds the address and starts to accept connections. Returns false and sets `reason` on errors, as openListener().
+    /// Binds the address and starts to accept connections. Returns false and sets `reason` on errors, as ConnectionAcceptor::open().
     bool open(const HostAddress &address, Reason &reason);
 
     /// The bound TCP port; useful if the address has port 0.
@@ -56,13 +58,13 @@
 private:
     class Session;
 
-    void accept();
+    void accept(TcpConnection::Socket socket);
     std::size_t countWaiting() const;
 
     boost::asio::io_context &loop_;
     Links links_;
     Metrics &metrics_;
-    boost::asio::ip::tcp::acceptor acceptor_;
+    ConnectionAcceptor acceptor_;
     std::set<std::shared_ptr<Session>> sessions_;
     bool isDraining_ = false;
 };
--- a/gateway/status_server.cpp
+++ b/gateway/status_server.cpp
@@ -1,7 +1,6 @@
 #include "gateway/status_server.h"
 
 #include "drivers/http_parser.h"
-#include "drivers/tcp_connection.h"
 
 namespace Lovageloft
 {
@@ -9,17 +8,10 @@
 namespace
 {
 
-/// Length of the queue of connections that wait to be accepted. When many hosts restart, all clients reconnect at about the same time, and
-/// a full queue delays each of them by a second.
-constexpr int listenBacklog = 1'024;
-
 /// Far more than balancers, operators and collectors of metrics use at once.
 constexpr std::size_t maxSessions = 64;
 
-constexpr std::chrono::milliseconds acceptRetryDelay{20};
-
-/// Limits the received bytes of a connection that the kernel holds while they are not read: they count as memory of the host.
-constexpr int receiveBufferBytes = 65'536;
+constexpr std::size_t receiveBufferBytes = 16'384;
 
 } // namespace
 
@@ -91,8 +83,7 @@
 };
 
 StatusServer::StatusServer(boost::asio::io_context &loop, Handler handler)
-    : acceptor_(loop)
-    , acceptTimer_(loop)
+    : acceptor_(loop, receiveBufferBytes, [this](TcpConnection::Socket socket) { accept(std::move(socket)); })
     , handler_(std::move(handler))
 {
 }
@@ -101,17 +92,12 @@
 
 bool StatusServer::open(const HostAddress &address, Reason &reason)
 {
-    if (!openListener(acceptor_, address, reason)) {
-        return false;
-    }
-    accept();
-    return true;
+    return acceptor_.open(address, reason);
 }
 
 void StatusServer::close()
 {
-    boost::system::error_code ignored;
-    acceptor_.close(ignored);
+    acceptor_.close();
     for (const auto &session : sessions_) {
         session->close();
     }
@@ -120,32 +106,16 @@
 
 std::uint16_t StatusServer::port() const
 {
-    boost::system::error_code ignored;
-    return acceptor_.local_endpoint(ignored).port();
+    return acceptor_.port();
 }
 
-void StatusServer::accept()
+void StatusServer::accept(TcpConnection::Socket socket)
 {
-    if (!acceptor_.is_open()) {
-        return;
+    sessions_.push_back(std::make_shared<Session>(*this, std::move(socket)));
+    if (sessions_.size() > maxSessions) {
+        sessions_.front()->close();
+        sessions_.pop_front();
     }
-    acceptor_.async_accept([this](const boost::system::error_code &error, TcpConnection::Socket socket) {
-        if (!acceptor_.is_open()) {
-            return;
-        }
-        if (error) {
-            // Without a descriptor the next attempt would fail at once as well.
-            acceptTimer_.expires_after(acceptRetryDelay);
-            acceptTimer_.async_wait([this](const boost::system::error_code &) { accept(); });
-            return;
-        }
-        sessions_.push_back(std::make_shared<Session>(*this, std::move(socket)));
-        if (sessions_.size() > maxSessions) {
-            sessions_.front()->close();
-            sessions_.pop_front();
-        }
-        accept();
-    });
 }
 
 void StatusServer::remove(const std::shared_ptr<Session> &session)
@@ -153,27 +123,4 @@
     std::erase(sessions_, session);
 }
 
-bool openListener(boost::asio::ip::tcp::acceptor &acceptor, const HostAddress &address, Reason &reason)
-{
-    using boost::asio::ip::tcp;
-    boost::system::error_code error;
-    const tcp::endpoint endpoint(boost::asio::ip::make_address(address.host, error), address.port);
-    if (!error) {
-        acceptor.open(tcp::v4(), error);
-    }
-    if (!error) {
-        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-        boost::system::error_code ignored;
-        acceptor.set_option(boost::asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
-        acceptor.bind(endpoint, error);
-    }
-    if (!error) {
-        acceptor.listen(listenBacklog, error);
-    }
-    if (error) {
-        reason = {ResultCode::SettingsOutOfRange, "can't listen on " + hostAddressText(address) + ": " + error.message()};
-    }
-    return !error;
-}
-
 } // namespace Lovageloft
--- a/gateway/status_server.h
+++ b/gateway/status_server.h
@@ -7,11 +7,11 @@
 #include <string_view>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "core/result_code.h"
 #include "core/settings.h"
+#include "drivers/connection_acceptor.h"
+#include "drivers/tcp_connection.h"
 
 namespace Lovageloft
 {
@@ -35,7 +35,7 @@
     StatusServer(boost::asio::io_context &loop, Handler handler);
     ~StatusServer();
 
-    /// Binds the address and starts to accept connections. Returns false and sets `reason` on errors, as openListener().
+    /// Binds the address and starts to accept connections. Returns false and sets `reason` on errors, as ConnectionAcceptor::open().
     bool open(const HostAddress &address, Reason &reason);
     /// Closes all connections at once; answers that are still being sent are cut off.
     void close();
@@ -46,17 +46,12 @@
 private:
     class Session;
 
-    void accept();
+    void accept(TcpConnection::Socket socket);
     void remove(const std::shared_ptr<Session> &session);
 
-    boost::asio::ip::tcp::acceptor acceptor_;
-    boost::asio::steady_timer acceptTimer_; ///< Waits for descriptors.
+    ConnectionAcceptor acceptor_;
     Handler handler_;
     std::deque<std::shared_ptr<Session>> sessions_; ///< Oldest first.
 };
 
-/// Opens a listening IPv4 socket, for any server of this host. Returns false and sets `reason` to ResultCode::SettingsOutOfRange if the address
-/// can't be bound, which includes that its port is in use.
-bool openListener(boost::asio::ip::tcp::acceptor &acceptor, const HostAddress &address, Reason &reason);
-
 } // namespace Lovageloft
--- a/main/lovageloftd.cpp
+++ b/main/lovageloftd.cpp
@@ -91,7 +91,6 @@
 
 int serve(const Settings &settings, const sigset_t &signals)
 {
-    limitKeptMemory();
     RouterHost host(settings);
     Reason reason;
     if (!host.start(reason)) {
@@ -165,6 +164,7 @@
     if (!arguments) {
         return ExitUsage;
     }
+    limitKeptMemory();
     if (arguments->isPlatform) {
         return runOnPlatform(*arguments);
     }
--- a/memory/connection_budget.cpp
+++ b/memory/connection_budget.cpp
@@ -22,11 +22,10 @@
 {
 }
 
-ConnectionBudget::ConnectionId ConnectionBudget::open(TimePoint now)
+void ConnectionBudget::open(ConnectionId connection, TimePoint now)
 {
-    connections_.emplace(++lastConnection_, Connection{CallerPhase::Idle, now, 0, 0});
+    connections_.emplace(connection, Connection{CallerPhase::Idle, now, 0, 0});
     bytes_ += connectionBytes;
-    return lastConnection_;
 }
 
 void ConnectionBudget::close(ConnectionId connection)
--- a/memory/connection_budget.h
+++ b/memory/connection_budget.h
@@ -46,7 +46,8 @@
 
     explicit ConnectionBudget(const ConnectionLimits &limits = {});
 
-    ConnectionId open(TimePoint now);
+    /// Registers a connection under an id that no other one has; BufferBudget gives such ids.
+    void open(ConnectionId connection, TimePoint now);
 
     /// Does nothing if the connection is not registered.
     void close(ConnectionId connection);
@@ -96,7 +97,6 @@
 
     ConnectionLimits limits_;
     std::size_t bytes_ = 0;
-    ConnectionId lastConnection_ = 0;
     std::unordered_map<ConnectionId, Connection> connections_;
 };
 
--- a/tests/memory/test_connection_budget.cpp
+++ b/tests/memory/test_connection_budget.cpp
@@ -10,6 +10,14 @@
 
 constexpr TimePoint start{1h};
 
+/// Registers a connection; returns its id.
+ConnectionBudget::ConnectionId open(ConnectionBudget &budget, TimePoint now)
+{
+    static ConnectionBudget::ConnectionId last = 0;
+    budget.open(++last, now);
+    return last;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(ConnectionBudgetTest)
@@ -18,16 +26,16 @@
 BOOST_AUTO_TEST_CASE(incompleteRequestsGoFirstThenIdleConnectionsThenThoseThatSentAhead)
 {
     ConnectionBudget budget;
-    const auto served = budget.open(start);
+    const auto served = open(budget, start);
     budget.setPhase(served, CallerPhase::Served, start);
-    const auto ahead = budget.open(start);
+    const auto ahead = open(budget, start);
     budget.setPhase(ahead, CallerPhase::Served, start);
     budget.setReceived(ahead, ConnectionBudget::maxAheadBytes + 1, 0);
-    const auto idle = budget.open(start);
-    const auto longIdle = budget.open(start - 1s);
-    const auto small = budget.open(start);
+    const auto idle = open(budget, start);
+    const auto longIdle = open(budget, start - 1s);
+    const auto small = open(budget, start);
     budget.setPhase(small, CallerPhase::Arriving, start);
-    const auto large = budget.open(start);
+    const auto large = open(budget, start);
     budget.setPhase(large, CallerPhase::Arriving, start);
     budget.setReceived(large, 0, 100'000);
     const TimePoint now = start + ConnectionBudget::minArrivalTime;
@@ -45,9 +53,9 @@
 BOOST_AUTO_TEST_CASE(aRequestThatHasJustBegunIsNotClosed)
 {
     ConnectionBudget budget({1, 0});
-    const auto connection = budget.open(start);
+    const auto connection = open(budget, start);
     budget.setPhase(connection, CallerPhase::Arriving, start);
-    budget.open(start);
+    open(budget, start);
     BOOST_TEST(budget.isExceeded());
     const auto first = budget.findExpendable(start + 1s);
     BOOST_REQUIRE(first.has_value());
@@ -59,7 +67,7 @@
 BOOST_AUTO_TEST_CASE(aClosedConnectionHoldsNothing)
 {
     ConnectionBudget budget({0, 3 * ConnectionBudget::connectionBytes});
-    const auto connection = budget.open(start);
+    const auto connection = open(budget, start);
     budget.setReceived(connection, 50'000, 0);
     BOOST_TEST(budget.isExceeded());
     budget.setReceived(connection, 100, 0);
--- a/tests/system/crowd.cpp
+++ b/tests/system/crowd.cpp
@@ -1,7 +1,9 @@
 #include "tests/system/crowd.h"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
+#include <fstream>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -73,4 +75,35 @@
     }
 }
 
+void Crowd::sip()
+{
+    std::array<char, 64> bytes{};
+    for (const int descriptor : sockets_) {
+        ::recv(descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    }
+}
+
+/// The kernel's table has a line a socket: number, own address, peer's address, state, and the queues as UNSENT:UNREAD, all but the number in hex.
+std::size_t unreadBytes(std::uint16_t port)
+{
+    constexpr int hex = 16;
+    std::ifstream table("/proc/net/tcp");
+    std::string line;
+    std::getline(table, line);
+    std::size_t sum = 0;
+    std::string number;
+    std::string own;
+    std::string peer;
+    std::string state;
+    std::string queues;
+    while (table >> number >> own >> peer >> state >> queues && std::getline(table, line)) {
+        constexpr std::string_view listening = "0A";
+        const bool isConnection = state != listening;
+        if (isConnection && std::stoul(own.substr(own.find(':') + 1), nullptr, hex) == port) {
+            sum += std::stoul(queues.substr(queues.find(':') + 1), nullptr, hex);
+        }
+    }
+    return sum;
+}
+
 } // namespace Lovageloft
--- a/tests/system/test_misbehaving_clients.cpp
+++ b/tests/system/test_misbehaving_clients.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -9,6 +10,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "tests/platform/soak_seeds.h"
 #include "tests/servers/raw_caller.h"
 #include "tests/system/crowd.h"
 #include "tests/system/platform_fleet.h"
@@ -27,6 +29,12 @@
 
 const std::string fields = "Host: h.example\r\nApi-Key: k\r\nLovageloft-Deadline-Ms: 4000\r\n";
 
+/// Time by which plays by hand are longer.
+Duration longerPlay()
+{
+    return std::chrono::seconds(numberFromEnvironment("MISBEHAVING_CLIENTS_LONGER_SECONDS", 0));
+}
+
 std::string withLength(std::size_t declared, std::size_t sent)
 {
     return "POST /once/x HTTP/1.1\r\n" + fields + "Lovageloft-Request-Id: b\r\nContent-Length: " + std::to_string(declared) + "\r\n\r\n"
@@ -97,18 +105,23 @@
         start();
     }
 
-    /// Samples the process for a time; nothing of it may exceed what its machine has.
-    void watch(Duration time)
+    /// Samples the process for a time, with what the kernel holds for it; nothing of it may exceed what its machine has.
+    void watch(
+        Duration time, const std::function<void()> &act = [] {})
     {
         std::size_t mostBytes = 0;
+        std::size_t mostUnread = 0;
         std::size_t mostDescriptors = 0;
         const TimePoint end = BootClock::now() + time;
         while (BootClock::now() < end) {
-            mostBytes = std::max(mostBytes, host(0).residentBytes());
+            const std::size_t unread = unreadBytes(callerPort(0)) + unreadBytes(readinessPort(0)) + unreadBytes(peerPort(0));
+            mostUnread = std::max(mostUnread, unread);
+            mostBytes = std::max(mostBytes, host(0).residentBytes() + unread);
             mostDescriptors = std::max(mostDescriptors, host(0).openDescriptors());
+            act();
             std::this_thread::sleep_for(20ms);
         }
-        BOOST_TEST_MESSAGE(mostBytes / 1'000'000 << " MB, " << mostDescriptors << " descriptors");
+        BOOST_TEST_MESSAGE(mostBytes / 1'000'000 << " MB, of which unread at most " << mostUnread / 1'000'000 << ", " << mostDescriptors << " descriptors");
         BOOST_TEST(mostBytes <= memoryBytes);
         BOOST_TEST(mostDescriptors <= descriptorLimit);
     }
@@ -131,6 +144,32 @@
     std::thread callers([&] { crowd.open(callerPort(0), play.callers, play.bytes()); });
     watch(6s);
     callers.join();
+    watch(longerPlay());
+    checkServes();
+}
+
+// Guards against answers that callers read a few bytes at a time, so that they seem to read and never do.
+BOOST_AUTO_TEST_CASE(aCrowdThatSipsItsAnswersTakesNoMoreThanTheHostHas)
+{
+    constexpr std::size_t callers = 200;
+    Crowd crowd;
+    crowd.open(callerPort(0), callers, ahead(fields).substr(0, 400'000));
+    watch(6s + longerPlay(), [&crowd] { crowd.sip(); });
+    checkServes();
+}
+
+// Guards against kinds of memory that are each within their bound and together exceed the host's.
+BOOST_AUTO_TEST_CASE(aMixedCrowdTakesNoMoreThanTheHostHas)
+{
+    constexpr std::size_t bodies = 60;
+    constexpr std::size_t readers = 200;
+    Crowd withBodies;
+    withBodies.open(callerPort(0), bodies, inChunks(bodyBytes - 65'536));
+    Crowd sentAhead;
+    std::thread callers([&] { sentAhead.open(callerPort(0), readers, ahead(fields).substr(0, 400'000)); });
+    watch(6s);
+    callers.join();
+    watch(longerPlay());
     checkServes();
 }
 
@@ -174,6 +213,16 @@
     return completion("Transfer-Encoding: chunked\r\n", text.substr(text.find("\r\n\r\n") + 4) + (isWhole ? "0\r\n\r\n" : ""));
 }
 
+std::string fieldsWithoutEnd(int fields)
+{
+    constexpr std::size_t fieldBytes = 7'500;
+    std::string text = "GET /v1/models HTTP/1.1\r\nHost: h.example\r\n";
+    for (int i = 0; i < fields; ++i) {
+        text += "X-Fill-" + std::to_string(i) + ": " + std::string(fieldBytes, 'x') + "\r\n";
+    }
+    return text;
+}
+
 const std::vector<Play> &routerPlays()
 {
     static const std::vector<Play> all{
@@ -181,6 +230,10 @@
         {"bodies in chunks without an end", 60, [] { return chunked(bodyBytes - 65'536, false); }},
         {"whole bodies", 60, [] { return completion("Content-Length: 4194304\r\n", std::string(bodyBytes, 'x')); }},
         {"whole bodies in chunks", 60, [] { return chunked(bodyBytes, true); }},
+        {"small bodies, one byte short", 1'500, [] { return completion("Content-Length: 16384\r\n", std::string(16'383, 'x')); }},
+        {"heads without an end", 1'500, [] { return fieldsWithoutEnd(2); }},
+        {"large heads without an end", 300, [] { return fieldsWithoutEnd(90); }},
+        {"idle connections", 1'500, [] { return std::string(); }},
     };
     return all;
 }
@@ -189,8 +242,8 @@
 
 BOOST_AUTO_TEST_SUITE(MisbehavingClientsOfTheRouter)
 
-// Guards against a router that grows with each body which callers begin, and keeps the memory of those that have ended.
-BOOST_DATA_TEST_CASE(bodiesTakeNoMoreThanTheirMemory, boost::unit_test::data::make(routerPlays()), play)
+// Guards against a router that grows with each connection, head or body which callers begin, and keeps the memory of those that have ended.
+BOOST_DATA_TEST_CASE(callersTakeNoMoreThanTheirMemory, boost::unit_test::data::make(routerPlays()), play)
 {
     const std::string folder = Poco::TemporaryFile::tempName();
     std::filesystem::create_directories(folder);
