--- a/review/kit-2/deployment.cpp
+++ b/review/kit-2/deployment.cpp
@@ -110,6 +110,7 @@
     , record_(record)
     , folder_(Poco::TemporaryFile::tempName())
     , network_(networkOfThisProcess())
+    , storePort_(store_.port())
 {
     std::filesystem::create_directories(folder_);
 }
@@ -163,7 +164,17 @@
           "budgetSlack = 58\nquotaWindowS = 8\nquotaOver = 0.1\nquotaSlack = 190000\nrecoverS = 12\neventLagMs = 120\nretryAfterS = 10\n"
           "requireFencing = true\nleaseMs = 3000\nthawMs = 300\nversionMs = 8000\nversionAllMs = 11000\n"
           "[platform]\naddr = \"127.0.0.1:"
-        + std::to_string(store_.port()) + "\"\nform = \"kv\"\nwritesPerS = 400\nreadsPerS = 2000\nhistoryS = 20\nvalueBytes = 1048576\nttlMinMs = 1000\n";
+        + std::to_string(storePort_) + "\"\nform = \"kv\"\nwritesPerS = 400\nreadsPerS = 2000\nhistoryS = 20\nvalueBytes = 1048576\nttlMinMs = 1000\n";
+}
+
+std::uint16_t Deployment::storePort() const
+{
+    return store_.port();
+}
+
+void Deployment::setStorePort(std::uint16_t port)
+{
+    storePort_ = port;
 }
 
 bool Deployment::start()
--- a/review/kit-2/deployment.h
+++ b/review/kit-2/deployment.h
@@ -76,6 +76,11 @@
     /// Text of a server's entry; `models` is its JSON, or empty to leave the field out.
     std::string entryOf(const std::string &id, const std::string &models) const;
 
+    std::uint16_t storePort() const;
+
+    /// Has the hosts that are started later reach the store through another port, as that of a proxy.
+    void setStorePort(std::uint16_t port);
+
     /// Starts all hosts and waits until each says that it is ready; false if one does not.
     bool start();
 
@@ -104,6 +109,7 @@
     std::string folder_;
     std::string network_; ///< The first three numbers of the hosts' addresses.
     Lovageloft::StandInKvStore store_;
+    std::uint16_t storePort_ = 0; ///< Where the hosts reach the store.
     std::vector<Listed> servers_;
     std::vector<std::unique_ptr<Lovageloft::ChildProcess>> hosts_;
 };
