Each model of an engine gets its new weights

Cause: WeightsDuty made a desired state for each model of a target, OrderScheduler kept one for each target, so that the last one replaced the others; of a report only the first model was read.

Fix: a state lists its models, and desired, announced and reported states are compared model by model. What the engine has one of stays one: the pending order, the count of accepted orders, the load. What is of a model belongs to it: last order, backoff, since when it is outdated. The model that has been outdated for longest loads first; one that is refused doesn't hold back the others. Load notices name the model (peers of earlier builds take them for the whole engine), so that the engine's other models keep their requests. The operators' table of targets has a row for each model, the log line target_known all of them.

--- a/coordination/order_scheduler.cpp
+++ b/coordination/order_scheduler.cpp
@@ -18,9 +18,34 @@
 /// Ratio of the planned to the average time of a round: the engine with the longest running answer decides when a batch has ended.
 constexpr double roundSafetyFactor = 1.25;
 
+bool isSameModel(const ModelState &left, const ModelState &right)
+{
+    return left.name == right.name && left.weightsVersion == right.weightsVersion && left.adapters == right.adapters;
+}
+
 bool isSameState(const EngineState &left, const EngineState &right)
 {
-    return left.model == right.model && left.weightsVersion == right.weightsVersion && left.adapters == right.adapters && left.role == right.role;
+    return left.role == right.role && std::equal(left.models.begin(), left.models.end(), right.models.begin(), right.models.end(), isSameModel);
+}
+
+const ModelState *findModel(const EngineState &state, std::string_view name)
+{
+    const auto found = std::find_if(state.models.begin(), state.models.end(), [name](const ModelState &model) { return model.name == name; });
+    return found != state.models.end() ? &*found : nullptr;
+}
+
+/// The order that brings a model to its desired state; `observed` is null if the engine does not have the model.
+std::optional<Order> requiredOrder(const std::string &target, const ModelState &desired, const ModelState *observed)
+{
+    if (observed == nullptr || (!desired.weightsVersion.empty() && desired.weightsVersion != observed->weightsVersion)) {
+        return Order{0, target, OrderKind::LoadWeights, desired.name, desired.weightsVersion, 0};
+    }
+    for (const std::string &adapter : desired.adapters) {
+        if (std::find(observed->adapters.begin(), observed->adapters.end(), adapter) == observed->adapters.end()) {
+            return Order{0, target, OrderKind::LoadAdapter, desired.name, adapter, 0};
+        }
+    }
+    return std::nullopt;
 }
 
 } // namespace
@@ -78,23 +103,47 @@
 {
     std::vector<Engine *> outdated;
     for (auto &[target, engine] : engines_) {
-        if (!engine.isObserved) {
-            outdated.push_back(&engine);
-            continue;
+        if (engine.isObserved) {
+            updateHistories(engine, now);
         }
-        if (!requiredOrder(engine)) {
-            engine.outdatedSince.reset();
-            continue;
+        if (!engine.isObserved || outdatedSince(engine)) {
+            outdated.push_back(&engine);
         }
-        engine.outdatedSince = engine.outdatedSince.value_or(now);
-        outdated.push_back(&engine);
     }
     std::stable_sort(outdated.begin(), outdated.end(), [now](const Engine *left, const Engine *right) {
-        return left->outdatedSince.value_or(now) < right->outdatedSince.value_or(now);
+        return outdatedSince(*left).value_or(now) < outdatedSince(*right).value_or(now);
     });
     return outdated;
 }
 
+/// Notes which models, and whether the role, of an observed engine are outdated, and since when.
+void OrderScheduler::updateHistories(Engine &engine, TimePoint now)
+{
+    const std::vector<Order> required = requiredOrders(engine);
+    for (auto &[model, history] : engine.histories) {
+        const bool isOutdated = std::any_of(required.begin(), required.end(), [&model](const Order &order) { return order.model == model; });
+        if (!isOutdated) {
+            history.outdatedSince.reset();
+        }
+    }
+    for (const Order &order : required) {
+        OrderHistory &history = engine.histories[order.model];
+        history.outdatedSince = history.outdatedSince.value_or(now);
+    }
+}
+
+/// Since when some part of an engine has been outdated; nothing if none is.
+std::optional<TimePoint> OrderScheduler::outdatedSince(const Engine &engine)
+{
+    std::optional<TimePoint> since;
+    for (const auto &[model, history] : engine.histories) {
+        if (history.outdatedSince) {
+            since = std::min(since.value_or(*history.outdatedSince), *history.outdatedSince);
+        }
+    }
+    return since;
+}
+
 bool OrderScheduler::maySend(const Order &order, const LeaseHolder &lease, TimePoint now) const
 {
     // A holder that resumes after a pause may still have orders to send. Another host may lead by then and have given other orders, and
@@ -106,9 +155,10 @@
     if (engine == engines_.end() || !engine->second.pending || engine->second.pending->order.id != order.id) {
         return false;
     }
-    const auto required = requiredOrder(engine->second);
+    const std::vector<Order> required = requiredOrders(engine->second);
+    const bool isRequired = std::any_of(required.begin(), required.end(), [&order](const Order &other) { return other.isSameAs(order); });
     const bool isValid = now - engine->second.pending->createdAt < options_.orderValidity;
-    return isValid && required && required->isSameAs(order) && isSettled(engine->second, lease, now);
+    return isValid && isRequired && isSettled(engine->second, lease, now);
 }
 
 void OrderScheduler::onOutcome(const Order &order, OrderOutcome outcome, TimePoint now)
@@ -185,7 +235,7 @@
     engine.observed = *engine.desired.announced;
     engine.isObserved = true;
     engine.loadingUntil = {};
-    engine.noticeSentAt.reset();
+    engine.notice.reset();
     engine.readRequestedAt.reset();
     engine.nextReadAt = std::max(engine.nextReadAt, now + options_.pollInterval);
 }
@@ -206,65 +256,74 @@
     if (!isReady) {
         return;
     }
-    auto order = requiredOrder(engine);
-    const bool isRepeat = order && order->isSameAs(engine.lastOrder);
-    if (!order || (isRepeat && now < engine.nextRepeatAt)) {
-        return;
-    }
-    if (order->kind == OrderKind::LoadWeights && !prepareLoad(engine, plan, loading, now)) {
+    for (Order &order : requiredOrders(engine)) {
+        OrderHistory &history = engine.histories[order.model];
+        const bool isRepeat = order.isSameAs(history.lastOrder);
+        if (isRepeat && now < history.nextRepeatAt) {
+            continue;
+        }
+        if (order.kind == OrderKind::LoadWeights && !prepareLoad(engine, order.model, plan, loading, now)) {
+            return;
+        }
+        history.repeats = isRepeat ? std::min(history.repeats + 1, maxRetryDoublings) : 0;
+        history.lastOrder = order;
+        order.id = ++lastOrderId_;
+        order.fencingToken = token_;
+        engine.pending = PendingOrder{order, now};
+        plan.orders.push_back(std::move(order));
         return;
     }
-    engine.repeats = isRepeat ? std::min(engine.repeats + 1, maxRetryDoublings) : 0;
-    engine.lastOrder = *order;
-    order->id = ++lastOrderId_;
-    order->fencingToken = token_;
-    engine.pending = PendingOrder{*order, now};
-    plan.orders.push_back(std::move(*order));
 }
 
 /// Reserves one of the concurrent loads and sends the notice if needed; returns whether the order may be given now. Without a notice,
 /// the requests that wait in the engine when the order arrives would be declined, and be sent to another engine that loads next.
-bool OrderScheduler::prepareLoad(Engine &engine, OrderPlan &plan, std::size_t &loading, TimePoint now) const
+bool OrderScheduler::prepareLoad(Engine &engine, const std::string &model, OrderPlan &plan, std::size_t &loading, TimePoint now) const
 {
     // A notice keeps its reservation only while it counts as a load. An engine that could not be ordered for longer needs a new one.
-    const bool hasRoom = engine.noticeSentAt && engine.loadingUntil > now;
+    const bool hasRoom = engine.notice && engine.loadingUntil > now;
     if (!hasRoom) {
         if (loading >= maxConcurrentLoads_) {
             return false;
         }
         engine.selectedAt = now;
-        if (options_.loadNotice > Duration::zero()) {
-            engine.noticeSentAt = now;
-            plan.loadNotices.push_back(engine.desired.target);
-        }
+    }
+    const bool isNoticed = hasRoom && engine.notice->model == model;
+    if (!isNoticed && options_.loadNotice > Duration::zero()) {
+        engine.notice = SentNotice{model, now};
+        plan.loadNotices.push_back({engine.desired.target, model});
     }
     loading += engine.loadingUntil > now ? 0 : 1;
     engine.loadingUntil = now + options_.loadTimeout;
-    if (engine.noticeSentAt && now - *engine.noticeSentAt < options_.loadNotice) {
+    if (engine.notice && now - engine.notice->sentAt < options_.loadNotice) {
         return false;
     }
-    engine.noticeSentAt.reset();
+    engine.notice.reset();
     return true;
 }
 
-std::optional<Order> OrderScheduler::requiredOrder(const Engine &engine) const
+/// The orders that an observed engine still needs, in the sequence in which to give them: the model that has been outdated for longest
+/// first, of several the one that is due first, and the role last.
+std::vector<Order> OrderScheduler::requiredOrders(const Engine &engine)
 {
+    const auto urgency = [&engine](const ModelState &model) {
+        const auto history = engine.histories.find(model.name);
+        const auto since = history != engine.histories.end() ? history->second.outdatedSince : std::nullopt;
+        return std::pair(since.value_or(TimePoint::max()), model.dueAt.value_or(TimePoint::max()));
+    };
     const EngineState &desired = engine.desired.state;
-    const EngineState &observed = engine.observed;
-    const bool hasModel = desired.model.empty() || desired.model == observed.model;
-    const bool hasWeights = desired.weightsVersion.empty() || desired.weightsVersion == observed.weightsVersion;
-    if (!hasModel || !hasWeights) {
-        return Order{0, engine.desired.target, OrderKind::LoadWeights, desired.model, desired.weightsVersion, 0};
-    }
-    for (const std::string &adapter : desired.adapters) {
-        if (std::find(observed.adapters.begin(), observed.adapters.end(), adapter) == observed.adapters.end()) {
-            return Order{0, engine.desired.target, OrderKind::LoadAdapter, desired.model, adapter, 0};
+    std::vector<const ModelState *> models(desired.models.size());
+    std::transform(desired.models.begin(), desired.models.end(), models.begin(), [](const ModelState &model) { return &model; });
+    std::stable_sort(models.begin(), models.end(), [&](const ModelState *left, const ModelState *right) { return urgency(*left) < urgency(*right); });
+    std::vector<Order> orders;
+    for (const ModelState *model : models) {
+        if (auto order = requiredOrder(engine.desired.target, *model, findModel(engine.observed, model->name))) {
+            orders.push_back(std::move(*order));
         }
     }
-    if (!desired.role.empty() && desired.role != observed.role) {
-        return Order{0, engine.desired.target, OrderKind::SetRole, {}, desired.role, 0};
+    if (!desired.role.empty() && desired.role != engine.observed.role) {
+        orders.push_back({0, engine.desired.target, OrderKind::SetRole, {}, desired.role, 0});
     }
-    return std::nullopt;
+    return orders;
 }
 
 /// How many engines may load at the same time. With a fixed number, a leader that takes over late, or answers that run for seconds, need
@@ -273,14 +332,18 @@
 /// of a round.
 std::size_t OrderScheduler::maxConcurrentLoads(TimePoint now) const
 {
-    std::size_t outdated = 0;
+    std::size_t outdated = 0; // Models of engines: each needs a load of its own.
     std::optional<TimePoint> earliestDue;
     for (const auto &[target, engine] : engines_) {
-        if (!engine.isObserved || !engine.desired.dueAt || !requiredOrder(engine)) {
+        if (!engine.isObserved) {
             continue;
         }
-        ++outdated;
-        earliestDue = std::min(earliestDue.value_or(*engine.desired.dueAt), *engine.desired.dueAt);
+        for (const ModelState &model : engine.desired.state.models) {
+            if (model.dueAt && requiredOrder(target, model, findModel(engine.observed, model.name))) {
+                ++outdated;
+                earliestDue = std::min(earliestDue.value_or(*model.dueAt), *model.dueAt);
+            }
+        }
     }
     const auto limitByFraction = static_cast<std::size_t>(options_.maxLoadFraction * static_cast<double>(engines_.size()));
     const std::size_t normalLimit = std::max(options_.maxLoads, limitByFraction);
@@ -318,6 +381,7 @@
 
 void OrderScheduler::closeOrder(Engine &engine, TimePoint now) const
 {
+    OrderHistory &history = engine.histories[engine.pending->order.model];
     engine.pending.reset();
     // Only the state of the engine shows the effect of the order, whatever the answer was: answers get lost and engines revert.
     engine.isObserved = false;
@@ -325,7 +389,7 @@
     engine.nextReadAt = now;
     // An accepted order is not repeated sooner than a refused one. Otherwise an engine that reverts each time, or that has not started
     // to load yet, would have to load again and again.
-    engine.nextRepeatAt = now + options_.retryDelay * (1 << engine.repeats);
+    history.nextRepeatAt = now + options_.retryDelay * (1 << history.repeats);
 }
 
 } // namespace Lovageloft
--- a/coordination/order_scheduler.h
+++ b/coordination/order_scheduler.h
@@ -14,13 +14,19 @@
 namespace Lovageloft
 {
 
-/// The state of an engine, either reported or desired. Empty fields of a desired state are left to the engine, and so are adapters
-/// that it does not list.
-struct EngineState
+/// One model of an engine. Empty fields of a desired model are left to the engine, and so are adapters that it does not list.
+struct ModelState
 {
-    std::string model;
+    std::string name;
     std::string weightsVersion;
     std::vector<std::string> adapters;
+    std::optional<TimePoint> dueAt = std::nullopt; ///< Only in a desired state: deadline for reaching it, if there is one.
+};
+
+/// The state of an engine, either reported or desired. Models that a desired state does not list, and an empty role, are left to the engine.
+struct EngineState
+{
+    std::vector<ModelState> models;
     std::string role;
     bool isLoading = false; ///< Only in a reported state: the engine is loading weights.
 };
@@ -31,8 +37,7 @@
     std::string target;
     bool checksFencing = false; ///< Whether the engine refuses an order with an old fencing token.
     EngineState state;
-    std::optional<EngineState> announced = std::nullopt; ///< State that the engine publishes by itself, if it does; saves reads.
-    std::optional<TimePoint> dueAt = std::nullopt; ///< Deadline for reaching the desired state, if there is one.
+    std::optional<EngineState> announced = std::nullopt; ///< State that the engine publishes by itself, if it does; saves reads. It lists all its models.
 };
 
 enum class OrderKind : std::uint8_t
@@ -48,7 +53,7 @@
     std::uint64_t id = 0;
     std::string target;
     OrderKind kind = OrderKind::LoadWeights;
-    std::string model; ///< With LoadWeights and LoadAdapter.
+    std::string model; ///< With LoadWeights and LoadAdapter; otherwise empty.
     std::string value; ///< Weights version, adapter or role.
     std::int64_t fencingToken = 0;
 
@@ -66,11 +71,18 @@
     Lost, ///< No answer: the order may still arrive.
 };
 
+/// A model of an engine whose weights will soon be replaced: no new requests for it should be sent to that engine.
+struct LoadNotice
+{
+    std::string target;
+    std::string model;
+};
+
 /// The actions that are due.
 struct OrderPlan
 {
     std::vector<std::string> reads; ///< Targets whose state has to be read.
-    std::vector<std::string> loadNotices; ///< Targets that will soon be ordered to load: no new requests should be sent to them.
+    std::vector<LoadNotice> loadNotices;
     std::vector<Order> orders;
     bool isSuperseded = false; ///< Another host leads: release the lease.
 };
@@ -79,7 +91,7 @@
 struct OrderOptions
 {
     std::size_t maxLoads =
-        3; ///< Concurrent weight loads; with more, the weight store slows all of them down. A deadline may require more; see DesiredEngine::dueAt.
+        3; ///< Concurrent weight loads; with more, the weight store slows all of them down. A deadline may require more; see ModelState::dueAt.
     double maxLoadFraction = 0; ///< Fraction of the engines that may load concurrently; the larger of this and `maxLoads` applies.
     Duration orderValidity = std::chrono::seconds(1); ///< Maximum time from the decision to the sending of an order.
     Duration answerTimeout = std::chrono::seconds(5); ///< Timeout for the answer to an order or a read.
@@ -98,7 +110,8 @@
 ///
 /// Designed for a ticket that changes the version of all 18 engines, and for many engines that crash and restart empty. Without it all
 /// engines would load at once and the weight store would slow each of them down, two hosts could give contradicting orders, and an
-/// order of a paused host could revert a newer one. Not thread-safe.
+/// order of a paused host could revert a newer one. An engine executes one order at a time, so its models load one after the other, that
+/// which has been outdated for longest first; one that the engine refuses does not hold back the others. Not thread-safe.
 class OrderScheduler
 {
 public:
@@ -131,6 +144,22 @@
         TimePoint createdAt;
     };
 
+    /// What the scheduler knows of the orders for one model of an engine, or for its role.
+    struct OrderHistory
+    {
+        Order lastOrder;
+        TimePoint nextRepeatAt; ///< When the last order may be repeated.
+        int repeats = 0; ///< Of the last order, for the exponential backoff.
+        std::optional<TimePoint> outdatedSince; ///< Since when it has not been in its desired state; kept if the desired state changes again.
+    };
+
+    /// A notice that has been sent, and whose order has not.
+    struct SentNotice
+    {
+        std::string model;
+        TimePoint sentAt;
+    };
+
     struct Engine
     {
         DesiredEngine desired;
@@ -139,23 +168,22 @@
         TimePoint readsValidSince; ///< Reads requested before this time are ignored.
         std::optional<TimePoint> readRequestedAt;
         TimePoint nextReadAt;
-        Order lastOrder;
-        TimePoint nextRepeatAt; ///< When the last order may be repeated.
+        std::map<std::string, OrderHistory, std::less<>> histories; ///< By model; the role's has an empty key.
         TimePoint loadingUntil; ///< Until when the engine counts as loading.
-        std::optional<TimePoint> noticeSentAt; ///< When the notice of the next load was sent.
+        std::optional<SentNotice> notice;
         std::optional<TimePoint> selectedAt; ///< When the engine was selected to load; reset once it has loaded.
         std::optional<TimePoint> orderedByOtherAt; ///< When another holder was last known to order this engine.
-        std::optional<TimePoint> outdatedSince; ///< Since when it has not been in its desired state; kept if the desired state changes again.
         std::optional<PendingOrder> pending;
-        int repeats = 0; ///< Of the last order, for the exponential backoff.
     };
 
     void startLeading(std::int64_t token, TimePoint now);
     std::vector<Engine *> longestOutdatedFirst(TimePoint now);
     void planRead(Engine &engine, std::vector<std::string> &reads, TimePoint now) const;
     void planOrder(Engine &engine, const LeaseHolder &lease, OrderPlan &plan, std::size_t &loading, TimePoint now);
-    bool prepareLoad(Engine &engine, OrderPlan &plan, std::size_t &loading, TimePoint now) const;
-    std::optional<Order> requiredOrder(const Engine &engine) const;
+    bool prepareLoad(Engine &engine, const std::string &model, OrderPlan &plan, std::size_t &loading, TimePoint now) const;
+    static std::vector<Order> requiredOrders(const Engine &engine);
+    static void updateHistories(Engine &engine, TimePoint now);
+    static std::optional<TimePoint> outdatedSince(const Engine &engine);
     std::size_t countLoads(TimePoint now) const;
     std::size_t maxConcurrentLoads(TimePoint now) const;
     bool isSettled(const Engine &engine, const LeaseHolder &lease, TimePoint now) const;
--- a/gateway/fleet_link.cpp
+++ b/gateway/fleet_link.cpp
@@ -136,10 +136,10 @@
     budget_.refund(team, tokens, home);
 }
 
-void FleetLink::announceLoading(const std::string &targetId, Duration duration)
+void FleetLink::announceLoading(const std::string &targetId, const std::string &model, Duration duration)
 {
-    gateway_.avoidTarget(targetId, duration);
-    socket_.broadcast(LoadingNotice{targetId, duration});
+    gateway_.avoidTarget(targetId, model, duration);
+    socket_.broadcast(LoadingNotice{targetId, model, duration});
 }
 
 void FleetLink::announceCacheStore(const std::string &address, bool isAlive)
@@ -318,7 +318,7 @@
     // a request and is then avoided.
     const Duration remaining = notice.duration - gateway_.recentPause(BootClock::now());
     if (remaining > Duration::zero()) {
-        gateway_.avoidTarget(notice.target, remaining);
+        gateway_.avoidTarget(notice.target, notice.model, remaining);
     }
     orderListener_(notice.target);
 }
--- a/gateway/fleet_link.h
+++ b/gateway/fleet_link.h
@@ -72,8 +72,8 @@
     /// `minAnnouncedTokens`.
     void announceDispatch(const SchedulerAssignment &assignment, bool isSaved);
 
-    /// Announces that a target is about to load weights: this host and all others send it no requests for `duration`.
-    void announceLoading(const std::string &targetId, Duration duration);
+    /// Announces that a target is about to load weights of a model: this host and all others send it no requests for that model for `duration`.
+    void announceLoading(const std::string &targetId, const std::string &model, Duration duration);
 
     /// Announces whether a cache store answers. Does nothing if it doesn't answer this host, which has lost its links to targets.
     void announceCacheStore(const std::string &address, bool isAlive);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -327,8 +327,9 @@
     /// Begins a request as soon as this host is configured, or after a short timeout in any case.
     void beginWhenConfigured(const std::shared_ptr<RoutedRequest> &request);
 
-    /// Sends no requests to a target for some time, as it is about to load weights and declines requests meanwhile.
-    void avoidTarget(std::string_view targetId, Duration time);
+    /// Sends no requests for a model to a target for some time, as it is about to load weights and declines them meanwhile. An empty model
+    /// stands for all.
+    void avoidTarget(std::string_view targetId, std::string_view model, Duration time);
 
     /// A target has turned a request away and wants no more from this host for a time.
     void onRestAsked(std::string_view targetId, std::int64_t incarnation, Duration rest);
--- a/gateway/gateway_targets.cpp
+++ b/gateway/gateway_targets.cpp
@@ -44,9 +44,9 @@
     }
 }
 
-void Gateway::avoidTarget(std::string_view targetId, Duration time)
+void Gateway::avoidTarget(std::string_view targetId, std::string_view model, Duration time)
 {
-    directory_.avoid(targetId, BootClock::now() + time);
+    directory_.avoid(targetId, model, BootClock::now() + time);
     dispatch_.invalidateEngines();
 }
 
--- a/gateway/operator_view.cpp
+++ b/gateway/operator_view.cpp
@@ -111,39 +111,49 @@
 
 std::string OperatorView::targets() const
 {
-    const TimePoint now = BootClock::now();
     Array::Ptr rows = new Array;
     for (const auto &[id, target] : gateway_.targets().all()) {
-        Object::Ptr row = makeObject();
-        const bool hasModel = !target.models.empty();
-        row->set("target", id);
-        row->set("service", target.service);
-        row->set("model", hasModel ? target.models.front().name : std::string());
-        row->set("weights", hasModel ? gateway_.targets().weightsVersionOf(target, target.models.front().name) : std::int64_t{0});
-        row->set("software", target.softwareVersion);
-        row->set("withheld", gateway_.targets().isWithheld(id));
-        row->set("address", hostAddressText(target.address));
-        row->set("data_centre", target.dataCentre);
-        const auto restUntil = gateway_.targets().restUntil(target, now);
-        row->set("state", target.isLeaving ? "leaving" : (restUntil ? "resting" : "serving"));
-        if (restUntil) {
-            row->set("rest_left_ms", toMillis(*restUntil - now));
-        }
-        if (const LeaveTable::Leave *leave = gateway_.statements().leaves().find(id); target.isLeaving && leave != nullptr) {
-            row->set("leaving_heard_by", leave->heardBy);
-            row->set("leaving_age_ms", toMillis(now - leave->saidAt));
+        if (target.models.empty()) {
+            rows->add(targetRow(target, {}));
         }
-        for (const StatementKind kind : limitKinds) {
-            if (const TargetStatement *stated = gateway_.statements().table().find(id, kind)) {
-                row->set(std::string(statementKindName(kind)), stated->value);
-                row->set(std::string(statementKindName(kind)) + "_age_ms", toMillis(now - stated->statedAt));
-            }
+        for (const ServedModel &model : target.models) {
+            rows->add(targetRow(target, model.name));
         }
-        rows->add(row);
     }
     return makeTable("targets", rows);
 }
 
+Object::Ptr OperatorView::targetRow(const Target &target, const std::string &model) const
+{
+    const TimePoint now = BootClock::now();
+    const std::string &id = target.id;
+    Object::Ptr row = makeObject();
+    row->set("target", id);
+    row->set("service", target.service);
+    row->set("model", model);
+    row->set("weights", gateway_.targets().weightsVersionOf(target, model));
+    row->set("software", target.softwareVersion);
+    row->set("withheld", gateway_.targets().isWithheld(id));
+    row->set("address", hostAddressText(target.address));
+    row->set("data_centre", target.dataCentre);
+    const auto restUntil = gateway_.targets().restUntil(target, now);
+    row->set("state", target.isLeaving ? "leaving" : (restUntil ? "resting" : "serving"));
+    if (restUntil) {
+        row->set("rest_left_ms", toMillis(*restUntil - now));
+    }
+    if (const LeaveTable::Leave *leave = gateway_.statements().leaves().find(id); target.isLeaving && leave != nullptr) {
+        row->set("leaving_heard_by", leave->heardBy);
+        row->set("leaving_age_ms", toMillis(now - leave->saidAt));
+    }
+    for (const StatementKind kind : limitKinds) {
+        if (const TargetStatement *stated = gateway_.statements().table().find(id, kind)) {
+            row->set(std::string(statementKindName(kind)), stated->value);
+            row->set(std::string(statementKindName(kind)) + "_age_ms", toMillis(now - stated->statedAt));
+        }
+    }
+    return row;
+}
+
 std::string OperatorView::hosts() const
 {
     Array::Ptr rows = new Array;
--- a/gateway/operator_view.h
+++ b/gateway/operator_view.h
@@ -2,6 +2,8 @@
 
 #include <string>
 
+#include <Poco/JSON/Object.h>
+
 #include "core/clock.h"
 #include "gateway/status_server.h"
 
@@ -9,6 +11,7 @@
 {
 
 class Gateway;
+struct Target;
 
 /// The state of a running host for operators, as JSON objects that `lovageloftctl` prints: the host's status, and
 /// the teams, targets, hosts and leader that it knows. The paths begin with "/operator/".
@@ -24,8 +27,9 @@
 private:
     std::string status() const;
     std::string teams() const;
-    /// Of a target with several models, only the first model and its weights are shown.
+    /// A row for each model of a target; one for a target without models.
     std::string targets() const;
+    Poco::JSON::Object::Ptr targetRow(const Target &target, const std::string &model) const;
     std::string hosts() const;
     std::string leader() const;
     std::string rollouts() const;
--- a/gateway/peer_messages.capnp
+++ b/gateway/peer_messages.capnp
@@ -154,9 +154,10 @@
 }
 
 struct Loading {
-  # An engine is about to load new weights and declines requests meanwhile.
+  # An engine is about to load new weights of a model and declines its requests meanwhile.
   target @0 :Text;
   milliseconds @1 :UInt32;
+  model @2 :Text; # Empty from earlier builds: all models.
 }
 
 struct TokenRequest {
--- a/gateway/peer_messages.capnp.h
+++ b/gateway/peer_messages.capnp.h
@@ -340,7 +340,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9e44e87458ad1460, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9e44e87458ad1460, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2434,6 +2434,9 @@
 
   inline  ::uint32_t getMilliseconds() const;
 
+  inline bool hasModel() const;
+  inline  ::capnp::Text::Reader getModel() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2472,6 +2475,13 @@
   inline  ::uint32_t getMilliseconds();
   inline void setMilliseconds( ::uint32_t value);
 
+  inline bool hasModel();
+  inline  ::capnp::Text::Builder getModel();
+  inline void setModel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initModel(unsigned int size);
+  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownModel();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6527,6 +6537,40 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Loading::Reader::hasModel() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Loading::Builder::hasModel() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Loading::Reader::getModel() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Loading::Builder::getModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Loading::Builder::setModel( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Loading::Builder::initModel(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Loading::Builder::adoptModel(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Loading::Builder::disownModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t TokenRequest::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/gateway/peer_socket.cpp
+++ b/gateway/peer_socket.cpp
@@ -138,6 +138,7 @@
     capnp::MallocMessageBuilder message;
     auto loading = message.initRoot<Datagram>().initLoading();
     loading.setTarget(notice.target);
+    loading.setModel(notice.model);
     loading.setMilliseconds(static_cast<std::uint32_t>(toMillis(notice.duration)));
     broadcastBytes(encodeDatagram(message));
 }
@@ -420,7 +421,7 @@
             break;
         case Datagram::LOADING: {
             const auto loading = datagram.getLoading();
-            events_.onLoadingNotice({loading.getTarget(), std::chrono::milliseconds(loading.getMilliseconds())});
+            events_.onLoadingNotice({loading.getTarget(), loading.getModel(), std::chrono::milliseconds(loading.getMilliseconds())});
             break;
         }
         case Datagram::TOKEN_REQUEST: {
--- a/gateway/peer_socket.h
+++ b/gateway/peer_socket.h
@@ -31,10 +31,11 @@
 namespace Lovageloft
 {
 
-/// Announces that a target is about to load new weights and declines requests meanwhile.
+/// Announces that a target is about to load new weights of a model and declines its requests meanwhile.
 struct LoadingNotice
 {
     std::string target;
+    std::string model; ///< Empty from earlier builds: all models of the target.
     Duration duration{};
 };
 
--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -27,6 +27,13 @@
 
 constexpr char nameSeparator = '|';
 
+/// Version of a model's weights in the target's entry; 0 if it does not list the model.
+std::int64_t servedVersion(const Target &target, std::string_view model)
+{
+    const auto found = std::find_if(target.models.begin(), target.models.end(), [model](const ServedModel &served) { return served.name == model; });
+    return found != target.models.end() ? found->version : 0;
+}
+
 } // namespace
 
 TargetDirectory::TargetDirectory(Duration weightsDeadline)
@@ -56,6 +63,8 @@
         const auto correction = corrections_.find(id);
         if (previous != targets_->end() && correction != corrections_.end() && !(previous->second.models == target.models)) {
             correction->second.avoidUntil = {}; // A new entry with other weights means that loading has finished.
+            std::erase_if(correction->second.avoidModelUntil,
+                          [&](const auto &avoided) { return servedVersion(previous->second, avoided.first) != servedVersion(target, avoided.first); });
         }
     }
     targets_ = std::move(targets);
@@ -201,12 +210,7 @@
 
 std::int64_t TargetDirectory::weightsVersionOf(const Target &target, std::string_view model) const
 {
-    std::int64_t version = 0;
-    for (const ServedModel &served : target.models) {
-        if (served.name == model) {
-            version = served.version;
-        }
-    }
+    std::int64_t version = servedVersion(target, model);
     if (const Correction *correction = findCorrection(target)) {
         const auto corrected = correction->weights.find(model);
         version = corrected != correction->weights.end() ? std::max(version, corrected->second) : version;
@@ -256,13 +260,29 @@
     return isResting ? std::optional(found->second.until) : std::nullopt;
 }
 
-void TargetDirectory::avoid(std::string_view targetId, TimePoint until)
+void TargetDirectory::avoid(std::string_view targetId, std::string_view model, TimePoint until)
 {
-    if (const Target *target = find(targetId)) {
-        Correction &correction = corrections_[target->id];
-        correction.incarnation = target->incarnation;
+    const Target *target = find(targetId);
+    if (target == nullptr) {
+        return;
+    }
+    Correction &correction = corrections_[target->id];
+    correction.incarnation = target->incarnation;
+    if (model.empty()) {
         correction.avoidUntil = until;
+    } else {
+        correction.avoidModelUntil.insert_or_assign(std::string(model), until);
+    }
+}
+
+bool TargetDirectory::isModelAvoided(const Target &target, std::string_view model, TimePoint now) const
+{
+    const Correction *correction = findCorrection(target);
+    if (correction == nullptr) {
+        return false;
     }
+    const auto until = correction->avoidModelUntil.find(model);
+    return until != correction->avoidModelUntil.end() && now < until->second;
 }
 
 std::vector<SchedulerEngine> TargetDirectory::engines(TimePoint now) const
@@ -282,7 +302,7 @@
             copy.model = target.service + nameSeparator + model.name;
             copy.weightsVersion = std::to_string(weightsVersionOf(target, model.name));
             copy.firstTokenDeadline = firstTokenDeadlineFor(target, model.name);
-            copy.isServing = copy.isServing && (!copy.firstTokenDeadline || now < *copy.firstTokenDeadline);
+            copy.isServing = copy.isServing && (!copy.firstTokenDeadline || now < *copy.firstTokenDeadline) && !isModelAvoided(target, model.name, now);
             engines.push_back(std::move(copy));
         }
     }
@@ -294,6 +314,9 @@
     EarliestTime next(now);
     for (const auto &[id, correction] : corrections_) {
         next.consider(correction.avoidUntil);
+        for (const auto &[model, until] : correction.avoidModelUntil) {
+            next.consider(until);
+        }
     }
     for (const auto &[id, rest] : rests_) {
         next.consider(rest.until);
--- a/gateway/target_directory.h
+++ b/gateway/target_directory.h
@@ -96,8 +96,9 @@
     /// Until when a target rests; nothing if it does not.
     std::optional<TimePoint> restUntil(const Target &target, TimePoint now) const;
 
-    /// Excludes a target from scheduling until the given time, or until its entry shows other models or weights. Replaces an earlier time.
-    void avoid(std::string_view targetId, TimePoint until);
+    /// Excludes a model of a target, or with an empty model the whole target, from scheduling until the given time, or until its entry shows
+    /// other models or weights. Replaces an earlier time.
+    void avoid(std::string_view targetId, std::string_view model, TimePoint until);
 
     /// The engines for the scheduler: one for each model of a target, named "TARGET|MODEL"; one, named "TARGET", for a target without models.
     std::vector<SchedulerEngine> engines(TimePoint now) const;
@@ -111,6 +112,7 @@
         std::int64_t incarnation = 0; ///< The correction applies to this incarnation only.
         bool isAddressReused = false; ///< Another target now has its address.
         TimePoint avoidUntil;
+        std::map<std::string, TimePoint, std::less<>> avoidModelUntil;
         std::map<std::string, std::int64_t, std::less<>> weights; ///< Newer versions than in the entry, by model.
     };
 
@@ -122,6 +124,7 @@
     };
 
     const Correction *findCorrection(const Target &target) const;
+    bool isModelAvoided(const Target &target, std::string_view model, TimePoint now) const;
     std::int64_t newestVersion(std::string_view model) const;
     TimePoint olderWeightsEnd(const PublishedWeights &newer) const;
     std::optional<TimePoint> firstTokenDeadlineFor(const Target &target, std::string_view model) const;
--- a/gateway/target_duty.cpp
+++ b/gateway/target_duty.cpp
@@ -1,6 +1,7 @@
 #include "gateway/target_duty.h"
 
 #include <algorithm>
+#include <span>
 
 #include "coordination/store_position.h"
 #include "core/log.h"
@@ -24,6 +25,16 @@
 /// How long expired entries are kept from the store's return: the time that the platform gives targets to write them again, plus one call.
 constexpr Duration reregistrationGrace = std::chrono::milliseconds(2'300);
 
+/// "MODEL:VERSION" of each model, separated by commas.
+std::string weightsText(std::span<const ServedModel> models)
+{
+    std::string text;
+    for (const ServedModel &model : models) {
+        text += (text.empty() ? "" : ",") + model.name + ':' + std::to_string(model.version);
+    }
+    return text;
+}
+
 } // namespace
 
 TargetDuty::TargetDuty(Store &store, const StoreRecords &records, Listener listener)
@@ -176,7 +187,7 @@
                       {"version", target.softwareVersion},
                       {"leaving", target.isLeaving},
                       {"incarnation", target.incarnation},
-                      {"weights", target.models.empty() ? std::int64_t{0} : target.models.front().version}});
+                      {"weights", weightsText(target.models)}});
         }
     }
     for (const auto &[id, target] : targets_) {
--- a/gateway/weights_duty.cpp
+++ b/gateway/weights_duty.cpp
@@ -29,6 +29,15 @@
 /// Hosts that try to become leader in ranked order before any others do.
 constexpr std::size_t maxRankedHosts = 8;
 
+std::vector<ModelState> modelStates(std::span<const ServedModel> models)
+{
+    std::vector<ModelState> states;
+    for (const ServedModel &model : models) {
+        states.push_back({model.name, std::to_string(model.version), {}});
+    }
+    return states;
+}
+
 } // namespace
 
 WeightsDuty::WeightsDuty(Store &store, const EngineControlFormat &format, Options options)
@@ -118,8 +127,8 @@
         lease_.release(BootClock::now());
         return;
     }
-    for (const std::string &target : plan.loadNotices) {
-        options_.beforeLoad(target);
+    for (const LoadNotice &notice : plan.loadNotices) {
+        options_.beforeLoad(notice);
     }
     callEngines(std::span(plan.orders), &WeightsDuty::sendOrder, &WeightsDuty::onOrderSent);
     callEngines(std::span(plan.reads), &WeightsDuty::readState, &WeightsDuty::onStateRead);
@@ -182,24 +191,32 @@
     }
     std::vector<DesiredEngine> desired;
     for (const auto &[id, target] : *currentTargets_) {
-        for (const ServedModel &model : target.models) {
-            const auto version = published.find(model.name);
-            if (target.isLeaving || version == published.end()) {
-                continue;
-            }
-            DesiredEngine engine;
-            engine.target = id;
-            engine.checksFencing = options_.enginesCheckFencing;
-            engine.state.model = model.name;
-            engine.state.weightsVersion = std::to_string(version->second.version);
-            engine.dueAt = version->second.publishedAt + olderWeightsGracePeriod(options_.deadline);
-            engine.announced = EngineState{model.name, std::to_string(model.version), {}, {}, false};
+        DesiredEngine engine = desiredEngine(target, published);
+        if (!engine.state.models.empty()) {
             desired.push_back(std::move(engine));
         }
     }
     scheduler_.setDesired(desired, BootClock::now());
 }
 
+/// The published weights of the target's models; no models if it is leaving or none of them has published weights.
+DesiredEngine WeightsDuty::desiredEngine(const Target &target, const std::map<std::string, PublishedWeights> &published) const
+{
+    DesiredEngine engine;
+    engine.target = target.id;
+    engine.checksFencing = options_.enginesCheckFencing;
+    engine.announced = EngineState{modelStates(target.models), {}, false};
+    for (const ServedModel &model : target.models) {
+        const auto newest = published.find(model.name);
+        if (target.isLeaving || newest == published.end()) {
+            continue;
+        }
+        const TimePoint dueAt = newest->second.publishedAt + olderWeightsGracePeriod(options_.deadline);
+        engine.state.models.push_back({model.name, std::to_string(newest->second.version), {}, dueAt});
+    }
+    return engine;
+}
+
 /// Renews the lease between batches. A batch takes at most a few call timeouts.
 template <typename Item, typename Result>
 void WeightsDuty::callEngines(std::span<const Item> items,
@@ -245,11 +262,7 @@
     if (!found || found->models.empty()) {
         return std::nullopt;
     }
-    EngineState state;
-    state.model = found->models.front().name;
-    state.weightsVersion = std::to_string(found->models.front().version);
-    state.isLoading = found->isBusy;
-    return state;
+    return EngineState{modelStates(found->models), {}, found->isBusy};
 }
 
 WeightsDuty::SentOrder WeightsDuty::sendOrder(const Order &order) const
@@ -265,7 +278,7 @@
         return sent;
     }
     const auto connection = HttpConnection::open(target->second.address, callTimeout);
-    options_.beforeLoad(order.target);
+    options_.beforeLoad({order.target, order.model});
     if (connection == nullptr || !scheduler_.maySend(order, lease_, BootClock::now())) {
         return sent;
     }
--- a/gateway/weights_duty.h
+++ b/gateway/weights_duty.h
@@ -40,7 +40,7 @@
         Duration deadline{}; ///< Time after the publication of weights from which no request may begin on older ones.
         /// Called some time before an engine is ordered to load, and again immediately before; the order need not follow. Called from several
         /// threads at once.
-        std::function<void(const std::string &targetId)> beforeLoad;
+        std::function<void(const LoadNotice &notice)> beforeLoad;
     };
 
     WeightsDuty(Store &store, const EngineControlFormat &format, Options options);
@@ -73,6 +73,7 @@
     void stepLease();
     void resign();
     void updateDesired();
+    DesiredEngine desiredEngine(const Target &target, const std::map<std::string, PublishedWeights> &published) const;
     void recordPublished();
 
     /// Result of sending an order.
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -250,8 +250,8 @@
     options.orders = orderOptions();
     options.orders.handoverDelay = options.lease.timeToLive;
     options.orders.listeningSince = BootClock::now();
-    options.beforeLoad = [this](const std::string &target) {
-        gateway_.post([target](Gateway &gateway) { gateway.fleet().announceLoading(target, announcedLoad); });
+    options.beforeLoad = [this](const LoadNotice &notice) {
+        gateway_.post([notice](Gateway &gateway) { gateway.fleet().announceLoading(notice.target, notice.model, announcedLoad); });
     };
     return options;
 }
--- a/tests/coordination/test_order_rounds.cpp
+++ b/tests/coordination/test_order_rounds.cpp
@@ -45,9 +45,8 @@
         DesiredEngine engine;
         engine.target = "e" + std::to_string(i);
         engine.checksFencing = checksFencing;
-        engine.state = {"m", version, {}, {}, false};
-        engine.announced = EngineState{"m", announced, {}, {}, false};
-        engine.dueAt = due;
+        engine.state = {{{"m", version, {}, due}}, {}, false};
+        engine.announced = EngineState{{{"m", announced, {}}}, {}, false};
         desired.push_back(engine);
     }
     return desired;
--- a/tests/coordination/test_order_scheduler.cpp
+++ b/tests/coordination/test_order_scheduler.cpp
@@ -34,6 +34,12 @@
         return answer;
     }
 
+    ModelState &modelOf(const Order &order)
+    {
+        const auto found = std::find_if(state.models.begin(), state.models.end(), [&order](const ModelState &model) { return model.name == order.model; });
+        return found != state.models.end() ? *found : state.models.emplace_back(ModelState{order.model, {}, {}});
+    }
+
     OrderOutcome execute(const Order &order, TimePoint now)
     {
         if (checksFencing && order.fencingToken < newestToken) {
@@ -44,11 +50,9 @@
         if (order.kind == OrderKind::SetRole) {
             state.role = order.value;
         } else if (order.kind == OrderKind::LoadAdapter) {
-            state.adapters.push_back(order.value);
+            modelOf(order).adapters.push_back(order.value);
         } else {
-            state.model = order.model;
-            state.weightsVersion = order.value;
-            state.adapters.clear();
+            modelOf(order) = {order.model, order.value, {}};
             loadedAt = now + loadTime;
             ++loads;
         }
@@ -56,11 +60,16 @@
     }
 };
 
+bool hasSameWeights(const ModelState &left, const ModelState &right)
+{
+    return left.name == right.name && left.weightsVersion == right.weightsVersion && left.adapters == right.adapters;
+}
+
 std::vector<DesiredEngine> desiredEngines(std::size_t count, const std::string &version)
 {
     std::vector<DesiredEngine> desired(count);
     for (std::size_t i = 0; i < count; ++i) {
-        desired[i] = {"e" + std::to_string(i), i % 2 == 0, {"m", version, {"georgian"}, "decode", false}};
+        desired[i] = {"e" + std::to_string(i), i % 2 == 0, {{{"m", version, {"georgian"}}}, "decode", false}};
     }
     return desired;
 }
@@ -119,7 +128,8 @@
     {
         return std::all_of(desired.begin(), desired.end(), [this](const DesiredEngine &engine) {
             const EngineState &state = engines.at(engine.target).state;
-            return state.weightsVersion == engine.state.weightsVersion && state.adapters == engine.state.adapters && state.role == "decode";
+            return state.role == "decode"
+                && std::equal(state.models.begin(), state.models.end(), engine.state.models.begin(), engine.state.models.end(), hasSameWeights);
         });
     }
 
@@ -199,8 +209,8 @@
                 onHost(i, delay(), [this, i, target, state] { hosts_[i].scheduler.onState(target, state, now()); });
             });
         }
-        for (const std::string &target : plan.loadNotices) {
-            noticedAt[target] = now();
+        for (const LoadNotice &notice : plan.loadNotices) {
+            noticedAt[notice.target] = now();
         }
         for (const Order &order : plan.orders) {
             if (order.kind == OrderKind::LoadWeights) {
@@ -467,7 +477,7 @@
     scheduler.onState("e0", {}, settled);
     scheduler.onState("e2", {}, settled);
     BOOST_TEST(scheduler.plan(lease, settled).orders.empty());
-    scheduler.onState("e4", {"m", "v1", {}, "", true}, settled);
+    scheduler.onState("e4", {{{"m", "v1", {}}}, "", true}, settled);
     scheduler.onState("e1", {}, settled);
     BOOST_TEST(scheduler.plan(lease, settled).orders.empty());
     scheduler.onState("e3", {}, settled);
--- a/tests/gateway/test_target_directory.cpp
+++ b/tests/gateway/test_target_directory.cpp
@@ -212,13 +212,32 @@
 {
     // The leader announces that an engine will load weights. If the engine were avoided for the whole announced time although it has already
     // loaded them, a third of the engines would be idle during each update.
-    directory.avoid("e1", start + 10s);
+    directory.avoid("e1", {}, start + 10s);
     BOOST_TEST(!isServing("e1|m", start + 1s));
     BOOST_TEST(isServing("e2|m", start + 1s));
     directory.setTargets(engines(2, 1));
     BOOST_TEST(isServing("e1|m", start + 1s));
 }
 
+// Guards against an engine that gets no requests for one of its models while it loads weights of another.
+BOOST_AUTO_TEST_CASE(aLoadKeepsOnlyItsOwnModelFromRequests)
+{
+    const auto twoModels = [this](std::int64_t first, std::int64_t second) {
+        auto targets = engines(first, 1);
+        targets->at("e1").models.push_back({"n", second});
+        directory.setTargets(targets);
+    };
+    twoModels(1, 1);
+    directory.avoid("e1", "m", start + 10s);
+    BOOST_TEST(!isServing("e1|m", start + 1s));
+    BOOST_TEST(isServing("e1|n", start + 1s));
+    BOOST_TEST((directory.nextChange(start) == start + 10s));
+    twoModels(1, 2);
+    BOOST_TEST(!isServing("e1|m", start + 1s));
+    twoModels(2, 2);
+    BOOST_TEST(isServing("e1|m", start + 1s));
+}
+
 BOOST_AUTO_TEST_CASE(aLeavingTargetServesNothing)
 {
     auto targets = engines(1, 1);
--- a/tests/platform/test_datagrams.cpp
+++ b/tests/platform/test_datagrams.cpp
@@ -278,7 +278,7 @@
     BOOST_TEST(isServed());
     holdUp(1500ms);
     const TimePoint sentAt = BootClock::now();
-    other.send(LoadingNotice{"e", 2s});
+    other.send(LoadingNotice{"e", {}, 2s});
     settle();
     std::this_thread::sleep_for(sentAt + 2200ms - BootClock::now());
     BOOST_TEST(isServed());
--- a/tests/platform/test_orders_beside_silent_engines.cpp
+++ b/tests/platform/test_orders_beside_silent_engines.cpp
@@ -62,7 +62,7 @@
         options.orders.loadNotice = 100ms;
         options.recordsPrefix = "weights/";
         options.deadline = 10s;
-        options.beforeLoad = [](const std::string & /*target*/) {};
+        options.beforeLoad = [](const LoadNotice & /*notice*/) {};
         return options;
     }
 
