A missing, an empty and a wrong field are told apart

Cause: the reader gave the same for a missing field and one of another type, and whether keys are required was derived from the number of teams: an absence taken for permission. The class: "isolated":"true" was a team that isn't isolated, "ratePerS":"1000" no limit, a route without prefix one for all paths of its host, "models":null a target without models, a setting of another type its default.

Fix: RoutingTable::requiresKeys, true unless the list is missing. FieldReader keeps missing and wrong apart; one wrong field makes the whole entry unreadable and is named in the log.

aPlainTargetHasNoModels and aStrangeEntryNamesNoTarget: the plain target's entry lacked zone and version, which an entry always has and without which it now names no target; the test's entry has them, its checks are the same, and ten more torn entries must name none.

--- a/gateway/request_intake.cpp
+++ b/gateway/request_intake.cpp
@@ -205,7 +205,7 @@
 bool RequestIntake::authenticate(Reason &reason)
 {
     team_ = nullptr;
-    if (route_->isPublic || table_->teams.empty()) {
+    if (route_->isPublic || !table_->requiresKeys) {
         return true;
     }
     if (!gateway_.isKeyProofValid(BootClock::now())) {
--- a/gateway/routing_table.h
+++ b/gateway/routing_table.h
@@ -70,6 +70,7 @@
 struct TargetService
 {
     std::string name;
+    bool hasEngines = false; ///< Its targets are engines: one that lists no models can't be used.
     std::int64_t cacheTokens = 0; ///< Capacity of one engine's memory in tokens. TargetDirectory uses a part of it as prompt cache.
 };
 
@@ -102,6 +103,7 @@
     std::vector<TargetService> services;
     std::vector<CacheStore> cacheStores;
     CallerLimits limits;
+    bool requiresKeys = true; ///< Requests on routes that are not public need the key of a team, also if there are no teams.
     std::vector<Team> teams;
     std::unordered_map<std::string, std::size_t> teamOfKey; ///< Index into `teams`.
 
--- a/tests/platform/test_node_file.cpp
+++ b/tests/platform/test_node_file.cpp
@@ -58,6 +58,9 @@
     {"internalPorts = [7600,7615]", "internalPorts = []", "internalPorts"},
     {"quotaSlack = 190000", "quotaSlack = -1", "bounds.quotaSlack"},
     {"[platform]", "[platform", "test.toml:"},
+    {"requireFencing = true", "requireFencing = \"true\"", "bounds.requireFencing"},
+    {"requireFencing = true", "exposeShare = \"0.1\"", "bounds.exposeShare"},
+    {"requireFencing = true", "exposeShare = -1", "bounds.exposeShare"},
 };
 
 } // namespace
--- a/tests/platform/test_requests.cpp
+++ b/tests/platform/test_requests.cpp
@@ -329,6 +329,22 @@
     BOOST_TEST(statusOf(exchange(request("GET", "/safe/x"))) == 401);
 }
 
+// Guards against an operator who withdraws the last team and thereby lets everybody in.
+BOOST_AUTO_TEST_CASE(withoutAnyTeamNobodyIsServedUnlessNoKeysAreRequired)
+{
+    addTarget("a", wellTarget);
+    RoutingTable closed = table(2);
+    closed.teams.clear();
+    closed.teamOfKey.clear();
+    configure(closed);
+    BOOST_TEST(statusOf(exchange(request("GET", "/safe/x"))) == 401);
+    BOOST_TEST(statusOf(exchange(request("GET", "/public/x"))) == 200);
+    closed.version = closed.revision = 3;
+    closed.requiresKeys = false;
+    configure(closed);
+    BOOST_TEST(statusOf(exchange(request("GET", "/safe/x"))) == 200);
+}
+
 // Guards against keyless routes that are served as a replaced configuration says, for as long as the newer one can't be read.
 BOOST_AUTO_TEST_CASE(aConfigurationThatIsKnownToBeReplacedServesNobodyBeyondItsTime)
 {
--- a/tests/platform/test_store_records.cpp
+++ b/tests/platform/test_store_records.cpp
@@ -34,6 +34,76 @@
     R"({"service":"s","addr":"10.0.0.9:8080","slots":16,"state":1})",
     R"({"service":"s","addr":"10.0.0.9:8080","slots":16,"state":"ready","models":[{"name":"m","version":"3"}]})",
     "\xff\xfe\x01",
+    R"({"service":"s","addr":"10.0.0.9:8080","version":"v1","slots":16,"state":"ready"})",
+    R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","slots":16,"state":"ready"})",
+    R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","version":1,"slots":16,"state":"ready"})",
+    R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","version":"v1","slots":16,"state":"ready","born":"1"})",
+    R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","version":"v1","slots":16,"state":"ready","models":null})",
+    R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","version":"v1","slots":16,"state":"ready","models":{}})",
+    R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","version":"v1","slots":16,"state":"ready","models":["m"]})",
+    R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","version":"v1","slots":16,"state":"ready","models":[{"version":3}]})",
+    R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","version":"v1","slots":16,"state":"ready","stage":"colocated"})",
+    R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","version":"v1","slots":16,"state":"ready","stage":"colocated","models":[]})",
+};
+
+/// A configuration of which one field is replaced.
+std::string configurationWith(const std::string &routeField, const std::string &serviceField, const std::string &topField)
+{
+    return R"({"version":2,"routes":[{"name":"r","host":"h","pathPrefix":"/a/","service":"s")" + routeField + R"(}],"services":[{"name":"s")" + serviceField
+        + "}]" + topField + '}';
+}
+
+std::string withTeam(const std::string &field)
+{
+    return configurationWith({}, {}, R"(,"tenants":[{"name":"t","apiKeys":["k"])" + field + "}]");
+}
+
+const std::vector<std::string> wrongConfigurations{
+    configurationWith({}, {}, R"(,"tenants":null)"),
+    configurationWith({}, {}, R"(,"tenants":{})"),
+    configurationWith({}, {}, R"(,"tenants":"x")"),
+    configurationWith({}, {}, R"(,"tenants":["x"])"),
+    configurationWith({}, {}, R"(,"tenants":[{"name":"","apiKeys":["k"]}])"),
+    configurationWith({}, {}, R"(,"tenants":[{"apiKeys":["k"]}])"),
+    configurationWith({}, {}, R"(,"tenants":[{"name":"t","apiKeys":"k"}])"),
+    configurationWith({}, {}, R"(,"tenants":[{"name":"t","apiKeys":null}])"),
+    configurationWith({}, {}, R"(,"tenants":[{"name":"t","apiKeys":[""]}])"),
+    configurationWith({}, {}, R"(,"tenants":[{"name":"t","apiKeys":[7]}])"),
+    withTeam(R"(,"isolated":"true")"),
+    withTeam(R"(,"isolated":1)"),
+    withTeam(R"(,"isolated":null)"),
+    withTeam(R"(,"ratePerS":"1000")"),
+    withTeam(R"(,"ratePerS":null)"),
+    withTeam(R"(,"ratePerS":-1)"),
+    withTeam(R"(,"burst":[])"),
+    withTeam(R"(,"plainTokens":"200")"),
+    withTeam(R"(,"unit":7)"),
+    withTeam(R"(,"priority":"0")"),
+    configurationWith(R"(,"public":"false")", {}, {}),
+    configurationWith(R"(,"public":null)", {}, {}),
+    configurationWith(R"(,"resumable":1)", {}, {}),
+    configurationWith(R"(,"kind":7)", {}, {}),
+    configurationWith(R"(,"maxAttempts":"9")", {}, {}),
+    configurationWith(R"(,"timeoutMs":"100")", {}, {}),
+    configurationWith(R"(,"timeoutMs":-1)", {}, {}),
+    configurationWith(R"(,"trafficSplit":{"s":1})", {}, {}),
+    configurationWith(R"(,"trafficSplit":[{"weight":1}])", {}, {}),
+    configurationWith(R"(,"trafficSplit":[{"service":"s","weight":"1"}])", {}, {}),
+    configurationWith({}, R"(,"engine":null)", {}),
+    configurationWith({}, R"(,"engine":{"kvCapacity":"1"})", {}),
+    configurationWith({}, R"(,"kvStoreAddr":7)", {}),
+    configurationWith({}, {}, R"(,"limits":null)"),
+    configurationWith({}, {}, R"(,"limits":{"maxBodyBytes":"1"})"),
+    configurationWith({}, {}, R"(,"limits":{"maxBodyBytes":-1})"),
+    R"({"version":2})",
+    R"({"version":2,"routes":null})",
+    R"({"version":2,"routes":["r"]})",
+    R"({"version":2,"routes":[{"host":"h","service":"s"}]})",
+    R"({"version":2,"routes":[{"host":"h","pathPrefix":"","service":"s"}]})",
+    R"({"version":2,"routes":[{"pathPrefix":"/a/","service":"s"}]})",
+    R"({"version":2,"routes":[{"host":"h","pathPrefix":"/a/"}]})",
+    R"({"version":2,"routes":[],"services":{}})",
+    R"({"version":2,"routes":[],"services":[{}]})",
 };
 
 } // namespace
@@ -61,7 +131,8 @@
     // Targets of plain services leave the list of models out. Read as a list that points nowhere, the first such entry ended every
     // router of the fleet at once.
     Reason reason;
-    const auto target = records.parseTarget(entryOf("servers/i-2", R"({"service":"l","addr":"10.0.0.8:80","slots":6,"state":"draining"})"), reason);
+    const auto target =
+        records.parseTarget(entryOf("servers/i-2", R"({"service":"l","addr":"10.0.0.8:80","zone":"z","version":"v1","slots":6,"state":"draining"})"), reason);
     BOOST_REQUIRE(target.has_value());
     BOOST_TEST(target->models.empty());
     BOOST_TEST(target->isLeaving);
@@ -149,6 +220,41 @@
     BOOST_TEST(!table->routes[0].isIdempotent());
 }
 
+// Guards against an absence taken for permission: an empty list of teams that opens all routes to everybody.
+BOOST_AUTO_TEST_CASE(onlyAMissingListOfTeamsMeansThatNoKeyIsNeeded)
+{
+    Reason reason;
+    const auto read = [&reason](const std::string &teams) {
+        return records.parseConfiguration(entryOf("op/config", configurationWith({}, {}, teams)), reason);
+    };
+    const auto without = read({});
+    BOOST_REQUIRE(without.has_value());
+    BOOST_TEST(!without->requiresKeys);
+    for (const char *teams : {R"(,"tenants":[])", R"(,"tenants":[{"name":"t"}])", R"(,"tenants":[{"name":"t","apiKeys":[]}])"}) {
+        const auto closed = read(teams);
+        BOOST_REQUIRE(closed.has_value());
+        BOOST_TEST(closed->requiresKeys);
+        BOOST_TEST(closed->teamOfKey.empty());
+    }
+    BOOST_TEST(read(R"(,"tenants":[{"name":"t","apiKeys":["k"]}])")->requiresKeys);
+}
+
+// Guards against a field of another type that counts as missing: as open routes, a team that is not isolated, a rate without limit.
+BOOST_DATA_TEST_CASE(aConfigurationWithAWrongFieldIsNone, boost::unit_test::data::make(wrongConfigurations), text)
+{
+    Reason reason;
+    BOOST_TEST(!records.parseConfiguration(entryOf("op/config", text), reason).has_value());
+    BOOST_TEST((reason.code == ResultCode::MalformedJson));
+    BOOST_TEST(!reason.text.empty());
+}
+
+BOOST_AUTO_TEST_CASE(aReasonNamesTheField)
+{
+    Reason reason;
+    records.parseConfiguration(entryOf("op/config", withTeam(R"(,"isolated":"yes")")), reason);
+    BOOST_TEST(reason.text == "tenants[0].isolated: must be true or false");
+}
+
 BOOST_AUTO_TEST_CASE(aConfigurationThatCannotBeReadIsNone)
 {
     Reason reason;
