An engine that lists no models gets no requests

Cause: no target of the service listed models, so that it counted as a plain service (TargetDirectory::schedulerModel, makeTargetRequest).

Fix: the configuration says which services have engines (`engine`); of these a target without models doesn't serve, and requests look for their model.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -153,11 +153,7 @@
         queryProofsUntil_ = BootClock::now() + proofQueryTime;
     }
     table_ = std::move(table);
-    std::map<std::string, double, std::less<>> cacheTokens;
-    for (const TargetService &service : table_->services) {
-        cacheTokens.emplace(service.name, static_cast<double>(service.cacheTokens));
-    }
-    directory_.setCacheTokens(std::move(cacheTokens));
+    directory_.setServices(table_->services);
     cacheStores_.setStores(table_->cacheStores);
     refreshTargets();
     applyTeamLimits();
--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -183,9 +183,18 @@
     return newest;
 }
 
-void TargetDirectory::setCacheTokens(std::map<std::string, double, std::less<>> tokens)
+void TargetDirectory::setServices(std::span<const TargetService> services)
 {
-    cacheTokens_ = std::move(tokens);
+    services_.clear();
+    for (const TargetService &service : services) {
+        services_.insert_or_assign(service.name, service);
+    }
+}
+
+bool TargetDirectory::hasEngines(std::string_view service) const
+{
+    const auto found = services_.find(service);
+    return modelServices_.contains(service) || (found != services_.end() && found->second.hasEngines);
 }
 
 const TargetMap &TargetDirectory::all() const
@@ -202,7 +211,7 @@
 std::string TargetDirectory::schedulerModel(std::string_view service, std::string_view model) const
 {
     std::string name(service);
-    if (modelServices_.contains(service)) {
+    if (hasEngines(service)) {
         name.append(1, nameSeparator).append(model);
     }
     return name;
@@ -293,6 +302,7 @@
         if (target.models.empty()) {
             engine.name = id;
             engine.model = target.service;
+            engine.isServing = engine.isServing && !hasEngines(target.service);
             engines.push_back(std::move(engine));
             continue;
         }
@@ -373,8 +383,8 @@
     engine.incarnation = static_cast<std::uint64_t>(target.incarnation);
     engine.batchLimit = static_cast<std::uint32_t>(target.slots);
     engine.prefillTokensPerSecond = target.models.empty() ? serviceTokensPerSecondAndSlot * static_cast<double>(target.slots) : assumedPrefillTokensPerSecond;
-    const auto cache = cacheTokens_.find(target.service);
-    engine.cacheTokens = cache != cacheTokens_.end() ? cache->second * promptCacheFraction : 0;
+    const auto service = services_.find(target.service);
+    engine.cacheTokens = service != services_.end() ? static_cast<double>(service->second.cacheTokens) * promptCacheFraction : 0;
     const Correction *correction = findCorrection(target);
     const bool isAvoided = correction != nullptr && (correction->isAddressReused || now < correction->avoidUntil);
     const bool isCandidate = candidates_.contains(target.id);
--- a/gateway/target_directory.h
+++ b/gateway/target_directory.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -11,6 +12,7 @@
 
 #include "decision/request_scheduler.h"
 #include "gateway/protocol.h"
+#include "gateway/routing_table.h"
 #include "gateway/target.h"
 
 namespace Lovageloft
@@ -68,9 +70,9 @@
     /// The latest known or estimated publication time over all models.
     std::optional<TimePoint> newestPublishedAt() const;
 
-    /// Sets the capacity of one engine's memory in tokens, by service. 70 % of it hold cached prompts. Engines of a service that is missing
-    /// have no cache.
-    void setCacheTokens(std::map<std::string, double, std::less<>> tokens);
+    /// Sets the services that the configuration describes. 70 % of an engine's memory hold cached prompts; targets of other services have no
+    /// cache. A target of a service with engines that lists no models is not used.
+    void setServices(std::span<const TargetService> services);
 
     const TargetMap &all() const;
 
@@ -78,7 +80,7 @@
     const Target *find(std::string_view engineName) const;
 
     /// The scheduler's name for the engines that serve a model of a service: "SERVICE|MODEL", or the service alone if its targets
-    /// run no models.
+    /// run no models. Targets run models if the configuration says so, or if any of them lists some.
     std::string schedulerModel(std::string_view service, std::string_view model) const;
 
     /// Version of a model's weights that the target probably runs; 0 if unknown.
@@ -123,6 +125,7 @@
         TimePoint until;
     };
 
+    bool hasEngines(std::string_view service) const;
     const Correction *findCorrection(const Target &target) const;
     bool isModelAvoided(const Target &target, std::string_view model, TimePoint now) const;
     std::int64_t newestVersion(std::string_view model) const;
@@ -141,7 +144,7 @@
     std::map<std::string, Rest, std::less<>> rests_; ///< By target; kept while a target is not listed.
     std::set<std::string, std::less<>> withheld_; ///< Ids of targets whose software version does not serve.
     std::set<std::string, std::less<>> candidates_; ///< Ids of targets in the rollout pool.
-    std::map<std::string, double, std::less<>> cacheTokens_; ///< Capacity of one engine's memory, by service.
+    std::map<std::string, TargetService, std::less<>> services_;
 };
 
 } // namespace Lovageloft
--- a/tests/gateway/test_target_directory.cpp
+++ b/tests/gateway/test_target_directory.cpp
@@ -219,6 +219,21 @@
     BOOST_TEST(isServing("e1|m", start + 1s));
 }
 
+// Guards against tenants that share cached prompts at an engine whose entry has lost its models: it took requests as a plain target does.
+BOOST_AUTO_TEST_CASE(anEngineWithoutModelsIsNotUsed)
+{
+    directory.setServices(std::vector<TargetService>{{.name = "s", .hasEngines = true}});
+    auto targets = engines(1, 1);
+    targets->erase("e2");
+    targets->at("e1").models.clear();
+    directory.setTargets(targets);
+    BOOST_TEST(!isServing("e1", start));
+    BOOST_TEST(directory.schedulerModel("s", "m") == "s|m");
+    directory.setServices(std::vector<TargetService>{{.name = "s"}});
+    BOOST_TEST(isServing("e1", start));
+    BOOST_TEST(directory.schedulerModel("s", "m") == "s");
+}
+
 // Guards against an engine that gets no requests for one of its models while it loads weights of another.
 BOOST_AUTO_TEST_CASE(aLoadKeepsOnlyItsOwnModelFromRequests)
 {
