Each call of a host states how large its answer may be

Cause: HttpConnection had one bound of 256 MiB for all answers, made for lists of an etcd store. Heads, trailers, chunk lines and the answers to requests were bounded.

Fix: HttpCallOptions::maxBodyBytes has no default.

--- a/coordination/order_scheduler.cpp
+++ b/coordination/order_scheduler.cpp
@@ -120,10 +120,10 @@
 void OrderScheduler::updateHistories(Engine &engine, TimePoint now)
 {
     const std::vector<Order> required = requiredOrders(engine);
-    for (auto &[model, history] : engine.histories) {
-        const bool isOutdated = std::any_of(required.begin(), required.end(), [&model](const Order &order) { return order.model == model; });
+    for (auto &entry : engine.histories) {
+        const bool isOutdated = std::any_of(required.begin(), required.end(), [&entry](const Order &order) { return order.model == entry.first; });
         if (!isOutdated) {
-            history.outdatedSince.reset();
+            entry.second.outdatedSince.reset();
         }
     }
     for (const Order &order : required) {
--- a/drivers/etcd_store.cpp
+++ b/drivers/etcd_store.cpp
@@ -18,6 +18,15 @@
 constexpr int httpUnavailable = 503;
 constexpr std::int64_t grpcNotFound = 5;
 
+/// Size limit of the response to a write, which may show one value.
+constexpr std::size_t maxValueBytes = 4'194'304;
+
+/// Size limit of a list, such as a hundred entries of the configuration log of up to a megabyte each.
+constexpr std::size_t maxListBytes = 146'800'640;
+
+/// Size limit of a line with changes.
+constexpr std::size_t maxWatchLineBytes = 16'777'216;
+
 /// Whether the error states that the call was not executed. Only errors that etcd raises before it proposes a write count: "request timed out" has
 /// the same status, but the write may still take effect.
 bool isRefused(const HttpAnswer &answer)
@@ -147,6 +156,8 @@
 {
     const StoreStatus unknown = effect == Effect::Write ? StoreStatus::AnswerLost : StoreStatus::Unavailable;
     const TimePoint deadline = BootClock::now() + options_.callTimeout;
+    const HttpCallOptions answerOptions{.maxBodyBytes = effect == Effect::Read ? maxListBytes : maxValueBytes,
+                                        .pace = {options_.callTimeout, minStoreBytesPerSecond}};
     const std::size_t first = pool_.preferred();
     for (std::size_t attempt = 0; attempt < pool_.size(); ++attempt) {
         const std::size_t endpoint = (first + attempt) % pool_.size();
@@ -156,7 +167,7 @@
             pool_.reportFailure(endpoint);
             continue;
         }
-        std::optional<HttpAnswer> answer = connection->call("POST", path, body, deadline, {}, {options_.callTimeout, minStoreBytesPerSecond});
+        std::optional<HttpAnswer> answer = connection->call("POST", path, body, deadline, answerOptions);
         if (!answer) {
             pool_.reportFailure(endpoint);
             return {unknown, {}};
@@ -219,7 +230,7 @@
         const std::size_t endpoint = (first + attempt) % pool_.size();
         const Duration share = (deadline - BootClock::now()) / static_cast<std::int64_t>(pool_.size() - attempt);
         std::unique_ptr<HttpConnection> connection = pool_.connect(endpoint, share);
-        if (connection && connection->startStream("/v3/watch", body, BootClock::now() + share)) {
+        if (connection && connection->startStream("/v3/watch", body, BootClock::now() + share, maxWatchLineBytes)) {
             return std::make_unique<EtcdWatch>(std::move(connection), afterRevision);
         }
         pool_.reportFailure(endpoint);
--- a/drivers/http_connection.cpp
+++ b/drivers/http_connection.cpp
@@ -15,10 +15,6 @@
 namespace
 {
 
-/// Maximum size of a response, or of a line of a stream: that of a list of some hundred values of a megabyte. Without a limit, an endpoint that never stops
-/// sending would exhaust the memory of the host.
-constexpr std::size_t answerLimit = std::size_t{256} * 1024 * 1024;
-
 constexpr std::size_t readSize = 16'384;
 
 Poco::Timespan toTimespan(Duration duration)
@@ -98,20 +94,21 @@
 
 std::optional<HttpAnswer> HttpConnection::call(const std::string &path, std::string_view body, TimePoint deadline)
 {
-    return call(Poco::Net::HTTPRequest::HTTP_POST, path, body, deadline);
+    return call(Poco::Net::HTTPRequest::HTTP_POST, path, body, deadline, {.maxBodyBytes = maxShortBodyBytes});
 }
 
-std::optional<HttpAnswer> HttpConnection::call(
-    std::string_view method, const std::string &path, std::string_view body, TimePoint deadline, std::span<const HttpField> fields, const AnswerPacing &pace)
+std::optional<HttpAnswer>
+HttpConnection::call(std::string_view method, const std::string &path, std::string_view body, TimePoint deadline, const HttpCallOptions &options)
 {
     isKeptAlive_ = false;
+    isAnswerTooLarge_ = false;
     bytesBefore_ = implementation_->receivedBytes();
     try {
-        implementation_->setDeadline(deadline, pace);
+        implementation_->setDeadline(deadline, options.pace);
         // Unsent bytes of an aborted call are discarded: otherwise the kernel would send them later, and an order of a leader whose lease has
         // expired would arrive when the link is restored.
         socket_.setLinger(true, 0);
-        sendRequest(method, path, body, fields, {.body = answerLimit});
+        sendRequest(method, path, body, options.fields, {.body = options.maxBodyBytes});
         while (!answer_->isComplete()) {
             if (!receive()) {
                 return std::nullopt;
@@ -125,9 +122,15 @@
     }
 }
 
-bool HttpConnection::startStream(const std::string &path, std::string_view body, TimePoint deadline)
+bool HttpConnection::isAnswerTooLarge() const
+{
+    return isAnswerTooLarge_;
+}
+
+bool HttpConnection::startStream(const std::string &path, std::string_view body, TimePoint deadline, std::size_t maxLineBytes)
 {
     isKeptAlive_ = false;
+    maxLineBytes_ = maxLineBytes;
     try {
         implementation_->setDeadline(deadline);
         sendRequest(Poco::Net::HTTPRequest::HTTP_POST, path, body, {}, {});
@@ -149,7 +152,7 @@
         constexpr Duration minWait = std::chrono::milliseconds(1); // So that a call without a timeout still reads what has arrived.
         implementation_->setDeadline(std::max(deadline, BootClock::now() + minWait));
         while (!consumeLine(line)) {
-            if (answer_->isComplete() || answer_->body().size() > answerLimit || !receive()) {
+            if (answer_->isComplete() || answer_->body().size() > maxLineBytes_ || !receive()) {
                 return HttpLineStatus::Broken;
             }
         }
@@ -209,7 +212,9 @@
     std::array<char, readSize> buffer{};
     const int count = socket_.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
     Reason reason;
-    return count > 0 ? answer_->read({buffer.data(), static_cast<std::size_t>(count)}, reason) : answer_->readEnd();
+    const bool isValid = count > 0 ? answer_->read({buffer.data(), static_cast<std::size_t>(count)}, reason) : answer_->readEnd();
+    isAnswerTooLarge_ = reason.code == ResultCode::BodyTooLarge;
+    return isValid;
 }
 
 bool HttpConnection::consumeLine(std::string &line)
--- a/drivers/http_connection.h
+++ b/drivers/http_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -33,6 +34,17 @@
     double minBytesPerSecond = 0; ///< Each received byte extends the deadline by the inverse; 0 for a fixed deadline.
 };
 
+/// Size limit in bytes for the bodies of responses that carry a status and a few fields.
+inline constexpr std::size_t maxShortBodyBytes = 65'536;
+
+/// What a call sends beside its body, and what it accepts.
+struct HttpCallOptions
+{
+    std::size_t maxBodyBytes; ///< Size limit of the response's body. Without one, an endpoint that never stops sending would exhaust the memory of the host.
+    std::span<const HttpField> fields = {}; ///< Added to the head.
+    AnswerPacing pace = {}; ///< With a pacing, the deadline applies to the start of the response.
+};
+
 /// Rate below which a response of the store counts as stalled: a tenth of a link of 10 Mbit/s.
 inline constexpr double minStoreBytesPerSecond = 125'000;
 
@@ -55,21 +67,19 @@
     HttpConnection(const HttpConnection &) = delete;
     HttpConnection &operator=(const HttpConnection &) = delete;
 
-    /// Sends a POST with a JSON body and reads the complete response until `deadline`. Returns nothing on failure: the call may have been executed
-    /// then, and the connection must not be used again, as a late response would be taken for that to the next call.
+    /// Sends a request and reads the complete response until `deadline`. An empty `body` is not sent; any other is JSON. Returns nothing on
+    /// failure: the call may have been executed then, and the connection must not be used again, as a late response would be taken for that to
+    /// the next call.
+    std::optional<HttpAnswer> call(std::string_view method, const std::string &path, std::string_view body, TimePoint deadline, const HttpCallOptions &options);
+
+    /// The same for a POST with a short response.
     std::optional<HttpAnswer> call(const std::string &path, std::string_view body, TimePoint deadline);
 
-    /// The same with any method. An empty `body` is not sent; `fields` are added to the head. With a pacing, `deadline` applies to the start of the
-    /// response.
-    std::optional<HttpAnswer> call(std::string_view method,
-                                   const std::string &path,
-                                   std::string_view body,
-                                   TimePoint deadline,
-                                   std::span<const HttpField> fields = {},
-                                   const AnswerPacing &pace = {});
+    /// Whether the last call failed because its response was larger than allowed.
+    bool isAnswerTooLarge() const;
 
-    /// Sends a call whose response is an endless stream of lines, and reads its head; returns false on failure.
-    bool startStream(const std::string &path, std::string_view body, TimePoint deadline);
+    /// Sends a call whose response is an endless stream of lines of at most `maxLineBytes`, and reads its head; returns false on failure.
+    bool startStream(const std::string &path, std::string_view body, TimePoint deadline, std::size_t maxLineBytes);
 
     /// Reads the next line of the stream.
     HttpLineStatus readLine(std::string &line, TimePoint deadline);
@@ -95,7 +105,9 @@
     DeadlineSocket *implementation_; // Owned by the socket.
     std::string host_;
     std::optional<HttpAnswerCollector> answer_; // Response to the last call.
+    std::size_t maxLineBytes_ = 0; // Of a stream.
     bool isKeptAlive_ = true;
+    bool isAnswerTooLarge_ = false;
     std::int64_t bytesBefore_ = 0; // Received before the last call.
 };
 
--- a/gateway/cache_store_duty.cpp
+++ b/gateway/cache_store_duty.cpp
@@ -68,7 +68,7 @@
         return false;
     }
     const HttpField longPoll = format_.longPollField(longPollTimeout);
-    return connection->call("GET", format_.cacheEventsPath(), {}, BootClock::now() + responseTimeout, {&longPoll, 1}).has_value();
+    return connection->call("GET", format_.cacheEventsPath(), {}, BootClock::now() + responseTimeout, {maxShortBodyBytes, {&longPoll, 1}}).has_value();
 }
 
 } // namespace Lovageloft
--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -20,6 +20,7 @@
     HostAddress callers; ///< Listens for requests of callers.
     HostAddress readiness; ///< Answers readiness checks of the load balancer.
     HostAddress store; ///< Address of the store's server.
+    std::size_t storeValueBytes = 1'048'576; ///< Size limit of a value in the store.
     HostAddress peers; ///< Receives datagrams of other hosts.
     HostCapacity capacity;
     double memoryMegabytes = 0; ///< Memory of the host; 0 if it is not known.
--- a/gateway/weights_duty.cpp
+++ b/gateway/weights_duty.cpp
@@ -21,6 +21,9 @@
 constexpr Duration leaderStepPause = std::chrono::milliseconds(50);
 constexpr Duration followerStepPause = std::chrono::milliseconds(250);
 
+/// Size limit of a status report: an engine lists its models with their adapters, and some hundred requests.
+constexpr std::size_t maxReportBytes = 262'144;
+
 constexpr int statusOk = 200;
 
 /// Maximum number of parallel calls to engines.
@@ -284,7 +287,7 @@
     }
     const HttpField expected = format_.expectedTargetField(order.target);
     const std::string body = format_.writeOrder(order, options_.holderName, before->ordersAccepted);
-    const auto answer = connection->call("POST", format_.orderPath(), body, BootClock::now() + callTimeout, {&expected, 1});
+    const auto answer = connection->call("POST", format_.orderPath(), body, BootClock::now() + callTimeout, {maxShortBodyBytes, {&expected, 1}});
     if (answer) {
         sent.status = answer->status;
         sent.outcome = format_.outcomeOf(answer->status);
@@ -299,7 +302,7 @@
         return std::nullopt;
     }
     const HttpField expected = format_.expectedTargetField(target.id);
-    const auto answer = connection->call("GET", format_.reportPath(), {}, BootClock::now() + callTimeout, {&expected, 1});
+    const auto answer = connection->call("GET", format_.reportPath(), {}, BootClock::now() + callTimeout, {maxReportBytes, {&expected, 1}});
     return answer && answer->status == statusOk ? format_.parseReport(answer->body) : std::nullopt;
 }
 
--- a/main/gateway_host.cpp
+++ b/main/gateway_host.cpp
@@ -156,7 +156,7 @@
 
 GatewayHost::GatewayHost(const GatewaySettings &settings, std::uint16_t metricsPort)
     : settings_(withMachineLimits(settings))
-    , store_({.address = settings.store})
+    , store_({.address = settings.store, .valueBytes = settings.storeValueBytes})
     , measuredStore_(store_, metrics_)
     , relayedStore_(measuredStore_, settings.hostName)
     , gateway_(gatewayOptions(settings_, metricsPort), callerProtocol_, targetProtocol_, metrics_)
--- a/tests/drivers/test_incomplete_answers.cpp
+++ b/tests/drivers/test_incomplete_answers.cpp
@@ -138,7 +138,7 @@
     for (; size <= answer.size(); ++size) {
         const auto connection = HttpConnection::open({"127.0.0.1", target.port()}, 1s);
         BOOST_REQUIRE(connection != nullptr);
-        if (!connection->startStream("/x", "{}", BootClock::now() + 2s)) {
+        if (!connection->startStream("/x", "{}", BootClock::now() + 2s, 1'000)) {
             BOOST_TEST(size < answer.find("\r\n\r\n") + 4);
             continue;
         }
@@ -162,7 +162,7 @@
         connection.send("0\r\n0123456789abcde\n\r\n0\r\n\r\n");
     });
     const auto connection = HttpConnection::open({"127.0.0.1", target.port()}, 1s);
-    BOOST_REQUIRE(connection->startStream("/x", "{}", BootClock::now() + 2s));
+    BOOST_REQUIRE(connection->startStream("/x", "{}", BootClock::now() + 2s, 1'000));
     std::string line;
     BOOST_TEST((connection->readLine(line, BootClock::now() + 2s) == HttpLineStatus::Line));
     BOOST_TEST((connection->readLine(line, BootClock::now() + 10ms) == HttpLineStatus::Timeout));
