Requests late in a planned stop are answered or refused as not run

Seen (reported by other operators): after SIGTERM with 8 s of grace, requests whose head ended at 3.5 s, or whose upload ended at 4.5 s, on connections opened before, were passed on with 5 and 4 s of work to do and cut at 7.3 s without a byte, safe and unsafe alike. One behind a running request was closed unread.

Cause: nothing weighed the time that the process has left, and the end of the event loop answered nobody.

Fix: all deadlines end 300 ms before the process does; after the notice to the balancer a request is only taken if its own limit fits, else it gets 503 as not run with a Retry-After of 50 ms. With further requests buffered an answer doesn't say that the connection closes. A connection with unread bytes isn't idle. The router's own interface refuses new work in its closing phase, as that was documented.

--- a/gateway/caller_session.cpp
+++ b/gateway/caller_session.cpp
@@ -182,7 +182,7 @@
 
 void CallerSession::closeIfIdle()
 {
-    if (isIdle()) {
+    if (isIdle() && (tcp_ == nullptr || tcp_->isQuiet())) {
         close();
     }
 }
@@ -442,7 +442,8 @@
 
 bool CallerSession::mayKeepConnection() const
 {
-    return !gateway_.isDraining();
+    // A further request that has arrived already is answered as well: closed unread, its caller could not tell whether it runs.
+    return !gateway_.isDraining() || parser_.bufferedBytes() > 0;
 }
 
 } // namespace Lovageloft
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -38,6 +38,9 @@
 constexpr Duration tickInterval = std::chrono::milliseconds(250);
 constexpr Duration drainCheckInterval = std::chrono::milliseconds(50);
 
+/// Time at the end of a graceful shutdown in which the last answers are written.
+constexpr Duration drainAnswerMargin = std::chrono::milliseconds(300);
+
 } // namespace
 
 Gateway::Gateway(const GatewayOptions &options, const CallerProtocol &callerProtocol, const TargetProtocol &targetProtocol, Metrics &metrics)
@@ -329,6 +332,7 @@
     }
     drainStartedAt_ = BootClock::now();
     relayServer_.drain();
+    dispatch_.limitDeadlines(*drainDeadline());
     writeLog(LogLevel::Info,
              "drain_started",
              {{"sessions", static_cast<std::int64_t>(sessions_.size())}, {"requests", static_cast<std::int64_t>(dispatch_.count())}});
@@ -345,6 +349,16 @@
     return drainStartedAt_.has_value();
 }
 
+std::optional<TimePoint> Gateway::drainDeadline() const
+{
+    return drainStartedAt_ ? std::optional(*drainStartedAt_ + options_.limits.drainLimit - drainAnswerMargin) : std::nullopt;
+}
+
+bool Gateway::mayServeUntil(TimePoint deadline, TimePoint now) const
+{
+    return !drainStartedAt_ || now < *drainStartedAt_ + options_.limits.drainNotice || deadline <= *drainDeadline();
+}
+
 bool Gateway::isKeyProofValid(TimePoint now) const
 {
     return table_ != nullptr && proofAge(now) < options_.limits.keyProofWindow - keyProofMargin;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -293,6 +293,13 @@
     CallerLimits callerLimits() const;
     bool isDraining() const;
 
+    /// By when callers must have their answers because this host shuts down; nothing while it doesn't.
+    std::optional<TimePoint> drainDeadline() const;
+
+    /// Whether a request that may take until `deadline` can be served although this host may be shutting down. While the balancer still sends
+    /// connections every request is, as other hosts are no better choice; after that only one that is complete by drainDeadline().
+    bool mayServeUntil(TimePoint deadline, TimePoint now) const;
+
     /// Whether the configuration is proven recent enough that no key in it was withdrawn more than `keyProofWindow` ago, even when the
     /// request reaches its target a moment later. False before the first configuration.
     bool isKeyProofValid(TimePoint now) const;
--- a/gateway/request_dispatch.cpp
+++ b/gateway/request_dispatch.cpp
@@ -196,6 +196,13 @@
     }
 }
 
+void RequestDispatch::limitDeadlines(TimePoint deadline)
+{
+    for (const auto &[id, request] : requests_) {
+        request->limitDeadline(deadline);
+    }
+}
+
 void RequestDispatch::onEnded(RequestId id, DispatchResult result)
 {
     scheduler_.onEnded(id, result, BootClock::now());
--- a/gateway/request_dispatch.h
+++ b/gateway/request_dispatch.h
@@ -80,6 +80,9 @@
     /// Ends the requests that may not be sent to targets any more, see RoutedRequest::endIfQuarantined.
     void failQuarantined();
 
+    /// Sets an earlier deadline for all requests, as this host shuts down.
+    void limitDeadlines(TimePoint deadline);
+
     /// A request is no longer in flight at its target, whatever the result.
     void onEnded(RequestId id, DispatchResult result);
 
--- a/gateway/request_limits.h
+++ b/gateway/request_limits.h
@@ -23,6 +23,9 @@
 /// Retry-After of refusals without a more specific time: most causes are gone, or the load has moved to another host, by then.
 inline constexpr Duration defaultRetryAfter = std::chrono::milliseconds(300);
 
+/// Retry-After of a request that this host no longer takes, as it shuts down: any other host does.
+inline constexpr Duration drainRetryAfter = std::chrono::milliseconds(50);
+
 /// Retry-After of a stream whose version has no target: about the time that a target takes to restart.
 inline constexpr Duration noVersionRetryAfter = std::chrono::seconds(1);
 
--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -114,11 +114,25 @@
 
 void RoutedRequest::admit()
 {
+    // Passed on with less time than it may take, a request would be cut when the process ends, perhaps after it has run.
+    if (!gateway_.mayServeUntil(deadline_, BootClock::now())) {
+        fail({ResultCode::Draining, "this host ends before the request must"}, drainRetryAfter);
+        return;
+    }
+    deadline_ = std::min(deadline_, gateway_.drainDeadline().value_or(deadline_));
     exposure_.begin();
     armTimer();
     enqueue();
 }
 
+void RoutedRequest::limitDeadline(TimePoint deadline)
+{
+    if (phase_ != Phase::Done && deadline < deadline_) {
+        deadline_ = deadline;
+        armTimer();
+    }
+}
+
 void RoutedRequest::enqueue()
 {
     phase_ = Phase::Queued;
--- a/gateway/routed_request.h
+++ b/gateway/routed_request.h
@@ -57,6 +57,9 @@
     /// may be running is left to complete.
     void endIfQuarantined();
 
+    /// Sets an earlier deadline for a request that has been admitted.
+    void limitDeadline(TimePoint deadline);
+
     RequestId schedulerId() const
     {
         return schedulerId_;
--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -63,8 +63,9 @@
         const auto correction = corrections_.find(id);
         if (previous != targets_->end() && correction != corrections_.end() && !(previous->second.models == target.models)) {
             correction->second.avoidUntil = {}; // A new entry with other weights means that loading has finished.
-            std::erase_if(correction->second.avoidModelUntil,
-                          [&](const auto &avoided) { return servedVersion(previous->second, avoided.first) != servedVersion(target, avoided.first); });
+            std::erase_if(correction->second.avoidModelUntil, [&before = previous->second, &after = target](const auto &avoided) {
+                return servedVersion(before, avoided.first) != servedVersion(after, avoided.first);
+            });
         }
     }
     targets_ = std::move(targets);
--- a/servers/caller_connection.cpp
+++ b/servers/caller_connection.cpp
@@ -11,6 +11,7 @@
 #include "core/log.h"
 #include "servers/caller_routes.h"
 #include "servers/refusal.h"
+#include "servers/service_handler.h"
 
 namespace Lovageloft
 {
@@ -145,6 +146,11 @@
     exchange.body = std::move(*body);
     exchange.arrival = BootClock::now();
     const DrainState::Running running(parts_.drain);
+    if (parts_.drain.phase() == DrainPhase::Closing) {
+        countRequest(parts_.metrics, ResultCode::Draining);
+        sendRefusal(response, {{ResultCode::Draining, {}}, ServiceHandler::runStateBeforeClaim(exchange)}, exchange.id, false);
+        return false;
+    }
     routeCallerExchange(parts_, exchange);
     return true;
 }
--- a/tests/platform/test_requests.cpp
+++ b/tests/platform/test_requests.cpp
@@ -472,6 +472,64 @@
     BOOST_TEST(hasStopped());
 }
 
+// Guards against requests that are cut without an answer at the end of a shutdown: running, queued, or behind another on their connection.
+BOOST_AUTO_TEST_CASE(aShutdownAnswersWhatItCannotComplete)
+{
+    constexpr Duration work = 3s;
+    addTarget("a", [work](Connection &connection, const Request &request) {
+        connection.waitClosed(std::chrono::duration_cast<std::chrono::milliseconds>(work));
+        connection.answer(request, 200, "whole");
+    });
+    onLoop([](Gateway &gateway) {
+        GatewayLimits limits;
+        limits.drainNotice = 100ms;
+        limits.drainLimit = 1'200ms;
+        gateway.setLimits(limits);
+    });
+    std::vector<std::string> answers(3);
+    std::vector<std::thread> callers;
+    const std::array requests{request("GET", "/safe/x"), request("POST", "/once/x", "body"), request("GET", "/safe/1") + request("GET", "/safe/2")};
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        callers.emplace_back([&, i] { answers[i] = exchange(requests[i]); });
+    }
+    std::this_thread::sleep_for(100ms);
+    drain();
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    BOOST_TEST(statusOf(answers[0]) == 504);
+    BOOST_TEST(statusOf(answers[1]) == 504);
+    BOOST_TEST(statusOf(answers[2]) == 504);
+    BOOST_TEST(hasStopped());
+}
+
+// Guards against requests that come late in a shutdown, are passed on, and are cut in the middle of their work.
+BOOST_AUTO_TEST_CASE(aRequestThatMayOutlastAShutdownIsRefusedAsNotRun)
+{
+    addTarget("a", wellTarget);
+    Poco::Net::StreamSocket late(Poco::Net::SocketAddress("127.0.0.1", port()));
+    late.setReceiveTimeout(Poco::Timespan(3, 0));
+    const std::string whole = request("POST", "/once/x", "body");
+    late.sendBytes(whole.data(), 20);
+    onLoop([](Gateway &gateway) {
+        GatewayLimits limits;
+        limits.drainNotice = 100ms;
+        limits.drainLimit = 2s;
+        gateway.setLimits(limits);
+    });
+    drain();
+    std::this_thread::sleep_for(200ms);
+    late.sendBytes(whole.data() + 20, static_cast<int>(whole.size()) - 20);
+    std::array<char, 4'096> buffer{};
+    const int got = late.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+    const std::string answer(buffer.data(), static_cast<std::size_t>(std::max(got, 0)));
+    BOOST_TEST(statusOf(answer) == 503);
+    BOOST_TEST(contains(answer, "2005"));
+    BOOST_TEST(contains(answer, "not_run"));
+    BOOST_TEST(contains(answer, "Connection: close"));
+    BOOST_TEST(hasStopped());
+}
+
 BOOST_AUTO_TEST_CASE(aShutdownBeginsAlsoWhenATickIsDueAtThatMoment)
 {
     // The signal to stop comes in the moment in which the periodic tick is due. The tick then took the shutdown's timer for its own, the
