A version that engines list above the published one counts as published

Seen: after a late write of an older version and a rolling restart all engines were ordered back to weights replaced up to 20 s before. review/8: broken 2,576 to 9,054 times on seeds 1 to 4.

Cause: a host that starts took the store's entry for the newest publication, and an order went to each engine whose version was another.

Fix: TargetDirectory::addListedWeights takes versions above the published ones from the engines' entries (they load none that was not published), with an estimated time that other hosts or the store's watch correct. No order goes to an engine that lists or reports newer weights.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -212,7 +212,13 @@
     adjusted.silence = std::max(adjusted.silence, pauseDetector_.recentPause(now) - (now - weights.publishedAt));
     writeLog(LogLevel::Info, "weights_named", {{"model", weights.model}, {"version", weights.version}, {"silence_ms", toMillis(adjusted.silence)}});
     directory_.setPublishedWeights(adjusted);
-    queryWeightsAgesUntil_ = now + weightsAgeQueryTime;
+    directory_.addListedWeights(now);
+    onPublishedWeights();
+}
+
+void Gateway::onPublishedWeights()
+{
+    queryWeightsAgesUntil_ = BootClock::now() + weightsAgeQueryTime;
     onWeightsChanged();
 }
 
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -382,6 +382,8 @@
     void closeStalledCallers(TimePoint now);
     bool closeExpendable(const std::optional<ConnectionBudget::Expendable> &expendable);
     void onWeightsChanged();
+    void onPublishedWeights();
+    void addListedWeights();
     void continueDrain();
     StatusAnswer readinessAnswer(std::string_view path);
     StatusAnswer metricsAnswer(std::string_view path);
--- a/gateway/gateway_targets.cpp
+++ b/gateway/gateway_targets.cpp
@@ -27,6 +27,14 @@
     applyTargets();
 }
 
+void Gateway::addListedWeights()
+{
+    if (directory_.addListedWeights(BootClock::now())) {
+        writeLog(LogLevel::Warning, "weights_only_listed");
+        onPublishedWeights();
+    }
+}
+
 /// Puts the listed targets in force, and what else is known of their leaving.
 void Gateway::applyTargets()
 {
@@ -38,6 +46,7 @@
     statements_.setTargets(directory_.all());
     streams_.setTargets(directory_.all());
     hasTargets_ = true;
+    addListedWeights();
     dispatch_.invalidateEngines();
     if (isConfigured()) {
         beginPending();
--- a/gateway/target_directory.cpp
+++ b/gateway/target_directory.cpp
@@ -83,7 +83,12 @@
 
 void TargetDirectory::setPublishedWeights(const PublishedWeights &weights)
 {
-    if (weights.version <= newestVersion(weights.model)) {
+    const std::int64_t newest = newestVersion(weights.model);
+    if (weights.version <= newest) {
+        // Engines may have listed the version before this host saw its publication.
+        if (weights.version == newest && isPublicationTimeKnown(weights)) {
+            updatePublicationTime(weights);
+        }
         return;
     }
     std::vector<PublishedWeights> &versions = published_[weights.model];
@@ -102,6 +107,20 @@
     }
 }
 
+bool TargetDirectory::addListedWeights(TimePoint now)
+{
+    bool hasAdded = false;
+    for (const auto &[id, target] : *targets_) {
+        for (const ServedModel &model : target.models) {
+            if (published_.contains(model.name) && model.version > newestVersion(model.name)) {
+                setPublishedWeights({model.name, model.version, now, false, weightsDeadline_});
+                hasAdded = true;
+            }
+        }
+    }
+    return hasAdded;
+}
+
 bool TargetDirectory::isWithheld(std::string_view targetId) const
 {
     return withheld_.contains(targetId);
--- a/gateway/target_directory.h
+++ b/gateway/target_directory.h
@@ -40,6 +40,10 @@
     void setTargets(std::shared_ptr<const TargetMap> targets);
     void setPublishedWeights(const PublishedWeights &weights);
 
+    /// Takes versions that engines list and that are newer than the published ones for published as well: versions only rise, and engines load none that
+    /// was not published. The store may hold an older one, if that was written late. Returns whether there were any.
+    bool addListedWeights(TimePoint now);
+
     /// Sets the ids of the targets that get no requests because of their software version.
     void setWithheld(std::set<std::string, std::less<>> withheld);
 
--- a/gateway/weights_duty.cpp
+++ b/gateway/weights_duty.cpp
@@ -32,6 +32,14 @@
 /// Hosts that try to become leader in ranked order before any others do.
 constexpr std::size_t maxRankedHosts = 8;
 
+/// Whether an engine reports newer weights than those that it is to load.
+bool hasNewerWeights(const EngineReport &report, const Order &order)
+{
+    return std::any_of(report.models.begin(), report.models.end(), [&order](const ServedModel &model) {
+        return order.kind == OrderKind::LoadWeights && model.name == order.model && model.version > std::stoll(order.value);
+    });
+}
+
 std::vector<ModelState> modelStates(std::span<const ServedModel> models)
 {
     std::vector<ModelState> states;
@@ -211,7 +219,8 @@
     engine.announced = EngineState{modelStates(target.models), {}, false};
     for (const ServedModel &model : target.models) {
         const auto newest = published.find(model.name);
-        if (target.isLeaving || newest == published.end()) {
+        // A version above the published one was published as well: versions only rise.
+        if (target.isLeaving || newest == published.end() || model.version > newest->second.version) {
             continue;
         }
         const TimePoint dueAt = newest->second.publishedAt + olderWeightsGracePeriod(options_.deadline);
@@ -277,7 +286,7 @@
         return sent;
     }
     sent.acceptedBefore = before->ordersAccepted;
-    if (before->isBusy || !scheduler_.maySend(order, lease_, BootClock::now())) {
+    if (before->isBusy || hasNewerWeights(*before, order) || !scheduler_.maySend(order, lease_, BootClock::now())) {
         return sent;
     }
     const auto connection = HttpConnection::open(target->second.address, callTimeout);
--- a/tests/gateway/test_target_directory.cpp
+++ b/tests/gateway/test_target_directory.cpp
@@ -234,6 +234,25 @@
     BOOST_TEST(directory.schedulerModel("s", "m") == "s");
 }
 
+// Guards against a host that starts after a late write of an older version, and takes all engines' newer weights for outdated or unknown.
+BOOST_AUTO_TEST_CASE(aNewerVersionThatEnginesListCountsAsPublished)
+{
+    directory.setTargets(engines(9, 8));
+    BOOST_TEST(!directory.addListedWeights(start)); // Nothing is known of the model's publications.
+    directory.setPublishedWeights({"m", 3, start, true});
+    BOOST_TEST(directory.addListedWeights(start));
+    BOOST_TEST(!directory.addListedWeights(start));
+    BOOST_REQUIRE(directory.newestPublished().size() == 1U);
+    BOOST_TEST(directory.newestPublished()[0].version == 9);
+    BOOST_TEST(directory.needsPublicationTime(start));
+    BOOST_TEST(isServing("e1|m", start + 60s));
+    BOOST_TEST(isServing("e2|m", start + 2s));
+    BOOST_TEST(!isServing("e2|m", start + 7s));
+    directory.setPublishedWeights({"m", 9, start + 1s}); // The watch delivers the publication later than the entries.
+    BOOST_TEST(!directory.needsPublicationTime(start + 1s));
+    BOOST_TEST(isServing("e2|m", start + 7s));
+}
+
 // Guards against an engine that gets no requests for one of its models while it loads weights of another.
 BOOST_AUTO_TEST_CASE(aLoadKeepsOnlyItsOwnModelFromRequests)
 {
--- a/tests/platform/test_orders_beside_silent_engines.cpp
+++ b/tests/platform/test_orders_beside_silent_engines.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE orders_beside_silent_engines
+#include <atomic>
 #include <set>
 
 #include <Poco/Net/ServerSocket.h>
@@ -80,9 +81,11 @@
     MemoryStore store;
     PlatformEngineControl control;
     Poco::Net::ServerSocket silent{Poco::Net::SocketAddress("127.0.0.1", 0), 512};
-    ScriptedTarget answering{[](ScriptedTarget::Connection &connection, const ScriptedTarget::Request &request) {
+    std::atomic<int> reportedVersion = 1;
+    ScriptedTarget answering{[this](ScriptedTarget::Connection &connection, const ScriptedTarget::Request &request) {
         const bool isOrder = request.head.starts_with("POST ");
-        const std::string report = R"({"stage":"colocated","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"seq":0})";
+        const std::string report =
+            R"({"stage":"colocated","models":[{"name":"m","version":)" + std::to_string(reportedVersion) + R"(,"adapters":[]}],"busy":false,"seq":0})";
         connection.answer(request, isOrder ? 202 : 200, isOrder ? std::string_view() : std::string_view(report));
     }};
     WeightsDuty duty;
@@ -104,6 +107,15 @@
     BOOST_TEST(toMillis(BootClock::now() - namedAt) < 4'000);
 }
 
+// Guards against engines that are ordered back to older weights by a leader that has not heard of the newer ones.
+BOOST_AUTO_TEST_CASE(enginesWithNewerWeightsThanPublishedAreNotOrdered)
+{
+    reportedVersion = 3;
+    duty.setPublishedWeights({{"m", 2, BootClock::now()}});
+    std::this_thread::sleep_for(3s);
+    BOOST_TEST(ordered().empty());
+}
+
 // Guards against weights that nobody loads while the leader has lost its links to the engines and other hosts have not.
 BOOST_AUTO_TEST_CASE(aLeaderThatReachesNoEngineResigns)
 {
