A watch of the targets that hangs is given up in time

Cause: answers to other calls count as a sign that the pending watch works; its own end, 3.5 s after its begin, is the only proof.

Fix: it ends after 1 s and is given up after 1.5 s; the next one uses a new connection.

--- a/gateway/target_duty.cpp
+++ b/gateway/target_duty.cpp
@@ -12,8 +12,9 @@
 namespace
 {
 
-/// Timeout of one watch. Entries change rarely, and each watch that returns costs a call.
-constexpr Duration watchTimeout = std::chrono::seconds(3);
+/// Timeout of one watch; each watch that returns costs a call. A watch whose connection has gone silent is given up half a second later, and
+/// a new one has to tell of leaving targets within the two seconds after which they must get no requests.
+constexpr Duration watchTimeout = std::chrono::seconds(1);
 
 /// Pause between two watches. Releases and restarts change entries in bursts, which one call then returns together. Far shorter than the
 /// seconds within which a leaving target must stop getting requests.
--- a/tests/gateway/test_duties.cpp
+++ b/tests/gateway/test_duties.cpp
@@ -1,6 +1,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
+#include <thread>
 
 #include <boost/test/unit_test.hpp>
 
@@ -285,6 +286,29 @@
     TargetDuty duty{store, records, [this](const std::shared_ptr<const TargetMap> &targets, std::int64_t /*revision*/) { latest.set(*targets); }};
 };
 
+/// An in-memory store whose connection goes silent once, while a watch is pending on it; other calls use other connections.
+class SilentStore final : public ForwardingStore
+{
+public:
+    SilentStore()
+        : ForwardingStore(memory)
+    {
+    }
+
+    StoreListReply watch(std::string_view prefix, std::int64_t afterRevision, Duration timeout) override
+    {
+        constexpr Duration timeoutMargin = 500ms;
+        if (isWatched.exchange(true)) {
+            return memory.watch(prefix, afterRevision, timeout);
+        }
+        std::this_thread::sleep_for(timeout + timeoutMargin);
+        return {};
+    }
+
+    MemoryStore memory;
+    std::atomic<bool> isWatched = false;
+};
+
 struct ProofFixture
 {
     ProofFixture()
@@ -518,4 +542,27 @@
     BOOST_TEST(duty.joinFor(Duration::zero()));
 }
 
+// Guards against requests to a leaving target for as long as a watch hangs on a connection that has gone silent.
+BOOST_AUTO_TEST_CASE(aLeavingTargetIsKnownInTimeThoughTheWatchHasGoneSilent)
+{
+    constexpr Duration leaveLimit = 2s;
+    SilentStore store;
+    store.memory.compareAndSwap("t/a", 0, "s", 0);
+    std::atomic<bool> isLeaving = false;
+    TargetDuty duty{
+        store, records, [&isLeaving](const std::shared_ptr<const TargetMap> &targets, std::int64_t /*revision*/) { isLeaving = targets->at("a").isLeaving; }};
+    duty.start();
+    while (!store.isWatched) {
+        std::this_thread::sleep_for(1ms);
+    }
+    const TimePoint leftAt = BootClock::now();
+    store.memory.compareAndSwap("t/a", store.memory.get("t/a").entry.revision, "leaving", 0);
+    while (!isLeaving && BootClock::now() < leftAt + waitTimeout) {
+        std::this_thread::sleep_for(5ms);
+    }
+    BOOST_TEST((BootClock::now() - leftAt < leaveLimit));
+    duty.stop();
+    duty.join();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
