--- a/gateway/prefix_state.cpp
+++ b/gateway/prefix_state.cpp
@@ -23,10 +23,11 @@
     lastChangeRevision = revision;
 }
 
-void PrefixState::onOutage(const OutageTracker::Outage &ended)
+void PrefixState::onOutage(const OutageTracker::Outage &ended, TimePoint confirmedAt, TimePoint now)
 {
-    if (ended.length > maxOutage) {
-        maxOutage = ended.length;
+    const Duration length = std::min(ended.length, now - confirmedAt);
+    if (length > maxOutage) {
+        maxOutage = length;
         returnedAt = ended.returnedAt;
     }
 }
--- a/gateway/prefix_state.h
+++ b/gateway/prefix_state.h
@@ -46,8 +46,9 @@
     /// Until when all changes are in force on this host; the end of time while none waits.
     TimePoint appliedUntil() const;
 
-    /// The store answers again after an outage.
-    void onOutage(const OutageTracker::Outage &ended);
+    /// The store answers this host again at `now`. It was not away while it told others of changes that this host had received until `confirmedAt`: it only
+    /// turned this host away.
+    void onOutage(const OutageTracker::Outage &ended, TimePoint confirmedAt, TimePoint now);
 
     /// Applies a notice that continues `syncedRevision`.
     void applyNotice(const ChangesNotice &notice, TimePoint now);
--- a/gateway/relayed_store.cpp
+++ b/gateway/relayed_store.cpp
@@ -83,9 +83,11 @@
     const TimePoint answeredAt = std::max(calledAt, arrivalOf(now_()));
     const TimePoint reachedAt = std::max(answeredAt - maxAnswerTransit, std::min(answeredAt, calledAt + hold));
     storeReachedAt_ = std::max(storeReachedAt_, reachedAt);
-    if (const auto outage = outages_.onAnswered(now_())) {
+    const TimePoint now = now_();
+    if (const auto outage = outages_.onAnswered(now)) {
         for (auto &[prefix, state] : prefixes_) {
-            state.onOutage(*outage);
+            // A relay ignores what the other relay reports: if both have dead connections to the store, they would confirm each other.
+            state.onOutage(*outage, isAmongRelays() ? state.lastReadAt : std::max(state.lastReadAt, state.lastHeardAt), now);
         }
     }
     return reply;
--- a/tests/gateway/test_outage_in_pieces.cpp
+++ b/tests/gateway/test_outage_in_pieces.cpp
@@ -53,6 +53,37 @@
     BOOST_TEST((relay.list("x/").outage >= Duration(5s)));
 }
 
+// Guards against targets that have left and are kept as lapsed, because the store turned this host away while it served the others.
+BOOST_FIXTURE_TEST_CASE(aStoreThatTurnsOnlyThisHostAwayHasNoOutage, OutageFixture)
+{
+    const std::vector<std::string> hosts{"a", "b", "c"};
+    for (const std::string &name : hosts) {
+        RelayedStore host(store, name, [this] { return now; });
+        host.setHosts(hosts, hosts);
+        if (host.isRelay()) {
+            continue;
+        }
+        const std::int64_t seed = store.compareAndSwap("x/seed", 0, "0", 0).entry.revision;
+        const std::int64_t synced = host.list("x/").revision;
+        const auto passAway = [&](bool areRelaysServed) {
+            setDown(true);
+            for (const TimePoint end = now + 4s; now < end; now += 500ms) {
+                host.confirm("x/seed", seed);
+                if (areRelaysServed) {
+                    host.onNotice({"x/", synced, synced, {}, {}, {}});
+                }
+            }
+            setDown(false);
+            now += 100ms;
+            host.confirm("x/seed", seed);
+            now += 1'400ms;
+            return host.list("x/").outage;
+        };
+        BOOST_TEST((passAway(true) < Duration(2s)));
+        BOOST_TEST((passAway(false) >= Duration(4s)));
+    }
+}
+
 // Guards against targets that are used for too long after they left, because a host whose calls hang notices late that the store is back.
 BOOST_FIXTURE_TEST_CASE(theReturnOfAStoreIsDatedToTheCallsBeforeIt, OutageFixture)
 {
