Records of all streams go to their homes, and go before what a list shows

Cause: while a service had one version its streams were known to their host only, and others concluded the version from the absence of another one.

Fix: a stream's record goes to its homes with its first event in any case. A resumed stream goes by records; the conclusion counts only where no host that answers has one, and not on a host that nobody answers. Hosts answer from records only. The sharing by service goes.

--- a/decision/stream_origins.cpp
+++ b/decision/stream_origins.cpp
@@ -74,7 +74,7 @@
 void StreamOrigins::sendToNewHomes(const RendezvousNames &earlier)
 {
     for (const auto &[number, entry] : entries_) {
-        if (!shared_.contains(entry.ownService) || entry.version == 0) {
+        if (!entry.isOwn || entry.version == 0) {
             continue;
         }
         const StreamKey key{number};
@@ -96,21 +96,6 @@
 {
     history_.setTargets(listed, now);
     removeExpired(now);
-    updateShared(now);
-}
-
-void StreamOrigins::updateShared(TimePoint now)
-{
-    std::set<std::uint32_t> shared;
-    for (const std::string &service : history_.skewedServices(now)) {
-        shared.insert(shortDigest(service));
-    }
-    const std::set<std::uint32_t> earlier = std::exchange(shared_, std::move(shared));
-    for (const std::uint32_t service : shared_) {
-        if (!earlier.contains(service)) {
-            sendOwn(service); // Streams that began while there was one version.
-        }
-    }
 }
 
 void StreamOrigins::setEarlier(const std::set<std::string, std::less<>> &skewed, const std::map<std::string, std::string, std::less<>> &serving)
@@ -128,20 +113,19 @@
     history_.setSkewed(std::move(services));
 }
 
-void StreamOrigins::onBegun(StreamKey key, std::string_view service, std::string_view version, TimePoint now)
+void StreamOrigins::onBegun(StreamKey key, std::string_view version, TimePoint now)
 {
     removeExpired(now);
-    const std::uint32_t digest = shortDigest(service);
-    insert(key, {shortDigest(version), digest}, now);
-    if (shared_.contains(digest)) {
-        sendToHomes(key, shortDigest(version));
+    insert(key, {shortDigest(version), true}, now);
+    for (const std::string &home : homesOf(key, candidates_)) {
+        links_.sendRecord(home, {key, shortDigest(version)});
     }
 }
 
 void StreamOrigins::find(StreamKey key, std::string_view service, TimePoint now, Handler handler)
 {
     removeExpired(now);
-    if (const auto origin = findHere(key, service, now)) {
+    if (const auto origin = findRecord(key, service, now)) {
         handler(*origin);
         return;
     }
@@ -167,7 +151,7 @@
     lookup.silent.insert(hosts_.begin(), hosts_.end());
     lookup.silent.erase(host_);
     if (lookup.silent.empty()) {
-        finish(entry, {Knowledge::Unknown, {}, "none"});
+        finish(entry, conclude(lookup.service, now));
         return;
     }
     lookup.askAt = now + askInterval;
@@ -181,16 +165,18 @@
     ask(key, lookup, lookup.homes);
 }
 
-/// What this host knows without asking others.
-std::optional<StreamOrigins::Origin> StreamOrigins::findHere(StreamKey key, std::string_view service, TimePoint now) const
+/// What this host's own records say.
+std::optional<StreamOrigins::Origin> StreamOrigins::findRecord(StreamKey key, std::string_view service, TimePoint now) const
 {
-    if (const auto entry = entries_.find(toNumber(key)); entry != entries_.end()) {
-        return originOf(service, entry->second.version, "here", now);
-    }
-    if (const auto version = history_.onlyVersion(service, now)) {
-        return Origin{Knowledge::Known, *version, "only_version"};
-    }
-    return std::nullopt;
+    const auto entry = entries_.find(toNumber(key));
+    return entry != entries_.end() ? std::optional(originOf(service, entry->second.version, "here", now)) : std::nullopt;
+}
+
+/// What is concluded where no host has a record. A list of targets lags, so that a record goes first.
+StreamOrigins::Origin StreamOrigins::conclude(std::string_view service, TimePoint now) const
+{
+    const auto version = history_.onlyVersion(service, now);
+    return version ? Origin{Knowledge::Known, *version, "only_version"} : Origin{Knowledge::Unknown, {}, "none"};
 }
 
 StreamOrigins::Origin StreamOrigins::originOf(std::string_view service, std::uint32_t version, std::string_view source, TimePoint now) const
@@ -208,28 +194,24 @@
         return;
     }
     removeExpired(now);
-    insert(record.key, {record.version, 0}, now);
+    insert(record.key, {record.version, false}, now);
     onReply({}, record, now);
 }
 
-std::optional<StreamRecord> StreamOrigins::onQuery(const std::string &host, const StreamQuery &query, TimePoint now) const
+std::optional<StreamRecord> StreamOrigins::onQuery(const std::string &host, const StreamQuery &query) const
 {
     if (query.key == StreamKey{}) {
         sendRecordsOf(host);
         return std::nullopt;
     }
-    if (const auto entry = entries_.find(toNumber(query.key)); entry != entries_.end()) {
-        return StreamRecord{query.key, entry->second.version};
-    }
-    const auto service = history_.serviceName(query.service);
-    const auto version = service ? history_.onlyVersion(*service, now) : std::nullopt;
-    return StreamRecord{query.key, version ? shortDigest(*version) : 0};
+    const auto entry = entries_.find(toNumber(query.key));
+    return StreamRecord{query.key, entry != entries_.end() ? entry->second.version : 0};
 }
 
 void StreamOrigins::sendRecordsOf(const std::string &home) const
 {
     for (const auto &[number, entry] : entries_) {
-        if (!shared_.contains(entry.ownService) || entry.version == 0) {
+        if (!entry.isOwn || entry.version == 0) {
             continue;
         }
         const StreamKey key{number};
@@ -243,7 +225,7 @@
 /// A host that has just started lacks the records that its process before held.
 void StreamOrigins::askForRecords(TimePoint now)
 {
-    if (hasAskedForRecords_ || shared_.empty() || hosts_.empty()) {
+    if (hasAskedForRecords_ || hosts_.empty()) {
         return;
     }
     hasAskedForRecords_ = true;
@@ -269,8 +251,9 @@
         return;
     }
     lookup.silent.erase(host);
+    lookup.isAnswered = true;
     if (lookup.silent.empty()) {
-        finish(found, {Knowledge::Unknown, {}, "none"});
+        finish(found, conclude(lookup.service, now));
         return;
     }
     const bool isHomeSilent = std::any_of(lookup.homes.begin(), lookup.homes.end(), [&lookup](const auto &home) { return lookup.silent.contains(home); });
@@ -283,14 +266,14 @@
 void StreamOrigins::onTick(TimePoint now)
 {
     removeExpired(now);
-    updateShared(now);
     askForRecords(now);
     std::vector<std::pair<std::uint64_t, Origin>> ended;
     for (auto &[key, lookup] : lookups_) {
-        if (const auto origin = findHere(StreamKey{key}, lookup.service, now)) {
+        if (const auto origin = findRecord(StreamKey{key}, lookup.service, now)) {
             ended.emplace_back(key, *origin);
         } else if (now >= lookup.deadline) {
-            ended.emplace_back(key, Origin{Knowledge::Unknown, {}, "none"});
+            // A host that nobody answers is cut off, and what its list lacks may have happened meanwhile.
+            ended.emplace_back(key, lookup.isAnswered ? conclude(lookup.service, now) : Origin{Knowledge::Unknown, {}, "none"});
         } else if (now >= lookup.askAt) {
             askSilent(StreamKey{key}, lookup, now);
         }
@@ -348,23 +331,6 @@
     }
 }
 
-void StreamOrigins::sendToHomes(StreamKey key, std::uint32_t version)
-{
-    for (const std::string &home : homesOf(key, candidates_)) {
-        links_.sendRecord(home, {key, version});
-    }
-}
-
-/// Sends the records of all streams of a service that this host's callers began.
-void StreamOrigins::sendOwn(std::uint32_t service)
-{
-    for (const auto &[key, entry] : entries_) {
-        if (entry.ownService == service && entry.version != 0) {
-            sendToHomes(StreamKey{key}, entry.version);
-        }
-    }
-}
-
 void StreamOrigins::ask(StreamKey key, const Lookup &lookup, std::span<const std::string> hosts) const
 {
     const StreamQuery query{key, shortDigest(lookup.service)};
--- a/decision/stream_origins.h
+++ b/decision/stream_origins.h
@@ -43,10 +43,10 @@
 
 /// Knows on all hosts which software version began a stream, so that a caller can resume it at any of them.
 ///
-/// While a service has, or lately had, targets of several versions, the host of a stream sends a record to the stream's two home hosts, or three in a small
-/// fleet, chosen by rendezvous hashing, as soon as the first event arrived. A host at which a caller resumes a stream asks the homes, and all other hosts if
-/// these don't know it: lists of hosts may differ, and a home may be gone. A host that starts asks the others for the records that it is to hold. A record
-/// never changes, so messages may be lost, doubled or late. A service with one version needs no message. Not thread-safe; reads no clock.
+/// The host of a stream sends a record to the stream's two home hosts, or three in a small fleet, chosen by rendezvous hashing, as soon as the first event
+/// arrived. A host at which a caller resumes a stream asks the homes, and all other hosts if these don't know it: lists of hosts may differ, and a home
+/// may be gone. If none of those that answer has a record, a service that had one version only is concluded from the list of targets. A host that starts
+/// asks the others for the records that it is to hold. A record never changes, so messages may be lost, doubled or late. Not thread-safe; reads no clock.
 class StreamOrigins
 {
 public:
@@ -94,7 +94,7 @@
     void setSkewed(std::set<std::string, std::less<>> services);
 
     /// A caller of this host receives the first event of a stream.
-    void onBegun(StreamKey key, std::string_view service, std::string_view version, TimePoint now);
+    void onBegun(StreamKey key, std::string_view version, TimePoint now);
 
     /// Finds out which version began a stream of a service. `handler` is called once, at once or within `lookupTimeout`.
     void find(StreamKey key, std::string_view service, TimePoint now, Handler handler);
@@ -104,7 +104,7 @@
     void onRecord(const StreamRecord &record, TimePoint now);
 
     /// Returns the reply to send; nothing if the records that were asked for have been sent instead.
-    std::optional<StreamRecord> onQuery(const std::string &host, const StreamQuery &query, TimePoint now) const;
+    std::optional<StreamRecord> onQuery(const std::string &host, const StreamQuery &query) const;
     void onReply(const std::string &host, const StreamRecord &reply, TimePoint now);
 
     /// Repeats questions, ends those that are answered here by now, and gives up on others. To be called at `nextEvent`, and several times a second.
@@ -127,7 +127,7 @@
     struct Entry
     {
         std::uint32_t version = 0; ///< 0 if records contradict each other.
-        std::uint32_t ownService = 0; ///< Digest of the service if a caller of this host received the first event, else 0.
+        bool isOwn = false; ///< A caller of this host received the first event.
     };
 
     struct Lookup
@@ -138,20 +138,19 @@
         std::vector<std::string> homes; ///< The first to be asked.
         TimePoint deadline;
         TimePoint askAt; ///< When to ask the silent ones next.
+        bool isAnswered = false; ///< Some host has answered that it has no record.
     };
 
     using Lookups = std::unordered_map<std::uint64_t, Lookup>;
 
-    void updateShared(TimePoint now);
     std::vector<std::string> homesOf(StreamKey key, const RendezvousNames &candidates) const;
     std::size_t homeCount() const;
     void insert(StreamKey key, const Entry &entry, TimePoint now);
-    void sendToHomes(StreamKey key, std::uint32_t version);
-    void sendOwn(std::uint32_t service);
     void sendToNewHomes(const RendezvousNames &earlier);
     void sendRecordsOf(const std::string &home) const;
     void askForRecords(TimePoint now);
-    std::optional<Origin> findHere(StreamKey key, std::string_view service, TimePoint now) const;
+    std::optional<Origin> findRecord(StreamKey key, std::string_view service, TimePoint now) const;
+    Origin conclude(std::string_view service, TimePoint now) const;
     Origin originOf(std::string_view service, std::uint32_t version, std::string_view source, TimePoint now) const;
     void askFirst(Lookups::iterator entry, TimePoint now);
     void ask(StreamKey key, const Lookup &lookup, std::span<const std::string> hosts) const;
@@ -166,7 +165,6 @@
     RendezvousNames candidates_;
     std::unordered_map<std::uint64_t, Entry> entries_; ///< By key.
     std::deque<std::pair<TimePoint, std::uint64_t>> expiries_; ///< When an entry was made, and its key; oldest first.
-    std::set<std::uint32_t> shared_; ///< Digests of the services whose records are sent to homes.
     Lookups lookups_; ///< By key.
     bool hasAskedForRecords_ = false;
 };
--- a/gateway/stream_versions.cpp
+++ b/gateway/stream_versions.cpp
@@ -76,7 +76,7 @@
 
 void StreamVersions::onBegun(const RequestIntake &intake, std::string_view version)
 {
-    origins_.onBegun(streamKey(intake.caller().id, intake.teamName(), intake.service()), intake.service(), version, BootClock::now());
+    origins_.onBegun(streamKey(intake.caller().id, intake.teamName(), intake.service()), version, BootClock::now());
 }
 
 void StreamVersions::find(const RequestIntake &intake, StreamOrigins::Handler handler)
@@ -126,7 +126,7 @@
 std::optional<StreamRecord> StreamVersions::onQuery(const std::string &host, const StreamQuery &query)
 {
     observe();
-    return origins_.onQuery(host, query, BootClock::now());
+    return origins_.onQuery(host, query);
 }
 
 void StreamVersions::onReply(const std::string &host, const StreamRecord &reply)
