--- a/gateway/routed_request.cpp
+++ b/gateway/routed_request.cpp
@@ -125,14 +125,6 @@
     enqueue();
 }
 
-void RoutedRequest::limitDeadline(TimePoint deadline)
-{
-    if (phase_ != Phase::Done && deadline < deadline_) {
-        deadline_ = deadline;
-        armTimer();
-    }
-}
-
 void RoutedRequest::enqueue()
 {
     phase_ = Phase::Queued;
--- a/gateway/routed_request_end.cpp
+++ b/gateway/routed_request_end.cpp
@@ -31,6 +31,14 @@
     finish(resultCodeInfo(reason.code).name, failureStatus_);
 }
 
+void RoutedRequest::limitDeadline(TimePoint deadline)
+{
+    if (phase_ != Phase::Done && deadline < deadline_) {
+        deadline_ = deadline;
+        armTimer();
+    }
+}
+
 /// Sends the caller its final error response, or breaks off the response that has begun, and releases the session. A call that runs at a target
 /// continues.
 void RoutedRequest::answerFailure(const Reason &reason, Duration retryAfter)
